--- /dev/null
+++ b/node/src/discovery.rs
@@ -0,0 +1,192 @@
+//! The list of backends: one watch on discovery, renewed at once and for ever.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use brookfield::{ListScope, Stage};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::driver::{Listed, Node};
+
+const PATH: &str = "/registry/instances";
+/// How long one watch may wait: short beside an agent on the node's own machine, where a call costs nothing
+/// and one that has gone silent should be noticed; long where all nodes ask one service.
+const HOLD_PUSHED: Duration = Duration::from_secs(5);
+const HOLD_ASKED: Duration = Duration::from_secs(20);
+/// An answer this long after the wait was over does not come any more.
+const GRACE: Duration = Duration::from_secs(1);
+/// First and last wait after a failure. Where discovery is asked the module calls for the next try itself,
+/// and the wait is only there in case it does not.
+const AGAIN_PUSHED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+const AGAIN_ASKED: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(10));
+const CONNECT: Duration = Duration::from_millis(500);
+/// A list of thousands of backends fits.
+const MAX_LIST: usize = 4 * 1024 * 1024;
+
+/// The list as discovery words it.
+#[derive(Deserialize)]
+pub struct List {
+    rev: u64,
+    all: bool,
+    targets: Vec<Target>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u64,
+    state: State,
+    #[serde(default)]
+    capacity_hint: f64,
+    #[serde(default)]
+    boot_ms: u64,
+}
+
+#[derive(Deserialize)]
+enum State {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+impl Target {
+    fn listed(self) -> Listed {
+        Listed {
+            uid: self.uid,
+            endpoint: self.endpoint,
+            zone: self.az,
+            kind: self.model,
+            cell: self.pod_group,
+            stage: match self.state {
+                State::Ready => Stage::InService,
+                State::Terminating => Stage::Draining,
+                State::Gone => Stage::Gone,
+            },
+            size: self.capacity_hint,
+            boot_ms: self.boot_ms,
+        }
+    }
+}
+
+/// Why a call to discovery brought no list.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("the call broke: {0}")]
+    Broken(#[from] hyper::Error),
+    #[error("the answer broke or was too long: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("answered {0}")]
+    Status(StatusCode),
+    #[error("not a list: {0}")]
+    Malformed(#[from] serde_json::Error),
+    #[error("no answer in time")]
+    Late,
+    #[error("no such request: {0}")]
+    Request(#[from] hyper::http::Error),
+}
+
+/// Follows the list.
+pub struct Watch {
+    node: Node,
+    at: SocketAddr,
+    rev: Option<u64>,
+    link: Option<SendRequest<Empty<Bytes>>>,
+}
+
+impl Watch {
+    /// A watch at `at` that goes on from `known`, which may be old.
+    pub fn new(node: Node, at: SocketAddr, known: Option<List>) -> Self {
+        let rev = known.as_ref().map(|list| list.rev);
+        if let Some(list) = known {
+            node.fleet(ListScope::Cached, list.targets.into_iter().map(Target::listed).collect());
+        }
+        Self { node, at, rev, link: None }
+    }
+
+    /// Watches; never ends.
+    pub async fn run(mut self) {
+        let asked = self.node.asks_discovery();
+        let (hold, again) = if asked { (HOLD_ASKED, AGAIN_ASKED) } else { (HOLD_PUSHED, AGAIN_PUSHED) };
+        let mut wait = again.0;
+        loop {
+            match self.call(hold).await {
+                Ok(list) => {
+                    wait = again.0;
+                    self.take(list);
+                }
+                Err(error) => {
+                    tracing::warn!("discovery: {error}");
+                    self.link = None;
+                    self.node.fleet_failed();
+                    tokio::select! {
+                        () = sleep(wait) => {}
+                        () = self.node.discovery_wanted() => {}
+                    }
+                    wait = (wait * 2).min(again.1);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, list: List) {
+        self.rev = Some(list.rev);
+        let scope = if list.all { ListScope::Full } else { ListScope::Changes };
+        if list.all || !list.targets.is_empty() {
+            self.node.fleet(scope, list.targets.into_iter().map(Target::listed).collect());
+        }
+    }
+
+    async fn call(&mut self, hold: Duration) -> Result<List, CallError> {
+        let whole = self.node.take_whole_list();
+        let target = match self.rev.filter(|_| !whole) {
+            Some(rev) => format!("{PATH}?from={rev}&hold_ms={}", hold.as_millis()),
+            None => PATH.to_owned(),
+        };
+        timeout(hold + GRACE, self.ask(&target)).await.map_err(|_| CallError::Late)?
+    }
+
+    async fn ask(&mut self, target: &str) -> Result<List, CallError> {
+        let mut link = match self.link.take().filter(|link| !link.is_closed()) {
+            Some(link) => link,
+            None => connect(self.at).await?,
+        };
+        link.ready().await?;
+        let request = Request::get(target).header(HOST, self.at.to_string()).body(Empty::new())?;
+        let response = link.send_request(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_LIST).collect().await.map_err(CallError::Body)?;
+        if status != StatusCode::OK {
+            return Err(CallError::Status(status));
+        }
+        self.link = Some(link);
+        Ok(serde_json::from_slice(&body.to_bytes())?)
+    }
+}
+
+async fn connect(at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, CallError> {
+    let stream = timeout(CONNECT, TcpStream::connect(at)).await.map_err(|_| CallError::Late)??;
+    stream.set_nodelay(true)?;
+    let (link, connection) = handshake(TokioIo::new(stream)).await?;
+    spawn_local(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!("connection to discovery: {error}");
+        }
+    });
+    Ok(link)
+}
--- /dev/null
+++ b/node/src/driver.rs
@@ -0,0 +1,600 @@
+//! Between the sockets and the module: the sole owner of the [`Balancer`], of ids, timers and the table of
+//! requests. Events go in, actions come out; what an action asks of the network is left to a [`Launcher`].
+//! Nothing is decided here, and no borrow of the driver outlives one of its calls.
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use brookfield::{
+    Action, Arrival, BackendId, Balancer, ClassId, Discovery, Effect, Event, ListScope, Member, Nanos,
+    Outcome, Report, RequestId, Settings, SettingsError, Settlement, Stage,
+};
+use brookfield_settings::Words;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use tokio::sync::{Notify, oneshot};
+
+/// How long past a request's end the driver waits for the module before it answers by itself: longer than
+/// the module's own housekeeping, well inside the slack that the rules leave.
+const BACKSTOP: Nanos = 20_000_000;
+
+/// The node's one clock: nanoseconds that never step back, counted from the Unix time at the start, so that
+/// times told by other machines compare with it.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    began: Instant,
+    offset: Nanos,
+}
+
+impl Clock {
+    /// A clock that starts at the present time.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { began: Instant::now(), offset: nanos(unix) }
+    }
+
+    /// The present.
+    pub fn now(&self) -> Nanos {
+        self.offset.saturating_add(nanos(self.began.elapsed()))
+    }
+
+    /// The runtime's time for one of this clock's.
+    pub fn instant(&self, at: Nanos) -> tokio::time::Instant {
+        (self.began + Duration::from_nanos(at.saturating_sub(self.offset))).into()
+    }
+}
+
+fn nanos(span: Duration) -> Nanos {
+    u64::try_from(span.as_nanos()).unwrap_or(Nanos::MAX)
+}
+
+/// A client's request in the form in which it is passed on.
+pub struct Call {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub target: Uri,
+    /// The headers that go on unchanged.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Reply {
+    /// Served, with a backend's answer.
+    Served(Bytes),
+    /// Refused; the client should stay away for this long, if that is above 0.
+    Refused(Nanos),
+    /// Failed.
+    Failed,
+}
+
+/// One attempt of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    request: RequestId,
+    attempt: u32,
+    backend: BackendId,
+}
+
+/// An attempt to be made.
+pub struct Launch {
+    /// Which one; goes back with its outcome.
+    pub ticket: Ticket,
+    /// Whom to send to.
+    pub backend: BackendId,
+    /// Where it listens.
+    pub endpoint: SocketAddr,
+    /// What to send.
+    pub call: Rc<Call>,
+    /// When to stop waiting.
+    pub give_up: Nanos,
+    /// When the client stops waiting.
+    pub not_after: Nanos,
+    /// Resolves once the attempt has been withdrawn.
+    pub withdrawn: oneshot::Receiver<()>,
+}
+
+/// How an attempt ended.
+pub struct Ending {
+    /// What happened.
+    pub outcome: Outcome,
+    /// The load report that came along.
+    pub report: Report,
+    /// The answer's body, of one that served.
+    pub body: Bytes,
+}
+
+impl Ending {
+    /// An end with nothing received.
+    pub fn bare(outcome: Outcome) -> Self {
+        Self { outcome, report: Report::default(), body: Bytes::new() }
+    }
+}
+
+/// Carries out on the network what the module asks for.
+pub trait Launcher {
+    /// Starts an attempt; its end comes back by [`Node::settled`], exactly once.
+    fn launch(&self, node: &Node, launch: Launch);
+    /// Drops the idle connections to a backend that has left, moved or started anew.
+    fn retire(&self, backend: BackendId);
+}
+
+/// One line of discovery's list.
+pub struct Listed {
+    /// The backend's name.
+    pub uid: String,
+    /// Where it listens.
+    pub endpoint: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its machine kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u64,
+    /// What it may take.
+    pub stage: Stage,
+    /// Its size.
+    pub size: f64,
+    /// When it last started; 0 for long ago.
+    pub boot_ms: u64,
+}
+
+/// What a client's request says of itself.
+pub struct Asked {
+    /// Its class.
+    pub class: u32,
+    /// Its tenant.
+    pub tenant: Option<u32>,
+    /// Its work, where the client guesses it.
+    pub hint: Option<Nanos>,
+    /// Marked as a repeat.
+    pub repeat: bool,
+    /// How long the client waits.
+    pub budget: Nanos,
+    /// What is passed on.
+    pub call: Call,
+}
+
+struct Flight {
+    since: Nanos,
+    withdraw: Option<oneshot::Sender<()>>,
+}
+
+struct Open {
+    reply: Option<oneshot::Sender<Reply>>,
+    call: Rc<Call>,
+    not_after: Nanos,
+    /// Attempts by number; none where settled.
+    attempts: Vec<Option<Flight>>,
+    ended: bool,
+}
+
+struct Known {
+    endpoint: SocketAddr,
+    boot_ms: u64,
+    /// When the node was told that it drains.
+    draining_since: Option<Nanos>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Backstop(RequestId),
+}
+
+struct Driver {
+    clock: Clock,
+    balancer: Balancer,
+    settings: Settings,
+    words: Words,
+    requests: HashMap<RequestId, Open>,
+    next_request: u64,
+    ids: HashMap<String, BackendId>,
+    backends: HashMap<BackendId, Known>,
+    next_backend: u32,
+    timers: BTreeSet<(Nanos, Due)>,
+    /// Set by the module's wish for the whole list.
+    whole_list: bool,
+}
+
+/// Work that an event has left for the network.
+#[derive(Default)]
+struct Errands {
+    launches: Vec<Launch>,
+    retired: Vec<BackendId>,
+    /// Attempts on a backend that has left the list meanwhile.
+    moot: Vec<Ticket>,
+    ask: bool,
+    rearm: bool,
+}
+
+/// A handle on the driver. Cheap to clone.
+#[derive(Clone)]
+pub struct Node {
+    driver: Rc<RefCell<Driver>>,
+    launcher: Rc<dyn Launcher>,
+    timer: Rc<Notify>,
+    asked: Rc<Notify>,
+    clock: Clock,
+}
+
+impl Node {
+    /// A node with no backends yet.
+    pub fn new(
+        settings: Settings,
+        words: Words,
+        seed: u64,
+        clock: Clock,
+        launcher: Rc<dyn Launcher>,
+    ) -> Result<Self, SettingsError> {
+        let driver = Driver {
+            clock,
+            balancer: Balancer::new(settings.clone(), seed, clock.now())?,
+            settings,
+            words,
+            requests: HashMap::new(),
+            next_request: 0,
+            ids: HashMap::new(),
+            backends: HashMap::new(),
+            next_backend: 0,
+            timers: BTreeSet::new(),
+            whole_list: false,
+        };
+        let driver = Rc::new(RefCell::new(driver));
+        let node = Self { driver, launcher, timer: Rc::default(), asked: Rc::default(), clock };
+        node.tell(|driver, errands| driver.hear(Event::Start, errands));
+        Ok(node)
+    }
+
+    /// The node's clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// A class's number, time limit and effect, or none where the settings do not list it.
+    pub fn class(&self, name: &str) -> Option<(u32, Nanos, Effect)> {
+        let driver = self.driver.borrow();
+        let class = driver.words.class(name)?;
+        let settings = driver.settings.classes.get(class as usize)?;
+        Some((class, settings.deadline, settings.effect))
+    }
+
+    /// A tenant's number. `Err` for a name that the settings of a site with tenants do not list.
+    pub fn tenant(&self, name: Option<&str>) -> Result<Option<u32>, UnknownTenant> {
+        let driver = self.driver.borrow();
+        if driver.settings.tenants.is_empty() {
+            return Ok(None);
+        }
+        driver.words.tenant(name).map(Some).ok_or(UnknownTenant)
+    }
+
+    /// The longest that any client waits.
+    pub fn longest_deadline(&self) -> Duration {
+        let driver = self.driver.borrow();
+        Duration::from_nanos(driver.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
+    }
+
+    /// Whether the site's discovery has to be asked.
+    pub fn asks_discovery(&self) -> bool {
+        self.driver.borrow().settings.discovery == Discovery::Asked
+    }
+
+    /// Takes a request; the answer comes through what is returned. Dropping that first means that the client
+    /// has gone.
+    pub fn submit(&self, asked: Asked) -> Waiting {
+        let (reply, answer) = oneshot::channel();
+        let request = self.tell(|driver, errands| driver.submit(asked, reply, errands));
+        Waiting { node: self.clone(), request, answer }
+    }
+
+    /// Whether an attempt may still be written: a connect can outlast its request, or the grace of a backend
+    /// that has begun to drain.
+    pub fn may_write(&self, ticket: Ticket) -> bool {
+        let driver = self.driver.borrow();
+        let (now, grace) = (driver.clock.now(), driver.settings.rules.drain_grace);
+        let live = driver.requests.get(&ticket.request).is_some_and(|r| !r.ended && now < r.not_after);
+        // Half the grace: telling began before the list was read here, and the bytes have a way to go.
+        let open = driver.backends.get(&ticket.backend).is_some_and(|backend| {
+            backend.draining_since.is_none_or(|since| now < since.saturating_add(grace / 2))
+        });
+        live && open
+    }
+
+    /// Takes the end of an attempt.
+    pub fn settled(&self, ticket: Ticket, ending: Ending) {
+        self.tell(|driver, errands| driver.settled(ticket, ending, errands));
+    }
+
+    /// Takes a list from discovery.
+    pub fn fleet(&self, scope: ListScope, list: Vec<Listed>) {
+        self.tell(|driver, errands| driver.fleet(scope, list, errands));
+    }
+
+    /// A call to discovery has failed.
+    pub fn fleet_failed(&self) {
+        self.tell(|driver, errands| driver.hear(Event::FleetFailed, errands));
+    }
+
+    /// Waits until the module asks for the watch or the list.
+    pub async fn discovery_wanted(&self) {
+        self.asked.notified().await;
+    }
+
+    /// Whether the module wants the whole list next; asking takes the wish back.
+    pub fn take_whole_list(&self) -> bool {
+        std::mem::take(&mut self.driver.borrow_mut().whole_list)
+    }
+
+    /// Runs the timers; never ends.
+    pub async fn run_timers(&self) {
+        loop {
+            let next = self.driver.borrow().timers.first().map(|(at, _)| *at);
+            match next {
+                None => self.timer.notified().await,
+                Some(at) => {
+                    tokio::select! {
+                        () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                        () = self.timer.notified() => {}
+                    }
+                }
+            }
+            self.tell(|driver, errands| driver.fire(errands));
+        }
+    }
+
+    /// One call into the driver; what it leaves to do is done once the borrow has ended.
+    fn tell<T>(&self, call: impl FnOnce(&mut Driver, &mut Errands) -> T) -> T {
+        let mut errands = Errands::default();
+        let result = call(&mut self.driver.borrow_mut(), &mut errands);
+        errands.retired.into_iter().for_each(|backend| self.launcher.retire(backend));
+        errands.launches.into_iter().for_each(|launch| self.launcher.launch(self, launch));
+        for ticket in errands.moot {
+            self.settled(ticket, Ending::bare(Outcome::Moot));
+        }
+        if errands.ask {
+            self.asked.notify_one();
+        }
+        if errands.rearm {
+            self.timer.notify_one();
+        }
+        result
+    }
+}
+
+/// The settings name no such tenant.
+#[derive(Debug, thiserror::Error)]
+#[error("unknown tenant")]
+pub struct UnknownTenant;
+
+/// A request that is owed its answer.
+pub struct Waiting {
+    node: Node,
+    request: RequestId,
+    answer: oneshot::Receiver<Reply>,
+}
+
+impl Waiting {
+    /// The final answer.
+    pub async fn answer(mut self) -> Reply {
+        // The sender is dropped unused only if the request has vanished, which promises nothing.
+        (&mut self.answer).await.unwrap_or(Reply::Failed)
+    }
+}
+
+impl Drop for Waiting {
+    /// A client that hangs up takes its connection's task with it, and so this: the one place that notices.
+    fn drop(&mut self) {
+        let request = self.request;
+        self.node.tell(|driver, errands| driver.client_gone(request, errands));
+    }
+}
+
+impl Driver {
+    fn hear(&mut self, event: Event, errands: &mut Errands) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action, errands);
+        }
+    }
+
+    fn act(&mut self, action: Action, errands: &mut Errands) {
+        match action {
+            Action::Send { request, backend, timeout } => self.send(request, backend, timeout, errands),
+            Action::Refuse { request, pause } => self.finish(request, Reply::Refused(pause)),
+            Action::Fail { request } => self.finish(request, Reply::Failed),
+            Action::Cancel { request, attempt } => {
+                let open = self.requests.get_mut(&request);
+                let flight = open.and_then(|open| open.attempts.get_mut(attempt as usize));
+                let withdraw = flight.and_then(Option::as_mut).and_then(|flight| flight.withdraw.take());
+                // An attempt that ended meanwhile no longer listens: its own outcome is on the way.
+                let _ = withdraw.map(|withdraw| withdraw.send(()));
+            }
+            // The settings never allow probes here; the module is told of none.
+            Action::Probe { .. } => tracing::warn!("the module asked for a probe; nodes make none"),
+            Action::Watch => errands.ask = true,
+            Action::Fetch => {
+                self.whole_list = true;
+                errands.ask = true;
+            }
+            Action::Timer { after, token } => {
+                self.set_timer(self.clock.now().saturating_add(after), Due::Module(token), errands);
+            }
+            Action::Log(text) => tracing::info!("{text}"),
+        }
+    }
+
+    fn set_timer(&mut self, at: Nanos, due: Due, errands: &mut Errands) {
+        errands.rearm |= self.timers.first().is_none_or(|(first, _)| at < *first);
+        self.timers.insert((at, due));
+    }
+
+    fn fire(&mut self, errands: &mut Errands) {
+        let now = self.clock.now();
+        while let Some((_, due)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
+            self.timers.pop_first();
+            match due {
+                Due::Module(token) => self.hear(Event::Timer { token }, errands),
+                Due::Backstop(request) => self.backstop(request, errands),
+            }
+        }
+    }
+
+    /// Guards against a request that the module forgot: past the client's time it fails, come what may.
+    fn backstop(&mut self, request: RequestId, errands: &mut Errands) {
+        if self.requests.get(&request).is_some_and(|open| !open.ended) {
+            tracing::warn!("a request had no answer at its end");
+            self.finish(request, Reply::Failed);
+            self.hear(Event::ClientGone { request }, errands);
+            self.forget_if_done(request);
+        }
+    }
+
+    fn submit(&mut self, asked: Asked, reply: oneshot::Sender<Reply>, errands: &mut Errands) -> RequestId {
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        let not_after = self.clock.now().saturating_add(asked.budget);
+        let (call, reply) = (Rc::new(asked.call), Some(reply));
+        self.requests.insert(request, Open { reply, call, not_after, attempts: Vec::new(), ended: false });
+        self.set_timer(not_after.saturating_add(BACKSTOP), Due::Backstop(request), errands);
+        let arrival = Arrival {
+            request,
+            class: ClassId(asked.class),
+            hint: asked.hint,
+            repeat: asked.repeat,
+            tenant: asked.tenant,
+            not_after,
+        };
+        self.hear(Event::Request(arrival), errands);
+        self.forget_if_done(request);
+        request
+    }
+
+    fn send(
+        &mut self,
+        request: RequestId,
+        backend: BackendId,
+        timeout: Option<Nanos>,
+        errands: &mut Errands,
+    ) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let now = self.clock.now();
+        let (withdraw, withdrawn) = oneshot::channel();
+        let ticket = Ticket { request, attempt: open.attempts.len() as u32, backend };
+        open.attempts.push(Some(Flight { since: now, withdraw: Some(withdraw) }));
+        let Some(known) = self.backends.get(&backend) else {
+            errands.moot.push(ticket);
+            return;
+        };
+        let end = timeout.map_or(Nanos::MAX, |timeout| now.saturating_add(timeout));
+        errands.launches.push(Launch {
+            ticket,
+            backend,
+            endpoint: known.endpoint,
+            call: open.call.clone(),
+            give_up: end.min(open.not_after),
+            not_after: open.not_after,
+            withdrawn,
+        });
+    }
+
+    /// Gives the final answer. Only the first one of a request goes out.
+    fn finish(&mut self, request: RequestId, reply: Reply) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        if let Some(sender) = open.reply.take() {
+            // The client may have gone in this very moment.
+            let _ = sender.send(reply);
+        }
+        open.ended = true;
+        self.timers.remove(&(open.not_after.saturating_add(BACKSTOP), Due::Backstop(request)));
+    }
+
+    fn settled(&mut self, ticket: Ticket, ending: Ending, errands: &mut Errands) {
+        let Ticket { request, attempt, .. } = ticket;
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let Some(flight) = open.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let elapsed = self.clock.now().saturating_sub(flight.since);
+        if ending.outcome == Outcome::Served {
+            self.finish(request, Reply::Served(ending.body));
+        }
+        let ended = self.requests.get(&request).is_none_or(|open| open.ended);
+        let (outcome, report) = (ending.outcome, ending.report);
+        let settlement = Settlement { request, attempt, outcome, elapsed, ended, report };
+        self.hear(Event::Settled(settlement), errands);
+        self.forget_if_done(request);
+    }
+
+    fn client_gone(&mut self, request: RequestId, errands: &mut Errands) {
+        if self.requests.get(&request).is_some_and(|open| !open.ended) {
+            self.finish(request, Reply::Failed);
+            self.hear(Event::ClientGone { request }, errands);
+        }
+        self.forget_if_done(request);
+    }
+
+    fn forget_if_done(&mut self, request: RequestId) {
+        let done = |open: &Open| open.ended && open.attempts.iter().all(Option::is_none);
+        if self.requests.get(&request).is_some_and(done) {
+            self.requests.remove(&request);
+        }
+    }
+
+    fn fleet(&mut self, scope: ListScope, list: Vec<Listed>, errands: &mut Errands) {
+        let now = self.clock.now();
+        let mut left: Vec<String> = Vec::new();
+        if scope != ListScope::Changes {
+            let named: HashSet<&str> = list.iter().map(|listed| listed.uid.as_str()).collect();
+            left.extend(self.ids.keys().filter(|uid| !named.contains(uid.as_str())).cloned());
+        }
+        left.extend(
+            list.iter().filter(|listed| listed.stage == Stage::Gone).map(|listed| listed.uid.clone()),
+        );
+        let members = list.into_iter().filter_map(|listed| self.member(listed, now, errands)).collect();
+        self.hear(Event::Fleet { scope, members }, errands);
+        // Under its name a backend that has gone may come again: as a new one, since its number is not kept.
+        for uid in left {
+            if let Some(id) = self.ids.remove(&uid) {
+                self.backends.remove(&id);
+                errands.retired.push(id);
+            }
+        }
+    }
+
+    fn member(&mut self, listed: Listed, now: Nanos, errands: &mut Errands) -> Option<Member> {
+        let gone = listed.stage == Stage::Gone;
+        let id = match self.ids.get(&listed.uid) {
+            Some(&id) => id,
+            None if gone => return None,
+            None => {
+                let id = BackendId(self.next_backend);
+                self.next_backend += 1;
+                self.ids.insert(listed.uid, id);
+                id
+            }
+        };
+        let draining = listed.stage != Stage::InService;
+        let before = self.backends.get(&id);
+        let draining_since = draining.then(|| before.and_then(|b| b.draining_since).unwrap_or(now));
+        let moved = |b: &Known| b.endpoint != listed.endpoint || b.boot_ms != listed.boot_ms;
+        if draining || before.is_some_and(moved) {
+            errands.retired.push(id);
+        }
+        let known = Known { endpoint: listed.endpoint, boot_ms: listed.boot_ms, draining_since };
+        self.backends.insert(id, known);
+        Some(Member {
+            backend: id,
+            zone: self.words.zone(&listed.zone),
+            kind: self.words.kind(&listed.kind),
+            cell: listed.cell,
+            stage: listed.stage,
+            size: listed.size,
+            online_since: (listed.boot_ms > 0).then(|| listed.boot_ms.saturating_mul(1_000_000)),
+        })
+    }
+}
--- /dev/null
+++ b/node/src/upstream.rs
@@ -0,0 +1,271 @@
+//! The backends' side: a bounded pool of connections, and single attempts over them. What happened to an
+//! attempt becomes an [`Outcome`]; whether there is another is not decided here, and nothing is sent twice.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use brookfield::{BackendId, Nanos, Outcome, Report};
+use brookfield_settings::Links;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use crate::driver::{Clock, Ending, Launch, Launcher, Node};
+
+/// No body is larger, either way.
+pub const MAX_BODY: usize = 64 * 1024;
+/// An idle connection is kept for this part of the backends' limit: one that is written to as its backend
+/// closes it ends as a reset, and what was sent on it may have run.
+const IDLE_PART: u64 = 2;
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
+
+type Link = SendRequest<Full<Bytes>>;
+type Place = (BackendId, SocketAddr);
+
+struct Idle {
+    link: Link,
+    since: Nanos,
+}
+
+/// Connections to the backends.
+pub struct Pool {
+    idle: RefCell<HashMap<Place, Vec<Idle>>>,
+    /// Open connections, idle or not.
+    open: Rc<Cell<usize>>,
+    most: usize,
+    links: Links,
+    clock: Clock,
+}
+
+/// Counts an open connection for as long as its task lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Starts attempts over a pool.
+pub struct Upstream(Rc<Pool>);
+
+impl Upstream {
+    /// At most `most` connections are open together.
+    pub fn new(links: Links, clock: Clock, most: usize) -> Self {
+        let (idle, open) = (RefCell::default(), Rc::default());
+        Self(Rc::new(Pool { idle, open, most, links, clock }))
+    }
+
+    /// Closes what has been idle for too long; never ends.
+    pub async fn sweep(pool: Rc<Pool>) {
+        loop {
+            sleep(SWEEP).await;
+            pool.drop_stale();
+        }
+    }
+
+    /// The pool.
+    pub fn pool(&self) -> Rc<Pool> {
+        self.0.clone()
+    }
+}
+
+impl Launcher for Upstream {
+    fn launch(&self, node: &Node, launch: Launch) {
+        let (pool, node) = (self.0.clone(), node.clone());
+        spawn_local(async move { pool.run(node, launch).await });
+    }
+
+    fn retire(&self, backend: BackendId) {
+        self.0.idle.borrow_mut().retain(|place, _| place.0 != backend);
+    }
+}
+
+impl Pool {
+    async fn run(&self, node: Node, mut launch: Launch) {
+        let written = Cell::new(false);
+        let withdrawn = std::mem::replace(&mut launch.withdrawn, tokio::sync::oneshot::channel().1);
+        // Never written, it never ran: a refusal is still open to the module then.
+        let unless_written = |outcome| if written.get() { outcome } else { Outcome::Moot };
+        let ending = tokio::select! {
+            biased;
+            _ = withdrawn => Ending::bare(unless_written(Outcome::Cancelled)),
+            ending = self.attempt(&node, &launch, &written) => ending,
+            () = sleep_until(self.clock.instant(launch.give_up)) => {
+                Ending::bare(unless_written(Outcome::TimedOut))
+            }
+        };
+        node.settled(launch.ticket, ending);
+    }
+
+    async fn attempt(&self, node: &Node, launch: &Launch, written: &Cell<bool>) -> Ending {
+        let place = (launch.backend, launch.endpoint);
+        loop {
+            let (mut link, fresh) = match self.take(place) {
+                Some(link) => (link, false),
+                None => match self.connect(launch.endpoint).await {
+                    Some(link) => (link, true),
+                    None => return Ending::bare(Outcome::ConnectFailed),
+                },
+            };
+            // A pooled connection found dead before anything was written to it costs nothing: the next one.
+            if link.ready().await.is_err() {
+                if fresh {
+                    return Ending::bare(Outcome::ConnectFailed);
+                }
+                continue;
+            }
+            // The connect may have outlasted the request, or the backend's place on the list.
+            if !node.may_write(launch.ticket) {
+                self.keep(place, link);
+                return Ending::bare(Outcome::Moot);
+            }
+            let Some(message) = self.message(launch) else { return Ending::bare(Outcome::Moot) };
+            written.set(true);
+            match link.try_send_request(message).await {
+                Ok(response) => return self.read(place, link, response).await,
+                // The message comes back only if not a byte of it was written.
+                Err(mut error) => match error.take_message() {
+                    Some(_) => written.set(false),
+                    None => return Ending::bare(Outcome::Reset),
+                },
+            }
+            if fresh {
+                return Ending::bare(Outcome::ConnectFailed);
+            }
+        }
+    }
+
+    fn message(&self, launch: &Launch) -> Option<Request<Full<Bytes>>> {
+        let call = &launch.call;
+        let left = launch.give_up.min(launch.not_after).saturating_sub(self.clock.now()) / 1_000_000;
+        let mut message = Request::new(Full::new(call.body.clone()));
+        *message.method_mut() = call.method.clone();
+        *message.uri_mut() = call.target.clone();
+        *message.headers_mut() = call.headers.clone();
+        let headers = message.headers_mut();
+        headers.insert("x-budget-ms", HeaderValue::from(left));
+        if !headers.contains_key(HOST) {
+            headers.insert(HOST, HeaderValue::from_str(&launch.endpoint.to_string()).ok()?);
+        }
+        Some(message)
+    }
+
+    async fn read(&self, place: Place, link: Link, response: Response<Incoming>) -> Ending {
+        let (head, body) = response.into_parts();
+        let report = load_report(&head.headers);
+        let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
+        // With neither a length nor chunks an answer ends with its connection, and one cut short looks whole.
+        let framed = body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
+        let whole = Limited::new(body, MAX_BODY).collect().await.ok().filter(|_| framed);
+        let body = whole.map(|whole| whole.to_bytes());
+        if body.is_some() {
+            self.keep(place, link);
+        }
+        let outcome = match (head.status, &body) {
+            (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if rejected => Outcome::Full,
+            (_, None) => Outcome::Reset,
+            (StatusCode::OK, Some(_)) => Outcome::Served,
+            // Whatever the status says, the request may have run.
+            _ => Outcome::Error,
+        };
+        Ending { outcome, report, body: body.unwrap_or_default() }
+    }
+
+    /// An idle connection; the one used last, so that those in excess grow old.
+    fn take(&self, place: Place) -> Option<Link> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&place)?;
+        while let Some(Idle { link, since }) = links.pop() {
+            if !link.is_closed() && now.saturating_sub(since) < self.links.idle / IDLE_PART {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, place: Place, link: Link) {
+        if !link.is_closed() {
+            self.idle.borrow_mut().entry(place).or_default().push(Idle { link, since: self.clock.now() });
+        }
+    }
+
+    async fn connect(&self, endpoint: SocketAddr) -> Option<Link> {
+        if self.open.get() >= self.most {
+            self.drop_oldest();
+        }
+        if self.open.get() >= self.most + self.most / 8 {
+            return None;
+        }
+        let counted = Counted::new(&self.open);
+        let limit = Duration::from_nanos(self.links.connect_timeout);
+        let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (link, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        spawn_local(async move {
+            let _counted = counted;
+            if let Err(error) = connection.await {
+                tracing::debug!("connection to {endpoint}: {error}");
+            }
+        });
+        Some(link)
+    }
+
+    fn drop_stale(&self) {
+        let now = self.clock.now();
+        let good = |idle: &Idle| {
+            !idle.link.is_closed() && now.saturating_sub(idle.since) < self.links.idle / IDLE_PART
+        };
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain(good);
+            !links.is_empty()
+        });
+    }
+
+    /// Makes room: its task ends a moment later, for which the bound has some slack.
+    fn drop_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|links| !links.is_empty()).min_by_key(|links| links[0].since);
+        if let Some(links) = oldest {
+            links.remove(0);
+        }
+    }
+}
+
+/// A backend's figures of its load, under either of the names in use.
+#[derive(Default, Deserialize)]
+struct Figures {
+    #[serde(alias = "load_share")]
+    util: Option<f64>,
+    #[serde(alias = "tps")]
+    qps: Option<f64>,
+    #[serde(alias = "concurrent")]
+    inflight: Option<f64>,
+}
+
+/// Reads the load report that an answer carries. One that can't be read says nothing, and harms nothing.
+fn load_report(headers: &HeaderMap) -> Report {
+    let text = headers.get("x-load-report").map(HeaderValue::as_bytes).unwrap_or_default();
+    let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
+    Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight }
+}
--- a/wirehost/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,11 +1,18 @@
-//! The start-up settings, from the wire's words to the module's.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! The operators' settings object, from its words to the module's. Every program that embeds brookfield
+//! reads it here.
+
+mod fields;
 
 use std::collections::HashMap;
 
-use brookfield::{ClassSettings, Discovery, Effect, Group, Limits, RuleFigures, Settings, Weights, ZoneId};
+use brookfield::{
+    ClassSettings, Discovery, Effect, Group, Limits, Nanos, RuleFigures, Settings, Weights, ZoneId,
+};
 use serde_json::Value;
 
-use crate::wire::Fields;
+pub use fields::Fields;
 
 /// The numbers that an instance gives the names of its settings.
 pub struct Words {
@@ -21,6 +28,7 @@
         ZoneId(position(&mut self.zones, name))
     }
 
+    /// A machine kind's number; a new name gets a new one.
     pub fn kind(&mut self, name: &str) -> u32 {
         position(&mut self.kinds, name)
     }
@@ -31,6 +39,7 @@
         at.map(|at| at as u32)
     }
 
+    /// A class's number, or none where the settings do not list it.
     pub fn class(&self, name: &str) -> Option<u32> {
         self.classes.get(name).copied()
     }
@@ -76,8 +85,27 @@
     Ok((fields.text("name")?.to_owned(), settings))
 }
 
+/// What the settings say of connections, which only a node on real sockets needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Links {
+    /// A backend closes a connection that has stood idle for this long, or sooner.
+    pub idle: Nanos,
+    /// A connection that is not up by then counts as failed.
+    pub connect_timeout: Nanos,
+}
+
+/// All that is read from the settings.
+pub struct Site {
+    /// What the module is told.
+    pub settings: Settings,
+    /// The words for its numbers.
+    pub words: Words,
+    /// What goes for connections.
+    pub links: Links,
+}
+
 /// Reads the settings; the error names the field.
-pub fn read(config: &Value) -> Result<(Settings, Words), String> {
+pub fn read(config: &Value) -> Result<Site, String> {
     let map = config.as_object().ok_or("settings: not an object")?;
     let fields = Fields { tag: "settings", map };
     let zones = names(&fields, "zones")?;
@@ -136,5 +164,9 @@
     };
     let classes = class_names.into_iter().zip(0..).collect();
     let kinds = if map.contains_key("kinds") { names(&fields, "kinds")? } else { Vec::new() };
-    Ok((settings, Words { zones, classes, kinds, tenants: tenant_names }))
+    let links = Links {
+        idle: limits.whole_or("conn-idle-ns", 15_000_000_000)?,
+        connect_timeout: limits.whole_or("connect-timeout-ns", 250_000_000)?,
+    };
+    Ok(Site { settings, words: Words { zones, classes, kinds, tenants: tenant_names }, links })
 }
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -2,7 +2,6 @@
 //! Puts brookfield on the simulator's wire: reads batches from standard input, writes replies to standard
 //! output. It translates and decides nothing.
 
-mod settings;
 mod wire;
 
 use std::collections::{BTreeMap, HashMap};
@@ -12,8 +11,9 @@
 use brookfield::{
     Action, Arrival, BackendId, Balancer, ClassId, Event, ListScope, Member, Nanos, RequestId, Settlement,
 };
+use brookfield_settings::{Fields, Words};
 use serde_json::{Value, json};
-use wire::{Fields, Line};
+use wire::Line;
 
 /// A request that the module may still name.
 struct Held {
@@ -25,7 +25,7 @@
 /// One instance: the module and the words for its numbers. Nothing in it is shared.
 struct Instance {
     node: Balancer,
-    words: settings::Words,
+    words: Words,
     backends: HashMap<String, BackendId>,
     backend_names: Vec<String>,
     requests: HashMap<String, RequestId>,
@@ -168,8 +168,9 @@
     fn open(&mut self, fields: &Fields) -> Result<(), String> {
         let who = fields.integer("who")?;
         let seed = fields.whole("nonce64")?;
-        let made = settings::read(fields.get("config")?).and_then(|(settings, words)| {
-            Balancer::new(settings, seed, self.now).map(|node| (node, words)).map_err(|e| e.to_string())
+        let made = brookfield_settings::read(fields.get("config")?).and_then(|site| {
+            let node = Balancer::new(site.settings, seed, self.now).map_err(|e| e.to_string())?;
+            Ok((node, site.words))
         });
         match made {
             Ok((node, words)) => {
@@ -228,7 +229,7 @@
             }
             "SETTLED" => {
                 let ended = fields.flag("no-more")?;
-                let settlement = (fields.outcome()?, fields.whole("elapsed-ns")?, fields.report()?);
+                let settlement = (wire::outcome(fields)?, fields.whole("elapsed-ns")?, wire::report(fields)?);
                 let attempt = fields.whole("try")? as u32;
                 let Some(&request) = instance.requests.get(fields.text("request-id")?) else {
                     return Ok(());
@@ -262,7 +263,12 @@
             "STATUS_BACK" => {
                 let backend = instance.backend(fields.text("backend")?);
                 let elapsed = fields.whole("elapsed-ns")?;
-                Event::Probed { backend, outcome: fields.outcome()?, elapsed, report: fields.report()? }
+                Event::Probed {
+                    backend,
+                    outcome: wire::outcome(fields)?,
+                    elapsed,
+                    report: wire::report(fields)?,
+                }
             }
             _ => Event::Timer { token: fields.whole("name")? },
         };
