--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -598,3 +598,147 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::future::Future;
+    use std::task::{Context, Poll, Waker};
+
+    use super::*;
+
+    /// Keeps what it is asked to do.
+    #[derive(Default)]
+    struct Kept {
+        launches: RefCell<Vec<Launch>>,
+        retired: RefCell<Vec<BackendId>>,
+    }
+
+    impl Launcher for Kept {
+        fn launch(&self, _: &Node, launch: Launch) {
+            self.launches.borrow_mut().push(launch);
+        }
+
+        fn retire(&self, backend: BackendId) {
+            self.retired.borrow_mut().push(backend);
+        }
+    }
+
+    fn node(drain_grace: Nanos) -> (Node, Rc<Kept>) {
+        let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": "pushed",
+            "classes": [{"name": "pay", "effect": "once", "on-time-ns": 2_000_000_000u64,
+                "deadline-ns": 4_000_000_000u64}],
+            "policy-limits": {"attempts-cap": 3}, "goal": {},
+            "rules": {"answer-slack-ns": 20_000_000, "drain-grace-ns": drain_grace, "fall-ns": 1_500_000_000u64,
+                "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000_000_000u64}});
+        let site = brookfield_settings::read(&config).expect("settings");
+        let kept = Rc::new(Kept::default());
+        let node = Node::new(site.settings, site.words, 7, Clock::start(), kept.clone()).expect("a node");
+        (node, kept)
+    }
+
+    fn listed(uid: &str, stage: Stage) -> Listed {
+        Listed {
+            uid: uid.to_owned(),
+            endpoint: SocketAddr::from(([127, 0, 0, 1], 9)),
+            zone: "a".to_owned(),
+            kind: "k".to_owned(),
+            cell: 0,
+            stage,
+            size: 1.0,
+            boot_ms: 0,
+        }
+    }
+
+    fn asked(budget: Nanos) -> Asked {
+        let call = Call {
+            method: Method::POST,
+            target: Uri::from_static("/api"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        Asked { class: 0, tenant: None, hint: None, repeat: false, budget, call }
+    }
+
+    fn reply(waiting: Waiting) -> Option<Reply> {
+        let mut answer = std::pin::pin!(waiting.answer());
+        match answer.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(reply) => Some(reply),
+            Poll::Pending => None,
+        }
+    }
+
+    fn open_requests(node: &Node) -> (usize, usize) {
+        let driver = node.driver.borrow();
+        (driver.requests.len(), driver.balancer.open_requests())
+    }
+
+    const SECOND: Nanos = 1_000_000_000;
+
+    #[test]
+    fn a_request_and_its_timer_are_forgotten_with_its_answer() {
+        let (node, kept) = node(SECOND);
+        node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+        let waiting = node.submit(asked(SECOND));
+        let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        assert!(node.may_write(launch.ticket));
+        let ending = Ending { body: Bytes::from_static(b"paid"), ..Ending::bare(Outcome::Served) };
+        node.settled(launch.ticket, ending);
+        assert!(matches!(reply(waiting), Some(Reply::Served(body)) if body == "paid"));
+        // A second end of the same attempt changes nothing.
+        node.settled(launch.ticket, Ending::bare(Outcome::Reset));
+        assert_eq!(open_requests(&node), (0, 0));
+        let due = |(_, due): &(Nanos, Due)| matches!(due, Due::Backstop(_));
+        assert!(!node.driver.borrow().timers.iter().any(due));
+    }
+
+    /// A connect can outlast its request: what is written after the answer would be a send too many.
+    #[test]
+    fn nothing_is_written_for_a_request_that_has_ended() {
+        let (node, kept) = node(SECOND);
+        node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+        let waiting = node.submit(asked(SECOND));
+        let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        drop(waiting);
+        assert!(!node.may_write(launch.ticket));
+        assert_eq!(open_requests(&node), (1, 1), "the attempt is still owed its end");
+        node.settled(launch.ticket, Ending::bare(Outcome::Moot));
+        assert_eq!(open_requests(&node), (0, 0));
+    }
+
+    /// A connect can outlast the grace of a backend that drains, and the backend's stay on the list.
+    #[test]
+    fn nothing_is_written_to_a_backend_past_its_grace() {
+        for (grace, stage, may) in [
+            (60 * SECOND, Stage::Draining, true),
+            (0, Stage::Draining, false),
+            (60 * SECOND, Stage::Gone, false),
+        ] {
+            let (node, kept) = node(grace);
+            node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+            let _waiting = node.submit(asked(SECOND));
+            let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+            node.fleet(ListScope::Changes, vec![listed("s", stage)]);
+            assert_eq!(node.may_write(launch.ticket), may, "{grace} {stage:?}");
+            assert_eq!(*kept.retired.borrow(), [launch.backend; 2][..kept.retired.borrow().len()]);
+            assert!(!kept.retired.borrow().is_empty(), "its idle connections are dropped");
+        }
+    }
+
+    /// The attempt never ends, so the module has nothing to go by: the driver answers at the client's end.
+    #[test]
+    fn a_request_that_the_module_leaves_open_fails_at_its_end() {
+        let (node, kept) = node(SECOND);
+        node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+        let waiting = node.submit(asked(1_000_000));
+        let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+        let answer = runtime.block_on(async {
+            tokio::select! {
+                reply = waiting.answer() => reply,
+                () = node.run_timers() => unreachable!("timers run for ever"),
+            }
+        });
+        assert!(matches!(answer, Reply::Failed));
+        assert!(!node.may_write(launch.ticket));
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -113,7 +113,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let listener =
         listen(config.listen).map_err(|source| StartError::Listen { at: config.listen, source })?;
-    tracing::info!("{} serves at {}", config.name, config.listen);
+    tracing::info!("{} serves at {}", config.name, listener.local_addr()?);
     spawn_local(watch.run());
     let timers = node.clone();
     spawn_local(async move { timers.run_timers().await });
--- /dev/null
+++ b/node/tests/life.rs
@@ -0,0 +1,170 @@
+//! A node's start, its list of backends, and its end.
+
+mod common;
+
+use std::io::Read;
+use std::sync::Arc;
+use std::thread;
+
+use common::*;
+use serde_json::json;
+
+fn serving(body: &'static str) -> Backend {
+    Backend::new(move |_| Does::Writes(ok(body)))
+}
+
+/// An address at which nobody listens.
+fn nowhere() -> std::net::SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[test]
+fn starts_on_the_known_list_with_discovery_down() {
+    let backend = serving("yes");
+    let node = Node::start(&config(nowhere(), json!([target("s-0", backend.at, "Ready")])));
+    assert_eq!(node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+    assert_eq!(node.ask(&get("k1", "")).status(), 200);
+}
+
+#[test]
+fn a_bad_list_keeps_the_last_good_one() {
+    let backend = serving("yes");
+    let (node, discovery) = Node::with(&[&backend]);
+    for (rev, text) in [
+        (2, "{"),
+        (3, r#"{"rev":3,"all":true,"targets":[{"uid":"s-9","endpoint":"here","az":"a","state":"Ready"}]}"#),
+        (4, r#"{"rev":4,"all":true}"#),
+    ] {
+        discovery.set_text(rev, text.to_owned());
+        until("the bad list is logged", || node.logged("discovery: not a list"));
+        assert_eq!(node.ask(&get(&format!("b{rev}"), "")).status(), 200);
+    }
+    let other = serving("other");
+    discovery.set_text(
+        5,
+        json!({"rev": 5, "all": true, "targets": [target("s-1", other.at, "Ready")]}).to_string(),
+    );
+    discovery.watched_from(5);
+    assert_eq!(node.ask(&get("b9", "")).body, b"other");
+}
+
+#[test]
+fn nothing_new_goes_to_a_backend_that_drains_or_has_gone() {
+    for state in ["Terminating", "Gone"] {
+        let (old, new) = (serving("old"), serving("new"));
+        let (node, discovery) = Node::with(&[&old]);
+        assert_eq!(node.ask(&get("d0", "")).body, b"old");
+        discovery.set(json!([target("s-0", old.at, state), target("s-1", new.at, "Ready")]));
+        discovery.watched_from(discovery.rev());
+        for n in 1..10 {
+            assert_eq!(node.ask(&get(&format!("d{n}"), "")).body, b"new", "{state}");
+        }
+        assert_eq!(old.count(), 1);
+    }
+}
+
+#[test]
+fn follows_an_endpoint_that_changes_under_one_name() {
+    let (before, after) = (serving("before"), serving("after"));
+    let (node, discovery) = Node::with(&[&before]);
+    assert_eq!(node.ask(&get("e0", "")).body, b"before");
+    discovery.set(json!([target("s-0", after.at, "Ready")]));
+    discovery.watched_from(discovery.rev());
+    for n in 1..5 {
+        assert_eq!(node.ask(&get(&format!("e{n}"), "")).body, b"after");
+    }
+}
+
+/// At a planned restart requests go on coming: on connections from before, and on new ones.
+#[test]
+fn ends_on_sigterm_with_everything_answered() {
+    let gate = Arc::new(Gate::default());
+    let waits = gate.clone();
+    let backend = Backend::new(move |message| match message.value("x-call-id") {
+        Some("slow") => Does::Waits(waits.clone(), ok("slow")),
+        _ => Does::Writes(ok("yes")),
+    });
+    let (mut node, _discovery) = Node::with(&[&backend]);
+    let (mut slow, mut idle, mut kept) = (Client::to(node.at), Client::to(node.at), Client::to(node.at));
+    assert_eq!(idle.ask(&get("i0", "")).expect("an answer").status(), 200);
+    assert_eq!(kept.ask(&get("k0", "")).expect("an answer").status(), 200);
+    slow.write(&get("slow", ""));
+    until("the slow one is out", || backend.got.try_iter().any(|m| m.value("x-call-id") == Some("slow")));
+    node.signal("-TERM");
+    until("the node has heard", || node.logged("stops"));
+    for client in [kept, Client::to(node.at)] {
+        let mut client = client;
+        let answer = client.ask(&get("after", "")).expect("an answer after the signal");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.value("connection"), Some("close"));
+        assert!(client.read().is_none(), "the connection ends with its answer");
+    }
+    assert!(idle.read().is_none(), "an idle connection is closed");
+    gate.open();
+    let answer = slow.read().expect("the slow one is answered");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"slow".as_slice()));
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+/// The next life binds the address at once, with the last one's connections still in the system's tables.
+#[test]
+fn a_restart_binds_at_once() {
+    let backend = serving("yes");
+    let known = json!([target("s-0", backend.at, "Ready")]);
+    let mut node = Node::start(&config(nowhere(), known.clone()));
+    let mut client = Client::to(node.at);
+    assert_eq!(client.ask(&get("r0", "")).expect("an answer").status(), 200);
+    node.child.kill().unwrap();
+    node.child.wait().unwrap();
+    let mut again = config(nowhere(), known);
+    again["listen"] = json!(node.at.to_string());
+    let next = Node::start(&again);
+    assert_eq!(next.at, node.at);
+    assert_eq!(next.ask(&get("r1", "")).status(), 200);
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_and_an_error() {
+    let good = config(nowhere(), json!([]));
+    let without = |field: &str| {
+        let mut config = good.clone();
+        config.as_object_mut().unwrap().remove(field);
+        config.to_string()
+    };
+    let with = |field: &str, value: serde_json::Value| {
+        let mut config = good.clone();
+        config[field] = value;
+        config.to_string()
+    };
+    let texts = [
+        "{".to_owned(),
+        without("settings"),
+        without("listen"),
+        with("seed", json!("no number")),
+        with("listen", json!("somewhere")),
+        with("settings", json!({"zones": []})),
+        with("limits", json!({"sockets": 3})),
+    ];
+    for text in texts {
+        let mut child = spawn(&text);
+        let mut said = String::new();
+        child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+        assert!(!child.wait().unwrap().success(), "{text}");
+        assert!(said.starts_with("badgerpost: ") && said.lines().count() == 1, "{said:?}");
+    }
+}
+
+/// With few descriptors the node goes on serving those it has, and takes the rest as they come free.
+#[test]
+fn more_clients_than_descriptors_are_served_in_turn() {
+    let backend = serving("yes");
+    let mut config = config(nowhere(), json!([target("s-0", backend.at, "Ready")]));
+    config["limits"]["sockets"] = json!(32);
+    let node = Node::start(&config);
+    let at = node.at;
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::to(at)).collect();
+    assert_eq!(clients[0].ask(&get("c0", "")).expect("an answer").status(), 200);
+    let last = thread::spawn(move || Client::to(at).ask(&get("c1", "")).expect("an answer").status());
+    clients.clear();
+    assert_eq!(last.join().unwrap(), 200);
+}
--- /dev/null
+++ b/node/tests/serving.rs
@@ -0,0 +1,193 @@
+//! What clients and backends see of a node in service.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use common::*;
+use serde_json::json;
+
+fn always(does: Does) -> Backend {
+    Backend::new(move |_| does.clone())
+}
+
+#[test]
+fn passes_a_call_on_unchanged_and_once() {
+    let backend = always(Does::Writes(ok("seated")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let answer = node.ask(&post("join", "a1b2", "Idempotency-Key: k-77\r\nX-Budget-Ms-Not: 1\r\n", "lobby"));
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"seated".as_slice()));
+    let got = backend.next();
+    assert_eq!(got.first, "POST /api HTTP/1.1");
+    assert_eq!(got.body, b"lobby");
+    assert_eq!(got.values("x-call-id"), ["a1b2"]);
+    assert_eq!(got.values("idempotency-key"), ["k-77"]);
+    assert_eq!(got.values("content-length"), ["5"]);
+    let [budget] = got.values("x-budget-ms")[..] else { panic!("one budget: {got:?}") };
+    assert!(budget.parse::<u64>().unwrap() <= 3000, "{budget}");
+    let answer = node.ask(&get("a1b3", ""));
+    assert_eq!(answer.status(), 200);
+    assert_eq!(backend.next().first, "GET /api?x=1 HTTP/1.1");
+    assert_eq!(backend.count(), 0);
+}
+
+#[test]
+fn bad_input_is_answered_and_reaches_no_backend() {
+    let backend = always(Does::Writes(ok("no")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let large = "x".repeat(64 * 1024 + 1);
+    let key = "Idempotency-Key: k\r\n";
+    let cases = [
+        (404, get("1", "").replace("/api", "/other")),
+        (400, get("1", "").replace("X-Call-Id", "X-No-Id")),
+        (400, get("1", "X-Call-Id: 2\r\n")),
+        (400, get("1", "").replace("X-Call-Class", "X-No-Class")),
+        (400, get("1", "").replace("read", "unheard-of")),
+        (400, get("1", "").replace("acme", "nobody")),
+        (400, get("1", "").replace("X-Caller", "X-No-Caller")),
+        (400, get("1", "").replace("3000", "soon")),
+        (400, get("1", "").replace("3000", "-5")),
+        (400, get("1", "X-Call-Cost: much\r\n")),
+        (405, get("1", "").replace("read", "pay")),
+        (405, post("read", "1", "", "")),
+        (400, post("join", "1", "", "")),
+        (400, post("pay", "1", key, "")),
+        (413, post("join", "1", key, &large)),
+    ];
+    for (wanted, text) in cases {
+        assert_eq!(node.ask(&text).status(), wanted, "{}", &text[..text.len().min(300)]);
+    }
+    assert_eq!(node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+    assert_eq!(node.ask(&get("last", "")).status(), 200);
+    assert_eq!(backend.next().value("x-call-id"), Some("last"));
+    assert_eq!(backend.count(), 0);
+}
+
+/// Each of these may have run. An unsafe call then gets no other attempt and no refusal, which would tell the
+/// client that trying again does no harm.
+#[test]
+fn an_unsafe_call_that_may_have_run_fails() {
+    let spoilt = [
+        Does::Writes(status(500, "")),
+        Does::Writes(status(503, "")),
+        Does::Writes(status(504, "X-Rejected: 0\r\n")),
+        Does::Writes(status(302, "")),
+        Does::Ends(String::new()),
+        Does::Ends("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_owned()),
+        Does::Ends("HTTP/1.1 200 OK\r\n\r\nwhole or half".to_owned()),
+        Does::Ends("noise\r\n\r\n".to_owned()),
+        Does::Writes(ok(&"x".repeat(64 * 1024 + 1))),
+        Does::Hangs,
+    ];
+    for (n, does) in spoilt.into_iter().enumerate() {
+        let (first, second) = (always(does.clone()), always(does));
+        let (node, _discovery) = Node::with(&[&first, &second]);
+        let answer = node.ask(&post("pay", "u1", "", "").replace("3000", "700"));
+        assert_eq!(answer.status(), 502, "case {n}");
+        assert_eq!(first.count() + second.count(), 1, "case {n}");
+    }
+}
+
+/// Turned away it never ran, so even an unsafe call goes elsewhere, or is refused where there is nobody.
+#[test]
+fn an_unsafe_call_that_never_ran_goes_elsewhere() {
+    let away = |code| always(Does::Writes(status(code, "X-Rejected: 1\r\n")));
+    let serves = always(Does::Writes(ok("paid")));
+    let (full, other) = (away(503), away(504));
+    let (node, _discovery) = Node::with(&[&full, &serves]);
+    for n in 0..8 {
+        assert_eq!(node.ask(&post("pay", &format!("p{n}"), "", "")).status(), 200);
+    }
+    assert_eq!(serves.count(), 8);
+    let (node, _discovery) = Node::with(&[&other]);
+    assert_eq!(node.ask(&post("pay", "p9", "", "")).status(), 503);
+}
+
+/// A process that has died refuses connections: nothing ran, and the module tries another.
+#[test]
+fn a_dead_backend_costs_no_request() {
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = dead.local_addr().unwrap();
+    drop(dead);
+    let serves = always(Does::Writes(ok("paid")));
+    let discovery = Discovery::new(json!([target("s-0", at, "Ready"), target("s-1", serves.at, "Ready")]));
+    let node = Node::start(&config(discovery.at, json!([])));
+    discovery.watched_from(1);
+    for n in 0..8 {
+        assert_eq!(node.ask(&post("pay", &format!("p{n}"), "", "")).status(), 200);
+    }
+    assert_eq!(serves.count(), 8);
+}
+
+/// A silent backend must not hold a request past its client's time.
+#[test]
+fn a_silent_backend_is_given_up() {
+    let backend = always(Does::Hangs);
+    let (node, _discovery) = Node::with(&[&backend]);
+    let answer = node.ask(&get("s1", "").replace("3000", "200"));
+    assert_ne!(answer.status(), 200);
+    // Nothing that is left of it stands in the way of the next.
+    assert_ne!(node.ask(&get("s2", "").replace("3000", "200")).status(), 200);
+}
+
+/// The backend closes after each answer without saying so: the pooled connection is dead by the next send,
+/// and writing to it would turn an unsafe call into one that may have run.
+#[test]
+fn a_connection_closed_while_idle_is_not_used() {
+    let backend = always(Does::Ends(ok("paid")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    for n in 1..=20 {
+        let answer = client.ask(&post("pay", &format!("p{n}"), "", "")).expect("an answer");
+        assert_eq!(answer.status(), 200, "call {n}");
+        until("the node closes its end", || backend.closed.load(Ordering::SeqCst) == n);
+    }
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 20);
+}
+
+/// Connections are used again: a new one costs the backend work.
+#[test]
+fn connections_are_kept() {
+    let backend = always(Does::Writes(ok("yes")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    for n in 0..10 {
+        assert_eq!(client.ask(&get(&format!("k{n}"), "")).expect("an answer").status(), 200);
+    }
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn a_load_report_of_any_shape_does_no_harm() {
+    for report in ["{\"util\":0.4}", "{\"util\":\"high\"}", "{\"util\":1e999}", "{", "[]", "\u{e9}"] {
+        let text = format!("HTTP/1.1 200 OK\r\nX-Load-Report: {report}\r\nContent-Length: 2\r\n\r\nok");
+        let backend = always(Does::Writes(text));
+        let (node, _discovery) = Node::with(&[&backend]);
+        for n in 0..3 {
+            assert_eq!(node.ask(&get(&format!("r{n}"), "")).status(), 200, "{report}");
+        }
+    }
+}
+
+/// A client that hangs up must leave nothing behind that the node trips over, nor be answered by mistake.
+#[test]
+fn a_client_that_hangs_up_is_let_go() {
+    let gate = Arc::new(Gate::default());
+    let first = AtomicBool::new(true);
+    let waits = gate.clone();
+    let backend = Backend::new(move |_| match first.swap(false, Ordering::SeqCst) {
+        true => Does::Waits(waits.clone(), ok("late")),
+        false => Does::Writes(ok("yes")),
+    });
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    client.write(&get("g1", ""));
+    assert_eq!(backend.next().value("x-call-id"), Some("g1"));
+    drop(client);
+    gate.open();
+    let answer = node.ask(&get("g2", ""));
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"yes".as_slice()));
+    assert_eq!(backend.next().value("x-call-id"), Some("g2"));
+    assert_eq!(backend.count(), 0);
+}
