--- a/src/choice.rs
+++ b/src/choice.rs
@@ -176,7 +176,7 @@
         view.cost += (cost - view.cost) * if view.cost > 0.0 { COST_SMOOTHING } else { 1.0 };
         // A try well shorter than others ends with the client's deadline: that tells when its first try came,
         // and the aim counts from then. Arrivals jitter, so a little shorter is no sign. Where repeats
-        // are marked the rest are first tries: a repeat may get more time than those, which made them look late.
+        // are marked the rest are first tries: repeats may get more time, which made those look late.
         let wait = arrival.not_after.saturating_sub(self.now);
         view.longest_try = view.longest_try.max(wait);
         let worthless_late = self.settings.classes[class].late_share == 0.0;
