--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -741,4 +741,22 @@
         assert!(matches!(answer, Reply::Failed));
         assert!(!node.may_write(launch.ticket));
     }
+
+    /// A restarted backend is cold again, by the node's own clock, and what stood open to its last life is dead.
+    #[test]
+    fn a_restart_under_the_same_name_is_told_and_drops_connections() {
+        let (node, kept) = node(SECOND);
+        let boot_ms = node.clock().now() / 1_000_000 - 5;
+        let mut errands = Errands::default();
+        let mut driver = node.driver.borrow_mut();
+        let first = driver.member(listed("s", Stage::InService), 0, &mut errands).expect("a member");
+        assert_eq!((first.online_since, errands.retired.len()), (None, 0));
+        let again = Listed { boot_ms, ..listed("s", Stage::InService) };
+        let second = driver.member(again, 0, &mut errands).expect("a member");
+        assert_eq!(second.backend, first.backend);
+        assert_eq!(errands.retired, [first.backend]);
+        let age = driver.clock.now() - second.online_since.expect("a start");
+        assert!((4_000_000..60 * SECOND).contains(&age), "{age}");
+        assert!(kept.launches.borrow().is_empty());
+    }
 }
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -48,6 +48,21 @@
     assert_eq!(node.ask(&get("b9", "")).body, b"other");
 }
 
+/// Where discovery has to be asked, a call that failed is made again when the module asks for it.
+#[test]
+fn goes_on_asking_after_a_failed_call() {
+    let backend = serving("yes");
+    let discovery = Discovery::new(json!([]));
+    discovery.set_text(1, "no list".to_owned());
+    let mut config = config(discovery.at, json!([]));
+    config["settings"]["discovery"] = json!("on_request");
+    let node = Node::start(&config);
+    until("the failure is logged", || node.logged("discovery: not a list"));
+    discovery.set(json!([target("s-0", backend.at, "Ready")]));
+    discovery.watched_from(discovery.rev());
+    assert_eq!(node.ask(&get("a1", "")).status(), 200);
+}
+
 #[test]
 fn nothing_new_goes_to_a_backend_that_drains_or_has_gone() {
     for state in ["Terminating", "Gone"] {
