Seat the clients: evict the silent and idle, bound head and body, turn away codings and taken ids; heed SIGHUP

Change: seats.rs keeps what stands on every connection; accept goes on and the longest silent, then the longest idle one makes room, never one with a request. 2.3 s for head and body together from the connect. Errors close, and what still comes is drained, so that they get out. Ids of open requests: 409. SIGHUP moves the watch. Warnings are sparing.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -12,10 +12,12 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::driver::{Listed, Node};
+use crate::sparing::Sparing;
 
 const PATH: &str = "/registry/instances";
 /// How long one watch may wait: short beside an agent on the node's own machine, where a call costs nothing
@@ -119,24 +121,36 @@
         Self { node, at, rev, link: None }
     }
 
-    /// Watches; never ends.
-    pub async fn run(mut self) {
+    /// Watches, at the address told last; never ends.
+    pub async fn run(mut self, mut address: watch::Receiver<SocketAddr>) {
         let asked = self.node.asks_discovery();
         let (hold, again) = if asked { (HOLD_ASKED, AGAIN_ASKED) } else { (HOLD_PUSHED, AGAIN_PUSHED) };
         let mut wait = again.0;
+        let mut sparing = Sparing::default();
         loop {
-            match self.call(hold).await {
-                Ok(list) => {
+            let answer = tokio::select! {
+                biased;
+                Ok(()) = address.changed() => None,
+                answer = self.call(hold) => Some(answer),
+            };
+            match answer {
+                None => {
+                    self.move_to(*address.borrow_and_update());
+                    (wait, sparing) = (again.0, Sparing::default());
+                }
+                Some(Ok(list)) => {
                     wait = again.0;
                     self.take(list);
                 }
-                Err(error) => {
-                    tracing::warn!("discovery: {error}");
+                Some(Err(error)) => {
+                    sparing.say(|more| tracing::warn!("discovery: {error} ({more} more)"));
                     self.link = None;
                     self.node.fleet_failed();
+                    let moved = address.clone();
                     tokio::select! {
                         () = sleep(wait) => {}
                         () = self.node.discovery_wanted() => {}
+                        () = told_anew(moved) => {}
                     }
                     wait = (wait * 2).min(again.1);
                 }
@@ -144,6 +158,12 @@
         }
     }
 
+    /// Goes on elsewhere. Versions count at one address only, so the whole list is asked for; what has been
+    /// learned of the backends stays, as they keep their names.
+    fn move_to(&mut self, at: SocketAddr) {
+        (self.at, self.rev, self.link) = (at, None, None);
+    }
+
     fn take(&mut self, list: List) {
         self.rev = Some(list.rev);
         let scope = if list.all { ListScope::Full } else { ListScope::Changes };
@@ -179,6 +199,13 @@
     }
 }
 
+/// Waits for another address; the change stays to be seen.
+async fn told_anew(mut address: watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn connect(at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, CallError> {
     let stream = timeout(CONNECT, TcpStream::connect(at)).await.map_err(|_| CallError::Late)??;
     stream.set_nodelay(true)?;
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -3,7 +3,7 @@
 //! Nothing is decided here, and no borrow of the driver outlives one of its calls.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -21,6 +21,12 @@
 /// the module's own housekeeping, well inside the slack that the rules leave.
 const BACKSTOP: Nanos = 20_000_000;
 
+/// An id is not taken again for this long after its request has ended: one that copies an open request's id
+/// may cross the answer to that.
+const ID_RESTS: Nanos = 1_000_000_000;
+/// At most so many ids rest: more come only from clients that are turned away at once, over and over.
+const IDS_RESTING: usize = 4096;
+
 /// The node's one clock: nanoseconds that never step back, counted from the Unix time at the start, so that
 /// times told by other machines compare with it.
 #[derive(Clone, Copy)]
@@ -147,6 +153,8 @@
 
 /// What a client's request says of itself.
 pub struct Asked {
+    /// Its id.
+    pub id: Box<str>,
     /// Its class.
     pub class: u32,
     /// Its tenant.
@@ -169,6 +177,7 @@
 struct Open {
     reply: Option<oneshot::Sender<Reply>>,
     call: Rc<Call>,
+    id: Box<str>,
     not_after: Nanos,
     /// Attempts by number; none where settled.
     attempts: Vec<Option<Flight>>,
@@ -182,6 +191,31 @@
     draining_since: Option<Nanos>,
 }
 
+/// The ids of requests that are open or have just been.
+#[derive(Default)]
+struct CallIds {
+    known: HashSet<Box<str>>,
+    /// Of requests that have ended, and when.
+    ended: VecDeque<(Nanos, Box<str>)>,
+}
+
+impl CallIds {
+    /// False where a request has the id now, or had it a moment ago.
+    fn take(&mut self, id: &str, now: Nanos) -> bool {
+        while let Some((at, _)) = self.ended.front()
+            && (now.saturating_sub(*at) >= ID_RESTS || self.ended.len() > IDS_RESTING)
+            && let Some((_, id)) = self.ended.pop_front()
+        {
+            self.known.remove(&id);
+        }
+        self.known.insert(id.into())
+    }
+
+    fn release(&mut self, id: Box<str>, now: Nanos) {
+        self.ended.push_back((now, id));
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(u64),
@@ -194,6 +228,8 @@
     settings: Settings,
     words: Words,
     requests: HashMap<RequestId, Open>,
+    /// The clients' ids of these.
+    names: CallIds,
     next_request: u64,
     ids: HashMap<String, BackendId>,
     backends: HashMap<BackendId, Known>,
@@ -239,6 +275,7 @@
             settings,
             words,
             requests: HashMap::new(),
+            names: CallIds::default(),
             next_request: 0,
             ids: HashMap::new(),
             backends: HashMap::new(),
@@ -286,11 +323,11 @@
     }
 
     /// Takes a request; the answer comes through what is returned. Dropping that first means that the client
-    /// has gone.
-    pub fn submit(&self, asked: Asked) -> Waiting {
+    /// has gone. None where its id is in use: passed on, it would count as another attempt of that request.
+    pub fn submit(&self, asked: Asked) -> Option<Waiting> {
         let (reply, answer) = oneshot::channel();
-        let request = self.tell(|driver, errands| driver.submit(asked, reply, errands));
-        Waiting { node: self.clone(), request, answer }
+        let request = self.tell(|driver, errands| driver.submit(asked, reply, errands))?;
+        Some(Waiting { node: self.clone(), request, answer })
     }
 
     /// Whether an attempt may still be written: a connect can outlast its request, or the grace of a backend
@@ -456,12 +493,21 @@
         }
     }
 
-    fn submit(&mut self, asked: Asked, reply: oneshot::Sender<Reply>, errands: &mut Errands) -> RequestId {
+    fn submit(
+        &mut self,
+        asked: Asked,
+        reply: oneshot::Sender<Reply>,
+        errands: &mut Errands,
+    ) -> Option<RequestId> {
+        if !self.names.take(&asked.id, self.clock.now()) {
+            return None;
+        }
         let request = RequestId(self.next_request);
         self.next_request += 1;
         let not_after = self.clock.now().saturating_add(asked.budget);
         let (call, reply) = (Rc::new(asked.call), Some(reply));
-        self.requests.insert(request, Open { reply, call, not_after, attempts: Vec::new(), ended: false });
+        let open = Open { reply, call, id: asked.id, not_after, attempts: Vec::new(), ended: false };
+        self.requests.insert(request, open);
         self.set_timer(not_after.saturating_add(BACKSTOP), Due::Backstop(request), errands);
         let arrival = Arrival {
             request,
@@ -473,7 +519,7 @@
         };
         self.hear(Event::Request(arrival), errands);
         self.forget_if_done(request);
-        request
+        Some(request)
     }
 
     fn send(
@@ -540,8 +586,10 @@
 
     fn forget_if_done(&mut self, request: RequestId) {
         let done = |open: &Open| open.ended && open.attempts.iter().all(Option::is_none);
-        if self.requests.get(&request).is_some_and(done) {
-            self.requests.remove(&request);
+        if self.requests.get(&request).is_some_and(done)
+            && let Some(open) = self.requests.remove(&request)
+        {
+            self.names.release(open.id, self.clock.now());
         }
     }
 
@@ -656,7 +704,9 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
         };
-        Asked { class: 0, tenant: None, hint: None, repeat: false, budget, call }
+        static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed).to_string().into();
+        Asked { id, class: 0, tenant: None, hint: None, repeat: false, budget, call }
     }
 
     fn reply(waiting: Waiting) -> Option<Reply> {
@@ -678,7 +728,7 @@
     fn a_request_and_its_timer_are_forgotten_with_its_answer() {
         let (node, kept) = node(SECOND);
         node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
-        let waiting = node.submit(asked(SECOND));
+        let waiting = node.submit(asked(SECOND)).expect("a new id");
         let launch = kept.launches.borrow_mut().pop().expect("an attempt");
         assert!(node.may_write(launch.ticket));
         let ending = Ending { body: Bytes::from_static(b"paid"), ..Ending::bare(Outcome::Served) };
@@ -696,7 +746,7 @@
     fn nothing_is_written_for_a_request_that_has_ended() {
         let (node, kept) = node(SECOND);
         node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
-        let waiting = node.submit(asked(SECOND));
+        let waiting = node.submit(asked(SECOND)).expect("a new id");
         let launch = kept.launches.borrow_mut().pop().expect("an attempt");
         drop(waiting);
         assert!(!node.may_write(launch.ticket));
@@ -715,7 +765,7 @@
         ] {
             let (node, kept) = node(grace);
             node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
-            let _waiting = node.submit(asked(SECOND));
+            let _waiting = node.submit(asked(SECOND)).expect("a new id");
             let launch = kept.launches.borrow_mut().pop().expect("an attempt");
             node.fleet(ListScope::Changes, vec![listed("s", stage)]);
             assert_eq!(node.may_write(launch.ticket), may, "{grace} {stage:?}");
@@ -729,7 +779,7 @@
     fn a_request_that_the_module_leaves_open_fails_at_its_end() {
         let (node, kept) = node(SECOND);
         node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
-        let waiting = node.submit(asked(1_000_000));
+        let waiting = node.submit(asked(1_000_000)).expect("a new id");
         let launch = kept.launches.borrow_mut().pop().expect("an attempt");
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
         let answer = runtime.block_on(async {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,7 +5,9 @@
 
 mod discovery;
 mod driver;
+mod seats;
 mod server;
+mod sparing;
 mod upstream;
 
 use std::net::SocketAddr;
@@ -95,6 +97,8 @@
 }
 
 async fn serve(config: Config) -> Result<(), StartError> {
+    // Heeded before anything else: unheeded, it would end the program.
+    let hangup = signal(SignalKind::hangup())?;
     let site = brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
     // Half the descriptors are for clients, three eighths for backends; the rest is slack and the node's own.
@@ -114,7 +118,9 @@
     let listener =
         listen(config.listen).map_err(|source| StartError::Listen { at: config.listen, source })?;
     tracing::info!("{} serves at {}", config.name, listener.local_addr()?);
-    spawn_local(watch.run());
+    let (address, told) = tokio::sync::watch::channel(config.discovery);
+    spawn_local(watch.run(told));
+    spawn_local(heed_reloads(hangup, address));
     let timers = node.clone();
     spawn_local(async move { timers.run_timers().await });
     let (phase, phases) = watch::channel(Phase::Serving);
@@ -132,6 +138,26 @@
     Ok(())
 }
 
+/// Reads the configuration anew at each SIGHUP. Discovery's address is taken from it at once; all else counts
+/// from the next start. With a file that can't be used everything stays as it is.
+async fn heed_reloads(mut hangup: Signal, address: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match reread() {
+            Ok(discovery) => {
+                tracing::info!("configuration read anew; discovery is at {discovery}");
+                address.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+            }
+            Err(error) => tracing::warn!("the old configuration stays: {error}"),
+        }
+    }
+}
+
+fn reread() -> Result<SocketAddr, StartError> {
+    let config = read_config()?;
+    brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
+    Ok(config.discovery)
+}
+
 fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A restart must not wait for the last life's connections to leave the system's tables.
--- /dev/null
+++ b/node/src/seats.rs
@@ -0,0 +1,277 @@
+//! Who is connected on the clients' side. Every connection has a seat that tells what stands on it, so that
+//! the node can go on accepting: the longest silent or idle one makes room, never one with a request on it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
+
+/// A request is whole this long after its first byte, the first one of a connection this long after the
+/// connect: clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it.
+pub const WHOLE_WITHIN: Duration = Duration::from_millis(2300);
+/// A connection closes this long after the body's own limit: the answer that tells of it goes first.
+const CLOSES_AFTER: Duration = Duration::from_millis(200);
+/// An answer that its client has not taken in by then is given up with its connection.
+const TAKEN_WITHIN: Duration = Duration::from_secs(3);
+/// Between requests a connection may be closed after this, to make room.
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+/// Between requests a connection is kept for this long where there is room: clients in service ask again
+/// sooner, and those that asked once and stay must not pile up over a long day.
+const IDLE_MOST: Duration = Duration::from_secs(10);
+/// A connection that never said a word may be closed after this, to make room: the first request of a client
+/// in service comes right behind its connect.
+const SILENT_LEAST: Duration = Duration::from_millis(20);
+/// After an error what still comes is read and dropped for this long, or the error would be lost with it.
+const LINGER: Duration = Duration::from_millis(1500);
+/// How often the seats are looked through; and the wait for room where nobody can go yet.
+const SWEEP: Duration = Duration::from_millis(100);
+const ROOM_AGAIN: Duration = Duration::from_millis(10);
+
+/// What stands on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Nothing has come yet.
+    Silent,
+    /// A request is coming in.
+    Arriving,
+    /// A request is taken and owed its answer.
+    Open,
+    /// An answer is on its way out.
+    Answering,
+    /// Between requests.
+    Idle,
+    /// Answered for the last time; what still comes is dropped.
+    Leaving,
+}
+
+/// One connection's seat.
+pub struct Seat {
+    stage: Cell<Stage>,
+    since: Cell<Instant>,
+    close: Notify,
+}
+
+impl Seat {
+    fn new() -> Self {
+        Self { stage: Cell::new(Stage::Silent), since: Cell::new(Instant::now()), close: Notify::new() }
+    }
+
+    fn enter(&self, stage: Stage) {
+        self.stage.set(stage);
+        self.since.set(Instant::now());
+    }
+
+    /// Bytes have come.
+    fn heard(&self) {
+        match self.stage.get() {
+            // The time of the first request runs from the connect.
+            Stage::Silent => self.stage.set(Stage::Arriving),
+            Stage::Idle => self.enter(Stage::Arriving),
+            _ => {}
+        }
+    }
+
+    /// All that was to be written is with the system.
+    fn flushed(&self) {
+        if self.stage.get() == Stage::Answering {
+            self.enter(Stage::Idle);
+        }
+    }
+
+    /// A request's head has come; returns when its body has to be whole.
+    pub fn arriving(&self) -> Instant {
+        if self.stage.get() != Stage::Arriving {
+            self.enter(Stage::Arriving);
+        }
+        self.since.get() + WHOLE_WITHIN
+    }
+
+    /// A request is taken.
+    pub fn open(&self) {
+        self.enter(Stage::Open);
+    }
+
+    /// Its answer goes out.
+    pub fn answering(&self) {
+        self.enter(Stage::Answering);
+    }
+
+    /// Resolves once the connection has to be closed.
+    pub async fn closed(&self) {
+        self.close.notified().await;
+    }
+
+    fn overdue(&self, now: Instant) -> bool {
+        let most = match self.stage.get() {
+            Stage::Silent | Stage::Arriving => WHOLE_WITHIN + CLOSES_AFTER,
+            Stage::Open => return false,
+            Stage::Answering => TAKEN_WITHIN,
+            Stage::Idle => IDLE_MOST,
+            Stage::Leaving => LINGER,
+        };
+        now.saturating_duration_since(self.since.get()) >= most
+    }
+
+    /// The order in which connections make room, or none for one that may not be closed.
+    fn rank(&self, now: Instant) -> Option<(u8, Instant)> {
+        let (rank, least) = match self.stage.get() {
+            Stage::Leaving => (0, Duration::ZERO),
+            Stage::Silent => (1, SILENT_LEAST),
+            Stage::Idle => (2, IDLE_LEAST),
+            Stage::Arriving | Stage::Open | Stage::Answering => return None,
+        };
+        let since = self.since.get();
+        (now.saturating_duration_since(since) >= least).then_some((rank, since))
+    }
+}
+
+/// All seats; at most `most` are taken at a time.
+pub struct Seats {
+    seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    next: Cell<u64>,
+    most: usize,
+    freed: Notify,
+}
+
+impl Seats {
+    /// Seats for so many connections.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self { seats: RefCell::default(), next: Cell::new(0), most, freed: Notify::new() })
+    }
+
+    /// A seat for a new connection, once there is room; those who have to make it are closed first.
+    pub async fn take(self: &Rc<Self>) -> Seated {
+        while self.seats.borrow().len() >= self.most {
+            self.make_room();
+            // Somebody may go of itself meanwhile, or become old enough to be closed.
+            let _ = timeout(ROOM_AGAIN, self.freed.notified()).await;
+        }
+        let (number, seat) = (self.next.get(), Rc::new(Seat::new()));
+        self.next.set(number + 1);
+        self.seats.borrow_mut().insert(number, seat.clone());
+        Seated { seats: self.clone(), number, seat }
+    }
+
+    fn make_room(&self) {
+        let now = Instant::now();
+        let seats = self.seats.borrow();
+        let ranked = seats.values().filter_map(|seat| Some((seat.rank(now)?, seat)));
+        if let Some((_, seat)) = ranked.min_by_key(|(rank, _)| *rank) {
+            seat.close.notify_one();
+        }
+    }
+
+    /// Closes connections on which nothing has happened for too long; never ends.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            sleep(SWEEP).await;
+            let now = Instant::now();
+            let seats = self.seats.borrow();
+            seats.values().filter(|seat| seat.overdue(now)).for_each(|seat| seat.close.notify_one());
+        }
+    }
+
+    /// Waits until nobody is connected.
+    pub async fn emptied(&self) {
+        while !self.seats.borrow().is_empty() {
+            self.freed.notified().await;
+        }
+    }
+}
+
+/// A taken seat; free again once this is dropped.
+pub struct Seated {
+    seats: Rc<Seats>,
+    number: u64,
+    seat: Rc<Seat>,
+}
+
+impl Seated {
+    /// The seat.
+    pub fn seat(&self) -> &Rc<Seat> {
+        &self.seat
+    }
+}
+
+impl Drop for Seated {
+    fn drop(&mut self) {
+        self.seats.seats.borrow_mut().remove(&self.number);
+        self.seats.freed.notify_one();
+    }
+}
+
+/// A client's socket that keeps its seat up to date.
+pub struct Line {
+    stream: TcpStream,
+    seat: Rc<Seat>,
+}
+
+impl Line {
+    /// The socket of the one who sits there.
+    pub fn new(stream: TcpStream, seat: Rc<Seat>) -> Self {
+        Self { stream, seat }
+    }
+
+    /// Closes after the last answer: says that nothing more follows, and reads on for a while. A socket that
+    /// is closed with bytes unread resets its connection, and the answer may never be seen.
+    pub async fn leave(mut self) {
+        self.seat.enter(Stage::Leaving);
+        // It may have been shut already, or be broken: then the read below ends at once.
+        let _ = tokio::io::AsyncWriteExt::shutdown(&mut self.stream).await;
+        let mut scrap = vec![0; 16 * 1024];
+        while self.stream.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
+    }
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.seat.heard();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if flushed.is_ready() {
+            self.seat.flushed();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,32 +1,30 @@
 //! The clients' side: takes connections, reads requests, waits for each one's final answer and writes it.
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::pin::Pin;
 use std::time::Duration;
 
 use brookfield::{Effect, Nanos};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::driver::{Asked, Call, Node, Reply};
+use crate::seats::{Line, Seat, Seated, Seats};
+use crate::sparing::Sparing;
 use crate::upstream::MAX_BODY;
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-/// A head has this long to arrive, and a connection this long to stand idle.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// A body has at most this long to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_HEAD: usize = 32 * 1024;
 /// A client counts its time from its send to the last byte of the answer, so the ways there and back come
 /// off: an answer that leaves as the budget ends comes to a client that has just given up.
@@ -70,6 +68,10 @@
     TooLarge,
     #[error("the body did not arrive")]
     NoBody,
+    #[error("bodies come with a length, and no other way")]
+    NoLength,
+    #[error("{0} is that of an open request")]
+    Taken(&'static str),
 }
 
 impl BadCall {
@@ -78,6 +80,8 @@
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoBody => StatusCode::REQUEST_TIMEOUT,
+            Self::NoLength => StatusCode::LENGTH_REQUIRED,
+            Self::Taken(_) => StatusCode::CONFLICT,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -87,16 +91,17 @@
 
 /// Serves until the phase is [`Phase::Closed`] and all connections have ended. At most `most` are open.
 pub async fn run(listener: TcpListener, node: Node, most: usize, mut phase: watch::Receiver<Phase>) {
-    let slots = Arc::new(Semaphore::new(most));
+    let seats = Seats::new(most);
+    let sweeper = spawn_local(seats.clone().sweep());
     let mut closed = phase.clone();
     let closed = closed.wait_for(|phase| *phase == Phase::Closed);
     let accepting = async {
+        let mut sparing = Sparing::default();
         loop {
-            let Ok(slot) = slots.clone().acquire_owned().await else { return };
             match listener.accept().await {
-                Ok((stream, _)) => welcome(stream, &node, slot, &phase),
+                Ok((stream, _)) => welcome(stream, &node, seats.take().await, &phase),
                 Err(error) => {
-                    tracing::warn!("accept: {error}");
+                    sparing.say(|more| tracing::warn!("accept: {error} ({more} more)"));
                     sleep(ACCEPT_AGAIN).await;
                 }
             }
@@ -110,16 +115,19 @@
     }
     drop(listener);
     phase.mark_unchanged();
-    let all = u32::try_from(most).unwrap_or(u32::MAX);
-    drop(slots.acquire_many(all).await);
+    seats.emptied().await;
+    sweeper.abort();
 }
 
-fn welcome(stream: TcpStream, node: &Node, slot: OwnedSemaphorePermit, phase: &watch::Receiver<Phase>) {
+fn welcome(stream: TcpStream, node: &Node, seated: Seated, phase: &watch::Receiver<Phase>) {
     let (node, phase) = (node.clone(), phase.clone());
     spawn_local(async move {
-        let _slot = slot;
-        if let Err(error) = converse(stream, node, phase).await {
-            tracing::debug!("client: {error}");
+        tokio::select! {
+            biased;
+            () = seated.seat().closed() => {}
+            result = converse(stream, node, seated.seat(), phase) => {
+                result.unwrap_or_else(|error| tracing::debug!("client: {error}"));
+            }
         }
     });
 }
@@ -132,55 +140,75 @@
     Http(#[from] hyper::Error),
 }
 
-async fn converse(stream: TcpStream, node: Node, mut phase: watch::Receiver<Phase>) -> Result<(), Trouble> {
+async fn converse(
+    stream: TcpStream,
+    node: Node,
+    seat: &std::rc::Rc<Seat>,
+    mut phase: watch::Receiver<Phase>,
+) -> Result<(), Trouble> {
     stream.set_nodelay(true)?;
     // One that comes during the way out is closed by its first answer. Closing it sooner would lose the
     // request for which it was opened.
     let late = *phase.borrow() != Phase::Serving;
     let answers = phase.clone();
-    let service = service_fn(|request| answer(&node, request, &answers));
-    let mut connection = std::pin::pin!(
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MAX_HEAD)
-            .serve_connection(TokioIo::new(stream), service)
-    );
-    if !late {
-        tokio::select! {
-            biased;
-            result = &mut connection => return Ok(result?),
-            _ = phase.wait_for(|phase| *phase >= Phase::Closing) => connection.as_mut().graceful_shutdown(),
+    let service = service_fn(|request| answer(&node, seat, request, &answers));
+    let line = TokioIo::new(Line::new(stream, seat.clone()));
+    let mut connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(line, service);
+    let ended = tokio::select! {
+        biased;
+        result = &mut connection => Some(result),
+        _ = phase.wait_for(|phase| *phase >= Phase::Closing), if !late => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
-    }
-    Ok(connection.await?)
+    };
+    connection.into_parts().io.into_inner().leave().await;
+    Ok(result?)
 }
 
 async fn answer(
     node: &Node,
+    seat: &Seat,
     request: Request<Incoming>,
     phase: &watch::Receiver<Phase>,
 ) -> Result<Answer, Infallible> {
+    let whole_by = seat.arriving();
     let serving = || *phase.borrow() == Phase::Serving;
-    let mut response = match request.uri().path() {
-        "/api" => call(node, request).await.unwrap_or_else(|bad| plain(bad.status(), &bad.to_string())),
+    let (response, bad) = match request.uri().path() {
+        "/api" => match call(node, seat, request, whole_by).await {
+            Ok(response) => (response, false),
+            Err(bad) => (plain(bad.status(), &bad.to_string()), true),
+        },
         "/health/ready" if request.method() != Method::GET => {
-            plain(StatusCode::METHOD_NOT_ALLOWED, "GET only")
+            (plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"), true)
         }
-        "/health/ready" if serving() => plain(StatusCode::OK, "ready"),
-        "/health/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
-        _ => plain(StatusCode::NOT_FOUND, "no such path"),
+        "/health/ready" if serving() => (plain(StatusCode::OK, "ready"), false),
+        "/health/ready" => (plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"), false),
+        _ => (plain(StatusCode::NOT_FOUND, "no such path"), true),
     };
-    if !serving() {
+    let mut response = response;
+    // Where one request made no sense there is no telling where the next one begins.
+    if bad || !serving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    seat.answering();
     Ok(response)
 }
 
-async fn call(node: &Node, request: Request<Incoming>) -> Result<Answer, BadCall> {
+async fn call(
+    node: &Node,
+    seat: &Seat,
+    request: Request<Incoming>,
+    whole_by: Instant,
+) -> Result<Answer, BadCall> {
     let came = node.clock().now();
     let (head, body) = request.into_parts();
     let headers = &head.headers;
+    check_framing(headers, &body)?;
     if required(headers, CALL_ID)?.is_empty() {
         return Err(BadCall::Unreadable(CALL_ID));
     }
@@ -192,20 +220,37 @@
     let budget = whole(BUDGET, required(headers, BUDGET)?)?;
     let hint = single(headers, COST)?.map(|text| whole(COST, text)).transpose()?;
     let repeat = single(headers, AGAIN)? == Some("1");
-    let body = read(body).await?;
+    let body = read(body, whole_by).await?;
     if effect == Effect::Repeatable && !body.is_empty() {
         return Err(BadCall::Misplaced("a body"));
     }
+    // No work is as long as the client's whole time; such a guess says nothing.
+    let hint = hint.map(|micros| micros.saturating_mul(1000)).filter(|hint| *hint <= deadline);
     let spent: Nanos = node.clock().now().saturating_sub(came);
     let asked = Asked {
+        id: required(headers, CALL_ID)?.into(),
         class,
         tenant,
-        hint: hint.map(|micros| micros.saturating_mul(1000)),
+        hint,
         repeat,
         budget: time_left(budget, deadline, spent),
         call: Call { method: head.method, target: head.uri, headers: end_to_end(head.headers), body },
     };
-    Ok(worded(node.submit(asked).answer().await))
+    let waiting = node.submit(asked).ok_or(BadCall::Taken(CALL_ID))?;
+    seat.open();
+    Ok(worded(waiting.answer().await))
+}
+
+/// Transfer codings are not taken at all: where a length stands beside one, the parser drops it unseen, in
+/// either order, and what one side takes for a body is a request of its own to the other.
+fn check_framing(headers: &HeaderMap, body: &Incoming) -> Result<(), BadCall> {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return Err(BadCall::NoLength);
+    }
+    if body.size_hint().lower() > MAX_BODY as u64 {
+        return Err(BadCall::TooLarge);
+    }
+    Ok(())
 }
 
 /// What is left here of a budget in milliseconds; no client waits for longer than its class's deadline.
@@ -213,8 +258,8 @@
     budget_ms.saturating_mul(1_000_000).min(deadline).saturating_sub(spent.saturating_add(ON_THE_WAY))
 }
 
-async fn read(body: Incoming) -> Result<Bytes, BadCall> {
-    match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await {
+async fn read(body: Incoming, whole_by: Instant) -> Result<Bytes, BadCall> {
+    match timeout_at(whole_by, Limited::new(body, MAX_BODY).collect()).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BadCall::TooLarge),
         Ok(Err(_)) | Err(_) => Err(BadCall::NoBody),
--- /dev/null
+++ b/node/tests/hostile.rs
@@ -0,0 +1,159 @@
+//! Clients that mean harm, or might as well: others are served beside them, and they are told off in time.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use common::*;
+use serde_json::json;
+
+fn serving() -> Backend {
+    Backend::new(|_| Does::Writes(ok("yes")))
+}
+
+/// A node with room for few connections, a third of what these tests open.
+fn small(backend: &Backend) -> Node {
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
+    let mut config = config(discovery.at, json!([target("s-0", backend.at, "Ready")]));
+    config["limits"]["sockets"] = json!(32);
+    Node::start(&config)
+}
+
+fn silent(node: &Node, count: usize) -> Vec<Client> {
+    (0..count).map(|_| Client::to(node.at)).collect()
+}
+
+#[test]
+fn silent_connections_lock_nobody_out() {
+    let backend = serving();
+    let node = small(&backend);
+    let mut crowd = silent(&node, 48);
+    assert_eq!(node.ask(&get("s0", "")).status(), 200);
+    crowd.iter_mut().for_each(|client| assert!(client.read().is_none(), "a silent one is closed"));
+}
+
+/// Clients that ask once and keep their connection make room for others.
+#[test]
+fn idle_connections_lock_nobody_out() {
+    let backend = serving();
+    let node = small(&backend);
+    let mut kept = Vec::new();
+    for n in 0..40 {
+        let mut client = Client::to(node.at);
+        assert_eq!(client.ask(&get(&format!("i{n}"), "")).expect("an answer").status(), 200);
+        kept.push(client);
+    }
+}
+
+#[test]
+fn a_connection_with_a_request_on_it_makes_no_room() {
+    let gate = Arc::new(Gate::default());
+    let waits = gate.clone();
+    let backend = Backend::new(move |_| Does::Waits(waits.clone(), ok("late")));
+    let node = small(&backend);
+    let mut open = Client::to(node.at);
+    open.write(&get("o0", ""));
+    assert_eq!(backend.next().value("x-call-id"), Some("o0"));
+    let mut crowd = silent(&node, 48);
+    crowd.iter_mut().take(8).for_each(|client| assert!(client.read().is_none()));
+    gate.open();
+    assert_eq!(open.read().expect("an answer").body, b"late");
+}
+
+/// Bytes that trickle in do not prolong the time that a request has to become whole.
+#[test]
+fn what_never_becomes_whole_is_ended() {
+    let backend = serving();
+    let (node, _discovery) = Node::with(&[&backend]);
+    let head = "GET /api HTTP/1.1\r\nX-Drop: ".to_owned();
+    let body = post("pay", "t1", "", "").replace("Content-Length: 0", "Content-Length: 60000");
+    for (text, wanted) in [(head, None), (body, Some(408))] {
+        let mut client = Client::to(node.at);
+        client.write(&text);
+        let mut trickle = client.stream();
+        thread::spawn(move || {
+            while trickle.write_all(b"x").is_ok() {
+                thread::sleep(Duration::from_millis(50));
+            }
+        });
+        assert_eq!(client.read().map(|answer| answer.status()), wanted);
+    }
+    assert_eq!(backend.count(), 0);
+}
+
+/// A request with two lengths may hide another one: each side would see a different end.
+#[test]
+fn transfer_codings_are_turned_away_whatever_stands_beside() {
+    let backend = serving();
+    let (node, _discovery) = Node::with(&[&backend]);
+    let hidden = get("hidden", "");
+    let chunked = format!("{:x}\r\n{hidden}\r\n0\r\n\r\n", hidden.len());
+    let (length, coding) =
+        (format!("Content-Length: {}\r\n", chunked.len()), "Transfer-Encoding: chunked\r\n");
+    for headers in [format!("{length}{coding}"), format!("{coding}{length}"), coding.to_owned()] {
+        let text = post("pay", "c1", "", "").replace("Content-Length: 0\r\n", &headers) + &chunked;
+        let mut client = Client::to(node.at);
+        assert_eq!(client.ask(&text).expect("an answer").status(), 411, "{headers}");
+        assert!(client.read().is_none(), "nothing behind it is taken for a request");
+    }
+    assert_eq!(backend.count(), 0);
+}
+
+#[test]
+fn lengths_that_make_no_sense_are_turned_away_unread() {
+    let backend = serving();
+    let (node, _discovery) = Node::with(&[&backend]);
+    for (length, wanted) in [
+        ("-1", 400),
+        ("1\r\nContent-Length: 2", 400),
+        ("1, 2", 400),
+        ("0x10", 400),
+        ("65537", 413),
+        ("3000000000", 413),
+        ("18446744073709551616", 400),
+        ("99999999999999999999999999", 400),
+    ] {
+        let text = post("pay", "l1", "", "").replace("Length: 0", &format!("Length: {length}"));
+        let mut client = Client::to(node.at);
+        assert_eq!(client.ask(&text).expect("an answer").status(), wanted, "{length}");
+        assert!(client.read().is_none(), "{length}");
+    }
+    assert_eq!(backend.count(), 0);
+}
+
+/// The error is not lost in a reset while the client still sends.
+#[test]
+fn the_error_gets_out_while_a_large_body_comes_in() {
+    let backend = serving();
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut stream = TcpStream::connect(node.at).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let length = 60_000_000;
+    let text = post("pay", "b1", "", "").replace("Length: 0", &format!("Length: {length}"));
+    stream.write_all(text.as_bytes()).unwrap();
+    // All of it goes out before the answer is looked at.
+    stream.write_all(&vec![b'x'; length]).expect("the node reads on");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("no reset");
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+}
+
+/// Backends tell requests apart by their ids: another's open one must not reach them.
+#[test]
+fn the_id_of_an_open_request_is_turned_away() {
+    let gate = Arc::new(Gate::default());
+    let waits = gate.clone();
+    let backend = Backend::new(move |_| Does::Waits(waits.clone(), ok("mine")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut owner = Client::to(node.at);
+    owner.write(&post("pay", "d1", "", "mine"));
+    assert_eq!(backend.next().value("x-call-id"), Some("d1"));
+    assert_eq!(node.ask(&post("pay", "d1", "", "theirs")).status(), 409);
+    gate.open();
+    assert_eq!(owner.read().expect("an answer").body, b"mine");
+    assert_eq!(backend.count(), 0);
+}
