Tell spoilt answers from broken backends; rest connections before reuse; refuse at half of the time what was never sent

To blame: upstream.rs read() mapped them to Reset (weight 2) and any 4xx to Error, so they ejected good backends; Full was given for a broken rejection, reports of spoilt answers counted; keep() put links of moved or retired backends back; choice.rs expire() held what was never sent up to the aim, which is past half of a short budget. Tests: four in serving.rs; the outcome joins any_sequence and contract.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -343,6 +343,13 @@
         live && open
     }
 
+    /// Whether a backend is in service, and at this address.
+    pub fn serves_at(&self, backend: BackendId, endpoint: SocketAddr) -> bool {
+        let driver = self.driver.borrow();
+        let known = driver.backends.get(&backend);
+        known.is_some_and(|known| known.endpoint == endpoint && known.draining_since.is_none())
+    }
+
     /// Takes the end of an attempt.
     pub fn settled(&self, ticket: Ticket, ending: Ending) {
         self.tell(|driver, errands| driver.settled(ticket, ending, errands));
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,6 +8,7 @@
 mod seats;
 mod server;
 mod sparing;
+mod tap;
 mod upstream;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/node/src/tap.rs
@@ -0,0 +1,114 @@
+//! Listens in on a backend's connection: when an answer has begun to come, which the HTTP library does not
+//! tell before the answer's head is whole.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use hyper::Request;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+#[derive(Default)]
+struct Signs {
+    /// Bytes have come since the last message.
+    begun: AtomicBool,
+    bytes: Notify,
+    /// What has come was an interim answer.
+    interim: AtomicBool,
+}
+
+/// What is heard on a connection.
+#[derive(Clone, Default)]
+pub struct Heard(Arc<Signs>);
+
+impl Heard {
+    /// Listens for the answer to this message, which is about to be written.
+    pub fn listen<T>(&self, message: &mut Request<T>) {
+        self.0.begun.store(false, Ordering::Relaxed);
+        self.0.interim.store(false, Ordering::Relaxed);
+        let signs = self.0.clone();
+        hyper::ext::on_informational(message, move |_| signs.interim.store(true, Ordering::Relaxed));
+    }
+
+    /// Resolves once an answer has begun to come and was not whole after so long. Interim answers don't count:
+    /// the one that they announce may take its time.
+    pub async fn stalled(&self, most: Duration) {
+        loop {
+            while !self.0.begun.load(Ordering::Relaxed) {
+                self.0.bytes.notified().await;
+            }
+            sleep(most).await;
+            if !self.0.interim.swap(false, Ordering::Relaxed) {
+                return;
+            }
+            self.0.begun.store(false, Ordering::Relaxed);
+        }
+    }
+
+    fn bytes(&self) {
+        if !self.0.begun.swap(true, Ordering::Relaxed) {
+            self.0.bytes.notify_waiters();
+        }
+    }
+}
+
+/// A backend's socket that is listened in on.
+pub struct Tap {
+    stream: TcpStream,
+    heard: Heard,
+}
+
+impl Tap {
+    /// A socket, and what will be heard on it.
+    pub fn new(stream: TcpStream) -> (Self, Heard) {
+        let heard = Heard::default();
+        (Self { stream, heard: heard.clone() }, heard)
+    }
+}
+
+impl AsyncRead for Tap {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.heard.bytes();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Tap {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -10,30 +10,45 @@
 use brookfield::{BackendId, Nanos, Outcome, Report};
 use brookfield_settings::Links;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::driver::{Clock, Ending, Launch, Launcher, Node};
+use crate::tap::{Heard, Tap};
 
 /// No body is larger, either way.
 pub const MAX_BODY: usize = 64 * 1024;
+/// No answer's head is larger, nor has more lines.
+const MAX_HEAD: usize = 16 * 1024;
+const MAX_LINES: usize = 64;
+/// An answer is whole this long after it has begun, or it is spoilt: backends send it in one go, and the time
+/// is better used for another attempt.
+const WHOLE_WITHIN: Duration = Duration::from_millis(100);
+/// A connection rests this long after an answer. What comes behind one would pass for the next one's answer;
+/// while it rests, it shows as not asked for, and the connection is dropped. So does a close.
+const REST: Nanos = 10_000_000;
 /// An idle connection is kept for this part of the backends' limit: one that is written to as its backend
 /// closes it ends as a reset, and what was sent on it may have run.
 const IDLE_PART: u64 = 2;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
-type Link = SendRequest<Full<Bytes>>;
 type Place = (BackendId, SocketAddr);
 
+/// A connection, and what is heard on it.
+struct Link {
+    send: SendRequest<Full<Bytes>>,
+    heard: Heard,
+}
+
 struct Idle {
     link: Link,
     since: Nanos,
@@ -127,8 +142,12 @@
                     None => return Ending::bare(Outcome::ConnectFailed),
                 },
             };
+            if !fresh {
+                // A close or stray bytes that the system has already got are seen first.
+                yield_now().await;
+            }
             // A pooled connection found dead before anything was written to it costs nothing: the next one.
-            if link.ready().await.is_err() {
+            if link.send.ready().await.is_err() {
                 if fresh {
                     return Ending::bare(Outcome::ConnectFailed);
                 }
@@ -136,18 +155,21 @@
             }
             // The connect may have outlasted the request, or the backend's place on the list.
             if !node.may_write(launch.ticket) {
-                self.keep(place, link);
+                self.keep(node, place, link);
                 return Ending::bare(Outcome::Moot);
             }
-            let Some(message) = self.message(launch) else { return Ending::bare(Outcome::Moot) };
+            let Some(mut message) = self.message(launch) else { return Ending::bare(Outcome::Moot) };
+            let heard = link.heard.clone();
+            heard.listen(&mut message);
             written.set(true);
-            match link.try_send_request(message).await {
-                Ok(response) => return self.read(place, link, response).await,
-                // The message comes back only if not a byte of it was written.
-                Err(mut error) => match error.take_message() {
-                    Some(_) => written.set(false),
-                    None => return Ending::bare(Outcome::Reset),
-                },
+            let ending = tokio::select! {
+                biased;
+                ending = self.exchange(node, place, link, message) => ending,
+                () = heard.stalled(WHOLE_WITHIN) => return Ending::bare(Outcome::Spoilt),
+            };
+            match ending {
+                Some(ending) => return ending,
+                None => written.set(false),
             }
             if fresh {
                 return Ending::bare(Outcome::ConnectFailed);
@@ -155,6 +177,29 @@
         }
     }
 
+    /// One message and its answer. None if not a byte of the message was written.
+    async fn exchange(
+        &self,
+        node: &Node,
+        place: Place,
+        mut link: Link,
+        message: Request<Full<Bytes>>,
+    ) -> Option<Ending> {
+        match link.send.try_send_request(message).await {
+            Ok(response) => {
+                let (ending, whole) = read(response).await;
+                if whole {
+                    self.keep(node, place, link);
+                }
+                Some(ending)
+            }
+            Err(mut error) => match error.take_message() {
+                Some(_) => None,
+                None => Some(Ending::bare(broken(error.error()))),
+            },
+        }
+    }
+
     fn message(&self, launch: &Launch) -> Option<Request<Full<Bytes>>> {
         let call = &launch.call;
         let left = launch.give_up.min(launch.not_after).saturating_sub(self.clock.now()) / 1_000_000;
@@ -170,42 +215,21 @@
         Some(message)
     }
 
-    async fn read(&self, place: Place, link: Link, response: Response<Incoming>) -> Ending {
-        let (head, body) = response.into_parts();
-        let report = load_report(&head.headers);
-        let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
-        // With neither a length nor chunks an answer ends with its connection, and one cut short looks whole.
-        let framed = body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-        let whole = Limited::new(body, MAX_BODY).collect().await.ok().filter(|_| framed);
-        let body = whole.map(|whole| whole.to_bytes());
-        if body.is_some() {
-            self.keep(place, link);
-        }
-        let outcome = match (head.status, &body) {
-            (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if rejected => Outcome::Full,
-            (_, None) => Outcome::Reset,
-            (StatusCode::OK, Some(_)) => Outcome::Served,
-            // Whatever the status says, the request may have run.
-            _ => Outcome::Error,
-        };
-        Ending { outcome, report, body: body.unwrap_or_default() }
-    }
-
-    /// An idle connection; the one used last, so that those in excess grow old.
+    /// An idle connection that has rested; the one used last, so that those in excess grow old.
     fn take(&self, place: Place) -> Option<Link> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&place)?;
-        while let Some(Idle { link, since }) = links.pop() {
-            if !link.is_closed() && now.saturating_sub(since) < self.links.idle / IDLE_PART {
-                return Some(link);
-            }
-        }
-        None
+        links.retain(|idle| !idle.link.send.is_closed());
+        let age = |idle: &Idle| now.saturating_sub(idle.since);
+        let rested = links.iter().rposition(|idle| age(idle) >= REST)?;
+        let taken = links.remove(rested);
+        (age(&taken) < self.links.idle / IDLE_PART).then_some(taken.link)
     }
 
-    fn keep(&self, place: Place, link: Link) {
-        if !link.is_closed() {
+    /// Keeps a connection for the next attempt, unless its backend has left or moved meanwhile.
+    fn keep(&self, node: &Node, place: Place, link: Link) {
+        if !link.send.is_closed() && node.serves_at(place.0, place.1) {
             self.idle.borrow_mut().entry(place).or_default().push(Idle { link, since: self.clock.now() });
         }
     }
@@ -221,20 +245,23 @@
         let limit = Duration::from_nanos(self.links.connect_timeout);
         let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (link, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let (tap, heard) = Tap::new(stream);
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_HEAD).max_headers(MAX_LINES);
+        let (send, connection) = builder.handshake(TokioIo::new(tap)).await.ok()?;
         spawn_local(async move {
             let _counted = counted;
             if let Err(error) = connection.await {
                 tracing::debug!("connection to {endpoint}: {error}");
             }
         });
-        Some(link)
+        Some(Link { send, heard })
     }
 
     fn drop_stale(&self) {
         let now = self.clock.now();
         let good = |idle: &Idle| {
-            !idle.link.is_closed() && now.saturating_sub(idle.since) < self.links.idle / IDLE_PART
+            !idle.link.send.is_closed() && now.saturating_sub(idle.since) < self.links.idle / IDLE_PART
         };
         self.idle.borrow_mut().retain(|_, links| {
             links.retain(good);
@@ -252,6 +279,39 @@
     }
 }
 
+/// Reads an answer; also whether it was whole, so that its connection is of further use.
+async fn read(response: Response<Incoming>) -> (Ending, bool) {
+    let (head, body) = response.into_parts();
+    // With neither a length nor chunks an answer ends with its connection, and one cut short looks whole.
+    let framed = body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
+    if !framed || body.size_hint().lower() > MAX_BODY as u64 || head.status.is_informational() {
+        return (Ending::bare(Outcome::Spoilt), false);
+    }
+    let body = match Limited::new(body, MAX_BODY).collect().await {
+        Ok(whole) => whole.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => return (Ending::bare(Outcome::Spoilt), false),
+        Err(error) => {
+            let cause = error.downcast_ref::<hyper::Error>();
+            return (Ending::bare(cause.map_or(Outcome::Reset, broken)), false);
+        }
+    };
+    let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
+    let outcome = match head.status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
+        StatusCode::OK => Outcome::Served,
+        // What is wrong with the request is not the backend's fault, and says nothing of it.
+        status if status.is_client_error() => Outcome::Spoilt,
+        // Whatever the status says, the request may have run.
+        _ => Outcome::Error,
+    };
+    (Ending { outcome, report: load_report(&head.headers), body }, true)
+}
+
+/// What a broken answer was: a connection that ended, or one that brought what is no answer.
+fn broken(error: &hyper::Error) -> Outcome {
+    if error.is_parse() { Outcome::Spoilt } else { Outcome::Reset }
+}
+
 /// A backend's figures of its load, under either of the names in use.
 #[derive(Default, Deserialize)]
 struct Figures {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -67,6 +67,10 @@
     Writes(String),
     /// Writes these bytes and closes.
     Ends(String),
+    /// Writes these bytes, and in one go with them some more.
+    Adds(String, String),
+    /// Writes these bytes at once, and the others behind the gate.
+    Then(String, Arc<Gate>, String),
     /// Says nothing and keeps the connection.
     Hangs,
     /// Waits for the gate, then writes.
@@ -158,6 +162,12 @@
                 ended.fetch_add(1, Ordering::SeqCst);
                 return;
             }
+            Does::Adds(text, more) => writer.write_all((text + &more).as_bytes()),
+            Does::Then(first, gate, text) => {
+                let written = writer.write_all(first.as_bytes());
+                gate.wait();
+                written.and_then(|()| writer.write_all(text.as_bytes()))
+            }
             Does::Hangs => Ok(()),
         };
         if written.is_err() {
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -154,6 +154,8 @@
     let mut client = Client::to(node.at);
     for n in 0..10 {
         assert_eq!(client.ask(&get(&format!("k{n}"), "")).expect("an answer").status(), 200);
+        // An answer's connection rests first.
+        std::thread::sleep(std::time::Duration::from_millis(50));
     }
     assert_eq!(backend.connections.load(Ordering::SeqCst), 1);
 }
@@ -191,3 +193,87 @@
     assert_eq!(backend.next().value("x-call-id"), Some("g2"));
     assert_eq!(backend.count(), 0);
 }
+
+/// A spoilt answer is a failed attempt that may have run; its connection is of no further use, and the request
+/// is not left waiting for what will never come.
+#[test]
+fn a_spoilt_answer_is_given_up_at_once_and_tried_elsewhere() {
+    let lines = "X-Pad: pppppppppppppppp\r\n";
+    let spoilt = [
+        "\u{1}\u{2}noise\r\n\r\n".to_owned(),
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nno".to_owned(),
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nno".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 2\r\n\r\nno".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nno".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort".to_owned(),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\nzz\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nX-Never: ends\r\n".to_owned(),
+        format!("HTTP/1.1 200 OK\r\n{}", lines.repeat(4000)),
+        format!("HTTP/1.1 200 OK\r\n{}Content-Length: 2\r\n\r\nno", lines.repeat(80)),
+        "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n".to_owned(),
+        "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 50\r\n\r\nshort".to_owned(),
+    ];
+    for (n, text) in spoilt.into_iter().enumerate() {
+        let first = Arc::new(AtomicBool::new(true));
+        let does = move |_: &Message| match first.swap(false, Ordering::SeqCst) {
+            true => Does::Writes(text.clone()),
+            false => Does::Writes(ok("good")),
+        };
+        let backend = Backend::new(does);
+        let (node, _discovery) = Node::with(&[&backend]);
+        // The connection stays open on the backend's side: only the node can end the wait. Most of the
+        // client's time is left for the other attempt.
+        let answer = node.ask(&get("s1", ""));
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"good".as_slice()), "case {n}");
+        assert_eq!(backend.connections.load(Ordering::SeqCst), 2, "case {n}");
+    }
+}
+
+/// What comes behind a good answer spoils neither that one nor the next.
+#[test]
+fn what_comes_behind_an_answer_is_no_answer() {
+    for behind in [ok("mine"), "noise".to_owned(), "HTTP/1.1 200 OK\r\n".to_owned()] {
+        let backend = Backend::new(move |message| {
+            Does::Adds(ok(message.value("x-call-id").unwrap_or_default()), behind.clone())
+        });
+        let (node, _discovery) = Node::with(&[&backend]);
+        let mut client = Client::to(node.at);
+        for n in 0..6 {
+            let answer = client.ask(&get(&format!("w{n}"), "")).expect("an answer");
+            assert_eq!((answer.status(), answer.body), (200, format!("w{n}").into_bytes()));
+        }
+    }
+}
+
+/// Interim answers announce the real one, which may take its time.
+#[test]
+fn interim_answers_are_passed_over() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+    let gate = Arc::new(Gate::default());
+    let waits = gate.clone();
+    let backend = Backend::new(move |_| Does::Then(interim.to_owned(), waits.clone(), ok("real")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    client.write(&post("pay", "i1", "", ""));
+    backend.next();
+    // Longer than an answer that has begun may take to become whole.
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    gate.open();
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"real".as_slice()));
+}
+
+/// Requests that backends turn away as bad must not put good backends out of service.
+#[test]
+fn bad_requests_eject_no_backend() {
+    let backend = Backend::new(|message| match message.value("x-call-id") {
+        Some(id) if id.starts_with("bad") => Does::Writes(status(400, "")),
+        _ => Does::Writes(ok("yes")),
+    });
+    let other = always(Does::Writes(status(400, "")));
+    let (node, _discovery) = Node::with(&[&backend, &other]);
+    for n in 0..40 {
+        assert_ne!(node.ask(&get(&format!("bad{n}"), "")).status(), 200);
+    }
+    assert!(!node.logged("ejected"));
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -311,6 +311,8 @@
     Served,
     /// The backend returned an error.
     Error,
+    /// What came back can't be used, and says nothing of the backend.
+    Spoilt,
     /// Sent away without a look.
     Full,
     /// No answer in time.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,8 +5,6 @@
 //! gate (`permits`, `send`, `end`), 2 the backend view, 3 the zone choice, which is the design, 4 the pick
 //! inside a zone, 5 health, 6 slow start, 7 admission and retries, 8 discovery.
 
-use std::collections::BTreeSet;
-
 use crate::api::*;
 use crate::state::*;
 
@@ -25,6 +23,8 @@
 const UTIL_SMOOTHING: Nanos = 400 * MS;
 /// A utilisation older than this says nothing; a zone with no younger one counts as unseen.
 const UTIL_TRUST: Nanos = 4 * SECOND;
+/// No backend has more than all of its cores in use; what its noise may add, and no more, is believed.
+const UTIL_MOST: f64 = 1.5;
 /// Time constant of a backend's slowness: tens of answers, yet within a neighbour's seconds on and off.
 const SLOW_SMOOTHING: Nanos = SECOND;
 /// An unused backend's slowness is forgotten with this time constant, so that it is tried again.
@@ -194,6 +194,7 @@
             // Picking the requests with small hints for a small budget picks the hints that are too low.
             cold_cost: cost.max(view.cost),
             aim_end,
+            half: self.now + wait / 2,
             not_after: arrival.not_after,
             attempts: Vec::new(),
             phase: Phase::Open,
@@ -345,11 +346,11 @@
 
     // 2. Backend view.
 
-    /// Takes a load report in; figures that are not finite or not possible are passed over.
+    /// Takes a load report in; figures that are not possible are passed over.
     fn report(&mut self, id: BackendId, report: Report) {
         let Some(backend) = self.backends.get_mut(&id) else { return };
-        if let Some(util) = report.util.filter(|util| util.is_finite() && *util >= 0.0) {
-            backend.util.feed(self.now, util.min(1.5), UTIL_SMOOTHING, 0.05);
+        if let Some(util) = report.util.filter(|util| (0.0..=UTIL_MOST).contains(util)) {
+            backend.util.feed(self.now, util, UTIL_SMOOTHING, 0.05);
         }
     }
 
@@ -612,7 +613,7 @@
     fn judge(&mut self, id: BackendId, outcome: Outcome, actions: &mut Vec<Action>) {
         let weight = match outcome {
             Outcome::Served => 0,
-            Outcome::Error | Outcome::TimedOut | Outcome::Full => 1,
+            Outcome::Error | Outcome::Spoilt | Outcome::TimedOut | Outcome::Full => 1,
             Outcome::ConnectFailed | Outcome::Reset => 2,
             Outcome::Cancelled | Outcome::Moot => return,
         };
@@ -626,7 +627,9 @@
             return;
         }
         backend.full_in_row = 0;
-        backend.failing.feed(self.now, if weight > 0 { 1.0 } else { 0.0 }, SECOND, 0.1);
+        // What comes back spoilt comes from all alike, or is the fault of the request: it tells little.
+        let told = if outcome == Outcome::Spoilt { 0.5 } else { 1.0 };
+        backend.failing.feed(self.now, if weight > 0 { told } else { 0.0 }, SECOND, 0.1);
         if weight == 0 {
             backend.failed_in_row = 0;
             match backend.health {
@@ -646,7 +649,7 @@
         let failing = self.backends.values().map(|b| b.failing.value).sum::<f64>() / listed.max(1.0);
         let Some(backend) = self.backends.get_mut(&id) else { return };
         let outlier = backend.failed_in_row >= EJECT_AFTER && backend.failing.value > 2.0 * failing.min(0.4);
-        let failed_trial = matches!(backend.health, Health::HalfOpen { .. });
+        let failed_trial = told == 1.0 && matches!(backend.health, Health::HalfOpen { .. });
         let room = ejected + 1.0 <= listed * EJECT_SHARE;
         if failed_trial || (outlier && room && backend.health == Health::Healthy) {
             let span = EJECT_FOR << backend.ejections.min(5);
@@ -747,14 +750,15 @@
         }
     }
 
-    /// Ends what can no longer be answered in time, while a refusal is still early.
+    /// Ends what can no longer be answered in time, or was never sent, while a refusal is still early.
     fn expire(&mut self, actions: &mut Vec<Action>) {
         let tick = self.tick();
         let late = |request: &Request| {
             let least = (self.classes[request.class].base * IDLE_LOAD * 0.5) as Nanos + tick;
+            let end = if request.attempts.is_empty() { request.half } else { request.not_after };
             request.phase == Phase::Held
                 && !request.attempts.iter().any(Attempt::out)
-                && (self.now + least >= request.aim_end || self.now + tick >= request.not_after)
+                && (self.now + least >= request.aim_end || self.now + tick >= end)
         };
         let is_late = |id: &RequestId| self.requests.get(id).is_some_and(late);
         for id in self.held.iter().copied().filter(is_late).collect::<Vec<_>>() {
@@ -815,43 +819,8 @@
         if scope != ListScope::Cached {
             self.ask_failures = 0;
         }
-        if scope != ListScope::Changes {
-            let named: BTreeSet<BackendId> = members.iter().map(|member| member.backend).collect();
-            for backend in self.backends.values_mut() {
-                if !named.contains(&backend.member.backend) {
-                    backend.member.stage = Stage::Gone;
-                }
-            }
-        }
-        let live = self.settings.weights == Weights::Live;
-        for member in members.iter().filter(|member| live && member.size.is_finite()) {
-            let known = self.kind_size.entry(member.kind).or_insert(0.0);
-            *known = known.max(member.size);
-        }
-        for mut member in members {
-            let told = member.size;
-            if live {
-                member.size = self.kind_size.get(&member.kind).copied().unwrap_or(1.0);
-            }
-            let backend = self.backends.entry(member.backend).or_insert_with(|| Backend::new(member));
-            if backend.member.online_since != member.online_since {
-                let in_flight = backend.in_flight;
-                *backend = Backend { in_flight, ..Backend::new(member) };
-            }
-            backend.member = member;
-            backend.lot = mix(self.seed ^ u64::from(member.backend.0).wrapping_mul(0xd6e8_feb8_6659_fd93));
-            backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
-        }
-        self.backends.retain(|_, backend| backend.member.stage != Stage::Gone || backend.in_flight > 0);
-        for (zone, view) in self.zones.iter_mut().enumerate() {
-            let listed =
-                |b: &&Backend| b.member.zone.0 as usize == zone && b.member.stage == Stage::InService;
-            let mut lots: Vec<u64> = self.backends.values().filter(listed).map(|b| b.lot).collect();
-            lots.sort_unstable();
-            view.listed = lots.len() as f64;
-            view.subset = lots.get(SUBSET - 1).copied().unwrap_or(u64::MAX);
-        }
-        if live && scope != ListScope::Cached {
+        self.take_list(scope, members, SUBSET);
+        if self.settings.weights == Weights::Live && scope != ListScope::Cached {
             self.interpret();
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a node keeps: smoothed figures, its requests, and its views of backends, zones and classes.
 //! Plain data and arithmetic; every decision on it is in `choice.rs`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::api::*;
 
@@ -97,6 +97,8 @@
     pub(crate) cost: f64,
     pub(crate) cold_cost: f64,
     pub(crate) aim_end: Nanos,
+    /// Half of the client's time: what is refused later has kept it waiting for nothing.
+    pub(crate) half: Nanos,
     pub(crate) not_after: Nanos,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) phase: Phase,
@@ -301,6 +303,46 @@
         order
     }
 
+    /// Takes a list in: backends come, change and go, and the `subset` lowest lots of each zone are found.
+    pub(crate) fn take_list(&mut self, scope: ListScope, members: Vec<Member>, subset: usize) {
+        if scope != ListScope::Changes {
+            let named: BTreeSet<BackendId> = members.iter().map(|member| member.backend).collect();
+            for backend in self.backends.values_mut() {
+                if !named.contains(&backend.member.backend) {
+                    backend.member.stage = Stage::Gone;
+                }
+            }
+        }
+        let live = self.settings.weights == Weights::Live;
+        for member in members.iter().filter(|member| live && member.size.is_finite()) {
+            let known = self.kind_size.entry(member.kind).or_insert(0.0);
+            *known = known.max(member.size);
+        }
+        for mut member in members {
+            let told = member.size;
+            if live {
+                member.size = self.kind_size.get(&member.kind).copied().unwrap_or(1.0);
+            }
+            let backend = self.backends.entry(member.backend).or_insert_with(|| Backend::new(member));
+            if backend.member.online_since != member.online_since {
+                let in_flight = backend.in_flight;
+                *backend = Backend { in_flight, ..Backend::new(member) };
+            }
+            backend.member = member;
+            backend.lot = mix(self.seed ^ u64::from(member.backend.0).wrapping_mul(0xd6e8_feb8_6659_fd93));
+            backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
+        }
+        self.backends.retain(|_, backend| backend.member.stage != Stage::Gone || backend.in_flight > 0);
+        for (zone, view) in self.zones.iter_mut().enumerate() {
+            let listed =
+                |b: &&Backend| b.member.zone.0 as usize == zone && b.member.stage == Stage::InService;
+            let mut lots: Vec<u64> = self.backends.values().filter(listed).map(|b| b.lot).collect();
+            lots.sort_unstable();
+            view.listed = lots.len() as f64;
+            view.subset = lots.get(subset - 1).copied().unwrap_or(u64::MAX);
+        }
+    }
+
     /// Nodes that share a zone's backends: their load moves with this node's.
     pub(crate) fn crowd(&self) -> f64 {
         (f64::from(self.settings.nodes) / f64::from(self.settings.zones)).max(1.0)
--- a/tests/any_sequence.rs
+++ b/tests/any_sequence.rs
@@ -15,9 +15,10 @@
     }
 }
 
-const OUTCOMES: [Outcome; 8] = [
+const OUTCOMES: [Outcome; 9] = [
     Outcome::Served,
     Outcome::Error,
+    Outcome::Spoilt,
     Outcome::Full,
     Outcome::TimedOut,
     Outcome::ConnectFailed,
@@ -151,7 +152,7 @@
                     continue;
                 }
                 let (request, attempt) = out[draw.below(out.len() as u64) as usize];
-                let outcome = OUTCOMES[draw.below(8) as usize];
+                let outcome = OUTCOMES[draw.below(9) as usize];
                 let tracked = run.requests.get_mut(&request).unwrap();
                 tracked.attempts[attempt].2 = Some(outcome);
                 let ended = tracked.ended || outcome == Outcome::Served;
--- a/tests/contract.rs
+++ b/tests/contract.rs
@@ -4,7 +4,8 @@
 use brookfield::*;
 use common::*;
 
-const RAN: [Outcome; 4] = [Outcome::Error, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled];
+const RAN: [Outcome; 5] =
+    [Outcome::Error, Outcome::Spoilt, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled];
 const NOT_RAN: [Outcome; 3] = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot];
 
 fn keyed(group: Group) -> Effect {
