--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A node as a process, with backends, discovery and clients written by hand on loopback sockets.
 #![allow(dead_code)]
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
@@ -414,6 +414,14 @@
         self.write(text);
         self.read()
     }
+
+    /// Whether the node closes the connection, with no answer that has not been read yet.
+    pub fn is_closed(&mut self) -> bool {
+        match self.reader.read(&mut [0]) {
+            Ok(read) => read == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
 }
 
 pub fn get(id: &str, more: &str) -> String {
