--- a/node/src/seats.rs
+++ b/node/src/seats.rs
@@ -26,6 +26,9 @@
 /// Between requests a connection is kept for this long where there is room: clients in service ask again
 /// sooner, and those that asked once and stay must not pile up over a long day.
 const IDLE_MOST: Duration = Duration::from_secs(10);
+/// With this part of the seats idle, a connection ends with its answer. Clients that keep a connection and ask
+/// no more would hold all that the system before the node has for it, and leave none to those that ask.
+const MANY_IDLE: usize = 2;
 /// A connection that never said a word may be closed after this, to make room: the first request of a client
 /// in service comes right behind its connect.
 const SILENT_LEAST: Duration = Duration::from_millis(20);
@@ -64,11 +67,19 @@
     /// The last answer told of a bad request, of which more may come.
     told_off: Cell<bool>,
     close: Notify,
+    idle: Rc<Idle>,
+}
+
+/// How many connections stand idle, and how many are many.
+struct Idle {
+    now: Cell<usize>,
+    many: usize,
 }
 
 impl Seat {
-    fn new() -> Self {
+    fn new(idle: Rc<Idle>) -> Self {
         Self {
+            idle,
             stage: Cell::new(Stage::Silent),
             since: Cell::new(Instant::now()),
             doubled: Cell::new(false),
@@ -78,8 +89,16 @@
     }
 
     fn enter(&self, stage: Stage) {
-        self.stage.set(stage);
+        let left = self.stage.replace(stage);
         self.since.set(Instant::now());
+        let (was, is) = (usize::from(left == Stage::Idle), usize::from(stage == Stage::Idle));
+        self.idle.now.set(self.idle.now.get() + is - was);
+    }
+
+    /// Whether so many connections stand idle that one more would be in the way: this one had better end
+    /// with its answer.
+    pub fn is_surplus(&self) -> bool {
+        self.idle.now.get() >= self.idle.many
     }
 
     /// Bytes have come; whether they begin a request.
@@ -160,9 +179,16 @@
     }
 }
 
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.enter(Stage::Leaving);
+    }
+}
+
 /// All seats; at most `most` are taken at a time.
 pub struct Seats {
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    idle: Rc<Idle>,
     next: Cell<u64>,
     most: usize,
     freed: Notify,
@@ -171,7 +197,8 @@
 impl Seats {
     /// Seats for so many connections.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { seats: RefCell::default(), next: Cell::new(0), most, freed: Notify::new() })
+        let idle = Rc::new(Idle { now: Cell::new(0), many: most / MANY_IDLE });
+        Rc::new(Self { seats: RefCell::default(), idle, next: Cell::new(0), most, freed: Notify::new() })
     }
 
     /// A seat for a new connection, once there is room; those who have to make it are closed first.
@@ -181,7 +208,7 @@
             // Somebody may go of itself meanwhile, or become old enough to be closed.
             let _ = timeout(ROOM_AGAIN, self.freed.notified()).await;
         }
-        let (number, seat) = (self.next.get(), Rc::new(Seat::new()));
+        let (number, seat) = (self.next.get(), Rc::new(Seat::new(self.idle.clone())));
         self.next.set(number + 1);
         self.seats.borrow_mut().insert(number, seat.clone());
         Seated { seats: self.clone(), number, seat }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -197,7 +197,7 @@
     };
     let mut response = response;
     // Where one request made no sense there is no telling where the next one begins.
-    if bad || !serving() {
+    if bad || !serving() || seat.is_surplus() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     seat.answering(bad);
--- a/node/tests/hostile.rs
+++ b/node/tests/hostile.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -49,6 +50,27 @@
     }
 }
 
+/// The system before a node has room for fewer connections than the node: it must not be full of idle ones.
+#[test]
+fn connections_end_with_their_answer_while_many_stand_idle() {
+    let backend = serving();
+    let node = small(&backend);
+    let asked = Cell::new(0);
+    let ask = || {
+        let n = asked.replace(asked.get() + 1);
+        let mut client = Client::to(node.at);
+        let answer = client.ask(&get(&format!("m{n}"), "")).expect("an answer");
+        assert_eq!(answer.status(), 200);
+        (client, answer.value("connection").is_some_and(|value| value == "close"))
+    };
+    let kept: Vec<(Client, bool)> = (0..8).map(|_| ask()).collect();
+    assert!(kept.iter().all(|(_, closes)| !closes), "there is room");
+    let (mut surplus, closes) = ask();
+    assert!(closes && surplus.is_closed());
+    drop(kept);
+    until("there is room again", || !ask().1);
+}
+
 #[test]
 fn a_connection_with_a_request_on_it_makes_no_room() {
     let gate = Arc::new(Gate::default());
