One listener for both sides' sockets

Line (seats.rs) and Tap (tap.rs) each forwarded AsyncWrite in the same 30 lines. Tap is now generic over an Ear: Heard on the backends' side, Clerk, which keeps a seat up to date, on the clients'. No change in what is done.

--- a/node/src/seats.rs
+++ b/node/src/seats.rs
@@ -3,17 +3,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::tap::{Ear, Tap};
+
 /// A request is whole this long after its first byte, the first one of a connection this long after the
 /// connect: clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it.
 pub const WHOLE_WITHIN: Duration = Duration::from_millis(2300);
@@ -262,22 +260,23 @@
     }
 }
 
-/// A client's socket that keeps its seat up to date.
-pub struct Line {
-    stream: TcpStream,
+/// Keeps a seat up to date by what is heard on its client's socket.
+pub struct Clerk {
     seat: Rc<Seat>,
     /// The head that is coming in.
     head: Option<Vec<u8>>,
 }
 
-impl Line {
-    /// The socket of the one who sits there.
-    pub fn new(stream: TcpStream, seat: Rc<Seat>) -> Self {
-        Self { stream, seat, head: None }
+impl Clerk {
+    /// The clerk of this seat.
+    pub fn new(seat: Rc<Seat>) -> Self {
+        Self { seat, head: None }
     }
+}
 
+impl Ear for Clerk {
     /// Looks at a request's head as it comes in.
-    fn look(&mut self, bytes: &[u8]) {
+    fn bytes(&mut self, bytes: &[u8]) {
         if self.seat.heard() {
             self.head = Some(Vec::new());
         }
@@ -296,58 +295,19 @@
         }
     }
 
+    fn flushed(&mut self) {
+        self.seat.flushed();
+    }
+}
+
+impl Tap<Clerk> {
     /// Closes after the last answer: says that nothing more follows, and reads on for a while. A socket that
     /// is closed with bytes unread resets its connection, and the answer may never be seen.
     pub async fn leave(mut self) {
-        self.seat.enter(Stage::Leaving);
+        self.ear.seat.enter(Stage::Leaving);
         // It may have been shut already, or be broken: then the read below ends at once.
-        let _ = tokio::io::AsyncWriteExt::shutdown(&mut self.stream).await;
+        let _ = self.stream.shutdown().await;
         let mut scrap = vec![0; 16 * 1024];
         while self.stream.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
     }
 }
-
-impl AsyncRead for Line {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
-            self.look(&buffer.filled()[before..]);
-        }
-        read
-    }
-}
-
-impl AsyncWrite for Line {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        if flushed.is_ready() {
-            self.seat.flushed();
-        }
-        flushed
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -19,8 +19,9 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::driver::{Asked, Call, Node, Reply};
-use crate::seats::{Line, Seat, Seated, Seats};
+use crate::seats::{Clerk, Seat, Seated, Seats};
 use crate::sparing::Sparing;
+use crate::tap::Tap;
 use crate::upstream::MAX_BODY;
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
@@ -155,7 +156,7 @@
     let late = *phase.borrow() != Phase::Serving;
     let answers = phase.clone();
     let service = service_fn(|request| answer(&node, seat, request, &answers));
-    let line = TokioIo::new(Line::new(stream, seat.clone()));
+    let line = TokioIo::new(Tap { stream, ear: Clerk::new(seat.clone()) });
     let mut connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(line, service);
     let ended = tokio::select! {
         biased;
--- a/node/src/tap.rs
+++ b/node/src/tap.rs
@@ -1,5 +1,4 @@
-//! Listens in on a backend's connection: when an answer has begun to come, which the HTTP library does not
-//! tell before the answer's head is whole.
+//! Listens in on connections: what the HTTP library does not tell, or not in time.
 
 use std::io;
 use std::pin::Pin;
@@ -23,7 +22,8 @@
     interim: AtomicBool,
 }
 
-/// What is heard on a connection.
+/// What is heard on a backend's connection: when an answer has begun to come, which shows in the library only
+/// once its head is whole.
 #[derive(Clone, Default)]
 pub struct Heard(Arc<Signs>);
 
@@ -55,29 +55,34 @@
     pub fn anything(&self) -> bool {
         self.0.begun.load(Ordering::Relaxed)
     }
+}
 
-    fn bytes(&self) {
+impl Ear for Heard {
+    fn bytes(&mut self, _bytes: &[u8]) {
         if !self.0.begun.swap(true, Ordering::Relaxed) {
             self.0.bytes.notify_waiters();
         }
     }
 }
 
-/// A backend's socket that is listened in on.
-pub struct Tap {
-    stream: TcpStream,
-    heard: Heard,
+/// One who listens in on a connection.
+pub trait Ear {
+    /// These bytes have come.
+    fn bytes(&mut self, bytes: &[u8]);
+
+    /// All that was to be written is with the system.
+    fn flushed(&mut self) {}
 }
 
-impl Tap {
-    /// A socket, and what will be heard on it.
-    pub fn new(stream: TcpStream) -> (Self, Heard) {
-        let heard = Heard::default();
-        (Self { stream, heard: heard.clone() }, heard)
-    }
+/// A socket that is listened in on.
+pub struct Tap<E> {
+    /// The socket.
+    pub stream: TcpStream,
+    /// The one who listens.
+    pub ear: E,
 }
 
-impl AsyncRead for Tap {
+impl<E: Ear + Unpin> AsyncRead for Tap<E> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -86,19 +91,23 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            self.heard.bytes();
+            self.ear.bytes(&buffer.filled()[before..]);
         }
         read
     }
 }
 
-impl AsyncWrite for Tap {
+impl<E: Ear + Unpin> AsyncWrite for Tap<E> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if flushed.is_ready() {
+            self.ear.flushed();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -295,7 +295,8 @@
         let limit = Duration::from_nanos(self.links.connect_timeout);
         let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (tap, heard) = Tap::new(stream);
+        let heard = Heard::default();
+        let tap = Tap { stream, ear: heard.clone() };
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD).max_headers(MAX_LINES);
         let (send, connection) = builder.handshake(TokioIo::new(tap)).await.ok()?;
