--- /dev/null
+++ b/rehearsal/src/bin/faulty_node.rs
@@ -0,0 +1,2 @@
+//! empty
+fn main() {}
--- /dev/null
+++ b/rehearsal/src/lib.rs
@@ -0,0 +1,20 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! Plays scenes of trouble against a node's released program over loopback sockets: in stepped time, where two
+//! runs with one seed give the same outcomes byte for byte, or in real time. See `docs/operators/rehearsal.md`.
+
+pub mod hunt;
+pub mod outcome;
+pub mod plan;
+pub mod plot;
+pub mod process;
+pub mod rules;
+pub mod run;
+pub mod scene;
+mod world;
+
+/// A time or a span, in nanoseconds.
+pub type Nanos = u64;
+
+const MS: Nanos = 1_000_000;
+const SECOND: Nanos = 1000 * MS;
--- /dev/null
+++ b/rehearsal/src/main.rs
@@ -0,0 +1,343 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! badgerpost-rehearse: the command line.
+
+use std::io::{IsTerminal, Read, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use badgerpost_rehearsal::hunt::{self, Find};
+use badgerpost_rehearsal::plan::Plan;
+use badgerpost_rehearsal::rules::RULES;
+use badgerpost_rehearsal::run::{self, Options, Played, RunError, Stage};
+use badgerpost_rehearsal::{outcome, plot, scene};
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+
+/// Rehearses trouble: plays a scene against the released badgerpost node on loopback sockets, with stand-ins for
+/// clients, match servers and discovery, and checks the four rules.
+#[derive(Parser)]
+#[command(name = "badgerpost-rehearse", version, after_help = EXAMPLES)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+const EXAMPLES: &str = "Examples:
+  badgerpost-rehearse list
+  badgerpost-rehearse up calm --port 8087
+  badgerpost-rehearse run night --seed 7 --out night.jsonl --plot night.svg
+  badgerpost-rehearse run my-scene.toml --seed 1 --real-time
+  badgerpost-rehearse hunt night --seeds 1..200 --out found.json
+  badgerpost-rehearse run --repro found.json
+
+A scene is the name of a shipped one or a file. Exit codes of `run`: 0 all rules held, 1 a rule was broken or an
+expectation lost, 2 a node crashed or the run could not be played.";
+
+#[derive(Subcommand)]
+enum Command {
+    /// Start a scene's nodes and stand-ins, print one line of JSON once all are ready, and stay
+    Up {
+        /// A shipped scene's name, or a file
+        scene: String,
+        /// Start so many of the scene's nodes only
+        #[arg(long, value_name = "N")]
+        nodes: Option<usize>,
+        /// Where the first node listens; any free port otherwise
+        #[arg(long, default_value_t = 0)]
+        port: u16,
+        #[command(flatten)]
+        program: Program,
+    },
+    /// Play a scene to its end and check the rules
+    Run {
+        /// A shipped scene's name, or a file
+        #[arg(required_unless_present = "repro")]
+        scene: Option<String>,
+        /// What is random in the scene follows from this number
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Write one line a request here
+        #[arg(long, value_name = "FILE.jsonl")]
+        out: Option<PathBuf>,
+        /// Draw what happened here
+        #[arg(long, value_name = "FILE.svg")]
+        plot: Option<PathBuf>,
+        /// Play exactly what `hunt` has found
+        #[arg(long, value_name = "FILE", conflicts_with_all = ["scene", "seed"])]
+        repro: Option<PathBuf>,
+        /// In real time: for load; the verdict holds, the log differs from run to run
+        #[arg(long)]
+        real_time: bool,
+        #[command(flatten)]
+        program: Program,
+    },
+    /// Search seeds and fault schedules for a broken rule or a lost expectation, and cut the first find down
+    Hunt {
+        /// A shipped scene's name, or a file
+        scene: String,
+        /// From the first up to, not including, the second
+        #[arg(long, value_name = "A..B", value_parser = seeds)]
+        seeds: std::ops::Range<u64>,
+        /// Write the find here
+        #[arg(long, value_name = "FILE", default_value = "repro.json")]
+        out: PathBuf,
+        /// Leave the scene's faults as they are, and vary the requests only
+        #[arg(long)]
+        as_written: bool,
+        #[command(flatten)]
+        program: Program,
+    },
+    /// The scenes that are shipped
+    List,
+}
+
+#[derive(Args)]
+struct Program {
+    /// The node's program; the one beside this program otherwise
+    #[arg(long, value_name = "PATH")]
+    node: Option<PathBuf>,
+}
+
+impl Program {
+    fn find(self) -> Result<PathBuf, Failure> {
+        Ok(match self.node {
+            Some(path) => path,
+            None => badgerpost_standins::program("badgerpost")?,
+        })
+    }
+}
+
+fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
+    let range = || {
+        let (from, to) = text.split_once("..")?;
+        Some(from.trim().parse().ok()?..to.trim().parse().ok()?)
+    };
+    range().filter(|range| !range.is_empty()).ok_or_else(|| "two numbers as in 1..100".to_owned())
+}
+
+/// Why there is no verdict.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error(transparent)]
+    Scene(#[from] brookfield_settings::file::FileError),
+    #[error(transparent)]
+    Repro(#[from] badgerpost_rehearsal::plan::ReproError),
+    #[error(transparent)]
+    Run(#[from] RunError),
+    #[error(transparent)]
+    NotBuilt(#[from] badgerpost_standins::NotBuilt),
+    #[error("{}: {source}", path.display())]
+    File { path: PathBuf, source: std::io::Error },
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    #[error("can't draw: {0}")]
+    Plot(Box<dyn std::error::Error>),
+    #[error("the scene has {0} nodes")]
+    Nodes(usize),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match carry_out(arguments.command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("badgerpost-rehearse: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn carry_out(command: Command) -> Result<ExitCode, Failure> {
+    match command {
+        Command::List => {
+            for (name, _) in scene::SHIPPED {
+                say(&format!("{name:16} {}", scene::find(name)?.scene.about))?;
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Up { scene, nodes, port, program } => up(&scene, nodes, port, program.find()?),
+        Command::Run { scene, seed, out, plot, repro, real_time, program } => {
+            let plan = match (repro, scene) {
+                (Some(file), _) => Plan::from_repro(&file)?,
+                (None, scene) => Plan::draw(scene::find(&scene.unwrap_or_default())?, seed),
+            };
+            let options = Options { program: program.find()?, real_time, port: 0 };
+            run(&plan, &options, out.as_deref(), plot.as_deref())
+        }
+        Command::Hunt { scene, seeds, out, as_written, program } => {
+            let options = Options { program: program.find()?, real_time: false, port: 0 };
+            search(&scene, seeds, &out, as_written, &options)
+        }
+    }
+}
+
+/// One line on standard output; whoever has stopped reading it ends the program quietly.
+fn say(line: &str) -> std::io::Result<()> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{line}")?;
+    out.flush()
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Failure> {
+    std::fs::write(path, text).map_err(|source| Failure::File { path: path.to_owned(), source })
+}
+
+fn up(name: &str, nodes: Option<usize>, port: u16, program: PathBuf) -> Result<ExitCode, Failure> {
+    // Heeded before anything is started: unheeded, a signal would leave the children behind.
+    let over = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, over.clone())?;
+    }
+    let mut checked = scene::find(name)?;
+    if let Some(count) = nodes {
+        let has = checked.scene.node.len();
+        if !(1..=has).contains(&count) {
+            return Err(Failure::Nodes(has));
+        }
+        checked.scene.node.truncate(count);
+    }
+    checked.faults.clear();
+    let mut plan = Plan::draw(checked, 1);
+    plan.arrivals.clear();
+    let mut stage = Stage::set(&plan, &Options { program, real_time: true, port })?;
+    let nodes: Vec<serde_json::Value> = (0..plan.scene.scene.node.len())
+        .filter_map(|node| {
+            let (listen, pid) = stage.node(node)?;
+            let name = plan.scene.scene.node[node].name.get_ref();
+            Some(serde_json::json!({"name": name, "listen": listen, "pid": pid}))
+        })
+        .collect();
+    let backends: Vec<serde_json::Value> =
+        stage.servers().map(|(uid, listen)| serde_json::json!({"uid": uid, "listen": listen})).collect();
+    let discovery = stage.list_at(0);
+    say(&serde_json::json!({"scene": plan.scene.name, "nodes": nodes, "discovery": discovery,
+        "backends": backends})
+    .to_string())?;
+    let closed = over.clone();
+    std::thread::spawn(move || {
+        let mut scrap = [0; 256];
+        while std::io::stdin().read(&mut scrap).is_ok_and(|read| read > 0) {}
+        closed.store(true, Ordering::SeqCst);
+    });
+    stage.stay(&|| over.load(Ordering::SeqCst))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn bar(steps: u64) -> ProgressBar {
+    let target = if std::io::stderr().is_terminal() {
+        ProgressDrawTarget::stderr()
+    } else {
+        ProgressDrawTarget::hidden()
+    };
+    let bar = ProgressBar::with_draw_target(Some(steps), target);
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} {msg} {elapsed}");
+    style.map_or(bar.clone(), |style| bar.with_style(style))
+}
+
+fn run(
+    plan: &Plan,
+    options: &Options,
+    out: Option<&Path>,
+    picture: Option<&Path>,
+) -> Result<ExitCode, Failure> {
+    let bar = bar(100);
+    let played = run::play(plan, options, &mut |done| bar.set_position((done * 100.0).min(100.0) as u64))?;
+    bar.finish_and_clear();
+    if let Some(path) = out {
+        write(path, &outcome::write(&played.log)?)?;
+    }
+    if let Some(path) = picture {
+        plot::draw(plan, &played.log, path).map_err(Failure::Plot)?;
+    }
+    summary(plan, options, &played)?;
+    let expected = played.counts().served_share() >= plan.scene.scene.expect.served || played.log.is_empty();
+    Ok(if played.is_good() && expected { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn summary(plan: &Plan, options: &Options, played: &Played) -> std::io::Result<()> {
+    let counts = played.counts();
+    let seconds = |span: Duration| span.as_secs_f64();
+    let simulated = seconds(Duration::from_nanos(played.simulated));
+    let mode = if options.real_time { "in real time" } else { "in steps" };
+    say(&format!("scene {}, seed {}, {mode}", plan.scene.name, plan.seed))?;
+    say(&format!("node {}, sha256 {}", options.program.display(), played.sha256))?;
+    say(&format!(
+        "{} requests: {} served, {} refused, {} failed, {} without an answer; {} attempts",
+        counts.requests, counts.served, counts.refused, counts.failed, counts.unanswered, counts.attempts
+    ))?;
+    say(&format!(
+        "{simulated:.1} s played in {:.1} s ({:.1} to one), {} steps{}",
+        seconds(played.wall),
+        simulated / seconds(played.wall).max(1e-9),
+        played.steps,
+        if played.late > 0 { format!(", {} waits for late bytes", played.late) } else { String::new() }
+    ))?;
+    for rule in RULES {
+        let broken: Vec<_> = played.breaches.iter().filter(|breach| breach.rule == rule).collect();
+        match broken.first() {
+            None => say(&format!("rule {rule}: kept"))?,
+            Some(first) => say(&format!("rule {rule}: BROKEN {} times; first: {first}", broken.len()))?,
+        }
+    }
+    if played.strangers > 0 {
+        say(&format!(
+            "{} requests came to servers or discovery that no client had sent so",
+            played.strangers
+        ))?;
+    }
+    let expected = plan.scene.scene.expect.served;
+    if expected > 0.0 && counts.requests > 0 {
+        let (share, word) =
+            (counts.served_share(), if counts.served_share() >= expected { "met" } else { "LOST" });
+        say(&format!("expectation, {expected:.3} served: {word}, {share:.3}"))?;
+    }
+    Ok(())
+}
+
+fn search(
+    name: &str,
+    seeds: std::ops::Range<u64>,
+    out: &Path,
+    as_written: bool,
+    options: &Options,
+) -> Result<ExitCode, Failure> {
+    let bar = bar(seeds.end - seeds.start);
+    for seed in seeds.clone() {
+        bar.set_message(format!("seed {seed}"));
+        let drawn = Plan::draw(scene::find(name)?, seed);
+        let plan = if as_written { drawn } else { drawn.vary() };
+        let (find, _) = hunt::look(&plan, options)?;
+        bar.inc(1);
+        let Some(find) = find else { continue };
+        bar.finish_and_clear();
+        say(&format!(
+            "seed {seed}: {}; {} faults, {} requests",
+            worded(&find),
+            plan.faults.len(),
+            plan.arrivals.len()
+        ))?;
+        let least = hunt::shrink(&plan, &find, options, &mut |_, _| {})?;
+        write(out, &least.to_repro()?)?;
+        say(&format!("cut down to {} faults, {} requests", least.faults.len(), least.arrivals.len()))?;
+        say(&format!("badgerpost-rehearse run --repro {} plays exactly that", out.display()))?;
+        return Ok(ExitCode::FAILURE);
+    }
+    bar.finish_and_clear();
+    say(&format!("seeds {}..{}: nothing found", seeds.start, seeds.end))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn worded(find: &Find) -> String {
+    match find {
+        Find::Broken(rule) => format!("rule {rule} broken"),
+        Find::Stranger => "a request that no client had sent so".to_owned(),
+        Find::Lost => "fewer served than expected".to_owned(),
+        Find::Crashed => "a node crashed".to_owned(),
+    }
+}
--- /dev/null
+++ b/rehearsal/src/plan.rs
@@ -0,0 +1,239 @@
+//! What a run plays: a scene's arrivals and faults, drawn from a seed, or just those of a repro file.
+
+use std::path::{Path, PathBuf};
+
+use badgerpost_standins::random::Random;
+use brookfield_settings::file::{FileError, Source};
+use serde::{Deserialize, Serialize};
+
+use crate::scene::{self, Checked, Planned};
+use crate::{MS, Nanos, SECOND};
+
+/// Clients begin to ask after this: the nodes have the list by then.
+const FIRST: Nanos = 200 * MS;
+/// No run plays more requests: its log has to fit into memory.
+pub const MOST_REQUESTS: usize = 1_000_000;
+
+/// A client's first try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Arrival {
+    /// Its number in the seed's plan; its id, key and work follow from that.
+    pub number: u64,
+    /// When it comes, in nanoseconds from the scene's start.
+    pub at: Nanos,
+    /// The class's position among the scene's.
+    pub class: usize,
+    /// The node's.
+    pub node: usize,
+    /// The work, in nanoseconds on a standard server.
+    pub work: Nanos,
+}
+
+/// What a run plays.
+#[derive(Clone)]
+pub struct Plan {
+    /// The scene.
+    pub scene: std::rc::Rc<Checked>,
+    /// The seed.
+    pub seed: u64,
+    /// First tries, by time.
+    pub arrivals: Vec<Arrival>,
+    /// Faults, by time.
+    pub faults: Vec<Planned>,
+}
+
+impl Plan {
+    /// A scene as it is written, with arrivals drawn from a seed.
+    pub fn draw(scene: Checked, seed: u64) -> Self {
+        let mut random = Random::new(seed, "arrivals");
+        let mean = SECOND as f64 / scene.scene.clients.rate.get_ref().max(1e-9);
+        let end = scene.scene.length_ms.get_ref() * MS;
+        let shares: f64 = scene.scene.class.iter().map(|class| class.share.get_ref()).sum();
+        let mut arrivals = Vec::new();
+        let mut at = FIRST as f64;
+        loop {
+            at += random.exponential(mean);
+            if !(at < end as f64 && arrivals.len() < MOST_REQUESTS) {
+                break;
+            }
+            let mut draw = random.unit() * shares;
+            let chosen = scene.scene.class.iter().position(|class| {
+                draw -= class.share.get_ref();
+                draw < 0.0
+            });
+            let class = chosen.unwrap_or(0);
+            let (least, most) = *scene.scene.class[class].work_ms.get_ref();
+            let node = random.between(0, scene.scene.node.len() as u64 - 1) as usize;
+            let work = random.between(least * MS, most * MS);
+            arrivals.push(Arrival { number: arrivals.len() as u64, at: at as Nanos, class, node, work });
+        }
+        let faults = scene.faults.clone();
+        Self { scene: std::rc::Rc::new(scene), seed, arrivals, faults }
+    }
+
+    /// The same with its faults at other times, of other lengths and at other servers or nodes, by the seed.
+    pub fn vary(mut self) -> Self {
+        let mut random = Random::new(self.seed, "faults");
+        let end = self.scene.scene.length_ms.get_ref() * MS;
+        for fault in &mut self.faults {
+            fault.at = random.between(FIRST, end.max(FIRST));
+            fault.lasts = fault.lasts.map(|lasts| random.between(lasts / 4, lasts.saturating_mul(2)));
+            if fault.trouble.is_about_server() {
+                fault.whom = random.between(0, self.scene.scene.server.len() as u64 - 1) as usize;
+            } else if fault.trouble.is_about_node() {
+                fault.whom = random.between(0, self.scene.scene.node.len() as u64 - 1) as usize;
+            }
+        }
+        self.faults.sort_by_key(|fault| fault.at);
+        self
+    }
+
+    /// The plan as a repro file.
+    pub fn to_repro(&self) -> Result<String, serde_json::Error> {
+        let fault = |fault: &Planned| {
+            let (after_bytes, by) = match fault.trouble {
+                scene::Trouble::Reset { after } => (Some(after), None),
+                scene::Trouble::Late { by } => (None, Some(by)),
+                _ => (None, None),
+            };
+            let Planned { at, lasts, whom, trouble } = *fault;
+            FaultLine { kind: trouble.name().to_owned(), at, lasts, whom, after_bytes, by }
+        };
+        let file = Repro {
+            format: FORMAT,
+            scene: self.scene.name.clone(),
+            seed: self.seed,
+            faults: self.faults.iter().map(fault).collect(),
+            arrivals: self.arrivals.clone(),
+            text: self.scene.text.clone(),
+        };
+        serde_json::to_string_pretty(&file)
+    }
+
+    /// Reads a repro file.
+    pub fn from_repro(path: &Path) -> Result<Self, ReproError> {
+        let unread = |source| ReproError::Unread { path: path.to_owned(), source };
+        let text = std::fs::read_to_string(path).map_err(unread)?;
+        let malformed = |source| ReproError::Malformed { path: path.to_owned(), source };
+        let file: Repro = serde_json::from_str(&text).map_err(malformed)?;
+        let bad = |what: &str| ReproError::Bad { path: path.to_owned(), what: what.to_owned() };
+        if file.format != FORMAT {
+            return Err(bad("it is of another format"));
+        }
+        let name = format!("{} in {}", file.scene, path.display());
+        let mut scene = scene::check(&file.scene, Source::shipped(&name, &file.text))?;
+        let mut faults = Vec::new();
+        for line in &file.faults {
+            faults.push(line.planned(&scene).ok_or_else(|| bad("a fault is none that its scene can have"))?);
+        }
+        let Repro { seed, mut arrivals, .. } = file;
+        let sound = |a: &Arrival| a.class < scene.scene.class.len() && a.node < scene.scene.node.len();
+        if !arrivals.iter().all(sound) || arrivals.len() > MOST_REQUESTS {
+            return Err(bad("an arrival is none that its scene can have"));
+        }
+        arrivals.sort_by_key(|arrival| arrival.at);
+        faults.sort_by_key(|fault| fault.at);
+        scene.faults.clone_from(&faults);
+        Ok(Self { scene: std::rc::Rc::new(scene), seed, arrivals, faults })
+    }
+}
+
+const FORMAT: u32 = 1;
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Repro {
+    format: u32,
+    scene: String,
+    seed: u64,
+    faults: Vec<FaultLine>,
+    arrivals: Vec<Arrival>,
+    text: String,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FaultLine {
+    kind: String,
+    at: Nanos,
+    lasts: Option<Nanos>,
+    whom: usize,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    after_bytes: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    by: Option<Nanos>,
+}
+
+impl FaultLine {
+    fn planned(&self, scene: &Checked) -> Option<Planned> {
+        let trouble = scene::Trouble::named(&self.kind, self.after_bytes, self.by)?;
+        let most = match trouble {
+            trouble if trouble.is_about_server() => scene.scene.server.len(),
+            trouble if trouble.is_about_node() => scene.scene.node.len(),
+            _ => 1,
+        };
+        let Self { at, lasts, whom, .. } = *self;
+        (whom < most).then_some(Planned { at, lasts, whom, trouble })
+    }
+}
+
+/// Why a repro file can't be played.
+#[derive(Debug, thiserror::Error)]
+pub enum ReproError {
+    /// It can't be read.
+    #[error("{}: {source}", path.display())]
+    Unread {
+        /// The file.
+        path: PathBuf,
+        /// What happened.
+        source: std::io::Error,
+    },
+    /// It is no repro file.
+    #[error("{}: {source}", path.display())]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        source: serde_json::Error,
+    },
+    /// It makes no sense.
+    #[error("{}: {what}", path.display())]
+    Bad {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        what: String,
+    },
+    /// The scene in it can't be used.
+    #[error(transparent)]
+    Scene(#[from] FileError),
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_plan_follows_from_its_seed() {
+        let plan = |seed| Plan::draw(scene::find("night").expect("shipped"), seed).vary();
+        let (one, same, other) = (plan(7), plan(7), plan(8));
+        assert_eq!((&one.arrivals, &one.faults), (&same.arrivals, &same.faults));
+        assert!(one.arrivals != other.arrivals && one.faults != other.faults);
+        assert!(one.arrivals.len() > 100 && one.arrivals.is_sorted_by_key(|arrival| arrival.at));
+    }
+
+    #[test]
+    fn a_repro_file_plays_exactly_its_plan() {
+        let mut plan = Plan::draw(scene::find("night").expect("shipped"), 3).vary();
+        plan.arrivals.retain(|arrival| arrival.number % 7 == 0);
+        plan.faults.truncate(3);
+        let path = std::env::temp_dir().join(format!("badgerpost-plan-{}.json", std::process::id()));
+        std::fs::write(&path, plan.to_repro().expect("a text")).expect("written");
+        let read = Plan::from_repro(&path).expect("a plan");
+        assert_eq!((&read.arrivals, &read.faults, read.seed), (&plan.arrivals, &plan.faults, 3));
+        std::fs::write(&path, plan.to_repro().expect("a text").replace("\"whom\": ", "\"whom\": 99"))
+            .expect("written");
+        assert!(Plan::from_repro(&path).err().expect("bad").to_string().contains("a fault is none"));
+        std::fs::remove_file(&path).expect("removed");
+    }
+}
--- /dev/null
+++ b/rehearsal/src/process.rs
@@ -0,0 +1,355 @@
+//! A node's process: its configuration, its start, its log, its end, and the control connection by which its
+//! clock is stepped.
+
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use badgerpost_stepping::{FromNode, ToNode};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use crate::scene::Checked;
+use crate::{MS, Nanos, outcome};
+
+/// Nothing that a node does at its start, or between two steps, takes longer, on a busy machine either.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// So many lines of a node's log are kept, its last ones.
+const LOG_LINES: usize = 400;
+const LOG_LINE: u64 = 4096;
+
+/// Why a node's process is of no use.
+#[derive(Debug, thiserror::Error)]
+pub enum ProcessError {
+    /// It can't be started.
+    #[error("can't start {}: {source}", program.display())]
+    Start {
+        /// The program.
+        program: PathBuf,
+        /// What happened.
+        source: io::Error,
+    },
+    /// Something else that the kit needs fails.
+    #[error("node {name}: {source}")]
+    System {
+        /// The node.
+        name: String,
+        /// What happened.
+        source: io::Error,
+    },
+    /// It does not say that it serves.
+    #[error("node {name} did not start to serve; its log:\n{log}")]
+    NotReady {
+        /// The node.
+        name: String,
+        /// What it logged.
+        log: String,
+    },
+    /// It does not come to rest.
+    #[error("node {name} did not come to rest within {} s; its log:\n{log}", PATIENCE.as_secs())]
+    Stalled {
+        /// The node.
+        name: String,
+        /// What it logged.
+        log: String,
+    },
+    /// It says what the kit does not understand.
+    #[error("node {name}: {source}; its log:\n{log}")]
+    Control {
+        /// The node.
+        name: String,
+        /// What it said.
+        source: badgerpost_stepping::Bad,
+        /// What it logged.
+        log: String,
+    },
+}
+
+/// The last lines of a node's log, and where it has said that it listens.
+#[derive(Default)]
+struct Log {
+    lines: VecDeque<String>,
+    listens: Option<SocketAddr>,
+    ended: bool,
+}
+
+/// A node's process; killed when dropped.
+pub struct Process {
+    name: String,
+    child: Child,
+    log: Arc<(Mutex<Log>, Condvar)>,
+    control: Option<BufReader<TcpStream>>,
+    /// When it next waits for the time, on a stepped clock; Unix time.
+    pub next: Option<Nanos>,
+    folder: PathBuf,
+}
+
+/// How a node is started.
+pub struct Start<'a> {
+    /// The program.
+    pub program: &'a Path,
+    /// Its name.
+    pub name: &'a str,
+    /// What the platform tells it.
+    pub edge: Value,
+    /// The Unix time at which its stepped clock stands at first; none for the system's clock.
+    pub stepped: Option<Nanos>,
+}
+
+impl Process {
+    /// Starts a node and waits until it serves.
+    pub fn start(start: &Start<'_>) -> Result<(Self, SocketAddr), ProcessError> {
+        let name = start.name.to_owned();
+        let system = |source| ProcessError::System { name: start.name.to_owned(), source };
+        let folder = private_folder().map_err(system)?;
+        let edge = folder.join("edge.json");
+        std::fs::write(&edge, start.edge.to_string()).map_err(system)?;
+        let mut command = Command::new(start.program);
+        command.env("EDGE_CONFIG", &edge).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut door = None;
+        if let Some(now) = start.stepped {
+            let listener = TcpListener::bind("127.0.0.1:0").map_err(system)?;
+            let at = listener.local_addr().map_err(system)?;
+            let own = folder.join("badgerpost.toml");
+            let text = format!("[rehearsal]\ncontrol = \"{at}\"\nstart_ns = {now}\n");
+            std::fs::write(&own, text).map_err(system)?;
+            command.arg("--config").arg(&own);
+            door = Some(listener);
+        }
+        let started = command.spawn();
+        let mut child =
+            started.map_err(|source| ProcessError::Start { program: start.program.to_owned(), source })?;
+        let log = Arc::new((Mutex::new(Log::default()), Condvar::new()));
+        if let Some(stderr) = child.stderr.take() {
+            let kept = log.clone();
+            thread::spawn(move || keep(stderr, &kept));
+        }
+        let mut process = Self { name, child, log, control: None, next: None, folder };
+        let listens = match door {
+            Some(door) => process.welcome(&door)?,
+            None => process.wait_for_listen()?,
+        };
+        Ok((process, listens))
+    }
+
+    fn not_ready(&self) -> ProcessError {
+        ProcessError::NotReady { name: self.name.clone(), log: self.log() }
+    }
+
+    fn system(&self, source: io::Error) -> ProcessError {
+        ProcessError::System { name: self.name.clone(), source }
+    }
+
+    /// Waits for the control connection and its first line.
+    fn welcome(&mut self, door: &TcpListener) -> Result<SocketAddr, ProcessError> {
+        door.set_nonblocking(true).map_err(|source| self.system(source))?;
+        let began = Instant::now();
+        let stream = loop {
+            match door.accept() {
+                Ok((stream, _)) => break stream,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(self.system(error)),
+            }
+            if began.elapsed() > PATIENCE || self.exited().is_some() {
+                return Err(self.not_ready());
+            }
+            thread::sleep(Duration::from_millis(1));
+        };
+        let set = stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true));
+        set.and_then(|()| stream.set_read_timeout(Some(PATIENCE))).map_err(|source| self.system(source))?;
+        self.control = Some(BufReader::new(stream));
+        match self.hear()? {
+            Some(FromNode::Hello { listen, .. }) => Ok(listen),
+            _ => Err(self.not_ready()),
+        }
+    }
+
+    fn wait_for_listen(&mut self) -> Result<SocketAddr, ProcessError> {
+        let (lock, changed) = &*self.log;
+        let kept = lock.lock().unwrap_or_else(PoisonError::into_inner);
+        let waits = |kept: &mut Log| kept.listens.is_none() && !kept.ended;
+        let waited = changed.wait_timeout_while(kept, PATIENCE, waits);
+        let listens = waited.unwrap_or_else(PoisonError::into_inner).0.listens;
+        listens.ok_or_else(|| self.not_ready())
+    }
+
+    /// The next line on the control connection; none where that has ended, and so the process.
+    fn hear(&mut self) -> Result<Option<FromNode>, ProcessError> {
+        let Some(control) = &mut self.control else { return Ok(None) };
+        let mut line = String::new();
+        match control.take(LOG_LINE).read_line(&mut line) {
+            Ok(0) => Ok(None),
+            Ok(_) => line.parse().map(Some).map_err(|source| {
+                let (name, log) = (self.name.clone(), self.log());
+                ProcessError::Control { name, source, log }
+            }),
+            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                Err(ProcessError::Stalled { name: self.name.clone(), log: self.log() })
+            }
+            Err(_) => Ok(None),
+        }
+    }
+
+    /// Has the node run at this Unix time until nothing is ready. Returns how many bytes it has written to its
+    /// sockets; none if its process has ended.
+    pub fn step(&mut self, now: Nanos, bytes: u64) -> Result<Option<u64>, ProcessError> {
+        let Some(control) = &mut self.control else { return Ok(None) };
+        let line = ToNode::Step { now, bytes }.to_string();
+        if control.get_mut().write_all(line.as_bytes()).is_err() {
+            return Ok(None);
+        }
+        match self.hear()? {
+            Some(FromNode::Idle { next, written, .. }) => {
+                self.next = next;
+                Ok(Some(written))
+            }
+            Some(FromNode::Hello { .. }) | None => Ok(None),
+        }
+    }
+
+    /// Its exit status, if it has ended.
+    pub fn exited(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Waits for its end.
+    pub fn wait(&mut self) -> Option<ExitStatus> {
+        let began = Instant::now();
+        while began.elapsed() < PATIENCE {
+            if let Some(status) = self.exited() {
+                return Some(status);
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+        None
+    }
+
+    /// Its process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        // One that has ended and was not waited for yet takes signals without effect.
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// The last lines of its log.
+    pub fn log(&self) -> String {
+        let kept = self.log.0.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.lines.iter().map(|line| format!("  {line}\n")).collect()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Keeps what a node logs, the last of it.
+fn keep(stderr: ChildStderr, log: &(Mutex<Log>, Condvar)) {
+    let mut reader = BufReader::new(stderr);
+    loop {
+        let mut line = Vec::new();
+        // A line longer than that is cut in two.
+        let read = (&mut reader).take(LOG_LINE).read_until(b'\n', &mut line);
+        let mut kept = log.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if !read.is_ok_and(|read| read > 0) {
+            kept.ended = true;
+            log.1.notify_all();
+            return;
+        }
+        let line = String::from_utf8_lossy(&line).trim_end().to_owned();
+        if let Some((_, at)) = line.split_once("serves at ") {
+            kept.listens = kept.listens.or(at.parse().ok());
+            log.1.notify_all();
+        }
+        if kept.lines.len() >= LOG_LINES {
+            kept.lines.pop_front();
+        }
+        kept.lines.push_back(line);
+    }
+}
+
+/// A folder that nobody else uses.
+fn private_folder() -> io::Result<PathBuf> {
+    use std::os::unix::fs::DirBuilderExt;
+    use std::sync::atomic::{AtomicU32, Ordering};
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("badgerpost-rehearse-{}-{number}", std::process::id()));
+    std::fs::DirBuilder::new().mode(0o700).create(&folder)?;
+    Ok(folder)
+}
+
+/// What the platform would tell a node of a scene.
+pub fn edge(
+    scene: &Checked,
+    node: usize,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: u64,
+    known: Option<Value>,
+) -> Value {
+    let scene = &scene.scene;
+    let rules = &scene.rules;
+    let own = &scene.node[node];
+    // Its own zone first; every zone that a node or a server names is one.
+    let mut zones = vec![own.zone.clone()];
+    let named =
+        scene.node.iter().map(|node| &node.zone).chain(scene.server.iter().map(|server| &server.zone));
+    for zone in named {
+        if !zones.contains(zone) {
+            zones.push(zone.clone());
+        }
+    }
+    zones.sort();
+    let classes: Vec<Value> = scene
+        .class
+        .iter()
+        .map(|class| {
+            let effect = match class.effect {
+                outcome::Effect::Safe => "repeatable",
+                outcome::Effect::Keyed => "by_key",
+                outcome::Effect::Unsafe => "once",
+            };
+            json!({"name": class.name.get_ref(), "effect": effect, "key-scope": class.scope,
+                "window-ns": class.window_ms * MS, "on-time-ns": class.aim_ms * MS,
+                "deadline-ns": class.deadline_ms.get_ref() * MS})
+        })
+        .collect();
+    let settings = json!({"az": own.zone, "zones": zones, "n-instances": scene.node.len(),
+        "discovery": "pushed", "classes": classes, "goal": {}, "callers": {"marks-retry": true},
+        "policy-limits": {"attempts-cap": rules.attempts, "may-cancel": true, "second-copies": true,
+            "probes": false, "retry-after": true, "max-retry-after-ns": 1000 * MS},
+        "rules": {"answer-slack-ns": rules.answer_slack_ms * MS, "drain-grace-ns": rules.drain_grace_ms * MS,
+            "fall-ns": rules.fall_ms * MS, "start-capacity": rules.start_share,
+            "tip-multiple": rules.tip_multiple, "warm-after-ns": rules.warm_ms * MS}});
+    json!({"name": own.name.get_ref(), "listen": listen.to_string(), "discovery": discovery.to_string(),
+        "seed": format!("{seed:016x}"), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": own.sockets},
+        "known": known, "settings": settings})
+}
+
+/// The SHA-256 of a file, in hexadecimal.
+pub fn sha256(path: &Path) -> io::Result<String> {
+    let mut hasher = Sha256::new();
+    io::copy(&mut std::fs::File::open(path)?, &mut hasher)?;
+    Ok(hasher.finalize().iter().map(|byte| format!("{byte:02x}")).collect())
+}
--- /dev/null
+++ b/rehearsal/src/run.rs
@@ -0,0 +1,405 @@
+//! Plays a plan: starts the nodes, moves the time on, and takes the outcome log at the end. In stepped time the
+//! kit owns the time of all: whatever happens next, at a node or among its peers, happens alone, and the node
+//! that has news runs until it is idle before anything else does.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use badgerpost_standins::net::Happening;
+use badgerpost_standins::random::Random;
+use rustix::process::Signal;
+
+use crate::outcome::{Counts, Request};
+use crate::plan::Plan;
+use crate::process::{self, Process, ProcessError, Start};
+use crate::rules::{self, Breach};
+use crate::world::{Fired, Order, SOCKETS, World};
+use crate::{MS, Nanos, SECOND};
+
+/// Unix time at which stepped scenes begin: any would do, as long as it is always the same.
+const STEPPED_BASE: Nanos = 1_700_000_000 * SECOND;
+/// Bytes that a node has written and that are not here when it says that it is idle are waited for this often,
+/// a millisecond each. They are written already; only those on connections that have ended here never come.
+const LOOKS: u32 = 20;
+/// A run with more steps than this is not going anywhere.
+const MOST_STEPS: u64 = 200_000_000;
+/// In real time: the longest wait for sockets, and how often the nodes' processes are looked at.
+const WAIT: Duration = Duration::from_millis(20);
+const LOOK_AT_NODES: Nanos = 100 * MS;
+
+/// How to play.
+#[derive(Clone)]
+pub struct Options {
+    /// The node's program.
+    pub program: PathBuf,
+    /// In real time, not in steps.
+    pub real_time: bool,
+    /// Where the first node listens; 0 for any free port.
+    pub port: u16,
+}
+
+/// What came of it.
+pub struct Played {
+    /// The outcome log.
+    pub log: Vec<Request>,
+    /// Broken rules.
+    pub breaches: Vec<Breach>,
+    /// Requests at servers that no client had sent in this form.
+    pub strangers: u64,
+    /// The program's SHA-256.
+    pub sha256: String,
+    /// How long the scene lasted.
+    pub simulated: Nanos,
+    /// How long it took.
+    pub wall: Duration,
+    /// Steps of nodes.
+    pub steps: u64,
+    /// Bytes that had to be waited for; above 0 on a machine whose loopback device is late.
+    pub late: u64,
+}
+
+impl Played {
+    /// Counts over the log.
+    pub fn counts(&self) -> Counts {
+        Counts::of(&self.log)
+    }
+
+    /// Whether every rule held.
+    pub fn is_good(&self) -> bool {
+        self.breaches.is_empty() && self.strangers == 0
+    }
+}
+
+/// Why a run has no verdict.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// A node's process.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// It crashed.
+    #[error("node {name} crashed ({status}) {} ms into the scene; its log:\n{log}", at / MS)]
+    Crashed {
+        /// The node.
+        name: String,
+        /// How it ended.
+        status: String,
+        /// When.
+        at: Nanos,
+        /// What it logged.
+        log: String,
+    },
+    /// Sockets or files.
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    /// Nothing moves any more, or it moves on for ever.
+    #[error("the scene does not come to its end: {0}")]
+    Endless(&'static str),
+}
+
+/// Plays a plan to its end. `progress` hears how far the scene is, from 0 to 1.
+pub fn play(plan: &Plan, options: &Options, progress: &mut dyn FnMut(f64)) -> Result<Played, RunError> {
+    let sha256 = process::sha256(&options.program)?;
+    let began = Instant::now();
+    let mut stage = Stage::set(plan, options)?;
+    let length = plan.scene.scene.length_ms.get_ref() * MS;
+    let mut said = 0;
+    while !stage.world.is_done() {
+        if options.real_time {
+            stage.real_turn()?
+        } else {
+            stage.stepped_turn()?
+        }
+        let now = stage.world.now();
+        if now >= said {
+            progress(now as f64 / length as f64);
+            said = now + length / 200;
+        }
+    }
+    stage.check_ends()?;
+    let (steps, late, strangers, simulated) =
+        (stage.steps, stage.late, stage.world.strangers(), stage.world.now());
+    let Stage { world, processes, .. } = stage;
+    drop(processes);
+    let log = world.into_log();
+    let scene = &plan.scene.scene.rules;
+    let figures = rules::Figures {
+        answer_slack: scene.answer_slack_ms * MS + SOCKETS,
+        drain_grace: scene.drain_grace_ms * MS + SOCKETS,
+    };
+    let breaches = rules::check(&log, &figures);
+    Ok(Played { log, breaches, strangers, sha256, simulated, wall: began.elapsed(), steps, late })
+}
+
+/// Nodes and stand-ins, all ready.
+pub struct Stage {
+    plan: Plan,
+    options: Options,
+    world: World,
+    processes: Vec<Option<Process>>,
+    /// Bytes written to each node's sockets of which it has not been told.
+    unread: Vec<u64>,
+    paused: Vec<bool>,
+    /// It was asked to stop, so its end is none too soon.
+    stopping: Vec<bool>,
+    lives: u64,
+    told: Vec<Happening>,
+    began: Instant,
+    looked: Nanos,
+    steps: u64,
+    late: u64,
+}
+
+impl Stage {
+    /// Starts the nodes of a plan, with its peers listening.
+    pub fn set(plan: &Plan, options: &Options) -> Result<Self, RunError> {
+        let base = if options.real_time {
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            u64::try_from(unix.as_nanos()).unwrap_or(STEPPED_BASE)
+        } else {
+            STEPPED_BASE
+        };
+        let count = plan.scene.scene.node.len();
+        let world = World::new(plan.clone(), base)?;
+        let mut stage = Self {
+            plan: plan.clone(),
+            options: options.clone(),
+            world,
+            processes: (0..count).map(|_| None).collect(),
+            unread: vec![0; count],
+            paused: vec![false; count],
+            stopping: vec![false; count],
+            lives: 0,
+            told: Vec::new(),
+            began: Instant::now(),
+            looked: 0,
+            steps: 0,
+            late: 0,
+        };
+        (0..count).try_for_each(|node| stage.start(node))?;
+        stage.began = Instant::now();
+        Ok(stage)
+    }
+
+    /// Where a node listens, and its process's id.
+    pub fn node(&self, node: usize) -> Option<(SocketAddr, u32)> {
+        Some((self.world.listen_of(node)?, self.processes[node].as_ref()?.id()))
+    }
+
+    /// Where discovery listens for a node.
+    pub fn list_at(&self, node: usize) -> SocketAddr {
+        self.world.list_at(node)
+    }
+
+    /// Where the servers listen, by name.
+    pub fn servers(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
+        self.world.servers()
+    }
+
+    fn start(&mut self, node: usize) -> Result<(), RunError> {
+        let port = if node == 0 { self.options.port } else { 0 };
+        // Under its address again, where it has had one.
+        let listen = self.world.listen_of(node).unwrap_or(SocketAddr::from(([127, 0, 0, 1], port)));
+        self.lives += 1;
+        let seed = Random::new(self.plan.seed ^ self.lives, "node").bits();
+        let scene = &self.plan.scene;
+        let known = scene.scene.discovery.known.then(|| self.world.known());
+        let edge = process::edge(scene, node, listen, self.world.list_at(node), seed, known);
+        let now = self.world.base() + self.world.now();
+        let start = Start {
+            program: &self.options.program,
+            name: scene.scene.node[node].name.get_ref(),
+            edge,
+            stepped: (!self.options.real_time).then_some(now),
+        };
+        let (process, listens) = Process::start(&start)?;
+        self.processes[node] = Some(process);
+        (self.unread[node], self.paused[node], self.stopping[node]) = (0, false, false);
+        self.world.node_up(node, listens);
+        if !self.options.real_time {
+            self.step(node)?;
+        }
+        Ok(())
+    }
+
+    // In steps.
+
+    fn stepped_turn(&mut self) -> Result<(), RunError> {
+        let base = self.world.base();
+        let waits = |(node, process): (usize, &Option<Process>)| {
+            let next = process.as_ref().filter(|_| !self.paused[node])?.next?;
+            Some((next.saturating_sub(base), node))
+        };
+        let node = self.processes.iter().enumerate().filter_map(waits).min();
+        match (node, self.world.next()) {
+            (Some((at, node)), next) if next.is_none_or(|next| at <= next) => {
+                self.world.advance(at);
+                self.step(node)
+            }
+            (_, Some(_)) => {
+                let fired = self.world.fire()?;
+                self.follow(fired)
+            }
+            (_, None) => Err(RunError::Endless("requests are open and nothing is due")),
+        }
+    }
+
+    fn follow(&mut self, fired: Fired) -> Result<(), RunError> {
+        if let Some((node, bytes)) = fired.touched {
+            self.unread[node] += bytes;
+            if !self.options.real_time {
+                self.step(node)?;
+            }
+        }
+        fired.order.map_or(Ok(()), |order| self.carry_out(order))
+    }
+
+    /// Has a node run at the present until it is idle, and takes in what it has written.
+    fn step(&mut self, node: usize) -> Result<(), RunError> {
+        if self.paused[node] {
+            return Ok(());
+        }
+        let now = self.world.base() + self.world.now();
+        let Some(process) = &mut self.processes[node] else { return Ok(()) };
+        self.steps += 1;
+        if self.steps > MOST_STEPS {
+            return Err(RunError::Endless("the nodes never come to rest"));
+        }
+        let before = self.world.bytes_read();
+        match process.step(now, std::mem::take(&mut self.unread[node]))? {
+            Some(written) => self.collect(node, before + written),
+            None => self.ended(node),
+        }
+    }
+
+    /// Takes in what a node has written: so many bytes over all, and what has ended.
+    fn collect(&mut self, node: usize, read: u64) -> Result<(), RunError> {
+        let mut told = std::mem::take(&mut self.told);
+        let mut looks = 0;
+        loop {
+            let known = told.len();
+            let short = self.world.bytes_read() < read;
+            let wait = if short && looks > 0 { Duration::from_millis(1) } else { Duration::ZERO };
+            self.world.poll(wait, &mut told)?;
+            let short = self.world.bytes_read() < read;
+            if told.len() == known {
+                looks += 1;
+                if !short || looks > LOOKS {
+                    self.late += u64::from(looks > 1);
+                    break;
+                }
+            }
+        }
+        self.world.set_running(Some(node));
+        // By connection; each one's own news stay in their order.
+        told.sort_by_key(|happening| match happening {
+            Happening::Opened { conn, .. }
+            | Happening::Bytes { conn, .. }
+            | Happening::Ended { conn, .. } => *conn,
+        });
+        told.drain(..).for_each(|happening| self.world.happened(happening));
+        self.world.set_running(None);
+        self.told = told;
+        Ok(())
+    }
+
+    // In real time.
+
+    fn real_turn(&mut self) -> Result<(), RunError> {
+        let now = |began: Instant| u64::try_from(began.elapsed().as_nanos()).unwrap_or(Nanos::MAX);
+        while self.world.next().is_some_and(|next| next <= now(self.began)) {
+            let fired = self.world.fire()?;
+            self.follow(fired)?;
+        }
+        let left = self.world.next().map_or(Nanos::MAX, |next| next.saturating_sub(now(self.began)));
+        // The system's wait has milliseconds: less than one is waited for awake.
+        let wait = if left < 2 * MS { Duration::ZERO } else { WAIT.min(Duration::from_nanos(left - MS)) };
+        let mut told = std::mem::take(&mut self.told);
+        self.world.poll(wait, &mut told)?;
+        self.world.advance(now(self.began));
+        told.drain(..).for_each(|happening| self.world.happened(happening));
+        self.told = told;
+        if self.world.now() >= self.looked {
+            self.looked = self.world.now() + LOOK_AT_NODES;
+            for node in 0..self.processes.len() {
+                if self.processes[node].as_mut().is_some_and(|process| process.exited().is_some()) {
+                    self.ended(node)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Keeps the peers going in real time until `over`.
+    pub fn stay(&mut self, over: &dyn Fn() -> bool) -> Result<(), RunError> {
+        while !over() {
+            self.real_turn()?;
+        }
+        Ok(())
+    }
+
+    // The processes.
+
+    fn carry_out(&mut self, order: Order) -> Result<(), RunError> {
+        match order {
+            Order::Kill(node) => {
+                // Its connections are reset as it goes; they are found so before anything else happens.
+                if let Some(mut process) = self.processes[node].take() {
+                    process.kill();
+                }
+                self.world.node_down(node, true);
+                self.collect(node, 0)
+            }
+            Order::Stop(node) => {
+                let process = self.processes[node].as_ref();
+                process.into_iter().for_each(|process| process.signal(Signal::TERM));
+                self.stopping[node] = true;
+                if self.options.real_time { Ok(()) } else { self.step(node) }
+            }
+            Order::Start(node) => self.start(node),
+            Order::Pause(node) => {
+                if self.options.real_time {
+                    let process = self.processes[node].as_ref();
+                    process.into_iter().for_each(|process| process.signal(Signal::STOP));
+                }
+                self.paused[node] = true;
+                Ok(())
+            }
+            Order::Resume(node) => {
+                self.paused[node] = false;
+                if self.options.real_time {
+                    let process = self.processes[node].as_ref();
+                    process.into_iter().for_each(|process| process.signal(Signal::CONT));
+                    return Ok(());
+                }
+                self.step(node)
+            }
+        }
+    }
+
+    /// A node's process has ended by itself: as it was asked to, or it has crashed.
+    fn ended(&mut self, node: usize) -> Result<(), RunError> {
+        let Some(mut process) = self.processes[node].take() else { return Ok(()) };
+        let status = process.wait();
+        if self.stopping[node] && status.is_some_and(|status| status.success()) {
+            self.world.node_down(node, false);
+            return self.collect(node, 0);
+        }
+        Err(RunError::Crashed {
+            name: self.plan.scene.scene.node[node].name.get_ref().clone(),
+            status: status.map_or_else(|| "it still runs".to_owned(), |status| status.to_string()),
+            at: self.world.now(),
+            log: process.log(),
+        })
+    }
+
+    /// Finds nodes that have crashed and were not looked at since.
+    fn check_ends(&mut self) -> Result<(), RunError> {
+        for node in 0..self.processes.len() {
+            if self.processes[node].as_mut().is_some_and(|process| process.exited().is_some()) {
+                self.ended(node)?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/rehearsal/src/scene.rs
@@ -0,0 +1,524 @@
+//! Scenes: what is rehearsed, as files that operators write in TOML. A bad one is refused with file, line and
+//! key.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+use badgerpost_standins::discovery::Mode;
+use brookfield_settings::file::{FileError, Source};
+use serde::Deserialize;
+use toml::Spanned;
+
+use crate::outcome::{Effect, Scope};
+use crate::{MS, Nanos};
+
+/// The scenes that are shipped, by name.
+pub const SHIPPED: [(&str, &str); 7] = [
+    ("calm", include_str!("../scenes/calm.toml")),
+    ("cold-start", include_str!("../scenes/cold-start.toml")),
+    ("discovery-down", include_str!("../scenes/discovery-down.toml")),
+    ("drain", include_str!("../scenes/drain.toml")),
+    ("night", include_str!("../scenes/night.toml")),
+    ("node-killed", include_str!("../scenes/node-killed.toml")),
+    ("silent-server", include_str!("../scenes/silent-server.toml")),
+];
+
+/// Bounds that keep a scene on one machine, and its end in sight.
+const MOST_NODES: usize = 16;
+const MOST_SERVERS: usize = 512;
+const MOST_MS: u64 = 3_600_000;
+const MOST_RATE: f64 = 100_000.0;
+
+/// A scene.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scene {
+    /// What it shows, in a line.
+    pub about: String,
+    /// How long clients go on asking.
+    pub length_ms: Spanned<u64>,
+    /// The nodes.
+    pub node: Vec<Node>,
+    /// The match servers.
+    pub server: Vec<Server>,
+    /// The classes of requests.
+    pub class: Vec<Class>,
+    /// The clients.
+    pub clients: Clients,
+    /// The server list.
+    #[serde(default)]
+    pub discovery: Discovery,
+    /// The figures of the rules.
+    #[serde(default)]
+    pub rules: Rules,
+    /// What is expected besides the rules.
+    #[serde(default)]
+    pub expect: Expect,
+    /// What goes wrong.
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+/// A node.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Node {
+    /// Its name.
+    pub name: Spanned<String>,
+    /// Its zone.
+    pub zone: String,
+    /// Descriptors that it may hold.
+    #[serde(default = "sockets")]
+    pub sockets: usize,
+}
+
+fn sockets() -> usize {
+    1024
+}
+
+/// A match server.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Its name.
+    pub name: Spanned<String>,
+    /// Its zone.
+    pub zone: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: u64,
+    /// Its speed against that of a standard server.
+    #[serde(default = "one")]
+    pub speed: Spanned<f64>,
+    /// Requests that it works on together.
+    #[serde(default = "slots")]
+    pub slots: usize,
+    /// Requests that may wait there.
+    #[serde(default = "queue")]
+    pub queue: usize,
+    /// When it starts, cold; left out, it started long ago.
+    pub starts_ms: Option<u64>,
+}
+
+fn one() -> Spanned<f64> {
+    Spanned::new(0..0, 1.0)
+}
+
+fn slots() -> usize {
+    8
+}
+
+fn queue() -> usize {
+    32
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: Spanned<String>,
+    /// Whether its requests may take effect twice.
+    pub effect: Effect,
+    /// Which servers drop repeats of keyed ones ...
+    #[serde(default = "zone")]
+    pub scope: Scope,
+    /// ... and for how long.
+    #[serde(default = "window")]
+    pub window_ms: u64,
+    /// Its part of the requests, against the other classes'.
+    pub share: Spanned<f64>,
+    /// The work of a request on a standard server, from and to.
+    pub work_ms: Spanned<(u64, u64)>,
+    /// An answer within this time is of full worth.
+    pub aim_ms: u64,
+    /// Clients wait no longer than this.
+    pub deadline_ms: Spanned<u64>,
+}
+
+fn zone() -> Scope {
+    Scope::Zone
+}
+
+fn window() -> u64 {
+    2000
+}
+
+/// The clients.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Clients {
+    /// First tries a second over all nodes; they come at random times, whatever becomes of the earlier ones.
+    pub rate: Spanned<f64>,
+    /// How often a client tries again after a refusal, a failure or no answer.
+    #[serde(default)]
+    pub retries: u32,
+    /// How long it waits before that; longer where the node says so.
+    #[serde(default)]
+    pub backoff_ms: u64,
+}
+
+/// The server list.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// How long a change takes to stand on it.
+    pub notice_ms: u64,
+    /// The nodes have the list of the scene's start in their configuration.
+    pub known: bool,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// Nothing new to a server later than this after the node was told that it drains.
+    pub drain_grace_ms: u64,
+    /// An answer counts this long after its client's time.
+    pub answer_slack_ms: u64,
+    /// Share of its speed that a server starts with.
+    pub start_share: f64,
+    /// How long it takes to be warm.
+    pub warm_ms: u64,
+    /// Sent more than this multiple of what it can do, a cold one falls over ...
+    pub tip_multiple: f64,
+    /// ... over this span.
+    pub fall_ms: u64,
+    /// Attempts for a request.
+    pub attempts: u32,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            drain_grace_ms: 500,
+            answer_slack_ms: 20,
+            start_share: 0.12,
+            warm_ms: 24_000,
+            tip_multiple: 2.5,
+            fall_ms: 1500,
+            attempts: 4,
+        }
+    }
+}
+
+/// What is expected besides the rules.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Expect {
+    /// Share of the requests that are served, at least.
+    pub served: f64,
+}
+
+/// What goes wrong, as it stands in the file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// What.
+    pub kind: Spanned<String>,
+    /// When, from the scene's start.
+    pub at_ms: Spanned<u64>,
+    /// For how long; for good if left out.
+    pub for_ms: Option<u64>,
+    /// At which server.
+    pub server: Option<Spanned<String>>,
+    /// At which node.
+    pub node: Option<Spanned<String>>,
+    /// `reset`: after so many bytes of the answer.
+    pub after_bytes: Option<Spanned<u64>>,
+    /// `late`: by so much.
+    pub by_ms: Option<Spanned<u64>>,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// The server refuses new connections.
+    Refuse,
+    /// It resets the connection after so many bytes of its answer.
+    Reset {
+        /// Bytes.
+        after: u64,
+    },
+    /// It takes connections and requests, and says nothing.
+    Hang,
+    /// It answers later than it would.
+    Late {
+        /// By so much.
+        by: Nanos,
+    },
+    /// What it answers is no answer.
+    Spoilt,
+    /// It turns everything away.
+    TurnAway,
+    /// It answers 500, with the work done.
+    Fail,
+    /// The list says that it drains.
+    Drain,
+    /// The list says that it is gone.
+    Gone,
+    /// Its process is killed, and starts anew at the end of the fault.
+    KillServer,
+    /// Its process is paused.
+    PauseServer,
+    /// Discovery does badly.
+    List(Mode),
+    /// The node's process is killed (SIGKILL), and starts anew at the end of the fault.
+    KillNode,
+    /// It is stopped in an orderly way (SIGTERM), and starts anew at the end of the fault.
+    StopNode,
+    /// It is paused (SIGSTOP and SIGCONT).
+    PauseNode,
+}
+
+/// Whom a fault is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum About {
+    Server,
+    Node,
+    List,
+}
+
+/// The kinds as files name them.
+const KINDS: [(&str, Trouble, About); 19] = [
+    ("refuse", Trouble::Refuse, About::Server),
+    ("reset", Trouble::Reset { after: 0 }, About::Server),
+    ("hang", Trouble::Hang, About::Server),
+    ("late", Trouble::Late { by: 0 }, About::Server),
+    ("spoilt", Trouble::Spoilt, About::Server),
+    ("turn-away", Trouble::TurnAway, About::Server),
+    ("error", Trouble::Fail, About::Server),
+    ("drain", Trouble::Drain, About::Server),
+    ("gone", Trouble::Gone, About::Server),
+    ("kill-server", Trouble::KillServer, About::Server),
+    ("pause-server", Trouble::PauseServer, About::Server),
+    ("list-silent", Trouble::List(Mode::Silent), About::List),
+    ("list-stale", Trouble::List(Mode::Stale), About::List),
+    ("list-empty", Trouble::List(Mode::Empty), About::List),
+    ("list-malformed", Trouble::List(Mode::Malformed), About::List),
+    ("list-failing", Trouble::List(Mode::Failing), About::List),
+    ("kill-node", Trouble::KillNode, About::Node),
+    ("stop-node", Trouble::StopNode, About::Node),
+    ("pause-node", Trouble::PauseNode, About::Node),
+];
+
+impl Trouble {
+    /// Its name in files.
+    pub fn name(self) -> &'static str {
+        let same = |kind: &&(&str, Trouble, About)| match (kind.1, self) {
+            (Self::Reset { .. }, Self::Reset { .. }) | (Self::Late { .. }, Self::Late { .. }) => true,
+            (one, other) => one == other,
+        };
+        KINDS.iter().find(same).map_or("?", |kind| kind.0)
+    }
+
+    /// Whether it is about a server.
+    pub fn is_about_server(self) -> bool {
+        KINDS.iter().any(|kind| kind.0 == self.name() && kind.2 == About::Server)
+    }
+
+    /// Whether it is about a node.
+    pub fn is_about_node(self) -> bool {
+        KINDS.iter().any(|kind| kind.0 == self.name() && kind.2 == About::Node)
+    }
+
+    /// The kind of this name, with its figures.
+    pub fn named(name: &str, after_bytes: Option<u64>, by: Option<Nanos>) -> Option<Self> {
+        let kind = KINDS.iter().find(|kind| kind.0 == name)?;
+        Some(match kind.1 {
+            Self::Reset { .. } => Self::Reset { after: after_bytes? },
+            Self::Late { .. } => Self::Late { by: by? },
+            other => other,
+        })
+    }
+
+    fn read(fault: &Fault, source: &Source) -> Result<(Self, About), FileError> {
+        let kind = KINDS.iter().find(|kind| kind.0 == fault.kind.get_ref());
+        let &(name, trouble, about) = kind.ok_or_else(|| {
+            let known = KINDS.map(|kind| kind.0).join(", ");
+            source.bad(fault.kind.span(), format!("unknown kind of fault; there are {known}"))
+        })?;
+        let missing = |key: &str| source.bad(fault.kind.span(), format!("`{name}` needs the key `{key}`"));
+        let misplaced = |span, key: &str| source.bad(span, format!("`{key}` does not go with `{name}`"));
+        let given =
+            [(&fault.server, "server", about == About::Server), (&fault.node, "node", about == About::Node)];
+        for (value, key, wanted) in given {
+            match value {
+                None if wanted => return Err(missing(key)),
+                Some(value) if !wanted => return Err(misplaced(value.span(), key)),
+                _ => {}
+            }
+        }
+        let figures = [(&fault.after_bytes, "after_bytes", "reset"), (&fault.by_ms, "by_ms", "late")];
+        for (value, key, of) in figures {
+            match value {
+                Some(value) if name != of => return Err(misplaced(value.span(), key)),
+                None if name == of => return Err(missing(key)),
+                _ => {}
+            }
+        }
+        let figure = |value: &Option<Spanned<u64>>| value.as_ref().map(|value| *value.get_ref());
+        let by = figure(&fault.by_ms).map(|by| by.min(MOST_MS) * MS);
+        let named = Self::named(name, figure(&fault.after_bytes), by);
+        Ok((named.unwrap_or(trouble), about))
+    }
+}
+
+/// A fault in a plan: when, for how long, whom, what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// When.
+    pub at: Nanos,
+    /// For how long; none for good.
+    pub lasts: Option<Nanos>,
+    /// The position of the server or node among the scene's; 0 where it is about neither.
+    pub whom: usize,
+    /// What.
+    pub trouble: Trouble,
+}
+
+/// A scene that has been read and checked, and its text.
+pub struct Checked {
+    /// Its name.
+    pub name: String,
+    /// The scene.
+    pub scene: Scene,
+    /// Its faults.
+    pub faults: Vec<Planned>,
+    /// The file's text.
+    pub text: String,
+}
+
+/// Finds a scene by the name of a shipped one or by its file.
+pub fn find(name: &str) -> Result<Checked, FileError> {
+    if let Some((name, text)) = SHIPPED.iter().find(|shipped| shipped.0 == name) {
+        return check(name, Source::shipped(&format!("{name}.toml"), text));
+    }
+    let path = PathBuf::from(name);
+    let stem = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    check(&stem, Source::read(Path::new(name))?)
+}
+
+/// Reads and checks a scene.
+pub fn check(name: &str, source: Source) -> Result<Checked, FileError> {
+    let scene: Scene = source.parse()?;
+    let whole = |problem: &str| source.bad(0..0, problem);
+    let within = |span, good: bool, problem: &str| if good { Ok(()) } else { Err(source.bad(span, problem)) };
+    if scene.class.is_empty() {
+        return Err(whole("a scene needs at least one [[class]]"));
+    }
+    if !(1..=MOST_NODES).contains(&scene.node.len()) || !(1..=MOST_SERVERS).contains(&scene.server.len()) {
+        return Err(whole(&format!(
+            "a scene has 1 to {MOST_NODES} [[node]] and 1 to {MOST_SERVERS} [[server]]"
+        )));
+    }
+    let length = &scene.length_ms;
+    within(length.span(), (1..=MOST_MS).contains(length.get_ref()), "from 1 to 3600000")?;
+    let rate = &scene.clients.rate;
+    within(rate.span(), (0.0..=MOST_RATE).contains(rate.get_ref()), "from 0 to 100000 a second")?;
+    for class in &scene.class {
+        let (share, work) = (&class.share, &class.work_ms);
+        within(share.span(), *share.get_ref() > 0.0 && share.get_ref().is_finite(), "must be above 0")?;
+        let (least, most) = *work.get_ref();
+        within(
+            work.span(),
+            0 < least && least <= most && most <= MOST_MS,
+            "from a time above 0 to one no shorter",
+        )?;
+        let deadline = &class.deadline_ms;
+        within(deadline.span(), (1..=MOST_MS).contains(deadline.get_ref()), "from 1 to 3600000")?;
+    }
+    for server in &scene.server {
+        let speed = &server.speed;
+        within(speed.span(), (0.001..=1000.0).contains(speed.get_ref()), "from 0.001 to 1000")?;
+    }
+    let names = |names: Vec<&Spanned<String>>| {
+        let mut seen = BTreeSet::new();
+        let fit = |name: &str| {
+            !name.is_empty()
+                && name.len() <= 64
+                && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+        };
+        for name in names {
+            within(name.span(), fit(name.get_ref()), "a name has 1 to 64 letters, digits, '-', '_' or '.'")?;
+            within(name.span(), seen.insert(name.get_ref().clone()), "this name is taken")?;
+        }
+        Ok::<_, FileError>(())
+    };
+    names(scene.node.iter().map(|node| &node.name).collect())?;
+    names(scene.server.iter().map(|server| &server.name).collect())?;
+    names(scene.class.iter().map(|class| &class.name).collect())?;
+    let mut faults = Vec::new();
+    for fault in &scene.fault {
+        let (trouble, about) = Trouble::read(fault, &source)?;
+        let position = |found: Option<usize>, wanted: &Option<Spanned<String>>| {
+            let span = wanted.as_ref().map(Spanned::span).unwrap_or_default();
+            found.ok_or_else(|| source.bad(span, "there is none of this name"))
+        };
+        let whom = match about {
+            About::Server => {
+                let name = fault.server.as_ref().map(Spanned::get_ref);
+                position(scene.server.iter().position(|s| Some(s.name.get_ref()) == name), &fault.server)?
+            }
+            About::Node => {
+                let name = fault.node.as_ref().map(Spanned::get_ref);
+                position(scene.node.iter().position(|n| Some(n.name.get_ref()) == name), &fault.node)?
+            }
+            About::List => 0,
+        };
+        let at = &fault.at_ms;
+        within(at.span(), *at.get_ref() <= MOST_MS, "from 0 to 3600000")?;
+        let lasts = fault.for_ms.map(|span| span.min(MOST_MS) * MS);
+        faults.push(Planned { at: at.get_ref() * MS, lasts, whom, trouble });
+    }
+    faults.sort_by_key(|fault| fault.at);
+    Ok(Checked { name: name.to_owned(), scene, faults, text: source.text().to_owned() })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_shipped_scene_can_be_used() {
+        for (name, _) in SHIPPED {
+            let checked = find(name).unwrap_or_else(|error| panic!("{error}"));
+            assert_eq!(checked.name, name);
+        }
+    }
+
+    /// What is wrong with a scene, with one of the lines of a good one changed.
+    fn wrong(from: &str, to: &str) -> String {
+        let good = "about = 'x'\nlength_ms = 10\n[clients]\nrate = 1.0\n[[node]]\nname = 'n0'\nzone = 'a'\n\
+            [[server]]\nname = 'm1'\nzone = 'a'\n[[class]]\nname = 'c'\neffect = 'safe'\nshare = 1.0\n\
+            work_ms = [1, 2]\naim_ms = 5\ndeadline_ms = 9\n[[fault]]\nkind = 'hang'\nat_ms = 3\nserver = 'm1'\n";
+        assert!(check("x", Source::shipped("x.toml", good)).is_ok());
+        let text = good.replace(from, to);
+        assert_ne!(text, good);
+        check("x", Source::shipped("x.toml", &text)).err().expect(to).to_string()
+    }
+
+    #[test]
+    fn a_bad_scene_is_refused_with_file_line_and_key() {
+        for (from, to, wanted) in [
+            ("rate = 1.0", "rats = 1.0", "x.toml:4: rats: unknown field `rats`"),
+            ("rate = 1.0", "rate = -1.0", "x.toml:4: rate: from 0 to 100000 a second"),
+            ("name = 'n0'", "name = 'n 0'", "x.toml:6: name: a name has"),
+            ("kind = 'hang'", "kind = 'hanged'", "x.toml:19: kind: unknown kind of fault"),
+            ("server = 'm1'", "server = 'm2'", "x.toml:21: server: there is none of this name"),
+            ("server = 'm1'", "node = 'n0'", "x.toml:19: kind: `hang` needs the key `server`"),
+            (
+                "server = 'm1'",
+                "server = 'm1'\nby_ms = 4",
+                "x.toml:22: by_ms: `by_ms` does not go with `hang`",
+            ),
+            ("kind = 'hang'", "kind = 'late'", "x.toml:19: kind: `late` needs the key `by_ms`"),
+            ("work_ms = [1, 2]", "work_ms = [2, 1]", "x.toml:15: work_ms: from a time above 0"),
+            ("effect = 'safe'", "effect = 'sane'", "x.toml:13: effect: unknown variant `sane`"),
+            ("length_ms = 10", "length_ms = 'x'", "x.toml:2: length_ms: invalid type"),
+        ] {
+            let error = wrong(from, to);
+            assert!(error.starts_with(wanted), "{to}: {error}");
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,10 +4,13 @@
 //! as it is told; [`net`] puts them on loopback sockets, on one thread, in stepped or in real time. [`scripted`]
 //! is for tests that write out each byte of a peer by hand.
 
+pub mod client;
+pub mod discovery;
 pub mod message;
 pub mod net;
 pub mod random;
 pub mod scripted;
+pub mod server;
 
 use std::path::PathBuf;
 
--- /dev/null
+++ b/standins/src/server.rs
@@ -0,0 +1,232 @@
+//! A match server, as far as a node notices: slots and a bounded queue, work that takes its time, a load report
+//! that is refreshed now and then, and a cold start during which too much work pushes it over. It does no I/O.
+
+use std::collections::{BTreeSet, VecDeque};
+
+/// A time or a span, in nanoseconds.
+pub type Nanos = u64;
+
+/// What a server is like.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// Requests that it works on together, each at full speed.
+    pub slots: usize,
+    /// Requests that may wait; with that many waiting the next one is turned away.
+    pub queue: usize,
+    /// Its speed against that of a standard one.
+    pub speed: f64,
+    /// Share of its speed with which it starts.
+    pub cold_share: f64,
+    /// How long after its start it is warm; its speed grows in a straight line until then.
+    pub warm_after: Nanos,
+    /// Cold and sent more than this multiple of what it can do ...
+    pub tip_multiple: f64,
+    /// ... over a span of this length, it falls over and stays down.
+    pub fall_span: Nanos,
+    /// How often its load report is refreshed.
+    pub report_period: Nanos,
+}
+
+/// What became of a request that was offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It runs, or waits for its turn.
+    Taken,
+    /// The queue is full; it never runs.
+    TurnedAway,
+    /// It was the one too many: the server has fallen over, with all that it held.
+    Felled,
+}
+
+/// One server's work.
+#[derive(Debug)]
+pub struct Server {
+    figures: Figures,
+    /// When it started; none for long ago.
+    booted: Option<Nanos>,
+    /// What runs, by the time of its end.
+    running: BTreeSet<(Nanos, u64)>,
+    waiting: VecDeque<(u64, Nanos)>,
+    /// Work that was sent while it was cold, and when.
+    sent: VecDeque<(Nanos, Nanos)>,
+    fallen: bool,
+    /// Slot time used since the report was refreshed last, up to `counted`.
+    used: Nanos,
+    counted: Nanos,
+    refreshed: Nanos,
+    util: f64,
+}
+
+impl Server {
+    /// A server that started at `booted`, or long ago.
+    pub fn new(figures: Figures, booted: Option<Nanos>, now: Nanos) -> Self {
+        Self {
+            figures,
+            booted,
+            running: BTreeSet::new(),
+            waiting: VecDeque::new(),
+            sent: VecDeque::new(),
+            fallen: false,
+            used: 0,
+            counted: now,
+            refreshed: now,
+            util: 0.0,
+        }
+    }
+
+    /// Its process starts anew: what it held is gone, and it is cold.
+    pub fn restart(&mut self, now: Nanos) {
+        *self = Self::new(self.figures, Some(now), now);
+    }
+
+    /// Whether it has fallen over.
+    pub fn has_fallen(&self) -> bool {
+        self.fallen
+    }
+
+    /// Its speed at this time.
+    fn speed(&self, now: Nanos) -> f64 {
+        let Figures { speed, cold_share, warm_after, .. } = self.figures;
+        let warmth = self.booted.map_or(1.0, |booted| {
+            let age = now.saturating_sub(booted) as f64 / warm_after.max(1) as f64;
+            (cold_share + (1.0 - cold_share) * age).clamp(0.001, 1.0)
+        });
+        speed * warmth
+    }
+
+    fn is_cold(&self, now: Nanos) -> bool {
+        self.booted.is_some_and(|booted| now.saturating_sub(booted) < self.figures.warm_after)
+    }
+
+    /// How much it was sent over the last fall span, as a multiple of what it can do now; none once warm.
+    pub fn cold_load(&self, now: Nanos) -> Option<f64> {
+        let since = now.saturating_sub(self.figures.fall_span);
+        let sent: Nanos = self.sent.iter().filter(|(at, _)| *at > since).map(|(_, work)| work).sum();
+        let can = self.speed(now) * self.figures.slots as f64 * self.figures.fall_span as f64;
+        self.is_cold(now).then(|| sent as f64 / can)
+    }
+
+    /// A request of so much work, in nanoseconds on a standard server, under a number of the caller's.
+    pub fn offer(&mut self, now: Nanos, ticket: u64, work: Nanos) -> Offer {
+        self.count(now);
+        if self.is_cold(now) {
+            self.sent.push_back((now, work));
+            let since = now.saturating_sub(self.figures.fall_span);
+            while self.sent.front().is_some_and(|(at, _)| *at <= since) {
+                self.sent.pop_front();
+            }
+            if self.cold_load(now).is_some_and(|load| load > self.figures.tip_multiple) {
+                self.fallen = true;
+                self.running.clear();
+                self.waiting.clear();
+                return Offer::Felled;
+            }
+        }
+        if self.running.len() < self.figures.slots {
+            self.begin(now, ticket, work);
+        } else if self.waiting.len() < self.figures.queue {
+            self.waiting.push_back((ticket, work));
+        } else {
+            return Offer::TurnedAway;
+        }
+        Offer::Taken
+    }
+
+    fn begin(&mut self, now: Nanos, ticket: u64, work: Nanos) {
+        let takes = (work as f64 / self.speed(now)) as Nanos;
+        self.running.insert((now.saturating_add(takes.max(1)), ticket));
+    }
+
+    /// When the next request is done.
+    pub fn next_done(&self) -> Option<Nanos> {
+        self.running.first().map(|(at, _)| *at)
+    }
+
+    /// A request that is done by now, if there is one; another takes its slot.
+    pub fn take_done(&mut self, now: Nanos) -> Option<u64> {
+        let (at, ticket) = *self.running.first().filter(|(at, _)| *at <= now)?;
+        self.count(at);
+        self.running.remove(&(at, ticket));
+        if let Some((next, work)) = self.waiting.pop_front() {
+            self.begin(at, next, work);
+        }
+        Some(ticket)
+    }
+
+    /// The share of its slots in use, as refreshed last.
+    pub fn util(&mut self, now: Nanos) -> f64 {
+        self.count(now);
+        self.util
+    }
+
+    fn count(&mut self, now: Nanos) {
+        let span = now.saturating_sub(self.counted);
+        self.used += span.saturating_mul(self.running.len() as u64);
+        self.counted = self.counted.max(now);
+        let since = now.saturating_sub(self.refreshed);
+        if since >= self.figures.report_period {
+            self.util = self.used as f64 / (since as f64 * self.figures.slots as f64);
+            (self.used, self.refreshed) = (0, now);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Nanos = 1_000_000;
+
+    fn figures() -> Figures {
+        Figures {
+            slots: 2,
+            queue: 1,
+            speed: 0.5,
+            cold_share: 0.1,
+            warm_after: 10_000 * MS,
+            tip_multiple: 2.0,
+            fall_span: 1000 * MS,
+            report_period: 100 * MS,
+        }
+    }
+
+    #[test]
+    fn work_takes_its_time_then_waits_then_is_turned_away() {
+        let mut server = Server::new(figures(), None, 0);
+        let offers: Vec<Offer> = (0..4).map(|ticket| server.offer(0, ticket, 10 * MS)).collect();
+        assert_eq!(offers, [Offer::Taken, Offer::Taken, Offer::Taken, Offer::TurnedAway]);
+        assert_eq!(server.next_done(), Some(20 * MS));
+        assert_eq!(server.take_done(19 * MS), None);
+        assert_eq!((server.take_done(20 * MS), server.take_done(20 * MS)), (Some(0), Some(1)));
+        // The third began when the first was done.
+        assert_eq!((server.take_done(39 * MS), server.take_done(40 * MS)), (None, Some(2)));
+        assert_eq!(server.next_done(), None);
+    }
+
+    #[test]
+    fn the_report_tells_the_share_of_slots_in_use() {
+        let mut server = Server::new(figures(), None, 0);
+        server.offer(0, 1, 500 * MS);
+        assert_eq!(server.util(99 * MS), 0.0);
+        assert_eq!(server.util(100 * MS), 0.5);
+    }
+
+    #[test]
+    fn a_cold_server_falls_over_and_a_warm_one_does_not() {
+        let sends = |booted| {
+            let mut server = Server::new(figures(), booted, 0);
+            let fell = (0..40).position(|n| server.offer(n * 10 * MS, n, 10 * MS) == Offer::Felled);
+            (fell, server.has_fallen())
+        };
+        assert_eq!(sends(None), (None, false));
+        // A tenth of half of two slots does 100 ms of work a second; more than twice that is too much.
+        let (fell, fallen) = sends(Some(0));
+        assert!(fallen && fell.is_some_and(|n| (20..26).contains(&n)), "{fell:?}");
+        let mut server = Server::new(figures(), Some(0), 0);
+        server.offer(0, 1, 400 * MS);
+        assert!(server.has_fallen());
+        server.restart(5000 * MS);
+        assert!(!server.has_fallen() && server.next_done().is_none());
+        assert_eq!(server.cold_load(5000 * MS), Some(0.0));
+    }
+}
