Keep a node's port while it is away; wait for a crashed node's last words

The kit now holds a bound socket there for the whole run, which the system steps round. And a crash was reported once before the thread that reads the log had its last lines: the report waits for their end.

--- a/rehearsal/src/process.rs
+++ b/rehearsal/src/process.rs
@@ -20,6 +20,8 @@
 
 /// Nothing that a node does at its start, or between two steps, takes longer, on a busy machine either.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// What a process has logged before its end is here that soon after it.
+const LAST_WORDS: Duration = Duration::from_secs(5);
 /// So many lines of a node's log are kept, its last ones.
 const LOG_LINES: usize = 400;
 const LOG_LINE: u64 = 4096;
@@ -218,11 +220,15 @@
         self.child.try_wait().ok().flatten()
     }
 
-    /// Waits for its end.
+    /// Waits for its end, and for its last words in the log.
     pub fn wait(&mut self) -> Option<ExitStatus> {
         let began = Instant::now();
         while began.elapsed() < PATIENCE {
             if let Some(status) = self.exited() {
+                let (lock, changed) = &*self.log;
+                let kept = lock.lock().unwrap_or_else(PoisonError::into_inner);
+                // A child of its own that lives on would keep the log open; there is none, but the wait is bounded.
+                let _ = changed.wait_timeout_while(kept, LAST_WORDS, |kept| !kept.ended);
                 return Some(status);
             }
             thread::sleep(Duration::from_millis(1));
--- a/rehearsal/src/run.rs
+++ b/rehearsal/src/run.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use badgerpost_standins::net::Happening;
+use badgerpost_standins::net::{Happening, Reserved};
 use badgerpost_standins::random::Random;
 use rustix::process::Signal;
 
@@ -89,6 +89,14 @@
         /// What it logged.
         log: String,
     },
+    /// A node's port is not to be had.
+    #[error("can't listen at {at}: {source}")]
+    Port {
+        /// The address.
+        at: SocketAddr,
+        /// What happened.
+        source: std::io::Error,
+    },
     /// Sockets or files.
     #[error("{0}")]
     System(#[from] std::io::Error),
@@ -136,6 +144,8 @@
     plan: Plan,
     options: Options,
     world: World,
+    /// Where the nodes listen, also while they are away.
+    ports: Vec<Reserved>,
     processes: Vec<Option<Process>>,
     /// Bytes written to each node's sockets of which it has not been told.
     unread: Vec<u64>,
@@ -161,10 +171,16 @@
         };
         let count = plan.scene.scene.node.len();
         let world = World::new(plan.clone(), base)?;
+        let port = |node| {
+            let at = SocketAddr::from(([127, 0, 0, 1], if node == 0 { options.port } else { 0 }));
+            Reserved::new(at).map_err(|source| RunError::Port { at, source })
+        };
+        let ports = (0..count).map(port).collect::<Result<Vec<_>, _>>()?;
         let mut stage = Self {
             plan: plan.clone(),
             options: options.clone(),
             world,
+            ports,
             processes: (0..count).map(|_| None).collect(),
             unread: vec![0; count],
             paused: vec![false; count],
@@ -197,9 +213,8 @@
     }
 
     fn start(&mut self, node: usize) -> Result<(), RunError> {
-        let port = if node == 0 { self.options.port } else { 0 };
-        // Under its address again, where it has had one.
-        let listen = self.world.listen_of(node).unwrap_or(SocketAddr::from(([127, 0, 0, 1], port)));
+        // Under the same address each time.
+        let listen = self.ports[node].at();
         self.lives += 1;
         let seed = Random::new(self.plan.seed ^ self.lives, "node").bits();
         let scene = &self.plan.scene;
--- a/standins/src/net.rs
+++ b/standins/src/net.rs
@@ -76,6 +76,27 @@
     read: u64,
 }
 
+/// A port that is kept for somebody who listens there at times: connects are refused meanwhile, and the system
+/// gives it to no connection as its own end, which would keep the next listener out.
+pub struct Reserved {
+    at: SocketAddr,
+    _socket: Socket,
+}
+
+impl Reserved {
+    /// Keeps `at`'s port, or any free one if that is 0. Whoever listens there must set `SO_REUSEADDR`.
+    pub fn new(at: SocketAddr) -> io::Result<Self> {
+        let socket = bound(at)?;
+        let at = socket.local_addr()?.as_socket().unwrap_or(at);
+        Ok(Self { at, _socket: socket })
+    }
+
+    /// The address.
+    pub fn at(&self) -> SocketAddr {
+        self.at
+    }
+}
+
 fn bound(at: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
@@ -326,6 +347,19 @@
         assert_eq!(net.bytes_read(), 10);
     }
 
+    #[test]
+    fn a_reserved_port_is_there_for_one_listener_after_the_other() {
+        let reserved = Reserved::new(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        for _ in 0..3 {
+            std::net::TcpStream::connect(reserved.at()).expect_err("nobody listens yet");
+            let listener = listening(reserved.at()).unwrap();
+            std::net::TcpStream::connect(reserved.at()).expect("it listens");
+            drop(listener);
+        }
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        assert!(Reserved::new(listener.local_addr().unwrap()).is_err(), "the port is taken");
+    }
+
     #[test]
     fn a_refusing_listener_takes_connections_again_at_its_port() {
         let mut net = Net::new().unwrap();
