--- a/rehearsal/src/main.rs
+++ b/rehearsal/src/main.rs
@@ -219,16 +219,25 @@
     say(&serde_json::json!({"scene": plan.scene.name, "nodes": nodes, "discovery": discovery,
         "backends": backends})
     .to_string())?;
-    let closed = over.clone();
-    std::thread::spawn(move || {
-        let mut scrap = [0; 256];
-        while std::io::stdin().read(&mut scrap).is_ok_and(|read| read > 0) {}
-        closed.store(true, Ordering::SeqCst);
-    });
+    if !input_is_null() {
+        let closed = over.clone();
+        std::thread::spawn(move || {
+            let mut scrap = [0; 256];
+            while std::io::stdin().read(&mut scrap).is_ok_and(|read| read > 0) {}
+            closed.store(true, Ordering::SeqCst);
+        });
+    }
     stage.stay(&|| over.load(Ordering::SeqCst))?;
     Ok(ExitCode::SUCCESS)
 }
 
+/// Whether standard input is `/dev/null`, as under a supervisor: it has no end to wait for.
+fn input_is_null() -> bool {
+    use std::os::unix::fs::MetadataExt;
+    let device = |path| std::fs::metadata(path).map(|about| about.rdev());
+    matches!((device("/dev/stdin"), device("/dev/null")), (Ok(input), Ok(null)) if input == null)
+}
+
 fn bar(steps: u64) -> ProgressBar {
     let target = if std::io::stderr().is_terminal() {
         ProgressDrawTarget::stderr()
