PostgreSQL, first part: transactions through the engine, effects equal what clients are told

The engine learns that an answer has begun (Engine::started), so that nothing goes out again behind it. standins/ gains a database.

--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -338,6 +338,12 @@
         self.tell(|driver, errands| driver.settled(ticket, ending, errands));
     }
 
+    /// Something of an attempt's answer has gone to the client: the request goes nowhere else from now on.
+    pub fn started(&self, ticket: Ticket) {
+        let request = ticket.request;
+        self.tell(|driver, errands| driver.hear(Event::Started { request }, errands));
+    }
+
     /// Takes a list from discovery.
     pub fn fleet(&self, scope: ListScope, list: Vec<Listed>) {
         self.tell(|driver, errands| driver.fleet(scope, list, errands));
@@ -747,6 +753,20 @@
         assert_eq!(open_requests(&node), (0, 0));
     }
 
+    /// Of a streamed answer the client has seen a part: whatever comes of it, no other backend is asked.
+    #[test]
+    fn what_has_started_to_be_answered_is_not_sent_again() {
+        let (node, kept) = node(SECOND);
+        node.fleet(ListScope::Full, vec![listed("s", Stage::InService), listed("t", Stage::InService)]);
+        let waiting = node.submit(asked(SECOND)).expect("a new id");
+        let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        node.started(launch.ticket);
+        // Not even after an end that tells that it never ran.
+        node.settled(launch.ticket, Ending::bare(Outcome::ConnectFailed));
+        assert!(kept.launches.borrow().is_empty());
+        assert!(reply(waiting).is_some_and(|reply| !matches!(reply, Reply::Served(_))));
+    }
+
     /// A connect can outlast the grace of a backend that drains, and the backend's stay on the list.
     #[test]
     fn nothing_is_written_to_a_backend_past_its_grace() {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -36,6 +36,8 @@
 pub struct Own {
     /// A clock in the hands of a rehearsal.
     pub rehearsal: Option<Rehearsal>,
+    /// A front for PostgreSQL.
+    pub postgres: Option<badgerpost_postgres::config::Config>,
 }
 
 /// A stepped clock. Never for service.
@@ -79,6 +81,9 @@
     /// The operators' file can't be used.
     #[error("configuration {0}")]
     Own(#[from] file::FileError),
+    /// The section for PostgreSQL can't be used.
+    #[error("configuration: {0}")]
+    Postgres(#[from] badgerpost_postgres::config::ConfigError),
     /// A rehearsal must reach nothing outside this machine.
     #[error("rehearsal: {what} is at {at}; with a stepped clock every address must be a loopback address")]
     NotLoopback {
@@ -142,6 +147,11 @@
         config.edge.site()?;
         config.edge.seed()?;
         config.edge.shares()?;
+        if let Some(postgres) = &config.own.postgres {
+            postgres.site()?;
+            postgres.read_users()?;
+            postgres.read_password()?;
+        }
         if config.own.rehearsal.is_some() {
             config.check_loopback()?;
         }
@@ -153,7 +163,12 @@
         let named = [("the listener".to_owned(), *listen), ("discovery".to_owned(), *discovery)];
         let known = known.iter().flat_map(discovery::List::endpoints);
         let known = known.map(|(uid, at)| (format!("the known server {uid}"), at));
-        match named.into_iter().chain(known).find(|(_, at)| !at.ip().is_loopback()) {
+        let postgres = self.own.postgres.iter().flat_map(|postgres| {
+            let servers =
+                postgres.server.iter().map(|server| (format!("the server {}", server.name), server.address));
+            servers.chain([("the PostgreSQL listener".to_owned(), postgres.listen)])
+        });
+        match named.into_iter().chain(known).chain(postgres).find(|(_, at)| !at.ip().is_loopback()) {
             Some((what, at)) => Err(ConfigError::NotLoopback { what, at }),
             None => Ok(()),
         }
@@ -167,6 +182,14 @@
             format!("node {name} takes HTTP/1.1 clients at {listen}"),
             format!("servers: the platform's list at {discovery}, {known} known from before"),
         ];
+        lines.extend(self.own.postgres.iter().map(|postgres| {
+            format!(
+                "PostgreSQL clients at {}, {} servers, {} classes",
+                postgres.listen,
+                postgres.server.len(),
+                postgres.class.len()
+            )
+        }));
         lines.push(match self.own.rehearsal {
             Some(rehearsal) => {
                 format!("clock: STEPPED by the rehearsal at {}; not for service", rehearsal.control)
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -9,7 +9,11 @@
 use badgerpost_http::server::{self, Phase};
 use badgerpost_http::upstream::Upstream;
 use badgerpost_http::{Node, discovery};
+use badgerpost_postgres::server::Front;
+use badgerpost_postgres::upstream::Pool;
+use badgerpost_postgres::{self as postgres, Fleet};
 use badgerpost_stepping::{Control, ControlError};
+use brookfield::ListScope;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -22,6 +26,8 @@
 /// Connections that cross the closing of idle ones are taken up to here after that.
 const LAST_ONES: Duration = Duration::from_millis(100);
 const BACKLOG: u32 = 1024;
+/// Transactions that are under way at the end are waited for so long.
+const TRANSACTIONS_END: Duration = Duration::from_secs(10);
 
 /// Why the node can't start, or go on.
 #[derive(Debug, thiserror::Error)]
@@ -76,6 +82,11 @@
     let (phase, phases) = watch::channel(Phase::Serving);
     let deadline = node.longest_deadline();
     let served = spawn(server::run(listener, node, clients, phases));
+    let (stop, stopping) = watch::channel(false);
+    let postgres = match own.postgres {
+        Some(postgres) => Some(spawn(serve_postgres(postgres, seed, &clock, stopping)?)),
+        None => None,
+    };
     let name = edge.name.clone();
     let life = async {
         tokio::select! {
@@ -85,12 +96,17 @@
         }
         tracing::info!("{} stops", edge.name);
         phase.send_replace(Phase::Stopping);
+        stop.send_replace(true);
         clock.sleep(STILL_TAKES).await;
         phase.send_replace(Phase::Closing);
         clock.sleep(LAST_ONES).await;
         phase.send_replace(Phase::Closed);
         // Every request taken has had its answer by then; what is still open has nothing on it.
         let _ = clock.timeout(deadline, served).await;
+        if let Some(postgres) = postgres {
+            // Transactions under way end by their deadlines; a session that idles in one is ended then too.
+            let _ = clock.timeout(TRANSACTIONS_END, postgres).await;
+        }
         Ok(())
     };
     match hands {
@@ -107,6 +123,34 @@
     }
 }
 
+/// Wires the PostgreSQL front: a fleet with an engine of its own.
+fn serve_postgres(
+    config: postgres::config::Config,
+    seed: u64,
+    clock: &Clock,
+    stopping: watch::Receiver<bool>,
+) -> Result<impl Future<Output = ()> + use<>, ServeError> {
+    let (site, users, password) = (config.site(), config.read_users(), config.read_password());
+    let (site, users, password) = (
+        site.map_err(ConfigError::from)?,
+        users.map_err(ConfigError::from)?,
+        password.map_err(ConfigError::from)?,
+    );
+    let pool = Pool::new(clock.clone(), config.login.user.clone(), password, config.per_server);
+    let launcher = Rc::new(postgres::upstream::Upstream(pool.clone()));
+    let fleet = Fleet::new(site.settings, site.words, seed, clock.clone(), launcher)
+        .map_err(|error| ConfigError::Settings(error.to_string()))?;
+    fleet.fleet(ListScope::Full, config.listed());
+    let timers = fleet.clone();
+    spawn(async move { timers.run_timers().await });
+    let at = config.listen;
+    let listener = listen(at).map_err(|source| ServeError::Listen { at, source })?;
+    tracing::info!("PostgreSQL clients are taken at {}", listener.local_addr()?);
+    let front =
+        Front::new(config, users, fleet, pool).map_err(|error| std::io::Error::other(error.to_string()))?;
+    Ok(front.run(listener, stopping))
+}
+
 /// A rehearsal's hold on the clock.
 struct Hands {
     steps: Rc<Stepped>,
--- /dev/null
+++ b/pgsession/src/answer.rs
@@ -0,0 +1,184 @@
+//! What the node itself tells a client, in the protocol's own words (`ErrorResponse`, "Error and Notice Message
+//! Fields") and codes (PostgreSQL documentation, appendix "PostgreSQL Error Codes").
+
+use bytes::{BufMut, BytesMut};
+
+use crate::frame::Frame;
+
+/// Why a statement has no answer of a server's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// There is no room: it never ran, and trying again is harmless, but not sooner than this many milliseconds.
+    Refused {
+        /// From now on.
+        wait_ms: u64,
+    },
+    /// The server was lost, or too slow; the statement may have run.
+    MayHaveRun,
+    /// The server was lost in a transaction that had not been committed: nothing of it stays.
+    TransactionLost,
+    /// The server was lost behind a COMMIT: nobody knows.
+    CommitUnknown,
+    /// The transaction has failed; only its end is taken now.
+    InFailedTransaction,
+    /// The node is going; the session ends.
+    Stopping,
+    /// The client does not follow the protocol; the session ends.
+    Protocol,
+    /// It has not shown who it is; the session ends.
+    Identity,
+}
+
+impl Reason {
+    /// Its SQLSTATE.
+    pub fn sqlstate(self) -> &'static str {
+        match self {
+            // too_many_connections
+            Self::Refused { .. } => "53300",
+            // connection_failure
+            Self::MayHaveRun | Self::TransactionLost => "08006",
+            // transaction_resolution_unknown
+            Self::CommitUnknown => "08007",
+            // in_failed_sql_transaction
+            Self::InFailedTransaction => "25P02",
+            // admin_shutdown
+            Self::Stopping => "57P01",
+            // protocol_violation
+            Self::Protocol => "08P01",
+            // invalid_password
+            Self::Identity => "28P01",
+        }
+    }
+
+    /// Whether the session ends with it.
+    pub fn is_fatal(self) -> bool {
+        matches!(self, Self::Stopping | Self::Protocol | Self::Identity)
+    }
+
+    fn message(self) -> &'static str {
+        match self {
+            Self::Refused { .. } => "no server has room for this transaction; it has not run",
+            Self::MayHaveRun => "the server was lost; the statement may have run",
+            Self::TransactionLost => "the server was lost; the transaction is rolled back",
+            Self::CommitUnknown => {
+                "the server was lost before it answered COMMIT; the transaction may be committed"
+            }
+            Self::InFailedTransaction => {
+                "current transaction is aborted, commands ignored until end of transaction block"
+            }
+            Self::Stopping => "terminating connection: the node stops",
+            Self::Protocol => "the message does not belong here",
+            Self::Identity => "authentication failed",
+        }
+    }
+
+    fn hint(self) -> Option<String> {
+        match self {
+            Self::Refused { wait_ms: 0 } => Some("Trying again is harmless.".to_owned()),
+            Self::Refused { wait_ms } => Some(format!("Trying again is harmless, after {wait_ms} ms.")),
+            Self::CommitUnknown => Some("Look whether it is, before you do it again.".to_owned()),
+            _ => None,
+        }
+    }
+}
+
+/// `ErrorResponse`.
+pub fn error(reason: Reason, detail: Option<&str>) -> Frame {
+    let severity = if reason.is_fatal() { "FATAL" } else { "ERROR" };
+    let hint = reason.hint();
+    let fields = [
+        (b'S', Some(severity)),
+        (b'V', Some(severity)),
+        (b'C', Some(reason.sqlstate())),
+        (b'M', Some(reason.message())),
+        (b'D', detail),
+        (b'H', hint.as_deref()),
+    ];
+    let mut body = BytesMut::new();
+    for (field, text) in fields {
+        // A zero would end the field early.
+        let Some(text) = text.map(|text| text.replace('\0', "")) else { continue };
+        body.put_u8(field);
+        body.put_slice(text.as_bytes());
+        body.put_u8(0);
+    }
+    body.put_u8(0);
+    Frame::new(b'E', body.freeze())
+}
+
+/// Where a session's transaction stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Status {
+    /// In none.
+    #[default]
+    Idle,
+    /// In one.
+    InBlock,
+    /// In one that has failed.
+    Failed,
+}
+
+impl Status {
+    /// As `ReadyForQuery` tells it.
+    pub fn read(byte: u8) -> Option<Self> {
+        match byte {
+            b'I' => Some(Self::Idle),
+            b'T' => Some(Self::InBlock),
+            b'E' => Some(Self::Failed),
+            _ => None,
+        }
+    }
+
+    /// `ReadyForQuery`.
+    pub fn ready(self) -> Frame {
+        let byte = match self {
+            Self::Idle => &b"I"[..],
+            Self::InBlock => b"T",
+            Self::Failed => b"E",
+        };
+        Frame::new(b'Z', byte)
+    }
+}
+
+/// `CommandComplete`.
+pub fn complete(tag: &str) -> Frame {
+    Frame::new(b'C', format!("{tag}\0").into_bytes())
+}
+
+#[cfg(test)]
+mod tests {
+    use postgres_protocol::message::backend::Message;
+
+    use super::*;
+
+    /// Read back by another's parser.
+    fn fields(frame: &Frame) -> Vec<(u8, String)> {
+        use postgres_protocol::message::backend::ErrorFields;
+        let mut wire = BytesMut::new();
+        frame.write(&mut wire);
+        let Ok(Some(Message::ErrorResponse(body))) = Message::parse(&mut wire) else { panic!("{frame:?}") };
+        let mut fields: ErrorFields<'_> = body.fields();
+        let mut read = Vec::new();
+        while let Ok(Some(field)) = postgres_protocol_next(&mut fields) {
+            read.push(field);
+        }
+        read
+    }
+
+    fn postgres_protocol_next(
+        fields: &mut postgres_protocol::message::backend::ErrorFields<'_>,
+    ) -> std::io::Result<Option<(u8, String)>> {
+        use fallible_iterator::FallibleIterator;
+        Ok(fields.next()?.map(|f| (f.type_(), String::from_utf8_lossy(f.value_bytes()).into_owned())))
+    }
+
+    #[test]
+    fn errors_are_read_by_others() {
+        let refused = fields(&error(Reason::Refused { wait_ms: 250 }, Some("a\0b")));
+        let value = |of: u8| refused.iter().find(|(field, _)| *field == of).map(|(_, value)| value.as_str());
+        assert_eq!((value(b'C'), value(b'S'), value(b'D')), (Some("53300"), Some("ERROR"), Some("ab")));
+        assert!(value(b'H').is_some_and(|hint| hint.contains("250 ms")));
+        let stopping = fields(&error(Reason::Stopping, None));
+        assert!(stopping.contains(&(b'S', "FATAL".to_owned())));
+    }
+}
--- /dev/null
+++ b/pgsession/src/frame.rs
@@ -0,0 +1,223 @@
+//! Frames of the wire: a tag, a length of four bytes that counts itself, and a body ("Message Formats"). Rows and
+//! copied data pass in pieces as they come, so that no row has to fit into memory.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+
+/// No frame that is looked at is longer: a statement's text has to fit.
+pub const MOST_FRAME: usize = 1024 * 1024;
+/// A piece of a frame that passes is no longer.
+pub const MOST_PIECE: usize = 16 * 1024;
+const HEAD: usize = 5;
+
+/// A whole frame.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    /// Its tag.
+    pub tag: u8,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Frame {
+    /// A frame of these.
+    pub fn new(tag: u8, body: impl Into<Bytes>) -> Self {
+        Self { tag, body: body.into() }
+    }
+
+    /// Its length on the wire, with the tag.
+    pub fn wire_len(&self) -> usize {
+        HEAD + self.body.len()
+    }
+
+    /// Adds it to what is to be written.
+    pub fn write(&self, out: &mut BytesMut) {
+        out.reserve(self.wire_len());
+        out.put_u8(self.tag);
+        // A body is no longer than MOST_FRAME, or made here.
+        out.put_u32(u32::try_from(self.body.len() + 4).unwrap_or(u32::MAX));
+        out.put_slice(&self.body);
+    }
+
+    /// The string that the body begins with, without its zero.
+    pub fn first_string(&self) -> Option<&[u8]> {
+        let end = self.body.iter().position(|byte| *byte == 0)?;
+        Some(&self.body[..end])
+    }
+}
+
+/// What has come of a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// A whole frame.
+    Frame(Frame),
+    /// A piece of a frame that passes unread: its bytes on the wire, from the tag on.
+    Piece {
+        /// The frame's tag.
+        tag: u8,
+        /// The bytes.
+        bytes: Bytes,
+        /// Whether the frame ends with them.
+        last: bool,
+    },
+}
+
+/// Bytes that are no frames.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadFrame {
+    /// A length that does not even count itself.
+    #[error("message {:?} has length {length}", char::from(*tag))]
+    Short {
+        /// Its tag.
+        tag: u8,
+        /// The length.
+        length: u32,
+    },
+    /// Longer than anything that makes sense.
+    #[error("message {:?} has {length} bytes; {MOST_FRAME} are the most", char::from(*tag))]
+    Long {
+        /// Its tag.
+        tag: u8,
+        /// The length.
+        length: u32,
+    },
+}
+
+/// Cuts a connection's bytes into frames. Holds one frame of [`MOST_FRAME`] at most, and what was read with it.
+#[derive(Debug, Default)]
+pub struct Cutter {
+    bytes: BytesMut,
+    /// What is left of a frame that passes in pieces.
+    passing: Option<(u8, usize)>,
+}
+
+/// Data rows and copied data pass; all else is looked at.
+fn passes(tag: u8) -> bool {
+    matches!(tag, b'D' | b'd')
+}
+
+impl Cutter {
+    /// Adds what has come. `from_client`: there a `D` asks to describe, and only `d` passes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Bytes that are kept.
+    pub fn held(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// The next frame or piece from a server.
+    pub fn next_from_server(&mut self) -> Result<Option<Cut>, BadFrame> {
+        self.cut(passes)
+    }
+
+    /// The next frame or piece from a client; a client's `D` asks to describe.
+    pub fn next_from_client(&mut self) -> Result<Option<Cut>, BadFrame> {
+        self.cut(|tag| tag == b'd')
+    }
+
+    fn cut(&mut self, passes: impl Fn(u8) -> bool) -> Result<Option<Cut>, BadFrame> {
+        if let Some((tag, left)) = self.passing {
+            return Ok(self.pass(tag, left));
+        }
+        if self.bytes.len() < HEAD {
+            return Ok(None);
+        }
+        let tag = self.bytes[0];
+        let length = u32::from_be_bytes([self.bytes[1], self.bytes[2], self.bytes[3], self.bytes[4]]);
+        if length < 4 {
+            return Err(BadFrame::Short { tag, length });
+        }
+        let whole = length as usize + 1;
+        if passes(tag) {
+            return Ok(self.pass(tag, whole));
+        }
+        if length as usize > MOST_FRAME {
+            return Err(BadFrame::Long { tag, length });
+        }
+        if self.bytes.len() < whole {
+            return Ok(None);
+        }
+        let mut frame = self.bytes.split_to(whole).freeze();
+        frame.advance(HEAD);
+        Ok(Some(Cut::Frame(Frame { tag, body: frame })))
+    }
+
+    fn pass(&mut self, tag: u8, left: usize) -> Option<Cut> {
+        let piece = left.min(self.bytes.len()).min(MOST_PIECE);
+        if piece == 0 {
+            return None;
+        }
+        let bytes = self.bytes.split_to(piece).freeze();
+        let last = piece == left;
+        self.passing = (!last).then_some((tag, left - piece));
+        Some(Cut::Piece { tag, bytes, last })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn all(cutter: &mut Cutter) -> Vec<Cut> {
+        std::iter::from_fn(|| cutter.next_from_server().expect("good frames")).collect()
+    }
+
+    #[test]
+    fn frames_are_cut_as_they_were_written_however_they_come() {
+        let frames =
+            [Frame::new(b'Z', &b"I"[..]), Frame::new(b'E', &b"SFATAL\0\0"[..]), Frame::new(b'1', &b""[..])];
+        let mut wire = BytesMut::new();
+        frames.iter().for_each(|frame| frame.write(&mut wire));
+        for cut in 0..wire.len() {
+            let mut cutter = Cutter::default();
+            let mut got = Vec::new();
+            for part in [&wire[..cut], &wire[cut..]] {
+                cutter.push(part);
+                got.extend(all(&mut cutter));
+            }
+            assert_eq!(got, frames.clone().map(Cut::Frame), "{cut}");
+            assert_eq!(cutter.held(), 0);
+        }
+    }
+
+    /// A row of a megabyte passes in pieces, and nothing of it is kept.
+    #[test]
+    fn rows_pass_in_pieces_that_add_up() {
+        let mut wire = BytesMut::new();
+        Frame::new(b'D', vec![7; 1024 * 1024]).write(&mut wire);
+        Frame::new(b'Z', &b"I"[..]).write(&mut wire);
+        let (mut cutter, mut passed, mut most) = (Cutter::default(), Vec::new(), 0);
+        for part in wire.chunks(5000) {
+            cutter.push(part);
+            for cut in all(&mut cutter) {
+                match cut {
+                    Cut::Piece { tag, bytes, last } => {
+                        passed.extend_from_slice(&bytes);
+                        assert_eq!((tag, last), (b'D', passed.len() == 1024 * 1024 + 5));
+                    }
+                    Cut::Frame(frame) => assert_eq!(frame, Frame::new(b'Z', &b"I"[..])),
+                }
+            }
+            most = most.max(cutter.held());
+        }
+        assert_eq!(passed, wire[..1024 * 1024 + 5]);
+        assert!(most < 16, "{most}");
+        // From a client the same tag asks to describe, and is looked at.
+        let mut cutter = Cutter::default();
+        cutter.push(b"D\0\0\0\x06S\0");
+        assert_eq!(cutter.next_from_client(), Ok(Some(Cut::Frame(Frame::new(b'D', &b"S\0"[..])))));
+    }
+
+    #[test]
+    fn false_lengths_are_errors_before_anything_is_kept_for_them() {
+        let cut = |bytes: &[u8]| {
+            let mut cutter = Cutter::default();
+            cutter.push(bytes);
+            cutter.next_from_client()
+        };
+        assert_eq!(cut(b"Q\0\0\0\x03"), Err(BadFrame::Short { tag: b'Q', length: 3 }));
+        assert_eq!(cut(b"Q\x7f\xff\xff\xff"), Err(BadFrame::Long { tag: b'Q', length: 0x7fff_ffff }));
+        assert_eq!(cut(b"Q\0\0\0"), Ok(None));
+    }
+}
--- /dev/null
+++ b/pgsession/src/scram.rs
@@ -0,0 +1,242 @@
+//! The server's side of SCRAM-SHA-256 (RFC 5802, RFC 7677), as PostgreSQL uses it ("SASL Authentication"). The node
+//! keeps verifiers, from which no password can be had.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use hmac::{Hmac, Mac};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// The mechanism without channel binding.
+pub const PLAIN: &str = "SCRAM-SHA-256";
+/// The mechanism with it.
+pub const PLUS: &str = "SCRAM-SHA-256-PLUS";
+/// Iterations of a verifier made here, as the server's own default.
+const ITERATIONS: u32 = 4096;
+/// A message of an exchange is no longer.
+const MOST: usize = 2048;
+
+type Key = [u8; 32];
+
+/// What a password is checked by.
+#[derive(Clone)]
+pub struct Verifier {
+    iterations: u32,
+    salt: Vec<u8>,
+    stored: Key,
+    server: Key,
+}
+
+/// A text that is no verifier. The text itself is secret enough not to be shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a verifier of the form SCRAM-SHA-256$<iterations>:<salt>$<stored key>:<server key>")]
+pub struct BadVerifier;
+
+fn hmac(key: &[u8], text: &[u8]) -> Key {
+    // Any length of key will do for HMAC, so this never fails.
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).unwrap_or_else(|_| unreachable!("HMAC takes any key"));
+    mac.update(text);
+    mac.finalize().into_bytes().into()
+}
+
+impl Verifier {
+    /// Reads a verifier as the server keeps them in `pg_authid`.
+    pub fn read(text: &str) -> Result<Self, BadVerifier> {
+        let read = || {
+            let rest = text.trim().strip_prefix("SCRAM-SHA-256$")?;
+            let (first, keys) = rest.split_once('$')?;
+            let (iterations, salt) = first.split_once(':')?;
+            let (stored, server) = keys.split_once(':')?;
+            let key = |text: &str| BASE64.decode(text).ok()?.try_into().ok();
+            let iterations = iterations.parse().ok().filter(|count| (1..=1_000_000).contains(count))?;
+            let salt = BASE64.decode(salt).ok().filter(|salt| (1..=256).contains(&salt.len()))?;
+            Some(Self { iterations, salt, stored: key(stored)?, server: key(server)? })
+        };
+        read().ok_or(BadVerifier)
+    }
+
+    /// The verifier of a password, with this salt. The password is taken as it is: SASLprep changes nothing of
+    /// one in ASCII.
+    pub fn of(password: &str, salt: &[u8]) -> Self {
+        let mut salted = [0; 32];
+        pbkdf2::pbkdf2_hmac::<Sha256>(password.as_bytes(), salt, ITERATIONS, &mut salted);
+        let stored = Sha256::digest(hmac(&salted, b"Client Key")).into();
+        Self { iterations: ITERATIONS, salt: salt.to_vec(), stored, server: hmac(&salted, b"Server Key") }
+    }
+
+    /// What an unknown user is asked by, so that the exchange does not tell who is known. No password fits it.
+    pub fn unknown(secret: &[u8], user: &str) -> Self {
+        let salt = hmac(secret, user.as_bytes())[..16].to_vec();
+        let stored = hmac(secret, b"no such key");
+        Self { iterations: ITERATIONS, salt, stored, server: hmac(secret, b"nor such") }
+    }
+
+    /// As [`Verifier::read`] reads it.
+    pub fn write(&self) -> String {
+        let [salt, stored, server] =
+            [&self.salt[..], &self.stored, &self.server].map(|bytes| BASE64.encode(bytes));
+        format!("SCRAM-SHA-256${}:{salt}${stored}:{server}", self.iterations)
+    }
+}
+
+/// Why an exchange has failed. A client is told no more than that it has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// The mechanism is none that was offered.
+    #[error("a mechanism that was not offered")]
+    Mechanism,
+    /// A message that does not follow the RFC.
+    #[error("a malformed message")]
+    Malformed,
+    /// The channel is not the one that the client sees: somebody may stand between.
+    #[error("the channel binding does not fit")]
+    Binding,
+    /// The proof does not fit the verifier.
+    #[error("the proof does not fit")]
+    Proof,
+}
+
+/// An exchange that waits for the client's last message.
+pub struct Exchange {
+    verifier: Verifier,
+    binding: Vec<u8>,
+    nonce: String,
+    /// The client's first message without its header, and the answer to it.
+    auth: String,
+}
+
+/// Begins an exchange: the client's choice of mechanism and first message, and the binding of the channel where
+/// TLS is on. `nonce` is random, printable and without commas. Returns the answer too.
+pub fn begin(
+    verifier: Verifier,
+    mechanism: &str,
+    first: &[u8],
+    channel: Option<&[u8]>,
+    nonce: &str,
+) -> Result<(Exchange, String), Refused> {
+    let plus = match (mechanism, channel) {
+        (PLAIN, _) => None,
+        (PLUS, Some(channel)) => Some(channel),
+        _ => return Err(Refused::Mechanism),
+    };
+    let text = std::str::from_utf8(first).ok().filter(|text| text.len() <= MOST).ok_or(Refused::Malformed)?;
+    // The header names the binding and, after a comma, an identity to act for, which is not allowed.
+    let (flag, rest) = text.split_once(',').ok_or(Refused::Malformed)?;
+    let (acts_for, bare) = rest.split_once(',').ok_or(Refused::Malformed)?;
+    if !acts_for.is_empty() {
+        return Err(Refused::Malformed);
+    }
+    let mut binding = format!("{flag},,").into_bytes();
+    match (flag, plus) {
+        ("n", None) => {}
+        // The client could bind and believes that the server can't. Where it can, somebody has cut that out.
+        ("y", None) if channel.is_none() => {}
+        ("p=tls-server-end-point", Some(channel)) => binding.extend_from_slice(channel),
+        _ => return Err(Refused::Binding),
+    }
+    let mut parts = bare.split(',');
+    let user = parts.next().filter(|part| part.starts_with("n="));
+    let client = parts.next().and_then(|part| part.strip_prefix("r=")).filter(|nonce| !nonce.is_empty());
+    let (Some(_), Some(client)) = (user, client) else { return Err(Refused::Malformed) };
+    let nonce = format!("{client}{nonce}");
+    let answer = format!("r={nonce},s={},i={}", BASE64.encode(&verifier.salt), verifier.iterations);
+    let auth = format!("{bare},{answer}");
+    Ok((Exchange { verifier, binding, nonce, auth }, answer))
+}
+
+impl Exchange {
+    /// Checks the client's last message; the answer proves that the node knows the verifier.
+    pub fn finish(self, last: &[u8]) -> Result<String, Refused> {
+        let text =
+            std::str::from_utf8(last).ok().filter(|text| text.len() <= MOST).ok_or(Refused::Malformed)?;
+        let (unproven, proof) = text.rsplit_once(",p=").ok_or(Refused::Malformed)?;
+        let mut parts = unproven.split(',');
+        let binding = parts.next().and_then(|part| part.strip_prefix("c=")).ok_or(Refused::Malformed)?;
+        let nonce = parts.next().and_then(|part| part.strip_prefix("r=")).ok_or(Refused::Malformed)?;
+        if BASE64.decode(binding).ok().as_ref() != Some(&self.binding) {
+            return Err(Refused::Binding);
+        }
+        if nonce != self.nonce {
+            return Err(Refused::Malformed);
+        }
+        let proof: Key =
+            BASE64.decode(proof).ok().and_then(|p| p.try_into().ok()).ok_or(Refused::Malformed)?;
+        let auth = format!("{},{unproven}", self.auth);
+        let signature = hmac(&self.verifier.stored, auth.as_bytes());
+        let mut key = proof;
+        key.iter_mut().zip(signature).for_each(|(byte, with)| *byte ^= with);
+        let stored: Key = Sha256::digest(key).into();
+        if !bool::from(stored.ct_eq(&self.verifier.stored)) {
+            return Err(Refused::Proof);
+        }
+        Ok(format!("v={}", BASE64.encode(hmac(&self.verifier.server, auth.as_bytes()))))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use postgres_protocol::authentication::sasl::{ChannelBinding, ScramSha256};
+
+    use super::*;
+
+    /// The client's side is another's, from the drivers' own crate.
+    fn exchange(
+        verifier: &Verifier,
+        password: &str,
+        binding: ChannelBinding,
+        mechanism: &str,
+        channel: Option<&[u8]>,
+    ) -> Result<(), Refused> {
+        let mut client = ScramSha256::new(password.as_bytes(), binding);
+        let (exchange, answer) =
+            begin(verifier.clone(), mechanism, client.message(), channel, "servernonce")?;
+        client.update(answer.as_bytes()).expect("a good first answer");
+        let last = exchange.finish(client.message())?;
+        client.finish(last.as_bytes()).expect("the node has proved itself");
+        Ok(())
+    }
+
+    #[test]
+    fn who_knows_the_password_gets_in_and_nobody_else() {
+        let verifier = Verifier::of("secret", b"salt of sixteen.");
+        let same = Verifier::read(&verifier.write()).expect("as written");
+        let plain = ChannelBinding::unsupported;
+        assert_eq!(exchange(&same, "secret", plain(), PLAIN, None), Ok(()));
+        assert_eq!(exchange(&same, "Secret", plain(), PLAIN, None), Err(Refused::Proof));
+        let unknown = Verifier::unknown(b"of this process", "ann");
+        assert_eq!(exchange(&unknown, "secret", plain(), PLAIN, None), Err(Refused::Proof));
+    }
+
+    #[test]
+    fn a_channel_is_bound_or_the_exchange_fails() {
+        let verifier = Verifier::of("secret", b"salt");
+        let end = |bytes: &[u8]| ChannelBinding::tls_server_end_point(bytes.to_vec());
+        assert_eq!(exchange(&verifier, "secret", end(b"one"), PLUS, Some(b"one")), Ok(()));
+        assert_eq!(exchange(&verifier, "secret", end(b"one"), PLUS, Some(b"two")), Err(Refused::Binding));
+        assert_eq!(exchange(&verifier, "secret", end(b"one"), PLUS, None), Err(Refused::Mechanism));
+        assert_eq!(exchange(&verifier, "secret", end(b"one"), "MD5", Some(b"one")), Err(Refused::Mechanism));
+        // One who believes that the node can't bind, while it can, has been lied to.
+        let believes = ChannelBinding::unrequested;
+        assert_eq!(exchange(&verifier, "secret", believes(), PLAIN, Some(b"one")), Err(Refused::Binding));
+        assert_eq!(exchange(&verifier, "secret", believes(), PLAIN, None), Ok(()));
+    }
+
+    #[test]
+    fn what_is_malformed_is_refused() {
+        let verifier = Verifier::of("secret", b"salt");
+        for first in ["", "n", "n,,", "n,a=bob,n=,r=x", "n,,n=,r=", "n,,r=x,n=", "q,,n=,r=x"] {
+            assert!(begin(verifier.clone(), PLAIN, first.as_bytes(), None, "n").is_err(), "{first}");
+        }
+        for last in
+            ["", "c=biws", "c=biws,r=xn", "c=biws,r=other,p=AAAA", "c=biws,r=xn,p=AAAA", "c=,r=xn,p=AAAA"]
+        {
+            let (exchange, _) = begin(verifier.clone(), PLAIN, b"n,,n=,r=x", None, "n").expect("good");
+            assert!(exchange.finish(last.as_bytes()).is_err(), "{last}");
+        }
+        for text in
+            ["", "md5abc", "SCRAM-SHA-256$0:c2FsdA==$x:y", "SCRAM-SHA-256$4096:c2FsdA==$c2FsdA==:c2FsdA=="]
+        {
+            assert!(Verifier::read(text).is_err(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/pgsession/src/statements.rs
@@ -0,0 +1,261 @@
+//! Prepared statements that follow a client from one server to another. A client's names are its own; on server
+//! connections a statement stands under a name of the node's, by its text, and is prepared there when it is first
+//! needed.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use crate::frame::Frame;
+
+/// Named statements that a client may keep; the next one is an error of the client's.
+pub const MOST_NAMED: usize = 256;
+/// Statements that stay prepared on a server connection; the one used longest ago makes room.
+pub const MOST_PREPARED: usize = 256;
+
+/// A statement's text and parameter types, as `Parse` gives them behind the name. Equal ones are the same
+/// statement, whoever prepares it.
+pub type Text = Bytes;
+
+/// A client's names.
+#[derive(Debug, Default)]
+pub struct Named {
+    texts: BTreeMap<Bytes, Text>,
+}
+
+/// A client has more names than it may keep.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("more than {MOST_NAMED} prepared statements")]
+pub struct TooMany;
+
+/// A body that names a statement where its message has none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a malformed message")]
+pub struct Malformed;
+
+impl Named {
+    /// A `Parse` of a named statement has been sent on.
+    pub fn insert(&mut self, name: Bytes, text: Text) -> Result<(), TooMany> {
+        if self.texts.len() >= MOST_NAMED && !self.texts.contains_key(&name) {
+            return Err(TooMany);
+        }
+        self.texts.insert(name, text);
+        Ok(())
+    }
+
+    /// What stands under a name.
+    pub fn get(&self, name: &[u8]) -> Option<&Text> {
+        self.texts.get(name)
+    }
+
+    /// Forgets a name.
+    pub fn remove(&mut self, name: &[u8]) {
+        self.texts.remove(name);
+    }
+
+    /// Forgets all.
+    pub fn clear(&mut self) {
+        self.texts.clear();
+    }
+}
+
+/// What is prepared on one server connection.
+#[derive(Debug, Default)]
+pub struct Prepared {
+    numbers: BTreeMap<Text, u64>,
+    /// The ones used longest ago first.
+    used: VecDeque<Text>,
+    next: u64,
+}
+
+/// What a server connection needs before a statement can be used there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Use {
+    /// The statement's name there.
+    pub name: Bytes,
+    /// `Close` of one that has to make room, and `Parse`; their answers are not the client's.
+    pub first: Vec<Frame>,
+}
+
+fn name(number: u64) -> Bytes {
+    Bytes::from(format!("bp{number}"))
+}
+
+impl Prepared {
+    /// The name of a statement here, prepared if it is not yet.
+    pub fn take(&mut self, text: &Text) -> Use {
+        if let Some(number) = self.numbers.get(text).copied() {
+            self.used.retain(|used| used != text);
+            self.used.push_back(text.clone());
+            return Use { name: name(number), first: Vec::new() };
+        }
+        let mut first = Vec::new();
+        if self.numbers.len() >= MOST_PREPARED
+            && let Some(oldest) = self.used.pop_front()
+            && let Some(number) = self.numbers.remove(&oldest)
+        {
+            first.push(close(&name(number)));
+        }
+        let number = self.next;
+        self.next += 1;
+        self.numbers.insert(text.clone(), number);
+        self.used.push_back(text.clone());
+        let name = name(number);
+        first.push(parse(&name, text));
+        Use { name, first }
+    }
+
+    /// A statement is not prepared here after all, or no longer.
+    pub fn forget(&mut self, text: &Text) {
+        self.numbers.remove(text);
+        self.used.retain(|used| used != text);
+    }
+
+    /// Nothing is prepared here any more.
+    pub fn clear(&mut self) {
+        self.numbers.clear();
+        self.used.clear();
+    }
+}
+
+/// `Parse` under this name.
+pub fn parse(name: &[u8], text: &Text) -> Frame {
+    let mut body = BytesMut::with_capacity(name.len() + 1 + text.len());
+    body.put_slice(name);
+    body.put_u8(0);
+    body.put_slice(text);
+    Frame::new(b'P', body.freeze())
+}
+
+/// `Close` of a statement.
+pub fn close(name: &[u8]) -> Frame {
+    let mut body = BytesMut::with_capacity(name.len() + 2);
+    body.put_u8(b'S');
+    body.put_slice(name);
+    body.put_u8(0);
+    Frame::new(b'C', body.freeze())
+}
+
+/// The name and the text of a `Parse`.
+pub fn read_parse(frame: &Frame) -> Result<(Bytes, Text), Malformed> {
+    let end = frame.first_string().ok_or(Malformed)?.len();
+    let text = frame.body.slice(end + 1..);
+    // The text of the statement ends with a zero; a count of types follows.
+    let sql = text.iter().position(|byte| *byte == 0).ok_or(Malformed)?;
+    if text.len() < sql + 3 {
+        return Err(Malformed);
+    }
+    Ok((frame.body.slice(..end), text))
+}
+
+/// The statement's SQL in a `Parse`'s text.
+pub fn sql(text: &Text) -> &[u8] {
+    text.split(|byte| *byte == 0).next().unwrap_or_default()
+}
+
+/// The statement that a `Bind` names.
+pub fn read_bind(frame: &Frame) -> Result<Bytes, Malformed> {
+    let portal = frame.first_string().ok_or(Malformed)?.len() + 1;
+    let rest = frame.body.slice(portal..);
+    let end = rest.iter().position(|byte| *byte == 0).ok_or(Malformed)?;
+    Ok(rest.slice(..end))
+}
+
+/// The same `Bind` of a statement of another name.
+pub fn rename_bind(frame: &Frame, name: &[u8]) -> Result<Frame, Malformed> {
+    let portal = frame.first_string().ok_or(Malformed)?.len() + 1;
+    let old = read_bind(frame)?.len();
+    let mut body = BytesMut::with_capacity(frame.body.len() + name.len());
+    body.put_slice(&frame.body[..portal]);
+    body.put_slice(name);
+    body.put_slice(&frame.body[portal + old..]);
+    Ok(Frame::new(b'B', body.freeze()))
+}
+
+/// What a `Describe` or `Close` is about: `S` for a statement or `P` for a portal, and its name.
+pub fn read_target(frame: &Frame) -> Result<(u8, Bytes), Malformed> {
+    let (kind, rest) = frame.body.split_first().ok_or(Malformed)?;
+    let end =
+        rest.iter().position(|byte| *byte == 0).filter(|_| matches!(kind, b'S' | b'P')).ok_or(Malformed)?;
+    Ok((*kind, frame.body.slice(1..1 + end)))
+}
+
+/// `Describe` of a statement of this name.
+pub fn describe(name: &[u8]) -> Frame {
+    Frame { tag: b'D', ..close(name) }
+}
+
+#[cfg(test)]
+mod tests {
+    use postgres_protocol::message::frontend;
+
+    use super::*;
+
+    /// A frame as the drivers' own crate writes it.
+    fn written(write: impl Fn(&mut BytesMut)) -> Frame {
+        let mut wire = BytesMut::new();
+        write(&mut wire);
+        Frame::new(wire[0], Bytes::copy_from_slice(&wire[5..]))
+    }
+
+    fn text(sql: &str) -> Text {
+        read_parse(&written(|out| frontend::parse("", sql, [23], out).unwrap())).expect("good").1
+    }
+
+    #[test]
+    fn messages_of_real_drivers_are_read_and_renamed() {
+        let frame = written(|out| frontend::parse("s0", "select $1", [23], out).unwrap());
+        let (name, text) = read_parse(&frame).expect("good");
+        assert_eq!((name.as_ref(), sql(&text)), (&b"s0"[..], &b"select $1"[..]));
+        assert_eq!(parse(b"s0", &text), frame);
+        let bind = |name: &str| {
+            written(|out| {
+                let value = |value: &str, out: &mut BytesMut| {
+                    out.put_slice(value.as_bytes());
+                    Ok(postgres_protocol::IsNull::No)
+                };
+                frontend::bind("p", name, [0], ["7"], value, [1], out).unwrap_or_else(|_| panic!("a bind"));
+            })
+        };
+        assert_eq!(read_bind(&bind("s0")).expect("good"), "s0");
+        assert_eq!(rename_bind(&bind("s0"), b"bp17"), Ok(bind("bp17")));
+        let frame = written(|out| frontend::describe(b'S', "s0", out).unwrap());
+        assert_eq!((read_target(&frame), describe(b"s0")), (Ok((b'S', Bytes::from_static(b"s0"))), frame));
+        assert_eq!(close(b"s0"), written(|out| frontend::close(b'S', "s0", out).unwrap()));
+    }
+
+    #[test]
+    fn what_is_malformed_is_an_error() {
+        for body in [&b""[..], b"s", b"s\0", b"s\0select", b"s\0select\0", b"s\0select\0\0"] {
+            assert_eq!(read_parse(&Frame::new(b'P', body)), Err(Malformed), "{body:?}");
+        }
+        for body in [&b""[..], b"p", b"p\0", b"p\0s"] {
+            assert_eq!(read_bind(&Frame::new(b'B', body)), Err(Malformed), "{body:?}");
+            assert_eq!(rename_bind(&Frame::new(b'B', body), b"x"), Err(Malformed), "{body:?}");
+        }
+        for body in [&b""[..], b"S", b"Ss", b"Xs\0"] {
+            assert_eq!(read_target(&Frame::new(b'D', body)), Err(Malformed), "{body:?}");
+        }
+    }
+
+    #[test]
+    fn a_statement_is_prepared_once_and_the_oldest_makes_room() {
+        let mut prepared = Prepared::default();
+        let one = prepared.take(&text("select 1"));
+        assert_eq!((one.name.as_ref(), one.first.len()), (&b"bp0"[..], 1));
+        assert!(prepared.take(&text("select 1")).first.is_empty());
+        for n in 0..MOST_PREPARED {
+            // The first stays in use, so it is never the oldest.
+            assert!(prepared.take(&text("select 1")).first.is_empty(), "{n}");
+            let next = prepared.take(&text(&format!("select {n} + 1")));
+            assert_eq!(next.first.len(), if n + 1 < MOST_PREPARED { 1 } else { 2 }, "{n}");
+        }
+        assert_eq!((prepared.numbers.len(), prepared.used.len()), (MOST_PREPARED, MOST_PREPARED));
+        prepared.forget(&text("select 1"));
+        assert_eq!(prepared.take(&text("select 1")).first.len(), 1);
+        let mut named = Named::default();
+        (0..MOST_NAMED).for_each(|n| named.insert(Bytes::from(n.to_string()), text("x")).expect("room"));
+        assert_eq!(named.insert(Bytes::from_static(b"more"), text("x")), Err(TooMany));
+        assert_eq!(named.insert(Bytes::from_static(b"0"), text("y")), Ok(()));
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! is for tests that write out each byte of a peer by hand.
 
 pub mod client;
+pub mod database;
 pub mod discovery;
 pub mod message;
 pub mod net;
