--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -100,8 +100,8 @@
 
     /// How much it was sent over the last fall span, as a multiple of what it can do now; none once warm.
     pub fn cold_load(&self, now: Nanos) -> Option<f64> {
-        let since = now.saturating_sub(self.figures.fall_span);
-        let sent: Nanos = self.sent.iter().filter(|(at, _)| *at > since).map(|(_, work)| work).sum();
+        let lately = |sent: &&(Nanos, Nanos)| now.saturating_sub(sent.0) < self.figures.fall_span;
+        let sent: Nanos = self.sent.iter().filter(lately).map(|(_, work)| work).sum();
         let can = self.speed(now) * self.figures.slots as f64 * self.figures.fall_span as f64;
         self.is_cold(now).then(|| sent as f64 / can)
     }
@@ -111,8 +111,8 @@
         self.count(now);
         if self.is_cold(now) {
             self.sent.push_back((now, work));
-            let since = now.saturating_sub(self.figures.fall_span);
-            while self.sent.front().is_some_and(|(at, _)| *at <= since) {
+            let span = self.figures.fall_span;
+            while self.sent.front().is_some_and(|(at, _)| now.saturating_sub(*at) >= span) {
                 self.sent.pop_front();
             }
             if self.cold_load(now).is_some_and(|load| load > self.figures.tip_multiple) {
