--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use brookfield::{BackendId, ListScope, Member, Nanos, Stage};
-use brookfield_settings::Words;
+use brookfield_settings::{Words, name_tag};
 
 use crate::front::Listed;
 
@@ -99,6 +99,7 @@
             zone: words.zone(&listed.zone),
             kind: words.kind(&listed.kind),
             cell: listed.cell,
+            tag: name_tag(&listed.uid),
             stage: listed.stage,
             size: listed.size,
             online_since: (listed.boot_ms > 0).then(|| listed.boot_ms.saturating_mul(1_000_000)),
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -3,6 +3,7 @@
 //! decided here.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use brookfield::{
@@ -59,6 +60,8 @@
 pub(crate) struct Errands<F: Front> {
     pub(crate) launches: Vec<Launch<F>>,
     pub(crate) retired: Vec<BackendId>,
+    /// Whom to probe, and where they listen.
+    pub(crate) probes: Vec<(BackendId, SocketAddr)>,
     /// Attempts on a backend that has left the list meanwhile.
     pub(crate) moot: Vec<Ticket>,
     pub(crate) ask: bool,
@@ -67,7 +70,14 @@
 
 impl<F: Front> Default for Errands<F> {
     fn default() -> Self {
-        Self { launches: Vec::new(), retired: Vec::new(), moot: Vec::new(), ask: false, rearm: false }
+        Self {
+            launches: Vec::new(),
+            retired: Vec::new(),
+            probes: Vec::new(),
+            moot: Vec::new(),
+            ask: false,
+            rearm: false,
+        }
     }
 }
 
@@ -113,9 +123,11 @@
                 // An attempt that ended meanwhile no longer listens: its own outcome is on the way.
                 let _ = withdraw.map(|withdraw| withdraw.send(()));
             }
-            // The settings never allow probes here; the module is told of none.
-            Action::Probe { backend, .. } => {
-                tracing::warn!(backend = backend.0, "the module asked for a probe; nodes make none");
+            Action::Probe { backend } => {
+                // One that has left meanwhile is not on any list that the answer could concern.
+                if let Some(known) = self.backends.get(backend) {
+                    errands.probes.push((backend, known.endpoint));
+                }
             }
             Action::Watch => errands.ask = true,
             Action::Fetch => {
@@ -200,6 +212,7 @@
         let arrival = Arrival {
             request,
             class: ClassId(asked.class),
+            key: asked.key,
             hint: asked.hint,
             repeat: asked.repeat,
             tenant: asked.tenant,
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use brookfield::{
-    BackendId, Discovery, Effect, Event, ListScope, Nanos, Outcome, RequestId, Settings, SettingsError,
+    BackendId, Discovery, Effect, Event, ListScope, Nanos, Outcome, Report, RequestId, Settings,
+    SettingsError,
 };
 use brookfield_settings::Words;
 use tokio::sync::{Notify, oneshot};
@@ -20,6 +21,9 @@
 pub trait Launcher<F: Front> {
     /// Starts an attempt; its end comes back by [`Engine::settled`], exactly once.
     fn launch(&self, engine: &Engine<F>, launch: Launch<F>);
+    /// Asks a backend how it fares; the answer comes back by [`Engine::probed`]. A front whose backends can't be
+    /// asked answers nothing.
+    fn probe(&self, _engine: &Engine<F>, _backend: BackendId, _endpoint: SocketAddr) {}
     /// Drops the idle connections to a backend that has left, moved or started anew.
     fn retire(&self, backend: BackendId);
 }
@@ -143,6 +147,12 @@
         self.call(|driver, errands| driver.hear(Event::Started { request }, errands));
     }
 
+    /// Takes the end of a probe.
+    pub fn probed(&self, backend: BackendId, outcome: Outcome, elapsed: Nanos, report: Report) {
+        let event = Event::Probed { backend, outcome, elapsed, report };
+        self.call(|driver, errands| driver.hear(event, errands));
+    }
+
     /// Takes a list from discovery.
     pub fn fleet(&self, scope: ListScope, list: Vec<Listed>) {
         self.call(|driver, errands| driver.fleet(scope, list, errands));
@@ -186,6 +196,7 @@
         let mut errands = Errands::default();
         let result = call(&mut self.driver.borrow_mut(), &mut errands);
         errands.retired.into_iter().for_each(|backend| self.launcher.retire(backend));
+        errands.probes.into_iter().for_each(|(backend, at)| self.launcher.probe(self, backend, at));
         errands.launches.into_iter().for_each(|launch| self.launcher.launch(self, launch));
         for ticket in errands.moot {
             self.settled(ticket, Ending::bare(Outcome::Moot));
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -62,7 +62,7 @@
 fn asked(budget: Nanos) -> Asked<Plain> {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed).to_string().into();
-    Asked { id, class: 0, tenant: None, hint: None, repeat: false, budget, call: () }
+    Asked { id, class: 0, tenant: None, key: None, hint: None, repeat: false, budget, call: () }
 }
 
 fn reply(waiting: Waiting<Plain>) -> Option<Reply<&'static str>> {
--- a/engine/src/front.rs
+++ b/engine/src/front.rs
@@ -97,6 +97,8 @@
     pub class: u32,
     /// Its tenant.
     pub tenant: Option<u32>,
+    /// What it concerns, as a number drawn from that thing's name ([`brookfield_settings::name_tag`]).
+    pub key: Option<u64>,
     /// Its work, where the client guesses it.
     pub hint: Option<Nanos>,
     /// Marked as a repeat.
--- a/fronts/http/src/server.rs
+++ b/fronts/http/src/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use brookfield::{Effect, Nanos};
+use brookfield_settings::name_tag;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -39,6 +40,8 @@
 const AGAIN: &str = "x-again";
 const COST: &str = "x-call-cost";
 const KEY: &str = "idempotency-key";
+/// The cookie that names what a request concerns.
+const KEY_COOKIE: &str = "user";
 
 /// How far the node is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -223,6 +226,7 @@
     let whole = |name, text: &str| text.parse::<u64>().map_err(|_| BadCall::Unreadable(name));
     let budget = whole(BUDGET, required(headers, BUDGET)?)?;
     let hint = single(headers, COST)?.map(|text| whole(COST, text)).transpose()?;
+    let key = cookie(headers, KEY_COOKIE).map(name_tag);
     let repeat = single(headers, AGAIN)? == Some("1");
     let body = read(node.clock(), body, whole_by).await?;
     if effect == Effect::Repeatable && !body.is_empty() {
@@ -235,6 +239,7 @@
         id: required(headers, CALL_ID)?.into(),
         class,
         tenant,
+        key,
         hint,
         repeat,
         budget: time_left(budget, deadline, spent),
@@ -287,6 +292,15 @@
     single(headers, name)?.ok_or(BadCall::Missing(name))
 }
 
+/// A cookie's value (RFC 6265, chapter 4.2); none where it is not sent or can't be read.
+fn cookie<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let lines = headers.get_all(header::COOKIE).iter().filter_map(|line| line.to_str().ok());
+    lines.flat_map(|line| line.split(';')).find_map(|pair| {
+        let (known, value) = pair.trim().split_once('=')?;
+        (known == name && !value.is_empty()).then_some(value)
+    })
+}
+
 /// The method and the key follow from the class.
 fn check_form(method: &Method, headers: &HeaderMap, effect: Effect) -> Result<(), BadCall> {
     let wanted = if effect == Effect::Repeatable { Method::GET } else { Method::POST };
--- a/fronts/http/src/upstream.rs
+++ b/fronts/http/src/upstream.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
@@ -48,6 +48,11 @@
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// Where a backend tells its load, and how long an answer to that is waited for: one that comes later is older
+/// than the next.
+const LOAD_PATH: &str = "/stats";
+const PROBE_WITHIN: Duration = Duration::from_millis(400);
+
 type Place = (BackendId, SocketAddr);
 
 /// A connection, and what is heard on it.
@@ -131,6 +136,11 @@
         spawn(async move { pool.run(node, launch).await });
     }
 
+    fn probe(&self, node: &Node, backend: BackendId, endpoint: SocketAddr) {
+        let (pool, node) = (self.0.clone(), node.clone());
+        spawn(async move { pool.probe(node, (backend, endpoint)).await });
+    }
+
     fn retire(&self, backend: BackendId) {
         self.0.idle.retain(self.0.clock.now(), |place, _, _| place.0 != backend);
     }
@@ -159,6 +169,50 @@
         }
     }
 
+    /// Asks a backend for its load report, over an idle connection if there is one. Where connections are scarce
+    /// nothing is opened for it: requests need them more.
+    async fn probe(&self, node: Node, place: Place) {
+        let began = self.clock.now();
+        let asked = self.clock.timeout(PROBE_WITHIN, self.ask_load(&node, place)).await;
+        let (outcome, report) = asked.unwrap_or((Outcome::TimedOut, Report::default()));
+        node.probed(place.0, outcome, self.clock.now().saturating_sub(began), report);
+    }
+
+    async fn ask_load(&self, node: &Node, place: Place) -> (Outcome, Report) {
+        let failed = |outcome| (outcome, Report::default());
+        let mut link = match self.take(place) {
+            Some((link, _)) => link,
+            None if self.open.get() >= self.most / 4 * 3 => return failed(Outcome::Moot),
+            None => match self.connect(place.1).await {
+                Some(link) => link,
+                None => return failed(Outcome::ConnectFailed),
+            },
+        };
+        let host = HeaderValue::from_str(&place.1.to_string());
+        let (true, Ok(host)) = (node.serves_at(place.0, place.1), host) else {
+            return failed(Outcome::Moot);
+        };
+        let mut message = Request::new(Full::new(Bytes::new()));
+        *message.uri_mut() = Uri::from_static(LOAD_PATH);
+        message.headers_mut().insert(HOST, host);
+        if link.send.ready().await.is_err() {
+            return failed(Outcome::Moot);
+        }
+        link.heard.listen(&mut message);
+        match link.send.try_send_request(message).await {
+            Ok(response) => {
+                let (ending, whole) = read(response).await;
+                if whole {
+                    self.keep(node, place, link);
+                }
+                let served = ending.outcome == Outcome::Served;
+                let told = ending.answer.filter(|_| served).map(|body| figures(&body));
+                (ending.outcome, told.unwrap_or(ending.report))
+            }
+            Err(error) => failed(broken(error.error())),
+        }
+    }
+
     async fn attempt(&self, node: &Node, launch: &Launch, written: &Cell<bool>) -> Ending {
         let place = (launch.backend, launch.endpoint);
         loop {
@@ -339,11 +393,18 @@
     qps: Option<f64>,
     #[serde(alias = "concurrent")]
     inflight: Option<f64>,
+    #[serde(alias = "mean_ms")]
+    latency_ms: Option<f64>,
 }
 
-/// Reads the load report that an answer carries. One that can't be read says nothing, and harms nothing.
+/// Reads the load report that an answer carries.
 fn load_report(headers: &HeaderMap) -> Report {
-    let text = headers.get("x-load-report").map(HeaderValue::as_bytes).unwrap_or_default();
+    figures(headers.get("x-load-report").map(HeaderValue::as_bytes).unwrap_or_default())
+}
+
+/// Reads a load report. One that can't be read says nothing, and harms nothing.
+fn figures(text: &[u8]) -> Report {
     let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
-    Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight }
+    let service = figures.latency_ms.filter(|ms| *ms >= 0.0).map(|ms| (ms * 1e6) as Nanos);
+    Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight, service }
 }
--- a/fronts/postgres/src/relay.rs
+++ b/fronts/postgres/src/relay.rs
@@ -536,7 +536,7 @@
         };
         self.slot.wanted.set(self.asked);
         let asked: Asked<Postgres> =
-            Asked { id, class, tenant: None, hint: None, repeat: false, budget: deadline, call };
+            Asked { id, class, tenant: None, key: None, hint: None, repeat: false, budget: deadline, call };
         match self.terms.fleet.submit(asked) {
             Some(waiting) => self.waiting = Some(Box::pin(waiting.answer())),
             None => self.handle(Event::Failed),
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -51,6 +51,13 @@
     }
 }
 
+/// A number drawn from a name, the same in every process (FNV-1a, 64 bits).
+pub fn name_tag(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
 /// Names beyond these share one number: lists go on for as long as a node lives, and invent what they like.
 const MOST_NAMES: usize = 1024;
 
@@ -153,6 +160,13 @@
             Some("live") => Weights::Live,
             _ => Weights::Size,
         },
+        reports_by_probe: map.get("report").and_then(|report| report.get("how")).and_then(Value::as_str)
+            == Some("pull"),
+        warm_keys: map
+            .get("family-info")
+            .and_then(|family| family.get("warm-keys"))
+            .and_then(Value::as_bool)
+            .unwrap_or(false),
         limits: Limits {
             attempts: u32::try_from(limits.whole("attempts-cap")?).unwrap_or(u32::MAX),
             second_copies: flag("second-copies"),
--- a/src/api.rs
+++ b/src/api.rs
@@ -145,6 +145,10 @@
     pub discovery: Discovery,
     /// What the list's sizes stand for.
     pub weights: Weights,
+    /// Backends report their load in answers to probes only.
+    pub reports_by_probe: bool,
+    /// A backend that has lately served a key does less work for it.
+    pub warm_keys: bool,
     /// The site's limits.
     pub limits: Limits,
     /// The figures of the rules.
@@ -171,6 +175,8 @@
             over_share_worth: 1.0,
             discovery: Discovery::Pushed,
             weights: Weights::Size,
+            reports_by_probe: false,
+            warm_keys: false,
             limits: Limits { attempts: 3, second_copies: true, probes: false, cancel: true, retry_after: 0 },
             rules: RuleFigures {
                 answer_slack: 20_000_000,
@@ -274,6 +280,8 @@
     pub kind: u32,
     /// Its cell.
     pub cell: u64,
+    /// A number drawn from its name: the same at every node.
+    pub tag: u64,
     /// What it may take.
     pub stage: Stage,
     /// Its size against the others', or what [`Weights`] says; 0 or less counts as 1.
@@ -302,6 +310,8 @@
     pub rate: Option<f64>,
     /// Requests it holds.
     pub in_flight: Option<f64>,
+    /// Its recent service time, without waiting.
+    pub service: Option<Nanos>,
 }
 
 /// How an attempt ended.
@@ -341,6 +351,8 @@
     pub request: RequestId,
     /// Its class.
     pub class: ClassId,
+    /// What it concerns, as a number drawn from that thing's name.
+    pub key: Option<u64>,
     /// How much work to expect, on a standard core.
     pub hint: Option<Nanos>,
     /// The client marks it as a repeat.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,6 +51,7 @@
             return;
         }
         self.refresh_at = self.now + REFRESH + (self.draw() * REFRESH as f64 * 0.1) as Nanos;
+        self.probe(actions);
         self.value_classes();
         self.measure_capacity();
         for zone in &mut self.zones {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -103,6 +103,7 @@
         };
         self.requests.insert(arrival.request, request);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(self.retries_saved());
+        self.earn_probe();
         self.refresh(actions);
         // Guards against jams that feed on their own repeats: what is past its aim, or more than the servers
         // can do in time, is turned away before it costs them anything.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod health;
 mod ledger;
 mod lists;
+mod probing;
 mod state;
 
 pub use api::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -131,6 +131,7 @@
     pub(crate) full_until: Nanos,
     pub(crate) health: Health,
     pub(crate) ejections: u32,
+    pub(crate) probed_at: Nanos,
     pub(crate) cold_sends: VecDeque<(Nanos, f64)>,
     /// Requests held for each core, as the list's live weight told last.
     pub(crate) held: Option<f64>,
@@ -237,6 +238,8 @@
     pub(crate) listed_at: Option<Nanos>,
     pub(crate) list_period: f64,
     pub(crate) share_at: Nanos,
+    /// Probes that the traffic has paid for.
+    pub(crate) probe_tokens: f64,
 }
 
 impl Balancer {
@@ -276,6 +279,7 @@
             listed_at: None,
             list_period: 1.0,
             share_at: 0,
+            probe_tokens: 1.0,
         })
     }
 
--- a/tests/any_sequence.rs
+++ b/tests/any_sequence.rs
@@ -135,6 +135,7 @@
                 Event::Request(Arrival {
                     request,
                     class: ClassId(effect as u32),
+                    key: (draw.below(2) == 0).then(|| draw.below(6)),
                     hint,
                     repeat: false,
                     tenant: None,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -71,7 +71,8 @@
         let request = RequestId(self.next);
         self.next += 1;
         let not_after = self.now + wait;
-        let arrival = Arrival { request, class: ClassId(0), hint: None, repeat, tenant: None, not_after };
+        let arrival =
+            Arrival { request, class: ClassId(0), key: None, hint: None, repeat, tenant: None, not_after };
         (request, self.tell(Event::Request(arrival)))
     }
 
--- a/tests/contract.rs
+++ b/tests/contract.rs
@@ -190,6 +190,7 @@
             node.tell(Event::Request(Arrival {
                 request,
                 class,
+                key: None,
                 hint,
                 repeat: false,
                 tenant: None,
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -161,6 +161,7 @@
     let actions = node.tell(Event::Request(Arrival {
         request,
         class,
+        key: None,
         hint: None,
         repeat: false,
         tenant: None,
@@ -266,6 +267,7 @@
         let arrival = Arrival {
             request,
             class: ClassId(0),
+            key: None,
             hint: None,
             repeat: false,
             tenant: Some(tenant),
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -83,6 +83,7 @@
         let arrival = Arrival {
             request: id,
             class,
+            key: None,
             hint: None,
             repeat: false,
             tenant: None,
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -11,7 +11,7 @@
 use brookfield::{
     Action, Arrival, BackendId, Balancer, ClassId, Event, ListScope, Member, Nanos, RequestId, Settlement,
 };
-use brookfield_settings::{Fields, Words};
+use brookfield_settings::{Fields, Words, name_tag};
 use serde_json::{Value, json};
 use wire::Line;
 
@@ -51,6 +51,7 @@
                 zone: self.words.zone(&entry.zone),
                 kind: self.words.kind(&entry.kind),
                 cell: entry.cell,
+                tag: name_tag(&entry.backend),
                 stage: entry.stage,
                 size: entry.size,
                 online_since: entry.online_since,
@@ -221,6 +222,7 @@
                 Event::Request(Arrival {
                     request: instance.request(name),
                     class: ClassId(class),
+                    key: fields.map.get("key").and_then(Value::as_str).map(name_tag),
                     hint: (options & 1 != 0).then_some(hint),
                     repeat: options & 2 != 0,
                     tenant: instance.words.tenant(fields.map.get("org").and_then(Value::as_str)),
