--- a/fronts/http/src/upstream.rs
+++ b/fronts/http/src/upstream.rs
@@ -393,8 +393,6 @@
     qps: Option<f64>,
     #[serde(alias = "concurrent")]
     inflight: Option<f64>,
-    #[serde(alias = "mean_ms")]
-    latency_ms: Option<f64>,
 }
 
 /// Reads the load report that an answer carries.
@@ -405,6 +403,5 @@
 /// Reads a load report. One that can't be read says nothing, and harms nothing.
 fn figures(text: &[u8]) -> Report {
     let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
-    let service = figures.latency_ms.filter(|ms| *ms >= 0.0).map(|ms| (ms * 1e6) as Nanos);
-    Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight, service }
+    Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -310,8 +310,6 @@
     pub rate: Option<f64>,
     /// Requests it holds.
     pub in_flight: Option<f64>,
-    /// Its recent service time, without waiting.
-    pub service: Option<Nanos>,
 }
 
 /// How an attempt ended.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,6 +22,8 @@
 const WEIGHT_LATENCY: f64 = 0.3;
 /// Spread of the pick's jitter, so that nodes with the same view do not herd.
 const JITTER: f64 = 0.1;
+/// Expected delay at a backend that knows the key, against one that does not.
+const WARM: f64 = 0.5;
 
 impl Balancer {
     fn threshold(&self) -> f64 {
@@ -129,10 +131,18 @@
         self.pick_among(id, zone, subset).or_else(|| self.pick_among(id, zone, u64::MAX))
     }
 
+    /// The backend of a zone that a key goes to first, the same at every node (rendezvous hashing).
+    pub(crate) fn warm_at(&self, key: u64, zone: ZoneId) -> Option<BackendId> {
+        let listed =
+            self.backends.iter().filter(|(_, b)| b.member.zone == zone && b.member.stage == Stage::InService);
+        listed.max_by_key(|(_, b)| mix(b.member.tag ^ key)).map(|(&to, _)| to)
+    }
+
     fn pick_among(&self, id: RequestId, zone: ZoneId, subset: u64) -> Option<BackendId> {
         let (mut best, mut total) = (None, 0.0);
         let request = self.requests.get(&id)?;
         let mut jitter = self.random ^ id.0.wrapping_mul(0xd6e8_feb8_6659_fd93);
+        let warm = request.key.and_then(|key| self.warm_at(key, zone));
         let within = |b: &Backend| b.member.zone == zone && b.lot <= subset;
         for (&to, backend) in self.backends.iter().filter(|(_, b)| within(b)) {
             if !self.usable(backend) || !self.admits(request, backend) || !self.permits(request, backend) {
@@ -159,6 +169,7 @@
             }
             let slowness = backend.slowness(self.now, &self.settings.rules);
             let delay = slowness * backend.load(self.crowd()) * failing * (1.0 + JITTER * chance);
+            let delay = if warm == Some(to) { delay * WARM } else { delay };
             if best.is_none_or(|(least, _)| delay < least) {
                 best = Some((delay, to));
             }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -11,9 +11,9 @@
 const ADMIT_AGAIN: f64 = 1.0;
 /// No queue is let grow longer than this, in expected base times, however wide the aim: past it a machine
 /// loses more to its own crowd than the queue gains, and one that has slowed down keeps its queue.
-const DEEPEST: f64 = 3.5;
+const DEEPEST: f64 = 4.5;
 /// The same in another zone, which has nodes of its own and may have the overflow of several.
-const DEEPEST_AWAY: f64 = 2.2;
+const DEEPEST_AWAY: f64 = 1.5;
 /// An idle backend no slower than this takes one at any expected delay, should base times exceed the aim.
 const IDLE_SLOW: f64 = 1.1;
 /// A backend that reports less use than this has room for what may be late.
@@ -83,17 +83,18 @@
         let slowness = backend.slowness(self.now, &self.settings.rules);
         let stretch = slowness * backend.load(self.crowd());
         let home = backend.member.zone == self.settings.home || self.many();
-        let deepest = if home { DEEPEST } else { DEEPEST_AWAY };
         let view = &self.classes[request.class];
         // With many nodes, all would pile onto the few backends that a late figure shows as free.
         let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
         // Where there is room by its own report, a client with little time takes it from nobody.
         let roomy = backend.util.younger_than(self.now, UTIL_TRUST) && backend.util.value < ROOMY;
+        let deepest = if home { DEEPEST } else { DEEPEST_AWAY };
         let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
         // A repeat that waits for more room than this will be late: nothing is saved by it.
         let share = if request.attempts.is_empty() { ADMIT } else { ADMIT_AGAIN };
-        // A cold one has its own budget.
-        let ramp = backend.ramp(self.now, &self.settings.rules);
-        idle || (stretch <= view.room.min(share * left / view.base) && stretch * ramp <= deepest)
+        // A cold one has its own budget; a fast one's queue is as crowded as another's of that length.
+        let crowded = (slowness * backend.ramp(self.now, &self.settings.rules)).max(1.0);
+        let queue = crowded * backend.load(self.crowd());
+        idle || (stretch <= view.room.min(share * left / view.base) && queue <= deepest)
     }
 }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -92,6 +92,7 @@
         let aim_end = arrival.not_after.min(first + aim);
         let request = Request {
             class,
+            key: arrival.key.filter(|_| self.settings.warm_keys),
             cost,
             // Picking the requests with small hints for a small budget picks the hints that are too low.
             cold_cost: cost.max(view.cost),
@@ -241,11 +242,18 @@
 
     /// Sends what is held as room appears, the worthiest first.
     fn pump(&mut self, actions: &mut Vec<Action>) {
-        let valued = |&id| self.requests.get(&id).map(|r: &Request| (self.classes[r.class].value, id));
-        let mut order: Vec<(f64, RequestId)> = self.held.iter().filter_map(valued).collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let home = self.settings.home;
+        // What a backend with room would serve with less work goes before others of its class.
+        let fits = |r: &Request| {
+            let warm = r.key.and_then(|key| self.warm_at(key, home)).and_then(|to| self.backends.get(&to));
+            warm.is_some_and(|to| self.usable(to) && self.admits(r, to))
+        };
+        let valued =
+            |&id| self.requests.get(&id).map(|r: &Request| (self.classes[r.class].value, fits(r), id));
+        let mut order: Vec<(f64, bool, RequestId)> = self.held.iter().filter_map(valued).collect();
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
         let mut misses = 0;
-        for (_, id) in order {
+        for (_, _, id) in order {
             let sent = self.choose(id).is_some_and(|to| self.send(id, to, actions));
             misses += usize::from(!sent);
             if misses > 8 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -94,6 +94,7 @@
 /// A request that is open, or ended with an attempt still out.
 pub(crate) struct Request {
     pub(crate) class: usize,
+    pub(crate) key: Option<u64>,
     pub(crate) cost: f64,
     pub(crate) cold_cost: f64,
     pub(crate) aim_end: Nanos,
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -42,8 +42,7 @@
     };
     let usage = usage.as_object().ok_or_else(|| fields.wrong("usage"))?;
     let figure = |name: &str| usage.get(name).and_then(Value::as_f64);
-    let service = figure("mean_ms").filter(|ms| *ms >= 0.0).map(|ms| (ms * 1e6) as Nanos);
-    Ok(Report { util: figure("load_share"), rate: figure("tps"), in_flight: figure("concurrent"), service })
+    Ok(Report { util: figure("load_share"), rate: figure("tps"), in_flight: figure("concurrent") })
 }
 
 /// An entry of a list, still in the wire's words.
