--- a/src/gate.rs
+++ b/src/gate.rs
@@ -3,6 +3,7 @@
 
 use crate::api::*;
 use crate::figures::*;
+use crate::health::IDLE_LOAD;
 use crate::state::*;
 
 /// A send is admitted if its expected delay fits into this share of the time left to its aim.
@@ -11,9 +12,7 @@
 const ADMIT_AGAIN: f64 = 1.0;
 /// No queue is let grow longer than this, in expected base times, however wide the aim: past it a machine
 /// loses more to its own crowd than the queue gains, and one that has slowed down keeps its queue.
-const DEEPEST: f64 = 4.5;
-/// The same in another zone, which has nodes of its own and may have the overflow of several.
-const DEEPEST_AWAY: f64 = 1.5;
+const DEEPEST: f64 = 2.8;
 /// An idle backend no slower than this takes one at any expected delay, should base times exceed the aim.
 const IDLE_SLOW: f64 = 1.1;
 /// A backend that reports less use than this has room for what may be late.
@@ -74,6 +73,13 @@
             || (spent == 0.0 && lot <= (budget / request.cold_cost).max(1.0 / self.crowd()))
     }
 
+    /// The longest queue of this node's own requests in another zone: that zone has nodes of its own, and all
+    /// others may send their overflow there together, so these share as much again as home is let have.
+    fn deepest_away(&self) -> f64 {
+        let others = f64::from(self.settings.nodes.saturating_sub(1)).max(1.0);
+        (DEEPEST / others).max(1.0) - 0.5
+    }
+
     /// Whether a send there would be answered in time. Own idleness is no proof: with many nodes, each
     /// sending one to a backend it holds nothing on jams that backend; so only one not known as slow.
     pub(crate) fn admits(&self, request: &Request, backend: &Backend) -> bool {
@@ -88,13 +94,13 @@
         let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
         // Where there is room by its own report, a client with little time takes it from nobody.
         let roomy = backend.util.younger_than(self.now, UTIL_TRUST) && backend.util.value < ROOMY;
-        let deepest = if home { DEEPEST } else { DEEPEST_AWAY };
+        let deepest = if home { DEEPEST } else { self.deepest_away() };
         let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
         // A repeat that waits for more room than this will be late: nothing is saved by it.
         let share = if request.attempts.is_empty() { ADMIT } else { ADMIT_AGAIN };
         // A cold one has its own budget; a fast one's queue is as crowded as another's of that length.
         let crowded = (slowness * backend.ramp(self.now, &self.settings.rules)).max(1.0);
-        let queue = crowded * backend.load(self.crowd());
+        let queue = crowded * (backend.load(self.crowd()) - IDLE_LOAD);
         idle || (stretch <= view.room.min(share * left / view.base) && queue <= deepest)
     }
 }
