--- a/fronts/postgres/src/pool.rs
+++ b/fronts/postgres/src/pool.rs
@@ -77,7 +77,7 @@
 }
 
 /// Transactions that wait for a connection of a server, the worthiest first.
-type Waiting = BTreeMap<(u64, u64), oneshot::Sender<()>>;
+type Waiting = BTreeMap<(u64, u64), oneshot::Sender<Promise>>;
 
 /// What is known of one server.
 #[derive(Default)]
@@ -85,6 +85,8 @@
     open: Cell<usize>,
     logging_in: Cell<usize>,
     waiting: RefCell<Waiting>,
+    /// Waiting transactions that were woken and have not looked yet: what is free is theirs first.
+    promised: Cell<usize>,
     /// How long a transaction holds a connection, smoothed, in nanoseconds.
     hold: Cell<f64>,
     served: Cell<u64>,
@@ -92,15 +94,48 @@
 
 impl Server {
     /// There may be something for the first that waits.
-    fn wake(&self) {
-        let mut waiting = self.waiting.borrow_mut();
-        while let Some((_, first)) = waiting.pop_first() {
-            // One that has given up meanwhile leaves its turn to the next.
-            if first.send(()).is_ok() {
-                return;
+    fn wake(self: &Rc<Self>) {
+        loop {
+            let first = self.waiting.borrow_mut().pop_first();
+            let Some((_, first)) = first else { return };
+            self.promised.set(self.promised.get() + 1);
+            match first.send(Promise(Some(self.clone()))) {
+                Ok(()) => return,
+                // One that has given up meanwhile leaves its turn to the next.
+                Err(promise) => promise.void(),
             }
         }
     }
+
+    /// Whether others come before a transaction that has not waited yet. Without this whoever comes as a
+    /// connection is put back takes it, and those that wait starve.
+    fn others_first(&self, place: (u64, u64)) -> bool {
+        self.promised.get() > 0 || self.waiting.borrow().range(..place).next().is_some()
+    }
+}
+
+/// The first look of a woken transaction at what has come free. Dropped, used or not, it wakes the next one.
+struct Promise(Option<Rc<Server>>);
+
+impl Promise {
+    fn settle(&mut self) -> Option<Rc<Server>> {
+        let server = self.0.take()?;
+        server.promised.set(server.promised.get().saturating_sub(1));
+        Some(server)
+    }
+
+    /// There was nothing: nobody else need look.
+    fn void(mut self) {
+        self.settle();
+    }
+}
+
+impl Drop for Promise {
+    fn drop(&mut self) {
+        if let Some(server) = self.settle() {
+            server.wake();
+        }
+    }
 }
 
 /// A connection's part in the count of its server's.
@@ -233,18 +268,26 @@
         let turn = self.turns.get();
         self.turns.set(turn + 1);
         self.note_warm(key);
+        let mut promise: Option<Promise> = None;
         loop {
             let now = self.clock.now();
-            while let Some((mut link, _)) = self.idle.take(key, now, 0) {
+            let behind = promise.is_none() && server.others_first((rank, turn));
+            while !behind && let Some((mut link, _)) = self.idle.take(key, now, 0) {
                 if link.epoch == self.epoch.get() && now < link.until {
                     link.leased = now;
                     return Ok(link);
                 }
             }
-            if server.open.get() < self.limits.per_server && server.logging_in.get() < self.limits.logins {
+            if !behind
+                && server.open.get() < self.limits.per_server
+                && server.logging_in.get() < self.limits.logins
+            {
+                // Others need not wait for this login.
+                drop(promise.take());
                 return self.log_in(key, &server).await;
             }
-            if server.open.get() >= self.limits.per_server
+            if !behind
+                && server.open.get() >= self.limits.per_server
                 && self.idle.drop_oldest(|other| other.place == key.place)
             {
                 // An idle one of another database or login has made room.
@@ -262,10 +305,11 @@
                 return Err(NoLink::Full("all of the node's connections to it are in use".to_owned()));
             }
             let (free, freed) = oneshot::channel();
+            promise.take().into_iter().for_each(Promise::void);
             server.waiting.borrow_mut().insert((rank, turn), free);
             tokio::select! {
                 biased;
-                _ = freed => {}
+                woken = freed => promise = woken.ok(),
                 () = self.clock.sleep_until(give_up) => {
                     server.waiting.borrow_mut().remove(&(rank, turn));
                     return Err(NoLink::Full("none of its connections came free in time".to_owned()));
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -160,6 +160,7 @@
             Some("live") => Weights::Live,
             _ => Weights::Size,
         },
+        queue_most: Settings::new(ZoneId(0), 1).queue_most,
         reports_by_probe: map.get("report").and_then(|report| report.get("how")).and_then(Value::as_str)
             == Some("pull"),
         warm_keys: map
--- a/src/api.rs
+++ b/src/api.rs
@@ -92,6 +92,11 @@
     Live,
 }
 
+/// No queue is let grow longer than this, however wide the aim, where nothing says how many requests a backend
+/// works on at once: past it a machine loses more to its own crowd than the queue gains, and one that has slowed
+/// down keeps its queue.
+const QUEUE_MOST: f64 = 2.8;
+
 /// Limits that the site sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -147,6 +152,8 @@
     pub weights: Weights,
     /// Backends report their load in answers to probes only.
     pub reports_by_probe: bool,
+    /// Requests of this node's own that one backend may hold for each unit of size, whatever the aim.
+    pub queue_most: f64,
     /// A backend that has lately served a key does less work for it.
     pub warm_keys: bool,
     /// The site's limits.
@@ -176,6 +183,7 @@
             discovery: Discovery::Pushed,
             weights: Weights::Size,
             reports_by_probe: false,
+            queue_most: QUEUE_MOST,
             warm_keys: false,
             limits: Limits { attempts: 3, second_copies: true, probes: false, cancel: true, retry_after: 0 },
             rules: RuleFigures {
@@ -230,6 +238,9 @@
         if !self.tenants.iter().all(|&quota| rate(quota)) {
             return fail("tenants", "must be finite and not negative");
         }
+        if !rate(self.queue_most) {
+            return fail("queue_most", "must be finite and not negative");
+        }
         if !rate(self.over_share_worth) {
             return fail("over_share_worth", "must be finite and not negative");
         }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -10,9 +10,6 @@
 pub(crate) const ADMIT: f64 = 0.6;
 /// The same for a repeat within the node: its time is nearly up, and its work is half done.
 const ADMIT_AGAIN: f64 = 1.0;
-/// No queue is let grow longer than this, in expected base times, however wide the aim: past it a machine
-/// loses more to its own crowd than the queue gains, and one that has slowed down keeps its queue.
-const DEEPEST: f64 = 2.8;
 /// An idle backend no slower than this takes one at any expected delay, should base times exceed the aim.
 const IDLE_SLOW: f64 = 1.1;
 /// A backend that reports less use than this has room for what may be late.
@@ -77,7 +74,7 @@
     /// others may send their overflow there together, so these share as much again as home is let have.
     fn deepest_away(&self) -> f64 {
         let others = f64::from(self.settings.nodes.saturating_sub(1)).max(1.0);
-        (DEEPEST / others).max(1.0) - 0.5
+        (self.settings.queue_most / others).max(1.0) - 0.5
     }
 
     /// Whether a send there would be answered in time. Own idleness is no proof: with many nodes, each
@@ -94,7 +91,7 @@
         let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
         // Where there is room by its own report, a client with little time takes it from nobody.
         let roomy = backend.util.younger_than(self.now, UTIL_TRUST) && backend.util.value < ROOMY;
-        let deepest = if home { DEEPEST } else { self.deepest_away() };
+        let deepest = if home { self.settings.queue_most } else { self.deepest_away() };
         let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
         // A repeat that waits for more room than this will be late: nothing is saved by it.
         let share = if request.attempts.is_empty() { ADMIT } else { ADMIT_AGAIN };
