Rehearse crowded servers: they slow down, tell load to probes only; scene crowded

The stand-in server can slow down once crowded until it has rested, answers probes where the scene says so, and the scene crowded asks a third more than five zones can do.

--- a/kit/rehearsal/src/process.rs
+++ b/kit/rehearsal/src/process.rs
@@ -375,10 +375,11 @@
                 "deadline-ns": class.deadline_ms.get_ref() * MS})
         })
         .collect();
-    let settings = json!({"az": own.zone, "zones": zones, "n-instances": scene.node.len(),
+    let by_probe = scene.reports == crate::scene::Reports::Probes;
+    let settings = json!({"report": {"how": if by_probe { "pull" } else { "piggyback" }}, "az": own.zone, "zones": zones, "n-instances": scene.node.len(),
         "discovery": "pushed", "classes": classes, "goal": {}, "callers": {"marks-retry": true},
         "policy-limits": {"attempts-cap": rules.attempts, "may-cancel": true, "second-copies": true,
-            "probes": false, "retry-after": true, "max-retry-after-ns": 1000 * MS},
+            "probes": by_probe, "retry-after": true, "max-retry-after-ns": 1000 * MS},
         "rules": {"answer-slack-ns": rules.answer_slack_ms * MS, "drain-grace-ns": rules.drain_grace_ms * MS,
             "fall-ns": rules.fall_ms * MS, "start-capacity": rules.start_share,
             "tip-multiple": rules.tip_multiple, "warm-after-ns": rules.warm_ms * MS}});
--- a/kit/rehearsal/src/scene.rs
+++ b/kit/rehearsal/src/scene.rs
@@ -13,9 +13,10 @@
 use crate::{MS, Nanos};
 
 /// The scenes that are shipped, by name.
-pub const SHIPPED: [(&str, &str); 7] = [
+pub const SHIPPED: [(&str, &str); 8] = [
     ("calm", include_str!("../scenes/calm.toml")),
     ("cold-start", include_str!("../scenes/cold-start.toml")),
+    ("crowded", include_str!("../scenes/crowded.toml")),
     ("discovery-down", include_str!("../scenes/discovery-down.toml")),
     ("drain", include_str!("../scenes/drain.toml")),
     ("night", include_str!("../scenes/night.toml")),
@@ -45,6 +46,9 @@
     pub class: Vec<Class>,
     /// The clients.
     pub clients: Clients,
+    /// How servers tell their load.
+    #[serde(default)]
+    pub reports: Reports,
     /// The server list.
     #[serde(default)]
     pub discovery: Discovery,
@@ -98,6 +102,33 @@
     pub queue: usize,
     /// When it starts, cold; left out, it started long ago.
     pub starts_ms: Option<u64>,
+    /// How it slows down once crowded; left out, it doesn't.
+    pub choke: Option<Choke>,
+}
+
+/// How a server slows down.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Choke {
+    /// With so many requests waiting ...
+    pub waiting: usize,
+    /// ... for so long ...
+    pub over_ms: Spanned<u64>,
+    /// ... it is so many times slower ...
+    pub slower: Spanned<f64>,
+    /// ... until it has been mostly idle for so long.
+    pub rest_ms: Spanned<u64>,
+}
+
+/// How servers tell their load.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reports {
+    /// With each answer.
+    #[default]
+    Answers,
+    /// To probes only.
+    Probes,
 }
 
 fn one() -> Spanned<f64> {
@@ -431,6 +462,14 @@
     for server in &scene.server {
         let speed = &server.speed;
         within(speed.span(), (0.001..=1000.0).contains(speed.get_ref()), "from 0.001 to 1000")?;
+        if let Some(choke) = &server.choke {
+            let slower = &choke.slower;
+            within(slower.span(), (1.0..=1000.0).contains(slower.get_ref()), "from 1 to 1000")?;
+            let spans = [&choke.over_ms, &choke.rest_ms];
+            for span in spans {
+                within(span.span(), *span.get_ref() <= MOST_MS, "from 0 to 3600000")?;
+            }
+        }
     }
     let names = |names: Vec<&Spanned<String>>| {
         let mut seen = BTreeSet::new();
--- a/kit/rehearsal/src/world.rs
+++ b/kit/rehearsal/src/world.rs
@@ -15,7 +15,7 @@
 use badgerpost_standins::discovery::{Discovery, State};
 use badgerpost_standins::message::{Inbox, Side};
 use badgerpost_standins::net::{ConnId, Happening, Net};
-use badgerpost_standins::server::{Figures, Server};
+use badgerpost_standins::server::{Choke, Figures, Server};
 
 use crate::outcome::Ended;
 use crate::plan::Plan;
@@ -48,6 +48,12 @@
                 tip_multiple: rules.tip_multiple,
                 fall_span: rules.fall_ms * MS,
                 report_period: REPORT_PERIOD,
+                choke: server.choke.as_ref().map(|choke| Choke {
+                    waiting: choke.waiting,
+                    over: choke.over_ms.get_ref() * MS,
+                    slower: *choke.slower.get_ref(),
+                    rest: choke.rest_ms.get_ref() * MS,
+                }),
             };
             let up = server.starts_ms.is_none();
             if !up {
--- a/kit/rehearsal/src/world/servers.rs
+++ b/kit/rehearsal/src/world/servers.rs
@@ -10,7 +10,7 @@
 use super::stage::*;
 use crate::MS;
 use crate::outcome::{Attempt, Ended, Scope};
-use crate::scene::Trouble;
+use crate::scene::{Reports, Trouble};
 
 /// What a server answers where it is spoilt.
 const NOISE: &[u8] = b"HTTP/1.1 2x0 \x01\x02\r\n\r\n";
@@ -34,6 +34,9 @@
     }
 
     pub(super) fn serve(&mut self, conn: ConnId, server: usize, message: &Message) {
+        if message.target == "/stats" {
+            return self.tell_load(conn, server);
+        }
         let id = message.value("x-call-id").unwrap_or_default().to_owned();
         let request = self.ids.get(&id).copied();
         if request.is_none() {
@@ -140,7 +143,27 @@
         repeat
     }
 
+    /// Answers a probe beside the queue; one to a server that is paused, or says nothing, stays unanswered.
+    fn tell_load(&mut self, conn: ConnId, server: usize) {
+        let silent = self.sites[server].trouble(|trouble| *trouble == Trouble::Hang).is_some();
+        if silent || self.sites[server].paused() {
+            return;
+        }
+        let told = self.plan.scene.scene.reports == Reports::Probes;
+        let bytes = if told {
+            let util = self.sites[server].model.util(self.now);
+            message::answer(200, "", format!("{{\"util\":{util:.4}}}").as_bytes())
+        } else {
+            message::answer(404, "", b"")
+        };
+        let (attempt, ended, resets) = (None, Ended::Served, false);
+        self.at(self.now, Todo::Answer(Box::new(Sending { conn, attempt, bytes, ended, resets })));
+    }
+
     pub(super) fn report(&mut self, server: usize, more: &str) -> String {
+        if self.plan.scene.scene.reports == Reports::Probes {
+            return more.to_owned();
+        }
         let util = self.sites[server].model.util(self.now);
         format!("X-Load-Report: {{\"util\":{util:.4}}}\r\n{more}")
     }
--- a/kit/standins/src/server.rs
+++ b/kit/standins/src/server.rs
@@ -25,6 +25,21 @@
     pub fall_span: Nanos,
     /// How often its load report is refreshed.
     pub report_period: Nanos,
+    /// How it slows down once too many requests wait in it, if it does.
+    pub choke: Option<Choke>,
+}
+
+/// A server that has been crowded for a while works more slowly, until it has been mostly idle for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct Choke {
+    /// With so many waiting, or more ...
+    pub waiting: usize,
+    /// ... for so long, it chokes.
+    pub over: Nanos,
+    /// Its speed is divided by this from then on ...
+    pub slower: f64,
+    /// ... until nothing has waited, and a quarter of its slots at most were in use, for so long.
+    pub rest: Nanos,
 }
 
 /// What became of a request that was offered.
@@ -50,6 +65,9 @@
     /// Work that was sent while it was cold, and when.
     sent: VecDeque<(Nanos, Nanos)>,
     fallen: bool,
+    choked: bool,
+    /// Since when it is crowded, or, once choked, mostly idle.
+    since: Option<Nanos>,
     /// Slot time used since the report was refreshed last, up to `counted`.
     used: Nanos,
     counted: Nanos,
@@ -67,6 +85,8 @@
             waiting: VecDeque::new(),
             sent: VecDeque::new(),
             fallen: false,
+            choked: false,
+            since: None,
             used: 0,
             counted: now,
             refreshed: now,
@@ -84,6 +104,27 @@
         self.fallen
     }
 
+    /// Whether it is slow from having been crowded.
+    pub fn is_choked(&self) -> bool {
+        self.choked
+    }
+
+    /// Looks whether it has been crowded, or choked and mostly idle, for long enough by now.
+    fn watch_crowd(&mut self, now: Nanos) {
+        let Some(choke) = self.figures.choke else { return };
+        let (goes_on, span) = if self.choked {
+            (self.waiting.is_empty() && self.running.len() <= self.figures.slots / 4, choke.rest)
+        } else {
+            (self.waiting.len() >= choke.waiting, choke.over)
+        };
+        let since = *self.since.get_or_insert(now);
+        if !goes_on {
+            self.since = None;
+        } else if now.saturating_sub(since) >= span {
+            (self.choked, self.since) = (!self.choked, None);
+        }
+    }
+
     /// Its speed at this time.
     fn speed(&self, now: Nanos) -> f64 {
         let Figures { speed, cold_share, warm_after, .. } = self.figures;
@@ -91,7 +132,7 @@
             let age = now.saturating_sub(booted) as f64 / warm_after.max(1) as f64;
             (cold_share + (1.0 - cold_share) * age).clamp(0.001, 1.0)
         });
-        speed * warmth
+        speed * warmth / self.figures.choke.filter(|_| self.choked).map_or(1.0, |choke| choke.slower)
     }
 
     fn is_cold(&self, now: Nanos) -> bool {
@@ -109,6 +150,7 @@
     /// A request of so much work, in nanoseconds on a standard server, under a number of the caller's.
     pub fn offer(&mut self, now: Nanos, ticket: u64, work: Nanos) -> Offer {
         self.count(now);
+        self.watch_crowd(now);
         if self.is_cold(now) {
             self.sent.push_back((now, work));
             let span = self.figures.fall_span;
@@ -129,6 +171,7 @@
         } else {
             return Offer::TurnedAway;
         }
+        self.watch_crowd(now);
         Offer::Taken
     }
 
@@ -146,10 +189,12 @@
     pub fn take_done(&mut self, now: Nanos) -> Option<u64> {
         let (at, ticket) = *self.running.first().filter(|(at, _)| *at <= now)?;
         self.count(at);
+        self.watch_crowd(at);
         self.running.remove(&(at, ticket));
         if let Some((next, work)) = self.waiting.pop_front() {
             self.begin(at, next, work);
         }
+        self.watch_crowd(at);
         Some(ticket)
     }
 
@@ -187,7 +232,40 @@
             tip_multiple: 2.0,
             fall_span: 1000 * MS,
             report_period: 100 * MS,
+            choke: None,
+        }
+    }
+
+    #[test]
+    fn a_crowded_server_slows_down_until_it_has_rested() {
+        let choke = Choke { waiting: 3, over: 50 * MS, slower: 2.0, rest: 200 * MS };
+        let mut server =
+            Server::new(Figures { queue: 9, speed: 1.0, choke: Some(choke), ..figures() }, None, 0);
+        let work = |server: &mut Server, until: Nanos, waits: usize| {
+            let mut ticket = until;
+            for now in (until - 100 * MS..until).step_by(MS as usize) {
+                while server.take_done(now).is_some() {}
+                while server.waiting.len() < waits {
+                    ticket += 1;
+                    assert_eq!(server.offer(now, ticket, 10 * MS), Offer::Taken);
+                }
+            }
+            server.is_choked()
+        };
+        assert!(!work(&mut server, 100 * MS, 2), "two wait: no crowd");
+        assert!(work(&mut server, 200 * MS, 6), "three or more wait for 50 ms");
+        // Work goes on at half the speed, and the crowd's end alone does not help.
+        server.offer(200 * MS, 7, 10 * MS);
+        assert!(work(&mut server, 300 * MS, 1), "still in use");
+        while let Some(next) = server.next_done() {
+            assert!(server.take_done(next).is_some());
         }
+        let idle = 300 * MS + 100 * MS;
+        server.offer(idle, 8, 10 * MS);
+        assert_eq!(server.next_done(), Some(idle + 20 * MS), "half the speed");
+        server.take_done(idle + 20 * MS);
+        server.offer(idle + 230 * MS, 9, 10 * MS);
+        assert!(!server.is_choked() && server.next_done() == Some(idle + 240 * MS));
     }
 
     #[test]
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -85,13 +85,17 @@
         let left = end.saturating_sub(self.now) as f64;
         let slowness = backend.slowness(self.now, &self.settings.rules);
         let stretch = slowness * backend.load(self.crowd());
-        let home = backend.member.zone == self.settings.home || self.many();
         let view = &self.classes[request.class];
         // With many nodes, all would pile onto the few backends that a late figure shows as free.
         let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
         // Where there is room by its own report, a client with little time takes it from nobody.
         let roomy = backend.util.younger_than(self.now, UTIL_TRUST) && backend.util.value < ROOMY;
-        let deepest = if home { self.settings.queue_most } else { self.deepest_away() };
+        let deepest = match backend.member.zone == self.settings.home {
+            // There own requests say nothing of a queue, and what is taken in at all is bounded.
+            _ if self.many() => f64::INFINITY,
+            true => self.settings.queue_most,
+            false => self.deepest_away(),
+        };
         let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
         // A repeat that waits for more room than this will be late: nothing is saved by it.
         let share = if request.attempts.is_empty() { ADMIT } else { ADMIT_AGAIN };
