Operators' calls, figures, a drain, and a second process beside the first

Design. fronts/console listens on a thread and runtime of its own and reads published atomics: a call never waits for the serving thread. Counts are made where the thing happens: ends in the engine's finish, attempts where the connection has flushed them.

Ruled out as cause of the lost requests at a drain: readiness (it was never told).

--- /dev/null
+++ b/cores/lifecycle/src/lib.rs
@@ -0,0 +1,240 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! A node's way into and out of service: active, emptied by its operators, stopping, closed. One state that readiness,
+//! the client side and the process's end all read; no flags beside it. It does no I/O and knows no clock: what has to
+//! happen later is asked for with [`Step::wake`] and comes back as [`Event::Due`].
+
+use std::time::Duration;
+
+/// After a call to stand by, as after SIGTERM, new connections go on coming for a while (0.4 s at most, by the
+/// platform's protocol), and those who have one send what they had begun to write: up to here.
+const STILL_TAKES: Duration = Duration::from_millis(500);
+/// Connections that cross the closing of idle ones are taken up to here after that.
+const LAST_ONES: Duration = Duration::from_millis(100);
+
+/// Where a node stands. The order is that of the way out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// In service.
+    #[default]
+    Active,
+    /// Told to stand by: takes what comes, and each answer ends its connection.
+    Draining,
+    /// Standing by: idle connections are closed too. It may be called back.
+    Empty,
+    /// Told to end: takes what comes, and each answer ends its connection.
+    Stopping,
+    /// About to end: idle connections are closed too, new ones are still taken.
+    Closing,
+    /// Takes no more connections, and ends with the last one.
+    Closed,
+}
+
+impl Stage {
+    /// Whether the node is to get new connections.
+    pub fn is_ready(self) -> bool {
+        self == Self::Active
+    }
+
+    /// Whether a connection may outlast its answer.
+    pub fn keeps_connections(self) -> bool {
+        self == Self::Active
+    }
+
+    /// Whether connections with nothing on them are closed.
+    pub fn closes_idle(self) -> bool {
+        matches!(self, Self::Empty | Self::Closing | Self::Closed)
+    }
+
+    /// Whether new connections are taken.
+    pub fn accepts(self) -> bool {
+        self != Self::Closed
+    }
+}
+
+/// What a node is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Operators want it emptied.
+    Standby,
+    /// Operators want it back.
+    Active,
+    /// The process is to end.
+    Stop,
+    /// Another process takes what comes at the same listening socket from now on, or does so no longer.
+    Shared(bool),
+    /// The time that [`Step::wake`] asked for is over.
+    Due(u64),
+}
+
+/// What an event has led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Where the node stands now.
+    pub stage: Stage,
+    /// Whether what was asked for holds: false for a call that comes too late.
+    pub granted: bool,
+    /// Come back after so long with this number.
+    pub wake: Option<(Duration, u64)>,
+}
+
+/// The state machine.
+#[derive(Clone, Debug, Default)]
+pub struct Lifecycle {
+    stage: Stage,
+    /// The wake-up that counts; older ones are of a stage that has been left.
+    token: u64,
+    shared: bool,
+}
+
+impl Lifecycle {
+    /// A node in service.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Where the node stands.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Takes in what the node is told. Calls that ask for what is so already change nothing and are granted.
+    pub fn handle(&mut self, event: Event) -> Step {
+        use Stage::{Active, Closed, Closing, Draining, Empty, Stopping};
+        let stage = self.stage;
+        match event {
+            Event::Standby if stage == Active => self.enter(Draining, Some(STILL_TAKES)),
+            // Whoever ends is empty soon, which is what was asked for.
+            Event::Standby => self.stay(true),
+            Event::Active if matches!(stage, Draining | Empty) => self.enter(Active, None),
+            Event::Active => self.stay(stage == Active),
+            // Also out of a drain: the platform sends connections for a while after the signal as after the call.
+            Event::Stop if stage < Stopping => self.enter(Stopping, Some(STILL_TAKES)),
+            Event::Stop => self.stay(true),
+            Event::Shared(shared) => {
+                self.shared = shared;
+                self.stay(true)
+            }
+            Event::Due(token) if token != self.token => self.stay(true),
+            Event::Due(_) => match stage {
+                Draining => self.enter(Empty, None),
+                Stopping => self.enter(Closing, Some(LAST_ONES)),
+                Closing => self.enter(Closed, None),
+                Active | Empty | Closed => self.stay(true),
+            },
+        }
+    }
+
+    /// Whether this process takes new connections: one that ends and has a successor at the same socket leaves them
+    /// to it at once.
+    pub fn accepts(&self) -> bool {
+        self.stage.accepts() && !(self.shared && self.stage >= Stage::Stopping)
+    }
+
+    fn enter(&mut self, stage: Stage, after: Option<Duration>) -> Step {
+        self.stage = stage;
+        self.token += 1;
+        Step { stage, granted: true, wake: after.map(|after| (after, self.token)) }
+    }
+
+    fn stay(&self, granted: bool) -> Step {
+        Step { stage: self.stage, granted, wake: None }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn due(step: Step) -> Event {
+        Event::Due(step.wake.expect("a wake-up").1)
+    }
+
+    #[test]
+    fn a_drain_empties_the_node_and_ends_when_called_back() {
+        let mut life = Lifecycle::new();
+        let first = life.handle(Event::Standby);
+        assert_eq!((first.stage, first.granted), (Stage::Draining, true));
+        assert!(!first.stage.is_ready() && first.stage.accepts() && !first.stage.closes_idle());
+        assert_eq!(
+            life.handle(Event::Standby),
+            Step { wake: None, ..first },
+            "again: the same, and no second wait"
+        );
+        assert!(life.handle(due(first)).stage.closes_idle());
+        assert!(life.accepts(), "what still comes is served");
+        assert_eq!(life.handle(Event::Active).stage, Stage::Active);
+        assert!(life.handle(Event::Active).granted);
+    }
+
+    /// Guards against a drain that goes on after its end: the first one's wake-up would close idle connections early.
+    #[test]
+    fn a_wake_up_of_a_stage_that_was_left_changes_nothing() {
+        let mut life = Lifecycle::new();
+        let first = life.handle(Event::Standby);
+        life.handle(Event::Active);
+        assert_eq!(life.handle(due(first)).stage, Stage::Active);
+        let second = life.handle(Event::Standby);
+        assert_eq!(life.handle(due(first)).stage, Stage::Draining);
+        assert_eq!(life.handle(due(second)).stage, Stage::Empty);
+    }
+
+    #[test]
+    fn a_stop_goes_on_whatever_is_called_meanwhile() {
+        for before in [&[][..], &[Event::Standby], &[Event::Standby, Event::Due(1)]] {
+            let mut life = Lifecycle::new();
+            for event in before {
+                life.handle(*event);
+            }
+            let stop = life.handle(Event::Stop);
+            assert_eq!(stop.stage, Stage::Stopping);
+            assert!(life.handle(Event::Standby).granted, "it empties itself");
+            assert!(!life.handle(Event::Active).granted, "too late");
+            assert_eq!(life.handle(Event::Stop).wake, None);
+            let closing = life.handle(due(stop));
+            assert_eq!(closing.stage, Stage::Closing);
+            assert_eq!(life.handle(due(closing)).stage, Stage::Closed);
+            assert!(!life.handle(Event::Active).granted);
+        }
+    }
+
+    #[test]
+    fn new_connections_are_left_to_a_successor_as_long_as_there_is_one() {
+        let mut life = Lifecycle::new();
+        life.handle(Event::Shared(true));
+        assert!(life.accepts(), "both take them");
+        life.handle(Event::Stop);
+        assert!(!life.accepts());
+        life.handle(Event::Shared(false));
+        assert!(life.accepts(), "it has died: nobody else takes what comes");
+    }
+
+    proptest! {
+        /// Whatever is told in whatever order: the way out has no way back, a node in service waits for nothing, and
+        /// each stage that is passed through asks for the wake-up by which it ends.
+        #[test]
+        fn any_order_of_events_keeps_to_the_way_out(events in prop::collection::vec((0u8..5, 0u64..8), 0..40)) {
+            let mut life = Lifecycle::new();
+            for (kind, token) in events {
+                let before = life.stage();
+                let event = match kind {
+                    0 => Event::Standby,
+                    1 => Event::Active,
+                    2 => Event::Stop,
+                    3 => Event::Shared(token % 2 == 0),
+                    _ => Event::Due(token),
+                };
+                let step = life.handle(event);
+                prop_assert_eq!(step.stage, life.stage());
+                if before >= Stage::Stopping {
+                    prop_assert!(step.stage >= before);
+                }
+                let passes = matches!(step.stage, Stage::Draining | Stage::Stopping | Stage::Closing);
+                prop_assert_eq!(step.wake.is_some(), step.stage != before && passes);
+                prop_assert_eq!(step.stage.is_ready(), step.stage == Stage::Active);
+            }
+        }
+    }
+}
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -36,6 +36,11 @@
         self.known.get(&id)
     }
 
+    /// How many are on the list.
+    pub(crate) fn len(&self) -> usize {
+        self.known.len()
+    }
+
     /// All that are in service, by number.
     pub(crate) fn in_service(&self) -> Vec<(BackendId, SocketAddr)> {
         let serving = self.known.iter().filter(|(_, known)| known.draining_since.is_none());
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use brookfield::{
     Action, Arrival, BackendId, Balancer, ClassId, Event, ListScope, Nanos, Notice, Outcome, RequestId,
@@ -17,6 +18,7 @@
 use crate::call_ids::CallIds;
 use crate::clock::Clock;
 use crate::front::{Asked, Ending, Front, Launch, Listed, Reply, Ticket};
+use crate::tally::{End, Tally};
 use crate::timers::{Due, Timers};
 
 /// How long past a request's end the driver waits for the module before it answers by itself: longer than
@@ -33,6 +35,7 @@
 pub(crate) struct Open<F: Front> {
     pub(crate) reply: Option<oneshot::Sender<Reply<F::Answer>>>,
     pub(crate) call: Rc<F::Call>,
+    pub(crate) class: u32,
     pub(crate) id: Box<str>,
     pub(crate) not_after: Nanos,
     /// Attempts by number; none where settled.
@@ -52,6 +55,9 @@
     pub(crate) next_request: u64,
     pub(crate) backends: Backends,
     pub(crate) timers: Timers,
+    pub(crate) tally: Arc<Tally>,
+    /// Discovery has told of the servers.
+    pub(crate) heard: bool,
     /// Set by the module's wish for the whole list.
     pub(crate) whole_list: bool,
 }
@@ -92,6 +98,7 @@
         Ok(Self {
             balancer: Balancer::new(settings.clone(), seed, clock.now())?,
             clock,
+            tally: Arc::new(Tally::new(words.class_names())),
             settings,
             words,
             requests: HashMap::new(),
@@ -99,6 +106,7 @@
             next_request: 0,
             backends: Backends::default(),
             timers: Timers::default(),
+            heard: false,
             whole_list: false,
         })
     }
@@ -206,8 +214,10 @@
         self.next_request += 1;
         let not_after = self.clock.now().saturating_add(asked.budget);
         let (call, reply) = (Rc::new(asked.call), Some(reply));
-        let open = Open { reply, call, id: asked.id, not_after, attempts: Vec::new(), ended: false };
+        let (class, attempts) = (asked.class, Vec::new());
+        let open = Open { reply, call, class, id: asked.id, not_after, attempts, ended: false };
         self.requests.insert(request, open);
+        self.tally.took();
         self.set_timer(not_after.saturating_add(BACKSTOP), Due::Backstop(request), errands);
         let arrival = Arrival {
             request,
@@ -255,8 +265,14 @@
     fn finish(&mut self, request: RequestId, reply: Reply<F::Answer>) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         if let Some(sender) = open.reply.take() {
+            let end = match reply {
+                Reply::Served(_) => End::Answered,
+                Reply::Refused(_) => End::Deferred,
+                Reply::Failed => End::Errored,
+            };
             // The client may have gone in this very moment.
-            let _ = sender.send(reply);
+            let told = sender.send(reply).is_ok();
+            self.tally.ended(open.class, told.then_some(end));
         }
         open.ended = true;
         self.timers.clear(open.not_after.saturating_add(BACKSTOP), Due::Backstop(request));
@@ -294,8 +310,15 @@
         }
     }
 
+    /// Tells the tally how many servers are listed, and how many of them the module avoids now.
+    pub(crate) fn count_servers(&self) {
+        let avoided = self.balancer.avoided(self.clock.now());
+        self.tally.servers(self.backends.len() as u64, avoided as u64);
+    }
+
     pub(crate) fn fleet(&mut self, scope: ListScope, list: Vec<Listed>, errands: &mut Errands<F>) {
         let now = self.clock.now();
+        self.heard |= scope != ListScope::Cached;
         let left = self.backends.leaving(scope, &list);
         let Self { backends, words, .. } = self;
         let members =
@@ -303,5 +326,6 @@
         let members = members.collect();
         self.hear(Event::Fleet { scope, members }, errands);
         errands.retired.extend(left.iter().filter_map(|uid| self.backends.forget(uid)));
+        self.count_servers();
     }
 }
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use brookfield::{
@@ -16,6 +17,7 @@
 use crate::clock::Clock;
 use crate::driver::{Driver, Errands};
 use crate::front::{Asked, Ending, Front, Launch, Listed, Reply, Ticket, UnknownTenant};
+use crate::tally::Tally;
 
 /// Carries out on the network what the module asks for.
 pub trait Launcher<F: Front> {
@@ -69,6 +71,21 @@
         &self.clock
     }
 
+    /// What is counted here, for any thread to read.
+    pub fn tally(&self) -> Arc<Tally> {
+        self.driver.borrow().tally.clone()
+    }
+
+    /// Brings the tally's figures of the servers up to date: which of them are avoided changes with time alone.
+    pub fn count_servers(&self) {
+        self.driver.borrow().count_servers();
+    }
+
+    /// Whether discovery has told of the servers since the start.
+    pub fn has_list(&self) -> bool {
+        self.driver.borrow().heard
+    }
+
     /// A class's number, time limit and effect, or none where the settings do not list it.
     pub fn class(&self, name: &str) -> Option<(u32, Nanos, Effect)> {
         let driver = self.driver.borrow();
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -14,6 +14,7 @@
 mod log_limiter;
 mod open_count;
 pub mod progress;
+mod tally;
 mod timers;
 
 pub use clock::{Clock, Elapsed, Sleep, Stepped, nanos};
@@ -23,3 +24,4 @@
 pub use log_limiter::LogLimiter;
 pub use open_count::{OpenCount, Opened};
 pub use progress::spawn;
+pub use tally::{ClassCounts, End, Tally};
--- /dev/null
+++ b/engine/src/tally.rs
@@ -0,0 +1,111 @@
+//! What an engine counts for its operators, readable from any thread while the engine works: each number is counted
+//! where the thing happens, so that nobody has to ask the serving thread.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// How requests of a class have ended.
+#[derive(Debug, Default)]
+struct Ends {
+    answered: AtomicU64,
+    deferred: AtomicU64,
+    errored: AtomicU64,
+}
+
+/// How a request has ended, as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served, to the last byte.
+    Answered,
+    /// Refused.
+    Deferred,
+    /// Failed.
+    Errored,
+}
+
+/// The ends of a class's requests so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Requests served.
+    pub answered: u64,
+    /// Requests refused.
+    pub deferred: u64,
+    /// Requests failed.
+    pub errored: u64,
+}
+
+/// The counts of one engine since its start.
+#[derive(Debug)]
+pub struct Tally {
+    classes: Vec<(String, Ends)>,
+    sends: AtomicU64,
+    current: AtomicU64,
+    listed: AtomicU64,
+    avoided: AtomicU64,
+}
+
+impl Tally {
+    /// Counts for these classes, by their numbers.
+    pub fn new(classes: Vec<String>) -> Self {
+        let classes = classes.into_iter().map(|name| (name, Ends::default())).collect();
+        let zero = AtomicU64::default;
+        Self { classes, sends: zero(), current: zero(), listed: zero(), avoided: zero() }
+    }
+
+    /// A request has been taken.
+    pub fn took(&self) {
+        self.current.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// A request that was taken has ended; with no `end` its client has gone.
+    pub fn ended(&self, class: u32, end: Option<End>) {
+        self.current.fetch_sub(1, Ordering::Relaxed);
+        end.into_iter().for_each(|end| self.count(class, end));
+    }
+
+    /// A request was answered without having been taken.
+    pub fn count(&self, class: u32, end: End) {
+        let Some((_, ends)) = self.classes.get(class as usize) else { return };
+        let count = match end {
+            End::Answered => &ends.answered,
+            End::Deferred => &ends.deferred,
+            End::Errored => &ends.errored,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// An attempt has been written whole.
+    pub fn sent(&self) {
+        self.sends.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// So many servers are on the list, and so many of them are avoided now.
+    pub fn servers(&self, listed: u64, avoided: u64) {
+        self.listed.store(listed, Ordering::Relaxed);
+        self.avoided.store(avoided, Ordering::Relaxed);
+    }
+
+    /// The classes' counts, by name.
+    pub fn classes(&self) -> impl Iterator<Item = (&str, ClassCounts)> {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        self.classes.iter().map(move |(name, ends)| {
+            let (answered, deferred, errored) =
+                (read(&ends.answered), read(&ends.deferred), read(&ends.errored));
+            (name.as_str(), ClassCounts { answered, deferred, errored })
+        })
+    }
+
+    /// Attempts written whole.
+    pub fn sends(&self) -> u64 {
+        self.sends.load(Ordering::Relaxed)
+    }
+
+    /// Requests taken and not ended.
+    pub fn current(&self) -> u64 {
+        self.current.load(Ordering::Relaxed)
+    }
+
+    /// Servers on the list, and those of them that are avoided.
+    pub fn fleet(&self) -> (u64, u64) {
+        (self.listed.load(Ordering::Relaxed), self.avoided.load(Ordering::Relaxed))
+    }
+}
--- a/fronts/http/src/server.rs
+++ b/fronts/http/src/server.rs
@@ -1,5 +1,6 @@
 //! The clients' side: takes connections, reads requests, waits for each one's final answer and writes it.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::time::Duration;
@@ -17,7 +18,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use badgerpost_engine::{Asked, Clock, LogLimiter, Reply, spawn};
+use badgerpost_engine::{Asked, Clock, End, LogLimiter, Reply, spawn};
+use badgerpost_lifecycle::Stage;
 
 use crate::slots::{RequestTracker, Slot, SlotGuard, Slots};
 use crate::tap::Tap;
@@ -25,6 +27,8 @@
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How often a new connection is looked at while idle ones are to end.
+const STILL_NEW: Duration = Duration::from_millis(50);
 const MAX_HEAD: usize = 32 * 1024;
 /// A client counts its time from its send to the last byte of the answer, so the ways there and back come
 /// off: an answer that leaves as the budget ends comes to a client that has just given up.
@@ -43,19 +47,6 @@
 /// The cookie that names what a request concerns.
 const KEY_COOKIE: &str = "user";
 
-/// How far the node is on its way out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// In service.
-    Serving,
-    /// Takes all that comes; each answer ends its connection.
-    Stopping,
-    /// Closes connections on which nothing is going on, and still takes new ones.
-    Closing,
-    /// Takes no more connections.
-    Closed,
-}
-
 /// What is wrong with a request.
 #[derive(Debug, thiserror::Error)]
 enum BadCall {
@@ -94,16 +85,35 @@
 
 type Answer = Response<Full<Bytes>>;
 
-/// Serves until the phase is [`Phase::Closed`] and all connections have ended. At most `most` are open.
-pub async fn run(listener: TcpListener, node: Node, most: usize, mut phase: watch::Receiver<Phase>) {
+/// Where the node stands on its way into and out of service, as the clients' side sees it.
+#[derive(Clone)]
+pub struct Door {
+    /// Where the node stands.
+    pub stage: watch::Receiver<Stage>,
+    /// Whether new connections are taken.
+    pub accepts: watch::Receiver<bool>,
+}
+
+/// Serves until the stage is [`Stage::Closed`] and all connections have ended. At most `most` are open.
+pub async fn run(listener: TcpListener, node: Node, most: usize, door: Door) {
     let slots = Slots::new(most, node.clock().clone());
     let sweeper = spawn(slots.clone().sweep());
-    let mut closed = phase.clone();
-    let closed = closed.wait_for(|phase| *phase == Phase::Closed);
+    let (phase, mut closed) = (door.stage.clone(), door.stage);
+    let closed = closed.wait_for(|stage| *stage == Stage::Closed);
+    let mut accepts = door.accepts;
     let accepting = async {
         let mut log = LogLimiter::new(node.clock().clone());
         loop {
-            match listener.accept().await {
+            // Whoever ends and has a successor at the same socket leaves it what comes.
+            if accepts.wait_for(|accepts| *accepts).await.is_err() {
+                return std::future::pending().await;
+            }
+            let accepted = tokio::select! {
+                biased;
+                Ok(()) = accepts.changed() => continue,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => welcome(stream, &node, slots.take().await, &phase),
                 Err(error) => {
                     log.log(|suppressed| tracing::warn!(%error, suppressed, "accepting a client failed"));
@@ -119,12 +129,11 @@
         _ = closed => {}
     }
     drop(listener);
-    phase.mark_unchanged();
     slots.emptied().await;
     sweeper.abort();
 }
 
-fn welcome(stream: TcpStream, node: &Node, guard: SlotGuard, phase: &watch::Receiver<Phase>) {
+fn welcome(stream: TcpStream, node: &Node, guard: SlotGuard, phase: &watch::Receiver<Stage>) {
     let (node, phase) = (node.clone(), phase.clone());
     spawn(async move {
         tokio::select! {
@@ -149,20 +158,24 @@
     stream: TcpStream,
     node: Node,
     slot: &std::rc::Rc<Slot>,
-    mut phase: watch::Receiver<Phase>,
+    mut phase: watch::Receiver<Stage>,
 ) -> Result<(), Trouble> {
     stream.set_nodelay(true)?;
-    // One that comes during the way out is closed by its first answer. Closing it sooner would lose the
-    // request for which it was opened.
-    let late = *phase.borrow() != Phase::Serving;
     let answers = phase.clone();
     let service = service_fn(|request| answer(&node, slot, request, &answers));
     let line = TokioIo::new(Tap::new(stream, RequestTracker::new(slot.clone())));
     let mut connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(line, service);
+    let idle_ends = async {
+        // One that has just come is closed by its first answer. Closing it sooner would lose the request for which
+        // it was opened.
+        while phase.wait_for(|stage| stage.closes_idle()).await.is_ok() && slot.is_new() {
+            node.clock().sleep(STILL_NEW).await;
+        }
+    };
     let ended = tokio::select! {
         biased;
         result = &mut connection => Some(result),
-        _ = phase.wait_for(|phase| *phase >= Phase::Closing), if !late => None,
+        () = idle_ends => None,
     };
     let result = match ended {
         Some(result) => result,
@@ -181,10 +194,10 @@
     node: &Node,
     slot: &Slot,
     request: Request<Incoming>,
-    phase: &watch::Receiver<Phase>,
+    phase: &watch::Receiver<Stage>,
 ) -> Result<Answer, Infallible> {
     let whole_by = slot.arriving();
-    let serving = || *phase.borrow() == Phase::Serving;
+    let serving = || phase.borrow().is_ready();
     let (response, bad) = match request.uri().path() {
         "/api" => match call(node, slot, request, whole_by).await {
             Ok(response) => (response, false),
@@ -194,7 +207,7 @@
             (plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"), true)
         }
         "/health/ready" if serving() => (plain(StatusCode::OK, "ready"), false),
-        "/health/ready" => (plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"), false),
+        "/health/ready" => (plain(StatusCode::SERVICE_UNAVAILABLE, "stopping or standing by"), false),
         _ => (plain(StatusCode::NOT_FOUND, "no such path"), true),
     };
     let mut response = response;
@@ -221,6 +234,7 @@
     }
     let class = required(headers, CALL_CLASS)?;
     let (class, deadline, effect) = node.class(class).ok_or(BadCall::Unknown(CALL_CLASS))?;
+    let known = Known { node, class, ended: Cell::new(false) };
     check_form(&head.method, headers, effect)?;
     let tenant = node.tenant(single(headers, CALLER)?).map_err(|_| BadCall::Unknown(CALLER))?;
     let whole = |name, text: &str| text.parse::<u64>().map_err(|_| BadCall::Unreadable(name));
@@ -246,10 +260,26 @@
         call: Call { method: head.method, target: head.uri, headers: end_to_end(head.headers), body },
     };
     let waiting = node.submit(asked).ok_or(BadCall::Taken(CALL_ID))?;
+    known.ended.set(true);
     slot.open();
     Ok(worded(waiting.answer().await))
 }
 
+/// A request of a class that is known: unless it is taken, it ends as failed.
+struct Known<'a> {
+    node: &'a Node,
+    class: u32,
+    ended: Cell<bool>,
+}
+
+impl Drop for Known<'_> {
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            self.node.tally().count(self.class, End::Errored);
+        }
+    }
+}
+
 /// Transfer codings are not taken at all: where a length stands beside one, the parser drops it unseen, in
 /// either order, and what one side takes for a body is a request of its own to the other.
 fn check_framing(headers: &HeaderMap, body: &Incoming, slot: &Slot) -> Result<(), BadCall> {
--- a/fronts/http/src/slots.rs
+++ b/fronts/http/src/slots.rs
@@ -31,6 +31,8 @@
 /// A connection that never said a word may be closed after this, to make room: the first request of a client
 /// in service comes right behind its connect.
 const SILENT_LEAST: Duration = Duration::from_millis(20);
+/// A connection is new for so long: clients in service say what they connected for within it.
+const NEW: Duration = Duration::from_millis(500);
 /// After an error what still comes is read and dropped for this long, or the error would be lost with it.
 const LINGER: Duration = Duration::from_millis(1500);
 /// So much of a head is looked at for its length; the parser takes no longer one.
@@ -114,6 +116,12 @@
         true
     }
 
+    /// Whether it has only just been opened: its first request is on the way.
+    pub fn is_new(&self) -> bool {
+        let age = self.clock.now().saturating_sub(self.since.get());
+        self.stage.get() == Stage::Silent && age < nanos(NEW)
+    }
+
     /// Whether the request's head names its length more than once. The parser takes one that repeats the
     /// last and tells nobody.
     pub fn doubled(&self) -> bool {
--- a/fronts/http/src/tap.rs
+++ b/fronts/http/src/tap.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use badgerpost_engine::{Clock, progress};
+use badgerpost_engine::{Clock, Tally, progress};
 
 #[derive(Default)]
 struct Signs {
@@ -21,6 +21,10 @@
     bytes: Notify,
     /// What has come was an interim answer.
     interim: AtomicBool,
+    /// Where to count the message that is on its way out, once it is written whole.
+    sending: Mutex<Option<Arc<Tally>>>,
+    /// Bytes of it have been written.
+    written: AtomicBool,
 }
 
 /// What is heard on a backend's connection: when an answer has begun to come, which shows in the library only
@@ -37,6 +41,12 @@
         hyper::ext::on_informational(message, move |_| signs.interim.store(true, Ordering::Relaxed));
     }
 
+    /// The message that is about to be written is counted there once it is written whole.
+    pub fn count_in(&self, tally: Arc<Tally>) {
+        self.0.written.store(false, Ordering::Relaxed);
+        *self.0.sending.lock().unwrap_or_else(PoisonError::into_inner) = Some(tally);
+    }
+
     /// Resolves once an answer has begun to come and was not whole after so long. Interim answers don't count:
     /// the one that they announce may take its time.
     pub async fn stalled(&self, clock: &Clock, most: Duration) {
@@ -64,6 +74,17 @@
             self.0.bytes.notify_waiters();
         }
     }
+
+    fn written(&mut self) {
+        self.0.written.store(true, Ordering::Relaxed);
+    }
+
+    fn flushed(&mut self) {
+        if self.0.written.swap(false, Ordering::Relaxed) {
+            let tally = self.0.sending.lock().unwrap_or_else(PoisonError::into_inner).take();
+            tally.into_iter().for_each(|tally| tally.sent());
+        }
+    }
 }
 
 /// One who listens in on a connection.
@@ -71,6 +92,9 @@
     /// These bytes have come.
     fn bytes(&mut self, bytes: &[u8]);
 
+    /// Bytes have been written.
+    fn written(&mut self) {}
+
     /// All that was to be written is with the system.
     fn flushed(&mut self) {}
 }
@@ -97,9 +121,10 @@
     fn bytes(&mut self, _bytes: &[u8]) {}
 }
 
-fn counted(write: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+fn counted(ear: &mut impl Ear, write: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
     if let Poll::Ready(Ok(written)) = &write {
         progress::written(*written);
+        ear.written();
     }
     write
 }
@@ -122,7 +147,8 @@
 
 impl<E: Ear + Unpin> AsyncWrite for Tap<E> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        counted(Pin::new(&mut self.stream).poll_write(cx, bytes))
+        let write = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        counted(&mut self.ear, write)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -142,7 +168,8 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        counted(Pin::new(&mut self.stream).poll_write_vectored(cx, parts))
+        let write = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        counted(&mut self.ear, write)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/fronts/http/src/upstream.rs
+++ b/fronts/http/src/upstream.rs
@@ -243,6 +243,7 @@
             let Some(mut message) = self.message(launch) else { return Ending::bare(Outcome::Moot) };
             let heard = link.heard.clone();
             heard.listen(&mut message);
+            heard.count_in(node.tally());
             written.set(true);
             let ending = tokio::select! {
                 biased;
--- a/kit/standins/src/scripted.rs
+++ b/kit/standins/src/scripted.rs
@@ -358,6 +358,15 @@
         (node, discovery)
     }
 
+    /// Where its operators call, from the line of its log that says so.
+    pub fn console(&self) -> SocketAddr {
+        let mark = "operators may call console=";
+        until("the console is open", || self.logged(mark));
+        let log = self.log.lock().unwrap();
+        let (_, rest) = log.split_once(mark).unwrap();
+        rest.split_whitespace().next().unwrap().parse().unwrap()
+    }
+
     pub fn logged(&self, text: &str) -> bool {
         self.count(text) > 0
     }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -17,6 +17,8 @@
     pub listen: SocketAddr,
     /// Where the platform's list of servers is.
     pub discovery: SocketAddr,
+    /// Where operators call, if they do; `$EDGE_CONSOLE` where the file does not say.
+    pub console: Option<SocketAddr>,
     /// For random numbers, in hexadecimal.
     seed: String,
     limits: Limits,
@@ -92,6 +94,9 @@
         /// What is wrong.
         source: serde_json::Error,
     },
+    /// `$EDGE_CONSOLE` is no address.
+    #[error("configuration: EDGE_CONSOLE: {0:?} is not an address and port")]
+    Console(String),
     /// Its seed is none.
     #[error("configuration: seed {0:?} is not a hexadecimal number of 64 bits")]
     Seed(String),
@@ -128,7 +133,15 @@
             Ok(text) => text,
             Err(source) => return Err(ConfigError::Unread { path, source }),
         };
-        serde_json::from_slice(&text).map_err(|source| ConfigError::Malformed { path, source })
+        let mut edge: Self =
+            serde_json::from_slice(&text).map_err(|source| ConfigError::Malformed { path, source })?;
+        if edge.console.is_none()
+            && let Ok(at) = std::env::var("EDGE_CONSOLE")
+            && !at.is_empty()
+        {
+            edge.console = Some(at.parse().map_err(|_| ConfigError::Console(at))?);
+        }
+        Ok(edge)
     }
 
     /// The settings, in the module's words.
@@ -182,6 +195,7 @@
     fn check_loopback(&self) -> Result<(), ConfigError> {
         let Edge { listen, discovery, known, .. } = &self.edge;
         let named = [("the listener".to_owned(), *listen), ("discovery".to_owned(), *discovery)];
+        let console = self.edge.console.map(|at| ("the console".to_owned(), at));
         let known = known.iter().flat_map(discovery::List::endpoints);
         let known = known.map(|(uid, at)| (format!("the known server {uid}"), at));
         let postgres = self.own.postgres.iter().flat_map(|postgres| {
@@ -190,7 +204,13 @@
             let list = postgres.discovery.map(|at| ("the list of PostgreSQL servers".to_owned(), at));
             servers.chain([("the PostgreSQL listener".to_owned(), postgres.listen)]).chain(list)
         });
-        match named.into_iter().chain(known).chain(postgres).find(|(_, at)| !at.ip().is_loopback()) {
+        match named
+            .into_iter()
+            .chain(console)
+            .chain(known)
+            .chain(postgres)
+            .find(|(_, at)| !at.ip().is_loopback())
+        {
             Some((what, at)) => Err(ConfigError::NotLoopback { what, at }),
             None => Ok(()),
         }
@@ -204,6 +224,7 @@
             format!("node {name} takes HTTP/1.1 clients at {listen}"),
             format!("servers: the platform's list at {discovery}, {known} known from before"),
         ];
+        lines.extend(self.edge.console.map(|at| format!("console: operators call at {at}")));
         lines.extend(self.own.postgres.iter().map(|postgres| {
             format!(
                 "PostgreSQL clients at {}, {} servers, {} classes",
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -3,12 +3,16 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use badgerpost_console::{Console, Life};
 use badgerpost_engine::{Clock, Stepped, spawn};
-use badgerpost_http::server::{self, Phase};
+use badgerpost_http::server::{self, Door};
 use badgerpost_http::upstream::Upstream;
 use badgerpost_http::{Node, discovery};
+use badgerpost_lifecycle::{Event, Stage};
 use badgerpost_postgres::pool::Pool;
 use badgerpost_postgres::server::Front;
 use badgerpost_postgres::{self as postgres, Fleet};
@@ -21,10 +25,12 @@
 
 use crate::config::{Config, ConfigError, Edge, Rehearsal};
 
-/// After SIGTERM connections go on coming for a while, up to here.
-const STILL_TAKES: Duration = Duration::from_millis(500);
-/// Connections that cross the closing of idle ones are taken up to here after that.
-const LAST_ONES: Duration = Duration::from_millis(100);
+/// A process says that it can serve once it has heard from discovery, or this long after its start: with discovery
+/// down it serves what it knew.
+const READY_MOST: Duration = Duration::from_secs(1);
+/// How often it looks whether it has, and how often the figures of the servers are brought up to date.
+const LOOK: Duration = Duration::from_millis(20);
+const COUNT: Duration = Duration::from_millis(200);
 const BACKLOG: u32 = 1024;
 /// Transactions that are under way at the end are waited for so long.
 const TRANSACTIONS_END: Duration = Duration::from_secs(10);
@@ -43,6 +49,14 @@
         /// What happened.
         source: std::io::Error,
     },
+    /// The operators' address can't be listened at.
+    #[error("configuration: console: can't listen at {at}: {source}")]
+    Console {
+        /// The address.
+        at: SocketAddr,
+        /// What happened.
+        source: std::io::Error,
+    },
     /// The system refuses something else.
     #[error("can't start: {0}")]
     System(#[from] std::io::Error),
@@ -71,7 +85,9 @@
     let watch = discovery::Watch::new(node.clone(), edge.discovery, edge.known);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let listener = listen(edge.listen).map_err(|source| ServeError::Listen { at: edge.listen, source })?;
+    // Operators start the next version beside this one, at the same address.
+    let listener = listen(edge.listen, edge.console.is_some())
+        .map_err(|source| ServeError::Listen { at: edge.listen, source })?;
     let listens_at = listener.local_addr()?;
     tracing::info!(node = edge.name, listen = %listens_at, discovery = %edge.discovery, "serving");
     let (address, told) = watch::channel(edge.discovery);
@@ -79,28 +95,30 @@
     spawn(heed_reloads(hangup, address, file));
     let timers = node.clone();
     spawn(async move { timers.run_timers().await });
-    let (phase, phases) = watch::channel(Phase::Serving);
+    let life = Life::default();
+    spawn(keep_time(life.clone(), clock.clone()));
+    if let Some(at) = edge.console {
+        operators_call(at, &life, &node)?;
+    }
     let deadline = node.longest_deadline();
-    let served = spawn(server::run(listener, node, clients, phases));
+    let served =
+        spawn(server::run(listener, node, clients, Door { stage: life.stage(), accepts: life.accepts() }));
     let (stop, stopping) = watch::channel(false);
     let postgres = match own.postgres {
         Some(postgres) => Some(spawn(serve_postgres(postgres, seed, &clock, stopping)?)),
         None => None,
     };
     let name = edge.name.clone();
-    let life = async {
+    let ended = async {
         tokio::select! {
             biased;
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
         tracing::info!(node = edge.name, "stopping");
-        phase.send_replace(Phase::Stopping);
+        life.tell(Event::Stop);
         stop.send_replace(true);
-        clock.sleep(STILL_TAKES).await;
-        phase.send_replace(Phase::Closing);
-        clock.sleep(LAST_ONES).await;
-        phase.send_replace(Phase::Closed);
+        let _ = life.stage().wait_for(|stage| *stage == Stage::Closed).await;
         // Every request taken has had its answer by then; what is still open has nothing on it.
         let _ = clock.timeout(deadline, served).await;
         if let Some(postgres) = postgres {
@@ -110,19 +128,65 @@
         Ok(())
     };
     match hands {
-        None => life.await,
+        None => ended.await,
         Some(Hands { steps, control }) => {
             // Not counted among the node's tasks: it is what waits for these to come to rest.
             let followed = spawn_local(async move { control.follow(&name, listens_at, steps).await });
             tokio::select! {
                 biased;
-                ended = life => ended,
+                ended = ended => ended,
                 Ok(over) = followed => Err(over.into()),
             }
         }
     }
 }
 
+/// Keeps the time for the life cycle; never ends.
+async fn keep_time(life: Life, clock: Clock) {
+    let mut wakes = life.wakes();
+    loop {
+        let wake = *wakes.borrow_and_update();
+        let Some((after, token)) = wake else {
+            let _ = wakes.changed().await;
+            continue;
+        };
+        // A newer wish puts the one before out of force.
+        tokio::select! {
+            biased;
+            Ok(()) = wakes.changed() => {}
+            () = clock.sleep(after) => {
+                life.tell(Event::Due(token));
+                let _ = wakes.wait_for(|next| *next != wake).await;
+            }
+        }
+    }
+}
+
+/// Opens the operators' listener and keeps what it shows up to date.
+fn operators_call(at: SocketAddr, life: &Life, node: &Node) -> Result<(), ServeError> {
+    let listener = std::net::TcpListener::bind(at).map_err(|source| ServeError::Console { at, source })?;
+    let ready = Arc::new(AtomicBool::new(false));
+    tracing::info!(console = %listener.local_addr()?, "operators may call");
+    let console = Console { life: life.clone(), tally: node.tally(), ready: ready.clone() };
+    console.start(listener)?;
+    let node = node.clone();
+    spawn(async move {
+        let clock = node.clock().clone();
+        let heard = async {
+            while !node.has_list() {
+                clock.sleep(LOOK).await;
+            }
+        };
+        let _ = clock.timeout(READY_MOST, heard).await;
+        ready.store(true, Ordering::Relaxed);
+        loop {
+            node.count_servers();
+            clock.sleep(COUNT).await;
+        }
+    });
+    Ok(())
+}
+
 /// Wires the PostgreSQL front: a fleet with an engine of its own.
 fn serve_postgres(
     config: postgres::config::Config,
@@ -149,7 +213,7 @@
         spawn(discovery::Watch::new(fleet.clone(), discovery, None).run(told));
     }
     let at = config.listen;
-    let listener = listen(at).map_err(|source| ServeError::Listen { at, source })?;
+    let listener = listen(at, false).map_err(|source| ServeError::Listen { at, source })?;
     tracing::info!(listen = %listener.local_addr()?, "serving PostgreSQL clients");
     let front = Front::new(config, users, fleet, pool).map_err(ConfigError::from)?;
     Ok(front.run(listener, stopping))
@@ -183,10 +247,13 @@
     }
 }
 
-fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+fn listen(at: SocketAddr, beside: bool) -> std::io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A restart must not wait for the last life's connections to leave the system's tables.
     socket.set_reuseaddr(true)?;
+    if beside {
+        socket.set_reuseport(true)?;
+    }
     socket.bind(at)?;
     socket.listen(BACKLOG)
 }
--- /dev/null
+++ b/node/tests/operations.rs
@@ -0,0 +1,215 @@
+//! Daily operation: the operators' calls, what the figures say, a drain and its end, a second process beside the first.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use badgerpost_standins::scripted::*;
+use serde_json::{Value, json};
+
+/// A caller waits no longer than this.
+const CALLER: Duration = Duration::from_secs(1);
+
+fn operated(backends: &[&Backend]) -> (Node, Discovery, Value) {
+    let listed = (0..).zip(backends).map(|(n, backend)| target(&format!("s-{n}"), backend.at, "Ready"));
+    let discovery = Discovery::new(listed.collect());
+    let mut config = config(discovery.at, json!([]));
+    config["console"] = json!("127.0.0.1:0");
+    let node = Node::start(&config);
+    discovery.watched_from(1);
+    (node, discovery, config)
+}
+
+fn call(console: SocketAddr, method: &str, path: &str) -> Message {
+    let began = Instant::now();
+    let mut client = Client::to(console);
+    let answer = client.ask(&format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n")).expect("an answer");
+    assert!(began.elapsed() < CALLER, "{method} {path} took {:?}", began.elapsed());
+    assert!(client.is_closed(), "one call to a connection");
+    answer
+}
+
+fn figures(console: SocketAddr) -> HashMap<String, u64> {
+    let answer = call(console, "GET", "/status/metrics");
+    assert_eq!(answer.status(), 200);
+    let text = String::from_utf8(answer.body).unwrap();
+    let line =
+        |line: &str| line.split_once('=').map(|(name, value)| (name.to_owned(), value.parse().unwrap()));
+    text.lines().map(|text| line(text).unwrap_or_else(|| panic!("no figure: {text}"))).collect()
+}
+
+fn ready(at: SocketAddr) -> u16 {
+    Client::to(at).ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").expect("an answer").status()
+}
+
+fn serving(body: &'static str) -> Backend {
+    Backend::new(move |_| Does::Writes(ok(body)))
+}
+
+#[test]
+fn each_call_has_its_method_and_its_answer() {
+    let backend = serving("yes");
+    let (node, _discovery, _) = operated(&[&backend]);
+    let console = node.console();
+    until("the process can serve", || call(console, "GET", "/status").status() == 200);
+    for (method, path, status) in [
+        ("POST", "/status", 405),
+        ("GET", "/standby", 405),
+        ("GET", "/active", 405),
+        ("DELETE", "/status/metrics", 405),
+        ("GET", "/", 404),
+        ("GET", "/statusses", 404),
+        ("POST", "/active", 200),
+    ] {
+        assert_eq!(call(console, method, path).status(), status, "{method} {path}");
+    }
+    assert_eq!(Client::to(console).ask("nonsense\r\n\r\n").expect("an answer").status(), 400);
+}
+
+/// Callers who connect and say nothing, or begin a call and stop, hold nobody up.
+#[test]
+fn callers_who_finish_no_call_do_not_shut_others_out() {
+    let backend = serving("yes");
+    let (node, _discovery, _) = operated(&[&backend]);
+    let console = node.console();
+    let silent: Vec<Client> = (0..100)
+        .map(|n| {
+            let mut client = Client::to(console);
+            if n % 2 == 0 {
+                client.write("GET /status HTTP/1.1\r\nHos");
+            }
+            client
+        })
+        .collect();
+    for _ in 0..20 {
+        call(console, "GET", "/status");
+    }
+    drop(silent);
+}
+
+#[test]
+fn figures_are_those_of_the_servers_and_clients() {
+    let backend =
+        Backend::new(|message| match message.value("x-call-id").unwrap_or_default().as_bytes()[0] {
+            b'e' => Does::Writes(status(500, "")),
+            b'f' => Does::Writes(status(503, "X-Rejected: 1\r\n")),
+            b'h' => Does::Hangs,
+            _ => Does::Writes(ok("yes")),
+        });
+    let (node, discovery, _) = operated(&[&backend]);
+    let console = node.console();
+    let (mut answered, mut errored, mut deferred) = (0, 0, 0);
+    for n in 0..20 {
+        let kind = ["a", "e", "f", "a"][n % 4];
+        match node.ask(&post("pay", &format!("{kind}{n}"), "", "x")).status() {
+            200 => answered += 1,
+            503 | 429 => deferred += 1,
+            _ => errored += 1,
+        }
+    }
+    // Taken by nobody, but of a class: failed.
+    assert_eq!(node.ask(&post("pay", "b1", "Idempotency-Key: k\r\n", "x")).status(), 400);
+    // One that is still out.
+    let mut waiting = Client::to(node.at);
+    waiting.write(&post("pay", "h1", "", "x"));
+    let mut sends = 0;
+    while backend.next().value("x-call-id") != Some("h1") {
+        sends += 1;
+    }
+    sends += 1;
+    let told = figures(console);
+    assert_eq!(told["node.transactions.pay.answered"], answered);
+    assert_eq!(told["node.transactions.pay.deferred"], deferred);
+    assert_eq!(told["node.transactions.pay.errored"], errored + 1);
+    assert!(answered == 10 && errored > 0, "{answered} {deferred} {errored}");
+    assert_eq!(told["node.transactions.read.answered"], 0);
+    assert_eq!(told["node.sends"], sends);
+    assert_eq!(told["node.current"], 1);
+    assert_eq!((told["node.cluster_size"], told.len()), (1, 3 * 3 + 4));
+    discovery.set(json!([target("s-0", backend.at, "Terminating"), target("s-1", backend.at, "Ready")]));
+    until("the list shows", || {
+        let told = figures(console);
+        (told["node.cluster_size"], told["node.cluster_unhealthy"]) == (2, 1)
+    });
+    drop(waiting);
+    until("who has gone is not counted as open", || figures(console)["node.current"] == 0);
+}
+
+#[test]
+fn a_drain_empties_the_node_and_the_second_call_ends_it() {
+    let backend = serving("yes");
+    let (node, _discovery, _) = operated(&[&backend]);
+    let console = node.console();
+    for round in 0..2 {
+        let (mut idle, mut kept, mut silent) =
+            (Client::to(node.at), Client::to(node.at), Client::to(node.at));
+        assert_eq!(idle.ask(&get(&format!("i{round}"), "")).expect("an answer").status(), 200);
+        assert_eq!(kept.ask(&get(&format!("k{round}"), "")).expect("an answer").status(), 200);
+        assert_eq!(ready(node.at), 200);
+        assert_eq!(call(console, "POST", "/standby").status(), 200);
+        assert_eq!(ready(node.at), 503, "at once");
+        assert_eq!(call(console, "POST", "/standby").status(), 200, "again: no harm");
+        // What still comes is served, on connections from before and on new ones, and ends its connection.
+        for (id, client) in [("old", &mut kept), ("new", &mut Client::to(node.at))] {
+            let answer = client.ask(&get(&format!("{id}{round}"), "")).expect("an answer");
+            assert_eq!((answer.status(), answer.value("connection")), (200, Some("close")));
+            assert!(client.is_closed());
+        }
+        let began = Instant::now();
+        assert!(idle.is_closed() && silent.is_closed(), "nothing is held idle");
+        assert!(began.elapsed() < Duration::from_secs(3));
+        assert_eq!(ready(node.at), 503);
+        assert_eq!(node.ask(&get(&format!("late{round}"), "")).status(), 200, "it still serves who comes");
+        assert_eq!(call(console, "POST", "/active").status(), 200);
+        assert_eq!(ready(node.at), 200);
+        let mut again = Client::to(node.at);
+        for n in 0..3 {
+            assert_eq!(again.ask(&get(&format!("b{round}-{n}"), "")).expect("kept open").status(), 200);
+        }
+    }
+}
+
+#[test]
+fn a_stop_in_the_midst_of_a_drain_ends_the_process() {
+    let backend = serving("yes");
+    let (mut node, _discovery, _) = operated(&[&backend]);
+    let console = node.console();
+    assert_eq!(call(console, "POST", "/standby").status(), 200);
+    node.signal("-TERM");
+    until("the node has heard", || node.logged("stopping node="));
+    assert_eq!(call(console, "POST", "/active").status(), 409, "too late");
+    assert_eq!(call(console, "POST", "/standby").status(), 200);
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn a_second_process_serves_beside_the_first_and_after_it() {
+    let backend = serving("yes");
+    let (mut old, _discovery, mut config) = operated(&[&backend]);
+    config["listen"] = json!(old.at.to_string());
+    let new = Node::start(&config);
+    until("the new one can serve", || call(new.console(), "GET", "/status").status() == 200);
+    for n in 0..20 {
+        assert_eq!(old.ask(&get(&format!("both{n}"), "")).status(), 200);
+    }
+    old.signal("-TERM");
+    assert_eq!(old.child.wait().unwrap().code(), Some(0));
+    for n in 0..20 {
+        assert_eq!(new.ask(&get(&format!("after{n}"), "")).status(), 200);
+    }
+    let answered = |node: &Node| figures(node.console())["node.transactions.read.answered"];
+    assert!(answered(&new) >= 20, "each counts for itself");
+}
+
+#[test]
+fn a_console_that_can_not_be_opened_is_named() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = config(taken.local_addr().unwrap(), json!([]));
+    config["console"] = json!(taken.local_addr().unwrap().to_string());
+    let (child, file) = spawn(&config.to_string());
+    let ended = child.wait_with_output().unwrap();
+    let said = String::from_utf8_lossy(&ended.stderr);
+    assert_eq!(ended.status.code(), Some(1));
+    assert!(said.contains("console: can't listen at"), "{said}");
+    std::fs::remove_file(file).unwrap();
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -45,6 +45,13 @@
         at.map(|at| at as u32)
     }
 
+    /// The classes' names, by number.
+    pub fn class_names(&self) -> Vec<String> {
+        let mut names: Vec<_> = self.classes.iter().collect();
+        names.sort_by_key(|(_, number)| **number);
+        names.into_iter().map(|(name, _)| name.clone()).collect()
+    }
+
     /// A class's number, or none where the settings do not list it.
     pub fn class(&self, name: &str) -> Option<u32> {
         self.classes.get(name).copied()
--- a/src/health.rs
+++ b/src/health.rs
@@ -58,6 +58,18 @@
         }
     }
 
+    /// How many listed backends get nothing new now: those that drain, are ejected or on trial, or have sent work
+    /// away a moment ago.
+    pub fn avoided(&self, now: Nanos) -> usize {
+        let avoided = |backend: &&Backend| match (backend.member.stage, backend.health) {
+            (Stage::Gone, _) => false,
+            (Stage::Draining, _) | (_, Health::HalfOpen { .. }) => true,
+            (_, Health::Ejected { until }) if now < until => true,
+            _ => now < backend.full_until,
+        };
+        self.backends.values().filter(avoided).count()
+    }
+
     /// Ejects an outlier, readmits after two served trials.
     pub(crate) fn judge(&mut self, id: BackendId, outcome: Outcome, actions: &mut Vec<Action>) {
         let weight = match outcome {
