--- /dev/null
+++ b/cores/http1/src/lib.rs
@@ -0,0 +1,395 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! Follows a client's bytes on a connection and tells where its requests begin and end (RFC 9112), without taking any of
+//! them. The HTTP library that parses them hides what matters here: it drops a length that stands beside a transfer
+//! coding, and takes one that is repeated. What one side takes for a body is a request of its own to the other, so such
+//! a request is refused before anything of it goes on.
+//!
+//! It does no I/O and keeps no more than the beginning of one line.
+
+/// So much of a line is looked at: a length and a coding are a few dozen bytes.
+const LINE_MOST: usize = 256;
+/// Heads, and trailers, are no longer in all; the parser behind takes no longer ones either.
+const HEAD_MOST: usize = 32 * 1024;
+/// A chunk's size line with its extensions is no longer.
+const CHUNK_LINE_MOST: usize = 4096;
+
+/// Why a request's framing is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// More than one length, even the same.
+    #[error("content-length stands there more than once")]
+    Lengths,
+    /// Not a decimal number, or too large a one.
+    #[error("content-length is not a number")]
+    Length,
+    /// A length beside a transfer coding.
+    #[error("content-length stands beside transfer-encoding")]
+    Both,
+    /// A coding other than `chunked` alone, or with HTTP/1.0.
+    #[error("transfer-encoding is not chunked")]
+    Coding,
+    /// A header goes on in the next line, or there is a space where none may be.
+    #[error("a header is folded, or has a space before its colon")]
+    Folded,
+    /// Head or trailers have no end.
+    #[error("the head is too long")]
+    TooLong,
+    /// A chunk's size is none, or its data does not end where it should.
+    #[error("a chunk is malformed")]
+    Chunk,
+}
+
+/// What the bytes tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// A request has begun.
+    Begun,
+    /// Its head is whole; nothing is followed on this connection any more after a fault.
+    Head(Result<(), Fault>),
+    /// Its last byte has come.
+    Whole,
+    /// Its body makes no sense; nothing is followed any more.
+    Broken(Fault),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    /// Between requests; empty lines are passed over.
+    Between,
+    /// In the request line, or in a header's.
+    RequestLine,
+    Header,
+    /// So many bytes of a body, or of a chunk, are still to come.
+    Body(u64),
+    ChunkSize,
+    Chunk(u64),
+    ChunkEnd,
+    Trailer,
+    /// After a fault.
+    Lost,
+}
+
+/// Follows one connection.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    part: Part,
+    /// The beginning of the line that is coming in, and how long it is so far.
+    line: Vec<u8>,
+    line_length: usize,
+    /// How long head or trailers are so far.
+    head_length: usize,
+    old_version: bool,
+    length: Option<u64>,
+    chunked: bool,
+    fault: Option<Fault>,
+}
+
+impl Default for Follower {
+    fn default() -> Self {
+        Self {
+            part: Part::Between,
+            line: Vec::new(),
+            line_length: 0,
+            head_length: 0,
+            old_version: false,
+            length: None,
+            chunked: false,
+            fault: None,
+        }
+    }
+}
+
+impl Follower {
+    /// A connection on which nothing has come yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in the next bytes and tells what they mean, in order.
+    pub fn feed(&mut self, mut bytes: &[u8], tell: &mut impl FnMut(Sign)) {
+        while !bytes.is_empty() {
+            match self.part {
+                Part::Lost => return,
+                Part::Between => {
+                    if matches!(bytes[0], b'\r' | b'\n') {
+                        bytes = &bytes[1..];
+                        continue;
+                    }
+                    *self = Self {
+                        part: Part::RequestLine,
+                        line: std::mem::take(&mut self.line),
+                        ..Self::default()
+                    };
+                    self.line.clear();
+                    tell(Sign::Begun);
+                }
+                Part::Body(left) | Part::Chunk(left) => {
+                    let taken = left.min(bytes.len() as u64);
+                    bytes = &bytes[taken as usize..];
+                    let left = left - taken;
+                    self.part = match self.part {
+                        Part::Body(_) if left == 0 => self.end(tell),
+                        Part::Body(_) => Part::Body(left),
+                        _ if left == 0 => Part::ChunkEnd,
+                        _ => Part::Chunk(left),
+                    };
+                }
+                Part::RequestLine | Part::Header | Part::ChunkSize | Part::ChunkEnd | Part::Trailer => {
+                    let end = bytes.iter().position(|byte| *byte == b'\n');
+                    let (piece, rest) =
+                        end.map_or((bytes, &bytes[bytes.len()..]), |end| bytes.split_at(end + 1));
+                    bytes = rest;
+                    let room = LINE_MOST.saturating_sub(self.line.len()).min(piece.len());
+                    self.line.extend_from_slice(&piece[..room]);
+                    self.line_length += piece.len();
+                    self.head_length += piece.len();
+                    if let Err(fault) = self.bounded() {
+                        return self.lose(fault, tell);
+                    }
+                    if end.is_some() {
+                        self.take_line(tell);
+                        self.line.clear();
+                        self.line_length = 0;
+                    }
+                }
+            }
+        }
+    }
+
+    fn bounded(&self) -> Result<(), Fault> {
+        match self.part {
+            Part::ChunkSize if self.line_length > CHUNK_LINE_MOST => Err(Fault::Chunk),
+            Part::ChunkEnd if self.line_length > 2 => Err(Fault::Chunk),
+            Part::RequestLine | Part::Header | Part::Trailer if self.head_length > HEAD_MOST => {
+                Err(Fault::TooLong)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn lose(&mut self, fault: Fault, tell: &mut impl FnMut(Sign)) {
+        let in_head = matches!(self.part, Part::RequestLine | Part::Header);
+        self.part = Part::Lost;
+        tell(if in_head { Sign::Head(Err(fault)) } else { Sign::Broken(fault) });
+    }
+
+    fn end(&mut self, tell: &mut impl FnMut(Sign)) -> Part {
+        tell(Sign::Whole);
+        Part::Between
+    }
+
+    /// A line has come to its end.
+    fn take_line(&mut self, tell: &mut impl FnMut(Sign)) {
+        // Whoever ends a line with LF alone is taken to mean CRLF (RFC 9112, chapter 2.2).
+        let line = self.line.strip_suffix(b"\n").unwrap_or(&self.line);
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let blank = self.line_length <= 2 && line.is_empty();
+        match self.part {
+            Part::RequestLine => {
+                self.old_version = line.ends_with(b"HTTP/1.0");
+                self.part = Part::Header;
+            }
+            Part::Header if blank => self.take_head(tell),
+            Part::Header => {
+                if let Err(fault) =
+                    header(line, self.line_length > LINE_MOST, &mut self.length, &mut self.chunked)
+                {
+                    self.fault.get_or_insert(fault);
+                }
+            }
+            Part::ChunkSize => match chunk_size(line) {
+                None => self.lose(Fault::Chunk, tell),
+                Some(0) => (self.part, self.head_length) = (Part::Trailer, 0),
+                Some(size) => self.part = Part::Chunk(size),
+            },
+            Part::ChunkEnd if blank => self.part = Part::ChunkSize,
+            Part::ChunkEnd => self.lose(Fault::Chunk, tell),
+            Part::Trailer if blank => self.part = self.end(tell),
+            Part::Trailer | Part::Between | Part::Body(_) | Part::Chunk(_) | Part::Lost => {}
+        }
+    }
+
+    fn take_head(&mut self, tell: &mut impl FnMut(Sign)) {
+        let fault = match (self.fault, self.length, self.chunked) {
+            (Some(fault), ..) => Some(fault),
+            (_, Some(_), true) => Some(Fault::Both),
+            (_, _, true) if self.old_version => Some(Fault::Coding),
+            _ => None,
+        };
+        if let Some(fault) = fault {
+            return self.lose(fault, tell);
+        }
+        tell(Sign::Head(Ok(())));
+        self.part = match (self.length, self.chunked) {
+            (_, true) => Part::ChunkSize,
+            (Some(length), _) if length > 0 => Part::Body(length),
+            _ => self.end(tell),
+        };
+    }
+}
+
+/// Takes in a header's line.
+fn header(line: &[u8], cut: bool, length: &mut Option<u64>, chunked: &mut bool) -> Result<(), Fault> {
+    if line.first().is_some_and(|byte| matches!(byte, b' ' | b'\t')) {
+        return Err(Fault::Folded);
+    }
+    // A line without a colon is the parser's to refuse.
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else { return Ok(()) };
+    let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
+    if name.last().is_some_and(|byte| matches!(byte, b' ' | b'\t')) {
+        return Err(Fault::Folded);
+    }
+    if name.eq_ignore_ascii_case(b"content-length") {
+        if length.is_some() {
+            return Err(Fault::Lengths);
+        }
+        let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit) && !cut;
+        let number = std::str::from_utf8(value).ok().filter(|_| digits).and_then(|text| text.parse().ok());
+        *length = Some(number.ok_or(Fault::Length)?);
+    } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+        if *chunked || cut || !value.eq_ignore_ascii_case(b"chunked") {
+            return Err(Fault::Coding);
+        }
+        *chunked = true;
+    }
+    Ok(())
+}
+
+/// The size that a chunk's line names, before its extensions.
+fn chunk_size(line: &[u8]) -> Option<u64> {
+    let digits = line.split(|byte| *byte == b';').next()?.trim_ascii_end();
+    if !(1..=16).contains(&digits.len()) || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return None;
+    }
+    u64::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn signs(pieces: &[&[u8]]) -> Vec<Sign> {
+        let (mut follower, mut told) = (Follower::new(), Vec::new());
+        pieces.iter().for_each(|piece| follower.feed(piece, &mut |sign| told.push(sign)));
+        told
+    }
+
+    fn fault(head: &str) -> Option<Fault> {
+        let text = format!("POST /api HTTP/1.1\r\nHost: h\r\n{head}\r\n");
+        signs(&[text.as_bytes()]).into_iter().find_map(|sign| match sign {
+            Sign::Head(result) => result.err(),
+            _ => None,
+        })
+    }
+
+    const GOOD: [Sign; 3] = [Sign::Begun, Sign::Head(Ok(())), Sign::Whole];
+
+    #[test]
+    fn each_framing_ends_where_it_should() {
+        for text in [
+            "GET /api HTTP/1.1\r\nHost: h\r\n\r\n",
+            "\r\n\r\nGET /api HTTP/1.1\nHost: h\n\n",
+            "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello",
+            "POST / HTTP/1.1\r\ncontent-length:0\r\n\r\n",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5 ;a=\"b\"\r\nhello\r\n00\r\nx: y\r\nz: 1\r\n\r\n",
+        ] {
+            assert_eq!(signs(&[text.as_bytes()]), GOOD, "{text:?}");
+            let twice = [text, text].concat();
+            assert_eq!(signs(&[twice.as_bytes()]), [GOOD, GOOD].concat(), "one behind the other: {text:?}");
+        }
+    }
+
+    /// Guards against request smuggling: two readers of the same bytes must not see two requests and one.
+    #[test]
+    fn what_can_be_read_in_two_ways_is_refused() {
+        for (head, why) in [
+            ("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", Fault::Both),
+            ("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", Fault::Both),
+            ("Content-Length: 5\r\nContent-Length: 5\r\n", Fault::Lengths),
+            ("Content-Length: 5, 5\r\n", Fault::Length),
+            ("Content-Length: +5\r\n", Fault::Length),
+            ("Content-Length: 0x5\r\n", Fault::Length),
+            ("Content-Length:\r\n", Fault::Length),
+            ("Content-Length: 99999999999999999999\r\n", Fault::Length),
+            ("Transfer-Encoding: gzip, chunked\r\n", Fault::Coding),
+            ("Transfer-Encoding: chunked, identity\r\n", Fault::Coding),
+            ("Transfer-Encoding: xchunked\r\n", Fault::Coding),
+            ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Fault::Coding),
+            ("Transfer-Encoding : chunked\r\n", Fault::Folded),
+            ("Content-Length\t: 5\r\n", Fault::Folded),
+            ("X: a\r\n b\r\n", Fault::Folded),
+        ] {
+            assert_eq!(fault(head), Some(why), "{head:?}");
+        }
+        let old = b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assert_eq!(signs(&[old]), [Sign::Begun, Sign::Head(Err(Fault::Coding))]);
+        assert_eq!(fault(&format!("X: {}\r\n", "y".repeat(HEAD_MOST))), Some(Fault::TooLong));
+        assert_eq!(fault(&format!("Content-Length: {}5\r\n", "0".repeat(LINE_MOST))), Some(Fault::Length));
+    }
+
+    #[test]
+    fn a_chunk_that_makes_no_sense_ends_it() {
+        for chunks in [
+            "g\r\n",
+            "\r\n",
+            "-1\r\n",
+            "12345678901234567\r\n",
+            "2\r\nabc\r\n",
+            "2\r\nab\rc",
+            "0x2\r\nab\r\n",
+        ] {
+            let text = format!(
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}GET / HTTP/1.1\r\n\r\n"
+            );
+            let told = signs(&[text.as_bytes()]);
+            assert_eq!(told.last(), Some(&Sign::Broken(Fault::Chunk)), "{chunks:?}: {told:?}");
+        }
+    }
+
+    fn request() -> impl Strategy<Value = String> {
+        let chunk = "[a-z]{1,40}".prop_map(|data| format!("{:x};e\r\n{data}\r\n", data.len()));
+        prop_oneof![
+            Just("GET /a HTTP/1.1\r\nHost: h\r\n\r\n".to_owned()),
+            "[a-z]{0,60}"
+                .prop_map(|body| format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len())),
+            prop::collection::vec(chunk, 0..4).prop_map(|chunks| format!(
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\nt: u\r\n\r\n",
+                chunks.concat()
+            )),
+            Just("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd".to_owned()),
+        ]
+    }
+
+    proptest! {
+        /// Where the bytes are cut changes nothing.
+        #[test]
+        fn any_cuts_tell_the_same(
+            requests in prop::collection::vec(request(), 1..5),
+            cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+        ) {
+            let text = requests.concat().into_bytes();
+            let mut at: Vec<usize> = cuts.iter().map(|cut| cut.index(text.len() + 1)).collect();
+            at.extend([0, text.len()]);
+            at.sort_unstable();
+            let pieces: Vec<&[u8]> = at.windows(2).map(|pair| &text[pair[0]..pair[1]]).collect();
+            let byte_by_byte: Vec<&[u8]> = text.chunks(1).collect();
+            let whole = signs(&[&text]);
+            prop_assert_eq!(signs(&pieces), whole.clone());
+            prop_assert_eq!(signs(&byte_by_byte), whole);
+        }
+
+        /// Nothing that comes panics it or makes it keep more than a line's beginning.
+        #[test]
+        fn anything_is_taken(pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 0..20)) {
+            let mut follower = Follower::new();
+            for piece in pieces {
+                follower.feed(&piece, &mut |_| {});
+                prop_assert!(follower.line.len() <= LINE_MOST);
+            }
+        }
+    }
+}
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -12,7 +12,7 @@
     Settings, SettingsError, Settlement,
 };
 use brookfield_settings::Words;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::backends::Backends;
 use crate::call_ids::CallIds;
@@ -38,6 +38,8 @@
     pub(crate) class: u32,
     pub(crate) id: Box<str>,
     pub(crate) not_after: Nanos,
+    /// Where the body is still on the way, or was: the end of the client's time, once it is known.
+    deadline: Option<watch::Sender<Nanos>>,
     /// Attempts by number; none where settled.
     pub(crate) attempts: Vec<Option<Flight>>,
     pub(crate) ended: bool,
@@ -122,8 +124,8 @@
     fn act(&mut self, action: Action, errands: &mut Errands<F>) {
         match action {
             Action::Send { request, backend, timeout } => self.send(request, backend, timeout, errands),
-            Action::Refuse { request, pause } => self.finish(request, Reply::Refused(pause)),
-            Action::Fail { request } => self.finish(request, Reply::Failed),
+            Action::Refuse { request, pause } => self.finish(request, Reply::Refused(pause), false),
+            Action::Fail { request } => self.finish(request, Reply::Failed, false),
             Action::Cancel { request, attempt } => {
                 let open = self.requests.get_mut(&request);
                 let flight = open.and_then(|open| open.attempts.get_mut(attempt as usize));
@@ -195,7 +197,7 @@
                 reason = "the module left it open",
                 "request failed at its deadline"
             );
-            self.finish(request, Reply::Failed);
+            self.finish(request, Reply::Failed, false);
             self.hear(Event::ClientGone { request }, errands);
             self.forget_if_done(request);
         }
@@ -204,6 +206,7 @@
     pub(crate) fn submit(
         &mut self,
         asked: Asked<F>,
+        uploading: bool,
         reply: oneshot::Sender<Reply<F::Answer>>,
         errands: &mut Errands<F>,
     ) -> Option<RequestId> {
@@ -215,7 +218,8 @@
         let not_after = self.clock.now().saturating_add(asked.budget);
         let (call, reply) = (Rc::new(asked.call), Some(reply));
         let (class, attempts) = (asked.class, Vec::new());
-        let open = Open { reply, call, class, id: asked.id, not_after, attempts, ended: false };
+        let deadline = uploading.then(|| watch::Sender::new(not_after));
+        let open = Open { reply, call, class, id: asked.id, not_after, deadline, attempts, ended: false };
         self.requests.insert(request, open);
         self.tally.took();
         self.set_timer(not_after.saturating_add(BACKSTOP), Due::Backstop(request), errands);
@@ -228,7 +232,8 @@
             tenant: asked.tenant,
             not_after,
         };
-        self.hear(Event::Request(arrival), errands);
+        let event = if uploading { Event::Upload(arrival) } else { Event::Request(arrival) };
+        self.hear(event, errands);
         self.forget_if_done(request);
         Some(request)
     }
@@ -257,12 +262,28 @@
             call: open.call.clone(),
             give_up: end.min(open.not_after),
             not_after: open.not_after,
+            deadline: open.deadline.as_ref().map(watch::Sender::subscribe),
             withdrawn,
         });
     }
 
+    /// A request's body has come whole, and its client waits for this much longer.
+    pub(crate) fn whole(&mut self, request: RequestId, budget: Nanos, errands: &mut Errands<F>) {
+        let now = self.clock.now();
+        let Some(open) = self.requests.get_mut(&request).filter(|open| !open.ended) else { return };
+        let (before, not_after) = (open.not_after, now.saturating_add(budget));
+        open.not_after = not_after;
+        if let Some(deadline) = &open.deadline {
+            deadline.send_replace(not_after);
+        }
+        open.attempts.iter_mut().flatten().for_each(|flight| flight.since = now);
+        self.timers.clear(before.saturating_add(BACKSTOP), Due::Backstop(request));
+        self.set_timer(not_after.saturating_add(BACKSTOP), Due::Backstop(request), errands);
+        self.hear(Event::Whole { request, not_after }, errands);
+    }
+
     /// Gives the final answer. Only the first one of a request goes out.
-    fn finish(&mut self, request: RequestId, reply: Reply<F::Answer>) {
+    fn finish(&mut self, request: RequestId, reply: Reply<F::Answer>, passing: bool) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         if let Some(sender) = open.reply.take() {
             let end = match reply {
@@ -272,9 +293,15 @@
             };
             // The client may have gone in this very moment.
             let told = sender.send(reply).is_ok();
-            self.tally.ended(open.class, told.then_some(end));
+            if !(told && passing) {
+                self.tally.ended(open.class, told.then_some(end));
+            }
         }
         open.ended = true;
+        // With its body still on the way nothing else ends an attempt that is out.
+        if let Some(deadline) = &open.deadline {
+            deadline.send_replace(self.clock.now().min(open.not_after));
+        }
         self.timers.clear(open.not_after.saturating_add(BACKSTOP), Due::Backstop(request));
     }
 
@@ -284,7 +311,7 @@
         let Some(flight) = open.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let elapsed = self.clock.now().saturating_sub(flight.since);
         if let (Outcome::Served, Some(answer)) = (ending.outcome, ending.answer) {
-            self.finish(request, Reply::Served(answer));
+            self.finish(request, Reply::Served(answer), ending.passing);
         }
         let ended = self.requests.get(&request).is_none_or(|open| open.ended);
         let (outcome, report) = (ending.outcome, ending.report);
@@ -295,7 +322,7 @@
 
     pub(crate) fn client_gone(&mut self, request: RequestId, errands: &mut Errands<F>) {
         if self.requests.get(&request).is_some_and(|open| !open.ended) {
-            self.finish(request, Reply::Failed);
+            self.finish(request, Reply::Failed, false);
             self.hear(Event::ClientGone { request }, errands);
         }
         self.forget_if_done(request);
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -117,11 +117,32 @@
     /// Takes a request; the answer comes through what is returned. Dropping that first means that the client
     /// has gone. None where its id is in use: passed on, it would count as another attempt of that request.
     pub fn submit(&self, asked: Asked<F>) -> Option<Waiting<F>> {
+        self.take(asked, false)
+    }
+
+    /// Takes a request whose body is still on the way; [`Waiting::whole`] tells when it has come. Its budget is how
+    /// long that may take.
+    pub fn upload(&self, asked: Asked<F>) -> Option<Waiting<F>> {
+        self.take(asked, true)
+    }
+
+    fn take(&self, asked: Asked<F>, uploading: bool) -> Option<Waiting<F>> {
         let (reply, answer) = oneshot::channel();
-        let request = self.call(|driver, errands| driver.submit(asked, reply, errands))?;
+        let request = self.call(|driver, errands| driver.submit(asked, uploading, reply, errands))?;
         Some(Waiting { engine: self.clone(), request, answer })
     }
 
+    /// Bytes of a request's body have gone out with this attempt that can't be had again.
+    pub fn spent(&self, ticket: Ticket) {
+        let request = ticket.request;
+        self.call(|driver, errands| driver.hear(Event::Spent { request }, errands));
+    }
+
+    /// An answer that was being passed on broke off at this backend.
+    pub fn broke(&self, backend: BackendId) {
+        self.call(|driver, errands| driver.hear(Event::Broke { backend }, errands));
+    }
+
     /// Whether an attempt may still be written: a connect can outlast its request, or the grace of a backend
     /// that has begun to drain.
     pub fn may_write(&self, ticket: Ticket) -> bool {
@@ -236,8 +257,18 @@
 }
 
 impl<F: Front> Waiting<F> {
+    /// The request's body has come whole; its client waits for this much longer.
+    pub fn whole(&self, budget: Nanos) {
+        self.engine.call(|driver, errands| driver.whole(self.request, budget, errands));
+    }
+
     /// The final answer.
     pub async fn answer(mut self) -> Reply<F::Answer> {
+        self.answered().await
+    }
+
+    /// The final answer, to be waited for once.
+    pub async fn answered(&mut self) -> Reply<F::Answer> {
         // The sender is dropped unused only if the request has vanished, which promises nothing.
         (&mut self.answer).await.unwrap_or(Reply::Failed)
     }
--- a/engine/src/front.rs
+++ b/engine/src/front.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use brookfield::{BackendId, Nanos, Outcome, Report, RequestId, Stage};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 /// What a front brings: the types of what its requests carry and of what serves them.
 pub trait Front: 'static {
@@ -48,6 +48,8 @@
     pub give_up: Nanos,
     /// When the client stops waiting.
     pub not_after: Nanos,
+    /// Where the request's body is still on the way: the two times above as they are once it is whole.
+    pub deadline: Option<watch::Receiver<Nanos>>,
     /// Resolves once the attempt has been withdrawn.
     pub withdrawn: oneshot::Receiver<()>,
 }
@@ -60,12 +62,14 @@
     pub report: Report,
     /// The answer of one that served; with none it has not served.
     pub answer: Option<A>,
+    /// The answer has only begun: what passes it on says in the [`Tally`](crate::Tally) how it ends.
+    pub passing: bool,
 }
 
 impl<A> Ending<A> {
     /// An end with nothing received.
     pub fn bare(outcome: Outcome) -> Self {
-        Self { outcome, report: Report::default(), answer: None }
+        Self { outcome, report: Report::default(), answer: None, passing: false }
     }
 }
 
--- /dev/null
+++ b/fronts/http/src/answer.rs
@@ -0,0 +1,160 @@
+//! Answers on their way to a client: held whole, or passed on as they come from the backend, with back pressure.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use badgerpost_engine::{End, Tally};
+
+use crate::budget::Kept;
+use crate::slots::Slot;
+
+/// A backend's answer to a request that it has served.
+pub enum Answer {
+    /// Held whole.
+    Whole(Kept),
+    /// Begun, with more to come.
+    Begun(Begun),
+}
+
+/// An answer that has begun to come.
+pub struct Begun {
+    /// What has come.
+    pub first: Kept,
+    /// What is still to come.
+    pub rest: Incoming,
+    /// How much is still to come in all, `first` included, where the backend has told it.
+    pub left: Option<u64>,
+    /// Told how it ended, once; with none its client has gone.
+    pub ended: Box<dyn FnOnce(Option<End>)>,
+}
+
+/// The body of an answer to a client.
+pub enum Reply {
+    /// Held whole, with what keeps its part of the budget.
+    Whole {
+        /// The bytes.
+        body: Full<Bytes>,
+        /// Their part of the budget, until the last of them is with the connection.
+        _kept: Kept,
+    },
+    /// As it comes.
+    Passing(Passing),
+}
+
+impl From<Bytes> for Reply {
+    fn from(bytes: Bytes) -> Self {
+        Self::from(Kept::new(bytes, None))
+    }
+}
+
+impl From<Kept> for Reply {
+    fn from(kept: Kept) -> Self {
+        Self::Whole { body: Full::new(kept.bytes.clone()), _kept: kept }
+    }
+}
+
+/// An answer that is passed on; says how it ended where that counts.
+pub struct Passing {
+    first: Option<Kept>,
+    rest: Incoming,
+    left: Option<u64>,
+    ended: Option<Box<dyn FnOnce(Option<End>)>>,
+    slot: Rc<Slot>,
+    tally: std::sync::Arc<Tally>,
+    class: u32,
+}
+
+impl Passing {
+    /// Passes on an answer to the client with this slot.
+    pub fn new(begun: Begun, slot: Rc<Slot>, tally: std::sync::Arc<Tally>, class: u32) -> Self {
+        let Begun { first, rest, left, ended } = begun;
+        slot.passing();
+        let first = Some(first).filter(|first| !first.bytes.is_empty());
+        Self { first, rest, left, ended: Some(ended), slot, tally, class }
+    }
+
+    /// Takes its end, the first one.
+    fn end(&mut self, end: Option<End>) {
+        let Some(ended) = self.ended.take() else { return };
+        ended(end);
+        self.tally.ended(self.class, end);
+        self.slot.passed();
+    }
+
+    fn give(&mut self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(data.len() as u64);
+            if *left == 0 {
+                // With a length, nobody asks whether more follows.
+                self.end(Some(End::Answered));
+            }
+        }
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(first) = self.first.take() {
+            return self.give(first.bytes);
+        }
+        loop {
+            match std::task::ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
+                None => {
+                    self.end(Some(End::Answered));
+                    return Poll::Ready(None);
+                }
+                // The client's connection ends in the midst of the body, so that it can tell.
+                Some(Err(error)) => {
+                    self.end(Some(End::Errored));
+                    return Poll::Ready(Some(Err(error)));
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return self.give(data);
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Passing {
+    /// The client has gone, or takes no more.
+    fn drop(&mut self) {
+        self.end(None);
+    }
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            Self::Whole { body, .. } => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::Passing(passing) => passing.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole { body, .. } => body.is_end_stream(),
+            Self::Passing(passing) => passing.left == Some(0),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole { body, .. } => body.size_hint(),
+            Self::Passing(Passing { left: Some(left), .. }) => SizeHint::with_exact(*left),
+            Self::Passing(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/fronts/http/src/budget.rs
@@ -0,0 +1,81 @@
+//! One budget for the bytes of bodies that are held whole, over all requests. What does not fit is not waited for: it
+//! is passed on as it comes, in pieces, and costs no more than a connection's buffers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+
+/// The bytes that are left. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Budget(Rc<Cell<usize>>);
+
+impl Budget {
+    /// So many bytes.
+    pub fn new(bytes: usize) -> Self {
+        Self(Rc::new(Cell::new(bytes)))
+    }
+
+    /// Takes these bytes until what is returned is dropped; none if there are not so many.
+    pub fn take(&self, bytes: usize) -> Option<Held> {
+        self.0.set(self.0.get().checked_sub(bytes)?);
+        Some(Held { budget: self.0.clone(), bytes })
+    }
+}
+
+/// Bytes that are held whole, and their part of the budget for as long.
+#[derive(Debug, Default)]
+pub struct Kept {
+    /// The bytes.
+    pub bytes: Bytes,
+    _held: Option<Held>,
+}
+
+impl Kept {
+    /// These bytes; what is held for more is given back.
+    pub fn new(bytes: Bytes, mut held: Option<Held>) -> Self {
+        held.iter_mut().for_each(|held| held.shrink(bytes.len()));
+        Self { bytes, _held: held }
+    }
+}
+
+/// A part of a [`Budget`].
+#[derive(Debug)]
+pub struct Held {
+    budget: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Held {
+    /// Gives back what is more than this.
+    fn shrink(&mut self, bytes: usize) {
+        let spare = self.bytes.saturating_sub(bytes);
+        self.bytes -= spare;
+        self.budget.set(self.budget.get() + spare);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.budget.set(self.budget.get() + self.bytes);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_taken_comes_back() {
+        let budget = Budget::new(100);
+        let mut first = budget.take(60).expect("there is room");
+        assert!(budget.take(41).is_none(), "a part of it is not taken either");
+        first.shrink(10);
+        first.shrink(70);
+        let second = budget.take(90).expect("room again");
+        drop(first);
+        assert!(budget.take(11).is_none());
+        drop(second);
+        assert!(budget.take(100).is_some());
+    }
+}
--- /dev/null
+++ b/fronts/http/src/headers.rs
@@ -0,0 +1,96 @@
+//! Headers of a client's request: those that are read here, and those that go on.
+
+use brookfield::Effect;
+use hyper::Method;
+use hyper::header::{self, HeaderMap, HeaderName};
+
+use crate::server::{BadCall, CALL_ID, KEY};
+
+/// A header that may stand once at most.
+pub fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, BadCall> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(BadCall::Unreadable(name));
+    }
+    value.to_str().map(|text| Some(text.trim())).map_err(|_| BadCall::Unreadable(name))
+}
+
+pub fn required<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, BadCall> {
+    single(headers, name)?.ok_or(BadCall::Missing(name))
+}
+
+/// A cookie's value (RFC 6265, chapter 4.2); none where it is not sent or can't be read.
+pub fn cookie<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let lines = headers.get_all(header::COOKIE).iter().filter_map(|line| line.to_str().ok());
+    lines.flat_map(|line| line.split(';')).find_map(|pair| {
+        let (known, value) = pair.trim().split_once('=')?;
+        (known == name && !value.is_empty()).then_some(value)
+    })
+}
+
+/// The method and the key follow from the class.
+pub fn check_form(method: &Method, headers: &HeaderMap, effect: Effect) -> Result<(), BadCall> {
+    let wanted = if effect == Effect::Repeatable { Method::GET } else { Method::POST };
+    if *method != wanted {
+        return Err(BadCall::Method(wanted));
+    }
+    match (effect, single(headers, KEY)?) {
+        (Effect::Keyed { .. }, None | Some("")) => Err(BadCall::Missing(KEY)),
+        (Effect::Keyed { .. }, Some(_)) | (_, None) => Ok(()),
+        (_, Some(_)) => Err(BadCall::Misplaced(KEY)),
+    }
+}
+
+/// The headers that go on: all but those that speak of this one connection. The framing is made anew.
+pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != CALL_ID && *name != KEY)
+        .collect();
+    let hop = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        HeaderName::from_static("keep-alive"),
+    ];
+    for name in named.into_iter().chain(hop) {
+        headers.remove(name);
+    }
+    headers
+}
+
+#[cfg(test)]
+mod tests {
+    use hyper::header::HeaderValue;
+
+    use super::*;
+    use crate::server::KEY_COOKIE;
+
+    #[test]
+    fn a_cookie_is_found_among_others() {
+        let read = |lines: &[&'static str]| {
+            let mut headers = HeaderMap::new();
+            lines.iter().for_each(|line| {
+                headers.append(header::COOKIE, HeaderValue::from_static(line));
+            });
+            cookie(&headers, KEY_COOKIE).map(str::to_owned)
+        };
+        assert_eq!(read(&["user=7f3a"]).as_deref(), Some("7f3a"));
+        assert_eq!(read(&["a=1; user=7f3a ;b=2"]).as_deref(), Some("7f3a"));
+        assert_eq!(read(&["a=1", "user=x=y"]).as_deref(), Some("x=y"));
+        for none in [&[][..], &["user="], &["user"], &["users=1; xuser=2"], &[";;="]] {
+            assert_eq!(read(none), None, "{none:?}");
+        }
+    }
+}
--- a/fronts/http/src/lib.rs
+++ b/fronts/http/src/lib.rs
@@ -3,17 +3,21 @@
 //! The HTTP/1.1 front: clients ([`server`]), backends ([`upstream`]) and the platform's list of servers
 //! ([`discovery`]) on sockets. What is sent where, again or not at all, the engine's module decides.
 
+mod answer;
+pub mod budget;
 pub mod discovery;
+mod headers;
 pub mod server;
 mod slots;
 mod tap;
+mod upload;
 pub mod upstream;
 
 use badgerpost_engine::{Engine, Front};
-use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 
-/// No body is larger, either way.
+/// A body up to here is held whole, so that it can be sent again, and an answer cut short can be repeated; a larger one
+/// is passed on as it comes.
 pub const MAX_BODY: usize = 64 * 1024;
 
 /// A client's request in the form in which it is passed on.
@@ -25,7 +29,9 @@
     /// The headers that go on unchanged.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    body: upload::Payload,
+    /// How long its client waits from its last byte on, in milliseconds.
+    pub budget_ms: u64,
 }
 
 /// The front's types.
@@ -33,10 +39,10 @@
 
 impl Front for Http {
     type Call = Call;
-    type Answer = Bytes;
+    type Answer = answer::Answer;
 }
 
 /// The engine of an HTTP fleet.
 pub type Node = Engine<Http>;
 type Launch = badgerpost_engine::Launch<Http>;
-type Ending = badgerpost_engine::Ending<Bytes>;
+type Ending = badgerpost_engine::Ending<answer::Answer>;
--- a/fronts/http/src/slots.rs
+++ b/fronts/http/src/slots.rs
@@ -2,20 +2,27 @@
 //! the node can go on accepting: the longest silent or idle one makes room, never one with a request on it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
 use badgerpost_engine::{Clock, nanos};
+use badgerpost_http1::{Fault, Follower, Sign};
 use brookfield::Nanos;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
 use crate::tap::{Ear, Tap};
 
-/// A request is whole this long after its first byte, the first one of a connection this long after the
-/// connect: clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it.
-pub const WHOLE_WITHIN: Duration = Duration::from_millis(2300);
+/// A head is whole this long after its first byte, the first one of a connection this long after the connect:
+/// clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it. A body that stops has
+/// as long.
+const WHOLE_WITHIN: Duration = Duration::from_millis(2300);
+/// A body may come this slowly, in bytes a second, from its head on: half of what clients in service need at least.
+const SLOWEST: u64 = 32 * 1024;
+/// An answer that is passed on goes on as long as something moves: a reader at that pace takes this long to empty the
+/// buffers that the system has on both sides before it makes room again.
+const MOVES_WITHIN: Duration = Duration::from_secs(30);
 /// A connection closes this long after the body's own limit: the answer that tells of it goes first.
 const CLOSES_AFTER: Duration = Duration::from_millis(200);
 /// An answer that its client has not taken in by then is given up with its connection.
@@ -35,9 +42,8 @@
 const NEW: Duration = Duration::from_millis(500);
 /// After an error what still comes is read and dropped for this long, or the error would be lost with it.
 const LINGER: Duration = Duration::from_millis(1500);
-/// So much of a head is looked at for its length; the parser takes no longer one.
-const LOOKS_AT: usize = 32 * 1024;
-const LENGTH: &[u8] = b"content-length:";
+/// Requests sent ahead of their answers whose heads are remembered; the parser reads no further ahead than 32 KiB.
+const AHEAD_MOST: usize = 2048;
 /// How often the slots are looked through; and the wait for room where nobody can go yet.
 const SWEEP: Duration = Duration::from_millis(100);
 const ROOM_AGAIN: Duration = Duration::from_millis(10);
@@ -47,10 +53,14 @@
 enum Stage {
     /// Nothing has come yet.
     Silent,
-    /// A request is coming in.
+    /// A request's head is coming in.
     Arriving,
+    /// Its body is coming in.
+    Receiving,
     /// A request is taken and owed its answer.
     Open,
+    /// An answer is passed on as it comes.
+    Passing,
     /// An answer is on its way out.
     Answering,
     /// Between requests.
@@ -63,8 +73,10 @@
 pub struct Slot {
     stage: Cell<Stage>,
     since: Cell<Nanos>,
-    /// The head that came last names its length more than once.
-    doubled: Cell<bool>,
+    /// What was found of the heads that have come and are not taken yet, in order.
+    heads: RefCell<VecDeque<Result<(), Fault>>>,
+    /// Bytes of the body that have come, or are expected with its head.
+    received: Cell<u64>,
     /// The last answer told of a bad request, of which more may come.
     told_off: Cell<bool>,
     close: Notify,
@@ -84,7 +96,8 @@
             idle,
             stage: Cell::new(Stage::Silent),
             since: Cell::new(clock.now()),
-            doubled: Cell::new(false),
+            heads: RefCell::default(),
+            received: Cell::new(0),
             told_off: Cell::new(false),
             close: Notify::new(),
             clock,
@@ -104,16 +117,35 @@
         self.idle.now.get() >= self.idle.many
     }
 
-    /// Bytes have come; whether they begin a request.
-    fn heard(&self) -> bool {
+    /// Bytes have come.
+    fn heard(&self) {
         match self.stage.get() {
             // The time of the first request runs from the connect.
             Stage::Silent => self.stage.set(Stage::Arriving),
             Stage::Idle => self.enter(Stage::Arriving),
-            _ => return false,
+            _ => {}
+        }
+    }
+
+    /// What the bytes that have come tell of the requests in them.
+    fn told(&self, sign: Sign) {
+        match sign {
+            Sign::Head(found) => {
+                let mut heads = self.heads.borrow_mut();
+                heads.truncate(AHEAD_MOST - 1);
+                heads.push_back(found);
+            }
+            Sign::Begun | Sign::Whole | Sign::Broken(_) => {}
+        }
+    }
+
+    /// Bytes have moved on this connection.
+    fn moved(&self, read: usize) {
+        match self.stage.get() {
+            Stage::Receiving => self.received.set(self.received.get().saturating_add(read as u64)),
+            Stage::Passing => self.since.set(self.clock.now()),
+            _ => {}
         }
-        self.doubled.set(false);
-        true
     }
 
     /// Whether it has only just been opened: its first request is on the way.
@@ -122,12 +154,6 @@
         self.stage.get() == Stage::Silent && age < nanos(NEW)
     }
 
-    /// Whether the request's head names its length more than once. The parser takes one that repeats the
-    /// last and tells nobody.
-    pub fn doubled(&self) -> bool {
-        self.doubled.get()
-    }
-
     /// All that was to be written is with the system.
     fn flushed(&self) {
         if self.stage.get() == Stage::Answering {
@@ -135,12 +161,34 @@
         }
     }
 
-    /// A request's head has come; returns when its body has to be whole.
-    pub fn arriving(&self) -> Nanos {
-        if self.stage.get() != Stage::Arriving {
-            self.enter(Stage::Arriving);
+    /// A request's head has been taken, and its body may come; returns whether its framing can be read in one way only.
+    pub fn receiving(&self) -> Result<(), Fault> {
+        self.enter(Stage::Receiving);
+        self.received.set(0);
+        self.heads.borrow_mut().pop_front().unwrap_or(Ok(()))
+    }
+
+    /// When the body has to have come, by what has come of it so far.
+    pub fn received_by(&self) -> Nanos {
+        let paid = self.received.get().saturating_mul(1_000_000_000) / SLOWEST;
+        self.since.get().saturating_add(nanos(WHOLE_WITHIN)).saturating_add(paid)
+    }
+
+    /// Whether all of the last request has been taken.
+    pub fn is_received(&self) -> bool {
+        !matches!(self.stage.get(), Stage::Arriving | Stage::Receiving)
+    }
+
+    /// An answer has begun to go out and goes on as it comes.
+    pub fn passing(&self) {
+        self.enter(Stage::Passing);
+    }
+
+    /// The last of it has been handed on.
+    pub fn passed(&self) {
+        if self.stage.get() == Stage::Passing {
+            self.enter(Stage::Answering);
         }
-        self.since.get().saturating_add(nanos(WHOLE_WITHIN))
     }
 
     /// A request is taken.
@@ -151,7 +199,9 @@
     /// Its answer goes out, and tells of a bad request or not.
     pub fn answering(&self, bad: bool) {
         self.told_off.set(bad);
-        self.enter(Stage::Answering);
+        if self.stage.get() != Stage::Passing {
+            self.enter(Stage::Answering);
+        }
     }
 
     /// Whether more of a bad request may still come.
@@ -167,7 +217,9 @@
     fn overdue(&self, now: Nanos) -> bool {
         let most = match self.stage.get() {
             Stage::Silent | Stage::Arriving => WHOLE_WITHIN + CLOSES_AFTER,
+            Stage::Receiving => return now >= self.received_by().saturating_add(nanos(CLOSES_AFTER)),
             Stage::Open => return false,
+            Stage::Passing => MOVES_WITHIN,
             Stage::Answering => TAKEN_WITHIN,
             Stage::Idle => IDLE_MOST,
             Stage::Leaving => LINGER,
@@ -181,7 +233,9 @@
             Stage::Leaving => (0, Duration::ZERO),
             Stage::Silent => (1, SILENT_LEAST),
             Stage::Idle => (2, IDLE_LEAST),
-            Stage::Arriving | Stage::Open | Stage::Answering => return None,
+            Stage::Arriving | Stage::Receiving | Stage::Open | Stage::Passing | Stage::Answering => {
+                return None;
+            }
         };
         let since = self.since.get();
         (now.saturating_sub(since) >= nanos(least)).then_some((rank, since))
@@ -276,36 +330,26 @@
 /// Keeps a slot up to date by what is heard on its client's socket.
 pub struct RequestTracker {
     slot: Rc<Slot>,
-    /// The head that is coming in.
-    head: Option<Vec<u8>>,
+    follower: Follower,
 }
 
 impl RequestTracker {
     /// The tracker of this slot.
     pub fn new(slot: Rc<Slot>) -> Self {
-        Self { slot, head: None }
+        Self { slot, follower: Follower::new() }
     }
 }
 
 impl Ear for RequestTracker {
-    /// Looks at a request's head as it comes in.
     fn bytes(&mut self, bytes: &[u8]) {
-        if self.slot.heard() {
-            self.head = Some(Vec::new());
-        }
-        let Some(head) = &mut self.head else { return };
-        // An end may lie across two reads.
-        let from = head.len().saturating_sub(3);
-        head.extend_from_slice(bytes);
-        let ended = head[from..].windows(4).any(|four| four == b"\r\n\r\n" || four[2..] == *b"\n\n");
-        if ended || head.len() > LOOKS_AT {
-            let length =
-                |line: &&[u8]| line.get(..LENGTH.len()).is_some_and(|l| l.eq_ignore_ascii_case(LENGTH));
-            let end = head.windows(4).position(|four| four == b"\r\n\r\n").unwrap_or(head.len());
-            let lengths = head[..end].split(|byte| *byte == b'\n').filter(length).count();
-            self.slot.doubled.set(lengths > 1);
-            self.head = None;
-        }
+        let Self { slot, follower } = self;
+        slot.heard();
+        slot.moved(bytes.len());
+        follower.feed(bytes, &mut |sign| slot.told(sign));
+    }
+
+    fn written(&mut self) {
+        self.slot.moved(0);
     }
 
     fn flushed(&mut self) {
--- a/fronts/http/src/tap.rs
+++ b/fronts/http/src/tap.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -19,6 +19,8 @@
     /// Bytes have come since the last message.
     begun: AtomicBool,
     bytes: Notify,
+    /// How often bytes have come.
+    reads: AtomicU64,
     /// What has come was an interim answer.
     interim: AtomicBool,
     /// Where to count the message that is on its way out, once it is written whole.
@@ -47,14 +49,18 @@
         *self.0.sending.lock().unwrap_or_else(PoisonError::into_inner) = Some(tally);
     }
 
-    /// Resolves once an answer has begun to come and was not whole after so long. Interim answers don't count:
+    /// Resolves once an answer has begun to come and nothing more of it has for so long. Interim answers don't count:
     /// the one that they announce may take its time.
     pub async fn stalled(&self, clock: &Clock, most: Duration) {
         loop {
             while !self.0.begun.load(Ordering::Relaxed) {
                 self.0.bytes.notified().await;
             }
+            let before = self.0.reads.load(Ordering::Relaxed);
             clock.sleep(most).await;
+            if self.0.reads.load(Ordering::Relaxed) != before {
+                continue;
+            }
             if !self.0.interim.swap(false, Ordering::Relaxed) {
                 return;
             }
@@ -70,6 +76,7 @@
 
 impl Ear for Heard {
     fn bytes(&mut self, _bytes: &[u8]) {
+        self.0.reads.fetch_add(1, Ordering::Relaxed);
         if !self.0.begun.swap(true, Ordering::Relaxed) {
             self.0.bytes.notify_waiters();
         }
--- /dev/null
+++ b/fronts/http/src/upload.rs
@@ -0,0 +1,208 @@
+//! Request bodies on their way to a backend: held whole, or passed on as they come. What has come of a body before its
+//! first attempt is kept, so that an attempt that never got further can be followed by another; once a byte beyond that
+//! has gone out, the request can't be sent again.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::Notify;
+
+use badgerpost_engine::Ticket;
+
+use crate::Node;
+use crate::budget::Kept;
+
+/// A request's body.
+pub enum Payload {
+    /// Held whole.
+    Whole(Kept),
+    /// Still on the way.
+    Coming(Rc<Upload>),
+}
+
+impl Payload {
+    /// Whether all of it has come.
+    pub fn is_whole(&self) -> bool {
+        match self {
+            Self::Whole(..) => true,
+            Self::Coming(upload) => upload.is_whole(),
+        }
+    }
+
+    /// Whether its client has broken it off.
+    pub fn is_broken(&self) -> bool {
+        matches!(self, Self::Coming(upload) if upload.broken.get())
+    }
+
+    /// The body of a message to a backend. One made before for the same request ends with an error.
+    pub fn message(&self, node: &Node, ticket: Ticket) -> Outgoing {
+        match self {
+            Self::Whole(kept) => Outgoing::Whole(Full::new(kept.bytes.clone())),
+            Self::Coming(upload) => {
+                upload.turn.set(upload.turn.get() + 1);
+                Outgoing::Passing(Passing {
+                    first: Some(upload.first.bytes.clone()).filter(|first| !first.is_empty()),
+                    left: upload.length,
+                    turn: upload.turn.get(),
+                    upload: upload.clone(),
+                    node: node.clone(),
+                    ticket,
+                })
+            }
+        }
+    }
+
+    /// No message that has been made takes anything more of it.
+    pub fn abandon(&self) {
+        if let Self::Coming(upload) = self {
+            upload.turn.set(upload.turn.get() + 1);
+        }
+    }
+}
+
+/// A body that is still on the way.
+pub struct Upload {
+    /// What had come before the first attempt, and its part of the budget.
+    first: Kept,
+    rest: RefCell<Incoming>,
+    /// The whole body's length, where its client has told it.
+    length: Option<u64>,
+    /// Which message may take of it: the one made last.
+    turn: Cell<u64>,
+    spent: Cell<bool>,
+    broken: Cell<bool>,
+    whole: Cell<bool>,
+    ended: Notify,
+}
+
+impl Upload {
+    /// A body of which `first` has come.
+    pub fn new(first: Kept, rest: Incoming, length: Option<u64>) -> Rc<Self> {
+        Rc::new(Self {
+            first,
+            rest: RefCell::new(rest),
+            length,
+            turn: Cell::new(0),
+            spent: Cell::new(false),
+            broken: Cell::new(false),
+            whole: Cell::new(false),
+            ended: Notify::new(),
+        })
+    }
+
+    /// Whether its last byte has been taken.
+    pub fn is_whole(&self) -> bool {
+        self.whole.get()
+    }
+
+    /// Resolves once its last byte has been taken.
+    pub async fn taken(&self) {
+        self.ended.notified().await;
+    }
+
+    fn end(&self) {
+        if !self.whole.replace(true) {
+            self.ended.notify_one();
+        }
+    }
+}
+
+/// The body of a message to a backend.
+pub enum Outgoing {
+    /// Held whole.
+    Whole(Full<Bytes>),
+    /// As it comes.
+    Passing(Passing),
+}
+
+/// A body that is passed on as it comes.
+pub struct Passing {
+    first: Option<Bytes>,
+    left: Option<u64>,
+    turn: u64,
+    upload: Rc<Upload>,
+    node: Node,
+    ticket: Ticket,
+}
+
+impl Passing {
+    fn give(&mut self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(data.len() as u64);
+            if *left == 0 {
+                // With a length, nobody asks whether more follows.
+                self.upload.end();
+            }
+        }
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.turn != self.upload.turn.get() {
+            return Poll::Ready(Some(Err(io::Error::other("the attempt has ended"))));
+        }
+        if let Some(first) = self.first.take() {
+            return self.give(first);
+        }
+        loop {
+            let frame = {
+                let mut rest = self.upload.rest.borrow_mut();
+                std::task::ready!(Pin::new(&mut *rest).poll_frame(cx))
+            };
+            match frame {
+                None => {
+                    self.upload.end();
+                    return Poll::Ready(None);
+                }
+                Some(Err(error)) => {
+                    self.upload.broken.set(true);
+                    return Poll::Ready(Some(Err(io::Error::other(error))));
+                }
+                // Trailers are the client's connection's own.
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    if !self.upload.spent.replace(true) {
+                        self.node.spent(self.ticket);
+                    }
+                    return self.give(data);
+                }
+            }
+        }
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Self::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Self::Passing(passing) => passing.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(full) => full.is_end_stream(),
+            Self::Passing(passing) => passing.left == Some(0),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(full) => full.size_hint(),
+            Self::Passing(Passing { left: Some(left), .. }) => SizeHint::with_exact(*left),
+            Self::Passing(_) => SizeHint::default(),
+        }
+    }
+}
--- a/fronts/http/src/upstream.rs
+++ b/fronts/http/src/upstream.rs
@@ -8,28 +8,35 @@
 
 use brookfield::{BackendId, Nanos, Outcome, Report};
 use brookfield_settings::Links;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
-use badgerpost_engine::{Clock, IdlePool, Launcher, OpenCount, Quiet, spawn};
+use badgerpost_engine::{Clock, End, IdlePool, Launcher, OpenCount, Quiet, spawn};
 
+use crate::answer::{Answer, Begun};
+use crate::budget::{Budget, Kept};
 use crate::tap::{Heard, Tap};
+use crate::upload::Outgoing;
 use crate::{Ending, Http, Launch, MAX_BODY, Node};
 
 /// No answer's head is larger, nor has more lines.
 const MAX_HEAD: usize = 16 * 1024;
 const MAX_LINES: usize = 64;
-/// An answer is whole this long after it has begun, or it is spoilt: backends send it in one go, and the time
-/// is better used for another attempt.
-const WHOLE_WITHIN: Duration = Duration::from_millis(100);
+/// A small answer of which nothing more comes for so long is spoilt: backends send it in one go, and the time is better
+/// used for another attempt.
+const GOES_ON_WITHIN: Duration = Duration::from_millis(100);
+/// A large answer begins to be passed on with so much of it: one whose length is wrong has less to show, and is then
+/// still to be had elsewhere.
+const BEGINS_WITH: usize = 4 * 1024;
 /// A connection rests this long after an answer. What comes behind one would pass for the next one's answer;
 /// while it rests, it shows as not asked for, and the connection is dropped. So does a close.
 const REST: Nanos = 10_000_000;
@@ -57,7 +64,7 @@
 
 /// A connection, and what is heard on it.
 struct Link {
-    send: SendRequest<Full<Bytes>>,
+    send: SendRequest<Outgoing>,
     heard: Heard,
 }
 
@@ -76,6 +83,8 @@
     most: usize,
     links: Links,
     clock: Clock,
+    /// For answers that are held whole.
+    bodies: Budget,
     aged: Aged,
 }
 
@@ -110,9 +119,9 @@
 
 impl Upstream {
     /// At most `most` connections are open together.
-    pub fn new(links: Links, clock: Clock, most: usize) -> Self {
+    pub fn new(links: Links, clock: Clock, most: usize, bodies: Budget) -> Self {
         let (idle, open) = (IdlePool::default(), OpenCount::default());
-        Self(Rc::new(Pool { idle, open, most, links, clock, aged: Aged::default() }))
+        Self(Rc::new(Pool { idle, open, most, links, clock, bodies, aged: Aged::default() }))
     }
 
     /// Closes what has been idle for too long; never ends.
@@ -147,38 +156,57 @@
 }
 
 impl Pool {
-    async fn run(&self, node: Node, mut launch: Launch) {
+    async fn run(self: Rc<Self>, node: Node, mut launch: Launch) {
         let written = Cell::new(false);
         let withdrawn = std::mem::replace(&mut launch.withdrawn, tokio::sync::oneshot::channel().1);
         // Never written, it never ran: a refusal is still open to the module then.
-        let unless_written = |outcome| if written.get() { outcome } else { Outcome::Moot };
+        let call = launch.call.clone();
+        let unless_written =
+            |outcome| if written.get() && call.body.is_whole() { outcome } else { Outcome::Moot };
         let mut attempt = std::pin::pin!(self.attempt(&node, &launch, &written));
         let ending = tokio::select! {
             biased;
             _ = withdrawn => Ending::bare(unless_written(Outcome::Cancelled)),
             ending = &mut attempt => ending,
-            () = self.clock.sleep_until(launch.give_up) => {
+            () = self.given_up(&launch) => {
                 Ending::bare(unless_written(Outcome::TimedOut))
             }
         };
+        launch.call.body.abandon();
         // With the client's time over no other attempt can follow this one, so it may come to its own end.
-        let salvaged = ending.outcome == Outcome::TimedOut && launch.give_up >= launch.not_after;
+        let coming = launch.deadline.is_some();
+        let salvaged = ending.outcome == Outcome::TimedOut && launch.give_up >= launch.not_after && !coming;
         node.settled(launch.ticket, ending);
         if salvaged && self.open.get() < self.most / 4 * 3 {
             let _ = self.clock.timeout(SALVAGE, attempt).await;
         }
     }
 
+    /// Waits until the attempt is no longer waited for; with its body still on the way that is not known yet.
+    async fn given_up(&self, launch: &Launch) {
+        let Some(mut deadline) = launch.deadline.clone() else {
+            return self.clock.sleep_until(launch.give_up).await;
+        };
+        loop {
+            let at = *deadline.borrow_and_update();
+            tokio::select! {
+                biased;
+                () = self.clock.sleep_until(at) => return,
+                Ok(()) = deadline.changed() => {}
+            }
+        }
+    }
+
     /// Asks a backend for its load report, over an idle connection if there is one. Where connections are scarce
     /// nothing is opened for it: requests need them more.
-    async fn probe(&self, node: Node, place: Place) {
+    async fn probe(self: Rc<Self>, node: Node, place: Place) {
         let began = self.clock.now();
         let asked = self.clock.timeout(PROBE_WITHIN, self.ask_load(&node, place)).await;
         let (outcome, report) = asked.unwrap_or((Outcome::TimedOut, Report::default()));
         node.probed(place.0, outcome, self.clock.now().saturating_sub(began), report);
     }
 
-    async fn ask_load(&self, node: &Node, place: Place) -> (Outcome, Report) {
+    async fn ask_load(self: &Rc<Self>, node: &Node, place: Place) -> (Outcome, Report) {
         let failed = |outcome| (outcome, Report::default());
         let mut link = match self.take(place) {
             Some((link, _)) => link,
@@ -192,7 +220,7 @@
         let (true, Ok(host)) = (node.serves_at(place.0, place.1), host) else {
             return failed(Outcome::Moot);
         };
-        let mut message = Request::new(Full::new(Bytes::new()));
+        let mut message = Request::new(Outgoing::Whole(Full::new(Bytes::new())));
         *message.uri_mut() = Uri::from_static(LOAD_PATH);
         message.headers_mut().insert(HOST, host);
         if link.send.ready().await.is_err() {
@@ -201,19 +229,20 @@
         link.heard.listen(&mut message);
         match link.send.try_send_request(message).await {
             Ok(response) => {
-                let (ending, whole) = read(response).await;
-                if whole {
-                    self.keep(node, place, link);
-                }
-                let served = ending.outcome == Outcome::Served;
-                let told = ending.answer.filter(|_| served).map(|body| figures(&body));
+                let ending = self.read(node, place, link, response).await;
+                let told = match &ending.answer {
+                    Some(Answer::Whole(kept)) if ending.outcome == Outcome::Served => {
+                        Some(figures(&kept.bytes))
+                    }
+                    _ => None,
+                };
                 (ending.outcome, told.unwrap_or(ending.report))
             }
             Err(error) => failed(broken(error.error())),
         }
     }
 
-    async fn attempt(&self, node: &Node, launch: &Launch, written: &Cell<bool>) -> Ending {
+    async fn attempt(self: &Rc<Self>, node: &Node, launch: &Launch, written: &Cell<bool>) -> Ending {
         let place = (launch.backend, launch.endpoint);
         loop {
             let (mut link, rest) = match self.take(place) {
@@ -240,7 +269,7 @@
                 self.keep(node, place, link);
                 return Ending::bare(Outcome::Moot);
             }
-            let Some(mut message) = self.message(launch) else { return Ending::bare(Outcome::Moot) };
+            let Some(mut message) = self.message(node, launch) else { return Ending::bare(Outcome::Moot) };
             let heard = link.heard.clone();
             heard.listen(&mut message);
             heard.count_in(node.tally());
@@ -248,9 +277,15 @@
             let ending = tokio::select! {
                 biased;
                 ending = self.exchange(node, place, link, message) => ending,
-                () = heard.stalled(&self.clock, WHOLE_WITHIN) => return Ending::bare(Outcome::Spoilt),
+                () = heard.stalled(&self.clock, GOES_ON_WITHIN) => return Ending::bare(Outcome::Spoilt),
             };
             match ending {
+                // A client that breaks its request off is no fault of the backend's.
+                Some(_) if launch.call.body.is_broken() => return Ending::bare(Outcome::Moot),
+                // What was never whole there never ran.
+                Some(ending) if ending.outcome == Outcome::Reset && !launch.call.body.is_whole() => {
+                    return Ending::bare(Outcome::ConnectFailed);
+                }
                 Some(ending) => {
                     let reset = ending.outcome == Outcome::Reset && !heard.anything();
                     rest.into_iter().for_each(|rest| self.aged.used(rest, reset));
@@ -266,20 +301,14 @@
 
     /// One message and its answer. None if not a byte of the message was written.
     async fn exchange(
-        &self,
+        self: &Rc<Self>,
         node: &Node,
         place: Place,
         mut link: Link,
-        message: Request<Full<Bytes>>,
+        message: Request<Outgoing>,
     ) -> Option<Ending> {
         match link.send.try_send_request(message).await {
-            Ok(response) => {
-                let (ending, whole) = read(response).await;
-                if whole {
-                    self.keep(node, place, link);
-                }
-                Some(ending)
-            }
+            Ok(response) => Some(self.read(node, place, link, response).await),
             Err(mut error) => match error.take_message() {
                 Some(_) => None,
                 None => Some(Ending::bare(broken(error.error()))),
@@ -287,10 +316,72 @@
         }
     }
 
-    fn message(&self, launch: &Launch) -> Option<Request<Full<Bytes>>> {
+    /// Reads an answer: whole, and then its connection is of further use, or as far as it has to be to be passed on.
+    async fn read(
+        self: &Rc<Self>,
+        node: &Node,
+        place: Place,
+        link: Link,
+        response: Response<Incoming>,
+    ) -> Ending {
+        let (head, mut body) = response.into_parts();
+        let length = body.size_hint().exact();
+        let chunked = head.headers.contains_key(TRANSFER_ENCODING);
+        // With neither a length nor chunks an answer ends with its connection, and one cut short looks whole: only
+        // where its backend says that it means to close is that what it meant.
+        let framed = length.is_some() || chunked || ends_with_connection(&head);
+        if !framed || head.status.is_informational() {
+            return Ending::bare(Outcome::Spoilt);
+        }
+        let outcome = outcome(&head);
+        let report = load_report(&head.headers);
+        let most = length.map_or(MAX_BODY as u64, |length| length.min(MAX_BODY as u64)) as usize;
+        let held = self.bodies.take(most);
+        let large = held.is_none() || length.is_some_and(|length| length > MAX_BODY as u64);
+        let mut first = BytesMut::new();
+        loop {
+            match body.frame().await {
+                None => break,
+                Some(Err(error)) => return Ending::bare(broken(&error)),
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    first.extend_from_slice(&data);
+                }
+            }
+            let enough = if large { BEGINS_WITH } else { MAX_BODY + 1 };
+            // One with a length is whole with its last byte.
+            if length == Some(first.len() as u64) || first.len() < enough {
+                continue;
+            }
+            if outcome != Outcome::Served {
+                // Nobody gets to see it, so that nothing waits for the rest.
+                return Ending { outcome, report, answer: None, passing: false };
+            }
+            let (pool, owner) = (self.clone(), node.clone());
+            let ended = Box::new(move |end| match end {
+                Some(End::Answered) => pool.keep(&owner, place, link),
+                Some(_) => owner.broke(place.0),
+                None => {}
+            });
+            let first = Kept::new(first.freeze(), held);
+            let begun = Begun { first, rest: body, left: length, ended };
+            return Ending { outcome, report, answer: Some(Answer::Begun(begun)), passing: true };
+        }
+        self.keep(node, place, link);
+        Ending {
+            outcome,
+            report,
+            answer: Some(Answer::Whole(Kept::new(first.freeze(), held))),
+            passing: false,
+        }
+    }
+
+    fn message(&self, node: &Node, launch: &Launch) -> Option<Request<Outgoing>> {
         let call = &launch.call;
         let left = launch.give_up.min(launch.not_after).saturating_sub(self.clock.now()) / 1_000_000;
-        let mut message = Request::new(Full::new(call.body.clone()));
+        // With its body still on the way, its client's time begins only with the last byte.
+        let left = left.min(call.budget_ms);
+        let mut message = Request::new(call.body.message(node, launch.ticket));
         *message.method_mut() = call.method.clone();
         *message.uri_mut() = call.target.clone();
         *message.headers_mut() = call.headers.clone();
@@ -352,32 +443,24 @@
     }
 }
 
-/// Reads an answer; also whether it was whole, so that its connection is of further use.
-async fn read(response: Response<Incoming>) -> (Ending, bool) {
-    let (head, body) = response.into_parts();
-    // With neither a length nor chunks an answer ends with its connection, and one cut short looks whole.
-    let framed = body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-    if !framed || body.size_hint().lower() > MAX_BODY as u64 || head.status.is_informational() {
-        return (Ending::bare(Outcome::Spoilt), false);
-    }
-    let body = match Limited::new(body, MAX_BODY).collect().await {
-        Ok(whole) => whole.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return (Ending::bare(Outcome::Spoilt), false),
-        Err(error) => {
-            let cause = error.downcast_ref::<hyper::Error>();
-            return (Ending::bare(cause.map_or(Outcome::Reset, broken)), false);
-        }
-    };
+/// What an answer's head says of the attempt.
+fn outcome(head: &Parts) -> Outcome {
     let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
-    let outcome = match head.status {
+    match head.status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
         StatusCode::OK => Outcome::Served,
         // What is wrong with the request is not the backend's fault, and says nothing of it.
         status if status.is_client_error() => Outcome::Spoilt,
         // Whatever the status says, the request may have run.
         _ => Outcome::Error,
-    };
-    (Ending { outcome, report: load_report(&head.headers), answer: Some(body) }, true)
+    }
+}
+
+/// Whether an answer with no length is meant to end with its connection (RFC 9112, chapters 6.3 and 9.6).
+fn ends_with_connection(head: &Parts) -> bool {
+    let lines = head.headers.get_all(CONNECTION).iter().filter_map(|line| line.to_str().ok());
+    let closes = lines.flat_map(|line| line.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"));
+    closes || head.version == Version::HTTP_10
 }
 
 /// What a broken answer was: a connection that ended, or one that brought what is no answer.
--- a/kit/standins/src/scripted.rs
+++ b/kit/standins/src/scripted.rs
@@ -55,12 +55,34 @@
         headers.push((name.to_owned(), value.trim().to_owned()));
     }
     let mut message = Message { first, headers, body: Vec::new() };
+    if message.value("transfer-encoding").is_some() {
+        message.body = read_chunks(reader)?;
+        return Some(message);
+    }
     let length = message.value("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
     Some(message)
 }
 
+/// Reads a body in chunks; none where the connection ends first.
+fn read_chunks(reader: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        let size = usize::from_str_radix(line.trim_end().split(';').next()?, 16).ok()?;
+        if size == 0 {
+            reader.read_line(&mut line).ok()?;
+            return Some(body);
+        }
+        let from = body.len();
+        body.resize(from + size, 0);
+        reader.read_exact(&mut body[from..]).ok()?;
+        reader.read_exact(&mut [0; 2]).ok()?;
+    }
+}
+
 /// What a backend does with a request.
 #[derive(Clone)]
 pub enum Does {
@@ -422,6 +444,15 @@
         self.writer.write_all(text.as_bytes()).unwrap();
     }
 
+    /// Writes these bytes in pieces of this size, each in a packet of its own.
+    pub fn write_in_pieces(&mut self, bytes: &[u8], size: usize) {
+        self.writer.set_nodelay(true).unwrap();
+        for piece in bytes.chunks(size) {
+            self.writer.write_all(piece).unwrap();
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     pub fn read(&mut self) -> Option<Message> {
         read_message(&mut self.reader)
     }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -30,6 +30,13 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    #[serde(default = "usual_memory")]
+    memory_mb: usize,
+}
+
+/// What a node has on the platform's scored days.
+fn usual_memory() -> usize {
+    192
 }
 
 /// What the operators switch on; off by default, all of it.
@@ -156,6 +163,12 @@
         u64::from_str_radix(&self.seed, 16).map_err(|_| ConfigError::Seed(self.seed.clone()))
     }
 
+    /// Bytes for bodies that are held whole: a quarter of the memory. The rest is for the buffers of connections, of
+    /// which there may be as many as descriptors, and for the node's own.
+    pub fn bodies(&self) -> usize {
+        self.limits.memory_mb.saturating_mul(1024 * 1024 / 4)
+    }
+
     /// Descriptors for clients and for backends: a half and three eighths of all. The rest is slack and the
     /// node's own.
     pub fn shares(&self) -> Result<(usize, usize), ConfigError> {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -9,7 +9,8 @@
 
 use badgerpost_console::{Console, Life};
 use badgerpost_engine::{Clock, Stepped, spawn};
-use badgerpost_http::server::{self, Door};
+use badgerpost_http::budget::Budget;
+use badgerpost_http::server::{self, Door, Limits};
 use badgerpost_http::upstream::Upstream;
 use badgerpost_http::{Node, discovery};
 use badgerpost_lifecycle::{Event, Stage};
@@ -78,7 +79,8 @@
     let (site, seed, (clients, backends)) = (edge.site()?, edge.seed()?, edge.shares()?);
     let hands = own.rehearsal.map(Hands::take).transpose()?;
     let clock = hands.as_ref().map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
-    let upstream = Upstream::new(site.links, clock.clone(), backends);
+    let bodies = Budget::new(edge.bodies());
+    let upstream = Upstream::new(site.links, clock.clone(), backends, bodies.clone());
     spawn(Upstream::sweep(upstream.pool()));
     let node = Node::new(site.settings, site.words, seed, clock.clone(), Rc::new(upstream))
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
@@ -101,8 +103,12 @@
         operators_call(at, &life, &node)?;
     }
     let deadline = node.longest_deadline();
-    let served =
-        spawn(server::run(listener, node, clients, Door { stage: life.stage(), accepts: life.accepts() }));
+    let served = spawn(server::run(
+        listener,
+        node,
+        Limits { clients, bodies },
+        Door { stage: life.stage(), accepts: life.accepts() },
+    ));
     let (stop, stopping) = watch::channel(false);
     let postgres = match own.postgres {
         Some(postgres) => Some(spawn(serve_postgres(postgres, seed, &clock, stopping)?)),
--- a/src/api.rs
+++ b/src/api.rs
@@ -405,8 +405,28 @@
     FleetFailed,
     /// A request came in and is owed one final answer.
     Request(Arrival),
+    /// The same, but its body is still on the way: its client's time begins with [`Event::Whole`], and until then no
+    /// backend works on it. `not_after` is when it is given up if that never comes.
+    Upload(Arrival),
+    /// The last byte of a request's body has come.
+    Whole {
+        /// The request.
+        request: RequestId,
+        /// When the client gives this try up.
+        not_after: Nanos,
+    },
+    /// Bytes of a request's body have gone out that can't be had again: it can't be sent once more.
+    Spent {
+        /// The request.
+        request: RequestId,
+    },
     /// An attempt ended.
     Settled(Settlement),
+    /// An answer that had begun to be passed on broke off at this backend.
+    Broke {
+        /// The backend.
+        backend: BackendId,
+    },
     /// A streamed answer has started.
     Started {
         /// The request.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -41,7 +41,13 @@
         };
         // A wanted margin to the drain grace: nothing is sent once told.
         let in_service = backend.member.stage == Stage::InService;
-        live && attempts_left && alone && repeat_dropped && in_service && self.cold_budget(backend, request)
+        !request.spent
+            && live
+            && attempts_left
+            && alone
+            && repeat_dropped
+            && in_service
+            && self.cold_budget(backend, request)
     }
 
     /// Whether this node's share of a cold backend's budget has room.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -30,7 +30,13 @@
             }
             Event::Fleet { scope, members } => self.fleet(scope, members),
             Event::FleetFailed => self.ask_later(),
-            Event::Request(arrival) => self.arrive(arrival, actions),
+            Event::Request(arrival) => self.arrive(arrival, false, actions),
+            Event::Upload(arrival) => self.arrive(arrival, true, actions),
+            Event::Whole { request, not_after } => self.whole(request, not_after),
+            Event::Spent { request } => {
+                self.requests.get_mut(&request).into_iter().for_each(|request| request.spent = true);
+            }
+            Event::Broke { backend } => self.judge(backend, Outcome::Reset, actions),
             Event::Settled(settlement) => self.settle(settlement, actions),
             Event::Started { request } => {
                 let open = self.requests.get_mut(&request).filter(|r| r.phase != Phase::Ended);
@@ -71,7 +77,7 @@
         self.expire(actions);
     }
 
-    fn arrive(&mut self, arrival: Arrival, actions: &mut Vec<Action>) {
+    fn arrive(&mut self, arrival: Arrival, uploading: bool, actions: &mut Vec<Action>) {
         let class = (arrival.class.0 as usize).min(self.classes.len() - 1);
         let view = &mut self.classes[class];
         let cost = arrival.hint.map_or(view.base * IDLE_LOAD, |hint| hint as f64).max(1.0);
@@ -79,7 +85,9 @@
         // A try well shorter than others ends with the client's deadline: that tells when its first try came,
         // and the aim counts from then. Arrivals jitter, so a little shorter is no sign. Where repeats
         // are marked the rest are first tries: repeats may get more time, which made those look late.
-        let wait = arrival.not_after.saturating_sub(self.now);
+        // A body on its way says nothing of that, and its client's time has not begun.
+        let deadline = self.settings.classes[class].deadline;
+        let wait = if uploading { deadline } else { arrival.not_after.saturating_sub(self.now) };
         view.longest_try = view.longest_try.max(wait);
         let worthless_late = self.settings.classes[class].late_share == 0.0;
         let again = arrival.repeat || !self.settings.repeats_marked;
@@ -89,7 +97,7 @@
             self.now
         };
         let (admit, aim) = (view.admit, self.settings.classes[class].aim);
-        let aim_end = arrival.not_after.min(first + aim);
+        let aim_end = if uploading { arrival.not_after } else { arrival.not_after.min(first + aim) };
         let request = Request {
             class,
             key: arrival.key.filter(|_| self.settings.warm_keys),
@@ -100,6 +108,8 @@
             half: self.now + wait / 2,
             not_after: arrival.not_after,
             attempts: Vec::new(),
+            uploading,
+            spent: false,
             phase: Phase::Open,
         };
         self.requests.insert(arrival.request, request);
@@ -142,10 +152,11 @@
             sent: self.now,
             load: backend.load(crowd),
             outcome: None,
+            counted: !request.uploading,
         });
-        backend.in_flight += 1;
-        let (class, aim_end) = (request.class, request.aim_end);
+        let (class, aim_end, uploading) = (request.class, request.aim_end, request.uploading);
         let zone = backend.member.zone;
+        backend.in_flight += u32::from(!uploading);
         if backend.ramp(self.now, &self.settings.rules) < 1.0 {
             backend.cold_sends.push_back((self.now, request.cold_cost));
         }
@@ -157,13 +168,33 @@
         let late_share = self.settings.classes[class].late_share;
         let drop_late =
             self.many() && (late_share == 0.0 || (late_share <= 0.5 && self.classes[class].admit < 1.0));
-        let timeout = (drop_late && aim_end > self.now).then(|| aim_end - self.now);
+        let timeout = (drop_late && !uploading && aim_end > self.now).then(|| aim_end - self.now);
         actions.push(Action::Send { request: id, backend: to, timeout });
-        let view = self.zones.get_mut(zone.0 as usize);
+        let view = self.zones.get_mut(zone.0 as usize).filter(|_| !uploading);
         view.into_iter().for_each(|view| view.count_own(self.now, 1.0, UTIL_SMOOTHING));
         true
     }
 
+    /// A request's body has come whole: its client's time begins, and so does its work where it was sent.
+    fn whole(&mut self, id: RequestId, not_after: Nanos) {
+        let (crowd, now) = (self.crowd(), self.now);
+        let Some(request) = self.requests.get_mut(&id).filter(|request| request.uploading) else { return };
+        request.uploading = false;
+        request.not_after = not_after;
+        request.aim_end = not_after.min(now + self.settings.classes[request.class].aim);
+        request.half = now + not_after.saturating_sub(now) / 2;
+        for attempt in request.attempts.iter_mut().filter(|attempt| attempt.out() && !attempt.counted) {
+            let Some(backend) = self.backends.get_mut(&attempt.backend) else { continue };
+            (attempt.counted, attempt.sent, attempt.load) = (true, now, backend.load(crowd));
+            backend.in_flight += 1;
+            if backend.ramp(now, &self.settings.rules) < 1.0 {
+                backend.cold_sends.push_back((now, request.cold_cost));
+            }
+            let view = self.zones.get_mut(attempt.zone.0 as usize);
+            view.into_iter().for_each(|view| view.count_own(now, 1.0, UTIL_SMOOTHING));
+        }
+    }
+
     /// The one place that ends requests: refused where trying again does no harm, failed otherwise.
     fn end(&mut self, id: RequestId, pause: Nanos, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
@@ -203,11 +234,13 @@
             return;
         };
         attempt.outcome = Some(settled.outcome);
-        let (to, load, zone) = (attempt.backend, attempt.load, attempt.zone);
+        let (to, load, zone, counted) = (attempt.backend, attempt.load, attempt.zone, attempt.counted);
         let open = request.phase != Phase::Ended;
-        let view = self.zones.get_mut(zone.0 as usize);
-        view.into_iter().for_each(|view| view.count_own(self.now, -1.0, UTIL_SMOOTHING));
-        self.learn(to, class, cost, load, &settled);
+        if counted {
+            let view = self.zones.get_mut(zone.0 as usize);
+            view.into_iter().for_each(|view| view.count_own(self.now, -1.0, UTIL_SMOOTHING));
+            self.learn(to, class, cost, load, &settled);
+        }
         // A client with little time ends an attempt early: that is no fault of the backend's.
         let early = (settled.elapsed as f64) < OVERDUE * self.classes[class].base;
         if settled.outcome != Outcome::TimedOut || !early {
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,8 @@
     pub(crate) sent: Nanos,
     pub(crate) load: f64,
     pub(crate) outcome: Option<Outcome>,
+    /// Its backend has it whole, so that it counts as load there.
+    pub(crate) counted: bool,
 }
 
 impl Attempt {
@@ -102,6 +104,10 @@
     pub(crate) half: Nanos,
     pub(crate) not_after: Nanos,
     pub(crate) attempts: Vec<Attempt>,
+    /// Its body is still on the way.
+    pub(crate) uploading: bool,
+    /// Some of its body can't be had again.
+    pub(crate) spent: bool,
     pub(crate) phase: Phase,
 }
 
