A new version takes over the listening socket; no connection waits in a closing queue

Need: with SO_REUSEPORT in both, what waits in the old one's queue as it closes is reset. The next version now asks for the socket over a Unix socket in TMPDIR (SCM_RIGHTS by rustix, no unsafe), the old one leaves new connections to it at SIGTERM, and takes them again if it dies. While both run each has half of the descriptors. Turned down: SO_REUSEPORT alone (kept as the fallback after 500 ms), and file descriptors passed by a parent process (run may have one process only).

Over sockets: ten upgrades under load lose no request; a new version killed at once and while on its way; a file, a folder, a dead socket, silence, garbage, an endless line, a refusal, a wrong message in its place; odd successors. Found on the way: a successor that had opened its own door and died left none behind; the old one opens it again.

--- a/fronts/http/src/server.rs
+++ b/fronts/http/src/server.rs
@@ -102,8 +102,8 @@
 /// What the clients' side may take.
 #[derive(Clone)]
 pub struct Limits {
-    /// Connections together.
-    pub clients: usize,
+    /// Connections together; it may change.
+    pub clients: Rc<Cell<usize>>,
     /// For bodies that are held whole.
     pub bodies: Budget,
 }
--- a/fronts/http/src/slots.rs
+++ b/fronts/http/src/slots.rs
@@ -91,10 +91,10 @@
     clock: Clock,
 }
 
-/// How many connections stand idle, and how many are many.
+/// How many connections stand idle, and how many there may be in all.
 struct Idle {
     now: Cell<usize>,
-    many: usize,
+    most: Rc<Cell<usize>>,
 }
 
 impl Slot {
@@ -122,7 +122,7 @@
     /// Whether so many connections stand idle that one more would be in the way: this one had better end
     /// with its answer.
     pub fn is_surplus(&self) -> bool {
-        self.idle.now.get() >= self.idle.many
+        self.idle.now.get() >= self.idle.most.get() / MANY_IDLE
     }
 
     /// Bytes have come.
@@ -262,22 +262,22 @@
     slots: RefCell<BTreeMap<u64, Rc<Slot>>>,
     idle: Rc<Idle>,
     next: Cell<u64>,
-    most: usize,
+    most: Rc<Cell<usize>>,
     freed: Notify,
     clock: Clock,
 }
 
 impl Slots {
     /// Slots for so many connections.
-    pub fn new(most: usize, clock: Clock) -> Rc<Self> {
-        let idle = Rc::new(Idle { now: Cell::new(0), many: most / MANY_IDLE });
+    pub fn new(most: Rc<Cell<usize>>, clock: Clock) -> Rc<Self> {
+        let idle = Rc::new(Idle { now: Cell::new(0), most: most.clone() });
         let (next, freed) = (Cell::new(0), Notify::new());
         Rc::new(Self { slots: RefCell::default(), idle, next, most, freed, clock })
     }
 
     /// A slot for a new connection, once there is room; those who have to make it are closed first.
     pub async fn take(self: &Rc<Self>) -> SlotGuard {
-        while self.slots.borrow().len() >= self.most {
+        while self.slots.borrow().len() >= self.most.get() {
             self.make_room();
             // Somebody may go of itself meanwhile, or become old enough to be closed.
             let _ = self.clock.timeout(ROOM_AGAIN, self.freed.notified()).await;
--- a/fronts/http/src/upstream.rs
+++ b/fronts/http/src/upstream.rs
@@ -80,7 +80,8 @@
     idle: IdlePool<Place, Link>,
     /// Open connections, idle or not.
     open: OpenCount,
-    most: usize,
+    /// The most of these; it may change.
+    most: Rc<Cell<usize>>,
     links: Links,
     clock: Clock,
     /// For answers that are held whole.
@@ -119,7 +120,7 @@
 
 impl Upstream {
     /// At most `most` connections are open together.
-    pub fn new(links: Links, clock: Clock, most: usize, bodies: Budget) -> Self {
+    pub fn new(links: Links, clock: Clock, most: Rc<Cell<usize>>, bodies: Budget) -> Self {
         let (idle, open) = (IdlePool::default(), OpenCount::default());
         Self(Rc::new(Pool { idle, open, most, links, clock, bodies, aged: Aged::default() }))
     }
@@ -177,7 +178,7 @@
         let coming = launch.deadline.is_some();
         let salvaged = ending.outcome == Outcome::TimedOut && launch.give_up >= launch.not_after && !coming;
         node.settled(launch.ticket, ending);
-        if salvaged && self.open.get() < self.most / 4 * 3 {
+        if salvaged && self.open.get() < self.most.get() / 4 * 3 {
             let _ = self.clock.timeout(SALVAGE, attempt).await;
         }
     }
@@ -210,7 +211,7 @@
         let failed = |outcome| (outcome, Report::default());
         let mut link = match self.take(place) {
             Some((link, _)) => link,
-            None if self.open.get() >= self.most / 4 * 3 => return failed(Outcome::Moot),
+            None if self.open.get() >= self.most.get() / 4 * 3 => return failed(Outcome::Moot),
             None => match self.connect(place.1).await {
                 Some(link) => link,
                 None => return failed(Outcome::ConnectFailed),
@@ -412,11 +413,11 @@
         if self.clock.is_stepped() && !endpoint.ip().is_loopback() {
             return None;
         }
-        if self.open.get() >= self.most {
+        if self.open.get() >= self.most.get() {
             // Its task ends a moment later, for which the bound has some slack.
             self.idle.drop_oldest(|_| true);
         }
-        if self.open.get() >= self.most + self.most / 8 {
+        if self.open.get() >= self.most.get() + self.most.get() / 8 {
             return None;
         }
         let opened = self.open.open();
--- a/kit/standins/src/scripted.rs
+++ b/kit/standins/src/scripted.rs
@@ -329,12 +329,19 @@
 
 /// The same with the operators' own file too.
 pub fn spawn_with(config: &str, own: Option<&Path>) -> (Child, PathBuf) {
+    spawn_in(config, own, None)
+}
+
+/// The same with a folder of its own for what the platform keeps.
+pub fn spawn_in(config: &str, own: Option<&Path>, folder: Option<&Path>) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("badgerpost-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
     let child = Command::new(crate::program("badgerpost").unwrap_or_else(|error| panic!("{error}")))
         .env("EDGE_CONFIG", &path)
+        .env_remove("TMPDIR")
+        .envs(folder.map(|folder| ("TMPDIR", folder)))
         .args(own.into_iter().flat_map(|own| ["--config".as_ref(), own.as_os_str()]))
         .stdin(Stdio::null())
         .stdout(Stdio::null())
@@ -344,9 +351,10 @@
     (child, path)
 }
 
-fn listening(reader: &mut BufReader<ChildStderr>) -> SocketAddr {
+fn listening(reader: &mut BufReader<ChildStderr>, log: &mut String) -> SocketAddr {
     let mut line = String::new();
     while reader.read_line(&mut line).unwrap() > 0 {
+        log.push_str(&line);
         if let Some(at) = crate::listens_at(&line) {
             return at;
         }
@@ -357,10 +365,16 @@
 
 impl Node {
     pub fn start(config: &Value) -> Self {
-        let (mut child, file) = spawn(&config.to_string());
+        Self::start_in(config, None)
+    }
+
+    /// One with this folder for what the platform keeps.
+    pub fn start_in(config: &Value, folder: Option<&Path>) -> Self {
+        let (mut child, file) = spawn_in(&config.to_string(), None, folder);
         let mut reader = BufReader::new(child.stderr.take().unwrap());
-        let at = listening(&mut reader);
-        let log = Arc::new(Mutex::new(String::new()));
+        let mut first = String::new();
+        let at = listening(&mut reader, &mut first);
+        let log = Arc::new(Mutex::new(first));
         let kept = log.clone();
         thread::spawn(move || {
             for line in reader.lines().map_while(Result::ok) {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -25,6 +25,8 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::config::{Config, ConfigError, Edge, Rehearsal};
+use crate::handover::Handover;
+use crate::shares::Shares;
 
 /// A process says that it can serve once it has heard from discovery, or this long after its start: with discovery
 /// down it serves what it knew.
@@ -76,20 +78,34 @@
     // Heeded before anything else: unheeded, it would end the program.
     let hangup = signal(SignalKind::hangup())?;
     let Config { edge, own } = config;
-    let (site, seed, (clients, backends)) = (edge.site()?, edge.seed()?, edge.shares()?);
+    let (site, seed, (clients, servers)) = (edge.site()?, edge.seed()?, edge.shares()?);
+    let shares = Shares::new(clients, servers);
     let hands = own.rehearsal.map(Hands::take).transpose()?;
     let clock = hands.as_ref().map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
     let bodies = Budget::new(edge.bodies());
-    let upstream = Upstream::new(site.links, clock.clone(), backends, bodies.clone());
+    let upstream = Upstream::new(site.links, clock.clone(), shares.servers.clone(), bodies.clone());
     spawn(Upstream::sweep(upstream.pool()));
     let node = Node::new(site.settings, site.words, seed, clock.clone(), Rc::new(upstream))
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
     let watch = discovery::Watch::new(node.clone(), edge.discovery, edge.known);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    // Operators start the next version beside this one, at the same address.
-    let listener = listen(edge.listen, edge.console.is_some())
-        .map_err(|source| ServeError::Listen { at: edge.listen, source })?;
+    // Operators start the next version beside this one, at the same address: it takes over the socket, so that what
+    // waits in its queue is lost to nobody.
+    let handover = edge.console.and_then(|_| Handover::new(edge.listen, shares.clone(), clock.clone()));
+    let given = match &handover {
+        Some(handover) => handover.take().await,
+        None => None,
+    };
+    let listener = match &given {
+        Some(given) => given.listener.try_clone()?,
+        None => listen(edge.listen, edge.console.is_some())
+            .and_then(TcpListener::into_std)
+            .map_err(|source| ServeError::Listen { at: edge.listen, source })?,
+    };
+    listener.set_nonblocking(true)?;
+    let hand_on = handover.as_ref().map(|_| listener.try_clone()).transpose()?;
+    let listener = TcpListener::from_std(listener)?;
     let listens_at = listener.local_addr()?;
     tracing::info!(node = edge.name, listen = %listens_at, discovery = %edge.discovery, "serving");
     let (address, told) = watch::channel(edge.discovery);
@@ -106,9 +122,12 @@
     let served = spawn(server::run(
         listener,
         node,
-        Limits { clients, bodies },
+        Limits { clients: shares.clients, bodies },
         Door { stage: life.stage(), accepts: life.accepts() },
     ));
+    if let (Some(handover), Some(listener)) = (handover, hand_on) {
+        spawn(handover.run(listener, given, life.clone()));
+    }
     let (stop, stopping) = watch::channel(false);
     let postgres = match own.postgres {
         Some(postgres) => Some(spawn(serve_postgres(postgres, seed, &clock, stopping)?)),
--- /dev/null
+++ b/node/tests/upgrade.rs
@@ -0,0 +1,201 @@
+//! New versions started beside the one that runs, under load, and what may stand in the way of the handover.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use badgerpost_standins::scripted::*;
+use serde_json::{Value, json};
+
+/// A folder that the versions of a node share; gone with the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("badgerpost-up-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    fn socket(&self, at: SocketAddr) -> PathBuf {
+        self.0.join(format!("badgerpost-{}-{}.handover", at.ip(), at.port()))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// An address that is free, and stays so for whoever sets SO_REUSEADDR.
+fn free() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn operated(backend: &Backend, at: SocketAddr) -> Value {
+    let mut config = config(free(), json!([target("s-0", backend.at, "Ready")]));
+    config["console"] = json!("127.0.0.1:0");
+    config["listen"] = json!(at.to_string());
+    config
+}
+
+fn serving() -> Backend {
+    Backend::new(|_| Does::Writes(ok("yes")))
+}
+
+fn serves(node: &Node) {
+    let console = node.console();
+    until("the process can serve", || {
+        Client::to(console)
+            .ask("GET /status HTTP/1.1\r\nHost: ops\r\n\r\n")
+            .is_some_and(|a| a.status() == 200)
+    });
+}
+
+/// A request on a new connection; whether it was answered.
+fn asks(at: SocketAddr, id: &str) -> std::io::Result<bool> {
+    let mut stream = TcpStream::connect(at)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(get(id, "Connection: close\r\n").as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer.starts_with("HTTP/1.1 200 "))
+}
+
+/// Ten upgrades in a row under a steady load, each request on a new connection: what waits in the queue of the socket
+/// that is handed over is lost to nobody.
+#[test]
+fn ten_upgrades_under_load_lose_no_request() {
+    let folder = Folder::new("ten");
+    let (backend, at) = (serving(), free());
+    let config = operated(&backend, at);
+    let mut running = Node::start_in(&config, Some(&folder.0));
+    serves(&running);
+    let (over, lost, asked) =
+        (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let clients: Vec<_> = (0..4)
+        .map(|client| {
+            let (over, lost, asked) = (over.clone(), lost.clone(), asked.clone());
+            thread::spawn(move || {
+                for n in 0.. {
+                    if over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    asked.fetch_add(1, Ordering::SeqCst);
+                    if !asks(at, &format!("u{client}-{n}")).unwrap_or(false) {
+                        lost.fetch_add(1, Ordering::SeqCst);
+                    }
+                }
+            })
+        })
+        .collect();
+    for _ in 0..10 {
+        let new = Node::start_in(&config, Some(&folder.0));
+        serves(&new);
+        until("it has taken the socket over", || new.logged("took over the listening socket"));
+        until("the old one knows", || running.logged("the next version takes connections here"));
+        running.signal("-TERM");
+        assert_eq!(running.child.wait().unwrap().code(), Some(0));
+        until("the new one knows", || new.logged("the version before is gone"));
+        running = new;
+    }
+    over.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    assert_eq!(lost.load(Ordering::SeqCst), 0, "of {} requests", asked.load(Ordering::SeqCst));
+    assert!(asked.load(Ordering::SeqCst) > 100);
+}
+
+/// The new one dies after it has begun to take connections: the old one carries on, also if it was on its way out.
+#[test]
+fn the_old_one_carries_on_when_the_new_one_dies() {
+    let folder = Folder::new("dies");
+    let (backend, at) = (serving(), free());
+    let config = operated(&backend, at);
+    let old = Node::start_in(&config, Some(&folder.0));
+    serves(&old);
+    for round in 0..2 {
+        let new = Node::start_in(&config, Some(&folder.0));
+        until("the old one knows", || old.count("shared=true") == round + 1);
+        new.signal("-KILL");
+        until("the old one hears of it", || old.count("shared=false") == round + 1);
+        drop(new);
+        for n in 0..10 {
+            assert!(asks(at, &format!("d{round}-{n}")).unwrap());
+        }
+    }
+}
+
+/// Whatever stands where the versions meet, the node starts in time and serves.
+#[test]
+fn nothing_in_the_folder_keeps_a_node_from_starting() {
+    fn silent(path: &Path) -> Box<dyn std::any::Any> {
+        Box::new(UnixListener::bind(path).unwrap())
+    }
+    fn says(path: &Path, text: &'static str) -> Box<dyn std::any::Any> {
+        let listener = UnixListener::bind(path).unwrap();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let _ = stream.write_all(text.as_bytes());
+                // Held open: only the node can end the wait.
+                std::mem::forget(stream);
+            }
+        });
+        Box::new(())
+    }
+    type Prepares = fn(&Path) -> Box<dyn std::any::Any>;
+    let cases: [(&str, Prepares); 8] = [
+        ("file", |path| Box::new(std::fs::write(path, "what is this"))),
+        ("folder", |path| Box::new(std::fs::create_dir(path))),
+        ("dead", |path| Box::new(UnixListener::bind(path).map(drop))),
+        ("silent", silent),
+        ("garbage", |path| says(path, "\u{1}\u{2} nonsense\n")),
+        ("endless", |path| says(path, Box::leak("x".repeat(10_000).into_boxed_str()))),
+        ("nothing", |path| says(path, "\"listener\"\n")),
+        ("refuses", |path| says(path, "{\"refused\":{\"reason\":\"version 1 is not 2\"}}\n")),
+    ];
+    for (name, prepare) in cases {
+        let folder = Folder::new(name);
+        let (backend, at) = (serving(), free());
+        let _kept = prepare(&folder.socket(at));
+        let began = Instant::now();
+        let node = Node::start_in(&operated(&backend, at), Some(&folder.0));
+        serves(&node);
+        assert!(began.elapsed() < Duration::from_secs(6), "{name}: {:?}", began.elapsed());
+        assert!(asks(at, "first").unwrap(), "{name}");
+    }
+}
+
+/// Peers that ask and stop halfway, or ask for something else, do not keep the next version from its socket.
+#[test]
+fn odd_successors_are_turned_down_or_passed_over() {
+    let folder = Folder::new("odd");
+    let (backend, at) = (serving(), free());
+    let config = operated(&backend, at);
+    let old = Node::start_in(&config, Some(&folder.0));
+    serves(&old);
+    let meet = folder.socket(at);
+    until("the meeting place is there", || meet.exists());
+    for (text, wanted) in [
+        (format!("{{\"hello\":{{\"version\":9,\"listen\":\"{at}\"}}}}\n"), "version 9 is not 1"),
+        ("{\"hello\":{\"version\":1,\"listen\":\"127.0.0.1:1\"}}\n".to_owned(), "this one listens at"),
+        ("garbage\n".to_owned(), ""),
+        ("\"serving\"\n".to_owned(), ""),
+        (String::new(), ""),
+    ] {
+        let mut peer = UnixStream::connect(&meet).unwrap();
+        peer.set_read_timeout(Some(PATIENCE)).unwrap();
+        peer.write_all(text.as_bytes()).unwrap();
+        let mut said = String::new();
+        peer.read_to_string(&mut said).expect("it is ended by the node");
+        assert!(said.contains(wanted), "{text:?}: {said:?}");
+    }
+    let new = Node::start_in(&config, Some(&folder.0));
+    until("the socket goes over all the same", || new.logged("took over the listening socket"));
+    assert!(asks(at, "last").unwrap());
+}
