--- a/fronts/http/src/budget.rs
+++ b/fronts/http/src/budget.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 /// The bytes that are left. Clones share them.
 #[derive(Clone, Debug)]
@@ -39,6 +39,36 @@
     }
 }
 
+/// Bytes that are gathered from the pieces in which they come; what comes in one is not copied.
+#[derive(Debug, Default)]
+pub struct Gathered {
+    first: Bytes,
+    all: BytesMut,
+}
+
+impl Gathered {
+    /// Adds a piece.
+    pub fn add(&mut self, piece: Bytes) {
+        if self.count() == 0 {
+            self.first = piece;
+            return;
+        }
+        let first = std::mem::take(&mut self.first);
+        self.all.extend_from_slice(&first);
+        self.all.extend_from_slice(&piece);
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.first.len() + self.all.len()
+    }
+
+    /// All of them.
+    pub fn whole(self) -> Bytes {
+        if self.all.is_empty() { self.first } else { self.all.freeze() }
+    }
+}
+
 /// A part of a [`Budget`].
 #[derive(Debug)]
 pub struct Held {
@@ -65,6 +95,17 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn pieces_are_gathered_in_order() {
+        let mut gathered = Gathered::default();
+        for (piece, length) in [("", 0), ("ab", 2), ("", 2), ("c", 3), ("de", 5)] {
+            gathered.add(Bytes::from_static(piece.as_bytes()));
+            assert_eq!(gathered.count(), length);
+        }
+        assert_eq!(gathered.whole(), Bytes::from_static(b"abcde"));
+        assert!(Gathered::default().whole().is_empty());
+    }
+
     #[test]
     fn what_is_taken_comes_back() {
         let budget = Budget::new(100);
--- a/fronts/http/src/server.rs
+++ b/fronts/http/src/server.rs
@@ -8,7 +8,7 @@
 
 use brookfield::{Effect, Nanos};
 use brookfield_settings::name_tag;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
@@ -24,7 +24,7 @@
 use badgerpost_lifecycle::Stage;
 
 use crate::answer::{self, Answer as Served};
-use crate::budget::{Budget, Kept};
+use crate::budget::{Budget, Gathered, Kept};
 use crate::headers::{check_form, cookie, end_to_end, required, single};
 use crate::slots::{RequestTracker, Slot, SlotGuard, Slots};
 use crate::tap::Tap;
@@ -359,7 +359,7 @@
     let Some(held) = bodies.take(most) else {
         return Ok(Payload::Coming(Upload::new(Kept::default(), body, length)));
     };
-    let mut first = BytesMut::new();
+    let mut first = Gathered::default();
     loop {
         let frame = loop {
             let due = slot.received_by();
@@ -375,10 +375,10 @@
             Some(Err(_)) => return Err(BadCall::NoBody),
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { continue };
-                first.extend_from_slice(&data);
-                if first.len() >= MAX_BODY && !body.is_end_stream() {
+                first.add(data);
+                if first.count() >= MAX_BODY && !body.is_end_stream() {
                     return Ok(Payload::Coming(Upload::new(
-                        Kept::new(first.freeze(), Some(held)),
+                        Kept::new(first.whole(), Some(held)),
                         body,
                         length,
                     )));
@@ -386,7 +386,7 @@
             }
         }
     }
-    Ok(Payload::Whole(Kept::new(first.freeze(), Some(held))))
+    Ok(Payload::Whole(Kept::new(first.whole(), Some(held))))
 }
 
 fn worded(reply: Reply<Served>, pass: impl FnOnce(answer::Begun) -> answer::Passing) -> Answer {
--- a/fronts/http/src/slots.rs
+++ b/fronts/http/src/slots.rs
@@ -113,8 +113,12 @@
     }
 
     fn enter(&self, stage: Stage) {
+        self.enter_at(stage, self.clock.now());
+    }
+
+    fn enter_at(&self, stage: Stage, now: Nanos) {
         let left = self.stage.replace(stage);
-        self.since.set(self.clock.now());
+        self.since.set(now);
         let (was, is) = (usize::from(left == Stage::Idle), usize::from(stage == Stage::Idle));
         self.idle.now.set(self.idle.now.get() + is - was);
     }
@@ -126,11 +130,12 @@
     }
 
     /// Bytes have come.
-    fn heard(&self) {
+    fn heard(&self, now: Nanos) {
+        self.heard.set(now);
         match self.stage.get() {
             // The time of the first request runs from the connect.
             Stage::Silent => self.stage.set(Stage::Arriving),
-            Stage::Idle => self.enter(Stage::Arriving),
+            Stage::Idle => self.enter_at(Stage::Arriving, now),
             _ => {}
         }
     }
@@ -149,9 +154,6 @@
 
     /// Bytes have moved on this connection.
     fn moved(&self, read: usize) {
-        if read > 0 {
-            self.heard.set(self.clock.now());
-        }
         match self.stage.get() {
             Stage::Receiving => self.received.set(self.received.get().saturating_add(read as u64)),
             Stage::Passing => self.since.set(self.clock.now()),
@@ -174,7 +176,9 @@
 
     /// A request's head has been taken, and its body may come; returns whether its framing can be read in one way only.
     pub fn receiving(&self) -> Result<(), Fault> {
-        self.enter(Stage::Receiving);
+        // Its last bytes have only just come, unless it was sent ahead of an answer.
+        let only_just = self.stage.get() == Stage::Arriving;
+        self.enter_at(Stage::Receiving, if only_just { self.heard.get() } else { self.clock.now() });
         self.received.set(0);
         self.heads.borrow_mut().pop_front().unwrap_or(Ok(()))
     }
@@ -352,7 +356,7 @@
 impl Ear for RequestTracker {
     fn bytes(&mut self, bytes: &[u8]) {
         let Self { slot, follower } = self;
-        slot.heard();
+        slot.heard(slot.clock.now());
         slot.moved(bytes.len());
         follower.feed(bytes, &mut |sign| slot.told(sign));
     }
--- a/fronts/http/src/tap.rs
+++ b/fronts/http/src/tap.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -14,8 +14,8 @@
 
 use badgerpost_engine::{Clock, Tally, progress};
 
-#[derive(Default)]
 struct Signs {
+    tally: Arc<Tally>,
     /// Bytes have come since the last message.
     begun: AtomicBool,
     bytes: Notify,
@@ -23,18 +23,25 @@
     reads: AtomicU64,
     /// What has come was an interim answer.
     interim: AtomicBool,
-    /// Where to count the message that is on its way out, once it is written whole.
-    sending: Mutex<Option<Arc<Tally>>>,
+    /// The message that is on its way out counts once it is written whole.
+    counts: AtomicBool,
     /// Bytes of it have been written.
     written: AtomicBool,
 }
 
 /// What is heard on a backend's connection: when an answer has begun to come, which shows in the library only
 /// once its head is whole.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Heard(Arc<Signs>);
 
 impl Heard {
+    /// What is heard on a new connection; messages are counted there.
+    pub fn new(tally: Arc<Tally>) -> Self {
+        let (begun, interim, counts, written) = Default::default();
+        let (bytes, reads) = Default::default();
+        Self(Arc::new(Signs { tally, begun, bytes, reads, interim, counts, written }))
+    }
+
     /// Listens for the answer to this message, which is about to be written.
     pub fn listen<T>(&self, message: &mut Request<T>) {
         self.0.begun.store(false, Ordering::Relaxed);
@@ -43,10 +50,10 @@
         hyper::ext::on_informational(message, move |_| signs.interim.store(true, Ordering::Relaxed));
     }
 
-    /// The message that is about to be written is counted there once it is written whole.
-    pub fn count_in(&self, tally: Arc<Tally>) {
+    /// The message that is about to be written counts as an attempt once it is written whole.
+    pub fn counts(&self) {
         self.0.written.store(false, Ordering::Relaxed);
-        *self.0.sending.lock().unwrap_or_else(PoisonError::into_inner) = Some(tally);
+        self.0.counts.store(true, Ordering::Relaxed);
     }
 
     /// Resolves once an answer has begun to come and nothing more of it has for so long. Interim answers don't count:
@@ -87,9 +94,8 @@
     }
 
     fn flushed(&mut self) {
-        if self.0.written.swap(false, Ordering::Relaxed) {
-            let tally = self.0.sending.lock().unwrap_or_else(PoisonError::into_inner).take();
-            tally.into_iter().for_each(|tally| tally.sent());
+        if self.0.written.swap(false, Ordering::Relaxed) && self.0.counts.swap(false, Ordering::Relaxed) {
+            self.0.tally.sent();
         }
     }
 }
--- a/fronts/http/src/upstream.rs
+++ b/fronts/http/src/upstream.rs
@@ -8,7 +8,7 @@
 
 use brookfield::{BackendId, Nanos, Outcome, Report};
 use brookfield_settings::Links;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -23,7 +23,7 @@
 use badgerpost_engine::{Clock, End, IdlePool, Launcher, OpenCount, Quiet, spawn};
 
 use crate::answer::{Answer, Begun};
-use crate::budget::{Budget, Kept};
+use crate::budget::{Budget, Gathered, Kept};
 use crate::tap::{Heard, Tap};
 use crate::upload::Outgoing;
 use crate::{Ending, Http, Launch, MAX_BODY, Node};
@@ -212,7 +212,7 @@
         let mut link = match self.take(place) {
             Some((link, _)) => link,
             None if self.open.get() >= self.most.get() / 4 * 3 => return failed(Outcome::Moot),
-            None => match self.connect(place.1).await {
+            None => match self.connect(node, place.1).await {
                 Some(link) => link,
                 None => return failed(Outcome::ConnectFailed),
             },
@@ -248,7 +248,7 @@
         loop {
             let (mut link, rest) = match self.take(place) {
                 Some((link, rest)) => (link, Some(rest)),
-                None => match self.connect(launch.endpoint).await {
+                None => match self.connect(node, launch.endpoint).await {
                     Some(link) => (link, None),
                     None => return Ending::bare(Outcome::ConnectFailed),
                 },
@@ -273,7 +273,7 @@
             let Some(mut message) = self.message(node, launch) else { return Ending::bare(Outcome::Moot) };
             let heard = link.heard.clone();
             heard.listen(&mut message);
-            heard.count_in(node.tally());
+            heard.counts();
             written.set(true);
             let ending = tokio::select! {
                 biased;
@@ -339,19 +339,19 @@
         let most = length.map_or(MAX_BODY as u64, |length| length.min(MAX_BODY as u64)) as usize;
         let held = self.bodies.take(most);
         let large = held.is_none() || length.is_some_and(|length| length > MAX_BODY as u64);
-        let mut first = BytesMut::new();
+        let mut first = Gathered::default();
         loop {
             match body.frame().await {
                 None => break,
                 Some(Err(error)) => return Ending::bare(broken(&error)),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    first.extend_from_slice(&data);
+                    first.add(data);
                 }
             }
             let enough = if large { BEGINS_WITH } else { MAX_BODY + 1 };
             // One with a length is whole with its last byte.
-            if length == Some(first.len() as u64) || first.len() < enough {
+            if length == Some(first.count() as u64) || first.count() < enough {
                 continue;
             }
             if outcome != Outcome::Served {
@@ -364,7 +364,7 @@
                 Some(_) => owner.broke(place.0),
                 None => {}
             });
-            let first = Kept::new(first.freeze(), held);
+            let first = Kept::new(first.whole(), held);
             let begun = Begun { first, rest: body, left: length, ended };
             return Ending { outcome, report, answer: Some(Answer::Begun(begun)), passing: true };
         }
@@ -372,7 +372,7 @@
         Ending {
             outcome,
             report,
-            answer: Some(Answer::Whole(Kept::new(first.freeze(), held))),
+            answer: Some(Answer::Whole(Kept::new(first.whole(), held))),
             passing: false,
         }
     }
@@ -408,7 +408,7 @@
         }
     }
 
-    async fn connect(&self, endpoint: SocketAddr) -> Option<Link> {
+    async fn connect(&self, node: &Node, endpoint: SocketAddr) -> Option<Link> {
         // With its clock in other hands the node must reach nothing but a rehearsal's stand-ins.
         if self.clock.is_stepped() && !endpoint.ip().is_loopback() {
             return None;
@@ -424,7 +424,7 @@
         let limit = Duration::from_nanos(self.links.connect_timeout);
         let stream = self.clock.timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let heard = Heard::default();
+        let heard = Heard::new(node.tally());
         let tap = Tap::new(stream, heard.clone());
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD).max_headers(MAX_LINES);
--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -213,3 +213,11 @@
     assert!(said.contains("console: can't listen at"), "{said}");
     std::fs::remove_file(file).unwrap();
 }
+
+/// The fleet trial loads a library of its own into the process: it has to be linked dynamically.
+#[test]
+fn the_program_is_linked_dynamically() {
+    let program = std::fs::read(badgerpost_standins::program("badgerpost").unwrap()).unwrap();
+    let head = &program[..program.len().min(64 * 1024)];
+    assert!(head.windows(8).any(|part| part == b"/ld-linu"), "it names no dynamic loader");
+}
--- a/src/health.rs
+++ b/src/health.rs
@@ -58,8 +58,8 @@
         }
     }
 
-    /// How many listed backends get nothing new now: those that drain, are ejected or on trial, or have sent work
-    /// away a moment ago.
+    /// How many listed backends get nothing new now: those that drain, are ejected or on trial, or have sent
+    /// work away a moment ago.
     pub fn avoided(&self, now: Nanos) -> usize {
         let avoided = |backend: &&Backend| match (backend.member.stage, backend.health) {
             (Stage::Gone, _) => false,
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -28,3 +28,31 @@
     assert!(text.lines().any(|line| line.ends_with(r#"target/release/badgerpost""#)), "{text}");
     assert!(text.lines().any(|line| line.ends_with(r#"target/release/brookfield-wirehost""#)), "{text}");
 }
+
+/// Standing terms of the fleet trial: one process, by exec, and nothing that is refused there.
+#[test]
+fn the_program_keeps_to_the_terms_of_the_fleet_trial() {
+    let text = read("deploy/balancer.toml");
+    let line = |name: &str| text.lines().find(|line| line.starts_with(name)).unwrap_or_default().to_owned();
+    assert_eq!(line("build = "), r#"build = "cargo build --release""#);
+    assert_eq!(line("run = "), r#"run = "exec target/release/badgerpost""#);
+    let folders: Vec<String> = line("node = ").split('"').skip(1).step_by(2).map(str::to_owned).collect();
+    let mut seen = 0;
+    let mut left: Vec<_> =
+        folders.iter().map(|folder| format!("{}/{folder}", env!("CARGO_MANIFEST_DIR"))).collect();
+    while let Some(folder) = left.pop() {
+        for entry in std::fs::read_dir(&folder).unwrap_or_else(|error| panic!("{folder}: {error}")) {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                left.push(path.display().to_string());
+                continue;
+            }
+            let text = std::fs::read_to_string(&path).unwrap();
+            for refused in ["process::Command", "fork(", "io_uring", "splice(", "sendfile"] {
+                assert!(!text.contains(refused), "{}: {refused}", path.display());
+            }
+            seen += 1;
+        }
+    }
+    assert!(seen > 40, "{seen} files");
+}
