--- a/node/tests/operations.rs
+++ b/node/tests/operations.rs
@@ -2,6 +2,9 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use badgerpost_standins::scripted::*;
@@ -221,3 +224,43 @@
     let head = &program[..program.len().min(64 * 1024)];
     assert!(head.windows(8).any(|part| part == b"/ld-linu"), "it names no dynamic loader");
 }
+
+/// Callers get their answer within their second while the serving thread has more to do than it can.
+#[test]
+fn callers_are_answered_while_the_serving_thread_is_saturated() {
+    let backend = serving("yes");
+    let (node, _discovery, _) = operated(&[&backend]);
+    let (console, at) = (node.console(), node.at);
+    let over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..16)
+        .map(|client| {
+            let over = over.clone();
+            thread::spawn(move || {
+                let mut stream = Client::to(at);
+                for n in 0.. {
+                    if over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    // Ten at a time, so that the node always has some to read.
+                    let text: String = (0..10).map(|k| get(&format!("c{client}-{n}-{k}"), "")).collect();
+                    stream.write(&text);
+                    if (0..10).any(|_| stream.read().is_none()) {
+                        stream = Client::to(at);
+                    }
+                }
+            })
+        })
+        .collect();
+    let (mut longest, mut made, started) = (Duration::ZERO, 0, Instant::now());
+    while started.elapsed() < Duration::from_secs(2) {
+        made += 1;
+        let began = Instant::now();
+        assert_eq!(call(console, "GET", "/status/metrics").status(), 200);
+        longest = longest.max(began.elapsed());
+    }
+    over.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    let answered = figures(console)["node.transactions.read.answered"];
+    assert!(answered > 500, "{answered} requests in 2 s are no load");
+    println!("longest of {made} calls: {longest:?}; {answered} requests answered meanwhile");
+}
--- a/node/tests/upgrade.rs
+++ b/node/tests/upgrade.rs
@@ -199,3 +199,76 @@
     until("the socket goes over all the same", || new.logged("took over the listening socket"));
     assert!(asks(at, "last").unwrap());
 }
+
+fn calls(node: &Node, method: &str, path: &str) -> u16 {
+    let text = format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n");
+    Client::to(node.console()).ask(&text).expect("an answer").status()
+}
+
+fn ready(at: SocketAddr) -> u16 {
+    Client::to(at).ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").expect("an answer").status()
+}
+
+/// A node that stands by is upgraded, and one is told to stand by in the midst of its upgrade: the new version is in
+/// service of itself, and the old one ends all the same.
+#[test]
+fn a_drain_and_an_upgrade_may_meet() {
+    let folder = Folder::new("meet");
+    let (backend, at) = (serving(), free());
+    let config = operated(&backend, at);
+    let mut old = Node::start_in(&config, Some(&folder.0));
+    serves(&old);
+    assert_eq!(calls(&old, "POST", "/standby"), 200);
+    assert_eq!(ready(at), 503);
+    let mut new = Node::start_in(&config, Some(&folder.0));
+    until("the old one knows", || old.logged("shared=true"));
+    old.signal("-TERM");
+    assert_eq!(old.child.wait().unwrap().code(), Some(0));
+    assert_eq!(ready(at), 200, "the new one was not told to stand by");
+    let last = Node::start_in(&config, Some(&folder.0));
+    until("the socket goes over", || new.logged("shared=true"));
+    assert_eq!(calls(&new, "POST", "/standby"), 200);
+    new.signal("-TERM");
+    assert_eq!(new.child.wait().unwrap().code(), Some(0));
+    until("the last one is alone", || last.logged("the version before is gone"));
+    assert_eq!(ready(at), 200);
+    assert!(asks(at, "meet").unwrap());
+}
+
+/// A request that is open at the old version as its successor takes over gets its one answer from the old one.
+#[test]
+fn what_the_old_version_has_taken_it_answers() {
+    let folder = Folder::new("open");
+    let gate = Arc::new(Gate::default());
+    let waits = gate.clone();
+    let backend = Backend::new(move |message| match message.value("x-call-id") {
+        Some("slow") => Does::Waits(waits.clone(), ok("slow")),
+        _ => Does::Writes(ok("yes")),
+    });
+    let at = free();
+    let config = operated(&backend, at);
+    let mut old = Node::start_in(&config, Some(&folder.0));
+    serves(&old);
+    let mut slow = Client::to(at);
+    slow.write(&post("pay", "slow", "", "x"));
+    assert_eq!(backend.next().value("x-call-id"), Some("slow"));
+    let mut half = Client::to(at);
+    let text = post("pay", "half", "", "whole");
+    half.write(&text[..text.len() - 2]);
+    let new = Node::start_in(&config, Some(&folder.0));
+    serves(&new);
+    old.signal("-TERM");
+    until("the old one has heard", || old.logged("stopping node="));
+    half.write(&text[text.len() - 2..]);
+    assert_eq!(half.read().expect("what was half read is served").status(), 200);
+    gate.open();
+    let answer = slow.read().expect("an answer");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"slow".as_slice()));
+    assert_eq!(old.child.wait().unwrap().code(), Some(0));
+    assert!(asks(at, "next").unwrap());
+    assert_eq!(
+        backend.got.try_iter().filter(|m| m.value("x-call-id") == Some("slow")).count(),
+        0,
+        "sent once"
+    );
+}
