--- a/tests/any_sequence.rs
+++ b/tests/any_sequence.rs
@@ -33,6 +33,9 @@
     not_after: Nanos,
     attempts: Vec<(BackendId, Nanos, Option<Outcome>)>,
     ended: bool,
+    /// Its body is on the way; some of it can't be had again.
+    uploading: bool,
+    spent: bool,
 }
 
 struct Run {
@@ -72,6 +75,7 @@
         let tracked = self.requests.get_mut(&request).expect("a known request");
         assert!(!tracked.ended, "sent after its end");
         assert!(self.now < tracked.not_after, "sent after its time");
+        assert!(!tracked.spent, "sent though its body can't be had again");
         assert!(tracked.attempts.len() < self.cap, "past the cap");
         let member = self.listed[&backend];
         assert_eq!(member.stage, Stage::InService, "sent to a drained backend");
@@ -125,14 +129,15 @@
     let zones = given.zones;
     let mut node = Node::new(given, vec![]);
     for step in 0..2000u64 {
-        let event = match draw.below(12) {
+        let event = match draw.below(15) {
             0..=3 => {
                 let request = RequestId(step);
                 let effect = draw.below(5) as usize;
-                let not_after = run.now + draw.below(900) * MS;
-                run.requests.insert(request, Tracked { effect, not_after, ..Tracked::default() });
+                let uploading = draw.below(3) == 0;
+                let not_after = run.now + draw.below(if uploading { 1500 } else { 900 }) * MS;
+                run.requests.insert(request, Tracked { effect, not_after, uploading, ..Tracked::default() });
                 let hint = (draw.below(2) == 0).then(|| draw.below(90) * MS);
-                Event::Request(Arrival {
+                let arrival = Arrival {
                     request,
                     class: ClassId(effect as u32),
                     key: (draw.below(2) == 0).then(|| draw.below(6)),
@@ -140,8 +145,26 @@
                     repeat: false,
                     tenant: None,
                     not_after,
-                })
+                };
+                if uploading { Event::Upload(arrival) } else { Event::Request(arrival) }
             }
+            // The body of an upload comes to its end, or some of it goes out; also of one that is none, or is over.
+            12 | 13 => {
+                let request = RequestId(draw.below(step + 1));
+                let (whole, not_after) = (draw.below(2) == 0, run.now + draw.below(900) * MS);
+                let now = run.now;
+                if let Some(tracked) = run.requests.get_mut(&request) {
+                    if !whole {
+                        tracked.spent = true;
+                    } else if std::mem::take(&mut tracked.uploading) && !tracked.ended {
+                        tracked.not_after = not_after;
+                        // The server has it from now on, and remembers its key from now on.
+                        tracked.attempts.iter_mut().filter(|a| a.2.is_none()).for_each(|a| a.1 = now);
+                    }
+                }
+                if whole { Event::Whole { request, not_after } } else { Event::Spent { request } }
+            }
+            14 => Event::Broke { backend: BackendId(draw.below(12) as u32) },
             4..=7 => {
                 let out: Vec<(RequestId, usize)> = run
                     .requests
