One way to turn a request down; no second look at a socket that was handed over

Read over once more: a refused framing was worded by hand beside BadCall::Framing, which nobody made; the predecessor's loop watched for an end that its machine has already answered with Close; the successor looked twice at the same socket; a comment told of bytes that are not counted.

--- a/fronts/http/src/server.rs
+++ b/fronts/http/src/server.rs
@@ -218,23 +218,20 @@
     request: Request<Incoming>,
     phase: &watch::Receiver<Stage>,
 ) -> Result<Answer, Infallible> {
-    let framing = slot.receiving();
     let serving = || phase.borrow().is_ready();
-    let (response, bad) = match request.uri().path() {
-        _ if framing.is_err() => {
-            // Read in two ways, a request may hide another: nothing of it goes anywhere.
-            let fault = framing.err().map(|fault| fault.to_string()).unwrap_or_default();
-            (plain(StatusCode::BAD_REQUEST, &fault), true)
-        }
-        "/api" => match call(node, bodies, slot, request).await {
+    let turned_down = |bad: BadCall| (plain(bad.status(), &bad.to_string()), true);
+    let (response, bad) = match (slot.receiving(), request.uri().path()) {
+        // Read in two ways, a request may hide another: nothing of it goes anywhere.
+        (Err(fault), _) => turned_down(fault.into()),
+        (_, "/api") => match call(node, bodies, slot, request).await {
             Ok(response) => (response, !slot.is_received()),
-            Err(bad) => (plain(bad.status(), &bad.to_string()), true),
+            Err(bad) => turned_down(bad),
         },
-        "/health/ready" if request.method() != Method::GET => {
+        (_, "/health/ready") if request.method() != Method::GET => {
             (plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"), true)
         }
-        "/health/ready" if serving() => (plain(StatusCode::OK, "ready"), false),
-        "/health/ready" => (plain(StatusCode::SERVICE_UNAVAILABLE, "stopping or standing by"), false),
+        (_, "/health/ready") if serving() => (plain(StatusCode::OK, "ready"), false),
+        (_, "/health/ready") => (plain(StatusCode::SERVICE_UNAVAILABLE, "stopping or standing by"), false),
         _ => (plain(StatusCode::NOT_FOUND, "no such path"), true),
     };
     let mut response = response;
--- a/fronts/http/src/slots.rs
+++ b/fronts/http/src/slots.rs
@@ -82,7 +82,7 @@
     heard: Cell<Nanos>,
     /// What was found of the heads that have come and are not taken yet, in order.
     heads: RefCell<VecDeque<Result<(), Fault>>>,
-    /// Bytes of the body that have come, or are expected with its head.
+    /// Bytes that have come since the head was taken.
     received: Cell<u64>,
     /// The last answer told of a bad request, of which more may come.
     told_off: Cell<bool>,
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -79,7 +79,7 @@
             for action in actions {
                 match action {
                     Action::UseGiven => {
-                        let listener = link.listener(self.listen)?;
+                        let listener = link.listener()?;
                         tracing::info!(listen = %self.listen, "took over the listening socket");
                         return Some(Given { listener, link, side });
                     }
@@ -173,7 +173,6 @@
                     Event::TimeOut
                 }
             };
-            let over = event == Event::Closed;
             let mut actions = Vec::new();
             side.handle(event, &mut actions);
             for action in actions {
@@ -187,9 +186,6 @@
                 }
                 self.carry_out(action, &mut link, Some(listener)).await;
             }
-            if over {
-                return given;
-            }
         }
     }
 
@@ -294,8 +290,8 @@
         sockopt::socket_acceptconn(fd).is_ok_and(|listens| listens) && at == Some(listen)
     }
 
-    fn listener(&mut self, listen: SocketAddr) -> Option<TcpListener> {
-        let known = self.is_listener(listen);
-        self.given.take().filter(|_| known).map(TcpListener::from)
+    /// What came along; looked at as it came.
+    fn listener(&mut self) -> Option<TcpListener> {
+        self.given.take().map(TcpListener::from)
     }
 }
