Rehearse links: cut one way or both, slow, lossy, reset, between nodes, zones, lists and clients

Need: faults between the processes, not only in them. A link fault strikes a node, a zone's nodes or a share of them, towards servers, a zone, the list or the clients, both ways or one. Servers can be slow by a factor, and fail a share of their requests; a group can be struck in waves, and again. The network may have a delay within and between zones. The kit holds each message, so that no privileges are needed; a connect during a cut comes up and stays silent.

--- a/kit/rehearsal/src/main.rs
+++ b/kit/rehearsal/src/main.rs
@@ -434,6 +434,12 @@
             (trouble.until - trouble.from) / 1_000_000
         ))?;
         say(&fleet::conduct(&played.log, &trouble).to_string())?;
+        let peaks = played.cold_peaks.iter().filter(|(zone, _)| *zone == trouble.zone);
+        let peak = peaks.map(|(_, peak)| *peak).fold(0.0, f64::max);
+        let falls = plan.scene.scene.rules.tip_multiple;
+        say(&format!(
+            "  most at one cold server there: {peak:.2} of what it could do; it falls over at {falls:.2}"
+        ))?;
     }
     let expected = plan.scene.scene.expect.served;
     if expected > 0.0 && counts.requests > 0 {
--- a/kit/rehearsal/src/plan.rs
+++ b/kit/rehearsal/src/plan.rs
@@ -6,7 +6,7 @@
 use brookfield_settings::file::{FileError, Source};
 use serde::{Deserialize, Serialize};
 
-use crate::scene::{self, Checked, Planned, Whom};
+use crate::scene::{self, Checked, Planned, Trouble, Whom};
 use crate::{MS, Nanos, SECOND};
 
 /// Clients begin to ask after this: the nodes have the list by then.
@@ -98,13 +98,8 @@
     /// The plan as a repro file.
     pub fn to_repro(&self) -> Result<String, serde_json::Error> {
         let fault = |fault: &Planned| {
-            let (after_bytes, by) = match fault.trouble {
-                scene::Trouble::Reset { after } => (Some(after), None),
-                scene::Trouble::Late { by } => (None, Some(by)),
-                _ => (None, None),
-            };
-            let Planned { at, lasts, whom, trouble } = *fault;
-            FaultLine { kind: trouble.name().to_owned(), at, lasts, whom, after_bytes, by }
+            let Planned { at, lasts, whom, trouble, permille } = *fault;
+            FaultLine { at, lasts, whom, trouble, permille }
         };
         let file = Repro {
             format: FORMAT,
@@ -145,7 +140,7 @@
     }
 }
 
-const FORMAT: u32 = 1;
+const FORMAT: u32 = 2;
 
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -161,30 +156,26 @@
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct FaultLine {
-    kind: String,
     at: Nanos,
     lasts: Option<Nanos>,
     whom: Whom,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    after_bytes: Option<u64>,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    by: Option<Nanos>,
+    trouble: Trouble,
+    permille: u16,
 }
 
 impl FaultLine {
     fn planned(&self, scene: &Checked) -> Option<Planned> {
-        let trouble = scene::Trouble::named(&self.kind, self.after_bytes, self.by)?;
+        let Self { at, lasts, whom, trouble, permille } = *self;
         let most = match trouble {
             trouble if trouble.is_about_server() => scene.scene.server.len(),
             trouble if trouble.is_about_node() => scene.scene.node.len(),
             _ => 1,
         };
-        let Self { at, lasts, whom, .. } = *self;
         let sound = match whom {
             Whom::One(one) => one < most,
             Whom::Group(group) => group.zone.is_none_or(|zone| zone < scene.scene.zones().len()),
         };
-        sound.then_some(Planned { at, lasts, whom, trouble })
+        sound.then_some(Planned { at, lasts, whom, trouble, permille })
     }
 }
 
--- a/kit/rehearsal/src/run.rs
+++ b/kit/rehearsal/src/run.rs
@@ -43,6 +43,8 @@
 pub struct Played {
     /// The outcome log.
     pub log: Vec<Request>,
+    /// The most that each server was sent while cold, as a multiple of what it could do; with its zone.
+    pub cold_peaks: Vec<(String, f64)>,
     /// Broken rules.
     pub breaches: Vec<Breach>,
     /// Requests at servers that no client had sent in this form.
@@ -135,6 +137,7 @@
         (stage.steps, stage.late, stage.world.strangers(), stage.world.now());
     let Stage { world, processes, .. } = stage;
     drop(processes);
+    let cold_peaks = world.cold_peaks();
     let log = world.into_log();
     let scene = &plan.scene.scene.rules;
     let figures = rules::Figures {
@@ -142,7 +145,7 @@
         drain_grace: scene.drain_grace_ms * MS + SOCKETS,
     };
     let breaches = rules::check(&log, &figures);
-    Ok(Played { log, breaches, strangers, sha256, simulated, wall: began.elapsed(), steps, late })
+    Ok(Played { log, cold_peaks, breaches, strangers, sha256, simulated, wall: began.elapsed(), steps, late })
 }
 
 /// Nodes and stand-ins, all ready.
--- a/kit/rehearsal/src/scene.rs
+++ b/kit/rehearsal/src/scene.rs
@@ -15,7 +15,7 @@
 use crate::outcome::{Effect, Scope};
 pub use groups::{NodeGroup, ServerGroup};
 use trouble::About;
-pub use trouble::{Group, Planned, Trouble, Whom};
+pub use trouble::{Far, Group, LinkTrouble, LinkWhat, Planned, Trouble, Whom};
 
 /// The scenes that are shipped, by name.
 pub const SHIPPED: [(&str, &str); 10] = [
@@ -36,6 +36,8 @@
 const MOST_SERVERS: usize = 512;
 const MOST_MS: u64 = 3_600_000;
 const MOST_RATE: f64 = 100_000.0;
+/// A fault comes no more often, and a group is struck in no more parts.
+const MOST_TIMES: u64 = 1000;
 
 /// A scene.
 #[derive(Clone, Debug, Deserialize)]
@@ -64,6 +66,9 @@
     /// How servers tell their load.
     #[serde(default)]
     pub reports: Reports,
+    /// The network.
+    #[serde(default)]
+    pub network: Network,
     /// The server list.
     #[serde(default)]
     pub discovery: Discovery,
@@ -214,6 +219,16 @@
     pub backoff_ms: u64,
 }
 
+/// The network between the machines.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    /// How long a message takes within a zone, and between a node and its clients or its list.
+    pub within_us: u64,
+    /// How long it takes between zones.
+    pub between_us: u64,
+}
+
 /// The server list.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -286,8 +301,24 @@
     pub share: Option<Spanned<f64>>,
     /// `reset`: after so many bytes of the answer.
     pub after_bytes: Option<Spanned<u64>>,
-    /// `late`: by so much.
+    /// `late`, `slow-link`: by so much.
     pub by_ms: Option<Spanned<u64>>,
+    /// `slow`: so many times as long.
+    pub times: Option<Spanned<f64>>,
+    /// `lossy-link`: share of what is lost.
+    pub loss: Option<Spanned<f64>>,
+    /// Share of a server's requests that it strikes; all if left out.
+    pub chance: Option<Spanned<f64>>,
+    /// Links: to a zone, or to `all`, `servers`, `list`, `nodes` or `clients`.
+    pub to: Option<Spanned<String>>,
+    /// Links: `both` ways, from the node `there`, or `back`.
+    pub way: Option<Spanned<String>>,
+    /// A group is struck in so many parts, one after the other.
+    pub waves: Option<Spanned<u64>>,
+    /// It comes so many times.
+    pub repeat: Option<Spanned<u64>>,
+    /// Waves and repeats follow one another in such steps.
+    pub every_ms: Option<u64>,
 }
 
 /// A scene that has been read and checked, and its text.
@@ -373,7 +404,7 @@
     names(scene.class.iter().map(|class| &class.name).collect())?;
     let mut faults = Vec::new();
     for fault in &scene.fault {
-        let (trouble, about) = Trouble::read(fault, &source)?;
+        let (trouble, about) = Trouble::read(fault, &scene, &source)?;
         let position = |found: Option<usize>, wanted: &Option<Spanned<String>>| {
             let span = wanted.as_ref().map(Spanned::span).unwrap_or_default();
             found.ok_or_else(|| source.bad(span, "there is none of this name"))
@@ -408,7 +439,20 @@
         let at = &fault.at_ms;
         within(at.span(), *at.get_ref() <= MOST_MS, "from 0 to 3600000")?;
         let lasts = fault.for_ms.map(|span| span.min(MOST_MS) * MS);
-        faults.push(Planned { at: at.get_ref() * MS, lasts, whom, trouble });
+        let times = |key: &Option<Spanned<u64>>| match key {
+            Some(value) if !(1..=MOST_TIMES).contains(value.get_ref()) => {
+                Err(source.bad(value.span(), format!("from 1 to {MOST_TIMES}")))
+            }
+            value => Ok(value.as_ref().map_or(1, |value| *value.get_ref())),
+        };
+        let (waves, repeats) = (times(&fault.waves)?, times(&fault.repeat)?);
+        let every = fault.every_ms.unwrap_or(0).min(MOST_MS) * MS;
+        let chance = fault.chance.as_ref().map_or(1.0, |chance| *chance.get_ref());
+        for (repeat, wave) in (0..repeats).flat_map(|repeat| (0..waves).map(move |wave| (repeat, wave))) {
+            let at = at.get_ref() * MS + every.saturating_mul(repeat * waves + wave);
+            let whom = whom.part(wave, waves);
+            faults.push(Planned { at, lasts, whom, trouble, permille: (chance * 1000.0) as u16 });
+        }
     }
     faults.sort_by_key(|fault| fault.at);
     Ok(Checked { name: name.to_owned(), scene, faults, text: source.text().to_owned() })
--- a/kit/rehearsal/src/scene/trouble.rs
+++ b/kit/rehearsal/src/scene/trouble.rs
@@ -9,7 +9,8 @@
 use crate::{MS, Nanos};
 
 /// What goes wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Trouble {
     /// The server refuses new connections.
     Refuse,
@@ -25,6 +26,11 @@
         /// By so much.
         by: Nanos,
     },
+    /// It works more slowly.
+    Slow {
+        /// Hundredths of the time that it takes otherwise.
+        percent: u32,
+    },
     /// What it answers is no answer.
     Spoilt,
     /// It turns everything away.
@@ -47,9 +53,63 @@
     StopNode,
     /// It is paused (SIGSTOP and SIGCONT).
     PauseNode,
+    /// The network between the node and others does badly.
+    Link(LinkTrouble),
 }
 
-/// Whom a fault is about.
+/// What a link does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkTrouble {
+    /// What is wrong with it.
+    pub what: LinkWhat,
+    /// Its other end.
+    pub far: Far,
+    /// From the node there.
+    pub there: bool,
+    /// From there to the node.
+    pub back: bool,
+}
+
+/// What is wrong with a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LinkWhat {
+    /// Nothing comes through.
+    Cut,
+    /// All comes later than it would.
+    Slow {
+        /// By so much.
+        by: Nanos,
+    },
+    /// Datagrams get lost, and what is lost of a connection comes late, as it is sent again.
+    Lossy {
+        /// Thousandths of all messages.
+        permille: u16,
+    },
+    /// Connections are reset under their requests.
+    Reset,
+}
+
+/// The other end of a node's link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Far {
+    /// Servers, lists and other nodes.
+    All,
+    /// Servers and other nodes of the zone at this position.
+    Zone(usize),
+    /// Servers.
+    Servers,
+    /// The list.
+    List,
+    /// Other nodes.
+    Nodes,
+    /// The front that brings its clients.
+    Clients,
+}
+
+/// Whom a kind of fault is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum About {
     Server,
@@ -57,62 +117,72 @@
     List,
 }
 
-/// The kinds as files name them.
-const KINDS: [(&str, Trouble, About); 19] = [
-    ("refuse", Trouble::Refuse, About::Server),
-    ("reset", Trouble::Reset { after: 0 }, About::Server),
-    ("hang", Trouble::Hang, About::Server),
-    ("late", Trouble::Late { by: 0 }, About::Server),
-    ("spoilt", Trouble::Spoilt, About::Server),
-    ("turn-away", Trouble::TurnAway, About::Server),
-    ("error", Trouble::Fail, About::Server),
-    ("drain", Trouble::Drain, About::Server),
-    ("gone", Trouble::Gone, About::Server),
-    ("kill-server", Trouble::KillServer, About::Server),
-    ("pause-server", Trouble::PauseServer, About::Server),
-    ("list-silent", Trouble::List(Mode::Silent), About::List),
-    ("list-stale", Trouble::List(Mode::Stale), About::List),
-    ("list-empty", Trouble::List(Mode::Empty), About::List),
-    ("list-malformed", Trouble::List(Mode::Malformed), About::List),
-    ("list-failing", Trouble::List(Mode::Failing), About::List),
-    ("kill-node", Trouble::KillNode, About::Node),
-    ("stop-node", Trouble::StopNode, About::Node),
-    ("pause-node", Trouble::PauseNode, About::Node),
+const fn link(what: LinkWhat) -> Trouble {
+    Trouble::Link(LinkTrouble { what, far: Far::All, there: true, back: true })
+}
+
+/// The kinds as files name them, with the figure that each needs.
+const KINDS: [(&str, Trouble, About, Option<&str>); 24] = [
+    ("refuse", Trouble::Refuse, About::Server, None),
+    ("reset", Trouble::Reset { after: 0 }, About::Server, Some("after_bytes")),
+    ("hang", Trouble::Hang, About::Server, None),
+    ("late", Trouble::Late { by: 0 }, About::Server, Some("by_ms")),
+    ("slow", Trouble::Slow { percent: 0 }, About::Server, Some("times")),
+    ("spoilt", Trouble::Spoilt, About::Server, None),
+    ("turn-away", Trouble::TurnAway, About::Server, None),
+    ("error", Trouble::Fail, About::Server, None),
+    ("drain", Trouble::Drain, About::Server, None),
+    ("gone", Trouble::Gone, About::Server, None),
+    ("kill-server", Trouble::KillServer, About::Server, None),
+    ("pause-server", Trouble::PauseServer, About::Server, None),
+    ("list-silent", Trouble::List(Mode::Silent), About::List, None),
+    ("list-stale", Trouble::List(Mode::Stale), About::List, None),
+    ("list-empty", Trouble::List(Mode::Empty), About::List, None),
+    ("list-malformed", Trouble::List(Mode::Malformed), About::List, None),
+    ("list-failing", Trouble::List(Mode::Failing), About::List, None),
+    ("kill-node", Trouble::KillNode, About::Node, None),
+    ("stop-node", Trouble::StopNode, About::Node, None),
+    ("pause-node", Trouble::PauseNode, About::Node, None),
+    ("cut", link(LinkWhat::Cut), About::Node, None),
+    ("slow-link", link(LinkWhat::Slow { by: 0 }), About::Node, Some("by_ms")),
+    ("lossy-link", link(LinkWhat::Lossy { permille: 0 }), About::Node, Some("loss")),
+    ("reset-link", link(LinkWhat::Reset), About::Node, None),
 ];
 
+/// Troubles of a server that may strike a share of its requests only.
+const BY_CHANCE: [&str; 5] = ["hang", "late", "spoilt", "turn-away", "error"];
+
 impl Trouble {
     /// Its name in files.
     pub fn name(self) -> &'static str {
-        let same = |kind: &&(&str, Trouble, About)| match (kind.1, self) {
-            (Self::Reset { .. }, Self::Reset { .. }) | (Self::Late { .. }, Self::Late { .. }) => true,
-            (one, other) => one == other,
+        let kind = std::mem::discriminant(&self);
+        let same = |one: &&(&str, Trouble, About, Option<&str>)| match (one.1, self) {
+            (Self::List(one), Self::List(other)) => one == other,
+            (Self::Link(one), Self::Link(other)) => {
+                std::mem::discriminant(&one.what) == std::mem::discriminant(&other.what)
+            }
+            (one, _) => std::mem::discriminant(&one) == kind,
         };
         KINDS.iter().find(same).map_or("?", |kind| kind.0)
     }
 
+    fn about(self) -> Option<About> {
+        KINDS.iter().find(|kind| kind.0 == self.name()).map(|kind| kind.2)
+    }
+
     /// Whether it is about a server.
     pub fn is_about_server(self) -> bool {
-        KINDS.iter().any(|kind| kind.0 == self.name() && kind.2 == About::Server)
+        self.about() == Some(About::Server)
     }
 
     /// Whether it is about a node.
     pub fn is_about_node(self) -> bool {
-        KINDS.iter().any(|kind| kind.0 == self.name() && kind.2 == About::Node)
-    }
-
-    /// The kind of this name, with its figures.
-    pub fn named(name: &str, after_bytes: Option<u64>, by: Option<Nanos>) -> Option<Self> {
-        let kind = KINDS.iter().find(|kind| kind.0 == name)?;
-        Some(match kind.1 {
-            Self::Reset { .. } => Self::Reset { after: after_bytes? },
-            Self::Late { .. } => Self::Late { by: by? },
-            other => other,
-        })
+        self.about() == Some(About::Node)
     }
 
-    pub(super) fn read(fault: &Fault, source: &Source) -> Result<(Self, About), FileError> {
+    pub(super) fn read(fault: &Fault, scene: &Scene, source: &Source) -> Result<(Self, About), FileError> {
         let kind = KINDS.iter().find(|kind| kind.0 == fault.kind.get_ref());
-        let &(name, trouble, about) = kind.ok_or_else(|| {
+        let &(name, mut trouble, about, needs) = kind.ok_or_else(|| {
             let known = KINDS.map(|kind| kind.0).join(", ");
             source.bad(fault.kind.span(), format!("unknown kind of fault; there are {known}"))
         })?;
@@ -129,26 +199,78 @@
                 _ => {}
             }
         }
-        let zone = fault.zone.as_ref().map(Spanned::span);
-        let share = fault.share.as_ref().map(Spanned::span);
+        let is_link = matches!(trouble, Self::Link(_));
         let one = fault.server.is_some() || fault.node.is_some();
-        for (span, key) in [(zone, "zone"), (share, "share")] {
-            if let Some(span) = span.filter(|_| one || about == About::List) {
-                return Err(misplaced(span, key));
+        let span = |key: &Option<Spanned<String>>| key.as_ref().map(Spanned::span);
+        let figure = |key: &Option<Spanned<f64>>| key.as_ref().map(Spanned::span);
+        let whole = |key: &Option<Spanned<u64>>| key.as_ref().map(Spanned::span);
+        for (span, key, fits) in [
+            (span(&fault.zone), "zone", !one && about != About::List),
+            (figure(&fault.share), "share", !one && about != About::List),
+            (span(&fault.to), "to", is_link),
+            (span(&fault.way), "way", is_link),
+            (figure(&fault.chance), "chance", BY_CHANCE.contains(&name)),
+            (whole(&fault.waves), "waves", !one && about != About::List),
+            (whole(&fault.after_bytes), "after_bytes", needs == Some("after_bytes")),
+            (whole(&fault.by_ms), "by_ms", needs == Some("by_ms")),
+            (figure(&fault.times), "times", needs == Some("times")),
+            (figure(&fault.loss), "loss", needs == Some("loss")),
+        ] {
+            match span {
+                Some(span) if !fits => return Err(misplaced(span, key)),
+                None if needs == Some(key) => return Err(missing(key)),
+                _ => {}
             }
         }
-        let figures = [(&fault.after_bytes, "after_bytes", "reset"), (&fault.by_ms, "by_ms", "late")];
-        for (value, key, of) in figures {
-            match value {
-                Some(value) if name != of => return Err(misplaced(value.span(), key)),
-                None if name == of => return Err(missing(key)),
-                _ => {}
+        let within = |key: &Option<Spanned<f64>>, least: f64, most: f64| match key {
+            Some(value) if !(least..=most).contains(value.get_ref()) => {
+                Err(source.bad(value.span(), format!("from {least} to {most}")))
             }
+            value => Ok(value.as_ref().map_or(1.0, |value| *value.get_ref())),
+        };
+        let figure = |value: &Option<Spanned<u64>>| value.as_ref().map_or(0, |value| *value.get_ref());
+        let by = figure(&fault.by_ms).min(MOST_MS) * MS;
+        within(&fault.chance, 0.0, 1.0)?;
+        match &mut trouble {
+            Self::Reset { after } => *after = figure(&fault.after_bytes),
+            Self::Late { by: late } => *late = by,
+            Self::Slow { percent } => *percent = (within(&fault.times, 1.0, 1000.0)? * 100.0) as u32,
+            Self::Link(link) => {
+                match &mut link.what {
+                    LinkWhat::Slow { by: slow } => *slow = by,
+                    LinkWhat::Lossy { permille } => {
+                        *permille = (within(&fault.loss, 0.0, 1.0)? * 1000.0) as u16;
+                    }
+                    LinkWhat::Cut | LinkWhat::Reset => {}
+                }
+                if let Some(to) = &fault.to {
+                    let zone = scene.zones().iter().position(|zone| zone == to.get_ref());
+                    link.far = match (to.get_ref().as_str(), zone) {
+                        ("all", _) => Far::All,
+                        ("servers", _) => Far::Servers,
+                        ("list", _) => Far::List,
+                        ("nodes", _) => Far::Nodes,
+                        ("clients", _) => Far::Clients,
+                        (_, Some(zone)) => Far::Zone(zone),
+                        _ => {
+                            let known = "neither a zone nor all, servers, list, nodes or clients";
+                            return Err(source.bad(to.span(), known));
+                        }
+                    };
+                }
+                (link.there, link.back) = match fault.way.as_ref().map(|way| way.get_ref().as_str()) {
+                    None | Some("both") => (true, true),
+                    Some("there") => (true, false),
+                    Some("back") => (false, true),
+                    Some(_) => {
+                        let span = fault.way.as_ref().map(Spanned::span).unwrap_or_default();
+                        return Err(source.bad(span, "there are both, there and back"));
+                    }
+                };
+            }
+            _ => {}
         }
-        let figure = |value: &Option<Spanned<u64>>| value.as_ref().map(|value| *value.get_ref());
-        let by = figure(&fault.by_ms).map(|by| by.min(MOST_MS) * MS);
-        let named = Self::named(name, figure(&fault.after_bytes), by);
-        Ok((named.unwrap_or(trouble), about))
+        Ok((trouble, about))
     }
 }
 
@@ -162,6 +284,15 @@
     Group(Group),
 }
 
+impl Whom {
+    /// One of so many parts of a group.
+    pub(super) fn part(self, part: u64, of: u64) -> Self {
+        let Self::Group(Group { zone, from, to }) = self else { return self };
+        let at = |part: u64| from + (u64::from(to - from) * part / of) as u16;
+        Self::Group(Group { zone, from: at(part), to: at(part + 1) })
+    }
+}
+
 /// A part of the servers or nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -186,6 +317,8 @@
     pub whom: Whom,
     /// What.
     pub trouble: Trouble,
+    /// Thousandths of a server's requests that it strikes.
+    pub permille: u16,
 }
 
 impl Planned {
--- a/kit/rehearsal/src/world.rs
+++ b/kit/rehearsal/src/world.rs
@@ -4,6 +4,7 @@
 
 mod clients;
 mod faults;
+mod links;
 mod list;
 mod servers;
 mod stage;
@@ -15,6 +16,7 @@
 use badgerpost_standins::discovery::{Discovery, State};
 use badgerpost_standins::message::{Inbox, Side};
 use badgerpost_standins::net::{ConnId, Happening, Net};
+use badgerpost_standins::random::Random;
 use badgerpost_standins::server::{Choke, Figures, Server};
 
 use crate::outcome::Ended;
@@ -36,6 +38,8 @@
         let rules = &scene.scene.rules;
         let (mut places, mut sites, mut nodes) = (BTreeMap::new(), Vec::new(), Vec::new());
         let mut list = Discovery::default();
+        let zones = scene.scene.zones();
+        let zone_number = |zone: &str| zones.iter().position(|one| *one == zone).unwrap_or(0);
         for (number, server) in scene.scene.server.iter().enumerate() {
             let (listener, at) = net.listen(loopback)?;
             places.insert(listener, Place::Server(number));
@@ -62,6 +66,7 @@
             let site = Site {
                 name: server.name.get_ref().clone(),
                 zone: server.zone.clone(),
+                zone_number: zone_number(&server.zone),
                 cell: server.cell,
                 listener,
                 at,
@@ -73,6 +78,7 @@
                 troubles: Vec::new(),
                 up,
                 booted: None,
+                cold_peak: 0.0,
             };
             if up {
                 list.set(entry(&site, State::Ready, base));
@@ -84,7 +90,17 @@
             places.insert(listener, Place::List(number));
             let name = node.name.get_ref().clone();
             let (idle, told) = (Vec::new(), BTreeMap::new());
-            nodes.push(NodeSide { name, listen: None, list_at, up: false, paused: false, idle, told });
+            let zone_number = zone_number(&node.zone);
+            nodes.push(NodeSide {
+                name,
+                zone_number,
+                listen: None,
+                list_at,
+                up: false,
+                paused: false,
+                idle,
+                told,
+            });
         }
         let pending = plan.arrivals.len();
         let mut world = Self {
@@ -105,6 +121,9 @@
             pending,
             strangers: 0,
             running: None,
+            bad_links: Vec::new(),
+            stuck: Vec::new(),
+            random: Random::new(plan.seed, "links"),
             plan,
         };
         for number in 0..world.plan.faults.len() {
@@ -135,6 +154,8 @@
                 None
             }
             Todo::Answer(sending) => self.send(*sending),
+            Todo::Goes(carried) => self.carry(*carried),
+            Todo::Arrives(carried) => self.arrives(*carried),
             Todo::Reset(conn) => self.reset(conn),
             Todo::Hang(conn) => self.close(conn),
             Todo::WatchOver(conn, number) => self.watch_over(conn, number),
--- a/kit/rehearsal/src/world/clients.rs
+++ b/kit/rehearsal/src/world/clients.rs
@@ -4,6 +4,7 @@
 use badgerpost_standins::message::{Inbox, Message, Side};
 use badgerpost_standins::net::ConnId;
 
+use super::links::Carried;
 use super::stage::*;
 use crate::outcome::{Answer, Effect, Ended, Request, Told};
 use crate::{MS, Nanos};
@@ -45,7 +46,7 @@
         self.ids.insert(id, number);
         let rules = &self.plan.scene.scene.rules;
         let due = self.now + log.budget + rules.answer_slack_ms * MS + SOCKETS + LISTENS_ON;
-        self.requests.push(Open { log, arrival, tries, key, done: false, resent: false });
+        self.requests.push(Open { log, arrival, node, tries, key, done: false, resent: false });
         self.at(due, Todo::Due(number));
         if up.is_none() {
             self.requests[number].log.excused = true;
@@ -80,15 +81,24 @@
             Effect::Unsafe => client::Effect::Unsafe,
         };
         let ask = Ask { id: &log.id, class: &log.class, effect, key, budget: log.budget, again: *tries > 0 };
-        let written = self.net.write(conn, &ask.bytes());
+        let bytes = ask.bytes();
         if let Some(Peer::Client { open, .. }) = self.peers.get_mut(&conn) {
             *open = Some(number);
         }
-        Some((node, written as u64))
+        self.carry(Carried::ToNode(conn, number, bytes))
+    }
+
+    /// A client's request comes to its node, if the client still waits.
+    pub(super) fn node_gets(&mut self, conn: ConnId, number: usize, bytes: &[u8]) -> Option<(usize, u64)> {
+        let Some(Peer::Client { node, open, .. }) = self.peers.get(&conn) else { return None };
+        let node = *node;
+        if *open != Some(number) {
+            return None;
+        }
+        Some((node, self.net.write(conn, bytes) as u64))
     }
 
     pub(super) fn client_reads(&mut self, conn: ConnId) {
-        let now = self.now;
         let Some(Peer::Client { node, inbox, open, last }) = self.peers.get_mut(&conn) else { return };
         let node = *node;
         let Some(request) = *open else {
@@ -101,16 +111,7 @@
         match inbox.take() {
             Ok(None) => {}
             Ok(Some(answer)) => {
-                (*open, *last) = (None, Some(request));
-                let surplus = u64::from(inbox.begun());
-                let told = self.answered(request, &answer, now);
-                self.requests[request].log.surplus += surplus;
-                if answer.closes() || surplus > 0 {
-                    self.drop_client(conn, node);
-                } else {
-                    self.nodes[node].idle.push(conn);
-                }
-                self.finish(request, told != Told::Served);
+                let _ = self.carry(Carried::ToClient(conn, request, answer));
             }
             Err(_) => {
                 // No answer at all, and no more will come of this connection.
@@ -121,6 +122,22 @@
         }
     }
 
+    /// A node's answer comes to its client, if that still waits.
+    pub(super) fn client_gets(&mut self, conn: ConnId, request: usize, answer: &Message) {
+        let Some(Peer::Client { node, inbox, open, last }) = self.peers.get_mut(&conn) else { return };
+        let node = *node;
+        (*open, *last) = (None, Some(request));
+        let surplus = u64::from(inbox.begun());
+        let told = self.answered(request, answer, self.now);
+        self.requests[request].log.surplus += surplus;
+        if answer.closes() || surplus > 0 {
+            self.drop_client(conn, node);
+        } else {
+            self.nodes[node].idle.push(conn);
+        }
+        self.finish(request, told != Told::Served);
+    }
+
     pub(super) fn drop_client(&mut self, conn: ConnId, node: usize) {
         self.net.close(conn);
         self.peers.remove(&conn);
@@ -175,8 +192,8 @@
     pub(super) fn client_cut_off(&mut self, request: usize, reused: bool) {
         let open = &mut self.requests[request];
         let unread = reused && open.log.attempts.is_empty() && !open.resent;
-        let node = self.nodes.iter().position(|node| node.name == open.log.node);
-        if let Some(node) = node.filter(|node| unread && self.nodes[*node].up) {
+        let node = open.node;
+        if unread && self.nodes[node].up {
             // It crossed a request that the node had not read: once more, on a new connection.
             open.resent = true;
             self.at(self.now, Todo::Resend(request, node));
--- a/kit/rehearsal/src/world/faults.rs
+++ b/kit/rehearsal/src/world/faults.rs
@@ -4,22 +4,51 @@
 
 use badgerpost_standins::discovery::{Mode, State};
 
+use super::links::BadLink;
 use super::stage::*;
 use crate::MS;
-use crate::scene::Trouble;
+use crate::scene::{LinkTrouble, LinkWhat, Trouble};
 
 impl World {
     pub(super) fn fault(&mut self, number: usize, begins: bool) -> io::Result<Fired> {
         let planned = self.plan.faults[number];
         let mut fired = Fired::default();
+        if let Trouble::Link(trouble) = planned.trouble {
+            self.link_fault(number, trouble, begins);
+            return Ok(fired);
+        }
         for whom in planned.strikes(&self.plan.scene.scene, self.plan.seed) {
-            fired.orders.extend(self.strike(planned.trouble, whom, begins)?);
+            fired.orders.extend(self.strike(planned.trouble, planned.permille, whom, begins)?);
         }
         Ok(fired)
     }
 
+    /// Links become bad, or good again.
+    fn link_fault(&mut self, fault: usize, trouble: LinkTrouble, begins: bool) {
+        if begins {
+            let mut nodes = vec![false; self.nodes.len()];
+            for node in self.plan.faults[fault].strikes(&self.plan.scene.scene, self.plan.seed) {
+                nodes[node] = true;
+            }
+            let bad = BadLink { fault, nodes, trouble };
+            if trouble.what == LinkWhat::Reset {
+                self.reset_links(&bad);
+            }
+            self.bad_links.push(bad);
+        } else {
+            self.bad_links.retain(|bad| bad.fault != fault);
+        }
+        self.links_changed();
+    }
+
     /// A fault begins or ends with one of those whom it strikes.
-    fn strike(&mut self, trouble: Trouble, whom: usize, begins: bool) -> io::Result<Option<Order>> {
+    fn strike(
+        &mut self,
+        trouble: Trouble,
+        permille: u16,
+        whom: usize,
+        begins: bool,
+    ) -> io::Result<Option<Order>> {
         let order = |order| Ok(Some(order));
         let notice = self.now + self.plan.scene.scene.discovery.notice_ms * MS;
         match (trouble, begins) {
@@ -60,14 +89,16 @@
                 if trouble == Trouble::Refuse && self.sites[whom].up {
                     self.net.refuse(self.sites[whom].listener)?;
                 }
-                self.sites[whom].troubles.push(trouble);
+                self.sites[whom].troubles.push((trouble, permille));
+                self.sites[whom].set_pace();
             }
             (_, false) => {
                 let site = &mut self.sites[whom];
-                if let Some(at) = site.troubles.iter().position(|active| *active == trouble) {
+                if let Some(at) = site.troubles.iter().position(|active| *active == (trouble, permille)) {
                     site.troubles.remove(at);
                 }
-                if trouble == Trouble::Refuse && site.up && !site.troubles.contains(&Trouble::Refuse) {
+                site.set_pace();
+                if trouble == Trouble::Refuse && site.up && !site.has(Trouble::Refuse, 0) {
                     self.net.accept_again(site.listener)?;
                 }
                 if trouble == Trouble::PauseServer {
--- a/kit/rehearsal/src/world/list.rs
+++ b/kit/rehearsal/src/world/list.rs
@@ -3,9 +3,10 @@
 use std::collections::HashMap;
 
 use badgerpost_standins::discovery::{self, Reply, State};
-use badgerpost_standins::message::{self};
+use badgerpost_standins::message::{self, Message};
 use badgerpost_standins::net::ConnId;
 
+use super::links::Carried;
 use super::stage::*;
 
 impl World {
@@ -28,7 +29,7 @@
     }
 
     pub(super) fn list_reads(&mut self, conn: ConnId) {
-        let Some(Peer::List { inbox, watch, .. }) = self.peers.get_mut(&conn) else { return };
+        let Some(Peer::List { inbox, .. }) = self.peers.get_mut(&conn) else { return };
         let message = match inbox.take() {
             Ok(Some(message)) => message,
             Ok(None) => return,
@@ -38,6 +39,12 @@
                 return;
             }
         };
+        let _ = self.carry(Carried::ToList(conn, message));
+    }
+
+    /// A call has come to the list.
+    pub(super) fn list_asked(&mut self, conn: ConnId, message: &Message) {
+        let Some(Peer::List { watch, .. }) = self.peers.get_mut(&conn) else { return };
         let Some((from, hold)) = discovery::read_target(&message.target) else {
             self.strangers += 1;
             self.at(self.now, Todo::Hang(conn));
@@ -63,15 +70,25 @@
     }
 
     pub(super) fn reply(&mut self, conn: ConnId, reply: Reply) -> Option<(usize, u64)> {
-        let bytes = match &reply {
+        if matches!(reply, Reply::Hold | Reply::Silence) {
+            return None;
+        }
+        if let Some(Peer::List { watch, .. }) = self.peers.get_mut(&conn) {
+            *watch = None;
+        }
+        self.carry(Carried::FromList(conn, reply))
+    }
+
+    /// What the list has to say has come to its node.
+    pub(super) fn list_told(&mut self, conn: ConnId, reply: &Reply) -> Option<(usize, u64)> {
+        let bytes = match reply {
             Reply::Answer(text) => message::answer(200, "", text.as_bytes()),
             Reply::Fail => message::answer(503, "", b""),
             Reply::Hold | Reply::Silence => return None,
         };
-        let Some(Peer::List { node, watch, .. }) = self.peers.get_mut(&conn) else { return None };
-        *watch = None;
+        let Some(Peer::List { node, .. }) = self.peers.get(&conn) else { return None };
         let node = *node;
-        if let Reply::Answer(text) = &reply {
+        if let Reply::Answer(text) = reply {
             self.node_told(node, text);
         }
         Some((node, self.net.write(conn, &bytes) as u64))
--- a/kit/rehearsal/src/world/servers.rs
+++ b/kit/rehearsal/src/world/servers.rs
@@ -5,8 +5,10 @@
 use badgerpost_standins::discovery::State;
 use badgerpost_standins::message::{self, Message};
 use badgerpost_standins::net::ConnId;
+use badgerpost_standins::random::Random;
 use badgerpost_standins::server::Offer;
 
+use super::links::Carried;
 use super::stage::*;
 use crate::MS;
 use crate::outcome::{Attempt, Ended, Scope};
@@ -46,8 +48,7 @@
         let site = &self.sites[server];
         let attempt = request.map(|request| {
             let open = &mut self.requests[request];
-            let node = self.nodes.iter().find(|node| node.name == open.log.node);
-            let told = node.and_then(|node| node.told.get(&server));
+            let told = self.nodes[open.node].told.get(&server);
             open.log.attempts.push(Attempt {
                 server: site.name.clone(),
                 zone: site.zone.clone(),
@@ -63,11 +64,16 @@
         });
         if let Some(Peer::Server { attempt: current, node, .. }) = self.peers.get_mut(&conn) {
             *current = attempt;
-            let of = request.map(|request| &self.requests[request].log.node);
-            *node = node.or_else(|| self.nodes.iter().position(|node| Some(&node.name) == of));
+            *node = node.or_else(|| request.map(|request| self.requests[request].node));
         }
-        let job = Job { conn, attempt, id };
-        if site.paused() {
+        let _ = self.carry(Carried::ToServer(Job { conn, attempt, id }));
+    }
+
+    /// A request has come to its server.
+    pub(super) fn reached(&mut self, job: Job) {
+        let Some(Peer::Server { server, .. }) = self.peers.get(&job.conn) else { return };
+        let server = *server;
+        if self.sites[server].paused() {
             // It has come, and is seen to once the process runs again.
             self.sites[server].held.push(job);
         } else {
@@ -80,7 +86,8 @@
         let now = self.now;
         let Job { conn, attempt, ref id } = job;
         let request = attempt.map(|(request, _)| request);
-        if self.sites[server].trouble(|trouble| *trouble == Trouble::Hang).is_some() {
+        let lot = self.lot(attempt);
+        if self.sites[server].has(Trouble::Hang, lot) {
             return;
         }
         let away = Sending {
@@ -90,7 +97,7 @@
             ended: Ended::TurnedAway,
             resets: false,
         };
-        if self.sites[server].trouble(|trouble| *trouble == Trouble::TurnAway).is_some() {
+        if self.sites[server].has(Trouble::TurnAway, lot) {
             self.at(now, Todo::Answer(Box::new(away)));
             return;
         }
@@ -106,6 +113,7 @@
         let ticket = site.next_job;
         site.next_job += 1;
         let offer = site.model.offer(now, ticket, work);
+        site.cold_peak = site.cold_peak.max(site.model.cold_load(now).unwrap_or(0.0));
         if let Some((request, number)) = attempt {
             let attempt = &mut self.requests[request].log.attempts[number];
             (attempt.ran, attempt.felled) = (offer == Offer::Taken, offer == Offer::Felled);
@@ -145,7 +153,7 @@
 
     /// Answers a probe beside the queue; one to a server that is paused, or says nothing, stays unanswered.
     fn tell_load(&mut self, conn: ConnId, server: usize) {
-        let silent = self.sites[server].trouble(|trouble| *trouble == Trouble::Hang).is_some();
+        let silent = self.sites[server].has(Trouble::Hang, 0);
         if silent || self.sites[server].paused() {
             return;
         }
@@ -188,7 +196,7 @@
         let job = site.model.take_done(now).and_then(|ticket| site.jobs.remove(&ticket));
         self.wake(server);
         let Some(Job { conn, attempt, id }) = job else { return };
-        let headers = self.report(server, "");
+        let (headers, lot) = (self.report(server, ""), self.lot(attempt));
         let site = &self.sites[server];
         let mut sending = Sending {
             conn,
@@ -198,7 +206,7 @@
             resets: false,
         };
         let mut at = now;
-        for trouble in &site.troubles {
+        for (trouble, _) in site.troubles.iter().filter(|(_, permille)| lot < *permille) {
             match *trouble {
                 Trouble::Fail => {
                     (sending.bytes, sending.ended) = (message::answer(500, &headers, b""), Ended::Error)
@@ -217,11 +225,11 @@
 
     pub(super) fn send(&mut self, sending: Sending) -> Option<(usize, u64)> {
         let Sending { conn, attempt, bytes, ended, resets } = sending;
-        let Some(Peer::Server { server, node, attempt: current, .. }) = self.peers.get_mut(&conn) else {
+        let Some(Peer::Server { server, attempt: current, .. }) = self.peers.get_mut(&conn) else {
             self.attempt_ends(attempt, Ended::Abandoned);
             return None;
         };
-        let (server, node) = (*server, *node);
+        let server = *server;
         // The connection of another life of this server would have gone with that.
         if self.sites[server].paused() || *current != attempt {
             if self.sites[server].paused() {
@@ -234,18 +242,40 @@
         }
         *current = None;
         self.attempt_ends(attempt, ended);
-        let written = self.net.write(conn, &bytes);
-        if resets {
-            self.at(self.now, Todo::Reset(conn));
+        self.carry(Carried::FromServer(Sending { conn, attempt, bytes, ended, resets }))
+    }
+
+    /// What a server has said has come to the node.
+    pub(super) fn deliver(&mut self, sending: Sending) -> Option<(usize, u64)> {
+        let Some(Peer::Server { node, .. }) = self.peers.get(&sending.conn) else { return None };
+        let node = *node;
+        let written = self.net.write(sending.conn, &sending.bytes);
+        if sending.resets {
+            self.at(self.now, Todo::Reset(sending.conn));
         }
         node.map(|node| (node, written as u64))
     }
 
+    /// A request's lot, in thousandths, by which a trouble strikes it or not.
+    fn lot(&self, attempt: Option<(usize, usize)>) -> u16 {
+        let Some((request, number)) = attempt else { return 0 };
+        let mut random = Random::new(self.plan.seed ^ (request as u64) << 8 ^ number as u64, "lots");
+        random.between(0, 999) as u16
+    }
+
     pub(super) fn reset(&mut self, conn: ConnId) -> Option<(usize, u64)> {
         self.net.reset(conn);
-        let Some(Peer::Server { node, attempt, .. }) = self.peers.remove(&conn) else { return None };
-        self.attempt_ends(attempt, Ended::Reset);
-        node.map(|node| (node, 0))
+        match self.peers.remove(&conn)? {
+            Peer::Server { node, attempt, .. } => {
+                self.attempt_ends(attempt, Ended::Reset);
+                node.map(|node| (node, 0))
+            }
+            Peer::List { node, .. } => Some((node, 0)),
+            Peer::Client { node, .. } => {
+                self.nodes[node].idle.retain(|idle| *idle != conn);
+                Some((node, 0))
+            }
+        }
     }
 
     /// A server's process is no more: its connections are reset and new ones are refused.
--- a/kit/rehearsal/src/world/stage.rs
+++ b/kit/rehearsal/src/world/stage.rs
@@ -9,8 +9,10 @@
 use badgerpost_standins::discovery::{Discovery, Entry, State};
 use badgerpost_standins::message::Inbox;
 use badgerpost_standins::net::{ConnId, Happening, ListenerId, Net};
+use badgerpost_standins::random::Random;
 use badgerpost_standins::server::Server;
 
+use super::links::{BadLink, Carried};
 use crate::outcome::{Ended, Request};
 use crate::plan::Plan;
 use crate::scene::Trouble;
@@ -33,6 +35,10 @@
     /// A server's next request is done.
     Done(usize),
     Answer(Box<Sending>),
+    /// A message sets out once more.
+    Goes(Box<Carried>),
+    /// A message has come over a link.
+    Arrives(Box<Carried>),
     Reset(ConnId),
     Hang(ConnId),
     WatchOver(ConnId, u64),
@@ -90,6 +96,7 @@
     Client { node: usize, inbox: Inbox, open: Option<usize>, last: Option<usize> },
 }
 
+#[derive(Clone, Debug)]
 pub(super) struct Job {
     pub(super) conn: ConnId,
     pub(super) attempt: Option<(usize, usize)>,
@@ -100,6 +107,8 @@
 pub(super) struct Site {
     pub(super) name: String,
     pub(super) zone: String,
+    /// Its position among the scene's zones.
+    pub(super) zone_number: usize,
     pub(super) cell: u64,
     pub(super) listener: ListenerId,
     pub(super) at: SocketAddr,
@@ -109,24 +118,40 @@
     /// What has come while the process was paused; bounded by its connections.
     pub(super) held: Vec<Job>,
     pub(super) wake: Option<Nanos>,
-    pub(super) troubles: Vec<Trouble>,
+    /// With the thousandths of the requests that they strike.
+    pub(super) troubles: Vec<(Trouble, u16)>,
     pub(super) up: bool,
     pub(super) booted: Option<Nanos>,
+    /// The most that it was sent while cold, as a multiple of what it could do.
+    pub(super) cold_peak: f64,
 }
 
 impl Site {
-    pub(super) fn trouble(&self, wanted: impl Fn(&Trouble) -> bool) -> Option<Trouble> {
-        self.troubles.iter().copied().find(wanted)
+    /// Whether a request with this lot, in thousandths, meets a trouble.
+    pub(super) fn has(&self, trouble: Trouble, lot: u16) -> bool {
+        self.troubles.iter().any(|(one, permille)| *one == trouble && lot < *permille)
+    }
+
+    /// Has the model work as fast as the troubles let it.
+    pub(super) fn set_pace(&mut self) {
+        let slow = self.troubles.iter().filter_map(|(trouble, _)| match trouble {
+            Trouble::Slow { percent } => Some(f64::from(*percent) / 100.0),
+            _ => None,
+        });
+        let times = slow.fold(1.0, |most: f64, times| most.max(times));
+        self.model.set_pace(times);
     }
 
     pub(super) fn paused(&self) -> bool {
-        self.troubles.contains(&Trouble::PauseServer)
+        self.has(Trouble::PauseServer, 0)
     }
 }
 
 /// A node as its peers see it.
 pub(super) struct NodeSide {
     pub(super) name: String,
+    /// The position of its zone among the scene's.
+    pub(super) zone_number: usize,
     pub(super) listen: Option<SocketAddr>,
     pub(super) list_at: SocketAddr,
     pub(super) up: bool,
@@ -140,6 +165,8 @@
 pub(super) struct Open {
     pub(super) log: Request,
     pub(super) arrival: usize,
+    /// The position of its node among the scene's.
+    pub(super) node: usize,
     pub(super) tries: u32,
     pub(super) key: String,
     pub(super) done: bool,
@@ -171,6 +198,12 @@
     pub(super) strangers: u64,
     /// The node that runs now, where only one at a time does.
     pub(super) running: Option<usize>,
+    /// Links that do badly now.
+    pub(super) bad_links: Vec<BadLink>,
+    /// What a cut link holds; bounded by the connections, each of which carries one message at a time.
+    pub(super) stuck: Vec<Carried>,
+    /// What is lost on links.
+    pub(super) random: Random,
 }
 
 impl World {
@@ -219,6 +252,12 @@
         self.nodes[node].list_at
     }
 
+    /// The most that each server was sent while it was cold, as a multiple of what it could do then, over the
+    /// span that counts; by zone.
+    pub fn cold_peaks(&self) -> Vec<(String, f64)> {
+        self.sites.iter().map(|site| (site.zone.clone(), site.cold_peak)).collect()
+    }
+
     /// Where servers listen, by name.
     pub fn servers(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
         self.sites.iter().map(|site| (site.name.as_str(), site.at))
@@ -251,8 +290,7 @@
     }
 
     pub(super) fn excuse(&mut self, node: usize) {
-        let name = &self.nodes[node].name;
-        let open = self.requests.iter_mut().filter(|open| !open.done && open.log.node == *name);
+        let open = self.requests.iter_mut().filter(|open| !open.done && open.node == node);
         open.for_each(|open| open.log.excused = true);
     }
 
--- a/kit/standins/src/discovery.rs
+++ b/kit/standins/src/discovery.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::server::Nanos;
 
@@ -41,7 +41,8 @@
 }
 
 /// How discovery does.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Mode {
     /// Well.
     #[default]
--- a/kit/standins/src/server.rs
+++ b/kit/standins/src/server.rs
@@ -66,6 +66,8 @@
     sent: VecDeque<(Nanos, Nanos)>,
     fallen: bool,
     choked: bool,
+    /// All work takes so many times as long.
+    pace: f64,
     /// Since when it is crowded, or, once choked, mostly idle.
     since: Option<Nanos>,
     /// Slot time used since the report was refreshed last, up to `counted`.
@@ -86,6 +88,7 @@
             sent: VecDeque::new(),
             fallen: false,
             choked: false,
+            pace: 1.0,
             since: None,
             used: 0,
             counted: now,
@@ -96,7 +99,12 @@
 
     /// Its process starts anew: what it held is gone, and it is cold.
     pub fn restart(&mut self, now: Nanos) {
-        *self = Self::new(self.figures, Some(now), now);
+        *self = Self { pace: self.pace, ..Self::new(self.figures, Some(now), now) };
+    }
+
+    /// From now on work that is begun takes so many times as long.
+    pub fn set_pace(&mut self, times: f64) {
+        self.pace = times.max(1.0);
     }
 
     /// Whether it has fallen over.
@@ -132,7 +140,9 @@
             let age = now.saturating_sub(booted) as f64 / warm_after.max(1) as f64;
             (cold_share + (1.0 - cold_share) * age).clamp(0.001, 1.0)
         });
-        speed * warmth / self.figures.choke.filter(|_| self.choked).map_or(1.0, |choke| choke.slower)
+        speed * warmth
+            / self.pace
+            / self.figures.choke.filter(|_| self.choked).map_or(1.0, |choke| choke.slower)
     }
 
     fn is_cold(&self, now: Nanos) -> bool {
