--- a/cores/zones/src/course.rs
+++ b/cores/zones/src/course.rs
@@ -13,6 +13,10 @@
 const DOUBT_FAILING: f64 = 8.0;
 /// Evidence in the return at which the last step is taken back.
 const WORSE: f64 = 2.5;
+/// A slow zone is told from a dead one by answers that take so many times as long; new processes are cold, and
+/// have an eighth of what they will have.
+const SLOW: f64 = 4.0;
+const COLD: f64 = 8.0;
 /// A doubt that no answer has ended for so long closes the zone. A link that is cut for a moment ends it sooner.
 const DOUBT_FOR: Nanos = 300 * MS;
 /// The same where the attempts that could still answer are too few to tell a dead zone from a slow one.
@@ -56,7 +60,7 @@
 /// What the evidence amounts to at one moment.
 #[derive(Clone, Copy)]
 pub(crate) struct Weighed {
-    /// Of silence, with answers that take twice as long as usual, and four times.
+    /// Of silence, with answers that take twice as long as usual, and as many times as [`Course::patience`] says.
     pub(crate) silence: f64,
     pub(crate) slower: f64,
     /// Of failures.
@@ -75,8 +79,9 @@
     opened: Nanos,
     acquitted_until: Nanos,
     goods_at_step: u32,
-    /// How much longer than usual answers took in the first step.
+    /// How much longer than usual answers took in the first step, and whether it returns with new processes.
     first_stretch: f64,
+    cold: bool,
     /// Share of the last attempts that failed as it was closed.
     failed_at_close: f64,
 }
@@ -91,6 +96,7 @@
             acquitted_until: 0,
             goods_at_step: 0,
             first_stretch: 1.0,
+            cold: false,
             failed_at_close: 0.0,
         }
     }
@@ -218,23 +224,33 @@
             _ => TRIALS.min(servers.max(1)),
         };
         if answered >= wanted && awake >= held {
-            self.evidence.reset(awake);
-            self.goods_at_step = 0;
-            self.stage = Stage::Returning { step: 0, since: awake };
+            self.come_back(awake, false);
             return;
         }
         let next = next.min(awake + TRIAL_NEXT).max(held);
         self.stage = Stage::Closed { since, why, next, answered, tried: true };
     }
 
-    /// Servers are listed anew where there were none: what was seen was seen of others. It is tried soon.
-    pub(crate) fn listed_anew(&mut self, awake: Nanos, draw: f64) {
-        if let Stage::Closed { since, why, next, .. } = self.stage {
-            let soon = awake + (draw * HOLD as f64) as Nanos;
-            self.stage = Stage::Closed { since, why, next: next.min(soon), answered: 0, tried: false };
+    /// Servers are listed anew where there were none: what was seen was seen of other processes. The first step is
+    /// trial enough; a short trial would end before a cold server's answer.
+    pub(crate) fn listed_anew(&mut self, awake: Nanos) {
+        if matches!(self.stage, Stage::Closed { .. }) {
+            self.come_back(awake, true);
         }
     }
 
+    fn come_back(&mut self, awake: Nanos, cold: bool) {
+        self.cold = cold;
+        self.evidence.reset(awake);
+        self.goods_at_step = 0;
+        self.stage = Stage::Returning { step: 0, since: awake };
+    }
+
+    /// How many times longer than usual answers may take before their absence speaks for a dead zone.
+    pub(crate) fn patience(&self) -> f64 {
+        if self.cold && matches!(self.stage, Stage::Returning { .. }) { COLD } else { SLOW }
+    }
+
     /// Whether a trial is due; the next one is set.
     pub(crate) fn trial(&mut self, awake: Nanos, crowd: f64, draw: f64) -> bool {
         let Stage::Closed { next, .. } = &mut self.stage else { return false };
--- a/cores/zones/src/watch.rs
+++ b/cores/zones/src/watch.rs
@@ -135,8 +135,7 @@
             let there = || servers.iter().filter(|(_, at, _)| *at as usize == zone);
             let before = std::mem::replace(&mut place.servers, there().count() as u32);
             if before == 0 && place.servers > 0 {
-                self.random = mix(self.random);
-                course.listed_anew(self.now - self.slept.min(self.now), unit(self.random));
+                course.listed_anew(self.now - self.slept.min(self.now));
             }
             place.size = there().map(|(.., size)| size).sum();
             let listed = &self.listed;
@@ -257,7 +256,7 @@
         let (silent, first) = silence(2.0);
         Weighed {
             silence: silent,
-            slower: silence(4.0).0,
+            slower: silence(course.patience()).0,
             failing: course.evidence.failing(awake, listed),
             others: (0..self.courses.len()).any(|other| other != zone && self.could_take(other)),
             quiet: awake.saturating_sub(first),
--- a/kit/rehearsal/src/fleet.rs
+++ b/kit/rehearsal/src/fleet.rs
@@ -206,8 +206,7 @@
     plan.faults.iter().filter_map(|fault| Trouble::of(fault, &zones, end)).collect()
 }
 
-/// Nodes that sent nothing to their zone for a while, though nothing was wrong with it: which, and when. A node's
-/// zone is the one that it sends most to.
+/// Nodes that sent nothing to their zone for a while, though nothing was wrong with it: which, and when.
 pub fn strayed(plan: &Plan, log: &[Request]) -> Vec<(String, Nanos)> {
     let troubles = troubles(plan);
     // A list that takes servers away, and whatever else is wrong with a part, is no zone's health.
@@ -221,11 +220,8 @@
     }
     let mut strayed = Vec::new();
     for (node, requests) in nodes {
-        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-        for request in &requests {
-            *counts.entry(&request.attempts[0].zone).or_default() += 1;
-        }
-        let Some((main, _)) = counts.into_iter().max_by_key(|(_, count)| *count) else { continue };
+        let own = plan.scene.scene.node.iter().find(|known| known.name.get_ref() == node);
+        let Some(main) = own.map(|own| own.zone.as_str()) else { continue };
         let mut away = 0;
         for request in requests {
             let elsewhere = request.attempts[0].zone != main && !disturbed(main, request.arrival);
