Zones and rehearsals: one forgetting, one hold, one way to options; state nobody read is gone

Read again as a whole; nothing is decided otherwise. evidence.rs forgot by the same formula in three places, course.rs worked a closed zone's hold out twice, watch.rs had evidence.rs's usual share of failures as a constant of its own. A member's size or 1 and a lot from 0 to 1 stood twice each (state.rs, gate.rs, choice.rs, engine/zones.rs). Gone: a zone figure's 'since' and the reason beside a share, which nobody read; the seed that the driver kept for one call; the answer of order_zone that nobody asked for. In the kit a scene's expectations were worked out twice a run, the peak at a cold server three times, and the options in four places.

--- a/cores/zones/src/api.rs
+++ b/cores/zones/src/api.rs
@@ -129,8 +129,6 @@
         zone: u32,
         /// From 0 to 1.
         share: f64,
-        /// Why.
-        why: Why,
     },
     /// The next request that may be repeated elsewhere tries the zone, for so long.
     Trial {
--- a/cores/zones/src/course.rs
+++ b/cores/zones/src/course.rs
@@ -48,12 +48,12 @@
 /// A zone that was wrongly closed for failures is not closed for them again so soon.
 const ACQUITTED: Nanos = 10 * SECOND;
 
-/// Where a zone stands. Times are on the clock of the time awake.
+/// Where a zone stands. Times are on the clock of the time awake; a closed zone is held until `held`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Stage {
     Open,
     Doubted { since: Nanos, why: Why },
-    Closed { since: Nanos, why: Why, next: Nanos, answered: u32, tried: bool },
+    Closed { held: Nanos, why: Why, next: Nanos, answered: u32, tried: bool },
     Returning { step: usize, since: Nanos },
 }
 
@@ -142,9 +142,9 @@
     }
 
     fn close(&mut self, awake: Nanos, why: Why, crowd: f64, draw: f64) {
-        let hold = HOLD << self.strikes.min(HOLDS);
-        let next = awake + hold + (draw * interval(crowd)) as Nanos;
-        self.stage = Stage::Closed { since: awake, why, next, answered: 0, tried: false };
+        let held = awake + (HOLD << self.strikes.min(HOLDS));
+        let next = held + (draw * interval(crowd)) as Nanos;
+        self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
         self.strikes += 1;
     }
 
@@ -211,11 +211,10 @@
 
     /// An attempt there ended while it was closed: a trial, or one that went out before.
     pub(crate) fn tried(&mut self, awake: Nanos, good: bool, servers: u32, crowd: f64, draw: f64) {
-        let Stage::Closed { since, why, next, answered, .. } = self.stage else { return };
-        let held = since + (HOLD << self.strikes.saturating_sub(1).min(HOLDS));
+        let Stage::Closed { held, why, next, answered, .. } = self.stage else { return };
         if !good {
             let next = next.max(awake + (draw * interval(crowd)) as Nanos);
-            self.stage = Stage::Closed { since, why, next, answered: 0, tried: false };
+            self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
             return;
         }
         let answered = answered + 1;
@@ -228,7 +227,7 @@
             return;
         }
         let next = next.min(awake + TRIAL_NEXT).max(held);
-        self.stage = Stage::Closed { since, why, next, answered, tried: true };
+        self.stage = Stage::Closed { held, why, next, answered, tried: true };
     }
 
     /// Servers are listed anew where there were none: what was seen was seen of other processes. The first step is
--- a/cores/zones/src/evidence.rs
+++ b/cores/zones/src/evidence.rs
@@ -9,7 +9,7 @@
 /// Share of failures that a zone in trouble has at least.
 const FAILING: f64 = 0.3;
 /// Share of failures that is nothing unusual where none is known.
-const USUAL: f64 = 0.02;
+pub(crate) const USUAL: f64 = 0.02;
 /// The most that one server or class is charged with: it can't speak for the others.
 const SERVER_MOST: f64 = 5.0;
 /// What was seen is forgotten with this time constant.
@@ -17,6 +17,11 @@
 /// Ended attempts whose silence is kept: more tell nothing new, each is worth up to 2.5.
 const ENDED_MOST: usize = 64;
 
+/// What is left of something by now.
+fn kept(now: Nanos, at: Nanos) -> f64 {
+    (-(now.saturating_sub(at) as f64) / FORGET as f64).exp()
+}
+
 /// A CUSUM that is forgotten.
 #[derive(Clone, Copy, Default)]
 struct Charge {
@@ -26,7 +31,7 @@
 
 impl Charge {
     fn now(&self, now: Nanos) -> f64 {
-        self.value * (-(now.saturating_sub(self.at) as f64) / FORGET as f64).exp()
+        self.value * kept(now, self.at)
     }
 
     fn add(&mut self, now: Nanos, step: f64, most: f64) {
@@ -98,7 +103,7 @@
     /// Share of a class's requests that failed here in the last seconds, and of how many.
     pub(crate) fn failed(&self, class: u32, awake: Nanos) -> (f64, f64) {
         let Some(counts) = self.counts.get(class as usize) else { return (0.0, 0.0) };
-        let kept = (-(awake.saturating_sub(counts.at) as f64) / FORGET as f64).exp();
+        let kept = kept(awake, counts.at);
         (counts.failed * kept, counts.all * kept)
     }
 
@@ -117,7 +122,7 @@
         }
         self.recent += 0.1 * (f64::from(u8::from(failed)) - self.recent);
         if let Some(counts) = self.counts.get_mut(out.class as usize) {
-            let kept = (-(awake.saturating_sub(counts.at) as f64) / FORGET as f64).exp();
+            let kept = kept(awake, counts.at);
             counts.failed = counts.failed * kept + f64::from(u8::from(failed));
             counts.all = counts.all * kept + 1.0;
             counts.at = awake;
--- a/cores/zones/src/watch.rs
+++ b/cores/zones/src/watch.rs
@@ -4,7 +4,7 @@
 
 use crate::api::{Action, Event, Nanos, Seen, Settings, Why};
 use crate::course::{Course, Stage, Weighed};
-use crate::evidence::Out;
+use crate::evidence::{Out, USUAL};
 use crate::plan::{self, Room};
 use crate::times::Times;
 use crate::{MS, SECOND};
@@ -21,9 +21,8 @@
 const UTIL_FOR: Nanos = 4 * SECOND;
 /// A change of a share that is worth telling.
 const TELL: f64 = 0.05;
-/// Answers of a class elsewhere that a comparison takes, and the failures that are taken as given.
+/// Answers of a class elsewhere that a comparison takes, as if they had failed as usual.
 const ELSEWHERE: f64 = 5.0;
-const USUAL: f64 = 0.02;
 /// How long a trial's answer is waited for: so many times what nearly all answers take, within bounds.
 const TRIAL_STRETCH: u64 = 3;
 const TRIAL_WAIT: (Nanos, Nanos) = (50 * MS, 2 * SECOND);
@@ -121,8 +120,8 @@
     }
 
     fn draw(&mut self) -> f64 {
-        self.random = mix(self.random);
-        unit(self.random)
+        self.random = self.random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        (self.random >> 11) as f64 / (1u64 << 53) as f64
     }
 
     fn crowd(&self) -> f64 {
@@ -130,12 +129,13 @@
     }
 
     fn list(&mut self, servers: &[(u32, u32, f64)]) {
+        let awake = self.awake();
         self.listed = servers.iter().map(|(server, zone, _)| (*server, *zone)).collect();
         for (zone, (place, course)) in self.places.iter_mut().zip(&mut self.courses).enumerate() {
             let there = || servers.iter().filter(|(_, at, _)| *at as usize == zone);
             let before = std::mem::replace(&mut place.servers, there().count() as u32);
             if before == 0 && place.servers > 0 {
-                course.listed_anew(self.now - self.slept.min(self.now));
+                course.listed_anew(awake);
             }
             place.size = there().map(|(.., size)| size).sum();
             let listed = &self.listed;
@@ -303,7 +303,7 @@
             place.told = Some((share, why.word()));
             let (zone, servers) = (zone as u32, place.servers);
             if share != before {
-                actions.push(Action::Share { zone, share, why });
+                actions.push(Action::Share { zone, share });
             }
             if word != why.word() {
                 actions.push(Action::Changed { zone, share, why, servers });
@@ -326,13 +326,5 @@
     }
 }
 
-fn mix(random: u64) -> u64 {
-    random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f)
-}
-
-fn unit(random: u64) -> f64 {
-    (random >> 11) as f64 / (1u64 << 53) as f64
-}
-
 #[cfg(test)]
 mod tests;
--- a/cores/zones/src/watch/tests.rs
+++ b/cores/zones/src/watch/tests.rs
@@ -68,7 +68,7 @@
         self.watch.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Share { zone, share, .. } => self.share[zone as usize] = share,
+                Action::Share { zone, share } => self.share[zone as usize] = share,
                 Action::Trial { zone, .. } => self.trial = Some(zone),
                 Action::Wake { at } => self.wake = Some(at),
                 Action::Changed { zone, why, .. } => self.changed.push((self.now, zone, why.word())),
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -61,7 +61,6 @@
     pub(crate) tally: Arc<Tally>,
     /// The watch over the zones, where it is switched on.
     zones: Option<ZoneWatch>,
-    seed: u64,
     /// Discovery has told of the servers.
     pub(crate) heard: bool,
     /// Set by the module's wish for the whole list.
@@ -113,22 +112,17 @@
             backends: Backends::default(),
             timers: Timers::default(),
             zones: None,
-            seed,
             heard: false,
             whole_list: false,
         })
     }
 
     /// Switches the watch over the zones on.
-    pub(crate) fn watch_zones(&mut self) {
+    pub(crate) fn watch_zones(&mut self, seed: u64) {
         let names =
             (0..self.settings.zones).map(|zone| self.words.zone_name(ZoneId(zone)).unwrap_or("").into());
         self.tally.watch_zones(names.collect());
-        self.zones = Some(ZoneWatch::new(&self.settings, self.seed, self.clock.now()));
-    }
-
-    pub(crate) fn watches_zones(&self) -> bool {
-        self.zones.is_some()
+        self.zones = Some(ZoneWatch::new(&self.settings, seed, self.clock.now()));
     }
 
     /// Operators close a zone or hold it open, or end that.
@@ -163,10 +157,7 @@
         let (why, evidence) = (changed.why.word(), (changed.why.evidence() * 10.0).round() / 10.0);
         let (share, servers) = (changed.share, changed.servers);
         tracing::info!(zone, why, evidence, share, servers, "zone changed");
-        self.tally.zone(changed.zone.0, |figure| {
-            (figure.share, figure.why) = (share, why);
-            figure.since = self.clock.now();
-        });
+        self.tally.zone(changed.zone.0, |figure| figure.why = why);
     }
 
     pub(crate) fn hear(&mut self, event: Event, errands: &mut Errands<F>) {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -66,22 +66,21 @@
         Ok(node)
     }
 
-    /// Switches the watch over the zones on, before the first list.
-    pub fn watch_zones(&self) {
-        self.driver.borrow_mut().watch_zones();
+    /// Switches the watch over the zones on, before the first list. The seed drives its draws.
+    pub fn watch_zones(&self, seed: u64) {
+        self.driver.borrow_mut().watch_zones(seed);
     }
 
-    /// Operators close a zone (`true`) or hold it open for a time, or end that. False where there is no such zone or
+    /// Operators close a zone (`true`) or hold it open for a time, or end that. Nothing where there is no such zone or
     /// no watch over them.
-    pub fn order_zone(&self, zone: &str, order: Option<(bool, Nanos)>) -> bool {
+    pub fn order_zone(&self, zone: &str, order: Option<(bool, Nanos)>) {
         self.call(|driver, errands| {
-            let zones = (0..driver.settings.zones).map(ZoneId);
-            let found = zones.into_iter().find(|at| driver.words.zone_name(*at) == Some(zone));
+            let mut zones = (0..driver.settings.zones).map(ZoneId);
             let until = order.map(|(closed, span)| (closed, driver.clock.now().saturating_add(span)));
-            let known = found.filter(|_| driver.watches_zones());
-            known.into_iter().for_each(|zone| driver.order_zone(zone, until, errands));
-            known.is_some()
-        })
+            if let Some(zone) = zones.find(|at| driver.words.zone_name(*at) == Some(zone)) {
+                driver.order_zone(zone, until, errands);
+            }
+        });
     }
 
     /// The node's clock.
--- a/engine/src/tally.rs
+++ b/engine/src/tally.rs
@@ -43,8 +43,6 @@
     pub share: f64,
     /// Why, in one word.
     pub why: &'static str,
-    /// Since when, on the engine's clock.
-    pub since: brookfield::Nanos,
 }
 
 /// The counts of one engine since its start.
@@ -76,7 +74,7 @@
 
     /// The zones are watched from now on.
     pub(crate) fn watch_zones(&self, names: Vec<String>) {
-        let open = |name| ZoneFigure { name, share: 1.0, why: "open", since: 0 };
+        let open = |name| ZoneFigure { name, share: 1.0, why: "open" };
         *self.zones.lock().unwrap_or_else(PoisonError::into_inner) = names.into_iter().map(open).collect();
     }
 
--- a/engine/src/zones.rs
+++ b/engine/src/zones.rs
@@ -54,8 +54,7 @@
         }
         for member in members {
             if member.stage == Stage::InService && member.zone.0 < self.zones {
-                let size = if member.size.is_finite() && member.size > 0.0 { member.size } else { 1.0 };
-                self.listed.insert(member.backend, (member.zone, size));
+                self.listed.insert(member.backend, (member.zone, member.size_or_one()));
             } else {
                 self.listed.remove(&member.backend);
             }
@@ -111,7 +110,7 @@
         self.watch.handle(now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Share { zone, share, .. } => {
+                Action::Share { zone, share } => {
                     said.events.push(Told::ZoneShare { zone: ZoneId(zone), share });
                 }
                 Action::Trial { zone, wait } => {
--- a/kit/rehearsal/src/bin/faulty_node.rs
+++ b/kit/rehearsal/src/bin/faulty_node.rs
@@ -1,8 +1,8 @@
 #![forbid(unsafe_code)]
 //! A node that breaks one of the rules on purpose, so that the kit's checkers can be seen to catch it. It takes
 //! the same configuration as the real one, and its clock can be stepped alike. `BADGERPOST_FAULT` says what it
-//! does wrong: `resend`, `drop`, `drain` or `flood` or `stray`, or `crash` in the midst of its work; without it the node is plain and keeps the rules on a calm
-//! day. It is no part of the product.
+//! does wrong: `resend`, `drop`, `drain` or `flood`, `crash` in the midst of its work, or `stray` from its zone; without
+//! it the node is plain and keeps the rules on a calm day. It is no part of the product.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/kit/rehearsal/src/fleet.rs
+++ b/kit/rehearsal/src/fleet.rs
@@ -272,7 +272,7 @@
         }
     }
     if let Some(most) = expect.cold {
-        let peak = played.cold_peaks.iter().map(|(_, peak)| *peak).fold(0.0, f64::max);
+        let peak = played.cold_peak(None);
         need(peak <= most, format!("a cold server got {peak:.2} of what it could do, wanted {most:.2}"));
     }
     if let Some(most) = expect.strayed {
--- a/kit/rehearsal/src/main.rs
+++ b/kit/rehearsal/src/main.rs
@@ -132,9 +132,14 @@
 }
 
 impl Program {
-    fn own(&self) -> Result<String, Failure> {
-        let Some(path) = &self.own else { return Ok(String::new()) };
-        std::fs::read_to_string(path).map_err(|source| Failure::File { path: path.clone(), source })
+    /// How to play with it.
+    fn options(self, real_time: bool, port: u16) -> Result<Options, Failure> {
+        let own = match &self.own {
+            Some(path) => std::fs::read_to_string(path)
+                .map_err(|source| Failure::File { path: path.clone(), source })?,
+            None => String::new(),
+        };
+        Ok(Options { program: self.find()?, real_time, port, own })
     }
 
     fn find(self) -> Result<PathBuf, Failure> {
@@ -222,13 +227,11 @@
                 (Some(file), _) => Plan::from_repro(&file)?,
                 (None, scene) => Plan::draw(scene::find(&scene.unwrap_or_default())?, seed),
             };
-            let own = program.own()?;
-            let options = Options { program: program.find()?, real_time, port: 0, own };
+            let options = program.options(real_time, 0)?;
             run(&plan, &options, out.as_deref(), plot.as_deref(), logs.as_deref())
         }
         Command::Sweep { scene, seeds, jobs, program } => {
-            let own = program.own()?;
-            let options = Options { program: program.find()?, real_time: false, port: 0, own };
+            let options = program.options(false, 0)?;
             let rows = sweep::sweep(&scene, seeds, jobs, &options)?;
             say(&format!("scene {scene}, {} seeds; least, middle, most", rows.len()))?;
             for (column, name) in sweep::COLUMNS.iter().enumerate() {
@@ -242,8 +245,7 @@
             Ok(if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS })
         }
         Command::Hunt { scene, seeds, out, as_written, program } => {
-            let own = program.own()?;
-            let options = Options { program: program.find()?, real_time: false, port: 0, own };
+            let options = program.options(false, 0)?;
             search(&scene, seeds, &out, as_written, &options)
         }
     }
@@ -262,7 +264,7 @@
 
 fn up(name: &str, nodes: Option<usize>, port: u16, program: Program) -> Result<ExitCode, Failure> {
     let over = heed_signals()?;
-    let (own, program) = (program.own()?, program.find()?);
+    let options = program.options(true, port)?;
     let mut checked = scene::find(name)?;
     if let Some(count) = nodes {
         let has = checked.scene.node.len();
@@ -274,7 +276,7 @@
     checked.faults.clear();
     let mut plan = Plan::draw(checked, 1);
     plan.arrivals.clear();
-    let mut stage = Stage::set(&plan, &Options { program, real_time: true, port, own })?;
+    let mut stage = Stage::set(&plan, &options)?;
     let nodes: Vec<serde_json::Value> = (0..plan.scene.scene.node.len())
         .filter_map(|node| {
             let (listen, pid) = stage.node(node)?;
@@ -435,15 +437,12 @@
         let logs: String = played.logs.iter().map(|(name, log)| format!("{name}:\n{log}")).collect();
         write(path, &logs)?;
     }
-    summary(plan, options, &played)?;
-    Ok(if played.is_good() && fleet::lost(plan, &played).is_empty() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+    let lost = fleet::lost(plan, &played);
+    summary(plan, options, &played, &lost)?;
+    Ok(if played.is_good() && lost.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-fn summary(plan: &Plan, options: &Options, played: &Played) -> std::io::Result<()> {
+fn summary(plan: &Plan, options: &Options, played: &Played, lost: &[String]) -> std::io::Result<()> {
     let counts = played.counts();
     let seconds = |span: Duration| span.as_secs_f64();
     let simulated = seconds(Duration::from_nanos(played.simulated));
@@ -482,8 +481,7 @@
             (trouble.until - trouble.from) / 1_000_000
         ))?;
         say(&fleet::conduct(&played.log, &trouble).to_string())?;
-        let peaks = played.cold_peaks.iter().filter(|(zone, _)| *zone == trouble.zone);
-        let peak = peaks.map(|(_, peak)| *peak).fold(0.0, f64::max);
+        let peak = played.cold_peak(Some(&trouble.zone));
         let falls = plan.scene.scene.rules.tip_multiple;
         say(&format!(
             "  most at one cold server there: {peak:.2} of what it could do; it falls over at {falls:.2}"
@@ -495,7 +493,7 @@
             strayed.first().map_or(String::new(), |(node, at)| format!("{node} at {} ms", at / 1_000_000));
         say(&format!("nodes that left a zone in no trouble: {}, first {first}", strayed.len()))?;
     }
-    for lost in fleet::lost(plan, played) {
+    for lost in lost {
         say(&format!("expectation LOST: {lost}"))?;
     }
     Ok(())
--- a/kit/rehearsal/src/run.rs
+++ b/kit/rehearsal/src/run.rs
@@ -71,6 +71,12 @@
         Counts::of(&self.log)
     }
 
+    /// The most that a cold server was sent, of one zone or of all.
+    pub fn cold_peak(&self, zone: Option<&str>) -> f64 {
+        let of = self.cold_peaks.iter().filter(|(at, _)| zone.is_none_or(|zone| zone == at));
+        of.map(|(_, peak)| *peak).fold(0.0, f64::max)
+    }
+
     /// Whether every rule held.
     pub fn is_good(&self) -> bool {
         self.breaches.is_empty() && self.strangers == 0
--- a/kit/rehearsal/src/sweep.rs
+++ b/kit/rehearsal/src/sweep.rs
@@ -68,7 +68,7 @@
         served: played.counts().served_share(),
         broken: played.breaches.len() + usize::from(played.strangers > 0),
         conduct: trouble.map(|trouble| fleet::conduct(&played.log, &trouble)),
-        cold: played.cold_peaks.iter().map(|(_, peak)| *peak).fold(0.0, f64::max),
+        cold: played.cold_peak(None),
         strayed: fleet::strayed(&plan, &played.log).len(),
     })
 }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -90,7 +90,7 @@
     let node = Node::new(site.settings, site.words, seed, clock.clone(), Rc::new(upstream))
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
     if own.zones.is_some_and(|zones| zones.watch) {
-        node.watch_zones();
+        node.watch_zones(seed);
     }
     let watch = discovery::Watch::new(node.clone(), edge.discovery, edge.known);
     let mut terminate = signal(SignalKind::terminate())?;
--- a/src/api.rs
+++ b/src/api.rs
@@ -301,6 +301,13 @@
     pub online_since: Option<Nanos>,
 }
 
+impl Member {
+    /// Its size, or 1 where that says nothing.
+    pub fn size_or_one(&self) -> f64 {
+        if self.size.is_finite() && self.size > 0.0 { self.size } else { 1.0 }
+    }
+}
+
 /// Which list an [`Event::Fleet`] brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -113,9 +113,12 @@
             return Some(to);
         }
         // Exception: what a closed zone does not take would push the one best zone over; it is divided.
-        let best = |this: &Self| this.overflow.first().copied().filter(|_| this.qualified > 0);
-        let target =
-            if open { best(self).filter(|&zone| self.share_of(zone) > 0.0) } else { self.divided(id) };
+        let target = if open {
+            let best = self.overflow.first().copied().filter(|_| self.qualified > 0);
+            best.filter(|&zone| self.share_of(zone) > 0.0)
+        } else {
+            self.divided(id)
+        };
         if let Some(to) = target.and_then(|zone| self.pick(id, zone)) {
             return Some(to);
         }
@@ -135,7 +138,7 @@
 
     /// A number from 0 to 1 that a request has in a zone, whenever it asks.
     fn lot(&self, id: RequestId, salt: u64) -> f64 {
-        mix(self.seed ^ id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt) as f64 / u64::MAX as f64
+        lot(self.seed ^ id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt)
     }
 
     /// Whether a zone's share holds this request.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -71,7 +71,7 @@
         // A budget under one request is spent by chance, or many nodes' first sends would exceed it together;
         // one of a zone's nodes or so always tries, as no figure may come from elsewhere.
         let epoch = self.now / rules.fall_span.max(1);
-        let lot = mix(backend.lot ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15)) as f64 / u64::MAX as f64;
+        let lot = lot(backend.lot ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         spent + request.cold_cost <= budget
             || (spent == 0.0 && lot <= (budget / request.cold_cost).max(1.0 / self.crowd()))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,6 +58,11 @@
     z ^ (z >> 31)
 }
 
+/// A lot from 0 to 1 that always falls alike for one number.
+pub(crate) fn lot(z: u64) -> f64 {
+    mix(z) as f64 / u64::MAX as f64
+}
+
 pub(crate) fn decay(span: Nanos, tau: Nanos) -> f64 {
     (-(span as f64) / tau as f64).exp()
 }
@@ -162,7 +167,7 @@
     }
 
     pub(crate) fn size(&self) -> f64 {
-        if self.member.size.is_finite() && self.member.size > 0.0 { self.member.size } else { 1.0 }
+        self.member.size_or_one()
     }
 }
 
