Rehearsals wait for connects and for ends of connections too, as they do for bytes

A connect that is under way, an end of a connection and the resets of a killed process have no bytes, so nothing waited for them; where the system hands the loopback packets to its kernel thread, they come a step later, at another simulated time. The bounds (20 ms) ran by the system's clock, and so also while the process itself did not run.

Change: the node counts connections that are being made and that have ended; both sides say how many have ended (control protocol 2), and a killed process's are all waited for. The bounds count looks.

--- a/fronts/http/src/discovery.rs
+++ b/fronts/http/src/discovery.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use badgerpost_engine::{Clock, Engine, Front, Listed, LogLimiter, spawn};
+use badgerpost_engine::{Clock, Engine, Front, Listed, LogLimiter, progress, spawn};
 
 use crate::tap::{Deaf, Tap};
 
@@ -217,7 +217,10 @@
 }
 
 async fn connect(clock: &Clock, at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, CallError> {
-    let stream = clock.timeout(CONNECT, TcpStream::connect(at)).await.map_err(|_| CallError::Late)??;
+    let stream = clock
+        .timeout(CONNECT, progress::connecting(TcpStream::connect(at)))
+        .await
+        .map_err(|_| CallError::Late)??;
     stream.set_nodelay(true)?;
     let (link, connection) = handshake(TokioIo::new(Tap::new(stream, Deaf))).await?;
     spawn(async move {
--- a/fronts/http/src/tap.rs
+++ b/fronts/http/src/tap.rs
@@ -118,12 +118,13 @@
     pub stream: TcpStream,
     /// The one who listens.
     pub ear: E,
+    connection: progress::Connection,
 }
 
 impl<E> Tap<E> {
     /// Listens in on this socket.
     pub fn new(stream: TcpStream, ear: E) -> Self {
-        Self { stream, ear }
+        Self { stream, ear, connection: progress::Connection::default() }
     }
 }
 
@@ -153,6 +154,9 @@
         if buffer.filled().len() > before {
             progress::read(buffer.filled().len() - before);
             self.ear.bytes(&buffer.filled()[before..]);
+        } else if read.is_ready() && buffer.remaining() > 0 {
+            // Nothing more, or an error.
+            self.connection.over();
         }
         read
     }
--- a/fronts/http/src/upstream.rs
+++ b/fronts/http/src/upstream.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
-use badgerpost_engine::{Clock, End, IdlePool, Launcher, OpenCount, Quiet, spawn};
+use badgerpost_engine::{Clock, End, IdlePool, Launcher, OpenCount, Quiet, progress, spawn};
 
 use crate::answer::{Answer, Begun};
 use crate::budget::{Budget, Gathered, Kept};
@@ -422,7 +422,8 @@
         }
         let opened = self.open.open();
         let limit = Duration::from_nanos(self.links.connect_timeout);
-        let stream = self.clock.timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
+        let stream =
+            self.clock.timeout(limit, progress::connecting(TcpStream::connect(endpoint))).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let heard = Heard::new(node.tally());
         let tap = Tap::new(stream, heard.clone());
--- a/kit/rehearsal/src/bin/faulty_node.rs
+++ b/kit/rehearsal/src/bin/faulty_node.rs
@@ -173,7 +173,8 @@
     }
 
     async fn watch(&self, at: SocketAddr) -> Option<()> {
-        let mut stream = TcpStream::connect(at).await.ok()?;
+        let mut stream = progress::connecting(TcpStream::connect(at)).await.ok()?;
+        let _connection = progress::Connection::default();
         let mut inbox = Inbox::new(Side::Answers);
         let mut target = "/registry/instances".to_owned();
         loop {
@@ -217,6 +218,7 @@
 
     async fn converse(self: Rc<Self>, mut stream: TcpStream) {
         let mut inbox = Inbox::new(Side::Requests);
+        let _connection = progress::Connection::default();
         while let Some(request) = read(&mut stream, &mut inbox).await {
             let answer = self.serve(&request).await;
             if self.fault == Fault::Crash && self.turn.get() >= 100 {
@@ -247,7 +249,8 @@
 
     async fn attempt(&self, request: &Message) -> Option<Message> {
         let target = self.pick()?;
-        let mut stream = TcpStream::connect(target.endpoint).await.ok()?;
+        let mut stream = progress::connecting(TcpStream::connect(target.endpoint)).await.ok()?;
+        let _connection = progress::Connection::default();
         let passed = |(name, _): &&(String, String)| !name.eq_ignore_ascii_case("content-length");
         let headers: String = request
             .headers
--- a/kit/rehearsal/src/process.rs
+++ b/kit/rehearsal/src/process.rs
@@ -216,17 +216,17 @@
     }
 
     /// Has the node run at this Unix time until nothing is ready. Returns how many bytes it has written to its
-    /// sockets; none if its process has ended.
-    pub fn step(&mut self, now: Nanos, bytes: u64) -> Result<Option<u64>, ProcessError> {
+    /// sockets, and how many of its connections have ended since its start; none if its process has ended.
+    pub fn step(&mut self, now: Nanos, bytes: u64, ended: u64) -> Result<Option<(u64, u64)>, ProcessError> {
         let Some(control) = &mut self.control else { return Ok(None) };
-        let line = ToNode::Step { now, bytes }.to_string();
+        let line = ToNode::Step { now, bytes, ended }.to_string();
         if control.get_mut().write_all(line.as_bytes()).is_err() {
             return Ok(None);
         }
         match self.hear()? {
-            Some(FromNode::Idle { next, written, .. }) => {
+            Some(FromNode::Idle { next, written, ended, .. }) => {
                 self.next = next;
-                Ok(Some(written))
+                Ok(Some((written, ended)))
             }
             Some(FromNode::Hello { .. }) | None => Ok(None),
         }
--- a/kit/rehearsal/src/run.rs
+++ b/kit/rehearsal/src/run.rs
@@ -19,9 +19,10 @@
 
 /// Unix time at which stepped scenes begin: any would do, as long as it is always the same.
 const STEPPED_BASE: Nanos = 1_700_000_000 * SECOND;
-/// Bytes that a node has written and that are not here when it says that it is idle are waited for this often,
-/// a millisecond each. They are written already; only those on connections that have ended here never come.
-const LOOKS: u32 = 20;
+/// What a node has written, or connections that it has ended, and that is not here when it says that it is idle is
+/// looked for this often, a millisecond each. It is on its way already; only bytes on connections that have ended here
+/// never come.
+const LOOKS: u32 = 100;
 /// A run with more steps than this is not going anywhere.
 const MOST_STEPS: u64 = 200_000_000;
 /// In real time: the longest wait for sockets, and how often the nodes' processes are looked at.
@@ -182,6 +183,8 @@
     processes: Vec<Option<Process>>,
     /// Bytes written to each node's sockets of which it has not been told.
     unread: Vec<u64>,
+    /// Ends of connections that each node has told of and that were waited for in vain.
+    unseen: Vec<u64>,
     paused: Vec<bool>,
     /// It was asked to stop, so its end is none too soon.
     stopping: Vec<bool>,
@@ -216,6 +219,7 @@
             ports,
             processes: (0..count).map(|_| None).collect(),
             unread: vec![0; count],
+            unseen: vec![0; count],
             paused: vec![false; count],
             stopping: vec![false; count],
             lives: 0,
@@ -264,7 +268,8 @@
         };
         let (process, listens) = Process::start(&start)?;
         self.processes[node] = Some(process);
-        (self.unread[node], self.paused[node], self.stopping[node]) = (0, false, false);
+        (self.unread[node], self.unseen[node]) = (0, 0);
+        (self.paused[node], self.stopping[node]) = (false, false);
         self.world.node_up(node, listens);
         if !self.options.real_time {
             self.step(node)?;
@@ -316,25 +321,30 @@
             return Err(RunError::Endless("the nodes never come to rest"));
         }
         let before = self.world.bytes_read();
-        match process.step(now, std::mem::take(&mut self.unread[node]))? {
-            Some(written) => self.collect(node, before + written),
+        match process.step(now, std::mem::take(&mut self.unread[node]), self.world.ends_of_node(node))? {
+            Some((written, ended)) => self.collect(node, before + written, ended),
             None => self.ended(node),
         }
     }
 
-    /// Takes in what a node has written: so many bytes over all, and what has ended.
-    fn collect(&mut self, node: usize, read: u64) -> Result<(), RunError> {
+    /// Takes in what a node has written, so many bytes over all, and that so many of its connections have ended since
+    /// its start.
+    fn collect(&mut self, node: usize, read: u64, ended: u64) -> Result<(), RunError> {
         let mut told = std::mem::take(&mut self.told);
         let mut looks = 0;
         loop {
             let known = told.len();
-            let short = self.world.bytes_read() < read;
-            let wait = if short && looks > 0 { Duration::from_millis(1) } else { Duration::ZERO };
+            let wait = if looks > 0 { Duration::from_millis(1) } else { Duration::ZERO };
             self.world.poll(wait, &mut told)?;
-            let short = self.world.bytes_read() < read;
             if told.len() == known {
                 looks += 1;
-                if !short || looks > LOOKS {
+                let ends = told.iter().filter(|one| matches!(one, Happening::Ended { .. })).count() as u64;
+                let seen = self.world.ends_of_node(node) + ends;
+                let all = seen + self.unseen[node] >= ended || self.world.connections_of(node) as u64 <= ends;
+                if (all && self.world.bytes_read() >= read) || looks > LOOKS {
+                    if !all {
+                        self.unseen[node] = ended - seen;
+                    }
                     self.late += u64::from(looks > 1);
                     break;
                 }
@@ -398,7 +408,7 @@
                     process.kill();
                 }
                 self.world.node_down(node, true);
-                self.collect(node, 0)
+                self.collect(node, 0, Nanos::MAX)
             }
             Order::Stop(node) => {
                 let process = self.processes[node].as_ref();
@@ -433,7 +443,7 @@
         let status = process.wait();
         if self.stopping[node] && status.is_some_and(|status| status.success()) {
             self.world.node_down(node, false);
-            return self.collect(node, 0);
+            return self.collect(node, 0, Nanos::MAX);
         }
         Err(RunError::Crashed {
             name: self.plan.scene.scene.node[node].name.get_ref().clone(),
--- a/kit/rehearsal/src/world.rs
+++ b/kit/rehearsal/src/world.rs
@@ -89,7 +89,7 @@
             let (listener, list_at) = net.listen(loopback)?;
             places.insert(listener, Place::List(number));
             let name = node.name.get_ref().clone();
-            let (idle, told) = (Vec::new(), BTreeMap::new());
+            let (idle, told, open, ended) = (Vec::new(), BTreeMap::new(), 0, 0);
             let zone_number = zone_number(&node.zone);
             nodes.push(NodeSide {
                 name,
@@ -100,6 +100,8 @@
                 paused: false,
                 idle,
                 told,
+                open,
+                ended,
             });
         }
         let pending = plan.arrivals.len();
@@ -192,7 +194,7 @@
                     }
                     None => return,
                 };
-                self.peers.insert(conn, peer);
+                self.adopt(conn, peer);
             }
             Happening::Bytes { conn, bytes } => match self.peers.get_mut(&conn) {
                 Some(Peer::Server { inbox, .. }) => {
@@ -214,7 +216,7 @@
     }
 
     fn ended(&mut self, conn: ConnId) {
-        match self.peers.remove(&conn) {
+        match self.forget(conn) {
             Some(Peer::Server { attempt, .. }) => self.attempt_ends(attempt, Ended::Abandoned),
             Some(Peer::Client { node, open, last, .. }) => {
                 self.nodes[node].idle.retain(|idle| *idle != conn);
--- a/kit/rehearsal/src/world/clients.rs
+++ b/kit/rehearsal/src/world/clients.rs
@@ -70,7 +70,7 @@
                     return None;
                 };
                 let inbox = Inbox::new(Side::Answers);
-                self.peers.insert(conn, Peer::Client { node, inbox, open: None, last: None });
+                self.adopt(conn, Peer::Client { node, inbox, open: None, last: None });
                 conn
             }
         };
@@ -140,7 +140,7 @@
 
     pub(super) fn drop_client(&mut self, conn: ConnId, node: usize) {
         self.net.close(conn);
-        self.peers.remove(&conn);
+        self.forget(conn);
         self.nodes[node].idle.retain(|idle| *idle != conn);
     }
 
--- a/kit/rehearsal/src/world/servers.rs
+++ b/kit/rehearsal/src/world/servers.rs
@@ -64,7 +64,12 @@
         });
         if let Some(Peer::Server { attempt: current, node, .. }) = self.peers.get_mut(&conn) {
             *current = attempt;
-            *node = node.or_else(|| request.map(|request| self.requests[request].node));
+            if node.is_none() && let Some(request) = request {
+                // In real time it shows by its requests.
+                let of = self.requests[request].node;
+                *node = Some(of);
+                self.nodes[of].open += 1;
+            }
         }
         let _ = self.carry(Carried::ToServer(Job { conn, attempt, id }));
     }
@@ -265,7 +270,7 @@
 
     pub(super) fn reset(&mut self, conn: ConnId) -> Option<(usize, u64)> {
         self.net.reset(conn);
-        match self.peers.remove(&conn)? {
+        match self.forget(conn)? {
             Peer::Server { node, attempt, .. } => {
                 self.attempt_ends(attempt, Ended::Reset);
                 node.map(|node| (node, 0))
--- a/kit/rehearsal/src/world/stage.rs
+++ b/kit/rehearsal/src/world/stage.rs
@@ -96,6 +96,16 @@
     Client { node: usize, inbox: Inbox, open: Option<usize>, last: Option<usize> },
 }
 
+impl Peer {
+    /// Whose connection it is, where that is known.
+    fn node(&self) -> Option<usize> {
+        match self {
+            Self::Server { node, .. } => *node,
+            Self::List { node, .. } | Self::Client { node, .. } => Some(*node),
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct Job {
     pub(super) conn: ConnId,
@@ -160,6 +170,9 @@
     pub(super) idle: Vec<ConnId>,
     /// Servers that it was told drain or are gone, and when.
     pub(super) told: BTreeMap<usize, Nanos>,
+    /// Its connections that stand, and those that have ended since its start, from whichever side.
+    pub(super) open: usize,
+    pub(super) ended: u64,
 }
 
 pub(super) struct Open {
@@ -242,6 +255,34 @@
         self.net.bytes_read()
     }
 
+    /// Connections of a node that have ended since its start, from whichever side.
+    pub fn ends_of_node(&self, node: usize) -> u64 {
+        self.nodes[node].ended
+    }
+
+    /// Connections of a node that stand.
+    pub fn connections_of(&self, node: usize) -> usize {
+        self.nodes[node].open
+    }
+
+    /// A connection is new.
+    pub(super) fn adopt(&mut self, conn: ConnId, peer: Peer) {
+        if let Some(node) = peer.node() {
+            self.nodes[node].open += 1;
+        }
+        self.peers.insert(conn, peer);
+    }
+
+    /// A connection is no more, from whichever side.
+    pub(super) fn forget(&mut self, conn: ConnId) -> Option<Peer> {
+        let peer = self.peers.remove(&conn)?;
+        if let Some(node) = peer.node() {
+            self.nodes[node].open -= 1;
+            self.nodes[node].ended += 1;
+        }
+        Some(peer)
+    }
+
     /// Requests at servers that no client has sent in this form.
     pub fn strangers(&self) -> u64 {
         self.strangers
@@ -273,6 +314,7 @@
     pub fn node_up(&mut self, node: usize, listen: SocketAddr) {
         let node = &mut self.nodes[node];
         (node.listen, node.up, node.paused) = (Some(listen), true, false);
+        node.ended = 0;
         node.told.clear();
     }
 
@@ -322,7 +364,7 @@
     /// Closes a connection from here; its node has news then.
     pub(super) fn close(&mut self, conn: ConnId) -> Option<(usize, u64)> {
         self.net.close(conn);
-        let node = match self.peers.remove(&conn)? {
+        let node = match self.forget(conn)? {
             Peer::Server { node, .. } => node,
             Peer::List { node, .. } => Some(node),
             Peer::Client { node, .. } => {
--- a/kit/stepping/src/control.rs
+++ b/kit/stepping/src/control.rs
@@ -4,7 +4,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use badgerpost_engine::{Stepped, progress};
 use tokio::task::yield_now;
@@ -14,9 +14,12 @@
 /// Turns of the scheduler in which no task ran, each with a look at the sockets, that make a node idle. One
 /// would do; the others are for what a look has brought while the turn was counted.
 const QUIET_TURNS: u32 = 3;
-/// How long announced bytes are waited for, by the system's clock: they have been written already and take
-/// microseconds. Some never come, as nobody reads them: those behind a request that is still open.
-const PATIENCE: Duration = Duration::from_millis(20);
+/// What was announced and is not here yet is looked for so often, after so long a rest each: bytes, and ends of
+/// connections, that the kit has sent already and that take microseconds. Some never come, as nobody reads them:
+/// those behind a request that is still open. Looks are counted, not time: a process that did not run for a while has
+/// not looked.
+const LOOKS: u32 = 100;
+const REST: Duration = Duration::from_micros(300);
 
 /// Why a node can't be stepped on.
 #[derive(Debug, thiserror::Error)]
@@ -95,27 +98,32 @@
         listen: SocketAddr,
         steps: &Stepped,
     ) -> Result<std::convert::Infallible, ControlError> {
-        settle(0).await;
+        settle(0, 0).await;
         self.say(&FromNode::Hello { name: name.to_owned(), listen })?;
         // What was done before the first step counts with it.
         let mut before = progress::Progress::default();
+        // Ends that the kit has seen and that were waited for in vain: of connections that were never looked at here.
+        let mut unseen = 0;
         loop {
-            let ToNode::Step { now, bytes } = self.hear()?;
+            let ToNode::Step { now, bytes, ended } = self.hear()?;
             let read = progress::so_far().read;
             steps.advance(now);
-            settle(read.saturating_add(bytes)).await;
+            settle(read.saturating_add(bytes), ended.saturating_sub(unseen)).await;
             let after = progress::so_far();
+            unseen = unseen.max(ended.saturating_sub(after.ended));
             let (read, written) = (after.read - before.read, after.written - before.written);
             before = after;
-            self.say(&FromNode::Idle { next: steps.next_due(), read, written })?;
+            let ended = after.ended + unseen;
+            self.say(&FromNode::Idle { next: steps.next_due(), read, written, ended })?;
         }
     }
 }
 
-/// Runs until no task is ready, no socket has news, and this thread has read so many bytes since it began, if
-/// they come at all. To be called on the thread's runtime, from a task that [`progress`] does not count.
-pub async fn settle(read: u64) {
-    let mut began = None;
+/// Runs until no task is ready, no socket has news, no connection is being made, and this thread has read so many bytes
+/// and seen so many connections end since it began, if it ever does. To be called on the thread's runtime, from a task
+/// that [`progress`] does not count.
+pub async fn settle(read: u64, ended: u64) {
+    let mut looks = 0;
     loop {
         let mut quiet = 0;
         while quiet < QUIET_TURNS {
@@ -123,9 +131,12 @@
             yield_now().await;
             quiet = if progress::so_far().polls == before { quiet + 1 } else { 0 };
         }
-        if progress::so_far().read >= read || began.get_or_insert_with(Instant::now).elapsed() >= PATIENCE {
+        let so_far = progress::so_far();
+        if looks >= LOOKS || (so_far.read >= read && so_far.ended >= ended && so_far.connecting == 0) {
             return;
         }
+        looks += 1;
+        std::thread::sleep(REST);
     }
 }
 
@@ -173,11 +184,11 @@
         let mut reader = BufReader::new(stream);
         assert_eq!(line(&mut reader), FromNode::Hello { name: "n0".to_owned(), listen: at });
         let mut step = |now| {
-            let text = ToNode::Step { now, bytes: 0 }.to_string();
+            let text = ToNode::Step { now, bytes: 0, ended: 0 }.to_string();
             reader.get_mut().write_all(text.as_bytes()).unwrap();
             line(&mut reader)
         };
-        let idle = |next, written| FromNode::Idle { next, read: 0, written };
+        let idle = |next, written| FromNode::Idle { next, read: 0, written, ended: 0 };
         assert_eq!(step(150), idle(Some(200), 0));
         assert_eq!(step(250), idle(Some(300), 7));
         assert_eq!(step(250), idle(Some(300), 0));
@@ -186,6 +197,49 @@
         assert!(node.join().unwrap().ends_with("is over"));
     }
 
+    /// The system may be late with a connection, or with the end of one: a step lasts until it has come, and what never
+    /// comes is waited for once.
+    #[test]
+    fn a_step_lasts_until_what_is_under_way_has_come() {
+        let kit = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = kit.local_addr().unwrap();
+        let node = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            let steps = Stepped::at(100);
+            let clock = Clock::stepped(steps.clone());
+            LocalSet::new().block_on(&runtime, async move {
+                spawn(async move {
+                    clock.sleep_until(200).await;
+                    let late = || tokio::time::sleep(std::time::Duration::from_millis(5));
+                    progress::connecting(late()).await;
+                    progress::written(3);
+                    let mut connection = progress::Connection::default();
+                    clock.sleep_until(300).await;
+                    late().await;
+                    connection.over();
+                });
+                Control::connect(at).unwrap().follow("n0", at, steps).await.to_string()
+            })
+        });
+        let (stream, _) = kit.accept().unwrap();
+        let mut reader = BufReader::new(stream);
+        line(&mut reader);
+        let mut step = |now, ended| {
+            let text = ToNode::Step { now, bytes: 0, ended }.to_string();
+            reader.get_mut().write_all(text.as_bytes()).unwrap();
+            line(&mut reader)
+        };
+        assert_eq!(step(200, 0), FromNode::Idle { next: Some(300), read: 0, written: 3, ended: 0 });
+        assert_eq!(step(300, 1), FromNode::Idle { next: None, read: 0, written: 0, ended: 1 });
+        // One that the node never looked at: waited for in vain, and then taken as seen.
+        assert_eq!(step(400, 2), FromNode::Idle { next: None, read: 0, written: 0, ended: 2 });
+        let began = std::time::Instant::now();
+        assert_eq!(step(500, 2), FromNode::Idle { next: None, read: 0, written: 0, ended: 2 });
+        assert!(began.elapsed() < REST * LOOKS / 2, "waited again");
+        drop(reader);
+        node.join().unwrap();
+    }
+
     #[test]
     fn a_clock_is_given_into_no_other_hands() {
         let far = SocketAddr::from(([192, 0, 2, 1], 9));
--- a/kit/stepping/src/protocol.rs
+++ b/kit/stepping/src/protocol.rs
@@ -2,9 +2,11 @@
 //! nanoseconds.
 //!
 //! ```text
-//! node: hello 1 n0 127.0.0.1:40123     its name and where it listens for clients; once, first
-//! kit:  step 1700000000000000000 312   run at this time, with so many bytes newly written to its sockets
-//! node: idle 1700000000010000000 312 87    next wait's end or "-"; bytes read and written in this step
+//! node: hello 2 n0 127.0.0.1:40123       its name and where it listens for clients; once, first
+//! kit:  step 1700000000000000000 312 4   run at this time, with so many bytes newly written to its sockets, and so
+//!                                        many connections ended since its start
+//! node: idle 1700000000010000000 312 87 4    next wait's end or "-"; bytes read and written in this step, and
+//!                                        connections that have ended since its start, by its own count
 //! ```
 
 use std::fmt;
@@ -14,7 +16,7 @@
 use brookfield::Nanos;
 
 /// The protocol's version; a peer of another one is turned down.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// No line is longer.
 pub const LONGEST: usize = 512;
 
@@ -27,6 +29,8 @@
         now: Nanos,
         /// Bytes newly written to the node's sockets.
         bytes: u64,
+        /// Connections with the kit that have ended since the node's start, from whichever side.
+        ended: u64,
     },
 }
 
@@ -48,6 +52,8 @@
         read: u64,
         /// Bytes that it has written to them.
         written: u64,
+        /// Connections with the kit that have ended since its start, from whichever side.
+        ended: u64,
     },
 }
 
@@ -58,8 +64,8 @@
 
 impl fmt::Display for ToNode {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self::Step { now, bytes } = self;
-        writeln!(f, "step {now} {bytes}")
+        let Self::Step { now, bytes, ended } = self;
+        writeln!(f, "step {now} {bytes} {ended}")
     }
 }
 
@@ -67,8 +73,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Hello { name, listen } => writeln!(f, "hello {VERSION} {name} {listen}"),
-            Self::Idle { next: Some(next), read, written } => writeln!(f, "idle {next} {read} {written}"),
-            Self::Idle { next: None, read, written } => writeln!(f, "idle - {read} {written}"),
+            Self::Idle { next: Some(next), read, written, ended } => {
+                writeln!(f, "idle {next} {read} {written} {ended}")
+            }
+            Self::Idle { next: None, read, written, ended } => writeln!(f, "idle - {read} {written} {ended}"),
         }
     }
 }
@@ -87,8 +95,12 @@
 
     fn from_str(line: &str) -> Result<Self, Bad> {
         let step = || {
-            let ["step", now, bytes] = words(line)? else { return None };
-            Some(Self::Step { now: now.parse().ok()?, bytes: bytes.parse().ok()? })
+            let ["step", now, bytes, ended] = words(line)? else { return None };
+            Some(Self::Step {
+                now: now.parse().ok()?,
+                bytes: bytes.parse().ok()?,
+                ended: ended.parse().ok()?,
+            })
         };
         step().ok_or_else(|| Bad(line.to_owned()))
     }
@@ -98,15 +110,22 @@
     type Err = Bad;
 
     fn from_str(line: &str) -> Result<Self, Bad> {
-        let read = || match words(line)? {
-            ["hello", version, name, listen] if version.parse() == Ok(VERSION) => {
-                Some(Self::Hello { name: name.to_owned(), listen: listen.parse().ok()? })
+        let read = || match line.split(' ').next()? {
+            "hello" => match words(line)? {
+                [_, version, name, listen] if version.parse() == Ok(VERSION) => {
+                    Some(Self::Hello { name: name.to_owned(), listen: listen.parse().ok()? })
+                }
+                _ => None,
+            },
+            "idle" => {
+                let [_, next, read, written, ended] = words(line)?;
+                Some(Self::Idle {
+                    next: if next == "-" { None } else { Some(next.parse().ok()?) },
+                    read: read.parse().ok()?,
+                    written: written.parse().ok()?,
+                    ended: ended.parse().ok()?,
+                })
             }
-            ["idle", next, read, written] => Some(Self::Idle {
-                next: if next == "-" { None } else { Some(next.parse().ok()?) },
-                read: read.parse().ok()?,
-                written: written.parse().ok()?,
-            }),
             _ => None,
         };
         read().ok_or_else(|| Bad(line.to_owned()))
@@ -119,13 +138,13 @@
 
     #[test]
     fn lines_are_read_as_they_are_written() {
-        let step = ToNode::Step { now: 17, bytes: 3 };
+        let step = ToNode::Step { now: 17, bytes: 3, ended: 2 };
         assert_eq!(step.to_string().parse(), Ok(step));
         let listen = SocketAddr::from(([127, 0, 0, 1], 9));
         for line in [
             FromNode::Hello { name: "n0".to_owned(), listen },
-            FromNode::Idle { next: Some(5), read: 1, written: u64::MAX },
-            FromNode::Idle { next: None, read: 0, written: 0 },
+            FromNode::Idle { next: Some(5), read: 1, written: u64::MAX, ended: 7 },
+            FromNode::Idle { next: None, read: 0, written: 0, ended: 0 },
         ] {
             assert_eq!(line.to_string().parse(), Ok(line));
         }
@@ -133,12 +152,19 @@
 
     #[test]
     fn other_lines_and_versions_are_turned_down() {
-        for line in
-            ["", "step", "step 1", "step 1 2 3", "step -1 2", "stop 1 2", "step 1 99999999999999999999999"]
-        {
+        for line in [
+            "",
+            "step",
+            "step 1",
+            "step 1 2",
+            "step 1 2 3 4",
+            "step -1 2 3",
+            "stop 1 2 3",
+            "step 1 99999999999999999999999 0",
+        ] {
             assert_eq!(line.parse::<ToNode>(), Err(Bad(line.to_owned())));
         }
-        for line in ["hello 2 n0 127.0.0.1:9", "hello 1 n0 nowhere", "idle 1 2", "idle x 1 2"] {
+        for line in ["hello 1 n0 127.0.0.1:9", "hello 2 n0 nowhere", "idle 1 2 3", "idle x 1 2 3"] {
             assert_eq!(line.parse::<FromNode>(), Err(Bad(line.to_owned())));
         }
     }
