--- a/kit/rehearsal/src/world/servers.rs
+++ b/kit/rehearsal/src/world/servers.rs
@@ -64,7 +64,9 @@
         });
         if let Some(Peer::Server { attempt: current, node, .. }) = self.peers.get_mut(&conn) {
             *current = attempt;
-            if node.is_none() && let Some(request) = request {
+            if node.is_none()
+                && let Some(request) = request
+            {
                 // In real time it shows by its requests.
                 let of = self.requests[request].node;
                 *node = Some(of);
