--- /dev/null
+++ b/cores/peers/src/lib.rs
@@ -0,0 +1,23 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! The nodes of a fleet know of each other: who is a member, who is suspected or has left (SWIM, by `foca`), and small
+//! facts that each spreads about itself. A fact replaces the one before it on the same topic by the same member; merging
+//! is a join, so that order, loss and repetition of datagrams don't matter.
+//!
+//! `handle(now, event, &mut actions)`, no I/O, no clock, no randomness but the seed's. Times are Unix times in
+//! nanoseconds. Each datagram carries a version and a keyed hash over all of it; one that does not fit is dropped and
+//! counted.
+
+mod api;
+mod facts;
+mod identity;
+mod peers;
+mod seal;
+
+pub use api::{Action, BODY_MOST, Dropped, Event, MemberId, Nanos, Settings};
+pub use facts::{Fact, Facts, Version};
+pub use peers::Peers;
+pub use seal::{DATAGRAM_MOST, Key, KeyError, member_id};
+
+pub(crate) const MS: Nanos = 1_000_000;
+pub(crate) const SECOND: Nanos = 1000 * MS;
--- /dev/null
+++ b/cores/peers/src/seal.rs
@@ -0,0 +1,96 @@
+//! The form of a datagram: a version, the keyed hash of all that is behind it and of the version, the content. Nothing
+//! in it is secret; it shows that a member wrote it. One that is sent again by somebody else changes nothing: what it
+//! says is known.
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::{Digest, Sha256};
+
+use crate::{Dropped, MemberId};
+
+/// The version of the datagrams; others are dropped.
+const VERSION: u8 = 1;
+/// Bytes of the hash that are sent: half of it, as RFC 2104 allows.
+const HASH: usize = 16;
+const HEAD: usize = 1 + HASH;
+/// Longest content: with the head it fits into every network's frames.
+pub(crate) const CONTENT_MOST: usize = 1200;
+/// Longest datagram.
+pub const DATAGRAM_MOST: usize = HEAD + CONTENT_MOST;
+/// Fewest and most bytes of a key.
+const KEY_BYTES: std::ops::RangeInclusive<usize> = 16..=128;
+
+/// Why a key is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a key has from 16 to 128 bytes, this one {0}")]
+pub struct KeyError(usize);
+
+/// What all members know.
+#[derive(Clone)]
+pub struct Key(Hmac<Sha256>);
+
+impl Key {
+    /// A key from the text of a file; blanks around it don't count.
+    pub fn read(text: &str) -> Result<Self, KeyError> {
+        let text = text.trim();
+        if !KEY_BYTES.contains(&text.len()) {
+            return Err(KeyError(text.len()));
+        }
+        Hmac::new_from_slice(text.as_bytes()).map(Self).map_err(|_| KeyError(text.len()))
+    }
+
+    fn hash(&self, content: &[u8]) -> Hmac<Sha256> {
+        let mut mac = self.0.clone();
+        mac.update(&[VERSION]);
+        mac.update(content);
+        mac
+    }
+
+    /// The datagram with this content.
+    pub(crate) fn seal(&self, content: &[u8]) -> Vec<u8> {
+        let hash = self.hash(content).finalize().into_bytes();
+        let mut datagram = Vec::with_capacity(HEAD + content.len());
+        datagram.push(VERSION);
+        datagram.extend_from_slice(&hash[..HASH]);
+        datagram.extend_from_slice(content);
+        datagram
+    }
+
+    /// A datagram's content.
+    pub(crate) fn open<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], Dropped> {
+        let (head, content) = datagram.split_at_checked(HEAD).ok_or(Dropped::Form)?;
+        if head[0] != VERSION || content.is_empty() || content.len() > CONTENT_MOST {
+            return Err(Dropped::Form);
+        }
+        // In constant time.
+        self.hash(content).verify_truncated_left(&head[1..]).map_err(|_| Dropped::Stranger)?;
+        Ok(content)
+    }
+}
+
+/// The member with this node's name.
+pub fn member_id(name: &str) -> MemberId {
+    let hash = Sha256::digest(name.as_bytes());
+    hash.iter().take(8).fold(0, |id, byte| id << 8 | u64::from(*byte))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_sealed_opens_and_nothing_else_does() {
+        let key = Key::read(" one key for the fleet\n").unwrap();
+        let datagram = key.seal(b"hello");
+        assert_eq!(key.open(&datagram), Ok(&b"hello"[..]));
+        assert_eq!(Key::read("another key, no less").unwrap().open(&datagram), Err(Dropped::Stranger));
+        for at in 0..datagram.len() {
+            let mut spoilt = datagram.clone();
+            spoilt[at] ^= 1;
+            assert!(key.open(&spoilt).is_err(), "byte {at}");
+            assert!(key.open(&datagram[..at]).is_err(), "cut at {at}");
+        }
+        assert_eq!(key.open(&key.seal(&[0; CONTENT_MOST + 1])), Err(Dropped::Form));
+        assert!(Key::read("short").is_err() && Key::read(&"x".repeat(129)).is_err());
+        assert_ne!(member_id("n0"), member_id("n1"));
+    }
+}
--- a/cores/zones/src/api.rs
+++ b/cores/zones/src/api.rs
@@ -1,5 +1,7 @@
 //! What the core is told and what it says.
 
+use crate::sight::Sight;
+
 /// A time or a span, in nanoseconds.
 pub type Nanos = u64;
 
@@ -69,6 +71,26 @@
         /// Closed or open, and until when.
         order: Option<(bool, Nanos)>,
     },
+    /// Another node of the fleet is there, or no longer.
+    Member {
+        /// Which.
+        member: u64,
+        /// Its zone.
+        home: u8,
+        /// Whether it is there.
+        up: bool,
+    },
+    /// Another node says what it sees of a zone.
+    Heard {
+        /// Which node.
+        member: u64,
+        /// Of which zone.
+        zone: u8,
+        /// When, by its clock.
+        sent: Nanos,
+        /// What.
+        sight: Sight,
+    },
 }
 
 /// Why a zone's share is what it is.
@@ -137,6 +159,13 @@
         /// How long its answer is waited for.
         wait: Nanos,
     },
+    /// The other nodes are to hear this of a zone. Said to nobody where there are none.
+    Say {
+        /// The zone.
+        zone: u8,
+        /// What this node sees of it.
+        sight: Sight,
+    },
     /// [`Event::Wake`] is wanted at this time; replaces the wish before.
     Wake {
         /// When.
--- a/cores/zones/src/course.rs
+++ b/cores/zones/src/course.rs
@@ -3,6 +3,8 @@
 
 use crate::api::Why;
 use crate::evidence::Evidence;
+use crate::fleet::View;
+use crate::sight::At;
 use crate::{MS, Nanos, SECOND};
 
 /// Evidence at which a zone gets nothing new: log-likelihoods, so chance comes to it once in 150 cases that are as
@@ -11,6 +13,8 @@
 /// The same for failures, which take nothing back by themselves once the zone gets nothing: three in a row at the
 /// least, beside those of the worst server.
 const DOUBT_FAILING: f64 = 8.0;
+/// Own evidence at which a node has seen for itself what it tells the others.
+const SEES: f64 = 2.0;
 /// Evidence in the return at which the last step is taken back.
 const WORSE: f64 = 2.5;
 /// A slow zone is told from a dead one by answers that take so many times as long; new processes are cold, and
@@ -45,6 +49,14 @@
 const STEP_MOST: Nanos = 2 * SECOND;
 /// Share of a class that fails elsewhere at which no zone is to blame, if it is half of what failed here.
 const FAILING_TOO: f64 = 0.15;
+/// A trial that was not answered stands against so many trials of other nodes for so long: with silence, and with
+/// failures, where single answers prove little.
+const BAD_FOR: Nanos = 500 * MS;
+const BAD_FAILED_FOR: Nanos = 4 * SECOND;
+/// A node that has opened a zone by itself follows nobody who has not, for so long.
+const OPENED: Nanos = 4 * SECOND;
+/// Nodes that try a zone at once as another's trial is answered, in the mean over the fleet.
+const SECONDERS: f64 = 6.0;
 /// A zone that was wrongly closed for failures is not closed for them again so soon.
 const ACQUITTED: Nanos = 10 * SECOND;
 
@@ -69,6 +81,12 @@
     pub(crate) others: bool,
     /// How long it has said nothing, at least.
     pub(crate) quiet: Nanos,
+    /// What the other nodes say, where there are any; its evidence is in the figures above already.
+    pub(crate) fleet: Option<View>,
+    /// This node had an answer from there in the last moments.
+    pub(crate) hears: bool,
+    /// The worst of this node's own evidence.
+    pub(crate) own: f64,
 }
 
 /// One zone.
@@ -84,6 +102,12 @@
     cold: bool,
     /// Share of the last attempts that failed as it was closed.
     failed_at_close: f64,
+    /// It was doubted by what this node saw itself.
+    pub(crate) saw: bool,
+    /// When the last trial was not answered, since it was closed.
+    bad: Option<Nanos>,
+    /// Another node's answered trial has been seconded, or not, by lot.
+    seconded: bool,
 }
 
 impl Course {
@@ -98,6 +122,9 @@
             first_stretch: 1.0,
             cold: false,
             failed_at_close: 0.0,
+            saw: false,
+            bad: None,
+            seconded: false,
         }
     }
 
@@ -146,6 +173,23 @@
         let next = held + (draw * interval(crowd)) as Nanos;
         self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
         self.strikes += 1;
+        (self.bad, self.seconded) = (None, false);
+    }
+
+    /// Where it stands, for the other nodes.
+    pub(crate) fn at(&self, awake: Nanos) -> At {
+        match self.stage {
+            Stage::Open => At::Open,
+            Stage::Doubted { .. } => At::Doubted,
+            Stage::Closed { answered, .. } => {
+                let bad = self.bad.map(|bad| awake.saturating_sub(bad) / MS);
+                let bad_ms = bad.and_then(|ms| u16::try_from(ms).ok()).unwrap_or(u16::MAX);
+                At::Closed { good: u8::try_from(answered).unwrap_or(u8::MAX), bad_ms }
+            }
+            Stage::Returning { step, .. } => {
+                At::Returning { step: step as u8, good: self.evidence.goods > self.goods_at_step }
+            }
+        }
     }
 
     /// Weighs what is seen now.
@@ -167,19 +211,49 @@
                 if worst >= DOUBT && (seen.others || seen.quiet >= DOUBT_MOST) {
                     self.failed_at_close = self.evidence.recent;
                     self.evidence.goods = 0;
+                    self.saw = seen.own >= SEES;
                     self.stage = Stage::Doubted { since: awake, why };
+                } else if let Some(fleet) =
+                    seen.fleet.filter(|_| seen.others && !seen.hears && !self.fresh(awake))
+                {
+                    // What the others did while this node saw nothing, or before it began.
+                    self.saw = false;
+                    if fleet.closed {
+                        // Taken back with the others' doubt, or closed as theirs will be.
+                        self.evidence.goods = 0;
+                        self.stage = Stage::Doubted { since: awake, why: Why::Silent { evidence: 0.0 } };
+                    } else if fleet.returning {
+                        self.come_back(awake, false);
+                        self.follow(awake, fleet);
+                    }
                 }
             }
             Stage::Doubted { since, why } => {
                 let lasted = awake.saturating_sub(since);
                 let silent = matches!(why, Why::Silent { .. });
-                if silent && self.evidence.goods > 0 {
+                // The others' evidence grows old once they send nothing there; that takes nothing back.
+                let withdrawn = seen.fleet.is_some_and(|fleet| !fleet.held) && seen.silence < DOUBT / 2.0;
+                if silent && (self.evidence.goods > 0 || withdrawn) {
                     self.stage = Stage::Open;
                 } else if lasted >= DOUBT_MOST || (lasted >= DOUBT_FOR && (!silent || seen.slower >= DOUBT)) {
                     self.close(awake, why, crowd, draw);
                 }
             }
-            Stage::Closed { .. } => {}
+            Stage::Closed { held, why, .. } => {
+                if let Some(fleet) = seen.fleet {
+                    self.second(awake, fleet, crowd, draw);
+                    let (wanted, bad_for) = match why {
+                        Why::Failing { .. } => (TRIALS_FAILED, BAD_FAILED_FOR),
+                        _ => (TRIALS, BAD_FOR),
+                    };
+                    let own_bad = self.bad.map_or(Nanos::MAX, |bad| awake.saturating_sub(bad));
+                    let answered = fleet.triers >= 2 && fleet.trials >= wanted;
+                    if awake >= held && answered && fleet.bad_ago.min(own_bad) >= bad_for {
+                        self.come_back(awake, false);
+                        self.follow(awake, fleet);
+                    }
+                }
+            }
             Stage::Returning { step, since } => {
                 let lasted = awake.saturating_sub(since);
                 // Cold servers are slow, not silent.
@@ -187,12 +261,18 @@
                 let stretched = STRETCHED.max(WORSENED * self.first_stretch);
                 if worst >= DOUBT {
                     self.failed_at_close = self.evidence.recent;
+                    self.saw = seen.own >= SEES;
                     self.close(awake, why, crowd, draw);
                 } else if worst >= WORSE && lasted >= STEP_FOR / 2 {
                     self.stage = Stage::Returning { step: step.saturating_sub(1), since: awake };
                     self.goods_at_step = self.evidence.goods;
+                } else if seen.fleet.is_some_and(|fleet| fleet.step.is_some_and(|middle| step < middle)) {
+                    // One ramp for all: who sees little goes with the others.
+                    seen.fleet.into_iter().for_each(|fleet| self.follow(awake, fleet));
                 } else if lasted >= STEP_FOR
-                    && self.evidence.goods > self.goods_at_step
+                    && seen.fleet.and_then(|fleet| fleet.step).is_none_or(|middle| step <= middle)
+                    && (self.evidence.goods > self.goods_at_step
+                        || seen.fleet.is_some_and(|fleet| fleet.good))
                     && (self.evidence.stretch < stretched || lasted >= STEP_MOST)
                 {
                     if step == 0 {
@@ -213,6 +293,7 @@
     pub(crate) fn tried(&mut self, awake: Nanos, good: bool, servers: u32, crowd: f64, draw: f64) {
         let Stage::Closed { held, why, next, answered, .. } = self.stage else { return };
         if !good {
+            self.bad = Some(awake);
             let next = next.max(awake + (draw * interval(crowd)) as Nanos);
             self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
             return;
@@ -238,6 +319,32 @@
         }
     }
 
+    /// It has come back a moment ago: what the others said before that is older than what this node did itself.
+    fn fresh(&self, awake: Nanos) -> bool {
+        self.opened > 0 && awake.saturating_sub(self.opened) < OPENED
+    }
+
+    /// Goes to the step of the middle one of the others.
+    fn follow(&mut self, awake: Nanos, fleet: View) {
+        if let (Stage::Returning { step, .. }, Some(middle)) = (self.stage, fleet.step)
+            && step < middle
+        {
+            self.goods_at_step = self.evidence.goods;
+            self.stage = Stage::Returning { step: middle.min(STEPS.len() - 1), since: awake };
+        }
+    }
+
+    /// Another node's trial was answered: some nodes, drawn by lot, try at once, so that it is not one node's word.
+    fn second(&mut self, awake: Nanos, fleet: View, crowd: f64, draw: f64) {
+        if fleet.trials > 0
+            && !std::mem::replace(&mut self.seconded, true)
+            && draw * crowd < SECONDERS
+            && let Stage::Closed { held, next, .. } = &mut self.stage
+        {
+            *next = (*next).min(awake.max(*held));
+        }
+    }
+
     fn come_back(&mut self, awake: Nanos, cold: bool) {
         self.cold = cold;
         self.evidence.reset(awake);
--- a/cores/zones/src/evidence.rs
+++ b/cores/zones/src/evidence.rs
@@ -68,6 +68,8 @@
     ended: Vec<(Nanos, u32, u32, Nanos)>,
     /// When the last answer came, awake; attempts much older than that prove nothing.
     answered: Option<Nanos>,
+    /// When the last usable answer came, awake; no reset forgets it.
+    good: Option<Nanos>,
     /// Usable answers since the last reset.
     pub(crate) goods: u32,
     /// Share of the last ten attempts or so that failed.
@@ -91,7 +93,7 @@
     pub(crate) fn reset(&mut self, awake: Nanos) {
         let classes = self.classes.len() as u32;
         let answered = Some(awake);
-        *self = Self { answered, ..Self::new(classes) };
+        *self = Self { answered, good: self.good, ..Self::new(classes) };
     }
 
     /// Keeps only servers that are still listed.
@@ -129,6 +131,11 @@
         }
     }
 
+    /// Whether an answer came in this last span.
+    pub(crate) fn heard_within(&self, awake: Nanos, span: Nanos) -> bool {
+        self.good.is_some_and(|at| awake < at + span)
+    }
+
     /// An answer, of whatever kind: the zone is not silent.
     pub(crate) fn heard(&mut self, awake: Nanos) {
         self.answered = Some(awake);
@@ -138,6 +145,7 @@
     /// A usable answer.
     pub(crate) fn answered(&mut self, awake: Nanos, stretch: f64) {
         self.heard(awake);
+        self.good = Some(awake);
         self.goods = self.goods.saturating_add(1);
         self.stretch += 0.3 * (stretch - self.stretch);
     }
--- /dev/null
+++ b/cores/zones/src/fleet.rs
@@ -0,0 +1,255 @@
+//! What the other nodes see of the zones, as this node may use it: nobody's word alone moves it, and what is old or was
+//! long under way says nothing.
+
+use std::collections::BTreeMap;
+
+use crate::sight::{At, Sight};
+use crate::{MS, Nanos, SECOND};
+
+/// Members whose sights are kept; a fleet is smaller.
+const MEMBERS_MOST: usize = 4096;
+/// The most that one node's evidence counts in another: what one attempt can tell.
+const WORD_MOST: f64 = 2.5;
+/// Evidence at which a node speaks against a zone: one attempt in seven looks so by chance.
+const SPEAKS: f64 = 2.0;
+/// So many nodes must speak against a zone at the least, and of those who could this share, and of those who either
+/// speak against it or hear from it this one.
+const SPEAKERS: u32 = 2;
+const OF_MEMBERS: f64 = 0.25;
+const OF_HEARD: f64 = 0.6;
+/// What a node said counts for so long, and for so many times its refresh; told by a clock that differs by more than
+/// `LATE`, or long under way, it doesn't count at all.
+const FRESH: Nanos = 3 * SECOND;
+const LATE: Nanos = 2 * SECOND;
+/// Evidence counts for less: an open attempt is answered or grows older meanwhile.
+const EVIDENCE_FRESH: Nanos = 500 * MS;
+/// Trials of one node that count for others.
+const TRIALS_OF_ONE: u32 = 2;
+
+/// A member and what it last said of each zone.
+#[derive(Clone)]
+struct Member {
+    home: u8,
+    up: bool,
+    sights: BTreeMap<u8, (Nanos, Sight)>,
+}
+
+/// What the others say of one zone, as far as it concerns nodes of one home.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct View {
+    /// Evidence against it, each node's within bounds; none without enough speakers.
+    pub(crate) silence: f64,
+    pub(crate) failing: f64,
+    /// Somebody speaks against it now; somebody gives it nothing, or trials only, by what it saw itself.
+    pub(crate) doubted: bool,
+    pub(crate) held: bool,
+    /// Enough others give it nothing, or trials only, by what they saw; enough are returning to it.
+    pub(crate) closed: bool,
+    pub(crate) returning: bool,
+    /// The step of the middle one of those that return or are back.
+    pub(crate) step: Option<usize>,
+    /// Answers have come in that step or a later one, to somebody.
+    pub(crate) good: bool,
+    /// Trials answered lately, by how many nodes, and how long ago one was not.
+    pub(crate) trials: u32,
+    pub(crate) triers: u32,
+    pub(crate) bad_ago: Nanos,
+}
+
+/// The other nodes.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    members: BTreeMap<u64, Member>,
+    fresh: Nanos,
+}
+
+impl Fleet {
+    /// A member is there, or no longer.
+    pub(crate) fn member(&mut self, member: u64, home: u8, up: bool) {
+        if !up {
+            self.members.remove(&member);
+        } else if let Some(known) = self.members.get_mut(&member) {
+            // Where it was known already it has started anew.
+            *known = Member { home, up, sights: BTreeMap::new() };
+        } else if self.members.len() < MEMBERS_MOST {
+            self.members.insert(member, Member { home, up, sights: BTreeMap::new() });
+        }
+        self.fresh = FRESH.max(3 * refresh(self.members.len()));
+    }
+
+    /// A member has said something; whether it counts.
+    pub(crate) fn said(&mut self, now: Nanos, member: u64, zone: u8, sent: Nanos, sight: Sight) -> bool {
+        if now.abs_diff(sent) > LATE {
+            return false;
+        }
+        if !self.members.contains_key(&member) && self.members.len() >= MEMBERS_MOST {
+            return false;
+        }
+        // Its first word may come before the word that it is there.
+        let known = self.members.entry(member).or_insert(Member {
+            home: sight.home,
+            up: false,
+            sights: BTreeMap::new(),
+        });
+        known.sights.insert(zone, (now, sight));
+        true
+    }
+
+    /// Other members of a home.
+    pub(crate) fn count(&self, home: u8) -> u32 {
+        self.members.values().filter(|member| member.up && member.home == home).count() as u32
+    }
+
+    /// How many are there, of all homes.
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// What they say of a zone for nodes of this home: those of the home, and of the zone itself, from which no link
+    /// between zones parts it. `own` is what this node sees of it: evidence of silence and of failures, and whether it
+    /// hears from it.
+    pub(crate) fn view(&self, now: Nanos, zone: u8, home: u8, own: (f64, f64, bool)) -> View {
+        let (own_silence, own_failing, hears) = own;
+        let own_against = own_silence.max(own_failing) >= SPEAKS;
+        let (mut silence, mut failing) = (0.0, 0.0);
+        let (mut against, mut with) = (u32::from(own_against), u32::from(hears && !own_against));
+        let (mut closed, mut returning, mut could) = (0, 0, 1u32);
+        let mut steps: Vec<(usize, bool)> = Vec::new();
+        let mut view = View { bad_ago: Nanos::MAX, ..View::default() };
+        for member in self.members.values() {
+            // Of other homes only the zone's own see it from where no link can be at fault.
+            if member.home != home && member.home != zone {
+                continue;
+            }
+            could += u32::from(member.up && member.home == home);
+            let Some((at, sight)) = member.sights.get(&zone).filter(|(at, _)| now < at + self.fresh) else {
+                continue;
+            };
+            let age = now.saturating_sub(*at);
+            if age < EVIDENCE_FRESH {
+                let word = |evidence: u16| (f64::from(evidence) / 100.0).min(WORD_MOST);
+                let worst = word(sight.silent).max(word(sight.failing));
+                if worst >= SPEAKS {
+                    against += 1;
+                    silence += word(sight.silent);
+                    failing += word(sight.failing);
+                } else if sight.hears {
+                    with += 1;
+                }
+                view.doubted |= worst >= SPEAKS || sight.at == At::Doubted;
+            }
+            view.held |= sight.saw && matches!(sight.at, At::Doubted | At::Closed { .. });
+            match sight.at {
+                At::Open => {}
+                At::Doubted => closed += u32::from(sight.saw),
+                At::Closed { good, bad_ms } => {
+                    closed += u32::from(sight.saw);
+                    let tries = u32::from(good).min(TRIALS_OF_ONE);
+                    view.trials += tries;
+                    view.triers += u32::from(tries > 0);
+                    if bad_ms < u16::MAX {
+                        view.bad_ago = view.bad_ago.min(Nanos::from(bad_ms) * MS + age);
+                    }
+                }
+                At::Returning { step, good } => {
+                    returning += 1;
+                    view.trials += TRIALS_OF_ONE;
+                    view.triers += 1;
+                    steps.push((usize::from(step), good));
+                }
+            }
+        }
+        let quorum = SPEAKERS.max((OF_MEMBERS * f64::from(could)).ceil() as u32);
+        if against >= quorum && f64::from(against) >= OF_HEARD * f64::from(against + with) {
+            (view.silence, view.failing) = (silence, failing);
+        }
+        view.closed = closed >= quorum && with == 0;
+        view.returning = returning >= quorum;
+        steps.sort_unstable();
+        if steps.len() >= SPEAKERS as usize {
+            let (step, _) = steps[steps.len() / 2];
+            view.step = Some(step);
+            view.good = steps.iter().any(|(at, good)| *good && *at >= step);
+        }
+        view
+    }
+}
+
+/// How often a node says again what it has said of a zone that is not open, among so many: all of it together stays
+/// within bounds.
+pub(crate) fn refresh(members: usize) -> Nanos {
+    SECOND.max(members as Nanos * 10 * MS)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: Nanos = 100 * SECOND;
+
+    fn sight(home: u8, silent: f64) -> Sight {
+        let silent = crate::sight::hundredths(silent);
+        Sight { home, silent, failing: 0, hears: silent == 0, at: At::Open, saw: silent > 0 }
+    }
+
+    fn fleet(count: u64) -> Fleet {
+        let mut fleet = Fleet::default();
+        (1..=count).for_each(|member| fleet.member(member, 0, true));
+        fleet
+    }
+
+    #[test]
+    fn several_weak_words_are_one_strong_one_and_one_strong_word_is_none() {
+        let mut fleet = fleet(7);
+        assert!(fleet.said(NOW, 1, 0, NOW, sight(0, 500.0)));
+        assert_eq!(fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence, 0.0, "a liar alone");
+        fleet.said(NOW, 2, 0, NOW, sight(0, 2.4));
+        fleet.said(NOW, 3, 0, NOW, sight(0, 2.4));
+        let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
+        assert!((view.silence - 7.3).abs() < 1e-9, "{view:?}");
+        // Those who hear from the zone speak for it.
+        (4..=6).for_each(|member| {
+            fleet.said(NOW, member, 0, NOW, sight(0, 0.0));
+        });
+        assert_eq!(fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence, 0.0);
+        // And it is forgotten.
+        assert_eq!(
+            fleet.view(NOW + EVIDENCE_FRESH, 0, 0, (0.0, 0.0, false)),
+            View { bad_ago: u64::MAX, ..View::default() }
+        );
+    }
+
+    #[test]
+    fn what_was_long_under_way_and_what_another_zone_sees_over_its_own_link_does_not_count() {
+        let mut fleet = fleet(4);
+        assert!(!fleet.said(NOW, 1, 0, NOW - 5 * SECOND, sight(0, 2.5)));
+        (5..9).for_each(|member| {
+            fleet.member(member, 1, true);
+            fleet.said(NOW, member, 0, NOW, sight(1, 2.5));
+        });
+        assert_eq!(fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence, 0.0, "dc-b does not reach dc-a");
+        assert_eq!(fleet.view(NOW, 0, 2, (0.0, 0.0, false)).silence, 0.0, "dc-c does not care");
+        assert!(fleet.view(NOW, 0, 1, (0.0, 0.0, false)).silence > 5.0);
+        // What a zone's own nodes see of it counts for all.
+        (1..4).for_each(|member| {
+            fleet.said(NOW, member, 0, NOW, sight(0, 2.5));
+        });
+        assert!(fleet.view(NOW, 0, 2, (0.0, 0.0, false)).silence > 5.0);
+    }
+
+    #[test]
+    fn the_middle_one_leads_the_return_and_two_have_to_vouch_for_it() {
+        let mut fleet = fleet(5);
+        let at = |at| Sight { at, ..sight(0, 0.0) };
+        fleet.said(NOW, 1, 0, NOW, at(At::Returning { step: 4, good: true }));
+        let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
+        assert_eq!((view.step, view.returning, view.triers), (None, false, 1), "one alone leads nobody");
+        fleet.said(NOW, 2, 0, NOW, at(At::Returning { step: 1, good: false }));
+        fleet.said(NOW, 3, 0, NOW, at(At::Returning { step: 0, good: true }));
+        let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
+        assert_eq!((view.step, view.good, view.returning), (Some(1), true, true));
+        fleet.said(NOW, 4, 0, NOW, at(At::Closed { good: 9, bad_ms: 40 }));
+        let view = fleet.view(NOW + MS, 0, 0, (0.0, 0.0, false));
+        assert_eq!((view.trials, view.triers, view.bad_ago), (8, 4, 41 * MS));
+    }
+}
--- a/cores/zones/src/lib.rs
+++ b/cores/zones/src/lib.rs
@@ -1,7 +1,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 //! Which zones a node may send to. All that a node sees at a zone counts together: answers, errors, connections that
-//! don't come about, and silence. Where that is more than chance and other zones are left, the zone gets nothing new;
+//! don't come about, and silence; and what other nodes say that they see, where there are any. Where that is more than chance and other zones are left, the zone gets nothing new;
 //! it is tried now and then, and taken back by steps. `docs/design/zones.md` has the test and its error rates.
 //!
 //! `handle(now, event, &mut actions)`, no I/O, no clock, no randomness but the seed's. Times are nanoseconds on the
@@ -10,11 +10,14 @@
 mod api;
 mod course;
 mod evidence;
+mod fleet;
 mod plan;
+mod sight;
 mod times;
 mod watch;
 
 pub use api::{Action, Event, Nanos, Seen, Settings, Why};
+pub use sight::{At, Sight};
 pub use watch::Watch;
 
 pub(crate) const MS: Nanos = 1_000_000;
--- a/cores/zones/src/watch.rs
+++ b/cores/zones/src/watch.rs
@@ -5,7 +5,9 @@
 use crate::api::{Action, Event, Nanos, Seen, Settings, Why};
 use crate::course::{Course, Stage, Weighed};
 use crate::evidence::{Out, USUAL};
+use crate::fleet::{self, Fleet, View};
 use crate::plan::{self, Room};
+use crate::sight::{At, Sight, hundredths};
 use crate::times::Times;
 use crate::{MS, SECOND};
 
@@ -27,6 +29,18 @@
 const TRIAL_STRETCH: u64 = 3;
 const TRIAL_WAIT: (Nanos, Nanos) = (50 * MS, 2 * SECOND);
 
+/// With an answer from a zone that is no older, this node hears from it.
+const HEARS: Nanos = 100 * MS;
+/// Evidence that is worth telling the others, and the steps in which it grows, in hundredths.
+const TELLS: u16 = 100;
+const TELL_STEP: u16 = 50;
+/// Beyond this it tells no more: one node's word is worth less.
+const TELL_MOST: u16 = 300;
+/// So many members tell one that is new what they see, in the mean.
+const TELLERS: f64 = 8.0;
+/// A node that hears from a zone others speak against says so no more often than this.
+const HEARS_AGAIN: Nanos = 200 * MS;
+
 #[derive(Clone, Copy, Default)]
 struct Place {
     servers: u32,
@@ -34,6 +48,8 @@
     util: Option<(Nanos, f64)>,
     hand: Option<(bool, Nanos)>,
     told: Option<(f64, &'static str)>,
+    /// What the other nodes were last told, and when.
+    said: Option<(Nanos, Sight)>,
 }
 
 /// What one node knows of the zones.
@@ -51,6 +67,10 @@
     looked: Nanos,
     /// No zone answers; until one does.
     cut_off: bool,
+    /// The other nodes, where there are any.
+    fleet: Fleet,
+    /// They have said something that was not weighed yet.
+    unweighed: bool,
     random: u64,
 }
 
@@ -69,6 +89,8 @@
             wake: None,
             looked: 0,
             cut_off: false,
+            fleet: Fleet::default(),
+            unweighed: false,
             random: settings.seed ^ 0x2545_f491_4f6c_dd1d,
             settings,
         }
@@ -107,6 +129,21 @@
                 }
                 true
             }
+            Event::Member { member, home, up } => {
+                self.fleet.member(member, home, up);
+                if up {
+                    self.tell_again();
+                }
+                false
+            }
+            Event::Heard { member, zone, sent, sight } => {
+                let known = usize::from(zone) < self.courses.len();
+                // A burst of words is weighed with the next look.
+                burst = self.now < self.looked + LEAST_LOOK && self.wake.is_some();
+                let counts = known && self.fleet.said(self.now, member, zone, sent, sight);
+                self.unweighed |= counts;
+                counts
+            }
         };
         if look && !burst {
             self.look(actions);
@@ -125,6 +162,9 @@
     }
 
     fn crowd(&self) -> f64 {
+        if self.fleet.len() > 0 {
+            return f64::from(self.fleet.count(self.settings.home as u8) + 1);
+        }
         (f64::from(self.settings.nodes) / f64::from(self.settings.zones.max(1))).max(1.0)
     }
 
@@ -220,7 +260,7 @@
     }
 
     fn look(&mut self, actions: &mut Vec<Action>) {
-        self.looked = self.now;
+        (self.looked, self.unweighed) = (self.now, false);
         let (awake, crowd) = (self.awake(), self.crowd());
         for zone in 0..self.courses.len() {
             if self.cut_off {
@@ -236,6 +276,7 @@
             if self.courses[zone].no_worse_than(elsewhere.fold(0.0, f64::max)) {
                 self.courses[zone].acquit(awake);
             }
+            self.say(zone, actions);
             if self.courses[zone].trial(awake, crowd, draw) {
                 actions.push(Action::Trial { zone: zone as u32, wait: self.trial_wait() });
             }
@@ -254,15 +295,72 @@
         let outs = || self.outs.values().filter(move |out| out.zone as usize == zone);
         let silence = |stretch| course.evidence.silence(outs(), &self.times, awake, listed, stretch);
         let (silent, first) = silence(2.0);
+        let slower = silence(course.patience()).0;
+        let failing = course.evidence.failing(awake, listed);
+        let hears = course.evidence.heard_within(awake, HEARS);
+        let home = self.settings.home as u8;
+        let fleet = (self.fleet.len() > 0)
+            .then(|| self.fleet.view(self.now, zone as u8, home, (slower, failing, hears)));
+        // A node that hears from a zone believes nobody that it is silent.
+        let theirs = |of: fn(&View) -> f64| fleet.as_ref().filter(|_| !hears).map_or(0.0, of);
         Weighed {
-            silence: silent,
-            slower: silence(course.patience()).0,
-            failing: course.evidence.failing(awake, listed),
+            silence: silent + theirs(|view| view.silence),
+            slower: slower + theirs(|view| view.silence),
+            failing: failing + fleet.map_or(0.0, |view| view.failing),
             others: (0..self.courses.len()).any(|other| other != zone && self.could_take(other)),
             quiet: awake.saturating_sub(first),
+            fleet,
+            hears,
+            own: silent.max(failing),
         }
     }
 
+    /// Tells the other nodes what is to be seen of a zone, where that is news to them.
+    fn say(&mut self, zone: usize, actions: &mut Vec<Action>) {
+        if self.fleet.len() == 0 {
+            return;
+        }
+        let (awake, course, listed) = (self.awake(), &self.courses[zone], self.places[zone].servers);
+        let outs = || self.outs.values().filter(move |out| out.zone as usize == zone);
+        let silence = |stretch| course.evidence.silence(outs(), &self.times, awake, listed, stretch).0;
+        let in_steps = |evidence| hundredths(evidence).min(TELL_MOST) / TELL_STEP * TELL_STEP;
+        let home = self.settings.home as u8;
+        let (silent, failing) = (in_steps(silence(4.0)), in_steps(course.evidence.failing(awake, listed)));
+        let hears = silent < TELLS && failing < TELLS && course.evidence.heard_within(awake, HEARS);
+        let at = course.at(awake);
+        let sight = Sight { home, silent, failing, hears, at, saw: course.saw };
+        let speaks = |sight: &Sight| sight.silent.max(sight.failing) >= TELLS || sight.at != At::Open;
+        let before = self.places[zone].said;
+        let age = before.map_or(Nanos::MAX, |(at, _)| self.now - at);
+        let due = match before {
+            // Whom others doubt and this node hears from: they are to know.
+            _ if !speaks(&sight) && hears && self.doubted(zone) => age >= HEARS_AGAIN,
+            Some((_, said)) if speaks(&said) || speaks(&sight) => {
+                told_apart(&said, &sight) || (speaks(&sight) && age >= fleet::refresh(self.fleet.len()))
+            }
+            Some(_) => false,
+            None => speaks(&sight),
+        };
+        if due {
+            self.places[zone].said = Some((self.now, sight));
+            actions.push(Action::Say { zone: zone as u8, sight });
+        }
+    }
+
+    /// One that is new has heard nothing yet: some members, drawn by lot, say again what they have said.
+    fn tell_again(&mut self) {
+        if self.draw() * (self.fleet.len() as f64) < TELLERS {
+            let said = self.places.iter_mut().filter_map(|place| place.said.as_mut());
+            said.for_each(|(at, _)| *at = 0);
+            self.unweighed = true;
+        }
+    }
+
+    fn doubted(&self, zone: usize) -> bool {
+        let home = self.settings.home as u8;
+        self.fleet.view(self.now, zone as u8, home, (0.0, 0.0, false)).doubted
+    }
+
     fn trial_wait(&self) -> Nanos {
         let slowest = self.times.iter().filter_map(|times| times.within(0.95)).max();
         slowest.map_or(TRIAL_WAIT.1, |span| (span * TRIAL_STRETCH).clamp(TRIAL_WAIT.0, TRIAL_WAIT.1))
@@ -312,7 +410,9 @@
     }
 
     fn arm(&mut self, actions: &mut Vec<Action>) {
-        let look = (!self.outs.is_empty()).then_some(self.now + LOOK);
+        let follows = |course: &Course| !matches!(course.stage, Stage::Open);
+        let follows = self.fleet.len() > 0 && self.courses.iter().any(follows);
+        let look = (follows || self.unweighed || !self.outs.is_empty()).then_some(self.now + LOOK);
         let slept = self.slept;
         let courses = self.courses.iter().filter_map(Course::due).map(|awake| awake + slept);
         let hands = self.places.iter().filter_map(|place| place.hand).map(|(_, until)| until);
@@ -326,5 +426,17 @@
     }
 }
 
+/// Whether the others would learn something by the second of two sights: ages apart, which they know.
+fn told_apart(one: &Sight, other: &Sight) -> bool {
+    let ageless = |sight: &Sight| match sight.at {
+        At::Closed { good, bad_ms } => {
+            Sight { at: At::Closed { good, bad_ms: u16::from(bad_ms < u16::MAX) }, ..*sight }
+        }
+        _ => *sight,
+    };
+    let quiet = |sight: &Sight| Sight { hears: false, ..ageless(sight) };
+    quiet(one) != quiet(other)
+}
+
 #[cfg(test)]
 mod tests;
--- a/cores/zones/src/watch/tests.rs
+++ b/cores/zones/src/watch/tests.rs
@@ -71,6 +71,7 @@
                 Action::Share { zone, share } => self.share[zone as usize] = share,
                 Action::Trial { zone, .. } => self.trial = Some(zone),
                 Action::Wake { at } => self.wake = Some(at),
+                Action::Say { .. } => panic!("there is nobody to say it to"),
                 Action::Changed { zone, why, .. } => self.changed.push((self.now, zone, why.word())),
             }
         }
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -12,7 +12,7 @@
     Settings, SettingsError, Settlement, ZoneId,
 };
 use brookfield_settings::Words;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::backends::Backends;
 use crate::call_ids::CallIds;
@@ -20,7 +20,7 @@
 use crate::front::{Asked, Ending, Front, Launch, Listed, Reply, Ticket};
 use crate::tally::{End, Tally};
 use crate::timers::{Due, Timers};
-use crate::zones::{Changed, Said, ZoneWatch};
+use crate::zones::{Changed, FromPeer, Said, ZoneWatch, ZoneWord};
 
 /// How long past a request's end the driver waits for the module before it answers by itself: longer than
 /// the module's own housekeeping, well inside the slack that the rules leave.
@@ -61,6 +61,8 @@
     pub(crate) tally: Arc<Tally>,
     /// The watch over the zones, where it is switched on.
     zones: Option<ZoneWatch>,
+    /// Where its words for the other nodes go, if there are any.
+    talk: Option<mpsc::Sender<ZoneWord>>,
     /// Discovery has told of the servers.
     pub(crate) heard: bool,
     /// Set by the module's wish for the whole list.
@@ -112,6 +114,7 @@
             backends: Backends::default(),
             timers: Timers::default(),
             zones: None,
+            talk: None,
             heard: false,
             whole_list: false,
         })
@@ -125,6 +128,16 @@
         self.zones = Some(ZoneWatch::new(&self.settings, seed, self.clock.now()));
     }
 
+    /// Has the watch's words for the other nodes go there.
+    pub(crate) fn talk(&mut self, talk: mpsc::Sender<ZoneWord>) {
+        self.talk = Some(talk);
+    }
+
+    /// Another node is there, or gone, or has said something.
+    pub(crate) fn peer_told(&mut self, told: &FromPeer, errands: &mut Errands<F>) {
+        self.in_zones(errands, |zones, now| zones.peer_told(now, told));
+    }
+
     /// Operators close a zone or hold it open, or end that.
     pub(crate) fn order_zone(
         &mut self,
@@ -143,6 +156,10 @@
             before.into_iter().for_each(|before| self.timers.clear(before, Due::Zones));
             self.set_timer(at, Due::Zones, errands);
         }
+        // With the queue full the next word says it all: each replaces the one before.
+        said.says.into_iter().for_each(|word| {
+            let _ = self.talk.as_ref().map(|talk| talk.try_send(word));
+        });
         said.changed.iter().for_each(|changed| self.log_zone(changed));
         for event in said.events {
             if let Event::ZoneShare { zone, share } = event {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -12,12 +12,13 @@
     SettingsError, ZoneId,
 };
 use brookfield_settings::Words;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock::Clock;
 use crate::driver::{Driver, Errands};
 use crate::front::{Asked, Ending, Front, Launch, Listed, Reply, Ticket, UnknownTenant};
 use crate::tally::Tally;
+use crate::zones::{FromPeer, ZoneWord};
 
 /// Carries out on the network what the module asks for.
 pub trait Launcher<F: Front> {
@@ -71,6 +72,16 @@
         self.driver.borrow_mut().watch_zones(seed);
     }
 
+    /// Has what the watch over the zones says to the other nodes go there.
+    pub fn talk(&self, talk: mpsc::Sender<ZoneWord>) {
+        self.driver.borrow_mut().talk(talk);
+    }
+
+    /// Another node of the fleet is there, or gone, or has said something of a zone.
+    pub fn peer_told(&self, told: &FromPeer) {
+        self.call(|driver, errands| driver.peer_told(told, errands));
+    }
+
     /// Operators close a zone (`true`) or hold it open for a time, or end that. Nothing where there is no such zone or
     /// no watch over them.
     pub fn order_zone(&self, zone: &str, order: Option<(bool, Nanos)>) {
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -25,4 +25,5 @@
 pub use log_limiter::LogLimiter;
 pub use open_count::{OpenCount, Opened};
 pub use progress::spawn;
-pub use tally::{ClassCounts, End, Tally, ZoneFigure};
+pub use tally::{ClassCounts, End, PeerFigures, Tally, ZoneFigure};
+pub use zones::{FromPeer, ZoneWord};
--- a/engine/src/tally.rs
+++ b/engine/src/tally.rs
@@ -45,11 +45,28 @@
     pub why: &'static str,
 }
 
+/// What goes between a node and the others of its fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerFigures {
+    /// Members that are there, this one included; 0 where the node has no peers.
+    pub members: u64,
+    /// Bytes of datagrams taken.
+    pub received: u64,
+    /// Bytes of datagrams sent.
+    pub sent: u64,
+    /// Datagrams of strangers, dropped.
+    pub strangers: u64,
+    /// Others that were dropped.
+    pub malformed: u64,
+}
+
 /// The counts of one engine since its start.
 #[derive(Debug)]
 pub struct Tally {
     /// Empty where no watch over the zones is on. Locked for a moment by whoever changes or reads a figure.
     zones: Mutex<Vec<ZoneFigure>>,
+    /// See [`PeerFigures`]; locked like the zones'.
+    peers: Mutex<PeerFigures>,
     classes: Vec<(String, Ends)>,
     sends: AtomicU64,
     current: AtomicU64,
@@ -64,6 +81,7 @@
         let zero = AtomicU64::default;
         Self {
             zones: Mutex::default(),
+            peers: Mutex::default(),
             classes,
             sends: zero(),
             current: zero(),
@@ -91,6 +109,30 @@
         self.zones.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    fn in_peers<T>(&self, change: impl FnOnce(&mut PeerFigures) -> T) -> T {
+        change(&mut self.peers.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// So many members are there.
+    pub fn peers(&self, members: u64) {
+        self.in_peers(|peers| peers.members = members);
+    }
+
+    /// A datagram of so many bytes was taken, or sent.
+    pub fn peer_bytes(&self, received: u64, sent: u64) {
+        self.in_peers(|peers| (peers.received, peers.sent) = (peers.received + received, peers.sent + sent));
+    }
+
+    /// A datagram was dropped.
+    pub fn peer_dropped(&self, stranger: bool) {
+        self.in_peers(|peers| if stranger { peers.strangers += 1 } else { peers.malformed += 1 });
+    }
+
+    /// What goes between the nodes.
+    pub fn peer_figures(&self) -> PeerFigures {
+        self.in_peers(|peers| *peers)
+    }
+
     /// A request has been taken.
     pub fn took(&self) {
         self.current.fetch_add(1, Ordering::Relaxed);
--- a/engine/src/zones.rs
+++ b/engine/src/zones.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use badgerpost_zones::{Action, Event, Seen, Settings as Zones, Watch, Why};
+use badgerpost_zones::{Action, Event, Seen, Settings as Zones, Sight, Watch, Why};
 use brookfield::{
     BackendId, Event as Told, ListScope, Member, Nanos, Outcome, RequestId, Settings, Stage, ZoneId,
 };
@@ -15,10 +15,38 @@
     pub(crate) events: Vec<Told>,
     /// For the log and the figures.
     pub(crate) changed: Vec<Changed>,
+    /// For the other nodes, by zone.
+    pub(crate) says: Vec<ZoneWord>,
     /// When to wake it, and the wish before that this replaces.
     pub(crate) wake: Option<(Nanos, Option<Nanos>)>,
 }
 
+/// What a node says of a zone to the others, as it goes over the network.
+pub type ZoneWord = (u16, Vec<u8>);
+
+/// What comes from the other nodes.
+#[derive(Clone, Debug)]
+pub enum FromPeer {
+    /// One is there, or no longer.
+    Member {
+        /// Which.
+        member: u64,
+        /// Its zone, by position.
+        home: u8,
+        /// Whether it is there.
+        up: bool,
+    },
+    /// One has said something of a zone.
+    Word {
+        /// Which.
+        member: u64,
+        /// When, by its clock, in Unix time.
+        sent: Nanos,
+        /// What.
+        word: ZoneWord,
+    },
+}
+
 /// A zone's state has changed.
 pub(crate) struct Changed {
     pub(crate) zone: ZoneId,
@@ -105,6 +133,19 @@
         self.hear(now, Event::ByHand { zone: zone.0, order })
     }
 
+    pub(crate) fn peer_told(&mut self, now: Nanos, told: &FromPeer) -> Said {
+        let event = match told {
+            FromPeer::Member { member, home, up } => Event::Member { member: *member, home: *home, up: *up },
+            FromPeer::Word { member, sent, word: (zone, bytes) } => {
+                let (Ok(zone), Some(sight)) = (u8::try_from(*zone), Sight::from_bytes(bytes)) else {
+                    return Said::default();
+                };
+                Event::Heard { member: *member, zone, sent: *sent, sight }
+            }
+        };
+        self.hear(now, event)
+    }
+
     fn hear(&mut self, now: Nanos, event: Event) -> Said {
         let (mut actions, mut said) = (Vec::new(), Said::default());
         self.watch.handle(now, event, &mut actions);
@@ -116,6 +157,7 @@
                 Action::Trial { zone, wait } => {
                     said.events.push(Told::ZoneTrial { zone: ZoneId(zone), wait });
                 }
+                Action::Say { zone, sight } => said.says.push((u16::from(zone), sight.to_bytes())),
                 Action::Wake { at } => said.wake = Some((at, self.wake.replace(at))),
                 Action::Changed { zone, share, why, servers } => {
                     said.changed.push(Changed { zone: ZoneId(zone), share, why, servers });
--- a/fronts/console/src/lib.rs
+++ b/fronts/console/src/lib.rs
@@ -188,6 +188,14 @@
         line(&format!("zone.{}.share", zone.name), &((zone.share * 1000.0).round() as u64));
         line(&format!("zone.{}.why", zone.name), &zone.why);
     }
+    let peers = tally.peer_figures();
+    if peers.members > 0 {
+        line("peers.members", &peers.members);
+        line("peers.bytes_in", &peers.received);
+        line("peers.bytes_out", &peers.sent);
+        line("peers.strangers", &peers.strangers);
+        line("peers.malformed", &peers.malformed);
+    }
     lines
 }
 
--- /dev/null
+++ b/fronts/peers/src/lib.rs
@@ -0,0 +1,10 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! The datagrams between the nodes of a fleet: one socket, the membership of `cores/peers` behind it, and what the watch
+//! over the zones says and hears through it. Off unless the operators' own file has a section `[peers]`.
+
+mod config;
+mod run;
+
+pub use config::{Config, ConfigError};
+pub use run::{Me, Peers};
--- /dev/null
+++ b/fronts/peers/src/run.rs
@@ -0,0 +1,148 @@
+//! The socket, and the task that moves what goes through it. Nothing is decided here.
+
+use std::io;
+use std::net::SocketAddr;
+
+use badgerpost_engine::{Clock, Engine, FromPeer, Front, LogLimiter, ZoneWord, progress};
+use badgerpost_peers::{Action, DATAGRAM_MOST, Dropped, Event, Settings, member_id};
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+
+use crate::config::Config;
+
+/// Words that wait for the task, which takes them at once: some for each zone.
+const WORDS: usize = 64;
+
+/// Who this node is among the others.
+#[derive(Clone, Copy, Debug)]
+pub struct Me<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its zone, by position.
+    pub zone: u8,
+    /// How many nodes are expected.
+    pub nodes: u32,
+    /// Drives its draws.
+    pub seed: u64,
+}
+
+/// A node's talk with the others.
+pub struct Peers<F: Front> {
+    socket: UdpSocket,
+    core: badgerpost_peers::Peers,
+    engine: Engine<F>,
+    clock: Clock,
+    words: mpsc::Receiver<ZoneWord>,
+    wake: Option<u64>,
+    limiter: LogLimiter,
+}
+
+impl<F: Front + 'static> Peers<F> {
+    /// Opens the socket; the engine's words for the others go through it from now on.
+    pub async fn open(
+        config: &Config,
+        key: badgerpost_peers::Key,
+        me: Me<'_>,
+        engine: Engine<F>,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(config.listen).await?;
+        let clock = engine.clock().clone();
+        let settings = Settings {
+            member: member_id(me.name),
+            advertise: config.advertised(),
+            zone: me.zone,
+            life: clock.now(),
+            seeds: config.seeds.clone(),
+            key,
+            nodes: me.nodes,
+            seed: me.seed,
+        };
+        let (talk, words) = mpsc::channel(WORDS);
+        engine.talk(talk);
+        engine.tally().peers(1);
+        tracing::info!(listen = %socket.local_addr()?, advertise = %config.advertised(), "peers may call");
+        let (core, limiter) = (badgerpost_peers::Peers::new(settings), LogLimiter::new(clock.clone()));
+        Ok(Self { socket, core, engine, clock, words, wake: None, limiter })
+    }
+
+    /// Talks until the node stops.
+    pub async fn run(mut self, mut stopping: watch::Receiver<bool>) {
+        // A new socket takes nothing until the system has said once that it does.
+        if let Err(error) = self.socket.writable().await {
+            tracing::warn!(%error, "datagrams can't be sent yet");
+        }
+        self.tell(Event::Start);
+        // One byte more than fits shows that it does not.
+        let mut buffer = [0; DATAGRAM_MOST + 1];
+        loop {
+            let wake = self.wake;
+            let clock = self.clock.clone();
+            let due = async move {
+                match wake {
+                    Some(at) => clock.sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                _ = stopping.wait_for(|stopping| *stopping) => {
+                    self.tell(Event::Leave);
+                    return;
+                }
+                Some((topic, body)) = self.words.recv() => self.tell(Event::Say { topic, body: &body }),
+                came = self.socket.recv_from(&mut buffer) => match came {
+                    Ok((length, _)) => {
+                        progress::read(length);
+                        self.engine.tally().peer_bytes(length as u64, 0);
+                        self.tell(Event::Datagram(&buffer[..length]));
+                    }
+                    // Of a datagram that went out before: its receiver is not there, which shows by itself.
+                    Err(error) => tracing::debug!(%error, "datagram not taken"),
+                },
+                () = due => {
+                    self.wake = None;
+                    self.tell(Event::Wake);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.core.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { to, datagram } => self.send(to, &datagram),
+                Action::Wake { at } => self.wake = Some(at),
+                Action::Member { member, zone, at, up } => {
+                    tracing::info!(peer = %at, zone, up, members = self.core.members(), "peer changed");
+                    self.engine.tally().peers(self.core.members() as u64 + 1);
+                    self.engine.peer_told(&FromPeer::Member { member, home: zone, up });
+                }
+                Action::Said { member, topic, sent, body } => {
+                    self.engine.peer_told(&FromPeer::Word { member, sent, word: (topic, body) });
+                }
+                Action::Dropped(dropped) => {
+                    self.engine.tally().peer_dropped(dropped == Dropped::Stranger);
+                    self.limiter
+                        .log(|silenced| tracing::warn!(reason = ?dropped, silenced, "datagram dropped"));
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, datagram: &[u8]) {
+        // With its clock in other hands the node must reach nothing but a rehearsal's stand-ins.
+        if self.clock.is_stepped() && !to.ip().is_loopback() {
+            return;
+        }
+        // What does not go out at once is lost like what the network loses; the protocol bears that.
+        match self.socket.try_send_to(datagram, to) {
+            Ok(length) => {
+                progress::written(length);
+                self.engine.tally().peer_bytes(0, length as u64);
+            }
+            Err(error) => tracing::debug!(%to, %error, "datagram not sent"),
+        }
+    }
+}
--- a/kit/rehearsal/src/main.rs
+++ b/kit/rehearsal/src/main.rs
@@ -129,6 +129,9 @@
     /// The operators' own file for every node of a scene of HTTP, in TOML, after what the scene says itself
     #[arg(long, value_name = "FILE.toml")]
     own: Option<PathBuf>,
+    /// Let the nodes of the scene talk to each other; their own file has to switch the watch over the zones on
+    #[arg(long)]
+    peers: bool,
 }
 
 impl Program {
@@ -139,7 +142,8 @@
                 .map_err(|source| Failure::File { path: path.clone(), source })?,
             None => String::new(),
         };
-        Ok(Options { program: self.find()?, real_time, port, own })
+        let peers = self.peers;
+        Ok(Options { program: self.find()?, real_time, port, own, peers })
     }
 
     fn find(self) -> Result<PathBuf, Failure> {
@@ -460,6 +464,16 @@
         played.steps,
         if played.late > 0 { format!(", {} waits for late bytes", played.late) } else { String::new() }
     ))?;
+    if played.talk.iter().any(|(datagrams, _)| *datagrams > 0) {
+        let (most, all) = (played.talk.iter().map(|(_, bytes)| *bytes).max(), played.talk.len() as f64);
+        let sum = played.talk.iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        say(&format!(
+            "nodes to each other: {:.1} datagrams and {:.0} bytes a second and node, {:.0} bytes at the most",
+            sum.0 as f64 / all / simulated.max(1e-9),
+            sum.1 as f64 / all / simulated.max(1e-9),
+            most.unwrap_or(0) as f64 / simulated.max(1e-9),
+        ))?;
+    }
     for rule in RULES {
         let broken: Vec<_> = played.breaches.iter().filter(|breach| breach.rule == rule).collect();
         match broken.first() {
--- a/kit/rehearsal/src/process.rs
+++ b/kit/rehearsal/src/process.rs
@@ -369,7 +369,7 @@
     let by_probe = scene.reports == crate::scene::Reports::Probes;
     let settings = json!({"report": {"how": if by_probe { "pull" } else { "piggyback" }}, "az": own.zone, "zones": zones, "n-instances": scene.node.len(),
         "discovery": "pushed", "classes": classes, "goal": {}, "callers": {"marks-retry": true},
-        "policy-limits": {"attempts-cap": rules.attempts, "may-cancel": true, "second-copies": true,
+        "policy-limits": {"attempts-cap": rules.attempts, "may-cancel": true, "second-copies": true, "peers": true,
             "probes": by_probe, "retry-after": true, "max-retry-after-ns": 1000 * MS},
         "rules": {"answer-slack-ns": rules.answer_slack_ms * MS, "drain-grace-ns": rules.drain_grace_ms * MS,
             "fall-ns": rules.fall_ms * MS, "start-capacity": rules.start_share,
--- a/kit/rehearsal/src/run.rs
+++ b/kit/rehearsal/src/run.rs
@@ -14,7 +14,7 @@
 use crate::plan::Plan;
 use crate::process::{self, Process, ProcessError, Start};
 use crate::rules::{self, Breach};
-use crate::world::{Fired, Order, SOCKETS, World};
+use crate::world::{Fired, Order, PEERS_KEY, SOCKETS, World};
 use crate::{MS, Nanos, SECOND};
 
 /// Unix time at which stepped scenes begin: any would do, as long as it is always the same.
@@ -40,6 +40,8 @@
     pub port: u16,
     /// More of the operators' own file of every node, after the scene's.
     pub own: String,
+    /// The nodes talk to each other, whatever the scene says.
+    pub peers: bool,
 }
 
 /// What came of it.
@@ -54,6 +56,8 @@
     pub breaches: Vec<Breach>,
     /// Requests at servers that no client had sent in this form.
     pub strangers: u64,
+    /// What the nodes have said to each other: datagrams and bytes, by node.
+    pub talk: Vec<(u64, u64)>,
     /// The program's SHA-256.
     pub sha256: String,
     /// How long the scene lasted.
@@ -151,7 +155,7 @@
     let logs =
         names.zip(&processes).filter_map(|(name, process)| Some((name, process.as_ref()?.log()))).collect();
     drop(processes);
-    let cold_peaks = world.cold_peaks();
+    let (cold_peaks, talk) = (world.cold_peaks(), world.talk());
     let log = world.into_log();
     let scene = &plan.scene.scene.rules;
     let figures = rules::Figures {
@@ -165,6 +169,7 @@
         logs,
         breaches,
         strangers,
+        talk,
         sha256,
         simulated,
         wall: began.elapsed(),
@@ -206,7 +211,7 @@
             STEPPED_BASE
         };
         let count = plan.scene.scene.node.len();
-        let world = World::new(plan.clone(), base)?;
+        let world = World::new(plan.clone(), base, options.peers)?;
         let port = |node| {
             let at = SocketAddr::from(([127, 0, 0, 1], if node == 0 { options.port } else { 0 }));
             Reserved::new(at).map_err(|source| RunError::Port { at, source })
@@ -263,10 +268,17 @@
             name: scene.scene.node[node].name.get_ref(),
             edge,
             stepped: (!self.options.real_time).then_some(now),
-            own: scene.scene.own.clone() + &self.options.own,
-            files: Vec::new(),
+            own: scene.scene.own.clone() + &self.options.own + &self.world.peers_section(node),
+            files: if self.world.has_peers() {
+                vec![(PEERS_KEY.0, PEERS_KEY.1.to_owned())]
+            } else {
+                Vec::new()
+            },
         };
-        let (process, listens) = Process::start(&start)?;
+        let (mut process, listens) = Process::start(&start)?;
+        if self.world.has_peers() {
+            self.world.peer_up(node, process.listens_for("peers may call")?);
+        }
         self.processes[node] = Some(process);
         (self.unread[node], self.unseen[node]) = (0, 0);
         (self.paused[node], self.stopping[node]) = (false, false);
@@ -355,7 +367,8 @@
         told.sort_by_key(|happening| match happening {
             Happening::Opened { conn, .. }
             | Happening::Bytes { conn, .. }
-            | Happening::Ended { conn, .. } => *conn,
+            | Happening::Ended { conn, .. } => (false, conn.0),
+            Happening::Datagram { door, .. } => (true, door.0),
         });
         told.drain(..).for_each(|happening| self.world.happened(happening));
         self.world.set_running(None);
--- a/kit/rehearsal/src/scene.rs
+++ b/kit/rehearsal/src/scene.rs
@@ -48,6 +48,9 @@
     /// The operators' own file of every node, in TOML; none if empty.
     #[serde(default)]
     pub own: String,
+    /// Whether the nodes talk to each other; their own file has to switch the watch over the zones on.
+    #[serde(default)]
+    pub peers: bool,
     /// How long clients go on asking.
     pub length_ms: Spanned<u64>,
     /// The nodes.
--- a/kit/rehearsal/src/world.rs
+++ b/kit/rehearsal/src/world.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod links;
 mod list;
+mod peers;
 mod servers;
 mod stage;
 
@@ -23,6 +24,7 @@
 use crate::plan::Plan;
 use crate::scene::Planned;
 use crate::{MS, Nanos};
+pub use peers::PEERS_KEY;
 use stage::*;
 pub use stage::{Fired, Order, SOCKETS, World};
 
@@ -31,7 +33,7 @@
 
 impl World {
     /// Sets the stage: all sockets listen.
-    pub fn new(plan: Plan, base: Nanos) -> io::Result<Self> {
+    pub fn new(plan: Plan, base: Nanos, peers: bool) -> io::Result<Self> {
         let mut net = Net::new()?;
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let scene = plan.scene.clone();
@@ -89,6 +91,7 @@
             let (listener, list_at) = net.listen(loopback)?;
             places.insert(listener, Place::List(number));
             let name = node.name.get_ref().clone();
+            let talks = (peers || scene.scene.peers).then(|| net.open_datagrams(loopback)).transpose()?;
             let (idle, told, open, ended) = (Vec::new(), BTreeMap::new(), 0, 0);
             let zone_number = zone_number(&node.zone);
             nodes.push(NodeSide {
@@ -102,6 +105,7 @@
                 told,
                 open,
                 ended,
+                talk: talks.map(|(door, at)| Talk { door, at, real: None, datagrams: 0, bytes: 0 }),
             });
         }
         let pending = plan.arrivals.len();
@@ -158,6 +162,7 @@
             Todo::Answer(sending) => self.send(*sending),
             Todo::Goes(carried) => self.carry(*carried),
             Todo::Arrives(carried) => self.arrives(*carried),
+            Todo::Datagram(to, bytes) => self.datagram_comes(to, &bytes),
             Todo::Reset(conn) => self.reset(conn),
             Todo::Hang(conn) => self.close(conn),
             Todo::WatchOver(conn, number) => self.watch_over(conn, number),
@@ -211,6 +216,7 @@
                 }
                 None => {}
             },
+            Happening::Datagram { door, from, bytes } => self.datagram_goes(door, from, bytes),
             Happening::Ended { conn, .. } => self.ended(conn),
         }
     }
--- a/kit/rehearsal/src/world/links.rs
+++ b/kit/rehearsal/src/world/links.rs
@@ -21,6 +21,8 @@
     Server(usize),
     List,
     Clients,
+    /// Another node.
+    Node(usize),
 }
 
 /// A message on its way.
@@ -65,7 +67,9 @@
             (Far::Servers, end) => matches!(end, End::Server(_)),
             (Far::List, end) => end == End::List,
             (Far::Zone(zone), End::Server(server)) => self.sites[server].zone_number == zone,
-            (Far::Zone(_) | Far::Nodes, _) => false,
+            (Far::Zone(zone), End::Node(other)) => self.nodes[other].zone_number == zone,
+            (Far::Nodes, end) => matches!(end, End::Node(_)),
+            (Far::Zone(_), End::List) => false,
         };
         fits && bad.nodes[node] && if there { cut_there } else { back }
     }
@@ -74,6 +78,7 @@
         let network = self.plan.scene.scene.network;
         let near = match end {
             End::Server(server) => self.sites[server].zone_number == self.nodes[node].zone_number,
+            End::Node(other) => self.nodes[other].zone_number == self.nodes[node].zone_number,
             End::List | End::Clients => true,
         };
         let mut delay = 1000 * if near { network.within_us } else { network.between_us };
@@ -95,6 +100,27 @@
         Way::Open(delay)
     }
 
+    /// How long a datagram from one node to another is under way; none where it gets lost.
+    pub(super) fn datagram_way(&mut self, from: usize, to: usize) -> Option<Nanos> {
+        let network = self.plan.scene.scene.network;
+        let near = self.nodes[from].zone_number == self.nodes[to].zone_number;
+        let mut delay = 1000 * if near { network.within_us } else { network.between_us };
+        let mut loss = 0;
+        let touches = |bad: &&BadLink| {
+            self.touches(bad, from, End::Node(to), true) || self.touches(bad, to, End::Node(from), false)
+        };
+        for bad in self.bad_links.iter().filter(touches) {
+            match bad.trouble.what {
+                LinkWhat::Cut => return None,
+                LinkWhat::Reset => {}
+                LinkWhat::Slow { by } => delay += by,
+                LinkWhat::Lossy { permille } => loss = loss.max(permille),
+            }
+        }
+        let lost = loss > 0 && self.random.chance(f64::from(loss) / 1000.0);
+        (!lost).then_some(delay)
+    }
+
     /// Sends a message on its way. What needs no time arrives at once, and a node that has news then is returned.
     pub(super) fn carry(&mut self, carried: Carried) -> Option<(usize, u64)> {
         let Some((node, end, there)) = self.ends_of(&carried) else { return self.arrives(carried) };
--- a/kit/rehearsal/src/world/stage.rs
+++ b/kit/rehearsal/src/world/stage.rs
@@ -39,6 +39,8 @@
     Goes(Box<Carried>),
     /// A message has come over a link.
     Arrives(Box<Carried>),
+    /// A datagram comes to this node.
+    Datagram(usize, Vec<u8>),
     Reset(ConnId),
     Hang(ConnId),
     WatchOver(ConnId, u64),
@@ -173,6 +175,19 @@
     /// Its connections that stand, and those that have ended since its start, from whichever side.
     pub(super) open: usize,
     pub(super) ended: u64,
+    /// Its talk with the other nodes, if it has any.
+    pub(super) talk: Option<Talk>,
+}
+
+/// Where a node is reached by the others: at a door of the kit, which passes on what comes.
+pub(super) struct Talk {
+    pub(super) door: ListenerId,
+    pub(super) at: SocketAddr,
+    /// Where it really listens.
+    pub(super) real: Option<SocketAddr>,
+    /// What it has sent.
+    pub(super) datagrams: u64,
+    pub(super) bytes: u64,
 }
 
 pub(super) struct Open {
--- a/kit/rehearsal/tests/identical.rs
+++ b/kit/rehearsal/tests/identical.rs
@@ -11,7 +11,7 @@
 fn log(name: &str, seed: u64) -> String {
     let program = badgerpost_standins::program("badgerpost").unwrap_or_else(|error| panic!("{error}"));
     let plan = Plan::draw(scene::find(name).expect("a shipped scene"), seed);
-    let options = Options { program, real_time: false, port: 0, own: String::new() };
+    let options = Options { program, real_time: false, port: 0, own: String::new(), peers: false };
     let played =
         run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("seed {seed}: {error}"));
     assert!(played.is_good(), "seed {seed}: {:?}", played.breaches);
--- a/kit/rehearsal/tests/links.rs
+++ b/kit/rehearsal/tests/links.rs
@@ -47,7 +47,7 @@
     let checked = scene::check("links", Source::shipped("links.toml", &text));
     let plan = Plan::draw(checked.unwrap_or_else(|error| panic!("{error}")), 5);
     let program = badgerpost_standins::program("badgerpost").unwrap_or_else(|error| panic!("{error}"));
-    let options = Options { program, real_time: false, port: 0, own: String::new() };
+    let options = Options { program, real_time: false, port: 0, own: String::new(), peers: false };
     let played = run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{fault}: {error}"));
     assert!(played.is_good(), "{fault}: {:?}", played.breaches);
     played
--- /dev/null
+++ b/kit/rehearsal/tests/peers.rs
@@ -0,0 +1,169 @@
+//! Nodes that talk to each other, as processes with faults between them: a zone is left and returned to by all as one,
+//! nobody is moved by one node alone, and without the others' words each node is as good as one that has none. Each
+//! check is seen to fail on a spoilt fleet: the same one without its talk, or with more that lie than may.
+
+use badgerpost_rehearsal::fleet::{self, Conduct};
+use badgerpost_rehearsal::plan::Plan;
+use badgerpost_rehearsal::run::{self, Options, Played};
+use badgerpost_rehearsal::scene;
+use brookfield_settings::file::Source;
+
+const MS: u64 = 1_000_000;
+const SEED: u64 = 7;
+
+/// Twelve nodes and thirty servers in three zones; each node sees 15 requests a second.
+fn text(length_ms: u64, faults: &str) -> String {
+    let mut text = format!(
+        r#"
+about = "a zone fails under nodes that talk"
+own = "[zones]\nwatch = true\n"
+length_ms = {length_ms}
+[clients]
+rate = 180.0
+retries = 1
+backoff_ms = 50
+[discovery]
+known = true
+notice_ms = 300
+[[class]]
+name = "lobby-status"
+effect = "safe"
+share = 0.65
+work_ms = [20, 36]
+aim_ms = 200
+deadline_ms = 500
+[[class]]
+name = "lobby-join"
+effect = "keyed"
+scope = "zone"
+window_ms = 2000
+share = 0.35
+work_ms = [35, 64]
+aim_ms = 300
+deadline_ms = 1000
+"#
+    );
+    for zone in ["a", "b", "c"] {
+        text += &format!("[[nodes]]\ncount = 4\nname = \"{zone}\"\nzone = \"dc-{zone}\"\n");
+        text += &format!("[[servers]]\ncount = 10\nname = \"m{zone}\"\nzone = \"dc-{zone}\"\n");
+    }
+    faults
+        .split(';')
+        .filter(|fault| !fault.is_empty())
+        .for_each(|fault| text += &format!("[[fault]]\n{fault}\n"));
+    text
+}
+
+struct Shown {
+    plan: Plan,
+    played: Played,
+}
+
+fn play(length_ms: u64, faults: &str, peers: bool) -> Shown {
+    println!("seed {SEED}, peers {peers}: {faults}");
+    let checked = scene::check("peers", Source::shipped("peers.toml", &text(length_ms, faults)));
+    let plan = Plan::draw(checked.unwrap_or_else(|error| panic!("{error}")), SEED);
+    let program = badgerpost_standins::program("badgerpost").unwrap_or_else(|error| panic!("{error}"));
+    let options = Options { program, real_time: false, port: 0, own: String::new(), peers };
+    let played = run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{error}"));
+    assert!(played.is_good(), "{faults}: {:?}", played.breaches);
+    Shown { plan, played }
+}
+
+impl Shown {
+    fn conduct(&self) -> Conduct {
+        let troubles = fleet::troubles(&self.plan);
+        fleet::conduct(&self.played.log, troubles.first().expect("a zone in trouble"))
+    }
+
+    /// Which nodes logged that a zone is in this state, and how often.
+    fn told(&self, why: &str) -> Vec<(&str, usize)> {
+        let word = format!("why=\"{why}\"");
+        let lines = |log: &str| {
+            log.lines().filter(|line| line.contains("zone changed") && line.contains(&word)).count()
+        };
+        let logs = self.played.logs.iter().map(|(name, log)| (name.as_str(), lines(log)));
+        logs.filter(|(_, count)| *count > 0).collect()
+    }
+
+    /// Whether all four nodes of the zone were back this soon after the trouble, in milliseconds.
+    fn back_within(&self, most: u64) -> bool {
+        let back = self.conduct().back_after;
+        back.len() == 4 && back.iter().all(|span| *span <= most * MS)
+    }
+
+    /// First attempts of a node at a zone, between two times.
+    fn sent(&self, node: &str, zone: &str, between: std::ops::Range<u64>) -> usize {
+        let log =
+            self.played.log.iter().filter(|one| one.node == node && between.contains(&(one.arrival / MS)));
+        log.filter(|one| one.attempts.first().is_some_and(|first| first.zone == zone)).count()
+    }
+}
+
+const SILENT: &str = "kind = 'hang'\nat_ms = 4000\nfor_ms = 3000\nzone = 'dc-b'";
+
+#[test]
+fn a_silent_zone_is_left_by_all_as_one_and_returned_to_as_one() {
+    let shown = play(13_000, SILENT, true);
+    let conduct = shown.conduct();
+    assert_eq!(conduct.stayed, 0);
+    assert!(conduct.left_after.iter().all(|span| *span <= 300 * MS), "{conduct}");
+    assert!(shown.back_within(2800), "{conduct}");
+    assert!(conduct.full_back.is_some_and(|span| span < 4000 * MS), "{conduct}");
+    // The same fleet without its talk.
+    let alone = play(13_000, SILENT, false);
+    let late = alone.conduct().left_after.iter().any(|span| *span > 300 * MS);
+    assert!(late && !alone.back_within(2800), "{}", alone.conduct());
+}
+
+#[test]
+fn a_node_with_a_broken_network_moves_nobody() {
+    let faults = "kind = 'cut'\nat_ms = 4000\nfor_ms = 3000\nnode = 'b0'\nto = 'dc-b'";
+    let shown = play(9000, faults, true);
+    let moved = shown.told("silent");
+    assert!(moved.iter().all(|(node, _)| *node == "b0") && !moved.is_empty(), "{moved:?}");
+    // With most of the zone's nodes cut off like this it is no longer one node's word: the check can fail.
+    let most = "kind = 'cut'\nat_ms = 4000\nfor_ms = 3000\nzone = 'dc-b'\nshare = 0.75\nto = 'dc-b'";
+    let moved = play(9000, most, true).told("silent").len();
+    assert!(moved >= 3, "{moved}");
+}
+
+#[test]
+fn a_cut_between_two_zones_closes_nothing_for_a_third_and_a_moment_moves_nobody() {
+    for faults in [
+        "kind = 'cut'\nat_ms = 4000\nfor_ms = 2000\nzone = 'dc-a'\nto = 'dc-b'",
+        "kind = 'cut'\nat_ms = 4000\nfor_ms = 200\nzone = 'dc-b'\nto = 'servers'",
+        "kind = 'hang'\nat_ms = 4000\nfor_ms = 2000\nserver = 'mb1'",
+    ] {
+        let shown = play(8000, faults, true);
+        assert_eq!(fleet::strayed(&shown.plan, &shown.played.log), [], "{faults}");
+        for why in ["trying", "returning"] {
+            assert_eq!(shown.told(why), [], "{faults}: closed for long");
+        }
+    }
+}
+
+#[test]
+fn words_that_are_late_by_seconds_or_lost_do_no_harm() {
+    let late = "kind = 'slow-link'\nat_ms = 2500\nfor_ms = 20000\nby_ms = 5000\nshare = 1.0\nto = 'nodes'";
+    let lossy = "kind = 'lossy-link'\nat_ms = 2500\nfor_ms = 20000\nloss = 0.3\nshare = 1.0\nto = 'nodes'";
+    let split = "kind = 'cut'\nat_ms = 2500\nfor_ms = 5500\nzone = 'dc-b'\nshare = 0.5\nto = 'nodes'";
+    for (bad, most) in [(late, 1500), (lossy, 400), (split, 1500)] {
+        let shown = play(14_000, &format!("{SILENT};{bad}"), true);
+        let conduct = shown.conduct();
+        assert!(conduct.left_after.iter().all(|span| *span <= most * MS), "{bad}: {conduct}");
+        assert_eq!((conduct.stayed, conduct.back_after.len()), (0, 4), "{bad}: {conduct}");
+        // Nobody leaves a zone that nothing is wrong with, however late the words about it are.
+        assert_eq!(fleet::strayed(&shown.plan, &shown.played.log), [], "{bad}");
+    }
+}
+
+#[test]
+fn a_node_that_starts_into_a_closed_zone_takes_the_others_word() {
+    let faults = format!("{SILENT};kind = 'kill-node'\nat_ms = 4800\nfor_ms = 200\nnode = 'b0'");
+    let told = play(9000, &faults, true);
+    let alone = play(9000, &faults, false);
+    // Up again at 5 s; the zone stays silent until 7 s.
+    let [told, alone] = [told, alone].map(|shown| shown.sent("b0", "dc-b", 5000..7000));
+    assert!(told < alone && told <= 8, "{told} sent there with the others' word, {alone} without");
+}
--- a/kit/rehearsal/tests/zones.rs
+++ b/kit/rehearsal/tests/zones.rs
@@ -66,7 +66,7 @@
     let checked = scene::check("zones", Source::shipped("zones.toml", text));
     let plan = Plan::draw(checked.unwrap_or_else(|error| panic!("{error}")), seed);
     let program = badgerpost_standins::program(program).unwrap_or_else(|error| panic!("{error}"));
-    let options = Options { program, real_time: false, port: 0, own: own.to_owned() };
+    let options = Options { program, real_time: false, port: 0, own: own.to_owned(), peers: false };
     let played = run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{error}"));
     let lost = fleet::lost(&plan, &played);
     Shown { plan, played, lost }
@@ -160,7 +160,8 @@
     let plan = Plan::draw(checked, 7);
     let program = badgerpost_standins::program("badgerpost-faulty-node").unwrap_or_else(|e| panic!("{e}"));
     let script = spoilt_program(&program, "stray");
-    let options = Options { program: script.clone(), real_time: false, port: 0, own: String::new() };
+    let options =
+        Options { program: script.clone(), real_time: false, port: 0, own: String::new(), peers: false };
     let played = run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{error}"));
     let _ = std::fs::remove_file(script);
     assert!(fleet::lost(&plan, &played).iter().any(|lost| lost.contains("in no trouble")));
--- a/kit/standins/src/net.rs
+++ b/kit/standins/src/net.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
-use mio::net::{TcpListener, TcpStream};
+use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use socket2::{Domain, SockRef, Socket, Type};
 
@@ -35,6 +35,15 @@
         /// These.
         bytes: Vec<u8>,
     },
+    /// A datagram has come.
+    Datagram {
+        /// To this door, by [`Net::open_datagrams`].
+        door: ListenerId,
+        /// From this address.
+        from: SocketAddr,
+        /// What.
+        bytes: Vec<u8>,
+    },
     /// The peer has ended the connection; nothing more is told of it.
     Ended {
         /// This one.
@@ -61,6 +70,7 @@
 
 enum Door {
     Open(TcpListener),
+    Datagrams(UdpSocket),
     /// Bound and not listening: connects are refused, and the port stays ours.
     Shut(#[allow(dead_code)] Socket),
 }
@@ -134,6 +144,24 @@
         Ok(Door::Open(listener))
     }
 
+    /// Takes datagrams at a free port of `at`'s address, or at its port if that is not 0.
+    pub fn open_datagrams(&mut self, at: SocketAddr) -> io::Result<(ListenerId, SocketAddr)> {
+        let mut socket = UdpSocket::bind(at)?;
+        let at = socket.local_addr()?;
+        let id = ListenerId(self.doors.len());
+        self.poll.registry().register(&mut socket, Token(id.0), Interest::READABLE)?;
+        self.doors.push((at, Door::Datagrams(socket)));
+        Ok((id, at))
+    }
+
+    /// Sends a datagram from a door. Returns how many bytes went out; what the system does not take is lost.
+    pub fn send(&mut self, door: ListenerId, to: SocketAddr, bytes: &[u8]) -> usize {
+        match self.doors.get(door.0) {
+            Some((_, Door::Datagrams(socket))) => socket.send_to(bytes, to).unwrap_or(0),
+            _ => 0,
+        }
+    }
+
     /// Refuses new connections from now on; the port is kept.
     pub fn refuse(&mut self, id: ListenerId) -> io::Result<()> {
         let Some((at, door)) = self.doors.get_mut(id.0) else { return Ok(()) };
@@ -250,7 +278,27 @@
         look: &mut Vec<ConnId>,
     ) -> io::Result<()> {
         loop {
-            let Some((_, Door::Open(listener))) = self.doors.get(id.0) else { return Ok(()) };
+            let listener = match self.doors.get(id.0) {
+                Some((_, Door::Open(listener))) => listener,
+                Some((_, Door::Datagrams(socket))) => {
+                    let mut buffer = [0; READ_AT_ONCE];
+                    match socket.recv_from(&mut buffer) {
+                        Ok((length, from)) => {
+                            self.read += length as u64;
+                            told.push(Happening::Datagram {
+                                door: id,
+                                from,
+                                bytes: buffer[..length].to_vec(),
+                            });
+                        }
+                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                        // Of one that was sent before, to nobody.
+                        Err(_) => {}
+                    }
+                    continue;
+                }
+                _ => return Ok(()),
+            };
             match listener.accept() {
                 Ok((stream, _)) => {
                     let conn = self.adopt(stream)?;
@@ -347,6 +395,18 @@
         assert_eq!(net.bytes_read(), 10);
     }
 
+    #[test]
+    fn datagrams_go_from_door_to_door() {
+        let mut net = Net::new().unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let ((one, from), (door, at)) = (net.open_datagrams(any).unwrap(), net.open_datagrams(any).unwrap());
+        assert_eq!(net.send(one, at, b"hello"), 5);
+        let mut told = Vec::new();
+        until(&mut net, &mut told, |told| !told.is_empty());
+        assert_eq!(told, [Happening::Datagram { door, from, bytes: b"hello".to_vec() }]);
+        assert_eq!(net.bytes_read(), 5);
+    }
+
     #[test]
     fn a_reserved_port_is_there_for_one_listener_after_the_other() {
         let reserved = Reserved::new(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
--- a/kit/standins/src/scripted.rs
+++ b/kit/standins/src/scripted.rs
@@ -404,8 +404,12 @@
 
     /// Where its operators call, from the line of its log that says so.
     pub fn console(&self) -> SocketAddr {
-        let mark = "operators may call console=";
-        until("the console is open", || self.logged(mark));
+        self.address("operators may call console=")
+    }
+
+    /// The address behind these words in its log, once they are there.
+    pub fn address(&self, mark: &str) -> SocketAddr {
+        until(mark, || self.logged(mark));
         let log = self.log.lock().unwrap();
         let (_, rest) = log.split_once(mark).unwrap();
         rest.split_whitespace().next().unwrap().parse().unwrap()
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -50,6 +50,8 @@
     pub rehearsal: Option<Rehearsal>,
     /// The watch over the zones.
     pub zones: Option<Zones>,
+    /// What this node and the others of its fleet say to each other.
+    pub peers: Option<badgerpost_peers_front::Config>,
     /// A front for PostgreSQL.
     pub postgres: Option<badgerpost_postgres::config::Config>,
 }
@@ -129,6 +131,9 @@
     /// The section for PostgreSQL can't be used.
     #[error("configuration: {0}")]
     Postgres(#[from] badgerpost_postgres::config::ConfigError),
+    /// The section for the peers can't be used.
+    #[error("configuration: {0}")]
+    Peers(#[from] badgerpost_peers_front::ConfigError),
     /// A rehearsal must reach nothing outside this machine.
     #[error("rehearsal: {what} is at {at}; with a stepped clock every address must be a loopback address")]
     NotLoopback {
@@ -168,6 +173,11 @@
         Ok(site)
     }
 
+    /// Whether the platform lets the nodes talk to each other; no, where it does not say so.
+    pub fn allows_peers(&self) -> bool {
+        self.settings.pointer("/policy-limits/peers").and_then(serde_json::Value::as_bool) == Some(true)
+    }
+
     /// The seed.
     pub fn seed(&self) -> Result<u64, ConfigError> {
         u64::from_str_radix(&self.seed, 16).map_err(|_| ConfigError::Seed(self.seed.clone()))
@@ -209,6 +219,10 @@
         if let Some(postgres) = &config.own.postgres {
             postgres.check()?;
         }
+        if let Some(peers) = &config.own.peers {
+            let watched = config.own.zones.is_some_and(|zones| zones.watch);
+            peers.check(config.edge.allows_peers(), watched, config.edge.site()?.settings.zones)?;
+        }
         if config.own.rehearsal.is_some() {
             config.check_loopback()?;
         }
@@ -227,9 +241,12 @@
             let list = postgres.discovery.map(|at| ("the list of PostgreSQL servers".to_owned(), at));
             servers.chain([("the PostgreSQL listener".to_owned(), postgres.listen)]).chain(list)
         });
+        let peers = self.own.peers.iter().flat_map(badgerpost_peers_front::Config::addresses);
+        let peers = peers.map(|(key, at)| (key.to_owned(), at));
         match named
             .into_iter()
             .chain(console)
+            .chain(peers)
             .chain(known)
             .chain(postgres)
             .find(|(_, at)| !at.ip().is_loopback())
@@ -259,6 +276,10 @@
         if self.own.zones.is_some_and(|zones| zones.watch) {
             lines.push("zones: watched; a failing one is left and returned to by steps".to_owned());
         }
+        if let Some(peers) = &self.own.peers {
+            let (at, seeds) = (peers.listen, peers.seeds.len());
+            lines.push(format!("peers: datagrams at {at}, {seeds} seeds; zones are judged by what all see"));
+        }
         if self.own.log.format == LogFormat::Json {
             lines.push("log: JSON, a line each".to_owned());
         }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -14,6 +14,7 @@
 use badgerpost_http::upstream::Upstream;
 use badgerpost_http::{Node, discovery};
 use badgerpost_lifecycle::{Event, Stage};
+use badgerpost_peers_front::{Me, Peers};
 use badgerpost_postgres::pool::Pool;
 use badgerpost_postgres::server::Front;
 use badgerpost_postgres::{self as postgres, Fleet};
@@ -62,6 +63,14 @@
         /// What happened.
         source: std::io::Error,
     },
+    /// The other nodes' datagrams can't be taken.
+    #[error("configuration: peers.listen: {at}: {source}")]
+    Peers {
+        /// The address.
+        at: SocketAddr,
+        /// What happened.
+        source: std::io::Error,
+    },
     /// The system refuses something else.
     #[error("can't start: {0}")]
     System(#[from] std::io::Error),
@@ -85,6 +94,7 @@
     let hands = own.rehearsal.map(Hands::take).transpose()?;
     let clock = hands.as_ref().map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
     let bodies = Budget::new(edge.bodies());
+    let (zone, nodes) = (site.settings.home.0 as u8, site.settings.nodes);
     let upstream = Upstream::new(site.links, clock.clone(), shares.servers.clone(), bodies.clone());
     spawn(Upstream::sweep(upstream.pool()));
     let node = Node::new(site.settings, site.words, seed, clock.clone(), Rc::new(upstream))
@@ -123,6 +133,14 @@
     if let Some(at) = edge.console {
         operators_call(at, &life, &node)?;
     }
+    let (stop, stopping) = watch::channel(false);
+    if let Some(peers) = &own.peers {
+        let key = peers.key().map_err(ConfigError::from)?;
+        let me = Me { name: &edge.name, zone, nodes, seed };
+        let opened = Peers::open(peers, key, me, node.clone()).await;
+        let peers = opened.map_err(|source| ServeError::Peers { at: peers.listen, source })?;
+        spawn(peers.run(stopping.clone()));
+    }
     let deadline = node.longest_deadline();
     let served = spawn(server::run(
         listener,
@@ -133,7 +151,6 @@
     if let (Some(handover), Some(listener)) = (handover, hand_on) {
         spawn(handover.run(listener, given, life.clone()));
     }
-    let (stop, stopping) = watch::channel(false);
     let postgres = match own.postgres {
         Some(postgres) => Some(spawn(serve_postgres(postgres, seed, &clock, stopping)?)),
         None => None,
--- /dev/null
+++ b/node/tests/peers.rs
@@ -0,0 +1,171 @@
+//! Nodes that talk to each other, as processes: who is let in, what is dropped, what is refused at the start.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+
+use badgerpost_standins::scripted::*;
+use serde_json::{Value, json};
+
+const KEY: &str = "a key that the fleet's nodes have";
+
+/// A file that only its owner may read, or everybody.
+fn file(name: &str, text: &str, mode: u32) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("badgerpost-peers-{name}-{}-{number}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(mode)).unwrap();
+    path
+}
+
+/// Doors at which the nodes are reached; what comes to one goes on to its node, once that is known.
+struct Doors {
+    doors: Vec<UdpSocket>,
+    nodes: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+}
+
+impl Doors {
+    fn open(count: usize) -> Self {
+        let doors: Vec<_> = (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let nodes = Arc::new(Mutex::new(vec![None; count]));
+        for (number, door) in doors.iter().enumerate() {
+            let (door, nodes) = (door.try_clone().unwrap(), nodes.clone());
+            std::thread::spawn(move || {
+                let mut buffer = [0; 2048];
+                while let Ok((length, _)) = door.recv_from(&mut buffer) {
+                    if let Some(node) = nodes.lock().unwrap()[number] {
+                        let _ = door.send_to(&buffer[..length], node);
+                    }
+                }
+            });
+        }
+        Self { doors, nodes }
+    }
+
+    fn at(&self, number: usize) -> SocketAddr {
+        self.doors[number].local_addr().unwrap()
+    }
+
+    fn own(&self, number: usize, key: &std::path::Path) -> String {
+        format!(
+            "[zones]\nwatch = true\n[peers]\nlisten = \"127.0.0.1:0\"\nadvertise = \"{}\"\nseeds = [\"{}\"]\nkey_file = \"{}\"\n",
+            self.at(number),
+            self.at(0),
+            key.display()
+        )
+    }
+
+    fn start(&self, number: usize, discovery: &Discovery, key: &std::path::Path) -> Node {
+        let own = file(&format!("n{number}.toml"), &self.own(number, key), 0o600);
+        let node = Node::start_with(&allowed(discovery.at, number), &own);
+        self.nodes.lock().unwrap()[number] = Some(node.address("peers may call listen="));
+        std::fs::remove_file(own).unwrap();
+        node
+    }
+}
+
+/// A configuration where the platform allows peers.
+fn allowed(discovery: SocketAddr, number: usize) -> Value {
+    let mut config = config(discovery, json!([]));
+    config["console"] = json!("127.0.0.1:0");
+    config["name"] = json!(format!("n{number}"));
+    config["settings"]["policy-limits"]["peers"] = json!(true);
+    config
+}
+
+fn figure(node: &Node, name: &str) -> Option<u64> {
+    let ask = "GET /status/metrics HTTP/1.1\r\nHost: ops\r\n\r\n";
+    let answer = Client::to(node.console()).ask(ask).expect("an answer");
+    let text = String::from_utf8(answer.body).unwrap();
+    text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+}
+
+#[test]
+fn nodes_find_each_other_and_hear_at_once_who_leaves() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
+    let key = file("key", KEY, 0o600);
+    let doors = Doors::open(3);
+    let mut nodes: Vec<Node> = (0..3).map(|number| doors.start(number, &discovery, &key)).collect();
+    for node in &nodes {
+        until("three members", || figure(node, "node.peers.members") == Some(3));
+    }
+    nodes[2].signal("-TERM");
+    let began = std::time::Instant::now();
+    for node in &nodes[..2] {
+        until("two members", || figure(node, "node.peers.members") == Some(2));
+    }
+    assert!(began.elapsed() < std::time::Duration::from_secs(2), "it said so, nobody had to suspect it");
+    // One that is killed and starts anew is let in again under its address.
+    nodes[1].signal("-KILL");
+    drop(nodes.remove(1));
+    let again = doors.start(1, &discovery, &key);
+    until("let in again", || figure(&again, "node.peers.members") == Some(2));
+    until("known again", || figure(&nodes[0], "node.peers.members") == Some(2));
+    std::fs::remove_file(key).unwrap();
+}
+
+#[test]
+fn strangers_are_counted_and_dropped() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
+    let (key, other) = (file("one", KEY, 0o600), file("other", "another key, of another fleet", 0o600));
+    let doors = Doors::open(2);
+    let node = doors.start(0, &discovery, &key);
+    // Another fleet's node knocks, and noise comes.
+    let stranger = doors.start(1, &discovery, &other);
+    until("the stranger is counted", || figure(&node, "node.peers.strangers") >= Some(1));
+    let noise = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let before = figure(&node, "node.peers.malformed");
+    for datagram in [&b""[..], b"x", &[0; 40], &[1; 4000]] {
+        noise.send_to(datagram, doors.at(0)).unwrap();
+    }
+    until("noise is counted", || figure(&node, "node.peers.malformed") >= before.map(|before| before + 3));
+    assert_eq!(figure(&node, "node.peers.members"), Some(1), "nobody was let in");
+    assert_eq!(figure(&stranger, "node.peers.members"), Some(1));
+    assert_eq!(node.ask(&get("r1", "")).status(), 200);
+    assert!(node.logged("datagram dropped"));
+    [key, other].into_iter().for_each(|path| std::fs::remove_file(path).unwrap());
+}
+
+#[test]
+fn a_section_that_cannot_be_used_is_an_error_that_names_its_key() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
+    let (key, open) = (file("good", KEY, 0o600), file("open", KEY, 0o644));
+    let short = file("short", "abc", 0o600);
+    let section = |listen: &str, seeds: &str, key: &std::path::Path| {
+        format!(
+            "[zones]\nwatch = true\n[peers]\nlisten = \"{listen}\"\nseeds = [{seeds}]\nkey_file = \"{}\"\n",
+            key.display()
+        )
+    };
+    let good = section("127.0.0.1:7946", "\"127.0.0.1:7947\"", &key);
+    let unwatched = good.replace("watch = true", "watch = false");
+    let mut forbidden = allowed(discovery.at, 0);
+    forbidden["settings"]["policy-limits"]["peers"] = json!(false);
+    let yes = allowed(discovery.at, 0);
+    let silent = config(discovery.at, json!([]));
+    for (edge, own, wanted) in [
+        (&forbidden, good.clone(), "settings.policy-limits.peers"),
+        (&silent, good, "settings.policy-limits.peers"),
+        (&yes, unwatched, "[zones] watch = true"),
+        (&yes, section("127.0.0.1:7946", "", &open), "peers.key_file"),
+        (&yes, section("127.0.0.1:7946", "", &short), "peers.key_file"),
+        (&yes, section("127.0.0.1:7946", "", std::path::Path::new("/no/such/key")), "peers.key_file"),
+        (&yes, section("127.0.0.1:0", "", &key), "peers.listen"),
+        (&yes, section("0.0.0.0:7946", "", &key), "peers.advertise"),
+        (&yes, section("127.0.0.1:7946", "\"127.0.0.1:0\"", &key), "peers.seeds"),
+        (&yes, section("127.0.0.1:7946", "", &key) + "port = 1\n", "port"),
+    ] {
+        let own = file("bad.toml", &own, 0o600);
+        let (child, _) = spawn_with(&edge.to_string(), Some(&own));
+        let output = child.wait_with_output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains(wanted), "{wanted}: {said}");
+    }
+    [key, open, short].into_iter().for_each(|path| std::fs::remove_file(path).unwrap());
+}
