Trials are shared by all who saw the trouble; a node that only follows leaves them to those

Now the wait between a node's trials is reckoned for all members of its home, without the cap of 4 s that a node alone needs, and a node that closed a zone on others' words tries it once in two minutes unless those vouch for it.

--- a/cores/zones/src/course.rs
+++ b/cores/zones/src/course.rs
@@ -34,9 +34,11 @@
 const TRIALS: u32 = 3;
 /// The same where it failed: a zone that fails three in ten answers three in a row once in three times.
 const TRIALS_FAILED: u32 = 8;
-/// Trials a second that the nodes of a zone make together, and the longest that one of them waits between two.
+/// Trials a second that the nodes of a zone make together.
 const TRIALS_A_SECOND: f64 = 2.0;
-const TRIAL_WAIT_MOST: f64 = 4.0;
+/// Most nodes that a wait between two trials is reckoned for: alone, where nobody else's trial helps, and with words.
+pub(crate) const CROWD_ALONE: f64 = 8.0;
+const CROWD_MOST: f64 = 240.0;
 /// After an answer the next trial follows soon.
 const TRIAL_NEXT: Nanos = 50 * MS;
 /// The steps of the return and how long each lasts at least: long enough that answers to it have come.
@@ -170,7 +172,7 @@
 
     fn close(&mut self, awake: Nanos, why: Why, crowd: f64, draw: f64) {
         let held = awake + (HOLD << self.strikes.min(HOLDS));
-        let next = held + (draw * interval(crowd)) as Nanos;
+        let next = held + (draw * interval(self.crowd(crowd))) as Nanos;
         self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
         self.strikes += 1;
         (self.bad, self.seconded) = (None, false);
@@ -294,7 +296,7 @@
         let Stage::Closed { held, why, next, answered, .. } = self.stage else { return };
         if !good {
             self.bad = Some(awake);
-            let next = next.max(awake + (draw * interval(crowd)) as Nanos);
+            let next = next.max(awake + (draw * interval(self.crowd(crowd))) as Nanos);
             self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
             return;
         }
@@ -334,11 +336,16 @@
         }
     }
 
+    /// The nodes among which the trials are shared: one that only follows leaves them to those that saw the trouble.
+    fn crowd(&self, crowd: f64) -> f64 {
+        if self.saw { crowd } else { CROWD_MOST }
+    }
+
     /// Another node's trial was answered: some nodes, drawn by lot, try at once, so that it is not one node's word.
     fn second(&mut self, awake: Nanos, fleet: View, crowd: f64, draw: f64) {
         if fleet.trials > 0
             && !std::mem::replace(&mut self.seconded, true)
-            && draw * crowd < SECONDERS
+            && draw * self.crowd(crowd) < SECONDERS
             && let Stage::Closed { held, next, .. } = &mut self.stage
         {
             *next = (*next).min(awake.max(*held));
@@ -359,6 +366,7 @@
 
     /// Whether a trial is due; the next one is set.
     pub(crate) fn trial(&mut self, awake: Nanos, crowd: f64, draw: f64) -> bool {
+        let crowd = self.crowd(crowd);
         let Stage::Closed { next, .. } = &mut self.stage else { return false };
         if awake < *next {
             return false;
@@ -380,5 +388,5 @@
 
 /// Time between two trials of one node, in the mean.
 fn interval(crowd: f64) -> f64 {
-    (crowd / TRIALS_A_SECOND).clamp(0.25, TRIAL_WAIT_MOST) * SECOND as f64
+    (crowd.min(CROWD_MOST) / TRIALS_A_SECOND).max(0.25) * SECOND as f64
 }
--- a/cores/zones/src/watch.rs
+++ b/cores/zones/src/watch.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::api::{Action, Event, Nanos, Seen, Settings, Why};
-use crate::course::{Course, Stage, Weighed};
+use crate::course::{CROWD_ALONE, Course, Stage, Weighed};
 use crate::evidence::{Out, USUAL};
 use crate::fleet::{self, Fleet, View};
 use crate::plan::{self, Room};
@@ -165,7 +165,7 @@
         if self.fleet.len() > 0 {
             return f64::from(self.fleet.count(self.settings.home as u8) + 1);
         }
-        (f64::from(self.settings.nodes) / f64::from(self.settings.zones.max(1))).max(1.0)
+        (f64::from(self.settings.nodes) / f64::from(self.settings.zones.max(1))).clamp(1.0, CROWD_ALONE)
     }
 
     fn list(&mut self, servers: &[(u32, u32, f64)]) {
