--- a/kit/rehearsal/tests/peers.rs
+++ b/kit/rehearsal/tests/peers.rs
@@ -167,3 +167,19 @@
     let [told, alone] = [told, alone].map(|shown| shown.sent("b0", "dc-b", 5000..7000));
     assert!(told < alone && told <= 8, "{told} sent there with the others' word, {alone} without");
 }
+
+#[test]
+fn a_zone_that_fails_three_in_ten_is_left_by_all_and_a_slow_one_by_nobody() {
+    let failing = "kind = 'error'\nchance = 0.3\nat_ms = 4000\nfor_ms = 4000\nzone = 'dc-b'";
+    let left = play(8500, failing, true).conduct();
+    assert_eq!(left.stayed, 0, "{left}");
+    // Each for itself, some see too little of it: the check can fail.
+    let alone = play(8500, failing, false).conduct();
+    assert!(alone.stayed > 0, "{alone}");
+    let slow = "kind = 'slow'\ntimes = 3.0\nat_ms = 4000\nfor_ms = 3000\nzone = 'dc-b'";
+    let shown = play(8500, slow, true);
+    for why in ["silent", "failing"] {
+        assert_eq!(shown.told(why), [], "{slow}");
+    }
+    assert_eq!(fleet::strayed(&shown.plan, &shown.played.log), []);
+}
