Test: one member that lies moves no node, two of five do

Need: the rule that nobody's word alone moves a node was shown by a broken network and in the core only. The test starts three nodes and members that have the key and say five times a second that a zone is dead, by cores/peers itself.

--- a/node/tests/peers.rs
+++ b/node/tests/peers.rs
@@ -3,10 +3,13 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use badgerpost_peers::{Action, Event, Key, Peers, Settings, member_id};
 use badgerpost_standins::scripted::*;
+use badgerpost_zones::{At, Sight};
 use serde_json::{Value, json};
 
 const KEY: &str = "a key that the fleet's nodes have";
@@ -94,11 +97,11 @@
         until("three members", || figure(node, "node.peers.members") == Some(3));
     }
     nodes[2].signal("-TERM");
-    let began = std::time::Instant::now();
+    let began = Instant::now();
     for node in &nodes[..2] {
         until("two members", || figure(node, "node.peers.members") == Some(2));
     }
-    assert!(began.elapsed() < std::time::Duration::from_secs(2), "it said so, nobody had to suspect it");
+    assert!(began.elapsed() < Duration::from_secs(2), "it said so, nobody had to suspect it");
     // One that is killed and starts anew is let in again under its address.
     nodes[1].signal("-KILL");
     drop(nodes.remove(1));
@@ -169,3 +172,100 @@
     }
     [key, open, short].into_iter().for_each(|path| std::fs::remove_file(path).unwrap());
 }
+
+/// A member that has the fleet's key and says of zone `a`, five times a second, that it is as dead as can be said.
+struct Liar {
+    over: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Liar {
+    fn start(number: usize, seed: SocketAddr) -> Self {
+        let over = Arc::new(AtomicBool::new(false));
+        let ended = over.clone();
+        let now = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
+        let thread = std::thread::spawn(move || {
+            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+            let mut core = Peers::new(Settings {
+                member: member_id(&format!("liar{number}")),
+                advertise: socket.local_addr().unwrap(),
+                zone: 0,
+                life: now(),
+                seeds: vec![seed],
+                key: Key::read(KEY).unwrap(),
+                nodes: 5,
+                seed: number as u64,
+            });
+            let (mut buffer, mut wake, mut said) = ([0; 2048], None, Instant::now());
+            let dead = Sight {
+                home: 0,
+                silent: u16::MAX,
+                failing: u16::MAX,
+                hears: false,
+                at: At::Doubted,
+                saw: true,
+            };
+            let mut tell = |event: Event<'_>, wake: &mut Option<u64>| {
+                let mut actions = Vec::new();
+                core.handle(now(), event, &mut actions);
+                for action in actions {
+                    match action {
+                        Action::Send { to, datagram } => drop(socket.send_to(&datagram, to)),
+                        Action::Wake { at } => *wake = Some(at),
+                        _ => {}
+                    }
+                }
+            };
+            tell(Event::Start, &mut wake);
+            while !ended.load(Ordering::Relaxed) {
+                if let Ok((length, _)) = socket.recv_from(&mut buffer) {
+                    tell(Event::Datagram(&buffer[..length]), &mut wake);
+                }
+                if wake.is_some_and(|at| at <= now()) {
+                    wake = None;
+                    tell(Event::Wake, &mut wake);
+                }
+                if said.elapsed() > Duration::from_millis(200) {
+                    said = Instant::now();
+                    tell(Event::Say { topic: 0, body: &dead.to_bytes() }, &mut wake);
+                }
+            }
+            tell(Event::Leave, &mut wake);
+        });
+        Self { over, thread: Some(thread) }
+    }
+}
+
+impl Drop for Liar {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.thread.take().into_iter().for_each(|thread| drop(thread.join()));
+    }
+}
+
+#[test]
+fn one_member_that_lies_moves_nobody_and_two_do() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let mut there = target("s-1", backend.at, "Ready");
+    there["az"] = json!("b");
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready"), there]));
+    let key = file("liars", KEY, 0o600);
+    let doors = Doors::open(3);
+    let nodes: Vec<Node> = (0..3).map(|number| doors.start(number, &discovery, &key)).collect();
+    let all = |members| nodes.iter().all(|node| figure(node, "node.peers.members") == Some(members));
+    until("three members", || all(3));
+    let share = |node: &Node| figure(node, "node.zone.a.share");
+    let _one = Liar::start(1, doors.at(0));
+    until("the liar is a member", || all(4));
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(2) {
+        assert!(nodes.iter().all(|node| share(node) == Some(1000)), "one member's word moves a node");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert!(!nodes.iter().any(|node| node.logged("zone changed")));
+    // Two of five agree, and nobody has had an answer from there: the check can fail.
+    let _two = Liar::start(2, doors.at(0));
+    until("all have left", || nodes.iter().all(|node| share(node) == Some(0)));
+    std::fs::remove_file(key).unwrap();
+}
