--- a/kit/rehearsal/src/plot.rs
+++ b/kit/rehearsal/src/plot.rs
@@ -1,14 +1,18 @@
-//! A picture of a run: requests a second over time by outcome, attempts by server, and the faults.
+//! A picture of a run: requests a second over time by outcome, attempts by server or, of many servers, by zone, how many
+//! nodes sent to a zone that was in trouble, and the faults.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 
 use plotters::prelude::*;
 
+use crate::fleet;
 use crate::outcome::{Request, Told};
 use crate::plan::Plan;
 use crate::{MS, Nanos};
 
+/// With more servers than this their zones are drawn.
+const MANY: usize = 12;
 /// The width of a bar.
 const STEP: Nanos = 250 * MS;
 
@@ -25,6 +29,22 @@
     rates
 }
 
+/// How many nodes sent first attempts to each zone that was in trouble, by step.
+fn senders(plan: &Plan, log: &[Request]) -> BTreeMap<String, BTreeMap<Nanos, f64>> {
+    let mut senders: BTreeMap<String, BTreeMap<Nanos, BTreeSet<&str>>> = BTreeMap::new();
+    for trouble in fleet::troubles(plan) {
+        let steps = senders.entry(format!("to {}", trouble.zone)).or_default();
+        let there = |one: &&Request| one.attempts.first().is_some_and(|first| first.zone == trouble.zone);
+        for one in log.iter().filter(there) {
+            steps.entry(one.arrival / STEP).or_default().insert(&one.node);
+        }
+    }
+    let count = |steps: BTreeMap<Nanos, BTreeSet<&str>>| {
+        steps.into_iter().map(|(step, nodes)| (step, nodes.len() as f64)).collect()
+    };
+    senders.into_iter().map(|(zone, steps)| (zone, count(steps))).collect()
+}
+
 /// Draws it into an SVG file.
 pub fn draw(plan: &Plan, log: &[Request], file: &Path) -> Result<(), Box<dyn std::error::Error>> {
     let end = log.iter().map(|request| request.arrival + request.budget).max().unwrap_or(1_000_000_000);
@@ -38,15 +58,21 @@
         (name.to_owned(), request.arrival)
     }));
     let attempts = log.iter().flat_map(|request| &request.attempts);
-    let servers = rates(attempts.map(|attempt| (attempt.server.clone(), attempt.start)));
-    let area = SVGBackend::new(file, (1200, 900)).into_drawing_area();
-    area.fill(&WHITE)?;
-    let (upper, lower) = area.split_vertically(450);
-    let panels = [
-        (&upper, format!("{}, seed {}: requests a second by outcome", plan.scene.name, plan.seed), &outcomes),
-        (&lower, "attempts a second by server".to_owned(), &servers),
+    let many = plan.scene.scene.server.len() > MANY;
+    let name = |server: &str, zone: &str| if many { zone.to_owned() } else { server.to_owned() };
+    let servers = rates(attempts.map(|attempt| (name(&attempt.server, &attempt.zone), attempt.start)));
+    let by = if many { "zone" } else { "server" };
+    let mut panels = vec![
+        (format!("{}, seed {}: requests a second by outcome", plan.scene.name, plan.seed), outcomes),
+        (format!("attempts a second by {by}"), servers),
     ];
-    for (area, title, rates) in panels {
+    let senders = senders(plan, log);
+    if !senders.is_empty() {
+        panels.push(("nodes that sent to the zone in trouble, in a quarter of a second".to_owned(), senders));
+    }
+    let area = SVGBackend::new(file, (1200, 450 * panels.len() as u32)).into_drawing_area();
+    area.fill(&WHITE)?;
+    for (area, (title, rates)) in area.split_evenly((panels.len(), 1)).iter().zip(&panels) {
         let most = rates.values().flat_map(BTreeMap::values).fold(1.0_f64, |most, rate| most.max(*rate));
         let mut chart = ChartBuilder::on(area)
             .caption(title, ("sans-serif", 20))
