One reader of private files, one place for the platform's word on peers, no second look at the fleet

Read again: fronts/peers checked a key file's mode as fronts/postgres does, node/src/config.rs looked into the settings by a pointer beside the settings' own reader of policy-limits, cores/zones/src/watch.rs scanned all members twice a look and had the sum of silence written twice, course.rs asked for the middle step three times, Facts had two methods that nobody called.

Change: settings::file::{check_private, read_private} serve both; Site says whether peers are allowed; say() takes the view that was weighed; Watch::silence, Course::interval, Member::new, has_room_for.

--- a/cores/peers/src/facts.rs
+++ b/cores/peers/src/facts.rs
@@ -78,16 +78,6 @@
         self.known.get(&(member, topic))
     }
 
-    /// How many there are.
-    pub fn len(&self) -> usize {
-        self.known.len()
-    }
-
-    /// Whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
-    }
-
     /// A member has been gone for long.
     pub(crate) fn forget(&mut self, member: MemberId) {
         self.known.retain(|(of, _), _| *of != member);
--- a/cores/zones/src/course.rs
+++ b/cores/zones/src/course.rs
@@ -19,7 +19,7 @@
 const WORSE: f64 = 2.5;
 /// A slow zone is told from a dead one by answers that take so many times as long; new processes are cold, and
 /// have an eighth of what they will have.
-const SLOW: f64 = 4.0;
+pub(crate) const SLOW: f64 = 4.0;
 const COLD: f64 = 8.0;
 /// A doubt that no answer has ended for so long closes the zone. A link that is cut for a moment ends it sooner.
 const DOUBT_FOR: Nanos = 300 * MS;
@@ -172,7 +172,7 @@
 
     fn close(&mut self, awake: Nanos, why: Why, crowd: f64, draw: f64) {
         let held = awake + (HOLD << self.strikes.min(HOLDS));
-        let next = held + (draw * interval(self.crowd(crowd))) as Nanos;
+        let next = held + (draw * self.interval(crowd)) as Nanos;
         self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
         self.strikes += 1;
         (self.bad, self.seconded) = (None, false);
@@ -204,6 +204,7 @@
             Why::Silent { evidence: seen.silence }
         };
         let worst = failing.max(seen.silence);
+        let middle = seen.fleet.and_then(|fleet| fleet.step);
         match self.stage {
             Stage::Open => {
                 if awake.saturating_sub(self.opened) >= FORGIVEN {
@@ -226,7 +227,7 @@
                         self.stage = Stage::Doubted { since: awake, why: Why::Silent { evidence: 0.0 } };
                     } else if fleet.returning {
                         self.come_back(awake, false);
-                        self.follow(awake, fleet);
+                        self.follow(awake, middle);
                     }
                 }
             }
@@ -252,7 +253,7 @@
                     let answered = fleet.triers >= 2 && fleet.trials >= wanted;
                     if awake >= held && answered && fleet.bad_ago.min(own_bad) >= bad_for {
                         self.come_back(awake, false);
-                        self.follow(awake, fleet);
+                        self.follow(awake, middle);
                     }
                 }
             }
@@ -268,11 +269,11 @@
                 } else if worst >= WORSE && lasted >= STEP_FOR / 2 {
                     self.stage = Stage::Returning { step: step.saturating_sub(1), since: awake };
                     self.goods_at_step = self.evidence.goods;
-                } else if seen.fleet.is_some_and(|fleet| fleet.step.is_some_and(|middle| step < middle)) {
+                } else if middle.is_some_and(|middle| step < middle) {
                     // One ramp for all: who sees little goes with the others.
-                    seen.fleet.into_iter().for_each(|fleet| self.follow(awake, fleet));
+                    self.follow(awake, middle);
                 } else if lasted >= STEP_FOR
-                    && seen.fleet.and_then(|fleet| fleet.step).is_none_or(|middle| step <= middle)
+                    && middle.is_none_or(|middle| step <= middle)
                     && (self.evidence.goods > self.goods_at_step
                         || seen.fleet.is_some_and(|fleet| fleet.good))
                     && (self.evidence.stretch < stretched || lasted >= STEP_MOST)
@@ -296,7 +297,7 @@
         let Stage::Closed { held, why, next, answered, .. } = self.stage else { return };
         if !good {
             self.bad = Some(awake);
-            let next = next.max(awake + (draw * interval(self.crowd(crowd))) as Nanos);
+            let next = next.max(awake + (draw * self.interval(crowd)) as Nanos);
             self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
             return;
         }
@@ -327,8 +328,8 @@
     }
 
     /// Goes to the step of the middle one of the others.
-    fn follow(&mut self, awake: Nanos, fleet: View) {
-        if let (Stage::Returning { step, .. }, Some(middle)) = (self.stage, fleet.step)
+    fn follow(&mut self, awake: Nanos, middle: Option<usize>) {
+        if let (Stage::Returning { step, .. }, Some(middle)) = (self.stage, middle)
             && step < middle
         {
             self.goods_at_step = self.evidence.goods;
@@ -341,6 +342,11 @@
         if self.saw { crowd } else { CROWD_MOST }
     }
 
+    /// Time between two trials of this node, in the mean.
+    fn interval(&self, crowd: f64) -> f64 {
+        (self.crowd(crowd).min(CROWD_MOST) / TRIALS_A_SECOND).max(0.25) * SECOND as f64
+    }
+
     /// Another node's trial was answered: some nodes, drawn by lot, try at once, so that it is not one node's word.
     fn second(&mut self, awake: Nanos, fleet: View, crowd: f64, draw: f64) {
         if fleet.trials > 0
@@ -366,12 +372,12 @@
 
     /// Whether a trial is due; the next one is set.
     pub(crate) fn trial(&mut self, awake: Nanos, crowd: f64, draw: f64) -> bool {
-        let crowd = self.crowd(crowd);
+        let interval = self.interval(crowd);
         let Stage::Closed { next, .. } = &mut self.stage else { return false };
         if awake < *next {
             return false;
         }
-        *next = awake + ((0.5 + draw) * interval(crowd)) as Nanos;
+        *next = awake + ((0.5 + draw) * interval) as Nanos;
         true
     }
 
@@ -385,8 +391,3 @@
         }
     }
 }
-
-/// Time between two trials of one node, in the mean.
-fn interval(crowd: f64) -> f64 {
-    (crowd.min(CROWD_MOST) / TRIALS_A_SECOND).max(0.25) * SECOND as f64
-}
--- a/cores/zones/src/fleet.rs
+++ b/cores/zones/src/fleet.rs
@@ -27,13 +27,18 @@
 const TRIALS_OF_ONE: u32 = 2;
 
 /// A member and what it last said of each zone.
-#[derive(Clone)]
 struct Member {
     home: u8,
     up: bool,
     sights: BTreeMap<u8, (Nanos, Sight)>,
 }
 
+impl Member {
+    fn new(home: u8, up: bool) -> Self {
+        Self { home, up, sights: BTreeMap::new() }
+    }
+}
+
 /// What the others say of one zone, as far as it concerns nodes of one home.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct View {
@@ -68,33 +73,28 @@
     pub(crate) fn member(&mut self, member: u64, home: u8, up: bool) {
         if !up {
             self.members.remove(&member);
-        } else if let Some(known) = self.members.get_mut(&member) {
+        } else if self.has_room_for(member) {
             // Where it was known already it has started anew.
-            *known = Member { home, up, sights: BTreeMap::new() };
-        } else if self.members.len() < MEMBERS_MOST {
-            self.members.insert(member, Member { home, up, sights: BTreeMap::new() });
+            self.members.insert(member, Member::new(home, up));
         }
         self.fresh = FRESH.max(3 * refresh(self.members.len()));
     }
 
     /// A member has said something; whether it counts.
     pub(crate) fn said(&mut self, now: Nanos, member: u64, zone: u8, sent: Nanos, sight: Sight) -> bool {
-        if now.abs_diff(sent) > LATE {
-            return false;
-        }
-        if !self.members.contains_key(&member) && self.members.len() >= MEMBERS_MOST {
+        if now.abs_diff(sent) > LATE || !self.has_room_for(member) {
             return false;
         }
         // Its first word may come before the word that it is there.
-        let known = self.members.entry(member).or_insert(Member {
-            home: sight.home,
-            up: false,
-            sights: BTreeMap::new(),
-        });
+        let known = self.members.entry(member).or_insert(Member::new(sight.home, false));
         known.sights.insert(zone, (now, sight));
         true
     }
 
+    fn has_room_for(&self, member: u64) -> bool {
+        self.members.len() < MEMBERS_MOST || self.members.contains_key(&member)
+    }
+
     /// Other members of a home.
     pub(crate) fn count(&self, home: u8) -> u32 {
         self.members.values().filter(|member| member.up && member.home == home).count() as u32
--- a/cores/zones/src/watch.rs
+++ b/cores/zones/src/watch.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::api::{Action, Event, Nanos, Seen, Settings, Why};
-use crate::course::{CROWD_ALONE, Course, Stage, Weighed};
+use crate::course::{CROWD_ALONE, Course, SLOW, Stage, Weighed};
 use crate::evidence::{Out, USUAL};
 use crate::fleet::{self, Fleet, View};
 use crate::plan::{self, Room};
@@ -276,7 +276,9 @@
             if self.courses[zone].no_worse_than(elsewhere.fold(0.0, f64::max)) {
                 self.courses[zone].acquit(awake);
             }
-            self.say(zone, actions);
+            if let Some(theirs) = seen.fleet {
+                self.say(zone, theirs, actions);
+            }
             if self.courses[zone].trial(awake, crowd, draw) {
                 actions.push(Action::Trial { zone: zone as u32, wait: self.trial_wait() });
             }
@@ -290,12 +292,18 @@
         self.tell(actions);
     }
 
+    /// The evidence of a zone's silence, where answers take `stretch` times as long as usual, and since when the first
+    /// attempt there waits.
+    fn silence(&self, zone: usize, stretch: f64) -> (f64, Nanos) {
+        let outs = self.outs.values().filter(|out| out.zone as usize == zone);
+        let (course, listed) = (&self.courses[zone], self.places[zone].servers);
+        course.evidence.silence(outs, &self.times, self.awake(), listed, stretch)
+    }
+
     fn weighed(&self, zone: usize) -> Weighed {
         let (awake, course, listed) = (self.awake(), &self.courses[zone], self.places[zone].servers);
-        let outs = || self.outs.values().filter(move |out| out.zone as usize == zone);
-        let silence = |stretch| course.evidence.silence(outs(), &self.times, awake, listed, stretch);
-        let (silent, first) = silence(2.0);
-        let slower = silence(course.patience()).0;
+        let (silent, first) = self.silence(zone, 2.0);
+        let slower = self.silence(zone, course.patience()).0;
         let failing = course.evidence.failing(awake, listed);
         let hears = course.evidence.heard_within(awake, HEARS);
         let home = self.settings.home as u8;
@@ -316,16 +324,12 @@
     }
 
     /// Tells the other nodes what is to be seen of a zone, where that is news to them.
-    fn say(&mut self, zone: usize, actions: &mut Vec<Action>) {
-        if self.fleet.len() == 0 {
-            return;
-        }
+    fn say(&mut self, zone: usize, theirs: View, actions: &mut Vec<Action>) {
         let (awake, course, listed) = (self.awake(), &self.courses[zone], self.places[zone].servers);
-        let outs = || self.outs.values().filter(move |out| out.zone as usize == zone);
-        let silence = |stretch| course.evidence.silence(outs(), &self.times, awake, listed, stretch).0;
         let in_steps = |evidence| hundredths(evidence).min(TELL_MOST) / TELL_STEP * TELL_STEP;
         let home = self.settings.home as u8;
-        let (silent, failing) = (in_steps(silence(4.0)), in_steps(course.evidence.failing(awake, listed)));
+        let (silent, failing) =
+            (in_steps(self.silence(zone, SLOW).0), in_steps(course.evidence.failing(awake, listed)));
         let hears = silent < TELLS && failing < TELLS && course.evidence.heard_within(awake, HEARS);
         let at = course.at(awake);
         let sight = Sight { home, silent, failing, hears, at, saw: course.saw };
@@ -334,7 +338,7 @@
         let age = before.map_or(Nanos::MAX, |(at, _)| self.now - at);
         let due = match before {
             // Whom others doubt and this node hears from: they are to know.
-            _ if !speaks(&sight) && hears && self.doubted(zone) => age >= HEARS_AGAIN,
+            _ if !speaks(&sight) && hears && theirs.doubted => age >= HEARS_AGAIN,
             Some((_, said)) if speaks(&said) || speaks(&sight) => {
                 told_apart(&said, &sight) || (speaks(&sight) && age >= fleet::refresh(self.fleet.len()))
             }
@@ -356,11 +360,6 @@
         }
     }
 
-    fn doubted(&self, zone: usize) -> bool {
-        let home = self.settings.home as u8;
-        self.fleet.view(self.now, zone as u8, home, (0.0, 0.0, false)).doubted
-    }
-
     fn trial_wait(&self) -> Nanos {
         let slowest = self.times.iter().filter_map(|times| times.within(0.95)).max();
         slowest.map_or(TRIAL_WAIT.1, |span| (span * TRIAL_STRETCH).clamp(TRIAL_WAIT.0, TRIAL_WAIT.1))
@@ -428,14 +427,14 @@
 
 /// Whether the others would learn something by the second of two sights: ages apart, which they know.
 fn told_apart(one: &Sight, other: &Sight) -> bool {
-    let ageless = |sight: &Sight| match sight.at {
-        At::Closed { good, bad_ms } => {
-            Sight { at: At::Closed { good, bad_ms: u16::from(bad_ms < u16::MAX) }, ..*sight }
-        }
-        _ => *sight,
+    let news = |sight: &Sight| {
+        let at = match sight.at {
+            At::Closed { good, bad_ms } => At::Closed { good, bad_ms: u16::from(bad_ms < u16::MAX) },
+            at => at,
+        };
+        Sight { at, hears: false, ..*sight }
     };
-    let quiet = |sight: &Sight| Sight { hears: false, ..ageless(sight) };
-    quiet(one) != quiet(other)
+    news(one) != news(other)
 }
 
 #[cfg(test)]
--- a/fronts/peers/src/config.rs
+++ b/fronts/peers/src/config.rs
@@ -1,10 +1,10 @@
 //! The section `[peers]` of the operators' own file: `docs/operators/peers.md`.
 
 use std::net::SocketAddr;
-use std::os::unix::fs::PermissionsExt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use badgerpost_peers::{Key, KeyError};
+use brookfield_settings::file::{self, NotPrivate};
 use serde::Deserialize;
 
 /// More seeds than this are a mistake: a few of them are enough to join.
@@ -111,16 +111,11 @@
 
     /// The key.
     pub fn key(&self) -> Result<Key, ConfigError> {
-        read_key(&self.key_file)
+        let path = || self.key_file.clone();
+        let text = file::read_private(&self.key_file).map_err(|error| match error {
+            NotPrivate::Unread(source) => ConfigError::Unread { path: path(), source },
+            NotPrivate::Open => ConfigError::Open(path()),
+        })?;
+        Key::read(&text).map_err(|source| ConfigError::Key { path: path(), source })
     }
 }
-
-fn read_key(path: &Path) -> Result<Key, ConfigError> {
-    let unread = |source| ConfigError::Unread { path: path.to_owned(), source };
-    let about = std::fs::metadata(path).map_err(unread)?;
-    if about.permissions().mode() & 0o077 != 0 {
-        return Err(ConfigError::Open(path.to_owned()));
-    }
-    let text = std::fs::read_to_string(path).map_err(unread)?;
-    Key::read(&text).map_err(|source| ConfigError::Key { path: path.to_owned(), source })
-}
--- a/fronts/postgres/src/config.rs
+++ b/fronts/postgres/src/config.rs
@@ -9,6 +9,7 @@
 use badgerpost_pgsession::scram::Verifier;
 use brookfield::Stage;
 use brookfield_settings::Site;
+use brookfield_settings::file::{self, NotPrivate};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -191,16 +192,20 @@
 
 /// Reads a file that only its owner may read.
 pub(crate) fn secret(path: &Path) -> Result<String, ConfigError> {
-    check_private(path)?;
-    std::fs::read_to_string(path).map_err(|source| ConfigError::Unread { path: path.to_owned(), source })
+    file::read_private(path).map_err(|error| not_private(path, error))
 }
 
 /// Whether only its owner may read a file.
 pub(crate) fn check_private(path: &Path) -> Result<(), ConfigError> {
-    use std::os::unix::fs::PermissionsExt;
-    let unread = |source| ConfigError::Unread { path: path.to_owned(), source };
-    let about = std::fs::metadata(path).map_err(unread)?;
-    if about.permissions().mode() & 0o077 != 0 { Err(ConfigError::Open(path.to_owned())) } else { Ok(()) }
+    file::check_private(path).map_err(|error| not_private(path, error))
+}
+
+fn not_private(path: &Path, error: NotPrivate) -> ConfigError {
+    let path = path.to_owned();
+    match error {
+        NotPrivate::Unread(source) => ConfigError::Unread { path, source },
+        NotPrivate::Open => ConfigError::Open(path),
+    }
 }
 
 impl Config {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -173,11 +173,6 @@
         Ok(site)
     }
 
-    /// Whether the platform lets the nodes talk to each other; no, where it does not say so.
-    pub fn allows_peers(&self) -> bool {
-        self.settings.pointer("/policy-limits/peers").and_then(serde_json::Value::as_bool) == Some(true)
-    }
-
     /// The seed.
     pub fn seed(&self) -> Result<u64, ConfigError> {
         u64::from_str_radix(&self.seed, 16).map_err(|_| ConfigError::Seed(self.seed.clone()))
@@ -213,7 +208,7 @@
     pub fn read(edge: &Path, own: Option<&Path>) -> Result<Self, ConfigError> {
         let config =
             Self { edge: Edge::read(edge)?, own: own.map(file::read).transpose()?.unwrap_or_default() };
-        config.edge.site()?;
+        let site = config.edge.site()?;
         config.edge.seed()?;
         config.edge.shares()?;
         if let Some(postgres) = &config.own.postgres {
@@ -221,7 +216,7 @@
         }
         if let Some(peers) = &config.own.peers {
             let watched = config.own.zones.is_some_and(|zones| zones.watch);
-            peers.check(config.edge.allows_peers(), watched, config.edge.site()?.settings.zones)?;
+            peers.check(site.peers, watched, site.settings.zones)?;
         }
         if config.own.rehearsal.is_some() {
             config.check_loopback()?;
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -73,6 +73,28 @@
     }
 }
 
+/// Why a file is no place for a secret.
+#[derive(Debug)]
+pub enum NotPrivate {
+    /// It can't be read.
+    Unread(std::io::Error),
+    /// Others may read it: its mode must be 0600.
+    Open,
+}
+
+/// Whether only its owner may read a file.
+pub fn check_private(path: &Path) -> Result<(), NotPrivate> {
+    use std::os::unix::fs::PermissionsExt;
+    let about = std::fs::metadata(path).map_err(NotPrivate::Unread)?;
+    if about.permissions().mode() & 0o077 != 0 { Err(NotPrivate::Open) } else { Ok(()) }
+}
+
+/// Reads a file that only its owner may read.
+pub fn read_private(path: &Path) -> Result<String, NotPrivate> {
+    check_private(path)?;
+    std::fs::read_to_string(path).map_err(NotPrivate::Unread)
+}
+
 /// Reads a file.
 pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, FileError> {
     Source::read(path)?.parse()
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -127,6 +127,8 @@
     pub words: Words,
     /// What goes for connections.
     pub links: Links,
+    /// Whether the nodes may talk to each other; no, where the platform does not say so.
+    pub peers: bool,
 }
 
 /// Reads the settings; the error names the field.
@@ -206,7 +208,12 @@
         idle: limits.whole_or("conn-idle-ns", 15_000_000_000)?,
         connect_timeout: limits.whole_or("connect-timeout-ns", 250_000_000)?,
     };
-    Ok(Site { settings, words: Words { zones, classes, kinds, tenants: tenant_names }, links })
+    Ok(Site {
+        settings,
+        words: Words { zones, classes, kinds, tenants: tenant_names },
+        links,
+        peers: flag("peers"),
+    })
 }
 
 #[cfg(test)]
