--- a/kit/rehearsal/src/fleet.rs
+++ b/kit/rehearsal/src/fleet.rs
@@ -71,10 +71,9 @@
     let Trouble { zone, from, until, .. } = trouble;
     let (from, until) = (*from, *until);
     let begin = from.saturating_sub(BEFORE);
-    let to_zone = |request: &Request| request.attempts.first().is_some_and(|first| first.zone == *zone);
     let mut nodes: BTreeMap<&str, Vec<(Nanos, bool)>> = BTreeMap::new();
     for request in log.iter().filter(|request| (begin..until + AFTER).contains(&request.arrival)) {
-        nodes.entry(&request.node).or_default().push((request.arrival, to_zone(request)));
+        nodes.entry(&request.node).or_default().push((request.arrival, request.began_in(zone)));
     }
     let (mut left_after, mut back_after, mut stayed) = (Vec::new(), Vec::new(), 0);
     for sent in nodes.values() {
--- a/kit/rehearsal/src/outcome.rs
+++ b/kit/rehearsal/src/outcome.rs
@@ -133,6 +133,13 @@
     pub excused: bool,
 }
 
+impl Request {
+    /// Whether its first attempt went to this zone.
+    pub fn began_in(&self, zone: &str) -> bool {
+        self.attempts.first().is_some_and(|first| first.zone == zone)
+    }
+}
+
 /// The log as it stands in a file.
 pub fn write(log: &[Request]) -> Result<String, serde_json::Error> {
     log.iter().map(|request| serde_json::to_string(request).map(|line| line + "\n")).collect()
--- a/kit/rehearsal/src/plot.rs
+++ b/kit/rehearsal/src/plot.rs
@@ -34,8 +34,7 @@
     let mut senders: BTreeMap<String, BTreeMap<Nanos, BTreeSet<&str>>> = BTreeMap::new();
     for trouble in fleet::troubles(plan) {
         let steps = senders.entry(format!("to {}", trouble.zone)).or_default();
-        let there = |one: &&Request| one.attempts.first().is_some_and(|first| first.zone == trouble.zone);
-        for one in log.iter().filter(there) {
+        for one in log.iter().filter(|one| one.began_in(&trouble.zone)) {
             steps.entry(one.arrival / STEP).or_default().insert(&one.node);
         }
     }
--- a/kit/rehearsal/src/world/links.rs
+++ b/kit/rehearsal/src/world/links.rs
@@ -74,25 +74,45 @@
         fits && bad.nodes[node] && if there { cut_there } else { back }
     }
 
-    fn way(&mut self, node: usize, end: End, there: bool) -> Way {
+    /// How long a message between a node and another end takes where no link does badly.
+    fn usual(&self, node: usize, end: End) -> Nanos {
         let network = self.plan.scene.scene.network;
-        let near = match end {
-            End::Server(server) => self.sites[server].zone_number == self.nodes[node].zone_number,
-            End::Node(other) => self.nodes[other].zone_number == self.nodes[node].zone_number,
-            End::List | End::Clients => true,
+        let zone = match end {
+            End::Server(server) => Some(self.sites[server].zone_number),
+            End::Node(other) => Some(self.nodes[other].zone_number),
+            End::List | End::Clients => None,
         };
-        let mut delay = 1000 * if near { network.within_us } else { network.between_us };
-        let mut loss = 0;
-        for bad in self.bad_links.iter().filter(|bad| self.touches(bad, node, end, there)) {
+        let near = zone.is_none_or(|zone| zone == self.nodes[node].zone_number);
+        1000 * if near { network.within_us } else { network.between_us }
+    }
+
+    /// What the bad links that a message meets add to its way, and the thousandths of it that they lose; or what the
+    /// first of them that lets nothing through does.
+    fn met(&self, meets: impl Fn(&BadLink) -> bool) -> Result<(Nanos, u16), LinkWhat> {
+        let (mut delay, mut loss) = (0, 0);
+        for bad in self.bad_links.iter().filter(|bad| meets(bad)) {
             match bad.trouble.what {
-                LinkWhat::Cut => return Way::Cut,
-                LinkWhat::Reset => return Way::Reset,
+                stops @ (LinkWhat::Cut | LinkWhat::Reset) => return Err(stops),
                 LinkWhat::Slow { by } => delay += by,
                 LinkWhat::Lossy { permille } => loss = loss.max(permille),
             }
         }
+        Ok((delay, loss))
+    }
+
+    fn is_lost(&mut self, permille: u16) -> bool {
+        permille > 0 && self.random.chance(f64::from(permille) / 1000.0)
+    }
+
+    fn way(&mut self, node: usize, end: End, there: bool) -> Way {
+        let (late, loss) = match self.met(|bad| self.touches(bad, node, end, there)) {
+            Ok(met) => met,
+            Err(LinkWhat::Reset) => return Way::Reset,
+            Err(_) => return Way::Cut,
+        };
+        let mut delay = self.usual(node, end) + late;
         for round in 0..MOST_LOSSES {
-            if loss == 0 || !self.random.chance(f64::from(loss) / 1000.0) {
+            if !self.is_lost(loss) {
                 break;
             }
             delay += SENT_AGAIN << round;
@@ -100,25 +120,17 @@
         Way::Open(delay)
     }
 
-    /// How long a datagram from one node to another is under way; none where it gets lost.
+    /// How long a datagram from one node to another is under way; none where it gets lost. There is no connection that
+    /// a link could reset.
     pub(super) fn datagram_way(&mut self, from: usize, to: usize) -> Option<Nanos> {
-        let network = self.plan.scene.scene.network;
-        let near = self.nodes[from].zone_number == self.nodes[to].zone_number;
-        let mut delay = 1000 * if near { network.within_us } else { network.between_us };
-        let mut loss = 0;
-        let touches = |bad: &&BadLink| {
-            self.touches(bad, from, End::Node(to), true) || self.touches(bad, to, End::Node(from), false)
+        let meets = |bad: &BadLink| {
+            bad.trouble.what != LinkWhat::Reset
+                && (self.touches(bad, from, End::Node(to), true)
+                    || self.touches(bad, to, End::Node(from), false))
         };
-        for bad in self.bad_links.iter().filter(touches) {
-            match bad.trouble.what {
-                LinkWhat::Cut => return None,
-                LinkWhat::Reset => {}
-                LinkWhat::Slow { by } => delay += by,
-                LinkWhat::Lossy { permille } => loss = loss.max(permille),
-            }
-        }
-        let lost = loss > 0 && self.random.chance(f64::from(loss) / 1000.0);
-        (!lost).then_some(delay)
+        let (late, loss) = self.met(meets).ok()?;
+        let delay = self.usual(from, End::Node(to)) + late;
+        (!self.is_lost(loss)).then_some(delay)
     }
 
     /// Sends a message on its way. What needs no time arrives at once, and a node that has news then is returned.
--- a/kit/rehearsal/tests/links.rs
+++ b/kit/rehearsal/tests/links.rs
@@ -1,13 +1,11 @@
 //! Faults between the processes: each kind of bad link does to a real node's messages what it says, to those that it
 //! is about and to no others, and a zone or a share of the nodes is struck as a whole.
 
-use badgerpost_rehearsal::outcome::{Ended, Request, Told};
-use badgerpost_rehearsal::plan::Plan;
-use badgerpost_rehearsal::run::{self, Options, Played};
-use badgerpost_rehearsal::scene;
-use brookfield_settings::file::Source;
+mod common;
 
-const MS: u64 = 1_000_000;
+use badgerpost_rehearsal::outcome::{Ended, Request, Told};
+use badgerpost_rehearsal::run::Played;
+use common::MS;
 
 const SCENE: &str = r#"
 about = "links"
@@ -44,11 +42,8 @@
 /// Plays the scene with a fault from 1 s to 2 s.
 fn play(fault: &str) -> Played {
     let text = format!("{SCENE}[[fault]]\nat_ms = 1000\nfor_ms = 1000\n{fault}\n");
-    let checked = scene::check("links", Source::shipped("links.toml", &text));
-    let plan = Plan::draw(checked.unwrap_or_else(|error| panic!("{error}")), 5);
-    let program = badgerpost_standins::program("badgerpost").unwrap_or_else(|error| panic!("{error}"));
-    let options = Options { program, real_time: false, port: 0, own: String::new(), peers: false };
-    let played = run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{fault}: {error}"));
+    let plan = common::plan(&text, 5);
+    let played = common::play(&plan, common::program("badgerpost"), "", false);
     assert!(played.is_good(), "{fault}: {:?}", played.breaches);
     played
 }
--- a/kit/rehearsal/tests/peers.rs
+++ b/kit/rehearsal/tests/peers.rs
@@ -2,70 +2,25 @@
 //! nobody is moved by one node alone, and without the others' words each node is as good as one that has none. Each
 //! check is seen to fail on a spoilt fleet: the same one without its talk, or with more that lie than may.
 
+mod common;
+
 use badgerpost_rehearsal::fleet::{self, Conduct};
 use badgerpost_rehearsal::plan::Plan;
-use badgerpost_rehearsal::run::{self, Options, Played};
-use badgerpost_rehearsal::scene;
-use brookfield_settings::file::Source;
+use badgerpost_rehearsal::run::Played;
+use common::{MS, WATCHED};
 
-const MS: u64 = 1_000_000;
 const SEED: u64 = 7;
 
-/// Twelve nodes and thirty servers in three zones; each node sees 15 requests a second.
-fn text(length_ms: u64, faults: &str) -> String {
-    let mut text = format!(
-        r#"
-about = "a zone fails under nodes that talk"
-own = "[zones]\nwatch = true\n"
-length_ms = {length_ms}
-[clients]
-rate = 180.0
-retries = 1
-backoff_ms = 50
-[discovery]
-known = true
-notice_ms = 300
-[[class]]
-name = "lobby-status"
-effect = "safe"
-share = 0.65
-work_ms = [20, 36]
-aim_ms = 200
-deadline_ms = 500
-[[class]]
-name = "lobby-join"
-effect = "keyed"
-scope = "zone"
-window_ms = 2000
-share = 0.35
-work_ms = [35, 64]
-aim_ms = 300
-deadline_ms = 1000
-"#
-    );
-    for zone in ["a", "b", "c"] {
-        text += &format!("[[nodes]]\ncount = 4\nname = \"{zone}\"\nzone = \"dc-{zone}\"\n");
-        text += &format!("[[servers]]\ncount = 10\nname = \"m{zone}\"\nzone = \"dc-{zone}\"\n");
-    }
-    faults
-        .split(';')
-        .filter(|fault| !fault.is_empty())
-        .for_each(|fault| text += &format!("[[fault]]\n{fault}\n"));
-    text
-}
-
 struct Shown {
     plan: Plan,
     played: Played,
 }
 
+/// Twelve nodes and thirty servers in three zones; each node sees 15 requests a second.
 fn play(length_ms: u64, faults: &str, peers: bool) -> Shown {
     println!("seed {SEED}, peers {peers}: {faults}");
-    let checked = scene::check("peers", Source::shipped("peers.toml", &text(length_ms, faults)));
-    let plan = Plan::draw(checked.unwrap_or_else(|error| panic!("{error}")), SEED);
-    let program = badgerpost_standins::program("badgerpost").unwrap_or_else(|error| panic!("{error}"));
-    let options = Options { program, real_time: false, port: 0, own: String::new(), peers };
-    let played = run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{error}"));
+    let plan = common::plan(&common::three_zones(4, 180.0, length_ms, "", faults), SEED);
+    let played = common::play(&plan, common::program("badgerpost"), WATCHED, peers);
     assert!(played.is_good(), "{faults}: {:?}", played.breaches);
     Shown { plan, played }
 }
@@ -76,14 +31,8 @@
         fleet::conduct(&self.played.log, troubles.first().expect("a zone in trouble"))
     }
 
-    /// Which nodes logged that a zone is in this state, and how often.
     fn told(&self, why: &str) -> Vec<(&str, usize)> {
-        let word = format!("why=\"{why}\"");
-        let lines = |log: &str| {
-            log.lines().filter(|line| line.contains("zone changed") && line.contains(&word)).count()
-        };
-        let logs = self.played.logs.iter().map(|(name, log)| (name.as_str(), lines(log)));
-        logs.filter(|(_, count)| *count > 0).collect()
+        common::told(&self.played, why)
     }
 
     /// Whether all four nodes of the zone were back this soon after the trouble, in milliseconds.
@@ -96,7 +45,7 @@
     fn sent(&self, node: &str, zone: &str, between: std::ops::Range<u64>) -> usize {
         let log =
             self.played.log.iter().filter(|one| one.node == node && between.contains(&(one.arrival / MS)));
-        log.filter(|one| one.attempts.first().is_some_and(|first| first.zone == zone)).count()
+        log.filter(|one| one.began_in(zone)).count()
     }
 }
 
--- a/kit/rehearsal/tests/zones.rs
+++ b/kit/rehearsal/tests/zones.rs
@@ -2,79 +2,35 @@
 //! leave it, and only then, what that costs, and how they return. The checks of leaving, cost and straying are seen to
 //! fail on a spoilt node here: the same program with its watch over the zones off, or one that strays.
 
+mod common;
+
 use badgerpost_rehearsal::fleet;
 use badgerpost_rehearsal::outcome::Told;
 use badgerpost_rehearsal::plan::Plan;
-use badgerpost_rehearsal::run::{self, Options, Played};
-use badgerpost_rehearsal::scene;
-use brookfield_settings::file::Source;
-
-const MS: u64 = 1_000_000;
+use badgerpost_rehearsal::run::Played;
+use common::{MS, WATCHED};
 
 /// Six nodes and thirty servers in three zones.
 fn scene(length_ms: u64, expect: &str, faults: &str) -> String {
-    let mut text = format!(
-        r#"
-about = "a zone fails"
-length_ms = {length_ms}
-[clients]
-rate = 300.0
-retries = 1
-backoff_ms = 50
-[discovery]
-known = true
-notice_ms = 300
-[expect]
-{expect}
-[[class]]
-name = "lobby-status"
-effect = "safe"
-share = 0.65
-work_ms = [20, 36]
-aim_ms = 200
-deadline_ms = 500
-[[class]]
-name = "lobby-join"
-effect = "keyed"
-scope = "zone"
-window_ms = 2000
-share = 0.35
-work_ms = [35, 64]
-aim_ms = 300
-deadline_ms = 1000
-"#
-    );
-    for zone in ["a", "b", "c"] {
-        text += &format!("[[nodes]]\ncount = 2\nname = \"{zone}\"\nzone = \"dc-{zone}\"\n");
-        text += &format!("[[servers]]\ncount = 10\nname = \"m{zone}\"\nzone = \"dc-{zone}\"\n");
-    }
-    for fault in faults.split(';') {
-        text += &format!("[[fault]]\n{fault}\n");
-    }
-    text
+    common::three_zones(2, 300.0, length_ms, expect, faults)
 }
 
-const WATCHED: &str = "[zones]\nwatch = true\n";
-
 struct Shown {
     plan: Plan,
     played: Played,
     lost: Vec<String>,
 }
 
-fn play(text: &str, seed: u64, own: &str, program: &str) -> Shown {
-    let checked = scene::check("zones", Source::shipped("zones.toml", text));
-    let plan = Plan::draw(checked.unwrap_or_else(|error| panic!("{error}")), seed);
-    let program = badgerpost_standins::program(program).unwrap_or_else(|error| panic!("{error}"));
-    let options = Options { program, real_time: false, port: 0, own: own.to_owned(), peers: false };
-    let played = run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{error}"));
+fn play(text: &str, own: &str) -> Shown {
+    let plan = common::plan(text, 7);
+    let played = common::play(&plan, common::program("badgerpost"), own, false);
     let lost = fleet::lost(&plan, &played);
     Shown { plan, played, lost }
 }
 
 /// Plays with the watch on: the rules hold and the scene's expectations are met.
 fn good(length_ms: u64, expect: &str, faults: &str) -> Shown {
-    let shown = play(&scene(length_ms, expect, faults), 7, WATCHED, "badgerpost");
+    let shown = play(&scene(length_ms, expect, faults), WATCHED);
     println!("seed 7: {faults}");
     let logs: String = shown.played.logs.iter().map(|(name, log)| format!("{name}\n{log}")).collect();
     assert!(shown.played.is_good(), "{faults}: {:?}\n{logs}", shown.played.breaches);
@@ -84,15 +40,13 @@
 
 /// Plays with the watch off: what is expected is lost, or the check could not fail.
 fn spoilt(length_ms: u64, expect: &str, faults: &str) {
-    let shown = play(&scene(length_ms, expect, faults), 7, "", "badgerpost");
+    let shown = play(&scene(length_ms, expect, faults), "");
     assert!(!shown.lost.is_empty(), "{faults}: met without a watch, too");
 }
 
 /// How often the nodes' logs tell of a zone in this state.
 fn told(shown: &Shown, why: &str) -> usize {
-    let word = format!("why=\"{why}\"");
-    let lines = shown.played.logs.iter().flat_map(|(_, log)| log.lines());
-    lines.filter(|line| line.contains("zone changed") && line.contains(&word)).count()
+    common::told(&shown.played, why).iter().map(|(_, count)| count).sum()
 }
 
 #[test]
@@ -153,16 +107,10 @@
 
 #[test]
 fn a_node_that_strays_is_found() {
-    let text = scene(6000, "strayed = 0", "kind = 'list-stale'\nat_ms = 5900");
-    let mut checked =
-        scene::check("zones", Source::shipped("zones.toml", &text)).unwrap_or_else(|error| panic!("{error}"));
-    checked.faults.clear();
-    let plan = Plan::draw(checked, 7);
-    let program = badgerpost_standins::program("badgerpost-faulty-node").unwrap_or_else(|e| panic!("{e}"));
-    let script = spoilt_program(&program, "stray");
-    let options =
-        Options { program: script.clone(), real_time: false, port: 0, own: String::new(), peers: false };
-    let played = run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{error}"));
+    let mut plan = common::plan(&scene(6000, "strayed = 0", "kind = 'list-stale'\nat_ms = 5900"), 7);
+    plan.faults.clear();
+    let script = spoilt_program(&common::program("badgerpost-faulty-node"), "stray");
+    let played = common::play(&plan, script.clone(), "", false);
     let _ = std::fs::remove_file(script);
     assert!(fleet::lost(&plan, &played).iter().any(|lost| lost.contains("in no trouble")));
 }
--- a/kit/standins/src/scripted.rs
+++ b/kit/standins/src/scripted.rs
@@ -497,6 +497,19 @@
     }
 }
 
+/// A call of the operators' to a node's console: the status and the text.
+pub fn call(console: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    let ask = format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n");
+    let answer = Client::to(console).ask(&ask).expect("an answer");
+    (answer.status(), String::from_utf8(answer.body).unwrap())
+}
+
+/// One figure of a node's console, if it is there.
+pub fn figure(console: SocketAddr, name: &str) -> Option<String> {
+    let (_, text) = call(console, "GET", "/status/metrics");
+    text.lines().find_map(|line| Some(line.strip_prefix(name)?.strip_prefix('=')?.to_owned()))
+}
+
 pub fn get(id: &str, more: &str) -> String {
     format!(
         "GET /api?x=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: {id}\r\nX-Call-Class: read\r\nX-Caller: acme\r\n\
--- a/kit/stepping/src/control.rs
+++ b/kit/stepping/src/control.rs
@@ -143,6 +143,7 @@
 #[cfg(test)]
 mod tests {
     use std::net::TcpListener;
+    use std::thread::JoinHandle;
 
     use badgerpost_engine::{Clock, spawn};
     use tokio::task::LocalSet;
@@ -156,10 +157,11 @@
         text.parse().expect("a node's line")
     }
 
-    /// A node whose one task waits twice. Time passes by steps only, a step runs everything that is ready, and
-    /// the end of the connection is the end of the rehearsal.
-    #[test]
-    fn a_node_runs_by_steps_and_ends_with_them() {
+    /// A node on a thread of its own, with a stepped clock at 100, whose one task this is; and the kit's end of its
+    /// control connection, behind its first line.
+    fn node<F: Future<Output = ()> + 'static>(
+        task: impl FnOnce(Clock) -> F + Send + 'static,
+    ) -> (JoinHandle<String>, BufReader<TcpStream>) {
         let kit = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = kit.local_addr().unwrap();
         let node = std::thread::spawn(move || {
@@ -167,32 +169,40 @@
             let steps = Stepped::at(100);
             let clock = Clock::stepped(steps.clone());
             LocalSet::new().block_on(&runtime, async move {
-                let tasks = clock.clone();
-                spawn(async move {
-                    tasks.sleep_until(200).await;
-                    // Started by what has just run, it belongs to the same step.
-                    let inner = tasks.clone();
-                    let inner = spawn(async move { inner.sleep_until(300).await });
-                    progress::written(7);
-                    let _ = inner.await;
-                    progress::written(5);
-                });
+                spawn(task(clock));
                 Control::connect(at).unwrap().follow("n0", at, steps).await.to_string()
             })
         });
         let (stream, _) = kit.accept().unwrap();
         let mut reader = BufReader::new(stream);
         assert_eq!(line(&mut reader), FromNode::Hello { name: "n0".to_owned(), listen: at });
-        let mut step = |now| {
-            let text = ToNode::Step { now, bytes: 0, ended: 0 }.to_string();
-            reader.get_mut().write_all(text.as_bytes()).unwrap();
-            line(&mut reader)
-        };
+        (node, reader)
+    }
+
+    fn step(reader: &mut BufReader<TcpStream>, now: u64, ended: u64) -> FromNode {
+        let text = ToNode::Step { now, bytes: 0, ended }.to_string();
+        reader.get_mut().write_all(text.as_bytes()).unwrap();
+        line(reader)
+    }
+
+    /// A node whose one task waits twice. Time passes by steps only, a step runs everything that is ready, and
+    /// the end of the connection is the end of the rehearsal.
+    #[test]
+    fn a_node_runs_by_steps_and_ends_with_them() {
+        let (node, mut reader) = node(|tasks| async move {
+            tasks.sleep_until(200).await;
+            // Started by what has just run, it belongs to the same step.
+            let inner = tasks.clone();
+            let inner = spawn(async move { inner.sleep_until(300).await });
+            progress::written(7);
+            let _ = inner.await;
+            progress::written(5);
+        });
         let idle = |next, written| FromNode::Idle { next, read: 0, written, ended: 0 };
-        assert_eq!(step(150), idle(Some(200), 0));
-        assert_eq!(step(250), idle(Some(300), 7));
-        assert_eq!(step(250), idle(Some(300), 0));
-        assert_eq!(step(300), idle(None, 5));
+        assert_eq!(step(&mut reader, 150, 0), idle(Some(200), 0));
+        assert_eq!(step(&mut reader, 250, 0), idle(Some(300), 7));
+        assert_eq!(step(&mut reader, 250, 0), idle(Some(300), 0));
+        assert_eq!(step(&mut reader, 300, 0), idle(None, 5));
         drop(reader);
         assert!(node.join().unwrap().ends_with("is over"));
     }
@@ -201,40 +211,23 @@
     /// comes is waited for once.
     #[test]
     fn a_step_lasts_until_what_is_under_way_has_come() {
-        let kit = TcpListener::bind("127.0.0.1:0").unwrap();
-        let at = kit.local_addr().unwrap();
-        let node = std::thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-            let steps = Stepped::at(100);
-            let clock = Clock::stepped(steps.clone());
-            LocalSet::new().block_on(&runtime, async move {
-                spawn(async move {
-                    clock.sleep_until(200).await;
-                    let late = || tokio::time::sleep(std::time::Duration::from_millis(5));
-                    progress::connecting(late()).await;
-                    progress::written(3);
-                    let mut connection = progress::Connection::default();
-                    clock.sleep_until(300).await;
-                    late().await;
-                    connection.over();
-                });
-                Control::connect(at).unwrap().follow("n0", at, steps).await.to_string()
-            })
+        let (node, mut reader) = node(|clock| async move {
+            clock.sleep_until(200).await;
+            let late = || tokio::time::sleep(Duration::from_millis(5));
+            progress::connecting(late()).await;
+            progress::written(3);
+            let mut connection = progress::Connection::default();
+            clock.sleep_until(300).await;
+            late().await;
+            connection.over();
         });
-        let (stream, _) = kit.accept().unwrap();
-        let mut reader = BufReader::new(stream);
-        line(&mut reader);
-        let mut step = |now, ended| {
-            let text = ToNode::Step { now, bytes: 0, ended }.to_string();
-            reader.get_mut().write_all(text.as_bytes()).unwrap();
-            line(&mut reader)
-        };
-        assert_eq!(step(200, 0), FromNode::Idle { next: Some(300), read: 0, written: 3, ended: 0 });
-        assert_eq!(step(300, 1), FromNode::Idle { next: None, read: 0, written: 0, ended: 1 });
+        let idle = |next, written, ended| FromNode::Idle { next, read: 0, written, ended };
+        assert_eq!(step(&mut reader, 200, 0), idle(Some(300), 3, 0));
+        assert_eq!(step(&mut reader, 300, 1), idle(None, 0, 1));
         // One that the node never looked at: waited for in vain, and then taken as seen.
-        assert_eq!(step(400, 2), FromNode::Idle { next: None, read: 0, written: 0, ended: 2 });
+        assert_eq!(step(&mut reader, 400, 2), idle(None, 0, 2));
         let began = std::time::Instant::now();
-        assert_eq!(step(500, 2), FromNode::Idle { next: None, read: 0, written: 0, ended: 2 });
+        assert_eq!(step(&mut reader, 500, 2), idle(None, 0, 2));
         assert!(began.elapsed() < REST * LOOKS / 2, "waited again");
         drop(reader);
         node.join().unwrap();
--- a/node/tests/peers.rs
+++ b/node/tests/peers.rs
@@ -79,11 +79,8 @@
     config
 }
 
-fn figure(node: &Node, name: &str) -> Option<u64> {
-    let ask = "GET /status/metrics HTTP/1.1\r\nHost: ops\r\n\r\n";
-    let answer = Client::to(node.console()).ask(ask).expect("an answer");
-    let text = String::from_utf8(answer.body).unwrap();
-    text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+fn number(node: &Node, name: &str) -> Option<u64> {
+    figure(node.console(), name)?.parse().ok()
 }
 
 #[test]
@@ -94,20 +91,20 @@
     let doors = Doors::open(3);
     let mut nodes: Vec<Node> = (0..3).map(|number| doors.start(number, &discovery, &key)).collect();
     for node in &nodes {
-        until("three members", || figure(node, "node.peers.members") == Some(3));
+        until("three members", || number(node, "node.peers.members") == Some(3));
     }
     nodes[2].signal("-TERM");
     let began = Instant::now();
     for node in &nodes[..2] {
-        until("two members", || figure(node, "node.peers.members") == Some(2));
+        until("two members", || number(node, "node.peers.members") == Some(2));
     }
     assert!(began.elapsed() < Duration::from_secs(2), "it said so, nobody had to suspect it");
     // One that is killed and starts anew is let in again under its address.
     nodes[1].signal("-KILL");
     drop(nodes.remove(1));
     let again = doors.start(1, &discovery, &key);
-    until("let in again", || figure(&again, "node.peers.members") == Some(2));
-    until("known again", || figure(&nodes[0], "node.peers.members") == Some(2));
+    until("let in again", || number(&again, "node.peers.members") == Some(2));
+    until("known again", || number(&nodes[0], "node.peers.members") == Some(2));
     std::fs::remove_file(key).unwrap();
 }
 
@@ -120,15 +117,15 @@
     let node = doors.start(0, &discovery, &key);
     // Another fleet's node knocks, and noise comes.
     let stranger = doors.start(1, &discovery, &other);
-    until("the stranger is counted", || figure(&node, "node.peers.strangers") >= Some(1));
+    until("the stranger is counted", || number(&node, "node.peers.strangers") >= Some(1));
     let noise = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let before = figure(&node, "node.peers.malformed");
+    let before = number(&node, "node.peers.malformed");
     for datagram in [&b""[..], b"x", &[0; 40], &[1; 4000]] {
         noise.send_to(datagram, doors.at(0)).unwrap();
     }
-    until("noise is counted", || figure(&node, "node.peers.malformed") >= before.map(|before| before + 3));
-    assert_eq!(figure(&node, "node.peers.members"), Some(1), "nobody was let in");
-    assert_eq!(figure(&stranger, "node.peers.members"), Some(1));
+    until("noise is counted", || number(&node, "node.peers.malformed") >= before.map(|before| before + 3));
+    assert_eq!(number(&node, "node.peers.members"), Some(1), "nobody was let in");
+    assert_eq!(number(&stranger, "node.peers.members"), Some(1));
     assert_eq!(node.ask(&get("r1", "")).status(), 200);
     assert!(node.logged("datagram dropped"));
     [key, other].into_iter().for_each(|path| std::fs::remove_file(path).unwrap());
@@ -253,9 +250,9 @@
     let key = file("liars", KEY, 0o600);
     let doors = Doors::open(3);
     let nodes: Vec<Node> = (0..3).map(|number| doors.start(number, &discovery, &key)).collect();
-    let all = |members| nodes.iter().all(|node| figure(node, "node.peers.members") == Some(members));
+    let all = |members| nodes.iter().all(|node| number(node, "node.peers.members") == Some(members));
     until("three members", || all(3));
-    let share = |node: &Node| figure(node, "node.zone.a.share");
+    let share = |node: &Node| number(node, "node.zone.a.share");
     let _one = Liar::start(1, doors.at(0));
     until("the liar is a member", || all(4));
     let began = Instant::now();
--- a/node/tests/zones.rs
+++ b/node/tests/zones.rs
@@ -1,7 +1,6 @@
 //! The watch over the zones: off unless the operators' own file says otherwise, and what they see and say of it.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use badgerpost_standins::scripted::*;
@@ -20,17 +19,6 @@
     (discovery, config)
 }
 
-fn call(console: SocketAddr, method: &str, path: &str) -> (u16, String) {
-    let ask = format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n");
-    let answer = Client::to(console).ask(&ask).expect("an answer");
-    (answer.status(), String::from_utf8(answer.body).unwrap())
-}
-
-fn figure(console: SocketAddr, name: &str) -> Option<String> {
-    let (_, text) = call(console, "GET", "/status/metrics");
-    text.lines().find_map(|line| Some(line.strip_prefix(name)?.strip_prefix('=')?.to_owned()))
-}
-
 /// The sockets of a process that this file of the system's lists, those in `state` only.
 fn sockets(pid: u32, kind: &str, state: Option<&str>) -> usize {
     let folder = std::fs::read_dir(format!("/proc/{pid}/fd")).unwrap();
