--- a/kit/rehearsal/src/lib.rs
+++ b/kit/rehearsal/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod fleet;
 pub mod hunt;
+mod one_core;
 pub mod outcome;
 pub mod plan;
 pub mod plot;
--- a/kit/rehearsal/src/world/stage.rs
+++ b/kit/rehearsal/src/world/stage.rs
@@ -362,6 +362,11 @@
         self.net.poll(wait, told)
     }
 
+    /// Puts what several looks have brought into an order that is always the same.
+    pub fn in_order(&mut self, told: &mut [Happening]) -> io::Result<()> {
+        self.net.in_order(told)
+    }
+
     /// Says which node alone runs now, if only one does.
     pub fn set_running(&mut self, node: Option<usize>) {
         self.running = node;
--- a/kit/stepping/src/control.rs
+++ b/kit/stepping/src/control.rs
@@ -15,10 +15,10 @@
 /// would do; the others are for what a look has brought while the turn was counted.
 const QUIET_TURNS: u32 = 3;
 /// What was announced and is not here yet is looked for so often, after so long a rest each: bytes, and ends of
-/// connections, that the kit has sent already and that take microseconds. Some never come, as nobody reads them:
-/// those behind a request that is still open. Looks are counted, not time: a process that did not run for a while has
-/// not looked.
-const LOOKS: u32 = 100;
+/// connections, that the kit has sent already and that take microseconds, but longer on a machine with other work. Some
+/// would never come, as nobody reads them: those behind a request that is still open. Looks are counted, not time: a
+/// process that did not run for a while has not looked.
+const LOOKS: u32 = 10_000;
 const REST: Duration = Duration::from_micros(300);
 
 /// Why a node can't be stepped on.
