Tests that stood inside source files move to files of their own

Need: the operators want tests in test files. `name.rs` keeps `#[cfg(test)] mod tests;`, the text goes to `name/tests.rs` beside it, indented one step less and formatted.

--- /dev/null
+++ b/fronts/postgres/src/admission/tests.rs
@@ -0,0 +1,24 @@
+use std::future::Future;
+use std::task::{Context, Poll, Waker};
+
+use super::*;
+
+fn is_evicted(pending: &Pending) -> bool {
+    let mut evicted = std::pin::pin!(pending.evicted());
+    evicted.as_mut().poll(&mut Context::from_waker(Waker::noop())) == Poll::Ready(())
+}
+
+#[test]
+fn the_longest_silent_one_makes_room() {
+    let all = Unidentified::new(3);
+    let clients: Vec<Pending> = (0..3).map(|_| all.admit()).collect();
+    clients[0].heard();
+    let _fourth = all.admit();
+    // The first has spoken, so the second goes, silent for longer than the third.
+    assert_eq!(clients.iter().map(is_evicted).collect::<Vec<_>>(), [false, true, false]);
+    let _fifth = all.admit();
+    assert!(is_evicted(&clients[2]));
+    assert_eq!(all.counts(), (3, 2));
+    drop(clients);
+    assert_eq!(all.counts().0, 2);
+}
--- a/kit/rehearsal/src/plan.rs
+++ b/kit/rehearsal/src/plan.rs
@@ -217,30 +217,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_plan_follows_from_its_seed() {
-        let plan = |seed| Plan::draw(scene::find("night").expect("shipped"), seed).vary();
-        let (one, same, other) = (plan(7), plan(7), plan(8));
-        assert_eq!((&one.arrivals, &one.faults), (&same.arrivals, &same.faults));
-        assert!(one.arrivals != other.arrivals && one.faults != other.faults);
-        assert!(one.arrivals.len() > 100 && one.arrivals.is_sorted_by_key(|arrival| arrival.at));
-    }
-
-    #[test]
-    fn a_repro_file_plays_exactly_its_plan() {
-        let mut plan = Plan::draw(scene::find("night").expect("shipped"), 3).vary();
-        plan.arrivals.retain(|arrival| arrival.number % 7 == 0);
-        plan.faults.truncate(3);
-        let path = std::env::temp_dir().join(format!("badgerpost-plan-{}.json", std::process::id()));
-        std::fs::write(&path, plan.to_repro().expect("a text")).expect("written");
-        let read = Plan::from_repro(&path).expect("a plan");
-        assert_eq!((&read.arrivals, &read.faults, read.seed), (&plan.arrivals, &plan.faults, 3));
-        std::fs::write(&path, plan.to_repro().expect("a text").replace("\"whom\": ", "\"whom\": 99"))
-            .expect("written");
-        assert!(Plan::from_repro(&path).err().expect("bad").to_string().contains("a fault is none"));
-        std::fs::remove_file(&path).expect("removed");
-    }
-}
+mod tests;
