A repeat is written only while its key's window is open, however late its connect comes up

Checked: the module decides on a repeat by `now < first.sent + window` (src/gate.rs, permits), which holds at that moment. Ruled out: the group (a cell's request stayed in it), a second copy (not allowed on that site). To blame: engine/src/engine.rs, may_write, which asks again when the connection is up, but only for the request's time and the drain.

Change: the module says again, at the write, whether the attempts before make it harmless (Balancer::may_write).

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -171,8 +171,8 @@
         self.call(|driver, errands| driver.hear(Event::Broke { backend }, errands));
     }
 
-    /// Whether an attempt may still be written: a connect can outlast its request, or the grace of a backend
-    /// that has begun to drain.
+    /// Whether an attempt may still be written: a connect can outlast its request, the grace of a backend that has begun
+    /// to drain, or the time for which a repeat does no harm.
     pub fn may_write(&self, ticket: Ticket) -> bool {
         let driver = self.driver.borrow();
         let (now, grace) = (driver.clock.now(), driver.settings.rules.drain_grace);
@@ -181,7 +181,7 @@
         let open = driver.backends.get(ticket.backend).is_some_and(|backend| {
             backend.draining_since.is_none_or(|since| now < since.saturating_add(grace / 2))
         });
-        live && open
+        live && open && driver.balancer.may_write(now, ticket.request, ticket.attempt)
     }
 
     /// Whether a backend is in service, and at this address.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -22,34 +22,51 @@
 impl Balancer {
     /// The contract gate: whether this request may be sent to this backend now. Every send passes it.
     pub(crate) fn permits(&self, request: &Request, backend: &Backend) -> bool {
-        let class = &self.settings.classes[request.class];
         let live = matches!(request.phase, Phase::Open | Phase::Held) && self.now < request.not_after;
         let attempts_left = (request.attempts.len() as u32) < self.settings.limits.attempts;
         let alone = self.settings.limits.second_copies || !request.attempts.iter().any(Attempt::out);
-        let ran = request.attempts.iter().find(|attempt| attempt.may_have_run());
-        let repeat_dropped = match (class.effect, ran) {
-            (Effect::Repeatable, _) | (_, None) => true,
-            (Effect::Once, Some(_)) => false,
-            (Effect::Keyed { group, window }, Some(first)) => {
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => first.zone == backend.member.zone,
-                    Group::Cell => first.cell == backend.member.cell,
-                };
-                same && self.now + self.settings.quantum < first.sent.saturating_add(window)
-            }
-        };
+        let harmless = self.harmless(request, None, backend.member.zone, backend.member.cell, self.now);
         // A wanted margin to the drain grace: nothing is sent once told.
         let in_service = backend.member.stage == Stage::InService;
         !request.spent
             && live
             && attempts_left
             && alone
-            && repeat_dropped
+            && harmless
             && in_service
             && self.cold_budget(backend, request)
     }
 
+    /// Whether a send there at that time would have no effect, or the first one: by the other attempts that may have
+    /// run, all but the one with the given number.
+    fn harmless(&self, request: &Request, own: Option<u32>, zone: ZoneId, cell: u64, at: Nanos) -> bool {
+        let others = request.attempts.iter().zip(0..).filter(|(_, number)| own != Some(*number));
+        let mut ran = others.map(|(attempt, _)| attempt).filter(|attempt| attempt.may_have_run()).peekable();
+        match self.settings.classes[request.class].effect {
+            _ if ran.peek().is_none() => true,
+            Effect::Repeatable => true,
+            Effect::Once => false,
+            Effect::Keyed { group, window } => ran.all(|other| {
+                let same = match group {
+                    Group::All => true,
+                    Group::Zone => other.zone == zone,
+                    Group::Cell => other.cell == cell,
+                };
+                same && at + self.settings.quantum < other.sent.saturating_add(window)
+            }),
+        }
+    }
+
+    /// Whether an attempt may still be written, now that its connection is up: that can take longer than what backends
+    /// remember of the attempts before.
+    pub fn may_write(&self, now: Nanos, id: RequestId, attempt: u32) -> bool {
+        let Some(request) = self.requests.get(&id).filter(|request| request.phase != Phase::Ended) else {
+            return false;
+        };
+        let own = request.attempts.get(attempt as usize).filter(|own| own.out());
+        own.is_some_and(|own| self.harmless(request, Some(attempt), own.zone, own.cell, now.max(self.now)))
+    }
+
     /// Whether this node's share of a cold backend's budget has room.
     fn cold_budget(&self, backend: &Backend, request: &Request) -> bool {
         let rules = &self.settings.rules;
--- a/tests/contract.rs
+++ b/tests/contract.rs
@@ -68,6 +68,31 @@
     }
 }
 
+/// A connection can come up behind the window: decided within it, the repeat is written after it.
+#[test]
+fn keyed_is_written_again_within_its_window_only() {
+    for outcome in RAN {
+        let mut node = Node::new(settings(keyed(Group::Zone)), three_zones());
+        let (request, _) = node.ask(SECOND);
+        let first = node.now;
+        assert!(node.balancer.may_write(first + 300 * MS, request, 0), "nothing has run before it");
+        node.now += 150 * MS;
+        assert!(sent(&node.settle(request, 0, outcome, Report::default())).is_some());
+        assert!(!node.balancer.may_write(node.now, request, 0), "that one has ended");
+        assert!(node.balancer.may_write(first + 190 * MS, request, 1), "{outcome:?}");
+        assert!(!node.balancer.may_write(first + 200 * MS, request, 1), "{outcome:?}");
+        node.tell(Event::ClientGone { request });
+        assert!(!node.balancer.may_write(node.now, request, 1), "nobody waits for it");
+    }
+    for outcome in NOT_RAN {
+        let mut node = Node::new(settings(keyed(Group::Zone)), three_zones());
+        let (request, _) = node.ask(SECOND);
+        let first = node.now;
+        node.settle(request, 0, outcome, Report::default());
+        assert!(node.balancer.may_write(first + 900 * MS, request, 1), "{outcome:?}");
+    }
+}
+
 #[test]
 fn keyed_stays_in_its_group_and_window() {
     for outcome in RAN {
