--- a/fronts/http/src/discovery.rs
+++ b/fronts/http/src/discovery.rs
@@ -3,93 +3,27 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use brookfield::{ListScope, Stage};
+use brookfield::ListScope;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use badgerpost_engine::{Clock, Engine, Front, Listed, LogLimiter, progress, spawn};
+use badgerpost_engine::{Clock, Engine, Front, LogLimiter, progress, spawn};
 
+use crate::list::{Entries, List, Odd};
+use crate::pace::{Call, Pace, Want};
 use crate::tap::{Deaf, Tap};
 
 const PATH: &str = "/registry/instances";
-/// How long one watch may wait: short beside an agent on the node's own machine, where a call costs nothing
-/// and one that has gone silent should be noticed; long where all nodes ask one service.
-const HOLD_PUSHED: Duration = Duration::from_secs(5);
-const HOLD_ASKED: Duration = Duration::from_secs(20);
-/// An answer this long after the wait was over does not come any more.
-const GRACE: Duration = Duration::from_secs(1);
-/// First and last wait after a failure. Where discovery is asked the module calls for the next try itself,
-/// and the wait is only there in case it does not.
-const AGAIN_PUSHED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
-const AGAIN_ASKED: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(10));
 const CONNECT: Duration = Duration::from_millis(500);
 /// A list of thousands of backends fits.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
-/// The list as discovery words it.
-#[derive(Deserialize)]
-pub struct List {
-    rev: u64,
-    all: bool,
-    targets: Vec<Target>,
-}
-
-impl List {
-    /// The servers on it, by name, and where they listen.
-    pub fn endpoints(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
-        self.targets.iter().map(|target| (target.uid.as_str(), target.endpoint))
-    }
-}
-
-#[derive(Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: SocketAddr,
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u64,
-    state: State,
-    #[serde(default)]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: u64,
-}
-
-#[derive(Deserialize)]
-enum State {
-    Ready,
-    Terminating,
-    Gone,
-}
-
-impl Target {
-    fn listed(self) -> Listed {
-        Listed {
-            uid: self.uid,
-            endpoint: self.endpoint,
-            zone: self.az,
-            kind: self.model,
-            cell: self.pod_group,
-            stage: match self.state {
-                State::Ready => Stage::InService,
-                State::Terminating => Stage::Draining,
-                State::Gone => Stage::Gone,
-            },
-            size: self.capacity_hint,
-            boot_ms: self.boot_ms,
-        }
-    }
-}
-
 /// Why a call to discovery brought no list.
 #[derive(Debug, thiserror::Error)]
 enum CallError {
@@ -105,6 +39,8 @@
     Malformed(#[from] serde_json::Error),
     #[error("no answer in time")]
     Late,
+    #[error("the watch has fallen silent")]
+    Silent,
     #[error("no such request: {0}")]
     Request(#[from] hyper::http::Error),
 }
@@ -113,46 +49,55 @@
 pub struct Watch<F: Front> {
     node: Engine<F>,
     at: SocketAddr,
+    /// The version that is known; none where the whole list is to be asked for.
     rev: Option<u64>,
+    entries: Entries,
     link: Option<SendRequest<Empty<Bytes>>>,
+    pace: Pace,
 }
 
 impl<F: Front> Watch<F> {
-    /// A watch at `at` that goes on from `known`, which may be old.
-    pub fn new(node: Engine<F>, at: SocketAddr, known: Option<List>) -> Self {
-        let rev = known.as_ref().map(|list| list.rev);
+    /// A watch at `at` that goes on from `known`, which may be old. The seed drives how long its calls wait.
+    pub fn new(node: Engine<F>, at: SocketAddr, known: Option<List>, seed: u64) -> Self {
+        let pace = Pace::new(node.asks_discovery(), seed);
+        let mut watch = Self { node, at, rev: None, entries: Entries::default(), link: None, pace };
         if let Some(list) = known {
-            node.fleet(ListScope::Cached, list.targets.into_iter().map(Target::listed).collect());
+            watch.rev = Some(list.rev);
+            let (_, listed, _) = watch.entries.take(list);
+            watch.node.fleet(ListScope::Cached, listed);
         }
-        Self { node, at, rev, link: None }
+        watch
     }
 
     /// Watches, at the address told last; never ends.
     pub async fn run(mut self, mut address: watch::Receiver<SocketAddr>) {
-        let asked = self.node.asks_discovery();
-        let (hold, again) = if asked { (HOLD_ASKED, AGAIN_ASKED) } else { (HOLD_PUSHED, AGAIN_PUSHED) };
-        let mut wait = again.0;
         let clock = self.node.clock().clone();
         let mut log = LogLimiter::new(clock.clone());
         loop {
             let answer = tokio::select! {
                 biased;
                 Ok(()) = address.changed() => None,
-                answer = self.call(hold) => Some(answer),
+                answer = self.call() => Some(answer),
             };
             match answer {
                 None => {
                     self.move_to(*address.borrow_and_update());
-                    (wait, log) = (again.0, LogLimiter::new(clock.clone()));
+                    log = LogLimiter::new(clock.clone());
                 }
                 Some(Ok(list)) => {
-                    wait = again.0;
-                    self.take(list);
+                    self.pace.answered();
+                    self.take(list, &mut log);
                 }
                 Some(Err(error)) => {
                     let at = self.at;
                     log.log(|suppressed| tracing::warn!(%at, %error, suppressed, "asking discovery failed"));
                     self.link = None;
+                    if matches!(error, CallError::Silent) {
+                        self.pace.silent();
+                        continue;
+                    }
+                    let (wait, whole) = self.pace.failed();
+                    self.rev = self.rev.filter(|_| !whole);
                     self.node.fleet_failed();
                     let moved = address.clone();
                     tokio::select! {
@@ -161,7 +106,6 @@
                         () = self.node.discovery_wanted() => {}
                         () = told_anew(moved) => {}
                     }
-                    wait = (wait * 2).min(again.1);
                 }
             }
         }
@@ -171,24 +115,35 @@
     /// learned of the backends stays, as they keep their names.
     fn move_to(&mut self, at: SocketAddr) {
         (self.at, self.rev, self.link) = (at, None, None);
+        self.pace.begin();
     }
 
-    fn take(&mut self, list: List) {
+    fn take(&mut self, list: List, log: &mut LogLimiter) {
         self.rev = Some(list.rev);
-        let scope = if list.all { ListScope::Full } else { ListScope::Changes };
-        if list.all || !list.targets.is_empty() {
-            self.node.fleet(scope, list.targets.into_iter().map(Target::listed).collect());
+        let (scope, listed, odd) = self.entries.take(list);
+        if scope == ListScope::Full || !listed.is_empty() {
+            self.node.fleet(scope, listed);
+        }
+        for Odd { uid, error, .. } in odd {
+            let at = self.at;
+            log.log(|suppressed| {
+                tracing::warn!(%at, server = uid, %error, suppressed, "an entry of the list can't be read");
+            });
         }
     }
 
-    async fn call(&mut self, hold: Duration) -> Result<List, CallError> {
+    async fn call(&mut self) -> Result<List, CallError> {
         let whole = self.node.take_whole_list();
-        let target = match self.rev.filter(|_| !whole) {
-            Some(rev) => format!("{PATH}?from={rev}&hold_ms={}", hold.as_millis()),
-            None => PATH.to_owned(),
+        let rev = self.rev.filter(|_| !whole);
+        let Call { want, most } = self.pace.next(rev.is_none());
+        let since = |hold: Duration| format!("{PATH}?from={}&hold_ms={}", rev.unwrap_or(0), hold.as_millis());
+        let (target, late) = match want {
+            Want::Whole => (PATH.to_owned(), CallError::Late),
+            Want::Check => (since(Duration::ZERO), CallError::Late),
+            Want::Watch(hold) => (since(hold), CallError::Silent),
         };
         let clock = self.node.clock().clone();
-        clock.timeout(hold + GRACE, self.ask(&target)).await.map_err(|_| CallError::Late)?
+        clock.timeout(most, self.ask(&target)).await.unwrap_or(Err(late))
     }
 
     async fn ask(&mut self, target: &str) -> Result<List, CallError> {
@@ -205,7 +160,7 @@
             return Err(CallError::Status(status));
         }
         self.link = Some(link);
-        Ok(serde_json::from_slice(&body.to_bytes())?)
+        Ok(List::read(&body.to_bytes())?)
     }
 }
 
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use badgerpost_http::discovery;
+use badgerpost_http::list::List;
 use brookfield_settings::{Site, file};
 use serde::Deserialize;
 
@@ -23,7 +23,7 @@
     seed: String,
     limits: Limits,
     /// The list as the node last had it.
-    pub known: Option<discovery::List>,
+    pub known: Option<List>,
     settings: serde_json::Value,
 }
 
@@ -228,7 +228,7 @@
         let Edge { listen, discovery, known, .. } = &self.edge;
         let named = [("the listener".to_owned(), *listen), ("discovery".to_owned(), *discovery)];
         let console = self.edge.console.map(|at| ("the console".to_owned(), at));
-        let known = known.iter().flat_map(discovery::List::endpoints);
+        let known = known.iter().flat_map(List::endpoints);
         let known = known.map(|(uid, at)| (format!("the known server {uid}"), at));
         let postgres = self.own.postgres.iter().flat_map(|postgres| {
             let servers =
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -37,8 +37,8 @@
             && self.cold_budget(backend, request)
     }
 
-    /// Whether a send there at that time would have no effect, or the first one: by the other attempts that may have
-    /// run, all but the one with the given number.
+    /// Whether a send there at that time would have no effect, or the first one: by the other attempts that
+    /// may have run, all but the one with the given number.
     fn harmless(&self, request: &Request, own: Option<u32>, zone: ZoneId, cell: u64, at: Nanos) -> bool {
         let others = request.attempts.iter().zip(0..).filter(|(_, number)| own != Some(*number));
         let mut ran = others.map(|(attempt, _)| attempt).filter(|attempt| attempt.may_have_run()).peekable();
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Whether an attempt may still be written, now that its connection is up: that can take longer than what backends
-    /// remember of the attempts before.
+    /// Whether an attempt may still be written, now that its connection is up: that can take longer than what
+    /// backends remember of the attempts before.
     pub fn may_write(&self, now: Nanos, id: RequestId, attempt: u32) -> bool {
         let Some(request) = self.requests.get(&id).filter(|request| request.phase != Phase::Ended) else {
             return false;
