Who leaves is seen at once, and what has been read is answered, also as a connection ends

Four faults, each found by reading and forced on real sockets (node/tests/leaving.rs, ending.rs).

A client that leaves with anything sent behind its request was not seen: hyper looks for its end only while its buffer is empty (conn.rs, mid_message_detect_eof). 300 clients that left with an empty line behind their requests: all 300 were sent on when a backend came up ("left: [gone0, gone1, ..."). The tap on a client's socket now reads ahead itself (16 KiB) while an answer is waited for; beyond that the system is asked every 20 ms. Looked for and not found: no bytes behind, Connection: close, HTTP/1.0, in the midst of a body, while a connect comes up. 2. Such a request is refused in its time now; it never was whole anywhere. The same with a backend that reads nothing (before: "an answer" in vain). 3. Once the node ends, each answer closed its connection, also over a request that had been read behind it ("left: (200, true)": the second was dropped). And the close over unread bytes reset the connection ("BrokenPipe"). Now the last answer closes, the node shuts its side, reads nothing more, and gives its peer 500 ms to end the connection. 4. A request whose last byte came 1 s after SIGTERM had its whole deadline, and the process ended before (no answer). From SIGTERM on nobody has longer than the longest deadline and 0.5 s, counted from the signal.

--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -391,6 +391,15 @@
         self.forget_if_done(request);
     }
 
+    /// Ends a request that never ran anywhere as refused; what its client is told.
+    pub(crate) fn refuse(&mut self, request: RequestId, errands: &mut Errands<F>) -> Reply<F::Answer> {
+        let pause = self.settings.limits.retry_after;
+        self.finish(request, Reply::Refused(pause), false);
+        self.hear(Event::ClientGone { request }, errands);
+        self.forget_if_done(request);
+        Reply::Refused(pause)
+    }
+
     pub(crate) fn client_gone(&mut self, request: RequestId, errands: &mut Errands<F>) {
         if self.requests.get(&request).is_some_and(|open| !open.ended) {
             self.finish(request, Reply::Failed, false);
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -290,6 +290,11 @@
         self.engine.call(|driver, errands| driver.whole(self.request, budget, errands));
     }
 
+    /// Gives the request up: it can't have run anywhere, and trying again does no harm.
+    pub fn refuse(&self) -> Reply<F::Answer> {
+        self.engine.call(|driver, errands| driver.refuse(self.request, errands))
+    }
+
     /// The final answer.
     pub async fn answer(mut self) -> Reply<F::Answer> {
         self.answered().await
--- a/fronts/http/src/server.rs
+++ b/fronts/http/src/server.rs
@@ -2,8 +2,9 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::Pin;
+use std::future::{Future, poll_fn};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use brookfield::{Effect, Nanos};
@@ -33,8 +34,8 @@
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-/// How often a new connection is looked at while idle ones are to end.
-const STILL_NEW: Duration = Duration::from_millis(50);
+/// How often a connection that does not rest is looked at while idle ones are to end.
+const LOOK: Duration = Duration::from_millis(50);
 const MAX_HEAD: usize = 32 * 1024;
 /// A client counts its time from its send to the last byte of the answer, so the ways there and back come
 /// off: an answer that leaves as the budget ends comes to a client that has just given up.
@@ -95,6 +96,8 @@
 pub struct Door {
     /// Where the node stands.
     pub stage: watch::Receiver<Stage>,
+    /// When the last answer has to have left, once the process is to end.
+    pub leaves: Rc<Cell<Option<Nanos>>>,
     /// Whether new connections are taken.
     pub accepts: watch::Receiver<bool>,
 }
@@ -112,9 +115,9 @@
 pub async fn run(listener: TcpListener, node: Node, limits: Limits, door: Door) {
     let slots = Slots::new(limits.clients, node.clock().clone());
     let sweeper = spawn(slots.clone().sweep());
-    let (phase, mut closed) = (door.stage.clone(), door.stage);
+    let mut closed = door.stage.clone();
     let closed = closed.wait_for(|stage| *stage == Stage::Closed);
-    let mut accepts = door.accepts;
+    let mut accepts = door.accepts.clone();
     let accepting = async {
         let mut log = LogLimiter::new(node.clock().clone());
         loop {
@@ -128,7 +131,7 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => welcome(stream, &node, &limits.bodies, slots.take().await, &phase),
+                Ok((stream, _)) => welcome(stream, &node, &limits.bodies, slots.take().await, &door),
                 Err(error) => {
                     log.log(|suppressed| tracing::warn!(%error, suppressed, "accepting a client failed"));
                     node.clock().sleep(ACCEPT_AGAIN).await;
@@ -147,19 +150,13 @@
     sweeper.abort();
 }
 
-fn welcome(
-    stream: TcpStream,
-    node: &Node,
-    bodies: &Budget,
-    guard: SlotGuard,
-    phase: &watch::Receiver<Stage>,
-) {
-    let (node, bodies, phase) = (node.clone(), bodies.clone(), phase.clone());
+fn welcome(stream: TcpStream, node: &Node, bodies: &Budget, guard: SlotGuard, door: &Door) {
+    let (node, bodies, door) = (node.clone(), bodies.clone(), door.clone());
     spawn(async move {
         tokio::select! {
             biased;
             () = guard.slot().closed() => {}
-            result = converse(stream, node, bodies, guard.slot(), phase) => {
+            result = converse(stream, node, bodies, guard.slot(), door) => {
                 result.unwrap_or_else(|error| tracing::debug!(%error, "client connection failed"));
             }
         }
@@ -179,36 +176,48 @@
     node: Node,
     bodies: Budget,
     slot: &Rc<Slot>,
-    mut phase: watch::Receiver<Stage>,
+    door: Door,
 ) -> Result<(), Trouble> {
     stream.set_nodelay(true)?;
-    let answers = phase.clone();
-    let service = service_fn(|request| answer(&node, &bodies, slot, request, &answers));
-    let line = TokioIo::new(Tap::new(stream, RequestTracker::new(slot.clone())));
-    let mut connection = http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(line, service);
-    let idle_ends = async {
-        // One that has just come is closed by its first answer. Closing it sooner would lose the request for which
-        // it was opened.
-        while phase.wait_for(|stage| stage.closes_idle()).await.is_ok() && slot.is_new() {
-            node.clock().sleep(STILL_NEW).await;
+    let service = service_fn(|request| answer(&node, &bodies, slot, request, &door));
+    let tap = Tap::new(stream, RequestTracker::new(slot.clone()));
+    let mut connection =
+        http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(tap.clone()), service);
+    let result = {
+        // The library looks for its client's end only while nothing has come behind the request.
+        let mut left = std::pin::pin!(tap.left(node.clock()));
+        let gone = poll_fn(|cx| if slot.is_awaited() { left.as_mut().poll(cx) } else { Poll::Pending });
+        tokio::select! {
+            biased;
+            result = &mut connection => Some(result),
+            () = gone => return Ok(()),
+            () = slot.ends() => None,
+            () = ends_at_rest(slot, door.stage.clone(), node.clock()) => None,
         }
     };
-    let ended = tokio::select! {
-        biased;
-        result = &mut connection => Some(result),
-        () = idle_ends => None,
-    };
-    let result = match ended {
-        Some(result) => result,
-        None => {
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+    drop(connection);
+    if result.as_ref().is_some_and(Result::is_err) || slot.told_off() {
+        slot.leaving();
+        tap.part_reading().await;
+    } else {
+        slot.parting();
+        tap.part(node.clock()).await;
+    }
+    Ok(result.unwrap_or(Ok(()))?)
+}
+
+/// Resolves once the node closes idle connections and nothing stands on this one. One that has just come is closed by
+/// its first answer: closing it sooner would lose the request for which it was opened. What has begun to come is waited
+/// for until no more connections are taken.
+async fn ends_at_rest(slot: &Slot, mut stage: watch::Receiver<Stage>, clock: &Clock) {
+    loop {
+        // The sender lives as long as the process.
+        let Ok(stage) = stage.wait_for(|stage| stage.closes_idle()).await.map(|stage| *stage) else { return };
+        if slot.rests() || (slot.is_arriving() && stage == Stage::Closed) {
+            return;
         }
-    };
-    if result.is_err() || slot.told_off() {
-        connection.into_parts().io.into_inner().leave().await;
+        clock.sleep(LOOK).await;
     }
-    Ok(result?)
 }
 
 async fn answer(
@@ -216,14 +225,14 @@
     bodies: &Budget,
     slot: &Rc<Slot>,
     request: Request<Incoming>,
-    phase: &watch::Receiver<Stage>,
+    door: &Door,
 ) -> Result<Answer, Infallible> {
-    let serving = || phase.borrow().is_ready();
+    let serving = || door.stage.borrow().is_ready();
     let turned_down = |bad: BadCall| (plain(bad.status(), &bad.to_string()), true);
     let (response, bad) = match (slot.receiving(), request.uri().path()) {
         // Read in two ways, a request may hide another: nothing of it goes anywhere.
         (Err(fault), _) => turned_down(fault.into()),
-        (_, "/api") => match call(node, bodies, slot, request).await {
+        (_, "/api") => match call(node, bodies, slot, request, door).await {
             Ok(response) => (response, !slot.is_received()),
             Err(bad) => turned_down(bad),
         },
@@ -236,7 +245,9 @@
     };
     let mut response = response;
     // Where one request made no sense there is no telling where the next one begins.
-    if bad || !serving() || slot.is_surplus() {
+    // A request that has been read behind this one is owed an answer too, as long as there is time for that.
+    let ends = !serving() || slot.is_surplus();
+    if bad || (ends && !slot.has_more()) || *door.stage.borrow() == Stage::Closed {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     slot.answering(bad);
@@ -248,6 +259,7 @@
     bodies: &Budget,
     slot: &Rc<Slot>,
     request: Request<Incoming>,
+    door: &Door,
 ) -> Result<Answer, BadCall> {
     let (head, body) = request.into_parts();
     let headers = &head.headers;
@@ -271,7 +283,11 @@
     // No work is as long as the client's whole time; such a guess says nothing.
     let hint = hint.map(|micros| micros.saturating_mul(1000)).filter(|hint| *hint <= deadline);
     // Its time runs from its last byte.
-    let left = time_left(budget, deadline);
+    // Whoever is about to end has no more time than that.
+    let left = || {
+        let most = door.leaves.get().map_or(Nanos::MAX, |at| at.saturating_sub(node.clock().now()));
+        time_left(budget, deadline).min(most)
+    };
     let coming = match &body {
         Payload::Coming(upload) => Some(upload.clone()),
         Payload::Whole(..) => None,
@@ -283,15 +299,16 @@
         key,
         hint,
         repeat,
-        budget: left,
+        budget: left(),
         call: Call {
             method: head.method,
             target: origin_form(&head.uri),
             headers: end_to_end(head.headers),
             body,
-            budget_ms: left / 1_000_000,
+            budget_ms: left() / 1_000_000,
         },
     };
+    let _awaits = slot.awaits();
     let reply = if let Some(upload) = coming {
         asked.budget = nanos(UPLOAD_MOST);
         let mut waiting = node.upload(asked).ok_or(BadCall::Taken(CALL_ID))?;
@@ -300,12 +317,16 @@
             biased;
             () = upload.taken() => None,
             reply = waiting.answered() => Some(reply),
+            stuck = stuck(node.clock(), slot, &upload, left()) => match stuck {
+                Stuck::AtClient => return Err(BadCall::NoBody),
+                Stuck::AtBackend => Some(waiting.refuse()),
+            },
         };
         match early {
             // Answered before it was whole: what still comes is dropped, and the connection ends.
             Some(reply) => reply,
             None => {
-                waiting.whole(left);
+                waiting.whole(left());
                 slot.open();
                 waiting.answered().await
             }
@@ -319,6 +340,28 @@
     Ok(worded(reply, |begun| answer::Passing::new(begun, slot.clone(), node.tally(), class)))
 }
 
+/// Who a body waits for that has stopped moving.
+enum Stuck {
+    AtClient,
+    AtBackend,
+}
+
+/// Resolves once a body has stopped moving for too long: its client keeps up no pace, or it was whole long ago for all
+/// that its client knows, and nobody takes the rest, which then never ran anywhere.
+async fn stuck(clock: &Clock, slot: &Slot, upload: &Upload, left: Nanos) -> Stuck {
+    loop {
+        let (due, who) = match upload.waits_since() {
+            Some(since) => (since.saturating_add(left), Stuck::AtBackend),
+            None => (slot.received_by(), Stuck::AtClient),
+        };
+        if clock.now() >= due {
+            return who;
+        }
+        // Who it waits for changes without notice.
+        clock.sleep_until(due.min(clock.now().saturating_add(nanos(LOOK)))).await;
+    }
+}
+
 /// The target as it goes on: clients may name the whole address (RFC 9112, chapter 3.2.2), servers are told path and
 /// query.
 fn origin_form(target: &Uri) -> Uri {
@@ -354,7 +397,7 @@
     // One of an unknown length takes what the largest one would.
     let most = length.map_or(MAX_BODY, |length| usize::try_from(length).unwrap_or(usize::MAX).min(MAX_BODY));
     let Some(held) = bodies.take(most) else {
-        return Ok(Payload::Coming(Upload::new(Kept::default(), body, length)));
+        return Ok(Payload::Coming(Upload::new(Kept::default(), body, length, clock)));
     };
     let mut first = Gathered::default();
     loop {
@@ -378,6 +421,7 @@
                         Kept::new(first.whole(), Some(held)),
                         body,
                         length,
+                        clock,
                     )));
                 }
             }
--- a/fronts/http/src/slots.rs
+++ b/fronts/http/src/slots.rs
@@ -9,10 +9,9 @@
 use badgerpost_engine::{Clock, nanos};
 use badgerpost_http1::{Fault, Follower, Sign};
 use brookfield::Nanos;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
-use crate::tap::{Ear, Tap};
+use crate::tap::Ear;
 
 /// A head is whole this long after its first byte, the first one of a connection this long after the connect:
 /// clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it. A body that stops has
@@ -47,6 +46,8 @@
 const NEW: Duration = Duration::from_millis(500);
 /// After an error what still comes is read and dropped for this long, or the error would be lost with it.
 const LINGER: Duration = Duration::from_millis(1500);
+/// A client that is told that nothing more follows has this long to close too: some ways there and back.
+const PARTS_WITHIN: Duration = Duration::from_millis(500);
 /// Requests sent ahead of their answers whose heads are remembered; the parser reads no further ahead than 32 KiB.
 const AHEAD_MOST: usize = 2048;
 /// How often the slots are looked through; and the wait for room where nobody can go yet.
@@ -70,6 +71,8 @@
     Answering,
     /// Between requests.
     Idle,
+    /// Told that nothing more follows; what still comes is not read.
+    Parting,
     /// Answered for the last time; what still comes is dropped.
     Leaving,
 }
@@ -82,11 +85,16 @@
     heard: Cell<Nanos>,
     /// What was found of the heads that have come and are not taken yet, in order.
     heads: RefCell<VecDeque<Result<(), Fault>>>,
+    /// Requests that have begun to come and whose heads are not taken yet.
+    begun: Cell<usize>,
+    /// A request's answer is waited for: with its client gone, nothing more is done for it.
+    awaited: Cell<bool>,
     /// Bytes that have come since the head was taken.
     received: Cell<u64>,
     /// The last answer told of a bad request, of which more may come.
     told_off: Cell<bool>,
     close: Notify,
+    part: Notify,
     idle: Rc<Idle>,
     clock: Clock,
 }
@@ -105,9 +113,12 @@
             since: Cell::new(clock.now()),
             heard: Cell::new(clock.now()),
             heads: RefCell::default(),
+            begun: Cell::new(0),
+            awaited: Cell::new(false),
             received: Cell::new(0),
             told_off: Cell::new(false),
             close: Notify::new(),
+            part: Notify::new(),
             clock,
         }
     }
@@ -148,7 +159,8 @@
                 heads.truncate(AHEAD_MOST - 1);
                 heads.push_back(found);
             }
-            Sign::Begun | Sign::Whole | Sign::Broken(_) => {}
+            Sign::Begun => self.begun.set(self.begun.get() + 1),
+            Sign::Whole | Sign::Broken(_) => {}
         }
     }
 
@@ -180,9 +192,41 @@
         let only_just = self.stage.get() == Stage::Arriving;
         self.enter_at(Stage::Receiving, if only_just { self.heard.get() } else { self.clock.now() });
         self.received.set(0);
+        self.begun.set(self.begun.get().saturating_sub(1));
         self.heads.borrow_mut().pop_front().unwrap_or(Ok(()))
     }
 
+    /// Whether another request has begun to come behind the one that was taken last: it is owed an answer too.
+    pub fn has_more(&self) -> bool {
+        self.begun.get() > 0
+    }
+
+    /// Whether nothing stands on it, so that it may end with no answer: nothing has come that nobody has answered, nor
+    /// has it only just been opened.
+    pub fn rests(&self) -> bool {
+        match self.stage.get() {
+            Stage::Silent => !self.is_new(),
+            Stage::Idle => !self.has_more(),
+            _ => false,
+        }
+    }
+
+    /// Whether a request stands on it that has not come whole.
+    pub fn is_arriving(&self) -> bool {
+        self.stage.get() == Stage::Arriving
+    }
+
+    /// Whether a request's answer is waited for.
+    pub fn is_awaited(&self) -> bool {
+        self.awaited.get()
+    }
+
+    /// A request's answer is waited for until what is returned is dropped.
+    pub fn awaits(&self) -> Awaits<'_> {
+        self.awaited.set(true);
+        Awaits(self)
+    }
+
     /// When the body has to have come, by what has come of it so far.
     pub fn received_by(&self) -> Nanos {
         let paid = self.received.get().saturating_mul(1_000_000_000) / SLOWEST;
@@ -224,6 +268,21 @@
         self.told_off.get()
     }
 
+    /// Its client is told that nothing more follows.
+    pub fn parting(&self) {
+        self.enter(Stage::Parting);
+    }
+
+    /// Its client has been answered for the last time, and may still be writing.
+    pub fn leaving(&self) {
+        self.enter(Stage::Leaving);
+    }
+
+    /// Resolves once the connection is to end in good order.
+    pub async fn ends(&self) {
+        self.part.notified().await;
+    }
+
     /// Resolves once the connection has to be closed.
     pub async fn closed(&self) {
         self.close.notified().await;
@@ -232,20 +291,31 @@
     fn overdue(&self, now: Nanos) -> bool {
         let most = match self.stage.get() {
             Stage::Silent | Stage::Arriving => WHOLE_WITHIN + CLOSES_AFTER,
+            // Whoever waits for the answer sees to it that one comes.
+            Stage::Receiving if self.awaited.get() => return false,
             Stage::Receiving => return now >= self.received_by().saturating_add(nanos(CLOSES_AFTER)),
             Stage::Open => return false,
             Stage::Passing => MOVES_WITHIN,
             Stage::Answering => TAKEN_WITHIN,
             Stage::Idle => IDLE_MOST,
+            Stage::Parting => PARTS_WITHIN,
             Stage::Leaving => LINGER,
         };
         now.saturating_sub(self.since.get()) >= nanos(most)
     }
 
+    /// Ends what has stood for too long: in good order where nothing but its client's silence ends it.
+    fn end_overdue(&self) {
+        match self.stage.get() {
+            Stage::Silent | Stage::Arriving | Stage::Idle => self.part.notify_one(),
+            _ => self.close.notify_one(),
+        }
+    }
+
     /// The order in which connections make room, or none for one that may not be closed.
     fn rank(&self, now: Nanos) -> Option<(u8, Nanos)> {
         let (rank, least, since) = match self.stage.get() {
-            Stage::Leaving => (0, Duration::ZERO, self.since.get()),
+            Stage::Parting | Stage::Leaving => (0, Duration::ZERO, self.since.get()),
             Stage::Silent => (1, SILENT_LEAST, self.since.get()),
             Stage::Idle => (2, IDLE_LEAST, self.since.get()),
             Stage::Arriving | Stage::Receiving => (3, STOPPED_LEAST, self.heard.get()),
@@ -255,6 +325,15 @@
     }
 }
 
+/// A request's answer is waited for as long as this lives.
+pub struct Awaits<'a>(&'a Slot);
+
+impl Drop for Awaits<'_> {
+    fn drop(&mut self) {
+        self.0.awaited.set(false);
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         self.enter(Stage::Leaving);
@@ -307,7 +386,7 @@
             self.clock.sleep(SWEEP).await;
             let now = self.clock.now();
             let slots = self.slots.borrow();
-            slots.values().filter(|slot| slot.overdue(now)).for_each(|slot| slot.close.notify_one());
+            slots.values().filter(|slot| slot.overdue(now)).for_each(|slot| slot.end_overdue());
         }
     }
 
@@ -369,15 +448,3 @@
         self.slot.flushed();
     }
 }
-
-impl Tap<RequestTracker> {
-    /// Closes after the last answer: says that nothing more follows, and reads on for a while. A socket that
-    /// is closed with bytes unread resets its connection, and the answer may never be seen.
-    pub async fn leave(mut self) {
-        self.ear.slot.enter(Stage::Leaving);
-        // It may have been shut already, or be broken: then the read below ends at once.
-        let _ = self.stream.shutdown().await;
-        let mut scrap = vec![0; 16 * 1024];
-        while self.stream.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
-    }
-}
--- a/fronts/http/src/tap.rs
+++ b/fronts/http/src/tap.rs
@@ -1,14 +1,18 @@
 //! Listens in on connections: what the HTTP library does not tell, or not in time.
 
+use std::cell::RefCell;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hyper::Request;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -112,19 +116,114 @@
     fn flushed(&mut self) {}
 }
 
-/// A socket that is listened in on.
-pub struct Tap<E> {
-    /// The socket.
-    pub stream: TcpStream,
-    /// The one who listens.
-    pub ear: E,
+/// A socket that is listened in on. Clones are handles on the same one.
+pub struct Tap<E>(Rc<RefCell<Line<E>>>);
+
+struct Line<E> {
+    stream: TcpStream,
+    ear: E,
+    /// Bytes that were read before anybody asked for them.
+    ahead: BytesMut,
     connection: progress::Connection,
 }
 
-impl<E> Tap<E> {
+impl<E> Clone for Tap<E> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+/// So much is read ahead at most: a request of the next kind or two. What a peer sends beyond that waits in the system.
+const AHEAD_MOST: usize = 16 * 1024;
+/// With so much read ahead, or with bytes that are not to be read, a peer's end is looked for this often.
+const LOOK: Duration = Duration::from_millis(20);
+
+impl<E: Ear> Tap<E> {
     /// Listens in on this socket.
     pub fn new(stream: TcpStream, ear: E) -> Self {
-        Self { stream, ear, connection: progress::Connection::default() }
+        let connection = progress::Connection::default();
+        Self(Rc::new(RefCell::new(Line { stream, ear, ahead: BytesMut::new(), connection })))
+    }
+
+    /// Resolves once the peer has closed its side, or broken the connection, whoever else reads here or does not: what
+    /// it sends is read ahead meanwhile. Polled by the task that reads.
+    pub async fn left(&self, clock: &Clock) {
+        while !poll_fn(|cx| self.0.borrow_mut().poll_left(cx)).await {
+            clock.sleep(LOOK).await;
+        }
+    }
+
+    /// Says that nothing more follows and waits for the peer to end the connection too. Bytes that still come are left
+    /// unread: whoever sent them can tell from that that nobody has taken them.
+    pub async fn part(&self, clock: &Clock) {
+        self.shut().await;
+        while !poll_fn(|cx| self.0.borrow_mut().poll_parted(cx)).await {
+            clock.sleep(LOOK).await;
+        }
+    }
+
+    /// The same after an error, while its peer may still be writing: what still comes is read and dropped. A socket
+    /// that is closed over unread bytes resets its connection, and the answer may never be seen.
+    pub async fn part_reading(&self) {
+        self.shut().await;
+        let mut scrap = vec![0; 16 * 1024];
+        let mut line = self.clone();
+        while line.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
+    }
+
+    async fn shut(&self) {
+        // It may have been shut already, or be broken: then the wait for its end is over at once.
+        let _ = poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)).await;
+    }
+}
+
+impl<E: Ear> Line<E> {
+    /// Reads from the socket, and tells the ear.
+    fn poll_socket(&mut self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            progress::read(buffer.filled().len() - before);
+            self.ear.bytes(&buffer.filled()[before..]);
+        } else if read.is_ready() && buffer.remaining() > 0 {
+            // Nothing more, or an error.
+            self.connection.over();
+        }
+        read
+    }
+
+    /// Reads ahead; true with the peer's end, false where there is no more room.
+    fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        while self.ahead.len() < AHEAD_MOST {
+            let mut piece = [0; 2048];
+            let mut buffer = ReadBuf::new(&mut piece);
+            let read = ready!(self.poll_socket(cx, &mut buffer));
+            if read.is_err() || buffer.filled().is_empty() {
+                return Poll::Ready(true);
+            }
+            self.ahead.extend_from_slice(buffer.filled());
+        }
+        Poll::Ready(self.is_shut(cx))
+    }
+
+    /// Waits for something to read, and reads nothing; true with the peer's end, false with bytes.
+    fn poll_parted(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        let mut byte = [0];
+        let found = ready!(self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte))).unwrap_or_default();
+        let ended = found == 0 || self.is_shut(cx);
+        if ended {
+            self.connection.over();
+        }
+        Poll::Ready(ended)
+    }
+
+    /// Whether the system knows that the peer has closed, though there are bytes before that.
+    fn is_shut(&self, cx: &mut Context<'_>) -> bool {
+        match std::pin::pin!(self.stream.ready(Interest::READABLE)).poll(cx) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
     }
 }
 
@@ -143,53 +242,57 @@
     write
 }
 
-impl<E: Ear + Unpin> AsyncRead for Tap<E> {
+impl<E: Ear> AsyncRead for Tap<E> {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
-            progress::read(buffer.filled().len() - before);
-            self.ear.bytes(&buffer.filled()[before..]);
-        } else if read.is_ready() && buffer.remaining() > 0 {
-            // Nothing more, or an error.
-            self.connection.over();
+        let mut line = self.0.borrow_mut();
+        if line.ahead.is_empty() {
+            return line.poll_socket(cx, buffer);
         }
-        read
+        let taken = line.ahead.len().min(buffer.remaining());
+        buffer.put_slice(&line.ahead.split_to(taken));
+        if line.ahead.is_empty() {
+            // Most connections never need it again.
+            line.ahead = BytesMut::new();
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
-impl<E: Ear + Unpin> AsyncWrite for Tap<E> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        let write = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        counted(&mut self.ear, write)
+impl<E: Ear> AsyncWrite for Tap<E> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let line = &mut *self.0.borrow_mut();
+        let write = Pin::new(&mut line.stream).poll_write(cx, bytes);
+        counted(&mut line.ear, write)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let line = &mut *self.0.borrow_mut();
+        let flushed = Pin::new(&mut line.stream).poll_flush(cx);
         if flushed.is_ready() {
-            self.ear.flushed();
+            line.ear.flushed();
         }
         flushed
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let write = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
-        counted(&mut self.ear, write)
+        let line = &mut *self.0.borrow_mut();
+        let write = Pin::new(&mut line.stream).poll_write_vectored(cx, parts);
+        counted(&mut line.ear, write)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.0.borrow().stream.is_write_vectored()
     }
 }
--- a/fronts/http/src/upload.rs
+++ b/fronts/http/src/upload.rs
@@ -13,7 +13,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::Notify;
 
-use badgerpost_engine::Ticket;
+use badgerpost_engine::{Clock, Ticket};
+use brookfield::Nanos;
 
 use crate::Node;
 use crate::budget::Kept;
@@ -62,6 +63,7 @@
     pub fn abandon(&self) {
         if let Self::Coming(upload) = self {
             upload.turn.set(upload.turn.get() + 1);
+            upload.starved.set(false);
         }
     }
 }
@@ -79,12 +81,20 @@
     broken: Cell<bool>,
     whole: Cell<bool>,
     ended: Notify,
+    /// Whoever takes of it waits for its client, and not the other way round.
+    starved: Cell<bool>,
+    /// When it was made, or last moved.
+    moved: Cell<Nanos>,
+    clock: Clock,
 }
 
 impl Upload {
     /// A body of which `first` has come.
-    pub fn new(first: Kept, rest: Incoming, length: Option<u64>) -> Rc<Self> {
+    pub fn new(first: Kept, rest: Incoming, length: Option<u64>, clock: &Clock) -> Rc<Self> {
         Rc::new(Self {
+            starved: Cell::new(false),
+            moved: Cell::new(clock.now()),
+            clock: clock.clone(),
             first,
             rest: RefCell::new(rest),
             length,
@@ -101,6 +111,11 @@
         self.whole.get()
     }
 
+    /// Since when its client waits for somebody to take of it; none while it is the client that is waited for.
+    pub fn waits_since(&self) -> Option<Nanos> {
+        (!self.starved.get()).then_some(self.moved.get())
+    }
+
     /// Resolves once its last byte has been taken.
     pub async fn taken(&self) {
         self.ended.notified().await;
@@ -145,16 +160,17 @@
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if self.turn != self.upload.turn.get() {
+            self.upload.starved.set(false);
             return Poll::Ready(Some(Err(io::Error::other("the attempt has ended"))));
         }
         if let Some(first) = self.first.take() {
             return self.give(first);
         }
         loop {
-            let frame = {
-                let mut rest = self.upload.rest.borrow_mut();
-                std::task::ready!(Pin::new(&mut *rest).poll_frame(cx))
-            };
+            let polled = Pin::new(&mut *self.upload.rest.borrow_mut()).poll_frame(cx);
+            self.upload.starved.set(polled.is_pending());
+            let frame = std::task::ready!(polled);
+            self.upload.moved.set(self.upload.clock.now());
             match frame {
                 None => {
                     self.upload.end();
--- a/kit/standins/src/lib.rs
+++ b/kit/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod database;
 pub mod discovery;
+pub mod late;
 pub mod message;
 pub mod net;
 pub mod random;
--- a/kit/standins/src/scripted.rs
+++ b/kit/standins/src/scripted.rs
@@ -96,6 +96,8 @@
     Then(String, Arc<Gate>, String),
     /// Says nothing and keeps the connection.
     Hangs,
+    /// Waits for the gate and closes.
+    Breaks(Arc<Gate>),
     /// Waits for the gate, then writes.
     Waits(Arc<Gate>, String),
 }
@@ -178,6 +180,7 @@
                 gate.wait();
                 writer.write_all(text.as_bytes())
             }
+            Does::Breaks(gate) => return gate.wait(),
             Does::Ends(text) => {
                 let _ = writer.write_all(text.as_bytes());
                 let _ = writer.shutdown(Shutdown::Write);
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -1,5 +1,6 @@
 //! Wires a node's parts, heeds signals and ends it all.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -38,6 +39,9 @@
 const BACKLOG: u32 = 1024;
 /// Orders of the operators that wait for the serving thread, which takes them at once.
 const ORDERS: usize = 16;
+/// The last answer has left this long after the longest deadline, counted from the signal to end: SIGKILL comes 0.7 s
+/// after it at the soonest, by the platform's protocol.
+const LEAVES_AFTER: Duration = Duration::from_millis(500);
 /// Transactions that are under way at the end are waited for so long.
 const TRANSACTIONS_END: Duration = Duration::from_secs(10);
 
@@ -142,11 +146,12 @@
         spawn(peers.run(stopping.clone()));
     }
     let deadline = node.longest_deadline();
+    let leaves = Rc::new(Cell::new(None));
     let served = spawn(server::run(
         listener,
         node,
         Limits { clients: shares.clients, bodies },
-        Door { stage: life.stage(), accepts: life.accepts() },
+        Door { stage: life.stage(), leaves: leaves.clone(), accepts: life.accepts() },
     ));
     if let (Some(handover), Some(listener)) = (handover, hand_on) {
         spawn(handover.run(listener, given, life.clone()));
@@ -163,6 +168,8 @@
             _ = interrupt.recv() => {}
         }
         tracing::info!(node = edge.name, "stopping");
+        // Whatever comes until then is answered by then, also where nobody answers this node.
+        leaves.set(Some(clock.now().saturating_add(nanos(deadline + LEAVES_AFTER))));
         life.tell(Event::Stop);
         stop.send_replace(true);
         let _ = life.stage().wait_for(|stage| *stage == Stage::Closed).await;
--- /dev/null
+++ b/node/tests/ending.rs
@@ -0,0 +1,141 @@
+//! What is still owed when a node ends: requests that come as it shuts its side, and answers on their way.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use badgerpost_standins::scripted::*;
+use serde_json::json;
+
+fn stopping(node: &Node) {
+    node.signal("-TERM");
+    until("the node has heard", || node.logged("stopping node="));
+}
+
+/// Two requests in one read: the answer to the first must not end a connection on which another has been read. It did,
+/// and the second request was dropped.
+#[test]
+fn a_request_read_together_with_another_is_answered_too() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let (mut node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    assert_eq!(client.ask(&get("r0", "")).expect("an answer").status(), 200);
+    stopping(&node);
+    client.write(&(get("r1", "") + &get("r2", "") + &post("pay", "r3", "", "last")));
+    for (n, closes) in [(1, false), (2, false), (3, true)] {
+        let answer = client.read().unwrap_or_else(|| panic!("an answer to r{n}"));
+        assert_eq!((answer.status(), answer.value("connection").is_some()), (200, closes), "r{n}");
+    }
+    assert!(client.is_closed());
+    drop(client);
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+/// A client that rests until the node ends its connection writes in that very moment. Nothing of that is read, and the
+/// connection is not reset under it: the client can tell that nobody has taken its request.
+#[test]
+fn a_resting_connection_is_not_reset_under_a_request_that_crosses_its_end() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut stream = TcpStream::connect(node.at).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(get("c0", "").as_bytes()).unwrap();
+    let mut answer = [0; 4096];
+    assert!(stream.read(&mut answer).unwrap() > 0);
+    stopping(&node);
+    assert_eq!(stream.read(&mut answer).unwrap(), 0, "its end");
+    let began = Instant::now();
+    // A reset shows at the next write or read.
+    while began.elapsed() < Duration::from_millis(200) {
+        stream.write_all(get("c1", "").as_bytes()).expect("not reset");
+        assert_eq!(stream.take_error().unwrap().map(|error| error.kind()), None::<ErrorKind>);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(backend.count(), 1, "and nothing of it was sent on");
+}
+
+/// SIGKILL comes 0.7 s behind the longest deadline at the soonest. A request whose last byte comes late has no more time
+/// than that, also where no backend answers: the node ended while it was still open.
+#[test]
+fn what_becomes_whole_at_the_last_moment_is_answered_before_the_end() {
+    let backend = Backend::new(|_| Does::Hangs);
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
+    let mut config = config(discovery.at, json!([]));
+    for class in 0..3 {
+        config["settings"]["classes"][class]["deadline-ns"] = json!(1_500_000_000u64);
+    }
+    let mut node = Node::start(&config);
+    discovery.watched_from(1);
+    let text = post("pay", "late", "", "0123456789");
+    let mut client = Client::to(node.at);
+    client.write(&text[..text.len() - 1]);
+    assert_eq!(node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+    let began = Instant::now();
+    stopping(&node);
+    until("no more connections are taken", || TcpStream::connect(node.at).is_err());
+    // The longest deadline from here on ends behind SIGKILL.
+    until("it is late", || began.elapsed() > Duration::from_millis(1000));
+    client.write(&text[text.len() - 1..]);
+    let answer = client.read().expect("an answer");
+    assert_eq!(answer.status(), 502, "it may have run");
+    drop(client);
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    assert!(began.elapsed() < Duration::from_millis(2200), "{:?}", began.elapsed());
+}
+
+/// Backends that hang, and requests on connections that are taken until the end: each gets its one answer.
+#[test]
+fn every_request_taken_while_backends_hang_is_answered_before_the_end() {
+    let backend = Backend::new(|_| Does::Hangs);
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
+    let mut config = config(discovery.at, json!([]));
+    for class in 0..3 {
+        config["settings"]["classes"][class]["deadline-ns"] = json!(1_500_000_000u64);
+    }
+    let mut node = Node::start(&config);
+    discovery.watched_from(1);
+    stopping(&node);
+    let mut open = Vec::new();
+    // For as long as somebody takes them.
+    while let Ok(mut stream) = TcpStream::connect(node.at) {
+        let id = format!("h{}", open.len());
+        if stream.write_all(get(&id, "").as_bytes()).is_ok() {
+            open.push(stream);
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(open.len() > 5, "{} were taken", open.len());
+    let answers = open.into_iter().map(|mut stream| {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut text = String::new();
+        let _ = stream.read_to_string(&mut text);
+        text
+    });
+    let answers: Vec<String> = answers.collect();
+    // The very last ones may have been connected to a queue that nobody looked at any more: they were reset unread.
+    let bare = answers.iter().rev().take_while(|text| text.is_empty()).count();
+    assert!(bare <= 1, "{bare} of {} got no answer", answers.len());
+    for text in &answers[..answers.len() - bare] {
+        assert!(text.starts_with("HTTP/1.1 5"), "{text:?}");
+        assert_eq!(text.matches("HTTP/1.1 ").count(), 1, "{text}");
+    }
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+/// Half a request line is nobody's request: the connection ends, and the node does not wait for the rest.
+#[test]
+fn half_a_request_line_does_not_keep_the_node_from_ending() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let (mut node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    assert_eq!(client.ask(&get("l0", "")).expect("an answer").status(), 200);
+    client.write("GET /api HT");
+    assert_eq!(node.ask(&get("l1", "")).status(), 200);
+    let began = Instant::now();
+    stopping(&node);
+    assert!(client.is_closed());
+    drop(client);
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+}
--- /dev/null
+++ b/node/tests/leaving.rs
@@ -0,0 +1,171 @@
+//! Clients that leave while something is still to be done for them, and connections to backends that come up when it no
+//! longer is.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use badgerpost_standins::late::Late;
+use badgerpost_standins::scripted::*;
+use serde_json::json;
+
+/// A node that knows of no backend: what it takes, it holds.
+fn holding(mut more: impl FnMut(&mut serde_json::Value)) -> (Node, Discovery) {
+    let discovery = Discovery::new(json!([]));
+    let mut config = config(discovery.at, json!([]));
+    more(&mut config);
+    let node = Node::start(&config);
+    discovery.watched_from(1);
+    (node, discovery)
+}
+
+/// Whatever the node was told before this has been taken in: it has one thread, and this comes last.
+fn settle(node: &Node) {
+    assert_eq!(node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+}
+
+/// What reaches the first backend that comes up, up to a request of a client that stayed.
+fn reached(node: &Node, discovery: &Discovery) -> Vec<String> {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    discovery.set(json!([target("s-0", backend.at, "Ready")]));
+    // Each answer has what is held sent on.
+    for n in 0..3 {
+        assert_eq!(node.ask(&get(&format!("stays{n}"), "")).status(), 200);
+    }
+    let ids = backend.got.try_iter().filter_map(|message| message.value("x-call-id").map(str::to_owned));
+    ids.filter(|id| !id.starts_with("stays")).collect()
+}
+
+/// The library looks for a client's end only while nothing has come behind its request: with anything there, requests
+/// of clients that had left were sent on when a backend came up.
+#[test]
+fn a_client_that_leaves_is_seen_whatever_it_has_sent_behind_its_request() {
+    let flood = get("flood", "").repeat(400);
+    let half = "GET /api HTTP/1.1\r\nHos";
+    for behind in ["", "\r\n", &get("behind", ""), half, &"x".repeat(3000), &flood] {
+        let (node, discovery) = holding(|_| {});
+        let mut client = Client::to(node.at);
+        client.write(&(get("gone", "") + behind));
+        settle(&node);
+        drop(client);
+        settle(&node);
+        // One that has sent more than is read ahead is looked for every 20 ms.
+        std::thread::sleep(Duration::from_millis(if behind.len() > 16_000 { 100 } else { 0 }));
+        assert_eq!(reached(&node, &discovery), [""; 0], "behind it: {} bytes", behind.len());
+    }
+}
+
+/// The same where the connection was to end with its answer anyway.
+#[test]
+fn a_client_of_one_request_that_leaves_is_seen_too() {
+    for text in [get("gone", "Connection: close\r\n"), get("gone", "").replace("HTTP/1.1", "HTTP/1.0")] {
+        let (node, discovery) = holding(|_| {});
+        let mut client = Client::to(node.at);
+        client.write(&text);
+        settle(&node);
+        drop(client);
+        settle(&node);
+        assert_eq!(reached(&node, &discovery), [""; 0]);
+    }
+}
+
+/// A body that is too large to be held waits unread while its request waits for a backend.
+#[test]
+fn a_client_that_leaves_in_the_midst_of_its_body_is_seen() {
+    for sent in [70_000, 100_000] {
+        let (node, discovery) = holding(|_| {});
+        let mut client = Client::to(node.at);
+        client.write(&post("pay", "gone", "", &"b".repeat(100_000))[..sent]);
+        settle(&node);
+        drop(client);
+        std::thread::sleep(Duration::from_millis(100));
+        settle(&node);
+        assert_eq!(reached(&node, &discovery), [""; 0], "{sent} bytes");
+    }
+}
+
+#[test]
+fn hundreds_that_leave_at_once_leave_nothing_behind() {
+    let (node, discovery) = holding(|_| {});
+    let mut clients: Vec<Client> = (0..300).map(|_| Client::to(node.at)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write(&(get(&format!("gone{n}"), "") + "\r\n"));
+    }
+    settle(&node);
+    drop(clients);
+    settle(&node);
+    assert_eq!(reached(&node, &discovery), [""; 0]);
+}
+
+/// The connection to its backend comes up when its client has left.
+#[test]
+fn nothing_is_written_for_a_client_that_left_while_the_connect_was_coming_up() {
+    let late = Late::new();
+    let (node, discovery) = holding(|config| {
+        config["settings"]["policy-limits"]["connect-timeout-ns"] = json!(5_000_000_000u64);
+    });
+    discovery.set(json!([target("s-0", late.at, "Ready")]));
+    discovery.watched_from(2);
+    let mut client = Client::to(node.at);
+    client.write(&get("gone", ""));
+    late.is_tried();
+    drop(client);
+    settle(&node);
+    late.lets_in();
+    assert_eq!(late.reads(Duration::from_millis(300)), "");
+}
+
+/// Backends remember keys for a while from the first attempt. The second one was begun within that, its connection came
+/// up behind it, and it ran again.
+#[test]
+fn a_repeat_is_not_written_behind_the_window_of_its_key() {
+    let gate = Arc::new(Gate::default());
+    let waits = gate.clone();
+    let first = Backend::new(move |_| Does::Breaks(waits.clone()));
+    let late = Late::new();
+    let (node, discovery) = holding(|config| {
+        config["settings"]["policy-limits"]["connect-timeout-ns"] = json!(5_000_000_000u64);
+        config["settings"]["classes"][1]["window-ns"] = json!(700_000_000u64);
+    });
+    let listed = target("s-0", first.at, "Ready");
+    discovery.set(json!([listed]));
+    discovery.watched_from(2);
+    let mut client = Client::to(node.at);
+    client.write(&post("join", "j1", "Idempotency-Key: k1\r\n", ""));
+    assert_eq!(first.next().value("x-call-id"), Some("j1"));
+    discovery.set(json!([listed, target("s-1", late.at, "Ready")]));
+    discovery.watched_from(3);
+    // It may have run there. The other one of its group lets connections up a second from now.
+    gate.open();
+    late.is_tried();
+    late.lets_in();
+    assert_eq!(late.reads(Duration::from_millis(300)), "", "too late for a repeat");
+    assert_eq!(client.read().expect("an answer").status(), 502, "it may have run");
+}
+
+/// A body that nobody takes is no fault of its client's: it gets an answer, in its time. Its connection was closed
+/// instead, once the body had made no progress for long enough (some seconds with this one).
+#[test]
+fn a_large_request_that_finds_no_backend_is_refused_in_time() {
+    let (node, _discovery) = holding(|config| {
+        config["settings"]["classes"][2]["deadline-ns"] = json!(30_000_000_000u64);
+    });
+    let text = post("pay", "large", "", &"b".repeat(400_000)).replace("3000", "2000");
+    assert_eq!(node.ask(&text).status(), 503);
+}
+
+/// A backend that takes the connection and nothing more.
+#[test]
+fn a_large_request_to_a_backend_that_reads_nothing_is_refused_in_time() {
+    let deaf = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (node, discovery) = holding(|_| {});
+    discovery.set(json!([target("s-0", deaf.local_addr().unwrap(), "Ready")]));
+    discovery.watched_from(2);
+    let mut client = Client::to(node.at);
+    let mut stream = client.stream();
+    let text = post("pay", "large", "", &"b".repeat(40_000_000)).replace("3000", "1000");
+    // Its sockets' buffers fill up long before the end.
+    let writer = std::thread::spawn(move || std::io::Write::write_all(&mut stream, text.as_bytes()));
+    assert_eq!(client.read().expect("an answer").status(), 503);
+    drop(client);
+    let _ = writer.join();
+}
--- a/node/tests/list.rs
+++ b/node/tests/list.rs
@@ -51,8 +51,10 @@
     began.elapsed()
 }
 
+type Play = Box<dyn FnOnce() -> Duration + Send>;
+
 /// All at the same time, each with a node of its own.
-fn all_in_time(cases: Vec<(&'static str, Box<dyn FnOnce() -> Duration + Send>)>) {
+fn all_in_time(cases: Vec<(&'static str, Play)>) {
     let plays: Vec<_> = cases.into_iter().map(|(what, play)| (what, std::thread::spawn(play))).collect();
     for (what, play) in plays {
         let took = play.join().unwrap();
@@ -64,9 +66,7 @@
 
 #[test]
 fn beside_an_agent_a_change_is_in_force_in_time_whatever_became_of_its_call() {
-    let case = |bad: fn() -> Does, calls| -> Box<dyn FnOnce() -> Duration + Send> {
-        Box::new(move || in_force_after(bad, calls, false))
-    };
+    let case = |bad: fn() -> Does, calls| -> Play { Box::new(move || in_force_after(bad, calls, false)) };
     all_in_time(vec![
         ("a watch falls silent", case(|| Does::Hangs, 1)),
         ("and the call behind it too", case(|| Does::Hangs, 2)),
@@ -86,9 +86,7 @@
 /// A watch that falls silent there is another matter: see `pace.rs`.
 #[test]
 fn where_it_is_asked_a_change_is_in_force_in_time_after_calls_that_fail() {
-    let case = |bad: fn() -> Does, calls| -> Box<dyn FnOnce() -> Duration + Send> {
-        Box::new(move || in_force_after(bad, calls, true))
-    };
+    let case = |bad: fn() -> Does, calls| -> Play { Box::new(move || in_force_after(bad, calls, true)) };
     all_in_time(vec![
         ("reset", case(|| Does::Ends(String::new()), 1)),
         ("reset twice", case(|| Does::Ends(String::new()), 2)),
