--- a/node/tests/ending.rs
+++ b/node/tests/ending.rs
@@ -2,7 +2,6 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use badgerpost_standins::scripted::*;
