An agent that is silent is asked again within 150 ms, beside the call before

Checked with calls and lists logged: discovery is back at 11.0 s. Forty of 273 nodes had asked for the whole list at 10.97 s, got no answer to that, and asked again at 12.08 s (rev 2); the others had it at 11.25 s (rev 1). So an agent does not answer what it was asked while silent.

Change: beside an agent a call that is to be answered at once is made again every 150 ms for as long as there is no answer, seven at most, and the first answer counts, so that a slow agent is not given up sooner than before.

Test: node/tests/list.rs, without the mend "1.007379129s" where 450 ms are allowed.

--- a/fronts/http/src/discovery.rs
+++ b/fronts/http/src/discovery.rs
@@ -1,6 +1,8 @@
 //! The list of backends: one watch on discovery, renewed at once and for ever.
 
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
+use std::task::Poll;
 use std::time::Duration;
 
 use brookfield::ListScope;
@@ -135,7 +137,7 @@
     async fn call(&mut self) -> Result<List, CallError> {
         let whole = self.node.take_whole_list();
         let rev = self.rev.filter(|_| !whole);
-        let Call { want, most } = self.pace.next(rev.is_none());
+        let Call { want, most, beside } = self.pace.next(rev.is_none());
         let since = |hold: Duration| format!("{PATH}?from={}&hold_ms={}", rev.unwrap_or(0), hold.as_millis());
         let (target, late) = match want {
             Want::Whole => (PATH.to_owned(), CallError::Late),
@@ -143,27 +145,52 @@
             Want::Watch(hold) => (since(hold), CallError::Silent),
         };
         let clock = self.node.clock().clone();
-        clock.timeout(most, self.ask(&target)).await.unwrap_or(Err(late))
+        let first = self.first_answer(&target, beside);
+        clock.timeout(most, first).await.unwrap_or(Err(late))
     }
 
-    async fn ask(&mut self, target: &str) -> Result<List, CallError> {
-        let mut link = match self.link.take().filter(|link| !link.is_closed()) {
-            Some(link) => link,
-            None => connect(self.node.clock(), self.at).await?,
-        };
-        link.ready().await?;
-        let request = Request::get(target).header(HOST, self.at.to_string()).body(Empty::new())?;
-        let response = link.send_request(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_LIST).collect().await.map_err(CallError::Body)?;
-        if status != StatusCode::OK {
-            return Err(CallError::Status(status));
+    /// Makes one call, and the same again beside it as long as there is no answer; the first answer counts. Dropped with
+    /// all that are under way.
+    async fn first_answer(&mut self, target: &str, beside: Duration) -> Result<List, CallError> {
+        let clock = self.node.clock().clone();
+        let mut calls = Vec::new();
+        loop {
+            calls.push(Box::pin(ask(clock.clone(), self.at, self.link.take(), target.to_owned())));
+            let answered = poll_fn(|cx| {
+                let mut answers = calls.iter_mut().map(|call| call.as_mut().poll(cx));
+                answers.find(Poll::is_ready).unwrap_or(Poll::Pending)
+            });
+            if let Ok(answer) = clock.timeout(beside, answered).await {
+                let (list, link) = answer?;
+                self.link = Some(link);
+                return Ok(list);
+            }
         }
-        self.link = Some(link);
-        Ok(List::read(&body.to_bytes())?)
     }
 }
 
+/// One call, over this connection or a new one, which is of further use with its answer.
+async fn ask(
+    clock: Clock,
+    at: SocketAddr,
+    link: Option<SendRequest<Empty<Bytes>>>,
+    target: String,
+) -> Result<(List, SendRequest<Empty<Bytes>>), CallError> {
+    let mut link = match link.filter(|link| !link.is_closed()) {
+        Some(link) => link,
+        None => connect(&clock, at).await?,
+    };
+    link.ready().await?;
+    let request = Request::get(target).header(HOST, at.to_string()).body(Empty::new())?;
+    let response = link.send_request(request).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_LIST).collect().await.map_err(CallError::Body)?;
+    if status != StatusCode::OK {
+        return Err(CallError::Status(status));
+    }
+    Ok((List::read(&body.to_bytes())?, link))
+}
+
 /// Waits for another address; the change stays to be seen.
 async fn told_anew(mut address: watch::Receiver<SocketAddr>) {
     if address.changed().await.is_err() {
--- a/fronts/http/src/pace.rs
+++ b/fronts/http/src/pace.rs
@@ -18,9 +18,12 @@
 /// What is answered at once: by an agent, or once the service has come round to the call.
 const AT_ONCE_PUSHED: Duration = Duration::from_secs(1);
 const AT_ONCE_ASKED: Duration = Duration::from_secs(3);
-/// First and last wait after a failure. Where discovery is asked the module calls for the next try itself,
-/// and the wait is only there in case it does not.
-const AGAIN_PUSHED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+/// An agent is silent while discovery is down, and answers nothing that it was asked then; what it gets at the return
+/// counts at once. So it is asked again after this, beside the calls before, of which one may only be late.
+const BESIDE_PUSHED: Duration = Duration::from_millis(150);
+/// First and last wait after a failure: next to none beside an agent, for the same reason. Where discovery is asked the
+/// module calls for the next try itself, and the wait is only there in case it does not.
+const AGAIN_PUSHED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(100));
 const AGAIN_ASKED: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(4));
 
 /// What is asked for.
@@ -40,6 +43,8 @@
     pub(crate) want: Want,
     /// Given up after so long.
     pub(crate) most: Duration,
+    /// Made once more after so long with no answer, and again, beside itself.
+    pub(crate) beside: Duration,
 }
 
 /// Keeps the pace of the calls.
@@ -71,16 +76,16 @@
 
     /// The next call, for one who knows a version or needs the whole list.
     pub(crate) fn next(&mut self, whole: bool) -> Call {
-        let at_once = if self.asked { AT_ONCE_ASKED } else { AT_ONCE_PUSHED };
-        if whole {
-            return Call { want: Want::Whole, most: at_once };
-        }
-        if self.check {
-            return Call { want: Want::Check, most: at_once };
+        if whole || self.check {
+            let want = if whole { Want::Whole } else { Want::Check };
+            return match self.asked {
+                true => Call { want, most: AT_ONCE_ASKED, beside: AT_ONCE_ASKED },
+                false => Call { want, most: AT_ONCE_PUSHED, beside: BESIDE_PUSHED },
+            };
         }
         let (least, most) = if self.asked { HOLD_ASKED } else { HOLD_PUSHED };
         let hold = least + (most - least).mul_f64(self.draw());
-        Call { want: Want::Watch(hold), most: hold + LATE }
+        Call { want: Want::Watch(hold), most: hold + LATE, beside: hold + LATE }
     }
 
     /// A call has brought a list.
--- a/node/tests/list.rs
+++ b/node/tests/list.rs
@@ -2,7 +2,7 @@
 //! end: each is in force within 6 s. What goes wrong begins with the first watch, and the change is there from then on.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use badgerpost_standins::scripted::*;
@@ -141,3 +141,32 @@
         node.ask(&get(&format!("v{n}"), "")).body == b"new"
     });
 }
+
+/// An agent is silent while discovery is down, answers nothing that it was asked meanwhile, and what it gets at the return
+/// counts at once: from then on nothing new may go to a server that drains for longer than half a second.
+#[test]
+fn what_an_agent_has_at_its_return_is_known_before_the_grace_of_a_drain_is_over() {
+    let (old, new) = (serving("old"), serving("new"));
+    let before = list(5, &[target("s-0", old.at, "Ready")]);
+    let after = list(6, &[target("s-0", old.at, "Terminating"), target("s-1", new.at, "Ready")]);
+    let (count, back) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    let (counted, is_back) = (count.clone(), back.clone());
+    let discovery = Backend::new(move |message| match counted.fetch_add(1, Ordering::SeqCst) {
+        0 => Does::Writes(ok(&before)),
+        _ if !is_back.load(Ordering::SeqCst) || message.first.contains("from=6") => Does::Hangs,
+        _ => Does::Writes(ok(&after)),
+    });
+    let node = Node::start(&config(discovery.at, json!([])));
+    until("some calls are not answered", || count.load(Ordering::SeqCst) >= 4);
+    let calls = count.load(Ordering::SeqCst);
+    until("another has just been made in vain", || count.load(Ordering::SeqCst) > calls);
+    back.store(true, Ordering::SeqCst);
+    let began = Instant::now();
+    let mut n = 0;
+    while node.ask(&get(&format!("b{n}"), "")).body != b"new" {
+        n += 1;
+        assert!(began.elapsed() < PATIENCE, "never");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(began.elapsed() < Duration::from_millis(450), "{:?}", began.elapsed());
+}
