Property test: any order of arrivals, leaving, connects, resets, answers, deadlines and lists

Need: the engine's promise under any order: one answer to each client that stayed, nothing written for one that left, past a drain's grace, behind a key's window or where an unsafe request may have run; no request, no timer left at the end.

--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -9,6 +9,8 @@
 use crate::call_ids::IDS_RESTING;
 use crate::timers::Due;
 
+mod any_order;
+
 struct Plain;
 
 impl Front for Plain {
