The node's own descriptors are set aside before clients and backends get theirs

Seen, by a test with the process held to what the platform tells it (prlimit), discovery silent and as many idle clients as descriptors: with 32 of them requests were refused, as no connection to a backend could be opened.

Checked: a node that has just started holds ten (standard streams, event loop, signals, listener); clients took a half, backends three eighths and an eighth of that more. To blame: node/src/config.rs, shares; the rest is enough from 256 on.

Change: twenty are set aside (44 with a console), the rest is divided as before; from 256 on nothing changes without one.

Three tests said 32 or 64 descriptors and meant 16 or 32 places for clients; they say 50 and 79 now, which are those places, with the same assertions. New: hostile.rs idle_clients_leave_descriptors_for_discovery_and_backends, at 32, 64 and 256.

--- a/kit/standins/src/scripted.rs
+++ b/kit/standins/src/scripted.rs
@@ -213,7 +213,11 @@
 
 impl Discovery {
     pub fn new(targets: Value) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::at(TcpListener::bind("127.0.0.1:0").unwrap(), targets)
+    }
+
+    /// One that begins to answer now, at a listener that has been there before.
+    pub fn at(listener: TcpListener, targets: Value) -> Self {
         let discovery = Self {
             at: listener.local_addr().unwrap(),
             state: Arc::new((Mutex::new((1, list(1, &targets))), Condvar::new())),
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -146,6 +146,11 @@
 
 /// The fewest descriptors that a node works with.
 const SOCKETS_LEAST: usize = 32;
+/// What it needs itself, whatever clients do: ten for standard streams, the event loop, signals and the listener, eight
+/// for calls to discovery that are made beside each other, one for a client that waits for a place, one for a file.
+const SOCKETS_OWN: usize = 20;
+/// The same for the operators' console and the way to the next version.
+const SOCKETS_CONSOLE: usize = 24;
 
 impl Edge {
     /// Reads the file.
@@ -184,14 +189,18 @@
         self.limits.memory_mb.saturating_mul(1024 * 1024 / 4)
     }
 
-    /// Descriptors for clients and for backends: a half and three eighths of all. The rest is slack and the
-    /// node's own.
+    /// Descriptors for clients and for backends: a half and three eighths of all, and less where that would not leave
+    /// the node its own. Connections to backends pass their share by an eighth while old ones end.
     pub fn shares(&self) -> Result<(usize, usize), ConfigError> {
         let sockets = self.limits.sockets;
         if sockets < SOCKETS_LEAST {
             return Err(ConfigError::Sockets(sockets));
         }
-        Ok((sockets / 2, sockets * 3 / 8))
+        let own = SOCKETS_OWN + self.console.map_or(0, |_| SOCKETS_CONSOLE);
+        // Halves, eighths and that eighth, in sixty-fourths: 32 + 24 + 3.
+        let rest = sockets.saturating_sub(own);
+        let clients = (sockets / 2).min(rest * 32 / 59).max(1);
+        Ok((clients, (sockets * 3 / 8).min(rest * 24 / 59).max(1)))
     }
 }
 
--- a/node/tests/hostile.rs
+++ b/node/tests/hostile.rs
@@ -18,7 +18,8 @@
 fn small(backend: &Backend) -> Node {
     let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
     let mut config = config(discovery.at, json!([target("s-0", backend.at, "Ready")]));
-    config["limits"]["sockets"] = json!(32);
+    // Sixteen of these are for clients.
+    config["limits"]["sockets"] = json!(50);
     Node::start(&config)
 }
 
@@ -198,14 +199,55 @@
     assert_eq!(backend.count(), 0);
 }
 
+/// Idle clients fill what they may while discovery is down: the node still reaches its backends, and discovery once it is
+/// back. The process has the descriptors that the platform tells it of and not one more.
+#[test]
+fn idle_clients_leave_descriptors_for_discovery_and_backends() {
+    for sockets in [32, 64, 256] {
+        let (old, new) = (serving(), Backend::new(|_| Does::Writes(ok("new"))));
+        // Connections come up, and nobody says a word.
+        let down = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut config = config(down.local_addr().unwrap(), json!([target("s-0", old.at, "Ready")]));
+        config["limits"]["sockets"] = json!(sockets);
+        let node = Node::start(&config);
+        let limit = format!("--nofile={sockets}:{sockets}");
+        let id = node.child.id().to_string();
+        let set = std::process::Command::new("prlimit").args(["--pid", &id, &limit]).status();
+        assert!(set.expect("prlimit is there").success());
+        // Idle, silent and half way.
+        let mut crowd = Vec::new();
+        for n in 0..sockets {
+            let mut client = Client::to(node.at);
+            match n % 3 {
+                0 => client.write(&get(&format!("{sockets}idle{n}"), "")),
+                1 => client.write("GET /api HTTP/1.1\r\nHos"),
+                _ => {}
+            }
+            crowd.push(client);
+        }
+        for n in 0..5 {
+            assert_eq!(node.ask(&get(&format!("{sockets}r{n}"), "")).body, b"yes", "{sockets}");
+        }
+        let discovery = Discovery::at(down, json!([target("s-1", new.at, "Ready")]));
+        let began = std::time::Instant::now();
+        discovery.watched_from(1);
+        assert!(began.elapsed() < Duration::from_secs(6), "{sockets}: {:?}", began.elapsed());
+        for n in 0..5 {
+            assert_eq!(node.ask(&get(&format!("{sockets}q{n}"), "")).body, b"new", "{sockets}");
+        }
+        assert!(!node.logged("Too many open files"), "{sockets}");
+        drop(crowd);
+    }
+}
+
 /// Crowds that connect and stop half way, or ask once and stay, make room for those who have a request.
 #[test]
 fn who_stops_half_way_or_idles_makes_room_for_requests() {
     let backend = serving();
     let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
     let mut config = config(discovery.at, json!([]));
-    // Half of these are for clients.
-    config["limits"]["sockets"] = json!(64);
+    // 32 of these are for clients.
+    config["limits"]["sockets"] = json!(79);
     let node = Node::start(&config);
     discovery.watched_from(1);
     let mut crowd = Vec::new();
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -172,7 +172,8 @@
 fn more_clients_than_descriptors_are_served_in_turn() {
     let backend = serving("yes");
     let mut config = config(nowhere(), json!([target("s-0", backend.at, "Ready")]));
-    config["limits"]["sockets"] = json!(32);
+    // Sixteen of these are for clients.
+    config["limits"]["sockets"] = json!(50);
     let node = Node::start(&config);
     let at = node.at;
     let mut clients: Vec<Client> = Vec::new();
