--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,211 @@
+//! A server that starts cold, by the sum of what all nodes send: whatever each of them knows, and however unequal their
+//! traffic, no span of the rule's length gets more than the settings allow, and what may be put down to chance.
+
+mod common;
+use std::collections::{BTreeMap, VecDeque};
+
+use brookfield::*;
+use common::*;
+
+const STEP: Nanos = 5 * MS;
+/// Requests a second that a server does when it is warm, and the work of one.
+const RATE: f64 = 60.0;
+const WORK: Nanos = 30 * MS;
+const COLD: BackendId = BackendId(0);
+const STARTS: Nanos = 20 * SECOND;
+
+#[derive(Clone, Copy)]
+struct Case {
+    nodes: u32,
+    servers: u32,
+    /// Of what all servers can do.
+    load: f64,
+    /// How long after the first of them the last node is told of the start.
+    told: Nanos,
+    /// When half of the nodes start anew, with nothing in memory; none for never.
+    restart: Option<Nanos>,
+    /// When half of them are killed, and the others get their requests.
+    killed: Option<Nanos>,
+    seed: u64,
+}
+
+struct Server {
+    /// Ends of what it has taken, in order.
+    ends: VecDeque<Nanos>,
+    free_at: f64,
+    util: f64,
+}
+
+struct Draws(u64);
+
+impl Draws {
+    fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        ((self.0 >> 33) as f64 + 0.5) / (1u64 << 31) as f64
+    }
+}
+
+fn given(case: Case) -> Settings {
+    let mut given = Settings { nodes: case.nodes, ..settings(Effect::Repeatable) };
+    given.rules.start_capacity = 0.15;
+    given.rules.warm_after = 20 * SECOND;
+    given.rules.tip_multiple = 2.5;
+    given.rules.fall_span = 1500 * MS;
+    given
+}
+
+fn ramp(now: Nanos) -> f64 {
+    (0.15 + 0.85 * now.saturating_sub(STARTS) as f64 / (20.0 * SECOND as f64)).clamp(0.15, 1.0)
+}
+
+/// What the worst span got beyond its budget, against what chance may add to that; and the part of the budget that was
+/// used over the ramp.
+fn play(case: Case) -> (f64, f64) {
+    let mut draws = Draws(case.seed * 2 + 1);
+    let members = |cold: bool| -> Vec<Member> {
+        let online = |b| (b == 0).then_some(STARTS + SECOND);
+        let all = (0..case.servers).filter(|&b| cold || b > 0);
+        all.map(|b| Member { online_since: online(b), ..member(b, b % 3) }).collect()
+    };
+    let start = |seed: u64, now: Nanos, cold: bool, home: u32| {
+        let given = Settings { home: ZoneId(home), ..given(case) };
+        let mut node = Node::seeded(seed, given, members(cold));
+        node.now = now;
+        node
+    };
+    let count = case.nodes as usize;
+    let mut nodes: Vec<Node> =
+        (0..count).map(|n| start(case.seed * 1000 + n as u64, SECOND, false, n as u32 % 3)).collect();
+    // Some see several times what others do.
+    let parts: Vec<f64> = (0..count).map(|_| 0.25 + 3.0 * draws.next().powi(3)).collect();
+    let mut alive: Vec<bool> = vec![true; count];
+    let mut told: Vec<bool> = vec![false; count];
+    let told_at: Vec<Nanos> =
+        (0..count).map(|_| STARTS + SECOND + (draws.next() * case.told as f64) as Nanos).collect();
+    let mut servers: Vec<Server> =
+        (0..case.servers).map(|_| Server { ends: VecDeque::new(), free_at: 0.0, util: 0.5 }).collect();
+    // Ends of attempts: when, whose, which, at whom.
+    let mut ends: BTreeMap<(Nanos, u64), (usize, RequestId, u32, BackendId)> = BTreeMap::new();
+    let mut arrivals: Vec<Nanos> = Vec::new();
+    let mut serial = 0;
+    let rate = case.load * RATE * f64::from(case.servers - 1);
+    let mut now = SECOND;
+    while now < STARTS + 22 * SECOND {
+        now += STEP;
+        if case.killed.is_some_and(|at| now >= at && now < at + STEP) {
+            (0..count / 2).for_each(|n| alive[n] = false);
+        }
+        if case.restart.is_some_and(|at| now >= at && now < at + STEP) {
+            for n in 0..count / 2 {
+                nodes[n] = start(case.seed * 7000 + n as u64, now, true, n as u32 % 3);
+                (told[n], _) = (true, ends.retain(|_, end| end.0 != n));
+            }
+        }
+        let mut actions: Vec<(usize, Vec<Action>)> = Vec::new();
+        while let Some((&(at, _), _)) = ends.first_key_value()
+            && at <= now
+            && let Some((_, (n, request, attempt, to))) = ends.pop_first()
+        {
+            let server = &mut servers[to.0 as usize];
+            server.ends.pop_front();
+            nodes[n].now = now;
+            let report = util(server.util);
+            let elapsed = WORK;
+            actions.push((n, nodes[n].settle_after(request, attempt, Outcome::Served, elapsed, report)));
+        }
+        let shares: f64 = parts.iter().zip(&alive).filter(|(_, alive)| **alive).map(|(part, _)| part).sum();
+        for n in 0..count {
+            if !alive[n] {
+                continue;
+            }
+            nodes[n].now = now;
+            if !told[n] && now >= told_at[n] {
+                told[n] = true;
+                let started = members(true).into_iter().filter(|m| m.backend == COLD).collect();
+                actions.push((n, nodes[n].list(ListScope::Changes, started)));
+            }
+            let expected = rate * parts[n] / shares * STEP as f64 / SECOND as f64;
+            if draws.next() < expected {
+                actions.push((n, nodes[n].ask(SECOND).1));
+            }
+            if now % (20 * MS) == 0 {
+                actions.push((n, nodes[n].tell(Event::Timer { token: 0 })));
+            }
+        }
+        for (n, actions) in actions {
+            for action in actions {
+                let Action::Send { request, backend, .. } = action else { continue };
+                let server = &mut servers[backend.0 as usize];
+                let capacity = if backend == COLD { ramp(now) } else { 1.0 };
+                let free = server.free_at.max(now as f64) + SECOND as f64 / (RATE * capacity);
+                server.free_at = free;
+                let end = (free as Nanos).max(now) + WORK;
+                server.ends.push_back(end);
+                serial += 1;
+                ends.insert((end, serial), (n, request, 0, backend));
+                if backend == COLD {
+                    arrivals.push(now);
+                }
+            }
+        }
+        for server in &mut servers {
+            // By the queue: what it has taken and not done.
+            let busy = f64::from(u8::from(server.free_at > now as f64));
+            server.util += (busy - server.util) * 0.02;
+        }
+    }
+    let span = 1500 * MS;
+    let (mut worst, mut used, mut budget) = (f64::MIN, 0.0, 0.0);
+    for (first, &at) in arrivals.iter().enumerate() {
+        let got = arrivals[first..].iter().take_while(|&&other| other < at + span).count() as f64;
+        let most = 2.5 * ramp(at) * RATE * 1.5;
+        worst = worst.max((got - most) / (2.0 * most.sqrt() + 2.0));
+    }
+    for second in 1..20 {
+        let (from, to) = (STARTS + second * SECOND, STARTS + (second + 1) * SECOND);
+        used += arrivals.iter().filter(|&&at| (from..to).contains(&at)).count() as f64;
+        budget += 2.5 * ramp(from) * RATE;
+    }
+    (worst, used / budget)
+}
+
+fn cases(nodes: u32, servers: u32) -> Vec<(&'static str, Case)> {
+    let plain = Case { nodes, servers, load: 0.6, told: 0, restart: None, killed: None, seed: 1 };
+    let ramp = STARTS + 6 * SECOND;
+    vec![
+        ("plain", plain),
+        ("the only one with room", Case { load: 1.15, ..plain }),
+        ("told over 3 s", Case { told: 3 * SECOND, ..plain }),
+        ("half start anew", Case { restart: Some(ramp), ..plain }),
+        ("half start anew, no room", Case { restart: Some(ramp), load: 1.15, ..plain }),
+        ("half are killed", Case { killed: Some(ramp), ..plain }),
+    ]
+}
+
+fn never_beyond_chance(nodes: u32, servers: u32, seeds: u64) {
+    for (what, case) in cases(nodes, servers) {
+        for seed in 1..=seeds {
+            let (worst, used) = play(Case { seed, ..case });
+            println!(
+                "{nodes} nodes, {what}, seed {seed}: {worst:.2} of chance, {:.0}% of the budget used",
+                used * 100.0
+            );
+            assert!(worst <= 1.0, "{nodes} nodes, {what}, seed {seed}: {worst:.2} times what chance may add");
+        }
+    }
+}
+
+#[test]
+fn twenty_nodes_spare_a_cold_server() {
+    never_beyond_chance(20, 12, 3);
+}
+
+#[test]
+fn thirty_nodes_spare_a_cold_server() {
+    never_beyond_chance(30, 15, 3);
+}
+
+#[test]
+fn three_hundred_nodes_spare_a_cold_server() {
+    never_beyond_chance(300, 60, 1);
+}
