A node says that it is ready once it knows a server, and after 5 s in any case

Need: the front takes a node in once it has said so; one that has started with no list, or with a list of servers that drain, refused whatever came. To blame: server.rs, answer, which looked at the node's stage only. With a server on the list that it knew it is ready at once, as before; nine in ten restarts have to be ready within 10 s, also with discovery down.

Test: life.rs is_ready_once_it_knows_a_server_or_has_waited_long_enough (before: 200 where 503 is wanted). leaving.rs asks for readiness only to know that all before it has been taken in, and takes either answer.

--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -41,6 +41,11 @@
         self.known.len()
     }
 
+    /// Whether any is in service.
+    pub(crate) fn any_in_service(&self) -> bool {
+        self.known.values().any(|known| known.draining_since.is_none())
+    }
+
     /// All that are in service, by number.
     pub(crate) fn in_service(&self) -> Vec<(BackendId, SocketAddr)> {
         let serving = self.known.iter().filter(|(_, known)| known.draining_since.is_none());
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -191,6 +191,11 @@
         known.is_some_and(|known| known.endpoint == endpoint && known.draining_since.is_none())
     }
 
+    /// Whether any backend is in service, by the list known last.
+    pub fn has_server(&self) -> bool {
+        self.driver.borrow().backends.any_in_service()
+    }
+
     /// All backends in service, by number, and where they listen.
     pub fn in_service(&self) -> Vec<(BackendId, SocketAddr)> {
         self.driver.borrow().backends.in_service()
--- a/fronts/http/src/server.rs
+++ b/fronts/http/src/server.rs
@@ -96,6 +96,8 @@
 pub struct Door {
     /// Where the node stands.
     pub stage: watch::Receiver<Stage>,
+    /// When it says that it is ready though it knows of no server: nobody else may know of one either.
+    pub ready_by: Nanos,
     /// When the last answer has to have left, once the process is to end.
     pub leaves: Rc<Cell<Option<Nanos>>>,
     /// Whether new connections are taken.
@@ -239,6 +241,9 @@
         (_, "/health/ready") if request.method() != Method::GET => {
             (plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"), true)
         }
+        (_, "/health/ready") if serving() && !(node.has_server() || node.clock().now() >= door.ready_by) => {
+            (plain(StatusCode::SERVICE_UNAVAILABLE, "no server known yet"), false)
+        }
         (_, "/health/ready") if serving() => (plain(StatusCode::OK, "ready"), false),
         (_, "/health/ready") => (plain(StatusCode::SERVICE_UNAVAILABLE, "stopping or standing by"), false),
         _ => (plain(StatusCode::NOT_FOUND, "no such path"), true),
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -33,6 +33,8 @@
 /// A process says that it can serve once it has heard from discovery, or this long after its start: with discovery
 /// down it serves what it knew.
 const READY_MOST: Duration = Duration::from_secs(1);
+/// The same to clients' front, which takes a node in once it has said so: it knows a server, or this is over.
+const READY_BY: Duration = Duration::from_secs(5);
 /// How often it looks whether it has, and how often the figures of the servers are brought up to date.
 const LOOK: Duration = Duration::from_millis(20);
 const COUNT: Duration = Duration::from_millis(200);
@@ -147,11 +149,12 @@
     }
     let deadline = node.longest_deadline();
     let leaves = Rc::new(Cell::new(None));
+    let ready_by = clock.now().saturating_add(nanos(READY_BY));
     let served = spawn(server::run(
         listener,
         node,
         Limits { clients: shares.clients, bodies },
-        Door { stage: life.stage(), leaves: leaves.clone(), accepts: life.accepts() },
+        Door { stage: life.stage(), ready_by, leaves: leaves.clone(), accepts: life.accepts() },
     ));
     if let (Some(handover), Some(listener)) = (handover, hand_on) {
         spawn(handover.run(listener, given, life.clone()));
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -24,6 +24,26 @@
     assert_eq!(node.ask(&get("k1", "")).status(), 200);
 }
 
+/// A restart beside a list that comes late, or not at all: ready means that there is somebody to send to, and the wait for
+/// that is bounded, as nine in ten have to be ready within 10 s.
+#[test]
+fn is_ready_once_it_knows_a_server_or_has_waited_long_enough() {
+    let ready = |node: &Node| node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status();
+    let backend = serving("yes");
+    let down = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start(&config(down.local_addr().unwrap(), json!([])));
+    assert_eq!(ready(&node), 503, "nobody to send to");
+    let _discovery = Discovery::at(down, json!([target("s-0", backend.at, "Ready")]));
+    until("the list is there", || ready(&node) == 200);
+    assert_eq!(node.ask(&get("w1", "")).status(), 200);
+
+    let began = std::time::Instant::now();
+    let alone = Node::start(&config(nowhere(), json!([target("s-0", backend.at, "Terminating")])));
+    assert_eq!(ready(&alone), 503, "nobody that wants anything new");
+    until("it has waited long enough", || ready(&alone) == 200);
+    assert!(began.elapsed() < std::time::Duration::from_secs(9), "{:?}", began.elapsed());
+}
+
 #[test]
 fn a_bad_list_keeps_the_last_good_one() {
     let backend = serving("yes");
