--- a/node/tests/ending.rs
+++ b/node/tests/ending.rs
@@ -12,6 +12,19 @@
     until("the node has heard", || node.logged("stopping node="));
 }
 
+/// A node whose one backend hangs, and whose clients wait for 1.5 s at most.
+fn hanging() -> (Node, Backend) {
+    let backend = Backend::new(|_| Does::Hangs);
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
+    let mut config = config(discovery.at, json!([]));
+    for class in 0..3 {
+        config["settings"]["classes"][class]["deadline-ns"] = json!(1_500_000_000u64);
+    }
+    let node = Node::start(&config);
+    discovery.watched_from(1);
+    (node, backend)
+}
+
 /// Two requests in one read: the answer to the first must not end a connection on which another has been read. It did,
 /// and the second request was dropped.
 #[test]
@@ -58,14 +71,7 @@
 /// than that, also where no backend answers: the node ended while it was still open.
 #[test]
 fn what_becomes_whole_at_the_last_moment_is_answered_before_the_end() {
-    let backend = Backend::new(|_| Does::Hangs);
-    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
-    let mut config = config(discovery.at, json!([]));
-    for class in 0..3 {
-        config["settings"]["classes"][class]["deadline-ns"] = json!(1_500_000_000u64);
-    }
-    let mut node = Node::start(&config);
-    discovery.watched_from(1);
+    let (mut node, _backend) = hanging();
     let text = post("pay", "late", "", "0123456789");
     let mut client = Client::to(node.at);
     client.write(&text[..text.len() - 1]);
@@ -86,14 +92,7 @@
 /// Backends that hang, and requests on connections that are taken until the end: each gets its one answer.
 #[test]
 fn every_request_taken_while_backends_hang_is_answered_before_the_end() {
-    let backend = Backend::new(|_| Does::Hangs);
-    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
-    let mut config = config(discovery.at, json!([]));
-    for class in 0..3 {
-        config["settings"]["classes"][class]["deadline-ns"] = json!(1_500_000_000u64);
-    }
-    let mut node = Node::start(&config);
-    discovery.watched_from(1);
+    let (mut node, _backend) = hanging();
     stopping(&node);
     let mut open = Vec::new();
     // For as long as somebody takes them.
--- a/node/tests/list.rs
+++ b/node/tests/list.rs
@@ -41,12 +41,17 @@
     }
     let node = Node::start(&config);
     until("the first watch", || count.load(Ordering::SeqCst) >= 2);
+    until_new(&node)
+}
+
+/// How long it takes until requests go to the new backend.
+fn until_new(node: &Node) -> Duration {
     let began = Instant::now();
     let mut n = 0;
-    while node.ask(&get(&format!("c{n}"), "")).body != b"new" {
+    while node.ask(&get(&format!("u{n}"), "")).body != b"new" {
         n += 1;
         assert!(began.elapsed() < PATIENCE, "never");
-        std::thread::sleep(Duration::from_millis(20));
+        std::thread::sleep(Duration::from_millis(10));
     }
     began.elapsed()
 }
@@ -135,11 +140,7 @@
     discovery.set_text(901, "no list".to_owned());
     until("the call fails", || node.logged("error=not a list"));
     discovery.set_text(2, list(2, &[target("s-1", new.at, "Ready")]));
-    let mut n = 0;
-    until("the new list is in force", || {
-        n += 1;
-        node.ask(&get(&format!("v{n}"), "")).body == b"new"
-    });
+    until_new(&node);
 }
 
 /// An agent is silent while discovery is down, answers nothing that it was asked meanwhile, and what it gets at the return
@@ -161,12 +162,6 @@
     let calls = count.load(Ordering::SeqCst);
     until("another has just been made in vain", || count.load(Ordering::SeqCst) > calls);
     back.store(true, Ordering::SeqCst);
-    let began = Instant::now();
-    let mut n = 0;
-    while node.ask(&get(&format!("b{n}"), "")).body != b"new" {
-        n += 1;
-        assert!(began.elapsed() < PATIENCE, "never");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    assert!(began.elapsed() < Duration::from_millis(450), "{:?}", began.elapsed());
+    let took = until_new(&node);
+    assert!(took < Duration::from_millis(450), "{took:?}");
 }
