--- a/adapters/admin/src/lib.rs
+++ b/adapters/admin/src/lib.rs
@@ -19,7 +19,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use badgerpost_engine::Tally;
+use badgerpost_engine::Metrics;
 use badgerpost_lifecycle::Event;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -53,7 +53,7 @@
     /// The node's life cycle.
     pub life: Life,
     /// The figures.
-    pub tally: Arc<Tally>,
+    pub tally: Arc<Metrics>,
     /// Whether this process can serve.
     pub ready: Arc<AtomicBool>,
     /// Where orders about zones go.
@@ -166,32 +166,32 @@
 }
 
 /// The figures, a line each. Their names stand here and nowhere else.
-fn figures(tally: &Tally) -> String {
+fn figures(tally: &Metrics) -> String {
     let mut lines = String::new();
     let mut line = |name: &str, value: &dyn std::fmt::Display| {
         // Writing to a string can't fail.
         let _ = writeln!(lines, "node.{name}={value}");
     };
     for (class, counts) in tally.classes() {
-        line(&format!("transactions.{class}.answered"), &counts.answered);
-        line(&format!("transactions.{class}.deferred"), &counts.deferred);
-        line(&format!("transactions.{class}.errored"), &counts.errored);
+        line(&format!("transactions.{class}.answered"), &counts.served);
+        line(&format!("transactions.{class}.deferred"), &counts.rejected);
+        line(&format!("transactions.{class}.errored"), &counts.failed);
     }
-    line("sends", &tally.sends());
-    line("current", &tally.current());
-    let (listed, avoided) = tally.fleet();
+    line("sends", &tally.attempts_sent());
+    line("current", &tally.requests_in_progress());
+    let (listed, avoided) = tally.servers_snapshot();
     line("cluster_size", &listed);
     line("cluster_unhealthy", &avoided);
     for zone in tally.zones() {
         line(&format!("zone.{}.share", zone.name), &((zone.share * 1000.0).round() as u64));
-        line(&format!("zone.{}.why", zone.name), &zone.why);
+        line(&format!("zone.{}.why", zone.name), &zone.reason);
     }
-    let peers = tally.peer_figures();
+    let peers = tally.peers_snapshot();
     if peers.members > 0 {
         line("peers.members", &peers.members);
-        line("peers.bytes_in", &peers.received);
-        line("peers.bytes_out", &peers.sent);
-        line("peers.strangers", &peers.strangers);
+        line("peers.bytes_in", &peers.received_bytes);
+        line("peers.bytes_out", &peers.sent_bytes);
+        line("peers.strangers", &peers.unauthenticated);
         line("peers.malformed", &peers.malformed);
     }
     lines
--- a/adapters/admin/src/life.rs
+++ b/adapters/admin/src/life.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use badgerpost_lifecycle::{Event, Lifecycle, Stage, Step};
+use badgerpost_lifecycle::{Event, Lifecycle, Stage, Transition};
 use tokio::sync::watch;
 
 /// A wake-up that the state machine wants.
@@ -32,7 +32,7 @@
 
 impl Life {
     /// Tells the node something; whether what was asked for holds now.
-    pub fn tell(&self, event: Event) -> Step {
+    pub fn tell(&self, event: Event) -> Transition {
         // A panic under the lock would have left a whole state: each step is one assignment.
         let mut machine = self.0.machine.lock().unwrap_or_else(PoisonError::into_inner);
         let step = machine.handle(event);
@@ -40,8 +40,8 @@
         self.0.stage.send_if_modified(|stage| std::mem::replace(stage, step.stage) != step.stage);
         let accepts = machine.accepts();
         self.0.accepts.send_if_modified(|before| std::mem::replace(before, accepts) != accepts);
-        if step.wake.is_some() {
-            self.0.wake.send_replace(step.wake);
+        if step.timer.is_some() {
+            self.0.wake.send_replace(step.timer);
         }
         step
     }
--- a/adapters/admin/src/zones.rs
+++ b/adapters/admin/src/zones.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use badgerpost_engine::Tally;
+use badgerpost_engine::Metrics;
 
 /// No order lasts longer: one that was forgotten ends by itself.
 const LONGEST: u64 = 3600;
@@ -17,7 +17,7 @@
 }
 
 /// Reads `/zones/Z/close/SECONDS`, `/zones/Z/open/SECONDS` or `/zones/Z/auto`, for a zone that is watched.
-pub(crate) fn order(path: &str, tally: &Tally) -> Option<ZoneOrder> {
+pub(crate) fn order(path: &str, tally: &Metrics) -> Option<ZoneOrder> {
     let (zone, rest) = path.strip_prefix("/zones/")?.split_once('/')?;
     let known = tally.zones().iter().any(|known| known.name == zone);
     let span = |text: &str| {
--- a/adapters/gossip/src/run.rs
+++ b/adapters/gossip/src/run.rs
@@ -3,8 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 
-use badgerpost_engine::{Clock, Engine, FromPeer, Front, LogLimiter, ZoneWord, progress};
-use badgerpost_membership::{Action, DATAGRAM_MOST, Dropped, Event, Settings, member_id};
+use badgerpost_engine::{Clock, Engine, LogLimiter, PeerUpdate, Protocol, ZoneGossip, activity};
+use badgerpost_membership::{Action, DropReason, Event, MAX_DATAGRAM_LENGTH, Settings, member_id};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
@@ -27,17 +27,17 @@
 }
 
 /// A node's talk with the others.
-pub struct Peers<F: Front> {
+pub struct Peers<F: Protocol> {
     socket: UdpSocket,
-    core: badgerpost_membership::Peers,
+    core: badgerpost_membership::Membership,
     engine: Engine<F>,
     clock: Clock,
-    words: mpsc::Receiver<ZoneWord>,
+    words: mpsc::Receiver<ZoneGossip>,
     wake: Option<u64>,
     limiter: LogLimiter,
 }
 
-impl<F: Front + 'static> Peers<F> {
+impl<F: Protocol + 'static> Peers<F> {
     /// Opens the socket; the engine's words for the others go through it from now on.
     pub async fn open(
         config: &Config,
@@ -51,17 +51,18 @@
             member: member_id(me.name),
             advertise: config.advertised(),
             zone: me.zone,
-            life: clock.now(),
+            incarnation: clock.now(),
             seeds: config.seeds.clone(),
             key,
-            nodes: me.nodes,
+            node_count: me.nodes,
             seed: me.seed,
         };
         let (talk, words) = mpsc::channel(WORDS);
-        engine.talk(talk);
-        engine.tally().peers(1);
+        engine.set_gossip_sender(talk);
+        engine.metrics().set_peers(1);
         tracing::info!(listen = %socket.local_addr()?, advertise = %config.advertised(), "peers may call");
-        let (core, limiter) = (badgerpost_membership::Peers::new(settings), LogLimiter::new(clock.clone()));
+        let (core, limiter) =
+            (badgerpost_membership::Membership::new(settings), LogLimiter::new(clock.clone()));
         Ok(Self { socket, core, engine, clock, words, wake: None, limiter })
     }
 
@@ -73,7 +74,7 @@
         }
         self.tell(Event::Start);
         // One byte more than fits shows that it does not.
-        let mut buffer = [0; DATAGRAM_MOST + 1];
+        let mut buffer = [0; MAX_DATAGRAM_LENGTH + 1];
         loop {
             let wake = self.wake;
             let clock = self.clock.clone();
@@ -89,11 +90,11 @@
                     self.tell(Event::Leave);
                     return;
                 }
-                Some((topic, body)) = self.words.recv() => self.tell(Event::Say { topic, body: &body }),
+                Some((topic, body)) = self.words.recv() => self.tell(Event::Broadcast { topic, body: &body }),
                 came = self.socket.recv_from(&mut buffer) => match came {
                     Ok((length, _)) => {
-                        progress::read(length);
-                        self.engine.tally().peer_bytes(length as u64, 0);
+                        activity::read(length);
+                        self.engine.metrics().add_peer_bytes(length as u64, 0);
                         self.tell(Event::Datagram(&buffer[..length]));
                     }
                     // Of a datagram that went out before: its receiver is not there, which shows by itself.
@@ -101,7 +102,7 @@
                 },
                 () = due => {
                     self.wake = None;
-                    self.tell(Event::Wake);
+                    self.tell(Event::TimerFired);
                 }
             }
         }
@@ -113,17 +114,17 @@
         for action in actions {
             match action {
                 Action::Send { to, datagram } => self.send(to, &datagram),
-                Action::Wake { at } => self.wake = Some(at),
-                Action::Member { member, zone, at, up } => {
+                Action::SetTimer { at } => self.wake = Some(at),
+                Action::MemberChanged { member, zone, at, up } => {
                     tracing::info!(peer = %at, zone, up, members = self.core.members(), "peer changed");
-                    self.engine.tally().peers(self.core.members() as u64 + 1);
-                    self.engine.peer_told(&FromPeer::Member { member, home: zone, up });
+                    self.engine.metrics().set_peers(self.core.members() as u64 + 1);
+                    self.engine.peer_updated(&PeerUpdate::Member { member, home: zone, up });
                 }
-                Action::Said { member, topic, sent, body } => {
-                    self.engine.peer_told(&FromPeer::Word { member, sent, word: (topic, body) });
+                Action::Received { member, topic, sent, body } => {
+                    self.engine.peer_updated(&PeerUpdate::Gossip { member, sent, word: (topic, body) });
                 }
-                Action::Dropped(dropped) => {
-                    self.engine.tally().peer_dropped(dropped == Dropped::Stranger);
+                Action::DatagramDropped(dropped) => {
+                    self.engine.metrics().datagram_dropped(dropped == DropReason::Unauthenticated);
                     self.limiter
                         .log(|silenced| tracing::warn!(reason = ?dropped, silenced, "datagram dropped"));
                 }
@@ -139,8 +140,8 @@
         // What does not go out at once is lost like what the network loses; the protocol bears that.
         match self.socket.try_send_to(datagram, to) {
             Ok(length) => {
-                progress::written(length);
-                self.engine.tally().peer_bytes(0, length as u64);
+                activity::written(length);
+                self.engine.metrics().add_peer_bytes(0, length as u64);
             }
             Err(error) => tracing::debug!(%to, %error, "datagram not sent"),
         }
--- a/adapters/http/src/answer.rs
+++ b/adapters/http/src/answer.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use badgerpost_engine::{End, Tally};
+use badgerpost_engine::{Metrics, RequestEnd};
 
 use crate::budget::Kept;
 use crate::slots::Slot;
@@ -30,7 +30,7 @@
     /// How much is still to come in all, `first` included, where the backend has told it.
     pub left: Option<u64>,
     /// Told how it ended, once; with none its client has gone.
-    pub ended: Box<dyn FnOnce(Option<End>)>,
+    pub ended: Box<dyn FnOnce(Option<RequestEnd>)>,
 }
 
 /// The body of an answer to a client.
@@ -63,15 +63,15 @@
     first: Option<Kept>,
     rest: Incoming,
     left: Option<u64>,
-    ended: Option<Box<dyn FnOnce(Option<End>)>>,
+    ended: Option<Box<dyn FnOnce(Option<RequestEnd>)>>,
     slot: Rc<Slot>,
-    tally: std::sync::Arc<Tally>,
+    tally: std::sync::Arc<Metrics>,
     class: u32,
 }
 
 impl Passing {
     /// Passes on an answer to the client with this slot.
-    pub fn new(begun: Begun, slot: Rc<Slot>, tally: std::sync::Arc<Tally>, class: u32) -> Self {
+    pub fn new(begun: Begun, slot: Rc<Slot>, tally: std::sync::Arc<Metrics>, class: u32) -> Self {
         let Begun { first, rest, left, ended } = begun;
         slot.passing();
         let first = Some(first).filter(|first| !first.bytes.is_empty());
@@ -79,10 +79,10 @@
     }
 
     /// Takes its end, the first one.
-    fn end(&mut self, end: Option<End>) {
+    fn end(&mut self, end: Option<RequestEnd>) {
         let Some(ended) = self.ended.take() else { return };
         ended(end);
-        self.tally.ended(self.class, end);
+        self.tally.request_ended(self.class, end);
         self.slot.passed();
     }
 
@@ -91,7 +91,7 @@
             *left = left.saturating_sub(data.len() as u64);
             if *left == 0 {
                 // With a length, nobody asks whether more follows.
-                self.end(Some(End::Answered));
+                self.end(Some(RequestEnd::Served));
             }
         }
         Poll::Ready(Some(Ok(Frame::data(data))))
@@ -104,12 +104,12 @@
         loop {
             match std::task::ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
                 None => {
-                    self.end(Some(End::Answered));
+                    self.end(Some(RequestEnd::Served));
                     return Poll::Ready(None);
                 }
                 // The client's connection ends in the midst of the body, so that it can tell.
                 Some(Err(error)) => {
-                    self.end(Some(End::Errored));
+                    self.end(Some(RequestEnd::Failed));
                     return Poll::Ready(Some(Err(error)));
                 }
                 Some(Ok(frame)) => {
--- a/adapters/http/src/discovery.rs
+++ b/adapters/http/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use badgerpost_balancer::ListScope;
+use badgerpost_balancer::EndpointUpdate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use badgerpost_engine::{Clock, Engine, Front, LogLimiter, progress, spawn};
+use badgerpost_engine::{Clock, Engine, LogLimiter, Protocol, activity, spawn};
 
 use crate::list::{Entries, List, Odd};
 use crate::pace::{Call, Pace, Want};
@@ -48,7 +48,7 @@
 }
 
 /// Follows the list.
-pub struct Watch<F: Front> {
+pub struct Watch<F: Protocol> {
     node: Engine<F>,
     at: SocketAddr,
     /// The version that is known; none where the whole list is to be asked for.
@@ -58,15 +58,15 @@
     pace: Pace,
 }
 
-impl<F: Front> Watch<F> {
+impl<F: Protocol> Watch<F> {
     /// A watch at `at` that goes on from `known`, which may be old. The seed drives how long its calls wait.
     pub fn new(node: Engine<F>, at: SocketAddr, known: Option<List>, seed: u64) -> Self {
-        let pace = Pace::new(node.asks_discovery(), seed);
+        let pace = Pace::new(node.polls_discovery(), seed);
         let mut watch = Self { node, at, rev: None, entries: Entries::default(), link: None, pace };
         if let Some(list) = known {
             watch.rev = Some(list.rev);
             let (_, listed, _) = watch.entries.take(list);
-            watch.node.fleet(ListScope::Cached, listed);
+            watch.node.endpoints_updated(EndpointUpdate::Cached, listed);
         }
         watch
     }
@@ -100,12 +100,12 @@
                     }
                     let (wait, whole) = self.pace.failed();
                     self.rev = self.rev.filter(|_| !whole);
-                    self.node.fleet_failed();
+                    self.node.discovery_failed();
                     let moved = address.clone();
                     tokio::select! {
                         biased;
                         () = clock.sleep(wait) => {}
-                        () = self.node.discovery_wanted() => {}
+                        () = self.node.discovery_requested() => {}
                         () = told_anew(moved) => {}
                     }
                 }
@@ -123,8 +123,8 @@
     fn take(&mut self, list: List, log: &mut LogLimiter) {
         self.rev = Some(list.rev);
         let (scope, listed, odd) = self.entries.take(list);
-        if scope == ListScope::Full || !listed.is_empty() {
-            self.node.fleet(scope, listed);
+        if scope == EndpointUpdate::Snapshot || !listed.is_empty() {
+            self.node.endpoints_updated(scope, listed);
         }
         for Odd { uid, error, .. } in odd {
             let at = self.at;
@@ -135,7 +135,7 @@
     }
 
     async fn call(&mut self) -> Result<List, CallError> {
-        let whole = self.node.take_whole_list();
+        let whole = self.node.take_snapshot_request();
         let rev = self.rev.filter(|_| !whole);
         let Call { want, most, beside } = self.pace.next(rev.is_none());
         let since = |hold: Duration| format!("{PATH}?from={}&hold_ms={}", rev.unwrap_or(0), hold.as_millis());
@@ -200,7 +200,7 @@
 
 async fn connect(clock: &Clock, at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, CallError> {
     let stream = clock
-        .timeout(CONNECT, progress::connecting(TcpStream::connect(at)))
+        .timeout(CONNECT, activity::connecting(TcpStream::connect(at)))
         .await
         .map_err(|_| CallError::Late)??;
     stream.set_nodelay(true)?;
--- a/adapters/http/src/headers.rs
+++ b/adapters/http/src/headers.rs
@@ -1,6 +1,6 @@
 //! Headers of a client's request: those that are read here, and those that go on.
 
-use badgerpost_balancer::Effect;
+use badgerpost_balancer::Idempotency;
 use hyper::Method;
 use hyper::header::{self, HeaderMap, HeaderName};
 
@@ -30,14 +30,14 @@
 }
 
 /// The method and the key follow from the class.
-pub fn check_form(method: &Method, headers: &HeaderMap, effect: Effect) -> Result<(), BadCall> {
-    let wanted = if effect == Effect::Repeatable { Method::GET } else { Method::POST };
+pub fn check_form(method: &Method, headers: &HeaderMap, effect: Idempotency) -> Result<(), BadCall> {
+    let wanted = if effect == Idempotency::Idempotent { Method::GET } else { Method::POST };
     if *method != wanted {
         return Err(BadCall::Method(wanted));
     }
     match (effect, single(headers, KEY)?) {
-        (Effect::Keyed { .. }, None | Some("")) => Err(BadCall::Missing(KEY)),
-        (Effect::Keyed { .. }, Some(_)) | (_, None) => Ok(()),
+        (Idempotency::Keyed { .. }, None | Some("")) => Err(BadCall::Missing(KEY)),
+        (Idempotency::Keyed { .. }, Some(_)) | (_, None) => Ok(()),
         (_, Some(_)) => Err(BadCall::Misplaced(KEY)),
     }
 }
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -13,7 +13,7 @@
 mod upload;
 pub mod upstream;
 
-use badgerpost_engine::{Engine, Front};
+use badgerpost_engine::{Engine, Protocol};
 use hyper::{HeaderMap, Method, Uri};
 
 /// A body up to here is held whole, so that it can be sent again, and an answer cut short can be repeated; a larger one
@@ -37,12 +37,12 @@
 /// The front's types.
 pub struct Http;
 
-impl Front for Http {
-    type Call = Call;
-    type Answer = answer::Answer;
+impl Protocol for Http {
+    type Request = Call;
+    type Response = answer::Answer;
 }
 
 /// The engine of an HTTP fleet.
 pub type Node = Engine<Http>;
-type Launch = badgerpost_engine::Launch<Http>;
-type Ending = badgerpost_engine::Ending<answer::Answer>;
+type Launch = badgerpost_engine::AttemptCommand<Http>;
+type Ending = badgerpost_engine::AttemptEnd<answer::Answer>;
--- a/adapters/http/src/list.rs
+++ b/adapters/http/src/list.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use badgerpost_balancer::{ListScope, Stage};
+use badgerpost_balancer::{EndpointState, EndpointUpdate};
 use serde::Deserialize;
 use serde_json::Value;
 
-use badgerpost_engine::Listed;
+use badgerpost_engine::DiscoveredEndpoint;
 
 /// The list as discovery words it.
 #[derive(Deserialize)]
@@ -97,20 +97,20 @@
 }
 
 impl Target {
-    fn listed(self) -> Listed {
-        Listed {
-            uid: self.uid,
-            endpoint: self.endpoint,
+    fn listed(self) -> DiscoveredEndpoint {
+        DiscoveredEndpoint {
+            name: self.uid,
+            address: self.endpoint,
             zone: self.az,
-            kind: self.model,
+            machine_kind: self.model,
             cell: self.pod_group,
-            stage: match self.state {
-                State::Ready => Stage::InService,
-                State::Terminating | State::Unknown => Stage::Draining,
-                State::Gone => Stage::Gone,
+            state: match self.state {
+                State::Ready => EndpointState::InService,
+                State::Terminating | State::Unknown => EndpointState::Draining,
+                State::Gone => EndpointState::Removed,
             },
             size: self.capacity_hint,
-            boot_ms: self.boot_ms,
+            started_at_ms: self.boot_ms,
         }
     }
 }
@@ -123,7 +123,7 @@
     /// Takes a list in; what of it concerns the engine comes back, and the entries that could not be read. A server
     /// with such an entry stays as it was, but for a state that could be read: a drain must not be missed for an
     /// address that nobody needs any more.
-    pub(crate) fn take(&mut self, list: List) -> (ListScope, Vec<Listed>, Vec<Odd>) {
+    pub(crate) fn take(&mut self, list: List) -> (EndpointUpdate, Vec<DiscoveredEndpoint>, Vec<Odd>) {
         let List { all, mut targets, odd, .. } = list;
         for entry in &odd {
             let known = entry.uid.as_ref().and_then(|uid| self.0.get(uid));
@@ -140,7 +140,7 @@
                 _ => self.0.insert(target.uid.clone(), target.clone()),
             };
         }
-        let scope = if all { ListScope::Full } else { ListScope::Changes };
+        let scope = if all { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
         (scope, targets.into_iter().map(Target::listed).collect(), odd)
     }
 }
--- a/adapters/http/src/list/tests.rs
+++ b/adapters/http/src/list/tests.rs
@@ -7,9 +7,9 @@
     format!(r#"{{"rev":7,"all":{all},"targets":[{}]}}"#, entries.join(","))
 }
 
-fn taken(entries: &mut Entries, text: &str) -> (ListScope, Vec<(String, Stage)>, usize) {
+fn taken(entries: &mut Entries, text: &str) -> (EndpointUpdate, Vec<(String, EndpointState)>, usize) {
     let (scope, listed, odd) = entries.take(List::read(text.as_bytes()).expect("a list"));
-    let mut listed: Vec<_> = listed.into_iter().map(|listed| (listed.uid, listed.stage)).collect();
+    let mut listed: Vec<_> = listed.into_iter().map(|listed| (listed.name, listed.state)).collect();
     listed.sort_by(|a, b| a.0.cmp(&b.0));
     (scope, listed, odd.len())
 }
@@ -24,7 +24,7 @@
 #[test]
 fn an_odd_entry_does_not_take_the_others_with_it() {
     let drains = OTHER.replace("Ready", "Terminating");
-    let ready = Stage::InService;
+    let ready = EndpointState::InService;
     for odd in [
         GOOD.replace("10.0.0.1:9000", "here"),
         GOOD.replace("\"10.0.0.1:9000\"", "null"),
@@ -34,7 +34,7 @@
     ] {
         for all in [true, false] {
             let (_, listed, count) = taken(&mut known(), &list(all, &[&odd, &drains]));
-            let wanted = [("s-0".to_owned(), ready), ("s-1".to_owned(), Stage::Draining)];
+            let wanted = [("s-0".to_owned(), ready), ("s-1".to_owned(), EndpointState::Draining)];
             assert_eq!((listed.as_slice(), count), (wanted.as_slice(), 1), "{odd} {all}");
         }
     }
@@ -45,13 +45,13 @@
 fn an_odd_entry_of_an_unknown_server_is_passed_over() {
     for odd in [r#"{"uid":"s-9","endpoint":"here","az":"a","state":"Ready"}"#, "null", "[]", "\"s-0\""] {
         let (scope, listed, count) = taken(&mut known(), &list(false, &[odd, OTHER]));
-        assert_eq!((scope, listed.len(), count), (ListScope::Changes, 1, 1), "{odd}");
+        assert_eq!((scope, listed.len(), count), (EndpointUpdate::Delta, 1, 1), "{odd}");
     }
 }
 
 #[test]
 fn a_state_that_can_be_read_counts_though_the_rest_can_not() {
-    for (state, stage) in [("Terminating", Stage::Draining), ("Gone", Stage::Gone)] {
+    for (state, stage) in [("Terminating", EndpointState::Draining), ("Gone", EndpointState::Removed)] {
         let odd = GOOD.replace("10.0.0.1:9000", "").replace("Ready", state);
         let (_, listed, _) = taken(&mut known(), &list(false, &[&odd, OTHER]));
         assert_eq!(listed[0], ("s-0".to_owned(), stage));
@@ -62,7 +62,7 @@
 #[test]
 fn a_state_of_another_version_takes_nothing_new() {
     let (_, listed, odd) = taken(&mut known(), &list(false, &[&GOOD.replace("Ready", "Quarantined")]));
-    assert_eq!((listed, odd), (vec![("s-0".to_owned(), Stage::Draining)], 0));
+    assert_eq!((listed, odd), (vec![("s-0".to_owned(), EndpointState::Draining)], 0));
 }
 
 #[test]
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -7,7 +7,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use badgerpost_balancer::{Effect, Nanos};
+use badgerpost_balancer::{Idempotency, Nanos};
 use badgerpost_settings::name_tag;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -20,8 +20,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use badgerpost_engine::{Asked, Clock, End, LogLimiter, Reply, nanos, spawn};
-use badgerpost_http_framing::Fault;
+use badgerpost_engine::{Clock, IncomingRequest, LogLimiter, RequestEnd, RequestOutcome, nanos, spawn};
+use badgerpost_http_framing::FramingError;
 use badgerpost_lifecycle::Stage;
 
 use crate::answer::{self, Answer as Served};
@@ -73,7 +73,7 @@
     #[error("the body did not arrive")]
     NoBody,
     #[error(transparent)]
-    Framing(#[from] Fault),
+    Framing(#[from] FramingError),
     #[error("{0} is that of an open request")]
     Taken(&'static str),
 }
@@ -241,7 +241,9 @@
         (_, "/health/ready") if request.method() != Method::GET => {
             (plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"), true)
         }
-        (_, "/health/ready") if serving() && !(node.has_server() || node.clock().now() >= door.ready_by) => {
+        (_, "/health/ready")
+            if serving() && !(node.has_endpoint_in_service() || node.clock().now() >= door.ready_by) =>
+        {
             (plain(StatusCode::SERVICE_UNAVAILABLE, "no server known yet"), false)
         }
         (_, "/health/ready") if serving() => (plain(StatusCode::OK, "ready"), false),
@@ -282,7 +284,7 @@
     let key = cookie(headers, KEY_COOKIE).map(name_tag);
     let repeat = single(headers, AGAIN)? == Some("1");
     let body = read(node.clock(), slot, bodies, body).await?;
-    if effect == Effect::Repeatable && !matches!(&body, Payload::Whole(kept) if kept.bytes.is_empty()) {
+    if effect == Idempotency::Idempotent && !matches!(&body, Payload::Whole(kept) if kept.bytes.is_empty()) {
         return Err(BadCall::Misplaced("a body"));
     }
     // No work is as long as the client's whole time; such a guess says nothing.
@@ -297,13 +299,13 @@
         Payload::Coming(upload) => Some(upload.clone()),
         Payload::Whole(..) => None,
     };
-    let mut asked: Asked<Http> = Asked {
+    let mut asked: IncomingRequest<Http> = IncomingRequest {
         id: required(headers, CALL_ID)?.into(),
         class,
         tenant,
-        key,
-        hint,
-        repeat,
+        affinity_key: key,
+        expected_work: hint,
+        is_retry: repeat,
         budget: left(),
         call: Call {
             method: head.method,
@@ -316,33 +318,33 @@
     let _awaits = slot.awaits();
     let reply = if let Some(upload) = coming {
         asked.budget = nanos(UPLOAD_MOST);
-        let mut waiting = node.upload(asked).ok_or(BadCall::Taken(CALL_ID))?;
+        let mut waiting = node.submit_upload(asked).ok_or(BadCall::Taken(CALL_ID))?;
         known.ended.set(true);
         let early = tokio::select! {
             biased;
             () = upload.taken() => None,
-            reply = waiting.answered() => Some(reply),
+            reply = waiting.wait() => Some(reply),
             stuck = stuck(node.clock(), slot, &upload, left()) => match stuck {
                 Stuck::AtClient => return Err(BadCall::NoBody),
-                Stuck::AtBackend => Some(waiting.refuse()),
+                Stuck::AtBackend => Some(waiting.reject()),
             },
         };
         match early {
             // Answered before it was whole: what still comes is dropped, and the connection ends.
             Some(reply) => reply,
             None => {
-                waiting.whole(left());
+                waiting.upload_complete(left());
                 slot.open();
-                waiting.answered().await
+                waiting.wait().await
             }
         }
     } else {
         let waiting = node.submit(asked).ok_or(BadCall::Taken(CALL_ID))?;
         known.ended.set(true);
         slot.open();
-        waiting.answer().await
+        waiting.into_outcome().await
     };
-    Ok(worded(reply, |begun| answer::Passing::new(begun, slot.clone(), node.tally(), class)))
+    Ok(worded(reply, |begun| answer::Passing::new(begun, slot.clone(), node.metrics(), class)))
 }
 
 /// Who a body waits for that has stopped moving.
@@ -383,7 +385,7 @@
 impl Drop for Known<'_> {
     fn drop(&mut self) {
         if !self.ended.get() {
-            self.node.tally().count(self.class, End::Errored);
+            self.node.metrics().request_answered(self.class, RequestEnd::Failed);
         }
     }
 }
@@ -435,11 +437,11 @@
     Ok(Payload::Whole(Kept::new(first.whole(), Some(held))))
 }
 
-fn worded(reply: Reply<Served>, pass: impl FnOnce(answer::Begun) -> answer::Passing) -> Answer {
+fn worded(reply: RequestOutcome<Served>, pass: impl FnOnce(answer::Begun) -> answer::Passing) -> Answer {
     match reply {
-        Reply::Served(Served::Whole(kept)) => Response::new(answer::Reply::from(kept)),
-        Reply::Served(Served::Begun(begun)) => Response::new(answer::Reply::Passing(pass(begun))),
-        Reply::Refused(pause) => {
+        RequestOutcome::Served(Served::Whole(kept)) => Response::new(answer::Reply::from(kept)),
+        RequestOutcome::Served(Served::Begun(begun)) => Response::new(answer::Reply::Passing(pass(begun))),
+        RequestOutcome::Rejected(pause) => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused; trying again does no harm");
             if pause > 0 {
                 // Never sooner than the module said: decimals are cut, so round up.
@@ -451,7 +453,7 @@
             }
             response
         }
-        Reply::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
+        RequestOutcome::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
     }
 }
 
--- a/adapters/http/src/slots.rs
+++ b/adapters/http/src/slots.rs
@@ -8,7 +8,7 @@
 
 use badgerpost_balancer::Nanos;
 use badgerpost_engine::{Clock, nanos};
-use badgerpost_http_framing::{Fault, Follower, Sign};
+use badgerpost_http_framing::{FramingError, FramingEvent, RequestFramer};
 use tokio::sync::Notify;
 
 use crate::tap::Ear;
@@ -84,7 +84,7 @@
     /// When bytes came last.
     heard: Cell<Nanos>,
     /// What was found of the heads that have come and are not taken yet, in order.
-    heads: RefCell<VecDeque<Result<(), Fault>>>,
+    heads: RefCell<VecDeque<Result<(), FramingError>>>,
     /// Requests that have begun to come and whose heads are not taken yet.
     begun: Cell<usize>,
     /// A request's answer is waited for: with its client gone, nothing more is done for it.
@@ -152,15 +152,15 @@
     }
 
     /// What the bytes that have come tell of the requests in them.
-    fn told(&self, sign: Sign) {
+    fn told(&self, sign: FramingEvent) {
         match sign {
-            Sign::Head(found) => {
+            FramingEvent::HeadComplete(found) => {
                 let mut heads = self.heads.borrow_mut();
                 heads.truncate(AHEAD_MOST - 1);
                 heads.push_back(found);
             }
-            Sign::Begun => self.begun.set(self.begun.get() + 1),
-            Sign::Whole | Sign::Broken(_) => {}
+            FramingEvent::Started => self.begun.set(self.begun.get() + 1),
+            FramingEvent::MessageComplete | FramingEvent::BodyInvalid(_) => {}
         }
     }
 
@@ -187,7 +187,7 @@
     }
 
     /// A request's head has been taken, and its body may come; returns whether its framing can be read in one way only.
-    pub fn receiving(&self) -> Result<(), Fault> {
+    pub fn receiving(&self) -> Result<(), FramingError> {
         // Its last bytes have only just come, unless it was sent ahead of an answer.
         let only_just = self.stage.get() == Stage::Arriving;
         self.enter_at(Stage::Receiving, if only_just { self.heard.get() } else { self.clock.now() });
@@ -422,13 +422,13 @@
 /// Keeps a slot up to date by what is heard on its client's socket.
 pub struct RequestTracker {
     slot: Rc<Slot>,
-    follower: Follower,
+    follower: RequestFramer,
 }
 
 impl RequestTracker {
     /// The tracker of this slot.
     pub fn new(slot: Rc<Slot>) -> Self {
-        Self { slot, follower: Follower::new() }
+        Self { slot, follower: RequestFramer::new() }
     }
 }
 
--- a/adapters/http/src/tap.rs
+++ b/adapters/http/src/tap.rs
@@ -16,10 +16,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use badgerpost_engine::{Clock, Tally, progress};
+use badgerpost_engine::{Clock, Metrics, activity};
 
 struct Signs {
-    tally: Arc<Tally>,
+    tally: Arc<Metrics>,
     /// Bytes have come since the last message.
     begun: AtomicBool,
     bytes: Notify,
@@ -40,7 +40,7 @@
 
 impl Heard {
     /// What is heard on a new connection; messages are counted there.
-    pub fn new(tally: Arc<Tally>) -> Self {
+    pub fn new(tally: Arc<Metrics>) -> Self {
         let (begun, interim, counts, written) = Default::default();
         let (bytes, reads) = Default::default();
         Self(Arc::new(Signs { tally, begun, bytes, reads, interim, counts, written }))
@@ -99,7 +99,7 @@
 
     fn flushed(&mut self) {
         if self.0.written.swap(false, Ordering::Relaxed) && self.0.counts.swap(false, Ordering::Relaxed) {
-            self.0.tally.sent();
+            self.0.tally.attempt_sent();
         }
     }
 }
@@ -124,7 +124,7 @@
     ear: E,
     /// Bytes that were read before anybody asked for them.
     ahead: BytesMut,
-    connection: progress::Connection,
+    connection: activity::Connection,
 }
 
 impl<E> Clone for Tap<E> {
@@ -141,7 +141,7 @@
 impl<E: Ear> Tap<E> {
     /// Listens in on this socket.
     pub fn new(stream: TcpStream, ear: E) -> Self {
-        let connection = progress::Connection::default();
+        let connection = activity::Connection::default();
         Self(Rc::new(RefCell::new(Line { stream, ear, ahead: BytesMut::new(), connection })))
     }
 
@@ -183,7 +183,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            progress::read(buffer.filled().len() - before);
+            activity::read(buffer.filled().len() - before);
             self.ear.bytes(&buffer.filled()[before..]);
         } else if read.is_ready() && buffer.remaining() > 0 {
             // Nothing more, or an error.
@@ -236,7 +236,7 @@
 
 fn counted(ear: &mut impl Ear, write: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
     if let Poll::Ready(Ok(written)) = &write {
-        progress::written(*written);
+        activity::written(*written);
         ear.written();
     }
     write
--- a/adapters/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use badgerpost_balancer::Nanos;
-use badgerpost_engine::{Clock, Ticket};
+use badgerpost_engine::{AttemptId, Clock};
 
 use crate::Node;
 use crate::budget::Kept;
@@ -42,7 +42,7 @@
     }
 
     /// The body of a message to a backend. One made before for the same request ends with an error.
-    pub fn message(&self, node: &Node, ticket: Ticket) -> Outgoing {
+    pub fn message(&self, node: &Node, ticket: AttemptId) -> Outgoing {
         match self {
             Self::Whole(kept) => Outgoing::Whole(Full::new(kept.bytes.clone())),
             Self::Coming(upload) => {
@@ -143,7 +143,7 @@
     turn: u64,
     upload: Rc<Upload>,
     node: Node,
-    ticket: Ticket,
+    ticket: AttemptId,
 }
 
 impl Passing {
@@ -184,7 +184,7 @@
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     if !self.upload.spent.replace(true) {
-                        self.node.spent(self.ticket);
+                        self.node.body_consumed(self.ticket);
                     }
                     return self.give(data);
                 }
--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use badgerpost_balancer::{BackendId, Nanos, Outcome, Report};
-use badgerpost_settings::Links;
+use badgerpost_balancer::{BackendId, LoadReport, Nanos, Outcome};
+use badgerpost_settings::ConnectionSettings;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -20,7 +20,9 @@
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
-use badgerpost_engine::{Clock, End, IdlePool, Launcher, OpenCount, Quiet, progress, spawn};
+use badgerpost_engine::{
+    Clock, ConnectionCounter, IdleCheck, IdlePool, RequestEnd, Transport, activity, spawn,
+};
 
 use crate::answer::{Answer, Begun};
 use crate::budget::{Budget, Gathered, Kept};
@@ -68,9 +70,9 @@
     heard: Heard,
 }
 
-impl Quiet for Link {
+impl IdleCheck for Link {
     /// A close, or bytes that nobody asked for, ends the connection's task.
-    fn is_quiet(&mut self) -> bool {
+    fn is_idle(&mut self) -> bool {
         !self.send.is_closed()
     }
 }
@@ -79,10 +81,10 @@
 pub struct Pool {
     idle: IdlePool<Place, Link>,
     /// Open connections, idle or not.
-    open: OpenCount,
+    open: ConnectionCounter,
     /// The most of these; it may change.
     most: Rc<Cell<usize>>,
-    links: Links,
+    links: ConnectionSettings,
     clock: Clock,
     /// For answers that are held whole.
     bodies: Budget,
@@ -120,8 +122,8 @@
 
 impl Upstream {
     /// At most `most` connections are open together.
-    pub fn new(links: Links, clock: Clock, most: Rc<Cell<usize>>, bodies: Budget) -> Self {
-        let (idle, open) = (IdlePool::default(), OpenCount::default());
+    pub fn new(links: ConnectionSettings, clock: Clock, most: Rc<Cell<usize>>, bodies: Budget) -> Self {
+        let (idle, open) = (IdlePool::default(), ConnectionCounter::default());
         Self(Rc::new(Pool { idle, open, most, links, clock, bodies, aged: Aged::default() }))
     }
 
@@ -140,7 +142,7 @@
     }
 }
 
-impl Launcher<Http> for Upstream {
+impl Transport<Http> for Upstream {
     fn launch(&self, node: &Node, launch: Launch) {
         let (pool, node) = (self.0.clone(), node.clone());
         spawn(async move { pool.run(node, launch).await });
@@ -159,11 +161,11 @@
 impl Pool {
     async fn run(self: Rc<Self>, node: Node, mut launch: Launch) {
         let written = Cell::new(false);
-        let withdrawn = std::mem::replace(&mut launch.withdrawn, tokio::sync::oneshot::channel().1);
+        let withdrawn = std::mem::replace(&mut launch.cancelled, tokio::sync::oneshot::channel().1);
         // Never written, it never ran: a refusal is still open to the module then.
         let call = launch.call.clone();
         let unless_written =
-            |outcome| if written.get() && call.body.is_whole() { outcome } else { Outcome::Moot };
+            |outcome| if written.get() && call.body.is_whole() { outcome } else { Outcome::NotSent };
         let mut attempt = std::pin::pin!(self.attempt(&node, &launch, &written));
         let ending = tokio::select! {
             biased;
@@ -175,9 +177,10 @@
         };
         launch.call.body.abandon();
         // With the client's time over no other attempt can follow this one, so it may come to its own end.
-        let coming = launch.deadline.is_some();
-        let salvaged = ending.outcome == Outcome::TimedOut && launch.give_up >= launch.not_after && !coming;
-        node.settled(launch.ticket, ending);
+        let coming = launch.upload_deadline.is_some();
+        let salvaged =
+            ending.outcome == Outcome::TimedOut && launch.attempt_deadline >= launch.expires_at && !coming;
+        node.attempt_ended(launch.attempt, ending);
         if salvaged && self.open.get() < self.most.get() / 4 * 3 {
             let _ = self.clock.timeout(SALVAGE, attempt).await;
         }
@@ -185,8 +188,8 @@
 
     /// Waits until the attempt is no longer waited for; with its body still on the way that is not known yet.
     async fn given_up(&self, launch: &Launch) {
-        let Some(mut deadline) = launch.deadline.clone() else {
-            return self.clock.sleep_until(launch.give_up).await;
+        let Some(mut deadline) = launch.upload_deadline.clone() else {
+            return self.clock.sleep_until(launch.attempt_deadline).await;
         };
         loop {
             let at = *deadline.borrow_and_update();
@@ -203,36 +206,36 @@
     async fn probe(self: Rc<Self>, node: Node, place: Place) {
         let began = self.clock.now();
         let asked = self.clock.timeout(PROBE_WITHIN, self.ask_load(&node, place)).await;
-        let (outcome, report) = asked.unwrap_or((Outcome::TimedOut, Report::default()));
-        node.probed(place.0, outcome, self.clock.now().saturating_sub(began), report);
+        let (outcome, report) = asked.unwrap_or((Outcome::TimedOut, LoadReport::default()));
+        node.health_check_ended(place.0, outcome, self.clock.now().saturating_sub(began), report);
     }
 
-    async fn ask_load(self: &Rc<Self>, node: &Node, place: Place) -> (Outcome, Report) {
-        let failed = |outcome| (outcome, Report::default());
+    async fn ask_load(self: &Rc<Self>, node: &Node, place: Place) -> (Outcome, LoadReport) {
+        let failed = |outcome| (outcome, LoadReport::default());
         let mut link = match self.take(place) {
             Some((link, _)) => link,
-            None if self.open.get() >= self.most.get() / 4 * 3 => return failed(Outcome::Moot),
+            None if self.open.get() >= self.most.get() / 4 * 3 => return failed(Outcome::NotSent),
             None => match self.connect(node, place.1).await {
                 Some(link) => link,
                 None => return failed(Outcome::ConnectFailed),
             },
         };
         let host = HeaderValue::from_str(&place.1.to_string());
-        let (true, Ok(host)) = (node.serves_at(place.0, place.1), host) else {
-            return failed(Outcome::Moot);
+        let (true, Ok(host)) = (node.is_in_service_at(place.0, place.1), host) else {
+            return failed(Outcome::NotSent);
         };
         let mut message = Request::new(Outgoing::Whole(Full::new(Bytes::new())));
         *message.uri_mut() = Uri::from_static(LOAD_PATH);
         message.headers_mut().insert(HOST, host);
         if link.send.ready().await.is_err() {
-            return failed(Outcome::Moot);
+            return failed(Outcome::NotSent);
         }
         link.heard.listen(&mut message);
         match link.send.try_send_request(message).await {
             Ok(response) => {
                 let ending = self.read(node, place, link, response).await;
-                let told = match &ending.answer {
-                    Some(Answer::Whole(kept)) if ending.outcome == Outcome::Served => {
+                let told = match &ending.response {
+                    Some(Answer::Whole(kept)) if ending.outcome == Outcome::Success => {
                         Some(figures(&kept.bytes))
                     }
                     _ => None,
@@ -266,11 +269,11 @@
                 continue;
             }
             // The connect may have outlasted the request, or the backend's place on the list.
-            if !node.may_write(launch.ticket) {
+            if !node.may_write(launch.attempt) {
                 self.keep(node, place, link);
-                return Ending::bare(Outcome::Moot);
+                return Ending::bare(Outcome::NotSent);
             }
-            let Some(mut message) = self.message(node, launch) else { return Ending::bare(Outcome::Moot) };
+            let Some(mut message) = self.message(node, launch) else { return Ending::bare(Outcome::NotSent) };
             let heard = link.heard.clone();
             heard.listen(&mut message);
             heard.counts();
@@ -278,11 +281,11 @@
             let ending = tokio::select! {
                 biased;
                 ending = self.exchange(node, place, link, message) => ending,
-                () = heard.stalled(&self.clock, GOES_ON_WITHIN) => return Ending::bare(Outcome::Spoilt),
+                () = heard.stalled(&self.clock, GOES_ON_WITHIN) => return Ending::bare(Outcome::InvalidResponse),
             };
             match ending {
                 // A client that breaks its request off is no fault of the backend's.
-                Some(_) if launch.call.body.is_broken() => return Ending::bare(Outcome::Moot),
+                Some(_) if launch.call.body.is_broken() => return Ending::bare(Outcome::NotSent),
                 // What was never whole there never ran.
                 Some(ending) if ending.outcome == Outcome::Reset && !launch.call.body.is_whole() => {
                     return Ending::bare(Outcome::ConnectFailed);
@@ -332,7 +335,7 @@
         // where its backend says that it means to close is that what it meant.
         let framed = length.is_some() || chunked || ends_with_connection(&head);
         if !framed || head.status.is_informational() {
-            return Ending::bare(Outcome::Spoilt);
+            return Ending::bare(Outcome::InvalidResponse);
         }
         let outcome = outcome(&head);
         let report = load_report(&head.headers);
@@ -354,35 +357,36 @@
             if length == Some(first.count() as u64) || first.count() < enough {
                 continue;
             }
-            if outcome != Outcome::Served {
+            if outcome != Outcome::Success {
                 // Nobody gets to see it, so that nothing waits for the rest.
-                return Ending { outcome, report, answer: None, passing: false };
+                return Ending { outcome, report, response: None, is_streaming: false };
             }
             let (pool, owner) = (self.clone(), node.clone());
             let ended = Box::new(move |end| match end {
-                Some(End::Answered) => pool.keep(&owner, place, link),
-                Some(_) => owner.broke(place.0),
+                Some(RequestEnd::Served) => pool.keep(&owner, place, link),
+                Some(_) => owner.response_aborted(place.0),
                 None => {}
             });
             let first = Kept::new(first.whole(), held);
             let begun = Begun { first, rest: body, left: length, ended };
-            return Ending { outcome, report, answer: Some(Answer::Begun(begun)), passing: true };
+            return Ending { outcome, report, response: Some(Answer::Begun(begun)), is_streaming: true };
         }
         self.keep(node, place, link);
         Ending {
             outcome,
             report,
-            answer: Some(Answer::Whole(Kept::new(first.whole(), held))),
-            passing: false,
+            response: Some(Answer::Whole(Kept::new(first.whole(), held))),
+            is_streaming: false,
         }
     }
 
     fn message(&self, node: &Node, launch: &Launch) -> Option<Request<Outgoing>> {
         let call = &launch.call;
-        let left = launch.give_up.min(launch.not_after).saturating_sub(self.clock.now()) / 1_000_000;
+        let left =
+            launch.attempt_deadline.min(launch.expires_at).saturating_sub(self.clock.now()) / 1_000_000;
         // With its body still on the way, its client's time begins only with the last byte.
         let left = left.min(call.budget_ms);
-        let mut message = Request::new(call.body.message(node, launch.ticket));
+        let mut message = Request::new(call.body.message(node, launch.attempt));
         *message.method_mut() = call.method.clone();
         *message.uri_mut() = call.target.clone();
         *message.headers_mut() = call.headers.clone();
@@ -403,7 +407,7 @@
 
     /// Keeps a connection for the next attempt, unless its backend has left or moved meanwhile.
     fn keep(&self, node: &Node, place: Place, mut link: Link) {
-        if link.is_quiet() && node.serves_at(place.0, place.1) {
+        if link.is_idle() && node.is_in_service_at(place.0, place.1) {
             self.idle.put(place, link, self.clock.now());
         }
     }
@@ -423,9 +427,9 @@
         let opened = self.open.open();
         let limit = Duration::from_nanos(self.links.connect_timeout);
         let stream =
-            self.clock.timeout(limit, progress::connecting(TcpStream::connect(endpoint))).await.ok()?.ok()?;
+            self.clock.timeout(limit, activity::connecting(TcpStream::connect(endpoint))).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let heard = Heard::new(node.tally());
+        let heard = Heard::new(node.metrics());
         let tap = Tap::new(stream, heard.clone());
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD).max_headers(MAX_LINES);
@@ -441,7 +445,7 @@
 
     fn drop_stale(&self) {
         let most = self.links.idle / IDLE_PART;
-        self.idle.retain(self.clock.now(), |_, link, idle| link.is_quiet() && idle < most);
+        self.idle.retain(self.clock.now(), |_, link, idle| link.is_idle() && idle < most);
     }
 }
 
@@ -449,10 +453,10 @@
 fn outcome(head: &Parts) -> Outcome {
     let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
     match head.status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
-        StatusCode::OK => Outcome::Served,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Rejected,
+        StatusCode::OK => Outcome::Success,
         // What is wrong with the request is not the backend's fault, and says nothing of it.
-        status if status.is_client_error() => Outcome::Spoilt,
+        status if status.is_client_error() => Outcome::InvalidResponse,
         // Whatever the status says, the request may have run.
         _ => Outcome::Error,
     }
@@ -467,7 +471,7 @@
 
 /// What a broken answer was: a connection that ended, or one that brought what is no answer.
 fn broken(error: &hyper::Error) -> Outcome {
-    if error.is_parse() { Outcome::Spoilt } else { Outcome::Reset }
+    if error.is_parse() { Outcome::InvalidResponse } else { Outcome::Reset }
 }
 
 /// A backend's figures of its load, under either of the names in use.
@@ -482,12 +486,12 @@
 }
 
 /// Reads the load report that an answer carries.
-fn load_report(headers: &HeaderMap) -> Report {
+fn load_report(headers: &HeaderMap) -> LoadReport {
     figures(headers.get("x-load-report").map(HeaderValue::as_bytes).unwrap_or_default())
 }
 
 /// Reads a load report. One that can't be read says nothing, and harms nothing.
-fn figures(text: &[u8]) -> Report {
+fn figures(text: &[u8]) -> LoadReport {
     let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
-    Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight }
+    LoadReport { utilization: figures.util, requests_per_second: figures.qps, in_flight: figures.inflight }
 }
--- a/adapters/postgres/src/client.rs
+++ b/adapters/postgres/src/client.rs
@@ -1,6 +1,6 @@
 //! A client's socket while it shows who it is: messages written and read one at a time.
 
-use badgerpost_postgres_session::frame::{Cut, Cutter, Frame};
+use badgerpost_postgres_session::frame::{DecodeResult, Frame, FrameDecoder};
 use badgerpost_postgres_session::scram;
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,19 +15,19 @@
     Socket(#[from] std::io::Error),
     /// Its first packet is none of the protocol.
     #[error("{0}")]
-    Start(badgerpost_postgres_session::startup::BadStart),
+    Start(badgerpost_postgres_session::startup::StartupError),
     /// What it sent is no message.
     #[error("{0}")]
-    Frame(#[from] badgerpost_postgres_session::frame::BadFrame),
+    Frame(#[from] badgerpost_postgres_session::frame::FrameError),
     /// What it set as it started can't be had.
     #[error("{0}")]
-    Settings(#[from] badgerpost_postgres_session::settings::BadSettings),
+    Settings(#[from] badgerpost_postgres_session::settings::SettingsError),
     /// It may not come, though it has shown who it is.
     #[error("{0}")]
     NotAllowed(&'static str),
     /// It did not show who it is.
     #[error("{0}")]
-    Identity(scram::Refused),
+    Identity(scram::ScramError),
     /// It has closed the connection.
     #[error("it has gone")]
     Gone,
@@ -41,7 +41,7 @@
     /// Its socket.
     pub stream: Stream,
     /// What has come and was not looked at.
-    pub cutter: Cutter,
+    pub cutter: FrameDecoder,
 }
 
 impl Client {
@@ -62,8 +62,10 @@
     pub async fn password(&mut self) -> Result<Frame, ClientError> {
         loop {
             match self.cutter.next_from_client()? {
-                Some(Cut::Frame(frame)) if frame.tag == b'p' && frame.body.len() <= 4096 => return Ok(frame),
-                Some(_) => return Err(ClientError::Identity(scram::Refused::Malformed)),
+                Some(DecodeResult::Frame(frame)) if frame.tag == b'p' && frame.body.len() <= 4096 => {
+                    return Ok(frame);
+                }
+                Some(_) => return Err(ClientError::Identity(scram::ScramError::Malformed)),
                 None => {}
             }
             let mut buffer = vec![0; 4096];
--- a/adapters/postgres/src/clients.rs
+++ b/adapters/postgres/src/clients.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use badgerpost_postgres_session::answer::Status;
-use badgerpost_postgres_session::pins::Pin;
+use badgerpost_postgres_session::answer::TransactionStatus;
+use badgerpost_postgres_session::pins::StickyReason;
 use badgerpost_postgres_session::session::Session;
 use tokio::sync::Notify;
 
@@ -28,8 +28,8 @@
     pub tls: bool,
     /// Transactions that were served to it.
     pub served: Cell<u64>,
-    status: Cell<Status>,
-    pin: Cell<Option<Pin>>,
+    status: Cell<TransactionStatus>,
+    pin: Cell<Option<StickyReason>>,
     server: Cell<Option<SocketAddr>>,
     waits: Cell<bool>,
     cancelable: Cancelable,
@@ -41,10 +41,10 @@
     pub fn state(&self) -> &'static str {
         match (self.status.get(), self.server.get().is_some(), self.waits.get()) {
             (_, false, true) => "waiting",
-            (Status::Idle, true, _) => "active",
-            (Status::InBlock, ..) => "in transaction",
-            (Status::Failed, ..) => "in failed transaction",
-            (Status::Idle, false, false) => "idle",
+            (TransactionStatus::Idle, true, _) => "active",
+            (TransactionStatus::InBlock, ..) => "in transaction",
+            (TransactionStatus::Failed, ..) => "in failed transaction",
+            (TransactionStatus::Idle, false, false) => "idle",
         }
     }
 
@@ -54,7 +54,7 @@
     }
 
     /// Why it is pinned to it.
-    pub fn pin(&self) -> Option<Pin> {
+    pub fn pin(&self) -> Option<StickyReason> {
         self.pin.get()
     }
 }
--- a/adapters/postgres/src/config.rs
+++ b/adapters/postgres/src/config.rs
@@ -5,8 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use badgerpost_balancer::Stage;
-use badgerpost_engine::Listed;
+use badgerpost_balancer::EndpointState;
+use badgerpost_engine::DiscoveredEndpoint;
 use badgerpost_postgres_session::scram::Verifier;
 use badgerpost_settings::Site;
 use badgerpost_settings::file::{self, NotPrivate};
@@ -288,7 +288,7 @@
         let mut site = badgerpost_settings::read(&settings).map_err(ConfigError::Wrong)?;
         // A server works on as many transactions as it has connections; so few more wait for one of these that
         // the module, not the pool, has the order of those that wait.
-        site.settings.queue_most = self.per_server.max(1) as f64 * 1.25;
+        site.settings.max_queue_per_size = self.per_server.max(1) as f64 * 1.25;
         site.settings.validate().map_err(|error| ConfigError::Wrong(error.to_string()))?;
         Ok(site)
     }
@@ -306,16 +306,16 @@
     }
 
     /// The servers as the engine is told of them.
-    pub fn listed(&self) -> Vec<Listed> {
-        let listed = |server: &Server| Listed {
-            uid: server.name.clone(),
-            endpoint: server.address,
+    pub fn listed(&self) -> Vec<DiscoveredEndpoint> {
+        let listed = |server: &Server| DiscoveredEndpoint {
+            name: server.name.clone(),
+            address: server.address,
             zone: server.zone.clone(),
-            kind: "postgres".to_owned(),
+            machine_kind: "postgres".to_owned(),
             cell: 0,
-            stage: Stage::InService,
+            state: EndpointState::InService,
             size: 1.0,
-            boot_ms: 0,
+            started_at_ms: 0,
         };
         self.server.iter().map(listed).collect()
     }
--- a/adapters/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -4,8 +4,8 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use badgerpost_postgres_session::answer::{self, Reason, Status};
-use badgerpost_postgres_session::frame::{Cut, Frame};
+use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
+use badgerpost_postgres_session::frame::{DecodeResult, Frame};
 use bytes::{BufMut, BytesMut};
 use tokio::io::AsyncReadExt;
 
@@ -71,13 +71,13 @@
     ] {
         greeting.push(Frame::new(b'S', format!("{name}\0{value}\0").into_bytes()));
     }
-    greeting.extend([Frame::new(b'K', &[0; 8][..]), Status::Idle.ready()]);
+    greeting.extend([Frame::new(b'K', &[0; 8][..]), TransactionStatus::Idle.ready()]);
     client.send(&greeting).await?;
     let mut skips = false;
     loop {
         let frame = match client.cutter.next_from_client()? {
-            Some(Cut::Frame(frame)) => frame,
-            Some(Cut::Piece { .. }) => continue,
+            Some(DecodeResult::Frame(frame)) => frame,
+            Some(DecodeResult::Chunk { .. }) => continue,
             None => {
                 let mut buffer = vec![0; 1024];
                 let read = client.stream.read(&mut buffer).await?;
@@ -96,24 +96,24 @@
                 for command in text.split(';').map(str::trim).filter(|command| !command.is_empty()) {
                     tracing::info!(user, command, "console command");
                     if let Err(problem) = run(front, command, &mut out).await {
-                        out.push(answer::error(Reason::Unsupported, Some(&problem)));
+                        out.push(answer::error(ErrorReason::Unsupported, Some(&problem)));
                         break;
                     }
                 }
                 if out.is_empty() {
                     out.push(Frame::new(b'I', &b""[..]));
                 }
-                out.push(Status::Idle.ready());
+                out.push(TransactionStatus::Idle.ready());
                 client.send(&out).await?;
             }
             b'S' => {
                 skips = false;
-                client.send(&[Status::Idle.ready()]).await?;
+                client.send(&[TransactionStatus::Idle.ready()]).await?;
             }
             b'H' => {}
             _ if !std::mem::replace(&mut skips, true) => {
                 let detail = "the console takes simple queries only";
-                client.send(&[answer::error(Reason::Unsupported, Some(detail))]).await?;
+                client.send(&[answer::error(ErrorReason::Unsupported, Some(detail))]).await?;
             }
             _ => {}
         }
@@ -178,7 +178,7 @@
 
 fn pools(front: &Front) -> Table {
     let rows = front.pool.figures().into_iter().map(|server| {
-        let name = front.fleet.name_of(server.place.0);
+        let name = front.fleet.endpoint_name(server.place.0);
         let busy = server.open.saturating_sub(server.idle);
         let paused = if front.pool.is_paused() { "paused" } else { "active" };
         texts([
@@ -240,10 +240,16 @@
 }
 
 fn servers(front: &Front) -> Table {
-    let serving = front.fleet.in_service();
+    let serving = front.fleet.endpoints_in_service();
     let rows = front.pool.figures().into_iter().map(|server| {
         let state = if serving.contains(&server.place) { "in service" } else { "leaving" };
-        texts([&front.fleet.name_of(server.place.0), &server.place.1, &state, &server.open, &server.served])
+        texts([
+            &front.fleet.endpoint_name(server.place.0),
+            &server.place.1,
+            &state,
+            &server.open,
+            &server.served,
+        ])
     });
     Table { columns: &["server", "address", "state", "connections", "transactions"], rows: rows.collect() }
 }
--- a/adapters/postgres/src/identity.rs
+++ b/adapters/postgres/src/identity.rs
@@ -31,11 +31,11 @@
         let known = self.verifiers.get(user).cloned();
         let verifier = known.unwrap_or_else(|| Verifier::unknown(&self.secret, user));
         // With TLS the proof can be bound to this very channel.
-        let plus = binding.map_or(String::new(), |_| format!("{}\0", scram::PLUS));
-        let offered = format!("{plus}{}\0\0", scram::PLAIN);
+        let plus = binding.map_or(String::new(), |_| format!("{}\0", scram::MECHANISM_WITH_BINDING));
+        let offered = format!("{plus}{}\0\0", scram::MECHANISM);
         client.send(&[request(10, offered.as_bytes())]).await?;
         let first = client.password().await?;
-        let name = first.first_string().ok_or(ClientError::Identity(scram::Refused::Malformed))?;
+        let name = first.first_string().ok_or(ClientError::Identity(scram::ScramError::Malformed))?;
         let mechanism = String::from_utf8_lossy(name).into_owned();
         // Its length stands before the message itself.
         let message = first.body.get(name.len() + 5..).unwrap_or_default();
--- a/adapters/postgres/src/lib.rs
+++ b/adapters/postgres/src/lib.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 
 use badgerpost_balancer::{BackendId, Nanos};
-use badgerpost_engine::{Engine, Front, Ticket};
+use badgerpost_engine::{AttemptId, Engine, Protocol};
 use tokio::sync::oneshot;
 
 pub use client::ClientError;
@@ -31,9 +31,9 @@
 /// The front's types.
 pub struct Postgres;
 
-impl Front for Postgres {
-    type Call = LeaseRequest;
-    type Answer = ();
+impl Protocol for Postgres {
+    type Request = LeaseRequest;
+    type Response = ();
 }
 
 /// The engine of a PostgreSQL fleet.
@@ -56,7 +56,7 @@
 /// A server connection leased to a transaction, until the attempt ends.
 pub struct Lease {
     /// The attempt.
-    pub ticket: Ticket,
+    pub ticket: AttemptId,
     /// The server.
     pub backend: BackendId,
     /// Where it listens.
--- a/adapters/postgres/src/login.rs
+++ b/adapters/postgres/src/login.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use badgerpost_postgres_session::frame::{Cut, Cutter, Frame};
+use badgerpost_postgres_session::frame::{DecodeResult, Frame, FrameDecoder};
 use badgerpost_postgres_session::scram;
 use badgerpost_postgres_session::session::ServerState;
 use bytes::{Buf, BytesMut};
@@ -55,7 +55,7 @@
     /// Its bytes.
     pub stream: Stream,
     /// What has come and was not looked at.
-    pub cutter: Cutter,
+    pub cutter: FrameDecoder,
     /// What is known of it.
     pub state: ServerState,
     /// By which a statement on it is cancelled.
@@ -76,8 +76,10 @@
         let mut buffer = vec![0; READ_AT_ONCE];
         loop {
             match self.cutter.next_from_server().map_err(|error| NoLink::Broken(error.to_string()))? {
-                Some(Cut::Frame(frame)) => return Ok(frame),
-                Some(Cut::Piece { .. }) => return Err(NoLink::Broken("a row before it is ready".to_owned())),
+                Some(DecodeResult::Frame(frame)) => return Ok(frame),
+                Some(DecodeResult::Chunk { .. }) => {
+                    return Err(NoLink::Broken("a row before it is ready".to_owned()));
+                }
                 None => {}
             }
             let read = self.stream.read(&mut buffer).await?;
@@ -103,7 +105,7 @@
     if let Some(tls) = tls {
         (stream, binding) = encrypt(stream, tls).await?;
     }
-    let (cutter, state) = (Cutter::default(), ServerState::default());
+    let (cutter, state) = (FrameDecoder::default(), ServerState::default());
     let mut link = Fresh { stream, cutter, state, cancel: (0, 0), reports: BTreeMap::new() };
     let words = [
         ("user", identity.user.as_str()),
@@ -180,11 +182,11 @@
         (10, scram) => {
             let offers = |wanted: &str| body.split(|byte| *byte == 0).any(|name| name == wanted.as_bytes());
             let (mechanism, channel) = match binding {
-                Some(binding) if offers(scram::PLUS) => {
-                    (scram::PLUS, ChannelBinding::tls_server_end_point(binding.to_vec()))
+                Some(binding) if offers(scram::MECHANISM_WITH_BINDING) => {
+                    (scram::MECHANISM_WITH_BINDING, ChannelBinding::tls_server_end_point(binding.to_vec()))
                 }
-                Some(_) if offers(scram::PLAIN) => (scram::PLAIN, ChannelBinding::unrequested()),
-                None if offers(scram::PLAIN) => (scram::PLAIN, ChannelBinding::unsupported()),
+                Some(_) if offers(scram::MECHANISM) => (scram::MECHANISM, ChannelBinding::unrequested()),
+                None if offers(scram::MECHANISM) => (scram::MECHANISM, ChannelBinding::unsupported()),
                 _ => return Err(NoLink::Method("an unknown SASL mechanism")),
             };
             let password = identity.password.as_ref().ok_or(NoLink::NoPassword)?;
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{BackendId, Nanos};
-use badgerpost_engine::{Clock, IdlePool, Quiet, nanos};
-use badgerpost_postgres_session::frame::Cutter;
+use badgerpost_engine::{Clock, IdleCheck, IdlePool, nanos};
+use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::session::ServerState;
 use bytes::BytesMut;
 use postgres_protocol::message::frontend;
@@ -56,7 +56,7 @@
     /// Its bytes.
     pub stream: Stream,
     /// What has come and was not looked at.
-    pub cutter: Cutter,
+    pub cutter: FrameDecoder,
     /// What is known of it.
     pub state: ServerState,
     /// By which a statement on it is cancelled.
@@ -69,8 +69,8 @@
     opened: Opened,
 }
 
-impl Quiet for Link {
-    fn is_quiet(&mut self) -> bool {
+impl IdleCheck for Link {
+    fn is_idle(&mut self) -> bool {
         // One that was closed meanwhile, or on which something has come that nobody asked for, is of no use.
         self.cutter.held() == 0 && self.stream.is_quiet()
     }
@@ -249,7 +249,7 @@
         server.served.set(server.served.get() + 1);
         let (backend, endpoint) = link.key.place;
         let current = link.epoch == self.epoch.get() && now < link.until;
-        if current && fleet.serves_at(backend, endpoint) && link.is_quiet() {
+        if current && fleet.is_in_service_at(backend, endpoint) && link.is_idle() {
             self.idle.put(link.key.clone(), link, now);
             server.wake();
         }
@@ -380,7 +380,7 @@
     ) -> Option<BTreeMap<String, String>> {
         let last = self.clock.now().saturating_add(nanos(CONNECT));
         while self.greeting.borrow().is_empty() && self.clock.now() < last {
-            for place in fleet.in_service() {
+            for place in fleet.endpoints_in_service() {
                 let key = PoolKey { place, database: database.to_owned(), login };
                 match self.link(&key, 0, last).await {
                     Ok(link) => {
@@ -408,7 +408,7 @@
             let now = self.clock.now();
             let (most, epoch) = (nanos(self.limits.idle_close), self.epoch.get());
             self.idle.retain(now, |_, link, idle| {
-                idle < most && now < link.until && link.epoch == epoch && link.is_quiet()
+                idle < most && now < link.until && link.epoch == epoch && link.is_idle()
             });
             if self.limits.min_idle == 0 || self.paused.get() {
                 continue;
@@ -418,7 +418,7 @@
                 warm.retain(|_, used| now.saturating_sub(*used) < most);
                 warm.keys().cloned().collect()
             };
-            for place in fleet.in_service() {
+            for place in fleet.endpoints_in_service() {
                 for (database, login) in &warm {
                     let key = PoolKey { place, database: database.clone(), login: *login };
                     let server = self.server(place);
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{BackendId, Nanos, Outcome};
-use badgerpost_engine::{Asked, Ending, Reply, Sleep, Ticket};
-use badgerpost_postgres_session::answer::{self, Reason, Status};
-use badgerpost_postgres_session::frame::Cutter;
+use badgerpost_engine::{AttemptEnd, AttemptId, IncomingRequest, RequestOutcome, Sleep};
+use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
+use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::session::{Action, Event, Session};
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -69,7 +69,7 @@
     }
 }
 
-type Answer = Pin<Box<dyn Future<Output = Reply<()>>>>;
+type Answer = Pin<Box<dyn Future<Output = RequestOutcome<()>>>>;
 type Waits = Pin<Box<dyn Future<Output = ()>>>;
 
 /// A server connection that the session has.
@@ -78,7 +78,7 @@
     backend: BackendId,
     endpoint: SocketAddr,
     /// The attempt that it was leased for, until that has ended.
-    ticket: Option<Ticket>,
+    ticket: Option<AttemptId>,
     give_up: Nanos,
     withdrawn: oneshot::Receiver<()>,
     timer: Option<Pin<Box<Sleep>>>,
@@ -114,7 +114,7 @@
     terms: Terms,
     session: Session,
     client: Stream,
-    cutter: Cutter,
+    cutter: FrameDecoder,
     registered: Registered,
     asked: u64,
     slot: Rc<LeaseSlot>,
@@ -140,7 +140,7 @@
         terms: Terms,
         session: Session,
         client: Stream,
-        cutter: Cutter,
+        cutter: FrameDecoder,
         registered: Registered,
         greeting: BytesMut,
     ) -> Self {
@@ -202,7 +202,7 @@
         loop {
             let mut went = self.process();
             if stops && !self.ended && self.session.is_idle() && self.waiting.is_none() {
-                answer::error(Reason::Stopping, None).write(&mut self.to_client);
+                answer::error(ErrorReason::Stopping, None).write(&mut self.to_client);
                 self.handle(Event::ClientGone);
             }
             for step in [Self::write_server, Self::write_client] {
@@ -350,11 +350,11 @@
                 self.wait_no_more();
                 match reply {
                     // Told by the session itself, as it came.
-                    Reply::Served(()) => {}
-                    Reply::Refused(pause) => {
+                    RequestOutcome::Served(()) => {}
+                    RequestOutcome::Rejected(pause) => {
                         self.handle(Event::Refused { wait_ms: pause.div_ceil(1_000_000) });
                     }
-                    Reply::Failed => self.handle(Event::Failed),
+                    RequestOutcome::Failed => self.handle(Event::Failed),
                 }
                 Went::On
             }
@@ -377,9 +377,9 @@
                     }
                     Ok(None) => {}
                     Err(error) => {
-                        let server = self.terms.fleet.name_of(held.backend);
+                        let server = self.terms.fleet.endpoint_name(held.backend);
                         tracing::warn!(server, endpoint = %held.endpoint, %error, "server does not speak PostgreSQL");
-                        self.lost(Outcome::Spoilt);
+                        self.lost(Outcome::InvalidResponse);
                         any = true;
                         continue;
                     }
@@ -396,7 +396,7 @@
                 }
                 Ok(None) => return any,
                 Err(error) => {
-                    answer::error(Reason::Protocol, Some(&error.to_string())).write(&mut self.to_client);
+                    answer::error(ErrorReason::Protocol, Some(&error.to_string())).write(&mut self.to_client);
                     self.handle(Event::ClientGone);
                     any = true;
                 }
@@ -408,10 +408,10 @@
     /// A pinned session can't be moved: with its server draining, its next transaction is not begun there.
     fn check_pinned(&mut self) {
         let Some(held) = &self.held else { return };
-        let between = held.ticket.is_none() && self.session.status() == Status::Idle;
-        if between && !self.terms.fleet.serves_at(held.backend, held.endpoint) {
+        let between = held.ticket.is_none() && self.session.status() == TransactionStatus::Idle;
+        if between && !self.terms.fleet.is_in_service_at(held.backend, held.endpoint) {
             let detail = "the session is pinned to a server that leaves";
-            answer::error(Reason::Stopping, Some(detail)).write(&mut self.to_client);
+            answer::error(ErrorReason::Stopping, Some(detail)).write(&mut self.to_client);
             self.handle(Event::ClientGone);
         }
     }
@@ -436,14 +436,14 @@
             Action::ToClient(bytes) => self.to_client.extend_from_slice(&bytes),
             Action::Started => {
                 let ticket = self.held.as_ref().and_then(|held| held.ticket);
-                ticket.into_iter().for_each(|ticket| self.terms.fleet.started(ticket));
+                ticket.into_iter().for_each(|ticket| self.terms.fleet.response_started(ticket));
             }
             Action::Done => {
                 self.registered.count();
-                self.settle(Ending { answer: Some(()), ..Ending::bare(Outcome::Served) });
+                self.settle(AttemptEnd { response: Some(()), ..AttemptEnd::bare(Outcome::Success) });
                 self.wait_no_more();
             }
-            Action::NotAgain => self.settle(Ending::bare(Outcome::Moot)),
+            Action::NotAgain => self.settle(AttemptEnd::bare(Outcome::NotSent)),
             Action::Release(state) => {
                 let Some(held) = self.held.take() else { return };
                 let Held { mut link, ticket, .. } = *held;
@@ -453,12 +453,12 @@
                     self.terms.pool.keep(&self.terms.fleet, link);
                 }
                 self.to_server.clear();
-                self.end(ticket, Ending::bare(Outcome::Moot));
+                self.end(ticket, AttemptEnd::bare(Outcome::NotSent));
             }
             Action::DropServer => {
                 self.to_server.clear();
                 let ticket = self.held.take().and_then(|held| held.ticket);
-                self.end(ticket, Ending::bare(Outcome::Cancelled));
+                self.end(ticket, AttemptEnd::bare(Outcome::Cancelled));
             }
             Action::End => {
                 self.ended = true;
@@ -476,19 +476,19 @@
         if let Some(lease) = self.slot.lease.borrow_mut().take() {
             let Lease { ticket, link, .. } = *lease;
             self.terms.pool.keep(&self.terms.fleet, link);
-            self.terms.fleet.settled(ticket, Ending::bare(Outcome::Moot));
+            self.terms.fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
         }
     }
 
     /// Ends the attempt that the connection was leased for.
-    fn settle(&mut self, ending: Ending<()>) {
+    fn settle(&mut self, ending: AttemptEnd<()>) {
         let ticket = self.held.as_mut().and_then(|held| held.ticket.take());
         self.end(ticket, ending);
     }
 
-    fn end(&self, ticket: Option<Ticket>, ending: Ending<()>) {
+    fn end(&self, ticket: Option<AttemptId>, ending: AttemptEnd<()>) {
         if let Some(ticket) = ticket {
-            self.terms.fleet.settled(ticket, ending);
+            self.terms.fleet.attempt_ended(ticket, ending);
         }
     }
 
@@ -498,7 +498,7 @@
         let ticket = self.held.as_mut().and_then(|held| held.ticket.take());
         self.handle(Event::ServerLost);
         self.held = None;
-        self.end(ticket, Ending::bare(outcome));
+        self.end(ticket, AttemptEnd::bare(outcome));
         if ticket.is_none() && !self.ended {
             // Between two transactions nobody but the session has to be told.
             self.handle(Event::Failed);
@@ -535,10 +535,18 @@
             slot: self.slot.clone(),
         };
         self.slot.wanted.set(self.asked);
-        let asked: Asked<Postgres> =
-            Asked { id, class, tenant: None, key: None, hint: None, repeat: false, budget: deadline, call };
+        let asked: IncomingRequest<Postgres> = IncomingRequest {
+            id,
+            class,
+            tenant: None,
+            affinity_key: None,
+            expected_work: None,
+            is_retry: false,
+            budget: deadline,
+            call,
+        };
         match self.terms.fleet.submit(asked) {
-            Some(waiting) => self.waiting = Some(Box::pin(waiting.answer())),
+            Some(waiting) => self.waiting = Some(Box::pin(waiting.into_outcome())),
             None => self.handle(Event::Failed),
         }
     }
@@ -562,7 +570,7 @@
 }
 
 /// Reads once; false at the end.
-fn read(stream: &mut Stream, cutter: &mut Cutter, cx: &mut Context<'_>) -> Poll<bool> {
+fn read(stream: &mut Stream, cutter: &mut FrameDecoder, cx: &mut Context<'_>) -> Poll<bool> {
     SCRATCH.with_borrow_mut(|scratch| {
         let mut buffer = ReadBuf::new(scratch);
         match Pin::new(stream).poll_read(cx, &mut buffer) {
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use badgerpost_engine::{LogLimiter, OpenCount, Opened, spawn};
-use badgerpost_postgres_session::answer::{self, Reason, Status};
-use badgerpost_postgres_session::frame::{Cutter, Frame};
+use badgerpost_engine::{ConnectionCounter, ConnectionGuard, LogLimiter, spawn};
+use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
+use badgerpost_postgres_session::frame::{Frame, FrameDecoder};
 use badgerpost_postgres_session::scram::Verifier;
 use badgerpost_postgres_session::session::Session;
 use badgerpost_postgres_session::settings::ClientSettings;
-use badgerpost_postgres_session::startup::{First, Startup, StartupMessage};
+use badgerpost_postgres_session::startup::{StartupMessage, StartupPacket, StartupReader};
 use bytes::{BufMut, BytesMut};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -49,7 +49,7 @@
     pub(crate) unidentified: Rc<Unidentified>,
     tls: Option<Acceptor>,
     /// Sessions that stand.
-    pub(crate) sessions: OpenCount,
+    pub(crate) sessions: ConnectionCounter,
     cancels: CancelKeys,
 }
 
@@ -60,7 +60,7 @@
     settings: ClientSettings,
     greeting: BTreeMap<String, String>,
     login: usize,
-    opened: Opened,
+    opened: ConnectionGuard,
 }
 
 impl Front {
@@ -74,7 +74,8 @@
         let tls = config.tls.as_ref().map(crate::tls::ClientTls::acceptor).transpose()?;
         let users = Users::new(users).map_err(|error| ConfigError::Wrong(error.to_string()))?;
         let unidentified = Unidentified::new(config.unidentified);
-        let (clients, sessions, cancels) = (Rc::default(), OpenCount::default(), CancelKeys::default());
+        let (clients, sessions, cancels) =
+            (Rc::default(), ConnectionCounter::default(), CancelKeys::default());
         Ok(Rc::new(Self { config, users, fleet, pool, clients, unidentified, tls, sessions, cancels }))
     }
 
@@ -121,7 +122,7 @@
         stopping: watch::Receiver<bool>,
     ) {
         let _ = stream.set_nodelay(true);
-        let client = Client { stream: Stream::plain(stream), cutter: Cutter::default() };
+        let client = Client { stream: Stream::plain(stream), cutter: FrameDecoder::default() };
         let clock = self.fleet.clock().clone();
         let admitted = tokio::select! {
             biased;
@@ -145,7 +146,7 @@
         from: SocketAddr,
         pending: &Pending,
     ) -> Result<Option<Admitted>, ClientError> {
-        let mut startup = Startup::default();
+        let mut startup = StartupReader::default();
         let message = loop {
             let first = match startup.take() {
                 Ok(Some(first)) => first,
@@ -160,16 +161,16 @@
                     continue;
                 }
                 Err(error) => {
-                    client.send(&[answer::error(Reason::Protocol, Some(&error.to_string()))]).await?;
+                    client.send(&[answer::error(ErrorReason::Protocol, Some(&error.to_string()))]).await?;
                     return Err(ClientError::Start(error));
                 }
             };
             match (first, &self.tls) {
-                (First::Tls, Some(tls)) if !client.stream.is_tls() => {
+                (StartupPacket::Tls, Some(tls)) if !client.stream.is_tls() => {
                     // Bytes sent ahead in the clear would pass for the client's own.
                     if !startup.rest().is_empty() {
                         client
-                            .send(&[answer::error(Reason::Protocol, Some("data behind SSLRequest"))])
+                            .send(&[answer::error(ErrorReason::Protocol, Some("data behind SSLRequest"))])
                             .await?;
                         return Ok(None);
                     }
@@ -178,12 +179,12 @@
                     let stream = tls.tls.accept(socket).await?;
                     client.stream = Stream::Tls(Box::new(stream.into()));
                 }
-                (First::Tls | First::Gss, _) => client.write(b"N").await?,
-                (First::Cancel { process, key }, _) => {
+                (StartupPacket::Tls | StartupPacket::Gss, _) => client.write(b"N").await?,
+                (StartupPacket::Cancel { process, key }, _) => {
                     self.cancels.cancel(process, &key, &self.pool).await;
                     return Ok(None);
                 }
-                (First::Session(message), _) => break message,
+                (StartupPacket::Session(message), _) => break message,
             }
         };
         client.cutter.push(&startup.rest());
@@ -192,12 +193,14 @@
         }
         let encrypted = client.stream.is_tls();
         if self.tls.as_ref().is_some_and(|tls| tls.required) && !encrypted {
-            return self.refuse(client, Reason::NotAllowed, "the node takes clients with TLS only").await;
+            return self
+                .refuse(client, ErrorReason::NotAllowed, "the node takes clients with TLS only")
+                .await;
         }
         let binding = self.tls.as_ref().filter(|_| encrypted).map(|tls| tls.binding.as_slice());
         match self.users.prove(&mut client, &message.user, binding).await {
             Err(ClientError::Identity(why)) => {
-                client.send(&[answer::error(Reason::Identity, None)]).await?;
+                client.send(&[answer::error(ErrorReason::Identity, None)]).await?;
                 return Err(ClientError::Identity(why));
             }
             Err(other) => return Err(other),
@@ -209,24 +212,24 @@
         }
         if !may_come(&self.config.allow, &message.user, &message.database, from, encrypted) {
             return self
-                .refuse(client, Reason::NotAllowed, "no rule lets this user come to this database")
+                .refuse(client, ErrorReason::NotAllowed, "no rule lets this user come to this database")
                 .await;
         }
         let Some(login) = self.pool.login_for(&message.user) else {
-            return self.refuse(client, Reason::NotAllowed, "the node has no login for this user").await;
+            return self.refuse(client, ErrorReason::NotAllowed, "the node has no login for this user").await;
         };
         if self.sessions.get() >= self.config.clients {
             let detail = "all of the node's client connections are in use";
-            return self.refuse(client, Reason::TooManyClients, detail).await;
+            return self.refuse(client, ErrorReason::TooManyClients, detail).await;
         }
         let opened = self.sessions.open();
         let Some(greeting) = self.pool.greeting(&self.fleet, &message.database, login).await else {
-            return self.refuse(client, Reason::NoServer, "no server of the fleet can be reached").await;
+            return self.refuse(client, ErrorReason::NoServer, "no server of the fleet can be reached").await;
         };
         let settings = match ClientSettings::new(&message.parameters, &greeting) {
             Ok(settings) => settings,
             Err(error) => {
-                client.send(&[answer::error(Reason::Unsupported, Some(&error.to_string()))]).await?;
+                client.send(&[answer::error(ErrorReason::Unsupported, Some(&error.to_string()))]).await?;
                 return Err(ClientError::Settings(error));
             }
         };
@@ -236,7 +239,7 @@
     async fn refuse(
         &self,
         mut client: Client,
-        reason: Reason,
+        reason: ErrorReason,
         why: &'static str,
     ) -> Result<Option<Admitted>, ClientError> {
         client.send(&[answer::error(reason, Some(why))]).await?;
@@ -300,6 +303,6 @@
     body.put_u32(registered.number());
     body.put_slice(&key);
     Frame::new(b'K', body.freeze()).write(&mut out);
-    Status::Idle.ready().write(&mut out);
+    TransactionStatus::Idle.ready().write(&mut out);
     out
 }
--- a/adapters/postgres/src/stream.rs
+++ b/adapters/postgres/src/stream.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
 
-use badgerpost_engine::progress;
+use badgerpost_engine::activity;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_rustls::TlsStream;
@@ -21,7 +21,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.0).poll_read(cx, buf);
-        progress::read(buf.filled().len() - before);
+        activity::read(buf.filled().len() - before);
         polled
     }
 }
@@ -30,7 +30,7 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.0).poll_write(cx, bytes);
         if let Poll::Ready(Ok(count)) = &polled {
-            progress::written(*count);
+            activity::written(*count);
         }
         polled
     }
--- a/adapters/postgres/src/upstream.rs
+++ b/adapters/postgres/src/upstream.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use badgerpost_balancer::{BackendId, Outcome};
-use badgerpost_engine::{Ending, Launch, Launcher, spawn};
+use badgerpost_engine::{AttemptCommand, AttemptEnd, Transport, spawn};
 
 use crate::login::NoLink;
 use crate::pool::{Pool, PoolKey};
@@ -12,8 +12,8 @@
 /// Starts attempts over a pool.
 pub struct Upstream(pub Rc<Pool>);
 
-impl Launcher<Postgres> for Upstream {
-    fn launch(&self, fleet: &Fleet, launch: Launch<Postgres>) {
+impl Transport<Postgres> for Upstream {
+    fn launch(&self, fleet: &Fleet, launch: AttemptCommand<Postgres>) {
         let (pool, fleet) = (self.0.clone(), fleet.clone());
         spawn(async move { lease(&pool, &fleet, launch).await });
     }
@@ -24,35 +24,43 @@
 }
 
 /// Finds a connection for a transaction. The attempt's end comes from the session that it is leased to.
-async fn lease(pool: &Pool, fleet: &Fleet, launch: Launch<Postgres>) {
-    let Launch { ticket, backend, endpoint, call, give_up, mut withdrawn, .. } = launch;
+async fn lease(pool: &Pool, fleet: &Fleet, launch: AttemptCommand<Postgres>) {
+    let AttemptCommand {
+        attempt: ticket,
+        backend,
+        endpoint,
+        call,
+        attempt_deadline: give_up,
+        cancelled: mut withdrawn,
+        ..
+    } = launch;
     let key = PoolKey { place: (backend, endpoint), database: call.database.clone(), login: call.login };
     let link = tokio::select! {
         biased;
-        _ = &mut withdrawn => return fleet.settled(ticket, Ending::bare(Outcome::Moot)),
+        _ = &mut withdrawn => return fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent)),
         link = pool.link(&key, call.rank, give_up) => link,
         // A login may take longer than that. Nothing was sent.
-        () = fleet.clock().sleep_until(give_up) => return fleet.settled(ticket, Ending::bare(Outcome::Moot)),
+        () = fleet.clock().sleep_until(give_up) => return fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent)),
     };
     let link = match link {
         Ok(link) => link,
         Err(error) => {
-            tracing::debug!(server = fleet.name_of(backend), %endpoint, %error, "no connection to a PostgreSQL server");
+            tracing::debug!(server = fleet.endpoint_name(backend), %endpoint, %error, "no connection to a PostgreSQL server");
             let outcome = match error {
-                NoLink::Full(_) => Outcome::Full,
+                NoLink::Full(_) => Outcome::Rejected,
                 _ => Outcome::ConnectFailed,
             };
-            return fleet.settled(ticket, Ending::bare(outcome));
+            return fleet.attempt_ended(ticket, AttemptEnd::bare(outcome));
         }
     };
     // The wait or the login may have outlasted the request, or the server's place on the list.
     if !fleet.may_write(ticket) {
         pool.keep(fleet, link);
-        return fleet.settled(ticket, Ending::bare(Outcome::Moot));
+        return fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
     }
     let leased = Lease { ticket, backend, endpoint, link, give_up, withdrawn };
     if let Some(refused) = call.slot.put(call.transaction, leased) {
         pool.keep(fleet, refused.link);
-        fleet.settled(ticket, Ending::bare(Outcome::Moot));
+        fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
     }
 }
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use badgerpost_balancer::ListScope;
+use badgerpost_balancer::EndpointUpdate;
 use badgerpost_engine::{Clock, spawn};
 use badgerpost_fakes::database::Database;
 use badgerpost_postgres::Fleet;
@@ -71,7 +71,7 @@
         let site = config.site().expect("a site");
         let launcher = Rc::new(Upstream(pool.clone()));
         let fleet = Fleet::new(site.settings, site.words, 7, clock, launcher).expect("a fleet");
-        fleet.fleet(ListScope::Full, config.listed());
+        fleet.endpoints_updated(EndpointUpdate::Snapshot, config.listed());
         let timers = fleet.clone();
         spawn(async move { timers.run_timers().await });
         let user = |name: &str| (name.to_owned(), Verifier::of("secret", b"some salt"));
--- a/adapters/postgres/tests/transactions.rs
+++ b/adapters/postgres/tests/transactions.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use badgerpost_balancer::ListScope;
+use badgerpost_balancer::EndpointUpdate;
 use badgerpost_fakes::database::{Bad, Database, Value};
 use badgerpost_fakes::random::Random;
 use badgerpost_postgres::config::Config;
@@ -215,8 +215,8 @@
             clients.push(client);
         }
         let mut list = node.config.listed();
-        list[0].stage = badgerpost_balancer::Stage::Draining;
-        node.fleet.fleet(ListScope::Full, list);
+        list[0].state = badgerpost_balancer::EndpointState::Draining;
+        node.fleet.endpoints_updated(EndpointUpdate::Snapshot, list);
         let before = one.statements();
         for client in &clients {
             client.batch_execute("commit").await.expect("committed");
@@ -265,7 +265,7 @@
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         };
-        node.fleet.fleet(ListScope::Full, Vec::new());
+        node.fleet.endpoints_updated(EndpointUpdate::Snapshot, Vec::new());
         let error = client.batch_execute("select 1").await.expect_err("nobody there");
         assert_eq!(error.code().map(SqlState::code), Some("53300"));
     });
--- a/balancer/src/admission.rs
+++ b/balancer/src/admission.rs
@@ -27,7 +27,7 @@
     /// Where nodes are many: the share that spills, and the share of each class that is taken at all. Each
     /// moves by what would even out the figures over the arrivals of about the time until the next ones.
     pub(crate) fn share_out(&mut self) {
-        let home = self.settings.home;
+        let home = self.settings.local_zone;
         let asked = self.asked();
         let count = self.zones[home.0 as usize].listed.max(1.0);
         let coming = (asked * self.crowd() * 2.0 * self.list_period / count).max(LEAST_COMING);
@@ -37,9 +37,9 @@
         // Load at which the mean unit of worth would still be answered in time.
         let (mut worth, mut fitting) = (1e-9, 0.0);
         for (view, class) in self.classes.iter().zip(&self.settings.classes) {
-            let weight = view.asked.now(self.now) * class.worth;
+            let weight = view.asked.now(self.now) * class.priority_weight;
             worth += weight;
-            fitting += weight * class.aim as f64 / view.base.max(1.0);
+            fitting += weight * class.latency_objective as f64 / view.base.max(1.0);
         }
         // Not under the threshold, where home serves all; one node's own times are few, hence the bounds.
         let room = (ROOM * fitting / worth - IDLE_LOAD).clamp(wanted, 1.5 * wanted);
@@ -54,12 +54,13 @@
 
     /// Part of a tenant's requests that is beyond this node's part of its share.
     pub(crate) fn over_share(&self, tenant: usize) -> f64 {
-        let (Some(asked), Some(quota)) = (self.tenants.get(tenant), self.settings.tenants.get(tenant)) else {
+        let (Some(asked), Some(quota)) = (self.tenants.get(tenant), self.settings.tenant_quotas.get(tenant))
+        else {
             return 0.0;
         };
-        let part = quota / f64::from(self.settings.nodes) / asked.now(self.now).max(1e-9);
+        let part = quota / f64::from(self.settings.node_count) / asked.now(self.now).max(1e-9);
         // A node sees few requests of a tenant: half as many again may be chance.
-        if self.settings.over_share_worth < 1.0 { (1.0 - 1.5 * part).max(0.0) } else { 0.0 }
+        if self.settings.over_quota_value < 1.0 { (1.0 - 1.5 * part).max(0.0) } else { 0.0 }
     }
 
     /// Spreads what is taken over the classes, the worthiest for each unit of work first. The shared figures
@@ -67,7 +68,7 @@
     pub(crate) fn admit(&mut self) {
         let asked = self.asked();
         let served: f64 = self.classes.iter().map(|class| class.served.now(self.now)).sum();
-        let home = &self.zones[self.settings.home.0 as usize];
+        let home = &self.zones[self.settings.local_zone.0 as usize];
         // A node sees few answers: its own bound rests while the list shows home at half the threshold.
         let fresh = self.listed_at.is_some_and(|at| self.now.saturating_sub(at) < UTIL_TRUST);
         let calm = fresh && home.held < 0.5 * SHARED_THRESHOLD / (1.0 - SHARED_THRESHOLD);
@@ -96,20 +97,20 @@
         let goal = self.settings.worst_class_goal.min(1.0);
         let rates: Vec<(f64, f64)> =
             self.classes.iter().map(|c| (c.asked.now(self.now), c.served.now(self.now))).collect();
-        let worth: f64 = rates.iter().zip(&self.settings.classes).map(|(r, c)| r.0 * c.worth).sum();
+        let worth: f64 = rates.iter().zip(&self.settings.classes).map(|(r, c)| r.0 * c.priority_weight).sum();
         let part = |(asked, served): (f64, f64)| if asked > 0.0 { served / asked } else { 1.0 };
         let worst = rates.iter().map(|&rate| part(rate)).fold(1.0, f64::min);
         for ((view, class), &rate) in self.classes.iter_mut().zip(&self.settings.classes).zip(&rates) {
-            let mut value = (1.0 - goal) * class.worth / worth.max(1e-9);
+            let mut value = (1.0 - goal) * class.priority_weight / worth.max(1e-9);
             if part(rate) <= worst {
                 value += goal / rate.0.max(1e-9);
             }
-            view.value = if self.settings.worth_by_work { value } else { value / view.base.max(1.0) };
+            view.value = if self.settings.value_per_request { value } else { value / view.base.max(1.0) };
         }
         // A worthy class with a tight aim would find all room taken by lesser ones with a wide aim.
         let mut room = f64::INFINITY;
         for class in self.by_value().into_iter().filter(|&class| rates[class].0 > 0.1) {
-            let aim = self.settings.classes[class].aim as f64;
+            let aim = self.settings.classes[class].latency_objective as f64;
             let view = &mut self.classes[class];
             room = (room * PRECEDENCE).min(ADMIT * aim / view.base.max(1.0));
             view.room = room;
--- a/balancer/src/api.rs
+++ b/balancer/src/api.rs
@@ -22,7 +22,7 @@
 
 /// Which backends drop a repeat of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Group {
+pub enum DedupScope {
     /// Every backend.
     All,
     /// The backends of one zone.
@@ -33,43 +33,43 @@
 
 /// Whether a request of a class may take effect twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
+pub enum Idempotency {
     /// Safe to repeat.
-    Repeatable,
+    Idempotent,
     /// Repeats are dropped inside `group` for `window` from the first send that may have run.
     Keyed {
         /// The backends that share which keys they have seen.
-        group: Group,
+        scope: DedupScope,
         /// How long they remember.
         window: Nanos,
     },
     /// Must not run twice.
-    Once,
+    NonIdempotent,
 }
 
 /// What the settings say of one request class.
 #[derive(Clone, Copy, Debug)]
 pub struct ClassSettings {
     /// An answer within this time earns the full worth.
-    pub aim: Nanos,
+    pub latency_objective: Nanos,
     /// The client's time over all its tries.
     pub deadline: Nanos,
     /// Worth of one request.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Share of the worth still earned after the aim.
-    pub late_share: f64,
+    pub late_value_fraction: f64,
     /// Whether it may be repeated.
-    pub effect: Effect,
+    pub idempotency: Idempotency,
 }
 
 impl Default for ClassSettings {
     fn default() -> Self {
         Self {
-            aim: 500_000_000,
+            latency_objective: 500_000_000,
             deadline: 1_000_000_000,
-            worth: 1.0,
-            late_share: 0.0,
-            effect: Effect::Repeatable,
+            priority_weight: 1.0,
+            late_value_fraction: 0.0,
+            idempotency: Idempotency::Idempotent,
         }
     }
 }
@@ -79,17 +79,17 @@
 pub enum Discovery {
     /// Changes come unasked.
     Pushed,
-    /// Only after [`Action::Watch`] or [`Action::Fetch`].
-    Asked,
+    /// Only after [`Action::WatchEndpoints`] or [`Action::FetchSnapshot`].
+    Polled,
 }
 
-/// What [`Member::size`] holds.
+/// What [`Endpoint::size`] holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Weights {
+pub enum WeightSource {
     /// The registered size, give or take, or nothing.
-    Size,
+    Registered,
     /// The size divided by 1 + requests held for each core, some time ago.
-    Live,
+    LoadAdjusted,
 }
 
 /// No queue is let grow longer than this, however wide the aim, where nothing says how many requests a backend
@@ -101,104 +101,110 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Most attempts for one request.
-    pub attempts: u32,
+    pub max_attempts: u32,
     /// Two attempts of one request may be out together.
-    pub second_copies: bool,
+    pub hedging: bool,
     /// Probes may be sent.
-    pub probes: bool,
+    pub health_checks: bool,
     /// Attempts may be cancelled.
-    pub cancel: bool,
+    pub cancellation: bool,
     /// Longest pause a client honours after a refusal; 0 where pauses are not passed on.
-    pub retry_after: Nanos,
+    pub max_retry_after: Nanos,
 }
 
 /// The figures of the four rules.
 #[derive(Clone, Copy, Debug)]
-pub struct RuleFigures {
+pub struct SafetyLimits {
     /// A final answer is accepted this long after the client's deadline.
-    pub answer_slack: Nanos,
+    pub answer_grace: Nanos,
     /// An asking node that has not asked for this long is deemed told of the list of that time.
-    pub ask_within: Nanos,
+    pub poll_interval: Nanos,
     /// Sends to a draining backend must have ended this long after the node was told.
     pub drain_grace: Nanos,
     /// Share of its capacity that a backend starts with, or more.
-    pub start_capacity: f64,
+    pub slow_start_capacity: f64,
     /// A backend is warm this long after its start, or sooner.
-    pub warm_after: Nanos,
+    pub slow_start_duration: Nanos,
     /// A cold backend sent more than this multiple of its capacity falls over ...
-    pub tip_multiple: f64,
+    pub overload_multiple: f64,
     /// ... counted over any span of this length.
-    pub fall_span: Nanos,
+    pub overload_window: Nanos,
 }
 
 /// What the node is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// The node's own zone.
-    pub home: ZoneId,
+    pub local_zone: ZoneId,
     /// How many zones there are.
-    pub zones: u32,
+    pub zone_count: u32,
     /// How many nodes share the backends, this one included.
-    pub nodes: u32,
+    pub node_count: u32,
     /// The classes, by [`ClassId`].
     pub classes: Vec<ClassSettings>,
     /// Each tenant's requests a second, over all nodes, within its share.
-    pub tenants: Vec<f64>,
+    pub tenant_quotas: Vec<f64>,
     /// Worth of a request beyond its tenant's share, against one within it.
-    pub over_share_worth: f64,
+    pub over_quota_value: f64,
     /// How the list arrives.
     pub discovery: Discovery,
     /// What the list's sizes stand for.
-    pub weights: Weights,
+    pub weight_source: WeightSource,
     /// Backends report their load in answers to probes only.
-    pub reports_by_probe: bool,
+    pub reports_by_health_check: bool,
     /// Requests of this node's own that one backend may hold for each unit of size, whatever the aim.
-    pub queue_most: f64,
+    pub max_queue_per_size: f64,
     /// A backend that has lately served a key does less work for it.
-    pub warm_keys: bool,
+    pub key_affinity: bool,
     /// The site's limits.
     pub limits: Limits,
     /// The figures of the rules.
-    pub rules: RuleFigures,
+    pub rules: SafetyLimits,
     /// Share of the site's goal that the worst-served class decides, 0 to 1.
     pub worst_class_goal: f64,
     /// Clients mark their repeats, all of them.
-    pub repeats_marked: bool,
+    pub retries_marked: bool,
     /// Worth is counted for each unit of work, not for each request.
-    pub worth_by_work: bool,
+    pub value_per_request: bool,
     /// Shortest time between two handlings.
-    pub quantum: Nanos,
+    pub timer_resolution: Nanos,
 }
 
 impl Settings {
     /// Settings for a node in zone `home` of `zones`, with plain values for the rest and no classes yet.
     pub fn new(home: ZoneId, zones: u32) -> Self {
         Self {
-            home,
-            zones,
-            nodes: 1,
+            local_zone: home,
+            zone_count: zones,
+            node_count: 1,
             classes: Vec::new(),
-            tenants: Vec::new(),
-            over_share_worth: 1.0,
+            tenant_quotas: Vec::new(),
+            over_quota_value: 1.0,
             discovery: Discovery::Pushed,
-            weights: Weights::Size,
-            reports_by_probe: false,
-            queue_most: QUEUE_MOST,
-            warm_keys: false,
-            limits: Limits { attempts: 3, second_copies: true, probes: false, cancel: true, retry_after: 0 },
-            rules: RuleFigures {
-                answer_slack: 20_000_000,
-                ask_within: 10_000_000_000,
+            weight_source: WeightSource::Registered,
+            reports_by_health_check: false,
+            max_queue_per_size: QUEUE_MOST,
+            key_affinity: false,
+            limits: Limits {
+                max_attempts: 3,
+                hedging: true,
+                health_checks: false,
+                cancellation: true,
+                max_retry_after: 0,
+            },
+            rules: SafetyLimits {
+                answer_grace: 20_000_000,
+                poll_interval: 10_000_000_000,
                 drain_grace: 500_000_000,
-                start_capacity: 0.1,
-                warm_after: 30_000_000_000,
-                tip_multiple: 2.0,
-                fall_span: 2_000_000_000,
+                slow_start_capacity: 0.1,
+                slow_start_duration: 30_000_000_000,
+                overload_multiple: 2.0,
+                overload_window: 2_000_000_000,
             },
             worst_class_goal: 0.0,
-            repeats_marked: false,
-            worth_by_work: false,
-            quantum: 1_000_000,
+            retries_marked: false,
+            value_per_request: false,
+            timer_resolution: 1_000_000,
         }
     }
 
@@ -206,42 +212,42 @@
     pub fn validate(&self) -> Result<(), SettingsError> {
         let fail = |field, problem| Err(SettingsError { field, problem });
         let rate = |v: f64| v.is_finite() && v >= 0.0;
-        if self.zones == 0 {
+        if self.zone_count == 0 {
             return fail("zones", "there must be at least one");
         }
-        if self.home.0 >= self.zones {
+        if self.local_zone.0 >= self.zone_count {
             return fail("home", "is not one of the zones");
         }
-        if self.nodes == 0 {
+        if self.node_count == 0 {
             return fail("nodes", "there must be at least one");
         }
         if self.classes.is_empty() {
             return fail("classes", "there must be at least one");
         }
         for class in &self.classes {
-            if class.aim == 0 || class.deadline == 0 {
+            if class.latency_objective == 0 || class.deadline == 0 {
                 return fail("classes", "aim and deadline must be above 0");
             }
-            if !rate(class.worth) || !rate(class.late_share) {
+            if !rate(class.priority_weight) || !rate(class.late_value_fraction) {
                 return fail("classes", "worth and late share must be finite and not negative");
             }
         }
-        if self.limits.attempts == 0 {
+        if self.limits.max_attempts == 0 {
             return fail("limits.attempts", "must be at least 1");
         }
-        if !rate(self.rules.tip_multiple) || self.rules.tip_multiple == 0.0 {
+        if !rate(self.rules.overload_multiple) || self.rules.overload_multiple == 0.0 {
             return fail("rules.tip_multiple", "must be finite and above 0");
         }
-        if !rate(self.rules.start_capacity) || self.rules.start_capacity > 1.0 {
+        if !rate(self.rules.slow_start_capacity) || self.rules.slow_start_capacity > 1.0 {
             return fail("rules.start_capacity", "must lie between 0 and 1");
         }
-        if !self.tenants.iter().all(|&quota| rate(quota)) {
+        if !self.tenant_quotas.iter().all(|&quota| rate(quota)) {
             return fail("tenants", "must be finite and not negative");
         }
-        if !rate(self.queue_most) {
+        if !rate(self.max_queue_per_size) {
             return fail("queue_most", "must be finite and not negative");
         }
-        if !rate(self.over_share_worth) {
+        if !rate(self.over_quota_value) {
             return fail("over_share_worth", "must be finite and not negative");
         }
         if !rate(self.worst_class_goal) {
@@ -270,62 +276,62 @@
 
 /// What the list says of a backend.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Stage {
+pub enum EndpointState {
     /// Takes requests.
     #[default]
     InService,
     /// Completes its work; nothing new may be sent.
     Draining,
     /// Removed.
-    Gone,
+    Removed,
 }
 
 /// One line of the list of backends.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Member {
+pub struct Endpoint {
     /// The backend.
     pub backend: BackendId,
     /// Its zone.
     pub zone: ZoneId,
     /// Its machine kind.
-    pub kind: u32,
+    pub machine_kind: u32,
     /// Its cell.
     pub cell: u64,
     /// A number drawn from its name: the same at every node.
-    pub tag: u64,
+    pub name_hash: u64,
     /// What it may take.
-    pub stage: Stage,
-    /// Its size against the others', or what [`Weights`] says; 0 or less counts as 1.
+    pub state: EndpointState,
+    /// Its size against the others', or what [`WeightSource`] says; 0 or less counts as 1.
     pub size: f64,
     /// When it last started, if lately.
-    pub online_since: Option<Nanos>,
+    pub started_at: Option<Nanos>,
 }
 
-impl Member {
+impl Endpoint {
     /// Its size, or 1 where that says nothing.
     pub fn size_or_one(&self) -> f64 {
         if self.size.is_finite() && self.size > 0.0 { self.size } else { 1.0 }
     }
 }
 
-/// Which list an [`Event::Fleet`] brings.
+/// Which list an [`Event::EndpointsUpdated`] brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListScope {
+pub enum EndpointUpdate {
     /// Changed lines only.
-    Changes,
+    Delta,
     /// The whole list: who is missing has gone.
-    Full,
+    Snapshot,
     /// The whole list as the node last held it, perhaps stale.
     Cached,
 }
 
 /// A backend's figures of its load; absent where not reported.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Report {
+pub struct LoadReport {
     /// Share of its cores in use.
-    pub util: Option<f64>,
+    pub utilization: Option<f64>,
     /// Requests it serves a second.
-    pub rate: Option<f64>,
+    pub requests_per_second: Option<f64>,
     /// Requests it holds.
     pub in_flight: Option<f64>,
 }
@@ -334,13 +340,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// Served.
-    Served,
+    Success,
     /// The backend returned an error.
     Error,
     /// What came back can't be used, and says nothing of the backend.
-    Spoilt,
+    InvalidResponse,
     /// Sent away without a look.
-    Full,
+    Rejected,
     /// No answer in time.
     TimedOut,
     /// No connection came about.
@@ -350,38 +356,53 @@
     /// Withdrawn.
     Cancelled,
     /// Never sent.
-    Moot,
+    NotSent,
 }
 
 impl Outcome {
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::Full | Self::ConnectFailed | Self::Moot)
+        !matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
+    }
+
+    /// The outcome's name in log lines and simulator traces. It keeps the form that operators' tools read.
+    pub fn log_name(self) -> &'static str {
+        match self {
+            Self::Success => "Served",
+            Self::Error => "Error",
+            Self::InvalidResponse => "Spoilt",
+            Self::Rejected => "Full",
+            Self::TimedOut => "TimedOut",
+            Self::ConnectFailed => "ConnectFailed",
+            Self::Reset => "Reset",
+            Self::Cancelled => "Cancelled",
+            Self::NotSent => "Moot",
+        }
     }
 }
 
 /// A request that has come in.
 #[derive(Clone, Copy, Debug)]
-pub struct Arrival {
+pub struct RequestArrival {
     /// Its id.
     pub request: RequestId,
     /// Its class.
     pub class: ClassId,
     /// What it concerns, as a number drawn from that thing's name.
-    pub key: Option<u64>,
+    pub affinity_key: Option<u64>,
     /// How much work to expect, on a standard core.
-    pub hint: Option<Nanos>,
+    pub expected_work: Option<Nanos>,
     /// The client marks it as a repeat.
-    pub repeat: bool,
-    /// Whose it is: a position in [`Settings::tenants`].
+    pub is_retry: bool,
+    /// Whose it is: a position in [`Settings::tenant_quotas`].
     pub tenant: Option<u32>,
     /// When the client gives this try up.
-    pub not_after: Nanos,
+    pub expires_at: Nanos,
 }
 
 /// The end of one attempt.
 #[derive(Clone, Copy, Debug)]
-pub struct Settlement {
+pub struct AttemptResult {
     /// The request.
     pub request: RequestId,
     /// The attempt's number, from 0 in the order of the sends.
@@ -391,9 +412,9 @@
     /// Time since the send.
     pub elapsed: Nanos,
     /// The request has ended, by this or earlier.
-    pub ended: bool,
+    pub request_ended: bool,
     /// The backend's figures, if any came.
-    pub report: Report,
+    pub report: LoadReport,
 }
 
 /// What the module hears.
@@ -402,45 +423,45 @@
     /// The node starts. Must come first, once.
     Start,
     /// A list of backends.
-    Fleet {
+    EndpointsUpdated {
         /// Which list.
-        scope: ListScope,
+        update: EndpointUpdate,
         /// Its lines.
-        members: Vec<Member>,
+        endpoints: Vec<Endpoint>,
     },
     /// A call to discovery failed or the watch broke.
-    FleetFailed,
+    DiscoveryFailed,
     /// A request came in and is owed one final answer.
-    Request(Arrival),
-    /// The same, but its body is still on the way: its client's time begins with [`Event::Whole`], and until then no
+    RequestArrived(RequestArrival),
+    /// The same, but its body is still on the way: its client's time begins with [`Event::UploadComplete`], and until then no
     /// backend works on it. `not_after` is when it is given up if that never comes.
-    Upload(Arrival),
+    UploadStarted(RequestArrival),
     /// The last byte of a request's body has come.
-    Whole {
+    UploadComplete {
         /// The request.
         request: RequestId,
         /// When the client gives this try up.
-        not_after: Nanos,
+        expires_at: Nanos,
     },
     /// Bytes of a request's body have gone out that can't be had again: it can't be sent once more.
-    Spent {
+    BodyConsumed {
         /// The request.
         request: RequestId,
     },
     /// An attempt ended.
-    Settled(Settlement),
+    AttemptEnded(AttemptResult),
     /// An answer that had begun to be passed on broke off at this backend.
-    Broke {
+    ResponseAborted {
         /// The backend.
         backend: BackendId,
     },
     /// A streamed answer has started.
-    Started {
+    ResponseStarted {
         /// The request.
         request: RequestId,
     },
     /// A probe ended.
-    Probed {
+    HealthCheckEnded {
         /// The backend.
         backend: BackendId,
         /// How it ended.
@@ -448,15 +469,15 @@
         /// Time since the probe was sent.
         elapsed: Nanos,
         /// The backend's figures, if any came.
-        report: Report,
+        report: LoadReport,
     },
     /// The client has gone; nothing more is owed.
-    ClientGone {
+    ClientDisconnected {
         /// The request.
         request: RequestId,
     },
     /// What a zone may take from now on; at the start each has 1.
-    ZoneShare {
+    ZoneShareChanged {
         /// The zone.
         zone: ZoneId,
         /// Of the home zone, the part of the requests that it takes; of another, its part, against the others', of
@@ -464,15 +485,15 @@
         share: f64,
     },
     /// The next request that may be repeated elsewhere tries this zone, whatever its share.
-    ZoneTrial {
+    ZoneProbeRequested {
         /// The zone.
         zone: ZoneId,
         /// How long its answer is waited for.
-        wait: Nanos,
+        timeout: Nanos,
     },
     /// A timer came due.
-    Timer {
-        /// As given in [`Action::Timer`].
+    TimerFired {
+        /// As given in [`Action::SetTimer`].
         token: u64,
     },
 }
@@ -490,11 +511,11 @@
         timeout: Option<Nanos>,
     },
     /// Final answer: refused, trying again does no harm.
-    Refuse {
+    Reject {
         /// The request.
         request: RequestId,
         /// Advice how long to stay away; 0 for none.
-        pause: Nanos,
+        retry_after: Nanos,
     },
     /// Final answer: failed, with no promise.
     Fail {
@@ -509,32 +530,32 @@
         attempt: u32,
     },
     /// Probe a backend.
-    Probe {
+    CheckHealth {
         /// The backend.
         backend: BackendId,
     },
     /// Ask discovery for all changes from now on.
-    Watch,
+    WatchEndpoints,
     /// Ask discovery for the whole list once.
-    Fetch,
+    FetchSnapshot,
     /// Wake the module after this time.
-    Timer {
+    SetTimer {
         /// How long from now.
         after: Nanos,
-        /// Comes back in [`Event::Timer`].
+        /// Comes back in [`Event::TimerFired`].
         token: u64,
     },
     /// Something for the operators' log.
-    Log(Notice),
+    Log(LogEvent),
 }
 
 /// What the module has to say to operators. Its text is for people; its fields are for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Notice {
+pub enum LogEvent {
     /// The home zone has come to its threshold and spills, or is under it again and serves all.
-    Spill {
+    ZoneSpill {
         /// Whether it spills now.
-        spills: bool,
+        active: bool,
         /// The best-scored other zone; home where there is none.
         to: ZoneId,
     },
@@ -543,7 +564,7 @@
         /// Which one.
         backend: BackendId,
         /// For how long.
-        span: Nanos,
+        duration: Nanos,
         /// What its last attempt came to.
         outcome: Outcome,
     },
@@ -554,15 +575,21 @@
     },
 }
 
-impl std::fmt::Display for Notice {
+impl std::fmt::Display for LogEvent {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Spill { spills, to } => {
-                let does = if *spills { "spills" } else { "serves" };
+            Self::ZoneSpill { active, to } => {
+                let does = if *active { "spills" } else { "serves" };
                 write!(f, "home zone {does}; the best other one is {}", to.0)
             }
-            Self::Ejected { backend, span, outcome } => {
-                write!(f, "backend {} ejected for {} ms: {outcome:?}", backend.0, span / 1_000_000)
+            Self::Ejected { backend, duration, outcome } => {
+                write!(
+                    f,
+                    "backend {} ejected for {} ms: {}",
+                    backend.0,
+                    duration / 1_000_000,
+                    outcome.log_name()
+                )
             }
             Self::Readmitted { backend } => write!(f, "backend {} readmitted: trials served", backend.0),
         }
--- a/balancer/src/choice.rs
+++ b/balancer/src/choice.rs
@@ -60,9 +60,9 @@
             // Forgotten slowly, so that a link that has become slow shows.
             zone.least_elapsed = zone.least_elapsed.map(|least| least * 1.002);
         }
-        let (home, threshold) = (self.settings.home, self.threshold());
+        let (home, threshold) = (self.settings.local_zone, self.threshold());
         let seen = |zone: &ZoneId| self.zones[zone.0 as usize].least_elapsed;
-        let others = (0..self.settings.zones).map(ZoneId).filter(|&zone| zone != home);
+        let others = (0..self.settings.zone_count).map(ZoneId).filter(|&zone| zone != home);
         let farthest = others.clone().filter_map(|zone| seen(&zone)).fold(1.0, f64::max);
         let mut scored: Vec<(bool, f64, ZoneId)> = others
             .map(|zone| match (self.utilisation(zone), seen(&zone)) {
@@ -77,9 +77,12 @@
         scored.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
         self.qualified = scored.iter().filter(|score| score.0).count();
         self.overflow = scored.into_iter().map(|score| score.2).collect();
-        if self.settings.weights != Weights::Live && self.many() && self.now >= self.share_at {
+        if self.settings.weight_source != WeightSource::LoadAdjusted
+            && self.many()
+            && self.now >= self.share_at
+        {
             self.share_at = self.now + SECOND;
-            for zone in 0..self.settings.zones {
+            for zone in 0..self.settings.zone_count {
                 let util = self.utilisation(ZoneId(zone)).unwrap_or(0.0).min(0.95);
                 self.zones[zone as usize].held = util / (1.0 - util);
             }
@@ -91,13 +94,13 @@
         let spilling = self.utilisation(home).is_some_and(|util| util >= threshold);
         if std::mem::replace(&mut self.zones[home.0 as usize].spilling, spilling) != spilling {
             let to = self.overflow.first().copied().unwrap_or(home);
-            self.log(actions, Notice::Spill { spills: spilling, to });
+            self.log(actions, LogEvent::ZoneSpill { active: spilling, to });
         }
     }
 
     /// The backend for a request by the design, or none if it is better held.
     pub(crate) fn choose(&mut self, id: RequestId) -> Option<BackendId> {
-        let home = self.settings.home;
+        let home = self.settings.local_zone;
         let open = self.takes(id, home);
         // Exception: many nodes that all left an over-used zone at once would pile onto the next; so each
         // request leaves by chance, and the share follows the excess.
@@ -149,7 +152,8 @@
 
     /// The zone for a request that home's share does not hold: one of the others by their shares.
     fn divided(&self, id: RequestId) -> Option<ZoneId> {
-        let others = || (0..self.settings.zones).map(ZoneId).filter(|&zone| zone != self.settings.home);
+        let others =
+            || (0..self.settings.zone_count).map(ZoneId).filter(|&zone| zone != self.settings.local_zone);
         let mut left = self.lot(id, u64::MAX) * others().map(|zone| self.share_of(zone)).sum::<f64>();
         others().filter(|&zone| self.share_of(zone) > 0.0).find(|&zone| {
             left -= self.share_of(zone);
@@ -165,7 +169,8 @@
         let class = &self.settings.classes[request.class];
         // Half of its client's time at most: the rest is for another attempt.
         let wait = self.zones[zone].trial?.min(request.not_after.saturating_sub(self.now) / 2);
-        let fits = class.effect == Effect::Repeatable && request.attempts.is_empty() && !request.uploading;
+        let fits =
+            class.idempotency == Idempotency::Idempotent && request.attempts.is_empty() && !request.uploading;
         if !fits || wait == 0 {
             return None;
         }
@@ -192,9 +197,11 @@
 
     /// The backend of a zone that a key goes to first, the same at every node (rendezvous hashing).
     pub(crate) fn warm_at(&self, key: u64, zone: ZoneId) -> Option<BackendId> {
-        let listed =
-            self.backends.iter().filter(|(_, b)| b.member.zone == zone && b.member.stage == Stage::InService);
-        listed.max_by_key(|(_, b)| mix(b.member.tag ^ key)).map(|(&to, _)| to)
+        let listed = self
+            .backends
+            .iter()
+            .filter(|(_, b)| b.member.zone == zone && b.member.state == EndpointState::InService);
+        listed.max_by_key(|(_, b)| mix(b.member.name_hash ^ key)).map(|(&to, _)| to)
     }
 
     fn pick_among(&self, id: RequestId, zone: ZoneId, subset: u64) -> Option<BackendId> {
--- a/balancer/src/gate.rs
+++ b/balancer/src/gate.rs
@@ -23,11 +23,11 @@
     /// The contract gate: whether this request may be sent to this backend now. Every send passes it.
     pub(crate) fn permits(&self, request: &Request, backend: &Backend) -> bool {
         let live = matches!(request.phase, Phase::Open | Phase::Held) && self.now < request.not_after;
-        let attempts_left = (request.attempts.len() as u32) < self.settings.limits.attempts;
-        let alone = self.settings.limits.second_copies || !request.attempts.iter().any(Attempt::out);
+        let attempts_left = (request.attempts.len() as u32) < self.settings.limits.max_attempts;
+        let alone = self.settings.limits.hedging || !request.attempts.iter().any(Attempt::out);
         let harmless = self.harmless(request, None, backend.member.zone, backend.member.cell, self.now);
         // A wanted margin to the drain grace: nothing is sent once told.
-        let in_service = backend.member.stage == Stage::InService;
+        let in_service = backend.member.state == EndpointState::InService;
         !request.spent
             && live
             && attempts_left
@@ -42,17 +42,17 @@
     fn harmless(&self, request: &Request, own: Option<u32>, zone: ZoneId, cell: u64, at: Nanos) -> bool {
         let others = request.attempts.iter().zip(0..).filter(|(_, number)| own != Some(*number));
         let mut ran = others.map(|(attempt, _)| attempt).filter(|attempt| attempt.may_have_run()).peekable();
-        match self.settings.classes[request.class].effect {
+        match self.settings.classes[request.class].idempotency {
             _ if ran.peek().is_none() => true,
-            Effect::Repeatable => true,
-            Effect::Once => false,
-            Effect::Keyed { group, window } => ran.all(|other| {
+            Idempotency::Idempotent => true,
+            Idempotency::NonIdempotent => false,
+            Idempotency::Keyed { scope: group, window } => ran.all(|other| {
                 let same = match group {
-                    Group::All => true,
-                    Group::Zone => other.zone == zone,
-                    Group::Cell => other.cell == cell,
+                    DedupScope::All => true,
+                    DedupScope::Zone => other.zone == zone,
+                    DedupScope::Cell => other.cell == cell,
                 };
-                same && at + self.settings.quantum < other.sent.saturating_add(window)
+                same && at + self.settings.timer_resolution < other.sent.saturating_add(window)
             }),
         }
     }
@@ -74,20 +74,21 @@
         if ramp >= 1.0 {
             return true;
         }
-        let since = self.now.saturating_sub(rules.fall_span + self.settings.quantum);
+        let since = self.now.saturating_sub(rules.overload_window + self.settings.timer_resolution);
         let recent = backend.cold_sends.iter().rev().take_while(|(at, _)| *at >= since);
         let spent: f64 = recent.map(|(_, cost)| cost).sum();
-        let span = rules.fall_span as f64 / SECOND as f64;
+        let span = rules.overload_window as f64 / SECOND as f64;
         // Only nodes with it in their subset send there, and these divide the budget.
         let zone = self.zones.get(backend.member.zone.0 as usize).copied().unwrap_or_default();
         if self.many() && backend.lot > zone.subset {
             return false;
         }
         let users = if self.many() { (zone.listed / SUBSET as f64).max(1.0) } else { 1.0 };
-        let budget = COLD_SHARE * rules.tip_multiple * ramp * backend.size() * zone.capacity * span * users;
+        let budget =
+            COLD_SHARE * rules.overload_multiple * ramp * backend.size() * zone.capacity * span * users;
         // A budget under one request is spent by chance, or many nodes' first sends would exceed it together;
         // one of a zone's nodes or so always tries, as no figure may come from elsewhere.
-        let epoch = self.now / rules.fall_span.max(1);
+        let epoch = self.now / rules.overload_window.max(1);
         let lot = lot(backend.lot ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         spent + request.cold_cost <= budget
             || (spent == 0.0 && lot <= (budget / request.cold_cost).max(1.0 / self.crowd()))
@@ -96,8 +97,8 @@
     /// The longest queue of this node's own requests in another zone: that zone has nodes of its own, and all
     /// others may send their overflow there together, so these share as much again as home is let have.
     fn deepest_away(&self) -> f64 {
-        let others = f64::from(self.settings.nodes.saturating_sub(1)).max(1.0);
-        (self.settings.queue_most / others).max(1.0) - 0.5
+        let others = f64::from(self.settings.node_count.saturating_sub(1)).max(1.0);
+        (self.settings.max_queue_per_size / others).max(1.0) - 0.5
     }
 
     /// Whether a send there would be answered in time. Own idleness is no proof: with many nodes, each
@@ -113,10 +114,10 @@
         let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
         // Where there is room by its own report, a client with little time takes it from nobody.
         let roomy = backend.util.younger_than(self.now, UTIL_TRUST) && backend.util.value < ROOMY;
-        let deepest = match backend.member.zone == self.settings.home {
+        let deepest = match backend.member.zone == self.settings.local_zone {
             // There own requests say nothing of a queue, and what is taken in at all is bounded.
             _ if self.many() => f64::INFINITY,
-            true => self.settings.queue_most,
+            true => self.settings.max_queue_per_size,
             false => self.deepest_away(),
         };
         let idle = idle || (roomy && !self.many() && f64::from(backend.in_flight) < backend.size());
--- a/balancer/src/health.rs
+++ b/balancer/src/health.rs
@@ -34,7 +34,7 @@
     }
 
     /// Slowness against the fleet's mean, forgotten towards what its ramp implies.
-    pub(crate) fn slowness(&self, now: Nanos, rules: &RuleFigures) -> f64 {
+    pub(crate) fn slowness(&self, now: Nanos, rules: &SafetyLimits) -> f64 {
         let prior = 1.0 / self.ramp(now, rules);
         let Some(at) = self.slow.at else { return prior };
         prior + (self.slow.value - prior) * decay(now.saturating_sub(at), SLOW_FORGET)
@@ -61,9 +61,9 @@
     /// How many listed backends get nothing new now: those that drain, are ejected or on trial, or have sent
     /// work away a moment ago.
     pub fn avoided(&self, now: Nanos) -> usize {
-        let avoided = |backend: &&Backend| match (backend.member.stage, backend.health) {
-            (Stage::Gone, _) => false,
-            (Stage::Draining, _) | (_, Health::HalfOpen { .. }) => true,
+        let avoided = |backend: &&Backend| match (backend.member.state, backend.health) {
+            (EndpointState::Removed, _) => false,
+            (EndpointState::Draining, _) | (_, Health::HalfOpen { .. }) => true,
             (_, Health::Ejected { until }) if now < until => true,
             _ => now < backend.full_until,
         };
@@ -73,13 +73,17 @@
     /// Ejects an outlier, readmits after two served trials.
     pub(crate) fn judge(&mut self, id: BackendId, outcome: Outcome, actions: &mut Vec<Action>) {
         let weight = match outcome {
-            Outcome::Served => 0,
+            Outcome::Success => 0,
             // A connection may break on the way, between two that are well; a refused one tells more.
-            Outcome::Error | Outcome::Spoilt | Outcome::TimedOut | Outcome::Full | Outcome::Reset => 1,
+            Outcome::Error
+            | Outcome::InvalidResponse
+            | Outcome::TimedOut
+            | Outcome::Rejected
+            | Outcome::Reset => 1,
             Outcome::ConnectFailed => 2,
-            Outcome::Cancelled | Outcome::Moot => return,
+            Outcome::Cancelled | Outcome::NotSent => return,
         };
-        let turned_away = outcome == Outcome::Full || (outcome == Outcome::ConnectFailed && self.many());
+        let turned_away = outcome == Outcome::Rejected || (outcome == Outcome::ConnectFailed && self.many());
         let Some(backend) = self.backends.get_mut(&id) else { return };
         // Sent away at once, again and again, a backend looks idle and would draw all traffic. With many
         // nodes a refused connection may mean a full table just as well as a dead process.
@@ -90,7 +94,7 @@
         }
         backend.full_in_row = 0;
         // What comes back spoilt comes from all alike, or is the fault of the request: it tells little.
-        let told = if outcome == Outcome::Spoilt { 0.5 } else { 1.0 };
+        let told = if outcome == Outcome::InvalidResponse { 0.5 } else { 1.0 };
         backend.failing.feed(self.now, if weight > 0 { told } else { 0.0 }, SECOND, 0.1);
         if weight == 0 {
             backend.failed_in_row = 0;
@@ -99,14 +103,15 @@
                 Health::HalfOpen { .. } => {
                     backend.health = Health::Healthy;
                     backend.ejections = backend.ejections.saturating_sub(1);
-                    self.log(actions, Notice::Readmitted { backend: id });
+                    self.log(actions, LogEvent::Readmitted { backend: id });
                 }
                 _ => {}
             }
             return;
         }
         backend.failed_in_row += weight;
-        let listed = self.backends.values().filter(|b| b.member.stage == Stage::InService).count() as f64;
+        let listed =
+            self.backends.values().filter(|b| b.member.state == EndpointState::InService).count() as f64;
         let ejected = self.backends.values().filter(|b| b.health != Health::Healthy).count() as f64;
         let failing = self.backends.values().map(|b| b.failing.value).sum::<f64>() / listed.max(1.0);
         let Some(backend) = self.backends.get_mut(&id) else { return };
@@ -118,7 +123,7 @@
             backend.ejections += 1;
             backend.failed_in_row = 0;
             backend.health = Health::Ejected { until: self.now + span };
-            self.log(actions, Notice::Ejected { backend: id, span, outcome });
+            self.log(actions, LogEvent::Ejected { backend: id, duration: span, outcome });
         }
     }
 }
--- a/balancer/src/ledger.rs
+++ b/balancer/src/ledger.rs
@@ -25,44 +25,44 @@
         match event {
             Event::Start => {
                 self.retry_tokens = self.retries_saved();
-                if self.settings.discovery == Discovery::Asked {
-                    actions.push(Action::Watch);
+                if self.settings.discovery == Discovery::Polled {
+                    actions.push(Action::WatchEndpoints);
                 }
             }
-            Event::Fleet { scope, members } => self.fleet(scope, members),
-            Event::FleetFailed => self.ask_later(),
-            Event::Request(arrival) => self.arrive(arrival, false, actions),
-            Event::Upload(arrival) => self.arrive(arrival, true, actions),
-            Event::Whole { request, not_after } => self.whole(request, not_after),
-            Event::Spent { request } => {
+            Event::EndpointsUpdated { update: scope, endpoints: members } => self.fleet(scope, members),
+            Event::DiscoveryFailed => self.ask_later(),
+            Event::RequestArrived(arrival) => self.arrive(arrival, false, actions),
+            Event::UploadStarted(arrival) => self.arrive(arrival, true, actions),
+            Event::UploadComplete { request, expires_at: not_after } => self.whole(request, not_after),
+            Event::BodyConsumed { request } => {
                 self.requests.get_mut(&request).into_iter().for_each(|request| request.spent = true);
             }
-            Event::Broke { backend } => self.judge(backend, Outcome::Reset, actions),
-            Event::Settled(settlement) => self.settle(settlement, actions),
-            Event::Started { request } => {
+            Event::ResponseAborted { backend } => self.judge(backend, Outcome::Reset, actions),
+            Event::AttemptEnded(settlement) => self.settle(settlement, actions),
+            Event::ResponseStarted { request } => {
                 let open = self.requests.get_mut(&request).filter(|r| r.phase != Phase::Ended);
                 open.into_iter().for_each(|r| r.phase = Phase::Streaming);
             }
-            Event::Probed { backend, report, .. } => self.report(backend, report),
-            Event::ClientGone { request } => self.forget(request),
-            Event::ZoneShare { zone, share } => {
+            Event::HealthCheckEnded { backend, report, .. } => self.report(backend, report),
+            Event::ClientDisconnected { request } => self.forget(request),
+            Event::ZoneShareChanged { zone, share } => {
                 if self.share(zone, share) {
                     self.rescue(zone, actions);
                 }
                 self.pump(actions);
             }
-            Event::ZoneTrial { zone, wait } => {
+            Event::ZoneProbeRequested { zone, timeout: wait } => {
                 let view = self.zones.get_mut(zone.0 as usize);
                 view.into_iter().for_each(|view| view.trial = Some(wait));
             }
-            Event::Timer { .. } => self.housekeeping(actions),
+            Event::TimerFired { .. } => self.housekeeping(actions),
         }
         self.held.retain(|id| self.requests.get(id).is_some_and(|request| request.phase == Phase::Held));
         self.arm(actions);
     }
 
     fn tick(&self) -> Nanos {
-        TICK.min(self.settings.rules.answer_slack / 2).max(self.settings.quantum).max(MS)
+        TICK.min(self.settings.rules.answer_grace / 2).max(self.settings.timer_resolution).max(MS)
     }
 
     /// Asks for the next wake-up only while something waits for one: at full size a timer that always ran
@@ -74,50 +74,50 @@
         };
         if self.armed.is_none_or(|at| at <= self.now || next < at) {
             self.armed = Some(next);
-            actions.push(Action::Timer { after: next - self.now, token: 0 });
+            actions.push(Action::SetTimer { after: next - self.now, token: 0 });
         }
     }
 
     fn housekeeping(&mut self, actions: &mut Vec<Action>) {
         if self.ask_at.is_some_and(|at| self.now >= at) {
             self.ask_at = None;
-            actions.push(Action::Watch);
+            actions.push(Action::WatchEndpoints);
         }
         self.refresh(actions);
         self.pump(actions);
         self.expire(actions);
     }
 
-    fn arrive(&mut self, arrival: Arrival, uploading: bool, actions: &mut Vec<Action>) {
+    fn arrive(&mut self, arrival: RequestArrival, uploading: bool, actions: &mut Vec<Action>) {
         let class = (arrival.class.0 as usize).min(self.classes.len() - 1);
         let view = &mut self.classes[class];
-        let cost = arrival.hint.map_or(view.base * IDLE_LOAD, |hint| hint as f64).max(1.0);
+        let cost = arrival.expected_work.map_or(view.base * IDLE_LOAD, |hint| hint as f64).max(1.0);
         view.cost += (cost - view.cost) * if view.cost > 0.0 { COST_SMOOTHING } else { 1.0 };
         // A try well shorter than others ends with the client's deadline: that tells when its first try came,
         // and the aim counts from then. Arrivals jitter, so a little shorter is no sign. Where repeats
         // are marked the rest are first tries: repeats may get more time, which made those look late.
         // A body on its way says nothing of that, and its client's time has not begun.
         let deadline = self.settings.classes[class].deadline;
-        let wait = if uploading { deadline } else { arrival.not_after.saturating_sub(self.now) };
+        let wait = if uploading { deadline } else { arrival.expires_at.saturating_sub(self.now) };
         view.longest_try = view.longest_try.max(wait);
-        let worthless_late = self.settings.classes[class].late_share == 0.0;
-        let again = arrival.repeat || !self.settings.repeats_marked;
+        let worthless_late = self.settings.classes[class].late_value_fraction == 0.0;
+        let again = arrival.is_retry || !self.settings.retries_marked;
         let first = if again && worthless_late && wait < view.longest_try - view.longest_try / 8 {
-            arrival.not_after.saturating_sub(self.settings.classes[class].deadline).min(self.now)
+            arrival.expires_at.saturating_sub(self.settings.classes[class].deadline).min(self.now)
         } else {
             self.now
         };
-        let (admit, aim) = (view.admit, self.settings.classes[class].aim);
-        let aim_end = if uploading { arrival.not_after } else { arrival.not_after.min(first + aim) };
+        let (admit, aim) = (view.admit, self.settings.classes[class].latency_objective);
+        let aim_end = if uploading { arrival.expires_at } else { arrival.expires_at.min(first + aim) };
         let request = Request {
             class,
-            key: arrival.key.filter(|_| self.settings.warm_keys),
+            key: arrival.affinity_key.filter(|_| self.settings.key_affinity),
             cost,
             // Picking the requests with small hints for a small budget picks the hints that are too low.
             cold_cost: cost.max(view.cost),
             aim_end,
             half: self.now + wait / 2,
-            not_after: arrival.not_after,
+            not_after: arrival.expires_at,
             attempts: Vec::new(),
             uploading,
             spent: false,
@@ -140,7 +140,7 @@
         let over = self.over_share(tenant);
         let admit = if over > 0.0 && self.draw() < over { self.over_admit } else { admit };
         if past || (admit < 1.0 && self.draw() >= admit) {
-            self.end(arrival.request, self.settings.limits.retry_after, actions);
+            self.end(arrival.request, self.settings.limits.max_retry_after, actions);
             return;
         }
         self.dispatch(arrival.request, actions);
@@ -150,7 +150,7 @@
     /// saved retries go. The first attempt stays out where a second copy may: it may still be answered.
     fn rescue(&mut self, zone: ZoneId, actions: &mut Vec<Action>) {
         let waits = |request: &&Request| {
-            let repeatable = self.settings.classes[request.class].effect == Effect::Repeatable;
+            let repeatable = self.settings.classes[request.class].idempotency == Idempotency::Idempotent;
             let mut out = request.attempts.iter().filter(|attempt| attempt.out());
             let there = out.next().is_some_and(|attempt| attempt.zone == zone) && out.next().is_none();
             there && repeatable && request.phase == Phase::Open && self.now < request.aim_end
@@ -160,7 +160,7 @@
             if self.retry_tokens < 1.0 {
                 break;
             }
-            if !self.settings.limits.second_copies {
+            if !self.settings.limits.hedging {
                 // Its end sends it again.
                 self.cancel_rest(id, actions);
             } else if let Some(to) = self.choose(id)
@@ -201,7 +201,7 @@
         }
         // Past its aim an answer may be worth nothing: then a server need not work on it. With few nodes what
         // is admitted by own figures hardly waits that long, and the repeats cost more.
-        let late_share = self.settings.classes[class].late_share;
+        let late_share = self.settings.classes[class].late_value_fraction;
         let drop_late =
             self.many() && (late_share == 0.0 || (late_share <= 0.5 && self.classes[class].admit < 1.0));
         let timeout = (drop_late && !uploading && aim_end > self.now).then(|| aim_end - self.now);
@@ -218,7 +218,7 @@
         let Some(request) = self.requests.get_mut(&id).filter(|request| request.uploading) else { return };
         request.uploading = false;
         request.not_after = not_after;
-        request.aim_end = not_after.min(now + self.settings.classes[request.class].aim);
+        request.aim_end = not_after.min(now + self.settings.classes[request.class].latency_objective);
         request.half = now + not_after.saturating_sub(now) / 2;
         for attempt in request.attempts.iter_mut().filter(|attempt| attempt.out() && !attempt.counted) {
             let Some(backend) = self.backends.get_mut(&attempt.backend) else { continue };
@@ -236,12 +236,12 @@
     fn end(&mut self, id: RequestId, pause: Nanos, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let ran = request.attempts.iter().any(Attempt::may_have_run);
-        let refusable = match self.settings.classes[request.class].effect {
-            Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Once => !ran,
+        let refusable = match self.settings.classes[request.class].idempotency {
+            Idempotency::Idempotent | Idempotency::Keyed { scope: DedupScope::All, .. } => true,
+            Idempotency::Keyed { .. } | Idempotency::NonIdempotent => !ran,
         };
         actions.push(if refusable {
-            Action::Refuse { request: id, pause: pause.min(self.settings.limits.retry_after) }
+            Action::Reject { request: id, retry_after: pause.min(self.settings.limits.max_retry_after) }
         } else {
             Action::Fail { request: id }
         });
@@ -250,7 +250,9 @@
     }
 
     fn cancel_rest(&self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id).filter(|_| self.settings.limits.cancel) else { return };
+        let Some(request) = self.requests.get(&id).filter(|_| self.settings.limits.cancellation) else {
+            return;
+        };
         let out = request.attempts.iter().zip(0..).filter(|(attempt, _)| attempt.out());
         actions.extend(out.map(|(_, attempt)| Action::Cancel { request: id, attempt }));
     }
@@ -264,7 +266,7 @@
         }
     }
 
-    fn settle(&mut self, settled: Settlement, actions: &mut Vec<Action>) {
+    fn settle(&mut self, settled: AttemptResult, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&settled.request) else { return };
         let (class, cost, aim_end) = (request.class, request.cost, request.aim_end);
         let Some(attempt) = request.attempts.get_mut(settled.attempt as usize).filter(|a| a.out()) else {
@@ -284,8 +286,8 @@
             self.judge(to, settled.outcome, actions);
         }
         self.report(to, settled.report);
-        if settled.ended || !open {
-            if open && settled.outcome == Outcome::Served && (self.now <= aim_end || !self.many()) {
+        if settled.request_ended || !open {
+            if open && settled.outcome == Outcome::Success && (self.now <= aim_end || !self.many()) {
                 self.classes[class].served.add(self.now, 1.0);
             }
             if open {
@@ -317,7 +319,7 @@
 
     /// Sends what is held as room appears, the worthiest first.
     fn pump(&mut self, actions: &mut Vec<Action>) {
-        let home = self.settings.home;
+        let home = self.settings.local_zone;
         // What a backend with room would serve with less work goes before others of its class.
         let fits = |r: &Request| {
             let warm = r.key.and_then(|key| self.warm_at(key, home)).and_then(|to| self.backends.get(&to));
@@ -342,7 +344,7 @@
         let tick = self.tick();
         let late = |request: &Request| {
             let least = (self.classes[request.class].base * IDLE_LOAD * 0.5) as Nanos + tick;
-            let unsent = |a: &Attempt| matches!(a.outcome, Some(Outcome::ConnectFailed | Outcome::Moot));
+            let unsent = |a: &Attempt| matches!(a.outcome, Some(Outcome::ConnectFailed | Outcome::NotSent));
             let end = if request.attempts.iter().all(unsent) { request.half } else { request.not_after };
             request.phase == Phase::Held
                 && !request.attempts.iter().any(Attempt::out)
@@ -350,7 +352,7 @@
         };
         let is_late = |id: &RequestId| self.requests.get(id).is_some_and(late);
         for id in self.held.iter().copied().filter(is_late).collect::<Vec<_>>() {
-            self.end(id, self.settings.limits.retry_after, actions);
+            self.end(id, self.settings.limits.max_retry_after, actions);
         }
     }
 
@@ -364,7 +366,7 @@
         // What was turned away at once has cost little: its first retry is free.
         let unseen = request.attempts.len() == 1 && !request.attempts[0].may_have_run();
         let again = (self.retry_tokens >= 1.0 || (unseen && self.many())) && !late;
-        let pause = if late { self.settings.limits.retry_after } else { 0 };
+        let pause = if late { self.settings.limits.max_retry_after } else { 0 };
         // What may only go to a zone that is closed is given up at once.
         let may = |b: &Backend| self.share_of(b.member.zone) > 0.0 && self.permits(request, b);
         if !again || !self.backends.values().any(may) {
--- a/balancer/src/lists.rs
+++ b/balancer/src/lists.rs
@@ -13,12 +13,12 @@
 const BIAS: (f64, f64) = (0.1, 4.0);
 
 impl Balancer {
-    pub(crate) fn fleet(&mut self, scope: ListScope, members: Vec<Member>) {
-        if scope != ListScope::Cached {
+    pub(crate) fn fleet(&mut self, scope: EndpointUpdate, members: Vec<Endpoint>) {
+        if scope != EndpointUpdate::Cached {
             self.ask_failures = 0;
         }
         self.take_list(scope, members, SUBSET);
-        if self.settings.weights == Weights::Live && scope != ListScope::Cached {
+        if self.settings.weight_source == WeightSource::LoadAdjusted && scope != EndpointUpdate::Cached {
             self.interpret();
         }
     }
@@ -31,7 +31,7 @@
         self.list_period += (period.min(3.0) - self.list_period) * 0.2;
         self.listed_at = Some(self.now);
         let mut sums = vec![(0.0, 0.0, 0.0); self.zones.len()];
-        for backend in self.backends.values().filter(|b| b.member.stage == Stage::InService) {
+        for backend in self.backends.values().filter(|b| b.member.state == EndpointState::InService) {
             if let (Some(sum), Some(held)) = (sums.get_mut(backend.member.zone.0 as usize), backend.held) {
                 *sum = (sum.0 + 1.0, sum.1 + held, sum.2 + backend.size());
             }
--- a/balancer/src/probing.rs
+++ b/balancer/src/probing.rs
@@ -17,10 +17,10 @@
 impl Balancer {
     /// Asks the backends whose figures are oldest, as far as the traffic since the last time pays for it.
     pub(crate) fn probe(&mut self, actions: &mut Vec<Action>) {
-        if !self.settings.reports_by_probe || !self.settings.limits.probes {
+        if !self.settings.reports_by_health_check || !self.settings.limits.health_checks {
             return;
         }
-        let home = self.settings.home;
+        let home = self.settings.local_zone;
         while self.probe_tokens >= 1.0 {
             let now = self.now;
             let age = |b: &Backend| {
@@ -28,7 +28,7 @@
                 if b.member.zone == home { age } else { age / AWAY }
             };
             let asked = |(_, b): &(&BackendId, &Backend)| {
-                b.member.stage == Stage::InService && (b.probed_at == 0 || age(b) >= PROBE_AGAIN)
+                b.member.state == EndpointState::InService && (b.probed_at == 0 || age(b) >= PROBE_AGAIN)
             };
             let oldest = self.backends.iter().filter(asked).max_by_key(|(_, b)| (age(b), b.lot));
             let Some((&backend, _)) = oldest else { return };
@@ -36,7 +36,7 @@
             if let Some(view) = self.backends.get_mut(&backend) {
                 view.probed_at = now.max(1);
             }
-            actions.push(Action::Probe { backend });
+            actions.push(Action::CheckHealth { backend });
         }
     }
 
--- a/balancer/src/state.rs
+++ b/balancer/src/state.rs
@@ -132,7 +132,7 @@
 /// A backend as this node sees it.
 #[derive(Default)]
 pub(crate) struct Backend {
-    pub(crate) member: Member,
+    pub(crate) member: Endpoint,
     pub(crate) in_flight: u32,
     pub(crate) util: Smooth,
     pub(crate) slow: Smooth,
@@ -155,15 +155,15 @@
 }
 
 impl Backend {
-    pub(crate) fn new(member: Member) -> Self {
+    pub(crate) fn new(member: Endpoint) -> Self {
         Self { member, bias: 1.0, response: 1.0, ..Self::default() }
     }
 
     /// Share of its capacity that it surely has by now; 1 when warm.
-    pub(crate) fn ramp(&self, now: Nanos, rules: &RuleFigures) -> f64 {
-        let Some(since) = self.member.online_since else { return 1.0 };
-        let age = now.saturating_sub(since) as f64 / rules.warm_after.max(1) as f64;
-        (rules.start_capacity + (1.0 - rules.start_capacity) * age).clamp(0.01, 1.0)
+    pub(crate) fn ramp(&self, now: Nanos, rules: &SafetyLimits) -> f64 {
+        let Some(since) = self.member.started_at else { return 1.0 };
+        let age = now.saturating_sub(since) as f64 / rules.slow_start_duration.max(1) as f64;
+        (rules.slow_start_capacity + (1.0 - rules.slow_start_capacity) * age).clamp(0.01, 1.0)
     }
 
     pub(crate) fn size(&self) -> f64 {
@@ -189,7 +189,7 @@
     pub(crate) spill: f64,
     pub(crate) least_elapsed: Option<f64>,
     pub(crate) spilling: bool,
-    /// What it may take: see [`Event::ZoneShare`].
+    /// What it may take: see [`Event::ZoneShareChanged`].
     pub(crate) share: f64,
     /// A trial that the next request fit for it makes: how long its answer is waited for.
     pub(crate) trial: Option<Nanos>,
@@ -262,15 +262,15 @@
     /// A node that knows nothing yet. `seed` drives its jitter.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let zones = vec![Zone { taken: 1.0, share: 1.0, ..Zone::default() }; settings.zones as usize];
+        let zones = vec![Zone { taken: 1.0, share: 1.0, ..Zone::default() }; settings.zone_count as usize];
         let view = |class: &ClassSettings| ClassView {
-            base: class.aim as f64 / 16.0,
+            base: class.latency_objective as f64 / 16.0,
             room: f64::INFINITY,
             admit: 1.0,
             ..Default::default()
         };
         let classes = settings.classes.iter().map(view).collect();
-        let tenants = vec![Rate::default(); settings.tenants.len()];
+        let tenants = vec![Rate::default(); settings.tenant_quotas.len()];
         Ok(Self {
             settings,
             tenants,
@@ -306,7 +306,7 @@
     }
 
     /// Log lines are for people: at most one a second.
-    pub(crate) fn log(&mut self, actions: &mut Vec<Action>, notice: Notice) {
+    pub(crate) fn log(&mut self, actions: &mut Vec<Action>, notice: LogEvent) {
         if self.now >= self.log_at {
             self.log_at = self.now + SECOND;
             actions.push(Action::Log(notice));
@@ -330,7 +330,7 @@
             (backend.health, backend.failed_in_row) = (Health::Healthy, 0);
             (backend.slow, backend.failing) = (Smooth::default(), Smooth::default());
         }
-        if closed && zone == self.settings.home {
+        if closed && zone == self.settings.local_zone {
             for class in &mut self.classes {
                 (class.asked, class.served, class.admit) = (Rate::default(), Rate::default(), 1.0);
             }
@@ -364,28 +364,35 @@
         let unit = |(served, used): (f64, f64)| if used > 0.0 { served / used } else { 0.0 };
         let all = unit(sums.iter().fold((0.0, 0.0), |all, sum| (all.0 + sum.0, all.1 + sum.1)));
         for (zone, sum) in self.zones.iter_mut().zip(sums) {
-            let change = unit(sum).max(all / f64::from(self.settings.nodes)) - zone.capacity;
+            let change = unit(sum).max(all / f64::from(self.settings.node_count)) - zone.capacity;
             zone.capacity += change * if change > 0.0 { CAPACITY_RISE } else { CAPACITY_FALL };
         }
     }
 
     /// Takes a load report in; figures that are not possible are passed over.
-    pub(crate) fn report(&mut self, id: BackendId, report: Report) {
+    pub(crate) fn report(&mut self, id: BackendId, report: LoadReport) {
         let Some(backend) = self.backends.get_mut(&id) else { return };
-        if let Some(util) = report.util.filter(|util| (0.0..=UTIL_MOST).contains(util)) {
+        if let Some(util) = report.utilization.filter(|util| (0.0..=UTIL_MOST).contains(util)) {
             backend.util.feed(self.now, util, UTIL_SMOOTHING, 0.05);
         }
     }
 
     /// Learns slowness, base time and served rate from one outcome.
-    pub(crate) fn learn(&mut self, id: BackendId, class: usize, cost: f64, load: f64, settled: &Settlement) {
+    pub(crate) fn learn(
+        &mut self,
+        id: BackendId,
+        class: usize,
+        cost: f64,
+        load: f64,
+        settled: &AttemptResult,
+    ) {
         let Some(backend) = self.backends.get_mut(&id) else { return };
         backend.in_flight = backend.in_flight.saturating_sub(1);
         let view = &mut self.classes[class];
         let unit = settled.elapsed as f64 / load;
         let slow = (unit / view.base.max(1.0)).min(SLOW_CLAMP * backend.slow.value.max(1.0));
         match settled.outcome {
-            Outcome::Served => {
+            Outcome::Success => {
                 // Against a base time that is not known yet every backend would look slow, for seconds.
                 if view.samples >= BASE_FIRST {
                     backend.slow.feed(self.now, slow, SLOW_SMOOTHING, 0.1);
@@ -409,27 +416,27 @@
     }
 
     /// Takes a list in: backends come, change and go, and the `subset` lowest lots of each zone are found.
-    pub(crate) fn take_list(&mut self, scope: ListScope, members: Vec<Member>, subset: usize) {
-        if scope != ListScope::Changes {
+    pub(crate) fn take_list(&mut self, scope: EndpointUpdate, members: Vec<Endpoint>, subset: usize) {
+        if scope != EndpointUpdate::Delta {
             let named: BTreeSet<BackendId> = members.iter().map(|member| member.backend).collect();
             for backend in self.backends.values_mut() {
                 if !named.contains(&backend.member.backend) {
-                    backend.member.stage = Stage::Gone;
+                    backend.member.state = EndpointState::Removed;
                 }
             }
         }
-        let live = self.settings.weights == Weights::Live;
+        let live = self.settings.weight_source == WeightSource::LoadAdjusted;
         for member in members.iter().filter(|member| live && member.size.is_finite()) {
-            let known = self.kind_size.entry(member.kind).or_insert(0.0);
+            let known = self.kind_size.entry(member.machine_kind).or_insert(0.0);
             *known = known.max(member.size);
         }
         for mut member in members {
             let told = member.size;
             if live {
-                member.size = self.kind_size.get(&member.kind).copied().unwrap_or(1.0);
+                member.size = self.kind_size.get(&member.machine_kind).copied().unwrap_or(1.0);
             }
             let backend = self.backends.entry(member.backend).or_insert_with(|| Backend::new(member));
-            if backend.member.online_since != member.online_since {
+            if backend.member.started_at != member.started_at {
                 let in_flight = backend.in_flight;
                 *backend = Backend { in_flight, ..Backend::new(member) };
             }
@@ -437,10 +444,11 @@
             backend.lot = mix(self.seed ^ u64::from(member.backend.0).wrapping_mul(0xd6e8_feb8_6659_fd93));
             backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
         }
-        self.backends.retain(|_, backend| backend.member.stage != Stage::Gone || backend.in_flight > 0);
+        self.backends
+            .retain(|_, backend| backend.member.state != EndpointState::Removed || backend.in_flight > 0);
         for (zone, view) in self.zones.iter_mut().enumerate() {
             let listed =
-                |b: &&Backend| b.member.zone.0 as usize == zone && b.member.stage == Stage::InService;
+                |b: &&Backend| b.member.zone.0 as usize == zone && b.member.state == EndpointState::InService;
             let mut lots: Vec<u64> = self.backends.values().filter(listed).map(|b| b.lot).collect();
             lots.sort_unstable();
             view.listed = lots.len() as f64;
@@ -450,6 +458,6 @@
 
     /// Nodes that share a zone's backends: their load moves with this node's.
     pub(crate) fn crowd(&self) -> f64 {
-        (f64::from(self.settings.nodes) / f64::from(self.settings.zones)).max(1.0)
+        (f64::from(self.settings.node_count) / f64::from(self.settings.zone_count)).max(1.0)
     }
 }
--- a/balancer/tests/any_sequence.rs
+++ b/balancer/tests/any_sequence.rs
@@ -16,15 +16,15 @@
 }
 
 const OUTCOMES: [Outcome; 9] = [
-    Outcome::Served,
+    Outcome::Success,
     Outcome::Error,
-    Outcome::Spoilt,
-    Outcome::Full,
+    Outcome::InvalidResponse,
+    Outcome::Rejected,
     Outcome::TimedOut,
     Outcome::ConnectFailed,
     Outcome::Reset,
     Outcome::Cancelled,
-    Outcome::Moot,
+    Outcome::NotSent,
 ];
 
 #[derive(Default)]
@@ -40,8 +40,8 @@
 
 struct Run {
     now: Nanos,
-    effects: Vec<Effect>,
-    listed: BTreeMap<BackendId, Member>,
+    effects: Vec<Idempotency>,
+    listed: BTreeMap<BackendId, Endpoint>,
     requests: BTreeMap<RequestId, Tracked>,
     cap: usize,
     copies: bool,
@@ -52,12 +52,12 @@
         for action in actions {
             match *action {
                 Action::Send { request, backend, .. } => self.check_send(request, backend),
-                Action::Refuse { request, .. } => {
+                Action::Reject { request, .. } => {
                     let tracked = self.requests.get_mut(&request).expect("a known request");
                     let ran = tracked.attempts.iter().any(|a| a.2.is_none_or(Outcome::may_have_run));
                     let free = matches!(
                         self.effects[tracked.effect],
-                        Effect::Repeatable | Effect::Keyed { group: Group::All, .. }
+                        Idempotency::Idempotent | Idempotency::Keyed { scope: DedupScope::All, .. }
                     );
                     assert!(free || !ran, "refused what may have run");
                     assert!(!std::mem::replace(&mut tracked.ended, true), "two final answers");
@@ -78,20 +78,20 @@
         assert!(!tracked.spent, "sent though its body can't be had again");
         assert!(tracked.attempts.len() < self.cap, "past the cap");
         let member = self.listed[&backend];
-        assert_eq!(member.stage, Stage::InService, "sent to a drained backend");
+        assert_eq!(member.state, EndpointState::InService, "sent to a drained backend");
         assert!(self.copies || tracked.attempts.iter().all(|a| a.2.is_some()), "two copies");
         let ran: Vec<_> = tracked.attempts.iter().filter(|a| a.2.is_none_or(Outcome::may_have_run)).collect();
         if let Some(&&(first, at, _)) = ran.first() {
             match self.effects[tracked.effect] {
-                Effect::Repeatable => {}
-                Effect::Once => panic!("an unsafe request was sent again"),
-                Effect::Keyed { group, window } => {
+                Idempotency::Idempotent => {}
+                Idempotency::NonIdempotent => panic!("an unsafe request was sent again"),
+                Idempotency::Keyed { scope: group, window } => {
                     assert!(self.now <= at + window, "past the window");
                     let first = self.listed[&first];
                     assert!(match group {
-                        Group::All => true,
-                        Group::Zone => first.zone == member.zone,
-                        Group::Cell => first.cell == member.cell,
+                        DedupScope::All => true,
+                        DedupScope::Zone => first.zone == member.zone,
+                        DedupScope::Cell => first.cell == member.cell,
                     });
                 }
             }
@@ -104,29 +104,30 @@
     let mut draw = Draw(seed);
     let window = (1 + draw.below(400)) * MS;
     let effects = vec![
-        Effect::Repeatable,
-        Effect::Once,
-        Effect::Keyed { group: Group::All, window },
-        Effect::Keyed { group: Group::Zone, window },
-        Effect::Keyed { group: Group::Cell, window },
+        Idempotency::Idempotent,
+        Idempotency::NonIdempotent,
+        Idempotency::Keyed { scope: DedupScope::All, window },
+        Idempotency::Keyed { scope: DedupScope::Zone, window },
+        Idempotency::Keyed { scope: DedupScope::Cell, window },
     ];
     let mut given = Settings::new(ZoneId(0), 1 + draw.below(3) as u32);
     given.classes = effects.iter().map(|&effect| class(50 + draw.below(500), 600, effect)).collect();
-    given.nodes = [1, 3, 1000][draw.below(3) as usize];
-    given.weights = if draw.below(2) == 0 { Weights::Live } else { Weights::Size };
-    given.limits.attempts = 1 + draw.below(4) as u32;
-    given.limits.second_copies = draw.below(2) == 0;
-    given.limits.cancel = draw.below(2) == 0;
-    given.discovery = if draw.below(2) == 0 { Discovery::Asked } else { Discovery::Pushed };
+    given.node_count = [1, 3, 1000][draw.below(3) as usize];
+    given.weight_source =
+        if draw.below(2) == 0 { WeightSource::LoadAdjusted } else { WeightSource::Registered };
+    given.limits.max_attempts = 1 + draw.below(4) as u32;
+    given.limits.hedging = draw.below(2) == 0;
+    given.limits.cancellation = draw.below(2) == 0;
+    given.discovery = if draw.below(2) == 0 { Discovery::Polled } else { Discovery::Pushed };
     let mut run = Run {
         now: SECOND,
         effects,
         listed: BTreeMap::new(),
         requests: BTreeMap::new(),
-        cap: given.limits.attempts as usize,
-        copies: given.limits.second_copies,
+        cap: given.limits.max_attempts as usize,
+        copies: given.limits.hedging,
     };
-    let zones = given.zones;
+    let zones = given.zone_count;
     let mut node = Node::new(given, vec![]);
     for step in 0..2000u64 {
         let event = match draw.below(15) {
@@ -137,16 +138,16 @@
                 let not_after = run.now + draw.below(if uploading { 1500 } else { 900 }) * MS;
                 run.requests.insert(request, Tracked { effect, not_after, uploading, ..Tracked::default() });
                 let hint = (draw.below(2) == 0).then(|| draw.below(90) * MS);
-                let arrival = Arrival {
+                let arrival = RequestArrival {
                     request,
                     class: ClassId(effect as u32),
-                    key: (draw.below(2) == 0).then(|| draw.below(6)),
-                    hint,
-                    repeat: false,
+                    affinity_key: (draw.below(2) == 0).then(|| draw.below(6)),
+                    expected_work: hint,
+                    is_retry: false,
                     tenant: None,
-                    not_after,
+                    expires_at: not_after,
                 };
-                if uploading { Event::Upload(arrival) } else { Event::Request(arrival) }
+                if uploading { Event::UploadStarted(arrival) } else { Event::RequestArrived(arrival) }
             }
             // The body of an upload comes to its end, or some of it goes out; also of one that is none, or is over.
             12 | 13 => {
@@ -162,9 +163,13 @@
                         tracked.attempts.iter_mut().filter(|a| a.2.is_none()).for_each(|a| a.1 = now);
                     }
                 }
-                if whole { Event::Whole { request, not_after } } else { Event::Spent { request } }
+                if whole {
+                    Event::UploadComplete { request, expires_at: not_after }
+                } else {
+                    Event::BodyConsumed { request }
+                }
             }
-            14 => Event::Broke { backend: BackendId(draw.below(12) as u32) },
+            14 => Event::ResponseAborted { backend: BackendId(draw.below(12) as u32) },
             4..=7 => {
                 let out: Vec<(RequestId, usize)> = run
                     .requests
@@ -179,22 +184,34 @@
                 let outcome = OUTCOMES[draw.below(9) as usize];
                 let tracked = run.requests.get_mut(&request).unwrap();
                 tracked.attempts[attempt].2 = Some(outcome);
-                let ended = tracked.ended || outcome == Outcome::Served;
+                let ended = tracked.ended || outcome == Outcome::Success;
                 tracked.ended = ended;
                 let elapsed = run.now - tracked.attempts[attempt].1;
                 let figure = [0.1, 0.7, 0.99, f64::NAN, -2.0, 1e300][draw.below(6) as usize];
                 let attempt = attempt as u32;
-                Event::Settled(Settlement { request, attempt, outcome, elapsed, ended, report: util(figure) })
+                Event::AttemptEnded(AttemptResult {
+                    request,
+                    attempt,
+                    outcome,
+                    elapsed,
+                    request_ended: ended,
+                    report: util(figure),
+                })
             }
             8 => {
-                let members: Vec<Member> = (0..draw.below(8))
+                let members: Vec<Endpoint> = (0..draw.below(8))
                     .map(|_| {
                         let backend = draw.below(8) as u32;
-                        let stage = [Stage::InService, Stage::InService, Stage::Draining, Stage::Gone];
-                        Member {
-                            stage: stage[draw.below(4) as usize],
+                        let stage = [
+                            EndpointState::InService,
+                            EndpointState::InService,
+                            EndpointState::Draining,
+                            EndpointState::Removed,
+                        ];
+                        Endpoint {
+                            state: stage[draw.below(4) as usize],
                             cell: u64::from(backend % 3),
-                            online_since: (draw.below(3) == 0).then_some(run.now),
+                            started_at: (draw.below(3) == 0).then_some(run.now),
                             size: [1.0, 2.0, 0.0, f64::NAN][draw.below(4) as usize],
                             ..member(backend, backend % (zones + 1))
                         }
@@ -202,36 +219,43 @@
                     .collect();
                 let full = draw.below(3) == 0;
                 if full {
-                    run.listed.values_mut().for_each(|member| member.stage = Stage::Gone);
+                    run.listed.values_mut().for_each(|member| member.state = EndpointState::Removed);
                 }
                 run.listed.extend(members.iter().map(|member| (member.backend, *member)));
-                let scope = if full { ListScope::Full } else { ListScope::Changes };
-                Event::Fleet { scope, members }
+                let scope = if full { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
+                Event::EndpointsUpdated { update: scope, endpoints: members }
             }
             9 => match draw.below(4) {
-                0 => Event::FleetFailed,
+                0 => Event::DiscoveryFailed,
                 1 => {
                     let request = RequestId(draw.below(step + 1));
                     if let Some(tracked) = run.requests.get_mut(&request) {
                         tracked.ended = true;
                     }
-                    Event::ClientGone { request }
+                    Event::ClientDisconnected { request }
                 }
                 2 => {
                     let (request, attempt) = (RequestId(draw.below(step + 1) + 90_000), 3);
-                    let (outcome, report) = (Outcome::Served, util(0.5));
-                    Event::Settled(Settlement { request, attempt, outcome, elapsed: 0, ended: true, report })
+                    let (outcome, report) = (Outcome::Success, util(0.5));
+                    Event::AttemptEnded(AttemptResult {
+                        request,
+                        attempt,
+                        outcome,
+                        elapsed: 0,
+                        request_ended: true,
+                        report,
+                    })
                 }
-                _ => Event::Probed {
+                _ => Event::HealthCheckEnded {
                     backend: BackendId(draw.below(12) as u32),
-                    outcome: Outcome::Served,
+                    outcome: Outcome::Success,
                     elapsed: MS,
                     report: util(0.2),
                 },
             },
             _ => {
                 run.now += draw.below(20) * MS;
-                Event::Timer { token: draw.below(3) }
+                Event::TimerFired { token: draw.below(3) }
             }
         };
         // The module's clock may be shown an earlier time; it must stand still, not fail.
@@ -243,7 +267,7 @@
     for _ in 0..200 {
         run.now += 10 * MS;
         node.now = run.now;
-        let actions = node.tell(Event::Timer { token: 0 });
+        let actions = node.tell(Event::TimerFired { token: 0 });
         run.check(&actions);
         let due: Vec<(RequestId, usize)> = run
             .requests
@@ -256,10 +280,16 @@
             let tracked = run.requests.get_mut(&request).unwrap();
             tracked.attempts[attempt].2 = Some(Outcome::TimedOut);
             let (ended, elapsed) = (tracked.ended, run.now - tracked.attempts[attempt].1);
-            let (attempt, report) = (attempt as u32, Report::default());
+            let (attempt, report) = (attempt as u32, LoadReport::default());
             let outcome = Outcome::TimedOut;
-            let actions =
-                node.tell(Event::Settled(Settlement { request, attempt, outcome, elapsed, ended, report }));
+            let actions = node.tell(Event::AttemptEnded(AttemptResult {
+                request,
+                attempt,
+                outcome,
+                elapsed,
+                request_ended: ended,
+                report,
+            }));
             run.check(&actions);
         }
     }
@@ -278,7 +308,8 @@
 #[test]
 fn the_same_events_give_the_same_actions() {
     let run = || {
-        let mut node = Node::new(settings(Effect::Repeatable), (0..9).map(|b| member(b, b % 3)).collect());
+        let mut node =
+            Node::new(settings(Idempotency::Idempotent), (0..9).map(|b| member(b, b % 3)).collect());
         node.serve(300, |to| util(0.3 + 0.08 * f64::from(to.0)))
     };
     assert_eq!(run(), run());
--- a/balancer/tests/cold.rs
+++ b/balancer/tests/cold.rs
@@ -46,11 +46,11 @@
 }
 
 fn given(case: Case) -> Settings {
-    let mut given = Settings { nodes: case.nodes, ..settings(Effect::Repeatable) };
-    given.rules.start_capacity = 0.15;
-    given.rules.warm_after = 20 * SECOND;
-    given.rules.tip_multiple = 2.5;
-    given.rules.fall_span = 1500 * MS;
+    let mut given = Settings { node_count: case.nodes, ..settings(Idempotency::Idempotent) };
+    given.rules.slow_start_capacity = 0.15;
+    given.rules.slow_start_duration = 20 * SECOND;
+    given.rules.overload_multiple = 2.5;
+    given.rules.overload_window = 1500 * MS;
     given
 }
 
@@ -62,13 +62,13 @@
 /// used over the ramp.
 fn play(case: Case) -> (f64, f64) {
     let mut draws = Draws(case.seed * 2 + 1);
-    let members = |cold: bool| -> Vec<Member> {
+    let members = |cold: bool| -> Vec<Endpoint> {
         let online = |b| (b == 0).then_some(STARTS + SECOND);
         let all = (0..case.servers).filter(|&b| cold || b > 0);
-        all.map(|b| Member { online_since: online(b), ..member(b, b % 3) }).collect()
+        all.map(|b| Endpoint { started_at: online(b), ..member(b, b % 3) }).collect()
     };
     let start = |seed: u64, now: Nanos, cold: bool, home: u32| {
-        let given = Settings { home: ZoneId(home), ..given(case) };
+        let given = Settings { local_zone: ZoneId(home), ..given(case) };
         let mut node = Node::seeded(seed, given, members(cold));
         node.now = now;
         node
@@ -111,7 +111,7 @@
             nodes[n].now = now;
             let report = util(server.util);
             let elapsed = WORK;
-            actions.push((n, nodes[n].settle_after(request, attempt, Outcome::Served, elapsed, report)));
+            actions.push((n, nodes[n].settle_after(request, attempt, Outcome::Success, elapsed, report)));
         }
         let shares: f64 = parts.iter().zip(&alive).filter(|(_, alive)| **alive).map(|(part, _)| part).sum();
         for n in 0..count {
@@ -122,14 +122,14 @@
             if !told[n] && now >= told_at[n] {
                 told[n] = true;
                 let started = members(true).into_iter().filter(|m| m.backend == COLD).collect();
-                actions.push((n, nodes[n].list(ListScope::Changes, started)));
+                actions.push((n, nodes[n].list(EndpointUpdate::Delta, started)));
             }
             let expected = rate * parts[n] / shares * STEP as f64 / SECOND as f64;
             if draws.next() < expected {
                 actions.push((n, nodes[n].ask(SECOND).1));
             }
             if now.is_multiple_of(20 * MS) {
-                actions.push((n, nodes[n].tell(Event::Timer { token: 0 })));
+                actions.push((n, nodes[n].tell(Event::TimerFired { token: 0 })));
             }
         }
         for (n, actions) in actions {
--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -12,38 +12,43 @@
     pub next: u64,
 }
 
-pub fn class(aim_ms: u64, deadline_ms: u64, effect: Effect) -> ClassSettings {
-    ClassSettings { aim: aim_ms * MS, deadline: deadline_ms * MS, effect, ..ClassSettings::default() }
+pub fn class(aim_ms: u64, deadline_ms: u64, effect: Idempotency) -> ClassSettings {
+    ClassSettings {
+        latency_objective: aim_ms * MS,
+        deadline: deadline_ms * MS,
+        idempotency: effect,
+        ..ClassSettings::default()
+    }
 }
 
-pub fn settings(effect: Effect) -> Settings {
-    Settings { classes: vec![class(400, 1000, effect)], nodes: 2, ..Settings::new(ZoneId(0), 3) }
+pub fn settings(effect: Idempotency) -> Settings {
+    Settings { classes: vec![class(400, 1000, effect)], node_count: 2, ..Settings::new(ZoneId(0), 3) }
 }
 
-pub fn member(backend: u32, zone: u32) -> Member {
-    Member {
+pub fn member(backend: u32, zone: u32) -> Endpoint {
+    Endpoint {
         backend: BackendId(backend),
         zone: ZoneId(zone),
         cell: zone.into(),
         size: 1.0,
-        ..Member::default()
+        ..Endpoint::default()
     }
 }
 
-pub fn util(util: f64) -> Report {
-    Report { util: Some(util), ..Report::default() }
+pub fn util(util: f64) -> LoadReport {
+    LoadReport { utilization: Some(util), ..LoadReport::default() }
 }
 
 impl Node {
-    pub fn new(settings: Settings, members: Vec<Member>) -> Self {
+    pub fn new(settings: Settings, members: Vec<Endpoint>) -> Self {
         Self::seeded(7, settings, members)
     }
 
-    pub fn seeded(seed: u64, settings: Settings, members: Vec<Member>) -> Self {
+    pub fn seeded(seed: u64, settings: Settings, members: Vec<Endpoint>) -> Self {
         let balancer = Balancer::new(settings, seed, SECOND).expect("usable settings");
         let mut node = Self { balancer, now: SECOND, next: 0 };
         node.tell(Event::Start);
-        node.tell(Event::Fleet { scope: ListScope::Cached, members });
+        node.tell(Event::EndpointsUpdated { update: EndpointUpdate::Cached, endpoints: members });
         node
     }
 
@@ -53,8 +58,8 @@
         actions
     }
 
-    pub fn list(&mut self, scope: ListScope, members: Vec<Member>) -> Vec<Action> {
-        self.tell(Event::Fleet { scope, members })
+    pub fn list(&mut self, scope: EndpointUpdate, members: Vec<Endpoint>) -> Vec<Action> {
+        self.tell(Event::EndpointsUpdated { update: scope, endpoints: members })
     }
 
     /// A request of class 0 that its client gives up after `wait`.
@@ -71,9 +76,16 @@
         let request = RequestId(self.next);
         self.next += 1;
         let not_after = self.now + wait;
-        let arrival =
-            Arrival { request, class: ClassId(0), key: None, hint: None, repeat, tenant: None, not_after };
-        (request, self.tell(Event::Request(arrival)))
+        let arrival = RequestArrival {
+            request,
+            class: ClassId(0),
+            affinity_key: None,
+            expected_work: None,
+            is_retry: repeat,
+            tenant: None,
+            expires_at: not_after,
+        };
+        (request, self.tell(Event::RequestArrived(arrival)))
     }
 
     pub fn settle(
@@ -81,7 +93,7 @@
         request: RequestId,
         attempt: u32,
         outcome: Outcome,
-        report: Report,
+        report: LoadReport,
     ) -> Vec<Action> {
         self.settle_after(request, attempt, outcome, 30 * MS, report)
     }
@@ -92,10 +104,17 @@
         attempt: u32,
         outcome: Outcome,
         elapsed: Nanos,
-        report: Report,
+        report: LoadReport,
     ) -> Vec<Action> {
-        let ended = outcome == Outcome::Served;
-        self.tell(Event::Settled(Settlement { request, attempt, outcome, elapsed, ended, report }))
+        let ended = outcome == Outcome::Success;
+        self.tell(Event::AttemptEnded(AttemptResult {
+            request,
+            attempt,
+            outcome,
+            elapsed,
+            request_ended: ended,
+            report,
+        }))
     }
 
     /// Lets time pass with the housekeeping timer coming due.
@@ -104,13 +123,13 @@
         let mut actions = Vec::new();
         while self.now < end {
             self.now = (self.now + 10 * MS).min(end);
-            actions.extend(self.tell(Event::Timer { token: 0 }));
+            actions.extend(self.tell(Event::TimerFired { token: 0 }));
         }
         actions
     }
 
     /// Asks `count` times, one in 10 ms; every send is served after 40 ms with the report of its backend.
-    pub fn serve(&mut self, count: usize, report: impl Fn(BackendId) -> Report) -> Vec<BackendId> {
+    pub fn serve(&mut self, count: usize, report: impl Fn(BackendId) -> LoadReport) -> Vec<BackendId> {
         let mut used = Vec::new();
         let mut out: Vec<(RequestId, u32, BackendId, Nanos)> = Vec::new();
         for turn in 0..count + 40 {
@@ -120,7 +139,7 @@
             out = rest;
             for (request, attempt, to, _) in Vec::from_iter::<Vec<_>>(due) {
                 used.push(to);
-                actions.extend(self.settle_after(request, attempt, Outcome::Served, 40 * MS, report(to)));
+                actions.extend(self.settle_after(request, attempt, Outcome::Success, 40 * MS, report(to)));
             }
             for action in actions {
                 if let Action::Send { request, backend, .. } = action {
@@ -146,7 +165,7 @@
 }
 
 pub fn refused(actions: &[Action]) -> bool {
-    actions.iter().any(|action| matches!(action, Action::Refuse { .. }))
+    actions.iter().any(|action| matches!(action, Action::Reject { .. }))
 }
 
 pub fn failed(actions: &[Action]) -> bool {
--- a/balancer/tests/contract.rs
+++ b/balancer/tests/contract.rs
@@ -5,20 +5,20 @@
 use common::*;
 
 const RAN: [Outcome; 5] =
-    [Outcome::Error, Outcome::Spoilt, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled];
-const NOT_RAN: [Outcome; 3] = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot];
+    [Outcome::Error, Outcome::InvalidResponse, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled];
+const NOT_RAN: [Outcome; 3] = [Outcome::Rejected, Outcome::ConnectFailed, Outcome::NotSent];
 
-fn keyed(group: Group) -> Effect {
-    Effect::Keyed { group, window: 200 * MS }
+fn keyed(group: DedupScope) -> Idempotency {
+    Idempotency::Keyed { scope: group, window: 200 * MS }
 }
 
-fn three_zones() -> Vec<Member> {
+fn three_zones() -> Vec<Endpoint> {
     vec![member(0, 0), member(1, 0), member(2, 1), member(3, 2)]
 }
 
 #[test]
 fn a_request_without_any_backend_is_refused_in_time() {
-    let mut node = Node::new(settings(Effect::Once), vec![]);
+    let mut node = Node::new(settings(Idempotency::NonIdempotent), vec![]);
     let (_, actions) = node.ask(300 * MS);
     assert!(sent(&actions).is_none() && !refused(&actions) && !failed(&actions), "held at first");
     assert!(refused(&node.pass(300 * MS)));
@@ -26,29 +26,29 @@
 
 #[test]
 fn not_after_binds_and_not_the_class() {
-    let mut node = Node::new(settings(Effect::Repeatable), vec![]);
+    let mut node = Node::new(settings(Idempotency::Idempotent), vec![]);
     node.ask(50 * MS);
     assert!(refused(&node.pass(60 * MS)));
 }
 
 #[test]
 fn a_time_out_at_the_deadline_gets_a_final_answer() {
-    let mut node = Node::new(settings(Effect::Once), three_zones());
+    let mut node = Node::new(settings(Idempotency::NonIdempotent), three_zones());
     let (request, actions) = node.ask(100 * MS);
     assert!(sent(&actions).is_some());
     node.now += 100 * MS;
-    assert!(failed(&node.settle(request, 0, Outcome::TimedOut, Report::default())));
+    assert!(failed(&node.settle(request, 0, Outcome::TimedOut, LoadReport::default())));
 }
 
 #[test]
 fn an_ended_request_is_passed_over() {
-    let mut node = Node::new(settings(Effect::Repeatable), three_zones());
+    let mut node = Node::new(settings(Idempotency::Idempotent), three_zones());
     let (request, _) = node.ask(SECOND);
-    node.settle(request, 0, Outcome::Served, util(0.1));
+    node.settle(request, 0, Outcome::Success, util(0.1));
     assert!(node.settle(request, 0, Outcome::Error, util(0.1)).is_empty());
-    assert!(node.tell(Event::ClientGone { request }).is_empty());
+    assert!(node.tell(Event::ClientDisconnected { request }).is_empty());
     let (gone, _) = node.ask(SECOND);
-    node.tell(Event::ClientGone { request: gone });
+    node.tell(Event::ClientDisconnected { request: gone });
     let actions = node.settle(gone, 0, Outcome::Error, util(0.1));
     assert!(sent(&actions).is_none() && !refused(&actions) && !failed(&actions));
 }
@@ -56,14 +56,14 @@
 #[test]
 fn once_is_sent_again_only_when_it_never_ran() {
     for outcome in NOT_RAN {
-        let mut node = Node::new(settings(Effect::Once), three_zones());
+        let mut node = Node::new(settings(Idempotency::NonIdempotent), three_zones());
         let (request, _) = node.ask(SECOND);
-        assert!(sent(&node.settle(request, 0, outcome, Report::default())).is_some(), "{outcome:?}");
+        assert!(sent(&node.settle(request, 0, outcome, LoadReport::default())).is_some(), "{outcome:?}");
     }
     for outcome in RAN {
-        let mut node = Node::new(settings(Effect::Once), three_zones());
+        let mut node = Node::new(settings(Idempotency::NonIdempotent), three_zones());
         let (request, _) = node.ask(SECOND);
-        let actions = node.settle(request, 0, outcome, Report::default());
+        let actions = node.settle(request, 0, outcome, LoadReport::default());
         assert!(sent(&actions).is_none() && failed(&actions) && !refused(&actions), "{outcome:?}");
     }
 }
@@ -72,23 +72,23 @@
 #[test]
 fn keyed_is_written_again_within_its_window_only() {
     for outcome in RAN {
-        let mut node = Node::new(settings(keyed(Group::Zone)), three_zones());
+        let mut node = Node::new(settings(keyed(DedupScope::Zone)), three_zones());
         let (request, _) = node.ask(SECOND);
         let first = node.now;
         assert!(node.balancer.may_write(first + 300 * MS, request, 0), "nothing has run before it");
         node.now += 150 * MS;
-        assert!(sent(&node.settle(request, 0, outcome, Report::default())).is_some());
+        assert!(sent(&node.settle(request, 0, outcome, LoadReport::default())).is_some());
         assert!(!node.balancer.may_write(node.now, request, 0), "that one has ended");
         assert!(node.balancer.may_write(first + 190 * MS, request, 1), "{outcome:?}");
         assert!(!node.balancer.may_write(first + 200 * MS, request, 1), "{outcome:?}");
-        node.tell(Event::ClientGone { request });
+        node.tell(Event::ClientDisconnected { request });
         assert!(!node.balancer.may_write(node.now, request, 1), "nobody waits for it");
     }
     for outcome in NOT_RAN {
-        let mut node = Node::new(settings(keyed(Group::Zone)), three_zones());
+        let mut node = Node::new(settings(keyed(DedupScope::Zone)), three_zones());
         let (request, _) = node.ask(SECOND);
         let first = node.now;
-        node.settle(request, 0, outcome, Report::default());
+        node.settle(request, 0, outcome, LoadReport::default());
         assert!(node.balancer.may_write(first + 900 * MS, request, 1), "{outcome:?}");
     }
 }
@@ -96,65 +96,68 @@
 #[test]
 fn keyed_stays_in_its_group_and_window() {
     for outcome in RAN {
-        let mut node = Node::new(settings(keyed(Group::Zone)), three_zones());
+        let mut node = Node::new(settings(keyed(DedupScope::Zone)), three_zones());
         let (request, first) = node.ask(SECOND);
-        let again = sent(&node.settle(request, 0, outcome, Report::default()));
+        let again = sent(&node.settle(request, 0, outcome, LoadReport::default()));
         assert_ne!(again, None, "{outcome:?}");
         assert!(again.is_none_or(|to| to.0 < 2), "left its zone after {first:?}");
 
-        let mut single = settings(keyed(Group::Zone));
-        single.limits.second_copies = false;
+        let mut single = settings(keyed(DedupScope::Zone));
+        single.limits.hedging = false;
         let mut node = Node::new(single, three_zones());
         let (request, _) = node.ask(SECOND);
         node.pass(200 * MS);
-        let late = node.settle(request, 0, outcome, Report::default());
+        let late = node.settle(request, 0, outcome, LoadReport::default());
         assert!(sent(&late).is_none() && failed(&late), "sent past the window after {outcome:?}");
     }
 }
 
 #[test]
 fn keyed_by_cell_does_not_leave_the_cell() {
-    let members = vec![Member { cell: 1, ..member(0, 0) }, Member { cell: 2, ..member(1, 0) }];
-    let mut node = Node::new(settings(keyed(Group::Cell)), members);
+    let members = vec![Endpoint { cell: 1, ..member(0, 0) }, Endpoint { cell: 2, ..member(1, 0) }];
+    let mut node = Node::new(settings(keyed(DedupScope::Cell)), members);
     let (request, first) = node.ask(SECOND);
     node.list(
-        ListScope::Changes,
-        vec![Member { stage: Stage::Draining, ..member(sent(&first).unwrap().0, 0) }],
+        EndpointUpdate::Delta,
+        vec![Endpoint { state: EndpointState::Draining, ..member(sent(&first).unwrap().0, 0) }],
     );
-    let actions = node.settle(request, 0, Outcome::Reset, Report::default());
+    let actions = node.settle(request, 0, Outcome::Reset, LoadReport::default());
     assert!(sent(&actions).is_none() && failed(&actions));
 }
 
 #[test]
 fn keyed_for_all_may_be_refused_after_it_ran() {
-    let mut node = Node::new(settings(keyed(Group::All)), vec![member(0, 0)]);
+    let mut node = Node::new(settings(keyed(DedupScope::All)), vec![member(0, 0)]);
     let (request, _) = node.ask(SECOND);
-    node.list(ListScope::Changes, vec![Member { stage: Stage::Gone, ..member(0, 0) }]);
-    assert!(refused(&node.settle(request, 0, Outcome::Reset, Report::default())));
+    node.list(EndpointUpdate::Delta, vec![Endpoint { state: EndpointState::Removed, ..member(0, 0) }]);
+    assert!(refused(&node.settle(request, 0, Outcome::Reset, LoadReport::default())));
 }
 
 #[test]
 fn attempts_stop_at_the_cap() {
-    let mut limits = settings(Effect::Repeatable);
-    limits.limits.attempts = 2;
+    let mut limits = settings(Idempotency::Idempotent);
+    limits.limits.max_attempts = 2;
     let mut node = Node::new(limits, three_zones());
     let (request, _) = node.ask(SECOND);
-    assert!(sent(&node.settle(request, 0, Outcome::ConnectFailed, Report::default())).is_some());
-    assert!(sent(&node.settle(request, 1, Outcome::ConnectFailed, Report::default())).is_none());
+    assert!(sent(&node.settle(request, 0, Outcome::ConnectFailed, LoadReport::default())).is_some());
+    assert!(sent(&node.settle(request, 1, Outcome::ConnectFailed, LoadReport::default())).is_none());
 }
 
 #[test]
 fn nothing_is_sent_to_a_backend_once_told_that_it_drains_or_is_gone() {
     let two = vec![member(0, 0), member(1, 1)];
-    let changes = |stage| (ListScope::Changes, vec![Member { stage, ..member(0, 0) }]);
+    let changes = |stage| (EndpointUpdate::Delta, vec![Endpoint { state: stage, ..member(0, 0) }]);
     let lists = [
-        changes(Stage::Draining),
-        changes(Stage::Gone),
-        (ListScope::Full, vec![member(1, 1)]),
-        (ListScope::Cached, vec![Member { stage: Stage::Draining, ..member(0, 0) }, member(1, 1)]),
+        changes(EndpointState::Draining),
+        changes(EndpointState::Removed),
+        (EndpointUpdate::Snapshot, vec![member(1, 1)]),
+        (
+            EndpointUpdate::Cached,
+            vec![Endpoint { state: EndpointState::Draining, ..member(0, 0) }, member(1, 1)],
+        ),
     ];
     for (scope, members) in lists {
-        let mut node = Node::new(settings(Effect::Repeatable), two.clone());
+        let mut node = Node::new(settings(Idempotency::Idempotent), two.clone());
         node.list(scope, members);
         for _ in 0..20 {
             assert_ne!(sent(&node.ask(SECOND).1), Some(BackendId(0)), "{scope:?}");
@@ -164,23 +167,23 @@
 
 #[test]
 fn an_asking_node_watches_and_asks_again_well_within_the_deemed_told_interval() {
-    let mut given = settings(Effect::Repeatable);
-    given.discovery = Discovery::Asked;
+    let mut given = settings(Idempotency::Idempotent);
+    given.discovery = Discovery::Polled;
     let mut node = Node::new(given, three_zones());
     for _ in 0..8 {
-        node.tell(Event::FleetFailed);
+        node.tell(Event::DiscoveryFailed);
         let actions = node.pass(8 * SECOND);
-        assert_eq!(actions.iter().filter(|action| **action == Action::Watch).count(), 1);
+        assert_eq!(actions.iter().filter(|action| **action == Action::WatchEndpoints).count(), 1);
     }
 }
 
 /// Work of about 30 ms each, all backends half used: a cold one must get a small share of it.
 #[test]
 fn a_cold_backend_gets_its_budget_and_no_more() {
-    let mut node = Node::new(settings(Effect::Repeatable), vec![member(0, 0), member(1, 0)]);
+    let mut node = Node::new(settings(Idempotency::Idempotent), vec![member(0, 0), member(1, 0)]);
     node.serve(200, |_| util(0.5));
-    let cold = Member { online_since: Some(node.now), ..member(9, 0) };
-    node.list(ListScope::Changes, vec![cold]);
+    let cold = Endpoint { started_at: Some(node.now), ..member(9, 0) };
+    node.list(EndpointUpdate::Delta, vec![cold]);
     let mut to_cold = 0;
     for _ in 0..40 {
         to_cold += usize::from(sent(&node.ask(SECOND).1) == Some(BackendId(9)));
@@ -192,9 +195,9 @@
 
 #[test]
 fn a_restarted_backend_is_cold_again() {
-    let mut node = Node::new(settings(Effect::Repeatable), vec![member(0, 0)]);
+    let mut node = Node::new(settings(Idempotency::Idempotent), vec![member(0, 0)]);
     node.serve(50, |_| util(0.5));
-    node.list(ListScope::Changes, vec![Member { online_since: Some(node.now), ..member(0, 0) }]);
+    node.list(EndpointUpdate::Delta, vec![Endpoint { started_at: Some(node.now), ..member(0, 0) }]);
     let burst: usize = (0..30).filter(|_| sent(&node.ask(SECOND).1).is_some()).count();
     assert!((1..=4).contains(&burst), "{burst} at once to a restarted backend");
 }
@@ -203,8 +206,10 @@
 /// work behind them was far more than counted.
 #[test]
 fn low_hints_do_not_stretch_the_cold_budget() {
-    let given =
-        Settings { classes: vec![class(60_000, 90_000, Effect::Repeatable)], ..settings(Effect::Repeatable) };
+    let given = Settings {
+        classes: vec![class(60_000, 90_000, Idempotency::Idempotent)],
+        ..settings(Idempotency::Idempotent)
+    };
     let mut node = Node::new(given, vec![member(0, 0), member(1, 0)]);
     let ask = |node: &mut Node, hint| {
         let request = RequestId(node.next);
@@ -212,23 +217,26 @@
         let (class, not_after) = (ClassId(0), node.now + 90 * SECOND);
         (
             request,
-            node.tell(Event::Request(Arrival {
+            node.tell(Event::RequestArrived(RequestArrival {
                 request,
                 class,
-                key: None,
-                hint,
-                repeat: false,
+                affinity_key: None,
+                expected_work: hint,
+                is_retry: false,
                 tenant: None,
-                not_after,
+                expires_at: not_after,
             })),
         )
     };
     for _ in 0..600 {
         let (request, _) = ask(&mut node, Some(20 * MS));
         node.pass(20 * MS);
-        node.settle(request, 0, Outcome::Served, util(0.5));
+        node.settle(request, 0, Outcome::Success, util(0.5));
     }
-    node.list(ListScope::Changes, vec![Member { online_since: Some(node.now - 8 * SECOND), ..member(9, 0) }]);
+    node.list(
+        EndpointUpdate::Delta,
+        vec![Endpoint { started_at: Some(node.now - 8 * SECOND), ..member(9, 0) }],
+    );
     let cold = |actions: Vec<Action>| usize::from(sent(&actions) == Some(BackendId(9)));
     let taken: usize =
         (0..500).map(|turn| cold(ask(&mut node, Some(if turn % 2 == 0 { MS } else { 39 * MS })).1)).sum();
