--- a/balancer/tests/crowded.rs
+++ b/balancer/tests/crowded.rs
@@ -10,12 +10,12 @@
 
 /// Five zones of three servers, a wide aim, `nodes` nodes.
 fn wide(nodes: u32) -> Settings {
-    let class = class(WIDE, 3000, Effect::Once);
-    Settings { classes: vec![class], nodes, ..Settings::new(ZoneId(0), 5) }
+    let class = class(WIDE, 3000, Idempotency::NonIdempotent);
+    Settings { classes: vec![class], node_count: nodes, ..Settings::new(ZoneId(0), 5) }
 }
 
-fn fifteen() -> Vec<Member> {
-    (0..15).map(|b| Member { tag: u64::from(b) * 0x9e37_79b9, ..member(b, b / 3) }).collect()
+fn fifteen() -> Vec<Endpoint> {
+    (0..15).map(|b| Endpoint { name_hash: u64::from(b) * 0x9e37_79b9, ..member(b, b / 3) }).collect()
 }
 
 /// How many are in flight at each server once `count` have come at one moment and none was answered.
@@ -70,9 +70,9 @@
                 out.extend(launched(&node.settle_after(
                     request,
                     0,
-                    Outcome::Served,
+                    Outcome::Success,
                     elapsed,
-                    Report::default(),
+                    LoadReport::default(),
                 )));
             }
         }
@@ -92,7 +92,7 @@
         node.now += 10 * MS;
         let Some(to) = sent(&actions) else { continue };
         let elapsed = if to.0 == 1 { 10 * MS } else { 80 * MS };
-        node.settle_after(request, 0, Outcome::Served, elapsed, Report::default());
+        node.settle_after(request, 0, Outcome::Success, elapsed, LoadReport::default());
     }
     let held = flood(&mut node, 400);
     assert!(held[1] <= 3, "{held:?}");
@@ -100,7 +100,7 @@
 
 fn probed(actions: &[Action]) -> Vec<BackendId> {
     let to = |action: &Action| match action {
-        Action::Probe { backend } => Some(*backend),
+        Action::CheckHealth { backend } => Some(*backend),
         _ => None,
     };
     actions.iter().filter_map(to).collect()
@@ -108,13 +108,13 @@
 
 fn by_probe(allowed: bool) -> Settings {
     let mut settings = wide(5);
-    settings.reports_by_probe = true;
-    settings.limits.probes = allowed;
+    settings.reports_by_health_check = true;
+    settings.limits.health_checks = allowed;
     settings
 }
 
 /// All probes of ten seconds at `rate` requests a second, each answered at once.
-fn probes(settings: Settings, rate: u64, members: Vec<Member>) -> Vec<BackendId> {
+fn probes(settings: Settings, rate: u64, members: Vec<Endpoint>) -> Vec<BackendId> {
     let mut node = Node::new(settings, members);
     let mut all = Vec::new();
     for _ in 0..10 * rate {
@@ -122,11 +122,11 @@
         node.now += SECOND / rate;
         let mut asked = probed(&actions);
         if sent(&actions).is_some() {
-            asked.extend(probed(&node.settle(request, 0, Outcome::Served, Report::default())));
+            asked.extend(probed(&node.settle(request, 0, Outcome::Success, LoadReport::default())));
         }
         for &backend in &asked {
-            let (outcome, elapsed, report) = (Outcome::Served, MS, util(0.3));
-            node.tell(Event::Probed { backend, outcome, elapsed, report });
+            let (outcome, elapsed, report) = (Outcome::Success, MS, util(0.3));
+            node.tell(Event::HealthCheckEnded { backend, outcome, elapsed, report });
         }
         all.extend(asked);
     }
@@ -152,14 +152,14 @@
 fn none_is_probed_where_probes_are_not_allowed_or_answers_tell() {
     assert!(probes(by_probe(false), 60, fifteen()).is_empty());
     let mut settings = by_probe(true);
-    settings.reports_by_probe = false;
+    settings.reports_by_health_check = false;
     assert!(probes(settings, 60, fifteen()).is_empty());
 }
 
 #[test]
 fn a_draining_server_is_not_probed() {
     let mut members = fifteen();
-    members[2].stage = Stage::Draining;
+    members[2].state = EndpointState::Draining;
     assert!(!probes(by_probe(true), 60, members).contains(&BackendId(2)));
 }
 
@@ -170,8 +170,8 @@
         let mut node = Node::new(by_probe(true), fifteen());
         for backend in 0..15 {
             let report = util(if backend < 3 { used } else { 0.2 });
-            let (backend, outcome) = (BackendId(backend), Outcome::Served);
-            node.tell(Event::Probed { backend, outcome, elapsed: MS, report });
+            let (backend, outcome) = (BackendId(backend), Outcome::Success);
+            node.tell(Event::HealthCheckEnded { backend, outcome, elapsed: MS, report });
         }
         node.now += 200 * MS;
         sent(&node.ask(3 * SECOND).1).is_some_and(|to| to.0 >= 3)
@@ -181,7 +181,7 @@
 }
 
 fn warm() -> Settings {
-    Settings { warm_keys: true, ..wide(5) }
+    Settings { key_affinity: true, ..wide(5) }
 }
 
 fn ask_for(node: &mut Node, key: u64) -> (RequestId, Vec<Action>) {
@@ -189,13 +189,21 @@
     node.next += 1;
     let not_after = node.now + 3 * SECOND;
     let (class, key) = (ClassId(0), Some(key));
-    let arrival = Arrival { request, class, key, hint: None, repeat: false, tenant: None, not_after };
-    (request, node.tell(Event::Request(arrival)))
+    let arrival = RequestArrival {
+        request,
+        class,
+        affinity_key: key,
+        expected_work: None,
+        is_retry: false,
+        tenant: None,
+        expires_at: not_after,
+    };
+    (request, node.tell(Event::RequestArrived(arrival)))
 }
 
 /// A key's server, at a node with this seed and its list in this order.
-fn servers_of(settings: Settings, seed: u64, members: Vec<Member>) -> Vec<Option<u64>> {
-    let tags: Vec<(BackendId, u64)> = members.iter().map(|m| (m.backend, m.tag)).collect();
+fn servers_of(settings: Settings, seed: u64, members: Vec<Endpoint>) -> Vec<Option<u64>> {
+    let tags: Vec<(BackendId, u64)> = members.iter().map(|m| (m.backend, m.name_hash)).collect();
     let mut node = Node::seeded(seed, settings, members);
     let mut at = Vec::new();
     for key in 0..60u64 {
@@ -203,7 +211,7 @@
         let to = sent(&actions);
         at.push(to.and_then(|to| tags.iter().find(|tag| tag.0 == to)).map(|tag| tag.1));
         node.now += 20 * MS;
-        node.settle(request, 0, Outcome::Served, Report::default());
+        node.settle(request, 0, Outcome::Success, LoadReport::default());
     }
     at
 }
@@ -238,16 +246,16 @@
     let (mut known, mut served) = (0, 0);
     for seed in 0..20 {
         let mut settings = warm();
-        settings.zones = 1;
-        settings.nodes = 1;
-        let members: Vec<Member> = fifteen().into_iter().take(3).collect();
+        settings.zone_count = 1;
+        settings.node_count = 1;
+        let members: Vec<Endpoint> = fifteen().into_iter().take(3).collect();
         let mut node = Node::seeded(seed, settings, members);
         let mut server_of = std::collections::BTreeMap::new();
         for key in 0..12u64 {
             let (request, actions) = ask_for(&mut node, key);
             server_of.insert(key, sent(&actions));
             node.now += 20 * MS;
-            node.settle(request, 0, Outcome::Served, Report::default());
+            node.settle(request, 0, Outcome::Success, LoadReport::default());
         }
         let mut out = Vec::new();
         let mut keys = std::collections::BTreeMap::new();
@@ -257,7 +265,7 @@
             out.extend(sent(&actions).map(|_| request));
         }
         node.now += 30 * MS;
-        for action in node.settle(out[0], 0, Outcome::Served, Report::default()) {
+        for action in node.settle(out[0], 0, Outcome::Success, LoadReport::default()) {
             if let Action::Send { request, backend, .. } = action {
                 served += 1;
                 known += usize::from(server_of[&keys[&request]] == Some(backend));
--- a/balancer/tests/many.rs
+++ b/balancer/tests/many.rs
@@ -8,19 +8,23 @@
 
 /// Settings of one of many nodes in three zones, with live weights and late answers worth nothing.
 fn many() -> Settings {
-    Settings { nodes: NODES, weights: Weights::Live, ..settings(Effect::Repeatable) }
+    Settings {
+        node_count: NODES,
+        weight_source: WeightSource::LoadAdjusted,
+        ..settings(Idempotency::Idempotent)
+    }
 }
 
 /// A list of ten backends a zone, each holding what `held` says for its zone.
-fn listed(held: [f64; 3]) -> Vec<Member> {
+fn listed(held: [f64; 3]) -> Vec<Endpoint> {
     let weight = |zone: u32| 1.0 / (1.0 + held[zone as usize]);
-    (0..30).map(|b| Member { size: weight(b / 10), ..member(b, b / 10) }).collect()
+    (0..30).map(|b| Endpoint { size: weight(b / 10), ..member(b, b / 10) }).collect()
 }
 
-fn node(seed: u64, given: Settings, members: Vec<Member>) -> Node {
+fn node(seed: u64, given: Settings, members: Vec<Endpoint>) -> Node {
     // An idle list first: the largest weight of a kind is its size.
     let mut node = Node::seeded(seed, given, listed([0.0; 3]));
-    node.list(ListScope::Full, members);
+    node.list(EndpointUpdate::Snapshot, members);
     node
 }
 
@@ -29,13 +33,13 @@
     let mut used = Vec::new();
     for turn in 0..seconds * 2 {
         if turn % 2 == 0 {
-            node.list(ListScope::Full, listed(held));
+            node.list(EndpointUpdate::Snapshot, listed(held));
         }
         let (request, actions) = node.ask(SECOND);
         node.now += took;
         if let Some(to) = sent(&actions) {
             used.push(to);
-            node.settle_after(request, 0, Outcome::Served, took, Report::default());
+            node.settle_after(request, 0, Outcome::Success, took, LoadReport::default());
         }
         node.now += SECOND / 2 - took;
     }
@@ -74,8 +78,8 @@
 /// The busiest server had 13 times the mean: every node took the few that a late list showed as free.
 #[test]
 fn nodes_do_not_herd_onto_what_a_late_list_shows_as_free() {
-    let members: Vec<Member> =
-        (0..30).map(|b| Member { size: if b == 3 { 1.0 } else { 0.25 }, ..member(b, b / 10) }).collect();
+    let members: Vec<Endpoint> =
+        (0..30).map(|b| Endpoint { size: if b == 3 { 1.0 } else { 0.25 }, ..member(b, b / 10) }).collect();
     let to_free = (0..200).filter(|&seed| {
         let mut node = node(seed, many(), members.clone());
         sent(&node.ask(SECOND).1) == Some(BackendId(3))
@@ -103,8 +107,8 @@
         let (mut to, mut attempt) = (sent(&actions), 0);
         while let Some(tried) = to {
             widened |= !subset.contains(&tried.0);
-            let failed = if subset.contains(&tried.0) { Outcome::ConnectFailed } else { Outcome::Served };
-            to = sent(&node.settle_after(request, attempt, failed, MS, Report::default()));
+            let failed = if subset.contains(&tried.0) { Outcome::ConnectFailed } else { Outcome::Success };
+            to = sent(&node.settle_after(request, attempt, failed, MS, LoadReport::default()));
             attempt += 1;
         }
     }
@@ -118,8 +122,9 @@
     let mut logs = 0;
     for _ in 0..40 {
         let (request, _) = node.ask(SECOND);
-        let actions = node.settle_after(request, 0, Outcome::ConnectFailed, MS, Report::default());
-        logs += actions.iter().filter(|action| matches!(action, Action::Log(Notice::Ejected { .. }))).count();
+        let actions = node.settle_after(request, 0, Outcome::ConnectFailed, MS, LoadReport::default());
+        logs +=
+            actions.iter().filter(|action| matches!(action, Action::Log(LogEvent::Ejected { .. }))).count();
         node.now += SECOND;
     }
     assert_eq!(logs, 0);
@@ -133,7 +138,7 @@
         let (request, actions) = node.ask(500 * MS - (turn % 7) * MS);
         assert!(sent(&actions).is_some(), "turn {turn}");
         node.now += 50 * MS;
-        node.settle_after(request, 0, Outcome::Served, 50 * MS, Report::default());
+        node.settle_after(request, 0, Outcome::Success, 50 * MS, LoadReport::default());
         node.now += 400 * MS;
     }
 }
@@ -143,7 +148,7 @@
 fn a_repeat_past_its_aim_is_refused_where_late_answers_are_worth_nothing() {
     let mut node = node(3, many(), listed([0.5; 3]));
     let (request, _) = node.ask(800 * MS);
-    node.settle(request, 0, Outcome::Served, Report::default());
+    node.settle(request, 0, Outcome::Success, LoadReport::default());
     // The deadline is 1 s and the aim 400 ms: a try with 300 ms left began 700 ms ago.
     let (_, actions) = node.ask(300 * MS);
     assert!(sent(&actions).is_none() && refused(&actions));
@@ -153,19 +158,19 @@
 #[test]
 fn a_class_not_asked_for_of_late_is_taken() {
     let mut given = many();
-    given.classes.push(class(400, 1000, Effect::Repeatable));
+    given.classes.push(class(400, 1000, Idempotency::Idempotent));
     let mut node = node(3, given, listed([0.5; 3]));
     serve(&mut node, 10, [0.5; 3], 50 * MS);
     let (request, class) = (RequestId(9_999), ClassId(1));
     let not_after = node.now + SECOND;
-    let actions = node.tell(Event::Request(Arrival {
+    let actions = node.tell(Event::RequestArrived(RequestArrival {
         request,
         class,
-        key: None,
-        hint: None,
-        repeat: false,
+        affinity_key: None,
+        expected_work: None,
+        is_retry: false,
         tenant: None,
-        not_after,
+        expires_at: not_after,
     }));
     assert!(sent(&actions).is_some());
 }
@@ -181,19 +186,19 @@
             node.now += 100 * MS;
             if sent(&actions).is_some() {
                 taken += 1;
-                node.settle_after(request, 0, outcome, 100 * MS, Report::default());
+                node.settle_after(request, 0, outcome, 100 * MS, LoadReport::default());
             }
             node.now += 100 * MS;
         }
         taken
     };
     node.now += 10 * SECOND;
-    assert!(run(&mut node, 50, Outcome::Served) > 45);
+    assert!(run(&mut node, 50, Outcome::Success) > 45);
     run(&mut node, 30, Outcome::TimedOut);
     let jammed = run(&mut node, 50, Outcome::TimedOut);
     assert!((1..20).contains(&jammed), "{jammed} of 50 sent into a jam");
-    run(&mut node, 150, Outcome::Served);
-    let after = run(&mut node, 50, Outcome::Served);
+    run(&mut node, 150, Outcome::Success);
+    let after = run(&mut node, 50, Outcome::Success);
     assert!(after > 40, "{after} of 50 after the jam");
 }
 
@@ -201,7 +206,7 @@
 #[test]
 fn attempts_end_at_a_worthless_aim_only_where_nodes_are_many() {
     let timeout = |nodes| {
-        let given = Settings { nodes, ..many() };
+        let given = Settings { node_count: nodes, ..many() };
         let mut node = node(3, given, listed([0.5; 3]));
         node.ask(SECOND).1.iter().find_map(|action| match action {
             Action::Send { timeout, .. } => Some(*timeout),
@@ -219,8 +224,8 @@
     for seed in 0..u64::from(NODES / 3) {
         let mut node = node(seed, many(), listed([0.5; 3]));
         serve(&mut node, 10, [0.5; 3], 50 * MS);
-        let cold = Member { online_since: Some(node.now), ..member(3, 0) };
-        node.list(ListScope::Changes, vec![cold]);
+        let cold = Endpoint { started_at: Some(node.now), ..member(3, 0) };
+        node.list(EndpointUpdate::Delta, vec![cold]);
         for _ in 0..4 {
             to_cold += usize::from(sent(&node.ask(SECOND).1) == Some(BackendId(3)));
             node.now += SECOND / 2;
@@ -238,7 +243,7 @@
         let mut node = node(seed, many(), listed([6.0; 3]));
         let (request, _) = node.ask(SECOND);
         node.now += 50 * MS;
-        node.settle_after(request, 0, Outcome::Served, 50 * MS, Report::default());
+        node.settle_after(request, 0, Outcome::Success, 50 * MS, LoadReport::default());
         node.now += 100 * MS;
         node.ask(SECOND);
         node.now += 200 * MS;
@@ -253,32 +258,32 @@
 fn a_flooding_tenant_is_turned_away_first() {
     // Five requests a second come to each node; three a second of tenant 0 are within its part.
     let quota = 3.0 * f64::from(NODES);
-    let given = Settings { tenants: vec![quota, quota], over_share_worth: 0.1, ..many() };
+    let given = Settings { tenant_quotas: vec![quota, quota], over_quota_value: 0.1, ..many() };
     let mut node = node(3, given, listed([9.0; 3]));
     let mut taken = [0, 0];
     let mut asked = [0, 0];
     for turn in 0..600u64 {
         if turn % 10 == 0 {
-            node.list(ListScope::Full, listed([9.0; 3]));
+            node.list(EndpointUpdate::Snapshot, listed([9.0; 3]));
         }
         let tenant = u32::from(turn % 6 == 0);
         let request = RequestId(10_000 + turn);
         let not_after = node.now + SECOND;
-        let arrival = Arrival {
+        let arrival = RequestArrival {
             request,
             class: ClassId(0),
-            key: None,
-            hint: None,
-            repeat: false,
+            affinity_key: None,
+            expected_work: None,
+            is_retry: false,
             tenant: Some(tenant),
-            not_after,
+            expires_at: not_after,
         };
-        let actions = node.tell(Event::Request(arrival));
+        let actions = node.tell(Event::RequestArrived(arrival));
         asked[tenant as usize] += 1;
         node.now += 50 * MS;
         if sent(&actions).is_some() {
             taken[tenant as usize] += 1;
-            node.settle_after(request, 0, Outcome::Served, 50 * MS, Report::default());
+            node.settle_after(request, 0, Outcome::Success, 50 * MS, LoadReport::default());
         }
         node.now += 50 * MS;
     }
@@ -289,7 +294,7 @@
 /// Incident i58b577: in a jam nearly nothing was served, so that new servers, the way out, got nearly nothing.
 #[test]
 fn a_jam_does_not_take_the_budget_of_new_servers() {
-    let given = Settings { nodes: 3, ..settings(Effect::Repeatable) };
+    let given = Settings { node_count: 3, ..settings(Idempotency::Idempotent) };
     let mut node = Node::new(given, (0..3).map(|b| member(b, 0)).collect());
     node.now += 60 * SECOND;
     node.serve(300, |_| util(0.5));
@@ -301,8 +306,8 @@
         }
     }
     node.list(
-        ListScope::Changes,
-        vec![Member { online_since: Some(node.now - 15 * SECOND), ..member(9, 0) }],
+        EndpointUpdate::Delta,
+        vec![Endpoint { started_at: Some(node.now - 15 * SECOND), ..member(9, 0) }],
     );
     let to_new = (0..40).filter(|_| sent(&node.ask(SECOND).1) == Some(BackendId(9))).count();
     assert!(to_new >= 3, "{to_new} to the new server");
--- a/balancer/tests/troubles.rs
+++ b/balancer/tests/troubles.rs
@@ -4,25 +4,25 @@
 use badgerpost_balancer::*;
 use common::*;
 
-fn fleet(count: u32) -> Vec<Member> {
+fn fleet(count: u32) -> Vec<Endpoint> {
     (0..count).map(|backend| member(backend, 0)).collect()
 }
 
 /// Incident idbb93b: a server that sends work away in a millisecond drew nearly all sends.
 #[test]
 fn a_backend_that_sends_away_at_once_does_not_look_idle() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(3));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(3));
     let mut away = 0;
     for _ in 0..200 {
         let (request, actions) = node.ask(SECOND);
         let (mut to, mut attempt) = (sent(&actions), 0);
         while to == Some(BackendId(0)) {
             away += 1;
-            to = sent(&node.settle_after(request, attempt, Outcome::Full, 2 * MS, util(0.0)));
+            to = sent(&node.settle_after(request, attempt, Outcome::Rejected, 2 * MS, util(0.0)));
             attempt += 1;
         }
         node.pass(30 * MS);
-        node.settle(request, attempt, Outcome::Served, util(0.4));
+        node.settle(request, attempt, Outcome::Success, util(0.4));
     }
     assert!(away < 20, "{away} sends to the backend that is full");
 }
@@ -30,7 +30,7 @@
 /// A backend that returns errors at once must lose its turn, then be tried and readmitted.
 #[test]
 fn a_backend_that_fails_fast_is_ejected_and_readmitted() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(4));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(4));
     let run = |node: &mut Node, rounds: usize, broken: bool| {
         let mut bad = 0;
         for _ in 0..rounds {
@@ -43,7 +43,7 @@
             }
             bad += usize::from(to == Some(BackendId(0)));
             node.pass(30 * MS);
-            node.settle(request, attempt, Outcome::Served, util(0.4));
+            node.settle(request, attempt, Outcome::Success, util(0.4));
         }
         bad
     };
@@ -55,13 +55,13 @@
 /// Incident idbb93b: with many nodes, one send of each to a backend that it holds nothing on is a jam.
 #[test]
 fn own_idleness_does_not_prove_room() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(2));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(2));
     node.serve(100, |_| util(0.5));
     for _ in 0..40 {
         let (request, actions) = node.ask(SECOND);
         node.pass(200 * MS);
         if sent(&actions).is_some() {
-            node.settle_after(request, 0, Outcome::Served, 900 * MS, util(1.0));
+            node.settle_after(request, 0, Outcome::Success, 900 * MS, util(1.0));
         }
     }
     let taken = (0..20).filter(|_| sent(&node.ask(SECOND).1).is_some()).count();
@@ -71,25 +71,26 @@
 /// Incident if301ed: the class worth most, with the tightest aim, found all room taken by the others.
 #[test]
 fn the_worthier_class_has_precedence() {
-    let mut given = settings(Effect::Repeatable);
-    let wide = ClassSettings { aim: 800 * MS, ..class(800, 2000, Effect::Repeatable) };
-    given.classes = vec![wide, ClassSettings { worth: 5.0, ..class(500, 2000, Effect::Repeatable) }];
+    let mut given = settings(Idempotency::Idempotent);
+    let wide = ClassSettings { latency_objective: 800 * MS, ..class(800, 2000, Idempotency::Idempotent) };
+    given.classes =
+        vec![wide, ClassSettings { priority_weight: 5.0, ..class(500, 2000, Idempotency::Idempotent) }];
     let mut node = Node::new(given, fleet(2));
     let mut taken = [0, 0];
     let mut out = Vec::new();
     for turn in 0..2000u64 {
         let id = RequestId(1_000_000 + turn);
         let class = ClassId((turn % 2) as u32);
-        let arrival = Arrival {
+        let arrival = RequestArrival {
             request: id,
             class,
-            key: None,
-            hint: None,
-            repeat: false,
+            affinity_key: None,
+            expected_work: None,
+            is_retry: false,
             tenant: None,
-            not_after: node.now + SECOND,
+            expires_at: node.now + SECOND,
         };
-        for action in node.tell(Event::Request(arrival)) {
+        for action in node.tell(Event::RequestArrived(arrival)) {
             if let Action::Send { request, .. } = action {
                 taken[(request.0 % 2) as usize] += 1;
                 out.push(request);
@@ -100,27 +101,27 @@
         if turn % 3 == 0 && !out.is_empty() {
             let request = out.remove(0);
             let elapsed = 15 * MS * (out.len() as u64 + 1);
-            for action in node.settle_after(request, 0, Outcome::Served, elapsed, util(0.99)) {
+            for action in node.settle_after(request, 0, Outcome::Success, elapsed, util(0.99)) {
                 if let Action::Send { request, .. } = action {
                     taken[(request.0 % 2) as usize] += 1;
                     out.push(request);
                 }
             }
         }
-        node.tell(Event::Timer { token: 0 });
+        node.tell(Event::TimerFired { token: 0 });
     }
     assert!(taken[1] > taken[0], "{taken:?}");
 }
 
 #[test]
 fn retries_stay_within_their_budget() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(6));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(6));
     let mut extra = 0;
     for _ in 0..500 {
         let (request, actions) = node.ask(SECOND);
         let (mut to, mut attempt) = (sent(&actions), 0);
         while to.is_some() {
-            to = sent(&node.settle_after(request, attempt, Outcome::Error, 5 * MS, Report::default()));
+            to = sent(&node.settle_after(request, attempt, Outcome::Error, 5 * MS, LoadReport::default()));
             extra += usize::from(to.is_some());
             attempt += 1;
         }
@@ -131,14 +132,14 @@
 
 #[test]
 fn most_of_the_fleet_failing_does_not_empty_it() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(6));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(6));
     let mut sent_late = 0;
     for turn in 0..300 {
         let (request, actions) = node.ask(SECOND);
         let (mut to, mut attempt) = (sent(&actions), 0);
         sent_late += usize::from(turn > 200 && to.is_some());
         while to.is_some() {
-            to = sent(&node.settle_after(request, attempt, Outcome::Reset, 5 * MS, Report::default()));
+            to = sent(&node.settle_after(request, attempt, Outcome::Reset, 5 * MS, LoadReport::default()));
             attempt += 1;
         }
         node.pass(20 * MS);
@@ -150,7 +151,7 @@
 #[test]
 fn nodes_that_share_a_zone_leave_room_for_each_other() {
     let taken = |nodes| {
-        let given = Settings { nodes, ..settings(Effect::Repeatable) };
+        let given = Settings { node_count: nodes, ..settings(Idempotency::Idempotent) };
         let mut node = Node::new(given, fleet(2));
         node.serve(200, |_| util(0.5));
         (0..60).filter(|_| sent(&node.ask(SECOND).1).is_some()).count()
@@ -162,19 +163,23 @@
 /// Incidents idbcff6 and i9be87d: a timer that always ran on every node cost more than all requests.
 #[test]
 fn a_node_with_nothing_held_asks_for_no_timer() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(2));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(2));
     let (request, actions) = node.ask(SECOND);
     assert_eq!(sends(&actions).len(), 1);
-    let timer = |actions: &[Action]| actions.iter().any(|action| matches!(action, Action::Timer { .. }));
-    assert!(!timer(&actions) && !timer(&node.settle(request, 0, Outcome::Served, util(0.1))));
-    assert!(timer(&Node::new(settings(Effect::Repeatable), vec![]).ask(SECOND).1), "what is held needs one");
+    let timer = |actions: &[Action]| actions.iter().any(|action| matches!(action, Action::SetTimer { .. }));
+    assert!(!timer(&actions) && !timer(&node.settle(request, 0, Outcome::Success, util(0.1))));
+    assert!(
+        timer(&Node::new(settings(Idempotency::Idempotent), vec![]).ask(SECOND).1),
+        "what is held needs one"
+    );
 }
 
 /// Guards against first tries of impatient clients taken for late repeats: a repeat may be given what is left
 /// of the client's time, which is more than its first try had.
 #[test]
 fn a_first_try_shorter_than_repeats_is_taken() {
-    let marked = |repeats_marked| Settings { repeats_marked, ..settings(Effect::Repeatable) };
+    let marked =
+        |repeats_marked| Settings { retries_marked: repeats_marked, ..settings(Idempotency::Idempotent) };
     for (repeats_marked, taken) in [(true, true), (false, false)] {
         let mut node = Node::new(marked(repeats_marked), vec![member(1, 0)]);
         node.ask_again(950 * MS);
@@ -186,10 +191,10 @@
 /// A garble day's repeats ended with time left, as no backend had room in the very moment.
 #[test]
 fn a_repeat_that_finds_no_room_is_held() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(1));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(1));
     let (request, actions) = node.ask(SECOND);
     assert!(sent(&actions).is_some());
-    let actions = node.settle_after(request, 0, Outcome::Full, 2 * MS, Report::default());
+    let actions = node.settle_after(request, 0, Outcome::Rejected, 2 * MS, LoadReport::default());
     assert!(!refused(&actions) && !failed(&actions) && sent(&actions).is_none());
     assert_eq!(sent(&node.pass(150 * MS)), Some(BackendId(0)), "sent once the backend takes work again");
 }
@@ -197,7 +202,7 @@
 /// Each day began with refusals: against the first guess of the base time every backend looked slow.
 #[test]
 fn first_answers_make_no_backend_slow() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(3));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(3));
     let mut open = Vec::new();
     for _ in 0..3 {
         let (request, actions) = node.ask(SECOND);
@@ -206,7 +211,7 @@
     node.pass(200 * MS);
     for (request, to) in open {
         assert!(to.is_some());
-        node.settle_after(request, 0, Outcome::Served, 200 * MS, util(0.1));
+        node.settle_after(request, 0, Outcome::Success, 200 * MS, util(0.1));
     }
     assert!(sent(&node.ask(SECOND).1).is_some(), "idle backends take the next one");
 }
@@ -214,7 +219,7 @@
 /// What was never sent is refused while the client has half of its time for another try.
 #[test]
 fn what_was_never_sent_is_refused_by_half_of_its_time() {
-    let mut node = Node::new(settings(Effect::Once), Vec::new());
+    let mut node = Node::new(settings(Idempotency::NonIdempotent), Vec::new());
     for wait in [100 * MS, 300 * MS, SECOND] {
         let came = node.now;
         let (_, mut actions) = node.ask(wait);
@@ -228,7 +233,7 @@
 /// A wide day: most clients had less time than a request takes. Their time-outs put good backends out.
 #[test]
 fn clients_with_little_time_eject_no_backend() {
-    let marked = Settings { repeats_marked: true, ..settings(Effect::Repeatable) };
+    let marked = Settings { retries_marked: true, ..settings(Idempotency::Idempotent) };
     let mut node = Node::new(marked, fleet(3));
     node.serve(200, |_| util(0.3));
     let mut tried = 0;
@@ -236,8 +241,8 @@
         let (request, actions) = node.ask(20 * MS);
         tried += usize::from(sent(&actions).is_some());
         node.pass(20 * MS);
-        let actions = node.settle_after(request, 0, Outcome::TimedOut, 20 * MS, Report::default());
-        let ejects = |action: &Action| matches!(action, Action::Log(Notice::Ejected { .. }));
+        let actions = node.settle_after(request, 0, Outcome::TimedOut, 20 * MS, LoadReport::default());
+        let ejects = |action: &Action| matches!(action, Action::Log(LogEvent::Ejected { .. }));
         assert!(!actions.iter().any(ejects));
     }
     assert!(tried > 50, "{tried} were sent, with room on every backend");
@@ -246,9 +251,9 @@
 /// Where reports show room, what may be late costs nobody else: half of such requests were held in vain.
 #[test]
 fn little_time_is_taken_where_reports_show_room() {
-    let wide = Member { size: 2.0, ..member(1, 0) };
+    let wide = Endpoint { size: 2.0, ..member(1, 0) };
     for (used, taken) in [(0.6, true), (0.9, false)] {
-        let given = Settings { repeats_marked: true, ..settings(Effect::Repeatable) };
+        let given = Settings { retries_marked: true, ..settings(Idempotency::Idempotent) };
         let mut node = Node::new(given, vec![wide]);
         node.serve(100, |_| util(used));
         assert!(sent(&node.ask(SECOND).1).is_some());
@@ -259,15 +264,15 @@
 /// With every eighth attempt broken on the way, three in a row were chance, and most of a zone was ejected.
 #[test]
 fn connections_that_break_by_chance_eject_nobody() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(2));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(2));
     node.serve(100, |_| util(0.3));
     let open: Vec<(RequestId, Option<BackendId>)> =
         (0..6).map(|_| node.ask(SECOND)).map(|(request, actions)| (request, sent(&actions))).collect();
     let broken: Vec<_> = open.iter().filter(|(_, to)| *to == Some(BackendId(0))).collect();
     assert!(broken.len() >= 3, "{open:?}");
     for (request, _) in broken {
-        let actions = node.settle_after(*request, 0, Outcome::Reset, 10 * MS, Report::default());
-        let ejects = |action: &Action| matches!(action, Action::Log(Notice::Ejected { .. }));
+        let actions = node.settle_after(*request, 0, Outcome::Reset, 10 * MS, LoadReport::default());
+        let ejects = |action: &Action| matches!(action, Action::Log(LogEvent::Ejected { .. }));
         assert!(!actions.iter().any(ejects));
         node.now += 2 * SECOND;
     }
@@ -276,17 +281,17 @@
 /// The same day's repeats ran out: a tenth of the arrivals is less than what broke.
 #[test]
 fn one_broken_attempt_in_six_leaves_repeats_for_all() {
-    let mut node = Node::new(settings(Effect::Repeatable), fleet(3));
+    let mut node = Node::new(settings(Idempotency::Idempotent), fleet(3));
     node.serve(100, |_| util(0.3));
     for turn in 0..400 {
         let (request, actions) = node.ask(SECOND);
         assert!(sent(&actions).is_some());
         if turn % 6 == 0 {
-            let actions = node.settle_after(request, 0, Outcome::Reset, 10 * MS, Report::default());
+            let actions = node.settle_after(request, 0, Outcome::Reset, 10 * MS, LoadReport::default());
             assert!(sent(&actions).is_some(), "turn {turn}");
-            node.settle(request, 1, Outcome::Served, util(0.3));
+            node.settle(request, 1, Outcome::Success, util(0.3));
         } else {
-            node.settle(request, 0, Outcome::Served, util(0.3));
+            node.settle(request, 0, Outcome::Success, util(0.3));
         }
         node.now += 50 * MS;
     }
--- a/core/http-framing/src/lib.rs
+++ b/core/http-framing/src/lib.rs
@@ -14,41 +14,41 @@
 
 /// Why a request's framing is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Fault {
+pub enum FramingError {
     /// More than one length, even the same.
     #[error("content-length stands there more than once")]
-    Lengths,
+    MultipleLengths,
     /// Not a decimal number, or too large a one.
     #[error("content-length is not a number")]
-    Length,
+    InvalidLength,
     /// A length beside a transfer coding.
     #[error("content-length stands beside transfer-encoding")]
-    Both,
+    LengthAndCoding,
     /// A coding other than `chunked` alone, or with HTTP/1.0.
     #[error("transfer-encoding is not chunked")]
-    Coding,
+    UnsupportedCoding,
     /// A header goes on in the next line, or there is a space where none may be.
     #[error("a header is folded, or has a space before its colon")]
-    Folded,
+    FoldedHeader,
     /// Head or trailers have no end.
     #[error("the head is too long")]
     TooLong,
     /// A chunk's size is none, or its data does not end where it should.
     #[error("a chunk is malformed")]
-    Chunk,
+    InvalidChunk,
 }
 
 /// What the bytes tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sign {
+pub enum FramingEvent {
     /// A request has begun.
-    Begun,
+    Started,
     /// Its head is whole; nothing is followed on this connection any more after a fault.
-    Head(Result<(), Fault>),
+    HeadComplete(Result<(), FramingError>),
     /// Its last byte has come.
-    Whole,
+    MessageComplete,
     /// Its body makes no sense; nothing is followed any more.
-    Broken(Fault),
+    BodyInvalid(FramingError),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,7 +70,7 @@
 
 /// Follows one connection.
 #[derive(Clone, Debug)]
-pub struct Follower {
+pub struct RequestFramer {
     part: Part,
     /// The beginning of the line that is coming in, and how long it is so far.
     line: Vec<u8>,
@@ -80,10 +80,10 @@
     old_version: bool,
     length: Option<u64>,
     chunked: bool,
-    fault: Option<Fault>,
+    fault: Option<FramingError>,
 }
 
-impl Default for Follower {
+impl Default for RequestFramer {
     fn default() -> Self {
         Self {
             part: Part::Between,
@@ -98,14 +98,14 @@
     }
 }
 
-impl Follower {
+impl RequestFramer {
     /// A connection on which nothing has come yet.
     pub fn new() -> Self {
         Self::default()
     }
 
     /// Takes in the next bytes and tells what they mean, in order.
-    pub fn feed(&mut self, mut bytes: &[u8], tell: &mut impl FnMut(Sign)) {
+    pub fn feed(&mut self, mut bytes: &[u8], tell: &mut impl FnMut(FramingEvent)) {
         while !bytes.is_empty() {
             match self.part {
                 Part::Lost => return,
@@ -120,7 +120,7 @@
                         ..Self::default()
                     };
                     self.line.clear();
-                    tell(Sign::Begun);
+                    tell(FramingEvent::Started);
                 }
                 Part::Body(left) | Part::Chunk(left) => {
                     let taken = left.min(bytes.len() as u64);
@@ -155,30 +155,30 @@
         }
     }
 
-    fn bounded(&self) -> Result<(), Fault> {
+    fn bounded(&self) -> Result<(), FramingError> {
         match self.part {
-            Part::ChunkSize if self.line_length > CHUNK_LINE_MOST => Err(Fault::Chunk),
-            Part::ChunkEnd if self.line_length > 2 => Err(Fault::Chunk),
+            Part::ChunkSize if self.line_length > CHUNK_LINE_MOST => Err(FramingError::InvalidChunk),
+            Part::ChunkEnd if self.line_length > 2 => Err(FramingError::InvalidChunk),
             Part::RequestLine | Part::Header | Part::Trailer if self.head_length > HEAD_MOST => {
-                Err(Fault::TooLong)
+                Err(FramingError::TooLong)
             }
             _ => Ok(()),
         }
     }
 
-    fn lose(&mut self, fault: Fault, tell: &mut impl FnMut(Sign)) {
+    fn lose(&mut self, fault: FramingError, tell: &mut impl FnMut(FramingEvent)) {
         let in_head = matches!(self.part, Part::RequestLine | Part::Header);
         self.part = Part::Lost;
-        tell(if in_head { Sign::Head(Err(fault)) } else { Sign::Broken(fault) });
+        tell(if in_head { FramingEvent::HeadComplete(Err(fault)) } else { FramingEvent::BodyInvalid(fault) });
     }
 
-    fn end(&mut self, tell: &mut impl FnMut(Sign)) -> Part {
-        tell(Sign::Whole);
+    fn end(&mut self, tell: &mut impl FnMut(FramingEvent)) -> Part {
+        tell(FramingEvent::MessageComplete);
         Part::Between
     }
 
     /// A line has come to its end.
-    fn take_line(&mut self, tell: &mut impl FnMut(Sign)) {
+    fn take_line(&mut self, tell: &mut impl FnMut(FramingEvent)) {
         // Whoever ends a line with LF alone is taken to mean CRLF (RFC 9112, chapter 2.2).
         let line = self.line.strip_suffix(b"\n").unwrap_or(&self.line);
         let line = line.strip_suffix(b"\r").unwrap_or(line);
@@ -197,28 +197,28 @@
                 }
             }
             Part::ChunkSize => match chunk_size(line) {
-                None => self.lose(Fault::Chunk, tell),
+                None => self.lose(FramingError::InvalidChunk, tell),
                 Some(0) => (self.part, self.head_length) = (Part::Trailer, 0),
                 Some(size) => self.part = Part::Chunk(size),
             },
             Part::ChunkEnd if blank => self.part = Part::ChunkSize,
-            Part::ChunkEnd => self.lose(Fault::Chunk, tell),
+            Part::ChunkEnd => self.lose(FramingError::InvalidChunk, tell),
             Part::Trailer if blank => self.part = self.end(tell),
             Part::Trailer | Part::Between | Part::Body(_) | Part::Chunk(_) | Part::Lost => {}
         }
     }
 
-    fn take_head(&mut self, tell: &mut impl FnMut(Sign)) {
+    fn take_head(&mut self, tell: &mut impl FnMut(FramingEvent)) {
         let fault = match (self.fault, self.length, self.chunked) {
             (Some(fault), ..) => Some(fault),
-            (_, Some(_), true) => Some(Fault::Both),
-            (_, _, true) if self.old_version => Some(Fault::Coding),
+            (_, Some(_), true) => Some(FramingError::LengthAndCoding),
+            (_, _, true) if self.old_version => Some(FramingError::UnsupportedCoding),
             _ => None,
         };
         if let Some(fault) = fault {
             return self.lose(fault, tell);
         }
-        tell(Sign::Head(Ok(())));
+        tell(FramingEvent::HeadComplete(Ok(())));
         self.part = match (self.length, self.chunked) {
             (_, true) => Part::ChunkSize,
             (Some(length), _) if length > 0 => Part::Body(length),
@@ -228,26 +228,26 @@
 }
 
 /// Takes in a header's line.
-fn header(line: &[u8], cut: bool, length: &mut Option<u64>, chunked: &mut bool) -> Result<(), Fault> {
+fn header(line: &[u8], cut: bool, length: &mut Option<u64>, chunked: &mut bool) -> Result<(), FramingError> {
     if line.first().is_some_and(|byte| matches!(byte, b' ' | b'\t')) {
-        return Err(Fault::Folded);
+        return Err(FramingError::FoldedHeader);
     }
     // A line without a colon is the parser's to refuse.
     let Some(colon) = line.iter().position(|byte| *byte == b':') else { return Ok(()) };
     let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
     if name.last().is_some_and(|byte| matches!(byte, b' ' | b'\t')) {
-        return Err(Fault::Folded);
+        return Err(FramingError::FoldedHeader);
     }
     if name.eq_ignore_ascii_case(b"content-length") {
         if length.is_some() {
-            return Err(Fault::Lengths);
+            return Err(FramingError::MultipleLengths);
         }
         let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit) && !cut;
         let number = std::str::from_utf8(value).ok().filter(|_| digits).and_then(|text| text.parse().ok());
-        *length = Some(number.ok_or(Fault::Length)?);
+        *length = Some(number.ok_or(FramingError::InvalidLength)?);
     } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
         if *chunked || cut || !value.eq_ignore_ascii_case(b"chunked") {
-            return Err(Fault::Coding);
+            return Err(FramingError::UnsupportedCoding);
         }
         *chunked = true;
     }
--- a/core/http-framing/src/tests.rs
+++ b/core/http-framing/src/tests.rs
@@ -2,21 +2,22 @@
 
 use super::*;
 
-fn signs(pieces: &[&[u8]]) -> Vec<Sign> {
-    let (mut follower, mut told) = (Follower::new(), Vec::new());
+fn signs(pieces: &[&[u8]]) -> Vec<FramingEvent> {
+    let (mut follower, mut told) = (RequestFramer::new(), Vec::new());
     pieces.iter().for_each(|piece| follower.feed(piece, &mut |sign| told.push(sign)));
     told
 }
 
-fn fault(head: &str) -> Option<Fault> {
+fn fault(head: &str) -> Option<FramingError> {
     let text = format!("POST /api HTTP/1.1\r\nHost: h\r\n{head}\r\n");
     signs(&[text.as_bytes()]).into_iter().find_map(|sign| match sign {
-        Sign::Head(result) => result.err(),
+        FramingEvent::HeadComplete(result) => result.err(),
         _ => None,
     })
 }
 
-const GOOD: [Sign; 3] = [Sign::Begun, Sign::Head(Ok(())), Sign::Whole];
+const GOOD: [FramingEvent; 3] =
+    [FramingEvent::Started, FramingEvent::HeadComplete(Ok(())), FramingEvent::MessageComplete];
 
 #[test]
 fn each_framing_ends_where_it_should() {
@@ -38,28 +39,34 @@
 #[test]
 fn what_can_be_read_in_two_ways_is_refused() {
     for (head, why) in [
-        ("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", Fault::Both),
-        ("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", Fault::Both),
-        ("Content-Length: 5\r\nContent-Length: 5\r\n", Fault::Lengths),
-        ("Content-Length: 5, 5\r\n", Fault::Length),
-        ("Content-Length: +5\r\n", Fault::Length),
-        ("Content-Length: 0x5\r\n", Fault::Length),
-        ("Content-Length:\r\n", Fault::Length),
-        ("Content-Length: 99999999999999999999\r\n", Fault::Length),
-        ("Transfer-Encoding: gzip, chunked\r\n", Fault::Coding),
-        ("Transfer-Encoding: chunked, identity\r\n", Fault::Coding),
-        ("Transfer-Encoding: xchunked\r\n", Fault::Coding),
-        ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Fault::Coding),
-        ("Transfer-Encoding : chunked\r\n", Fault::Folded),
-        ("Content-Length\t: 5\r\n", Fault::Folded),
-        ("X: a\r\n b\r\n", Fault::Folded),
+        ("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", FramingError::LengthAndCoding),
+        ("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", FramingError::LengthAndCoding),
+        ("Content-Length: 5\r\nContent-Length: 5\r\n", FramingError::MultipleLengths),
+        ("Content-Length: 5, 5\r\n", FramingError::InvalidLength),
+        ("Content-Length: +5\r\n", FramingError::InvalidLength),
+        ("Content-Length: 0x5\r\n", FramingError::InvalidLength),
+        ("Content-Length:\r\n", FramingError::InvalidLength),
+        ("Content-Length: 99999999999999999999\r\n", FramingError::InvalidLength),
+        ("Transfer-Encoding: gzip, chunked\r\n", FramingError::UnsupportedCoding),
+        ("Transfer-Encoding: chunked, identity\r\n", FramingError::UnsupportedCoding),
+        ("Transfer-Encoding: xchunked\r\n", FramingError::UnsupportedCoding),
+        ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", FramingError::UnsupportedCoding),
+        ("Transfer-Encoding : chunked\r\n", FramingError::FoldedHeader),
+        ("Content-Length\t: 5\r\n", FramingError::FoldedHeader),
+        ("X: a\r\n b\r\n", FramingError::FoldedHeader),
     ] {
         assert_eq!(fault(head), Some(why), "{head:?}");
     }
     let old = b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n";
-    assert_eq!(signs(&[old]), [Sign::Begun, Sign::Head(Err(Fault::Coding))]);
-    assert_eq!(fault(&format!("X: {}\r\n", "y".repeat(HEAD_MOST))), Some(Fault::TooLong));
-    assert_eq!(fault(&format!("Content-Length: {}5\r\n", "0".repeat(LINE_MOST))), Some(Fault::Length));
+    assert_eq!(
+        signs(&[old]),
+        [FramingEvent::Started, FramingEvent::HeadComplete(Err(FramingError::UnsupportedCoding))]
+    );
+    assert_eq!(fault(&format!("X: {}\r\n", "y".repeat(HEAD_MOST))), Some(FramingError::TooLong));
+    assert_eq!(
+        fault(&format!("Content-Length: {}5\r\n", "0".repeat(LINE_MOST))),
+        Some(FramingError::InvalidLength)
+    );
 }
 
 #[test]
@@ -70,7 +77,11 @@
         let text =
             format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}GET / HTTP/1.1\r\n\r\n");
         let told = signs(&[text.as_bytes()]);
-        assert_eq!(told.last(), Some(&Sign::Broken(Fault::Chunk)), "{chunks:?}: {told:?}");
+        assert_eq!(
+            told.last(),
+            Some(&FramingEvent::BodyInvalid(FramingError::InvalidChunk)),
+            "{chunks:?}: {told:?}"
+        );
     }
 }
 
@@ -109,7 +120,7 @@
     /// Nothing that comes panics it or makes it keep more than a line's beginning.
     #[test]
     fn anything_is_taken(pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 0..20)) {
-        let mut follower = Follower::new();
+        let mut follower = RequestFramer::new();
         for piece in pieces {
             follower.feed(&piece, &mut |_| {});
             prop_assert!(follower.line.len() <= LINE_MOST);
--- a/core/lifecycle/src/lib.rs
+++ b/core/lifecycle/src/lib.rs
@@ -1,14 +1,14 @@
 //! A node's way into and out of service: active, emptied by its operators, stopping, closed. One state that readiness,
 //! the client side and the process's end all read; no flags beside it. It does no I/O and knows no clock: what has to
-//! happen later is asked for with [`Step::wake`] and comes back as [`Event::Due`].
+//! happen later is asked for with [`Transition::timer`] and comes back as [`Event::TimerFired`].
 
 use std::time::Duration;
 
 /// After a call to stand by, as after SIGTERM, new connections go on coming for a while (0.4 s at most, by the
 /// platform's protocol), and those who have one send what they had begun to write: up to here.
-const STILL_TAKES: Duration = Duration::from_millis(500);
+const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(500);
 /// Connections that cross the closing of idle ones are taken up to here after that.
-const LAST_ONES: Duration = Duration::from_millis(100);
+const CLOSE_ACCEPT_PERIOD: Duration = Duration::from_millis(100);
 
 /// Where a node stands. The order is that of the way out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,19 +61,19 @@
     Stop,
     /// Another process takes what comes at the same listening socket from now on, or does so no longer.
     Shared(bool),
-    /// The time that [`Step::wake`] asked for is over.
-    Due(u64),
+    /// The time that [`Transition::timer`] asked for is over.
+    TimerFired(u64),
 }
 
 /// What an event has led to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Step {
+pub struct Transition {
     /// Where the node stands now.
     pub stage: Stage,
     /// Whether what was asked for holds: false for a call that comes too late.
     pub granted: bool,
     /// Come back after so long with this number.
-    pub wake: Option<(Duration, u64)>,
+    pub timer: Option<(Duration, u64)>,
 }
 
 /// The state machine.
@@ -97,26 +97,26 @@
     }
 
     /// Takes in what the node is told. Calls that ask for what is so already change nothing and are granted.
-    pub fn handle(&mut self, event: Event) -> Step {
+    pub fn handle(&mut self, event: Event) -> Transition {
         use Stage::{Active, Closed, Closing, Draining, Empty, Stopping};
         let stage = self.stage;
         match event {
-            Event::Standby if stage == Active => self.enter(Draining, Some(STILL_TAKES)),
+            Event::Standby if stage == Active => self.enter(Draining, Some(DRAIN_ACCEPT_PERIOD)),
             // Whoever ends is empty soon, which is what was asked for.
             Event::Standby => self.stay(true),
             Event::Active if matches!(stage, Draining | Empty) => self.enter(Active, None),
             Event::Active => self.stay(stage == Active),
             // Also out of a drain: the platform sends connections for a while after the signal as after the call.
-            Event::Stop if stage < Stopping => self.enter(Stopping, Some(STILL_TAKES)),
+            Event::Stop if stage < Stopping => self.enter(Stopping, Some(DRAIN_ACCEPT_PERIOD)),
             Event::Stop => self.stay(true),
             Event::Shared(shared) => {
                 self.shared = shared;
                 self.stay(true)
             }
-            Event::Due(token) if token != self.token => self.stay(true),
-            Event::Due(_) => match stage {
+            Event::TimerFired(token) if token != self.token => self.stay(true),
+            Event::TimerFired(_) => match stage {
                 Draining => self.enter(Empty, None),
-                Stopping => self.enter(Closing, Some(LAST_ONES)),
+                Stopping => self.enter(Closing, Some(CLOSE_ACCEPT_PERIOD)),
                 Closing => self.enter(Closed, None),
                 Active | Empty | Closed => self.stay(true),
             },
@@ -129,14 +129,14 @@
         self.stage.accepts() && !(self.shared && self.stage >= Stage::Stopping)
     }
 
-    fn enter(&mut self, stage: Stage, after: Option<Duration>) -> Step {
+    fn enter(&mut self, stage: Stage, after: Option<Duration>) -> Transition {
         self.stage = stage;
         self.token += 1;
-        Step { stage, granted: true, wake: after.map(|after| (after, self.token)) }
+        Transition { stage, granted: true, timer: after.map(|after| (after, self.token)) }
     }
 
-    fn stay(&self, granted: bool) -> Step {
-        Step { stage: self.stage, granted, wake: None }
+    fn stay(&self, granted: bool) -> Transition {
+        Transition { stage: self.stage, granted, timer: None }
     }
 }
 
--- a/core/lifecycle/src/tests.rs
+++ b/core/lifecycle/src/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-fn due(step: Step) -> Event {
-    Event::Due(step.wake.expect("a wake-up").1)
+fn due(step: Transition) -> Event {
+    Event::TimerFired(step.timer.expect("a wake-up").1)
 }
 
 #[test]
@@ -14,7 +14,7 @@
     assert!(!first.stage.is_ready() && first.stage.accepts() && !first.stage.closes_idle());
     assert_eq!(
         life.handle(Event::Standby),
-        Step { wake: None, ..first },
+        Transition { timer: None, ..first },
         "again: the same, and no second wait"
     );
     assert!(life.handle(due(first)).stage.closes_idle());
@@ -37,7 +37,7 @@
 
 #[test]
 fn a_stop_goes_on_whatever_is_called_meanwhile() {
-    for before in [&[][..], &[Event::Standby], &[Event::Standby, Event::Due(1)]] {
+    for before in [&[][..], &[Event::Standby], &[Event::Standby, Event::TimerFired(1)]] {
         let mut life = Lifecycle::new();
         for event in before {
             life.handle(*event);
@@ -46,7 +46,7 @@
         assert_eq!(stop.stage, Stage::Stopping);
         assert!(life.handle(Event::Standby).granted, "it empties itself");
         assert!(!life.handle(Event::Active).granted, "too late");
-        assert_eq!(life.handle(Event::Stop).wake, None);
+        assert_eq!(life.handle(Event::Stop).timer, None);
         let closing = life.handle(due(stop));
         assert_eq!(closing.stage, Stage::Closing);
         assert_eq!(life.handle(due(closing)).stage, Stage::Closed);
@@ -78,7 +78,7 @@
                 1 => Event::Active,
                 2 => Event::Stop,
                 3 => Event::Shared(token % 2 == 0),
-                _ => Event::Due(token),
+                _ => Event::TimerFired(token),
             };
             let step = life.handle(event);
             prop_assert_eq!(step.stage, life.stage());
@@ -86,7 +86,7 @@
                 prop_assert!(step.stage >= before);
             }
             let passes = matches!(step.stage, Stage::Draining | Stage::Stopping | Stage::Closing);
-            prop_assert_eq!(step.wake.is_some(), step.stage != before && passes);
+            prop_assert_eq!(step.timer.is_some(), step.stage != before && passes);
             prop_assert_eq!(step.stage.is_ready(), step.stage == Stage::Active);
         }
     }
--- a/core/membership/src/api.rs
+++ b/core/membership/src/api.rs
@@ -11,7 +11,7 @@
 pub type MemberId = u64;
 
 /// A fact's body is no longer: dozens have to fit into one datagram.
-pub const BODY_MOST: usize = 64;
+pub const MAX_ITEM_LENGTH: usize = 64;
 
 /// What the core is told at its start.
 #[derive(Clone)]
@@ -23,13 +23,13 @@
     /// Its zone, by position.
     pub zone: u8,
     /// Its start, in Unix time: of two lives of a node the later one counts.
-    pub life: Nanos,
+    pub incarnation: Nanos,
     /// Whom to ask first.
     pub seeds: Vec<SocketAddr>,
     /// What all members know and nobody else.
     pub key: Key,
     /// How many members are expected, this one included: how often news is passed on follows from it.
-    pub nodes: u32,
+    pub node_count: u32,
     /// Drives all draws.
     pub seed: u64,
 }
@@ -41,10 +41,10 @@
     Start,
     /// A datagram has come.
     Datagram(&'a [u8]),
-    /// The time asked for by [`Action::Wake`] has come.
-    Wake,
-    /// This member says something of itself: at most [`BODY_MOST`] bytes.
-    Say {
+    /// The time asked for by [`Action::SetTimer`] has come.
+    TimerFired,
+    /// This member says something of itself: at most [`MAX_ITEM_LENGTH`] bytes.
+    Broadcast {
         /// On which topic.
         topic: u16,
         /// What; nobody here reads it.
@@ -56,13 +56,13 @@
 
 /// Why a datagram was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Dropped {
+pub enum DropReason {
     /// Of another version, or too long or short to be one.
-    Form,
+    Malformed,
     /// Its keyed hash is wrong: somebody else's.
-    Stranger,
+    Unauthenticated,
     /// A member sent it, and it can't be read.
-    Content,
+    Undecodable,
 }
 
 /// What the core says.
@@ -75,13 +75,13 @@
         /// The datagram.
         datagram: Vec<u8>,
     },
-    /// [`Event::Wake`] is wanted at this time; replaces the wish before.
-    Wake {
+    /// [`Event::TimerFired`] is wanted at this time; replaces the wish before.
+    SetTimer {
         /// When.
         at: Nanos,
     },
     /// Another member is there, or no longer. One that is there already has started anew.
-    Member {
+    MemberChanged {
         /// Which.
         member: MemberId,
         /// Its zone, by position.
@@ -92,7 +92,7 @@
         up: bool,
     },
     /// Another member has said something new.
-    Said {
+    Received {
         /// Which.
         member: MemberId,
         /// On which topic.
@@ -103,5 +103,5 @@
         body: Vec<u8>,
     },
     /// A datagram was dropped.
-    Dropped(Dropped),
+    DatagramDropped(DropReason),
 }
--- a/core/membership/src/facts.rs
+++ b/core/membership/src/facts.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{BODY_MOST, MemberId, Nanos};
+use crate::{MAX_ITEM_LENGTH, MemberId, Nanos};
 
 /// Facts that are kept: sixteen topics of two thousand members. What is beyond is not taken; its members' own nodes
 /// still act on it.
@@ -14,39 +14,39 @@
 
 /// Which of two facts is the later one: by the member's start, then by its count since.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Version {
+pub struct GossipVersion {
     /// The member's start.
-    pub life: Nanos,
+    pub incarnation: Nanos,
     /// Rises with everything that it says.
     pub count: u32,
 }
 
 /// What a member says.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Fact {
+pub struct GossipItem {
     /// Who.
     pub member: MemberId,
     /// On which topic.
     pub topic: u16,
     /// How late among all that it says.
-    pub version: Version,
+    pub version: GossipVersion,
     /// When, by its clock.
-    pub sent: Nanos,
+    pub sent_at: Nanos,
     /// What.
     pub body: Vec<u8>,
 }
 
 /// Facts, the latest of each member and topic.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Facts {
-    known: BTreeMap<(MemberId, u16), Fact>,
+pub struct GossipStore {
+    known: BTreeMap<(MemberId, u16), GossipItem>,
 }
 
-impl Facts {
+impl GossipStore {
     /// Takes a fact in; whether it is news.
-    pub fn merge(&mut self, fact: Fact) -> bool {
+    pub fn merge(&mut self, fact: GossipItem) -> bool {
         let full = self.known.len() >= MOST;
-        if fact.body.len() > BODY_MOST {
+        if fact.body.len() > MAX_ITEM_LENGTH {
             return false;
         }
         match self.known.entry((fact.member, fact.topic)) {
@@ -74,7 +74,7 @@
     }
 
     /// The latest on a topic by a member.
-    pub fn get(&self, member: MemberId, topic: u16) -> Option<&Fact> {
+    pub fn get(&self, member: MemberId, topic: u16) -> Option<&GossipItem> {
         self.known.get(&(member, topic))
     }
 
--- a/core/membership/src/identity.rs
+++ b/core/membership/src/identity.rs
@@ -8,7 +8,7 @@
 
 /// A life of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Identity {
+pub(crate) struct MemberIdentity {
     pub(crate) at: SocketAddr,
     pub(crate) member: MemberId,
     pub(crate) zone: u8,
@@ -16,14 +16,14 @@
     pub(crate) life: Nanos,
 }
 
-impl Identity {
+impl MemberIdentity {
     /// One of which only the address is known: good for asking it to let this node in.
     pub(crate) fn unknown(at: SocketAddr) -> Self {
         Self { at, member: 0, zone: 0, life: 0 }
     }
 }
 
-impl foca::Identity for Identity {
+impl foca::Identity for MemberIdentity {
     type Addr = SocketAddr;
 
     fn renew(&self) -> Option<Self> {
--- a/core/membership/src/lib.rs
+++ b/core/membership/src/lib.rs
@@ -12,10 +12,10 @@
 mod peers;
 mod seal;
 
-pub use api::{Action, BODY_MOST, Dropped, Event, MemberId, Nanos, Settings};
-pub use facts::{Fact, Facts, Version};
-pub use peers::Peers;
-pub use seal::{DATAGRAM_MOST, Key, KeyError, member_id};
+pub use api::{Action, DropReason, Event, MAX_ITEM_LENGTH, MemberId, Nanos, Settings};
+pub use facts::{GossipItem, GossipStore, GossipVersion};
+pub use peers::Membership;
+pub use seal::{Key, KeyError, MAX_DATAGRAM_LENGTH, member_id};
 
 pub(crate) const MS: Nanos = 1_000_000;
 pub(crate) const SECOND: Nanos = 1000 * MS;
--- a/core/membership/src/peers.rs
+++ b/core/membership/src/peers.rs
@@ -13,10 +13,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::api::{Action, Dropped, Event, MemberId, Nanos, Settings};
-use crate::facts::{Fact, Facts, Version};
-use crate::identity::Identity;
-use crate::seal::CONTENT_MOST;
+use crate::api::{Action, DropReason, Event, MemberId, Nanos, Settings};
+use crate::facts::{GossipItem, GossipStore, GossipVersion};
+use crate::identity::MemberIdentity;
+use crate::seal::MAX_CONTENT_LENGTH;
 use crate::{MS, SECOND};
 
 /// A member is asked for life this often, and its answer is waited for so long before others are asked to try.
@@ -39,8 +39,8 @@
 /// What is kept of the facts, and which of them are news.
 #[derive(Default)]
 struct Heard {
-    facts: Facts,
-    news: Vec<Fact>,
+    facts: GossipStore,
+    news: Vec<GossipItem>,
 }
 
 /// Foca's view of the facts.
@@ -49,7 +49,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct FactKey {
     of: (MemberId, u16),
-    version: Version,
+    version: GossipVersion,
 }
 
 impl Invalidates for FactKey {
@@ -58,16 +58,16 @@
     }
 }
 
-impl BroadcastHandler<Identity> for Handler {
+impl BroadcastHandler<MemberIdentity> for Handler {
     type Key = FactKey;
     type Error = postcard::Error;
 
     fn receive_item(
         &mut self,
         data: &[u8],
-        sender: Option<&Identity>,
+        sender: Option<&MemberIdentity>,
     ) -> Result<Option<FactKey>, Self::Error> {
-        let fact: Fact = postcard::from_bytes(data)?;
+        let fact: GossipItem = postcard::from_bytes(data)?;
         let key = FactKey { of: (fact.member, fact.topic), version: fact.version };
         let mut heard = self.0.borrow_mut();
         if !heard.facts.merge(fact.clone()) {
@@ -84,13 +84,13 @@
 #[derive(Default)]
 struct Calls {
     sends: Vec<(SocketAddr, Vec<u8>)>,
-    timers: Vec<(Duration, Timer<Identity>)>,
-    members: Vec<(Identity, bool)>,
-    renamed: Vec<Identity>,
+    timers: Vec<(Duration, Timer<MemberIdentity>)>,
+    members: Vec<(MemberIdentity, bool)>,
+    renamed: Vec<MemberIdentity>,
 }
 
-impl Runtime<Identity> for &mut Calls {
-    fn notify(&mut self, notification: Notification<'_, Identity>) {
+impl Runtime<MemberIdentity> for &mut Calls {
+    fn notify(&mut self, notification: Notification<'_, MemberIdentity>) {
         match notification {
             Notification::MemberUp(member) => self.members.push((*member, true)),
             Notification::MemberDown(member) => self.members.push((*member, false)),
@@ -100,22 +100,22 @@
         }
     }
 
-    fn send_to(&mut self, to: Identity, data: &[u8]) {
+    fn send_to(&mut self, to: MemberIdentity, data: &[u8]) {
         self.sends.push((to.at, data.to_vec()));
     }
 
-    fn submit_after(&mut self, event: Timer<Identity>, after: Duration) {
+    fn submit_after(&mut self, event: Timer<MemberIdentity>, after: Duration) {
         self.timers.push((after, event));
     }
 }
 
 /// One node among its peers.
-pub struct Peers {
+pub struct Membership {
     settings: Settings,
-    foca: Foca<Identity, PostcardCodec, SmallRng, Handler>,
+    foca: Foca<MemberIdentity, PostcardCodec, SmallRng, Handler>,
     heard: Rc<RefCell<Heard>>,
     /// Foca's, by time and then in the order in which they were set: some for each member at the most.
-    timers: BTreeMap<(Nanos, u64), Timer<Identity>>,
+    timers: BTreeMap<(Nanos, u64), Timer<MemberIdentity>>,
     next: u64,
     count: u32,
     /// When the seeds are asked again, while nobody is known.
@@ -127,11 +127,11 @@
     left: bool,
 }
 
-impl Peers {
+impl Membership {
     /// A node that knows nobody yet.
     pub fn new(settings: Settings) -> Self {
-        let Settings { member, advertise, zone, life, nodes, seed, .. } = settings;
-        let identity = Identity { at: advertise, member, zone, life };
+        let Settings { member, advertise, zone, incarnation: life, node_count: nodes, seed, .. } = settings;
+        let identity = MemberIdentity { at: advertise, member, zone, life };
         let heard = Rc::<RefCell<Heard>>::default();
         let foca = Foca::with_custom_broadcast(
             identity,
@@ -174,13 +174,13 @@
                     if let Err(error) = self.foca.handle_data(content, &mut calls)
                         && !matches!(error, foca::Error::DataFromOurselves)
                     {
-                        actions.push(Action::Dropped(Dropped::Content));
+                        actions.push(Action::DatagramDropped(DropReason::Undecodable));
                     }
                 }
-                Err(dropped) => actions.push(Action::Dropped(dropped)),
+                Err(dropped) => actions.push(Action::DatagramDropped(dropped)),
             },
-            Event::Wake => self.wake = None,
-            Event::Say { topic, body } => self.say(now, topic, body),
+            Event::TimerFired => self.wake = None,
+            Event::Broadcast { topic, body } => self.say(now, topic, body),
             Event::Leave => {
                 let _ = self.foca.leave_cluster(&mut calls);
                 self.left = true;
@@ -194,8 +194,9 @@
 
     fn say(&mut self, now: Nanos, topic: u16, body: &[u8]) {
         self.count = self.count.saturating_add(1);
-        let version = Version { life: self.settings.life, count: self.count };
-        let fact = Fact { member: self.settings.member, topic, version, sent: now, body: body.to_vec() };
+        let version = GossipVersion { incarnation: self.settings.incarnation, count: self.count };
+        let fact =
+            GossipItem { member: self.settings.member, topic, version, sent_at: now, body: body.to_vec() };
         if let Ok(data) = postcard::to_allocvec(&fact)
             && self.foca.add_broadcast(&data).unwrap_or(false)
         {
@@ -212,7 +213,7 @@
         self.join = Some(now.saturating_add(JOIN));
         for at in self.settings.seeds.clone() {
             if at != self.settings.advertise {
-                let _ = self.foca.announce(Identity::unknown(at), &mut *calls);
+                let _ = self.foca.announce(MemberIdentity::unknown(at), &mut *calls);
             }
         }
     }
@@ -251,21 +252,23 @@
         for (to, content) in calls.sends {
             actions.push(Action::Send { to, datagram: self.settings.key.seal(&content) });
         }
-        for (Identity { at, member, zone, .. }, up) in calls.members {
+        for (MemberIdentity { at, member, zone, .. }, up) in calls.members {
             if !up {
                 self.heard.borrow_mut().facts.forget(member);
             }
-            actions.push(Action::Member { member, zone, at, up });
+            actions.push(Action::MemberChanged { member, zone, at, up });
         }
-        for Fact { member, topic, sent, body, .. } in std::mem::take(&mut self.heard.borrow_mut().news) {
-            actions.push(Action::Said { member, topic, sent, body });
+        for GossipItem { member, topic, sent_at: sent, body, .. } in
+            std::mem::take(&mut self.heard.borrow_mut().news)
+        {
+            actions.push(Action::Received { member, topic, sent, body });
         }
         let alone = self.join.filter(|_| self.foca.num_members() == 0);
         let timer = self.timers.keys().next().map(|(at, _)| *at);
         let next = [timer, alone, self.spread].into_iter().flatten().min();
         if let Some(at) = next.filter(|_| !self.left && next != self.wake) {
             self.wake = Some(at);
-            actions.push(Action::Wake { at });
+            actions.push(Action::SetTimer { at });
         }
     }
 }
@@ -282,7 +285,7 @@
         max_transmissions: NonZeroU8::new(4 * tens.ceil() as u8).unwrap_or(NonZeroU8::MIN),
         suspect_to_down_after: Duration::from_secs_f64(SUSPECT * tens),
         remove_down_after: Some(GONE),
-        max_packet_size: NonZeroUsize::new(CONTENT_MOST).unwrap_or(NonZeroUsize::MIN),
+        max_packet_size: NonZeroUsize::new(MAX_CONTENT_LENGTH).unwrap_or(NonZeroUsize::MIN),
         notify_down_members: true,
         periodic_announce: every(ASK, NonZeroUsize::MIN),
         periodic_announce_to_down_members: every(ASK_GONE, NonZeroUsize::MIN),
--- a/core/membership/src/seal.rs
+++ b/core/membership/src/seal.rs
@@ -5,7 +5,7 @@
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::{Digest, Sha256};
 
-use crate::{Dropped, MemberId};
+use crate::{DropReason, MemberId};
 
 /// The version of the datagrams; others are dropped.
 const VERSION: u8 = 1;
@@ -13,9 +13,9 @@
 const HASH: usize = 16;
 const HEAD: usize = 1 + HASH;
 /// Longest content: with the head it fits into every network's frames.
-pub(crate) const CONTENT_MOST: usize = 1200;
+pub(crate) const MAX_CONTENT_LENGTH: usize = 1200;
 /// Longest datagram.
-pub const DATAGRAM_MOST: usize = HEAD + CONTENT_MOST;
+pub const MAX_DATAGRAM_LENGTH: usize = HEAD + MAX_CONTENT_LENGTH;
 /// Fewest and most bytes of a key.
 const KEY_BYTES: std::ops::RangeInclusive<usize> = 16..=128;
 
@@ -56,13 +56,13 @@
     }
 
     /// A datagram's content.
-    pub(crate) fn open<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], Dropped> {
-        let (head, content) = datagram.split_at_checked(HEAD).ok_or(Dropped::Form)?;
-        if head[0] != VERSION || content.is_empty() || content.len() > CONTENT_MOST {
-            return Err(Dropped::Form);
+    pub(crate) fn open<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], DropReason> {
+        let (head, content) = datagram.split_at_checked(HEAD).ok_or(DropReason::Malformed)?;
+        if head[0] != VERSION || content.is_empty() || content.len() > MAX_CONTENT_LENGTH {
+            return Err(DropReason::Malformed);
         }
         // In constant time.
-        self.hash(content).verify_truncated_left(&head[1..]).map_err(|_| Dropped::Stranger)?;
+        self.hash(content).verify_truncated_left(&head[1..]).map_err(|_| DropReason::Unauthenticated)?;
         Ok(content)
     }
 }
--- a/core/membership/tests/fleet.rs
+++ b/core/membership/tests/fleet.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use badgerpost_membership::{Action, Event, Key, Peers, Settings, member_id};
+use badgerpost_membership::{Action, Event, Key, Membership, Settings, member_id};
 
 const MS: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MS;
@@ -17,7 +17,7 @@
 
 struct Fleet {
     now: u64,
-    members: Vec<Option<Peers>>,
+    members: Vec<Option<Membership>>,
     wakes: Vec<u64>,
     queue: BTreeMap<(u64, u64), Due>,
     next: u64,
@@ -55,14 +55,14 @@
     }
 
     fn start(&mut self, member: usize, count: usize) {
-        self.members[member] = Some(Peers::new(Settings {
+        self.members[member] = Some(Membership::new(Settings {
             member: member_id(&format!("n{member}")),
             advertise: at(member),
             zone: (member % 3) as u8,
-            life: self.now,
+            incarnation: self.now,
             seeds: (0..3).map(at).collect(),
             key: Key::read("a key for a test").unwrap(),
-            nodes: count as u32,
+            node_count: count as u32,
             seed: self.random ^ member as u64,
         }));
         self.tell(member, Event::Start);
@@ -93,16 +93,16 @@
                     self.queue.insert((self.now + delay, self.next), Due::Comes(to, datagram));
                     self.next += 1;
                 }
-                Action::Wake { at } => {
+                Action::SetTimer { at } => {
                     self.wakes[member] = at;
                     self.queue.insert((at, self.next), Due::Wake(member, at));
                     self.next += 1;
                 }
-                Action::Said { member: of, .. } => {
+                Action::Received { member: of, .. } => {
                     self.heard.entry((member, of)).or_insert(self.now);
                 }
-                Action::Member { .. } => {}
-                Action::Dropped(dropped) => panic!("{dropped:?}"),
+                Action::MemberChanged { .. } => {}
+                Action::DatagramDropped(dropped) => panic!("{dropped:?}"),
             }
         }
     }
@@ -113,7 +113,7 @@
             let ((at, _), due) = first.remove_entry();
             self.now = at;
             match due {
-                Due::Wake(member, at) if self.wakes[member] == at => self.tell(member, Event::Wake),
+                Due::Wake(member, at) if self.wakes[member] == at => self.tell(member, Event::TimerFired),
                 Due::Wake(..) => {}
                 Due::Comes(member, datagram) => self.tell(member, Event::Datagram(&datagram)),
             }
@@ -122,7 +122,7 @@
     }
 
     fn known(&self) -> Vec<usize> {
-        self.members.iter().flatten().map(Peers::members).collect()
+        self.members.iter().flatten().map(Membership::members).collect()
     }
 }
 
@@ -139,7 +139,7 @@
     let (said, before) = (fleet.now, total(&fleet));
     for round in 0..4u8 {
         for member in (0..count).step_by(3) {
-            fleet.tell(member, Event::Say { topic: 1, body: &[round; 12] });
+            fleet.tell(member, Event::Broadcast { topic: 1, body: &[round; 12] });
         }
         fleet.run(250 * MS);
     }
--- a/core/membership/tests/join.rs
+++ b/core/membership/tests/join.rs
@@ -1,23 +1,24 @@
 //! Facts merge to the same whatever the order, and however often.
 
-use badgerpost_membership::{Fact, Facts, Version};
+use badgerpost_membership::{GossipItem, GossipStore, GossipVersion};
 use proptest::prelude::*;
 
-fn fact() -> impl Strategy<Value = Fact> {
-    let version = (0..3u64, 0..4u32).prop_map(|(life, count)| Version { life, count });
-    (0..4u64, 0..3u16, version, 0..2u64, prop::collection::vec(any::<u8>(), 0..3))
-        .prop_map(|(member, topic, version, sent, body)| Fact { member, topic, version, sent, body })
+fn fact() -> impl Strategy<Value = GossipItem> {
+    let version = (0..3u64, 0..4u32).prop_map(|(life, count)| GossipVersion { incarnation: life, count });
+    (0..4u64, 0..3u16, version, 0..2u64, prop::collection::vec(any::<u8>(), 0..3)).prop_map(
+        |(member, topic, version, sent, body)| GossipItem { member, topic, version, sent_at: sent, body },
+    )
 }
 
-fn facts(of: &[Fact]) -> Facts {
-    let mut facts = Facts::default();
+fn facts(of: &[GossipItem]) -> GossipStore {
+    let mut facts = GossipStore::default();
     of.iter().for_each(|fact| {
         facts.merge(fact.clone());
     });
     facts
 }
 
-fn joined(one: &Facts, other: &Facts) -> Facts {
+fn joined(one: &GossipStore, other: &GossipStore) -> GossipStore {
     let mut both = one.clone();
     both.join(other);
     both
--- a/core/postgres-session/fuzz/harness.rs
+++ b/core/postgres-session/fuzz/harness.rs
@@ -1,19 +1,20 @@
 //! Any bytes as a client's start-up, as its messages and as a server's, cut anywhere, with losses between: shared by the
 //! fuzz target and the test that plays its corpus.
 
-use badgerpost_postgres_session::frame::Cutter;
-use badgerpost_postgres_session::session::{Action, Event, HELD, ServerState, Session};
+use badgerpost_postgres_session::frame::FrameDecoder;
+use badgerpost_postgres_session::session::{Action, Event, MAX_BUFFERED_BYTES, ServerState, Session};
 use badgerpost_postgres_session::settings::ClientSettings;
-use badgerpost_postgres_session::startup::{First, Startup};
+use badgerpost_postgres_session::startup::{StartupPacket, StartupReader};
 
 /// Plays an input. Its bytes are commands: who speaks, how many bytes, and these; or what happens.
 pub fn play(input: &[u8]) {
-    let mut startup = Startup::default();
+    let mut startup = StartupReader::default();
     startup.push(input);
-    if let Ok(Some(First::Session(message))) = startup.take() {
+    if let Ok(Some(StartupPacket::Session(message))) = startup.take() {
         let _ = ClientSettings::new(&message.parameters, &Default::default());
     }
-    let (mut session, mut client, mut server) = (Session::default(), Cutter::default(), Cutter::default());
+    let (mut session, mut client, mut server) =
+        (Session::default(), FrameDecoder::default(), FrameDecoder::default());
     let (mut attached, mut asked, mut ended) = (false, false, false);
     let mut rest = input;
     while let Some((&command, tail)) = rest.split_first() {
@@ -74,5 +75,5 @@
 /// Whether a session has a reason not to be read from: too much is held, or too many groups wait.
 fn session_is_full(session: &Session) -> bool {
     let (held, groups) = session.backlog();
-    held >= HELD || groups >= 64
+    held >= MAX_BUFFERED_BYTES || groups >= 64
 }
--- a/core/postgres-session/src/answer.rs
+++ b/core/postgres-session/src/answer.rs
@@ -7,7 +7,7 @@
 
 /// Why a statement has no answer of a server's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reason {
+pub enum ErrorReason {
     /// There is no room: it never ran, and trying again is harmless, but not sooner than this many milliseconds.
     Refused {
         /// From now on.
@@ -37,7 +37,7 @@
     Unsupported,
 }
 
-impl Reason {
+impl ErrorReason {
     /// Its SQLSTATE.
     pub fn sqlstate(self) -> &'static str {
         match self {
@@ -113,7 +113,7 @@
 }
 
 /// `ErrorResponse`.
-pub fn error(reason: Reason, detail: Option<&str>) -> Frame {
+pub fn error(reason: ErrorReason, detail: Option<&str>) -> Frame {
     let severity = if reason.is_fatal() { "FATAL" } else { "ERROR" };
     let hint = reason.hint();
     let fields = [
@@ -173,7 +173,7 @@
 
 /// Where a session's transaction stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Status {
+pub enum TransactionStatus {
     /// In none.
     #[default]
     Idle,
@@ -183,7 +183,7 @@
     Failed,
 }
 
-impl Status {
+impl TransactionStatus {
     /// As `ReadyForQuery` tells it.
     pub fn read(byte: u8) -> Option<Self> {
         match byte {
--- a/core/postgres-session/src/answer/tests.rs
+++ b/core/postgres-session/src/answer/tests.rs
@@ -25,10 +25,10 @@
 
 #[test]
 fn errors_are_read_by_others() {
-    let refused = fields(&error(Reason::Refused { wait_ms: 250 }, Some("a\0b")));
+    let refused = fields(&error(ErrorReason::Refused { wait_ms: 250 }, Some("a\0b")));
     let value = |of: u8| refused.iter().find(|(field, _)| *field == of).map(|(_, value)| value.as_str());
     assert_eq!((value(b'C'), value(b'S'), value(b'D')), (Some("53300"), Some("ERROR"), Some("ab")));
     assert!(value(b'H').is_some_and(|hint| hint.contains("250 ms")));
-    let stopping = fields(&error(Reason::Stopping, None));
+    let stopping = fields(&error(ErrorReason::Stopping, None));
     assert!(stopping.contains(&(b'S', "FATAL".to_owned())));
 }
--- a/core/postgres-session/src/frame.rs
+++ b/core/postgres-session/src/frame.rs
@@ -4,9 +4,9 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
 /// No frame that is looked at is longer: a statement's text has to fit.
-pub const MOST_FRAME: usize = 1024 * 1024;
+pub const MAX_FRAME_LENGTH: usize = 1024 * 1024;
 /// A piece of a frame that passes is no longer.
-pub const MOST_PIECE: usize = 16 * 1024;
+pub const MAX_CHUNK_LENGTH: usize = 16 * 1024;
 const HEAD: usize = 5;
 
 /// A whole frame.
@@ -47,11 +47,11 @@
 
 /// What has come of a connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Cut {
+pub enum DecodeResult {
     /// A whole frame.
     Frame(Frame),
     /// A piece of a frame that passes unread: its bytes on the wire, from the tag on.
-    Piece {
+    Chunk {
         /// The frame's tag.
         tag: u8,
         /// The bytes.
@@ -63,7 +63,7 @@
 
 /// Bytes that are no frames.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum BadFrame {
+pub enum FrameError {
     /// A length that does not even count itself.
     #[error("message {:?} has length {length}", char::from(*tag))]
     Short {
@@ -73,7 +73,7 @@
         length: u32,
     },
     /// Longer than anything that makes sense.
-    #[error("message {:?} has {length} bytes; {MOST_FRAME} are the most", char::from(*tag))]
+    #[error("message {:?} has {length} bytes; {MAX_FRAME_LENGTH} are the most", char::from(*tag))]
     Long {
         /// Its tag.
         tag: u8,
@@ -82,9 +82,9 @@
     },
 }
 
-/// Cuts a connection's bytes into frames. Holds one frame of [`MOST_FRAME`] at most, and what was read with it.
+/// Cuts a connection's bytes into frames. Holds one frame of [`MAX_FRAME_LENGTH`] at most, and what was read with it.
 #[derive(Debug, Default)]
-pub struct Cutter {
+pub struct FrameDecoder {
     bytes: BytesMut,
     /// What is left of a frame that passes in pieces.
     passing: Option<(u8, usize)>,
@@ -95,7 +95,7 @@
     matches!(tag, b'D' | b'd')
 }
 
-impl Cutter {
+impl FrameDecoder {
     /// Adds what has come. `from_client`: there a `D` asks to describe, and only `d` passes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
@@ -114,16 +114,16 @@
     }
 
     /// The next frame or piece from a server.
-    pub fn next_from_server(&mut self) -> Result<Option<Cut>, BadFrame> {
+    pub fn next_from_server(&mut self) -> Result<Option<DecodeResult>, FrameError> {
         self.cut(passes)
     }
 
     /// The next frame or piece from a client; a client's `D` asks to describe.
-    pub fn next_from_client(&mut self) -> Result<Option<Cut>, BadFrame> {
+    pub fn next_from_client(&mut self) -> Result<Option<DecodeResult>, FrameError> {
         self.cut(|tag| tag == b'd')
     }
 
-    fn cut(&mut self, passes: impl Fn(u8) -> bool) -> Result<Option<Cut>, BadFrame> {
+    fn cut(&mut self, passes: impl Fn(u8) -> bool) -> Result<Option<DecodeResult>, FrameError> {
         if let Some((tag, left)) = self.passing {
             return Ok(self.pass(tag, left));
         }
@@ -133,32 +133,32 @@
         let tag = self.bytes[0];
         let length = u32::from_be_bytes([self.bytes[1], self.bytes[2], self.bytes[3], self.bytes[4]]);
         if length < 4 {
-            return Err(BadFrame::Short { tag, length });
+            return Err(FrameError::Short { tag, length });
         }
         let whole = length as usize + 1;
         if passes(tag) {
             return Ok(self.pass(tag, whole));
         }
-        if length as usize > MOST_FRAME {
-            return Err(BadFrame::Long { tag, length });
+        if length as usize > MAX_FRAME_LENGTH {
+            return Err(FrameError::Long { tag, length });
         }
         if self.bytes.len() < whole {
             return Ok(None);
         }
         let mut frame = self.bytes.split_to(whole).freeze();
         frame.advance(HEAD);
-        Ok(Some(Cut::Frame(Frame { tag, body: frame })))
+        Ok(Some(DecodeResult::Frame(Frame { tag, body: frame })))
     }
 
-    fn pass(&mut self, tag: u8, left: usize) -> Option<Cut> {
-        let piece = left.min(self.bytes.len()).min(MOST_PIECE);
+    fn pass(&mut self, tag: u8, left: usize) -> Option<DecodeResult> {
+        let piece = left.min(self.bytes.len()).min(MAX_CHUNK_LENGTH);
         if piece == 0 {
             return None;
         }
         let bytes = self.bytes.split_to(piece).freeze();
         let last = piece == left;
         self.passing = (!last).then_some((tag, left - piece));
-        Some(Cut::Piece { tag, bytes, last })
+        Some(DecodeResult::Chunk { tag, bytes, last })
     }
 }
 
--- a/core/postgres-session/src/frame/tests.rs
+++ b/core/postgres-session/src/frame/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn all(cutter: &mut Cutter) -> Vec<Cut> {
+fn all(cutter: &mut FrameDecoder) -> Vec<DecodeResult> {
     std::iter::from_fn(|| cutter.next_from_server().expect("good frames")).collect()
 }
 
@@ -11,13 +11,13 @@
     let mut wire = BytesMut::new();
     frames.iter().for_each(|frame| frame.write(&mut wire));
     for cut in 0..wire.len() {
-        let mut cutter = Cutter::default();
+        let mut cutter = FrameDecoder::default();
         let mut got = Vec::new();
         for part in [&wire[..cut], &wire[cut..]] {
             cutter.push(part);
             got.extend(all(&mut cutter));
         }
-        assert_eq!(got, frames.clone().map(Cut::Frame), "{cut}");
+        assert_eq!(got, frames.clone().map(DecodeResult::Frame), "{cut}");
         assert_eq!(cutter.held(), 0);
     }
 }
@@ -28,16 +28,16 @@
     let mut wire = BytesMut::new();
     Frame::new(b'D', vec![7; 1024 * 1024]).write(&mut wire);
     Frame::new(b'Z', &b"I"[..]).write(&mut wire);
-    let (mut cutter, mut passed, mut most) = (Cutter::default(), Vec::new(), 0);
+    let (mut cutter, mut passed, mut most) = (FrameDecoder::default(), Vec::new(), 0);
     for part in wire.chunks(5000) {
         cutter.push(part);
         for cut in all(&mut cutter) {
             match cut {
-                Cut::Piece { tag, bytes, last } => {
+                DecodeResult::Chunk { tag, bytes, last } => {
                     passed.extend_from_slice(&bytes);
                     assert_eq!((tag, last), (b'D', passed.len() == 1024 * 1024 + 5));
                 }
-                Cut::Frame(frame) => assert_eq!(frame, Frame::new(b'Z', &b"I"[..])),
+                DecodeResult::Frame(frame) => assert_eq!(frame, Frame::new(b'Z', &b"I"[..])),
             }
         }
         most = most.max(cutter.held());
@@ -45,19 +45,19 @@
     assert_eq!(passed, wire[..1024 * 1024 + 5]);
     assert!(most < 16, "{most}");
     // From a client the same tag asks to describe, and is looked at.
-    let mut cutter = Cutter::default();
+    let mut cutter = FrameDecoder::default();
     cutter.push(b"D\0\0\0\x06S\0");
-    assert_eq!(cutter.next_from_client(), Ok(Some(Cut::Frame(Frame::new(b'D', &b"S\0"[..])))));
+    assert_eq!(cutter.next_from_client(), Ok(Some(DecodeResult::Frame(Frame::new(b'D', &b"S\0"[..])))));
 }
 
 #[test]
 fn false_lengths_are_errors_before_anything_is_kept_for_them() {
     let cut = |bytes: &[u8]| {
-        let mut cutter = Cutter::default();
+        let mut cutter = FrameDecoder::default();
         cutter.push(bytes);
         cutter.next_from_client()
     };
-    assert_eq!(cut(b"Q\0\0\0\x03"), Err(BadFrame::Short { tag: b'Q', length: 3 }));
-    assert_eq!(cut(b"Q\x7f\xff\xff\xff"), Err(BadFrame::Long { tag: b'Q', length: 0x7fff_ffff }));
+    assert_eq!(cut(b"Q\0\0\0\x03"), Err(FrameError::Short { tag: b'Q', length: 3 }));
+    assert_eq!(cut(b"Q\x7f\xff\xff\xff"), Err(FrameError::Long { tag: b'Q', length: 0x7fff_ffff }));
     assert_eq!(cut(b"Q\0\0\0"), Ok(None));
 }
--- a/core/postgres-session/src/pins.rs
+++ b/core/postgres-session/src/pins.rs
@@ -10,7 +10,7 @@
 
 /// Why a session is pinned to its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Pin {
+pub enum StickyReason {
     /// A setting of the session.
     Setting,
     /// It listens.
@@ -31,7 +31,7 @@
 
 /// What a statement does to its transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Step {
+pub enum TransactionStep {
     /// Begins one.
     Begin {
         /// One that can change nothing.
@@ -47,11 +47,11 @@
 
 /// What a text holds, statement by statement.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Reading {
+pub struct StatementEffects {
     /// What each does to its transaction.
-    pub steps: Vec<Step>,
+    pub steps: Vec<TransactionStep>,
     /// Why the session is pinned by it, the first reason.
-    pub pin: Option<Pin>,
+    pub pin: Option<StickyReason>,
     /// The last statement is DISCARD ALL: nothing of the session is left.
     pub discards: bool,
     /// Statements that are prepared on the server connection go.
@@ -68,16 +68,16 @@
     pub plain: bool,
 }
 
-impl Reading {
+impl StatementEffects {
     /// What a text that is not SQL, or can't be read, may be: anything.
     pub fn unknown() -> Self {
-        Self { steps: vec![Step::Other], pin: Some(Pin::Unknown), ..Self::default() }
+        Self { steps: vec![TransactionStep::Other], pin: Some(StickyReason::Unknown), ..Self::default() }
     }
 
     /// One transaction begins here and nothing else is done; whether it can change nothing.
     pub fn begins_only(&self) -> Option<bool> {
         match self.steps[..] {
-            [Step::Begin { read_only }] if self.plain => Some(read_only),
+            [TransactionStep::Begin { read_only }] if self.plain => Some(read_only),
             _ => None,
         }
     }
@@ -85,19 +85,19 @@
     /// A transaction ends here and nothing else is done: by COMMIT or, if false, by ROLLBACK.
     pub fn ends_only(&self) -> Option<bool> {
         match self.steps[..] {
-            [Step::Commit] if self.plain => Some(true),
-            [Step::Rollback] if self.plain => Some(false),
+            [TransactionStep::Commit] if self.plain => Some(true),
+            [TransactionStep::Rollback] if self.plain => Some(false),
             _ => None,
         }
     }
 }
 
 /// Reads a text of statements.
-pub fn read(sql: &str) -> Reading {
+pub fn read(sql: &str) -> StatementEffects {
     let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize() else {
-        return Reading::unknown();
+        return StatementEffects::unknown();
     };
-    let mut reading = Reading::default();
+    let mut reading = StatementEffects::default();
     let solid: Vec<&Token> =
         tokens.iter().filter(|token| !matches!(token, Token::Whitespace(_) | Token::EOF)).collect();
     for statement in
@@ -143,8 +143,8 @@
     if reading.steps.len() > 1 {
         reading.deallocates_one = None;
     }
-    let is_end = matches!(reading.steps[..], [Step::Commit | Step::Rollback]);
-    let is_begin = matches!(reading.steps[..], [Step::Begin { .. }]);
+    let is_end = matches!(reading.steps[..], [TransactionStep::Commit | TransactionStep::Rollback]);
+    let is_begin = matches!(reading.steps[..], [TransactionStep::Begin { .. }]);
     let words = solid.iter().filter(|token| !matches!(token, Token::SemiColon)).count();
     let first = solid.first().map(|token| token.to_string().to_ascii_uppercase());
     reading.plain = match first.as_deref() {
@@ -182,18 +182,18 @@
     Some(if is_followed(&name) { Ok(name) } else { Err(()) })
 }
 
-fn step(words: &[&str]) -> Step {
+fn step(words: &[&str]) -> TransactionStep {
     let read_only = || words.windows(2).any(|two| two == ["READ", "ONLY"]);
     match words {
-        ["BEGIN", ..] | ["START", "TRANSACTION", ..] => Step::Begin { read_only: read_only() },
-        ["COMMIT" | "END", ..] | ["PREPARE", "TRANSACTION", ..] => Step::Commit,
-        ["ROLLBACK", "TO", ..] | ["ROLLBACK", "WORK" | "TRANSACTION", "TO", ..] => Step::Other,
-        ["ROLLBACK" | "ABORT", ..] => Step::Rollback,
-        _ => Step::Other,
+        ["BEGIN", ..] | ["START", "TRANSACTION", ..] => TransactionStep::Begin { read_only: read_only() },
+        ["COMMIT" | "END", ..] | ["PREPARE", "TRANSACTION", ..] => TransactionStep::Commit,
+        ["ROLLBACK", "TO", ..] | ["ROLLBACK", "WORK" | "TRANSACTION", "TO", ..] => TransactionStep::Other,
+        ["ROLLBACK" | "ABORT", ..] => TransactionStep::Rollback,
+        _ => TransactionStep::Other,
     }
 }
 
-fn pin(text: &[&str], words: &[(String, bool)]) -> Option<Pin> {
+fn pin(text: &[&str], words: &[(String, bool)]) -> Option<StickyReason> {
     const LOCKS: [&str; 4] = [
         "PG_ADVISORY_LOCK",
         "PG_ADVISORY_LOCK_SHARED",
@@ -205,16 +205,20 @@
     match text {
         ["SET", "LOCAL" | "TRANSACTION" | "CONSTRAINTS", ..] => None,
         ["RESET", "ALL"] => None,
-        ["SET" | "RESET", ..] => matches!(setting(text), Some(Err(()))).then_some(Pin::Setting),
-        ["LISTEN", ..] => Some(Pin::Listen),
-        ["CREATE", rest @ ..] if rest.iter().take(4).any(temporary) => Some(Pin::Temporary),
-        ["DECLARE", ..] if text.windows(2).any(|two| two == ["WITH", "HOLD"]) => Some(Pin::HoldCursor),
+        ["SET" | "RESET", ..] => matches!(setting(text), Some(Err(()))).then_some(StickyReason::Setting),
+        ["LISTEN", ..] => Some(StickyReason::Listen),
+        ["CREATE", rest @ ..] if rest.iter().take(4).any(temporary) => Some(StickyReason::Temporary),
+        ["DECLARE", ..] if text.windows(2).any(|two| two == ["WITH", "HOLD"]) => {
+            Some(StickyReason::HoldCursor)
+        }
         ["PREPARE", "TRANSACTION", ..] => None,
-        ["PREPARE", ..] => Some(Pin::SqlPrepare),
-        ["LOAD" | "DO", ..] => Some(Pin::Unknown),
-        _ if LOCKS.iter().any(|lock| calls(lock)) => Some(Pin::AdvisoryLock),
-        _ if calls("SET_CONFIG") => Some(Pin::Setting),
-        _ if text.windows(2).any(|two| two[0] == "INTO" && temporary(&two[1])) => Some(Pin::Temporary),
+        ["PREPARE", ..] => Some(StickyReason::SqlPrepare),
+        ["LOAD" | "DO", ..] => Some(StickyReason::Unknown),
+        _ if LOCKS.iter().any(|lock| calls(lock)) => Some(StickyReason::AdvisoryLock),
+        _ if calls("SET_CONFIG") => Some(StickyReason::Setting),
+        _ if text.windows(2).any(|two| two[0] == "INTO" && temporary(&two[1])) => {
+            Some(StickyReason::Temporary)
+        }
         _ => None,
     }
 }
--- a/core/postgres-session/src/scram.rs
+++ b/core/postgres-session/src/scram.rs
@@ -8,9 +8,9 @@
 use subtle::ConstantTimeEq;
 
 /// The mechanism without channel binding.
-pub const PLAIN: &str = "SCRAM-SHA-256";
+pub const MECHANISM: &str = "SCRAM-SHA-256";
 /// The mechanism with it.
-pub const PLUS: &str = "SCRAM-SHA-256-PLUS";
+pub const MECHANISM_WITH_BINDING: &str = "SCRAM-SHA-256-PLUS";
 /// Iterations of a verifier made here, as the server's own default.
 const ITERATIONS: u32 = 4096;
 /// A message of an exchange is no longer.
@@ -30,7 +30,7 @@
 /// A text that is no verifier. The text itself is secret enough not to be shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("not a verifier of the form SCRAM-SHA-256$<iterations>:<salt>$<stored key>:<server key>")]
-pub struct BadVerifier;
+pub struct VerifierError;
 
 fn hmac(key: &[u8], text: &[u8]) -> Key {
     // Any length of key will do for HMAC, so this never fails.
@@ -41,7 +41,7 @@
 
 impl Verifier {
     /// Reads a verifier as the server keeps them in `pg_authid`.
-    pub fn read(text: &str) -> Result<Self, BadVerifier> {
+    pub fn read(text: &str) -> Result<Self, VerifierError> {
         let read = || {
             let rest = text.trim().strip_prefix("SCRAM-SHA-256$")?;
             let (first, keys) = rest.split_once('$')?;
@@ -52,7 +52,7 @@
             let salt = BASE64.decode(salt).ok().filter(|salt| (1..=256).contains(&salt.len()))?;
             Some(Self { iterations, salt, stored: key(stored)?, server: key(server)? })
         };
-        read().ok_or(BadVerifier)
+        read().ok_or(VerifierError)
     }
 
     /// The verifier of a password, with this salt. The password is taken as it is: SASLprep changes nothing of
@@ -81,7 +81,7 @@
 
 /// Why an exchange has failed. A client is told no more than that it has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Refused {
+pub enum ScramError {
     /// The mechanism is none that was offered.
     #[error("a mechanism that was not offered")]
     Mechanism,
@@ -97,7 +97,7 @@
 }
 
 /// An exchange that waits for the client's last message.
-pub struct Exchange {
+pub struct ScramExchange {
     verifier: Verifier,
     binding: Vec<u8>,
     nonce: String,
@@ -113,18 +113,19 @@
     first: &[u8],
     channel: Option<&[u8]>,
     nonce: &str,
-) -> Result<(Exchange, String), Refused> {
+) -> Result<(ScramExchange, String), ScramError> {
     let plus = match (mechanism, channel) {
-        (PLAIN, _) => None,
-        (PLUS, Some(channel)) => Some(channel),
-        _ => return Err(Refused::Mechanism),
+        (MECHANISM, _) => None,
+        (MECHANISM_WITH_BINDING, Some(channel)) => Some(channel),
+        _ => return Err(ScramError::Mechanism),
     };
-    let text = std::str::from_utf8(first).ok().filter(|text| text.len() <= MOST).ok_or(Refused::Malformed)?;
+    let text =
+        std::str::from_utf8(first).ok().filter(|text| text.len() <= MOST).ok_or(ScramError::Malformed)?;
     // The header names the binding and, after a comma, an identity to act for, which is not allowed.
-    let (flag, rest) = text.split_once(',').ok_or(Refused::Malformed)?;
-    let (acts_for, bare) = rest.split_once(',').ok_or(Refused::Malformed)?;
+    let (flag, rest) = text.split_once(',').ok_or(ScramError::Malformed)?;
+    let (acts_for, bare) = rest.split_once(',').ok_or(ScramError::Malformed)?;
     if !acts_for.is_empty() {
-        return Err(Refused::Malformed);
+        return Err(ScramError::Malformed);
     }
     let mut binding = format!("{flag},,").into_bytes();
     match (flag, plus) {
@@ -132,42 +133,42 @@
         // The client could bind and believes that the server can't. Where it can, somebody has cut that out.
         ("y", None) if channel.is_none() => {}
         ("p=tls-server-end-point", Some(channel)) => binding.extend_from_slice(channel),
-        _ => return Err(Refused::Binding),
+        _ => return Err(ScramError::Binding),
     }
     let mut parts = bare.split(',');
     let user = parts.next().filter(|part| part.starts_with("n="));
     let client = parts.next().and_then(|part| part.strip_prefix("r=")).filter(|nonce| !nonce.is_empty());
-    let (Some(_), Some(client)) = (user, client) else { return Err(Refused::Malformed) };
+    let (Some(_), Some(client)) = (user, client) else { return Err(ScramError::Malformed) };
     let nonce = format!("{client}{nonce}");
     let answer = format!("r={nonce},s={},i={}", BASE64.encode(&verifier.salt), verifier.iterations);
     let auth = format!("{bare},{answer}");
-    Ok((Exchange { verifier, binding, nonce, auth }, answer))
+    Ok((ScramExchange { verifier, binding, nonce, auth }, answer))
 }
 
-impl Exchange {
+impl ScramExchange {
     /// Checks the client's last message; the answer proves that the node knows the verifier.
-    pub fn finish(self, last: &[u8]) -> Result<String, Refused> {
+    pub fn finish(self, last: &[u8]) -> Result<String, ScramError> {
         let text =
-            std::str::from_utf8(last).ok().filter(|text| text.len() <= MOST).ok_or(Refused::Malformed)?;
-        let (unproven, proof) = text.rsplit_once(",p=").ok_or(Refused::Malformed)?;
+            std::str::from_utf8(last).ok().filter(|text| text.len() <= MOST).ok_or(ScramError::Malformed)?;
+        let (unproven, proof) = text.rsplit_once(",p=").ok_or(ScramError::Malformed)?;
         let mut parts = unproven.split(',');
-        let binding = parts.next().and_then(|part| part.strip_prefix("c=")).ok_or(Refused::Malformed)?;
-        let nonce = parts.next().and_then(|part| part.strip_prefix("r=")).ok_or(Refused::Malformed)?;
+        let binding = parts.next().and_then(|part| part.strip_prefix("c=")).ok_or(ScramError::Malformed)?;
+        let nonce = parts.next().and_then(|part| part.strip_prefix("r=")).ok_or(ScramError::Malformed)?;
         if BASE64.decode(binding).ok().as_ref() != Some(&self.binding) {
-            return Err(Refused::Binding);
+            return Err(ScramError::Binding);
         }
         if nonce != self.nonce {
-            return Err(Refused::Malformed);
+            return Err(ScramError::Malformed);
         }
         let proof: Key =
-            BASE64.decode(proof).ok().and_then(|p| p.try_into().ok()).ok_or(Refused::Malformed)?;
+            BASE64.decode(proof).ok().and_then(|p| p.try_into().ok()).ok_or(ScramError::Malformed)?;
         let auth = format!("{},{unproven}", self.auth);
         let signature = hmac(&self.verifier.stored, auth.as_bytes());
         let mut key = proof;
         key.iter_mut().zip(signature).for_each(|(byte, with)| *byte ^= with);
         let stored: Key = Sha256::digest(key).into();
         if !bool::from(stored.ct_eq(&self.verifier.stored)) {
-            return Err(Refused::Proof);
+            return Err(ScramError::Proof);
         }
         Ok(format!("v={}", BASE64.encode(hmac(&self.verifier.server, auth.as_bytes()))))
     }
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -14,14 +14,14 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::answer::{Reason, Status};
-use crate::frame::{Cut, Frame};
-use crate::pins::{Pin, Reading};
+use crate::answer::{ErrorReason, TransactionStatus};
+use crate::frame::{DecodeResult, Frame};
+use crate::pins::{StatementEffects, StickyReason};
 use crate::settings::{ClientSettings, ServerSettings};
 use crate::statements::{Named, Prepared, Text};
 
 /// With so many bytes held for a client no more are read from it. One frame more than that may come.
-pub const HELD: usize = 64 * 1024;
+pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Groups that a client may have sent ahead; with more, no more are read from it.
 const AHEAD: usize = 64;
 /// Messages of a group; more are a protocol error, as none of them would be answered before its end.
@@ -40,11 +40,11 @@
 #[derive(Debug)]
 pub enum Event {
     /// From the client.
-    Client(Cut),
+    Client(DecodeResult),
     /// A server connection is at its disposal, in this state.
     Attached(ServerState),
     /// From the server.
-    Server(Cut),
+    Server(DecodeResult),
     /// The server connection is lost, or was given up.
     ServerLost,
     /// What it has asked for is refused: nothing ran, or it does no harm.
@@ -94,7 +94,7 @@
 
 /// What a message sent to the server will be answered by.
 #[derive(Debug)]
-enum Expect {
+enum ExpectedResponse {
     /// `ParseComplete`.
     Parse {
         /// Prepared under a name of the node's: not there if it fails.
@@ -125,7 +125,7 @@
 
 /// Messages that are answered by one `ReadyForQuery`.
 #[derive(Debug, Default)]
-struct Group {
+struct MessageBatch {
     /// All of them: they are kept until the answer, for a server that may be another.
     frames: Vec<Frame>,
     /// The last one has come.
@@ -139,10 +139,10 @@
     /// `CloseComplete`s of it that the client has had.
     closed_told: usize,
     /// What its statements are, as far as it has come when that was asked first.
-    reading: Option<Rc<Reading>>,
+    reading: Option<Rc<StatementEffects>>,
 }
 
-impl Group {
+impl MessageBatch {
     /// Whether it closes statements and portals and does nothing else.
     fn only_closes(&self) -> bool {
         self.frames.iter().all(|frame| matches!(frame.tag, b'C' | b'S' | b'H'))
@@ -161,7 +161,7 @@
 #[derive(Debug)]
 struct Server {
     state: ServerState,
-    expect: VecDeque<Expect>,
+    expect: VecDeque<ExpectedResponse>,
     /// The client's unnamed statement stands here.
     unnamed: bool,
     /// The client is to send data to be copied, and has not ended it.
@@ -199,8 +199,8 @@
 /// One client's session, from its first `ReadyForQuery` on.
 #[derive(Debug, Default)]
 pub struct Session {
-    status: Status,
-    groups: VecDeque<Group>,
+    status: TransactionStatus,
+    groups: VecDeque<MessageBatch>,
     held: usize,
     unit: Unit,
     settings: ClientSettings,
@@ -209,7 +209,7 @@
     unnamed: Option<Text>,
     /// Names as they will be when all of the group that is under way is done.
     ahead: BTreeMap<Bytes, Option<Text>>,
-    pin: Option<Pin>,
+    pin: Option<StickyReason>,
     /// Something of the unit's answer has gone to the client.
     started: bool,
     /// A COMMIT has been sent that is not answered.
@@ -229,9 +229,9 @@
     /// The server of its transaction is lost; only the end of that is taken.
     orphaned: bool,
     /// Why, until the client has been told.
-    news: Option<Reason>,
+    news: Option<ErrorReason>,
     /// Why, also after that.
-    cause: Option<Reason>,
+    cause: Option<ErrorReason>,
     ended: bool,
 }
 
@@ -243,7 +243,7 @@
 
     /// Whether more should be read from the client.
     pub fn wants_more(&self) -> bool {
-        !self.ended && self.held < HELD && self.groups.len() < AHEAD
+        !self.ended && self.held < MAX_BUFFERED_BYTES && self.groups.len() < AHEAD
     }
 
     /// Bytes that are held for the client, and groups of its messages that wait.
@@ -252,23 +252,23 @@
     }
 
     /// Where the transaction stands, as the client knows it.
-    pub fn status(&self) -> Status {
+    pub fn status(&self) -> TransactionStatus {
         self.status
     }
 
     /// Why it is pinned to its server.
-    pub fn pin(&self) -> Option<Pin> {
+    pub fn pin(&self) -> Option<StickyReason> {
         self.pin
     }
 
     /// It keeps the server connection that it has until it ends.
     pub fn keep_server(&mut self) {
-        self.pin.get_or_insert(Pin::Pooling);
+        self.pin.get_or_insert(StickyReason::Pooling);
     }
 
     /// Whether it has nothing under way or open anywhere.
     pub fn is_idle(&self) -> bool {
-        self.status == Status::Idle && self.groups.is_empty()
+        self.status == TransactionStatus::Idle && self.groups.is_empty()
     }
 
     /// What the client's settings are, by name in small letters.
@@ -298,14 +298,14 @@
             Event::Refused { wait_ms } => {
                 // Where it may have run after all, it was safe to repeat; but to say it never ran would be wrong.
                 let ran = matches!(self.unit, Unit::Asked { lost: true });
-                let reason = if ran { Reason::MayHaveRun } else { Reason::Refused { wait_ms } };
+                let reason = if ran { ErrorReason::MayHaveRun } else { ErrorReason::Refused { wait_ms } };
                 self.give_up(reason, actions);
             }
             Event::Failed => {
                 let reason = match (self.commits, self.status) {
-                    (true, _) => Reason::CommitUnknown,
-                    (false, Status::Idle) => Reason::MayHaveRun,
-                    (false, _) => Reason::TransactionLost,
+                    (true, _) => ErrorReason::CommitUnknown,
+                    (false, TransactionStatus::Idle) => ErrorReason::MayHaveRun,
+                    (false, _) => ErrorReason::TransactionLost,
                 };
                 self.give_up(reason, actions);
             }
@@ -355,11 +355,14 @@
     fn ask(&mut self, actions: &mut Vec<Action>) {
         let reading = self.reading_of_head();
         let closed = self.groups.front().is_some_and(|head| head.closed);
-        let plain = matches!(reading.steps[..], [] | [crate::pins::Step::Other]) && reading.pin.is_none();
+        let plain =
+            matches!(reading.steps[..], [] | [crate::pins::TransactionStep::Other]) && reading.pin.is_none();
         let first = self.begun.as_ref().is_some_and(|begun| begun.read_only);
         self.unit = Unit::Asked { lost: false };
         self.started = false;
-        actions.push(Action::Ask { alone: closed && plain && (self.status == Status::Idle || first) });
+        actions.push(Action::Ask {
+            alone: closed && plain && (self.status == TransactionStatus::Idle || first),
+        });
     }
 }
 
--- a/core/postgres-session/src/session/client.rs
+++ b/core/postgres-session/src/session/client.rs
@@ -5,17 +5,17 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::{Action, Group, MOST_MESSAGES, Session, Unit, send_frame};
-use crate::answer::{self, Reason, Status};
-use crate::frame::{Cut, Frame};
-use crate::pins::{self, Reading};
+use super::{Action, MOST_MESSAGES, MessageBatch, Session, Unit, send_frame};
+use crate::answer::{self, ErrorReason, TransactionStatus};
+use crate::frame::{DecodeResult, Frame};
+use crate::pins::{self, StatementEffects};
 use crate::statements;
 
 impl Session {
-    pub(super) fn client(&mut self, cut: Cut, actions: &mut Vec<Action>) {
+    pub(super) fn client(&mut self, cut: DecodeResult, actions: &mut Vec<Action>) {
         let frame = match cut {
-            Cut::Piece { bytes, .. } => return self.copied(bytes, actions),
-            Cut::Frame(frame) => frame,
+            DecodeResult::Chunk { bytes, .. } => return self.copied(bytes, actions),
+            DecodeResult::Frame(frame) => frame,
         };
         match frame.tag {
             b'X' => self.gone(actions),
@@ -56,7 +56,7 @@
                 // All before it goes out as it is; there is nothing to be sent sooner.
                 return;
             }
-            self.groups.push_back(Group::default());
+            self.groups.push_back(MessageBatch::default());
         }
         let Some(group) = self.groups.back_mut() else { return };
         if group.skips {
@@ -91,7 +91,7 @@
     }
 
     pub(super) fn violation(&mut self, detail: Option<&str>, actions: &mut Vec<Action>) {
-        send_frame(&answer::error(Reason::Protocol, detail), actions);
+        send_frame(&answer::error(ErrorReason::Protocol, detail), actions);
         self.gone(actions);
     }
 
@@ -99,7 +99,7 @@
     pub(super) fn gone(&mut self, actions: &mut Vec<Action>) {
         self.ended = true;
         if let Unit::Attached(server) = std::mem::take(&mut self.unit) {
-            let clean = self.status == Status::Idle
+            let clean = self.status == TransactionStatus::Idle
                 && server.expect.is_empty()
                 && self.pin.is_none()
                 && !server.skipping;
@@ -111,7 +111,7 @@
     }
 
     /// What the first group's statements are, as far as their texts are known.
-    pub(super) fn reading_of_head(&mut self) -> Rc<Reading> {
+    pub(super) fn reading_of_head(&mut self) -> Rc<StatementEffects> {
         let Some(head) = self.groups.front() else { return Rc::default() };
         if let Some(reading) = &head.reading {
             return reading.clone();
@@ -123,18 +123,18 @@
         reading
     }
 
-    fn read_head(&mut self) -> Rc<Reading> {
+    fn read_head(&mut self) -> Rc<StatementEffects> {
         let Self { groups, named, unnamed, .. } = self;
         let Some(group) = groups.front() else { return Rc::default() };
         // The usual batch uses one statement that has been read before.
-        let mut readings: Vec<Rc<Reading>> = Vec::new();
+        let mut readings: Vec<Rc<StatementEffects>> = Vec::new();
         let read = |text: &[u8]| Rc::new(pins::read(&String::from_utf8_lossy(text)));
         let mut last_unnamed = unnamed.clone();
         for frame in &group.frames {
             match frame.tag {
                 b'Q' => readings.push(read(frame.first_string().unwrap_or_default())),
                 // Which function it is, its number alone does not tell.
-                b'F' => readings.push(Rc::new(Reading::unknown())),
+                b'F' => readings.push(Rc::new(StatementEffects::unknown())),
                 b'P' => {
                     if let Ok((name, text)) = statements::read_parse(frame)
                         && name.is_empty()
@@ -164,7 +164,7 @@
         if certain && readings.len() == 1 {
             return readings.pop().unwrap_or_default();
         }
-        let mut all = Reading::default();
+        let mut all = StatementEffects::default();
         for one in readings {
             all.steps.extend(&one.steps);
             all.pin = all.pin.or(one.pin);
--- a/core/postgres-session/src/session/local.rs
+++ b/core/postgres-session/src/session/local.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 
 use super::{Action, Begun, Effect, Session, send_frame};
-use crate::answer::{self, Status};
+use crate::answer::{self, TransactionStatus};
 use crate::frame::Frame;
 use crate::statements;
 
@@ -22,23 +22,23 @@
         }
         let reading = self.reading_of_head();
         match (self.status, &self.begun) {
-            (Status::Idle, None) => {
+            (TransactionStatus::Idle, None) => {
                 let Some(read_only) = reading.begins_only() else { return false };
                 let Some(sql) = self.only_statement() else { return false };
                 if !self.can_answer() {
                     return false;
                 }
                 self.begun = Some(Begun { sql, read_only });
-                self.status = Status::InBlock;
+                self.status = TransactionStatus::InBlock;
                 self.answer_as("BEGIN", actions);
                 true
             }
-            (Status::InBlock, Some(_)) => {
+            (TransactionStatus::InBlock, Some(_)) => {
                 let Some(commits) = reading.ends_only() else { return false };
                 if !self.can_answer() {
                     return false;
                 }
-                (self.begun, self.status) = (None, Status::Idle);
+                (self.begun, self.status) = (None, TransactionStatus::Idle);
                 self.answer_as(if commits { "COMMIT" } else { "ROLLBACK" }, actions);
                 true
             }
--- a/core/postgres-session/src/session/loss.rs
+++ b/core/postgres-session/src/session/loss.rs
@@ -1,8 +1,8 @@
 //! What a client is told when its server is lost, or none is to be had.
 
-use super::{Action, Group, Session, Unit, send_frame};
-use crate::answer::{self, Reason, Status};
-use crate::pins::{self, Step};
+use super::{Action, MessageBatch, Session, Unit, send_frame};
+use crate::answer::{self, ErrorReason, TransactionStatus};
+use crate::pins::{self, TransactionStep};
 use crate::statements;
 
 impl Session {
@@ -29,7 +29,7 @@
         }
         if self.pin.is_some() {
             // What it had there is gone with it, and it would not know.
-            let reason = if self.commits { Reason::CommitUnknown } else { Reason::MayHaveRun };
+            let reason = if self.commits { ErrorReason::CommitUnknown } else { ErrorReason::MayHaveRun };
             send_frame(
                 &answer::error(reason, Some("the session was pinned to that server and ends")),
                 actions,
@@ -42,7 +42,7 @@
     }
 
     /// What was asked for gets no server's answer.
-    pub(super) fn give_up(&mut self, reason: Reason, actions: &mut Vec<Action>) {
+    pub(super) fn give_up(&mut self, reason: ErrorReason, actions: &mut Vec<Action>) {
         if !matches!(self.unit, Unit::Asked { .. }) {
             return;
         }
@@ -50,21 +50,25 @@
         self.begun = None;
         self.cause = Some(reason);
         // In a transaction that is neither committed nor rolled back the client has to learn of its end.
-        let in_block = self.status != Status::Idle && reason != Reason::CommitUnknown;
+        let in_block = self.status != TransactionStatus::Idle && reason != ErrorReason::CommitUnknown;
         if self.groups.front().is_none_or(|head| in_block && (head.sent == 0 || head.only_closes())) {
             // The server went between two statements of a transaction: the next one is told, unless it ends it.
             // Drivers close what they have prepared in passing, and look at no answer to that.
             self.orphaned = in_block;
-            (self.status, self.news) =
-                if in_block { (Status::Failed, Some(reason)) } else { (Status::Idle, None) };
+            (self.status, self.news) = if in_block {
+                (TransactionStatus::Failed, Some(reason))
+            } else {
+                (TransactionStatus::Idle, None)
+            };
             return;
         }
         let reading = self.reading_of_head();
-        let begins = reading.steps.iter().any(|step| matches!(step, Step::Begin { .. }));
+        let begins = reading.steps.iter().any(|step| matches!(step, TransactionStep::Begin { .. }));
         // What was sent behind the beginning of a transaction belongs to it, and must not run without it.
         let count = if begins { self.groups.iter().filter(|group| group.closed).count().max(1) } else { 1 };
         self.commits = false;
-        (self.orphaned, self.status) = (in_block, if in_block { Status::Failed } else { Status::Idle });
+        (self.orphaned, self.status) =
+            (in_block, if in_block { TransactionStatus::Failed } else { TransactionStatus::Idle });
         let another_sync = std::mem::take(&mut self.another_sync);
         for _ in 0..count {
             let closed = self.groups.front().is_none_or(|group| group.closed) && !another_sync;
@@ -73,7 +77,7 @@
                 // Its Sync is still to come, and is answered then.
                 if let Some(group) = self.groups.front_mut() {
                     self.held = self.held.saturating_sub(group.held());
-                    *group = Group { skips: true, ..Group::default() };
+                    *group = MessageBatch { skips: true, ..MessageBatch::default() };
                 }
                 return;
             }
@@ -86,7 +90,7 @@
     /// A group that ends in a Query behind messages of a batch is passed over with these, up to a Sync: whether the
     /// first one is such, and what has come is passed over.
     pub(super) fn skip_here(&mut self) -> bool {
-        let batch = |group: &Group| {
+        let batch = |group: &MessageBatch| {
             group.frames.len() > 1 && group.frames.last().is_some_and(|last| last.tag != b'S')
         };
         if !self.groups.front().is_some_and(batch) {
@@ -99,11 +103,11 @@
             }
             if group.frames.last().is_some_and(|last| last.tag == b'S') {
                 // Its Sync has come already.
-                self.groups.push_front(Group { closed: true, ..Group::default() });
+                self.groups.push_front(MessageBatch { closed: true, ..MessageBatch::default() });
                 return false;
             }
         }
-        self.groups.push_front(Group { skips: true, ..Group::default() });
+        self.groups.push_front(MessageBatch { skips: true, ..MessageBatch::default() });
         true
     }
 
@@ -120,34 +124,37 @@
         let steps = self.reading_of_head().steps.clone();
         let Some(head) = self.groups.front() else { return };
         let texts = head.frames.iter().filter(|frame| frame.tag == b'P');
-        let prepares: Vec<Step> = texts
+        let prepares: Vec<TransactionStep> = texts
             .filter_map(|frame| statements::read_parse(frame).ok())
             .flat_map(|(_, text)| pins::read(&String::from_utf8_lossy(statements::sql(&text))).steps)
             .collect();
-        let ends = |steps: &[Step]| {
-            !steps.is_empty() && steps.iter().all(|step| matches!(step, Step::Commit | Step::Rollback))
+        let ends = |steps: &[TransactionStep]| {
+            !steps.is_empty()
+                && steps
+                    .iter()
+                    .all(|step| matches!(step, TransactionStep::Commit | TransactionStep::Rollback))
         };
         let runs = ends(&steps);
         if !(runs || (steps.is_empty() && ends(&prepares)) || head.only_closes()) {
-            let reason = self.news.take().unwrap_or(Reason::InFailedTransaction);
+            let reason = self.news.take().unwrap_or(ErrorReason::InFailedTransaction);
             self.refuse_head(reason, actions);
             return;
         }
-        if steps.contains(&Step::Commit) {
+        if steps.contains(&TransactionStep::Commit) {
             // A client must not take the end of a lost transaction for its commit: drivers look for an error, not
             // for the word ROLLBACK, and may have let an earlier one pass unseen.
-            let reason = self.cause.unwrap_or(Reason::TransactionLost);
-            (self.orphaned, self.status, self.news) = (false, Status::Idle, None);
+            let reason = self.cause.unwrap_or(ErrorReason::TransactionLost);
+            (self.orphaned, self.status, self.news) = (false, TransactionStatus::Idle, None);
             self.refuse_head(reason, actions);
             return;
         }
         if runs {
-            (self.orphaned, self.status, self.news) = (false, Status::Idle, None);
+            (self.orphaned, self.status, self.news) = (false, TransactionStatus::Idle, None);
         }
         self.answer_as("ROLLBACK", actions);
     }
 
-    fn refuse_head(&mut self, reason: Reason, actions: &mut Vec<Action>) {
+    fn refuse_head(&mut self, reason: ErrorReason, actions: &mut Vec<Action>) {
         send_frame(&answer::error(reason, None), actions);
         if !self.skip_here() {
             self.pop(actions);
--- a/core/postgres-session/src/session/server.rs
+++ b/core/postgres-session/src/session/server.rs
@@ -4,10 +4,10 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::{Action, Effect, Expect, Server, ServerState, Session, Unit};
-use crate::answer::{self, Status};
-use crate::frame::{Cut, Frame};
-use crate::pins::{self, Step};
+use super::{Action, Effect, ExpectedResponse, Server, ServerState, Session, Unit};
+use crate::answer::{self, TransactionStatus};
+use crate::frame::{DecodeResult, Frame};
+use crate::pins::{self, TransactionStep};
 use crate::statements::{self, Malformed, Named, Text};
 
 /// The client's prepared statements as they are, and as they will be when all that was sent is done.
@@ -37,7 +37,7 @@
                 return;
             }
         };
-        let open = self.status != Status::Idle && self.begun.is_none();
+        let open = self.status != TransactionStatus::Idle && self.begun.is_none();
         if again && (self.started || open || self.commits) {
             // It must not go out again, whoever says so.
             actions.push(Action::Release(state));
@@ -57,7 +57,7 @@
         };
         if let Some(sql) = server.state.settings.adopt(&self.settings) {
             server.proving = !self.settings.is_proven();
-            server.expect.push_back(Expect::Setup);
+            server.expect.push_back(ExpectedResponse::Setup);
             let mut out = BytesMut::new();
             query(sql.as_bytes()).write(&mut out);
             actions.push(Action::ToServer(out.freeze()));
@@ -79,7 +79,7 @@
             (self.failed, self.deallocates) = (false, None);
         }
         let reading = self.reading_of_head();
-        self.commits |= reading.steps.contains(&Step::Commit);
+        self.commits |= reading.steps.contains(&TransactionStep::Commit);
         self.pin = self.pin.or(reading.pin);
         let Unit::Attached(server) = &mut self.unit else { return };
         if reading.deallocates {
@@ -91,7 +91,7 @@
         let mut out = BytesMut::new();
         if let (Some(begun), false) = (&self.begun, server.begun) {
             server.begun = true;
-            server.expect.push_back(Expect::Setup);
+            server.expect.push_back(ExpectedResponse::Setup);
             query(&begun.sql).write(&mut out);
         }
         let Some(head) = self.groups.front_mut() else { return };
@@ -146,7 +146,7 @@
                 let sql = frame.first_string().ok_or(Malformed)?;
                 let reading = pins::read_deallocate(sql);
                 let frame = match reading.and_then(|name| names.get(&name).map(|text| (name, text))) {
-                    Some((name, text)) if *status != Status::Failed => {
+                    Some((name, text)) if *status != TransactionStatus::Failed => {
                         // Behind messages of a batch a Sync would end what is the client's to end.
                         let here = match alone {
                             true => server.prepare_apart(&text, out),
@@ -161,11 +161,11 @@
                 // It ends the unnamed statement at the server.
                 server.unnamed = false;
                 names.ahead.insert(Bytes::new(), None);
-                server.expect.push_back(Expect::Query);
+                server.expect.push_back(ExpectedResponse::Query);
                 frame.write(out);
             }
             b'F' => {
-                server.expect.push_back(Expect::Query);
+                server.expect.push_back(ExpectedResponse::Query);
                 frame.write(out);
             }
             b'P' => {
@@ -175,7 +175,7 @@
             b'B' => {
                 let name = statements::read_bind(&frame)?;
                 let here = server.statement(&name, &names, out);
-                server.expect.push_back(Expect::Bind);
+                server.expect.push_back(ExpectedResponse::Bind);
                 statements::rename_bind(&frame, &here)?.write(out);
             }
             b'D' => {
@@ -186,14 +186,14 @@
                 } else {
                     frame.write(out);
                 }
-                server.expect.push_back(Expect::Describe);
+                server.expect.push_back(ExpectedResponse::Describe);
             }
             b'C' => {
                 let (kind, name) = statements::read_target(&frame)?;
                 if kind == b'S' && !name.is_empty() {
                     // It stays prepared at the server, for whoever needs the same one.
                     names.ahead.insert(name.clone(), None);
-                    server.expect.push_back(Expect::Answered(empty(b'3'), Effect::Remove(name)));
+                    server.expect.push_back(ExpectedResponse::Answered(empty(b'3'), Effect::Remove(name)));
                 } else {
                     let mut effect = None;
                     if kind == b'S' {
@@ -201,18 +201,18 @@
                         names.ahead.insert(Bytes::new(), None);
                         effect = Some(Effect::Remove(Bytes::new()));
                     }
-                    server.expect.push_back(Expect::Close { own: false, effect });
+                    server.expect.push_back(ExpectedResponse::Close { own: false, effect });
                     frame.write(out);
                 }
             }
             b'E' => {
-                server.expect.push_back(Expect::Execute);
+                server.expect.push_back(ExpectedResponse::Execute);
                 frame.write(out);
             }
             b'S' => {
                 // In the midst of a copy the server passes it over.
                 server.swallowed_sync |= server.copies;
-                server.expect.push_back(Expect::Sync);
+                server.expect.push_back(ExpectedResponse::Sync);
                 frame.write(out);
             }
             _ => frame.write(out),
@@ -220,16 +220,16 @@
         Ok(())
     }
 
-    pub(super) fn server(&mut self, cut: Cut, actions: &mut Vec<Action>) {
+    pub(super) fn server(&mut self, cut: DecodeResult, actions: &mut Vec<Action>) {
         let Unit::Attached(server) = &mut self.unit else { return };
-        let own = matches!(server.expect.front(), Some(Expect::Setup));
+        let own = matches!(server.expect.front(), Some(ExpectedResponse::Setup));
         let frame = match cut {
-            Cut::Piece { .. } if own => return,
-            Cut::Piece { bytes, last, .. } => {
+            DecodeResult::Chunk { .. } if own => return,
+            DecodeResult::Chunk { bytes, last, .. } => {
                 self.cut_short = !last;
                 return self.send_to_client(bytes, actions);
             }
-            Cut::Frame(frame) => frame,
+            DecodeResult::Frame(frame) => frame,
         };
         match frame.tag {
             b'S' => return self.parameter(&frame, actions),
@@ -251,16 +251,19 @@
             b'1' | b'2' | b'3' | b'T' | b'n' | b'C' | b'I' | b's' => {
                 let answered = matches!(
                     (frame.tag, server.expect.front()),
-                    (b'1', Some(Expect::Parse { .. }))
-                        | (b'2', Some(Expect::Bind))
-                        | (b'3', Some(Expect::Close { .. }))
-                        | (b'T' | b'n', Some(Expect::Describe))
-                        | (b'C' | b'I' | b's', Some(Expect::Execute))
+                    (b'1', Some(ExpectedResponse::Parse { .. }))
+                        | (b'2', Some(ExpectedResponse::Bind))
+                        | (b'3', Some(ExpectedResponse::Close { .. }))
+                        | (b'T' | b'n', Some(ExpectedResponse::Describe))
+                        | (b'C' | b'I' | b's', Some(ExpectedResponse::Execute))
                 );
                 // Otherwise it stands within a Query's answer.
                 if answered {
                     let done = match server.expect.pop_front() {
-                        Some(Expect::Parse { own, effect, .. } | Expect::Close { own, effect }) => {
+                        Some(
+                            ExpectedResponse::Parse { own, effect, .. }
+                            | ExpectedResponse::Close { own, effect },
+                        ) => {
                             passes = !own;
                             effect
                         }
@@ -272,18 +275,21 @@
             b'G' => {
                 // A Sync that has been sent already is passed over by the server until the copy is over.
                 server.copies = true;
-                let extended = matches!(server.expect.front(), Some(Expect::Execute));
-                server.swallowed_sync = extended && server.expect.iter().any(|e| matches!(e, Expect::Sync));
+                let extended = matches!(server.expect.front(), Some(ExpectedResponse::Execute));
+                server.swallowed_sync =
+                    extended && server.expect.iter().any(|e| matches!(e, ExpectedResponse::Sync));
             }
             b'E' => {
                 (self.failed, self.completion) = (true, None);
                 server.copies = false;
                 match server.expect.front() {
-                    Some(Expect::Parse { named_here: Some((here, name)), .. }) => {
+                    Some(ExpectedResponse::Parse { named_here: Some((here, name)), .. }) => {
                         frame = answer::renamed(&frame, here, name);
                     }
                     // A Parse of the unnamed statement ends the one before it, whatever becomes of it.
-                    Some(Expect::Parse { effect: Some(Effect::Set(name, _)), .. }) if name.is_empty() => {
+                    Some(ExpectedResponse::Parse { effect: Some(Effect::Set(name, _)), .. })
+                        if name.is_empty() =>
+                    {
                         self.unnamed = None;
                     }
                     _ => {}
@@ -318,8 +324,8 @@
     /// Whether what was just completed is committed by a Sync that is on its way: nothing but that is answered next.
     fn commits_at_sync(&self) -> bool {
         let Unit::Attached(server) = &self.unit else { return false };
-        let next_is_sync = matches!(server.expect.front(), Some(Expect::Sync));
-        self.status == Status::Idle && next_is_sync && !server.swallowed_sync
+        let next_is_sync = matches!(server.expect.front(), Some(ExpectedResponse::Sync));
+        self.status == TransactionStatus::Idle && next_is_sync && !server.swallowed_sync
     }
 
     /// `ParameterStatus`: noted for the connection and the client, and told where it is news.
@@ -348,10 +354,10 @@
     fn answer_due(&mut self, actions: &mut Vec<Action>) {
         loop {
             let Unit::Attached(server) = &mut self.unit else { return };
-            if !matches!(server.expect.front(), Some(Expect::Answered(..))) {
+            if !matches!(server.expect.front(), Some(ExpectedResponse::Answered(..))) {
                 return;
             }
-            let Some(Expect::Answered(frame, effect)) = server.expect.pop_front() else { return };
+            let Some(ExpectedResponse::Answered(frame, effect)) = server.expect.pop_front() else { return };
             self.apply(effect);
             let mut bytes = BytesMut::new();
             frame.write(&mut bytes);
@@ -361,24 +367,29 @@
 
     /// `ReadyForQuery`: the node's own part is over, or the first group is answered.
     fn ready(&mut self, frame: &Frame, actions: &mut Vec<Action>) {
-        let status = frame.body.first().copied().and_then(Status::read);
+        let status = frame.body.first().copied().and_then(TransactionStatus::read);
         let Unit::Attached(server) = &mut self.unit else { return };
         let expected = server.expect.pop_front();
-        if matches!(expected, Some(Expect::Setup)) && status.is_some() && server.setup_failed.is_none() {
+        if matches!(expected, Some(ExpectedResponse::Setup))
+            && status.is_some()
+            && server.setup_failed.is_none()
+        {
             if std::mem::take(&mut server.proving) {
                 self.settings.set_proven();
             }
             self.answer_due(actions);
             return;
         }
-        let awaited = matches!(expected, Some(Expect::Query | Expect::Sync)) && !server.skipping;
+        let awaited =
+            matches!(expected, Some(ExpectedResponse::Query | ExpectedResponse::Sync)) && !server.skipping;
         let group = if awaited && status.is_some() { self.groups.pop_front() } else { None };
         let (Some(status), Some(group)) = (status, group) else {
             // A server that turns down what it took before, or says what it was not asked for, is of no use.
             return self.server_lost(actions);
         };
         self.held = self.held.saturating_sub(group.held());
-        if matches!(expected, Some(Expect::Query)) && group.frames.last().is_some_and(|last| last.tag == b'Q')
+        if matches!(expected, Some(ExpectedResponse::Query))
+            && group.frames.last().is_some_and(|last| last.tag == b'Q')
         {
             self.unnamed = None;
         }
@@ -391,7 +402,7 @@
         self.completion.take().iter().for_each(|completion| bytes.extend_from_slice(completion));
         frame.write(&mut bytes);
         self.send_to_client(bytes.freeze(), actions);
-        if status == Status::Idle {
+        if status == TransactionStatus::Idle {
             actions.push(Action::Done);
             self.started = false;
             if self.pin.is_none()
@@ -403,8 +414,8 @@
     }
 
     /// What a group that went well has done to the session's names, settings and pin.
-    fn settle_names(&mut self, reading: &pins::Reading) {
-        if reading.discards && self.pin != Some(pins::Pin::Pooling) {
+    fn settle_names(&mut self, reading: &pins::StatementEffects) {
+        if reading.discards && self.pin != Some(pins::StickyReason::Pooling) {
             self.pin = None;
         }
         if reading.deallocates {
@@ -424,7 +435,7 @@
         &mut self,
         name: Bytes,
         text: Text,
-        status: Status,
+        status: TransactionStatus,
         names: &mut Names<'_>,
         deallocates: &mut Option<Bytes>,
         out: &mut BytesMut,
@@ -432,7 +443,7 @@
         let sql = statements::sql(&text);
         if let Some(gone) = pins::read_deallocate(sql)
             && let Some(known) = names.get(&gone)
-            && status != Status::Failed
+            && status != TransactionStatus::Failed
         {
             // Prepared here first, so that there is something to let go of.
             let here = self.named_here(&known, out);
@@ -447,7 +458,12 @@
                 return self.prepare(&here, effect, false, out);
             }
             self.unnamed = true;
-            self.expect.push_back(Expect::Parse { text: None, effect, own: false, named_here: None });
+            self.expect.push_back(ExpectedResponse::Parse {
+                text: None,
+                effect,
+                own: false,
+                named_here: None,
+            });
             statements::parse(b"", &here).write(out);
             return Ok(());
         }
@@ -455,7 +471,12 @@
             names.ahead.insert(name.clone(), Some(text.clone()));
             self.unnamed = true;
             let effect = Some(Effect::Set(name, text.clone()));
-            self.expect.push_back(Expect::Parse { text: None, effect, own: false, named_here: None });
+            self.expect.push_back(ExpectedResponse::Parse {
+                text: None,
+                effect,
+                own: false,
+                named_here: None,
+            });
             statements::parse(b"", &text).write(out);
             return Ok(());
         }
@@ -463,7 +484,12 @@
             // The server itself says what is wrong with the text or, where nothing is, that a name is taken.
             let here = self.named_here(&text, out);
             let named_here = Some((here.clone(), name));
-            self.expect.push_back(Expect::Parse { text: None, effect: None, own: false, named_here });
+            self.expect.push_back(ExpectedResponse::Parse {
+                text: None,
+                effect: None,
+                own: false,
+                named_here,
+            });
             statements::parse(&here, &text).write(out);
             return Ok(());
         }
@@ -473,10 +499,10 @@
         let effect = Effect::Set(name.clone(), text.clone());
         if self.state.prepared.has(&text) {
             let ends = |sql: &[u8]| pins::read(&String::from_utf8_lossy(sql)).ends_only().is_some();
-            if status == Status::Failed && !ends(sql) {
+            if status == TransactionStatus::Failed && !ends(sql) {
                 // A transaction that has failed takes it no more, and the server says so.
                 let here = self.state.prepared.take(&text).name;
-                self.expect.push_back(Expect::Parse {
+                self.expect.push_back(ExpectedResponse::Parse {
                     text: None,
                     effect: None,
                     own: false,
@@ -486,7 +512,7 @@
                 return Ok(());
             }
             names.ahead.insert(name, Some(text));
-            self.expect.push_back(Expect::Answered(Frame::new(b'1', Bytes::new()), effect));
+            self.expect.push_back(ExpectedResponse::Answered(Frame::new(b'1', Bytes::new()), effect));
             return Ok(());
         }
         names.ahead.insert(name, Some(text.clone()));
@@ -504,10 +530,15 @@
         let wanted = self.state.prepared.take(text);
         if let Some((parse, room)) = wanted.first.split_last() {
             for close in room {
-                self.expect.push_back(Expect::Close { own: true, effect: None });
+                self.expect.push_back(ExpectedResponse::Close { own: true, effect: None });
                 close.write(out);
             }
-            self.expect.push_back(Expect::Parse { text: Some(text.clone()), effect, own, named_here: None });
+            self.expect.push_back(ExpectedResponse::Parse {
+                text: Some(text.clone()),
+                effect,
+                own,
+                named_here: None,
+            });
             parse.write(out);
         }
         Ok(())
@@ -528,7 +559,7 @@
         if !wanted.first.is_empty() {
             wanted.first.iter().for_each(|frame| frame.write(out));
             Frame::new(b'S', Bytes::new()).write(out);
-            self.expect.push_back(Expect::Setup);
+            self.expect.push_back(ExpectedResponse::Setup);
         }
         wanted.name
     }
@@ -541,7 +572,7 @@
                 if !std::mem::replace(&mut self.unnamed, text.is_some()) {
                     match text {
                         Some(text) => {
-                            self.expect.push_back(Expect::Parse {
+                            self.expect.push_back(ExpectedResponse::Parse {
                                 text: None,
                                 effect: None,
                                 own: true,
@@ -551,7 +582,7 @@
                         }
                         None => {
                             // What stands there is another client's.
-                            self.expect.push_back(Expect::Close { own: true, effect: None });
+                            self.expect.push_back(ExpectedResponse::Close { own: true, effect: None });
                             statements::close(b"").write(out);
                         }
                     }
@@ -567,17 +598,17 @@
 
     /// An error: of a batch the server passes over all up to the next Sync. Whether it was of a batch.
     fn failed(&mut self) -> bool {
-        if matches!(self.expect.front(), None | Some(Expect::Query)) {
+        if matches!(self.expect.front(), None | Some(ExpectedResponse::Query)) {
             return false;
         }
         self.unnamed = false;
         while let Some(expect) = self.expect.pop_front() {
             match expect {
-                Expect::Sync => {
+                ExpectedResponse::Sync => {
                     self.expect.push_front(expect);
                     return true;
                 }
-                Expect::Parse { text: Some(text), .. } => self.state.prepared.forget(&text),
+                ExpectedResponse::Parse { text: Some(text), .. } => self.state.prepared.forget(&text),
                 _ => {}
             }
         }
--- a/core/postgres-session/src/session/tests.rs
+++ b/core/postgres-session/src/session/tests.rs
@@ -5,17 +5,17 @@
 use proptest::prelude::*;
 
 use super::*;
-use crate::frame::Cutter;
-use crate::pins::Step;
+use crate::frame::FrameDecoder;
+use crate::pins::TransactionStep;
 use crate::{answer, pins, statements};
 
 /// What a driver's crate writes, as frames.
 fn frames(write: impl Fn(&mut BytesMut)) -> Vec<Frame> {
-    let (mut wire, mut cutter) = (BytesMut::new(), Cutter::default());
+    let (mut wire, mut cutter) = (BytesMut::new(), FrameDecoder::default());
     write(&mut wire);
     cutter.push(&wire);
     let mut frames = Vec::new();
-    while let Some(Cut::Frame(frame)) = cutter.next_from_client().expect("good frames") {
+    while let Some(DecodeResult::Frame(frame)) = cutter.next_from_client().expect("good frames") {
         frames.push(frame);
     }
     frames
@@ -44,7 +44,7 @@
 /// A server's answers, as far as sessions look at them.
 #[derive(Default)]
 struct Database {
-    status: Status,
+    status: TransactionStatus,
     statements: std::collections::BTreeMap<Bytes, Bytes>,
     /// The SQL of what ran, in order.
     ran: Vec<String>,
@@ -54,19 +54,19 @@
 impl Database {
     fn run(&mut self, sql: &str, out: &mut Vec<Frame>, simple: bool) {
         for step in pins::read(sql).steps {
-            let ends = matches!(step, Step::Commit | Step::Rollback);
-            if sql.contains("fail") || (self.status == Status::Failed && !ends) {
-                out.push(answer::error(Reason::InFailedTransaction, None));
+            let ends = matches!(step, TransactionStep::Commit | TransactionStep::Rollback);
+            if sql.contains("fail") || (self.status == TransactionStatus::Failed && !ends) {
+                out.push(answer::error(ErrorReason::InFailedTransaction, None));
                 self.skips = !simple;
-                if self.status != Status::Idle {
-                    self.status = Status::Failed;
+                if self.status != TransactionStatus::Idle {
+                    self.status = TransactionStatus::Failed;
                 }
                 return;
             }
             self.status = match step {
-                Step::Begin { .. } => Status::InBlock,
-                Step::Commit | Step::Rollback => Status::Idle,
-                Step::Other => self.status,
+                TransactionStep::Begin { .. } => TransactionStatus::InBlock,
+                TransactionStep::Commit | TransactionStep::Rollback => TransactionStatus::Idle,
+                TransactionStep::Other => self.status,
             };
         }
         self.ran.push(sql.to_owned());
@@ -74,11 +74,11 @@
     }
 
     fn take(&mut self, bytes: &[u8]) -> Vec<Frame> {
-        let (mut cutter, mut out) = (Cutter::default(), Vec::new());
+        let (mut cutter, mut out) = (FrameDecoder::default(), Vec::new());
         cutter.push(bytes);
         let empty = |tag| Frame::new(tag, Bytes::new());
         while let Some(cut) = cutter.next_from_client().expect("good frames") {
-            let Cut::Frame(frame) = cut else { continue };
+            let DecodeResult::Frame(frame) = cut else { continue };
             if self.skips && frame.tag != b'S' {
                 continue;
             }
@@ -92,7 +92,7 @@
                 b'P' => {
                     let (name, text) = statements::read_parse(&frame).expect("a parse");
                     if !name.is_empty() && self.statements.contains_key(&name) {
-                        out.push(answer::error(Reason::MayHaveRun, Some("it is prepared already")));
+                        out.push(answer::error(ErrorReason::MayHaveRun, Some("it is prepared already")));
                         self.skips = true;
                         continue;
                     }
@@ -106,7 +106,7 @@
                         self.statements
                             .insert(Bytes::from_static(b"\0bound"), self.statements[&name].clone());
                     } else {
-                        out.push(answer::error(Reason::MayHaveRun, Some("no such statement")));
+                        out.push(answer::error(ErrorReason::MayHaveRun, Some("no such statement")));
                         self.skips = true;
                     }
                 }
@@ -175,7 +175,9 @@
                         self.database.as_mut().expect("nothing goes to a server that is not there");
                     let answers = database.take(&bytes);
                     if self.answers {
-                        events.extend(answers.into_iter().map(|frame| Event::Server(Cut::Frame(frame))));
+                        events.extend(
+                            answers.into_iter().map(|frame| Event::Server(DecodeResult::Frame(frame))),
+                        );
                     }
                 }
                 Action::ToClient(bytes) => self.told.extend_from_slice(&bytes),
@@ -185,7 +187,11 @@
                 Action::Release(_) => {
                     self.released += 1;
                     if let Some(database) = self.database.take() {
-                        assert_eq!(database.status, Status::Idle, "a server goes back in a transaction");
+                        assert_eq!(
+                            database.status,
+                            TransactionStatus::Idle,
+                            "a server goes back in a transaction"
+                        );
                         self.ran.extend(database.ran);
                     }
                 }
@@ -199,7 +205,10 @@
     }
 
     fn client(&mut self, frames: &[Vec<Frame>]) {
-        frames.iter().flatten().for_each(|frame| self.handle(Event::Client(Cut::Frame(frame.clone()))));
+        frames
+            .iter()
+            .flatten()
+            .for_each(|frame| self.handle(Event::Client(DecodeResult::Frame(frame.clone()))));
     }
 
     fn attach(&mut self) {
@@ -213,11 +222,11 @@
 
     /// The tags of all that the client was told, errors with their code and readiness with the status.
     fn heard(&mut self) -> String {
-        let mut cutter = Cutter::default();
+        let mut cutter = FrameDecoder::default();
         cutter.push(&std::mem::take(&mut self.told));
         let mut heard = Vec::new();
         while let Some(cut) = cutter.next_from_server().expect("good frames") {
-            let Cut::Frame(frame) = cut else { continue };
+            let DecodeResult::Frame(frame) = cut else { continue };
             let code = || {
                 let field = frame.body.split(|byte| *byte == 0).find(|field| field.first() == Some(&b'C'));
                 String::from_utf8_lossy(&field.expect("a code")[1..]).into_owned()
@@ -326,7 +335,7 @@
     let mut stage = Stage::new();
     stage.client(&[query("set x = 1")]);
     stage.attach();
-    assert_eq!((stage.done, stage.released, stage.session.pin()), (1, 0, Some(Pin::Setting)));
+    assert_eq!((stage.done, stage.released, stage.session.pin()), (1, 0, Some(StickyReason::Setting)));
     stage.client(&[query("select 1")]);
     assert_eq!((stage.asked, stage.heard().as_str()), (1, "C ZI C ZI"));
     stage.client(&[query("discard all")]);
@@ -466,7 +475,7 @@
     stage.answers = false;
     stage.client(&[query("select 1")]);
     stage.attach();
-    stage.handle(Event::Server(Cut::Frame(Frame::new(b'T', &b"\0\0"[..]))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'T', &b"\0\0"[..]))));
     stage.lose();
     stage.attach();
     assert_eq!(stage.not_again, 1);
@@ -493,14 +502,19 @@
     let mut stage = Stage::new();
     stage.answers = false;
     let mut actions = Vec::new();
-    let row =
-        || Event::Client(Cut::Piece { tag: b'd', bytes: Bytes::from_static(b"d\0\0\0\x05x"), last: true });
+    let row = || {
+        Event::Client(DecodeResult::Chunk {
+            tag: b'd',
+            bytes: Bytes::from_static(b"d\0\0\0\x05x"),
+            last: true,
+        })
+    };
     // Before the server wants any it is passed over.
     stage.session.handle(row(), &mut actions);
     assert!(actions.is_empty());
     stage.client(&[query("copy t from stdin")]);
     stage.attach();
-    stage.handle(Event::Server(Cut::Frame(Frame::new(b'G', &b"\0\0\0"[..]))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'G', &b"\0\0\0"[..]))));
     stage.session.handle(row(), &mut actions);
     assert!(matches!(actions.pop(), Some(Action::ToServer(bytes)) if bytes.len() == 6));
     stage.lose();
@@ -517,7 +531,7 @@
     for frame in
         [Frame::new(b'1', Bytes::new()), Frame::new(b'2', Bytes::new()), Frame::new(b'G', &b"\0\0\0"[..])]
     {
-        stage.handle(Event::Server(Cut::Frame(frame)));
+        stage.handle(Event::Server(DecodeResult::Frame(frame)));
     }
     stage
 }
@@ -548,10 +562,10 @@
     stage.answers = false;
     stage.client(&[parse("", "insert"), bind_execute(""), sync()]);
     stage.attach();
-    let complete = || Event::Server(Cut::Frame(answer::complete("INSERT 0 1")));
+    let complete = || Event::Server(DecodeResult::Frame(answer::complete("INSERT 0 1")));
     for event in [
-        Event::Server(Cut::Frame(Frame::new(b'1', Bytes::new()))),
-        Event::Server(Cut::Frame(Frame::new(b'2', Bytes::new()))),
+        Event::Server(DecodeResult::Frame(Frame::new(b'1', Bytes::new()))),
+        Event::Server(DecodeResult::Frame(Frame::new(b'2', Bytes::new()))),
         complete(),
     ] {
         stage.handle(event);
@@ -563,8 +577,8 @@
     // With its end yet to be sent nothing is held back: the client may wait for it.
     stage.client(&[bind_execute(""), frames(frontend::flush)]);
     stage.attach();
-    stage.handle(Event::Server(Cut::Frame(Frame::new(b'1', Bytes::new()))));
-    stage.handle(Event::Server(Cut::Frame(Frame::new(b'2', Bytes::new()))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'1', Bytes::new()))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'2', Bytes::new()))));
     stage.handle(complete());
     assert_eq!(stage.heard(), "2 C");
 }
@@ -577,7 +591,7 @@
     stage.client(&[query("insert")]);
     stage.attach();
     let last = b"SFATAL\0VFATAL\0C57P01\0Mterminating connection due to administrator command\0\0";
-    stage.handle(Event::Server(Cut::Frame(Frame::new(b'E', &last[..]))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'E', &last[..]))));
     assert_eq!((stage.heard().as_str(), stage.dropped), ("", 1));
     stage.handle(Event::Failed);
     assert_eq!((stage.heard().as_str(), stage.ended), ("08006 ZI", false));
@@ -591,7 +605,7 @@
     stage.client(&[query("select 1")]);
     stage.attach();
     let bytes = Bytes::from_static(b"D\0\0\x01\0\0\x01");
-    stage.handle(Event::Server(Cut::Piece { tag: b'D', bytes, last: false }));
+    stage.handle(Event::Server(DecodeResult::Chunk { tag: b'D', bytes, last: false }));
     stage.lose();
     assert_eq!((stage.told.len(), stage.ended, stage.dropped), (7, true, 1));
 }
@@ -692,7 +706,7 @@
     /// No bytes of a client's make a session panic, or hold more than its bound.
     #[test]
     fn any_bytes_are_survived(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
-        let (mut stage, mut cutter) = (Stage::new(), Cutter::default());
+        let (mut stage, mut cutter) = (Stage::new(), FrameDecoder::default());
         stage.answers = false;
         cutter.push(&bytes);
         while let Ok(Some(cut)) = cutter.next_from_client() {
--- a/core/postgres-session/src/settings.rs
+++ b/core/postgres-session/src/settings.rs
@@ -28,7 +28,7 @@
 
 /// A start-up packet asks for what can't be had.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum BadSettings {
+pub enum SettingsError {
     /// An argument in `options` that is no setting.
     #[error("options: {0:?} is not understood; only -c name=value and --name=value are")]
     Option(String),
@@ -42,7 +42,7 @@
 
 /// The settings in `options`: `-c name=value`, `-cname=value` or `--name=value`, in words parted by spaces; a backslash
 /// takes the sign behind it as it is.
-fn read_options(options: &str) -> Result<Vec<(String, String)>, BadSettings> {
+fn read_options(options: &str) -> Result<Vec<(String, String)>, SettingsError> {
     let (mut words, mut word, mut signs) = (Vec::new(), None::<String>, options.chars());
     while let Some(sign) = signs.next() {
         match sign {
@@ -61,7 +61,7 @@
             (None, None) => None,
         };
         let pair = setting.as_deref().and_then(|setting| setting.split_once('='));
-        let (name, value) = pair.ok_or(BadSettings::Option(word))?;
+        let (name, value) = pair.ok_or(SettingsError::Option(word))?;
         settings.push((name.to_owned(), value.to_owned()));
     }
     Ok(settings)
@@ -83,7 +83,7 @@
     pub fn new(
         parameters: &BTreeMap<String, String>,
         greeting: &BTreeMap<String, String>,
-    ) -> Result<Self, BadSettings> {
+    ) -> Result<Self, SettingsError> {
         let mut wanted = BTreeMap::new();
         for (name, value) in greeting {
             let name = name.to_ascii_lowercase();
@@ -101,11 +101,11 @@
             let name = name.to_ascii_lowercase();
             let fits = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'_' | b'.');
             if name.is_empty() || !name.bytes().all(fits) {
-                return Err(BadSettings::Name(name));
+                return Err(SettingsError::Name(name));
             }
             let value = usual(&name, &value);
             if value.len() > LONGEST || wanted.len() >= MOST {
-                return Err(BadSettings::TooMany);
+                return Err(SettingsError::TooMany);
             }
             proven &= name == "application_name" || wanted.get(&name) == Some(&value);
             wanted.insert(name, value);
--- a/core/postgres-session/src/settings/tests.rs
+++ b/core/postgres-session/src/settings/tests.rs
@@ -60,7 +60,7 @@
     assert!(client.iter().any(|pair| pair == ("timezone", "PST8PDT")));
     assert!(client.reported("in_hot_standby", "on"), "not followed, and told");
     let long = ClientSettings::new(&map(&[("a", &"x".repeat(LONGEST + 1))]), &map(&[]));
-    assert_eq!(long.err(), Some(BadSettings::TooMany));
+    assert_eq!(long.err(), Some(SettingsError::TooMany));
     let strange = ClientSettings::new(&map(&[("a;b", "x")]), &map(&[]));
-    assert_eq!(strange.err(), Some(BadSettings::Name("a;b".to_owned())));
+    assert_eq!(strange.err(), Some(SettingsError::Name("a;b".to_owned())));
 }
--- a/core/postgres-session/src/startup.rs
+++ b/core/postgres-session/src/startup.rs
@@ -18,7 +18,7 @@
 
 /// What a first packet asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum First {
+pub enum StartupPacket {
     /// TLS; one byte answers: `S` for yes, `N` for no.
     Tls,
     /// Encryption by GSSAPI; `N` answers.
@@ -58,7 +58,7 @@
 
 /// Packets that begin no session.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum BadStart {
+pub enum StartupError {
     /// A web browser, a health check, anything that speaks HTTP.
     #[error("this is HTTP; the port speaks the PostgreSQL protocol")]
     Http,
@@ -84,13 +84,13 @@
 
 /// Reads first packets until a session or a cancel is asked for.
 #[derive(Debug, Default)]
-pub struct Startup {
+pub struct StartupReader {
     bytes: BytesMut,
     asked_tls: bool,
     asked_gss: bool,
 }
 
-impl Startup {
+impl StartupReader {
     /// Adds what has come.
     pub fn push(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
@@ -103,16 +103,16 @@
     }
 
     /// The next packet.
-    pub fn take(&mut self) -> Result<Option<First>, BadStart> {
+    pub fn take(&mut self) -> Result<Option<StartupPacket>, StartupError> {
         if self.bytes.len() < 4 {
             return Ok(None);
         }
         if [&b"GET "[..], b"POST", b"HEAD", b"PUT ", b"OPTI", b"PRI "].contains(&&self.bytes[..4]) {
-            return Err(BadStart::Http);
+            return Err(StartupError::Http);
         }
         let length = u32::from_be_bytes([self.bytes[0], self.bytes[1], self.bytes[2], self.bytes[3]]);
         if !(8..=MOST).contains(&(length as usize)) {
-            return Err(BadStart::Length(length));
+            return Err(StartupError::Length(length));
         }
         if self.bytes.len() < length as usize {
             return Ok(None);
@@ -121,36 +121,39 @@
         packet.advance(4);
         let code = packet.get_u32();
         match code {
-            SSL_REQUEST if std::mem::replace(&mut self.asked_tls, true) => Err(BadStart::Again),
-            SSL_REQUEST => Ok(Some(First::Tls)),
-            GSS_REQUEST if std::mem::replace(&mut self.asked_gss, true) => Err(BadStart::Again),
-            GSS_REQUEST => Ok(Some(First::Gss)),
+            SSL_REQUEST if std::mem::replace(&mut self.asked_tls, true) => Err(StartupError::Again),
+            SSL_REQUEST => Ok(Some(StartupPacket::Tls)),
+            GSS_REQUEST if std::mem::replace(&mut self.asked_gss, true) => Err(StartupError::Again),
+            GSS_REQUEST => Ok(Some(StartupPacket::Gss)),
             CANCEL_REQUEST if (8..=4 + MOST_KEY).contains(&packet.len()) => {
-                Ok(Some(First::Cancel { process: packet.get_u32(), key: packet }))
+                Ok(Some(StartupPacket::Cancel { process: packet.get_u32(), key: packet }))
             }
-            CANCEL_REQUEST => Err(BadStart::Length(length)),
-            code if code >> 16 == MAJOR => session(code & 0xffff, &packet).map(|s| Some(First::Session(s))),
-            code => Err(BadStart::Version(code >> 16, code & 0xffff)),
+            CANCEL_REQUEST => Err(StartupError::Length(length)),
+            code if code >> 16 == MAJOR => {
+                session(code & 0xffff, &packet).map(|s| Some(StartupPacket::Session(s)))
+            }
+            code => Err(StartupError::Version(code >> 16, code & 0xffff)),
         }
     }
 }
 
-fn session(asked: u32, packet: &[u8]) -> Result<StartupMessage, BadStart> {
-    let text = |bytes: &[u8]| std::str::from_utf8(bytes).map(str::to_owned).map_err(|_| BadStart::Parameters);
+fn session(asked: u32, packet: &[u8]) -> Result<StartupMessage, StartupError> {
+    let text =
+        |bytes: &[u8]| std::str::from_utf8(bytes).map(str::to_owned).map_err(|_| StartupError::Parameters);
     // Names and values, each ended by a zero, and one zero more at the end.
-    let packet = packet.strip_suffix(b"\0").ok_or(BadStart::Parameters)?;
+    let packet = packet.strip_suffix(b"\0").ok_or(StartupError::Parameters)?;
     let mut words = packet.split(|byte| *byte == 0).map(text);
     let (mut parameters, mut unknown) = (BTreeMap::new(), Vec::new());
     loop {
-        let name = words.next().ok_or(BadStart::Parameters)??;
+        let name = words.next().ok_or(StartupError::Parameters)??;
         if name.is_empty() {
             // Behind the last value; more would be behind the end.
             if words.next().is_some() {
-                return Err(BadStart::Parameters);
+                return Err(StartupError::Parameters);
             }
             break;
         }
-        let value = words.next().ok_or(BadStart::Parameters)??;
+        let value = words.next().ok_or(StartupError::Parameters)??;
         if name.starts_with("_pq_.") {
             unknown.push(name);
         } else {
@@ -161,9 +164,9 @@
         .get("replication")
         .is_some_and(|value| !matches!(value.as_str(), "false" | "off" | "no" | "0"))
     {
-        return Err(BadStart::Replication);
+        return Err(StartupError::Replication);
     }
-    let user = parameters.get("user").filter(|user| !user.is_empty()).cloned().ok_or(BadStart::NoUser)?;
+    let user = parameters.get("user").filter(|user| !user.is_empty()).cloned().ok_or(StartupError::NoUser)?;
     let database = parameters.get("database").cloned().unwrap_or_else(|| user.clone());
     // 3.1 was never used; whoever asks for it gets 3.0.
     let minor = if asked >= NEWEST_MINOR { NEWEST_MINOR } else { 0 };
--- a/core/postgres-session/src/statements.rs
+++ b/core/postgres-session/src/statements.rs
@@ -8,12 +8,12 @@
 use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::frame::Frame;
-use crate::pins::{self, Reading};
+use crate::pins::{self, StatementEffects};
 
 /// Named statements that a client may keep; the next one is an error of the client's.
-pub const MOST_NAMED: usize = 256;
+pub const MAX_NAMED_STATEMENTS: usize = 256;
 /// Statements that stay prepared on a server connection; the one used longest ago makes room.
-pub const MOST_PREPARED: usize = 256;
+pub const MAX_SERVER_STATEMENTS: usize = 256;
 
 /// A statement's text and parameter types, as `Parse` gives them behind the name. Equal ones are the same
 /// statement, whoever prepares it.
@@ -24,12 +24,12 @@
 pub struct Named {
     texts: BTreeMap<Bytes, Text>,
     /// Of the texts, so that each is read once.
-    readings: BTreeMap<Bytes, Rc<Reading>>,
+    readings: BTreeMap<Bytes, Rc<StatementEffects>>,
 }
 
 /// A client has more names than it may keep.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("more than {MOST_NAMED} prepared statements")]
+#[error("more than {MAX_NAMED_STATEMENTS} prepared statements")]
 pub struct TooMany;
 
 /// A body that names a statement where its message has none.
@@ -40,7 +40,7 @@
 impl Named {
     /// A `Parse` of a named statement has been sent on.
     pub fn insert(&mut self, name: Bytes, text: Text) -> Result<(), TooMany> {
-        if self.texts.len() >= MOST_NAMED && !self.texts.contains_key(&name) {
+        if self.texts.len() >= MAX_NAMED_STATEMENTS && !self.texts.contains_key(&name) {
             return Err(TooMany);
         }
         self.readings.remove(&name);
@@ -49,7 +49,7 @@
     }
 
     /// What a named statement's SQL says.
-    pub fn reading(&mut self, name: &Bytes) -> Option<Rc<Reading>> {
+    pub fn reading(&mut self, name: &Bytes) -> Option<Rc<StatementEffects>> {
         let text = self.texts.get(name)?;
         let read = || Rc::new(pins::read(&String::from_utf8_lossy(sql(text))));
         Some(self.readings.entry(name.clone()).or_insert_with(read).clone())
@@ -57,7 +57,7 @@
 
     /// Whether there is room for one more name.
     pub fn has_room(&self, name: &[u8]) -> bool {
-        self.texts.len() < MOST_NAMED || self.texts.contains_key(name)
+        self.texts.len() < MAX_NAMED_STATEMENTS || self.texts.contains_key(name)
     }
 
     /// What stands under a name.
@@ -109,7 +109,7 @@
             return Use { name: name(*number), first: Vec::new() };
         }
         let mut first = Vec::new();
-        if self.known.len() >= MOST_PREPARED {
+        if self.known.len() >= MAX_SERVER_STATEMENTS {
             // Rare beside uses, so it may take a look at all of them.
             let oldest = self.known.iter().min_by_key(|(_, (_, used))| *used).map(|(text, _)| text.clone());
             let number = oldest.and_then(|oldest| self.known.remove(&oldest));
--- a/core/postgres-session/src/statements/tests.rs
+++ b/core/postgres-session/src/statements/tests.rs
@@ -55,17 +55,18 @@
     let one = prepared.take(&text("select 1"));
     assert_eq!((one.name.as_ref(), one.first.len()), (&b"bp0"[..], 1));
     assert!(prepared.take(&text("select 1")).first.is_empty());
-    for n in 0..MOST_PREPARED {
+    for n in 0..MAX_SERVER_STATEMENTS {
         // The first stays in use, so it is never the oldest.
         assert!(prepared.take(&text("select 1")).first.is_empty(), "{n}");
         let next = prepared.take(&text(&format!("select {n} + 1")));
-        assert_eq!(next.first.len(), if n + 1 < MOST_PREPARED { 1 } else { 2 }, "{n}");
+        assert_eq!(next.first.len(), if n + 1 < MAX_SERVER_STATEMENTS { 1 } else { 2 }, "{n}");
     }
-    assert_eq!(prepared.known.len(), MOST_PREPARED);
+    assert_eq!(prepared.known.len(), MAX_SERVER_STATEMENTS);
     prepared.forget(&text("select 1"));
     assert_eq!(prepared.take(&text("select 1")).first.len(), 1);
     let mut named = Named::default();
-    (0..MOST_NAMED).for_each(|n| named.insert(Bytes::from(n.to_string()), text("x")).expect("room"));
+    (0..MAX_NAMED_STATEMENTS)
+        .for_each(|n| named.insert(Bytes::from(n.to_string()), text("x")).expect("room"));
     assert_eq!(named.insert(Bytes::from_static(b"more"), text("x")), Err(TooMany));
     assert_eq!(named.insert(Bytes::from_static(b"0"), text("y")), Ok(()));
 }
--- a/core/postgres-session/tests/reference.rs
+++ b/core/postgres-session/tests/reference.rs
@@ -8,8 +8,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use badgerpost_fakes::database::{Backend, Database, Offline};
-use badgerpost_postgres_session::answer::Status;
-use badgerpost_postgres_session::frame::{Cut, Cutter, Frame};
+use badgerpost_postgres_session::answer::TransactionStatus;
+use badgerpost_postgres_session::frame::{DecodeResult, Frame, FrameDecoder};
 use badgerpost_postgres_session::session::{Action, Event, ServerState, Session};
 use badgerpost_postgres_session::settings::ClientSettings;
 use bytes::{BufMut, BytesMut};
@@ -165,8 +165,8 @@
     backend.take_out()
 }
 
-fn cut(bytes: &[u8], server: bool) -> Vec<Cut> {
-    let mut cutter = Cutter::default();
+fn cut(bytes: &[u8], server: bool) -> Vec<DecodeResult> {
+    let mut cutter = FrameDecoder::default();
     cutter.push(bytes);
     let mut cuts = Vec::new();
     while let Some(next) =
@@ -197,8 +197,8 @@
                         let link = self.held.as_mut().expect("nothing goes to a server that is not there");
                         for cut in cut(&bytes, false) {
                             let frame = match cut {
-                                Cut::Frame(frame) => frame,
-                                Cut::Piece { bytes, .. } => Frame::new(b'd', bytes.slice(5..)),
+                                DecodeResult::Frame(frame) => frame,
+                                DecodeResult::Chunk { bytes, .. } => Frame::new(b'd', bytes.slice(5..)),
                             };
                             let answers = say(&mut link.backend, &frame);
                             events.extend(self::cut(&answers, true).into_iter().map(Event::Server));
@@ -224,8 +224,8 @@
     let mut out = Vec::new();
     for cut in cut(bytes, true) {
         let frame = match cut {
-            Cut::Frame(frame) => frame,
-            Cut::Piece { tag, bytes, .. } => Frame::new(tag, bytes.slice(5..)),
+            DecodeResult::Frame(frame) => frame,
+            DecodeResult::Chunk { tag, bytes, .. } => Frame::new(tag, bytes.slice(5..)),
         };
         if frame.tag == b'S' {
             continue;
@@ -242,7 +242,7 @@
 /// The settings that a client was told, as it knows them in the end.
 fn reports(bytes: &[u8], known: &mut BTreeMap<String, String>) {
     for cut in cut(bytes, true) {
-        if let Cut::Frame(Frame { tag: b'S', body }) = cut {
+        if let DecodeResult::Frame(Frame { tag: b'S', body }) = cut {
             let text = String::from_utf8_lossy(&body).into_owned();
             let mut parts = text.split('\0').map(str::to_owned);
             known.insert(parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
@@ -298,8 +298,8 @@
             let mut wire = BytesMut::new();
             frame.write(&mut wire);
             let cut = match frame.tag {
-                b'd' => Cut::Piece { tag: b'd', bytes: wire.freeze(), last: true },
-                _ => Cut::Frame(frame),
+                b'd' => DecodeResult::Chunk { tag: b'd', bytes: wire.freeze(), last: true },
+                _ => DecodeResult::Frame(frame),
             };
             pooled.handle(Event::Client(cut));
         }
@@ -312,9 +312,9 @@
     reports(&pooled.told, &mut believed);
     prop_assert_eq!(known.get("TimeZone"), believed.get("TimeZone"));
     // What is still open is rolled back on both sides, and the rest is the same.
-    if pooled.session.status() != Status::Idle {
+    if pooled.session.status() != TransactionStatus::Idle {
         say(&mut direct, &frame(b'Q', &[b"ROLLBACK\0"]));
-        pooled.handle(Event::Client(Cut::Frame(frame(b'Q', &[b"ROLLBACK\0"]))));
+        pooled.handle(Event::Client(DecodeResult::Frame(frame(b'Q', &[b"ROLLBACK\0"]))));
     }
     for table in ["t", "other.t"] {
         prop_assert_eq!(alone.rows(table), behind.rows(table));
--- a/core/socket-handover/src/lib.rs
+++ b/core/socket-handover/src/lib.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of what is said here. A peer of another one is turned down, and the two listen side by side.
-pub const VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 1;
 /// No line is longer.
-pub const LINE_MOST: usize = 512;
+pub const MAX_LINE_LENGTH: usize = 512;
 
 /// What is said.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,9 +37,9 @@
 
 /// A line that says nothing known.
 #[derive(Debug, thiserror::Error)]
-pub enum BadLine {
+pub enum MessageError {
     /// Too long to be one.
-    #[error("a line of more than {LINE_MOST} bytes")]
+    #[error("a line of more than {MAX_LINE_LENGTH} bytes")]
     Long,
     /// Not in the form.
     #[error("no message: {0}")]
@@ -48,9 +48,9 @@
 
 impl Message {
     /// Reads a line, without its end.
-    pub fn read(line: &[u8]) -> Result<Self, BadLine> {
-        if line.len() > LINE_MOST {
-            return Err(BadLine::Long);
+    pub fn read(line: &[u8]) -> Result<Self, MessageError> {
+        if line.len() > MAX_LINE_LENGTH {
+            return Err(MessageError::Long);
         }
         Ok(serde_json::from_slice(line)?)
     }
@@ -70,11 +70,11 @@
     /// The connection is up.
     Connected,
     /// The peer said this; whether a listening socket at the right address came along.
-    Said(Message, bool),
+    Received(Message, bool),
     /// The peer said something that can't be read.
-    Garbage,
+    InvalidMessage,
     /// The time for the exchange is over.
-    TimeOut,
+    TimedOut,
     /// The connection has ended, or never came up.
     Closed,
     /// This process takes connections at its listener now.
@@ -85,17 +85,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Say this.
-    Say(Message),
+    Send(Message),
     /// Say this, and let the listening socket go along.
-    Give(Message),
+    SendListener(Message),
     /// Listen at the socket that came.
-    UseGiven,
+    UseReceivedListener,
     /// Listen at a socket of one's own beside the other's.
-    ListenAlone,
+    ListenSeparately,
     /// The peer takes connections at the same socket from now on, or does so no longer.
-    Shared(bool),
+    SetShared(bool),
     /// The two are one node, and each has its half of the limits; or the other one is gone.
-    Halved(bool),
+    SetLimitsHalved(bool),
     /// End the connection.
     Close,
 }
@@ -129,21 +129,21 @@
             (Asking::Connecting, Event::Connected) => {
                 self.at = Asking::Asked;
                 // From here on there are two.
-                actions.push(Action::Halved(true));
-                actions.push(Action::Say(Message::Hello { version: VERSION, listen: self.listen }));
+                actions.push(Action::SetLimitsHalved(true));
+                actions.push(Action::Send(Message::Hello { version: PROTOCOL_VERSION, listen: self.listen }));
             }
-            (Asking::Asked, Event::Said(Message::Listener, true)) => {
+            (Asking::Asked, Event::Received(Message::Listener, true)) => {
                 self.at = Asking::Given;
-                actions.push(Action::UseGiven);
+                actions.push(Action::UseReceivedListener);
             }
             (Asking::Given, Event::Listening) => {
                 self.at = Asking::Serving;
-                actions.push(Action::Say(Message::Serving));
+                actions.push(Action::Send(Message::Serving));
             }
             // The predecessor has ended, which is what it was to do.
             (Asking::Given | Asking::Serving, Event::Closed) => {
                 self.at = Asking::Alone;
-                actions.push(Action::Halved(false));
+                actions.push(Action::SetLimitsHalved(false));
             }
             (Asking::Given | Asking::Serving | Asking::Alone, _) | (Asking::Connecting, Event::Listening) => {
             }
@@ -157,9 +157,9 @@
         self.at = Asking::Alone;
         if connected {
             // Nobody tells any more when the other one is gone, and half the limits for ever would be a loss.
-            actions.push(Action::Halved(false));
+            actions.push(Action::SetLimitsHalved(false));
         }
-        actions.extend([Action::Close, Action::ListenAlone]);
+        actions.extend([Action::Close, Action::ListenSeparately]);
     }
 }
 
@@ -187,33 +187,33 @@
     /// Takes in what happens.
     pub fn handle(&mut self, event: Event, actions: &mut Vec<Action>) {
         match (self.at, event) {
-            (Giving::Waiting, Event::Said(Message::Hello { version, listen }, _)) => {
-                let reason = if version != VERSION {
-                    format!("version {version} is not {VERSION}")
+            (Giving::Waiting, Event::Received(Message::Hello { version, listen }, _)) => {
+                let reason = if version != PROTOCOL_VERSION {
+                    format!("version {version} is not {PROTOCOL_VERSION}")
                 } else if listen != self.listen {
                     format!("this one listens at {}", self.listen)
                 } else {
                     self.at = Giving::Given;
-                    actions.extend([Action::Give(Message::Listener), Action::Halved(true)]);
+                    actions.extend([Action::SendListener(Message::Listener), Action::SetLimitsHalved(true)]);
                     return;
                 };
                 self.at = Giving::Over;
-                actions.extend([Action::Say(Message::Refused { reason }), Action::Close]);
+                actions.extend([Action::Send(Message::Refused { reason }), Action::Close]);
             }
-            (Giving::Given, Event::Said(Message::Serving, _)) => {
+            (Giving::Given, Event::Received(Message::Serving, _)) => {
                 self.at = Giving::Shared;
-                actions.push(Action::Shared(true));
+                actions.push(Action::SetShared(true));
             }
             (Giving::Over, _) | (_, Event::Connected | Event::Listening) => {}
             // It has until its own start is over to say that it serves; from then on only its end counts.
-            (Giving::Given | Giving::Shared, Event::TimeOut) => {}
+            (Giving::Given | Giving::Shared, Event::TimedOut) => {}
             (before, _) => {
                 self.at = Giving::Over;
                 if before == Giving::Shared {
-                    actions.push(Action::Shared(false));
+                    actions.push(Action::SetShared(false));
                 }
                 if before != Giving::Waiting {
-                    actions.push(Action::Halved(false));
+                    actions.push(Action::SetLimitsHalved(false));
                 }
                 actions.push(Action::Close);
             }
--- a/core/socket-handover/src/tests.rs
+++ b/core/socket-handover/src/tests.rs
@@ -24,16 +24,29 @@
 
 #[test]
 fn the_socket_goes_over_and_the_old_one_hears_of_it() {
-    use Action::{Give, Halved, Say, Shared, UseGiven};
-    let given = Event::Said(Message::Listener, true);
+    use Action::{Send, SendListener, SetLimitsHalved, SetShared, UseReceivedListener};
+    let given = Event::Received(Message::Listener, true);
     assert_eq!(
         successor(&[Event::Connected, given, Event::Listening, Event::Closed]),
-        [Halved(true), Say(hello(1, 1)), UseGiven, Say(Message::Serving), Halved(false)]
+        [
+            SetLimitsHalved(true),
+            Send(hello(1, 1)),
+            UseReceivedListener,
+            Send(Message::Serving),
+            SetLimitsHalved(false)
+        ]
     );
-    let asked = Event::Said(hello(1, 1), false);
+    let asked = Event::Received(hello(1, 1), false);
     assert_eq!(
-        predecessor(&[asked, Event::TimeOut, Event::Said(Message::Serving, false), Event::Closed]),
-        [Give(Message::Listener), Halved(true), Shared(true), Shared(false), Halved(false), Action::Close]
+        predecessor(&[asked, Event::TimedOut, Event::Received(Message::Serving, false), Event::Closed]),
+        [
+            SendListener(Message::Listener),
+            SetLimitsHalved(true),
+            SetShared(true),
+            SetShared(false),
+            SetLimitsHalved(false),
+            Action::Close
+        ]
     );
 }
 
@@ -43,9 +56,12 @@
         [(hello(2, 1), "version 2 is not 1"), (hello(1, 9), "this one listens at 127.0.0.1:1")]
     {
         let refused = Message::Refused { reason: why.to_owned() };
-        assert_eq!(predecessor(&[Event::Said(asked, false)]), [Action::Say(refused.clone()), Action::Close]);
-        let heard = successor(&[Event::Connected, Event::Said(refused, false)]);
-        assert_eq!(heard.last(), Some(&Action::ListenAlone));
+        assert_eq!(
+            predecessor(&[Event::Received(asked, false)]),
+            [Action::Send(refused.clone()), Action::Close]
+        );
+        let heard = successor(&[Event::Connected, Event::Received(refused, false)]);
+        assert_eq!(heard.last(), Some(&Action::ListenSeparately));
     }
 }
 
@@ -58,7 +74,7 @@
         assert_eq!(Message::read(&line[..line.len() - 1]).expect("a message"), message);
     }
     for bad in
-        [&b""[..], b"{}", b"\"hello\"", b"{\"hello\":{\"version\":1}}", b"\xff", &[b'x'; LINE_MOST + 1]]
+        [&b""[..], b"{}", b"\"hello\"", b"{\"hello\":{\"version\":1}}", b"\xff", &[b'x'; MAX_LINE_LENGTH + 1]]
     {
         assert!(Message::read(bad).is_err());
     }
@@ -67,14 +83,14 @@
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
         Just(Event::Connected),
-        Just(Event::Garbage),
-        Just(Event::TimeOut),
+        Just(Event::InvalidMessage),
+        Just(Event::TimedOut),
         Just(Event::Closed),
         Just(Event::Listening),
-        (0u32..3, 1u16..3).prop_map(|(version, port)| Event::Said(hello(version, port), false)),
-        any::<bool>().prop_map(|with| Event::Said(Message::Listener, with)),
-        Just(Event::Said(Message::Serving, false)),
-        Just(Event::Said(Message::Refused { reason: String::new() }, false)),
+        (0u32..3, 1u16..3).prop_map(|(version, port)| Event::Received(hello(version, port), false)),
+        any::<bool>().prop_map(|with| Event::Received(Message::Listener, with)),
+        Just(Event::Received(Message::Serving, false)),
+        Just(Event::Received(Message::Refused { reason: String::new() }, false)),
     ]
 }
 
@@ -85,27 +101,27 @@
     #[test]
     fn any_order_of_messages_and_deaths(events in prop::collection::vec(event(), 0..12)) {
         let ways = |actions: &[Action]| {
-            actions.iter().filter(|a| matches!(a, Action::UseGiven | Action::ListenAlone)).count()
+            actions.iter().filter(|a| matches!(a, Action::UseReceivedListener | Action::ListenSeparately)).count()
         };
         let halved = |actions: &[Action]| {
             actions.iter().rev().find_map(|action| match action {
-                Action::Halved(halved) => Some(*halved),
+                Action::SetLimitsHalved(halved) => Some(*halved),
                 _ => None,
             })
         };
         prop_assert!(ways(&successor(&events)) <= 1);
-        let ended = [&events[..], &[Event::TimeOut, Event::Closed]].concat();
+        let ended = [&events[..], &[Event::TimedOut, Event::Closed]].concat();
         prop_assert_eq!(ways(&successor(&ended)), 1);
         prop_assert_ne!(halved(&successor(&ended)), Some(true));
         let given = predecessor(&events);
-        let shared = given.iter().position(|action| *action == Action::Shared(true));
+        let shared = given.iter().position(|action| *action == Action::SetShared(true));
         if let Some(shared) = shared {
-            prop_assert!(matches!(given[..shared].first(), Some(Action::Give(_))));
-            prop_assert!(events.contains(&Event::Said(Message::Serving, false)));
+            prop_assert!(matches!(given[..shared].first(), Some(Action::SendListener(_))));
+            prop_assert!(events.contains(&Event::Received(Message::Serving, false)));
         }
         let over = predecessor(&ended);
         let count = |wanted: &Action| over.iter().filter(|action| *action == wanted).count();
-        prop_assert_eq!(count(&Action::Shared(true)), count(&Action::Shared(false)));
+        prop_assert_eq!(count(&Action::SetShared(true)), count(&Action::SetShared(false)));
         prop_assert_ne!(halved(&over), Some(true));
     }
 
--- a/core/zone-health/src/api.rs
+++ b/core/zone-health/src/api.rs
@@ -1,6 +1,6 @@
 //! What the core is told and what it says.
 
-use crate::sight::Sight;
+use crate::sight::ZoneObservation;
 
 /// A time or a span, in nanoseconds.
 pub type Nanos = u64;
@@ -9,41 +9,41 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     /// The node's own zone, by position.
-    pub home: u32,
+    pub local_zone: u32,
     /// How many zones there are.
-    pub zones: u32,
+    pub zone_count: u32,
     /// How many request classes there are.
-    pub classes: u32,
+    pub class_count: u32,
     /// How many nodes share the servers, this one included.
-    pub nodes: u32,
+    pub node_count: u32,
     /// Drives the draws of trials.
     pub seed: u64,
 }
 
 /// How an attempt ended, as far as it tells of the zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Seen {
+pub enum AttemptSignal {
     /// A usable answer.
     Answered,
     /// The server answered with an error.
     Failed,
     /// No connection came about, or it broke.
-    Unreached,
+    ConnectionFailed,
     /// Nothing came in the time waited, or it was withdrawn by then.
-    Silent,
+    TimedOut,
     /// The server has answered, but its answer says nothing of how it fares: turned away as full, spoilt on the way.
-    TurnedAway,
+    Inconclusive,
     /// It says nothing of the zone: never sent.
-    Nothing,
+    NotSent,
 }
 
 /// What the core hears.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The servers in service, each with its zone and its size.
-    Listed(Vec<(u32, u32, f64)>),
+    EndpointsListed(Vec<(u32, u32, f64)>),
     /// An attempt went out.
-    Sent {
+    AttemptSent {
         /// A number that no other open attempt has.
         attempt: u64,
         /// The server.
@@ -54,25 +54,25 @@
         class: u32,
     },
     /// An attempt ended.
-    Ended {
-        /// As given with [`Event::Sent`].
+    AttemptEnded {
+        /// As given with [`Event::AttemptSent`].
         attempt: u64,
         /// How.
-        seen: Seen,
+        seen: AttemptSignal,
         /// The server's use of its cores, where it reports that.
         util: Option<f64>,
     },
-    /// The time asked for by [`Action::Wake`] has come.
-    Wake,
+    /// The time asked for by [`Action::SetTimer`] has come.
+    TimerFired,
     /// Operators close a zone (`true`) or hold it open until then, whatever is seen; none ends that.
-    ByHand {
+    OperatorOverride {
         /// The zone.
         zone: u32,
         /// Closed or open, and until when.
         order: Option<(bool, Nanos)>,
     },
     /// Another node of the fleet is there, or no longer.
-    Member {
+    PeerChanged {
         /// Which.
         member: u64,
         /// Its zone.
@@ -81,7 +81,7 @@
         up: bool,
     },
     /// Another node says what it sees of a zone.
-    Heard {
+    PeerObserved {
         /// Which node.
         member: u64,
         /// Of which zone.
@@ -89,15 +89,15 @@
         /// When, by its clock.
         sent: Nanos,
         /// What.
-        sight: Sight,
+        sight: ZoneObservation,
     },
 }
 
 /// Why a zone's share is what it is.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Why {
+pub enum ZoneStateReason {
     /// Nothing speaks against it.
-    Open,
+    Healthy,
     /// Answers stay away at several of its servers.
     Silent {
         /// Log-likelihood of the silence against the usual answer times, without its worst server.
@@ -109,26 +109,26 @@
         evidence: f64,
     },
     /// It is tried again by a few requests.
-    Trying,
+    Probing,
     /// It takes part of the requests again.
-    Returning,
+    Recovering,
     /// No zone answers: it is this node that is cut off, or there is nowhere else to go.
-    NobodyElse,
+    NoAlternative,
     /// Operators said so.
-    ByHand,
+    OperatorOverride,
 }
 
-impl Why {
+impl ZoneStateReason {
     /// One word, for logs.
-    pub fn word(&self) -> &'static str {
+    pub fn as_str(&self) -> &'static str {
         match self {
-            Self::Open => "open",
+            Self::Healthy => "open",
             Self::Silent { .. } => "silent",
             Self::Failing { .. } => "failing",
-            Self::Trying => "trying",
-            Self::Returning => "returning",
-            Self::NobodyElse => "nobody-else",
-            Self::ByHand => "by-hand",
+            Self::Probing => "trying",
+            Self::Recovering => "returning",
+            Self::NoAlternative => "nobody-else",
+            Self::OperatorOverride => "by-hand",
         }
     }
 
@@ -146,39 +146,39 @@
 pub enum Action {
     /// A zone's share from now on: of the home zone, which part of the requests it takes; of another, which part of
     /// what home does not take, against the other zones' shares. At 0 it gets nothing new.
-    Share {
+    SetShare {
         /// The zone.
         zone: u32,
         /// From 0 to 1.
         share: f64,
     },
     /// The next request that may be repeated elsewhere tries the zone, for so long.
-    Trial {
+    RequestProbe {
         /// The zone.
         zone: u32,
         /// How long its answer is waited for.
         wait: Nanos,
     },
     /// The other nodes are to hear this of a zone. Said to nobody where there are none.
-    Say {
+    Gossip {
         /// The zone.
         zone: u8,
         /// What this node sees of it.
-        sight: Sight,
+        sight: ZoneObservation,
     },
-    /// [`Event::Wake`] is wanted at this time; replaces the wish before.
-    Wake {
+    /// [`Event::TimerFired`] is wanted at this time; replaces the wish before.
+    SetTimer {
         /// When.
         at: Nanos,
     },
     /// A zone's state changed; for the log.
-    Changed {
+    LogChange {
         /// The zone.
         zone: u32,
         /// Its share now.
         share: f64,
         /// Why.
-        why: Why,
+        why: ZoneStateReason,
         /// Servers in service there.
         servers: u32,
     },
