--- a/core/zone-health/src/course.rs
+++ b/core/zone-health/src/course.rs
@@ -1,10 +1,10 @@
 //! The course of one zone: open, doubted, closed, tried, returning by steps. Which of these it is decides what it
 //! gets; when it changes is decided here too, from what the evidence amounts to.
 
-use crate::api::Why;
+use crate::api::ZoneStateReason;
 use crate::evidence::Evidence;
-use crate::fleet::View;
-use crate::sight::At;
+use crate::fleet::PeerSummary;
+use crate::sight::ObservedState;
 use crate::{MS, Nanos, SECOND};
 
 /// Evidence at which a zone gets nothing new: log-likelihoods, so chance comes to it once in 150 cases that are as
@@ -64,17 +64,17 @@
 
 /// Where a zone stands. Times are on the clock of the time awake; a closed zone is held until `held`.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Stage {
-    Open,
-    Doubted { since: Nanos, why: Why },
-    Closed { held: Nanos, why: Why, next: Nanos, answered: u32, tried: bool },
-    Returning { step: usize, since: Nanos },
+pub(crate) enum ZoneStage {
+    Healthy,
+    Suspected { since: Nanos, why: ZoneStateReason },
+    Ejected { held: Nanos, why: ZoneStateReason, next: Nanos, answered: u32, tried: bool },
+    Recovering { step: usize, since: Nanos },
 }
 
 /// What the evidence amounts to at one moment.
 #[derive(Clone, Copy)]
-pub(crate) struct Weighed {
-    /// Of silence, with answers that take twice as long as usual, and as many times as [`Course::patience`] says.
+pub(crate) struct EvidenceSnapshot {
+    /// Of silence, with answers that take twice as long as usual, and as many times as [`ZoneState::patience`] says.
     pub(crate) silence: f64,
     pub(crate) slower: f64,
     /// Of failures.
@@ -84,7 +84,7 @@
     /// How long it has said nothing, at least.
     pub(crate) quiet: Nanos,
     /// What the other nodes say, where there are any; its evidence is in the figures above already.
-    pub(crate) fleet: Option<View>,
+    pub(crate) fleet: Option<PeerSummary>,
     /// This node had an answer from there in the last moments.
     pub(crate) hears: bool,
     /// The worst of this node's own evidence.
@@ -92,8 +92,8 @@
 }
 
 /// One zone.
-pub(crate) struct Course {
-    pub(crate) stage: Stage,
+pub(crate) struct ZoneState {
+    pub(crate) stage: ZoneStage,
     pub(crate) evidence: Evidence,
     strikes: u32,
     opened: Nanos,
@@ -112,10 +112,10 @@
     seconded: bool,
 }
 
-impl Course {
+impl ZoneState {
     pub(crate) fn new(classes: u32) -> Self {
         Self {
-            stage: Stage::Open,
+            stage: ZoneStage::Healthy,
             evidence: Evidence::new(classes),
             strikes: 0,
             opened: 0,
@@ -133,24 +133,24 @@
     /// Which part of what it could get it gets.
     pub(crate) fn part(&self) -> f64 {
         match self.stage {
-            Stage::Open => 1.0,
-            Stage::Doubted { .. } | Stage::Closed { .. } => 0.0,
-            Stage::Returning { step, .. } => STEPS.get(step).copied().unwrap_or(1.0),
+            ZoneStage::Healthy => 1.0,
+            ZoneStage::Suspected { .. } | ZoneStage::Ejected { .. } => 0.0,
+            ZoneStage::Recovering { step, .. } => STEPS.get(step).copied().unwrap_or(1.0),
         }
     }
 
-    pub(crate) fn why(&self) -> Why {
+    pub(crate) fn why(&self) -> ZoneStateReason {
         match self.stage {
-            Stage::Open => Why::Open,
-            Stage::Closed { tried: true, .. } => Why::Trying,
-            Stage::Doubted { why, .. } | Stage::Closed { why, .. } => why,
-            Stage::Returning { .. } => Why::Returning,
+            ZoneStage::Healthy => ZoneStateReason::Healthy,
+            ZoneStage::Ejected { tried: true, .. } => ZoneStateReason::Probing,
+            ZoneStage::Suspected { why, .. } | ZoneStage::Ejected { why, .. } => why,
+            ZoneStage::Recovering { .. } => ZoneStateReason::Recovering,
         }
     }
 
     /// Opens it at once, forgetting what spoke against it.
     pub(crate) fn open(&mut self, awake: Nanos) {
-        self.stage = Stage::Open;
+        self.stage = ZoneStage::Healthy;
         self.opened = awake;
         self.evidence.reset(awake);
     }
@@ -165,48 +165,49 @@
     pub(crate) fn no_worse_than(&self, elsewhere: f64) -> bool {
         let failing = matches!(
             self.stage,
-            Stage::Closed { why: Why::Failing { .. }, .. } | Stage::Doubted { why: Why::Failing { .. }, .. }
+            ZoneStage::Ejected { why: ZoneStateReason::Failing { .. }, .. }
+                | ZoneStage::Suspected { why: ZoneStateReason::Failing { .. }, .. }
         );
         failing && elsewhere >= FAILING_TOO.max(0.5 * self.failed_at_close)
     }
 
-    fn close(&mut self, awake: Nanos, why: Why, crowd: f64, draw: f64) {
+    fn close(&mut self, awake: Nanos, why: ZoneStateReason, crowd: f64, draw: f64) {
         let held = awake + (HOLD << self.strikes.min(HOLDS));
         let next = held + (draw * self.interval(crowd)) as Nanos;
-        self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
+        self.stage = ZoneStage::Ejected { held, why, next, answered: 0, tried: false };
         self.strikes += 1;
         (self.bad, self.seconded) = (None, false);
     }
 
     /// Where it stands, for the other nodes.
-    pub(crate) fn at(&self, awake: Nanos) -> At {
+    pub(crate) fn at(&self, awake: Nanos) -> ObservedState {
         match self.stage {
-            Stage::Open => At::Open,
-            Stage::Doubted { .. } => At::Doubted,
-            Stage::Closed { answered, .. } => {
+            ZoneStage::Healthy => ObservedState::Healthy,
+            ZoneStage::Suspected { .. } => ObservedState::Suspected,
+            ZoneStage::Ejected { answered, .. } => {
                 let bad = self.bad.map(|bad| awake.saturating_sub(bad) / MS);
                 let bad_ms = bad.and_then(|ms| u16::try_from(ms).ok()).unwrap_or(u16::MAX);
-                At::Closed { good: u8::try_from(answered).unwrap_or(u8::MAX), bad_ms }
+                ObservedState::Ejected { good: u8::try_from(answered).unwrap_or(u8::MAX), bad_ms }
             }
-            Stage::Returning { step, .. } => {
-                At::Returning { step: step as u8, good: self.evidence.goods > self.goods_at_step }
+            ZoneStage::Recovering { step, .. } => {
+                ObservedState::Recovering { step: step as u8, good: self.evidence.goods > self.goods_at_step }
             }
         }
     }
 
     /// Weighs what is seen now.
-    pub(crate) fn weigh(&mut self, awake: Nanos, seen: Weighed, crowd: f64, draw: f64) {
+    pub(crate) fn weigh(&mut self, awake: Nanos, seen: EvidenceSnapshot, crowd: f64, draw: f64) {
         let failing = if awake < self.acquitted_until { 0.0 } else { seen.failing };
         let failing = failing * DOUBT / DOUBT_FAILING;
         let why = if failing > seen.silence {
-            Why::Failing { evidence: failing }
+            ZoneStateReason::Failing { evidence: failing }
         } else {
-            Why::Silent { evidence: seen.silence }
+            ZoneStateReason::Silent { evidence: seen.silence }
         };
         let worst = failing.max(seen.silence);
         let middle = seen.fleet.and_then(|fleet| fleet.step);
         match self.stage {
-            Stage::Open => {
+            ZoneStage::Healthy => {
                 if awake.saturating_sub(self.opened) >= FORGIVEN {
                     self.strikes = 0;
                 }
@@ -215,7 +216,7 @@
                     self.failed_at_close = self.evidence.recent;
                     self.evidence.goods = 0;
                     self.saw = seen.own >= SEES;
-                    self.stage = Stage::Doubted { since: awake, why };
+                    self.stage = ZoneStage::Suspected { since: awake, why };
                 } else if let Some(fleet) =
                     seen.fleet.filter(|_| seen.others && !seen.hears && !self.fresh(awake))
                 {
@@ -224,29 +225,32 @@
                     if fleet.closed {
                         // Taken back with the others' doubt, or closed as theirs will be.
                         self.evidence.goods = 0;
-                        self.stage = Stage::Doubted { since: awake, why: Why::Silent { evidence: 0.0 } };
+                        self.stage = ZoneStage::Suspected {
+                            since: awake,
+                            why: ZoneStateReason::Silent { evidence: 0.0 },
+                        };
                     } else if fleet.returning {
                         self.come_back(awake, false);
                         self.follow(awake, middle);
                     }
                 }
             }
-            Stage::Doubted { since, why } => {
+            ZoneStage::Suspected { since, why } => {
                 let lasted = awake.saturating_sub(since);
-                let silent = matches!(why, Why::Silent { .. });
+                let silent = matches!(why, ZoneStateReason::Silent { .. });
                 // The others' evidence grows old once they send nothing there; that takes nothing back.
                 let withdrawn = seen.fleet.is_some_and(|fleet| !fleet.held) && seen.silence < DOUBT / 2.0;
                 if silent && (self.evidence.goods > 0 || withdrawn) {
-                    self.stage = Stage::Open;
+                    self.stage = ZoneStage::Healthy;
                 } else if lasted >= DOUBT_MOST || (lasted >= DOUBT_FOR && (!silent || seen.slower >= DOUBT)) {
                     self.close(awake, why, crowd, draw);
                 }
             }
-            Stage::Closed { held, why, .. } => {
+            ZoneStage::Ejected { held, why, .. } => {
                 if let Some(fleet) = seen.fleet {
                     self.second(awake, fleet, crowd, draw);
                     let (wanted, bad_for) = match why {
-                        Why::Failing { .. } => (TRIALS_FAILED, BAD_FAILED_FOR),
+                        ZoneStateReason::Failing { .. } => (TRIALS_FAILED, BAD_FAILED_FOR),
                         _ => (TRIALS, BAD_FOR),
                     };
                     let own_bad = self.bad.map_or(Nanos::MAX, |bad| awake.saturating_sub(bad));
@@ -257,7 +261,7 @@
                     }
                 }
             }
-            Stage::Returning { step, since } => {
+            ZoneStage::Recovering { step, since } => {
                 let lasted = awake.saturating_sub(since);
                 // Cold servers are slow, not silent.
                 let worst = failing.max(seen.slower);
@@ -267,7 +271,7 @@
                     self.saw = seen.own >= SEES;
                     self.close(awake, why, crowd, draw);
                 } else if worst >= WORSE && lasted >= STEP_FOR / 2 {
-                    self.stage = Stage::Returning { step: step.saturating_sub(1), since: awake };
+                    self.stage = ZoneStage::Recovering { step: step.saturating_sub(1), since: awake };
                     self.goods_at_step = self.evidence.goods;
                 } else if middle.is_some_and(|middle| step < middle) {
                     // One ramp for all: who sees little goes with the others.
@@ -282,9 +286,9 @@
                         self.first_stretch = self.evidence.stretch;
                     }
                     self.goods_at_step = self.evidence.goods;
-                    self.stage = Stage::Returning { step: step + 1, since: awake };
+                    self.stage = ZoneStage::Recovering { step: step + 1, since: awake };
                     if step + 1 >= STEPS.len() {
-                        self.stage = Stage::Open;
+                        self.stage = ZoneStage::Healthy;
                         self.opened = awake;
                     }
                 }
@@ -294,16 +298,16 @@
 
     /// An attempt there ended while it was closed: a trial, or one that went out before.
     pub(crate) fn tried(&mut self, awake: Nanos, good: bool, servers: u32, crowd: f64, draw: f64) {
-        let Stage::Closed { held, why, next, answered, .. } = self.stage else { return };
+        let ZoneStage::Ejected { held, why, next, answered, .. } = self.stage else { return };
         if !good {
             self.bad = Some(awake);
             let next = next.max(awake + (draw * self.interval(crowd)) as Nanos);
-            self.stage = Stage::Closed { held, why, next, answered: 0, tried: false };
+            self.stage = ZoneStage::Ejected { held, why, next, answered: 0, tried: false };
             return;
         }
         let answered = answered + 1;
         let wanted = match why {
-            Why::Failing { .. } => TRIALS_FAILED,
+            ZoneStateReason::Failing { .. } => TRIALS_FAILED,
             _ => TRIALS.min(servers.max(1)),
         };
         if answered >= wanted && awake >= held {
@@ -311,13 +315,13 @@
             return;
         }
         let next = next.min(awake + TRIAL_NEXT).max(held);
-        self.stage = Stage::Closed { held, why, next, answered, tried: true };
+        self.stage = ZoneStage::Ejected { held, why, next, answered, tried: true };
     }
 
     /// Servers are listed anew where there were none: what was seen was seen of other processes. The first step is
     /// trial enough; a short trial would end before a cold server's answer.
     pub(crate) fn listed_anew(&mut self, awake: Nanos) {
-        if matches!(self.stage, Stage::Closed { .. }) {
+        if matches!(self.stage, ZoneStage::Ejected { .. }) {
             self.come_back(awake, true);
         }
     }
@@ -329,11 +333,11 @@
 
     /// Goes to the step of the middle one of the others.
     fn follow(&mut self, awake: Nanos, middle: Option<usize>) {
-        if let (Stage::Returning { step, .. }, Some(middle)) = (self.stage, middle)
+        if let (ZoneStage::Recovering { step, .. }, Some(middle)) = (self.stage, middle)
             && step < middle
         {
             self.goods_at_step = self.evidence.goods;
-            self.stage = Stage::Returning { step: middle.min(STEPS.len() - 1), since: awake };
+            self.stage = ZoneStage::Recovering { step: middle.min(STEPS.len() - 1), since: awake };
         }
     }
 
@@ -348,11 +352,11 @@
     }
 
     /// Another node's trial was answered: some nodes, drawn by lot, try at once, so that it is not one node's word.
-    fn second(&mut self, awake: Nanos, fleet: View, crowd: f64, draw: f64) {
+    fn second(&mut self, awake: Nanos, fleet: PeerSummary, crowd: f64, draw: f64) {
         if fleet.trials > 0
             && !std::mem::replace(&mut self.seconded, true)
             && draw * self.crowd(crowd) < SECONDERS
-            && let Stage::Closed { held, next, .. } = &mut self.stage
+            && let ZoneStage::Ejected { held, next, .. } = &mut self.stage
         {
             *next = (*next).min(awake.max(*held));
         }
@@ -362,18 +366,18 @@
         self.cold = cold;
         self.evidence.reset(awake);
         self.goods_at_step = 0;
-        self.stage = Stage::Returning { step: 0, since: awake };
+        self.stage = ZoneStage::Recovering { step: 0, since: awake };
     }
 
     /// How many times longer than usual answers may take before their absence speaks for a dead zone.
     pub(crate) fn patience(&self) -> f64 {
-        if self.cold && matches!(self.stage, Stage::Returning { .. }) { COLD } else { SLOW }
+        if self.cold && matches!(self.stage, ZoneStage::Recovering { .. }) { COLD } else { SLOW }
     }
 
     /// Whether a trial is due; the next one is set.
     pub(crate) fn trial(&mut self, awake: Nanos, crowd: f64, draw: f64) -> bool {
         let interval = self.interval(crowd);
-        let Stage::Closed { next, .. } = &mut self.stage else { return false };
+        let ZoneStage::Ejected { next, .. } = &mut self.stage else { return false };
         if awake < *next {
             return false;
         }
@@ -384,10 +388,10 @@
     /// When it has to be looked at again without any event, on the clock of the time awake.
     pub(crate) fn due(&self) -> Option<Nanos> {
         match self.stage {
-            Stage::Open => None,
-            Stage::Doubted { since, .. } => Some(since + DOUBT_FOR),
-            Stage::Closed { next, .. } => Some(next),
-            Stage::Returning { since, .. } => Some(since + STEP_FOR),
+            ZoneStage::Healthy => None,
+            ZoneStage::Suspected { since, .. } => Some(since + DOUBT_FOR),
+            ZoneStage::Ejected { next, .. } => Some(next),
+            ZoneStage::Recovering { since, .. } => Some(since + STEP_FOR),
         }
     }
 }
--- a/core/zone-health/src/evidence.rs
+++ b/core/zone-health/src/evidence.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::times::Times;
+use crate::times::LatencyHistogram;
 use crate::{Nanos, SECOND};
 
 /// Share of failures that a zone in trouble has at least.
@@ -41,7 +41,7 @@
 }
 
 /// An attempt without an answer yet.
-pub(crate) struct Out {
+pub(crate) struct OutstandingAttempt {
     pub(crate) server: u32,
     pub(crate) zone: u32,
     pub(crate) class: u32,
@@ -110,7 +110,14 @@
     }
 
     /// Takes an answer or a failure in. `elsewhere` is the share of the class that fails in other zones now.
-    pub(crate) fn told(&mut self, awake: Nanos, out: &Out, failed: bool, reached: bool, elsewhere: f64) {
+    pub(crate) fn told(
+        &mut self,
+        awake: Nanos,
+        out: &OutstandingAttempt,
+        failed: bool,
+        reached: bool,
+        elsewhere: f64,
+    ) {
         let usual = elsewhere.clamp(USUAL, 0.8);
         let failing = (3.0 * usual).clamp(FAILING, 0.95);
         let step = if failed { (failing / usual).ln() } else { ((1.0 - failing) / (1.0 - usual)).ln() };
@@ -151,7 +158,7 @@
     }
 
     /// An attempt ended without a word.
-    pub(crate) fn fell_silent(&mut self, out: &Out, awake: Nanos) {
+    pub(crate) fn fell_silent(&mut self, out: &OutstandingAttempt, awake: Nanos) {
         if self.ended.len() < ENDED_MOST {
             self.ended.push((out.since, out.server, out.class, awake.saturating_sub(out.since)));
         }
@@ -170,8 +177,8 @@
     /// waits.
     pub(crate) fn silence<'a>(
         &self,
-        outs: impl Iterator<Item = &'a Out>,
-        times: &[Times],
+        outs: impl Iterator<Item = &'a OutstandingAttempt>,
+        times: &[LatencyHistogram],
         awake: Nanos,
         listed: u32,
         stretch: f64,
--- a/core/zone-health/src/fleet.rs
+++ b/core/zone-health/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::sight::{At, Sight};
+use crate::sight::{ObservedState, ZoneObservation};
 use crate::{MS, Nanos, SECOND};
 
 /// Members whose sights are kept; a fleet is smaller.
@@ -30,7 +30,7 @@
 struct Member {
     home: u8,
     up: bool,
-    sights: BTreeMap<u8, (Nanos, Sight)>,
+    sights: BTreeMap<u8, (Nanos, ZoneObservation)>,
 }
 
 impl Member {
@@ -41,7 +41,7 @@
 
 /// What the others say of one zone, as far as it concerns nodes of one home.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct View {
+pub(crate) struct PeerSummary {
     /// Evidence against it, each node's within bounds; none without enough speakers.
     pub(crate) silence: f64,
     pub(crate) failing: f64,
@@ -63,12 +63,12 @@
 
 /// The other nodes.
 #[derive(Default)]
-pub(crate) struct Fleet {
+pub(crate) struct PeerObservations {
     members: BTreeMap<u64, Member>,
     fresh: Nanos,
 }
 
-impl Fleet {
+impl PeerObservations {
     /// A member is there, or no longer.
     pub(crate) fn member(&mut self, member: u64, home: u8, up: bool) {
         if !up {
@@ -81,7 +81,14 @@
     }
 
     /// A member has said something; whether it counts.
-    pub(crate) fn said(&mut self, now: Nanos, member: u64, zone: u8, sent: Nanos, sight: Sight) -> bool {
+    pub(crate) fn said(
+        &mut self,
+        now: Nanos,
+        member: u64,
+        zone: u8,
+        sent: Nanos,
+        sight: ZoneObservation,
+    ) -> bool {
         if now.abs_diff(sent) > LATE || !self.has_room_for(member) {
             return false;
         }
@@ -108,14 +115,14 @@
     /// What they say of a zone for nodes of this home: those of the home, and of the zone itself, from which no link
     /// between zones parts it. `own` is what this node sees of it: evidence of silence and of failures, and whether it
     /// hears from it.
-    pub(crate) fn view(&self, now: Nanos, zone: u8, home: u8, own: (f64, f64, bool)) -> View {
+    pub(crate) fn view(&self, now: Nanos, zone: u8, home: u8, own: (f64, f64, bool)) -> PeerSummary {
         let (own_silence, own_failing, hears) = own;
         let own_against = own_silence.max(own_failing) >= SPEAKS;
         let (mut silence, mut failing) = (0.0, 0.0);
         let (mut against, mut with) = (u32::from(own_against), u32::from(hears && !own_against));
         let (mut closed, mut returning, mut could) = (0, 0, 1u32);
         let mut steps: Vec<(usize, bool)> = Vec::new();
-        let mut view = View { bad_ago: Nanos::MAX, ..View::default() };
+        let mut view = PeerSummary { bad_ago: Nanos::MAX, ..PeerSummary::default() };
         for member in self.members.values() {
             // Of other homes only the zone's own see it from where no link can be at fault.
             if member.home != home && member.home != zone {
@@ -133,17 +140,18 @@
                     against += 1;
                     silence += word(sight.silent);
                     failing += word(sight.failing);
-                } else if sight.hears {
+                } else if sight.has_answers {
                     with += 1;
                 }
-                view.doubted |= worst >= SPEAKS || sight.at == At::Doubted;
+                view.doubted |= worst >= SPEAKS || sight.state == ObservedState::Suspected;
             }
-            view.held |= sight.saw && matches!(sight.at, At::Doubted | At::Closed { .. });
-            match sight.at {
-                At::Open => {}
-                At::Doubted => closed += u32::from(sight.saw),
-                At::Closed { good, bad_ms } => {
-                    closed += u32::from(sight.saw);
+            view.held |= sight.is_own
+                && matches!(sight.state, ObservedState::Suspected | ObservedState::Ejected { .. });
+            match sight.state {
+                ObservedState::Healthy => {}
+                ObservedState::Suspected => closed += u32::from(sight.is_own),
+                ObservedState::Ejected { good, bad_ms } => {
+                    closed += u32::from(sight.is_own);
                     let tries = u32::from(good).min(TRIALS_OF_ONE);
                     view.trials += tries;
                     view.triers += u32::from(tries > 0);
@@ -151,7 +159,7 @@
                         view.bad_ago = view.bad_ago.min(Nanos::from(bad_ms) * MS + age);
                     }
                 }
-                At::Returning { step, good } => {
+                ObservedState::Recovering { step, good } => {
                     returning += 1;
                     view.trials += TRIALS_OF_ONE;
                     view.triers += 1;
--- a/core/zone-health/src/fleet/tests.rs
+++ b/core/zone-health/src/fleet/tests.rs
@@ -2,13 +2,20 @@
 
 const NOW: Nanos = 100 * SECOND;
 
-fn sight(home: u8, silent: f64) -> Sight {
+fn sight(home: u8, silent: f64) -> ZoneObservation {
     let silent = crate::sight::hundredths(silent);
-    Sight { home, silent, failing: 0, hears: silent == 0, at: At::Open, saw: silent > 0 }
+    ZoneObservation {
+        home,
+        silent,
+        failing: 0,
+        has_answers: silent == 0,
+        state: ObservedState::Healthy,
+        is_own: silent > 0,
+    }
 }
 
-fn fleet(count: u64) -> Fleet {
-    let mut fleet = Fleet::default();
+fn fleet(count: u64) -> PeerObservations {
+    let mut fleet = PeerObservations::default();
     (1..=count).for_each(|member| fleet.member(member, 0, true));
     fleet
 }
@@ -30,7 +37,7 @@
     // And it is forgotten.
     assert_eq!(
         fleet.view(NOW + EVIDENCE_FRESH, 0, 0, (0.0, 0.0, false)),
-        View { bad_ago: u64::MAX, ..View::default() }
+        PeerSummary { bad_ago: u64::MAX, ..PeerSummary::default() }
     );
 }
 
@@ -55,15 +62,15 @@
 #[test]
 fn the_middle_one_leads_the_return_and_two_have_to_vouch_for_it() {
     let mut fleet = fleet(5);
-    let at = |at| Sight { at, ..sight(0, 0.0) };
-    fleet.said(NOW, 1, 0, NOW, at(At::Returning { step: 4, good: true }));
+    let at = |at| ZoneObservation { state: at, ..sight(0, 0.0) };
+    fleet.said(NOW, 1, 0, NOW, at(ObservedState::Recovering { step: 4, good: true }));
     let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
     assert_eq!((view.step, view.returning, view.triers), (None, false, 1), "one alone leads nobody");
-    fleet.said(NOW, 2, 0, NOW, at(At::Returning { step: 1, good: false }));
-    fleet.said(NOW, 3, 0, NOW, at(At::Returning { step: 0, good: true }));
+    fleet.said(NOW, 2, 0, NOW, at(ObservedState::Recovering { step: 1, good: false }));
+    fleet.said(NOW, 3, 0, NOW, at(ObservedState::Recovering { step: 0, good: true }));
     let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
     assert_eq!((view.step, view.good, view.returning), (Some(1), true, true));
-    fleet.said(NOW, 4, 0, NOW, at(At::Closed { good: 9, bad_ms: 40 }));
+    fleet.said(NOW, 4, 0, NOW, at(ObservedState::Ejected { good: 9, bad_ms: 40 }));
     let view = fleet.view(NOW + MS, 0, 0, (0.0, 0.0, false));
     assert_eq!((view.trials, view.triers, view.bad_ago), (8, 4, 41 * MS));
 }
--- a/core/zone-health/src/lib.rs
+++ b/core/zone-health/src/lib.rs
@@ -14,9 +14,9 @@
 mod times;
 mod watch;
 
-pub use api::{Action, Event, Nanos, Seen, Settings, Why};
-pub use sight::{At, Sight};
-pub use watch::Watch;
+pub use api::{Action, AttemptSignal, Event, Nanos, Settings, ZoneStateReason};
+pub use sight::{ObservedState, ZoneObservation};
+pub use watch::ZoneMonitor;
 
 pub(crate) const MS: Nanos = 1_000_000;
 pub(crate) const SECOND: Nanos = 1000 * MS;
--- a/core/zone-health/src/plan.rs
+++ b/core/zone-health/src/plan.rs
@@ -2,7 +2,7 @@
 
 /// A zone that may take part.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Room {
+pub(crate) struct ZoneCapacity {
     /// The sizes of its servers together.
     pub(crate) size: f64,
     /// Use of its cores, where it was lately reported.
@@ -17,8 +17,8 @@
 const LEAST: f64 = 0.05;
 
 /// Each zone's part of what has to go somewhere else, adding up to 1 where any may take part.
-pub(crate) fn divide(rooms: &[Room]) -> Vec<f64> {
-    let room = |room: &Room| {
+pub(crate) fn divide(rooms: &[ZoneCapacity]) -> Vec<f64> {
+    let room = |room: &ZoneCapacity| {
         let free = (1.0 - room.util.unwrap_or(UNKNOWN)).clamp(LEAST, 1.0);
         if room.open { room.size.max(0.0) * free } else { 0.0 }
     };
--- a/core/zone-health/src/plan/tests.rs
+++ b/core/zone-health/src/plan/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn parts_follow_the_room_and_closed_zones_get_none() {
-    let room = |size, util, open| Room { size, util, open };
+    let room = |size, util, open| ZoneCapacity { size, util, open };
     let parts = divide(&[
         room(10.0, Some(0.4), true),
         room(10.0, Some(0.8), true),
--- a/core/zone-health/src/sight.rs
+++ b/core/zone-health/src/sight.rs
@@ -5,20 +5,20 @@
 
 /// Where a zone stands for a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum At {
+pub enum ObservedState {
     /// It gets what it got.
-    Open,
+    Healthy,
     /// It gets nothing new for now.
-    Doubted,
+    Suspected,
     /// It gets trials only.
-    Closed {
+    Ejected {
         /// Trials answered since the last that was not.
         good: u8,
         /// How long ago the last that was not ended, in milliseconds; the largest value for none.
         bad_ms: u16,
     },
     /// It gets part.
-    Returning {
+    Recovering {
         /// Which step.
         step: u8,
         /// Whether answers have come in this step.
@@ -28,7 +28,7 @@
 
 /// What a node sees of a zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sight {
+pub struct ZoneObservation {
     /// The node's own zone, by position.
     pub home: u8,
     /// Evidence of silence, in hundredths of a log-likelihood, where answers may take four times as long as usual.
@@ -36,14 +36,14 @@
     /// Evidence of failures, likewise.
     pub failing: u16,
     /// It had a usable answer from there in the last moments, and nothing speaks against the zone.
-    pub hears: bool,
+    pub has_answers: bool,
     /// Where the zone stands for it ...
-    pub at: At,
+    pub state: ObservedState,
     /// ... by what it saw itself, not by what others said.
-    pub saw: bool,
+    pub is_own: bool,
 }
 
-impl Sight {
+impl ZoneObservation {
     /// As it is spread: some ten bytes.
     pub fn to_bytes(self) -> Vec<u8> {
         postcard::to_allocvec(&self).unwrap_or_default()
@@ -56,7 +56,7 @@
     }
 }
 
-/// Evidence in the units of a [`Sight`].
+/// Evidence in the units of a [`ZoneObservation`].
 pub(crate) fn hundredths(evidence: f64) -> u16 {
     (evidence * 100.0).clamp(0.0, f64::from(u16::MAX)) as u16
 }
--- a/core/zone-health/src/times.rs
+++ b/core/zone-health/src/times.rs
@@ -17,12 +17,12 @@
 
 /// A class's answer times.
 #[derive(Clone)]
-pub(crate) struct Times {
+pub(crate) struct LatencyHistogram {
     counts: [f64; BUCKETS],
     total: f64,
 }
 
-impl Times {
+impl LatencyHistogram {
     pub(crate) fn new() -> Self {
         Self { counts: [0.0; BUCKETS], total: 0.0 }
     }
--- a/core/zone-health/src/watch.rs
+++ b/core/zone-health/src/watch.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use crate::api::{Action, Event, Nanos, Seen, Settings, Why};
-use crate::course::{CROWD_ALONE, Course, SLOW, Stage, Weighed};
-use crate::evidence::{Out, USUAL};
-use crate::fleet::{self, Fleet, View};
-use crate::plan::{self, Room};
-use crate::sight::{At, Sight, hundredths};
-use crate::times::Times;
+use crate::api::{Action, AttemptSignal, Event, Nanos, Settings, ZoneStateReason};
+use crate::course::{CROWD_ALONE, EvidenceSnapshot, SLOW, ZoneStage, ZoneState};
+use crate::evidence::{OutstandingAttempt, USUAL};
+use crate::fleet::{self, PeerObservations, PeerSummary};
+use crate::plan::{self, ZoneCapacity};
+use crate::sight::{ObservedState, ZoneObservation, hundredths};
+use crate::times::LatencyHistogram;
 use crate::{MS, SECOND};
 
 /// How often open attempts are looked at.
@@ -49,17 +49,17 @@
     hand: Option<(bool, Nanos)>,
     told: Option<(f64, &'static str)>,
     /// What the other nodes were last told, and when.
-    said: Option<(Nanos, Sight)>,
+    said: Option<(Nanos, ZoneObservation)>,
 }
 
 /// What one node knows of the zones.
-pub struct Watch {
+pub struct ZoneMonitor {
     settings: Settings,
-    courses: Vec<Course>,
+    courses: Vec<ZoneState>,
     places: Vec<Place>,
     listed: BTreeMap<u32, u32>,
-    outs: BTreeMap<u64, Out>,
-    times: Vec<Times>,
+    outs: BTreeMap<u64, OutstandingAttempt>,
+    times: Vec<LatencyHistogram>,
     /// The time that this process did not run, and the last moment that it surely did.
     slept: Nanos,
     now: Nanos,
@@ -68,28 +68,28 @@
     /// No zone answers; until one does.
     cut_off: bool,
     /// The other nodes, where there are any.
-    fleet: Fleet,
+    fleet: PeerObservations,
     /// They have said something that was not weighed yet.
     unweighed: bool,
     random: u64,
 }
 
-impl Watch {
+impl ZoneMonitor {
     /// A node that has seen nothing yet.
     pub fn new(settings: Settings, now: Nanos) -> Self {
-        let zones = settings.zones as usize;
+        let zones = settings.zone_count as usize;
         Self {
-            courses: (0..zones).map(|_| Course::new(settings.classes)).collect(),
+            courses: (0..zones).map(|_| ZoneState::new(settings.class_count)).collect(),
             places: vec![Place::default(); zones],
             listed: BTreeMap::new(),
             outs: BTreeMap::new(),
-            times: vec![Times::new(); settings.classes as usize],
+            times: vec![LatencyHistogram::new(); settings.class_count as usize],
             slept: 0,
             now,
             wake: None,
             looked: 0,
             cut_off: false,
-            fleet: Fleet::default(),
+            fleet: PeerObservations::default(),
             unweighed: false,
             random: settings.seed ^ 0x2545_f491_4f6c_dd1d,
             settings,
@@ -107,36 +107,36 @@
         }
         let mut burst = false;
         let look = match event {
-            Event::Listed(servers) => {
+            Event::EndpointsListed(servers) => {
                 self.list(&servers);
                 true
             }
-            Event::Sent { attempt, server, zone, class } => {
-                self.sent(attempt, Out { server, zone, class, since: self.awake() });
+            Event::AttemptSent { attempt, server, zone, class } => {
+                self.sent(attempt, OutstandingAttempt { server, zone, class, since: self.awake() });
                 false
             }
-            Event::Ended { attempt, seen, util } => {
+            Event::AttemptEnded { attempt, seen, util } => {
                 burst = self.now < self.looked + LEAST_LOOK && self.wake.is_some();
                 self.ended(attempt, seen, util)
             }
-            Event::Wake => {
+            Event::TimerFired => {
                 self.wake = None;
                 true
             }
-            Event::ByHand { zone, order } => {
+            Event::OperatorOverride { zone, order } => {
                 if let Some(place) = self.places.get_mut(zone as usize) {
                     place.hand = order;
                 }
                 true
             }
-            Event::Member { member, home, up } => {
+            Event::PeerChanged { member, home, up } => {
                 self.fleet.member(member, home, up);
                 if up {
                     self.tell_again();
                 }
                 false
             }
-            Event::Heard { member, zone, sent, sight } => {
+            Event::PeerObserved { member, zone, sent, sight } => {
                 let known = usize::from(zone) < self.courses.len();
                 // A burst of words is weighed with the next look.
                 burst = self.now < self.looked + LEAST_LOOK && self.wake.is_some();
@@ -163,9 +163,10 @@
 
     fn crowd(&self) -> f64 {
         if self.fleet.len() > 0 {
-            return f64::from(self.fleet.count(self.settings.home as u8) + 1);
+            return f64::from(self.fleet.count(self.settings.local_zone as u8) + 1);
         }
-        (f64::from(self.settings.nodes) / f64::from(self.settings.zones.max(1))).clamp(1.0, CROWD_ALONE)
+        (f64::from(self.settings.node_count) / f64::from(self.settings.zone_count.max(1)))
+            .clamp(1.0, CROWD_ALONE)
     }
 
     fn list(&mut self, servers: &[(u32, u32, f64)]) {
@@ -183,7 +184,7 @@
         }
     }
 
-    fn sent(&mut self, attempt: u64, out: Out) {
+    fn sent(&mut self, attempt: u64, out: OutstandingAttempt) {
         let known = (out.zone as usize) < self.courses.len() && (out.class as usize) < self.times.len();
         if known && self.outs.len() < OUTS_MOST {
             self.outs.insert(attempt, out);
@@ -191,7 +192,7 @@
     }
 
     /// Whether it is worth a look.
-    fn ended(&mut self, attempt: u64, seen: Seen, util: Option<f64>) -> bool {
+    fn ended(&mut self, attempt: u64, seen: AttemptSignal, util: Option<f64>) -> bool {
         let Some(out) = self.outs.remove(&attempt) else { return false };
         let (awake, zone, crowd, draw) = (self.awake(), out.zone as usize, self.crowd(), self.draw());
         let elsewhere = self.elsewhere(out.zone, out.class);
@@ -200,7 +201,7 @@
             self.places[zone].util = Some((self.now, before + 0.1 * (util - before)));
         }
         let servers = self.places[zone].servers;
-        if matches!(seen, Seen::Answered | Seen::Failed | Seen::TurnedAway)
+        if matches!(seen, AttemptSignal::Answered | AttemptSignal::Failed | AttemptSignal::Inconclusive)
             && std::mem::take(&mut self.cut_off)
         {
             // The node itself was cut off: what stayed silent meanwhile speaks against nobody.
@@ -209,7 +210,7 @@
         let course = &mut self.courses[zone];
         let span = awake.saturating_sub(out.since);
         match seen {
-            Seen::Answered => {
+            AttemptSignal::Answered => {
                 let times = &mut self.times[out.class as usize];
                 let usual = times.within(0.5).unwrap_or(span).max(1);
                 times.add(span);
@@ -217,26 +218,26 @@
                 course.evidence.told(awake, &out, false, true, elsewhere);
                 course.tried(awake, true, servers, crowd, draw);
             }
-            Seen::Failed => {
+            AttemptSignal::Failed => {
                 // An error is an answer: the zone is not silent.
                 course.evidence.heard(awake);
                 course.evidence.told(awake, &out, true, true, elsewhere);
                 course.tried(awake, false, servers, crowd, draw);
             }
-            Seen::Unreached => {
+            AttemptSignal::ConnectionFailed => {
                 course.evidence.told(awake, &out, true, false, elsewhere);
                 course.tried(awake, false, servers, crowd, draw);
             }
-            Seen::Silent => {
+            AttemptSignal::TimedOut => {
                 course.evidence.fell_silent(&out, awake);
                 if self.times[out.class as usize].silence(span, 2.0) > 1.0 {
                     course.tried(awake, false, servers, crowd, draw);
                 }
             }
-            Seen::TurnedAway => course.evidence.heard(awake),
-            Seen::Nothing => return false,
+            AttemptSignal::Inconclusive => course.evidence.heard(awake),
+            AttemptSignal::NotSent => return false,
         }
-        seen != Seen::Answered || course.stage != Stage::Open
+        seen != AttemptSignal::Answered || course.stage != ZoneStage::Healthy
     }
 
     /// Share of a class's requests that fails in the other zones now.
@@ -272,7 +273,7 @@
             }
             let seen = self.weighed(zone);
             self.courses[zone].weigh(awake, seen, crowd, draw);
-            let elsewhere = (0..self.settings.classes).map(|class| self.elsewhere(zone as u32, class));
+            let elsewhere = (0..self.settings.class_count).map(|class| self.elsewhere(zone as u32, class));
             if self.courses[zone].no_worse_than(elsewhere.fold(0.0, f64::max)) {
                 self.courses[zone].acquit(awake);
             }
@@ -280,7 +281,7 @@
                 self.say(zone, theirs, actions);
             }
             if self.courses[zone].trial(awake, crowd, draw) {
-                actions.push(Action::Trial { zone: zone as u32, wait: self.trial_wait() });
+                actions.push(Action::RequestProbe { zone: zone as u32, wait: self.trial_wait() });
             }
         }
         // With nowhere left to go nobody else is to blame, or nothing is gained by staying away.
@@ -300,18 +301,18 @@
         course.evidence.silence(outs, &self.times, self.awake(), listed, stretch)
     }
 
-    fn weighed(&self, zone: usize) -> Weighed {
+    fn weighed(&self, zone: usize) -> EvidenceSnapshot {
         let (awake, course, listed) = (self.awake(), &self.courses[zone], self.places[zone].servers);
         let (silent, first) = self.silence(zone, 2.0);
         let slower = self.silence(zone, course.patience()).0;
         let failing = course.evidence.failing(awake, listed);
         let hears = course.evidence.heard_within(awake, HEARS);
-        let home = self.settings.home as u8;
+        let home = self.settings.local_zone as u8;
         let fleet = (self.fleet.len() > 0)
             .then(|| self.fleet.view(self.now, zone as u8, home, (slower, failing, hears)));
         // A node that hears from a zone believes nobody that it is silent.
-        let theirs = |of: fn(&View) -> f64| fleet.as_ref().filter(|_| !hears).map_or(0.0, of);
-        Weighed {
+        let theirs = |of: fn(&PeerSummary) -> f64| fleet.as_ref().filter(|_| !hears).map_or(0.0, of);
+        EvidenceSnapshot {
             silence: silent + theirs(|view| view.silence),
             slower: slower + theirs(|view| view.silence),
             failing: failing + fleet.map_or(0.0, |view| view.failing),
@@ -324,16 +325,19 @@
     }
 
     /// Tells the other nodes what is to be seen of a zone, where that is news to them.
-    fn say(&mut self, zone: usize, theirs: View, actions: &mut Vec<Action>) {
+    fn say(&mut self, zone: usize, theirs: PeerSummary, actions: &mut Vec<Action>) {
         let (awake, course, listed) = (self.awake(), &self.courses[zone], self.places[zone].servers);
         let in_steps = |evidence| hundredths(evidence).min(TELL_MOST) / TELL_STEP * TELL_STEP;
-        let home = self.settings.home as u8;
+        let home = self.settings.local_zone as u8;
         let (silent, failing) =
             (in_steps(self.silence(zone, SLOW).0), in_steps(course.evidence.failing(awake, listed)));
         let hears = silent < TELLS && failing < TELLS && course.evidence.heard_within(awake, HEARS);
         let at = course.at(awake);
-        let sight = Sight { home, silent, failing, hears, at, saw: course.saw };
-        let speaks = |sight: &Sight| sight.silent.max(sight.failing) >= TELLS || sight.at != At::Open;
+        let sight =
+            ZoneObservation { home, silent, failing, has_answers: hears, state: at, is_own: course.saw };
+        let speaks = |sight: &ZoneObservation| {
+            sight.silent.max(sight.failing) >= TELLS || sight.state != ObservedState::Healthy
+        };
         let before = self.places[zone].said;
         let age = before.map_or(Nanos::MAX, |(at, _)| self.now - at);
         let due = match before {
@@ -347,7 +351,7 @@
         };
         if due {
             self.places[zone].said = Some((self.now, sight));
-            actions.push(Action::Say { zone: zone as u8, sight });
+            actions.push(Action::Gossip { zone: zone as u8, sight });
         }
     }
 
@@ -367,18 +371,18 @@
 
     /// Says the shares that have changed.
     fn tell(&mut self, actions: &mut Vec<Action>) {
-        let home = self.settings.home as usize;
+        let home = self.settings.local_zone as usize;
         let part = |zone: usize| match self.hand(zone) {
             Some(closed) => f64::from(u8::from(!closed)),
             None => self.courses[zone].part(),
         };
         let parts: Vec<f64> = (0..self.courses.len()).map(part).collect();
-        let rooms = self.places.iter().enumerate().map(|(zone, place)| Room {
+        let rooms = self.places.iter().enumerate().map(|(zone, place)| ZoneCapacity {
             size: place.size * parts[zone],
             util: place.util.filter(|(at, _)| self.now < at + UTIL_FOR).map(|(_, util)| util),
             open: zone != home && parts[zone] > 0.0,
         });
-        let rooms: Vec<Room> = rooms.collect();
+        let rooms: Vec<ZoneCapacity> = rooms.collect();
         let divided = plan::divide(&rooms);
         let home_part = parts.get(home).copied().unwrap_or(1.0);
         for zone in 0..self.courses.len() {
@@ -388,51 +392,53 @@
                 (false, part) => divided[zone].min(part),
             };
             let why = match self.hand(zone) {
-                Some(_) => Why::ByHand,
-                None if self.cut_off => Why::NobodyElse,
+                Some(_) => ZoneStateReason::OperatorOverride,
+                None if self.cut_off => ZoneStateReason::NoAlternative,
                 None => self.courses[zone].why(),
             };
             let place = &mut self.places[zone];
-            let (before, word) = place.told.unwrap_or((1.0, Why::Open.word()));
-            if (share - before).abs() < TELL && (share == 0.0) == (before == 0.0) && word == why.word() {
+            let (before, word) = place.told.unwrap_or((1.0, ZoneStateReason::Healthy.as_str()));
+            if (share - before).abs() < TELL && (share == 0.0) == (before == 0.0) && word == why.as_str() {
                 continue;
             }
-            place.told = Some((share, why.word()));
+            place.told = Some((share, why.as_str()));
             let (zone, servers) = (zone as u32, place.servers);
             if share != before {
-                actions.push(Action::Share { zone, share });
+                actions.push(Action::SetShare { zone, share });
             }
-            if word != why.word() {
-                actions.push(Action::Changed { zone, share, why, servers });
+            if word != why.as_str() {
+                actions.push(Action::LogChange { zone, share, why, servers });
             }
         }
     }
 
     fn arm(&mut self, actions: &mut Vec<Action>) {
-        let follows = |course: &Course| !matches!(course.stage, Stage::Open);
+        let follows = |course: &ZoneState| !matches!(course.stage, ZoneStage::Healthy);
         let follows = self.fleet.len() > 0 && self.courses.iter().any(follows);
         let look = (follows || self.unweighed || !self.outs.is_empty()).then_some(self.now + LOOK);
         let slept = self.slept;
-        let courses = self.courses.iter().filter_map(Course::due).map(|awake| awake + slept);
+        let courses = self.courses.iter().filter_map(ZoneState::due).map(|awake| awake + slept);
         let hands = self.places.iter().filter_map(|place| place.hand).map(|(_, until)| until);
         let due = courses.map(|at| at.max(self.now + MS)).chain(hands.filter(|until| *until > self.now));
         let Some(next) = look.into_iter().chain(due).min() else { return };
         // An earlier wake-up stands, and so does one that is no later by much than what is wanted.
         if self.wake.is_none_or(|at| at <= self.now || next + LOOK / 2 < at) {
             self.wake = Some(next);
-            actions.push(Action::Wake { at: next });
+            actions.push(Action::SetTimer { at: next });
         }
     }
 }
 
 /// Whether the others would learn something by the second of two sights: ages apart, which they know.
-fn told_apart(one: &Sight, other: &Sight) -> bool {
-    let news = |sight: &Sight| {
-        let at = match sight.at {
-            At::Closed { good, bad_ms } => At::Closed { good, bad_ms: u16::from(bad_ms < u16::MAX) },
+fn told_apart(one: &ZoneObservation, other: &ZoneObservation) -> bool {
+    let news = |sight: &ZoneObservation| {
+        let at = match sight.state {
+            ObservedState::Ejected { good, bad_ms } => {
+                ObservedState::Ejected { good, bad_ms: u16::from(bad_ms < u16::MAX) }
+            }
             at => at,
         };
-        Sight { at, hears: false, ..*sight }
+        ZoneObservation { state: at, has_answers: false, ..*sight }
     };
     news(one) != news(other)
 }
--- a/core/zone-health/src/watch/tests.rs
+++ b/core/zone-health/src/watch/tests.rs
@@ -18,13 +18,13 @@
 const SERVERS: u32 = 10;
 
 struct Play {
-    watch: Watch,
+    watch: ZoneMonitor,
     now: Nanos,
     random: u64,
     mood: [Mood; 3],
     /// One server of a zone that never answers.
     stuck: Option<u32>,
-    ends: BTreeMap<(Nanos, u64), Seen>,
+    ends: BTreeMap<(Nanos, u64), AttemptSignal>,
     next: u64,
     wake: Option<Nanos>,
     share: [f64; 3],
@@ -37,9 +37,9 @@
 
 impl Play {
     fn new(pace: Nanos, seed: u64) -> Self {
-        let settings = Settings { home: 1, zones: 3, classes: 2, nodes: 15, seed };
+        let settings = Settings { local_zone: 1, zone_count: 3, class_count: 2, node_count: 15, seed };
         let mut play = Self {
-            watch: Watch::new(settings, SECOND),
+            watch: ZoneMonitor::new(settings, SECOND),
             now: SECOND,
             random: seed,
             mood: [Mood::Fine; 3],
@@ -54,7 +54,7 @@
             pace,
         };
         let list = (0..3 * SERVERS).map(|server| (server, server / SERVERS, 4.0)).collect();
-        play.hear(Event::Listed(list));
+        play.hear(Event::EndpointsListed(list));
         play
     }
 
@@ -68,11 +68,11 @@
         self.watch.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Share { zone, share } => self.share[zone as usize] = share,
-                Action::Trial { zone, .. } => self.trial = Some(zone),
-                Action::Wake { at } => self.wake = Some(at),
-                Action::Say { .. } => panic!("there is nobody to say it to"),
-                Action::Changed { zone, why, .. } => self.changed.push((self.now, zone, why.word())),
+                Action::SetShare { zone, share } => self.share[zone as usize] = share,
+                Action::RequestProbe { zone, .. } => self.trial = Some(zone),
+                Action::SetTimer { at } => self.wake = Some(at),
+                Action::Gossip { .. } => panic!("there is nobody to say it to"),
+                Action::LogChange { zone, why, .. } => self.changed.push((self.now, zone, why.as_str())),
             }
         }
     }
@@ -99,16 +99,16 @@
         self.sent[zone as usize] += 1;
         let fails = self.draw() % 100;
         let (after, seen) = match self.mood[zone as usize] {
-            _ if self.stuck == Some(server) => (500 * MS, Seen::Silent),
-            Mood::Silent => (if class == 0 { 200 * MS } else { 900 * MS }, Seen::Silent),
-            Mood::Slow(times) => (work * times, Seen::Answered),
-            Mood::Failing(share) if fails < share => (work, Seen::Failed),
-            Mood::OneClass if class == 1 => (work, Seen::Failed),
-            Mood::Refusing => (MS / 2, Seen::Unreached),
-            _ if fails == 0 => (work, Seen::Failed),
-            _ => (work, Seen::Answered),
+            _ if self.stuck == Some(server) => (500 * MS, AttemptSignal::TimedOut),
+            Mood::Silent => (if class == 0 { 200 * MS } else { 900 * MS }, AttemptSignal::TimedOut),
+            Mood::Slow(times) => (work * times, AttemptSignal::Answered),
+            Mood::Failing(share) if fails < share => (work, AttemptSignal::Failed),
+            Mood::OneClass if class == 1 => (work, AttemptSignal::Failed),
+            Mood::Refusing => (MS / 2, AttemptSignal::ConnectionFailed),
+            _ if fails == 0 => (work, AttemptSignal::Failed),
+            _ => (work, AttemptSignal::Answered),
         };
-        self.hear(Event::Sent { attempt, server, zone, class });
+        self.hear(Event::AttemptSent { attempt, server, zone, class });
         self.ends.insert((self.now + after, attempt), seen);
     }
 
@@ -121,11 +121,11 @@
                 [Some(next), end.map(|(at, _)| at), self.wake].into_iter().flatten().min().unwrap_or(until);
             self.now = self.now.max(at).min(until);
             if let Some(key) = end.filter(|(at, _)| *at <= self.now) {
-                let seen = self.ends.remove(&key).unwrap_or(Seen::Nothing);
-                self.hear(Event::Ended { attempt: key.1, seen, util: Some(0.4) });
+                let seen = self.ends.remove(&key).unwrap_or(AttemptSignal::NotSent);
+                self.hear(Event::AttemptEnded { attempt: key.1, seen, util: Some(0.4) });
             } else if self.wake.is_some_and(|at| at <= self.now) {
                 self.wake = None;
-                self.hear(Event::Wake);
+                self.hear(Event::TimerFired);
             } else if next <= self.now {
                 self.send();
                 next = self.now + self.pace / 2 + self.draw() % self.pace;
@@ -208,7 +208,7 @@
         let back = play.now + 200 * MS;
         let late: Vec<_> = play.ends.keys().copied().filter(|(at, _)| *at < back).collect();
         for key in late {
-            let seen = play.ends.remove(&key).unwrap_or(Seen::Nothing);
+            let seen = play.ends.remove(&key).unwrap_or(AttemptSignal::NotSent);
             play.ends.insert((back, key.1), seen);
         }
         play.mood[1] = Mood::Slow(5);
@@ -227,7 +227,7 @@
         play.run(10 * SECOND);
         // Paused: all that came meanwhile is there at once, the clock first.
         play.now += 3 * SECOND;
-        play.hear(Event::Wake);
+        play.hear(Event::TimerFired);
         play.run(SECOND);
         assert_eq!(play.changed, [], "paused");
         play.mood = [Mood::Silent; 3];
@@ -274,7 +274,7 @@
     let mut play = Play::new(17 * MS, 1);
     play.run(2 * SECOND);
     let until = play.now + 2 * SECOND;
-    play.hear(Event::ByHand { zone: 1, order: Some((true, until)) });
+    play.hear(Event::OperatorOverride { zone: 1, order: Some((true, until)) });
     assert_eq!(play.share[1], 0.0);
     play.run(SECOND);
     assert_eq!(play.words(1), ["by-hand"]);
@@ -283,24 +283,28 @@
     // Held open, it takes all, whatever is seen.
     play.mood[1] = Mood::Silent;
     let until = play.now + 2 * SECOND;
-    play.hear(Event::ByHand { zone: 1, order: Some((false, until)) });
+    play.hear(Event::OperatorOverride { zone: 1, order: Some((false, until)) });
     play.run(SECOND);
     assert_eq!(play.share[1], 1.0);
 }
 
 #[test]
 fn the_only_zone_is_never_left() {
-    let settings = Settings { home: 0, zones: 1, classes: 1, nodes: 1, seed: 3 };
-    let (mut watch, mut actions) = (Watch::new(settings, 0), Vec::new());
-    watch.handle(0, Event::Listed(vec![(0, 0, 1.0), (1, 0, 1.0), (2, 0, 1.0)]), &mut actions);
+    let settings = Settings { local_zone: 0, zone_count: 1, class_count: 1, node_count: 1, seed: 3 };
+    let (mut watch, mut actions) = (ZoneMonitor::new(settings, 0), Vec::new());
+    watch.handle(0, Event::EndpointsListed(vec![(0, 0, 1.0), (1, 0, 1.0), (2, 0, 1.0)]), &mut actions);
     for attempt in 0..200 {
         let now = attempt * 10 * MS;
         watch.handle(
             now,
-            Event::Sent { attempt, server: attempt as u32 % 3, zone: 0, class: 0 },
+            Event::AttemptSent { attempt, server: attempt as u32 % 3, zone: 0, class: 0 },
+            &mut actions,
+        );
+        watch.handle(
+            now + MS,
+            Event::AttemptEnded { attempt, seen: AttemptSignal::ConnectionFailed, util: None },
             &mut actions,
         );
-        watch.handle(now + MS, Event::Ended { attempt, seen: Seen::Unreached, util: None }, &mut actions);
     }
-    assert!(actions.iter().all(|action| !matches!(action, Action::Share { .. })), "{actions:?}");
+    assert!(actions.iter().all(|action| !matches!(action, Action::SetShare { .. })), "{actions:?}");
 }
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -225,7 +225,7 @@
         }
         if let Some(peers) = &config.own.peers {
             let watched = config.own.zones.is_some_and(|zones| zones.watch);
-            peers.check(site.peers, watched, site.settings.zones)?;
+            peers.check(site.peers, watched, site.settings.zone_count)?;
         }
         if config.own.rehearsal.is_some() {
             config.check_loopback()?;
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -12,7 +12,7 @@
 use badgerpost_admin::Life;
 use badgerpost_engine::{Clock, spawn};
 use badgerpost_lifecycle::Event as LifeEvent;
-use badgerpost_socket_handover::{Action, Event, LINE_MOST, Message, Predecessor, Successor};
+use badgerpost_socket_handover::{Action, Event, MAX_LINE_LENGTH, Message, Predecessor, Successor};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg, sockopt,
@@ -78,12 +78,12 @@
             side.handle(event, &mut actions);
             for action in actions {
                 match action {
-                    Action::UseGiven => {
+                    Action::UseReceivedListener => {
                         let listener = link.listener()?;
                         tracing::info!(listen = %self.listen, "took over the listening socket");
                         return Some(Given { listener, link, side });
                     }
-                    Action::ListenAlone => {
+                    Action::ListenSeparately => {
                         tracing::warn!(
                             "no listening socket was handed over; listening beside the other version"
                         );
@@ -95,7 +95,7 @@
             event = tokio::select! {
                 biased;
                 event = link.hear(self.listen) => event,
-                () = &mut until => Event::TimeOut,
+                () = &mut until => Event::TimedOut,
             };
         }
     }
@@ -170,7 +170,7 @@
                 event = link.hear(self.listen) => event,
                 () = &mut until, if !late => {
                     late = true;
-                    Event::TimeOut
+                    Event::TimedOut
                 }
             };
             let mut actions = Vec::new();
@@ -179,8 +179,8 @@
                 if action == Action::Close {
                     return given;
                 }
-                given |= matches!(action, Action::Give(_));
-                if let Action::Shared(shared) = action {
+                given |= matches!(action, Action::SendListener(_));
+                if let Action::SetShared(shared) = action {
                     tracing::info!(shared, "the next version takes connections here");
                     life.tell(LifeEvent::Shared(shared));
                 }
@@ -191,13 +191,15 @@
 
     async fn carry_out(&self, action: Action, link: &mut Link, listener: Option<&TcpListener>) {
         let said = match action {
-            Action::Say(message) => link.say(&message, None).await,
-            Action::Give(message) => link.say(&message, listener).await,
-            Action::Halved(halved) => {
+            Action::Send(message) => link.say(&message, None).await,
+            Action::SendListener(message) => link.say(&message, listener).await,
+            Action::SetLimitsHalved(halved) => {
                 self.shares.halve(halved);
                 Ok(())
             }
-            Action::UseGiven | Action::ListenAlone | Action::Shared(_) | Action::Close => Ok(()),
+            Action::UseReceivedListener | Action::ListenSeparately | Action::SetShared(_) | Action::Close => {
+                Ok(())
+            }
         };
         // A connection that has broken is heard of by the next read.
         said.unwrap_or_else(|error| tracing::info!(%error, "the handover broke off"));
@@ -224,17 +226,17 @@
                 return match Message::read(&line[..end]) {
                     Ok(message) => {
                         let with = message == Message::Listener && self.is_listener(listen);
-                        Event::Said(message, with)
+                        Event::Received(message, with)
                     }
                     Err(error) => {
                         tracing::warn!(%error, "the other version can't be understood");
-                        Event::Garbage
+                        Event::InvalidMessage
                     }
                 };
             }
-            if self.inbox.len() > LINE_MOST {
+            if self.inbox.len() > MAX_LINE_LENGTH {
                 self.inbox.clear();
-                return Event::Garbage;
+                return Event::InvalidMessage;
             }
             if !self.receive().await.is_ok_and(|read| read > 0) {
                 return Event::Closed;
@@ -244,7 +246,7 @@
 
     async fn receive(&mut self) -> io::Result<usize> {
         let Self { stream, inbox, given } = self;
-        let mut bytes = [0; LINE_MOST];
+        let mut bytes = [0; MAX_LINE_LENGTH];
         let read = stream
             .async_io(Interest::READABLE, || {
                 let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use badgerpost_admin::{Console, Life, ZoneOrder};
-use badgerpost_balancer::ListScope;
-use badgerpost_engine::{Clock, Stepped, nanos, spawn};
+use badgerpost_balancer::EndpointUpdate;
+use badgerpost_engine::{Clock, VirtualClock, nanos, spawn};
 use badgerpost_gossip::{Me, Peers};
 use badgerpost_http::budget::Budget;
 use badgerpost_http::server::{self, Door, Limits};
@@ -100,7 +100,7 @@
     let hands = own.rehearsal.map(Hands::take).transpose()?;
     let clock = hands.as_ref().map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
     let bodies = Budget::new(edge.bodies());
-    let (zone, nodes) = (site.settings.home.0 as u8, site.settings.nodes);
+    let (zone, nodes) = (site.settings.local_zone.0 as u8, site.settings.node_count);
     let upstream = Upstream::new(site.links, clock.clone(), shares.servers.clone(), bodies.clone());
     spawn(Upstream::sweep(upstream.pool()));
     let node = Node::new(site.settings, site.words, seed, clock.clone(), Rc::new(upstream))
@@ -212,7 +212,7 @@
             biased;
             Ok(()) = wakes.changed() => {}
             () = clock.sleep(after) => {
-                life.tell(Event::Due(token));
+                life.tell(Event::TimerFired(token));
                 let _ = wakes.wait_for(|next| *next != wake).await;
             }
         }
@@ -225,26 +225,26 @@
     let ready = Arc::new(AtomicBool::new(false));
     tracing::info!(console = %listener.local_addr()?, "operators may call");
     let (orders, mut ordered) = mpsc::channel::<ZoneOrder>(ORDERS);
-    let console = Console { life: life.clone(), tally: node.tally(), ready: ready.clone(), orders };
+    let console = Console { life: life.clone(), tally: node.metrics(), ready: ready.clone(), orders };
     console.start(listener)?;
     let zones = node.clone();
     spawn(async move {
         while let Some(ZoneOrder { zone, order }) = ordered.recv().await {
-            zones.order_zone(&zone, order.map(|(closed, span)| (closed, nanos(span))));
+            zones.override_zone(&zone, order.map(|(closed, span)| (closed, nanos(span))));
         }
     });
     let node = node.clone();
     spawn(async move {
         let clock = node.clock().clone();
         let heard = async {
-            while !node.has_list() {
+            while !node.has_endpoint_list() {
                 clock.sleep(LOOK).await;
             }
         };
         let _ = clock.timeout(READY_MOST, heard).await;
         ready.store(true, Ordering::Relaxed);
         loop {
-            node.count_servers();
+            node.update_server_metrics();
             clock.sleep(COUNT).await;
         }
     });
@@ -266,8 +266,8 @@
     let launcher = Rc::new(postgres::upstream::Upstream(pool.clone()));
     let fleet = Fleet::new(site.settings, site.words, seed, clock.clone(), launcher)
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
-    fleet.fleet(
-        if config.discovery.is_some() { ListScope::Changes } else { ListScope::Full },
+    fleet.endpoints_updated(
+        if config.discovery.is_some() { EndpointUpdate::Delta } else { EndpointUpdate::Snapshot },
         config.listed(),
     );
     let timers = fleet.clone();
@@ -285,7 +285,7 @@
 
 /// A rehearsal's hold on the clock.
 struct Hands {
-    steps: Rc<Stepped>,
+    steps: Rc<VirtualClock>,
     control: Control,
 }
 
@@ -293,7 +293,7 @@
     fn take(rehearsal: Rehearsal) -> Result<Self, ControlError> {
         let Rehearsal { control, start_ns } = rehearsal;
         tracing::warn!(%control, "STEPPED CLOCK in a rehearsal's hands; not for service");
-        Ok(Self { steps: Stepped::at(start_ns), control: Control::connect(control)? })
+        Ok(Self { steps: VirtualClock::at(start_ns), control: Control::connect(control)? })
     }
 }
 
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use badgerpost_fakes::scripted::*;
-use badgerpost_membership::{Action, Event, Key, Peers, Settings, member_id};
-use badgerpost_zone_health::{At, Sight};
+use badgerpost_membership::{Action, Event, Key, Membership, Settings, member_id};
+use badgerpost_zone_health::{ObservedState, ZoneObservation};
 use serde_json::{Value, json};
 
 const KEY: &str = "a key that the fleet's nodes have";
@@ -184,24 +184,24 @@
         let thread = std::thread::spawn(move || {
             let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
             socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
-            let mut core = Peers::new(Settings {
+            let mut core = Membership::new(Settings {
                 member: member_id(&format!("liar{number}")),
                 advertise: socket.local_addr().unwrap(),
                 zone: 0,
-                life: now(),
+                incarnation: now(),
                 seeds: vec![seed],
                 key: Key::read(KEY).unwrap(),
-                nodes: 5,
+                node_count: 5,
                 seed: number as u64,
             });
             let (mut buffer, mut wake, mut said) = ([0; 2048], None, Instant::now());
-            let dead = Sight {
+            let dead = ZoneObservation {
                 home: 0,
                 silent: u16::MAX,
                 failing: u16::MAX,
-                hears: false,
-                at: At::Doubted,
-                saw: true,
+                has_answers: false,
+                state: ObservedState::Suspected,
+                is_own: true,
             };
             let mut tell = |event: Event<'_>, wake: &mut Option<u64>| {
                 let mut actions = Vec::new();
@@ -209,7 +209,7 @@
                 for action in actions {
                     match action {
                         Action::Send { to, datagram } => drop(socket.send_to(&datagram, to)),
-                        Action::Wake { at } => *wake = Some(at),
+                        Action::SetTimer { at } => *wake = Some(at),
                         _ => {}
                     }
                 }
@@ -221,11 +221,11 @@
                 }
                 if wake.is_some_and(|at| at <= now()) {
                     wake = None;
-                    tell(Event::Wake, &mut wake);
+                    tell(Event::TimerFired, &mut wake);
                 }
                 if said.elapsed() > Duration::from_millis(200) {
                     said = Instant::now();
-                    tell(Event::Say { topic: 0, body: &dead.to_bytes() }, &mut wake);
+                    tell(Event::Broadcast { topic: 0, body: &dead.to_bytes() }, &mut wake);
                 }
             }
             tell(Event::Leave, &mut wake);
--- a/engine/src/progress.rs
+++ b/engine/src/activity.rs
@@ -19,7 +19,7 @@
 
 /// What this thread's tasks have done since it began.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Progress {
+pub struct Activity {
     /// Polls of tasks started by [`spawn`].
     pub polls: u64,
     /// Bytes read from sockets.
@@ -33,8 +33,8 @@
 }
 
 /// The counters of this thread.
-pub fn so_far() -> Progress {
-    Progress {
+pub fn so_far() -> Activity {
+    Activity {
         polls: POLLS.get(),
         read: READ.get(),
         written: WRITTEN.get(),
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use badgerpost_balancer::{BackendId, ListScope, Member, Nanos, Stage};
-use badgerpost_settings::{Words, name_tag};
+use badgerpost_balancer::{BackendId, Endpoint, EndpointState, EndpointUpdate, Nanos};
+use badgerpost_settings::{NameTable, name_tag};
 
-use crate::front::Listed;
+use crate::protocol::DiscoveredEndpoint;
 
 /// A server on the list.
-pub(crate) struct Known {
+pub(crate) struct BackendEntry {
     /// Its name on the list, and its zone's, for logs.
     pub(crate) uid: Rc<str>,
     pub(crate) zone: Rc<str>,
@@ -26,13 +26,13 @@
 pub(crate) struct Backends {
     /// Ordered, so that equal histories act alike.
     ids: BTreeMap<String, BackendId>,
-    known: HashMap<BackendId, Known>,
+    known: HashMap<BackendId, BackendEntry>,
     next: u32,
 }
 
 impl Backends {
     /// A server by its number.
-    pub(crate) fn get(&self, id: BackendId) -> Option<&Known> {
+    pub(crate) fn get(&self, id: BackendId) -> Option<&BackendEntry> {
         self.known.get(&id)
     }
 
@@ -55,14 +55,16 @@
     }
 
     /// The names that a list takes away: those it says are gone, and on a whole list those it does not name.
-    pub(crate) fn leaving(&self, scope: ListScope, list: &[Listed]) -> Vec<String> {
+    pub(crate) fn leaving(&self, scope: EndpointUpdate, list: &[DiscoveredEndpoint]) -> Vec<String> {
         let mut left: Vec<String> = Vec::new();
-        if scope != ListScope::Changes {
-            let named: HashSet<&str> = list.iter().map(|listed| listed.uid.as_str()).collect();
+        if scope != EndpointUpdate::Delta {
+            let named: HashSet<&str> = list.iter().map(|listed| listed.name.as_str()).collect();
             left.extend(self.ids.keys().filter(|uid| !named.contains(uid.as_str())).cloned());
         }
         left.extend(
-            list.iter().filter(|listed| listed.stage == Stage::Gone).map(|listed| listed.uid.clone()),
+            list.iter()
+                .filter(|listed| listed.state == EndpointState::Removed)
+                .map(|listed| listed.name.clone()),
         );
         left
     }
@@ -78,41 +80,47 @@
     /// idle connections are of no more use is added to `retired`.
     pub(crate) fn member(
         &mut self,
-        listed: Listed,
-        words: &mut Words,
+        listed: DiscoveredEndpoint,
+        words: &mut NameTable,
         now: Nanos,
         retired: &mut Vec<BackendId>,
-    ) -> Option<Member> {
-        let gone = listed.stage == Stage::Gone;
-        let id = match self.ids.get(&listed.uid) {
+    ) -> Option<Endpoint> {
+        let gone = listed.state == EndpointState::Removed;
+        let id = match self.ids.get(&listed.name) {
             Some(&id) => id,
             None if gone => return None,
             None => {
                 let id = BackendId(self.next);
                 self.next += 1;
-                self.ids.insert(listed.uid.clone(), id);
+                self.ids.insert(listed.name.clone(), id);
                 id
             }
         };
-        let draining = listed.stage != Stage::InService;
+        let draining = listed.state != EndpointState::InService;
         let before = self.known.get(&id);
         let draining_since = draining.then(|| before.and_then(|b| b.draining_since).unwrap_or(now));
-        let moved = |b: &Known| b.endpoint != listed.endpoint || b.boot_ms != listed.boot_ms;
+        let moved = |b: &BackendEntry| b.endpoint != listed.address || b.boot_ms != listed.started_at_ms;
         if draining || before.is_some_and(moved) {
             retired.push(id);
         }
-        let (uid, zone) = (listed.uid.as_str().into(), listed.zone.as_str().into());
-        let known = Known { uid, zone, endpoint: listed.endpoint, boot_ms: listed.boot_ms, draining_since };
+        let (uid, zone) = (listed.name.as_str().into(), listed.zone.as_str().into());
+        let known = BackendEntry {
+            uid,
+            zone,
+            endpoint: listed.address,
+            boot_ms: listed.started_at_ms,
+            draining_since,
+        };
         self.known.insert(id, known);
-        Some(Member {
+        Some(Endpoint {
             backend: id,
             zone: words.zone(&listed.zone),
-            kind: words.kind(&listed.kind),
+            machine_kind: words.kind(&listed.machine_kind),
             cell: listed.cell,
-            tag: name_tag(&listed.uid),
-            stage: listed.stage,
+            name_hash: name_tag(&listed.name),
+            state: listed.state,
             size: listed.size,
-            online_since: (listed.boot_ms > 0).then(|| listed.boot_ms.saturating_mul(1_000_000)),
+            started_at: (listed.started_at_ms > 0).then(|| listed.started_at_ms.saturating_mul(1_000_000)),
         })
     }
 
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -19,18 +19,18 @@
 #[derive(Clone)]
 enum Mode {
     System { began: Instant, offset: Nanos },
-    Stepped(Rc<Stepped>),
+    Stepped(Rc<VirtualClock>),
 }
 
 /// A clock that is moved by hand, and the waits on it.
-pub struct Stepped {
+pub struct VirtualClock {
     now: Cell<Nanos>,
     /// By time, then in the order in which they began.
     waits: RefCell<BTreeMap<(Nanos, u64), Waker>>,
     next: Cell<u64>,
 }
 
-impl Stepped {
+impl VirtualClock {
     /// A clock that stands at this Unix time.
     pub fn at(now: Nanos) -> Rc<Self> {
         Rc::new(Self { now: Cell::new(now), waits: RefCell::default(), next: Cell::new(0) })
@@ -69,7 +69,7 @@
     }
 
     /// A clock moved by hand.
-    pub fn stepped(steps: Rc<Stepped>) -> Self {
+    pub fn stepped(steps: Rc<VirtualClock>) -> Self {
         Self(Mode::Stepped(steps))
     }
 
@@ -161,7 +161,7 @@
 
 /// A place in the queue of a clock moved by hand; given up when dropped.
 struct Wait {
-    steps: Rc<Stepped>,
+    steps: Rc<VirtualClock>,
     at: Nanos,
     key: Option<(Nanos, u64)>,
 }
--- a/engine/src/clock/tests.rs
+++ b/engine/src/clock/tests.rs
@@ -9,7 +9,7 @@
 /// Nothing passes by itself, and what ends early leaves no wait behind.
 #[test]
 fn a_stepped_clock_moves_by_steps_only() {
-    let steps = Stepped::at(MS);
+    let steps = VirtualClock::at(MS);
     let clock = Clock::stepped(steps.clone());
     let mut long = Box::pin(clock.sleep(Duration::from_millis(5)));
     let mut short = Box::pin(clock.sleep_until(3 * MS));
@@ -27,7 +27,7 @@
 
 #[test]
 fn work_that_ends_as_its_time_is_up_has_ended_in_time() {
-    let steps = Stepped::at(0);
+    let steps = VirtualClock::at(0);
     let clock = Clock::stepped(steps.clone());
     let at = clock.clone();
     let mut both =
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -8,22 +8,25 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{
-    BackendId, Discovery, Effect, Event, ListScope, Nanos, Outcome, Report, RequestId, Settings,
-    SettingsError, ZoneId,
+    BackendId, Discovery, EndpointUpdate, Event, Idempotency, LoadReport, Nanos, Outcome, RequestId,
+    Settings, SettingsError, ZoneId,
 };
-use badgerpost_settings::Words;
+use badgerpost_settings::NameTable;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock::Clock;
-use crate::driver::{Driver, Errands};
-use crate::front::{Asked, Ending, Front, Launch, Listed, Reply, Ticket, UnknownTenant};
-use crate::tally::Tally;
-use crate::zones::{FromPeer, ZoneWord};
+use crate::driver::{Driver, PendingIo};
+use crate::metrics::Metrics;
+use crate::protocol::{
+    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol, RequestOutcome,
+    UnknownTenant,
+};
+use crate::zones::{PeerUpdate, ZoneGossip};
 
 /// Carries out on the network what the module asks for.
-pub trait Launcher<F: Front> {
+pub trait Transport<F: Protocol> {
     /// Starts an attempt; its end comes back by [`Engine::settled`], exactly once.
-    fn launch(&self, engine: &Engine<F>, launch: Launch<F>);
+    fn launch(&self, engine: &Engine<F>, launch: AttemptCommand<F>);
     /// Asks a backend how it fares; the answer comes back by [`Engine::probed`]. A front whose backends can't be
     /// asked answers nothing.
     fn probe(&self, _engine: &Engine<F>, _backend: BackendId, _endpoint: SocketAddr) {}
@@ -32,15 +35,15 @@
 }
 
 /// A handle on one fleet's engine. Cheap to clone.
-pub struct Engine<F: Front> {
+pub struct Engine<F: Protocol> {
     driver: Rc<RefCell<Driver<F>>>,
-    launcher: Rc<dyn Launcher<F>>,
+    launcher: Rc<dyn Transport<F>>,
     timer: Rc<Notify>,
     asked: Rc<Notify>,
     clock: Clock,
 }
 
-impl<F: Front> Clone for Engine<F> {
+impl<F: Protocol> Clone for Engine<F> {
     fn clone(&self) -> Self {
         Self {
             driver: self.driver.clone(),
@@ -52,14 +55,14 @@
     }
 }
 
-impl<F: Front> Engine<F> {
+impl<F: Protocol> Engine<F> {
     /// An engine with no backends yet.
     pub fn new(
         settings: Settings,
-        words: Words,
+        words: NameTable,
         seed: u64,
         clock: Clock,
-        launcher: Rc<dyn Launcher<F>>,
+        launcher: Rc<dyn Transport<F>>,
     ) -> Result<Self, SettingsError> {
         let driver = Rc::new(RefCell::new(Driver::new(settings, words, seed, clock.clone())?));
         let node = Self { driver, launcher, timer: Rc::default(), asked: Rc::default(), clock };
@@ -73,20 +76,20 @@
     }
 
     /// Has what the watch over the zones says to the other nodes go there.
-    pub fn talk(&self, talk: mpsc::Sender<ZoneWord>) {
+    pub fn set_gossip_sender(&self, talk: mpsc::Sender<ZoneGossip>) {
         self.driver.borrow_mut().talk(talk);
     }
 
     /// Another node of the fleet is there, or gone, or has said something of a zone.
-    pub fn peer_told(&self, told: &FromPeer) {
+    pub fn peer_updated(&self, told: &PeerUpdate) {
         self.call(|driver, errands| driver.peer_told(told, errands));
     }
 
     /// Operators close a zone (`true`) or hold it open for a time, or end that. Nothing where there is no such zone or
     /// no watch over them.
-    pub fn order_zone(&self, zone: &str, order: Option<(bool, Nanos)>) {
+    pub fn override_zone(&self, zone: &str, order: Option<(bool, Nanos)>) {
         self.call(|driver, errands| {
-            let mut zones = (0..driver.settings.zones).map(ZoneId);
+            let mut zones = (0..driver.settings.zone_count).map(ZoneId);
             let until = order.map(|(closed, span)| (closed, driver.clock.now().saturating_add(span)));
             if let Some(zone) = zones.find(|at| driver.words.zone_name(*at) == Some(zone)) {
                 driver.order_zone(zone, until, errands);
@@ -100,32 +103,32 @@
     }
 
     /// What is counted here, for any thread to read.
-    pub fn tally(&self) -> Arc<Tally> {
+    pub fn metrics(&self) -> Arc<Metrics> {
         self.driver.borrow().tally.clone()
     }
 
     /// Brings the tally's figures of the servers up to date: which of them are avoided changes with time alone.
-    pub fn count_servers(&self) {
+    pub fn update_server_metrics(&self) {
         self.driver.borrow().count_servers();
     }
 
     /// Whether discovery has told of the servers since the start.
-    pub fn has_list(&self) -> bool {
+    pub fn has_endpoint_list(&self) -> bool {
         self.driver.borrow().heard
     }
 
     /// A class's number, time limit and effect, or none where the settings do not list it.
-    pub fn class(&self, name: &str) -> Option<(u32, Nanos, Effect)> {
+    pub fn class(&self, name: &str) -> Option<(u32, Nanos, Idempotency)> {
         let driver = self.driver.borrow();
         let class = driver.words.class(name)?;
         let settings = driver.settings.classes.get(class as usize)?;
-        Some((class, settings.deadline, settings.effect))
+        Some((class, settings.deadline, settings.idempotency))
     }
 
     /// A tenant's number. `Err` for a name that the settings of a site with tenants do not list.
     pub fn tenant(&self, name: Option<&str>) -> Result<Option<u32>, UnknownTenant> {
         let driver = self.driver.borrow();
-        if driver.settings.tenants.is_empty() {
+        if driver.settings.tenant_quotas.is_empty() {
             return Ok(None);
         }
         driver.words.tenant(name).map(Some).ok_or(UnknownTenant)
@@ -138,42 +141,42 @@
     }
 
     /// Whether the site's discovery has to be asked.
-    pub fn asks_discovery(&self) -> bool {
-        self.driver.borrow().settings.discovery == Discovery::Asked
+    pub fn polls_discovery(&self) -> bool {
+        self.driver.borrow().settings.discovery == Discovery::Polled
     }
 
     /// Takes a request; the answer comes through what is returned. Dropping that first means that the client
     /// has gone. None where its id is in use: passed on, it would count as another attempt of that request.
-    pub fn submit(&self, asked: Asked<F>) -> Option<Waiting<F>> {
+    pub fn submit(&self, asked: IncomingRequest<F>) -> Option<PendingResponse<F>> {
         self.take(asked, false)
     }
 
     /// Takes a request whose body is still on the way; [`Waiting::whole`] tells when it has come. Its budget is how
     /// long that may take.
-    pub fn upload(&self, asked: Asked<F>) -> Option<Waiting<F>> {
+    pub fn submit_upload(&self, asked: IncomingRequest<F>) -> Option<PendingResponse<F>> {
         self.take(asked, true)
     }
 
-    fn take(&self, asked: Asked<F>, uploading: bool) -> Option<Waiting<F>> {
+    fn take(&self, asked: IncomingRequest<F>, uploading: bool) -> Option<PendingResponse<F>> {
         let (reply, answer) = oneshot::channel();
         let request = self.call(|driver, errands| driver.submit(asked, uploading, reply, errands))?;
-        Some(Waiting { engine: self.clone(), request, answer })
+        Some(PendingResponse { engine: self.clone(), request, answer })
     }
 
     /// Bytes of a request's body have gone out with this attempt that can't be had again.
-    pub fn spent(&self, ticket: Ticket) {
+    pub fn body_consumed(&self, ticket: AttemptId) {
         let request = ticket.request;
-        self.call(|driver, errands| driver.hear(Event::Spent { request }, errands));
+        self.call(|driver, errands| driver.hear(Event::BodyConsumed { request }, errands));
     }
 
     /// An answer that was being passed on broke off at this backend.
-    pub fn broke(&self, backend: BackendId) {
-        self.call(|driver, errands| driver.hear(Event::Broke { backend }, errands));
+    pub fn response_aborted(&self, backend: BackendId) {
+        self.call(|driver, errands| driver.hear(Event::ResponseAborted { backend }, errands));
     }
 
     /// Whether an attempt may still be written: a connect can outlast its request, the grace of a backend that has begun
     /// to drain, or the time for which a repeat does no harm.
-    pub fn may_write(&self, ticket: Ticket) -> bool {
+    pub fn may_write(&self, ticket: AttemptId) -> bool {
         let driver = self.driver.borrow();
         let (now, grace) = (driver.clock.now(), driver.settings.rules.drain_grace);
         let live = driver.requests.get(&ticket.request).is_some_and(|r| !r.ended && now < r.not_after);
@@ -185,62 +188,68 @@
     }
 
     /// Whether a backend is in service, and at this address.
-    pub fn serves_at(&self, backend: BackendId, endpoint: SocketAddr) -> bool {
+    pub fn is_in_service_at(&self, backend: BackendId, endpoint: SocketAddr) -> bool {
         let driver = self.driver.borrow();
         let known = driver.backends.get(backend);
         known.is_some_and(|known| known.endpoint == endpoint && known.draining_since.is_none())
     }
 
     /// Whether any backend is in service, by the list known last.
-    pub fn has_server(&self) -> bool {
+    pub fn has_endpoint_in_service(&self) -> bool {
         self.driver.borrow().backends.any_in_service()
     }
 
     /// All backends in service, by number, and where they listen.
-    pub fn in_service(&self) -> Vec<(BackendId, SocketAddr)> {
+    pub fn endpoints_in_service(&self) -> Vec<(BackendId, SocketAddr)> {
         self.driver.borrow().backends.in_service()
     }
 
     /// A backend's name on the list, or its number where it is not there.
-    pub fn name_of(&self, backend: BackendId) -> String {
+    pub fn endpoint_name(&self, backend: BackendId) -> String {
         let driver = self.driver.borrow();
         driver.backends.get(backend).map_or_else(|| backend.0.to_string(), |known| known.uid.to_string())
     }
 
     /// Takes the end of an attempt.
-    pub fn settled(&self, ticket: Ticket, ending: Ending<F::Answer>) {
+    pub fn attempt_ended(&self, ticket: AttemptId, ending: AttemptEnd<F::Response>) {
         self.call(|driver, errands| driver.settled(ticket, ending, errands));
     }
 
     /// Something of an attempt's answer has gone to the client: the request goes nowhere else from now on.
-    pub fn started(&self, ticket: Ticket) {
+    pub fn response_started(&self, ticket: AttemptId) {
         let request = ticket.request;
-        self.call(|driver, errands| driver.hear(Event::Started { request }, errands));
+        self.call(|driver, errands| driver.hear(Event::ResponseStarted { request }, errands));
     }
 
     /// Takes the end of a probe.
-    pub fn probed(&self, backend: BackendId, outcome: Outcome, elapsed: Nanos, report: Report) {
-        let event = Event::Probed { backend, outcome, elapsed, report };
+    pub fn health_check_ended(
+        &self,
+        backend: BackendId,
+        outcome: Outcome,
+        elapsed: Nanos,
+        report: LoadReport,
+    ) {
+        let event = Event::HealthCheckEnded { backend, outcome, elapsed, report };
         self.call(|driver, errands| driver.hear(event, errands));
     }
 
     /// Takes a list from discovery.
-    pub fn fleet(&self, scope: ListScope, list: Vec<Listed>) {
+    pub fn endpoints_updated(&self, scope: EndpointUpdate, list: Vec<DiscoveredEndpoint>) {
         self.call(|driver, errands| driver.fleet(scope, list, errands));
     }
 
     /// A call to discovery has failed.
-    pub fn fleet_failed(&self) {
-        self.call(|driver, errands| driver.hear(Event::FleetFailed, errands));
+    pub fn discovery_failed(&self) {
+        self.call(|driver, errands| driver.hear(Event::DiscoveryFailed, errands));
     }
 
     /// Waits until the module asks for the watch or the list.
-    pub async fn discovery_wanted(&self) {
+    pub async fn discovery_requested(&self) {
         self.asked.notified().await;
     }
 
     /// Whether the module wants the whole list next; asking takes the wish back.
-    pub fn take_whole_list(&self) -> bool {
+    pub fn take_snapshot_request(&self) -> bool {
         std::mem::take(&mut self.driver.borrow_mut().whole_list)
     }
 
@@ -263,14 +272,14 @@
     }
 
     /// One call into the driver; what it leaves to do is done once the borrow has ended.
-    fn call<T>(&self, call: impl FnOnce(&mut Driver<F>, &mut Errands<F>) -> T) -> T {
-        let mut errands = Errands::default();
+    fn call<T>(&self, call: impl FnOnce(&mut Driver<F>, &mut PendingIo<F>) -> T) -> T {
+        let mut errands = PendingIo::default();
         let result = call(&mut self.driver.borrow_mut(), &mut errands);
         errands.retired.into_iter().for_each(|backend| self.launcher.retire(backend));
         errands.probes.into_iter().for_each(|(backend, at)| self.launcher.probe(self, backend, at));
         errands.launches.into_iter().for_each(|launch| self.launcher.launch(self, launch));
         for ticket in errands.moot {
-            self.settled(ticket, Ending::bare(Outcome::Moot));
+            self.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
         }
         if errands.ask {
             self.asked.notify_one();
@@ -283,36 +292,36 @@
 }
 
 /// A request that is owed its answer.
-pub struct Waiting<F: Front> {
+pub struct PendingResponse<F: Protocol> {
     engine: Engine<F>,
     request: RequestId,
-    answer: oneshot::Receiver<Reply<F::Answer>>,
+    answer: oneshot::Receiver<RequestOutcome<F::Response>>,
 }
 
-impl<F: Front> Waiting<F> {
+impl<F: Protocol> PendingResponse<F> {
     /// The request's body has come whole; its client waits for this much longer.
-    pub fn whole(&self, budget: Nanos) {
+    pub fn upload_complete(&self, budget: Nanos) {
         self.engine.call(|driver, errands| driver.whole(self.request, budget, errands));
     }
 
     /// Gives the request up: it can't have run anywhere, and trying again does no harm.
-    pub fn refuse(&self) -> Reply<F::Answer> {
+    pub fn reject(&self) -> RequestOutcome<F::Response> {
         self.engine.call(|driver, errands| driver.refuse(self.request, errands))
     }
 
     /// The final answer.
-    pub async fn answer(mut self) -> Reply<F::Answer> {
-        self.answered().await
+    pub async fn into_outcome(mut self) -> RequestOutcome<F::Response> {
+        self.wait().await
     }
 
     /// The final answer, to be waited for once.
-    pub async fn answered(&mut self) -> Reply<F::Answer> {
+    pub async fn wait(&mut self) -> RequestOutcome<F::Response> {
         // The sender is dropped unused only if the request has vanished, which promises nothing.
-        (&mut self.answer).await.unwrap_or(Reply::Failed)
+        (&mut self.answer).await.unwrap_or(RequestOutcome::Failed)
     }
 }
 
-impl<F: Front> Drop for Waiting<F> {
+impl<F: Protocol> Drop for PendingResponse<F> {
     /// A client that hangs up takes its connection's task with it, and so this: the one place that notices.
     fn drop(&mut self) {
         let request = self.request;
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -3,30 +3,30 @@
 use std::future::Future;
 use std::task::{Context, Poll, Waker};
 
-use badgerpost_balancer::Stage;
+use badgerpost_balancer::EndpointState;
 
 use super::*;
 use crate::call_ids::IDS_RESTING;
-use crate::timers::Due;
+use crate::timers::TimerPurpose;
 
 mod any_order;
 
 struct Plain;
 
-impl Front for Plain {
-    type Call = ();
-    type Answer = &'static str;
+impl Protocol for Plain {
+    type Request = ();
+    type Response = &'static str;
 }
 
 /// Keeps what it is asked to do.
 #[derive(Default)]
 struct Kept {
-    launches: RefCell<Vec<Launch<Plain>>>,
+    launches: RefCell<Vec<AttemptCommand<Plain>>>,
     retired: RefCell<Vec<BackendId>>,
 }
 
-impl Launcher<Plain> for Kept {
-    fn launch(&self, _: &Engine<Plain>, launch: Launch<Plain>) {
+impl Transport<Plain> for Kept {
+    fn launch(&self, _: &Engine<Plain>, launch: AttemptCommand<Plain>) {
         self.launches.borrow_mut().push(launch);
     }
 
@@ -48,27 +48,36 @@
     (node, kept)
 }
 
-fn listed(uid: &str, stage: Stage) -> Listed {
-    Listed {
-        uid: uid.to_owned(),
-        endpoint: SocketAddr::from(([127, 0, 0, 1], 9)),
+fn listed(uid: &str, stage: EndpointState) -> DiscoveredEndpoint {
+    DiscoveredEndpoint {
+        name: uid.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: "a".to_owned(),
-        kind: "k".to_owned(),
+        machine_kind: "k".to_owned(),
         cell: 0,
-        stage,
+        state: stage,
         size: 1.0,
-        boot_ms: 0,
+        started_at_ms: 0,
     }
 }
 
-fn asked(budget: Nanos) -> Asked<Plain> {
+fn asked(budget: Nanos) -> IncomingRequest<Plain> {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed).to_string().into();
-    Asked { id, class: 0, tenant: None, key: None, hint: None, repeat: false, budget, call: () }
+    IncomingRequest {
+        id,
+        class: 0,
+        tenant: None,
+        affinity_key: None,
+        expected_work: None,
+        is_retry: false,
+        budget,
+        call: (),
+    }
 }
 
-fn reply(waiting: Waiting<Plain>) -> Option<Reply<&'static str>> {
-    let mut answer = std::pin::pin!(waiting.answer());
+fn reply(waiting: PendingResponse<Plain>) -> Option<RequestOutcome<&'static str>> {
+    let mut answer = std::pin::pin!(waiting.into_outcome());
     match answer.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
         Poll::Ready(reply) => Some(reply),
         Poll::Pending => None,
@@ -85,30 +94,30 @@
 #[test]
 fn a_request_and_its_timer_are_forgotten_with_its_answer() {
     let (node, kept) = node(SECOND);
-    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    node.endpoints_updated(EndpointUpdate::Snapshot, vec![listed("s", EndpointState::InService)]);
     let waiting = node.submit(asked(SECOND)).expect("a new id");
     let launch = kept.launches.borrow_mut().pop().expect("an attempt");
-    assert!(node.may_write(launch.ticket));
-    let ending = Ending { answer: Some("paid"), ..Ending::bare(Outcome::Served) };
-    node.settled(launch.ticket, ending);
-    assert!(matches!(reply(waiting), Some(Reply::Served("paid"))));
+    assert!(node.may_write(launch.attempt));
+    let ending = AttemptEnd { response: Some("paid"), ..AttemptEnd::bare(Outcome::Success) };
+    node.attempt_ended(launch.attempt, ending);
+    assert!(matches!(reply(waiting), Some(RequestOutcome::Served("paid"))));
     // A second end of the same attempt changes nothing.
-    node.settled(launch.ticket, Ending::bare(Outcome::Reset));
+    node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::Reset));
     assert_eq!(open_requests(&node), (0, 0));
-    assert!(!node.driver.borrow().timers.any(|due| matches!(due, Due::Backstop(_))));
+    assert!(!node.driver.borrow().timers.any(|due| matches!(due, TimerPurpose::Backstop(_))));
 }
 
 /// A connect can outlast its request: what is written after the answer would be a send too many.
 #[test]
 fn nothing_is_written_for_a_request_that_has_ended() {
     let (node, kept) = node(SECOND);
-    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    node.endpoints_updated(EndpointUpdate::Snapshot, vec![listed("s", EndpointState::InService)]);
     let waiting = node.submit(asked(SECOND)).expect("a new id");
     let launch = kept.launches.borrow_mut().pop().expect("an attempt");
     drop(waiting);
-    assert!(!node.may_write(launch.ticket));
+    assert!(!node.may_write(launch.attempt));
     assert_eq!(open_requests(&node), (1, 1), "the attempt is still owed its end");
-    node.settled(launch.ticket, Ending::bare(Outcome::Moot));
+    node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::NotSent));
     assert_eq!(open_requests(&node), (0, 0));
 }
 
@@ -116,28 +125,33 @@
 #[test]
 fn what_has_started_to_be_answered_is_not_sent_again() {
     let (node, kept) = node(SECOND);
-    node.fleet(ListScope::Full, vec![listed("s", Stage::InService), listed("t", Stage::InService)]);
+    node.endpoints_updated(
+        EndpointUpdate::Snapshot,
+        vec![listed("s", EndpointState::InService), listed("t", EndpointState::InService)],
+    );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
     let launch = kept.launches.borrow_mut().pop().expect("an attempt");
-    node.started(launch.ticket);
+    node.response_started(launch.attempt);
     // Not even after an end that tells that it never ran.
-    node.settled(launch.ticket, Ending::bare(Outcome::ConnectFailed));
+    node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::ConnectFailed));
     assert!(kept.launches.borrow().is_empty());
-    assert!(reply(waiting).is_some_and(|reply| !matches!(reply, Reply::Served(_))));
+    assert!(reply(waiting).is_some_and(|reply| !matches!(reply, RequestOutcome::Served(_))));
 }
 
 /// A connect can outlast the grace of a backend that drains, and the backend's stay on the list.
 #[test]
 fn nothing_is_written_to_a_backend_past_its_grace() {
-    for (grace, stage, may) in
-        [(60 * SECOND, Stage::Draining, true), (0, Stage::Draining, false), (60 * SECOND, Stage::Gone, false)]
-    {
+    for (grace, stage, may) in [
+        (60 * SECOND, EndpointState::Draining, true),
+        (0, EndpointState::Draining, false),
+        (60 * SECOND, EndpointState::Removed, false),
+    ] {
         let (node, kept) = node(grace);
-        node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+        node.endpoints_updated(EndpointUpdate::Snapshot, vec![listed("s", EndpointState::InService)]);
         let _waiting = node.submit(asked(SECOND)).expect("a new id");
         let launch = kept.launches.borrow_mut().pop().expect("an attempt");
-        node.fleet(ListScope::Changes, vec![listed("s", stage)]);
-        assert_eq!(node.may_write(launch.ticket), may, "{grace} {stage:?}");
+        node.endpoints_updated(EndpointUpdate::Delta, vec![listed("s", stage)]);
+        assert_eq!(node.may_write(launch.attempt), may, "{grace} {stage:?}");
         assert_eq!(*kept.retired.borrow(), [launch.backend; 2][..kept.retired.borrow().len()]);
         assert!(!kept.retired.borrow().is_empty(), "its idle connections are dropped");
     }
@@ -147,18 +161,18 @@
 #[test]
 fn a_request_that_the_module_leaves_open_fails_at_its_end() {
     let (node, kept) = node(SECOND);
-    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    node.endpoints_updated(EndpointUpdate::Snapshot, vec![listed("s", EndpointState::InService)]);
     let waiting = node.submit(asked(1_000_000)).expect("a new id");
     let launch = kept.launches.borrow_mut().pop().expect("an attempt");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
     let answer = runtime.block_on(async {
         tokio::select! {
-            reply = waiting.answer() => reply,
+            reply = waiting.into_outcome() => reply,
             () = node.run_timers() => unreachable!("timers run for ever"),
         }
     });
-    assert!(matches!(answer, Reply::Failed));
-    assert!(!node.may_write(launch.ticket));
+    assert!(matches!(answer, RequestOutcome::Failed));
+    assert!(!node.may_write(launch.attempt));
 }
 
 /// A restarted backend is cold again, by the node's own clock, and what stood open to its last life is dead.
@@ -169,13 +183,14 @@
     let mut retired = Vec::new();
     let mut driver = node.driver.borrow_mut();
     let Driver { backends, words, .. } = &mut *driver;
-    let first = backends.member(listed("s", Stage::InService), words, 0, &mut retired).expect("a member");
-    assert_eq!((first.online_since, retired.len()), (None, 0));
-    let again = Listed { boot_ms, ..listed("s", Stage::InService) };
+    let first =
+        backends.member(listed("s", EndpointState::InService), words, 0, &mut retired).expect("a member");
+    assert_eq!((first.started_at, retired.len()), (None, 0));
+    let again = DiscoveredEndpoint { started_at_ms: boot_ms, ..listed("s", EndpointState::InService) };
     let second = backends.member(again, words, 0, &mut retired).expect("a member");
     assert_eq!(second.backend, first.backend);
     assert_eq!(retired, [first.backend]);
-    let age = driver.clock.now() - second.online_since.expect("a start");
+    let age = driver.clock.now() - second.started_at.expect("a start");
     assert!((4_000_000..60 * SECOND).contains(&age), "{age}");
     assert!(kept.launches.borrow().is_empty());
 }
@@ -187,20 +202,20 @@
     let (node, kept) = node(SECOND);
     for round in 0..20_000 {
         let uid = format!("s-{round}");
-        node.fleet(ListScope::Changes, vec![listed(&uid, Stage::InService)]);
+        node.endpoints_updated(EndpointUpdate::Delta, vec![listed(&uid, EndpointState::InService)]);
         let waiting = node.submit(asked(SECOND)).expect("a new id");
         let launch = kept.launches.borrow_mut().pop();
         // Some clients go, some attempts end after their backend has left the list.
         if round % 3 == 0 {
             drop(waiting);
         }
-        node.fleet(ListScope::Changes, vec![listed(&uid, Stage::Gone)]);
+        node.endpoints_updated(EndpointUpdate::Delta, vec![listed(&uid, EndpointState::Removed)]);
         if let Some(launch) = launch {
-            node.settled(launch.ticket, Ending::bare(Outcome::Reset));
+            node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::Reset));
         }
         kept.retired.borrow_mut().clear();
     }
-    node.fleet(ListScope::Full, Vec::new());
+    node.endpoints_updated(EndpointUpdate::Snapshot, Vec::new());
     let driver = node.driver.borrow();
     let names = driver.call_ids.known.len();
     assert_eq!(names, driver.call_ids.ended.len() + driver.requests.len());
--- a/engine/src/engine/tests/any_order.rs
+++ b/engine/src/engine/tests/any_order.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot::error::TryRecvError;
 
 use super::*;
-use crate::clock::Stepped;
+use crate::clock::VirtualClock;
 
 const MS: Nanos = 1_000_000;
 const GRACE: Nanos = 200 * MS;
@@ -16,7 +16,7 @@
 /// A request as its client and the servers know it.
 struct Seen {
     class: u32,
-    waiting: Option<Waiting<Plain>>,
+    waiting: Option<PendingResponse<Plain>>,
     answers: usize,
     left: bool,
     /// Attempts that were written: when, where, and whether they may have run.
@@ -25,7 +25,7 @@
 
 /// An attempt that has not ended.
 struct Out {
-    launch: Launch<Plain>,
+    launch: AttemptCommand<Plain>,
     request: usize,
     server: usize,
     /// Its place among what was written.
@@ -35,7 +35,7 @@
 struct World {
     node: Engine<Plain>,
     kept: Rc<Kept>,
-    steps: Rc<Stepped>,
+    steps: Rc<VirtualClock>,
     seen: Vec<Seen>,
     out: Vec<Out>,
     /// Since when each server is told to be out of service.
@@ -57,12 +57,12 @@
             "rules": {"answer-slack-ns": 20 * MS, "drain-grace-ns": GRACE, "fall-ns": 1500 * MS,
                 "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000 * MS}});
         let site = badgerpost_settings::read(&config).expect("settings");
-        let (kept, steps) = (Rc::new(Kept::default()), Stepped::at(1000 * MS));
+        let (kept, steps) = (Rc::new(Kept::default()), VirtualClock::at(1000 * MS));
         let clock = Clock::stepped(steps.clone());
         let node = Engine::new(site.settings, site.words, 7, clock, kept.clone()).expect("a node");
         let (seen, out) = (Vec::new(), Vec::new());
         let mut world = Self { node, kept, steps, seen, out, drains: [None; 3] };
-        world.list(&[0, 1, 2], Stage::InService);
+        world.list(&[0, 1, 2], EndpointState::InService);
         world
     }
 
@@ -70,17 +70,17 @@
         self.node.clock().now()
     }
 
-    fn list(&mut self, servers: &[usize], stage: Stage) {
-        let of = |server: &usize| Listed {
+    fn list(&mut self, servers: &[usize], stage: EndpointState) {
+        let of = |server: &usize| DiscoveredEndpoint {
             zone: SERVERS[*server].1.to_owned(),
-            endpoint: SocketAddr::from(([127, 0, 0, 1], 9 + *server as u16)),
+            address: SocketAddr::from(([127, 0, 0, 1], 9 + *server as u16)),
             ..listed(SERVERS[*server].0, stage)
         };
         for server in servers {
             let told = self.drains[*server].unwrap_or(self.now());
-            self.drains[*server] = (stage != Stage::InService).then_some(told);
+            self.drains[*server] = (stage != EndpointState::InService).then_some(told);
         }
-        self.node.fleet(ListScope::Changes, servers.iter().map(of).collect());
+        self.node.endpoints_updated(EndpointUpdate::Delta, servers.iter().map(of).collect());
         self.look();
     }
 
@@ -88,13 +88,13 @@
     fn look(&mut self) {
         for launch in self.kept.launches.borrow_mut().drain(..) {
             let server = usize::from(launch.endpoint.port()) - 9;
-            let request = launch.ticket.request.0 as usize;
+            let request = launch.attempt.request.0 as usize;
             self.out.push(Out { launch, request, server, written: None });
         }
         for seen in &mut self.seen {
             let Some(waiting) = &mut seen.waiting else { continue };
             let answered = {
-                let mut answer = std::pin::pin!(waiting.answered());
+                let mut answer = std::pin::pin!(waiting.wait());
                 answer.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
             };
             if answered {
@@ -102,17 +102,17 @@
                 seen.waiting = None;
             }
         }
-        while let Some(n) = self.out.iter_mut().position(|out| match out.launch.withdrawn.try_recv() {
+        while let Some(n) = self.out.iter_mut().position(|out| match out.launch.cancelled.try_recv() {
             Ok(()) => true,
             Err(TryRecvError::Empty | TryRecvError::Closed) => false,
         }) {
-            let outcome = if self.out[n].written.is_some() { Outcome::Cancelled } else { Outcome::Moot };
+            let outcome = if self.out[n].written.is_some() { Outcome::Cancelled } else { Outcome::NotSent };
             self.end(n, outcome);
         }
     }
 
     fn arrive(&mut self, class: u32) {
-        let asked = Asked { class, ..asked(1000 * MS) };
+        let asked = IncomingRequest { class, ..asked(1000 * MS) };
         let waiting = self.node.submit(asked).expect("a new id");
         let written = Vec::new();
         self.seen.push(Seen { class, waiting: Some(waiting), answers: 0, left: false, written });
@@ -133,8 +133,8 @@
         if out.written.is_some() {
             return Ok(());
         }
-        if !self.node.may_write(out.launch.ticket) {
-            self.end(n, Outcome::Moot);
+        if !self.node.may_write(out.launch.attempt) {
+            self.end(n, Outcome::NotSent);
             return Ok(());
         }
         let (request, server) = (out.request, out.server);
@@ -159,9 +159,10 @@
         if let (Some(written), false) = (out.written, outcome.may_have_run()) {
             self.seen[out.request].written[written].2 = false;
         }
-        let served = outcome == Outcome::Served;
+        let served = outcome == Outcome::Success;
         let answer = served.then_some("yes");
-        self.node.settled(out.launch.ticket, Ending { answer, ..Ending::bare(outcome) });
+        self.node
+            .attempt_ended(out.launch.attempt, AttemptEnd { response: answer, ..AttemptEnd::bare(outcome) });
         self.look();
     }
 
@@ -178,8 +179,9 @@
             self.node.call(|driver, errands| driver.fire(errands));
             self.look();
             // The launcher's part: nobody waits past the time that a launch was given.
-            while let Some(n) = self.out.iter().position(|out| out.launch.give_up <= self.now()) {
-                let outcome = if self.out[n].written.is_some() { Outcome::TimedOut } else { Outcome::Moot };
+            while let Some(n) = self.out.iter().position(|out| out.launch.attempt_deadline <= self.now()) {
+                let outcome =
+                    if self.out[n].written.is_some() { Outcome::TimedOut } else { Outcome::NotSent };
                 self.end(n, outcome);
             }
         }
@@ -192,13 +194,13 @@
             (3, _) if !self.seen.is_empty() => self.leave(which % self.seen.len()),
             (4..=6, Some(n)) => self.connect_up(n)?,
             (7, Some(n)) => self.comes(n, Outcome::Reset),
-            (8, Some(n)) => self.comes(n, Outcome::Served),
-            (9, Some(n)) => self.comes(n, Outcome::Full),
+            (8, Some(n)) => self.comes(n, Outcome::Success),
+            (9, Some(n)) => self.comes(n, Outcome::Rejected),
             (10, Some(n)) => self.comes(n, Outcome::Error),
             (11 | 12, _) => self.pass((which as Nanos % 30) * 10 * MS),
-            (13, _) => self.list(&[which % 3], Stage::Draining),
-            (14, _) => self.list(&[which % 3], Stage::Gone),
-            (15, _) => self.list(&[which % 3], Stage::InService),
+            (13, _) => self.list(&[which % 3], EndpointState::Draining),
+            (14, _) => self.list(&[which % 3], EndpointState::Removed),
+            (15, _) => self.list(&[which % 3], EndpointState::InService),
             _ => {}
         }
         Ok(())
@@ -225,6 +227,6 @@
             prop_assert_eq!((seen.answers, seen.waiting.is_some()), (usize::from(!seen.left), false), "request {}", n);
         }
         prop_assert_eq!(open_requests(&world.node), (0, 0));
-        prop_assert!(!world.node.driver.borrow().timers.any(|due| matches!(due, Due::Backstop(_))));
+        prop_assert!(!world.node.driver.borrow().timers.any(|due| matches!(due, TimerPurpose::Backstop(_))));
     }
 }
--- a/engine/src/idle_pool.rs
+++ b/engine/src/idle_pool.rs
@@ -7,10 +7,10 @@
 use badgerpost_balancer::Nanos;
 
 /// A connection of which it can be told that nothing has come on it.
-pub trait Quiet {
+pub trait IdleCheck {
     /// Whether it stands open and nothing has come that nobody asked for. What comes behind an answer would pass for
     /// the next one's.
-    fn is_quiet(&mut self) -> bool;
+    fn is_idle(&mut self) -> bool;
 }
 
 struct Idle<L> {
@@ -29,7 +29,7 @@
     }
 }
 
-impl<K: Ord, L: Quiet> IdlePool<K, L> {
+impl<K: Ord, L: IdleCheck> IdlePool<K, L> {
     /// Keeps a connection that is idle from `now` on.
     pub fn put(&self, key: K, link: L, now: Nanos) {
         self.idle.borrow_mut().entry(key).or_default().push(Idle { link, since: now });
@@ -43,7 +43,7 @@
         loop {
             let rested = links.iter().rposition(|idle| now.saturating_sub(idle.since) >= least)?;
             let Idle { mut link, since } = links.remove(rested);
-            if link.is_quiet() {
+            if link.is_idle() {
                 return Some((link, now.saturating_sub(since)));
             }
         }
--- a/engine/src/idle_pool/tests.rs
+++ b/engine/src/idle_pool/tests.rs
@@ -5,8 +5,8 @@
 
 struct Link(&'static str, Rc<Cell<bool>>);
 
-impl Quiet for Link {
-    fn is_quiet(&mut self) -> bool {
+impl IdleCheck for Link {
+    fn is_idle(&mut self) -> bool {
         self.1.get()
     }
 }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -2,26 +2,29 @@
 //! fleet, of ids, timers, open requests and attempts. It knows no protocol: what a request carries and what
 //! serves it are a [`Front`]'s types. Its [`Clock`] is the process's only one, and can be stepped from outside.
 
+pub mod activity;
 mod backends;
 mod call_ids;
 mod clock;
 mod driver;
 mod engine;
-mod front;
 mod idle_pool;
 mod log_limiter;
+mod metrics;
 mod open_count;
-pub mod progress;
-mod tally;
+mod protocol;
 mod timers;
 mod zones;
 
-pub use clock::{Clock, Elapsed, Sleep, Stepped, nanos};
-pub use engine::{Engine, Launcher, Waiting};
-pub use front::{Asked, Ending, Front, Launch, Listed, Reply, Ticket, UnknownTenant};
-pub use idle_pool::{IdlePool, Quiet};
+pub use activity::spawn;
+pub use clock::{Clock, Elapsed, Sleep, VirtualClock, nanos};
+pub use engine::{Engine, PendingResponse, Transport};
+pub use idle_pool::{IdleCheck, IdlePool};
 pub use log_limiter::LogLimiter;
-pub use open_count::{OpenCount, Opened};
-pub use progress::spawn;
-pub use tally::{ClassCounts, End, PeerFigures, Tally, ZoneFigure};
-pub use zones::{FromPeer, ZoneWord};
+pub use metrics::{ClassCounts, Metrics, PeerMetrics, RequestEnd, ZoneMetrics};
+pub use open_count::{ConnectionCounter, ConnectionGuard};
+pub use protocol::{
+    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol, RequestOutcome,
+    UnknownTenant,
+};
+pub use zones::{PeerUpdate, ZoneGossip};
--- a/engine/src/open_count.rs
+++ b/engine/src/open_count.rs
@@ -5,18 +5,18 @@
 
 /// A count of open connections. Clones share it.
 #[derive(Clone, Debug, Default)]
-pub struct OpenCount(Rc<Cell<usize>>);
+pub struct ConnectionCounter(Rc<Cell<usize>>);
 
-impl OpenCount {
+impl ConnectionCounter {
     /// How many are open now.
     pub fn get(&self) -> usize {
         self.0.get()
     }
 
     /// Counts one more, until what is returned is dropped.
-    pub fn open(&self) -> Opened {
+    pub fn open(&self) -> ConnectionGuard {
         self.0.set(self.0.get() + 1);
-        Opened(self.0.clone())
+        ConnectionGuard(self.0.clone())
     }
 
     /// Whether any connection is counted here or could still be: somebody else holds the count.
@@ -27,9 +27,9 @@
 
 /// One open connection's part of an [`OpenCount`].
 #[derive(Debug)]
-pub struct Opened(Rc<Cell<usize>>);
+pub struct ConnectionGuard(Rc<Cell<usize>>);
 
-impl Drop for Opened {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
     }
--- a/engine/src/front.rs
+++ b/engine/src/protocol.rs
@@ -4,97 +4,97 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use badgerpost_balancer::{BackendId, Nanos, Outcome, Report, RequestId, Stage};
+use badgerpost_balancer::{BackendId, EndpointState, LoadReport, Nanos, Outcome, RequestId};
 use tokio::sync::{oneshot, watch};
 
 /// What a front brings: the types of what its requests carry and of what serves them.
-pub trait Front: 'static {
+pub trait Protocol: 'static {
     /// A client's request in the form in which it is passed on.
-    type Call: 'static;
+    type Request: 'static;
     /// What a backend answers.
-    type Answer: 'static;
+    type Response: 'static;
 }
 
 /// The final answer to a request.
 #[derive(Debug)]
-pub enum Reply<A> {
+pub enum RequestOutcome<A> {
     /// Served, with a backend's answer.
     Served(A),
     /// Refused; the client should stay away for this long, if that is above 0.
-    Refused(Nanos),
+    Rejected(Nanos),
     /// Failed.
     Failed,
 }
 
 /// One attempt of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Ticket {
+pub struct AttemptId {
     pub(crate) request: RequestId,
     pub(crate) attempt: u32,
     pub(crate) backend: BackendId,
 }
 
 /// An attempt to be made.
-pub struct Launch<F: Front> {
+pub struct AttemptCommand<F: Protocol> {
     /// Which one; goes back with its outcome.
-    pub ticket: Ticket,
+    pub attempt: AttemptId,
     /// Whom to send to.
     pub backend: BackendId,
     /// Where it listens.
     pub endpoint: SocketAddr,
     /// What to send.
-    pub call: Rc<F::Call>,
+    pub call: Rc<F::Request>,
     /// When to stop waiting.
-    pub give_up: Nanos,
+    pub attempt_deadline: Nanos,
     /// When the client stops waiting.
-    pub not_after: Nanos,
+    pub expires_at: Nanos,
     /// Where the request's body is still on the way: the two times above as they are once it is whole.
-    pub deadline: Option<watch::Receiver<Nanos>>,
+    pub upload_deadline: Option<watch::Receiver<Nanos>>,
     /// Resolves once the attempt has been withdrawn.
-    pub withdrawn: oneshot::Receiver<()>,
+    pub cancelled: oneshot::Receiver<()>,
 }
 
 /// How an attempt ended.
-pub struct Ending<A> {
+pub struct AttemptEnd<A> {
     /// What happened.
     pub outcome: Outcome,
     /// The load report that came along.
-    pub report: Report,
+    pub report: LoadReport,
     /// The answer of one that served; with none it has not served.
-    pub answer: Option<A>,
+    pub response: Option<A>,
     /// The answer has only begun: what passes it on says in the [`Tally`](crate::Tally) how it ends.
-    pub passing: bool,
+    pub is_streaming: bool,
 }
 
-impl<A> Ending<A> {
+impl<A> AttemptEnd<A> {
     /// An end with nothing received.
     pub fn bare(outcome: Outcome) -> Self {
-        Self { outcome, report: Report::default(), answer: None, passing: false }
+        Self { outcome, report: LoadReport::default(), response: None, is_streaming: false }
     }
 }
 
 /// One line of discovery's list.
-pub struct Listed {
+pub struct DiscoveredEndpoint {
     /// The backend's name.
-    pub uid: String,
+    pub name: String,
     /// Where it listens.
-    pub endpoint: SocketAddr,
+    pub address: SocketAddr,
     /// Its zone.
     pub zone: String,
     /// Its machine kind.
-    pub kind: String,
+    pub machine_kind: String,
     /// Its cell.
     pub cell: u64,
     /// What it may take.
-    pub stage: Stage,
+    pub state: EndpointState,
     /// Its size.
     pub size: f64,
     /// When it last started; 0 for long ago.
-    pub boot_ms: u64,
+    pub started_at_ms: u64,
 }
 
 /// What a client's request says of itself.
-pub struct Asked<F: Front> {
+pub struct IncomingRequest<F: Protocol> {
     /// Its id.
     pub id: Box<str>,
     /// Its class.
@@ -102,15 +102,15 @@
     /// Its tenant.
     pub tenant: Option<u32>,
     /// What it concerns, as a number drawn from that thing's name ([`badgerpost_settings::name_tag`]).
-    pub key: Option<u64>,
+    pub affinity_key: Option<u64>,
     /// Its work, where the client guesses it.
-    pub hint: Option<Nanos>,
+    pub expected_work: Option<Nanos>,
     /// Marked as a repeat.
-    pub repeat: bool,
+    pub is_retry: bool,
     /// How long the client waits.
     pub budget: Nanos,
     /// What is passed on.
-    pub call: F::Call,
+    pub call: F::Request,
 }
 
 /// The settings name no such tenant.
--- a/engine/src/zones.rs
+++ b/engine/src/zones.rs
@@ -4,29 +4,32 @@
 use std::collections::BTreeMap;
 
 use badgerpost_balancer::{
-    BackendId, Event as Told, ListScope, Member, Nanos, Outcome, RequestId, Settings, Stage, ZoneId,
+    BackendId, Endpoint, EndpointState, EndpointUpdate, Event as Told, Nanos, Outcome, RequestId, Settings,
+    ZoneId,
+};
+use badgerpost_zone_health::{
+    Action, AttemptSignal, Event, Settings as Zones, ZoneMonitor, ZoneObservation, ZoneStateReason,
 };
-use badgerpost_zone_health::{Action, Event, Seen, Settings as Zones, Sight, Watch, Why};
 
 /// What the core has left to do.
 #[derive(Default)]
-pub(crate) struct Said {
+pub(crate) struct ZoneOutput {
     /// For the decision module.
     pub(crate) events: Vec<Told>,
     /// For the log and the figures.
-    pub(crate) changed: Vec<Changed>,
+    pub(crate) changed: Vec<ZoneChange>,
     /// For the other nodes, by zone.
-    pub(crate) says: Vec<ZoneWord>,
+    pub(crate) says: Vec<ZoneGossip>,
     /// When to wake it, and the wish before that this replaces.
     pub(crate) wake: Option<(Nanos, Option<Nanos>)>,
 }
 
 /// What a node says of a zone to the others, as it goes over the network.
-pub type ZoneWord = (u16, Vec<u8>);
+pub type ZoneGossip = (u16, Vec<u8>);
 
 /// What comes from the other nodes.
 #[derive(Clone, Debug)]
-pub enum FromPeer {
+pub enum PeerUpdate {
     /// One is there, or no longer.
     Member {
         /// Which.
@@ -37,27 +40,27 @@
         up: bool,
     },
     /// One has said something of a zone.
-    Word {
+    Gossip {
         /// Which.
         member: u64,
         /// When, by its clock, in Unix time.
         sent: Nanos,
         /// What.
-        word: ZoneWord,
+        word: ZoneGossip,
     },
 }
 
 /// A zone's state has changed.
-pub(crate) struct Changed {
+pub(crate) struct ZoneChange {
     pub(crate) zone: ZoneId,
     pub(crate) share: f64,
-    pub(crate) why: Why,
+    pub(crate) why: ZoneStateReason,
     pub(crate) servers: u32,
 }
 
 /// A watch and what it needs to be told.
 pub(crate) struct ZoneWatch {
-    watch: Watch,
+    watch: ZoneMonitor,
     zones: u32,
     /// The servers in service. Bounded by the list.
     listed: BTreeMap<BackendId, (ZoneId, f64)>,
@@ -67,28 +70,33 @@
 impl ZoneWatch {
     pub(crate) fn new(settings: &Settings, seed: u64, now: Nanos) -> Self {
         let zones = Zones {
-            home: settings.home.0,
-            zones: settings.zones,
-            classes: settings.classes.len() as u32,
-            nodes: settings.nodes,
+            local_zone: settings.local_zone.0,
+            zone_count: settings.zone_count,
+            class_count: settings.classes.len() as u32,
+            node_count: settings.node_count,
             seed,
         };
-        Self { watch: Watch::new(zones, now), zones: settings.zones, listed: BTreeMap::new(), wake: None }
+        Self {
+            watch: ZoneMonitor::new(zones, now),
+            zones: settings.zone_count,
+            listed: BTreeMap::new(),
+            wake: None,
+        }
     }
 
-    pub(crate) fn list(&mut self, now: Nanos, scope: ListScope, members: &[Member]) -> Said {
-        if scope != ListScope::Changes {
+    pub(crate) fn list(&mut self, now: Nanos, scope: EndpointUpdate, members: &[Endpoint]) -> ZoneOutput {
+        if scope != EndpointUpdate::Delta {
             self.listed.clear();
         }
         for member in members {
-            if member.stage == Stage::InService && member.zone.0 < self.zones {
+            if member.state == EndpointState::InService && member.zone.0 < self.zones {
                 self.listed.insert(member.backend, (member.zone, member.size_or_one()));
             } else {
                 self.listed.remove(&member.backend);
             }
         }
         let servers = self.listed.iter().map(|(backend, (zone, size))| (backend.0, zone.0, *size));
-        let event = Event::Listed(servers.collect());
+        let event = Event::EndpointsListed(servers.collect());
         self.hear(now, event)
     }
 
@@ -99,9 +107,10 @@
         attempt: u32,
         server: BackendId,
         class: u32,
-    ) -> Said {
-        let Some((zone, _)) = self.listed.get(&server) else { return Said::default() };
-        let event = Event::Sent { attempt: number(request, attempt), server: server.0, zone: zone.0, class };
+    ) -> ZoneOutput {
+        let Some((zone, _)) = self.listed.get(&server) else { return ZoneOutput::default() };
+        let event =
+            Event::AttemptSent { attempt: number(request, attempt), server: server.0, zone: zone.0, class };
         self.hear(now, event)
     }
 
@@ -112,55 +121,58 @@
         attempt: u32,
         outcome: Outcome,
         util: Option<f64>,
-    ) -> Said {
+    ) -> ZoneOutput {
         let seen = match outcome {
-            Outcome::Served => Seen::Answered,
-            Outcome::Error => Seen::Failed,
-            Outcome::ConnectFailed | Outcome::Reset => Seen::Unreached,
-            Outcome::TimedOut | Outcome::Cancelled => Seen::Silent,
-            Outcome::Full | Outcome::Spoilt => Seen::TurnedAway,
-            Outcome::Moot => Seen::Nothing,
+            Outcome::Success => AttemptSignal::Answered,
+            Outcome::Error => AttemptSignal::Failed,
+            Outcome::ConnectFailed | Outcome::Reset => AttemptSignal::ConnectionFailed,
+            Outcome::TimedOut | Outcome::Cancelled => AttemptSignal::TimedOut,
+            Outcome::Rejected | Outcome::InvalidResponse => AttemptSignal::Inconclusive,
+            Outcome::NotSent => AttemptSignal::NotSent,
         };
-        self.hear(now, Event::Ended { attempt: number(request, attempt), seen, util })
+        self.hear(now, Event::AttemptEnded { attempt: number(request, attempt), seen, util })
     }
 
-    pub(crate) fn woken(&mut self, now: Nanos) -> Said {
+    pub(crate) fn woken(&mut self, now: Nanos) -> ZoneOutput {
         self.wake = None;
-        self.hear(now, Event::Wake)
+        self.hear(now, Event::TimerFired)
     }
 
-    pub(crate) fn by_hand(&mut self, now: Nanos, zone: ZoneId, order: Option<(bool, Nanos)>) -> Said {
-        self.hear(now, Event::ByHand { zone: zone.0, order })
+    pub(crate) fn by_hand(&mut self, now: Nanos, zone: ZoneId, order: Option<(bool, Nanos)>) -> ZoneOutput {
+        self.hear(now, Event::OperatorOverride { zone: zone.0, order })
     }
 
-    pub(crate) fn peer_told(&mut self, now: Nanos, told: &FromPeer) -> Said {
+    pub(crate) fn peer_told(&mut self, now: Nanos, told: &PeerUpdate) -> ZoneOutput {
         let event = match told {
-            FromPeer::Member { member, home, up } => Event::Member { member: *member, home: *home, up: *up },
-            FromPeer::Word { member, sent, word: (zone, bytes) } => {
-                let (Ok(zone), Some(sight)) = (u8::try_from(*zone), Sight::from_bytes(bytes)) else {
-                    return Said::default();
+            PeerUpdate::Member { member, home, up } => {
+                Event::PeerChanged { member: *member, home: *home, up: *up }
+            }
+            PeerUpdate::Gossip { member, sent, word: (zone, bytes) } => {
+                let (Ok(zone), Some(sight)) = (u8::try_from(*zone), ZoneObservation::from_bytes(bytes))
+                else {
+                    return ZoneOutput::default();
                 };
-                Event::Heard { member: *member, zone, sent: *sent, sight }
+                Event::PeerObserved { member: *member, zone, sent: *sent, sight }
             }
         };
         self.hear(now, event)
     }
 
-    fn hear(&mut self, now: Nanos, event: Event) -> Said {
-        let (mut actions, mut said) = (Vec::new(), Said::default());
+    fn hear(&mut self, now: Nanos, event: Event) -> ZoneOutput {
+        let (mut actions, mut said) = (Vec::new(), ZoneOutput::default());
         self.watch.handle(now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Share { zone, share } => {
-                    said.events.push(Told::ZoneShare { zone: ZoneId(zone), share });
+                Action::SetShare { zone, share } => {
+                    said.events.push(Told::ZoneShareChanged { zone: ZoneId(zone), share });
                 }
-                Action::Trial { zone, wait } => {
-                    said.events.push(Told::ZoneTrial { zone: ZoneId(zone), wait });
+                Action::RequestProbe { zone, wait } => {
+                    said.events.push(Told::ZoneProbeRequested { zone: ZoneId(zone), timeout: wait });
                 }
-                Action::Say { zone, sight } => said.says.push((u16::from(zone), sight.to_bytes())),
-                Action::Wake { at } => said.wake = Some((at, self.wake.replace(at))),
-                Action::Changed { zone, share, why, servers } => {
-                    said.changed.push(Changed { zone: ZoneId(zone), share, why, servers });
+                Action::Gossip { zone, sight } => said.says.push((u16::from(zone), sight.to_bytes())),
+                Action::SetTimer { at } => said.wake = Some((at, self.wake.replace(at))),
+                Action::LogChange { zone, share, why, servers } => {
+                    said.changed.push(ZoneChange { zone: ZoneId(zone), share, why, servers });
                 }
             }
         }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -7,21 +7,22 @@
 use std::collections::HashMap;
 
 use badgerpost_balancer::{
-    ClassSettings, Discovery, Effect, Group, Limits, Nanos, RuleFigures, Settings, Weights, ZoneId,
+    ClassSettings, DedupScope, Discovery, Idempotency, Limits, Nanos, SafetyLimits, Settings, WeightSource,
+    ZoneId,
 };
 use serde_json::Value;
 
 pub use fields::Fields;
 
 /// The numbers that an instance gives the names of its settings.
-pub struct Words {
+pub struct NameTable {
     zones: Vec<String>,
     classes: HashMap<String, u32>,
     kinds: Vec<String>,
     tenants: Vec<String>,
 }
 
-impl Words {
+impl NameTable {
     /// A zone's name, or none for a number that was never given out.
     pub fn zone_name(&self, zone: ZoneId) -> Option<&str> {
         self.zones.get(zone.0 as usize).map(String::as_str)
@@ -85,32 +86,32 @@
     let map = value.as_object().ok_or("settings: classes: not objects")?;
     let fields = Fields { tag: "settings: classes", map };
     let effect = match fields.text("effect")? {
-        "repeatable" => Effect::Repeatable,
-        "once" => Effect::Once,
+        "repeatable" => Idempotency::Idempotent,
+        "once" => Idempotency::NonIdempotent,
         "by_key" => {
             let group = match fields.text("key-scope")? {
-                "all" => Group::All,
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
+                "all" => DedupScope::All,
+                "zone" => DedupScope::Zone,
+                "cell" => DedupScope::Cell,
                 _ => return Err(fields.wrong("key-scope")),
             };
-            Effect::Keyed { group, window: fields.whole("window-ns")? }
+            Idempotency::Keyed { scope: group, window: fields.whole("window-ns")? }
         }
         _ => return Err(fields.wrong("effect")),
     };
     let settings = ClassSettings {
-        aim: fields.whole("on-time-ns")?,
+        latency_objective: fields.whole("on-time-ns")?,
         deadline: fields.whole("deadline-ns")?,
-        worth: fields.number_or("importance", 1.0)?,
-        late_share: fields.number_or("late-share", 0.0)?,
-        effect,
+        priority_weight: fields.number_or("importance", 1.0)?,
+        late_value_fraction: fields.number_or("late-share", 0.0)?,
+        idempotency: effect,
     };
     Ok((fields.text("name")?.to_owned(), settings))
 }
 
 /// What the settings say of connections, which only a node on real sockets needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Links {
+pub struct ConnectionSettings {
     /// A backend closes a connection that has stood idle for this long, or sooner.
     pub idle: Nanos,
     /// A connection that is not up by then counts as failed.
@@ -122,9 +123,9 @@
     /// What the module is told.
     pub settings: Settings,
     /// The words for its numbers.
-    pub words: Words,
+    pub words: NameTable,
     /// What goes for connections.
-    pub links: Links,
+    pub links: ConnectionSettings,
     /// Whether the nodes may talk to each other; no, where the platform does not say so.
     pub peers: bool,
 }
@@ -152,63 +153,66 @@
     let flag = |name: &str| limits.map.get(name).and_then(Value::as_bool).unwrap_or(false);
     let max_pause = if flag("retry-after") { limits.whole_or("max-retry-after-ns", 0)? } else { 0 };
     let settings = Settings {
-        home: ZoneId(home as u32),
-        zones: zones.len() as u32,
-        nodes: u32::try_from(fields.whole_or("n-instances", 1)?).unwrap_or(u32::MAX),
+        local_zone: ZoneId(home as u32),
+        zone_count: zones.len() as u32,
+        node_count: u32::try_from(fields.whole_or("n-instances", 1)?).unwrap_or(u32::MAX),
         classes,
-        tenants,
-        over_share_worth: fields.number_or("over-share-worth", 1.0)?,
+        tenant_quotas: tenants,
+        over_quota_value: fields.number_or("over-share-worth", 1.0)?,
         discovery: match fields.text("discovery")? {
             "pushed" => Discovery::Pushed,
-            "on_request" => Discovery::Asked,
+            "on_request" => Discovery::Polled,
             _ => return Err(fields.wrong("discovery")),
         },
-        weights: match map.get("weights").and_then(Value::as_str) {
-            Some("live") => Weights::Live,
-            _ => Weights::Size,
+        weight_source: match map.get("weights").and_then(Value::as_str) {
+            Some("live") => WeightSource::LoadAdjusted,
+            _ => WeightSource::Registered,
         },
-        queue_most: Settings::new(ZoneId(0), 1).queue_most,
-        reports_by_probe: map.get("report").and_then(|report| report.get("how")).and_then(Value::as_str)
+        max_queue_per_size: Settings::new(ZoneId(0), 1).max_queue_per_size,
+        reports_by_health_check: map
+            .get("report")
+            .and_then(|report| report.get("how"))
+            .and_then(Value::as_str)
             == Some("pull"),
-        warm_keys: map
+        key_affinity: map
             .get("family-info")
             .and_then(|family| family.get("warm-keys"))
             .and_then(Value::as_bool)
             .unwrap_or(false),
         limits: Limits {
-            attempts: u32::try_from(limits.whole("attempts-cap")?).unwrap_or(u32::MAX),
-            second_copies: flag("second-copies"),
-            probes: flag("probes"),
-            cancel: flag("may-cancel"),
-            retry_after: max_pause,
+            max_attempts: u32::try_from(limits.whole("attempts-cap")?).unwrap_or(u32::MAX),
+            hedging: flag("second-copies"),
+            health_checks: flag("probes"),
+            cancellation: flag("may-cancel"),
+            max_retry_after: max_pause,
         },
-        rules: RuleFigures {
-            answer_slack: rules.whole("answer-slack-ns")?,
-            ask_within: rules.whole_or("ask-within-ns", u64::MAX)?,
+        rules: SafetyLimits {
+            answer_grace: rules.whole("answer-slack-ns")?,
+            poll_interval: rules.whole_or("ask-within-ns", u64::MAX)?,
             drain_grace: rules.whole("drain-grace-ns")?,
-            start_capacity: rules.number("start-capacity")?,
-            warm_after: rules.whole("warm-after-ns")?,
-            tip_multiple: rules.number("tip-multiple")?,
-            fall_span: rules.whole("fall-ns")?,
+            slow_start_capacity: rules.number("start-capacity")?,
+            slow_start_duration: rules.whole("warm-after-ns")?,
+            overload_multiple: rules.number("tip-multiple")?,
+            overload_window: rules.whole("fall-ns")?,
         },
         worst_class_goal: goal.number_or("worst-class", 0.0)?,
-        repeats_marked: map
+        retries_marked: map
             .get("callers")
             .and_then(|callers| callers.get("marks-retry"))
             .and_then(Value::as_bool)
             .unwrap_or(false),
-        worth_by_work: map.get("worth-by").and_then(Value::as_str) == Some("work"),
-        quantum: fields.whole_or("quantum-ns", 1_000_000)?,
+        value_per_request: map.get("worth-by").and_then(Value::as_str) == Some("work"),
+        timer_resolution: fields.whole_or("quantum-ns", 1_000_000)?,
     };
     let classes = class_names.into_iter().zip(0..).collect();
     let kinds = if map.contains_key("kinds") { names(&fields, "kinds")? } else { Vec::new() };
-    let links = Links {
+    let links = ConnectionSettings {
         idle: limits.whole_or("conn-idle-ns", 15_000_000_000)?,
         connect_timeout: limits.whole_or("connect-timeout-ns", 250_000_000)?,
     };
     Ok(Site {
         settings,
-        words: Words { zones, classes, kinds, tenants: tenant_names },
+        words: NameTable { zones, classes, kinds, tenants: tenant_names },
         links,
         peers: flag("peers"),
     })
--- a/simulator/src/main.rs
+++ b/simulator/src/main.rs
@@ -8,9 +8,10 @@
 use std::process::ExitCode;
 
 use badgerpost_balancer::{
-    Action, Arrival, BackendId, Balancer, ClassId, Event, ListScope, Member, Nanos, RequestId, Settlement,
+    Action, AttemptResult, BackendId, Balancer, ClassId, Endpoint, EndpointUpdate, Event, Nanos,
+    RequestArrival, RequestId,
 };
-use badgerpost_settings::{Fields, Words, name_tag};
+use badgerpost_settings::{Fields, NameTable, name_tag};
 use serde_json::{Value, json};
 use wire::Line;
 
@@ -24,7 +25,7 @@
 /// One instance: the module and the words for its numbers. Nothing in it is shared.
 struct Instance {
     node: Balancer,
-    words: Words,
+    words: NameTable,
     backends: HashMap<String, BackendId>,
     backend_names: Vec<String>,
     requests: HashMap<String, RequestId>,
@@ -43,17 +44,17 @@
         id
     }
 
-    fn members(&mut self, list: &[wire::Entry]) -> Vec<Member> {
+    fn members(&mut self, list: &[wire::Entry]) -> Vec<Endpoint> {
         list.iter()
-            .map(|entry| Member {
+            .map(|entry| Endpoint {
                 backend: self.backend(&entry.backend),
                 zone: self.words.zone(&entry.zone),
-                kind: self.words.kind(&entry.kind),
+                machine_kind: self.words.kind(&entry.kind),
                 cell: entry.cell,
-                tag: name_tag(&entry.backend),
-                stage: entry.stage,
+                name_hash: name_tag(&entry.backend),
+                state: entry.stage,
                 size: entry.size,
-                online_since: entry.online_since,
+                started_at: entry.online_since,
             })
             .collect()
     }
@@ -114,7 +115,7 @@
                     "backend": backend(instance, to), "max-wait-ns": timeout.unwrap_or(0)});
                 ("PLACE", body)
             }
-            Action::Refuse { request, pause } => {
+            Action::Reject { request, retry_after: pause } => {
                 let body = json!({"who": who, "request-id": name(instance, request), "pause-ns": pause});
                 instance.update(request, |held| held.ended = true);
                 ("DECLINE", body)
@@ -127,10 +128,12 @@
             Action::Cancel { request, attempt } => {
                 ("RECALL", json!({"who": who, "request-id": name(instance, request), "try": attempt}))
             }
-            Action::Probe { backend: to } => ("TEST", json!({"who": who, "backend": backend(instance, to)})),
-            Action::Watch => ("SUBSCRIBE", json!({"who": who, "on": true})),
-            Action::Fetch => ("QUERY_ALL", json!({"who": who})),
-            Action::Timer { after, token } => {
+            Action::CheckHealth { backend: to } => {
+                ("TEST", json!({"who": who, "backend": backend(instance, to)}))
+            }
+            Action::WatchEndpoints => ("SUBSCRIBE", json!({"who": who, "on": true})),
+            Action::FetchSnapshot => ("QUERY_ALL", json!({"who": who})),
+            Action::SetTimer { after, token } => {
                 ("DEFER", json!({"who": who, "from-now-ns": after, "name": token}))
             }
             Action::Log(notice) => ("REMARK", json!({"who": who, "note-text": notice.to_string()})),
@@ -197,18 +200,18 @@
         let event = match tag {
             "FLEET" => {
                 let scope = match fields.text("mode")? {
-                    "delta" => Some(ListScope::Changes),
-                    "full" => Some(ListScope::Full),
-                    "cached" => Some(ListScope::Cached),
+                    "delta" => Some(EndpointUpdate::Delta),
+                    "full" => Some(EndpointUpdate::Snapshot),
+                    "cached" => Some(EndpointUpdate::Cached),
                     "failed" => None,
                     _ => return Err(fields.wrong("mode")),
                 };
                 match scope {
-                    None => Event::FleetFailed,
+                    None => Event::DiscoveryFailed,
                     Some(scope) => {
                         let list = fields.integer("list")?;
                         let entries = self.manifests.get(&list).ok_or_else(|| fields.wrong("list"))?;
-                        Event::Fleet { scope, members: instance.members(entries) }
+                        Event::EndpointsUpdated { update: scope, endpoints: instance.members(entries) }
                     }
                 }
             }
@@ -218,14 +221,14 @@
                 let hint = fields.whole_or("weight-hint-ns", 0)?;
                 let not_after = fields.whole("not-after-ns")?;
                 let name = fields.text("request-id")?;
-                Event::Request(Arrival {
+                Event::RequestArrived(RequestArrival {
                     request: instance.request(name),
                     class: ClassId(class),
-                    key: fields.map.get("key").and_then(Value::as_str).map(name_tag),
-                    hint: (options & 1 != 0).then_some(hint),
-                    repeat: options & 2 != 0,
+                    affinity_key: fields.map.get("key").and_then(Value::as_str).map(name_tag),
+                    expected_work: (options & 1 != 0).then_some(hint),
+                    is_retry: options & 2 != 0,
                     tenant: instance.words.tenant(fields.map.get("org").and_then(Value::as_str)),
-                    not_after,
+                    expires_at: not_after,
                 })
             }
             "SETTLED" => {
@@ -236,7 +239,14 @@
                     return Ok(());
                 };
                 let (outcome, elapsed, report) = settlement;
-                let event = Event::Settled(Settlement { request, attempt, outcome, elapsed, ended, report });
+                let event = Event::AttemptEnded(AttemptResult {
+                    request,
+                    attempt,
+                    outcome,
+                    elapsed,
+                    request_ended: ended,
+                    report,
+                });
                 // The module answers first: until it has, it may still name this request.
                 self.handle(who, event);
                 if let Some(instance) = self.instances.get_mut(&who) {
@@ -252,9 +262,9 @@
                     return Ok(());
                 };
                 if tag == "ACK_FIRST" {
-                    Event::Started { request }
+                    Event::ResponseStarted { request }
                 } else {
-                    self.handle(who, Event::ClientGone { request });
+                    self.handle(who, Event::ClientDisconnected { request });
                     if let Some(instance) = self.instances.get_mut(&who) {
                         instance.update(request, |held| held.ended = true);
                     }
@@ -264,14 +274,14 @@
             "STATUS_BACK" => {
                 let backend = instance.backend(fields.text("backend")?);
                 let elapsed = fields.whole("elapsed-ns")?;
-                Event::Probed {
+                Event::HealthCheckEnded {
                     backend,
                     outcome: wire::outcome(fields)?,
                     elapsed,
                     report: wire::report(fields)?,
                 }
             }
-            _ => Event::Timer { token: fields.whole("name")? },
+            _ => Event::TimerFired { token: fields.whole("name")? },
         };
         self.handle(who, event);
         Ok(())
--- a/simulator/src/wire.rs
+++ b/simulator/src/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's lines, read with plain errors.
 
-use badgerpost_balancer::{Nanos, Outcome, Report, Stage};
+use badgerpost_balancer::{EndpointState, LoadReport, Nanos, Outcome};
 use badgerpost_settings::Fields;
 use serde_json::Value;
 
@@ -23,26 +23,30 @@
 /// The outcome that a message tells.
 pub fn outcome(fields: &Fields) -> Result<Outcome, String> {
     Ok(match fields.text("disposition")? {
-        "S" => Outcome::Served,
+        "S" => Outcome::Success,
         "E" => Outcome::Error,
-        "F" => Outcome::Full,
+        "F" => Outcome::Rejected,
         "T" => Outcome::TimedOut,
         "C" => Outcome::ConnectFailed,
         "R" => Outcome::Reset,
         "X" => Outcome::Cancelled,
-        "N" => Outcome::Moot,
+        "N" => Outcome::NotSent,
         _ => return Err(fields.wrong("disposition")),
     })
 }
 
 /// The load report that a message carries, if any.
-pub fn report(fields: &Fields) -> Result<Report, String> {
+pub fn report(fields: &Fields) -> Result<LoadReport, String> {
     let Some(usage) = fields.map.get("usage").filter(|usage| !usage.is_null()) else {
-        return Ok(Report::default());
+        return Ok(LoadReport::default());
     };
     let usage = usage.as_object().ok_or_else(|| fields.wrong("usage"))?;
     let figure = |name: &str| usage.get(name).and_then(Value::as_f64);
-    Ok(Report { util: figure("load_share"), rate: figure("tps"), in_flight: figure("concurrent") })
+    Ok(LoadReport {
+        utilization: figure("load_share"),
+        requests_per_second: figure("tps"),
+        in_flight: figure("concurrent"),
+    })
 }
 
 /// An entry of a list, still in the wire's words.
@@ -51,7 +55,7 @@
     pub zone: String,
     pub kind: String,
     pub cell: u64,
-    pub stage: Stage,
+    pub stage: EndpointState,
     pub size: f64,
     pub online_since: Option<Nanos>,
 }
@@ -68,9 +72,9 @@
                 kind: entry.text("type")?.to_owned(),
                 cell: entry.whole_or("pod", 0)?,
                 stage: match entry.text("stage-state")? {
-                    "in_service" => Stage::InService,
-                    "terminating" => Stage::Draining,
-                    "terminated" => Stage::Gone,
+                    "in_service" => EndpointState::InService,
+                    "terminating" => EndpointState::Draining,
+                    "terminated" => EndpointState::Removed,
                     _ => return Err(entry.wrong("stage-state")),
                 },
                 size: entry.number_or("power-hint", 1.0)?,
--- a/testkit/fakes/src/database.rs
+++ b/testkit/fakes/src/database.rs
@@ -444,7 +444,7 @@
     let known = lock(&shared.users).get(user).cloned();
     let verifier = known.unwrap_or_else(|| Verifier::unknown(b"a stand-in", user));
     let request = |kind: u32, rest: &[u8]| [&kind.to_be_bytes(), rest].concat();
-    backend.put(b'R', &request(10, &[scram::PLAIN.as_bytes(), b"\0\0"].concat()));
+    backend.put(b'R', &request(10, &[scram::MECHANISM.as_bytes(), b"\0\0"].concat()));
     stream.write_all(&backend.take_out())?;
     let (_, first) = reader.message()?;
     let end = first.iter().position(|byte| *byte == 0).unwrap_or(0);
--- a/testkit/scenarios/src/bin/faulty_node.rs
+++ b/testkit/scenarios/src/bin/faulty_node.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use badgerpost_engine::{Clock, Stepped, progress, spawn};
+use badgerpost_engine::{Clock, VirtualClock, activity, spawn};
 use badgerpost_fakes::message::{self, Inbox, Message, Side};
 use badgerpost_virtual_clock::Control;
 use serde::Deserialize;
@@ -115,7 +115,7 @@
 async fn serve(edge: Edge, own: Option<Own>, fault: Fault) -> Result<(), Failure> {
     let hands = match own {
         Some(Own { rehearsal }) => {
-            Some((Stepped::at(rehearsal.start_ns), Control::connect(rehearsal.control)?))
+            Some((VirtualClock::at(rehearsal.start_ns), Control::connect(rehearsal.control)?))
         }
         None => None,
     };
@@ -152,14 +152,14 @@
             return Some(message);
         }
         let read = stream.read(&mut buffer).await.ok().filter(|read| *read > 0)?;
-        progress::read(read);
+        activity::read(read);
         inbox.push(&buffer[..read]);
     }
 }
 
 async fn write(stream: &mut TcpStream, bytes: &[u8]) -> Option<()> {
     stream.write_all(bytes).await.ok()?;
-    progress::written(bytes.len());
+    activity::written(bytes.len());
     Some(())
 }
 
@@ -172,8 +172,8 @@
     }
 
     async fn watch(&self, at: SocketAddr) -> Option<()> {
-        let mut stream = progress::connecting(TcpStream::connect(at)).await.ok()?;
-        let _connection = progress::Connection::default();
+        let mut stream = activity::connecting(TcpStream::connect(at)).await.ok()?;
+        let _connection = activity::Connection::default();
         let mut inbox = Inbox::new(Side::Answers);
         let mut target = "/registry/instances".to_owned();
         loop {
@@ -217,7 +217,7 @@
 
     async fn converse(self: Rc<Self>, mut stream: TcpStream) {
         let mut inbox = Inbox::new(Side::Requests);
-        let _connection = progress::Connection::default();
+        let _connection = activity::Connection::default();
         while let Some(request) = read(&mut stream, &mut inbox).await {
             let answer = self.serve(&request).await;
             if self.fault == Fault::Crash && self.turn.get() >= 100 {
@@ -248,8 +248,8 @@
 
     async fn attempt(&self, request: &Message) -> Option<Message> {
         let target = self.pick()?;
-        let mut stream = progress::connecting(TcpStream::connect(target.endpoint)).await.ok()?;
-        let _connection = progress::Connection::default();
+        let mut stream = activity::connecting(TcpStream::connect(target.endpoint)).await.ok()?;
+        let _connection = activity::Connection::default();
         let passed = |(name, _): &&(String, String)| !name.eq_ignore_ascii_case("content-length");
         let headers: String = request
             .headers
--- a/virtual-clock/src/control.rs
+++ b/virtual-clock/src/control.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use badgerpost_engine::{Stepped, progress};
+use badgerpost_engine::{VirtualClock, activity};
 use tokio::task::yield_now;
 
 use crate::protocol::{Bad, FromNode, LONGEST, ToNode};
@@ -85,7 +85,7 @@
     }
 
     /// Follows the kit's steps until the rehearsal is over.
-    pub async fn follow(mut self, name: &str, listen: SocketAddr, steps: Rc<Stepped>) -> ControlError {
+    pub async fn follow(mut self, name: &str, listen: SocketAddr, steps: Rc<VirtualClock>) -> ControlError {
         match self.steps(name, listen, &steps).await {
             Ok(never) => match never {},
             Err(error) => error,
@@ -96,20 +96,20 @@
         &mut self,
         name: &str,
         listen: SocketAddr,
-        steps: &Stepped,
+        steps: &VirtualClock,
     ) -> Result<std::convert::Infallible, ControlError> {
         settle(0, 0).await;
         self.say(&FromNode::Hello { name: name.to_owned(), listen })?;
         // What was done before the first step counts with it.
-        let mut before = progress::Progress::default();
+        let mut before = activity::Activity::default();
         // Ends that the kit has seen and that were waited for in vain: of connections that were never looked at here.
         let mut unseen = 0;
         loop {
             let ToNode::Step { now, bytes, ended } = self.hear()?;
-            let read = progress::so_far().read;
+            let read = activity::so_far().read;
             steps.advance(now);
             settle(read.saturating_add(bytes), ended.saturating_sub(unseen)).await;
-            let after = progress::so_far();
+            let after = activity::so_far();
             unseen = unseen.max(ended.saturating_sub(after.ended));
             let (read, written) = (after.read - before.read, after.written - before.written);
             before = after;
@@ -127,11 +127,11 @@
     loop {
         let mut quiet = 0;
         while quiet < QUIET_TURNS {
-            let before = progress::so_far().polls;
+            let before = activity::so_far().polls;
             yield_now().await;
-            quiet = if progress::so_far().polls == before { quiet + 1 } else { 0 };
+            quiet = if activity::so_far().polls == before { quiet + 1 } else { 0 };
         }
-        let so_far = progress::so_far();
+        let so_far = activity::so_far();
         if looks >= LOOKS || (so_far.read >= read && so_far.ended >= ended && so_far.connecting == 0) {
             return;
         }
--- a/virtual-clock/src/control/tests.rs
+++ b/virtual-clock/src/control/tests.rs
@@ -22,7 +22,7 @@
     let at = kit.local_addr().unwrap();
     let node = std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        let steps = Stepped::at(100);
+        let steps = VirtualClock::at(100);
         let clock = Clock::stepped(steps.clone());
         LocalSet::new().block_on(&runtime, async move {
             spawn(task(clock));
@@ -50,9 +50,9 @@
         // Started by what has just run, it belongs to the same step.
         let inner = tasks.clone();
         let inner = spawn(async move { inner.sleep_until(300).await });
-        progress::written(7);
+        activity::written(7);
         let _ = inner.await;
-        progress::written(5);
+        activity::written(5);
     });
     let idle = |next, written| FromNode::Idle { next, read: 0, written, ended: 0 };
     assert_eq!(step(&mut reader, 150, 0), idle(Some(200), 0));
@@ -70,9 +70,9 @@
     let (node, mut reader) = node(|clock| async move {
         clock.sleep_until(200).await;
         let late = || tokio::time::sleep(Duration::from_millis(5));
-        progress::connecting(late()).await;
-        progress::written(3);
-        let mut connection = progress::Connection::default();
+        activity::connecting(late()).await;
+        activity::written(3);
+        let mut connection = activity::Connection::default();
         clock.sleep_until(300).await;
         late().await;
         connection.over();
