--- a/adapters/admin/src/lib.rs
+++ b/adapters/admin/src/lib.rs
@@ -64,7 +64,9 @@
     /// Serves on a thread of its own until the process ends.
     pub fn start(self, listener: TcpListener) -> io::Result<()> {
         listener.set_nonblocking(true)?;
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
         let serve = move || {
             let local = tokio::task::LocalSet::new();
             local.block_on(&runtime, async {
@@ -74,7 +76,9 @@
                 }
             });
         };
-        std::thread::Builder::new().name("console".to_owned()).spawn(serve)?;
+        std::thread::Builder::new()
+            .name("console".to_owned())
+            .spawn(serve)?;
         Ok(())
     }
 
@@ -115,11 +119,15 @@
     }
 
     async fn converse(&self, stream: TcpStream) {
-        let service =
-            service_fn(async |request: Request<Incoming>| Ok::<_, Infallible>(self.answer(&request)));
+        let service = service_fn(async |request: Request<Incoming>| {
+            Ok::<_, Infallible>(self.answer(&request))
+        });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(MAX_HEAD);
-        if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+        if let Err(error) = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .await
+        {
             tracing::debug!(%error, "console call failed");
         }
     }
@@ -135,29 +143,45 @@
         if method != wanted {
             let mut answer = text(StatusCode::METHOD_NOT_ALLOWED, format!("{wanted} only\n"));
             let allow = HeaderValue::from_str(wanted.as_str());
-            allow.into_iter().for_each(|allow| drop(answer.headers_mut().insert(ALLOW, allow)));
+            allow
+                .into_iter()
+                .for_each(|allow| drop(answer.headers_mut().insert(ALLOW, allow)));
             return answer;
         }
         match path {
-            "/status" if self.ready.load(Ordering::Relaxed) => text(StatusCode::OK, "serving\n".to_owned()),
+            "/status" if self.ready.load(Ordering::Relaxed) => {
+                text(StatusCode::OK, "serving\n".to_owned())
+            }
             "/status" => text(StatusCode::SERVICE_UNAVAILABLE, "not yet\n".to_owned()),
             "/status/metrics" => text(StatusCode::OK, figures(&self.tally)),
             "/standby" | "/active" => {
-                let event = if path == "/standby" { Event::Standby } else { Event::Active };
+                let event = if path == "/standby" {
+                    Event::Standby
+                } else {
+                    Event::Active
+                };
                 let step = self.life.tell(event);
                 tracing::info!(call = path, stage = ?step.stage, granted = step.granted, "operators' call");
-                let status = if step.granted { StatusCode::OK } else { StatusCode::CONFLICT };
+                let status = if step.granted {
+                    StatusCode::OK
+                } else {
+                    StatusCode::CONFLICT
+                };
                 text(status, format!("{:?}\n", step.stage).to_lowercase())
             }
             _ => match zones::order(path, &self.tally) {
-                None => {
-                    text(StatusCode::NOT_FOUND, "no such zone or order, or no watch over zones\n".to_owned())
-                }
+                None => text(
+                    StatusCode::NOT_FOUND,
+                    "no such zone or order, or no watch over zones\n".to_owned(),
+                ),
                 Some(order) => {
                     tracing::info!(call = path, "operators' call");
                     match self.orders.try_send(order) {
                         Ok(()) => text(StatusCode::OK, "taken\n".to_owned()),
-                        Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "too many orders\n".to_owned()),
+                        Err(_) => text(
+                            StatusCode::SERVICE_UNAVAILABLE,
+                            "too many orders\n".to_owned(),
+                        ),
                     }
                 }
             },
@@ -183,7 +207,10 @@
     line("cluster_size", &listed);
     line("cluster_unhealthy", &avoided);
     for zone in tally.zones() {
-        line(&format!("zone.{}.share", zone.name), &((zone.share * 1000.0).round() as u64));
+        line(
+            &format!("zone.{}.share", zone.name),
+            &((zone.share * 1000.0).round() as u64),
+        );
         line(&format!("zone.{}.why", zone.name), &zone.reason);
     }
     let peers = tally.peers_snapshot();
@@ -200,6 +227,8 @@
 fn text(status: StatusCode, text: String) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/adapters/admin/src/life.rs
+++ b/adapters/admin/src/life.rs
@@ -24,9 +24,17 @@
 impl Default for Life {
     fn default() -> Self {
         let machine = Mutex::new(Lifecycle::new());
-        let (stage, wake, accepts) =
-            (watch::Sender::new(Stage::Active), watch::Sender::new(None), watch::Sender::new(true));
-        Self(Arc::new(Shared { machine, stage, wake, accepts }))
+        let (stage, wake, accepts) = (
+            watch::Sender::new(Stage::Active),
+            watch::Sender::new(None),
+            watch::Sender::new(true),
+        );
+        Self(Arc::new(Shared {
+            machine,
+            stage,
+            wake,
+            accepts,
+        }))
     }
 }
 
@@ -34,12 +42,20 @@
     /// Tells the node something; whether what was asked for holds now.
     pub fn tell(&self, event: Event) -> Transition {
         // A panic under the lock would have left a whole state: each step is one assignment.
-        let mut machine = self.0.machine.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut machine = self
+            .0
+            .machine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let step = machine.handle(event);
         // Told under the lock, so that stages are seen in the order in which they came about.
-        self.0.stage.send_if_modified(|stage| std::mem::replace(stage, step.stage) != step.stage);
+        self.0
+            .stage
+            .send_if_modified(|stage| std::mem::replace(stage, step.stage) != step.stage);
         let accepts = machine.accepts();
-        self.0.accepts.send_if_modified(|before| std::mem::replace(before, accepts) != accepts);
+        self.0
+            .accepts
+            .send_if_modified(|before| std::mem::replace(before, accepts) != accepts);
         if step.timer.is_some() {
             self.0.wake.send_replace(step.timer);
         }
--- a/adapters/admin/src/zones.rs
+++ b/adapters/admin/src/zones.rs
@@ -21,7 +21,10 @@
     let (zone, rest) = path.strip_prefix("/zones/")?.split_once('/')?;
     let known = tally.zones().iter().any(|known| known.name == zone);
     let span = |text: &str| {
-        let seconds = text.parse().ok().filter(|seconds| (1..=LONGEST).contains(seconds))?;
+        let seconds = text
+            .parse()
+            .ok()
+            .filter(|seconds| (1..=LONGEST).contains(seconds))?;
         Some(Duration::from_secs(seconds))
     };
     let order = match rest.split_once('/') {
@@ -30,5 +33,8 @@
         None if rest == "auto" => None,
         _ => return None,
     };
-    known.then(|| ZoneOrder { zone: zone.to_owned(), order })
+    known.then(|| ZoneOrder {
+        zone: zone.to_owned(),
+        order,
+    })
 }
--- a/adapters/gossip/src/config.rs
+++ b/adapters/gossip/src/config.rs
@@ -87,12 +87,23 @@
         }
         if self.advertise.is_none() && self.listen.port() == 0 {
             let wrong = "a port that the others know, or `advertise`";
-            return Err(ConfigError::Address { key: "listen", at: self.listen, wrong });
+            return Err(ConfigError::Address {
+                key: "listen",
+                at: self.listen,
+                wrong,
+            });
         }
         let advertised = [("advertise", self.advertised())];
-        for (key, at) in advertised.into_iter().chain(self.seeds.iter().map(|at| ("seeds", *at))) {
+        for (key, at) in advertised
+            .into_iter()
+            .chain(self.seeds.iter().map(|at| ("seeds", *at)))
+        {
             if at.ip().is_unspecified() || at.port() == 0 {
-                return Err(ConfigError::Address { key, at, wrong: "an address and port of one node" });
+                return Err(ConfigError::Address {
+                    key,
+                    at,
+                    wrong: "an address and port of one node",
+                });
             }
         }
         self.key().map(|_| ())
@@ -105,17 +116,27 @@
 
     /// All addresses that it names, with their keys.
     pub fn addresses(&self) -> impl Iterator<Item = (&'static str, SocketAddr)> {
-        let own = [("peers.listen", self.listen), ("peers.advertise", self.advertised())];
-        own.into_iter().chain(self.seeds.iter().map(|at| ("peers.seeds", *at)))
+        let own = [
+            ("peers.listen", self.listen),
+            ("peers.advertise", self.advertised()),
+        ];
+        own.into_iter()
+            .chain(self.seeds.iter().map(|at| ("peers.seeds", *at)))
     }
 
     /// The key.
     pub fn key(&self) -> Result<Key, ConfigError> {
         let path = || self.key_file.clone();
         let text = file::read_private(&self.key_file).map_err(|error| match error {
-            NotPrivate::Unread(source) => ConfigError::Unread { path: path(), source },
+            NotPrivate::Unread(source) => ConfigError::Unread {
+                path: path(),
+                source,
+            },
             NotPrivate::Open => ConfigError::Open(path()),
         })?;
-        Key::read(&text).map_err(|source| ConfigError::Key { path: path(), source })
+        Key::read(&text).map_err(|source| ConfigError::Key {
+            path: path(),
+            source,
+        })
     }
 }
--- a/adapters/gossip/src/run.rs
+++ b/adapters/gossip/src/run.rs
@@ -61,9 +61,19 @@
         engine.set_gossip_sender(talk);
         engine.metrics().set_peers(1);
         tracing::info!(listen = %socket.local_addr()?, advertise = %config.advertised(), "peers may call");
-        let (core, limiter) =
-            (badgerpost_membership::Membership::new(settings), LogLimiter::new(clock.clone()));
-        Ok(Self { socket, core, engine, clock, words, wake: None, limiter })
+        let (core, limiter) = (
+            badgerpost_membership::Membership::new(settings),
+            LogLimiter::new(clock.clone()),
+        );
+        Ok(Self {
+            socket,
+            core,
+            engine,
+            clock,
+            words,
+            wake: None,
+            limiter,
+        })
     }
 
     /// Talks until the node stops.
@@ -115,18 +125,41 @@
             match action {
                 Action::Send { to, datagram } => self.send(to, &datagram),
                 Action::SetTimer { at } => self.wake = Some(at),
-                Action::MemberChanged { member, zone, at, up } => {
+                Action::MemberChanged {
+                    member,
+                    zone,
+                    at,
+                    up,
+                } => {
                     tracing::info!(peer = %at, zone, up, members = self.core.members(), "peer changed");
-                    self.engine.metrics().set_peers(self.core.members() as u64 + 1);
-                    self.engine.peer_updated(&PeerUpdate::Member { member, home: zone, up });
+                    self.engine
+                        .metrics()
+                        .set_peers(self.core.members() as u64 + 1);
+                    self.engine.peer_updated(&PeerUpdate::Member {
+                        member,
+                        home: zone,
+                        up,
+                    });
                 }
-                Action::Received { member, topic, sent, body } => {
-                    self.engine.peer_updated(&PeerUpdate::Gossip { member, sent, word: (topic, body) });
+                Action::Received {
+                    member,
+                    topic,
+                    sent,
+                    body,
+                } => {
+                    self.engine.peer_updated(&PeerUpdate::Gossip {
+                        member,
+                        sent,
+                        word: (topic, body),
+                    });
                 }
                 Action::DatagramDropped(dropped) => {
-                    self.engine.metrics().datagram_dropped(dropped == DropReason::Unauthenticated);
-                    self.limiter
-                        .log(|silenced| tracing::warn!(reason = ?dropped, silenced, "datagram dropped"));
+                    self.engine
+                        .metrics()
+                        .datagram_dropped(dropped == DropReason::Unauthenticated);
+                    self.limiter.log(
+                        |silenced| tracing::warn!(reason = ?dropped, silenced, "datagram dropped"),
+                    );
                 }
             }
         }
--- a/adapters/http/src/answer.rs
+++ b/adapters/http/src/answer.rs
@@ -54,7 +54,10 @@
 
 impl From<Kept> for Reply {
     fn from(kept: Kept) -> Self {
-        Self::Whole { body: Full::new(kept.bytes.clone()), _kept: kept }
+        Self::Whole {
+            body: Full::new(kept.bytes.clone()),
+            _kept: kept,
+        }
     }
 }
 
@@ -72,15 +75,30 @@
 impl Passing {
     /// Passes on an answer to the client with this slot.
     pub fn new(begun: Begun, slot: Rc<Slot>, tally: std::sync::Arc<Metrics>, class: u32) -> Self {
-        let Begun { first, rest, left, ended } = begun;
+        let Begun {
+            first,
+            rest,
+            left,
+            ended,
+        } = begun;
         slot.passing();
         let first = Some(first).filter(|first| !first.bytes.is_empty());
-        Self { first, rest, left, ended: Some(ended), slot, tally, class }
+        Self {
+            first,
+            rest,
+            left,
+            ended: Some(ended),
+            slot,
+            tally,
+            class,
+        }
     }
 
     /// Takes its end, the first one.
     fn end(&mut self, end: Option<RequestEnd>) {
-        let Some(ended) = self.ended.take() else { return };
+        let Some(ended) = self.ended.take() else {
+            return;
+        };
         ended(end);
         self.tally.request_ended(self.class, end);
         self.slot.passed();
@@ -138,7 +156,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
-            Self::Whole { body, .. } => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::Whole { body, .. } => Pin::new(body)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
             Self::Passing(passing) => passing.poll(cx),
         }
     }
@@ -153,7 +173,9 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole { body, .. } => body.size_hint(),
-            Self::Passing(Passing { left: Some(left), .. }) => SizeHint::with_exact(*left),
+            Self::Passing(Passing {
+                left: Some(left), ..
+            }) => SizeHint::with_exact(*left),
             Self::Passing(_) => SizeHint::default(),
         }
     }
--- a/adapters/http/src/budget.rs
+++ b/adapters/http/src/budget.rs
@@ -19,7 +19,10 @@
     /// Takes these bytes until what is returned is dropped; none if there are not so many.
     pub fn take(&self, bytes: usize) -> Option<Held> {
         self.0.set(self.0.get().checked_sub(bytes)?);
-        Some(Held { budget: self.0.clone(), bytes })
+        Some(Held {
+            budget: self.0.clone(),
+            bytes,
+        })
     }
 }
 
@@ -65,7 +68,11 @@
 
     /// All of them.
     pub fn whole(self) -> Bytes {
-        if self.all.is_empty() { self.first } else { self.all.freeze() }
+        if self.all.is_empty() {
+            self.first
+        } else {
+            self.all.freeze()
+        }
     }
 }
 
--- a/adapters/http/src/budget/tests.rs
+++ b/adapters/http/src/budget/tests.rs
@@ -15,7 +15,10 @@
 fn what_is_taken_comes_back() {
     let budget = Budget::new(100);
     let mut first = budget.take(60).expect("there is room");
-    assert!(budget.take(41).is_none(), "a part of it is not taken either");
+    assert!(
+        budget.take(41).is_none(),
+        "a part of it is not taken either"
+    );
     first.shrink(10);
     first.shrink(70);
     let second = budget.take(90).expect("room again");
--- a/adapters/http/src/discovery.rs
+++ b/adapters/http/src/discovery.rs
@@ -62,7 +62,14 @@
     /// A watch at `at` that goes on from `known`, which may be old. The seed drives how long its calls wait.
     pub fn new(node: Engine<F>, at: SocketAddr, known: Option<List>, seed: u64) -> Self {
         let pace = Pace::new(node.polls_discovery(), seed);
-        let mut watch = Self { node, at, rev: None, entries: Entries::default(), link: None, pace };
+        let mut watch = Self {
+            node,
+            at,
+            rev: None,
+            entries: Entries::default(),
+            link: None,
+            pace,
+        };
         if let Some(list) = known {
             watch.rev = Some(list.rev);
             let (_, listed, _) = watch.entries.take(list);
@@ -138,7 +145,13 @@
         let whole = self.node.take_snapshot_request();
         let rev = self.rev.filter(|_| !whole);
         let Call { want, most, beside } = self.pace.next(rev.is_none());
-        let since = |hold: Duration| format!("{PATH}?from={}&hold_ms={}", rev.unwrap_or(0), hold.as_millis());
+        let since = |hold: Duration| {
+            format!(
+                "{PATH}?from={}&hold_ms={}",
+                rev.unwrap_or(0),
+                hold.as_millis()
+            )
+        };
         let (target, late) = match want {
             Want::Whole => (PATH.to_owned(), CallError::Late),
             Want::Check => (since(Duration::ZERO), CallError::Late),
@@ -155,7 +168,12 @@
         let clock = self.node.clock().clone();
         let mut calls = Vec::new();
         loop {
-            calls.push(Box::pin(ask(clock.clone(), self.at, self.link.take(), target.to_owned())));
+            calls.push(Box::pin(ask(
+                clock.clone(),
+                self.at,
+                self.link.take(),
+                target.to_owned(),
+            )));
             let answered = poll_fn(|cx| {
                 let mut answers = calls.iter_mut().map(|call| call.as_mut().poll(cx));
                 answers.find(Poll::is_ready).unwrap_or(Poll::Pending)
@@ -181,10 +199,15 @@
         None => connect(&clock, at).await?,
     };
     link.ready().await?;
-    let request = Request::get(target).header(HOST, at.to_string()).body(Empty::new())?;
+    let request = Request::get(target)
+        .header(HOST, at.to_string())
+        .body(Empty::new())?;
     let response = link.send_request(request).await?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_LIST).collect().await.map_err(CallError::Body)?;
+    let body = Limited::new(response.into_body(), MAX_LIST)
+        .collect()
+        .await
+        .map_err(CallError::Body)?;
     if status != StatusCode::OK {
         return Err(CallError::Status(status));
     }
--- a/adapters/http/src/headers.rs
+++ b/adapters/http/src/headers.rs
@@ -9,11 +9,16 @@
 /// A header that may stand once at most.
 pub fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, BadCall> {
     let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else { return Ok(None) };
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
     if values.next().is_some() {
         return Err(BadCall::Unreadable(name));
     }
-    value.to_str().map(|text| Some(text.trim())).map_err(|_| BadCall::Unreadable(name))
+    value
+        .to_str()
+        .map(|text| Some(text.trim()))
+        .map_err(|_| BadCall::Unreadable(name))
 }
 
 pub fn required<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, BadCall> {
@@ -22,7 +27,10 @@
 
 /// A cookie's value (RFC 6265, chapter 4.2); none where it is not sent or can't be read.
 pub fn cookie<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    let lines = headers.get_all(header::COOKIE).iter().filter_map(|line| line.to_str().ok());
+    let lines = headers
+        .get_all(header::COOKIE)
+        .iter()
+        .filter_map(|line| line.to_str().ok());
     lines.flat_map(|line| line.split(';')).find_map(|pair| {
         let (known, value) = pair.trim().split_once('=')?;
         (known == name && !value.is_empty()).then_some(value)
@@ -30,8 +38,16 @@
 }
 
 /// The method and the key follow from the class.
-pub fn check_form(method: &Method, headers: &HeaderMap, effect: Idempotency) -> Result<(), BadCall> {
-    let wanted = if effect == Idempotency::Idempotent { Method::GET } else { Method::POST };
+pub fn check_form(
+    method: &Method,
+    headers: &HeaderMap,
+    effect: Idempotency,
+) -> Result<(), BadCall> {
+    let wanted = if effect == Idempotency::Idempotent {
+        Method::GET
+    } else {
+        Method::POST
+    };
     if *method != wanted {
         return Err(BadCall::Method(wanted));
     }
--- a/adapters/http/src/headers/tests.rs
+++ b/adapters/http/src/headers/tests.rs
@@ -15,7 +15,13 @@
     assert_eq!(read(&["user=7f3a"]).as_deref(), Some("7f3a"));
     assert_eq!(read(&["a=1; user=7f3a ;b=2"]).as_deref(), Some("7f3a"));
     assert_eq!(read(&["a=1", "user=x=y"]).as_deref(), Some("x=y"));
-    for none in [&[][..], &["user="], &["user"], &["users=1; xuser=2"], &[";;="]] {
+    for none in [
+        &[][..],
+        &["user="],
+        &["user"],
+        &["users=1; xuser=2"],
+        &[";;="],
+    ] {
         assert_eq!(read(none), None, "{none:?}");
     }
 }
--- a/adapters/http/src/list.rs
+++ b/adapters/http/src/list.rs
@@ -73,7 +73,12 @@
             Ok(list) => return Ok(list),
             Err(error) => error,
         };
-        let Ok(Unread { rev, all, targets: unread }) = serde_json::from_slice(text) else {
+        let Ok(Unread {
+            rev,
+            all,
+            targets: unread,
+        }) = serde_json::from_slice(text)
+        else {
             return Err(error);
         };
         let (mut targets, mut odd) = (Vec::new(), Vec::new());
@@ -87,12 +92,23 @@
                 }),
             }
         }
-        if targets.is_empty() { Err(error) } else { Ok(Self { rev, all, targets, odd }) }
+        if targets.is_empty() {
+            Err(error)
+        } else {
+            Ok(Self {
+                rev,
+                all,
+                targets,
+                odd,
+            })
+        }
     }
 
     /// The servers on it, by name, and where they listen.
     pub fn endpoints(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
-        self.targets.iter().map(|target| (target.uid.as_str(), target.endpoint))
+        self.targets
+            .iter()
+            .map(|target| (target.uid.as_str(), target.endpoint))
     }
 }
 
@@ -123,13 +139,22 @@
     /// Takes a list in; what of it concerns the engine comes back, and the entries that could not be read. A server
     /// with such an entry stays as it was, but for a state that could be read: a drain must not be missed for an
     /// address that nobody needs any more.
-    pub(crate) fn take(&mut self, list: List) -> (EndpointUpdate, Vec<DiscoveredEndpoint>, Vec<Odd>) {
-        let List { all, mut targets, odd, .. } = list;
+    pub(crate) fn take(
+        &mut self,
+        list: List,
+    ) -> (EndpointUpdate, Vec<DiscoveredEndpoint>, Vec<Odd>) {
+        let List {
+            all,
+            mut targets,
+            odd,
+            ..
+        } = list;
         for entry in &odd {
             let known = entry.uid.as_ref().and_then(|uid| self.0.get(uid));
-            targets.extend(
-                known.map(|known| Target { state: entry.state.unwrap_or(known.state), ..known.clone() }),
-            );
+            targets.extend(known.map(|known| Target {
+                state: entry.state.unwrap_or(known.state),
+                ..known.clone()
+            }));
         }
         if all {
             self.0.clear();
@@ -140,8 +165,16 @@
                 _ => self.0.insert(target.uid.clone(), target.clone()),
             };
         }
-        let scope = if all { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
-        (scope, targets.into_iter().map(Target::listed).collect(), odd)
+        let scope = if all {
+            EndpointUpdate::Snapshot
+        } else {
+            EndpointUpdate::Delta
+        };
+        (
+            scope,
+            targets.into_iter().map(Target::listed).collect(),
+            odd,
+        )
     }
 }
 
--- a/adapters/http/src/pace.rs
+++ b/adapters/http/src/pace.rs
@@ -60,13 +60,22 @@
 impl Pace {
     /// The pace where discovery is asked, or is an agent beside the node. The seed drives the waits.
     pub(crate) fn new(asked: bool, seed: u64) -> Self {
-        let mut pace = Self { asked, random: seed, check: false, wait: Duration::ZERO };
+        let mut pace = Self {
+            asked,
+            random: seed,
+            check: false,
+            wait: Duration::ZERO,
+        };
         pace.begin();
         pace
     }
 
     fn again(&self) -> (Duration, Duration) {
-        if self.asked { AGAIN_ASKED } else { AGAIN_PUSHED }
+        if self.asked {
+            AGAIN_ASKED
+        } else {
+            AGAIN_PUSHED
+        }
     }
 
     /// Begins anew, at another address.
@@ -79,13 +88,25 @@
         if whole || self.check {
             let want = if whole { Want::Whole } else { Want::Check };
             return match self.asked {
-                true => Call { want, most: AT_ONCE_ASKED, beside: AT_ONCE_ASKED },
-                false => Call { want, most: AT_ONCE_PUSHED, beside: BESIDE_PUSHED },
+                true => Call {
+                    want,
+                    most: AT_ONCE_ASKED,
+                    beside: AT_ONCE_ASKED,
+                },
+                false => Call {
+                    want,
+                    most: AT_ONCE_PUSHED,
+                    beside: BESIDE_PUSHED,
+                },
             };
         }
         let (least, most) = if self.asked { HOLD_ASKED } else { HOLD_PUSHED };
         let hold = least + (most - least).mul_f64(self.draw());
-        Call { want: Want::Watch(hold), most: hold + LATE, beside: hold + LATE }
+        Call {
+            want: Want::Watch(hold),
+            most: hold + LATE,
+            beside: hold + LATE,
+        }
     }
 
     /// A call has brought a list.
--- a/adapters/http/src/pace/tests.rs
+++ b/adapters/http/src/pace/tests.rs
@@ -7,7 +7,14 @@
 /// What a watch that falls silent in its first moment costs until the answer that tells what it missed, with the next
 /// call failing so many times.
 fn path(pace: &mut Pace, failures: u32) -> (Duration, Duration) {
-    let Call { want: Want::Watch(hold), most, .. } = pace.next(false) else { panic!("a watch") };
+    let Call {
+        want: Want::Watch(hold),
+        most,
+        ..
+    } = pace.next(false)
+    else {
+        panic!("a watch")
+    };
     pace.silent();
     let mut whole = false;
     let mut all = most;
@@ -34,8 +41,18 @@
 fn where_it_is_asked_a_silent_watch_is_replaced_within_two_seconds_of_its_wait() {
     for seed in 0..200 {
         let mut pace = Pace::new(true, seed);
-        let Call { want: Want::Watch(hold), most, .. } = pace.next(false) else { panic!("a watch") };
-        assert!(most + CONNECT < hold + Duration::from_secs(2), "{hold:?} {most:?}");
+        let Call {
+            want: Want::Watch(hold),
+            most,
+            ..
+        } = pace.next(false)
+        else {
+            panic!("a watch")
+        };
+        assert!(
+            most + CONNECT < hold + Duration::from_secs(2),
+            "{hold:?} {most:?}"
+        );
         pace.silent();
         // At once, and of what has changed only: the whole list costs the service several times as much.
         assert_eq!(pace.next(false).want, Want::Check);
@@ -53,8 +70,16 @@
     };
     let mut holds: Vec<Duration> = (0..12).map(|node| hold(0x8c1f_30d2 + node)).collect();
     holds.sort();
-    assert!(holds[0] < Duration::from_secs(10) && holds[11] > Duration::from_secs(14), "{holds:?}");
-    assert!(holds.windows(2).all(|two| two[1] - two[0] < Duration::from_secs(3)), "{holds:?}");
+    assert!(
+        holds[0] < Duration::from_secs(10) && holds[11] > Duration::from_secs(14),
+        "{holds:?}"
+    );
+    assert!(
+        holds
+            .windows(2)
+            .all(|two| two[1] - two[0] < Duration::from_secs(3)),
+        "{holds:?}"
+    );
 }
 
 /// What an agent gets when discovery is back counts at once, it answers nothing that it was asked before, and nothing
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -20,7 +20,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use badgerpost_engine::{Clock, IncomingRequest, LogLimiter, RequestEnd, RequestOutcome, nanos, spawn};
+use badgerpost_engine::{
+    Clock, IncomingRequest, LogLimiter, RequestEnd, RequestOutcome, nanos, spawn,
+};
 use badgerpost_http_framing::FramingError;
 use badgerpost_lifecycle::Stage;
 
@@ -133,7 +135,9 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => welcome(stream, &node, &limits.bodies, slots.take().await, &door),
+                Ok((stream, _)) => {
+                    welcome(stream, &node, &limits.bodies, slots.take().await, &door)
+                }
                 Err(error) => {
                     log.log(|suppressed| tracing::warn!(%error, suppressed, "accepting a client failed"));
                     node.clock().sleep(ACCEPT_AGAIN).await;
@@ -183,12 +187,19 @@
     stream.set_nodelay(true)?;
     let service = service_fn(|request| answer(&node, &bodies, slot, request, &door));
     let tap = Tap::new(stream, RequestTracker::new(slot.clone()));
-    let mut connection =
-        http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(tap.clone()), service);
+    let mut connection = http1::Builder::new()
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(TokioIo::new(tap.clone()), service);
     let result = {
         // The library looks for its client's end only while nothing has come behind the request.
         let mut left = std::pin::pin!(tap.left(node.clock()));
-        let gone = poll_fn(|cx| if slot.is_awaited() { left.as_mut().poll(cx) } else { Poll::Pending });
+        let gone = poll_fn(|cx| {
+            if slot.is_awaited() {
+                left.as_mut().poll(cx)
+            } else {
+                Poll::Pending
+            }
+        });
         tokio::select! {
             biased;
             result = &mut connection => Some(result),
@@ -214,7 +225,13 @@
 async fn ends_at_rest(slot: &Slot, mut stage: watch::Receiver<Stage>, clock: &Clock) {
     loop {
         // The sender lives as long as the process.
-        let Ok(stage) = stage.wait_for(|stage| stage.closes_idle()).await.map(|stage| *stage) else { return };
+        let Ok(stage) = stage
+            .wait_for(|stage| stage.closes_idle())
+            .await
+            .map(|stage| *stage)
+        else {
+            return;
+        };
         if slot.rests() || (slot.is_arriving() && stage == Stage::Closed) {
             return;
         }
@@ -242,12 +259,19 @@
             (plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"), true)
         }
         (_, "/health/ready")
-            if serving() && !(node.has_endpoint_in_service() || node.clock().now() >= door.ready_by) =>
+            if serving()
+                && !(node.has_endpoint_in_service() || node.clock().now() >= door.ready_by) =>
         {
-            (plain(StatusCode::SERVICE_UNAVAILABLE, "no server known yet"), false)
+            (
+                plain(StatusCode::SERVICE_UNAVAILABLE, "no server known yet"),
+                false,
+            )
         }
         (_, "/health/ready") if serving() => (plain(StatusCode::OK, "ready"), false),
-        (_, "/health/ready") => (plain(StatusCode::SERVICE_UNAVAILABLE, "stopping or standing by"), false),
+        (_, "/health/ready") => (
+            plain(StatusCode::SERVICE_UNAVAILABLE, "stopping or standing by"),
+            false,
+        ),
         _ => (plain(StatusCode::NOT_FOUND, "no such path"), true),
     };
     let mut response = response;
@@ -255,7 +279,9 @@
     // A request that has been read behind this one is owed an answer too, as long as there is time for that.
     let ends = !serving() || slot.is_surplus();
     if bad || (ends && !slot.has_more()) || *door.stage.borrow() == Stage::Closed {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     slot.answering(bad);
     Ok(response)
@@ -275,24 +301,39 @@
     }
     let class = required(headers, CALL_CLASS)?;
     let (class, deadline, effect) = node.class(class).ok_or(BadCall::Unknown(CALL_CLASS))?;
-    let known = Known { node, class, ended: Cell::new(false) };
+    let known = Known {
+        node,
+        class,
+        ended: Cell::new(false),
+    };
     check_form(&head.method, headers, effect)?;
-    let tenant = node.tenant(single(headers, CALLER)?).map_err(|_| BadCall::Unknown(CALLER))?;
+    let tenant = node
+        .tenant(single(headers, CALLER)?)
+        .map_err(|_| BadCall::Unknown(CALLER))?;
     let whole = |name, text: &str| text.parse::<u64>().map_err(|_| BadCall::Unreadable(name));
     let budget = whole(BUDGET, required(headers, BUDGET)?)?;
-    let hint = single(headers, COST)?.map(|text| whole(COST, text)).transpose()?;
+    let hint = single(headers, COST)?
+        .map(|text| whole(COST, text))
+        .transpose()?;
     let key = cookie(headers, KEY_COOKIE).map(name_tag);
     let repeat = single(headers, AGAIN)? == Some("1");
     let body = read(node.clock(), slot, bodies, body).await?;
-    if effect == Idempotency::Idempotent && !matches!(&body, Payload::Whole(kept) if kept.bytes.is_empty()) {
+    if effect == Idempotency::Idempotent
+        && !matches!(&body, Payload::Whole(kept) if kept.bytes.is_empty())
+    {
         return Err(BadCall::Misplaced("a body"));
     }
     // No work is as long as the client's whole time; such a guess says nothing.
-    let hint = hint.map(|micros| micros.saturating_mul(1000)).filter(|hint| *hint <= deadline);
+    let hint = hint
+        .map(|micros| micros.saturating_mul(1000))
+        .filter(|hint| *hint <= deadline);
     // Its time runs from its last byte.
     // Whoever is about to end has no more time than that.
     let left = || {
-        let most = door.leaves.get().map_or(Nanos::MAX, |at| at.saturating_sub(node.clock().now()));
+        let most = door
+            .leaves
+            .get()
+            .map_or(Nanos::MAX, |at| at.saturating_sub(node.clock().now()));
         time_left(budget, deadline).min(most)
     };
     let coming = match &body {
@@ -344,7 +385,9 @@
         slot.open();
         waiting.into_outcome().await
     };
-    Ok(worded(reply, |begun| answer::Passing::new(begun, slot.clone(), node.metrics(), class)))
+    Ok(worded(reply, |begun| {
+        answer::Passing::new(begun, slot.clone(), node.metrics(), class)
+    }))
 }
 
 /// Who a body waits for that has stopped moving.
@@ -365,14 +408,19 @@
             return who;
         }
         // Who it waits for changes without notice.
-        clock.sleep_until(due.min(clock.now().saturating_add(nanos(LOOK)))).await;
+        clock
+            .sleep_until(due.min(clock.now().saturating_add(nanos(LOOK))))
+            .await;
     }
 }
 
 /// The target as it goes on: clients may name the whole address (RFC 9112, chapter 3.2.2), servers are told path and
 /// query.
 fn origin_form(target: &Uri) -> Uri {
-    target.path_and_query().cloned().map_or_else(|| target.clone(), Uri::from)
+    target
+        .path_and_query()
+        .cloned()
+        .map_or_else(|| target.clone(), Uri::from)
 }
 
 /// A request of a class that is known: unless it is taken, it ends as failed.
@@ -385,26 +433,43 @@
 impl Drop for Known<'_> {
     fn drop(&mut self) {
         if !self.ended.get() {
-            self.node.metrics().request_answered(self.class, RequestEnd::Failed);
+            self.node
+                .metrics()
+                .request_answered(self.class, RequestEnd::Failed);
         }
     }
 }
 
 /// What is left here of a budget in milliseconds; no client waits for longer than its class's deadline.
 fn time_left(budget_ms: u64, deadline: Nanos) -> Nanos {
-    budget_ms.saturating_mul(1_000_000).min(deadline).saturating_sub(ON_THE_WAY)
+    budget_ms
+        .saturating_mul(1_000_000)
+        .min(deadline)
+        .saturating_sub(ON_THE_WAY)
 }
 
 /// Takes a body in: whole if it is small and there is room for it, else what has come until that shows.
-async fn read(clock: &Clock, slot: &Slot, bodies: &Budget, mut body: Incoming) -> Result<Payload, BadCall> {
+async fn read(
+    clock: &Clock,
+    slot: &Slot,
+    bodies: &Budget,
+    mut body: Incoming,
+) -> Result<Payload, BadCall> {
     let length = body.size_hint().exact();
     if body.is_end_stream() {
         return Ok(Payload::Whole(Kept::default()));
     }
     // One of an unknown length takes what the largest one would.
-    let most = length.map_or(MAX_BODY, |length| usize::try_from(length).unwrap_or(usize::MAX).min(MAX_BODY));
+    let most = length.map_or(MAX_BODY, |length| {
+        usize::try_from(length).unwrap_or(usize::MAX).min(MAX_BODY)
+    });
     let Some(held) = bodies.take(most) else {
-        return Ok(Payload::Coming(Upload::new(Kept::default(), body, length, clock)));
+        return Ok(Payload::Coming(Upload::new(
+            Kept::default(),
+            body,
+            length,
+            clock,
+        )));
     };
     let mut first = Gathered::default();
     loop {
@@ -421,7 +486,9 @@
             None => break,
             Some(Err(_)) => return Err(BadCall::NoBody),
             Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else { continue };
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
                 first.add(data);
                 if first.count() >= MAX_BODY && !body.is_end_stream() {
                     return Ok(Payload::Coming(Upload::new(
@@ -437,12 +504,20 @@
     Ok(Payload::Whole(Kept::new(first.whole(), Some(held))))
 }
 
-fn worded(reply: RequestOutcome<Served>, pass: impl FnOnce(answer::Begun) -> answer::Passing) -> Answer {
+fn worded(
+    reply: RequestOutcome<Served>,
+    pass: impl FnOnce(answer::Begun) -> answer::Passing,
+) -> Answer {
     match reply {
         RequestOutcome::Served(Served::Whole(kept)) => Response::new(answer::Reply::from(kept)),
-        RequestOutcome::Served(Served::Begun(begun)) => Response::new(answer::Reply::Passing(pass(begun))),
+        RequestOutcome::Served(Served::Begun(begun)) => {
+            Response::new(answer::Reply::Passing(pass(begun)))
+        }
         RequestOutcome::Rejected(pause) => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused; trying again does no harm");
+            let mut response = plain(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "refused; trying again does no harm",
+            );
             if pause > 0 {
                 // Never sooner than the module said: decimals are cut, so round up.
                 let text = format!("{:.3}", pause.div_ceil(1_000_000) as f64 / 1000.0);
--- a/adapters/http/src/slots.rs
+++ b/adapters/http/src/slots.rs
@@ -130,7 +130,10 @@
     fn enter_at(&self, stage: Stage, now: Nanos) {
         let left = self.stage.replace(stage);
         self.since.set(now);
-        let (was, is) = (usize::from(left == Stage::Idle), usize::from(stage == Stage::Idle));
+        let (was, is) = (
+            usize::from(left == Stage::Idle),
+            usize::from(stage == Stage::Idle),
+        );
         self.idle.now.set(self.idle.now.get() + is - was);
     }
 
@@ -167,7 +170,9 @@
     /// Bytes have moved on this connection.
     fn moved(&self, read: usize) {
         match self.stage.get() {
-            Stage::Receiving => self.received.set(self.received.get().saturating_add(read as u64)),
+            Stage::Receiving => self
+                .received
+                .set(self.received.get().saturating_add(read as u64)),
             Stage::Passing => self.since.set(self.clock.now()),
             _ => {}
         }
@@ -190,7 +195,14 @@
     pub fn receiving(&self) -> Result<(), FramingError> {
         // Its last bytes have only just come, unless it was sent ahead of an answer.
         let only_just = self.stage.get() == Stage::Arriving;
-        self.enter_at(Stage::Receiving, if only_just { self.heard.get() } else { self.clock.now() });
+        self.enter_at(
+            Stage::Receiving,
+            if only_just {
+                self.heard.get()
+            } else {
+                self.clock.now()
+            },
+        );
         self.received.set(0);
         self.begun.set(self.begun.get().saturating_sub(1));
         self.heads.borrow_mut().pop_front().unwrap_or(Ok(()))
@@ -230,7 +242,10 @@
     /// When the body has to have come, by what has come of it so far.
     pub fn received_by(&self) -> Nanos {
         let paid = self.received.get().saturating_mul(1_000_000_000) / SLOWEST;
-        self.since.get().saturating_add(nanos(WHOLE_WITHIN)).saturating_add(paid)
+        self.since
+            .get()
+            .saturating_add(nanos(WHOLE_WITHIN))
+            .saturating_add(paid)
     }
 
     /// Whether all of the last request has been taken.
@@ -293,7 +308,9 @@
             Stage::Silent | Stage::Arriving => WHOLE_WITHIN + CLOSES_AFTER,
             // Whoever waits for the answer sees to it that one comes.
             Stage::Receiving if self.awaited.get() => return false,
-            Stage::Receiving => return now >= self.received_by().saturating_add(nanos(CLOSES_AFTER)),
+            Stage::Receiving => {
+                return now >= self.received_by().saturating_add(nanos(CLOSES_AFTER));
+            }
             Stage::Open => return false,
             Stage::Passing => MOVES_WITHIN,
             Stage::Answering => TAKEN_WITHIN,
@@ -353,9 +370,19 @@
 impl Slots {
     /// Slots for so many connections.
     pub fn new(most: Rc<Cell<usize>>, clock: Clock) -> Rc<Self> {
-        let idle = Rc::new(Idle { now: Cell::new(0), most: most.clone() });
+        let idle = Rc::new(Idle {
+            now: Cell::new(0),
+            most: most.clone(),
+        });
         let (next, freed) = (Cell::new(0), Notify::new());
-        Rc::new(Self { slots: RefCell::default(), idle, next, most, freed, clock })
+        Rc::new(Self {
+            slots: RefCell::default(),
+            idle,
+            next,
+            most,
+            freed,
+            clock,
+        })
     }
 
     /// A slot for a new connection, once there is room; those who have to make it are closed first.
@@ -365,16 +392,25 @@
             // Somebody may go of itself meanwhile, or become old enough to be closed.
             let _ = self.clock.timeout(ROOM_AGAIN, self.freed.notified()).await;
         }
-        let (number, slot) = (self.next.get(), Rc::new(Slot::new(self.idle.clone(), self.clock.clone())));
+        let (number, slot) = (
+            self.next.get(),
+            Rc::new(Slot::new(self.idle.clone(), self.clock.clone())),
+        );
         self.next.set(number + 1);
         self.slots.borrow_mut().insert(number, slot.clone());
-        SlotGuard { slots: self.clone(), number, slot }
+        SlotGuard {
+            slots: self.clone(),
+            number,
+            slot,
+        }
     }
 
     fn make_room(&self) {
         let now = self.clock.now();
         let slots = self.slots.borrow();
-        let ranked = slots.values().filter_map(|slot| Some((slot.rank(now)?, slot)));
+        let ranked = slots
+            .values()
+            .filter_map(|slot| Some((slot.rank(now)?, slot)));
         if let Some((_, slot)) = ranked.min_by_key(|(rank, _)| *rank) {
             slot.close.notify_one();
         }
@@ -386,7 +422,10 @@
             self.clock.sleep(SWEEP).await;
             let now = self.clock.now();
             let slots = self.slots.borrow();
-            slots.values().filter(|slot| slot.overdue(now)).for_each(|slot| slot.end_overdue());
+            slots
+                .values()
+                .filter(|slot| slot.overdue(now))
+                .for_each(|slot| slot.end_overdue());
         }
     }
 
@@ -428,7 +467,10 @@
 impl RequestTracker {
     /// The tracker of this slot.
     pub fn new(slot: Rc<Slot>) -> Self {
-        Self { slot, follower: RequestFramer::new() }
+        Self {
+            slot,
+            follower: RequestFramer::new(),
+        }
     }
 }
 
--- a/adapters/http/src/tap.rs
+++ b/adapters/http/src/tap.rs
@@ -43,7 +43,15 @@
     pub fn new(tally: Arc<Metrics>) -> Self {
         let (begun, interim, counts, written) = Default::default();
         let (bytes, reads) = Default::default();
-        Self(Arc::new(Signs { tally, begun, bytes, reads, interim, counts, written }))
+        Self(Arc::new(Signs {
+            tally,
+            begun,
+            bytes,
+            reads,
+            interim,
+            counts,
+            written,
+        }))
     }
 
     /// Listens for the answer to this message, which is about to be written.
@@ -51,7 +59,9 @@
         self.0.begun.store(false, Ordering::Relaxed);
         self.0.interim.store(false, Ordering::Relaxed);
         let signs = self.0.clone();
-        hyper::ext::on_informational(message, move |_| signs.interim.store(true, Ordering::Relaxed));
+        hyper::ext::on_informational(message, move |_| {
+            signs.interim.store(true, Ordering::Relaxed)
+        });
     }
 
     /// The message that is about to be written counts as an attempt once it is written whole.
@@ -98,7 +108,9 @@
     }
 
     fn flushed(&mut self) {
-        if self.0.written.swap(false, Ordering::Relaxed) && self.0.counts.swap(false, Ordering::Relaxed) {
+        if self.0.written.swap(false, Ordering::Relaxed)
+            && self.0.counts.swap(false, Ordering::Relaxed)
+        {
             self.0.tally.attempt_sent();
         }
     }
@@ -142,7 +154,12 @@
     /// Listens in on this socket.
     pub fn new(stream: TcpStream, ear: E) -> Self {
         let connection = activity::Connection::default();
-        Self(Rc::new(RefCell::new(Line { stream, ear, ahead: BytesMut::new(), connection })))
+        Self(Rc::new(RefCell::new(Line {
+            stream,
+            ear,
+            ahead: BytesMut::new(),
+            connection,
+        })))
     }
 
     /// Resolves once the peer has closed its side, or broken the connection, whoever else reads here or does not: what
@@ -179,7 +196,11 @@
 
 impl<E: Ear> Line<E> {
     /// Reads from the socket, and tells the ear.
-    fn poll_socket(&mut self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_socket(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
@@ -209,7 +230,8 @@
     /// Waits for something to read, and reads nothing; true with the peer's end, false with bytes.
     fn poll_parted(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
         let mut byte = [0];
-        let found = ready!(self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte))).unwrap_or_default();
+        let found =
+            ready!(self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte))).unwrap_or_default();
         let ended = found == 0 || self.is_shut(cx);
         if ended {
             self.connection.over();
@@ -263,7 +285,11 @@
 }
 
 impl<E: Ear> AsyncWrite for Tap<E> {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
         let line = &mut *self.0.borrow_mut();
         let write = Pin::new(&mut line.stream).poll_write(cx, bytes);
         counted(&mut line.ear, write)
--- a/adapters/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -182,7 +182,9 @@
                 }
                 // Trailers are the client's connection's own.
                 Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
                     if !self.upload.spent.replace(true) {
                         self.node.body_consumed(self.ticket);
                     }
@@ -202,7 +204,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
-            Self::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Self::Whole(full) => Pin::new(full)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
             Self::Passing(passing) => passing.poll(cx),
         }
     }
@@ -217,7 +221,9 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(full) => full.size_hint(),
-            Self::Passing(Passing { left: Some(left), .. }) => SizeHint::with_exact(*left),
+            Self::Passing(Passing {
+                left: Some(left), ..
+            }) => SizeHint::with_exact(*left),
             Self::Passing(_) => SizeHint::default(),
         }
     }
--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -98,7 +98,9 @@
 
 impl Aged {
     fn class(rest: Nanos) -> usize {
-        let doublings = (rest / 16_000_000).checked_ilog2().map_or(0, |log| log as usize + 1);
+        let doublings = (rest / 16_000_000)
+            .checked_ilog2()
+            .map_or(0, |log| log as usize + 1);
         doublings.min(AGES - 1)
     }
 
@@ -113,7 +115,9 @@
 
     /// What is not used is forgotten, so that it is tried again.
     fn fade(&self) {
-        self.0.iter().for_each(|share| share.set(share.get() * (1.0 - AGED_SMOOTHING / 4.0)));
+        self.0
+            .iter()
+            .for_each(|share| share.set(share.get() * (1.0 - AGED_SMOOTHING / 4.0)));
     }
 }
 
@@ -122,9 +126,22 @@
 
 impl Upstream {
     /// At most `most` connections are open together.
-    pub fn new(links: ConnectionSettings, clock: Clock, most: Rc<Cell<usize>>, bodies: Budget) -> Self {
+    pub fn new(
+        links: ConnectionSettings,
+        clock: Clock,
+        most: Rc<Cell<usize>>,
+        bodies: Budget,
+    ) -> Self {
         let (idle, open) = (IdlePool::default(), ConnectionCounter::default());
-        Self(Rc::new(Pool { idle, open, most, links, clock, bodies, aged: Aged::default() }))
+        Self(Rc::new(Pool {
+            idle,
+            open,
+            most,
+            links,
+            clock,
+            bodies,
+            aged: Aged::default(),
+        }))
     }
 
     /// Closes what has been idle for too long; never ends.
@@ -154,7 +171,9 @@
     }
 
     fn retire(&self, backend: BackendId) {
-        self.0.idle.retain(self.0.clock.now(), |place, _, _| place.0 != backend);
+        self.0
+            .idle
+            .retain(self.0.clock.now(), |place, _, _| place.0 != backend);
     }
 }
 
@@ -164,8 +183,13 @@
         let withdrawn = std::mem::replace(&mut launch.cancelled, tokio::sync::oneshot::channel().1);
         // Never written, it never ran: a refusal is still open to the module then.
         let call = launch.call.clone();
-        let unless_written =
-            |outcome| if written.get() && call.body.is_whole() { outcome } else { Outcome::NotSent };
+        let unless_written = |outcome| {
+            if written.get() && call.body.is_whole() {
+                outcome
+            } else {
+                Outcome::NotSent
+            }
+        };
         let mut attempt = std::pin::pin!(self.attempt(&node, &launch, &written));
         let ending = tokio::select! {
             biased;
@@ -178,8 +202,9 @@
         launch.call.body.abandon();
         // With the client's time over no other attempt can follow this one, so it may come to its own end.
         let coming = launch.upload_deadline.is_some();
-        let salvaged =
-            ending.outcome == Outcome::TimedOut && launch.attempt_deadline >= launch.expires_at && !coming;
+        let salvaged = ending.outcome == Outcome::TimedOut
+            && launch.attempt_deadline >= launch.expires_at
+            && !coming;
         node.attempt_ended(launch.attempt, ending);
         if salvaged && self.open.get() < self.most.get() / 4 * 3 {
             let _ = self.clock.timeout(SALVAGE, attempt).await;
@@ -205,9 +230,17 @@
     /// nothing is opened for it: requests need them more.
     async fn probe(self: Rc<Self>, node: Node, place: Place) {
         let began = self.clock.now();
-        let asked = self.clock.timeout(PROBE_WITHIN, self.ask_load(&node, place)).await;
+        let asked = self
+            .clock
+            .timeout(PROBE_WITHIN, self.ask_load(&node, place))
+            .await;
         let (outcome, report) = asked.unwrap_or((Outcome::TimedOut, LoadReport::default()));
-        node.health_check_ended(place.0, outcome, self.clock.now().saturating_sub(began), report);
+        node.health_check_ended(
+            place.0,
+            outcome,
+            self.clock.now().saturating_sub(began),
+            report,
+        );
     }
 
     async fn ask_load(self: &Rc<Self>, node: &Node, place: Place) -> (Outcome, LoadReport) {
@@ -246,7 +279,12 @@
         }
     }
 
-    async fn attempt(self: &Rc<Self>, node: &Node, launch: &Launch, written: &Cell<bool>) -> Ending {
+    async fn attempt(
+        self: &Rc<Self>,
+        node: &Node,
+        launch: &Launch,
+        written: &Cell<bool>,
+    ) -> Ending {
         let place = (launch.backend, launch.endpoint);
         loop {
             let (mut link, rest) = match self.take(place) {
@@ -273,7 +311,9 @@
                 self.keep(node, place, link);
                 return Ending::bare(Outcome::NotSent);
             }
-            let Some(mut message) = self.message(node, launch) else { return Ending::bare(Outcome::NotSent) };
+            let Some(mut message) = self.message(node, launch) else {
+                return Ending::bare(Outcome::NotSent);
+            };
             let heard = link.heard.clone();
             heard.listen(&mut message);
             heard.counts();
@@ -287,12 +327,15 @@
                 // A client that breaks its request off is no fault of the backend's.
                 Some(_) if launch.call.body.is_broken() => return Ending::bare(Outcome::NotSent),
                 // What was never whole there never ran.
-                Some(ending) if ending.outcome == Outcome::Reset && !launch.call.body.is_whole() => {
+                Some(ending)
+                    if ending.outcome == Outcome::Reset && !launch.call.body.is_whole() =>
+                {
                     return Ending::bare(Outcome::ConnectFailed);
                 }
                 Some(ending) => {
                     let reset = ending.outcome == Outcome::Reset && !heard.anything();
-                    rest.into_iter().for_each(|rest| self.aged.used(rest, reset));
+                    rest.into_iter()
+                        .for_each(|rest| self.aged.used(rest, reset));
                     return ending;
                 }
                 None => written.set(false),
@@ -348,7 +391,9 @@
                 None => break,
                 Some(Err(error)) => return Ending::bare(broken(&error)),
                 Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
                     first.add(data);
                 }
             }
@@ -359,7 +404,12 @@
             }
             if outcome != Outcome::Success {
                 // Nobody gets to see it, so that nothing waits for the rest.
-                return Ending { outcome, report, response: None, is_streaming: false };
+                return Ending {
+                    outcome,
+                    report,
+                    response: None,
+                    is_streaming: false,
+                };
             }
             let (pool, owner) = (self.clone(), node.clone());
             let ended = Box::new(move |end| match end {
@@ -368,8 +418,18 @@
                 None => {}
             });
             let first = Kept::new(first.whole(), held);
-            let begun = Begun { first, rest: body, left: length, ended };
-            return Ending { outcome, report, response: Some(Answer::Begun(begun)), is_streaming: true };
+            let begun = Begun {
+                first,
+                rest: body,
+                left: length,
+                ended,
+            };
+            return Ending {
+                outcome,
+                report,
+                response: Some(Answer::Begun(begun)),
+                is_streaming: true,
+            };
         }
         self.keep(node, place, link);
         Ending {
@@ -382,8 +442,11 @@
 
     fn message(&self, node: &Node, launch: &Launch) -> Option<Request<Outgoing>> {
         let call = &launch.call;
-        let left =
-            launch.attempt_deadline.min(launch.expires_at).saturating_sub(self.clock.now()) / 1_000_000;
+        let left = launch
+            .attempt_deadline
+            .min(launch.expires_at)
+            .saturating_sub(self.clock.now())
+            / 1_000_000;
         // With its body still on the way, its client's time begins only with the last byte.
         let left = left.min(call.budget_ms);
         let mut message = Request::new(call.body.message(node, launch.attempt));
@@ -393,7 +456,10 @@
         let headers = message.headers_mut();
         headers.insert("x-budget-ms", HeaderValue::from(left));
         if !headers.contains_key(HOST) {
-            headers.insert(HOST, HeaderValue::from_str(&launch.endpoint.to_string()).ok()?);
+            headers.insert(
+                HOST,
+                HeaderValue::from_str(&launch.endpoint.to_string()).ok()?,
+            );
         }
         Some(message)
     }
@@ -426,8 +492,12 @@
         }
         let opened = self.open.open();
         let limit = Duration::from_nanos(self.links.connect_timeout);
-        let stream =
-            self.clock.timeout(limit, activity::connecting(TcpStream::connect(endpoint))).await.ok()?.ok()?;
+        let stream = self
+            .clock
+            .timeout(limit, activity::connecting(TcpStream::connect(endpoint)))
+            .await
+            .ok()?
+            .ok()?;
         stream.set_nodelay(true).ok()?;
         let heard = Heard::new(node.metrics());
         let tap = Tap::new(stream, heard.clone());
@@ -445,15 +515,22 @@
 
     fn drop_stale(&self) {
         let most = self.links.idle / IDLE_PART;
-        self.idle.retain(self.clock.now(), |_, link, idle| link.is_idle() && idle < most);
+        self.idle.retain(self.clock.now(), |_, link, idle| {
+            link.is_idle() && idle < most
+        });
     }
 }
 
 /// What an answer's head says of the attempt.
 fn outcome(head: &Parts) -> Outcome {
-    let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
+    let rejected = head
+        .headers
+        .get("x-rejected")
+        .is_some_and(|value| value == "1");
     match head.status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Rejected,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => {
+            Outcome::Rejected
+        }
         StatusCode::OK => Outcome::Success,
         // What is wrong with the request is not the backend's fault, and says nothing of it.
         status if status.is_client_error() => Outcome::InvalidResponse,
@@ -464,14 +541,24 @@
 
 /// Whether an answer with no length is meant to end with its connection (RFC 9112, chapters 6.3 and 9.6).
 fn ends_with_connection(head: &Parts) -> bool {
-    let lines = head.headers.get_all(CONNECTION).iter().filter_map(|line| line.to_str().ok());
-    let closes = lines.flat_map(|line| line.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"));
+    let lines = head
+        .headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|line| line.to_str().ok());
+    let closes = lines
+        .flat_map(|line| line.split(','))
+        .any(|word| word.trim().eq_ignore_ascii_case("close"));
     closes || head.version == Version::HTTP_10
 }
 
 /// What a broken answer was: a connection that ended, or one that brought what is no answer.
 fn broken(error: &hyper::Error) -> Outcome {
-    if error.is_parse() { Outcome::InvalidResponse } else { Outcome::Reset }
+    if error.is_parse() {
+        Outcome::InvalidResponse
+    } else {
+        Outcome::Reset
+    }
 }
 
 /// A backend's figures of its load, under either of the names in use.
@@ -487,11 +574,20 @@
 
 /// Reads the load report that an answer carries.
 fn load_report(headers: &HeaderMap) -> LoadReport {
-    figures(headers.get("x-load-report").map(HeaderValue::as_bytes).unwrap_or_default())
+    figures(
+        headers
+            .get("x-load-report")
+            .map(HeaderValue::as_bytes)
+            .unwrap_or_default(),
+    )
 }
 
 /// Reads a load report. One that can't be read says nothing, and harms nothing.
 fn figures(text: &[u8]) -> LoadReport {
     let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
-    LoadReport { utilization: figures.util, requests_per_second: figures.qps, in_flight: figures.inflight }
+    LoadReport {
+        utilization: figures.util,
+        requests_per_second: figures.qps,
+        in_flight: figures.inflight,
+    }
 }
--- a/adapters/postgres/src/access.rs
+++ b/adapters/postgres/src/access.rs
@@ -47,11 +47,17 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         let wrong = || format!("{text:?} is no range of addresses like 10.0.0.0/8");
-        let (base, bits) = text.split_once('/').map_or((text, None), |(base, bits)| (base, Some(bits)));
+        let (base, bits) = text
+            .split_once('/')
+            .map_or((text, None), |(base, bits)| (base, Some(bits)));
         let base: IpAddr = base.parse().map_err(|_| wrong())?;
         let most = if base.is_ipv4() { 32 } else { 128 };
         let bits = bits.map_or(Ok(most), |bits| bits.parse().map_err(|_| wrong()))?;
-        if bits > most { Err(wrong()) } else { Ok(Self { base, bits }) }
+        if bits > most {
+            Err(wrong())
+        } else {
+            Ok(Self { base, bits })
+        }
     }
 }
 
@@ -73,7 +79,10 @@
 impl Allow {
     fn fits(&self, user: &str, database: &str, from: SocketAddr, tls: bool) -> bool {
         self.user.as_deref().is_none_or(|wanted| wanted == user)
-            && self.database.as_deref().is_none_or(|wanted| wanted == database)
+            && self
+                .database
+                .as_deref()
+                .is_none_or(|wanted| wanted == database)
             && self.address.is_none_or(|range| range.contains(from.ip()))
             && self.tls.is_none_or(|wanted| wanted == tls)
     }
@@ -82,7 +91,10 @@
 /// Whether a client may come. With no rules at all every user that shows who it is may.
 pub fn may_come(rules: &[Allow], user: &str, database: &str, from: SocketAddr, tls: bool) -> bool {
     rules.is_empty()
-        || rules.iter().find(|rule| rule.fits(user, database, from, tls)).is_some_and(|rule| !rule.refuse)
+        || rules
+            .iter()
+            .find(|rule| rule.fits(user, database, from, tls))
+            .is_some_and(|rule| !rule.refuse)
 }
 
 /// Who the node is to the servers.
@@ -115,13 +127,20 @@
 impl Logins {
     /// Reads the passwords.
     pub fn read(logins: &[Login]) -> Result<Self, ConfigError> {
-        let mut all = Self { identities: Vec::new(), clients: Vec::new() };
+        let mut all = Self {
+            identities: Vec::new(),
+            clients: Vec::new(),
+        };
         for login in logins {
             let read = |path: &PathBuf| {
-                crate::config::secret(path).map(|text| text.trim_end_matches(['\r', '\n']).to_owned())
+                crate::config::secret(path)
+                    .map(|text| text.trim_end_matches(['\r', '\n']).to_owned())
             };
             let password = login.password_file.as_ref().map(read).transpose()?;
-            all.identities.push(Identity { user: login.user.clone(), password });
+            all.identities.push(Identity {
+                user: login.user.clone(),
+                password,
+            });
             all.clients.push(login.clients.clone());
         }
         Ok(all)
@@ -130,9 +149,14 @@
     /// The number of the login for a client: one that names it, else the one for all.
     pub fn for_client(&self, user: &str) -> Option<usize> {
         let names = |clients: &Option<Vec<String>>| {
-            clients.as_ref().is_some_and(|clients| clients.iter().any(|known| known == user))
+            clients
+                .as_ref()
+                .is_some_and(|clients| clients.iter().any(|known| known == user))
         };
-        self.clients.iter().position(names).or_else(|| self.clients.iter().position(Option::is_none))
+        self.clients
+            .iter()
+            .position(names)
+            .or_else(|| self.clients.iter().position(Option::is_none))
     }
 
     /// A login by its number.
--- a/adapters/postgres/src/access/tests.rs
+++ b/adapters/postgres/src/access/tests.rs
@@ -14,7 +14,11 @@
         ("::/0", "fd12::1", true),
     ] {
         let range: Range = range.parse().expect("a range");
-        assert_eq!(range.contains(address.parse().expect("an address")), within, "{range:?} {address}");
+        assert_eq!(
+            range.contains(address.parse().expect("an address")),
+            within,
+            "{range:?} {address}"
+        );
     }
     assert!("10.0.0.0/33".parse::<Range>().is_err() && "ten".parse::<Range>().is_err());
 }
@@ -36,7 +40,9 @@
     ];
     let may = |user, database, tls| may_come(&rules, user, database, from, tls);
     assert!(may("amy", "ratings", false) && may("amy", "other", true));
-    assert!(!may("amy", "other", false) && !may("eve", "ratings", true) && !may("bob", "other", true));
+    assert!(
+        !may("amy", "other", false) && !may("eve", "ratings", true) && !may("bob", "other", true)
+    );
     assert!(may_come(&[], "bob", "other", from, false));
 }
 
@@ -47,8 +53,12 @@
         password_file: None,
         clients: clients.map(|all| all.iter().map(|name| (*name).to_owned()).collect()),
     };
-    let logins = Logins::read(&[login("shared", None), login("amy", Some(&["amy"]))]).expect("logins");
-    assert_eq!((logins.for_client("amy"), logins.for_client("bob")), (Some(1), Some(0)));
+    let logins =
+        Logins::read(&[login("shared", None), login("amy", Some(&["amy"]))]).expect("logins");
+    assert_eq!(
+        (logins.for_client("amy"), logins.for_client("bob")),
+        (Some(1), Some(0))
+    );
     let named = Logins::read(&[login("shared", Some(&["amy"]))]).expect("logins");
     assert_eq!(named.for_client("bob"), None);
 }
--- a/adapters/postgres/src/admission.rs
+++ b/adapters/postgres/src/admission.rs
@@ -48,7 +48,9 @@
         let mut slots = self.slots.borrow_mut();
         if slots.len() >= self.most {
             // Those that never said anything go first, the oldest of them before the others.
-            let silent = slots.iter().min_by_key(|(number, slot)| (slot.heard.get(), **number));
+            let silent = slots
+                .iter()
+                .min_by_key(|(number, slot)| (slot.heard.get(), **number));
             if let Some((number, slot)) = silent.map(|(number, slot)| (*number, slot.clone())) {
                 slots.remove(&number);
                 slot.evicted.notify_one();
@@ -58,7 +60,11 @@
         let (number, slot) = (self.next.get(), Rc::new(Slot::default()));
         self.next.set(number + 1);
         slots.insert(number, slot.clone());
-        Pending { all: self.clone(), number, slot }
+        Pending {
+            all: self.clone(),
+            number,
+            slot,
+        }
     }
 
     /// How many wait, and how many have had to go so far.
--- a/adapters/postgres/src/admission/tests.rs
+++ b/adapters/postgres/src/admission/tests.rs
@@ -5,7 +5,10 @@
 
 fn is_evicted(pending: &Pending) -> bool {
     let mut evicted = std::pin::pin!(pending.evicted());
-    evicted.as_mut().poll(&mut Context::from_waker(Waker::noop())) == Poll::Ready(())
+    evicted
+        .as_mut()
+        .poll(&mut Context::from_waker(Waker::noop()))
+        == Poll::Ready(())
 }
 
 #[test]
@@ -15,7 +18,10 @@
     clients[0].heard();
     let _fourth = all.admit();
     // The first has spoken, so the second goes, silent for longer than the third.
-    assert_eq!(clients.iter().map(is_evicted).collect::<Vec<_>>(), [false, true, false]);
+    assert_eq!(
+        clients.iter().map(is_evicted).collect::<Vec<_>>(),
+        [false, true, false]
+    );
     let _fifth = all.admit();
     assert!(is_evicted(&clients[2]));
     assert_eq!(all.counts(), (3, 2));
--- a/adapters/postgres/src/cancel.rs
+++ b/adapters/postgres/src/cancel.rs
@@ -54,7 +54,9 @@
     /// The secret of a new session, which goes with its number in `BackendKeyData`.
     pub fn issue(&self, number: u32, session: Cancelable) -> Result<[u8; 4], ClientError> {
         let key = random::<4>()?;
-        self.known.borrow_mut().insert(number, Known { key, session });
+        self.known
+            .borrow_mut()
+            .insert(number, Known { key, session });
         Ok(key)
     }
 
@@ -67,11 +69,15 @@
     pub async fn cancel(&self, number: u32, key: &[u8], pool: &Pool) {
         let session = {
             let known = self.known.borrow();
-            let known = known.get(&number).filter(|known| bool::from(known.key.as_slice().ct_eq(key)));
+            let known = known
+                .get(&number)
+                .filter(|known| bool::from(known.key.as_slice().ct_eq(key)));
             known.map(|known| known.session.clone())
         };
         let Some(session) = session else { return };
-        let Some((endpoint, server_key)) = session.0.target.get() else { return };
+        let Some((endpoint, server_key)) = session.0.target.get() else {
+            return;
+        };
         // Until the server has heard, the connection is given to nobody else.
         let under_way = &session.0.under_way;
         under_way.set(under_way.get() + 1);
--- a/adapters/postgres/src/client.rs
+++ b/adapters/postgres/src/client.rs
@@ -62,7 +62,9 @@
     pub async fn password(&mut self) -> Result<Frame, ClientError> {
         loop {
             match self.cutter.next_from_client()? {
-                Some(DecodeResult::Frame(frame)) if frame.tag == b'p' && frame.body.len() <= 4096 => {
+                Some(DecodeResult::Frame(frame))
+                    if frame.tag == b'p' && frame.body.len() <= 4096 =>
+                {
                     return Ok(frame);
                 }
                 Some(_) => return Err(ClientError::Identity(scram::ScramError::Malformed)),
--- a/adapters/postgres/src/clients.rs
+++ b/adapters/postgres/src/clients.rs
@@ -39,7 +39,11 @@
 impl ClientEntry {
     /// What it is doing.
     pub fn state(&self) -> &'static str {
-        match (self.status.get(), self.server.get().is_some(), self.waits.get()) {
+        match (
+            self.status.get(),
+            self.server.get().is_some(),
+            self.waits.get(),
+        ) {
             (_, false, true) => "waiting",
             (TransactionStatus::Idle, true, _) => "active",
             (TransactionStatus::InBlock, ..) => "in transaction",
@@ -91,7 +95,13 @@
             number = number.wrapping_add(1).max(1);
         }
         self.last.set(number);
-        let Who { user, database, application, from, tls } = who;
+        let Who {
+            user,
+            database,
+            application,
+            from,
+            tls,
+        } = who;
         let entry = Rc::new(ClientEntry {
             number,
             user,
@@ -108,7 +118,10 @@
             disconnect: Notify::new(),
         });
         known.insert(number, entry.clone());
-        Registered(Rc::new(Entered { all: self.clone(), entry }))
+        Registered(Rc::new(Entered {
+            all: self.clone(),
+            entry,
+        }))
     }
 
     /// All of them, by number.
@@ -118,13 +131,22 @@
 
     /// Transactions that were served so far.
     pub fn served(&self) -> u64 {
-        self.served.get() + self.known.borrow().values().map(|entry| entry.served.get()).sum::<u64>()
+        self.served.get()
+            + self
+                .known
+                .borrow()
+                .values()
+                .map(|entry| entry.served.get())
+                .sum::<u64>()
     }
 
     /// Ends a client's session at the end of its transaction; whether there is such a client.
     pub fn disconnect(&self, number: u32) -> bool {
         let known = self.known.borrow();
-        known.get(&number).map(|entry| entry.disconnect.notify_one()).is_some()
+        known
+            .get(&number)
+            .map(|entry| entry.disconnect.notify_one())
+            .is_some()
     }
 }
 
@@ -136,7 +158,9 @@
 impl Drop for Entered {
     fn drop(&mut self) {
         self.all.known.borrow_mut().remove(&self.entry.number);
-        self.all.served.set(self.all.served.get() + self.entry.served.get());
+        self.all
+            .served
+            .set(self.all.served.get() + self.entry.served.get());
     }
 }
 
--- a/adapters/postgres/src/config.rs
+++ b/adapters/postgres/src/config.rs
@@ -217,11 +217,18 @@
             if line.is_empty() || line.starts_with('#') {
                 continue;
             }
-            let wrong = |problem| ConfigError::Users { path: self.users.clone(), line: number + 1, problem };
-            let (name, verifier) = line.split_once(' ').ok_or_else(|| wrong("a name and a verifier"))?;
+            let wrong = |problem| ConfigError::Users {
+                path: self.users.clone(),
+                line: number + 1,
+                problem,
+            };
+            let (name, verifier) = line
+                .split_once(' ')
+                .ok_or_else(|| wrong("a name and a verifier"))?;
             let read = Verifier::read(verifier);
-            let verifier =
-                read.map_err(|_| wrong("only SCRAM-SHA-256 verifiers are taken, no passwords, no md5"))?;
+            let verifier = read.map_err(|_| {
+                wrong("only SCRAM-SHA-256 verifiers are taken, no passwords, no md5")
+            })?;
             users.insert(name.to_owned(), verifier);
         }
         Ok(users)
@@ -230,7 +237,9 @@
     /// The logins, with their passwords.
     pub fn read_logins(&self) -> Result<Logins, ConfigError> {
         if self.login.is_empty() {
-            return Err(ConfigError::Wrong("there must be a [[postgres.login]]".to_owned()));
+            return Err(ConfigError::Wrong(
+                "there must be a [[postgres.login]]".to_owned(),
+            ));
         }
         Logins::read(&self.login)
     }
@@ -241,7 +250,10 @@
         self.read_users()?;
         self.read_logins()?;
         self.tls.as_ref().map(ClientTls::acceptor).transpose()?;
-        self.server_tls.as_ref().map(ServerTls::connector).transpose()?;
+        self.server_tls
+            .as_ref()
+            .map(ServerTls::connector)
+            .transpose()?;
         Ok(())
     }
 
@@ -261,7 +273,8 @@
     pub fn site(&self) -> Result<Site, ConfigError> {
         if self.class.is_empty() || (self.server.is_empty() && self.discovery.is_none()) {
             return Err(ConfigError::Wrong(
-                "there must be a [[postgres.class]], and a [[postgres.server]] or discovery".to_owned(),
+                "there must be a [[postgres.class]], and a [[postgres.server]] or discovery"
+                    .to_owned(),
             ));
         }
         let mut zones = vec![self.zone.clone()];
@@ -276,7 +289,11 @@
                     "deadline-ns": class.deadline_ms * 1_000_000, "importance": class.worth})
             };
             let mut all = vec![of(class.name.clone(), "once")];
-            all.extend(class.repeatable.then(|| of(repeatable(&class.name), "repeatable")));
+            all.extend(
+                class
+                    .repeatable
+                    .then(|| of(repeatable(&class.name), "repeatable")),
+            );
             all
         };
         let classes: Vec<Value> = self.class.iter().flat_map(class).collect();
@@ -289,15 +306,18 @@
         // A server works on as many transactions as it has connections; so few more wait for one of these that
         // the module, not the pool, has the order of those that wait.
         site.settings.max_queue_per_size = self.per_server.max(1) as f64 * 1.25;
-        site.settings.validate().map_err(|error| ConfigError::Wrong(error.to_string()))?;
+        site.settings
+            .validate()
+            .map_err(|error| ConfigError::Wrong(error.to_string()))?;
         Ok(site)
     }
 
     /// The class of a client's transactions.
     pub fn class_of(&self, user: &str, database: &str, application: &str) -> Option<&Class> {
         let fits = |class: &&Class| {
-            let same =
-                |wanted: &Option<String>, is: &str| wanted.as_deref().is_none_or(|wanted| wanted == is);
+            let same = |wanted: &Option<String>, is: &str| {
+                wanted.as_deref().is_none_or(|wanted| wanted == is)
+            };
             same(&class.user, user)
                 && same(&class.database, database)
                 && same(&class.application, application)
--- a/adapters/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -16,8 +16,7 @@
 const LOOK: Duration = Duration::from_millis(20);
 const LOOKS: usize = 3000;
 
-const HELP: &str =
-    "SHOW POOLS | CLIENTS | SERVERS | STATS | CONFIG | HELP; PAUSE; RESUME; RECONNECT; DISCONNECT n";
+const HELP: &str = "SHOW POOLS | CLIENTS | SERVERS | STATS | CONFIG | HELP; PAUSE; RESUME; RECONNECT; DISCONNECT n";
 
 /// A table of texts.
 struct Table {
@@ -61,7 +60,10 @@
     tracing::info!(user, "console opened");
     let mut greeting = vec![Frame::new(b'R', &b"\0\0\0\0"[..])];
     for (name, value) in [
-        ("server_version", concat!("16.0 (badgerpost ", env!("CARGO_PKG_VERSION"), ")")),
+        (
+            "server_version",
+            concat!("16.0 (badgerpost ", env!("CARGO_PKG_VERSION"), ")"),
+        ),
         ("server_encoding", "UTF8"),
         ("client_encoding", "UTF8"),
         ("DateStyle", "ISO, MDY"),
@@ -71,7 +73,10 @@
     ] {
         greeting.push(Frame::new(b'S', format!("{name}\0{value}\0").into_bytes()));
     }
-    greeting.extend([Frame::new(b'K', &[0; 8][..]), TransactionStatus::Idle.ready()]);
+    greeting.extend([
+        Frame::new(b'K', &[0; 8][..]),
+        TransactionStatus::Idle.ready(),
+    ]);
     client.send(&greeting).await?;
     let mut skips = false;
     loop {
@@ -91,9 +96,14 @@
         match frame.tag {
             b'X' => return Ok(()),
             b'Q' => {
-                let text = String::from_utf8_lossy(frame.first_string().unwrap_or_default()).into_owned();
+                let text =
+                    String::from_utf8_lossy(frame.first_string().unwrap_or_default()).into_owned();
                 let mut out = Vec::new();
-                for command in text.split(';').map(str::trim).filter(|command| !command.is_empty()) {
+                for command in text
+                    .split(';')
+                    .map(str::trim)
+                    .filter(|command| !command.is_empty())
+                {
                     tracing::info!(user, command, "console command");
                     if let Err(problem) = run(front, command, &mut out).await {
                         out.push(answer::error(ErrorReason::Unsupported, Some(&problem)));
@@ -113,7 +123,9 @@
             b'H' => {}
             _ if !std::mem::replace(&mut skips, true) => {
                 let detail = "the console takes simple queries only";
-                client.send(&[answer::error(ErrorReason::Unsupported, Some(detail))]).await?;
+                client
+                    .send(&[answer::error(ErrorReason::Unsupported, Some(detail))])
+                    .await?;
             }
             _ => {}
         }
@@ -121,7 +133,10 @@
 }
 
 async fn run(front: &Front, command: &str, out: &mut Vec<Frame>) -> Result<(), String> {
-    let words: Vec<String> = command.split_whitespace().map(str::to_ascii_uppercase).collect();
+    let words: Vec<String> = command
+        .split_whitespace()
+        .map(str::to_ascii_uppercase)
+        .collect();
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words[..] {
         ["SHOW", what] => {
@@ -131,17 +146,27 @@
                 "SERVERS" => servers(front),
                 "STATS" => stats(front),
                 "CONFIG" => config(front),
-                "HELP" => Table { columns: &["commands"], rows: vec![vec![HELP.to_owned()]] },
-                "VERSION" => {
-                    Table { columns: &["version"], rows: vec![vec![env!("CARGO_PKG_VERSION").to_owned()]] }
-                }
+                "HELP" => Table {
+                    columns: &["commands"],
+                    rows: vec![vec![HELP.to_owned()]],
+                },
+                "VERSION" => Table {
+                    columns: &["version"],
+                    rows: vec![vec![env!("CARGO_PKG_VERSION").to_owned()]],
+                },
                 _ => return Err(format!("there is no SHOW {what}; {HELP}")),
             };
             table.frames(out);
         }
         ["PAUSE"] => {
             front.pool.set_paused(true);
-            let busy = || front.pool.figures().iter().any(|server| server.open > server.idle);
+            let busy = || {
+                front
+                    .pool
+                    .figures()
+                    .iter()
+                    .any(|server| server.open > server.idle)
+            };
             let mut looks = 0;
             while busy() && looks < LOOKS {
                 front.fleet.clock().sleep(LOOK).await;
@@ -165,9 +190,13 @@
             out.push(answer::complete("RECONNECT"));
         }
         ["DISCONNECT", number] => {
-            let known = number.parse().is_ok_and(|number| front.clients.disconnect(number));
+            let known = number
+                .parse()
+                .is_ok_and(|number| front.clients.disconnect(number));
             if !known {
-                return Err(format!("there is no client {number}; SHOW CLIENTS tells them"));
+                return Err(format!(
+                    "there is no client {number}; SHOW CLIENTS tells them"
+                ));
             }
             out.push(answer::complete("DISCONNECT"));
         }
@@ -180,7 +209,11 @@
     let rows = front.pool.figures().into_iter().map(|server| {
         let name = front.fleet.endpoint_name(server.place.0);
         let busy = server.open.saturating_sub(server.idle);
-        let paused = if front.pool.is_paused() { "paused" } else { "active" };
+        let paused = if front.pool.is_paused() {
+            "paused"
+        } else {
+            "active"
+        };
         texts([
             &name,
             &server.place.1,
@@ -204,13 +237,19 @@
         "transactions",
         "state",
     ];
-    Table { columns, rows: rows.collect() }
+    Table {
+        columns,
+        rows: rows.collect(),
+    }
 }
 
 fn clients(front: &Front) -> Table {
     let rows = front.clients.all().into_iter().map(|client| {
         let server = client.server().map(|at| at.to_string()).unwrap_or_default();
-        let pin = client.pin().map(|pin| format!("{pin:?}")).unwrap_or_default();
+        let pin = client
+            .pin()
+            .map(|pin| format!("{pin:?}"))
+            .unwrap_or_default();
         texts([
             &client.number,
             &client.user,
@@ -236,13 +275,20 @@
         "pinned",
         "transactions",
     ];
-    Table { columns, rows: rows.collect() }
+    Table {
+        columns,
+        rows: rows.collect(),
+    }
 }
 
 fn servers(front: &Front) -> Table {
     let serving = front.fleet.endpoints_in_service();
     let rows = front.pool.figures().into_iter().map(|server| {
-        let state = if serving.contains(&server.place) { "in service" } else { "leaving" };
+        let state = if serving.contains(&server.place) {
+            "in service"
+        } else {
+            "leaving"
+        };
         texts([
             &front.fleet.endpoint_name(server.place.0),
             &server.place.1,
@@ -251,7 +297,10 @@
             &server.served,
         ])
     });
-    Table { columns: &["server", "address", "state", "connections", "transactions"], rows: rows.collect() }
+    Table {
+        columns: &["server", "address", "state", "connections", "transactions"],
+        rows: rows.collect(),
+    }
 }
 
 fn stats(front: &Front) -> Table {
@@ -263,7 +312,10 @@
         texts([&"unidentified", &unidentified]),
         texts([&"unidentified_evicted", &evicted]),
     ];
-    Table { columns: &["name", "value"], rows: rows.into() }
+    Table {
+        columns: &["name", "value"],
+        rows: rows.into(),
+    }
 }
 
 fn config(front: &Front) -> Table {
@@ -281,13 +333,31 @@
         texts([&"lifetime_ms", &config.lifetime_ms]),
         texts([
             &"tls",
-            &config.tls.as_ref().map_or("off", |tls| if tls.required { "required" } else { "offered" }),
+            &config.tls.as_ref().map_or(
+                "off",
+                |tls| if tls.required { "required" } else { "offered" },
+            ),
+        ]),
+        texts([
+            &"server_tls",
+            &if config.server_tls.is_some() {
+                "required"
+            } else {
+                "off"
+            },
         ]),
-        texts([&"server_tls", &if config.server_tls.is_some() { "required" } else { "off" }]),
         texts([
             &"classes",
-            &config.class.iter().map(|class| class.name.as_str()).collect::<Vec<_>>().join(", "),
+            &config
+                .class
+                .iter()
+                .map(|class| class.name.as_str())
+                .collect::<Vec<_>>()
+                .join(", "),
         ]),
     ];
-    Table { columns: &["key", "value"], rows: rows.into() }
+    Table {
+        columns: &["key", "value"],
+        rows: rows.into(),
+    }
 }
--- a/adapters/postgres/src/identity.rs
+++ b/adapters/postgres/src/identity.rs
@@ -18,7 +18,10 @@
 impl Users {
     /// These users, by name.
     pub fn new(verifiers: BTreeMap<String, Verifier>) -> Result<Self, ClientError> {
-        Ok(Self { verifiers, secret: random()? })
+        Ok(Self {
+            verifiers,
+            secret: random()?,
+        })
     }
 
     /// The exchange by which a client shows that it knows its password.
@@ -31,15 +34,22 @@
         let known = self.verifiers.get(user).cloned();
         let verifier = known.unwrap_or_else(|| Verifier::unknown(&self.secret, user));
         // With TLS the proof can be bound to this very channel.
-        let plus = binding.map_or(String::new(), |_| format!("{}\0", scram::MECHANISM_WITH_BINDING));
+        let plus = binding.map_or(String::new(), |_| {
+            format!("{}\0", scram::MECHANISM_WITH_BINDING)
+        });
         let offered = format!("{plus}{}\0\0", scram::MECHANISM);
         client.send(&[request(10, offered.as_bytes())]).await?;
         let first = client.password().await?;
-        let name = first.first_string().ok_or(ClientError::Identity(scram::ScramError::Malformed))?;
+        let name = first
+            .first_string()
+            .ok_or(ClientError::Identity(scram::ScramError::Malformed))?;
         let mechanism = String::from_utf8_lossy(name).into_owned();
         // Its length stands before the message itself.
         let message = first.body.get(name.len() + 5..).unwrap_or_default();
-        let nonce = random::<18>()?.map(|byte| char::from(b'a' + byte % 26)).iter().collect::<String>();
+        let nonce = random::<18>()?
+            .map(|byte| char::from(b'a' + byte % 26))
+            .iter()
+            .collect::<String>();
         let begun = scram::begin(verifier, &mechanism, message, binding, &nonce);
         let (exchange, answer) = begun.map_err(ClientError::Identity)?;
         client.send(&[request(11, answer.as_bytes())]).await?;
--- a/adapters/postgres/src/login.rs
+++ b/adapters/postgres/src/login.rs
@@ -65,7 +65,10 @@
 }
 
 impl Fresh {
-    async fn send(&mut self, write: impl FnOnce(&mut BytesMut) -> io::Result<()>) -> Result<(), NoLink> {
+    async fn send(
+        &mut self,
+        write: impl FnOnce(&mut BytesMut) -> io::Result<()>,
+    ) -> Result<(), NoLink> {
         let mut out = BytesMut::new();
         write(&mut out)?;
         self.stream.write_all(&out).await?;
@@ -75,7 +78,11 @@
     async fn frame(&mut self) -> Result<Frame, NoLink> {
         let mut buffer = vec![0; READ_AT_ONCE];
         loop {
-            match self.cutter.next_from_server().map_err(|error| NoLink::Broken(error.to_string()))? {
+            match self
+                .cutter
+                .next_from_server()
+                .map_err(|error| NoLink::Broken(error.to_string()))?
+            {
                 Some(DecodeResult::Frame(frame)) => return Ok(frame),
                 Some(DecodeResult::Chunk { .. }) => {
                     return Err(NoLink::Broken("a row before it is ready".to_owned()));
@@ -106,14 +113,21 @@
         (stream, binding) = encrypt(stream, tls).await?;
     }
     let (cutter, state) = (FrameDecoder::default(), ServerState::default());
-    let mut link = Fresh { stream, cutter, state, cancel: (0, 0), reports: BTreeMap::new() };
+    let mut link = Fresh {
+        stream,
+        cutter,
+        state,
+        cancel: (0, 0),
+        reports: BTreeMap::new(),
+    };
     let words = [
         ("user", identity.user.as_str()),
         ("database", database),
         ("application_name", "badgerpost"),
         ("client_encoding", "UTF8"),
     ];
-    link.send(|out| frontend::startup_message(words, out)).await?;
+    link.send(|out| frontend::startup_message(words, out))
+        .await?;
     let mut scram: Option<ScramSha256> = None;
     loop {
         let frame = link.frame().await?;
@@ -124,7 +138,10 @@
                 link.cancel = (body.get_i32(), body.get_i32());
             }
             b'S' => {
-                let mut strings = frame.body.split(|byte| *byte == 0).map(String::from_utf8_lossy);
+                let mut strings = frame
+                    .body
+                    .split(|byte| *byte == 0)
+                    .map(String::from_utf8_lossy);
                 if let (Some(name), Some(value)) = (strings.next(), strings.next()) {
                     link.state.settings.reported(&name, &value);
                     link.reports.insert(name.into_owned(), value.into_owned());
@@ -140,7 +157,12 @@
                 });
             }
             b'N' | b'v' => {}
-            tag => return Err(NoLink::Broken(format!("message {:?} before it is ready", char::from(tag)))),
+            tag => {
+                return Err(NoLink::Broken(format!(
+                    "message {:?} before it is ready",
+                    char::from(tag)
+                )));
+            }
         }
     }
 }
@@ -154,10 +176,14 @@
     if answer != *b"S" {
         return Err(NoLink::NoTls);
     }
-    let Stream::Plain(socket) = stream else { return Err(NoLink::NoTls) };
+    let Stream::Plain(socket) = stream else {
+        return Err(NoLink::NoTls);
+    };
     let stream = tls.tls.connect(tls.name.clone(), socket).await?;
     let certificates = stream.get_ref().1.peer_certificates();
-    let binding = certificates.and_then(|all| all.first()).map(|first| tls::end_point(first));
+    let binding = certificates
+        .and_then(|all| all.first())
+        .map(|first| tls::end_point(first));
     Ok((Stream::Tls(Box::new(stream.into())), binding))
 }
 
@@ -175,29 +201,41 @@
     }
     match (body.get_i32(), scram) {
         // A server that was asked for its proof and never gave it is not the one that it seems to be.
-        (0, Some(_)) => Err(NoLink::Broken("logged in without the server's own proof".to_owned())),
+        (0, Some(_)) => Err(NoLink::Broken(
+            "logged in without the server's own proof".to_owned(),
+        )),
         (0, None) => Ok(()),
         (3, _) => Err(NoLink::Method("a password in clear text")),
         (5, _) => Err(NoLink::Method("an md5 password")),
         (10, scram) => {
-            let offers = |wanted: &str| body.split(|byte| *byte == 0).any(|name| name == wanted.as_bytes());
+            let offers = |wanted: &str| {
+                body.split(|byte| *byte == 0)
+                    .any(|name| name == wanted.as_bytes())
+            };
             let (mechanism, channel) = match binding {
-                Some(binding) if offers(scram::MECHANISM_WITH_BINDING) => {
-                    (scram::MECHANISM_WITH_BINDING, ChannelBinding::tls_server_end_point(binding.to_vec()))
+                Some(binding) if offers(scram::MECHANISM_WITH_BINDING) => (
+                    scram::MECHANISM_WITH_BINDING,
+                    ChannelBinding::tls_server_end_point(binding.to_vec()),
+                ),
+                Some(_) if offers(scram::MECHANISM) => {
+                    (scram::MECHANISM, ChannelBinding::unrequested())
+                }
+                None if offers(scram::MECHANISM) => {
+                    (scram::MECHANISM, ChannelBinding::unsupported())
                 }
-                Some(_) if offers(scram::MECHANISM) => (scram::MECHANISM, ChannelBinding::unrequested()),
-                None if offers(scram::MECHANISM) => (scram::MECHANISM, ChannelBinding::unsupported()),
                 _ => return Err(NoLink::Method("an unknown SASL mechanism")),
             };
             let password = identity.password.as_ref().ok_or(NoLink::NoPassword)?;
             let client = ScramSha256::new(password.as_bytes(), channel);
-            link.send(|out| frontend::sasl_initial_response(mechanism, client.message(), out)).await?;
+            link.send(|out| frontend::sasl_initial_response(mechanism, client.message(), out))
+                .await?;
             *scram = Some(client);
             Ok(())
         }
         (11, Some(client)) => {
             client.update(&body)?;
-            link.send(|out| frontend::sasl_response(client.message(), out)).await
+            link.send(|out| frontend::sasl_response(client.message(), out))
+                .await
         }
         (12, scram @ Some(_)) => {
             if let Some(mut client) = scram.take() {
@@ -212,8 +250,12 @@
 /// The code and the message of an error.
 fn error_fields(frame: &Frame) -> (String, String) {
     let field = |of: u8| {
-        let text = frame.body.split(|byte| *byte == 0).find(|field| field.first() == Some(&of));
-        String::from_utf8_lossy(text.and_then(|text| text.get(1..)).unwrap_or_default()).into_owned()
+        let text = frame
+            .body
+            .split(|byte| *byte == 0)
+            .find(|field| field.first() == Some(&of));
+        String::from_utf8_lossy(text.and_then(|text| text.get(1..)).unwrap_or_default())
+            .into_owned()
     };
     (field(b'C'), field(b'M'))
 }
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -159,7 +159,9 @@
 
 impl Drop for LoggingIn {
     fn drop(&mut self) {
-        self.0.logging_in.set(self.0.logging_in.get().saturating_sub(1));
+        self.0
+            .logging_in
+            .set(self.0.logging_in.get().saturating_sub(1));
         self.0.wake();
     }
 }
@@ -245,7 +247,11 @@
         let server = link.opened.0.clone();
         let held = now.saturating_sub(link.leased) as f64;
         let before = server.hold.get();
-        server.hold.set(if before == 0.0 { held } else { before + (held - before) * HOLD_SMOOTHING });
+        server.hold.set(if before == 0.0 {
+            held
+        } else {
+            before + (held - before) * HOLD_SMOOTHING
+        });
         server.served.set(server.served.get() + 1);
         let (backend, endpoint) = link.key.place;
         let current = link.epoch == self.epoch.get() && now < link.until;
@@ -257,8 +263,11 @@
 
     /// Drops the idle connections to a server that has left, moved or started anew.
     pub fn retire(&self, backend: BackendId) {
-        self.idle.retain(self.clock.now(), |key, _, _| key.place.0 != backend);
-        self.reports.borrow_mut().retain(|place, _| place.0 != backend);
+        self.idle
+            .retain(self.clock.now(), |key, _, _| key.place.0 != backend);
+        self.reports
+            .borrow_mut()
+            .retain(|place, _| place.0 != backend);
     }
 
     /// A connection for a transaction: an idle one, a new one, or the first that comes free before `give_up`; those of
@@ -302,7 +311,9 @@
             if now.saturating_add(expected) >= give_up
                 || all >= self.limits.per_server.saturating_mul(WAITING_EACH)
             {
-                return Err(NoLink::Full("all of the node's connections to it are in use".to_owned()));
+                return Err(NoLink::Full(
+                    "all of the node's connections to it are in use".to_owned(),
+                ));
             }
             let (free, freed) = oneshot::channel();
             promise.take().into_iter().for_each(Promise::void);
@@ -321,14 +332,20 @@
     async fn log_in(&self, key: &PoolKey, server: &Rc<Server>) -> Result<Link, NoLink> {
         let endpoint = key.place.1;
         if self.clock.is_stepped() && !endpoint.ip().is_loopback() {
-            return Err(NoLink::Refused("a rehearsal reaches loopback addresses only".to_owned()));
+            return Err(NoLink::Refused(
+                "a rehearsal reaches loopback addresses only".to_owned(),
+            ));
         }
         let identity = self.logins.get(key.login).ok_or(NoLink::NoPassword)?;
         server.logging_in.set(server.logging_in.get() + 1);
         let _logging_in = LoggingIn(server.clone());
         let opened = Opened::new(server);
         let login = log_in(endpoint, self.tls.as_ref(), identity, &key.database);
-        let fresh = self.clock.timeout(CONNECT, login).await.map_err(|_| NoLink::Late)??;
+        let fresh = self
+            .clock
+            .timeout(CONNECT, login)
+            .await
+            .map_err(|_| NoLink::Late)??;
         self.note_reports(key.place, fresh.reports);
         let now = self.clock.now();
         // Spread, so that those opened together are not closed together: a quarter less or more, by turns.
@@ -353,7 +370,10 @@
         let mut warm = self.warm.borrow_mut();
         let pair = (key.database.clone(), key.login);
         if warm.len() >= MOST_WARM && !warm.contains_key(&pair) {
-            let oldest = warm.iter().min_by_key(|(_, used)| **used).map(|(pair, _)| pair.clone());
+            let oldest = warm
+                .iter()
+                .min_by_key(|(_, used)| **used)
+                .map(|(pair, _)| pair.clone());
             oldest.iter().for_each(|oldest| {
                 warm.remove(oldest);
             });
@@ -381,7 +401,11 @@
         let last = self.clock.now().saturating_add(nanos(CONNECT));
         while self.greeting.borrow().is_empty() && self.clock.now() < last {
             for place in fleet.endpoints_in_service() {
-                let key = PoolKey { place, database: database.to_owned(), login };
+                let key = PoolKey {
+                    place,
+                    database: database.to_owned(),
+                    login,
+                };
                 match self.link(&key, 0, last).await {
                     Ok(link) => {
                         self.keep(fleet, link);
@@ -420,7 +444,11 @@
             };
             for place in fleet.endpoints_in_service() {
                 for (database, login) in &warm {
-                    let key = PoolKey { place, database: database.clone(), login: *login };
+                    let key = PoolKey {
+                        place,
+                        database: database.clone(),
+                        login: *login,
+                    };
                     let server = self.server(place);
                     let room = server.open.get() < self.limits.per_server
                         && server.logging_in.get() < self.limits.logins;
@@ -494,7 +522,9 @@
 /// For each setting the lowest value that any server reports; versions by their numbers.
 fn lowest<'a>(all: impl Iterator<Item = &'a BTreeMap<String, String>>) -> BTreeMap<String, String> {
     let version = |text: &str| -> Vec<u64> {
-        text.split(|sign: char| !sign.is_ascii_digit()).filter_map(|part| part.parse().ok()).collect()
+        text.split(|sign: char| !sign.is_ascii_digit())
+            .filter_map(|part| part.parse().ok())
+            .collect()
     };
     let mut lowest: BTreeMap<String, String> = BTreeMap::new();
     for (name, value) in all.flatten() {
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -62,7 +62,10 @@
             return Poll::Ready(lease);
         }
         let mut waker = self.waker.borrow_mut();
-        if waker.as_ref().is_none_or(|known| !known.will_wake(cx.waker())) {
+        if waker
+            .as_ref()
+            .is_none_or(|known| !known.will_wake(cx.waker()))
+        {
             *waker = Some(cx.waker().clone());
         }
         Poll::Pending
@@ -184,7 +187,9 @@
         .await;
         // Last words, to a client that still listens.
         let last = std::future::poll_fn(|cx| {
-            let Self { client, to_client, .. } = &mut self;
+            let Self {
+                client, to_client, ..
+            } = &mut self;
             while !to_client.is_empty() {
                 match Pin::new(&mut *client).poll_write(cx, to_client) {
                     Poll::Ready(Ok(count)) if count > 0 => to_client.advance(count),
@@ -211,7 +216,12 @@
             if self.ended {
                 return Poll::Ready(());
             }
-            for step in [Self::poll_held, Self::read_server, Self::poll_engine, Self::read_client] {
+            for step in [
+                Self::poll_held,
+                Self::read_server,
+                Self::poll_engine,
+                Self::read_client,
+            ] {
                 went |= step(self, cx) == Went::On;
                 if self.ended {
                     return Poll::Ready(());
@@ -290,7 +300,10 @@
     }
 
     fn read_client(&mut self, cx: &mut Context<'_>) -> Went {
-        if !self.session.wants_more() || self.to_server.len() >= UNSENT || self.to_client.len() >= UNSENT {
+        if !self.session.wants_more()
+            || self.to_server.len() >= UNSENT
+            || self.to_client.len() >= UNSENT
+        {
             return Went::Nowhere;
         }
         match read(&mut self.client, &mut self.cutter, cx) {
@@ -314,7 +327,9 @@
             return Went::On;
         }
         let (clock, give_up) = (self.terms.fleet.clock(), held.give_up);
-        let timer = held.timer.get_or_insert_with(|| Box::pin(clock.sleep_until(give_up)));
+        let timer = held
+            .timer
+            .get_or_insert_with(|| Box::pin(clock.sleep_until(give_up)));
         if timer.as_mut().poll(cx).is_ready() {
             self.lost(Outcome::TimedOut);
             return Went::On;
@@ -344,7 +359,9 @@
             self.leased(*lease);
             return Went::On;
         }
-        let Some(waiting) = &mut self.waiting else { return Went::Nowhere };
+        let Some(waiting) = &mut self.waiting else {
+            return Went::Nowhere;
+        };
         match waiting.as_mut().poll(cx) {
             Poll::Ready(reply) => {
                 self.wait_no_more();
@@ -352,7 +369,9 @@
                     // Told by the session itself, as it came.
                     RequestOutcome::Served(()) => {}
                     RequestOutcome::Rejected(pause) => {
-                        self.handle(Event::Refused { wait_ms: pause.div_ceil(1_000_000) });
+                        self.handle(Event::Refused {
+                            wait_ms: pause.div_ceil(1_000_000),
+                        });
                     }
                     RequestOutcome::Failed => self.handle(Event::Failed),
                 }
@@ -396,7 +415,8 @@
                 }
                 Ok(None) => return any,
                 Err(error) => {
-                    answer::error(ErrorReason::Protocol, Some(&error.to_string())).write(&mut self.to_client);
+                    answer::error(ErrorReason::Protocol, Some(&error.to_string()))
+                        .write(&mut self.to_client);
                     self.handle(Event::ClientGone);
                     any = true;
                 }
@@ -409,7 +429,12 @@
     fn check_pinned(&mut self) {
         let Some(held) = &self.held else { return };
         let between = held.ticket.is_none() && self.session.status() == TransactionStatus::Idle;
-        if between && !self.terms.fleet.is_in_service_at(held.backend, held.endpoint) {
+        if between
+            && !self
+                .terms
+                .fleet
+                .is_in_service_at(held.backend, held.endpoint)
+        {
             let detail = "the session is pinned to a server that leaves";
             answer::error(ErrorReason::Stopping, Some(detail)).write(&mut self.to_client);
             self.handle(Event::ClientGone);
@@ -421,7 +446,9 @@
         self.session.handle(event, &mut actions);
         actions.into_iter().for_each(|action| self.act(action));
         let runs = self.held.as_ref().filter(|_| self.session.runs());
-        self.registered.cancelable().set_target(runs.map(|held| (held.endpoint, held.link.cancel)));
+        self.registered
+            .cancelable()
+            .set_target(runs.map(|held| (held.endpoint, held.link.cancel)));
         self.registered.note(
             &self.session,
             self.held.as_ref().map(|held| held.endpoint),
@@ -436,17 +463,24 @@
             Action::ToClient(bytes) => self.to_client.extend_from_slice(&bytes),
             Action::Started => {
                 let ticket = self.held.as_ref().and_then(|held| held.ticket);
-                ticket.into_iter().for_each(|ticket| self.terms.fleet.response_started(ticket));
+                ticket
+                    .into_iter()
+                    .for_each(|ticket| self.terms.fleet.response_started(ticket));
             }
             Action::Done => {
                 self.registered.count();
-                self.settle(AttemptEnd { response: Some(()), ..AttemptEnd::bare(Outcome::Success) });
+                self.settle(AttemptEnd {
+                    response: Some(()),
+                    ..AttemptEnd::bare(Outcome::Success)
+                });
                 self.wait_no_more();
             }
             Action::NotAgain => self.settle(AttemptEnd::bare(Outcome::NotSent)),
             Action::Release(state) => {
                 let Some(held) = self.held.take() else { return };
-                let Held { mut link, ticket, .. } = *held;
+                let Held {
+                    mut link, ticket, ..
+                } = *held;
                 link.state = state;
                 // A cancel that is under way might hit whoever comes next; so might bytes that were not sent.
                 if !self.registered.cancelable().is_under_way() && self.to_server.is_empty() {
@@ -476,7 +510,9 @@
         if let Some(lease) = self.slot.lease.borrow_mut().take() {
             let Lease { ticket, link, .. } = *lease;
             self.terms.pool.keep(&self.terms.fleet, link);
-            self.terms.fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
+            self.terms
+                .fleet
+                .attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
         }
     }
 
@@ -510,17 +546,29 @@
             return self.submit(alone);
         }
         let clock = self.terms.fleet.clock();
-        let deadline = self.terms.fleet.class(&self.terms.class.0).map_or(0, |(_, deadline, _)| deadline);
+        let deadline = self
+            .terms
+            .fleet
+            .class(&self.terms.class.0)
+            .map_or(0, |(_, deadline, _)| deadline);
         // What it waits for is refused in time for the client to do something about it.
         let late = clock.sleep_until(clock.now().saturating_add(deadline / 2));
         let pool = self.terms.pool.clone();
         let resumed: Waits = Box::pin(async move { pool.resumed().await });
-        self.held_back = Some(Box::new(HeldBack { alone, resumed, late: Box::pin(late) }));
+        self.held_back = Some(Box::new(HeldBack {
+            alone,
+            resumed,
+            late: Box::pin(late),
+        }));
     }
 
     fn submit(&mut self, alone: bool) {
         let (class, may_repeat) = &self.terms.class;
-        let name = if alone && *may_repeat { repeatable(class) } else { class.clone() };
+        let name = if alone && *may_repeat {
+            repeatable(class)
+        } else {
+            class.clone()
+        };
         let Some((class, deadline, _)) = self.terms.fleet.class(&name) else {
             // The classes come from the same configuration, so this does not happen; if so, it is a failure.
             return self.handle(Event::Failed);
@@ -552,9 +600,24 @@
     }
 
     fn leased(&mut self, lease: Lease) {
-        let Lease { ticket, backend, endpoint, mut link, give_up, withdrawn } = lease;
+        let Lease {
+            ticket,
+            backend,
+            endpoint,
+            mut link,
+            give_up,
+            withdrawn,
+        } = lease;
         let state = std::mem::take(&mut link.state);
-        let held = Held { link, backend, endpoint, ticket: Some(ticket), give_up, withdrawn, timer: None };
+        let held = Held {
+            link,
+            backend,
+            endpoint,
+            ticket: Some(ticket),
+            give_up,
+            withdrawn,
+            timer: None,
+        };
         self.held = Some(Box::new(held));
         self.handle(Event::Attached(state));
         if self.terms.session_pooling {
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -71,12 +71,29 @@
         fleet: Fleet,
         pool: Rc<Pool>,
     ) -> Result<Rc<Self>, ConfigError> {
-        let tls = config.tls.as_ref().map(crate::tls::ClientTls::acceptor).transpose()?;
+        let tls = config
+            .tls
+            .as_ref()
+            .map(crate::tls::ClientTls::acceptor)
+            .transpose()?;
         let users = Users::new(users).map_err(|error| ConfigError::Wrong(error.to_string()))?;
         let unidentified = Unidentified::new(config.unidentified);
-        let (clients, sessions, cancels) =
-            (Rc::default(), ConnectionCounter::default(), CancelKeys::default());
-        Ok(Rc::new(Self { config, users, fleet, pool, clients, unidentified, tls, sessions, cancels }))
+        let (clients, sessions, cancels) = (
+            Rc::default(),
+            ConnectionCounter::default(),
+            CancelKeys::default(),
+        );
+        Ok(Rc::new(Self {
+            config,
+            users,
+            fleet,
+            pool,
+            clients,
+            unidentified,
+            tls,
+            sessions,
+            cancels,
+        }))
     }
 
     /// Serves until `stopping` says so, and then until all transactions under way have ended.
@@ -122,7 +139,10 @@
         stopping: watch::Receiver<bool>,
     ) {
         let _ = stream.set_nodelay(true);
-        let client = Client { stream: Stream::plain(stream), cutter: FrameDecoder::default() };
+        let client = Client {
+            stream: Stream::plain(stream),
+            cutter: FrameDecoder::default(),
+        };
         let clock = self.fleet.clock().clone();
         let admitted = tokio::select! {
             biased;
@@ -135,7 +155,9 @@
             Ok(Ok(Some(admitted))) => drop(spawn(self.converse(admitted, from, stopping))),
             Ok(Ok(None)) => {}
             Ok(Err(error)) => tracing::debug!(%from, %error, "PostgreSQL client turned away"),
-            Err(_) => tracing::debug!(%from, reason = "no identity in time", "PostgreSQL client turned away"),
+            Err(_) => {
+                tracing::debug!(%from, reason = "no identity in time", "PostgreSQL client turned away")
+            }
         }
     }
 
@@ -161,7 +183,12 @@
                     continue;
                 }
                 Err(error) => {
-                    client.send(&[answer::error(ErrorReason::Protocol, Some(&error.to_string()))]).await?;
+                    client
+                        .send(&[answer::error(
+                            ErrorReason::Protocol,
+                            Some(&error.to_string()),
+                        )])
+                        .await?;
                     return Err(ClientError::Start(error));
                 }
             };
@@ -170,12 +197,17 @@
                     // Bytes sent ahead in the clear would pass for the client's own.
                     if !startup.rest().is_empty() {
                         client
-                            .send(&[answer::error(ErrorReason::Protocol, Some("data behind SSLRequest"))])
+                            .send(&[answer::error(
+                                ErrorReason::Protocol,
+                                Some("data behind SSLRequest"),
+                            )])
                             .await?;
                         return Ok(None);
                     }
                     client.write(b"S").await?;
-                    let Stream::Plain(socket) = client.stream else { return Ok(None) };
+                    let Stream::Plain(socket) = client.stream else {
+                        return Ok(None);
+                    };
                     let stream = tls.tls.accept(socket).await?;
                     client.stream = Stream::Tls(Box::new(stream.into()));
                 }
@@ -194,13 +226,23 @@
         let encrypted = client.stream.is_tls();
         if self.tls.as_ref().is_some_and(|tls| tls.required) && !encrypted {
             return self
-                .refuse(client, ErrorReason::NotAllowed, "the node takes clients with TLS only")
+                .refuse(
+                    client,
+                    ErrorReason::NotAllowed,
+                    "the node takes clients with TLS only",
+                )
                 .await;
         }
-        let binding = self.tls.as_ref().filter(|_| encrypted).map(|tls| tls.binding.as_slice());
+        let binding = self
+            .tls
+            .as_ref()
+            .filter(|_| encrypted)
+            .map(|tls| tls.binding.as_slice());
         match self.users.prove(&mut client, &message.user, binding).await {
             Err(ClientError::Identity(why)) => {
-                client.send(&[answer::error(ErrorReason::Identity, None)]).await?;
+                client
+                    .send(&[answer::error(ErrorReason::Identity, None)])
+                    .await?;
                 return Err(ClientError::Identity(why));
             }
             Err(other) => return Err(other),
@@ -210,30 +252,70 @@
             console::serve(self, client, message.user).await?;
             return Ok(None);
         }
-        if !may_come(&self.config.allow, &message.user, &message.database, from, encrypted) {
+        if !may_come(
+            &self.config.allow,
+            &message.user,
+            &message.database,
+            from,
+            encrypted,
+        ) {
             return self
-                .refuse(client, ErrorReason::NotAllowed, "no rule lets this user come to this database")
+                .refuse(
+                    client,
+                    ErrorReason::NotAllowed,
+                    "no rule lets this user come to this database",
+                )
                 .await;
         }
         let Some(login) = self.pool.login_for(&message.user) else {
-            return self.refuse(client, ErrorReason::NotAllowed, "the node has no login for this user").await;
+            return self
+                .refuse(
+                    client,
+                    ErrorReason::NotAllowed,
+                    "the node has no login for this user",
+                )
+                .await;
         };
         if self.sessions.get() >= self.config.clients {
             let detail = "all of the node's client connections are in use";
-            return self.refuse(client, ErrorReason::TooManyClients, detail).await;
+            return self
+                .refuse(client, ErrorReason::TooManyClients, detail)
+                .await;
         }
         let opened = self.sessions.open();
-        let Some(greeting) = self.pool.greeting(&self.fleet, &message.database, login).await else {
-            return self.refuse(client, ErrorReason::NoServer, "no server of the fleet can be reached").await;
+        let Some(greeting) = self
+            .pool
+            .greeting(&self.fleet, &message.database, login)
+            .await
+        else {
+            return self
+                .refuse(
+                    client,
+                    ErrorReason::NoServer,
+                    "no server of the fleet can be reached",
+                )
+                .await;
         };
         let settings = match ClientSettings::new(&message.parameters, &greeting) {
             Ok(settings) => settings,
             Err(error) => {
-                client.send(&[answer::error(ErrorReason::Unsupported, Some(&error.to_string()))]).await?;
+                client
+                    .send(&[answer::error(
+                        ErrorReason::Unsupported,
+                        Some(&error.to_string()),
+                    )])
+                    .await?;
                 return Err(ClientError::Settings(error));
             }
         };
-        Ok(Some(Admitted { client, startup: message, settings, greeting, login, opened }))
+        Ok(Some(Admitted {
+            client,
+            startup: message,
+            settings,
+            greeting,
+            login,
+            opened,
+        }))
     }
 
     async fn refuse(
@@ -246,11 +328,26 @@
         Err(ClientError::NotAllowed(why))
     }
 
-    async fn converse(self: Rc<Self>, admitted: Admitted, from: SocketAddr, stopping: watch::Receiver<bool>) {
-        let Admitted { client, startup, settings, greeting, login, opened } = admitted;
-        let class = self.config.class_of(&startup.user, &startup.database, startup.application());
-        let (class, worth) =
-            class.map(|class| ((class.name.clone(), class.repeatable), class.worth)).unwrap_or_default();
+    async fn converse(
+        self: Rc<Self>,
+        admitted: Admitted,
+        from: SocketAddr,
+        stopping: watch::Receiver<bool>,
+    ) {
+        let Admitted {
+            client,
+            startup,
+            settings,
+            greeting,
+            login,
+            opened,
+        } = admitted;
+        let class = self
+            .config
+            .class_of(&startup.user, &startup.database, startup.application());
+        let (class, worth) = class
+            .map(|class| ((class.name.clone(), class.repeatable), class.worth))
+            .unwrap_or_default();
         let terms = Terms {
             fleet: self.fleet.clone(),
             pool: self.pool.clone(),
@@ -269,10 +366,21 @@
         };
         let registered = self.clients.register(who);
         let number = registered.number();
-        let Ok(key) = self.cancels.issue(number, registered.cancelable().clone()) else { return };
+        let Ok(key) = self.cancels.issue(number, registered.cancelable().clone()) else {
+            return;
+        };
         let greeting = greet(greeting, &settings, &registered, key);
         let Client { stream, cutter } = client;
-        Relay::new(terms, Session::new(settings), stream, cutter, registered, greeting).run(stopping).await;
+        Relay::new(
+            terms,
+            Session::new(settings),
+            stream,
+            cutter,
+            registered,
+            greeting,
+        )
+        .run(stopping)
+        .await;
         self.cancels.revoke(number);
         drop(opened);
     }
@@ -287,7 +395,10 @@
 ) -> BytesMut {
     parameters.entry("application_name".to_owned()).or_default();
     for (name, value) in &mut parameters {
-        if let Some((_, wanted)) = settings.iter().find(|(known, _)| name.eq_ignore_ascii_case(known)) {
+        if let Some((_, wanted)) = settings
+            .iter()
+            .find(|(known, _)| name.eq_ignore_ascii_case(known))
+        {
             wanted.clone_into(value);
         }
         if name == "session_authorization" {
--- a/adapters/postgres/src/stream.rs
+++ b/adapters/postgres/src/stream.rs
@@ -27,7 +27,11 @@
 }
 
 impl AsyncWrite for Counted {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.0).poll_write(cx, bytes);
         if let Poll::Ready(Ok(count)) = &polled {
             activity::written(*count);
@@ -68,12 +72,18 @@
     pub fn is_quiet(&mut self) -> bool {
         let mut scrap = [0; 1];
         let mut cx = Context::from_waker(Waker::noop());
-        Pin::new(self).poll_read(&mut cx, &mut ReadBuf::new(&mut scrap)).is_pending()
+        Pin::new(self)
+            .poll_read(&mut cx, &mut ReadBuf::new(&mut scrap))
+            .is_pending()
     }
 }
 
 impl AsyncRead for Stream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         match self.get_mut() {
             Self::Plain(stream) => Pin::new(stream).poll_read(cx, buf),
             Self::Tls(stream) => Pin::new(stream).poll_read(cx, buf),
@@ -82,7 +92,11 @@
 }
 
 impl AsyncWrite for Stream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
         match self.get_mut() {
             Self::Plain(stream) => Pin::new(stream).poll_write(cx, bytes),
             Self::Tls(stream) => Pin::new(stream).poll_write(cx, bytes),
--- a/adapters/postgres/src/tls.rs
+++ b/adapters/postgres/src/tls.rs
@@ -43,8 +43,14 @@
 
 fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, ConfigError> {
     let read = CertificateDer::pem_file_iter(path).map_err(|error| wrong(path, error))?;
-    let all = read.collect::<Result<Vec<_>, _>>().map_err(|error| wrong(path, error))?;
-    if all.is_empty() { Err(wrong(path, "no certificate in it")) } else { Ok(all) }
+    let all = read
+        .collect::<Result<Vec<_>, _>>()
+        .map_err(|error| wrong(path, error))?;
+    if all.is_empty() {
+        Err(wrong(path, "no certificate in it"))
+    } else {
+        Ok(all)
+    }
 }
 
 /// What clients are offered.
@@ -63,14 +69,19 @@
     pub fn acceptor(&self) -> Result<Acceptor, ConfigError> {
         let chain = certificates(&self.certificate)?;
         crate::config::check_private(&self.key)?;
-        let key = PrivateKeyDer::from_pem_file(&self.key).map_err(|error| wrong(&self.key, error))?;
+        let key =
+            PrivateKeyDer::from_pem_file(&self.key).map_err(|error| wrong(&self.key, error))?;
         let binding = end_point(&chain[0]);
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let config = ServerConfig::builder_with_provider(provider)
             .with_safe_default_protocol_versions()
             .and_then(|config| config.with_no_client_auth().with_single_cert(chain, key))
             .map_err(|error| wrong(&self.certificate, error))?;
-        Ok(Acceptor { tls: TlsAcceptor::from(Arc::new(config)), binding, required: self.required })
+        Ok(Acceptor {
+            tls: TlsAcceptor::from(Arc::new(config)),
+            binding,
+            required: self.required,
+        })
     }
 }
 
@@ -88,7 +99,9 @@
     pub fn connector(&self) -> Result<Connector, ConfigError> {
         let mut roots = RootCertStore::empty();
         for certificate in certificates(&self.roots)? {
-            roots.add(certificate).map_err(|error| wrong(&self.roots, error))?;
+            roots
+                .add(certificate)
+                .map_err(|error| wrong(&self.roots, error))?;
         }
         let name = ServerName::try_from(self.name.clone());
         let name = name.map_err(|error| ConfigError::Wrong(format!("server_tls.name: {error}")))?;
@@ -98,7 +111,10 @@
             .map_err(|error| wrong(&self.roots, error))?
             .with_root_certificates(roots)
             .with_no_client_auth();
-        Ok(Connector { tls: TlsConnector::from(Arc::new(config)), name })
+        Ok(Connector {
+            tls: TlsConnector::from(Arc::new(config)),
+            name,
+        })
     }
 }
 
--- a/adapters/postgres/src/upstream.rs
+++ b/adapters/postgres/src/upstream.rs
@@ -34,7 +34,11 @@
         cancelled: mut withdrawn,
         ..
     } = launch;
-    let key = PoolKey { place: (backend, endpoint), database: call.database.clone(), login: call.login };
+    let key = PoolKey {
+        place: (backend, endpoint),
+        database: call.database.clone(),
+        login: call.login,
+    };
     let link = tokio::select! {
         biased;
         _ = &mut withdrawn => return fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent)),
@@ -58,7 +62,14 @@
         pool.keep(fleet, link);
         return fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
     }
-    let leased = Lease { ticket, backend, endpoint, link, give_up, withdrawn };
+    let leased = Lease {
+        ticket,
+        backend,
+        endpoint,
+        link,
+        give_up,
+        withdrawn,
+    };
     if let Some(refused) = call.slot.put(call.transaction, leased) {
         pool.keep(fleet, refused.link);
         fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -60,14 +60,29 @@
 impl Node {
     pub async fn start(databases: &[&Database], change: impl Fn(&mut Config)) -> Self {
         let servers = databases.iter().enumerate().map(|(n, database)| {
-            format!("[[server]]\nname = \"db{n}\"\naddress = \"{}\"\nzone = \"a\"\n", database.at)
+            format!(
+                "[[server]]\nname = \"db{n}\"\naddress = \"{}\"\nzone = \"a\"\n",
+                database.at
+            )
         });
         let text = format!("{CONFIG}{}", servers.collect::<String>());
-        let mut config: Config = Source::shipped("test", &text).parse().expect("a configuration");
+        let mut config: Config = Source::shipped("test", &text)
+            .parse()
+            .expect("a configuration");
         change(&mut config);
         let clock = Clock::system();
-        let tls = config.server_tls.as_ref().map(ServerTls::connector).transpose().expect("roots");
-        let pool = Pool::new(clock.clone(), config.read_logins().expect("logins"), tls, config.limits());
+        let tls = config
+            .server_tls
+            .as_ref()
+            .map(ServerTls::connector)
+            .transpose()
+            .expect("roots");
+        let pool = Pool::new(
+            clock.clone(),
+            config.read_logins().expect("logins"),
+            tls,
+            config.limits(),
+        );
         let site = config.site().expect("a site");
         let launcher = Rc::new(Upstream(pool.clone()));
         let fleet = Fleet::new(site.settings, site.words, 7, clock, launcher).expect("a fleet");
@@ -75,18 +90,35 @@
         let timers = fleet.clone();
         spawn(async move { timers.run_timers().await });
         let user = |name: &str| (name.to_owned(), Verifier::of("secret", b"some salt"));
-        let front = Front::new(config.clone(), [user("ann"), user("eve")].into(), fleet.clone(), pool);
-        let listener = tokio::net::TcpListener::bind(config.listen).await.expect("a port");
+        let front = Front::new(
+            config.clone(),
+            [user("ann"), user("eve")].into(),
+            fleet.clone(),
+            pool,
+        );
+        let listener = tokio::net::TcpListener::bind(config.listen)
+            .await
+            .expect("a port");
         let at = listener.local_addr().expect("an address");
         let (stop, stopping) = watch::channel(false);
         spawn(front.expect("a front").run(listener, stopping));
-        Self { at, fleet, config, _stop: stop }
+        Self {
+            at,
+            fleet,
+            config,
+            _stop: stop,
+        }
     }
 
     /// What a driver connects with.
     pub fn driver(&self, user: &str, password: &str, application: &str) -> tokio_postgres::Config {
         let mut config = tokio_postgres::Config::new();
-        config.host("127.0.0.1").port(self.at.port()).user(user).password(password).dbname("ratings");
+        config
+            .host("127.0.0.1")
+            .port(self.at.port())
+            .user(user)
+            .password(password)
+            .dbname("ratings");
         config.application_name(application);
         config
     }
@@ -101,7 +133,9 @@
     }
 
     pub async fn connect(&self) -> Client {
-        self.try_connect("ann", "secret", "test").await.expect("a connection")
+        self.try_connect("ann", "secret", "test")
+            .await
+            .expect("a connection")
     }
 }
 
@@ -115,9 +149,14 @@
 }
 
 pub fn test<F: Future>(work: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        tokio::time::timeout(PATIENCE, work).await.expect("it comes to its end")
+        tokio::time::timeout(PATIENCE, work)
+            .await
+            .expect("it comes to its end")
     })
 }
 
@@ -128,7 +167,10 @@
 /// A server that has failed is left alone for a while; the session goes on meanwhile, and is served again.
 pub async fn until_served(client: &Client) {
     while let Err(error) = client.batch_execute("select 1").await {
-        assert!(["53300", "08006"].contains(&error.code().map_or("closed", SqlState::code)), "{error}");
+        assert!(
+            ["53300", "08006"].contains(&error.code().map_or("closed", SqlState::code)),
+            "{error}"
+        );
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
--- a/adapters/postgres/tests/sessions.rs
+++ b/adapters/postgres/tests/sessions.rs
@@ -14,7 +14,10 @@
 use tokio_postgres::{Client, SimpleQueryMessage};
 
 async fn one(client: &Client, sql: &str) -> String {
-    let rows = client.simple_query(sql).await.unwrap_or_else(|error| panic!("{sql}: {error}"));
+    let rows = client
+        .simple_query(sql)
+        .await
+        .unwrap_or_else(|error| panic!("{sql}: {error}"));
     let row = rows.iter().find_map(|message| match message {
         SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
         _ => None,
@@ -27,11 +30,17 @@
 #[test]
 fn no_setting_leaks() {
     test(async {
-        let count: usize = std::env::var("CLIENTS").ok().and_then(|count| count.parse().ok()).unwrap_or(60);
+        let count: usize = std::env::var("CLIENTS")
+            .ok()
+            .and_then(|count| count.parse().ok())
+            .unwrap_or(60);
         let database = database();
         let node = Node::start(&[&database], |config| {
             (config.clients, config.per_server) = (count + 10, 10);
-            config.class.iter_mut().for_each(|class| (class.aim_ms, class.deadline_ms) = (20_000, 30_000));
+            config
+                .class
+                .iter_mut()
+                .for_each(|class| (class.aim_ms, class.deadline_ms) = (20_000, 30_000));
         })
         .await;
         let mut tasks = Vec::new();
@@ -39,7 +48,11 @@
             let mut config = node.driver("ann", "secret", &format!("app{n}"));
             let zone = ["UTC", "CET", "PST8PDT"][n % 3];
             // A third of them sets nothing at all.
-            let path = if n % 3 == 0 { "\"$user\", public".to_owned() } else { format!("tenant{n}") };
+            let path = if n % 3 == 0 {
+                "\"$user\", public".to_owned()
+            } else {
+                format!("tenant{n}")
+            };
             if n % 3 != 0 {
                 config.options(format!(
                     "-c search_path={path} -c TimeZone={zone} -c statement_timeout={}",
@@ -50,14 +63,32 @@
             tasks.push(tokio::task::spawn_local(async move {
                 let mut zone = zone.to_owned();
                 for round in 0..4 {
-                    assert_eq!(one(&client, "SHOW search_path").await, path, "client {n}, round {round}");
-                    assert_eq!(one(&client, "SHOW application_name").await, format!("app{n}"));
-                    assert_eq!(one(&client, "SHOW TimeZone").await, zone, "client {n}, round {round}");
-                    let timeout = if n % 3 == 0 { "0".to_owned() } else { (5000 + n).to_string() };
+                    assert_eq!(
+                        one(&client, "SHOW search_path").await,
+                        path,
+                        "client {n}, round {round}"
+                    );
+                    assert_eq!(
+                        one(&client, "SHOW application_name").await,
+                        format!("app{n}")
+                    );
+                    assert_eq!(
+                        one(&client, "SHOW TimeZone").await,
+                        zone,
+                        "client {n}, round {round}"
+                    );
+                    let timeout = if n % 3 == 0 {
+                        "0".to_owned()
+                    } else {
+                        (5000 + n).to_string()
+                    };
                     assert_eq!(one(&client, "SHOW statement_timeout").await, timeout);
                     if round == 1 {
                         zone = "Europe/Budapest".to_owned();
-                        client.batch_execute("SET TimeZone = 'Europe/Budapest'").await.expect("set");
+                        client
+                            .batch_execute("SET TimeZone = 'Europe/Budapest'")
+                            .await
+                            .expect("set");
                     }
                     if round == 2 {
                         // What is rolled back was never set.
@@ -82,16 +113,29 @@
         let database = database();
         let node = Node::start(&[&database], |_| {}).await;
         let mut config = node.driver("ann", "secret", "x");
-        let client = open(config.options("-c statement_timeout=soon")).await.expect("a connection");
-        let error = client.batch_execute("select 1").await.expect_err("turned down");
+        let client = open(config.options("-c statement_timeout=soon"))
+            .await
+            .expect("a connection");
+        let error = client
+            .batch_execute("select 1")
+            .await
+            .expect_err("turned down");
         let error = error.as_db_error().expect("by a server").clone();
-        assert_eq!((error.code(), error.severity()), (&SqlState::INVALID_PARAMETER_VALUE, "FATAL"));
+        assert_eq!(
+            (error.code(), error.severity()),
+            (&SqlState::INVALID_PARAMETER_VALUE, "FATAL")
+        );
         // What is no setting at all is turned down at once, by name.
         let mut config = node.driver("ann", "secret", "x");
-        let error = open(config.options("--nothing")).await.expect_err("turned down");
+        let error = open(config.options("--nothing"))
+            .await
+            .expect_err("turned down");
         assert_eq!(code(&error), Some(&SqlState::FEATURE_NOT_SUPPORTED));
         assert!(
-            error.as_db_error().and_then(|error| error.detail()).is_some_and(|why| why.contains("--nothing"))
+            error
+                .as_db_error()
+                .and_then(|error| error.detail())
+                .is_some_and(|why| why.contains("--nothing"))
         );
     });
 }
@@ -109,7 +153,10 @@
             client.batch_execute("select 1").await.expect("served");
         }
         let mut config = node.driver("ann", "secret", "x");
-        let (_client, connection) = config.connect(tokio_postgres::NoTls).await.expect("a connection");
+        let (_client, connection) = config
+            .connect(tokio_postgres::NoTls)
+            .await
+            .expect("a connection");
         assert_eq!(connection.parameter("server_version"), Some("14.11"));
         assert_eq!(connection.parameter("application_name"), Some("x"));
         let _ = config.application_name("y");
@@ -148,20 +195,36 @@
                 tls: None,
                 refuse: true,
             };
-            config.allow =
-                vec![refuse.clone(), Allow { user: None, database: None, refuse: false, ..refuse }];
+            config.allow = vec![
+                refuse.clone(),
+                Allow {
+                    user: None,
+                    database: None,
+                    refuse: false,
+                    ..refuse
+                },
+            ];
         })
         .await;
-        let (ann, eve) =
-            (node.connect().await, node.try_connect("eve", "secret", "x").await.expect("may come"));
+        let (ann, eve) = (
+            node.connect().await,
+            node.try_connect("eve", "secret", "x")
+                .await
+                .expect("may come"),
+        );
         for _ in 0..3 {
             assert_eq!(one(&ann, "SELECT current_user").await, "shared");
             assert_eq!(one(&eve, "SELECT current_user").await, "eve_at_db");
         }
         let asked = database.connections();
         let mut config = node.driver("eve", "secret", "x");
-        let error = open(config.dbname("secrets")).await.expect_err("turned away");
-        assert_eq!(code(&error), Some(&SqlState::INVALID_AUTHORIZATION_SPECIFICATION));
+        let error = open(config.dbname("secrets"))
+            .await
+            .expect_err("turned away");
+        assert_eq!(
+            code(&error),
+            Some(&SqlState::INVALID_AUTHORIZATION_SPECIFICATION)
+        );
         assert_eq!(database.connections(), asked, "no server was asked");
         std::fs::remove_dir_all(&folder).unwrap();
     });
@@ -170,7 +233,8 @@
 /// A certificate for localhost and its key, in files of their own.
 fn certificate(folder: &std::path::Path) -> (std::path::PathBuf, std::path::PathBuf, Vec<u8>) {
     use std::os::unix::fs::PermissionsExt;
-    let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()]).expect("a certificate");
+    let made =
+        rcgen::generate_simple_self_signed(vec!["localhost".to_owned()]).expect("a certificate");
     let (certificate, key) = (folder.join("node.pem"), folder.join("node.key"));
     std::fs::write(&certificate, made.cert.pem()).unwrap();
     std::fs::write(&key, made.signing_key.serialize_pem()).unwrap();
@@ -188,16 +252,30 @@
         let (pem, key, der) = certificate(&folder);
         let secret = folder.join("password");
         std::fs::write(&secret, "secret").unwrap();
-        std::fs::set_permissions(&secret, std::os::unix::fs::PermissionsExt::from_mode(0o600)).unwrap();
+        std::fs::set_permissions(&secret, std::os::unix::fs::PermissionsExt::from_mode(0o600))
+            .unwrap();
         let database = database();
-        let tls = ClientTls { certificate: pem.clone(), key, required: true };
+        let tls = ClientTls {
+            certificate: pem.clone(),
+            key,
+            required: true,
+        };
         let behind = Node::start(&[&database], |config| config.tls = Some(tls.clone())).await;
         let front = Node::start(&[&database], |config| {
-            config.tls = Some(ClientTls { required: false, ..tls.clone() });
-            config.server_tls = Some(ServerTls { roots: pem.clone(), name: "localhost".to_owned() });
+            config.tls = Some(ClientTls {
+                required: false,
+                ..tls.clone()
+            });
+            config.server_tls = Some(ServerTls {
+                roots: pem.clone(),
+                name: "localhost".to_owned(),
+            });
             config.server[0].address = behind.at;
-            config.login =
-                vec![Login { user: "ann".to_owned(), password_file: Some(secret.clone()), clients: None }];
+            config.login = vec![Login {
+                user: "ann".to_owned(),
+                password_file: Some(secret.clone()),
+                clients: None,
+            }];
         })
         .await;
         let mut roots = rustls::RootCertStore::empty();
@@ -221,25 +299,48 @@
                 .channel_binding(binding);
             let mut config = {
                 let mut fresh = tokio_postgres::Config::new();
-                fresh.host("localhost").hostaddr(std::net::IpAddr::from([127, 0, 0, 1])).port(node.at.port());
-                fresh.user("ann").password("secret").dbname("ratings").channel_binding(binding);
+                fresh
+                    .host("localhost")
+                    .hostaddr(std::net::IpAddr::from([127, 0, 0, 1]))
+                    .port(node.at.port());
+                fresh
+                    .user("ann")
+                    .password("secret")
+                    .dbname("ratings")
+                    .channel_binding(binding);
                 std::mem::swap(&mut config, &mut fresh);
                 config
             };
             config.ssl_mode(tokio_postgres::config::SslMode::Require);
-            let (client, connection) = config.connect(connector.clone()).await.expect("a connection in TLS");
+            let (client, connection) = config
+                .connect(connector.clone())
+                .await
+                .expect("a connection in TLS");
             tokio::task::spawn_local(async move {
                 let _ = connection.await;
             });
             assert_eq!(
-                client.query_one("SELECT $1::int8", &[&7_i64]).await.expect("served").get::<_, i64>(0),
+                client
+                    .query_one("SELECT $1::int8", &[&7_i64])
+                    .await
+                    .expect("served")
+                    .get::<_, i64>(0),
                 7
             );
         }
         // In the clear the second node takes nobody.
-        let error = behind.try_connect("ann", "secret", "x").await.expect_err("turned away");
-        assert_eq!(code(&error), Some(&SqlState::INVALID_AUTHORIZATION_SPECIFICATION));
-        front.try_connect("ann", "secret", "x").await.expect("offered, not required");
+        let error = behind
+            .try_connect("ann", "secret", "x")
+            .await
+            .expect_err("turned away");
+        assert_eq!(
+            code(&error),
+            Some(&SqlState::INVALID_AUTHORIZATION_SPECIFICATION)
+        );
+        front
+            .try_connect("ann", "secret", "x")
+            .await
+            .expect("offered, not required");
         std::fs::remove_dir_all(&folder).unwrap();
     });
 }
@@ -252,7 +353,11 @@
         let node = Node::start(&[&database], |config| config.unidentified = 20).await;
         let mut silent = Vec::new();
         for _ in 0..200 {
-            silent.push(tokio::net::TcpStream::connect(node.at).await.expect("it listens"));
+            silent.push(
+                tokio::net::TcpStream::connect(node.at)
+                    .await
+                    .expect("it listens"),
+            );
         }
         for _ in 0..10 {
             let client = node.connect().await;
@@ -270,10 +375,15 @@
         let client = node.connect().await;
         client.batch_execute("select 1").await.expect("served");
         let mut config = node.driver("ann", "secret", "ops");
-        let console = open(config.dbname("badgerpost")).await.expect("the console");
+        let console = open(config.dbname("badgerpost"))
+            .await
+            .expect("the console");
         assert_eq!(one(&console, "SHOW POOLS").await, "db0");
         assert_eq!(one(&console, "SHOW CLIENTS").await, "1");
-        assert_eq!(one(&console, "SHOW SERVERS; SHOW STATS; SHOW CONFIG").await, "db0");
+        assert_eq!(
+            one(&console, "SHOW SERVERS; SHOW STATS; SHOW CONFIG").await,
+            "db0"
+        );
         console.batch_execute("PAUSE").await.expect("paused");
         // Its connections are closed, for a restart; the database hears of it a moment later.
         while database.open() > 0 {
@@ -313,7 +423,10 @@
             let client = node.connect().await;
             tasks.push(tokio::task::spawn_local(async move {
                 let began = Instant::now();
-                (client.batch_execute("select pg_sleep(0.02)").await, began.elapsed())
+                (
+                    client.batch_execute("select pg_sleep(0.02)").await,
+                    began.elapsed(),
+                )
             }));
         }
         for task in tasks {
@@ -328,7 +441,10 @@
             let client = node.connect().await;
             tasks.push(tokio::task::spawn_local(async move {
                 let began = Instant::now();
-                (client.batch_execute("select pg_sleep(0.3)").await, began.elapsed())
+                (
+                    client.batch_execute("select pg_sleep(0.3)").await,
+                    began.elapsed(),
+                )
             }));
         }
         let (mut served, mut refused) = (0, 0);
@@ -342,6 +458,9 @@
                 }
             }
         }
-        assert!(served >= 10 && refused >= 10, "{served} served, {refused} refused");
+        assert!(
+            served >= 10 && refused >= 10,
+            "{served} served, {refused} refused"
+        );
     });
 }
--- a/adapters/postgres/tests/transactions.rs
+++ b/adapters/postgres/tests/transactions.rs
@@ -21,11 +21,22 @@
         let database = database();
         let node = Node::start(&[&database], |_| {}).await;
         for (user, password) in [("ann", "wrong"), ("bob", "secret")] {
-            let error = node.try_connect(user, password, "x").await.expect_err("turned away");
+            let error = node
+                .try_connect(user, password, "x")
+                .await
+                .expect_err("turned away");
             assert_eq!(code(&error), Some(&SqlState::INVALID_PASSWORD), "{user}");
         }
-        node.connect().await.simple_query("select 1").await.expect("served");
-        assert_eq!(database.connections(), 1, "no server was bothered for those who were turned away");
+        node.connect()
+            .await
+            .simple_query("select 1")
+            .await
+            .expect("served");
+        assert_eq!(
+            database.connections(),
+            1,
+            "no server was bothered for those who were turned away"
+        );
     });
 }
 
@@ -39,33 +50,57 @@
         for database in [&one, &two] {
             // Tables are no matter of the node's: each stand-in gets its own.
             let direct = format!("host=127.0.0.1 port={} user=x dbname=x", database.at.port());
-            let (direct, connection) = tokio_postgres::connect(&direct, NoTls).await.expect("the stand-in");
+            let (direct, connection) = tokio_postgres::connect(&direct, NoTls)
+                .await
+                .expect("the stand-in");
             tokio::task::spawn_local(async move {
                 let _ = connection.await;
             });
-            direct.batch_execute("create table scores (id bigint, name text)").await.expect("created");
+            direct
+                .batch_execute("create table scores (id bigint, name text)")
+                .await
+                .expect("created");
         }
-        let insert = client.prepare("insert into scores values ($1, $2)").await.expect("prepared");
+        let insert = client
+            .prepare("insert into scores values ($1, $2)")
+            .await
+            .expect("prepared");
         for id in 0..20_i64 {
-            client.execute(&insert, &[&id, &"x"]).await.expect("inserted");
+            client
+                .execute(&insert, &[&id, &"x"])
+                .await
+                .expect("inserted");
         }
         let transaction = client.transaction().await.expect("begun");
-        transaction.execute(&insert, &[&100_i64, &"y"]).await.expect("inserted");
-        let row =
-            transaction.query_one("select name from scores where id = $1", &[&100_i64]).await.expect("a row");
+        transaction
+            .execute(&insert, &[&100_i64, &"y"])
+            .await
+            .expect("inserted");
+        let row = transaction
+            .query_one("select name from scores where id = $1", &[&100_i64])
+            .await
+            .expect("a row");
         assert_eq!(row.get::<_, &str>(0), "y");
         transaction.rollback().await.expect("rolled back");
         let transaction = client.transaction().await.expect("begun");
-        transaction.execute(&insert, &[&101_i64, &"z"]).await.expect("inserted");
+        transaction
+            .execute(&insert, &[&101_i64, &"z"])
+            .await
+            .expect("inserted");
         transaction.commit().await.expect("committed");
         let rows = one.rows("scores").len() + two.rows("scores").len();
         assert_eq!(rows, 21);
         let messages = client.simple_query("select 7").await.expect("served");
         assert!(
-            messages.iter().any(|m| matches!(m, SimpleQueryMessage::Row(row) if row.get(0) == Some("7")))
+            messages
+                .iter()
+                .any(|m| matches!(m, SimpleQueryMessage::Row(row) if row.get(0) == Some("7")))
         );
         // An error of the server's is the client's, and the session goes on.
-        let error = client.simple_query("select nothing from nowhere").await.expect_err("no such table");
+        let error = client
+            .simple_query("select nothing from nowhere")
+            .await
+            .expect_err("no such table");
         assert_eq!(code(&error), Some(&SqlState::UNDEFINED_TABLE));
         client.simple_query("select 1").await.expect("served");
     });
@@ -94,15 +129,31 @@
         let database = database();
         let node = Node::start(&[&database], |_| {}).await;
         let (first, second) = (node.connect().await, node.connect().await);
-        first.batch_execute("set search_path = mine").await.expect("set");
+        first
+            .batch_execute("set search_path = mine")
+            .await
+            .expect("set");
         second.simple_query("select 1").await.expect("served");
-        assert_eq!(database.connections(), 2, "a session with a setting keeps its connection");
+        assert_eq!(
+            database.connections(),
+            2,
+            "a session with a setting keeps its connection"
+        );
         // A client that goes in a transaction takes its connection with it.
-        second.batch_execute("create table t (a bigint)").await.expect("created");
-        second.batch_execute("begin; insert into t values (1)").await.expect("begun");
+        second
+            .batch_execute("create table t (a bigint)")
+            .await
+            .expect("created");
+        second
+            .batch_execute("begin; insert into t values (1)")
+            .await
+            .expect("begun");
         drop(second);
         let third = node.connect().await;
-        third.simple_query("select count(*) from t").await.expect("served");
+        third
+            .simple_query("select count(*) from t")
+            .await
+            .expect("served");
         assert!(database.rows("t").is_empty());
     });
 }
@@ -119,9 +170,15 @@
             let database = database();
             let node = Node::start(&[&database], |_| {}).await;
             let client = node.connect().await;
-            client.batch_execute("create table t (a bigint)").await.expect("created");
+            client
+                .batch_execute("create table t (a bigint)")
+                .await
+                .expect("created");
             database.set_bad(at, bad);
-            let error = client.batch_execute("insert into t values (1)").await.expect_err("lost");
+            let error = client
+                .batch_execute("insert into t values (1)")
+                .await
+                .expect_err("lost");
             assert_eq!(error.code().map(SqlState::code), Some(code), "{at} {bad:?}");
             assert_eq!(database.rows("t").len(), rows, "{at} {bad:?}");
         }
@@ -134,15 +191,25 @@
             let database = database();
             let node = Node::start(&[&database], |_| {}).await;
             let client = node.connect().await;
-            client.batch_execute("create table t (a bigint)").await.expect("created");
+            client
+                .batch_execute("create table t (a bigint)")
+                .await
+                .expect("created");
             client.batch_execute("begin").await.expect("begun");
             database.set_bad(at, bad);
             let inserted = client.batch_execute("insert into t values (1)").await;
             let error = match inserted {
                 Err(error) => {
                     // The session stays, in a transaction that has failed until its end.
-                    let again = client.batch_execute("insert into t values (2)").await.expect_err("failed");
-                    assert_eq!(again.code(), Some(&SqlState::IN_FAILED_SQL_TRANSACTION), "{at} {bad:?}");
+                    let again = client
+                        .batch_execute("insert into t values (2)")
+                        .await
+                        .expect_err("failed");
+                    assert_eq!(
+                        again.code(),
+                        Some(&SqlState::IN_FAILED_SQL_TRANSACTION),
+                        "{at} {bad:?}"
+                    );
                     client.batch_execute("rollback").await.expect("rolled back");
                     error
                 }
@@ -162,7 +229,10 @@
     test(async {
         let (one, two) = (database(), database());
         let node = Node::start(&[&one, &two], |_| {}).await;
-        let reads = node.try_connect("ann", "secret", "reads").await.expect("a connection");
+        let reads = node
+            .try_connect("ann", "secret", "reads")
+            .await
+            .expect("a connection");
         for database in [&one, &two] {
             database.set_bad("select 42", Bad::DieBefore);
         }
@@ -170,7 +240,10 @@
         two.set_bad("none", Bad::Hang);
         one.set_bad("select 42", Bad::DieBefore);
         for _ in 0..20 {
-            reads.batch_execute("select 42").await.expect("served by the other");
+            reads
+                .batch_execute("select 42")
+                .await
+                .expect("served by the other");
             one.revive();
             if one.statements() > 0 {
                 break;
@@ -180,7 +253,10 @@
         one.revive();
         one.set_bad("select 43", Bad::DieBefore);
         two.set_bad("select 43", Bad::DieBefore);
-        let error = rest.batch_execute("select 43").await.expect_err("not sent again");
+        let error = rest
+            .batch_execute("select 43")
+            .await
+            .expect_err("not sent again");
         assert_eq!(error.code().map(SqlState::code), Some("08006"));
     });
 }
@@ -189,12 +265,16 @@
 fn a_server_that_hangs_is_given_up_at_the_deadline() {
     test(async {
         let database = database();
-        let node =
-            Node::start(&[&database], |config| config.class.iter_mut().for_each(|c| c.deadline_ms = 400))
-                .await;
+        let node = Node::start(&[&database], |config| {
+            config.class.iter_mut().for_each(|c| c.deadline_ms = 400)
+        })
+        .await;
         let client = node.connect().await;
         database.set_bad("select 1", Bad::Hang);
-        let error = client.batch_execute("select 1").await.expect_err("given up");
+        let error = client
+            .batch_execute("select 1")
+            .await
+            .expect_err("given up");
         assert_eq!(error.code().map(SqlState::code), Some("08006"));
         until_served(&client).await;
     });
@@ -225,7 +305,10 @@
         for client in &clients {
             client.batch_execute("select 1").await.expect("served");
         }
-        assert!((1..10).contains(&ended), "{ended} of ten transactions were there");
+        assert!(
+            (1..10).contains(&ended),
+            "{ended} of ten transactions were there"
+        );
         assert_eq!(one.statements() - before, ended, "nothing new goes there");
     });
 }
@@ -239,20 +322,35 @@
         let said = |bytes: &'static [u8]| {
             let at = node.at;
             async move {
-                let mut stream = tokio::net::TcpStream::connect(at).await.expect("it listens");
+                let mut stream = tokio::net::TcpStream::connect(at)
+                    .await
+                    .expect("it listens");
                 stream.write_all(bytes).await.expect("written");
                 let mut answer = Vec::new();
                 let _ = stream.read_to_end(&mut answer).await;
                 String::from_utf8_lossy(&answer).into_owned()
             }
         };
-        assert!(said(b"GET / HTTP/1.1\r\n\r\n").await.contains("this is HTTP"));
         assert!(
-            said(&[0, 0, 0, 8, 4, 210, 22, 47, 0, 0, 0, 8, 4, 210, 22, 47]).await.contains("asked for again")
+            said(b"GET / HTTP/1.1\r\n\r\n")
+                .await
+                .contains("this is HTTP")
+        );
+        assert!(
+            said(&[0, 0, 0, 8, 4, 210, 22, 47, 0, 0, 0, 8, 4, 210, 22, 47])
+                .await
+                .contains("asked for again")
         );
         assert!(said(&[0xff, 0xff, 0xff, 0xff]).await.contains("08P01"));
-        let kept = [node.connect().await, node.connect().await, node.connect().await];
-        let error = node.try_connect("ann", "secret", "x").await.expect_err("no room");
+        let kept = [
+            node.connect().await,
+            node.connect().await,
+            node.connect().await,
+        ];
+        let error = node
+            .try_connect("ann", "secret", "x")
+            .await
+            .expect_err("no room");
         assert_eq!(error.code().map(SqlState::code), Some("53300"));
         drop(kept);
         // Nobody left to send to: refused, with the code that says that nothing ran.
@@ -265,8 +363,12 @@
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         };
-        node.fleet.endpoints_updated(EndpointUpdate::Snapshot, Vec::new());
-        let error = client.batch_execute("select 1").await.expect_err("nobody there");
+        node.fleet
+            .endpoints_updated(EndpointUpdate::Snapshot, Vec::new());
+        let error = client
+            .batch_execute("select 1")
+            .await
+            .expect_err("nobody there");
         assert_eq!(error.code().map(SqlState::code), Some("53300"));
     });
 }
@@ -292,8 +394,14 @@
             }
         };
         let (slow, ()) = tokio::join!(slow, cancel);
-        assert_eq!(code(&slow.expect_err("cancelled")), Some(&SqlState::QUERY_CANCELED));
-        client.batch_execute("select 1").await.expect("the session goes on");
+        assert_eq!(
+            code(&slow.expect_err("cancelled")),
+            Some(&SqlState::QUERY_CANCELED)
+        );
+        client
+            .batch_execute("select 1")
+            .await
+            .expect("the session goes on");
     });
 }
 
@@ -306,11 +414,16 @@
         let node = Node::start(&[&databases[0], &databases[1]], |_| {}).await;
         for database in &databases {
             let direct = format!("host=127.0.0.1 port={} user=x dbname=x", database.at.port());
-            let (direct, connection) = tokio_postgres::connect(&direct, NoTls).await.expect("the stand-in");
+            let (direct, connection) = tokio_postgres::connect(&direct, NoTls)
+                .await
+                .expect("the stand-in");
             tokio::task::spawn_local(async move {
                 let _ = connection.await;
             });
-            direct.batch_execute("create table effects (id bigint)").await.expect("created");
+            direct
+                .batch_execute("create table effects (id bigint)")
+                .await
+                .expect("created");
         }
         let databases = Rc::new(databases);
         let (mut told, mut tasks) = (Vec::new(), Vec::new());
@@ -333,7 +446,11 @@
                 while !over.get() {
                     let database = &databases[random.between(0, 1) as usize];
                     let text = ["BEGIN", "insert", "COMMIT"][random.between(0, 2) as usize];
-                    let bad = if random.chance(0.5) { Bad::DieBefore } else { Bad::DieAfter };
+                    let bad = if random.chance(0.5) {
+                        Bad::DieBefore
+                    } else {
+                        Bad::DieAfter
+                    };
                     database.set_bad(text, bad);
                     tokio::time::sleep(Duration::from_millis(random.between(5, 30))).await;
                     databases.iter().for_each(Database::revive);
@@ -348,8 +465,13 @@
         over.set(true);
         assert!(killer.await.expect("the killer") > 5);
         let mut seen = std::collections::BTreeMap::new();
-        for row in databases.iter().flat_map(|database| database.rows("effects")) {
-            let [Value::Int(id)] = row[..] else { panic!("{row:?}") };
+        for row in databases
+            .iter()
+            .flat_map(|database| database.rows("effects"))
+        {
+            let [Value::Int(id)] = row[..] else {
+                panic!("{row:?}")
+            };
             *seen.entry(id).or_insert(0) += 1;
         }
         let mut counts = std::collections::BTreeMap::new();
@@ -363,14 +485,18 @@
             assert!(good, "{id} was told {told} and is there {there} times");
             *counts.entry(told).or_insert(0) += 1;
         }
-        assert!(counts.get("committed").is_some_and(|count| *count > 100), "{counts:?}");
+        assert!(
+            counts.get("committed").is_some_and(|count| *count > 100),
+            "{counts:?}"
+        );
         assert!(counts.len() >= 3, "{counts:?}");
     });
 }
 
 /// One transaction, and what its client was told of it.
 async fn one(client: &mut Client, id: i64) -> String {
-    let worded = |error: tokio_postgres::Error| error.code().map_or("closed", SqlState::code).to_owned();
+    let worded =
+        |error: tokio_postgres::Error| error.code().map_or("closed", SqlState::code).to_owned();
     let transaction = match client.transaction().await {
         Ok(transaction) => transaction,
         Err(error) => {
@@ -379,9 +505,15 @@
             return worded(error);
         }
     };
-    if let Err(error) = transaction.execute("insert into effects values ($1)", &[&id]).await {
+    if let Err(error) = transaction
+        .execute("insert into effects values ($1)", &[&id])
+        .await
+    {
         let told = worded(error);
-        transaction.rollback().await.expect("a failed transaction can be rolled back");
+        transaction
+            .rollback()
+            .await
+            .expect("a failed transaction can be rolled back");
         return told;
     }
     match transaction.commit().await {
@@ -394,15 +526,33 @@
 #[test]
 fn the_section_is_checked() {
     let text = "listen = \"127.0.0.1:0\"\nzone = \"a\"\nusers = \"/no/such/file\"\nclass = []\nlogin = []\n";
-    let no_class: Config = Source::shipped("test", text).parse().expect("the keys that there must be");
+    let no_class: Config = Source::shipped("test", text)
+        .parse()
+        .expect("the keys that there must be");
+    assert!(
+        no_class
+            .read_logins()
+            .err()
+            .is_some_and(|error| error.to_string().contains("[[postgres.login]]"))
+    );
+    assert!(
+        no_class
+            .site()
+            .err()
+            .is_some_and(|error| error.to_string().contains("[[postgres.class]]"))
+    );
     assert!(
-        no_class.read_logins().err().is_some_and(|error| error.to_string().contains("[[postgres.login]]"))
+        no_class
+            .read_users()
+            .err()
+            .is_some_and(|error| error.to_string().contains("/no/such/file"))
     );
-    assert!(no_class.site().err().is_some_and(|error| error.to_string().contains("[[postgres.class]]")));
-    assert!(no_class.read_users().err().is_some_and(|error| error.to_string().contains("/no/such/file")));
     let path = std::env::temp_dir().join(format!("badgerpost-users-{}", std::process::id()));
     std::fs::write(&path, "# who\nann secret\n").unwrap();
-    let with = Config { users: path.clone(), ..no_class };
+    let with = Config {
+        users: path.clone(),
+        ..no_class
+    };
     let mode = |mode| {
         use std::os::unix::fs::PermissionsExt;
         std::fs::set_permissions(&path, std::fs::Permissions::from_mode(mode)).unwrap();
@@ -410,6 +560,9 @@
     };
     assert!(mode(0o644).contains("0600"));
     let error = mode(0o600);
-    assert!(error.contains(":2: only SCRAM-SHA-256") && !error.contains("secret"), "{error}");
+    assert!(
+        error.contains(":2: only SCRAM-SHA-256") && !error.contains("secret"),
+        "{error}"
+    );
     std::fs::remove_file(&path).unwrap();
 }
--- a/core/http-framing/src/lib.rs
+++ b/core/http-framing/src/lib.rs
@@ -133,10 +133,15 @@
                         _ => Part::Chunk(left),
                     };
                 }
-                Part::RequestLine | Part::Header | Part::ChunkSize | Part::ChunkEnd | Part::Trailer => {
+                Part::RequestLine
+                | Part::Header
+                | Part::ChunkSize
+                | Part::ChunkEnd
+                | Part::Trailer => {
                     let end = bytes.iter().position(|byte| *byte == b'\n');
-                    let (piece, rest) =
-                        end.map_or((bytes, &bytes[bytes.len()..]), |end| bytes.split_at(end + 1));
+                    let (piece, rest) = end.map_or((bytes, &bytes[bytes.len()..]), |end| {
+                        bytes.split_at(end + 1)
+                    });
                     bytes = rest;
                     let room = LINE_MOST.saturating_sub(self.line.len()).min(piece.len());
                     self.line.extend_from_slice(&piece[..room]);
@@ -157,7 +162,9 @@
 
     fn bounded(&self) -> Result<(), FramingError> {
         match self.part {
-            Part::ChunkSize if self.line_length > CHUNK_LINE_MOST => Err(FramingError::InvalidChunk),
+            Part::ChunkSize if self.line_length > CHUNK_LINE_MOST => {
+                Err(FramingError::InvalidChunk)
+            }
             Part::ChunkEnd if self.line_length > 2 => Err(FramingError::InvalidChunk),
             Part::RequestLine | Part::Header | Part::Trailer if self.head_length > HEAD_MOST => {
                 Err(FramingError::TooLong)
@@ -169,7 +176,11 @@
     fn lose(&mut self, fault: FramingError, tell: &mut impl FnMut(FramingEvent)) {
         let in_head = matches!(self.part, Part::RequestLine | Part::Header);
         self.part = Part::Lost;
-        tell(if in_head { FramingEvent::HeadComplete(Err(fault)) } else { FramingEvent::BodyInvalid(fault) });
+        tell(if in_head {
+            FramingEvent::HeadComplete(Err(fault))
+        } else {
+            FramingEvent::BodyInvalid(fault)
+        });
     }
 
     fn end(&mut self, tell: &mut impl FnMut(FramingEvent)) -> Part {
@@ -190,9 +201,12 @@
             }
             Part::Header if blank => self.take_head(tell),
             Part::Header => {
-                if let Err(fault) =
-                    header(line, self.line_length > LINE_MOST, &mut self.length, &mut self.chunked)
-                {
+                if let Err(fault) = header(
+                    line,
+                    self.line_length > LINE_MOST,
+                    &mut self.length,
+                    &mut self.chunked,
+                ) {
                     self.fault.get_or_insert(fault);
                 }
             }
@@ -228,12 +242,22 @@
 }
 
 /// Takes in a header's line.
-fn header(line: &[u8], cut: bool, length: &mut Option<u64>, chunked: &mut bool) -> Result<(), FramingError> {
-    if line.first().is_some_and(|byte| matches!(byte, b' ' | b'\t')) {
+fn header(
+    line: &[u8],
+    cut: bool,
+    length: &mut Option<u64>,
+    chunked: &mut bool,
+) -> Result<(), FramingError> {
+    if line
+        .first()
+        .is_some_and(|byte| matches!(byte, b' ' | b'\t'))
+    {
         return Err(FramingError::FoldedHeader);
     }
     // A line without a colon is the parser's to refuse.
-    let Some(colon) = line.iter().position(|byte| *byte == b':') else { return Ok(()) };
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return Ok(());
+    };
     let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
     if name.last().is_some_and(|byte| matches!(byte, b' ' | b'\t')) {
         return Err(FramingError::FoldedHeader);
@@ -243,7 +267,10 @@
             return Err(FramingError::MultipleLengths);
         }
         let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit) && !cut;
-        let number = std::str::from_utf8(value).ok().filter(|_| digits).and_then(|text| text.parse().ok());
+        let number = std::str::from_utf8(value)
+            .ok()
+            .filter(|_| digits)
+            .and_then(|text| text.parse().ok());
         *length = Some(number.ok_or(FramingError::InvalidLength)?);
     } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
         if *chunked || cut || !value.eq_ignore_ascii_case(b"chunked") {
--- a/core/http-framing/src/tests.rs
+++ b/core/http-framing/src/tests.rs
@@ -4,20 +4,27 @@
 
 fn signs(pieces: &[&[u8]]) -> Vec<FramingEvent> {
     let (mut follower, mut told) = (RequestFramer::new(), Vec::new());
-    pieces.iter().for_each(|piece| follower.feed(piece, &mut |sign| told.push(sign)));
+    pieces
+        .iter()
+        .for_each(|piece| follower.feed(piece, &mut |sign| told.push(sign)));
     told
 }
 
 fn fault(head: &str) -> Option<FramingError> {
     let text = format!("POST /api HTTP/1.1\r\nHost: h\r\n{head}\r\n");
-    signs(&[text.as_bytes()]).into_iter().find_map(|sign| match sign {
-        FramingEvent::HeadComplete(result) => result.err(),
-        _ => None,
-    })
+    signs(&[text.as_bytes()])
+        .into_iter()
+        .find_map(|sign| match sign {
+            FramingEvent::HeadComplete(result) => result.err(),
+            _ => None,
+        })
 }
 
-const GOOD: [FramingEvent; 3] =
-    [FramingEvent::Started, FramingEvent::HeadComplete(Ok(())), FramingEvent::MessageComplete];
+const GOOD: [FramingEvent; 3] = [
+    FramingEvent::Started,
+    FramingEvent::HeadComplete(Ok(())),
+    FramingEvent::MessageComplete,
+];
 
 #[test]
 fn each_framing_ends_where_it_should() {
@@ -31,7 +38,11 @@
     ] {
         assert_eq!(signs(&[text.as_bytes()]), GOOD, "{text:?}");
         let twice = [text, text].concat();
-        assert_eq!(signs(&[twice.as_bytes()]), [GOOD, GOOD].concat(), "one behind the other: {text:?}");
+        assert_eq!(
+            signs(&[twice.as_bytes()]),
+            [GOOD, GOOD].concat(),
+            "one behind the other: {text:?}"
+        );
     }
 }
 
@@ -39,19 +50,46 @@
 #[test]
 fn what_can_be_read_in_two_ways_is_refused() {
     for (head, why) in [
-        ("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", FramingError::LengthAndCoding),
-        ("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", FramingError::LengthAndCoding),
-        ("Content-Length: 5\r\nContent-Length: 5\r\n", FramingError::MultipleLengths),
+        (
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+            FramingError::LengthAndCoding,
+        ),
+        (
+            "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+            FramingError::LengthAndCoding,
+        ),
+        (
+            "Content-Length: 5\r\nContent-Length: 5\r\n",
+            FramingError::MultipleLengths,
+        ),
         ("Content-Length: 5, 5\r\n", FramingError::InvalidLength),
         ("Content-Length: +5\r\n", FramingError::InvalidLength),
         ("Content-Length: 0x5\r\n", FramingError::InvalidLength),
         ("Content-Length:\r\n", FramingError::InvalidLength),
-        ("Content-Length: 99999999999999999999\r\n", FramingError::InvalidLength),
-        ("Transfer-Encoding: gzip, chunked\r\n", FramingError::UnsupportedCoding),
-        ("Transfer-Encoding: chunked, identity\r\n", FramingError::UnsupportedCoding),
-        ("Transfer-Encoding: xchunked\r\n", FramingError::UnsupportedCoding),
-        ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", FramingError::UnsupportedCoding),
-        ("Transfer-Encoding : chunked\r\n", FramingError::FoldedHeader),
+        (
+            "Content-Length: 99999999999999999999\r\n",
+            FramingError::InvalidLength,
+        ),
+        (
+            "Transfer-Encoding: gzip, chunked\r\n",
+            FramingError::UnsupportedCoding,
+        ),
+        (
+            "Transfer-Encoding: chunked, identity\r\n",
+            FramingError::UnsupportedCoding,
+        ),
+        (
+            "Transfer-Encoding: xchunked\r\n",
+            FramingError::UnsupportedCoding,
+        ),
+        (
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            FramingError::UnsupportedCoding,
+        ),
+        (
+            "Transfer-Encoding : chunked\r\n",
+            FramingError::FoldedHeader,
+        ),
         ("Content-Length\t: 5\r\n", FramingError::FoldedHeader),
         ("X: a\r\n b\r\n", FramingError::FoldedHeader),
     ] {
@@ -60,9 +98,15 @@
     let old = b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n";
     assert_eq!(
         signs(&[old]),
-        [FramingEvent::Started, FramingEvent::HeadComplete(Err(FramingError::UnsupportedCoding))]
+        [
+            FramingEvent::Started,
+            FramingEvent::HeadComplete(Err(FramingError::UnsupportedCoding))
+        ]
+    );
+    assert_eq!(
+        fault(&format!("X: {}\r\n", "y".repeat(HEAD_MOST))),
+        Some(FramingError::TooLong)
     );
-    assert_eq!(fault(&format!("X: {}\r\n", "y".repeat(HEAD_MOST))), Some(FramingError::TooLong));
     assert_eq!(
         fault(&format!("Content-Length: {}5\r\n", "0".repeat(LINE_MOST))),
         Some(FramingError::InvalidLength)
@@ -71,11 +115,18 @@
 
 #[test]
 fn a_chunk_that_makes_no_sense_ends_it() {
-    for chunks in
-        ["g\r\n", "\r\n", "-1\r\n", "12345678901234567\r\n", "2\r\nabc\r\n", "2\r\nab\rc", "0x2\r\nab\r\n"]
-    {
-        let text =
-            format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}GET / HTTP/1.1\r\n\r\n");
+    for chunks in [
+        "g\r\n",
+        "\r\n",
+        "-1\r\n",
+        "12345678901234567\r\n",
+        "2\r\nabc\r\n",
+        "2\r\nab\rc",
+        "0x2\r\nab\r\n",
+    ] {
+        let text = format!(
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}GET / HTTP/1.1\r\n\r\n"
+        );
         let told = signs(&[text.as_bytes()]);
         assert_eq!(
             told.last(),
@@ -89,8 +140,10 @@
     let chunk = "[a-z]{1,40}".prop_map(|data| format!("{:x};e\r\n{data}\r\n", data.len()));
     prop_oneof![
         Just("GET /a HTTP/1.1\r\nHost: h\r\n\r\n".to_owned()),
-        "[a-z]{0,60}"
-            .prop_map(|body| format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len())),
+        "[a-z]{0,60}".prop_map(|body| format!(
+            "POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )),
         prop::collection::vec(chunk, 0..4).prop_map(|chunks| format!(
             "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\nt: u\r\n\r\n",
             chunks.concat()
--- a/core/lifecycle/src/lib.rs
+++ b/core/lifecycle/src/lib.rs
@@ -132,11 +132,19 @@
     fn enter(&mut self, stage: Stage, after: Option<Duration>) -> Transition {
         self.stage = stage;
         self.token += 1;
-        Transition { stage, granted: true, timer: after.map(|after| (after, self.token)) }
+        Transition {
+            stage,
+            granted: true,
+            timer: after.map(|after| (after, self.token)),
+        }
     }
 
     fn stay(&self, granted: bool) -> Transition {
-        Transition { stage: self.stage, granted, timer: None }
+        Transition {
+            stage: self.stage,
+            granted,
+            timer: None,
+        }
     }
 }
 
--- a/core/lifecycle/src/tests.rs
+++ b/core/lifecycle/src/tests.rs
@@ -14,7 +14,10 @@
     assert!(!first.stage.is_ready() && first.stage.accepts() && !first.stage.closes_idle());
     assert_eq!(
         life.handle(Event::Standby),
-        Transition { timer: None, ..first },
+        Transition {
+            timer: None,
+            ..first
+        },
         "again: the same, and no second wait"
     );
     assert!(life.handle(due(first)).stage.closes_idle());
@@ -37,7 +40,11 @@
 
 #[test]
 fn a_stop_goes_on_whatever_is_called_meanwhile() {
-    for before in [&[][..], &[Event::Standby], &[Event::Standby, Event::TimerFired(1)]] {
+    for before in [
+        &[][..],
+        &[Event::Standby],
+        &[Event::Standby, Event::TimerFired(1)],
+    ] {
         let mut life = Lifecycle::new();
         for event in before {
             life.handle(*event);
--- a/core/membership/src/identity.rs
+++ b/core/membership/src/identity.rs
@@ -19,7 +19,12 @@
 impl MemberIdentity {
     /// One of which only the address is known: good for asking it to let this node in.
     pub(crate) fn unknown(at: SocketAddr) -> Self {
-        Self { at, member: 0, zone: 0, life: 0 }
+        Self {
+            at,
+            member: 0,
+            zone: 0,
+            life: 0,
+        }
     }
 }
 
@@ -27,7 +32,10 @@
     type Addr = SocketAddr;
 
     fn renew(&self) -> Option<Self> {
-        Some(Self { life: self.life.saturating_add(1), ..*self })
+        Some(Self {
+            life: self.life.saturating_add(1),
+            ..*self
+        })
     }
 
     fn addr(&self) -> SocketAddr {
--- a/core/membership/src/peers.rs
+++ b/core/membership/src/peers.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use foca::{
-    BroadcastHandler, Config, Foca, Invalidates, Notification, PeriodicParams, PostcardCodec, Runtime, Timer,
+    BroadcastHandler, Config, Foca, Invalidates, Notification, PeriodicParams, PostcardCodec,
+    Runtime, Timer,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -68,7 +69,10 @@
         sender: Option<&MemberIdentity>,
     ) -> Result<Option<FactKey>, Self::Error> {
         let fact: GossipItem = postcard::from_bytes(data)?;
-        let key = FactKey { of: (fact.member, fact.topic), version: fact.version };
+        let key = FactKey {
+            of: (fact.member, fact.topic),
+            version: fact.version,
+        };
         let mut heard = self.0.borrow_mut();
         if !heard.facts.merge(fact.clone()) {
             return Ok(None);
@@ -130,8 +134,21 @@
 impl Membership {
     /// A node that knows nobody yet.
     pub fn new(settings: Settings) -> Self {
-        let Settings { member, advertise, zone, incarnation: life, node_count: nodes, seed, .. } = settings;
-        let identity = MemberIdentity { at: advertise, member, zone, life };
+        let Settings {
+            member,
+            advertise,
+            zone,
+            incarnation: life,
+            node_count: nodes,
+            seed,
+            ..
+        } = settings;
+        let identity = MemberIdentity {
+            at: advertise,
+            member,
+            zone,
+            life,
+        };
         let heard = Rc::<RefCell<Heard>>::default();
         let foca = Foca::with_custom_broadcast(
             identity,
@@ -194,9 +211,17 @@
 
     fn say(&mut self, now: Nanos, topic: u16, body: &[u8]) {
         self.count = self.count.saturating_add(1);
-        let version = GossipVersion { incarnation: self.settings.incarnation, count: self.count };
-        let fact =
-            GossipItem { member: self.settings.member, topic, version, sent_at: now, body: body.to_vec() };
+        let version = GossipVersion {
+            incarnation: self.settings.incarnation,
+            count: self.count,
+        };
+        let fact = GossipItem {
+            member: self.settings.member,
+            topic,
+            version,
+            sent_at: now,
+            body: body.to_vec(),
+        };
         if let Ok(data) = postcard::to_allocvec(&fact)
             && self.foca.add_broadcast(&data).unwrap_or(false)
         {
@@ -206,7 +231,8 @@
 
     /// News goes out at once, or as soon as it may.
     fn spread_soon(&mut self, now: Nanos) {
-        self.spread.get_or_insert(now.max(self.spread_at.saturating_add(AT_ONCE)));
+        self.spread
+            .get_or_insert(now.max(self.spread_at.saturating_add(AT_ONCE)));
     }
 
     fn join(&mut self, now: Nanos, calls: &mut Calls) {
@@ -222,7 +248,13 @@
     fn due(&mut self, now: Nanos, calls: &mut Calls) {
         // As many as there are now: what they set anew is for later.
         for _ in 0..self.timers.len() {
-            let Some(first) = self.timers.first_entry().filter(|first| first.key().0 <= now) else { break };
+            let Some(first) = self
+                .timers
+                .first_entry()
+                .filter(|first| first.key().0 <= now)
+            else {
+                break;
+            };
             let timer = first.remove();
             let _ = self.foca.handle_timer(timer, &mut *calls);
         }
@@ -240,28 +272,57 @@
 
     fn carry_out(&mut self, now: Nanos, mut calls: Calls, actions: &mut Vec<Action>) {
         for renamed in std::mem::take(&mut calls.renamed) {
-            if self.foca.iter_members().any(|member| *member.id() == renamed) {
+            if self
+                .foca
+                .iter_members()
+                .any(|member| *member.id() == renamed)
+            {
                 calls.members.push((renamed, true));
             }
         }
         for (after, timer) in calls.timers {
             let after = u64::try_from(after.as_nanos()).unwrap_or(Nanos::MAX);
-            self.timers.insert((now.saturating_add(after), self.next), timer);
+            self.timers
+                .insert((now.saturating_add(after), self.next), timer);
             self.next += 1;
         }
         for (to, content) in calls.sends {
-            actions.push(Action::Send { to, datagram: self.settings.key.seal(&content) });
+            actions.push(Action::Send {
+                to,
+                datagram: self.settings.key.seal(&content),
+            });
         }
-        for (MemberIdentity { at, member, zone, .. }, up) in calls.members {
+        for (
+            MemberIdentity {
+                at, member, zone, ..
+            },
+            up,
+        ) in calls.members
+        {
             if !up {
                 self.heard.borrow_mut().facts.forget(member);
             }
-            actions.push(Action::MemberChanged { member, zone, at, up });
+            actions.push(Action::MemberChanged {
+                member,
+                zone,
+                at,
+                up,
+            });
         }
-        for GossipItem { member, topic, sent_at: sent, body, .. } in
-            std::mem::take(&mut self.heard.borrow_mut().news)
+        for GossipItem {
+            member,
+            topic,
+            sent_at: sent,
+            body,
+            ..
+        } in std::mem::take(&mut self.heard.borrow_mut().news)
         {
-            actions.push(Action::Received { member, topic, sent, body });
+            actions.push(Action::Received {
+                member,
+                topic,
+                sent,
+                body,
+            });
         }
         let alone = self.join.filter(|_| self.foca.num_members() == 0);
         let timer = self.timers.keys().next().map(|(at, _)| *at);
@@ -276,7 +337,12 @@
 /// Foca's settings for so many members.
 fn config(nodes: u32) -> Config {
     let tens = f64::from(nodes.saturating_add(1)).log10().max(1.0);
-    let every = |frequency, num_members| Some(PeriodicParams { frequency, num_members });
+    let every = |frequency, num_members| {
+        Some(PeriodicParams {
+            frequency,
+            num_members,
+        })
+    };
     Config {
         probe_period: PROBE,
         probe_rtt: ANSWER,
--- a/core/membership/src/seal.rs
+++ b/core/membership/src/seal.rs
@@ -35,7 +35,9 @@
         if !KEY_BYTES.contains(&text.len()) {
             return Err(KeyError(text.len()));
         }
-        Hmac::new_from_slice(text.as_bytes()).map(Self).map_err(|_| KeyError(text.len()))
+        Hmac::new_from_slice(text.as_bytes())
+            .map(Self)
+            .map_err(|_| KeyError(text.len()))
     }
 
     fn hash(&self, content: &[u8]) -> Hmac<Sha256> {
@@ -57,12 +59,16 @@
 
     /// A datagram's content.
     pub(crate) fn open<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], DropReason> {
-        let (head, content) = datagram.split_at_checked(HEAD).ok_or(DropReason::Malformed)?;
+        let (head, content) = datagram
+            .split_at_checked(HEAD)
+            .ok_or(DropReason::Malformed)?;
         if head[0] != VERSION || content.is_empty() || content.len() > MAX_CONTENT_LENGTH {
             return Err(DropReason::Malformed);
         }
         // In constant time.
-        self.hash(content).verify_truncated_left(&head[1..]).map_err(|_| DropReason::Unauthenticated)?;
+        self.hash(content)
+            .verify_truncated_left(&head[1..])
+            .map_err(|_| DropReason::Unauthenticated)?;
         Ok(content)
     }
 }
@@ -70,7 +76,9 @@
 /// The member with this node's name.
 pub fn member_id(name: &str) -> MemberId {
     let hash = Sha256::digest(name.as_bytes());
-    hash.iter().take(8).fold(0, |id, byte| id << 8 | u64::from(*byte))
+    hash.iter()
+        .take(8)
+        .fold(0, |id, byte| id << 8 | u64::from(*byte))
 }
 
 #[cfg(test)]
--- a/core/membership/tests/fleet.rs
+++ b/core/membership/tests/fleet.rs
@@ -69,13 +69,18 @@
     }
 
     fn draw(&mut self) -> f64 {
-        self.random = self.random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        self.random = self
+            .random
+            .wrapping_mul(6364136223846793005)
+            .wrapping_add(1442695040888963407);
         (self.random >> 11) as f64 / (1u64 << 53) as f64
     }
 
     fn tell(&mut self, member: usize, event: Event<'_>) {
         let mut actions = Vec::new();
-        let Some(peers) = &mut self.members[member] else { return };
+        let Some(peers) = &mut self.members[member] else {
+            return;
+        };
         peers.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
@@ -90,7 +95,8 @@
                         continue;
                     }
                     let delay = 200_000 + (self.draw() * 1e6) as u64;
-                    self.queue.insert((self.now + delay, self.next), Due::Comes(to, datagram));
+                    self.queue
+                        .insert((self.now + delay, self.next), Due::Comes(to, datagram));
                     self.next += 1;
                 }
                 Action::SetTimer { at } => {
@@ -109,11 +115,17 @@
 
     fn run(&mut self, span: u64) {
         let until = self.now + span;
-        while let Some(first) = self.queue.first_entry().filter(|first| first.key().0 <= until) {
+        while let Some(first) = self
+            .queue
+            .first_entry()
+            .filter(|first| first.key().0 <= until)
+        {
             let ((at, _), due) = first.remove_entry();
             self.now = at;
             match due {
-                Due::Wake(member, at) if self.wakes[member] == at => self.tell(member, Event::TimerFired),
+                Due::Wake(member, at) if self.wakes[member] == at => {
+                    self.tell(member, Event::TimerFired)
+                }
                 Due::Wake(..) => {}
                 Due::Comes(member, datagram) => self.tell(member, Event::Datagram(&datagram)),
             }
@@ -122,7 +134,11 @@
     }
 
     fn known(&self) -> Vec<usize> {
-        self.members.iter().flatten().map(Membership::members).collect()
+        self.members
+            .iter()
+            .flatten()
+            .map(Membership::members)
+            .collect()
     }
 }
 
@@ -130,7 +146,10 @@
     println!("{count} members, seed {seed}");
     let mut fleet = Fleet::new(count, seed);
     fleet.run(40 * SECOND);
-    assert!(fleet.known().iter().all(|known| *known == count - 1), "all know all");
+    assert!(
+        fleet.known().iter().all(|known| *known == count - 1),
+        "all know all"
+    );
     let total = |fleet: &Fleet| fleet.bytes.iter().sum::<u64>() as f64 / count as f64;
     let before = total(&fleet);
     fleet.run(20 * SECOND);
@@ -139,7 +158,13 @@
     let (said, before) = (fleet.now, total(&fleet));
     for round in 0..4u8 {
         for member in (0..count).step_by(3) {
-            fleet.tell(member, Event::Broadcast { topic: 1, body: &[round; 12] });
+            fleet.tell(
+                member,
+                Event::Broadcast {
+                    topic: 1,
+                    body: &[round; 12],
+                },
+            );
         }
         fleet.run(250 * MS);
     }
@@ -148,7 +173,11 @@
     // The news of one third: nine tenths of the members have heard nine tenths of it after so long.
     let mut spans: Vec<u64> = fleet.heard.values().map(|heard| heard - said).collect();
     let all = count * count.div_ceil(3);
-    assert!(spans.len() as f64 > 0.97 * all as f64, "{} of {all}", spans.len());
+    assert!(
+        spans.len() as f64 > 0.97 * all as f64,
+        "{} of {all}",
+        spans.len()
+    );
     spans.sort_unstable();
     (quiet, busy, spans[spans.len() * 9 / 10] / MS)
 }
@@ -179,26 +208,50 @@
     let mut fleet = Fleet::new(40, 9);
     fleet.loss = 0.2;
     fleet.run(30 * SECOND);
-    assert!(fleet.known().iter().all(|known| *known >= 38), "{:?}", fleet.known());
+    assert!(
+        fleet.known().iter().all(|known| *known >= 38),
+        "{:?}",
+        fleet.known()
+    );
     // Two halves, each of which takes the other for gone; then they find together again by themselves.
     (fleet.loss, fleet.parted) = (0.0, true);
     fleet.run(60 * SECOND);
-    assert!(fleet.known().iter().all(|known| *known <= 22), "{:?}", fleet.known());
+    assert!(
+        fleet.known().iter().all(|known| *known <= 22),
+        "{:?}",
+        fleet.known()
+    );
     fleet.parted = false;
     fleet.run(60 * SECOND);
-    assert!(fleet.known().iter().all(|known| *known == 39), "{:?}", fleet.known());
+    assert!(
+        fleet.known().iter().all(|known| *known == 39),
+        "{:?}",
+        fleet.known()
+    );
     // Ten die; one comes back at once, with a later life.
     (30..40).for_each(|member| fleet.members[member] = None);
     fleet.run(30 * SECOND);
-    assert!(fleet.known().iter().all(|known| *known == 29), "{:?}", fleet.known());
+    assert!(
+        fleet.known().iter().all(|known| *known == 29),
+        "{:?}",
+        fleet.known()
+    );
     fleet.start(30, 40);
     fleet.run(10 * SECOND);
-    assert!(fleet.known().iter().all(|known| *known == 30), "{:?}", fleet.known());
+    assert!(
+        fleet.known().iter().all(|known| *known == 30),
+        "{:?}",
+        fleet.known()
+    );
     // An orderly leave is known at once.
     fleet.tell(30, Event::Leave);
     fleet.members[30] = None;
     fleet.run(2 * SECOND);
-    assert!(fleet.known().iter().all(|known| *known == 29), "{:?}", fleet.known());
+    assert!(
+        fleet.known().iter().all(|known| *known == 29),
+        "{:?}",
+        fleet.known()
+    );
 }
 
 /// Killed and up again before anybody has missed it.
@@ -212,5 +265,9 @@
     fleet.run(100 * MS);
     assert!(fleet.known()[4] >= 8, "{:?}", fleet.known());
     fleet.run(2 * SECOND);
-    assert!(fleet.known().iter().all(|known| *known == 11), "{:?}", fleet.known());
+    assert!(
+        fleet.known().iter().all(|known| *known == 11),
+        "{:?}",
+        fleet.known()
+    );
 }
--- a/core/membership/tests/join.rs
+++ b/core/membership/tests/join.rs
@@ -4,10 +4,24 @@
 use proptest::prelude::*;
 
 fn fact() -> impl Strategy<Value = GossipItem> {
-    let version = (0..3u64, 0..4u32).prop_map(|(life, count)| GossipVersion { incarnation: life, count });
-    (0..4u64, 0..3u16, version, 0..2u64, prop::collection::vec(any::<u8>(), 0..3)).prop_map(
-        |(member, topic, version, sent, body)| GossipItem { member, topic, version, sent_at: sent, body },
+    let version = (0..3u64, 0..4u32).prop_map(|(life, count)| GossipVersion {
+        incarnation: life,
+        count,
+    });
+    (
+        0..4u64,
+        0..3u16,
+        version,
+        0..2u64,
+        prop::collection::vec(any::<u8>(), 0..3),
     )
+        .prop_map(|(member, topic, version, sent, body)| GossipItem {
+            member,
+            topic,
+            version,
+            sent_at: sent,
+            body,
+        })
 }
 
 fn facts(of: &[GossipItem]) -> GossipStore {
