--- a/core/postgres-session/fuzz/harness.rs
+++ b/core/postgres-session/fuzz/harness.rs
@@ -2,7 +2,9 @@
 //! fuzz target and the test that plays its corpus.
 
 use badgerpost_postgres_session::frame::FrameDecoder;
-use badgerpost_postgres_session::session::{Action, Event, MAX_BUFFERED_BYTES, ServerState, Session};
+use badgerpost_postgres_session::session::{
+    Action, Event, MAX_BUFFERED_BYTES, ServerState, Session,
+};
 use badgerpost_postgres_session::settings::ClientSettings;
 use badgerpost_postgres_session::startup::{StartupPacket, StartupReader};
 
@@ -13,8 +15,11 @@
     if let Ok(Some(StartupPacket::Session(message))) = startup.take() {
         let _ = ClientSettings::new(&message.parameters, &Default::default());
     }
-    let (mut session, mut client, mut server) =
-        (Session::default(), FrameDecoder::default(), FrameDecoder::default());
+    let (mut session, mut client, mut server) = (
+        Session::default(),
+        FrameDecoder::default(),
+        FrameDecoder::default(),
+    );
     let (mut attached, mut asked, mut ended) = (false, false, false);
     let mut rest = input;
     while let Some((&command, tail)) = rest.split_first() {
@@ -22,7 +27,8 @@
         let mut events = Vec::new();
         match command % 8 {
             0..=2 => {
-                let length = usize::from(*rest.first().unwrap_or(&0)).min(rest.len().saturating_sub(1));
+                let length =
+                    usize::from(*rest.first().unwrap_or(&0)).min(rest.len().saturating_sub(1));
                 let bytes = rest.get(1..=length).unwrap_or_default();
                 rest = rest.get(length + 1..).unwrap_or_default();
                 client.push(bytes);
@@ -31,7 +37,8 @@
                 }
             }
             3 | 4 => {
-                let length = usize::from(*rest.first().unwrap_or(&0)).min(rest.len().saturating_sub(1));
+                let length =
+                    usize::from(*rest.first().unwrap_or(&0)).min(rest.len().saturating_sub(1));
                 let bytes = rest.get(1..=length).unwrap_or_default();
                 rest = rest.get(length + 1..).unwrap_or_default();
                 server.push(bytes);
@@ -43,7 +50,11 @@
             }
             5 if asked => events.push(Event::Attached(ServerState::default())),
             6 if attached => events.push(Event::ServerLost),
-            7 => events.push(if command & 8 == 0 { Event::Failed } else { Event::Refused { wait_ms: 1 } }),
+            7 => events.push(if command & 8 == 0 {
+                Event::Failed
+            } else {
+                Event::Refused { wait_ms: 1 }
+            }),
             _ => {}
         }
         for event in events {
@@ -61,13 +72,18 @@
                         assert!(!attached, "asks for a second server");
                         asked = true;
                     }
-                    Action::ToServer(_) => assert!(attached, "speaks to a server that is not there"),
+                    Action::ToServer(_) => {
+                        assert!(attached, "speaks to a server that is not there")
+                    }
                     Action::Release(_) | Action::DropServer => attached = false,
                     Action::End => ended = true,
                     Action::ToClient(_) | Action::Started | Action::Done | Action::NotAgain => {}
                 }
             }
-            assert!(session.wants_more() || ended || session_is_full(&session), "it wants nothing any more");
+            assert!(
+                session.wants_more() || ended || session_is_full(&session),
+                "it wants nothing any more"
+            );
         }
     }
 }
--- a/core/postgres-session/src/answer.rs
+++ b/core/postgres-session/src/answer.rs
@@ -102,7 +102,9 @@
     fn hint(self) -> Option<String> {
         match self {
             Self::Refused { wait_ms: 0 } => Some("Trying again is harmless.".to_owned()),
-            Self::Refused { wait_ms } => Some(format!("Trying again is harmless, after {wait_ms} ms.")),
+            Self::Refused { wait_ms } => {
+                Some(format!("Trying again is harmless, after {wait_ms} ms."))
+            }
             Self::TooManyClients | Self::NoServer => {
                 Some("Trying again is harmless, after 1000 ms.".to_owned())
             }
@@ -127,7 +129,9 @@
     let mut body = BytesMut::new();
     for (field, text) in fields {
         // A zero would end the field early.
-        let Some(text) = text.map(|text| text.replace('\0', "")) else { continue };
+        let Some(text) = text.map(|text| text.replace('\0', "")) else {
+            continue;
+        };
         body.put_u8(field);
         body.put_slice(text.as_bytes());
         body.put_u8(0);
@@ -162,7 +166,9 @@
 fn edit(error: &Frame, change: impl Fn(u8, &str) -> String) -> Frame {
     let mut body = BytesMut::new();
     for field in error.body.split(|byte| *byte == 0) {
-        let Some((kind, text)) = field.split_first() else { continue };
+        let Some((kind, text)) = field.split_first() else {
+            continue;
+        };
         body.put_u8(*kind);
         body.put_slice(change(*kind, &String::from_utf8_lossy(text)).as_bytes());
         body.put_u8(0);
--- a/core/postgres-session/src/answer/tests.rs
+++ b/core/postgres-session/src/answer/tests.rs
@@ -7,7 +7,9 @@
     use postgres_protocol::message::backend::ErrorFields;
     let mut wire = BytesMut::new();
     frame.write(&mut wire);
-    let Ok(Some(Message::ErrorResponse(body))) = Message::parse(&mut wire) else { panic!("{frame:?}") };
+    let Ok(Some(Message::ErrorResponse(body))) = Message::parse(&mut wire) else {
+        panic!("{frame:?}")
+    };
     let mut fields: ErrorFields<'_> = body.fields();
     let mut read = Vec::new();
     while let Ok(Some(field)) = postgres_protocol_next(&mut fields) {
@@ -20,14 +22,27 @@
     fields: &mut postgres_protocol::message::backend::ErrorFields<'_>,
 ) -> std::io::Result<Option<(u8, String)>> {
     use fallible_iterator::FallibleIterator;
-    Ok(fields.next()?.map(|f| (f.type_(), String::from_utf8_lossy(f.value_bytes()).into_owned())))
+    Ok(fields.next()?.map(|f| {
+        (
+            f.type_(),
+            String::from_utf8_lossy(f.value_bytes()).into_owned(),
+        )
+    }))
 }
 
 #[test]
 fn errors_are_read_by_others() {
     let refused = fields(&error(ErrorReason::Refused { wait_ms: 250 }, Some("a\0b")));
-    let value = |of: u8| refused.iter().find(|(field, _)| *field == of).map(|(_, value)| value.as_str());
-    assert_eq!((value(b'C'), value(b'S'), value(b'D')), (Some("53300"), Some("ERROR"), Some("ab")));
+    let value = |of: u8| {
+        refused
+            .iter()
+            .find(|(field, _)| *field == of)
+            .map(|(_, value)| value.as_str())
+    };
+    assert_eq!(
+        (value(b'C'), value(b'S'), value(b'D')),
+        (Some("53300"), Some("ERROR"), Some("ab"))
+    );
     assert!(value(b'H').is_some_and(|hint| hint.contains("250 ms")));
     let stopping = fields(&error(ErrorReason::Stopping, None));
     assert!(stopping.contains(&(b'S', "FATAL".to_owned())));
--- a/core/postgres-session/src/frame.rs
+++ b/core/postgres-session/src/frame.rs
@@ -21,7 +21,10 @@
 impl Frame {
     /// A frame of these.
     pub fn new(tag: u8, body: impl Into<Bytes>) -> Self {
-        Self { tag, body: body.into() }
+        Self {
+            tag,
+            body: body.into(),
+        }
     }
 
     /// Its length on the wire, with the tag.
@@ -131,7 +134,8 @@
             return Ok(None);
         }
         let tag = self.bytes[0];
-        let length = u32::from_be_bytes([self.bytes[1], self.bytes[2], self.bytes[3], self.bytes[4]]);
+        let length =
+            u32::from_be_bytes([self.bytes[1], self.bytes[2], self.bytes[3], self.bytes[4]]);
         if length < 4 {
             return Err(FrameError::Short { tag, length });
         }
--- a/core/postgres-session/src/frame/tests.rs
+++ b/core/postgres-session/src/frame/tests.rs
@@ -6,8 +6,11 @@
 
 #[test]
 fn frames_are_cut_as_they_were_written_however_they_come() {
-    let frames =
-        [Frame::new(b'Z', &b"I"[..]), Frame::new(b'E', &b"SFATAL\0\0"[..]), Frame::new(b'1', &b""[..])];
+    let frames = [
+        Frame::new(b'Z', &b"I"[..]),
+        Frame::new(b'E', &b"SFATAL\0\0"[..]),
+        Frame::new(b'1', &b""[..]),
+    ];
     let mut wire = BytesMut::new();
     frames.iter().for_each(|frame| frame.write(&mut wire));
     for cut in 0..wire.len() {
@@ -47,7 +50,10 @@
     // From a client the same tag asks to describe, and is looked at.
     let mut cutter = FrameDecoder::default();
     cutter.push(b"D\0\0\0\x06S\0");
-    assert_eq!(cutter.next_from_client(), Ok(Some(DecodeResult::Frame(Frame::new(b'D', &b"S\0"[..])))));
+    assert_eq!(
+        cutter.next_from_client(),
+        Ok(Some(DecodeResult::Frame(Frame::new(b'D', &b"S\0"[..]))))
+    );
 }
 
 #[test]
@@ -57,7 +63,19 @@
         cutter.push(bytes);
         cutter.next_from_client()
     };
-    assert_eq!(cut(b"Q\0\0\0\x03"), Err(FrameError::Short { tag: b'Q', length: 3 }));
-    assert_eq!(cut(b"Q\x7f\xff\xff\xff"), Err(FrameError::Long { tag: b'Q', length: 0x7fff_ffff }));
+    assert_eq!(
+        cut(b"Q\0\0\0\x03"),
+        Err(FrameError::Short {
+            tag: b'Q',
+            length: 3
+        })
+    );
+    assert_eq!(
+        cut(b"Q\x7f\xff\xff\xff"),
+        Err(FrameError::Long {
+            tag: b'Q',
+            length: 0x7fff_ffff
+        })
+    );
     assert_eq!(cut(b"Q\0\0\0"), Ok(None));
 }
--- a/core/postgres-session/src/pins.rs
+++ b/core/postgres-session/src/pins.rs
@@ -71,7 +71,11 @@
 impl StatementEffects {
     /// What a text that is not SQL, or can't be read, may be: anything.
     pub fn unknown() -> Self {
-        Self { steps: vec![TransactionStep::Other], pin: Some(StickyReason::Unknown), ..Self::default() }
+        Self {
+            steps: vec![TransactionStep::Other],
+            pin: Some(StickyReason::Unknown),
+            ..Self::default()
+        }
     }
 
     /// One transaction begins here and nothing else is done; whether it can change nothing.
@@ -98,10 +102,13 @@
         return StatementEffects::unknown();
     };
     let mut reading = StatementEffects::default();
-    let solid: Vec<&Token> =
-        tokens.iter().filter(|token| !matches!(token, Token::Whitespace(_) | Token::EOF)).collect();
-    for statement in
-        solid.split(|token| matches!(token, Token::SemiColon)).filter(|tokens| !tokens.is_empty())
+    let solid: Vec<&Token> = tokens
+        .iter()
+        .filter(|token| !matches!(token, Token::Whitespace(_) | Token::EOF))
+        .collect();
+    for statement in solid
+        .split(|token| matches!(token, Token::SemiColon))
+        .filter(|tokens| !tokens.is_empty())
     {
         // Keywords in capitals, and a mark behind those that are called.
         let words: Vec<(String, bool)> = statement
@@ -119,12 +126,16 @@
         reading.steps.push(step(&text));
         reading.pin = reading.pin.or_else(|| pin(&text, &words));
         reading.discards = matches!(text[..], ["DISCARD", "ALL"]);
-        let all =
-            matches!(text[..], ["DISCARD", ..] | ["DEALLOCATE", "ALL"] | ["DEALLOCATE", "PREPARE", "ALL"]);
+        let all = matches!(
+            text[..],
+            ["DISCARD", ..] | ["DEALLOCATE", "ALL"] | ["DEALLOCATE", "PREPARE", "ALL"]
+        );
         reading.deallocates |= all;
         if let (["DEALLOCATE", ..], false) = (&text[..], all) {
             reading.deallocates_one = match statement.last() {
-                Some(Token::Word(word)) if word.quote_style.is_none() => Some(word.value.to_lowercase()),
+                Some(Token::Word(word)) if word.quote_style.is_none() => {
+                    Some(word.value.to_lowercase())
+                }
                 Some(Token::Word(word)) => Some(word.value.clone()),
                 _ => None,
             };
@@ -143,15 +154,26 @@
     if reading.steps.len() > 1 {
         reading.deallocates_one = None;
     }
-    let is_end = matches!(reading.steps[..], [TransactionStep::Commit | TransactionStep::Rollback]);
+    let is_end = matches!(
+        reading.steps[..],
+        [TransactionStep::Commit | TransactionStep::Rollback]
+    );
     let is_begin = matches!(reading.steps[..], [TransactionStep::Begin { .. }]);
-    let words = solid.iter().filter(|token| !matches!(token, Token::SemiColon)).count();
-    let first = solid.first().map(|token| token.to_string().to_ascii_uppercase());
+    let words = solid
+        .iter()
+        .filter(|token| !matches!(token, Token::SemiColon))
+        .count();
+    let first = solid
+        .first()
+        .map(|token| token.to_string().to_ascii_uppercase());
     reading.plain = match first.as_deref() {
         // PREPARE TRANSACTION and COMMIT PREPARED are no plain ends, nor is one that chains.
         Some("COMMIT" | "END" | "ROLLBACK" | "ABORT") => is_end && words == 1,
         Some("BEGIN") if is_begin && words == 1 => true,
-        _ => is_begin && Parser::parse_sql(&PostgreSqlDialect {}, sql).is_ok_and(|all| all.len() == 1),
+        _ => {
+            is_begin
+                && Parser::parse_sql(&PostgreSqlDialect {}, sql).is_ok_and(|all| all.len() == 1)
+        }
     };
     reading
 }
@@ -160,10 +182,15 @@
 pub fn read_deallocate(sql: &[u8]) -> Option<Bytes> {
     const WORD: &[u8] = b"DEALLOCATE";
     let begins = sql.trim_ascii_start();
-    if !begins.get(..WORD.len()).is_some_and(|word| word.eq_ignore_ascii_case(WORD)) {
+    if !begins
+        .get(..WORD.len())
+        .is_some_and(|word| word.eq_ignore_ascii_case(WORD))
+    {
         return None;
     }
-    read(&String::from_utf8_lossy(sql)).deallocates_one.map(Bytes::from)
+    read(&String::from_utf8_lossy(sql))
+        .deallocates_one
+        .map(Bytes::from)
 }
 
 /// The setting that a SET or RESET is about, in small letters: one that is followed, or `Err` for any other.
@@ -179,15 +206,23 @@
         ["AUTHORIZATION" | "CHARACTERISTICS" | "ROLE", ..] | [] => return Some(Err(())),
         [name, ..] => name.to_ascii_lowercase(),
     };
-    Some(if is_followed(&name) { Ok(name) } else { Err(()) })
+    Some(if is_followed(&name) {
+        Ok(name)
+    } else {
+        Err(())
+    })
 }
 
 fn step(words: &[&str]) -> TransactionStep {
     let read_only = || words.windows(2).any(|two| two == ["READ", "ONLY"]);
     match words {
-        ["BEGIN", ..] | ["START", "TRANSACTION", ..] => TransactionStep::Begin { read_only: read_only() },
+        ["BEGIN", ..] | ["START", "TRANSACTION", ..] => TransactionStep::Begin {
+            read_only: read_only(),
+        },
         ["COMMIT" | "END", ..] | ["PREPARE", "TRANSACTION", ..] => TransactionStep::Commit,
-        ["ROLLBACK", "TO", ..] | ["ROLLBACK", "WORK" | "TRANSACTION", "TO", ..] => TransactionStep::Other,
+        ["ROLLBACK", "TO", ..] | ["ROLLBACK", "WORK" | "TRANSACTION", "TO", ..] => {
+            TransactionStep::Other
+        }
         ["ROLLBACK" | "ABORT", ..] => TransactionStep::Rollback,
         _ => TransactionStep::Other,
     }
@@ -205,9 +240,13 @@
     match text {
         ["SET", "LOCAL" | "TRANSACTION" | "CONSTRAINTS", ..] => None,
         ["RESET", "ALL"] => None,
-        ["SET" | "RESET", ..] => matches!(setting(text), Some(Err(()))).then_some(StickyReason::Setting),
+        ["SET" | "RESET", ..] => {
+            matches!(setting(text), Some(Err(()))).then_some(StickyReason::Setting)
+        }
         ["LISTEN", ..] => Some(StickyReason::Listen),
-        ["CREATE", rest @ ..] if rest.iter().take(4).any(temporary) => Some(StickyReason::Temporary),
+        ["CREATE", rest @ ..] if rest.iter().take(4).any(temporary) => {
+            Some(StickyReason::Temporary)
+        }
         ["DECLARE", ..] if text.windows(2).any(|two| two == ["WITH", "HOLD"]) => {
             Some(StickyReason::HoldCursor)
         }
@@ -216,7 +255,10 @@
         ["LOAD" | "DO", ..] => Some(StickyReason::Unknown),
         _ if LOCKS.iter().any(|lock| calls(lock)) => Some(StickyReason::AdvisoryLock),
         _ if calls("SET_CONFIG") => Some(StickyReason::Setting),
-        _ if text.windows(2).any(|two| two[0] == "INTO" && temporary(&two[1])) => {
+        _ if text
+            .windows(2)
+            .any(|two| two[0] == "INTO" && temporary(&two[1])) =>
+        {
             Some(StickyReason::Temporary)
         }
         _ => None,
--- a/core/postgres-session/src/pins/tests.rs
+++ b/core/postgres-session/src/pins/tests.rs
@@ -7,28 +7,52 @@
         ("SET search_path = x", Some(StickyReason::Setting)),
         ("set local search_path = x", None),
         ("SET TRANSACTION READ ONLY", None),
-        ("/* a comment */ SET SESSION work_mem TO '1MB'", Some(StickyReason::Setting)),
+        (
+            "/* a comment */ SET SESSION work_mem TO '1MB'",
+            Some(StickyReason::Setting),
+        ),
         // Reported by servers, and so followed.
         ("/* a comment */ SET SESSION TimeZone TO 'UTC'", None),
         ("SET TIME ZONE 'UTC'", None),
         ("SET NAMES 'utf8'", None),
         ("set application_name = 'x'", None),
-        ("SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY", Some(StickyReason::Setting)),
+        (
+            "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY",
+            Some(StickyReason::Setting),
+        ),
         ("SET ROLE x", Some(StickyReason::Setting)),
         ("RESET ALL", None),
         ("RESET statement_timeout", Some(StickyReason::Setting)),
-        ("SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL;", None),
-        ("select set_config('a.b', 'c', false)", Some(StickyReason::Setting)),
+        (
+            "SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL;",
+            None,
+        ),
+        (
+            "select set_config('a.b', 'c', false)",
+            Some(StickyReason::Setting),
+        ),
         ("LISTEN lobby", Some(StickyReason::Listen)),
         ("CREATE TEMP TABLE t (a int)", Some(StickyReason::Temporary)),
-        ("create or replace temporary view v as select 1", Some(StickyReason::Temporary)),
+        (
+            "create or replace temporary view v as select 1",
+            Some(StickyReason::Temporary),
+        ),
         ("SELECT * INTO TEMP t FROM x", Some(StickyReason::Temporary)),
         ("create table t (temp int)", Some(StickyReason::Temporary)),
-        ("create table ratings (id int, player int, season int, temp int)", None),
-        ("select pg_advisory_lock(1)", Some(StickyReason::AdvisoryLock)),
+        (
+            "create table ratings (id int, player int, season int, temp int)",
+            None,
+        ),
+        (
+            "select pg_advisory_lock(1)",
+            Some(StickyReason::AdvisoryLock),
+        ),
         ("select pg_advisory_xact_lock(1)", None),
         ("select 'pg_advisory_lock(1)'", None),
-        ("DECLARE c CURSOR WITH HOLD FOR SELECT 1", Some(StickyReason::HoldCursor)),
+        (
+            "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+            Some(StickyReason::HoldCursor),
+        ),
         ("DECLARE c CURSOR FOR SELECT 1", None),
         ("PREPARE p AS SELECT 1", Some(StickyReason::SqlPrepare)),
         ("PREPARE TRANSACTION 'x'", None),
@@ -47,7 +71,11 @@
         ("BEGIN", Some(false), None),
         ("begin;", Some(false), None),
         ("BEGIN READ ONLY", Some(true), None),
-        ("START TRANSACTION ISOLATION LEVEL REPEATABLE READ", Some(false), None),
+        (
+            "START TRANSACTION ISOLATION LEVEL REPEATABLE READ",
+            Some(false),
+            None,
+        ),
         ("BEGIN ISOLATION LEVEL WHATEVER", None, None),
         ("BEGIN; SELECT 1", None, None),
         ("COMMIT", None, Some(true)),
@@ -59,10 +87,22 @@
         ("ROLLBACK TO SAVEPOINT a", None, None),
     ] {
         let reading = read(sql);
-        assert_eq!((reading.begins_only(), reading.ends_only()), (begins, ends), "{sql}");
+        assert_eq!(
+            (reading.begins_only(), reading.ends_only()),
+            (begins, ends),
+            "{sql}"
+        );
     }
-    assert_eq!(read("DEALLOCATE _pg3_0").deallocates_one.as_deref(), Some("_pg3_0"));
-    assert_eq!(read("deallocate prepare \"A b\"").deallocates_one.as_deref(), Some("A b"));
+    assert_eq!(
+        read("DEALLOCATE _pg3_0").deallocates_one.as_deref(),
+        Some("_pg3_0")
+    );
+    assert_eq!(
+        read("deallocate prepare \"A b\"")
+            .deallocates_one
+            .as_deref(),
+        Some("A b")
+    );
     assert!(read("DEALLOCATE ALL").deallocates && read("DEALLOCATE ALL").deallocates_one.is_none());
     assert_eq!(read("reset timezone").resets, ["timezone"]);
     assert!(read("RESET ALL").resets_all);
--- a/core/postgres-session/src/scram.rs
+++ b/core/postgres-session/src/scram.rs
@@ -34,7 +34,8 @@
 
 fn hmac(key: &[u8], text: &[u8]) -> Key {
     // Any length of key will do for HMAC, so this never fails.
-    let mut mac = Hmac::<Sha256>::new_from_slice(key).unwrap_or_else(|_| unreachable!("HMAC takes any key"));
+    let mut mac =
+        Hmac::<Sha256>::new_from_slice(key).unwrap_or_else(|_| unreachable!("HMAC takes any key"));
     mac.update(text);
     mac.finalize().into_bytes().into()
 }
@@ -48,9 +49,20 @@
             let (iterations, salt) = first.split_once(':')?;
             let (stored, server) = keys.split_once(':')?;
             let key = |text: &str| BASE64.decode(text).ok()?.try_into().ok();
-            let iterations = iterations.parse().ok().filter(|count| (1..=1_000_000).contains(count))?;
-            let salt = BASE64.decode(salt).ok().filter(|salt| (1..=256).contains(&salt.len()))?;
-            Some(Self { iterations, salt, stored: key(stored)?, server: key(server)? })
+            let iterations = iterations
+                .parse()
+                .ok()
+                .filter(|count| (1..=1_000_000).contains(count))?;
+            let salt = BASE64
+                .decode(salt)
+                .ok()
+                .filter(|salt| (1..=256).contains(&salt.len()))?;
+            Some(Self {
+                iterations,
+                salt,
+                stored: key(stored)?,
+                server: key(server)?,
+            })
         };
         read().ok_or(VerifierError)
     }
@@ -61,14 +73,24 @@
         let mut salted = [0; 32];
         pbkdf2::pbkdf2_hmac::<Sha256>(password.as_bytes(), salt, ITERATIONS, &mut salted);
         let stored = Sha256::digest(hmac(&salted, b"Client Key")).into();
-        Self { iterations: ITERATIONS, salt: salt.to_vec(), stored, server: hmac(&salted, b"Server Key") }
+        Self {
+            iterations: ITERATIONS,
+            salt: salt.to_vec(),
+            stored,
+            server: hmac(&salted, b"Server Key"),
+        }
     }
 
     /// What an unknown user is asked by, so that the exchange does not tell who is known. No password fits it.
     pub fn unknown(secret: &[u8], user: &str) -> Self {
         let salt = hmac(secret, user.as_bytes())[..16].to_vec();
         let stored = hmac(secret, b"no such key");
-        Self { iterations: ITERATIONS, salt, stored, server: hmac(secret, b"nor such") }
+        Self {
+            iterations: ITERATIONS,
+            salt,
+            stored,
+            server: hmac(secret, b"nor such"),
+        }
     }
 
     /// As [`Verifier::read`] reads it.
@@ -119,8 +141,10 @@
         (MECHANISM_WITH_BINDING, Some(channel)) => Some(channel),
         _ => return Err(ScramError::Mechanism),
     };
-    let text =
-        std::str::from_utf8(first).ok().filter(|text| text.len() <= MOST).ok_or(ScramError::Malformed)?;
+    let text = std::str::from_utf8(first)
+        .ok()
+        .filter(|text| text.len() <= MOST)
+        .ok_or(ScramError::Malformed)?;
     // The header names the binding and, after a comma, an identity to act for, which is not allowed.
     let (flag, rest) = text.split_once(',').ok_or(ScramError::Malformed)?;
     let (acts_for, bare) = rest.split_once(',').ok_or(ScramError::Malformed)?;
@@ -137,40 +161,73 @@
     }
     let mut parts = bare.split(',');
     let user = parts.next().filter(|part| part.starts_with("n="));
-    let client = parts.next().and_then(|part| part.strip_prefix("r=")).filter(|nonce| !nonce.is_empty());
-    let (Some(_), Some(client)) = (user, client) else { return Err(ScramError::Malformed) };
+    let client = parts
+        .next()
+        .and_then(|part| part.strip_prefix("r="))
+        .filter(|nonce| !nonce.is_empty());
+    let (Some(_), Some(client)) = (user, client) else {
+        return Err(ScramError::Malformed);
+    };
     let nonce = format!("{client}{nonce}");
-    let answer = format!("r={nonce},s={},i={}", BASE64.encode(&verifier.salt), verifier.iterations);
+    let answer = format!(
+        "r={nonce},s={},i={}",
+        BASE64.encode(&verifier.salt),
+        verifier.iterations
+    );
     let auth = format!("{bare},{answer}");
-    Ok((ScramExchange { verifier, binding, nonce, auth }, answer))
+    Ok((
+        ScramExchange {
+            verifier,
+            binding,
+            nonce,
+            auth,
+        },
+        answer,
+    ))
 }
 
 impl ScramExchange {
     /// Checks the client's last message; the answer proves that the node knows the verifier.
     pub fn finish(self, last: &[u8]) -> Result<String, ScramError> {
-        let text =
-            std::str::from_utf8(last).ok().filter(|text| text.len() <= MOST).ok_or(ScramError::Malformed)?;
+        let text = std::str::from_utf8(last)
+            .ok()
+            .filter(|text| text.len() <= MOST)
+            .ok_or(ScramError::Malformed)?;
         let (unproven, proof) = text.rsplit_once(",p=").ok_or(ScramError::Malformed)?;
         let mut parts = unproven.split(',');
-        let binding = parts.next().and_then(|part| part.strip_prefix("c=")).ok_or(ScramError::Malformed)?;
-        let nonce = parts.next().and_then(|part| part.strip_prefix("r=")).ok_or(ScramError::Malformed)?;
+        let binding = parts
+            .next()
+            .and_then(|part| part.strip_prefix("c="))
+            .ok_or(ScramError::Malformed)?;
+        let nonce = parts
+            .next()
+            .and_then(|part| part.strip_prefix("r="))
+            .ok_or(ScramError::Malformed)?;
         if BASE64.decode(binding).ok().as_ref() != Some(&self.binding) {
             return Err(ScramError::Binding);
         }
         if nonce != self.nonce {
             return Err(ScramError::Malformed);
         }
-        let proof: Key =
-            BASE64.decode(proof).ok().and_then(|p| p.try_into().ok()).ok_or(ScramError::Malformed)?;
+        let proof: Key = BASE64
+            .decode(proof)
+            .ok()
+            .and_then(|p| p.try_into().ok())
+            .ok_or(ScramError::Malformed)?;
         let auth = format!("{},{unproven}", self.auth);
         let signature = hmac(&self.verifier.stored, auth.as_bytes());
         let mut key = proof;
-        key.iter_mut().zip(signature).for_each(|(byte, with)| *byte ^= with);
+        key.iter_mut()
+            .zip(signature)
+            .for_each(|(byte, with)| *byte ^= with);
         let stored: Key = Sha256::digest(key).into();
         if !bool::from(stored.ct_eq(&self.verifier.stored)) {
             return Err(ScramError::Proof);
         }
-        Ok(format!("v={}", BASE64.encode(hmac(&self.verifier.server, auth.as_bytes()))))
+        Ok(format!(
+            "v={}",
+            BASE64.encode(hmac(&self.verifier.server, auth.as_bytes()))
+        ))
     }
 }
 
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -145,12 +145,18 @@
 impl MessageBatch {
     /// Whether it closes statements and portals and does nothing else.
     fn only_closes(&self) -> bool {
-        self.frames.iter().all(|frame| matches!(frame.tag, b'C' | b'S' | b'H'))
+        self.frames
+            .iter()
+            .all(|frame| matches!(frame.tag, b'C' | b'S' | b'H'))
     }
 
     /// How far it may be sent now.
     fn ready(&self) -> usize {
-        if self.closed { self.frames.len() } else { self.flushed }
+        if self.closed {
+            self.frames.len()
+        } else {
+            self.flushed
+        }
     }
 
     fn held(&self) -> usize {
@@ -238,7 +244,10 @@
 impl Session {
     /// A session whose client wants these settings.
     pub fn new(settings: ClientSettings) -> Self {
-        Self { settings, ..Self::default() }
+        Self {
+            settings,
+            ..Self::default()
+        }
     }
 
     /// Whether more should be read from the client.
@@ -278,7 +287,8 @@
 
     /// Whether a statement is under way on its server, so that a cancel can be meant for it.
     pub fn runs(&self) -> bool {
-        matches!(&self.unit, Unit::Attached(_)) && self.groups.front().is_some_and(|group| group.sent > 0)
+        matches!(&self.unit, Unit::Attached(_))
+            && self.groups.front().is_some_and(|group| group.sent > 0)
     }
 
     /// Takes an event in and adds what is to be done.
@@ -298,7 +308,11 @@
             Event::Refused { wait_ms } => {
                 // Where it may have run after all, it was safe to repeat; but to say it never ran would be wrong.
                 let ran = matches!(self.unit, Unit::Asked { lost: true });
-                let reason = if ran { ErrorReason::MayHaveRun } else { ErrorReason::Refused { wait_ms } };
+                let reason = if ran {
+                    ErrorReason::MayHaveRun
+                } else {
+                    ErrorReason::Refused { wait_ms }
+                };
                 self.give_up(reason, actions);
             }
             Event::Failed => {
@@ -323,7 +337,9 @@
             {
                 return;
             }
-            let Some(head) = self.groups.front() else { return };
+            let Some(head) = self.groups.front() else {
+                return;
+            };
             if head.ready() == 0 {
                 return;
             }
@@ -355,8 +371,10 @@
     fn ask(&mut self, actions: &mut Vec<Action>) {
         let reading = self.reading_of_head();
         let closed = self.groups.front().is_some_and(|head| head.closed);
-        let plain =
-            matches!(reading.steps[..], [] | [crate::pins::TransactionStep::Other]) && reading.pin.is_none();
+        let plain = matches!(
+            reading.steps[..],
+            [] | [crate::pins::TransactionStep::Other]
+        ) && reading.pin.is_none();
         let first = self.begun.as_ref().is_some_and(|begun| begun.read_only);
         self.unit = Unit::Asked { lost: false };
         self.started = false;
--- a/core/postgres-session/src/session/client.rs
+++ b/core/postgres-session/src/session/client.rs
@@ -27,7 +27,9 @@
                     server.copies = false;
                 }
             }
-            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'S' | b'Q' | b'F' => self.take(frame, actions),
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'S' | b'Q' | b'F' => {
+                self.take(frame, actions)
+            }
             _ => self.violation(None, actions),
         }
     }
@@ -35,7 +37,10 @@
     fn take(&mut self, frame: Frame, actions: &mut Vec<Action>) {
         if let (b'S', Unit::Attached(server)) = (frame.tag, &mut self.unit)
             && server.swallowed_sync
-            && self.groups.front().is_some_and(|group| group.closed && group.sent == group.frames.len())
+            && self
+                .groups
+                .front()
+                .is_some_and(|group| group.closed && group.sent == group.frames.len())
             && self.groups.len() == 1
         {
             // The Sync behind copied data: the one before it was passed over by the server.
@@ -45,7 +50,10 @@
             actions.push(Action::ToServer(bytes.freeze()));
             return;
         }
-        if frame.tag == b'S' && matches!(self.unit, Unit::Asked { lost: true }) && self.groups.len() == 1 {
+        if frame.tag == b'S'
+            && matches!(self.unit, Unit::Asked { lost: true })
+            && self.groups.len() == 1
+        {
             // The Sync behind the data of a copy whose server is lost: the error that is still to come ends both.
             if std::mem::take(&mut self.another_sync) {
                 return;
@@ -58,7 +66,9 @@
             }
             self.groups.push_back(MessageBatch::default());
         }
-        let Some(group) = self.groups.back_mut() else { return };
+        let Some(group) = self.groups.back_mut() else {
+            return;
+        };
         if group.skips {
             if frame.tag == b'S' {
                 self.pop(actions);
@@ -81,11 +91,14 @@
     /// Data to be copied goes on as it comes; where none is wanted, a server passes it over.
     fn copied(&mut self, bytes: Bytes, actions: &mut Vec<Action>) {
         match &self.unit {
-            Unit::Attached(server) if !server.expect.is_empty() => actions.push(Action::ToServer(bytes)),
-            // Sent ahead of the server's word, to a server that is not there yet: it must not get lost.
-            Unit::Asked { lost: false } => {
-                self.violation(Some("copied data before the server has asked for it"), actions)
+            Unit::Attached(server) if !server.expect.is_empty() => {
+                actions.push(Action::ToServer(bytes))
             }
+            // Sent ahead of the server's word, to a server that is not there yet: it must not get lost.
+            Unit::Asked { lost: false } => self.violation(
+                Some("copied data before the server has asked for it"),
+                actions,
+            ),
             _ => {}
         }
     }
@@ -103,7 +116,11 @@
                 && server.expect.is_empty()
                 && self.pin.is_none()
                 && !server.skipping;
-            actions.push(if clean { Action::Release(server.state) } else { Action::DropServer });
+            actions.push(if clean {
+                Action::Release(server.state)
+            } else {
+                Action::DropServer
+            });
         }
         self.groups.clear();
         self.held = 0;
@@ -112,7 +129,9 @@
 
     /// What the first group's statements are, as far as their texts are known.
     pub(super) fn reading_of_head(&mut self) -> Rc<StatementEffects> {
-        let Some(head) = self.groups.front() else { return Rc::default() };
+        let Some(head) = self.groups.front() else {
+            return Rc::default();
+        };
         if let Some(reading) = &head.reading {
             return reading.clone();
         }
@@ -124,8 +143,15 @@
     }
 
     fn read_head(&mut self) -> Rc<StatementEffects> {
-        let Self { groups, named, unnamed, .. } = self;
-        let Some(group) = groups.front() else { return Rc::default() };
+        let Self {
+            groups,
+            named,
+            unnamed,
+            ..
+        } = self;
+        let Some(group) = groups.front() else {
+            return Rc::default();
+        };
         // The usual batch uses one statement that has been read before.
         let mut readings: Vec<Rc<StatementEffects>> = Vec::new();
         let read = |text: &[u8]| Rc::new(pins::read(&String::from_utf8_lossy(text)));
@@ -145,10 +171,21 @@
                 b'B' => {
                     let name = statements::read_bind(frame).unwrap_or_default();
                     // A statement that this very group prepares is not among the names yet.
-                    let fresh = group.frames.iter().filter(|frame| frame.tag == b'P').find_map(|frame| {
-                        statements::read_parse(frame).ok().filter(|(of, _)| *of == name).map(|(_, text)| text)
-                    });
-                    let text = if name.is_empty() { last_unnamed.clone() } else { fresh };
+                    let fresh = group
+                        .frames
+                        .iter()
+                        .filter(|frame| frame.tag == b'P')
+                        .find_map(|frame| {
+                            statements::read_parse(frame)
+                                .ok()
+                                .filter(|(of, _)| *of == name)
+                                .map(|(_, text)| text)
+                        });
+                    let text = if name.is_empty() {
+                        last_unnamed.clone()
+                    } else {
+                        fresh
+                    };
                     match (text, named.reading(&name)) {
                         (Some(text), _) => readings.push(read(statements::sql(&text))),
                         (None, Some(known)) => readings.push(known),
@@ -173,7 +210,8 @@
             all.resets_all |= one.resets_all;
             all.plain = one.plain && all.steps.len() == 1;
             all.resets.retain(|name| !one.sets.contains(name));
-            all.resets.extend(one.resets.iter().filter(|_| certain).cloned());
+            all.resets
+                .extend(one.resets.iter().filter(|_| certain).cloned());
         }
         Rc::new(all)
     }
--- a/core/postgres-session/src/session/local.rs
+++ b/core/postgres-session/src/session/local.rs
@@ -11,20 +11,28 @@
 impl Session {
     /// Answers the first group without a server, if it is one that can be: whether it did.
     pub(super) fn answer_here(&mut self, actions: &mut Vec<Action>) -> bool {
-        let Some(head) = self.groups.front() else { return false };
+        let Some(head) = self.groups.front() else {
+            return false;
+        };
         if !head.closed
-            || !head
-                .frames
-                .iter()
-                .all(|frame| matches!(frame.tag, b'Q' | b'P' | b'B' | b'D' | b'E' | b'C' | b'S' | b'H'))
+            || !head.frames.iter().all(|frame| {
+                matches!(
+                    frame.tag,
+                    b'Q' | b'P' | b'B' | b'D' | b'E' | b'C' | b'S' | b'H'
+                )
+            })
         {
             return false;
         }
         let reading = self.reading_of_head();
         match (self.status, &self.begun) {
             (TransactionStatus::Idle, None) => {
-                let Some(read_only) = reading.begins_only() else { return false };
-                let Some(sql) = self.only_statement() else { return false };
+                let Some(read_only) = reading.begins_only() else {
+                    return false;
+                };
+                let Some(sql) = self.only_statement() else {
+                    return false;
+                };
                 if !self.can_answer() {
                     return false;
                 }
@@ -34,7 +42,9 @@
                 true
             }
             (TransactionStatus::InBlock, Some(_)) => {
-                let Some(commits) = reading.ends_only() else { return false };
+                let Some(commits) = reading.ends_only() else {
+                    return false;
+                };
                 if !self.can_answer() {
                     return false;
                 }
@@ -54,17 +64,32 @@
         }
         let bind = head.frames.iter().find(|frame| frame.tag == b'B')?;
         let name = statements::read_bind(bind).ok()?;
-        let fresh = head.frames.iter().filter(|frame| frame.tag == b'P').find_map(|frame| {
-            statements::read_parse(frame).ok().filter(|(of, _)| *of == name).map(|(_, text)| text)
-        });
-        let known = if name.is_empty() { self.unnamed.clone() } else { self.named.get(&name).cloned() };
-        fresh.or(known).map(|text| Bytes::copy_from_slice(statements::sql(&text)))
+        let fresh = head
+            .frames
+            .iter()
+            .filter(|frame| frame.tag == b'P')
+            .find_map(|frame| {
+                statements::read_parse(frame)
+                    .ok()
+                    .filter(|(of, _)| *of == name)
+                    .map(|(_, text)| text)
+            });
+        let known = if name.is_empty() {
+            self.unnamed.clone()
+        } else {
+            self.named.get(&name).cloned()
+        };
+        fresh
+            .or(known)
+            .map(|text| Bytes::copy_from_slice(statements::sql(&text)))
     }
 
     /// Whether each message of the first group would be answered well by a server: one statement, prepared once under
     /// a name that is free, bound, described and executed in this order.
     fn can_answer(&self) -> bool {
-        let Some(head) = self.groups.front() else { return false };
+        let Some(head) = self.groups.front() else {
+            return false;
+        };
         if head.frames.len() == 1 && head.frames[0].tag == b'Q' {
             return true;
         }
@@ -91,11 +116,13 @@
             last = place;
             let good = match frame.tag {
                 b'P' => statements::read_parse(frame).is_ok_and(|(name, _)| {
-                    name.is_empty() || (self.named.get(&name).is_none() && self.named.has_room(&name))
+                    name.is_empty()
+                        || (self.named.get(&name).is_none() && self.named.has_room(&name))
                 }),
                 b'B' => statements::read_bind(frame).is_ok(),
                 // Of a portal that is another's, or a statement of another name, only a server could tell.
-                b'D' => statements::read_target(frame).is_ok_and(|(kind, name)| self.describes(kind, &name)),
+                b'D' => statements::read_target(frame)
+                    .is_ok_and(|(kind, name)| self.describes(kind, &name)),
                 b'C' => false,
                 b'E' => {
                     executed += 1;
@@ -113,19 +140,24 @@
 
     /// Whether what the first group describes is the one that it binds.
     fn describes(&self, kind: u8, name: &Bytes) -> bool {
-        let Some(head) = self.groups.front() else { return false };
+        let Some(head) = self.groups.front() else {
+            return false;
+        };
         let bind = head.frames.iter().find(|frame| frame.tag == b'B');
         let Some(bind) = bind else { return false };
         if kind == b'S' {
             statements::read_bind(bind).is_ok_and(|bound| bound == *name)
         } else {
-            bind.first_string().is_some_and(|portal| portal == &name[..])
+            bind.first_string()
+                .is_some_and(|portal| portal == &name[..])
         }
     }
 
     /// Answers the first group as a server would for a statement of this tag that brings nothing, and takes it off.
     pub(super) fn answer_as(&mut self, tag: &str, actions: &mut Vec<Action>) {
-        let Some(head) = self.groups.front() else { return };
+        let Some(head) = self.groups.front() else {
+            return;
+        };
         let (frames, mut told) = (head.frames.clone(), head.closed_told);
         let empty = |tag| Frame::new(tag, Bytes::new());
         for frame in &frames {
--- a/core/postgres-session/src/session/loss.rs
+++ b/core/postgres-session/src/session/loss.rs
@@ -7,7 +7,9 @@
 
 impl Session {
     pub(super) fn server_lost(&mut self, actions: &mut Vec<Action>) {
-        let Unit::Attached(server) = &self.unit else { return };
+        let Unit::Attached(server) = &self.unit else {
+            return;
+        };
         let refused = server.setup_failed.clone();
         self.another_sync = server.swallowed_sync;
         actions.push(Action::DropServer);
@@ -29,9 +31,16 @@
         }
         if self.pin.is_some() {
             // What it had there is gone with it, and it would not know.
-            let reason = if self.commits { ErrorReason::CommitUnknown } else { ErrorReason::MayHaveRun };
+            let reason = if self.commits {
+                ErrorReason::CommitUnknown
+            } else {
+                ErrorReason::MayHaveRun
+            };
             send_frame(
-                &answer::error(reason, Some("the session was pinned to that server and ends")),
+                &answer::error(
+                    reason,
+                    Some("the session was pinned to that server and ends"),
+                ),
                 actions,
             );
             self.unit = Unit::None;
@@ -50,8 +59,13 @@
         self.begun = None;
         self.cause = Some(reason);
         // In a transaction that is neither committed nor rolled back the client has to learn of its end.
-        let in_block = self.status != TransactionStatus::Idle && reason != ErrorReason::CommitUnknown;
-        if self.groups.front().is_none_or(|head| in_block && (head.sent == 0 || head.only_closes())) {
+        let in_block =
+            self.status != TransactionStatus::Idle && reason != ErrorReason::CommitUnknown;
+        if self
+            .groups
+            .front()
+            .is_none_or(|head| in_block && (head.sent == 0 || head.only_closes()))
+        {
             // The server went between two statements of a transaction: the next one is told, unless it ends it.
             // Drivers close what they have prepared in passing, and look at no answer to that.
             self.orphaned = in_block;
@@ -63,12 +77,29 @@
             return;
         }
         let reading = self.reading_of_head();
-        let begins = reading.steps.iter().any(|step| matches!(step, TransactionStep::Begin { .. }));
+        let begins = reading
+            .steps
+            .iter()
+            .any(|step| matches!(step, TransactionStep::Begin { .. }));
         // What was sent behind the beginning of a transaction belongs to it, and must not run without it.
-        let count = if begins { self.groups.iter().filter(|group| group.closed).count().max(1) } else { 1 };
+        let count = if begins {
+            self.groups
+                .iter()
+                .filter(|group| group.closed)
+                .count()
+                .max(1)
+        } else {
+            1
+        };
         self.commits = false;
-        (self.orphaned, self.status) =
-            (in_block, if in_block { TransactionStatus::Failed } else { TransactionStatus::Idle });
+        (self.orphaned, self.status) = (
+            in_block,
+            if in_block {
+                TransactionStatus::Failed
+            } else {
+                TransactionStatus::Idle
+            },
+        );
         let another_sync = std::mem::take(&mut self.another_sync);
         for _ in 0..count {
             let closed = self.groups.front().is_none_or(|group| group.closed) && !another_sync;
@@ -77,7 +108,10 @@
                 // Its Sync is still to come, and is answered then.
                 if let Some(group) = self.groups.front_mut() {
                     self.held = self.held.saturating_sub(group.held());
-                    *group = MessageBatch { skips: true, ..MessageBatch::default() };
+                    *group = MessageBatch {
+                        skips: true,
+                        ..MessageBatch::default()
+                    };
                 }
                 return;
             }
@@ -103,11 +137,17 @@
             }
             if group.frames.last().is_some_and(|last| last.tag == b'S') {
                 // Its Sync has come already.
-                self.groups.push_front(MessageBatch { closed: true, ..MessageBatch::default() });
+                self.groups.push_front(MessageBatch {
+                    closed: true,
+                    ..MessageBatch::default()
+                });
                 return false;
             }
         }
-        self.groups.push_front(MessageBatch { skips: true, ..MessageBatch::default() });
+        self.groups.push_front(MessageBatch {
+            skips: true,
+            ..MessageBatch::default()
+        });
         true
     }
 
@@ -122,11 +162,15 @@
     /// that has failed.
     pub(super) fn answer_orphan(&mut self, actions: &mut Vec<Action>) {
         let steps = self.reading_of_head().steps.clone();
-        let Some(head) = self.groups.front() else { return };
+        let Some(head) = self.groups.front() else {
+            return;
+        };
         let texts = head.frames.iter().filter(|frame| frame.tag == b'P');
         let prepares: Vec<TransactionStep> = texts
             .filter_map(|frame| statements::read_parse(frame).ok())
-            .flat_map(|(_, text)| pins::read(&String::from_utf8_lossy(statements::sql(&text))).steps)
+            .flat_map(|(_, text)| {
+                pins::read(&String::from_utf8_lossy(statements::sql(&text))).steps
+            })
             .collect();
         let ends = |steps: &[TransactionStep]| {
             !steps.is_empty()
--- a/core/postgres-session/src/session/server.rs
+++ b/core/postgres-session/src/session/server.rs
@@ -68,8 +68,12 @@
 
     /// Sends the first group, as far as it has come.
     pub(super) fn forward(&mut self, actions: &mut Vec<Action>) {
-        let Unit::Attached(server) = &self.unit else { return };
-        let Some(head) = self.groups.front() else { return };
+        let Unit::Attached(server) = &self.unit else {
+            return;
+        };
+        let Some(head) = self.groups.front() else {
+            return;
+        };
         let (from, to) = (head.sent, head.ready());
         if server.proving || from >= to {
             return;
@@ -81,7 +85,9 @@
         let reading = self.reading_of_head();
         self.commits |= reading.steps.contains(&TransactionStep::Commit);
         self.pin = self.pin.or(reading.pin);
-        let Unit::Attached(server) = &mut self.unit else { return };
+        let Unit::Attached(server) = &mut self.unit else {
+            return;
+        };
         if reading.deallocates {
             server.state.prepared.clear();
         }
@@ -94,7 +100,9 @@
             server.expect.push_back(ExpectedResponse::Setup);
             query(&begun.sql).write(&mut out);
         }
-        let Some(head) = self.groups.front_mut() else { return };
+        let Some(head) = self.groups.front_mut() else {
+            return;
+        };
         let frames: Vec<Frame> = head.frames[from..to].to_vec();
         head.sent = to;
         for frame in frames {
@@ -112,7 +120,11 @@
     pub(super) fn skip(&mut self) -> bool {
         while let Some(head) = self.groups.front_mut() {
             let held = head.held();
-            let synced = head.frames.last().filter(|last| head.closed && last.tag == b'S').cloned();
+            let synced = head
+                .frames
+                .last()
+                .filter(|last| head.closed && last.tag == b'S')
+                .cloned();
             if let Some(sync) = synced {
                 self.held = self.held.saturating_sub(held) + sync.wire_len();
                 (head.frames, head.sent) = (vec![sync], 0);
@@ -137,15 +149,30 @@
     /// Writes one message as the server is to get it, and notes what will answer it. `alone`: it is its group's only
     /// one.
     fn send(&mut self, frame: Frame, alone: bool, out: &mut BytesMut) -> Result<(), Malformed> {
-        let Self { unit, named, unnamed, ahead, status, deallocates, .. } = self;
-        let Unit::Attached(server) = unit else { return Ok(()) };
-        let mut names = Names { named, unnamed, ahead };
+        let Self {
+            unit,
+            named,
+            unnamed,
+            ahead,
+            status,
+            deallocates,
+            ..
+        } = self;
+        let Unit::Attached(server) = unit else {
+            return Ok(());
+        };
+        let mut names = Names {
+            named,
+            unnamed,
+            ahead,
+        };
         let empty = |tag| Frame::new(tag, Bytes::new());
         match frame.tag {
             b'Q' => {
                 let sql = frame.first_string().ok_or(Malformed)?;
                 let reading = pins::read_deallocate(sql);
-                let frame = match reading.and_then(|name| names.get(&name).map(|text| (name, text))) {
+                let frame = match reading.and_then(|name| names.get(&name).map(|text| (name, text)))
+                {
                     Some((name, text)) if *status != TransactionStatus::Failed => {
                         // Behind messages of a batch a Sync would end what is the client's to end.
                         let here = match alone {
@@ -193,7 +220,10 @@
                 if kind == b'S' && !name.is_empty() {
                     // It stays prepared at the server, for whoever needs the same one.
                     names.ahead.insert(name.clone(), None);
-                    server.expect.push_back(ExpectedResponse::Answered(empty(b'3'), Effect::Remove(name)));
+                    server.expect.push_back(ExpectedResponse::Answered(
+                        empty(b'3'),
+                        Effect::Remove(name),
+                    ));
                 } else {
                     let mut effect = None;
                     if kind == b'S' {
@@ -201,7 +231,9 @@
                         names.ahead.insert(Bytes::new(), None);
                         effect = Some(Effect::Remove(Bytes::new()));
                     }
-                    server.expect.push_back(ExpectedResponse::Close { own: false, effect });
+                    server
+                        .expect
+                        .push_back(ExpectedResponse::Close { own: false, effect });
                     frame.write(out);
                 }
             }
@@ -221,7 +253,9 @@
     }
 
     pub(super) fn server(&mut self, cut: DecodeResult, actions: &mut Vec<Action>) {
-        let Unit::Attached(server) = &mut self.unit else { return };
+        let Unit::Attached(server) = &mut self.unit else {
+            return;
+        };
         let own = matches!(server.expect.front(), Some(ExpectedResponse::Setup));
         let frame = match cut {
             DecodeResult::Chunk { .. } if own => return,
@@ -235,7 +269,9 @@
             b'S' => return self.parameter(&frame, actions),
             b'Z' => return self.ready(&frame, actions),
             // Its last words; the session may go on with another.
-            b'E' if answer::is_fatal(&frame) && !server.proving => return self.server_lost(actions),
+            b'E' if answer::is_fatal(&frame) && !server.proving => {
+                return self.server_lost(actions);
+            }
             b'E' if own => {
                 server.setup_failed = Some(frame);
                 return;
@@ -276,20 +312,27 @@
                 // A Sync that has been sent already is passed over by the server until the copy is over.
                 server.copies = true;
                 let extended = matches!(server.expect.front(), Some(ExpectedResponse::Execute));
-                server.swallowed_sync =
-                    extended && server.expect.iter().any(|e| matches!(e, ExpectedResponse::Sync));
+                server.swallowed_sync = extended
+                    && server
+                        .expect
+                        .iter()
+                        .any(|e| matches!(e, ExpectedResponse::Sync));
             }
             b'E' => {
                 (self.failed, self.completion) = (true, None);
                 server.copies = false;
                 match server.expect.front() {
-                    Some(ExpectedResponse::Parse { named_here: Some((here, name)), .. }) => {
+                    Some(ExpectedResponse::Parse {
+                        named_here: Some((here, name)),
+                        ..
+                    }) => {
                         frame = answer::renamed(&frame, here, name);
                     }
                     // A Parse of the unnamed statement ends the one before it, whatever becomes of it.
-                    Some(ExpectedResponse::Parse { effect: Some(Effect::Set(name, _)), .. })
-                        if name.is_empty() =>
-                    {
+                    Some(ExpectedResponse::Parse {
+                        effect: Some(Effect::Set(name, _)),
+                        ..
+                    }) if name.is_empty() => {
                         self.unnamed = None;
                     }
                     _ => {}
@@ -298,7 +341,9 @@
                     self.ahead.clear();
                 }
                 // A Query that is passed over with its batch will not end its group.
-                let Self { unit, groups, held, .. } = &mut *self;
+                let Self {
+                    unit, groups, held, ..
+                } = &mut *self;
                 if let (Unit::Attached(server), Some(head)) = (unit, groups.front())
                     && server.skipping
                     && head.closed
@@ -323,16 +368,25 @@
 
     /// Whether what was just completed is committed by a Sync that is on its way: nothing but that is answered next.
     fn commits_at_sync(&self) -> bool {
-        let Unit::Attached(server) = &self.unit else { return false };
+        let Unit::Attached(server) = &self.unit else {
+            return false;
+        };
         let next_is_sync = matches!(server.expect.front(), Some(ExpectedResponse::Sync));
         self.status == TransactionStatus::Idle && next_is_sync && !server.swallowed_sync
     }
 
     /// `ParameterStatus`: noted for the connection and the client, and told where it is news.
     fn parameter(&mut self, frame: &Frame, actions: &mut Vec<Action>) {
-        let Unit::Attached(server) = &mut self.unit else { return };
-        let mut strings = frame.body.split(|byte| *byte == 0).map(String::from_utf8_lossy);
-        let (Some(name), Some(value)) = (strings.next(), strings.next()) else { return };
+        let Unit::Attached(server) = &mut self.unit else {
+            return;
+        };
+        let mut strings = frame
+            .body
+            .split(|byte| *byte == 0)
+            .map(String::from_utf8_lossy);
+        let (Some(name), Some(value)) = (strings.next(), strings.next()) else {
+            return;
+        };
         server.state.settings.reported(&name, &value);
         if self.settings.reported(&name, &value) {
             super::send_frame(frame, actions);
@@ -353,11 +407,15 @@
     /// The node's own answers whose turn it is.
     fn answer_due(&mut self, actions: &mut Vec<Action>) {
         loop {
-            let Unit::Attached(server) = &mut self.unit else { return };
+            let Unit::Attached(server) = &mut self.unit else {
+                return;
+            };
             if !matches!(server.expect.front(), Some(ExpectedResponse::Answered(..))) {
                 return;
             }
-            let Some(ExpectedResponse::Answered(frame, effect)) = server.expect.pop_front() else { return };
+            let Some(ExpectedResponse::Answered(frame, effect)) = server.expect.pop_front() else {
+                return;
+            };
             self.apply(effect);
             let mut bytes = BytesMut::new();
             frame.write(&mut bytes);
@@ -367,8 +425,14 @@
 
     /// `ReadyForQuery`: the node's own part is over, or the first group is answered.
     fn ready(&mut self, frame: &Frame, actions: &mut Vec<Action>) {
-        let status = frame.body.first().copied().and_then(TransactionStatus::read);
-        let Unit::Attached(server) = &mut self.unit else { return };
+        let status = frame
+            .body
+            .first()
+            .copied()
+            .and_then(TransactionStatus::read);
+        let Unit::Attached(server) = &mut self.unit else {
+            return;
+        };
         let expected = server.expect.pop_front();
         if matches!(expected, Some(ExpectedResponse::Setup))
             && status.is_some()
@@ -380,9 +444,15 @@
             self.answer_due(actions);
             return;
         }
-        let awaited =
-            matches!(expected, Some(ExpectedResponse::Query | ExpectedResponse::Sync)) && !server.skipping;
-        let group = if awaited && status.is_some() { self.groups.pop_front() } else { None };
+        let awaited = matches!(
+            expected,
+            Some(ExpectedResponse::Query | ExpectedResponse::Sync)
+        ) && !server.skipping;
+        let group = if awaited && status.is_some() {
+            self.groups.pop_front()
+        } else {
+            None
+        };
         let (Some(status), Some(group)) = (status, group) else {
             // A server that turns down what it took before, or says what it was not asked for, is of no use.
             return self.server_lost(actions);
@@ -399,7 +469,10 @@
             self.settle_names(&group.reading.unwrap_or_default());
         }
         let mut bytes = BytesMut::new();
-        self.completion.take().iter().for_each(|completion| bytes.extend_from_slice(completion));
+        self.completion
+            .take()
+            .iter()
+            .for_each(|completion| bytes.extend_from_slice(completion));
         frame.write(&mut bytes);
         self.send_to_client(bytes.freeze(), actions);
         if status == TransactionStatus::Idle {
@@ -425,7 +498,10 @@
             self.named.remove(&name);
         }
         // Whatever was set behind a RESET ALL was set after it.
-        self.settings.reset(&reading.resets, reading.resets_all && reading.sets.is_empty());
+        self.settings.reset(
+            &reading.resets,
+            reading.resets_all && reading.sets.is_empty(),
+        );
     }
 }
 
@@ -498,7 +574,11 @@
         }
         let effect = Effect::Set(name.clone(), text.clone());
         if self.state.prepared.has(&text) {
-            let ends = |sql: &[u8]| pins::read(&String::from_utf8_lossy(sql)).ends_only().is_some();
+            let ends = |sql: &[u8]| {
+                pins::read(&String::from_utf8_lossy(sql))
+                    .ends_only()
+                    .is_some()
+            };
             if status == TransactionStatus::Failed && !ends(sql) {
                 // A transaction that has failed takes it no more, and the server says so.
                 let here = self.state.prepared.take(&text).name;
@@ -512,7 +592,10 @@
                 return Ok(());
             }
             names.ahead.insert(name, Some(text));
-            self.expect.push_back(ExpectedResponse::Answered(Frame::new(b'1', Bytes::new()), effect));
+            self.expect.push_back(ExpectedResponse::Answered(
+                Frame::new(b'1', Bytes::new()),
+                effect,
+            ));
             return Ok(());
         }
         names.ahead.insert(name, Some(text.clone()));
@@ -530,7 +613,10 @@
         let wanted = self.state.prepared.take(text);
         if let Some((parse, room)) = wanted.first.split_last() {
             for close in room {
-                self.expect.push_back(ExpectedResponse::Close { own: true, effect: None });
+                self.expect.push_back(ExpectedResponse::Close {
+                    own: true,
+                    effect: None,
+                });
                 close.write(out);
             }
             self.expect.push_back(ExpectedResponse::Parse {
@@ -582,7 +668,10 @@
                         }
                         None => {
                             // What stands there is another client's.
-                            self.expect.push_back(ExpectedResponse::Close { own: true, effect: None });
+                            self.expect.push_back(ExpectedResponse::Close {
+                                own: true,
+                                effect: None,
+                            });
                             statements::close(b"").write(out);
                         }
                     }
@@ -591,7 +680,9 @@
             }
             (false, Some(text)) => self.named_here(&text, out),
             // Under a name like the node's own it might be another client's here. The server's error names it.
-            (false, None) if statements::is_own(name) => Bytes::from([b"undefined ", &name[..]].concat()),
+            (false, None) if statements::is_own(name) => {
+                Bytes::from([b"undefined ", &name[..]].concat())
+            }
             (false, None) => name.clone(),
         }
     }
@@ -608,7 +699,9 @@
                     self.expect.push_front(expect);
                     return true;
                 }
-                ExpectedResponse::Parse { text: Some(text), .. } => self.state.prepared.forget(&text),
+                ExpectedResponse::Parse {
+                    text: Some(text), ..
+                } => self.state.prepared.forget(&text),
                 _ => {}
             }
         }
--- a/core/postgres-session/src/session/tests.rs
+++ b/core/postgres-session/src/session/tests.rs
@@ -32,7 +32,8 @@
 fn bind_execute(name: &str) -> Vec<Frame> {
     let value = |(): (), _: &mut BytesMut| Ok(postgres_protocol::IsNull::Yes);
     frames(|out| {
-        frontend::bind("", name, [], Vec::<()>::new(), value, [], out).unwrap_or_else(|_| panic!("a bind"));
+        frontend::bind("", name, [], Vec::<()>::new(), value, [], out)
+            .unwrap_or_else(|_| panic!("a bind"));
         frontend::execute("", 0, out).unwrap();
     })
 }
@@ -78,13 +79,16 @@
         cutter.push(bytes);
         let empty = |tag| Frame::new(tag, Bytes::new());
         while let Some(cut) = cutter.next_from_client().expect("good frames") {
-            let DecodeResult::Frame(frame) = cut else { continue };
+            let DecodeResult::Frame(frame) = cut else {
+                continue;
+            };
             if self.skips && frame.tag != b'S' {
                 continue;
             }
             match frame.tag {
                 b'Q' => {
-                    let sql = String::from_utf8_lossy(frame.first_string().expect("a string")).into_owned();
+                    let sql = String::from_utf8_lossy(frame.first_string().expect("a string"))
+                        .into_owned();
                     self.statements.remove(&b""[..]);
                     self.run(&sql, &mut out, true);
                     out.push(self.status.ready());
@@ -92,7 +96,10 @@
                 b'P' => {
                     let (name, text) = statements::read_parse(&frame).expect("a parse");
                     if !name.is_empty() && self.statements.contains_key(&name) {
-                        out.push(answer::error(ErrorReason::MayHaveRun, Some("it is prepared already")));
+                        out.push(answer::error(
+                            ErrorReason::MayHaveRun,
+                            Some("it is prepared already"),
+                        ));
                         self.skips = true;
                         continue;
                     }
@@ -103,10 +110,15 @@
                     let name = statements::read_bind(&frame).expect("a bind");
                     if self.statements.contains_key(&name) {
                         out.push(empty(b'2'));
-                        self.statements
-                            .insert(Bytes::from_static(b"\0bound"), self.statements[&name].clone());
+                        self.statements.insert(
+                            Bytes::from_static(b"\0bound"),
+                            self.statements[&name].clone(),
+                        );
                     } else {
-                        out.push(answer::error(ErrorReason::MayHaveRun, Some("no such statement")));
+                        out.push(answer::error(
+                            ErrorReason::MayHaveRun,
+                            Some("no such statement"),
+                        ));
                         self.skips = true;
                     }
                 }
@@ -153,7 +165,10 @@
 
 impl Stage {
     fn new() -> Self {
-        Self { answers: true, ..Self::default() }
+        Self {
+            answers: true,
+            ..Self::default()
+        }
     }
 
     fn handle(&mut self, event: Event) {
@@ -171,12 +186,16 @@
             match action {
                 Action::Ask { .. } => self.asked += 1,
                 Action::ToServer(bytes) => {
-                    let database =
-                        self.database.as_mut().expect("nothing goes to a server that is not there");
+                    let database = self
+                        .database
+                        .as_mut()
+                        .expect("nothing goes to a server that is not there");
                     let answers = database.take(&bytes);
                     if self.answers {
                         events.extend(
-                            answers.into_iter().map(|frame| Event::Server(DecodeResult::Frame(frame))),
+                            answers
+                                .into_iter()
+                                .map(|frame| Event::Server(DecodeResult::Frame(frame))),
                         );
                     }
                 }
@@ -197,7 +216,12 @@
                 }
                 Action::DropServer => {
                     self.dropped += 1;
-                    self.ran.extend(self.database.take().into_iter().flat_map(|database| database.ran));
+                    self.ran.extend(
+                        self.database
+                            .take()
+                            .into_iter()
+                            .flat_map(|database| database.ran),
+                    );
                 }
                 Action::End => self.ended = true,
             }
@@ -226,9 +250,14 @@
         cutter.push(&std::mem::take(&mut self.told));
         let mut heard = Vec::new();
         while let Some(cut) = cutter.next_from_server().expect("good frames") {
-            let DecodeResult::Frame(frame) = cut else { continue };
+            let DecodeResult::Frame(frame) = cut else {
+                continue;
+            };
             let code = || {
-                let field = frame.body.split(|byte| *byte == 0).find(|field| field.first() == Some(&b'C'));
+                let field = frame
+                    .body
+                    .split(|byte| *byte == 0)
+                    .find(|field| field.first() == Some(&b'C'));
                 String::from_utf8_lossy(&field.expect("a code")[1..]).into_owned()
             };
             heard.push(match frame.tag {
@@ -248,7 +277,10 @@
     assert_eq!((stage.asked, stage.heard().as_str()), (1, ""));
     stage.attach();
     assert_eq!(stage.heard(), "C ZI");
-    assert_eq!((stage.started, stage.done, stage.released, stage.dropped), (1, 1, 1, 0));
+    assert_eq!(
+        (stage.started, stage.done, stage.released, stage.dropped),
+        (1, 1, 1, 0)
+    );
 }
 
 #[test]
@@ -260,9 +292,20 @@
     stage.client(&[query("insert")]);
     stage.attach();
     stage.client(&[query("fail"), query("insert")]);
-    assert_eq!((stage.heard().as_str(), stage.done), ("C ZT 25P02 ZE 25P02 ZE", 0));
+    assert_eq!(
+        (stage.heard().as_str(), stage.done),
+        ("C ZT 25P02 ZE 25P02 ZE", 0)
+    );
     stage.client(&[query("rollback")]);
-    assert_eq!((stage.heard().as_str(), stage.asked, stage.done, stage.released), ("C ZI", 1, 1, 1));
+    assert_eq!(
+        (
+            stage.heard().as_str(),
+            stage.asked,
+            stage.done,
+            stage.released
+        ),
+        ("C ZI", 1, 1, 1)
+    );
     assert_eq!(stage.ran, ["begin", "insert", "rollback"]);
     // With nothing behind it no server hears of it at all.
     for (end, tag) in [("commit", "COMMIT"), ("rollback", "ROLLBACK")] {
@@ -326,7 +369,11 @@
         sync(),
     ]);
     stage.attach();
-    stage.client(&[frames(|out| frontend::close(b'S', "a", out).unwrap()), bind_execute("b"), sync()]);
+    stage.client(&[
+        frames(|out| frontend::close(b'S', "a", out).unwrap()),
+        bind_execute("b"),
+        sync(),
+    ]);
     assert_eq!(stage.heard(), "C ZT 1 1 2 C ZT 3 2 C ZT");
 }
 
@@ -335,7 +382,10 @@
     let mut stage = Stage::new();
     stage.client(&[query("set x = 1")]);
     stage.attach();
-    assert_eq!((stage.done, stage.released, stage.session.pin()), (1, 0, Some(StickyReason::Setting)));
+    assert_eq!(
+        (stage.done, stage.released, stage.session.pin()),
+        (1, 0, Some(StickyReason::Setting))
+    );
     stage.client(&[query("select 1")]);
     assert_eq!((stage.asked, stage.heard().as_str()), (1, "C ZI C ZI"));
     stage.client(&[query("discard all")]);
@@ -345,7 +395,10 @@
     stage.attach();
     stage.heard();
     stage.lose();
-    assert_eq!((stage.heard().as_str(), stage.ended, stage.dropped), ("08006", true, 1));
+    assert_eq!(
+        (stage.heard().as_str(), stage.ended, stage.dropped),
+        ("08006", true, 1)
+    );
 }
 
 /// Refused before anything was sent: the code that says so, and whoever comes behind a refused BEGIN does not run
@@ -360,7 +413,10 @@
     stage.client(&[query("begin"), query("insert")]);
     stage.handle(Event::Refused { wait_ms: 0 });
     stage.client(&[query("insert"), query("rollback")]);
-    assert_eq!((stage.heard().as_str(), stage.asked), ("C ZT 53300 ZE 25P02 ZE C ZI", 2));
+    assert_eq!(
+        (stage.heard().as_str(), stage.asked),
+        ("C ZT 53300 ZE 25P02 ZE C ZI", 2)
+    );
     stage.client(&[query("begin"), query("insert"), query("commit")]);
     stage.handle(Event::Refused { wait_ms: 0 });
     assert_eq!(stage.heard(), "C ZT 53300 ZE 53300 ZI");
@@ -398,7 +454,10 @@
     let mut inside = in_flight(&["begin", "insert"], "insert");
     assert_eq!(inside.heard(), "08006 ZE");
     inside.client(&[query("select 1"), query("rollback")]);
-    assert_eq!((inside.heard().as_str(), inside.asked), ("25P02 ZE C ZI", 1));
+    assert_eq!(
+        (inside.heard().as_str(), inside.asked),
+        ("25P02 ZE C ZI", 1)
+    );
     let mut commit = in_flight(&["begin", "insert"], "commit");
     assert_eq!(commit.heard(), "08007 ZI");
     let mut all = in_flight(&[], "begin; insert; commit");
@@ -418,14 +477,27 @@
         stage.client(next);
         stage.heard()
     };
-    assert_eq!(between(&[query("insert"), query("insert"), query("rollback")]), "08006 ZE 25P02 ZE C ZI");
+    assert_eq!(
+        between(&[query("insert"), query("insert"), query("rollback")]),
+        "08006 ZE 25P02 ZE C ZI"
+    );
     assert_eq!(between(&[query("rollback")]), "C ZI");
     // A commit whose client knows of nothing must not look like one; once told, it is a rollback as at a server.
     assert_eq!(between(&[query("commit"), query("select 1")]), "08006 ZI");
-    assert_eq!(between(&[query("insert"), query("commit")]), "08006 ZE 08006 ZI");
+    assert_eq!(
+        between(&[query("insert"), query("commit")]),
+        "08006 ZE 08006 ZI"
+    );
     // Drivers close what they have prepared in passing, and see no error there.
-    let closes = [frames(|out| frontend::close(b'S', "s", out).unwrap()), sync()].concat();
-    assert_eq!(between(&[closes.clone(), query("insert"), query("rollback")]), "3 ZE 08006 ZE C ZI");
+    let closes = [
+        frames(|out| frontend::close(b'S', "s", out).unwrap()),
+        sync(),
+    ]
+    .concat();
+    assert_eq!(
+        between(&[closes.clone(), query("insert"), query("rollback")]),
+        "3 ZE 08006 ZE C ZI"
+    );
     let mut stage = Stage::new();
     stage.client(&[query("begin"), query("insert")]);
     stage.attach();
@@ -436,7 +508,11 @@
     stage.client(&[query("commit")]);
     assert!(stage.heard().ends_with("3 ZE 08006 ZI"));
     // As drivers roll back that prepare everything.
-    let prepare = [parse("r", "rollback"), frames(|out| frontend::describe(b'S', "r", out).unwrap()), sync()];
+    let prepare = [
+        parse("r", "rollback"),
+        frames(|out| frontend::describe(b'S', "r", out).unwrap()),
+        sync(),
+    ];
     let steps = [prepare.concat(), bind_execute("r"), sync()];
     assert_eq!(between(&steps), "1 t n ZE 2 C ZI");
 }
@@ -446,7 +522,12 @@
 fn a_lost_batch_has_one_end() {
     let mut stage = Stage::new();
     stage.answers = false;
-    stage.client(&[parse("", "insert"), bind_execute(""), bind_execute(""), sync()]);
+    stage.client(&[
+        parse("", "insert"),
+        bind_execute(""),
+        bind_execute(""),
+        sync(),
+    ]);
     stage.attach();
     stage.lose();
     stage.handle(Event::Failed);
@@ -475,7 +556,10 @@
     stage.answers = false;
     stage.client(&[query("select 1")]);
     stage.attach();
-    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'T', &b"\0\0"[..]))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(
+        b'T',
+        &b"\0\0"[..],
+    ))));
     stage.lose();
     stage.attach();
     assert_eq!(stage.not_again, 1);
@@ -490,7 +574,11 @@
         stage.client(&[query(sql)]);
         stage.attach();
         stage.handle(Event::ClientGone);
-        assert_eq!((stage.released, stage.dropped, stage.ended), (released, 1 - released, true), "{sql}");
+        assert_eq!(
+            (stage.released, stage.dropped, stage.ended),
+            (released, 1 - released, true),
+            "{sql}"
+        );
         // A server that comes too late is free at once.
         stage.attach();
         assert_eq!(stage.released, released + 1);
@@ -514,7 +602,10 @@
     assert!(actions.is_empty());
     stage.client(&[query("copy t from stdin")]);
     stage.attach();
-    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'G', &b"\0\0\0"[..]))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(
+        b'G',
+        &b"\0\0\0"[..],
+    ))));
     stage.session.handle(row(), &mut actions);
     assert!(matches!(actions.pop(), Some(Action::ToServer(bytes)) if bytes.len() == 6));
     stage.lose();
@@ -528,9 +619,11 @@
     stage.answers = false;
     stage.client(&[parse("", "copy t from stdin"), bind_execute(""), sync()]);
     stage.attach();
-    for frame in
-        [Frame::new(b'1', Bytes::new()), Frame::new(b'2', Bytes::new()), Frame::new(b'G', &b"\0\0\0"[..])]
-    {
+    for frame in [
+        Frame::new(b'1', Bytes::new()),
+        Frame::new(b'2', Bytes::new()),
+        Frame::new(b'G', &b"\0\0\0"[..]),
+    ] {
         stage.handle(Event::Server(DecodeResult::Frame(frame)));
     }
     stage
@@ -577,8 +670,14 @@
     // With its end yet to be sent nothing is held back: the client may wait for it.
     stage.client(&[bind_execute(""), frames(frontend::flush)]);
     stage.attach();
-    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'1', Bytes::new()))));
-    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'2', Bytes::new()))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(
+        b'1',
+        Bytes::new(),
+    ))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(
+        b'2',
+        Bytes::new(),
+    ))));
     stage.handle(complete());
     assert_eq!(stage.heard(), "2 C");
 }
@@ -591,7 +690,10 @@
     stage.client(&[query("insert")]);
     stage.attach();
     let last = b"SFATAL\0VFATAL\0C57P01\0Mterminating connection due to administrator command\0\0";
-    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(b'E', &last[..]))));
+    stage.handle(Event::Server(DecodeResult::Frame(Frame::new(
+        b'E',
+        &last[..],
+    ))));
     assert_eq!((stage.heard().as_str(), stage.dropped), ("", 1));
     stage.handle(Event::Failed);
     assert_eq!((stage.heard().as_str(), stage.ended), ("08006 ZI", false));
@@ -605,14 +707,21 @@
     stage.client(&[query("select 1")]);
     stage.attach();
     let bytes = Bytes::from_static(b"D\0\0\x01\0\0\x01");
-    stage.handle(Event::Server(DecodeResult::Chunk { tag: b'D', bytes, last: false }));
+    stage.handle(Event::Server(DecodeResult::Chunk {
+        tag: b'D',
+        bytes,
+        last: false,
+    }));
     stage.lose();
     assert_eq!((stage.told.len(), stage.ended, stage.dropped), (7, true, 1));
 }
 
 #[test]
 fn what_does_not_belong_ends_the_session() {
-    for frames in [vec![Frame::new(b'p', &b"x\0"[..])], vec![Frame::new(b'?', Bytes::new())]] {
+    for frames in [
+        vec![Frame::new(b'p', &b"x\0"[..])],
+        vec![Frame::new(b'?', Bytes::new())],
+    ] {
         let mut stage = Stage::new();
         stage.client(&[frames]);
         assert_eq!((stage.heard().as_str(), stage.ended), ("08P01", true));
@@ -624,7 +733,15 @@
     stage.client(&[vec![Frame::new(b'P', body.freeze())], sync()]);
     stage.attach();
     // Nothing of it was sent, so the server is as it was.
-    assert_eq!((stage.heard().as_str(), stage.ended, stage.released, stage.dropped), ("08P01", true, 1, 0));
+    assert_eq!(
+        (
+            stage.heard().as_str(),
+            stage.ended,
+            stage.released,
+            stage.dropped
+        ),
+        ("08P01", true, 1, 0)
+    );
 }
 
 #[derive(Clone, Debug)]
--- a/core/postgres-session/src/settings.rs
+++ b/core/postgres-session/src/settings.rs
@@ -60,7 +60,9 @@
             (None, Some(joined)) => Some(joined.to_owned()),
             (None, None) => None,
         };
-        let pair = setting.as_deref().and_then(|setting| setting.split_once('='));
+        let pair = setting
+            .as_deref()
+            .and_then(|setting| setting.split_once('='));
         let (name, value) = pair.ok_or(SettingsError::Option(word))?;
         settings.push((name.to_owned(), value.to_owned()));
     }
@@ -91,11 +93,20 @@
                 wanted.insert(name, value.clone());
             }
         }
-        let options = parameters.get("options").map(|options| read_options(options)).transpose()?;
-        let named = parameters
-            .iter()
-            .filter(|(name, _)| !matches!(name.as_str(), "user" | "database" | "options" | "replication"));
-        let asked = options.into_iter().flatten().chain(named.map(|(n, v)| (n.clone(), v.clone())));
+        let options = parameters
+            .get("options")
+            .map(|options| read_options(options))
+            .transpose()?;
+        let named = parameters.iter().filter(|(name, _)| {
+            !matches!(
+                name.as_str(),
+                "user" | "database" | "options" | "replication"
+            )
+        });
+        let asked = options
+            .into_iter()
+            .flatten()
+            .chain(named.map(|(n, v)| (n.clone(), v.clone())));
         let mut proven = true;
         for (name, value) in asked {
             let name = name.to_ascii_lowercase();
@@ -111,7 +122,11 @@
             wanted.insert(name, value);
         }
         wanted.entry("application_name".to_owned()).or_default();
-        Ok(Self { initial: wanted.clone(), wanted, proven })
+        Ok(Self {
+            initial: wanted.clone(),
+            wanted,
+            proven,
+        })
     }
 
     /// Whether some server has taken them: until then nothing else is sent along with them.
@@ -126,7 +141,9 @@
 
     /// All of them, by name in small letters.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
-        self.wanted.iter().map(|(name, value)| (name.as_str(), value.as_str()))
+        self.wanted
+            .iter()
+            .map(|(name, value)| (name.as_str(), value.as_str()))
     }
 
     /// A server reports a setting while it works for this client; whether that is news to the client.
@@ -165,7 +182,8 @@
 impl ServerSettings {
     /// The server reports a setting.
     pub fn reported(&mut self, name: &str, value: &str) {
-        self.reported.insert(name.to_ascii_lowercase(), value.to_owned());
+        self.reported
+            .insert(name.to_ascii_lowercase(), value.to_owned());
     }
 
     /// What has been set is no longer known: RESET ALL or DISCARD ALL has run, or may have.
@@ -189,7 +207,10 @@
                 }
             }
         }
-        let strange = self.applied.keys().filter(|name| !client.wanted.contains_key(*name));
+        let strange = self
+            .applied
+            .keys()
+            .filter(|name| !client.wanted.contains_key(*name));
         for name in strange.cloned().collect::<Vec<_>>() {
             sql.push_str(&format!("RESET {};", quoted(&name)));
             self.applied.remove(&name);
@@ -214,12 +235,17 @@
     let value = value.replace('\'', "''");
     let escape = if value.contains('\\') { "E" } else { "" };
     let value = value.replace('\\', "\\\\");
-    sql.push_str(&format!("SELECT pg_catalog.set_config('{name}',{escape}'{value}',false);"));
+    sql.push_str(&format!(
+        "SELECT pg_catalog.set_config('{name}',{escape}'{value}',false);"
+    ));
 }
 
 fn quoted(name: &str) -> String {
     // Names hold letters, digits, low lines and points only; each part is a name of its own.
-    name.split('.').map(|part| format!("\"{part}\"")).collect::<Vec<_>>().join(".")
+    name.split('.')
+        .map(|part| format!("\"{part}\""))
+        .collect::<Vec<_>>()
+        .join(".")
 }
 
 #[cfg(test)]
--- a/core/postgres-session/src/startup.rs
+++ b/core/postgres-session/src/startup.rs
@@ -52,7 +52,9 @@
 impl StartupMessage {
     /// What its application calls itself.
     pub fn application(&self) -> &str {
-        self.parameters.get("application_name").map_or("", String::as_str)
+        self.parameters
+            .get("application_name")
+            .map_or("", String::as_str)
     }
 }
 
@@ -110,7 +112,8 @@
         if [&b"GET "[..], b"POST", b"HEAD", b"PUT ", b"OPTI", b"PRI "].contains(&&self.bytes[..4]) {
             return Err(StartupError::Http);
         }
-        let length = u32::from_be_bytes([self.bytes[0], self.bytes[1], self.bytes[2], self.bytes[3]]);
+        let length =
+            u32::from_be_bytes([self.bytes[0], self.bytes[1], self.bytes[2], self.bytes[3]]);
         if !(8..=MOST).contains(&(length as usize)) {
             return Err(StartupError::Length(length));
         }
@@ -126,7 +129,10 @@
             GSS_REQUEST if std::mem::replace(&mut self.asked_gss, true) => Err(StartupError::Again),
             GSS_REQUEST => Ok(Some(StartupPacket::Gss)),
             CANCEL_REQUEST if (8..=4 + MOST_KEY).contains(&packet.len()) => {
-                Ok(Some(StartupPacket::Cancel { process: packet.get_u32(), key: packet }))
+                Ok(Some(StartupPacket::Cancel {
+                    process: packet.get_u32(),
+                    key: packet,
+                }))
             }
             CANCEL_REQUEST => Err(StartupError::Length(length)),
             code if code >> 16 == MAJOR => {
@@ -138,8 +144,11 @@
 }
 
 fn session(asked: u32, packet: &[u8]) -> Result<StartupMessage, StartupError> {
-    let text =
-        |bytes: &[u8]| std::str::from_utf8(bytes).map(str::to_owned).map_err(|_| StartupError::Parameters);
+    let text = |bytes: &[u8]| {
+        std::str::from_utf8(bytes)
+            .map(str::to_owned)
+            .map_err(|_| StartupError::Parameters)
+    };
     // Names and values, each ended by a zero, and one zero more at the end.
     let packet = packet.strip_suffix(b"\0").ok_or(StartupError::Parameters)?;
     let mut words = packet.split(|byte| *byte == 0).map(text);
@@ -166,10 +175,21 @@
     {
         return Err(StartupError::Replication);
     }
-    let user = parameters.get("user").filter(|user| !user.is_empty()).cloned().ok_or(StartupError::NoUser)?;
-    let database = parameters.get("database").cloned().unwrap_or_else(|| user.clone());
+    let user = parameters
+        .get("user")
+        .filter(|user| !user.is_empty())
+        .cloned()
+        .ok_or(StartupError::NoUser)?;
+    let database = parameters
+        .get("database")
+        .cloned()
+        .unwrap_or_else(|| user.clone());
     // 3.1 was never used; whoever asks for it gets 3.0.
-    let minor = if asked >= NEWEST_MINOR { NEWEST_MINOR } else { 0 };
+    let minor = if asked >= NEWEST_MINOR {
+        NEWEST_MINOR
+    } else {
+        0
+    };
     let negotiate = (asked > NEWEST_MINOR || !unknown.is_empty()).then(|| {
         let mut body = BytesMut::new();
         body.put_u32(MAJOR << 16 | minor);
@@ -180,7 +200,13 @@
         }
         body.freeze()
     });
-    Ok(StartupMessage { minor, negotiate, user, database, parameters })
+    Ok(StartupMessage {
+        minor,
+        negotiate,
+        user,
+        database,
+        parameters,
+    })
 }
 
 #[cfg(test)]
--- a/core/postgres-session/src/statements.rs
+++ b/core/postgres-session/src/statements.rs
@@ -52,7 +52,12 @@
     pub fn reading(&mut self, name: &Bytes) -> Option<Rc<StatementEffects>> {
         let text = self.texts.get(name)?;
         let read = || Rc::new(pins::read(&String::from_utf8_lossy(sql(text))));
-        Some(self.readings.entry(name.clone()).or_insert_with(read).clone())
+        Some(
+            self.readings
+                .entry(name.clone())
+                .or_insert_with(read)
+                .clone(),
+        )
     }
 
     /// Whether there is room for one more name.
@@ -106,12 +111,19 @@
         self.uses += 1;
         if let Some((number, used)) = self.known.get_mut(text) {
             *used = self.uses;
-            return Use { name: name(*number), first: Vec::new() };
+            return Use {
+                name: name(*number),
+                first: Vec::new(),
+            };
         }
         let mut first = Vec::new();
         if self.known.len() >= MAX_SERVER_STATEMENTS {
             // Rare beside uses, so it may take a look at all of them.
-            let oldest = self.known.iter().min_by_key(|(_, (_, used))| *used).map(|(text, _)| text.clone());
+            let oldest = self
+                .known
+                .iter()
+                .min_by_key(|(_, (_, used))| *used)
+                .map(|(text, _)| text.clone());
             let number = oldest.and_then(|oldest| self.known.remove(&oldest));
             first.extend(number.map(|(number, _)| close(&name(number))));
         }
@@ -141,7 +153,8 @@
 
 /// Whether a name looks like the node's own on server connections, where it might hit another client's statement.
 pub fn is_own(name: &[u8]) -> bool {
-    name.strip_prefix(b"bp").is_some_and(|rest| !rest.is_empty() && rest.iter().all(u8::is_ascii_digit))
+    name.strip_prefix(b"bp")
+        .is_some_and(|rest| !rest.is_empty() && rest.iter().all(u8::is_ascii_digit))
 }
 
 /// `Parse` under this name.
@@ -201,14 +214,20 @@
 /// What a `Describe` or `Close` is about: `S` for a statement or `P` for a portal, and its name.
 pub fn read_target(frame: &Frame) -> Result<(u8, Bytes), Malformed> {
     let (kind, rest) = frame.body.split_first().ok_or(Malformed)?;
-    let end =
-        rest.iter().position(|byte| *byte == 0).filter(|_| matches!(kind, b'S' | b'P')).ok_or(Malformed)?;
+    let end = rest
+        .iter()
+        .position(|byte| *byte == 0)
+        .filter(|_| matches!(kind, b'S' | b'P'))
+        .ok_or(Malformed)?;
     Ok((*kind, frame.body.slice(1..1 + end)))
 }
 
 /// `Describe` of a statement of this name.
 pub fn describe(name: &[u8]) -> Frame {
-    Frame { tag: b'D', ..close(name) }
+    Frame {
+        tag: b'D',
+        ..close(name)
+    }
 }
 
 #[cfg(test)]
--- a/core/postgres-session/tests/corpus.rs
+++ b/core/postgres-session/tests/corpus.rs
@@ -30,9 +30,20 @@
             let tag = TAGS[random.between(0, TAGS.len() as u64 - 1) as usize];
             let mut message = vec![tag];
             // Now and then a length that lies.
-            let length = if random.chance(0.05) { random.between(0, 40) as u32 } else { body as u32 + 4 };
+            let length = if random.chance(0.05) {
+                random.between(0, 40) as u32
+            } else {
+                body as u32 + 4
+            };
             message.extend_from_slice(&length.to_be_bytes());
-            let texts: [&[u8]; 6] = [b"BEGIN\0", b"COMMIT\0", b"SELECT 1\0", b"a\0a\0\0\0", b"I", b"T"];
+            let texts: [&[u8]; 6] = [
+                b"BEGIN\0",
+                b"COMMIT\0",
+                b"SELECT 1\0",
+                b"a\0a\0\0\0",
+                b"I",
+                b"T",
+            ];
             if random.chance(0.6) {
                 let text = texts[random.between(0, 5) as usize];
                 message = [&[tag], &(text.len() as u32 + 4).to_be_bytes()[..], text].concat();
--- a/core/postgres-session/tests/reference.rs
+++ b/core/postgres-session/tests/reference.rs
@@ -95,18 +95,36 @@
 impl Step {
     fn frames(&self) -> Vec<Frame> {
         let zero: &[u8] = b"\0";
-        let parse =
-            |name: &str, text: &str| frame(b'P', &[name.as_bytes(), zero, text.as_bytes(), zero, b"\0\0"]);
+        let parse = |name: &str, text: &str| {
+            frame(
+                b'P',
+                &[name.as_bytes(), zero, text.as_bytes(), zero, b"\0\0"],
+            )
+        };
         let bind = |portal: &str, name: &str| {
-            frame(b'B', &[portal.as_bytes(), zero, name.as_bytes(), zero, b"\0\0\0\0\0\0"])
+            frame(
+                b'B',
+                &[
+                    portal.as_bytes(),
+                    zero,
+                    name.as_bytes(),
+                    zero,
+                    b"\0\0\0\0\0\0",
+                ],
+            )
         };
-        let execute = |portal: &str, most: u32| frame(b'E', &[portal.as_bytes(), zero, &most.to_be_bytes()]);
+        let execute =
+            |portal: &str, most: u32| frame(b'E', &[portal.as_bytes(), zero, &most.to_be_bytes()]);
         let sync = || frame(b'S', &[]);
         let of = |tag: u8, kind: &[u8], name: &str| frame(tag, &[kind, name.as_bytes(), zero]);
-        let rows = |count: u8| (0..count).map(|n| frame(b'd', &[format!("{}\tcopied\n", 10 + n).as_bytes()]));
+        let rows = |count: u8| {
+            (0..count).map(|n| frame(b'd', &[format!("{}\tcopied\n", 10 + n).as_bytes()]))
+        };
         match *self {
             // Drivers prepare and run a DEALLOCATE in one go, and under no name.
-            Self::Parse(_, DEALLOCATE) | Self::Batch(1.., DEALLOCATE) => Self::Batch(0, DEALLOCATE).frames(),
+            Self::Parse(_, DEALLOCATE) | Self::Batch(1.., DEALLOCATE) => {
+                Self::Batch(0, DEALLOCATE).frames()
+            }
             Self::Query(text) => vec![frame(b'Q', &[TEXTS[text].as_bytes(), zero])],
             Self::Parse(name, text) => vec![parse(NAMES[name], TEXTS[text])],
             Self::Bind(portal, name) => vec![bind(PORTALS[portal], NAMES[name])],
@@ -129,11 +147,20 @@
             Self::Copy(count, good) => {
                 let mut all = vec![frame(b'Q', &[b"COPY t FROM STDIN\0"])];
                 all.extend(rows(count));
-                all.push(if good { frame(b'c', &[]) } else { frame(b'f', &[b"no\0"]) });
+                all.push(if good {
+                    frame(b'c', &[])
+                } else {
+                    frame(b'f', &[b"no\0"])
+                });
                 all
             }
             Self::CopyBatch(count) => {
-                let mut all = vec![parse("", "COPY t FROM STDIN"), bind("", ""), execute("", 0), sync()];
+                let mut all = vec![
+                    parse("", "COPY t FROM STDIN"),
+                    bind("", ""),
+                    execute("", 0),
+                    sync(),
+                ];
                 all.extend(rows(count));
                 all.extend([frame(b'c', &[]), sync()]);
                 all
@@ -169,8 +196,12 @@
     let mut cutter = FrameDecoder::default();
     cutter.push(bytes);
     let mut cuts = Vec::new();
-    while let Some(next) =
-        if server { cutter.next_from_server() } else { cutter.next_from_client() }.expect("good frames")
+    while let Some(next) = if server {
+        cutter.next_from_server()
+    } else {
+        cutter.next_from_client()
+    }
+    .expect("good frames")
     {
         cuts.push(next);
     }
@@ -194,11 +225,16 @@
                         events.push_back(Event::Attached(state));
                     }
                     Action::ToServer(bytes) => {
-                        let link = self.held.as_mut().expect("nothing goes to a server that is not there");
+                        let link = self
+                            .held
+                            .as_mut()
+                            .expect("nothing goes to a server that is not there");
                         for cut in cut(&bytes, false) {
                             let frame = match cut {
                                 DecodeResult::Frame(frame) => frame,
-                                DecodeResult::Chunk { bytes, .. } => Frame::new(b'd', bytes.slice(5..)),
+                                DecodeResult::Chunk { bytes, .. } => {
+                                    Frame::new(b'd', bytes.slice(5..))
+                                }
                             };
                             let answers = say(&mut link.backend, &frame);
                             events.extend(self::cut(&answers, true).into_iter().map(Event::Server));
@@ -209,7 +245,9 @@
                         let link = self.held.take().expect("what is released was held");
                         self.links.push_back(Link { state, ..link });
                     }
-                    Action::DropServer | Action::NotAgain => panic!("no server was lost: {:?}", self.session),
+                    Action::DropServer | Action::NotAgain => {
+                        panic!("no server was lost: {:?}", self.session)
+                    }
                     Action::End => self.ended = true,
                     Action::Started | Action::Done => {}
                 }
@@ -245,14 +283,20 @@
         if let DecodeResult::Frame(Frame { tag: b'S', body }) = cut {
             let text = String::from_utf8_lossy(&body).into_owned();
             let mut parts = text.split('\0').map(str::to_owned);
-            known.insert(parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
+            known.insert(
+                parts.next().unwrap_or_default(),
+                parts.next().unwrap_or_default(),
+            );
         }
     }
 }
 
 fn create(offline: &Offline) -> Backend {
     let mut backend = Database::backend(offline);
-    for sql in ["CREATE TABLE t (id int, v text)", "CREATE TABLE other.t (id int, v text)"] {
+    for sql in [
+        "CREATE TABLE t (id int, v text)",
+        "CREATE TABLE other.t (id int, v text)",
+    ] {
         say(&mut backend, &frame(b'Q', &[sql.as_bytes(), b"\0"]));
     }
     backend
@@ -270,9 +314,14 @@
     let settings = ClientSettings::new(&BTreeMap::new(), &greeting).expect("good settings");
     let links = (0..3).map(|_| {
         let mut state = ServerState::default();
-        greeting.iter().for_each(|(name, value)| state.settings.reported(name, value));
+        greeting
+            .iter()
+            .for_each(|(name, value)| state.settings.reported(name, value));
         state.settings.reported("application_name", "");
-        Link { backend: Database::backend(&behind), state }
+        Link {
+            backend: Database::backend(&behind),
+            state,
+        }
     });
     let mut pooled = Pooled {
         session: Session::new(settings),
@@ -291,14 +340,19 @@
             continue;
         }
         // A COPY that a Bind of an earlier statement began is ended: with anything else behind it no server would go on.
-        let copies =
-            direct.is_copying().then(|| vec![frame(b'S', &[]), frame(b'f', &[b"no\0"]), frame(b'S', &[])]);
+        let copies = direct
+            .is_copying()
+            .then(|| vec![frame(b'S', &[]), frame(b'f', &[b"no\0"]), frame(b'S', &[])]);
         for frame in copies.into_iter().flatten().chain(step.frames()) {
             told.extend(say(&mut direct, &frame));
             let mut wire = BytesMut::new();
             frame.write(&mut wire);
             let cut = match frame.tag {
-                b'd' => DecodeResult::Chunk { tag: b'd', bytes: wire.freeze(), last: true },
+                b'd' => DecodeResult::Chunk {
+                    tag: b'd',
+                    bytes: wire.freeze(),
+                    last: true,
+                },
                 _ => DecodeResult::Frame(frame),
             };
             pooled.handle(Event::Client(cut));
@@ -314,7 +368,10 @@
     // What is still open is rolled back on both sides, and the rest is the same.
     if pooled.session.status() != TransactionStatus::Idle {
         say(&mut direct, &frame(b'Q', &[b"ROLLBACK\0"]));
-        pooled.handle(Event::Client(DecodeResult::Frame(frame(b'Q', &[b"ROLLBACK\0"]))));
+        pooled.handle(Event::Client(DecodeResult::Frame(frame(
+            b'Q',
+            &[b"ROLLBACK\0"],
+        ))));
     }
     for table in ["t", "other.t"] {
         prop_assert_eq!(alone.rows(table), behind.rows(table));
@@ -324,23 +381,46 @@
 
 #[test]
 fn any_legal_sequence_is_answered_as_by_one_server() {
-    let cases = std::env::var("PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(1500);
-    let config = Config { cases, failure_persistence: None, max_shrink_iters: 20_000, ..Config::default() };
+    let cases = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|cases| cases.parse().ok())
+        .unwrap_or(1500);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let steps = proptest::collection::vec(step(), 1..25);
-    runner.run(&steps, |steps| play(&steps)).unwrap_or_else(|error| panic!("{error}"));
+    runner
+        .run(&steps, |steps| play(&steps))
+        .unwrap_or_else(|error| panic!("{error}"));
 }
 
 /// As a driver that turns an argument down after it has described the statement, and one in pipeline mode.
 #[test]
 fn the_two_sequences_that_ended_sessions_do_not() {
     let describe = |text| {
-        vec![Step::Query(5), Step::Parse(0, text), Step::DescribeStatement(0), Step::Flush, Step::Query(8)]
+        vec![
+            Step::Query(5),
+            Step::Parse(0, text),
+            Step::DescribeStatement(0),
+            Step::Flush,
+            Step::Query(8),
+        ]
     };
-    for steps in
-        [describe(1), vec![Step::Batch(0, 0), Step::Flush, Step::Query(0), Step::Batch(1, 1), Step::Flush]]
-    {
+    for steps in [
+        describe(1),
+        vec![
+            Step::Batch(0, 0),
+            Step::Flush,
+            Step::Query(0),
+            Step::Batch(1, 1),
+            Step::Flush,
+        ],
+    ] {
         if let Err(error) = play(&steps) {
             panic!("{steps:?}: {error}");
         }
--- a/core/socket-handover/src/lib.rs
+++ b/core/socket-handover/src/lib.rs
@@ -120,7 +120,10 @@
 impl Successor {
     /// One that is to listen there.
     pub fn new(listen: SocketAddr) -> Self {
-        Self { at: Asking::Connecting, listen }
+        Self {
+            at: Asking::Connecting,
+            listen,
+        }
     }
 
     /// Takes in what happens.
@@ -130,7 +133,10 @@
                 self.at = Asking::Asked;
                 // From here on there are two.
                 actions.push(Action::SetLimitsHalved(true));
-                actions.push(Action::Send(Message::Hello { version: PROTOCOL_VERSION, listen: self.listen }));
+                actions.push(Action::Send(Message::Hello {
+                    version: PROTOCOL_VERSION,
+                    listen: self.listen,
+                }));
             }
             (Asking::Asked, Event::Received(Message::Listener, true)) => {
                 self.at = Asking::Given;
@@ -145,8 +151,8 @@
                 self.at = Asking::Alone;
                 actions.push(Action::SetLimitsHalved(false));
             }
-            (Asking::Given | Asking::Serving | Asking::Alone, _) | (Asking::Connecting, Event::Listening) => {
-            }
+            (Asking::Given | Asking::Serving | Asking::Alone, _)
+            | (Asking::Connecting, Event::Listening) => {}
             (Asking::Asked, Event::Connected | Event::Listening) => {}
             (Asking::Connecting, _) => self.go_alone(false, actions),
             (Asking::Asked, _) => self.go_alone(true, actions),
@@ -181,7 +187,10 @@
 impl Predecessor {
     /// One that listens there.
     pub fn new(listen: SocketAddr) -> Self {
-        Self { at: Giving::Waiting, listen }
+        Self {
+            at: Giving::Waiting,
+            listen,
+        }
     }
 
     /// Takes in what happens.
@@ -194,7 +203,10 @@
                     format!("this one listens at {}", self.listen)
                 } else {
                     self.at = Giving::Given;
-                    actions.extend([Action::SendListener(Message::Listener), Action::SetLimitsHalved(true)]);
+                    actions.extend([
+                        Action::SendListener(Message::Listener),
+                        Action::SetLimitsHalved(true),
+                    ]);
                     return;
                 };
                 self.at = Giving::Over;
--- a/core/socket-handover/src/tests.rs
+++ b/core/socket-handover/src/tests.rs
@@ -7,18 +7,25 @@
 }
 
 fn hello(version: u32, port: u16) -> Message {
-    Message::Hello { version, listen: at(port) }
+    Message::Hello {
+        version,
+        listen: at(port),
+    }
 }
 
 fn successor(events: &[Event]) -> Vec<Action> {
     let (mut side, mut actions) = (Successor::new(at(1)), Vec::new());
-    events.iter().for_each(|event| side.handle(event.clone(), &mut actions));
+    events
+        .iter()
+        .for_each(|event| side.handle(event.clone(), &mut actions));
     actions
 }
 
 fn predecessor(events: &[Event]) -> Vec<Action> {
     let (mut side, mut actions) = (Predecessor::new(at(1)), Vec::new());
-    events.iter().for_each(|event| side.handle(event.clone(), &mut actions));
+    events
+        .iter()
+        .for_each(|event| side.handle(event.clone(), &mut actions));
     actions
 }
 
@@ -38,7 +45,12 @@
     );
     let asked = Event::Received(hello(1, 1), false);
     assert_eq!(
-        predecessor(&[asked, Event::TimedOut, Event::Received(Message::Serving, false), Event::Closed]),
+        predecessor(&[
+            asked,
+            Event::TimedOut,
+            Event::Received(Message::Serving, false),
+            Event::Closed
+        ]),
         [
             SendListener(Message::Listener),
             SetLimitsHalved(true),
@@ -52,10 +64,13 @@
 
 #[test]
 fn another_version_or_address_is_turned_down_with_a_reason() {
-    for (asked, why) in
-        [(hello(2, 1), "version 2 is not 1"), (hello(1, 9), "this one listens at 127.0.0.1:1")]
-    {
-        let refused = Message::Refused { reason: why.to_owned() };
+    for (asked, why) in [
+        (hello(2, 1), "version 2 is not 1"),
+        (hello(1, 9), "this one listens at 127.0.0.1:1"),
+    ] {
+        let refused = Message::Refused {
+            reason: why.to_owned(),
+        };
         assert_eq!(
             predecessor(&[Event::Received(asked, false)]),
             [Action::Send(refused.clone()), Action::Close]
@@ -67,15 +82,28 @@
 
 #[test]
 fn lines_are_read_back_and_nothing_else_is() {
-    for message in
-        [hello(1, 80), Message::Listener, Message::Serving, Message::Refused { reason: "no".into() }]
-    {
+    for message in [
+        hello(1, 80),
+        Message::Listener,
+        Message::Serving,
+        Message::Refused {
+            reason: "no".into(),
+        },
+    ] {
         let line = message.line();
-        assert_eq!(Message::read(&line[..line.len() - 1]).expect("a message"), message);
+        assert_eq!(
+            Message::read(&line[..line.len() - 1]).expect("a message"),
+            message
+        );
     }
-    for bad in
-        [&b""[..], b"{}", b"\"hello\"", b"{\"hello\":{\"version\":1}}", b"\xff", &[b'x'; MAX_LINE_LENGTH + 1]]
-    {
+    for bad in [
+        &b""[..],
+        b"{}",
+        b"\"hello\"",
+        b"{\"hello\":{\"version\":1}}",
+        b"\xff",
+        &[b'x'; MAX_LINE_LENGTH + 1],
+    ] {
         assert!(Message::read(bad).is_err());
     }
 }
@@ -90,7 +118,12 @@
         (0u32..3, 1u16..3).prop_map(|(version, port)| Event::Received(hello(version, port), false)),
         any::<bool>().prop_map(|with| Event::Received(Message::Listener, with)),
         Just(Event::Received(Message::Serving, false)),
-        Just(Event::Received(Message::Refused { reason: String::new() }, false)),
+        Just(Event::Received(
+            Message::Refused {
+                reason: String::new()
+            },
+            false
+        )),
     ]
 }
 
--- a/core/zone-health/src/course.rs
+++ b/core/zone-health/src/course.rs
@@ -66,9 +66,21 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum ZoneStage {
     Healthy,
-    Suspected { since: Nanos, why: ZoneStateReason },
-    Ejected { held: Nanos, why: ZoneStateReason, next: Nanos, answered: u32, tried: bool },
-    Recovering { step: usize, since: Nanos },
+    Suspected {
+        since: Nanos,
+        why: ZoneStateReason,
+    },
+    Ejected {
+        held: Nanos,
+        why: ZoneStateReason,
+        next: Nanos,
+        answered: u32,
+        tried: bool,
+    },
+    Recovering {
+        step: usize,
+        since: Nanos,
+    },
 }
 
 /// What the evidence amounts to at one moment.
@@ -165,8 +177,13 @@
     pub(crate) fn no_worse_than(&self, elsewhere: f64) -> bool {
         let failing = matches!(
             self.stage,
-            ZoneStage::Ejected { why: ZoneStateReason::Failing { .. }, .. }
-                | ZoneStage::Suspected { why: ZoneStateReason::Failing { .. }, .. }
+            ZoneStage::Ejected {
+                why: ZoneStateReason::Failing { .. },
+                ..
+            } | ZoneStage::Suspected {
+                why: ZoneStateReason::Failing { .. },
+                ..
+            }
         );
         failing && elsewhere >= FAILING_TOO.max(0.5 * self.failed_at_close)
     }
@@ -174,7 +191,13 @@
     fn close(&mut self, awake: Nanos, why: ZoneStateReason, crowd: f64, draw: f64) {
         let held = awake + (HOLD << self.strikes.min(HOLDS));
         let next = held + (draw * self.interval(crowd)) as Nanos;
-        self.stage = ZoneStage::Ejected { held, why, next, answered: 0, tried: false };
+        self.stage = ZoneStage::Ejected {
+            held,
+            why,
+            next,
+            answered: 0,
+            tried: false,
+        };
         self.strikes += 1;
         (self.bad, self.seconded) = (None, false);
     }
@@ -186,23 +209,35 @@
             ZoneStage::Suspected { .. } => ObservedState::Suspected,
             ZoneStage::Ejected { answered, .. } => {
                 let bad = self.bad.map(|bad| awake.saturating_sub(bad) / MS);
-                let bad_ms = bad.and_then(|ms| u16::try_from(ms).ok()).unwrap_or(u16::MAX);
-                ObservedState::Ejected { good: u8::try_from(answered).unwrap_or(u8::MAX), bad_ms }
-            }
-            ZoneStage::Recovering { step, .. } => {
-                ObservedState::Recovering { step: step as u8, good: self.evidence.goods > self.goods_at_step }
+                let bad_ms = bad
+                    .and_then(|ms| u16::try_from(ms).ok())
+                    .unwrap_or(u16::MAX);
+                ObservedState::Ejected {
+                    good: u8::try_from(answered).unwrap_or(u8::MAX),
+                    bad_ms,
+                }
             }
+            ZoneStage::Recovering { step, .. } => ObservedState::Recovering {
+                step: step as u8,
+                good: self.evidence.goods > self.goods_at_step,
+            },
         }
     }
 
     /// Weighs what is seen now.
     pub(crate) fn weigh(&mut self, awake: Nanos, seen: EvidenceSnapshot, crowd: f64, draw: f64) {
-        let failing = if awake < self.acquitted_until { 0.0 } else { seen.failing };
+        let failing = if awake < self.acquitted_until {
+            0.0
+        } else {
+            seen.failing
+        };
         let failing = failing * DOUBT / DOUBT_FAILING;
         let why = if failing > seen.silence {
             ZoneStateReason::Failing { evidence: failing }
         } else {
-            ZoneStateReason::Silent { evidence: seen.silence }
+            ZoneStateReason::Silent {
+                evidence: seen.silence,
+            }
         };
         let worst = failing.max(seen.silence);
         let middle = seen.fleet.and_then(|fleet| fleet.step);
@@ -217,8 +252,9 @@
                     self.evidence.goods = 0;
                     self.saw = seen.own >= SEES;
                     self.stage = ZoneStage::Suspected { since: awake, why };
-                } else if let Some(fleet) =
-                    seen.fleet.filter(|_| seen.others && !seen.hears && !self.fresh(awake))
+                } else if let Some(fleet) = seen
+                    .fleet
+                    .filter(|_| seen.others && !seen.hears && !self.fresh(awake))
                 {
                     // What the others did while this node saw nothing, or before it began.
                     self.saw = false;
@@ -239,10 +275,13 @@
                 let lasted = awake.saturating_sub(since);
                 let silent = matches!(why, ZoneStateReason::Silent { .. });
                 // The others' evidence grows old once they send nothing there; that takes nothing back.
-                let withdrawn = seen.fleet.is_some_and(|fleet| !fleet.held) && seen.silence < DOUBT / 2.0;
+                let withdrawn =
+                    seen.fleet.is_some_and(|fleet| !fleet.held) && seen.silence < DOUBT / 2.0;
                 if silent && (self.evidence.goods > 0 || withdrawn) {
                     self.stage = ZoneStage::Healthy;
-                } else if lasted >= DOUBT_MOST || (lasted >= DOUBT_FOR && (!silent || seen.slower >= DOUBT)) {
+                } else if lasted >= DOUBT_MOST
+                    || (lasted >= DOUBT_FOR && (!silent || seen.slower >= DOUBT))
+                {
                     self.close(awake, why, crowd, draw);
                 }
             }
@@ -271,7 +310,10 @@
                     self.saw = seen.own >= SEES;
                     self.close(awake, why, crowd, draw);
                 } else if worst >= WORSE && lasted >= STEP_FOR / 2 {
-                    self.stage = ZoneStage::Recovering { step: step.saturating_sub(1), since: awake };
+                    self.stage = ZoneStage::Recovering {
+                        step: step.saturating_sub(1),
+                        since: awake,
+                    };
                     self.goods_at_step = self.evidence.goods;
                 } else if middle.is_some_and(|middle| step < middle) {
                     // One ramp for all: who sees little goes with the others.
@@ -286,7 +328,10 @@
                         self.first_stretch = self.evidence.stretch;
                     }
                     self.goods_at_step = self.evidence.goods;
-                    self.stage = ZoneStage::Recovering { step: step + 1, since: awake };
+                    self.stage = ZoneStage::Recovering {
+                        step: step + 1,
+                        since: awake,
+                    };
                     if step + 1 >= STEPS.len() {
                         self.stage = ZoneStage::Healthy;
                         self.opened = awake;
@@ -298,11 +343,26 @@
 
     /// An attempt there ended while it was closed: a trial, or one that went out before.
     pub(crate) fn tried(&mut self, awake: Nanos, good: bool, servers: u32, crowd: f64, draw: f64) {
-        let ZoneStage::Ejected { held, why, next, answered, .. } = self.stage else { return };
+        let ZoneStage::Ejected {
+            held,
+            why,
+            next,
+            answered,
+            ..
+        } = self.stage
+        else {
+            return;
+        };
         if !good {
             self.bad = Some(awake);
             let next = next.max(awake + (draw * self.interval(crowd)) as Nanos);
-            self.stage = ZoneStage::Ejected { held, why, next, answered: 0, tried: false };
+            self.stage = ZoneStage::Ejected {
+                held,
+                why,
+                next,
+                answered: 0,
+                tried: false,
+            };
             return;
         }
         let answered = answered + 1;
@@ -315,7 +375,13 @@
             return;
         }
         let next = next.min(awake + TRIAL_NEXT).max(held);
-        self.stage = ZoneStage::Ejected { held, why, next, answered, tried: true };
+        self.stage = ZoneStage::Ejected {
+            held,
+            why,
+            next,
+            answered,
+            tried: true,
+        };
     }
 
     /// Servers are listed anew where there were none: what was seen was seen of other processes. The first step is
@@ -337,7 +403,10 @@
             && step < middle
         {
             self.goods_at_step = self.evidence.goods;
-            self.stage = ZoneStage::Recovering { step: middle.min(STEPS.len() - 1), since: awake };
+            self.stage = ZoneStage::Recovering {
+                step: middle.min(STEPS.len() - 1),
+                since: awake,
+            };
         }
     }
 
@@ -366,18 +435,27 @@
         self.cold = cold;
         self.evidence.reset(awake);
         self.goods_at_step = 0;
-        self.stage = ZoneStage::Recovering { step: 0, since: awake };
+        self.stage = ZoneStage::Recovering {
+            step: 0,
+            since: awake,
+        };
     }
 
     /// How many times longer than usual answers may take before their absence speaks for a dead zone.
     pub(crate) fn patience(&self) -> f64 {
-        if self.cold && matches!(self.stage, ZoneStage::Recovering { .. }) { COLD } else { SLOW }
+        if self.cold && matches!(self.stage, ZoneStage::Recovering { .. }) {
+            COLD
+        } else {
+            SLOW
+        }
     }
 
     /// Whether a trial is due; the next one is set.
     pub(crate) fn trial(&mut self, awake: Nanos, crowd: f64, draw: f64) -> bool {
         let interval = self.interval(crowd);
-        let ZoneStage::Ejected { next, .. } = &mut self.stage else { return false };
+        let ZoneStage::Ejected { next, .. } = &mut self.stage else {
+            return false;
+        };
         if awake < *next {
             return false;
         }
--- a/core/zone-health/src/evidence.rs
+++ b/core/zone-health/src/evidence.rs
@@ -93,7 +93,11 @@
     pub(crate) fn reset(&mut self, awake: Nanos) {
         let classes = self.classes.len() as u32;
         let answered = Some(awake);
-        *self = Self { answered, good: self.good, ..Self::new(classes) };
+        *self = Self {
+            answered,
+            good: self.good,
+            ..Self::new(classes)
+        };
     }
 
     /// Keeps only servers that are still listed.
@@ -104,7 +108,9 @@
 
     /// Share of a class's requests that failed here in the last seconds, and of how many.
     pub(crate) fn failed(&self, class: u32, awake: Nanos) -> (f64, f64) {
-        let Some(counts) = self.counts.get(class as usize) else { return (0.0, 0.0) };
+        let Some(counts) = self.counts.get(class as usize) else {
+            return (0.0, 0.0);
+        };
         let kept = kept(awake, counts.at);
         (counts.failed * kept, counts.all * kept)
     }
@@ -120,8 +126,15 @@
     ) {
         let usual = elsewhere.clamp(USUAL, 0.8);
         let failing = (3.0 * usual).clamp(FAILING, 0.95);
-        let step = if failed { (failing / usual).ln() } else { ((1.0 - failing) / (1.0 - usual)).ln() };
-        self.servers.entry(out.server).or_default().add(awake, step, SERVER_MOST);
+        let step = if failed {
+            (failing / usual).ln()
+        } else {
+            ((1.0 - failing) / (1.0 - usual)).ln()
+        };
+        self.servers
+            .entry(out.server)
+            .or_default()
+            .add(awake, step, SERVER_MOST);
         // No class is to blame for a connection that does not come about.
         if reached && let Some(class) = self.classes.get_mut(out.class as usize) {
             class.add(awake, step, 2.0 * SERVER_MOST);
@@ -160,15 +173,26 @@
     /// An attempt ended without a word.
     pub(crate) fn fell_silent(&mut self, out: &OutstandingAttempt, awake: Nanos) {
         if self.ended.len() < ENDED_MOST {
-            self.ended.push((out.since, out.server, out.class, awake.saturating_sub(out.since)));
+            self.ended.push((
+                out.since,
+                out.server,
+                out.class,
+                awake.saturating_sub(out.since),
+            ));
         }
     }
 
     /// The evidence of failures: without the worst server, and without the worst class where there are several.
     pub(crate) fn failing(&self, awake: Nanos, listed: u32) -> f64 {
-        let by_server = leave_worst(self.servers.values().map(|charge| charge.now(awake)), listed > 2);
+        let by_server = leave_worst(
+            self.servers.values().map(|charge| charge.now(awake)),
+            listed > 2,
+        );
         let used = self.counts.iter().filter(|counts| counts.all > 1.0).count();
-        let by_class = leave_worst(self.classes.iter().map(|charge| charge.now(awake)), used > 1);
+        let by_class = leave_worst(
+            self.classes.iter().map(|charge| charge.now(awake)),
+            used > 1,
+        );
         by_server.min(by_class + self.unreached.now(awake))
     }
 
@@ -185,9 +209,18 @@
     ) -> (f64, Nanos) {
         let mut first = awake;
         let mut servers: BTreeMap<u32, f64> = BTreeMap::new();
-        let open = outs.map(|out| (out.since, out.server, out.class, awake.saturating_sub(out.since)));
+        let open = outs.map(|out| {
+            (
+                out.since,
+                out.server,
+                out.class,
+                awake.saturating_sub(out.since),
+            )
+        });
         for (since, server, class, age) in open.chain(self.ended.iter().copied()) {
-            let Some(times) = times.get(class as usize) else { continue };
+            let Some(times) = times.get(class as usize) else {
+                continue;
+            };
             let usual = times.within(0.5).unwrap_or(0);
             if self.answered.is_none_or(|at| since + usual >= at) {
                 *servers.entry(server).or_default() += times.silence(age, stretch);
--- a/core/zone-health/src/fleet.rs
+++ b/core/zone-health/src/fleet.rs
@@ -35,7 +35,11 @@
 
 impl Member {
     fn new(home: u8, up: bool) -> Self {
-        Self { home, up, sights: BTreeMap::new() }
+        Self {
+            home,
+            up,
+            sights: BTreeMap::new(),
+        }
     }
 }
 
@@ -93,7 +97,10 @@
             return false;
         }
         // Its first word may come before the word that it is there.
-        let known = self.members.entry(member).or_insert(Member::new(sight.home, false));
+        let known = self
+            .members
+            .entry(member)
+            .or_insert(Member::new(sight.home, false));
         known.sights.insert(zone, (now, sight));
         true
     }
@@ -104,7 +111,10 @@
 
     /// Other members of a home.
     pub(crate) fn count(&self, home: u8) -> u32 {
-        self.members.values().filter(|member| member.up && member.home == home).count() as u32
+        self.members
+            .values()
+            .filter(|member| member.up && member.home == home)
+            .count() as u32
     }
 
     /// How many are there, of all homes.
@@ -115,21 +125,34 @@
     /// What they say of a zone for nodes of this home: those of the home, and of the zone itself, from which no link
     /// between zones parts it. `own` is what this node sees of it: evidence of silence and of failures, and whether it
     /// hears from it.
-    pub(crate) fn view(&self, now: Nanos, zone: u8, home: u8, own: (f64, f64, bool)) -> PeerSummary {
+    pub(crate) fn view(
+        &self,
+        now: Nanos,
+        zone: u8,
+        home: u8,
+        own: (f64, f64, bool),
+    ) -> PeerSummary {
         let (own_silence, own_failing, hears) = own;
         let own_against = own_silence.max(own_failing) >= SPEAKS;
         let (mut silence, mut failing) = (0.0, 0.0);
         let (mut against, mut with) = (u32::from(own_against), u32::from(hears && !own_against));
         let (mut closed, mut returning, mut could) = (0, 0, 1u32);
         let mut steps: Vec<(usize, bool)> = Vec::new();
-        let mut view = PeerSummary { bad_ago: Nanos::MAX, ..PeerSummary::default() };
+        let mut view = PeerSummary {
+            bad_ago: Nanos::MAX,
+            ..PeerSummary::default()
+        };
         for member in self.members.values() {
             // Of other homes only the zone's own see it from where no link can be at fault.
             if member.home != home && member.home != zone {
                 continue;
             }
             could += u32::from(member.up && member.home == home);
-            let Some((at, sight)) = member.sights.get(&zone).filter(|(at, _)| now < at + self.fresh) else {
+            let Some((at, sight)) = member
+                .sights
+                .get(&zone)
+                .filter(|(at, _)| now < at + self.fresh)
+            else {
                 continue;
             };
             let age = now.saturating_sub(*at);
@@ -146,7 +169,10 @@
                 view.doubted |= worst >= SPEAKS || sight.state == ObservedState::Suspected;
             }
             view.held |= sight.is_own
-                && matches!(sight.state, ObservedState::Suspected | ObservedState::Ejected { .. });
+                && matches!(
+                    sight.state,
+                    ObservedState::Suspected | ObservedState::Ejected { .. }
+                );
             match sight.state {
                 ObservedState::Healthy => {}
                 ObservedState::Suspected => closed += u32::from(sight.is_own),
--- a/core/zone-health/src/fleet/tests.rs
+++ b/core/zone-health/src/fleet/tests.rs
@@ -24,7 +24,11 @@
 fn several_weak_words_are_one_strong_one_and_one_strong_word_is_none() {
     let mut fleet = fleet(7);
     assert!(fleet.said(NOW, 1, 0, NOW, sight(0, 500.0)));
-    assert_eq!(fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence, 0.0, "a liar alone");
+    assert_eq!(
+        fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence,
+        0.0,
+        "a liar alone"
+    );
     fleet.said(NOW, 2, 0, NOW, sight(0, 2.4));
     fleet.said(NOW, 3, 0, NOW, sight(0, 2.4));
     let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
@@ -37,7 +41,10 @@
     // And it is forgotten.
     assert_eq!(
         fleet.view(NOW + EVIDENCE_FRESH, 0, 0, (0.0, 0.0, false)),
-        PeerSummary { bad_ago: u64::MAX, ..PeerSummary::default() }
+        PeerSummary {
+            bad_ago: u64::MAX,
+            ..PeerSummary::default()
+        }
     );
 }
 
@@ -49,8 +56,16 @@
         fleet.member(member, 1, true);
         fleet.said(NOW, member, 0, NOW, sight(1, 2.5));
     });
-    assert_eq!(fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence, 0.0, "dc-b does not reach dc-a");
-    assert_eq!(fleet.view(NOW, 0, 2, (0.0, 0.0, false)).silence, 0.0, "dc-c does not care");
+    assert_eq!(
+        fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence,
+        0.0,
+        "dc-b does not reach dc-a"
+    );
+    assert_eq!(
+        fleet.view(NOW, 0, 2, (0.0, 0.0, false)).silence,
+        0.0,
+        "dc-c does not care"
+    );
     assert!(fleet.view(NOW, 0, 1, (0.0, 0.0, false)).silence > 5.0);
     // What a zone's own nodes see of it counts for all.
     (1..4).for_each(|member| {
@@ -62,15 +77,61 @@
 #[test]
 fn the_middle_one_leads_the_return_and_two_have_to_vouch_for_it() {
     let mut fleet = fleet(5);
-    let at = |at| ZoneObservation { state: at, ..sight(0, 0.0) };
-    fleet.said(NOW, 1, 0, NOW, at(ObservedState::Recovering { step: 4, good: true }));
+    let at = |at| ZoneObservation {
+        state: at,
+        ..sight(0, 0.0)
+    };
+    fleet.said(
+        NOW,
+        1,
+        0,
+        NOW,
+        at(ObservedState::Recovering {
+            step: 4,
+            good: true,
+        }),
+    );
     let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
-    assert_eq!((view.step, view.returning, view.triers), (None, false, 1), "one alone leads nobody");
-    fleet.said(NOW, 2, 0, NOW, at(ObservedState::Recovering { step: 1, good: false }));
-    fleet.said(NOW, 3, 0, NOW, at(ObservedState::Recovering { step: 0, good: true }));
+    assert_eq!(
+        (view.step, view.returning, view.triers),
+        (None, false, 1),
+        "one alone leads nobody"
+    );
+    fleet.said(
+        NOW,
+        2,
+        0,
+        NOW,
+        at(ObservedState::Recovering {
+            step: 1,
+            good: false,
+        }),
+    );
+    fleet.said(
+        NOW,
+        3,
+        0,
+        NOW,
+        at(ObservedState::Recovering {
+            step: 0,
+            good: true,
+        }),
+    );
     let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
-    assert_eq!((view.step, view.good, view.returning), (Some(1), true, true));
-    fleet.said(NOW, 4, 0, NOW, at(ObservedState::Ejected { good: 9, bad_ms: 40 }));
+    assert_eq!(
+        (view.step, view.good, view.returning),
+        (Some(1), true, true)
+    );
+    fleet.said(
+        NOW,
+        4,
+        0,
+        NOW,
+        at(ObservedState::Ejected {
+            good: 9,
+            bad_ms: 40,
+        }),
+    );
     let view = fleet.view(NOW + MS, 0, 0, (0.0, 0.0, false));
     assert_eq!((view.trials, view.triers, view.bad_ago), (8, 4, 41 * MS));
 }
--- a/core/zone-health/src/plan.rs
+++ b/core/zone-health/src/plan.rs
@@ -20,10 +20,17 @@
 pub(crate) fn divide(rooms: &[ZoneCapacity]) -> Vec<f64> {
     let room = |room: &ZoneCapacity| {
         let free = (1.0 - room.util.unwrap_or(UNKNOWN)).clamp(LEAST, 1.0);
-        if room.open { room.size.max(0.0) * free } else { 0.0 }
+        if room.open {
+            room.size.max(0.0) * free
+        } else {
+            0.0
+        }
     };
     let total: f64 = rooms.iter().map(room).sum();
-    rooms.iter().map(|one| if total > 0.0 { room(one) / total } else { 0.0 }).collect()
+    rooms
+        .iter()
+        .map(|one| if total > 0.0 { room(one) / total } else { 0.0 })
+        .collect()
 }
 
 #[cfg(test)]
--- a/core/zone-health/src/sight/tests.rs
+++ b/core/zone-health/src/sight/tests.rs
@@ -2,7 +2,10 @@
 
 #[test]
 fn a_sight_is_small_and_comes_back_as_it_was() {
-    let at = ObservedState::Ejected { good: 3, bad_ms: 800 };
+    let at = ObservedState::Ejected {
+        good: 3,
+        bad_ms: 800,
+    };
     let sight = ZoneObservation {
         home: 2,
         silent: 512,
@@ -15,5 +18,8 @@
     assert!(bytes.len() <= 16, "{}", bytes.len());
     assert_eq!(ZoneObservation::from_bytes(&bytes), Some(sight));
     (0..bytes.len()).for_each(|cut| assert_eq!(ZoneObservation::from_bytes(&bytes[..cut]), None));
-    assert_eq!(ZoneObservation::from_bytes(&[&bytes[..], b"x"].concat()), None);
+    assert_eq!(
+        ZoneObservation::from_bytes(&[&bytes[..], b"x"].concat()),
+        None
+    );
 }
--- a/core/zone-health/src/times.rs
+++ b/core/zone-health/src/times.rs
@@ -24,7 +24,10 @@
 
 impl LatencyHistogram {
     pub(crate) fn new() -> Self {
-        Self { counts: [0.0; BUCKETS], total: 0.0 }
+        Self {
+            counts: [0.0; BUCKETS],
+            total: 0.0,
+        }
     }
 
     pub(crate) fn add(&mut self, span: Nanos) {
--- a/core/zone-health/src/watch.rs
+++ b/core/zone-health/src/watch.rs
@@ -79,7 +79,9 @@
     pub fn new(settings: Settings, now: Nanos) -> Self {
         let zones = settings.zone_count as usize;
         Self {
-            courses: (0..zones).map(|_| ZoneState::new(settings.class_count)).collect(),
+            courses: (0..zones)
+                .map(|_| ZoneState::new(settings.class_count))
+                .collect(),
             places: vec![Place::default(); zones],
             listed: BTreeMap::new(),
             outs: BTreeMap::new(),
@@ -111,11 +113,28 @@
                 self.list(&servers);
                 true
             }
-            Event::AttemptSent { attempt, server, zone, class } => {
-                self.sent(attempt, OutstandingAttempt { server, zone, class, since: self.awake() });
+            Event::AttemptSent {
+                attempt,
+                server,
+                zone,
+                class,
+            } => {
+                self.sent(
+                    attempt,
+                    OutstandingAttempt {
+                        server,
+                        zone,
+                        class,
+                        since: self.awake(),
+                    },
+                );
                 false
             }
-            Event::AttemptEnded { attempt, seen, util } => {
+            Event::AttemptEnded {
+                attempt,
+                seen,
+                util,
+            } => {
                 burst = self.now < self.looked + LEAST_LOOK && self.wake.is_some();
                 self.ended(attempt, seen, util)
             }
@@ -136,7 +155,12 @@
                 }
                 false
             }
-            Event::PeerObserved { member, zone, sent, sight } => {
+            Event::PeerObserved {
+                member,
+                zone,
+                sent,
+                sight,
+            } => {
                 let known = usize::from(zone) < self.courses.len();
                 // A burst of words is weighed with the next look.
                 burst = self.now < self.looked + LEAST_LOOK && self.wake.is_some();
@@ -157,7 +181,10 @@
     }
 
     fn draw(&mut self) -> f64 {
-        self.random = self.random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        self.random = self
+            .random
+            .wrapping_mul(0x5851_f42d_4c95_7f2d)
+            .wrapping_add(0x1405_7b7e_f767_814f);
         (self.random >> 11) as f64 / (1u64 << 53) as f64
     }
 
@@ -171,7 +198,10 @@
 
     fn list(&mut self, servers: &[(u32, u32, f64)]) {
         let awake = self.awake();
-        self.listed = servers.iter().map(|(server, zone, _)| (*server, *zone)).collect();
+        self.listed = servers
+            .iter()
+            .map(|(server, zone, _)| (*server, *zone))
+            .collect();
         for (zone, (place, course)) in self.places.iter_mut().zip(&mut self.courses).enumerate() {
             let there = || servers.iter().filter(|(_, at, _)| *at as usize == zone);
             let before = std::mem::replace(&mut place.servers, there().count() as u32);
@@ -180,12 +210,15 @@
             }
             place.size = there().map(|(.., size)| size).sum();
             let listed = &self.listed;
-            course.evidence.retain(|server| listed.contains_key(&server));
+            course
+                .evidence
+                .retain(|server| listed.contains_key(&server));
         }
     }
 
     fn sent(&mut self, attempt: u64, out: OutstandingAttempt) {
-        let known = (out.zone as usize) < self.courses.len() && (out.class as usize) < self.times.len();
+        let known =
+            (out.zone as usize) < self.courses.len() && (out.class as usize) < self.times.len();
         if known && self.outs.len() < OUTS_MOST {
             self.outs.insert(attempt, out);
         }
@@ -193,19 +226,26 @@
 
     /// Whether it is worth a look.
     fn ended(&mut self, attempt: u64, seen: AttemptSignal, util: Option<f64>) -> bool {
-        let Some(out) = self.outs.remove(&attempt) else { return false };
-        let (awake, zone, crowd, draw) = (self.awake(), out.zone as usize, self.crowd(), self.draw());
+        let Some(out) = self.outs.remove(&attempt) else {
+            return false;
+        };
+        let (awake, zone, crowd, draw) =
+            (self.awake(), out.zone as usize, self.crowd(), self.draw());
         let elsewhere = self.elsewhere(out.zone, out.class);
         if let Some(util) = util.filter(|util| (0.0..=2.0).contains(util)) {
             let before = self.places[zone].util.map_or(util, |(_, before)| before);
             self.places[zone].util = Some((self.now, before + 0.1 * (util - before)));
         }
         let servers = self.places[zone].servers;
-        if matches!(seen, AttemptSignal::Answered | AttemptSignal::Failed | AttemptSignal::Inconclusive)
-            && std::mem::take(&mut self.cut_off)
+        if matches!(
+            seen,
+            AttemptSignal::Answered | AttemptSignal::Failed | AttemptSignal::Inconclusive
+        ) && std::mem::take(&mut self.cut_off)
         {
             // The node itself was cut off: what stayed silent meanwhile speaks against nobody.
-            self.courses.iter_mut().for_each(|course| course.open(awake));
+            self.courses
+                .iter_mut()
+                .for_each(|course| course.open(awake));
         }
         let course = &mut self.courses[zone];
         let span = awake.saturating_sub(out.since);
@@ -243,7 +283,11 @@
     /// Share of a class's requests that fails in the other zones now.
     fn elsewhere(&self, zone: u32, class: u32) -> f64 {
         let awake = self.awake();
-        let others = self.courses.iter().zip(0..).filter(|(_, other)| *other != zone);
+        let others = self
+            .courses
+            .iter()
+            .zip(0..)
+            .filter(|(_, other)| *other != zone);
         let (failed, all) = others.fold((0.0, 0.0), |sum, (course, _)| {
             let (failed, all) = course.evidence.failed(class, awake);
             (sum.0 + failed, sum.1 + all)
@@ -252,12 +296,17 @@
     }
 
     fn hand(&self, zone: usize) -> Option<bool> {
-        self.places[zone].hand.filter(|(_, until)| self.now < *until).map(|(closed, _)| closed)
+        self.places[zone]
+            .hand
+            .filter(|(_, until)| self.now < *until)
+            .map(|(closed, _)| closed)
     }
 
     /// Whether a zone could take what another does not.
     fn could_take(&self, zone: usize) -> bool {
-        self.places[zone].servers > 0 && self.hand(zone) != Some(true) && self.courses[zone].part() > 0.0
+        self.places[zone].servers > 0
+            && self.hand(zone) != Some(true)
+            && self.courses[zone].part() > 0.0
     }
 
     fn look(&mut self, actions: &mut Vec<Action>) {
@@ -273,7 +322,8 @@
             }
             let seen = self.weighed(zone);
             self.courses[zone].weigh(awake, seen, crowd, draw);
-            let elsewhere = (0..self.settings.class_count).map(|class| self.elsewhere(zone as u32, class));
+            let elsewhere =
+                (0..self.settings.class_count).map(|class| self.elsewhere(zone as u32, class));
             if self.courses[zone].no_worse_than(elsewhere.fold(0.0, f64::max)) {
                 self.courses[zone].acquit(awake);
             }
@@ -281,13 +331,18 @@
                 self.say(zone, theirs, actions);
             }
             if self.courses[zone].trial(awake, crowd, draw) {
-                actions.push(Action::RequestProbe { zone: zone as u32, wait: self.trial_wait() });
+                actions.push(Action::RequestProbe {
+                    zone: zone as u32,
+                    wait: self.trial_wait(),
+                });
             }
         }
         // With nowhere left to go nobody else is to blame, or nothing is gained by staying away.
         if !self.cut_off && !(0..self.courses.len()).any(|zone| self.could_take(zone)) {
             let doubted = self.courses.iter().any(|course| course.part() == 0.0);
-            self.courses.iter_mut().for_each(|course| course.open(awake));
+            self.courses
+                .iter_mut()
+                .for_each(|course| course.open(awake));
             self.cut_off = doubted;
         }
         self.tell(actions);
@@ -298,20 +353,26 @@
     fn silence(&self, zone: usize, stretch: f64) -> (f64, Nanos) {
         let outs = self.outs.values().filter(|out| out.zone as usize == zone);
         let (course, listed) = (&self.courses[zone], self.places[zone].servers);
-        course.evidence.silence(outs, &self.times, self.awake(), listed, stretch)
+        course
+            .evidence
+            .silence(outs, &self.times, self.awake(), listed, stretch)
     }
 
     fn weighed(&self, zone: usize) -> EvidenceSnapshot {
-        let (awake, course, listed) = (self.awake(), &self.courses[zone], self.places[zone].servers);
+        let (awake, course, listed) =
+            (self.awake(), &self.courses[zone], self.places[zone].servers);
         let (silent, first) = self.silence(zone, 2.0);
         let slower = self.silence(zone, course.patience()).0;
         let failing = course.evidence.failing(awake, listed);
         let hears = course.evidence.heard_within(awake, HEARS);
         let home = self.settings.local_zone as u8;
-        let fleet = (self.fleet.len() > 0)
-            .then(|| self.fleet.view(self.now, zone as u8, home, (slower, failing, hears)));
+        let fleet = (self.fleet.len() > 0).then(|| {
+            self.fleet
+                .view(self.now, zone as u8, home, (slower, failing, hears))
+        });
         // A node that hears from a zone believes nobody that it is silent.
-        let theirs = |of: fn(&PeerSummary) -> f64| fleet.as_ref().filter(|_| !hears).map_or(0.0, of);
+        let theirs =
+            |of: fn(&PeerSummary) -> f64| fleet.as_ref().filter(|_| !hears).map_or(0.0, of);
         EvidenceSnapshot {
             silence: silent + theirs(|view| view.silence),
             slower: slower + theirs(|view| view.silence),
@@ -326,15 +387,24 @@
 
     /// Tells the other nodes what is to be seen of a zone, where that is news to them.
     fn say(&mut self, zone: usize, theirs: PeerSummary, actions: &mut Vec<Action>) {
-        let (awake, course, listed) = (self.awake(), &self.courses[zone], self.places[zone].servers);
+        let (awake, course, listed) =
+            (self.awake(), &self.courses[zone], self.places[zone].servers);
         let in_steps = |evidence| hundredths(evidence).min(TELL_MOST) / TELL_STEP * TELL_STEP;
         let home = self.settings.local_zone as u8;
-        let (silent, failing) =
-            (in_steps(self.silence(zone, SLOW).0), in_steps(course.evidence.failing(awake, listed)));
+        let (silent, failing) = (
+            in_steps(self.silence(zone, SLOW).0),
+            in_steps(course.evidence.failing(awake, listed)),
+        );
         let hears = silent < TELLS && failing < TELLS && course.evidence.heard_within(awake, HEARS);
         let at = course.at(awake);
-        let sight =
-            ZoneObservation { home, silent, failing, has_answers: hears, state: at, is_own: course.saw };
+        let sight = ZoneObservation {
+            home,
+            silent,
+            failing,
+            has_answers: hears,
+            state: at,
+            is_own: course.saw,
+        };
         let speaks = |sight: &ZoneObservation| {
             sight.silent.max(sight.failing) >= TELLS || sight.state != ObservedState::Healthy
         };
@@ -344,29 +414,42 @@
             // Whom others doubt and this node hears from: they are to know.
             _ if !speaks(&sight) && hears && theirs.doubted => age >= HEARS_AGAIN,
             Some((_, said)) if speaks(&said) || speaks(&sight) => {
-                told_apart(&said, &sight) || (speaks(&sight) && age >= fleet::refresh(self.fleet.len()))
+                told_apart(&said, &sight)
+                    || (speaks(&sight) && age >= fleet::refresh(self.fleet.len()))
             }
             Some(_) => false,
             None => speaks(&sight),
         };
         if due {
             self.places[zone].said = Some((self.now, sight));
-            actions.push(Action::Gossip { zone: zone as u8, sight });
+            actions.push(Action::Gossip {
+                zone: zone as u8,
+                sight,
+            });
         }
     }
 
     /// One that is new has heard nothing yet: some members, drawn by lot, say again what they have said.
     fn tell_again(&mut self) {
         if self.draw() * (self.fleet.len() as f64) < TELLERS {
-            let said = self.places.iter_mut().filter_map(|place| place.said.as_mut());
+            let said = self
+                .places
+                .iter_mut()
+                .filter_map(|place| place.said.as_mut());
             said.for_each(|(at, _)| *at = 0);
             self.unweighed = true;
         }
     }
 
     fn trial_wait(&self) -> Nanos {
-        let slowest = self.times.iter().filter_map(|times| times.within(0.95)).max();
-        slowest.map_or(TRIAL_WAIT.1, |span| (span * TRIAL_STRETCH).clamp(TRIAL_WAIT.0, TRIAL_WAIT.1))
+        let slowest = self
+            .times
+            .iter()
+            .filter_map(|times| times.within(0.95))
+            .max();
+        slowest.map_or(TRIAL_WAIT.1, |span| {
+            (span * TRIAL_STRETCH).clamp(TRIAL_WAIT.0, TRIAL_WAIT.1)
+        })
     }
 
     /// Says the shares that have changed.
@@ -377,11 +460,18 @@
             None => self.courses[zone].part(),
         };
         let parts: Vec<f64> = (0..self.courses.len()).map(part).collect();
-        let rooms = self.places.iter().enumerate().map(|(zone, place)| ZoneCapacity {
-            size: place.size * parts[zone],
-            util: place.util.filter(|(at, _)| self.now < at + UTIL_FOR).map(|(_, util)| util),
-            open: zone != home && parts[zone] > 0.0,
-        });
+        let rooms = self
+            .places
+            .iter()
+            .enumerate()
+            .map(|(zone, place)| ZoneCapacity {
+                size: place.size * parts[zone],
+                util: place
+                    .util
+                    .filter(|(at, _)| self.now < at + UTIL_FOR)
+                    .map(|(_, util)| util),
+                open: zone != home && parts[zone] > 0.0,
+            });
         let rooms: Vec<ZoneCapacity> = rooms.collect();
         let divided = plan::divide(&rooms);
         let home_part = parts.get(home).copied().unwrap_or(1.0);
@@ -397,8 +487,13 @@
                 None => self.courses[zone].why(),
             };
             let place = &mut self.places[zone];
-            let (before, word) = place.told.unwrap_or((1.0, ZoneStateReason::Healthy.as_str()));
-            if (share - before).abs() < TELL && (share == 0.0) == (before == 0.0) && word == why.as_str() {
+            let (before, word) = place
+                .told
+                .unwrap_or((1.0, ZoneStateReason::Healthy.as_str()));
+            if (share - before).abs() < TELL
+                && (share == 0.0) == (before == 0.0)
+                && word == why.as_str()
+            {
                 continue;
             }
             place.told = Some((share, why.as_str()));
@@ -407,7 +502,12 @@
                 actions.push(Action::SetShare { zone, share });
             }
             if word != why.as_str() {
-                actions.push(Action::LogChange { zone, share, why, servers });
+                actions.push(Action::LogChange {
+                    zone,
+                    share,
+                    why,
+                    servers,
+                });
             }
         }
     }
@@ -417,12 +517,27 @@
         let follows = self.fleet.len() > 0 && self.courses.iter().any(follows);
         let look = (follows || self.unweighed || !self.outs.is_empty()).then_some(self.now + LOOK);
         let slept = self.slept;
-        let courses = self.courses.iter().filter_map(ZoneState::due).map(|awake| awake + slept);
-        let hands = self.places.iter().filter_map(|place| place.hand).map(|(_, until)| until);
-        let due = courses.map(|at| at.max(self.now + MS)).chain(hands.filter(|until| *until > self.now));
-        let Some(next) = look.into_iter().chain(due).min() else { return };
+        let courses = self
+            .courses
+            .iter()
+            .filter_map(ZoneState::due)
+            .map(|awake| awake + slept);
+        let hands = self
+            .places
+            .iter()
+            .filter_map(|place| place.hand)
+            .map(|(_, until)| until);
+        let due = courses
+            .map(|at| at.max(self.now + MS))
+            .chain(hands.filter(|until| *until > self.now));
+        let Some(next) = look.into_iter().chain(due).min() else {
+            return;
+        };
         // An earlier wake-up stands, and so does one that is no later by much than what is wanted.
-        if self.wake.is_none_or(|at| at <= self.now || next + LOOK / 2 < at) {
+        if self
+            .wake
+            .is_none_or(|at| at <= self.now || next + LOOK / 2 < at)
+        {
             self.wake = Some(next);
             actions.push(Action::SetTimer { at: next });
         }
@@ -433,12 +548,17 @@
 fn told_apart(one: &ZoneObservation, other: &ZoneObservation) -> bool {
     let news = |sight: &ZoneObservation| {
         let at = match sight.state {
-            ObservedState::Ejected { good, bad_ms } => {
-                ObservedState::Ejected { good, bad_ms: u16::from(bad_ms < u16::MAX) }
-            }
+            ObservedState::Ejected { good, bad_ms } => ObservedState::Ejected {
+                good,
+                bad_ms: u16::from(bad_ms < u16::MAX),
+            },
             at => at,
         };
-        ZoneObservation { state: at, has_answers: false, ..*sight }
+        ZoneObservation {
+            state: at,
+            has_answers: false,
+            ..*sight
+        }
     };
     news(one) != news(other)
 }
--- a/core/zone-health/src/watch/tests.rs
+++ b/core/zone-health/src/watch/tests.rs
@@ -37,7 +37,13 @@
 
 impl Play {
     fn new(pace: Nanos, seed: u64) -> Self {
-        let settings = Settings { local_zone: 1, zone_count: 3, class_count: 2, node_count: 15, seed };
+        let settings = Settings {
+            local_zone: 1,
+            zone_count: 3,
+            class_count: 2,
+            node_count: 15,
+            seed,
+        };
         let mut play = Self {
             watch: ZoneMonitor::new(settings, SECOND),
             now: SECOND,
@@ -53,13 +59,18 @@
             changed: Vec::new(),
             pace,
         };
-        let list = (0..3 * SERVERS).map(|server| (server, server / SERVERS, 4.0)).collect();
+        let list = (0..3 * SERVERS)
+            .map(|server| (server, server / SERVERS, 4.0))
+            .collect();
         play.hear(Event::EndpointsListed(list));
         play
     }
 
     fn draw(&mut self) -> u64 {
-        self.random = self.random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        self.random = self
+            .random
+            .wrapping_mul(0x5851_f42d_4c95_7f2d)
+            .wrapping_add(0x1405_7b7e_f767_814f);
         self.random >> 33
     }
 
@@ -72,7 +83,9 @@
                 Action::RequestProbe { zone, .. } => self.trial = Some(zone),
                 Action::SetTimer { at } => self.wake = Some(at),
                 Action::Gossip { .. } => panic!("there is nobody to say it to"),
-                Action::LogChange { zone, why, .. } => self.changed.push((self.now, zone, why.as_str())),
+                Action::LogChange { zone, why, .. } => {
+                    self.changed.push((self.now, zone, why.as_str()))
+                }
             }
         }
     }
@@ -87,20 +100,29 @@
         }
         let total = self.share[0] + self.share[2];
         let draw = (self.draw() % 1000) as f64 / 1000.0;
-        if total == 0.0 { 1 } else { 2 * u32::from(draw * total >= self.share[0]) }
+        if total == 0.0 {
+            1
+        } else {
+            2 * u32::from(draw * total >= self.share[0])
+        }
     }
 
     fn send(&mut self) {
         let zone = self.zone();
-        let (server, class) =
-            (zone * SERVERS + self.draw() as u32 % SERVERS, u32::from(self.draw().is_multiple_of(3)));
+        let (server, class) = (
+            zone * SERVERS + self.draw() as u32 % SERVERS,
+            u32::from(self.draw().is_multiple_of(3)),
+        );
         let (attempt, work) = (self.next, (20 + self.draw() % 40) * MS);
         self.next += 1;
         self.sent[zone as usize] += 1;
         let fails = self.draw() % 100;
         let (after, seen) = match self.mood[zone as usize] {
             _ if self.stuck == Some(server) => (500 * MS, AttemptSignal::TimedOut),
-            Mood::Silent => (if class == 0 { 200 * MS } else { 900 * MS }, AttemptSignal::TimedOut),
+            Mood::Silent => (
+                if class == 0 { 200 * MS } else { 900 * MS },
+                AttemptSignal::TimedOut,
+            ),
             Mood::Slow(times) => (work * times, AttemptSignal::Answered),
             Mood::Failing(share) if fails < share => (work, AttemptSignal::Failed),
             Mood::OneClass if class == 1 => (work, AttemptSignal::Failed),
@@ -108,7 +130,12 @@
             _ if fails == 0 => (work, AttemptSignal::Failed),
             _ => (work, AttemptSignal::Answered),
         };
-        self.hear(Event::AttemptSent { attempt, server, zone, class });
+        self.hear(Event::AttemptSent {
+            attempt,
+            server,
+            zone,
+            class,
+        });
         self.ends.insert((self.now + after, attempt), seen);
     }
 
@@ -117,12 +144,19 @@
         let mut next = self.now;
         while self.now < until {
             let end = self.ends.first_key_value().map(|(key, _)| *key);
-            let at =
-                [Some(next), end.map(|(at, _)| at), self.wake].into_iter().flatten().min().unwrap_or(until);
+            let at = [Some(next), end.map(|(at, _)| at), self.wake]
+                .into_iter()
+                .flatten()
+                .min()
+                .unwrap_or(until);
             self.now = self.now.max(at).min(until);
             if let Some(key) = end.filter(|(at, _)| *at <= self.now) {
                 let seen = self.ends.remove(&key).unwrap_or(AttemptSignal::NotSent);
-                self.hear(Event::AttemptEnded { attempt: key.1, seen, util: Some(0.4) });
+                self.hear(Event::AttemptEnded {
+                    attempt: key.1,
+                    seen,
+                    util: Some(0.4),
+                });
             } else if self.wake.is_some_and(|at| at <= self.now) {
                 self.wake = None;
                 self.hear(Event::TimerFired);
@@ -134,7 +168,11 @@
     }
 
     fn words(&self, zone: u32) -> Vec<&'static str> {
-        self.changed.iter().filter(|(_, at, _)| *at == zone).map(|(.., word)| *word).collect()
+        self.changed
+            .iter()
+            .filter(|(_, at, _)| *at == zone)
+            .map(|(.., word)| *word)
+            .collect()
     }
 }
 
@@ -155,10 +193,18 @@
         let from = play.now;
         play.run(300 * MS);
         assert_eq!(play.share[1], 0.0);
-        assert!(play.share[0] > 0.2 && play.share[2] > 0.2, "{:?}", play.share);
+        assert!(
+            play.share[0] > 0.2 && play.share[2] > 0.2,
+            "{:?}",
+            play.share
+        );
         let spent = play.sent[1];
         play.run(4700 * MS);
-        assert!(play.sent[1] - spent <= 12, "trials: {}", play.sent[1] - spent);
+        assert!(
+            play.sent[1] - spent <= 12,
+            "trials: {}",
+            play.sent[1] - spent
+        );
         play.mood[1] = Mood::Fine;
         play.run(10 * SECOND);
         assert_eq!(play.share[1], 1.0);
@@ -175,7 +221,11 @@
             let mut play = Play::new(17 * MS, seed);
             play.run(10 * SECOND);
             play.mood[1] = mood;
-            play.run(if mood == Mood::Failing(30) { 5 * SECOND } else { SECOND });
+            play.run(if mood == Mood::Failing(30) {
+                5 * SECOND
+            } else {
+                SECOND
+            });
             // Trials may be served by chance, so it may be on its way back.
             assert_eq!(play.words(1)[..1], ["failing"], "{mood:?}");
         });
@@ -194,7 +244,11 @@
         play.run(5 * SECOND);
         play.mood = [Mood::Slow(3); 3];
         play.run(5 * SECOND);
-        let closed = play.changed.iter().filter(|(.., word)| *word != "open" && *word != "silent").count();
+        let closed = play
+            .changed
+            .iter()
+            .filter(|(.., word)| *word != "open" && *word != "silent")
+            .count();
         assert_eq!(closed, 0, "{:?}", play.changed);
     });
 }
@@ -206,7 +260,12 @@
         play.run(10 * SECOND);
         // All that would have come meanwhile comes at its end.
         let back = play.now + 200 * MS;
-        let late: Vec<_> = play.ends.keys().copied().filter(|(at, _)| *at < back).collect();
+        let late: Vec<_> = play
+            .ends
+            .keys()
+            .copied()
+            .filter(|(at, _)| *at < back)
+            .collect();
         for key in late {
             let seen = play.ends.remove(&key).unwrap_or(AttemptSignal::NotSent);
             play.ends.insert((back, key.1), seen);
@@ -274,7 +333,10 @@
     let mut play = Play::new(17 * MS, 1);
     play.run(2 * SECOND);
     let until = play.now + 2 * SECOND;
-    play.hear(Event::OperatorOverride { zone: 1, order: Some((true, until)) });
+    play.hear(Event::OperatorOverride {
+        zone: 1,
+        order: Some((true, until)),
+    });
     assert_eq!(play.share[1], 0.0);
     play.run(SECOND);
     assert_eq!(play.words(1), ["by-hand"]);
@@ -283,28 +345,55 @@
     // Held open, it takes all, whatever is seen.
     play.mood[1] = Mood::Silent;
     let until = play.now + 2 * SECOND;
-    play.hear(Event::OperatorOverride { zone: 1, order: Some((false, until)) });
+    play.hear(Event::OperatorOverride {
+        zone: 1,
+        order: Some((false, until)),
+    });
     play.run(SECOND);
     assert_eq!(play.share[1], 1.0);
 }
 
 #[test]
 fn the_only_zone_is_never_left() {
-    let settings = Settings { local_zone: 0, zone_count: 1, class_count: 1, node_count: 1, seed: 3 };
+    let settings = Settings {
+        local_zone: 0,
+        zone_count: 1,
+        class_count: 1,
+        node_count: 1,
+        seed: 3,
+    };
     let (mut watch, mut actions) = (ZoneMonitor::new(settings, 0), Vec::new());
-    watch.handle(0, Event::EndpointsListed(vec![(0, 0, 1.0), (1, 0, 1.0), (2, 0, 1.0)]), &mut actions);
+    watch.handle(
+        0,
+        Event::EndpointsListed(vec![(0, 0, 1.0), (1, 0, 1.0), (2, 0, 1.0)]),
+        &mut actions,
+    );
     for attempt in 0..200 {
         let now = attempt * 10 * MS;
         watch.handle(
             now,
-            Event::AttemptSent { attempt, server: attempt as u32 % 3, zone: 0, class: 0 },
+            Event::AttemptSent {
+                attempt,
+                server: attempt as u32 % 3,
+                zone: 0,
+                class: 0,
+            },
             &mut actions,
         );
         watch.handle(
             now + MS,
-            Event::AttemptEnded { attempt, seen: AttemptSignal::ConnectionFailed, util: None },
+            Event::AttemptEnded {
+                attempt,
+                seen: AttemptSignal::ConnectionFailed,
+                util: None,
+            },
             &mut actions,
         );
     }
-    assert!(actions.iter().all(|action| !matches!(action, Action::SetShare { .. })), "{actions:?}");
+    assert!(
+        actions
+            .iter()
+            .all(|action| !matches!(action, Action::SetShare { .. })),
+        "{actions:?}"
+    );
 }
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -135,7 +135,9 @@
     #[error("configuration: {0}")]
     Peers(#[from] badgerpost_gossip::ConfigError),
     /// A rehearsal must reach nothing outside this machine.
-    #[error("rehearsal: {what} is at {at}; with a stepped clock every address must be a loopback address")]
+    #[error(
+        "rehearsal: {what} is at {at}; with a stepped clock every address must be a loopback address"
+    )]
     NotLoopback {
         /// What is there.
         what: String,
@@ -160,8 +162,8 @@
             Ok(text) => text,
             Err(source) => return Err(ConfigError::Unread { path, source }),
         };
-        let mut edge: Self =
-            serde_json::from_slice(&text).map_err(|source| ConfigError::Malformed { path, source })?;
+        let mut edge: Self = serde_json::from_slice(&text)
+            .map_err(|source| ConfigError::Malformed { path, source })?;
         if edge.console.is_none()
             && let Ok(at) = std::env::var("EDGE_CONSOLE")
             && !at.is_empty()
@@ -174,7 +176,9 @@
     /// The settings, in the module's words.
     pub fn site(&self) -> Result<Site, ConfigError> {
         let site = badgerpost_settings::read(&self.settings).map_err(ConfigError::Settings)?;
-        site.settings.validate().map_err(|error| ConfigError::Settings(error.to_string()))?;
+        site.settings
+            .validate()
+            .map_err(|error| ConfigError::Settings(error.to_string()))?;
         Ok(site)
     }
 
@@ -215,8 +219,10 @@
 impl Config {
     /// Reads and checks both.
     pub fn read(edge: &Path, own: Option<&Path>) -> Result<Self, ConfigError> {
-        let config =
-            Self { edge: Edge::read(edge)?, own: own.map(file::read).transpose()?.unwrap_or_default() };
+        let config = Self {
+            edge: Edge::read(edge)?,
+            own: own.map(file::read).transpose()?.unwrap_or_default(),
+        };
         let site = config.edge.site()?;
         config.edge.seed()?;
         config.edge.shares()?;
@@ -234,18 +240,36 @@
     }
 
     fn check_loopback(&self) -> Result<(), ConfigError> {
-        let Edge { listen, discovery, known, .. } = &self.edge;
-        let named = [("the listener".to_owned(), *listen), ("discovery".to_owned(), *discovery)];
+        let Edge {
+            listen,
+            discovery,
+            known,
+            ..
+        } = &self.edge;
+        let named = [
+            ("the listener".to_owned(), *listen),
+            ("discovery".to_owned(), *discovery),
+        ];
         let console = self.edge.console.map(|at| ("the console".to_owned(), at));
         let known = known.iter().flat_map(List::endpoints);
         let known = known.map(|(uid, at)| (format!("the known server {uid}"), at));
         let postgres = self.own.postgres.iter().flat_map(|postgres| {
-            let servers =
-                postgres.server.iter().map(|server| (format!("the server {}", server.name), server.address));
-            let list = postgres.discovery.map(|at| ("the list of PostgreSQL servers".to_owned(), at));
-            servers.chain([("the PostgreSQL listener".to_owned(), postgres.listen)]).chain(list)
+            let servers = postgres
+                .server
+                .iter()
+                .map(|server| (format!("the server {}", server.name), server.address));
+            let list = postgres
+                .discovery
+                .map(|at| ("the list of PostgreSQL servers".to_owned(), at));
+            servers
+                .chain([("the PostgreSQL listener".to_owned(), postgres.listen)])
+                .chain(list)
         });
-        let peers = self.own.peers.iter().flat_map(badgerpost_gossip::Config::addresses);
+        let peers = self
+            .own
+            .peers
+            .iter()
+            .flat_map(badgerpost_gossip::Config::addresses);
         let peers = peers.map(|(key, at)| (key.to_owned(), at));
         match named
             .into_iter()
@@ -262,13 +286,23 @@
 
     /// What will run, a line each.
     pub fn plan(&self) -> Vec<String> {
-        let Edge { name, listen, discovery, known, .. } = &self.edge;
+        let Edge {
+            name,
+            listen,
+            discovery,
+            known,
+            ..
+        } = &self.edge;
         let known = known.as_ref().map_or(0, |list| list.endpoints().count());
         let mut lines = vec![
             format!("node {name} takes HTTP/1.1 clients at {listen}"),
             format!("servers: the platform's list at {discovery}, {known} known from before"),
         ];
-        lines.extend(self.edge.console.map(|at| format!("console: operators call at {at}")));
+        lines.extend(
+            self.edge
+                .console
+                .map(|at| format!("console: operators call at {at}")),
+        );
         lines.extend(self.own.postgres.iter().map(|postgres| {
             format!(
                 "PostgreSQL clients at {}, {} servers, {} classes",
@@ -282,14 +316,19 @@
         }
         if let Some(peers) = &self.own.peers {
             let (at, seeds) = (peers.listen, peers.seeds.len());
-            lines.push(format!("peers: datagrams at {at}, {seeds} seeds; zones are judged by what all see"));
+            lines.push(format!(
+                "peers: datagrams at {at}, {seeds} seeds; zones are judged by what all see"
+            ));
         }
         if self.own.log.format == LogFormat::Json {
             lines.push("log: JSON, a line each".to_owned());
         }
         lines.push(match self.own.rehearsal {
             Some(rehearsal) => {
-                format!("clock: STEPPED by the rehearsal at {}; not for service", rehearsal.control)
+                format!(
+                    "clock: STEPPED by the rehearsal at {}; not for service",
+                    rehearsal.control
+                )
             }
             None => "clock: the system's".to_owned(),
         });
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -14,8 +14,8 @@
 use badgerpost_lifecycle::Event as LifeEvent;
 use badgerpost_socket_handover::{Action, Event, MAX_LINE_LENGTH, Message, Predecessor, Successor};
 use rustix::net::{
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
-    SendFlags, recvmsg, sendmsg, sockopt,
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags, recvmsg, sendmsg, sockopt,
 };
 use tokio::io::Interest;
 use tokio::net::{UnixListener, UnixStream};
@@ -54,12 +54,21 @@
         }
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
         let name = format!("badgerpost-{}-{}.handover", listen.ip(), listen.port());
-        Some(Self { path: PathBuf::from(folder).join(name), listen, shares, clock })
+        Some(Self {
+            path: PathBuf::from(folder).join(name),
+            listen,
+            shares,
+            clock,
+        })
     }
 
     /// Asks a version that runs for its listening socket.
     pub async fn take(&self) -> Option<Given> {
-        let stream = match self.clock.timeout(WITHIN, UnixStream::connect(&self.path)).await {
+        let stream = match self
+            .clock
+            .timeout(WITHIN, UnixStream::connect(&self.path))
+            .await
+        {
             Ok(Ok(stream)) => stream,
             // Nobody is there: the usual start.
             Ok(Err(error)) if error.kind() == io::ErrorKind::NotFound => return None,
@@ -81,7 +90,11 @@
                     Action::UseReceivedListener => {
                         let listener = link.listener()?;
                         tracing::info!(listen = %self.listen, "took over the listening socket");
-                        return Some(Given { listener, link, side });
+                        return Some(Given {
+                            listener,
+                            link,
+                            side,
+                        });
                     }
                     Action::ListenSeparately => {
                         tracing::warn!(
@@ -104,7 +117,10 @@
     /// to the next one. Never ends.
     pub async fn run(self, listener: TcpListener, given: Option<Given>, life: Life) {
         let door = self.open();
-        if let Some(Given { mut link, mut side, .. }) = given {
+        if let Some(Given {
+            mut link, mut side, ..
+        }) = given
+        {
             let before = self.clone();
             spawn(async move {
                 let mut event = Event::Listening;
@@ -197,9 +213,10 @@
                 self.shares.halve(halved);
                 Ok(())
             }
-            Action::UseReceivedListener | Action::ListenSeparately | Action::SetShared(_) | Action::Close => {
-                Ok(())
-            }
+            Action::UseReceivedListener
+            | Action::ListenSeparately
+            | Action::SetShared(_)
+            | Action::Close => Ok(()),
         };
         // A connection that has broken is heard of by the next read.
         said.unwrap_or_else(|error| tracing::info!(%error, "the handover broke off"));
@@ -215,7 +232,11 @@
 
 impl Link {
     fn new(stream: UnixStream) -> Self {
-        Self { stream, inbox: Vec::new(), given: None }
+        Self {
+            stream,
+            inbox: Vec::new(),
+            given: None,
+        }
     }
 
     /// The next thing that is heard.
@@ -245,14 +266,23 @@
     }
 
     async fn receive(&mut self) -> io::Result<usize> {
-        let Self { stream, inbox, given } = self;
+        let Self {
+            stream,
+            inbox,
+            given,
+        } = self;
         let mut bytes = [0; MAX_LINE_LENGTH];
         let read = stream
             .async_io(Interest::READABLE, || {
                 let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
                 let mut control = RecvAncillaryBuffer::new(&mut space);
                 let mut parts = [IoSliceMut::new(&mut bytes)];
-                let message = recvmsg(stream.as_fd(), &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC)?;
+                let message = recvmsg(
+                    stream.as_fd(),
+                    &mut parts,
+                    &mut control,
+                    RecvFlags::CMSG_CLOEXEC,
+                )?;
                 for rights in control.drain() {
                     if let RecvAncillaryMessage::ScmRights(fds) = rights {
                         // The last one counts; others are closed here.
@@ -278,17 +308,28 @@
                     control.push(SendAncillaryMessage::ScmRights(std::slice::from_ref(fd)));
                 }
                 let parts = [IoSlice::new(&line)];
-                Ok(sendmsg(self.stream.as_fd(), &parts, &mut control, SendFlags::NOSIGNAL)?)
+                Ok(sendmsg(
+                    self.stream.as_fd(),
+                    &parts,
+                    &mut control,
+                    SendFlags::NOSIGNAL,
+                )?)
             })
             .await?;
         // A line is far shorter than any socket's buffer.
-        if sent == line.len() { Ok(()) } else { Err(io::ErrorKind::WriteZero.into()) }
+        if sent == line.len() {
+            Ok(())
+        } else {
+            Err(io::ErrorKind::WriteZero.into())
+        }
     }
 
     /// Whether what came along is a socket that listens there.
     fn is_listener(&self, listen: SocketAddr) -> bool {
         let Some(fd) = &self.given else { return false };
-        let at = rustix::net::getsockname(fd).ok().and_then(|at| SocketAddr::try_from(at).ok());
+        let at = rustix::net::getsockname(fd)
+            .ok()
+            .and_then(|at| SocketAddr::try_from(at).ok());
         sockopt::socket_acceptconn(fd).is_ok_and(|listens| listens) && at == Some(listen)
     }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -44,7 +44,9 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let Some(edge) = arguments.edge_config else {
-        eprintln!("badgerpost: no configuration: EDGE_CONFIG is not set and --edge-config is not given\n");
+        eprintln!(
+            "badgerpost: no configuration: EDGE_CONFIG is not set and --edge-config is not given\n"
+        );
         eprintln!("{}", Arguments::command().render_help());
         return ExitCode::from(2);
     };
@@ -56,7 +58,9 @@
         config.plan().iter().for_each(|line| println!("{line}"));
         return ExitCode::SUCCESS;
     }
-    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
+    let log = tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_ansi(false);
     match config.own.log.format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().init(),
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -87,7 +87,9 @@
 
 /// Runs a node until it is asked to stop. `file` is where its configuration is read anew.
 pub fn start(config: Config, file: PathBuf) -> Result<(), ServeError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, serve(config, file))
 }
 
@@ -98,13 +100,26 @@
     let (site, seed, (clients, servers)) = (edge.site()?, edge.seed()?, edge.shares()?);
     let shares = Shares::new(clients, servers);
     let hands = own.rehearsal.map(Hands::take).transpose()?;
-    let clock = hands.as_ref().map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
+    let clock = hands
+        .as_ref()
+        .map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
     let bodies = Budget::new(edge.bodies());
     let (zone, nodes) = (site.settings.local_zone.0 as u8, site.settings.node_count);
-    let upstream = Upstream::new(site.links, clock.clone(), shares.servers.clone(), bodies.clone());
+    let upstream = Upstream::new(
+        site.links,
+        clock.clone(),
+        shares.servers.clone(),
+        bodies.clone(),
+    );
     spawn(Upstream::sweep(upstream.pool()));
-    let node = Node::new(site.settings, site.words, seed, clock.clone(), Rc::new(upstream))
-        .map_err(|error| ConfigError::Settings(error.to_string()))?;
+    let node = Node::new(
+        site.settings,
+        site.words,
+        seed,
+        clock.clone(),
+        Rc::new(upstream),
+    )
+    .map_err(|error| ConfigError::Settings(error.to_string()))?;
     if own.zones.is_some_and(|zones| zones.watch) {
         node.watch_zones(seed);
     }
@@ -113,7 +128,9 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     // Operators start the next version beside this one, at the same address: it takes over the socket, so that what
     // waits in its queue is lost to nobody.
-    let handover = edge.console.and_then(|_| Handover::new(edge.listen, shares.clone(), clock.clone()));
+    let handover = edge
+        .console
+        .and_then(|_| Handover::new(edge.listen, shares.clone(), clock.clone()));
     let given = match &handover {
         Some(handover) => handover.take().await,
         None => None,
@@ -122,10 +139,16 @@
         Some(given) => given.listener.try_clone()?,
         None => listen(edge.listen, edge.console.is_some())
             .and_then(TcpListener::into_std)
-            .map_err(|source| ServeError::Listen { at: edge.listen, source })?,
+            .map_err(|source| ServeError::Listen {
+                at: edge.listen,
+                source,
+            })?,
     };
     listener.set_nonblocking(true)?;
-    let hand_on = handover.as_ref().map(|_| listener.try_clone()).transpose()?;
+    let hand_on = handover
+        .as_ref()
+        .map(|_| listener.try_clone())
+        .transpose()?;
     let listener = TcpListener::from_std(listener)?;
     let listens_at = listener.local_addr()?;
     tracing::info!(node = edge.name, listen = %listens_at, discovery = %edge.discovery, "serving");
@@ -142,9 +165,17 @@
     let (stop, stopping) = watch::channel(false);
     if let Some(peers) = &own.peers {
         let key = peers.key().map_err(ConfigError::from)?;
-        let me = Me { name: &edge.name, zone, nodes, seed };
+        let me = Me {
+            name: &edge.name,
+            zone,
+            nodes,
+            seed,
+        };
         let opened = Peers::open(peers, key, me, node.clone()).await;
-        let peers = opened.map_err(|source| ServeError::Peers { at: peers.listen, source })?;
+        let peers = opened.map_err(|source| ServeError::Peers {
+            at: peers.listen,
+            source,
+        })?;
         spawn(peers.run(stopping.clone()));
     }
     let deadline = node.longest_deadline();
@@ -153,8 +184,16 @@
     let served = spawn(server::run(
         listener,
         node,
-        Limits { clients: shares.clients, bodies },
-        Door { stage: life.stage(), ready_by, leaves: leaves.clone(), accepts: life.accepts() },
+        Limits {
+            clients: shares.clients,
+            bodies,
+        },
+        Door {
+            stage: life.stage(),
+            ready_by,
+            leaves: leaves.clone(),
+            accepts: life.accepts(),
+        },
     ));
     if let (Some(handover), Some(listener)) = (handover, hand_on) {
         spawn(handover.run(listener, given, life.clone()));
@@ -172,7 +211,9 @@
         }
         tracing::info!(node = edge.name, "stopping");
         // Whatever comes until then is answered by then, also where nobody answers this node.
-        leaves.set(Some(clock.now().saturating_add(nanos(deadline + LEAVES_AFTER))));
+        leaves.set(Some(
+            clock.now().saturating_add(nanos(deadline + LEAVES_AFTER)),
+        ));
         life.tell(Event::Stop);
         stop.send_replace(true);
         let _ = life.stage().wait_for(|stage| *stage == Stage::Closed).await;
@@ -188,7 +229,8 @@
         None => ended.await,
         Some(Hands { steps, control }) => {
             // Not counted among the node's tasks: it is what waits for these to come to rest.
-            let followed = spawn_local(async move { control.follow(&name, listens_at, steps).await });
+            let followed =
+                spawn_local(async move { control.follow(&name, listens_at, steps).await });
             tokio::select! {
                 biased;
                 ended = ended => ended,
@@ -221,11 +263,17 @@
 
 /// Opens the operators' listener and keeps what it shows up to date.
 fn operators_call(at: SocketAddr, life: &Life, node: &Node) -> Result<(), ServeError> {
-    let listener = std::net::TcpListener::bind(at).map_err(|source| ServeError::Console { at, source })?;
+    let listener =
+        std::net::TcpListener::bind(at).map_err(|source| ServeError::Console { at, source })?;
     let ready = Arc::new(AtomicBool::new(false));
     tracing::info!(console = %listener.local_addr()?, "operators may call");
     let (orders, mut ordered) = mpsc::channel::<ZoneOrder>(ORDERS);
-    let console = Console { life: life.clone(), tally: node.metrics(), ready: ready.clone(), orders };
+    let console = Console {
+        life: life.clone(),
+        tally: node.metrics(),
+        ready: ready.clone(),
+        orders,
+    };
     console.start(listener)?;
     let zones = node.clone();
     spawn(async move {
@@ -258,16 +306,31 @@
     clock: &Clock,
     stopping: watch::Receiver<bool>,
 ) -> Result<impl Future<Output = ()> + use<>, ServeError> {
-    let (site, users) =
-        (config.site().map_err(ConfigError::from)?, config.read_users().map_err(ConfigError::from)?);
+    let (site, users) = (
+        config.site().map_err(ConfigError::from)?,
+        config.read_users().map_err(ConfigError::from)?,
+    );
     let logins = config.read_logins().map_err(ConfigError::from)?;
-    let tls = config.server_tls.as_ref().map(postgres::tls::ServerTls::connector).transpose();
-    let pool = Pool::new(clock.clone(), logins, tls.map_err(ConfigError::from)?, config.limits());
+    let tls = config
+        .server_tls
+        .as_ref()
+        .map(postgres::tls::ServerTls::connector)
+        .transpose();
+    let pool = Pool::new(
+        clock.clone(),
+        logins,
+        tls.map_err(ConfigError::from)?,
+        config.limits(),
+    );
     let launcher = Rc::new(postgres::upstream::Upstream(pool.clone()));
     let fleet = Fleet::new(site.settings, site.words, seed, clock.clone(), launcher)
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
     fleet.endpoints_updated(
-        if config.discovery.is_some() { EndpointUpdate::Delta } else { EndpointUpdate::Snapshot },
+        if config.discovery.is_some() {
+            EndpointUpdate::Delta
+        } else {
+            EndpointUpdate::Snapshot
+        },
         config.listed(),
     );
     let timers = fleet.clone();
@@ -293,7 +356,10 @@
     fn take(rehearsal: Rehearsal) -> Result<Self, ControlError> {
         let Rehearsal { control, start_ns } = rehearsal;
         tracing::warn!(%control, "STEPPED CLOCK in a rehearsal's hands; not for service");
-        Ok(Self { steps: VirtualClock::at(start_ns), control: Control::connect(control)? })
+        Ok(Self {
+            steps: VirtualClock::at(start_ns),
+            control: Control::connect(control)?,
+        })
     }
 }
 
@@ -312,7 +378,11 @@
 }
 
 fn listen(at: SocketAddr, beside: bool) -> std::io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    let socket = if at.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }?;
     // A restart must not wait for the last life's connections to leave the system's tables.
     socket.set_reuseaddr(true)?;
     if beside {
--- a/daemon/tests/bulk.rs
+++ b/daemon/tests/bulk.rs
@@ -12,13 +12,21 @@
 const RESIDENT_MOST: u64 = 48 * 1024;
 
 fn pattern(length: usize) -> String {
-    (0..length).map(|n| char::from(b'a' + (n * 7 + n / 251) as u8 % 26)).collect()
+    (0..length)
+        .map(|n| char::from(b'a' + (n * 7 + n / 251) as u8 % 26))
+        .collect()
 }
 
 fn chunked(body: &str, size: usize) -> String {
     let chunks = body.as_bytes().chunks(size);
     let text: String = chunks
-        .map(|chunk| format!("{:X};x=\"y\"\r\n{}\r\n", chunk.len(), String::from_utf8_lossy(chunk)))
+        .map(|chunk| {
+            format!(
+                "{:X};x=\"y\"\r\n{}\r\n",
+                chunk.len(),
+                String::from_utf8_lossy(chunk)
+            )
+        })
         .collect();
     text + "0\r\nX-Trailer: t\r\n\r\n"
 }
@@ -34,7 +42,10 @@
 
 fn resident(node: &Node) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmHWM:"))
+        .unwrap();
     line.split_whitespace().nth(1).unwrap().parse().unwrap()
 }
 
@@ -42,12 +53,21 @@
 fn bodies_of_any_size_pass_unchanged_in_either_framing() {
     let backend = echo();
     let (node, _discovery) = Node::with(&[&backend]);
-    for (n, length) in [0, 1, 1000, 65_535, 65_536, 65_537, 200_000, LARGE].into_iter().enumerate() {
+    for (n, length) in [0, 1, 1000, 65_535, 65_536, 65_537, 200_000, LARGE]
+        .into_iter()
+        .enumerate()
+    {
         let body = pattern(length);
         for (kind, text) in [
             ("length", post("pay", &format!("l{n}"), "", &body)),
-            ("chunks", post_chunked("pay", &format!("c{n}"), &body, 1 + length / 3)),
-            ("expect", post("pay", &format!("e{n}"), "Expect: 100-continue\r\n", &body)),
+            (
+                "chunks",
+                post_chunked("pay", &format!("c{n}"), &body, 1 + length / 3),
+            ),
+            (
+                "expect",
+                post("pay", &format!("e{n}"), "Expect: 100-continue\r\n", &body),
+            ),
         ] {
             let mut client = Client::to(node.at);
             let writer = thread::spawn({
@@ -59,7 +79,11 @@
                 answer = client.read().expect("the final answer");
             }
             assert_eq!(answer.status(), 200, "{kind} of {length}");
-            assert!(answer.body == body.as_bytes(), "{kind} of {length}: {} bytes", answer.body.len());
+            assert!(
+                answer.body == body.as_bytes(),
+                "{kind} of {length}: {} bytes",
+                answer.body.len()
+            );
             writer.join().unwrap().expect("all of it is read");
         }
     }
@@ -70,7 +94,11 @@
     let backend = echo();
     let (node, _discovery) = Node::with(&[&backend]);
     let body = pattern(3000);
-    let texts = [post("pay", "p1", "", &body), post_chunked("pay", "p2", &body, 700), get("p3", "")];
+    let texts = [
+        post("pay", "p1", "", &body),
+        post_chunked("pay", "p2", &body, 700),
+        get("p3", ""),
+    ];
     let mut client = Client::to(node.at);
     client.write_in_pieces(texts.concat().as_bytes(), 97);
     for wanted in [body.as_bytes(), body.as_bytes(), b""] {
@@ -79,7 +107,12 @@
     }
     let absolute = get("p4", "").replace("GET /api", "GET http://origin.svc/api");
     assert_eq!(client.ask(&absolute).expect("an answer").status(), 200);
-    let first = backend.got.try_iter().map(|message| message.first).last().unwrap();
+    let first = backend
+        .got
+        .try_iter()
+        .map(|message| message.first)
+        .last()
+        .unwrap();
     assert_eq!(first, "GET /api?x=1 HTTP/1.1", "servers get path and query");
 }
 
@@ -92,15 +125,24 @@
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}",
             chunked(&sent, 100_000)
         )),
-        Some("interim") => Does::Writes(format!("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n{}", ok(&sent))),
-        Some("close") => Does::Ends(format!("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{sent}")),
+        Some("interim") => Does::Writes(format!(
+            "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n{}",
+            ok(&sent)
+        )),
+        Some("close") => Does::Ends(format!(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{sent}"
+        )),
         _ => Does::Writes(ok(&sent)),
     });
     let (node, _discovery) = Node::with(&[&backend]);
     for id in ["length", "chunks", "interim", "close"] {
         let answer = node.ask(&get(id, ""));
         assert_eq!(answer.status(), 200, "{id}");
-        assert!(answer.body == body.as_bytes(), "{id}: {} bytes", answer.body.len());
+        assert!(
+            answer.body == body.as_bytes(),
+            "{id}: {} bytes",
+            answer.body.len()
+        );
     }
 }
 
@@ -111,7 +153,11 @@
     let waits = gate.clone();
     let backend = Backend::new(move |_| {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n");
-        Does::Then(head + &pattern(10_000), waits.clone(), pattern(LARGE)[10_000..].to_owned())
+        Does::Then(
+            head + &pattern(10_000),
+            waits.clone(),
+            pattern(LARGE)[10_000..].to_owned(),
+        )
     });
     let (node, _discovery) = Node::with(&[&backend]);
     let mut client = Client::to(node.at);
@@ -120,7 +166,9 @@
     let mut seen = Vec::new();
     while !seen.ends_with(&pattern(10_000).as_bytes()[9_900..]) {
         let mut piece = [0; 512];
-        let read = stream.read(&mut piece).expect("the first bytes come while the rest is held back");
+        let read = stream
+            .read(&mut piece)
+            .expect("the first bytes come while the rest is held back");
         assert!(read > 0);
         seen.extend_from_slice(&piece[..read]);
     }
@@ -135,7 +183,9 @@
 fn a_large_answer_that_breaks_off_is_cut_short_and_never_repeated() {
     let backend = Backend::new(|_| {
         let body = pattern(300_000);
-        Does::Ends(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n{body}"))
+        Does::Ends(format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n{body}"
+        ))
     });
     let (node, _discovery) = Node::with(&[&backend]);
     let mut client = Client::to(node.at);
@@ -149,12 +199,20 @@
 /// A small one that breaks off is repeated where that is safe: nothing of it has gone out.
 #[test]
 fn a_small_answer_that_breaks_off_is_repeated_if_that_is_safe() {
-    for (text, wanted, tries) in [(get("s1", ""), 200, 2), (post("pay", "s1", "", "x"), 502, 1)] {
+    for (text, wanted, tries) in [
+        (get("s1", ""), 200, 2),
+        (post("pay", "s1", "", "x"), 502, 1),
+    ] {
         let seen = std::sync::atomic::AtomicU32::new(0);
-        let backend = Backend::new(move |_| match seen.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
-            0 => Does::Ends("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nabc".to_owned()),
-            _ => Does::Writes(ok("yes")),
-        });
+        let backend =
+            Backend::new(
+                move |_| match seen.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+                    0 => {
+                        Does::Ends("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nabc".to_owned())
+                    }
+                    _ => Does::Writes(ok("yes")),
+                },
+            );
         let (node, _discovery) = Node::with(&[&backend]);
         assert_eq!(node.ask(&text).status(), wanted);
         assert_eq!(backend.count(), tries);
@@ -188,7 +246,11 @@
         thread::spawn(move || stream.write_all(text.as_bytes()));
         assert_eq!(client.read().expect("an answer").status(), 503, "{class}");
     }
-    assert_eq!(connections.load(std::sync::atomic::Ordering::SeqCst), 2, "one attempt each");
+    assert_eq!(
+        connections.load(std::sync::atomic::Ordering::SeqCst),
+        2,
+        "one attempt each"
+    );
 }
 
 /// A client that goes away in the midst of its body ends the attempt, and harms nobody.
@@ -204,7 +266,14 @@
     }
     assert_eq!(node.ask(&post("pay", "after", "", "yes")).body, b"yes");
     assert!(!node.logged("ejected"));
-    assert_eq!(backend.got.try_iter().filter(|m| m.value("x-call-id") != Some("after")).count(), 0);
+    assert_eq!(
+        backend
+            .got
+            .try_iter()
+            .filter(|m| m.value("x-call-id") != Some("after"))
+            .count(),
+        0
+    );
 }
 
 /// A slow client's time runs from its last byte, and a body may come at 64 kB a second.
@@ -220,7 +289,10 @@
         client.stream().write_all(piece).unwrap();
         thread::sleep(Duration::from_millis(100));
     }
-    assert!(began.elapsed() > Duration::from_millis(2500), "longer than a head may take");
+    assert!(
+        began.elapsed() > Duration::from_millis(2500),
+        "longer than a head may take"
+    );
     let answer = client.read().expect("an answer");
     assert_eq!((answer.status(), answer.body.len()), (200, body.len()));
     for (id, part) in [("half", 1000), ("part", 100_000)] {
@@ -231,7 +303,11 @@
         while stalled.read().is_some() {}
         assert!(began.elapsed() < Duration::from_secs(10), "{id}");
     }
-    assert_eq!(backend.got.try_iter().count(), 1, "none that is not whole arrives");
+    assert_eq!(
+        backend.got.try_iter().count(),
+        1,
+        "none that is not whole arrives"
+    );
 }
 
 /// Many large answers to readers that take their time: together far more than the node may hold.
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -37,7 +37,11 @@
     client.write(&(get("r1", "") + &get("r2", "") + &post("pay", "r3", "", "last")));
     for (n, closes) in [(1, false), (2, false), (3, true)] {
         let answer = client.read().unwrap_or_else(|| panic!("an answer to r{n}"));
-        assert_eq!((answer.status(), answer.value("connection").is_some()), (200, closes), "r{n}");
+        assert_eq!(
+            (answer.status(), answer.value("connection").is_some()),
+            (200, closes),
+            "r{n}"
+        );
     }
     assert!(client.is_closed());
     drop(client);
@@ -60,8 +64,13 @@
     let began = Instant::now();
     // A reset shows at the next write or read.
     while began.elapsed() < Duration::from_millis(200) {
-        stream.write_all(get("c1", "").as_bytes()).expect("not reset");
-        assert_eq!(stream.take_error().unwrap().map(|error| error.kind()), None::<ErrorKind>);
+        stream
+            .write_all(get("c1", "").as_bytes())
+            .expect("not reset");
+        assert_eq!(
+            stream.take_error().unwrap().map(|error| error.kind()),
+            None::<ErrorKind>
+        );
         std::thread::sleep(Duration::from_millis(10));
     }
     assert_eq!(backend.count(), 1, "and nothing of it was sent on");
@@ -75,18 +84,30 @@
     let text = post("pay", "late", "", "0123456789");
     let mut client = Client::to(node.at);
     client.write(&text[..text.len() - 1]);
-    assert_eq!(node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+    assert_eq!(
+        node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+            .status(),
+        200
+    );
     let began = Instant::now();
     stopping(&node);
-    until("no more connections are taken", || TcpStream::connect(node.at).is_err());
+    until("no more connections are taken", || {
+        TcpStream::connect(node.at).is_err()
+    });
     // The longest deadline from here on ends behind SIGKILL.
-    until("it is late", || began.elapsed() > Duration::from_millis(1000));
+    until("it is late", || {
+        began.elapsed() > Duration::from_millis(1000)
+    });
     client.write(&text[text.len() - 1..]);
     let answer = client.read().expect("an answer");
     assert_eq!(answer.status(), 502, "it may have run");
     drop(client);
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
-    assert!(began.elapsed() < Duration::from_millis(2200), "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_millis(2200),
+        "{:?}",
+        began.elapsed()
+    );
 }
 
 /// Backends that hang, and requests on connections that are taken until the end: each gets its one answer.
@@ -112,7 +133,11 @@
     });
     let answers: Vec<String> = answers.collect();
     // The very last ones may have been connected to a queue that nobody looked at any more: they were reset unread.
-    let bare = answers.iter().rev().take_while(|text| text.is_empty()).count();
+    let bare = answers
+        .iter()
+        .rev()
+        .take_while(|text| text.is_empty())
+        .count();
     assert!(bare <= 1, "{bare} of {} got no answer", answers.len());
     for text in &answers[..answers.len() - bare] {
         assert!(text.starts_with("HTTP/1.1 5"), "{text:?}");
@@ -135,5 +160,9 @@
     assert!(client.is_closed());
     drop(client);
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
-    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        began.elapsed()
+    );
 }
