--- a/daemon/tests/hostile.rs
+++ b/daemon/tests/hostile.rs
@@ -33,7 +33,9 @@
     let node = small(&backend);
     let mut crowd = silent(&node, 48);
     assert_eq!(node.ask(&get("s0", "")).status(), 200);
-    crowd.iter_mut().for_each(|client| assert!(client.is_closed(), "a silent one is closed"));
+    crowd
+        .iter_mut()
+        .for_each(|client| assert!(client.is_closed(), "a silent one is closed"));
 }
 
 /// Clients that ask once and keep their connection make room for others.
@@ -44,7 +46,13 @@
     let mut kept = Vec::new();
     for n in 0..40 {
         let mut client = Client::to(node.at);
-        assert_eq!(client.ask(&get(&format!("i{n}"), "")).expect("an answer").status(), 200);
+        assert_eq!(
+            client
+                .ask(&get(&format!("i{n}"), ""))
+                .expect("an answer")
+                .status(),
+            200
+        );
         kept.push(client);
     }
 }
@@ -60,7 +68,12 @@
         let mut client = Client::to(node.at);
         let answer = client.ask(&get(&format!("m{n}"), "")).expect("an answer");
         assert_eq!(answer.status(), 200);
-        (client, answer.value("connection").is_some_and(|value| value == "close"))
+        (
+            client,
+            answer
+                .value("connection")
+                .is_some_and(|value| value == "close"),
+        )
     };
     let kept: Vec<(Client, bool)> = (0..8).map(|_| ask()).collect();
     assert!(kept.iter().all(|(_, closes)| !closes), "there is room");
@@ -80,7 +93,10 @@
     open.write(&get("o0", ""));
     assert_eq!(backend.next().value("x-call-id"), Some("o0"));
     let mut crowd = silent(&node, 48);
-    crowd.iter_mut().take(8).for_each(|client| assert!(client.is_closed()));
+    crowd
+        .iter_mut()
+        .take(8)
+        .for_each(|client| assert!(client.is_closed()));
     gate.open();
     assert_eq!(open.read().expect("an answer").body, b"late");
 }
@@ -119,8 +135,10 @@
     let (node, _discovery) = Node::with(&[&backend]);
     let hidden = get("hidden", "");
     let chunked = format!("{:x}\r\n{hidden}\r\n0\r\n\r\n", hidden.len());
-    let (length, coding) =
-        (format!("Content-Length: {}\r\n", chunked.len()), "Transfer-Encoding: chunked\r\n");
+    let (length, coding) = (
+        format!("Content-Length: {}\r\n", chunked.len()),
+        "Transfer-Encoding: chunked\r\n",
+    );
     for headers in [
         format!("{length}{coding}"),
         format!("{coding}{length}"),
@@ -132,13 +150,27 @@
     ] {
         let text = post("pay", "c1", "", "").replace("Content-Length: 0\r\n", &headers) + &chunked;
         let mut client = Client::to(node.at);
-        assert_eq!(client.ask(&text).expect("an answer").status(), 400, "{headers}");
-        assert!(client.is_closed(), "nothing behind it is taken for a request");
+        assert_eq!(
+            client.ask(&text).expect("an answer").status(),
+            400,
+            "{headers}"
+        );
+        assert!(
+            client.is_closed(),
+            "nothing behind it is taken for a request"
+        );
     }
     // Also behind a good one, which is sent ahead of its answer.
-    let bad = post("pay", "c2", "", "").replace("Content-Length: 0\r\n", &format!("{length}{coding}"));
+    let bad =
+        post("pay", "c2", "", "").replace("Content-Length: 0\r\n", &format!("{length}{coding}"));
     let mut client = Client::to(node.at);
-    assert_eq!(client.ask(&(get("good", "") + &bad + &chunked)).expect("an answer").status(), 200);
+    assert_eq!(
+        client
+            .ask(&(get("good", "") + &bad + &chunked))
+            .expect("an answer")
+            .status(),
+        200
+    );
     assert_eq!(client.read().expect("an answer").status(), 400);
     assert!(client.is_closed());
     assert_eq!(backend.count(), 1);
@@ -160,7 +192,11 @@
     ] {
         let text = post("pay", "l1", "", "").replace("Length: 0", &format!("Length: {length}"));
         let mut client = Client::to(node.at);
-        assert_eq!(client.ask(&text).expect("an answer").status(), 400, "{length}");
+        assert_eq!(
+            client.ask(&text).expect("an answer").status(),
+            400,
+            "{length}"
+        );
         assert!(client.is_closed(), "{length}");
     }
     assert_eq!(backend.count(), 0);
@@ -177,7 +213,9 @@
     let text = post("nobody", "b1", "", "").replace("Length: 0", &format!("Length: {length}"));
     stream.write_all(text.as_bytes()).unwrap();
     // All of it goes out before the answer is looked at.
-    stream.write_all(&vec![b'x'; length]).expect("the node reads on");
+    stream
+        .write_all(&vec![b'x'; length])
+        .expect("the node reads on");
     let mut answer = String::new();
     stream.read_to_string(&mut answer).expect("no reset");
     assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
@@ -207,12 +245,17 @@
         let (old, new) = (serving(), Backend::new(|_| Does::Writes(ok("new"))));
         // Connections come up, and nobody says a word.
         let down = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut config = config(down.local_addr().unwrap(), json!([target("s-0", old.at, "Ready")]));
+        let mut config = config(
+            down.local_addr().unwrap(),
+            json!([target("s-0", old.at, "Ready")]),
+        );
         config["limits"]["sockets"] = json!(sockets);
         let node = Node::start(&config);
         let limit = format!("--nofile={sockets}:{sockets}");
         let id = node.child.id().to_string();
-        let set = std::process::Command::new("prlimit").args(["--pid", &id, &limit]).status();
+        let set = std::process::Command::new("prlimit")
+            .args(["--pid", &id, &limit])
+            .status();
         assert!(set.expect("prlimit is there").success());
         // Idle, silent and half way.
         let mut crowd = Vec::new();
@@ -226,14 +269,26 @@
             crowd.push(client);
         }
         for n in 0..5 {
-            assert_eq!(node.ask(&get(&format!("{sockets}r{n}"), "")).body, b"yes", "{sockets}");
+            assert_eq!(
+                node.ask(&get(&format!("{sockets}r{n}"), "")).body,
+                b"yes",
+                "{sockets}"
+            );
         }
         let discovery = Discovery::at(down, json!([target("s-1", new.at, "Ready")]));
         let began = std::time::Instant::now();
         discovery.watched_from(1);
-        assert!(began.elapsed() < Duration::from_secs(6), "{sockets}: {:?}", began.elapsed());
+        assert!(
+            began.elapsed() < Duration::from_secs(6),
+            "{sockets}: {:?}",
+            began.elapsed()
+        );
         for n in 0..5 {
-            assert_eq!(node.ask(&get(&format!("{sockets}q{n}"), "")).body, b"new", "{sockets}");
+            assert_eq!(
+                node.ask(&get(&format!("{sockets}q{n}"), "")).body,
+                b"new",
+                "{sockets}"
+            );
         }
         assert!(!node.logged("Too many open files"), "{sockets}");
         drop(crowd);
@@ -256,8 +311,9 @@
         match n % 3 {
             0 => client.write(&get(&format!("once{n}"), "")),
             1 => client.write("GET /api HTTP/1.1\r\nHos"),
-            _ => client
-                .write(&post("pay", &format!("half{n}"), "", "body").replace("Length: 4", "Length: 400")),
+            _ => client.write(
+                &post("pay", &format!("half{n}"), "", "body").replace("Length: 4", "Length: 400"),
+            ),
         }
         crowd.push(client);
     }
@@ -266,6 +322,10 @@
         assert_eq!(node.ask(&get(&format!("r{n}"), "")).status(), 200);
     }
     // 133 who stopped half way hold 32 places; without making room each of them stays for 2.5 s: ten seconds.
-    assert!(began.elapsed() < Duration::from_secs(7), "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < Duration::from_secs(7),
+        "{:?}",
+        began.elapsed()
+    );
     drop(crowd);
 }
--- a/daemon/tests/leaving.rs
+++ b/daemon/tests/leaving.rs
@@ -32,7 +32,10 @@
     for n in 0..3 {
         assert_eq!(node.ask(&get(&format!("stays{n}"), "")).status(), 200);
     }
-    let ids = backend.got.try_iter().filter_map(|message| message.value("x-call-id").map(str::to_owned));
+    let ids = backend
+        .got
+        .try_iter()
+        .filter_map(|message| message.value("x-call-id").map(str::to_owned));
     ids.filter(|id| !id.starts_with("stays")).collect()
 }
 
@@ -42,7 +45,14 @@
 fn a_client_that_leaves_is_seen_whatever_it_has_sent_behind_its_request() {
     let flood = get("flood", "").repeat(400);
     let half = "GET /api HTTP/1.1\r\nHos";
-    for behind in ["", "\r\n", &get("behind", ""), half, &"x".repeat(3000), &flood] {
+    for behind in [
+        "",
+        "\r\n",
+        &get("behind", ""),
+        half,
+        &"x".repeat(3000),
+        &flood,
+    ] {
         let (node, discovery) = holding(|_| {});
         let mut client = Client::to(node.at);
         client.write(&(get("gone", "") + behind));
@@ -50,15 +60,27 @@
         drop(client);
         settle(&node);
         // One that has sent more than is read ahead is looked for every 20 ms.
-        std::thread::sleep(Duration::from_millis(if behind.len() > 16_000 { 100 } else { 0 }));
-        assert_eq!(reached(&node, &discovery), [""; 0], "behind it: {} bytes", behind.len());
+        std::thread::sleep(Duration::from_millis(if behind.len() > 16_000 {
+            100
+        } else {
+            0
+        }));
+        assert_eq!(
+            reached(&node, &discovery),
+            [""; 0],
+            "behind it: {} bytes",
+            behind.len()
+        );
     }
 }
 
 /// The same where the connection was to end with its answer anyway.
 #[test]
 fn a_client_of_one_request_that_leaves_is_seen_too() {
-    for text in [get("gone", "Connection: close\r\n"), get("gone", "").replace("HTTP/1.1", "HTTP/1.0")] {
+    for text in [
+        get("gone", "Connection: close\r\n"),
+        get("gone", "").replace("HTTP/1.1", "HTTP/1.0"),
+    ] {
         let (node, discovery) = holding(|_| {});
         let mut client = Client::to(node.at);
         client.write(&text);
@@ -139,8 +161,16 @@
     gate.open();
     late.is_tried();
     late.lets_in();
-    assert_eq!(late.reads(Duration::from_millis(300)), "", "too late for a repeat");
-    assert_eq!(client.read().expect("an answer").status(), 502, "it may have run");
+    assert_eq!(
+        late.reads(Duration::from_millis(300)),
+        "",
+        "too late for a repeat"
+    );
+    assert_eq!(
+        client.read().expect("an answer").status(),
+        502,
+        "it may have run"
+    );
 }
 
 /// A body that nobody takes is no fault of its client's: it gets an answer, in its time. Its connection was closed
@@ -165,7 +195,8 @@
     let mut stream = client.stream();
     let text = post("pay", "large", "", &"b".repeat(40_000_000)).replace("3000", "1000");
     // Its sockets' buffers fill up long before the end.
-    let writer = std::thread::spawn(move || std::io::Write::write_all(&mut stream, text.as_bytes()));
+    let writer =
+        std::thread::spawn(move || std::io::Write::write_all(&mut stream, text.as_bytes()));
     assert_eq!(client.read().expect("an answer").status(), 503);
     drop(client);
     let _ = writer.join();
--- a/daemon/tests/life.rs
+++ b/daemon/tests/life.rs
@@ -13,14 +13,24 @@
 
 /// An address at which nobody listens.
 fn nowhere() -> std::net::SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 #[test]
 fn starts_on_the_known_list_with_discovery_down() {
     let backend = serving("yes");
-    let node = Node::start(&config(nowhere(), json!([target("s-0", backend.at, "Ready")])));
-    assert_eq!(node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+    let node = Node::start(&config(
+        nowhere(),
+        json!([target("s-0", backend.at, "Ready")]),
+    ));
+    assert_eq!(
+        node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+            .status(),
+        200
+    );
     assert_eq!(node.ask(&get("k1", "")).status(), 200);
 }
 
@@ -28,7 +38,10 @@
 /// that is bounded, as nine in ten have to be ready within 10 s.
 #[test]
 fn is_ready_once_it_knows_a_server_or_has_waited_long_enough() {
-    let ready = |node: &Node| node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status();
+    let ready = |node: &Node| {
+        node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+            .status()
+    };
     let backend = serving("yes");
     let down = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let node = Node::start(&config(down.local_addr().unwrap(), json!([])));
@@ -38,10 +51,17 @@
     assert_eq!(node.ask(&get("w1", "")).status(), 200);
 
     let began = std::time::Instant::now();
-    let alone = Node::start(&config(nowhere(), json!([target("s-0", backend.at, "Terminating")])));
+    let alone = Node::start(&config(
+        nowhere(),
+        json!([target("s-0", backend.at, "Terminating")]),
+    ));
     assert_eq!(ready(&alone), 503, "nobody that wants anything new");
     until("it has waited long enough", || ready(&alone) == 200);
-    assert!(began.elapsed() < std::time::Duration::from_secs(9), "{:?}", began.elapsed());
+    assert!(
+        began.elapsed() < std::time::Duration::from_secs(9),
+        "{:?}",
+        began.elapsed()
+    );
 }
 
 #[test]
@@ -50,7 +70,10 @@
     let (node, discovery) = Node::with(&[&backend]);
     for (rev, text) in [
         (2, "{"),
-        (3, r#"{"rev":3,"all":true,"targets":[{"uid":"s-9","endpoint":"here","az":"a","state":"Ready"}]}"#),
+        (
+            3,
+            r#"{"rev":3,"all":true,"targets":[{"uid":"s-9","endpoint":"here","az":"a","state":"Ready"}]}"#,
+        ),
         (4, r#"{"rev":4,"all":true}"#),
     ] {
         discovery.set_text(rev, text.to_owned());
@@ -87,7 +110,10 @@
         let (old, new) = (serving("old"), serving("new"));
         let (node, discovery) = Node::with(&[&old]);
         assert_eq!(node.ask(&get("d0", "")).body, b"old");
-        discovery.set(json!([target("s-0", old.at, state), target("s-1", new.at, "Ready")]));
+        discovery.set(json!([
+            target("s-0", old.at, state),
+            target("s-1", new.at, "Ready")
+        ]));
         discovery.watched_from(discovery.rev());
         for n in 1..10 {
             assert_eq!(node.ask(&get(&format!("d{n}"), "")).body, b"new", "{state}");
@@ -118,24 +144,41 @@
         _ => Does::Writes(ok("yes")),
     });
     let (mut node, _discovery) = Node::with(&[&backend]);
-    let (mut slow, mut idle, mut kept) = (Client::to(node.at), Client::to(node.at), Client::to(node.at));
+    let (mut slow, mut idle, mut kept) = (
+        Client::to(node.at),
+        Client::to(node.at),
+        Client::to(node.at),
+    );
     assert_eq!(idle.ask(&get("i0", "")).expect("an answer").status(), 200);
     assert_eq!(kept.ask(&get("k0", "")).expect("an answer").status(), 200);
     slow.write(&get("slow", ""));
-    until("the slow one is out", || backend.got.try_iter().any(|m| m.value("x-call-id") == Some("slow")));
+    until("the slow one is out", || {
+        backend
+            .got
+            .try_iter()
+            .any(|m| m.value("x-call-id") == Some("slow"))
+    });
     node.signal("-TERM");
     until("the node has heard", || node.logged("stopping node="));
     for (id, client) in [("a1", kept), ("a2", Client::to(node.at))] {
         let mut client = client;
-        let answer = client.ask(&get(id, "")).expect("an answer after the signal");
+        let answer = client
+            .ask(&get(id, ""))
+            .expect("an answer after the signal");
         assert_eq!(answer.status(), 200);
         assert_eq!(answer.value("connection"), Some("close"));
-        assert!(client.read().is_none(), "the connection ends with its answer");
+        assert!(
+            client.read().is_none(),
+            "the connection ends with its answer"
+        );
     }
     assert!(idle.read().is_none(), "an idle connection is closed");
     gate.open();
     let answer = slow.read().expect("the slow one is answered");
-    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"slow".as_slice()));
+    assert_eq!(
+        (answer.status(), answer.body.as_slice()),
+        (200, b"slow".as_slice())
+    );
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
 }
 
@@ -181,9 +224,17 @@
     for text in texts {
         let (mut child, _) = spawn(&text);
         let mut said = String::new();
-        child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+        child
+            .stderr
+            .take()
+            .unwrap()
+            .read_to_string(&mut said)
+            .unwrap();
         assert!(!child.wait().unwrap().success(), "{text}");
-        assert!(said.starts_with("badgerpost: ") && said.lines().count() == 1, "{said:?}");
+        assert!(
+            said.starts_with("badgerpost: ") && said.lines().count() == 1,
+            "{said:?}"
+        );
     }
 }
 
@@ -200,9 +251,20 @@
     // Each has asked before the next one comes: a silent one would have to make room.
     for n in 0..16 {
         clients.push(Client::to(at));
-        assert_eq!(clients[n].ask(&get(&format!("c{n}"), "")).expect("an answer").status(), 200);
+        assert_eq!(
+            clients[n]
+                .ask(&get(&format!("c{n}"), ""))
+                .expect("an answer")
+                .status(),
+            200
+        );
     }
-    let last = thread::spawn(move || Client::to(at).ask(&get("last", "")).expect("an answer").status());
+    let last = thread::spawn(move || {
+        Client::to(at)
+            .ask(&get("last", ""))
+            .expect("an answer")
+            .status()
+    });
     clients.clear();
     assert_eq!(last.join().unwrap(), 200);
 }
@@ -212,12 +274,18 @@
 fn sighup_moves_the_watch_to_another_discovery() {
     let (old, new) = (serving("old"), serving("new"));
     let (mut node, first) = Node::with(&[&old]);
-    first.set_text(900, json!({"rev": 900, "all": false, "targets": []}).to_string());
+    first.set_text(
+        900,
+        json!({"rev": 900, "all": false, "targets": []}).to_string(),
+    );
     first.watched_from(900);
     let second = Discovery::new(json!([target("s-1", new.at, "Ready")]));
     node.reconfigure(&config(second.at, json!([])).to_string());
     second.watched_from(1);
-    assert_eq!(second.calls.lock().unwrap()[0], "GET /registry/instances HTTP/1.1");
+    assert_eq!(
+        second.calls.lock().unwrap()[0],
+        "GET /registry/instances HTTP/1.1"
+    );
     assert_eq!(node.ask(&get("h0", "")).body, b"new");
     // Once more, and out: a signal of one kind must not deafen the node to the other.
     node.reconfigure(&config(first.at, json!([])).to_string());
@@ -231,7 +299,10 @@
     let (node, discovery) = Node::with(&[&backend]);
     let mut unusable = config(discovery.at, json!([]));
     unusable["settings"] = json!({});
-    for (n, text) in ["{".to_owned(), unusable.to_string()].into_iter().enumerate() {
+    for (n, text) in ["{".to_owned(), unusable.to_string()]
+        .into_iter()
+        .enumerate()
+    {
         node.reconfigure(&text);
         until("it is logged", || node.count("the old one stays") == n + 1);
         assert_eq!(node.ask(&get(&format!("u{n}"), "")).status(), 200);
@@ -239,7 +310,11 @@
     let other = serving("other");
     discovery.set(json!([target("s-1", other.at, "Ready")]));
     discovery.watched_from(discovery.rev());
-    assert_eq!(node.ask(&get("u8", "")).body, b"other", "the old watch goes on");
+    assert_eq!(
+        node.ask(&get("u8", "")).body,
+        b"other",
+        "the old watch goes on"
+    );
     let bad = Discovery::new(json!([]));
     bad.set_text(1, "{".to_owned());
     node.reconfigure(&config(bad.at, json!([])).to_string());
@@ -252,7 +327,10 @@
 fn the_command_line_explains_itself() {
     let program = badgerpost_fakes::program("badgerpost").expect("built with its tests");
     let run = |arguments: &[&str]| {
-        let output = std::process::Command::new(&program).args(arguments).env_remove("EDGE_CONFIG").output();
+        let output = std::process::Command::new(&program)
+            .args(arguments)
+            .env_remove("EDGE_CONFIG")
+            .output();
         let output = output.expect("the program starts");
         (
             output.status.code(),
@@ -262,7 +340,10 @@
     };
     let (code, _, error) = run(&[]);
     assert_eq!(code, Some(2));
-    assert!(error.contains("EDGE_CONFIG is not set") && error.contains("Usage: badgerpost"), "{error}");
+    assert!(
+        error.contains("EDGE_CONFIG is not set") && error.contains("Usage: badgerpost"),
+        "{error}"
+    );
     assert!(run(&["--help"]).1.contains("Examples:"));
     assert!(run(&["--version"]).1.starts_with("badgerpost "));
 }
@@ -278,8 +359,12 @@
         let file = folder.join("own.toml");
         std::fs::write(&file, own).unwrap();
         let mut command = std::process::Command::new(&program);
-        let output =
-            command.args(["check", "--config"]).arg(&file).env("EDGE_CONFIG", &edge).output().unwrap();
+        let output = command
+            .args(["check", "--config"])
+            .arg(&file)
+            .env("EDGE_CONFIG", &edge)
+            .output()
+            .unwrap();
         let said = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
         (output.status.success(), said)
     };
@@ -289,11 +374,17 @@
     let (good, said) = check(json!([]), stepped);
     assert!(good && said.contains("STEPPED"), "{said}");
     let (good, said) = check(json!([]), "\n[rehearsal]\ncontrl = 1\n");
-    assert!(!good && said.contains("own.toml:3: contrl: unknown field `contrl`"), "{said}");
+    assert!(
+        !good && said.contains("own.toml:3: contrl: unknown field `contrl`"),
+        "{said}"
+    );
     // A stepped clock goes with loopback addresses only.
     let far = target("s-7", "192.0.2.1:9".parse().unwrap(), "Ready");
     let (good, said) = check(json!([far]), stepped);
-    assert!(!good && said.contains("s-7") && said.contains("loopback"), "{said}");
+    assert!(
+        !good && said.contains("s-7") && said.contains("loopback"),
+        "{said}"
+    );
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
@@ -314,13 +405,29 @@
     child.kill().unwrap();
     child.wait().unwrap();
     let whole = log.lines().filter(|line| line.ends_with('}'));
-    let lines: Vec<serde_json::Value> = whole.map(|line| serde_json::from_str(line).expect(line)).collect();
-    let of = |message: &str| lines.iter().map(|line| &line["fields"]).find(|f| f["message"] == message);
+    let lines: Vec<serde_json::Value> = whole
+        .map(|line| serde_json::from_str(line).expect(line))
+        .collect();
+    let of = |message: &str| {
+        lines
+            .iter()
+            .map(|line| &line["fields"])
+            .find(|f| f["message"] == message)
+    };
     let serving = of("serving").expect("a line of its start");
     assert_eq!(serving["node"], edge["name"]);
-    assert!(serving["listen"].as_str().is_some_and(|at| at.starts_with("127.0.0.1:")), "{serving}");
+    assert!(
+        serving["listen"]
+            .as_str()
+            .is_some_and(|at| at.starts_with("127.0.0.1:")),
+        "{serving}"
+    );
     let failed = of("asking discovery failed").expect("a line of its discovery");
-    assert_eq!((&failed["suppressed"], failed["at"].is_string()), (&json!(0), true), "{failed}");
+    assert_eq!(
+        (&failed["suppressed"], failed["at"].is_string()),
+        (&json!(0), true),
+        "{failed}"
+    );
     for path in [path, file] {
         std::fs::remove_file(path).unwrap();
     }
--- a/daemon/tests/list.rs
+++ b/daemon/tests/list.rs
@@ -19,10 +19,20 @@
 }
 
 /// How long a change takes to be in force where the first watch, and so many calls behind it, end like this.
-fn in_force_after(bad: impl Fn() -> Does + Send + Sync + 'static, calls: usize, asked: bool) -> Duration {
+fn in_force_after(
+    bad: impl Fn() -> Does + Send + Sync + 'static,
+    calls: usize,
+    asked: bool,
+) -> Duration {
     let (old, new) = (serving("old"), serving("new"));
     let before = list(5, &[target("s-0", old.at, "Ready")]);
-    let after = list(6, &[target("s-0", old.at, "Terminating"), target("s-1", new.at, "Ready")]);
+    let after = list(
+        6,
+        &[
+            target("s-0", old.at, "Terminating"),
+            target("s-1", new.at, "Ready"),
+        ],
+    );
     let count = Arc::new(AtomicUsize::new(0));
     let counted = count.clone();
     let discovery = Backend::new(move |message| {
@@ -60,7 +70,10 @@
 
 /// All at the same time, each with a node of its own.
 fn all_in_time(cases: Vec<(&'static str, Play)>) {
-    let plays: Vec<_> = cases.into_iter().map(|(what, play)| (what, std::thread::spawn(play))).collect();
+    let plays: Vec<_> = cases
+        .into_iter()
+        .map(|(what, play)| (what, std::thread::spawn(play)))
+        .collect();
     for (what, play) in plays {
         let took = play.join().unwrap();
         assert!(took < TOLD_WITHIN, "{what}: {took:?}");
@@ -71,19 +84,32 @@
 
 #[test]
 fn beside_an_agent_a_change_is_in_force_in_time_whatever_became_of_its_call() {
-    let case = |bad: fn() -> Does, calls| -> Play { Box::new(move || in_force_after(bad, calls, false)) };
+    let case =
+        |bad: fn() -> Does, calls| -> Play { Box::new(move || in_force_after(bad, calls, false)) };
     all_in_time(vec![
         ("a watch falls silent", case(|| Does::Hangs, 1)),
         ("and the call behind it too", case(|| Does::Hangs, 2)),
-        ("silent in mid-head", case(|| Does::Writes("HTTP/1.1 200 OK\r\nContent-Le".to_owned()), 1)),
-        ("silent in mid-body", case(|| Does::Writes(HALF.to_owned()), 1)),
+        (
+            "silent in mid-head",
+            case(
+                || Does::Writes("HTTP/1.1 200 OK\r\nContent-Le".to_owned()),
+                1,
+            ),
+        ),
+        (
+            "silent in mid-body",
+            case(|| Does::Writes(HALF.to_owned()), 1),
+        ),
         ("reset", case(|| Does::Ends(String::new()), 1)),
         ("reset five times", case(|| Does::Ends(String::new()), 5)),
         ("ends in mid-body", case(|| Does::Ends(HALF.to_owned()), 3)),
         ("503 five times", case(|| Does::Writes(status(503, "")), 5)),
         (
             "broken in the middle",
-            case(|| Does::Writes(ok("{\"rev\":6,\"all\":true,\"targets\":[{\"uid\"")), 3),
+            case(
+                || Does::Writes(ok("{\"rev\":6,\"all\":true,\"targets\":[{\"uid\"")),
+                3,
+            ),
         ),
     ]);
 }
@@ -91,12 +117,16 @@
 /// A watch that falls silent there is another matter: see `pace.rs`.
 #[test]
 fn where_it_is_asked_a_change_is_in_force_in_time_after_calls_that_fail() {
-    let case = |bad: fn() -> Does, calls| -> Play { Box::new(move || in_force_after(bad, calls, true)) };
+    let case =
+        |bad: fn() -> Does, calls| -> Play { Box::new(move || in_force_after(bad, calls, true)) };
     all_in_time(vec![
         ("reset", case(|| Does::Ends(String::new()), 1)),
         ("reset twice", case(|| Does::Ends(String::new()), 2)),
         ("503 three times", case(|| Does::Writes(status(503, "")), 3)),
-        ("broken in the middle", case(|| Does::Writes(ok("{\"rev\":6,\"all\":true,\"tar")), 2)),
+        (
+            "broken in the middle",
+            case(|| Does::Writes(ok("{\"rev\":6,\"all\":true,\"tar")), 2),
+        ),
     ]);
 }
 
@@ -113,19 +143,32 @@
     discovery.watched_from(2);
     assert!(node.logged("an entry of the list can't be read") && node.logged("server=\"s-1\""));
     for n in 1..5 {
-        assert_eq!(node.ask(&get(&format!("o{n}"), "")).body, b"old", "nobody is sent to an unknown state");
+        assert_eq!(
+            node.ask(&get(&format!("o{n}"), "")).body,
+            b"old",
+            "nobody is sent to an unknown state"
+        );
     }
     odd["uid"] = json!("s-0");
     discovery.set(json!([odd, target("s-3", new.at, "Ready")]));
     discovery.watched_from(3);
-    let bodies = (0..40).map(|n| node.ask(&get(&format!("p{n}"), "")).body).collect::<Vec<_>>();
-    assert!(bodies.contains(&b"old".to_vec()) && bodies.contains(&b"new".to_vec()), "both are in service");
+    let bodies = (0..40)
+        .map(|n| node.ask(&get(&format!("p{n}"), "")).body)
+        .collect::<Vec<_>>();
+    assert!(
+        bodies.contains(&b"old".to_vec()) && bodies.contains(&b"new".to_vec()),
+        "both are in service"
+    );
     let mut drains = odd;
     drains["state"] = json!("Terminating");
     discovery.set(json!([drains, target("s-3", new.at, "Ready")]));
     discovery.watched_from(4);
     for n in 0..10 {
-        assert_eq!(node.ask(&get(&format!("q{n}"), "")).body, b"new", "its state could be read");
+        assert_eq!(
+            node.ask(&get(&format!("q{n}"), "")).body,
+            b"new",
+            "its state could be read"
+        );
     }
 }
 
@@ -149,18 +192,33 @@
 fn what_an_agent_has_at_its_return_is_known_before_the_grace_of_a_drain_is_over() {
     let (old, new) = (serving("old"), serving("new"));
     let before = list(5, &[target("s-0", old.at, "Ready")]);
-    let after = list(6, &[target("s-0", old.at, "Terminating"), target("s-1", new.at, "Ready")]);
-    let (count, back) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    let after = list(
+        6,
+        &[
+            target("s-0", old.at, "Terminating"),
+            target("s-1", new.at, "Ready"),
+        ],
+    );
+    let (count, back) = (
+        Arc::new(AtomicUsize::new(0)),
+        Arc::new(AtomicBool::new(false)),
+    );
     let (counted, is_back) = (count.clone(), back.clone());
-    let discovery = Backend::new(move |message| match counted.fetch_add(1, Ordering::SeqCst) {
-        0 => Does::Writes(ok(&before)),
-        _ if !is_back.load(Ordering::SeqCst) || message.first.contains("from=6") => Does::Hangs,
-        _ => Does::Writes(ok(&after)),
-    });
+    let discovery = Backend::new(
+        move |message| match counted.fetch_add(1, Ordering::SeqCst) {
+            0 => Does::Writes(ok(&before)),
+            _ if !is_back.load(Ordering::SeqCst) || message.first.contains("from=6") => Does::Hangs,
+            _ => Does::Writes(ok(&after)),
+        },
+    );
     let node = Node::start(&config(discovery.at, json!([])));
-    until("some calls are not answered", || count.load(Ordering::SeqCst) >= 4);
+    until("some calls are not answered", || {
+        count.load(Ordering::SeqCst) >= 4
+    });
     let calls = count.load(Ordering::SeqCst);
-    until("another has just been made in vain", || count.load(Ordering::SeqCst) > calls);
+    until("another has just been made in vain", || {
+        count.load(Ordering::SeqCst) > calls
+    });
     back.store(true, Ordering::SeqCst);
     let took = until_new(&node);
     assert!(took < Duration::from_millis(450), "{took:?}");
--- a/daemon/tests/operations.rs
+++ b/daemon/tests/operations.rs
@@ -14,7 +14,9 @@
 const CALLER: Duration = Duration::from_secs(1);
 
 fn operated(backends: &[&Backend]) -> (Node, Discovery, Value) {
-    let listed = (0..).zip(backends).map(|(n, backend)| target(&format!("s-{n}"), backend.at, "Ready"));
+    let listed = (0..)
+        .zip(backends)
+        .map(|(n, backend)| target(&format!("s-{n}"), backend.at, "Ready"));
     let discovery = Discovery::new(listed.collect());
     let mut config = config(discovery.at, json!([]));
     config["console"] = json!("127.0.0.1:0");
@@ -26,8 +28,14 @@
 fn call(console: SocketAddr, method: &str, path: &str) -> Message {
     let began = Instant::now();
     let mut client = Client::to(console);
-    let answer = client.ask(&format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n")).expect("an answer");
-    assert!(began.elapsed() < CALLER, "{method} {path} took {:?}", began.elapsed());
+    let answer = client
+        .ask(&format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n"))
+        .expect("an answer");
+    assert!(
+        began.elapsed() < CALLER,
+        "{method} {path} took {:?}",
+        began.elapsed()
+    );
     assert!(client.is_closed(), "one call to a connection");
     answer
 }
@@ -36,13 +44,20 @@
     let answer = call(console, "GET", "/status/metrics");
     assert_eq!(answer.status(), 200);
     let text = String::from_utf8(answer.body).unwrap();
-    let line =
-        |line: &str| line.split_once('=').map(|(name, value)| (name.to_owned(), value.parse().unwrap()));
-    text.lines().map(|text| line(text).unwrap_or_else(|| panic!("no figure: {text}"))).collect()
+    let line = |line: &str| {
+        line.split_once('=')
+            .map(|(name, value)| (name.to_owned(), value.parse().unwrap()))
+    };
+    text.lines()
+        .map(|text| line(text).unwrap_or_else(|| panic!("no figure: {text}")))
+        .collect()
 }
 
 fn ready(at: SocketAddr) -> u16 {
-    Client::to(at).ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").expect("an answer").status()
+    Client::to(at)
+        .ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        .expect("an answer")
+        .status()
 }
 
 fn serving(body: &'static str) -> Backend {
@@ -54,7 +69,9 @@
     let backend = serving("yes");
     let (node, _discovery, _) = operated(&[&backend]);
     let console = node.console();
-    until("the process can serve", || call(console, "GET", "/status").status() == 200);
+    until("the process can serve", || {
+        call(console, "GET", "/status").status() == 200
+    });
     for (method, path, status) in [
         ("POST", "/status", 405),
         ("GET", "/standby", 405),
@@ -64,9 +81,19 @@
         ("GET", "/statusses", 404),
         ("POST", "/active", 200),
     ] {
-        assert_eq!(call(console, method, path).status(), status, "{method} {path}");
+        assert_eq!(
+            call(console, method, path).status(),
+            status,
+            "{method} {path}"
+        );
     }
-    assert_eq!(Client::to(console).ask("nonsense\r\n\r\n").expect("an answer").status(), 400);
+    assert_eq!(
+        Client::to(console)
+            .ask("nonsense\r\n\r\n")
+            .expect("an answer")
+            .status(),
+        400
+    );
 }
 
 /// Callers who connect and say nothing, or begin a call and stop, hold nobody up.
@@ -92,26 +119,34 @@
 
 #[test]
 fn figures_are_those_of_the_servers_and_clients() {
-    let backend =
-        Backend::new(|message| match message.value("x-call-id").unwrap_or_default().as_bytes()[0] {
+    let backend = Backend::new(|message| {
+        match message.value("x-call-id").unwrap_or_default().as_bytes()[0] {
             b'e' => Does::Writes(status(500, "")),
             b'f' => Does::Writes(status(503, "X-Rejected: 1\r\n")),
             b'h' => Does::Hangs,
             _ => Does::Writes(ok("yes")),
-        });
+        }
+    });
     let (node, discovery, _) = operated(&[&backend]);
     let console = node.console();
     let (mut answered, mut errored, mut deferred) = (0, 0, 0);
     for n in 0..20 {
         let kind = ["a", "e", "f", "a"][n % 4];
-        match node.ask(&post("pay", &format!("{kind}{n}"), "", "x")).status() {
+        match node
+            .ask(&post("pay", &format!("{kind}{n}"), "", "x"))
+            .status()
+        {
             200 => answered += 1,
             503 | 429 => deferred += 1,
             _ => errored += 1,
         }
     }
     // Taken by nobody, but of a class: failed.
-    assert_eq!(node.ask(&post("pay", "b1", "Idempotency-Key: k\r\n", "x")).status(), 400);
+    assert_eq!(
+        node.ask(&post("pay", "b1", "Idempotency-Key: k\r\n", "x"))
+            .status(),
+        400
+    );
     // One that is still out.
     let mut waiting = Client::to(node.at);
     waiting.write(&post("pay", "h1", "", "x"));
@@ -121,23 +156,33 @@
     }
     sends += 1;
     // The server has it before the node has counted it.
-    until("the last send is counted", || figures(console)["node.sends"] >= sends);
+    until("the last send is counted", || {
+        figures(console)["node.sends"] >= sends
+    });
     let told = figures(console);
     assert_eq!(told["node.transactions.pay.answered"], answered);
     assert_eq!(told["node.transactions.pay.deferred"], deferred);
     assert_eq!(told["node.transactions.pay.errored"], errored + 1);
-    assert!(answered == 10 && errored > 0, "{answered} {deferred} {errored}");
+    assert!(
+        answered == 10 && errored > 0,
+        "{answered} {deferred} {errored}"
+    );
     assert_eq!(told["node.transactions.read.answered"], 0);
     assert_eq!(told["node.sends"], sends);
     assert_eq!(told["node.current"], 1);
     assert_eq!((told["node.cluster_size"], told.len()), (1, 3 * 3 + 4));
-    discovery.set(json!([target("s-0", backend.at, "Terminating"), target("s-1", backend.at, "Ready")]));
+    discovery.set(json!([
+        target("s-0", backend.at, "Terminating"),
+        target("s-1", backend.at, "Ready")
+    ]));
     until("the list shows", || {
         let told = figures(console);
         (told["node.cluster_size"], told["node.cluster_unhealthy"]) == (2, 1)
     });
     drop(waiting);
-    until("who has gone is not counted as open", || figures(console)["node.current"] == 0);
+    until("who has gone is not counted as open", || {
+        figures(console)["node.current"] == 0
+    });
 }
 
 #[test]
@@ -146,30 +191,65 @@
     let (node, _discovery, _) = operated(&[&backend]);
     let console = node.console();
     for round in 0..2 {
-        let (mut idle, mut kept, mut silent) =
-            (Client::to(node.at), Client::to(node.at), Client::to(node.at));
-        assert_eq!(idle.ask(&get(&format!("i{round}"), "")).expect("an answer").status(), 200);
-        assert_eq!(kept.ask(&get(&format!("k{round}"), "")).expect("an answer").status(), 200);
+        let (mut idle, mut kept, mut silent) = (
+            Client::to(node.at),
+            Client::to(node.at),
+            Client::to(node.at),
+        );
+        assert_eq!(
+            idle.ask(&get(&format!("i{round}"), ""))
+                .expect("an answer")
+                .status(),
+            200
+        );
+        assert_eq!(
+            kept.ask(&get(&format!("k{round}"), ""))
+                .expect("an answer")
+                .status(),
+            200
+        );
         assert_eq!(ready(node.at), 200);
         assert_eq!(call(console, "POST", "/standby").status(), 200);
         assert_eq!(ready(node.at), 503, "at once");
-        assert_eq!(call(console, "POST", "/standby").status(), 200, "again: no harm");
+        assert_eq!(
+            call(console, "POST", "/standby").status(),
+            200,
+            "again: no harm"
+        );
         // What still comes is served, on connections from before and on new ones, and ends its connection.
         for (id, client) in [("old", &mut kept), ("new", &mut Client::to(node.at))] {
-            let answer = client.ask(&get(&format!("{id}{round}"), "")).expect("an answer");
-            assert_eq!((answer.status(), answer.value("connection")), (200, Some("close")));
+            let answer = client
+                .ask(&get(&format!("{id}{round}"), ""))
+                .expect("an answer");
+            assert_eq!(
+                (answer.status(), answer.value("connection")),
+                (200, Some("close"))
+            );
             assert!(client.is_closed());
         }
         let began = Instant::now();
-        assert!(idle.is_closed() && silent.is_closed(), "nothing is held idle");
+        assert!(
+            idle.is_closed() && silent.is_closed(),
+            "nothing is held idle"
+        );
         assert!(began.elapsed() < Duration::from_secs(3));
         assert_eq!(ready(node.at), 503);
-        assert_eq!(node.ask(&get(&format!("late{round}"), "")).status(), 200, "it still serves who comes");
+        assert_eq!(
+            node.ask(&get(&format!("late{round}"), "")).status(),
+            200,
+            "it still serves who comes"
+        );
         assert_eq!(call(console, "POST", "/active").status(), 200);
         assert_eq!(ready(node.at), 200);
         let mut again = Client::to(node.at);
         for n in 0..3 {
-            assert_eq!(again.ask(&get(&format!("b{round}-{n}"), "")).expect("kept open").status(), 200);
+            assert_eq!(
+                again
+                    .ask(&get(&format!("b{round}-{n}"), ""))
+                    .expect("kept open")
+                    .status(),
+                200
+            );
         }
     }
 }
@@ -193,7 +273,9 @@
     let (mut old, _discovery, mut config) = operated(&[&backend]);
     config["listen"] = json!(old.at.to_string());
     let new = Node::start(&config);
-    until("the new one can serve", || call(new.console(), "GET", "/status").status() == 200);
+    until("the new one can serve", || {
+        call(new.console(), "GET", "/status").status() == 200
+    });
     for n in 0..20 {
         assert_eq!(old.ask(&get(&format!("both{n}"), "")).status(), 200);
     }
@@ -224,7 +306,10 @@
 fn the_program_is_linked_dynamically() {
     let program = std::fs::read(badgerpost_fakes::program("badgerpost").unwrap()).unwrap();
     let head = &program[..program.len().min(64 * 1024)];
-    assert!(head.windows(8).any(|part| part == b"/ld-linu"), "it names no dynamic loader");
+    assert!(
+        head.windows(8).any(|part| part == b"/ld-linu"),
+        "it names no dynamic loader"
+    );
 }
 
 /// Callers get their answer within their second while the serving thread has more to do than it can.
@@ -244,7 +329,9 @@
                         return;
                     }
                     // Ten at a time, so that the node always has some to read.
-                    let text: String = (0..10).map(|k| get(&format!("c{client}-{n}-{k}"), "")).collect();
+                    let text: String = (0..10)
+                        .map(|k| get(&format!("c{client}-{n}-{k}"), ""))
+                        .collect();
                     stream.write(&text);
                     if (0..10).any(|_| stream.read().is_none()) {
                         stream = Client::to(at);
@@ -261,7 +348,9 @@
         longest = longest.max(began.elapsed());
     }
     over.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| client.join().unwrap());
+    clients
+        .into_iter()
+        .for_each(|client| client.join().unwrap());
     let answered = figures(console)["node.transactions.read.answered"];
     assert!(answered > 500, "{answered} requests in 2 s are no load");
     println!("longest of {made} calls: {longest:?}; {answered} requests answered meanwhile");
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -18,7 +18,10 @@
 fn file(name: &str, text: &str, mode: u32) -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("badgerpost-peers-{name}-{}-{number}", std::process::id()));
+    let path = std::env::temp_dir().join(format!(
+        "badgerpost-peers-{name}-{}-{number}",
+        std::process::id()
+    ));
     std::fs::write(&path, text).unwrap();
     std::fs::set_permissions(&path, std::fs::Permissions::from_mode(mode)).unwrap();
     path
@@ -32,7 +35,9 @@
 
 impl Doors {
     fn open(count: usize) -> Self {
-        let doors: Vec<_> = (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let doors: Vec<_> = (0..count)
+            .map(|_| UdpSocket::bind("127.0.0.1:0").unwrap())
+            .collect();
         let nodes = Arc::new(Mutex::new(vec![None; count]));
         for (number, door) in doors.iter().enumerate() {
             let (door, nodes) = (door.try_clone().unwrap(), nodes.clone());
@@ -89,22 +94,35 @@
     let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
     let key = file("key", KEY, 0o600);
     let doors = Doors::open(3);
-    let mut nodes: Vec<Node> = (0..3).map(|number| doors.start(number, &discovery, &key)).collect();
+    let mut nodes: Vec<Node> = (0..3)
+        .map(|number| doors.start(number, &discovery, &key))
+        .collect();
     for node in &nodes {
-        until("three members", || number(node, "node.peers.members") == Some(3));
+        until("three members", || {
+            number(node, "node.peers.members") == Some(3)
+        });
     }
     nodes[2].signal("-TERM");
     let began = Instant::now();
     for node in &nodes[..2] {
-        until("two members", || number(node, "node.peers.members") == Some(2));
+        until("two members", || {
+            number(node, "node.peers.members") == Some(2)
+        });
     }
-    assert!(began.elapsed() < Duration::from_secs(2), "it said so, nobody had to suspect it");
+    assert!(
+        began.elapsed() < Duration::from_secs(2),
+        "it said so, nobody had to suspect it"
+    );
     // One that is killed and starts anew is let in again under its address.
     nodes[1].signal("-KILL");
     drop(nodes.remove(1));
     let again = doors.start(1, &discovery, &key);
-    until("let in again", || number(&again, "node.peers.members") == Some(2));
-    until("known again", || number(&nodes[0], "node.peers.members") == Some(2));
+    until("let in again", || {
+        number(&again, "node.peers.members") == Some(2)
+    });
+    until("known again", || {
+        number(&nodes[0], "node.peers.members") == Some(2)
+    });
     std::fs::remove_file(key).unwrap();
 }
 
@@ -112,23 +130,36 @@
 fn strangers_are_counted_and_dropped() {
     let backend = Backend::new(|_| Does::Writes(ok("yes")));
     let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
-    let (key, other) = (file("one", KEY, 0o600), file("other", "another key, of another fleet", 0o600));
+    let (key, other) = (
+        file("one", KEY, 0o600),
+        file("other", "another key, of another fleet", 0o600),
+    );
     let doors = Doors::open(2);
     let node = doors.start(0, &discovery, &key);
     // Another fleet's node knocks, and noise comes.
     let stranger = doors.start(1, &discovery, &other);
-    until("the stranger is counted", || number(&node, "node.peers.strangers") >= Some(1));
+    until("the stranger is counted", || {
+        number(&node, "node.peers.strangers") >= Some(1)
+    });
     let noise = UdpSocket::bind("127.0.0.1:0").unwrap();
     let before = number(&node, "node.peers.malformed");
     for datagram in [&b""[..], b"x", &[0; 40], &[1; 4000]] {
         noise.send_to(datagram, doors.at(0)).unwrap();
     }
-    until("noise is counted", || number(&node, "node.peers.malformed") >= before.map(|before| before + 3));
-    assert_eq!(number(&node, "node.peers.members"), Some(1), "nobody was let in");
+    until("noise is counted", || {
+        number(&node, "node.peers.malformed") >= before.map(|before| before + 3)
+    });
+    assert_eq!(
+        number(&node, "node.peers.members"),
+        Some(1),
+        "nobody was let in"
+    );
     assert_eq!(number(&stranger, "node.peers.members"), Some(1));
     assert_eq!(node.ask(&get("r1", "")).status(), 200);
     assert!(node.logged("datagram dropped"));
-    [key, other].into_iter().for_each(|path| std::fs::remove_file(path).unwrap());
+    [key, other]
+        .into_iter()
+        .for_each(|path| std::fs::remove_file(path).unwrap());
 }
 
 #[test]
@@ -154,20 +185,41 @@
         (&silent, good, "settings.policy-limits.peers"),
         (&yes, unwatched, "[zones] watch = true"),
         (&yes, section("127.0.0.1:7946", "", &open), "peers.key_file"),
-        (&yes, section("127.0.0.1:7946", "", &short), "peers.key_file"),
-        (&yes, section("127.0.0.1:7946", "", std::path::Path::new("/no/such/key")), "peers.key_file"),
+        (
+            &yes,
+            section("127.0.0.1:7946", "", &short),
+            "peers.key_file",
+        ),
+        (
+            &yes,
+            section("127.0.0.1:7946", "", std::path::Path::new("/no/such/key")),
+            "peers.key_file",
+        ),
         (&yes, section("127.0.0.1:0", "", &key), "peers.listen"),
         (&yes, section("0.0.0.0:7946", "", &key), "peers.advertise"),
-        (&yes, section("127.0.0.1:7946", "\"127.0.0.1:0\"", &key), "peers.seeds"),
-        (&yes, section("127.0.0.1:7946", "", &key) + "port = 1\n", "port"),
+        (
+            &yes,
+            section("127.0.0.1:7946", "\"127.0.0.1:0\"", &key),
+            "peers.seeds",
+        ),
+        (
+            &yes,
+            section("127.0.0.1:7946", "", &key) + "port = 1\n",
+            "port",
+        ),
     ] {
         let own = file("bad.toml", &own, 0o600);
         let (child, _) = spawn_with(&edge.to_string(), Some(&own));
         let output = child.wait_with_output().unwrap();
         let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert!(!output.status.success() && said.contains(wanted), "{wanted}: {said}");
+        assert!(
+            !output.status.success() && said.contains(wanted),
+            "{wanted}: {said}"
+        );
     }
-    [key, open, short].into_iter().for_each(|path| std::fs::remove_file(path).unwrap());
+    [key, open, short]
+        .into_iter()
+        .for_each(|path| std::fs::remove_file(path).unwrap());
 }
 
 /// A member that has the fleet's key and says of zone `a`, five times a second, that it is as dead as can be said.
@@ -180,10 +232,17 @@
     fn start(number: usize, seed: SocketAddr) -> Self {
         let over = Arc::new(AtomicBool::new(false));
         let ended = over.clone();
-        let now = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
+        let now = || {
+            SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap()
+                .as_nanos() as u64
+        };
         let thread = std::thread::spawn(move || {
             let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-            socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+            socket
+                .set_read_timeout(Some(Duration::from_millis(5)))
+                .unwrap();
             let mut core = Membership::new(Settings {
                 member: member_id(&format!("liar{number}")),
                 advertise: socket.local_addr().unwrap(),
@@ -225,19 +284,31 @@
                 }
                 if said.elapsed() > Duration::from_millis(200) {
                     said = Instant::now();
-                    tell(Event::Broadcast { topic: 0, body: &dead.to_bytes() }, &mut wake);
+                    tell(
+                        Event::Broadcast {
+                            topic: 0,
+                            body: &dead.to_bytes(),
+                        },
+                        &mut wake,
+                    );
                 }
             }
             tell(Event::Leave, &mut wake);
         });
-        Self { over, thread: Some(thread) }
+        Self {
+            over,
+            thread: Some(thread),
+        }
     }
 }
 
 impl Drop for Liar {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Relaxed);
-        self.thread.take().into_iter().for_each(|thread| drop(thread.join()));
+        self.thread
+            .take()
+            .into_iter()
+            .for_each(|thread| drop(thread.join()));
     }
 }
 
@@ -249,20 +320,31 @@
     let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready"), there]));
     let key = file("liars", KEY, 0o600);
     let doors = Doors::open(3);
-    let nodes: Vec<Node> = (0..3).map(|number| doors.start(number, &discovery, &key)).collect();
-    let all = |members| nodes.iter().all(|node| number(node, "node.peers.members") == Some(members));
+    let nodes: Vec<Node> = (0..3)
+        .map(|number| doors.start(number, &discovery, &key))
+        .collect();
+    let all = |members| {
+        nodes
+            .iter()
+            .all(|node| number(node, "node.peers.members") == Some(members))
+    };
     until("three members", || all(3));
     let share = |node: &Node| number(node, "node.zone.a.share");
     let _one = Liar::start(1, doors.at(0));
     until("the liar is a member", || all(4));
     let began = Instant::now();
     while began.elapsed() < Duration::from_secs(2) {
-        assert!(nodes.iter().all(|node| share(node) == Some(1000)), "one member's word moves a node");
+        assert!(
+            nodes.iter().all(|node| share(node) == Some(1000)),
+            "one member's word moves a node"
+        );
         std::thread::sleep(Duration::from_millis(50));
     }
     assert!(!nodes.iter().any(|node| node.logged("zone changed")));
     // Two of five agree, and nobody has had an answer from there: the check can fail.
     let _two = Liar::start(2, doors.at(0));
-    until("all have left", || nodes.iter().all(|node| share(node) == Some(0)));
+    until("all have left", || {
+        nodes.iter().all(|node| share(node) == Some(0))
+    });
     std::fs::remove_file(key).unwrap();
 }
--- a/daemon/tests/probing.rs
+++ b/daemon/tests/probing.rs
@@ -12,10 +12,12 @@
 
 /// A backend that answers requests, and `stats` to probes.
 fn reporting(stats: Does) -> Backend {
-    Backend::new(move |message| match message.first.starts_with("GET /stats ") {
-        true => stats.clone(),
-        false => Does::Writes(ok("served")),
-    })
+    Backend::new(
+        move |message| match message.first.starts_with("GET /stats ") {
+            true => stats.clone(),
+            false => Does::Writes(ok("served")),
+        },
+    )
 }
 
 fn in_zones(backends: &[(&Backend, &str)]) -> Discovery {
@@ -30,8 +32,12 @@
 /// The home zone's server says that it is full, so requests go to the other zone.
 #[test]
 fn what_probes_tell_decides_where_requests_go() {
-    let full = reporting(Does::Writes(ok(r#"{"qps":90.5,"latency_ms":70,"eps":0,"util":0.99}"#)));
-    let free = reporting(Does::Writes(ok(r#"{"qps":1.5,"latency_ms":70,"eps":0,"util":0.05}"#)));
+    let full = reporting(Does::Writes(ok(
+        r#"{"qps":90.5,"latency_ms":70,"eps":0,"util":0.99}"#,
+    )));
+    let free = reporting(Does::Writes(ok(
+        r#"{"qps":1.5,"latency_ms":70,"eps":0,"util":0.05}"#,
+    )));
     let discovery = in_zones(&[(&full, "a"), (&free, "b")]);
     let node = Node::start(&with_probes(&discovery));
     discovery.watched_from(1);
@@ -39,13 +45,28 @@
     let mut client = Client::to(node.at);
     until("requests leave the full zone", || {
         asked += 1;
-        assert_eq!(client.ask(&get(&format!("r{asked}"), "")).expect("an answer").status(), 200);
-        free.got.try_iter().any(|message| message.first.starts_with("GET /api"))
+        assert_eq!(
+            client
+                .ask(&get(&format!("r{asked}"), ""))
+                .expect("an answer")
+                .status(),
+            200
+        );
+        free.got
+            .try_iter()
+            .any(|message| message.first.starts_with("GET /api"))
     });
     let at_home: Vec<Message> = full.got.try_iter().collect();
-    let probes = at_home.iter().filter(|message| message.first.starts_with("GET /stats "));
-    let probes = probes.inspect(|probe| assert!(probe.value("x-call-id").is_none(), "{probe:?}")).count();
-    assert!((1..=asked / 5 + 4).contains(&probes), "{probes} probes for {asked} requests");
+    let probes = at_home
+        .iter()
+        .filter(|message| message.first.starts_with("GET /stats "));
+    let probes = probes
+        .inspect(|probe| assert!(probe.value("x-call-id").is_none(), "{probe:?}"))
+        .count();
+    assert!(
+        (1..=asked / 5 + 4).contains(&probes),
+        "{probes} probes for {asked} requests"
+    );
 }
 
 /// A backend that answers probes with what is none, or not at all, is served with as before.
@@ -67,8 +88,10 @@
         for turn in 0..20 {
             assert_eq!(node.ask(&get(&format!("r{turn}"), "")).status(), 200);
         }
-        let (probes, requests): (Vec<Message>, Vec<Message>) =
-            backend.got.try_iter().partition(|message| message.first.starts_with("GET /stats "));
+        let (probes, requests): (Vec<Message>, Vec<Message>) = backend
+            .got
+            .try_iter()
+            .partition(|message| message.first.starts_with("GET /stats "));
         assert_eq!(requests.len(), 20);
         assert!(!probes.is_empty());
     }
@@ -82,5 +105,10 @@
     for turn in 0..20 {
         assert_eq!(node.ask(&get(&format!("r{turn}"), "")).status(), 200);
     }
-    assert!(backend.got.try_iter().all(|message| message.first.starts_with("GET /api")));
+    assert!(
+        backend
+            .got
+            .try_iter()
+            .all(|message| message.first.starts_with("GET /api"))
+    );
 }
--- a/daemon/tests/serving.rs
+++ b/daemon/tests/serving.rs
@@ -14,15 +14,25 @@
 fn passes_a_call_on_unchanged_and_once() {
     let backend = always(Does::Writes(ok("seated")));
     let (node, _discovery) = Node::with(&[&backend]);
-    let answer = node.ask(&post("join", "a1b2", "Idempotency-Key: k-77\r\nX-Budget-Ms-Not: 1\r\n", "lobby"));
-    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"seated".as_slice()));
+    let answer = node.ask(&post(
+        "join",
+        "a1b2",
+        "Idempotency-Key: k-77\r\nX-Budget-Ms-Not: 1\r\n",
+        "lobby",
+    ));
+    assert_eq!(
+        (answer.status(), answer.body.as_slice()),
+        (200, b"seated".as_slice())
+    );
     let got = backend.next();
     assert_eq!(got.first, "POST /api HTTP/1.1");
     assert_eq!(got.body, b"lobby");
     assert_eq!(got.values("x-call-id"), ["a1b2"]);
     assert_eq!(got.values("idempotency-key"), ["k-77"]);
     assert_eq!(got.values("content-length"), ["5"]);
-    let [budget] = got.values("x-budget-ms")[..] else { panic!("one budget: {got:?}") };
+    let [budget] = got.values("x-budget-ms")[..] else {
+        panic!("one budget: {got:?}")
+    };
     assert!(budget.parse::<u64>().unwrap() <= 3000, "{budget}");
     let answer = node.ask(&get("a1b3", ""));
     assert_eq!(answer.status(), 200);
@@ -52,9 +62,18 @@
         (400, post("pay", "1", key, "")),
     ];
     for (wanted, text) in cases {
-        assert_eq!(node.ask(&text).status(), wanted, "{}", &text[..text.len().min(300)]);
+        assert_eq!(
+            node.ask(&text).status(),
+            wanted,
+            "{}",
+            &text[..text.len().min(300)]
+        );
     }
-    assert_eq!(node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status(), 200);
+    assert_eq!(
+        node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+            .status(),
+        200
+    );
     assert_eq!(node.ask(&get("last", "")).status(), 200);
     assert_eq!(backend.next().value("x-call-id"), Some("last"));
     assert_eq!(backend.count(), 0);
@@ -92,7 +111,10 @@
     let (full, other) = (away(503), away(504));
     let (node, _discovery) = Node::with(&[&full, &serves]);
     for n in 0..8 {
-        assert_eq!(node.ask(&post("pay", &format!("p{n}"), "", "")).status(), 200);
+        assert_eq!(
+            node.ask(&post("pay", &format!("p{n}"), "", "")).status(),
+            200
+        );
     }
     assert_eq!(serves.count(), 8);
     let (node, _discovery) = Node::with(&[&other]);
@@ -106,11 +128,17 @@
     let at = dead.local_addr().unwrap();
     drop(dead);
     let serves = always(Does::Writes(ok("paid")));
-    let discovery = Discovery::new(json!([target("s-0", at, "Ready"), target("s-1", serves.at, "Ready")]));
+    let discovery = Discovery::new(json!([
+        target("s-0", at, "Ready"),
+        target("s-1", serves.at, "Ready")
+    ]));
     let node = Node::start(&config(discovery.at, json!([])));
     discovery.watched_from(1);
     for n in 0..8 {
-        assert_eq!(node.ask(&post("pay", &format!("p{n}"), "", "")).status(), 200);
+        assert_eq!(
+            node.ask(&post("pay", &format!("p{n}"), "", "")).status(),
+            200
+        );
     }
     assert_eq!(serves.count(), 8);
 }
@@ -123,7 +151,10 @@
     let answer = node.ask(&get("s1", "").replace("3000", "200"));
     assert_ne!(answer.status(), 200);
     // Nothing that is left of it stands in the way of the next.
-    assert_ne!(node.ask(&get("s2", "").replace("3000", "200")).status(), 200);
+    assert_ne!(
+        node.ask(&get("s2", "").replace("3000", "200")).status(),
+        200
+    );
 }
 
 /// The backend closes after each answer without saying so: the pooled connection is dead by the next send,
@@ -134,9 +165,13 @@
     let (node, _discovery) = Node::with(&[&backend]);
     let mut client = Client::to(node.at);
     for n in 1..=20 {
-        let answer = client.ask(&post("pay", &format!("p{n}"), "", "")).expect("an answer");
+        let answer = client
+            .ask(&post("pay", &format!("p{n}"), "", ""))
+            .expect("an answer");
         assert_eq!(answer.status(), 200, "call {n}");
-        until("the node closes its end", || backend.closed.load(Ordering::SeqCst) == n);
+        until("the node closes its end", || {
+            backend.closed.load(Ordering::SeqCst) == n
+        });
     }
     assert_eq!(backend.connections.load(Ordering::SeqCst), 20);
 }
@@ -148,7 +183,13 @@
     let (node, _discovery) = Node::with(&[&backend]);
     let mut client = Client::to(node.at);
     for n in 0..10 {
-        assert_eq!(client.ask(&get(&format!("k{n}"), "")).expect("an answer").status(), 200);
+        assert_eq!(
+            client
+                .ask(&get(&format!("k{n}"), ""))
+                .expect("an answer")
+                .status(),
+            200
+        );
         // An answer's connection rests first.
         std::thread::sleep(std::time::Duration::from_millis(50));
     }
@@ -158,12 +199,24 @@
 
 #[test]
 fn a_load_report_of_any_shape_does_no_harm() {
-    for report in ["{\"util\":0.4}", "{\"util\":\"high\"}", "{\"util\":1e999}", "{", "[]", "\u{e9}"] {
-        let text = format!("HTTP/1.1 200 OK\r\nX-Load-Report: {report}\r\nContent-Length: 2\r\n\r\nok");
+    for report in [
+        "{\"util\":0.4}",
+        "{\"util\":\"high\"}",
+        "{\"util\":1e999}",
+        "{",
+        "[]",
+        "\u{e9}",
+    ] {
+        let text =
+            format!("HTTP/1.1 200 OK\r\nX-Load-Report: {report}\r\nContent-Length: 2\r\n\r\nok");
         let backend = always(Does::Writes(text));
         let (node, _discovery) = Node::with(&[&backend]);
         for n in 0..3 {
-            assert_eq!(node.ask(&get(&format!("r{n}"), "")).status(), 200, "{report}");
+            assert_eq!(
+                node.ask(&get(&format!("r{n}"), "")).status(),
+                200,
+                "{report}"
+            );
         }
     }
 }
@@ -185,7 +238,10 @@
     drop(client);
     gate.open();
     let answer = node.ask(&get("g2", ""));
-    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"yes".as_slice()));
+    assert_eq!(
+        (answer.status(), answer.body.as_slice()),
+        (200, b"yes".as_slice())
+    );
     assert_eq!(backend.next().value("x-call-id"), Some("g2"));
     assert_eq!(backend.count(), 0);
 }
@@ -205,7 +261,10 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\nzz\r\n".to_owned(),
         "HTTP/1.1 200 OK\r\nX-Never: ends\r\n".to_owned(),
         format!("HTTP/1.1 200 OK\r\n{}", lines.repeat(4000)),
-        format!("HTTP/1.1 200 OK\r\n{}Content-Length: 2\r\n\r\nno", lines.repeat(80)),
+        format!(
+            "HTTP/1.1 200 OK\r\n{}Content-Length: 2\r\n\r\nno",
+            lines.repeat(80)
+        ),
         "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n".to_owned(),
         "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 50\r\n\r\nshort".to_owned(),
     ];
@@ -220,7 +279,11 @@
         // The connection stays open on the backend's side: only the node can end the wait. Most of the
         // client's time is left for the other attempt.
         let answer = node.ask(&get("s1", ""));
-        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"good".as_slice()), "case {n}");
+        assert_eq!(
+            (answer.status(), answer.body.as_slice()),
+            (200, b"good".as_slice()),
+            "case {n}"
+        );
         assert_eq!(backend.connections.load(Ordering::SeqCst), 2, "case {n}");
     }
 }
@@ -228,15 +291,25 @@
 /// What comes behind a good answer spoils neither that one nor the next.
 #[test]
 fn what_comes_behind_an_answer_is_no_answer() {
-    for behind in [ok("mine"), "noise".to_owned(), "HTTP/1.1 200 OK\r\n".to_owned()] {
+    for behind in [
+        ok("mine"),
+        "noise".to_owned(),
+        "HTTP/1.1 200 OK\r\n".to_owned(),
+    ] {
         let backend = Backend::new(move |message| {
-            Does::Adds(ok(message.value("x-call-id").unwrap_or_default()), behind.clone())
+            Does::Adds(
+                ok(message.value("x-call-id").unwrap_or_default()),
+                behind.clone(),
+            )
         });
         let (node, _discovery) = Node::with(&[&backend]);
         let mut client = Client::to(node.at);
         for n in 0..6 {
             let answer = client.ask(&get(&format!("w{n}"), "")).expect("an answer");
-            assert_eq!((answer.status(), answer.body), (200, format!("w{n}").into_bytes()));
+            assert_eq!(
+                (answer.status(), answer.body),
+                (200, format!("w{n}").into_bytes())
+            );
         }
     }
 }
@@ -256,7 +329,10 @@
     std::thread::sleep(std::time::Duration::from_millis(300));
     gate.open();
     let answer = client.read().expect("an answer");
-    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"real".as_slice()));
+    assert_eq!(
+        (answer.status(), answer.body.as_slice()),
+        (200, b"real".as_slice())
+    );
 }
 
 /// Requests that backends turn away as bad must not put good backends out of service.
@@ -284,7 +360,10 @@
         false => Does::Writes(ok("good")),
     });
     let (node, _discovery) = Node::with(&[&backend]);
-    assert_ne!(node.ask(&get("l1", "").replace("3000", "300")).status(), 200);
+    assert_ne!(
+        node.ask(&get("l1", "").replace("3000", "300")).status(),
+        200
+    );
     gate.open();
     std::thread::sleep(std::time::Duration::from_millis(250));
     assert_eq!(node.ask(&get("l2", "")).body, b"good");
@@ -295,11 +374,17 @@
 /// one rather than have a request reset.
 #[test]
 fn connections_are_not_used_after_a_rest_that_kills_them() {
-    let (opened, seen, broken) =
-        (Arc::new(OnceLock::<Arc<AtomicU32>>::new()), AtomicU32::new(0), Arc::new(AtomicU32::new(0)));
+    let (opened, seen, broken) = (
+        Arc::new(OnceLock::<Arc<AtomicU32>>::new()),
+        AtomicU32::new(0),
+        Arc::new(AtomicU32::new(0)),
+    );
     let (count, breaks) = (opened.clone(), broken.clone());
     let backend = Backend::new(move |_| {
-        let now = count.get().expect("set before the first request").load(Ordering::SeqCst);
+        let now = count
+            .get()
+            .expect("set before the first request")
+            .load(Ordering::SeqCst);
         if seen.swap(now, Ordering::SeqCst) != now {
             return Does::Writes(ok("yes"));
         }
@@ -311,7 +396,10 @@
     let mut client = Client::to(node.at);
     for n in 0..14 {
         let answer = client.ask(&get(&format!("q{n}"), "")).expect("an answer");
-        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"yes".as_slice()));
+        assert_eq!(
+            (answer.status(), answer.body.as_slice()),
+            (200, b"yes".as_slice())
+        );
         std::thread::sleep(std::time::Duration::from_millis(150));
     }
     // Three resets tell, for each class of rests; a slow machine may come to know two.
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -17,13 +17,15 @@
 
 impl Folder {
     fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("badgerpost-up-{}-{name}", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("badgerpost-up-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&path).unwrap();
         Self(path)
     }
 
     fn socket(&self, at: SocketAddr) -> PathBuf {
-        self.0.join(format!("badgerpost-{}-{}.handover", at.ip(), at.port()))
+        self.0
+            .join(format!("badgerpost-{}-{}.handover", at.ip(), at.port()))
     }
 }
 
@@ -35,7 +37,10 @@
 
 /// An address that is free, and stays so for whoever sets SO_REUSEADDR.
 fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 fn operated(backend: &Backend, at: SocketAddr) -> Value {
@@ -77,8 +82,11 @@
     let config = operated(&backend, at);
     let mut running = Node::start_in(&config, Some(&folder.0));
     serves(&running);
-    let (over, lost, asked) =
-        (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let (over, lost, asked) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU32::new(0)),
+        Arc::new(AtomicU32::new(0)),
+    );
     let clients: Vec<_> = (0..4)
         .map(|client| {
             let (over, lost, asked) = (over.clone(), lost.clone(), asked.clone());
@@ -98,16 +106,29 @@
     for _ in 0..10 {
         let new = Node::start_in(&config, Some(&folder.0));
         serves(&new);
-        until("it has taken the socket over", || new.logged("took over the listening socket"));
-        until("the old one knows", || running.logged("the next version takes connections here"));
+        until("it has taken the socket over", || {
+            new.logged("took over the listening socket")
+        });
+        until("the old one knows", || {
+            running.logged("the next version takes connections here")
+        });
         running.signal("-TERM");
         assert_eq!(running.child.wait().unwrap().code(), Some(0));
-        until("the new one knows", || new.logged("the version before is gone"));
+        until("the new one knows", || {
+            new.logged("the version before is gone")
+        });
         running = new;
     }
     over.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| client.join().unwrap());
-    assert_eq!(lost.load(Ordering::SeqCst), 0, "of {} requests", asked.load(Ordering::SeqCst));
+    clients
+        .into_iter()
+        .for_each(|client| client.join().unwrap());
+    assert_eq!(
+        lost.load(Ordering::SeqCst),
+        0,
+        "of {} requests",
+        asked.load(Ordering::SeqCst)
+    );
     assert!(asked.load(Ordering::SeqCst) > 100);
 }
 
@@ -121,9 +142,13 @@
     serves(&old);
     for round in 0..2 {
         let new = Node::start_in(&config, Some(&folder.0));
-        until("the old one knows", || old.count("shared=true") == round + 1);
+        until("the old one knows", || {
+            old.count("shared=true") == round + 1
+        });
         new.signal("-KILL");
-        until("the old one hears of it", || old.count("shared=false") == round + 1);
+        until("the old one hears of it", || {
+            old.count("shared=false") == round + 1
+        });
         drop(new);
         for n in 0..10 {
             assert!(asks(at, &format!("d{round}-{n}")).unwrap());
@@ -150,14 +175,20 @@
     }
     type Prepares = fn(&Path) -> Box<dyn std::any::Any>;
     let cases: [(&str, Prepares); 8] = [
-        ("file", |path| Box::new(std::fs::write(path, "what is this"))),
+        ("file", |path| {
+            Box::new(std::fs::write(path, "what is this"))
+        }),
         ("folder", |path| Box::new(std::fs::create_dir(path))),
         ("dead", |path| Box::new(UnixListener::bind(path).map(drop))),
         ("silent", silent),
         ("garbage", |path| says(path, "\u{1}\u{2} nonsense\n")),
-        ("endless", |path| says(path, Box::leak("x".repeat(10_000).into_boxed_str()))),
+        ("endless", |path| {
+            says(path, Box::leak("x".repeat(10_000).into_boxed_str()))
+        }),
         ("nothing", |path| says(path, "\"listener\"\n")),
-        ("refuses", |path| says(path, "{\"refused\":{\"reason\":\"version 1 is not 2\"}}\n")),
+        ("refuses", |path| {
+            says(path, "{\"refused\":{\"reason\":\"version 1 is not 2\"}}\n")
+        }),
     ];
     for (name, prepare) in cases {
         let folder = Folder::new(name);
@@ -166,7 +197,11 @@
         let began = Instant::now();
         let node = Node::start_in(&operated(&backend, at), Some(&folder.0));
         serves(&node);
-        assert!(began.elapsed() < Duration::from_secs(6), "{name}: {:?}", began.elapsed());
+        assert!(
+            began.elapsed() < Duration::from_secs(6),
+            "{name}: {:?}",
+            began.elapsed()
+        );
         assert!(asks(at, "first").unwrap(), "{name}");
     }
 }
@@ -182,8 +217,14 @@
     let meet = folder.socket(at);
     until("the meeting place is there", || meet.exists());
     for (text, wanted) in [
-        (format!("{{\"hello\":{{\"version\":9,\"listen\":\"{at}\"}}}}\n"), "version 9 is not 1"),
-        ("{\"hello\":{\"version\":1,\"listen\":\"127.0.0.1:1\"}}\n".to_owned(), "this one listens at"),
+        (
+            format!("{{\"hello\":{{\"version\":9,\"listen\":\"{at}\"}}}}\n"),
+            "version 9 is not 1",
+        ),
+        (
+            "{\"hello\":{\"version\":1,\"listen\":\"127.0.0.1:1\"}}\n".to_owned(),
+            "this one listens at",
+        ),
         ("garbage\n".to_owned(), ""),
         ("\"serving\"\n".to_owned(), ""),
         (String::new(), ""),
@@ -192,21 +233,30 @@
         peer.set_read_timeout(Some(PATIENCE)).unwrap();
         peer.write_all(text.as_bytes()).unwrap();
         let mut said = String::new();
-        peer.read_to_string(&mut said).expect("it is ended by the node");
+        peer.read_to_string(&mut said)
+            .expect("it is ended by the node");
         assert!(said.contains(wanted), "{text:?}: {said:?}");
     }
     let new = Node::start_in(&config, Some(&folder.0));
-    until("the socket goes over all the same", || new.logged("took over the listening socket"));
+    until("the socket goes over all the same", || {
+        new.logged("took over the listening socket")
+    });
     assert!(asks(at, "last").unwrap());
 }
 
 fn calls(node: &Node, method: &str, path: &str) -> u16 {
     let text = format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n");
-    Client::to(node.console()).ask(&text).expect("an answer").status()
+    Client::to(node.console())
+        .ask(&text)
+        .expect("an answer")
+        .status()
 }
 
 fn ready(at: SocketAddr) -> u16 {
-    Client::to(at).ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").expect("an answer").status()
+    Client::to(at)
+        .ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        .expect("an answer")
+        .status()
 }
 
 /// A node that stands by is upgraded, and one is told to stand by in the midst of its upgrade: the new version is in
@@ -230,7 +280,9 @@
     assert_eq!(calls(&new, "POST", "/standby"), 200);
     new.signal("-TERM");
     assert_eq!(new.child.wait().unwrap().code(), Some(0));
-    until("the last one is alone", || last.logged("the version before is gone"));
+    until("the last one is alone", || {
+        last.logged("the version before is gone")
+    });
     assert_eq!(ready(at), 200);
     assert!(asks(at, "meet").unwrap());
 }
@@ -260,14 +312,24 @@
     old.signal("-TERM");
     until("the old one has heard", || old.logged("stopping node="));
     half.write(&text[text.len() - 2..]);
-    assert_eq!(half.read().expect("what was half read is served").status(), 200);
+    assert_eq!(
+        half.read().expect("what was half read is served").status(),
+        200
+    );
     gate.open();
     let answer = slow.read().expect("an answer");
-    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"slow".as_slice()));
+    assert_eq!(
+        (answer.status(), answer.body.as_slice()),
+        (200, b"slow".as_slice())
+    );
     assert_eq!(old.child.wait().unwrap().code(), Some(0));
     assert!(asks(at, "next").unwrap());
     assert_eq!(
-        backend.got.try_iter().filter(|m| m.value("x-call-id") == Some("slow")).count(),
+        backend
+            .got
+            .try_iter()
+            .filter(|m| m.value("x-call-id") == Some("slow"))
+            .count(),
         0,
         "sent once"
     );
--- a/daemon/tests/zones.rs
+++ b/daemon/tests/zones.rs
@@ -7,7 +7,10 @@
 use serde_json::{Value, json};
 
 fn file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("badgerpost-zones-{name}-{}.toml", std::process::id()));
+    let path = std::env::temp_dir().join(format!(
+        "badgerpost-zones-{name}-{}.toml",
+        std::process::id()
+    ));
     std::fs::write(&path, text).unwrap();
     path
 }
@@ -24,11 +27,23 @@
     let folder = std::fs::read_dir(format!("/proc/{pid}/fd")).unwrap();
     let links = folder.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
     let own: BTreeSet<String> = links
-        .filter_map(|link| Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+        .filter_map(|link| {
+            Some(
+                link.to_str()?
+                    .strip_prefix("socket:[")?
+                    .strip_suffix(']')?
+                    .to_owned(),
+            )
+        })
         .collect();
     let table = std::fs::read_to_string(format!("/proc/{pid}/net/{kind}")).unwrap_or_default();
-    let fields = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
-    fields.filter(|line| own.contains(line[9]) && state.is_none_or(|state| line[3] == state)).count()
+    let fields = table
+        .lines()
+        .skip(1)
+        .map(|line| line.split_whitespace().collect::<Vec<_>>());
+    fields
+        .filter(|line| own.contains(line[9]) && state.is_none_or(|state| line[3] == state))
+        .count()
 }
 
 const LISTENS: &str = "0A";
@@ -43,7 +58,11 @@
         assert_eq!(node.ask(&get(&format!("r{n}"), "")).status(), 200);
     }
     let (console, pid) = (node.console(), node.child.id());
-    assert_eq!(sockets(pid, "tcp", Some(LISTENS)), 2, "its clients' and its operators' listener");
+    assert_eq!(
+        sockets(pid, "tcp", Some(LISTENS)),
+        2,
+        "its clients' and its operators' listener"
+    );
     for kind in ["udp", "udp6", "raw", "raw6", "tcp6"] {
         assert_eq!(sockets(pid, kind, None), 0, "{kind}");
     }
@@ -57,10 +76,21 @@
     let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/badgerpost.toml");
     let text = std::fs::read_to_string(shipped).unwrap();
     assert!(text.contains("# [zones]\n# watch = true"));
-    assert!(text.lines().all(|line| line.is_empty() || line.starts_with('#')), "a line counts");
-    let run =
-        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/balancer.toml")).unwrap();
-    let run = run.lines().find(|line| line.starts_with("run = ")).unwrap().to_owned();
+    assert!(
+        text.lines()
+            .all(|line| line.is_empty() || line.starts_with('#')),
+        "a line counts"
+    );
+    let run = std::fs::read_to_string(concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../deploy/balancer.toml"
+    ))
+    .unwrap();
+    let run = run
+        .lines()
+        .find(|line| line.starts_with("run = "))
+        .unwrap()
+        .to_owned();
     assert_eq!(run, "run = \"exec target/release/badgerpost\"");
 }
 
@@ -76,16 +106,34 @@
     assert!(is("node.zone.a.share", "1000") && is("node.zone.b.why", "open"));
     assert_eq!(node.ask(&get("r1", "")).status(), 200);
     assert_eq!(call(console, "POST", "/zones/a/close/600").0, 200);
-    until("closed", || is("node.zone.a.share", "0") && is("node.zone.a.why", "by-hand"));
+    until("closed", || {
+        is("node.zone.a.share", "0") && is("node.zone.a.why", "by-hand")
+    });
     assert!(node.logged("zone changed"));
     // Nothing is left: refused or failed in time, not sent.
     assert_eq!(backend.next().value("x-call-id"), Some("r1"));
-    assert_ne!(node.ask(&get("r2", "").replace("Budget-Ms: 3000", "Budget-Ms: 300")).status(), 200);
+    assert_ne!(
+        node.ask(&get("r2", "").replace("Budget-Ms: 3000", "Budget-Ms: 300"))
+            .status(),
+        200
+    );
     assert_eq!(call(console, "POST", "/zones/a/auto").0, 200);
-    until("open", || is("node.zone.a.share", "1000") && is("node.zone.a.why", "open"));
+    until("open", || {
+        is("node.zone.a.share", "1000") && is("node.zone.a.why", "open")
+    });
     assert_eq!(node.ask(&get("r3", "")).status(), 200);
-    assert_eq!(backend.next().value("x-call-id"), Some("r3"), "r2 was not sent");
-    for path in ["/zones/a/close/0", "/zones/a/close/3601", "/zones/a/shut/5", "/zones/x/auto", "/zones/a"] {
+    assert_eq!(
+        backend.next().value("x-call-id"),
+        Some("r3"),
+        "r2 was not sent"
+    );
+    for path in [
+        "/zones/a/close/0",
+        "/zones/a/close/3601",
+        "/zones/a/shut/5",
+        "/zones/x/auto",
+        "/zones/a",
+    ] {
         assert_eq!(call(console, "POST", path).0, 404, "{path}");
     }
     assert_eq!(call(console, "GET", "/zones/a/auto").0, 405);
@@ -100,6 +148,9 @@
     let (child, _) = spawn_with(&config.to_string(), Some(&own));
     let output = child.wait_with_output().unwrap();
     assert!(!output.status.success());
-    assert!(String::from_utf8_lossy(&output.stderr).contains("watsh"), "{output:?}");
+    assert!(
+        String::from_utf8_lossy(&output.stderr).contains("watsh"),
+        "{output:?}"
+    );
     std::fs::remove_file(own).unwrap();
 }
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -43,23 +43,37 @@
 
     /// Whether any is in service.
     pub(crate) fn any_in_service(&self) -> bool {
-        self.known.values().any(|known| known.draining_since.is_none())
+        self.known
+            .values()
+            .any(|known| known.draining_since.is_none())
     }
 
     /// All that are in service, by number.
     pub(crate) fn in_service(&self) -> Vec<(BackendId, SocketAddr)> {
-        let serving = self.known.iter().filter(|(_, known)| known.draining_since.is_none());
+        let serving = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.draining_since.is_none());
         let mut all: Vec<_> = serving.map(|(id, known)| (*id, known.endpoint)).collect();
         all.sort();
         all
     }
 
     /// The names that a list takes away: those it says are gone, and on a whole list those it does not name.
-    pub(crate) fn leaving(&self, scope: EndpointUpdate, list: &[DiscoveredEndpoint]) -> Vec<String> {
+    pub(crate) fn leaving(
+        &self,
+        scope: EndpointUpdate,
+        list: &[DiscoveredEndpoint],
+    ) -> Vec<String> {
         let mut left: Vec<String> = Vec::new();
         if scope != EndpointUpdate::Delta {
             let named: HashSet<&str> = list.iter().map(|listed| listed.name.as_str()).collect();
-            left.extend(self.ids.keys().filter(|uid| !named.contains(uid.as_str())).cloned());
+            left.extend(
+                self.ids
+                    .keys()
+                    .filter(|uid| !named.contains(uid.as_str()))
+                    .cloned(),
+            );
         }
         left.extend(
             list.iter()
@@ -99,7 +113,8 @@
         let draining = listed.state != EndpointState::InService;
         let before = self.known.get(&id);
         let draining_since = draining.then(|| before.and_then(|b| b.draining_since).unwrap_or(now));
-        let moved = |b: &BackendEntry| b.endpoint != listed.address || b.boot_ms != listed.started_at_ms;
+        let moved =
+            |b: &BackendEntry| b.endpoint != listed.address || b.boot_ms != listed.started_at_ms;
         if draining || before.is_some_and(moved) {
             retired.push(id);
         }
@@ -120,7 +135,8 @@
             name_hash: name_tag(&listed.name),
             state: listed.state,
             size: listed.size,
-            started_at: (listed.started_at_ms > 0).then(|| listed.started_at_ms.saturating_mul(1_000_000)),
+            started_at: (listed.started_at_ms > 0)
+                .then(|| listed.started_at_ms.saturating_mul(1_000_000)),
         })
     }
 
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -33,7 +33,11 @@
 impl VirtualClock {
     /// A clock that stands at this Unix time.
     pub fn at(now: Nanos) -> Rc<Self> {
-        Rc::new(Self { now: Cell::new(now), waits: RefCell::default(), next: Cell::new(0) })
+        Rc::new(Self {
+            now: Cell::new(now),
+            waits: RefCell::default(),
+            next: Cell::new(0),
+        })
     }
 
     /// When the next wait ends, if anything waits.
@@ -64,8 +68,13 @@
 impl Clock {
     /// The system's clock, read from now on.
     pub fn system() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self(Mode::System { began: Instant::now(), offset: nanos(unix) })
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self(Mode::System {
+            began: Instant::now(),
+            offset: nanos(unix),
+        })
     }
 
     /// A clock moved by hand.
@@ -91,18 +100,32 @@
         match &self.0 {
             Mode::System { began, offset } => {
                 let at = *began + Duration::from_nanos(at.saturating_sub(*offset));
-                Sleep { kind: Kind::System { sleep: tokio::time::sleep_until(at.into()) } }
-            }
-            Mode::Stepped(steps) => {
-                Sleep { kind: Kind::Stepped { wait: Wait { steps: steps.clone(), at, key: None } } }
+                Sleep {
+                    kind: Kind::System {
+                        sleep: tokio::time::sleep_until(at.into()),
+                    },
+                }
             }
+            Mode::Stepped(steps) => Sleep {
+                kind: Kind::Stepped {
+                    wait: Wait {
+                        steps: steps.clone(),
+                        at,
+                        key: None,
+                    },
+                },
+            },
         }
     }
 
     /// Waits for so long.
     pub fn sleep(&self, span: Duration) -> Sleep {
         match &self.0 {
-            Mode::System { .. } => Sleep { kind: Kind::System { sleep: tokio::time::sleep(span) } },
+            Mode::System { .. } => Sleep {
+                kind: Kind::System {
+                    sleep: tokio::time::sleep(span),
+                },
+            },
             Mode::Stepped(_) => self.sleep_until(self.now().saturating_add(nanos(span))),
         }
     }
@@ -177,7 +200,10 @@
             self.steps.next.set(number + 1);
             (self.at, number)
         });
-        self.steps.waits.borrow_mut().insert(key, cx.waker().clone());
+        self.steps
+            .waits
+            .borrow_mut()
+            .insert(key, cx.waker().clone());
         Poll::Pending
     }
 
--- a/engine/src/clock/tests.rs
+++ b/engine/src/clock/tests.rs
@@ -3,7 +3,10 @@
 const MS: Nanos = 1_000_000;
 
 fn polled(sleep: &mut Pin<Box<Sleep>>) -> bool {
-    sleep.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
+    sleep
+        .as_mut()
+        .poll(&mut Context::from_waker(Waker::noop()))
+        .is_ready()
 }
 
 /// Nothing passes by itself, and what ends early leaves no wait behind.
@@ -30,8 +33,9 @@
     let steps = VirtualClock::at(0);
     let clock = Clock::stepped(steps.clone());
     let at = clock.clone();
-    let mut both =
-        Box::pin(clock.timeout(Duration::from_millis(2), async move { at.sleep_until(2 * MS).await }));
+    let mut both = Box::pin(clock.timeout(Duration::from_millis(2), async move {
+        at.sleep_until(2 * MS).await
+    }));
     let mut late = Box::pin(clock.timeout_at(2 * MS, std::future::pending::<()>()));
     let cx = &mut Context::from_waker(Waker::noop());
     assert!(both.as_mut().poll(cx).is_pending() && late.as_mut().poll(cx).is_pending());
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 
 use badgerpost_balancer::{
-    Action, AttemptResult, BackendId, Balancer, ClassId, EndpointUpdate, Event, LogEvent, Nanos, Outcome,
-    RequestArrival, RequestId, Settings, SettingsError, ZoneId,
+    Action, AttemptResult, BackendId, Balancer, ClassId, EndpointUpdate, Event, LogEvent, Nanos,
+    Outcome, RequestArrival, RequestId, Settings, SettingsError, ZoneId,
 };
 use badgerpost_settings::NameTable;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -19,7 +19,8 @@
 use crate::clock::Clock;
 use crate::metrics::{Metrics, RequestEnd};
 use crate::protocol::{
-    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol, RequestOutcome,
+    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol,
+    RequestOutcome,
 };
 use crate::timers::{TimerPurpose, Timers};
 use crate::zones::{PeerUpdate, ZoneChange, ZoneGossip, ZoneOutput, ZoneWatch};
@@ -124,8 +125,8 @@
 
     /// Switches the watch over the zones on.
     pub(crate) fn watch_zones(&mut self, seed: u64) {
-        let names =
-            (0..self.settings.zone_count).map(|zone| self.words.zone_name(ZoneId(zone)).unwrap_or("").into());
+        let names = (0..self.settings.zone_count)
+            .map(|zone| self.words.zone_name(ZoneId(zone)).unwrap_or("").into());
         self.tally.watch_zones(names.collect());
         self.zones = Some(ZoneWatch::new(&self.settings, seed, self.clock.now()));
     }
@@ -159,14 +160,18 @@
         let Some(zones) = &mut self.zones else { return };
         let said = tell(zones, self.clock.now());
         if let Some((at, before)) = said.wake {
-            before.into_iter().for_each(|before| self.timers.clear(before, TimerPurpose::Zones));
+            before
+                .into_iter()
+                .for_each(|before| self.timers.clear(before, TimerPurpose::Zones));
             self.set_timer(at, TimerPurpose::Zones, errands);
         }
         // With the queue full the next word says it all: each replaces the one before.
         said.says.into_iter().for_each(|word| {
             let _ = self.talk.as_ref().map(|talk| talk.try_send(word));
         });
-        said.changed.iter().for_each(|changed| self.log_zone(changed));
+        said.changed
+            .iter()
+            .for_each(|changed| self.log_zone(changed));
         for event in said.events {
             if let Event::ZoneShareChanged { zone, share } = event {
                 self.tally.zone(zone.0, |figure| figure.share = share);
@@ -177,10 +182,14 @@
 
     fn log_zone(&self, changed: &ZoneChange) {
         let zone = self.words.zone_name(changed.zone);
-        let (why, evidence) = (changed.why.as_str(), (changed.why.evidence() * 10.0).round() / 10.0);
+        let (why, evidence) = (
+            changed.why.as_str(),
+            (changed.why.evidence() * 10.0).round() / 10.0,
+        );
         let (share, servers) = (changed.share, changed.servers);
         tracing::info!(zone, why, evidence, share, servers, "zone changed");
-        self.tally.zone(changed.zone.0, |figure| figure.reason = why);
+        self.tally
+            .zone(changed.zone.0, |figure| figure.reason = why);
     }
 
     pub(crate) fn hear(&mut self, event: Event, errands: &mut PendingIo<F>) {
@@ -193,15 +202,22 @@
 
     fn act(&mut self, action: Action, errands: &mut PendingIo<F>) {
         match action {
-            Action::Send { request, backend, timeout } => self.send(request, backend, timeout, errands),
-            Action::Reject { request, retry_after: pause } => {
-                self.finish(request, RequestOutcome::Rejected(pause), false)
-            }
+            Action::Send {
+                request,
+                backend,
+                timeout,
+            } => self.send(request, backend, timeout, errands),
+            Action::Reject {
+                request,
+                retry_after: pause,
+            } => self.finish(request, RequestOutcome::Rejected(pause), false),
             Action::Fail { request } => self.finish(request, RequestOutcome::Failed, false),
             Action::Cancel { request, attempt } => {
                 let open = self.requests.get_mut(&request);
                 let flight = open.and_then(|open| open.attempts.get_mut(attempt as usize));
-                let withdraw = flight.and_then(Option::as_mut).and_then(|flight| flight.withdraw.take());
+                let withdraw = flight
+                    .and_then(Option::as_mut)
+                    .and_then(|flight| flight.withdraw.take());
                 // An attempt that ended meanwhile no longer listens: its own outcome is on the way.
                 let _ = withdraw.map(|withdraw| withdraw.send(()));
             }
@@ -217,7 +233,11 @@
                 errands.ask = true;
             }
             Action::SetTimer { after, token } => {
-                self.set_timer(self.clock.now().saturating_add(after), TimerPurpose::Module(token), errands);
+                self.set_timer(
+                    self.clock.now().saturating_add(after),
+                    TimerPurpose::Module(token),
+                    errands,
+                );
             }
             Action::Log(notice) => self.log(notice),
         }
@@ -227,9 +247,17 @@
         match notice {
             LogEvent::ZoneSpill { active: spills, to } => {
                 let zone = self.words.zone_name(to);
-                tracing::info!(spills, best_other_zone = zone, "home zone crossed its threshold");
+                tracing::info!(
+                    spills,
+                    best_other_zone = zone,
+                    "home zone crossed its threshold"
+                );
             }
-            LogEvent::Ejected { backend, duration: span, outcome } => {
+            LogEvent::Ejected {
+                backend,
+                duration: span,
+                outcome,
+            } => {
                 let (server, zone) = self.server_name(backend);
                 let (for_ms, reason) = (span / 1_000_000, outcome.log_name());
                 tracing::info!(server, zone, for_ms, reason, "server ejected");
@@ -243,7 +271,10 @@
 
     fn server_name(&self, backend: BackendId) -> (Option<&str>, Option<&str>) {
         let known = self.backends.get(backend);
-        (known.map(|known| &*known.uid), known.map(|known| &*known.zone))
+        (
+            known.map(|known| &*known.uid),
+            known.map(|known| &*known.zone),
+        )
     }
 
     fn set_timer(&mut self, at: Nanos, due: TimerPurpose, errands: &mut PendingIo<F>) {
@@ -292,11 +323,23 @@
         let (call, reply) = (Rc::new(asked.call), Some(reply));
         let (class, attempts) = (asked.class, Vec::new());
         let deadline = uploading.then(|| watch::Sender::new(not_after));
-        let open =
-            OpenRequest { reply, call, class, id: asked.id, not_after, deadline, attempts, ended: false };
+        let open = OpenRequest {
+            reply,
+            call,
+            class,
+            id: asked.id,
+            not_after,
+            deadline,
+            attempts,
+            ended: false,
+        };
         self.requests.insert(request, open);
         self.tally.request_started();
-        self.set_timer(not_after.saturating_add(BACKSTOP), TimerPurpose::Backstop(request), errands);
+        self.set_timer(
+            not_after.saturating_add(BACKSTOP),
+            TimerPurpose::Backstop(request),
+            errands,
+        );
         let arrival = RequestArrival {
             request,
             class: ClassId(asked.class),
@@ -306,7 +349,11 @@
             tenant: asked.tenant,
             expires_at: not_after,
         };
-        let event = if uploading { Event::UploadStarted(arrival) } else { Event::RequestArrived(arrival) };
+        let event = if uploading {
+            Event::UploadStarted(arrival)
+        } else {
+            Event::RequestArrived(arrival)
+        };
         self.hear(event, errands);
         self.forget_if_done(request);
         Some(request)
@@ -319,11 +366,20 @@
         timeout: Option<Nanos>,
         errands: &mut PendingIo<F>,
     ) {
-        let Some(open) = self.requests.get_mut(&request) else { return };
+        let Some(open) = self.requests.get_mut(&request) else {
+            return;
+        };
         let now = self.clock.now();
         let (withdraw, withdrawn) = oneshot::channel();
-        let ticket = AttemptId { request, attempt: open.attempts.len() as u32, backend };
-        open.attempts.push(Some(InFlightAttempt { since: now, withdraw: Some(withdraw) }));
+        let ticket = AttemptId {
+            request,
+            attempt: open.attempts.len() as u32,
+            backend,
+        };
+        open.attempts.push(Some(InFlightAttempt {
+            since: now,
+            withdraw: Some(withdraw),
+        }));
         let Some(known) = self.backends.get(backend) else {
             errands.moot.push(ticket);
             return;
@@ -342,28 +398,50 @@
         // With its body on the way nobody has to answer yet.
         let class = open.class;
         if open.deadline.is_none() {
-            self.in_zones(errands, |zones, now| zones.sent(now, request, ticket.attempt, backend, class));
+            self.in_zones(errands, |zones, now| {
+                zones.sent(now, request, ticket.attempt, backend, class)
+            });
         }
     }
 
     /// A request's body has come whole, and its client waits for this much longer.
     pub(crate) fn whole(&mut self, request: RequestId, budget: Nanos, errands: &mut PendingIo<F>) {
         let now = self.clock.now();
-        let Some(open) = self.requests.get_mut(&request).filter(|open| !open.ended) else { return };
+        let Some(open) = self.requests.get_mut(&request).filter(|open| !open.ended) else {
+            return;
+        };
         let (before, not_after) = (open.not_after, now.saturating_add(budget));
         open.not_after = not_after;
         if let Some(deadline) = &open.deadline {
             deadline.send_replace(not_after);
         }
-        open.attempts.iter_mut().flatten().for_each(|flight| flight.since = now);
-        self.timers.clear(before.saturating_add(BACKSTOP), TimerPurpose::Backstop(request));
-        self.set_timer(not_after.saturating_add(BACKSTOP), TimerPurpose::Backstop(request), errands);
-        self.hear(Event::UploadComplete { request, expires_at: not_after }, errands);
+        open.attempts
+            .iter_mut()
+            .flatten()
+            .for_each(|flight| flight.since = now);
+        self.timers.clear(
+            before.saturating_add(BACKSTOP),
+            TimerPurpose::Backstop(request),
+        );
+        self.set_timer(
+            not_after.saturating_add(BACKSTOP),
+            TimerPurpose::Backstop(request),
+            errands,
+        );
+        self.hear(
+            Event::UploadComplete {
+                request,
+                expires_at: not_after,
+            },
+            errands,
+        );
     }
 
     /// Gives the final answer. Only the first one of a request goes out.
     fn finish(&mut self, request: RequestId, reply: RequestOutcome<F::Response>, passing: bool) {
-        let Some(open) = self.requests.get_mut(&request) else { return };
+        let Some(open) = self.requests.get_mut(&request) else {
+            return;
+        };
         if let Some(sender) = open.reply.take() {
             let end = match reply {
                 RequestOutcome::Served(_) => RequestEnd::Served,
@@ -381,7 +459,10 @@
         if let Some(deadline) = &open.deadline {
             deadline.send_replace(self.clock.now().min(open.not_after));
         }
-        self.timers.clear(open.not_after.saturating_add(BACKSTOP), TimerPurpose::Backstop(request));
+        self.timers.clear(
+            open.not_after.saturating_add(BACKSTOP),
+            TimerPurpose::Backstop(request),
+        );
     }
 
     pub(crate) fn settled(
@@ -390,17 +471,36 @@
         ending: AttemptEnd<F::Response>,
         errands: &mut PendingIo<F>,
     ) {
-        let AttemptId { request, attempt, .. } = ticket;
-        let Some(open) = self.requests.get_mut(&request) else { return };
-        let Some(flight) = open.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let AttemptId {
+            request, attempt, ..
+        } = ticket;
+        let Some(open) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let Some(flight) = open
+            .attempts
+            .get_mut(attempt as usize)
+            .and_then(Option::take)
+        else {
+            return;
+        };
         let elapsed = self.clock.now().saturating_sub(flight.since);
         if let (Outcome::Success, Some(answer)) = (ending.outcome, ending.response) {
             self.finish(request, RequestOutcome::Served(answer), ending.is_streaming);
         }
         let ended = self.requests.get(&request).is_none_or(|open| open.ended);
         let (outcome, report) = (ending.outcome, ending.report);
-        self.in_zones(errands, |zones, now| zones.ended(now, request, attempt, outcome, report.utilization));
-        let settlement = AttemptResult { request, attempt, outcome, elapsed, request_ended: ended, report };
+        self.in_zones(errands, |zones, now| {
+            zones.ended(now, request, attempt, outcome, report.utilization)
+        });
+        let settlement = AttemptResult {
+            request,
+            attempt,
+            outcome,
+            elapsed,
+            request_ended: ended,
+            report,
+        };
         self.hear(Event::AttemptEnded(settlement), errands);
         self.forget_if_done(request);
     }
@@ -438,7 +538,8 @@
     /// Tells the tally how many servers are listed, and how many of them the module avoids now.
     pub(crate) fn count_servers(&self) {
         let avoided = self.balancer.avoided(self.clock.now());
-        self.tally.set_servers(self.backends.len() as u64, avoided as u64);
+        self.tally
+            .set_servers(self.backends.len() as u64, avoided as u64);
     }
 
     pub(crate) fn fleet(
@@ -450,13 +551,24 @@
         let now = self.clock.now();
         self.heard |= scope != EndpointUpdate::Cached;
         let left = self.backends.leaving(scope, &list);
-        let Self { backends, words, .. } = self;
-        let members =
-            list.into_iter().filter_map(|listed| backends.member(listed, words, now, &mut errands.retired));
+        let Self {
+            backends, words, ..
+        } = self;
+        let members = list
+            .into_iter()
+            .filter_map(|listed| backends.member(listed, words, now, &mut errands.retired));
         let members: Vec<_> = members.collect();
         self.in_zones(errands, |zones, now| zones.list(now, scope, &members));
-        self.hear(Event::EndpointsUpdated { update: scope, endpoints: members }, errands);
-        errands.retired.extend(left.iter().filter_map(|uid| self.backends.forget(uid)));
+        self.hear(
+            Event::EndpointsUpdated {
+                update: scope,
+                endpoints: members,
+            },
+            errands,
+        );
+        errands
+            .retired
+            .extend(left.iter().filter_map(|uid| self.backends.forget(uid)));
         self.count_servers();
     }
 }
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{
-    BackendId, Discovery, EndpointUpdate, Event, Idempotency, LoadReport, Nanos, Outcome, RequestId,
-    Settings, SettingsError, ZoneId,
+    BackendId, Discovery, EndpointUpdate, Event, Idempotency, LoadReport, Nanos, Outcome,
+    RequestId, Settings, SettingsError, ZoneId,
 };
 use badgerpost_settings::NameTable;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -18,8 +18,8 @@
 use crate::driver::{Driver, PendingIo};
 use crate::metrics::Metrics;
 use crate::protocol::{
-    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol, RequestOutcome,
-    UnknownTenant,
+    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol,
+    RequestOutcome, UnknownTenant,
 };
 use crate::zones::{PeerUpdate, ZoneGossip};
 
@@ -64,8 +64,19 @@
         clock: Clock,
         launcher: Rc<dyn Transport<F>>,
     ) -> Result<Self, SettingsError> {
-        let driver = Rc::new(RefCell::new(Driver::new(settings, words, seed, clock.clone())?));
-        let node = Self { driver, launcher, timer: Rc::default(), asked: Rc::default(), clock };
+        let driver = Rc::new(RefCell::new(Driver::new(
+            settings,
+            words,
+            seed,
+            clock.clone(),
+        )?));
+        let node = Self {
+            driver,
+            launcher,
+            timer: Rc::default(),
+            asked: Rc::default(),
+            clock,
+        };
         node.call(|driver, errands| driver.hear(Event::Start, errands));
         Ok(node)
     }
@@ -90,7 +101,8 @@
     pub fn override_zone(&self, zone: &str, order: Option<(bool, Nanos)>) {
         self.call(|driver, errands| {
             let mut zones = (0..driver.settings.zone_count).map(ZoneId);
-            let until = order.map(|(closed, span)| (closed, driver.clock.now().saturating_add(span)));
+            let until =
+                order.map(|(closed, span)| (closed, driver.clock.now().saturating_add(span)));
             if let Some(zone) = zones.find(|at| driver.words.zone_name(*at) == Some(zone)) {
                 driver.order_zone(zone, until, errands);
             }
@@ -137,7 +149,15 @@
     /// The longest that any client waits.
     pub fn longest_deadline(&self) -> Duration {
         let driver = self.driver.borrow();
-        Duration::from_nanos(driver.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
+        Duration::from_nanos(
+            driver
+                .settings
+                .classes
+                .iter()
+                .map(|class| class.deadline)
+                .max()
+                .unwrap_or(0),
+        )
     }
 
     /// Whether the site's discovery has to be asked.
@@ -159,8 +179,13 @@
 
     fn take(&self, asked: IncomingRequest<F>, uploading: bool) -> Option<PendingResponse<F>> {
         let (reply, answer) = oneshot::channel();
-        let request = self.call(|driver, errands| driver.submit(asked, uploading, reply, errands))?;
-        Some(PendingResponse { engine: self.clone(), request, answer })
+        let request =
+            self.call(|driver, errands| driver.submit(asked, uploading, reply, errands))?;
+        Some(PendingResponse {
+            engine: self.clone(),
+            request,
+            answer,
+        })
     }
 
     /// Bytes of a request's body have gone out with this attempt that can't be had again.
@@ -179,12 +204,20 @@
     pub fn may_write(&self, ticket: AttemptId) -> bool {
         let driver = self.driver.borrow();
         let (now, grace) = (driver.clock.now(), driver.settings.rules.drain_grace);
-        let live = driver.requests.get(&ticket.request).is_some_and(|r| !r.ended && now < r.not_after);
+        let live = driver
+            .requests
+            .get(&ticket.request)
+            .is_some_and(|r| !r.ended && now < r.not_after);
         // Half the grace: telling began before the list was read here, and the bytes have a way to go.
         let open = driver.backends.get(ticket.backend).is_some_and(|backend| {
-            backend.draining_since.is_none_or(|since| now < since.saturating_add(grace / 2))
+            backend
+                .draining_since
+                .is_none_or(|since| now < since.saturating_add(grace / 2))
         });
-        live && open && driver.balancer.may_write(now, ticket.request, ticket.attempt)
+        live && open
+            && driver
+                .balancer
+                .may_write(now, ticket.request, ticket.attempt)
     }
 
     /// Whether a backend is in service, and at this address.
@@ -207,7 +240,10 @@
     /// A backend's name on the list, or its number where it is not there.
     pub fn endpoint_name(&self, backend: BackendId) -> String {
         let driver = self.driver.borrow();
-        driver.backends.get(backend).map_or_else(|| backend.0.to_string(), |known| known.uid.to_string())
+        driver
+            .backends
+            .get(backend)
+            .map_or_else(|| backend.0.to_string(), |known| known.uid.to_string())
     }
 
     /// Takes the end of an attempt.
@@ -229,7 +265,12 @@
         elapsed: Nanos,
         report: LoadReport,
     ) {
-        let event = Event::HealthCheckEnded { backend, outcome, elapsed, report };
+        let event = Event::HealthCheckEnded {
+            backend,
+            outcome,
+            elapsed,
+            report,
+        };
         self.call(|driver, errands| driver.hear(event, errands));
     }
 
@@ -275,9 +316,18 @@
     fn call<T>(&self, call: impl FnOnce(&mut Driver<F>, &mut PendingIo<F>) -> T) -> T {
         let mut errands = PendingIo::default();
         let result = call(&mut self.driver.borrow_mut(), &mut errands);
-        errands.retired.into_iter().for_each(|backend| self.launcher.retire(backend));
-        errands.probes.into_iter().for_each(|(backend, at)| self.launcher.probe(self, backend, at));
-        errands.launches.into_iter().for_each(|launch| self.launcher.launch(self, launch));
+        errands
+            .retired
+            .into_iter()
+            .for_each(|backend| self.launcher.retire(backend));
+        errands
+            .probes
+            .into_iter()
+            .for_each(|(backend, at)| self.launcher.probe(self, backend, at));
+        errands
+            .launches
+            .into_iter()
+            .for_each(|launch| self.launcher.launch(self, launch));
         for ticket in errands.moot {
             self.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
         }
@@ -301,12 +351,14 @@
 impl<F: Protocol> PendingResponse<F> {
     /// The request's body has come whole; its client waits for this much longer.
     pub fn upload_complete(&self, budget: Nanos) {
-        self.engine.call(|driver, errands| driver.whole(self.request, budget, errands));
+        self.engine
+            .call(|driver, errands| driver.whole(self.request, budget, errands));
     }
 
     /// Gives the request up: it can't have run anywhere, and trying again does no harm.
     pub fn reject(&self) -> RequestOutcome<F::Response> {
-        self.engine.call(|driver, errands| driver.refuse(self.request, errands))
+        self.engine
+            .call(|driver, errands| driver.refuse(self.request, errands))
     }
 
     /// The final answer.
@@ -325,7 +377,8 @@
     /// A client that hangs up takes its connection's task with it, and so this: the one place that notices.
     fn drop(&mut self) {
         let request = self.request;
-        self.engine.call(|driver, errands| driver.client_gone(request, errands));
+        self.engine
+            .call(|driver, errands| driver.client_gone(request, errands));
     }
 }
 
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -44,7 +44,8 @@
             "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000_000_000u64}});
     let site = badgerpost_settings::read(&config).expect("settings");
     let kept = Rc::new(Kept::default());
-    let node = Engine::new(site.settings, site.words, 7, Clock::system(), kept.clone()).expect("a node");
+    let node =
+        Engine::new(site.settings, site.words, 7, Clock::system(), kept.clone()).expect("a node");
     (node, kept)
 }
 
@@ -63,7 +64,10 @@
 
 fn asked(budget: Nanos) -> IncomingRequest<Plain> {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-    let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed).to_string().into();
+    let id = NEXT
+        .fetch_add(1, std::sync::atomic::Ordering::Relaxed)
+        .to_string()
+        .into();
     IncomingRequest {
         id,
         class: 0,
@@ -78,7 +82,10 @@
 
 fn reply(waiting: PendingResponse<Plain>) -> Option<RequestOutcome<&'static str>> {
     let mut answer = std::pin::pin!(waiting.into_outcome());
-    match answer.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+    match answer
+        .as_mut()
+        .poll(&mut Context::from_waker(Waker::noop()))
+    {
         Poll::Ready(reply) => Some(reply),
         Poll::Pending => None,
     }
@@ -94,29 +101,51 @@
 #[test]
 fn a_request_and_its_timer_are_forgotten_with_its_answer() {
     let (node, kept) = node(SECOND);
-    node.endpoints_updated(EndpointUpdate::Snapshot, vec![listed("s", EndpointState::InService)]);
+    node.endpoints_updated(
+        EndpointUpdate::Snapshot,
+        vec![listed("s", EndpointState::InService)],
+    );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
     let launch = kept.launches.borrow_mut().pop().expect("an attempt");
     assert!(node.may_write(launch.attempt));
-    let ending = AttemptEnd { response: Some("paid"), ..AttemptEnd::bare(Outcome::Success) };
+    let ending = AttemptEnd {
+        response: Some("paid"),
+        ..AttemptEnd::bare(Outcome::Success)
+    };
     node.attempt_ended(launch.attempt, ending);
-    assert!(matches!(reply(waiting), Some(RequestOutcome::Served("paid"))));
+    assert!(matches!(
+        reply(waiting),
+        Some(RequestOutcome::Served("paid"))
+    ));
     // A second end of the same attempt changes nothing.
     node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::Reset));
     assert_eq!(open_requests(&node), (0, 0));
-    assert!(!node.driver.borrow().timers.any(|due| matches!(due, TimerPurpose::Backstop(_))));
+    assert!(
+        !node
+            .driver
+            .borrow()
+            .timers
+            .any(|due| matches!(due, TimerPurpose::Backstop(_)))
+    );
 }
 
 /// A connect can outlast its request: what is written after the answer would be a send too many.
 #[test]
 fn nothing_is_written_for_a_request_that_has_ended() {
     let (node, kept) = node(SECOND);
-    node.endpoints_updated(EndpointUpdate::Snapshot, vec![listed("s", EndpointState::InService)]);
+    node.endpoints_updated(
+        EndpointUpdate::Snapshot,
+        vec![listed("s", EndpointState::InService)],
+    );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
     let launch = kept.launches.borrow_mut().pop().expect("an attempt");
     drop(waiting);
     assert!(!node.may_write(launch.attempt));
-    assert_eq!(open_requests(&node), (1, 1), "the attempt is still owed its end");
+    assert_eq!(
+        open_requests(&node),
+        (1, 1),
+        "the attempt is still owed its end"
+    );
     node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::NotSent));
     assert_eq!(open_requests(&node), (0, 0));
 }
@@ -127,7 +156,10 @@
     let (node, kept) = node(SECOND);
     node.endpoints_updated(
         EndpointUpdate::Snapshot,
-        vec![listed("s", EndpointState::InService), listed("t", EndpointState::InService)],
+        vec![
+            listed("s", EndpointState::InService),
+            listed("t", EndpointState::InService),
+        ],
     );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
     let launch = kept.launches.borrow_mut().pop().expect("an attempt");
@@ -147,13 +179,22 @@
         (60 * SECOND, EndpointState::Removed, false),
     ] {
         let (node, kept) = node(grace);
-        node.endpoints_updated(EndpointUpdate::Snapshot, vec![listed("s", EndpointState::InService)]);
+        node.endpoints_updated(
+            EndpointUpdate::Snapshot,
+            vec![listed("s", EndpointState::InService)],
+        );
         let _waiting = node.submit(asked(SECOND)).expect("a new id");
         let launch = kept.launches.borrow_mut().pop().expect("an attempt");
         node.endpoints_updated(EndpointUpdate::Delta, vec![listed("s", stage)]);
         assert_eq!(node.may_write(launch.attempt), may, "{grace} {stage:?}");
-        assert_eq!(*kept.retired.borrow(), [launch.backend; 2][..kept.retired.borrow().len()]);
-        assert!(!kept.retired.borrow().is_empty(), "its idle connections are dropped");
+        assert_eq!(
+            *kept.retired.borrow(),
+            [launch.backend; 2][..kept.retired.borrow().len()]
+        );
+        assert!(
+            !kept.retired.borrow().is_empty(),
+            "its idle connections are dropped"
+        );
     }
 }
 
@@ -161,10 +202,16 @@
 #[test]
 fn a_request_that_the_module_leaves_open_fails_at_its_end() {
     let (node, kept) = node(SECOND);
-    node.endpoints_updated(EndpointUpdate::Snapshot, vec![listed("s", EndpointState::InService)]);
+    node.endpoints_updated(
+        EndpointUpdate::Snapshot,
+        vec![listed("s", EndpointState::InService)],
+    );
     let waiting = node.submit(asked(1_000_000)).expect("a new id");
     let launch = kept.launches.borrow_mut().pop().expect("an attempt");
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime");
     let answer = runtime.block_on(async {
         tokio::select! {
             reply = waiting.into_outcome() => reply,
@@ -182,12 +229,25 @@
     let boot_ms = node.clock().now() / 1_000_000 - 5;
     let mut retired = Vec::new();
     let mut driver = node.driver.borrow_mut();
-    let Driver { backends, words, .. } = &mut *driver;
-    let first =
-        backends.member(listed("s", EndpointState::InService), words, 0, &mut retired).expect("a member");
+    let Driver {
+        backends, words, ..
+    } = &mut *driver;
+    let first = backends
+        .member(
+            listed("s", EndpointState::InService),
+            words,
+            0,
+            &mut retired,
+        )
+        .expect("a member");
     assert_eq!((first.started_at, retired.len()), (None, 0));
-    let again = DiscoveredEndpoint { started_at_ms: boot_ms, ..listed("s", EndpointState::InService) };
-    let second = backends.member(again, words, 0, &mut retired).expect("a member");
+    let again = DiscoveredEndpoint {
+        started_at_ms: boot_ms,
+        ..listed("s", EndpointState::InService)
+    };
+    let second = backends
+        .member(again, words, 0, &mut retired)
+        .expect("a member");
     assert_eq!(second.backend, first.backend);
     assert_eq!(retired, [first.backend]);
     let age = driver.clock.now() - second.started_at.expect("a start");
@@ -202,14 +262,20 @@
     let (node, kept) = node(SECOND);
     for round in 0..20_000 {
         let uid = format!("s-{round}");
-        node.endpoints_updated(EndpointUpdate::Delta, vec![listed(&uid, EndpointState::InService)]);
+        node.endpoints_updated(
+            EndpointUpdate::Delta,
+            vec![listed(&uid, EndpointState::InService)],
+        );
         let waiting = node.submit(asked(SECOND)).expect("a new id");
         let launch = kept.launches.borrow_mut().pop();
         // Some clients go, some attempts end after their backend has left the list.
         if round % 3 == 0 {
             drop(waiting);
         }
-        node.endpoints_updated(EndpointUpdate::Delta, vec![listed(&uid, EndpointState::Removed)]);
+        node.endpoints_updated(
+            EndpointUpdate::Delta,
+            vec![listed(&uid, EndpointState::Removed)],
+        );
         if let Some(launch) = launch {
             node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::Reset));
         }
@@ -221,5 +287,9 @@
     assert_eq!(names, driver.call_ids.ended.len() + driver.requests.len());
     assert!(names <= IDS_RESTING + 1 + driver.requests.len(), "{names}");
     assert_eq!(driver.backends.counts(), (0, 0));
-    assert!(driver.requests.len() <= 1, "{} requests", driver.requests.len());
+    assert!(
+        driver.requests.len() <= 1,
+        "{} requests",
+        driver.requests.len()
+    );
 }
--- a/engine/src/engine/tests/any_order.rs
+++ b/engine/src/engine/tests/any_order.rs
@@ -47,7 +47,13 @@
         serde_json::json!({"name": name, "effect": effect, "key-scope": "zone", "window-ns": WINDOW,
             "on-time-ns": 600 * MS, "deadline-ns": 1000 * MS})
     };
-    serde_json::json!([class("read", "repeatable"), class("join", "by_key"), class("pay", "once")][..count])
+    serde_json::json!(
+        [
+            class("read", "repeatable"),
+            class("join", "by_key"),
+            class("pay", "once")
+        ][..count]
+    )
 }
 
 impl World {
@@ -61,7 +67,14 @@
         let clock = Clock::stepped(steps.clone());
         let node = Engine::new(site.settings, site.words, 7, clock, kept.clone()).expect("a node");
         let (seen, out) = (Vec::new(), Vec::new());
-        let mut world = Self { node, kept, steps, seen, out, drains: [None; 3] };
+        let mut world = Self {
+            node,
+            kept,
+            steps,
+            seen,
+            out,
+            drains: [None; 3],
+        };
         world.list(&[0, 1, 2], EndpointState::InService);
         world
     }
@@ -80,7 +93,8 @@
             let told = self.drains[*server].unwrap_or(self.now());
             self.drains[*server] = (stage != EndpointState::InService).then_some(told);
         }
-        self.node.endpoints_updated(EndpointUpdate::Delta, servers.iter().map(of).collect());
+        self.node
+            .endpoints_updated(EndpointUpdate::Delta, servers.iter().map(of).collect());
         self.look();
     }
 
@@ -89,33 +103,60 @@
         for launch in self.kept.launches.borrow_mut().drain(..) {
             let server = usize::from(launch.endpoint.port()) - 9;
             let request = launch.attempt.request.0 as usize;
-            self.out.push(Out { launch, request, server, written: None });
+            self.out.push(Out {
+                launch,
+                request,
+                server,
+                written: None,
+            });
         }
         for seen in &mut self.seen {
-            let Some(waiting) = &mut seen.waiting else { continue };
+            let Some(waiting) = &mut seen.waiting else {
+                continue;
+            };
             let answered = {
                 let mut answer = std::pin::pin!(waiting.wait());
-                answer.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
+                answer
+                    .as_mut()
+                    .poll(&mut Context::from_waker(Waker::noop()))
+                    .is_ready()
             };
             if answered {
                 seen.answers += 1;
                 seen.waiting = None;
             }
         }
-        while let Some(n) = self.out.iter_mut().position(|out| match out.launch.cancelled.try_recv() {
-            Ok(()) => true,
-            Err(TryRecvError::Empty | TryRecvError::Closed) => false,
-        }) {
-            let outcome = if self.out[n].written.is_some() { Outcome::Cancelled } else { Outcome::NotSent };
+        while let Some(n) =
+            self.out
+                .iter_mut()
+                .position(|out| match out.launch.cancelled.try_recv() {
+                    Ok(()) => true,
+                    Err(TryRecvError::Empty | TryRecvError::Closed) => false,
+                })
+        {
+            let outcome = if self.out[n].written.is_some() {
+                Outcome::Cancelled
+            } else {
+                Outcome::NotSent
+            };
             self.end(n, outcome);
         }
     }
 
     fn arrive(&mut self, class: u32) {
-        let asked = IncomingRequest { class, ..asked(1000 * MS) };
+        let asked = IncomingRequest {
+            class,
+            ..asked(1000 * MS)
+        };
         let waiting = self.node.submit(asked).expect("a new id");
         let written = Vec::new();
-        self.seen.push(Seen { class, waiting: Some(waiting), answers: 0, left: false, written });
+        self.seen.push(Seen {
+            class,
+            waiting: Some(waiting),
+            answers: 0,
+            left: false,
+            written,
+        });
         self.look();
     }
 
@@ -141,9 +182,15 @@
         let seen = &mut self.seen[request];
         prop_assert!(!seen.left, "written for a client that has left");
         prop_assert_eq!(seen.answers, 0, "written behind the answer");
-        prop_assert!(self.drains[server].is_none_or(|since| now < since + GRACE), "written past the grace");
+        prop_assert!(
+            self.drains[server].is_none_or(|since| now < since + GRACE),
+            "written past the grace"
+        );
         for &(at, other, ran) in seen.written.iter().filter(|(_, _, ran)| *ran) {
-            prop_assert!(seen.class != 2, "an unsafe request where another may have run: {ran}");
+            prop_assert!(
+                seen.class != 2,
+                "an unsafe request where another may have run: {ran}"
+            );
             if seen.class == 1 {
                 prop_assert!(SERVERS[other].1 == SERVERS[server].1, "out of its group");
                 prop_assert!(now < at + WINDOW, "behind its window");
@@ -161,15 +208,27 @@
         }
         let served = outcome == Outcome::Success;
         let answer = served.then_some("yes");
-        self.node
-            .attempt_ended(out.launch.attempt, AttemptEnd { response: answer, ..AttemptEnd::bare(outcome) });
+        self.node.attempt_ended(
+            out.launch.attempt,
+            AttemptEnd {
+                response: answer,
+                ..AttemptEnd::bare(outcome)
+            },
+        );
         self.look();
     }
 
     /// What comes on a connection that is up, or does not come up.
     fn comes(&mut self, n: usize, outcome: Outcome) {
         let written = self.out[n].written.is_some();
-        self.end(n, if written { outcome } else { Outcome::ConnectFailed });
+        self.end(
+            n,
+            if written {
+                outcome
+            } else {
+                Outcome::ConnectFailed
+            },
+        );
     }
 
     fn pass(&mut self, span: Nanos) {
@@ -179,9 +238,16 @@
             self.node.call(|driver, errands| driver.fire(errands));
             self.look();
             // The launcher's part: nobody waits past the time that a launch was given.
-            while let Some(n) = self.out.iter().position(|out| out.launch.attempt_deadline <= self.now()) {
-                let outcome =
-                    if self.out[n].written.is_some() { Outcome::TimedOut } else { Outcome::NotSent };
+            while let Some(n) = self
+                .out
+                .iter()
+                .position(|out| out.launch.attempt_deadline <= self.now())
+            {
+                let outcome = if self.out[n].written.is_some() {
+                    Outcome::TimedOut
+                } else {
+                    Outcome::NotSent
+                };
                 self.end(n, outcome);
             }
         }
--- a/engine/src/idle_pool.rs
+++ b/engine/src/idle_pool.rs
@@ -25,14 +25,20 @@
 
 impl<K, L> Default for IdlePool<K, L> {
     fn default() -> Self {
-        Self { idle: RefCell::default() }
+        Self {
+            idle: RefCell::default(),
+        }
     }
 }
 
 impl<K: Ord, L: IdleCheck> IdlePool<K, L> {
     /// Keeps a connection that is idle from `now` on.
     pub fn put(&self, key: K, link: L, now: Nanos) {
-        self.idle.borrow_mut().entry(key).or_default().push(Idle { link, since: now });
+        self.idle
+            .borrow_mut()
+            .entry(key)
+            .or_default()
+            .push(Idle { link, since: now });
     }
 
     /// The one used last of those that have been idle for `least` nanoseconds at least, and for how long it has. What
@@ -41,7 +47,9 @@
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(key)?;
         loop {
-            let rested = links.iter().rposition(|idle| now.saturating_sub(idle.since) >= least)?;
+            let rested = links
+                .iter()
+                .rposition(|idle| now.saturating_sub(idle.since) >= least)?;
             let Idle { mut link, since } = links.remove(rested);
             if link.is_idle() {
                 return Some((link, now.saturating_sub(since)));
@@ -59,14 +67,21 @@
 
     /// How many are idle at the places that `at` picks.
     pub fn count(&self, at: impl Fn(&K) -> bool) -> usize {
-        self.idle.borrow().iter().filter(|(key, _)| at(key)).map(|(_, links)| links.len()).sum()
+        self.idle
+            .borrow()
+            .iter()
+            .filter(|(key, _)| at(key))
+            .map(|(_, links)| links.len())
+            .sum()
     }
 
     /// Drops the one that has been idle for the longest time, of those at places that `at` picks. Whether there was
     /// one.
     pub fn drop_oldest(&self, at: impl Fn(&K) -> bool) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let places = idle.iter_mut().filter(|(key, links)| at(key) && !links.is_empty());
+        let places = idle
+            .iter_mut()
+            .filter(|(key, links)| at(key) && !links.is_empty());
         let oldest = places.min_by_key(|(_, links)| links[0].since);
         oldest.map(|(_, links)| links.remove(0)).is_some()
     }
--- a/engine/src/idle_pool/tests.rs
+++ b/engine/src/idle_pool/tests.rs
@@ -36,7 +36,10 @@
     for (place, name, since) in [(1, "a", 3), (2, "b", 1), (2, "c", 2)] {
         pool.put(place, Link(name, quiet.clone()), since);
     }
-    assert_eq!((pool.count(|place| *place == 2), pool.count(|_| true)), (2, 3));
+    assert_eq!(
+        (pool.count(|place| *place == 2), pool.count(|_| true)),
+        (2, 3)
+    );
     assert!(pool.drop_oldest(|place| *place == 1));
     assert!(pool.drop_oldest(|_| true));
     assert_eq!(pool.take(&2, 9, 0).map(|(link, _)| link.0), Some("c"));
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -24,7 +24,7 @@
 pub use metrics::{ClassCounts, Metrics, PeerMetrics, RequestEnd, ZoneMetrics};
 pub use open_count::{ConnectionCounter, ConnectionGuard};
 pub use protocol::{
-    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol, RequestOutcome,
-    UnknownTenant,
+    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol,
+    RequestOutcome, UnknownTenant,
 };
 pub use zones::{PeerUpdate, ZoneGossip};
--- a/engine/src/log_limiter.rs
+++ b/engine/src/log_limiter.rs
@@ -17,7 +17,11 @@
 impl LogLimiter {
     /// Lets the first line through.
     pub fn new(clock: Clock) -> Self {
-        Self { clock, last: None, suppressed: 0 }
+        Self {
+            clock,
+            last: None,
+            suppressed: 0,
+        }
     }
 
     /// Calls `log` with the number of lines that were suppressed since the last one, unless that was less than 5 s ago.
--- a/engine/src/metrics.rs
+++ b/engine/src/metrics.rs
@@ -77,7 +77,10 @@
 impl Metrics {
     /// Counts for these classes, by their numbers.
     pub fn new(classes: Vec<String>) -> Self {
-        let classes = classes.into_iter().map(|name| (name, Ends::default())).collect();
+        let classes = classes
+            .into_iter()
+            .map(|name| (name, Ends::default()))
+            .collect();
         let zero = AtomicU64::default;
         Self {
             zones: Mutex::default(),
@@ -92,8 +95,13 @@
 
     /// The zones are watched from now on.
     pub(crate) fn watch_zones(&self, names: Vec<String>) {
-        let open = |name| ZoneMetrics { name, share: 1.0, reason: "open" };
-        *self.zones.lock().unwrap_or_else(PoisonError::into_inner) = names.into_iter().map(open).collect();
+        let open = |name| ZoneMetrics {
+            name,
+            share: 1.0,
+            reason: "open",
+        };
+        *self.zones.lock().unwrap_or_else(PoisonError::into_inner) =
+            names.into_iter().map(open).collect();
     }
 
     /// Changes a zone's figure.
@@ -106,7 +114,10 @@
 
     /// The zones' figures.
     pub fn zones(&self) -> Vec<ZoneMetrics> {
-        self.zones.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.zones
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     fn in_peers<T>(&self, change: impl FnOnce(&mut PeerMetrics) -> T) -> T {
@@ -128,7 +139,13 @@
 
     /// A datagram was dropped.
     pub fn datagram_dropped(&self, stranger: bool) {
-        self.in_peers(|peers| if stranger { peers.unauthenticated += 1 } else { peers.malformed += 1 });
+        self.in_peers(|peers| {
+            if stranger {
+                peers.unauthenticated += 1
+            } else {
+                peers.malformed += 1
+            }
+        });
     }
 
     /// What goes between the nodes.
@@ -144,12 +161,15 @@
     /// A request that was taken has ended; with no `end` its client has gone.
     pub fn request_ended(&self, class: u32, end: Option<RequestEnd>) {
         self.current.fetch_sub(1, Ordering::Relaxed);
-        end.into_iter().for_each(|end| self.request_answered(class, end));
+        end.into_iter()
+            .for_each(|end| self.request_answered(class, end));
     }
 
     /// A request was answered without having been taken.
     pub fn request_answered(&self, class: u32, end: RequestEnd) {
-        let Some((_, ends)) = self.classes.get(class as usize) else { return };
+        let Some((_, ends)) = self.classes.get(class as usize) else {
+            return;
+        };
         let count = match end {
             RequestEnd::Served => &ends.answered,
             RequestEnd::Rejected => &ends.deferred,
@@ -173,9 +193,19 @@
     pub fn classes(&self) -> impl Iterator<Item = (&str, ClassCounts)> {
         let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
         self.classes.iter().map(move |(name, ends)| {
-            let (answered, deferred, errored) =
-                (read(&ends.answered), read(&ends.deferred), read(&ends.errored));
-            (name.as_str(), ClassCounts { served: answered, rejected: deferred, failed: errored })
+            let (answered, deferred, errored) = (
+                read(&ends.answered),
+                read(&ends.deferred),
+                read(&ends.errored),
+            );
+            (
+                name.as_str(),
+                ClassCounts {
+                    served: answered,
+                    rejected: deferred,
+                    failed: errored,
+                },
+            )
         })
     }
 
@@ -191,6 +221,9 @@
 
     /// Servers on the list, and those of them that are avoided.
     pub fn servers_snapshot(&self) -> (u64, u64) {
-        (self.listed.load(Ordering::Relaxed), self.avoided.load(Ordering::Relaxed))
+        (
+            self.listed.load(Ordering::Relaxed),
+            self.avoided.load(Ordering::Relaxed),
+        )
     }
 }
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -69,7 +69,12 @@
 impl<A> AttemptEnd<A> {
     /// An end with nothing received.
     pub fn bare(outcome: Outcome) -> Self {
-        Self { outcome, report: LoadReport::default(), response: None, is_streaming: false }
+        Self {
+            outcome,
+            report: LoadReport::default(),
+            response: None,
+            is_streaming: false,
+        }
     }
 }
 
--- a/engine/src/zones.rs
+++ b/engine/src/zones.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 
 use badgerpost_balancer::{
-    BackendId, Endpoint, EndpointState, EndpointUpdate, Event as Told, Nanos, Outcome, RequestId, Settings,
-    ZoneId,
+    BackendId, Endpoint, EndpointState, EndpointUpdate, Event as Told, Nanos, Outcome, RequestId,
+    Settings, ZoneId,
 };
 use badgerpost_zone_health::{
     Action, AttemptSignal, Event, Settings as Zones, ZoneMonitor, ZoneObservation, ZoneStateReason,
@@ -84,18 +84,27 @@
         }
     }
 
-    pub(crate) fn list(&mut self, now: Nanos, scope: EndpointUpdate, members: &[Endpoint]) -> ZoneOutput {
+    pub(crate) fn list(
+        &mut self,
+        now: Nanos,
+        scope: EndpointUpdate,
+        members: &[Endpoint],
+    ) -> ZoneOutput {
         if scope != EndpointUpdate::Delta {
             self.listed.clear();
         }
         for member in members {
             if member.state == EndpointState::InService && member.zone.0 < self.zones {
-                self.listed.insert(member.backend, (member.zone, member.size_or_one()));
+                self.listed
+                    .insert(member.backend, (member.zone, member.size_or_one()));
             } else {
                 self.listed.remove(&member.backend);
             }
         }
-        let servers = self.listed.iter().map(|(backend, (zone, size))| (backend.0, zone.0, *size));
+        let servers = self
+            .listed
+            .iter()
+            .map(|(backend, (zone, size))| (backend.0, zone.0, *size));
         let event = Event::EndpointsListed(servers.collect());
         self.hear(now, event)
     }
@@ -108,9 +117,15 @@
         server: BackendId,
         class: u32,
     ) -> ZoneOutput {
-        let Some((zone, _)) = self.listed.get(&server) else { return ZoneOutput::default() };
-        let event =
-            Event::AttemptSent { attempt: number(request, attempt), server: server.0, zone: zone.0, class };
+        let Some((zone, _)) = self.listed.get(&server) else {
+            return ZoneOutput::default();
+        };
+        let event = Event::AttemptSent {
+            attempt: number(request, attempt),
+            server: server.0,
+            zone: zone.0,
+            class,
+        };
         self.hear(now, event)
     }
 
@@ -130,7 +145,14 @@
             Outcome::Rejected | Outcome::InvalidResponse => AttemptSignal::Inconclusive,
             Outcome::NotSent => AttemptSignal::NotSent,
         };
-        self.hear(now, Event::AttemptEnded { attempt: number(request, attempt), seen, util })
+        self.hear(
+            now,
+            Event::AttemptEnded {
+                attempt: number(request, attempt),
+                seen,
+                util,
+            },
+        )
     }
 
     pub(crate) fn woken(&mut self, now: Nanos) -> ZoneOutput {
@@ -138,21 +160,44 @@
         self.hear(now, Event::TimerFired)
     }
 
-    pub(crate) fn by_hand(&mut self, now: Nanos, zone: ZoneId, order: Option<(bool, Nanos)>) -> ZoneOutput {
-        self.hear(now, Event::OperatorOverride { zone: zone.0, order })
+    pub(crate) fn by_hand(
+        &mut self,
+        now: Nanos,
+        zone: ZoneId,
+        order: Option<(bool, Nanos)>,
+    ) -> ZoneOutput {
+        self.hear(
+            now,
+            Event::OperatorOverride {
+                zone: zone.0,
+                order,
+            },
+        )
     }
 
     pub(crate) fn peer_told(&mut self, now: Nanos, told: &PeerUpdate) -> ZoneOutput {
         let event = match told {
-            PeerUpdate::Member { member, home, up } => {
-                Event::PeerChanged { member: *member, home: *home, up: *up }
-            }
-            PeerUpdate::Gossip { member, sent, word: (zone, bytes) } => {
-                let (Ok(zone), Some(sight)) = (u8::try_from(*zone), ZoneObservation::from_bytes(bytes))
+            PeerUpdate::Member { member, home, up } => Event::PeerChanged {
+                member: *member,
+                home: *home,
+                up: *up,
+            },
+            PeerUpdate::Gossip {
+                member,
+                sent,
+                word: (zone, bytes),
+            } => {
+                let (Ok(zone), Some(sight)) =
+                    (u8::try_from(*zone), ZoneObservation::from_bytes(bytes))
                 else {
                     return ZoneOutput::default();
                 };
-                Event::PeerObserved { member: *member, zone, sent: *sent, sight }
+                Event::PeerObserved {
+                    member: *member,
+                    zone,
+                    sent: *sent,
+                    sight,
+                }
             }
         };
         self.hear(now, event)
@@ -164,15 +209,33 @@
         for action in actions {
             match action {
                 Action::SetShare { zone, share } => {
-                    said.events.push(Told::ZoneShareChanged { zone: ZoneId(zone), share });
+                    said.events.push(Told::ZoneShareChanged {
+                        zone: ZoneId(zone),
+                        share,
+                    });
                 }
                 Action::RequestProbe { zone, wait } => {
-                    said.events.push(Told::ZoneProbeRequested { zone: ZoneId(zone), timeout: wait });
+                    said.events.push(Told::ZoneProbeRequested {
+                        zone: ZoneId(zone),
+                        timeout: wait,
+                    });
+                }
+                Action::Gossip { zone, sight } => {
+                    said.says.push((u16::from(zone), sight.to_bytes()))
                 }
-                Action::Gossip { zone, sight } => said.says.push((u16::from(zone), sight.to_bytes())),
                 Action::SetTimer { at } => said.wake = Some((at, self.wake.replace(at))),
-                Action::LogChange { zone, share, why, servers } => {
-                    said.changed.push(ZoneChange { zone: ZoneId(zone), share, why, servers });
+                Action::LogChange {
+                    zone,
+                    share,
+                    why,
+                    servers,
+                } => {
+                    said.changed.push(ZoneChange {
+                        zone: ZoneId(zone),
+                        share,
+                        why,
+                        servers,
+                    });
                 }
             }
         }
--- a/settings/src/fields.rs
+++ b/settings/src/fields.rs
@@ -14,12 +14,18 @@
 impl<'a> Fields<'a> {
     /// The error text for a field that is absent or no use.
     pub fn wrong(&self, field: &str) -> String {
-        format!("{}: field {field} is missing or of the wrong type", self.tag)
+        format!(
+            "{}: field {field} is missing or of the wrong type",
+            self.tag
+        )
     }
 
     /// A field that must be there and not null.
     pub fn get(&self, field: &str) -> Result<&'a Value, String> {
-        self.map.get(field).filter(|value| !value.is_null()).ok_or_else(|| self.wrong(field))
+        self.map
+            .get(field)
+            .filter(|value| !value.is_null())
+            .ok_or_else(|| self.wrong(field))
     }
 
     /// A whole number, negative ones included.
@@ -30,12 +36,19 @@
     /// A whole number from 0; a negative one counts as 0.
     pub fn whole(&self, field: &str) -> Result<u64, String> {
         let value = self.get(field)?;
-        value.as_u64().or_else(|| value.as_i64().map(|_| 0)).ok_or_else(|| self.wrong(field))
+        value
+            .as_u64()
+            .or_else(|| value.as_i64().map(|_| 0))
+            .ok_or_else(|| self.wrong(field))
     }
 
     /// A whole number from 0, or `absent`.
     pub fn whole_or(&self, field: &str, absent: u64) -> Result<u64, String> {
-        if self.map.get(field).is_none_or(Value::is_null) { Ok(absent) } else { self.whole(field) }
+        if self.map.get(field).is_none_or(Value::is_null) {
+            Ok(absent)
+        } else {
+            self.whole(field)
+        }
     }
 
     /// A number.
@@ -45,7 +58,11 @@
 
     /// A number, or `absent`.
     pub fn number_or(&self, field: &str, absent: f64) -> Result<f64, String> {
-        if self.map.get(field).is_none_or(Value::is_null) { Ok(absent) } else { self.number(field) }
+        if self.map.get(field).is_none_or(Value::is_null) {
+            Ok(absent)
+        } else {
+            self.number(field)
+        }
     }
 
     /// A text.
@@ -65,7 +82,10 @@
 
     /// An object within this one.
     pub fn object(&self, field: &'a str) -> Result<Fields<'a>, String> {
-        let map = self.get(field)?.as_object().ok_or_else(|| self.wrong(field))?;
+        let map = self
+            .get(field)?
+            .as_object()
+            .ok_or_else(|| self.wrong(field))?;
         Ok(Fields { tag: field, map })
     }
 }
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -40,13 +40,22 @@
     /// Reads the file.
     pub fn read(path: &Path) -> Result<Self, FileError> {
         let text = std::fs::read_to_string(path);
-        let text = text.map_err(|source| FileError::Unread { path: path.to_owned(), source })?;
-        Ok(Self { path: path.to_owned(), text })
+        let text = text.map_err(|source| FileError::Unread {
+            path: path.to_owned(),
+            source,
+        })?;
+        Ok(Self {
+            path: path.to_owned(),
+            text,
+        })
     }
 
     /// A text that is shipped with the program, under a name.
     pub fn shipped(name: &str, text: &str) -> Self {
-        Self { path: PathBuf::from(name), text: text.to_owned() }
+        Self {
+            path: PathBuf::from(name),
+            text: text.to_owned(),
+        }
     }
 
     /// The file's text.
@@ -68,8 +77,16 @@
         let before = self.text.get(..start).unwrap_or_default();
         let line = before.matches('\n').count() + 1;
         let whole = self.text.lines().nth(line - 1).unwrap_or_default();
-        let key = whole.split_once('=').map(|(key, _)| format!("{}: ", key.trim())).unwrap_or_default();
-        FileError::Bad { path: self.path.clone(), line, key, problem: problem.into() }
+        let key = whole
+            .split_once('=')
+            .map(|(key, _)| format!("{}: ", key.trim()))
+            .unwrap_or_default();
+        FileError::Bad {
+            path: self.path.clone(),
+            line,
+            key,
+            problem: problem.into(),
+        }
     }
 }
 
@@ -86,7 +103,11 @@
 pub fn check_private(path: &Path) -> Result<(), NotPrivate> {
     use std::os::unix::fs::PermissionsExt;
     let about = std::fs::metadata(path).map_err(NotPrivate::Unread)?;
-    if about.permissions().mode() & 0o077 != 0 { Err(NotPrivate::Open) } else { Ok(()) }
+    if about.permissions().mode() & 0o077 != 0 {
+        Err(NotPrivate::Open)
+    } else {
+        Ok(())
+    }
 }
 
 /// Reads a file that only its owner may read.
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -7,8 +7,8 @@
 use std::collections::HashMap;
 
 use badgerpost_balancer::{
-    ClassSettings, DedupScope, Discovery, Idempotency, Limits, Nanos, SafetyLimits, Settings, WeightSource,
-    ZoneId,
+    ClassSettings, DedupScope, Discovery, Idempotency, Limits, Nanos, SafetyLimits, Settings,
+    WeightSource, ZoneId,
 };
 use serde_json::Value;
 
@@ -68,23 +68,34 @@
 const MOST_NAMES: usize = 1024;
 
 fn position(names: &mut Vec<String>, name: &str) -> u32 {
-    let at = names.iter().position(|known| known == name).unwrap_or_else(|| {
-        if names.len() < MOST_NAMES {
-            names.push(name.to_owned());
-        }
-        names.len() - 1
-    });
+    let at = names
+        .iter()
+        .position(|known| known == name)
+        .unwrap_or_else(|| {
+            if names.len() < MOST_NAMES {
+                names.push(name.to_owned());
+            }
+            names.len() - 1
+        });
     at as u32
 }
 
 fn names(fields: &Fields, field: &str) -> Result<Vec<String>, String> {
-    let name = |value: &Value| value.as_str().map(str::to_owned).ok_or_else(|| fields.wrong(field));
+    let name = |value: &Value| {
+        value
+            .as_str()
+            .map(str::to_owned)
+            .ok_or_else(|| fields.wrong(field))
+    };
     fields.array(field)?.iter().map(name).collect()
 }
 
 fn class(value: &Value) -> Result<(String, ClassSettings), String> {
     let map = value.as_object().ok_or("settings: classes: not objects")?;
-    let fields = Fields { tag: "settings: classes", map };
+    let fields = Fields {
+        tag: "settings: classes",
+        map,
+    };
     let effect = match fields.text("effect")? {
         "repeatable" => Idempotency::Idempotent,
         "once" => Idempotency::NonIdempotent,
@@ -95,7 +106,10 @@
                 "cell" => DedupScope::Cell,
                 _ => return Err(fields.wrong("key-scope")),
             };
-            Idempotency::Keyed { scope: group, window: fields.whole("window-ns")? }
+            Idempotency::Keyed {
+                scope: group,
+                window: fields.whole("window-ns")?,
+            }
         }
         _ => return Err(fields.wrong("effect")),
     };
@@ -133,25 +147,56 @@
 /// Reads the settings; the error names the field.
 pub fn read(config: &Value) -> Result<Site, String> {
     let map = config.as_object().ok_or("settings: not an object")?;
-    let fields = Fields { tag: "settings", map };
+    let fields = Fields {
+        tag: "settings",
+        map,
+    };
     let zones = names(&fields, "zones")?;
     let home = fields.text("az")?;
-    let home = zones.iter().position(|zone| zone == home).ok_or_else(|| fields.wrong("az"))?;
-    let classes = fields.array("classes")?.iter().map(class).collect::<Result<Vec<_>, _>>()?;
+    let home = zones
+        .iter()
+        .position(|zone| zone == home)
+        .ok_or_else(|| fields.wrong("az"))?;
+    let classes = fields
+        .array("classes")?
+        .iter()
+        .map(class)
+        .collect::<Result<Vec<_>, _>>()?;
     let (class_names, classes): (Vec<_>, Vec<_>) = classes.into_iter().unzip();
-    let listed = if map.contains_key("projects") { fields.array("projects")?.as_slice() } else { &[] };
+    let listed = if map.contains_key("projects") {
+        fields.array("projects")?.as_slice()
+    } else {
+        &[]
+    };
     let tenant = |value: &Value| {
         let map = value.as_object().ok_or("settings: projects: not objects")?;
-        let fields = Fields { tag: "settings: projects", map };
+        let fields = Fields {
+            tag: "settings: projects",
+            map,
+        };
         Ok::<_, String>((fields.text("name")?.to_owned(), fields.number("quota-rps")?))
     };
-    let (tenant_names, tenants): (Vec<_>, Vec<_>) =
-        listed.iter().map(tenant).collect::<Result<Vec<_>, _>>()?.into_iter().unzip();
+    let (tenant_names, tenants): (Vec<_>, Vec<_>) = listed
+        .iter()
+        .map(tenant)
+        .collect::<Result<Vec<_>, _>>()?
+        .into_iter()
+        .unzip();
     let limits = fields.object("policy-limits")?;
     let rules = fields.object("rules")?;
     let goal = fields.object("goal")?;
-    let flag = |name: &str| limits.map.get(name).and_then(Value::as_bool).unwrap_or(false);
-    let max_pause = if flag("retry-after") { limits.whole_or("max-retry-after-ns", 0)? } else { 0 };
+    let flag = |name: &str| {
+        limits
+            .map
+            .get(name)
+            .and_then(Value::as_bool)
+            .unwrap_or(false)
+    };
+    let max_pause = if flag("retry-after") {
+        limits.whole_or("max-retry-after-ns", 0)?
+    } else {
+        0
+    };
     let settings = Settings {
         local_zone: ZoneId(home as u32),
         zone_count: zones.len() as u32,
@@ -205,14 +250,23 @@
         timer_resolution: fields.whole_or("quantum-ns", 1_000_000)?,
     };
     let classes = class_names.into_iter().zip(0..).collect();
-    let kinds = if map.contains_key("kinds") { names(&fields, "kinds")? } else { Vec::new() };
+    let kinds = if map.contains_key("kinds") {
+        names(&fields, "kinds")?
+    } else {
+        Vec::new()
+    };
     let links = ConnectionSettings {
         idle: limits.whole_or("conn-idle-ns", 15_000_000_000)?,
         connect_timeout: limits.whole_or("connect-timeout-ns", 250_000_000)?,
     };
     Ok(Site {
         settings,
-        words: NameTable { zones, classes, kinds, tenants: tenant_names },
+        words: NameTable {
+            zones,
+            classes,
+            kinds,
+            tenants: tenant_names,
+        },
         links,
         peers: flag("peers"),
     })
--- a/simulator/src/main.rs
+++ b/simulator/src/main.rs
@@ -63,12 +63,21 @@
         let id = RequestId(self.next_request);
         self.next_request += 1;
         self.requests.insert(name.to_owned(), id);
-        self.held.insert(id, Held { name: name.to_owned(), out: 0, ended: false });
+        self.held.insert(
+            id,
+            Held {
+                name: name.to_owned(),
+                out: 0,
+                ended: false,
+            },
+        );
         id
     }
 
     fn update(&mut self, id: RequestId, change: impl FnOnce(&mut Held)) {
-        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(held) = self.held.get_mut(&id) else {
+            return;
+        };
         change(held);
         if held.ended && held.out == 0 {
             self.requests.remove(&held.name);
@@ -94,7 +103,9 @@
     }
 
     fn handle(&mut self, who: i64, event: Event) {
-        let Some(instance) = self.instances.get_mut(&who) else { return };
+        let Some(instance) = self.instances.get_mut(&who) else {
+            return;
+        };
         let mut actions = std::mem::take(&mut self.actions);
         instance.node.handle(self.now, event, &mut actions);
         for action in actions.drain(..) {
@@ -104,19 +115,34 @@
     }
 
     fn act(&mut self, who: i64, action: Action) {
-        let Some(instance) = self.instances.get_mut(&who) else { return };
-        let name =
-            |instance: &Instance, id| instance.held.get(&id).map_or(String::new(), |held| held.name.clone());
-        let backend = |instance: &Instance, id: BackendId| instance.backend_names[id.0 as usize].clone();
+        let Some(instance) = self.instances.get_mut(&who) else {
+            return;
+        };
+        let name = |instance: &Instance, id| {
+            instance
+                .held
+                .get(&id)
+                .map_or(String::new(), |held| held.name.clone())
+        };
+        let backend =
+            |instance: &Instance, id: BackendId| instance.backend_names[id.0 as usize].clone();
         let (tag, body) = match action {
-            Action::Send { request, backend: to, timeout } => {
+            Action::Send {
+                request,
+                backend: to,
+                timeout,
+            } => {
                 instance.update(request, |held| held.out += 1);
                 let body = json!({"who": who, "request-id": name(instance, request),
                     "backend": backend(instance, to), "max-wait-ns": timeout.unwrap_or(0)});
                 ("PLACE", body)
             }
-            Action::Reject { request, retry_after: pause } => {
-                let body = json!({"who": who, "request-id": name(instance, request), "pause-ns": pause});
+            Action::Reject {
+                request,
+                retry_after: pause,
+            } => {
+                let body =
+                    json!({"who": who, "request-id": name(instance, request), "pause-ns": pause});
                 instance.update(request, |held| held.ended = true);
                 ("DECLINE", body)
             }
@@ -125,18 +151,24 @@
                 instance.update(request, |held| held.ended = true);
                 ("END_FAILED", body)
             }
-            Action::Cancel { request, attempt } => {
-                ("RECALL", json!({"who": who, "request-id": name(instance, request), "try": attempt}))
-            }
-            Action::CheckHealth { backend: to } => {
-                ("TEST", json!({"who": who, "backend": backend(instance, to)}))
-            }
+            Action::Cancel { request, attempt } => (
+                "RECALL",
+                json!({"who": who, "request-id": name(instance, request), "try": attempt}),
+            ),
+            Action::CheckHealth { backend: to } => (
+                "TEST",
+                json!({"who": who, "backend": backend(instance, to)}),
+            ),
             Action::WatchEndpoints => ("SUBSCRIBE", json!({"who": who, "on": true})),
             Action::FetchSnapshot => ("QUERY_ALL", json!({"who": who})),
-            Action::SetTimer { after, token } => {
-                ("DEFER", json!({"who": who, "from-now-ns": after, "name": token}))
-            }
-            Action::Log(notice) => ("REMARK", json!({"who": who, "note-text": notice.to_string()})),
+            Action::SetTimer { after, token } => (
+                "DEFER",
+                json!({"who": who, "from-now-ns": after, "name": token}),
+            ),
+            Action::Log(notice) => (
+                "REMARK",
+                json!({"who": who, "note-text": notice.to_string()}),
+            ),
         };
         self.write(tag, body);
     }
@@ -149,7 +181,8 @@
             "BATCH" => self.now = fields.whole("sim-time-ns")?,
             "GO" => return Ok(true),
             "MANIFEST" => {
-                self.manifests.insert(fields.integer("list")?, wire::entries(fields)?);
+                self.manifests
+                    .insert(fields.integer("list")?, wire::entries(fields)?);
             }
             "OPEN_INSTANCE" => self.open(fields)?,
             "EXIT" => {
@@ -196,7 +229,9 @@
 
     fn event(&mut self, tag: &str, fields: &Fields) -> Result<(), String> {
         let who = fields.integer("who")?;
-        let Some(instance) = self.instances.get_mut(&who) else { return Ok(()) };
+        let Some(instance) = self.instances.get_mut(&who) else {
+            return Ok(());
+        };
         let event = match tag {
             "FLEET" => {
                 let scope = match fields.text("mode")? {
@@ -210,13 +245,22 @@
                     None => Event::DiscoveryFailed,
                     Some(scope) => {
                         let list = fields.integer("list")?;
-                        let entries = self.manifests.get(&list).ok_or_else(|| fields.wrong("list"))?;
-                        Event::EndpointsUpdated { update: scope, endpoints: instance.members(entries) }
+                        let entries = self
+                            .manifests
+                            .get(&list)
+                            .ok_or_else(|| fields.wrong("list"))?;
+                        Event::EndpointsUpdated {
+                            update: scope,
+                            endpoints: instance.members(entries),
+                        }
                     }
                 }
             }
             "INCOMING" => {
-                let class = instance.words.class(fields.text("band")?).ok_or_else(|| fields.wrong("band"))?;
+                let class = instance
+                    .words
+                    .class(fields.text("band")?)
+                    .ok_or_else(|| fields.wrong("band"))?;
                 let options = fields.whole_or("options", 0)?;
                 let hint = fields.whole_or("weight-hint-ns", 0)?;
                 let not_after = fields.whole("not-after-ns")?;
@@ -227,13 +271,19 @@
                     affinity_key: fields.map.get("key").and_then(Value::as_str).map(name_tag),
                     expected_work: (options & 1 != 0).then_some(hint),
                     is_retry: options & 2 != 0,
-                    tenant: instance.words.tenant(fields.map.get("org").and_then(Value::as_str)),
+                    tenant: instance
+                        .words
+                        .tenant(fields.map.get("org").and_then(Value::as_str)),
                     expires_at: not_after,
                 })
             }
             "SETTLED" => {
                 let ended = fields.flag("no-more")?;
-                let settlement = (wire::outcome(fields)?, fields.whole("elapsed-ns")?, wire::report(fields)?);
+                let settlement = (
+                    wire::outcome(fields)?,
+                    fields.whole("elapsed-ns")?,
+                    wire::report(fields)?,
+                );
                 let attempt = fields.whole("try")? as u32;
                 let Some(&request) = instance.requests.get(fields.text("request-id")?) else {
                     return Ok(());
@@ -281,7 +331,9 @@
                     report: wire::report(fields)?,
                 }
             }
-            _ => Event::TimerFired { token: fields.whole("name")? },
+            _ => Event::TimerFired {
+                token: fields.whole("name")?,
+            },
         };
         self.handle(who, event);
         Ok(())
@@ -296,7 +348,9 @@
     let mut number = 0u64;
     loop {
         buffer.clear();
-        let read = input.read_line(&mut buffer).map_err(|e| format!("standard input: {e}"))?;
+        let read = input
+            .read_line(&mut buffer)
+            .map_err(|e| format!("standard input: {e}"))?;
         if read == 0 {
             return Ok(());
         }
@@ -304,11 +358,17 @@
         if buffer.trim().is_empty() {
             continue;
         }
-        let value: Value = serde_json::from_str(&buffer).map_err(|e| format!("line {number}: {e}"))?;
+        let value: Value =
+            serde_json::from_str(&buffer).map_err(|e| format!("line {number}: {e}"))?;
         let line = Line::new(number, &value)?;
-        if link.take(&line).map_err(|e| format!("line {number}: {e}"))? {
+        if link
+            .take(&line)
+            .map_err(|e| format!("line {number}: {e}"))?
+        {
             link.reply.push_str("{\"YIELD\":{}}\n");
-            let sent = output.write_all(link.reply.as_bytes()).and_then(|()| output.flush());
+            let sent = output
+                .write_all(link.reply.as_bytes())
+                .and_then(|()| output.flush());
             sent.map_err(|e| format!("standard output: {e}"))?;
             link.reply.clear();
         }
--- a/simulator/src/wire.rs
+++ b/simulator/src/wire.rs
@@ -13,10 +13,18 @@
 impl<'a> Line<'a> {
     pub fn new(number: u64, value: &'a Value) -> Result<Self, String> {
         let malformed = || format!("line {number}: not an object with a single key");
-        let object = value.as_object().filter(|object| object.len() == 1).ok_or_else(malformed)?;
+        let object = value
+            .as_object()
+            .filter(|object| object.len() == 1)
+            .ok_or_else(malformed)?;
         let (tag, body) = object.iter().next().ok_or_else(malformed)?;
-        let map = body.as_object().ok_or_else(|| format!("line {number}: {tag}: not an object"))?;
-        Ok(Self { number, fields: Fields { tag, map } })
+        let map = body
+            .as_object()
+            .ok_or_else(|| format!("line {number}: {tag}: not an object"))?;
+        Ok(Self {
+            number,
+            fields: Fields { tag, map },
+        })
     }
 }
 
@@ -64,8 +72,13 @@
     let list = fields.array("members-list")?;
     list.iter()
         .map(|value| {
-            let map = value.as_object().ok_or_else(|| fields.wrong("members-list"))?;
-            let entry = Fields { tag: "MANIFEST", map };
+            let map = value
+                .as_object()
+                .ok_or_else(|| fields.wrong("members-list"))?;
+            let entry = Fields {
+                tag: "MANIFEST",
+                map,
+            };
             Ok(Entry {
                 backend: entry.text("backend")?.to_owned(),
                 zone: entry.text("hall")?.to_owned(),
--- a/simulator/tests/process.rs
+++ b/simulator/tests/process.rs
@@ -25,12 +25,19 @@
 
 fn reply(input: &str) -> String {
     let output = run(input);
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
     String::from_utf8(output.stdout).expect("UTF-8")
 }
 
 fn batch(at: u64, lines: &[String]) -> String {
-    format!("{{\"BATCH\":{{\"sim-time-ns\":{at}}}}}\n{}{{\"GO\":{{}}}}\n", lines.concat())
+    format!(
+        "{{\"BATCH\":{{\"sim-time-ns\":{at}}}}}\n{}{{\"GO\":{{}}}}\n",
+        lines.concat()
+    )
 }
 
 fn open(who: u32) -> String {
@@ -58,7 +65,11 @@
 
 fn placed(reply: &str, who: u32) -> Vec<String> {
     let mark = format!("\"who\":{who}");
-    reply.lines().filter(|line| line.contains("PLACE") && line.contains(&mark)).map(str::to_owned).collect()
+    reply
+        .lines()
+        .filter(|line| line.contains("PLACE") && line.contains(&mark))
+        .map(str::to_owned)
+        .collect()
 }
 
 #[test]
@@ -68,17 +79,33 @@
 
 #[test]
 fn a_list_number_used_twice_in_a_batch_goes_by_the_order() {
-    let lines = [open(1), open(2), manifest(0, "b-one"), fleet(1, 0), manifest(0, "b-two"), fleet(2, 0)];
+    let lines = [
+        open(1),
+        open(2),
+        manifest(0, "b-one"),
+        fleet(1, 0),
+        manifest(0, "b-two"),
+        fleet(2, 0),
+    ];
     let asks = [incoming(1, "r1"), incoming(2, "r2")];
     let out = reply(&(batch(0, &lines) + &batch(1_000_000, &asks)));
-    assert!(placed(&out, 1)[0].contains("b-one") && placed(&out, 2)[0].contains("b-two"), "{out}");
+    assert!(
+        placed(&out, 1)[0].contains("b-one") && placed(&out, 2)[0].contains("b-two"),
+        "{out}"
+    );
 }
 
 #[test]
 fn an_instance_killed_and_reopened_in_one_batch_knows_nothing_of_before() {
     let first = [open(1), manifest(0, "b-old"), fleet(1, 0)];
     let exit = "{\"EXIT\":{\"who\":1}}\n".to_owned();
-    let second = [exit, open(1), manifest(1, "b-new"), fleet(1, 1), incoming(1, "r")];
+    let second = [
+        exit,
+        open(1),
+        manifest(1, "b-new"),
+        fleet(1, 1),
+        incoming(1, "r"),
+    ];
     let out = reply(&(batch(0, &first) + &batch(1_000_000, &second)));
     assert_eq!(placed(&out, 1).len(), 1);
     assert!(placed(&out, 1)[0].contains("b-new"), "{out}");
@@ -88,13 +115,21 @@
 fn instances_together_act_as_they_do_apart() {
     let lines = |who: u32| {
         let start = vec![open(who), manifest(0, "b-one"), fleet(who, 0)];
-        let asks: Vec<String> = (0..3).map(|n| incoming(who, &format!("r{who}{n}"))).collect();
+        let asks: Vec<String> = (0..3)
+            .map(|n| incoming(who, &format!("r{who}{n}")))
+            .collect();
         (start, asks)
     };
     let ((start1, asks1), (start2, asks2)) = (lines(1), lines(2));
-    let apart = |start: &[String], asks: &[String]| reply(&(batch(0, start) + &batch(1_000_000, asks)));
-    let mixed: Vec<String> = asks1.iter().zip(&asks2).flat_map(|(a, b)| [a.clone(), b.clone()]).collect();
-    let both = reply(&(batch(0, &[start1.clone(), start2.clone()].concat()) + &batch(1_000_000, &mixed)));
+    let apart =
+        |start: &[String], asks: &[String]| reply(&(batch(0, start) + &batch(1_000_000, asks)));
+    let mixed: Vec<String> = asks1
+        .iter()
+        .zip(&asks2)
+        .flat_map(|(a, b)| [a.clone(), b.clone()])
+        .collect();
+    let both =
+        reply(&(batch(0, &[start1.clone(), start2.clone()].concat()) + &batch(1_000_000, &mixed)));
     assert_eq!(placed(&both, 1), placed(&apart(&start1, &asks1), 1));
     assert_eq!(placed(&both, 2), placed(&apart(&start2, &asks2), 2));
     assert_eq!(placed(&both, 1).len(), 3);
@@ -105,13 +140,19 @@
     let cases = [
         ("{\"BATCH\":{\"sim-time-ns\":1}}\nnonsense\n", "line 2"),
         ("{\"BATCH\":{}}\n", "sim-time-ns"),
-        ("{\"BATCH\":{\"sim-time-ns\":1}}\n{\"INCOMING\":{\"who\":\"x\"}}\n{\"GO\":{}}\n", "who"),
+        (
+            "{\"BATCH\":{\"sim-time-ns\":1}}\n{\"INCOMING\":{\"who\":\"x\"}}\n{\"GO\":{}}\n",
+            "who",
+        ),
         ("[1]\n", "line 1"),
     ];
     for (input, named) in cases {
         let output = run(input);
         let told = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert!(!output.status.success() && output.stdout.is_empty(), "{input}");
+        assert!(
+            !output.status.success() && output.stdout.is_empty(),
+            "{input}"
+        );
         assert!(told.contains(named) && told.contains("line"), "{told}");
     }
 }
@@ -121,7 +162,12 @@
     let odd = "{\"NOVELTY\":{\"who\":1}}\n".to_owned();
     let output = run(&batch(1, &[odd.clone(), odd]));
     assert!(output.status.success());
-    assert_eq!(String::from_utf8_lossy(&output.stderr).matches("NOVELTY").count(), 1);
+    assert_eq!(
+        String::from_utf8_lossy(&output.stderr)
+            .matches("NOVELTY")
+            .count(),
+        1
+    );
 }
 
 #[test]
@@ -131,7 +177,11 @@
         ("\"repeatable\"", "\"sometimes\"", "effect"),
         ("\"fall-ns\":1500000000,", "", "fall-ns"),
         ("\"attempts-cap\":3", "\"attempts-cap\":0", "attempts"),
-        ("\"goal\":", "\"projects\":[{\"name\":\"t\"}],\"goal\":", "quota-rps"),
+        (
+            "\"goal\":",
+            "\"projects\":[{\"name\":\"t\"}],\"goal\":",
+            "quota-rps",
+        ),
     ] {
         let line = open(1).replace(from, to);
         let out = reply(&batch(1, &[line]));
--- a/testkit/fakes/src/client.rs
+++ b/testkit/fakes/src/client.rs
@@ -34,7 +34,14 @@
 impl Ask<'_> {
     /// The request's bytes.
     pub fn bytes(&self) -> Vec<u8> {
-        let Self { id, class, effect, key, budget, again } = *self;
+        let Self {
+            id,
+            class,
+            effect,
+            key,
+            budget,
+            again,
+        } = *self;
         let mut headers = format!(
             "Host: match.svc\r\nX-Call-Id: {id}\r\nX-Call-Class: {class}\r\nX-Budget-Ms: {}\r\n",
             budget / 1_000_000
@@ -47,7 +54,9 @@
         }
         match effect {
             Effect::Safe => message::request("GET", "/api", &headers, b""),
-            Effect::Keyed | Effect::Unsafe => message::request("POST", "/api", &headers, id.as_bytes()),
+            Effect::Keyed | Effect::Unsafe => {
+                message::request("POST", "/api", &headers, id.as_bytes())
+            }
         }
     }
 }
@@ -68,10 +77,17 @@
 
 /// Reads an answer.
 pub fn verdict(answer: &Message) -> Verdict {
-    let pause = || answer.value("retry-after").and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
+    let pause = || {
+        answer
+            .value("retry-after")
+            .and_then(|text| text.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
     match answer.status {
         200 => Verdict::Served,
-        429 | 503 => Verdict::Refused { pause: (pause().clamp(0.0, 3600.0) * 1e9) as Nanos },
+        429 | 503 => Verdict::Refused {
+            pause: (pause().clamp(0.0, 3600.0) * 1e9) as Nanos,
+        },
         _ => Verdict::Failed,
     }
 }
--- a/testkit/fakes/src/database.rs
+++ b/testkit/fakes/src/database.rs
@@ -272,8 +272,14 @@
     /// What goes wrong at this text, if anything.
     fn bad(&self, sql: &str) -> Option<Bad> {
         let mut bad = lock(&self.bad);
-        let hit = bad.as_ref().is_some_and(|(text, _)| sql.contains(text.as_str()));
-        if hit { bad.take().map(|(_, bad)| bad) } else { None }
+        let hit = bad
+            .as_ref()
+            .is_some_and(|(text, _)| sql.contains(text.as_str()));
+        if hit {
+            bad.take().map(|(_, bad)| bad)
+        } else {
+            None
+        }
     }
 
     /// Says nothing until the server is killed.
@@ -286,7 +292,12 @@
     /// Waits a little, or until a transaction ends.
     fn pause(&self, span: Duration) {
         let guard = lock(&self.transactions.0);
-        drop(self.transactions.1.wait_timeout(guard, span).unwrap_or_else(PoisonError::into_inner));
+        drop(
+            self.transactions
+                .1
+                .wait_timeout(guard, span)
+                .unwrap_or_else(PoisonError::into_inner),
+        );
     }
 
     /// A transaction has ended: whoever waits looks again.
@@ -307,12 +318,17 @@
 
     fn take_notices(&self, number: u64, listens: &[String]) -> Vec<(u64, String, String)> {
         let waiting = lock(&self.notices).remove(&number).unwrap_or_default();
-        waiting.into_iter().filter(|(_, channel, _)| listens.contains(channel)).collect()
+        waiting
+            .into_iter()
+            .filter(|(_, channel, _)| listens.contains(channel))
+            .collect()
     }
 
     /// Writes to a connection at once; whether it still stands.
     fn write(&self, number: u64, bytes: &[u8]) -> bool {
-        let stream = lock(&self.open).get(&number).and_then(|connection| connection.stream.try_clone().ok());
+        let stream = lock(&self.open)
+            .get(&number)
+            .and_then(|connection| connection.stream.try_clone().ok());
         stream.is_some_and(|mut stream| stream.write_all(bytes).is_ok())
     }
 }
@@ -344,7 +360,8 @@
     }
 
     fn word(&mut self) -> io::Result<u32> {
-        self.read(4).map(|four| u32::from_be_bytes([four[0], four[1], four[2], four[3]]))
+        self.read(4)
+            .map(|four| u32::from_be_bytes([four[0], four[1], four[2], four[3]]))
     }
 
     fn message(&mut self) -> io::Result<(u8, Vec<u8>)> {
@@ -357,13 +374,20 @@
 fn serve(shared: &Arc<Shared>, mut stream: TcpStream, number: u64) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut backend = Backend::new(shared.clone(), number);
-    let connection = Connection { stream: stream.try_clone()?, cancelled: backend.session.cancelled.clone() };
+    let connection = Connection {
+        stream: stream.try_clone()?,
+        cancelled: backend.session.cancelled.clone(),
+    };
     lock(&shared.open).insert(number, connection);
     if !shared.up.load(Ordering::SeqCst) {
         shared.cut(number);
         return Ok(());
     }
-    let mut reader = Reader { stream: stream.try_clone()?, bytes: Vec::new(), from: 0 };
+    let mut reader = Reader {
+        stream: stream.try_clone()?,
+        bytes: Vec::new(),
+        from: 0,
+    };
     let result = converse(shared, &mut backend, &mut reader, &mut stream);
     // Whatever ended it, what was not committed is gone with it.
     backend.session.close();
@@ -405,12 +429,19 @@
     };
     let user = parameters.get("user").cloned().unwrap_or_default();
     if !lock(&shared.users).is_empty() && !log_in(shared, backend, reader, stream, &user)? {
-        let refusal = Refusal("28P01", format!("password authentication failed for user \"{user}\""));
+        let refusal = Refusal(
+            "28P01",
+            format!("password authentication failed for user \"{user}\""),
+        );
         return fatal(backend, stream, &refusal);
     }
     let logged_in = lock(&shared.open).len() as u64;
     if logged_in > shared.most_connections.load(Ordering::SeqCst) {
-        return fatal(backend, stream, &Refusal("53300", "sorry, too many clients already".to_owned()));
+        return fatal(
+            backend,
+            stream,
+            &Refusal("53300", "sorry, too many clients already".to_owned()),
+        );
     }
     if let Err(refusal) = backend.session.start(&parameters) {
         return fatal(backend, stream, &refusal);
@@ -444,7 +475,10 @@
     let known = lock(&shared.users).get(user).cloned();
     let verifier = known.unwrap_or_else(|| Verifier::unknown(b"a stand-in", user));
     let request = |kind: u32, rest: &[u8]| [&kind.to_be_bytes(), rest].concat();
-    backend.put(b'R', &request(10, &[scram::MECHANISM.as_bytes(), b"\0\0"].concat()));
+    backend.put(
+        b'R',
+        &request(10, &[scram::MECHANISM.as_bytes(), b"\0\0"].concat()),
+    );
     stream.write_all(&backend.take_out())?;
     let (_, first) = reader.message()?;
     let end = first.iter().position(|byte| *byte == 0).unwrap_or(0);
@@ -457,7 +491,9 @@
     backend.put(b'R', &request(11, answer.as_bytes()));
     stream.write_all(&backend.take_out())?;
     let (_, last) = reader.message()?;
-    let Ok(answer) = exchange.finish(&last) else { return Ok(false) };
+    let Ok(answer) = exchange.finish(&last) else {
+        return Ok(false);
+    };
     backend.put(b'R', &request(12, answer.as_bytes()));
     Ok(true)
 }
--- a/testkit/fakes/src/database/catalogue.rs
+++ b/testkit/fakes/src/database/catalogue.rs
@@ -14,7 +14,10 @@
 }
 
 fn columns(names: &[(&str, Type)]) -> Vec<(String, Type)> {
-    names.iter().map(|(name, kind)| ((*name).to_owned(), *kind)).collect()
+    names
+        .iter()
+        .map(|(name, kind)| ((*name).to_owned(), *kind))
+        .collect()
 }
 
 /// The question that a text is, if it is one.
@@ -49,7 +52,10 @@
             columns: columns(&[("oid", Type::OID), ("typarray", Type::OID)]),
             rows: |_| {
                 let number = |oid: u32| Value::Int(i64::from(oid));
-                ARRAYS.iter().map(|(element, array, _)| vec![number(*element), number(*array)]).collect()
+                ARRAYS
+                    .iter()
+                    .map(|(element, array, _)| vec![number(*element), number(*array)])
+                    .collect()
             },
         });
     }
@@ -88,16 +94,22 @@
             Value::Null,
         ]
     };
-    let Some(Value::Array(wanted)) = values.first() else { return Vec::new() };
+    let Some(Value::Array(wanted)) = values.first() else {
+        return Vec::new();
+    };
     let mut rows = Vec::new();
-    for oid in wanted
-        .iter()
-        .filter_map(|value| if let Value::Int(oid) = value { u32::try_from(*oid).ok() } else { None })
-    {
+    for oid in wanted.iter().filter_map(|value| {
+        if let Value::Int(oid) = value {
+            u32::try_from(*oid).ok()
+        } else {
+            None
+        }
+    }) {
         if let Some((element, array, name)) = ARRAYS.iter().find(|(_, array, _)| *array == oid) {
             rows.push(row(*element, (*name).to_owned(), None, 1));
             rows.push(row(*array, format!("_{name}"), Some((*element, name)), 0));
-        } else if let Some((element, _, name)) = ARRAYS.iter().find(|(element, ..)| *element == oid) {
+        } else if let Some((element, _, name)) = ARRAYS.iter().find(|(element, ..)| *element == oid)
+        {
             rows.push(row(*element, (*name).to_owned(), None, 0));
         }
     }
--- a/testkit/fakes/src/database/copy.rs
+++ b/testkit/fakes/src/database/copy.rs
@@ -31,15 +31,23 @@
         if to {
             let query = match source {
                 CopySource::Query(query) => query.to_string(),
-                CopySource::Table { table_name, columns } if columns.is_empty() => {
+                CopySource::Table {
+                    table_name,
+                    columns,
+                } if columns.is_empty() => {
                     format!("SELECT * FROM {table_name}")
                 }
-                CopySource::Table { table_name, columns } => {
+                CopySource::Table {
+                    table_name,
+                    columns,
+                } => {
                     let names: Vec<String> = columns.iter().map(ToString::to_string).collect();
                     format!("SELECT {} FROM {table_name}", names.join(", "))
                 }
             };
-            let Some(statement) = one(&query)? else { return Ok(false) };
+            let Some(statement) = one(&query)? else {
+                return Ok(false);
+            };
             let outcome = self.session.run(&statement, &[])?;
             self.copy_response(b'H', outcome.columns.len());
             let mut count = 0;
@@ -56,23 +64,45 @@
             self.put(b'C', format!("COPY {count}\0").as_bytes());
             return Ok(false);
         }
-        let (CopySource::Table { table_name, columns }, CopyTarget::Stdin) = (source, target) else {
-            return Err(Refusal("0A000", "COPY is from standard input only here".to_owned()));
+        let (
+            CopySource::Table {
+                table_name,
+                columns,
+            },
+            CopyTarget::Stdin,
+        ) = (source, target)
+        else {
+            return Err(Refusal(
+                "0A000",
+                "COPY is from standard input only here".to_owned(),
+            ));
         };
         if self.session.failed {
-            let what = "current transaction is aborted, commands ignored until end of transaction block";
+            let what =
+                "current transaction is aborted, commands ignored until end of transaction block";
             return Err(Refusal("25P02", what.to_owned()));
         }
         let table = table_name.to_string();
         // That it is there shows before any data comes.
         let found = one(&format!("SELECT * FROM {table}"))?;
-        let prepared = self.session.prepare(&format!("SELECT * FROM {table}"), &[])?;
+        let prepared = self
+            .session
+            .prepare(&format!("SELECT * FROM {table}"), &[])?;
         let _ = found;
         let columns: Vec<String> = columns.iter().map(|ident| ident.value.clone()).collect();
-        let count = if columns.is_empty() { prepared.columns.len() } else { columns.len() };
+        let count = if columns.is_empty() {
+            prepared.columns.len()
+        } else {
+            columns.len()
+        };
         self.copy_response(b'G', count);
         self.flush = true;
-        self.copying = Some(Copying { table, columns, text: Vec::new(), simple });
+        self.copying = Some(Copying {
+            table,
+            columns,
+            text: Vec::new(),
+            simple,
+        });
         Ok(true)
     }
 
@@ -84,7 +114,9 @@
     }
 
     pub(super) fn copy_message(&mut self, tag: u8, body: &[u8]) -> Result<(), Ended> {
-        let Some(copying) = &mut self.copying else { return Ok(()) };
+        let Some(copying) = &mut self.copying else {
+            return Ok(());
+        };
         let simple = copying.simple;
         let result = match tag {
             b'd' => {
@@ -101,18 +133,34 @@
             // Ignored, for clients that sent them without noticing that a copy has begun.
             b'H' | b'S' => return Ok(()),
             b'c' => {
-                let Copying { table, columns, text, .. } = self.copying.take().ok_or(Ended)?;
-                let copied = self.session.copy_in(&table, &columns, &String::from_utf8_lossy(&text));
+                let Copying {
+                    table,
+                    columns,
+                    text,
+                    ..
+                } = self.copying.take().ok_or(Ended)?;
+                let copied =
+                    self.session
+                        .copy_in(&table, &columns, &String::from_utf8_lossy(&text));
                 copied.map(|count| self.put(b'C', format!("COPY {count}\0").as_bytes()))
             }
             b'f' => {
                 let why = Body(body).string()?;
                 Err(Refusal("57014", format!("COPY from stdin failed: {why}")))
             }
-            _ => Err(Refusal("08P01", "unexpected message type during COPY from stdin".to_owned())),
+            _ => Err(Refusal(
+                "08P01",
+                "unexpected message type during COPY from stdin".to_owned(),
+            )),
         };
         self.copying = None;
-        let ended = result.and_then(|()| if simple { self.session.end_implicit() } else { Ok(()) });
+        let ended = result.and_then(|()| {
+            if simple {
+                self.session.end_implicit()
+            } else {
+                Ok(())
+            }
+        });
         if let Err(refusal) = ended {
             self.refuse("ERROR", &refusal);
             self.session.fail();
@@ -126,5 +174,8 @@
 }
 
 fn escape(text: &str) -> String {
-    text.replace('\\', "\\\\").replace('\t', "\\t").replace('\n', "\\n").replace('\r', "\\r")
+    text.replace('\\', "\\\\")
+        .replace('\t', "\\t")
+        .replace('\n', "\\n")
+        .replace('\r', "\\r")
 }
--- a/testkit/fakes/src/database/describe.rs
+++ b/testkit/fakes/src/database/describe.rs
@@ -3,8 +3,8 @@
 use std::sync::Mutex;
 
 use sqlparser::ast::{
-    AssignmentTarget, Expr, FromTable, Insert, LimitClause, OnConflictAction, OnInsert, Query, SelectItem,
-    SetExpr, Statement, TableFactor, TableObject, TableWithJoins,
+    AssignmentTarget, Expr, FromTable, Insert, LimitClause, OnConflictAction, OnInsert, Query,
+    SelectItem, SetExpr, Statement, TableFactor, TableObject, TableWithJoins,
 };
 
 use super::expr::{Parameters, call, infer, named, unsupported};
@@ -23,7 +23,12 @@
     store: &Mutex<Store>,
     around: &dyn Surroundings,
 ) -> Result<Shape, Refusal> {
-    let mut known = Parameters(given.iter().map(|kind| (kind.0 != 0).then_some(*kind)).collect());
+    let mut known = Parameters(
+        given
+            .iter()
+            .map(|kind| (kind.0 != 0).then_some(*kind))
+            .collect(),
+    );
     let store = lock(store);
     let columns = match statement {
         Statement::Query(query) => shape(query, &store, around, &mut known)?,
@@ -55,26 +60,50 @@
                     infer(&assignment.value, &both, Some(columns[at].kind), &mut known)?;
                 }
             }
-            projection(insert.returning.as_deref().unwrap_or_default(), &columns, &mut known)?
+            projection(
+                insert.returning.as_deref().unwrap_or_default(),
+                &columns,
+                &mut known,
+            )?
         }
-        Statement::Update { table, assignments, selection, returning, .. } => {
+        Statement::Update {
+            table,
+            assignments,
+            selection,
+            returning,
+            ..
+        } => {
             let columns = table_columns(&around.table(&store, &factor_name(table)?)?, &store)?;
             for assignment in assignments {
                 let at = assigned(&assignment.target, &columns)?;
-                infer(&assignment.value, &columns, Some(columns[at].kind), &mut known)?;
+                infer(
+                    &assignment.value,
+                    &columns,
+                    Some(columns[at].kind),
+                    &mut known,
+                )?;
             }
-            selection
-                .iter()
-                .try_for_each(|expr| infer(expr, &columns, Some(Type::BOOL), &mut known).map(drop))?;
-            projection(returning.as_deref().unwrap_or_default(), &columns, &mut known)?
+            selection.iter().try_for_each(|expr| {
+                infer(expr, &columns, Some(Type::BOOL), &mut known).map(drop)
+            })?;
+            projection(
+                returning.as_deref().unwrap_or_default(),
+                &columns,
+                &mut known,
+            )?
         }
         Statement::Delete(delete) => {
-            let columns = table_columns(&around.table(&store, &delete_name(&delete.from)?)?, &store)?;
+            let columns =
+                table_columns(&around.table(&store, &delete_name(&delete.from)?)?, &store)?;
             let selection = &delete.selection;
-            selection
-                .iter()
-                .try_for_each(|expr| infer(expr, &columns, Some(Type::BOOL), &mut known).map(drop))?;
-            projection(delete.returning.as_deref().unwrap_or_default(), &columns, &mut known)?
+            selection.iter().try_for_each(|expr| {
+                infer(expr, &columns, Some(Type::BOOL), &mut known).map(drop)
+            })?;
+            projection(
+                delete.returning.as_deref().unwrap_or_default(),
+                &columns,
+                &mut known,
+            )?
         }
         Statement::ShowVariable { variable } => {
             let name: Vec<String> = variable.iter().map(|word| word.value.clone()).collect();
@@ -82,7 +111,14 @@
         }
         _ => Vec::new(),
     };
-    Ok((known.0.iter().map(|kind| kind.unwrap_or(Type::TEXT)).collect(), columns))
+    Ok((
+        known
+            .0
+            .iter()
+            .map(|kind| kind.unwrap_or(Type::TEXT))
+            .collect(),
+        columns,
+    ))
 }
 
 pub(super) fn is_default(expr: &Expr) -> bool {
@@ -94,8 +130,10 @@
 }
 
 pub(super) fn with_excluded(columns: &[Column]) -> Vec<Column> {
-    let excluded =
-        columns.iter().map(|column| Column { name: format!("excluded.{}", column.name), ..column.clone() });
+    let excluded = columns.iter().map(|column| Column {
+        name: format!("excluded.{}", column.name),
+        ..column.clone()
+    });
     columns.iter().cloned().chain(excluded).collect()
 }
 
@@ -115,17 +153,23 @@
 
 pub(super) fn delete_name(from: &FromTable) -> Result<String, Refusal> {
     let (FromTable::WithFromKeyword(tables) | FromTable::WithoutKeyword(tables)) = from;
-    tables.first().map_or_else(|| Err(Refusal("42601", "no table".to_owned())), factor_name)
+    tables
+        .first()
+        .map_or_else(|| Err(Refusal("42601", "no table".to_owned())), factor_name)
 }
 
 pub(super) fn assigned(target: &AssignmentTarget, columns: &[Column]) -> Result<usize, Refusal> {
-    let AssignmentTarget::ColumnName(name) = target else { return Err(unsupported(target)) };
+    let AssignmentTarget::ColumnName(name) = target else {
+        return Err(unsupported(target));
+    };
     position(&name.to_string(), columns)
 }
 
 pub(super) fn position(name: &str, columns: &[Column]) -> Result<usize, Refusal> {
     let name = name.trim_matches('"');
-    let at = columns.iter().position(|column| column.name.eq_ignore_ascii_case(name));
+    let at = columns
+        .iter()
+        .position(|column| column.name.eq_ignore_ascii_case(name));
     at.ok_or_else(|| Refusal("42703", format!("column \"{name}\" does not exist")))
 }
 
@@ -134,7 +178,11 @@
     if insert.columns.is_empty() {
         return Ok((0..columns.len()).collect());
     }
-    insert.columns.iter().map(|ident| position(&ident.value, columns)).collect()
+    insert
+        .columns
+        .iter()
+        .map(|ident| position(&ident.value, columns))
+        .collect()
 }
 
 /// What a projection brings.
@@ -149,7 +197,11 @@
             SelectItem::UnnamedExpr(expr) => (expr, None),
             SelectItem::ExprWithAlias { expr, alias } => (expr, Some(alias.value.clone())),
             SelectItem::Wildcard(_) | SelectItem::QualifiedWildcard(..) => {
-                out.extend(columns.iter().map(|column| (column.name.clone(), column.kind)));
+                out.extend(
+                    columns
+                        .iter()
+                        .map(|column| (column.name.clone(), column.kind)),
+                );
                 continue;
             }
         };
@@ -165,10 +217,12 @@
     match expr {
         Expr::Identifier(ident) => ident.value.clone(),
         Expr::CompoundIdentifier(parts) => parts[parts.len() - 1].value.clone(),
-        Expr::Cast { expr, data_type, .. } => match column_name(expr).as_str() {
-            "?column?" => {
-                named(data_type).map_or("?column?".to_owned(), |_| data_type.to_string().to_lowercase())
-            }
+        Expr::Cast {
+            expr, data_type, ..
+        } => match column_name(expr).as_str() {
+            "?column?" => named(data_type).map_or("?column?".to_owned(), |_| {
+                data_type.to_string().to_lowercase()
+            }),
             known => known.to_owned(),
         },
         Expr::Nested(inner) => column_name(inner),
@@ -201,7 +255,8 @@
         Source::None => Vec::new(),
         Source::Table(name) => table_columns(&around.table(store, &name)?, store)?,
         Source::Series(args, name) => {
-            args.iter().try_for_each(|arg| infer(arg, &[], Some(Type::INT4), known).map(drop))?;
+            args.iter()
+                .try_for_each(|arg| infer(arg, &[], Some(Type::INT4), known).map(drop))?;
             vec![series_column(name)]
         }
     };
@@ -210,8 +265,11 @@
     }
     let out = projection(&select.projection, &columns, known)?;
     if let Some(LimitClause::LimitOffset { limit, offset, .. }) = &query.limit_clause {
-        let both = limit.iter().chain(offset.iter().map(|offset| &offset.value));
-        both.into_iter().try_for_each(|expr| infer(expr, &[], Some(Type::INT8), known).map(drop))?;
+        let both = limit
+            .iter()
+            .chain(offset.iter().map(|offset| &offset.value));
+        both.into_iter()
+            .try_for_each(|expr| infer(expr, &[], Some(Type::INT8), known).map(drop))?;
     }
     Ok(out)
 }
@@ -225,27 +283,42 @@
 impl<'a> Source<'a> {
     pub(super) fn of(from: &'a [TableWithJoins]) -> Result<Self, Refusal> {
         use sqlparser::ast::{FunctionArg, FunctionArgExpr};
-        let Some(first) = from.first() else { return Ok(Self::None) };
+        let Some(first) = from.first() else {
+            return Ok(Self::None);
+        };
         if from.len() > 1 || !first.joins.is_empty() {
             return Err(unsupported(first));
         }
         match &first.relation {
-            TableFactor::Table { name, args: Some(args), alias, .. }
-                if name.to_string().eq_ignore_ascii_case("generate_series") =>
-            {
+            TableFactor::Table {
+                name,
+                args: Some(args),
+                alias,
+                ..
+            } if name.to_string().eq_ignore_ascii_case("generate_series") => {
                 let exprs = args.args.iter().filter_map(|arg| match arg {
                     FunctionArg::Unnamed(FunctionArgExpr::Expr(expr)) => Some(expr),
                     _ => None,
                 });
-                let name = alias.as_ref().map_or("generate_series", |alias| &alias.name.value);
+                let name = alias
+                    .as_ref()
+                    .map_or("generate_series", |alias| &alias.name.value);
                 Ok(Self::Series(exprs.collect(), name.to_owned()))
             }
-            TableFactor::Table { name, args: None, .. } => Ok(Self::Table(name.to_string())),
+            TableFactor::Table {
+                name, args: None, ..
+            } => Ok(Self::Table(name.to_string())),
             other => Err(unsupported(other)),
         }
     }
 }
 
 pub(super) fn series_column(name: String) -> Column {
-    Column { name, kind: Type::INT4, not_null: true, default: None, serial: false }
+    Column {
+        name,
+        kind: Type::INT4,
+        not_null: true,
+        default: None,
+        serial: false,
+    }
 }
