--- a/testkit/fakes/src/database/expr.rs
+++ b/testkit/fakes/src/database/expr.rs
@@ -1,7 +1,8 @@
 //! Expressions: their types, before any value is known, and their values.
 
 use sqlparser::ast::{
-    BinaryOperator, Expr, FunctionArg, FunctionArgExpr, FunctionArguments, UnaryOperator, Value as Literal,
+    BinaryOperator, Expr, FunctionArg, FunctionArgExpr, FunctionArguments, UnaryOperator,
+    Value as Literal,
 };
 
 use super::Refusal;
@@ -37,9 +38,16 @@
 
 /// The position of a parameter, from 0.
 fn parameter(expr: &Expr) -> Option<usize> {
-    let Expr::Value(value) = expr else { return None };
-    let Literal::Placeholder(name) = &value.value else { return None };
-    name.strip_prefix('$')?.parse::<usize>().ok()?.checked_sub(1)
+    let Expr::Value(value) = expr else {
+        return None;
+    };
+    let Literal::Placeholder(name) = &value.value else {
+        return None;
+    };
+    name.strip_prefix('$')?
+        .parse::<usize>()
+        .ok()?
+        .checked_sub(1)
 }
 
 fn column<'a>(expr: &Expr, columns: &'a [Column]) -> Result<Option<(usize, &'a Column)>, Refusal> {
@@ -52,16 +60,22 @@
         Expr::CompoundIdentifier(parts) => parts[parts.len() - 1].value.clone(),
         _ => return Ok(None),
     };
-    let at = columns.iter().position(|column| column.name.eq_ignore_ascii_case(&name));
+    let at = columns
+        .iter()
+        .position(|column| column.name.eq_ignore_ascii_case(&name));
     at.map(|at| Some((at, &columns[at])))
         .ok_or_else(|| Refusal("42703", format!("column \"{name}\" does not exist")))
 }
 
 /// A function's name in small letters and its arguments.
 pub(super) fn call(expr: &Expr) -> Option<(String, Vec<&Expr>)> {
-    let Expr::Function(function) = expr else { return None };
+    let Expr::Function(function) = expr else {
+        return None;
+    };
     let name = function.name.0.last()?.to_string().to_ascii_lowercase();
-    let FunctionArguments::List(list) = &function.args else { return Some((name, Vec::new())) };
+    let FunctionArguments::List(list) = &function.args else {
+        return Some((name, Vec::new()));
+    };
     let args = list.args.iter().filter_map(|arg| match arg {
         FunctionArg::Unnamed(FunctionArgExpr::Expr(expr)) => Some(expr),
         _ => None,
@@ -82,10 +96,14 @@
             (Type::BOOL, &[Type::INT8, Type::INT8])
         }
         "pg_is_in_recovery" | "pg_table_is_visible" => (Type::BOOL, &[]),
-        "pg_backend_pid" | "length" | "char_length" | "octet_length" | "array_length" => (Type::INT4, &[]),
+        "pg_backend_pid" | "length" | "char_length" | "octet_length" | "array_length" => {
+            (Type::INT4, &[])
+        }
         "generate_series" => (Type::INT4, &[Type::INT4, Type::INT4]),
         "repeat" => (Type::TEXT, &[Type::TEXT, Type::INT4]),
-        "now" | "current_timestamp" | "statement_timestamp" | "clock_timestamp" => (Type::TIMESTAMPTZ, &[]),
+        "now" | "current_timestamp" | "statement_timestamp" | "clock_timestamp" => {
+            (Type::TIMESTAMPTZ, &[])
+        }
         "current_date" => (Type::DATE, &[]),
         "random" => (Type::FLOAT8, &[]),
         "gen_random_uuid" => (Type::UUID, &[]),
@@ -138,25 +156,35 @@
     Ok(match expr {
         Expr::Value(value) => match &value.value {
             Literal::Number(number, _) if number.contains(['.', 'e', 'E']) => Some(Type::NUMERIC),
-            Literal::Number(number, _) => {
-                Some(if number.parse::<i32>().is_ok() { Type::INT4 } else { Type::INT8 })
-            }
+            Literal::Number(number, _) => Some(if number.parse::<i32>().is_ok() {
+                Type::INT4
+            } else {
+                Type::INT8
+            }),
             Literal::Boolean(_) => Some(Type::BOOL),
             _ => None,
         },
-        Expr::Cast { expr, data_type, .. } => {
+        Expr::Cast {
+            expr, data_type, ..
+        } => {
             let kind = named(data_type)?;
             infer(expr, columns, Some(kind), known)?;
             Some(kind)
         }
         Expr::TypedString(typed) => Some(named(&typed.data_type)?),
         Expr::Nested(inner) => infer(inner, columns, wanted, known)?,
-        Expr::UnaryOp { op: UnaryOperator::Not, expr } => {
+        Expr::UnaryOp {
+            op: UnaryOperator::Not,
+            expr,
+        } => {
             infer(expr, columns, Some(Type::BOOL), known)?;
             Some(Type::BOOL)
         }
         Expr::UnaryOp { expr, .. } => infer(expr, columns, wanted, known)?,
-        Expr::IsNull(inner) | Expr::IsNotNull(inner) | Expr::IsTrue(inner) | Expr::IsFalse(inner) => {
+        Expr::IsNull(inner)
+        | Expr::IsNotNull(inner)
+        | Expr::IsTrue(inner)
+        | Expr::IsFalse(inner) => {
             infer(inner, columns, None, known)?;
             Some(Type::BOOL)
         }
@@ -187,7 +215,9 @@
             }
             Some(Type::BOOL)
         }
-        Expr::Between { expr, low, high, .. } => {
+        Expr::Between {
+            expr, low, high, ..
+        } => {
             let kind = infer(expr, columns, None, known)?;
             infer(low, columns, kind, known)?;
             infer(high, columns, kind, known)?;
@@ -210,7 +240,11 @@
             }
             Some(kind.unwrap_or(Type::TEXT).array())
         }
-        Expr::Case { conditions, else_result, .. } => {
+        Expr::Case {
+            conditions,
+            else_result,
+            ..
+        } => {
             let mut kind = wanted;
             for when in conditions {
                 infer(&when.condition, columns, Some(Type::BOOL), known)?;
@@ -227,8 +261,12 @@
 
 pub(super) fn named(kind: &sqlparser::ast::DataType) -> Result<Type, Refusal> {
     let name = kind.to_string();
-    Type::named(&name)
-        .ok_or_else(|| Refusal("42704", format!("type \"{}\" does not exist", name.to_lowercase())))
+    Type::named(&name).ok_or_else(|| {
+        Refusal(
+            "42704",
+            format!("type \"{}\" does not exist", name.to_lowercase()),
+        )
+    })
 }
 
 fn wider(a: Type, b: Type) -> Type {
@@ -252,7 +290,10 @@
             return self.values.get(at).cloned().ok_or_else(missing);
         }
         if let Some((name, args)) = call(expr) {
-            let args = args.into_iter().map(|arg| self.value(arg)).collect::<Result<Vec<_>, _>>()?;
+            let args = args
+                .into_iter()
+                .map(|arg| self.value(arg))
+                .collect::<Result<Vec<_>, _>>()?;
             return self.around.call(&name, args);
         }
         if let Some((at, _)) = column(expr, self.columns)? {
@@ -272,7 +313,9 @@
                 Literal::Null => Value::Null,
                 other => return Err(unsupported(other)),
             },
-            Expr::Cast { expr, data_type, .. } => self.value(expr)?.cast(named(data_type)?)?,
+            Expr::Cast {
+                expr, data_type, ..
+            } => self.value(expr)?.cast(named(data_type)?)?,
             Expr::TypedString(typed) => {
                 let text = typed.value.clone().into_string().unwrap_or_default();
                 Value::read_text(named(&typed.data_type)?, &text)?
@@ -283,7 +326,9 @@
                 (UnaryOperator::Not, Value::Bool(truth)) => Value::Bool(!truth),
                 (UnaryOperator::Minus, Value::Int(number)) => Value::Int(-number),
                 (UnaryOperator::Minus, Value::Float(number)) => Value::Float(-number),
-                (UnaryOperator::Minus, Value::Numeric(digits)) => Value::Numeric(format!("-{digits}")),
+                (UnaryOperator::Minus, Value::Numeric(digits)) => {
+                    Value::Numeric(format!("-{digits}"))
+                }
                 (UnaryOperator::Plus, value) => value,
                 _ => return Err(unsupported(expr)),
             },
@@ -292,43 +337,78 @@
             Expr::IsTrue(inner) => Value::Bool(self.value(inner)? == Value::Bool(true)),
             Expr::IsFalse(inner) => Value::Bool(self.value(inner)? == Value::Bool(false)),
             Expr::BinaryOp { left, op, right } => self.binary(left, op, right)?,
-            Expr::InList { expr, list, negated } => {
+            Expr::InList {
+                expr,
+                list,
+                negated,
+            } => {
                 let wanted = self.value(expr)?;
                 let mut found = false;
                 for one in list {
-                    found |= compare(&wanted, &BinaryOperator::Eq, &self.value(one)?)? == Value::Bool(true);
+                    found |= compare(&wanted, &BinaryOperator::Eq, &self.value(one)?)?
+                        == Value::Bool(true);
                 }
                 Value::Bool(found != *negated)
             }
-            Expr::Between { expr, low, high, negated } => {
+            Expr::Between {
+                expr,
+                low,
+                high,
+                negated,
+            } => {
                 let value = self.value(expr)?;
                 let above = compare(&value, &BinaryOperator::GtEq, &self.value(low)?)?;
                 let below = compare(&value, &BinaryOperator::LtEq, &self.value(high)?)?;
                 Value::Bool((above == Value::Bool(true) && below == Value::Bool(true)) != *negated)
             }
-            Expr::Like { expr, pattern, negated, .. } => match (self.value(expr)?, self.value(pattern)?) {
-                (Value::Text(text), Value::Text(pattern)) => Value::Bool(like(&text, &pattern) != *negated),
+            Expr::Like {
+                expr,
+                pattern,
+                negated,
+                ..
+            } => match (self.value(expr)?, self.value(pattern)?) {
+                (Value::Text(text), Value::Text(pattern)) => {
+                    Value::Bool(like(&text, &pattern) != *negated)
+                }
                 _ => Value::Null,
             },
-            Expr::AnyOp { left, compare_op, right, .. } => {
+            Expr::AnyOp {
+                left,
+                compare_op,
+                right,
+                ..
+            } => {
                 let wanted = self.value(left)?;
-                let Value::Array(all) = self.value(right)? else { return Ok(Value::Null) };
+                let Value::Array(all) = self.value(right)? else {
+                    return Ok(Value::Null);
+                };
                 let mut found = false;
                 for one in &all {
                     found |= compare(&wanted, compare_op, one)? == Value::Bool(true);
                 }
                 Value::Bool(found)
             }
-            Expr::Array(array) => {
-                Value::Array(array.elem.iter().map(|one| self.value(one)).collect::<Result<_, _>>()?)
-            }
-            Expr::Case { operand: None, conditions, else_result, .. } => {
+            Expr::Array(array) => Value::Array(
+                array
+                    .elem
+                    .iter()
+                    .map(|one| self.value(one))
+                    .collect::<Result<_, _>>()?,
+            ),
+            Expr::Case {
+                operand: None,
+                conditions,
+                else_result,
+                ..
+            } => {
                 for when in conditions {
                     if self.value(&when.condition)? == Value::Bool(true) {
                         return self.value(&when.result);
                     }
                 }
-                else_result.as_ref().map_or(Ok(Value::Null), |other| self.value(other))?
+                else_result
+                    .as_ref()
+                    .map_or(Ok(Value::Null), |other| self.value(other))?
             }
             other => return Err(unsupported(other)),
         })
@@ -380,14 +460,20 @@
                     BinaryOperator::Modulo => a.checked_rem(b),
                     other => return Err(unsupported(other)),
                 };
-                result.map(Value::Int).ok_or_else(|| Refusal("22003", "bigint out of range".to_owned()))
+                result
+                    .map(Value::Int)
+                    .ok_or_else(|| Refusal("22003", "bigint out of range".to_owned()))
             }
             (a, b) => {
                 let exact = matches!(
                     (&a, &b),
-                    (Value::Numeric(_) | Value::Int(_), Value::Numeric(_) | Value::Int(_))
+                    (
+                        Value::Numeric(_) | Value::Int(_),
+                        Value::Numeric(_) | Value::Int(_)
+                    )
                 );
-                let (Value::Float(a), Value::Float(b)) = (a.cast(Type::FLOAT8)?, b.cast(Type::FLOAT8)?)
+                let (Value::Float(a), Value::Float(b)) =
+                    (a.cast(Type::FLOAT8)?, b.cast(Type::FLOAT8)?)
                 else {
                     return Err(unsupported(op));
                 };
@@ -401,7 +487,11 @@
                     BinaryOperator::Divide => a / b,
                     other => return Err(unsupported(other)),
                 };
-                Ok(if exact { Value::Numeric(result.to_string()) } else { Value::Float(result) })
+                Ok(if exact {
+                    Value::Numeric(result.to_string())
+                } else {
+                    Value::Float(result)
+                })
             }
         }
     }
@@ -410,11 +500,18 @@
 fn compare(a: &Value, op: &BinaryOperator, b: &Value) -> Result<Value, Refusal> {
     // A literal has no type of its own until it meets one.
     let like = |text: &Value, other: &Value| -> Result<Value, Refusal> {
-        let (Value::Text(text), kind) = (text, kind_of(other)) else { return Ok(text.clone()) };
-        kind.map_or_else(|| Ok(Value::Text(text.clone())), |kind| Value::read_text(kind, text))
+        let (Value::Text(text), kind) = (text, kind_of(other)) else {
+            return Ok(text.clone());
+        };
+        kind.map_or_else(
+            || Ok(Value::Text(text.clone())),
+            |kind| Value::read_text(kind, text),
+        )
     };
     let (a, b) = (like(a, b)?, like(b, a)?);
-    let Some(order) = a.order(&b) else { return Ok(Value::Null) };
+    let Some(order) = a.order(&b) else {
+        return Ok(Value::Null);
+    };
     Ok(Value::Bool(match op {
         BinaryOperator::Eq => order.is_eq(),
         BinaryOperator::NotEq => order.is_ne(),
@@ -451,7 +548,8 @@
         }
         Some(sign) => {
             let mut of = text.chars();
-            of.next().is_some_and(|first| sign == '_' || sign == first) && like(of.as_str(), signs.as_str())
+            of.next().is_some_and(|first| sign == '_' || sign == first)
+                && like(of.as_str(), signs.as_str())
         }
     }
 }
--- a/testkit/fakes/src/database/functions.rs
+++ b/testkit/fakes/src/database/functions.rs
@@ -43,8 +43,8 @@
         };
         Ok(match name {
             "pg_sleep" => {
-                let until =
-                    self.started + Duration::from_secs_f64(number(0).unwrap_or(0.0).clamp(0.0, 600.0));
+                let until = self.started
+                    + Duration::from_secs_f64(number(0).unwrap_or(0.0).clamp(0.0, 600.0));
                 self.wait(|| Instant::now() < until)?;
                 Value::Text(String::new())
             }
@@ -69,17 +69,24 @@
             }
             "pg_is_in_recovery" => Value::Bool(self.setting("in_hot_standby")? == "on"),
             "pg_backend_pid" => Value::Int(self.number as i64 & 0x7fff_ffff),
-            "version" => Value::Text(format!("PostgreSQL {} (a stand-in)", self.setting("server_version")?)),
+            "version" => Value::Text(format!(
+                "PostgreSQL {} (a stand-in)",
+                self.setting("server_version")?
+            )),
             "current_database" | "current_catalog" => Value::Text(self.database.clone()),
             "current_user" | "session_user" | "user" => Value::Text(self.user.clone()),
             "current_schema" => Value::Text(self.schemas().first().cloned().unwrap_or_default()),
             "now" | "current_timestamp" | "statement_timestamp" | "clock_timestamp" => {
-                let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+                let unix = SystemTime::now()
+                    .duration_since(SystemTime::UNIX_EPOCH)
+                    .unwrap_or_default();
                 Value::Timestamp(i64::try_from(unix.as_micros()).unwrap_or(0) - 946_684_800_000_000)
             }
             "current_date" => self.call("now", Vec::new())?.cast(Type::DATE)?,
             "gen_random_uuid" => {
-                let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+                let unix = SystemTime::now()
+                    .duration_since(SystemTime::UNIX_EPOCH)
+                    .unwrap_or_default();
                 Value::Uuid((unix.as_nanos() ^ (u128::from(self.number) << 96)).to_be_bytes())
             }
             "random" => Value::Float(0.5),
@@ -100,13 +107,23 @@
                 Some(Value::Float(number)) => Value::Float(number.abs()),
                 other => other.unwrap_or(Value::Null),
             },
-            "coalesce" => args.into_iter().find(|value| *value != Value::Null).unwrap_or(Value::Null),
-            "txid_current" => Value::Int(self.transaction.as_ref().map_or(0, |open| open.xid as i64)),
+            "coalesce" => args
+                .into_iter()
+                .find(|value| *value != Value::Null)
+                .unwrap_or(Value::Null),
+            "txid_current" => {
+                Value::Int(self.transaction.as_ref().map_or(0, |open| open.xid as i64))
+            }
             "array_length" => match args.first() {
                 Some(Value::Array(all)) => Value::Int(all.len() as i64),
                 _ => Value::Null,
             },
-            other => return Err(Refusal("42883", format!("function {other}() does not exist"))),
+            other => {
+                return Err(Refusal(
+                    "42883",
+                    format!("function {other}() does not exist"),
+                ));
+            }
         })
     }
 
@@ -121,15 +138,28 @@
             store.table(&plain)?;
             return Ok(plain);
         }
-        let place =
-            |schema: &String| if schema == "public" { name.clone() } else { format!("{schema}.{name}") };
-        let found = self.schemas().iter().map(place).find(|place| store.has(place));
+        let place = |schema: &String| {
+            if schema == "public" {
+                name.clone()
+            } else {
+                format!("{schema}.{name}")
+            }
+        };
+        let found = self
+            .schemas()
+            .iter()
+            .map(place)
+            .find(|place| store.has(place));
         found.ok_or_else(|| Refusal("42P01", format!("relation \"{name}\" does not exist")))
     }
 
     fn new_table(&self, name: &str, temporary: bool) -> String {
         let name = name.replace('"', "");
-        match (temporary, name.contains('.'), self.schemas().first().map(String::as_str)) {
+        match (
+            temporary,
+            name.contains('.'),
+            self.schemas().first().map(String::as_str),
+        ) {
             (true, ..) => format!("{}{name}", self.mark()),
             (false, true, _) => name.strip_prefix("public.").unwrap_or(&name).to_owned(),
             (false, false, Some("public") | None) => name,
@@ -138,7 +168,11 @@
     }
 
     fn setting_name(&self, name: &str) -> String {
-        let known = self.settings.borrow().get(&name.to_ascii_lowercase()).map(|(usual, _)| usual.clone());
+        let known = self
+            .settings
+            .borrow()
+            .get(&name.to_ascii_lowercase())
+            .map(|(usual, _)| usual.clone());
         known.unwrap_or_else(|| name.to_owned())
     }
 }
@@ -147,8 +181,12 @@
     /// The schemas that names without one are looked for in.
     pub(super) fn schemas(&self) -> Vec<String> {
         let path = self.setting("search_path").unwrap_or_default();
-        let schemas = path.split(',').map(|schema| schema.trim().trim_matches('"').to_owned());
-        schemas.filter(|schema| !schema.is_empty() && schema != "$user").collect()
+        let schemas = path
+            .split(',')
+            .map(|schema| schema.trim().trim_matches('"').to_owned());
+        schemas
+            .filter(|schema| !schema.is_empty() && schema != "$user")
+            .collect()
     }
 }
 
--- a/testkit/fakes/src/database/query.rs
+++ b/testkit/fakes/src/database/query.rs
@@ -3,8 +3,8 @@
 use std::sync::Mutex;
 
 use sqlparser::ast::{
-    ColumnOption, Expr, Insert, LimitClause, OnConflictAction, OnInsert, OrderByKind, Query, SelectItem,
-    SetExpr, Statement, TableConstraint,
+    ColumnOption, Expr, Insert, LimitClause, OnConflictAction, OnInsert, OrderByKind, Query,
+    SelectItem, SetExpr, Statement, TableConstraint,
 };
 
 use super::describe::*;
@@ -41,7 +41,13 @@
         match statement {
             Statement::Query(query) => self.query(query),
             Statement::Insert(insert) => self.insert(insert),
-            Statement::Update { table, assignments, selection, returning, .. } => {
+            Statement::Update {
+                table,
+                assignments,
+                selection,
+                returning,
+                ..
+            } => {
                 let mut store = lock(self.store);
                 let name = self.around.table(&store, &factor_name(table)?)?;
                 let columns = table_columns(&name, &store)?;
@@ -51,8 +57,10 @@
                     let mut new = old.clone();
                     for assignment in assignments {
                         let at = assigned(&assignment.target, &columns)?;
-                        new[at] =
-                            self.scope(&columns, &old).value(&assignment.value)?.cast(columns[at].kind)?;
+                        new[at] = self
+                            .scope(&columns, &old)
+                            .value(&assignment.value)?
+                            .cast(columns[at].kind)?;
                     }
                     store.delete(self.transaction, &name, id)?;
                     store.insert(self.transaction, &name, new.clone(), false)?;
@@ -65,7 +73,8 @@
                 let name = self.around.table(&store, &delete_name(&delete.from)?)?;
                 let columns = table_columns(&name, &store)?;
                 let found = self.matching(&store, &name, &columns, delete.selection.as_ref())?;
-                let mut outcome = self.returning(delete.returning.as_deref(), &columns, "DELETE")?;
+                let mut outcome =
+                    self.returning(delete.returning.as_deref(), &columns, "DELETE")?;
                 for (id, old) in found {
                     store.delete(self.transaction, &name, id)?;
                     self.returned(delete.returning.as_deref(), &columns, &old, &mut outcome)?;
@@ -73,14 +82,20 @@
                 Ok(outcome)
             }
             Statement::CreateTable(create) => Ok(self.create(create)?),
-            Statement::Drop { names, if_exists, .. } => {
+            Statement::Drop {
+                names, if_exists, ..
+            } => {
                 let mut store = lock(self.store);
                 for name in names {
                     match self.around.table(&store, &name.to_string()) {
                         Ok(name) => store.drop_table(self.transaction, &name),
                         Err(_) if *if_exists => {}
                         Err(_) => {
-                            return Err(Refusal("42P01", format!("table \"{name}\" does not exist")).into());
+                            return Err(Refusal(
+                                "42P01",
+                                format!("table \"{name}\" does not exist"),
+                            )
+                            .into());
                         }
                     }
                 }
@@ -102,7 +117,12 @@
     }
 
     fn scope<'s>(&'s self, columns: &'s [Column], row: &'s [Value]) -> Scope<'s> {
-        Scope { columns, row, values: self.values, around: self.around }
+        Scope {
+            columns,
+            row,
+            values: self.values,
+            around: self.around,
+        }
     }
 
     fn xid(&self) -> Option<Xid> {
@@ -121,7 +141,14 @@
         // The usual condition, a value of the unique column, is looked up.
         let unique = store.table(table)?.unique.as_ref().map(|(at, _)| *at);
         let mut wanted = None;
-        if let (Some(Expr::BinaryOp { left, op: BinaryOperator::Eq, right }), Some(at)) = (selection, unique)
+        if let (
+            Some(Expr::BinaryOp {
+                left,
+                op: BinaryOperator::Eq,
+                right,
+            }),
+            Some(at),
+        ) = (selection, unique)
             && matches!(&**left, Expr::Identifier(ident) if ident.value.eq_ignore_ascii_case(&columns[at].name))
             && let Ok(value) = self.scope(&[], &[]).value(right)
         {
@@ -182,7 +209,9 @@
                 SelectItem::UnnamedExpr(expr) | SelectItem::ExprWithAlias { expr, .. } => {
                     out.push(scope.value(expr)?)
                 }
-                SelectItem::Wildcard(_) | SelectItem::QualifiedWildcard(..) => out.extend_from_slice(row),
+                SelectItem::Wildcard(_) | SelectItem::QualifiedWildcard(..) => {
+                    out.extend_from_slice(row)
+                }
             }
         }
         Ok(out)
@@ -194,9 +223,22 @@
             SetExpr::Select(select) => select,
             SetExpr::Values(values) => {
                 let columns = shape(query, &lock(self.store), self.around, &mut known)?;
-                let row = |row: &Vec<Expr>| row.iter().map(|expr| self.scope(&[], &[]).value(expr)).collect();
-                let rows = values.rows.iter().map(row).collect::<Result<Vec<Vec<Value>>, Refusal>>()?;
-                return Ok(Outcome { columns, rows, verb: "SELECT", ..Outcome::default() });
+                let row = |row: &Vec<Expr>| {
+                    row.iter()
+                        .map(|expr| self.scope(&[], &[]).value(expr))
+                        .collect()
+                };
+                let rows = values
+                    .rows
+                    .iter()
+                    .map(row)
+                    .collect::<Result<Vec<Vec<Value>>, Refusal>>()?;
+                return Ok(Outcome {
+                    columns,
+                    rows,
+                    verb: "SELECT",
+                    ..Outcome::default()
+                });
             }
             other => return Err(unsupported(other).into()),
         };
@@ -211,7 +253,11 @@
                 let args = args.into_iter().map(|arg| self.scope(&[], &[]).value(arg));
                 let args = args.collect::<Result<Vec<_>, _>>()?;
                 let [Value::Int(from), Value::Int(to)] = args[..] else {
-                    return Err(Refusal("42883", "generate_series takes two integers here".to_owned()).into());
+                    return Err(Refusal(
+                        "42883",
+                        "generate_series takes two integers here".to_owned(),
+                    )
+                    .into());
                 };
                 let columns = vec![series_column(name)];
                 let count = u64::try_from(to - from + 1).unwrap_or(0);
@@ -231,7 +277,9 @@
                 for number in from..=to {
                     let row = vec![Value::Int(number)];
                     let picked = match &select.selection {
-                        Some(selection) => self.scope(&columns, &row).value(selection)? == Value::Bool(true),
+                        Some(selection) => {
+                            self.scope(&columns, &row).value(selection)? == Value::Bool(true)
+                        }
                         None => true,
                     };
                     if picked {
@@ -262,12 +310,16 @@
             return Ok(outcome);
         }
         if select.projection.iter().any(aggregate) {
-            outcome.rows.push(self.aggregate(&select.projection, &columns, &found)?);
+            outcome
+                .rows
+                .push(self.aggregate(&select.projection, &columns, &found)?);
             return Ok(outcome);
         }
         let found = self.ordered(query, &columns, found)?;
         for (_, row) in &found {
-            outcome.rows.push(self.project(&select.projection, &columns, row)?);
+            outcome
+                .rows
+                .push(self.project(&select.projection, &columns, row)?);
         }
         Ok(outcome)
     }
@@ -279,7 +331,9 @@
         mut found: Vec<(u64, Vec<Value>)>,
     ) -> Result<Vec<(u64, Vec<Value>)>, Refusal> {
         if let Some(order) = &query.order_by {
-            let OrderByKind::Expressions(by) = &order.kind else { return Err(unsupported(order)) };
+            let OrderByKind::Expressions(by) = &order.kind else {
+                return Err(unsupported(order));
+            };
             let mut keyed = Vec::with_capacity(found.len());
             for (id, row) in found {
                 let keys = by.iter().map(|by| match &by.expr {
@@ -293,10 +347,18 @@
             keyed.sort_by(|a, b| {
                 let each = by.iter().zip(a.0.iter().zip(&b.0)).map(|(by, (a, b))| {
                     // NULL is larger than all else.
-                    let order = a.order(b).unwrap_or((*a == Value::Null).cmp(&(*b == Value::Null)));
-                    if by.options.asc == Some(false) { order.reverse() } else { order }
+                    let order = a
+                        .order(b)
+                        .unwrap_or((*a == Value::Null).cmp(&(*b == Value::Null)));
+                    if by.options.asc == Some(false) {
+                        order.reverse()
+                    } else {
+                        order
+                    }
                 });
-                each.into_iter().find(|order| order.is_ne()).unwrap_or(a.1.cmp(&b.1))
+                each.into_iter()
+                    .find(|order| order.is_ne())
+                    .unwrap_or(a.1.cmp(&b.1))
             });
             found = keyed.into_iter().map(|(_, id, row)| (id, row)).collect();
         }
@@ -305,7 +367,9 @@
                 Value::Int(count) => Ok(usize::try_from(count).unwrap_or(0)),
                 _ => Ok::<_, Refusal>(usize::MAX),
             };
-            let skip = offset.as_ref().map_or(Ok(0), |offset| count(&offset.value))?;
+            let skip = offset
+                .as_ref()
+                .map_or(Ok(0), |offset| count(&offset.value))?;
             let take = limit.as_ref().map_or(Ok(usize::MAX), count)?;
             found = found.into_iter().skip(skip).take(take).collect();
         }
@@ -320,14 +384,17 @@
     ) -> Result<Vec<Value>, Refusal> {
         let mut out = Vec::new();
         for item in items {
-            let (SelectItem::UnnamedExpr(expr) | SelectItem::ExprWithAlias { expr, .. }) = item else {
+            let (SelectItem::UnnamedExpr(expr) | SelectItem::ExprWithAlias { expr, .. }) = item
+            else {
                 return Err(unsupported(item));
             };
             let expr = match expr {
                 Expr::Cast { expr, .. } => expr,
                 other => other,
             };
-            let Some((name, args)) = call(expr) else { return Err(unsupported(expr)) };
+            let Some((name, args)) = call(expr) else {
+                return Err(unsupported(expr));
+            };
             let mut values = Vec::new();
             if let Some(arg) = args.first() {
                 for (_, row) in found {
@@ -335,7 +402,11 @@
                     values.extend((value != Value::Null).then_some(value));
                 }
             }
-            let count = if args.is_empty() { found.len() } else { values.len() };
+            let count = if args.is_empty() {
+                found.len()
+            } else {
+                values.len()
+            };
             out.push(match name.as_str() {
                 "count" => Value::Int(i64::try_from(count).unwrap_or(i64::MAX)),
                 "sum" => {
@@ -343,15 +414,31 @@
                         Value::Int(number) => *number,
                         _ => 0,
                     };
-                    if values.is_empty() { Value::Null } else { Value::Int(values.iter().map(number).sum()) }
+                    if values.is_empty() {
+                        Value::Null
+                    } else {
+                        Value::Int(values.iter().map(number).sum())
+                    }
                 }
                 "max" => values
                     .into_iter()
-                    .reduce(|a, b| if b.order(&a).is_some_and(|o| o.is_gt()) { b } else { a })
+                    .reduce(|a, b| {
+                        if b.order(&a).is_some_and(|o| o.is_gt()) {
+                            b
+                        } else {
+                            a
+                        }
+                    })
                     .unwrap_or(Value::Null),
                 "min" => values
                     .into_iter()
-                    .reduce(|a, b| if b.order(&a).is_some_and(|o| o.is_lt()) { b } else { a })
+                    .reduce(|a, b| {
+                        if b.order(&a).is_some_and(|o| o.is_lt()) {
+                            b
+                        } else {
+                            a
+                        }
+                    })
                     .unwrap_or(Value::Null),
                 _ => return Err(unsupported(expr)),
             });
@@ -374,14 +461,19 @@
                         true => Ok(None),
                         false => self.scope(&[], &[]).value(expr).map(Some),
                     };
-                    let row = |row: &Vec<Expr>| row.iter().map(value).collect::<Result<Vec<_>, Refusal>>();
+                    let row = |row: &Vec<Expr>| {
+                        row.iter().map(value).collect::<Result<Vec<_>, Refusal>>()
+                    };
                     values.rows.iter().map(row).collect::<Result<_, _>>()?
                 }
                 _ => {
                     let Outcome { rows, repeats, .. } = self.query(source)?;
                     let copies = usize::try_from(repeats).unwrap_or(0) + 1;
-                    let rows = rows.into_iter().flat_map(|row| std::iter::repeat_n(row, copies));
-                    rows.map(|row| row.into_iter().map(Some).collect()).collect()
+                    let rows = rows
+                        .into_iter()
+                        .flat_map(|row| std::iter::repeat_n(row, copies));
+                    rows.map(|row| row.into_iter().map(Some).collect())
+                        .collect()
                 }
             },
             None => vec![Vec::new()],
@@ -397,19 +489,30 @@
         };
         for given in given {
             if given.len() > targets.len() {
-                return Err(
-                    Refusal("42601", "INSERT has more expressions than target columns".to_owned()).into()
-                );
+                return Err(Refusal(
+                    "42601",
+                    "INSERT has more expressions than target columns".to_owned(),
+                )
+                .into());
             }
             if !insert.columns.is_empty() && given.len() < targets.len() && !given.is_empty() {
-                return Err(
-                    Refusal("42601", "INSERT has more target columns than expressions".to_owned()).into()
-                );
+                return Err(Refusal(
+                    "42601",
+                    "INSERT has more target columns than expressions".to_owned(),
+                )
+                .into());
             }
-            let row = self.row(&mut store, &name, &columns, targets.iter().copied().zip(given).collect())?;
+            let row = self.row(
+                &mut store,
+                &name,
+                &columns,
+                targets.iter().copied().zip(given).collect(),
+            )?;
             if store.insert(self.transaction, &name, row.clone(), pass_over)? {
                 self.returned(insert.returning.as_deref(), &columns, &row, &mut outcome)?;
-            } else if let (Some(update), Some((at, _))) = (update, store.table(&name)?.unique.clone()) {
+            } else if let (Some(update), Some((at, _))) =
+                (update, store.table(&name)?.unique.clone())
+            {
                 let old = store
                     .rows(&name, self.xid(), Some(&row[at]))?
                     .first()
@@ -419,7 +522,10 @@
                 let mut new = old;
                 for assignment in &update.assignments {
                     let at = assigned(&assignment.target, &columns)?;
-                    new[at] = self.scope(&both, &values).value(&assignment.value)?.cast(columns[at].kind)?;
+                    new[at] = self
+                        .scope(&both, &values)
+                        .value(&assignment.value)?
+                        .cast(columns[at].kind)?;
                 }
                 store.delete(self.transaction, &name, id)?;
                 store.insert(self.transaction, &name, new.clone(), false)?;
@@ -439,7 +545,9 @@
     ) -> Result<Vec<Value>, Refusal> {
         let mut row = vec![None; columns.len()];
         for (at, value) in given {
-            row[at] = value.map(|value| value.cast(columns[at].kind)).transpose()?;
+            row[at] = value
+                .map(|value| value.cast(columns[at].kind))
+                .transpose()?;
         }
         row.into_iter()
             .zip(columns)
@@ -460,13 +568,21 @@
     }
 
     /// Rows of COPY FROM, in its text format.
-    pub(super) fn copy_in(&mut self, table: &str, columns: &[String], text: &str) -> Result<u64, Stop> {
+    pub(super) fn copy_in(
+        &mut self,
+        table: &str,
+        columns: &[String],
+        text: &str,
+    ) -> Result<u64, Stop> {
         let mut store = lock(self.store);
         let name = self.around.table(&store, table)?;
         let known = table_columns(&name, &store)?;
         let targets = match columns.is_empty() {
             true => (0..known.len()).collect::<Vec<_>>(),
-            false => columns.iter().map(|name| position(name, &known)).collect::<Result<_, _>>()?,
+            false => columns
+                .iter()
+                .map(|name| position(name, &known))
+                .collect::<Result<_, _>>()?,
         };
         let mut count = 0;
         for line in text.lines().take_while(|line| *line != "\\.") {
@@ -496,12 +612,17 @@
 
     fn create(&mut self, create: &sqlparser::ast::CreateTable) -> Result<Outcome, Refusal> {
         let mut store = lock(self.store);
-        let name = self.around.new_table(&create.name.to_string(), create.temporary);
+        let name = self
+            .around
+            .new_table(&create.name.to_string(), create.temporary);
         if store.has(&name) {
             if create.if_not_exists {
                 return Ok(done("CREATE TABLE"));
             }
-            return Err(Refusal("42P07", format!("relation \"{}\" already exists", create.name)));
+            return Err(Refusal(
+                "42P07",
+                format!("relation \"{}\" already exists", create.name),
+            ));
         }
         let mut table = Table::default();
         for column in &create.columns {
@@ -511,7 +632,11 @@
                 kind,
                 not_null: false,
                 default: None,
-                serial: column.data_type.to_string().to_ascii_lowercase().contains("serial"),
+                serial: column
+                    .data_type
+                    .to_string()
+                    .to_ascii_lowercase()
+                    .contains("serial"),
             };
             for option in &column.options {
                 match &option.option {
@@ -519,8 +644,13 @@
                     ColumnOption::Default(expr) => made.default = Some(expr.to_string()),
                     ColumnOption::Unique { is_primary, .. } => {
                         made.not_null |= is_primary;
-                        let end = if *is_primary { "pkey".to_owned() } else { format!("{}_key", made.name) };
-                        table.unique = Some((table.columns.len(), format!("{}_{end}", create.name)));
+                        let end = if *is_primary {
+                            "pkey".to_owned()
+                        } else {
+                            format!("{}_key", made.name)
+                        };
+                        table.unique =
+                            Some((table.columns.len(), format!("{}_{end}", create.name)));
                     }
                     ColumnOption::Generated { .. } => made.serial = true,
                     _ => {}
@@ -543,7 +673,9 @@
 }
 
 fn aggregate(item: &SelectItem) -> bool {
-    let (SelectItem::UnnamedExpr(expr) | SelectItem::ExprWithAlias { expr, .. }) = item else { return false };
+    let (SelectItem::UnnamedExpr(expr) | SelectItem::ExprWithAlias { expr, .. }) = item else {
+        return false;
+    };
     let expr = match expr {
         Expr::Cast { expr, .. } => expr,
         other => other,
@@ -553,7 +685,10 @@
 
 /// A statement that brings nothing.
 pub(super) fn done(verb: &'static str) -> Outcome {
-    Outcome { verb, ..Outcome::default() }
+    Outcome {
+        verb,
+        ..Outcome::default()
+    }
 }
 
 fn unescape(field: &str) -> String {
--- a/testkit/fakes/src/database/session.rs
+++ b/testkit/fakes/src/database/session.rs
@@ -122,7 +122,10 @@
 pub(super) fn one(sql: &str) -> Result<Option<Statement>, Refusal> {
     let mut all = all(sql)?;
     if all.len() > 1 {
-        return Err(Refusal("42601", "cannot insert multiple commands into a prepared statement".to_owned()));
+        return Err(Refusal(
+            "42601",
+            "cannot insert multiple commands into a prepared statement".to_owned(),
+        ));
     }
     Ok(all.pop())
 }
@@ -140,11 +143,18 @@
         };
         return parse(&sql);
     }
-    if ["RESET ", "CLOSE ALL", "UNLISTEN *"].iter().any(|word| upper.contains(word)) {
+    if ["RESET ", "CLOSE ALL", "UNLISTEN *"]
+        .iter()
+        .any(|word| upper.contains(word))
+    {
         let parts = split(sql);
         if parts.len() > 1 {
             let parts = parts.iter().map(|part| all(part));
-            return Ok(parts.collect::<Result<Vec<_>, _>>()?.into_iter().flatten().collect());
+            return Ok(parts
+                .collect::<Result<Vec<_>, _>>()?
+                .into_iter()
+                .flatten()
+                .collect());
         }
     }
     match upper.as_str() {
@@ -167,17 +177,32 @@
 
 fn parse(sql: &str) -> Result<Vec<Statement>, Refusal> {
     // The parser wants COPY to end so: data could stand behind it.
-    let copies = sql.trim_start().get(..4).is_some_and(|word| word.eq_ignore_ascii_case("copy"));
-    let ended = if copies && !sql.contains(';') { format!("{sql};") } else { sql.to_owned() };
-    Parser::parse_sql(&PostgreSqlDialect {}, &ended).map_err(|error| Refusal("42601", error.to_string()))
+    let copies = sql
+        .trim_start()
+        .get(..4)
+        .is_some_and(|word| word.eq_ignore_ascii_case("copy"));
+    let ended = if copies && !sql.contains(';') {
+        format!("{sql};")
+    } else {
+        sql.to_owned()
+    };
+    Parser::parse_sql(&PostgreSqlDialect {}, &ended)
+        .map_err(|error| Refusal("42601", error.to_string()))
 }
 
 impl Session {
     pub(super) fn new(shared: Arc<Shared>, number: u64) -> Self {
         let version = lock(&shared.version).clone();
         let setting = |(name, value, _): &(&str, &str, bool)| {
-            let value = if *name == "server_version" { version.as_str() } else { *value };
-            (name.to_ascii_lowercase(), ((*name).to_owned(), value.to_owned()))
+            let value = if *name == "server_version" {
+                version.as_str()
+            } else {
+                *value
+            };
+            (
+                name.to_ascii_lowercase(),
+                ((*name).to_owned(), value.to_owned()),
+            )
         };
         let settings: Settings = SETTINGS.iter().map(setting).collect();
         Self {
@@ -206,13 +231,20 @@
     /// Takes a client's start-up parameters.
     pub(super) fn start(&mut self, parameters: &BTreeMap<String, String>) -> Result<(), Refusal> {
         self.user = parameters.get("user").cloned().unwrap_or_default();
-        self.database = parameters.get("database").cloned().unwrap_or_else(|| self.user.clone());
+        self.database = parameters
+            .get("database")
+            .cloned()
+            .unwrap_or_else(|| self.user.clone());
         self.set("session_authorization", &self.user.clone())?;
         for (name, value) in parameters {
             match name.as_str() {
                 "user" | "database" => {}
                 "options" => {
-                    for option in value.split("-c").map(str::trim).filter(|option| !option.is_empty()) {
+                    for option in value
+                        .split("-c")
+                        .map(str::trim)
+                        .filter(|option| !option.is_empty())
+                    {
                         let (name, value) = option.split_once('=').unwrap_or((option, ""));
                         self.set(name, &value.replace("\\ ", " "))?;
                     }
@@ -230,7 +262,10 @@
         let mut due = Vec::new();
         for (name, _, reported) in SETTINGS {
             let settings = self.settings.borrow();
-            let Some((_, value)) = settings.get(&name.to_ascii_lowercase()).filter(|_| reported) else {
+            let Some((_, value)) = settings
+                .get(&name.to_ascii_lowercase())
+                .filter(|_| reported)
+            else {
                 continue;
             };
             if self.told.get(name) != Some(value) {
@@ -242,7 +277,12 @@
     }
 
     pub(super) fn setting(&self, name: &str) -> Result<String, Refusal> {
-        let missing = || Refusal("42704", format!("unrecognized configuration parameter \"{name}\""));
+        let missing = || {
+            Refusal(
+                "42704",
+                format!("unrecognized configuration parameter \"{name}\""),
+            )
+        };
         self.settings
             .borrow()
             .get(&name.to_ascii_lowercase())
@@ -253,14 +293,31 @@
     /// Sets a setting, as a server takes it.
     pub(super) fn set(&self, name: &str, value: &str) -> Result<(), Refusal> {
         let key = name.to_ascii_lowercase();
-        let usual = self.settings.borrow().get(&key).map(|(usual, _)| usual.clone());
+        let usual = self
+            .settings
+            .borrow()
+            .get(&key)
+            .map(|(usual, _)| usual.clone());
         let Some(usual) = usual.or_else(|| key.contains('.').then(|| name.to_owned())) else {
-            return Err(Refusal("42704", format!("unrecognized configuration parameter \"{name}\"")));
+            return Err(Refusal(
+                "42704",
+                format!("unrecognized configuration parameter \"{name}\""),
+            ));
+        };
+        let wrong = || {
+            Refusal(
+                "22023",
+                format!("invalid value for parameter \"{usual}\": \"{value}\""),
+            )
         };
-        let wrong = || Refusal("22023", format!("invalid value for parameter \"{usual}\": \"{value}\""));
         let value = match usual.as_str() {
             "client_encoding" => {
-                match value.trim_matches('\'').to_ascii_uppercase().replace('-', "").as_str() {
+                match value
+                    .trim_matches('\'')
+                    .to_ascii_uppercase()
+                    .replace('-', "")
+                    .as_str()
+                {
                     "UTF8" | "UNICODE" => "UTF8".to_owned(),
                     "SQL_ASCII" => "SQL_ASCII".to_owned(),
                     "LATIN1" => "LATIN1".to_owned(),
@@ -268,21 +325,32 @@
                 }
             }
             "DateStyle" => {
-                let mut parts = value.split(',').map(|part| part.trim().to_ascii_uppercase());
-                let order = parts.clone().find(|part| matches!(part.as_str(), "MDY" | "DMY" | "YMD"));
-                let style =
-                    match parts.find(|part| !matches!(part.as_str(), "MDY" | "DMY" | "YMD")).as_deref() {
-                        Some("ISO") | None => "ISO",
-                        Some("SQL") => "SQL",
-                        Some("GERMAN") => "German",
-                        Some("POSTGRES") => "Postgres",
-                        Some(_) => return Err(wrong()),
-                    };
+                let mut parts = value
+                    .split(',')
+                    .map(|part| part.trim().to_ascii_uppercase());
+                let order = parts
+                    .clone()
+                    .find(|part| matches!(part.as_str(), "MDY" | "DMY" | "YMD"));
+                let style = match parts
+                    .find(|part| !matches!(part.as_str(), "MDY" | "DMY" | "YMD"))
+                    .as_deref()
+                {
+                    Some("ISO") | None => "ISO",
+                    Some("SQL") => "SQL",
+                    Some("GERMAN") => "German",
+                    Some("POSTGRES") => "Postgres",
+                    Some(_) => return Err(wrong()),
+                };
                 format!("{style}, {}", order.unwrap_or_else(|| "MDY".to_owned()))
             }
             "statement_timeout" | "lock_timeout" | "idle_in_transaction_session_timeout" => {
                 let number = value.trim_end_matches("ms").trim();
-                match number.strip_suffix('s').unwrap_or(number).trim().parse::<u64>() {
+                match number
+                    .strip_suffix('s')
+                    .unwrap_or(number)
+                    .trim()
+                    .parse::<u64>()
+                {
                     Ok(count) if number.ends_with('s') => (count * 1000).to_string(),
                     Ok(count) => count.to_string(),
                     Err(_) => return Err(wrong()),
@@ -298,7 +366,10 @@
             },
             "server_version" | "server_encoding" | "integer_datetimes" | "in_hot_standby"
             | "is_superuser" => {
-                return Err(Refusal("55P02", format!("parameter \"{usual}\" cannot be changed")));
+                return Err(Refusal(
+                    "55P02",
+                    format!("parameter \"{usual}\" cannot be changed"),
+                ));
             }
             _ => value.to_owned(),
         };
@@ -325,7 +396,9 @@
             self.shared.begun.fetch_add(1, Ordering::SeqCst);
             self.before = Some(self.settings.borrow().clone());
             self.transaction = Some(lock(&self.shared.store).begin());
-            self.read_only = self.setting("default_transaction_read_only").is_ok_and(|value| value == "on");
+            self.read_only = self
+                .setting("default_transaction_read_only")
+                .is_ok_and(|value| value == "on");
         }
     }
 
@@ -333,11 +406,15 @@
     pub(super) fn end(&mut self, commits: bool) -> Result<(), Refusal> {
         (self.block, self.failed) = (false, false);
         self.portals.clear();
-        let Some(transaction) = self.transaction.take() else { return Ok(()) };
+        let Some(transaction) = self.transaction.take() else {
+            return Ok(());
+        };
         let before = self.before.take();
         if !commits {
             self.local.borrow_mut().clear();
-            before.into_iter().for_each(|before| drop(self.settings.replace(before)));
+            before
+                .into_iter()
+                .for_each(|before| drop(self.settings.replace(before)));
             lock(&self.shared.store).rollback(transaction);
             self.shared.ended();
             return Ok(());
@@ -351,7 +428,10 @@
         let mut store = lock(&self.shared.store);
         if !self.shared.up.load(Ordering::SeqCst) {
             store.rollback(transaction);
-            return Err(Refusal("57P01", "terminating connection due to administrator command".to_owned()));
+            return Err(Refusal(
+                "57P01",
+                "terminating connection due to administrator command".to_owned(),
+            ));
         }
         store.commit(transaction);
         drop(store);
@@ -391,11 +471,23 @@
     /// Prepares a text.
     pub(super) fn prepare(&mut self, sql: &str, given: &[Type]) -> Result<Prepared, Refusal> {
         if let Some(question) = catalogue::question(sql).filter(|_| !self.failed) {
-            let Question { parameters, columns, .. } = question;
-            return Ok(Prepared { sql: sql.to_owned(), statement: one("SELECT 1")?, parameters, columns });
+            let Question {
+                parameters,
+                columns,
+                ..
+            } = question;
+            return Ok(Prepared {
+                sql: sql.to_owned(),
+                statement: one("SELECT 1")?,
+                parameters,
+                columns,
+            });
         }
         let statement = one(sql)?;
-        let ends = matches!(statement, Some(Statement::Commit { .. } | Statement::Rollback { .. }));
+        let ends = matches!(
+            statement,
+            Some(Statement::Commit { .. } | Statement::Rollback { .. })
+        );
         if self.failed && !ends && statement.is_some() {
             return Err(failed_transaction());
         }
@@ -403,15 +495,27 @@
             Some(statement) => describe(statement, given, &self.shared.store, &*self)?,
             None => (given.to_vec(), Vec::new()),
         };
-        Ok(Prepared { sql: sql.to_owned(), statement, parameters, columns })
+        Ok(Prepared {
+            sql: sql.to_owned(),
+            statement,
+            parameters,
+            columns,
+        })
     }
 
     /// Runs a statement; waits where another transaction has to end first.
-    pub(super) fn run(&mut self, statement: &Statement, values: &[Value]) -> Result<Outcome, Refusal> {
+    pub(super) fn run(
+        &mut self,
+        statement: &Statement,
+        values: &[Value],
+    ) -> Result<Outcome, Refusal> {
         self.shared.statements.fetch_add(1, Ordering::SeqCst);
         self.started = Instant::now();
         self.cancelled.store(false, Ordering::SeqCst);
-        let ends = matches!(statement, Statement::Commit { .. } | Statement::Rollback { .. });
+        let ends = matches!(
+            statement,
+            Statement::Commit { .. } | Statement::Rollback { .. }
+        );
         if self.failed && !ends {
             return Err(failed_transaction());
         }
@@ -426,12 +530,19 @@
             let what = format!("cannot execute {verb} in a read-only transaction");
             return Err(Refusal("25006", what));
         }
-        let Some(mut transaction) = self.transaction.take() else { return Err(failed_transaction()) };
+        let Some(mut transaction) = self.transaction.take() else {
+            return Err(failed_transaction());
+        };
         // A statement is done whole or not at all.
         lock(&self.shared.store).savepoint(&mut transaction, String::new());
         let result = loop {
             let shared = self.shared.clone();
-            let mut run = Run { store: &shared.store, transaction: &mut transaction, values, around: &*self };
+            let mut run = Run {
+                store: &shared.store,
+                transaction: &mut transaction,
+                values,
+                around: &*self,
+            };
             match run.run(statement) {
                 Ok(outcome) => break Ok(outcome),
                 Err(Stop::Refused(refusal)) => break Err(refusal),
@@ -456,12 +567,23 @@
     }
 
     /// Rows of COPY FROM.
-    pub(super) fn copy_in(&mut self, table: &str, columns: &[String], text: &str) -> Result<u64, Refusal> {
+    pub(super) fn copy_in(
+        &mut self,
+        table: &str,
+        columns: &[String],
+        text: &str,
+    ) -> Result<u64, Refusal> {
         self.open();
-        let Some(mut transaction) = self.transaction.take() else { return Err(failed_transaction()) };
+        let Some(mut transaction) = self.transaction.take() else {
+            return Err(failed_transaction());
+        };
         let shared = self.shared.clone();
-        let mut run =
-            Run { store: &shared.store, transaction: &mut transaction, values: &[], around: &*self };
+        let mut run = Run {
+            store: &shared.store,
+            transaction: &mut transaction,
+            values: &[],
+            around: &*self,
+        };
         let copied = run.copy_in(table, columns, text);
         self.transaction = Some(transaction);
         copied.map_err(|stop| match stop {
@@ -472,14 +594,23 @@
 
     /// Waits while something is so, unless cancelled, late or killed.
     pub(super) fn wait(&self, while_so: impl Fn() -> bool) -> Result<(), Refusal> {
-        let limit: u64 =
-            self.setting("statement_timeout").ok().and_then(|limit| limit.parse().ok()).unwrap_or(0);
+        let limit: u64 = self
+            .setting("statement_timeout")
+            .ok()
+            .and_then(|limit| limit.parse().ok())
+            .unwrap_or(0);
         while while_so() {
             if self.cancelled.swap(false, Ordering::SeqCst) {
-                return Err(Refusal("57014", "canceling statement due to user request".to_owned()));
+                return Err(Refusal(
+                    "57014",
+                    "canceling statement due to user request".to_owned(),
+                ));
             }
             if limit > 0 && self.started.elapsed() >= Duration::from_millis(limit) {
-                return Err(Refusal("57014", "canceling statement due to statement timeout".to_owned()));
+                return Err(Refusal(
+                    "57014",
+                    "canceling statement due to statement timeout".to_owned(),
+                ));
             }
             if !self.shared.up.load(Ordering::SeqCst) {
                 return Err(Refusal(
@@ -496,5 +627,9 @@
 /// All rows of an outcome, each as often as it comes.
 pub(super) fn spread(outcome: &Outcome) -> VecDeque<Vec<Value>> {
     let copies = usize::try_from(outcome.repeats).unwrap_or(0) + 1;
-    outcome.rows.iter().flat_map(|row| std::iter::repeat_n(row.clone(), copies)).collect()
+    outcome
+        .rows
+        .iter()
+        .flat_map(|row| std::iter::repeat_n(row.clone(), copies))
+        .collect()
 }
--- a/testkit/fakes/src/database/storage.rs
+++ b/testkit/fakes/src/database/storage.rs
@@ -91,7 +91,9 @@
 
 impl Table {
     fn unindex(&mut self, id: u64) {
-        let Some(row) = self.rows.get(&id) else { return };
+        let Some(row) = self.rows.get(&id) else {
+            return;
+        };
         if let Some((column, _)) = &self.unique {
             let key = key(&row.values[*column]);
             if let Some(ids) = self.index.get_mut(&key) {
@@ -114,7 +116,11 @@
     pub(super) fn begin(&mut self) -> Transaction {
         self.last += 1;
         self.active.insert(self.last);
-        Transaction { xid: self.last, undo: Vec::new(), savepoints: Vec::new() }
+        Transaction {
+            xid: self.last,
+            undo: Vec::new(),
+            savepoints: Vec::new(),
+        }
     }
 
     pub(super) fn commit(&mut self, transaction: Transaction) {
@@ -122,7 +128,10 @@
         for undo in &transaction.undo {
             if let Undo::Deleted(table, id) = undo
                 && let Some(table) = self.tables.get_mut(table)
-                && table.rows.get(id).is_some_and(|row| row.deleted == Some(transaction.xid))
+                && table
+                    .rows
+                    .get(id)
+                    .is_some_and(|row| row.deleted == Some(transaction.xid))
             {
                 table.unindex(*id);
                 table.rows.remove(id);
@@ -146,7 +155,10 @@
                     }
                 }
                 Some(Undo::Deleted(table, id)) => {
-                    let row = self.tables.get_mut(&table).and_then(|table| table.rows.get_mut(&id));
+                    let row = self
+                        .tables
+                        .get_mut(&table)
+                        .and_then(|table| table.rows.get_mut(&id));
                     row.into_iter().for_each(|row| row.deleted = None);
                 }
                 Some(Undo::Created(table)) => drop(self.tables.remove(&table)),
@@ -172,7 +184,11 @@
         Ok(())
     }
 
-    pub(super) fn rollback_to(&mut self, transaction: &mut Transaction, name: &str) -> Result<(), Refusal> {
+    pub(super) fn rollback_to(
+        &mut self,
+        transaction: &mut Transaction,
+        name: &str,
+    ) -> Result<(), Refusal> {
         let at = place(transaction, name)?;
         transaction.savepoints.truncate(at + 1);
         let changed = transaction.savepoints[at].1;
@@ -201,7 +217,9 @@
 
     pub(super) fn drop_table(&mut self, transaction: &mut Transaction, name: &str) {
         if let Some(table) = self.tables.remove(name) {
-            transaction.undo.push(Undo::Dropped(name.to_owned(), Box::new(table)));
+            transaction
+                .undo
+                .push(Undo::Dropped(name.to_owned(), Box::new(table)));
         }
     }
 
@@ -222,12 +240,17 @@
             let _ = id;
             let mine = |xid: Xid| Some(xid) == me;
             let there = mine(row.created) || !self.active.contains(&row.created);
-            let gone = row.deleted.is_some_and(|xid| mine(xid) || !self.active.contains(&xid));
+            let gone = row
+                .deleted
+                .is_some_and(|xid| mine(xid) || !self.active.contains(&xid));
             there && !gone
         };
         if let Some(wanted) = wanted {
             let ids = table.index.get(&key(wanted));
-            let rows = ids.into_iter().flatten().filter_map(|id| table.rows.get_key_value(id));
+            let rows = ids
+                .into_iter()
+                .flatten()
+                .filter_map(|id| table.rows.get_key_value(id));
             return Ok(rows
                 .filter(|(id, row)| seen((id, row)))
                 .map(|(id, row)| (*id, &row.values[..]))
@@ -265,7 +288,11 @@
         }
         if let Some((column, constraint)) = &table.unique {
             let ids = table.index.get(&key(&values[*column]));
-            for row in ids.into_iter().flatten().filter_map(|id| table.rows.get(id)) {
+            for row in ids
+                .into_iter()
+                .flatten()
+                .filter_map(|id| table.rows.get(id))
+            {
                 let others = |xid: Xid| xid != transaction.xid && active.contains(&xid);
                 if row.deleted == Some(transaction.xid) {
                     continue;
@@ -279,27 +306,46 @@
                 if pass_over {
                     return Ok(false);
                 }
-                let what = format!("duplicate key value violates unique constraint \"{constraint}\"");
+                let what =
+                    format!("duplicate key value violates unique constraint \"{constraint}\"");
                 return Err(Refusal("23505", what).into());
             }
         }
         let id = table.next;
         table.next += 1;
         if let Some((column, _)) = &table.unique {
-            table.index.entry(key(&values[*column])).or_default().insert(id);
+            table
+                .index
+                .entry(key(&values[*column]))
+                .or_default()
+                .insert(id);
         }
-        table.rows.insert(id, Row { values, created: transaction.xid, deleted: None });
+        table.rows.insert(
+            id,
+            Row {
+                values,
+                created: transaction.xid,
+                deleted: None,
+            },
+        );
         transaction.undo.push(Undo::Inserted(name.to_owned(), id));
         Ok(true)
     }
 
     /// Takes a row away.
-    pub(super) fn delete(&mut self, transaction: &mut Transaction, name: &str, id: u64) -> Result<(), Stop> {
+    pub(super) fn delete(
+        &mut self,
+        transaction: &mut Transaction,
+        name: &str,
+        id: u64,
+    ) -> Result<(), Stop> {
         let table = self
             .tables
             .get_mut(name)
             .ok_or_else(|| Refusal("42P01", format!("relation \"{name}\" does not exist")))?;
-        let Some(row) = table.rows.get_mut(&id) else { return Ok(()) };
+        let Some(row) = table.rows.get_mut(&id) else {
+            return Ok(());
+        };
         if let Some(xid) = row.deleted.filter(|xid| *xid != transaction.xid) {
             return Err(Stop::Blocked(xid));
         }
@@ -310,6 +356,9 @@
 }
 
 fn place(transaction: &Transaction, name: &str) -> Result<usize, Refusal> {
-    let at = transaction.savepoints.iter().rposition(|(known, _)| known == name);
+    let at = transaction
+        .savepoints
+        .iter()
+        .rposition(|(known, _)| known == name);
     at.ok_or_else(|| Refusal("3B001", format!("savepoint \"{name}\" does not exist")))
 }
--- a/testkit/fakes/src/database/value.rs
+++ b/testkit/fakes/src/database/value.rs
@@ -90,7 +90,10 @@
 
     /// The type of an array's elements.
     pub fn element(self) -> Option<Self> {
-        ARRAYS.iter().find(|(_, array, _)| *array == self.0).map(|(element, ..)| Self(*element))
+        ARRAYS
+            .iter()
+            .find(|(_, array, _)| *array == self.0)
+            .map(|(element, ..)| Self(*element))
     }
 
     /// The type that is written so in SQL.
@@ -115,7 +118,10 @@
             "regclass" | "regtype" => "text",
             other => other,
         };
-        ARRAYS.iter().find(|(.., known)| *known == bare).map(|(element, ..)| Self(*element))
+        ARRAYS
+            .iter()
+            .find(|(.., known)| *known == bare)
+            .map(|(element, ..)| Self(*element))
     }
 
     /// Its length on the wire as a row's description tells it.
@@ -155,11 +161,16 @@
 ];
 
 fn epoch() -> NaiveDateTime {
-    NaiveDate::from_ymd_opt(2000, 1, 1).and_then(|day| day.and_hms_opt(0, 0, 0)).unwrap_or_default()
+    NaiveDate::from_ymd_opt(2000, 1, 1)
+        .and_then(|day| day.and_hms_opt(0, 0, 0))
+        .unwrap_or_default()
 }
 
 fn bad(kind: Type, text: &str) -> Refusal {
-    let name = ARRAYS.iter().find(|(oid, ..)| *oid == kind.0).map_or("array", |(.., name)| *name);
+    let name = ARRAYS
+        .iter()
+        .find(|(oid, ..)| *oid == kind.0)
+        .map_or("array", |(.., name)| *name);
     let name = match name {
         "int8" => "bigint",
         "int4" => "integer",
@@ -168,7 +179,10 @@
         "float8" => "double precision",
         other => other,
     };
-    Refusal("22P02", format!("invalid input syntax for type {name}: \"{text}\""))
+    Refusal(
+        "22P02",
+        format!("invalid input syntax for type {name}: \"{text}\""),
+    )
 }
 
 impl Value {
@@ -191,10 +205,15 @@
             Type::FLOAT4 | Type::FLOAT8 => Self::Float(trimmed.parse().map_err(|_| wrong())?),
             Type::NUMERIC => {
                 let digits = trimmed.strip_prefix(['-', '+']).unwrap_or(trimmed);
-                let good =
-                    digits.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.') && !digits.is_empty();
+                let good = digits
+                    .bytes()
+                    .all(|byte| byte.is_ascii_digit() || byte == b'.')
+                    && !digits.is_empty();
                 if !good && !trimmed.eq_ignore_ascii_case("nan") {
-                    return trimmed.parse::<f64>().map(|f| Self::Numeric(f.to_string())).map_err(|_| wrong());
+                    return trimmed
+                        .parse::<f64>()
+                        .map(|f| Self::Numeric(f.to_string()))
+                        .map_err(|_| wrong());
                 }
                 Self::Numeric(trimmed.trim_start_matches('+').to_owned())
             }
@@ -203,13 +222,18 @@
                 None => Self::Bytes(text.as_bytes().to_vec()),
             },
             Type::UUID => {
-                let hex: String = trimmed.chars().filter(|sign| !matches!(sign, '-' | '{' | '}')).collect();
+                let hex: String = trimmed
+                    .chars()
+                    .filter(|sign| !matches!(sign, '-' | '{' | '}'))
+                    .collect();
                 let bytes = unhex(&hex).and_then(|bytes| bytes.try_into().ok());
                 Self::Uuid(bytes.ok_or_else(wrong)?)
             }
             Type::DATE => {
-                let day =
-                    trimmed.get(..10).and_then(|day| day.parse::<NaiveDate>().ok()).ok_or_else(wrong)?;
+                let day = trimmed
+                    .get(..10)
+                    .and_then(|day| day.parse::<NaiveDate>().ok())
+                    .ok_or_else(wrong)?;
                 let days = (day - epoch().date()).num_days();
                 Self::Date(i32::try_from(days).map_err(|_| wrong())?)
             }
@@ -230,21 +254,29 @@
 
     /// An integer, if it fits into the type's width.
     fn fit(self, kind: Type) -> Result<Self, Refusal> {
-        let Self::Int(number) = self else { return Ok(self) };
+        let Self::Int(number) = self else {
+            return Ok(self);
+        };
         let (fits, name) = match kind {
             Type::INT2 => (i16::try_from(number).is_ok(), "smallint"),
             Type::INT4 => (i32::try_from(number).is_ok(), "integer"),
             Type::OID => (u32::try_from(number).is_ok(), "OID"),
             _ => (true, ""),
         };
-        if fits { Ok(self) } else { Err(Refusal("22003", format!("{name} out of range"))) }
+        if fits {
+            Ok(self)
+        } else {
+            Err(Refusal("22003", format!("{name} out of range")))
+        }
     }
 
     /// The same as another type, as a cast or an assignment makes it.
     pub fn cast(self, kind: Type) -> Result<Self, Refusal> {
         Ok(match (self, kind) {
             (Self::Null, _) => Self::Null,
-            (value @ Self::Int(_), Type::INT2 | Type::INT4 | Type::INT8 | Type::OID) => value.fit(kind)?,
+            (value @ Self::Int(_), Type::INT2 | Type::INT4 | Type::INT8 | Type::OID) => {
+                value.fit(kind)?
+            }
             (Self::Int(number), Type::FLOAT4 | Type::FLOAT8) => Self::Float(number as f64),
             (Self::Int(number), Type::NUMERIC) => Self::Numeric(number.to_string()),
             (Self::Int(number), Type::BOOL) => Self::Bool(number != 0),
@@ -271,7 +303,11 @@
             }
             (Self::Array(all), _) if kind.element().is_some() => {
                 let element = kind.element().unwrap_or(Type::TEXT);
-                Self::Array(all.into_iter().map(|one| one.cast(element)).collect::<Result<_, _>>()?)
+                Self::Array(
+                    all.into_iter()
+                        .map(|one| one.cast(element))
+                        .collect::<Result<_, _>>()?,
+                )
             }
             (value, Type::TEXT | Type::VARCHAR | Type::NAME) => match value {
                 Self::Bool(truth) => Self::Text(truth.to_string()),
@@ -289,23 +325,37 @@
             Self::Int(number) => number.to_string(),
             Self::Float(number) if kind == Type::FLOAT4 => (*number as f32).to_string(),
             Self::Float(number) if number.is_nan() => "NaN".to_owned(),
-            Self::Float(number) if number.is_infinite() => {
-                if *number > 0.0 { "Infinity" } else { "-Infinity" }.to_owned()
+            Self::Float(number) if number.is_infinite() => if *number > 0.0 {
+                "Infinity"
+            } else {
+                "-Infinity"
             }
+            .to_owned(),
             Self::Float(number) => number.to_string(),
             Self::Numeric(digits) => digits.clone(),
             Self::Text(text) => text.clone(),
             Self::Bytes(bytes) => format!("\\x{}", hex(bytes)),
             Self::Uuid(bytes) => {
                 let hex = hex(bytes);
-                format!("{}-{}-{}-{}-{}", &hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..])
+                format!(
+                    "{}-{}-{}-{}-{}",
+                    &hex[..8],
+                    &hex[8..12],
+                    &hex[12..16],
+                    &hex[16..20],
+                    &hex[20..]
+                )
             }
             Self::Date(days) => {
-                let day = epoch().date().checked_add_signed(TimeDelta::days(i64::from(*days)));
+                let day = epoch()
+                    .date()
+                    .checked_add_signed(TimeDelta::days(i64::from(*days)));
                 day.map(|day| day.to_string()).unwrap_or_default()
             }
             Self::Timestamp(at) => {
-                let at = epoch().checked_add_signed(TimeDelta::microseconds(*at)).unwrap_or_default();
+                let at = epoch()
+                    .checked_add_signed(TimeDelta::microseconds(*at))
+                    .unwrap_or_default();
                 let zone = if kind == Type::TIMESTAMP { "" } else { "+00" };
                 let mut text = at.format("%Y-%m-%d %H:%M:%S%.6f").to_string();
                 if text.contains('.') {
@@ -368,7 +418,12 @@
 
     /// From its binary form.
     pub fn read_binary(kind: Type, bytes: &[u8]) -> Result<Self, Refusal> {
-        let wrong = || Refusal("22P03", format!("incorrect binary data format for type {}", kind.0));
+        let wrong = || {
+            Refusal(
+                "22P03",
+                format!("incorrect binary data format for type {}", kind.0),
+            )
+        };
         let fixed = || -> Option<Self> {
             Some(match kind {
                 Type::BOOL => Self::Bool(*bytes.first()? != 0),
@@ -433,7 +488,10 @@
             (Self::Date(a), Self::Date(b)) => Some(a.cmp(b)),
             (Self::Timestamp(a), Self::Timestamp(b)) => Some(a.cmp(b)),
             (Self::Array(a), Self::Array(b)) => {
-                let first = a.iter().zip(b).find_map(|(a, b)| a.order(b).filter(|order| order.is_ne()));
+                let first = a
+                    .iter()
+                    .zip(b)
+                    .find_map(|(a, b)| a.order(b).filter(|order| order.is_ne()));
                 Some(first.unwrap_or(a.len().cmp(&b.len())))
             }
             (a, b) => match (number(a), number(b)) {
@@ -456,17 +514,28 @@
     if !digits.len().is_multiple_of(2) || !digits.iter().all(u8::is_ascii_hexdigit) {
         return None;
     }
-    digits.chunks(2).map(|two| u8::from_str_radix(std::str::from_utf8(two).ok()?, 16).ok()).collect()
+    digits
+        .chunks(2)
+        .map(|two| u8::from_str_radix(std::str::from_utf8(two).ok()?, 16).ok())
+        .collect()
 }
 
 fn read_timestamp(text: &str) -> Option<i64> {
     let text = text.replace('T', " ");
     let with_zone = ["%Y-%m-%d %H:%M:%S%.f%#z", "%Y-%m-%d %H:%M:%S%.f %#z"];
-    let zoned = with_zone.iter().find_map(|form| DateTime::parse_from_str(&text, form).ok());
+    let zoned = with_zone
+        .iter()
+        .find_map(|form| DateTime::parse_from_str(&text, form).ok());
     let bare = text.trim_end_matches('Z').trim_end_matches("UTC").trim();
     let plain = ["%Y-%m-%d %H:%M:%S%.f", "%Y-%m-%d %H:%M"];
-    let plain = plain.iter().find_map(|form| NaiveDateTime::parse_from_str(bare, form).ok());
-    let day = || NaiveDate::parse_from_str(bare, "%Y-%m-%d").ok().and_then(|day| day.and_hms_opt(0, 0, 0));
+    let plain = plain
+        .iter()
+        .find_map(|form| NaiveDateTime::parse_from_str(bare, form).ok());
+    let day = || {
+        NaiveDate::parse_from_str(bare, "%Y-%m-%d")
+            .ok()
+            .and_then(|day| day.and_hms_opt(0, 0, 0))
+    };
     let at = zoned.map(|at| at.naive_utc()).or(plain).or_else(day)?;
     (at - epoch()).num_microseconds()
 }
@@ -476,11 +545,17 @@
     match json {
         serde_json::Value::Object(map) => {
             let one = |(key, value)| format!("{}: {}", serde_json::Value::from(key), spaced(value));
-            let all: Vec<String> = map.iter().map(|(key, value)| one((key.as_str(), value))).collect();
+            let all: Vec<String> = map
+                .iter()
+                .map(|(key, value)| one((key.as_str(), value)))
+                .collect();
             format!("{{{}}}", all.join(", "))
         }
         serde_json::Value::Array(all) => {
-            format!("[{}]", all.iter().map(spaced).collect::<Vec<_>>().join(", "))
+            format!(
+                "[{}]",
+                all.iter().map(spaced).collect::<Vec<_>>().join(", ")
+            )
         }
         other => other.to_string(),
     }
@@ -499,13 +574,16 @@
 /// An array of one dimension in its text form.
 fn read_array(element: Type, text: &str) -> Option<Result<Value, Refusal>> {
     let inner = text.trim().strip_prefix('{')?.strip_suffix('}')?;
-    let (mut words, mut word, mut quotes, mut was_quoted) = (Vec::new(), String::new(), false, false);
+    let (mut words, mut word, mut quotes, mut was_quoted) =
+        (Vec::new(), String::new(), false, false);
     let mut signs = inner.chars();
     while let Some(sign) = signs.next() {
         match sign {
             '"' => (quotes, was_quoted) = (!quotes, true),
             '\\' => word.push(signs.next()?),
-            ',' if !quotes => words.push((std::mem::take(&mut word), std::mem::take(&mut was_quoted))),
+            ',' if !quotes => {
+                words.push((std::mem::take(&mut word), std::mem::take(&mut was_quoted)))
+            }
             sign => word.push(sign),
         }
     }
--- a/testkit/fakes/src/database/value/tests.rs
+++ b/testkit/fakes/src/database/value/tests.rs
@@ -23,7 +23,8 @@
         (Type::INT4.array(), "{1,NULL,3}"),
         (Type::TEXT.array(), "{\"a b\",\"c,\\\"d\",e}"),
     ] {
-        let value = Value::read_text(kind, text).unwrap_or_else(|refusal| panic!("{text}: {}", refusal.1));
+        let value =
+            Value::read_text(kind, text).unwrap_or_else(|refusal| panic!("{text}: {}", refusal.1));
         assert_eq!(value.text(kind), text);
         let back = Value::read_binary(kind, &value.binary(kind))
             .unwrap_or_else(|refusal| panic!("{text}: {}", refusal.1));
@@ -35,6 +36,10 @@
         (Type::UUID, "12", "22P02"),
         (Type::DATE, "yesterday", "22P02"),
     ] {
-        assert_eq!(Value::read_text(kind, text).map_err(|refusal| refusal.0), Err(code), "{text}");
+        assert_eq!(
+            Value::read_text(kind, text).map_err(|refusal| refusal.0),
+            Err(code),
+            "{text}"
+        );
     }
 }
--- a/testkit/fakes/src/database/wire.rs
+++ b/testkit/fakes/src/database/wire.rs
@@ -61,7 +61,14 @@
 impl Backend {
     pub(super) fn new(shared: Arc<Shared>, number: u64) -> Self {
         let session = Session::new(shared, number);
-        Self { session, out: Vec::new(), skips: false, copying: None, batch: false, flush: false }
+        Self {
+            session,
+            out: Vec::new(),
+            skips: false,
+            copying: None,
+            batch: false,
+            flush: false,
+        }
     }
 
     /// What is to be written now, if anything has to go out.
@@ -87,7 +94,11 @@
 
     pub(super) fn put(&mut self, tag: u8, body: &[u8]) {
         self.out.push(tag);
-        self.out.extend_from_slice(&u32::try_from(body.len() + 4).unwrap_or(u32::MAX).to_be_bytes());
+        self.out.extend_from_slice(
+            &u32::try_from(body.len() + 4)
+                .unwrap_or(u32::MAX)
+                .to_be_bytes(),
+        );
         self.out.extend_from_slice(body);
     }
 
@@ -96,8 +107,14 @@
         self.put(b'R', &0_u32.to_be_bytes());
         self.reports();
         let number = u32::try_from(self.session.number).unwrap_or(0);
-        let key =
-            [number.to_be_bytes(), self.session.shared.secret(self.session.number).to_be_bytes()].concat();
+        let key = [
+            number.to_be_bytes(),
+            self.session
+                .shared
+                .secret(self.session.number)
+                .to_be_bytes(),
+        ]
+        .concat();
         self.put(b'K', &key);
         self.ready();
     }
@@ -110,11 +127,16 @@
 
     pub(super) fn ready(&mut self) {
         self.reports();
-        for (from, channel, payload) in
-            self.session.shared.take_notices(self.session.number, &self.session.listens)
+        for (from, channel, payload) in self
+            .session
+            .shared
+            .take_notices(self.session.number, &self.session.listens)
         {
-            let body =
-                [&(from as u32).to_be_bytes()[..], format!("{channel}\0{payload}\0").as_bytes()].concat();
+            let body = [
+                &(from as u32).to_be_bytes()[..],
+                format!("{channel}\0{payload}\0").as_bytes(),
+            ]
+            .concat();
             self.put(b'A', &body);
         }
         let status = self.session.status();
@@ -123,7 +145,10 @@
     }
 
     pub(super) fn refuse(&mut self, severity: &str, refusal: &Refusal) {
-        let body = format!("S{severity}\0V{severity}\0C{}\0M{}\0\0", refusal.0, refusal.1);
+        let body = format!(
+            "S{severity}\0V{severity}\0C{}\0M{}\0\0",
+            refusal.0, refusal.1
+        );
         self.put(b'E', body.as_bytes());
     }
 
@@ -144,8 +169,8 @@
             b'Q' => return self.query(&body.string()?),
             b'P' => {
                 let (name, sql) = (body.string()?, body.string()?);
-                let types =
-                    (0..body.count()?).map(|_| body.bytes().map(|four| Type(u32::from_be_bytes(four))));
+                let types = (0..body.count()?)
+                    .map(|_| body.bytes().map(|four| Type(u32::from_be_bytes(four))));
                 let types = types.collect::<Result<Vec<_>, _>>()?;
                 self.parse(name, &sql, &types)
             }
@@ -189,7 +214,10 @@
             b'F' => {
                 self.refuse(
                     "ERROR",
-                    &Refusal("0A000", "function calls are not spoken by the stand-in".to_owned()),
+                    &Refusal(
+                        "0A000",
+                        "function calls are not spoken by the stand-in".to_owned(),
+                    ),
                 );
                 self.session.fail();
                 self.ready();
@@ -213,7 +241,11 @@
     fn query(&mut self, sql: &str) -> Result<(), Ended> {
         self.session.prepared.remove("");
         // What is asked of the catalogue stands for a statement that the parser need not know.
-        let text = if super::catalogue::question(sql).is_some() { "SELECT 1" } else { sql };
+        let text = if super::catalogue::question(sql).is_some() {
+            "SELECT 1"
+        } else {
+            sql
+        };
         let statements = match all(text) {
             Ok(statements) => statements,
             Err(refusal) => return self.query_failed(&refusal),
@@ -223,7 +255,10 @@
         }
         let last = statements.len().saturating_sub(1);
         for (at, statement) in statements.iter().enumerate() {
-            if let Statement::Copy { source, to, target, .. } = statement {
+            if let Statement::Copy {
+                source, to, target, ..
+            } = statement
+            {
                 match self.copy(source, *to, target, true) {
                     // The rest comes when the data has.
                     Ok(true) => return Ok(()),
@@ -281,7 +316,10 @@
                 return Err(Ended);
             }
             Some(Bad::Refuse) => {
-                return Ok(Err(Refusal("53300", "sorry, too many clients already".to_owned())));
+                return Ok(Err(Refusal(
+                    "53300",
+                    "sorry, too many clients already".to_owned(),
+                )));
             }
             _ => {}
         }
@@ -310,7 +348,10 @@
         }
         let prepared = self.session.prepare(sql, types)?;
         if !name.is_empty() && self.session.prepared.contains_key(&name) {
-            return Err(Refusal("42P05", format!("prepared statement \"{name}\" already exists")));
+            return Err(Refusal(
+                "42P05",
+                format!("prepared statement \"{name}\" already exists"),
+            ));
         }
         self.session.prepared.insert(name, Arc::new(prepared));
         self.put(b'1', b"");
@@ -319,15 +360,23 @@
 
     fn prepared(&self, name: &str) -> Result<Arc<Prepared>, Refusal> {
         let missing = || match name.is_empty() {
-            true => Refusal("26000", "unnamed prepared statement does not exist".to_owned()),
-            false => Refusal("26000", format!("prepared statement \"{name}\" does not exist")),
+            true => Refusal(
+                "26000",
+                "unnamed prepared statement does not exist".to_owned(),
+            ),
+            false => Refusal(
+                "26000",
+                format!("prepared statement \"{name}\" does not exist"),
+            ),
         };
         self.session.prepared.get(name).cloned().ok_or_else(missing)
     }
 
     fn bind(&mut self, body: &mut Body<'_>) -> Result<Result<(), Refusal>, Ended> {
         let (portal, name) = (body.string()?, body.string()?);
-        let formats = (0..body.count()?).map(|_| body.count()).collect::<Result<Vec<_>, _>>()?;
+        let formats = (0..body.count()?)
+            .map(|_| body.count())
+            .collect::<Result<Vec<_>, _>>()?;
         let mut raw = Vec::new();
         for _ in 0..body.count()? {
             let length = i32::from_be_bytes(body.bytes()?);
@@ -336,7 +385,9 @@
                 Err(_) => None,
             });
         }
-        let results = (0..body.count()?).map(|_| body.count()).collect::<Result<Vec<_>, _>>()?;
+        let results = (0..body.count()?)
+            .map(|_| body.count())
+            .collect::<Result<Vec<_>, _>>()?;
         Ok(self.bound(portal, &name, &formats, &raw, results))
     }
 
@@ -349,9 +400,13 @@
         results: Vec<u16>,
     ) -> Result<(), Refusal> {
         let statement = self.prepared(name)?;
-        let ends = matches!(statement.statement, Some(Statement::Commit { .. } | Statement::Rollback { .. }));
+        let ends = matches!(
+            statement.statement,
+            Some(Statement::Commit { .. } | Statement::Rollback { .. })
+        );
         if self.session.failed && !ends {
-            let what = "current transaction is aborted, commands ignored until end of transaction block";
+            let what =
+                "current transaction is aborted, commands ignored until end of transaction block";
             return Err(Refusal("25P02", what.to_owned()));
         }
         if raw.len() != statement.parameters.len() {
@@ -363,7 +418,10 @@
             return Err(Refusal("08P01", what));
         }
         if !portal.is_empty() && self.session.portals.contains_key(&portal) {
-            return Err(Refusal("42P03", format!("cursor \"{portal}\" already exists")));
+            return Err(Refusal(
+                "42P03",
+                format!("cursor \"{portal}\" already exists"),
+            ));
         }
         let mut values = Vec::new();
         for (at, (raw, kind)) in raw.iter().zip(&statement.parameters).enumerate() {
@@ -378,7 +436,14 @@
             self.session.open();
             self.batch = true;
         }
-        let made = Portal { statement, values, formats: results, left: None, fetched: 0, done: false };
+        let made = Portal {
+            statement,
+            values,
+            formats: results,
+            left: None,
+            fetched: 0,
+            done: false,
+        };
         self.session.portals.insert(portal, made);
         self.put(b'2', b"");
         Ok(())
@@ -391,8 +456,14 @@
                 let what = "current transaction is aborted, commands ignored until end of transaction block";
                 return Err(Refusal("25P02", what.to_owned()));
             }
-            let mut body = u16::try_from(statement.parameters.len()).unwrap_or(0).to_be_bytes().to_vec();
-            statement.parameters.iter().for_each(|kind| body.extend_from_slice(&kind.0.to_be_bytes()));
+            let mut body = u16::try_from(statement.parameters.len())
+                .unwrap_or(0)
+                .to_be_bytes()
+                .to_vec();
+            statement
+                .parameters
+                .iter()
+                .for_each(|kind| body.extend_from_slice(&kind.0.to_be_bytes()));
             self.put(b't', &body);
             (statement, Vec::new())
         } else {
@@ -409,7 +480,10 @@
     }
 
     fn describe_rows(&mut self, columns: &[(String, Type)], formats: &[u16]) {
-        let mut body = u16::try_from(columns.len()).unwrap_or(0).to_be_bytes().to_vec();
+        let mut body = u16::try_from(columns.len())
+            .unwrap_or(0)
+            .to_be_bytes()
+            .to_vec();
         for (at, (name, kind)) in columns.iter().enumerate() {
             body.extend_from_slice(name.as_bytes());
             body.extend_from_slice(&[0, 0, 0, 0, 0, 0, 0]);
@@ -424,19 +498,27 @@
 
     fn execute(&mut self, name: &str, most: usize) -> Result<Result<(), Refusal>, Ended> {
         let missing = || Refusal("34000", format!("portal \"{name}\" does not exist"));
-        let Some(portal) = self.session.portals.get(name).cloned() else { return Ok(Err(missing())) };
+        let Some(portal) = self.session.portals.get(name).cloned() else {
+            return Ok(Err(missing()));
+        };
         let Some(statement) = &portal.statement.statement else {
             self.put(b'I', b"");
             return Ok(Ok(()));
         };
         let sql = portal.statement.sql.clone();
         if portal.done {
-            return Ok(Err(Refusal("55000", format!("portal \"{name}\" cannot be run"))));
+            return Ok(Err(Refusal(
+                "55000",
+                format!("portal \"{name}\" cannot be run"),
+            )));
         }
         if let Some(known) = self.session.portals.get_mut(name) {
             known.done = portal.statement.columns.is_empty();
         }
-        if let Statement::Copy { source, to, target, .. } = statement {
+        if let Statement::Copy {
+            source, to, target, ..
+        } = statement
+        {
             return Ok(self.copy(source, *to, target, false).map(|_| ()));
         }
         let (outcome, mut left) = match portal.left {
@@ -446,9 +528,18 @@
                     let columns = outcome.columns.clone();
                     let count = self.rows(&outcome, &columns, &portal.formats);
                     self.complete(&outcome, count);
-                    if let Some(known) = self.session.portals.get_mut(name).filter(|_| !columns.is_empty()) {
+                    if let Some(known) = self
+                        .session
+                        .portals
+                        .get_mut(name)
+                        .filter(|_| !columns.is_empty())
+                    {
                         known.left = Some((
-                            Outcome { rows: Vec::new(), repeats: 0, ..outcome.clone() },
+                            Outcome {
+                                rows: Vec::new(),
+                                repeats: 0,
+                                ..outcome.clone()
+                            },
                             Default::default(),
                         ));
                     }
@@ -460,12 +551,23 @@
                 }
                 Ok(outcome) => {
                     let rows = spread(&outcome);
-                    (Outcome { rows: Vec::new(), repeats: 0, ..outcome }, rows)
+                    (
+                        Outcome {
+                            rows: Vec::new(),
+                            repeats: 0,
+                            ..outcome
+                        },
+                        rows,
+                    )
                 }
                 Err(refusal) => return Ok(Err(refusal)),
             },
         };
-        let count = if most == 0 { left.len() } else { most.min(left.len()) };
+        let count = if most == 0 {
+            left.len()
+        } else {
+            most.min(left.len())
+        };
         for row in left.drain(..count) {
             self.row(&row, &outcome.columns, &portal.formats);
         }
@@ -514,7 +616,11 @@
             }
             // A literal without a type becomes what its column is.
             let value = value.clone().cast(kind).unwrap_or_else(|_| value.clone());
-            let bytes = if format == 1 { value.binary(kind) } else { value.text(kind).into_bytes() };
+            let bytes = if format == 1 {
+                value.binary(kind)
+            } else {
+                value.text(kind).into_bytes()
+            };
             body.extend_from_slice(&u32::try_from(bytes.len()).unwrap_or(0).to_be_bytes());
             body.extend_from_slice(&bytes);
         }
--- a/testkit/fakes/src/discovery.rs
+++ b/testkit/fakes/src/discovery.rs
@@ -105,13 +105,18 @@
     /// Puts a line on the list, or changes it.
     pub fn set(&mut self, entry: Entry) {
         self.now.rev += 1;
-        self.now.lines.insert(entry.uid.clone(), (self.now.rev, entry));
+        self.now
+            .lines
+            .insert(entry.uid.clone(), (self.now.rev, entry));
     }
 
     /// Changes one server's state.
     pub fn set_state(&mut self, uid: &str, state: State) {
         if let Some((_, entry)) = self.now.lines.get(uid) {
-            self.set(Entry { state, ..entry.clone() });
+            self.set(Entry {
+                state,
+                ..entry.clone()
+            });
         }
     }
 
@@ -121,7 +126,11 @@
 
     /// The lines of servers that have not left.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
-        self.shown().lines.values().map(|(_, entry)| entry).filter(|entry| entry.state != State::Gone)
+        self.shown()
+            .lines
+            .values()
+            .map(|(_, entry)| entry)
+            .filter(|entry| entry.state != State::Gone)
     }
 
     /// A call: for the whole list, or for what has changed since a version. `hold` is what is left of the time
@@ -158,10 +167,16 @@
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let value = |name: &str| {
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse::<u64>().ok())
+        pairs
+            .filter(|(key, _)| *key == name)
+            .find_map(|(_, value)| value.parse::<u64>().ok())
     };
-    (path == "/registry/instances")
-        .then(|| (value("from"), value("hold_ms").unwrap_or(0).min(60_000) * 1_000_000))
+    (path == "/registry/instances").then(|| {
+        (
+            value("from"),
+            value("hold_ms").unwrap_or(0).min(60_000) * 1_000_000,
+        )
+    })
 }
 
 #[cfg(test)]
--- a/testkit/fakes/src/discovery/tests.rs
+++ b/testkit/fakes/src/discovery/tests.rs
@@ -14,11 +14,23 @@
 }
 
 fn names(reply: Reply) -> (u64, bool, Vec<String>) {
-    let Reply::Answer(text) = reply else { panic!("{reply:?}") };
+    let Reply::Answer(text) = reply else {
+        panic!("{reply:?}")
+    };
     let list: serde_json::Value = serde_json::from_str(&text).expect("a list");
     let targets = list["targets"].as_array().expect("targets").iter();
-    let names = targets.map(|t| format!("{} {}", t["uid"].as_str().unwrap(), t["state"].as_str().unwrap()));
-    (list["rev"].as_u64().unwrap(), list["all"].as_bool().unwrap(), names.collect())
+    let names = targets.map(|t| {
+        format!(
+            "{} {}",
+            t["uid"].as_str().unwrap(),
+            t["state"].as_str().unwrap()
+        )
+    });
+    (
+        list["rev"].as_u64().unwrap(),
+        list["all"].as_bool().unwrap(),
+        names.collect(),
+    )
 }
 
 #[test]
@@ -30,15 +42,27 @@
     assert_eq!(list.ask(Some(2), 5), Reply::Hold);
     assert_eq!(names(list.ask(Some(2), 0)), (2, false, vec![]));
     list.set_state("x", State::Gone);
-    assert_eq!(names(list.ask(Some(2), 5)), (3, false, vec!["x Gone".to_owned()]));
-    assert_eq!(names(list.ask(Some(99), 5)), (3, true, vec!["y Ready".to_owned()]));
+    assert_eq!(
+        names(list.ask(Some(2), 5)),
+        (3, false, vec!["x Gone".to_owned()])
+    );
+    assert_eq!(
+        names(list.ask(Some(99), 5)),
+        (3, true, vec!["y Ready".to_owned()])
+    );
     // Stale: nothing new is told, and a new call gets the old list.
     list.set_mode(Mode::Stale);
     list.set_state("y", State::Terminating);
     assert_eq!(list.ask(Some(3), 5), Reply::Hold);
-    assert_eq!(names(list.ask(None, 5)), (3, true, vec!["y Ready".to_owned()]));
+    assert_eq!(
+        names(list.ask(None, 5)),
+        (3, true, vec!["y Ready".to_owned()])
+    );
     list.set_mode(Mode::Good);
-    assert_eq!(names(list.ask(Some(3), 5)), (4, false, vec!["y Terminating".to_owned()]));
+    assert_eq!(
+        names(list.ask(Some(3), 5)),
+        (4, false, vec!["y Terminating".to_owned()])
+    );
 }
 
 #[test]
@@ -54,16 +78,24 @@
     assert!(all && targets.is_empty());
     assert_eq!(list.ask(Some(rev), 5), Reply::Hold);
     list.set_mode(Mode::Malformed);
-    let Reply::Answer(text) = list.ask(None, 5) else { panic!("an answer") };
+    let Reply::Answer(text) = list.ask(None, 5) else {
+        panic!("an answer")
+    };
     assert!(serde_json::from_str::<serde_json::Value>(&text).is_err());
     // Whoever took the empty list is told the whole one afterwards.
     list.set_mode(Mode::Good);
-    assert_eq!(names(list.ask(Some(rev), 5)), (1, true, vec!["x Ready".to_owned()]));
+    assert_eq!(
+        names(list.ask(Some(rev), 5)),
+        (1, true, vec!["x Ready".to_owned()])
+    );
 }
 
 #[test]
 fn targets_are_read() {
     assert_eq!(read_target("/registry/instances"), Some((None, 0)));
-    assert_eq!(read_target("/registry/instances?from=4&hold_ms=20"), Some((Some(4), 20_000_000)));
+    assert_eq!(
+        read_target("/registry/instances?from=4&hold_ms=20"),
+        Some((Some(4), 20_000_000))
+    );
     assert_eq!(read_target("/other?from=4"), None);
 }
--- a/testkit/fakes/src/late.rs
+++ b/testkit/fakes/src/late.rs
@@ -20,19 +20,29 @@
 impl Late {
     pub fn new() -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket
+            .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
+            .unwrap();
         socket.listen(0).unwrap();
         let listener = TcpListener::from(socket);
         let at = listener.local_addr().unwrap();
         let first = TcpStream::connect(at).unwrap();
-        Self { at, listener, _first: first }
+        Self {
+            at,
+            listener,
+            _first: first,
+        }
     }
 
     /// Waits until somebody tries to connect, and is kept out.
     pub fn is_tried(&self) {
         // Remote address and port in hexadecimal, and the state SYN_SENT.
         let mark = format!("0100007F:{:04X} 02", self.at.port());
-        until("a connect is tried", || std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&mark));
+        until("a connect is tried", || {
+            std::fs::read_to_string("/proc/net/tcp")
+                .unwrap()
+                .contains(&mark)
+        });
     }
 
     /// Makes room: the next connection that is tried comes up, a second after its first packet or so.
--- a/testkit/fakes/src/lib.rs
+++ b/testkit/fakes/src/lib.rs
@@ -24,12 +24,19 @@
     let own = std::env::current_exe().unwrap_or_default();
     let beside = own.parent().map(PathBuf::from).unwrap_or_default();
     let places = [beside.join(name), beside.join("..").join(name)];
-    let found = places.iter().find(|path| path.is_file()).and_then(|path| path.canonicalize().ok());
+    let found = places
+        .iter()
+        .find(|path| path.is_file())
+        .and_then(|path| path.canonicalize().ok());
     found.ok_or_else(|| NotBuilt(places[0].clone()))
 }
 
 /// Where a node listens, from the line of its log that says so.
 pub fn listens_at(line: &str) -> Option<std::net::SocketAddr> {
     let (_, fields) = line.split_once("serving node=")?;
-    fields.split_whitespace().find_map(|field| field.strip_prefix("listen="))?.parse().ok()
+    fields
+        .split_whitespace()
+        .find_map(|field| field.strip_prefix("listen="))?
+        .parse()
+        .ok()
 }
--- a/testkit/fakes/src/message.rs
+++ b/testkit/fakes/src/message.rs
@@ -24,13 +24,17 @@
 impl Message {
     /// The first header of this name.
     pub fn value(&self, name: &str) -> Option<&str> {
-        let named = self.headers.iter().find(|header| header.0.eq_ignore_ascii_case(name));
+        let named = self
+            .headers
+            .iter()
+            .find(|header| header.0.eq_ignore_ascii_case(name));
         named.map(|(_, value)| value.as_str())
     }
 
     /// Whether the sender ends the connection with it.
     pub fn closes(&self) -> bool {
-        self.value("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+        self.value("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
 }
 
@@ -67,7 +71,10 @@
 impl Inbox {
     /// An empty one.
     pub fn new(side: Side) -> Self {
-        Self { side, bytes: Vec::new() }
+        Self {
+            side,
+            bytes: Vec::new(),
+        }
     }
 
     /// Adds what has come.
@@ -87,17 +94,27 @@
             Side::Requests => {
                 let mut request = httparse::Request::new(&mut lines);
                 let parsed = request.parse(&self.bytes).map_err(Broken::Head)?;
-                let (method, target) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
+                let (method, target) = (
+                    request.method.unwrap_or_default(),
+                    request.path.unwrap_or_default(),
+                );
                 (parsed, head(method, target, 0, request.headers))
             }
             Side::Answers => {
                 let mut answer = httparse::Response::new(&mut lines);
                 let parsed = answer.parse(&self.bytes).map_err(Broken::Head)?;
-                (parsed, head("", "", answer.code.unwrap_or_default(), answer.headers))
+                (
+                    parsed,
+                    head("", "", answer.code.unwrap_or_default(), answer.headers),
+                )
             }
         };
         let httparse::Status::Complete(start) = parsed else {
-            return if self.bytes.len() > MAX_HEAD { Err(Broken::TooLong) } else { Ok(None) };
+            return if self.bytes.len() > MAX_HEAD {
+                Err(Broken::TooLong)
+            } else {
+                Ok(None)
+            };
         };
         let length = match message.value("content-length") {
             Some(text) => text.trim().parse::<usize>().map_err(|_| Broken::Length)?,
@@ -107,7 +124,9 @@
         if length > MAX_BODY {
             return Err(Broken::TooLong);
         }
-        let Some(body) = self.bytes.get(start..start + length) else { return Ok(None) };
+        let Some(body) = self.bytes.get(start..start + length) else {
+            return Ok(None);
+        };
         message.body = body.to_vec();
         self.bytes.drain(..start + length);
         Ok(Some(message))
@@ -116,7 +135,10 @@
 
 fn head(method: &str, target: &str, status: u16, lines: &[httparse::Header<'_>]) -> Message {
     let line = |line: &httparse::Header<'_>| {
-        (line.name.to_owned(), String::from_utf8_lossy(line.value).trim().to_owned())
+        (
+            line.name.to_owned(),
+            String::from_utf8_lossy(line.value).trim().to_owned(),
+        )
     };
     Message {
         method: method.to_owned(),
@@ -138,15 +160,22 @@
         504 => "Gateway Timeout",
         _ => "-",
     };
-    let mut bytes =
-        format!("HTTP/1.1 {status} {reason}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let mut bytes = format!(
+        "HTTP/1.1 {status} {reason}\r\n{headers}Content-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
     bytes.extend_from_slice(body);
     bytes
 }
 
 /// A request's bytes. `headers` are whole lines, each with its end.
 pub fn request(method: &str, target: &str, headers: &str, body: &[u8]) -> Vec<u8> {
-    let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let length = if method == "GET" {
+        String::new()
+    } else {
+        format!("Content-Length: {}\r\n", body.len())
+    };
     let mut bytes = format!("{method} {target} HTTP/1.1\r\n{headers}{length}\r\n").into_bytes();
     bytes.extend_from_slice(body);
     bytes
--- a/testkit/fakes/src/net.rs
+++ b/testkit/fakes/src/net.rs
@@ -104,7 +104,10 @@
     pub fn new(at: SocketAddr) -> io::Result<Self> {
         let socket = bound(at)?;
         let at = socket.local_addr()?.as_socket().unwrap_or(at);
-        Ok(Self { at, _socket: socket })
+        Ok(Self {
+            at,
+            _socket: socket,
+        })
     }
 
     /// The address.
@@ -133,7 +136,16 @@
         let (poll, events) = (Poll::new()?, Events::with_capacity(4096));
         let (doors, reserved) = (Vec::new(), Vec::new());
         let (conns, leaving) = (BTreeMap::new(), BTreeMap::new());
-        Ok(Self { poll, events, doors, reserved, conns, leaving, next: FIRST_CONN, read: 0 })
+        Ok(Self {
+            poll,
+            events,
+            doors,
+            reserved,
+            conns,
+            leaving,
+            next: FIRST_CONN,
+            read: 0,
+        })
     }
 
     /// Listens at a free port of `at`'s address, or at its port if that is not 0.
@@ -149,7 +161,9 @@
 
     fn open(&self, listener: std::net::TcpListener, id: ListenerId) -> io::Result<Door> {
         let mut listener = TcpListener::from_std(listener);
-        self.poll.registry().register(&mut listener, Token(id.0), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut listener, Token(id.0), Interest::READABLE)?;
         Ok(Door::Open(listener))
     }
 
@@ -158,7 +172,9 @@
         let mut socket = UdpSocket::bind(at)?;
         let at = socket.local_addr()?;
         let id = ListenerId(self.doors.len());
-        self.poll.registry().register(&mut socket, Token(id.0), Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut socket, Token(id.0), Interest::READABLE)?;
         self.doors.push((at, Door::Datagrams(socket)));
         Ok((id, at))
     }
@@ -200,9 +216,20 @@
     fn adopt(&mut self, mut stream: TcpStream) -> io::Result<ConnId> {
         stream.set_nodelay(true)?;
         let id = ConnId(self.next);
-        self.poll.registry().register(&mut stream, Token(id.0), Interest::READABLE | Interest::WRITABLE)?;
+        self.poll.registry().register(
+            &mut stream,
+            Token(id.0),
+            Interest::READABLE | Interest::WRITABLE,
+        )?;
         self.next += 1;
-        self.conns.insert(id, Conn { stream, unsent: Vec::new(), writable: true });
+        self.conns.insert(
+            id,
+            Conn {
+                stream,
+                unsent: Vec::new(),
+                writable: true,
+            },
+        );
         Ok(id)
     }
 
@@ -214,7 +241,9 @@
     /// Writes, as far as the peer reads; the rest follows as it does. Returns how many bytes went out at once.
     /// A peer that has gone is told of by the next [`Net::poll`].
     pub fn write(&mut self, conn: ConnId, bytes: &[u8]) -> usize {
-        let Some(found) = self.conns.get_mut(&conn) else { return 0 };
+        let Some(found) = self.conns.get_mut(&conn) else {
+            return 0;
+        };
         if found.unsent.len() + bytes.len() > MOST_UNSENT {
             self.reset(conn);
             return 0;
@@ -251,16 +280,23 @@
             opened.clear();
         }
         opened.sort_unstable();
-        let anew: BTreeMap<ConnId, ConnId> = opened.iter().map(|(_, conn)| *conn).zip(numbers).collect();
-        let taken: Vec<_> =
-            anew.iter().filter_map(|(conn, number)| Some((*number, self.conns.remove(conn)?))).collect();
+        let anew: BTreeMap<ConnId, ConnId> =
+            opened.iter().map(|(_, conn)| *conn).zip(numbers).collect();
+        let taken: Vec<_> = anew
+            .iter()
+            .filter_map(|(conn, number)| Some((*number, self.conns.remove(conn)?)))
+            .collect();
         for (number, mut conn) in taken {
             let interest = Interest::READABLE | Interest::WRITABLE;
-            self.poll.registry().reregister(&mut conn.stream, Token(number.0), interest)?;
+            self.poll
+                .registry()
+                .reregister(&mut conn.stream, Token(number.0), interest)?;
             self.conns.insert(number, conn);
         }
         let renumber = |conn: &mut ConnId| {
-            anew.get(conn).into_iter().for_each(|number| *conn = *number);
+            anew.get(conn)
+                .into_iter()
+                .for_each(|number| *conn = *number);
         };
         for happening in told.iter_mut() {
             match happening {
@@ -370,7 +406,9 @@
             }
             return;
         }
-        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return;
+        };
         let (bytes, ended) = take_in(&mut conn.stream);
         self.read += bytes.len() as u64;
         if !bytes.is_empty() {
--- a/testkit/fakes/src/net/tests.rs
+++ b/testkit/fakes/src/net/tests.rs
@@ -22,8 +22,19 @@
         assert_eq!(net.write(client, b"hello"), 5);
         let mut told = Vec::new();
         until(&mut net, &mut told, |told| told.len() >= 2);
-        let Happening::Opened { listener: of, conn } = told[0] else { panic!("{told:?}") };
-        assert_eq!((of, &told[1]), (listener, &Happening::Bytes { conn, bytes: b"hello".to_vec() }));
+        let Happening::Opened { listener: of, conn } = told[0] else {
+            panic!("{told:?}")
+        };
+        assert_eq!(
+            (of, &told[1]),
+            (
+                listener,
+                &Happening::Bytes {
+                    conn,
+                    bytes: b"hello".to_vec()
+                }
+            )
+        );
         if reset {
             net.reset(client)
         } else {
@@ -40,11 +51,21 @@
 fn datagrams_go_from_door_to_door() {
     let mut net = Net::new().unwrap();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let ((one, from), (door, at)) = (net.open_datagrams(any).unwrap(), net.open_datagrams(any).unwrap());
+    let ((one, from), (door, at)) = (
+        net.open_datagrams(any).unwrap(),
+        net.open_datagrams(any).unwrap(),
+    );
     assert_eq!(net.send(one, at, b"hello"), 5);
     let mut told = Vec::new();
     until(&mut net, &mut told, |told| !told.is_empty());
-    assert_eq!(told, [Happening::Datagram { door, from, bytes: b"hello".to_vec() }]);
+    assert_eq!(
+        told,
+        [Happening::Datagram {
+            door,
+            from,
+            bytes: b"hello".to_vec()
+        }]
+    );
     assert_eq!(net.bytes_read(), 5);
 }
 
@@ -58,7 +79,10 @@
         drop(listener);
     }
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    assert!(Reserved::new(listener.local_addr().unwrap()).is_err(), "the port is taken");
+    assert!(
+        Reserved::new(listener.local_addr().unwrap()).is_err(),
+        "the port is taken"
+    );
 }
 
 #[test]
--- a/testkit/fakes/src/random.rs
+++ b/testkit/fakes/src/random.rs
@@ -8,9 +8,11 @@
     /// A generator of its own for each purpose, so that one more draw for one changes no other.
     pub fn new(seed: u64, purpose: &str) -> Self {
         // FNV-1a over the purpose's name.
-        let name = purpose.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        });
+        let name = purpose
+            .bytes()
+            .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+                (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+            });
         let mut random = Self(seed ^ name);
         random.bits();
         random
--- a/testkit/fakes/src/scripted.rs
+++ b/testkit/fakes/src/scripted.rs
@@ -27,7 +27,10 @@
 
 impl Message {
     pub fn values(&self, name: &str) -> Vec<&str> {
-        let named = self.headers.iter().filter(|header| header.0.eq_ignore_ascii_case(name));
+        let named = self
+            .headers
+            .iter()
+            .filter(|header| header.0.eq_ignore_ascii_case(name));
         named.map(|(_, value)| value.as_str()).collect()
     }
 
@@ -36,7 +39,11 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -51,15 +58,24 @@
     let mut headers = Vec::new();
     loop {
         let text = line()?;
-        let Some((name, value)) = text.split_once(':') else { break };
+        let Some((name, value)) = text.split_once(':') else {
+            break;
+        };
         headers.push((name.to_owned(), value.trim().to_owned()));
     }
-    let mut message = Message { first, headers, body: Vec::new() };
+    let mut message = Message {
+        first,
+        headers,
+        body: Vec::new(),
+    };
     if message.value("transfer-encoding").is_some() {
         message.body = read_chunks(reader)?;
         return Some(message);
     }
-    let length = message.value("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let length = message
+        .value("content-length")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
     Some(message)
@@ -103,7 +119,10 @@
 }
 
 pub fn ok(body: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
 
 pub fn status(code: u16, headers: &str) -> String {
@@ -125,7 +144,10 @@
 
     pub fn wait(&self) {
         let open = self.open.lock().unwrap();
-        let (_open, timed_out) = self.changed.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap();
+        let (_open, timed_out) = self
+            .changed
+            .wait_timeout_while(open, PATIENCE, |open| !*open)
+            .unwrap();
         assert!(!timed_out.timed_out(), "the gate never opened");
     }
 }
@@ -154,11 +176,18 @@
                 thread::spawn(move || attend(stream, &*does, &send, &ended));
             }
         });
-        Self { at, got, connections, closed }
+        Self {
+            at,
+            got,
+            connections,
+            closed,
+        }
     }
 
     pub fn next(&self) -> Message {
-        self.got.recv_timeout(PATIENCE).expect("a request reaches the backend")
+        self.got
+            .recv_timeout(PATIENCE)
+            .expect("a request reaches the backend")
     }
 
     pub fn count(&self) -> usize {
@@ -166,7 +195,12 @@
     }
 }
 
-fn attend(stream: TcpStream, does: &dyn Fn(&Message) -> Does, send: &Sender<Message>, ended: &AtomicU32) {
+fn attend(
+    stream: TcpStream,
+    does: &dyn Fn(&Message) -> Does,
+    send: &Sender<Message>,
+    ended: &AtomicU32,
+) {
     let mut writer = stream.try_clone().unwrap();
     let mut reader = BufReader::new(stream);
     while let Some(message) = read_message(&mut reader) {
@@ -238,7 +272,11 @@
         let mut reader = BufReader::new(stream);
         while let Some(message) = read_message(&mut reader) {
             self.calls.lock().unwrap().push(message.first.clone());
-            let from = message.first.split("from=").nth(1).and_then(|t| t.split('&').next()?.parse().ok());
+            let from = message
+                .first
+                .split("from=")
+                .nth(1)
+                .and_then(|t| t.split('&').next()?.parse().ok());
             let (lock, changed) = &*self.state;
             let state = lock.lock().unwrap();
             let seen = |state: &mut (u64, String)| Some(state.0) == from;
@@ -271,7 +309,13 @@
     /// Waits until a watch from this version has come: what that version held has been taken in.
     pub fn watched_from(&self, rev: u64) {
         let mark = format!("from={rev}&");
-        until("the watch goes on", || self.calls.lock().unwrap().iter().any(|call| call.contains(&mark)));
+        until("the watch goes on", || {
+            self.calls
+                .lock()
+                .unwrap()
+                .iter()
+                .any(|call| call.contains(&mark))
+        });
     }
 
     pub fn rev(&self) -> u64 {
@@ -343,18 +387,23 @@
 pub fn spawn_in(config: &str, own: Option<&Path>, folder: Option<&Path>) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
-    let path = std::env::temp_dir().join(format!("badgerpost-{}-{number}.json", std::process::id()));
+    let path =
+        std::env::temp_dir().join(format!("badgerpost-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
-    let child = Command::new(crate::program("badgerpost").unwrap_or_else(|error| panic!("{error}")))
-        .env("EDGE_CONFIG", &path)
-        .env_remove("TMPDIR")
-        .envs(folder.map(|folder| ("TMPDIR", folder)))
-        .args(own.into_iter().flat_map(|own| ["--config".as_ref(), own.as_os_str()]))
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the node starts");
+    let child =
+        Command::new(crate::program("badgerpost").unwrap_or_else(|error| panic!("{error}")))
+            .env("EDGE_CONFIG", &path)
+            .env_remove("TMPDIR")
+            .envs(folder.map(|folder| ("TMPDIR", folder)))
+            .args(
+                own.into_iter()
+                    .flat_map(|own| ["--config".as_ref(), own.as_os_str()]),
+            )
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the node starts");
     (child, path)
 }
 
@@ -396,13 +445,20 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        Self { child, at, log, file }
+        Self {
+            child,
+            at,
+            log,
+            file,
+        }
     }
 
     /// A node that discovery tells of these backends, as `s-0`, `s-1` and so on.
     pub fn with(backends: &[&Backend]) -> (Self, Discovery) {
-        let targets: Vec<Value> =
-            (0..).zip(backends).map(|(n, backend)| target(&format!("s-{n}"), backend.at, "Ready")).collect();
+        let targets: Vec<Value> = (0..)
+            .zip(backends)
+            .map(|(n, backend)| target(&format!("s-{n}"), backend.at, "Ready"))
+            .collect();
         let discovery = Discovery::new(json!(targets));
         let node = Self::start(&config(discovery.at, json!([])));
         discovery.watched_from(1);
@@ -439,7 +495,10 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        let done = Command::new("kill")
+            .args([name, &self.child.id().to_string()])
+            .status()
+            .unwrap();
         assert!(done.success());
     }
 
@@ -514,7 +573,8 @@
 /// One figure of a node's console, if it is there.
 pub fn figure(console: SocketAddr, name: &str) -> Option<String> {
     let (_, text) = call(console, "GET", "/status/metrics");
-    text.lines().find_map(|line| Some(line.strip_prefix(name)?.strip_prefix('=')?.to_owned()))
+    text.lines()
+        .find_map(|line| Some(line.strip_prefix(name)?.strip_prefix('=')?.to_owned()))
 }
 
 pub fn get(id: &str, more: &str) -> String {
--- a/testkit/fakes/src/server.rs
+++ b/testkit/fakes/src/server.rs
@@ -99,7 +99,10 @@
 
     /// Its process starts anew: what it held is gone, and it is cold.
     pub fn restart(&mut self, now: Nanos) {
-        *self = Self { pace: self.pace, ..Self::new(self.figures, Some(now), now) };
+        *self = Self {
+            pace: self.pace,
+            ..Self::new(self.figures, Some(now), now)
+        };
     }
 
     /// From now on work that is begun takes so many times as long.
@@ -119,9 +122,14 @@
 
     /// Looks whether it has been crowded, or choked and mostly idle, for long enough by now.
     fn watch_crowd(&mut self, now: Nanos) {
-        let Some(choke) = self.figures.choke else { return };
+        let Some(choke) = self.figures.choke else {
+            return;
+        };
         let (goes_on, span) = if self.choked {
-            (self.waiting.is_empty() && self.running.len() <= self.figures.slots / 4, choke.rest)
+            (
+                self.waiting.is_empty() && self.running.len() <= self.figures.slots / 4,
+                choke.rest,
+            )
         } else {
             (self.waiting.len() >= choke.waiting, choke.over)
         };
@@ -135,18 +143,28 @@
 
     /// Its speed at this time.
     fn speed(&self, now: Nanos) -> f64 {
-        let Figures { speed, cold_share, warm_after, .. } = self.figures;
+        let Figures {
+            speed,
+            cold_share,
+            warm_after,
+            ..
+        } = self.figures;
         let warmth = self.booted.map_or(1.0, |booted| {
             let age = now.saturating_sub(booted) as f64 / warm_after.max(1) as f64;
             (cold_share + (1.0 - cold_share) * age).clamp(0.001, 1.0)
         });
         speed * warmth
             / self.pace
-            / self.figures.choke.filter(|_| self.choked).map_or(1.0, |choke| choke.slower)
+            / self
+                .figures
+                .choke
+                .filter(|_| self.choked)
+                .map_or(1.0, |choke| choke.slower)
     }
 
     fn is_cold(&self, now: Nanos) -> bool {
-        self.booted.is_some_and(|booted| now.saturating_sub(booted) < self.figures.warm_after)
+        self.booted
+            .is_some_and(|booted| now.saturating_sub(booted) < self.figures.warm_after)
     }
 
     /// How much it was sent over the last fall span, as a multiple of what it can do now; none once warm.
@@ -164,10 +182,17 @@
         if self.is_cold(now) {
             self.sent.push_back((now, work));
             let span = self.figures.fall_span;
-            while self.sent.front().is_some_and(|(at, _)| now.saturating_sub(*at) >= span) {
+            while self
+                .sent
+                .front()
+                .is_some_and(|(at, _)| now.saturating_sub(*at) >= span)
+            {
                 self.sent.pop_front();
             }
-            if self.cold_load(now).is_some_and(|load| load > self.figures.tip_multiple) {
+            if self
+                .cold_load(now)
+                .is_some_and(|load| load > self.figures.tip_multiple)
+            {
                 self.fallen = true;
                 self.running.clear();
                 self.waiting.clear();
@@ -187,7 +212,8 @@
 
     fn begin(&mut self, now: Nanos, ticket: u64, work: Nanos) {
         let takes = (work as f64 / self.speed(now)) as Nanos;
-        self.running.insert((now.saturating_add(takes.max(1)), ticket));
+        self.running
+            .insert((now.saturating_add(takes.max(1)), ticket));
     }
 
     /// When the next request is done.
--- a/testkit/fakes/src/server/tests.rs
+++ b/testkit/fakes/src/server/tests.rs
@@ -18,8 +18,22 @@
 
 #[test]
 fn a_crowded_server_slows_down_until_it_has_rested() {
-    let choke = Choke { waiting: 3, over: 50 * MS, slower: 2.0, rest: 200 * MS };
-    let mut server = Server::new(Figures { queue: 9, speed: 1.0, choke: Some(choke), ..figures() }, None, 0);
+    let choke = Choke {
+        waiting: 3,
+        over: 50 * MS,
+        slower: 2.0,
+        rest: 200 * MS,
+    };
+    let mut server = Server::new(
+        Figures {
+            queue: 9,
+            speed: 1.0,
+            choke: Some(choke),
+            ..figures()
+        },
+        None,
+        0,
+    );
     let work = |server: &mut Server, until: Nanos, waits: usize| {
         let mut ticket = until;
         for now in (until - 100 * MS..until).step_by(MS as usize) {
@@ -32,7 +46,10 @@
         server.is_choked()
     };
     assert!(!work(&mut server, 100 * MS, 2), "two wait: no crowd");
-    assert!(work(&mut server, 200 * MS, 6), "three or more wait for 50 ms");
+    assert!(
+        work(&mut server, 200 * MS, 6),
+        "three or more wait for 50 ms"
+    );
     // Work goes on at half the speed, and the crowd's end alone does not help.
     server.offer(200 * MS, 7, 10 * MS);
     assert!(work(&mut server, 300 * MS, 1), "still in use");
@@ -50,13 +67,24 @@
 #[test]
 fn work_takes_its_time_then_waits_then_is_turned_away() {
     let mut server = Server::new(figures(), None, 0);
-    let offers: Vec<Offer> = (0..4).map(|ticket| server.offer(0, ticket, 10 * MS)).collect();
-    assert_eq!(offers, [Offer::Taken, Offer::Taken, Offer::Taken, Offer::TurnedAway]);
+    let offers: Vec<Offer> = (0..4)
+        .map(|ticket| server.offer(0, ticket, 10 * MS))
+        .collect();
+    assert_eq!(
+        offers,
+        [Offer::Taken, Offer::Taken, Offer::Taken, Offer::TurnedAway]
+    );
     assert_eq!(server.next_done(), Some(20 * MS));
     assert_eq!(server.take_done(19 * MS), None);
-    assert_eq!((server.take_done(20 * MS), server.take_done(20 * MS)), (Some(0), Some(1)));
+    assert_eq!(
+        (server.take_done(20 * MS), server.take_done(20 * MS)),
+        (Some(0), Some(1))
+    );
     // The third began when the first was done.
-    assert_eq!((server.take_done(39 * MS), server.take_done(40 * MS)), (None, Some(2)));
+    assert_eq!(
+        (server.take_done(39 * MS), server.take_done(40 * MS)),
+        (None, Some(2))
+    );
     assert_eq!(server.next_done(), None);
 }
 
@@ -78,7 +106,10 @@
     assert_eq!(sends(None), (None, false));
     // A tenth of half of two slots does 100 ms of work a second; more than twice that is too much.
     let (fell, fallen) = sends(Some(0));
-    assert!(fallen && fell.is_some_and(|n| (20..26).contains(&n)), "{fell:?}");
+    assert!(
+        fallen && fell.is_some_and(|n| (20..26).contains(&n)),
+        "{fell:?}"
+    );
     let mut server = Server::new(figures(), Some(0), 0);
     server.offer(0, 1, 400 * MS);
     assert!(server.has_fallen());
--- a/testkit/scenarios/src/bin/faulty_node.rs
+++ b/testkit/scenarios/src/bin/faulty_node.rs
@@ -96,9 +96,13 @@
 
 fn start() -> Result<(), Failure> {
     let edge: Edge = serde_json::from_slice(&std::fs::read(std::env::var("EDGE_CONFIG")?)?)?;
-    let mut arguments = std::env::args().skip_while(|argument| argument != "--config").skip(1);
-    let own: Option<Own> =
-        arguments.next().map(|path| badgerpost_settings::file::read(path.as_ref())).transpose()?;
+    let mut arguments = std::env::args()
+        .skip_while(|argument| argument != "--config")
+        .skip(1);
+    let own: Option<Own> = arguments
+        .next()
+        .map(|path| badgerpost_settings::file::read(path.as_ref()))
+        .transpose()?;
     let fault = match std::env::var("BADGERPOST_FAULT").as_deref() {
         Ok("resend") => Fault::Resend,
         Ok("drop") => Fault::Drop,
@@ -108,18 +112,23 @@
         Ok("stray") => Fault::Stray,
         _ => Fault::None,
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, serve(edge, own, fault))
 }
 
 async fn serve(edge: Edge, own: Option<Own>, fault: Fault) -> Result<(), Failure> {
     let hands = match own {
-        Some(Own { rehearsal }) => {
-            Some((VirtualClock::at(rehearsal.start_ns), Control::connect(rehearsal.control)?))
-        }
+        Some(Own { rehearsal }) => Some((
+            VirtualClock::at(rehearsal.start_ns),
+            Control::connect(rehearsal.control)?,
+        )),
         None => None,
     };
-    let clock = hands.as_ref().map_or_else(Clock::system, |(steps, _)| Clock::stepped(steps.clone()));
+    let clock = hands
+        .as_ref()
+        .map_or_else(Clock::system, |(steps, _)| Clock::stepped(steps.clone()));
     let node = Rc::new(Node {
         fault,
         zone: edge.settings.az.clone(),
@@ -138,7 +147,8 @@
     eprintln!("serving node={} listen={listen}", edge.name);
     match hands {
         Some((steps, control)) => {
-            let over = spawn_local(async move { control.follow(&edge.name, listen, steps).await }).await?;
+            let over =
+                spawn_local(async move { control.follow(&edge.name, listen, steps).await }).await?;
             Err(over.into())
         }
         None => std::future::pending().await,
@@ -151,7 +161,11 @@
         if let Some(message) = inbox.take().ok()? {
             return Some(message);
         }
-        let read = stream.read(&mut buffer).await.ok().filter(|read| *read > 0)?;
+        let read = stream
+            .read(&mut buffer)
+            .await
+            .ok()
+            .filter(|read| *read > 0)?;
         activity::read(read);
         inbox.push(&buffer[..read]);
     }
@@ -177,7 +191,11 @@
         let mut inbox = Inbox::new(Side::Answers);
         let mut target = "/registry/instances".to_owned();
         loop {
-            write(&mut stream, &message::request("GET", &target, "Host: list\r\n", b"")).await?;
+            write(
+                &mut stream,
+                &message::request("GET", &target, "Host: list\r\n", b""),
+            )
+            .await?;
             let answer = read(&mut stream, &mut inbox).await?;
             let list: List = serde_json::from_slice(&answer.body).ok()?;
             let mut targets = self.targets.borrow_mut();
@@ -201,14 +219,16 @@
         let targets = self.targets.borrow();
         let drains = |target: &&Target| self.fault == Fault::Drain || target.state == "Ready";
         let home = !(self.clock.now() / 1_000_000_000).is_multiple_of(3);
-        let strays = |target: &&Target| self.fault != Fault::Stray || (target.az == self.zone) == home;
+        let strays =
+            |target: &&Target| self.fault != Fault::Stray || (target.az == self.zone) == home;
         let usable: Vec<&Target> = targets.iter().filter(drains).filter(strays).collect();
         let chosen = match self.fault {
             Fault::Flood => usable.iter().max_by_key(|target| target.boot_ms).copied(),
             // The draining ones above all.
-            Fault::Drain if turn.is_multiple_of(2) => {
-                usable.iter().find(|target| target.state != "Ready").copied()
-            }
+            Fault::Drain if turn.is_multiple_of(2) => usable
+                .iter()
+                .find(|target| target.state != "Ready")
+                .copied(),
             _ => None,
         };
         let chosen = chosen.or_else(|| usable.get(turn % usable.len().max(1)).copied());
@@ -234,12 +254,19 @@
     }
 
     async fn serve(&self, request: &Message) -> Vec<u8> {
-        let budget = request.value("x-budget-ms").and_then(|text| text.parse().ok()).unwrap_or(1000);
+        let budget = request
+            .value("x-budget-ms")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(1000);
         let limit = Duration::from_millis(budget);
         let attempt = self.clock.timeout(limit, self.attempt(request)).await;
         let first = attempt.ok().flatten();
         let again = self.fault == Fault::Resend && request.method == "POST";
-        let last = if again { self.attempt(request).await.or(first) } else { first };
+        let last = if again {
+            self.attempt(request).await.or(first)
+        } else {
+            first
+        };
         match last {
             Some(answer) if answer.status == 200 => message::answer(200, "", &answer.body),
             _ => message::answer(502, "", b"failed"),
@@ -248,7 +275,9 @@
 
     async fn attempt(&self, request: &Message) -> Option<Message> {
         let target = self.pick()?;
-        let mut stream = activity::connecting(TcpStream::connect(target.endpoint)).await.ok()?;
+        let mut stream = activity::connecting(TcpStream::connect(target.endpoint))
+            .await
+            .ok()?;
         let _connection = activity::Connection::default();
         let passed = |(name, _): &&(String, String)| !name.eq_ignore_ascii_case("content-length");
         let headers: String = request
@@ -257,8 +286,11 @@
             .filter(passed)
             .map(|(name, value)| format!("{name}: {value}\r\n"))
             .collect();
-        write(&mut stream, &message::request(&request.method, &request.target, &headers, &request.body))
-            .await?;
+        write(
+            &mut stream,
+            &message::request(&request.method, &request.target, &headers, &request.body),
+        )
+        .await?;
         read(&mut stream, &mut Inbox::new(Side::Answers)).await
     }
 }
--- a/testkit/scenarios/src/fleet.rs
+++ b/testkit/scenarios/src/fleet.rs
@@ -37,11 +37,20 @@
 impl Trouble {
     /// What a plan's fault does to a whole zone, if it does.
     pub fn of(fault: &Planned, zones: &[&str], end: Nanos) -> Option<Self> {
-        let Whom::Group(group) = fault.whom else { return None };
+        let Whom::Group(group) = fault.whom else {
+            return None;
+        };
         let zone = (*zones.get(group.zone?)?).to_owned();
-        let until = fault.lasts.map_or(end, |lasts| fault.at.saturating_add(lasts));
+        let until = fault
+            .lasts
+            .map_or(end, |lasts| fault.at.saturating_add(lasts));
         let whole = fault.trouble.is_about_server() && group.from == 0 && group.to == 1000;
-        whole.then(|| Self { what: fault.trouble.name(), zone, from: fault.at, until })
+        whole.then(|| Self {
+            what: fault.trouble.name(),
+            zone,
+            from: fault.at,
+            until,
+        })
     }
 }
 
@@ -68,17 +77,28 @@
 
 /// Reads a fleet's conduct from a log that is sorted by arrival.
 pub fn conduct(log: &[Request], trouble: &Trouble) -> Conduct {
-    let Trouble { zone, from, until, .. } = trouble;
+    let Trouble {
+        zone, from, until, ..
+    } = trouble;
     let (from, until) = (*from, *until);
     let begin = from.saturating_sub(BEFORE);
     let mut nodes: BTreeMap<&str, Vec<(Nanos, bool)>> = BTreeMap::new();
-    for request in log.iter().filter(|request| (begin..until + AFTER).contains(&request.arrival)) {
-        nodes.entry(&request.node).or_default().push((request.arrival, request.began_in(zone)));
+    for request in log
+        .iter()
+        .filter(|request| (begin..until + AFTER).contains(&request.arrival))
+    {
+        nodes
+            .entry(&request.node)
+            .or_default()
+            .push((request.arrival, request.began_in(zone)));
     }
     let (mut left_after, mut back_after, mut stayed) = (Vec::new(), Vec::new(), 0);
     for sent in nodes.values() {
         let in_span = |span: std::ops::Range<Nanos>| {
-            sent.iter().filter(move |(at, _)| span.contains(at)).copied().collect::<Vec<_>>()
+            sent.iter()
+                .filter(move |(at, _)| span.contains(at))
+                .copied()
+                .collect::<Vec<_>>()
         };
         let before = in_span(begin..from);
         let share = share(&before);
@@ -94,7 +114,9 @@
     left_after.sort_unstable();
     back_after.sort_unstable();
     let attempts = || log.iter().flat_map(|request| &request.attempts);
-    let spent = attempts().filter(|one| one.zone == *zone && (from..until).contains(&one.start)).count();
+    let spent = attempts()
+        .filter(|one| one.zone == *zone && (from..until).contains(&one.start))
+        .count();
     let (half_back, full_back) = returned(log, zone, begin, from, until);
     Conduct {
         left_after,
@@ -122,10 +144,13 @@
         }
         // One straggler is let pass, so that a trial right after leaving is one.
         let mut went = 0;
-        let gone = sent[number..].iter().enumerate().all(|(count, (_, there))| {
-            went += usize::from(*there);
-            went as f64 <= 1.0 + TRIALS * count as f64
-        });
+        let gone = sent[number..]
+            .iter()
+            .enumerate()
+            .all(|(count, (_, there))| {
+                went += usize::from(*there);
+                went as f64 <= 1.0 + TRIALS * count as f64
+            });
         if gone {
             return Some(last);
         }
@@ -140,7 +165,10 @@
         let next = &sent[from..(from + RETURN_OF).min(sent.len())];
         next.iter().filter(|(_, there)| *there).count() as f64 >= share / 2.0 * next.len() as f64
     };
-    starts.into_iter().find(|(number, _)| goes_on(*number)).map(|(_, (at, _))| *at)
+    starts
+        .into_iter()
+        .find(|(number, _)| goes_on(*number))
+        .map(|(_, (at, _))| *at)
 }
 
 /// How long after the trouble the zone's attempts in 100 ms were again half and nine tenths of before.
@@ -153,7 +181,11 @@
 ) -> (Option<Nanos>, Option<Nanos>) {
     let mut counts: BTreeMap<Nanos, f64> = BTreeMap::new();
     let mut before = 0.0;
-    for one in log.iter().flat_map(|request| &request.attempts).filter(|one| one.zone == zone) {
+    for one in log
+        .iter()
+        .flat_map(|request| &request.attempts)
+        .filter(|one| one.zone == zone)
+    {
         if (begin..from).contains(&one.start) {
             before += 1.0;
         } else if one.start >= until {
@@ -161,8 +193,12 @@
         }
     }
     let mean = before * (100 * MS) as f64 / (from - begin).max(1) as f64;
-    let reaches =
-        |part: f64| counts.iter().find(|(_, count)| **count >= part * mean).map(|(step, _)| step * 100 * MS);
+    let reaches = |part: f64| {
+        counts
+            .iter()
+            .find(|(_, count)| **count >= part * mean)
+            .map(|(step, _)| step * 100 * MS)
+    };
     (reaches(0.5), reaches(0.9))
 }
 
@@ -172,37 +208,58 @@
     let mut seconds: BTreeMap<Nanos, (u64, u64)> = BTreeMap::new();
     for request in log.iter().filter(|request| request.again.is_none()) {
         if (from..until + 2 * SECOND).contains(&request.arrival) {
-            let served = request.answer.is_some_and(|answer| answer.told == Told::Served);
-            let second = seconds.entry((request.arrival - from) / SECOND).or_default();
+            let served = request
+                .answer
+                .is_some_and(|answer| answer.told == Told::Served);
+            let second = seconds
+                .entry((request.arrival - from) / SECOND)
+                .or_default();
             second.0 += u64::from(served);
             second.1 += 1;
         }
     }
-    let shares = seconds.iter().map(|(second, (served, all))| (*served as f64 / *all as f64, *second));
-    shares.fold((1.0, 0), |worst, one| if one.0 < worst.0 { one } else { worst })
+    let shares = seconds
+        .iter()
+        .map(|(second, (served, all))| (*served as f64 / *all as f64, *second));
+    shares.fold(
+        (1.0, 0),
+        |worst, one| if one.0 < worst.0 { one } else { worst },
+    )
 }
 
 /// The most that a server of another zone got in a second of the trouble, against the mean of those before.
 fn peak_elsewhere(log: &[Request], zone: &str, begin: Nanos, from: Nanos, until: Nanos) -> f64 {
     let mut before: BTreeMap<&str, f64> = BTreeMap::new();
     let mut during: BTreeMap<(&str, Nanos), f64> = BTreeMap::new();
-    for one in log.iter().flat_map(|request| &request.attempts).filter(|one| one.zone != zone) {
+    for one in log
+        .iter()
+        .flat_map(|request| &request.attempts)
+        .filter(|one| one.zone != zone)
+    {
         if (begin..from).contains(&one.start) {
             *before.entry(&one.server).or_default() += 1.0;
         } else if (from..until).contains(&one.start) {
-            *during.entry((&one.server, (one.start - from) / SECOND)).or_default() += 1.0;
+            *during
+                .entry((&one.server, (one.start - from) / SECOND))
+                .or_default() += 1.0;
         }
     }
     let seconds = (from - begin) as f64 / SECOND as f64;
     let mean = before.values().sum::<f64>() / before.len().max(1) as f64 / seconds.max(1e-9);
-    during.values().fold(0.0, |most: f64, count| most.max(*count)) / mean.max(1e-9)
+    during
+        .values()
+        .fold(0.0, |most: f64, count| most.max(*count))
+        / mean.max(1e-9)
 }
 
 /// The troubles of whole zones in a plan.
 pub fn troubles(plan: &Plan) -> Vec<Trouble> {
     let zones = plan.scene.scene.zones();
     let end = plan.scene.scene.length_ms.get_ref() * MS;
-    plan.faults.iter().filter_map(|fault| Trouble::of(fault, &zones, end)).collect()
+    plan.faults
+        .iter()
+        .filter_map(|fault| Trouble::of(fault, &zones, end))
+        .collect()
 }
 
 /// Nodes that sent nothing to their zone for a while, though nothing was wrong with it: which, and when.
@@ -211,7 +268,9 @@
     // A list that takes servers away, and whatever else is wrong with a part, is no zone's health.
     let disturbed = |zone: &str, at: Nanos| {
         let in_zone = troubles.iter().filter(|trouble| trouble.zone == zone);
-        in_zone.into_iter().any(|trouble| (trouble.from..trouble.until + AFTER).contains(&at))
+        in_zone
+            .into_iter()
+            .any(|trouble| (trouble.from..trouble.until + AFTER).contains(&at))
     };
     let mut nodes: BTreeMap<&str, Vec<&Request>> = BTreeMap::new();
     for request in log.iter().filter(|request| !request.attempts.is_empty()) {
@@ -219,8 +278,15 @@
     }
     let mut strayed = Vec::new();
     for (node, requests) in nodes {
-        let own = plan.scene.scene.node.iter().find(|known| known.name.get_ref() == node);
-        let Some(main) = own.map(|own| own.zone.as_str()) else { continue };
+        let own = plan
+            .scene
+            .scene
+            .node
+            .iter()
+            .find(|known| known.name.get_ref() == node);
+        let Some(main) = own.map(|own| own.zone.as_str()) else {
+            continue;
+        };
         let mut away = 0;
         for request in requests {
             let elsewhere = request.attempts[0].zone != main && !disturbed(main, request.arrival);
@@ -245,7 +311,10 @@
     let counts = played.counts();
     if counts.requests > 0 {
         let share = counts.served_share();
-        need(share >= expect.served, format!("served {share:.3}, wanted {:.3}", expect.served));
+        need(
+            share >= expect.served,
+            format!("served {share:.3}, wanted {:.3}", expect.served),
+        );
     }
     for trouble in troubles(plan) {
         let seen = conduct(&played.log, &trouble);
@@ -255,28 +324,52 @@
             let good = seen.stayed == 0 && last <= most * MS;
             need(
                 good,
-                format!("zone {zone} left after {} ms, {} never; wanted {most}", last / MS, seen.stayed),
+                format!(
+                    "zone {zone} left after {} ms, {} never; wanted {most}",
+                    last / MS,
+                    seen.stayed
+                ),
             );
         }
         if let Some(most) = expect.spent {
-            need(seen.spent <= most, format!("{} attempts spent on zone {zone}, wanted {most}", seen.spent));
+            need(
+                seen.spent <= most,
+                format!(
+                    "{} attempts spent on zone {zone}, wanted {most}",
+                    seen.spent
+                ),
+            );
         }
         if let Some(least) = expect.worst_second {
-            need(seen.worst.0 >= least, format!("a second served {:.3}, wanted {least:.3}", seen.worst.0));
+            need(
+                seen.worst.0 >= least,
+                format!("a second served {:.3}, wanted {least:.3}", seen.worst.0),
+            );
         }
         if let Some(most) = expect.full_back_ms {
-            let back = seen.full_back.map_or("never".to_owned(), |span| format!("after {} ms", span / MS));
+            let back = seen
+                .full_back
+                .map_or("never".to_owned(), |span| format!("after {} ms", span / MS));
             let good = seen.full_back.is_some_and(|span| span <= most * MS);
-            need(good, format!("zone {zone} had its load back {back}, wanted {most}"));
+            need(
+                good,
+                format!("zone {zone} had its load back {back}, wanted {most}"),
+            );
         }
     }
     if let Some(most) = expect.cold {
         let peak = played.cold_peak(None);
-        need(peak <= most, format!("a cold server got {peak:.2} of what it could do, wanted {most:.2}"));
+        need(
+            peak <= most,
+            format!("a cold server got {peak:.2} of what it could do, wanted {most:.2}"),
+        );
     }
     if let Some(most) = expect.strayed {
         let strayed = strayed(plan, &played.log).len();
-        need(strayed <= most, format!("{strayed} times a node left a zone in no trouble, wanted {most}"));
+        need(
+            strayed <= most,
+            format!("{strayed} times a node left a zone in no trouble, wanted {most}"),
+        );
     }
     lost
 }
@@ -284,12 +377,20 @@
 /// A value below which lies such a share of sorted ones.
 pub fn at_share(sorted: &[Nanos], share: f64) -> Option<Nanos> {
     let last = sorted.len().checked_sub(1)?;
-    sorted.get(((sorted.len() as f64 * share).ceil() as usize).saturating_sub(1).min(last)).copied()
+    sorted
+        .get(
+            ((sorted.len() as f64 * share).ceil() as usize)
+                .saturating_sub(1)
+                .min(last),
+        )
+        .copied()
 }
 
 impl std::fmt::Display for Conduct {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let ms = |span: Option<Nanos>| span.map_or("never".to_owned(), |span| format!("{} ms", span / MS));
+        let ms = |span: Option<Nanos>| {
+            span.map_or("never".to_owned(), |span| format!("{} ms", span / MS))
+        };
         let of = |spans: &[Nanos]| {
             let [half, most, all] = [0.5, 0.9, 1.0].map(|share| ms(at_share(spans, share)));
             format!("{half}, {most}, {all}")
@@ -315,8 +416,16 @@
             ms(self.half_back),
             ms(self.full_back)
         )?;
-        writeln!(f, "  worst second: {:.3} served, in second {}", self.worst.0, self.worst.1)?;
-        write!(f, "  most at one server elsewhere in a second: {:.2} of the mean before", self.peak_elsewhere)
+        writeln!(
+            f,
+            "  worst second: {:.3} served, in second {}",
+            self.worst.0, self.worst.1
+        )?;
+        write!(
+            f,
+            "  most at one server elsewhere in a second: {:.2} of the mean before",
+            self.peak_elsewhere
+        )
     }
 }
 
--- a/testkit/scenarios/src/fleet/tests.rs
+++ b/testkit/scenarios/src/fleet/tests.rs
@@ -1,7 +1,11 @@
 use super::*;
 
 fn sent(pattern: &str) -> Vec<(Nanos, bool)> {
-    pattern.chars().zip(1..).map(|(one, at)| (at * MS, one == 'z')).collect()
+    pattern
+        .chars()
+        .zip(1..)
+        .map(|(one, at)| (at * MS, one == 'z'))
+        .collect()
 }
 
 #[test]
@@ -22,6 +26,9 @@
 #[test]
 fn shares_of_sorted_spans() {
     let spans: Vec<Nanos> = (1..=10).collect();
-    assert_eq!([0.5, 0.9, 1.0].map(|share| at_share(&spans, share)), [Some(5), Some(9), Some(10)]);
+    assert_eq!(
+        [0.5, 0.9, 1.0].map(|share| at_share(&spans, share)),
+        [Some(5), Some(9), Some(10)]
+    );
     assert_eq!(at_share(&[], 0.5), None);
 }
--- a/testkit/scenarios/src/hunt.rs
+++ b/testkit/scenarios/src/hunt.rs
@@ -30,7 +30,12 @@
         Err(RunError::Crashed { .. }) => return Ok((Some(Find::Crashed), None)),
         Err(error) => return Err(error),
     };
-    let broken = played.breaches.iter().map(|breach| breach.rule).min().map(Find::Broken);
+    let broken = played
+        .breaches
+        .iter()
+        .map(|breach| breach.rule)
+        .min()
+        .map(Find::Broken);
     let stranger = (played.strangers > 0).then_some(Find::Stranger);
     let lost = (!fleet::lost(plan, &played).is_empty()).then_some(Find::Lost);
     Ok((broken.or(stranger).or(lost), Some(played)))
@@ -46,14 +51,15 @@
 ) -> Result<Plan, RunError> {
     let mut best = plan.clone();
     let mut runs = 0;
-    let mut shows = |candidate: &Plan, say: &mut dyn FnMut(usize, &Plan)| -> Result<bool, RunError> {
-        if runs >= MOST_RUNS {
-            return Ok(false);
-        }
-        runs += 1;
-        say(runs, candidate);
-        Ok(look(candidate, options)?.0.as_ref() == Some(find))
-    };
+    let mut shows =
+        |candidate: &Plan, say: &mut dyn FnMut(usize, &Plan)| -> Result<bool, RunError> {
+            if runs >= MOST_RUNS {
+                return Ok(false);
+            }
+            runs += 1;
+            say(runs, candidate);
+            Ok(look(candidate, options)?.0.as_ref() == Some(find))
+        };
     loop {
         let before = (best.faults.len(), best.arrivals.len());
         for at in (0..best.faults.len()).rev() {
@@ -64,12 +70,18 @@
             }
         }
         // A share of fewer requests is another share: there only the faults say something.
-        let mut part = if *find == Find::Lost { 0 } else { best.arrivals.len().div_ceil(2) };
+        let mut part = if *find == Find::Lost {
+            0
+        } else {
+            best.arrivals.len().div_ceil(2)
+        };
         while part > 0 {
             let mut at = 0;
             while at < best.arrivals.len() {
                 let mut candidate = best.clone();
-                candidate.arrivals.drain(at..(at + part).min(best.arrivals.len()));
+                candidate
+                    .arrivals
+                    .drain(at..(at + part).min(best.arrivals.len()));
                 if !candidate.arrivals.is_empty() && shows(&candidate, say)? {
                     best = candidate;
                 } else {
--- a/testkit/scenarios/src/main.rs
+++ b/testkit/scenarios/src/main.rs
@@ -136,12 +136,20 @@
     /// How to play with it.
     fn options(self, real_time: bool, port: u16) -> Result<Options, Failure> {
         let own = match &self.own {
-            Some(path) => std::fs::read_to_string(path)
-                .map_err(|source| Failure::File { path: path.clone(), source })?,
+            Some(path) => std::fs::read_to_string(path).map_err(|source| Failure::File {
+                path: path.clone(),
+                source,
+            })?,
             None => String::new(),
         };
         let peers = self.peers;
-        Ok(Options { program: self.find()?, real_time, port, own, peers })
+        Ok(Options {
+            program: self.find()?,
+            real_time,
+            port,
+            own,
+            peers,
+        })
     }
 
     fn find(self) -> Result<PathBuf, Failure> {
@@ -157,7 +165,9 @@
         let (from, to) = text.split_once("..")?;
         Some(from.trim().parse().ok()?..to.trim().parse().ok()?)
     };
-    range().filter(|range| !range.is_empty()).ok_or_else(|| "two numbers as in 1..100".to_owned())
+    range()
+        .filter(|range| !range.is_empty())
+        .ok_or_else(|| "two numbers as in 1..100".to_owned())
 }
 
 /// Why there is no verdict.
@@ -172,7 +182,10 @@
     #[error(transparent)]
     NotBuilt(#[from] badgerpost_fakes::NotBuilt),
     #[error("{}: {source}", path.display())]
-    File { path: PathBuf, source: std::io::Error },
+    File {
+        path: PathBuf,
+        source: std::io::Error,
+    },
     #[error("{0}")]
     System(#[from] std::io::Error),
     #[error("{0}")]
@@ -210,32 +223,69 @@
         Command::MeasurePostgres { silent, program } => {
             let mut wrong = None;
             postgres::measure::measure(&program.find()?, silent, &mut |line| {
-                wrong = wrong.take().or(say(&format!("{}: {}", line.what, line.figure)).err());
+                wrong = wrong
+                    .take()
+                    .or(say(&format!("{}: {}", line.what, line.figure)).err());
             })?;
             wrong.map_or(Ok(ExitCode::SUCCESS), |error| Err(error.into()))
         }
-        Command::Up { scene, nodes, port, program } => match postgres::find(&scene) {
+        Command::Up {
+            scene,
+            nodes,
+            port,
+            program,
+        } => match postgres::find(&scene) {
             Some(scene) => up_postgres(&scene?, port, &program.find()?),
             None => up(&scene, nodes, port, program),
         },
-        Command::Run { scene: Some(name), seed, out, repro: None, program, .. }
-            if postgres::find(&name).is_some() =>
-        {
-            let Some(scene) = postgres::find(&name) else { return Ok(ExitCode::from(2)) };
+        Command::Run {
+            scene: Some(name),
+            seed,
+            out,
+            repro: None,
+            program,
+            ..
+        } if postgres::find(&name).is_some() => {
+            let Some(scene) = postgres::find(&name) else {
+                return Ok(ExitCode::from(2));
+            };
             run_postgres(&name, &scene?, seed, out.as_deref(), &program.find()?)
         }
-        Command::Run { scene, seed, out, plot, repro, real_time, logs, program } => {
+        Command::Run {
+            scene,
+            seed,
+            out,
+            plot,
+            repro,
+            real_time,
+            logs,
+            program,
+        } => {
             let plan = match (repro, scene) {
                 (Some(file), _) => Plan::from_repro(&file)?,
                 (None, scene) => Plan::draw(scene::find(&scene.unwrap_or_default())?, seed),
             };
             let options = program.options(real_time, 0)?;
-            run(&plan, &options, out.as_deref(), plot.as_deref(), logs.as_deref())
+            run(
+                &plan,
+                &options,
+                out.as_deref(),
+                plot.as_deref(),
+                logs.as_deref(),
+            )
         }
-        Command::Sweep { scene, seeds, jobs, program } => {
+        Command::Sweep {
+            scene,
+            seeds,
+            jobs,
+            program,
+        } => {
             let options = program.options(false, 0)?;
             let rows = sweep::sweep(&scene, seeds, jobs, &options)?;
-            say(&format!("scene {scene}, {} seeds; least, middle, most", rows.len()))?;
+            say(&format!(
+                "scene {scene}, {} seeds; least, middle, most",
+                rows.len()
+            ))?;
             for (column, name) in sweep::COLUMNS.iter().enumerate() {
                 let spread = sweep::spread(&rows, column);
                 let text = spread.map_or("not in every run".to_owned(), |spread| {
@@ -244,9 +294,19 @@
                 say(&format!("{name:14} {text}"))?;
             }
             let broken = rows.iter().any(|row| row.broken > 0);
-            Ok(if broken { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+            Ok(if broken {
+                ExitCode::FAILURE
+            } else {
+                ExitCode::SUCCESS
+            })
         }
-        Command::Hunt { scene, seeds, out, as_written, program } => {
+        Command::Hunt {
+            scene,
+            seeds,
+            out,
+            as_written,
+            program,
+        } => {
             let options = program.options(false, 0)?;
             search(&scene, seeds, &out, as_written, &options)
         }
@@ -261,7 +321,10 @@
 }
 
 fn write(path: &Path, text: &str) -> Result<(), Failure> {
-    std::fs::write(path, text).map_err(|source| Failure::File { path: path.to_owned(), source })
+    std::fs::write(path, text).map_err(|source| Failure::File {
+        path: path.to_owned(),
+        source,
+    })
 }
 
 fn up(name: &str, nodes: Option<usize>, port: u16, program: Program) -> Result<ExitCode, Failure> {
@@ -286,12 +349,16 @@
             Some(serde_json::json!({"name": name, "listen": listen, "pid": pid}))
         })
         .collect();
-    let backends: Vec<serde_json::Value> =
-        stage.servers().map(|(uid, listen)| serde_json::json!({"uid": uid, "listen": listen})).collect();
+    let backends: Vec<serde_json::Value> = stage
+        .servers()
+        .map(|(uid, listen)| serde_json::json!({"uid": uid, "listen": listen}))
+        .collect();
     let discovery = stage.list_at(0);
-    say(&serde_json::json!({"scene": plan.scene.name, "nodes": nodes, "discovery": discovery,
+    say(
+        &serde_json::json!({"scene": plan.scene.name, "nodes": nodes, "discovery": discovery,
         "backends": backends})
-    .to_string())?;
+        .to_string(),
+    )?;
     stay(&over);
     stage.stay(&|| over.load(Ordering::SeqCst))?;
     Ok(ExitCode::SUCCESS)
@@ -322,7 +389,11 @@
     let over = heed_signals()?;
     let stage = PgStage::set(*scene.databases.get_ref(), program, port)?;
     let target = stage.target();
-    let databases: Vec<String> = stage.databases().iter().map(|database| database.at.to_string()).collect();
+    let databases: Vec<String> = stage
+        .databases()
+        .iter()
+        .map(|database| database.at.to_string())
+        .collect();
     say(&serde_json::json!({"scene": "postgres", "nodes": [{"name": "n0", "listen": stage.http, "pid": stage.node_id()}],
         "postgres": {"listen": stage.listen, "user": target.user, "password": target.password,
             "database": target.database, "databases": databases, "databases_user": "node",
@@ -343,18 +414,26 @@
     program: &Path,
 ) -> Result<ExitCode, Failure> {
     let bar = bar(100);
-    let played =
-        postgres::play(scene, seed, program, &mut |done| bar.set_position((done * 100.0).min(100.0) as u64))?;
+    let played = postgres::play(scene, seed, program, &mut |done| {
+        bar.set_position((done * 100.0).min(100.0) as u64)
+    })?;
     bar.finish_and_clear();
     if let Some(path) = out {
-        let lines = played.seen.iter().map(serde_json::to_string).collect::<Result<Vec<_>, _>>()?;
+        let lines = played
+            .seen
+            .iter()
+            .map(serde_json::to_string)
+            .collect::<Result<Vec<_>, _>>()?;
         write(path, &(lines.join("\n") + "\n"))?;
     }
     if let Some(crashed) = &played.crashed {
         eprintln!("{crashed}");
         return Ok(ExitCode::from(2));
     }
-    say(&format!("scene {name}, seed {seed}, in real time; node {}", program.display()))?;
+    say(&format!(
+        "scene {name}, seed {seed}, in real time; node {}",
+        program.display()
+    ))?;
     let mut counts = std::collections::BTreeMap::<(Told, &str), usize>::new();
     for one in &played.seen {
         *counts.entry((one.told, one.driver)).or_default() += 1;
@@ -364,7 +443,11 @@
     }
     let mut took: Vec<u64> = played.seen.iter().map(|one| one.took_us).collect();
     took.sort_unstable();
-    let at = |share: f64| took.get(((took.len() as f64 - 1.0) * share) as usize).copied().unwrap_or(0);
+    let at = |share: f64| {
+        took.get(((took.len() as f64 - 1.0) * share) as usize)
+            .copied()
+            .unwrap_or(0)
+    };
     let all = played.seen.len();
     say(&format!(
         "{all} transactions in {:.1} s; p50 {} us, p99 {} us, longest {} us",
@@ -380,10 +463,16 @@
     for finding in played.findings.iter().take(20) {
         say(&format!("transaction {}: {}", finding.id, finding.problem))?;
     }
-    let committed =
-        played.seen.iter().filter(|one| one.told == Told::Committed).count() as f64 / all.max(1) as f64;
+    let committed = played
+        .seen
+        .iter()
+        .filter(|one| one.told == Told::Committed)
+        .count() as f64
+        / all.max(1) as f64;
     let enough = scene.kills.is_none_or(|kills| played.kills >= kills.least)
-        && scene.drains.is_none_or(|drains| played.drains.0 >= drains.least)
+        && scene
+            .drains
+            .is_none_or(|drains| played.drains.0 >= drains.least)
         && committed >= scene.expect.committed;
     let good = played.findings.is_empty() && played.drains.1 == 0;
     say(&format!(
@@ -398,7 +487,11 @@
         played.findings.len(),
         committed * 100.0
     ))?;
-    Ok(if good && enough { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if good && enough {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
 }
 
 /// Whether standard input is `/dev/null`, as under a supervisor: it has no end to wait for.
@@ -427,7 +520,9 @@
     logs: Option<&Path>,
 ) -> Result<ExitCode, Failure> {
     let bar = bar(100);
-    let played = run::play(plan, options, &mut |done| bar.set_position((done * 100.0).min(100.0) as u64))?;
+    let played = run::play(plan, options, &mut |done| {
+        bar.set_position((done * 100.0).min(100.0) as u64)
+    })?;
     bar.finish_and_clear();
     if let Some(path) = out {
         write(path, &outcome::write(&played.log)?)?;
@@ -436,35 +531,74 @@
         plot::draw(plan, &played.log, path).map_err(Failure::Plot)?;
     }
     if let Some(path) = logs {
-        let logs: String = played.logs.iter().map(|(name, log)| format!("{name}:\n{log}")).collect();
+        let logs: String = played
+            .logs
+            .iter()
+            .map(|(name, log)| format!("{name}:\n{log}"))
+            .collect();
         write(path, &logs)?;
     }
     let lost = fleet::lost(plan, &played);
     summary(plan, options, &played, &lost)?;
-    Ok(if played.is_good() && lost.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if played.is_good() && lost.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
 }
 
-fn summary(plan: &Plan, options: &Options, played: &Played, lost: &[String]) -> std::io::Result<()> {
+fn summary(
+    plan: &Plan,
+    options: &Options,
+    played: &Played,
+    lost: &[String],
+) -> std::io::Result<()> {
     let counts = played.counts();
     let seconds = |span: Duration| span.as_secs_f64();
     let simulated = seconds(Duration::from_nanos(played.simulated));
-    let mode = if options.real_time { "in real time" } else { "in steps" };
-    say(&format!("scene {}, seed {}, {mode}", plan.scene.name, plan.seed))?;
-    say(&format!("node {}, sha256 {}", options.program.display(), played.sha256))?;
+    let mode = if options.real_time {
+        "in real time"
+    } else {
+        "in steps"
+    };
+    say(&format!(
+        "scene {}, seed {}, {mode}",
+        plan.scene.name, plan.seed
+    ))?;
+    say(&format!(
+        "node {}, sha256 {}",
+        options.program.display(),
+        played.sha256
+    ))?;
     say(&format!(
         "{} requests: {} served, {} refused, {} failed, {} without an answer; {} attempts",
-        counts.requests, counts.served, counts.refused, counts.failed, counts.unanswered, counts.attempts
+        counts.requests,
+        counts.served,
+        counts.refused,
+        counts.failed,
+        counts.unanswered,
+        counts.attempts
     ))?;
     say(&format!(
         "{simulated:.1} s played in {:.1} s ({:.1} to one), {} steps{}",
         seconds(played.wall),
         simulated / seconds(played.wall).max(1e-9),
         played.steps,
-        if played.late > 0 { format!(", {} waits for late bytes", played.late) } else { String::new() }
+        if played.late > 0 {
+            format!(", {} waits for late bytes", played.late)
+        } else {
+            String::new()
+        }
     ))?;
     if played.talk.iter().any(|(datagrams, _)| *datagrams > 0) {
-        let (most, all) = (played.talk.iter().map(|(_, bytes)| *bytes).max(), played.talk.len() as f64);
-        let sum = played.talk.iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let (most, all) = (
+            played.talk.iter().map(|(_, bytes)| *bytes).max(),
+            played.talk.len() as f64,
+        );
+        let sum = played
+            .talk
+            .iter()
+            .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         say(&format!(
             "nodes to each other: {:.1} datagrams and {:.0} bytes a second and node, {:.0} bytes at the most",
             sum.0 as f64 / all / simulated.max(1e-9),
@@ -473,10 +607,17 @@
         ))?;
     }
     for rule in RULES {
-        let broken: Vec<_> = played.breaches.iter().filter(|breach| breach.rule == rule).collect();
+        let broken: Vec<_> = played
+            .breaches
+            .iter()
+            .filter(|breach| breach.rule == rule)
+            .collect();
         match broken.first() {
             None => say(&format!("rule {rule}: kept"))?,
-            Some(first) => say(&format!("rule {rule}: BROKEN {} times; first: {first}", broken.len()))?,
+            Some(first) => say(&format!(
+                "rule {rule}: BROKEN {} times; first: {first}",
+                broken.len()
+            ))?,
         }
     }
     if played.strangers > 0 {
@@ -501,9 +642,13 @@
     }
     let strayed = fleet::strayed(plan, &played.log);
     if !strayed.is_empty() {
-        let first =
-            strayed.first().map_or(String::new(), |(node, at)| format!("{node} at {} ms", at / 1_000_000));
-        say(&format!("nodes that left a zone in no trouble: {}, first {first}", strayed.len()))?;
+        let first = strayed.first().map_or(String::new(), |(node, at)| {
+            format!("{node} at {} ms", at / 1_000_000)
+        });
+        say(&format!(
+            "nodes that left a zone in no trouble: {}, first {first}",
+            strayed.len()
+        ))?;
     }
     for lost in lost {
         say(&format!("expectation LOST: {lost}"))?;
@@ -535,12 +680,22 @@
         ))?;
         let least = hunt::shrink(&plan, &find, options, &mut |_, _| {})?;
         write(out, &least.to_repro()?)?;
-        say(&format!("cut down to {} faults, {} requests", least.faults.len(), least.arrivals.len()))?;
-        say(&format!("badgerpost-rehearse run --repro {} plays exactly that", out.display()))?;
+        say(&format!(
+            "cut down to {} faults, {} requests",
+            least.faults.len(),
+            least.arrivals.len()
+        ))?;
+        say(&format!(
+            "badgerpost-rehearse run --repro {} plays exactly that",
+            out.display()
+        ))?;
         return Ok(ExitCode::FAILURE);
     }
     bar.finish_and_clear();
-    say(&format!("seeds {}..{}: nothing found", seeds.start, seeds.end))?;
+    say(&format!(
+        "seeds {}..{}: nothing found",
+        seeds.start, seeds.end
+    ))?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/testkit/scenarios/src/one_core.rs
+++ b/testkit/scenarios/src/one_core.rs
@@ -18,8 +18,12 @@
     /// Goes to one of the processors that this thread may use: another one for each rehearsal that goes on beside it, as
     /// far as there are any.
     pub fn take() -> Self {
-        let Ok(before) = sched_getaffinity(None) else { return Self { before: None } };
-        let allowed: Vec<usize> = (0..CpuSet::MAX_CPU).filter(|cpu| before.is_set(*cpu)).collect();
+        let Ok(before) = sched_getaffinity(None) else {
+            return Self { before: None };
+        };
+        let allowed: Vec<usize> = (0..CpuSet::MAX_CPU)
+            .filter(|cpu| before.is_set(*cpu))
+            .collect();
         if allowed.len() < 2 {
             return Self { before: None };
         }
@@ -27,7 +31,9 @@
         let turn = std::process::id() as usize + NEXT.fetch_add(1, Ordering::Relaxed);
         let mut one = CpuSet::new();
         one.set(allowed[turn % allowed.len()]);
-        Self { before: sched_setaffinity(None, &one).is_ok().then_some(before) }
+        Self {
+            before: sched_setaffinity(None, &one).is_ok().then_some(before),
+        }
     }
 }
 
--- a/testkit/scenarios/src/outcome.rs
+++ b/testkit/scenarios/src/outcome.rs
@@ -136,13 +136,17 @@
 impl Request {
     /// Whether its first attempt went to this zone.
     pub fn began_in(&self, zone: &str) -> bool {
-        self.attempts.first().is_some_and(|first| first.zone == zone)
+        self.attempts
+            .first()
+            .is_some_and(|first| first.zone == zone)
     }
 }
 
 /// The log as it stands in a file.
 pub fn write(log: &[Request]) -> Result<String, serde_json::Error> {
-    log.iter().map(|request| serde_json::to_string(request).map(|line| line + "\n")).collect()
+    log.iter()
+        .map(|request| serde_json::to_string(request).map(|line| line + "\n"))
+        .collect()
 }
 
 /// Counts over a log.
@@ -166,7 +170,9 @@
     /// Counts a log.
     pub fn of(log: &[Request]) -> Self {
         let told = |what: Option<Told>| {
-            log.iter().filter(|request| request.answer.map(|answer| answer.told) == what).count()
+            log.iter()
+                .filter(|request| request.answer.map(|answer| answer.told) == what)
+                .count()
         };
         Self {
             requests: log.len(),
--- a/testkit/scenarios/src/plan.rs
+++ b/testkit/scenarios/src/plan.rs
@@ -48,7 +48,12 @@
         let mut random = Random::new(seed, "arrivals");
         let mean = SECOND as f64 / scene.scene.clients.rate.get_ref().max(1e-9);
         let end = scene.scene.length_ms.get_ref() * MS;
-        let shares: f64 = scene.scene.class.iter().map(|class| class.share.get_ref()).sum();
+        let shares: f64 = scene
+            .scene
+            .class
+            .iter()
+            .map(|class| class.share.get_ref())
+            .sum();
         let mut arrivals = Vec::new();
         let mut at = FIRST as f64;
         loop {
@@ -65,10 +70,21 @@
             let (least, most) = *scene.scene.class[class].work_ms.get_ref();
             let node = random.between(0, scene.scene.node.len() as u64 - 1) as usize;
             let work = random.between(least * MS, most * MS);
-            arrivals.push(Arrival { number: arrivals.len() as u64, at: at as Nanos, class, node, work });
+            arrivals.push(Arrival {
+                number: arrivals.len() as u64,
+                at: at as Nanos,
+                class,
+                node,
+                work,
+            });
         }
         let faults = scene.faults.clone();
-        Self { scene: std::rc::Rc::new(scene), seed, arrivals, faults }
+        Self {
+            scene: std::rc::Rc::new(scene),
+            seed,
+            arrivals,
+            faults,
+        }
     }
 
     /// The same with its faults at other times, of other lengths and at other servers or nodes, by the seed.
@@ -77,7 +93,9 @@
         let end = self.scene.scene.length_ms.get_ref() * MS;
         for fault in &mut self.faults {
             fault.at = random.between(FIRST, end.max(FIRST));
-            fault.lasts = fault.lasts.map(|lasts| random.between(lasts / 4, lasts.saturating_mul(2)));
+            fault.lasts = fault
+                .lasts
+                .map(|lasts| random.between(lasts / 4, lasts.saturating_mul(2)));
             if let Trouble::Link(link) = &mut fault.trouble
                 && let Far::Zone(zone) = &mut link.far
             {
@@ -90,7 +108,9 @@
                     continue;
                 }
                 (Whom::Group(_), _) => continue,
-                (Whom::One(_), trouble) if trouble.is_about_server() => self.scene.scene.server.len(),
+                (Whom::One(_), trouble) if trouble.is_about_server() => {
+                    self.scene.scene.server.len()
+                }
                 (Whom::One(_), trouble) if trouble.is_about_node() => self.scene.scene.node.len(),
                 (Whom::One(_), _) => continue,
             };
@@ -103,8 +123,20 @@
     /// The plan as a repro file.
     pub fn to_repro(&self) -> Result<String, serde_json::Error> {
         let fault = |fault: &Planned| {
-            let Planned { at, lasts, whom, trouble, permille } = *fault;
-            FaultLine { at, lasts, whom, trouble, permille }
+            let Planned {
+                at,
+                lasts,
+                whom,
+                trouble,
+                permille,
+            } = *fault;
+            FaultLine {
+                at,
+                lasts,
+                whom,
+                trouble,
+                permille,
+            }
         };
         let file = Repro {
             format: FORMAT,
@@ -119,11 +151,20 @@
 
     /// Reads a repro file.
     pub fn from_repro(path: &Path) -> Result<Self, ReproError> {
-        let unread = |source| ReproError::Unread { path: path.to_owned(), source };
+        let unread = |source| ReproError::Unread {
+            path: path.to_owned(),
+            source,
+        };
         let text = std::fs::read_to_string(path).map_err(unread)?;
-        let malformed = |source| ReproError::Malformed { path: path.to_owned(), source };
+        let malformed = |source| ReproError::Malformed {
+            path: path.to_owned(),
+            source,
+        };
         let file: Repro = serde_json::from_str(&text).map_err(malformed)?;
-        let bad = |what: &str| ReproError::Bad { path: path.to_owned(), what: what.to_owned() };
+        let bad = |what: &str| ReproError::Bad {
+            path: path.to_owned(),
+            what: what.to_owned(),
+        };
         if file.format != FORMAT {
             return Err(bad("it is of another format"));
         }
@@ -131,17 +172,28 @@
         let mut scene = scene::check(&file.scene, Source::shipped(&name, &file.text))?;
         let mut faults = Vec::new();
         for line in &file.faults {
-            faults.push(line.planned(&scene).ok_or_else(|| bad("a fault is none that its scene can have"))?);
+            faults.push(
+                line.planned(&scene)
+                    .ok_or_else(|| bad("a fault is none that its scene can have"))?,
+            );
         }
-        let Repro { seed, mut arrivals, .. } = file;
-        let sound = |a: &Arrival| a.class < scene.scene.class.len() && a.node < scene.scene.node.len();
+        let Repro {
+            seed, mut arrivals, ..
+        } = file;
+        let sound =
+            |a: &Arrival| a.class < scene.scene.class.len() && a.node < scene.scene.node.len();
         if !arrivals.iter().all(sound) || arrivals.len() > MOST_REQUESTS {
             return Err(bad("an arrival is none that its scene can have"));
         }
         arrivals.sort_by_key(|arrival| arrival.at);
         faults.sort_by_key(|fault| fault.at);
         scene.faults.clone_from(&faults);
-        Ok(Self { scene: std::rc::Rc::new(scene), seed, arrivals, faults })
+        Ok(Self {
+            scene: std::rc::Rc::new(scene),
+            seed,
+            arrivals,
+            faults,
+        })
     }
 }
 
@@ -170,7 +222,13 @@
 
 impl FaultLine {
     fn planned(&self, scene: &Checked) -> Option<Planned> {
-        let Self { at, lasts, whom, trouble, permille } = *self;
+        let Self {
+            at,
+            lasts,
+            whom,
+            trouble,
+            permille,
+        } = *self;
         let most = match trouble {
             trouble if trouble.is_about_server() => scene.scene.server.len(),
             trouble if trouble.is_about_node() => scene.scene.node.len(),
@@ -178,9 +236,17 @@
         };
         let sound = match whom {
             Whom::One(one) => one < most,
-            Whom::Group(group) => group.zone.is_none_or(|zone| zone < scene.scene.zones().len()),
+            Whom::Group(group) => group
+                .zone
+                .is_none_or(|zone| zone < scene.scene.zones().len()),
         };
-        sound.then_some(Planned { at, lasts, whom, trouble, permille })
+        sound.then_some(Planned {
+            at,
+            lasts,
+            whom,
+            trouble,
+            permille,
+        })
     }
 }
 
--- a/testkit/scenarios/src/plan/tests.rs
+++ b/testkit/scenarios/src/plan/tests.rs
@@ -17,9 +17,23 @@
     let path = std::env::temp_dir().join(format!("badgerpost-plan-{}.json", std::process::id()));
     std::fs::write(&path, plan.to_repro().expect("a text")).expect("written");
     let read = Plan::from_repro(&path).expect("a plan");
-    assert_eq!((&read.arrivals, &read.faults, read.seed), (&plan.arrivals, &plan.faults, 3));
-    std::fs::write(&path, plan.to_repro().expect("a text").replace("\"whom\": ", "\"whom\": 99"))
-        .expect("written");
-    assert!(Plan::from_repro(&path).err().expect("bad").to_string().contains("a fault is none"));
+    assert_eq!(
+        (&read.arrivals, &read.faults, read.seed),
+        (&plan.arrivals, &plan.faults, 3)
+    );
+    std::fs::write(
+        &path,
+        plan.to_repro()
+            .expect("a text")
+            .replace("\"whom\": ", "\"whom\": 99"),
+    )
+    .expect("written");
+    assert!(
+        Plan::from_repro(&path)
+            .err()
+            .expect("bad")
+            .to_string()
+            .contains("a fault is none")
+    );
     std::fs::remove_file(&path).expect("removed");
 }
--- a/testkit/scenarios/src/plot.rs
+++ b/testkit/scenarios/src/plot.rs
@@ -21,7 +21,9 @@
 }
 
 /// Counts a second, by name, over steps of time.
-fn rates<'a>(events: impl Iterator<Item = (String, Nanos)> + 'a) -> BTreeMap<String, BTreeMap<Nanos, f64>> {
+fn rates<'a>(
+    events: impl Iterator<Item = (String, Nanos)> + 'a,
+) -> BTreeMap<String, BTreeMap<Nanos, f64>> {
     let mut rates: BTreeMap<String, BTreeMap<Nanos, f64>> = BTreeMap::new();
     for (name, at) in events {
         *rates.entry(name).or_default().entry(at / STEP).or_default() += 1e9 / STEP as f64;
@@ -35,18 +37,31 @@
     for trouble in fleet::troubles(plan) {
         let steps = senders.entry(format!("to {}", trouble.zone)).or_default();
         for one in log.iter().filter(|one| one.began_in(&trouble.zone)) {
-            steps.entry(one.arrival / STEP).or_default().insert(&one.node);
+            steps
+                .entry(one.arrival / STEP)
+                .or_default()
+                .insert(&one.node);
         }
     }
     let count = |steps: BTreeMap<Nanos, BTreeSet<&str>>| {
-        steps.into_iter().map(|(step, nodes)| (step, nodes.len() as f64)).collect()
+        steps
+            .into_iter()
+            .map(|(step, nodes)| (step, nodes.len() as f64))
+            .collect()
     };
-    senders.into_iter().map(|(zone, steps)| (zone, count(steps))).collect()
+    senders
+        .into_iter()
+        .map(|(zone, steps)| (zone, count(steps)))
+        .collect()
 }
 
 /// Draws it into an SVG file.
 pub fn draw(plan: &Plan, log: &[Request], file: &Path) -> Result<(), Box<dyn std::error::Error>> {
-    let end = log.iter().map(|request| request.arrival + request.budget).max().unwrap_or(1_000_000_000);
+    let end = log
+        .iter()
+        .map(|request| request.arrival + request.budget)
+        .max()
+        .unwrap_or(1_000_000_000);
     let outcomes = rates(log.iter().map(|request| {
         let name = match request.answer.map(|answer| answer.told) {
             Some(Told::Served) => "served",
@@ -58,30 +73,56 @@
     }));
     let attempts = log.iter().flat_map(|request| &request.attempts);
     let many = plan.scene.scene.server.len() > MANY;
-    let name = |server: &str, zone: &str| if many { zone.to_owned() } else { server.to_owned() };
-    let servers = rates(attempts.map(|attempt| (name(&attempt.server, &attempt.zone), attempt.start)));
+    let name = |server: &str, zone: &str| {
+        if many {
+            zone.to_owned()
+        } else {
+            server.to_owned()
+        }
+    };
+    let servers =
+        rates(attempts.map(|attempt| (name(&attempt.server, &attempt.zone), attempt.start)));
     let by = if many { "zone" } else { "server" };
     let mut panels = vec![
-        (format!("{}, seed {}: requests a second by outcome", plan.scene.name, plan.seed), outcomes),
+        (
+            format!(
+                "{}, seed {}: requests a second by outcome",
+                plan.scene.name, plan.seed
+            ),
+            outcomes,
+        ),
         (format!("attempts a second by {by}"), servers),
     ];
     let senders = senders(plan, log);
     if !senders.is_empty() {
-        panels.push(("nodes that sent to the zone in trouble, in a quarter of a second".to_owned(), senders));
+        panels.push((
+            "nodes that sent to the zone in trouble, in a quarter of a second".to_owned(),
+            senders,
+        ));
     }
     let area = SVGBackend::new(file, (1200, 450 * panels.len() as u32)).into_drawing_area();
     area.fill(&WHITE)?;
     for (area, (title, rates)) in area.split_evenly((panels.len(), 1)).iter().zip(&panels) {
-        let most = rates.values().flat_map(BTreeMap::values).fold(1.0_f64, |most, rate| most.max(*rate));
+        let most = rates
+            .values()
+            .flat_map(BTreeMap::values)
+            .fold(1.0_f64, |most, rate| most.max(*rate));
         let mut chart = ChartBuilder::on(area)
             .caption(title, ("sans-serif", 20))
             .margin(10)
             .x_label_area_size(30)
             .y_label_area_size(50)
             .build_cartesian_2d(0.0..seconds(end), 0.0..most * 1.15)?;
-        chart.configure_mesh().x_desc("seconds").light_line_style(WHITE).draw()?;
+        chart
+            .configure_mesh()
+            .x_desc("seconds")
+            .light_line_style(WHITE)
+            .draw()?;
         for fault in &plan.faults {
-            let ends = fault.lasts.map_or(end, |lasts| fault.at.saturating_add(lasts)).min(end);
+            let ends = fault
+                .lasts
+                .map_or(end, |lasts| fault.at.saturating_add(lasts))
+                .min(end);
             let corners = [(seconds(fault.at), 0.0), (seconds(ends), most * 1.15)];
             chart.draw_series([Rectangle::new(corners, RED.mix(0.07).filled())])?;
             let label = (seconds(fault.at), most * 1.13);
@@ -89,14 +130,24 @@
         }
         for (number, (name, rate)) in rates.iter().enumerate() {
             let color = Palette99::pick(number).to_rgba();
-            let line = (0..=end / STEP)
-                .map(|step| (seconds(step * STEP + STEP / 2), rate.get(&step).copied().unwrap_or(0.0)));
+            let line = (0..=end / STEP).map(|step| {
+                (
+                    seconds(step * STEP + STEP / 2),
+                    rate.get(&step).copied().unwrap_or(0.0),
+                )
+            });
             chart
                 .draw_series(LineSeries::new(line, color.stroke_width(2)))?
                 .label(name)
-                .legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], color.stroke_width(2)));
+                .legend(move |(x, y)| {
+                    PathElement::new([(x, y), (x + 15, y)], color.stroke_width(2))
+                });
         }
-        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
     }
     area.present()?;
     Ok(())
--- a/testkit/scenarios/src/postgres/load.rs
+++ b/testkit/scenarios/src/postgres/load.rs
@@ -92,12 +92,21 @@
 pub async fn tokio_postgres_client(target: Target, work: Work, seed: u64) -> Vec<Seen> {
     let (mut random, mut seen) = (Random::new(seed, "client"), Vec::new());
     let mut config = tokio_postgres::Config::new();
-    config.host("127.0.0.1").port(target.port).user(&target.user).password(&target.password);
-    config.dbname(&target.database).application_name("rehearsal");
+    config
+        .host("127.0.0.1")
+        .port(target.port)
+        .user(&target.user)
+        .password(&target.password);
+    config
+        .dbname(&target.database)
+        .application_name("rehearsal");
     let mut client = None;
     let mut tries = 0;
     while tries < TRIES {
-        if client.as_ref().is_none_or(tokio_postgres::Client::is_closed) {
+        if client
+            .as_ref()
+            .is_none_or(tokio_postgres::Client::is_closed)
+        {
             let Ok((new, connection)) = config.connect(NoTls).await else {
                 tries += 1;
                 tokio::time::sleep(AGAIN).await;
@@ -108,7 +117,9 @@
             });
             client = Some(new);
         }
-        let Some(connected) = client.as_mut() else { continue };
+        let Some(connected) = client.as_mut() else {
+            continue;
+        };
         let Some(id) = work.take() else { break };
         let began = Instant::now();
         let (kind, rows, result) = match random.between(0, 7) {
@@ -124,7 +135,15 @@
             Err((told, code)) => (told, code),
         };
         let took_us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
-        seen.push(Seen { id, kind, driver: "tokio-postgres", rows, told, code, took_us });
+        seen.push(Seen {
+            id,
+            kind,
+            driver: "tokio-postgres",
+            rows,
+            told,
+            code,
+            took_us,
+        });
         if kind == "copy" && told != Told::Committed {
             // This driver sends CopyFail and a second Sync behind a COPY that failed before it began, and breaks at the
             // second ReadyForQuery that any server answers to that.
@@ -142,11 +161,16 @@
 fn failed(error: &tokio_postgres::Error, alone: bool) -> (Told, String) {
     let code = text(error);
     // Without a code the driver's own words tell what broke.
-    (told(code.as_deref(), alone), code.unwrap_or_else(|| format!("{error:?}")))
+    (
+        told(code.as_deref(), alone),
+        code.unwrap_or_else(|| format!("{error:?}")),
+    )
 }
 
 async fn insert(client: &tokio_postgres::Client, id: i64) -> Result<()> {
-    let done = client.execute("INSERT INTO w VALUES ($1, $2)", &[&id, &0_i32]).await;
+    let done = client
+        .execute("INSERT INTO w VALUES ($1, $2)", &[&id, &0_i32])
+        .await;
     done.map(drop).map_err(|error| failed(&error, true))
 }
 
@@ -162,7 +186,10 @@
             return rolled_back(client, told).await;
         }
     }
-    client.batch_execute("COMMIT").await.map_err(|error| failed(&error, false))
+    client
+        .batch_execute("COMMIT")
+        .await
+        .map_err(|error| failed(&error, false))
 }
 
 /// Ends a transaction that has failed. Where even that is not possible, nothing was promised.
@@ -179,7 +206,10 @@
         Err(error) => return Err(failed(&error, false)),
     };
     for n in 0..2_i32 {
-        if let Err(error) = transaction.execute("INSERT INTO w VALUES ($1, $2)", &[&id, &n]).await {
+        if let Err(error) = transaction
+            .execute("INSERT INTO w VALUES ($1, $2)", &[&id, &n])
+            .await
+        {
             let told = failed(&error, false);
             return match transaction.rollback().await {
                 Err(error) if error.code().is_none() => Err((Told::Nothing, String::new())),
@@ -187,11 +217,15 @@
             };
         }
     }
-    transaction.commit().await.map_err(|error| failed(&error, false))
+    transaction
+        .commit()
+        .await
+        .map_err(|error| failed(&error, false))
 }
 
 async fn one_text(client: &tokio_postgres::Client, id: i64) -> Result<()> {
-    let sql = format!("BEGIN; INSERT INTO w VALUES ({id}, 0); INSERT INTO w VALUES ({id}, 1); COMMIT");
+    let sql =
+        format!("BEGIN; INSERT INTO w VALUES ({id}, 0); INSERT INTO w VALUES ({id}, 1); COMMIT");
     match client.batch_execute(&sql).await {
         Ok(()) => Ok(()),
         Err(error) => {
@@ -204,23 +238,36 @@
 }
 
 async fn copy(client: &tokio_postgres::Client, id: i64) -> Result<()> {
-    let sink = client.copy_in("COPY w FROM STDIN").await.map_err(|error| failed(&error, true))?;
+    let sink = client
+        .copy_in("COPY w FROM STDIN")
+        .await
+        .map_err(|error| failed(&error, true))?;
     let mut sink = std::pin::pin!(sink);
     for n in 0..3 {
         if let Err(error) = sink.send(Bytes::from(format!("{id}\t{n}\n"))).await {
             return Err(failed(&error, true));
         }
     }
-    sink.finish().await.map(drop).map_err(|error| failed(&error, true))
+    sink.finish()
+        .await
+        .map(drop)
+        .map_err(|error| failed(&error, true))
 }
 
 async fn savepoint(client: &mut tokio_postgres::Client, id: i64) -> Result<()> {
-    let outer = client.transaction().await.map_err(|error| failed(&error, false))?;
+    let outer = client
+        .transaction()
+        .await
+        .map_err(|error| failed(&error, false))?;
     let mut outer = outer;
     let work = async {
-        outer.execute("INSERT INTO w VALUES ($1, 0)", &[&id]).await?;
+        outer
+            .execute("INSERT INTO w VALUES ($1, 0)", &[&id])
+            .await?;
         let inner = outer.transaction().await?;
-        inner.execute("INSERT INTO w VALUES ($1, 1)", &[&id]).await?;
+        inner
+            .execute("INSERT INTO w VALUES ($1, 1)", &[&id])
+            .await?;
         inner.rollback().await
     };
     if let Err(error) = work.await {
@@ -256,11 +303,19 @@
                 }
             }
         }
-        let Some(client) = connection.as_mut() else { continue };
+        let Some(client) = connection.as_mut() else {
+            continue;
+        };
         let Some(id) = work.take() else { break };
         let began = Instant::now();
         let (kind, rows, result) = match random.between(0, 2) {
-            0 => ("insert", 1, sqlx_insert(client, id).await.map_err(|error| sqlx_failed(&error, true))),
+            0 => (
+                "insert",
+                1,
+                sqlx_insert(client, id)
+                    .await
+                    .map_err(|error| sqlx_failed(&error, true)),
+            ),
             _ => ("transaction", 2, sqlx_transaction(client, id).await),
         };
         let (told, code) = match result {
@@ -268,7 +323,15 @@
             Err((told, code)) => (told, code),
         };
         let took_us = u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
-        seen.push(Seen { id, kind, driver: "sqlx", rows, told, code, took_us });
+        seen.push(Seen {
+            id,
+            kind,
+            driver: "sqlx",
+            rows,
+            told,
+            code,
+            took_us,
+        });
         if told == Told::Nothing || client.ping().await.is_err() {
             connection = None;
         }
@@ -280,23 +343,42 @@
 }
 
 fn sqlx_failed(error: &sqlx::Error, alone: bool) -> (Told, String) {
-    let code = error.as_database_error().and_then(|error| error.code()).map(|code| code.into_owned());
+    let code = error
+        .as_database_error()
+        .and_then(|error| error.code())
+        .map(|code| code.into_owned());
     (told(code.as_deref(), alone), code.unwrap_or_default())
 }
 
-async fn sqlx_insert(client: &mut sqlx::PgConnection, id: i64) -> std::result::Result<(), sqlx::Error> {
-    sqlx::query("INSERT INTO w VALUES ($1, $2)").bind(id).bind(0_i32).execute(client).await.map(drop)
+async fn sqlx_insert(
+    client: &mut sqlx::PgConnection,
+    id: i64,
+) -> std::result::Result<(), sqlx::Error> {
+    sqlx::query("INSERT INTO w VALUES ($1, $2)")
+        .bind(id)
+        .bind(0_i32)
+        .execute(client)
+        .await
+        .map(drop)
 }
 
 async fn sqlx_transaction(client: &mut sqlx::PgConnection, id: i64) -> Result<()> {
-    let mut transaction = client.begin().await.map_err(|error| sqlx_failed(&error, false))?;
+    let mut transaction = client
+        .begin()
+        .await
+        .map_err(|error| sqlx_failed(&error, false))?;
     for n in 0..2_i32 {
-        let insert = sqlx::query("INSERT INTO w VALUES ($1, $2)").bind(id).bind(n);
+        let insert = sqlx::query("INSERT INTO w VALUES ($1, $2)")
+            .bind(id)
+            .bind(n);
         if let Err(error) = insert.execute(&mut *transaction).await {
             let told = sqlx_failed(&error, false);
             let _ = transaction.rollback().await;
             return Err(told);
         }
     }
-    transaction.commit().await.map_err(|error| sqlx_failed(&error, false))
+    transaction
+        .commit()
+        .await
+        .map_err(|error| sqlx_failed(&error, false))
 }
