--- a/testkit/scenarios/src/postgres/measure.rs
+++ b/testkit/scenarios/src/postgres/measure.rs
@@ -28,12 +28,19 @@
 }
 
 fn line(what: impl Into<String>, figure: impl Into<String>) -> Line {
-    Line { what: what.into(), figure: figure.into() }
+    Line {
+        what: what.into(),
+        figure: figure.into(),
+    }
 }
 
 async fn connect(target: &Target) -> Result<Client, tokio_postgres::Error> {
     let mut config = tokio_postgres::Config::new();
-    config.host("127.0.0.1").port(target.port).user(&target.user).password(&target.password);
+    config
+        .host("127.0.0.1")
+        .port(target.port)
+        .user(&target.user)
+        .password(&target.password);
     config.dbname(&target.database).application_name("measure");
     let (client, connection) = config.connect(NoTls).await?;
     tokio::task::spawn_local(async move {
@@ -51,7 +58,10 @@
 
 impl Latencies {
     fn at(&self, share: f64) -> f64 {
-        self.0.get(((self.0.len().max(1) - 1) as f64 * share) as usize).copied().unwrap_or(0.0)
+        self.0
+            .get(((self.0.len().max(1) - 1) as f64 * share) as usize)
+            .copied()
+            .unwrap_or(0.0)
     }
 
     fn rate(&self) -> f64 {
@@ -112,18 +122,32 @@
 /// A process's CPU time so far, in microseconds, and its resident memory in bytes.
 fn process(id: u32) -> Result<(f64, f64), RunError> {
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
-    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let ticks = |at: usize| fields.get(at).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace()
+        .collect();
+    let ticks = |at: usize| {
+        fields
+            .get(at)
+            .and_then(|field| field.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
     let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
     let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let rss = rss.and_then(|rss| rss.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0);
+    let rss = rss
+        .and_then(|rss| rss.split_whitespace().next()?.parse::<f64>().ok())
+        .unwrap_or(0.0);
     // A hundred ticks a second, as on every system that this runs on.
     Ok(((ticks(11) + ticks(12)) * 10_000.0, rss * 1024.0))
 }
 
 /// Measures all of it.
 pub fn measure(program: &Path, silent: usize, tell: &mut dyn FnMut(Line)) -> Result<(), RunError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         statements(program, tell).await?;
         idle(program, tell).await?;
@@ -135,7 +159,10 @@
 async fn statements(program: &Path, tell: &mut dyn FnMut(Line)) -> Result<(), RunError> {
     let stage = PgStage::set(1, program, 0)?;
     let (through, direct) = (stage.target(), stage.direct(0));
-    for (kind, name) in [(Kind::Select, "prepared select"), (Kind::Transaction, "transaction of three")] {
+    for (kind, name) in [
+        (Kind::Select, "prepared select"),
+        (Kind::Transaction, "transaction of three"),
+    ] {
         for clients in [1, 32, 256] {
             let mut best: Option<(Latencies, Latencies, f64)> = None;
             for _ in 0..ROUNDS {
@@ -143,11 +170,16 @@
                 let before = process(stage.node_id())?.0;
                 let past = closed_loop(&through, clients, kind, SPAN).await?;
                 let cpu = (process(stage.node_id())?.0 - before) / past.0.len().max(1) as f64;
-                if best.as_ref().is_none_or(|(_, known, _)| past.at(0.5) < known.at(0.5)) {
+                if best
+                    .as_ref()
+                    .is_none_or(|(_, known, _)| past.at(0.5) < known.at(0.5))
+                {
                     best = Some((straight, past, cpu));
                 }
             }
-            let Some((straight, past, cpu)) = best else { continue };
+            let Some((straight, past, cpu)) = best else {
+                continue;
+            };
             tell(line(
                 format!("{name}, {clients} clients"),
                 format!(
@@ -172,11 +204,17 @@
     let stage = PgStage::set(1, program, 0)?;
     let target = stage.target();
     let mut clients = vec![connect(&target).await.map_err(stage_error)?];
-    clients[0].batch_execute("SELECT 1").await.map_err(stage_error)?;
+    clients[0]
+        .batch_execute("SELECT 1")
+        .await
+        .map_err(stage_error)?;
     let mut before = 0.0;
     for n in 0..CLIENTS + 100 {
         let client = connect(&target).await.map_err(stage_error)?;
-        client.batch_execute("SELECT 1").await.map_err(stage_error)?;
+        client
+            .batch_execute("SELECT 1")
+            .await
+            .map_err(stage_error)?;
         clients.push(client);
         if n == 99 {
             before = process(stage.node_id())?.1;
@@ -196,7 +234,10 @@
         let mut stage = PgStage::set(2, program, 0)?;
         let target = stage.target();
         let gaps: Rc<RefCell<Vec<f64>>> = Rc::default();
-        let (marked, over) = (Rc::new(Cell::new(None::<Instant>)), Rc::new(Cell::new(false)));
+        let (marked, over) = (
+            Rc::new(Cell::new(None::<Instant>)),
+            Rc::new(Cell::new(false)),
+        );
         let client = connect(&target).await.map_err(stage_error)?;
         let asking = {
             let (gaps, marked, over) = (gaps.clone(), marked.clone(), over.clone());
@@ -239,17 +280,26 @@
         let mut gaps = gaps.take();
         gaps.sort_by(f64::total_cmp);
         let at = |share: f64| {
-            gaps.get(((gaps.len().max(1) - 1) as f64 * share) as usize).copied().unwrap_or(f64::NAN)
+            gaps.get(((gaps.len().max(1) - 1) as f64 * share) as usize)
+                .copied()
+                .unwrap_or(f64::NAN)
         };
         tell(line(
-            format!("a client's first answer behind a {name} of one of two databases ({} times)", gaps.len()),
+            format!(
+                "a client's first answer behind a {name} of one of two databases ({} times)",
+                gaps.len()
+            ),
             format!("p50 {:.1} ms, longest {:.1} ms", at(0.5), at(1.0)),
         ));
     }
     Ok(())
 }
 
-async fn beside_silent(program: &Path, silent: usize, tell: &mut dyn FnMut(Line)) -> Result<(), RunError> {
+async fn beside_silent(
+    program: &Path,
+    silent: usize,
+    tell: &mut dyn FnMut(Line),
+) -> Result<(), RunError> {
     let stage = PgStage::set(1, program, 0)?;
     let target = stage.target();
     let alone = closed_loop(&target, 8, Kind::Select, SPAN).await?;
@@ -280,10 +330,13 @@
         }
         turned_away
     };
-    let (beside, (), turned_away) = tokio::join!(closed_loop(&target, 8, Kind::Select, SPAN), flood, good);
+    let (beside, (), turned_away) =
+        tokio::join!(closed_loop(&target, 8, Kind::Select, SPAN), flood, good);
     let beside = beside?;
     tell(line(
-        format!("a load beside {silent} connections that say nothing ({refused} could not be opened)"),
+        format!(
+            "a load beside {silent} connections that say nothing ({refused} could not be opened)"
+        ),
         format!(
             "p99 {:.0} us alone, {:.0} beside them ({:.2} times); {turned_away} of 100 new clients turned away, \
              {late} later than 1 s",
--- a/testkit/scenarios/src/postgres/scene.rs
+++ b/testkit/scenarios/src/postgres/scene.rs
@@ -9,8 +9,14 @@
 /// The scenes that are shipped, by name.
 pub const SHIPPED: [(&str, &str); 3] = [
     ("postgres", include_str!("../../scenes/postgres.toml")),
-    ("postgres-kill", include_str!("../../scenes/postgres-kill.toml")),
-    ("postgres-drain", include_str!("../../scenes/postgres-drain.toml")),
+    (
+        "postgres-kill",
+        include_str!("../../scenes/postgres-kill.toml"),
+    ),
+    (
+        "postgres-drain",
+        include_str!("../../scenes/postgres-drain.toml"),
+    ),
 ];
 
 const MOST_DATABASES: usize = 16;
@@ -78,21 +84,58 @@
     }
     let text = std::fs::read_to_string(name).ok()?;
     // Scenes of another kind have no transactions.
-    let is_one = text.lines().any(|line| line.trim_start().starts_with("transactions"));
+    let is_one = text
+        .lines()
+        .any(|line| line.trim_start().starts_with("transactions"));
     is_one.then(|| check(&Source::read(Path::new(name))?))
 }
 
 fn check(source: &Source) -> Result<PgScene, FileError> {
     let scene: PgScene = source.parse()?;
-    let within = |span, good: bool, problem: &str| if good { Ok(()) } else { Err(source.bad(span, problem)) };
-    let (transactions, clients, databases) = (&scene.transactions, &scene.clients, &scene.databases);
-    within(transactions.span(), (1..=MOST_TRANSACTIONS).contains(transactions.get_ref()), "1 to 10,000,000")?;
-    within(clients.span(), (1..=MOST_CLIENTS).contains(clients.get_ref()), "1 to 1,000")?;
-    within(databases.span(), (1..=MOST_DATABASES).contains(databases.get_ref()), "1 to 16")?;
-    within(0..0, (0.0..=1.0).contains(&scene.expect.committed), "expect.committed: a share from 0 to 1")?;
-    let spans = scene.kills.iter().map(|kills| (kills.every_ms, kills.down_ms));
-    let mut spans = spans.chain(scene.drains.iter().map(|drains| (drains.every_ms, drains.for_ms)));
-    within(0..0, spans.all(|(every, lasts)| every > 0 && lasts > 0), "kills, drains: times must be above 0")?;
+    let within = |span, good: bool, problem: &str| {
+        if good {
+            Ok(())
+        } else {
+            Err(source.bad(span, problem))
+        }
+    };
+    let (transactions, clients, databases) =
+        (&scene.transactions, &scene.clients, &scene.databases);
+    within(
+        transactions.span(),
+        (1..=MOST_TRANSACTIONS).contains(transactions.get_ref()),
+        "1 to 10,000,000",
+    )?;
+    within(
+        clients.span(),
+        (1..=MOST_CLIENTS).contains(clients.get_ref()),
+        "1 to 1,000",
+    )?;
+    within(
+        databases.span(),
+        (1..=MOST_DATABASES).contains(databases.get_ref()),
+        "1 to 16",
+    )?;
+    within(
+        0..0,
+        (0.0..=1.0).contains(&scene.expect.committed),
+        "expect.committed: a share from 0 to 1",
+    )?;
+    let spans = scene
+        .kills
+        .iter()
+        .map(|kills| (kills.every_ms, kills.down_ms));
+    let mut spans = spans.chain(
+        scene
+            .drains
+            .iter()
+            .map(|drains| (drains.every_ms, drains.for_ms)),
+    );
+    within(
+        0..0,
+        spans.all(|(every, lasts)| every > 0 && lasts > 0),
+        "kills, drains: times must be above 0",
+    )?;
     Ok(scene)
 }
 
--- a/testkit/scenarios/src/postgres/stage.rs
+++ b/testkit/scenarios/src/postgres/stage.rs
@@ -55,7 +55,13 @@
 }
 
 fn names(databases: &[Database], draining: Option<usize>) -> serde_json::Value {
-    let state = |n| if draining == Some(n) { "Terminating" } else { "Ready" };
+    let state = |n| {
+        if draining == Some(n) {
+            "Terminating"
+        } else {
+            "Ready"
+        }
+    };
     databases
         .iter()
         .enumerate()
@@ -66,14 +72,23 @@
 impl PgStage {
     /// Starts databases and a node; `port`: where it takes PostgreSQL clients, 0 for any.
     pub fn set(count: usize, program: &Path, port: u16) -> Result<Self, RunError> {
-        let databases = (0..count).map(|_| Database::start()).collect::<Result<Vec<_>, _>>()?;
+        let databases = (0..count)
+            .map(|_| Database::start())
+            .collect::<Result<Vec<_>, _>>()?;
         for database in &databases {
             database.set_user("node", NODE_PASSWORD);
         }
         let discovery = Discovery::new(names(&databases, None));
         let no_servers = Discovery::new(serde_json::json!([]));
         let calm = scene::find("calm")?;
-        let edge = process::edge(&calm, 0, SocketAddr::from(([127, 0, 0, 1], 0)), no_servers.at, 7, None);
+        let edge = process::edge(
+            &calm,
+            0,
+            SocketAddr::from(([127, 0, 0, 1], 0)),
+            no_servers.at,
+            7,
+            None,
+        );
         let own = format!(
             r#"
             [postgres]
@@ -94,11 +109,27 @@
             discovery.at
         );
         let verifier = Verifier::of(PASSWORD, b"a salt of the rehearsal").write();
-        let files = vec![("users", format!("{USER} {verifier}\n")), ("password", NODE_PASSWORD.to_owned())];
-        let start = Start { program, name: "n0", edge, stepped: None, own, files };
+        let files = vec![
+            ("users", format!("{USER} {verifier}\n")),
+            ("password", NODE_PASSWORD.to_owned()),
+        ];
+        let start = Start {
+            program,
+            name: "n0",
+            edge,
+            stepped: None,
+            own,
+            files,
+        };
         let (mut node, http) = Process::start(&start)?;
         let listen = node.listens_for("serving PostgreSQL clients")?;
-        Ok(Self { databases: Rc::new(databases), discovery, node, http, listen })
+        Ok(Self {
+            databases: Rc::new(databases),
+            discovery,
+            node,
+            http,
+            listen,
+        })
     }
 
     /// The databases.
@@ -149,12 +180,15 @@
             let work = async {
                 let (client, connection) = config.connect(tokio_postgres::NoTls).await?;
                 let connection = tokio::task::spawn_local(connection);
-                client.batch_execute("CREATE TABLE w (id bigint, n int)").await?;
+                client
+                    .batch_execute("CREATE TABLE w (id bigint, n int)")
+                    .await?;
                 drop(client);
                 let _ = connection.await;
                 Ok::<_, tokio_postgres::Error>(())
             };
-            work.await.map_err(|error| RunError::Stage(format!("the stand-in database: {error}")))?;
+            work.await
+                .map_err(|error| RunError::Stage(format!("the stand-in database: {error}")))?;
         }
         Ok(())
     }
@@ -167,7 +201,9 @@
     program: &Path,
     progress: &mut dyn FnMut(f64),
 ) -> Result<PgPlayed, RunError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     tokio::task::LocalSet::new().block_on(&runtime, perform(scene, seed, program, progress))
 }
 
@@ -183,8 +219,11 @@
     let began = Instant::now();
     let clients: Vec<_> = (0..*scene.clients.get_ref())
         .map(|n| {
-            let (target, work, seed) =
-                (stage.target(), work.clone(), seed.wrapping_mul(1_000_003) + n as u64);
+            let (target, work, seed) = (
+                stage.target(),
+                work.clone(),
+                seed.wrapping_mul(1_000_003) + n as u64,
+            );
             // A third of the clients is another driver.
             match n % 3 {
                 2 => tokio::task::spawn_local(sqlx_client(target, work, seed)),
@@ -200,8 +239,12 @@
             None => 0,
         }
     });
-    let (databases, discovery, more, drains) =
-        (stage.databases.clone(), stage.discovery.clone(), work.clone(), scene.drains);
+    let (databases, discovery, more, drains) = (
+        stage.databases.clone(),
+        stage.discovery.clone(),
+        work.clone(),
+        scene.drains,
+    );
     let draining = tokio::task::spawn_local(async move {
         match drains {
             Some(drains) => drain_over_and_over(&databases, &discovery, drains, seed, &more).await,
@@ -214,21 +257,31 @@
             progress(work.done());
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        seen.extend(client.await.map_err(|error| RunError::Stage(error.to_string()))?);
+        seen.extend(
+            client
+                .await
+                .map_err(|error| RunError::Stage(error.to_string()))?,
+        );
     }
     killing.abort();
     draining.abort();
-    let kills = killing.await.unwrap_or_else(|_| KILLED.with(std::cell::Cell::get));
-    let drains = draining.await.unwrap_or_else(|_| DRAINED.with(std::cell::Cell::get));
+    let kills = killing
+        .await
+        .unwrap_or_else(|_| KILLED.with(std::cell::Cell::get));
+    let drains = draining
+        .await
+        .unwrap_or_else(|_| DRAINED.with(std::cell::Cell::get));
     stage.databases.iter().for_each(|database| {
         database.pause(false);
         database.revive();
     });
     // What is still under way at a database ends by itself: the node is gone, and with it all its connections.
-    let crashed = stage
-        .node
-        .exited()
-        .map(|status| format!("the node ended with {status}; its log:\n{}", stage.node.log()));
+    let crashed = stage.node.exited().map(|status| {
+        format!(
+            "the node ended with {status}; its log:\n{}",
+            stage.node.log()
+        )
+    });
     stage.node.kill();
     let quiet = Instant::now();
     while stage.databases.iter().any(|database| database.open() > 0)
@@ -246,7 +299,14 @@
     }
     seen.sort_by_key(|one| one.id);
     let findings = truth::check(&seen, &rows);
-    Ok(PgPlayed { seen, findings, kills, drains, wall: began.elapsed(), crashed })
+    Ok(PgPlayed {
+        seen,
+        findings,
+        kills,
+        drains,
+        wall: began.elapsed(),
+        crashed,
+    })
 }
 
 thread_local! {
@@ -270,8 +330,9 @@
         let before: Vec<u64> = databases.iter().map(Database::statements).collect();
         tokio::time::sleep(span(&mut random, kills.every_ms)).await;
         // One that the node uses now: the death of one that it leaves alone would show nothing.
-        let used: Vec<usize> =
-            (0..databases.len()).filter(|n| databases[*n].statements() > before[*n]).collect();
+        let used: Vec<usize> = (0..databases.len())
+            .filter(|n| databases[*n].statements() > before[*n])
+            .collect();
         if used.is_empty() {
             continue;
         }
--- a/testkit/scenarios/src/postgres/truth.rs
+++ b/testkit/scenarios/src/postgres/truth.rs
@@ -55,26 +55,39 @@
     for one in seen {
         let there = rows.get(&one.id).copied().unwrap_or(0);
         let problem = match one.told {
-            Told::Committed if there == 0 && one.rows > 0 => Some("told committed, and not there".to_owned()),
+            Told::Committed if there == 0 && one.rows > 0 => {
+                Some("told committed, and not there".to_owned())
+            }
             Told::Committed if there != one.rows => {
                 Some(format!("told committed, with {there} of {} rows", one.rows))
             }
-            Told::Refused | Told::RolledBack if there != 0 => {
-                Some(format!("told {:?} ({}), and {there} rows are there", one.told, one.code))
-            }
-            Told::Unknown | Told::Nothing if there != 0 && there != one.rows => {
-                Some(format!("{there} of {} rows are there: twice, or in part", one.rows))
-            }
+            Told::Refused | Told::RolledBack if there != 0 => Some(format!(
+                "told {:?} ({}), and {there} rows are there",
+                one.told, one.code
+            )),
+            Told::Unknown | Told::Nothing if there != 0 && there != one.rows => Some(format!(
+                "{there} of {} rows are there: twice, or in part",
+                one.rows
+            )),
             Told::Nothing => Some("the connection broke without a final answer".to_owned()),
             _ => None,
         };
-        findings.extend(problem.map(|problem| Finding { id: one.id, problem }));
+        findings.extend(problem.map(|problem| Finding {
+            id: one.id,
+            problem,
+        }));
         if known.insert(one.id, ()).is_some() {
-            findings.push(Finding { id: one.id, problem: "two final answers".to_owned() });
+            findings.push(Finding {
+                id: one.id,
+                problem: "two final answers".to_owned(),
+            });
         }
     }
     for id in rows.keys().filter(|id| !known.contains_key(id)) {
-        findings.push(Finding { id: *id, problem: "there, and nobody has sent it".to_owned() });
+        findings.push(Finding {
+            id: *id,
+            problem: "there, and nobody has sent it".to_owned(),
+        });
     }
     findings
 }
--- a/testkit/scenarios/src/process.rs
+++ b/testkit/scenarios/src/process.rs
@@ -112,12 +112,19 @@
     /// Starts a node and waits until it serves.
     pub fn start(start: &Start<'_>) -> Result<(Self, SocketAddr), ProcessError> {
         let name = start.name.to_owned();
-        let system = |source| ProcessError::System { name: start.name.to_owned(), source };
+        let system = |source| ProcessError::System {
+            name: start.name.to_owned(),
+            source,
+        };
         let folder = private_folder().map_err(system)?;
         let edge = folder.join("edge.json");
         std::fs::write(&edge, start.edge.to_string()).map_err(system)?;
         let mut command = Command::new(start.program);
-        command.env("EDGE_CONFIG", &edge).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        command
+            .env("EDGE_CONFIG", &edge)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped());
         let mut door = None;
         let mut text = start.own.replace("{folder}", &folder.to_string_lossy());
         for (name, contents) in &start.files {
@@ -128,7 +135,8 @@
                 .truncate(true)
                 .mode(0o600)
                 .open(folder.join(name));
-            file.and_then(|mut file| file.write_all(contents.as_bytes())).map_err(system)?;
+            file.and_then(|mut file| file.write_all(contents.as_bytes()))
+                .map_err(system)?;
         }
         if let Some(now) = start.stepped {
             let listener = TcpListener::bind("127.0.0.1:0").map_err(system)?;
@@ -142,14 +150,23 @@
             command.arg("--config").arg(&own);
         }
         let started = command.spawn();
-        let mut child =
-            started.map_err(|source| ProcessError::Start { program: start.program.to_owned(), source })?;
+        let mut child = started.map_err(|source| ProcessError::Start {
+            program: start.program.to_owned(),
+            source,
+        })?;
         let log = Arc::new((Mutex::new(Log::default()), Condvar::new()));
         if let Some(stderr) = child.stderr.take() {
             let kept = log.clone();
             thread::spawn(move || keep(stderr, &kept));
         }
-        let mut process = Self { name, child, log, control: None, next: None, folder };
+        let mut process = Self {
+            name,
+            child,
+            log,
+            control: None,
+            next: None,
+            folder,
+        };
         let listens = match door {
             Some(door) => process.welcome(&door)?,
             None => process.wait_for_listen()?,
@@ -158,16 +175,23 @@
     }
 
     fn not_ready(&self) -> ProcessError {
-        ProcessError::NotReady { name: self.name.clone(), log: self.log() }
+        ProcessError::NotReady {
+            name: self.name.clone(),
+            log: self.log(),
+        }
     }
 
     fn system(&self, source: io::Error) -> ProcessError {
-        ProcessError::System { name: self.name.clone(), source }
+        ProcessError::System {
+            name: self.name.clone(),
+            source,
+        }
     }
 
     /// Waits for the control connection and its first line.
     fn welcome(&mut self, door: &TcpListener) -> Result<SocketAddr, ProcessError> {
-        door.set_nonblocking(true).map_err(|source| self.system(source))?;
+        door.set_nonblocking(true)
+            .map_err(|source| self.system(source))?;
         let began = Instant::now();
         let stream = loop {
             match door.accept() {
@@ -180,8 +204,11 @@
             }
             thread::sleep(Duration::from_millis(1));
         };
-        let set = stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true));
-        set.and_then(|()| stream.set_read_timeout(Some(PATIENCE))).map_err(|source| self.system(source))?;
+        let set = stream
+            .set_nonblocking(false)
+            .and_then(|()| stream.set_nodelay(true));
+        set.and_then(|()| stream.set_read_timeout(Some(PATIENCE)))
+            .map_err(|source| self.system(source))?;
         self.control = Some(BufReader::new(stream));
         match self.hear()? {
             Some(FromNode::Hello { listen, .. }) => Ok(listen),
@@ -200,7 +227,9 @@
 
     /// The next line on the control connection; none where that has ended, and so the process.
     fn hear(&mut self) -> Result<Option<FromNode>, ProcessError> {
-        let Some(control) = &mut self.control else { return Ok(None) };
+        let Some(control) = &mut self.control else {
+            return Ok(None);
+        };
         let mut line = String::new();
         match control.take(LOG_LINE).read_line(&mut line) {
             Ok(0) => Ok(None),
@@ -208,8 +237,16 @@
                 let (name, log) = (self.name.clone(), self.log());
                 ProcessError::Control { name, source, log }
             }),
-            Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
-                Err(ProcessError::Stalled { name: self.name.clone(), log: self.log() })
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                ) =>
+            {
+                Err(ProcessError::Stalled {
+                    name: self.name.clone(),
+                    log: self.log(),
+                })
             }
             Err(_) => Ok(None),
         }
@@ -217,14 +254,26 @@
 
     /// Has the node run at this Unix time until nothing is ready. Returns how many bytes it has written to its
     /// sockets, and how many of its connections have ended since its start; none if its process has ended.
-    pub fn step(&mut self, now: Nanos, bytes: u64, ended: u64) -> Result<Option<(u64, u64)>, ProcessError> {
-        let Some(control) = &mut self.control else { return Ok(None) };
+    pub fn step(
+        &mut self,
+        now: Nanos,
+        bytes: u64,
+        ended: u64,
+    ) -> Result<Option<(u64, u64)>, ProcessError> {
+        let Some(control) = &mut self.control else {
+            return Ok(None);
+        };
         let line = ToNode::Step { now, bytes, ended }.to_string();
         if control.get_mut().write_all(line.as_bytes()).is_err() {
             return Ok(None);
         }
         match self.hear()? {
-            Some(FromNode::Idle { next, written, ended, .. }) => {
+            Some(FromNode::Idle {
+                next,
+                written,
+                ended,
+                ..
+            }) => {
                 self.next = next;
                 Ok(Some((written, ended)))
             }
@@ -278,8 +327,10 @@
         while began.elapsed() < PATIENCE && self.exited().is_none() {
             let kept = self.log.0.lock().unwrap_or_else(PoisonError::into_inner);
             let line = kept.lines.iter().find(|line| line.contains(what));
-            let at =
-                line.and_then(|line| line.split_whitespace().find_map(|field| field.strip_prefix("listen=")));
+            let at = line.and_then(|line| {
+                line.split_whitespace()
+                    .find_map(|field| field.strip_prefix("listen="))
+            });
             if let Some(at) = at.and_then(|at| at.parse().ok()) {
                 return Ok(at);
             }
@@ -292,7 +343,10 @@
     /// The last lines of its log.
     pub fn log(&self) -> String {
         let kept = self.log.0.lock().unwrap_or_else(PoisonError::into_inner);
-        kept.lines.iter().map(|line| format!("  {line}\n")).collect()
+        kept.lines
+            .iter()
+            .map(|line| format!("  {line}\n"))
+            .collect()
     }
 }
 
@@ -334,7 +388,10 @@
     use std::sync::atomic::{AtomicU32, Ordering};
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let folder = std::env::temp_dir().join(format!("badgerpost-rehearse-{}-{number}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!(
+        "badgerpost-rehearse-{}-{number}",
+        std::process::id()
+    ));
     std::fs::DirBuilder::new().mode(0o700).create(&folder)?;
     Ok(folder)
 }
@@ -383,6 +440,13 @@
 pub fn sha256(program: &Path) -> Result<String, ProcessError> {
     let mut hasher = Sha256::new();
     let read = std::fs::File::open(program).and_then(|mut file| io::copy(&mut file, &mut hasher));
-    read.map_err(|source| ProcessError::Start { program: program.to_owned(), source })?;
-    Ok(hasher.finalize().iter().map(|byte| format!("{byte:02x}")).collect())
+    read.map_err(|source| ProcessError::Start {
+        program: program.to_owned(),
+        source,
+    })?;
+    Ok(hasher
+        .finalize()
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect())
 }
--- a/testkit/scenarios/src/rules.rs
+++ b/testkit/scenarios/src/rules.rs
@@ -19,7 +19,12 @@
 }
 
 /// All of them.
-pub const RULES: [Rule; 4] = [Rule::OneAnswer, Rule::NoEffectTwice, Rule::DrainsKept, Rule::ColdSpared];
+pub const RULES: [Rule; 4] = [
+    Rule::OneAnswer,
+    Rule::NoEffectTwice,
+    Rule::DrainsKept,
+    Rule::ColdSpared,
+];
 
 impl fmt::Display for Rule {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -65,7 +70,12 @@
     let mut breaches = Vec::new();
     for (index, request) in log.iter().enumerate() {
         let mut found = |rule, what: Option<String>| {
-            breaches.extend(what.map(|what| Breach { rule, line: index + 1, id: request.id.clone(), what }));
+            breaches.extend(what.map(|what| Breach {
+                rule,
+                line: index + 1,
+                id: request.id.clone(),
+                what,
+            }));
         };
         found(Rule::OneAnswer, one_answer(request, figures));
         found(Rule::NoEffectTwice, no_effect_twice(request));
@@ -78,7 +88,10 @@
 /// What a request did not keep of the first rule.
 fn one_answer(request: &Request, figures: &Figures) -> Option<String> {
     if request.surplus > 0 {
-        return Some(format!("{} bytes came behind its final answer", request.surplus));
+        return Some(format!(
+            "{} bytes came behind its final answer",
+            request.surplus
+        ));
     }
     let due = request.arrival + request.budget + figures.answer_slack;
     match &request.answer {
@@ -87,11 +100,15 @@
         Some(answer) if answer.told == Told::Served && !answer.own => {
             Some("it was served with what no server made for it".to_owned())
         }
-        Some(answer) if answer.at > due && !request.excused => {
-            Some(format!("its answer came {} ms after its client had gone", ms(answer.at - due)))
-        }
+        Some(answer) if answer.at > due && !request.excused => Some(format!(
+            "its answer came {} ms after its client had gone",
+            ms(answer.at - due)
+        )),
         Some(answer) => {
-            let later = request.attempts.iter().find(|attempt| attempt.start > answer.at);
+            let later = request
+                .attempts
+                .iter()
+                .find(|attempt| attempt.start > answer.at);
             later.map(|attempt| format!("it came to {} after its final answer", attempt.server))
         }
     }
@@ -101,11 +118,14 @@
 fn no_effect_twice(request: &Request) -> Option<String> {
     let ran = |attempt: &&Attempt| attempt.may_have_run();
     for (number, attempt) in request.attempts.iter().enumerate() {
-        let Some(first) = request.attempts[..number].iter().find(ran) else { continue };
+        let Some(first) = request.attempts[..number].iter().find(ran) else {
+            continue;
+        };
         let allowed = match (request.effect, request.dedup) {
             (Effect::Safe, _) => true,
             (Effect::Keyed, Some((scope, window))) => {
-                in_group(scope, first, attempt) && attempt.start.saturating_sub(first.start) < window
+                in_group(scope, first, attempt)
+                    && attempt.start.saturating_sub(first.start) < window
             }
             (Effect::Keyed, None) | (Effect::Unsafe, _) => false,
         };
@@ -116,14 +136,23 @@
             ));
         }
     }
-    let refused = request.answer.is_some_and(|answer| answer.told == Told::Refused);
+    let refused = request
+        .answer
+        .is_some_and(|answer| answer.told == Told::Refused);
     // Wherever the client's next try goes, its repeat is dropped there.
     let harmless = match (request.effect, request.dedup) {
         (Effect::Safe, _) | (Effect::Keyed, Some((Scope::All, _))) => true,
         (Effect::Keyed | Effect::Unsafe, _) => false,
     };
-    let first = request.attempts.iter().find(ran).filter(|_| refused && !harmless)?;
-    Some(format!("it was refused and may have run at {}", first.server))
+    let first = request
+        .attempts
+        .iter()
+        .find(ran)
+        .filter(|_| refused && !harmless)?;
+    Some(format!(
+        "it was refused and may have run at {}",
+        first.server
+    ))
 }
 
 fn in_group(scope: Scope, first: &Attempt, next: &Attempt) -> bool {
@@ -136,7 +165,9 @@
 
 fn drains_kept(request: &Request, figures: &Figures) -> Option<String> {
     request.attempts.iter().find_map(|attempt| {
-        let late = attempt.told_for.filter(|told| *told > figures.drain_grace)?;
+        let late = attempt
+            .told_for
+            .filter(|told| *told > figures.drain_grace)?;
         Some(format!(
             "it came to {} {} ms after its node was told that this drains",
             attempt.server,
--- a/testkit/scenarios/src/rules/tests.rs
+++ b/testkit/scenarios/src/rules/tests.rs
@@ -2,7 +2,10 @@
 use crate::outcome::{Answer, Ended};
 use crate::{MS, SECOND};
 
-const FIGURES: Figures = Figures { answer_slack: 70 * MS, drain_grace: 550 * MS };
+const FIGURES: Figures = Figures {
+    answer_slack: 70 * MS,
+    drain_grace: 550 * MS,
+};
 
 fn attempt(server: &str, start: Nanos, ended: Ended) -> Attempt {
     Attempt {
@@ -29,19 +32,31 @@
         arrival: 0,
         budget: 500 * MS,
         attempts,
-        answer: told.map(|told| Answer { at: 100 * MS, told, status: 200, own: true }),
+        answer: told.map(|told| Answer {
+            at: 100 * MS,
+            told,
+            status: 200,
+            own: true,
+        }),
         surplus: 0,
         excused: false,
     }
 }
 
 fn broken(request: &Request) -> Vec<Rule> {
-    check(std::slice::from_ref(request), &FIGURES).iter().map(|breach| breach.rule).collect()
+    check(std::slice::from_ref(request), &FIGURES)
+        .iter()
+        .map(|breach| breach.rule)
+        .collect()
 }
 
 #[test]
 fn one_answer_in_time_and_nothing_behind_it() {
-    let good = request(Effect::Safe, vec![attempt("a1", MS, Ended::Served)], Some(Told::Served));
+    let good = request(
+        Effect::Safe,
+        vec![attempt("a1", MS, Ended::Served)],
+        Some(Told::Served),
+    );
     assert_eq!(broken(&good), []);
     let one = [Rule::OneAnswer];
     let with = |change: &dyn Fn(&mut Request)| {
@@ -51,10 +66,22 @@
     };
     assert_eq!(with(&|r| r.answer = None), one);
     assert_eq!(with(&|r| r.surplus = 3), one);
-    assert_eq!(with(&|r| r.answer.iter_mut().for_each(|a| a.at = 571 * MS)), one);
-    assert_eq!(with(&|r| r.answer.iter_mut().for_each(|a| a.at = 570 * MS)), []);
-    assert_eq!(with(&|r| r.answer.iter_mut().for_each(|a| a.own = false)), one);
-    assert_eq!(with(&|r| r.attempts.push(attempt("a2", 101 * MS, Ended::Served))), one);
+    assert_eq!(
+        with(&|r| r.answer.iter_mut().for_each(|a| a.at = 571 * MS)),
+        one
+    );
+    assert_eq!(
+        with(&|r| r.answer.iter_mut().for_each(|a| a.at = 570 * MS)),
+        []
+    );
+    assert_eq!(
+        with(&|r| r.answer.iter_mut().for_each(|a| a.own = false)),
+        one
+    );
+    assert_eq!(
+        with(&|r| r.attempts.push(attempt("a2", 101 * MS, Ended::Served))),
+        one
+    );
     // A node that was killed owes nothing; what came behind an answer is wrong all the same.
     assert_eq!(with(&|r| (r.answer, r.excused) = (None, true)), []);
     assert_eq!(with(&|r| (r.surplus, r.excused) = (1, true)), one);
@@ -65,21 +92,49 @@
 fn no_effect_twice_by_effect_group_and_window() {
     let two = [Rule::NoEffectTwice];
     let again = |effect, first, second: &str, after| {
-        let attempts = vec![attempt("a1", 0, first), attempt(second, after, Ended::Served)];
+        let attempts = vec![
+            attempt("a1", 0, first),
+            attempt(second, after, Ended::Served),
+        ];
         let mut request = request(effect, attempts, Some(Told::Served));
-        request.answer.iter_mut().for_each(|answer| answer.at = 4 * SECOND);
+        request
+            .answer
+            .iter_mut()
+            .for_each(|answer| answer.at = 4 * SECOND);
         request.budget = 5 * SECOND;
         broken(&request)
     };
-    for first in [Ended::Served, Ended::Error, Ended::Reset, Ended::Spoilt, Ended::Abandoned, Ended::Open] {
+    for first in [
+        Ended::Served,
+        Ended::Error,
+        Ended::Reset,
+        Ended::Spoilt,
+        Ended::Abandoned,
+        Ended::Open,
+    ] {
         assert_eq!(again(Effect::Unsafe, first, "a2", MS), two, "{first:?}");
         assert_eq!(again(Effect::Keyed, first, "b1", MS), two, "{first:?}");
-        assert_eq!(again(Effect::Keyed, first, "a2", 2 * SECOND), two, "{first:?}");
-        assert_eq!(again(Effect::Keyed, first, "a2", 2 * SECOND - 1), [], "{first:?}");
-        assert_eq!(again(Effect::Safe, first, "b1", 3 * SECOND), [], "{first:?}");
+        assert_eq!(
+            again(Effect::Keyed, first, "a2", 2 * SECOND),
+            two,
+            "{first:?}"
+        );
+        assert_eq!(
+            again(Effect::Keyed, first, "a2", 2 * SECOND - 1),
+            [],
+            "{first:?}"
+        );
+        assert_eq!(
+            again(Effect::Safe, first, "b1", 3 * SECOND),
+            [],
+            "{first:?}"
+        );
     }
     assert_eq!(again(Effect::Unsafe, Ended::TurnedAway, "b1", MS), []);
-    assert_eq!(again(Effect::Keyed, Ended::TurnedAway, "b1", 3 * SECOND), []);
+    assert_eq!(
+        again(Effect::Keyed, Ended::TurnedAway, "b1", 3 * SECOND),
+        []
+    );
 }
 
 #[test]
@@ -93,7 +148,11 @@
     assert_eq!(refused(Effect::Keyed, Ended::Open), [Rule::NoEffectTwice]);
     assert_eq!(refused(Effect::Unsafe, Ended::TurnedAway), []);
     assert_eq!(refused(Effect::Safe, Ended::Reset), []);
-    let mut anywhere = request(Effect::Keyed, vec![attempt("a1", 0, Ended::Reset)], Some(Told::Refused));
+    let mut anywhere = request(
+        Effect::Keyed,
+        vec![attempt("a1", 0, Ended::Reset)],
+        Some(Told::Refused),
+    );
     anywhere.dedup = Some((Scope::All, SECOND));
     assert_eq!(broken(&anywhere), []);
 }
@@ -105,10 +164,16 @@
     let in_time = request(Effect::Safe, vec![late.clone()], Some(Told::Served));
     assert_eq!(broken(&in_time), []);
     late.told_for = Some(551 * MS);
-    assert_eq!(broken(&request(Effect::Safe, vec![late], Some(Told::Served))), [Rule::DrainsKept]);
+    assert_eq!(
+        broken(&request(Effect::Safe, vec![late], Some(Told::Served))),
+        [Rule::DrainsKept]
+    );
     let mut last = attempt("a1", MS, Ended::Reset);
     last.felled = true;
-    assert_eq!(broken(&request(Effect::Safe, vec![last], Some(Told::Served))), [Rule::ColdSpared]);
+    assert_eq!(
+        broken(&request(Effect::Safe, vec![last], Some(Told::Served))),
+        [Rule::ColdSpared]
+    );
 }
 
 #[test]
@@ -117,5 +182,8 @@
     let bad = request(Effect::Safe, vec![], None);
     let breaches = check(&[good.clone(), bad, good], &FIGURES);
     assert_eq!(breaches.len(), 1);
-    assert_eq!(breaches[0].to_string(), "line 2, request r: it had no final answer");
+    assert_eq!(
+        breaches[0].to_string(),
+        "line 2, request r: it had no final answer"
+    );
 }
--- a/testkit/scenarios/src/run.rs
+++ b/testkit/scenarios/src/run.rs
@@ -79,7 +79,10 @@
 
     /// The most that a cold server was sent, of one zone or of all.
     pub fn cold_peak(&self, zone: Option<&str>) -> f64 {
-        let of = self.cold_peaks.iter().filter(|(at, _)| zone.is_none_or(|zone| zone == at));
+        let of = self
+            .cold_peaks
+            .iter()
+            .filter(|(at, _)| zone.is_none_or(|zone| zone == at));
         of.map(|(_, peak)| *peak).fold(0.0, f64::max)
     }
 
@@ -130,7 +133,11 @@
 }
 
 /// Plays a plan to its end. `progress` hears how far the scene is, from 0 to 1.
-pub fn play(plan: &Plan, options: &Options, progress: &mut dyn FnMut(f64)) -> Result<Played, RunError> {
+pub fn play(
+    plan: &Plan,
+    options: &Options,
+    progress: &mut dyn FnMut(f64),
+) -> Result<Played, RunError> {
     let sha256 = process::sha256(&options.program)?;
     let began = Instant::now();
     let mut stage = Stage::set(plan, options)?;
@@ -149,12 +156,28 @@
         }
     }
     stage.check_ends()?;
-    let (steps, late, strangers, simulated) =
-        (stage.steps, stage.late, stage.world.strangers(), stage.world.now());
-    let Stage { world, processes, _core, .. } = stage;
-    let names = plan.scene.scene.node.iter().map(|node| node.name.get_ref().clone());
-    let logs =
-        names.zip(&processes).filter_map(|(name, process)| Some((name, process.as_ref()?.log()))).collect();
+    let (steps, late, strangers, simulated) = (
+        stage.steps,
+        stage.late,
+        stage.world.strangers(),
+        stage.world.now(),
+    );
+    let Stage {
+        world,
+        processes,
+        _core,
+        ..
+    } = stage;
+    let names = plan
+        .scene
+        .scene
+        .node
+        .iter()
+        .map(|node| node.name.get_ref().clone());
+    let logs = names
+        .zip(&processes)
+        .filter_map(|(name, process)| Some((name, process.as_ref()?.log())))
+        .collect();
     drop(processes);
     let (cold_peaks, talk) = (world.cold_peaks(), world.talk());
     let log = world.into_log();
@@ -207,7 +230,9 @@
     /// Starts the nodes of a plan, with its peers listening.
     pub fn set(plan: &Plan, options: &Options) -> Result<Self, RunError> {
         let base = if options.real_time {
-            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let unix = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
             u64::try_from(unix.as_nanos()).unwrap_or(STEPPED_BASE)
         } else {
             STEPPED_BASE
@@ -245,7 +270,10 @@
 
     /// Where a node listens, and its process's id.
     pub fn node(&self, node: usize) -> Option<(SocketAddr, u32)> {
-        Some((self.world.listen_of(node)?, self.processes[node].as_ref()?.id()))
+        Some((
+            self.world.listen_of(node)?,
+            self.processes[node].as_ref()?.id(),
+        ))
     }
 
     /// Where discovery listens for a node.
@@ -281,7 +309,8 @@
         };
         let (mut process, listens) = Process::start(&start)?;
         if self.world.has_peers() {
-            self.world.peer_up(node, process.listens_for("peers may call")?);
+            self.world
+                .peer_up(node, process.listens_for("peers may call")?);
         }
         self.processes[node] = Some(process);
         (self.unread[node], self.unseen[node]) = (0, 0);
@@ -322,7 +351,10 @@
                 self.step(node)?;
             }
         }
-        fired.orders.into_iter().try_for_each(|order| self.carry_out(order))
+        fired
+            .orders
+            .into_iter()
+            .try_for_each(|order| self.carry_out(order))
     }
 
     /// Has a node run at the present until it is idle, and takes in what it has written.
@@ -331,13 +363,19 @@
             return Ok(());
         }
         let now = self.world.base() + self.world.now();
-        let Some(process) = &mut self.processes[node] else { return Ok(()) };
+        let Some(process) = &mut self.processes[node] else {
+            return Ok(());
+        };
         self.steps += 1;
         if self.steps > MOST_STEPS {
             return Err(RunError::Endless("the nodes never come to rest"));
         }
         let before = self.world.bytes_read();
-        match process.step(now, std::mem::take(&mut self.unread[node]), self.world.ends_of_node(node))? {
+        match process.step(
+            now,
+            std::mem::take(&mut self.unread[node]),
+            self.world.ends_of_node(node),
+        )? {
             Some((written, ended)) => self.collect(node, before + written, ended),
             None => self.ended(node),
         }
@@ -350,13 +388,21 @@
         let mut looks = 0;
         loop {
             let known = told.len();
-            let wait = if looks > 0 { Duration::from_millis(1) } else { Duration::ZERO };
+            let wait = if looks > 0 {
+                Duration::from_millis(1)
+            } else {
+                Duration::ZERO
+            };
             self.world.poll(wait, &mut told)?;
             if told.len() == known {
                 looks += 1;
-                let ends = told.iter().filter(|one| matches!(one, Happening::Ended { .. })).count() as u64;
+                let ends = told
+                    .iter()
+                    .filter(|one| matches!(one, Happening::Ended { .. }))
+                    .count() as u64;
                 let seen = self.world.ends_of_node(node) + ends;
-                let all = seen + self.unseen[node] >= ended || self.world.connections_of(node) as u64 <= ends;
+                let all = seen + self.unseen[node] >= ended
+                    || self.world.connections_of(node) as u64 <= ends;
                 if (all && self.world.bytes_read() >= read) || looks > LOOKS {
                     if !all {
                         self.unseen[node] = ended - seen;
@@ -368,7 +414,8 @@
         }
         self.world.in_order(&mut told)?;
         self.world.set_running(Some(node));
-        told.drain(..).for_each(|happening| self.world.happened(happening));
+        told.drain(..)
+            .for_each(|happening| self.world.happened(happening));
         self.world.set_running(None);
         self.told = told;
         Ok(())
@@ -378,22 +425,37 @@
 
     fn real_turn(&mut self) -> Result<(), RunError> {
         let now = |began: Instant| u64::try_from(began.elapsed().as_nanos()).unwrap_or(Nanos::MAX);
-        while self.world.next().is_some_and(|next| next <= now(self.began)) {
+        while self
+            .world
+            .next()
+            .is_some_and(|next| next <= now(self.began))
+        {
             let fired = self.world.fire()?;
             self.follow(fired)?;
         }
-        let left = self.world.next().map_or(Nanos::MAX, |next| next.saturating_sub(now(self.began)));
+        let left = self
+            .world
+            .next()
+            .map_or(Nanos::MAX, |next| next.saturating_sub(now(self.began)));
         // The system's wait has milliseconds: less than one is waited for awake.
-        let wait = if left < 2 * MS { Duration::ZERO } else { WAIT.min(Duration::from_nanos(left - MS)) };
+        let wait = if left < 2 * MS {
+            Duration::ZERO
+        } else {
+            WAIT.min(Duration::from_nanos(left - MS))
+        };
         let mut told = std::mem::take(&mut self.told);
         self.world.poll(wait, &mut told)?;
         self.world.advance(now(self.began));
-        told.drain(..).for_each(|happening| self.world.happened(happening));
+        told.drain(..)
+            .for_each(|happening| self.world.happened(happening));
         self.told = told;
         if self.world.now() >= self.looked {
             self.looked = self.world.now() + LOOK_AT_NODES;
             for node in 0..self.processes.len() {
-                if self.processes[node].as_mut().is_some_and(|process| process.exited().is_some()) {
+                if self.processes[node]
+                    .as_mut()
+                    .is_some_and(|process| process.exited().is_some())
+                {
                     self.ended(node)?;
                 }
             }
@@ -423,15 +485,23 @@
             }
             Order::Stop(node) => {
                 let process = self.processes[node].as_ref();
-                process.into_iter().for_each(|process| process.signal(Signal::TERM));
+                process
+                    .into_iter()
+                    .for_each(|process| process.signal(Signal::TERM));
                 self.stopping[node] = true;
-                if self.options.real_time { Ok(()) } else { self.step(node) }
+                if self.options.real_time {
+                    Ok(())
+                } else {
+                    self.step(node)
+                }
             }
             Order::Start(node) => self.start(node),
             Order::Pause(node) => {
                 if self.options.real_time {
                     let process = self.processes[node].as_ref();
-                    process.into_iter().for_each(|process| process.signal(Signal::STOP));
+                    process
+                        .into_iter()
+                        .for_each(|process| process.signal(Signal::STOP));
                 }
                 self.paused[node] = true;
                 Ok(())
@@ -440,7 +510,9 @@
                 self.paused[node] = false;
                 if self.options.real_time {
                     let process = self.processes[node].as_ref();
-                    process.into_iter().for_each(|process| process.signal(Signal::CONT));
+                    process
+                        .into_iter()
+                        .for_each(|process| process.signal(Signal::CONT));
                     return Ok(());
                 }
                 self.step(node)
@@ -450,7 +522,9 @@
 
     /// A node's process has ended by itself: as it was asked to, or it has crashed.
     fn ended(&mut self, node: usize) -> Result<(), RunError> {
-        let Some(mut process) = self.processes[node].take() else { return Ok(()) };
+        let Some(mut process) = self.processes[node].take() else {
+            return Ok(());
+        };
         let status = process.wait();
         if self.stopping[node] && status.is_some_and(|status| status.success()) {
             self.world.node_down(node, false);
@@ -467,7 +541,10 @@
     /// Finds nodes that have crashed and were not looked at since.
     fn check_ends(&mut self) -> Result<(), RunError> {
         for node in 0..self.processes.len() {
-            if self.processes[node].as_mut().is_some_and(|process| process.exited().is_some()) {
+            if self.processes[node]
+                .as_mut()
+                .is_some_and(|process| process.exited().is_some())
+            {
                 self.ended(node)?;
             }
         }
--- a/testkit/scenarios/src/scene.rs
+++ b/testkit/scenarios/src/scene.rs
@@ -22,11 +22,17 @@
     ("calm", include_str!("../scenes/calm.toml")),
     ("cold-start", include_str!("../scenes/cold-start.toml")),
     ("crowded", include_str!("../scenes/crowded.toml")),
-    ("discovery-down", include_str!("../scenes/discovery-down.toml")),
+    (
+        "discovery-down",
+        include_str!("../scenes/discovery-down.toml"),
+    ),
     ("drain", include_str!("../scenes/drain.toml")),
     ("night", include_str!("../scenes/night.toml")),
     ("node-killed", include_str!("../scenes/node-killed.toml")),
-    ("silent-server", include_str!("../scenes/silent-server.toml")),
+    (
+        "silent-server",
+        include_str!("../scenes/silent-server.toml"),
+    ),
     ("zone-killed", include_str!("../scenes/zone-killed.toml")),
     ("zone-silent", include_str!("../scenes/zone-silent.toml")),
 ];
@@ -93,8 +99,9 @@
     /// Every zone that a node or a server names, sorted.
     pub fn zones(&self) -> Vec<&str> {
         let nodes = self.node.iter().map(|node| node.zone.as_str());
-        let zones: BTreeSet<&str> =
-            nodes.chain(self.server.iter().map(|server| server.zone.as_str())).collect();
+        let zones: BTreeSet<&str> = nodes
+            .chain(self.server.iter().map(|server| server.zone.as_str()))
+            .collect();
         zones.into_iter().collect()
     }
 }
@@ -357,7 +364,11 @@
         return check(name, Source::shipped(&format!("{name}.toml"), text));
     }
     let path = PathBuf::from(name);
-    let stem = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    let stem = path
+        .file_stem()
+        .unwrap_or_default()
+        .to_string_lossy()
+        .into_owned();
     check(&stem, Source::read(Path::new(name))?)
 }
 
@@ -365,24 +376,46 @@
 pub fn check(name: &str, source: Source) -> Result<Checked, FileError> {
     let mut scene: Scene = source.parse()?;
     let whole = |problem: &str| source.bad(0..0, problem);
-    let within = |span, good: bool, problem: &str| if good { Ok(()) } else { Err(source.bad(span, problem)) };
+    let within = |span, good: bool, problem: &str| {
+        if good {
+            Ok(())
+        } else {
+            Err(source.bad(span, problem))
+        }
+    };
     if scene.class.is_empty() {
         return Err(whole("a scene needs at least one [[class]]"));
     }
     scene.node.extend(groups::nodes(&scene.nodes, MOST_NODES));
-    scene.server.extend(groups::servers(&scene.servers, MOST_SERVERS));
-    if !(1..=MOST_NODES).contains(&scene.node.len()) || !(1..=MOST_SERVERS).contains(&scene.server.len()) {
+    scene
+        .server
+        .extend(groups::servers(&scene.servers, MOST_SERVERS));
+    if !(1..=MOST_NODES).contains(&scene.node.len())
+        || !(1..=MOST_SERVERS).contains(&scene.server.len())
+    {
         return Err(whole(&format!(
             "a scene has 1 to {MOST_NODES} [[node]] and 1 to {MOST_SERVERS} [[server]]"
         )));
     }
     let length = &scene.length_ms;
-    within(length.span(), (1..=MOST_MS).contains(length.get_ref()), "from 1 to 3600000")?;
+    within(
+        length.span(),
+        (1..=MOST_MS).contains(length.get_ref()),
+        "from 1 to 3600000",
+    )?;
     let rate = &scene.clients.rate;
-    within(rate.span(), (0.0..=MOST_RATE).contains(rate.get_ref()), "from 0 to 100000 a second")?;
+    within(
+        rate.span(),
+        (0.0..=MOST_RATE).contains(rate.get_ref()),
+        "from 0 to 100000 a second",
+    )?;
     for class in &scene.class {
         let (share, work) = (&class.share, &class.work_ms);
-        within(share.span(), *share.get_ref() > 0.0 && share.get_ref().is_finite(), "must be above 0")?;
+        within(
+            share.span(),
+            *share.get_ref() > 0.0 && share.get_ref().is_finite(),
+            "must be above 0",
+        )?;
         let (least, most) = *work.get_ref();
         within(
             work.span(),
@@ -390,14 +423,26 @@
             "from a time above 0 to one no shorter",
         )?;
         let deadline = &class.deadline_ms;
-        within(deadline.span(), (1..=MOST_MS).contains(deadline.get_ref()), "from 1 to 3600000")?;
+        within(
+            deadline.span(),
+            (1..=MOST_MS).contains(deadline.get_ref()),
+            "from 1 to 3600000",
+        )?;
     }
     for server in &scene.server {
         let speed = &server.speed;
-        within(speed.span(), (0.001..=1000.0).contains(speed.get_ref()), "from 0.001 to 1000")?;
+        within(
+            speed.span(),
+            (0.001..=1000.0).contains(speed.get_ref()),
+            "from 0.001 to 1000",
+        )?;
         if let Some(choke) = &server.choke {
             let slower = &choke.slower;
-            within(slower.span(), (1.0..=1000.0).contains(slower.get_ref()), "from 1 to 1000")?;
+            within(
+                slower.span(),
+                (1.0..=1000.0).contains(slower.get_ref()),
+                "from 1 to 1000",
+            )?;
             let spans = [&choke.over_ms, &choke.rest_ms];
             for span in spans {
                 within(span.span(), *span.get_ref() <= MOST_MS, "from 0 to 3600000")?;
@@ -409,11 +454,21 @@
         let fit = |name: &str| {
             !name.is_empty()
                 && name.len() <= 64
-                && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+                && name
+                    .bytes()
+                    .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
         };
         for name in names {
-            within(name.span(), fit(name.get_ref()), "a name has 1 to 64 letters, digits, '-', '_' or '.'")?;
-            within(name.span(), seen.insert(name.get_ref().clone()), "this name is taken")?;
+            within(
+                name.span(),
+                fit(name.get_ref()),
+                "a name has 1 to 64 letters, digits, '-', '_' or '.'",
+            )?;
+            within(
+                name.span(),
+                seen.insert(name.get_ref().clone()),
+                "this name is taken",
+            )?;
         }
         Ok::<_, FileError>(())
     };
@@ -432,12 +487,22 @@
             position(names.iter().position(|one| Some(*one) == name), wanted)
         };
         let one = match about {
-            About::Server if fault.server.is_some() => {
-                Some(named(scene.server.iter().map(|s| s.name.get_ref().as_str()).collect(), &fault.server)?)
-            }
-            About::Node if fault.node.is_some() => {
-                Some(named(scene.node.iter().map(|n| n.name.get_ref().as_str()).collect(), &fault.node)?)
-            }
+            About::Server if fault.server.is_some() => Some(named(
+                scene
+                    .server
+                    .iter()
+                    .map(|s| s.name.get_ref().as_str())
+                    .collect(),
+                &fault.server,
+            )?),
+            About::Node if fault.node.is_some() => Some(named(
+                scene
+                    .node
+                    .iter()
+                    .map(|n| n.name.get_ref().as_str())
+                    .collect(),
+                &fault.node,
+            )?),
             About::Server | About::Node => None,
             About::List => Some(0),
         };
@@ -451,7 +516,11 @@
                 let share = fault.share.as_ref().map_or(1.0, |share| *share.get_ref());
                 let span = fault.share.as_ref().map(Spanned::span).unwrap_or_default();
                 within(span, share > 0.0 && share <= 1.0, "above 0, up to 1")?;
-                Whom::Group(Group { zone, from: 0, to: (share * 1000.0).round().max(1.0) as u16 })
+                Whom::Group(Group {
+                    zone,
+                    from: 0,
+                    to: (share * 1000.0).round().max(1.0) as u16,
+                })
             }
         };
         let at = &fault.at_ms;
@@ -465,15 +534,31 @@
         };
         let (waves, repeats) = (times(&fault.waves)?, times(&fault.repeat)?);
         let every = fault.every_ms.unwrap_or(0).min(MOST_MS) * MS;
-        let chance = fault.chance.as_ref().map_or(1.0, |chance| *chance.get_ref());
-        for (repeat, wave) in (0..repeats).flat_map(|repeat| (0..waves).map(move |wave| (repeat, wave))) {
+        let chance = fault
+            .chance
+            .as_ref()
+            .map_or(1.0, |chance| *chance.get_ref());
+        for (repeat, wave) in
+            (0..repeats).flat_map(|repeat| (0..waves).map(move |wave| (repeat, wave)))
+        {
             let at = at.get_ref() * MS + every.saturating_mul(repeat * waves + wave);
             let whom = whom.part(wave, waves);
-            faults.push(Planned { at, lasts, whom, trouble, permille: (chance * 1000.0) as u16 });
+            faults.push(Planned {
+                at,
+                lasts,
+                whom,
+                trouble,
+                permille: (chance * 1000.0) as u16,
+            });
         }
     }
     faults.sort_by_key(|fault| fault.at);
-    Ok(Checked { name: name.to_owned(), scene, faults, text: source.text().to_owned() })
+    Ok(Checked {
+        name: name.to_owned(),
+        scene,
+        faults,
+        text: source.text().to_owned(),
+    })
 }
 
 #[cfg(test)]
--- a/testkit/scenarios/src/scene/groups.rs
+++ b/testkit/scenarios/src/scene/groups.rs
@@ -52,7 +52,12 @@
 /// The nodes of all groups, one more than `most` at the most.
 pub(super) fn nodes(groups: &[NodeGroup], most: usize) -> Vec<Node> {
     let of = |group: &NodeGroup| {
-        let NodeGroup { name, zone, sockets, .. } = group.clone();
+        let NodeGroup {
+            name,
+            zone,
+            sockets,
+            ..
+        } = group.clone();
         (0..group.count).map(move |number| Node {
             name: Spanned::new(name.span(), format!("{}{number}", name.get_ref())),
             zone: zone.clone(),
@@ -65,7 +70,16 @@
 /// The servers of all groups, one more than `most` at the most.
 pub(super) fn servers(groups: &[ServerGroup], most: usize) -> Vec<Server> {
     let of = |group: &ServerGroup| {
-        let ServerGroup { count, name, zone, speed, slots, queue, starts_ms, choke } = group.clone();
+        let ServerGroup {
+            count,
+            name,
+            zone,
+            speed,
+            slots,
+            queue,
+            starts_ms,
+            choke,
+        } = group.clone();
         let (first, last) = *speed.get_ref();
         (0..count).map(move |number| Server {
             name: Spanned::new(name.span(), format!("{}{number}", name.get_ref())),
--- a/testkit/scenarios/src/scene/trouble.rs
+++ b/testkit/scenarios/src/scene/trouble.rs
@@ -118,16 +118,36 @@
 }
 
 const fn link(what: LinkWhat) -> Trouble {
-    Trouble::Link(LinkTrouble { what, far: Far::All, there: true, back: true })
+    Trouble::Link(LinkTrouble {
+        what,
+        far: Far::All,
+        there: true,
+        back: true,
+    })
 }
 
 /// The kinds as files name them, with the figure that each needs.
 const KINDS: [(&str, Trouble, About, Option<&str>); 24] = [
     ("refuse", Trouble::Refuse, About::Server, None),
-    ("reset", Trouble::Reset { after: 0 }, About::Server, Some("after_bytes")),
+    (
+        "reset",
+        Trouble::Reset { after: 0 },
+        About::Server,
+        Some("after_bytes"),
+    ),
     ("hang", Trouble::Hang, About::Server, None),
-    ("late", Trouble::Late { by: 0 }, About::Server, Some("by_ms")),
-    ("slow", Trouble::Slow { percent: 0 }, About::Server, Some("times")),
+    (
+        "late",
+        Trouble::Late { by: 0 },
+        About::Server,
+        Some("by_ms"),
+    ),
+    (
+        "slow",
+        Trouble::Slow { percent: 0 },
+        About::Server,
+        Some("times"),
+    ),
     ("spoilt", Trouble::Spoilt, About::Server, None),
     ("turn-away", Trouble::TurnAway, About::Server, None),
     ("error", Trouble::Fail, About::Server, None),
@@ -135,17 +155,42 @@
     ("gone", Trouble::Gone, About::Server, None),
     ("kill-server", Trouble::KillServer, About::Server, None),
     ("pause-server", Trouble::PauseServer, About::Server, None),
-    ("list-silent", Trouble::List(Mode::Silent), About::List, None),
+    (
+        "list-silent",
+        Trouble::List(Mode::Silent),
+        About::List,
+        None,
+    ),
     ("list-stale", Trouble::List(Mode::Stale), About::List, None),
     ("list-empty", Trouble::List(Mode::Empty), About::List, None),
-    ("list-malformed", Trouble::List(Mode::Malformed), About::List, None),
-    ("list-failing", Trouble::List(Mode::Failing), About::List, None),
+    (
+        "list-malformed",
+        Trouble::List(Mode::Malformed),
+        About::List,
+        None,
+    ),
+    (
+        "list-failing",
+        Trouble::List(Mode::Failing),
+        About::List,
+        None,
+    ),
     ("kill-node", Trouble::KillNode, About::Node, None),
     ("stop-node", Trouble::StopNode, About::Node, None),
     ("pause-node", Trouble::PauseNode, About::Node, None),
     ("cut", link(LinkWhat::Cut), About::Node, None),
-    ("slow-link", link(LinkWhat::Slow { by: 0 }), About::Node, Some("by_ms")),
-    ("lossy-link", link(LinkWhat::Lossy { permille: 0 }), About::Node, Some("loss")),
+    (
+        "slow-link",
+        link(LinkWhat::Slow { by: 0 }),
+        About::Node,
+        Some("by_ms"),
+    ),
+    (
+        "lossy-link",
+        link(LinkWhat::Lossy { permille: 0 }),
+        About::Node,
+        Some("loss"),
+    ),
     ("reset-link", link(LinkWhat::Reset), About::Node, None),
 ];
 
@@ -167,7 +212,10 @@
     }
 
     fn about(self) -> Option<About> {
-        KINDS.iter().find(|kind| kind.0 == self.name()).map(|kind| kind.2)
+        KINDS
+            .iter()
+            .find(|kind| kind.0 == self.name())
+            .map(|kind| kind.2)
     }
 
     /// Whether it is about a server.
@@ -180,16 +228,27 @@
         self.about() == Some(About::Node)
     }
 
-    pub(super) fn read(fault: &Fault, scene: &Scene, source: &Source) -> Result<(Self, About), FileError> {
+    pub(super) fn read(
+        fault: &Fault,
+        scene: &Scene,
+        source: &Source,
+    ) -> Result<(Self, About), FileError> {
         let kind = KINDS.iter().find(|kind| kind.0 == fault.kind.get_ref());
         let &(name, mut trouble, about, needs) = kind.ok_or_else(|| {
             let known = KINDS.map(|kind| kind.0).join(", ");
-            source.bad(fault.kind.span(), format!("unknown kind of fault; there are {known}"))
+            source.bad(
+                fault.kind.span(),
+                format!("unknown kind of fault; there are {known}"),
+            )
         })?;
-        let missing = |key: &str| source.bad(fault.kind.span(), format!("`{name}` needs the key `{key}`"));
-        let misplaced = |span, key: &str| source.bad(span, format!("`{key}` does not go with `{name}`"));
-        let given =
-            [(&fault.server, "server", about == About::Server), (&fault.node, "node", about == About::Node)];
+        let missing =
+            |key: &str| source.bad(fault.kind.span(), format!("`{name}` needs the key `{key}`"));
+        let misplaced =
+            |span, key: &str| source.bad(span, format!("`{key}` does not go with `{name}`"));
+        let given = [
+            (&fault.server, "server", about == About::Server),
+            (&fault.node, "node", about == About::Node),
+        ];
         for (value, key, wanted) in given {
             match value {
                 None if wanted && fault.zone.is_none() && fault.share.is_none() => {
@@ -211,7 +270,11 @@
             (span(&fault.way), "way", is_link),
             (figure(&fault.chance), "chance", BY_CHANCE.contains(&name)),
             (whole(&fault.waves), "waves", !one && about != About::List),
-            (whole(&fault.after_bytes), "after_bytes", needs == Some("after_bytes")),
+            (
+                whole(&fault.after_bytes),
+                "after_bytes",
+                needs == Some("after_bytes"),
+            ),
             (whole(&fault.by_ms), "by_ms", needs == Some("by_ms")),
             (figure(&fault.times), "times", needs == Some("times")),
             (figure(&fault.loss), "loss", needs == Some("loss")),
@@ -228,13 +291,16 @@
             }
             value => Ok(value.as_ref().map_or(1.0, |value| *value.get_ref())),
         };
-        let figure = |value: &Option<Spanned<u64>>| value.as_ref().map_or(0, |value| *value.get_ref());
+        let figure =
+            |value: &Option<Spanned<u64>>| value.as_ref().map_or(0, |value| *value.get_ref());
         let by = figure(&fault.by_ms).min(MOST_MS) * MS;
         within(&fault.chance, 0.0, 1.0)?;
         match &mut trouble {
             Self::Reset { after } => *after = figure(&fault.after_bytes),
             Self::Late { by: late } => *late = by,
-            Self::Slow { percent } => *percent = (within(&fault.times, 1.0, 1000.0)? * 100.0) as u32,
+            Self::Slow { percent } => {
+                *percent = (within(&fault.times, 1.0, 1000.0)? * 100.0) as u32
+            }
             Self::Link(link) => {
                 match &mut link.what {
                     LinkWhat::Slow { by: slow } => *slow = by,
@@ -258,7 +324,8 @@
                         }
                     };
                 }
-                (link.there, link.back) = match fault.way.as_ref().map(|way| way.get_ref().as_str()) {
+                (link.there, link.back) = match fault.way.as_ref().map(|way| way.get_ref().as_str())
+                {
                     None | Some("both") => (true, true),
                     Some("there") => (true, false),
                     Some("back") => (false, true),
@@ -287,9 +354,15 @@
 impl Whom {
     /// One of so many parts of a group.
     pub(super) fn part(self, part: u64, of: u64) -> Self {
-        let Self::Group(Group { zone, from, to }) = self else { return self };
+        let Self::Group(Group { zone, from, to }) = self else {
+            return self;
+        };
         let at = |part: u64| from + (u64::from(to - from) * part / of) as u16;
-        Self::Group(Group { zone, from: at(part), to: at(part + 1) })
+        Self::Group(Group {
+            zone,
+            from: at(part),
+            to: at(part + 1),
+        })
     }
 }
 
@@ -334,7 +407,11 @@
         let of: Vec<&str> = if self.trouble.is_about_node() {
             scene.node.iter().map(|node| node.zone.as_str()).collect()
         } else {
-            scene.server.iter().map(|server| server.zone.as_str()).collect()
+            scene
+                .server
+                .iter()
+                .map(|server| server.zone.as_str())
+                .collect()
         };
         let mut random = badgerpost_fakes::random::Random::new(seed, "groups");
         let mut drawn: Vec<(u64, usize)> = (0..of.len())
@@ -342,9 +419,15 @@
             .filter(|(_, at)| zone.is_none_or(|zone| of[*at] == zone))
             .collect();
         drawn.sort_unstable();
-        let upto = |part: u16| (drawn.len() * usize::from(part)).div_ceil(1000).min(drawn.len());
-        let mut struck: Vec<usize> =
-            drawn[upto(group.from)..upto(group.to)].iter().map(|one| one.1).collect();
+        let upto = |part: u16| {
+            (drawn.len() * usize::from(part))
+                .div_ceil(1000)
+                .min(drawn.len())
+        };
+        let mut struck: Vec<usize> = drawn[upto(group.from)..upto(group.to)]
+            .iter()
+            .map(|one| one.1)
+            .collect();
         struck.sort_unstable();
         struck
     }
--- a/testkit/scenarios/src/sweep.rs
+++ b/testkit/scenarios/src/sweep.rs
@@ -44,7 +44,9 @@
                         return;
                     }
                     let row = row(name, seed, options);
-                    let mut rows = rows.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                    let mut rows = rows
+                        .lock()
+                        .unwrap_or_else(std::sync::PoisonError::into_inner);
                     match (&mut *rows, row) {
                         (Ok(rows), Ok(row)) => rows.push(row),
                         (Ok(_), Err(error)) => *rows = Err(error),
@@ -54,7 +56,9 @@
             });
         }
     });
-    let mut rows = rows.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner)?;
+    let mut rows = rows
+        .into_inner()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)?;
     rows.sort_by_key(|row| row.seed);
     Ok(rows)
 }
@@ -77,8 +81,12 @@
 pub fn figures(row: &Row) -> [Option<f64>; COLUMNS.len()] {
     let conduct = row.conduct.as_ref();
     let left = |share| {
-        let spans = conduct.filter(|seen| seen.stayed == 0).map(|seen| &seen.left_after);
-        spans.and_then(|spans| fleet::at_share(spans, share)).map(|span| (span / MS) as f64)
+        let spans = conduct
+            .filter(|seen| seen.stayed == 0)
+            .map(|seen| &seen.left_after);
+        spans
+            .and_then(|spans| fleet::at_share(spans, share))
+            .map(|span| (span / MS) as f64)
     };
     let ms = |span: Option<u64>| span.map(|span| (span / MS) as f64);
     [
@@ -118,5 +126,9 @@
     let values: Option<Vec<f64>> = rows.iter().map(|row| figures(row)[column]).collect();
     let mut values = values.filter(|values| !values.is_empty())?;
     values.sort_by(f64::total_cmp);
-    Some([values[0], values[(values.len() - 1) / 2], values[values.len() - 1]])
+    Some([
+        values[0],
+        values[(values.len() - 1) / 2],
+        values[values.len() - 1],
+    ])
 }
--- a/testkit/scenarios/src/world.rs
+++ b/testkit/scenarios/src/world.rs
@@ -91,7 +91,9 @@
             let (listener, list_at) = net.listen(loopback)?;
             places.insert(listener, Place::List(number));
             let name = node.name.get_ref().clone();
-            let talks = (peers || scene.scene.peers).then(|| net.open_datagrams(loopback)).transpose()?;
+            let talks = (peers || scene.scene.peers)
+                .then(|| net.open_datagrams(loopback))
+                .transpose()?;
             let (idle, told, open, ended) = (Vec::new(), BTreeMap::new(), 0, 0);
             let zone_number = zone_number(&node.zone);
             nodes.push(NodeSide {
@@ -105,7 +107,13 @@
                 told,
                 open,
                 ended,
-                talk: talks.map(|(door, at)| Talk { door, at, real: None, datagrams: 0, bytes: 0 }),
+                talk: talks.map(|(door, at)| Talk {
+                    door,
+                    at,
+                    real: None,
+                    datagrams: 0,
+                    bytes: 0,
+                }),
             });
         }
         let pending = plan.arrivals.len();
@@ -135,20 +143,27 @@
         for number in 0..world.plan.faults.len() {
             let Planned { at, lasts, .. } = world.plan.faults[number];
             world.at(at, Todo::FaultOn(number));
-            lasts.into_iter().for_each(|lasts| world.at(at.saturating_add(lasts), Todo::FaultOff(number)));
+            lasts
+                .into_iter()
+                .for_each(|lasts| world.at(at.saturating_add(lasts), Todo::FaultOff(number)));
         }
         for number in 0..world.plan.arrivals.len() {
             world.at(world.plan.arrivals[number].at, Todo::Arrive(number));
         }
         for (number, server) in scene.scene.server.iter().enumerate() {
-            server.starts_ms.into_iter().for_each(|at| world.at(at * MS, Todo::Starts(number)));
+            server
+                .starts_ms
+                .into_iter()
+                .for_each(|at| world.at(at * MS, Todo::Starts(number)));
         }
         Ok(world)
     }
 
     /// Does the next thing. Something is written to one connection at most.
     pub fn fire(&mut self) -> io::Result<Fired> {
-        let Some(((at, _), todo)) = self.queue.pop_first() else { return Ok(Fired::default()) };
+        let Some(((at, _), todo)) = self.queue.pop_first() else {
+            return Ok(Fired::default());
+        };
         self.advance(at);
         let touched = match todo {
             Todo::Arrive(number) => self.arrive(number, None),
@@ -182,7 +197,10 @@
                 None
             }
         };
-        Ok(Fired { touched, orders: Vec::new() })
+        Ok(Fired {
+            touched,
+            orders: Vec::new(),
+        })
     }
 
     /// Takes in what has come on a socket.
@@ -192,11 +210,18 @@
                 let peer = match self.places.get(&listener) {
                     Some(&Place::Server(server)) => {
                         let inbox = Inbox::new(Side::Requests);
-                        Peer::Server { server, node: self.running, inbox, attempt: None }
-                    }
-                    Some(&Place::List(node)) => {
-                        Peer::List { node, inbox: Inbox::new(Side::Requests), watch: None }
+                        Peer::Server {
+                            server,
+                            node: self.running,
+                            inbox,
+                            attempt: None,
+                        }
                     }
+                    Some(&Place::List(node)) => Peer::List {
+                        node,
+                        inbox: Inbox::new(Side::Requests),
+                        watch: None,
+                    },
                     None => return,
                 };
                 self.adopt(conn, peer);
@@ -224,7 +249,9 @@
     fn ended(&mut self, conn: ConnId) {
         match self.forget(conn) {
             Some(Peer::Server { attempt, .. }) => self.attempt_ends(attempt, Ended::Abandoned),
-            Some(Peer::Client { node, open, last, .. }) => {
+            Some(Peer::Client {
+                node, open, last, ..
+            }) => {
                 self.nodes[node].idle.retain(|idle| *idle != conn);
                 if let Some(open) = open {
                     self.client_cut_off(open, last.is_some());
--- a/testkit/scenarios/src/world/clients.rs
+++ b/testkit/scenarios/src/world/clients.rs
@@ -25,7 +25,9 @@
         let dedup = (class.effect == Effect::Keyed).then_some((class.scope, class.window_ms * MS));
         // The system before the nodes has noticed by now which of them are down.
         let count = self.nodes.len();
-        let up = (0..count).map(|step| (plan.node + step) % count).find(|node| self.nodes[*node].up);
+        let up = (0..count)
+            .map(|step| (plan.node + step) % count)
+            .find(|node| self.nodes[*node].up);
         let node = up.unwrap_or(plan.node);
         let log = Request {
             id: id.clone(),
@@ -46,7 +48,15 @@
         self.ids.insert(id, number);
         let rules = &self.plan.scene.scene.rules;
         let due = self.now + log.budget + rules.answer_slack_ms * MS + SOCKETS + LISTENS_ON;
-        self.requests.push(Open { log, arrival, node, tries, key, done: false, resent: false });
+        self.requests.push(Open {
+            log,
+            arrival,
+            node,
+            tries,
+            key,
+            done: false,
+            resent: false,
+        });
         self.at(due, Todo::Due(number));
         if up.is_none() {
             self.requests[number].log.excused = true;
@@ -58,11 +68,17 @@
 
     /// Writes a request to a node, on an idle connection or a new one.
     pub(super) fn put(&mut self, number: usize, node: usize, fresh: bool) -> Option<(usize, u64)> {
-        let kept = if fresh { None } else { self.nodes[node].idle.pop() };
+        let kept = if fresh {
+            None
+        } else {
+            self.nodes[node].idle.pop()
+        };
         let conn = match kept {
             Some(conn) => conn,
             None => {
-                let connected = self.nodes[node].listen.and_then(|at| self.net.connect(at).ok());
+                let connected = self.nodes[node]
+                    .listen
+                    .and_then(|at| self.net.connect(at).ok());
                 let Some(conn) = connected else {
                     // Nobody listens there any more: nothing was taken.
                     self.requests[number].log.excused = true;
@@ -70,17 +86,34 @@
                     return None;
                 };
                 let inbox = Inbox::new(Side::Answers);
-                self.adopt(conn, Peer::Client { node, inbox, open: None, last: None });
+                self.adopt(
+                    conn,
+                    Peer::Client {
+                        node,
+                        inbox,
+                        open: None,
+                        last: None,
+                    },
+                );
                 conn
             }
         };
-        let Open { log, key, tries, .. } = &self.requests[number];
+        let Open {
+            log, key, tries, ..
+        } = &self.requests[number];
         let effect = match log.effect {
             Effect::Safe => client::Effect::Safe,
             Effect::Keyed => client::Effect::Keyed,
             Effect::Unsafe => client::Effect::Unsafe,
         };
-        let ask = Ask { id: &log.id, class: &log.class, effect, key, budget: log.budget, again: *tries > 0 };
+        let ask = Ask {
+            id: &log.id,
+            class: &log.class,
+            effect,
+            key,
+            budget: log.budget,
+            again: *tries > 0,
+        };
         let bytes = ask.bytes();
         if let Some(Peer::Client { open, .. }) = self.peers.get_mut(&conn) {
             *open = Some(number);
@@ -89,8 +122,15 @@
     }
 
     /// A client's request comes to its node, if the client still waits.
-    pub(super) fn node_gets(&mut self, conn: ConnId, number: usize, bytes: &[u8]) -> Option<(usize, u64)> {
-        let Some(Peer::Client { node, open, .. }) = self.peers.get(&conn) else { return None };
+    pub(super) fn node_gets(
+        &mut self,
+        conn: ConnId,
+        number: usize,
+        bytes: &[u8],
+    ) -> Option<(usize, u64)> {
+        let Some(Peer::Client { node, open, .. }) = self.peers.get(&conn) else {
+            return None;
+        };
         let node = *node;
         if *open != Some(number) {
             return None;
@@ -99,12 +139,21 @@
     }
 
     pub(super) fn client_reads(&mut self, conn: ConnId) {
-        let Some(Peer::Client { node, inbox, open, last }) = self.peers.get_mut(&conn) else { return };
+        let Some(Peer::Client {
+            node,
+            inbox,
+            open,
+            last,
+        }) = self.peers.get_mut(&conn)
+        else {
+            return;
+        };
         let node = *node;
         let Some(request) = *open else {
             // Bytes that nobody asked for.
             let surplus = u64::from(inbox.begun());
-            last.iter().for_each(|last| self.requests[*last].log.surplus += surplus);
+            last.iter()
+                .for_each(|last| self.requests[*last].log.surplus += surplus);
             self.drop_client(conn, node);
             return;
         };
@@ -124,7 +173,15 @@
 
     /// A node's answer comes to its client, if that still waits.
     pub(super) fn client_gets(&mut self, conn: ConnId, request: usize, answer: &Message) {
-        let Some(Peer::Client { node, inbox, open, last }) = self.peers.get_mut(&conn) else { return };
+        let Some(Peer::Client {
+            node,
+            inbox,
+            open,
+            last,
+        }) = self.peers.get_mut(&conn)
+        else {
+            return;
+        };
         let node = *node;
         (*open, *last) = (None, Some(request));
         let surplus = u64::from(inbox.begun());
@@ -151,11 +208,15 @@
             Verdict::Refused { .. } => Told::Refused,
             Verdict::Failed => Told::Failed,
         };
-        let own = log
-            .attempts
-            .iter()
-            .any(|attempt| attempt.ended == Ended::Served && answer.body == body(&log.id, &attempt.server));
-        log.answer = Some(Answer { at: now, told, status: answer.status, own });
+        let own = log.attempts.iter().any(|attempt| {
+            attempt.ended == Ended::Served && answer.body == body(&log.id, &attempt.server)
+        });
+        log.answer = Some(Answer {
+            at: now,
+            told,
+            status: answer.status,
+            own,
+        });
         if let Verdict::Refused { pause } = client::verdict(answer) {
             self.retry(request, pause);
         } else if told == Told::Failed {
@@ -179,7 +240,10 @@
     pub(super) fn retry(&mut self, request: usize, pause: Nanos) {
         let clients = &self.plan.scene.scene.clients;
         let open = &self.requests[request];
-        let refused = open.log.answer.is_some_and(|answer| answer.told == Told::Refused);
+        let refused = open
+            .log
+            .answer
+            .is_some_and(|answer| answer.told == Told::Refused);
         let harmless = refused || open.log.effect != Effect::Unsafe;
         if open.tries < clients.retries && harmless {
             let wait = pause.max(clients.backoff_ms * MS).max(MS);
@@ -206,8 +270,13 @@
         if self.requests[request].done {
             return None;
         }
-        let holds = |peer: &Peer| matches!(peer, Peer::Client { open: Some(open), .. } if *open == request);
-        let conn = self.peers.iter().find(|(_, peer)| holds(peer)).map(|(conn, _)| *conn);
+        let holds =
+            |peer: &Peer| matches!(peer, Peer::Client { open: Some(open), .. } if *open == request);
+        let conn = self
+            .peers
+            .iter()
+            .find(|(_, peer)| holds(peer))
+            .map(|(conn, _)| *conn);
         self.finish(request, true);
         self.close(conn?)
     }
--- a/testkit/scenarios/src/world/faults.rs
+++ b/testkit/scenarios/src/world/faults.rs
@@ -18,7 +18,9 @@
             return Ok(fired);
         }
         for whom in planned.strikes(&self.plan.scene.scene, self.plan.seed) {
-            fired.orders.extend(self.strike(planned.trouble, planned.permille, whom, begins)?);
+            fired
+                .orders
+                .extend(self.strike(planned.trouble, planned.permille, whom, begins)?);
         }
         Ok(fired)
     }
@@ -30,7 +32,11 @@
             for node in self.plan.faults[fault].strikes(&self.plan.scene.scene, self.plan.seed) {
                 nodes[node] = true;
             }
-            let bad = BadLink { fault, nodes, trouble };
+            let bad = BadLink {
+                fault,
+                nodes,
+                trouble,
+            };
             if trouble.what == LinkWhat::Reset {
                 self.reset_links(&bad);
             }
@@ -94,7 +100,11 @@
             }
             (_, false) => {
                 let site = &mut self.sites[whom];
-                if let Some(at) = site.troubles.iter().position(|active| *active == (trouble, permille)) {
+                if let Some(at) = site
+                    .troubles
+                    .iter()
+                    .position(|active| *active == (trouble, permille))
+                {
                     site.troubles.remove(at);
                 }
                 site.set_pace();
--- a/testkit/scenarios/src/world/links.rs
+++ b/testkit/scenarios/src/world/links.rs
@@ -59,7 +59,12 @@
 
 impl World {
     fn touches(&self, bad: &BadLink, node: usize, end: End, there: bool) -> bool {
-        let LinkTrouble { far, there: cut_there, back, .. } = bad.trouble;
+        let LinkTrouble {
+            far,
+            there: cut_there,
+            back,
+            ..
+        } = bad.trouble;
         let fits = match (far, end) {
             (Far::Clients, end) => end == End::Clients,
             (_, End::Clients) => false,
@@ -83,7 +88,11 @@
             End::List | End::Clients => None,
         };
         let near = zone.is_none_or(|zone| zone == self.nodes[node].zone_number);
-        1000 * if near { network.within_us } else { network.between_us }
+        1000 * if near {
+            network.within_us
+        } else {
+            network.between_us
+        }
     }
 
     /// What the bad links that a message meets add to its way, and the thousandths of it that they lose; or what the
@@ -135,11 +144,16 @@
 
     /// Sends a message on its way. What needs no time arrives at once, and a node that has news then is returned.
     pub(super) fn carry(&mut self, carried: Carried) -> Option<(usize, u64)> {
-        let Some((node, end, there)) = self.ends_of(&carried) else { return self.arrives(carried) };
+        let Some((node, end, there)) = self.ends_of(&carried) else {
+            return self.arrives(carried);
+        };
         match self.way(node, end, there) {
             Way::Open(0) => self.arrives(carried),
             Way::Open(delay) => {
-                self.at(self.now.saturating_add(delay), Todo::Arrives(Box::new(carried)));
+                self.at(
+                    self.now.saturating_add(delay),
+                    Todo::Arrives(Box::new(carried)),
+                );
                 None
             }
             Way::Cut => {
@@ -217,15 +231,19 @@
             .peers
             .iter()
             .filter(|(_, peer)| match peer {
-                Peer::Server { server, node: Some(node), .. } => {
-                    self.touches(bad, *node, End::Server(*server), true)
-                }
+                Peer::Server {
+                    server,
+                    node: Some(node),
+                    ..
+                } => self.touches(bad, *node, End::Server(*server), true),
                 Peer::List { node, .. } => self.touches(bad, *node, End::List, true),
                 _ => false,
             })
             .map(|(conn, _)| *conn)
             .collect();
-        reset.into_iter().for_each(|conn| self.at(self.now, Todo::Reset(conn)));
+        reset
+            .into_iter()
+            .for_each(|conn| self.at(self.now, Todo::Reset(conn)));
     }
 }
 
--- a/testkit/scenarios/src/world/list.rs
+++ b/testkit/scenarios/src/world/list.rs
@@ -23,13 +23,21 @@
     /// Whoever waits for news of the list gets it, one after the other.
     pub(super) fn news(&mut self) {
         let waits = |peer: &Peer| matches!(peer, Peer::List { watch: Some(_), .. });
-        let conns: Vec<ConnId> =
-            self.peers.iter().filter(|(_, peer)| waits(peer)).map(|(conn, _)| *conn).collect();
-        conns.into_iter().for_each(|conn| self.at(self.now, Todo::Tell(conn)));
+        let conns: Vec<ConnId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| waits(peer))
+            .map(|(conn, _)| *conn)
+            .collect();
+        conns
+            .into_iter()
+            .for_each(|conn| self.at(self.now, Todo::Tell(conn)));
     }
 
     pub(super) fn list_reads(&mut self, conn: ConnId) {
-        let Some(Peer::List { inbox, .. }) = self.peers.get_mut(&conn) else { return };
+        let Some(Peer::List { inbox, .. }) = self.peers.get_mut(&conn) else {
+            return;
+        };
         let message = match inbox.take() {
             Ok(Some(message)) => message,
             Ok(None) => return,
@@ -44,7 +52,9 @@
 
     /// A call has come to the list.
     pub(super) fn list_asked(&mut self, conn: ConnId, message: &Message) {
-        let Some(Peer::List { watch, .. }) = self.peers.get_mut(&conn) else { return };
+        let Some(Peer::List { watch, .. }) = self.peers.get_mut(&conn) else {
+            return;
+        };
         let Some((from, hold)) = discovery::read_target(&message.target) else {
             self.strangers += 1;
             self.at(self.now, Todo::Hang(conn));
@@ -52,19 +62,36 @@
         };
         self.watches += 1;
         *watch = Some((self.watches, from));
-        let until = self.now + if self.list.ask(from, hold) == Reply::Hold { hold } else { 0 };
+        let until = self.now
+            + if self.list.ask(from, hold) == Reply::Hold {
+                hold
+            } else {
+                0
+            };
         let todo = Todo::WatchOver(conn, self.watches);
         self.at(until, todo);
     }
 
     pub(super) fn watch_over(&mut self, conn: ConnId, number: u64) -> Option<(usize, u64)> {
-        let Some(Peer::List { watch: Some((waits, from)), .. }) = self.peers.get(&conn) else { return None };
+        let Some(Peer::List {
+            watch: Some((waits, from)),
+            ..
+        }) = self.peers.get(&conn)
+        else {
+            return None;
+        };
         let reply = (*waits == number).then(|| self.list.ask(*from, 0))?;
         self.reply(conn, reply)
     }
 
     pub(super) fn tell(&mut self, conn: ConnId) -> Option<(usize, u64)> {
-        let Some(Peer::List { watch: Some((_, from)), .. }) = self.peers.get(&conn) else { return None };
+        let Some(Peer::List {
+            watch: Some((_, from)),
+            ..
+        }) = self.peers.get(&conn)
+        else {
+            return None;
+        };
         let reply = self.list.ask(*from, 1);
         self.reply(conn, reply)
     }
@@ -86,7 +113,9 @@
             Reply::Fail => message::answer(503, "", b""),
             Reply::Hold | Reply::Silence => return None,
         };
-        let Some(Peer::List { node, .. }) = self.peers.get(&conn) else { return None };
+        let Some(Peer::List { node, .. }) = self.peers.get(&conn) else {
+            return None;
+        };
         let node = *node;
         if let Reply::Answer(text) = reply {
             self.node_told(node, text);
@@ -97,14 +126,20 @@
     /// Notes what a node has been told of drains. A list that is none tells nothing, and an empty one that the
     /// registry answers after a hiccup says of no server that it has left.
     pub(super) fn node_told(&mut self, node: usize, text: &str) {
-        let Ok(list) = serde_json::from_str::<serde_json::Value>(text) else { return };
-        let (Some(all), Some(targets)) = (list["all"].as_bool(), list["targets"].as_array()) else { return };
+        let Ok(list) = serde_json::from_str::<serde_json::Value>(text) else {
+            return;
+        };
+        let (Some(all), Some(targets)) = (list["all"].as_bool(), list["targets"].as_array()) else {
+            return;
+        };
         if all && targets.is_empty() {
             return;
         }
         let now = self.now;
-        let states: HashMap<&str, &str> =
-            targets.iter().filter_map(|t| Some((t["uid"].as_str()?, t["state"].as_str()?))).collect();
+        let states: HashMap<&str, &str> = targets
+            .iter()
+            .filter_map(|t| Some((t["uid"].as_str()?, t["state"].as_str()?)))
+            .collect();
         let told = &mut self.nodes[node].told;
         for (number, site) in self.sites.iter().enumerate() {
             match states.get(site.name.as_str()) {
--- a/testkit/scenarios/src/world/peers.rs
+++ b/testkit/scenarios/src/world/peers.rs
@@ -20,8 +20,14 @@
 
     /// The section of a node's own file that has it talk to the others; empty where it does not.
     pub fn peers_section(&self, node: usize) -> String {
-        let Some(talk) = &self.nodes[node].talk else { return String::new() };
-        let seeds = self.nodes.iter().take(SEEDS).filter_map(|seed| seed.talk.as_ref());
+        let Some(talk) = &self.nodes[node].talk else {
+            return String::new();
+        };
+        let seeds = self
+            .nodes
+            .iter()
+            .take(SEEDS)
+            .filter_map(|seed| seed.talk.as_ref());
         let seeds: Vec<String> = seeds.map(|seed| format!("\"{}\"", seed.at)).collect();
         format!(
             "\n[peers]\nlisten = \"127.0.0.1:0\"\nadvertise = \"{}\"\nseeds = [{}]\nkey_file = \"{{folder}}/{}\"\n",
@@ -33,23 +39,34 @@
 
     /// A node takes datagrams at this address from now on.
     pub fn peer_up(&mut self, node: usize, at: SocketAddr) {
-        self.nodes[node].talk.iter_mut().for_each(|talk| talk.real = Some(at));
+        self.nodes[node]
+            .talk
+            .iter_mut()
+            .for_each(|talk| talk.real = Some(at));
     }
 
     /// What each node has sent to the others: datagrams and bytes.
     pub fn talk(&self) -> Vec<(u64, u64)> {
-        let of = |node: &NodeSide| node.talk.as_ref().map_or((0, 0), |talk| (talk.datagrams, talk.bytes));
+        let of = |node: &NodeSide| {
+            node.talk
+                .as_ref()
+                .map_or((0, 0), |talk| (talk.datagrams, talk.bytes))
+        };
         self.nodes.iter().map(of).collect()
     }
 
     /// A node has sent a datagram to another one's door.
     pub(super) fn datagram_goes(&mut self, door: ListenerId, from: SocketAddr, bytes: Vec<u8>) {
         let node = |is: &dyn Fn(&Talk) -> bool| {
-            self.nodes.iter().position(|node| node.talk.as_ref().is_some_and(is))
+            self.nodes
+                .iter()
+                .position(|node| node.talk.as_ref().is_some_and(is))
         };
         let to = node(&|talk| talk.door == door);
         // The sender of a datagram that came as its process had gone is not known any more.
-        let (Some(from), Some(to)) = (node(&|talk| talk.real == Some(from)), to) else { return };
+        let (Some(from), Some(to)) = (node(&|talk| talk.real == Some(from)), to) else {
+            return;
+        };
         if let Some(talk) = &mut self.nodes[from].talk {
             talk.datagrams += 1;
             talk.bytes += bytes.len() as u64;
--- a/testkit/scenarios/src/world/servers.rs
+++ b/testkit/scenarios/src/world/servers.rs
@@ -20,7 +20,9 @@
 impl World {
     pub(super) fn server_reads(&mut self, conn: ConnId) {
         loop {
-            let Some(Peer::Server { server, inbox, .. }) = self.peers.get_mut(&conn) else { return };
+            let Some(Peer::Server { server, inbox, .. }) = self.peers.get_mut(&conn) else {
+                return;
+            };
             let server = *server;
             match inbox.take() {
                 Ok(None) => return,
@@ -62,7 +64,12 @@
             });
             (request, open.log.attempts.len() - 1)
         });
-        if let Some(Peer::Server { attempt: current, node, .. }) = self.peers.get_mut(&conn) {
+        if let Some(Peer::Server {
+            attempt: current,
+            node,
+            ..
+        }) = self.peers.get_mut(&conn)
+        {
             *current = attempt;
             if node.is_none()
                 && let Some(request) = request
@@ -78,7 +85,9 @@
 
     /// A request has come to its server.
     pub(super) fn reached(&mut self, job: Job) {
-        let Some(Peer::Server { server, .. }) = self.peers.get(&job.conn) else { return };
+        let Some(Peer::Server { server, .. }) = self.peers.get(&job.conn) else {
+            return;
+        };
         let server = *server;
         if self.sites[server].paused() {
             // It has come, and is seen to once the process runs again.
@@ -91,7 +100,11 @@
     /// A server sees to a request.
     pub(super) fn work(&mut self, server: usize, job: Job) {
         let now = self.now;
-        let Job { conn, attempt, ref id } = job;
+        let Job {
+            conn,
+            attempt,
+            ref id,
+        } = job;
         let request = attempt.map(|(request, _)| request);
         let lot = self.lot(attempt);
         if self.sites[server].has(Trouble::Hang, lot) {
@@ -109,13 +122,25 @@
             return;
         }
         if request.is_some_and(|request| self.is_repeat(request, server)) {
-            let bytes = message::answer(200, &self.report(server, ""), &body(id, &self.sites[server].name));
-            self.at(now, Todo::Answer(Box::new(Sending { bytes, ended: Ended::Served, ..away })));
+            let bytes = message::answer(
+                200,
+                &self.report(server, ""),
+                &body(id, &self.sites[server].name),
+            );
+            self.at(
+                now,
+                Todo::Answer(Box::new(Sending {
+                    bytes,
+                    ended: Ended::Served,
+                    ..away
+                })),
+            );
             return;
         }
-        let work = request.map_or(self.plan.scene.scene.class[0].work_ms.get_ref().0 * MS, |request| {
-            self.plan.arrivals[self.requests[request].arrival].work
-        });
+        let work = request.map_or(
+            self.plan.scene.scene.class[0].work_ms.get_ref().0 * MS,
+            |request| self.plan.arrivals[self.requests[request].arrival].work,
+        );
         let site = &mut self.sites[server];
         let ticket = site.next_job;
         site.next_job += 1;
@@ -141,7 +166,9 @@
     /// Whether a keyed request was seen by the server's group within the window; it is from now on.
     pub(super) fn is_repeat(&mut self, request: usize, server: usize) -> bool {
         let Open { log, key, .. } = &self.requests[request];
-        let Some((scope, window)) = log.dedup else { return false };
+        let Some((scope, window)) = log.dedup else {
+            return false;
+        };
         let site = &self.sites[server];
         let group = match scope {
             Scope::All => String::new(),
@@ -172,7 +199,16 @@
             message::answer(404, "", b"")
         };
         let (attempt, ended, resets) = (None, Ended::Served, false);
-        self.at(self.now, Todo::Answer(Box::new(Sending { conn, attempt, bytes, ended, resets })));
+        self.at(
+            self.now,
+            Todo::Answer(Box::new(Sending {
+                conn,
+                attempt,
+                bytes,
+                ended,
+                resets,
+            })),
+        );
     }
 
     pub(super) fn report(&mut self, server: usize, more: &str) -> String {
@@ -200,9 +236,14 @@
         if site.paused() || !site.up {
             return;
         }
-        let job = site.model.take_done(now).and_then(|ticket| site.jobs.remove(&ticket));
+        let job = site
+            .model
+            .take_done(now)
+            .and_then(|ticket| site.jobs.remove(&ticket));
         self.wake(server);
-        let Some(Job { conn, attempt, id }) = job else { return };
+        let Some(Job { conn, attempt, id }) = job else {
+            return;
+        };
         let (headers, lot) = (self.report(server, ""), self.lot(attempt));
         let site = &self.sites[server];
         let mut sending = Sending {
@@ -216,11 +257,14 @@
         for (trouble, _) in site.troubles.iter().filter(|(_, permille)| lot < *permille) {
             match *trouble {
                 Trouble::Fail => {
-                    (sending.bytes, sending.ended) = (message::answer(500, &headers, b""), Ended::Error)
+                    (sending.bytes, sending.ended) =
+                        (message::answer(500, &headers, b""), Ended::Error)
                 }
                 Trouble::Spoilt => (sending.bytes, sending.ended) = (NOISE.to_vec(), Ended::Spoilt),
                 Trouble::Reset { after } => {
-                    sending.bytes.truncate(usize::try_from(after).unwrap_or(usize::MAX));
+                    sending
+                        .bytes
+                        .truncate(usize::try_from(after).unwrap_or(usize::MAX));
                     (sending.ended, sending.resets) = (Ended::Reset, true);
                 }
                 Trouble::Late { by } => at = at.saturating_add(by),
@@ -231,8 +275,19 @@
     }
 
     pub(super) fn send(&mut self, sending: Sending) -> Option<(usize, u64)> {
-        let Sending { conn, attempt, bytes, ended, resets } = sending;
-        let Some(Peer::Server { server, attempt: current, .. }) = self.peers.get_mut(&conn) else {
+        let Sending {
+            conn,
+            attempt,
+            bytes,
+            ended,
+            resets,
+        } = sending;
+        let Some(Peer::Server {
+            server,
+            attempt: current,
+            ..
+        }) = self.peers.get_mut(&conn)
+        else {
             self.attempt_ends(attempt, Ended::Abandoned);
             return None;
         };
@@ -242,19 +297,33 @@
             if self.sites[server].paused() {
                 self.at(
                     self.now + MS,
-                    Todo::Answer(Box::new(Sending { conn, attempt, bytes, ended, resets })),
+                    Todo::Answer(Box::new(Sending {
+                        conn,
+                        attempt,
+                        bytes,
+                        ended,
+                        resets,
+                    })),
                 );
             }
             return None;
         }
         *current = None;
         self.attempt_ends(attempt, ended);
-        self.carry(Carried::FromServer(Sending { conn, attempt, bytes, ended, resets }))
+        self.carry(Carried::FromServer(Sending {
+            conn,
+            attempt,
+            bytes,
+            ended,
+            resets,
+        }))
     }
 
     /// What a server has said has come to the node.
     pub(super) fn deliver(&mut self, sending: Sending) -> Option<(usize, u64)> {
-        let Some(Peer::Server { node, .. }) = self.peers.get(&sending.conn) else { return None };
+        let Some(Peer::Server { node, .. }) = self.peers.get(&sending.conn) else {
+            return None;
+        };
         let node = *node;
         let written = self.net.write(sending.conn, &sending.bytes);
         if sending.resets {
@@ -265,8 +334,13 @@
 
     /// A request's lot, in thousandths, by which a trouble strikes it or not.
     fn lot(&self, attempt: Option<(usize, usize)>) -> u16 {
-        let Some((request, number)) = attempt else { return 0 };
-        let mut random = Random::new(self.plan.seed ^ (request as u64) << 8 ^ number as u64, "lots");
+        let Some((request, number)) = attempt else {
+            return 0;
+        };
+        let mut random = Random::new(
+            self.plan.seed ^ (request as u64) << 8 ^ number as u64,
+            "lots",
+        );
         random.between(0, 999) as u16
     }
 
@@ -293,9 +367,15 @@
         site.held.clear();
         self.net.refuse(site.listener)?;
         let of = |peer: &Peer| matches!(peer, Peer::Server { server: of, .. } if *of == server);
-        let conns: Vec<ConnId> =
-            self.peers.iter().filter(|(_, peer)| of(peer)).map(|(conn, _)| *conn).collect();
-        conns.into_iter().for_each(|conn| self.at(self.now, Todo::Reset(conn)));
+        let conns: Vec<ConnId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| of(peer))
+            .map(|(conn, _)| *conn)
+            .collect();
+        conns
+            .into_iter()
+            .for_each(|conn| self.at(self.now, Todo::Reset(conn)));
         Ok(())
     }
 
--- a/testkit/scenarios/src/world/stage.rs
+++ b/testkit/scenarios/src/world/stage.rs
@@ -93,9 +93,23 @@
 }
 
 pub(super) enum Peer {
-    Server { server: usize, node: Option<usize>, inbox: Inbox, attempt: Option<(usize, usize)> },
-    List { node: usize, inbox: Inbox, watch: Option<(u64, Option<u64>)> },
-    Client { node: usize, inbox: Inbox, open: Option<usize>, last: Option<usize> },
+    Server {
+        server: usize,
+        node: Option<usize>,
+        inbox: Inbox,
+        attempt: Option<(usize, usize)>,
+    },
+    List {
+        node: usize,
+        inbox: Inbox,
+        watch: Option<(u64, Option<u64>)>,
+    },
+    Client {
+        node: usize,
+        inbox: Inbox,
+        open: Option<usize>,
+        last: Option<usize>,
+    },
 }
 
 impl Peer {
@@ -141,15 +155,20 @@
 impl Site {
     /// Whether a request with this lot, in thousandths, meets a trouble.
     pub(super) fn has(&self, trouble: Trouble, lot: u16) -> bool {
-        self.troubles.iter().any(|(one, permille)| *one == trouble && lot < *permille)
+        self.troubles
+            .iter()
+            .any(|(one, permille)| *one == trouble && lot < *permille)
     }
 
     /// Has the model work as fast as the troubles let it.
     pub(super) fn set_pace(&mut self) {
-        let slow = self.troubles.iter().filter_map(|(trouble, _)| match trouble {
-            Trouble::Slow { percent } => Some(f64::from(*percent) / 100.0),
-            _ => None,
-        });
+        let slow = self
+            .troubles
+            .iter()
+            .filter_map(|(trouble, _)| match trouble {
+                Trouble::Slow { percent } => Some(f64::from(*percent) / 100.0),
+                _ => None,
+            });
         let times = slow.fold(1.0, |most: f64, times| most.max(times));
         self.model.set_pace(times);
     }
@@ -311,7 +330,10 @@
     /// The most that each server was sent while it was cold, as a multiple of what it could do then, over the
     /// span that counts; by zone.
     pub fn cold_peaks(&self) -> Vec<(String, f64)> {
-        self.sites.iter().map(|site| (site.zone.clone(), site.cold_peak)).collect()
+        self.sites
+            .iter()
+            .map(|site| (site.zone.clone(), site.cold_peak))
+            .collect()
     }
 
     /// Where servers listen, by name.
@@ -347,13 +369,17 @@
     }
 
     pub(super) fn excuse(&mut self, node: usize) {
-        let open = self.requests.iter_mut().filter(|open| !open.done && open.node == node);
+        let open = self
+            .requests
+            .iter_mut()
+            .filter(|open| !open.done && open.node == node);
         open.for_each(|open| open.log.excused = true);
     }
 
     /// The log, sorted by arrival.
     pub fn into_log(mut self) -> Vec<Request> {
-        self.requests.sort_by(|a, b| (a.log.arrival, &a.log.id).cmp(&(b.log.arrival, &b.log.id)));
+        self.requests
+            .sort_by(|a, b| (a.log.arrival, &a.log.id).cmp(&(b.log.arrival, &b.log.id)));
         self.requests.into_iter().map(|open| open.log).collect()
     }
 
@@ -374,7 +400,9 @@
 
     /// Ends an attempt that has not ended yet.
     pub(super) fn attempt_ends(&mut self, attempt: Option<(usize, usize)>, ended: Ended) {
-        let Some((request, number)) = attempt else { return };
+        let Some((request, number)) = attempt else {
+            return;
+        };
         let attempt = &mut self.requests[request].log.attempts[number];
         if attempt.end.is_none() {
             (attempt.end, attempt.ended) = (Some(self.now), ended);
--- a/testkit/scenarios/tests/common/mod.rs
+++ b/testkit/scenarios/tests/common/mod.rs
@@ -69,15 +69,27 @@
 
 /// Plays a plan in steps, with this as the operators' own file of every node.
 pub fn play(plan: &Plan, program: PathBuf, own: &str, peers: bool) -> Played {
-    let options = Options { program, real_time: false, port: 0, own: own.to_owned(), peers };
+    let options = Options {
+        program,
+        real_time: false,
+        port: 0,
+        own: own.to_owned(),
+        peers,
+    };
     run::play(plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{error}"))
 }
 
 /// Which nodes logged that a zone is in this state, and how often.
 pub fn told<'a>(played: &'a Played, why: &str) -> Vec<(&'a str, usize)> {
     let word = format!("why=\"{why}\"");
-    let lines =
-        |log: &str| log.lines().filter(|line| line.contains("zone changed") && line.contains(&word)).count();
-    let logs = played.logs.iter().map(|(name, log)| (name.as_str(), lines(log)));
+    let lines = |log: &str| {
+        log.lines()
+            .filter(|line| line.contains("zone changed") && line.contains(&word))
+            .count()
+    };
+    let logs = played
+        .logs
+        .iter()
+        .map(|(name, log)| (name.as_str(), lines(log)));
     logs.filter(|(_, count)| *count > 0).collect()
 }
--- a/testkit/scenarios/tests/identical.rs
+++ b/testkit/scenarios/tests/identical.rs
@@ -11,17 +11,33 @@
 fn log(name: &str, seed: u64) -> String {
     let program = badgerpost_fakes::program("badgerpost").unwrap_or_else(|error| panic!("{error}"));
     let plan = Plan::draw(scene::find(name).expect("a shipped scene"), seed);
-    let options = Options { program, real_time: false, port: 0, own: String::new(), peers: false };
-    let played =
-        run::play(&plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+    let options = Options {
+        program,
+        real_time: false,
+        port: 0,
+        own: String::new(),
+        peers: false,
+    };
+    let played = run::play(&plan, &options, &mut |_| {})
+        .unwrap_or_else(|error| panic!("seed {seed}: {error}"));
     assert!(played.is_good(), "seed {seed}: {:?}", played.breaches);
-    assert!(played.log.len() > 200, "seed {seed}: {} requests", played.log.len());
+    assert!(
+        played.log.len() > 200,
+        "seed {seed}: {} requests",
+        played.log.len()
+    );
     outcome::write(&played.log).expect("a log")
 }
 
 fn same(one: &str, other: &str, seed: u64) {
-    let differs = one.lines().zip(other.lines()).find(|(one, other)| one != other);
-    assert!(one == other, "seed {seed}: these differ first, if not by length: {differs:#?}");
+    let differs = one
+        .lines()
+        .zip(other.lines())
+        .find(|(one, other)| one != other);
+    assert!(
+        one == other,
+        "seed {seed}: these differ first, if not by length: {differs:#?}"
+    );
 }
 
 /// One after the other: the busy machine of one test is not the other's matter.
@@ -45,7 +61,9 @@
         .collect();
     let beside = log("night", 1);
     over.store(true, Ordering::Relaxed);
-    loops.into_iter().for_each(|busy| busy.join().expect("a busy loop"));
+    loops
+        .into_iter()
+        .for_each(|busy| busy.join().expect("a busy loop"));
     same(&logs[0], &beside, 1);
 }
 
--- a/testkit/scenarios/tests/links.rs
+++ b/testkit/scenarios/tests/links.rs
@@ -53,12 +53,20 @@
     // What is stuck at the end comes through then, if its client still waits.
     [1000..1400, 100..950].map(|span| {
         let within = |request: &&Request| span.contains(&(request.arrival / MS));
-        played.log.iter().filter(|request| request.node.starts_with(node)).filter(within).collect()
+        played
+            .log
+            .iter()
+            .filter(|request| request.node.starts_with(node))
+            .filter(within)
+            .collect()
     })
 }
 
 fn served(requests: &[&Request]) -> usize {
-    requests.iter().filter(|one| one.answer.is_some_and(|answer| answer.told == Told::Served)).count()
+    requests
+        .iter()
+        .filter(|one| one.answer.is_some_and(|answer| answer.told == Told::Served))
+        .count()
 }
 
 #[test]
@@ -67,7 +75,10 @@
     for node in ["a", "b"] {
         let [during, before] = of(&played, node);
         assert!(before.len() > 15 && served(&before) == before.len());
-        assert!(during.len() > 10 && served(&during) == during.len(), "{node}: home is not cut");
+        assert!(
+            during.len() > 10 && served(&during) == during.len(),
+            "{node}: home is not cut"
+        );
     }
 }
 
@@ -77,7 +88,12 @@
     let [during, before] = of(&played, "a0");
     assert!(!before.is_empty() && served(&before) == before.len());
     assert!(during.len() > 5 && served(&during) == 0);
-    assert!(during.iter().flat_map(|one| &one.attempts).all(|attempt| !attempt.ran));
+    assert!(
+        during
+            .iter()
+            .flat_map(|one| &one.attempts)
+            .all(|attempt| !attempt.ran)
+    );
     for node in ["a1", "b"] {
         let [during, _] = of(&played, node);
         assert_eq!(served(&during), during.len(), "{node}");
@@ -87,7 +103,9 @@
 #[test]
 fn one_way_cuts_differ_in_what_ran() {
     for (way, runs) in [("there", false), ("back", true)] {
-        let played = play(&format!("kind = 'cut'\nnode = 'a0'\nto = 'servers'\nway = '{way}'"));
+        let played = play(&format!(
+            "kind = 'cut'\nnode = 'a0'\nto = 'servers'\nway = '{way}'"
+        ));
         let [during, _] = of(&played, "a0");
         let attempts: Vec<_> = during.iter().flat_map(|one| &one.attempts).collect();
         assert!(attempts.len() > 3 && served(&during) == 0, "{way}");
@@ -97,21 +115,38 @@
 
 #[test]
 fn a_slow_link_adds_its_time_twice_and_a_lossy_one_now_and_then() {
-    let took = |request: &&Request| request.answer.map_or(0, |answer| answer.at - request.arrival) / MS;
+    let took = |request: &&Request| {
+        request
+            .answer
+            .map_or(0, |answer| answer.at - request.arrival)
+            / MS
+    };
     let slow = play("kind = 'slow-link'\nnode = 'a0'\nto = 'servers'\nby_ms = 40");
     let [during, before] = of(&slow, "a0");
     assert!(before.iter().all(|one| took(one) < 40) && during.iter().all(|one| took(one) >= 90));
     let lossy = play("kind = 'lossy-link'\nnode = 'a0'\nto = 'servers'\nloss = 0.2");
     let [during, _] = of(&lossy, "a0");
-    let late = during.iter().filter(|one| took(one) >= 200 || one.answer.is_none()).count();
-    assert!(late > 0 && late < during.len(), "{late} of {}", during.len());
+    let late = during
+        .iter()
+        .filter(|one| took(one) >= 200 || one.answer.is_none())
+        .count();
+    assert!(
+        late > 0 && late < during.len(),
+        "{late} of {}",
+        during.len()
+    );
 }
 
 #[test]
 fn a_link_that_resets_breaks_connections_under_their_requests() {
     let played = play("kind = 'reset-link'\nzone = 'dc-a'\nto = 'dc-a'");
     let [during, _] = of(&played, "a");
-    let reset = |request: &&&Request| request.attempts.iter().any(|attempt| attempt.ended == Ended::Reset);
+    let reset = |request: &&&Request| {
+        request
+            .attempts
+            .iter()
+            .any(|attempt| attempt.ended == Ended::Reset)
+    };
     assert!(during.iter().filter(reset).count() > 3);
     let [during, _] = of(&played, "b");
     assert_eq!(during.iter().filter(reset).count(), 0);
@@ -120,8 +155,16 @@
 #[test]
 fn clients_that_are_cut_off_are_owed_nothing() {
     let played = play("kind = 'cut'\nshare = 1.0\nto = 'clients'");
-    let during: Vec<_> = ["a", "b"].iter().flat_map(|node| of(&played, node)[0].clone()).collect();
-    assert!(during.len() > 30 && during.iter().all(|one| one.excused && one.attempts.is_empty()));
+    let during: Vec<_> = ["a", "b"]
+        .iter()
+        .flat_map(|node| of(&played, node)[0].clone())
+        .collect();
+    assert!(
+        during.len() > 30
+            && during
+                .iter()
+                .all(|one| one.excused && one.attempts.is_empty())
+    );
 }
 
 #[test]
@@ -140,11 +183,31 @@
     assert_eq!(failed.len(), 4);
     let chance = play("kind = 'error'\nshare = 1.0\nchance = 0.3");
     let attempts = chance.log.iter().flat_map(|one| &one.attempts);
-    let during: Vec<_> = attempts.filter(|one| (1000..1900).contains(&(one.start / MS))).collect();
-    let failed = during.iter().filter(|attempt| attempt.ended == Ended::Error).count();
-    assert!((during.len() / 8..during.len() / 2).contains(&failed), "{failed} of {}", during.len());
+    let during: Vec<_> = attempts
+        .filter(|one| (1000..1900).contains(&(one.start / MS)))
+        .collect();
+    let failed = during
+        .iter()
+        .filter(|attempt| attempt.ended == Ended::Error)
+        .count();
+    assert!(
+        (during.len() / 8..during.len() / 2).contains(&failed),
+        "{failed} of {}",
+        during.len()
+    );
     let slow = play("kind = 'slow'\nzone = 'dc-b'\ntimes = 4");
-    let took = |request: &&Request| request.answer.map_or(0, |answer| answer.at - request.arrival) / MS;
-    assert!(of(&slow, "b")[0].iter().filter(|one| took(one) >= 40).count() > 5);
+    let took = |request: &&Request| {
+        request
+            .answer
+            .map_or(0, |answer| answer.at - request.arrival)
+            / MS
+    };
+    assert!(
+        of(&slow, "b")[0]
+            .iter()
+            .filter(|one| took(one) >= 40)
+            .count()
+            > 5
+    );
     assert!(of(&slow, "b")[1].iter().all(|one| took(one) < 40));
 }
--- a/testkit/scenarios/tests/peers.rs
+++ b/testkit/scenarios/tests/peers.rs
@@ -28,7 +28,10 @@
 impl Shown {
     fn conduct(&self) -> Conduct {
         let troubles = fleet::troubles(&self.plan);
-        fleet::conduct(&self.played.log, troubles.first().expect("a zone in trouble"))
+        fleet::conduct(
+            &self.played.log,
+            troubles.first().expect("a zone in trouble"),
+        )
     }
 
     fn told(&self, why: &str) -> Vec<(&str, usize)> {
@@ -43,8 +46,11 @@
 
     /// First attempts of a node at a zone, between two times.
     fn sent(&self, node: &str, zone: &str, between: std::ops::Range<u64>) -> usize {
-        let log =
-            self.played.log.iter().filter(|one| one.node == node && between.contains(&(one.arrival / MS)));
+        let log = self
+            .played
+            .log
+            .iter()
+            .filter(|one| one.node == node && between.contains(&(one.arrival / MS)));
         log.filter(|one| one.began_in(zone)).count()
     }
 }
@@ -56,12 +62,22 @@
     let shown = play(13_000, SILENT, true);
     let conduct = shown.conduct();
     assert_eq!(conduct.stayed, 0);
-    assert!(conduct.left_after.iter().all(|span| *span <= 300 * MS), "{conduct}");
+    assert!(
+        conduct.left_after.iter().all(|span| *span <= 300 * MS),
+        "{conduct}"
+    );
     assert!(shown.back_within(3500), "{conduct}");
-    assert!(conduct.full_back.is_some_and(|span| span < 4000 * MS), "{conduct}");
+    assert!(
+        conduct.full_back.is_some_and(|span| span < 4000 * MS),
+        "{conduct}"
+    );
     // The same fleet without its talk.
     let alone = play(13_000, SILENT, false);
-    let late = alone.conduct().left_after.iter().any(|span| *span > 300 * MS);
+    let late = alone
+        .conduct()
+        .left_after
+        .iter()
+        .any(|span| *span > 300 * MS);
     println!("alone: {}", alone.conduct());
     assert!(late && !alone.back_within(3500), "{}", alone.conduct());
 }
@@ -71,9 +87,13 @@
     let faults = "kind = 'cut'\nat_ms = 4000\nfor_ms = 3000\nnode = 'b0'\nto = 'dc-b'";
     let shown = play(9000, faults, true);
     let moved = shown.told("silent");
-    assert!(moved.iter().all(|(node, _)| *node == "b0") && !moved.is_empty(), "{moved:?}");
+    assert!(
+        moved.iter().all(|(node, _)| *node == "b0") && !moved.is_empty(),
+        "{moved:?}"
+    );
     // With most of the zone's nodes cut off like this it is no longer one node's word: the check can fail.
-    let most = "kind = 'cut'\nat_ms = 4000\nfor_ms = 3000\nzone = 'dc-b'\nshare = 0.75\nto = 'dc-b'";
+    let most =
+        "kind = 'cut'\nat_ms = 4000\nfor_ms = 3000\nzone = 'dc-b'\nshare = 0.75\nto = 'dc-b'";
     let moved = play(9000, most, true).told("silent").len();
     assert!(moved >= 3, "{moved}");
 }
@@ -86,7 +106,11 @@
         "kind = 'hang'\nat_ms = 4000\nfor_ms = 2000\nserver = 'mb1'",
     ] {
         let shown = play(8000, faults, true);
-        assert_eq!(fleet::strayed(&shown.plan, &shown.played.log), [], "{faults}");
+        assert_eq!(
+            fleet::strayed(&shown.plan, &shown.played.log),
+            [],
+            "{faults}"
+        );
         for why in ["trying", "returning"] {
             assert_eq!(shown.told(why), [], "{faults}: closed for long");
         }
@@ -95,14 +119,24 @@
 
 #[test]
 fn words_that_are_late_by_seconds_or_lost_do_no_harm() {
-    let late = "kind = 'slow-link'\nat_ms = 2500\nfor_ms = 20000\nby_ms = 5000\nshare = 1.0\nto = 'nodes'";
-    let lossy = "kind = 'lossy-link'\nat_ms = 2500\nfor_ms = 20000\nloss = 0.3\nshare = 1.0\nto = 'nodes'";
-    let split = "kind = 'cut'\nat_ms = 2500\nfor_ms = 5500\nzone = 'dc-b'\nshare = 0.5\nto = 'nodes'";
+    let late =
+        "kind = 'slow-link'\nat_ms = 2500\nfor_ms = 20000\nby_ms = 5000\nshare = 1.0\nto = 'nodes'";
+    let lossy =
+        "kind = 'lossy-link'\nat_ms = 2500\nfor_ms = 20000\nloss = 0.3\nshare = 1.0\nto = 'nodes'";
+    let split =
+        "kind = 'cut'\nat_ms = 2500\nfor_ms = 5500\nzone = 'dc-b'\nshare = 0.5\nto = 'nodes'";
     for (bad, most) in [(late, 1500), (lossy, 400), (split, 1500)] {
         let shown = play(14_000, &format!("{SILENT};{bad}"), true);
         let conduct = shown.conduct();
-        assert!(conduct.left_after.iter().all(|span| *span <= most * MS), "{bad}: {conduct}");
-        assert_eq!((conduct.stayed, conduct.back_after.len()), (0, 4), "{bad}: {conduct}");
+        assert!(
+            conduct.left_after.iter().all(|span| *span <= most * MS),
+            "{bad}: {conduct}"
+        );
+        assert_eq!(
+            (conduct.stayed, conduct.back_after.len()),
+            (0, 4),
+            "{bad}: {conduct}"
+        );
         // Nobody leaves a zone that nothing is wrong with, however late the words about it are.
         assert_eq!(fleet::strayed(&shown.plan, &shown.played.log), [], "{bad}");
     }
@@ -115,7 +149,10 @@
     let alone = play(9000, &faults, false);
     // Up again at 5 s; the zone stays silent until 7 s.
     let [told, alone] = [told, alone].map(|shown| shown.sent("b0", "dc-b", 5000..7000));
-    assert!(told < alone && told <= 8, "{told} sent there with the others' word, {alone} without");
+    assert!(
+        told < alone && told <= 8,
+        "{told} sent there with the others' word, {alone} without"
+    );
 }
 
 #[test]
--- a/virtual-clock/src/control.rs
+++ b/virtual-clock/src/control.rs
@@ -25,7 +25,9 @@
 #[derive(Debug, thiserror::Error)]
 pub enum ControlError {
     /// It is not one of this machine's own.
-    #[error("rehearsal.control: {0} is not a loopback address; a clock is given into no other hands")]
+    #[error(
+        "rehearsal.control: {0} is not a loopback address; a clock is given into no other hands"
+    )]
     Address(SocketAddr),
     /// The connection failed or broke.
     #[error("the rehearsal at {at}: {source}")]
@@ -66,12 +68,18 @@
             Ok(stream)
         };
         let stream = connect().map_err(|source| ControlError::Socket { at, source })?;
-        Ok(Self { at, reader: BufReader::new(stream) })
+        Ok(Self {
+            at,
+            reader: BufReader::new(stream),
+        })
     }
 
     fn say(&mut self, line: &FromNode) -> Result<(), ControlError> {
         let written = self.reader.get_mut().write_all(line.to_string().as_bytes());
-        written.map_err(|source| ControlError::Socket { at: self.at, source })
+        written.map_err(|source| ControlError::Socket {
+            at: self.at,
+            source,
+        })
     }
 
     fn hear(&mut self) -> Result<ToNode, ControlError> {
@@ -79,13 +87,24 @@
         let read = (&mut self.reader).take(LONGEST as u64).read_line(&mut line);
         match read {
             Ok(0) => Err(ControlError::Over(self.at)),
-            Ok(_) => line.parse().map_err(|source| ControlError::Bad { at: self.at, source }),
-            Err(source) => Err(ControlError::Socket { at: self.at, source }),
+            Ok(_) => line.parse().map_err(|source| ControlError::Bad {
+                at: self.at,
+                source,
+            }),
+            Err(source) => Err(ControlError::Socket {
+                at: self.at,
+                source,
+            }),
         }
     }
 
     /// Follows the kit's steps until the rehearsal is over.
-    pub async fn follow(mut self, name: &str, listen: SocketAddr, steps: Rc<VirtualClock>) -> ControlError {
+    pub async fn follow(
+        mut self,
+        name: &str,
+        listen: SocketAddr,
+        steps: Rc<VirtualClock>,
+    ) -> ControlError {
         match self.steps(name, listen, &steps).await {
             Ok(never) => match never {},
             Err(error) => error,
@@ -99,7 +118,10 @@
         steps: &VirtualClock,
     ) -> Result<std::convert::Infallible, ControlError> {
         settle(0, 0).await;
-        self.say(&FromNode::Hello { name: name.to_owned(), listen })?;
+        self.say(&FromNode::Hello {
+            name: name.to_owned(),
+            listen,
+        })?;
         // What was done before the first step counts with it.
         let mut before = activity::Activity::default();
         // Ends that the kit has seen and that were waited for in vain: of connections that were never looked at here.
@@ -114,7 +136,12 @@
             let (read, written) = (after.read - before.read, after.written - before.written);
             before = after;
             let ended = after.ended + unseen;
-            self.say(&FromNode::Idle { next: steps.next_due(), read, written, ended })?;
+            self.say(&FromNode::Idle {
+                next: steps.next_due(),
+                read,
+                written,
+                ended,
+            })?;
         }
     }
 }
@@ -129,10 +156,16 @@
         while quiet < QUIET_TURNS {
             let before = activity::so_far().polls;
             yield_now().await;
-            quiet = if activity::so_far().polls == before { quiet + 1 } else { 0 };
+            quiet = if activity::so_far().polls == before {
+                quiet + 1
+            } else {
+                0
+            };
         }
         let so_far = activity::so_far();
-        if looks >= LOOKS || (so_far.read >= read && so_far.ended >= ended && so_far.connecting == 0) {
+        if looks >= LOOKS
+            || (so_far.read >= read && so_far.ended >= ended && so_far.connecting == 0)
+        {
             return;
         }
         looks += 1;
--- a/virtual-clock/src/control/tests.rs
+++ b/virtual-clock/src/control/tests.rs
@@ -21,22 +21,40 @@
     let kit = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = kit.local_addr().unwrap();
     let node = std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
         let steps = VirtualClock::at(100);
         let clock = Clock::stepped(steps.clone());
         LocalSet::new().block_on(&runtime, async move {
             spawn(task(clock));
-            Control::connect(at).unwrap().follow("n0", at, steps).await.to_string()
+            Control::connect(at)
+                .unwrap()
+                .follow("n0", at, steps)
+                .await
+                .to_string()
         })
     });
     let (stream, _) = kit.accept().unwrap();
     let mut reader = BufReader::new(stream);
-    assert_eq!(line(&mut reader), FromNode::Hello { name: "n0".to_owned(), listen: at });
+    assert_eq!(
+        line(&mut reader),
+        FromNode::Hello {
+            name: "n0".to_owned(),
+            listen: at
+        }
+    );
     (node, reader)
 }
 
 fn step(reader: &mut BufReader<TcpStream>, now: u64, ended: u64) -> FromNode {
-    let text = ToNode::Step { now, bytes: 0, ended }.to_string();
+    let text = ToNode::Step {
+        now,
+        bytes: 0,
+        ended,
+    }
+    .to_string();
     reader.get_mut().write_all(text.as_bytes()).unwrap();
     line(reader)
 }
@@ -54,7 +72,12 @@
         let _ = inner.await;
         activity::written(5);
     });
-    let idle = |next, written| FromNode::Idle { next, read: 0, written, ended: 0 };
+    let idle = |next, written| FromNode::Idle {
+        next,
+        read: 0,
+        written,
+        ended: 0,
+    };
     assert_eq!(step(&mut reader, 150, 0), idle(Some(200), 0));
     assert_eq!(step(&mut reader, 250, 0), idle(Some(300), 7));
     assert_eq!(step(&mut reader, 250, 0), idle(Some(300), 0));
@@ -77,7 +100,12 @@
         late().await;
         connection.over();
     });
-    let idle = |next, written, ended| FromNode::Idle { next, read: 0, written, ended };
+    let idle = |next, written, ended| FromNode::Idle {
+        next,
+        read: 0,
+        written,
+        ended,
+    };
     assert_eq!(step(&mut reader, 200, 0), idle(Some(300), 3, 0));
     assert_eq!(step(&mut reader, 300, 1), idle(None, 0, 1));
     // One that the node never looked at: waited for in vain, and then taken as seen.
--- a/virtual-clock/src/protocol.rs
+++ b/virtual-clock/src/protocol.rs
@@ -73,10 +73,20 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Hello { name, listen } => writeln!(f, "hello {VERSION} {name} {listen}"),
-            Self::Idle { next: Some(next), read, written, ended } => {
+            Self::Idle {
+                next: Some(next),
+                read,
+                written,
+                ended,
+            } => {
                 writeln!(f, "idle {next} {read} {written} {ended}")
             }
-            Self::Idle { next: None, read, written, ended } => writeln!(f, "idle - {read} {written} {ended}"),
+            Self::Idle {
+                next: None,
+                read,
+                written,
+                ended,
+            } => writeln!(f, "idle - {read} {written} {ended}"),
         }
     }
 }
@@ -95,7 +105,9 @@
 
     fn from_str(line: &str) -> Result<Self, Bad> {
         let step = || {
-            let ["step", now, bytes, ended] = words(line)? else { return None };
+            let ["step", now, bytes, ended] = words(line)? else {
+                return None;
+            };
             Some(Self::Step {
                 now: now.parse().ok()?,
                 bytes: bytes.parse().ok()?,
@@ -112,15 +124,20 @@
     fn from_str(line: &str) -> Result<Self, Bad> {
         let read = || match line.split(' ').next()? {
             "hello" => match words(line)? {
-                [_, version, name, listen] if version.parse() == Ok(VERSION) => {
-                    Some(Self::Hello { name: name.to_owned(), listen: listen.parse().ok()? })
-                }
+                [_, version, name, listen] if version.parse() == Ok(VERSION) => Some(Self::Hello {
+                    name: name.to_owned(),
+                    listen: listen.parse().ok()?,
+                }),
                 _ => None,
             },
             "idle" => {
                 let [_, next, read, written, ended] = words(line)?;
                 Some(Self::Idle {
-                    next: if next == "-" { None } else { Some(next.parse().ok()?) },
+                    next: if next == "-" {
+                        None
+                    } else {
+                        Some(next.parse().ok()?)
+                    },
                     read: read.parse().ok()?,
                     written: written.parse().ok()?,
                     ended: ended.parse().ok()?,
--- a/virtual-clock/src/protocol/tests.rs
+++ b/virtual-clock/src/protocol/tests.rs
@@ -2,13 +2,30 @@
 
 #[test]
 fn lines_are_read_as_they_are_written() {
-    let step = ToNode::Step { now: 17, bytes: 3, ended: 2 };
+    let step = ToNode::Step {
+        now: 17,
+        bytes: 3,
+        ended: 2,
+    };
     assert_eq!(step.to_string().parse(), Ok(step));
     let listen = SocketAddr::from(([127, 0, 0, 1], 9));
     for line in [
-        FromNode::Hello { name: "n0".to_owned(), listen },
-        FromNode::Idle { next: Some(5), read: 1, written: u64::MAX, ended: 7 },
-        FromNode::Idle { next: None, read: 0, written: 0, ended: 0 },
+        FromNode::Hello {
+            name: "n0".to_owned(),
+            listen,
+        },
+        FromNode::Idle {
+            next: Some(5),
+            read: 1,
+            written: u64::MAX,
+            ended: 7,
+        },
+        FromNode::Idle {
+            next: None,
+            read: 0,
+            written: 0,
+            ended: 0,
+        },
     ] {
         assert_eq!(line.to_string().parse(), Ok(line));
     }
@@ -28,7 +45,12 @@
     ] {
         assert_eq!(line.parse::<ToNode>(), Err(Bad(line.to_owned())));
     }
-    for line in ["hello 1 n0 127.0.0.1:9", "hello 2 n0 nowhere", "idle 1 2 3", "idle x 1 2 3"] {
+    for line in [
+        "hello 1 n0 127.0.0.1:9",
+        "hello 2 n0 nowhere",
+        "idle 1 2 3",
+        "idle x 1 2 3",
+    ] {
         assert_eq!(line.parse::<FromNode>(), Err(Bad(line.to_owned())));
     }
 }
