--- a/adapters/postgres/src/lib.rs
+++ b/adapters/postgres/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 mod console;
 mod identity;
+mod lease_slot;
 mod login;
 pub mod pool;
 mod relay;
@@ -26,7 +27,7 @@
 use tokio::sync::oneshot;
 
 pub use client::ClientError;
-pub use relay::LeaseSlot;
+pub use lease_slot::LeaseSlot;
 
 /// The front's types.
 pub struct Postgres;
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -1,28 +1,28 @@
 //! One session between its sockets and the engine: its client's bytes, those of the server connection that it has at
 //! the moment, and what the session core makes of them. No more is read from either side than the other takes.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use badgerpost_balancer::{BackendId, Nanos, Outcome};
-use badgerpost_engine::{AttemptEnd, AttemptId, IncomingRequest, RequestOutcome, Sleep};
-use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
+use badgerpost_engine::{AttemptEnd, AttemptId, RequestOutcome, Sleep};
+use badgerpost_postgres_session::answer::{self, ErrorReason};
 use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::session::{Action, Event, Session};
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{oneshot, watch};
 
+use crate::Fleet;
 use crate::clients::Registered;
-use crate::config::repeatable;
+use crate::lease_slot::LeaseSlot;
 use crate::pool::{Link, Pool};
 use crate::stream::Stream;
-use crate::{Fleet, Lease, LeaseRequest, Postgres};
 
 /// What waits to be written to a side is no more than this and one reading; then the other is not read.
 const UNSENT: usize = 64 * 1024;
@@ -32,46 +32,13 @@
 /// A client takes its last words in within this time.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
+mod transactions;
+
 thread_local! {
     /// What is read from any socket of this thread: it is cut into messages before anything else is read.
     static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_AT_ONCE]);
 }
 
-/// Where leases for one session arrive.
-#[derive(Default)]
-pub struct LeaseSlot {
-    /// The transaction that waits for one; 0 for none.
-    wanted: Cell<u64>,
-    lease: RefCell<Option<Box<Lease>>>,
-    waker: RefCell<Option<Waker>>,
-}
-
-impl LeaseSlot {
-    /// Brings a lease for a transaction; given back if that waits for none any more.
-    pub fn put(&self, transaction: u64, lease: Lease) -> Option<Lease> {
-        if self.lease.borrow().is_some() || self.wanted.get() != transaction {
-            return Some(lease);
-        }
-        *self.lease.borrow_mut() = Some(Box::new(lease));
-        self.waker.borrow().iter().for_each(Waker::wake_by_ref);
-        None
-    }
-
-    fn poll(&self, cx: &Context<'_>) -> Poll<Box<Lease>> {
-        if let Some(lease) = self.lease.borrow_mut().take() {
-            return Poll::Ready(lease);
-        }
-        let mut waker = self.waker.borrow_mut();
-        if waker
-            .as_ref()
-            .is_none_or(|known| !known.will_wake(cx.waker()))
-        {
-            *waker = Some(cx.waker().clone());
-        }
-        Poll::Pending
-    }
-}
-
 type Answer = Pin<Box<dyn Future<Output = RequestOutcome<()>>>>;
 type Waits = Pin<Box<dyn Future<Output = ()>>>;
 
@@ -337,50 +304,6 @@
         Went::Nowhere
     }
 
-    /// What the engine brings: a lease, or the end of the transaction.
-    fn poll_engine(&mut self, cx: &mut Context<'_>) -> Went {
-        if let Some(held_back) = &mut self.held_back {
-            let alone = held_back.alone;
-            if held_back.resumed.as_mut().poll(cx).is_ready() {
-                self.held_back = None;
-                self.submit(alone);
-                return Went::On;
-            }
-            if held_back.late.as_mut().poll(cx).is_ready() {
-                self.held_back = None;
-                self.handle(Event::Refused { wait_ms: 1000 });
-                return Went::On;
-            }
-        }
-        if self.held.is_some() || self.waiting.is_none() {
-            return Went::Nowhere;
-        }
-        if let Poll::Ready(lease) = self.slot.poll(cx) {
-            self.leased(*lease);
-            return Went::On;
-        }
-        let Some(waiting) = &mut self.waiting else {
-            return Went::Nowhere;
-        };
-        match waiting.as_mut().poll(cx) {
-            Poll::Ready(reply) => {
-                self.wait_no_more();
-                match reply {
-                    // Told by the session itself, as it came.
-                    RequestOutcome::Served(()) => {}
-                    RequestOutcome::Rejected(pause) => {
-                        self.handle(Event::Refused {
-                            wait_ms: pause.div_ceil(1_000_000),
-                        });
-                    }
-                    RequestOutcome::Failed => self.handle(Event::Failed),
-                }
-                Went::On
-            }
-            Poll::Pending => Went::Nowhere,
-        }
-    }
-
     /// Takes in what has come whole; whether anything had.
     fn process(&mut self) -> bool {
         let mut any = false;
@@ -425,22 +348,6 @@
         any
     }
 
-    /// A pinned session can't be moved: with its server draining, its next transaction is not begun there.
-    fn check_pinned(&mut self) {
-        let Some(held) = &self.held else { return };
-        let between = held.ticket.is_none() && self.session.status() == TransactionStatus::Idle;
-        if between
-            && !self
-                .terms
-                .fleet
-                .is_in_service_at(held.backend, held.endpoint)
-        {
-            let detail = "the session is pinned to a server that leaves";
-            answer::error(ErrorReason::Stopping, Some(detail)).write(&mut self.to_client);
-            self.handle(Event::ClientGone);
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.session.handle(event, &mut actions);
@@ -502,128 +409,6 @@
             }
         }
     }
-
-    /// The transaction is over for the engine; a lease that has come for it in this moment goes back unused.
-    fn wait_no_more(&mut self) {
-        self.waiting = None;
-        self.slot.wanted.set(0);
-        if let Some(lease) = self.slot.lease.borrow_mut().take() {
-            let Lease { ticket, link, .. } = *lease;
-            self.terms.pool.keep(&self.terms.fleet, link);
-            self.terms
-                .fleet
-                .attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
-        }
-    }
-
-    /// Ends the attempt that the connection was leased for.
-    fn settle(&mut self, ending: AttemptEnd<()>) {
-        let ticket = self.held.as_mut().and_then(|held| held.ticket.take());
-        self.end(ticket, ending);
-    }
-
-    fn end(&self, ticket: Option<AttemptId>, ending: AttemptEnd<()>) {
-        if let Some(ticket) = ticket {
-            self.terms.fleet.attempt_ended(ticket, ending);
-        }
-    }
-
-    /// The connection is of no use any more. The session hears of it first, so that it waits for what the engine
-    /// says then.
-    fn lost(&mut self, outcome: Outcome) {
-        let ticket = self.held.as_mut().and_then(|held| held.ticket.take());
-        self.handle(Event::ServerLost);
-        self.held = None;
-        self.end(ticket, AttemptEnd::bare(outcome));
-        if ticket.is_none() && !self.ended {
-            // Between two transactions nobody but the session has to be told.
-            self.handle(Event::Failed);
-        }
-    }
-
-    fn ask(&mut self, alone: bool) {
-        if !self.terms.pool.is_paused() {
-            return self.submit(alone);
-        }
-        let clock = self.terms.fleet.clock();
-        let deadline = self
-            .terms
-            .fleet
-            .class(&self.terms.class.0)
-            .map_or(0, |(_, deadline, _)| deadline);
-        // What it waits for is refused in time for the client to do something about it.
-        let late = clock.sleep_until(clock.now().saturating_add(deadline / 2));
-        let pool = self.terms.pool.clone();
-        let resumed: Waits = Box::pin(async move { pool.resumed().await });
-        self.held_back = Some(Box::new(HeldBack {
-            alone,
-            resumed,
-            late: Box::pin(late),
-        }));
-    }
-
-    fn submit(&mut self, alone: bool) {
-        let (class, may_repeat) = &self.terms.class;
-        let name = if alone && *may_repeat {
-            repeatable(class)
-        } else {
-            class.clone()
-        };
-        let Some((class, deadline, _)) = self.terms.fleet.class(&name) else {
-            // The classes come from the same configuration, so this does not happen; if so, it is a failure.
-            return self.handle(Event::Failed);
-        };
-        self.asked += 1;
-        let id = format!("pg-{}-{}", self.registered.number(), self.asked).into();
-        let call = LeaseRequest {
-            database: self.terms.database.clone(),
-            login: self.terms.login,
-            rank: u64::MAX - (self.terms.worth.max(0.0) * 1e6) as u64,
-            transaction: self.asked,
-            slot: self.slot.clone(),
-        };
-        self.slot.wanted.set(self.asked);
-        let asked: IncomingRequest<Postgres> = IncomingRequest {
-            id,
-            class,
-            tenant: None,
-            affinity_key: None,
-            expected_work: None,
-            is_retry: false,
-            budget: deadline,
-            call,
-        };
-        match self.terms.fleet.submit(asked) {
-            Some(waiting) => self.waiting = Some(Box::pin(waiting.into_outcome())),
-            None => self.handle(Event::Failed),
-        }
-    }
-
-    fn leased(&mut self, lease: Lease) {
-        let Lease {
-            ticket,
-            backend,
-            endpoint,
-            mut link,
-            give_up,
-            withdrawn,
-        } = lease;
-        let state = std::mem::take(&mut link.state);
-        let held = Held {
-            link,
-            backend,
-            endpoint,
-            ticket: Some(ticket),
-            give_up,
-            withdrawn,
-            timer: None,
-        };
-        self.held = Some(Box::new(held));
-        self.handle(Event::Attached(state));
-        if self.terms.session_pooling {
-            self.session.keep_server();
-        }
-    }
 }
 
 impl Drop for Relay {
