--- a/testkit/fakes/src/scripted.rs
+++ b/testkit/fakes/src/scripted.rs
@@ -1,6 +1,10 @@
 //! Peers for tests, scripted by hand on loopback sockets with a thread each: a node as a process, backends,
 //! discovery and clients. They panic where a test has failed, and are of use in tests only.
-#![allow(missing_docs, clippy::unwrap_used, reason = "test helpers, used by tests only")]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    reason = "test helpers, used by tests only"
+)]
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
