--- a/adapters/http/src/list.rs
+++ b/adapters/http/src/list.rs
@@ -85,10 +85,10 @@
         for entry in unread {
             match Target::deserialize(&entry) {
                 Ok(target) => targets.push(target),
-                Err(error) => odd.push(Odd {
+                Err(problem) => odd.push(Odd {
                     uid: entry["uid"].as_str().map(str::to_owned),
                     state: State::deserialize(&entry["state"]).ok(),
-                    error,
+                    error: problem,
                 }),
             }
         }
--- a/adapters/postgres/src/config.rs
+++ b/adapters/postgres/src/config.rs
@@ -222,11 +222,10 @@
                 line: number + 1,
                 problem,
             };
-            let (name, verifier) = line
+            let (name, verifier_text) = line
                 .split_once(' ')
                 .ok_or_else(|| wrong("a name and a verifier"))?;
-            let read = Verifier::read(verifier);
-            let verifier = read.map_err(|_| {
+            let verifier = Verifier::read(verifier_text).map_err(|_| {
                 wrong("only SCRAM-SHA-256 verifiers are taken, no passwords, no md5")
             })?;
             users.insert(name.to_owned(), verifier);
--- a/adapters/postgres/src/identity.rs
+++ b/adapters/postgres/src/identity.rs
@@ -54,8 +54,8 @@
         let (exchange, answer) = begun.map_err(ClientError::Identity)?;
         client.send(&[request(11, answer.as_bytes())]).await?;
         let last = client.password().await?;
-        let answer = exchange.finish(&last.body).map_err(ClientError::Identity)?;
-        client.send(&[request(12, answer.as_bytes())]).await?;
+        let proof = exchange.finish(&last.body).map_err(ClientError::Identity)?;
+        client.send(&[request(12, proof.as_bytes())]).await?;
         Ok(())
     }
 }
--- a/adapters/postgres/src/login.rs
+++ b/adapters/postgres/src/login.rs
@@ -180,12 +180,12 @@
     let Stream::Plain(socket) = stream else {
         return Err(NoLink::NoTls);
     };
-    let stream = tls.tls.connect(tls.name.clone(), socket).await?;
-    let certificates = stream.get_ref().1.peer_certificates();
+    let encrypted = tls.tls.connect(tls.name.clone(), socket).await?;
+    let certificates = encrypted.get_ref().1.peer_certificates();
     let binding = certificates
         .and_then(|all| all.first())
         .map(|first| tls::end_point(first));
-    Ok((Stream::Tls(Box::new(stream.into())), binding))
+    Ok((Stream::Tls(Box::new(encrypted.into())), binding))
 }
 
 /// Proves the node's identity, a message of it.
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -373,7 +373,7 @@
             let oldest = warm
                 .iter()
                 .min_by_key(|(_, used)| **used)
-                .map(|(pair, _)| pair.clone());
+                .map(|(oldest, _)| oldest.clone());
             oldest.iter().for_each(|oldest| {
                 warm.remove(oldest);
             });
--- a/adapters/postgres/src/relay/transactions.rs
+++ b/adapters/postgres/src/relay/transactions.rs
@@ -138,7 +138,7 @@
         } else {
             class.clone()
         };
-        let Some((class, deadline, _)) = self.terms.fleet.class(&name) else {
+        let Some((class_number, deadline, _)) = self.terms.fleet.class(&name) else {
             // The classes come from the same configuration, so this does not happen; if so, it is a failure.
             return self.handle(Event::Failed);
         };
@@ -154,7 +154,7 @@
         self.slot.wanted.set(self.asked);
         let asked: IncomingRequest<Postgres> = IncomingRequest {
             id,
-            class,
+            class: class_number,
             tenant: None,
             affinity_key: None,
             expected_work: None,
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -106,9 +106,11 @@
             loop {
                 match listener.accept().await {
                     Ok((stream, from)) => {
-                        let (front, stopping) = (self.clone(), sessions.clone());
+                        let (front, stopping_session) = (self.clone(), sessions.clone());
                         let pending = self.unidentified.admit();
-                        spawn(async move { front.welcome(stream, from, pending, stopping).await });
+                        spawn(async move {
+                            front.welcome(stream, from, pending, stopping_session).await
+                        });
                     }
                     Err(error) => {
                         log.log(|suppressed| {
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -108,7 +108,7 @@
             }
             event = tokio::select! {
                 biased;
-                event = link.hear(self.listen) => event,
+                heard = link.hear(self.listen) => heard,
                 () = &mut until => Event::TimedOut,
             };
         }
@@ -145,9 +145,9 @@
             match door.accept().await {
                 // One after the other: a second successor beside the first listens by itself.
                 Ok((stream, _)) => {
-                    let given = self.attend(Link::new(stream), &listener, &life).await;
+                    let has_given = self.attend(Link::new(stream), &listener, &life).await;
                     // One that had opened its own door and died has left nobody behind it.
-                    if given
+                    if has_given
                         && UnixStream::connect(&self.path).await.is_err()
                         && let Some(new) = self.open()
                     {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -196,8 +196,8 @@
             accepts: life.accepts(),
         },
     ));
-    if let (Some(handover), Some(listener)) = (handover, hand_on) {
-        spawn(handover.run(listener, given, life.clone()));
+    if let (Some(handover), Some(listener_to_hand_on)) = (handover, hand_on) {
+        spawn(handover.run(listener_to_hand_on, given, life.clone()));
     }
     let postgres = match own.postgres {
         Some(postgres) => Some(spawn(serve_postgres(postgres, seed, &clock, stopping)?)),
@@ -234,7 +234,7 @@
                 spawn_local(async move { control.follow(&name, listens_at, steps).await });
             tokio::select! {
                 biased;
-                ended = ended => ended,
+                result = ended => result,
                 Ok(over) = followed => Err(over.into()),
             }
         }
--- a/virtual-clock/src/control.rs
+++ b/virtual-clock/src/control.rs
@@ -133,14 +133,15 @@
             settle(read.saturating_add(bytes), ended.saturating_sub(unseen)).await;
             let after = activity::so_far();
             unseen = unseen.max(ended.saturating_sub(after.ended));
-            let (read, written) = (after.read - before.read, after.written - before.written);
+            let bytes_read = after.read - before.read;
+            let bytes_written = after.written - before.written;
             before = after;
-            let ended = after.ended + unseen;
+            let connections_ended = after.ended + unseen;
             self.say(&FromNode::Idle {
                 next: steps.next_due(),
-                read,
-                written,
-                ended,
+                read: bytes_read,
+                written: bytes_written,
+                ended: connections_ended,
             })?;
         }
     }
