--- a/adapters/admin/src/lib.rs
+++ b/adapters/admin/src/lib.rs
@@ -5,8 +5,8 @@
 //! the node, `POST /active` calls it back, `POST /zones/Z/close/SECONDS`, `/open/SECONDS` and `/auto` say what a zone
 //! gets for a time.
 
-mod life;
-mod zones;
+mod lifecycle_handle;
+mod zone_override;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -32,8 +32,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
-pub use life::{Life, Wake};
-pub use zones::ZoneOrder;
+pub use lifecycle_handle::{LifecycleHandle, PendingTimer};
+pub use zone_override::ZoneOverride;
 
 /// Connections together: some pollers and people. One more and the oldest goes: whoever finishes a call does so at
 /// once, so the oldest is one who does not. Each holds a descriptor that the serving side does not have.
@@ -49,18 +49,18 @@
 type Callers = VecDeque<(u64, oneshot::Sender<()>)>;
 
 /// What the console reads and tells.
-pub struct Console {
+pub struct AdminApi {
     /// The node's life cycle.
-    pub life: Life,
+    pub life: LifecycleHandle,
     /// The figures.
     pub tally: Arc<Metrics>,
     /// Whether this process can serve.
     pub ready: Arc<AtomicBool>,
     /// Where orders about zones go.
-    pub orders: mpsc::Sender<ZoneOrder>,
+    pub orders: mpsc::Sender<ZoneOverride>,
 }
 
-impl Console {
+impl AdminApi {
     /// Serves on a thread of its own until the process ends.
     pub fn start(self, listener: TcpListener) -> io::Result<()> {
         listener.set_nonblocking(true)?;
@@ -169,7 +169,7 @@
                 };
                 text(status, format!("{:?}\n", step.stage).to_lowercase())
             }
-            _ => match zones::order(path, &self.tally) {
+            _ => match zone_override::order(path, &self.tally) {
                 None => text(
                     StatusCode::NOT_FOUND,
                     "no such zone or order, or no watch over zones\n".to_owned(),
--- a/adapters/admin/src/life.rs
+++ b/adapters/admin/src/lifecycle_handle.rs
@@ -8,20 +8,20 @@
 use tokio::sync::watch;
 
 /// A wake-up that the state machine wants.
-pub type Wake = (Duration, u64);
+pub type PendingTimer = (Duration, u64);
 
 /// A handle on the life cycle. Cheap to clone.
 #[derive(Clone)]
-pub struct Life(Arc<Shared>);
+pub struct LifecycleHandle(Arc<Shared>);
 
 struct Shared {
     machine: Mutex<Lifecycle>,
     stage: watch::Sender<Stage>,
-    wake: watch::Sender<Option<Wake>>,
+    wake: watch::Sender<Option<PendingTimer>>,
     accepts: watch::Sender<bool>,
 }
 
-impl Default for Life {
+impl Default for LifecycleHandle {
     fn default() -> Self {
         let machine = Mutex::new(Lifecycle::new());
         let (stage, wake, accepts) = (
@@ -38,7 +38,7 @@
     }
 }
 
-impl Life {
+impl LifecycleHandle {
     /// Tells the node something; whether what was asked for holds now.
     pub fn tell(&self, event: Event) -> Transition {
         // A panic under the lock would have left a whole state: each step is one assignment.
@@ -72,8 +72,8 @@
         self.0.accepts.subscribe()
     }
 
-    /// The wake-up wanted last; who keeps the time tells [`Event::Due`] when it is due.
-    pub fn wakes(&self) -> watch::Receiver<Option<Wake>> {
+    /// The wake-up wanted last; who keeps the time tells [`Event::TimerFired`] when it is due.
+    pub fn wakes(&self) -> watch::Receiver<Option<PendingTimer>> {
         self.0.wake.subscribe()
     }
 }
--- a/adapters/admin/src/zones.rs
+++ b/adapters/admin/src/zone_override.rs
@@ -9,7 +9,7 @@
 
 /// What operators want of a zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ZoneOrder {
+pub struct ZoneOverride {
     /// The zone.
     pub zone: String,
     /// Closed (`true`) or held open, and for how long; none ends such an order.
@@ -17,7 +17,7 @@
 }
 
 /// Reads `/zones/Z/close/SECONDS`, `/zones/Z/open/SECONDS` or `/zones/Z/auto`, for a zone that is watched.
-pub(crate) fn order(path: &str, tally: &Metrics) -> Option<ZoneOrder> {
+pub(crate) fn order(path: &str, tally: &Metrics) -> Option<ZoneOverride> {
     let (zone, rest) = path.strip_prefix("/zones/")?.split_once('/')?;
     let known = tally.zones().iter().any(|known| known.name == zone);
     let span = |text: &str| {
@@ -33,7 +33,7 @@
         None if rest == "auto" => None,
         _ => return None,
     };
-    known.then(|| ZoneOrder {
+    known.then(|| ZoneOverride {
         zone: zone.to_owned(),
         order,
     })
--- a/adapters/gossip/src/lib.rs
+++ b/adapters/gossip/src/lib.rs
@@ -2,7 +2,7 @@
 //! over the zones says and hears through it. Off unless the operators' own file has a section `[peers]`.
 
 mod config;
-mod run;
+mod service;
 
 pub use config::{Config, ConfigError};
-pub use run::{Me, Peers};
+pub use service::{GossipService, LocalMember};
--- a/adapters/gossip/src/run.rs
+++ b/adapters/gossip/src/service.rs
@@ -15,7 +15,7 @@
 
 /// Who this node is among the others.
 #[derive(Clone, Copy, Debug)]
-pub struct Me<'a> {
+pub struct LocalMember<'a> {
     /// Its name.
     pub name: &'a str,
     /// Its zone, by position.
@@ -27,7 +27,7 @@
 }
 
 /// A node's talk with the others.
-pub struct Peers<F: Protocol> {
+pub struct GossipService<F: Protocol> {
     socket: UdpSocket,
     core: badgerpost_membership::Membership,
     engine: Engine<F>,
@@ -37,12 +37,12 @@
     limiter: LogLimiter,
 }
 
-impl<F: Protocol + 'static> Peers<F> {
+impl<F: Protocol + 'static> GossipService<F> {
     /// Opens the socket; the engine's words for the others go through it from now on.
     pub async fn open(
         config: &Config,
         key: badgerpost_membership::Key,
-        me: Me<'_>,
+        me: LocalMember<'_>,
         engine: Engine<F>,
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(config.listen).await?;
--- a/adapters/http/src/answer.rs
+++ b/adapters/http/src/answer.rs
@@ -10,21 +10,21 @@
 
 use badgerpost_engine::{Metrics, RequestEnd};
 
-use crate::budget::Kept;
-use crate::slots::Slot;
+use crate::connection_limiter::Connection;
+use crate::memory_budget::BufferedBytes;
 
 /// A backend's answer to a request that it has served.
-pub enum Answer {
+pub enum BackendResponse {
     /// Held whole.
-    Whole(Kept),
+    Buffered(BufferedBytes),
     /// Begun, with more to come.
-    Begun(Begun),
+    Streaming(StreamingResponse),
 }
 
 /// An answer that has begun to come.
-pub struct Begun {
+pub struct StreamingResponse {
     /// What has come.
-    pub first: Kept,
+    pub first: BufferedBytes,
     /// What is still to come.
     pub rest: Incoming,
     /// How much is still to come in all, `first` included, where the backend has told it.
@@ -34,27 +34,27 @@
 }
 
 /// The body of an answer to a client.
-pub enum Reply {
+pub enum ResponseBody {
     /// Held whole, with what keeps its part of the budget.
-    Whole {
+    Buffered {
         /// The bytes.
         body: Full<Bytes>,
         /// Their part of the budget, until the last of them is with the connection.
-        _kept: Kept,
+        _kept: BufferedBytes,
     },
     /// As it comes.
-    Passing(Passing),
+    Streaming(StreamingResponseBody),
 }
 
-impl From<Bytes> for Reply {
+impl From<Bytes> for ResponseBody {
     fn from(bytes: Bytes) -> Self {
-        Self::from(Kept::new(bytes, None))
+        Self::from(BufferedBytes::new(bytes, None))
     }
 }
 
-impl From<Kept> for Reply {
-    fn from(kept: Kept) -> Self {
-        Self::Whole {
+impl From<BufferedBytes> for ResponseBody {
+    fn from(kept: BufferedBytes) -> Self {
+        Self::Buffered {
             body: Full::new(kept.bytes.clone()),
             _kept: kept,
         }
@@ -62,20 +62,25 @@
 }
 
 /// An answer that is passed on; says how it ended where that counts.
-pub struct Passing {
-    first: Option<Kept>,
+pub struct StreamingResponseBody {
+    first: Option<BufferedBytes>,
     rest: Incoming,
     left: Option<u64>,
     ended: Option<Box<dyn FnOnce(Option<RequestEnd>)>>,
-    slot: Rc<Slot>,
+    slot: Rc<Connection>,
     tally: std::sync::Arc<Metrics>,
     class: u32,
 }
 
-impl Passing {
+impl StreamingResponseBody {
     /// Passes on an answer to the client with this slot.
-    pub fn new(begun: Begun, slot: Rc<Slot>, tally: std::sync::Arc<Metrics>, class: u32) -> Self {
-        let Begun {
+    pub fn new(
+        begun: StreamingResponse,
+        slot: Rc<Connection>,
+        tally: std::sync::Arc<Metrics>,
+        class: u32,
+    ) -> Self {
+        let StreamingResponse {
             first,
             rest,
             left,
@@ -140,14 +145,14 @@
     }
 }
 
-impl Drop for Passing {
+impl Drop for StreamingResponseBody {
     /// The client has gone, or takes no more.
     fn drop(&mut self) {
         self.end(None);
     }
 }
 
-impl Body for Reply {
+impl Body for ResponseBody {
     type Data = Bytes;
     type Error = hyper::Error;
 
@@ -156,27 +161,27 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
-            Self::Whole { body, .. } => Pin::new(body)
+            Self::Buffered { body, .. } => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Passing(passing) => passing.poll(cx),
+            Self::Streaming(passing) => passing.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole { body, .. } => body.is_end_stream(),
-            Self::Passing(passing) => passing.left == Some(0),
+            Self::Buffered { body, .. } => body.is_end_stream(),
+            Self::Streaming(passing) => passing.left == Some(0),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole { body, .. } => body.size_hint(),
-            Self::Passing(Passing {
+            Self::Buffered { body, .. } => body.size_hint(),
+            Self::Streaming(StreamingResponseBody {
                 left: Some(left), ..
             }) => SizeHint::with_exact(*left),
-            Self::Passing(_) => SizeHint::default(),
+            Self::Streaming(_) => SizeHint::default(),
         }
     }
 }
--- a/adapters/http/src/slots.rs
+++ b/adapters/http/src/connection_limiter.rs
@@ -11,7 +11,7 @@
 use badgerpost_http_framing::{FramingError, FramingEvent, RequestFramer};
 use tokio::sync::Notify;
 
-use crate::tap::Ear;
+use crate::observed_stream::StreamObserver;
 
 /// A head is whole this long after its first byte, the first one of a connection this long after the connect:
 /// clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it. A body that stops has
@@ -56,7 +56,7 @@
 
 /// What stands on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
+enum ConnectionState {
     /// Nothing has come yet.
     Silent,
     /// A request's head is coming in.
@@ -78,8 +78,8 @@
 }
 
 /// One connection's slot.
-pub struct Slot {
-    stage: Cell<Stage>,
+pub struct Connection {
+    stage: Cell<ConnectionState>,
     since: Cell<Nanos>,
     /// When bytes came last.
     heard: Cell<Nanos>,
@@ -105,11 +105,11 @@
     most: Rc<Cell<usize>>,
 }
 
-impl Slot {
+impl Connection {
     fn new(idle: Rc<Idle>, clock: Clock) -> Self {
         Self {
             idle,
-            stage: Cell::new(Stage::Silent),
+            stage: Cell::new(ConnectionState::Silent),
             since: Cell::new(clock.now()),
             heard: Cell::new(clock.now()),
             heads: RefCell::default(),
@@ -123,16 +123,16 @@
         }
     }
 
-    fn enter(&self, stage: Stage) {
+    fn enter(&self, stage: ConnectionState) {
         self.enter_at(stage, self.clock.now());
     }
 
-    fn enter_at(&self, stage: Stage, now: Nanos) {
+    fn enter_at(&self, stage: ConnectionState, now: Nanos) {
         let left = self.stage.replace(stage);
         self.since.set(now);
         let (was, is) = (
-            usize::from(left == Stage::Idle),
-            usize::from(stage == Stage::Idle),
+            usize::from(left == ConnectionState::Idle),
+            usize::from(stage == ConnectionState::Idle),
         );
         self.idle.now.set(self.idle.now.get() + is - was);
     }
@@ -148,8 +148,8 @@
         self.heard.set(now);
         match self.stage.get() {
             // The time of the first request runs from the connect.
-            Stage::Silent => self.stage.set(Stage::Arriving),
-            Stage::Idle => self.enter_at(Stage::Arriving, now),
+            ConnectionState::Silent => self.stage.set(ConnectionState::Arriving),
+            ConnectionState::Idle => self.enter_at(ConnectionState::Arriving, now),
             _ => {}
         }
     }
@@ -170,10 +170,10 @@
     /// Bytes have moved on this connection.
     fn moved(&self, read: usize) {
         match self.stage.get() {
-            Stage::Receiving => self
+            ConnectionState::Receiving => self
                 .received
                 .set(self.received.get().saturating_add(read as u64)),
-            Stage::Passing => self.since.set(self.clock.now()),
+            ConnectionState::Passing => self.since.set(self.clock.now()),
             _ => {}
         }
     }
@@ -181,22 +181,22 @@
     /// Whether it has only just been opened: its first request is on the way.
     pub fn is_new(&self) -> bool {
         let age = self.clock.now().saturating_sub(self.since.get());
-        self.stage.get() == Stage::Silent && age < nanos(NEW)
+        self.stage.get() == ConnectionState::Silent && age < nanos(NEW)
     }
 
     /// All that was to be written is with the system.
     fn flushed(&self) {
-        if self.stage.get() == Stage::Answering {
-            self.enter(Stage::Idle);
+        if self.stage.get() == ConnectionState::Answering {
+            self.enter(ConnectionState::Idle);
         }
     }
 
     /// A request's head has been taken, and its body may come; returns whether its framing can be read in one way only.
     pub fn receiving(&self) -> Result<(), FramingError> {
         // Its last bytes have only just come, unless it was sent ahead of an answer.
-        let only_just = self.stage.get() == Stage::Arriving;
+        let only_just = self.stage.get() == ConnectionState::Arriving;
         self.enter_at(
-            Stage::Receiving,
+            ConnectionState::Receiving,
             if only_just {
                 self.heard.get()
             } else {
@@ -217,15 +217,15 @@
     /// has it only just been opened.
     pub fn rests(&self) -> bool {
         match self.stage.get() {
-            Stage::Silent => !self.is_new(),
-            Stage::Idle => !self.has_more(),
+            ConnectionState::Silent => !self.is_new(),
+            ConnectionState::Idle => !self.has_more(),
             _ => false,
         }
     }
 
     /// Whether a request stands on it that has not come whole.
     pub fn is_arriving(&self) -> bool {
-        self.stage.get() == Stage::Arriving
+        self.stage.get() == ConnectionState::Arriving
     }
 
     /// Whether a request's answer is waited for.
@@ -234,9 +234,9 @@
     }
 
     /// A request's answer is waited for until what is returned is dropped.
-    pub fn awaits(&self) -> Awaits<'_> {
+    pub fn awaits(&self) -> ResponseWait<'_> {
         self.awaited.set(true);
-        Awaits(self)
+        ResponseWait(self)
     }
 
     /// When the body has to have come, by what has come of it so far.
@@ -250,31 +250,34 @@
 
     /// Whether all of the last request has been taken.
     pub fn is_received(&self) -> bool {
-        !matches!(self.stage.get(), Stage::Arriving | Stage::Receiving)
+        !matches!(
+            self.stage.get(),
+            ConnectionState::Arriving | ConnectionState::Receiving
+        )
     }
 
     /// An answer has begun to go out and goes on as it comes.
     pub fn passing(&self) {
-        self.enter(Stage::Passing);
+        self.enter(ConnectionState::Passing);
     }
 
     /// The last of it has been handed on.
     pub fn passed(&self) {
-        if self.stage.get() == Stage::Passing {
-            self.enter(Stage::Answering);
+        if self.stage.get() == ConnectionState::Passing {
+            self.enter(ConnectionState::Answering);
         }
     }
 
     /// A request is taken.
     pub fn open(&self) {
-        self.enter(Stage::Open);
+        self.enter(ConnectionState::Open);
     }
 
     /// Its answer goes out, and tells of a bad request or not.
     pub fn answering(&self, bad: bool) {
         self.told_off.set(bad);
-        if self.stage.get() != Stage::Passing {
-            self.enter(Stage::Answering);
+        if self.stage.get() != ConnectionState::Passing {
+            self.enter(ConnectionState::Answering);
         }
     }
 
@@ -285,12 +288,12 @@
 
     /// Its client is told that nothing more follows.
     pub fn parting(&self) {
-        self.enter(Stage::Parting);
+        self.enter(ConnectionState::Parting);
     }
 
     /// Its client has been answered for the last time, and may still be writing.
     pub fn leaving(&self) {
-        self.enter(Stage::Leaving);
+        self.enter(ConnectionState::Leaving);
     }
 
     /// Resolves once the connection is to end in good order.
@@ -305,18 +308,18 @@
 
     fn overdue(&self, now: Nanos) -> bool {
         let most = match self.stage.get() {
-            Stage::Silent | Stage::Arriving => WHOLE_WITHIN + CLOSES_AFTER,
+            ConnectionState::Silent | ConnectionState::Arriving => WHOLE_WITHIN + CLOSES_AFTER,
             // Whoever waits for the answer sees to it that one comes.
-            Stage::Receiving if self.awaited.get() => return false,
-            Stage::Receiving => {
+            ConnectionState::Receiving if self.awaited.get() => return false,
+            ConnectionState::Receiving => {
                 return now >= self.received_by().saturating_add(nanos(CLOSES_AFTER));
             }
-            Stage::Open => return false,
-            Stage::Passing => MOVES_WITHIN,
-            Stage::Answering => TAKEN_WITHIN,
-            Stage::Idle => IDLE_MOST,
-            Stage::Parting => PARTS_WITHIN,
-            Stage::Leaving => LINGER,
+            ConnectionState::Open => return false,
+            ConnectionState::Passing => MOVES_WITHIN,
+            ConnectionState::Answering => TAKEN_WITHIN,
+            ConnectionState::Idle => IDLE_MOST,
+            ConnectionState::Parting => PARTS_WITHIN,
+            ConnectionState::Leaving => LINGER,
         };
         now.saturating_sub(self.since.get()) >= nanos(most)
     }
@@ -324,7 +327,9 @@
     /// Ends what has stood for too long: in good order where nothing but its client's silence ends it.
     fn end_overdue(&self) {
         match self.stage.get() {
-            Stage::Silent | Stage::Arriving | Stage::Idle => self.part.notify_one(),
+            ConnectionState::Silent | ConnectionState::Arriving | ConnectionState::Idle => {
+                self.part.notify_one()
+            }
             _ => self.close.notify_one(),
         }
     }
@@ -332,34 +337,40 @@
     /// The order in which connections make room, or none for one that may not be closed.
     fn rank(&self, now: Nanos) -> Option<(u8, Nanos)> {
         let (rank, least, since) = match self.stage.get() {
-            Stage::Parting | Stage::Leaving => (0, Duration::ZERO, self.since.get()),
-            Stage::Silent => (1, SILENT_LEAST, self.since.get()),
-            Stage::Idle => (2, IDLE_LEAST, self.since.get()),
-            Stage::Arriving | Stage::Receiving => (3, STOPPED_LEAST, self.heard.get()),
-            Stage::Open | Stage::Passing | Stage::Answering => return None,
+            ConnectionState::Parting | ConnectionState::Leaving => {
+                (0, Duration::ZERO, self.since.get())
+            }
+            ConnectionState::Silent => (1, SILENT_LEAST, self.since.get()),
+            ConnectionState::Idle => (2, IDLE_LEAST, self.since.get()),
+            ConnectionState::Arriving | ConnectionState::Receiving => {
+                (3, STOPPED_LEAST, self.heard.get())
+            }
+            ConnectionState::Open | ConnectionState::Passing | ConnectionState::Answering => {
+                return None;
+            }
         };
         (now.saturating_sub(since) >= nanos(least)).then_some((rank, since))
     }
 }
 
 /// A request's answer is waited for as long as this lives.
-pub struct Awaits<'a>(&'a Slot);
+pub struct ResponseWait<'a>(&'a Connection);
 
-impl Drop for Awaits<'_> {
+impl Drop for ResponseWait<'_> {
     fn drop(&mut self) {
         self.0.awaited.set(false);
     }
 }
 
-impl Drop for Slot {
+impl Drop for Connection {
     fn drop(&mut self) {
-        self.enter(Stage::Leaving);
+        self.enter(ConnectionState::Leaving);
     }
 }
 
 /// All slots; at most `most` are taken at a time.
-pub struct Slots {
-    slots: RefCell<BTreeMap<u64, Rc<Slot>>>,
+pub struct ConnectionLimiter {
+    slots: RefCell<BTreeMap<u64, Rc<Connection>>>,
     idle: Rc<Idle>,
     next: Cell<u64>,
     most: Rc<Cell<usize>>,
@@ -367,7 +378,7 @@
     clock: Clock,
 }
 
-impl Slots {
+impl ConnectionLimiter {
     /// Slots for so many connections.
     pub fn new(most: Rc<Cell<usize>>, clock: Clock) -> Rc<Self> {
         let idle = Rc::new(Idle {
@@ -386,7 +397,7 @@
     }
 
     /// A slot for a new connection, once there is room; those who have to make it are closed first.
-    pub async fn take(self: &Rc<Self>) -> SlotGuard {
+    pub async fn take(self: &Rc<Self>) -> ConnectionPermit {
         while self.slots.borrow().len() >= self.most.get() {
             self.make_room();
             // Somebody may go of itself meanwhile, or become old enough to be closed.
@@ -394,11 +405,11 @@
         }
         let (number, slot) = (
             self.next.get(),
-            Rc::new(Slot::new(self.idle.clone(), self.clock.clone())),
+            Rc::new(Connection::new(self.idle.clone(), self.clock.clone())),
         );
         self.next.set(number + 1);
         self.slots.borrow_mut().insert(number, slot.clone());
-        SlotGuard {
+        ConnectionPermit {
             slots: self.clone(),
             number,
             slot,
@@ -438,20 +449,20 @@
 }
 
 /// A taken slot; free again once this is dropped.
-pub struct SlotGuard {
-    slots: Rc<Slots>,
+pub struct ConnectionPermit {
+    slots: Rc<ConnectionLimiter>,
     number: u64,
-    slot: Rc<Slot>,
+    slot: Rc<Connection>,
 }
 
-impl SlotGuard {
+impl ConnectionPermit {
     /// The slot.
-    pub fn slot(&self) -> &Rc<Slot> {
+    pub fn slot(&self) -> &Rc<Connection> {
         &self.slot
     }
 }
 
-impl Drop for SlotGuard {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         self.slots.slots.borrow_mut().remove(&self.number);
         self.slots.freed.notify_one();
@@ -460,13 +471,13 @@
 
 /// Keeps a slot up to date by what is heard on its client's socket.
 pub struct RequestTracker {
-    slot: Rc<Slot>,
+    slot: Rc<Connection>,
     follower: RequestFramer,
 }
 
 impl RequestTracker {
     /// The tracker of this slot.
-    pub fn new(slot: Rc<Slot>) -> Self {
+    pub fn new(slot: Rc<Connection>) -> Self {
         Self {
             slot,
             follower: RequestFramer::new(),
@@ -474,7 +485,7 @@
     }
 }
 
-impl Ear for RequestTracker {
+impl StreamObserver for RequestTracker {
     fn bytes(&mut self, bytes: &[u8]) {
         let Self { slot, follower } = self;
         slot.heard(slot.clock.now());
--- a/adapters/http/src/discovery.rs
+++ b/adapters/http/src/discovery.rs
@@ -17,9 +17,9 @@
 
 use badgerpost_engine::{Clock, Engine, LogLimiter, Protocol, activity, spawn};
 
-use crate::list::{Entries, List, Odd};
-use crate::pace::{Call, Pace, Want};
-use crate::tap::{Deaf, Tap};
+use crate::endpoint_list::{InvalidEntry, KnownEntries, List};
+use crate::observed_stream::{NoopObserver, ObservedStream};
+use crate::poll_schedule::{PollCall, PollKind, PollSchedule};
 
 const PATH: &str = "/registry/instances";
 const CONNECT: Duration = Duration::from_millis(500);
@@ -28,7 +28,7 @@
 
 /// Why a call to discovery brought no list.
 #[derive(Debug, thiserror::Error)]
-enum CallError {
+enum PollError {
     #[error("no connection: {0}")]
     Connect(#[from] std::io::Error),
     #[error("the call broke: {0}")]
@@ -48,25 +48,25 @@
 }
 
 /// Follows the list.
-pub struct Watch<F: Protocol> {
+pub struct EndpointWatcher<F: Protocol> {
     node: Engine<F>,
     at: SocketAddr,
     /// The version that is known; none where the whole list is to be asked for.
     rev: Option<u64>,
-    entries: Entries,
+    entries: KnownEntries,
     link: Option<SendRequest<Empty<Bytes>>>,
-    pace: Pace,
+    pace: PollSchedule,
 }
 
-impl<F: Protocol> Watch<F> {
+impl<F: Protocol> EndpointWatcher<F> {
     /// A watch at `at` that goes on from `known`, which may be old. The seed drives how long its calls wait.
     pub fn new(node: Engine<F>, at: SocketAddr, known: Option<List>, seed: u64) -> Self {
-        let pace = Pace::new(node.polls_discovery(), seed);
+        let pace = PollSchedule::new(node.polls_discovery(), seed);
         let mut watch = Self {
             node,
             at,
             rev: None,
-            entries: Entries::default(),
+            entries: KnownEntries::default(),
             link: None,
             pace,
         };
@@ -101,7 +101,7 @@
                     let at = self.at;
                     log.log(|suppressed| tracing::warn!(%at, %error, suppressed, "asking discovery failed"));
                     self.link = None;
-                    if matches!(error, CallError::Silent) {
+                    if matches!(error, PollError::Silent) {
                         self.pace.silent();
                         continue;
                     }
@@ -133,7 +133,7 @@
         if scope == EndpointUpdate::Snapshot || !listed.is_empty() {
             self.node.endpoints_updated(scope, listed);
         }
-        for Odd { uid, error, .. } in odd {
+        for InvalidEntry { uid, error, .. } in odd {
             let at = self.at;
             log.log(|suppressed| {
                 tracing::warn!(%at, server = uid, %error, suppressed, "an entry of the list can't be read");
@@ -141,10 +141,10 @@
         }
     }
 
-    async fn call(&mut self) -> Result<List, CallError> {
+    async fn call(&mut self) -> Result<List, PollError> {
         let whole = self.node.take_snapshot_request();
         let rev = self.rev.filter(|_| !whole);
-        let Call { want, most, beside } = self.pace.next(rev.is_none());
+        let PollCall { want, most, beside } = self.pace.next(rev.is_none());
         let since = |hold: Duration| {
             format!(
                 "{PATH}?from={}&hold_ms={}",
@@ -153,9 +153,9 @@
             )
         };
         let (target, late) = match want {
-            Want::Whole => (PATH.to_owned(), CallError::Late),
-            Want::Check => (since(Duration::ZERO), CallError::Late),
-            Want::Watch(hold) => (since(hold), CallError::Silent),
+            PollKind::Snapshot => (PATH.to_owned(), PollError::Late),
+            PollKind::Delta => (since(Duration::ZERO), PollError::Late),
+            PollKind::Watch(hold) => (since(hold), PollError::Silent),
         };
         let clock = self.node.clock().clone();
         let first = self.first_answer(&target, beside);
@@ -164,7 +164,7 @@
 
     /// Makes one call, and the same again beside it as long as there is no answer; the first answer counts. Dropped with
     /// all that are under way.
-    async fn first_answer(&mut self, target: &str, beside: Duration) -> Result<List, CallError> {
+    async fn first_answer(&mut self, target: &str, beside: Duration) -> Result<List, PollError> {
         let clock = self.node.clock().clone();
         let mut calls = Vec::new();
         loop {
@@ -193,7 +193,7 @@
     at: SocketAddr,
     link: Option<SendRequest<Empty<Bytes>>>,
     target: String,
-) -> Result<(List, SendRequest<Empty<Bytes>>), CallError> {
+) -> Result<(List, SendRequest<Empty<Bytes>>), PollError> {
     let mut link = match link.filter(|link| !link.is_closed()) {
         Some(link) => link,
         None => connect(&clock, at).await?,
@@ -207,9 +207,9 @@
     let body = Limited::new(response.into_body(), MAX_LIST)
         .collect()
         .await
-        .map_err(CallError::Body)?;
+        .map_err(PollError::Body)?;
     if status != StatusCode::OK {
-        return Err(CallError::Status(status));
+        return Err(PollError::Status(status));
     }
     Ok((List::read(&body.to_bytes())?, link))
 }
@@ -221,13 +221,14 @@
     }
 }
 
-async fn connect(clock: &Clock, at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, CallError> {
+async fn connect(clock: &Clock, at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, PollError> {
     let stream = clock
         .timeout(CONNECT, activity::connecting(TcpStream::connect(at)))
         .await
-        .map_err(|_| CallError::Late)??;
+        .map_err(|_| PollError::Late)??;
     stream.set_nodelay(true)?;
-    let (link, connection) = handshake(TokioIo::new(Tap::new(stream, Deaf))).await?;
+    let (link, connection) =
+        handshake(TokioIo::new(ObservedStream::new(stream, NoopObserver))).await?;
     spawn(async move {
         if let Err(error) = connection.await {
             tracing::debug!(%at, %error, "connection to discovery failed");
--- a/adapters/http/src/list.rs
+++ b/adapters/http/src/endpoint_list.rs
@@ -17,7 +17,7 @@
     targets: Vec<Target>,
     /// Entries that can't be read.
     #[serde(skip)]
-    odd: Vec<Odd>,
+    odd: Vec<InvalidEntry>,
 }
 
 /// The same, with its entries still unread.
@@ -30,7 +30,7 @@
 
 /// An entry that can't be read as a whole.
 #[derive(Debug)]
-pub(crate) struct Odd {
+pub(crate) struct InvalidEntry {
     /// Whom it names, if that can be read.
     pub(crate) uid: Option<String>,
     /// What state it gives, if that can be read.
@@ -85,7 +85,7 @@
         for entry in unread {
             match Target::deserialize(&entry) {
                 Ok(target) => targets.push(target),
-                Err(problem) => odd.push(Odd {
+                Err(problem) => odd.push(InvalidEntry {
                     uid: entry["uid"].as_str().map(str::to_owned),
                     state: State::deserialize(&entry["state"]).ok(),
                     error: problem,
@@ -133,16 +133,16 @@
 
 /// The entries as they could last be read, which an odd one is made good with. Bounded by the list.
 #[derive(Default)]
-pub(crate) struct Entries(BTreeMap<String, Target>);
+pub(crate) struct KnownEntries(BTreeMap<String, Target>);
 
-impl Entries {
+impl KnownEntries {
     /// Takes a list in; what of it concerns the engine comes back, and the entries that could not be read. A server
     /// with such an entry stays as it was, but for a state that could be read: a drain must not be missed for an
     /// address that nobody needs any more.
     pub(crate) fn take(
         &mut self,
         list: List,
-    ) -> (EndpointUpdate, Vec<DiscoveredEndpoint>, Vec<Odd>) {
+    ) -> (EndpointUpdate, Vec<DiscoveredEndpoint>, Vec<InvalidEntry>) {
         let List {
             all,
             mut targets,
--- a/adapters/http/src/list/tests.rs
+++ b/adapters/http/src/endpoint_list/tests.rs
@@ -11,7 +11,7 @@
 }
 
 fn taken(
-    entries: &mut Entries,
+    entries: &mut KnownEntries,
     text: &str,
 ) -> (EndpointUpdate, Vec<(String, EndpointState)>, usize) {
     let (scope, listed, odd) = entries.take(List::read(text.as_bytes()).expect("a list"));
@@ -23,8 +23,8 @@
     (scope, listed, odd.len())
 }
 
-fn known() -> Entries {
-    let mut entries = Entries::default();
+fn known() -> KnownEntries {
+    let mut entries = KnownEntries::default();
     taken(&mut entries, &list(true, &[GOOD, OTHER]));
     entries
 }
--- a/adapters/http/src/headers.rs
+++ b/adapters/http/src/headers.rs
@@ -4,25 +4,28 @@
 use hyper::Method;
 use hyper::header::{self, HeaderMap, HeaderName};
 
-use crate::server::{BadCall, CALL_ID, KEY};
+use crate::server::{BadRequest, CALL_ID, KEY};
 
 /// A header that may stand once at most.
-pub fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, BadCall> {
+pub fn single<'a>(
+    headers: &'a HeaderMap,
+    name: &'static str,
+) -> Result<Option<&'a str>, BadRequest> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else {
         return Ok(None);
     };
     if values.next().is_some() {
-        return Err(BadCall::Unreadable(name));
+        return Err(BadRequest::Unreadable(name));
     }
     value
         .to_str()
         .map(|text| Some(text.trim()))
-        .map_err(|_| BadCall::Unreadable(name))
+        .map_err(|_| BadRequest::Unreadable(name))
 }
 
-pub fn required<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, BadCall> {
-    single(headers, name)?.ok_or(BadCall::Missing(name))
+pub fn required<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, BadRequest> {
+    single(headers, name)?.ok_or(BadRequest::Missing(name))
 }
 
 /// A cookie's value (RFC 6265, chapter 4.2); none where it is not sent or can't be read.
@@ -42,19 +45,19 @@
     method: &Method,
     headers: &HeaderMap,
     effect: Idempotency,
-) -> Result<(), BadCall> {
+) -> Result<(), BadRequest> {
     let wanted = if effect == Idempotency::Idempotent {
         Method::GET
     } else {
         Method::POST
     };
     if *method != wanted {
-        return Err(BadCall::Method(wanted));
+        return Err(BadRequest::Method(wanted));
     }
     match (effect, single(headers, KEY)?) {
-        (Idempotency::Keyed { .. }, None | Some("")) => Err(BadCall::Missing(KEY)),
+        (Idempotency::Keyed { .. }, None | Some("")) => Err(BadRequest::Missing(KEY)),
         (Idempotency::Keyed { .. }, Some(_)) | (_, None) => Ok(()),
-        (_, Some(_)) => Err(BadCall::Misplaced(KEY)),
+        (_, Some(_)) => Err(BadRequest::Misplaced(KEY)),
     }
 }
 
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -2,14 +2,14 @@
 //! ([`discovery`]) on sockets. What is sent where, again or not at all, the engine's module decides.
 
 mod answer;
-pub mod budget;
+mod connection_limiter;
 pub mod discovery;
+pub mod endpoint_list;
 mod headers;
-pub mod list;
-mod pace;
+pub mod memory_budget;
+mod observed_stream;
+mod poll_schedule;
 pub mod server;
-mod slots;
-mod tap;
 mod upload;
 pub mod upstream;
 
@@ -21,7 +21,7 @@
 pub const MAX_BODY: usize = 64 * 1024;
 
 /// A client's request in the form in which it is passed on.
-pub struct Call {
+pub struct ForwardedRequest {
     /// Its method.
     pub method: Method,
     /// Its path and query.
@@ -29,7 +29,7 @@
     /// The headers that go on unchanged.
     pub headers: HeaderMap,
     /// Its body.
-    body: upload::Payload,
+    body: upload::RequestBody,
     /// How long its client waits from its last byte on, in milliseconds.
     pub budget_ms: u64,
 }
@@ -38,11 +38,11 @@
 pub struct Http;
 
 impl Protocol for Http {
-    type Request = Call;
-    type Response = answer::Answer;
+    type Request = ForwardedRequest;
+    type Response = answer::BackendResponse;
 }
 
 /// The engine of an HTTP fleet.
-pub type Node = Engine<Http>;
+pub type HttpEngine = Engine<Http>;
 type Launch = badgerpost_engine::AttemptCommand<Http>;
-type Ending = badgerpost_engine::AttemptEnd<answer::Answer>;
+type Ending = badgerpost_engine::AttemptEnd<answer::BackendResponse>;
--- a/adapters/http/src/budget.rs
+++ b/adapters/http/src/memory_budget.rs
@@ -8,18 +8,18 @@
 
 /// The bytes that are left. Clones share them.
 #[derive(Clone, Debug)]
-pub struct Budget(Rc<Cell<usize>>);
+pub struct MemoryBudget(Rc<Cell<usize>>);
 
-impl Budget {
+impl MemoryBudget {
     /// So many bytes.
     pub fn new(bytes: usize) -> Self {
         Self(Rc::new(Cell::new(bytes)))
     }
 
     /// Takes these bytes until what is returned is dropped; none if there are not so many.
-    pub fn take(&self, bytes: usize) -> Option<Held> {
+    pub fn take(&self, bytes: usize) -> Option<Reservation> {
         self.0.set(self.0.get().checked_sub(bytes)?);
-        Some(Held {
+        Some(Reservation {
             budget: self.0.clone(),
             bytes,
         })
@@ -28,15 +28,15 @@
 
 /// Bytes that are held whole, and their part of the budget for as long.
 #[derive(Debug, Default)]
-pub struct Kept {
+pub struct BufferedBytes {
     /// The bytes.
     pub bytes: Bytes,
-    _held: Option<Held>,
+    _held: Option<Reservation>,
 }
 
-impl Kept {
+impl BufferedBytes {
     /// These bytes; what is held for more is given back.
-    pub fn new(bytes: Bytes, mut held: Option<Held>) -> Self {
+    pub fn new(bytes: Bytes, mut held: Option<Reservation>) -> Self {
         held.iter_mut().for_each(|held| held.shrink(bytes.len()));
         Self { bytes, _held: held }
     }
@@ -44,12 +44,12 @@
 
 /// Bytes that are gathered from the pieces in which they come; what comes in one is not copied.
 #[derive(Debug, Default)]
-pub struct Gathered {
+pub struct BytesCollector {
     first: Bytes,
     all: BytesMut,
 }
 
-impl Gathered {
+impl BytesCollector {
     /// Adds a piece.
     pub fn add(&mut self, piece: Bytes) {
         if self.count() == 0 {
@@ -67,7 +67,7 @@
     }
 
     /// All of them.
-    pub fn whole(self) -> Bytes {
+    pub fn into_bytes(self) -> Bytes {
         if self.all.is_empty() {
             self.first
         } else {
@@ -76,14 +76,14 @@
     }
 }
 
-/// A part of a [`Budget`].
+/// A part of a [`MemoryBudget`].
 #[derive(Debug)]
-pub struct Held {
+pub struct Reservation {
     budget: Rc<Cell<usize>>,
     bytes: usize,
 }
 
-impl Held {
+impl Reservation {
     /// Gives back what is more than this.
     fn shrink(&mut self, bytes: usize) {
         let spare = self.bytes.saturating_sub(bytes);
@@ -92,7 +92,7 @@
     }
 }
 
-impl Drop for Held {
+impl Drop for Reservation {
     fn drop(&mut self) {
         self.budget.set(self.budget.get() + self.bytes);
     }
--- a/adapters/http/src/budget/tests.rs
+++ b/adapters/http/src/memory_budget/tests.rs
@@ -2,18 +2,18 @@
 
 #[test]
 fn pieces_are_gathered_in_order() {
-    let mut gathered = Gathered::default();
+    let mut gathered = BytesCollector::default();
     for (piece, length) in [("", 0), ("ab", 2), ("", 2), ("c", 3), ("de", 5)] {
         gathered.add(Bytes::from_static(piece.as_bytes()));
         assert_eq!(gathered.count(), length);
     }
-    assert_eq!(gathered.whole(), Bytes::from_static(b"abcde"));
-    assert!(Gathered::default().whole().is_empty());
+    assert_eq!(gathered.into_bytes(), Bytes::from_static(b"abcde"));
+    assert!(BytesCollector::default().into_bytes().is_empty());
 }
 
 #[test]
 fn what_is_taken_comes_back() {
-    let budget = Budget::new(100);
+    let budget = MemoryBudget::new(100);
     let mut first = budget.take(60).expect("there is room");
     assert!(
         budget.take(41).is_none(),
--- a/adapters/http/src/tap.rs
+++ b/adapters/http/src/observed_stream.rs
@@ -18,7 +18,7 @@
 
 use badgerpost_engine::{Clock, Metrics, activity};
 
-struct Signs {
+struct ActivitySignals {
     tally: Arc<Metrics>,
     /// Bytes have come since the last message.
     begun: AtomicBool,
@@ -36,14 +36,14 @@
 /// What is heard on a backend's connection: when an answer has begun to come, which shows in the library only
 /// once its head is whole.
 #[derive(Clone)]
-pub struct Heard(Arc<Signs>);
+pub struct ResponseActivity(Arc<ActivitySignals>);
 
-impl Heard {
+impl ResponseActivity {
     /// What is heard on a new connection; messages are counted there.
     pub fn new(tally: Arc<Metrics>) -> Self {
         let (begun, interim, counts, written) = Default::default();
         let (bytes, reads) = Default::default();
-        Self(Arc::new(Signs {
+        Self(Arc::new(ActivitySignals {
             tally,
             begun,
             bytes,
@@ -95,7 +95,7 @@
     }
 }
 
-impl Ear for Heard {
+impl StreamObserver for ResponseActivity {
     fn bytes(&mut self, _bytes: &[u8]) {
         self.0.reads.fetch_add(1, Ordering::Relaxed);
         if !self.0.begun.swap(true, Ordering::Relaxed) {
@@ -117,7 +117,7 @@
 }
 
 /// One who listens in on a connection.
-pub trait Ear {
+pub trait StreamObserver {
     /// These bytes have come.
     fn bytes(&mut self, bytes: &[u8]);
 
@@ -129,9 +129,9 @@
 }
 
 /// A socket that is listened in on. Clones are handles on the same one.
-pub struct Tap<E>(Rc<RefCell<Line<E>>>);
+pub struct ObservedStream<E>(Rc<RefCell<ObservedStreamState<E>>>);
 
-struct Line<E> {
+struct ObservedStreamState<E> {
     stream: TcpStream,
     ear: E,
     /// Bytes that were read before anybody asked for them.
@@ -139,7 +139,7 @@
     connection: activity::Connection,
 }
 
-impl<E> Clone for Tap<E> {
+impl<E> Clone for ObservedStream<E> {
     fn clone(&self) -> Self {
         Self(self.0.clone())
     }
@@ -150,11 +150,11 @@
 /// With so much read ahead, or with bytes that are not to be read, a peer's end is looked for this often.
 const LOOK: Duration = Duration::from_millis(20);
 
-impl<E: Ear> Tap<E> {
+impl<E: StreamObserver> ObservedStream<E> {
     /// Listens in on this socket.
     pub fn new(stream: TcpStream, ear: E) -> Self {
         let connection = activity::Connection::default();
-        Self(Rc::new(RefCell::new(Line {
+        Self(Rc::new(RefCell::new(ObservedStreamState {
             stream,
             ear,
             ahead: BytesMut::new(),
@@ -194,7 +194,7 @@
     }
 }
 
-impl<E: Ear> Line<E> {
+impl<E: StreamObserver> ObservedStreamState<E> {
     /// Reads from the socket, and tells the ear.
     fn poll_socket(
         &mut self,
@@ -250,13 +250,16 @@
 }
 
 /// One who does not listen: the socket's bytes are counted and no more.
-pub struct Deaf;
+pub struct NoopObserver;
 
-impl Ear for Deaf {
+impl StreamObserver for NoopObserver {
     fn bytes(&mut self, _bytes: &[u8]) {}
 }
 
-fn counted(ear: &mut impl Ear, write: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+fn counted(
+    ear: &mut impl StreamObserver,
+    write: Poll<io::Result<usize>>,
+) -> Poll<io::Result<usize>> {
     if let Poll::Ready(Ok(written)) = &write {
         activity::written(*written);
         ear.written();
@@ -264,7 +267,7 @@
     write
 }
 
-impl<E: Ear> AsyncRead for Tap<E> {
+impl<E: StreamObserver> AsyncRead for ObservedStream<E> {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -284,7 +287,7 @@
     }
 }
 
-impl<E: Ear> AsyncWrite for Tap<E> {
+impl<E: StreamObserver> AsyncWrite for ObservedStream<E> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/adapters/http/src/pace.rs
+++ b/adapters/http/src/poll_schedule.rs
@@ -1,5 +1,5 @@
 //! Which call to discovery comes next, how long it may take, and how long a failure is waited out. No I/O and no clock:
-//! [`Pace`] is told how calls ended.
+//! [`PollSchedule`] is told how calls ended.
 //!
 //! A change has to be in force 6 s after discovery had it and could be reached, and 2 s after the end of a wait that was
 //! asked for, whatever became of the call that should have brought it. Beside an agent calls cost nothing, and all waits
@@ -28,19 +28,19 @@
 
 /// What is asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Want {
+pub(crate) enum PollKind {
     /// The whole list.
-    Whole,
+    Snapshot,
     /// What has changed since a version, if anything, at once.
-    Check,
+    Delta,
     /// What changes from that version on, within this time.
     Watch(Duration),
 }
 
 /// One call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Call {
-    pub(crate) want: Want,
+pub(crate) struct PollCall {
+    pub(crate) want: PollKind,
     /// Given up after so long.
     pub(crate) most: Duration,
     /// Made once more after so long with no answer, and again, beside itself.
@@ -48,7 +48,7 @@
 }
 
 /// Keeps the pace of the calls.
-pub(crate) struct Pace {
+pub(crate) struct PollSchedule {
     asked: bool,
     /// The state of the draws.
     random: u64,
@@ -57,7 +57,7 @@
     wait: Duration,
 }
 
-impl Pace {
+impl PollSchedule {
     /// The pace where discovery is asked, or is an agent beside the node. The seed drives the waits.
     pub(crate) fn new(asked: bool, seed: u64) -> Self {
         let mut pace = Self {
@@ -84,16 +84,20 @@
     }
 
     /// The next call, for one who knows a version or needs the whole list.
-    pub(crate) fn next(&mut self, whole: bool) -> Call {
+    pub(crate) fn next(&mut self, whole: bool) -> PollCall {
         if whole || self.check {
-            let want = if whole { Want::Whole } else { Want::Check };
+            let want = if whole {
+                PollKind::Snapshot
+            } else {
+                PollKind::Delta
+            };
             return match self.asked {
-                true => Call {
+                true => PollCall {
                     want,
                     most: AT_ONCE_ASKED,
                     beside: AT_ONCE_ASKED,
                 },
-                false => Call {
+                false => PollCall {
                     want,
                     most: AT_ONCE_PUSHED,
                     beside: BESIDE_PUSHED,
@@ -102,8 +106,8 @@
         }
         let (least, most) = if self.asked { HOLD_ASKED } else { HOLD_PUSHED };
         let hold = least + (most - least).mul_f64(self.draw());
-        Call {
-            want: Want::Watch(hold),
+        PollCall {
+            want: PollKind::Watch(hold),
             most: hold + LATE,
             beside: hold + LATE,
         }
--- a/adapters/http/src/pace/tests.rs
+++ b/adapters/http/src/poll_schedule/tests.rs
@@ -6,9 +6,9 @@
 
 /// What a watch that falls silent in its first moment costs until the answer that tells what it missed, with the next
 /// call failing so many times.
-fn path(pace: &mut Pace, failures: u32) -> (Duration, Duration) {
-    let Call {
-        want: Want::Watch(hold),
+fn path(pace: &mut PollSchedule, failures: u32) -> (Duration, Duration) {
+    let PollCall {
+        want: PollKind::Watch(hold),
         most,
         ..
     } = pace.next(false)
@@ -31,7 +31,7 @@
 #[test]
 fn beside_an_agent_a_silent_watch_costs_less_than_the_time_to_be_told() {
     for failures in 0..=2 {
-        let (_, all) = path(&mut Pace::new(false, 1), failures);
+        let (_, all) = path(&mut PollSchedule::new(false, 1), failures);
         assert!(all < TOLD_WITHIN, "{failures} failures: {all:?}");
     }
 }
@@ -40,9 +40,9 @@
 #[test]
 fn where_it_is_asked_a_silent_watch_is_replaced_within_two_seconds_of_its_wait() {
     for seed in 0..200 {
-        let mut pace = Pace::new(true, seed);
-        let Call {
-            want: Want::Watch(hold),
+        let mut pace = PollSchedule::new(true, seed);
+        let PollCall {
+            want: PollKind::Watch(hold),
             most,
             ..
         } = pace.next(false)
@@ -55,17 +55,17 @@
         );
         pace.silent();
         // At once, and of what has changed only: the whole list costs the service several times as much.
-        assert_eq!(pace.next(false).want, Want::Check);
+        assert_eq!(pace.next(false).want, PollKind::Delta);
         pace.answered();
-        assert!(matches!(pace.next(false).want, Want::Watch(_)));
+        assert!(matches!(pace.next(false).want, PollKind::Watch(_)));
     }
 }
 
 /// Twelve nodes whose watches fall silent together must not ask again together.
 #[test]
 fn nodes_that_ask_one_service_wait_for_times_of_their_own() {
-    let hold = |seed| match Pace::new(true, seed).next(false).want {
-        Want::Watch(hold) => hold,
+    let hold = |seed| match PollSchedule::new(true, seed).next(false).want {
+        PollKind::Watch(hold) => hold,
         want => panic!("{want:?}"),
     };
     let mut holds: Vec<Duration> = (0..12).map(|node| hold(0x8c1f_30d2 + node)).collect();
@@ -86,7 +86,7 @@
 /// new may go to a server that drains after half a second: a connect that is coming up takes half of that.
 #[test]
 fn an_agent_that_is_silent_is_asked_again_within_a_quarter_of_a_second() {
-    let mut pace = Pace::new(false, 1);
+    let mut pace = PollSchedule::new(false, 1);
     for whole in [true, false, true, true, true] {
         pace.silent();
         let call = pace.next(whole);
@@ -94,15 +94,18 @@
         assert!(pace.failed().0 <= Duration::from_millis(100));
     }
     // Where all nodes ask one service each call is paid for.
-    assert!(Pace::new(true, 1).next(true).beside >= Duration::from_secs(3));
+    assert!(PollSchedule::new(true, 1).next(true).beside >= Duration::from_secs(3));
 }
 
 #[test]
 fn waits_after_failures_grow_and_end_with_an_answer() {
-    let mut pace = Pace::new(false, 1);
+    let mut pace = PollSchedule::new(false, 1);
     let waits: Vec<u128> = (0..6).map(|_| pace.failed().0.as_millis()).collect();
     assert_eq!(waits, [50, 100, 100, 100, 100, 100]);
     pace.answered();
     assert_eq!(pace.failed(), (Duration::from_millis(50), true));
-    assert_eq!(Pace::new(true, 1).failed(), (Duration::from_secs(4), false));
+    assert_eq!(
+        PollSchedule::new(true, 1).failed(),
+        (Duration::from_secs(4), false)
+    );
 }
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -26,13 +26,13 @@
 use badgerpost_http_framing::FramingError;
 use badgerpost_lifecycle::Stage;
 
-use crate::answer::{self, Answer as Served};
-use crate::budget::{Budget, Gathered, Kept};
+use crate::answer::{self, BackendResponse};
+use crate::connection_limiter::{Connection, ConnectionLimiter, ConnectionPermit, RequestTracker};
 use crate::headers::{check_form, cookie, end_to_end, required, single};
-use crate::slots::{RequestTracker, Slot, SlotGuard, Slots};
-use crate::tap::Tap;
-use crate::upload::{Payload, Upload};
-use crate::{Call, Http, MAX_BODY, Node};
+use crate::memory_budget::{BufferedBytes, BytesCollector, MemoryBudget};
+use crate::observed_stream::ObservedStream;
+use crate::upload::{RequestBody, Upload};
+use crate::{ForwardedRequest, Http, HttpEngine, MAX_BODY};
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
@@ -61,7 +61,7 @@
 
 /// What is wrong with a request.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum BadCall {
+pub(crate) enum BadRequest {
     #[error("{0} is missing")]
     Missing(&'static str),
     #[error("{0} can't be read")]
@@ -80,7 +80,7 @@
     Taken(&'static str),
 }
 
-impl BadCall {
+impl BadRequest {
     fn status(&self) -> StatusCode {
         match self {
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
@@ -91,11 +91,11 @@
     }
 }
 
-type Answer = Response<answer::Reply>;
+type Answer = Response<answer::ResponseBody>;
 
 /// Where the node stands on its way into and out of service, as the clients' side sees it.
 #[derive(Clone)]
-pub struct Door {
+pub struct ServerHandle {
     /// Where the node stands.
     pub stage: watch::Receiver<Stage>,
     /// When it says that it is ready though it knows of no server: nobody else may know of one either.
@@ -112,12 +112,12 @@
     /// Connections together; it may change.
     pub clients: Rc<Cell<usize>>,
     /// For bodies that are held whole.
-    pub bodies: Budget,
+    pub bodies: MemoryBudget,
 }
 
 /// Serves until the stage is [`Stage::Closed`] and all connections have ended.
-pub async fn run(listener: TcpListener, node: Node, limits: Limits, door: Door) {
-    let slots = Slots::new(limits.clients, node.clock().clone());
+pub async fn run(listener: TcpListener, node: HttpEngine, limits: Limits, door: ServerHandle) {
+    let slots = ConnectionLimiter::new(limits.clients, node.clock().clone());
     let sweeper = spawn(slots.clone().sweep());
     let mut closed = door.stage.clone();
     let closed = closed.wait_for(|stage| *stage == Stage::Closed);
@@ -156,7 +156,13 @@
     sweeper.abort();
 }
 
-fn welcome(stream: TcpStream, node: &Node, bodies: &Budget, guard: SlotGuard, door: &Door) {
+fn welcome(
+    stream: TcpStream,
+    node: &HttpEngine,
+    bodies: &MemoryBudget,
+    guard: ConnectionPermit,
+    door: &ServerHandle,
+) {
     let (node, bodies, door) = (node.clone(), bodies.clone(), door.clone());
     spawn(async move {
         tokio::select! {
@@ -170,7 +176,7 @@
 }
 
 #[derive(Debug, thiserror::Error)]
-enum Trouble {
+enum ConnectionError {
     #[error(transparent)]
     Socket(#[from] std::io::Error),
     #[error(transparent)]
@@ -179,14 +185,14 @@
 
 async fn converse(
     stream: TcpStream,
-    node: Node,
-    bodies: Budget,
-    slot: &Rc<Slot>,
-    door: Door,
-) -> Result<(), Trouble> {
+    node: HttpEngine,
+    bodies: MemoryBudget,
+    slot: &Rc<Connection>,
+    door: ServerHandle,
+) -> Result<(), ConnectionError> {
     stream.set_nodelay(true)?;
     let service = service_fn(|request| answer(&node, &bodies, slot, request, &door));
-    let tap = Tap::new(stream, RequestTracker::new(slot.clone()));
+    let tap = ObservedStream::new(stream, RequestTracker::new(slot.clone()));
     let mut connection = http1::Builder::new()
         .max_buf_size(MAX_HEAD)
         .serve_connection(TokioIo::new(tap.clone()), service);
@@ -222,7 +228,7 @@
 /// Resolves once the node closes idle connections and nothing stands on this one. One that has just come is closed by
 /// its first answer: closing it sooner would lose the request for which it was opened. What has begun to come is waited
 /// for until no more connections are taken.
-async fn ends_at_rest(slot: &Slot, mut stage: watch::Receiver<Stage>, clock: &Clock) {
+async fn ends_at_rest(slot: &Connection, mut stage: watch::Receiver<Stage>, clock: &Clock) {
     loop {
         // The sender lives as long as the process.
         let Ok(stage) = stage
@@ -240,14 +246,14 @@
 }
 
 async fn answer(
-    node: &Node,
-    bodies: &Budget,
-    slot: &Rc<Slot>,
+    node: &HttpEngine,
+    bodies: &MemoryBudget,
+    slot: &Rc<Connection>,
     request: Request<Incoming>,
-    door: &Door,
+    door: &ServerHandle,
 ) -> Result<Answer, Infallible> {
     let serving = || door.stage.borrow().is_ready();
-    let turned_down = |bad: BadCall| (plain(bad.status(), &bad.to_string()), true);
+    let turned_down = |bad: BadRequest| (plain(bad.status(), &bad.to_string()), true);
     let (response, bad) = match (slot.receiving(), request.uri().path()) {
         // Read in two ways, a request may hide another: nothing of it goes anywhere.
         (Err(fault), _) => turned_down(fault.into()),
@@ -289,20 +295,20 @@
 
 #[expect(clippy::too_many_lines, reason = "to be split with the module")]
 async fn call(
-    node: &Node,
-    bodies: &Budget,
-    slot: &Rc<Slot>,
+    node: &HttpEngine,
+    bodies: &MemoryBudget,
+    slot: &Rc<Connection>,
     request: Request<Incoming>,
-    door: &Door,
-) -> Result<Answer, BadCall> {
+    door: &ServerHandle,
+) -> Result<Answer, BadRequest> {
     let (head, body) = request.into_parts();
     let headers = &head.headers;
     if !(1..=LONGEST_ID).contains(&required(headers, CALL_ID)?.len()) {
-        return Err(BadCall::Unreadable(CALL_ID));
+        return Err(BadRequest::Unreadable(CALL_ID));
     }
     let class = required(headers, CALL_CLASS)?;
-    let (class, deadline, effect) = node.class(class).ok_or(BadCall::Unknown(CALL_CLASS))?;
-    let known = Known {
+    let (class, deadline, effect) = node.class(class).ok_or(BadRequest::Unknown(CALL_CLASS))?;
+    let known = IdentifiedRequest {
         node,
         class,
         ended: Cell::new(false),
@@ -310,8 +316,11 @@
     check_form(&head.method, headers, effect)?;
     let tenant = node
         .tenant(single(headers, CALLER)?)
-        .map_err(|_| BadCall::Unknown(CALLER))?;
-    let whole = |name, text: &str| text.parse::<u64>().map_err(|_| BadCall::Unreadable(name));
+        .map_err(|_| BadRequest::Unknown(CALLER))?;
+    let whole = |name, text: &str| {
+        text.parse::<u64>()
+            .map_err(|_| BadRequest::Unreadable(name))
+    };
     let budget = whole(BUDGET, required(headers, BUDGET)?)?;
     let hint = single(headers, COST)?
         .map(|text| whole(COST, text))
@@ -320,9 +329,9 @@
     let repeat = single(headers, AGAIN)? == Some("1");
     let body = read(node.clock(), slot, bodies, body).await?;
     if effect == Idempotency::Idempotent
-        && !matches!(&body, Payload::Whole(kept) if kept.bytes.is_empty())
+        && !matches!(&body, RequestBody::Buffered(kept) if kept.bytes.is_empty())
     {
-        return Err(BadCall::Misplaced("a body"));
+        return Err(BadRequest::Misplaced("a body"));
     }
     // No work is as long as the client's whole time; such a guess says nothing.
     let hint = hint
@@ -338,8 +347,8 @@
         time_left(budget, deadline).min(most)
     };
     let coming = match &body {
-        Payload::Coming(upload) => Some(upload.clone()),
-        Payload::Whole(..) => None,
+        RequestBody::Streaming(upload) => Some(upload.clone()),
+        RequestBody::Buffered(..) => None,
     };
     let mut asked: IncomingRequest<Http> = IncomingRequest {
         id: required(headers, CALL_ID)?.into(),
@@ -349,7 +358,7 @@
         expected_work: hint,
         is_retry: repeat,
         budget: left(),
-        call: Call {
+        call: ForwardedRequest {
             method: head.method,
             target: origin_form(&head.uri),
             headers: end_to_end(head.headers),
@@ -360,15 +369,17 @@
     let _awaits = slot.awaits();
     let reply = if let Some(upload) = coming {
         asked.budget = nanos(UPLOAD_MOST);
-        let mut waiting = node.submit_upload(asked).ok_or(BadCall::Taken(CALL_ID))?;
+        let mut waiting = node
+            .submit_upload(asked)
+            .ok_or(BadRequest::Taken(CALL_ID))?;
         known.ended.set(true);
         let early = tokio::select! {
             biased;
             () = upload.taken() => None,
             reply = waiting.wait() => Some(reply),
             stuck = stuck(node.clock(), slot, &upload, left()) => match stuck {
-                Stuck::AtClient => return Err(BadCall::NoBody),
-                Stuck::AtBackend => Some(waiting.reject()),
+                StalledBody::AtClient => return Err(BadRequest::NoBody),
+                StalledBody::AtBackend => Some(waiting.reject()),
             },
         };
         match early {
@@ -381,29 +392,29 @@
             }
         }
     } else {
-        let waiting = node.submit(asked).ok_or(BadCall::Taken(CALL_ID))?;
+        let waiting = node.submit(asked).ok_or(BadRequest::Taken(CALL_ID))?;
         known.ended.set(true);
         slot.open();
         waiting.into_outcome().await
     };
     Ok(worded(reply, |begun| {
-        answer::Passing::new(begun, slot.clone(), node.metrics(), class)
+        answer::StreamingResponseBody::new(begun, slot.clone(), node.metrics(), class)
     }))
 }
 
 /// Who a body waits for that has stopped moving.
-enum Stuck {
+enum StalledBody {
     AtClient,
     AtBackend,
 }
 
 /// Resolves once a body has stopped moving for too long: its client keeps up no pace, or it was whole long ago for all
 /// that its client knows, and nobody takes the rest, which then never ran anywhere.
-async fn stuck(clock: &Clock, slot: &Slot, upload: &Upload, left: Nanos) -> Stuck {
+async fn stuck(clock: &Clock, slot: &Connection, upload: &Upload, left: Nanos) -> StalledBody {
     loop {
         let (due, who) = match upload.waits_since() {
-            Some(since) => (since.saturating_add(left), Stuck::AtBackend),
-            None => (slot.received_by(), Stuck::AtClient),
+            Some(since) => (since.saturating_add(left), StalledBody::AtBackend),
+            None => (slot.received_by(), StalledBody::AtClient),
         };
         if clock.now() >= due {
             return who;
@@ -425,13 +436,13 @@
 }
 
 /// A request of a class that is known: unless it is taken, it ends as failed.
-struct Known<'a> {
-    node: &'a Node,
+struct IdentifiedRequest<'a> {
+    node: &'a HttpEngine,
     class: u32,
     ended: Cell<bool>,
 }
 
-impl Drop for Known<'_> {
+impl Drop for IdentifiedRequest<'_> {
     fn drop(&mut self) {
         if !self.ended.get() {
             self.node
@@ -452,27 +463,27 @@
 /// Takes a body in: whole if it is small and there is room for it, else what has come until that shows.
 async fn read(
     clock: &Clock,
-    slot: &Slot,
-    bodies: &Budget,
+    slot: &Connection,
+    bodies: &MemoryBudget,
     mut body: Incoming,
-) -> Result<Payload, BadCall> {
+) -> Result<RequestBody, BadRequest> {
     let length = body.size_hint().exact();
     if body.is_end_stream() {
-        return Ok(Payload::Whole(Kept::default()));
+        return Ok(RequestBody::Buffered(BufferedBytes::default()));
     }
     // One of an unknown length takes what the largest one would.
     let most = length.map_or(MAX_BODY, |length| {
         usize::try_from(length).unwrap_or(usize::MAX).min(MAX_BODY)
     });
     let Some(held) = bodies.take(most) else {
-        return Ok(Payload::Coming(Upload::new(
-            Kept::default(),
+        return Ok(RequestBody::Streaming(Upload::new(
+            BufferedBytes::default(),
             body,
             length,
             clock,
         )));
     };
-    let mut first = Gathered::default();
+    let mut first = BytesCollector::default();
     loop {
         let frame = loop {
             let due = slot.received_by();
@@ -480,20 +491,20 @@
                 Ok(frame) => break frame,
                 // Bytes have come meanwhile that the library has not handed on.
                 Err(_) if slot.received_by() > due => {}
-                Err(_) => return Err(BadCall::NoBody),
+                Err(_) => return Err(BadRequest::NoBody),
             }
         };
         match frame {
             None => break,
-            Some(Err(_)) => return Err(BadCall::NoBody),
+            Some(Err(_)) => return Err(BadRequest::NoBody),
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else {
                     continue;
                 };
                 first.add(data);
                 if first.count() >= MAX_BODY && !body.is_end_stream() {
-                    return Ok(Payload::Coming(Upload::new(
-                        Kept::new(first.whole(), Some(held)),
+                    return Ok(RequestBody::Streaming(Upload::new(
+                        BufferedBytes::new(first.into_bytes(), Some(held)),
                         body,
                         length,
                         clock,
@@ -502,17 +513,22 @@
             }
         }
     }
-    Ok(Payload::Whole(Kept::new(first.whole(), Some(held))))
+    Ok(RequestBody::Buffered(BufferedBytes::new(
+        first.into_bytes(),
+        Some(held),
+    )))
 }
 
 fn worded(
-    reply: RequestOutcome<Served>,
-    pass: impl FnOnce(answer::Begun) -> answer::Passing,
+    reply: RequestOutcome<BackendResponse>,
+    pass: impl FnOnce(answer::StreamingResponse) -> answer::StreamingResponseBody,
 ) -> Answer {
     match reply {
-        RequestOutcome::Served(Served::Whole(kept)) => Response::new(answer::Reply::from(kept)),
-        RequestOutcome::Served(Served::Begun(begun)) => {
-            Response::new(answer::Reply::Passing(pass(begun)))
+        RequestOutcome::Served(BackendResponse::Buffered(kept)) => {
+            Response::new(answer::ResponseBody::from(kept))
+        }
+        RequestOutcome::Served(BackendResponse::Streaming(begun)) => {
+            Response::new(answer::ResponseBody::Streaming(pass(begun)))
         }
         RequestOutcome::Rejected(pause) => {
             let mut response = plain(
@@ -534,7 +550,9 @@
 }
 
 fn plain(status: StatusCode, text: &str) -> Answer {
-    let mut response = Response::new(answer::Reply::from(Bytes::copy_from_slice(text.as_bytes())));
+    let mut response = Response::new(answer::ResponseBody::from(Bytes::copy_from_slice(
+        text.as_bytes(),
+    )));
     *response.status_mut() = status;
     response
 }
--- a/adapters/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -16,38 +16,38 @@
 use badgerpost_balancer::Nanos;
 use badgerpost_engine::{AttemptId, Clock};
 
-use crate::Node;
-use crate::budget::Kept;
+use crate::HttpEngine;
+use crate::memory_budget::BufferedBytes;
 
 /// A request's body.
-pub enum Payload {
+pub enum RequestBody {
     /// Held whole.
-    Whole(Kept),
+    Buffered(BufferedBytes),
     /// Still on the way.
-    Coming(Rc<Upload>),
+    Streaming(Rc<Upload>),
 }
 
-impl Payload {
+impl RequestBody {
     /// Whether all of it has come.
     pub fn is_whole(&self) -> bool {
         match self {
-            Self::Whole(..) => true,
-            Self::Coming(upload) => upload.is_whole(),
+            Self::Buffered(..) => true,
+            Self::Streaming(upload) => upload.is_whole(),
         }
     }
 
     /// Whether its client has broken it off.
     pub fn is_broken(&self) -> bool {
-        matches!(self, Self::Coming(upload) if upload.broken.get())
+        matches!(self, Self::Streaming(upload) if upload.broken.get())
     }
 
     /// The body of a message to a backend. One made before for the same request ends with an error.
-    pub fn message(&self, node: &Node, ticket: AttemptId) -> Outgoing {
+    pub fn message(&self, node: &HttpEngine, ticket: AttemptId) -> OutgoingBody {
         match self {
-            Self::Whole(kept) => Outgoing::Whole(Full::new(kept.bytes.clone())),
-            Self::Coming(upload) => {
+            Self::Buffered(kept) => OutgoingBody::Buffered(Full::new(kept.bytes.clone())),
+            Self::Streaming(upload) => {
                 upload.turn.set(upload.turn.get() + 1);
-                Outgoing::Passing(Passing {
+                OutgoingBody::Streaming(StreamingBody {
                     first: Some(upload.first.bytes.clone()).filter(|first| !first.is_empty()),
                     left: upload.length,
                     turn: upload.turn.get(),
@@ -61,7 +61,7 @@
 
     /// No message that has been made takes anything more of it.
     pub fn abandon(&self) {
-        if let Self::Coming(upload) = self {
+        if let Self::Streaming(upload) = self {
             upload.turn.set(upload.turn.get() + 1);
             upload.starved.set(false);
         }
@@ -71,7 +71,7 @@
 /// A body that is still on the way.
 pub struct Upload {
     /// What had come before the first attempt, and its part of the budget.
-    first: Kept,
+    first: BufferedBytes,
     rest: RefCell<Incoming>,
     /// The whole body's length, where its client has told it.
     length: Option<u64>,
@@ -90,7 +90,12 @@
 
 impl Upload {
     /// A body of which `first` has come.
-    pub fn new(first: Kept, rest: Incoming, length: Option<u64>, clock: &Clock) -> Rc<Self> {
+    pub fn new(
+        first: BufferedBytes,
+        rest: Incoming,
+        length: Option<u64>,
+        clock: &Clock,
+    ) -> Rc<Self> {
         Rc::new(Self {
             starved: Cell::new(false),
             moved: Cell::new(clock.now()),
@@ -129,24 +134,24 @@
 }
 
 /// The body of a message to a backend.
-pub enum Outgoing {
+pub enum OutgoingBody {
     /// Held whole.
-    Whole(Full<Bytes>),
+    Buffered(Full<Bytes>),
     /// As it comes.
-    Passing(Passing),
+    Streaming(StreamingBody),
 }
 
 /// A body that is passed on as it comes.
-pub struct Passing {
+pub struct StreamingBody {
     first: Option<Bytes>,
     left: Option<u64>,
     turn: u64,
     upload: Rc<Upload>,
-    node: Node,
+    node: HttpEngine,
     ticket: AttemptId,
 }
 
-impl Passing {
+impl StreamingBody {
     fn give(&mut self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if let Some(left) = &mut self.left {
             *left = left.saturating_sub(data.len() as u64);
@@ -195,7 +200,7 @@
     }
 }
 
-impl Body for Outgoing {
+impl Body for OutgoingBody {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -204,27 +209,27 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
-            Self::Whole(full) => Pin::new(full)
+            Self::Buffered(full) => Pin::new(full)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Passing(passing) => passing.poll(cx),
+            Self::Streaming(passing) => passing.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(full) => full.is_end_stream(),
-            Self::Passing(passing) => passing.left == Some(0),
+            Self::Buffered(full) => full.is_end_stream(),
+            Self::Streaming(passing) => passing.left == Some(0),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(full) => full.size_hint(),
-            Self::Passing(Passing {
+            Self::Buffered(full) => full.size_hint(),
+            Self::Streaming(StreamingBody {
                 left: Some(left), ..
             }) => SizeHint::with_exact(*left),
-            Self::Passing(_) => SizeHint::default(),
+            Self::Streaming(_) => SizeHint::default(),
         }
     }
 }
--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -24,11 +24,11 @@
     Clock, ConnectionCounter, IdleCheck, IdlePool, RequestEnd, Transport, activity, spawn,
 };
 
-use crate::answer::{Answer, Begun};
-use crate::budget::{Budget, Gathered, Kept};
-use crate::tap::{Heard, Tap};
-use crate::upload::Outgoing;
-use crate::{Ending, Http, Launch, MAX_BODY, Node};
+use crate::answer::{BackendResponse, StreamingResponse};
+use crate::memory_budget::{BufferedBytes, BytesCollector, MemoryBudget};
+use crate::observed_stream::{ObservedStream, ResponseActivity};
+use crate::upload::OutgoingBody;
+use crate::{Ending, Http, HttpEngine, Launch, MAX_BODY};
 
 /// No answer's head is larger, nor has more lines.
 const MAX_HEAD: usize = 16 * 1024;
@@ -65,12 +65,12 @@
 type Place = (BackendId, SocketAddr);
 
 /// A connection, and what is heard on it.
-struct Link {
-    send: SendRequest<Outgoing>,
-    heard: Heard,
+struct BackendConnection {
+    send: SendRequest<OutgoingBody>,
+    heard: ResponseActivity,
 }
 
-impl IdleCheck for Link {
+impl IdleCheck for BackendConnection {
     /// A close, or bytes that nobody asked for, ends the connection's task.
     fn is_idle(&mut self) -> bool {
         !self.send.is_closed()
@@ -79,7 +79,7 @@
 
 /// Connections to the backends.
 pub struct Pool {
-    idle: IdlePool<Place, Link>,
+    idle: IdlePool<Place, BackendConnection>,
     /// Open connections, idle or not.
     open: ConnectionCounter,
     /// The most of these; it may change.
@@ -87,16 +87,16 @@
     links: ConnectionSettings,
     clock: Clock,
     /// For answers that are held whole.
-    bodies: Budget,
-    aged: Aged,
+    bodies: MemoryBudget,
+    aged: ConnectionAges,
 }
 
 /// How many of the connections that had rested for so long were reset at their next request. Some networks
 /// forget a quiet connection and tell nobody, long before the backends' own limit.
 #[derive(Default)]
-struct Aged([Cell<f64>; AGES]);
+struct ConnectionAges([Cell<f64>; AGES]);
 
-impl Aged {
+impl ConnectionAges {
     fn class(rest: Nanos) -> usize {
         let doublings = (rest / 16_000_000)
             .checked_ilog2()
@@ -122,15 +122,15 @@
 }
 
 /// Starts attempts over a pool.
-pub struct Upstream(Rc<Pool>);
+pub struct HttpTransport(Rc<Pool>);
 
-impl Upstream {
+impl HttpTransport {
     /// At most `most` connections are open together.
     pub fn new(
         links: ConnectionSettings,
         clock: Clock,
         most: Rc<Cell<usize>>,
-        bodies: Budget,
+        bodies: MemoryBudget,
     ) -> Self {
         let (idle, open) = (IdlePool::default(), ConnectionCounter::default());
         Self(Rc::new(Pool {
@@ -140,7 +140,7 @@
             links,
             clock,
             bodies,
-            aged: Aged::default(),
+            aged: ConnectionAges::default(),
         }))
     }
 
@@ -159,13 +159,13 @@
     }
 }
 
-impl Transport<Http> for Upstream {
-    fn launch(&self, node: &Node, launch: Launch) {
+impl Transport<Http> for HttpTransport {
+    fn launch(&self, node: &HttpEngine, launch: Launch) {
         let (pool, node) = (self.0.clone(), node.clone());
         spawn(async move { pool.run(node, launch).await });
     }
 
-    fn probe(&self, node: &Node, backend: BackendId, endpoint: SocketAddr) {
+    fn probe(&self, node: &HttpEngine, backend: BackendId, endpoint: SocketAddr) {
         let (pool, node) = (self.0.clone(), node.clone());
         spawn(async move { pool.probe(node, (backend, endpoint)).await });
     }
@@ -178,7 +178,7 @@
 }
 
 impl Pool {
-    async fn run(self: Rc<Self>, node: Node, mut launch: Launch) {
+    async fn run(self: Rc<Self>, node: HttpEngine, mut launch: Launch) {
         let written = Cell::new(false);
         let withdrawn = std::mem::replace(&mut launch.cancelled, tokio::sync::oneshot::channel().1);
         // Never written, it never ran: a refusal is still open to the module then.
@@ -228,7 +228,7 @@
 
     /// Asks a backend for its load report, over an idle connection if there is one. Where connections are scarce
     /// nothing is opened for it: requests need them more.
-    async fn probe(self: Rc<Self>, node: Node, place: Place) {
+    async fn probe(self: Rc<Self>, node: HttpEngine, place: Place) {
         let began = self.clock.now();
         let asked = self
             .clock
@@ -243,7 +243,7 @@
         );
     }
 
-    async fn ask_load(self: &Rc<Self>, node: &Node, place: Place) -> (Outcome, LoadReport) {
+    async fn ask_load(self: &Rc<Self>, node: &HttpEngine, place: Place) -> (Outcome, LoadReport) {
         let failed = |outcome| (outcome, LoadReport::default());
         let mut link = match self.take(place) {
             Some((link, _)) => link,
@@ -257,7 +257,7 @@
         let (true, Ok(host)) = (node.is_in_service_at(place.0, place.1), host) else {
             return failed(Outcome::NotSent);
         };
-        let mut message = Request::new(Outgoing::Whole(Full::new(Bytes::new())));
+        let mut message = Request::new(OutgoingBody::Buffered(Full::new(Bytes::new())));
         *message.uri_mut() = Uri::from_static(LOAD_PATH);
         message.headers_mut().insert(HOST, host);
         if link.send.ready().await.is_err() {
@@ -268,7 +268,7 @@
             Ok(response) => {
                 let ending = self.read(node, place, link, response).await;
                 let told = match &ending.response {
-                    Some(Answer::Whole(kept)) if ending.outcome == Outcome::Success => {
+                    Some(BackendResponse::Buffered(kept)) if ending.outcome == Outcome::Success => {
                         Some(figures(&kept.bytes))
                     }
                     _ => None,
@@ -281,7 +281,7 @@
 
     async fn attempt(
         self: &Rc<Self>,
-        node: &Node,
+        node: &HttpEngine,
         launch: &Launch,
         written: &Cell<bool>,
     ) -> Ending {
@@ -349,10 +349,10 @@
     /// One message and its answer. None if not a byte of the message was written.
     async fn exchange(
         self: &Rc<Self>,
-        node: &Node,
+        node: &HttpEngine,
         place: Place,
-        mut link: Link,
-        message: Request<Outgoing>,
+        mut link: BackendConnection,
+        message: Request<OutgoingBody>,
     ) -> Option<Ending> {
         match link.send.try_send_request(message).await {
             Ok(response) => Some(self.read(node, place, link, response).await),
@@ -367,9 +367,9 @@
     #[expect(clippy::too_many_lines, reason = "to be split with the module")]
     async fn read(
         self: &Rc<Self>,
-        node: &Node,
+        node: &HttpEngine,
         place: Place,
-        link: Link,
+        link: BackendConnection,
         response: Response<Incoming>,
     ) -> Ending {
         let (head, mut body) = response.into_parts();
@@ -386,7 +386,7 @@
         let most = length.map_or(MAX_BODY as u64, |length| length.min(MAX_BODY as u64)) as usize;
         let held = self.bodies.take(most);
         let large = held.is_none() || length.is_some_and(|length| length > MAX_BODY as u64);
-        let mut first = Gathered::default();
+        let mut first = BytesCollector::default();
         loop {
             match body.frame().await {
                 None => break,
@@ -418,8 +418,8 @@
                 Some(_) => owner.response_aborted(place.0),
                 None => {}
             });
-            let first = Kept::new(first.whole(), held);
-            let begun = Begun {
+            let first = BufferedBytes::new(first.into_bytes(), held);
+            let begun = StreamingResponse {
                 first,
                 rest: body,
                 left: length,
@@ -428,7 +428,7 @@
             return Ending {
                 outcome,
                 report,
-                response: Some(Answer::Begun(begun)),
+                response: Some(BackendResponse::Streaming(begun)),
                 is_streaming: true,
             };
         }
@@ -436,12 +436,15 @@
         Ending {
             outcome,
             report,
-            response: Some(Answer::Whole(Kept::new(first.whole(), held))),
+            response: Some(BackendResponse::Buffered(BufferedBytes::new(
+                first.into_bytes(),
+                held,
+            ))),
             is_streaming: false,
         }
     }
 
-    fn message(&self, node: &Node, launch: &Launch) -> Option<Request<Outgoing>> {
+    fn message(&self, node: &HttpEngine, launch: &Launch) -> Option<Request<OutgoingBody>> {
         let call = &launch.call;
         let left = launch
             .attempt_deadline
@@ -467,19 +470,19 @@
 
     /// An idle connection that has rested, and for how long; the one used last, so that those in excess grow
     /// old.
-    fn take(&self, place: Place) -> Option<(Link, Nanos)> {
+    fn take(&self, place: Place) -> Option<(BackendConnection, Nanos)> {
         let (link, rest) = self.idle.take(&place, self.clock.now(), REST)?;
         (rest < self.links.idle / IDLE_PART && self.aged.is_fit(rest)).then_some((link, rest))
     }
 
     /// Keeps a connection for the next attempt, unless its backend has left or moved meanwhile.
-    fn keep(&self, node: &Node, place: Place, mut link: Link) {
+    fn keep(&self, node: &HttpEngine, place: Place, mut link: BackendConnection) {
         if link.is_idle() && node.is_in_service_at(place.0, place.1) {
             self.idle.put(place, link, self.clock.now());
         }
     }
 
-    async fn connect(&self, node: &Node, endpoint: SocketAddr) -> Option<Link> {
+    async fn connect(&self, node: &HttpEngine, endpoint: SocketAddr) -> Option<BackendConnection> {
         // With its clock in other hands the node must reach nothing but a rehearsal's stand-ins.
         if self.clock.is_stepped() && !endpoint.ip().is_loopback() {
             return None;
@@ -500,8 +503,8 @@
             .ok()?
             .ok()?;
         stream.set_nodelay(true).ok()?;
-        let heard = Heard::new(node.metrics());
-        let tap = Tap::new(stream, heard.clone());
+        let heard = ResponseActivity::new(node.metrics());
+        let tap = ObservedStream::new(stream, heard.clone());
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_HEAD).max_headers(MAX_LINES);
         let (send, connection) = builder.handshake(TokioIo::new(tap)).await.ok()?;
@@ -511,7 +514,7 @@
                 tracing::debug!(%endpoint, %error, "server connection failed");
             }
         });
-        Some(Link { send, heard })
+        Some(BackendConnection { send, heard })
     }
 
     fn drop_stale(&self) {
@@ -564,7 +567,7 @@
 
 /// A backend's figures of its load, under either of the names in use.
 #[derive(Default, Deserialize)]
-struct Figures {
+struct ReportedLoad {
     #[serde(alias = "load_share")]
     util: Option<f64>,
     #[serde(alias = "tps")]
@@ -585,7 +588,7 @@
 
 /// Reads a load report. One that can't be read says nothing, and harms nothing.
 fn figures(text: &[u8]) -> LoadReport {
-    let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
+    let figures: ReportedLoad = serde_json::from_slice(text).unwrap_or_default();
     LoadReport {
         utilization: figures.util,
         requests_per_second: figures.qps,
--- a/adapters/postgres/src/admission.rs
+++ b/adapters/postgres/src/admission.rs
@@ -15,7 +15,7 @@
 }
 
 /// The slots of clients that have not shown who they are.
-pub struct Unidentified {
+pub struct UnauthenticatedClients {
     slots: RefCell<BTreeMap<u64, Rc<Slot>>>,
     most: usize,
     next: Cell<u64>,
@@ -24,13 +24,13 @@
 }
 
 /// A client's slot; free again once this is dropped.
-pub struct Pending {
-    all: Rc<Unidentified>,
+pub struct PendingClient {
+    all: Rc<UnauthenticatedClients>,
     number: u64,
     slot: Rc<Slot>,
 }
 
-impl Unidentified {
+impl UnauthenticatedClients {
     /// So many slots.
     pub fn new(most: usize) -> Rc<Self> {
         let zero = || Cell::new(0);
@@ -44,7 +44,7 @@
     }
 
     /// A slot for a new client; where all are taken, another loses its own.
-    pub fn admit(self: &Rc<Self>) -> Pending {
+    pub fn admit(self: &Rc<Self>) -> PendingClient {
         let mut slots = self.slots.borrow_mut();
         if slots.len() >= self.most {
             // Those that never said anything go first, the oldest of them before the others.
@@ -60,7 +60,7 @@
         let (number, slot) = (self.next.get(), Rc::new(Slot::default()));
         self.next.set(number + 1);
         slots.insert(number, slot.clone());
-        Pending {
+        PendingClient {
             all: self.clone(),
             number,
             slot,
@@ -73,7 +73,7 @@
     }
 }
 
-impl Pending {
+impl PendingClient {
     /// Something has come from this client.
     pub fn heard(&self) {
         self.all.events.set(self.all.events.get() + 1);
@@ -86,7 +86,7 @@
     }
 }
 
-impl Drop for Pending {
+impl Drop for PendingClient {
     fn drop(&mut self) {
         self.all.slots.borrow_mut().remove(&self.number);
     }
--- a/adapters/postgres/src/admission/tests.rs
+++ b/adapters/postgres/src/admission/tests.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 
-fn is_evicted(pending: &Pending) -> bool {
+fn is_evicted(pending: &PendingClient) -> bool {
     let mut evicted = std::pin::pin!(pending.evicted());
     evicted
         .as_mut()
@@ -13,8 +13,8 @@
 
 #[test]
 fn the_longest_silent_one_makes_room() {
-    let all = Unidentified::new(3);
-    let clients: Vec<Pending> = (0..3).map(|_| all.admit()).collect();
+    let all = UnauthenticatedClients::new(3);
+    let clients: Vec<PendingClient> = (0..3).map(|_| all.admit()).collect();
     clients[0].heard();
     let _fourth = all.admit();
     // The first has spoken, so the second goes, silent for longer than the third.
--- a/adapters/postgres/src/cancel.rs
+++ b/adapters/postgres/src/cancel.rs
@@ -14,21 +14,21 @@
 use crate::pool::Pool;
 
 /// A statement's server connection: where, and by which key it is cancelled there.
-pub type Target = (SocketAddr, (i32, i32));
+pub type CancelTarget = (SocketAddr, (i32, i32));
 
 /// One session's part in cancels. Clones share it.
 #[derive(Clone, Default)]
-pub struct Cancelable(Rc<State>);
+pub struct CancelHandle(Rc<State>);
 
 #[derive(Default)]
 struct State {
-    target: Cell<Option<Target>>,
+    target: Cell<Option<CancelTarget>>,
     under_way: Cell<u32>,
 }
 
-impl Cancelable {
+impl CancelHandle {
     /// The connection on which a statement runs now, if one does.
-    pub fn set_target(&self, target: Option<Target>) {
+    pub fn set_target(&self, target: Option<CancelTarget>) {
         self.0.target.set(target);
     }
 
@@ -41,7 +41,7 @@
 
 struct Known {
     key: [u8; 4],
-    session: Cancelable,
+    session: CancelHandle,
 }
 
 /// The keys of all sessions that stand. Bounded by the connections of clients.
@@ -52,7 +52,7 @@
 
 impl CancelKeys {
     /// The secret of a new session, which goes with its number in `BackendKeyData`.
-    pub fn issue(&self, number: u32, session: Cancelable) -> Result<[u8; 4], ClientError> {
+    pub fn issue(&self, number: u32, session: CancelHandle) -> Result<[u8; 4], ClientError> {
         let key = random::<4>()?;
         self.known
             .borrow_mut()
--- a/adapters/postgres/src/clients.rs
+++ b/adapters/postgres/src/clients.rs
@@ -10,7 +10,7 @@
 use badgerpost_postgres_session::session::Session;
 use tokio::sync::Notify;
 
-use crate::cancel::Cancelable;
+use crate::cancel::CancelHandle;
 
 /// One client, as operators see it.
 pub struct ClientEntry {
@@ -32,7 +32,7 @@
     pin: Cell<Option<StickyReason>>,
     server: Cell<Option<SocketAddr>>,
     waits: Cell<bool>,
-    cancelable: Cancelable,
+    cancelable: CancelHandle,
     disconnect: Notify,
 }
 
@@ -73,7 +73,7 @@
 }
 
 /// Who a client is.
-pub struct Who {
+pub struct ClientIdentity {
     /// Its user.
     pub user: String,
     /// Its database.
@@ -88,14 +88,14 @@
 
 impl Clients {
     /// Adds a client, until what is returned and all its clones are dropped.
-    pub fn register(self: &Rc<Self>, who: Who) -> Registered {
+    pub fn register(self: &Rc<Self>, who: ClientIdentity) -> RegisteredClient {
         let mut known = self.known.borrow_mut();
         let mut number = self.last.get().wrapping_add(1).max(1);
         while known.contains_key(&number) {
             number = number.wrapping_add(1).max(1);
         }
         self.last.set(number);
-        let Who {
+        let ClientIdentity {
             user,
             database,
             application,
@@ -114,11 +114,11 @@
             pin: Cell::new(None),
             server: Cell::new(None),
             waits: Cell::new(false),
-            cancelable: Cancelable::default(),
+            cancelable: CancelHandle::default(),
             disconnect: Notify::new(),
         });
         known.insert(number, entry.clone());
-        Registered(Rc::new(Entered {
+        RegisteredClient(Rc::new(Entered {
             all: self.clone(),
             entry,
         }))
@@ -166,9 +166,9 @@
 
 /// A client's place among the clients.
 #[derive(Clone)]
-pub struct Registered(Rc<Entered>);
+pub struct RegisteredClient(Rc<Entered>);
 
-impl Registered {
+impl RegisteredClient {
     /// The client's number.
     pub fn number(&self) -> u32 {
         self.0.entry.number
@@ -180,7 +180,7 @@
     }
 
     /// Its part in cancels.
-    pub fn cancelable(&self) -> &Cancelable {
+    pub fn cancelable(&self) -> &CancelHandle {
         &self.0.entry.cancelable
     }
 
--- a/adapters/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -10,7 +10,7 @@
 use tokio::io::AsyncReadExt;
 
 use crate::client::{Client, ClientError};
-use crate::server::Front;
+use crate::server::PostgresServer;
 
 /// How often PAUSE looks whether all transactions have ended, and how often at most.
 const LOOK: Duration = Duration::from_millis(20);
@@ -58,7 +58,11 @@
 /// Serves the console until the client goes.
 #[expect(clippy::cognitive_complexity, reason = "to be split with the module")]
 #[expect(clippy::too_many_lines, reason = "to be split with the module")]
-pub async fn serve(front: &Front, mut client: Client, user: String) -> Result<(), ClientError> {
+pub async fn serve(
+    front: &PostgresServer,
+    mut client: Client,
+    user: String,
+) -> Result<(), ClientError> {
     tracing::info!(user, "console opened");
     let mut greeting = vec![Frame::new(b'R', &b"\0\0\0\0"[..])];
     for (name, value) in [
@@ -135,7 +139,7 @@
 }
 
 #[expect(clippy::too_many_lines, reason = "to be split with the module")]
-async fn run(front: &Front, command: &str, out: &mut Vec<Frame>) -> Result<(), String> {
+async fn run(front: &PostgresServer, command: &str, out: &mut Vec<Frame>) -> Result<(), String> {
     let words: Vec<String> = command
         .split_whitespace()
         .map(str::to_ascii_uppercase)
@@ -208,7 +212,7 @@
     Ok(())
 }
 
-fn pools(front: &Front) -> Table {
+fn pools(front: &PostgresServer) -> Table {
     let rows = front.pool.figures().into_iter().map(|server| {
         let name = front.fleet.endpoint_name(server.place.0);
         let busy = server.open.saturating_sub(server.idle);
@@ -246,7 +250,7 @@
     }
 }
 
-fn clients(front: &Front) -> Table {
+fn clients(front: &PostgresServer) -> Table {
     let rows = front.clients.all().into_iter().map(|client| {
         let server = client.server().map(|at| at.to_string()).unwrap_or_default();
         let pin = client
@@ -284,7 +288,7 @@
     }
 }
 
-fn servers(front: &Front) -> Table {
+fn servers(front: &PostgresServer) -> Table {
     let serving = front.fleet.endpoints_in_service();
     let rows = front.pool.figures().into_iter().map(|server| {
         let state = if serving.contains(&server.place) {
@@ -306,7 +310,7 @@
     }
 }
 
-fn stats(front: &Front) -> Table {
+fn stats(front: &PostgresServer) -> Table {
     let (unidentified, evicted) = front.unidentified.counts();
     let (open, served) = (front.sessions.get(), front.clients.served());
     let rows = [
@@ -321,7 +325,7 @@
     }
 }
 
-fn config(front: &Front) -> Table {
+fn config(front: &PostgresServer) -> Table {
     let config = &front.config;
     let rows = [
         texts([&"listen", &config.listen]),
--- a/adapters/postgres/src/lease_slot.rs
+++ b/adapters/postgres/src/lease_slot.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::task::{Context, Poll, Waker};
 
-use crate::Lease;
+use crate::ServerLease;
 
 /// Where leases for one session arrive.
 #[derive(Default)]
@@ -11,13 +11,13 @@
     /// The transaction that waits for one; 0 for none.
     pub(crate) wanted: Cell<u64>,
     /// The lease that has arrived and is not taken yet.
-    pub(crate) lease: RefCell<Option<Box<Lease>>>,
+    pub(crate) lease: RefCell<Option<Box<ServerLease>>>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl LeaseSlot {
     /// Brings a lease for a transaction; given back if that waits for none any more.
-    pub fn put(&self, transaction: u64, lease: Lease) -> Option<Lease> {
+    pub fn put(&self, transaction: u64, lease: ServerLease) -> Option<ServerLease> {
         if self.lease.borrow().is_some() || self.wanted.get() != transaction {
             return Some(lease);
         }
@@ -27,7 +27,7 @@
     }
 
     /// The lease, once it has arrived; the task is woken when it does.
-    pub(crate) fn poll(&self, cx: &Context<'_>) -> Poll<Box<Lease>> {
+    pub(crate) fn poll(&self, cx: &Context<'_>) -> Poll<Box<ServerLease>> {
         if let Some(lease) = self.lease.borrow_mut().take() {
             return Poll::Ready(lease);
         }
--- a/adapters/postgres/src/lib.rs
+++ b/adapters/postgres/src/lib.rs
@@ -38,7 +38,7 @@
 }
 
 /// The engine of a PostgreSQL fleet.
-pub type Fleet = Engine<Postgres>;
+pub type PostgresEngine = Engine<Postgres>;
 
 /// A transaction that asks for the lease of a server connection.
 pub struct LeaseRequest {
@@ -55,7 +55,7 @@
 }
 
 /// A server connection leased to a transaction, until the attempt ends.
-pub struct Lease {
+pub struct ServerLease {
     /// The attempt.
     pub ticket: AttemptId,
     /// The server.
@@ -63,7 +63,7 @@
     /// Where it listens.
     pub endpoint: SocketAddr,
     /// The connection.
-    pub link: pool::Link,
+    pub link: pool::ServerConnection,
     /// When the attempt is given up.
     pub give_up: Nanos,
     /// Resolves once it has been withdrawn.
--- a/adapters/postgres/src/login.rs
+++ b/adapters/postgres/src/login.rs
@@ -23,7 +23,7 @@
 
 /// Why there is no connection.
 #[derive(Debug, thiserror::Error)]
-pub enum NoLink {
+pub enum ConnectError {
     /// The socket.
     #[error("{0}")]
     Socket(#[from] io::Error),
@@ -51,7 +51,7 @@
 }
 
 /// A connection that has just logged in.
-pub struct Fresh {
+pub struct NewConnection {
     /// Its bytes.
     pub stream: Stream,
     /// What has come and was not looked at.
@@ -64,34 +64,34 @@
     pub reports: BTreeMap<String, String>,
 }
 
-impl Fresh {
+impl NewConnection {
     async fn send(
         &mut self,
         write: impl FnOnce(&mut BytesMut) -> io::Result<()>,
-    ) -> Result<(), NoLink> {
+    ) -> Result<(), ConnectError> {
         let mut out = BytesMut::new();
         write(&mut out)?;
         self.stream.write_all(&out).await?;
         Ok(self.stream.flush().await?)
     }
 
-    async fn frame(&mut self) -> Result<Frame, NoLink> {
+    async fn frame(&mut self) -> Result<Frame, ConnectError> {
         let mut buffer = vec![0; READ_AT_ONCE];
         loop {
             match self
                 .cutter
                 .next_from_server()
-                .map_err(|error| NoLink::Broken(error.to_string()))?
+                .map_err(|error| ConnectError::Broken(error.to_string()))?
             {
                 Some(DecodeResult::Frame(frame)) => return Ok(frame),
                 Some(DecodeResult::Chunk { .. }) => {
-                    return Err(NoLink::Broken("a row before it is ready".to_owned()));
+                    return Err(ConnectError::Broken("a row before it is ready".to_owned()));
                 }
                 None => {}
             }
             let read = self.stream.read(&mut buffer).await?;
             if read == 0 {
-                return Err(NoLink::Broken("it closed the connection".to_owned()));
+                return Err(ConnectError::Broken("it closed the connection".to_owned()));
             }
             self.cutter.push(&buffer[..read]);
         }
@@ -105,7 +105,7 @@
     tls: Option<&Connector>,
     identity: &Identity,
     database: &str,
-) -> Result<Fresh, NoLink> {
+) -> Result<NewConnection, ConnectError> {
     let socket = TcpStream::connect(endpoint).await?;
     socket.set_nodelay(true)?;
     let mut stream = Stream::plain(socket);
@@ -114,7 +114,7 @@
         (stream, binding) = encrypt(stream, tls).await?;
     }
     let (cutter, state) = (FrameDecoder::default(), ServerState::default());
-    let mut link = Fresh {
+    let mut link = NewConnection {
         stream,
         cutter,
         state,
@@ -153,13 +153,13 @@
                 let (code, message) = error_fields(&frame);
                 // Too many connections, or it is starting or stopping.
                 return Err(match code.as_str() {
-                    "53300" | "57P03" => NoLink::Full(message),
-                    _ => NoLink::Refused(format!("{code} {message}")),
+                    "53300" | "57P03" => ConnectError::Full(message),
+                    _ => ConnectError::Refused(format!("{code} {message}")),
                 });
             }
             b'N' | b'v' => {}
             tag => {
-                return Err(NoLink::Broken(format!(
+                return Err(ConnectError::Broken(format!(
                     "message {:?} before it is ready",
                     char::from(tag)
                 )));
@@ -168,17 +168,20 @@
     }
 }
 
-async fn encrypt(mut stream: Stream, tls: &Connector) -> Result<(Stream, Option<Vec<u8>>), NoLink> {
+async fn encrypt(
+    mut stream: Stream,
+    tls: &Connector,
+) -> Result<(Stream, Option<Vec<u8>>), ConnectError> {
     let mut out = BytesMut::new();
     frontend::ssl_request(&mut out);
     stream.write_all(&out).await?;
     let mut answer = [0; 1];
     stream.read_exact(&mut answer).await?;
     if answer != *b"S" {
-        return Err(NoLink::NoTls);
+        return Err(ConnectError::NoTls);
     }
     let Stream::Plain(socket) = stream else {
-        return Err(NoLink::NoTls);
+        return Err(ConnectError::NoTls);
     };
     let encrypted = tls.tls.connect(tls.name.clone(), socket).await?;
     let certificates = encrypted.get_ref().1.peer_certificates();
@@ -190,24 +193,26 @@
 
 /// Proves the node's identity, a message of it.
 async fn prove(
-    link: &mut Fresh,
+    link: &mut NewConnection,
     frame: Frame,
     scram: &mut Option<ScramSha256>,
     identity: &Identity,
     binding: Option<&[u8]>,
-) -> Result<(), NoLink> {
+) -> Result<(), ConnectError> {
     let mut body = frame.body;
     if body.len() < 4 {
-        return Err(NoLink::Broken("a short authentication request".to_owned()));
+        return Err(ConnectError::Broken(
+            "a short authentication request".to_owned(),
+        ));
     }
     match (body.get_i32(), scram) {
         // A server that was asked for its proof and never gave it is not the one that it seems to be.
-        (0, Some(_)) => Err(NoLink::Broken(
+        (0, Some(_)) => Err(ConnectError::Broken(
             "logged in without the server's own proof".to_owned(),
         )),
         (0, None) => Ok(()),
-        (3, _) => Err(NoLink::Method("a password in clear text")),
-        (5, _) => Err(NoLink::Method("an md5 password")),
+        (3, _) => Err(ConnectError::Method("a password in clear text")),
+        (5, _) => Err(ConnectError::Method("an md5 password")),
         (10, scram) => {
             let offers = |wanted: &str| {
                 body.split(|byte| *byte == 0)
@@ -224,9 +229,9 @@
                 None if offers(scram::MECHANISM) => {
                     (scram::MECHANISM, ChannelBinding::unsupported())
                 }
-                _ => return Err(NoLink::Method("an unknown SASL mechanism")),
+                _ => return Err(ConnectError::Method("an unknown SASL mechanism")),
             };
-            let password = identity.password.as_ref().ok_or(NoLink::NoPassword)?;
+            let password = identity.password.as_ref().ok_or(ConnectError::NoPassword)?;
             let client = ScramSha256::new(password.as_bytes(), channel);
             link.send(|out| frontend::sasl_initial_response(mechanism, client.message(), out))
                 .await?;
@@ -244,7 +249,9 @@
             }
             Ok(())
         }
-        _ => Err(NoLink::Method("an authentication that is not spoken here")),
+        _ => Err(ConnectError::Method(
+            "an authentication that is not spoken here",
+        )),
     }
 }
 
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -17,10 +17,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 
-use crate::Fleet;
+use crate::PostgresEngine;
 use crate::access::Logins;
 use crate::config::Limits;
-use crate::login::{NoLink, log_in};
+use crate::login::{ConnectError, log_in};
 use crate::stream::Stream;
 use crate::tls::Connector;
 
@@ -38,13 +38,13 @@
 const HOLD_SMOOTHING: f64 = 0.05;
 
 /// A server, and where it listens.
-pub type Place = (BackendId, SocketAddr);
+pub type ServerAddress = (BackendId, SocketAddr);
 
 /// What a connection is for: the server, the database, the number of the login.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PoolKey {
     /// The server.
-    pub place: Place,
+    pub place: ServerAddress,
     /// The database.
     pub database: String,
     /// The login.
@@ -52,7 +52,7 @@
 }
 
 /// A connection to a server, logged in and with nothing on it.
-pub struct Link {
+pub struct ServerConnection {
     /// Its bytes.
     pub stream: Stream,
     /// What has come and was not looked at.
@@ -69,7 +69,7 @@
     opened: Opened,
 }
 
-impl IdleCheck for Link {
+impl IdleCheck for ServerConnection {
     fn is_idle(&mut self) -> bool {
         // One that was closed meanwhile, or on which something has come that nobody asked for, is of no use.
         self.cutter.held() == 0 && self.stream.is_quiet()
@@ -170,7 +170,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerFigures {
     /// The server.
-    pub place: Place,
+    pub place: ServerAddress,
     /// Connections that stand.
     pub open: usize,
     /// Those with nothing on them.
@@ -191,10 +191,10 @@
     logins: Logins,
     tls: Option<Connector>,
     limits: Limits,
-    idle: IdlePool<PoolKey, Link>,
-    servers: RefCell<BTreeMap<Place, Rc<Server>>>,
+    idle: IdlePool<PoolKey, ServerConnection>,
+    servers: RefCell<BTreeMap<ServerAddress, Rc<Server>>>,
     /// The settings that each server reports, and what they came to together when any was known last.
-    reports: RefCell<BTreeMap<Place, BTreeMap<String, String>>>,
+    reports: RefCell<BTreeMap<ServerAddress, BTreeMap<String, String>>>,
     greeting: RefCell<BTreeMap<String, String>>,
     /// Databases and logins in use, and when they were last.
     warm: RefCell<BTreeMap<(String, usize), Nanos>>,
@@ -232,7 +232,7 @@
         self.logins.for_client(user)
     }
 
-    fn server(&self, place: Place) -> Rc<Server> {
+    fn server(&self, place: ServerAddress) -> Rc<Server> {
         let mut servers = self.servers.borrow_mut();
         // Servers that nobody is connected to any more and that have left are forgotten with their figures.
         if servers.len() > 256 {
@@ -242,7 +242,7 @@
     }
 
     /// Takes a connection back on which nothing is left.
-    pub fn keep(&self, fleet: &Fleet, mut link: Link) {
+    pub fn keep(&self, fleet: &PostgresEngine, mut link: ServerConnection) {
         let now = self.clock.now();
         let server = link.opened.0.clone();
         let held = now.saturating_sub(link.leased) as f64;
@@ -272,7 +272,12 @@
 
     /// A connection for a transaction: an idle one, a new one, or the first that comes free before `give_up`; those of
     /// lower `rank` go first. Who could not have one in time is told so at once.
-    pub async fn link(&self, key: &PoolKey, rank: u64, give_up: Nanos) -> Result<Link, NoLink> {
+    pub async fn link(
+        &self,
+        key: &PoolKey,
+        rank: u64,
+        give_up: Nanos,
+    ) -> Result<ServerConnection, ConnectError> {
         let server = self.server(key.place);
         let turn = self.turns.get();
         self.turns.set(turn + 1);
@@ -311,7 +316,7 @@
             if now.saturating_add(expected) >= give_up
                 || all >= self.limits.per_server.saturating_mul(WAITING_EACH)
             {
-                return Err(NoLink::Full(
+                return Err(ConnectError::Full(
                     "all of the node's connections to it are in use".to_owned(),
                 ));
             }
@@ -323,20 +328,24 @@
                 woken = freed => promise = woken.ok(),
                 () = self.clock.sleep_until(give_up) => {
                     server.waiting.borrow_mut().remove(&(rank, turn));
-                    return Err(NoLink::Full("none of its connections came free in time".to_owned()));
+                    return Err(ConnectError::Full("none of its connections came free in time".to_owned()));
                 }
             }
         }
     }
 
-    async fn log_in(&self, key: &PoolKey, server: &Rc<Server>) -> Result<Link, NoLink> {
+    async fn log_in(
+        &self,
+        key: &PoolKey,
+        server: &Rc<Server>,
+    ) -> Result<ServerConnection, ConnectError> {
         let endpoint = key.place.1;
         if self.clock.is_stepped() && !endpoint.ip().is_loopback() {
-            return Err(NoLink::Refused(
+            return Err(ConnectError::Refused(
                 "a rehearsal reaches loopback addresses only".to_owned(),
             ));
         }
-        let identity = self.logins.get(key.login).ok_or(NoLink::NoPassword)?;
+        let identity = self.logins.get(key.login).ok_or(ConnectError::NoPassword)?;
         server.logging_in.set(server.logging_in.get() + 1);
         let _logging_in = LoggingIn(server.clone());
         let opened = Opened::new(server);
@@ -345,7 +354,7 @@
             .clock
             .timeout(CONNECT, login)
             .await
-            .map_err(|_| NoLink::Late)??;
+            .map_err(|_| ConnectError::Late)??;
         self.note_reports(key.place, fresh.reports);
         let now = self.clock.now();
         // Spread, so that those opened together are not closed together: a quarter less or more, by turns.
@@ -353,7 +362,7 @@
         self.made.set(made + 1);
         let part = made.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
         let lifetime = nanos(self.limits.lifetime) / 100 * (75 + part % 51);
-        Ok(Link {
+        Ok(ServerConnection {
             stream: fresh.stream,
             cutter: fresh.cutter,
             state: fresh.state,
@@ -381,7 +390,7 @@
         warm.insert(pair, self.clock.now());
     }
 
-    fn note_reports(&self, place: Place, reports: BTreeMap<String, String>) {
+    fn note_reports(&self, place: ServerAddress, reports: BTreeMap<String, String>) {
         let mut all = self.reports.borrow_mut();
         if all.get(&place) == Some(&reports) {
             return;
@@ -394,7 +403,7 @@
     /// ever been asked, one is now, for this database and login. None if no server can be reached.
     pub async fn greeting(
         &self,
-        fleet: &Fleet,
+        fleet: &PostgresEngine,
         database: &str,
         login: usize,
     ) -> Option<BTreeMap<String, String>> {
@@ -426,7 +435,7 @@
     }
 
     /// Closes what has been idle for too long or stood too long, and opens connections ahead of need; never ends.
-    pub async fn maintain(self: Rc<Self>, fleet: Fleet) {
+    pub async fn maintain(self: Rc<Self>, fleet: PostgresEngine) {
         loop {
             self.clock.sleep(SWEEP).await;
             let now = self.clock.now();
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -18,10 +18,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{oneshot, watch};
 
-use crate::Fleet;
-use crate::clients::Registered;
+use crate::PostgresEngine;
+use crate::clients::RegisteredClient;
 use crate::lease_slot::LeaseSlot;
-use crate::pool::{Link, Pool};
+use crate::pool::{Pool, ServerConnection};
 use crate::stream::Stream;
 
 /// What waits to be written to a side is no more than this and one reading; then the other is not read.
@@ -43,8 +43,8 @@
 type Waits = Pin<Box<dyn Future<Output = ()>>>;
 
 /// A server connection that the session has.
-struct Held {
-    link: Link,
+struct LeasedConnection {
+    link: ServerConnection,
     backend: BackendId,
     endpoint: SocketAddr,
     /// The attempt that it was leased for, until that has ended.
@@ -55,16 +55,16 @@
 }
 
 /// A transaction that is held back while the pool is paused.
-struct HeldBack {
+struct PausedTransaction {
     alone: bool,
     resumed: Waits,
     late: Pin<Box<Sleep>>,
 }
 
 /// What a session is and may.
-pub struct Terms {
+pub struct SessionTerms {
     /// The fleet that it goes to.
-    pub fleet: Fleet,
+    pub fleet: PostgresEngine,
     /// Its connections.
     pub pool: Rc<Pool>,
     /// Its class, and whether what stands alone may be repeated.
@@ -81,16 +81,16 @@
 
 /// One client's session.
 pub struct Relay {
-    terms: Terms,
+    terms: SessionTerms,
     session: Session,
     client: Stream,
     cutter: FrameDecoder,
-    registered: Registered,
+    registered: RegisteredClient,
     asked: u64,
     slot: Rc<LeaseSlot>,
-    held: Option<Box<Held>>,
+    held: Option<Box<LeasedConnection>>,
     waiting: Option<Answer>,
-    held_back: Option<Box<HeldBack>>,
+    held_back: Option<Box<PausedTransaction>>,
     to_client: BytesMut,
     to_server: BytesMut,
     unflushed: bool,
@@ -99,19 +99,19 @@
 
 /// How far one direction came.
 #[derive(PartialEq, Eq)]
-enum Went {
-    Nowhere,
-    On,
+enum RelayProgress {
+    Stalled,
+    Advanced,
 }
 
 impl Relay {
     /// A session of a client that has shown who it is, from its greeting on.
     pub fn new(
-        terms: Terms,
+        terms: SessionTerms,
         session: Session,
         client: Stream,
         cutter: FrameDecoder,
-        registered: Registered,
+        registered: RegisteredClient,
         greeting: BytesMut,
     ) -> Self {
         Self {
@@ -178,7 +178,7 @@
                 self.handle(Event::ClientGone);
             }
             for step in [Self::write_server, Self::write_client] {
-                went |= step(self, cx) == Went::On;
+                went |= step(self, cx) == RelayProgress::Advanced;
             }
             if self.ended {
                 return Poll::Ready(());
@@ -189,7 +189,7 @@
                 Self::poll_engine,
                 Self::read_client,
             ] {
-                went |= step(self, cx) == Went::On;
+                went |= step(self, cx) == RelayProgress::Advanced;
                 if self.ended {
                     return Poll::Ready(());
                 }
@@ -211,18 +211,18 @@
         self.cutter.give_back();
     }
 
-    fn write_client(&mut self, cx: &mut Context<'_>) -> Went {
-        let mut went = Went::Nowhere;
+    fn write_client(&mut self, cx: &mut Context<'_>) -> RelayProgress {
+        let mut went = RelayProgress::Stalled;
         while !self.to_client.is_empty() {
             match Pin::new(&mut self.client).poll_write(cx, &self.to_client) {
                 Poll::Ready(Ok(count)) if count > 0 => {
                     self.to_client.advance(count);
-                    (went, self.unflushed) = (Went::On, true);
+                    (went, self.unflushed) = (RelayProgress::Advanced, true);
                 }
                 Poll::Ready(_) => {
                     self.to_client.clear();
                     self.handle(Event::ClientGone);
-                    return Went::On;
+                    return RelayProgress::Advanced;
                 }
                 Poll::Pending => return went,
             }
@@ -233,18 +233,18 @@
         went
     }
 
-    fn write_server(&mut self, cx: &mut Context<'_>) -> Went {
-        let mut went = Went::Nowhere;
+    fn write_server(&mut self, cx: &mut Context<'_>) -> RelayProgress {
+        let mut went = RelayProgress::Stalled;
         while let (Some(held), false) = (&mut self.held, self.to_server.is_empty()) {
             match Pin::new(&mut held.link.stream).poll_write(cx, &self.to_server) {
                 Poll::Ready(Ok(count)) if count > 0 => {
                     self.to_server.advance(count);
                     let _ = Pin::new(&mut held.link.stream).poll_flush(cx);
-                    went = Went::On;
+                    went = RelayProgress::Advanced;
                 }
                 Poll::Ready(_) => {
                     self.lost(Outcome::Reset);
-                    return Went::On;
+                    return RelayProgress::Advanced;
                 }
                 Poll::Pending => return went,
             }
@@ -252,46 +252,46 @@
         went
     }
 
-    fn read_server(&mut self, cx: &mut Context<'_>) -> Went {
+    fn read_server(&mut self, cx: &mut Context<'_>) -> RelayProgress {
         let Some(held) = self.held.as_mut().filter(|_| self.to_client.len() < UNSENT) else {
-            return Went::Nowhere;
+            return RelayProgress::Stalled;
         };
         match read(&mut held.link.stream, &mut held.link.cutter, cx) {
-            Poll::Ready(true) => Went::On,
+            Poll::Ready(true) => RelayProgress::Advanced,
             Poll::Ready(false) => {
                 self.lost(Outcome::Reset);
-                Went::On
+                RelayProgress::Advanced
             }
-            Poll::Pending => Went::Nowhere,
+            Poll::Pending => RelayProgress::Stalled,
         }
     }
 
-    fn read_client(&mut self, cx: &mut Context<'_>) -> Went {
+    fn read_client(&mut self, cx: &mut Context<'_>) -> RelayProgress {
         if !self.session.wants_more()
             || self.to_server.len() >= UNSENT
             || self.to_client.len() >= UNSENT
         {
-            return Went::Nowhere;
+            return RelayProgress::Stalled;
         }
         match read(&mut self.client, &mut self.cutter, cx) {
-            Poll::Ready(true) => Went::On,
+            Poll::Ready(true) => RelayProgress::Advanced,
             Poll::Ready(false) => {
                 self.handle(Event::ClientGone);
-                Went::On
+                RelayProgress::Advanced
             }
-            Poll::Pending => Went::Nowhere,
+            Poll::Pending => RelayProgress::Stalled,
         }
     }
 
     /// The attempt that the connection was leased for: withdrawn, or late.
-    fn poll_held(&mut self, cx: &mut Context<'_>) -> Went {
+    fn poll_held(&mut self, cx: &mut Context<'_>) -> RelayProgress {
         // A session that is pinned and between transactions waits for its client alone.
         let Some(held) = self.held.as_mut().filter(|held| held.ticket.is_some()) else {
-            return Went::Nowhere;
+            return RelayProgress::Stalled;
         };
         if Pin::new(&mut held.withdrawn).poll(cx).is_ready() {
             self.lost(Outcome::Cancelled);
-            return Went::On;
+            return RelayProgress::Advanced;
         }
         let (clock, give_up) = (self.terms.fleet.clock(), held.give_up);
         let timer = held
@@ -299,9 +299,9 @@
             .get_or_insert_with(|| Box::pin(clock.sleep_until(give_up)));
         if timer.as_mut().poll(cx).is_ready() {
             self.lost(Outcome::TimedOut);
-            return Went::On;
+            return RelayProgress::Advanced;
         }
-        Went::Nowhere
+        RelayProgress::Stalled
     }
 
     /// Takes in what has come whole; whether anything had.
@@ -385,7 +385,7 @@
             Action::NotAgain => self.settle(AttemptEnd::bare(Outcome::NotSent)),
             Action::Release(state) => {
                 let Some(held) = self.held.take() else { return };
-                let Held {
+                let LeasedConnection {
                     mut link, ticket, ..
                 } = *held;
                 link.state = state;
--- a/adapters/postgres/src/relay/transactions.rs
+++ b/adapters/postgres/src/relay/transactions.rs
@@ -7,35 +7,35 @@
 use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::session::Event;
 
-use super::{Held, HeldBack, Relay, Waits, Went};
+use super::{LeasedConnection, PausedTransaction, Relay, RelayProgress, Waits};
 use crate::config::repeatable;
-use crate::{Lease, LeaseRequest, Postgres};
+use crate::{LeaseRequest, Postgres, ServerLease};
 
 impl Relay {
     /// What the engine brings: a lease, or the end of the transaction.
-    pub(super) fn poll_engine(&mut self, cx: &mut Context<'_>) -> Went {
+    pub(super) fn poll_engine(&mut self, cx: &mut Context<'_>) -> RelayProgress {
         if let Some(held_back) = &mut self.held_back {
             let alone = held_back.alone;
             if held_back.resumed.as_mut().poll(cx).is_ready() {
                 self.held_back = None;
                 self.submit(alone);
-                return Went::On;
+                return RelayProgress::Advanced;
             }
             if held_back.late.as_mut().poll(cx).is_ready() {
                 self.held_back = None;
                 self.handle(Event::Refused { wait_ms: 1000 });
-                return Went::On;
+                return RelayProgress::Advanced;
             }
         }
         if self.held.is_some() || self.waiting.is_none() {
-            return Went::Nowhere;
+            return RelayProgress::Stalled;
         }
         if let Poll::Ready(lease) = self.slot.poll(cx) {
             self.leased(*lease);
-            return Went::On;
+            return RelayProgress::Advanced;
         }
         let Some(waiting) = &mut self.waiting else {
-            return Went::Nowhere;
+            return RelayProgress::Stalled;
         };
         match waiting.as_mut().poll(cx) {
             Poll::Ready(reply) => {
@@ -50,9 +50,9 @@
                     }
                     RequestOutcome::Failed => self.handle(Event::Failed),
                 }
-                Went::On
+                RelayProgress::Advanced
             }
-            Poll::Pending => Went::Nowhere,
+            Poll::Pending => RelayProgress::Stalled,
         }
     }
 
@@ -77,7 +77,7 @@
         self.waiting = None;
         self.slot.wanted.set(0);
         if let Some(lease) = self.slot.lease.borrow_mut().take() {
-            let Lease { ticket, link, .. } = *lease;
+            let ServerLease { ticket, link, .. } = *lease;
             self.terms.pool.keep(&self.terms.fleet, link);
             self.terms
                 .fleet
@@ -124,7 +124,7 @@
         let late = clock.sleep_until(clock.now().saturating_add(deadline / 2));
         let pool = self.terms.pool.clone();
         let resumed: Waits = Box::pin(async move { pool.resumed().await });
-        self.held_back = Some(Box::new(HeldBack {
+        self.held_back = Some(Box::new(PausedTransaction {
             alone,
             resumed,
             late: Box::pin(late),
@@ -168,8 +168,8 @@
         }
     }
 
-    pub(super) fn leased(&mut self, lease: Lease) {
-        let Lease {
+    pub(super) fn leased(&mut self, lease: ServerLease) {
+        let ServerLease {
             ticket,
             backend,
             endpoint,
@@ -178,7 +178,7 @@
             withdrawn,
         } = lease;
         let state = std::mem::take(&mut link.state);
-        let held = Held {
+        let held = LeasedConnection {
             link,
             backend,
             endpoint,
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -18,17 +18,17 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::Fleet;
+use crate::PostgresEngine;
 use crate::access::may_come;
-use crate::admission::{Pending, Unidentified};
+use crate::admission::{PendingClient, UnauthenticatedClients};
 use crate::cancel::CancelKeys;
 use crate::client::{Client, ClientError};
-use crate::clients::{Clients, Registered, Who};
+use crate::clients::{ClientIdentity, Clients, RegisteredClient};
 use crate::config::{Config, ConfigError, Pooling};
 use crate::console;
 use crate::identity::Users;
 use crate::pool::Pool;
-use crate::relay::{Relay, Terms};
+use crate::relay::{Relay, SessionTerms};
 use crate::stream::Stream;
 use crate::tls::Acceptor;
 
@@ -40,13 +40,13 @@
 const CONSOLE: &str = "badgerpost";
 
 /// What all sessions share.
-pub struct Front {
+pub struct PostgresServer {
     pub(crate) config: Config,
     users: Users,
-    pub(crate) fleet: Fleet,
+    pub(crate) fleet: PostgresEngine,
     pub(crate) pool: Rc<Pool>,
     pub(crate) clients: Rc<Clients>,
-    pub(crate) unidentified: Rc<Unidentified>,
+    pub(crate) unidentified: Rc<UnauthenticatedClients>,
     tls: Option<Acceptor>,
     /// Sessions that stand.
     pub(crate) sessions: ConnectionCounter,
@@ -63,12 +63,12 @@
     opened: ConnectionGuard,
 }
 
-impl Front {
+impl PostgresServer {
     /// A front of this fleet.
     pub fn new(
         config: Config,
         users: BTreeMap<String, Verifier>,
-        fleet: Fleet,
+        fleet: PostgresEngine,
         pool: Rc<Pool>,
     ) -> Result<Rc<Self>, ConfigError> {
         let tls = config
@@ -77,7 +77,7 @@
             .map(crate::tls::ClientTls::acceptor)
             .transpose()?;
         let users = Users::new(users).map_err(|error| ConfigError::Wrong(error.to_string()))?;
-        let unidentified = Unidentified::new(config.unidentified);
+        let unidentified = UnauthenticatedClients::new(config.unidentified);
         let (clients, sessions, cancels) = (
             Rc::default(),
             ConnectionCounter::default(),
@@ -137,7 +137,7 @@
         self: Rc<Self>,
         stream: TcpStream,
         from: SocketAddr,
-        pending: Pending,
+        pending: PendingClient,
         stopping: watch::Receiver<bool>,
     ) {
         let _ = stream.set_nodelay(true);
@@ -169,7 +169,7 @@
         &self,
         mut client: Client,
         from: SocketAddr,
-        pending: &Pending,
+        pending: &PendingClient,
     ) -> Result<Option<Admitted>, ClientError> {
         let mut startup = StartupReader::default();
         let message = loop {
@@ -351,7 +351,7 @@
         let (class, worth) = class
             .map(|class| ((class.name.clone(), class.repeatable), class.worth))
             .unwrap_or_default();
-        let terms = Terms {
+        let terms = SessionTerms {
             fleet: self.fleet.clone(),
             pool: self.pool.clone(),
             class,
@@ -360,7 +360,7 @@
             login,
             session_pooling: self.config.pooling == Pooling::Session,
         };
-        let who = Who {
+        let who = ClientIdentity {
             application: startup.application().to_owned(),
             user: startup.user,
             database: startup.database,
@@ -393,7 +393,7 @@
 fn greet(
     mut parameters: BTreeMap<String, String>,
     settings: &ClientSettings,
-    registered: &Registered,
+    registered: &RegisteredClient,
     key: [u8; 4],
 ) -> BytesMut {
     parameters.entry("application_name".to_owned()).or_default();
--- a/adapters/postgres/src/stream.rs
+++ b/adapters/postgres/src/stream.rs
@@ -11,9 +11,9 @@
 
 /// A socket whose bytes are counted, for a clock in the hands of a rehearsal.
 #[derive(Debug)]
-pub struct Counted(TcpStream);
+pub struct CountedStream(TcpStream);
 
-impl AsyncRead for Counted {
+impl AsyncRead for CountedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -26,7 +26,7 @@
     }
 }
 
-impl AsyncWrite for Counted {
+impl AsyncWrite for CountedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -52,15 +52,15 @@
 #[derive(Debug)]
 pub enum Stream {
     /// In the clear.
-    Plain(Counted),
+    Plain(CountedStream),
     /// In TLS; boxed, as its state is large beside a plain socket's.
-    Tls(Box<TlsStream<Counted>>),
+    Tls(Box<TlsStream<CountedStream>>),
 }
 
 impl Stream {
     /// A connection in the clear.
     pub fn plain(stream: TcpStream) -> Self {
-        Self::Plain(Counted(stream))
+        Self::Plain(CountedStream(stream))
     }
 
     /// Whether it is in TLS.
--- a/adapters/postgres/src/upstream.rs
+++ b/adapters/postgres/src/upstream.rs
@@ -5,15 +5,15 @@
 use badgerpost_balancer::{BackendId, Outcome};
 use badgerpost_engine::{AttemptCommand, AttemptEnd, Transport, spawn};
 
-use crate::login::NoLink;
+use crate::login::ConnectError;
 use crate::pool::{Pool, PoolKey};
-use crate::{Fleet, Lease, Postgres};
+use crate::{Postgres, PostgresEngine, ServerLease};
 
 /// Starts attempts over a pool.
-pub struct Upstream(pub Rc<Pool>);
+pub struct PostgresTransport(pub Rc<Pool>);
 
-impl Transport<Postgres> for Upstream {
-    fn launch(&self, fleet: &Fleet, launch: AttemptCommand<Postgres>) {
+impl Transport<Postgres> for PostgresTransport {
+    fn launch(&self, fleet: &PostgresEngine, launch: AttemptCommand<Postgres>) {
         let (pool, fleet) = (self.0.clone(), fleet.clone());
         spawn(async move { lease(&pool, &fleet, launch).await });
     }
@@ -24,7 +24,7 @@
 }
 
 /// Finds a connection for a transaction. The attempt's end comes from the session that it is leased to.
-async fn lease(pool: &Pool, fleet: &Fleet, launch: AttemptCommand<Postgres>) {
+async fn lease(pool: &Pool, fleet: &PostgresEngine, launch: AttemptCommand<Postgres>) {
     let AttemptCommand {
         attempt: ticket,
         backend,
@@ -51,7 +51,7 @@
         Err(error) => {
             tracing::debug!(server = fleet.endpoint_name(backend), %endpoint, %error, "no connection to a PostgreSQL server");
             let outcome = match error {
-                NoLink::Full(_) => Outcome::Rejected,
+                ConnectError::Full(_) => Outcome::Rejected,
                 _ => Outcome::ConnectFailed,
             };
             return fleet.attempt_ended(ticket, AttemptEnd::bare(outcome));
@@ -62,7 +62,7 @@
         pool.keep(fleet, link);
         return fleet.attempt_ended(ticket, AttemptEnd::bare(Outcome::NotSent));
     }
-    let leased = Lease {
+    let leased = ServerLease {
         ticket,
         backend,
         endpoint,
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -15,12 +15,12 @@
 use badgerpost_balancer::EndpointUpdate;
 use badgerpost_engine::{Clock, spawn};
 use badgerpost_fakes::database::Database;
-use badgerpost_postgres::Fleet;
+use badgerpost_postgres::PostgresEngine;
 use badgerpost_postgres::config::Config;
 use badgerpost_postgres::pool::Pool;
-use badgerpost_postgres::server::Front;
+use badgerpost_postgres::server::PostgresServer;
 use badgerpost_postgres::tls::ServerTls;
-use badgerpost_postgres::upstream::Upstream;
+use badgerpost_postgres::upstream::PostgresTransport;
 use badgerpost_postgres_session::scram::Verifier;
 use badgerpost_settings::file::Source;
 use tokio::sync::watch;
@@ -33,7 +33,7 @@
 
 pub struct Node {
     pub at: SocketAddr,
-    pub fleet: Fleet,
+    pub fleet: PostgresEngine,
     pub config: Config,
     /// Held, as its end would stop the front.
     _stop: watch::Sender<bool>,
@@ -89,13 +89,14 @@
             config.limits(),
         );
         let site = config.site().expect("a site");
-        let launcher = Rc::new(Upstream(pool.clone()));
-        let fleet = Fleet::new(site.settings, site.words, 7, clock, launcher).expect("a fleet");
+        let launcher = Rc::new(PostgresTransport(pool.clone()));
+        let fleet =
+            PostgresEngine::new(site.settings, site.words, 7, clock, launcher).expect("a fleet");
         fleet.endpoints_updated(EndpointUpdate::Snapshot, config.listed());
         let timers = fleet.clone();
         spawn(async move { timers.run_timers().await });
         let user = |name: &str| (name.to_owned(), Verifier::of("secret", b"some salt"));
-        let front = Front::new(
+        let front = PostgresServer::new(
             config.clone(),
             [user("ann"), user("eve")].into(),
             fleet.clone(),
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use badgerpost_http::list::List;
+use badgerpost_http::endpoint_list::List;
 use badgerpost_settings::{Site, file};
 use serde::Deserialize;
 
--- a/daemon/src/shares.rs
+++ b/daemon/src/descriptor_quota.rs
@@ -5,7 +5,7 @@
 
 /// The most of either kind of connection. Clones share it.
 #[derive(Clone)]
-pub struct Shares {
+pub struct DescriptorQuota {
     all: (usize, usize),
     /// Clients' connections.
     pub clients: Rc<Cell<usize>>,
@@ -13,7 +13,7 @@
     pub servers: Rc<Cell<usize>>,
 }
 
-impl Shares {
+impl DescriptorQuota {
     /// All of them.
     pub fn new(clients: usize, servers: usize) -> Self {
         Self {
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use badgerpost_admin::Life;
+use badgerpost_admin::LifecycleHandle;
 use badgerpost_engine::{Clock, spawn};
 use badgerpost_lifecycle::Event as LifeEvent;
 use badgerpost_socket_handover::{Action, Event, MAX_LINE_LENGTH, Message, Predecessor, Successor};
@@ -20,7 +20,7 @@
 use tokio::io::Interest;
 use tokio::net::{UnixListener, UnixStream};
 
-use crate::shares::Shares;
+use crate::descriptor_quota::DescriptorQuota;
 
 /// The whole exchange takes a few wake-ups of either process; past this the new one listens by itself. It has to serve
 /// within 6 s.
@@ -33,7 +33,7 @@
 pub struct Handover {
     path: PathBuf,
     listen: SocketAddr,
-    shares: Shares,
+    shares: DescriptorQuota,
     clock: Clock,
 }
 
@@ -47,7 +47,7 @@
 
 impl Handover {
     /// The meeting place of those who listen at this address; none without a folder that they share.
-    pub fn new(listen: SocketAddr, shares: Shares, clock: Clock) -> Option<Self> {
+    pub fn new(listen: SocketAddr, shares: DescriptorQuota, clock: Clock) -> Option<Self> {
         // A port that the system chooses is nobody else's.
         if listen.port() == 0 {
             return None;
@@ -116,7 +116,7 @@
 
     /// Goes on after the start: tells the version before that this one serves, waits for its end, and hands `listener` on
     /// to the next one. Never ends.
-    pub async fn run(self, listener: TcpListener, given: Option<Given>, life: Life) {
+    pub async fn run(self, listener: TcpListener, given: Option<Given>, life: LifecycleHandle) {
         let door = self.open();
         if let Some(Given {
             mut link, mut side, ..
@@ -176,7 +176,7 @@
     }
 
     /// Serves one successor until it is gone; whether it was given the socket.
-    async fn attend(&self, mut link: Link, listener: &TcpListener, life: &Life) -> bool {
+    async fn attend(&self, mut link: Link, listener: &TcpListener, life: &LifecycleHandle) -> bool {
         let mut side = Predecessor::new(self.listen);
         let until = self.clock.sleep(WITHIN);
         let mut until = std::pin::pin!(until);
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,9 +2,9 @@
 //! line; `config.rs` reads what the node is told, `serve.rs` wires the parts and heeds signals.
 
 mod config;
+mod descriptor_quota;
 mod handover;
 mod serve;
-mod shares;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -8,18 +8,18 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use badgerpost_admin::{Console, Life, ZoneOrder};
+use badgerpost_admin::{AdminApi, LifecycleHandle, ZoneOverride};
 use badgerpost_balancer::EndpointUpdate;
 use badgerpost_engine::{Clock, VirtualClock, nanos, spawn};
-use badgerpost_gossip::{Me, Peers};
-use badgerpost_http::budget::Budget;
-use badgerpost_http::server::{self, Door, Limits};
-use badgerpost_http::upstream::Upstream;
-use badgerpost_http::{Node, discovery};
+use badgerpost_gossip::{GossipService, LocalMember};
+use badgerpost_http::memory_budget::MemoryBudget;
+use badgerpost_http::server::{self, Limits, ServerHandle};
+use badgerpost_http::upstream::HttpTransport;
+use badgerpost_http::{HttpEngine, discovery};
 use badgerpost_lifecycle::{Event, Stage};
 use badgerpost_postgres::pool::Pool;
-use badgerpost_postgres::server::Front;
-use badgerpost_postgres::{self as postgres, Fleet};
+use badgerpost_postgres::server::PostgresServer;
+use badgerpost_postgres::{self as postgres, PostgresEngine};
 use badgerpost_virtual_clock::{Control, ControlError};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -27,8 +27,8 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::config::{Config, ConfigError, Edge, Rehearsal};
+use crate::descriptor_quota::DescriptorQuota;
 use crate::handover::Handover;
-use crate::shares::Shares;
 
 /// A process says that it can serve once it has heard from discovery, or this long after its start: with discovery
 /// down it serves what it knew.
@@ -99,21 +99,21 @@
     let hangup = signal(SignalKind::hangup())?;
     let Config { edge, own } = config;
     let (site, seed, (clients, servers)) = (edge.site()?, edge.seed()?, edge.shares()?);
-    let shares = Shares::new(clients, servers);
-    let hands = own.rehearsal.map(Hands::take).transpose()?;
+    let shares = DescriptorQuota::new(clients, servers);
+    let hands = own.rehearsal.map(VirtualClockControl::take).transpose()?;
     let clock = hands
         .as_ref()
         .map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
-    let bodies = Budget::new(edge.bodies());
+    let bodies = MemoryBudget::new(edge.bodies());
     let (zone, nodes) = (site.settings.local_zone.0 as u8, site.settings.node_count);
-    let upstream = Upstream::new(
+    let upstream = HttpTransport::new(
         site.links,
         clock.clone(),
         shares.servers.clone(),
         bodies.clone(),
     );
-    spawn(Upstream::sweep(upstream.pool()));
-    let node = Node::new(
+    spawn(HttpTransport::sweep(upstream.pool()));
+    let node = HttpEngine::new(
         site.settings,
         site.words,
         seed,
@@ -124,7 +124,7 @@
     if own.zones.is_some_and(|zones| zones.watch) {
         node.watch_zones(seed);
     }
-    let watch = discovery::Watch::new(node.clone(), edge.discovery, edge.known, seed);
+    let watch = discovery::EndpointWatcher::new(node.clone(), edge.discovery, edge.known, seed);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     // Operators start the next version beside this one, at the same address: it takes over the socket, so that what
@@ -158,7 +158,7 @@
     spawn(heed_reloads(hangup, address, file));
     let timers = node.clone();
     spawn(async move { timers.run_timers().await });
-    let life = Life::default();
+    let life = LifecycleHandle::default();
     spawn(keep_time(life.clone(), clock.clone()));
     if let Some(at) = edge.console {
         operators_call(at, &life, &node)?;
@@ -166,13 +166,13 @@
     let (stop, stopping) = watch::channel(false);
     if let Some(peers) = &own.peers {
         let key = peers.key().map_err(ConfigError::from)?;
-        let me = Me {
+        let me = LocalMember {
             name: &edge.name,
             zone,
             nodes,
             seed,
         };
-        let opened = Peers::open(peers, key, me, node.clone()).await;
+        let opened = GossipService::open(peers, key, me, node.clone()).await;
         let peers = opened.map_err(|source| ServeError::Peers {
             at: peers.listen,
             source,
@@ -189,7 +189,7 @@
             clients: shares.clients,
             bodies,
         },
-        Door {
+        ServerHandle {
             stage: life.stage(),
             ready_by,
             leaves: leaves.clone(),
@@ -228,7 +228,7 @@
     };
     match hands {
         None => ended.await,
-        Some(Hands { steps, control }) => {
+        Some(VirtualClockControl { steps, control }) => {
             // Not counted among the node's tasks: it is what waits for these to come to rest.
             let followed =
                 spawn_local(async move { control.follow(&name, listens_at, steps).await });
@@ -242,7 +242,7 @@
 }
 
 /// Keeps the time for the life cycle; never ends.
-async fn keep_time(life: Life, clock: Clock) {
+async fn keep_time(life: LifecycleHandle, clock: Clock) {
     let mut wakes = life.wakes();
     loop {
         let wake = *wakes.borrow_and_update();
@@ -263,13 +263,17 @@
 }
 
 /// Opens the operators' listener and keeps what it shows up to date.
-fn operators_call(at: SocketAddr, life: &Life, node: &Node) -> Result<(), ServeError> {
+fn operators_call(
+    at: SocketAddr,
+    life: &LifecycleHandle,
+    node: &HttpEngine,
+) -> Result<(), ServeError> {
     let listener =
         std::net::TcpListener::bind(at).map_err(|source| ServeError::Console { at, source })?;
     let ready = Arc::new(AtomicBool::new(false));
     tracing::info!(console = %listener.local_addr()?, "operators may call");
-    let (orders, mut ordered) = mpsc::channel::<ZoneOrder>(ORDERS);
-    let console = Console {
+    let (orders, mut ordered) = mpsc::channel::<ZoneOverride>(ORDERS);
+    let console = AdminApi {
         life: life.clone(),
         tally: node.metrics(),
         ready: ready.clone(),
@@ -278,7 +282,7 @@
     console.start(listener)?;
     let zones = node.clone();
     spawn(async move {
-        while let Some(ZoneOrder { zone, order }) = ordered.recv().await {
+        while let Some(ZoneOverride { zone, order }) = ordered.recv().await {
             zones.override_zone(&zone, order.map(|(closed, span)| (closed, nanos(span))));
         }
     });
@@ -323,8 +327,8 @@
         tls.map_err(ConfigError::from)?,
         config.limits(),
     );
-    let launcher = Rc::new(postgres::upstream::Upstream(pool.clone()));
-    let fleet = Fleet::new(site.settings, site.words, seed, clock.clone(), launcher)
+    let launcher = Rc::new(postgres::upstream::PostgresTransport(pool.clone()));
+    let fleet = PostgresEngine::new(site.settings, site.words, seed, clock.clone(), launcher)
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
     fleet.endpoints_updated(
         if config.discovery.is_some() {
@@ -338,22 +342,22 @@
     spawn(async move { timers.run_timers().await });
     if let Some(discovery) = config.discovery {
         let (_, told) = watch::channel(discovery);
-        spawn(discovery::Watch::new(fleet.clone(), discovery, None, seed).run(told));
+        spawn(discovery::EndpointWatcher::new(fleet.clone(), discovery, None, seed).run(told));
     }
     let at = config.listen;
     let listener = listen(at, false).map_err(|source| ServeError::Listen { at, source })?;
     tracing::info!(listen = %listener.local_addr()?, "serving PostgreSQL clients");
-    let front = Front::new(config, users, fleet, pool).map_err(ConfigError::from)?;
+    let front = PostgresServer::new(config, users, fleet, pool).map_err(ConfigError::from)?;
     Ok(front.run(listener, stopping))
 }
 
 /// A rehearsal's hold on the clock.
-struct Hands {
+struct VirtualClockControl {
     steps: Rc<VirtualClock>,
     control: Control,
 }
 
-impl Hands {
+impl VirtualClockControl {
     fn take(rehearsal: Rehearsal) -> Result<Self, ControlError> {
         let Rehearsal { control, start_ns } = rehearsal;
         tracing::warn!(%control, "STEPPED CLOCK in a rehearsal's hands; not for service");
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -1,5 +1,5 @@
 //! The driver of one fleet: sole owner of its [`Balancer`] and of the table of open requests and their attempts.
-//! Events go in, actions come out; what they leave to do on the network is collected as [`Errands`]. Nothing is
+//! Events go in, actions come out; what they leave to do on the network is collected as [`PendingIo`]. Nothing is
 //! decided here.
 
 use std::collections::HashMap;
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -25,9 +25,9 @@
 
 /// Carries out on the network what the module asks for.
 pub trait Transport<F: Protocol> {
-    /// Starts an attempt; its end comes back by [`Engine::settled`], exactly once.
+    /// Starts an attempt; its end comes back by [`Engine::attempt_ended`], exactly once.
     fn launch(&self, engine: &Engine<F>, launch: AttemptCommand<F>);
-    /// Asks a backend how it fares; the answer comes back by [`Engine::probed`]. A front whose backends can't be
+    /// Asks a backend how it fares; the answer comes back by [`Engine::health_check_ended`]. A front whose backends can't be
     /// asked answers nothing.
     fn probe(&self, _engine: &Engine<F>, _backend: BackendId, _endpoint: SocketAddr) {}
     /// Drops the idle connections to a backend that has left, moved or started anew.
@@ -171,7 +171,7 @@
         self.take(asked, false)
     }
 
-    /// Takes a request whose body is still on the way; [`Waiting::whole`] tells when it has come. Its budget is how
+    /// Takes a request whose body is still on the way; [`PendingResponse::upload_complete`] tells when it has come. Its budget is how
     /// long that may take.
     pub fn submit_upload(&self, asked: IncomingRequest<F>) -> Option<PendingResponse<F>> {
         self.take(asked, true)
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -1,6 +1,6 @@
 //! The engine between fronts and the decision module: sole owner of one [`badgerpost_balancer::Balancer`] for each
 //! fleet, of ids, timers, open requests and attempts. It knows no protocol: what a request carries and what
-//! serves it are a [`Front`]'s types. Its [`Clock`] is the process's only one, and can be stepped from outside.
+//! serves it are a [`Protocol`]'s types. Its [`Clock`] is the process's only one, and can be stepped from outside.
 
 pub mod activity;
 mod backends;
--- a/engine/src/metrics.rs
+++ b/engine/src/metrics.rs
@@ -65,7 +65,7 @@
 pub struct Metrics {
     /// Empty where no watch over the zones is on. Locked for a moment by whoever changes or reads a figure.
     zones: Mutex<Vec<ZoneMetrics>>,
-    /// See [`PeerFigures`]; locked like the zones'.
+    /// See [`PeerMetrics`]; locked like the zones'.
     peers: Mutex<PeerMetrics>,
     classes: Vec<(String, Ends)>,
     sends: AtomicU64,
--- a/engine/src/open_count.rs
+++ b/engine/src/open_count.rs
@@ -25,7 +25,7 @@
     }
 }
 
-/// One open connection's part of an [`OpenCount`].
+/// One open connection's part of an [`ConnectionCounter`].
 #[derive(Debug)]
 pub struct ConnectionGuard(Rc<Cell<usize>>);
 
--- a/testkit/scenarios/src/process.rs
+++ b/testkit/scenarios/src/process.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use badgerpost_virtual_clock::{FromNode, ToNode};
+use badgerpost_virtual_clock::{ControllerMessage, NodeMessage};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
@@ -67,7 +67,7 @@
         /// The node.
         name: String,
         /// What it said.
-        source: badgerpost_virtual_clock::Bad,
+        source: badgerpost_virtual_clock::MalformedLine,
         /// What it logged.
         log: String,
     },
@@ -212,7 +212,7 @@
             .map_err(|source| self.system(source))?;
         self.control = Some(BufReader::new(stream));
         match self.hear()? {
-            Some(FromNode::Hello { listen, .. }) => Ok(listen),
+            Some(NodeMessage::Hello { listen, .. }) => Ok(listen),
             _ => Err(self.not_ready()),
         }
     }
@@ -227,7 +227,7 @@
     }
 
     /// The next line on the control connection; none where that has ended, and so the process.
-    fn hear(&mut self) -> Result<Option<FromNode>, ProcessError> {
+    fn hear(&mut self) -> Result<Option<NodeMessage>, ProcessError> {
         let Some(control) = &mut self.control else {
             return Ok(None);
         };
@@ -264,12 +264,12 @@
         let Some(control) = &mut self.control else {
             return Ok(None);
         };
-        let line = ToNode::Step { now, bytes, ended }.to_string();
+        let line = ControllerMessage::Step { now, bytes, ended }.to_string();
         if control.get_mut().write_all(line.as_bytes()).is_err() {
             return Ok(None);
         }
         match self.hear()? {
-            Some(FromNode::Idle {
+            Some(NodeMessage::Idle {
                 next,
                 written,
                 ended,
@@ -278,7 +278,7 @@
                 self.next = next;
                 Ok(Some((written, ended)))
             }
-            Some(FromNode::Hello { .. }) | None => Ok(None),
+            Some(NodeMessage::Hello { .. }) | None => Ok(None),
         }
     }
 
--- a/virtual-clock/src/control.rs
+++ b/virtual-clock/src/control.rs
@@ -9,7 +9,7 @@
 use badgerpost_engine::{VirtualClock, activity};
 use tokio::task::yield_now;
 
-use crate::protocol::{Bad, FromNode, LONGEST, ToNode};
+use crate::protocol::{ControllerMessage, MAX_LINE_LENGTH, MalformedLine, NodeMessage};
 
 /// Turns of the scheduler in which no task ran, each with a look at the sockets, that make a node idle. One
 /// would do; the others are for what a look has brought while the turn was counted.
@@ -46,7 +46,7 @@
         /// The kit's address.
         at: SocketAddr,
         /// What it said.
-        source: Bad,
+        source: MalformedLine,
     },
 }
 
@@ -74,7 +74,7 @@
         })
     }
 
-    fn say(&mut self, line: &FromNode) -> Result<(), ControlError> {
+    fn say(&mut self, line: &NodeMessage) -> Result<(), ControlError> {
         let written = self.reader.get_mut().write_all(line.to_string().as_bytes());
         written.map_err(|source| ControlError::Socket {
             at: self.at,
@@ -82,9 +82,11 @@
         })
     }
 
-    fn hear(&mut self) -> Result<ToNode, ControlError> {
+    fn hear(&mut self) -> Result<ControllerMessage, ControlError> {
         let mut line = String::new();
-        let read = (&mut self.reader).take(LONGEST as u64).read_line(&mut line);
+        let read = (&mut self.reader)
+            .take(MAX_LINE_LENGTH as u64)
+            .read_line(&mut line);
         match read {
             Ok(0) => Err(ControlError::Over(self.at)),
             Ok(_) => line.parse().map_err(|source| ControlError::Bad {
@@ -118,7 +120,7 @@
         steps: &VirtualClock,
     ) -> Result<std::convert::Infallible, ControlError> {
         settle(0, 0).await;
-        self.say(&FromNode::Hello {
+        self.say(&NodeMessage::Hello {
             name: name.to_owned(),
             listen,
         })?;
@@ -127,7 +129,7 @@
         // Ends that the kit has seen and that were waited for in vain: of connections that were never looked at here.
         let mut unseen = 0;
         loop {
-            let ToNode::Step { now, bytes, ended } = self.hear()?;
+            let ControllerMessage::Step { now, bytes, ended } = self.hear()?;
             let read = activity::so_far().read;
             steps.advance(now);
             settle(read.saturating_add(bytes), ended.saturating_sub(unseen)).await;
@@ -137,7 +139,7 @@
             let bytes_written = after.written - before.written;
             before = after;
             let connections_ended = after.ended + unseen;
-            self.say(&FromNode::Idle {
+            self.say(&NodeMessage::Idle {
                 next: steps.next_due(),
                 read: bytes_read,
                 written: bytes_written,
--- a/virtual-clock/src/control/tests.rs
+++ b/virtual-clock/src/control/tests.rs
@@ -7,7 +7,7 @@
 use super::*;
 
 /// The kit's side, by hand.
-fn line(reader: &mut BufReader<TcpStream>) -> FromNode {
+fn line(reader: &mut BufReader<TcpStream>) -> NodeMessage {
     let mut text = String::new();
     reader.read_line(&mut text).expect("a line");
     text.parse().expect("a node's line")
@@ -40,7 +40,7 @@
     let mut reader = BufReader::new(stream);
     assert_eq!(
         line(&mut reader),
-        FromNode::Hello {
+        NodeMessage::Hello {
             name: "n0".to_owned(),
             listen: at
         }
@@ -48,8 +48,8 @@
     (node, reader)
 }
 
-fn step(reader: &mut BufReader<TcpStream>, now: u64, ended: u64) -> FromNode {
-    let text = ToNode::Step {
+fn step(reader: &mut BufReader<TcpStream>, now: u64, ended: u64) -> NodeMessage {
+    let text = ControllerMessage::Step {
         now,
         bytes: 0,
         ended,
@@ -72,7 +72,7 @@
         let _ = inner.await;
         activity::written(5);
     });
-    let idle = |next, written| FromNode::Idle {
+    let idle = |next, written| NodeMessage::Idle {
         next,
         read: 0,
         written,
@@ -100,7 +100,7 @@
         late().await;
         connection.over();
     });
-    let idle = |next, written, ended| FromNode::Idle {
+    let idle = |next, written, ended| NodeMessage::Idle {
         next,
         read: 0,
         written,
--- a/virtual-clock/src/lib.rs
+++ b/virtual-clock/src/lib.rs
@@ -10,4 +10,4 @@
 mod protocol;
 
 pub use control::{Control, ControlError, settle};
-pub use protocol::{Bad, FromNode, ToNode, VERSION};
+pub use protocol::{ControllerMessage, MalformedLine, NodeMessage, PROTOCOL_VERSION};
--- a/virtual-clock/src/protocol.rs
+++ b/virtual-clock/src/protocol.rs
@@ -16,13 +16,13 @@
 use badgerpost_balancer::Nanos;
 
 /// The protocol's version; a peer of another one is turned down.
-pub const VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 2;
 /// No line is longer.
-pub const LONGEST: usize = 512;
+pub const MAX_LINE_LENGTH: usize = 512;
 
 /// What a kit says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ToNode {
+pub enum ControllerMessage {
     /// Run at this time until nothing is ready.
     Step {
         /// The time.
@@ -36,7 +36,7 @@
 
 /// What a node says.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FromNode {
+pub enum NodeMessage {
     /// The first line.
     Hello {
         /// The node's name.
@@ -59,20 +59,20 @@
 
 /// A line that is none of these.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("not a line of the control protocol, version {VERSION}: {0:?}")]
-pub struct Bad(pub String);
+#[error("not a line of the control protocol, version {PROTOCOL_VERSION}: {0:?}")]
+pub struct MalformedLine(pub String);
 
-impl fmt::Display for ToNode {
+impl fmt::Display for ControllerMessage {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self::Step { now, bytes, ended } = self;
         writeln!(f, "step {now} {bytes} {ended}")
     }
 }
 
-impl fmt::Display for FromNode {
+impl fmt::Display for NodeMessage {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Hello { name, listen } => writeln!(f, "hello {VERSION} {name} {listen}"),
+            Self::Hello { name, listen } => writeln!(f, "hello {PROTOCOL_VERSION} {name} {listen}"),
             Self::Idle {
                 next: Some(next),
                 read,
@@ -100,10 +100,10 @@
     words.next().is_none().then_some(found)
 }
 
-impl FromStr for ToNode {
-    type Err = Bad;
+impl FromStr for ControllerMessage {
+    type Err = MalformedLine;
 
-    fn from_str(line: &str) -> Result<Self, Bad> {
+    fn from_str(line: &str) -> Result<Self, MalformedLine> {
         let step = || {
             let ["step", now, bytes, ended] = words(line)? else {
                 return None;
@@ -114,20 +114,22 @@
                 ended: ended.parse().ok()?,
             })
         };
-        step().ok_or_else(|| Bad(line.to_owned()))
+        step().ok_or_else(|| MalformedLine(line.to_owned()))
     }
 }
 
-impl FromStr for FromNode {
-    type Err = Bad;
+impl FromStr for NodeMessage {
+    type Err = MalformedLine;
 
-    fn from_str(line: &str) -> Result<Self, Bad> {
+    fn from_str(line: &str) -> Result<Self, MalformedLine> {
         let read = || match line.split(' ').next()? {
             "hello" => match words(line)? {
-                [_, version, name, listen] if version.parse() == Ok(VERSION) => Some(Self::Hello {
-                    name: name.to_owned(),
-                    listen: listen.parse().ok()?,
-                }),
+                [_, version, name, listen] if version.parse() == Ok(PROTOCOL_VERSION) => {
+                    Some(Self::Hello {
+                        name: name.to_owned(),
+                        listen: listen.parse().ok()?,
+                    })
+                }
                 _ => None,
             },
             "idle" => {
@@ -145,7 +147,7 @@
             }
             _ => None,
         };
-        read().ok_or_else(|| Bad(line.to_owned()))
+        read().ok_or_else(|| MalformedLine(line.to_owned()))
     }
 }
 
--- a/virtual-clock/src/protocol/tests.rs
+++ b/virtual-clock/src/protocol/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn lines_are_read_as_they_are_written() {
-    let step = ToNode::Step {
+    let step = ControllerMessage::Step {
         now: 17,
         bytes: 3,
         ended: 2,
@@ -10,17 +10,17 @@
     assert_eq!(step.to_string().parse(), Ok(step));
     let listen = SocketAddr::from(([127, 0, 0, 1], 9));
     for line in [
-        FromNode::Hello {
+        NodeMessage::Hello {
             name: "n0".to_owned(),
             listen,
         },
-        FromNode::Idle {
+        NodeMessage::Idle {
             next: Some(5),
             read: 1,
             written: u64::MAX,
             ended: 7,
         },
-        FromNode::Idle {
+        NodeMessage::Idle {
             next: None,
             read: 0,
             written: 0,
@@ -43,7 +43,10 @@
         "stop 1 2 3",
         "step 1 99999999999999999999999 0",
     ] {
-        assert_eq!(line.parse::<ToNode>(), Err(Bad(line.to_owned())));
+        assert_eq!(
+            line.parse::<ControllerMessage>(),
+            Err(MalformedLine(line.to_owned()))
+        );
     }
     for line in [
         "hello 1 n0 127.0.0.1:9",
@@ -51,6 +54,9 @@
         "idle 1 2 3",
         "idle x 1 2 3",
     ] {
-        assert_eq!(line.parse::<FromNode>(), Err(Bad(line.to_owned())));
+        assert_eq!(
+            line.parse::<NodeMessage>(),
+            Err(MalformedLine(line.to_owned()))
+        );
     }
 }
