--- a/testkit/fakes/src/database.rs
+++ b/testkit/fakes/src/database.rs
@@ -12,10 +12,12 @@
 mod expr;
 mod faults;
 mod functions;
-mod numeric;
+mod parse;
 mod query;
 mod session;
+mod settings;
 mod storage;
+mod surroundings;
 mod value;
 mod wire;
 
--- a/testkit/fakes/src/database/control.rs
+++ b/testkit/fakes/src/database/control.rs
@@ -7,7 +7,8 @@
 };
 
 use super::query::{Outcome, done};
-use super::session::*;
+use super::session::{Portal, Prepared, Session, spread};
+use super::surroundings::Surroundings;
 use super::value::{Type, Value};
 use super::{Refusal, lock};
 
--- a/testkit/fakes/src/database/copy.rs
+++ b/testkit/fakes/src/database/copy.rs
@@ -6,7 +6,8 @@
 
 use super::Refusal;
 use super::faults::Bad;
-use super::session::{one, spread};
+use super::parse::one;
+use super::session::spread;
 use super::value::{Type, Value};
 use super::wire::{Backend, Body, Ended};
 
--- a/testkit/fakes/src/database/describe.rs
+++ b/testkit/fakes/src/database/describe.rs
@@ -8,8 +8,8 @@
 };
 
 use super::expr::{Parameters, call, infer, named, unsupported};
-use super::session::Surroundings;
 use super::storage::{Column, Store};
+use super::surroundings::Surroundings;
 use super::value::Type;
 use super::{Refusal, lock};
 
--- a/testkit/fakes/src/database/expr.rs
+++ b/testkit/fakes/src/database/expr.rs
@@ -6,8 +6,8 @@
 };
 
 use super::Refusal;
-use super::session::Surroundings;
 use super::storage::Column;
+use super::surroundings::Surroundings;
 use super::value::{Type, Value};
 
 /// The types of a statement's parameters, as far as they are known.
--- a/testkit/fakes/src/database/functions.rs
+++ b/testkit/fakes/src/database/functions.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
-use super::session::*;
+use super::session::Session;
 use super::storage::Store;
+use super::surroundings::Surroundings;
 use super::value::{Type, Value};
 use super::{Refusal, lock};
 
--- a/testkit/fakes/src/database/session.rs
+++ b/testkit/fakes/src/database/session.rs
@@ -7,62 +7,19 @@
 use std::time::{Duration, Instant};
 
 use sqlparser::ast::Statement;
-use sqlparser::dialect::PostgreSqlDialect;
-use sqlparser::parser::Parser;
-use sqlparser::tokenizer::{Token, Tokenizer};
 
 use super::catalogue::{self, Question};
 use super::describe::describe;
+use super::parse::one;
 use super::query::{Outcome, Run};
-use super::storage::{Stop, Store, Transaction};
+use super::settings::{SETTINGS, Settings};
+use super::storage::{Stop, Transaction};
 use super::value::{Type, Value};
 use super::{Refusal, Shared, lock};
 
 /// How often a wait looks whether it is cancelled.
 const LOOK: Duration = Duration::from_millis(2);
 
-/// What a statement needs to know of its session.
-pub(super) trait Surroundings {
-    /// The value of a function.
-    fn call(&self, name: &str, args: Vec<Value>) -> Result<Value, Refusal>;
-    /// The name under which a table stands.
-    fn table(&self, store: &Store, name: &str) -> Result<String, Refusal>;
-    /// The name under which a new one will.
-    fn new_table(&self, name: &str, temporary: bool) -> String;
-    /// A setting's name as it is usually written.
-    fn setting_name(&self, name: &str) -> String;
-}
-
-/// Settings that a server knows: name, value at first, whether changes are reported.
-const SETTINGS: [(&str, &str, bool); 24] = [
-    ("application_name", "", true),
-    ("client_encoding", "UTF8", true),
-    ("DateStyle", "ISO, MDY", true),
-    ("default_transaction_read_only", "off", true),
-    ("in_hot_standby", "off", true),
-    ("integer_datetimes", "on", true),
-    ("IntervalStyle", "postgres", true),
-    ("is_superuser", "off", true),
-    ("server_encoding", "UTF8", true),
-    ("server_version", "16.4", true),
-    ("session_authorization", "", true),
-    ("standard_conforming_strings", "on", true),
-    ("TimeZone", "UTC", true),
-    ("search_path", "\"$user\", public", false),
-    ("statement_timeout", "0", false),
-    ("lock_timeout", "0", false),
-    ("idle_in_transaction_session_timeout", "0", false),
-    ("work_mem", "4MB", false),
-    ("extra_float_digits", "1", false),
-    ("transaction_isolation", "read committed", false),
-    ("transaction_read_only", "off", false),
-    ("max_identifier_length", "63", false),
-    ("synchronous_commit", "on", false),
-    ("jit", "on", false),
-];
-
-pub(super) type Settings = BTreeMap<String, (String, String)>;
-
 /// A cursor or portal: what is left of a result.
 #[derive(Clone)]
 pub(super) struct Portal {
@@ -118,78 +75,6 @@
     Refusal("25P02", what.to_owned())
 }
 
-/// The last statement of a text, if it has any.
-pub(super) fn one(sql: &str) -> Result<Option<Statement>, Refusal> {
-    let mut all = all(sql)?;
-    if all.len() > 1 {
-        return Err(Refusal(
-            "42601",
-            "cannot insert multiple commands into a prepared statement".to_owned(),
-        ));
-    }
-    Ok(all.pop())
-}
-
-/// All statements of a text.
-pub(super) fn all(sql: &str) -> Result<Vec<Statement>, Refusal> {
-    // The parser knows no RESET, no CLOSE ALL and no UNLISTEN *: they are read here, as settings and nothing.
-    let plain = sql.trim().trim_end_matches(';').trim();
-    let upper = plain.to_ascii_uppercase();
-    if let Some(name) = upper.strip_prefix("RESET ") {
-        let sql = if name.trim() == "ALL" {
-            "SET all TO DEFAULT".to_owned()
-        } else {
-            format!("SET {} TO DEFAULT", &plain[6..])
-        };
-        return parse(&sql);
-    }
-    if ["RESET ", "CLOSE ALL", "UNLISTEN *"]
-        .iter()
-        .any(|word| upper.contains(word))
-    {
-        let parts = split(sql);
-        if parts.len() > 1 {
-            let parts = parts.iter().map(|part| all(part));
-            return Ok(parts
-                .collect::<Result<Vec<_>, _>>()?
-                .into_iter()
-                .flatten()
-                .collect());
-        }
-    }
-    match upper.as_str() {
-        "CLOSE ALL" => parse("CLOSE ALL"),
-        "UNLISTEN *" => parse("UNLISTEN *"),
-        "DISCARD ALL" => parse("DISCARD ALL"),
-        _ => parse(sql),
-    }
-}
-
-/// A text's statements, each with its own text.
-fn split(sql: &str) -> Vec<String> {
-    let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize() else {
-        return vec![sql.to_owned()];
-    };
-    let parts = tokens.split(|token| *token == Token::SemiColon);
-    let parts = parts.map(|part| part.iter().map(ToString::to_string).collect::<String>());
-    parts.filter(|part| !part.trim().is_empty()).collect()
-}
-
-fn parse(sql: &str) -> Result<Vec<Statement>, Refusal> {
-    // The parser wants COPY to end so: data could stand behind it.
-    let copies = sql
-        .trim_start()
-        .get(..4)
-        .is_some_and(|word| word.eq_ignore_ascii_case("copy"));
-    let ended = if copies && !sql.contains(';') {
-        format!("{sql};")
-    } else {
-        sql.to_owned()
-    };
-    Parser::parse_sql(&PostgreSqlDialect {}, &ended)
-        .map_err(|error| Refusal("42601", error.to_string()))
-}
-
 impl Session {
     pub(super) fn new(shared: Arc<Shared>, number: u64) -> Self {
         let version = lock(&shared.version).clone();
@@ -228,164 +113,6 @@
         }
     }
 
-    /// Takes a client's start-up parameters.
-    pub(super) fn start(&mut self, parameters: &BTreeMap<String, String>) -> Result<(), Refusal> {
-        self.user = parameters.get("user").cloned().unwrap_or_default();
-        self.database = parameters
-            .get("database")
-            .cloned()
-            .unwrap_or_else(|| self.user.clone());
-        self.set("session_authorization", &self.user.clone())?;
-        for (name, value) in parameters {
-            match name.as_str() {
-                "user" | "database" => {}
-                "options" => {
-                    for option in value
-                        .split("-c")
-                        .map(str::trim)
-                        .filter(|option| !option.is_empty())
-                    {
-                        let (name, value) = option.split_once('=').unwrap_or((option, ""));
-                        self.set(name, &value.replace("\\ ", " "))?;
-                    }
-                }
-                name if name.starts_with("_pq_.") => {}
-                name => self.set(name, value)?,
-            }
-        }
-        self.at_start = self.settings.borrow().clone();
-        Ok(())
-    }
-
-    /// The settings whose reports are due, by name and value.
-    pub(super) fn reports(&mut self) -> Vec<(String, String)> {
-        let mut due = Vec::new();
-        for (name, _, reported) in SETTINGS {
-            let settings = self.settings.borrow();
-            let Some((_, value)) = settings
-                .get(&name.to_ascii_lowercase())
-                .filter(|_| reported)
-            else {
-                continue;
-            };
-            if self.told.get(name) != Some(value) {
-                due.push((name.to_owned(), value.clone()));
-            }
-        }
-        self.told.extend(due.iter().cloned());
-        due
-    }
-
-    pub(super) fn setting(&self, name: &str) -> Result<String, Refusal> {
-        let missing = || {
-            Refusal(
-                "42704",
-                format!("unrecognized configuration parameter \"{name}\""),
-            )
-        };
-        self.settings
-            .borrow()
-            .get(&name.to_ascii_lowercase())
-            .map(|(_, value)| value.clone())
-            .ok_or_else(missing)
-    }
-
-    /// Sets a setting, as a server takes it.
-    pub(super) fn set(&self, name: &str, value: &str) -> Result<(), Refusal> {
-        let key = name.to_ascii_lowercase();
-        let usual = self
-            .settings
-            .borrow()
-            .get(&key)
-            .map(|(usual, _)| usual.clone());
-        let Some(usual) = usual.or_else(|| key.contains('.').then(|| name.to_owned())) else {
-            return Err(Refusal(
-                "42704",
-                format!("unrecognized configuration parameter \"{name}\""),
-            ));
-        };
-        let wrong = || {
-            Refusal(
-                "22023",
-                format!("invalid value for parameter \"{usual}\": \"{value}\""),
-            )
-        };
-        let value = match usual.as_str() {
-            "client_encoding" => {
-                match value
-                    .trim_matches('\'')
-                    .to_ascii_uppercase()
-                    .replace('-', "")
-                    .as_str()
-                {
-                    "UTF8" | "UNICODE" => "UTF8".to_owned(),
-                    "SQL_ASCII" => "SQL_ASCII".to_owned(),
-                    "LATIN1" => "LATIN1".to_owned(),
-                    _ => return Err(wrong()),
-                }
-            }
-            "DateStyle" => {
-                let mut parts = value
-                    .split(',')
-                    .map(|part| part.trim().to_ascii_uppercase());
-                let order = parts
-                    .clone()
-                    .find(|part| matches!(part.as_str(), "MDY" | "DMY" | "YMD"));
-                let style = match parts
-                    .find(|part| !matches!(part.as_str(), "MDY" | "DMY" | "YMD"))
-                    .as_deref()
-                {
-                    Some("ISO") | None => "ISO",
-                    Some("SQL") => "SQL",
-                    Some("GERMAN") => "German",
-                    Some("POSTGRES") => "Postgres",
-                    Some(_) => return Err(wrong()),
-                };
-                format!("{style}, {}", order.unwrap_or_else(|| "MDY".to_owned()))
-            }
-            "statement_timeout" | "lock_timeout" | "idle_in_transaction_session_timeout" => {
-                let number = value.trim_end_matches("ms").trim();
-                match number
-                    .strip_suffix('s')
-                    .unwrap_or(number)
-                    .trim()
-                    .parse::<u64>()
-                {
-                    Ok(count) if number.ends_with('s') => (count * 1000).to_string(),
-                    Ok(count) => count.to_string(),
-                    Err(_) => return Err(wrong()),
-                }
-            }
-            "extra_float_digits" => value.parse::<i32>().map_err(|_| wrong())?.to_string(),
-            "default_transaction_read_only"
-            | "standard_conforming_strings"
-            | "transaction_read_only"
-            | "jit" => match Value::read_text(Type::BOOL, value) {
-                Ok(Value::Bool(truth)) => if truth { "on" } else { "off" }.to_owned(),
-                _ => return Err(wrong()),
-            },
-            "server_version" | "server_encoding" | "integer_datetimes" | "in_hot_standby"
-            | "is_superuser" => {
-                return Err(Refusal(
-                    "55P02",
-                    format!("parameter \"{usual}\" cannot be changed"),
-                ));
-            }
-            _ => value.to_owned(),
-        };
-        self.settings.borrow_mut().insert(key, (usual, value));
-        Ok(())
-    }
-
-    pub(super) fn set_to_default(&self, name: &str) {
-        let key = name.to_ascii_lowercase();
-        let mut settings = self.settings.borrow_mut();
-        match self.at_start.get(&key) {
-            Some(first) => drop(settings.insert(key, first.clone())),
-            None => drop(settings.remove(&key)),
-        }
-    }
-
     pub(super) fn mark(&self) -> String {
         format!("pg_temp_{}.", self.number)
     }
