--- a/adapters/gossip/src/config.rs
+++ b/adapters/gossip/src/config.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use badgerpost_membership::{Key, KeyError};
-use badgerpost_settings::file::{self, NotPrivate};
+use badgerpost_settings::private_file::{self, PrivateFileError};
 use serde::Deserialize;
 
 /// More seeds than this are a mistake: a few of them are enough to join.
@@ -127,12 +127,12 @@
     /// The key.
     pub fn key(&self) -> Result<Key, ConfigError> {
         let path = || self.key_file.clone();
-        let text = file::read_private(&self.key_file).map_err(|error| match error {
-            NotPrivate::Unread(source) => ConfigError::Unread {
+        let text = private_file::read(&self.key_file).map_err(|error| match error {
+            PrivateFileError::Unreadable(source) => ConfigError::Unread {
                 path: path(),
                 source,
             },
-            NotPrivate::Open => ConfigError::Open(path()),
+            PrivateFileError::AccessibleByOthers => ConfigError::Open(path()),
         })?;
         Key::read(&text).map_err(|source| ConfigError::Key {
             path: path(),
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{Idempotency, Nanos};
-use badgerpost_settings::name_tag;
+use badgerpost_settings::name_hash;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -315,7 +315,7 @@
     let hint = single(headers, COST)?
         .map(|text| whole(COST, text))
         .transpose()?;
-    let key = cookie(headers, KEY_COOKIE).map(name_tag);
+    let key = cookie(headers, KEY_COOKIE).map(name_hash);
     let repeat = single(headers, AGAIN)? == Some("1");
     let body = read(node.clock(), slot, bodies, body).await?;
     if effect == Idempotency::Idempotent
--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -468,7 +468,8 @@
     /// old.
     fn take(&self, place: Place) -> Option<(Link, Nanos)> {
         let (link, rest) = self.idle.take(&place, self.clock.now(), REST)?;
-        (rest < self.links.idle / IDLE_PART && self.aged.is_fit(rest)).then_some((link, rest))
+        (rest < self.links.idle_timeout / IDLE_PART && self.aged.is_fit(rest))
+            .then_some((link, rest))
     }
 
     /// Keeps a connection for the next attempt, unless its backend has left or moved meanwhile.
@@ -514,7 +515,7 @@
     }
 
     fn drop_stale(&self) {
-        let most = self.links.idle / IDLE_PART;
+        let most = self.links.idle_timeout / IDLE_PART;
         self.idle.retain(self.clock.now(), |_, link, idle| {
             link.is_idle() && idle < most
         });
--- a/adapters/postgres/src/config.rs
+++ b/adapters/postgres/src/config.rs
@@ -9,7 +9,7 @@
 use badgerpost_engine::DiscoveredEndpoint;
 use badgerpost_postgres_session::scram::Verifier;
 use badgerpost_settings::Site;
-use badgerpost_settings::file::{self, NotPrivate};
+use badgerpost_settings::private_file::{self, PrivateFileError};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -192,19 +192,19 @@
 
 /// Reads a file that only its owner may read.
 pub(crate) fn secret(path: &Path) -> Result<String, ConfigError> {
-    file::read_private(path).map_err(|error| not_private(path, error))
+    private_file::read(path).map_err(|error| not_private(path, error))
 }
 
 /// Whether only its owner may read a file.
 pub(crate) fn check_private(path: &Path) -> Result<(), ConfigError> {
-    file::check_private(path).map_err(|error| not_private(path, error))
+    private_file::check(path).map_err(|error| not_private(path, error))
 }
 
-fn not_private(path: &Path, error: NotPrivate) -> ConfigError {
+fn not_private(path: &Path, error: PrivateFileError) -> ConfigError {
     let path = path.to_owned();
     match error {
-        NotPrivate::Unread(source) => ConfigError::Unread { path, source },
-        NotPrivate::Open => ConfigError::Open(path),
+        PrivateFileError::Unreadable(source) => ConfigError::Unread { path, source },
+        PrivateFileError::AccessibleByOthers => ConfigError::Open(path),
     }
 }
 
@@ -302,7 +302,8 @@
                 "probes": false, "retry-after": true, "max-retry-after-ns": 1_000_000_000_u64},
             "rules": {"answer-slack-ns": 20_000_000, "drain-grace-ns": 500_000_000, "fall-ns": 1_500_000_000,
                 "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000_000_000_u64}});
-        let mut site = badgerpost_settings::read(&settings).map_err(ConfigError::Wrong)?;
+        let mut site = badgerpost_settings::read(&settings)
+            .map_err(|error| ConfigError::Wrong(error.to_string()))?;
         // A server works on as many transactions as it has connections; so few more wait for one of these that
         // the module, not the pool, has the order of those that wait.
         site.settings.max_queue_per_size = self.per_server.max(1) as f64 * 1.25;
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -175,7 +175,8 @@
 
     /// The settings, in the module's words.
     pub fn site(&self) -> Result<Site, ConfigError> {
-        let site = badgerpost_settings::read(&self.settings).map_err(ConfigError::Settings)?;
+        let site = badgerpost_settings::read(&self.settings)
+            .map_err(|error| ConfigError::Settings(error.to_string()))?;
         site.settings
             .validate()
             .map_err(|error| ConfigError::Settings(error.to_string()))?;
@@ -231,7 +232,7 @@
         }
         if let Some(peers) = &config.own.peers {
             let watched = config.own.zones.is_some_and(|zones| zones.watch);
-            peers.check(site.peers, watched, site.settings.zone_count)?;
+            peers.check(site.gossip_allowed, watched, site.settings.zone_count)?;
         }
         if config.own.rehearsal.is_some() {
             config.check_loopback()?;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -106,7 +106,7 @@
     let bodies = Budget::new(edge.bodies());
     let (zone, nodes) = (site.settings.local_zone.0 as u8, site.settings.node_count);
     let upstream = Upstream::new(
-        site.links,
+        site.connections,
         clock.clone(),
         shares.servers.clone(),
         bodies.clone(),
@@ -114,7 +114,7 @@
     spawn(Upstream::sweep(upstream.pool()));
     let node = Node::new(
         site.settings,
-        site.words,
+        site.names,
         seed,
         clock.clone(),
         Rc::new(upstream),
@@ -323,7 +323,7 @@
         config.limits(),
     );
     let launcher = Rc::new(postgres::upstream::Upstream(pool.clone()));
-    let fleet = Fleet::new(site.settings, site.words, seed, clock.clone(), launcher)
+    let fleet = Fleet::new(site.settings, site.names, seed, clock.clone(), launcher)
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
     fleet.endpoints_updated(
         if config.discovery.is_some() {
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use badgerpost_balancer::{BackendId, Endpoint, EndpointState, EndpointUpdate, Nanos};
-use badgerpost_settings::{NameTable, name_tag};
+use badgerpost_settings::{NameTable, name_hash};
 
 use crate::protocol::DiscoveredEndpoint;
 
@@ -132,7 +132,7 @@
             zone: words.zone(&listed.zone),
             machine_kind: words.kind(&listed.machine_kind),
             cell: listed.cell,
-            name_hash: name_tag(&listed.name),
+            name_hash: name_hash(&listed.name),
             state: listed.state,
             size: listed.size,
             started_at: (listed.started_at_ms > 0)
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -45,7 +45,7 @@
     let site = badgerpost_settings::read(&config).expect("settings");
     let kept = Rc::new(Kept::default());
     let node =
-        Engine::new(site.settings, site.words, 7, Clock::system(), kept.clone()).expect("a node");
+        Engine::new(site.settings, site.names, 7, Clock::system(), kept.clone()).expect("a node");
     (node, kept)
 }
 
--- a/engine/src/engine/tests/any_order.rs
+++ b/engine/src/engine/tests/any_order.rs
@@ -65,7 +65,7 @@
         let site = badgerpost_settings::read(&config).expect("settings");
         let (kept, steps) = (Rc::new(Kept::default()), VirtualClock::at(1000 * MS));
         let clock = Clock::stepped(steps.clone());
-        let node = Engine::new(site.settings, site.words, 7, clock, kept.clone()).expect("a node");
+        let node = Engine::new(site.settings, site.names, 7, clock, kept.clone()).expect("a node");
         let (seen, out) = (Vec::new(), Vec::new());
         let mut world = Self {
             node,
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -106,7 +106,7 @@
     pub class: u32,
     /// Its tenant.
     pub tenant: Option<u32>,
-    /// What it concerns, as a number drawn from that thing's name ([`badgerpost_settings::name_tag`]).
+    /// What it concerns, as a number drawn from that thing's name ([`badgerpost_settings::name_hash`]).
     pub affinity_key: Option<u64>,
     /// Its work, where the client guesses it.
     pub expected_work: Option<Nanos>,
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -1,5 +1,6 @@
-//! Files that people write, in TOML. What is wrong with one is said in a line that names file, line and key.
+//! Reads files that people write, in TOML. An error names the file, the line and the key.
 
+use std::io;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 
@@ -10,27 +11,32 @@
 pub enum FileError {
     /// It can't be read.
     #[error("{}: {source}", path.display())]
-    Unread {
+    Unreadable {
         /// The file.
         path: PathBuf,
-        /// What happened.
-        source: std::io::Error,
+        /// The operating system's error.
+        source: io::Error,
     },
-    /// What it says makes no sense.
-    #[error("{}:{line}: {key}{problem}", path.display())]
-    Bad {
+    /// Its text is not TOML, or has a key or a value that is not permitted.
+    #[error("{}:{line}: {}{problem}", path.display(), key_prefix(key.as_deref()))]
+    Invalid {
         /// The file.
         path: PathBuf,
         /// The line, from 1.
         line: usize,
-        /// The key and a colon, where there is one.
-        key: String,
+        /// The key on that line, if there is one.
+        key: Option<String>,
         /// What is wrong.
         problem: String,
     },
 }
 
-/// A file and its text, to tell where in it something is wrong.
+/// The key and a colon, as they stand before a problem; nothing where there is no key.
+fn key_prefix(key: Option<&str>) -> String {
+    key.map(|key| format!("{key}: ")).unwrap_or_default()
+}
+
+/// The text of a TOML file together with its path, so that errors can name the place.
 pub struct Source {
     path: PathBuf,
     text: String,
@@ -39,8 +45,7 @@
 impl Source {
     /// Reads the file.
     pub fn read(path: &Path) -> Result<Self, FileError> {
-        let text = std::fs::read_to_string(path);
-        let text = text.map_err(|source| FileError::Unread {
+        let text = std::fs::read_to_string(path).map_err(|source| FileError::Unreadable {
             path: path.to_owned(),
             source,
         })?;
@@ -50,7 +55,8 @@
         })
     }
 
-    /// A text that is shipped with the program, under a name.
+    /// A text that is built into the program; errors call it `name`.
+    #[must_use]
     pub fn shipped(name: &str, text: &str) -> Self {
         Self {
             path: PathBuf::from(name),
@@ -58,12 +64,13 @@
         }
     }
 
-    /// The file's text.
+    /// The text.
+    #[must_use]
     pub fn text(&self) -> &str {
         &self.text
     }
 
-    /// What the file says. Keys that `T` does not know are errors if `T` denies them.
+    /// Parses the text. Keys that `T` does not know are errors if `T` denies them.
     pub fn parse<T: DeserializeOwned>(&self) -> Result<T, FileError> {
         toml::from_str(&self.text).map_err(|error| {
             let problem = error.message().replace('\n', "; ");
@@ -71,52 +78,24 @@
         })
     }
 
-    /// An error at this place, in bytes of the text.
-    pub fn bad(&self, at: Range<usize>, problem: impl Into<String>) -> FileError {
-        let start = at.start.min(self.text.len());
+    /// An error about the line on which `span`, in bytes of the text, starts.
+    #[must_use]
+    pub fn bad(&self, span: Range<usize>, problem: impl Into<String>) -> FileError {
+        let start = span.start.min(self.text.len());
         let before = self.text.get(..start).unwrap_or_default();
-        let line = before.matches('\n').count() + 1;
-        let whole = self.text.lines().nth(line - 1).unwrap_or_default();
-        let key = whole
-            .split_once('=')
-            .map(|(key, _)| format!("{}: ", key.trim()))
-            .unwrap_or_default();
-        FileError::Bad {
+        let line_index = before.matches('\n').count();
+        let line_text = self.text.lines().nth(line_index).unwrap_or_default();
+        let key = line_text.split_once('=').map(|(key, _)| key.trim());
+        FileError::Invalid {
             path: self.path.clone(),
-            line,
-            key,
+            line: line_index + 1,
+            key: key.map(str::to_owned),
             problem: problem.into(),
         }
     }
 }
 
-/// Why a file is no place for a secret.
-#[derive(Debug)]
-pub enum NotPrivate {
-    /// It can't be read.
-    Unread(std::io::Error),
-    /// Others may read it: its mode must be 0600.
-    Open,
-}
-
-/// Whether only its owner may read a file.
-pub fn check_private(path: &Path) -> Result<(), NotPrivate> {
-    use std::os::unix::fs::PermissionsExt;
-    let about = std::fs::metadata(path).map_err(NotPrivate::Unread)?;
-    if about.permissions().mode() & 0o077 != 0 {
-        Err(NotPrivate::Open)
-    } else {
-        Ok(())
-    }
-}
-
-/// Reads a file that only its owner may read.
-pub fn read_private(path: &Path) -> Result<String, NotPrivate> {
-    check_private(path)?;
-    std::fs::read_to_string(path).map_err(NotPrivate::Unread)
-}
-
-/// Reads a file.
+/// Reads and parses a file.
 pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, FileError> {
     Source::read(path)?.parse()
 }
--- a/settings/src/file/tests.rs
+++ b/settings/src/file/tests.rs
@@ -3,7 +3,7 @@
 #[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Wanted {
-    #[allow(dead_code)]
+    #[expect(dead_code, reason = "only errors are looked at")]
     count: u32,
 }
 
--- a/settings/src/tests.rs
+++ b/settings/src/name_table/tests.rs
@@ -5,11 +5,11 @@
 fn names_are_bounded() {
     let mut names = vec!["first".to_owned()];
     let last = (0..5000)
-        .map(|n| position(&mut names, &n.to_string()))
+        .map(|n| find_or_insert(&mut names, &n.to_string()))
         .max();
     assert_eq!(
         (names.len(), last),
-        (MOST_NAMES, Some(MOST_NAMES as u32 - 1))
+        (MAX_NAMES, Some(id_of_position(MAX_NAMES - 1)))
     );
-    assert_eq!(position(&mut names, "first"), 0);
+    assert_eq!(find_or_insert(&mut names, "first"), 0);
 }
--- /dev/null
+++ b/settings/src/read.rs
@@ -0,0 +1,296 @@
+//! Reads the settings object, section by section.
+//!
+//! Where several keys are wrong, the error names the first in the order in which they are read here. Operators' tools
+//! know the texts, and tests hold them with the order.
+
+use badgerpost_balancer::{
+    ClassSettings, DedupScope, Discovery, Idempotency, Limits, Nanos, SafetyLimits, Settings,
+    WeightSource, ZoneId,
+};
+use serde_json::Value;
+
+use crate::name_table::id_of_position;
+use crate::{ConnectionSettings, NameTable, ObjectError, ObjectReader, Site};
+
+/// Weight of a class without `importance`, of a request over its tenant's quota without `over-share-worth`.
+const DEFAULT_WEIGHT: f64 = 1.0;
+/// Nodes that share the backends where the settings have no `n-instances`.
+const DEFAULT_NODE_COUNT: u64 = 1;
+/// Shortest time between two timers where the settings have no `quantum-ns`: 1 ms.
+const DEFAULT_TIMER_RESOLUTION: Nanos = 1_000_000;
+/// Idle timeout of backend connections where the settings have no `conn-idle-ns`: 15 s.
+const DEFAULT_IDLE_TIMEOUT: Nanos = 15_000_000_000;
+/// Connect timeout where the settings have no `connect-timeout-ns`: 250 ms.
+const DEFAULT_CONNECT_TIMEOUT: Nanos = 250_000_000;
+/// The poll interval where the settings have no `ask-within-ns`: no bound.
+const UNBOUNDED_POLL_INTERVAL: Nanos = Nanos::MAX;
+
+/// The name of the settings object in errors.
+const SETTINGS: &str = "settings";
+/// The name of the list of request classes in errors.
+const CLASSES: &str = "settings: classes";
+/// The name of the list of tenants in errors.
+const TENANTS: &str = "settings: projects";
+
+/// Reads a settings object.
+///
+/// The result is well-formed but not yet checked for use: `Settings::validate` does that.
+///
+/// # Errors
+///
+/// An error names the object and the key that is missing or of the wrong type.
+pub fn read(config: &Value) -> Result<Site, ObjectError> {
+    let root = ObjectReader::new(SETTINGS, config)?;
+    let lists = Lists::read(&root)?;
+    let sections = Sections::read(&root)?;
+    let settings = read_balancer_settings(&root, &lists, &sections)?;
+    let machine_kinds = read_machine_kinds(&root)?;
+    Ok(Site {
+        settings,
+        names: lists.into_name_table(machine_kinds),
+        connections: read_connections(&sections.limits)?,
+        gossip_allowed: sections.limits.is_true("peers"),
+    })
+}
+
+/// The lists whose entries the balancer knows by their positions.
+struct Lists {
+    zones: Vec<String>,
+    local_zone: ZoneId,
+    classes: Vec<NamedClass>,
+    tenants: Vec<Tenant>,
+}
+
+impl Lists {
+    fn read(root: &ObjectReader) -> Result<Self, ObjectError> {
+        let zones = root.strings("zones")?;
+        Ok(Self {
+            local_zone: read_local_zone(root, &zones)?,
+            classes: read_classes(root)?,
+            tenants: read_tenants(root)?,
+            zones,
+        })
+    }
+
+    fn into_name_table(self, machine_kinds: Vec<String>) -> NameTable {
+        let classes = self.classes.into_iter().map(|class| class.name);
+        let tenants = self.tenants.into_iter().map(|tenant| tenant.name);
+        NameTable::new(
+            self.zones,
+            classes.collect(),
+            machine_kinds,
+            tenants.collect(),
+        )
+    }
+}
+
+/// The objects within the settings object.
+struct Sections<'a> {
+    limits: ObjectReader<'a>,
+    rules: ObjectReader<'a>,
+    goal: ObjectReader<'a>,
+}
+
+impl<'a> Sections<'a> {
+    fn read(root: &ObjectReader<'a>) -> Result<Self, ObjectError> {
+        Ok(Self {
+            limits: root.object("policy-limits")?,
+            rules: root.object("rules")?,
+            goal: root.object("goal")?,
+        })
+    }
+}
+
+/// A request class and its name.
+struct NamedClass {
+    name: String,
+    settings: ClassSettings,
+}
+
+/// A tenant with its quota over all nodes, in requests a second.
+struct Tenant {
+    name: String,
+    quota: f64,
+}
+
+/// The position of this node's zone among `zones`.
+fn read_local_zone(root: &ObjectReader, zones: &[String]) -> Result<ZoneId, ObjectError> {
+    let name = root.string("az")?;
+    let position = zones
+        .iter()
+        .position(|zone| zone == name)
+        .ok_or_else(|| root.invalid("az"))?;
+    Ok(ZoneId(id_of_position(position)))
+}
+
+fn read_classes(root: &ObjectReader) -> Result<Vec<NamedClass>, ObjectError> {
+    root.array("classes")?.iter().map(read_class).collect()
+}
+
+fn read_class(element: &Value) -> Result<NamedClass, ObjectError> {
+    let class = ObjectReader::of_element(CLASSES, element)?;
+    let idempotency = read_idempotency(&class)?;
+    let settings = ClassSettings {
+        latency_objective: class.unsigned_integer("on-time-ns")?,
+        deadline: class.unsigned_integer("deadline-ns")?,
+        priority_weight: class.number_or("importance", DEFAULT_WEIGHT)?,
+        late_value_fraction: class.number_or("late-share", 0.0)?,
+        idempotency,
+    };
+    Ok(NamedClass {
+        name: class.string("name")?.to_owned(),
+        settings,
+    })
+}
+
+fn read_idempotency(class: &ObjectReader) -> Result<Idempotency, ObjectError> {
+    match class.string("effect")? {
+        "repeatable" => Ok(Idempotency::Idempotent),
+        "once" => Ok(Idempotency::NonIdempotent),
+        "by_key" => Ok(Idempotency::Keyed {
+            scope: read_dedup_scope(class)?,
+            window: class.unsigned_integer("window-ns")?,
+        }),
+        _ => Err(class.invalid("effect")),
+    }
+}
+
+fn read_dedup_scope(class: &ObjectReader) -> Result<DedupScope, ObjectError> {
+    match class.string("key-scope")? {
+        "all" => Ok(DedupScope::All),
+        "zone" => Ok(DedupScope::Zone),
+        "cell" => Ok(DedupScope::Cell),
+        _ => Err(class.invalid("key-scope")),
+    }
+}
+
+/// The tenants; none where the settings have no `projects`.
+fn read_tenants(root: &ObjectReader) -> Result<Vec<Tenant>, ObjectError> {
+    if !root.contains_key("projects") {
+        return Ok(Vec::new());
+    }
+    root.array("projects")?.iter().map(read_tenant).collect()
+}
+
+fn read_tenant(element: &Value) -> Result<Tenant, ObjectError> {
+    let tenant = ObjectReader::of_element(TENANTS, element)?;
+    Ok(Tenant {
+        name: tenant.string("name")?.to_owned(),
+        quota: tenant.number("quota-rps")?,
+    })
+}
+
+/// The names of the machine kinds; none where the settings have no `kinds`.
+fn read_machine_kinds(root: &ObjectReader) -> Result<Vec<String>, ObjectError> {
+    if !root.contains_key("kinds") {
+        return Ok(Vec::new());
+    }
+    root.strings("kinds")
+}
+
+fn read_balancer_settings(
+    root: &ObjectReader,
+    lists: &Lists,
+    sections: &Sections,
+) -> Result<Settings, ObjectError> {
+    // Read before the keys of the root object: tests hold the order in which wrong keys are named.
+    let max_retry_after = read_max_retry_after(&sections.limits)?;
+    let local_zone = lists.local_zone;
+    let zone_count = id_of_position(lists.zones.len());
+    Ok(Settings {
+        local_zone,
+        zone_count,
+        node_count: saturate(root.unsigned_integer_or("n-instances", DEFAULT_NODE_COUNT)?),
+        classes: lists.classes.iter().map(|class| class.settings).collect(),
+        tenant_quotas: lists.tenants.iter().map(|tenant| tenant.quota).collect(),
+        over_quota_value: root.number_or("over-share-worth", DEFAULT_WEIGHT)?,
+        discovery: read_discovery(root)?,
+        weight_source: read_weight_source(root),
+        max_queue_per_size: Settings::new(local_zone, zone_count).max_queue_per_size,
+        reports_by_health_check: reports_by_health_check(root),
+        key_affinity: has_key_affinity(root),
+        limits: read_limits(&sections.limits, max_retry_after)?,
+        rules: read_safety_limits(&sections.rules)?,
+        worst_class_goal: sections.goal.number_or("worst-class", 0.0)?,
+        retries_marked: are_retries_marked(root),
+        value_per_request: root.lenient_string("worth-by") == Some("work"),
+        timer_resolution: root.unsigned_integer_or("quantum-ns", DEFAULT_TIMER_RESOLUTION)?,
+    })
+}
+
+fn read_discovery(root: &ObjectReader) -> Result<Discovery, ObjectError> {
+    match root.string("discovery")? {
+        "pushed" => Ok(Discovery::Pushed),
+        "on_request" => Ok(Discovery::Polled),
+        _ => Err(root.invalid("discovery")),
+    }
+}
+
+fn read_weight_source(root: &ObjectReader) -> WeightSource {
+    match root.lenient_string("weights") {
+        Some("live") => WeightSource::LoadAdjusted,
+        _ => WeightSource::Registered,
+    }
+}
+
+/// Whether backends report their load in answers to health checks only.
+fn reports_by_health_check(root: &ObjectReader) -> bool {
+    root.lenient_object("report")
+        .and_then(|report| report.lenient_string("how"))
+        == Some("pull")
+}
+
+/// Whether a backend that has lately served a key does less work for it.
+fn has_key_affinity(root: &ObjectReader) -> bool {
+    root.lenient_object("family-info")
+        .is_some_and(|family| family.is_true("warm-keys"))
+}
+
+/// Whether clients mark all of their retries.
+fn are_retries_marked(root: &ObjectReader) -> bool {
+    root.lenient_object("callers")
+        .is_some_and(|callers| callers.is_true("marks-retry"))
+}
+
+/// Longest `Retry-After` that clients honour, in nanoseconds; 0 where they honour none.
+fn read_max_retry_after(limits: &ObjectReader) -> Result<Nanos, ObjectError> {
+    if !limits.is_true("retry-after") {
+        return Ok(0);
+    }
+    limits.unsigned_integer_or("max-retry-after-ns", 0)
+}
+
+fn read_limits(limits: &ObjectReader, max_retry_after: Nanos) -> Result<Limits, ObjectError> {
+    Ok(Limits {
+        max_attempts: saturate(limits.unsigned_integer("attempts-cap")?),
+        hedging: limits.is_true("second-copies"),
+        health_checks: limits.is_true("probes"),
+        cancellation: limits.is_true("may-cancel"),
+        max_retry_after,
+    })
+}
+
+fn read_safety_limits(rules: &ObjectReader) -> Result<SafetyLimits, ObjectError> {
+    Ok(SafetyLimits {
+        answer_grace: rules.unsigned_integer("answer-slack-ns")?,
+        poll_interval: rules.unsigned_integer_or("ask-within-ns", UNBOUNDED_POLL_INTERVAL)?,
+        drain_grace: rules.unsigned_integer("drain-grace-ns")?,
+        slow_start_capacity: rules.number("start-capacity")?,
+        slow_start_duration: rules.unsigned_integer("warm-after-ns")?,
+        overload_multiple: rules.number("tip-multiple")?,
+        overload_window: rules.unsigned_integer("fall-ns")?,
+    })
+}
+
+fn read_connections(limits: &ObjectReader) -> Result<ConnectionSettings, ObjectError> {
+    Ok(ConnectionSettings {
+        idle_timeout: limits.unsigned_integer_or("conn-idle-ns", DEFAULT_IDLE_TIMEOUT)?,
+        connect_timeout: limits
+            .unsigned_integer_or("connect-timeout-ns", DEFAULT_CONNECT_TIMEOUT)?,
+    })
+}
+
+/// A number as `u32`; one that does not fit as the largest that does.
+fn saturate(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- a/settings/tests/read_settings.rs
+++ b/settings/tests/read_settings.rs
@@ -313,31 +313,37 @@
         idempotency,
         [Idempotency::Idempotent, keyed, Idempotency::NonIdempotent]
     );
-    assert_eq!((site.links.idle, site.links.connect_timeout), (8, 6));
-    assert!(site.peers);
+    assert_eq!(
+        (
+            site.connections.idle_timeout,
+            site.connections.connect_timeout
+        ),
+        (8, 6)
+    );
+    assert!(site.gossip_allowed);
 }
 
 #[test]
 fn names_have_the_numbers_of_their_positions() {
-    let mut words = badgerpost_settings::read(&complete())
+    let mut names = badgerpost_settings::read(&complete())
         .expect("settings")
-        .words;
+        .names;
     assert_eq!(
-        (words.zone("a"), words.zone("b"), words.zone("new")),
+        (names.zone("a"), names.zone("b"), names.zone("new")),
         (ZoneId(0), ZoneId(1), ZoneId(2))
     );
     assert_eq!(
-        (words.zone_name(ZoneId(2)), words.zone_name(ZoneId(3))),
+        (names.zone_name(ZoneId(2)), names.zone_name(ZoneId(3))),
         (Some("new"), None)
     );
-    assert_eq!((words.kind("large"), words.kind("new")), (1, 2));
-    assert_eq!(words.class_names(), ["read", "write", "pay"]);
-    assert_eq!((words.class("pay"), words.class("new")), (Some(2), None));
+    assert_eq!((names.kind("large"), names.kind("new")), (1, 2));
+    assert_eq!(names.class_names(), ["read", "write", "pay"]);
+    assert_eq!((names.class("pay"), names.class("new")), (Some(2), None));
     assert_eq!(
         (
-            words.tenant(Some("t2")),
-            words.tenant(Some("new")),
-            words.tenant(None)
+            names.tenant(Some("t2")),
+            names.tenant(Some("new")),
+            names.tenant(None)
         ),
         (Some(1), None, None)
     );
@@ -374,10 +380,13 @@
         (1.0, 0.0)
     );
     assert_eq!(
-        (site.links.idle, site.links.connect_timeout),
+        (
+            site.connections.idle_timeout,
+            site.connections.connect_timeout
+        ),
         (15_000_000_000, 250_000_000)
     );
-    assert!(!site.peers);
+    assert!(!site.gossip_allowed);
 }
 
 #[test]
@@ -457,7 +466,7 @@
     assert_eq!(
         badgerpost_settings::read(&twice)
             .expect("settings")
-            .words
+            .names
             .class("read"),
         Some(2)
     );
--- a/simulator/src/main.rs
+++ b/simulator/src/main.rs
@@ -11,7 +11,7 @@
     Action, AttemptResult, BackendId, Balancer, ClassId, Endpoint, EndpointUpdate, Event, Nanos,
     RequestArrival, RequestId,
 };
-use badgerpost_settings::{Fields, NameTable, name_tag};
+use badgerpost_settings::{NameTable, ObjectError, ObjectReader, name_hash};
 use serde_json::{Value, json};
 use wire::Line;
 
@@ -51,7 +51,7 @@
                 zone: self.words.zone(&entry.zone),
                 machine_kind: self.words.kind(&entry.kind),
                 cell: entry.cell,
-                name_hash: name_tag(&entry.backend),
+                name_hash: name_hash(&entry.backend),
                 state: entry.stage,
                 size: entry.size,
                 started_at: entry.online_since,
@@ -174,19 +174,19 @@
     }
 
     /// Takes one line in. True when the batch is complete.
-    fn take(&mut self, line: &Line) -> Result<bool, String> {
-        let Fields { tag, .. } = line.fields;
+    fn take(&mut self, line: &Line) -> Result<bool, ObjectError> {
         let fields = &line.fields;
+        let tag = fields.name();
         match tag {
-            "BATCH" => self.now = fields.whole("sim-time-ns")?,
+            "BATCH" => self.now = fields.unsigned_integer("sim-time-ns")?,
             "GO" => return Ok(true),
             "MANIFEST" => {
                 self.manifests
-                    .insert(fields.integer("list")?, wire::entries(fields)?);
+                    .insert(fields.signed_integer("list")?, wire::entries(fields)?);
             }
             "OPEN_INSTANCE" => self.open(fields)?,
             "EXIT" => {
-                self.instances.remove(&fields.integer("who")?);
+                self.instances.remove(&fields.signed_integer("who")?);
             }
             "FLEET" | "INCOMING" | "SETTLED" | "ACK_FIRST" | "LEFT" | "STATUS_BACK" | "WAKEUP" => {
                 self.event(tag, fields)?;
@@ -201,13 +201,16 @@
         Ok(false)
     }
 
-    fn open(&mut self, fields: &Fields) -> Result<(), String> {
-        let who = fields.integer("who")?;
-        let seed = fields.whole("nonce64")?;
-        let made = badgerpost_settings::read(fields.get("config")?).and_then(|site| {
-            let node = Balancer::new(site.settings, seed, self.now).map_err(|e| e.to_string())?;
-            Ok((node, site.words))
-        });
+    fn open(&mut self, fields: &ObjectReader) -> Result<(), ObjectError> {
+        let who = fields.signed_integer("who")?;
+        let seed = fields.unsigned_integer("nonce64")?;
+        let made = badgerpost_settings::read(fields.required("config")?)
+            .map_err(|e| e.to_string())
+            .and_then(|site| {
+                let node =
+                    Balancer::new(site.settings, seed, self.now).map_err(|e| e.to_string())?;
+                Ok((node, site.names))
+            });
         match made {
             Ok((node, words)) => {
                 let instance = Instance {
@@ -227,28 +230,28 @@
         Ok(())
     }
 
-    fn event(&mut self, tag: &str, fields: &Fields) -> Result<(), String> {
-        let who = fields.integer("who")?;
+    fn event(&mut self, tag: &str, fields: &ObjectReader) -> Result<(), ObjectError> {
+        let who = fields.signed_integer("who")?;
         let Some(instance) = self.instances.get_mut(&who) else {
             return Ok(());
         };
         let event = match tag {
             "FLEET" => {
-                let scope = match fields.text("mode")? {
+                let scope = match fields.string("mode")? {
                     "delta" => Some(EndpointUpdate::Delta),
                     "full" => Some(EndpointUpdate::Snapshot),
                     "cached" => Some(EndpointUpdate::Cached),
                     "failed" => None,
-                    _ => return Err(fields.wrong("mode")),
+                    _ => return Err(fields.invalid("mode")),
                 };
                 match scope {
                     None => Event::DiscoveryFailed,
                     Some(scope) => {
-                        let list = fields.integer("list")?;
+                        let list = fields.signed_integer("list")?;
                         let entries = self
                             .manifests
                             .get(&list)
-                            .ok_or_else(|| fields.wrong("list"))?;
+                            .ok_or_else(|| fields.invalid("list"))?;
                         Event::EndpointsUpdated {
                             update: scope,
                             endpoints: instance.members(entries),
@@ -259,33 +262,31 @@
             "INCOMING" => {
                 let class = instance
                     .words
-                    .class(fields.text("band")?)
-                    .ok_or_else(|| fields.wrong("band"))?;
-                let options = fields.whole_or("options", 0)?;
-                let hint = fields.whole_or("weight-hint-ns", 0)?;
-                let not_after = fields.whole("not-after-ns")?;
-                let name = fields.text("request-id")?;
+                    .class(fields.string("band")?)
+                    .ok_or_else(|| fields.invalid("band"))?;
+                let options = fields.unsigned_integer_or("options", 0)?;
+                let hint = fields.unsigned_integer_or("weight-hint-ns", 0)?;
+                let not_after = fields.unsigned_integer("not-after-ns")?;
+                let name = fields.string("request-id")?;
                 Event::RequestArrived(RequestArrival {
                     request: instance.request(name),
                     class: ClassId(class),
-                    affinity_key: fields.map.get("key").and_then(Value::as_str).map(name_tag),
+                    affinity_key: fields.lenient_string("key").map(name_hash),
                     expected_work: (options & 1 != 0).then_some(hint),
                     is_retry: options & 2 != 0,
-                    tenant: instance
-                        .words
-                        .tenant(fields.map.get("org").and_then(Value::as_str)),
+                    tenant: instance.words.tenant(fields.lenient_string("org")),
                     expires_at: not_after,
                 })
             }
             "SETTLED" => {
-                let ended = fields.flag("no-more")?;
+                let ended = fields.boolean("no-more")?;
                 let settlement = (
                     wire::outcome(fields)?,
-                    fields.whole("elapsed-ns")?,
+                    fields.unsigned_integer("elapsed-ns")?,
                     wire::report(fields)?,
                 );
-                let attempt = fields.whole("try")? as u32;
-                let Some(&request) = instance.requests.get(fields.text("request-id")?) else {
+                let attempt = fields.unsigned_integer("try")? as u32;
+                let Some(&request) = instance.requests.get(fields.string("request-id")?) else {
                     return Ok(());
                 };
                 let (outcome, elapsed, report) = settlement;
@@ -308,7 +309,7 @@
                 return Ok(());
             }
             "ACK_FIRST" | "LEFT" => {
-                let Some(&request) = instance.requests.get(fields.text("request-id")?) else {
+                let Some(&request) = instance.requests.get(fields.string("request-id")?) else {
                     return Ok(());
                 };
                 if tag == "ACK_FIRST" {
@@ -322,8 +323,8 @@
                 }
             }
             "STATUS_BACK" => {
-                let backend = instance.backend(fields.text("backend")?);
-                let elapsed = fields.whole("elapsed-ns")?;
+                let backend = instance.backend(fields.string("backend")?);
+                let elapsed = fields.unsigned_integer("elapsed-ns")?;
                 Event::HealthCheckEnded {
                     backend,
                     outcome: wire::outcome(fields)?,
@@ -332,7 +333,7 @@
                 }
             }
             _ => Event::TimerFired {
-                token: fields.whole("name")?,
+                token: fields.unsigned_integer("name")?,
             },
         };
         self.handle(who, event);
--- a/simulator/src/wire.rs
+++ b/simulator/src/wire.rs
@@ -1,13 +1,13 @@
 //! The wire's lines, read with plain errors.
 
 use badgerpost_balancer::{EndpointState, LoadReport, Nanos, Outcome};
-use badgerpost_settings::Fields;
+use badgerpost_settings::{ObjectError, ObjectReader};
 use serde_json::Value;
 
 /// A line of input: an object with one key, its name.
 pub struct Line<'a> {
     pub number: u64,
-    pub fields: Fields<'a>,
+    pub fields: ObjectReader<'a>,
 }
 
 impl<'a> Line<'a> {
@@ -18,19 +18,15 @@
             .filter(|object| object.len() == 1)
             .ok_or_else(malformed)?;
         let (tag, body) = object.iter().next().ok_or_else(malformed)?;
-        let map = body
-            .as_object()
-            .ok_or_else(|| format!("line {number}: {tag}: not an object"))?;
-        Ok(Self {
-            number,
-            fields: Fields { tag, map },
-        })
+        let fields =
+            ObjectReader::new(tag, body).map_err(|error| format!("line {number}: {error}"))?;
+        Ok(Self { number, fields })
     }
 }
 
 /// The outcome that a message tells.
-pub fn outcome(fields: &Fields) -> Result<Outcome, String> {
-    Ok(match fields.text("disposition")? {
+pub fn outcome(fields: &ObjectReader) -> Result<Outcome, ObjectError> {
+    Ok(match fields.string("disposition")? {
         "S" => Outcome::Success,
         "E" => Outcome::Error,
         "F" => Outcome::Rejected,
@@ -39,16 +35,16 @@
         "R" => Outcome::Reset,
         "X" => Outcome::Cancelled,
         "N" => Outcome::NotSent,
-        _ => return Err(fields.wrong("disposition")),
+        _ => return Err(fields.invalid("disposition")),
     })
 }
 
 /// The load report that a message carries, if any.
-pub fn report(fields: &Fields) -> Result<LoadReport, String> {
-    let Some(usage) = fields.map.get("usage").filter(|usage| !usage.is_null()) else {
+pub fn report(fields: &ObjectReader) -> Result<LoadReport, ObjectError> {
+    let Some(usage) = fields.optional("usage") else {
         return Ok(LoadReport::default());
     };
-    let usage = usage.as_object().ok_or_else(|| fields.wrong("usage"))?;
+    let usage = usage.as_object().ok_or_else(|| fields.invalid("usage"))?;
     let figure = |name: &str| usage.get(name).and_then(Value::as_f64);
     Ok(LoadReport {
         utilization: figure("load_share"),
@@ -68,30 +64,26 @@
     pub online_since: Option<Nanos>,
 }
 
-pub fn entries(fields: &Fields) -> Result<Vec<Entry>, String> {
+pub fn entries(fields: &ObjectReader) -> Result<Vec<Entry>, ObjectError> {
     let list = fields.array("members-list")?;
     list.iter()
         .map(|value| {
-            let map = value
-                .as_object()
-                .ok_or_else(|| fields.wrong("members-list"))?;
-            let entry = Fields {
-                tag: "MANIFEST",
-                map,
-            };
+            let entry =
+                ObjectReader::new("MANIFEST", value).map_err(|_| fields.invalid("members-list"))?;
             Ok(Entry {
-                backend: entry.text("backend")?.to_owned(),
-                zone: entry.text("hall")?.to_owned(),
-                kind: entry.text("type")?.to_owned(),
-                cell: entry.whole_or("pod", 0)?,
-                stage: match entry.text("stage-state")? {
+                backend: entry.string("backend")?.to_owned(),
+                zone: entry.string("hall")?.to_owned(),
+                kind: entry.string("type")?.to_owned(),
+                cell: entry.unsigned_integer_or("pod", 0)?,
+                stage: match entry.string("stage-state")? {
                     "in_service" => EndpointState::InService,
                     "terminating" => EndpointState::Draining,
                     "terminated" => EndpointState::Removed,
-                    _ => return Err(entry.wrong("stage-state")),
+                    _ => return Err(entry.invalid("stage-state")),
                 },
                 size: entry.number_or("power-hint", 1.0)?,
-                online_since: Some(entry.whole_or("online-since-ns", 0)?).filter(|&at| at > 0),
+                online_since: Some(entry.unsigned_integer_or("online-since-ns", 0)?)
+                    .filter(|&at| at > 0),
             })
         })
         .collect()
