--- a/settings/src/object_reader.rs
+++ b/settings/src/object_reader.rs
@@ -129,6 +129,12 @@
         self.number(key)
     }
 
+    /// A number, or `None` for a missing key and for a value of any other type.
+    #[must_use]
+    pub fn lenient_number(&self, key: &str) -> Option<f64> {
+        self.map.get(key).and_then(Value::as_f64)
+    }
+
     /// A string.
     pub fn string(&self, key: &str) -> Result<&'a str, ObjectError> {
         let value = self.required(key)?;
--- a/simulator/src/wire.rs
+++ b/simulator/src/wire.rs
@@ -1,90 +1,31 @@
-//! The wire's lines, read with plain errors.
+//! The simulator's protocol: lines of JSON, each an object whose only key is the message's name.
+//!
+//! The simulator's words stay on the wire; within the program the standard terms are used:
+//!
+//! | wire | here |
+//! | --- | --- |
+//! | `who` | instance |
+//! | `MANIFEST`, `list` | endpoint list and its id |
+//! | `hall`, `type`, `pod` | zone, machine kind, cell |
+//! | `INCOMING`, `band`, `org` | request arrived, class, tenant |
+//! | `SETTLED`, `try`, `disposition`, `no-more` | attempt ended, attempt, outcome, request ended |
+//! | `ACK_FIRST`, `LEFT` | response started, client disconnected |
+//! | `STATUS_BACK`, `usage` | health check ended, load report |
+//! | `DEFER`, `WAKEUP` | set timer, timer fired |
+//! | `PLACE`, `DECLINE`, `END_FAILED`, `RECALL`, `TEST` | send, reject, fail, cancel, check health |
 
-use badgerpost_balancer::{EndpointState, LoadReport, Nanos, Outcome};
-use badgerpost_settings::{ObjectError, ObjectReader};
-use serde_json::Value;
+pub mod endpoint_list;
+pub mod events;
+pub mod input;
+pub mod output;
 
-/// A line of input: an object with one key, its name.
-pub struct Line<'a> {
-    pub number: u64,
-    pub fields: ObjectReader<'a>,
-}
+use serde::Serialize;
 
-impl<'a> Line<'a> {
-    pub fn new(number: u64, value: &'a Value) -> Result<Self, String> {
-        let malformed = || format!("line {number}: not an object with a single key");
-        let object = value
-            .as_object()
-            .filter(|object| object.len() == 1)
-            .ok_or_else(malformed)?;
-        let (tag, body) = object.iter().next().ok_or_else(malformed)?;
-        let fields =
-            ObjectReader::new(tag, body).map_err(|error| format!("line {number}: {error}"))?;
-        Ok(Self { number, fields })
-    }
-}
+/// One instance of the balancer, numbered by the simulator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(transparent)]
+pub struct InstanceId(pub i64);
 
-/// The outcome that a message tells.
-pub fn outcome(fields: &ObjectReader) -> Result<Outcome, ObjectError> {
-    Ok(match fields.string("disposition")? {
-        "S" => Outcome::Success,
-        "E" => Outcome::Error,
-        "F" => Outcome::Rejected,
-        "T" => Outcome::TimedOut,
-        "C" => Outcome::ConnectFailed,
-        "R" => Outcome::Reset,
-        "X" => Outcome::Cancelled,
-        "N" => Outcome::NotSent,
-        _ => return Err(fields.invalid("disposition")),
-    })
-}
-
-/// The load report that a message carries, if any.
-pub fn report(fields: &ObjectReader) -> Result<LoadReport, ObjectError> {
-    let Some(usage) = fields.optional("usage") else {
-        return Ok(LoadReport::default());
-    };
-    let usage = usage.as_object().ok_or_else(|| fields.invalid("usage"))?;
-    let figure = |name: &str| usage.get(name).and_then(Value::as_f64);
-    Ok(LoadReport {
-        utilization: figure("load_share"),
-        requests_per_second: figure("tps"),
-        in_flight: figure("concurrent"),
-    })
-}
-
-/// An entry of a list, still in the wire's words.
-pub struct Entry {
-    pub backend: String,
-    pub zone: String,
-    pub kind: String,
-    pub cell: u64,
-    pub stage: EndpointState,
-    pub size: f64,
-    pub online_since: Option<Nanos>,
-}
-
-pub fn entries(fields: &ObjectReader) -> Result<Vec<Entry>, ObjectError> {
-    let list = fields.array("members-list")?;
-    list.iter()
-        .map(|value| {
-            let entry =
-                ObjectReader::new("MANIFEST", value).map_err(|_| fields.invalid("members-list"))?;
-            Ok(Entry {
-                backend: entry.string("backend")?.to_owned(),
-                zone: entry.string("hall")?.to_owned(),
-                kind: entry.string("type")?.to_owned(),
-                cell: entry.unsigned_integer_or("pod", 0)?,
-                stage: match entry.string("stage-state")? {
-                    "in_service" => EndpointState::InService,
-                    "terminating" => EndpointState::Draining,
-                    "terminated" => EndpointState::Removed,
-                    _ => return Err(entry.invalid("stage-state")),
-                },
-                size: entry.number_or("power-hint", 1.0)?,
-                online_since: Some(entry.unsigned_integer_or("online-since-ns", 0)?)
-                    .filter(|&at| at > 0),
-            })
-        })
-        .collect()
-}
+/// An endpoint list, numbered by the simulator; a later list may have the same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ListId(pub i64);
--- /dev/null
+++ b/simulator/src/wire/events.rs
@@ -0,0 +1,268 @@
+//! The messages from the simulator that concern one instance.
+
+use std::collections::HashMap;
+
+use badgerpost_balancer::{ClassId, EndpointUpdate, LoadReport, Nanos, Outcome};
+use badgerpost_settings::{NameTable, ObjectError, ObjectReader, name_hash};
+
+use super::ListId;
+use super::endpoint_list::{ListedEndpoint, read_list_id};
+
+/// Bit of `options`: the field `weight-hint-ns` holds the expected work.
+const OPTION_EXPECTED_WORK: u64 = 1;
+/// Bit of `options`: the client marks the request as a retry.
+const OPTION_RETRY: u64 = 2;
+
+/// The kinds of events that concern one instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EventKind {
+    EndpointsUpdated,
+    RequestArrived,
+    AttemptEnded,
+    ResponseStarted,
+    ClientDisconnected,
+    HealthCheckEnded,
+    TimerFired,
+}
+
+impl EventKind {
+    fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "FLEET" => Some(Self::EndpointsUpdated),
+            "INCOMING" => Some(Self::RequestArrived),
+            "SETTLED" => Some(Self::AttemptEnded),
+            "ACK_FIRST" => Some(Self::ResponseStarted),
+            "LEFT" => Some(Self::ClientDisconnected),
+            "STATUS_BACK" => Some(Self::HealthCheckEnded),
+            "WAKEUP" => Some(Self::TimerFired),
+            _ => None,
+        }
+    }
+}
+
+/// An event whose fields have not been read. It is parsed once its instance is known to run, since its names are those
+/// of the instance's settings and events for other instances are ignored, whatever their fields.
+#[derive(Clone, Copy, Debug)]
+pub struct UnparsedEvent<'a> {
+    kind: EventKind,
+    fields: ObjectReader<'a>,
+}
+
+/// An event that concerns one instance. Backends and requests have the simulator's names.
+#[derive(Clone, Copy, Debug)]
+pub enum InstanceEvent<'a> {
+    /// Discovery sent endpoints.
+    EndpointsUpdated {
+        /// Whether these are changes or a complete list.
+        update: EndpointUpdate,
+        /// The endpoints.
+        endpoints: &'a [ListedEndpoint],
+    },
+    /// A call to discovery failed or the watch ended.
+    DiscoveryFailed,
+    /// A request arrived.
+    RequestArrived(ArrivedRequest<'a>),
+    /// An attempt ended.
+    AttemptEnded(EndedAttempt<'a>),
+    /// The first byte of a response was passed on to the client.
+    ResponseStarted {
+        /// The request's name.
+        request: &'a str,
+    },
+    /// The client disconnected before the final answer.
+    ClientDisconnected {
+        /// The request's name.
+        request: &'a str,
+    },
+    /// A health check ended.
+    HealthCheckEnded(EndedHealthCheck<'a>),
+    /// A timer fired.
+    TimerFired {
+        /// The token that the timer was set with.
+        token: u64,
+    },
+}
+
+/// A request that arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct ArrivedRequest<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its class.
+    pub class: ClassId,
+    /// Hash of the key that it concerns, if it has one.
+    pub affinity_key: Option<u64>,
+    /// Expected work in nanoseconds on a standard core, if known.
+    pub expected_work: Option<Nanos>,
+    /// Whether the client marks it as a retry.
+    pub is_retry: bool,
+    /// Its tenant, if it has one that the settings list.
+    pub tenant: Option<u32>,
+    /// When the client gives up, in nanoseconds of the simulation.
+    pub expires_at: Nanos,
+}
+
+/// An attempt that ended.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedAttempt<'a> {
+    /// The request's name.
+    pub request: &'a str,
+    /// The attempt, from 0 in the order of the sends.
+    pub attempt: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since the send, in nanoseconds.
+    pub elapsed: Nanos,
+    /// Whether the request has ended, by this attempt or before.
+    pub request_ended: bool,
+    /// The backend's load, where it was reported.
+    pub report: LoadReport,
+}
+
+/// A health check that ended.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedHealthCheck<'a> {
+    /// The backend's name.
+    pub backend: &'a str,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since it was sent, in nanoseconds.
+    pub elapsed: Nanos,
+    /// The backend's load, where it was reported.
+    pub report: LoadReport,
+}
+
+impl<'a> UnparsedEvent<'a> {
+    /// The event in a message's body, or `None` where the message's name is not that of an event.
+    pub fn new(fields: ObjectReader<'a>) -> Option<Self> {
+        let kind = EventKind::from_name(fields.name())?;
+        Some(Self { kind, fields })
+    }
+
+    /// Parses the event for an instance whose settings have these names.
+    ///
+    /// # Errors
+    ///
+    /// A field is missing or of the wrong type, or refers to a class that is not among `names` or to a list that is
+    /// not among `endpoint_lists`.
+    pub fn parse(
+        &self,
+        names: &NameTable,
+        endpoint_lists: &'a HashMap<ListId, Vec<ListedEndpoint>>,
+    ) -> Result<InstanceEvent<'a>, ObjectError> {
+        let fields = &self.fields;
+        match self.kind {
+            EventKind::EndpointsUpdated => read_endpoints_updated(fields, endpoint_lists),
+            EventKind::RequestArrived => {
+                read_request(fields, names).map(InstanceEvent::RequestArrived)
+            }
+            EventKind::AttemptEnded => read_attempt(fields).map(InstanceEvent::AttemptEnded),
+            EventKind::ResponseStarted => Ok(InstanceEvent::ResponseStarted {
+                request: fields.string("request-id")?,
+            }),
+            EventKind::ClientDisconnected => Ok(InstanceEvent::ClientDisconnected {
+                request: fields.string("request-id")?,
+            }),
+            EventKind::HealthCheckEnded => {
+                read_health_check(fields).map(InstanceEvent::HealthCheckEnded)
+            }
+            EventKind::TimerFired => Ok(InstanceEvent::TimerFired {
+                token: fields.unsigned_integer("name")?,
+            }),
+        }
+    }
+}
+
+fn read_endpoints_updated<'a>(
+    fields: &ObjectReader<'a>,
+    endpoint_lists: &'a HashMap<ListId, Vec<ListedEndpoint>>,
+) -> Result<InstanceEvent<'a>, ObjectError> {
+    let update = match fields.string("mode")? {
+        "delta" => EndpointUpdate::Delta,
+        "full" => EndpointUpdate::Snapshot,
+        "cached" => EndpointUpdate::Cached,
+        "failed" => return Ok(InstanceEvent::DiscoveryFailed),
+        _ => return Err(fields.invalid("mode")),
+    };
+    let list = read_list_id(fields)?;
+    let endpoints = endpoint_lists
+        .get(&list)
+        .ok_or_else(|| fields.invalid("list"))?;
+    Ok(InstanceEvent::EndpointsUpdated { update, endpoints })
+}
+
+fn read_request<'a>(
+    fields: &ObjectReader<'a>,
+    names: &NameTable,
+) -> Result<ArrivedRequest<'a>, ObjectError> {
+    let class = names
+        .class(fields.string("band")?)
+        .ok_or_else(|| fields.invalid("band"))?;
+    let options = fields.unsigned_integer_or("options", 0)?;
+    let expected_work = fields.unsigned_integer_or("weight-hint-ns", 0)?;
+    let has_expected_work = options & OPTION_EXPECTED_WORK != 0;
+    Ok(ArrivedRequest {
+        expires_at: fields.unsigned_integer("not-after-ns")?,
+        name: fields.string("request-id")?,
+        class: ClassId(class),
+        affinity_key: fields.lenient_string("key").map(name_hash),
+        expected_work: has_expected_work.then_some(expected_work),
+        is_retry: options & OPTION_RETRY != 0,
+        tenant: names.tenant(fields.lenient_string("org")),
+    })
+}
+
+fn read_attempt<'a>(fields: &ObjectReader<'a>) -> Result<EndedAttempt<'a>, ObjectError> {
+    Ok(EndedAttempt {
+        request_ended: fields.boolean("no-more")?,
+        outcome: read_outcome(fields)?,
+        elapsed: fields.unsigned_integer("elapsed-ns")?,
+        report: read_load_report(fields)?,
+        attempt: read_attempt_number(fields)?,
+        request: fields.string("request-id")?,
+    })
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the simulator repeats the number of an attempt, which was sent as u32"
+)]
+fn read_attempt_number(fields: &ObjectReader) -> Result<u32, ObjectError> {
+    Ok(fields.unsigned_integer("try")? as u32)
+}
+
+fn read_health_check<'a>(fields: &ObjectReader<'a>) -> Result<EndedHealthCheck<'a>, ObjectError> {
+    Ok(EndedHealthCheck {
+        backend: fields.string("backend")?,
+        elapsed: fields.unsigned_integer("elapsed-ns")?,
+        outcome: read_outcome(fields)?,
+        report: read_load_report(fields)?,
+    })
+}
+
+fn read_outcome(fields: &ObjectReader) -> Result<Outcome, ObjectError> {
+    match fields.string("disposition")? {
+        "S" => Ok(Outcome::Success),
+        "E" => Ok(Outcome::Error),
+        "F" => Ok(Outcome::Rejected),
+        "T" => Ok(Outcome::TimedOut),
+        "C" => Ok(Outcome::ConnectFailed),
+        "R" => Ok(Outcome::Reset),
+        "X" => Ok(Outcome::Cancelled),
+        "N" => Ok(Outcome::NotSent),
+        _ => Err(fields.invalid("disposition")),
+    }
+}
+
+/// The load report in a message; empty where there is none. Figures of a wrong type count as absent.
+fn read_load_report(fields: &ObjectReader) -> Result<LoadReport, ObjectError> {
+    if fields.optional("usage").is_none() {
+        return Ok(LoadReport::default());
+    }
+    let usage = fields.object("usage")?;
+    Ok(LoadReport {
+        utilization: usage.lenient_number("load_share"),
+        requests_per_second: usage.lenient_number("tps"),
+        in_flight: usage.lenient_number("concurrent"),
+    })
+}
--- /dev/null
+++ b/simulator/src/wire/output/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+fn line(reply: &Reply) -> String {
+    serde_json::to_string(reply).expect("JSON")
+}
+
+#[test]
+fn a_cancelled_attempt_is_a_recall() {
+    let reply = Reply::Cancel {
+        request: "r\"1".to_owned(),
+        attempt: 2,
+        instance: InstanceId(-1),
+    };
+    let wanted = r#"{"RECALL":{"request-id":"r\"1","try":2,"who":-1}}"#;
+    assert_eq!(line(&reply), wanted);
+}
+
+#[test]
+fn a_fetched_snapshot_is_a_query_of_all() {
+    let reply = Reply::FetchSnapshot {
+        instance: InstanceId(3),
+    };
+    assert_eq!(line(&reply), r#"{"QUERY_ALL":{"who":3}}"#);
+}
--- a/simulator/tests/process.rs
+++ b/simulator/tests/process.rs
@@ -1,5 +1,12 @@
 //! The adapter as a process, on small batches written by hand.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
+
 mod common;
 
 use common::{batch, fleet, incoming, manifest, open, reply, run};
--- a/simulator/tests/wire_format.rs
+++ b/simulator/tests/wire_format.rs
@@ -1,5 +1,12 @@
 //! The exact lines that the simulator host reads and writes, and its exact error texts.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
+
 mod common;
 
 use common::{batch, fleet, incoming, manifest, open, reply, run};
@@ -147,119 +154,9 @@
     }
 }
 
-#[test]
-fn error_texts_name_the_message_and_the_field() {
-    for (message, body, field) in [
-        ("BATCH", r#"{}"#, "sim-time-ns"),
-        ("BATCH", r#"{"sim-time-ns":1.5}"#, "sim-time-ns"),
-        ("MANIFEST", r#"{"members-list":[]}"#, "list"),
-        ("MANIFEST", r#"{"list":1}"#, "members-list"),
-        (
-            "MANIFEST",
-            r#"{"list":1,"members-list":[1]}"#,
-            "members-list",
-        ),
-        ("MANIFEST", r#"{"list":1,"members-list":[{}]}"#, "backend"),
-        (
-            "MANIFEST",
-            r#"{"list":1,"members-list":[{"backend":"b"}]}"#,
-            "hall",
-        ),
-        (
-            "MANIFEST",
-            r#"{"list":1,"members-list":[{"backend":"b","hall":"a"}]}"#,
-            "type",
-        ),
-        (
-            "MANIFEST",
-            r#"{"list":1,"members-list":[{"backend":"b","hall":"a","type":"k","pod":"x"}]}"#,
-            "pod",
-        ),
-        (
-            "MANIFEST",
-            r#"{"list":1,"members-list":[{"backend":"b","hall":"a","type":"k","stage-state":"x"}]}"#,
-            "stage-state",
-        ),
-        (
-            "MANIFEST",
-            r#"{"list":1,"members-list":[{"backend":"b","hall":"a","type":"k","stage-state":"terminated","power-hint":"x"}]}"#,
-            "power-hint",
-        ),
-        (
-            "MANIFEST",
-            r#"{"list":1,"members-list":[{"backend":"b","hall":"a","type":"k","stage-state":"terminated","online-since-ns":"x"}]}"#,
-            "online-since-ns",
-        ),
-        ("OPEN_INSTANCE", r#"{}"#, "who"),
-        ("OPEN_INSTANCE", r#"{"who":2}"#, "nonce64"),
-        ("OPEN_INSTANCE", r#"{"who":2,"nonce64":1}"#, "config"),
-        ("EXIT", r#"{"who":null}"#, "who"),
-        ("FLEET", r#"{}"#, "who"),
-        ("FLEET", r#"{"who":1}"#, "mode"),
-        ("FLEET", r#"{"who":1,"mode":"x"}"#, "mode"),
-        ("FLEET", r#"{"who":1,"mode":"full"}"#, "list"),
-        ("FLEET", r#"{"who":1,"mode":"full","list":9}"#, "list"),
-        ("INCOMING", r#"{"who":1}"#, "band"),
-        ("INCOMING", r#"{"who":1,"band":"x"}"#, "band"),
-        (
-            "INCOMING",
-            r#"{"who":1,"band":"read","options":"x"}"#,
-            "options",
-        ),
-        (
-            "INCOMING",
-            r#"{"who":1,"band":"read","weight-hint-ns":"x"}"#,
-            "weight-hint-ns",
-        ),
-        ("INCOMING", r#"{"who":1,"band":"read"}"#, "not-after-ns"),
-        (
-            "INCOMING",
-            r#"{"who":1,"band":"read","not-after-ns":1}"#,
-            "request-id",
-        ),
-        ("SETTLED", r#"{"who":1}"#, "no-more"),
-        ("SETTLED", r#"{"who":1,"no-more":true}"#, "disposition"),
-        (
-            "SETTLED",
-            r#"{"who":1,"no-more":true,"disposition":"Q"}"#,
-            "disposition",
-        ),
-        (
-            "SETTLED",
-            r#"{"who":1,"no-more":true,"disposition":"S"}"#,
-            "elapsed-ns",
-        ),
-        (
-            "SETTLED",
-            r#"{"who":1,"no-more":true,"disposition":"S","elapsed-ns":1,"usage":1}"#,
-            "usage",
-        ),
-        (
-            "SETTLED",
-            r#"{"who":1,"no-more":true,"disposition":"S","elapsed-ns":1}"#,
-            "try",
-        ),
-        (
-            "SETTLED",
-            r#"{"who":1,"no-more":true,"disposition":"S","elapsed-ns":1,"try":0}"#,
-            "request-id",
-        ),
-        ("ACK_FIRST", r#"{"who":1}"#, "request-id"),
-        ("LEFT", r#"{"who":1,"request-id":1}"#, "request-id"),
-        ("STATUS_BACK", r#"{"who":1}"#, "backend"),
-        ("STATUS_BACK", r#"{"who":1,"backend":"b"}"#, "elapsed-ns"),
-        (
-            "STATUS_BACK",
-            r#"{"who":1,"backend":"b","elapsed-ns":1}"#,
-            "disposition",
-        ),
-        (
-            "STATUS_BACK",
-            r#"{"who":1,"backend":"b","elapsed-ns":1,"disposition":"S","usage":[]}"#,
-            "usage",
-        ),
-        ("WAKEUP", r#"{"who":1}"#, "name"),
-    ] {
+/// Checks that a message with each of these bodies ends the program with an error about the field.
+fn assert_field_errors(message: &str, bodies: &[(&str, &str)]) {
+    for (body, field) in bodies {
         let found = failure(&(open(1) + &line(&format!(r#"{{"{message}":{body}}}"#))));
         let problem = format!("field {field} is missing or of the wrong type");
         assert_eq!(
@@ -270,6 +167,142 @@
     }
 }
 
+#[test]
+fn error_texts_of_batches_and_instances_name_message_and_field() {
+    assert_field_errors(
+        "BATCH",
+        &[
+            (r#"{}"#, "sim-time-ns"),
+            (r#"{"sim-time-ns":1.5}"#, "sim-time-ns"),
+        ],
+    );
+    assert_field_errors(
+        "OPEN_INSTANCE",
+        &[
+            (r#"{}"#, "who"),
+            (r#"{"who":2}"#, "nonce64"),
+            (r#"{"who":2,"nonce64":1}"#, "config"),
+        ],
+    );
+    assert_field_errors("EXIT", &[(r#"{"who":null}"#, "who")]);
+}
+
+#[test]
+fn error_texts_of_endpoint_lists_name_message_and_field() {
+    assert_field_errors(
+        "MANIFEST",
+        &[
+            (r#"{"members-list":[]}"#, "list"),
+            (r#"{"list":1}"#, "members-list"),
+            (r#"{"list":1,"members-list":[1]}"#, "members-list"),
+            (r#"{"list":1,"members-list":[{}]}"#, "backend"),
+            (r#"{"list":1,"members-list":[{"backend":"b"}]}"#, "hall"),
+            (
+                r#"{"list":1,"members-list":[{"backend":"b","hall":"a"}]}"#,
+                "type",
+            ),
+            (
+                r#"{"list":1,"members-list":[{"backend":"b","hall":"a","type":"k","pod":"x"}]}"#,
+                "pod",
+            ),
+            (
+                r#"{"list":1,"members-list":[{"backend":"b","hall":"a","type":"k","stage-state":"x"}]}"#,
+                "stage-state",
+            ),
+            (
+                r#"{"list":1,"members-list":[{"backend":"b","hall":"a","type":"k","stage-state":"terminated","power-hint":"x"}]}"#,
+                "power-hint",
+            ),
+            (
+                r#"{"list":1,"members-list":[{"backend":"b","hall":"a","type":"k","stage-state":"terminated","online-since-ns":"x"}]}"#,
+                "online-since-ns",
+            ),
+        ],
+    );
+}
+
+#[test]
+fn error_texts_of_endpoint_updates_name_message_and_field() {
+    assert_field_errors(
+        "FLEET",
+        &[
+            (r#"{}"#, "who"),
+            (r#"{"who":1}"#, "mode"),
+            (r#"{"who":1,"mode":"x"}"#, "mode"),
+            (r#"{"who":1,"mode":"full"}"#, "list"),
+            (r#"{"who":1,"mode":"full","list":9}"#, "list"),
+        ],
+    );
+}
+
+#[test]
+fn error_texts_of_requests_name_message_and_field() {
+    assert_field_errors(
+        "INCOMING",
+        &[
+            (r#"{"who":1}"#, "band"),
+            (r#"{"who":1,"band":"x"}"#, "band"),
+            (r#"{"who":1,"band":"read","options":"x"}"#, "options"),
+            (
+                r#"{"who":1,"band":"read","weight-hint-ns":"x"}"#,
+                "weight-hint-ns",
+            ),
+            (r#"{"who":1,"band":"read"}"#, "not-after-ns"),
+            (r#"{"who":1,"band":"read","not-after-ns":1}"#, "request-id"),
+        ],
+    );
+    assert_field_errors("ACK_FIRST", &[(r#"{"who":1}"#, "request-id")]);
+    assert_field_errors("LEFT", &[(r#"{"who":1,"request-id":1}"#, "request-id")]);
+}
+
+#[test]
+fn error_texts_of_attempts_name_message_and_field() {
+    assert_field_errors(
+        "SETTLED",
+        &[
+            (r#"{"who":1}"#, "no-more"),
+            (r#"{"who":1,"no-more":true}"#, "disposition"),
+            (
+                r#"{"who":1,"no-more":true,"disposition":"Q"}"#,
+                "disposition",
+            ),
+            (
+                r#"{"who":1,"no-more":true,"disposition":"S"}"#,
+                "elapsed-ns",
+            ),
+            (
+                r#"{"who":1,"no-more":true,"disposition":"S","elapsed-ns":1,"usage":1}"#,
+                "usage",
+            ),
+            (
+                r#"{"who":1,"no-more":true,"disposition":"S","elapsed-ns":1}"#,
+                "try",
+            ),
+            (
+                r#"{"who":1,"no-more":true,"disposition":"S","elapsed-ns":1,"try":0}"#,
+                "request-id",
+            ),
+        ],
+    );
+}
+
+#[test]
+fn error_texts_of_health_checks_and_timers_name_message_and_field() {
+    assert_field_errors(
+        "STATUS_BACK",
+        &[
+            (r#"{"who":1}"#, "backend"),
+            (r#"{"who":1,"backend":"b"}"#, "elapsed-ns"),
+            (r#"{"who":1,"backend":"b","elapsed-ns":1}"#, "disposition"),
+            (
+                r#"{"who":1,"backend":"b","elapsed-ns":1,"disposition":"S","usage":[]}"#,
+                "usage",
+            ),
+        ],
+    );
+    assert_field_errors("WAKEUP", &[(r#"{"who":1}"#, "name")]);
+}
+
 #[test]
 fn odd_lines_are_accepted() {
     let lines = [
