--- a/settings/src/name_table.rs
+++ b/settings/src/name_table.rs
@@ -8,6 +8,14 @@
 /// those beyond this many share the last id, so that the table stays bounded.
 const MAX_NAMES: usize = 1024;
 
+/// The names in a settings object, each list in the settings' order.
+pub(crate) struct SettingsNames {
+    pub(crate) zones: Vec<String>,
+    pub(crate) classes: Vec<String>,
+    pub(crate) machine_kinds: Vec<String>,
+    pub(crate) tenants: Vec<String>,
+}
+
 /// The ids that one node has given to the names of its zones, request classes, machine kinds and tenants.
 ///
 /// An id is the position of its name: first those of the settings in their order, then new ones as they appear.
@@ -20,18 +28,13 @@
 }
 
 impl NameTable {
-    /// A table of the names in the settings, each list in the settings' order.
-    pub(crate) fn new(
-        zones: Vec<String>,
-        classes: Vec<String>,
-        machine_kinds: Vec<String>,
-        tenants: Vec<String>,
-    ) -> Self {
+    /// A table of the names in the settings.
+    pub(crate) fn new(names: SettingsNames) -> Self {
         Self {
-            zones,
-            classes: classes.into_iter().zip(0..).collect(),
-            machine_kinds,
-            tenants,
+            zones: names.zones,
+            classes: names.classes.into_iter().zip(0..).collect(),
+            machine_kinds: names.machine_kinds,
+            tenants: names.tenants,
         }
     }
 
--- a/settings/src/read.rs
+++ b/settings/src/read.rs
@@ -9,11 +9,13 @@
 };
 use serde_json::Value;
 
-use crate::name_table::id_of_position;
+use crate::name_table::{SettingsNames, id_of_position};
 use crate::{ConnectionSettings, NameTable, ObjectError, ObjectReader, Site};
 
-/// Weight of a class without `importance`, of a request over its tenant's quota without `over-share-worth`.
-const DEFAULT_WEIGHT: f64 = 1.0;
+/// Priority weight of a class without `importance`.
+const DEFAULT_PRIORITY_WEIGHT: f64 = 1.0;
+/// Value of a request over its tenant's quota, against one within it, where the settings have no `over-share-worth`.
+const DEFAULT_OVER_QUOTA_VALUE: f64 = 1.0;
 /// Nodes that share the backends where the settings have no `n-instances`.
 const DEFAULT_NODE_COUNT: u64 = 1;
 /// Shortest time between two timers where the settings have no `quantum-ns`: 1 ms.
@@ -34,7 +36,8 @@
 
 /// Reads a settings object.
 ///
-/// The result is well-formed but not yet checked for use: `Settings::validate` does that.
+/// Unknown keys are ignored. Switches count as off, and the other optional keys that choose a mode as absent, where
+/// their value has another type. The result is well-formed but not yet checked for use: [`Settings::validate`] does that.
 ///
 /// # Errors
 ///
@@ -75,12 +78,12 @@
     fn into_name_table(self, machine_kinds: Vec<String>) -> NameTable {
         let classes = self.classes.into_iter().map(|class| class.name);
         let tenants = self.tenants.into_iter().map(|tenant| tenant.name);
-        NameTable::new(
-            self.zones,
-            classes.collect(),
+        NameTable::new(SettingsNames {
+            zones: self.zones,
+            classes: classes.collect(),
             machine_kinds,
-            tenants.collect(),
-        )
+            tenants: tenants.collect(),
+        })
     }
 }
 
@@ -133,7 +136,7 @@
     let settings = ClassSettings {
         latency_objective: class.unsigned_integer("on-time-ns")?,
         deadline: class.unsigned_integer("deadline-ns")?,
-        priority_weight: class.number_or("importance", DEFAULT_WEIGHT)?,
+        priority_weight: class.number_or("importance", DEFAULT_PRIORITY_WEIGHT)?,
         late_value_fraction: class.number_or("late-share", 0.0)?,
         idempotency,
     };
@@ -203,7 +206,7 @@
         node_count: saturate(root.unsigned_integer_or("n-instances", DEFAULT_NODE_COUNT)?),
         classes: lists.classes.iter().map(|class| class.settings).collect(),
         tenant_quotas: lists.tenants.iter().map(|tenant| tenant.quota).collect(),
-        over_quota_value: root.number_or("over-share-worth", DEFAULT_WEIGHT)?,
+        over_quota_value: root.number_or("over-share-worth", DEFAULT_OVER_QUOTA_VALUE)?,
         discovery: read_discovery(root)?,
         weight_source: read_weight_source(root),
         max_queue_per_size: Settings::new(local_zone, zone_count).max_queue_per_size,
