--- a/simulator/tests/common/mod.rs
+++ b/simulator/tests/common/mod.rs
@@ -18,11 +18,11 @@
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
-        .expect("the adapter starts");
+        .expect("the program starts");
     let mut stdin = child.stdin.take().expect("a pipe");
     stdin.write_all(input.as_bytes()).ok();
     drop(stdin);
-    child.wait_with_output().expect("the adapter ends")
+    child.wait_with_output().expect("the program ends")
 }
 
 /// Its output on this input, which must be good.
--- a/simulator/tests/process.rs
+++ b/simulator/tests/process.rs
@@ -1,4 +1,4 @@
-//! The adapter as a process, on small batches written by hand.
+//! The simulator host as a process, on small batches written by hand.
 
 #![allow(
     clippy::unwrap_used,
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn a_list_number_used_twice_in_a_batch_goes_by_the_order() {
+fn an_endpoint_list_id_used_twice_in_a_batch_means_the_latest_list() {
     let lines = [
         open(1),
         open(2),
@@ -35,8 +35,8 @@
         manifest(0, "b-two"),
         fleet(2, 0),
     ];
-    let asks = [incoming(1, "r1"), incoming(2, "r2")];
-    let out = reply(&(batch(0, &lines) + &batch(1_000_000, &asks)));
+    let requests = [incoming(1, "r1"), incoming(2, "r2")];
+    let out = reply(&(batch(0, &lines) + &batch(1_000_000, &requests)));
     assert!(
         placed(&out, 1)[0].contains("b-one") && placed(&out, 2)[0].contains("b-two"),
         "{out}"
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn an_instance_killed_and_reopened_in_one_batch_knows_nothing_of_before() {
+fn an_instance_stopped_and_started_in_one_batch_keeps_no_state() {
     let first = [open(1), manifest(0, "b-old"), fleet(1, 0)];
     let exit = "{\"EXIT\":{\"who\":1}}\n".to_owned();
     let second = [
@@ -60,31 +60,32 @@
 }
 
 #[test]
-fn instances_together_act_as_they_do_apart() {
+fn instances_in_one_process_act_as_in_processes_of_their_own() {
     let lines = |who: u32| {
         let start = vec![open(who), manifest(0, "b-one"), fleet(who, 0)];
-        let asks: Vec<String> = (0..3)
+        let requests: Vec<String> = (0..3)
             .map(|n| incoming(who, &format!("r{who}{n}")))
             .collect();
-        (start, asks)
+        (start, requests)
     };
-    let ((start1, asks1), (start2, asks2)) = (lines(1), lines(2));
-    let apart =
-        |start: &[String], asks: &[String]| reply(&(batch(0, start) + &batch(1_000_000, asks)));
-    let mixed: Vec<String> = asks1
+    let ((start1, requests1), (start2, requests2)) = (lines(1), lines(2));
+    let apart = |start: &[String], requests: &[String]| {
+        reply(&(batch(0, start) + &batch(1_000_000, requests)))
+    };
+    let mixed: Vec<String> = requests1
         .iter()
-        .zip(&asks2)
+        .zip(&requests2)
         .flat_map(|(a, b)| [a.clone(), b.clone()])
         .collect();
     let both =
         reply(&(batch(0, &[start1.clone(), start2.clone()].concat()) + &batch(1_000_000, &mixed)));
-    assert_eq!(placed(&both, 1), placed(&apart(&start1, &asks1), 1));
-    assert_eq!(placed(&both, 2), placed(&apart(&start2, &asks2), 2));
+    assert_eq!(placed(&both, 1), placed(&apart(&start1, &requests1), 1));
+    assert_eq!(placed(&both, 2), placed(&apart(&start2, &requests2), 2));
     assert_eq!(placed(&both, 1).len(), 3);
 }
 
 #[test]
-fn malformed_input_ends_with_the_line_and_the_field_and_no_partial_reply() {
+fn malformed_input_fails_with_line_and_field_and_no_partial_reply() {
     let cases = [
         ("{\"BATCH\":{\"sim-time-ns\":1}}\nnonsense\n", "line 2"),
         ("{\"BATCH\":{}}\n", "sim-time-ns"),
@@ -96,19 +97,22 @@
     ];
     for (input, named) in cases {
         let output = run(input);
-        let told = String::from_utf8_lossy(&output.stderr).into_owned();
+        let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
         assert!(
             !output.status.success() && output.stdout.is_empty(),
             "{input}"
         );
-        assert!(told.contains(named) && told.contains("line"), "{told}");
+        assert!(
+            stderr.contains(named) && stderr.contains("line"),
+            "{stderr}"
+        );
     }
 }
 
 #[test]
 fn an_unknown_event_is_skipped_with_one_warning() {
-    let odd = "{\"NOVELTY\":{\"who\":1}}\n".to_owned();
-    let output = run(&batch(1, &[odd.clone(), odd]));
+    let unknown = "{\"NOVELTY\":{\"who\":1}}\n".to_owned();
+    let output = run(&batch(1, &[unknown.clone(), unknown]));
     assert!(output.status.success());
     assert_eq!(
         String::from_utf8_lossy(&output.stderr)
@@ -119,7 +123,7 @@
 }
 
 #[test]
-fn unusable_settings_are_a_fault_that_names_the_field() {
+fn unusable_settings_are_reported_with_the_field() {
     for (from, to, field) in [
         ("\"zones\":[\"a\",\"b\"]", "\"zones\":[]", "az"),
         ("\"repeatable\"", "\"sometimes\"", "effect"),
