--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -66,7 +66,7 @@
             )
         });
         let text = format!("{CONFIG}{}", servers.collect::<String>());
-        let mut config: Config = Source::shipped("test", &text)
+        let mut config: Config = Source::embedded("test", &text)
             .parse()
             .expect("a configuration");
         change(&mut config);
--- a/adapters/postgres/tests/transactions.rs
+++ b/adapters/postgres/tests/transactions.rs
@@ -526,7 +526,7 @@
 #[test]
 fn the_section_is_checked() {
     let text = "listen = \"127.0.0.1:0\"\nzone = \"a\"\nusers = \"/no/such/file\"\nclass = []\nlogin = []\n";
-    let no_class: Config = Source::shipped("test", text)
+    let no_class: Config = Source::embedded("test", text)
         .parse()
         .expect("the keys that there must be");
     assert!(
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -57,7 +57,7 @@
 
     /// A text that is built into the program; errors call it `name`.
     #[must_use]
-    pub fn shipped(name: &str, text: &str) -> Self {
+    pub fn embedded(name: &str, text: &str) -> Self {
         Self {
             path: PathBuf::from(name),
             text: text.to_owned(),
@@ -74,13 +74,13 @@
     pub fn parse<T: DeserializeOwned>(&self) -> Result<T, FileError> {
         toml::from_str(&self.text).map_err(|error| {
             let problem = error.message().replace('\n', "; ");
-            self.bad(error.span().unwrap_or_default(), problem)
+            self.error_at(error.span().unwrap_or_default(), problem)
         })
     }
 
     /// An error about the line on which `span`, in bytes of the text, starts.
     #[must_use]
-    pub fn bad(&self, span: Range<usize>, problem: impl Into<String>) -> FileError {
+    pub fn error_at(&self, span: Range<usize>, problem: impl Into<String>) -> FileError {
         let start = span.start.min(self.text.len());
         let before = self.text.get(..start).unwrap_or_default();
         let line_index = before.matches('\n').count();
--- a/settings/src/file/tests.rs
+++ b/settings/src/file/tests.rs
@@ -20,7 +20,7 @@
         ),
         ("count = 1\ncount = 2\n", "x.toml:2: count: duplicate key"),
     ] {
-        let error = Source::shipped("x.toml", text)
+        let error = Source::embedded("x.toml", text)
             .parse::<Wanted>()
             .expect_err(text)
             .to_string();
--- a/testkit/scenarios/src/plan.rs
+++ b/testkit/scenarios/src/plan.rs
@@ -169,7 +169,7 @@
             return Err(bad("it is of another format"));
         }
         let name = format!("{} in {}", file.scene, path.display());
-        let mut scene = scene::check(&file.scene, Source::shipped(&name, &file.text))?;
+        let mut scene = scene::check(&file.scene, Source::embedded(&name, &file.text))?;
         let mut faults = Vec::new();
         for line in &file.faults {
             faults.push(
--- a/testkit/scenarios/src/postgres/scene.rs
+++ b/testkit/scenarios/src/postgres/scene.rs
@@ -80,7 +80,7 @@
 /// Finds a shipped scene of PostgreSQL, or reads a file of one. None for a name of another kind of scene.
 pub fn find(name: &str) -> Option<Result<PgScene, FileError>> {
     if let Some((name, text)) = SHIPPED.iter().find(|shipped| shipped.0 == name) {
-        return Some(check(&Source::shipped(&format!("{name}.toml"), text)));
+        return Some(check(&Source::embedded(&format!("{name}.toml"), text)));
     }
     let text = std::fs::read_to_string(name).ok()?;
     // Scenes of another kind have no transactions.
@@ -96,7 +96,7 @@
         if good {
             Ok(())
         } else {
-            Err(source.bad(span, problem))
+            Err(source.error_at(span, problem))
         }
     };
     let (transactions, clients, databases) =
--- a/testkit/scenarios/src/scene.rs
+++ b/testkit/scenarios/src/scene.rs
@@ -361,7 +361,7 @@
 /// Finds a scene by the name of a shipped one or by its file.
 pub fn find(name: &str) -> Result<Checked, FileError> {
     if let Some((name, text)) = SHIPPED.iter().find(|shipped| shipped.0 == name) {
-        return check(name, Source::shipped(&format!("{name}.toml"), text));
+        return check(name, Source::embedded(&format!("{name}.toml"), text));
     }
     let path = PathBuf::from(name);
     let stem = path
@@ -375,12 +375,12 @@
 /// Reads and checks a scene.
 pub fn check(name: &str, source: Source) -> Result<Checked, FileError> {
     let mut scene: Scene = source.parse()?;
-    let whole = |problem: &str| source.bad(0..0, problem);
+    let whole = |problem: &str| source.error_at(0..0, problem);
     let within = |span, good: bool, problem: &str| {
         if good {
             Ok(())
         } else {
-            Err(source.bad(span, problem))
+            Err(source.error_at(span, problem))
         }
     };
     if scene.class.is_empty() {
@@ -480,7 +480,7 @@
         let (trouble, about) = Trouble::read(fault, &scene, &source)?;
         let position = |found: Option<usize>, wanted: &Option<Spanned<String>>| {
             let span = wanted.as_ref().map(Spanned::span).unwrap_or_default();
-            found.ok_or_else(|| source.bad(span, "there is none of this name"))
+            found.ok_or_else(|| source.error_at(span, "there is none of this name"))
         };
         let named = |names: Vec<&str>, wanted: &Option<Spanned<String>>| {
             let name = wanted.as_ref().map(|name| name.get_ref().as_str());
@@ -528,7 +528,7 @@
         let lasts = fault.for_ms.map(|span| span.min(MOST_MS) * MS);
         let times = |key: &Option<Spanned<u64>>| match key {
             Some(value) if !(1..=MOST_TIMES).contains(value.get_ref()) => {
-                Err(source.bad(value.span(), format!("from 1 to {MOST_TIMES}")))
+                Err(source.error_at(value.span(), format!("from 1 to {MOST_TIMES}")))
             }
             value => Ok(value.as_ref().map_or(1, |value| *value.get_ref())),
         };
--- a/testkit/scenarios/src/scene/trouble.rs
+++ b/testkit/scenarios/src/scene/trouble.rs
@@ -236,15 +236,16 @@
         let kind = KINDS.iter().find(|kind| kind.0 == fault.kind.get_ref());
         let &(name, mut trouble, about, needs) = kind.ok_or_else(|| {
             let known = KINDS.map(|kind| kind.0).join(", ");
-            source.bad(
+            source.error_at(
                 fault.kind.span(),
                 format!("unknown kind of fault; there are {known}"),
             )
         })?;
-        let missing =
-            |key: &str| source.bad(fault.kind.span(), format!("`{name}` needs the key `{key}`"));
+        let missing = |key: &str| {
+            source.error_at(fault.kind.span(), format!("`{name}` needs the key `{key}`"))
+        };
         let misplaced =
-            |span, key: &str| source.bad(span, format!("`{key}` does not go with `{name}`"));
+            |span, key: &str| source.error_at(span, format!("`{key}` does not go with `{name}`"));
         let given = [
             (&fault.server, "server", about == About::Server),
             (&fault.node, "node", about == About::Node),
@@ -287,7 +288,7 @@
         }
         let within = |key: &Option<Spanned<f64>>, least: f64, most: f64| match key {
             Some(value) if !(least..=most).contains(value.get_ref()) => {
-                Err(source.bad(value.span(), format!("from {least} to {most}")))
+                Err(source.error_at(value.span(), format!("from {least} to {most}")))
             }
             value => Ok(value.as_ref().map_or(1.0, |value| *value.get_ref())),
         };
@@ -320,7 +321,7 @@
                         (_, Some(zone)) => Far::Zone(zone),
                         _ => {
                             let known = "neither a zone nor all, servers, list, nodes or clients";
-                            return Err(source.bad(to.span(), known));
+                            return Err(source.error_at(to.span(), known));
                         }
                     };
                 }
@@ -331,7 +332,7 @@
                     Some("back") => (false, true),
                     Some(_) => {
                         let span = fault.way.as_ref().map(Spanned::span).unwrap_or_default();
-                        return Err(source.bad(span, "there are both, there and back"));
+                        return Err(source.error_at(span, "there are both, there and back"));
                     }
                 };
             }
