--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -71,7 +71,7 @@
             )
         });
         let text = format!("{CONFIG}{}", servers.collect::<String>());
-        let mut config: Config = Source::shipped("test", &text)
+        let mut config: Config = Source::embedded("test", &text)
             .parse()
             .expect("a configuration");
         change(&mut config);
@@ -91,7 +91,7 @@
         let site = config.site().expect("a site");
         let launcher = Rc::new(PostgresTransport(pool.clone()));
         let fleet =
-            PostgresEngine::new(site.settings, site.words, 7, clock, launcher).expect("a fleet");
+            PostgresEngine::new(site.settings, site.names, 7, clock, launcher).expect("a fleet");
         fleet.endpoints_updated(EndpointUpdate::Snapshot, config.listed());
         let timers = fleet.clone();
         spawn(async move { timers.run_timers().await });
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -107,7 +107,7 @@
     let bodies = MemoryBudget::new(edge.bodies());
     let (zone, nodes) = (site.settings.local_zone.0 as u8, site.settings.node_count);
     let upstream = HttpTransport::new(
-        site.links,
+        site.connections,
         clock.clone(),
         shares.servers.clone(),
         bodies.clone(),
@@ -115,7 +115,7 @@
     spawn(HttpTransport::sweep(upstream.pool()));
     let node = HttpEngine::new(
         site.settings,
-        site.words,
+        site.names,
         seed,
         clock.clone(),
         Rc::new(upstream),
@@ -328,7 +328,7 @@
         config.limits(),
     );
     let launcher = Rc::new(postgres::upstream::PostgresTransport(pool.clone()));
-    let fleet = PostgresEngine::new(site.settings, site.words, seed, clock.clone(), launcher)
+    let fleet = PostgresEngine::new(site.settings, site.names, seed, clock.clone(), launcher)
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
     fleet.endpoints_updated(
         if config.discovery.is_some() {
--- a/simulator/tests/process.rs
+++ b/simulator/tests/process.rs
@@ -1,67 +1,15 @@
-//! The adapter as a process, on small batches written by hand.
+//! The simulator host as a process, on small batches written by hand.
 
-use std::io::Write;
-use std::process::{Command, Output, Stdio};
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
 
-const CONFIG: &str = r#"{"az":"a","zones":["a","b"],"kinds":["k"],"n-instances":2,"discovery":"pushed","unknown":1,
-"classes":[{"name":"read","effect":"repeatable","on-time-ns":200000000,"deadline-ns":500000000,"importance":1.0}],
-"policy-limits":{"attempts-cap":3,"may-cancel":true,"second-copies":true,"probes":false},
-"goal":{"worst-class":0.1},"quantum-ns":1000000,
-"rules":{"answer-slack-ns":20000000,"ask-within-ns":10000000000,"drain-grace-ns":500000000,"fall-ns":1500000000,
-"start-capacity":0.1,"tip-multiple":2.5,"warm-after-ns":20000000000}}"#;
+mod common;
 
-fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_badgerpost-wirehost"))
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the adapter starts");
-    let mut stdin = child.stdin.take().expect("a pipe");
-    stdin.write_all(input.as_bytes()).ok();
-    drop(stdin);
-    child.wait_with_output().expect("the adapter ends")
-}
-
-fn reply(input: &str) -> String {
-    let output = run(input);
-    assert!(
-        output.status.success(),
-        "{}",
-        String::from_utf8_lossy(&output.stderr)
-    );
-    String::from_utf8(output.stdout).expect("UTF-8")
-}
-
-fn batch(at: u64, lines: &[String]) -> String {
-    format!(
-        "{{\"BATCH\":{{\"sim-time-ns\":{at}}}}}\n{}{{\"GO\":{{}}}}\n",
-        lines.concat()
-    )
-}
-
-fn open(who: u32) -> String {
-    let config = CONFIG.replace('\n', "");
-    format!("{{\"OPEN_INSTANCE\":{{\"who\":{who},\"nonce64\":{who}9,\"config\":{config}}}}}\n")
-}
-
-fn manifest(list: u32, backend: &str) -> String {
-    format!(
-        "{{\"MANIFEST\":{{\"list\":{list},\"members-list\":[{{\"backend\":\"{backend}\",\"hall\":\"a\",\"type\":\"k\",\
-         \"pod\":0,\"stage-state\":\"in_service\",\"power-hint\":1,\"online-since-ns\":null}}]}}}}\n"
-    )
-}
-
-fn fleet(who: u32, list: u32) -> String {
-    format!("{{\"FLEET\":{{\"who\":{who},\"mode\":\"cached\",\"seq-no\":1,\"list\":{list}}}}}\n")
-}
-
-fn incoming(who: u32, id: &str) -> String {
-    format!(
-        "{{\"INCOMING\":{{\"who\":{who},\"request-id\":\"{id}\",\"options\":0,\"band\":\"read\",\"org\":null,\
-         \"key\":null,\"weight-hint-ns\":0,\"not-after-ns\":400000000}}}}\n"
-    )
-}
+use common::{batch, fleet, incoming, manifest, open, reply, run};
 
 fn placed(reply: &str, who: u32) -> Vec<String> {
     let mark = format!("\"who\":{who}");
@@ -78,7 +26,7 @@
 }
 
 #[test]
-fn a_list_number_used_twice_in_a_batch_goes_by_the_order() {
+fn an_endpoint_list_id_used_twice_in_a_batch_means_the_latest_list() {
     let lines = [
         open(1),
         open(2),
@@ -87,8 +35,8 @@
         manifest(0, "b-two"),
         fleet(2, 0),
     ];
-    let asks = [incoming(1, "r1"), incoming(2, "r2")];
-    let out = reply(&(batch(0, &lines) + &batch(1_000_000, &asks)));
+    let requests = [incoming(1, "r1"), incoming(2, "r2")];
+    let out = reply(&(batch(0, &lines) + &batch(1_000_000, &requests)));
     assert!(
         placed(&out, 1)[0].contains("b-one") && placed(&out, 2)[0].contains("b-two"),
         "{out}"
@@ -96,7 +44,7 @@
 }
 
 #[test]
-fn an_instance_killed_and_reopened_in_one_batch_knows_nothing_of_before() {
+fn an_instance_stopped_and_started_in_one_batch_keeps_no_state() {
     let first = [open(1), manifest(0, "b-old"), fleet(1, 0)];
     let exit = "{\"EXIT\":{\"who\":1}}\n".to_owned();
     let second = [
@@ -112,31 +60,32 @@
 }
 
 #[test]
-fn instances_together_act_as_they_do_apart() {
+fn instances_in_one_process_act_as_in_processes_of_their_own() {
     let lines = |who: u32| {
         let start = vec![open(who), manifest(0, "b-one"), fleet(who, 0)];
-        let asks: Vec<String> = (0..3)
+        let requests: Vec<String> = (0..3)
             .map(|n| incoming(who, &format!("r{who}{n}")))
             .collect();
-        (start, asks)
+        (start, requests)
+    };
+    let ((start1, requests1), (start2, requests2)) = (lines(1), lines(2));
+    let apart = |start: &[String], requests: &[String]| {
+        reply(&(batch(0, start) + &batch(1_000_000, requests)))
     };
-    let ((start1, asks1), (start2, asks2)) = (lines(1), lines(2));
-    let apart =
-        |start: &[String], asks: &[String]| reply(&(batch(0, start) + &batch(1_000_000, asks)));
-    let mixed: Vec<String> = asks1
+    let mixed: Vec<String> = requests1
         .iter()
-        .zip(&asks2)
+        .zip(&requests2)
         .flat_map(|(a, b)| [a.clone(), b.clone()])
         .collect();
     let both =
         reply(&(batch(0, &[start1.clone(), start2.clone()].concat()) + &batch(1_000_000, &mixed)));
-    assert_eq!(placed(&both, 1), placed(&apart(&start1, &asks1), 1));
-    assert_eq!(placed(&both, 2), placed(&apart(&start2, &asks2), 2));
+    assert_eq!(placed(&both, 1), placed(&apart(&start1, &requests1), 1));
+    assert_eq!(placed(&both, 2), placed(&apart(&start2, &requests2), 2));
     assert_eq!(placed(&both, 1).len(), 3);
 }
 
 #[test]
-fn malformed_input_ends_with_the_line_and_the_field_and_no_partial_reply() {
+fn malformed_input_fails_with_line_and_field_and_no_partial_reply() {
     let cases = [
         ("{\"BATCH\":{\"sim-time-ns\":1}}\nnonsense\n", "line 2"),
         ("{\"BATCH\":{}}\n", "sim-time-ns"),
@@ -148,19 +97,22 @@
     ];
     for (input, named) in cases {
         let output = run(input);
-        let told = String::from_utf8_lossy(&output.stderr).into_owned();
+        let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
         assert!(
             !output.status.success() && output.stdout.is_empty(),
             "{input}"
         );
-        assert!(told.contains(named) && told.contains("line"), "{told}");
+        assert!(
+            stderr.contains(named) && stderr.contains("line"),
+            "{stderr}"
+        );
     }
 }
 
 #[test]
 fn an_unknown_event_is_skipped_with_one_warning() {
-    let odd = "{\"NOVELTY\":{\"who\":1}}\n".to_owned();
-    let output = run(&batch(1, &[odd.clone(), odd]));
+    let unknown = "{\"NOVELTY\":{\"who\":1}}\n".to_owned();
+    let output = run(&batch(1, &[unknown.clone(), unknown]));
     assert!(output.status.success());
     assert_eq!(
         String::from_utf8_lossy(&output.stderr)
@@ -171,7 +123,7 @@
 }
 
 #[test]
-fn unusable_settings_are_a_fault_that_names_the_field() {
+fn unusable_settings_are_reported_with_the_field() {
     for (from, to, field) in [
         ("\"zones\":[\"a\",\"b\"]", "\"zones\":[]", "az"),
         ("\"repeatable\"", "\"sometimes\"", "effect"),
