--- a/adapters/admin/src/lib.rs
+++ b/adapters/admin/src/lib.rs
@@ -167,7 +167,7 @@
                 } else {
                     StatusCode::CONFLICT
                 };
-                text(status, format!("{:?}\n", step.stage).to_lowercase())
+                text(status, format!("{}\n", step.stage.as_str()))
             }
             _ => match zones::order(path, &self.tally) {
                 None => text(
--- a/adapters/admin/src/life.rs
+++ b/adapters/admin/src/life.rs
@@ -2,13 +2,12 @@
 //! longer than one step, and its stage on a watch.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
-use badgerpost_lifecycle::{Event, Lifecycle, Stage, Transition};
+use badgerpost_lifecycle::{Event, Lifecycle, Stage, Timer, Transition};
 use tokio::sync::watch;
 
 /// A wake-up that the state machine wants.
-pub type Wake = (Duration, u64);
+pub type Wake = Timer;
 
 /// A handle on the life cycle. Cheap to clone.
 #[derive(Clone)]
@@ -72,7 +71,7 @@
         self.0.accepts.subscribe()
     }
 
-    /// The wake-up wanted last; who keeps the time tells [`Event::Due`] when it is due.
+    /// The wake-up wanted last; who keeps the time tells [`Event::TimerFired`] when it is due.
     pub fn wakes(&self) -> watch::Receiver<Option<Wake>> {
         self.0.wake.subscribe()
     }
--- a/core/lifecycle/src/tests.rs
+++ b/core/lifecycle/src/tests.rs
@@ -2,99 +2,124 @@
 
 use super::*;
 
-fn due(step: Transition) -> Event {
-    Event::TimerFired(step.timer.expect("a wake-up").1)
+/// The event by which the requested timer fires.
+fn timer_fired(transition: Transition) -> Event {
+    Event::TimerFired(transition.timer.expect("a timer").token)
 }
 
 #[test]
-fn a_drain_empties_the_node_and_ends_when_called_back() {
-    let mut life = Lifecycle::new();
-    let first = life.handle(Event::Standby);
+fn a_stage_has_its_name_in_operators_replies() {
+    for (stage, name) in [
+        (Stage::Active, "active"),
+        (Stage::Draining, "draining"),
+        (Stage::Empty, "empty"),
+        (Stage::Stopping, "stopping"),
+        (Stage::Closing, "closing"),
+        (Stage::Closed, "closed"),
+    ] {
+        assert_eq!(stage.as_str(), name);
+        assert_eq!(stage.as_str(), format!("{stage:?}").to_lowercase());
+    }
+}
+
+#[test]
+fn standby_drains_the_node_and_active_returns_it_to_service() {
+    let mut lifecycle = Lifecycle::new();
+    let first = lifecycle.handle(Event::Standby);
     assert_eq!((first.stage, first.granted), (Stage::Draining, true));
     assert!(!first.stage.is_ready() && first.stage.accepts() && !first.stage.closes_idle());
     assert_eq!(
-        life.handle(Event::Standby),
+        lifecycle.handle(Event::Standby),
         Transition {
             timer: None,
             ..first
         },
-        "again: the same, and no second wait"
+        "again: the same, and no second timer"
+    );
+    assert!(lifecycle.handle(timer_fired(first)).stage.closes_idle());
+    assert!(
+        lifecycle.accepts(),
+        "connections that still arrive are served"
     );
-    assert!(life.handle(due(first)).stage.closes_idle());
-    assert!(life.accepts(), "what still comes is served");
-    assert_eq!(life.handle(Event::Active).stage, Stage::Active);
-    assert!(life.handle(Event::Active).granted);
+    assert_eq!(lifecycle.handle(Event::Active).stage, Stage::Active);
+    assert!(lifecycle.handle(Event::Active).granted);
 }
 
-/// Guards against a drain that goes on after its end: the first one's wake-up would close idle connections early.
+/// Guards against a drain that continues after its end: its timer would close idle connections of the next one early.
 #[test]
-fn a_wake_up_of_a_stage_that_was_left_changes_nothing() {
-    let mut life = Lifecycle::new();
-    let first = life.handle(Event::Standby);
-    life.handle(Event::Active);
-    assert_eq!(life.handle(due(first)).stage, Stage::Active);
-    let second = life.handle(Event::Standby);
-    assert_eq!(life.handle(due(first)).stage, Stage::Draining);
-    assert_eq!(life.handle(due(second)).stage, Stage::Empty);
+fn a_timer_of_an_earlier_stage_is_ignored() {
+    let mut lifecycle = Lifecycle::new();
+    let first = lifecycle.handle(Event::Standby);
+    lifecycle.handle(Event::Active);
+    assert_eq!(lifecycle.handle(timer_fired(first)).stage, Stage::Active);
+    let second = lifecycle.handle(Event::Standby);
+    assert_eq!(lifecycle.handle(timer_fired(first)).stage, Stage::Draining);
+    assert_eq!(lifecycle.handle(timer_fired(second)).stage, Stage::Empty);
 }
 
 #[test]
-fn a_stop_goes_on_whatever_is_called_meanwhile() {
+fn shutdown_continues_whatever_operators_call_meanwhile() {
     for before in [
         &[][..],
         &[Event::Standby],
-        &[Event::Standby, Event::TimerFired(1)],
+        &[Event::Standby, Event::TimerFired(TimerToken(1))],
     ] {
-        let mut life = Lifecycle::new();
+        let mut lifecycle = Lifecycle::new();
         for event in before {
-            life.handle(*event);
+            lifecycle.handle(*event);
         }
-        let stop = life.handle(Event::Stop);
+        let stop = lifecycle.handle(Event::Stop);
         assert_eq!(stop.stage, Stage::Stopping);
-        assert!(life.handle(Event::Standby).granted, "it empties itself");
-        assert!(!life.handle(Event::Active).granted, "too late");
-        assert_eq!(life.handle(Event::Stop).timer, None);
-        let closing = life.handle(due(stop));
+        assert!(
+            lifecycle.handle(Event::Standby).granted,
+            "shutdown drains the node"
+        );
+        assert!(!lifecycle.handle(Event::Active).granted, "too late");
+        assert_eq!(lifecycle.handle(Event::Stop).timer, None);
+        let closing = lifecycle.handle(timer_fired(stop));
         assert_eq!(closing.stage, Stage::Closing);
-        assert_eq!(life.handle(due(closing)).stage, Stage::Closed);
-        assert!(!life.handle(Event::Active).granted);
+        assert_eq!(lifecycle.handle(timer_fired(closing)).stage, Stage::Closed);
+        assert!(!lifecycle.handle(Event::Active).granted);
     }
 }
 
 #[test]
-fn new_connections_are_left_to_a_successor_as_long_as_there_is_one() {
-    let mut life = Lifecycle::new();
-    life.handle(Event::Shared(true));
-    assert!(life.accepts(), "both take them");
-    life.handle(Event::Stop);
-    assert!(!life.accepts());
-    life.handle(Event::Shared(false));
-    assert!(life.accepts(), "it has died: nobody else takes what comes");
+fn a_stopping_node_leaves_new_connections_to_its_successor_while_that_lives() {
+    let mut lifecycle = Lifecycle::new();
+    lifecycle.handle(Event::ListenerShared(true));
+    assert!(lifecycle.accepts(), "both processes accept");
+    lifecycle.handle(Event::Stop);
+    assert!(!lifecycle.accepts());
+    lifecycle.handle(Event::ListenerShared(false));
+    assert!(
+        lifecycle.accepts(),
+        "the successor has died: no other process accepts"
+    );
 }
 
 proptest! {
-    /// Whatever is told in whatever order: the way out has no way back, a node in service waits for nothing, and
-    /// each stage that is passed through asks for the wake-up by which it ends.
+    /// For events in any order: shutdown is never reversed, a node in service has no timer, and each transient stage
+    /// requests the timer by which it ends.
     #[test]
-    fn any_order_of_events_keeps_to_the_way_out(events in prop::collection::vec((0u8..5, 0u64..8), 0..40)) {
-        let mut life = Lifecycle::new();
+    fn any_order_of_events_never_reverses_shutdown(events in prop::collection::vec((0u8..5, 0u64..8), 0..40)) {
+        let mut lifecycle = Lifecycle::new();
         for (kind, token) in events {
-            let before = life.stage();
+            let before = lifecycle.stage();
             let event = match kind {
                 0 => Event::Standby,
                 1 => Event::Active,
                 2 => Event::Stop,
-                3 => Event::Shared(token % 2 == 0),
-                _ => Event::TimerFired(token),
+                3 => Event::ListenerShared(token % 2 == 0),
+                _ => Event::TimerFired(TimerToken(token)),
             };
-            let step = life.handle(event);
-            prop_assert_eq!(step.stage, life.stage());
+            let transition = lifecycle.handle(event);
+            prop_assert_eq!(transition.stage, lifecycle.stage());
             if before >= Stage::Stopping {
-                prop_assert!(step.stage >= before);
+                prop_assert!(transition.stage >= before);
             }
-            let passes = matches!(step.stage, Stage::Draining | Stage::Stopping | Stage::Closing);
-            prop_assert_eq!(step.timer.is_some(), step.stage != before && passes);
-            prop_assert_eq!(step.stage.is_ready(), step.stage == Stage::Active);
+            let is_transient = matches!(transition.stage, Stage::Draining | Stage::Stopping | Stage::Closing);
+            prop_assert_eq!(transition.timer.is_some(), transition.stage != before && is_transient);
+            prop_assert_eq!(transition.stage.is_ready(), transition.stage == Stage::Active);
         }
     }
 }
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -198,7 +198,7 @@
                 given |= matches!(action, Action::SendListener(_));
                 if let Action::SetShared(shared) = action {
                     tracing::info!(shared, "the next version takes connections here");
-                    life.tell(LifeEvent::Shared(shared));
+                    life.tell(LifeEvent::ListenerShared(shared));
                 }
                 self.carry_out(action, &mut link, Some(listener)).await;
             }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -245,7 +245,7 @@
     let mut wakes = life.wakes();
     loop {
         let wake = *wakes.borrow_and_update();
-        let Some((after, token)) = wake else {
+        let Some(timer) = wake else {
             let _ = wakes.changed().await;
             continue;
         };
@@ -253,8 +253,8 @@
         tokio::select! {
             biased;
             Ok(()) = wakes.changed() => {}
-            () = clock.sleep(after) => {
-                life.tell(Event::TimerFired(token));
+            () = clock.sleep(timer.after) => {
+                life.tell(Event::TimerFired(timer.token));
                 let _ = wakes.wait_for(|next| *next != wake).await;
             }
         }
