--- a/core/socket-handover/src/tests.rs
+++ b/core/socket-handover/src/tests.rs
@@ -1,40 +1,62 @@
+use std::net::SocketAddr;
+
 use proptest::prelude::*;
 
 use super::*;
 
-fn at(port: u16) -> SocketAddr {
+fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
 fn hello(version: u32, port: u16) -> Message {
     Message::Hello {
         version,
-        listen: at(port),
+        listen: address(port),
+    }
+}
+
+/// The event of a message without a socket attached.
+fn received(message: Message) -> Event {
+    Event::Received {
+        message,
+        has_listener: false,
+    }
+}
+
+/// The event of the predecessor's answer; whether a usable socket is attached.
+fn received_listener(has_listener: bool) -> Event {
+    Event::Received {
+        message: Message::Listener,
+        has_listener,
     }
 }
 
+/// All actions of a successor after these events.
 fn successor(events: &[Event]) -> Vec<Action> {
-    let (mut side, mut actions) = (Successor::new(at(1)), Vec::new());
-    events
-        .iter()
-        .for_each(|event| side.handle(event.clone(), &mut actions));
+    let mut successor = Successor::new(address(1));
+    let mut actions = Vec::new();
+    for event in events {
+        successor.handle(event.clone(), &mut actions);
+    }
     actions
 }
 
+/// All actions of a predecessor after these events.
 fn predecessor(events: &[Event]) -> Vec<Action> {
-    let (mut side, mut actions) = (Predecessor::new(at(1)), Vec::new());
-    events
-        .iter()
-        .for_each(|event| side.handle(event.clone(), &mut actions));
+    let mut predecessor = Predecessor::new(address(1));
+    let mut actions = Vec::new();
+    for event in events {
+        predecessor.handle(event.clone(), &mut actions);
+    }
     actions
 }
 
 #[test]
-fn the_socket_goes_over_and_the_old_one_hears_of_it() {
+fn the_listener_is_handed_over_and_the_predecessor_shares_it_until_the_successor_ends() {
     use Action::{Send, SendListener, SetLimitsHalved, SetShared, UseReceivedListener};
-    let given = Event::Received(Message::Listener, true);
+    let answer = received_listener(true);
     assert_eq!(
-        successor(&[Event::Connected, given, Event::Listening, Event::Closed]),
+        successor(&[Event::Connected, answer, Event::Listening, Event::Closed]),
         [
             SetLimitsHalved(true),
             Send(hello(1, 1)),
@@ -43,12 +65,12 @@
             SetLimitsHalved(false)
         ]
     );
-    let asked = Event::Received(hello(1, 1), false);
+    let request = received(hello(1, 1));
     assert_eq!(
         predecessor(&[
-            asked,
+            request,
             Event::TimedOut,
-            Event::Received(Message::Serving, false),
+            received(Message::Serving),
             Event::Closed
         ]),
         [
@@ -63,25 +85,48 @@
 }
 
 #[test]
-fn another_version_or_address_is_turned_down_with_a_reason() {
-    for (asked, why) in [
+fn another_version_or_address_is_refused_with_a_reason() {
+    for (request, reason) in [
         (hello(2, 1), "version 2 is not 1"),
         (hello(1, 9), "this one listens at 127.0.0.1:1"),
     ] {
         let refused = Message::Refused {
-            reason: why.to_owned(),
+            reason: reason.to_owned(),
         };
         assert_eq!(
-            predecessor(&[Event::Received(asked, false)]),
+            predecessor(&[received(request)]),
             [Action::Send(refused.clone()), Action::Close]
         );
-        let heard = successor(&[Event::Connected, Event::Received(refused, false)]);
-        assert_eq!(heard.last(), Some(&Action::ListenSeparately));
+        let actions = successor(&[Event::Connected, received(refused)]);
+        assert_eq!(actions.last(), Some(&Action::ListenSeparately));
+    }
+}
+
+/// Versions of this program that run already send and expect exactly these bytes.
+#[test]
+fn messages_have_the_recorded_lines() {
+    for (message, line) in [
+        (
+            hello(1, 80),
+            "{\"hello\":{\"version\":1,\"listen\":\"127.0.0.1:80\"}}\n",
+        ),
+        (Message::Listener, "\"listener\"\n"),
+        (Message::Serving, "\"serving\"\n"),
+        (
+            Message::Refused {
+                reason: "version 2 is not 1".into(),
+            },
+            "{\"refused\":{\"reason\":\"version 2 is not 1\"}}\n",
+        ),
+    ] {
+        assert_eq!(message.to_line(), line.as_bytes());
+        let parsed = Message::from_line(line.trim_end().as_bytes());
+        assert_eq!(parsed.expect("a message"), message);
     }
 }
 
 #[test]
-fn lines_are_read_back_and_nothing_else_is() {
+fn lines_of_messages_are_parsed_and_others_are_errors() {
     for message in [
         hello(1, 80),
         Message::Listener,
@@ -90,9 +135,9 @@
             reason: "no".into(),
         },
     ] {
-        let line = message.line();
+        let line = message.to_line();
         assert_eq!(
-            Message::read(&line[..line.len() - 1]).expect("a message"),
+            Message::from_line(&line[..line.len() - 1]).expect("a message"),
             message
         );
     }
@@ -104,7 +149,7 @@
         b"\xff",
         &[b'x'; MAX_LINE_LENGTH + 1],
     ] {
-        assert!(Message::read(bad).is_err());
+        assert!(Message::from_line(bad).is_err());
     }
 }
 
@@ -115,51 +160,60 @@
         Just(Event::TimedOut),
         Just(Event::Closed),
         Just(Event::Listening),
-        (0u32..3, 1u16..3).prop_map(|(version, port)| Event::Received(hello(version, port), false)),
-        any::<bool>().prop_map(|with| Event::Received(Message::Listener, with)),
-        Just(Event::Received(Message::Serving, false)),
-        Just(Event::Received(
-            Message::Refused {
-                reason: String::new()
-            },
-            false
-        )),
+        (0u32..3, 1u16..3).prop_map(|(version, port)| received(hello(version, port))),
+        any::<bool>().prop_map(received_listener),
+        Just(received(Message::Serving)),
+        Just(received(Message::Refused {
+            reason: String::new()
+        })),
     ]
 }
 
+/// How many times the actions make the successor listen.
+fn listener_count(actions: &[Action]) -> usize {
+    actions
+        .iter()
+        .filter(|action| {
+            matches!(
+                action,
+                Action::UseReceivedListener | Action::ListenSeparately
+            )
+        })
+        .count()
+}
+
+/// Whether the limits are halved after the actions; none if they were never set.
+fn limits_halved(actions: &[Action]) -> Option<bool> {
+    actions.iter().rev().find_map(|action| match action {
+        Action::SetLimitsHalved(halved) => Some(*halved),
+        _ => None,
+    })
+}
+
 proptest! {
-    /// Whatever comes in whatever order, and ends at any step: the successor listens in one way and no more, and
-    /// does once the time is over; neither side keeps half its limits when the connection has ended; the
-    /// predecessor leaves connections to another only after that one has said that it serves.
+    /// For events in any order, ending at any step: the successor listens in at most one way, and in exactly one once
+    /// the time limit has passed; neither side's limits stay halved after the connection has ended; the predecessor
+    /// shares its listener only after the successor has announced that it serves.
     #[test]
-    fn any_order_of_messages_and_deaths(events in prop::collection::vec(event(), 0..12)) {
-        let ways = |actions: &[Action]| {
-            actions.iter().filter(|a| matches!(a, Action::UseReceivedListener | Action::ListenSeparately)).count()
-        };
-        let halved = |actions: &[Action]| {
-            actions.iter().rev().find_map(|action| match action {
-                Action::SetLimitsHalved(halved) => Some(*halved),
-                _ => None,
-            })
-        };
-        prop_assert!(ways(&successor(&events)) <= 1);
+    fn any_order_of_events_leads_to_one_listener_and_restored_limits(events in prop::collection::vec(event(), 0..12)) {
+        prop_assert!(listener_count(&successor(&events)) <= 1);
         let ended = [&events[..], &[Event::TimedOut, Event::Closed]].concat();
-        prop_assert_eq!(ways(&successor(&ended)), 1);
-        prop_assert_ne!(halved(&successor(&ended)), Some(true));
-        let given = predecessor(&events);
-        let shared = given.iter().position(|action| *action == Action::SetShared(true));
+        prop_assert_eq!(listener_count(&successor(&ended)), 1);
+        prop_assert_ne!(limits_halved(&successor(&ended)), Some(true));
+        let actions = predecessor(&events);
+        let shared = actions.iter().position(|action| *action == Action::SetShared(true));
         if let Some(shared) = shared {
-            prop_assert!(matches!(given[..shared].first(), Some(Action::SendListener(_))));
-            prop_assert!(events.contains(&Event::Received(Message::Serving, false)));
+            prop_assert!(matches!(actions[..shared].first(), Some(Action::SendListener(_))));
+            prop_assert!(events.contains(&received(Message::Serving)));
         }
-        let over = predecessor(&ended);
-        let count = |wanted: &Action| over.iter().filter(|action| *action == wanted).count();
+        let actions_until_end = predecessor(&ended);
+        let count = |wanted: &Action| actions_until_end.iter().filter(|action| *action == wanted).count();
         prop_assert_eq!(count(&Action::SetShared(true)), count(&Action::SetShared(false)));
-        prop_assert_ne!(halved(&over), Some(true));
+        prop_assert_ne!(limits_halved(&actions_until_end), Some(true));
     }
 
     #[test]
     fn any_bytes_are_a_message_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
-        let _ = Message::read(&bytes);
+        let _ = Message::from_line(&bytes);
     }
 }
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -244,10 +244,13 @@
         loop {
             if let Some(end) = self.inbox.iter().position(|byte| *byte == b'\n') {
                 let line: Vec<u8> = self.inbox.drain(..=end).collect();
-                return match Message::read(&line[..end]) {
+                return match Message::from_line(&line[..end]) {
                     Ok(message) => {
-                        let with = message == Message::Listener && self.is_listener(listen);
-                        Event::Received(message, with)
+                        let has_listener = message == Message::Listener && self.is_listener(listen);
+                        Event::Received {
+                            message,
+                            has_listener,
+                        }
                     }
                     Err(error) => {
                         tracing::warn!(%error, "the other version can't be understood");
@@ -297,7 +300,7 @@
     }
 
     async fn say(&self, message: &Message, listener: Option<&TcpListener>) -> io::Result<()> {
-        let line = message.line();
+        let line = message.to_line();
         let sent = self
             .stream
             .async_io(Interest::WRITABLE, || {
