--- a/core/http-framing/src/tests.rs
+++ b/core/http-framing/src/framer/tests.rs
@@ -1,33 +1,38 @@
 use proptest::prelude::*;
 
 use super::*;
+use crate::line::MAX_STORED_LINE_LENGTH;
 
-fn signs(pieces: &[&[u8]]) -> Vec<FramingEvent> {
-    let (mut follower, mut told) = (RequestFramer::new(), Vec::new());
-    pieces
-        .iter()
-        .for_each(|piece| follower.feed(piece, &mut |sign| told.push(sign)));
-    told
+/// All events of a connection on which these pieces are received.
+fn events(pieces: &[&[u8]]) -> Vec<FramingEvent> {
+    let mut framer = RequestFramer::new();
+    let mut events = Vec::new();
+    for piece in pieces {
+        framer.feed(piece, &mut |event| events.push(event));
+    }
+    events
 }
 
-fn fault(head: &str) -> Option<FramingError> {
+/// Why a request with these field lines is rejected.
+fn head_error(head: &str) -> Option<FramingError> {
     let text = format!("POST /api HTTP/1.1\r\nHost: h\r\n{head}\r\n");
-    signs(&[text.as_bytes()])
+    events(&[text.as_bytes()])
         .into_iter()
-        .find_map(|sign| match sign {
+        .find_map(|event| match event {
             FramingEvent::HeadComplete(result) => result.err(),
             _ => None,
         })
 }
 
-const GOOD: [FramingEvent; 3] = [
+/// The events of one valid request.
+const VALID_REQUEST: [FramingEvent; 3] = [
     FramingEvent::Started,
     FramingEvent::HeadComplete(Ok(())),
     FramingEvent::MessageComplete,
 ];
 
 #[test]
-fn each_framing_ends_where_it_should() {
+fn each_framing_completes_at_its_last_byte() {
     for text in [
         "GET /api HTTP/1.1\r\nHost: h\r\n\r\n",
         "\r\n\r\nGET /api HTTP/1.1\nHost: h\n\n",
@@ -36,20 +41,20 @@
         "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5 ;a=\"b\"\r\nhello\r\n00\r\nx: y\r\nz: 1\r\n\r\n",
     ] {
-        assert_eq!(signs(&[text.as_bytes()]), GOOD, "{text:?}");
+        assert_eq!(events(&[text.as_bytes()]), VALID_REQUEST, "{text:?}");
         let twice = [text, text].concat();
         assert_eq!(
-            signs(&[twice.as_bytes()]),
-            [GOOD, GOOD].concat(),
-            "one behind the other: {text:?}"
+            events(&[twice.as_bytes()]),
+            [VALID_REQUEST, VALID_REQUEST].concat(),
+            "pipelined: {text:?}"
         );
     }
 }
 
 /// Guards against request smuggling: two readers of the same bytes must not see two requests and one.
 #[test]
-fn what_can_be_read_in_two_ways_is_refused() {
-    for (head, why) in [
+fn ambiguous_framing_is_rejected() {
+    for (head, error) in [
         (
             "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
             FramingError::LengthAndCoding,
@@ -93,28 +98,39 @@
         ("Content-Length\t: 5\r\n", FramingError::FoldedHeader),
         ("X: a\r\n b\r\n", FramingError::FoldedHeader),
     ] {
-        assert_eq!(fault(head), Some(why), "{head:?}");
+        assert_eq!(head_error(head), Some(error), "{head:?}");
     }
-    let old = b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+#[test]
+fn a_transfer_coding_with_http_1_0_is_rejected() {
+    let http_1_0 = b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n";
     assert_eq!(
-        signs(&[old]),
+        events(&[http_1_0]),
         [
             FramingEvent::Started,
             FramingEvent::HeadComplete(Err(FramingError::UnsupportedCoding))
         ]
     );
+}
+
+#[test]
+fn a_head_or_a_length_beyond_its_limit_is_rejected() {
     assert_eq!(
-        fault(&format!("X: {}\r\n", "y".repeat(HEAD_MOST))),
+        head_error(&format!("X: {}\r\n", "y".repeat(MAX_SECTION_LENGTH))),
         Some(FramingError::TooLong)
     );
     assert_eq!(
-        fault(&format!("Content-Length: {}5\r\n", "0".repeat(LINE_MOST))),
+        head_error(&format!(
+            "Content-Length: {}5\r\n",
+            "0".repeat(MAX_STORED_LINE_LENGTH)
+        )),
         Some(FramingError::InvalidLength)
     );
 }
 
 #[test]
-fn a_chunk_that_makes_no_sense_ends_it() {
+fn a_malformed_chunk_is_an_error() {
     for chunks in [
         "g\r\n",
         "\r\n",
@@ -127,11 +143,11 @@
         let text = format!(
             "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}GET / HTTP/1.1\r\n\r\n"
         );
-        let told = signs(&[text.as_bytes()]);
+        let events = events(&[text.as_bytes()]);
         assert_eq!(
-            told.last(),
+            events.last(),
             Some(&FramingEvent::BodyInvalid(FramingError::InvalidChunk)),
-            "{chunks:?}: {told:?}"
+            "{chunks:?}: {events:?}"
         );
     }
 }
@@ -153,30 +169,30 @@
 }
 
 proptest! {
-    /// Where the bytes are cut changes nothing.
+    /// How the bytes are split between reads changes nothing.
     #[test]
-    fn any_cuts_tell_the_same(
+    fn any_split_of_the_bytes_gives_the_same_events(
         requests in prop::collection::vec(request(), 1..5),
-        cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+        splits in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
     ) {
         let text = requests.concat().into_bytes();
-        let mut at: Vec<usize> = cuts.iter().map(|cut| cut.index(text.len() + 1)).collect();
-        at.extend([0, text.len()]);
-        at.sort_unstable();
-        let pieces: Vec<&[u8]> = at.windows(2).map(|pair| &text[pair[0]..pair[1]]).collect();
+        let mut positions: Vec<usize> = splits.iter().map(|split| split.index(text.len() + 1)).collect();
+        positions.extend([0, text.len()]);
+        positions.sort_unstable();
+        let pieces: Vec<&[u8]> = positions.windows(2).map(|pair| &text[pair[0]..pair[1]]).collect();
         let byte_by_byte: Vec<&[u8]> = text.chunks(1).collect();
-        let whole = signs(&[&text]);
-        prop_assert_eq!(signs(&pieces), whole.clone());
-        prop_assert_eq!(signs(&byte_by_byte), whole);
+        let unsplit = events(&[&text]);
+        prop_assert_eq!(events(&pieces), unsplit.clone());
+        prop_assert_eq!(events(&byte_by_byte), unsplit);
     }
 
-    /// Nothing that comes panics it or makes it keep more than a line's beginning.
+    /// No input makes it panic or store more than a line's prefix.
     #[test]
-    fn anything_is_taken(pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 0..20)) {
-        let mut follower = RequestFramer::new();
+    fn any_bytes_are_processed_in_bounded_memory(pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 0..20)) {
+        let mut framer = RequestFramer::new();
         for piece in pieces {
-            follower.feed(&piece, &mut |_| {});
-            prop_assert!(follower.line.len() <= LINE_MOST);
+            framer.feed(&piece, &mut |_| {});
+            prop_assert!(framer.line.stored_length() <= MAX_STORED_LINE_LENGTH);
         }
     }
 }
