--- a/core/lifecycle/src/machine.rs
+++ b/core/lifecycle/src/machine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::Stage;
+use crate::stage::Stage;
 
 /// Time from a standby call or SIGTERM until idle connections are closed. By the platform's protocol new connections may
 /// arrive for up to 0.4 s after either, and clients with a connection finish sending the request they had begun.
--- a/core/socket-handover/src/api.rs
+++ b/core/socket-handover/src/api.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs that both state machines share.
 
-use crate::Message;
+use crate::message::Message;
 
 /// An input, from the connection between the two processes or from this process itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
