--- a/core/membership/src/lib.rs
+++ b/core/membership/src/lib.rs
@@ -7,15 +7,15 @@
 //! counted.
 
 mod api;
-mod facts;
-mod identity;
-mod peers;
-mod seal;
+mod datagram_auth;
+mod gossip_store;
+mod member_identity;
+mod membership;
 
 pub use api::{Action, DropReason, Event, MAX_ITEM_LENGTH, MemberId, Nanos, Settings};
-pub use facts::{GossipItem, GossipStore, GossipVersion};
-pub use peers::Membership;
-pub use seal::{Key, KeyError, MAX_DATAGRAM_LENGTH, member_id};
+pub use datagram_auth::{Key, KeyError, MAX_DATAGRAM_LENGTH, member_id};
+pub use gossip_store::{GossipItem, GossipStore, GossipVersion};
+pub use membership::Membership;
 
 pub(crate) const MS: Nanos = 1_000_000;
 pub(crate) const SECOND: Nanos = 1000 * MS;
--- a/core/membership/src/peers.rs
+++ b/core/membership/src/membership.rs
@@ -15,9 +15,9 @@
 use rand::rngs::SmallRng;
 
 use crate::api::{Action, DropReason, Event, MemberId, Nanos, Settings};
-use crate::facts::{GossipItem, GossipStore, GossipVersion};
-use crate::identity::MemberIdentity;
-use crate::seal::MAX_CONTENT_LENGTH;
+use crate::datagram_auth::MAX_CONTENT_LENGTH;
+use crate::gossip_store::{GossipItem, GossipStore, GossipVersion};
+use crate::member_identity::MemberIdentity;
 use crate::{MS, SECOND};
 
 /// A member is asked for life this often, and its answer is waited for so long before others are asked to try.
