--- a/adapters/gossip/src/config.rs
+++ b/adapters/gossip/src/config.rs
@@ -134,7 +134,7 @@
             },
             NotPrivate::Open => ConfigError::Open(path()),
         })?;
-        Key::read(&text).map_err(|source| ConfigError::Key {
+        Key::parse(&text).map_err(|source| ConfigError::Key {
             path: path(),
             source,
         })
--- a/adapters/gossip/src/run.rs
+++ b/adapters/gossip/src/run.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use badgerpost_engine::{Clock, Engine, LogLimiter, PeerUpdate, Protocol, ZoneGossip, activity};
-use badgerpost_membership::{Action, DropReason, Event, MAX_DATAGRAM_LENGTH, Settings, member_id};
+use badgerpost_membership::{
+    Action, DropReason, Event, MAX_DATAGRAM_LENGTH, MemberId, Settings, Topic,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
@@ -48,7 +50,7 @@
         let socket = UdpSocket::bind(config.listen).await?;
         let clock = engine.clock().clone();
         let settings = Settings {
-            member: member_id(me.name),
+            member: MemberId::from_name(me.name),
             advertise: config.advertised(),
             zone: me.zone,
             incarnation: clock.now(),
@@ -100,7 +102,7 @@
                     self.tell(Event::Leave);
                     return;
                 }
-                Some((topic, body)) = self.words.recv() => self.tell(Event::Broadcast { topic, body: &body }),
+                Some((topic, body)) = self.words.recv() => self.tell(Event::Broadcast { topic: Topic(topic), body: &body }),
                 came = self.socket.recv_from(&mut buffer) => match came {
                     Ok((length, _)) => {
                         activity::read(length);
@@ -128,15 +130,15 @@
                 Action::MemberChanged {
                     member,
                     zone,
-                    at,
-                    up,
+                    address: at,
+                    is_up: up,
                 } => {
-                    tracing::info!(peer = %at, zone, up, members = self.core.members(), "peer changed");
+                    tracing::info!(peer = %at, zone, up, members = self.core.member_count(), "peer changed");
                     self.engine
                         .metrics()
-                        .set_peers(self.core.members() as u64 + 1);
+                        .set_peers(self.core.member_count() as u64 + 1);
                     self.engine.peer_updated(&PeerUpdate::Member {
-                        member,
+                        member: member.0,
                         home: zone,
                         up,
                     });
@@ -144,13 +146,13 @@
                 Action::Received {
                     member,
                     topic,
-                    sent,
+                    sent_at: sent,
                     body,
                 } => {
                     self.engine.peer_updated(&PeerUpdate::Gossip {
-                        member,
+                        member: member.0,
                         sent,
-                        word: (topic, body),
+                        word: (topic.0, body),
                     });
                 }
                 Action::DatagramDropped(dropped) => {
--- a/core/membership/src/api.rs
+++ b/core/membership/src/api.rs
@@ -1,105 +1,128 @@
-//! What the core is told and what it says.
+//! Settings, inputs and outputs of the core.
 
 use std::net::SocketAddr;
 
-use crate::Key;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
-/// A time or a span, in nanoseconds.
-pub type Nanos = u64;
+use crate::datagram_auth::Key;
+use crate::time::Nanos;
+
+/// Longest body of a gossip item, in bytes: dozens of items have to fit into one datagram.
+pub const MAX_ITEM_LENGTH: usize = 64;
+
+/// Bytes of a name's hash that make a [`MemberId`].
+const MEMBER_ID_LENGTH: usize = 8;
 
 /// A member, by the hash of its node's name.
-pub type MemberId = u64;
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct MemberId(pub u64);
 
-/// A fact's body is no longer: dozens have to fit into one datagram.
-pub const MAX_ITEM_LENGTH: usize = 64;
+impl MemberId {
+    /// The member that is the node of this name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Self {
+        let hash = Sha256::digest(name.as_bytes());
+        let prefix = hash.iter().take(MEMBER_ID_LENGTH);
+        Self(prefix.fold(0, |id, byte| id << 8 | u64::from(*byte)))
+    }
+}
+
+/// What a gossip item is about. The users of this core assign the numbers.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Topic(pub u16);
 
-/// What the core is told at its start.
+/// Settings of one member.
 #[derive(Clone)]
 pub struct Settings {
-    /// This node.
+    /// This member.
     pub member: MemberId,
-    /// Where the others reach it.
+    /// Address at which the other members reach it.
     pub advertise: SocketAddr,
-    /// Its zone, by position.
+    /// Its zone, by position in the fleet's settings.
     pub zone: u8,
-    /// Its start, in Unix time: of two lives of a node the later one counts.
+    /// Time of its start; of two incarnations of a member the later one is valid.
     pub incarnation: Nanos,
-    /// Whom to ask first.
+    /// Addresses of members that are asked to let this one join.
     pub seeds: Vec<SocketAddr>,
-    /// What all members know and nobody else.
+    /// The key that all members share.
     pub key: Key,
-    /// How many members are expected, this one included: how often news is passed on follows from it.
+    /// Expected number of members, including this one; determines how often updates are retransmitted.
     pub node_count: u32,
-    /// Drives all draws.
+    /// Seed of all random choices.
     pub seed: u64,
 }
 
-/// What the core hears.
+/// An input of the core.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
-    /// The node serves now: it joins.
+    /// The node is in service: it joins the fleet.
     Start,
-    /// A datagram has come.
+    /// A datagram was received.
     Datagram(&'a [u8]),
-    /// The time asked for by [`Action::SetTimer`] has come.
+    /// The time requested by [`Action::SetTimer`] has been reached.
     TimerFired,
-    /// This member says something of itself: at most [`MAX_ITEM_LENGTH`] bytes.
+    /// This member publishes a gossip item.
     Broadcast {
-        /// On which topic.
-        topic: u16,
-        /// What; nobody here reads it.
+        /// What the item is about.
+        topic: Topic,
+        /// The content, opaque to this core; at most [`MAX_ITEM_LENGTH`] bytes.
         body: &'a [u8],
     },
-    /// The node stops: the others are told.
+    /// The node shuts down: it leaves the fleet and informs the other members.
     Leave,
 }
 
 /// Why a datagram was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DropReason {
-    /// Of another version, or too long or short to be one.
+    /// Of another protocol version, too long or too short.
     Malformed,
-    /// Its keyed hash is wrong: somebody else's.
+    /// Its authentication code is wrong: the sender does not have the fleet's key.
     Unauthenticated,
-    /// A member sent it, and it can't be read.
+    /// A member sent it, and its content can't be decoded.
     Undecodable,
 }
 
-/// What the core says.
+/// An output of the core.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Send this.
+    /// Send a datagram.
     Send {
-        /// To this address.
+        /// The receiver.
         to: SocketAddr,
         /// The datagram.
         datagram: Vec<u8>,
     },
-    /// [`Event::TimerFired`] is wanted at this time; replaces the wish before.
+    /// Deliver [`Event::TimerFired`] at this time; replaces the timer before.
     SetTimer {
-        /// When.
+        /// The time.
         at: Nanos,
     },
-    /// Another member is there, or no longer. One that is there already has started anew.
+    /// Another member has joined, restarted or gone. A member that is reported as up twice has restarted.
     MemberChanged {
-        /// Which.
+        /// The member.
         member: MemberId,
-        /// Its zone, by position.
+        /// Its zone, by position in the fleet's settings.
         zone: u8,
-        /// Where it is reached.
-        at: SocketAddr,
-        /// Whether it is there.
-        up: bool,
+        /// Its address.
+        address: SocketAddr,
+        /// Whether it is a member now.
+        is_up: bool,
     },
-    /// Another member has said something new.
+    /// A new gossip item of another member was received.
     Received {
-        /// Which.
+        /// The member that published it.
         member: MemberId,
-        /// On which topic.
-        topic: u16,
-        /// When, by its clock.
-        sent: Nanos,
-        /// What.
+        /// What it is about.
+        topic: Topic,
+        /// Time of publication, by the member's clock.
+        sent_at: Nanos,
+        /// The content.
         body: Vec<u8>,
     },
     /// A datagram was dropped.
--- a/core/membership/src/datagram_auth/tests.rs
+++ b/core/membership/src/datagram_auth/tests.rs
@@ -1,24 +1,36 @@
 use super::*;
+use crate::api::MemberId;
 
 #[test]
-fn what_was_sealed_opens_and_nothing_else_does() {
-    let key = Key::read(" one key for the fleet\n").unwrap();
-    let datagram = key.seal(b"hello");
-    assert_eq!(key.open(&datagram), Ok(&b"hello"[..]));
+fn only_signed_datagrams_are_verified() {
+    let key = Key::parse(" one key for the fleet\n").unwrap();
+    let datagram = key.sign(b"hello");
+    assert_eq!(key.verify(&datagram), Ok(&b"hello"[..]));
     assert_eq!(
-        Key::read("another key, no less").unwrap().open(&datagram),
+        Key::parse("another key, no less")
+            .unwrap()
+            .verify(&datagram),
         Err(DropReason::Unauthenticated)
     );
     for at in 0..datagram.len() {
-        let mut spoilt = datagram.clone();
-        spoilt[at] ^= 1;
-        assert!(key.open(&spoilt).is_err(), "byte {at}");
-        assert!(key.open(&datagram[..at]).is_err(), "cut at {at}");
+        let mut corrupted = datagram.clone();
+        corrupted[at] ^= 1;
+        assert!(key.verify(&corrupted).is_err(), "byte {at}");
+        assert!(key.verify(&datagram[..at]).is_err(), "truncated at {at}");
     }
     assert_eq!(
-        key.open(&key.seal(&[0; MAX_CONTENT_LENGTH + 1])),
+        key.verify(&key.sign(&[0; MAX_CONTENT_LENGTH + 1])),
         Err(DropReason::Malformed)
     );
-    assert!(Key::read("short").is_err() && Key::read(&"x".repeat(129)).is_err());
-    assert_ne!(member_id("n0"), member_id("n1"));
+    assert!(Key::parse("short").is_err() && Key::parse(&"x".repeat(129)).is_err());
+    assert_ne!(MemberId::from_name("n0"), MemberId::from_name("n1"));
+}
+
+/// Members of the versions before this one send and expect exactly these bytes.
+#[test]
+fn a_signed_datagram_has_the_recorded_bytes() {
+    let key = Key::parse("one key for the fleet").unwrap();
+    let datagram = b"\x01\xec\xf3\x63\x72\x52\x7c\xa0\x92\xa9\x00\xf8\x3c\x5a\xf3\x67\x57hello";
+    assert_eq!(key.sign(b"hello"), datagram);
+    assert_eq!(key.verify(datagram), Ok(&b"hello"[..]));
 }
--- a/core/membership/src/gossip_store.rs
+++ b/core/membership/src/gossip_store.rs
@@ -1,85 +1,109 @@
-//! Facts: what each member last said of itself on each topic. A map whose values only grow by their version, so merging
-//! is a join: in any order, any number of times, the same comes out.
+//! The latest gossip item of each member on each topic.
+//!
+//! A map whose values only grow by their version, so merging is a join: any order and any repetition of merges leads to
+//! the same content.
 
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{MAX_ITEM_LENGTH, MemberId, Nanos};
+use crate::api::{MAX_ITEM_LENGTH, MemberId, Topic};
+use crate::time::Nanos;
 
-/// Facts that are kept: sixteen topics of two thousand members. What is beyond is not taken; its members' own nodes
-/// still act on it.
-const MOST: usize = 32_768;
+/// Most items stored: sixteen topics of two thousand members. Items beyond that are ignored; only what their members
+/// publish is then missing on this node.
+const MAX_STORED_ITEMS: usize = 32_768;
 
-/// Which of two facts is the later one: by the member's start, then by its count since.
+/// Order of a member's items: by the member's start, then by the number of items since.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct GossipVersion {
-    /// The member's start.
+    /// Time of the member's start.
     pub incarnation: Nanos,
-    /// Rises with everything that it says.
+    /// Rises with every item that the member publishes on any topic.
     pub count: u32,
 }
 
-/// What a member says.
+/// What a gossip item replaces: the item with the same key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GossipKey {
+    /// The member that published the item.
+    pub member: MemberId,
+    /// What the item is about.
+    pub topic: Topic,
+}
+
+/// What a member has published on a topic. The order of the fields is that of their bytes in a datagram.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct GossipItem {
-    /// Who.
+    /// The member.
     pub member: MemberId,
-    /// On which topic.
-    pub topic: u16,
-    /// How late among all that it says.
+    /// What the item is about.
+    pub topic: Topic,
+    /// Its place among all items of the member.
     pub version: GossipVersion,
-    /// When, by its clock.
+    /// Time of publication, by the member's clock.
     pub sent_at: Nanos,
-    /// What.
+    /// The content.
     pub body: Vec<u8>,
 }
 
-/// Facts, the latest of each member and topic.
+impl GossipItem {
+    /// The key of the item.
+    #[must_use]
+    pub fn key(&self) -> GossipKey {
+        GossipKey {
+            member: self.member,
+            topic: self.topic,
+        }
+    }
+}
+
+/// Gossip items, the latest of each member and topic.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GossipStore {
-    known: BTreeMap<(MemberId, u16), GossipItem>,
+    items: BTreeMap<GossipKey, GossipItem>,
 }
 
 impl GossipStore {
-    /// Takes a fact in; whether it is news.
-    pub fn merge(&mut self, fact: GossipItem) -> bool {
-        let full = self.known.len() >= MOST;
-        if fact.body.len() > MAX_ITEM_LENGTH {
+    /// Merges an item; returns whether it was new. Items with too long a body are ignored.
+    pub fn merge(&mut self, item: GossipItem) -> bool {
+        let is_full = self.items.len() >= MAX_STORED_ITEMS;
+        if item.body.len() > MAX_ITEM_LENGTH {
             return false;
         }
-        match self.known.entry((fact.member, fact.topic)) {
-            Entry::Vacant(_) if full => false,
-            Entry::Vacant(free) => {
-                free.insert(fact);
+        match self.items.entry(item.key()) {
+            Entry::Vacant(_) if is_full => false,
+            Entry::Vacant(vacant) => {
+                vacant.insert(item);
                 true
             }
-            Entry::Occupied(mut held) => {
-                // Two facts under one version would be a member's fault; the larger one counts, everywhere.
-                let later = (fact.version, &fact) > (held.get().version, held.get());
-                if later {
-                    held.insert(fact);
+            Entry::Occupied(mut stored) => {
+                // A faulty member may publish two items of one version; all nodes then agree on the greater one.
+                let is_later = (item.version, &item) > (stored.get().version, stored.get());
+                if is_later {
+                    stored.insert(item);
                 }
-                later
+                is_later
             }
         }
     }
 
-    /// Takes in all that others know.
-    pub fn join(&mut self, other: &Self) {
-        other.known.values().for_each(|fact| {
-            self.merge(fact.clone());
-        });
+    /// Merges all items of another store.
+    pub fn merge_all(&mut self, other: &Self) {
+        for item in other.items.values() {
+            self.merge(item.clone());
+        }
     }
 
-    /// The latest on a topic by a member.
-    pub fn get(&self, member: MemberId, topic: u16) -> Option<&GossipItem> {
-        self.known.get(&(member, topic))
+    /// The latest item with this key.
+    #[must_use]
+    pub fn get(&self, key: GossipKey) -> Option<&GossipItem> {
+        self.items.get(&key)
     }
 
-    /// A member has been gone for long.
-    pub(crate) fn forget(&mut self, member: MemberId) {
-        self.known.retain(|(of, _), _| *of != member);
+    /// Removes all items of a member that is gone.
+    pub(crate) fn remove_member(&mut self, member: MemberId) {
+        self.items.retain(|key, _| key.member != member);
     }
 }
--- a/core/membership/src/lib.rs
+++ b/core/membership/src/lib.rs
@@ -1,21 +1,26 @@
-//! The nodes of a fleet know of each other: who is a member, who is suspected or has left (SWIM, by `foca`), and small
-//! facts that each spreads about itself. A fact replaces the one before it on the same topic by the same member; merging
-//! is a join, so that order, loss and repetition of datagrams don't matter.
+//! Membership of a fleet: which nodes are members, suspected or gone (SWIM, by `foca`), and gossip between them.
 //!
-//! `handle(now, event, &mut actions)`, no I/O, no clock, no randomness but the seed's. Times are Unix times in
-//! nanoseconds. Each datagram carries a version and a keyed hash over all of it; one that does not fit is dropped and
-//! counted.
+//! Each member broadcasts small items about itself. An item replaces the one before it by the same member on the same
+//! topic. Merging is a join (a state-based CRDT), so loss, reordering and repetition of datagrams don't matter.
+//!
+//! The core is sans-I/O: [`Membership::handle`] takes the time and an event and appends actions. It reads no clock, and
+//! its only randomness is the seed of its settings. Times are Unix times in nanoseconds. Each datagram carries a protocol
+//! version and a message authentication code; invalid ones are dropped and reported.
 
 mod api;
+mod broadcast_schedule;
 mod datagram_auth;
+mod gossip_handler;
 mod gossip_store;
 mod member_identity;
 mod membership;
+mod swim_config;
+mod swim_output;
+mod time;
+mod timer_queue;
 
-pub use api::{Action, DropReason, Event, MAX_ITEM_LENGTH, MemberId, Nanos, Settings};
-pub use datagram_auth::{Key, KeyError, MAX_DATAGRAM_LENGTH, member_id};
-pub use gossip_store::{GossipItem, GossipStore, GossipVersion};
+pub use api::{Action, DropReason, Event, MAX_ITEM_LENGTH, MemberId, Settings, Topic};
+pub use datagram_auth::{Key, KeyError, MAX_DATAGRAM_LENGTH};
+pub use gossip_store::{GossipItem, GossipKey, GossipStore, GossipVersion};
 pub use membership::Membership;
-
-pub(crate) const MS: Nanos = 1_000_000;
-pub(crate) const SECOND: Nanos = 1000 * MS;
+pub use time::Nanos;
--- a/core/membership/src/member_identity.rs
+++ b/core/membership/src/member_identity.rs
@@ -1,29 +1,31 @@
-//! Who a member is, for foca.
+//! The identity of a member in the SWIM protocol.
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{MemberId, Nanos};
+use crate::api::MemberId;
+use crate::time::Nanos;
 
-/// A life of a member.
+/// One incarnation of a member. The order of the fields is that of their bytes in a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct MemberIdentity {
-    pub(crate) at: SocketAddr,
+    pub(crate) address: SocketAddr,
     pub(crate) member: MemberId,
+    /// Position in the fleet's settings.
     pub(crate) zone: u8,
-    /// Rises with each start, and when the others took it for gone.
-    pub(crate) life: Nanos,
+    /// Time of the member's start, raised by one whenever the others considered it down.
+    pub(crate) incarnation: Nanos,
 }
 
 impl MemberIdentity {
-    /// One of which only the address is known: good for asking it to let this node in.
-    pub(crate) fn unknown(at: SocketAddr) -> Self {
+    /// A seed, of which only the address is known; sufficient for the request to join.
+    pub(crate) fn unknown(address: SocketAddr) -> Self {
         Self {
-            at,
-            member: 0,
+            address,
+            member: MemberId::default(),
             zone: 0,
-            life: 0,
+            incarnation: 0,
         }
     }
 }
@@ -33,16 +35,16 @@
 
     fn renew(&self) -> Option<Self> {
         Some(Self {
-            life: self.life.saturating_add(1),
+            incarnation: self.incarnation.saturating_add(1),
             ..*self
         })
     }
 
     fn addr(&self) -> SocketAddr {
-        self.at
+        self.address
     }
 
     fn win_addr_conflict(&self, adversary: &Self) -> bool {
-        self.life > adversary.life
+        self.incarnation > adversary.incarnation
     }
 }
--- /dev/null
+++ b/core/membership/src/timer_queue.rs
@@ -0,0 +1,49 @@
+//! The timers that foca has requested.
+
+use std::collections::BTreeMap;
+
+use foca::Timer;
+
+use crate::member_identity::MemberIdentity;
+use crate::time::Nanos;
+
+/// Order of timers: by time, and for equal times in the order of their requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TimerKey {
+    due_at: Nanos,
+    sequence: u64,
+}
+
+/// Pending timers. Foca bounds their number: a few for each member.
+#[derive(Default)]
+pub(crate) struct TimerQueue {
+    timers: BTreeMap<TimerKey, Timer<MemberIdentity>>,
+    next_sequence: u64,
+}
+
+impl TimerQueue {
+    /// Adds a timer.
+    pub(crate) fn insert(&mut self, due_at: Nanos, timer: Timer<MemberIdentity>) {
+        let key = TimerKey {
+            due_at,
+            sequence: self.next_sequence,
+        };
+        self.timers.insert(key, timer);
+        self.next_sequence += 1;
+    }
+
+    /// Time of the first timer.
+    pub(crate) fn next_due_at(&self) -> Option<Nanos> {
+        let (key, _) = self.timers.first_key_value()?;
+        Some(key.due_at)
+    }
+
+    /// Removes and returns the first timer, if it is due.
+    pub(crate) fn pop_due(&mut self, now: Nanos) -> Option<Timer<MemberIdentity>> {
+        let first = self.timers.first_entry()?;
+        if first.key().due_at > now {
+            return None;
+        }
+        Some(first.remove())
+    }
+}
--- a/core/membership/tests/fleet.rs
+++ b/core/membership/tests/fleet.rs
@@ -1,51 +1,94 @@
-//! Hundreds of members over a network that is late and loses: who knows whom, how fast news goes round, and what it
-//! costs. The network is a queue here; the seeds are printed.
+//! Simulated fleets of up to hundreds of members over a network with delay, loss and partitions: membership, the time
+//! until gossip has spread, and its traffic. The network is a queue of datagrams; the seeds are printed.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use badgerpost_membership::{Action, Event, Key, Membership, Settings, member_id};
+use badgerpost_membership::{Action, Event, Key, MemberId, Membership, Settings, Topic};
+
+const MILLISECOND: u64 = 1_000_000;
+const SECOND: u64 = 1000 * MILLISECOND;
+/// Time of the start, as Unix time.
+const START: u64 = 1_700_000_000 * SECOND;
 
-const MS: u64 = 1_000_000;
-const SECOND: u64 = 1000 * MS;
-const BASE: u64 = 1_700_000_000 * SECOND;
+/// A position in [`Fleet::members`].
+type Position = usize;
 
+/// What happens next in the simulation.
 enum Due {
-    Wake(usize, u64),
-    Comes(usize, Vec<u8>),
+    /// A member's timer that was requested for this time.
+    Timer { member: Position, at: u64 },
+    /// A datagram arrives at a member.
+    Datagram { member: Position, datagram: Vec<u8> },
+}
+
+/// Order of the simulation's steps: by time, then by their creation.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct DueKey {
+    at: u64,
+    sequence: u64,
+}
+
+/// Which member has received the gossip of which other one.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Reception {
+    receiver: Position,
+    publisher: MemberId,
 }
 
+/// Members and the network between them.
 struct Fleet {
     now: u64,
+    /// The members; none for one that has been killed.
     members: Vec<Option<Membership>>,
-    wakes: Vec<u64>,
-    queue: BTreeMap<(u64, u64), Due>,
-    next: u64,
-    random: u64,
+    /// Time of each member's latest timer.
+    timers: Vec<u64>,
+    queue: BTreeMap<DueKey, Due>,
+    next_sequence: u64,
+    random_state: u64,
+    /// Probability that a datagram is lost.
     loss: f64,
-    parted: bool,
-    bytes: Vec<u64>,
-    /// Who has heard whose latest news, when.
-    heard: BTreeMap<(usize, u64), u64>,
+    /// Whether the first half of the members is cut off from the second.
+    is_partitioned: bool,
+    /// Bytes that each member has sent.
+    sent_bytes: Vec<u64>,
+    /// Time of the first reception.
+    received_at: BTreeMap<Reception, u64>,
 }
 
-fn at(member: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, (member >> 8) as u8, member as u8], 7946))
+fn address(member: Position) -> SocketAddr {
+    let [high, low] = u16::try_from(member).unwrap().to_be_bytes();
+    SocketAddr::from(([127, 0, high, low], 7946))
+}
+
+fn position(address: SocketAddr) -> Option<Position> {
+    let SocketAddr::V4(address) = address else {
+        return None;
+    };
+    let [_, _, high, low] = address.ip().octets();
+    Some(usize::from(high) << 8 | usize::from(low))
 }
 
 impl Fleet {
     fn new(count: usize, seed: u64) -> Self {
         let mut fleet = Self {
-            now: BASE,
+            now: START,
             members: Vec::new(),
-            wakes: vec![0; count],
+            timers: vec![0; count],
             queue: BTreeMap::new(),
-            next: 0,
-            random: seed,
+            next_sequence: 0,
+            random_state: seed,
             loss: 0.0,
-            parted: false,
-            bytes: vec![0; count],
-            heard: BTreeMap::new(),
+            is_partitioned: false,
+            sent_bytes: vec![0; count],
+            received_at: BTreeMap::new(),
         };
         for member in 0..count {
             fleet.members.push(None);
@@ -54,220 +97,260 @@
         fleet
     }
 
-    fn start(&mut self, member: usize, count: usize) {
+    fn start(&mut self, member: Position, count: usize) {
         self.members[member] = Some(Membership::new(Settings {
-            member: member_id(&format!("n{member}")),
-            advertise: at(member),
-            zone: (member % 3) as u8,
+            member: MemberId::from_name(&format!("n{member}")),
+            advertise: address(member),
+            zone: u8::try_from(member % 3).unwrap(),
             incarnation: self.now,
-            seeds: (0..3).map(at).collect(),
-            key: Key::read("a key for a test").unwrap(),
-            node_count: count as u32,
-            seed: self.random ^ member as u64,
+            seeds: (0..3).map(address).collect(),
+            key: Key::parse("a key for a test").unwrap(),
+            node_count: u32::try_from(count).unwrap(),
+            seed: self.random_state ^ member as u64,
         }));
-        self.tell(member, Event::Start);
+        self.handle(member, Event::Start);
     }
 
-    fn draw(&mut self) -> f64 {
-        self.random = self
-            .random
+    /// A random number from 0 to 1.
+    fn random(&mut self) -> f64 {
+        self.random_state = self
+            .random_state
             .wrapping_mul(6364136223846793005)
             .wrapping_add(1442695040888963407);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
+        (self.random_state >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// A delay of the network from 0.2 to 1.2 ms, in nanoseconds.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the number is from 0 to a million"
+    )]
+    fn random_delay(&mut self) -> u64 {
+        200_000 + (self.random() * 1e6) as u64
+    }
+
+    fn schedule(&mut self, at: u64, due: Due) {
+        let key = DueKey {
+            at,
+            sequence: self.next_sequence,
+        };
+        self.queue.insert(key, due);
+        self.next_sequence += 1;
     }
 
-    fn tell(&mut self, member: usize, event: Event<'_>) {
+    /// Passes an event to a member, unless it has been killed, and carries out its actions.
+    fn handle(&mut self, member: Position, event: Event<'_>) {
         let mut actions = Vec::new();
-        let Some(peers) = &mut self.members[member] else {
+        let Some(membership) = &mut self.members[member] else {
             return;
         };
-        peers.handle(self.now, event, &mut actions);
+        membership.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { to, datagram } => {
-                    let SocketAddr::V4(to) = to else { continue };
-                    let octets = to.ip().octets();
-                    let to = usize::from(octets[2]) << 8 | usize::from(octets[3]);
-                    self.bytes[member] += datagram.len() as u64;
-                    let half = self.members.len() / 2;
-                    let cut = self.parted && (to < half) != (member < half);
-                    if self.draw() < self.loss || cut {
-                        continue;
-                    }
-                    let delay = 200_000 + (self.draw() * 1e6) as u64;
-                    self.queue
-                        .insert((self.now + delay, self.next), Due::Comes(to, datagram));
-                    self.next += 1;
-                }
+                Action::Send { to, datagram } => self.send(member, to, datagram),
                 Action::SetTimer { at } => {
-                    self.wakes[member] = at;
-                    self.queue.insert((at, self.next), Due::Wake(member, at));
-                    self.next += 1;
+                    self.timers[member] = at;
+                    self.schedule(at, Due::Timer { member, at });
                 }
-                Action::Received { member: of, .. } => {
-                    self.heard.entry((member, of)).or_insert(self.now);
+                Action::Received {
+                    member: publisher, ..
+                } => {
+                    let reception = Reception {
+                        receiver: member,
+                        publisher,
+                    };
+                    self.received_at.entry(reception).or_insert(self.now);
                 }
                 Action::MemberChanged { .. } => {}
-                Action::DatagramDropped(dropped) => panic!("{dropped:?}"),
+                Action::DatagramDropped(reason) => panic!("{reason:?}"),
             }
         }
     }
 
-    fn run(&mut self, span: u64) {
-        let until = self.now + span;
+    /// Sends a datagram with a random delay, unless the network loses it.
+    fn send(&mut self, from: Position, to: SocketAddr, datagram: Vec<u8>) {
+        let Some(to) = position(to) else { return };
+        self.sent_bytes[from] += datagram.len() as u64;
+        let half = self.members.len() / 2;
+        let is_cut_off = self.is_partitioned && (to < half) != (from < half);
+        if self.random() < self.loss || is_cut_off {
+            return;
+        }
+        let delay = self.random_delay();
+        let due = Due::Datagram {
+            member: to,
+            datagram,
+        };
+        self.schedule(self.now + delay, due);
+    }
+
+    fn run(&mut self, duration: u64) {
+        let until = self.now + duration;
         while let Some(first) = self
             .queue
             .first_entry()
-            .filter(|first| first.key().0 <= until)
+            .filter(|first| first.key().at <= until)
         {
-            let ((at, _), due) = first.remove_entry();
-            self.now = at;
+            let (key, due) = first.remove_entry();
+            self.now = key.at;
             match due {
-                Due::Wake(member, at) if self.wakes[member] == at => {
-                    self.tell(member, Event::TimerFired)
+                Due::Timer { member, at } if self.timers[member] == at => {
+                    self.handle(member, Event::TimerFired);
+                }
+                Due::Timer { .. } => {}
+                Due::Datagram { member, datagram } => {
+                    self.handle(member, Event::Datagram(&datagram));
                 }
-                Due::Wake(..) => {}
-                Due::Comes(member, datagram) => self.tell(member, Event::Datagram(&datagram)),
             }
         }
         self.now = until;
     }
 
-    fn known(&self) -> Vec<usize> {
+    /// How many others each running member knows.
+    fn member_counts(&self) -> Vec<usize> {
         self.members
             .iter()
             .flatten()
-            .map(Membership::members)
+            .map(Membership::member_count)
             .collect()
     }
+
+    /// Asserts on how many others each running member knows.
+    #[track_caller]
+    fn assert_member_counts(&self, is_expected: impl Fn(usize) -> bool) {
+        let counts = self.member_counts();
+        assert!(counts.iter().all(|count| is_expected(*count)), "{counts:?}");
+    }
+
+    /// Bytes sent by the average member.
+    fn mean_sent_bytes(&self) -> f64 {
+        self.sent_bytes.iter().sum::<u64>() as f64 / self.members.len() as f64
+    }
+}
+
+/// Traffic of the average member, and the delay of gossip.
+struct Measurement {
+    /// Bytes each second without gossip.
+    quiet_bytes_per_second: f64,
+    /// Bytes in the second in which a third of the members publish gossip.
+    busy_bytes: f64,
+    /// Milliseconds until nine tenths of the gossip received had been received.
+    gossip_delay_p90: u64,
 }
 
-fn figures(count: usize, seed: u64) -> (f64, f64, u64) {
+fn measure(count: usize, seed: u64) -> Measurement {
     println!("{count} members, seed {seed}");
     let mut fleet = Fleet::new(count, seed);
     fleet.run(40 * SECOND);
-    assert!(
-        fleet.known().iter().all(|known| *known == count - 1),
-        "all know all"
-    );
-    let total = |fleet: &Fleet| fleet.bytes.iter().sum::<u64>() as f64 / count as f64;
-    let before = total(&fleet);
+    fleet.assert_member_counts(|known| known == count - 1);
+    let before_quiet = fleet.mean_sent_bytes();
     fleet.run(20 * SECOND);
-    let quiet = (total(&fleet) - before) / 20.0;
-    // A third of them have something to say at once, and say more for a second.
-    let (said, before) = (fleet.now, total(&fleet));
+    let quiet_bytes_per_second = (fleet.mean_sent_bytes() - before_quiet) / 20.0;
+    // A third of the members publish at the same time, and repeatedly within a second.
+    let published_at = fleet.now;
+    let before_busy = fleet.mean_sent_bytes();
     for round in 0..4u8 {
         for member in (0..count).step_by(3) {
-            fleet.tell(
-                member,
-                Event::Broadcast {
-                    topic: 1,
-                    body: &[round; 12],
-                },
-            );
+            let event = Event::Broadcast {
+                topic: Topic(1),
+                body: &[round; 12],
+            };
+            fleet.handle(member, event);
         }
-        fleet.run(250 * MS);
+        fleet.run(250 * MILLISECOND);
     }
-    let busy = total(&fleet) - before;
+    let busy_bytes = fleet.mean_sent_bytes() - before_busy;
     fleet.run(2 * SECOND);
-    // The news of one third: nine tenths of the members have heard nine tenths of it after so long.
-    let mut spans: Vec<u64> = fleet.heard.values().map(|heard| heard - said).collect();
-    let all = count * count.div_ceil(3);
+    let mut delays: Vec<u64> = fleet
+        .received_at
+        .values()
+        .map(|received_at| received_at - published_at)
+        .collect();
+    let expected = count * count.div_ceil(3);
     assert!(
-        spans.len() as f64 > 0.97 * all as f64,
-        "{} of {all}",
-        spans.len()
+        delays.len() as f64 > 0.97 * expected as f64,
+        "{} of {expected}",
+        delays.len()
     );
-    spans.sort_unstable();
-    (quiet, busy, spans[spans.len() * 9 / 10] / MS)
+    delays.sort_unstable();
+    Measurement {
+        quiet_bytes_per_second,
+        busy_bytes,
+        gossip_delay_p90: delays[delays.len() * 9 / 10] / MILLISECOND,
+    }
 }
 
 #[test]
-fn all_find_all_and_news_goes_round_at_a_bounded_cost() {
-    let (quiet, busy, heard) = figures(100, 5);
+fn all_members_find_each_other_and_gossip_spreads_at_a_bounded_cost() {
+    let Measurement {
+        quiet_bytes_per_second,
+        busy_bytes,
+        gossip_delay_p90,
+    } = measure(100, 5);
     println!(
-        "quiet {quiet:.0} bytes a second, busy {busy:.0} in a second, nine tenths heard after {heard} ms"
+        "quiet {quiet_bytes_per_second:.0} bytes a second, busy {busy_bytes:.0} in a second, nine tenths received after {gossip_delay_p90} ms"
     );
-    assert!(quiet < 1500.0 && busy < 400_000.0 && heard < 300);
+    assert!(quiet_bytes_per_second < 1500.0 && busy_bytes < 400_000.0 && gossip_delay_p90 < 300);
 }
 
 /// The figures of the operators' page; some minutes in a debug build: `cargo test --release ... -- --ignored`.
 #[test]
 #[ignore = "a measurement"]
-fn what_it_costs_in_large_fleets() {
+fn cost_in_large_fleets() {
     for count in [300, 1000] {
-        let (quiet, busy, heard) = figures(count, 5);
+        let Measurement {
+            quiet_bytes_per_second,
+            busy_bytes,
+            gossip_delay_p90,
+        } = measure(count, 5);
         println!(
-            "{count}: quiet {quiet:.0} bytes/s, busy {busy:.0} bytes in a second, 90% heard after {heard} ms"
+            "{count}: quiet {quiet_bytes_per_second:.0} bytes/s, busy {busy_bytes:.0} bytes in a second, 90% received after {gossip_delay_p90} ms"
         );
     }
 }
 
 #[test]
-fn loss_a_split_and_deaths_are_got_over() {
+fn membership_recovers_from_loss_a_partition_and_killed_members() {
     let mut fleet = Fleet::new(40, 9);
     fleet.loss = 0.2;
     fleet.run(30 * SECOND);
-    assert!(
-        fleet.known().iter().all(|known| *known >= 38),
-        "{:?}",
-        fleet.known()
-    );
-    // Two halves, each of which takes the other for gone; then they find together again by themselves.
-    (fleet.loss, fleet.parted) = (0.0, true);
+    fleet.assert_member_counts(|known| known >= 38);
+    // Two halves, each of which considers the other down; they merge again by themselves.
+    fleet.loss = 0.0;
+    fleet.is_partitioned = true;
     fleet.run(60 * SECOND);
-    assert!(
-        fleet.known().iter().all(|known| *known <= 22),
-        "{:?}",
-        fleet.known()
-    );
-    fleet.parted = false;
+    fleet.assert_member_counts(|known| known <= 22);
+    fleet.is_partitioned = false;
     fleet.run(60 * SECOND);
-    assert!(
-        fleet.known().iter().all(|known| *known == 39),
-        "{:?}",
-        fleet.known()
-    );
-    // Ten die; one comes back at once, with a later life.
-    (30..40).for_each(|member| fleet.members[member] = None);
+    fleet.assert_member_counts(|known| known == 39);
+    // Ten are killed; one returns as a later incarnation.
+    for member in 30..40 {
+        fleet.members[member] = None;
+    }
     fleet.run(30 * SECOND);
-    assert!(
-        fleet.known().iter().all(|known| *known == 29),
-        "{:?}",
-        fleet.known()
-    );
+    fleet.assert_member_counts(|known| known == 29);
     fleet.start(30, 40);
     fleet.run(10 * SECOND);
-    assert!(
-        fleet.known().iter().all(|known| *known == 30),
-        "{:?}",
-        fleet.known()
-    );
-    // An orderly leave is known at once.
-    fleet.tell(30, Event::Leave);
+    fleet.assert_member_counts(|known| known == 30);
+    // A member that leaves is known to be gone at once.
+    fleet.handle(30, Event::Leave);
     fleet.members[30] = None;
     fleet.run(2 * SECOND);
-    assert!(
-        fleet.known().iter().all(|known| *known == 29),
-        "{:?}",
-        fleet.known()
-    );
+    fleet.assert_member_counts(|known| known == 29);
 }
 
-/// Killed and up again before anybody has missed it.
+/// The member is killed and up again before the others consider it down.
 #[test]
-fn a_member_that_starts_anew_at_once_knows_the_others_at_once() {
+fn a_member_that_restarts_at_once_knows_the_others_at_once() {
     let mut fleet = Fleet::new(12, 3);
     fleet.run(10 * SECOND);
     fleet.members[4] = None;
-    fleet.run(200 * MS);
+    fleet.run(200 * MILLISECOND);
     fleet.start(4, 12);
-    fleet.run(100 * MS);
-    assert!(fleet.known()[4] >= 8, "{:?}", fleet.known());
+    fleet.run(100 * MILLISECOND);
+    let counts = fleet.member_counts();
+    assert!(counts[4] >= 8, "{counts:?}");
     fleet.run(2 * SECOND);
-    assert!(
-        fleet.known().iter().all(|known| *known == 11),
-        "{:?}",
-        fleet.known()
-    );
+    fleet.assert_member_counts(|known| known == 11);
 }
--- a/core/membership/tests/gossip_store.rs
+++ b/core/membership/tests/gossip_store.rs
@@ -1,13 +1,11 @@
-//! Facts merge to the same whatever the order, and however often.
+//! Gossip items merge to the same content in any order and with any repetition.
 
-use badgerpost_membership::{GossipItem, GossipStore, GossipVersion};
+use badgerpost_membership::{GossipItem, GossipKey, GossipStore, GossipVersion, MemberId, Topic};
 use proptest::prelude::*;
 
-fn fact() -> impl Strategy<Value = GossipItem> {
-    let version = (0..3u64, 0..4u32).prop_map(|(life, count)| GossipVersion {
-        incarnation: life,
-        count,
-    });
+fn item() -> impl Strategy<Value = GossipItem> {
+    let version =
+        (0..3u64, 0..4u32).prop_map(|(incarnation, count)| GossipVersion { incarnation, count });
     (
         0..4u64,
         0..3u16,
@@ -15,48 +13,49 @@
         0..2u64,
         prop::collection::vec(any::<u8>(), 0..3),
     )
-        .prop_map(|(member, topic, version, sent, body)| GossipItem {
-            member,
-            topic,
+        .prop_map(|(member, topic, version, sent_at, body)| GossipItem {
+            member: MemberId(member),
+            topic: Topic(topic),
             version,
-            sent_at: sent,
+            sent_at,
             body,
         })
 }
 
-fn facts(of: &[GossipItem]) -> GossipStore {
-    let mut facts = GossipStore::default();
-    of.iter().for_each(|fact| {
-        facts.merge(fact.clone());
-    });
-    facts
+fn store_of(items: &[GossipItem]) -> GossipStore {
+    let mut store = GossipStore::default();
+    for item in items {
+        store.merge(item.clone());
+    }
+    store
 }
 
-fn joined(one: &GossipStore, other: &GossipStore) -> GossipStore {
+fn merged(one: &GossipStore, other: &GossipStore) -> GossipStore {
     let mut both = one.clone();
-    both.join(other);
+    both.merge_all(other);
     both
 }
 
 proptest! {
     #[test]
-    fn merging_is_a_join(a in prop::collection::vec(fact(), 0..12), b in prop::collection::vec(fact(), 0..12), c in prop::collection::vec(fact(), 0..12)) {
-        let (a, b, c) = (facts(&a), facts(&b), facts(&c));
-        prop_assert_eq!(joined(&a, &b), joined(&b, &a));
-        prop_assert_eq!(joined(&joined(&a, &b), &c), joined(&a, &joined(&b, &c)));
-        prop_assert_eq!(joined(&a, &a), a.clone());
-        // It only grows: what is known later is never older.
+    fn merging_is_commutative_associative_and_idempotent(a in prop::collection::vec(item(), 0..12), b in prop::collection::vec(item(), 0..12), c in prop::collection::vec(item(), 0..12)) {
+        let (a, b, c) = (store_of(&a), store_of(&b), store_of(&c));
+        prop_assert_eq!(merged(&a, &b), merged(&b, &a));
+        prop_assert_eq!(merged(&merged(&a, &b), &c), merged(&a, &merged(&b, &c)));
+        prop_assert_eq!(merged(&a, &a), a.clone());
+        // Versions only grow.
         for member in 0..4 {
             for topic in 0..3 {
-                if let Some(known) = a.get(member, topic) {
-                    prop_assert!(joined(&a, &b).get(member, topic).unwrap().version >= known.version);
+                let key = GossipKey { member: MemberId(member), topic: Topic(topic) };
+                if let Some(known) = a.get(key) {
+                    prop_assert!(merged(&a, &b).get(key).unwrap().version >= known.version);
                 }
             }
         }
     }
 
     #[test]
-    fn order_loss_of_old_news_and_repetition_do_not_matter(all in prop::collection::vec(fact(), 1..20), seed in any::<u64>()) {
+    fn order_and_repetition_of_merges_do_not_matter(all in prop::collection::vec(item(), 1..20), seed in any::<u64>()) {
         let mut shuffled = all.clone();
         let mut random = seed;
         for at in (1..shuffled.len()).rev() {
@@ -64,6 +63,6 @@
             shuffled.swap(at, (random >> 33) as usize % (at + 1));
         }
         shuffled.extend(all.iter().take(3).cloned());
-        prop_assert_eq!(facts(&shuffled), facts(&all));
+        prop_assert_eq!(store_of(&shuffled), store_of(&all));
     }
 }
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use badgerpost_fakes::scripted::*;
-use badgerpost_membership::{Action, Event, Key, Membership, Settings, member_id};
+use badgerpost_membership::{Action, Event, Key, MemberId, Membership, Settings, Topic};
 use badgerpost_zone_health::{ObservedState, ZoneObservation};
 use serde_json::{Value, json};
 
@@ -244,12 +244,12 @@
                 .set_read_timeout(Some(Duration::from_millis(5)))
                 .unwrap();
             let mut core = Membership::new(Settings {
-                member: member_id(&format!("liar{number}")),
+                member: MemberId::from_name(&format!("liar{number}")),
                 advertise: socket.local_addr().unwrap(),
                 zone: 0,
                 incarnation: now(),
                 seeds: vec![seed],
-                key: Key::read(KEY).unwrap(),
+                key: Key::parse(KEY).unwrap(),
                 node_count: 5,
                 seed: number as u64,
             });
@@ -286,7 +286,7 @@
                     said = Instant::now();
                     tell(
                         Event::Broadcast {
-                            topic: 0,
+                            topic: Topic(0),
                             body: &dead.to_bytes(),
                         },
                         &mut wake,
