--- a/adapters/admin/src/lifecycle_handle.rs
+++ b/adapters/admin/src/lifecycle_handle.rs
@@ -2,13 +2,12 @@
 //! longer than one step, and its stage on a watch.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
-use badgerpost_lifecycle::{Event, Lifecycle, Stage, Transition};
+use badgerpost_lifecycle::{Event, Lifecycle, Stage, Timer, Transition};
 use tokio::sync::watch;
 
 /// A wake-up that the state machine wants.
-pub type PendingTimer = (Duration, u64);
+pub type PendingTimer = Timer;
 
 /// A handle on the life cycle. Cheap to clone.
 #[derive(Clone)]
--- /dev/null
+++ b/core/membership/src/membership.rs
@@ -0,0 +1,295 @@
+//! State of one member: foca with the datagrams, timers and gossip around it.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use foca::{Foca, PostcardCodec};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::api::{Action, DropReason, Event, Settings, Topic};
+use crate::broadcast_schedule::BroadcastSchedule;
+use crate::gossip_handler::{GossipHandler, GossipState};
+use crate::gossip_store::{GossipItem, GossipVersion};
+use crate::member_identity::MemberIdentity;
+use crate::swim_config::swim_config;
+use crate::swim_output::{MemberChange, Packet, SwimOutput, TimerRequest};
+use crate::time::{Nanos, SECOND};
+use crate::timer_queue::TimerQueue;
+
+/// Time between two requests to the seeds, while no other member is known.
+const JOIN_RETRY_INTERVAL: Nanos = SECOND;
+
+/// Whether this member takes part in the fleet.
+///
+/// ```text
+///     Created --Start--> Joined --Leave--> Left
+///        |                                  ^
+///        +---------------Leave--------------+
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Not started yet: answers other members, but asks no seeds.
+    Created,
+    /// Started.
+    Joined {
+        /// When the seeds are asked again, if no other member is known by then.
+        ask_seeds_at: Nanos,
+    },
+    /// Has left the fleet; ignores all events.
+    Left,
+}
+
+/// One member's view of the fleet.
+pub struct Membership {
+    settings: Settings,
+    state: State,
+    foca: Foca<MemberIdentity, PostcardCodec, SmallRng, GossipHandler>,
+    gossip: Rc<RefCell<GossipState>>,
+    /// Gossip items that this member has published.
+    published_count: u32,
+    broadcasts: BroadcastSchedule,
+    timers: TimerQueue,
+    /// The time of the last [`Action::SetTimer`], until it fires.
+    requested_timer: Option<Nanos>,
+}
+
+impl Membership {
+    /// A member that does not know the others yet.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let identity = MemberIdentity {
+            address: settings.advertise,
+            member: settings.member,
+            zone: settings.zone,
+            incarnation: settings.incarnation,
+        };
+        let gossip = Rc::<RefCell<GossipState>>::default();
+        let foca = Foca::with_custom_broadcast(
+            identity,
+            swim_config(settings.node_count),
+            SmallRng::seed_from_u64(settings.seed),
+            PostcardCodec,
+            GossipHandler(gossip.clone()),
+        );
+        Self {
+            settings,
+            state: State::Created,
+            foca,
+            gossip,
+            published_count: 0,
+            broadcasts: BroadcastSchedule::default(),
+            timers: TimerQueue::default(),
+            requested_timer: None,
+        }
+    }
+
+    /// Number of other members that are up.
+    #[must_use]
+    pub fn member_count(&self) -> usize {
+        self.foca.num_members()
+    }
+
+    /// Applies one event and appends the resulting actions.
+    pub fn handle(&mut self, now: Nanos, event: Event<'_>, actions: &mut Vec<Action>) {
+        if self.state == State::Left {
+            return;
+        }
+        let mut output = SwimOutput::default();
+        match event {
+            Event::Start => self.ask_seeds(now, &mut output),
+            Event::Datagram(datagram) => {
+                if let Err(reason) = self.receive(datagram, &mut output) {
+                    actions.push(Action::DatagramDropped(reason));
+                }
+            }
+            Event::TimerFired => self.requested_timer = None,
+            Event::Broadcast { topic, body } => self.publish(now, topic, body),
+            Event::Leave => self.leave(&mut output),
+        }
+        if self.state != State::Left {
+            self.run_due(now, &mut output);
+        }
+        self.emit(now, output, actions);
+    }
+
+    /// Enters `Joined`, or stays there: asks the seeds to let this member join.
+    fn ask_seeds(&mut self, now: Nanos, output: &mut SwimOutput) {
+        self.state = State::Joined {
+            ask_seeds_at: now.saturating_add(JOIN_RETRY_INTERVAL),
+        };
+        for seed in &self.settings.seeds {
+            if *seed == self.settings.advertise {
+                continue;
+            }
+            // A request that fails is repeated with the next timer, like one that is lost.
+            let _ = self
+                .foca
+                .announce(MemberIdentity::unknown(*seed), &mut *output);
+        }
+    }
+
+    /// Verifies a datagram and passes its content on to foca.
+    fn receive(&mut self, datagram: &[u8], output: &mut SwimOutput) -> Result<(), DropReason> {
+        let content = self.settings.key.verify(datagram)?;
+        match self.foca.handle_data(content, output) {
+            // Some networks return a member's own datagrams to it, which is no fault.
+            Ok(()) | Err(foca::Error::DataFromOurselves) => Ok(()),
+            Err(_) => Err(DropReason::Undecodable),
+        }
+    }
+
+    /// Publishes a gossip item of this member. One that is too long is ignored.
+    fn publish(&mut self, now: Nanos, topic: Topic, body: &[u8]) {
+        self.published_count = self.published_count.saturating_add(1);
+        let item = GossipItem {
+            member: self.settings.member,
+            topic,
+            version: GossipVersion {
+                incarnation: self.settings.incarnation,
+                count: self.published_count,
+            },
+            sent_at: now,
+            body: body.to_vec(),
+        };
+        let Ok(data) = postcard::to_allocvec(&item) else {
+            return;
+        };
+        if self.foca.add_broadcast(&data).unwrap_or(false) {
+            self.broadcasts.request(now);
+        }
+    }
+
+    /// Enters `Left`: informs some members, which spread it. Without that they notice by their probes.
+    fn leave(&mut self, output: &mut SwimOutput) {
+        let _ = self.foca.leave_cluster(output);
+        self.state = State::Left;
+    }
+
+    /// Does what is due: foca's timers, requests to the seeds, broadcasts.
+    fn run_due(&mut self, now: Nanos, output: &mut SwimOutput) {
+        // New timers are collected in the output, so this ends.
+        while let Some(timer) = self.timers.pop_due(now) {
+            // Foca resumes by itself after any error of a timer.
+            let _ = self.foca.handle_timer(timer, &mut *output);
+        }
+        if self.next_seed_request().is_some_and(|at| at <= now) {
+            self.ask_seeds(now, output);
+        }
+        if !self.gossip.borrow().unreported.is_empty() {
+            self.broadcasts.request(now);
+        }
+        if self.broadcasts.take_due(now) {
+            // The periodic rounds repeat what is not sent here.
+            let _ = self.foca.broadcast(output);
+        }
+    }
+
+    /// When the seeds are to be asked next; never while another member is known.
+    fn next_seed_request(&self) -> Option<Nanos> {
+        match self.state {
+            State::Joined { ask_seeds_at } if self.foca.num_members() == 0 => Some(ask_seeds_at),
+            State::Joined { .. } | State::Created | State::Left => None,
+        }
+    }
+
+    /// Turns the outputs of foca into actions.
+    fn emit(&mut self, now: Nanos, output: SwimOutput, actions: &mut Vec<Action>) {
+        let SwimOutput {
+            packets,
+            timers,
+            mut member_changes,
+            renamed,
+        } = output;
+        member_changes.extend(self.restarted_members(renamed));
+        self.insert_timers(now, timers);
+        self.send_packets(packets, actions);
+        self.report_members(member_changes, actions);
+        self.report_gossip(actions);
+        self.request_timer(actions);
+    }
+
+    /// The changes for members that restarted unnoticed, if they are still up.
+    fn restarted_members(
+        &self,
+        renamed: Vec<MemberIdentity>,
+    ) -> impl Iterator<Item = MemberChange> {
+        renamed
+            .into_iter()
+            .filter(|identity| {
+                self.foca
+                    .iter_members()
+                    .any(|member| member.id() == identity)
+            })
+            .map(|identity| MemberChange {
+                identity,
+                is_up: true,
+            })
+    }
+
+    /// Keeps the timers that foca has requested.
+    fn insert_timers(&mut self, now: Nanos, timers: Vec<TimerRequest>) {
+        for TimerRequest { after, timer } in timers {
+            let after = Nanos::try_from(after.as_nanos()).unwrap_or(Nanos::MAX);
+            self.timers.insert(now.saturating_add(after), timer);
+        }
+    }
+
+    /// Sends packets as authenticated datagrams.
+    fn send_packets(&self, packets: Vec<Packet>, actions: &mut Vec<Action>) {
+        for Packet { to, content } in packets {
+            actions.push(Action::Send {
+                to,
+                datagram: self.settings.key.sign(&content),
+            });
+        }
+    }
+
+    /// Reports members that have joined, restarted or gone, and forgets the gossip of those that are gone.
+    fn report_members(&self, member_changes: Vec<MemberChange>, actions: &mut Vec<Action>) {
+        for MemberChange { identity, is_up } in member_changes {
+            if !is_up {
+                let mut gossip = self.gossip.borrow_mut();
+                gossip.store.remove_member(identity.member);
+            }
+            actions.push(Action::MemberChanged {
+                member: identity.member,
+                zone: identity.zone,
+                address: identity.address,
+                is_up,
+            });
+        }
+    }
+
+    /// Reports the items received.
+    fn report_gossip(&self, actions: &mut Vec<Action>) {
+        let unreported = std::mem::take(&mut self.gossip.borrow_mut().unreported);
+        for item in unreported {
+            actions.push(Action::Received {
+                member: item.member,
+                topic: item.topic,
+                sent_at: item.sent_at,
+                body: item.body,
+            });
+        }
+    }
+
+    /// Requests the next timer, unless it is the one requested already.
+    fn request_timer(&mut self, actions: &mut Vec<Action>) {
+        if self.state == State::Left {
+            return;
+        }
+        let candidates = [
+            self.timers.next_due_at(),
+            self.next_seed_request(),
+            self.broadcasts.due_at(),
+        ];
+        let Some(at) = candidates.into_iter().flatten().min() else {
+            return;
+        };
+        if self.requested_timer != Some(at) {
+            self.requested_timer = Some(at);
+            actions.push(Action::SetTimer { at });
+        }
+    }
+}
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -199,7 +199,7 @@
                 given |= matches!(action, Action::SendListener(_));
                 if let Action::SetShared(shared) = action {
                     tracing::info!(shared, "the next version takes connections here");
-                    life.tell(LifeEvent::Shared(shared));
+                    life.tell(LifeEvent::ListenerShared(shared));
                 }
                 self.carry_out(action, &mut link, Some(listener)).await;
             }
@@ -245,10 +245,13 @@
         loop {
             if let Some(end) = self.inbox.iter().position(|byte| *byte == b'\n') {
                 let line: Vec<u8> = self.inbox.drain(..=end).collect();
-                return match Message::read(&line[..end]) {
+                return match Message::from_line(&line[..end]) {
                     Ok(message) => {
-                        let with = message == Message::Listener && self.is_listener(listen);
-                        Event::Received(message, with)
+                        let has_listener = message == Message::Listener && self.is_listener(listen);
+                        Event::Received {
+                            message,
+                            has_listener,
+                        }
                     }
                     Err(error) => {
                         tracing::warn!(%error, "the other version can't be understood");
@@ -298,7 +301,7 @@
     }
 
     async fn say(&self, message: &Message, listener: Option<&TcpListener>) -> io::Result<()> {
-        let line = message.line();
+        let line = message.to_line();
         let sent = self
             .stream
             .async_io(Interest::WRITABLE, || {
