--- a/engine/src/call_ids.rs
+++ b/engine/src/client_request_ids.rs
@@ -6,23 +6,23 @@
 
 /// An id is not taken again for this long after its request has ended: one that copies an open request's id
 /// may cross the answer to that.
-const ID_RESTS: Nanos = 1_000_000_000;
+const ID_REUSE_DELAY: Nanos = 1_000_000_000;
 /// At most so many ids rest: more come only from clients that are turned away at once, over and over.
-pub(crate) const IDS_RESTING: usize = 4096;
+pub(crate) const RECENT_IDS_MAX: usize = 4096;
 
 /// The ids of requests that are open or have just been.
 #[derive(Default)]
-pub(crate) struct CallIds {
+pub(crate) struct ClientRequestIds {
     pub(crate) known: HashSet<Box<str>>,
     /// Of requests that have ended, and when.
     pub(crate) ended: VecDeque<(Nanos, Box<str>)>,
 }
 
-impl CallIds {
+impl ClientRequestIds {
     /// False where a request has the id now, or had it a moment ago.
     pub(crate) fn take(&mut self, id: &str, now: Nanos) -> bool {
         while let Some((at, _)) = self.ended.front()
-            && (now.saturating_sub(*at) >= ID_RESTS || self.ended.len() > IDS_RESTING)
+            && (now.saturating_sub(*at) >= ID_REUSE_DELAY || self.ended.len() > RECENT_IDS_MAX)
             && let Some((_, id)) = self.ended.pop_front()
         {
             self.known.remove(&id);
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::backends::Backends;
-use crate::call_ids::CallIds;
+use crate::client_request_ids::ClientRequestIds;
 use crate::clock::Clock;
 use crate::metrics::{Metrics, RequestEnd};
 use crate::protocol::{
@@ -23,7 +23,7 @@
     RequestOutcome,
 };
 use crate::timers::{TimerPurpose, Timers};
-use crate::zones::{PeerUpdate, ZoneChange, ZoneGossip, ZoneOutput, ZoneWatch};
+use crate::zone_monitoring::{PeerUpdate, ZoneChange, ZoneGossip, ZoneMonitoring, ZoneOutput};
 
 /// How long past a request's end the driver waits for the module before it answers by itself: longer than
 /// the module's own housekeeping, well inside the slack that the rules leave.
@@ -32,16 +32,16 @@
 /// An attempt that has not ended.
 pub(crate) struct InFlightAttempt {
     since: Nanos,
-    withdraw: Option<oneshot::Sender<()>>,
+    cancel: Option<oneshot::Sender<()>>,
 }
 
 /// A request that is owed its answer, or the ends of its attempts.
-pub(crate) struct OpenRequest<F: Protocol> {
-    pub(crate) reply: Option<oneshot::Sender<RequestOutcome<F::Response>>>,
-    pub(crate) call: Rc<F::Request>,
+pub(crate) struct OpenRequest<P: Protocol> {
+    pub(crate) reply: Option<oneshot::Sender<RequestOutcome<P::Response>>>,
+    pub(crate) call: Rc<P::Request>,
     pub(crate) class: u32,
     pub(crate) id: Box<str>,
-    pub(crate) not_after: Nanos,
+    pub(crate) expires_at: Nanos,
     /// Where the body is still on the way, or was: the end of the client's time, once it is known.
     deadline: Option<watch::Sender<Nanos>>,
     /// Attempts by number; none where settled.
@@ -50,163 +50,169 @@
 }
 
 /// One fleet's state.
-pub(crate) struct Driver<F: Protocol> {
+pub(crate) struct Driver<P: Protocol> {
     pub(crate) clock: Clock,
     pub(crate) balancer: Balancer,
     pub(crate) settings: Settings,
-    pub(crate) words: NameTable,
-    pub(crate) requests: HashMap<RequestId, OpenRequest<F>>,
+    pub(crate) names: NameTable,
+    pub(crate) requests: HashMap<RequestId, OpenRequest<P>>,
     /// The clients' ids of these.
-    pub(crate) call_ids: CallIds,
+    pub(crate) client_request_ids: ClientRequestIds,
     pub(crate) next_request: u64,
     pub(crate) backends: Backends,
     pub(crate) timers: Timers,
-    pub(crate) tally: Arc<Metrics>,
+    pub(crate) metrics: Arc<Metrics>,
     /// The watch over the zones, where it is switched on.
-    zones: Option<ZoneWatch>,
+    zones: Option<ZoneMonitoring>,
     /// Where its words for the other nodes go, if there are any.
-    talk: Option<mpsc::Sender<ZoneGossip>>,
+    gossip_sender: Option<mpsc::Sender<ZoneGossip>>,
     /// Discovery has told of the servers.
-    pub(crate) heard: bool,
+    pub(crate) endpoint_list_received: bool,
     /// Set by the module's wish for the whole list.
-    pub(crate) whole_list: bool,
+    pub(crate) snapshot_requested: bool,
 }
 
 /// Work that an event has left for the network.
-pub(crate) struct PendingIo<F: Protocol> {
-    pub(crate) launches: Vec<AttemptCommand<F>>,
+pub(crate) struct PendingIo<P: Protocol> {
+    pub(crate) attempts: Vec<AttemptCommand<P>>,
     pub(crate) retired: Vec<BackendId>,
     /// Whom to probe, and where they listen.
     pub(crate) probes: Vec<(BackendId, SocketAddr)>,
     /// Attempts on a backend that has left the list meanwhile.
-    pub(crate) moot: Vec<AttemptId>,
-    pub(crate) ask: bool,
-    pub(crate) rearm: bool,
+    pub(crate) not_sent: Vec<AttemptId>,
+    pub(crate) poll_discovery: bool,
+    pub(crate) first_timer_changed: bool,
 }
 
-impl<F: Protocol> Default for PendingIo<F> {
+impl<P: Protocol> Default for PendingIo<P> {
     fn default() -> Self {
         Self {
-            launches: Vec::new(),
+            attempts: Vec::new(),
             retired: Vec::new(),
             probes: Vec::new(),
-            moot: Vec::new(),
-            ask: false,
-            rearm: false,
+            not_sent: Vec::new(),
+            poll_discovery: false,
+            first_timer_changed: false,
         }
     }
 }
 
-impl<F: Protocol> Driver<F> {
+impl<P: Protocol> Driver<P> {
     /// A driver with no servers yet.
     pub(crate) fn new(
         settings: Settings,
-        words: NameTable,
+        names: NameTable,
         seed: u64,
         clock: Clock,
     ) -> Result<Self, SettingsError> {
         Ok(Self {
             balancer: Balancer::new(settings.clone(), seed, clock.now())?,
             clock,
-            tally: Arc::new(Metrics::new(words.class_names())),
+            metrics: Arc::new(Metrics::new(names.class_names())),
             settings,
-            words,
+            names,
             requests: HashMap::new(),
-            call_ids: CallIds::default(),
+            client_request_ids: ClientRequestIds::default(),
             next_request: 0,
             backends: Backends::default(),
             timers: Timers::default(),
             zones: None,
-            talk: None,
-            heard: false,
-            whole_list: false,
+            gossip_sender: None,
+            endpoint_list_received: false,
+            snapshot_requested: false,
         })
     }
 
     /// Switches the watch over the zones on.
     pub(crate) fn watch_zones(&mut self, seed: u64) {
         let names = (0..self.settings.zone_count)
-            .map(|zone| self.words.zone_name(ZoneId(zone)).unwrap_or("").into());
-        self.tally.watch_zones(names.collect());
-        self.zones = Some(ZoneWatch::new(&self.settings, seed, self.clock.now()));
+            .map(|zone| self.names.zone_name(ZoneId(zone)).unwrap_or("").into());
+        self.metrics.watch_zones(names.collect());
+        self.zones = Some(ZoneMonitoring::new(&self.settings, seed, self.clock.now()));
     }
 
     /// Has the watch's words for the other nodes go there.
-    pub(crate) fn talk(&mut self, talk: mpsc::Sender<ZoneGossip>) {
-        self.talk = Some(talk);
+    pub(crate) fn gossip_sender(&mut self, gossip_sender: mpsc::Sender<ZoneGossip>) {
+        self.gossip_sender = Some(gossip_sender);
     }
 
     /// Another node is there, or gone, or has said something.
-    pub(crate) fn peer_told(&mut self, told: &PeerUpdate, errands: &mut PendingIo<F>) {
-        self.in_zones(errands, |zones, now| zones.peer_told(now, told));
+    pub(crate) fn peer_updated(&mut self, told: &PeerUpdate, pending_io: &mut PendingIo<P>) {
+        self.with_zone_monitor(pending_io, |zones, now| zones.peer_updated(now, told));
     }
 
     /// Operators close a zone or hold it open, or end that.
-    pub(crate) fn order_zone(
+    pub(crate) fn override_zone(
         &mut self,
         zone: ZoneId,
         order: Option<(bool, Nanos)>,
-        errands: &mut PendingIo<F>,
+        pending_io: &mut PendingIo<P>,
     ) {
-        self.in_zones(errands, |zones, now| zones.by_hand(now, zone, order));
+        self.with_zone_monitor(pending_io, |zones, now| {
+            zones.operator_override(now, zone, order)
+        });
     }
 
     /// Tells the watch over the zones, if it is on, and does what it says.
-    fn in_zones(
+    fn with_zone_monitor(
         &mut self,
-        errands: &mut PendingIo<F>,
-        tell: impl FnOnce(&mut ZoneWatch, Nanos) -> ZoneOutput,
+        pending_io: &mut PendingIo<P>,
+        tell: impl FnOnce(&mut ZoneMonitoring, Nanos) -> ZoneOutput,
     ) {
         let Some(zones) = &mut self.zones else { return };
-        let said = tell(zones, self.clock.now());
-        if let Some((at, before)) = said.wake {
+        let output = tell(zones, self.clock.now());
+        if let Some((at, before)) = output.wake {
             before
                 .into_iter()
                 .for_each(|before| self.timers.clear(before, TimerPurpose::Zones));
-            self.set_timer(at, TimerPurpose::Zones, errands);
+            self.set_timer(at, TimerPurpose::Zones, pending_io);
         }
         // With the queue full the next word says it all: each replaces the one before.
-        said.says.into_iter().for_each(|word| {
-            let _ = self.talk.as_ref().map(|talk| talk.try_send(word));
+        output.says.into_iter().for_each(|word| {
+            let _ = self
+                .gossip_sender
+                .as_ref()
+                .map(|gossip_sender| gossip_sender.try_send(word));
         });
-        said.changed
+        output
+            .changed
             .iter()
             .for_each(|changed| self.log_zone(changed));
-        for event in said.events {
+        for event in output.events {
             if let Event::ZoneShareChanged { zone, share } = event {
-                self.tally.zone(zone.0, |figure| figure.share = share);
+                self.metrics.zone(zone.0, |figure| figure.share = share);
             }
-            self.hear(event, errands);
+            self.handle(event, pending_io);
         }
     }
 
     fn log_zone(&self, changed: &ZoneChange) {
-        let zone = self.words.zone_name(changed.zone);
+        let zone = self.names.zone_name(changed.zone);
         let (why, evidence) = (
             changed.why.as_str(),
             (changed.why.evidence() * 10.0).round() / 10.0,
         );
         let (share, servers) = (changed.share, changed.servers);
         tracing::info!(zone, why, evidence, share, servers, "zone changed");
-        self.tally
+        self.metrics
             .zone(changed.zone.0, |figure| figure.reason = why);
     }
 
-    pub(crate) fn hear(&mut self, event: Event, errands: &mut PendingIo<F>) {
+    pub(crate) fn handle(&mut self, event: Event, pending_io: &mut PendingIo<P>) {
         let mut actions = Vec::new();
         self.balancer.handle(self.clock.now(), event, &mut actions);
         for action in actions {
-            self.act(action, errands);
+            self.apply(action, pending_io);
         }
     }
 
-    fn act(&mut self, action: Action, errands: &mut PendingIo<F>) {
+    fn apply(&mut self, action: Action, pending_io: &mut PendingIo<P>) {
         match action {
             Action::Send {
                 request,
                 backend,
                 timeout,
-            } => self.send(request, backend, timeout, errands),
+            } => self.send(request, backend, timeout, pending_io),
             Action::Reject {
                 request,
                 retry_after: pause,
@@ -215,28 +221,28 @@
             Action::Cancel { request, attempt } => {
                 let open = self.requests.get_mut(&request);
                 let flight = open.and_then(|open| open.attempts.get_mut(attempt as usize));
-                let withdraw = flight
+                let cancel = flight
                     .and_then(Option::as_mut)
-                    .and_then(|flight| flight.withdraw.take());
+                    .and_then(|flight| flight.cancel.take());
                 // An attempt that ended meanwhile no longer listens: its own outcome is on the way.
-                let _ = withdraw.map(|withdraw| withdraw.send(()));
+                let _ = cancel.map(|cancel| cancel.send(()));
             }
             Action::CheckHealth { backend } => {
                 // One that has left meanwhile is not on any list that the answer could concern.
                 if let Some(known) = self.backends.get(backend) {
-                    errands.probes.push((backend, known.endpoint));
+                    pending_io.probes.push((backend, known.endpoint));
                 }
             }
-            Action::WatchEndpoints => errands.ask = true,
+            Action::WatchEndpoints => pending_io.poll_discovery = true,
             Action::FetchSnapshot => {
-                self.whole_list = true;
-                errands.ask = true;
+                self.snapshot_requested = true;
+                pending_io.poll_discovery = true;
             }
             Action::SetTimer { after, token } => {
                 self.set_timer(
                     self.clock.now().saturating_add(after),
                     TimerPurpose::Module(token),
-                    errands,
+                    pending_io,
                 );
             }
             Action::Log(notice) => self.log(notice),
@@ -246,7 +252,7 @@
     fn log(&self, notice: LogEvent) {
         match notice {
             LogEvent::ZoneSpill { active: spills, to } => {
-                let zone = self.words.zone_name(to);
+                let zone = self.names.zone_name(to);
                 tracing::info!(
                     spills,
                     best_other_zone = zone,
@@ -277,23 +283,25 @@
         )
     }
 
-    fn set_timer(&mut self, at: Nanos, due: TimerPurpose, errands: &mut PendingIo<F>) {
-        errands.rearm |= self.timers.set(at, due);
+    fn set_timer(&mut self, at: Nanos, due: TimerPurpose, pending_io: &mut PendingIo<P>) {
+        pending_io.first_timer_changed |= self.timers.set(at, due);
     }
 
-    pub(crate) fn fire(&mut self, errands: &mut PendingIo<F>) {
+    pub(crate) fn fire_timers(&mut self, pending_io: &mut PendingIo<P>) {
         let now = self.clock.now();
         while let Some(due) = self.timers.take_due(now) {
             match due {
-                TimerPurpose::Zones => self.in_zones(errands, |zones, now| zones.woken(now)),
-                TimerPurpose::Module(token) => self.hear(Event::TimerFired { token }, errands),
-                TimerPurpose::Backstop(request) => self.backstop(request, errands),
+                TimerPurpose::Zones => {
+                    self.with_zone_monitor(pending_io, |zones, now| zones.on_timer(now))
+                }
+                TimerPurpose::Module(token) => self.handle(Event::TimerFired { token }, pending_io),
+                TimerPurpose::Backstop(request) => self.backstop(request, pending_io),
             }
         }
     }
 
     /// Guards against a request that the module forgot: past the client's time it fails, come what may.
-    fn backstop(&mut self, request: RequestId, errands: &mut PendingIo<F>) {
+    fn backstop(&mut self, request: RequestId, pending_io: &mut PendingIo<P>) {
         if self.requests.get(&request).is_some_and(|open| !open.ended) {
             let id = self.requests.get(&request).map(|open| &*open.id);
             tracing::warn!(
@@ -302,43 +310,43 @@
                 "request failed at its deadline"
             );
             self.finish(request, RequestOutcome::Failed, false);
-            self.hear(Event::ClientDisconnected { request }, errands);
-            self.forget_if_done(request);
+            self.handle(Event::ClientDisconnected { request }, pending_io);
+            self.remove_if_done(request);
         }
     }
 
     pub(crate) fn submit(
         &mut self,
-        asked: IncomingRequest<F>,
+        asked: IncomingRequest<P>,
         uploading: bool,
-        reply: oneshot::Sender<RequestOutcome<F::Response>>,
-        errands: &mut PendingIo<F>,
+        reply: oneshot::Sender<RequestOutcome<P::Response>>,
+        pending_io: &mut PendingIo<P>,
     ) -> Option<RequestId> {
-        if !self.call_ids.take(&asked.id, self.clock.now()) {
+        if !self.client_request_ids.take(&asked.id, self.clock.now()) {
             return None;
         }
         let request = RequestId(self.next_request);
         self.next_request += 1;
-        let not_after = self.clock.now().saturating_add(asked.budget);
+        let expires_at = self.clock.now().saturating_add(asked.budget);
         let (call, reply) = (Rc::new(asked.call), Some(reply));
         let (class, attempts) = (asked.class, Vec::new());
-        let deadline = uploading.then(|| watch::Sender::new(not_after));
+        let deadline = uploading.then(|| watch::Sender::new(expires_at));
         let open = OpenRequest {
             reply,
             call,
             class,
             id: asked.id,
-            not_after,
+            expires_at,
             deadline,
             attempts,
             ended: false,
         };
         self.requests.insert(request, open);
-        self.tally.request_started();
+        self.metrics.request_started();
         self.set_timer(
-            not_after.saturating_add(BACKSTOP),
+            expires_at.saturating_add(BACKSTOP),
             TimerPurpose::Backstop(request),
-            errands,
+            pending_io,
         );
         let arrival = RequestArrival {
             request,
@@ -347,15 +355,15 @@
             expected_work: asked.expected_work,
             is_retry: asked.is_retry,
             tenant: asked.tenant,
-            expires_at: not_after,
+            expires_at: expires_at,
         };
         let event = if uploading {
             Event::UploadStarted(arrival)
         } else {
             Event::RequestArrived(arrival)
         };
-        self.hear(event, errands);
-        self.forget_if_done(request);
+        self.handle(event, pending_io);
+        self.remove_if_done(request);
         Some(request)
     }
 
@@ -364,56 +372,61 @@
         request: RequestId,
         backend: BackendId,
         timeout: Option<Nanos>,
-        errands: &mut PendingIo<F>,
+        pending_io: &mut PendingIo<P>,
     ) {
         let Some(open) = self.requests.get_mut(&request) else {
             return;
         };
         let now = self.clock.now();
-        let (withdraw, withdrawn) = oneshot::channel();
-        let ticket = AttemptId {
+        let (cancel, cancelled) = oneshot::channel();
+        let attempt_id = AttemptId {
             request,
             attempt: open.attempts.len() as u32,
             backend,
         };
         open.attempts.push(Some(InFlightAttempt {
             since: now,
-            withdraw: Some(withdraw),
+            cancel: Some(cancel),
         }));
         let Some(known) = self.backends.get(backend) else {
-            errands.moot.push(ticket);
+            pending_io.not_sent.push(attempt_id);
             return;
         };
         let end = timeout.map_or(Nanos::MAX, |timeout| now.saturating_add(timeout));
-        errands.launches.push(AttemptCommand {
-            attempt: ticket,
+        pending_io.attempts.push(AttemptCommand {
+            attempt: attempt_id,
             backend,
             endpoint: known.endpoint,
             call: open.call.clone(),
-            attempt_deadline: end.min(open.not_after),
-            expires_at: open.not_after,
+            attempt_deadline: end.min(open.expires_at),
+            expires_at: open.expires_at,
             upload_deadline: open.deadline.as_ref().map(watch::Sender::subscribe),
-            cancelled: withdrawn,
+            cancelled: cancelled,
         });
         // With its body on the way nobody has to answer yet.
         let class = open.class;
         if open.deadline.is_none() {
-            self.in_zones(errands, |zones, now| {
-                zones.sent(now, request, ticket.attempt, backend, class)
+            self.with_zone_monitor(pending_io, |zones, now| {
+                zones.sent(now, request, attempt_id.attempt, backend, class)
             });
         }
     }
 
     /// A request's body has come whole, and its client waits for this much longer.
-    pub(crate) fn whole(&mut self, request: RequestId, budget: Nanos, errands: &mut PendingIo<F>) {
+    pub(crate) fn upload_complete(
+        &mut self,
+        request: RequestId,
+        budget: Nanos,
+        pending_io: &mut PendingIo<P>,
+    ) {
         let now = self.clock.now();
         let Some(open) = self.requests.get_mut(&request).filter(|open| !open.ended) else {
             return;
         };
-        let (before, not_after) = (open.not_after, now.saturating_add(budget));
-        open.not_after = not_after;
+        let (before, expires_at) = (open.expires_at, now.saturating_add(budget));
+        open.expires_at = expires_at;
         if let Some(deadline) = &open.deadline {
-            deadline.send_replace(not_after);
+            deadline.send_replace(expires_at);
         }
         open.attempts
             .iter_mut()
@@ -424,21 +437,21 @@
             TimerPurpose::Backstop(request),
         );
         self.set_timer(
-            not_after.saturating_add(BACKSTOP),
+            expires_at.saturating_add(BACKSTOP),
             TimerPurpose::Backstop(request),
-            errands,
+            pending_io,
         );
-        self.hear(
+        self.handle(
             Event::UploadComplete {
                 request,
-                expires_at: not_after,
+                expires_at: expires_at,
             },
-            errands,
+            pending_io,
         );
     }
 
     /// Gives the final answer. Only the first one of a request goes out.
-    fn finish(&mut self, request: RequestId, reply: RequestOutcome<F::Response>, passing: bool) {
+    fn finish(&mut self, request: RequestId, reply: RequestOutcome<P::Response>, passing: bool) {
         let Some(open) = self.requests.get_mut(&request) else {
             return;
         };
@@ -451,29 +464,29 @@
             // The client may have gone in this very moment.
             let told = sender.send(reply).is_ok();
             if !(told && passing) {
-                self.tally.request_ended(open.class, told.then_some(end));
+                self.metrics.request_ended(open.class, told.then_some(end));
             }
         }
         open.ended = true;
         // With its body still on the way nothing else ends an attempt that is out.
         if let Some(deadline) = &open.deadline {
-            deadline.send_replace(self.clock.now().min(open.not_after));
+            deadline.send_replace(self.clock.now().min(open.expires_at));
         }
         self.timers.clear(
-            open.not_after.saturating_add(BACKSTOP),
+            open.expires_at.saturating_add(BACKSTOP),
             TimerPurpose::Backstop(request),
         );
     }
 
-    pub(crate) fn settled(
+    pub(crate) fn attempt_ended(
         &mut self,
-        ticket: AttemptId,
-        ending: AttemptEnd<F::Response>,
-        errands: &mut PendingIo<F>,
+        attempt_id: AttemptId,
+        end: AttemptEnd<P::Response>,
+        pending_io: &mut PendingIo<P>,
     ) {
         let AttemptId {
             request, attempt, ..
-        } = ticket;
+        } = attempt_id;
         let Some(open) = self.requests.get_mut(&request) else {
             return;
         };
@@ -485,15 +498,15 @@
             return;
         };
         let elapsed = self.clock.now().saturating_sub(flight.since);
-        if let (Outcome::Success, Some(answer)) = (ending.outcome, ending.response) {
-            self.finish(request, RequestOutcome::Served(answer), ending.is_streaming);
+        if let (Outcome::Success, Some(answer)) = (end.outcome, end.response) {
+            self.finish(request, RequestOutcome::Served(answer), end.is_streaming);
         }
         let ended = self.requests.get(&request).is_none_or(|open| open.ended);
-        let (outcome, report) = (ending.outcome, ending.report);
-        self.in_zones(errands, |zones, now| {
+        let (outcome, report) = (end.outcome, end.report);
+        self.with_zone_monitor(pending_io, |zones, now| {
             zones.ended(now, request, attempt, outcome, report.utilization)
         });
-        let settlement = AttemptResult {
+        let result = AttemptResult {
             request,
             attempt,
             outcome,
@@ -501,74 +514,78 @@
             request_ended: ended,
             report,
         };
-        self.hear(Event::AttemptEnded(settlement), errands);
-        self.forget_if_done(request);
+        self.handle(Event::AttemptEnded(result), pending_io);
+        self.remove_if_done(request);
     }
 
     /// Ends a request that never ran anywhere as refused; what its client is told.
-    pub(crate) fn refuse(
+    pub(crate) fn reject(
         &mut self,
         request: RequestId,
-        errands: &mut PendingIo<F>,
-    ) -> RequestOutcome<F::Response> {
+        pending_io: &mut PendingIo<P>,
+    ) -> RequestOutcome<P::Response> {
         let pause = self.settings.limits.max_retry_after;
         self.finish(request, RequestOutcome::Rejected(pause), false);
-        self.hear(Event::ClientDisconnected { request }, errands);
-        self.forget_if_done(request);
+        self.handle(Event::ClientDisconnected { request }, pending_io);
+        self.remove_if_done(request);
         RequestOutcome::Rejected(pause)
     }
 
-    pub(crate) fn client_gone(&mut self, request: RequestId, errands: &mut PendingIo<F>) {
+    pub(crate) fn client_disconnected(
+        &mut self,
+        request: RequestId,
+        pending_io: &mut PendingIo<P>,
+    ) {
         if self.requests.get(&request).is_some_and(|open| !open.ended) {
             self.finish(request, RequestOutcome::Failed, false);
-            self.hear(Event::ClientDisconnected { request }, errands);
+            self.handle(Event::ClientDisconnected { request }, pending_io);
         }
-        self.forget_if_done(request);
+        self.remove_if_done(request);
     }
 
-    fn forget_if_done(&mut self, request: RequestId) {
-        let done = |open: &OpenRequest<F>| open.ended && open.attempts.iter().all(Option::is_none);
+    fn remove_if_done(&mut self, request: RequestId) {
+        let done = |open: &OpenRequest<P>| open.ended && open.attempts.iter().all(Option::is_none);
         if self.requests.get(&request).is_some_and(done)
             && let Some(open) = self.requests.remove(&request)
         {
-            self.call_ids.release(open.id, self.clock.now());
+            self.client_request_ids.release(open.id, self.clock.now());
         }
     }
 
-    /// Tells the tally how many servers are listed, and how many of them the module avoids now.
-    pub(crate) fn count_servers(&self) {
+    /// Tells the metrics how many servers are listed, and how many of them the module avoids now.
+    pub(crate) fn update_server_metrics(&self) {
         let avoided = self.balancer.avoided(self.clock.now());
-        self.tally
+        self.metrics
             .set_servers(self.backends.len() as u64, avoided as u64);
     }
 
-    pub(crate) fn fleet(
+    pub(crate) fn endpoints_updated(
         &mut self,
         scope: EndpointUpdate,
         list: Vec<DiscoveredEndpoint>,
-        errands: &mut PendingIo<F>,
+        pending_io: &mut PendingIo<P>,
     ) {
         let now = self.clock.now();
-        self.heard |= scope != EndpointUpdate::Cached;
+        self.endpoint_list_received |= scope != EndpointUpdate::Cached;
         let left = self.backends.leaving(scope, &list);
         let Self {
-            backends, words, ..
+            backends, names, ..
         } = self;
         let members = list
             .into_iter()
-            .filter_map(|listed| backends.member(listed, words, now, &mut errands.retired));
+            .filter_map(|listed| backends.member(listed, names, now, &mut pending_io.retired));
         let members: Vec<_> = members.collect();
-        self.in_zones(errands, |zones, now| zones.list(now, scope, &members));
-        self.hear(
+        self.with_zone_monitor(pending_io, |zones, now| zones.list(now, scope, &members));
+        self.handle(
             Event::EndpointsUpdated {
                 update: scope,
                 endpoints: members,
             },
-            errands,
+            pending_io,
         );
-        errands
+        pending_io
             .retired
             .extend(left.iter().filter_map(|uid| self.backends.forget(uid)));
-        self.count_servers();
+        self.update_server_metrics();
     }
 }
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -1,4 +1,4 @@
-//! The engine as its fronts see it, with a launcher that keeps what it is asked to do.
+//! The engine as its fronts see it, with a transport that keeps what it is asked to do.
 
 use std::future::Future;
 use std::task::{Context, Poll, Waker};
@@ -6,7 +6,7 @@
 use badgerpost_balancer::EndpointState;
 
 use super::*;
-use crate::call_ids::IDS_RESTING;
+use crate::client_request_ids::RECENT_IDS_MAX;
 use crate::timers::TimerPurpose;
 
 mod any_order;
@@ -21,13 +21,13 @@
 /// Keeps what it is asked to do.
 #[derive(Default)]
 struct Kept {
-    launches: RefCell<Vec<AttemptCommand<Plain>>>,
+    attempts: RefCell<Vec<AttemptCommand<Plain>>>,
     retired: RefCell<Vec<BackendId>>,
 }
 
 impl Transport<Plain> for Kept {
     fn launch(&self, _: &Engine<Plain>, launch: AttemptCommand<Plain>) {
-        self.launches.borrow_mut().push(launch);
+        self.attempts.borrow_mut().push(launch);
     }
 
     fn retire(&self, backend: BackendId) {
@@ -106,13 +106,13 @@
         vec![listed("s", EndpointState::InService)],
     );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
-    let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+    let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
     assert!(node.may_write(launch.attempt));
-    let ending = AttemptEnd {
+    let end = AttemptEnd {
         response: Some("paid"),
         ..AttemptEnd::bare(Outcome::Success)
     };
-    node.attempt_ended(launch.attempt, ending);
+    node.attempt_ended(launch.attempt, end);
     assert!(matches!(
         reply(waiting),
         Some(RequestOutcome::Served("paid"))
@@ -138,7 +138,7 @@
         vec![listed("s", EndpointState::InService)],
     );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
-    let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+    let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
     drop(waiting);
     assert!(!node.may_write(launch.attempt));
     assert_eq!(
@@ -162,11 +162,11 @@
         ],
     );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
-    let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+    let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
     node.response_started(launch.attempt);
     // Not even after an end that tells that it never ran.
     node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::ConnectFailed));
-    assert!(kept.launches.borrow().is_empty());
+    assert!(kept.attempts.borrow().is_empty());
     assert!(reply(waiting).is_some_and(|reply| !matches!(reply, RequestOutcome::Served(_))));
 }
 
@@ -184,7 +184,7 @@
             vec![listed("s", EndpointState::InService)],
         );
         let _waiting = node.submit(asked(SECOND)).expect("a new id");
-        let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
         node.endpoints_updated(EndpointUpdate::Delta, vec![listed("s", stage)]);
         assert_eq!(node.may_write(launch.attempt), may, "{grace} {stage:?}");
         assert_eq!(
@@ -207,7 +207,7 @@
         vec![listed("s", EndpointState::InService)],
     );
     let waiting = node.submit(asked(1_000_000)).expect("a new id");
-    let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+    let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .build()
@@ -230,12 +230,12 @@
     let mut retired = Vec::new();
     let mut driver = node.driver.borrow_mut();
     let Driver {
-        backends, words, ..
+        backends, names, ..
     } = &mut *driver;
     let first = backends
         .member(
             listed("s", EndpointState::InService),
-            words,
+            names,
             0,
             &mut retired,
         )
@@ -246,13 +246,13 @@
         ..listed("s", EndpointState::InService)
     };
     let second = backends
-        .member(again, words, 0, &mut retired)
+        .member(again, names, 0, &mut retired)
         .expect("a member");
     assert_eq!(second.backend, first.backend);
     assert_eq!(retired, [first.backend]);
     let age = driver.clock.now() - second.started_at.expect("a start");
     assert!((4_000_000..60 * SECOND).contains(&age), "{age}");
-    assert!(kept.launches.borrow().is_empty());
+    assert!(kept.attempts.borrow().is_empty());
 }
 
 /// What a long day brings: ever new backends, some at old addresses, and ever new ids. Nothing of them may
@@ -267,7 +267,7 @@
             vec![listed(&uid, EndpointState::InService)],
         );
         let waiting = node.submit(asked(SECOND)).expect("a new id");
-        let launch = kept.launches.borrow_mut().pop();
+        let launch = kept.attempts.borrow_mut().pop();
         // Some clients go, some attempts end after their backend has left the list.
         if round % 3 == 0 {
             drop(waiting);
@@ -283,9 +283,15 @@
     }
     node.endpoints_updated(EndpointUpdate::Snapshot, Vec::new());
     let driver = node.driver.borrow();
-    let names = driver.call_ids.known.len();
-    assert_eq!(names, driver.call_ids.ended.len() + driver.requests.len());
-    assert!(names <= IDS_RESTING + 1 + driver.requests.len(), "{names}");
+    let names = driver.client_request_ids.known.len();
+    assert_eq!(
+        names,
+        driver.client_request_ids.ended.len() + driver.requests.len()
+    );
+    assert!(
+        names <= RECENT_IDS_MAX + 1 + driver.requests.len(),
+        "{names}"
+    );
     assert_eq!(driver.backends.counts(), (0, 0));
     assert!(
         driver.requests.len() <= 1,
--- a/engine/src/engine/tests/any_order.rs
+++ b/engine/src/engine/tests/any_order.rs
@@ -100,7 +100,7 @@
 
     /// Takes up what the engine wants and what it has answered.
     fn look(&mut self) {
-        for launch in self.kept.launches.borrow_mut().drain(..) {
+        for launch in self.kept.attempts.borrow_mut().drain(..) {
             let server = usize::from(launch.endpoint.port()) - 9;
             let request = launch.attempt.request.0 as usize;
             self.out.push(Out {
@@ -235,9 +235,10 @@
         let end = self.now() + span;
         while self.now() < end {
             self.steps.advance((self.now() + 10 * MS).min(end));
-            self.node.call(|driver, errands| driver.fire(errands));
+            self.node
+                .call(|driver, pending_io| driver.fire_timers(pending_io));
             self.look();
-            // The launcher's part: nobody waits past the time that a launch was given.
+            // The transport's part: nobody waits past the time that a launch was given.
             while let Some(n) = self
                 .out
                 .iter()
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -4,27 +4,27 @@
 
 pub mod activity;
 mod backends;
-mod call_ids;
+mod client_request_ids;
 mod clock;
+mod connection_counter;
 mod driver;
 mod engine;
 mod idle_pool;
 mod log_limiter;
 mod metrics;
-mod open_count;
 mod protocol;
 mod timers;
-mod zones;
+mod zone_monitoring;
 
 pub use activity::spawn;
 pub use clock::{Clock, Elapsed, Sleep, VirtualClock, nanos};
+pub use connection_counter::{ConnectionCounter, ConnectionGuard};
 pub use engine::{Engine, PendingResponse, Transport};
 pub use idle_pool::{IdleCheck, IdlePool};
 pub use log_limiter::LogLimiter;
 pub use metrics::{ClassCounts, Metrics, PeerMetrics, RequestEnd, ZoneMetrics};
-pub use open_count::{ConnectionCounter, ConnectionGuard};
 pub use protocol::{
     AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol,
     RequestOutcome, UnknownTenant,
 };
-pub use zones::{PeerUpdate, ZoneGossip};
+pub use zone_monitoring::{PeerUpdate, ZoneGossip};
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -35,7 +35,7 @@
 }
 
 /// An attempt to be made.
-pub struct AttemptCommand<F: Protocol> {
+pub struct AttemptCommand<P: Protocol> {
     /// Which one; goes back with its outcome.
     pub attempt: AttemptId,
     /// Whom to send to.
@@ -43,14 +43,14 @@
     /// Where it listens.
     pub endpoint: SocketAddr,
     /// What to send.
-    pub call: Rc<F::Request>,
+    pub call: Rc<P::Request>,
     /// When to stop waiting.
     pub attempt_deadline: Nanos,
     /// When the client stops waiting.
     pub expires_at: Nanos,
     /// Where the request's body is still on the way: the two times above as they are once it is whole.
     pub upload_deadline: Option<watch::Receiver<Nanos>>,
-    /// Resolves once the attempt has been withdrawn.
+    /// Resolves once the attempt has been cancelled.
     pub cancelled: oneshot::Receiver<()>,
 }
 
@@ -99,7 +99,7 @@
 }
 
 /// What a client's request says of itself.
-pub struct IncomingRequest<F: Protocol> {
+pub struct IncomingRequest<P: Protocol> {
     /// Its id.
     pub id: Box<str>,
     /// Its class.
@@ -115,7 +115,7 @@
     /// How long the client waits.
     pub budget: Nanos,
     /// What is passed on.
-    pub call: F::Request,
+    pub call: P::Request,
 }
 
 /// The settings name no such tenant.
--- a/engine/src/zones.rs
+++ b/engine/src/zone_monitoring.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 
 use badgerpost_balancer::{
-    BackendId, Endpoint, EndpointState, EndpointUpdate, Event as Told, Nanos, Outcome, RequestId,
-    Settings, ZoneId,
+    BackendId, Endpoint, EndpointState, EndpointUpdate, Event as BalancerEvent, Nanos, Outcome,
+    RequestId, Settings, ZoneId,
 };
 use badgerpost_zone_health::{
     Action, AttemptSignal, Event, Settings as Zones, ZoneMonitor, ZoneObservation, ZoneStateReason,
@@ -15,7 +15,7 @@
 #[derive(Default)]
 pub(crate) struct ZoneOutput {
     /// For the decision module.
-    pub(crate) events: Vec<Told>,
+    pub(crate) events: Vec<BalancerEvent>,
     /// For the log and the figures.
     pub(crate) changed: Vec<ZoneChange>,
     /// For the other nodes, by zone.
@@ -59,7 +59,7 @@
 }
 
 /// A watch and what it needs to be told.
-pub(crate) struct ZoneWatch {
+pub(crate) struct ZoneMonitoring {
     watch: ZoneMonitor,
     zones: u32,
     /// The servers in service. Bounded by the list.
@@ -67,7 +67,7 @@
     wake: Option<Nanos>,
 }
 
-impl ZoneWatch {
+impl ZoneMonitoring {
     pub(crate) fn new(settings: &Settings, seed: u64, now: Nanos) -> Self {
         let zones = Zones {
             local_zone: settings.local_zone.0,
@@ -106,7 +106,7 @@
             .iter()
             .map(|(backend, (zone, size))| (backend.0, zone.0, *size));
         let event = Event::EndpointsListed(servers.collect());
-        self.hear(now, event)
+        self.handle(now, event)
     }
 
     pub(crate) fn sent(
@@ -126,7 +126,7 @@
             zone: zone.0,
             class,
         };
-        self.hear(now, event)
+        self.handle(now, event)
     }
 
     pub(crate) fn ended(
@@ -145,7 +145,7 @@
             Outcome::Rejected | Outcome::InvalidResponse => AttemptSignal::Inconclusive,
             Outcome::NotSent => AttemptSignal::NotSent,
         };
-        self.hear(
+        self.handle(
             now,
             Event::AttemptEnded {
                 attempt: number(request, attempt),
@@ -155,18 +155,18 @@
         )
     }
 
-    pub(crate) fn woken(&mut self, now: Nanos) -> ZoneOutput {
+    pub(crate) fn on_timer(&mut self, now: Nanos) -> ZoneOutput {
         self.wake = None;
-        self.hear(now, Event::TimerFired)
+        self.handle(now, Event::TimerFired)
     }
 
-    pub(crate) fn by_hand(
+    pub(crate) fn operator_override(
         &mut self,
         now: Nanos,
         zone: ZoneId,
         order: Option<(bool, Nanos)>,
     ) -> ZoneOutput {
-        self.hear(
+        self.handle(
             now,
             Event::OperatorOverride {
                 zone: zone.0,
@@ -175,7 +175,7 @@
         )
     }
 
-    pub(crate) fn peer_told(&mut self, now: Nanos, told: &PeerUpdate) -> ZoneOutput {
+    pub(crate) fn peer_updated(&mut self, now: Nanos, told: &PeerUpdate) -> ZoneOutput {
         let event = match told {
             PeerUpdate::Member { member, home, up } => Event::PeerChanged {
                 member: *member,
@@ -200,37 +200,37 @@
                 }
             }
         };
-        self.hear(now, event)
+        self.handle(now, event)
     }
 
-    fn hear(&mut self, now: Nanos, event: Event) -> ZoneOutput {
-        let (mut actions, mut said) = (Vec::new(), ZoneOutput::default());
+    fn handle(&mut self, now: Nanos, event: Event) -> ZoneOutput {
+        let (mut actions, mut output) = (Vec::new(), ZoneOutput::default());
         self.watch.handle(now, event, &mut actions);
         for action in actions {
             match action {
                 Action::SetShare { zone, share } => {
-                    said.events.push(Told::ZoneShareChanged {
+                    output.events.push(BalancerEvent::ZoneShareChanged {
                         zone: ZoneId(zone),
                         share,
                     });
                 }
                 Action::RequestProbe { zone, wait } => {
-                    said.events.push(Told::ZoneProbeRequested {
+                    output.events.push(BalancerEvent::ZoneProbeRequested {
                         zone: ZoneId(zone),
                         timeout: wait,
                     });
                 }
                 Action::Gossip { zone, sight } => {
-                    said.says.push((u16::from(zone), sight.to_bytes()))
+                    output.says.push((u16::from(zone), sight.to_bytes()))
                 }
-                Action::SetTimer { at } => said.wake = Some((at, self.wake.replace(at))),
+                Action::SetTimer { at } => output.wake = Some((at, self.wake.replace(at))),
                 Action::LogChange {
                     zone,
                     share,
                     why,
                     servers,
                 } => {
-                    said.changed.push(ZoneChange {
+                    output.changed.push(ZoneChange {
                         zone: ZoneId(zone),
                         share,
                         why,
@@ -239,7 +239,7 @@
                 }
             }
         }
-        said
+        output
     }
 }
 
