--- a/adapters/admin/src/lib.rs
+++ b/adapters/admin/src/lib.rs
@@ -203,9 +203,9 @@
     }
     line("sends", &tally.attempts_sent());
     line("current", &tally.requests_in_progress());
-    let (listed, avoided) = tally.servers_snapshot();
-    line("cluster_size", &listed);
-    line("cluster_unhealthy", &avoided);
+    let backends = tally.backend_counts();
+    line("cluster_size", &backends.listed);
+    line("cluster_unhealthy", &backends.avoided);
     for zone in tally.zones() {
         line(
             &format!("zone.{}.share", zone.name),
--- a/adapters/gossip/src/run.rs
+++ b/adapters/gossip/src/run.rs
@@ -3,7 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 
-use badgerpost_engine::{Clock, Engine, LogLimiter, PeerUpdate, Protocol, ZoneGossip, activity};
+use badgerpost_engine::{
+    Clock, DroppedDatagram, Engine, LogLimiter, PeerUpdate, Protocol, ZoneGossip, activity,
+};
 use badgerpost_membership::{Action, DropReason, Event, MAX_DATAGRAM_LENGTH, Settings, member_id};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -100,11 +102,11 @@
                     self.tell(Event::Leave);
                     return;
                 }
-                Some((topic, body)) = self.words.recv() => self.tell(Event::Broadcast { topic, body: &body }),
+                Some(gossip) = self.words.recv() => self.tell(Event::Broadcast { topic: gossip.zone, body: &gossip.observation }),
                 came = self.socket.recv_from(&mut buffer) => match came {
                     Ok((length, _)) => {
                         activity::read(length);
-                        self.engine.metrics().add_peer_bytes(length as u64, 0);
+                        self.engine.metrics().peer_bytes_received(length as u64);
                         self.tell(Event::Datagram(&buffer[..length]));
                     }
                     // Of a datagram that went out before: its receiver is not there, which shows by itself.
@@ -137,8 +139,8 @@
                         .set_peers(self.core.members() as u64 + 1);
                     self.engine.peer_updated(&PeerUpdate::Member {
                         member,
-                        home: zone,
-                        up,
+                        zone,
+                        is_up: up,
                     });
                 }
                 Action::Received {
@@ -149,14 +151,18 @@
                 } => {
                     self.engine.peer_updated(&PeerUpdate::Gossip {
                         member,
-                        sent,
-                        word: (topic, body),
+                        sent_at: sent,
+                        gossip: ZoneGossip {
+                            zone: topic,
+                            observation: body,
+                        },
                     });
                 }
                 Action::DatagramDropped(dropped) => {
-                    self.engine
-                        .metrics()
-                        .datagram_dropped(dropped == DropReason::Unauthenticated);
+                    self.engine.metrics().datagram_dropped(match dropped {
+                        DropReason::Unauthenticated => DroppedDatagram::Unauthenticated,
+                        _ => DroppedDatagram::Malformed,
+                    });
                     self.limiter.log(
                         |silenced| tracing::warn!(reason = ?dropped, silenced, "datagram dropped"),
                     );
@@ -174,7 +180,7 @@
         match self.socket.try_send_to(datagram, to) {
             Ok(length) => {
                 activity::written(length);
-                self.engine.metrics().add_peer_bytes(0, length as u64);
+                self.engine.metrics().peer_bytes_sent(length as u64);
             }
             Err(error) => tracing::debug!(%to, %error, "datagram not sent"),
         }
--- a/adapters/http/src/answer.rs
+++ b/adapters/http/src/answer.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use badgerpost_balancer::ClassId;
 use badgerpost_engine::{Metrics, RequestEnd};
 
 use crate::budget::Kept;
@@ -69,12 +70,17 @@
     ended: Option<Box<dyn FnOnce(Option<RequestEnd>)>>,
     slot: Rc<Slot>,
     tally: std::sync::Arc<Metrics>,
-    class: u32,
+    class: ClassId,
 }
 
 impl Passing {
     /// Passes on an answer to the client with this slot.
-    pub fn new(begun: Begun, slot: Rc<Slot>, tally: std::sync::Arc<Metrics>, class: u32) -> Self {
+    pub fn new(
+        begun: Begun,
+        slot: Rc<Slot>,
+        tally: std::sync::Arc<Metrics>,
+        class: ClassId,
+    ) -> Self {
         let Begun {
             first,
             rest,
--- a/adapters/http/src/discovery.rs
+++ b/adapters/http/src/discovery.rs
@@ -73,7 +73,9 @@
         if let Some(list) = known {
             watch.rev = Some(list.rev);
             let (_, listed, _) = watch.entries.take(list);
-            watch.node.endpoints_updated(EndpointUpdate::Cached, listed);
+            watch
+                .node
+                .endpoints_updated(EndpointUpdate::Cached, &listed);
         }
         watch
     }
@@ -131,7 +133,7 @@
         self.rev = Some(list.rev);
         let (scope, listed, odd) = self.entries.take(list);
         if scope == EndpointUpdate::Snapshot || !listed.is_empty() {
-            self.node.endpoints_updated(scope, listed);
+            self.node.endpoints_updated(scope, &listed);
         }
         for Odd { uid, error, .. } in odd {
             let at = self.at;
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -7,7 +7,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use badgerpost_balancer::{Idempotency, Nanos};
+use badgerpost_balancer::{ClassId, Idempotency, Nanos};
 use badgerpost_settings::name_tag;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -21,7 +21,7 @@
 use tokio::sync::watch;
 
 use badgerpost_engine::{
-    Clock, IncomingRequest, LogLimiter, RequestEnd, RequestOutcome, nanos, spawn,
+    Clock, IncomingRequest, LogLimiter, RequestClass, RequestEnd, RequestOutcome, nanos, spawn,
 };
 use badgerpost_http_framing::FramingError;
 use badgerpost_lifecycle::Stage;
@@ -300,7 +300,11 @@
         return Err(BadCall::Unreadable(CALL_ID));
     }
     let class = required(headers, CALL_CLASS)?;
-    let (class, deadline, effect) = node.class(class).ok_or(BadCall::Unknown(CALL_CLASS))?;
+    let RequestClass {
+        id: class,
+        deadline,
+        idempotency: effect,
+    } = node.class(class).ok_or(BadCall::Unknown(CALL_CLASS))?;
     let known = Known {
         node,
         class,
@@ -348,7 +352,7 @@
         expected_work: hint,
         is_retry: repeat,
         budget: left(),
-        call: Call {
+        payload: Call {
             method: head.method,
             target: origin_form(&head.uri),
             headers: end_to_end(head.headers),
@@ -426,7 +430,7 @@
 /// A request of a class that is known: unless it is taken, it ends as failed.
 struct Known<'a> {
     node: &'a Node,
-    class: u32,
+    class: ClassId,
     ended: Cell<bool>,
 }
 
--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -21,7 +21,8 @@
 use tokio::task::yield_now;
 
 use badgerpost_engine::{
-    Clock, ConnectionCounter, IdleCheck, IdlePool, RequestEnd, Transport, activity, spawn,
+    BackendAddress, Clock, ConnectionCounter, HealthCheckResult, IdleCheck, IdlePool, RequestEnd,
+    Transport, activity, spawn,
 };
 
 use crate::answer::{Answer, Begun};
@@ -160,17 +161,17 @@
 }
 
 impl Transport<Http> for Upstream {
-    fn launch(&self, node: &Node, launch: Launch) {
+    fn start_attempt(&self, node: &Node, launch: Launch) {
         let (pool, node) = (self.0.clone(), node.clone());
         spawn(async move { pool.run(node, launch).await });
     }
 
-    fn probe(&self, node: &Node, backend: BackendId, endpoint: SocketAddr) {
+    fn check_health(&self, node: &Node, target: BackendAddress) {
         let (pool, node) = (self.0.clone(), node.clone());
-        spawn(async move { pool.probe(node, (backend, endpoint)).await });
+        spawn(async move { pool.probe(node, (target.backend, target.address)).await });
     }
 
-    fn retire(&self, backend: BackendId) {
+    fn close_idle_connections(&self, backend: BackendId) {
         self.0
             .idle
             .retain(self.0.clock.now(), |place, _, _| place.0 != backend);
@@ -182,7 +183,7 @@
         let written = Cell::new(false);
         let withdrawn = std::mem::replace(&mut launch.cancelled, tokio::sync::oneshot::channel().1);
         // Never written, it never ran: a refusal is still open to the module then.
-        let call = launch.call.clone();
+        let call = launch.payload.clone();
         let unless_written = |outcome| {
             if written.get() && call.body.is_whole() {
                 outcome
@@ -199,7 +200,7 @@
                 Ending::bare(unless_written(Outcome::TimedOut))
             }
         };
-        launch.call.body.abandon();
+        launch.payload.body.abandon();
         // With the client's time over no other attempt can follow this one, so it may come to its own end.
         let coming = launch.upload_deadline.is_some();
         let salvaged = ending.outcome == Outcome::TimedOut
@@ -235,12 +236,12 @@
             .timeout(PROBE_WITHIN, self.ask_load(&node, place))
             .await;
         let (outcome, report) = asked.unwrap_or((Outcome::TimedOut, LoadReport::default()));
-        node.health_check_ended(
-            place.0,
+        node.health_check_ended(HealthCheckResult {
+            backend: place.0,
             outcome,
-            self.clock.now().saturating_sub(began),
+            elapsed: self.clock.now().saturating_sub(began),
             report,
-        );
+        });
     }
 
     async fn ask_load(self: &Rc<Self>, node: &Node, place: Place) -> (Outcome, LoadReport) {
@@ -285,11 +286,11 @@
         launch: &Launch,
         written: &Cell<bool>,
     ) -> Ending {
-        let place = (launch.backend, launch.endpoint);
+        let place = (launch.backend, launch.address);
         loop {
             let (mut link, rest) = match self.take(place) {
                 Some((link, rest)) => (link, Some(rest)),
-                None => match self.connect(node, launch.endpoint).await {
+                None => match self.connect(node, launch.address).await {
                     Some(link) => (link, None),
                     None => return Ending::bare(Outcome::ConnectFailed),
                 },
@@ -325,10 +326,12 @@
             };
             match ending {
                 // A client that breaks its request off is no fault of the backend's.
-                Some(_) if launch.call.body.is_broken() => return Ending::bare(Outcome::NotSent),
+                Some(_) if launch.payload.body.is_broken() => {
+                    return Ending::bare(Outcome::NotSent);
+                }
                 // What was never whole there never ran.
                 Some(ending)
-                    if ending.outcome == Outcome::Reset && !launch.call.body.is_whole() =>
+                    if ending.outcome == Outcome::Reset && !launch.payload.body.is_whole() =>
                 {
                     return Ending::bare(Outcome::ConnectFailed);
                 }
@@ -441,7 +444,7 @@
     }
 
     fn message(&self, node: &Node, launch: &Launch) -> Option<Request<Outgoing>> {
-        let call = &launch.call;
+        let call = &launch.payload;
         let left = launch
             .attempt_deadline
             .min(launch.expires_at)
@@ -458,7 +461,7 @@
         if !headers.contains_key(HOST) {
             headers.insert(
                 HOST,
-                HeaderValue::from_str(&launch.endpoint.to_string()).ok()?,
+                HeaderValue::from_str(&launch.address.to_string()).ok()?,
             );
         }
         Some(message)
--- a/adapters/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -282,7 +282,12 @@
 }
 
 fn servers(front: &Front) -> Table {
-    let serving = front.fleet.endpoints_in_service();
+    let serving: Vec<_> = front
+        .fleet
+        .endpoints_in_service()
+        .into_iter()
+        .map(|server| (server.backend, server.address))
+        .collect();
     let rows = front.pool.figures().into_iter().map(|server| {
         let state = if serving.contains(&server.place) {
             "in service"
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -400,7 +400,8 @@
     ) -> Option<BTreeMap<String, String>> {
         let last = self.clock.now().saturating_add(nanos(CONNECT));
         while self.greeting.borrow().is_empty() && self.clock.now() < last {
-            for place in fleet.endpoints_in_service() {
+            for listed in fleet.endpoints_in_service() {
+                let place = (listed.backend, listed.address);
                 let key = PoolKey {
                     place,
                     database: database.to_owned(),
@@ -442,7 +443,8 @@
                 warm.retain(|_, used| now.saturating_sub(*used) < most);
                 warm.keys().cloned().collect()
             };
-            for place in fleet.endpoints_in_service() {
+            for listed in fleet.endpoints_in_service() {
+                let place = (listed.backend, listed.address);
                 for (database, login) in &warm {
                     let key = PoolKey {
                         place,
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -550,7 +550,7 @@
             .terms
             .fleet
             .class(&self.terms.class.0)
-            .map_or(0, |(_, deadline, _)| deadline);
+            .map_or(0, |class| class.deadline);
         // What it waits for is refused in time for the client to do something about it.
         let late = clock.sleep_until(clock.now().saturating_add(deadline / 2));
         let pool = self.terms.pool.clone();
@@ -569,7 +569,7 @@
         } else {
             class.clone()
         };
-        let Some((class, deadline, _)) = self.terms.fleet.class(&name) else {
+        let Some(class) = self.terms.fleet.class(&name) else {
             // The classes come from the same configuration, so this does not happen; if so, it is a failure.
             return self.handle(Event::Failed);
         };
@@ -585,13 +585,13 @@
         self.slot.wanted.set(self.asked);
         let asked: IncomingRequest<Postgres> = IncomingRequest {
             id,
-            class,
+            class: class.id,
             tenant: None,
             affinity_key: None,
             expected_work: None,
             is_retry: false,
-            budget: deadline,
-            call,
+            budget: class.deadline,
+            payload: call,
         };
         match self.terms.fleet.submit(asked) {
             Some(waiting) => self.waiting = Some(Box::pin(waiting.into_outcome())),
--- a/adapters/postgres/src/upstream.rs
+++ b/adapters/postgres/src/upstream.rs
@@ -13,12 +13,12 @@
 pub struct Upstream(pub Rc<Pool>);
 
 impl Transport<Postgres> for Upstream {
-    fn launch(&self, fleet: &Fleet, launch: AttemptCommand<Postgres>) {
+    fn start_attempt(&self, fleet: &Fleet, launch: AttemptCommand<Postgres>) {
         let (pool, fleet) = (self.0.clone(), fleet.clone());
         spawn(async move { lease(&pool, &fleet, launch).await });
     }
 
-    fn retire(&self, backend: BackendId) {
+    fn close_idle_connections(&self, backend: BackendId) {
         self.0.retire(backend);
     }
 }
@@ -28,8 +28,8 @@
     let AttemptCommand {
         attempt: ticket,
         backend,
-        endpoint,
-        call,
+        address: endpoint,
+        payload: call,
         attempt_deadline: give_up,
         cancelled: mut withdrawn,
         ..
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -86,7 +86,7 @@
         let site = config.site().expect("a site");
         let launcher = Rc::new(Upstream(pool.clone()));
         let fleet = Fleet::new(site.settings, site.words, 7, clock, launcher).expect("a fleet");
-        fleet.endpoints_updated(EndpointUpdate::Snapshot, config.listed());
+        fleet.endpoints_updated(EndpointUpdate::Snapshot, &config.listed());
         let timers = fleet.clone();
         spawn(async move { timers.run_timers().await });
         let user = |name: &str| (name.to_owned(), Verifier::of("secret", b"some salt"));
--- a/adapters/postgres/tests/transactions.rs
+++ b/adapters/postgres/tests/transactions.rs
@@ -296,7 +296,8 @@
         }
         let mut list = node.config.listed();
         list[0].state = badgerpost_balancer::EndpointState::Draining;
-        node.fleet.endpoints_updated(EndpointUpdate::Snapshot, list);
+        node.fleet
+            .endpoints_updated(EndpointUpdate::Snapshot, &list);
         let before = one.statements();
         for client in &clients {
             client.batch_execute("commit").await.expect("committed");
@@ -363,8 +364,7 @@
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         };
-        node.fleet
-            .endpoints_updated(EndpointUpdate::Snapshot, Vec::new());
+        node.fleet.endpoints_updated(EndpointUpdate::Snapshot, &[]);
         let error = client
             .batch_execute("select 1")
             .await
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -10,7 +10,7 @@
 
 use badgerpost_admin::{Console, Life, ZoneOrder};
 use badgerpost_balancer::EndpointUpdate;
-use badgerpost_engine::{Clock, VirtualClock, nanos, spawn};
+use badgerpost_engine::{Clock, ForcedZoneState, VirtualClock, ZoneOverride, nanos, spawn};
 use badgerpost_gossip::{Me, Peers};
 use badgerpost_http::budget::Budget;
 use badgerpost_http::server::{self, Door, Limits};
@@ -121,7 +121,7 @@
     )
     .map_err(|error| ConfigError::Settings(error.to_string()))?;
     if own.zones.is_some_and(|zones| zones.watch) {
-        node.watch_zones(seed);
+        node.start_zone_monitoring(seed);
     }
     let watch = discovery::Watch::new(node.clone(), edge.discovery, edge.known, seed);
     let mut terminate = signal(SignalKind::terminate())?;
@@ -278,7 +278,15 @@
     let zones = node.clone();
     spawn(async move {
         while let Some(ZoneOrder { zone, order }) = ordered.recv().await {
-            zones.override_zone(&zone, order.map(|(closed, span)| (closed, nanos(span))));
+            let zone_override = order.map(|(closed, span)| ZoneOverride {
+                state: if closed {
+                    ForcedZoneState::Closed
+                } else {
+                    ForcedZoneState::Open
+                },
+                duration: nanos(span),
+            });
+            zones.override_zone(&zone, zone_override);
         }
     });
     let node = node.clone();
@@ -331,7 +339,7 @@
         } else {
             EndpointUpdate::Snapshot
         },
-        config.listed(),
+        &config.listed(),
     );
     let timers = fleet.clone();
     spawn(async move { timers.run_timers().await });
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -1,4 +1,4 @@
-//! The servers on the fleet's list: which name has which number, where each listens, and since when it drains.
+//! The backends of a fleet: which name has which id, where each listens, and since when it is draining.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -7,142 +7,206 @@
 use badgerpost_balancer::{BackendId, Endpoint, EndpointState, EndpointUpdate, Nanos};
 use badgerpost_settings::{NameTable, name_tag};
 
-use crate::protocol::DiscoveredEndpoint;
+/// Nanoseconds in a millisecond.
+const NANOS_PER_MILLISECOND: Nanos = 1_000_000;
 
-/// A server on the list.
+/// One entry of the endpoint list that service discovery delivers.
+pub struct DiscoveredEndpoint {
+    /// The backend's name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The name of its zone.
+    pub zone: String,
+    /// The name of its machine kind.
+    pub machine_kind: String,
+    /// Its cell.
+    pub cell: u64,
+    /// Whether it is in service, draining or removed.
+    pub state: EndpointState,
+    /// Its capacity, relative to the other backends.
+    pub size: f64,
+    /// When it last started, in Unix time; 0 if that was long ago.
+    pub started_at_ms: u64,
+}
+
+/// A backend and where it listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BackendAddress {
+    /// The backend.
+    pub backend: BackendId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// What the engine knows of a listed backend.
 pub(crate) struct BackendEntry {
-    /// Its name on the list, and its zone's, for logs.
-    pub(crate) uid: Rc<str>,
+    /// Its name, for logs.
+    pub(crate) name: Rc<str>,
+    /// The name of its zone, for logs.
     pub(crate) zone: Rc<str>,
     /// Where it listens.
-    pub(crate) endpoint: SocketAddr,
-    boot_ms: u64,
-    /// When the node was told that it drains.
+    pub(crate) address: SocketAddr,
+    started_at_ms: u64,
+    /// When this node learned that the backend is no longer in service.
     pub(crate) draining_since: Option<Nanos>,
 }
 
-/// All servers of a fleet. Bounded by the list, which its source bounds.
+impl BackendEntry {
+    fn is_in_service(&self) -> bool {
+        self.draining_since.is_none()
+    }
+
+    /// Whether connections to the backend that were opened under this entry lead nowhere under the new one.
+    fn is_replaced_by(&self, endpoint: &DiscoveredEndpoint) -> bool {
+        self.address != endpoint.address || self.started_at_ms != endpoint.started_at_ms
+    }
+}
+
+/// A backend table entry after an endpoint update.
+pub(crate) struct UpdatedBackend {
+    /// The endpoint in the balancer's terms.
+    pub(crate) endpoint: Endpoint,
+    /// Whether idle connections to the backend are of no more use.
+    pub(crate) close_idle_connections: bool,
+}
+
+/// All backends of a fleet. Bounded by the endpoint list, which service discovery bounds.
 #[derive(Default)]
 pub(crate) struct Backends {
-    /// Ordered, so that equal histories act alike.
+    /// Ordered, so that equal histories produce equal behaviour.
     ids: BTreeMap<String, BackendId>,
-    known: HashMap<BackendId, BackendEntry>,
-    next: u32,
+    entries: HashMap<BackendId, BackendEntry>,
+    next_id: u32,
 }
 
 impl Backends {
-    /// A server by its number.
+    /// The entry of a listed backend.
     pub(crate) fn get(&self, id: BackendId) -> Option<&BackendEntry> {
-        self.known.get(&id)
+        self.entries.get(&id)
     }
 
-    /// How many are on the list.
+    /// The number of listed backends.
     pub(crate) fn len(&self) -> usize {
-        self.known.len()
+        self.entries.len()
     }
 
-    /// Whether any is in service.
-    pub(crate) fn any_in_service(&self) -> bool {
-        self.known
-            .values()
-            .any(|known| known.draining_since.is_none())
+    /// Whether any backend is in service.
+    pub(crate) fn has_any_in_service(&self) -> bool {
+        self.entries.values().any(BackendEntry::is_in_service)
     }
 
-    /// All that are in service, by number.
-    pub(crate) fn in_service(&self) -> Vec<(BackendId, SocketAddr)> {
-        let serving = self
-            .known
+    /// The backends in service, ordered by id.
+    pub(crate) fn in_service(&self) -> Vec<BackendAddress> {
+        let mut addresses: Vec<BackendAddress> = self
+            .entries
             .iter()
-            .filter(|(_, known)| known.draining_since.is_none());
-        let mut all: Vec<_> = serving.map(|(id, known)| (*id, known.endpoint)).collect();
-        all.sort();
-        all
+            .filter(|(_, entry)| entry.is_in_service())
+            .map(|(id, entry)| BackendAddress {
+                backend: *id,
+                address: entry.address,
+            })
+            .collect();
+        addresses.sort();
+        addresses
     }
 
-    /// The names that a list takes away: those it says are gone, and on a whole list those it does not name.
-    pub(crate) fn leaving(
+    /// The names that an update removes: those that it lists as removed, and, unless it is a delta, those that it does
+    /// not list.
+    pub(crate) fn names_removed_by(
         &self,
-        scope: EndpointUpdate,
-        list: &[DiscoveredEndpoint],
+        update: EndpointUpdate,
+        endpoints: &[DiscoveredEndpoint],
     ) -> Vec<String> {
-        let mut left: Vec<String> = Vec::new();
-        if scope != EndpointUpdate::Delta {
-            let named: HashSet<&str> = list.iter().map(|listed| listed.name.as_str()).collect();
-            left.extend(
-                self.ids
-                    .keys()
-                    .filter(|uid| !named.contains(uid.as_str()))
-                    .cloned(),
-            );
+        let mut removed: Vec<String> = Vec::new();
+        if update != EndpointUpdate::Delta {
+            let listed: HashSet<&str> = endpoints
+                .iter()
+                .map(|endpoint| endpoint.name.as_str())
+                .collect();
+            let unlisted = self
+                .ids
+                .keys()
+                .filter(|name| !listed.contains(name.as_str()));
+            removed.extend(unlisted.cloned());
         }
-        left.extend(
-            list.iter()
-                .filter(|listed| listed.state == EndpointState::Removed)
-                .map(|listed| listed.name.clone()),
-        );
-        left
+        let listed_as_removed = endpoints
+            .iter()
+            .filter(|endpoint| endpoint.state == EndpointState::Removed);
+        removed.extend(listed_as_removed.map(|endpoint| endpoint.name.clone()));
+        removed
     }
 
-    /// Forgets a name. Under it a server may come again: as a new one, since its number is not kept.
-    pub(crate) fn forget(&mut self, uid: &str) -> Option<BackendId> {
-        let id = self.ids.remove(uid)?;
-        self.known.remove(&id);
+    /// Removes a backend. One that appears later under the same name gets a new id.
+    pub(crate) fn remove(&mut self, name: &str) -> Option<BackendId> {
+        let id = self.ids.remove(name)?;
+        self.entries.remove(&id);
         Some(id)
     }
 
-    /// Takes in one line of a list, in the module's words; none of a server that is gone and was never known. Whose
-    /// idle connections are of no more use is added to `retired`.
-    pub(crate) fn member(
+    /// Adds or updates the entry of one endpoint. Returns nothing for an endpoint that is removed and was never known.
+    pub(crate) fn update(
         &mut self,
-        listed: DiscoveredEndpoint,
-        words: &mut NameTable,
+        endpoint: &DiscoveredEndpoint,
+        names: &mut NameTable,
         now: Nanos,
-        retired: &mut Vec<BackendId>,
-    ) -> Option<Endpoint> {
-        let gone = listed.state == EndpointState::Removed;
-        let id = match self.ids.get(&listed.name) {
-            Some(&id) => id,
-            None if gone => return None,
-            None => {
-                let id = BackendId(self.next);
-                self.next += 1;
-                self.ids.insert(listed.name.clone(), id);
-                id
-            }
-        };
-        let draining = listed.state != EndpointState::InService;
-        let before = self.known.get(&id);
-        let draining_since = draining.then(|| before.and_then(|b| b.draining_since).unwrap_or(now));
-        let moved =
-            |b: &BackendEntry| b.endpoint != listed.address || b.boot_ms != listed.started_at_ms;
-        if draining || before.is_some_and(moved) {
-            retired.push(id);
-        }
-        let (uid, zone) = (listed.name.as_str().into(), listed.zone.as_str().into());
-        let known = BackendEntry {
-            uid,
-            zone,
-            endpoint: listed.address,
-            boot_ms: listed.started_at_ms,
-            draining_since,
+    ) -> Option<UpdatedBackend> {
+        let id = self.id_for(endpoint)?;
+        let is_draining = endpoint.state != EndpointState::InService;
+        let previous = self.entries.get(&id);
+        let is_replaced = previous.is_some_and(|entry| entry.is_replaced_by(endpoint));
+        let previous_draining_since = previous.and_then(|entry| entry.draining_since);
+        let entry = BackendEntry {
+            name: endpoint.name.as_str().into(),
+            zone: endpoint.zone.as_str().into(),
+            address: endpoint.address,
+            started_at_ms: endpoint.started_at_ms,
+            draining_since: is_draining.then(|| previous_draining_since.unwrap_or(now)),
         };
-        self.known.insert(id, known);
-        Some(Endpoint {
-            backend: id,
-            zone: words.zone(&listed.zone),
-            machine_kind: words.kind(&listed.machine_kind),
-            cell: listed.cell,
-            name_hash: name_tag(&listed.name),
-            state: listed.state,
-            size: listed.size,
-            started_at: (listed.started_at_ms > 0)
-                .then(|| listed.started_at_ms.saturating_mul(1_000_000)),
+        self.entries.insert(id, entry);
+        Some(UpdatedBackend {
+            endpoint: balancer_endpoint(id, endpoint, names),
+            close_idle_connections: is_draining || is_replaced,
         })
     }
 
-    /// How many names and how many servers are known; the same unless something was left behind.
+    /// The id of an endpoint's name. A new name gets a new id, unless the endpoint is removed.
+    fn id_for(&mut self, endpoint: &DiscoveredEndpoint) -> Option<BackendId> {
+        if let Some(&id) = self.ids.get(&endpoint.name) {
+            return Some(id);
+        }
+        if endpoint.state == EndpointState::Removed {
+            return None;
+        }
+        let id = BackendId(self.next_id);
+        self.next_id += 1;
+        self.ids.insert(endpoint.name.clone(), id);
+        Some(id)
+    }
+
+    /// The number of names and the number of entries. They differ only if something was left behind.
     #[cfg(test)]
     pub(crate) fn counts(&self) -> (usize, usize) {
-        (self.ids.len(), self.known.len())
+        (self.ids.len(), self.entries.len())
+    }
+}
+
+/// A discovered endpoint in the balancer's terms.
+fn balancer_endpoint(
+    id: BackendId,
+    endpoint: &DiscoveredEndpoint,
+    names: &mut NameTable,
+) -> Endpoint {
+    let has_start_time = endpoint.started_at_ms > 0;
+    Endpoint {
+        backend: id,
+        zone: names.zone(&endpoint.zone),
+        machine_kind: names.kind(&endpoint.machine_kind),
+        cell: endpoint.cell,
+        name_hash: name_tag(&endpoint.name),
+        state: endpoint.state,
+        size: endpoint.size,
+        started_at: has_start_time
+            .then(|| endpoint.started_at_ms.saturating_mul(NANOS_PER_MILLISECOND)),
     }
 }
--- a/engine/src/client_request_ids.rs
+++ b/engine/src/client_request_ids.rs
@@ -1,36 +1,56 @@
-//! The clients' ids of requests: one that is open, or was a moment ago, is not taken again.
+//! The ids that clients gave their requests. An id can't be used again while its request is open, nor shortly after.
 
 use std::collections::{HashSet, VecDeque};
 
 use badgerpost_balancer::Nanos;
 
-/// An id is not taken again for this long after its request has ended: one that copies an open request's id
-/// may cross the answer to that.
-const ID_REUSE_DELAY: Nanos = 1_000_000_000;
-/// At most so many ids rest: more come only from clients that are turned away at once, over and over.
-pub(crate) const RECENT_IDS_MAX: usize = 4096;
+/// How long after the end of its request an id can't be used again, in nanoseconds: a second request with the id of an
+/// open one may cross the response to that.
+const REUSE_DELAY: Nanos = 1_000_000_000;
 
-/// The ids of requests that are open or have just been.
+/// The most ids that are remembered after the end of their requests. More of them come only from clients whose
+/// requests are rejected at once, over and over.
+pub(crate) const MAX_RECENT_IDS: usize = 4096;
+
+/// The ids of requests that are open or ended recently.
 #[derive(Default)]
 pub(crate) struct ClientRequestIds {
-    pub(crate) known: HashSet<Box<str>>,
-    /// Of requests that have ended, and when.
-    pub(crate) ended: VecDeque<(Nanos, Box<str>)>,
+    /// All ids that can't be used.
+    pub(crate) reserved: HashSet<Box<str>>,
+    /// Those of them whose requests have ended, oldest first.
+    pub(crate) recently_ended: VecDeque<EndedRequestId>,
+}
+
+/// The id of a request that has ended.
+pub(crate) struct EndedRequestId {
+    id: Box<str>,
+    ended_at: Nanos,
 }
 
 impl ClientRequestIds {
-    /// False where a request has the id now, or had it a moment ago.
-    pub(crate) fn take(&mut self, id: &str, now: Nanos) -> bool {
-        while let Some((at, _)) = self.ended.front()
-            && (now.saturating_sub(*at) >= ID_REUSE_DELAY || self.ended.len() > RECENT_IDS_MAX)
-            && let Some((_, id)) = self.ended.pop_front()
-        {
-            self.known.remove(&id);
-        }
-        self.known.insert(id.into())
+    /// Reserves an id for a request. Returns false if it can't be used.
+    #[must_use]
+    pub(crate) fn reserve(&mut self, id: &str, now: Nanos) -> bool {
+        self.forget_old(now);
+        self.reserved.insert(id.into())
     }
 
+    /// Notes the end of an id's request.
     pub(crate) fn release(&mut self, id: Box<str>, now: Nanos) {
-        self.ended.push_back((now, id));
+        self.recently_ended
+            .push_back(EndedRequestId { id, ended_at: now });
+    }
+
+    /// Makes ids usable again whose requests ended long enough ago, and the oldest of too many.
+    fn forget_old(&mut self, now: Nanos) {
+        while let Some(oldest) = self.recently_ended.front() {
+            let is_old = now.saturating_sub(oldest.ended_at) >= REUSE_DELAY;
+            if !is_old && self.recently_ended.len() <= MAX_RECENT_IDS {
+                return;
+            }
+            if let Some(ended) = self.recently_ended.pop_front() {
+                self.reserved.remove(&ended.id);
+            }
+        }
     }
 }
--- /dev/null
+++ b/engine/src/driver/requests.rs
@@ -0,0 +1,249 @@
+//! A request's way from its submission through its attempts to its one outcome.
+
+use badgerpost_balancer::{
+    AttemptResult, BackendId, Event, Nanos, Outcome, RequestArrival, RequestId,
+};
+use tokio::sync::oneshot;
+
+use super::Driver;
+use crate::attempt::{AttemptEnd, AttemptId};
+use crate::backends::BackendAddress;
+use crate::event_log::log_backstop;
+use crate::open_requests::{Delivery, OpenRequest, UploadState};
+use crate::pending_io::PendingIo;
+use crate::protocol::{IncomingRequest, Protocol, RequestOutcome};
+use crate::timers::TimerPurpose;
+
+/// When a request's end is counted in the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndCounting {
+    /// With its outcome.
+    Immediate,
+    /// By whoever forwards the rest of a streamed response, at its end.
+    AtEndOfStream,
+}
+
+impl<P: Protocol> Driver<P> {
+    /// Takes a request. Its outcome is sent to `outcome_sender`. Returns nothing if the client's id of it is in use.
+    pub(crate) fn submit(
+        &mut self,
+        incoming: IncomingRequest<P>,
+        upload: UploadState,
+        outcome_sender: oneshot::Sender<RequestOutcome<P::Response>>,
+        pending_io: &mut PendingIo<P>,
+    ) -> Option<RequestId> {
+        let now = self.clock.now();
+        if !self.client_request_ids.reserve(&incoming.id, now) {
+            return None;
+        }
+        let request = self.requests.allocate_id();
+        let expires_at = now.saturating_add(incoming.budget);
+        let arrival = RequestArrival {
+            request,
+            class: incoming.class,
+            affinity_key: incoming.affinity_key,
+            expected_work: incoming.expected_work,
+            is_retry: incoming.is_retry,
+            tenant: incoming.tenant,
+            expires_at,
+        };
+        let open = OpenRequest::new(incoming, expires_at, upload, outcome_sender);
+        let backstop_at = open.backstop_at();
+        self.requests.insert(request, open);
+        self.metrics.request_started();
+        self.set_timer(backstop_at, TimerPurpose::Backstop(request), pending_io);
+        let event = match upload {
+            UploadState::InProgress => Event::UploadStarted(arrival),
+            UploadState::Complete => Event::RequestArrived(arrival),
+        };
+        self.handle(event, pending_io);
+        self.remove_if_done(request);
+        Some(request)
+    }
+
+    /// Starts an attempt on a backend, with a time limit if the balancer gives one.
+    pub(super) fn start_attempt(
+        &mut self,
+        request: RequestId,
+        backend: BackendId,
+        timeout: Option<Nanos>,
+        pending_io: &mut PendingIo<P>,
+    ) {
+        let Some(open) = self.requests.get_mut(request) else {
+            return;
+        };
+        let now = self.clock.now();
+        let started = open.start_attempt(now);
+        let attempt = AttemptId {
+            request,
+            number: started.number,
+            backend,
+        };
+        let Some(entry) = self.backends.get(backend) else {
+            pending_io.unlisted_attempts.push(attempt);
+            return;
+        };
+        let target = BackendAddress {
+            backend,
+            address: entry.address,
+        };
+        let timeout_at = timeout.map_or(Nanos::MAX, |timeout| now.saturating_add(timeout));
+        let command = open.attempt_command(attempt, target, timeout_at, started.cancelled);
+        pending_io.attempts.push(command);
+        // While its body is being uploaded a request tells nothing of how fast a zone responds.
+        if !open.is_upload() {
+            let class = open.class;
+            self.with_zone_monitoring(pending_io, |zones, now| {
+                zones.attempt_sent(now, attempt, class)
+            });
+        }
+    }
+
+    /// A request's body has been uploaded. Its client waits for this long from now on.
+    pub(crate) fn upload_complete(
+        &mut self,
+        request: RequestId,
+        budget: Nanos,
+        pending_io: &mut PendingIo<P>,
+    ) {
+        let now = self.clock.now();
+        let Some(open) = self.requests.unanswered_mut(request) else {
+            return;
+        };
+        let expires_at = now.saturating_add(budget);
+        let previous_backstop_at = open.backstop_at();
+        open.complete_upload(now, expires_at);
+        let backstop_at = open.backstop_at();
+        let purpose = TimerPurpose::Backstop(request);
+        self.timers.clear(previous_backstop_at, purpose);
+        self.set_timer(backstop_at, purpose, pending_io);
+        let event = Event::UploadComplete {
+            request,
+            expires_at,
+        };
+        self.handle(event, pending_io);
+    }
+
+    /// Sends a request's outcome. Only the first one of a request goes out.
+    pub(super) fn finish(
+        &mut self,
+        request: RequestId,
+        outcome: RequestOutcome<P::Response>,
+        counting: EndCounting,
+    ) {
+        let Some(open) = self.requests.get_mut(request) else {
+            return;
+        };
+        match (open.send_outcome(outcome), counting) {
+            (Some(Delivery::Delivered(end)), EndCounting::Immediate) => {
+                self.metrics.request_ended(open.class, Some(end));
+            }
+            (Some(Delivery::ClientDisconnected), _) => {
+                self.metrics.request_ended(open.class, None);
+            }
+            (Some(Delivery::Delivered(_)), EndCounting::AtEndOfStream) | (None, _) => {}
+        }
+        open.mark_ended(self.clock.now());
+        self.timers
+            .clear(open.backstop_at(), TimerPurpose::Backstop(request));
+    }
+
+    /// An attempt has ended. A second end of the same attempt is ignored.
+    pub(crate) fn attempt_ended(
+        &mut self,
+        attempt: AttemptId,
+        end: AttemptEnd<P::Response>,
+        pending_io: &mut PendingIo<P>,
+    ) {
+        let AttemptId {
+            request, number, ..
+        } = attempt;
+        let AttemptEnd {
+            outcome,
+            report,
+            response,
+            is_streaming,
+        } = end;
+        let Some(open) = self.requests.get_mut(request) else {
+            return;
+        };
+        let Some(in_flight) = open.take_attempt(number) else {
+            return;
+        };
+        let elapsed = self.clock.now().saturating_sub(in_flight.waiting_since);
+        if let (Outcome::Success, Some(response)) = (outcome, response) {
+            let counting = if is_streaming {
+                EndCounting::AtEndOfStream
+            } else {
+                EndCounting::Immediate
+            };
+            self.finish(request, RequestOutcome::Served(response), counting);
+        }
+        let request_ended = self.requests.unanswered(request).is_none();
+        self.with_zone_monitoring(pending_io, |zones, now| {
+            zones.attempt_ended(now, attempt, outcome, report.utilization)
+        });
+        let result = AttemptResult {
+            request,
+            attempt: number.0,
+            outcome,
+            elapsed,
+            request_ended,
+            report,
+        };
+        self.handle(Event::AttemptEnded(result), pending_io);
+        self.remove_if_done(request);
+    }
+
+    /// Rejects a request that never ran on any backend. Returns the outcome for its client.
+    pub(crate) fn reject(
+        &mut self,
+        request: RequestId,
+        pending_io: &mut PendingIo<P>,
+    ) -> RequestOutcome<P::Response> {
+        let retry_after = self.settings.limits.max_retry_after;
+        self.abandon(request, RequestOutcome::Rejected(retry_after), pending_io);
+        RequestOutcome::Rejected(retry_after)
+    }
+
+    /// A request's client no longer waits. If the request has no outcome yet, it fails.
+    pub(crate) fn client_disconnected(
+        &mut self,
+        request: RequestId,
+        pending_io: &mut PendingIo<P>,
+    ) {
+        if self.requests.unanswered(request).is_some() {
+            self.abandon(request, RequestOutcome::Failed, pending_io);
+        } else {
+            self.remove_if_done(request);
+        }
+    }
+
+    /// Fails a request that the balancer has not ended although its client no longer waits.
+    pub(super) fn fail_overdue(&mut self, request: RequestId, pending_io: &mut PendingIo<P>) {
+        if let Some(open) = self.requests.unanswered(request) {
+            log_backstop(&open.client_id);
+            self.abandon(request, RequestOutcome::Failed, pending_io);
+        }
+    }
+
+    /// Ends a request with an outcome that is not the balancer's, and tells the balancer that nobody waits for it.
+    fn abandon(
+        &mut self,
+        request: RequestId,
+        outcome: RequestOutcome<P::Response>,
+        pending_io: &mut PendingIo<P>,
+    ) {
+        self.finish(request, outcome, EndCounting::Immediate);
+        self.handle(Event::ClientDisconnected { request }, pending_io);
+        self.remove_if_done(request);
+    }
+
+    /// Forgets a request that has its outcome and no attempt in flight.
+    fn remove_if_done(&mut self, request: RequestId) {
+        if let Some(done) = self.requests.remove_if_done(request) {
+            self.client_request_ids
+                .release(done.client_id, self.clock.now());
+        }
+    }
+}
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -1,5 +1,7 @@
-//! The handle on one fleet's engine that fronts and list sources hold. No borrow of the driver outlives one of its
-//! calls; what a call leaves to do on the network is done once that has ended.
+//! The handle on one fleet's engine, which adapters and discovery clients hold.
+//!
+//! Each call borrows the [`Driver`] for its own duration only. What it leaves to be done on the network is done once
+//! that borrow has ended, so that a [`Transport`] may call back.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -8,38 +10,53 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{
-    BackendId, Discovery, EndpointUpdate, Event, Idempotency, LoadReport, Nanos, Outcome,
-    RequestId, Settings, SettingsError, ZoneId,
+    BackendId, EndpointUpdate, Event, LoadReport, Nanos, Outcome, RequestId, Settings,
+    SettingsError,
 };
 use badgerpost_settings::NameTable;
 use tokio::sync::{Notify, mpsc, oneshot};
 
+use crate::attempt::{AttemptCommand, AttemptEnd, AttemptId};
+use crate::backends::{BackendAddress, DiscoveredEndpoint};
 use crate::clock::Clock;
-use crate::driver::{Driver, PendingIo};
+use crate::driver::Driver;
 use crate::metrics::Metrics;
-use crate::protocol::{
-    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol,
-    RequestOutcome, UnknownTenant,
-};
-use crate::zone_monitoring::{PeerUpdate, ZoneGossip};
+use crate::open_requests::UploadState;
+use crate::pending_io::PendingIo;
+use crate::protocol::{IncomingRequest, Protocol, RequestClass, RequestOutcome, UnknownTenant};
+use crate::zone_monitoring::{PeerUpdate, ZoneGossip, ZoneOverride};
 
-/// Carries out on the network what the module asks for.
+/// Does on the network what an engine asks for.
 pub trait Transport<P: Protocol> {
-    /// Starts an attempt; its end comes back by [`Engine::settled`], exactly once.
-    fn launch(&self, engine: &Engine<P>, launch: AttemptCommand<P>);
-    /// Asks a backend how it fares; the answer comes back by [`Engine::probed`]. A front whose backends can't be
-    /// asked answers nothing.
-    fn probe(&self, _engine: &Engine<P>, _backend: BackendId, _endpoint: SocketAddr) {}
-    /// Drops the idle connections to a backend that has left, moved or started anew.
-    fn retire(&self, backend: BackendId);
+    /// Starts an attempt. Its end is reported by [`Engine::attempt_ended`], exactly once.
+    fn start_attempt(&self, engine: &Engine<P>, command: AttemptCommand<P>);
+
+    /// Checks a backend's health. The result is reported by [`Engine::health_check_ended`]. A transport whose backends
+    /// can't be checked does nothing.
+    fn check_health(&self, _engine: &Engine<P>, _target: BackendAddress) {}
+
+    /// Closes the idle connections to a backend that has left, moved or restarted.
+    fn close_idle_connections(&self, backend: BackendId);
+}
+
+/// The result of a health check.
+pub struct HealthCheckResult {
+    /// The backend that was checked.
+    pub backend: BackendId,
+    /// How the check ended.
+    pub outcome: Outcome,
+    /// How long it took.
+    pub elapsed: Nanos,
+    /// The backend's load report; empty if there was none.
+    pub report: LoadReport,
 }
 
-/// A handle on one fleet's engine. Cheap to clone.
+/// A handle on one fleet's engine. Cheap to clone; clones share the engine.
 pub struct Engine<P: Protocol> {
     driver: Rc<RefCell<Driver<P>>>,
     transport: Rc<dyn Transport<P>>,
-    timer: Rc<Notify>,
-    asked: Rc<Notify>,
+    next_timer_changed: Rc<Notify>,
+    discovery_wanted: Rc<Notify>,
     clock: Clock,
 }
 
@@ -48,15 +65,19 @@
         Self {
             driver: self.driver.clone(),
             transport: self.transport.clone(),
-            timer: self.timer.clone(),
-            asked: self.asked.clone(),
+            next_timer_changed: self.next_timer_changed.clone(),
+            discovery_wanted: self.discovery_wanted.clone(),
             clock: self.clock.clone(),
         }
     }
 }
 
 impl<P: Protocol> Engine<P> {
-    /// An engine with no backends yet.
+    /// An engine without backends. The seed drives the balancer's random draws.
+    ///
+    /// # Errors
+    ///
+    /// Settings that the balancer can't work with.
     pub fn new(
         settings: Settings,
         names: NameTable,
@@ -64,328 +85,301 @@
         clock: Clock,
         transport: Rc<dyn Transport<P>>,
     ) -> Result<Self, SettingsError> {
-        let driver = Rc::new(RefCell::new(Driver::new(
-            settings,
-            names,
-            seed,
-            clock.clone(),
-        )?));
-        let node = Self {
-            driver,
+        let driver = Driver::new(settings, names, seed, clock.clone())?;
+        let engine = Self {
+            driver: Rc::new(RefCell::new(driver)),
             transport,
-            timer: Rc::default(),
-            asked: Rc::default(),
+            next_timer_changed: Rc::default(),
+            discovery_wanted: Rc::default(),
             clock,
         };
-        node.call(|driver, pending_io| driver.handle(Event::Start, pending_io));
-        Ok(node)
+        engine.handle(Event::Start);
+        Ok(engine)
     }
 
-    /// Switches the watch over the zones on, before the first list. The seed drives its draws.
-    pub fn watch_zones(&self, seed: u64) {
-        self.driver.borrow_mut().watch_zones(seed);
+    /// Starts zone monitoring; to be called before the first endpoint update. The seed drives the monitor's random
+    /// draws.
+    pub fn start_zone_monitoring(&self, seed: u64) {
+        self.driver.borrow_mut().start_zone_monitoring(seed);
     }
 
-    /// Has what the watch over the zones says to the other nodes go there.
+    /// Sets where the zone monitor's observations for the other nodes of the fleet go.
     pub fn set_gossip_sender(&self, gossip_sender: mpsc::Sender<ZoneGossip>) {
-        self.driver.borrow_mut().gossip_sender(gossip_sender);
+        self.driver.borrow_mut().set_gossip_sender(gossip_sender);
     }
 
-    /// Another node of the fleet is there, or gone, or has said something of a zone.
-    pub fn peer_updated(&self, told: &PeerUpdate) {
-        self.call(|driver, pending_io| driver.peer_updated(told, pending_io));
+    /// Reports that another node of the fleet has joined, left or sent gossip.
+    pub fn peer_updated(&self, update: &PeerUpdate) {
+        self.with_driver(|driver, pending_io| driver.peer_updated(update, pending_io));
     }
 
-    /// Operators close a zone (`true`) or hold it open for a time, or end that. Nothing where there is no such zone or
-    /// no watch over them.
-    pub fn override_zone(&self, zone: &str, order: Option<(bool, Nanos)>) {
-        self.call(|driver, pending_io| {
-            let mut zones = (0..driver.settings.zone_count).map(ZoneId);
-            let until =
-                order.map(|(closed, span)| (closed, driver.clock.now().saturating_add(span)));
-            if let Some(zone) = zones.find(|at| driver.names.zone_name(*at) == Some(zone)) {
-                driver.override_zone(zone, until, pending_io);
-            }
+    /// Overrides a zone's state by operators' order; none ends an override. Does nothing if there is no such zone, or
+    /// zones are not monitored.
+    pub fn override_zone(&self, zone_name: &str, zone_override: Option<ZoneOverride>) {
+        self.with_driver(|driver, pending_io| {
+            driver.override_zone(zone_name, zone_override, pending_io);
         });
     }
 
-    /// The node's clock.
+    /// The process's clock.
     pub fn clock(&self) -> &Clock {
         &self.clock
     }
 
-    /// What is counted here, for any thread to read.
+    /// The engine's counters, which any thread may read.
     pub fn metrics(&self) -> Arc<Metrics> {
-        self.driver.borrow().metrics.clone()
+        self.driver.borrow().metrics()
     }
 
-    /// Brings the metrics's figures of the servers up to date: which of them are avoided changes with time alone.
+    /// Brings the metrics' backend counts up to date: the number of avoided backends changes with time alone.
     pub fn update_server_metrics(&self) {
-        self.driver.borrow().update_server_metrics();
+        self.driver.borrow().update_backend_counts();
     }
 
-    /// Whether discovery has told of the servers since the start.
+    /// Whether service discovery has delivered an endpoint list since the start. A cached list does not count.
     pub fn has_endpoint_list(&self) -> bool {
-        self.driver.borrow().endpoint_list_received
+        self.driver.borrow().has_endpoint_list()
     }
 
-    /// A class's number, time limit and effect, or none where the settings do not list it.
-    pub fn class(&self, name: &str) -> Option<(u32, Nanos, Idempotency)> {
-        let driver = self.driver.borrow();
-        let class = driver.names.class(name)?;
-        let settings = driver.settings.classes.get(class as usize)?;
-        Some((class, settings.deadline, settings.idempotency))
+    /// A request class by name, or none if the settings do not list it.
+    pub fn class(&self, name: &str) -> Option<RequestClass> {
+        self.driver.borrow().class(name)
     }
 
-    /// A tenant's number. `Err` for a name that the settings of a site with tenants do not list.
+    /// A tenant's number; none on a site without tenants.
+    ///
+    /// # Errors
+    ///
+    /// The site has tenants, and none of this name.
     pub fn tenant(&self, name: Option<&str>) -> Result<Option<u32>, UnknownTenant> {
-        let driver = self.driver.borrow();
-        if driver.settings.tenant_quotas.is_empty() {
-            return Ok(None);
-        }
-        driver.names.tenant(name).map(Some).ok_or(UnknownTenant)
+        self.driver.borrow().tenant(name)
     }
 
-    /// The longest that any client waits.
+    /// The longest that a client of any class waits.
     pub fn longest_deadline(&self) -> Duration {
-        let driver = self.driver.borrow();
-        Duration::from_nanos(
-            driver
-                .settings
-                .classes
-                .iter()
-                .map(|class| class.deadline)
-                .max()
-                .unwrap_or(0),
-        )
-    }
-
-    /// Whether the site's discovery has to be asked.
+        self.driver.borrow().longest_deadline()
+    }
+
+    /// Whether the site's service discovery has to be polled.
     pub fn polls_discovery(&self) -> bool {
-        self.driver.borrow().settings.discovery == Discovery::Polled
+        self.driver.borrow().polls_discovery()
     }
 
-    /// Takes a request; the answer comes through what is returned. Dropping that first means that the client
-    /// has gone. None where its id is in use: passed on, it would count as another attempt of that request.
-    pub fn submit(&self, asked: IncomingRequest<P>) -> Option<PendingResponse<P>> {
-        self.take(asked, false)
+    /// Submits a request. Dropping the response before its outcome is there means that the client has disconnected.
+    /// Returns nothing if the client's id of the request is in use: forwarded, this one would count as another attempt
+    /// of the request that has it.
+    pub fn submit(&self, incoming: IncomingRequest<P>) -> Option<PendingResponse<P>> {
+        self.submit_with(incoming, UploadState::Complete)
     }
 
-    /// Takes a request whose body is still on the way; [`Waiting::whole`] tells when it has come. Its budget is how
-    /// long that may take.
-    pub fn submit_upload(&self, asked: IncomingRequest<P>) -> Option<PendingResponse<P>> {
-        self.take(asked, true)
+    /// Submits a request whose body is still being uploaded, otherwise like [`submit`](Self::submit). Its budget is
+    /// the longest that the upload may take; [`PendingResponse::upload_complete`] reports its end.
+    pub fn submit_upload(&self, incoming: IncomingRequest<P>) -> Option<PendingResponse<P>> {
+        self.submit_with(incoming, UploadState::InProgress)
     }
 
-    fn take(&self, asked: IncomingRequest<P>, uploading: bool) -> Option<PendingResponse<P>> {
-        let (reply, answer) = oneshot::channel();
-        let request =
-            self.call(|driver, pending_io| driver.submit(asked, uploading, reply, pending_io))?;
+    fn submit_with(
+        &self,
+        incoming: IncomingRequest<P>,
+        upload: UploadState,
+    ) -> Option<PendingResponse<P>> {
+        let (outcome_sender, outcome) = oneshot::channel();
+        let request = self.with_driver(|driver, pending_io| {
+            driver.submit(incoming, upload, outcome_sender, pending_io)
+        })?;
         Some(PendingResponse {
             engine: self.clone(),
             request,
-            answer,
+            outcome,
         })
     }
 
-    /// Bytes of a request's body have gone out with this attempt that can't be had again.
-    pub fn body_consumed(&self, attempt_id: AttemptId) {
-        let request = attempt_id.request;
-        self.call(|driver, pending_io| driver.handle(Event::BodyConsumed { request }, pending_io));
+    /// Reports that bytes of a request's body have gone out with this attempt that are not buffered, so that the
+    /// request can't be sent again.
+    pub fn body_consumed(&self, attempt: AttemptId) {
+        let request = attempt.request;
+        self.handle(Event::BodyConsumed { request });
     }
 
-    /// An answer that was being passed on broke off at this backend.
+    /// Reports that a backend aborted a response that was being streamed.
     pub fn response_aborted(&self, backend: BackendId) {
-        self.call(|driver, pending_io| {
-            driver.handle(Event::ResponseAborted { backend }, pending_io)
-        });
+        self.handle(Event::ResponseAborted { backend });
     }
 
-    /// Whether an attempt may still be written: a connect can outlast its request, the grace of a backend that has begun
-    /// to drain, or the time for which a repeat does no harm.
-    pub fn may_write(&self, attempt_id: AttemptId) -> bool {
-        let driver = self.driver.borrow();
-        let (now, grace) = (driver.clock.now(), driver.settings.rules.drain_grace);
-        let live = driver
-            .requests
-            .get(&attempt_id.request)
-            .is_some_and(|r| !r.ended && now < r.expires_at);
-        // Half the grace: telling began before the list was read here, and the bytes have a way to go.
-        let open = driver
-            .backends
-            .get(attempt_id.backend)
-            .is_some_and(|backend| {
-                backend
-                    .draining_since
-                    .is_none_or(|since| now < since.saturating_add(grace / 2))
-            });
-        live && open
-            && driver
-                .balancer
-                .may_write(now, attempt_id.request, attempt_id.attempt)
-    }
-
-    /// Whether a backend is in service, and at this address.
-    pub fn is_in_service_at(&self, backend: BackendId, endpoint: SocketAddr) -> bool {
-        let driver = self.driver.borrow();
-        let known = driver.backends.get(backend);
-        known.is_some_and(|known| known.endpoint == endpoint && known.draining_since.is_none())
-    }
-
-    /// Whether any backend is in service, by the list known last.
+    /// Whether an attempt may still be written. Establishing its connection can outlast the request, the grace period
+    /// of a draining backend, or the time within which a retry is safe.
+    pub fn may_write(&self, attempt: AttemptId) -> bool {
+        self.driver.borrow().may_write(attempt)
+    }
+
+    /// Whether a backend is in service at this address.
+    pub fn is_in_service_at(&self, backend: BackendId, address: SocketAddr) -> bool {
+        self.driver.borrow().is_in_service_at(backend, address)
+    }
+
+    /// Whether any backend is in service, by the latest endpoint list.
     pub fn has_endpoint_in_service(&self) -> bool {
-        self.driver.borrow().backends.any_in_service()
+        self.driver.borrow().has_endpoint_in_service()
     }
 
-    /// All backends in service, by number, and where they listen.
-    pub fn endpoints_in_service(&self) -> Vec<(BackendId, SocketAddr)> {
-        self.driver.borrow().backends.in_service()
+    /// The backends in service, ordered by id.
+    pub fn endpoints_in_service(&self) -> Vec<BackendAddress> {
+        self.driver.borrow().endpoints_in_service()
     }
 
-    /// A backend's name on the list, or its number where it is not there.
+    /// A backend's name, or its number if it is not listed.
     pub fn endpoint_name(&self, backend: BackendId) -> String {
-        let driver = self.driver.borrow();
-        driver
-            .backends
-            .get(backend)
-            .map_or_else(|| backend.0.to_string(), |known| known.uid.to_string())
+        self.driver.borrow().endpoint_name(backend)
     }
 
-    /// Takes the end of an attempt.
-    pub fn attempt_ended(&self, attempt_id: AttemptId, end: AttemptEnd<P::Response>) {
-        self.call(|driver, pending_io| driver.attempt_ended(attempt_id, end, pending_io));
+    /// Reports the end of an attempt.
+    pub fn attempt_ended(&self, attempt: AttemptId, end: AttemptEnd<P::Response>) {
+        self.with_driver(|driver, pending_io| driver.attempt_ended(attempt, end, pending_io));
     }
 
-    /// Something of an attempt's answer has gone to the client: the request goes nowhere else from now on.
-    pub fn response_started(&self, attempt_id: AttemptId) {
-        let request = attempt_id.request;
-        self.call(|driver, pending_io| {
-            driver.handle(Event::ResponseStarted { request }, pending_io)
-        });
+    /// Reports that part of an attempt's response has gone to the client, so that the request can't be sent anywhere
+    /// else.
+    pub fn response_started(&self, attempt: AttemptId) {
+        let request = attempt.request;
+        self.handle(Event::ResponseStarted { request });
     }
 
-    /// Takes the end of a probe.
-    pub fn health_check_ended(
-        &self,
-        backend: BackendId,
-        outcome: Outcome,
-        elapsed: Nanos,
-        report: LoadReport,
-    ) {
-        let event = Event::HealthCheckEnded {
+    /// Reports the result of a health check.
+    pub fn health_check_ended(&self, result: HealthCheckResult) {
+        let HealthCheckResult {
             backend,
             outcome,
             elapsed,
             report,
-        };
-        self.call(|driver, pending_io| driver.handle(event, pending_io));
+        } = result;
+        self.handle(Event::HealthCheckEnded {
+            backend,
+            outcome,
+            elapsed,
+            report,
+        });
     }
 
-    /// Takes a list from discovery.
-    pub fn endpoints_updated(&self, scope: EndpointUpdate, list: Vec<DiscoveredEndpoint>) {
-        self.call(|driver, pending_io| driver.endpoints_updated(scope, list, pending_io));
+    /// Reports an endpoint list, or changes to it, from service discovery.
+    pub fn endpoints_updated(&self, update: EndpointUpdate, endpoints: &[DiscoveredEndpoint]) {
+        self.with_driver(|driver, pending_io| {
+            driver.endpoints_updated(update, endpoints, pending_io);
+        });
     }
 
-    /// A call to discovery has failed.
+    /// Reports that a request to service discovery has failed.
     pub fn discovery_failed(&self) {
-        self.call(|driver, pending_io| driver.handle(Event::DiscoveryFailed, pending_io));
+        self.handle(Event::DiscoveryFailed);
     }
 
-    /// Waits until the module asks for the watch or the list.
+    /// Waits until the balancer asks for endpoint changes or a snapshot.
     pub async fn discovery_requested(&self) {
-        self.asked.notified().await;
+        self.discovery_wanted.notified().await;
     }
 
-    /// Whether the module wants the whole list next; asking takes the wish back.
+    /// Whether the balancer wants a snapshot of the endpoint list next. Asking takes the request back.
     pub fn take_snapshot_request(&self) -> bool {
-        std::mem::take(&mut self.driver.borrow_mut().snapshot_requested)
+        self.driver.borrow_mut().take_snapshot_request()
     }
 
-    /// Runs the timers; never ends.
+    /// Handles timers as they fire. Never returns.
     pub async fn run_timers(&self) {
         loop {
-            let next = self.driver.borrow().timers.first();
-            match next {
-                None => self.timer.notified().await,
+            let next_at = self.driver.borrow().timers.next_at();
+            match next_at {
+                None => self.next_timer_changed.notified().await,
                 Some(at) => {
                     tokio::select! {
                         biased;
                         () = self.clock.sleep_until(at) => {}
-                        () = self.timer.notified() => {}
+                        () = self.next_timer_changed.notified() => {}
                     }
                 }
             }
-            self.call(|driver, pending_io| driver.fire_timers(pending_io));
+            self.fire_timers();
         }
     }
 
-    /// One call into the driver; what it leaves to do is done once the borrow has ended.
-    fn call<T>(&self, call: impl FnOnce(&mut Driver<P>, &mut PendingIo<P>) -> T) -> T {
+    /// Handles all timers that are due.
+    fn fire_timers(&self) {
+        self.with_driver(Driver::fire_timers);
+    }
+
+    /// Passes an event to the balancer.
+    fn handle(&self, event: Event) {
+        self.with_driver(|driver, pending_io| driver.handle(event, pending_io));
+    }
+
+    /// Borrows the driver for one call, and then does what that leaves to be done.
+    fn with_driver<T>(&self, call: impl FnOnce(&mut Driver<P>, &mut PendingIo<P>) -> T) -> T {
         let mut pending_io = PendingIo::default();
         let result = call(&mut self.driver.borrow_mut(), &mut pending_io);
-        pending_io
-            .retired
-            .into_iter()
-            .for_each(|backend| self.transport.retire(backend));
-        pending_io
-            .probes
-            .into_iter()
-            .for_each(|(backend, at)| self.transport.probe(self, backend, at));
-        pending_io
-            .attempts
-            .into_iter()
-            .for_each(|launch| self.transport.launch(self, launch));
-        for attempt_id in pending_io.not_sent {
-            self.attempt_ended(attempt_id, AttemptEnd::bare(Outcome::NotSent));
+        self.perform(pending_io);
+        result
+    }
+
+    /// Does pending work. The transport may call back, so the driver must not be borrowed.
+    fn perform(&self, pending_io: PendingIo<P>) {
+        for backend in pending_io.idle_closures {
+            self.transport.close_idle_connections(backend);
         }
-        if pending_io.poll_discovery {
-            self.asked.notify_one();
+        for target in pending_io.health_checks {
+            self.transport.check_health(self, target);
         }
-        if pending_io.first_timer_changed {
-            self.timer.notify_one();
+        for command in pending_io.attempts {
+            self.transport.start_attempt(self, command);
+        }
+        for attempt in pending_io.unlisted_attempts {
+            self.attempt_ended(attempt, AttemptEnd::bare(Outcome::NotSent));
+        }
+        if pending_io.polls_discovery {
+            self.discovery_wanted.notify_one();
+        }
+        if pending_io.next_timer_changed {
+            self.next_timer_changed.notify_one();
         }
-        result
     }
 }
 
-/// A request that is owed its answer.
+/// A submitted request whose outcome is awaited. Dropping it means that the client has disconnected.
 pub struct PendingResponse<P: Protocol> {
     engine: Engine<P>,
     request: RequestId,
-    answer: oneshot::Receiver<RequestOutcome<P::Response>>,
+    outcome: oneshot::Receiver<RequestOutcome<P::Response>>,
 }
 
 impl<P: Protocol> PendingResponse<P> {
-    /// The request's body has come whole; its client waits for this much longer.
+    /// Reports that the request's body has been uploaded. The client waits for `budget` from now on.
     pub fn upload_complete(&self, budget: Nanos) {
-        self.engine
-            .call(|driver, pending_io| driver.upload_complete(self.request, budget, pending_io));
+        self.engine.with_driver(|driver, pending_io| {
+            driver.upload_complete(self.request, budget, pending_io);
+        });
     }
 
-    /// Gives the request up: it can't have run anywhere, and trying again does no harm.
+    /// Rejects the request, which must not have run on any backend. Returns the outcome for its client.
     pub fn reject(&self) -> RequestOutcome<P::Response> {
         self.engine
-            .call(|driver, pending_io| driver.reject(self.request, pending_io))
+            .with_driver(|driver, pending_io| driver.reject(self.request, pending_io))
     }
 
-    /// The final answer.
+    /// Waits for the outcome.
     pub async fn into_outcome(mut self) -> RequestOutcome<P::Response> {
         self.wait().await
     }
 
-    /// The final answer, to be waited for once.
+    /// Waits for the outcome, which can be had once.
     pub async fn wait(&mut self) -> RequestOutcome<P::Response> {
-        // The sender is dropped unused only if the request has vanished, which promises nothing.
-        (&mut self.answer).await.unwrap_or(RequestOutcome::Failed)
+        // The sender is dropped unused only if the request is gone, and then nothing is known of its outcome.
+        (&mut self.outcome).await.unwrap_or(RequestOutcome::Failed)
     }
 }
 
 impl<P: Protocol> Drop for PendingResponse<P> {
-    /// A client that hangs up takes its connection's task with it, and so this: the one place that notices.
+    /// A client that disconnects takes its connection's task with it, and so this.
     fn drop(&mut self) {
         let request = self.request;
         self.engine
-            .call(|driver, pending_io| driver.client_disconnected(request, pending_io));
+            .with_driver(|driver, pending_io| driver.client_disconnected(request, pending_io));
     }
 }
 
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -3,10 +3,10 @@
 use std::future::Future;
 use std::task::{Context, Poll, Waker};
 
-use badgerpost_balancer::EndpointState;
+use badgerpost_balancer::{ClassId, EndpointState};
 
 use super::*;
-use crate::client_request_ids::RECENT_IDS_MAX;
+use crate::client_request_ids::MAX_RECENT_IDS;
 use crate::timers::TimerPurpose;
 
 mod any_order;
@@ -26,11 +26,11 @@
 }
 
 impl Transport<Plain> for Kept {
-    fn launch(&self, _: &Engine<Plain>, launch: AttemptCommand<Plain>) {
-        self.attempts.borrow_mut().push(launch);
+    fn start_attempt(&self, _: &Engine<Plain>, command: AttemptCommand<Plain>) {
+        self.attempts.borrow_mut().push(command);
     }
 
-    fn retire(&self, backend: BackendId) {
+    fn close_idle_connections(&self, backend: BackendId) {
         self.retired.borrow_mut().push(backend);
     }
 }
@@ -70,13 +70,13 @@
         .into();
     IncomingRequest {
         id,
-        class: 0,
+        class: ClassId(0),
         tenant: None,
         affinity_key: None,
         expected_work: None,
         is_retry: false,
         budget,
-        call: (),
+        payload: (),
     }
 }
 
@@ -103,7 +103,7 @@
     let (node, kept) = node(SECOND);
     node.endpoints_updated(
         EndpointUpdate::Snapshot,
-        vec![listed("s", EndpointState::InService)],
+        &[listed("s", EndpointState::InService)],
     );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
     let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
@@ -135,7 +135,7 @@
     let (node, kept) = node(SECOND);
     node.endpoints_updated(
         EndpointUpdate::Snapshot,
-        vec![listed("s", EndpointState::InService)],
+        &[listed("s", EndpointState::InService)],
     );
     let waiting = node.submit(asked(SECOND)).expect("a new id");
     let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
@@ -156,7 +156,7 @@
     let (node, kept) = node(SECOND);
     node.endpoints_updated(
         EndpointUpdate::Snapshot,
-        vec![
+        &[
             listed("s", EndpointState::InService),
             listed("t", EndpointState::InService),
         ],
@@ -181,11 +181,11 @@
         let (node, kept) = node(grace);
         node.endpoints_updated(
             EndpointUpdate::Snapshot,
-            vec![listed("s", EndpointState::InService)],
+            &[listed("s", EndpointState::InService)],
         );
         let _waiting = node.submit(asked(SECOND)).expect("a new id");
         let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
-        node.endpoints_updated(EndpointUpdate::Delta, vec![listed("s", stage)]);
+        node.endpoints_updated(EndpointUpdate::Delta, &[listed("s", stage)]);
         assert_eq!(node.may_write(launch.attempt), may, "{grace} {stage:?}");
         assert_eq!(
             *kept.retired.borrow(),
@@ -204,7 +204,7 @@
     let (node, kept) = node(SECOND);
     node.endpoints_updated(
         EndpointUpdate::Snapshot,
-        vec![listed("s", EndpointState::InService)],
+        &[listed("s", EndpointState::InService)],
     );
     let waiting = node.submit(asked(1_000_000)).expect("a new id");
     let launch = kept.attempts.borrow_mut().pop().expect("an attempt");
@@ -227,30 +227,27 @@
 fn a_restart_under_the_same_name_is_told_and_drops_connections() {
     let (node, kept) = node(SECOND);
     let boot_ms = node.clock().now() / 1_000_000 - 5;
-    let mut retired = Vec::new();
     let mut driver = node.driver.borrow_mut();
     let Driver {
         backends, names, ..
     } = &mut *driver;
     let first = backends
-        .member(
-            listed("s", EndpointState::InService),
-            names,
-            0,
-            &mut retired,
-        )
-        .expect("a member");
-    assert_eq!((first.started_at, retired.len()), (None, 0));
+        .update(&listed("s", EndpointState::InService), names, 0)
+        .expect("a new backend");
+    assert_eq!(
+        (first.endpoint.started_at, first.close_idle_connections),
+        (None, false)
+    );
     let again = DiscoveredEndpoint {
         started_at_ms: boot_ms,
         ..listed("s", EndpointState::InService)
     };
     let second = backends
-        .member(again, names, 0, &mut retired)
-        .expect("a member");
-    assert_eq!(second.backend, first.backend);
-    assert_eq!(retired, [first.backend]);
-    let age = driver.clock.now() - second.started_at.expect("a start");
+        .update(&again, names, 0)
+        .expect("an updated backend");
+    assert_eq!(second.endpoint.backend, first.endpoint.backend);
+    assert!(second.close_idle_connections);
+    let age = driver.clock.now() - second.endpoint.started_at.expect("a start");
     assert!((4_000_000..60 * SECOND).contains(&age), "{age}");
     assert!(kept.attempts.borrow().is_empty());
 }
@@ -264,7 +261,7 @@
         let uid = format!("s-{round}");
         node.endpoints_updated(
             EndpointUpdate::Delta,
-            vec![listed(&uid, EndpointState::InService)],
+            &[listed(&uid, EndpointState::InService)],
         );
         let waiting = node.submit(asked(SECOND)).expect("a new id");
         let launch = kept.attempts.borrow_mut().pop();
@@ -274,22 +271,22 @@
         }
         node.endpoints_updated(
             EndpointUpdate::Delta,
-            vec![listed(&uid, EndpointState::Removed)],
+            &[listed(&uid, EndpointState::Removed)],
         );
         if let Some(launch) = launch {
             node.attempt_ended(launch.attempt, AttemptEnd::bare(Outcome::Reset));
         }
         kept.retired.borrow_mut().clear();
     }
-    node.endpoints_updated(EndpointUpdate::Snapshot, Vec::new());
+    node.endpoints_updated(EndpointUpdate::Snapshot, &[]);
     let driver = node.driver.borrow();
-    let names = driver.client_request_ids.known.len();
+    let names = driver.client_request_ids.reserved.len();
     assert_eq!(
         names,
-        driver.client_request_ids.ended.len() + driver.requests.len()
+        driver.client_request_ids.recently_ended.len() + driver.requests.len()
     );
     assert!(
-        names <= RECENT_IDS_MAX + 1 + driver.requests.len(),
+        names <= MAX_RECENT_IDS + 1 + driver.requests.len(),
         "{names}"
     );
     assert_eq!(driver.backends.counts(), (0, 0));
--- a/engine/src/engine/tests/any_order.rs
+++ b/engine/src/engine/tests/any_order.rs
@@ -15,7 +15,7 @@
 
 /// A request as its client and the servers know it.
 struct Seen {
-    class: u32,
+    class: ClassId,
     waiting: Option<PendingResponse<Plain>>,
     answers: usize,
     left: bool,
@@ -93,15 +93,16 @@
             let told = self.drains[*server].unwrap_or(self.now());
             self.drains[*server] = (stage != EndpointState::InService).then_some(told);
         }
+        let endpoints: Vec<_> = servers.iter().map(of).collect();
         self.node
-            .endpoints_updated(EndpointUpdate::Delta, servers.iter().map(of).collect());
+            .endpoints_updated(EndpointUpdate::Delta, &endpoints);
         self.look();
     }
 
     /// Takes up what the engine wants and what it has answered.
     fn look(&mut self) {
         for launch in self.kept.attempts.borrow_mut().drain(..) {
-            let server = usize::from(launch.endpoint.port()) - 9;
+            let server = usize::from(launch.address.port()) - 9;
             let request = launch.attempt.request.0 as usize;
             self.out.push(Out {
                 launch,
@@ -143,7 +144,7 @@
         }
     }
 
-    fn arrive(&mut self, class: u32) {
+    fn arrive(&mut self, class: ClassId) {
         let asked = IncomingRequest {
             class,
             ..asked(1000 * MS)
@@ -188,10 +189,10 @@
         );
         for &(at, other, ran) in seen.written.iter().filter(|(_, _, ran)| *ran) {
             prop_assert!(
-                seen.class != 2,
+                seen.class != ClassId(2),
                 "an unsafe request where another may have run: {ran}"
             );
-            if seen.class == 1 {
+            if seen.class == ClassId(1) {
                 prop_assert!(SERVERS[other].1 == SERVERS[server].1, "out of its group");
                 prop_assert!(now < at + WINDOW, "behind its window");
             }
@@ -235,8 +236,7 @@
         let end = self.now() + span;
         while self.now() < end {
             self.steps.advance((self.now() + 10 * MS).min(end));
-            self.node
-                .call(|driver, pending_io| driver.fire_timers(pending_io));
+            self.node.fire_timers();
             self.look();
             // The transport's part: nobody waits past the time that a launch was given.
             while let Some(n) = self
@@ -257,7 +257,7 @@
     fn step(&mut self, kind: u8, which: usize) -> Result<(), TestCaseError> {
         let n = (!self.out.is_empty()).then(|| which % self.out.len().max(1));
         match (kind, n) {
-            (0..=2, _) => self.arrive(which as u32 % 3),
+            (0..=2, _) => self.arrive(ClassId(which as u32 % 3)),
             (3, _) if !self.seen.is_empty() => self.leave(which % self.seen.len()),
             (4..=6, Some(n)) => self.connect_up(n)?,
             (7, Some(n)) => self.comes(n, Outcome::Reset),
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -1,30 +1,37 @@
-//! The engine between fronts and the decision module: sole owner of one [`badgerpost_balancer::Balancer`] for each
-//! fleet, of ids, timers, open requests and attempts. It knows no protocol: what a request carries and what
-//! serves it are a [`Front`]'s types. Its [`Clock`] is the process's only one, and can be stepped from outside.
+//! The engine between adapters and the decision module: sole owner of one [`badgerpost_balancer::Balancer`] for each
+//! fleet, and of its ids, timers, open requests and attempts.
+//!
+//! It knows no protocol: what a request carries and what a response is are a [`Protocol`]'s types, and a [`Transport`]
+//! sends the attempts. Its [`Clock`] is the process's only one, and a test can control it.
 
 pub mod activity;
+mod attempt;
 mod backends;
 mod client_request_ids;
 mod clock;
 mod connection_counter;
 mod driver;
 mod engine;
+mod event_log;
 mod idle_pool;
 mod log_limiter;
 mod metrics;
+mod open_requests;
+mod pending_io;
 mod protocol;
 mod timers;
 mod zone_monitoring;
 
 pub use activity::spawn;
+pub use attempt::{AttemptCommand, AttemptEnd, AttemptId};
+pub use backends::{BackendAddress, DiscoveredEndpoint};
 pub use clock::{Clock, Elapsed, Sleep, VirtualClock, nanos};
 pub use connection_counter::{ConnectionCounter, ConnectionGuard};
-pub use engine::{Engine, PendingResponse, Transport};
+pub use engine::{Engine, HealthCheckResult, PendingResponse, Transport};
 pub use idle_pool::{IdleCheck, IdlePool};
 pub use log_limiter::LogLimiter;
-pub use metrics::{ClassCounts, Metrics, PeerMetrics, RequestEnd, ZoneMetrics};
-pub use protocol::{
-    AttemptCommand, AttemptEnd, AttemptId, DiscoveredEndpoint, IncomingRequest, Protocol,
-    RequestOutcome, UnknownTenant,
+pub use metrics::{
+    BackendCounts, ClassCounts, DroppedDatagram, Metrics, PeerMetrics, RequestEnd, ZoneMetrics,
 };
-pub use zone_monitoring::{PeerUpdate, ZoneGossip};
+pub use protocol::{IncomingRequest, Protocol, RequestClass, RequestOutcome, UnknownTenant};
+pub use zone_monitoring::{ForcedZoneState, PeerUpdate, ZoneGossip, ZoneOverride};
--- a/engine/src/metrics.rs
+++ b/engine/src/metrics.rs
@@ -1,229 +1,259 @@
-//! What an engine counts for its operators, readable from any thread while the engine works: each number is counted
-//! where the thing happens, so that nobody has to ask the serving thread.
+//! The counters of one engine, which any thread may read while the engine works. Each is counted where the counted
+//! event happens, so that a reader never has to ask the serving thread.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// How requests of a class have ended.
-#[derive(Debug, Default)]
-struct Ends {
-    answered: AtomicU64,
-    deferred: AtomicU64,
-    errored: AtomicU64,
-}
+use badgerpost_balancer::{ClassId, ZoneId};
 
 /// How a request has ended, as its client sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestEnd {
     /// Served, to the last byte.
     Served,
-    /// Refused.
+    /// Rejected.
     Rejected,
     /// Failed.
     Failed,
 }
 
-/// The ends of a class's requests so far.
+/// How many requests of a class have ended so far, by kind of end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ClassCounts {
     /// Requests served.
     pub served: u64,
-    /// Requests refused.
+    /// Requests rejected.
     pub rejected: u64,
     /// Requests failed.
     pub failed: u64,
 }
 
-/// What a zone gets now.
+/// The counters behind [`ClassCounts`].
+#[derive(Debug, Default)]
+struct ClassCounters {
+    served: AtomicU64,
+    rejected: AtomicU64,
+    failed: AtomicU64,
+}
+
+impl ClassCounters {
+    fn count(&self, end: RequestEnd) {
+        let counter = match end {
+            RequestEnd::Served => &self.served,
+            RequestEnd::Rejected => &self.rejected,
+            RequestEnd::Failed => &self.failed,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn snapshot(&self) -> ClassCounts {
+        ClassCounts {
+            served: self.served.load(Ordering::Relaxed),
+            rejected: self.rejected.load(Ordering::Relaxed),
+            failed: self.failed.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// A request class and its counters.
+#[derive(Debug)]
+struct ClassEntry {
+    name: String,
+    counters: ClassCounters,
+}
+
+/// The share of traffic that a monitored zone gets now.
 #[derive(Clone, Debug)]
 pub struct ZoneMetrics {
-    /// Its name.
+    /// The zone's name.
     pub name: String,
     /// Its share, from 0 to 1.
     pub share: f64,
-    /// Why, in one word.
+    /// The reason for it, in one word.
     pub reason: &'static str,
 }
 
-/// What goes between a node and the others of its fleet.
+/// Traffic between this node and its peers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeerMetrics {
-    /// Members that are there, this one included; 0 where the node has no peers.
+    /// Live members, this node included; 0 if the node has no peers.
     pub members: u64,
-    /// Bytes of datagrams taken.
+    /// Bytes of datagrams received.
     pub received_bytes: u64,
     /// Bytes of datagrams sent.
     pub sent_bytes: u64,
-    /// Datagrams of strangers, dropped.
+    /// Datagrams dropped because their sender did not authenticate.
     pub unauthenticated: u64,
-    /// Others that were dropped.
+    /// Datagrams dropped for any other reason.
     pub malformed: u64,
 }
 
-/// The counts of one engine since its start.
-#[derive(Debug)]
+/// Why a peer's datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DroppedDatagram {
+    /// Its sender did not authenticate.
+    Unauthenticated,
+    /// Any other reason.
+    Malformed,
+}
+
+/// The number of listed backends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BackendCounts {
+    /// Backends on the endpoint list.
+    pub listed: u64,
+    /// Those of them that the balancer avoids.
+    pub avoided: u64,
+}
+
+/// The counters of one engine since its start.
+#[derive(Debug, Default)]
 pub struct Metrics {
-    /// Empty where no watch over the zones is on. Locked for a moment by whoever changes or reads a figure.
+    /// Empty unless zones are monitored. Locked only while a value is read or changed.
     zones: Mutex<Vec<ZoneMetrics>>,
-    /// See [`PeerFigures`]; locked like the zones'.
+    /// Locked only while a value is read or changed.
     peers: Mutex<PeerMetrics>,
-    classes: Vec<(String, Ends)>,
-    sends: AtomicU64,
-    current: AtomicU64,
-    listed: AtomicU64,
-    avoided: AtomicU64,
+    /// By class id.
+    classes: Vec<ClassEntry>,
+    attempts_sent: AtomicU64,
+    requests_in_progress: AtomicU64,
+    backends_listed: AtomicU64,
+    backends_avoided: AtomicU64,
 }
 
 impl Metrics {
-    /// Counts for these classes, by their numbers.
-    pub fn new(classes: Vec<String>) -> Self {
-        let classes = classes
+    /// Counters for these classes, whose names are in the order of their ids.
+    pub fn new(class_names: Vec<String>) -> Self {
+        let classes = class_names
             .into_iter()
-            .map(|name| (name, Ends::default()))
+            .map(|name| ClassEntry {
+                name,
+                counters: ClassCounters::default(),
+            })
             .collect();
-        let zero = AtomicU64::default;
         Self {
-            zones: Mutex::default(),
-            peers: Mutex::default(),
             classes,
-            sends: zero(),
-            current: zero(),
-            listed: zero(),
-            avoided: zero(),
+            ..Self::default()
         }
     }
 
-    /// The zones are watched from now on.
-    pub(crate) fn watch_zones(&self, names: Vec<String>) {
-        let open = |name| ZoneMetrics {
+    /// Adds the zones, by id, all with their whole share of traffic.
+    pub(crate) fn start_zone_monitoring(&self, zone_names: Vec<String>) {
+        let zones = zone_names.into_iter().map(|name| ZoneMetrics {
             name,
             share: 1.0,
             reason: "open",
-        };
-        *self.zones.lock().unwrap_or_else(PoisonError::into_inner) =
-            names.into_iter().map(open).collect();
+        });
+        *lock(&self.zones) = zones.collect();
     }
 
-    /// Changes a zone's figure.
-    pub(crate) fn zone(&self, zone: u32, change: impl FnOnce(&mut ZoneMetrics)) {
-        let mut zones = self.zones.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(figure) = zones.get_mut(zone as usize) {
-            change(figure);
+    /// Changes the share of a zone.
+    pub(crate) fn set_zone_share(&self, zone: ZoneId, share: f64) {
+        if let Some(metrics) = lock(&self.zones).get_mut(zone.0 as usize) {
+            metrics.share = share;
         }
     }
 
-    /// The zones' figures.
-    pub fn zones(&self) -> Vec<ZoneMetrics> {
-        self.zones
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+    /// Changes the reason for a zone's share.
+    pub(crate) fn set_zone_reason(&self, zone: ZoneId, reason: &'static str) {
+        if let Some(metrics) = lock(&self.zones).get_mut(zone.0 as usize) {
+            metrics.reason = reason;
+        }
     }
 
-    fn in_peers<T>(&self, change: impl FnOnce(&mut PeerMetrics) -> T) -> T {
-        change(&mut self.peers.lock().unwrap_or_else(PoisonError::into_inner))
+    /// The monitored zones, by id.
+    pub fn zones(&self) -> Vec<ZoneMetrics> {
+        lock(&self.zones).clone()
     }
 
-    /// So many members are there.
+    /// Sets the number of live members.
     pub fn set_peers(&self, members: u64) {
-        self.in_peers(|peers| peers.members = members);
+        lock(&self.peers).members = members;
     }
 
-    /// A datagram of so many bytes was taken, or sent.
-    pub fn add_peer_bytes(&self, received: u64, sent: u64) {
-        self.in_peers(|peers| {
-            (peers.received_bytes, peers.sent_bytes) =
-                (peers.received_bytes + received, peers.sent_bytes + sent)
-        });
+    /// Counts the bytes of a datagram received from a peer.
+    pub fn peer_bytes_received(&self, bytes: u64) {
+        lock(&self.peers).received_bytes += bytes;
     }
 
-    /// A datagram was dropped.
-    pub fn datagram_dropped(&self, stranger: bool) {
-        self.in_peers(|peers| {
-            if stranger {
-                peers.unauthenticated += 1
-            } else {
-                peers.malformed += 1
-            }
-        });
+    /// Counts the bytes of a datagram sent to a peer.
+    pub fn peer_bytes_sent(&self, bytes: u64) {
+        lock(&self.peers).sent_bytes += bytes;
     }
 
-    /// What goes between the nodes.
+    /// Counts a dropped datagram.
+    pub fn datagram_dropped(&self, dropped: DroppedDatagram) {
+        let mut peers = lock(&self.peers);
+        match dropped {
+            DroppedDatagram::Unauthenticated => peers.unauthenticated += 1,
+            DroppedDatagram::Malformed => peers.malformed += 1,
+        }
+    }
+
+    /// The traffic between this node and its peers.
     pub fn peers_snapshot(&self) -> PeerMetrics {
-        self.in_peers(|peers| *peers)
+        *lock(&self.peers)
     }
 
-    /// A request has been taken.
+    /// Counts a request that an engine has taken.
     pub fn request_started(&self) {
-        self.current.fetch_add(1, Ordering::Relaxed);
+        self.requests_in_progress.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// A request that was taken has ended; with no `end` its client has gone.
-    pub fn request_ended(&self, class: u32, end: Option<RequestEnd>) {
-        self.current.fetch_sub(1, Ordering::Relaxed);
-        end.into_iter()
-            .for_each(|end| self.request_answered(class, end));
+    /// Counts the end of a request that an engine had taken. Without an `end` its client has disconnected.
+    pub fn request_ended(&self, class: ClassId, end: Option<RequestEnd>) {
+        self.requests_in_progress.fetch_sub(1, Ordering::Relaxed);
+        if let Some(end) = end {
+            self.request_answered(class, end);
+        }
     }
 
-    /// A request was answered without having been taken.
-    pub fn request_answered(&self, class: u32, end: RequestEnd) {
-        let Some((_, ends)) = self.classes.get(class as usize) else {
-            return;
-        };
-        let count = match end {
-            RequestEnd::Served => &ends.answered,
-            RequestEnd::Rejected => &ends.deferred,
-            RequestEnd::Failed => &ends.errored,
-        };
-        count.fetch_add(1, Ordering::Relaxed);
+    /// Counts a response to a request that no engine had taken.
+    pub fn request_answered(&self, class: ClassId, end: RequestEnd) {
+        if let Some(entry) = self.classes.get(class.0 as usize) {
+            entry.counters.count(end);
+        }
     }
 
-    /// An attempt has been written whole.
+    /// Counts an attempt that was written to the last byte.
     pub fn attempt_sent(&self) {
-        self.sends.fetch_add(1, Ordering::Relaxed);
+        self.attempts_sent.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// So many servers are on the list, and so many of them are avoided now.
-    pub fn set_servers(&self, listed: u64, avoided: u64) {
-        self.listed.store(listed, Ordering::Relaxed);
-        self.avoided.store(avoided, Ordering::Relaxed);
+    /// Sets the number of listed backends.
+    pub fn set_backend_counts(&self, counts: BackendCounts) {
+        self.backends_listed.store(counts.listed, Ordering::Relaxed);
+        self.backends_avoided
+            .store(counts.avoided, Ordering::Relaxed);
     }
 
-    /// The classes' counts, by name.
+    /// The classes' names and counts, by class id.
     pub fn classes(&self) -> impl Iterator<Item = (&str, ClassCounts)> {
-        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        self.classes.iter().map(move |(name, ends)| {
-            let (answered, deferred, errored) = (
-                read(&ends.answered),
-                read(&ends.deferred),
-                read(&ends.errored),
-            );
-            (
-                name.as_str(),
-                ClassCounts {
-                    served: answered,
-                    rejected: deferred,
-                    failed: errored,
-                },
-            )
-        })
-    }
-
-    /// Attempts written whole.
+        self.classes
+            .iter()
+            .map(|entry| (entry.name.as_str(), entry.counters.snapshot()))
+    }
+
+    /// Attempts written to the last byte.
     pub fn attempts_sent(&self) -> u64 {
-        self.sends.load(Ordering::Relaxed)
+        self.attempts_sent.load(Ordering::Relaxed)
     }
 
-    /// Requests taken and not ended.
+    /// Requests taken that have not ended.
     pub fn requests_in_progress(&self) -> u64 {
-        self.current.load(Ordering::Relaxed)
+        self.requests_in_progress.load(Ordering::Relaxed)
     }
 
-    /// Servers on the list, and those of them that are avoided.
-    pub fn servers_snapshot(&self) -> (u64, u64) {
-        (
-            self.listed.load(Ordering::Relaxed),
-            self.avoided.load(Ordering::Relaxed),
-        )
+    /// The number of listed backends.
+    pub fn backend_counts(&self) -> BackendCounts {
+        BackendCounts {
+            listed: self.backends_listed.load(Ordering::Relaxed),
+            avoided: self.backends_avoided.load(Ordering::Relaxed),
+        }
     }
 }
+
+/// Locks a value. A thread that panicked with the lock held leaves it usable: each change is a single assignment.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -1,124 +1,72 @@
-//! What a front brings to an engine and what passes between them: requests in, attempts to be made, their ends, and
-//! the one reply.
+//! The interface between an adapter and an engine for requests: what an adapter submits, and the final outcome that
+//! it gets back.
 
-use std::net::SocketAddr;
-use std::rc::Rc;
+use badgerpost_balancer::{ClassId, Idempotency, Nanos};
 
-use badgerpost_balancer::{BackendId, EndpointState, LoadReport, Nanos, Outcome, RequestId};
-use tokio::sync::{oneshot, watch};
+use crate::metrics::RequestEnd;
 
-/// What a front brings: the types of what its requests carry and of what serves them.
+/// The types that an adapter's requests and responses have. The engine passes them on and never looks inside.
 pub trait Protocol: 'static {
-    /// A client's request in the form in which it is passed on.
+    /// A client's request in the form in which it is forwarded.
     type Request: 'static;
-    /// What a backend answers.
+    /// A backend's response.
     type Response: 'static;
 }
 
-/// The final answer to a request.
+/// A client's request as submitted to an engine.
+pub struct IncomingRequest<P: Protocol> {
+    /// The client's id of the request. No two open requests have the same one.
+    pub id: Box<str>,
+    /// The request's class.
+    pub class: ClassId,
+    /// The tenant's number, on a site with tenants ([`Engine::tenant`](crate::Engine::tenant)).
+    pub tenant: Option<u32>,
+    /// A hash of the name of what the request is about ([`badgerpost_settings::name_tag`]).
+    pub affinity_key: Option<u64>,
+    /// The client's estimate of the time that a backend works on the request.
+    pub expected_work: Option<Nanos>,
+    /// Whether the client marked the request as a retry.
+    pub is_retry: bool,
+    /// How long the client waits from now on.
+    pub budget: Nanos,
+    /// What is forwarded to a backend.
+    pub payload: P::Request,
+}
+
+/// The final outcome of a request.
 #[derive(Debug)]
-pub enum RequestOutcome<A> {
-    /// Served, with a backend's answer.
-    Served(A),
-    /// Refused; the client should stay away for this long, if that is above 0.
+pub enum RequestOutcome<R> {
+    /// Served, with a backend's response.
+    Served(R),
+    /// Rejected. The client should not retry within this time, if it is above 0.
     Rejected(Nanos),
     /// Failed.
     Failed,
 }
 
-/// One attempt of one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AttemptId {
-    pub(crate) request: RequestId,
-    pub(crate) attempt: u32,
-    pub(crate) backend: BackendId,
-}
-
-/// An attempt to be made.
-pub struct AttemptCommand<P: Protocol> {
-    /// Which one; goes back with its outcome.
-    pub attempt: AttemptId,
-    /// Whom to send to.
-    pub backend: BackendId,
-    /// Where it listens.
-    pub endpoint: SocketAddr,
-    /// What to send.
-    pub call: Rc<P::Request>,
-    /// When to stop waiting.
-    pub attempt_deadline: Nanos,
-    /// When the client stops waiting.
-    pub expires_at: Nanos,
-    /// Where the request's body is still on the way: the two times above as they are once it is whole.
-    pub upload_deadline: Option<watch::Receiver<Nanos>>,
-    /// Resolves once the attempt has been cancelled.
-    pub cancelled: oneshot::Receiver<()>,
-}
-
-/// How an attempt ended.
-pub struct AttemptEnd<A> {
-    /// What happened.
-    pub outcome: Outcome,
-    /// The load report that came along.
-    pub report: LoadReport,
-    /// The answer of one that served; with none it has not served.
-    pub response: Option<A>,
-    /// The answer has only begun: what passes it on says in the [`Tally`](crate::Tally) how it ends.
-    pub is_streaming: bool,
-}
-
-impl<A> AttemptEnd<A> {
-    /// An end with nothing received.
-    pub fn bare(outcome: Outcome) -> Self {
-        Self {
-            outcome,
-            report: LoadReport::default(),
-            response: None,
-            is_streaming: false,
+impl<R> RequestOutcome<R> {
+    /// How the request has ended for the metrics.
+    pub(crate) fn end(&self) -> RequestEnd {
+        match self {
+            Self::Served(_) => RequestEnd::Served,
+            Self::Rejected(_) => RequestEnd::Rejected,
+            Self::Failed => RequestEnd::Failed,
         }
     }
 }
 
-/// One line of discovery's list.
-pub struct DiscoveredEndpoint {
-    /// The backend's name.
-    pub name: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: String,
-    /// Its machine kind.
-    pub machine_kind: String,
-    /// Its cell.
-    pub cell: u64,
-    /// What it may take.
-    pub state: EndpointState,
-    /// Its size.
-    pub size: f64,
-    /// When it last started; 0 for long ago.
-    pub started_at_ms: u64,
-}
-
-/// What a client's request says of itself.
-pub struct IncomingRequest<P: Protocol> {
-    /// Its id.
-    pub id: Box<str>,
-    /// Its class.
-    pub class: u32,
-    /// Its tenant.
-    pub tenant: Option<u32>,
-    /// What it concerns, as a number drawn from that thing's name ([`badgerpost_settings::name_tag`]).
-    pub affinity_key: Option<u64>,
-    /// Its work, where the client guesses it.
-    pub expected_work: Option<Nanos>,
-    /// Marked as a repeat.
-    pub is_retry: bool,
-    /// How long the client waits.
-    pub budget: Nanos,
-    /// What is passed on.
-    pub call: P::Request,
+/// What an adapter needs to know of a request class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestClass {
+    /// The class.
+    pub id: ClassId,
+    /// The longest that a client of this class waits.
+    pub deadline: Nanos,
+    /// Whether its requests may be sent more than once.
+    pub idempotency: Idempotency,
 }
 
-/// The settings name no such tenant.
+/// The settings list tenants, and the request names none of them.
 #[derive(Debug, thiserror::Error)]
 #[error("unknown tenant")]
 pub struct UnknownTenant;
--- a/engine/src/zone_monitoring.rs
+++ b/engine/src/zone_monitoring.rs
@@ -1,249 +1,336 @@
-//! The watch over the zones, where it is switched on: what the driver does and sees is told to the core, and what the
-//! core says becomes events of the decision module.
+//! Connects the zone-health core to the engine: translates the attempts, endpoint lists, peer updates and operator
+//! overrides that the driver sees into events of the core, and the core's actions into work for the driver.
 
 use std::collections::BTreeMap;
 
 use badgerpost_balancer::{
-    BackendId, Endpoint, EndpointState, EndpointUpdate, Event as BalancerEvent, Nanos, Outcome,
-    RequestId, Settings, ZoneId,
+    BackendId, ClassId, Endpoint, EndpointState, EndpointUpdate, Event as BalancerEvent, Nanos,
+    Outcome, Settings, ZoneId,
 };
 use badgerpost_zone_health::{
-    Action, AttemptSignal, Event, Settings as Zones, ZoneMonitor, ZoneObservation, ZoneStateReason,
+    Action, AttemptSignal, Event, Settings as ZoneSettings, ZoneMonitor, ZoneObservation,
+    ZoneStateReason,
 };
 
-/// What the core has left to do.
-#[derive(Default)]
-pub(crate) struct ZoneOutput {
-    /// For the decision module.
-    pub(crate) events: Vec<BalancerEvent>,
-    /// For the log and the figures.
-    pub(crate) changed: Vec<ZoneChange>,
-    /// For the other nodes, by zone.
-    pub(crate) says: Vec<ZoneGossip>,
-    /// When to wake it, and the wish before that this replaces.
-    pub(crate) wake: Option<(Nanos, Option<Nanos>)>,
-}
+use crate::attempt::AttemptId;
 
-/// What a node says of a zone to the others, as it goes over the network.
-pub type ZoneGossip = (u16, Vec<u8>);
+/// Attempt ids of the zone-health core keep this many low bits for the attempt's number.
+const ATTEMPT_NUMBER_BITS: u32 = 8;
+
+/// The highest attempt number that fits into these bits.
+const MAX_ATTEMPT_NUMBER: u32 = (1 << ATTEMPT_NUMBER_BITS) - 1;
+
+/// What a node tells its peers of a zone, as encoded for the network.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneGossip {
+    /// The zone's number; the topic under which it is broadcast.
+    pub zone: u16,
+    /// The encoded [`ZoneObservation`].
+    pub observation: Vec<u8>,
+}
 
-/// What comes from the other nodes.
+/// An update from or about another node of the fleet.
 #[derive(Clone, Debug)]
 pub enum PeerUpdate {
-    /// One is there, or no longer.
+    /// A node has joined or left.
     Member {
-        /// Which.
+        /// The node's id.
         member: u64,
-        /// Its zone, by position.
-        home: u8,
-        /// Whether it is there.
-        up: bool,
+        /// The number of the node's own zone.
+        zone: u8,
+        /// Whether the node is up.
+        is_up: bool,
     },
-    /// One has said something of a zone.
+    /// A node has sent what it observed of a zone.
     Gossip {
-        /// Which.
+        /// The node's id.
         member: u64,
-        /// When, by its clock, in Unix time.
-        sent: Nanos,
-        /// What.
-        word: ZoneGossip,
+        /// When it was sent, by the sender's clock, in Unix time.
+        sent_at: Nanos,
+        /// What it says.
+        gossip: ZoneGossip,
     },
 }
 
+/// An operator's order to close a zone or to keep it open, whatever the zone monitor finds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneOverride {
+    /// The state that the zone is held in.
+    pub state: ForcedZoneState,
+    /// How long the override lasts from now on.
+    pub duration: Nanos,
+}
+
+/// The state that an operator holds a zone in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForcedZoneState {
+    /// The zone gets no requests.
+    Closed,
+    /// The zone gets its whole share.
+    Open,
+}
+
+/// What the core's actions leave for the driver to do.
+#[derive(Default)]
+pub(crate) struct ZoneOutput {
+    /// Events for the balancer.
+    pub(crate) balancer_events: Vec<BalancerEvent>,
+    /// State changes, for the log and the metrics.
+    pub(crate) changes: Vec<ZoneChange>,
+    /// Observations for the other nodes.
+    pub(crate) gossip: Vec<ZoneGossip>,
+    /// The core's one timer is set anew.
+    pub(crate) timer: Option<TimerChange>,
+}
+
+/// A timer that replaces an earlier one.
+pub(crate) struct TimerChange {
+    /// When it fires.
+    pub(crate) at: Nanos,
+    /// When the timer that it replaces would have fired.
+    pub(crate) replaces: Option<Nanos>,
+}
+
 /// A zone's state has changed.
 pub(crate) struct ZoneChange {
+    /// The zone.
     pub(crate) zone: ZoneId,
+    /// Its new share, from 0 to 1.
     pub(crate) share: f64,
-    pub(crate) why: ZoneStateReason,
+    /// The reason for the change.
+    pub(crate) reason: ZoneStateReason,
+    /// The number of servers in the zone.
     pub(crate) servers: u32,
 }
 
-/// A watch and what it needs to be told.
+/// A backend in service, as the zone-health core knows it.
+struct MonitoredBackend {
+    zone: ZoneId,
+    size: f64,
+}
+
+/// A [`ZoneMonitor`] and the state needed to feed it.
 pub(crate) struct ZoneMonitoring {
-    watch: ZoneMonitor,
-    zones: u32,
-    /// The servers in service. Bounded by the list.
-    listed: BTreeMap<BackendId, (ZoneId, f64)>,
-    wake: Option<Nanos>,
+    monitor: ZoneMonitor,
+    zone_count: u32,
+    /// The backends in service. Bounded by the endpoint list.
+    backends: BTreeMap<BackendId, MonitoredBackend>,
+    /// When the core's timer fires.
+    timer_at: Option<Nanos>,
 }
 
 impl ZoneMonitoring {
+    /// A monitor with no backends yet. The seed drives its random draws.
     pub(crate) fn new(settings: &Settings, seed: u64, now: Nanos) -> Self {
-        let zones = Zones {
+        let zone_settings = ZoneSettings {
             local_zone: settings.local_zone.0,
             zone_count: settings.zone_count,
-            class_count: settings.classes.len() as u32,
+            class_count: u32::try_from(settings.classes.len()).unwrap_or(u32::MAX),
             node_count: settings.node_count,
             seed,
         };
         Self {
-            watch: ZoneMonitor::new(zones, now),
-            zones: settings.zone_count,
-            listed: BTreeMap::new(),
-            wake: None,
+            monitor: ZoneMonitor::new(zone_settings, now),
+            zone_count: settings.zone_count,
+            backends: BTreeMap::new(),
+            timer_at: None,
         }
     }
 
-    pub(crate) fn list(
+    /// An endpoint update has come.
+    pub(crate) fn endpoints_updated(
         &mut self,
         now: Nanos,
-        scope: EndpointUpdate,
-        members: &[Endpoint],
+        update: EndpointUpdate,
+        endpoints: &[Endpoint],
     ) -> ZoneOutput {
-        if scope != EndpointUpdate::Delta {
-            self.listed.clear();
+        if update != EndpointUpdate::Delta {
+            self.backends.clear();
         }
-        for member in members {
-            if member.state == EndpointState::InService && member.zone.0 < self.zones {
-                self.listed
-                    .insert(member.backend, (member.zone, member.size_or_one()));
-            } else {
-                self.listed.remove(&member.backend);
-            }
+        for endpoint in endpoints {
+            self.update_backend(endpoint);
         }
-        let servers = self
-            .listed
+        let listed = self
+            .backends
             .iter()
-            .map(|(backend, (zone, size))| (backend.0, zone.0, *size));
-        let event = Event::EndpointsListed(servers.collect());
+            .map(|(id, backend)| (id.0, backend.zone.0, backend.size));
+        let event = Event::EndpointsListed(listed.collect());
         self.handle(now, event)
     }
 
-    pub(crate) fn sent(
+    /// Adds a backend that is in service in one of the configured zones, and removes any other.
+    fn update_backend(&mut self, endpoint: &Endpoint) {
+        let is_in_service = endpoint.state == EndpointState::InService;
+        if is_in_service && endpoint.zone.0 < self.zone_count {
+            let backend = MonitoredBackend {
+                zone: endpoint.zone,
+                size: endpoint.size_or_one(),
+            };
+            self.backends.insert(endpoint.backend, backend);
+        } else {
+            self.backends.remove(&endpoint.backend);
+        }
+    }
+
+    /// An attempt has been sent.
+    pub(crate) fn attempt_sent(
         &mut self,
         now: Nanos,
-        request: RequestId,
-        attempt: u32,
-        server: BackendId,
-        class: u32,
+        attempt: AttemptId,
+        class: ClassId,
     ) -> ZoneOutput {
-        let Some((zone, _)) = self.listed.get(&server) else {
+        let Some(backend) = self.backends.get(&attempt.backend) else {
             return ZoneOutput::default();
         };
         let event = Event::AttemptSent {
-            attempt: number(request, attempt),
-            server: server.0,
-            zone: zone.0,
-            class,
+            attempt: attempt_key(attempt),
+            server: attempt.backend.0,
+            zone: backend.zone.0,
+            class: class.0,
         };
         self.handle(now, event)
     }
 
-    pub(crate) fn ended(
+    /// An attempt has ended. `utilization` is the backend's, if it reported one.
+    pub(crate) fn attempt_ended(
         &mut self,
         now: Nanos,
-        request: RequestId,
-        attempt: u32,
+        attempt: AttemptId,
         outcome: Outcome,
-        util: Option<f64>,
+        utilization: Option<f64>,
     ) -> ZoneOutput {
-        let seen = match outcome {
-            Outcome::Success => AttemptSignal::Answered,
-            Outcome::Error => AttemptSignal::Failed,
-            Outcome::ConnectFailed | Outcome::Reset => AttemptSignal::ConnectionFailed,
-            Outcome::TimedOut | Outcome::Cancelled => AttemptSignal::TimedOut,
-            Outcome::Rejected | Outcome::InvalidResponse => AttemptSignal::Inconclusive,
-            Outcome::NotSent => AttemptSignal::NotSent,
+        let event = Event::AttemptEnded {
+            attempt: attempt_key(attempt),
+            seen: attempt_signal(outcome),
+            util: utilization,
         };
-        self.handle(
-            now,
-            Event::AttemptEnded {
-                attempt: number(request, attempt),
-                seen,
-                util,
-            },
-        )
+        self.handle(now, event)
     }
 
+    /// The timer has fired.
     pub(crate) fn on_timer(&mut self, now: Nanos) -> ZoneOutput {
-        self.wake = None;
+        self.timer_at = None;
         self.handle(now, Event::TimerFired)
     }
 
+    /// Operators override a zone's state; none ends an override.
     pub(crate) fn operator_override(
         &mut self,
         now: Nanos,
         zone: ZoneId,
-        order: Option<(bool, Nanos)>,
+        zone_override: Option<ZoneOverride>,
     ) -> ZoneOutput {
-        self.handle(
-            now,
-            Event::OperatorOverride {
-                zone: zone.0,
-                order,
-            },
-        )
-    }
-
-    pub(crate) fn peer_updated(&mut self, now: Nanos, told: &PeerUpdate) -> ZoneOutput {
-        let event = match told {
-            PeerUpdate::Member { member, home, up } => Event::PeerChanged {
-                member: *member,
-                home: *home,
-                up: *up,
-            },
-            PeerUpdate::Gossip {
-                member,
-                sent,
-                word: (zone, bytes),
-            } => {
-                let (Ok(zone), Some(sight)) =
-                    (u8::try_from(*zone), ZoneObservation::from_bytes(bytes))
-                else {
-                    return ZoneOutput::default();
-                };
-                Event::PeerObserved {
-                    member: *member,
-                    zone,
-                    sent: *sent,
-                    sight,
-                }
-            }
+        let order = zone_override.map(|zone_override| {
+            let is_closed = zone_override.state == ForcedZoneState::Closed;
+            (is_closed, now.saturating_add(zone_override.duration))
+        });
+        let event = Event::OperatorOverride {
+            zone: zone.0,
+            order,
         };
         self.handle(now, event)
     }
 
+    /// Another node has joined, left or sent gossip. Gossip that can't be decoded is ignored.
+    pub(crate) fn peer_updated(&mut self, now: Nanos, update: &PeerUpdate) -> ZoneOutput {
+        match peer_event(update) {
+            Some(event) => self.handle(now, event),
+            None => ZoneOutput::default(),
+        }
+    }
+
+    /// Passes an event to the core and collects what its actions ask for.
     fn handle(&mut self, now: Nanos, event: Event) -> ZoneOutput {
-        let (mut actions, mut output) = (Vec::new(), ZoneOutput::default());
-        self.watch.handle(now, event, &mut actions);
+        let mut actions = Vec::new();
+        self.monitor.handle(now, event, &mut actions);
+        let mut output = ZoneOutput::default();
         for action in actions {
-            match action {
-                Action::SetShare { zone, share } => {
-                    output.events.push(BalancerEvent::ZoneShareChanged {
+            self.apply(action, &mut output);
+        }
+        output
+    }
+
+    /// Translates one of the core's actions.
+    fn apply(&mut self, action: Action, output: &mut ZoneOutput) {
+        match action {
+            Action::SetShare { zone, share } => {
+                output
+                    .balancer_events
+                    .push(BalancerEvent::ZoneShareChanged {
                         zone: ZoneId(zone),
                         share,
                     });
-                }
-                Action::RequestProbe { zone, wait } => {
-                    output.events.push(BalancerEvent::ZoneProbeRequested {
+            }
+            Action::RequestProbe { zone, wait } => {
+                output
+                    .balancer_events
+                    .push(BalancerEvent::ZoneProbeRequested {
                         zone: ZoneId(zone),
                         timeout: wait,
                     });
-                }
-                Action::Gossip { zone, sight } => {
-                    output.says.push((u16::from(zone), sight.to_bytes()))
-                }
-                Action::SetTimer { at } => output.wake = Some((at, self.wake.replace(at))),
-                Action::LogChange {
-                    zone,
-                    share,
-                    why,
-                    servers,
-                } => {
-                    output.changed.push(ZoneChange {
-                        zone: ZoneId(zone),
-                        share,
-                        why,
-                        servers,
-                    });
-                }
             }
+            Action::Gossip { zone, sight } => output.gossip.push(ZoneGossip {
+                zone: u16::from(zone),
+                observation: sight.to_bytes(),
+            }),
+            Action::SetTimer { at } => {
+                let replaces = self.timer_at.replace(at);
+                output.timer = Some(TimerChange { at, replaces });
+            }
+            Action::LogChange {
+                zone,
+                share,
+                why,
+                servers,
+            } => output.changes.push(ZoneChange {
+                zone: ZoneId(zone),
+                share,
+                reason: why,
+                servers,
+            }),
         }
-        output
     }
 }
 
-/// A number for an attempt. A request has fewer than 256: the site's limit is far below.
-fn number(request: RequestId, attempt: u32) -> u64 {
-    (request.0 << 8) | u64::from(attempt.min(255))
+/// A peer update as an event of the core, or none if its gossip can't be decoded.
+fn peer_event(update: &PeerUpdate) -> Option<Event> {
+    match update {
+        PeerUpdate::Member {
+            member,
+            zone,
+            is_up,
+        } => Some(Event::PeerChanged {
+            member: *member,
+            home: *zone,
+            up: *is_up,
+        }),
+        PeerUpdate::Gossip {
+            member,
+            sent_at,
+            gossip,
+        } => Some(Event::PeerObserved {
+            member: *member,
+            zone: u8::try_from(gossip.zone).ok()?,
+            sent: *sent_at,
+            sight: ZoneObservation::from_bytes(&gossip.observation)?,
+        }),
+    }
+}
+
+/// What an attempt's outcome says of its backend's zone.
+fn attempt_signal(outcome: Outcome) -> AttemptSignal {
+    match outcome {
+        Outcome::Success => AttemptSignal::Answered,
+        Outcome::Error => AttemptSignal::Failed,
+        Outcome::ConnectFailed | Outcome::Reset => AttemptSignal::ConnectionFailed,
+        Outcome::TimedOut | Outcome::Cancelled => AttemptSignal::TimedOut,
+        Outcome::Rejected | Outcome::InvalidResponse => AttemptSignal::Inconclusive,
+        Outcome::NotSent => AttemptSignal::NotSent,
+    }
+}
+
+/// The core's number of an attempt. A request has far fewer attempts than fit: settings limit them.
+fn attempt_key(attempt: AttemptId) -> u64 {
+    let number = attempt.number.0.min(MAX_ATTEMPT_NUMBER);
+    (attempt.request.0 << ATTEMPT_NUMBER_BITS) | u64::from(number)
 }
