--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -470,7 +470,8 @@
     /// An idle connection that has rested, and for how long; the one used last, so that those in excess grow
     /// old.
     fn take(&self, place: Place) -> Option<(Link, Nanos)> {
-        let (link, rest) = self.idle.take(&place, self.clock.now(), REST)?;
+        let taken = self.idle.take(&place, self.clock.now(), REST)?;
+        let (link, rest) = (taken.connection, taken.idle_time);
         (rest < self.links.idle / IDLE_PART && self.aged.is_fit(rest)).then_some((link, rest))
     }
 
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -281,7 +281,8 @@
         loop {
             let now = self.clock.now();
             let behind = promise.is_none() && server.others_first((rank, turn));
-            while !behind && let Some((mut link, _)) = self.idle.take(key, now, 0) {
+            while !behind && let Some(taken) = self.idle.take(key, now, 0) {
+                let mut link = taken.connection;
                 if link.epoch == self.epoch.get() && now < link.until {
                     link.leased = now;
                     return Ok(link);
--- a/engine/src/activity.rs
+++ b/engine/src/activity.rs
@@ -1,6 +1,5 @@
-//! What a stepped clock has to know of the thread's work: whether a task has been polled, how many bytes have gone
-//! through its sockets, how many connections have ended and how many are being made. Plain counters; nothing is
-//! decided by them.
+//! Counts what this thread's tasks do, so that the control of a virtual clock can tell when the process is idle: task
+//! polls, bytes through sockets, connections being established, connections ended. Nothing is decided by the counts.
 
 use std::cell::Cell;
 use std::future::Future;
@@ -11,13 +10,13 @@
 
 thread_local! {
     static POLLS: Cell<u64> = const { Cell::new(0) };
-    static READ: Cell<u64> = const { Cell::new(0) };
-    static WRITTEN: Cell<u64> = const { Cell::new(0) };
-    static ENDED: Cell<u64> = const { Cell::new(0) };
-    static CONNECTING: Cell<u64> = const { Cell::new(0) };
+    static BYTES_READ: Cell<u64> = const { Cell::new(0) };
+    static BYTES_WRITTEN: Cell<u64> = const { Cell::new(0) };
+    static CONNECTIONS_ENDED: Cell<u64> = const { Cell::new(0) };
+    static CONNECTIONS_PENDING: Cell<u64> = const { Cell::new(0) };
 }
 
-/// What this thread's tasks have done since it began.
+/// What this thread's tasks have done since the thread began.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Activity {
     /// Polls of tasks started by [`spawn`].
@@ -26,45 +25,47 @@
     pub read: u64,
     /// Bytes written to sockets.
     pub written: u64,
-    /// Connections that have ended, from whichever side.
+    /// Connections that have ended, from either side.
     pub ended: u64,
-    /// Connections that are being made.
+    /// Connections that are being established now.
     pub connecting: u64,
 }
 
-/// The counters of this thread.
+/// The counts of this thread.
 pub fn so_far() -> Activity {
     Activity {
         polls: POLLS.get(),
-        read: READ.get(),
-        written: WRITTEN.get(),
-        ended: ENDED.get(),
-        connecting: CONNECTING.get(),
+        read: BYTES_READ.get(),
+        written: BYTES_WRITTEN.get(),
+        ended: CONNECTIONS_ENDED.get(),
+        connecting: CONNECTIONS_PENDING.get(),
     }
 }
 
 /// Counts bytes read from a socket.
 pub fn read(bytes: usize) {
-    READ.set(READ.get().wrapping_add(bytes as u64));
+    BYTES_READ.set(BYTES_READ.get().wrapping_add(bytes as u64));
 }
 
 /// Counts bytes written to a socket.
 pub fn written(bytes: usize) {
-    WRITTEN.set(WRITTEN.get().wrapping_add(bytes as u64));
+    BYTES_WRITTEN.set(BYTES_WRITTEN.get().wrapping_add(bytes as u64));
 }
 
-/// A connection whose end is counted: once, when it is seen or when this is dropped.
+/// A connection whose end is counted once: when it is seen, or when this is dropped.
 #[derive(Debug, Default)]
 pub struct Connection {
-    over: bool,
+    is_counted: bool,
 }
 
 impl Connection {
-    /// It has ended.
+    /// Counts the connection's end.
     pub fn over(&mut self) {
-        if !std::mem::replace(&mut self.over, true) {
-            ENDED.set(ENDED.get().wrapping_add(1));
+        if self.is_counted {
+            return;
         }
+        self.is_counted = true;
+        CONNECTIONS_ENDED.set(CONNECTIONS_ENDED.get().wrapping_add(1));
     }
 }
 
@@ -74,30 +75,37 @@
     }
 }
 
-/// One more connection is being made, until this is dropped.
-struct Connecting;
+/// Counts a connection as being established until dropped.
+struct ConnectingGuard;
 
-impl Drop for Connecting {
+impl ConnectingGuard {
+    fn new() -> Self {
+        CONNECTIONS_PENDING.set(CONNECTIONS_PENDING.get() + 1);
+        Self
+    }
+}
+
+impl Drop for ConnectingGuard {
     fn drop(&mut self) {
-        CONNECTING.set(CONNECTING.get().saturating_sub(1));
+        CONNECTIONS_PENDING.set(CONNECTIONS_PENDING.get().saturating_sub(1));
     }
 }
 
-/// Makes a connection, counted while it takes.
+/// Awaits `connect`, which establishes a connection, and counts it as being established meanwhile.
 pub async fn connecting<F: Future>(connect: F) -> F::Output {
-    CONNECTING.set(CONNECTING.get() + 1);
-    let _connecting = Connecting;
+    let _guard = ConnectingGuard::new();
     connect.await
 }
 
 pin_project_lite::pin_project! {
-    struct Counted<F> {
+    /// A future whose polls are counted.
+    struct CountedTask<F> {
         #[pin]
         task: F,
     }
 }
 
-impl<F: Future> Future for Counted<F> {
+impl<F: Future> Future for CountedTask<F> {
     type Output = F::Output;
 
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
@@ -106,7 +114,7 @@
     }
 }
 
-/// Starts a task on this thread whose polls are counted. Every task of the node is started here.
+/// Starts a task on this thread, whose polls are counted. Every task of the process has to be started here.
 pub fn spawn<F: Future + 'static>(task: F) -> JoinHandle<F::Output> {
-    tokio::task::spawn_local(Counted { task })
+    tokio::task::spawn_local(CountedTask { task })
 }
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -1,5 +1,5 @@
-//! The process's one clock, and all waiting for it. In service it is the system's; in a rehearsal it stands
-//! still but for the steps that the rehearsal kit makes, and then nothing here asks the system for the time.
+//! The process's one clock, and all waiting for it. In service it is the system's; under a test's control it is a
+//! [`VirtualClock`], which stands still between the test's steps, and then nothing here asks the system for the time.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,23 +11,32 @@
 
 use badgerpost_balancer::Nanos;
 
-/// Nanoseconds that never step back, counted from the Unix time at the start, so that times told by other
-/// machines compare with it. Cheap to clone.
+/// A monotonic clock. It counts nanoseconds from the Unix time at its start, so that times sent by other machines
+/// compare with it. Cheap to clone; clones are the same clock.
 #[derive(Clone)]
-pub struct Clock(Mode);
+pub struct Clock(Source);
 
+/// Where a clock's time comes from.
 #[derive(Clone)]
-enum Mode {
-    System { began: Instant, offset: Nanos },
-    Stepped(Rc<VirtualClock>),
+enum Source {
+    /// The system's monotonic clock. It read `started` when the Unix time was `started_at`.
+    System { started: Instant, started_at: Nanos },
+    /// A clock that a test controls.
+    Virtual(Rc<VirtualClock>),
 }
 
-/// A clock that is moved by hand, and the waits on it.
+/// A wait's place in the queue of a [`VirtualClock`]: waits end by time, then in the order in which they began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct WaitKey {
+    at: Nanos,
+    number: u64,
+}
+
+/// A clock that moves only when it is told to, and the waits on it.
 pub struct VirtualClock {
     now: Cell<Nanos>,
-    /// By time, then in the order in which they began.
-    waits: RefCell<BTreeMap<(Nanos, u64), Waker>>,
-    next: Cell<u64>,
+    waits: RefCell<BTreeMap<WaitKey, Waker>>,
+    next_wait_number: Cell<u64>,
 }
 
 impl VirtualClock {
@@ -36,120 +45,134 @@
         Rc::new(Self {
             now: Cell::new(now),
             waits: RefCell::default(),
-            next: Cell::new(0),
+            next_wait_number: Cell::new(0),
         })
     }
 
-    /// When the next wait ends, if anything waits.
+    /// When the next wait ends, if there is any.
     pub fn next_due(&self) -> Option<Nanos> {
-        self.waits.borrow().keys().next().map(|(at, _)| *at)
+        self.waits.borrow().keys().next().map(|key| key.at)
     }
 
-    /// Moves the clock, never back, and wakes the waits that are due, in order.
+    /// Moves the clock forward to this time, and wakes the waits that are due, in order. A time in the past leaves
+    /// the clock where it is.
     pub fn advance(&self, to: Nanos) {
         self.now.set(self.now.get().max(to));
-        loop {
-            // A waker may end other waits, so it is called with nothing borrowed.
-            let due = {
-                let mut waits = self.waits.borrow_mut();
-                match waits.first_key_value() {
-                    Some(((at, _), _)) if *at <= self.now.get() => waits.pop_first(),
-                    _ => None,
-                }
-            };
-            match due {
-                Some((_, waker)) => waker.wake(),
-                None => return,
-            }
+        // A waker may end other waits, so nothing is borrowed while it is called.
+        while let Some(waker) = self.take_due_waker() {
+            waker.wake();
         }
     }
+
+    /// Removes the next wait if it is due.
+    fn take_due_waker(&self) -> Option<Waker> {
+        let mut waits = self.waits.borrow_mut();
+        let next = waits.first_entry()?;
+        if next.key().at > self.now.get() {
+            return None;
+        }
+        Some(next.remove())
+    }
+
+    /// A place in the queue behind all other waits that end at this time.
+    fn next_wait_key(&self, at: Nanos) -> WaitKey {
+        let number = self.next_wait_number.get();
+        self.next_wait_number.set(number + 1);
+        WaitKey { at, number }
+    }
 }
 
 impl Clock {
     /// The system's clock, read from now on.
     pub fn system() -> Self {
-        let unix = SystemTime::now()
+        let since_epoch = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        Self(Mode::System {
-            began: Instant::now(),
-            offset: nanos(unix),
+        Self(Source::System {
+            started: Instant::now(),
+            started_at: nanos(since_epoch),
         })
     }
 
-    /// A clock moved by hand.
-    pub fn stepped(steps: Rc<VirtualClock>) -> Self {
-        Self(Mode::Stepped(steps))
+    /// A clock that a test controls.
+    pub fn stepped(virtual_clock: Rc<VirtualClock>) -> Self {
+        Self(Source::Virtual(virtual_clock))
     }
 
-    /// Whether it is moved by hand.
+    /// Whether a test controls the clock.
     pub fn is_stepped(&self) -> bool {
-        matches!(self.0, Mode::Stepped(_))
+        matches!(self.0, Source::Virtual(_))
     }
 
-    /// The present.
+    /// The present time.
     pub fn now(&self) -> Nanos {
         match &self.0 {
-            Mode::System { began, offset } => offset.saturating_add(nanos(began.elapsed())),
-            Mode::Stepped(steps) => steps.now.get(),
+            Source::System {
+                started,
+                started_at,
+            } => started_at.saturating_add(nanos(started.elapsed())),
+            Source::Virtual(virtual_clock) => virtual_clock.now.get(),
         }
     }
 
     /// Waits until this time.
     pub fn sleep_until(&self, at: Nanos) -> Sleep {
         match &self.0 {
-            Mode::System { began, offset } => {
-                let at = *began + Duration::from_nanos(at.saturating_sub(*offset));
-                Sleep {
-                    kind: Kind::System {
-                        sleep: tokio::time::sleep_until(at.into()),
-                    },
-                }
+            Source::System {
+                started,
+                started_at,
+            } => {
+                let at = *started + Duration::from_nanos(at.saturating_sub(*started_at));
+                Sleep::system(tokio::time::sleep_until(at.into()))
             }
-            Mode::Stepped(steps) => Sleep {
-                kind: Kind::Stepped {
-                    wait: Wait {
-                        steps: steps.clone(),
-                        at,
-                        key: None,
-                    },
-                },
-            },
+            Source::Virtual(virtual_clock) => Sleep::on(virtual_clock.clone(), at),
         }
     }
 
-    /// Waits for so long.
-    pub fn sleep(&self, span: Duration) -> Sleep {
+    /// Waits for this long.
+    pub fn sleep(&self, duration: Duration) -> Sleep {
         match &self.0 {
-            Mode::System { .. } => Sleep {
-                kind: Kind::System {
-                    sleep: tokio::time::sleep(span),
-                },
-            },
-            Mode::Stepped(_) => self.sleep_until(self.now().saturating_add(nanos(span))),
+            Source::System { .. } => Sleep::system(tokio::time::sleep(duration)),
+            Source::Virtual(virtual_clock) => {
+                let at = self.now().saturating_add(nanos(duration));
+                Sleep::on(virtual_clock.clone(), at)
+            }
         }
     }
 
-    /// Gives `work` this long to end. Work that ends at that very moment has ended in time.
-    pub async fn timeout<F: Future>(&self, span: Duration, work: F) -> Result<F::Output, Elapsed> {
-        tokio::select! {
-            biased;
-            output = work => Ok(output),
-            () = self.sleep(span) => Err(Elapsed),
-        }
+    /// Limits `work` to this duration. Work that completes at that very moment is in time.
+    ///
+    /// # Errors
+    ///
+    /// The time is up first.
+    pub async fn timeout<F: Future>(
+        &self,
+        duration: Duration,
+        work: F,
+    ) -> Result<F::Output, Elapsed> {
+        limit(work, self.sleep(duration)).await
     }
 
-    /// Gives `work` until then to end.
+    /// Limits `work` until this time. Work that completes at that very moment is in time.
+    ///
+    /// # Errors
+    ///
+    /// The time is up first.
     pub async fn timeout_at<F: Future>(&self, at: Nanos, work: F) -> Result<F::Output, Elapsed> {
-        tokio::select! {
-            biased;
-            output = work => Ok(output),
-            () = self.sleep_until(at) => Err(Elapsed),
-        }
+        limit(work, self.sleep_until(at)).await
+    }
+}
+
+/// Awaits `work` for as long as `limit` takes.
+async fn limit<F: Future>(work: F, limit: Sleep) -> Result<F::Output, Elapsed> {
+    tokio::select! {
+        biased;
+        output = work => Ok(output),
+        () = limit => Err(Elapsed),
     }
 }
 
-/// The time given was up first.
+/// A time limit was reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("not in time")]
 pub struct Elapsed;
@@ -159,15 +182,36 @@
     #[must_use = "a wait does nothing unless it is awaited"]
     pub struct Sleep {
         #[pin]
-        kind: Kind,
+        kind: SleepKind,
     }
 }
 
 pin_project_lite::pin_project! {
-    #[project = KindProjection]
-    enum Kind {
+    #[project = SleepKindProjection]
+    enum SleepKind {
         System { #[pin] sleep: tokio::time::Sleep },
-        Stepped { wait: Wait },
+        Virtual { wait: VirtualWait },
+    }
+}
+
+impl Sleep {
+    /// A wait on the system's clock.
+    fn system(sleep: tokio::time::Sleep) -> Self {
+        Self {
+            kind: SleepKind::System { sleep },
+        }
+    }
+
+    /// A wait on a virtual clock.
+    fn on(clock: Rc<VirtualClock>, at: Nanos) -> Self {
+        let wait = VirtualWait {
+            clock,
+            at,
+            key: None,
+        };
+        Self {
+            kind: SleepKind::Virtual { wait },
+        }
     }
 }
 
@@ -176,53 +220,50 @@
 
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         match self.project().kind.project() {
-            KindProjection::System { sleep } => sleep.poll(cx),
-            KindProjection::Stepped { wait } => wait.poll(cx),
+            SleepKindProjection::System { sleep } => sleep.poll(cx),
+            SleepKindProjection::Virtual { wait } => wait.poll(cx),
         }
     }
 }
 
-/// A place in the queue of a clock moved by hand; given up when dropped.
-struct Wait {
-    steps: Rc<VirtualClock>,
+/// A wait on a [`VirtualClock`]. It is queued from its first poll until it ends or is dropped.
+struct VirtualWait {
+    clock: Rc<VirtualClock>,
     at: Nanos,
-    key: Option<(Nanos, u64)>,
+    /// None while not queued.
+    key: Option<WaitKey>,
 }
 
-impl Wait {
+impl VirtualWait {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        if self.steps.now.get() >= self.at {
-            self.leave();
+        if self.clock.now.get() >= self.at {
+            self.dequeue();
             return Poll::Ready(());
         }
-        let key = *self.key.get_or_insert_with(|| {
-            let number = self.steps.next.get();
-            self.steps.next.set(number + 1);
-            (self.at, number)
-        });
-        self.steps
-            .waits
-            .borrow_mut()
-            .insert(key, cx.waker().clone());
+        let key = *self
+            .key
+            .get_or_insert_with(|| self.clock.next_wait_key(self.at));
+        let waker = cx.waker().clone();
+        self.clock.waits.borrow_mut().insert(key, waker);
         Poll::Pending
     }
 
-    fn leave(&mut self) {
+    fn dequeue(&mut self) {
         if let Some(key) = self.key.take() {
-            self.steps.waits.borrow_mut().remove(&key);
+            self.clock.waits.borrow_mut().remove(&key);
         }
     }
 }
 
-impl Drop for Wait {
+impl Drop for VirtualWait {
     fn drop(&mut self) {
-        self.leave();
+        self.dequeue();
     }
 }
 
-/// A span in nanoseconds; one that is longer than these reach counts as the longest.
-pub fn nanos(span: Duration) -> Nanos {
-    u64::try_from(span.as_nanos()).unwrap_or(Nanos::MAX)
+/// A duration in nanoseconds. One that is too long for these counts as the longest, about 584 years.
+pub fn nanos(duration: Duration) -> Nanos {
+    u64::try_from(duration.as_nanos()).unwrap_or(Nanos::MAX)
 }
 
 #[cfg(test)]
--- a/engine/src/connection_counter.rs
+++ b/engine/src/connection_counter.rs
@@ -1,31 +1,32 @@
-//! How many connections are open: a count that goes down by itself when a connection's owner is dropped.
+//! A count of open connections that goes down by itself when a connection's owner is dropped.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// A count of open connections. Clones share it.
+/// The number of open connections. Clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionCounter(Rc<Cell<usize>>);
 
 impl ConnectionCounter {
-    /// How many are open now.
+    /// The number of connections that are open now.
     pub fn get(&self) -> usize {
         self.0.get()
     }
 
-    /// Counts one more, until what is returned is dropped.
+    /// Counts one more connection, until the guard is dropped.
+    #[must_use = "the connection counts only while the guard lives"]
     pub fn open(&self) -> ConnectionGuard {
         self.0.set(self.0.get() + 1);
         ConnectionGuard(self.0.clone())
     }
 
-    /// Whether any connection is counted here or could still be: somebody else holds the count.
+    /// Whether anybody else holds the counter: a guard of an open connection, or a clone that can open one.
     pub fn is_shared(&self) -> bool {
         Rc::strong_count(&self.0) > 1
     }
 }
 
-/// One open connection's part of an [`OpenCount`].
+/// Counts one open connection in its [`ConnectionCounter`] until dropped.
 #[derive(Debug)]
 pub struct ConnectionGuard(Rc<Cell<usize>>);
 
--- a/engine/src/idle_pool.rs
+++ b/engine/src/idle_pool.rs
@@ -1,89 +1,127 @@
-//! Connections with nothing on them, kept by where they lead. Which may be kept, and for how long, their front says;
-//! their number is bounded by the front's own count of open connections.
+//! A pool of idle connections by destination. Its user decides which may be pooled and for how long, and bounds their
+//! number by its own count of open connections.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
 use badgerpost_balancer::Nanos;
 
-/// A connection of which it can be told that nothing has come on it.
+/// A connection that can be checked for being idle.
 pub trait IdleCheck {
-    /// Whether it stands open and nothing has come that nobody asked for. What comes behind an answer would pass for
-    /// the next one's.
+    /// Whether the connection is open and nothing was received that nobody asked for. Bytes behind a response would
+    /// be taken for the next one's.
     fn is_idle(&mut self) -> bool;
 }
 
-struct Idle<L> {
-    link: L,
-    since: Nanos,
+/// A pooled connection.
+struct PooledConnection<C> {
+    connection: C,
+    idle_since: Nanos,
 }
 
-/// Idle connections by place. The one that was used last is used next, so that those in excess grow old.
-pub struct IdlePool<K, L> {
-    idle: RefCell<BTreeMap<K, Vec<Idle<L>>>>,
+impl<C> PooledConnection<C> {
+    fn idle_time(&self, now: Nanos) -> Nanos {
+        now.saturating_sub(self.idle_since)
+    }
+}
+
+/// A connection taken from a pool.
+pub struct TakenConnection<C> {
+    /// The connection.
+    pub connection: C,
+    /// How long it was idle.
+    pub idle_time: Nanos,
 }
 
-impl<K, L> Default for IdlePool<K, L> {
+/// Idle connections by destination, the most recently used one last. That one is used next, so that those in excess
+/// grow old.
+pub struct IdlePool<K, C> {
+    connections: RefCell<BTreeMap<K, Vec<PooledConnection<C>>>>,
+}
+
+impl<K, C> Default for IdlePool<K, C> {
     fn default() -> Self {
         Self {
-            idle: RefCell::default(),
+            connections: RefCell::default(),
         }
     }
 }
 
-impl<K: Ord, L: IdleCheck> IdlePool<K, L> {
-    /// Keeps a connection that is idle from `now` on.
-    pub fn put(&self, key: K, link: L, now: Nanos) {
-        self.idle
+impl<K: Ord, C: IdleCheck> IdlePool<K, C> {
+    /// Adds a connection that is idle from `now` on.
+    pub fn put(&self, destination: K, connection: C, now: Nanos) {
+        let pooled = PooledConnection {
+            connection,
+            idle_since: now,
+        };
+        self.connections
             .borrow_mut()
-            .entry(key)
+            .entry(destination)
             .or_default()
-            .push(Idle { link, since: now });
+            .push(pooled);
     }
 
-    /// The one used last of those that have been idle for `least` nanoseconds at least, and for how long it has. What
-    /// turns out not to be quiet is dropped.
-    pub fn take(&self, key: &K, now: Nanos, least: Nanos) -> Option<(L, Nanos)> {
-        let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(key)?;
+    /// Takes the most recently used connection to a destination among those that have been idle for at least
+    /// `min_idle_time`. Connections found not to be idle any more are dropped.
+    pub fn take(
+        &self,
+        destination: &K,
+        now: Nanos,
+        min_idle_time: Nanos,
+    ) -> Option<TakenConnection<C>> {
+        let mut by_destination = self.connections.borrow_mut();
+        let connections = by_destination.get_mut(destination)?;
         loop {
-            let rested = links
+            let index = connections
                 .iter()
-                .rposition(|idle| now.saturating_sub(idle.since) >= least)?;
-            let Idle { mut link, since } = links.remove(rested);
-            if link.is_idle() {
-                return Some((link, now.saturating_sub(since)));
+                .rposition(|pooled| pooled.idle_time(now) >= min_idle_time)?;
+            let mut pooled = connections.remove(index);
+            if pooled.connection.is_idle() {
+                return Some(TakenConnection {
+                    idle_time: pooled.idle_time(now),
+                    connection: pooled.connection,
+                });
             }
         }
     }
 
-    /// Keeps those that `keep` says to: by place, connection, and how long it has been idle.
-    pub fn retain(&self, now: Nanos, mut keep: impl FnMut(&K, &mut L, Nanos) -> bool) {
-        self.idle.borrow_mut().retain(|key, links| {
-            links.retain_mut(|idle| keep(key, &mut idle.link, now.saturating_sub(idle.since)));
-            !links.is_empty()
-        });
+    /// Drops the connections for which `keep` returns false. It is given the destination, the connection, and how long
+    /// it has been idle.
+    pub fn retain(&self, now: Nanos, mut keep: impl FnMut(&K, &mut C, Nanos) -> bool) {
+        self.connections
+            .borrow_mut()
+            .retain(|destination, connections| {
+                connections.retain_mut(|pooled| {
+                    let idle_time = pooled.idle_time(now);
+                    keep(destination, &mut pooled.connection, idle_time)
+                });
+                !connections.is_empty()
+            });
     }
 
-    /// How many are idle at the places that `at` picks.
-    pub fn count(&self, at: impl Fn(&K) -> bool) -> usize {
-        self.idle
+    /// The number of idle connections to the destinations that fulfil a condition.
+    pub fn count(&self, condition: impl Fn(&K) -> bool) -> usize {
+        self.connections
             .borrow()
             .iter()
-            .filter(|(key, _)| at(key))
-            .map(|(_, links)| links.len())
+            .filter(|(destination, _)| condition(destination))
+            .map(|(_, connections)| connections.len())
             .sum()
     }
 
-    /// Drops the one that has been idle for the longest time, of those at places that `at` picks. Whether there was
-    /// one.
-    pub fn drop_oldest(&self, at: impl Fn(&K) -> bool) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        let places = idle
+    /// Drops the connection that has been idle longest, among those to the destinations that fulfil a condition.
+    /// Returns whether there was one.
+    pub fn drop_oldest(&self, condition: impl Fn(&K) -> bool) -> bool {
+        let mut by_destination = self.connections.borrow_mut();
+        let oldest = by_destination
             .iter_mut()
-            .filter(|(key, links)| at(key) && !links.is_empty());
-        let oldest = places.min_by_key(|(_, links)| links[0].since);
-        oldest.map(|(_, links)| links.remove(0)).is_some()
+            .filter(|(destination, connections)| condition(destination) && !connections.is_empty())
+            .min_by_key(|(_, connections)| connections[0].idle_since);
+        let Some((_, connections)) = oldest else {
+            return false;
+        };
+        connections.remove(0);
+        true
     }
 }
 
--- a/engine/src/idle_pool/tests.rs
+++ b/engine/src/idle_pool/tests.rs
@@ -3,44 +3,68 @@
 
 use super::*;
 
-struct Link(&'static str, Rc<Cell<bool>>);
+struct FakeConnection {
+    name: &'static str,
+    is_idle: Rc<Cell<bool>>,
+}
 
-impl IdleCheck for Link {
+impl IdleCheck for FakeConnection {
     fn is_idle(&mut self) -> bool {
-        self.1.get()
+        self.is_idle.get()
     }
 }
 
+fn connection(name: &'static str, is_idle: &Rc<Cell<bool>>) -> FakeConnection {
+    FakeConnection {
+        name,
+        is_idle: is_idle.clone(),
+    }
+}
+
+fn name_and_idle_time(
+    taken: Option<TakenConnection<FakeConnection>>,
+) -> Option<(&'static str, Nanos)> {
+    taken.map(|taken| (taken.connection.name, taken.idle_time))
+}
+
 #[test]
-fn the_one_used_last_is_taken_once_it_has_rested_and_while_it_is_quiet() {
-    let pool = IdlePool::<u8, Link>::default();
+fn most_recently_used_connection_is_taken_once_idle_long_enough_and_while_nothing_was_received() {
+    let pool = IdlePool::<u8, FakeConnection>::default();
     let (first, last) = (Rc::new(Cell::new(true)), Rc::new(Cell::new(true)));
-    pool.put(1, Link("first", first.clone()), 0);
-    pool.put(1, Link("last", last.clone()), 10);
-    let name = |taken: Option<(Link, Nanos)>| taken.map(|(link, rest)| (link.0, rest));
-    // The last one has not rested yet.
-    assert_eq!(name(pool.take(&1, 12, 5)), Some(("first", 12)));
-    pool.put(1, Link("first", first), 12);
-    assert_eq!(name(pool.take(&2, 20, 0)), None);
-    // Something has come on the last one meanwhile: it goes when its turn comes.
+    pool.put(1, connection("first", &first), 0);
+    pool.put(1, connection("last", &last), 10);
+    // The last one has not been idle long enough.
+    assert_eq!(
+        name_and_idle_time(pool.take(&1, 12, 5)),
+        Some(("first", 12))
+    );
+    pool.put(1, connection("first", &first), 12);
+    assert_eq!(name_and_idle_time(pool.take(&2, 20, 0)), None);
+    // Something was received on the last one meanwhile: it is dropped when its turn comes.
     last.set(false);
-    assert_eq!(name(pool.take(&1, 20, 8)), Some(("first", 8)));
-    assert_eq!(name(pool.take(&1, 20, 8)), None);
+    assert_eq!(name_and_idle_time(pool.take(&1, 20, 8)), Some(("first", 8)));
+    assert_eq!(name_and_idle_time(pool.take(&1, 20, 8)), None);
     assert!(!pool.drop_oldest(|_| true), "nothing is left");
 }
 
 #[test]
-fn room_is_made_by_the_oldest_at_the_places_picked() {
-    let pool = IdlePool::<u8, Link>::default();
-    let quiet = Rc::new(Cell::new(true));
-    for (place, name, since) in [(1, "a", 3), (2, "b", 1), (2, "c", 2)] {
-        pool.put(place, Link(name, quiet.clone()), since);
+fn drop_oldest_drops_the_longest_idle_connection_to_matching_destinations() {
+    let pool = IdlePool::<u8, FakeConnection>::default();
+    let is_idle = Rc::new(Cell::new(true));
+    for (destination, name, since) in [(1, "a", 3), (2, "b", 1), (2, "c", 2)] {
+        pool.put(destination, connection(name, &is_idle), since);
     }
     assert_eq!(
-        (pool.count(|place| *place == 2), pool.count(|_| true)),
+        (
+            pool.count(|destination| *destination == 2),
+            pool.count(|_| true)
+        ),
         (2, 3)
     );
-    assert!(pool.drop_oldest(|place| *place == 1));
+    assert!(pool.drop_oldest(|destination| *destination == 1));
     assert!(pool.drop_oldest(|_| true));
-    assert_eq!(pool.take(&2, 9, 0).map(|(link, _)| link.0), Some("c"));
+    assert_eq!(
+        pool.take(&2, 9, 0).map(|taken| taken.connection.name),
+        Some("c")
+    );
 }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -28,7 +28,7 @@
 pub use clock::{Clock, Elapsed, Sleep, VirtualClock, nanos};
 pub use connection_counter::{ConnectionCounter, ConnectionGuard};
 pub use engine::{Engine, HealthCheckResult, PendingResponse, Transport};
-pub use idle_pool::{IdleCheck, IdlePool};
+pub use idle_pool::{IdleCheck, IdlePool, TakenConnection};
 pub use log_limiter::LogLimiter;
 pub use metrics::{
     BackendCounts, ClassCounts, DroppedDatagram, Metrics, PeerMetrics, RequestEnd, ZoneMetrics,
--- a/engine/src/log_limiter.rs
+++ b/engine/src/log_limiter.rs
@@ -1,37 +1,40 @@
-//! Rate-limited logging: what goes wrong a thousand times a second must not fill the log, nor cost the time of it.
+//! Rate-limited logging: a message about something that happens a thousand times a second must not fill the log.
 
 use badgerpost_balancer::Nanos;
 
 use crate::clock::Clock;
 
-/// One line of a kind in this span.
-const SPAN: Nanos = 5_000_000_000;
+/// The least time between two messages, in nanoseconds.
+const LOG_INTERVAL: Nanos = 5_000_000_000;
 
-/// Lets one line through in 5 s, and counts the rest.
+/// Lets one message through in 5 s and counts the others.
 pub struct LogLimiter {
     clock: Clock,
-    last: Option<Nanos>,
+    last_logged_at: Option<Nanos>,
     suppressed: u64,
 }
 
 impl LogLimiter {
-    /// Lets the first line through.
+    /// A limiter that lets the first message through.
     pub fn new(clock: Clock) -> Self {
         Self {
             clock,
-            last: None,
+            last_logged_at: None,
             suppressed: 0,
         }
     }
 
-    /// Calls `log` with the number of lines that were suppressed since the last one, unless that was less than 5 s ago.
+    /// Calls `log` with the number of messages suppressed since the last one, unless that was less than 5 s ago.
     pub fn log(&mut self, log: impl FnOnce(u64)) {
         let now = self.clock.now();
-        if self.last.is_some_and(|at| now.saturating_sub(at) < SPAN) {
+        let is_too_early = self
+            .last_logged_at
+            .is_some_and(|at| now.saturating_sub(at) < LOG_INTERVAL);
+        if is_too_early {
             self.suppressed += 1;
             return;
         }
-        self.last = Some(now);
+        self.last_logged_at = Some(now);
         log(std::mem::take(&mut self.suppressed));
     }
 }
--- a/engine/src/log_limiter/tests.rs
+++ b/engine/src/log_limiter/tests.rs
@@ -3,15 +3,18 @@
 
 /// Guards the log against a warning that comes with every request.
 #[test]
-fn a_burst_of_warnings_is_one_line() {
-    let steps = VirtualClock::at(0);
-    let (mut limiter, mut lines) = (LogLimiter::new(Clock::stepped(steps.clone())), Vec::new());
-    (0..1000).for_each(|_| limiter.log(|more| lines.push(more)));
+fn burst_of_warnings_is_logged_as_one_message() {
+    let virtual_clock = VirtualClock::at(0);
+    let mut limiter = LogLimiter::new(Clock::stepped(virtual_clock.clone()));
+    let mut messages = Vec::new();
+    for _ in 0..1000 {
+        limiter.log(|suppressed| messages.push(suppressed));
+    }
     assert_eq!(
-        (lines.as_slice(), limiter.suppressed),
+        (messages.as_slice(), limiter.suppressed),
         ([0].as_slice(), 999)
     );
-    steps.advance(SPAN);
-    limiter.log(|more| lines.push(more));
-    assert_eq!(lines, [0, 999]);
+    virtual_clock.advance(LOG_INTERVAL);
+    limiter.log(|suppressed| messages.push(suppressed));
+    assert_eq!(messages, [0, 999]);
 }
