--- a/adapters/gossip/src/run.rs
+++ b/adapters/gossip/src/run.rs
@@ -173,7 +173,7 @@
 
     fn send(&self, to: SocketAddr, datagram: &[u8]) {
         // With its clock in other hands the node must reach nothing but a rehearsal's stand-ins.
-        if self.clock.is_stepped() && !to.ip().is_loopback() {
+        if self.clock.is_controlled() && !to.ip().is_loopback() {
             return;
         }
         // What does not go out at once is lost like what the network loses; the protocol bears that.
--- a/adapters/http/src/tap.rs
+++ b/adapters/http/src/tap.rs
@@ -208,7 +208,7 @@
             self.ear.bytes(&buffer.filled()[before..]);
         } else if read.is_ready() && buffer.remaining() > 0 {
             // Nothing more, or an error.
-            self.connection.over();
+            self.connection.mark_ended();
         }
         read
     }
@@ -234,7 +234,7 @@
             ready!(self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte))).unwrap_or_default();
         let ended = found == 0 || self.is_shut(cx);
         if ended {
-            self.connection.over();
+            self.connection.mark_ended();
         }
         Poll::Ready(ended)
     }
--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -484,7 +484,7 @@
 
     async fn connect(&self, node: &Node, endpoint: SocketAddr) -> Option<Link> {
         // With its clock in other hands the node must reach nothing but a rehearsal's stand-ins.
-        if self.clock.is_stepped() && !endpoint.ip().is_loopback() {
+        if self.clock.is_controlled() && !endpoint.ip().is_loopback() {
             return None;
         }
         if self.open.get() >= self.most.get() {
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -332,7 +332,7 @@
 
     async fn log_in(&self, key: &PoolKey, server: &Rc<Server>) -> Result<Link, NoLink> {
         let endpoint = key.place.1;
-        if self.clock.is_stepped() && !endpoint.ip().is_loopback() {
+        if self.clock.is_controlled() && !endpoint.ip().is_loopback() {
             return Err(NoLink::Refused(
                 "a rehearsal reaches loopback addresses only".to_owned(),
             ));
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -100,9 +100,9 @@
     let (site, seed, (clients, servers)) = (edge.site()?, edge.seed()?, edge.shares()?);
     let shares = Shares::new(clients, servers);
     let hands = own.rehearsal.map(Hands::take).transpose()?;
-    let clock = hands
-        .as_ref()
-        .map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
+    let clock = hands.as_ref().map_or_else(Clock::system, |hands| {
+        Clock::controlled(hands.steps.clone())
+    });
     let bodies = Budget::new(edge.bodies());
     let (zone, nodes) = (site.settings.local_zone.0 as u8, site.settings.node_count);
     let upstream = Upstream::new(
@@ -300,7 +300,7 @@
         let _ = clock.timeout(READY_MOST, heard).await;
         ready.store(true, Ordering::Relaxed);
         loop {
-            node.update_server_metrics();
+            node.update_backend_counts();
             clock.sleep(COUNT).await;
         }
     });
--- a/engine/src/activity.rs
+++ b/engine/src/activity.rs
@@ -32,7 +32,7 @@
 }
 
 /// The counts of this thread.
-pub fn so_far() -> Activity {
+pub fn snapshot() -> Activity {
     Activity {
         polls: POLLS.get(),
         read: BYTES_READ.get(),
@@ -60,7 +60,7 @@
 
 impl Connection {
     /// Counts the connection's end.
-    pub fn over(&mut self) {
+    pub fn mark_ended(&mut self) {
         if self.is_counted {
             return;
         }
@@ -71,7 +71,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.over();
+        self.mark_ended();
     }
 }
 
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -7,8 +7,7 @@
 use badgerpost_balancer::{BackendId, Endpoint, EndpointState, EndpointUpdate, Nanos};
 use badgerpost_settings::{NameTable, name_tag};
 
-/// Nanoseconds in a millisecond.
-const NANOS_PER_MILLISECOND: Nanos = 1_000_000;
+use crate::clock::NANOS_PER_MILLISECOND;
 
 /// One entry of the endpoint list that service discovery delivers.
 pub struct DiscoveredEndpoint {
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -11,6 +11,9 @@
 
 use badgerpost_balancer::Nanos;
 
+/// Nanoseconds in a millisecond.
+pub(crate) const NANOS_PER_MILLISECOND: Nanos = 1_000_000;
+
 /// A monotonic clock. It counts nanoseconds from the Unix time at its start, so that times sent by other machines
 /// compare with it. Cheap to clone; clones are the same clock.
 #[derive(Clone)]
@@ -95,12 +98,12 @@
     }
 
     /// A clock that a test controls.
-    pub fn stepped(virtual_clock: Rc<VirtualClock>) -> Self {
+    pub fn controlled(virtual_clock: Rc<VirtualClock>) -> Self {
         Self(Source::Virtual(virtual_clock))
     }
 
     /// Whether a test controls the clock.
-    pub fn is_stepped(&self) -> bool {
+    pub fn is_controlled(&self) -> bool {
         matches!(self.0, Source::Virtual(_))
     }
 
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -20,15 +20,13 @@
 use crate::client_request_ids::ClientRequestIds;
 use crate::clock::Clock;
 use crate::event_log::log_balancer_event;
-use crate::metrics::Metrics;
+use crate::metrics::{EndCounting, Metrics};
 use crate::open_requests::OpenRequests;
 use crate::pending_io::PendingIo;
 use crate::protocol::{Protocol, RequestOutcome};
 use crate::timers::{TimerPurpose, Timers};
 use crate::zone_monitoring::{ZoneGossip, ZoneMonitoring};
 
-use requests::EndCounting;
-
 /// The state of one fleet.
 pub(crate) struct Driver<P: Protocol> {
     pub(crate) clock: Clock,
--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -9,20 +9,12 @@
 use crate::attempt::{AttemptEnd, AttemptId};
 use crate::backends::BackendAddress;
 use crate::event_log::log_backstop;
+use crate::metrics::EndCounting;
 use crate::open_requests::{Delivery, OpenRequest, UploadState};
 use crate::pending_io::PendingIo;
 use crate::protocol::{IncomingRequest, Protocol, RequestOutcome};
 use crate::timers::TimerPurpose;
 
-/// When a request's end is counted in the metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum EndCounting {
-    /// With its outcome.
-    Immediate,
-    /// By whoever forwards the rest of a streamed response, at its end.
-    AtEndOfStream,
-}
-
 impl<P: Protocol> Driver<P> {
     /// Takes a request. Its outcome is sent to `outcome_sender`. Returns nothing if the client's id of it is in use.
     pub(crate) fn submit(
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -133,7 +133,7 @@
     }
 
     /// Brings the metrics' backend counts up to date: the number of avoided backends changes with time alone.
-    pub fn update_server_metrics(&self) {
+    pub fn update_backend_counts(&self) {
         self.driver.borrow().update_backend_counts();
     }
 
--- a/engine/src/engine/tests/any_order.rs
+++ b/engine/src/engine/tests/any_order.rs
@@ -101,7 +101,7 @@
             "rules": {"answer-slack-ns": 20 * MILLISECOND, "drain-grace-ns": DRAIN_GRACE, "fall-ns": 1500 * MILLISECOND,
                 "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000 * MILLISECOND}});
         let virtual_clock = VirtualClock::at(1000 * MILLISECOND);
-        let (engine, transport) = engine_with(&config, Clock::stepped(virtual_clock.clone()));
+        let (engine, transport) = engine_with(&config, Clock::controlled(virtual_clock.clone()));
         let mut simulation = Self {
             engine,
             transport,
--- a/engine/src/event_log.rs
+++ b/engine/src/event_log.rs
@@ -1,17 +1,15 @@
 //! The log messages about backends, zones and requests.
 
-use badgerpost_balancer::{BackendId, LogEvent, Nanos};
+use badgerpost_balancer::{BackendId, LogEvent};
 use badgerpost_settings::NameTable;
 
 use crate::backends::Backends;
+use crate::clock::NANOS_PER_MILLISECOND;
 use crate::zone_monitoring::ZoneChange;
 
 /// The target of all messages. Operators filter by it, so it stays whatever module logs.
 const LOG_TARGET: &str = "badgerpost_engine::driver";
 
-/// Nanoseconds in a millisecond.
-const NANOS_PER_MILLISECOND: Nanos = 1_000_000;
-
 /// The names of a listed backend and its zone, for a message.
 struct BackendNames<'a> {
     server: Option<&'a str>,
--- a/engine/src/metrics.rs
+++ b/engine/src/metrics.rs
@@ -17,6 +17,15 @@
     Failed,
 }
 
+/// When a request's end is counted in the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndCounting {
+    /// With its outcome.
+    Immediate,
+    /// By whoever forwards the rest of a streamed response, at its end.
+    AtEndOfStream,
+}
+
 /// How many requests of a class have ended so far, by kind of end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ClassCounts {
--- a/testkit/scenarios/src/bin/faulty_node.rs
+++ b/testkit/scenarios/src/bin/faulty_node.rs
@@ -128,7 +128,7 @@
     };
     let clock = hands
         .as_ref()
-        .map_or_else(Clock::system, |(steps, _)| Clock::stepped(steps.clone()));
+        .map_or_else(Clock::system, |(steps, _)| Clock::controlled(steps.clone()));
     let node = Rc::new(Node {
         fault,
         zone: edge.settings.az.clone(),
--- a/virtual-clock/src/control.rs
+++ b/virtual-clock/src/control.rs
@@ -128,10 +128,10 @@
         let mut unseen = 0;
         loop {
             let ToNode::Step { now, bytes, ended } = self.hear()?;
-            let read = activity::so_far().read;
+            let read = activity::snapshot().read;
             steps.advance(now);
             settle(read.saturating_add(bytes), ended.saturating_sub(unseen)).await;
-            let after = activity::so_far();
+            let after = activity::snapshot();
             unseen = unseen.max(ended.saturating_sub(after.ended));
             let (read, written) = (after.read - before.read, after.written - before.written);
             before = after;
@@ -154,15 +154,15 @@
     loop {
         let mut quiet = 0;
         while quiet < QUIET_TURNS {
-            let before = activity::so_far().polls;
+            let before = activity::snapshot().polls;
             yield_now().await;
-            quiet = if activity::so_far().polls == before {
+            quiet = if activity::snapshot().polls == before {
                 quiet + 1
             } else {
                 0
             };
         }
-        let so_far = activity::so_far();
+        let so_far = activity::snapshot();
         if looks >= LOOKS
             || (so_far.read >= read && so_far.ended >= ended && so_far.connecting == 0)
         {
--- a/virtual-clock/src/control/tests.rs
+++ b/virtual-clock/src/control/tests.rs
@@ -26,7 +26,7 @@
             .build()
             .unwrap();
         let steps = VirtualClock::at(100);
-        let clock = Clock::stepped(steps.clone());
+        let clock = Clock::controlled(steps.clone());
         LocalSet::new().block_on(&runtime, async move {
             spawn(task(clock));
             Control::connect(at)
@@ -98,7 +98,7 @@
         let mut connection = activity::Connection::default();
         clock.sleep_until(300).await;
         late().await;
-        connection.over();
+        connection.mark_ended();
     });
     let idle = |next, written, ended| FromNode::Idle {
         next,
