--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -1,5 +1,5 @@
 //! The process's one clock, and all waiting for it. In service it is the system's; under a test's control it is a
-//! [`VirtualClock`], which stands still between the test's steps, and then nothing here asks the system for the time.
+//! [`VirtualClock`], which does not move between the test's steps, and then nothing here asks the system for the time.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -35,7 +35,7 @@
     number: u64,
 }
 
-/// A clock that moves only when it is told to, and the waits on it.
+/// A clock that moves only by [`advance`](Self::advance), and the waits on it.
 pub struct VirtualClock {
     now: Cell<Nanos>,
     waits: RefCell<BTreeMap<WaitKey, Waker>>,
@@ -43,7 +43,7 @@
 }
 
 impl VirtualClock {
-    /// A clock that stands at this Unix time.
+    /// A clock that shows this Unix time.
     pub fn at(now: Nanos) -> Rc<Self> {
         Rc::new(Self {
             now: Cell::new(now),
--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -82,7 +82,7 @@
         let timeout_at = timeout.map_or(Nanos::MAX, |timeout| started_at.saturating_add(timeout));
         let command = open.attempt_command(attempt, target, timeout_at, started.cancelled);
         pending_io.attempts.push(command);
-        // While its body is being uploaded a request tells nothing of how fast a zone responds.
+        // How long an upload takes is no evidence of the health of a zone.
         if !open.is_upload() {
             let class = open.class;
             self.with_zone_monitoring(pending_io, |zones, now| {
@@ -219,7 +219,7 @@
         }
     }
 
-    /// Ends a request with an outcome that is not the balancer's, and tells the balancer that nobody waits for it.
+    /// Ends a request with an outcome that is not the balancer's, and notifies the balancer that nobody waits for it.
     fn abandon(
         &mut self,
         request: RequestId,
--- a/engine/src/engine/tests/any_order.rs
+++ b/engine/src/engine/tests/any_order.rs
@@ -89,7 +89,7 @@
     ])
 }
 
-/// The class that a step's operand stands for.
+/// The class that a step's operand selects.
 fn class_of(operand: usize) -> ClassId {
     ClassId(u32::try_from(operand).expect("a small operand") % CLASS_COUNT)
 }
--- a/engine/src/event_log.rs
+++ b/engine/src/event_log.rs
@@ -7,7 +7,7 @@
 use crate::clock::NANOS_PER_MILLISECOND;
 use crate::zone_monitoring::ZoneChange;
 
-/// The target of all messages. Operators filter by it, so it stays whatever module logs.
+/// The target of all messages. Operators may filter by it, so it does not follow the module that logs.
 const LOG_TARGET: &str = "badgerpost_engine::driver";
 
 /// The names of a listed backend and its zone, for a message.
--- a/engine/src/metrics.rs
+++ b/engine/src/metrics.rs
@@ -78,7 +78,7 @@
     pub name: String,
     /// Its share, from 0 to 1.
     pub share: f64,
-    /// The reason for it, in one word.
+    /// The reason for it, as one identifier.
     pub reason: &'static str,
 }
 
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Adds the zones, by id, all with their whole share of traffic.
+    /// Adds the zones, by id, all with their full share of traffic.
     pub(crate) fn start_zone_monitoring(&self, zone_names: Vec<String>) {
         let zones = zone_names.into_iter().map(|name| ZoneMetrics {
             name,
--- a/engine/src/open_requests.rs
+++ b/engine/src/open_requests.rs
@@ -63,7 +63,7 @@
     payload: Rc<P::Request>,
     /// When its client stops waiting; until an upload is complete, when the upload times out.
     expires_at: Nanos,
-    /// Present if the request was submitted before its body was uploaded: tells the attempts when they expire.
+    /// Present if the request was submitted before its body was uploaded: notifies the attempts of their deadline.
     upload_deadline: Option<watch::Sender<Nanos>>,
     /// By attempt number; none where an attempt has ended.
     attempts: Vec<Option<InFlightAttempt>>,
--- a/engine/src/pending_io.rs
+++ b/engine/src/pending_io.rs
@@ -1,4 +1,4 @@
-//! What the handling of an event leaves to be done on the network, or to be told to tasks that wait.
+//! The network operations and task notifications that result from the handling of an event.
 
 use badgerpost_balancer::BackendId;
 
--- a/engine/src/zone_monitoring.rs
+++ b/engine/src/zone_monitoring.rs
@@ -20,7 +20,7 @@
 /// The highest attempt number that fits into these bits.
 const MAX_ATTEMPT_NUMBER: u32 = (1 << ATTEMPT_NUMBER_BITS) - 1;
 
-/// What a node tells its peers of a zone, as encoded for the network.
+/// A node's observation of a zone for its peers, as encoded for the network.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneGossip {
     /// The zone's number; the topic under which it is broadcast.
@@ -47,7 +47,7 @@
         member: u64,
         /// When it was sent, by the sender's clock, in Unix time.
         sent_at: Nanos,
-        /// What it says.
+        /// The observation.
         gossip: ZoneGossip,
     },
 }
@@ -66,7 +66,7 @@
 pub enum ForcedZoneState {
     /// The zone gets no requests.
     Closed,
-    /// The zone gets its whole share.
+    /// The zone gets its full share.
     Open,
 }
 
@@ -317,7 +317,7 @@
     }
 }
 
-/// What an attempt's outcome says of its backend's zone.
+/// The evidence that an attempt's outcome is for the health of its backend's zone.
 fn attempt_signal(outcome: Outcome) -> AttemptSignal {
     match outcome {
         Outcome::Success => AttemptSignal::Answered,
