--- a/adapters/admin/src/lib.rs
+++ b/adapters/admin/src/lib.rs
@@ -33,7 +33,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 pub use lifecycle_handle::{LifecycleHandle, PendingTimer};
-pub use zone_override::ZoneOverride;
+pub use zone_override::ZoneOverrideCommand;
 
 /// Connections together: some pollers and people. One more and the oldest goes: whoever finishes a call does so at
 /// once, so the oldest is one who does not. Each holds a descriptor that the serving side does not have.
@@ -57,7 +57,7 @@
     /// Whether this process can serve.
     pub ready: Arc<AtomicBool>,
     /// Where orders about zones go.
-    pub orders: mpsc::Sender<ZoneOverride>,
+    pub orders: mpsc::Sender<ZoneOverrideCommand>,
 }
 
 impl AdminApi {
@@ -203,9 +203,9 @@
     }
     line("sends", &tally.attempts_sent());
     line("current", &tally.requests_in_progress());
-    let (listed, avoided) = tally.servers_snapshot();
-    line("cluster_size", &listed);
-    line("cluster_unhealthy", &avoided);
+    let backends = tally.backend_counts();
+    line("cluster_size", &backends.listed);
+    line("cluster_unhealthy", &backends.avoided);
     for zone in tally.zones() {
         line(
             &format!("zone.{}.share", zone.name),
--- a/adapters/gossip/src/service.rs
+++ b/adapters/gossip/src/service.rs
@@ -3,7 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 
-use badgerpost_engine::{Clock, Engine, LogLimiter, PeerUpdate, Protocol, ZoneGossip, activity};
+use badgerpost_engine::{
+    Clock, DroppedDatagram, Engine, LogLimiter, PeerUpdate, Protocol, ZoneGossip, activity,
+};
 use badgerpost_membership::{
     Action, DropReason, Event, MAX_DATAGRAM_LENGTH, MemberId, Settings, Topic,
 };
@@ -102,11 +104,11 @@
                     self.tell(Event::Leave);
                     return;
                 }
-                Some((topic, body)) = self.words.recv() => self.tell(Event::Broadcast { topic: Topic(topic), body: &body }),
+                Some(gossip) = self.words.recv() => self.tell(Event::Broadcast { topic: Topic(gossip.zone), body: &gossip.observation }),
                 came = self.socket.recv_from(&mut buffer) => match came {
                     Ok((length, _)) => {
                         activity::read(length);
-                        self.engine.metrics().add_peer_bytes(length as u64, 0);
+                        self.engine.metrics().peer_bytes_received(length as u64);
                         self.tell(Event::Datagram(&buffer[..length]));
                     }
                     // Of a datagram that went out before: its receiver is not there, which shows by itself.
@@ -139,8 +141,8 @@
                         .set_peers(self.core.member_count() as u64 + 1);
                     self.engine.peer_updated(&PeerUpdate::Member {
                         member: member.0,
-                        home: zone,
-                        up,
+                        zone,
+                        is_up: up,
                     });
                 }
                 Action::Received {
@@ -151,14 +153,18 @@
                 } => {
                     self.engine.peer_updated(&PeerUpdate::Gossip {
                         member: member.0,
-                        sent,
-                        word: (topic.0, body),
+                        sent_at: sent,
+                        gossip: ZoneGossip {
+                            zone: topic.0,
+                            observation: body,
+                        },
                     });
                 }
                 Action::DatagramDropped(dropped) => {
-                    self.engine
-                        .metrics()
-                        .datagram_dropped(dropped == DropReason::Unauthenticated);
+                    self.engine.metrics().datagram_dropped(match dropped {
+                        DropReason::Unauthenticated => DroppedDatagram::Unauthenticated,
+                        _ => DroppedDatagram::Malformed,
+                    });
                     self.limiter.log(
                         |silenced| tracing::warn!(reason = ?dropped, silenced, "datagram dropped"),
                     );
@@ -169,14 +175,14 @@
 
     fn send(&self, to: SocketAddr, datagram: &[u8]) {
         // With its clock in other hands the node must reach nothing but a rehearsal's stand-ins.
-        if self.clock.is_stepped() && !to.ip().is_loopback() {
+        if self.clock.is_controlled() && !to.ip().is_loopback() {
             return;
         }
         // What does not go out at once is lost like what the network loses; the protocol bears that.
         match self.socket.try_send_to(datagram, to) {
             Ok(length) => {
                 activity::written(length);
-                self.engine.metrics().add_peer_bytes(0, length as u64);
+                self.engine.metrics().peer_bytes_sent(length as u64);
             }
             Err(error) => tracing::debug!(%to, %error, "datagram not sent"),
         }
--- a/adapters/http/src/answer.rs
+++ b/adapters/http/src/answer.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use badgerpost_balancer::ClassId;
 use badgerpost_engine::{Metrics, RequestEnd};
 
 use crate::connection_limiter::Connection;
@@ -69,7 +70,7 @@
     ended: Option<Box<dyn FnOnce(Option<RequestEnd>)>>,
     slot: Rc<Connection>,
     tally: std::sync::Arc<Metrics>,
-    class: u32,
+    class: ClassId,
 }
 
 impl StreamingResponseBody {
@@ -78,7 +79,7 @@
         begun: StreamingResponse,
         slot: Rc<Connection>,
         tally: std::sync::Arc<Metrics>,
-        class: u32,
+        class: ClassId,
     ) -> Self {
         let StreamingResponse {
             first,
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -286,7 +286,8 @@
         loop {
             let now = self.clock.now();
             let behind = promise.is_none() && server.others_first((rank, turn));
-            while !behind && let Some((mut link, _)) = self.idle.take(key, now, 0) {
+            while !behind && let Some(taken) = self.idle.take(key, now, 0) {
+                let mut link = taken.connection;
                 if link.epoch == self.epoch.get() && now < link.until {
                     link.leased = now;
                     return Ok(link);
@@ -340,7 +341,7 @@
         server: &Rc<Server>,
     ) -> Result<ServerConnection, ConnectError> {
         let endpoint = key.place.1;
-        if self.clock.is_stepped() && !endpoint.ip().is_loopback() {
+        if self.clock.is_controlled() && !endpoint.ip().is_loopback() {
             return Err(ConnectError::Refused(
                 "a rehearsal reaches loopback addresses only".to_owned(),
             ));
@@ -409,7 +410,8 @@
     ) -> Option<BTreeMap<String, String>> {
         let last = self.clock.now().saturating_add(nanos(CONNECT));
         while self.greeting.borrow().is_empty() && self.clock.now() < last {
-            for place in fleet.endpoints_in_service() {
+            for listed in fleet.endpoints_in_service() {
+                let place = (listed.backend, listed.address);
                 let key = PoolKey {
                     place,
                     database: database.to_owned(),
@@ -451,7 +453,8 @@
                 warm.retain(|_, used| now.saturating_sub(*used) < most);
                 warm.keys().cloned().collect()
             };
-            for place in fleet.endpoints_in_service() {
+            for listed in fleet.endpoints_in_service() {
+                let place = (listed.backend, listed.address);
                 for (database, login) in &warm {
                     let key = PoolKey {
                         place,
--- a/adapters/postgres/src/relay/transactions.rs
+++ b/adapters/postgres/src/relay/transactions.rs
@@ -119,7 +119,7 @@
             .terms
             .fleet
             .class(&self.terms.class.0)
-            .map_or(0, |(_, deadline, _)| deadline);
+            .map_or(0, |class| class.deadline);
         // What it waits for is refused in time for the client to do something about it.
         let late = clock.sleep_until(clock.now().saturating_add(deadline / 2));
         let pool = self.terms.pool.clone();
@@ -132,13 +132,13 @@
     }
 
     pub(super) fn submit(&mut self, alone: bool) {
-        let (class, may_repeat) = &self.terms.class;
+        let (class_name, may_repeat) = &self.terms.class;
         let name = if alone && *may_repeat {
-            repeatable(class)
+            repeatable(class_name)
         } else {
-            class.clone()
+            class_name.clone()
         };
-        let Some((class_number, deadline, _)) = self.terms.fleet.class(&name) else {
+        let Some(class) = self.terms.fleet.class(&name) else {
             // The classes come from the same configuration, so this does not happen; if so, it is a failure.
             return self.handle(Event::Failed);
         };
@@ -154,13 +154,13 @@
         self.slot.wanted.set(self.asked);
         let asked: IncomingRequest<Postgres> = IncomingRequest {
             id,
-            class: class_number,
+            class: class.id,
             tenant: None,
             affinity_key: None,
             expected_work: None,
             is_retry: false,
-            budget: deadline,
-            call,
+            budget: class.deadline,
+            payload: call,
         };
         match self.terms.fleet.submit(asked) {
             Some(waiting) => self.waiting = Some(Box::pin(waiting.into_outcome())),
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -8,9 +8,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use badgerpost_admin::{AdminApi, LifecycleHandle, ZoneOverride};
+use badgerpost_admin::{AdminApi, LifecycleHandle, ZoneOverrideCommand};
 use badgerpost_balancer::EndpointUpdate;
-use badgerpost_engine::{Clock, VirtualClock, nanos, spawn};
+use badgerpost_engine::{Clock, ForcedZoneState, VirtualClock, ZoneOverride, nanos, spawn};
 use badgerpost_gossip::{GossipService, LocalMember};
 use badgerpost_http::memory_budget::MemoryBudget;
 use badgerpost_http::server::{self, Limits, ServerHandle};
@@ -101,9 +101,9 @@
     let (site, seed, (clients, servers)) = (edge.site()?, edge.seed()?, edge.shares()?);
     let shares = DescriptorQuota::new(clients, servers);
     let hands = own.rehearsal.map(VirtualClockControl::take).transpose()?;
-    let clock = hands
-        .as_ref()
-        .map_or_else(Clock::system, |hands| Clock::stepped(hands.steps.clone()));
+    let clock = hands.as_ref().map_or_else(Clock::system, |hands| {
+        Clock::controlled(hands.steps.clone())
+    });
     let bodies = MemoryBudget::new(edge.bodies());
     let (zone, nodes) = (site.settings.local_zone.0 as u8, site.settings.node_count);
     let upstream = HttpTransport::new(
@@ -122,7 +122,7 @@
     )
     .map_err(|error| ConfigError::Settings(error.to_string()))?;
     if own.zones.is_some_and(|zones| zones.watch) {
-        node.watch_zones(seed);
+        node.start_zone_monitoring(seed);
     }
     let watch = discovery::EndpointWatcher::new(node.clone(), edge.discovery, edge.known, seed);
     let mut terminate = signal(SignalKind::terminate())?;
@@ -272,7 +272,7 @@
         std::net::TcpListener::bind(at).map_err(|source| ServeError::Console { at, source })?;
     let ready = Arc::new(AtomicBool::new(false));
     tracing::info!(console = %listener.local_addr()?, "operators may call");
-    let (orders, mut ordered) = mpsc::channel::<ZoneOverride>(ORDERS);
+    let (orders, mut ordered) = mpsc::channel::<ZoneOverrideCommand>(ORDERS);
     let console = AdminApi {
         life: life.clone(),
         tally: node.metrics(),
@@ -282,8 +282,16 @@
     console.start(listener)?;
     let zones = node.clone();
     spawn(async move {
-        while let Some(ZoneOverride { zone, order }) = ordered.recv().await {
-            zones.override_zone(&zone, order.map(|(closed, span)| (closed, nanos(span))));
+        while let Some(ZoneOverrideCommand { zone, order }) = ordered.recv().await {
+            let zone_override = order.map(|(closed, span)| ZoneOverride {
+                state: if closed {
+                    ForcedZoneState::Closed
+                } else {
+                    ForcedZoneState::Open
+                },
+                duration: nanos(span),
+            });
+            zones.override_zone(&zone, zone_override);
         }
     });
     let node = node.clone();
@@ -297,7 +305,7 @@
         let _ = clock.timeout(READY_MOST, heard).await;
         ready.store(true, Ordering::Relaxed);
         loop {
-            node.update_server_metrics();
+            node.update_backend_counts();
             clock.sleep(COUNT).await;
         }
     });
@@ -336,7 +344,7 @@
         } else {
             EndpointUpdate::Snapshot
         },
-        config.listed(),
+        &config.listed(),
     );
     let timers = fleet.clone();
     spawn(async move { timers.run_timers().await });
