--- a/core/zone-health/src/api.rs
+++ b/core/zone-health/src/api.rs
@@ -1,6 +1,6 @@
 //! What the core is told and what it says.
 
-use crate::sight::ZoneObservation;
+use crate::observation::ZoneObservation;
 
 /// A time or a span, in nanoseconds.
 pub type Nanos = u64;
--- a/core/zone-health/src/evidence.rs
+++ b/core/zone-health/src/evidence.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::times::LatencyHistogram;
+use crate::latency_histogram::LatencyHistogram;
 use crate::{Nanos, SECOND};
 
 /// Share of failures that a zone in trouble has at least.
--- a/core/zone-health/src/lib.rs
+++ b/core/zone-health/src/lib.rs
@@ -6,17 +6,17 @@
 //! embedder's clock.
 
 mod api;
-mod course;
 mod evidence;
-mod fleet;
-mod plan;
-mod sight;
-mod times;
-mod watch;
+mod latency_histogram;
+mod monitor;
+mod observation;
+mod peer_observations;
+mod traffic_division;
+mod zone_state;
 
 pub use api::{Action, AttemptSignal, Event, Nanos, Settings, ZoneStateReason};
-pub use sight::{ObservedState, ZoneObservation};
-pub use watch::ZoneMonitor;
+pub use monitor::ZoneMonitor;
+pub use observation::{ObservedState, ZoneObservation};
 
 pub(crate) const MS: Nanos = 1_000_000;
 pub(crate) const SECOND: Nanos = 1000 * MS;
--- a/core/zone-health/src/watch.rs
+++ b/core/zone-health/src/monitor.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 
 use crate::api::{Action, AttemptSignal, Event, Nanos, Settings, ZoneStateReason};
-use crate::course::{CROWD_ALONE, EvidenceSnapshot, SLOW, ZoneStage, ZoneState};
 use crate::evidence::{OutstandingAttempt, USUAL};
-use crate::fleet::{self, PeerObservations, PeerSummary};
-use crate::plan::{self, ZoneCapacity};
-use crate::sight::{ObservedState, ZoneObservation, hundredths};
-use crate::times::LatencyHistogram;
+use crate::latency_histogram::LatencyHistogram;
+use crate::observation::{ObservedState, ZoneObservation, hundredths};
+use crate::peer_observations::{self, PeerObservations, PeerSummary};
+use crate::traffic_division::{self, ZoneCapacity};
+use crate::zone_state::{CROWD_ALONE, EvidenceSnapshot, SLOW, ZoneStage, ZoneState};
 use crate::{MS, SECOND};
 
 /// How often open attempts are looked at.
@@ -415,7 +415,7 @@
             _ if !speaks(&sight) && hears && theirs.doubted => age >= HEARS_AGAIN,
             Some((_, said)) if speaks(&said) || speaks(&sight) => {
                 told_apart(&said, &sight)
-                    || (speaks(&sight) && age >= fleet::refresh(self.fleet.len()))
+                    || (speaks(&sight) && age >= peer_observations::refresh(self.fleet.len()))
             }
             Some(_) => false,
             None => speaks(&sight),
@@ -473,7 +473,7 @@
                 open: zone != home && parts[zone] > 0.0,
             });
         let rooms: Vec<ZoneCapacity> = rooms.collect();
-        let divided = plan::divide(&rooms);
+        let divided = traffic_division::divide(&rooms);
         let home_part = parts.get(home).copied().unwrap_or(1.0);
         for zone in 0..self.courses.len() {
             let share = match (zone == home, parts[zone]) {
--- a/core/zone-health/src/fleet.rs
+++ b/core/zone-health/src/peer_observations.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::sight::{ObservedState, ZoneObservation};
+use crate::observation::{ObservedState, ZoneObservation};
 use crate::{MS, Nanos, SECOND};
 
 /// Members whose sights are kept; a fleet is smaller.
--- a/core/zone-health/src/fleet/tests.rs
+++ b/core/zone-health/src/peer_observations/tests.rs
@@ -3,7 +3,7 @@
 const NOW: Nanos = 100 * SECOND;
 
 fn sight(home: u8, silent: f64) -> ZoneObservation {
-    let silent = crate::sight::hundredths(silent);
+    let silent = crate::observation::hundredths(silent);
     ZoneObservation {
         home,
         silent,
--- a/core/zone-health/src/course.rs
+++ b/core/zone-health/src/zone_state.rs
@@ -3,8 +3,8 @@
 
 use crate::api::ZoneStateReason;
 use crate::evidence::Evidence;
-use crate::fleet::PeerSummary;
-use crate::sight::ObservedState;
+use crate::observation::ObservedState;
+use crate::peer_observations::PeerSummary;
 use crate::{MS, Nanos, SECOND};
 
 /// Evidence at which a zone gets nothing new: log-likelihoods, so chance comes to it once in 150 cases that are as
