--- a/core/zone-health/src/api.rs
+++ b/core/zone-health/src/api.rs
@@ -1,9 +1,7 @@
 //! What the core is told and what it says.
 
 use crate::observation::ZoneObservation;
-
-/// A time or a span, in nanoseconds.
-pub type Nanos = u64;
+use crate::time::Nanos;
 
 /// What the core is told at its start.
 #[derive(Clone, Copy, Debug)]
--- a/core/zone-health/src/evidence.rs
+++ b/core/zone-health/src/evidence.rs
@@ -3,8 +3,9 @@
 
 use std::collections::BTreeMap;
 
+use crate::decaying_cusum::{DecayingCusum, decay_factor};
 use crate::latency_histogram::LatencyHistogram;
-use crate::{Nanos, SECOND};
+use crate::time::Nanos;
 
 /// Share of failures that a zone in trouble has at least.
 const FAILING: f64 = 0.3;
@@ -12,34 +13,9 @@
 pub(crate) const USUAL: f64 = 0.02;
 /// The most that one server or class is charged with: it can't speak for the others.
 const SERVER_MOST: f64 = 5.0;
-/// What was seen is forgotten with this time constant.
-const FORGET: Nanos = 2 * SECOND;
 /// Ended attempts whose silence is kept: more tell nothing new, each is worth up to 2.5.
 const ENDED_MOST: usize = 64;
 
-/// What is left of something by now.
-fn kept(now: Nanos, at: Nanos) -> f64 {
-    (-(now.saturating_sub(at) as f64) / FORGET as f64).exp()
-}
-
-/// A CUSUM that is forgotten.
-#[derive(Clone, Copy, Default)]
-struct Charge {
-    value: f64,
-    at: Nanos,
-}
-
-impl Charge {
-    fn now(&self, now: Nanos) -> f64 {
-        self.value * kept(now, self.at)
-    }
-
-    fn add(&mut self, now: Nanos, step: f64, most: f64) {
-        self.value = (self.now(now) + step).clamp(0.0, most);
-        self.at = now;
-    }
-}
-
 /// An attempt without an answer yet.
 pub(crate) struct OutstandingAttempt {
     pub(crate) server: u32,
@@ -60,9 +36,9 @@
 /// What speaks against one zone.
 #[derive(Default)]
 pub(crate) struct Evidence {
-    servers: BTreeMap<u32, Charge>,
-    classes: Vec<Charge>,
-    unreached: Charge,
+    servers: BTreeMap<u32, DecayingCusum>,
+    classes: Vec<DecayingCusum>,
+    unreached: DecayingCusum,
     counts: Vec<Counts>,
     /// Silent attempts that have ended: since when, at which server, how long.
     ended: Vec<(Nanos, u32, u32, Nanos)>,
@@ -82,7 +58,7 @@
     pub(crate) fn new(classes: u32) -> Self {
         let classes = classes as usize;
         Self {
-            classes: vec![Charge::default(); classes],
+            classes: vec![DecayingCusum::default(); classes],
             counts: vec![Counts::default(); classes],
             stretch: 1.0,
             ..Self::default()
@@ -111,7 +87,7 @@
         let Some(counts) = self.counts.get(class as usize) else {
             return (0.0, 0.0);
         };
-        let kept = kept(awake, counts.at);
+        let kept = decay_factor(awake, counts.at);
         (counts.failed * kept, counts.all * kept)
     }
 
@@ -144,7 +120,7 @@
         }
         self.recent += 0.1 * (f64::from(u8::from(failed)) - self.recent);
         if let Some(counts) = self.counts.get_mut(out.class as usize) {
-            let kept = kept(awake, counts.at);
+            let kept = decay_factor(awake, counts.at);
             counts.failed = counts.failed * kept + f64::from(u8::from(failed));
             counts.all = counts.all * kept + 1.0;
             counts.at = awake;
@@ -185,15 +161,15 @@
     /// The evidence of failures: without the worst server, and without the worst class where there are several.
     pub(crate) fn failing(&self, awake: Nanos, listed: u32) -> f64 {
         let by_server = leave_worst(
-            self.servers.values().map(|charge| charge.now(awake)),
+            self.servers.values().map(|cusum| cusum.value_at(awake)),
             listed > 2,
         );
         let used = self.counts.iter().filter(|counts| counts.all > 1.0).count();
         let by_class = leave_worst(
-            self.classes.iter().map(|charge| charge.now(awake)),
+            self.classes.iter().map(|cusum| cusum.value_at(awake)),
             used > 1,
         );
-        by_server.min(by_class + self.unreached.now(awake))
+        by_server.min(by_class + self.unreached.value_at(awake))
     }
 
     /// The evidence of silence, where answers take `stretch` times as long as usual: what the attempts say that were
@@ -221,9 +197,9 @@
             let Some(times) = times.get(class as usize) else {
                 continue;
             };
-            let usual = times.within(0.5).unwrap_or(0);
+            let usual = times.median().unwrap_or(0);
             if self.answered.is_none_or(|at| since + usual >= at) {
-                *servers.entry(server).or_default() += times.silence(age, stretch);
+                *servers.entry(server).or_default() += times.silence_evidence(age, stretch);
                 first = first.min(since);
             }
         }
--- a/core/zone-health/src/latency_histogram.rs
+++ b/core/zone-health/src/latency_histogram.rs
@@ -1,72 +1,93 @@
-//! How long the answers of a class take: a histogram over doublings, forgotten by halves. It says how likely an
-//! answer is still to come after a time.
+//! Response times of one request class: a histogram with logarithmic buckets, which tells how likely a response is
+//! still to come after a given wait.
 
-use crate::{MS, Nanos};
+use crate::time::{MILLISECOND, Nanos, nanos_from_f64};
 
-/// Four buckets a doubling, from 0.1 ms to 100 s.
-const PER_DOUBLING: f64 = 4.0;
-const BUCKETS: usize = 80;
-const FIRST: f64 = 0.1 * MS as f64;
-/// Answers that it remembers; then all counts are halved.
-const REMEMBERED: f64 = 2000.0;
-/// With fewer answers than this it says nothing.
-const FEWEST: f64 = 20.0;
-/// The most that one silent attempt tells, as a log-likelihood: a lost packet is not rarer than one in twelve hours
-/// of attempts, but an attempt that got stuck by itself is no rarer than one in twelve.
-const MOST: f64 = 2.5;
+/// Buckets for each doubling of the response time.
+const BUCKETS_PER_DOUBLING: f64 = 4.0;
+/// Number of buckets: from 0.1 ms to about 100 s.
+const BUCKET_COUNT: usize = 80;
+/// Lower bound of the first bucket, in nanoseconds.
+const FIRST_BUCKET_NANOS: f64 = 0.1 * MILLISECOND as f64;
+/// Weight of all samples at which every count is halved, so that old samples fade.
+const HALVING_WEIGHT: f64 = 2000.0;
+/// Weight of all samples below which the histogram is not used.
+const MINIMUM_WEIGHT: f64 = 20.0;
+/// Weight of the pseudo-sample that keeps the estimated probability above zero.
+const PSEUDO_SAMPLE_WEIGHT: f64 = 0.5;
+/// Upper bound of the evidence of one silent attempt, as a log-likelihood. Responses that take forever, because one
+/// request got stuck or a packet was lost, are no rarer than one in twelve.
+const MAXIMUM_EVIDENCE: f64 = 2.5;
 
-/// A class's answer times.
+/// Histogram of one class's response times.
 #[derive(Clone)]
 pub(crate) struct LatencyHistogram {
-    counts: [f64; BUCKETS],
+    counts: [f64; BUCKET_COUNT],
     total: f64,
 }
 
 impl LatencyHistogram {
+    /// An empty histogram.
     pub(crate) fn new() -> Self {
         Self {
-            counts: [0.0; BUCKETS],
+            counts: [0.0; BUCKET_COUNT],
             total: 0.0,
         }
     }
 
-    pub(crate) fn add(&mut self, span: Nanos) {
-        self.counts[bucket(span as f64)] += 1.0;
+    /// Adds the response time of one attempt.
+    pub(crate) fn record(&mut self, duration: Nanos) {
+        self.counts[bucket_index(duration as f64)] += 1.0;
         self.total += 1.0;
-        if self.total > REMEMBERED {
-            self.counts.iter_mut().for_each(|count| *count /= 2.0);
+        if self.total > HALVING_WEIGHT {
+            for count in &mut self.counts {
+                *count /= 2.0;
+            }
             self.total /= 2.0;
         }
     }
 
-    /// How much it tells that no answer has come after this span, where answers take `stretch` times as long as
-    /// usual: minus the logarithm of the share that took longer, within bounds.
-    pub(crate) fn silence(&self, span: Nanos, stretch: f64) -> f64 {
-        if self.total < FEWEST {
+    /// Evidence that no response has come after `duration`, if responses take `slowdown` times as long as usual:
+    /// minus the logarithm of the fraction of responses that take longer, from 0 to [`MAXIMUM_EVIDENCE`].
+    pub(crate) fn silence_evidence(&self, duration: Nanos, slowdown: f64) -> f64 {
+        if self.total < MINIMUM_WEIGHT {
             return 0.0;
         }
-        let from = bucket(span as f64 / stretch);
-        let longer: f64 = self.counts[from..].iter().sum();
-        -((longer + 0.5) / (self.total + 0.5)).ln().max(-MOST)
+        let first = bucket_index(duration as f64 / slowdown);
+        let longer: f64 = self.counts[first..].iter().sum();
+        let probability = (longer + PSEUDO_SAMPLE_WEIGHT) / (self.total + PSEUDO_SAMPLE_WEIGHT);
+        -probability.ln().max(-MAXIMUM_EVIDENCE)
     }
 
-    /// The time within which this share of the answers came; none while that is not known.
-    pub(crate) fn within(&self, share: f64) -> Option<Nanos> {
-        if self.total < FEWEST {
+    /// The response time that `fraction` of the responses did not exceed; none with too few samples.
+    pub(crate) fn quantile(&self, fraction: f64) -> Option<Nanos> {
+        if self.total < MINIMUM_WEIGHT {
             return None;
         }
         let mut sum = 0.0;
-        let at = self.counts.iter().position(|count| {
+        let index = self.counts.iter().position(|count| {
             sum += count;
-            sum >= share * self.total
-        });
-        at.map(|at| (FIRST * 2f64.powf((at + 1) as f64 / PER_DOUBLING)) as Nanos)
+            sum >= fraction * self.total
+        })?;
+        let doublings = (index + 1) as f64 / BUCKETS_PER_DOUBLING;
+        Some(nanos_from_f64(FIRST_BUCKET_NANOS * 2f64.powf(doublings)))
+    }
+
+    /// The median response time; none with too few samples.
+    pub(crate) fn median(&self) -> Option<Nanos> {
+        self.quantile(0.5)
     }
 }
 
-fn bucket(span: f64) -> usize {
-    let doublings = (span / FIRST).max(1.0).log2();
-    ((doublings * PER_DOUBLING) as usize).min(BUCKETS - 1)
+/// The bucket of a duration in nanoseconds.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the logarithm of a number of at least 1 is not negative, and at most 64 here"
+)]
+fn bucket_index(nanos: f64) -> usize {
+    let doublings = (nanos / FIRST_BUCKET_NANOS).max(1.0).log2();
+    ((doublings * BUCKETS_PER_DOUBLING) as usize).min(BUCKET_COUNT - 1)
 }
 
 #[cfg(test)]
--- a/core/zone-health/src/latency_histogram/tests.rs
+++ b/core/zone-health/src/latency_histogram/tests.rs
@@ -1,21 +1,33 @@
+//! Evidence and quantiles of a histogram that is filled with known response times.
+
 use super::*;
 
 #[test]
-fn silence_tells_nothing_early_and_much_late() {
-    let mut times = LatencyHistogram::new();
-    assert_eq!(times.silence(1000 * MS, 2.0), 0.0, "nothing is known yet");
-    (0..500).for_each(|number| times.add((20 + number % 40) * MS));
-    assert!(times.silence(30 * MS, 2.0) < 0.1);
-    assert!(times.silence(150 * MS, 2.0) > 2.0);
-    assert!(times.silence(150 * MS, 4.0) < 0.7);
-    let median = times.within(0.5).unwrap_or(0) / MS;
+fn silence_is_weak_evidence_early_and_strong_evidence_late() {
+    let mut histogram = LatencyHistogram::new();
+    assert_eq!(
+        histogram.silence_evidence(1000 * MILLISECOND, 2.0),
+        0.0,
+        "nothing is known yet"
+    );
+    for number in 0..500 {
+        histogram.record((20 + number % 40) * MILLISECOND);
+    }
+    assert!(histogram.silence_evidence(30 * MILLISECOND, 2.0) < 0.1);
+    assert!(histogram.silence_evidence(150 * MILLISECOND, 2.0) > 2.0);
+    assert!(histogram.silence_evidence(150 * MILLISECOND, 4.0) < 0.7);
+    let median = histogram.quantile(0.5).unwrap_or(0) / MILLISECOND;
     assert!((30..60).contains(&median), "{median}");
 }
 
 #[test]
-fn what_was_long_ago_is_forgotten() {
-    let mut times = LatencyHistogram::new();
-    (0..2000).for_each(|_| times.add(10 * MS));
-    (0..8000).for_each(|_| times.add(80 * MS));
-    assert!(times.within(0.1).unwrap_or(0) > 60 * MS);
+fn old_samples_fade() {
+    let mut histogram = LatencyHistogram::new();
+    for _ in 0..2000 {
+        histogram.record(10 * MILLISECOND);
+    }
+    for _ in 0..8000 {
+        histogram.record(80 * MILLISECOND);
+    }
+    assert!(histogram.quantile(0.1).unwrap_or(0) > 60 * MILLISECOND);
 }
--- a/core/zone-health/src/lib.rs
+++ b/core/zone-health/src/lib.rs
@@ -6,17 +6,18 @@
 //! embedder's clock.
 
 mod api;
+mod decaying_cusum;
 mod evidence;
 mod latency_histogram;
 mod monitor;
 mod observation;
 mod peer_observations;
+mod random;
+mod time;
 mod traffic_division;
 mod zone_state;
 
-pub use api::{Action, AttemptSignal, Event, Nanos, Settings, ZoneStateReason};
+pub use api::{Action, AttemptSignal, Event, Settings, ZoneStateReason};
 pub use monitor::ZoneMonitor;
 pub use observation::{ObservedState, ZoneObservation};
-
-pub(crate) const MS: Nanos = 1_000_000;
-pub(crate) const SECOND: Nanos = 1000 * MS;
+pub use time::Nanos;
--- a/core/zone-health/src/monitor.rs
+++ b/core/zone-health/src/monitor.rs
@@ -2,21 +2,22 @@
 
 use std::collections::BTreeMap;
 
-use crate::api::{Action, AttemptSignal, Event, Nanos, Settings, ZoneStateReason};
+use crate::api::{Action, AttemptSignal, Event, Settings, ZoneStateReason};
 use crate::evidence::{OutstandingAttempt, USUAL};
 use crate::latency_histogram::LatencyHistogram;
 use crate::observation::{ObservedState, ZoneObservation, hundredths};
 use crate::peer_observations::{self, PeerObservations, PeerSummary};
-use crate::traffic_division::{self, ZoneCapacity};
+use crate::random::LinearCongruentialGenerator;
+use crate::time::{MILLISECOND, Nanos, SECOND};
+use crate::traffic_division::{ZoneCapacity, divide_traffic};
 use crate::zone_state::{CROWD_ALONE, EvidenceSnapshot, SLOW, ZoneStage, ZoneState};
-use crate::{MS, SECOND};
 
 /// How often open attempts are looked at.
-const LOOK: Nanos = 25 * MS;
+const LOOK: Nanos = 25 * MILLISECOND;
 /// A wake-up that comes so late means that this process did not run: that time says nothing of others.
-const LATE: Nanos = 20 * MS;
+const LATE: Nanos = 20 * MILLISECOND;
 /// A burst of failures is weighed once in this time.
-const LEAST_LOOK: Nanos = MS;
+const LEAST_LOOK: Nanos = MILLISECOND;
 /// Open attempts that are watched; the embedder has no more requests open than connections for them.
 const OUTS_MOST: usize = 65_536;
 /// A reported use of cores counts for so long.
@@ -27,10 +28,10 @@
 const ELSEWHERE: f64 = 5.0;
 /// How long a trial's answer is waited for: so many times what nearly all answers take, within bounds.
 const TRIAL_STRETCH: u64 = 3;
-const TRIAL_WAIT: (Nanos, Nanos) = (50 * MS, 2 * SECOND);
+const TRIAL_WAIT: (Nanos, Nanos) = (50 * MILLISECOND, 2 * SECOND);
 
 /// With an answer from a zone that is no older, this node hears from it.
-const HEARS: Nanos = 100 * MS;
+const HEARS: Nanos = 100 * MILLISECOND;
 /// Evidence that is worth telling the others, and the steps in which it grows, in hundredths.
 const TELLS: u16 = 100;
 const TELL_STEP: u16 = 50;
@@ -39,7 +40,7 @@
 /// So many members tell one that is new what they see, in the mean.
 const TELLERS: f64 = 8.0;
 /// A node that hears from a zone others speak against says so no more often than this.
-const HEARS_AGAIN: Nanos = 200 * MS;
+const HEARS_AGAIN: Nanos = 200 * MILLISECOND;
 
 #[derive(Clone, Copy, Default)]
 struct Place {
@@ -71,7 +72,7 @@
     fleet: PeerObservations,
     /// They have said something that was not weighed yet.
     unweighed: bool,
-    random: u64,
+    random: LinearCongruentialGenerator,
 }
 
 impl ZoneMonitor {
@@ -93,7 +94,7 @@
             cut_off: false,
             fleet: PeerObservations::default(),
             unweighed: false,
-            random: settings.seed ^ 0x2545_f491_4f6c_dd1d,
+            random: LinearCongruentialGenerator::new(settings.seed),
             settings,
         }
     }
@@ -180,14 +181,6 @@
         self.now - self.slept.min(self.now)
     }
 
-    fn draw(&mut self) -> f64 {
-        self.random = self
-            .random
-            .wrapping_mul(0x5851_f42d_4c95_7f2d)
-            .wrapping_add(0x1405_7b7e_f767_814f);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     fn crowd(&self) -> f64 {
         if self.fleet.len() > 0 {
             return f64::from(self.fleet.count(self.settings.local_zone as u8) + 1);
@@ -229,8 +222,12 @@
         let Some(out) = self.outs.remove(&attempt) else {
             return false;
         };
-        let (awake, zone, crowd, draw) =
-            (self.awake(), out.zone as usize, self.crowd(), self.draw());
+        let (awake, zone, crowd, draw) = (
+            self.awake(),
+            out.zone as usize,
+            self.crowd(),
+            self.random.next_fraction(),
+        );
         let elsewhere = self.elsewhere(out.zone, out.class);
         if let Some(util) = util.filter(|util| (0.0..=2.0).contains(util)) {
             let before = self.places[zone].util.map_or(util, |(_, before)| before);
@@ -252,8 +249,8 @@
         match seen {
             AttemptSignal::Answered => {
                 let times = &mut self.times[out.class as usize];
-                let usual = times.within(0.5).unwrap_or(span).max(1);
-                times.add(span);
+                let usual = times.median().unwrap_or(span).max(1);
+                times.record(span);
                 course.evidence.answered(awake, span as f64 / usual as f64);
                 course.evidence.told(awake, &out, false, true, elsewhere);
                 course.tried(awake, true, servers, crowd, draw);
@@ -270,7 +267,7 @@
             }
             AttemptSignal::TimedOut => {
                 course.evidence.fell_silent(&out, awake);
-                if self.times[out.class as usize].silence(span, 2.0) > 1.0 {
+                if self.times[out.class as usize].silence_evidence(span, 2.0) > 1.0 {
                     course.tried(awake, false, servers, crowd, draw);
                 }
             }
@@ -316,7 +313,7 @@
             if self.cut_off {
                 break;
             }
-            let draw = self.draw();
+            let draw = self.random.next_fraction();
             if self.hand(zone).is_some() {
                 continue;
             }
@@ -431,7 +428,7 @@
 
     /// One that is new has heard nothing yet: some members, drawn by lot, say again what they have said.
     fn tell_again(&mut self) {
-        if self.draw() * (self.fleet.len() as f64) < TELLERS {
+        if self.random.next_fraction() * (self.fleet.len() as f64) < TELLERS {
             let said = self
                 .places
                 .iter_mut()
@@ -445,7 +442,7 @@
         let slowest = self
             .times
             .iter()
-            .filter_map(|times| times.within(0.95))
+            .filter_map(|times| times.quantile(0.95))
             .max();
         slowest.map_or(TRIAL_WAIT.1, |span| {
             (span * TRIAL_STRETCH).clamp(TRIAL_WAIT.0, TRIAL_WAIT.1)
@@ -466,14 +463,14 @@
             .enumerate()
             .map(|(zone, place)| ZoneCapacity {
                 size: place.size * parts[zone],
-                util: place
+                utilization: place
                     .util
                     .filter(|(at, _)| self.now < at + UTIL_FOR)
                     .map(|(_, util)| util),
-                open: zone != home && parts[zone] > 0.0,
+                is_available: zone != home && parts[zone] > 0.0,
             });
         let rooms: Vec<ZoneCapacity> = rooms.collect();
-        let divided = traffic_division::divide(&rooms);
+        let divided = divide_traffic(&rooms);
         let home_part = parts.get(home).copied().unwrap_or(1.0);
         for zone in 0..self.courses.len() {
             let share = match (zone == home, parts[zone]) {
@@ -528,7 +525,7 @@
             .filter_map(|place| place.hand)
             .map(|(_, until)| until);
         let due = courses
-            .map(|at| at.max(self.now + MS))
+            .map(|at| at.max(self.now + MILLISECOND))
             .chain(hands.filter(|until| *until > self.now));
         let Some(next) = look.into_iter().chain(due).min() else {
             return;
--- a/core/zone-health/src/monitor/tests.rs
+++ b/core/zone-health/src/monitor/tests.rs
@@ -113,20 +113,24 @@
             zone * SERVERS + self.draw() as u32 % SERVERS,
             u32::from(self.draw().is_multiple_of(3)),
         );
-        let (attempt, work) = (self.next, (20 + self.draw() % 40) * MS);
+        let (attempt, work) = (self.next, (20 + self.draw() % 40) * MILLISECOND);
         self.next += 1;
         self.sent[zone as usize] += 1;
         let fails = self.draw() % 100;
         let (after, seen) = match self.mood[zone as usize] {
-            _ if self.stuck == Some(server) => (500 * MS, AttemptSignal::TimedOut),
+            _ if self.stuck == Some(server) => (500 * MILLISECOND, AttemptSignal::TimedOut),
             Mood::Silent => (
-                if class == 0 { 200 * MS } else { 900 * MS },
+                if class == 0 {
+                    200 * MILLISECOND
+                } else {
+                    900 * MILLISECOND
+                },
                 AttemptSignal::TimedOut,
             ),
             Mood::Slow(times) => (work * times, AttemptSignal::Answered),
             Mood::Failing(share) if fails < share => (work, AttemptSignal::Failed),
             Mood::OneClass if class == 1 => (work, AttemptSignal::Failed),
-            Mood::Refusing => (MS / 2, AttemptSignal::ConnectionFailed),
+            Mood::Refusing => (MILLISECOND / 2, AttemptSignal::ConnectionFailed),
             _ if fails == 0 => (work, AttemptSignal::Failed),
             _ => (work, AttemptSignal::Answered),
         };
@@ -186,12 +190,12 @@
 #[test]
 fn a_silent_zone_is_left_within_300_ms_and_returned_to_by_steps() {
     seeds(|seed| {
-        let mut play = Play::new(17 * MS, seed);
+        let mut play = Play::new(17 * MILLISECOND, seed);
         play.run(10 * SECOND);
         assert_eq!(play.changed, []);
         play.mood[1] = Mood::Silent;
         let from = play.now;
-        play.run(300 * MS);
+        play.run(300 * MILLISECOND);
         assert_eq!(play.share[1], 0.0);
         assert!(
             play.share[0] > 0.2 && play.share[2] > 0.2,
@@ -199,7 +203,7 @@
             play.share
         );
         let spent = play.sent[1];
-        play.run(4700 * MS);
+        play.run(4700 * MILLISECOND);
         assert!(
             play.sent[1] - spent <= 12,
             "trials: {}",
@@ -210,7 +214,7 @@
         assert_eq!(play.share[1], 1.0);
         let steps = play.words(1);
         assert!(steps.ends_with(&["returning", "open"]), "{steps:?}");
-        assert!(play.changed[0].0 - from <= 300 * MS);
+        assert!(play.changed[0].0 - from <= 300 * MILLISECOND);
     });
 }
 
@@ -218,7 +222,7 @@
 fn a_zone_that_refuses_or_fails_is_left() {
     for mood in [Mood::Refusing, Mood::Failing(100), Mood::Failing(30)] {
         seeds(|seed| {
-            let mut play = Play::new(17 * MS, seed);
+            let mut play = Play::new(17 * MILLISECOND, seed);
             play.run(10 * SECOND);
             play.mood[1] = mood;
             play.run(if mood == Mood::Failing(30) {
@@ -235,7 +239,7 @@
 #[test]
 fn one_bad_server_one_bad_class_and_slowness_close_no_zone() {
     seeds(|seed| {
-        let mut play = Play::new(17 * MS, seed);
+        let mut play = Play::new(17 * MILLISECOND, seed);
         play.run(10 * SECOND);
         play.stuck = Some(13);
         play.run(10 * SECOND);
@@ -256,10 +260,10 @@
 #[test]
 fn a_cut_of_200_ms_closes_nothing() {
     seeds(|seed| {
-        let mut play = Play::new(17 * MS, seed);
+        let mut play = Play::new(17 * MILLISECOND, seed);
         play.run(10 * SECOND);
         // All that would have come meanwhile comes at its end.
-        let back = play.now + 200 * MS;
+        let back = play.now + 200 * MILLISECOND;
         let late: Vec<_> = play
             .ends
             .keys()
@@ -271,7 +275,7 @@
             play.ends.insert((back, key.1), seen);
         }
         play.mood[1] = Mood::Slow(5);
-        play.run(200 * MS);
+        play.run(200 * MILLISECOND);
         play.mood[1] = Mood::Fine;
         play.run(3 * SECOND);
         assert_eq!(play.share[1], 1.0);
@@ -282,7 +286,7 @@
 #[test]
 fn a_node_that_is_cut_off_itself_or_was_paused_blames_nobody() {
     seeds(|seed| {
-        let mut play = Play::new(17 * MS, seed);
+        let mut play = Play::new(17 * MILLISECOND, seed);
         play.run(10 * SECOND);
         // Paused: all that came meanwhile is there at once, the clock first.
         play.now += 3 * SECOND;
@@ -301,7 +305,7 @@
 #[test]
 fn failures_that_show_everywhere_are_no_zones_fault() {
     seeds(|seed| {
-        let mut play = Play::new(17 * MS, seed);
+        let mut play = Play::new(17 * MILLISECOND, seed);
         play.run(10 * SECOND);
         play.mood = [Mood::Failing(40); 3];
         play.run(6 * SECOND);
@@ -312,7 +316,7 @@
 #[test]
 fn a_flapping_zone_is_held_longer_each_time() {
     seeds(|seed| {
-        let mut play = Play::new(17 * MS, seed);
+        let mut play = Play::new(17 * MILLISECOND, seed);
         play.run(10 * SECOND);
         let mut spent = Vec::new();
         for _ in 0..10 {
@@ -330,7 +334,7 @@
 
 #[test]
 fn operators_close_and_open_for_a_time() {
-    let mut play = Play::new(17 * MS, 1);
+    let mut play = Play::new(17 * MILLISECOND, 1);
     play.run(2 * SECOND);
     let until = play.now + 2 * SECOND;
     play.hear(Event::OperatorOverride {
@@ -369,7 +373,7 @@
         &mut actions,
     );
     for attempt in 0..200 {
-        let now = attempt * 10 * MS;
+        let now = attempt * 10 * MILLISECOND;
         watch.handle(
             now,
             Event::AttemptSent {
@@ -381,7 +385,7 @@
             &mut actions,
         );
         watch.handle(
-            now + MS,
+            now + MILLISECOND,
             Event::AttemptEnded {
                 attempt,
                 seen: AttemptSignal::ConnectionFailed,
--- a/core/zone-health/src/peer_observations.rs
+++ b/core/zone-health/src/peer_observations.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::observation::{ObservedState, ZoneObservation};
-use crate::{MS, Nanos, SECOND};
+use crate::time::{MILLISECOND, Nanos, SECOND};
 
 /// Members whose sights are kept; a fleet is smaller.
 const MEMBERS_MOST: usize = 4096;
@@ -22,7 +22,7 @@
 const FRESH: Nanos = 3 * SECOND;
 const LATE: Nanos = 2 * SECOND;
 /// Evidence counts for less: an open attempt is answered or grows older meanwhile.
-const EVIDENCE_FRESH: Nanos = 500 * MS;
+const EVIDENCE_FRESH: Nanos = 500 * MILLISECOND;
 /// Trials of one node that count for others.
 const TRIALS_OF_ONE: u32 = 2;
 
@@ -182,7 +182,7 @@
                     view.trials += tries;
                     view.triers += u32::from(tries > 0);
                     if bad_ms < u16::MAX {
-                        view.bad_ago = view.bad_ago.min(Nanos::from(bad_ms) * MS + age);
+                        view.bad_ago = view.bad_ago.min(Nanos::from(bad_ms) * MILLISECOND + age);
                     }
                 }
                 ObservedState::Recovering { step, good } => {
@@ -212,7 +212,7 @@
 /// How often a node says again what it has said of a zone that is not open, among so many: all of it together stays
 /// within bounds.
 pub(crate) fn refresh(members: usize) -> Nanos {
-    SECOND.max(members as Nanos * 10 * MS)
+    SECOND.max(members as Nanos * 10 * MILLISECOND)
 }
 
 #[cfg(test)]
--- a/core/zone-health/src/peer_observations/tests.rs
+++ b/core/zone-health/src/peer_observations/tests.rs
@@ -132,6 +132,9 @@
             bad_ms: 40,
         }),
     );
-    let view = fleet.view(NOW + MS, 0, 0, (0.0, 0.0, false));
-    assert_eq!((view.trials, view.triers, view.bad_ago), (8, 4, 41 * MS));
+    let view = fleet.view(NOW + MILLISECOND, 0, 0, (0.0, 0.0, false));
+    assert_eq!(
+        (view.trials, view.triers, view.bad_ago),
+        (8, 4, 41 * MILLISECOND)
+    );
 }
--- /dev/null
+++ b/core/zone-health/src/random/tests.rs
@@ -0,0 +1,15 @@
+//! Recorded draws: reproducible runs depend on them.
+
+use super::*;
+
+#[test]
+fn draws_the_recorded_fractions() {
+    let mut generator = LinearCongruentialGenerator::new(7);
+    let drawn = [(); 3].map(|()| generator.next_fraction().to_bits());
+    let recorded = [
+        0x3fdb_f9b0_40d5_d710,
+        0x3fef_c8db_c3ff_7807,
+        0x3fe8_0f66_6ad7_9e05,
+    ];
+    assert_eq!(drawn, recorded);
+}
--- a/core/zone-health/src/traffic_division.rs
+++ b/core/zone-health/src/traffic_division.rs
@@ -1,35 +1,45 @@
-//! Where the load of a closed zone goes: to the other zones by the room they have, so that no one zone gets it all.
+//! Divides the traffic that the local zone does not take among the other zones, in proportion to their free capacity.
 
-/// A zone that may take part.
+/// A zone that may take traffic of the local zone.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ZoneCapacity {
-    /// The sizes of its servers together.
+    /// Sum of the sizes of its servers, less what its state withholds.
     pub(crate) size: f64,
-    /// Use of its cores, where it was lately reported.
-    pub(crate) util: Option<f64>,
-    /// Whether it may take anything.
-    pub(crate) open: bool,
+    /// Utilization of its cores, from 0 to 1, if recently reported.
+    pub(crate) utilization: Option<f64>,
+    /// Whether the zone may take any traffic.
+    pub(crate) is_available: bool,
 }
 
-/// Use of a zone that nobody has told of.
-const UNKNOWN: f64 = 0.5;
-/// Least part of its size that counts as room: a late figure must not close a zone.
-const LEAST: f64 = 0.05;
+/// Utilization assumed for a zone that has not reported any.
+const DEFAULT_UTILIZATION: f64 = 0.5;
+/// Fraction of its size that counts as free at the least: an outdated report must not exclude a zone.
+const MINIMUM_FREE_FRACTION: f64 = 0.05;
 
-/// Each zone's part of what has to go somewhere else, adding up to 1 where any may take part.
-pub(crate) fn divide(rooms: &[ZoneCapacity]) -> Vec<f64> {
-    let room = |room: &ZoneCapacity| {
-        let free = (1.0 - room.util.unwrap_or(UNKNOWN)).clamp(LEAST, 1.0);
-        if room.open {
-            room.size.max(0.0) * free
-        } else {
-            0.0
+impl ZoneCapacity {
+    /// The capacity left for more traffic, in units of size.
+    fn free_capacity(&self) -> f64 {
+        if !self.is_available {
+            return 0.0;
         }
-    };
-    let total: f64 = rooms.iter().map(room).sum();
-    rooms
+        let utilization = self.utilization.unwrap_or(DEFAULT_UTILIZATION);
+        let free_fraction = (1.0 - utilization).clamp(MINIMUM_FREE_FRACTION, 1.0);
+        self.size.max(0.0) * free_fraction
+    }
+}
+
+/// Each zone's fraction of the traffic. The fractions add up to 1, or are all 0 if no zone has free capacity.
+pub(crate) fn divide_traffic(zones: &[ZoneCapacity]) -> Vec<f64> {
+    let total: f64 = zones.iter().map(ZoneCapacity::free_capacity).sum();
+    zones
         .iter()
-        .map(|one| if total > 0.0 { room(one) / total } else { 0.0 })
+        .map(|zone| {
+            if total > 0.0 {
+                zone.free_capacity() / total
+            } else {
+                0.0
+            }
+        })
         .collect()
 }
 
--- a/core/zone-health/src/traffic_division/tests.rs
+++ b/core/zone-health/src/traffic_division/tests.rs
@@ -1,16 +1,22 @@
+//! Division among zones with different utilization and availability.
+
 use super::*;
 
 #[test]
-fn parts_follow_the_room_and_closed_zones_get_none() {
-    let room = |size, util, open| ZoneCapacity { size, util, open };
-    let parts = divide(&[
-        room(10.0, Some(0.4), true),
-        room(10.0, Some(0.8), true),
-        room(50.0, Some(0.1), false),
-        room(10.0, None, true),
+fn fractions_follow_free_capacity_and_unavailable_zones_get_none() {
+    let zone = |size, utilization, is_available| ZoneCapacity {
+        size,
+        utilization,
+        is_available,
+    };
+    let fractions = divide_traffic(&[
+        zone(10.0, Some(0.4), true),
+        zone(10.0, Some(0.8), true),
+        zone(50.0, Some(0.1), false),
+        zone(10.0, None, true),
     ]);
-    assert_eq!(parts[2], 0.0);
-    assert!((parts.iter().sum::<f64>() - 1.0).abs() < 1e-9);
-    assert!((parts[0] / parts[1] - 3.0).abs() < 1e-9);
-    assert_eq!(divide(&[room(1.0, None, false)]), [0.0]);
+    assert_eq!(fractions[2], 0.0);
+    assert!((fractions.iter().sum::<f64>() - 1.0).abs() < 1e-9);
+    assert!((fractions[0] / fractions[1] - 3.0).abs() < 1e-9);
+    assert_eq!(divide_traffic(&[zone(1.0, None, false)]), [0.0]);
 }
--- a/core/zone-health/src/zone_state.rs
+++ b/core/zone-health/src/zone_state.rs
@@ -5,7 +5,7 @@
 use crate::evidence::Evidence;
 use crate::observation::ObservedState;
 use crate::peer_observations::PeerSummary;
-use crate::{MS, Nanos, SECOND};
+use crate::time::{MILLISECOND, Nanos, SECOND};
 
 /// Evidence at which a zone gets nothing new: log-likelihoods, so chance comes to it once in 150 cases that are as
 /// bad as the test can tell, and the next answer takes it back.
@@ -22,11 +22,11 @@
 pub(crate) const SLOW: f64 = 4.0;
 const COLD: f64 = 8.0;
 /// A doubt that no answer has ended for so long closes the zone. A link that is cut for a moment ends it sooner.
-const DOUBT_FOR: Nanos = 300 * MS;
+const DOUBT_FOR: Nanos = 300 * MILLISECOND;
 /// The same where the attempts that could still answer are too few to tell a dead zone from a slow one.
 const DOUBT_MOST: Nanos = SECOND;
 /// A closed zone is not tried earlier than this; doubled for each time that it was closed again.
-const HOLD: Nanos = 500 * MS;
+const HOLD: Nanos = 500 * MILLISECOND;
 const HOLDS: u32 = 7;
 /// A zone that stayed open this long starts anew with the first.
 const FORGIVEN: Nanos = 60 * SECOND;
@@ -40,10 +40,10 @@
 pub(crate) const CROWD_ALONE: f64 = 8.0;
 const CROWD_MOST: f64 = 240.0;
 /// After an answer the next trial follows soon.
-const TRIAL_NEXT: Nanos = 50 * MS;
+const TRIAL_NEXT: Nanos = 50 * MILLISECOND;
 /// The steps of the return and how long each lasts at least: long enough that answers to it have come.
 const STEPS: [f64; 5] = [0.05, 0.1, 0.2, 0.4, 0.7];
-const STEP_FOR: Nanos = 300 * MS;
+const STEP_FOR: Nanos = 300 * MILLISECOND;
 /// No further step while answers take this many times as long as usual, and as long again as in the first step: cold
 /// servers are slow without any load. A step lasts no longer for that than this: the evidence still watches.
 const STRETCHED: f64 = 3.0;
@@ -53,7 +53,7 @@
 const FAILING_TOO: f64 = 0.15;
 /// A trial that was not answered stands against so many trials of other nodes for so long: with silence, and with
 /// failures, where single answers prove little.
-const BAD_FOR: Nanos = 500 * MS;
+const BAD_FOR: Nanos = 500 * MILLISECOND;
 const BAD_FAILED_FOR: Nanos = 4 * SECOND;
 /// A node that has opened a zone by itself follows nobody who has not, for so long.
 const OPENED: Nanos = 4 * SECOND;
@@ -208,7 +208,7 @@
             ZoneStage::Healthy => ObservedState::Healthy,
             ZoneStage::Suspected { .. } => ObservedState::Suspected,
             ZoneStage::Ejected { answered, .. } => {
-                let bad = self.bad.map(|bad| awake.saturating_sub(bad) / MS);
+                let bad = self.bad.map(|bad| awake.saturating_sub(bad) / MILLISECOND);
                 let bad_ms = bad
                     .and_then(|ms| u16::try_from(ms).ok())
                     .unwrap_or(u16::MAX);
