--- /dev/null
+++ b/core/zone-health/src/attempt_tracker.rs
@@ -0,0 +1,103 @@
+//! Outstanding attempts and the response times of each class.
+
+use std::collections::BTreeMap;
+
+use crate::evidence::{OutstandingAttempt, SilenceTest};
+use crate::ids::{AttemptKey, ClassIndex, ZoneIndex};
+use crate::latency_histogram::LatencyHistogram;
+use crate::time::{MILLISECOND, Nanos, SECOND};
+
+/// Outstanding attempts that are tracked; the caller has no more connections than that for its requests.
+const MAXIMUM_OUTSTANDING_ATTEMPTS: usize = 65_536;
+/// Slowdown of responses that a timed-out attempt allows for before it counts as a failed recovery probe.
+const TIMEOUT_SLOWDOWN: f64 = 2.0;
+/// Evidence of silence above which a timed-out attempt counts as a failed recovery probe.
+const TIMEOUT_EVIDENCE_THRESHOLD: f64 = 1.0;
+/// Fraction of the responses that a recovery probe's timeout is based on.
+const PROBE_TIMEOUT_QUANTILE: f64 = 0.95;
+/// A recovery probe's timeout, in multiples of the slowest class's response time.
+const PROBE_TIMEOUT_FACTOR: u64 = 3;
+/// Lower bound of a recovery probe's timeout.
+const MINIMUM_PROBE_TIMEOUT: Nanos = 50 * MILLISECOND;
+/// Upper bound of a recovery probe's timeout, and the timeout while response times are unknown.
+const MAXIMUM_PROBE_TIMEOUT: Nanos = 2 * SECOND;
+
+/// Outstanding attempts, and what ended ones showed about response times.
+pub(crate) struct AttemptTracker {
+    outstanding: BTreeMap<AttemptKey, OutstandingAttempt>,
+    /// Response times by class.
+    latencies: Vec<LatencyHistogram>,
+}
+
+impl AttemptTracker {
+    /// A tracker without attempts, for this number of request classes.
+    pub(crate) fn new(class_count: usize) -> Self {
+        Self {
+            outstanding: BTreeMap::new(),
+            latencies: vec![LatencyHistogram::new(); class_count],
+        }
+    }
+
+    /// Tracks an attempt, unless its class is unknown or too many are outstanding.
+    pub(crate) fn insert(&mut self, key: AttemptKey, attempt: OutstandingAttempt) {
+        let is_known_class = attempt.class.position() < self.latencies.len();
+        if is_known_class && self.outstanding.len() < MAXIMUM_OUTSTANDING_ATTEMPTS {
+            self.outstanding.insert(key, attempt);
+        }
+    }
+
+    /// Ends the tracking of an attempt; none if it was not tracked.
+    pub(crate) fn remove(&mut self, key: AttemptKey) -> Option<OutstandingAttempt> {
+        self.outstanding.remove(&key)
+    }
+
+    /// Whether no attempt is outstanding.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.outstanding.is_empty()
+    }
+
+    /// The outstanding attempts to a zone.
+    pub(crate) fn outstanding_in(
+        &self,
+        zone: ZoneIndex,
+    ) -> impl Iterator<Item = &OutstandingAttempt> {
+        self.outstanding
+            .values()
+            .filter(move |attempt| attempt.zone == zone)
+    }
+
+    /// What the silence of a zone with this number of servers is measured against.
+    pub(crate) fn silence_test(&self, server_count: u32, slowdown: f64) -> SilenceTest<'_> {
+        SilenceTest {
+            latencies: &self.latencies,
+            server_count,
+            slowdown,
+        }
+    }
+
+    /// Records a response time. Returns it relative to the class's median.
+    pub(crate) fn record_latency(&mut self, class: ClassIndex, duration: Nanos) -> f64 {
+        let latency = &mut self.latencies[class.position()];
+        let usual = latency.median().unwrap_or(duration).max(1);
+        latency.record(duration);
+        duration as f64 / usual as f64
+    }
+
+    /// Whether an attempt that timed out after this duration had waited longer than most responses take.
+    pub(crate) fn is_significant_timeout(&self, class: ClassIndex, duration: Nanos) -> bool {
+        let evidence =
+            self.latencies[class.position()].silence_evidence(duration, TIMEOUT_SLOWDOWN);
+        evidence > TIMEOUT_EVIDENCE_THRESHOLD
+    }
+
+    /// How long a recovery probe waits for its response.
+    pub(crate) fn probe_timeout(&self) -> Nanos {
+        self.latencies
+            .iter()
+            .filter_map(|latency| latency.quantile(PROBE_TIMEOUT_QUANTILE))
+            .max()
+            .map_or(MAXIMUM_PROBE_TIMEOUT, |slowest| {
+                (slowest * PROBE_TIMEOUT_FACTOR).clamp(MINIMUM_PROBE_TIMEOUT, MAXIMUM_PROBE_TIMEOUT)
+            })
+    }
+}
--- a/core/zone-health/src/lib.rs
+++ b/core/zone-health/src/lib.rs
@@ -1,23 +1,40 @@
-//! Which zones a node may send to. All that a node sees at a zone counts together: answers, errors, connections that
-//! don't come about, and silence; and what other nodes say that they see, where there are any. Where that is more than chance and other zones are left, the zone gets nothing new;
-//! it is tried now and then, and taken back by steps. `docs/design/zones.md` has the test and its error rates.
+//! Decides which zones a node may send requests to.
 //!
-//! `handle(now, event, &mut actions)`, no I/O, no clock, no randomness but the seed's. Times are nanoseconds on the
-//! embedder's clock.
+//! The monitor gathers evidence about each zone from the node's own attempts (responses, errors, failed connections
+//! and silence), and from the observations that other nodes gossip. A zone with more evidence against it than chance
+//! explains gets no new requests while other zones are left. It is ejected if that is confirmed, then probed now and
+//! then, and recovers step by step. The zone's states and transitions are drawn in `zone_state.rs`;
+//! `docs/design/zones.md` gives the statistical tests and their error rates.
+//!
+//! The crate does no I/O: [`ZoneMonitor::handle`] takes the time and an [`Event`] and appends [`Action`]s. All random
+//! draws follow from the seed in [`Settings`].
 
-mod api;
+mod action;
+mod assessment;
+mod attempt_tracker;
+mod clock;
 mod decaying_cusum;
+mod event;
 mod evidence;
+mod ids;
 mod latency_histogram;
 mod monitor;
 mod observation;
+mod observation_publisher;
 mod peer_observations;
+mod peer_summary;
 mod random;
+mod recovery_probes;
+mod share_publisher;
 mod time;
 mod traffic_division;
+mod zone_entry;
 mod zone_state;
+mod zone_table;
 
-pub use api::{Action, AttemptSignal, Event, Settings, ZoneStateReason};
+pub use action::{Action, ZoneStateReason};
+pub use event::{AttemptSignal, Event, ListedServer, OverrideMode, Settings, ZoneOverride};
+pub use ids::{AttemptKey, ClassIndex, GossipZone, MemberId, ServerId, ZoneIndex};
 pub use monitor::ZoneMonitor;
 pub use observation::{ObservedState, ZoneObservation};
 pub use time::Nanos;
--- a/core/zone-health/src/monitor.rs
+++ b/core/zone-health/src/monitor.rs
@@ -1,118 +1,111 @@
-//! One node's watch over all zones: takes the events in, keeps the clock of the time awake, and says the shares.
+//! One node's monitor of all zones: takes events in, assesses the zones, and emits their shares, recovery probes and
+//! gossip.
 
-use std::collections::BTreeMap;
-
-use crate::api::{Action, AttemptSignal, Event, Settings, ZoneStateReason};
-use crate::evidence::{OutstandingAttempt, USUAL};
-use crate::latency_histogram::LatencyHistogram;
-use crate::observation::{ObservedState, ZoneObservation, hundredths};
-use crate::peer_observations::{self, PeerObservations, PeerSummary};
+use crate::action::Action;
+use crate::assessment::EvidenceSnapshot;
+use crate::attempt_tracker::AttemptTracker;
+use crate::clock::MonitorClock;
+use crate::event::{AttemptSignal, Event, Settings};
+use crate::evidence::{OutstandingAttempt, SilenceEvidence};
+use crate::ids::{AttemptKey, GossipZone, MemberId, ZoneIndex};
+use crate::observation::ZoneObservation;
+use crate::observation_publisher::{Recipients, is_negligible, sent_evidence};
+use crate::peer_observations::{PeerObservations, refresh_interval};
+use crate::peer_summary::{OwnObservation, PeerSummary};
 use crate::random::LinearCongruentialGenerator;
-use crate::time::{MILLISECOND, Nanos, SECOND};
-use crate::traffic_division::{ZoneCapacity, divide_traffic};
-use crate::zone_state::{CROWD_ALONE, EvidenceSnapshot, SLOW, ZoneStage, ZoneState};
-
-/// How often open attempts are looked at.
-const LOOK: Nanos = 25 * MILLISECOND;
-/// A wake-up that comes so late means that this process did not run: that time says nothing of others.
-const LATE: Nanos = 20 * MILLISECOND;
-/// A burst of failures is weighed once in this time.
-const LEAST_LOOK: Nanos = MILLISECOND;
-/// Open attempts that are watched; the embedder has no more requests open than connections for them.
-const OUTS_MOST: usize = 65_536;
-/// A reported use of cores counts for so long.
-const UTIL_FOR: Nanos = 4 * SECOND;
-/// A change of a share that is worth telling.
-const TELL: f64 = 0.05;
-/// Answers of a class elsewhere that a comparison takes, as if they had failed as usual.
-const ELSEWHERE: f64 = 5.0;
-/// How long a trial's answer is waited for: so many times what nearly all answers take, within bounds.
-const TRIAL_STRETCH: u64 = 3;
-const TRIAL_WAIT: (Nanos, Nanos) = (50 * MILLISECOND, 2 * SECOND);
+use crate::recovery_probes::ProbeContext;
+use crate::time::{MILLISECOND, Nanos};
+use crate::zone_entry::ZoneEntry;
+use crate::zone_state::{SLOWDOWN_TOLERANCE, ZoneState};
+use crate::zone_table::ZoneTable;
 
-/// With an answer from a zone that is no older, this node hears from it.
-const HEARS: Nanos = 100 * MILLISECOND;
-/// Evidence that is worth telling the others, and the steps in which it grows, in hundredths.
-const TELLS: u16 = 100;
-const TELL_STEP: u16 = 50;
-/// Beyond this it tells no more: one node's word is worth less.
-const TELL_MOST: u16 = 300;
-/// So many members tell one that is new what they see, in the mean.
-const TELLERS: f64 = 8.0;
-/// A node that hears from a zone others speak against says so no more often than this.
-const HEARS_AGAIN: Nanos = 200 * MILLISECOND;
+/// How often the zones are assessed while attempts are outstanding.
+const ASSESSMENT_INTERVAL: Nanos = 25 * MILLISECOND;
+/// A timer is left as it is if it fires at most this much later than needed.
+const TIMER_TOLERANCE: Nanos = ASSESSMENT_INTERVAL / 2;
+/// A timer that is due already fires after this time.
+const MINIMUM_TIMER_DELAY: Nanos = MILLISECOND;
+/// Time between two assessments in a burst of ended attempts or of gossip.
+const MINIMUM_ASSESSMENT_INTERVAL: Nanos = MILLISECOND;
+/// Slowdown of responses that does not count as silence when it comes to suspecting a zone.
+const SUSPICION_SLOWDOWN_TOLERANCE: f64 = 2.0;
+/// Number of members, on average, that repeat their observations for a new member.
+const MEMBERS_REPEATING_FOR_NEWCOMER: f64 = 8.0;
+/// Upper bound of the nodes assumed to share recovery probes without gossip, where no other node's probe helps.
+const MAXIMUM_PROBING_NODES_WITHOUT_GOSSIP: f64 = 8.0;
 
-#[derive(Clone, Copy, Default)]
-struct Place {
-    servers: u32,
-    size: f64,
-    util: Option<(Nanos, f64)>,
-    hand: Option<(bool, Nanos)>,
-    told: Option<(f64, &'static str)>,
-    /// What the other nodes were last told, and when.
-    said: Option<(Nanos, ZoneObservation)>,
+/// When the zones are assessed after an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AssessmentNeed {
+    /// Not because of this event.
+    None,
+    /// Now, unless they were assessed a moment ago and a timer is pending.
+    UnlessJustDone,
+    /// Now.
+    Immediate,
 }
 
-/// What one node knows of the zones.
+/// The zone health monitor of one node.
 pub struct ZoneMonitor {
     settings: Settings,
-    courses: Vec<ZoneState>,
-    places: Vec<Place>,
-    listed: BTreeMap<u32, u32>,
-    outs: BTreeMap<u64, OutstandingAttempt>,
-    times: Vec<LatencyHistogram>,
-    /// The time that this process did not run, and the last moment that it surely did.
-    slept: Nanos,
-    now: Nanos,
-    wake: Option<Nanos>,
-    looked: Nanos,
-    /// No zone answers; until one does.
-    cut_off: bool,
-    /// The other nodes, where there are any.
-    fleet: PeerObservations,
-    /// They have said something that was not weighed yet.
-    unweighed: bool,
+    zones: ZoneTable,
+    attempts: AttemptTracker,
+    clock: MonitorClock,
+    /// On the caller's clock.
+    last_assessment_at: Nanos,
+    /// Whether no zone responded at the last assessment, and no response has come since.
+    is_cut_off: bool,
+    peers: PeerObservations,
+    /// Whether gossip has arrived, or must be repeated, since the last assessment.
+    has_pending_gossip: bool,
     random: LinearCongruentialGenerator,
 }
 
 impl ZoneMonitor {
-    /// A node that has seen nothing yet.
+    /// A monitor that has observed nothing yet: all zones are healthy.
+    #[must_use]
     pub fn new(settings: Settings, now: Nanos) -> Self {
-        let zones = settings.zone_count as usize;
+        let class_count = settings.class_count as usize;
         Self {
-            courses: (0..zones)
-                .map(|_| ZoneState::new(settings.class_count))
-                .collect(),
-            places: vec![Place::default(); zones],
-            listed: BTreeMap::new(),
-            outs: BTreeMap::new(),
-            times: vec![LatencyHistogram::new(); settings.class_count as usize],
-            slept: 0,
-            now,
-            wake: None,
-            looked: 0,
-            cut_off: false,
-            fleet: PeerObservations::default(),
-            unweighed: false,
+            zones: ZoneTable::new(&settings),
+            attempts: AttemptTracker::new(class_count),
+            clock: MonitorClock::new(now),
+            last_assessment_at: 0,
+            is_cut_off: false,
+            peers: PeerObservations::default(),
+            has_pending_gossip: false,
             random: LinearCongruentialGenerator::new(settings.seed),
             settings,
         }
     }
 
-    /// Takes one event in and adds what is to be done. A clock that steps back stands still.
+    /// Handles one event and appends what the caller has to do. If `now` steps back, the monitor's clock stands still.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
-        self.now = self.now.max(now);
-        if let Some(due) = self.wake
-            && self.now > due + LATE
-        {
-            self.slept += self.now - due;
-            self.wake = Some(self.now);
+        self.clock.advance(now);
+        let is_needed = match self.apply(event) {
+            AssessmentNeed::None => false,
+            AssessmentNeed::UnlessJustDone => !self.is_just_assessed(),
+            AssessmentNeed::Immediate => true,
+        };
+        if is_needed {
+            self.assess_zones(actions);
         }
-        let mut burst = false;
-        let look = match event {
+        self.schedule_timer(actions);
+    }
+
+    /// Whether the zones were assessed a moment ago and will be again by the pending timer.
+    fn is_just_assessed(&self) -> bool {
+        self.clock.now() < self.last_assessment_at + MINIMUM_ASSESSMENT_INTERVAL
+            && self.clock.has_timer()
+    }
+
+    /// Updates the state by an event.
+    fn apply(&mut self, event: Event) -> AssessmentNeed {
+        match event {
             Event::EndpointsListed(servers) => {
-                self.list(&servers);
-                true
+                let awake_now = self.clock.awake_now();
+                self.zones.set_servers(awake_now, &servers);
+                AssessmentNeed::Immediate
             }
             Event::AttemptSent {
                 attempt,
@@ -120,444 +113,375 @@
                 zone,
                 class,
             } => {
-                self.sent(
-                    attempt,
-                    OutstandingAttempt {
-                        server,
-                        zone,
-                        class,
-                        since: self.awake(),
-                    },
-                );
-                false
+                let sent_at = self.clock.awake_now();
+                let outstanding = OutstandingAttempt {
+                    server,
+                    zone,
+                    class,
+                    sent_at,
+                };
+                self.attempt_sent(attempt, outstanding);
+                AssessmentNeed::None
             }
             Event::AttemptEnded {
                 attempt,
-                seen,
-                util,
-            } => {
-                burst = self.now < self.looked + LEAST_LOOK && self.wake.is_some();
-                self.ended(attempt, seen, util)
-            }
+                signal,
+                utilization,
+            } => self.attempt_ended(attempt, signal, utilization),
             Event::TimerFired => {
-                self.wake = None;
-                true
+                self.clock.clear_timer();
+                AssessmentNeed::Immediate
             }
-            Event::OperatorOverride { zone, order } => {
-                if let Some(place) = self.places.get_mut(zone as usize) {
-                    place.hand = order;
+            Event::OperatorOverride {
+                zone,
+                zone_override,
+            } => {
+                if self.zones.contains(zone) {
+                    self.zones.entry_mut(zone).set_override(zone_override);
                 }
-                true
+                AssessmentNeed::Immediate
             }
-            Event::PeerChanged { member, home, up } => {
-                self.fleet.member(member, home, up);
-                if up {
-                    self.tell_again();
-                }
-                false
+            Event::PeerChanged {
+                member,
+                home_zone,
+                is_up,
+            } => {
+                self.peer_changed(member, home_zone, is_up);
+                AssessmentNeed::None
             }
             Event::PeerObserved {
                 member,
                 zone,
-                sent,
-                sight,
-            } => {
-                let known = usize::from(zone) < self.courses.len();
-                // A burst of words is weighed with the next look.
-                burst = self.now < self.looked + LEAST_LOOK && self.wake.is_some();
-                let counts = known && self.fleet.said(self.now, member, zone, sent, sight);
-                self.unweighed |= counts;
-                counts
-            }
-        };
-        if look && !burst {
-            self.look(actions);
+                sent_at,
+                observation,
+            } => self.peer_observed(member, zone, sent_at, observation),
         }
-        self.arm(actions);
     }
 
-    /// The clock of the time that this process ran.
-    fn awake(&self) -> Nanos {
-        self.now - self.slept.min(self.now)
+    /// The zone of this node.
+    fn local_zone(&self) -> ZoneIndex {
+        ZoneIndex(self.settings.local_zone)
     }
 
-    fn crowd(&self) -> f64 {
-        if self.fleet.len() > 0 {
-            return f64::from(self.fleet.count(self.settings.local_zone as u8) + 1);
+    /// Number of nodes that share the recovery probes to a zone.
+    fn probing_nodes(&self) -> f64 {
+        if self.peers.is_empty() {
+            let nodes_per_zone =
+                f64::from(self.settings.node_count) / f64::from(self.settings.zone_count.max(1));
+            return nodes_per_zone.clamp(1.0, MAXIMUM_PROBING_NODES_WITHOUT_GOSSIP);
         }
-        (f64::from(self.settings.node_count) / f64::from(self.settings.zone_count.max(1)))
-            .clamp(1.0, CROWD_ALONE)
+        let peers_in_zone = self.peers.count_in_zone(self.local_zone().into());
+        (peers_in_zone + 1) as f64
     }
 
-    fn list(&mut self, servers: &[(u32, u32, f64)]) {
-        let awake = self.awake();
-        self.listed = servers
-            .iter()
-            .map(|(server, zone, _)| (*server, *zone))
-            .collect();
-        for (zone, (place, course)) in self.places.iter_mut().zip(&mut self.courses).enumerate() {
-            let there = || servers.iter().filter(|(_, at, _)| *at as usize == zone);
-            let before = std::mem::replace(&mut place.servers, there().count() as u32);
-            if before == 0 && place.servers > 0 {
-                course.listed_anew(awake);
-            }
-            place.size = there().map(|(.., size)| size).sum();
-            let listed = &self.listed;
-            course
-                .evidence
-                .retain(|server| listed.contains_key(&server));
+    /// The context of a decision on recovery probes; draws a random number.
+    fn draw_probe_context(&mut self) -> ProbeContext {
+        ProbeContext {
+            sharing_nodes: self.probing_nodes(),
+            random_fraction: self.random.next_fraction(),
         }
     }
 
-    fn sent(&mut self, attempt: u64, out: OutstandingAttempt) {
-        let known =
-            (out.zone as usize) < self.courses.len() && (out.class as usize) < self.times.len();
-        if known && self.outs.len() < OUTS_MOST {
-            self.outs.insert(attempt, out);
+    /// Tracks an attempt, if its zone is known.
+    fn attempt_sent(&mut self, key: AttemptKey, attempt: OutstandingAttempt) {
+        if self.zones.contains(attempt.zone) {
+            self.attempts.insert(key, attempt);
         }
     }
 
-    /// Whether it is worth a look.
-    fn ended(&mut self, attempt: u64, seen: AttemptSignal, util: Option<f64>) -> bool {
-        let Some(out) = self.outs.remove(&attempt) else {
-            return false;
+    /// Takes the end of an attempt into account.
+    fn attempt_ended(
+        &mut self,
+        key: AttemptKey,
+        signal: AttemptSignal,
+        utilization: Option<f64>,
+    ) -> AssessmentNeed {
+        let Some(attempt) = self.attempts.remove(key) else {
+            return AssessmentNeed::None;
         };
-        let (awake, zone, crowd, draw) = (
-            self.awake(),
-            out.zone as usize,
-            self.crowd(),
-            self.random.next_fraction(),
-        );
-        let elsewhere = self.elsewhere(out.zone, out.class);
-        if let Some(util) = util.filter(|util| (0.0..=2.0).contains(util)) {
-            let before = self.places[zone].util.map_or(util, |(_, before)| before);
-            self.places[zone].util = Some((self.now, before + 0.1 * (util - before)));
+        let probes = self.draw_probe_context();
+        let awake_now = self.clock.awake_now();
+        let usual_failure_rate =
+            self.zones
+                .failure_rate_elsewhere(awake_now, attempt.zone, attempt.class);
+        if let Some(utilization) = utilization {
+            let now = self.clock.now();
+            let entry = self.zones.entry_mut(attempt.zone);
+            entry.record_utilization(now, utilization);
         }
-        let servers = self.places[zone].servers;
-        if matches!(
-            seen,
-            AttemptSignal::Answered | AttemptSignal::Failed | AttemptSignal::Inconclusive
-        ) && std::mem::take(&mut self.cut_off)
-        {
-            // The node itself was cut off: what stayed silent meanwhile speaks against nobody.
-            self.courses
-                .iter_mut()
-                .for_each(|course| course.open(awake));
+        if is_response(signal) && self.is_cut_off {
+            self.reconnected();
         }
-        let course = &mut self.courses[zone];
-        let span = awake.saturating_sub(out.since);
-        match seen {
+        let duration = awake_now.saturating_sub(attempt.sent_at);
+        let entry = self.zones.entry_mut(attempt.zone);
+        match signal {
             AttemptSignal::Answered => {
-                let times = &mut self.times[out.class as usize];
-                let usual = times.median().unwrap_or(span).max(1);
-                times.record(span);
-                course.evidence.answered(awake, span as f64 / usual as f64);
-                course.evidence.told(awake, &out, false, true, elsewhere);
-                course.tried(awake, true, servers, crowd, draw);
+                let slowdown = self.attempts.record_latency(attempt.class, duration);
+                entry.record_success(awake_now, &attempt, slowdown, usual_failure_rate);
             }
             AttemptSignal::Failed => {
-                // An error is an answer: the zone is not silent.
-                course.evidence.heard(awake);
-                course.evidence.told(awake, &out, true, true, elsewhere);
-                course.tried(awake, false, servers, crowd, draw);
+                entry.record_error(awake_now, &attempt, usual_failure_rate, probes);
             }
             AttemptSignal::ConnectionFailed => {
-                course.evidence.told(awake, &out, true, false, elsewhere);
-                course.tried(awake, false, servers, crowd, draw);
+                entry.record_connection_failure(awake_now, &attempt, usual_failure_rate, probes);
             }
             AttemptSignal::TimedOut => {
-                course.evidence.fell_silent(&out, awake);
-                if self.times[out.class as usize].silence_evidence(span, 2.0) > 1.0 {
-                    course.tried(awake, false, servers, crowd, draw);
+                entry.state.evidence.record_timeout(attempt, awake_now);
+                if self
+                    .attempts
+                    .is_significant_timeout(attempt.class, duration)
+                {
+                    entry.state.attempt_failed(awake_now, probes);
                 }
             }
-            AttemptSignal::Inconclusive => course.evidence.heard(awake),
-            AttemptSignal::NotSent => return false,
+            AttemptSignal::Inconclusive => entry.state.evidence.record_response(awake_now),
+            AttemptSignal::NotSent => return AssessmentNeed::None,
         }
-        seen != AttemptSignal::Answered || course.stage != ZoneStage::Healthy
+        if signal == AttemptSignal::Answered && entry.state.is_healthy() {
+            return AssessmentNeed::None;
+        }
+        AssessmentNeed::UnlessJustDone
     }
 
-    /// Share of a class's requests that fails in the other zones now.
-    fn elsewhere(&self, zone: u32, class: u32) -> f64 {
-        let awake = self.awake();
-        let others = self
-            .courses
-            .iter()
-            .zip(0..)
-            .filter(|(_, other)| *other != zone);
-        let (failed, all) = others.fold((0.0, 0.0), |sum, (course, _)| {
-            let (failed, all) = course.evidence.failed(class, awake);
-            (sum.0 + failed, sum.1 + all)
-        });
-        (failed + USUAL * ELSEWHERE) / (all + ELSEWHERE)
+    /// Ends the time during which this node was cut off: the silence of that time is evidence against no zone.
+    fn reconnected(&mut self) {
+        self.is_cut_off = false;
+        self.zones.restore_all(self.clock.awake_now());
     }
 
-    fn hand(&self, zone: usize) -> Option<bool> {
-        self.places[zone]
-            .hand
-            .filter(|(_, until)| self.now < *until)
-            .map(|(closed, _)| closed)
+    /// Adds or removes a member. Some members, drawn at random, repeat their observations for a new one.
+    fn peer_changed(&mut self, member: MemberId, home_zone: GossipZone, is_up: bool) {
+        self.peers.update_member(member, home_zone, is_up);
+        if !is_up {
+            return;
+        }
+        let peer_count = self.peers.len() as f64;
+        if self.random.next_fraction() * peer_count < MEMBERS_REPEATING_FOR_NEWCOMER {
+            self.zones.expire_observations();
+            self.has_pending_gossip = true;
+        }
     }
 
-    /// Whether a zone could take what another does not.
-    fn could_take(&self, zone: usize) -> bool {
-        self.places[zone].servers > 0
-            && self.hand(zone) != Some(true)
-            && self.courses[zone].part() > 0.0
+    /// Stores another node's observation. A burst of them is assessed once.
+    fn peer_observed(
+        &mut self,
+        member: MemberId,
+        zone: GossipZone,
+        sent_at: Nanos,
+        observation: ZoneObservation,
+    ) -> AssessmentNeed {
+        let is_known_zone = self.zones.contains(zone.into());
+        let now = self.clock.now();
+        if !is_known_zone || !self.peers.record(now, member, zone, sent_at, observation) {
+            return AssessmentNeed::None;
+        }
+        self.has_pending_gossip = true;
+        AssessmentNeed::UnlessJustDone
     }
 
-    fn look(&mut self, actions: &mut Vec<Action>) {
-        (self.looked, self.unweighed) = (self.now, false);
-        let (awake, crowd) = (self.awake(), self.crowd());
-        for zone in 0..self.courses.len() {
-            if self.cut_off {
-                break;
-            }
-            let draw = self.random.next_fraction();
-            if self.hand(zone).is_some() {
-                continue;
-            }
-            let seen = self.weighed(zone);
-            self.courses[zone].weigh(awake, seen, crowd, draw);
-            let elsewhere =
-                (0..self.settings.class_count).map(|class| self.elsewhere(zone as u32, class));
-            if self.courses[zone].no_worse_than(elsewhere.fold(0.0, f64::max)) {
-                self.courses[zone].acquit(awake);
-            }
-            if let Some(theirs) = seen.fleet {
-                self.say(zone, theirs, actions);
+    /// Assesses all zones and emits what has changed.
+    fn assess_zones(&mut self, actions: &mut Vec<Action>) {
+        self.last_assessment_at = self.clock.now();
+        self.has_pending_gossip = false;
+        if !self.is_cut_off {
+            for zone in self.zones.indices() {
+                self.assess_zone(zone, actions);
             }
-            if self.courses[zone].trial(awake, crowd, draw) {
-                actions.push(Action::RequestProbe {
-                    zone: zone as u32,
-                    wait: self.trial_wait(),
-                });
-            }
-        }
-        // With nowhere left to go nobody else is to blame, or nothing is gained by staying away.
-        if !self.cut_off && !(0..self.courses.len()).any(|zone| self.could_take(zone)) {
-            let doubted = self.courses.iter().any(|course| course.part() == 0.0);
-            self.courses
-                .iter_mut()
-                .for_each(|course| course.open(awake));
-            self.cut_off = doubted;
+            self.detect_cut_off();
         }
-        self.tell(actions);
+        self.zones
+            .publish_shares(self.clock.now(), self.is_cut_off, actions);
     }
 
-    /// The evidence of a zone's silence, where answers take `stretch` times as long as usual, and since when the first
-    /// attempt there waits.
-    fn silence(&self, zone: usize, stretch: f64) -> (f64, Nanos) {
-        let outs = self.outs.values().filter(|out| out.zone as usize == zone);
-        let (course, listed) = (&self.courses[zone], self.places[zone].servers);
-        course
-            .evidence
-            .silence(outs, &self.times, self.awake(), listed, stretch)
+    /// Assesses one zone, unless it is overridden.
+    fn assess_zone(&mut self, zone: ZoneIndex, actions: &mut Vec<Action>) {
+        let probes = self.draw_probe_context();
+        if self
+            .zones
+            .entry(zone)
+            .active_override(self.clock.now())
+            .is_some()
+        {
+            return;
+        }
+        let awake_now = self.clock.awake_now();
+        let snapshot = self.evidence_snapshot(zone);
+        self.zones
+            .entry_mut(zone)
+            .state
+            .assess(awake_now, snapshot, probes);
+        let failure_rate_elsewhere = self.zones.worst_failure_rate_elsewhere(awake_now, zone);
+        let state = &mut self.zones.entry_mut(zone).state;
+        if state.shares_common_failures(failure_rate_elsewhere) {
+            state.exonerate(awake_now);
+        }
+        if let Some(peers) = snapshot.peers {
+            self.publish_observation(zone, peers, actions);
+        }
+        if self
+            .zones
+            .entry_mut(zone)
+            .state
+            .take_due_probe(awake_now, probes)
+        {
+            let timeout = self.attempts.probe_timeout();
+            actions.push(Action::RequestProbe { zone, timeout });
+        }
     }
 
-    fn weighed(&self, zone: usize) -> EvidenceSnapshot {
-        let (awake, course, listed) =
-            (self.awake(), &self.courses[zone], self.places[zone].servers);
-        let (silent, first) = self.silence(zone, 2.0);
-        let slower = self.silence(zone, course.patience()).0;
-        let failing = course.evidence.failing(awake, listed);
-        let hears = course.evidence.heard_within(awake, HEARS);
-        let home = self.settings.local_zone as u8;
-        let fleet = (self.fleet.len() > 0).then(|| {
-            self.fleet
-                .view(self.now, zone as u8, home, (slower, failing, hears))
-        });
-        // A node that hears from a zone believes nobody that it is silent.
-        let theirs =
-            |of: fn(&PeerSummary) -> f64| fleet.as_ref().filter(|_| !hears).map_or(0.0, of);
-        EvidenceSnapshot {
-            silence: silent + theirs(|view| view.silence),
-            slower: slower + theirs(|view| view.silence),
-            failing: failing + fleet.map_or(0.0, |view| view.failing),
-            others: (0..self.courses.len()).any(|other| other != zone && self.could_take(other)),
-            quiet: awake.saturating_sub(first),
-            fleet,
-            hears,
-            own: silent.max(failing),
+    /// If no zone is left that can take requests, makes all healthy: either this node itself is cut off, or nothing is
+    /// gained by avoiding them.
+    fn detect_cut_off(&mut self) {
+        if self.zones.can_any_take_traffic(self.clock.now()) {
+            return;
         }
+        self.is_cut_off = self.zones.is_any_withheld();
+        self.zones.restore_all(self.clock.awake_now());
     }
 
-    /// Tells the other nodes what is to be seen of a zone, where that is news to them.
-    fn say(&mut self, zone: usize, theirs: PeerSummary, actions: &mut Vec<Action>) {
-        let (awake, course, listed) =
-            (self.awake(), &self.courses[zone], self.places[zone].servers);
-        let in_steps = |evidence| hundredths(evidence).min(TELL_MOST) / TELL_STEP * TELL_STEP;
-        let home = self.settings.local_zone as u8;
-        let (silent, failing) = (
-            in_steps(self.silence(zone, SLOW).0),
-            in_steps(course.evidence.failing(awake, listed)),
-        );
-        let hears = silent < TELLS && failing < TELLS && course.evidence.heard_within(awake, HEARS);
-        let at = course.at(awake);
-        let sight = ZoneObservation {
-            home,
-            silent,
-            failing,
-            has_answers: hears,
-            state: at,
-            is_own: course.saw,
-        };
-        let speaks = |sight: &ZoneObservation| {
-            sight.silent.max(sight.failing) >= TELLS || sight.state != ObservedState::Healthy
-        };
-        let before = self.places[zone].said;
-        let age = before.map_or(Nanos::MAX, |(at, _)| self.now - at);
-        let due = match before {
-            // Whom others doubt and this node hears from: they are to know.
-            _ if !speaks(&sight) && hears && theirs.doubted => age >= HEARS_AGAIN,
-            Some((_, said)) if speaks(&said) || speaks(&sight) => {
-                told_apart(&said, &sight)
-                    || (speaks(&sight) && age >= peer_observations::refresh(self.fleet.len()))
-            }
-            Some(_) => false,
-            None => speaks(&sight),
+    /// Evidence of a zone's silence, allowing for responses `slowdown` times as slow as usual.
+    fn silence_evidence(&self, zone: ZoneIndex, slowdown: f64) -> SilenceEvidence {
+        let entry = self.zones.entry(zone);
+        entry.state.evidence.silence_evidence(
+            self.attempts.outstanding_in(zone),
+            self.clock.awake_now(),
+            self.attempts.silence_test(entry.server_count(), slowdown),
+        )
+    }
+
+    /// All evidence about a zone, of this node and of the others.
+    fn evidence_snapshot(&self, zone: ZoneIndex) -> EvidenceSnapshot {
+        let awake_now = self.clock.awake_now();
+        let entry = self.zones.entry(zone);
+        let silence = self.silence_evidence(zone, SUSPICION_SLOWDOWN_TOLERANCE);
+        let tolerance = entry.state.slowdown_tolerance();
+        let tolerant_silence = self.silence_evidence(zone, tolerance).evidence;
+        let failures = entry.failure_evidence(awake_now);
+        let has_answers = entry.has_recent_answer(awake_now);
+        let own = OwnObservation {
+            silence: tolerant_silence,
+            failures,
+            has_answers,
         };
-        if due {
-            self.places[zone].said = Some((self.now, sight));
-            actions.push(Action::Gossip {
-                zone: zone as u8,
-                sight,
-            });
+        let peers = self.summarize_peers(zone, own);
+        // A node with recent responses from the zone believes no other that it is silent.
+        let peers_silence = peers
+            .filter(|_| !has_answers)
+            .map_or(0.0, |peers| peers.silence);
+        EvidenceSnapshot {
+            silence: silence.evidence + peers_silence,
+            tolerant_silence: tolerant_silence + peers_silence,
+            failures: failures + peers.map_or(0.0, |peers| peers.failures),
+            has_alternative: self.zones.has_alternative(self.clock.now(), zone),
+            silent_duration: awake_now.saturating_sub(silence.first_sent_at),
+            peers,
+            has_answers,
+            own_evidence: silence.evidence.max(failures),
         }
     }
 
-    /// One that is new has heard nothing yet: some members, drawn by lot, say again what they have said.
-    fn tell_again(&mut self) {
-        if self.random.next_fraction() * (self.fleet.len() as f64) < TELLERS {
-            let said = self
-                .places
-                .iter_mut()
-                .filter_map(|place| place.said.as_mut());
-            said.for_each(|(at, _)| *at = 0);
-            self.unweighed = true;
+    /// The other nodes' observations of a zone; none without other nodes.
+    fn summarize_peers(&self, zone: ZoneIndex, own: OwnObservation) -> Option<PeerSummary> {
+        if self.peers.is_empty() {
+            return None;
         }
+        let summary =
+            self.peers
+                .summarize(self.clock.now(), zone.into(), self.local_zone().into(), own);
+        Some(summary)
     }
 
-    fn trial_wait(&self) -> Nanos {
-        let slowest = self
-            .times
-            .iter()
-            .filter_map(|times| times.quantile(0.95))
-            .max();
-        slowest.map_or(TRIAL_WAIT.1, |span| {
-            (span * TRIAL_STRETCH).clamp(TRIAL_WAIT.0, TRIAL_WAIT.1)
-        })
+    /// What this node observes of a zone, as it is sent to the other nodes.
+    fn observation(&self, zone: ZoneIndex) -> ZoneObservation {
+        let awake_now = self.clock.awake_now();
+        let entry = self.zones.entry(zone);
+        let silence = self.silence_evidence(zone, SLOWDOWN_TOLERANCE).evidence;
+        let silence_evidence = sent_evidence(silence);
+        let failure_evidence = sent_evidence(entry.failure_evidence(awake_now));
+        let has_evidence = !is_negligible(silence_evidence) || !is_negligible(failure_evidence);
+        ZoneObservation {
+            observer_zone: self.local_zone().into(),
+            silence_evidence,
+            failure_evidence,
+            has_answers: !has_evidence && entry.has_recent_answer(awake_now),
+            state: entry.state.observed_state(awake_now),
+            is_first_hand: entry.state.is_first_hand(),
+        }
     }
 
-    /// Says the shares that have changed.
-    fn tell(&mut self, actions: &mut Vec<Action>) {
-        let home = self.settings.local_zone as usize;
-        let part = |zone: usize| match self.hand(zone) {
-            Some(closed) => f64::from(u8::from(!closed)),
-            None => self.courses[zone].part(),
+    /// Sends the other nodes this node's observation of a zone, if it is news to them.
+    fn publish_observation(
+        &mut self,
+        zone: ZoneIndex,
+        peers: PeerSummary,
+        actions: &mut Vec<Action>,
+    ) {
+        let now = self.clock.now();
+        let observation = self.observation(zone);
+        let recipients = Recipients {
+            is_zone_doubted: peers.is_doubted,
+            refresh_interval: refresh_interval(self.peers.len()),
         };
-        let parts: Vec<f64> = (0..self.courses.len()).map(part).collect();
-        let rooms = self
-            .places
-            .iter()
-            .enumerate()
-            .map(|(zone, place)| ZoneCapacity {
-                size: place.size * parts[zone],
-                utilization: place
-                    .util
-                    .filter(|(at, _)| self.now < at + UTIL_FOR)
-                    .map(|(_, util)| util),
-                is_available: zone != home && parts[zone] > 0.0,
+        let publisher = &mut self.zones.entry_mut(zone).observation_publisher;
+        if publisher.publish(now, observation, recipients) {
+            actions.push(Action::Gossip {
+                zone: zone.into(),
+                observation,
             });
-        let rooms: Vec<ZoneCapacity> = rooms.collect();
-        let divided = divide_traffic(&rooms);
-        let home_part = parts.get(home).copied().unwrap_or(1.0);
-        for zone in 0..self.courses.len() {
-            let share = match (zone == home, parts[zone]) {
-                (true, part) => part,
-                (false, part) if home_part >= 1.0 => part,
-                (false, part) => divided[zone].min(part),
-            };
-            let why = match self.hand(zone) {
-                Some(_) => ZoneStateReason::OperatorOverride,
-                None if self.cut_off => ZoneStateReason::NoAlternative,
-                None => self.courses[zone].why(),
-            };
-            let place = &mut self.places[zone];
-            let (before, word) = place
-                .told
-                .unwrap_or((1.0, ZoneStateReason::Healthy.as_str()));
-            if (share - before).abs() < TELL
-                && (share == 0.0) == (before == 0.0)
-                && word == why.as_str()
-            {
-                continue;
-            }
-            place.told = Some((share, why.as_str()));
-            let (zone, servers) = (zone as u32, place.servers);
-            if share != before {
-                actions.push(Action::SetShare { zone, share });
-            }
-            if word != why.as_str() {
-                actions.push(Action::LogChange {
-                    zone,
-                    share,
-                    why,
-                    servers,
-                });
-            }
         }
     }
 
-    fn arm(&mut self, actions: &mut Vec<Action>) {
-        let follows = |course: &ZoneState| !matches!(course.stage, ZoneStage::Healthy);
-        let follows = self.fleet.len() > 0 && self.courses.iter().any(follows);
-        let look = (follows || self.unweighed || !self.outs.is_empty()).then_some(self.now + LOOK);
-        let slept = self.slept;
-        let courses = self
-            .courses
-            .iter()
-            .filter_map(ZoneState::due)
-            .map(|awake| awake + slept);
-        let hands = self
-            .places
-            .iter()
-            .filter_map(|place| place.hand)
-            .map(|(_, until)| until);
-        let due = courses
-            .map(|at| at.max(self.now + MILLISECOND))
-            .chain(hands.filter(|until| *until > self.now));
-        let Some(next) = look.into_iter().chain(due).min() else {
-            return;
-        };
-        // An earlier wake-up stands, and so does one that is no later by much than what is wanted.
-        if self
-            .wake
-            .is_none_or(|at| at <= self.now || next + LOOK / 2 < at)
+    /// Moves the timer to when the zones must be assessed next, if that is earlier than the pending timer.
+    fn schedule_timer(&mut self, actions: &mut Vec<Action>) {
+        let now = self.clock.now();
+        let next_assessment_at = self
+            .needs_regular_assessment()
+            .then_some(now + ASSESSMENT_INTERVAL);
+        let state_changes = self
+            .zones
+            .entries()
+            .filter_map(|entry| entry.state.next_assessment_at())
+            .map(|awake_at| {
+                self.clock
+                    .to_caller_time(awake_at)
+                    .max(now + MINIMUM_TIMER_DELAY)
+            });
+        let override_ends = self
+            .zones
+            .entries()
+            .filter_map(ZoneEntry::override_until)
+            .filter(|until| *until > now);
+        let next = next_assessment_at
+            .into_iter()
+            .chain(state_changes)
+            .chain(override_ends)
+            .min();
+        if let Some(at) = next
+            && self.clock.move_timer(at, TIMER_TOLERANCE)
         {
-            self.wake = Some(next);
-            actions.push(Action::SetTimer { at: next });
+            actions.push(Action::SetTimer { at });
         }
     }
+
+    /// Whether the zones must be assessed at regular intervals: evidence grows while attempts are outstanding, and the
+    /// other nodes' state matters while a zone is not healthy.
+    fn needs_regular_assessment(&self) -> bool {
+        let follows_peers = !self.peers.is_empty()
+            && !self
+                .zones
+                .entries()
+                .map(|entry| &entry.state)
+                .all(ZoneState::is_healthy);
+        follows_peers || self.has_pending_gossip || !self.attempts.is_empty()
+    }
 }
 
-/// Whether the others would learn something by the second of two sights: ages apart, which they know.
-fn told_apart(one: &ZoneObservation, other: &ZoneObservation) -> bool {
-    let news = |sight: &ZoneObservation| {
-        let at = match sight.state {
-            ObservedState::Ejected { good, bad_ms } => ObservedState::Ejected {
-                good,
-                bad_ms: u16::from(bad_ms < u16::MAX),
-            },
-            at => at,
-        };
-        ZoneObservation {
-            state: at,
-            has_answers: false,
-            ..*sight
-        }
-    };
-    news(one) != news(other)
+/// Whether a server responded.
+fn is_response(signal: AttemptSignal) -> bool {
+    matches!(
+        signal,
+        AttemptSignal::Answered | AttemptSignal::Failed | AttemptSignal::Inconclusive
+    )
 }
 
 #[cfg(test)]
--- a/core/zone-health/src/monitor/tests.rs
+++ b/core/zone-health/src/monitor/tests.rs
@@ -1,42 +1,70 @@
-//! One node against a small model of three zones, event by event.
+//! The monitor of one node against a small model of three zones, event by event.
+
+use std::collections::BTreeMap;
 
 use super::*;
+use crate::event::{ListedServer, ZoneOverride};
+use crate::ids::{ClassIndex, ServerId};
+use crate::time::SECOND;
 
-/// How a zone's servers answer.
+/// How a zone's servers respond.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Mood {
-    Fine,
+enum Behaviour {
+    /// Almost all requests succeed.
+    Healthy,
+    /// No responses.
     Silent,
+    /// Responses take this many times as long.
     Slow(u64),
-    /// Fails this share of each class, in percent.
+    /// This percentage of the requests of each class fails.
     Failing(u64),
+    /// Connections are refused.
     Refusing,
-    /// Class 1 fails, all of it.
-    OneClass,
+    /// All requests of class 1 fail.
+    FailingOneClass,
 }
 
-const SERVERS: u32 = 10;
+const SERVERS_PER_ZONE: u32 = 10;
+/// The zone of the node under test.
+const LOCAL_ZONE: usize = 1;
+/// Mean time between two requests.
+const REQUEST_INTERVAL: Nanos = 17 * MILLISECOND;
+
+/// An outstanding attempt of the simulation, in the order in which they end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PendingEnd {
+    ends_at: Nanos,
+    attempt: AttemptKey,
+}
 
-struct Play {
-    watch: ZoneMonitor,
+/// A logged change of a zone's state.
+#[derive(Debug, PartialEq)]
+struct LoggedChange {
+    at: Nanos,
+    zone: usize,
+    reason: &'static str,
+}
+
+/// A node that sends requests to three zones as its monitor says.
+struct Simulation {
+    monitor: ZoneMonitor,
     now: Nanos,
     random: u64,
-    mood: [Mood; 3],
-    /// One server of a zone that never answers.
-    stuck: Option<u32>,
-    ends: BTreeMap<(Nanos, u64), AttemptSignal>,
-    next: u64,
-    wake: Option<Nanos>,
+    behaviour: [Behaviour; 3],
+    /// A server that never responds.
+    stuck_server: Option<ServerId>,
+    pending: BTreeMap<PendingEnd, AttemptSignal>,
+    next_attempt: u64,
+    timer_at: Option<Nanos>,
     share: [f64; 3],
-    trial: Option<u32>,
+    requested_probe: Option<u32>,
+    /// Requests sent, by zone.
     sent: [u32; 3],
-    changed: Vec<(Nanos, u32, &'static str)>,
-    /// One request each so many nanoseconds.
-    pace: Nanos,
+    changes: Vec<LoggedChange>,
 }
 
-impl Play {
-    fn new(pace: Nanos, seed: u64) -> Self {
+impl Simulation {
+    fn new(seed: u64) -> Self {
         let settings = Settings {
             local_zone: 1,
             zone_count: 3,
@@ -44,26 +72,36 @@
             node_count: 15,
             seed,
         };
-        let mut play = Self {
-            watch: ZoneMonitor::new(settings, SECOND),
+        let mut simulation = Self {
+            monitor: ZoneMonitor::new(settings, SECOND),
             now: SECOND,
             random: seed,
-            mood: [Mood::Fine; 3],
-            stuck: None,
-            ends: BTreeMap::new(),
-            next: 0,
-            wake: None,
+            behaviour: [Behaviour::Healthy; 3],
+            stuck_server: None,
+            pending: BTreeMap::new(),
+            next_attempt: 0,
+            timer_at: None,
             share: [1.0; 3],
-            trial: None,
+            requested_probe: None,
             sent: [0; 3],
-            changed: Vec::new(),
-            pace,
+            changes: Vec::new(),
         };
-        let list = (0..3 * SERVERS)
-            .map(|server| (server, server / SERVERS, 4.0))
+        let servers = (0..3 * SERVERS_PER_ZONE)
+            .map(|server| ListedServer {
+                server: ServerId(server),
+                zone: ZoneIndex(server / SERVERS_PER_ZONE),
+                size: 4.0,
+            })
             .collect();
-        play.hear(Event::EndpointsListed(list));
-        play
+        simulation.handle(Event::EndpointsListed(servers));
+        simulation
+    }
+
+    /// A simulation that has run for 10 s without any fault.
+    fn after_warm_up(seed: u64) -> Self {
+        let mut simulation = Self::new(seed);
+        simulation.run(10 * SECOND);
+        simulation
     }
 
     fn draw(&mut self) -> u64 {
@@ -74,113 +112,132 @@
         self.random >> 33
     }
 
-    fn hear(&mut self, event: Event) {
+    fn draw_fraction(&mut self) -> f64 {
+        (self.draw() % 1000) as f64 / 1000.0
+    }
+
+    /// Passes an event to the monitor and carries out its actions.
+    fn handle(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.watch.handle(self.now, event, &mut actions);
+        self.monitor.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::SetShare { zone, share } => self.share[zone as usize] = share,
-                Action::RequestProbe { zone, .. } => self.trial = Some(zone),
-                Action::SetTimer { at } => self.wake = Some(at),
-                Action::Gossip { .. } => panic!("there is nobody to say it to"),
-                Action::LogChange { zone, why, .. } => {
-                    self.changed.push((self.now, zone, why.as_str()))
-                }
+                Action::SetShare { zone, share } => self.share[zone.position()] = share,
+                Action::RequestProbe { zone, .. } => self.requested_probe = Some(zone.0),
+                Action::SetTimer { at } => self.timer_at = Some(at),
+                Action::Gossip { .. } => panic!("gossip without other nodes"),
+                Action::LogChange { zone, reason, .. } => self.changes.push(LoggedChange {
+                    at: self.now,
+                    zone: zone.position(),
+                    reason: reason.as_str(),
+                }),
             }
         }
     }
 
-    fn zone(&mut self) -> u32 {
-        if let Some(zone) = self.trial.take() {
+    /// Chooses a zone for a request, by the requested probe or the shares.
+    fn choose_zone(&mut self) -> u32 {
+        if let Some(zone) = self.requested_probe.take() {
             return zone;
         }
-        let draw = (self.draw() % 1000) as f64 / 1000.0;
-        if draw < self.share[1] {
+        if self.draw_fraction() < self.share[LOCAL_ZONE] {
             return 1;
         }
         let total = self.share[0] + self.share[2];
-        let draw = (self.draw() % 1000) as f64 / 1000.0;
+        let fraction = self.draw_fraction();
         if total == 0.0 {
             1
         } else {
-            2 * u32::from(draw * total >= self.share[0])
+            2 * u32::from(fraction * total >= self.share[0])
         }
     }
 
-    fn send(&mut self) {
-        let zone = self.zone();
-        let (server, class) = (
-            zone * SERVERS + self.draw() as u32 % SERVERS,
-            u32::from(self.draw().is_multiple_of(3)),
-        );
-        let (attempt, work) = (self.next, (20 + self.draw() % 40) * MILLISECOND);
-        self.next += 1;
+    /// Sends a request and schedules the end of its attempt.
+    fn send_request(&mut self) {
+        let zone = self.choose_zone();
+        let drawn_server = u32::try_from(self.draw()).unwrap();
+        let server = ServerId(zone * SERVERS_PER_ZONE + drawn_server % SERVERS_PER_ZONE);
+        let class = ClassIndex(u32::from(self.draw().is_multiple_of(3)));
+        let attempt = AttemptKey(self.next_attempt);
+        let duration = (20 + self.draw() % 40) * MILLISECOND;
+        self.next_attempt += 1;
         self.sent[zone as usize] += 1;
-        let fails = self.draw() % 100;
-        let (after, seen) = match self.mood[zone as usize] {
-            _ if self.stuck == Some(server) => (500 * MILLISECOND, AttemptSignal::TimedOut),
-            Mood::Silent => (
-                if class == 0 {
-                    200 * MILLISECOND
-                } else {
-                    900 * MILLISECOND
-                },
-                AttemptSignal::TimedOut,
-            ),
-            Mood::Slow(times) => (work * times, AttemptSignal::Answered),
-            Mood::Failing(share) if fails < share => (work, AttemptSignal::Failed),
-            Mood::OneClass if class == 1 => (work, AttemptSignal::Failed),
-            Mood::Refusing => (MILLISECOND / 2, AttemptSignal::ConnectionFailed),
-            _ if fails == 0 => (work, AttemptSignal::Failed),
-            _ => (work, AttemptSignal::Answered),
+        let percentile = self.draw() % 100;
+        let (duration, signal) = match self.behaviour[zone as usize] {
+            _ if self.stuck_server == Some(server) => (500 * MILLISECOND, AttemptSignal::TimedOut),
+            Behaviour::Silent if class.0 == 0 => (200 * MILLISECOND, AttemptSignal::TimedOut),
+            Behaviour::Silent => (900 * MILLISECOND, AttemptSignal::TimedOut),
+            Behaviour::Slow(factor) => (duration * factor, AttemptSignal::Answered),
+            Behaviour::Failing(percentage) if percentile < percentage => {
+                (duration, AttemptSignal::Failed)
+            }
+            Behaviour::FailingOneClass if class.0 == 1 => (duration, AttemptSignal::Failed),
+            Behaviour::Refusing => (MILLISECOND / 2, AttemptSignal::ConnectionFailed),
+            _ if percentile == 0 => (duration, AttemptSignal::Failed),
+            _ => (duration, AttemptSignal::Answered),
         };
-        self.hear(Event::AttemptSent {
+        self.handle(Event::AttemptSent {
             attempt,
             server,
-            zone,
+            zone: ZoneIndex(zone),
             class,
         });
-        self.ends.insert((self.now + after, attempt), seen);
+        let ends_at = self.now + duration;
+        self.pending.insert(PendingEnd { ends_at, attempt }, signal);
     }
 
-    fn run(&mut self, span: Nanos) {
-        let until = self.now + span;
-        let mut next = self.now;
+    fn run(&mut self, duration: Nanos) {
+        let until = self.now + duration;
+        let mut next_request_at = self.now;
         while self.now < until {
-            let end = self.ends.first_key_value().map(|(key, _)| *key);
-            let at = [Some(next), end.map(|(at, _)| at), self.wake]
-                .into_iter()
-                .flatten()
-                .min()
-                .unwrap_or(until);
-            self.now = self.now.max(at).min(until);
-            if let Some(key) = end.filter(|(at, _)| *at <= self.now) {
-                let seen = self.ends.remove(&key).unwrap_or(AttemptSignal::NotSent);
-                self.hear(Event::AttemptEnded {
-                    attempt: key.1,
-                    seen,
-                    util: Some(0.4),
+            let next_end = self.pending.first_key_value().map(|(end, _)| *end);
+            let next_event_at = [
+                Some(next_request_at),
+                next_end.map(|end| end.ends_at),
+                self.timer_at,
+            ]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(until);
+            self.now = self.now.max(next_event_at).min(until);
+            if let Some(end) = next_end.filter(|end| end.ends_at <= self.now) {
+                let signal = self.pending.remove(&end).unwrap_or(AttemptSignal::NotSent);
+                self.handle(Event::AttemptEnded {
+                    attempt: end.attempt,
+                    signal,
+                    utilization: Some(0.4),
                 });
-            } else if self.wake.is_some_and(|at| at <= self.now) {
-                self.wake = None;
-                self.hear(Event::TimerFired);
-            } else if next <= self.now {
-                self.send();
-                next = self.now + self.pace / 2 + self.draw() % self.pace;
+            } else if self.timer_at.is_some_and(|timer_at| timer_at <= self.now) {
+                self.timer_at = None;
+                self.handle(Event::TimerFired);
+            } else if next_request_at <= self.now {
+                self.send_request();
+                next_request_at = self.now + REQUEST_INTERVAL / 2 + self.draw() % REQUEST_INTERVAL;
             }
         }
     }
 
-    fn words(&self, zone: u32) -> Vec<&'static str> {
-        self.changed
+    /// Overrides the local zone's state for 2 s from now.
+    fn override_local_zone(&mut self, is_ejected: bool) {
+        let until = self.now + 2 * SECOND;
+        self.handle(Event::OperatorOverride {
+            zone: ZoneIndex(1),
+            zone_override: Some(ZoneOverride::new(is_ejected, until)),
+        });
+    }
+
+    /// The reasons that were logged for the local zone.
+    fn local_reasons(&self) -> Vec<&'static str> {
+        self.changes
             .iter()
-            .filter(|(_, at, _)| *at == zone)
-            .map(|(.., word)| *word)
+            .filter(|change| change.zone == LOCAL_ZONE)
+            .map(|change| change.reason)
             .collect()
     }
 }
 
-fn seeds(test: impl Fn(u64)) {
+fn for_each_seed(test: impl Fn(u64)) {
     for seed in 1..=20 {
         println!("seed {seed}");
         test(seed);
@@ -188,173 +245,175 @@
 }
 
 #[test]
-fn a_silent_zone_is_left_within_300_ms_and_returned_to_by_steps() {
-    seeds(|seed| {
-        let mut play = Play::new(17 * MILLISECOND, seed);
-        play.run(10 * SECOND);
-        assert_eq!(play.changed, []);
-        play.mood[1] = Mood::Silent;
-        let from = play.now;
-        play.run(300 * MILLISECOND);
-        assert_eq!(play.share[1], 0.0);
+fn a_silent_zone_is_left_within_300_ms_and_recovers_by_steps() {
+    for_each_seed(|seed| {
+        let mut simulation = Simulation::after_warm_up(seed);
+        assert_eq!(simulation.changes, []);
+        simulation.behaviour[LOCAL_ZONE] = Behaviour::Silent;
+        let silent_since = simulation.now;
+        simulation.run(300 * MILLISECOND);
+        assert_eq!(simulation.share[LOCAL_ZONE], 0.0);
         assert!(
-            play.share[0] > 0.2 && play.share[2] > 0.2,
+            simulation.share[0] > 0.2 && simulation.share[2] > 0.2,
             "{:?}",
-            play.share
+            simulation.share
         );
-        let spent = play.sent[1];
-        play.run(4700 * MILLISECOND);
-        assert!(
-            play.sent[1] - spent <= 12,
-            "trials: {}",
-            play.sent[1] - spent
-        );
-        play.mood[1] = Mood::Fine;
-        play.run(10 * SECOND);
-        assert_eq!(play.share[1], 1.0);
-        let steps = play.words(1);
-        assert!(steps.ends_with(&["returning", "open"]), "{steps:?}");
-        assert!(play.changed[0].0 - from <= 300 * MILLISECOND);
+        let sent_before = simulation.sent[LOCAL_ZONE];
+        simulation.run(4700 * MILLISECOND);
+        let probes = simulation.sent[LOCAL_ZONE] - sent_before;
+        assert!(probes <= 12, "recovery probes: {probes}");
+        simulation.behaviour[LOCAL_ZONE] = Behaviour::Healthy;
+        simulation.run(10 * SECOND);
+        assert_eq!(simulation.share[LOCAL_ZONE], 1.0);
+        let reasons = simulation.local_reasons();
+        assert!(reasons.ends_with(&["returning", "open"]), "{reasons:?}");
+        assert!(simulation.changes[0].at - silent_since <= 300 * MILLISECOND);
     });
 }
 
 #[test]
-fn a_zone_that_refuses_or_fails_is_left() {
-    for mood in [Mood::Refusing, Mood::Failing(100), Mood::Failing(30)] {
-        seeds(|seed| {
-            let mut play = Play::new(17 * MILLISECOND, seed);
-            play.run(10 * SECOND);
-            play.mood[1] = mood;
-            play.run(if mood == Mood::Failing(30) {
+fn a_zone_that_refuses_connections_or_fails_requests_is_left() {
+    for behaviour in [
+        Behaviour::Refusing,
+        Behaviour::Failing(100),
+        Behaviour::Failing(30),
+    ] {
+        for_each_seed(|seed| {
+            let mut simulation = Simulation::after_warm_up(seed);
+            simulation.behaviour[LOCAL_ZONE] = behaviour;
+            simulation.run(if behaviour == Behaviour::Failing(30) {
                 5 * SECOND
             } else {
                 SECOND
             });
-            // Trials may be served by chance, so it may be on its way back.
-            assert_eq!(play.words(1)[..1], ["failing"], "{mood:?}");
+            // Recovery probes may succeed by chance, so the zone may be recovering.
+            assert_eq!(
+                simulation.local_reasons()[..1],
+                ["failing"],
+                "{behaviour:?}"
+            );
         });
     }
 }
 
 #[test]
-fn one_bad_server_one_bad_class_and_slowness_close_no_zone() {
-    seeds(|seed| {
-        let mut play = Play::new(17 * MILLISECOND, seed);
-        play.run(10 * SECOND);
-        play.stuck = Some(13);
-        play.run(10 * SECOND);
-        play.stuck = None;
-        play.mood[1] = Mood::OneClass;
-        play.run(5 * SECOND);
-        play.mood = [Mood::Slow(3); 3];
-        play.run(5 * SECOND);
-        let closed = play
-            .changed
+fn one_stuck_server_one_failing_class_or_slow_zones_eject_no_zone() {
+    for_each_seed(|seed| {
+        let mut simulation = Simulation::after_warm_up(seed);
+        simulation.stuck_server = Some(ServerId(13));
+        simulation.run(10 * SECOND);
+        simulation.stuck_server = None;
+        simulation.behaviour[LOCAL_ZONE] = Behaviour::FailingOneClass;
+        simulation.run(5 * SECOND);
+        simulation.behaviour = [Behaviour::Slow(3); 3];
+        simulation.run(5 * SECOND);
+        let ejections = simulation
+            .changes
             .iter()
-            .filter(|(.., word)| *word != "open" && *word != "silent")
+            .filter(|change| change.reason != "open" && change.reason != "silent")
             .count();
-        assert_eq!(closed, 0, "{:?}", play.changed);
+        assert_eq!(ejections, 0, "{:?}", simulation.changes);
     });
 }
 
 #[test]
-fn a_cut_of_200_ms_closes_nothing() {
-    seeds(|seed| {
-        let mut play = Play::new(17 * MILLISECOND, seed);
-        play.run(10 * SECOND);
-        // All that would have come meanwhile comes at its end.
-        let back = play.now + 200 * MILLISECOND;
-        let late: Vec<_> = play
-            .ends
+fn an_interruption_of_200_ms_ejects_no_zone() {
+    for_each_seed(|seed| {
+        let mut simulation = Simulation::after_warm_up(seed);
+        // All responses that were due during the interruption come at its end.
+        let ends_at = simulation.now + 200 * MILLISECOND;
+        let delayed: Vec<_> = simulation
+            .pending
             .keys()
             .copied()
-            .filter(|(at, _)| *at < back)
+            .filter(|end| end.ends_at < ends_at)
             .collect();
-        for key in late {
-            let seen = play.ends.remove(&key).unwrap_or(AttemptSignal::NotSent);
-            play.ends.insert((back, key.1), seen);
+        for end in delayed {
+            let signal = simulation
+                .pending
+                .remove(&end)
+                .unwrap_or(AttemptSignal::NotSent);
+            let attempt = end.attempt;
+            simulation
+                .pending
+                .insert(PendingEnd { ends_at, attempt }, signal);
         }
-        play.mood[1] = Mood::Slow(5);
-        play.run(200 * MILLISECOND);
-        play.mood[1] = Mood::Fine;
-        play.run(3 * SECOND);
-        assert_eq!(play.share[1], 1.0);
-        assert!(!play.words(1).contains(&"returning"), "{:?}", play.changed);
+        simulation.behaviour[LOCAL_ZONE] = Behaviour::Slow(5);
+        simulation.run(200 * MILLISECOND);
+        simulation.behaviour[LOCAL_ZONE] = Behaviour::Healthy;
+        simulation.run(3 * SECOND);
+        assert_eq!(simulation.share[LOCAL_ZONE], 1.0);
+        let has_recovered = simulation.local_reasons().contains(&"returning");
+        assert!(!has_recovered, "{:?}", simulation.changes);
     });
 }
 
 #[test]
-fn a_node_that_is_cut_off_itself_or_was_paused_blames_nobody() {
-    seeds(|seed| {
-        let mut play = Play::new(17 * MILLISECOND, seed);
-        play.run(10 * SECOND);
-        // Paused: all that came meanwhile is there at once, the clock first.
-        play.now += 3 * SECOND;
-        play.hear(Event::TimerFired);
-        play.run(SECOND);
-        assert_eq!(play.changed, [], "paused");
-        play.mood = [Mood::Silent; 3];
-        play.run(4 * SECOND);
-        assert!(play.words(1).contains(&"nobody-else"), "{:?}", play.changed);
-        play.mood = [Mood::Fine; 3];
-        play.run(2 * SECOND);
-        assert_eq!(play.share[1], 1.0);
+fn a_suspended_or_cut_off_node_ejects_no_zone() {
+    for_each_seed(|seed| {
+        let mut simulation = Simulation::after_warm_up(seed);
+        // Suspended: all events of that time come at once, the timer first.
+        simulation.now += 3 * SECOND;
+        simulation.handle(Event::TimerFired);
+        simulation.run(SECOND);
+        assert_eq!(simulation.changes, [], "suspended");
+        simulation.behaviour = [Behaviour::Silent; 3];
+        simulation.run(4 * SECOND);
+        let is_cut_off = simulation.local_reasons().contains(&"nobody-else");
+        assert!(is_cut_off, "{:?}", simulation.changes);
+        simulation.behaviour = [Behaviour::Healthy; 3];
+        simulation.run(2 * SECOND);
+        assert_eq!(simulation.share[LOCAL_ZONE], 1.0);
     });
 }
 
 #[test]
-fn failures_that_show_everywhere_are_no_zones_fault() {
-    seeds(|seed| {
-        let mut play = Play::new(17 * MILLISECOND, seed);
-        play.run(10 * SECOND);
-        play.mood = [Mood::Failing(40); 3];
-        play.run(6 * SECOND);
-        assert_eq!(play.share[1], 1.0, "{:?}", play.changed);
+fn failures_in_all_zones_eject_no_zone() {
+    for_each_seed(|seed| {
+        let mut simulation = Simulation::after_warm_up(seed);
+        simulation.behaviour = [Behaviour::Failing(40); 3];
+        simulation.run(6 * SECOND);
+        assert_eq!(
+            simulation.share[LOCAL_ZONE], 1.0,
+            "{:?}",
+            simulation.changes
+        );
     });
 }
 
 #[test]
-fn a_flapping_zone_is_held_longer_each_time() {
-    seeds(|seed| {
-        let mut play = Play::new(17 * MILLISECOND, seed);
-        play.run(10 * SECOND);
-        let mut spent = Vec::new();
+fn a_flapping_zone_is_ejected_for_longer_each_time() {
+    for_each_seed(|seed| {
+        let mut simulation = Simulation::after_warm_up(seed);
+        let mut sent = Vec::new();
         for _ in 0..10 {
-            let before = play.sent[1];
-            play.mood[1] = Mood::Silent;
-            play.run(SECOND);
-            play.mood[1] = Mood::Fine;
-            play.run(SECOND);
-            spent.push(play.sent[1] - before);
+            let sent_before = simulation.sent[LOCAL_ZONE];
+            simulation.behaviour[LOCAL_ZONE] = Behaviour::Silent;
+            simulation.run(SECOND);
+            simulation.behaviour[LOCAL_ZONE] = Behaviour::Healthy;
+            simulation.run(SECOND);
+            sent.push(simulation.sent[LOCAL_ZONE] - sent_before);
         }
-        // Of the 60 that it would get in each second of silence.
-        assert!(spent.iter().sum::<u32>() <= 90, "{spent:?}");
+        // Of the 60 that the zone would get in each second of silence.
+        assert!(sent.iter().sum::<u32>() <= 90, "{sent:?}");
     });
 }
 
 #[test]
-fn operators_close_and_open_for_a_time() {
-    let mut play = Play::new(17 * MILLISECOND, 1);
-    play.run(2 * SECOND);
-    let until = play.now + 2 * SECOND;
-    play.hear(Event::OperatorOverride {
-        zone: 1,
-        order: Some((true, until)),
-    });
-    assert_eq!(play.share[1], 0.0);
-    play.run(SECOND);
-    assert_eq!(play.words(1), ["by-hand"]);
-    play.run(2 * SECOND);
-    assert_eq!(play.share[1], 1.0);
-    // Held open, it takes all, whatever is seen.
-    play.mood[1] = Mood::Silent;
-    let until = play.now + 2 * SECOND;
-    play.hear(Event::OperatorOverride {
-        zone: 1,
-        order: Some((false, until)),
-    });
-    play.run(SECOND);
-    assert_eq!(play.share[1], 1.0);
+fn an_operators_override_holds_until_it_ends() {
+    let mut simulation = Simulation::new(1);
+    simulation.run(2 * SECOND);
+    simulation.override_local_zone(true);
+    assert_eq!(simulation.share[LOCAL_ZONE], 0.0);
+    simulation.run(SECOND);
+    assert_eq!(simulation.local_reasons(), ["by-hand"]);
+    simulation.run(2 * SECOND);
+    assert_eq!(simulation.share[LOCAL_ZONE], 1.0);
+    // Forced healthy, the zone gets its full share whatever the evidence.
+    simulation.behaviour[LOCAL_ZONE] = Behaviour::Silent;
+    simulation.override_local_zone(false);
+    simulation.run(SECOND);
+    assert_eq!(simulation.share[LOCAL_ZONE], 1.0);
 }
 
 #[test]
@@ -366,38 +425,33 @@
         node_count: 1,
         seed: 3,
     };
-    let (mut watch, mut actions) = (ZoneMonitor::new(settings, 0), Vec::new());
-    watch.handle(
-        0,
-        Event::EndpointsListed(vec![(0, 0, 1.0), (1, 0, 1.0), (2, 0, 1.0)]),
-        &mut actions,
-    );
-    for attempt in 0..200 {
-        let now = attempt * 10 * MILLISECOND;
-        watch.handle(
-            now,
-            Event::AttemptSent {
-                attempt,
-                server: attempt as u32 % 3,
-                zone: 0,
-                class: 0,
-            },
-            &mut actions,
-        );
-        watch.handle(
-            now + MILLISECOND,
-            Event::AttemptEnded {
-                attempt,
-                seen: AttemptSignal::ConnectionFailed,
-                util: None,
-            },
-            &mut actions,
-        );
+    let mut monitor = ZoneMonitor::new(settings, 0);
+    let mut actions = Vec::new();
+    let servers = (0..3)
+        .map(|server| ListedServer {
+            server: ServerId(server),
+            zone: ZoneIndex(0),
+            size: 1.0,
+        })
+        .collect();
+    monitor.handle(0, Event::EndpointsListed(servers), &mut actions);
+    for number in 0..200 {
+        let sent_at = u64::from(number) * 10 * MILLISECOND;
+        let attempt = AttemptKey(u64::from(number));
+        let sent = Event::AttemptSent {
+            attempt,
+            server: ServerId(number % 3),
+            zone: ZoneIndex(0),
+            class: ClassIndex(0),
+        };
+        monitor.handle(sent_at, sent, &mut actions);
+        let ended = Event::AttemptEnded {
+            attempt,
+            signal: AttemptSignal::ConnectionFailed,
+            utilization: None,
+        };
+        monitor.handle(sent_at + MILLISECOND, ended, &mut actions);
     }
-    assert!(
-        actions
-            .iter()
-            .all(|action| !matches!(action, Action::SetShare { .. })),
-        "{actions:?}"
-    );
+    let changes_share = |action: &Action| matches!(action, Action::SetShare { .. });
+    assert!(!actions.iter().any(changes_share), "{actions:?}");
 }
--- a/core/zone-health/src/observation.rs
+++ b/core/zone-health/src/observation.rs
@@ -1,64 +1,81 @@
-//! What a node tells the others of a zone: what it sees there itself, in figures and ages. What it makes of that is told
-//! too, but only so that all follow one ramp.
+//! What a node gossips about a zone: its own evidence, in figures and ages, and its state of the zone. The state is
+//! included only so that all nodes recover the zone in step; verdicts are formed from the evidence.
 
 use serde::{Deserialize, Serialize};
 
-/// Where a zone stands for a node.
+use crate::ids::GossipZone;
+
+/// Units of evidence in an observation: log-likelihoods are sent in hundredths.
+const UNITS_PER_EVIDENCE: f64 = 100.0;
+
+/// The state that a zone has for one node. The order of the variants is part of the wire format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ObservedState {
-    /// It gets what it got.
+    /// The zone gets its usual share.
     Healthy,
-    /// It gets nothing new for now.
+    /// The zone gets nothing new until the suspicion is confirmed or withdrawn.
     Suspected,
-    /// It gets trials only.
+    /// The zone gets recovery probes only.
     Ejected {
-        /// Trials answered since the last that was not.
-        good: u8,
-        /// How long ago the last that was not ended, in milliseconds; the largest value for none.
-        bad_ms: u16,
+        /// Recovery probes answered since the last that failed.
+        answered_probes: u8,
+        /// Age of the last failed probe, in milliseconds; `u16::MAX` if there is none.
+        failed_probe_age_ms: u16,
     },
-    /// It gets part.
+    /// The zone gets a growing fraction of its requests.
     Recovering {
-        /// Which step.
+        /// Index of the recovery step.
         step: u8,
-        /// Whether answers have come in this step.
-        good: bool,
+        /// Whether a response has come in this step.
+        has_answers: bool,
     },
 }
 
-/// What a node sees of a zone.
+/// One node's observation of one zone. The order of the fields is part of the wire format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneObservation {
-    /// The node's own zone, by position.
-    pub home: u8,
-    /// Evidence of silence, in hundredths of a log-likelihood, where answers may take four times as long as usual.
-    pub silent: u16,
-    /// Evidence of failures, likewise.
-    pub failing: u16,
-    /// It had a usable answer from there in the last moments, and nothing speaks against the zone.
+    /// The zone in which the observing node runs.
+    pub observer_zone: GossipZone,
+    /// Evidence of silence, in hundredths of a log-likelihood, allowing for responses four times as slow as usual.
+    pub silence_evidence: u16,
+    /// Evidence of failures, in hundredths of a log-likelihood ratio.
+    pub failure_evidence: u16,
+    /// Whether the node had a usable response from the zone a moment ago and has no evidence against it.
     pub has_answers: bool,
-    /// Where the zone stands for it ...
+    /// The zone's state for the node.
     pub state: ObservedState,
-    /// ... by what it saw itself, not by what others said.
-    pub is_own: bool,
+    /// Whether that state follows from the node's own evidence rather than from that of others.
+    pub is_first_hand: bool,
 }
 
 impl ZoneObservation {
-    /// As it is spread: some ten bytes.
+    /// Encodes the observation for the network, in about ten bytes.
+    #[must_use]
     pub fn to_bytes(self) -> Vec<u8> {
         postcard::to_allocvec(&self).unwrap_or_default()
     }
 
-    /// From what another node spread; none where that is something else.
+    /// Decodes an observation from another node; none if the bytes are not exactly one observation.
+    #[must_use]
     pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
-        let (sight, rest) = postcard::take_from_bytes(bytes).ok()?;
-        rest.is_empty().then_some(sight)
+        let (observation, rest) = postcard::take_from_bytes(bytes).ok()?;
+        rest.is_empty().then_some(observation)
     }
 }
 
-/// Evidence in the units of a [`ZoneObservation`].
-pub(crate) fn hundredths(evidence: f64) -> u16 {
-    (evidence * 100.0).clamp(0.0, f64::from(u16::MAX)) as u16
+/// Converts evidence to the units of a [`ZoneObservation`].
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range of the type"
+)]
+pub(crate) fn evidence_to_units(evidence: f64) -> u16 {
+    (evidence * UNITS_PER_EVIDENCE).clamp(0.0, f64::from(u16::MAX)) as u16
+}
+
+/// Converts the units of a [`ZoneObservation`] back to evidence.
+pub(crate) fn evidence_from_units(units: u16) -> f64 {
+    f64::from(units) / UNITS_PER_EVIDENCE
 }
 
 #[cfg(test)]
--- a/core/zone-health/src/observation/tests.rs
+++ b/core/zone-health/src/observation/tests.rs
@@ -1,54 +1,55 @@
+//! The wire format of observations.
+
 use super::*;
 
 #[test]
-fn a_sight_is_small_and_comes_back_as_it_was() {
-    let at = ObservedState::Ejected {
-        good: 3,
-        bad_ms: 800,
-    };
-    let sight = ZoneObservation {
-        home: 2,
-        silent: 512,
-        failing: hundredths(1e9),
+fn an_observation_is_small_and_decodes_to_itself() {
+    let observation = ZoneObservation {
+        observer_zone: GossipZone(2),
+        silence_evidence: 512,
+        failure_evidence: evidence_to_units(1e9),
         has_answers: false,
-        state: at,
-        is_own: true,
+        state: ObservedState::Ejected {
+            answered_probes: 3,
+            failed_probe_age_ms: 800,
+        },
+        is_first_hand: true,
     };
-    let bytes = sight.to_bytes();
+    let bytes = observation.to_bytes();
     assert!(bytes.len() <= 16, "{}", bytes.len());
-    assert_eq!(ZoneObservation::from_bytes(&bytes), Some(sight));
-    (0..bytes.len()).for_each(|cut| assert_eq!(ZoneObservation::from_bytes(&bytes[..cut]), None));
-    assert_eq!(
-        ZoneObservation::from_bytes(&[&bytes[..], b"x"].concat()),
-        None
-    );
+    assert_eq!(ZoneObservation::from_bytes(&bytes), Some(observation));
+    for length in 0..bytes.len() {
+        assert_eq!(ZoneObservation::from_bytes(&bytes[..length]), None);
+    }
+    let with_trailing_byte = [&bytes[..], b"x"].concat();
+    assert_eq!(ZoneObservation::from_bytes(&with_trailing_byte), None);
 }
 
 /// The form on the wire, byte for byte: nodes of two releases gossip with each other.
 #[test]
 fn encodes_to_the_recorded_bytes() {
     let observation = |state| ZoneObservation {
-        home: 2,
-        silent: 512,
-        failing: 7,
+        observer_zone: GossipZone(2),
+        silence_evidence: 512,
+        failure_evidence: 7,
         has_answers: true,
         state,
-        is_own: false,
+        is_first_hand: false,
     };
     let recorded: [(ObservedState, &[u8]); 4] = [
         (ObservedState::Healthy, &[2, 0x80, 0x04, 7, 1, 0, 0]),
         (ObservedState::Suspected, &[2, 0x80, 0x04, 7, 1, 1, 0]),
         (
             ObservedState::Ejected {
-                good: 200,
-                bad_ms: u16::MAX,
+                answered_probes: 200,
+                failed_probe_age_ms: u16::MAX,
             },
             &[2, 0x80, 0x04, 7, 1, 2, 200, 0xff, 0xff, 0x03, 0],
         ),
         (
             ObservedState::Recovering {
                 step: 4,
-                good: true,
+                has_answers: true,
             },
             &[2, 0x80, 0x04, 7, 1, 3, 4, 1, 0],
         ),
--- a/core/zone-health/src/peer_observations.rs
+++ b/core/zone-health/src/peer_observations.rs
@@ -1,218 +1,144 @@
-//! What the other nodes see of the zones, as this node may use it: nobody's word alone moves it, and what is old or was
-//! long under way says nothing.
+//! What the other nodes observe of the zones: keeps each member's latest observations and summarizes them for this
+//! node. No single node's observation has an effect by itself, and outdated ones have none.
 
 use std::collections::BTreeMap;
 
-use crate::observation::{ObservedState, ZoneObservation};
+use crate::ids::{GossipZone, MemberId};
+use crate::observation::ZoneObservation;
+use crate::peer_summary::{OwnObservation, PeerSummary, ReceivedObservation, SummaryBuilder};
 use crate::time::{MILLISECOND, Nanos, SECOND};
 
-/// Members whose sights are kept; a fleet is smaller.
-const MEMBERS_MOST: usize = 4096;
-/// The most that one node's evidence counts in another: what one attempt can tell.
-const WORD_MOST: f64 = 2.5;
-/// Evidence at which a node speaks against a zone: one attempt in seven looks so by chance.
-const SPEAKS: f64 = 2.0;
-/// So many nodes must speak against a zone at the least, and of those who could this share, and of those who either
-/// speak against it or hear from it this one.
-const SPEAKERS: u32 = 2;
-const OF_MEMBERS: f64 = 0.25;
-const OF_HEARD: f64 = 0.6;
-/// What a node said counts for so long, and for so many times its refresh; told by a clock that differs by more than
-/// `LATE`, or long under way, it doesn't count at all.
-const FRESH: Nanos = 3 * SECOND;
-const LATE: Nanos = 2 * SECOND;
-/// Evidence counts for less: an open attempt is answered or grows older meanwhile.
-const EVIDENCE_FRESH: Nanos = 500 * MILLISECOND;
-/// Trials of one node that count for others.
-const TRIALS_OF_ONE: u32 = 2;
+/// Members whose observations are kept; fleets are smaller.
+const MAXIMUM_MEMBERS: usize = 4096;
+/// How long an observation is used, at the least.
+const MINIMUM_OBSERVATION_LIFETIME: Nanos = 3 * SECOND;
+/// How long an observation is used, in refresh intervals: two lost refreshes do no harm.
+const OBSERVATION_LIFETIME_REFRESHES: Nanos = 3;
+/// An observation whose sender's clock differs by more than this from the time of receipt is discarded: the clocks
+/// differ, or it was long on its way.
+const MAXIMUM_CLOCK_DIFFERENCE: Nanos = 2 * SECOND;
+/// Time between two refreshes of an observation by one node, at the least.
+const MINIMUM_REFRESH_INTERVAL: Nanos = SECOND;
+/// Time between two refreshes for each member, so that all members together send a bounded number a second.
+const REFRESH_INTERVAL_PER_MEMBER: Nanos = 10 * MILLISECOND;
 
-/// A member and what it last said of each zone.
+/// Another node, with its latest observation of each zone.
 struct Member {
-    home: u8,
-    up: bool,
-    sights: BTreeMap<u8, (Nanos, ZoneObservation)>,
+    home_zone: GossipZone,
+    /// Whether the membership protocol has reported it as a member.
+    is_up: bool,
+    observations: BTreeMap<GossipZone, ReceivedObservation>,
 }
 
 impl Member {
-    fn new(home: u8, up: bool) -> Self {
+    fn new(home_zone: GossipZone, is_up: bool) -> Self {
         Self {
-            home,
-            up,
-            sights: BTreeMap::new(),
+            home_zone,
+            is_up,
+            observations: BTreeMap::new(),
         }
     }
 }
 
-/// What the others say of one zone, as far as it concerns nodes of one home.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct PeerSummary {
-    /// Evidence against it, each node's within bounds; none without enough speakers.
-    pub(crate) silence: f64,
-    pub(crate) failing: f64,
-    /// Somebody speaks against it now; somebody gives it nothing, or trials only, by what it saw itself.
-    pub(crate) doubted: bool,
-    pub(crate) held: bool,
-    /// Enough others give it nothing, or trials only, by what they saw; enough are returning to it.
-    pub(crate) closed: bool,
-    pub(crate) returning: bool,
-    /// The step of the middle one of those that return or are back.
-    pub(crate) step: Option<usize>,
-    /// Answers have come in that step or a later one, to somebody.
-    pub(crate) good: bool,
-    /// Trials answered lately, by how many nodes, and how long ago one was not.
-    pub(crate) trials: u32,
-    pub(crate) triers: u32,
-    pub(crate) bad_ago: Nanos,
-}
-
-/// The other nodes.
+/// The other nodes of the fleet, with their observations.
 #[derive(Default)]
 pub(crate) struct PeerObservations {
-    members: BTreeMap<u64, Member>,
-    fresh: Nanos,
+    members: BTreeMap<MemberId, Member>,
+    /// How long an observation is used.
+    observation_lifetime: Nanos,
 }
 
 impl PeerObservations {
-    /// A member is there, or no longer.
-    pub(crate) fn member(&mut self, member: u64, home: u8, up: bool) {
-        if !up {
+    /// Adds a member, or removes it. A member that is already known has restarted, and its observations are discarded.
+    pub(crate) fn update_member(&mut self, member: MemberId, home_zone: GossipZone, is_up: bool) {
+        if !is_up {
             self.members.remove(&member);
         } else if self.has_room_for(member) {
-            // Where it was known already it has started anew.
-            self.members.insert(member, Member::new(home, up));
+            self.members.insert(member, Member::new(home_zone, true));
         }
-        self.fresh = FRESH.max(3 * refresh(self.members.len()));
+        let refreshes = OBSERVATION_LIFETIME_REFRESHES * refresh_interval(self.members.len());
+        self.observation_lifetime = MINIMUM_OBSERVATION_LIFETIME.max(refreshes);
     }
 
-    /// A member has said something; whether it counts.
-    pub(crate) fn said(
+    /// Stores a member's observation. Returns whether it is used.
+    pub(crate) fn record(
         &mut self,
         now: Nanos,
-        member: u64,
-        zone: u8,
-        sent: Nanos,
-        sight: ZoneObservation,
+        member: MemberId,
+        zone: GossipZone,
+        sent_at: Nanos,
+        observation: ZoneObservation,
     ) -> bool {
-        if now.abs_diff(sent) > LATE || !self.has_room_for(member) {
+        if now.abs_diff(sent_at) > MAXIMUM_CLOCK_DIFFERENCE || !self.has_room_for(member) {
             return false;
         }
-        // Its first word may come before the word that it is there.
+        // The first observation may arrive before the news that the node is a member.
         let known = self
             .members
             .entry(member)
-            .or_insert(Member::new(sight.home, false));
-        known.sights.insert(zone, (now, sight));
+            .or_insert_with(|| Member::new(observation.observer_zone, false));
+        let received = ReceivedObservation {
+            received_at: now,
+            observation,
+        };
+        known.observations.insert(zone, received);
         true
     }
 
-    fn has_room_for(&self, member: u64) -> bool {
-        self.members.len() < MEMBERS_MOST || self.members.contains_key(&member)
+    fn has_room_for(&self, member: MemberId) -> bool {
+        self.members.len() < MAXIMUM_MEMBERS || self.members.contains_key(&member)
     }
 
-    /// Other members of a home.
-    pub(crate) fn count(&self, home: u8) -> u32 {
+    /// Number of other members in a zone.
+    pub(crate) fn count_in_zone(&self, home_zone: GossipZone) -> usize {
         self.members
             .values()
-            .filter(|member| member.up && member.home == home)
-            .count() as u32
+            .filter(|member| member.is_up && member.home_zone == home_zone)
+            .count()
     }
 
-    /// How many are there, of all homes.
+    /// Number of other nodes, in all zones.
     pub(crate) fn len(&self) -> usize {
         self.members.len()
     }
 
-    /// What they say of a zone for nodes of this home: those of the home, and of the zone itself, from which no link
-    /// between zones parts it. `own` is what this node sees of it: evidence of silence and of failures, and whether it
-    /// hears from it.
-    pub(crate) fn view(
+    /// Whether there are no other nodes.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Summarizes the observations of a zone for a node of `home_zone`.
+    ///
+    /// Only nodes of the same home zone count, and those of the observed zone itself: a node elsewhere may observe no
+    /// more than a broken link of its own.
+    pub(crate) fn summarize(
         &self,
         now: Nanos,
-        zone: u8,
-        home: u8,
-        own: (f64, f64, bool),
+        zone: GossipZone,
+        home_zone: GossipZone,
+        own: OwnObservation,
     ) -> PeerSummary {
-        let (own_silence, own_failing, hears) = own;
-        let own_against = own_silence.max(own_failing) >= SPEAKS;
-        let (mut silence, mut failing) = (0.0, 0.0);
-        let (mut against, mut with) = (u32::from(own_against), u32::from(hears && !own_against));
-        let (mut closed, mut returning, mut could) = (0, 0, 1u32);
-        let mut steps: Vec<(usize, bool)> = Vec::new();
-        let mut view = PeerSummary {
-            bad_ago: Nanos::MAX,
-            ..PeerSummary::default()
-        };
+        let mut builder = SummaryBuilder::new(now, own);
         for member in self.members.values() {
-            // Of other homes only the zone's own see it from where no link can be at fault.
-            if member.home != home && member.home != zone {
+            if member.home_zone != home_zone && member.home_zone != zone {
                 continue;
             }
-            could += u32::from(member.up && member.home == home);
-            let Some((at, sight)) = member
-                .sights
-                .get(&zone)
-                .filter(|(at, _)| now < at + self.fresh)
-            else {
-                continue;
-            };
-            let age = now.saturating_sub(*at);
-            if age < EVIDENCE_FRESH {
-                let word = |evidence: u16| (f64::from(evidence) / 100.0).min(WORD_MOST);
-                let worst = word(sight.silent).max(word(sight.failing));
-                if worst >= SPEAKS {
-                    against += 1;
-                    silence += word(sight.silent);
-                    failing += word(sight.failing);
-                } else if sight.has_answers {
-                    with += 1;
-                }
-                view.doubted |= worst >= SPEAKS || sight.state == ObservedState::Suspected;
+            if member.is_up && member.home_zone == home_zone {
+                builder.add_voter();
             }
-            view.held |= sight.is_own
-                && matches!(
-                    sight.state,
-                    ObservedState::Suspected | ObservedState::Ejected { .. }
-                );
-            match sight.state {
-                ObservedState::Healthy => {}
-                ObservedState::Suspected => closed += u32::from(sight.is_own),
-                ObservedState::Ejected { good, bad_ms } => {
-                    closed += u32::from(sight.is_own);
-                    let tries = u32::from(good).min(TRIALS_OF_ONE);
-                    view.trials += tries;
-                    view.triers += u32::from(tries > 0);
-                    if bad_ms < u16::MAX {
-                        view.bad_ago = view.bad_ago.min(Nanos::from(bad_ms) * MILLISECOND + age);
-                    }
-                }
-                ObservedState::Recovering { step, good } => {
-                    returning += 1;
-                    view.trials += TRIALS_OF_ONE;
-                    view.triers += 1;
-                    steps.push((usize::from(step), good));
-                }
+            if let Some(received) = member.observations.get(&zone)
+                && now < received.received_at + self.observation_lifetime
+            {
+                builder.add_observation(received);
             }
         }
-        let quorum = SPEAKERS.max((OF_MEMBERS * f64::from(could)).ceil() as u32);
-        if against >= quorum && f64::from(against) >= OF_HEARD * f64::from(against + with) {
-            (view.silence, view.failing) = (silence, failing);
-        }
-        view.closed = closed >= quorum && with == 0;
-        view.returning = returning >= quorum;
-        steps.sort_unstable();
-        if steps.len() >= SPEAKERS as usize {
-            let (step, _) = steps[steps.len() / 2];
-            view.step = Some(step);
-            view.good = steps.iter().any(|(at, good)| *good && *at >= step);
-        }
-        view
+        builder.build()
     }
 }
 
-/// How often a node says again what it has said of a zone that is not open, among so many: all of it together stays
-/// within bounds.
-pub(crate) fn refresh(members: usize) -> Nanos {
-    SECOND.max(members as Nanos * 10 * MILLISECOND)
+/// How often a node repeats its observation of a zone that is not healthy, in a fleet with this many other nodes.
+pub(crate) fn refresh_interval(members: usize) -> Nanos {
+    MINIMUM_REFRESH_INTERVAL.max(members as Nanos * REFRESH_INTERVAL_PER_MEMBER)
 }
 
 #[cfg(test)]
--- a/core/zone-health/src/peer_observations/tests.rs
+++ b/core/zone-health/src/peer_observations/tests.rs
@@ -1,140 +1,155 @@
+//! Summaries of observations from several nodes, zones and ages.
+
 use super::*;
+use crate::observation::{ObservedState, evidence_to_units};
+use crate::peer_summary::EVIDENCE_LIFETIME;
 
 const NOW: Nanos = 100 * SECOND;
+const ZONE_A: GossipZone = GossipZone(0);
+const ZONE_B: GossipZone = GossipZone(1);
+const ZONE_C: GossipZone = GossipZone(2);
+/// A node without evidence or responses of its own.
+const NO_OWN_OBSERVATION: OwnObservation = OwnObservation {
+    silence: 0.0,
+    failures: 0.0,
+    has_answers: false,
+};
 
-fn sight(home: u8, silent: f64) -> ZoneObservation {
-    let silent = crate::observation::hundredths(silent);
+/// An observation of a node of `observer_zone`: with responses, unless there is evidence of silence.
+fn observation(observer_zone: GossipZone, silence: f64) -> ZoneObservation {
+    let silence_evidence = evidence_to_units(silence);
     ZoneObservation {
-        home,
-        silent,
-        failing: 0,
-        has_answers: silent == 0,
+        observer_zone,
+        silence_evidence,
+        failure_evidence: 0,
+        has_answers: silence_evidence == 0,
         state: ObservedState::Healthy,
-        is_own: silent > 0,
+        is_first_hand: silence_evidence > 0,
+    }
+}
+
+/// Other nodes of zone A, numbered from 1.
+fn peers_in_zone_a(count: u64) -> PeerObservations {
+    let mut peers = PeerObservations::default();
+    for member in 1..=count {
+        peers.update_member(MemberId(member), ZONE_A, true);
     }
+    peers
 }
 
-fn fleet(count: u64) -> PeerObservations {
-    let mut fleet = PeerObservations::default();
-    (1..=count).for_each(|member| fleet.member(member, 0, true));
-    fleet
+/// Records what a member observes of zone A now.
+fn record(peers: &mut PeerObservations, member: u64, observation: ZoneObservation) -> bool {
+    peers.record(NOW, MemberId(member), ZONE_A, NOW, observation)
+}
+
+/// The summary of zone A for a node of `home_zone`.
+fn summary_of_zone_a(peers: &PeerObservations, now: Nanos, home_zone: GossipZone) -> PeerSummary {
+    peers.summarize(now, ZONE_A, home_zone, NO_OWN_OBSERVATION)
 }
 
 #[test]
-fn several_weak_words_are_one_strong_one_and_one_strong_word_is_none() {
-    let mut fleet = fleet(7);
-    assert!(fleet.said(NOW, 1, 0, NOW, sight(0, 500.0)));
+fn weak_evidence_of_several_nodes_adds_up_and_strong_evidence_of_one_does_not_count() {
+    let mut peers = peers_in_zone_a(7);
+    assert!(record(&mut peers, 1, observation(ZONE_A, 500.0)));
     assert_eq!(
-        fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence,
+        summary_of_zone_a(&peers, NOW, ZONE_A).silence,
         0.0,
         "a liar alone"
     );
-    fleet.said(NOW, 2, 0, NOW, sight(0, 2.4));
-    fleet.said(NOW, 3, 0, NOW, sight(0, 2.4));
-    let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
-    assert!((view.silence - 7.3).abs() < 1e-9, "{view:?}");
-    // Those who hear from the zone speak for it.
-    (4..=6).for_each(|member| {
-        fleet.said(NOW, member, 0, NOW, sight(0, 0.0));
-    });
-    assert_eq!(fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence, 0.0);
-    // And it is forgotten.
+    record(&mut peers, 2, observation(ZONE_A, 2.4));
+    record(&mut peers, 3, observation(ZONE_A, 2.4));
+    let summary = summary_of_zone_a(&peers, NOW, ZONE_A);
+    assert!((summary.silence - 7.3).abs() < 1e-9, "{summary:?}");
+    // Nodes with responses from the zone outvote the witnesses.
+    for member in 4..=6 {
+        record(&mut peers, member, observation(ZONE_A, 0.0));
+    }
+    assert_eq!(summary_of_zone_a(&peers, NOW, ZONE_A).silence, 0.0);
+    // The evidence expires.
     assert_eq!(
-        fleet.view(NOW + EVIDENCE_FRESH, 0, 0, (0.0, 0.0, false)),
+        summary_of_zone_a(&peers, NOW + EVIDENCE_LIFETIME, ZONE_A),
         PeerSummary {
-            bad_ago: u64::MAX,
+            failed_probe_age: Nanos::MAX,
             ..PeerSummary::default()
         }
     );
 }
 
 #[test]
-fn what_was_long_under_way_and_what_another_zone_sees_over_its_own_link_does_not_count() {
-    let mut fleet = fleet(4);
-    assert!(!fleet.said(NOW, 1, 0, NOW - 5 * SECOND, sight(0, 2.5)));
-    (5..9).for_each(|member| {
-        fleet.member(member, 1, true);
-        fleet.said(NOW, member, 0, NOW, sight(1, 2.5));
-    });
+fn delayed_observations_and_those_over_another_zones_link_do_not_count() {
+    let mut peers = peers_in_zone_a(4);
+    let delayed_at = NOW - 5 * SECOND;
+    assert!(!peers.record(
+        NOW,
+        MemberId(1),
+        ZONE_A,
+        delayed_at,
+        observation(ZONE_A, 2.5)
+    ));
+    for member in 5..9 {
+        peers.update_member(MemberId(member), ZONE_B, true);
+        record(&mut peers, member, observation(ZONE_B, 2.5));
+    }
     assert_eq!(
-        fleet.view(NOW, 0, 0, (0.0, 0.0, false)).silence,
+        summary_of_zone_a(&peers, NOW, ZONE_A).silence,
         0.0,
-        "dc-b does not reach dc-a"
+        "zone B does not reach zone A"
     );
     assert_eq!(
-        fleet.view(NOW, 0, 2, (0.0, 0.0, false)).silence,
+        summary_of_zone_a(&peers, NOW, ZONE_C).silence,
         0.0,
-        "dc-c does not care"
+        "zone C has a link of its own"
     );
-    assert!(fleet.view(NOW, 0, 1, (0.0, 0.0, false)).silence > 5.0);
-    // What a zone's own nodes see of it counts for all.
-    (1..4).for_each(|member| {
-        fleet.said(NOW, member, 0, NOW, sight(0, 2.5));
-    });
-    assert!(fleet.view(NOW, 0, 2, (0.0, 0.0, false)).silence > 5.0);
+    assert!(summary_of_zone_a(&peers, NOW, ZONE_B).silence > 5.0);
+    // What a zone's own nodes observe of it counts for all.
+    for member in 1..4 {
+        record(&mut peers, member, observation(ZONE_A, 2.5));
+    }
+    assert!(summary_of_zone_a(&peers, NOW, ZONE_C).silence > 5.0);
 }
 
 #[test]
-fn the_middle_one_leads_the_return_and_two_have_to_vouch_for_it() {
-    let mut fleet = fleet(5);
-    let at = |at| ZoneObservation {
-        state: at,
-        ..sight(0, 0.0)
+fn the_median_node_leads_the_recovery_if_at_least_two_are_recovering() {
+    let mut peers = peers_in_zone_a(5);
+    let in_state = |state| ZoneObservation {
+        state,
+        ..observation(ZONE_A, 0.0)
     };
-    fleet.said(
-        NOW,
-        1,
-        0,
-        NOW,
-        at(ObservedState::Recovering {
-            step: 4,
-            good: true,
-        }),
-    );
-    let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
+    let recovering = |step, has_answers| in_state(ObservedState::Recovering { step, has_answers });
+    record(&mut peers, 1, recovering(4, true));
+    let one_recovering = summary_of_zone_a(&peers, NOW, ZONE_A);
     assert_eq!(
-        (view.step, view.returning, view.triers),
+        (
+            one_recovering.median_step,
+            one_recovering.is_recovering_by_quorum,
+            one_recovering.probing_peers
+        ),
         (None, false, 1),
         "one alone leads nobody"
     );
-    fleet.said(
-        NOW,
-        2,
-        0,
-        NOW,
-        at(ObservedState::Recovering {
-            step: 1,
-            good: false,
-        }),
-    );
-    fleet.said(
-        NOW,
-        3,
-        0,
-        NOW,
-        at(ObservedState::Recovering {
-            step: 0,
-            good: true,
-        }),
-    );
-    let view = fleet.view(NOW, 0, 0, (0.0, 0.0, false));
+    record(&mut peers, 2, recovering(1, false));
+    record(&mut peers, 3, recovering(0, true));
+    let three_recovering = summary_of_zone_a(&peers, NOW, ZONE_A);
     assert_eq!(
-        (view.step, view.good, view.returning),
+        (
+            three_recovering.median_step,
+            three_recovering.has_answers_at_step,
+            three_recovering.is_recovering_by_quorum
+        ),
         (Some(1), true, true)
     );
-    fleet.said(
-        NOW,
-        4,
-        0,
-        NOW,
-        at(ObservedState::Ejected {
-            good: 9,
-            bad_ms: 40,
-        }),
-    );
-    let view = fleet.view(NOW + MILLISECOND, 0, 0, (0.0, 0.0, false));
+    let ejected = in_state(ObservedState::Ejected {
+        answered_probes: 9,
+        failed_probe_age_ms: 40,
+    });
+    record(&mut peers, 4, ejected);
+    let with_ejected = summary_of_zone_a(&peers, NOW + MILLISECOND, ZONE_A);
     assert_eq!(
-        (view.trials, view.triers, view.bad_ago),
+        (
+            with_ejected.answered_probes,
+            with_ejected.probing_peers,
+            with_ejected.failed_probe_age
+        ),
         (8, 4, 41 * MILLISECOND)
     );
 }
--- a/core/zone-health/src/zone_state.rs
+++ b/core/zone-health/src/zone_state.rs
@@ -1,475 +1,472 @@
-//! The course of one zone: open, doubted, closed, tried, returning by steps. Which of these it is decides what it
-//! gets; when it changes is decided here too, from what the evidence amounts to.
+//! The state of one zone for this node, and its transitions.
+//!
+//! ```text
+//!                   evidence, or peers' quorum                 confirmed
+//!     +---------+ ------------------------------> +-----------+ -----------> +---------+
+//!     | Healthy |                                 | Suspected |              | Ejected |
+//!     +---------+ <------------------------------ +-----------+              +---------+
+//!       ^     |             withdrawn                              evidence    ^     |
+//!       |     |                                                   +------------+     |
+//!       |     |    peers' quorum                                  |                  | probes answered,
+//!       |     |                                           +------------+             | servers listed anew
+//!       |     +-----------------------------------------> | Recovering | <-----------+
+//!       +------------------------------------------------ +------------+
+//!                             last step done                 |      ^
+//!                                                            +------+ next or previous step
+//! ```
+//!
+//! Besides, any state becomes `Healthy` when the monitor finds that this node itself was cut off, or that other zones
+//! fail as much.
+//!
+//! All instants here are on the awake clock.
 
-use crate::api::ZoneStateReason;
+use crate::action::ZoneStateReason;
+use crate::assessment::{Assessment, EvidenceSnapshot, SUSPECT_THRESHOLD};
 use crate::evidence::Evidence;
 use crate::observation::ObservedState;
-use crate::peer_observations::PeerSummary;
+use crate::peer_summary::PeerSummary;
+use crate::recovery_probes::{Ejection, ProbeContext, ProbeProgress};
 use crate::time::{MILLISECOND, Nanos, SECOND};
 
-/// Evidence at which a zone gets nothing new: log-likelihoods, so chance comes to it once in 150 cases that are as
-/// bad as the test can tell, and the next answer takes it back.
-const DOUBT: f64 = 5.0;
-/// The same for failures, which take nothing back by themselves once the zone gets nothing: three in a row at the
-/// least, beside those of the worst server.
-const DOUBT_FAILING: f64 = 8.0;
-/// Own evidence at which a node has seen for itself what it tells the others.
-const SEES: f64 = 2.0;
-/// Evidence in the return at which the last step is taken back.
-const WORSE: f64 = 2.5;
-/// A slow zone is told from a dead one by answers that take so many times as long; new processes are cold, and
-/// have an eighth of what they will have.
-pub(crate) const SLOW: f64 = 4.0;
-const COLD: f64 = 8.0;
-/// A doubt that no answer has ended for so long closes the zone. A link that is cut for a moment ends it sooner.
-const DOUBT_FOR: Nanos = 300 * MILLISECOND;
-/// The same where the attempts that could still answer are too few to tell a dead zone from a slow one.
-const DOUBT_MOST: Nanos = SECOND;
-/// A closed zone is not tried earlier than this; doubled for each time that it was closed again.
-const HOLD: Nanos = 500 * MILLISECOND;
-const HOLDS: u32 = 7;
-/// A zone that stayed open this long starts anew with the first.
-const FORGIVEN: Nanos = 60 * SECOND;
-/// Trials that must be answered, one after the other, before it returns.
-const TRIALS: u32 = 3;
-/// The same where it failed: a zone that fails three in ten answers three in a row once in three times.
-const TRIALS_FAILED: u32 = 8;
-/// Trials a second that the nodes of a zone make together.
-const TRIALS_A_SECOND: f64 = 2.0;
-/// Most nodes that a wait between two trials is reckoned for: alone, where nobody else's trial helps, and with words.
-pub(crate) const CROWD_ALONE: f64 = 8.0;
-const CROWD_MOST: f64 = 240.0;
-/// After an answer the next trial follows soon.
-const TRIAL_NEXT: Nanos = 50 * MILLISECOND;
-/// The steps of the return and how long each lasts at least: long enough that answers to it have come.
-const STEPS: [f64; 5] = [0.05, 0.1, 0.2, 0.4, 0.7];
-const STEP_FOR: Nanos = 300 * MILLISECOND;
-/// No further step while answers take this many times as long as usual, and as long again as in the first step: cold
-/// servers are slow without any load. A step lasts no longer for that than this: the evidence still watches.
-const STRETCHED: f64 = 3.0;
-const WORSENED: f64 = 2.0;
-const STEP_MOST: Nanos = 2 * SECOND;
-/// Share of a class that fails elsewhere at which no zone is to blame, if it is half of what failed here.
-const FAILING_TOO: f64 = 0.15;
-/// A trial that was not answered stands against so many trials of other nodes for so long: with silence, and with
-/// failures, where single answers prove little.
-const BAD_FOR: Nanos = 500 * MILLISECOND;
-const BAD_FAILED_FOR: Nanos = 4 * SECOND;
-/// A node that has opened a zone by itself follows nobody who has not, for so long.
-const OPENED: Nanos = 4 * SECOND;
-/// Nodes that try a zone at once as another's trial is answered, in the mean over the fleet.
-const SECONDERS: f64 = 6.0;
-/// A zone that was wrongly closed for failures is not closed for them again so soon.
-const ACQUITTED: Nanos = 10 * SECOND;
-
-/// Where a zone stands. Times are on the clock of the time awake; a closed zone is held until `held`.
+/// A suspicion of silence that peers alone caused is withdrawn below this evidence.
+const WITHDRAWAL_THRESHOLD: f64 = SUSPECT_THRESHOLD / 2.0;
+/// Own evidence at which a node reports a state as first-hand.
+const FIRST_HAND_THRESHOLD: f64 = 2.0;
+/// Evidence at which a recovery goes back one step.
+const STEP_BACK_THRESHOLD: f64 = 2.5;
+/// Slowdown of responses that does not count as silence when it comes to ejecting a zone.
+pub(crate) const SLOWDOWN_TOLERANCE: f64 = 4.0;
+/// The same for restarted servers, which have an eighth of their capacity at first.
+const RESTART_SLOWDOWN_TOLERANCE: f64 = 8.0;
+/// How long a suspicion must last before the zone is ejected: a short network interruption ends within this time.
+const SUSPICION_PERIOD: Nanos = 300 * MILLISECOND;
+/// How long a suspicion lasts if too few outstanding attempts are left to tell a silent zone from a slow one.
+const MAXIMUM_SUSPICION_PERIOD: Nanos = SECOND;
+/// Once a zone has stayed healthy for this long, its earlier ejections no longer prolong the next one.
+const EJECTION_MEMORY: Nanos = 60 * SECOND;
+/// The fraction of its requests that a zone gets in each step of its recovery.
+const RECOVERY_FRACTIONS: [f64; 5] = [0.05, 0.1, 0.2, 0.4, 0.7];
+/// How long a recovery step lasts at the least: long enough that responses have come.
+const STEP_PERIOD: Nanos = 300 * MILLISECOND;
+/// How long a recovery step lasts before evidence may end it: half of its period.
+const STEP_BACK_DELAY: Nanos = STEP_PERIOD / 2;
+/// How long slow responses delay the next recovery step at the most: silence is still watched then.
+const MAXIMUM_STEP_PERIOD: Nanos = 2 * SECOND;
+/// Slowdown of responses that delays the next recovery step ...
+const SLOWDOWN_LIMIT: f64 = 3.0;
+/// ... if it is also this many times the slowdown of the first step: restarted servers are slow without load.
+const SLOWDOWN_GROWTH_LIMIT: f64 = 2.0;
+/// Failure rate in other zones from which on no single zone is held responsible ...
+const COMMON_FAILURE_RATE: f64 = 0.15;
+/// ... if it is also at least this fraction of the failure rate for which the zone was suspected.
+const COMMON_FAILURE_FRACTION: f64 = 0.5;
+/// How long evidence of failures is ignored after a zone was wrongly suspected of them.
+const FAILURE_AMNESTY: Nanos = 10 * SECOND;
+/// How long a node that recovered a zone itself ignores peers that have not yet.
+const RECOVERED_PERIOD: Nanos = 4 * SECOND;
+
+/// A suspicion against a zone.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum ZoneStage {
-    Healthy,
-    Suspected {
-        since: Nanos,
-        why: ZoneStateReason,
-    },
-    Ejected {
-        held: Nanos,
-        why: ZoneStateReason,
-        next: Nanos,
-        answered: u32,
-        tried: bool,
-    },
-    Recovering {
-        step: usize,
-        since: Nanos,
-    },
+struct Suspicion {
+    since: Nanos,
+    reason: ZoneStateReason,
 }
 
-/// What the evidence amounts to at one moment.
-#[derive(Clone, Copy)]
-pub(crate) struct EvidenceSnapshot {
-    /// Of silence, with answers that take twice as long as usual, and as many times as [`ZoneState::patience`] says.
-    pub(crate) silence: f64,
-    pub(crate) slower: f64,
-    /// Of failures.
-    pub(crate) failing: f64,
-    /// Another zone is left.
-    pub(crate) others: bool,
-    /// How long it has said nothing, at least.
-    pub(crate) quiet: Nanos,
-    /// What the other nodes say, where there are any; its evidence is in the figures above already.
-    pub(crate) fleet: Option<PeerSummary>,
-    /// This node had an answer from there in the last moments.
-    pub(crate) hears: bool,
-    /// The worst of this node's own evidence.
-    pub(crate) own: f64,
+/// A recovery in progress.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Recovery {
+    /// Index of the current step in [`RECOVERY_FRACTIONS`].
+    step: usize,
+    step_since: Nanos,
 }
 
-/// One zone.
+/// The state proper; see the module's diagram.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ZoneStage {
+    /// The zone gets its usual share.
+    Healthy,
+    /// The zone gets nothing new until the suspicion is withdrawn or confirmed.
+    Suspected(Suspicion),
+    /// The zone gets recovery probes only.
+    Ejected(Ejection),
+    /// The zone gets a fraction of its requests, which grows step by step.
+    Recovering(Recovery),
+}
+
+/// One zone: its state, and the evidence about it.
 pub(crate) struct ZoneState {
-    pub(crate) stage: ZoneStage,
+    stage: ZoneStage,
     pub(crate) evidence: Evidence,
-    strikes: u32,
-    opened: Nanos,
-    acquitted_until: Nanos,
-    goods_at_step: u32,
-    /// How much longer than usual answers took in the first step, and whether it returns with new processes.
-    first_stretch: f64,
-    cold: bool,
-    /// Share of the last attempts that failed as it was closed.
-    failed_at_close: f64,
-    /// It was doubted by what this node saw itself.
-    pub(crate) saw: bool,
-    /// When the last trial was not answered, since it was closed.
-    bad: Option<Nanos>,
-    /// Another node's answered trial has been seconded, or not, by lot.
-    seconded: bool,
+    /// Ejections since the zone was last healthy for [`EJECTION_MEMORY`].
+    ejection_count: u32,
+    /// When the zone became healthy; 0 if it always was.
+    healthy_since: Nanos,
+    /// Until when evidence of failures is ignored.
+    failure_amnesty_until: Nanos,
+    /// Usable responses when the current recovery step began.
+    successes_at_step_start: u32,
+    /// Slowdown of responses in the first recovery step.
+    first_step_slowdown: f64,
+    /// Whether the zone recovers with restarted servers.
+    has_restarted_servers: bool,
+    /// Recent failure rate when the zone was suspected.
+    failure_rate_at_suspicion: f64,
+    /// Whether the zone was suspected on this node's own evidence.
+    is_first_hand: bool,
 }
 
 impl ZoneState {
-    pub(crate) fn new(classes: u32) -> Self {
+    /// A healthy zone without evidence, for this number of request classes.
+    pub(crate) fn new(class_count: usize) -> Self {
         Self {
             stage: ZoneStage::Healthy,
-            evidence: Evidence::new(classes),
-            strikes: 0,
-            opened: 0,
-            acquitted_until: 0,
-            goods_at_step: 0,
-            first_stretch: 1.0,
-            cold: false,
-            failed_at_close: 0.0,
-            saw: false,
-            bad: None,
-            seconded: false,
+            evidence: Evidence::new(class_count),
+            ejection_count: 0,
+            healthy_since: 0,
+            failure_amnesty_until: 0,
+            successes_at_step_start: 0,
+            first_step_slowdown: 1.0,
+            has_restarted_servers: false,
+            failure_rate_at_suspicion: 0.0,
+            is_first_hand: false,
         }
     }
 
-    /// Which part of what it could get it gets.
-    pub(crate) fn part(&self) -> f64 {
+    /// Whether the zone gets its usual share.
+    pub(crate) fn is_healthy(&self) -> bool {
+        self.stage == ZoneStage::Healthy
+    }
+
+    /// Whether the zone was last suspected on this node's own evidence.
+    pub(crate) fn is_first_hand(&self) -> bool {
+        self.is_first_hand
+    }
+
+    /// The fraction of its usual requests that the zone gets, from 0 to 1.
+    pub(crate) fn traffic_fraction(&self) -> f64 {
         match self.stage {
             ZoneStage::Healthy => 1.0,
-            ZoneStage::Suspected { .. } | ZoneStage::Ejected { .. } => 0.0,
-            ZoneStage::Recovering { step, .. } => STEPS.get(step).copied().unwrap_or(1.0),
+            ZoneStage::Suspected(_) | ZoneStage::Ejected(_) => 0.0,
+            ZoneStage::Recovering(recovery) => RECOVERY_FRACTIONS
+                .get(recovery.step)
+                .copied()
+                .unwrap_or(1.0),
         }
     }
 
-    pub(crate) fn why(&self) -> ZoneStateReason {
+    /// The reason of the current state.
+    pub(crate) fn reason(&self) -> ZoneStateReason {
         match self.stage {
             ZoneStage::Healthy => ZoneStateReason::Healthy,
-            ZoneStage::Ejected { tried: true, .. } => ZoneStateReason::Probing,
-            ZoneStage::Suspected { why, .. } | ZoneStage::Ejected { why, .. } => why,
-            ZoneStage::Recovering { .. } => ZoneStateReason::Recovering,
+            ZoneStage::Suspected(suspicion) => suspicion.reason,
+            ZoneStage::Ejected(ejection) if ejection.has_answered_probe() => {
+                ZoneStateReason::Probing
+            }
+            ZoneStage::Ejected(ejection) => ejection.reason(),
+            ZoneStage::Recovering(_) => ZoneStateReason::Recovering,
         }
     }
 
-    /// Opens it at once, forgetting what spoke against it.
-    pub(crate) fn open(&mut self, awake: Nanos) {
-        self.stage = ZoneStage::Healthy;
-        self.opened = awake;
-        self.evidence.reset(awake);
-    }
-
-    /// Opens it, as it fails no more than the others do.
-    pub(crate) fn acquit(&mut self, awake: Nanos) {
-        self.open(awake);
-        self.acquitted_until = awake + ACQUITTED;
-    }
-
-    /// Whether it was closed for failures that other zones now show as much.
-    pub(crate) fn no_worse_than(&self, elsewhere: f64) -> bool {
-        let failing = matches!(
-            self.stage,
-            ZoneStage::Ejected {
-                why: ZoneStateReason::Failing { .. },
-                ..
-            } | ZoneStage::Suspected {
-                why: ZoneStateReason::Failing { .. },
-                ..
-            }
-        );
-        failing && elsewhere >= FAILING_TOO.max(0.5 * self.failed_at_close)
+    /// The state as the other nodes are told.
+    pub(crate) fn observed_state(&self, now: Nanos) -> ObservedState {
+        match self.stage {
+            ZoneStage::Healthy => ObservedState::Healthy,
+            ZoneStage::Suspected(_) => ObservedState::Suspected,
+            ZoneStage::Ejected(ejection) => ejection.observed_state(now),
+            ZoneStage::Recovering(recovery) => ObservedState::Recovering {
+                step: u8::try_from(recovery.step).unwrap_or(u8::MAX),
+                has_answers: self.has_answers_in_step(),
+            },
+        }
     }
 
-    fn close(&mut self, awake: Nanos, why: ZoneStateReason, crowd: f64, draw: f64) {
-        let held = awake + (HOLD << self.strikes.min(HOLDS));
-        let next = held + (draw * self.interval(crowd)) as Nanos;
-        self.stage = ZoneStage::Ejected {
-            held,
-            why,
-            next,
-            answered: 0,
-            tried: false,
-        };
-        self.strikes += 1;
-        (self.bad, self.seconded) = (None, false);
+    /// Slowdown of responses that does not count as silence.
+    pub(crate) fn slowdown_tolerance(&self) -> f64 {
+        let is_recovering = matches!(self.stage, ZoneStage::Recovering(_));
+        if self.has_restarted_servers && is_recovering {
+            RESTART_SLOWDOWN_TOLERANCE
+        } else {
+            SLOWDOWN_TOLERANCE
+        }
     }
 
-    /// Where it stands, for the other nodes.
-    pub(crate) fn at(&self, awake: Nanos) -> ObservedState {
+    /// When the state must be assessed again even without any event.
+    pub(crate) fn next_assessment_at(&self) -> Option<Nanos> {
         match self.stage {
-            ZoneStage::Healthy => ObservedState::Healthy,
-            ZoneStage::Suspected { .. } => ObservedState::Suspected,
-            ZoneStage::Ejected { answered, .. } => {
-                let bad = self.bad.map(|bad| awake.saturating_sub(bad) / MILLISECOND);
-                let bad_ms = bad
-                    .and_then(|ms| u16::try_from(ms).ok())
-                    .unwrap_or(u16::MAX);
-                ObservedState::Ejected {
-                    good: u8::try_from(answered).unwrap_or(u8::MAX),
-                    bad_ms,
-                }
-            }
-            ZoneStage::Recovering { step, .. } => ObservedState::Recovering {
-                step: step as u8,
-                good: self.evidence.goods > self.goods_at_step,
-            },
+            ZoneStage::Healthy => None,
+            ZoneStage::Suspected(suspicion) => Some(suspicion.since + SUSPICION_PERIOD),
+            ZoneStage::Ejected(ejection) => Some(ejection.next_probe_at()),
+            ZoneStage::Recovering(recovery) => Some(recovery.step_since + STEP_PERIOD),
         }
     }
 
-    /// Weighs what is seen now.
-    pub(crate) fn weigh(&mut self, awake: Nanos, seen: EvidenceSnapshot, crowd: f64, draw: f64) {
-        let failing = if awake < self.acquitted_until {
-            0.0
-        } else {
-            seen.failing
-        };
-        let failing = failing * DOUBT / DOUBT_FAILING;
-        let why = if failing > seen.silence {
-            ZoneStateReason::Failing { evidence: failing }
-        } else {
-            ZoneStateReason::Silent {
-                evidence: seen.silence,
-            }
-        };
-        let worst = failing.max(seen.silence);
-        let middle = seen.fleet.and_then(|fleet| fleet.step);
+    /// Applies the transition, if any, that follows from the evidence now.
+    pub(crate) fn assess(&mut self, now: Nanos, snapshot: EvidenceSnapshot, probes: ProbeContext) {
+        let assessment = Assessment::new(&snapshot, now < self.failure_amnesty_until);
         match self.stage {
-            ZoneStage::Healthy => {
-                if awake.saturating_sub(self.opened) >= FORGIVEN {
-                    self.strikes = 0;
-                }
-                // The last zone left is given up only on plain evidence.
-                if worst >= DOUBT && (seen.others || seen.quiet >= DOUBT_MOST) {
-                    self.failed_at_close = self.evidence.recent;
-                    self.evidence.goods = 0;
-                    self.saw = seen.own >= SEES;
-                    self.stage = ZoneStage::Suspected { since: awake, why };
-                } else if let Some(fleet) = seen
-                    .fleet
-                    .filter(|_| seen.others && !seen.hears && !self.fresh(awake))
-                {
-                    // What the others did while this node saw nothing, or before it began.
-                    self.saw = false;
-                    if fleet.closed {
-                        // Taken back with the others' doubt, or closed as theirs will be.
-                        self.evidence.goods = 0;
-                        self.stage = ZoneStage::Suspected {
-                            since: awake,
-                            why: ZoneStateReason::Silent { evidence: 0.0 },
-                        };
-                    } else if fleet.returning {
-                        self.come_back(awake, false);
-                        self.follow(awake, middle);
-                    }
-                }
+            ZoneStage::Healthy => self.assess_healthy(now, &snapshot, assessment),
+            ZoneStage::Suspected(suspicion) => {
+                self.assess_suspected(now, &snapshot, suspicion, probes);
             }
-            ZoneStage::Suspected { since, why } => {
-                let lasted = awake.saturating_sub(since);
-                let silent = matches!(why, ZoneStateReason::Silent { .. });
-                // The others' evidence grows old once they send nothing there; that takes nothing back.
-                let withdrawn =
-                    seen.fleet.is_some_and(|fleet| !fleet.held) && seen.silence < DOUBT / 2.0;
-                if silent && (self.evidence.goods > 0 || withdrawn) {
-                    self.stage = ZoneStage::Healthy;
-                } else if lasted >= DOUBT_MOST
-                    || (lasted >= DOUBT_FOR && (!silent || seen.slower >= DOUBT))
-                {
-                    self.close(awake, why, crowd, draw);
+            ZoneStage::Ejected(ejection) => {
+                if let Some(peers) = snapshot.peers {
+                    self.assess_ejected(now, ejection, peers, probes);
                 }
             }
-            ZoneStage::Ejected { held, why, .. } => {
-                if let Some(fleet) = seen.fleet {
-                    self.second(awake, fleet, crowd, draw);
-                    let (wanted, bad_for) = match why {
-                        ZoneStateReason::Failing { .. } => (TRIALS_FAILED, BAD_FAILED_FOR),
-                        _ => (TRIALS, BAD_FOR),
-                    };
-                    let own_bad = self.bad.map_or(Nanos::MAX, |bad| awake.saturating_sub(bad));
-                    let answered = fleet.triers >= 2 && fleet.trials >= wanted;
-                    if awake >= held && answered && fleet.bad_ago.min(own_bad) >= bad_for {
-                        self.come_back(awake, false);
-                        self.follow(awake, middle);
-                    }
-                }
-            }
-            ZoneStage::Recovering { step, since } => {
-                let lasted = awake.saturating_sub(since);
-                // Cold servers are slow, not silent.
-                let worst = failing.max(seen.slower);
-                let stretched = STRETCHED.max(WORSENED * self.first_stretch);
-                if worst >= DOUBT {
-                    self.failed_at_close = self.evidence.recent;
-                    self.saw = seen.own >= SEES;
-                    self.close(awake, why, crowd, draw);
-                } else if worst >= WORSE && lasted >= STEP_FOR / 2 {
-                    self.stage = ZoneStage::Recovering {
-                        step: step.saturating_sub(1),
-                        since: awake,
-                    };
-                    self.goods_at_step = self.evidence.goods;
-                } else if middle.is_some_and(|middle| step < middle) {
-                    // One ramp for all: who sees little goes with the others.
-                    self.follow(awake, middle);
-                } else if lasted >= STEP_FOR
-                    && middle.is_none_or(|middle| step <= middle)
-                    && (self.evidence.goods > self.goods_at_step
-                        || seen.fleet.is_some_and(|fleet| fleet.good))
-                    && (self.evidence.stretch < stretched || lasted >= STEP_MOST)
-                {
-                    if step == 0 {
-                        self.first_stretch = self.evidence.stretch;
-                    }
-                    self.goods_at_step = self.evidence.goods;
-                    self.stage = ZoneStage::Recovering {
-                        step: step + 1,
-                        since: awake,
-                    };
-                    if step + 1 >= STEPS.len() {
-                        self.stage = ZoneStage::Healthy;
-                        self.opened = awake;
-                    }
-                }
+            ZoneStage::Recovering(recovery) => {
+                self.assess_recovering(now, &snapshot, assessment, recovery, probes);
             }
         }
     }
 
-    /// An attempt there ended while it was closed: a trial, or one that went out before.
-    pub(crate) fn tried(&mut self, awake: Nanos, good: bool, servers: u32, crowd: f64, draw: f64) {
-        let ZoneStage::Ejected {
-            held,
-            why,
-            next,
-            answered,
-            ..
-        } = self.stage
-        else {
-            return;
-        };
-        if !good {
-            self.bad = Some(awake);
-            let next = next.max(awake + (draw * self.interval(crowd)) as Nanos);
-            self.stage = ZoneStage::Ejected {
-                held,
-                why,
-                next,
-                answered: 0,
-                tried: false,
-            };
-            return;
+    /// Healthy: becomes suspected on enough evidence, or else follows the peers.
+    fn assess_healthy(&mut self, now: Nanos, snapshot: &EvidenceSnapshot, assessment: Assessment) {
+        if now.saturating_sub(self.healthy_since) >= EJECTION_MEMORY {
+            self.ejection_count = 0;
         }
-        let answered = answered + 1;
-        let wanted = match why {
-            ZoneStateReason::Failing { .. } => TRIALS_FAILED,
-            _ => TRIALS.min(servers.max(1)),
-        };
-        if answered >= wanted && awake >= held {
-            self.come_back(awake, false);
-            return;
+        // The last zone left is suspected only after a long silence.
+        let may_be_suspected =
+            snapshot.has_alternative || snapshot.silent_duration >= MAXIMUM_SUSPICION_PERIOD;
+        if assessment.evidence >= SUSPECT_THRESHOLD && may_be_suspected {
+            self.suspect(now, assessment.reason, snapshot.own_evidence);
+        } else if let Some(peers) = snapshot.peers
+            && snapshot.has_alternative
+            && !snapshot.has_answers
+            && !self.is_recently_recovered(now)
+        {
+            self.adopt_peers_state(now, peers);
         }
-        let next = next.min(awake + TRIAL_NEXT).max(held);
-        self.stage = ZoneStage::Ejected {
-            held,
-            why,
-            next,
-            answered,
-            tried: true,
-        };
     }
 
-    /// Servers are listed anew where there were none: what was seen was seen of other processes. The first step is
-    /// trial enough; a short trial would end before a cold server's answer.
-    pub(crate) fn listed_anew(&mut self, awake: Nanos) {
-        if matches!(self.stage, ZoneStage::Ejected { .. }) {
-            self.come_back(awake, true);
+    /// Healthy → Suspected, on evidence.
+    fn suspect(&mut self, now: Nanos, reason: ZoneStateReason, own_evidence: f64) {
+        self.failure_rate_at_suspicion = self.evidence.recent_failure_rate();
+        self.evidence.reset_success_count();
+        self.is_first_hand = own_evidence >= FIRST_HAND_THRESHOLD;
+        self.stage = ZoneStage::Suspected(Suspicion { since: now, reason });
+    }
+
+    /// Healthy → Suspected or Recovering, as the peers decided while this node had no responses or was not running.
+    fn adopt_peers_state(&mut self, now: Nanos, peers: PeerSummary) {
+        self.is_first_hand = false;
+        if peers.is_ejected_by_quorum {
+            // Withdrawn if the peers withdraw theirs, confirmed as theirs are.
+            self.evidence.reset_success_count();
+            self.stage = ZoneStage::Suspected(Suspicion {
+                since: now,
+                reason: ZoneStateReason::Silent { evidence: 0.0 },
+            });
+        } else if peers.is_recovering_by_quorum {
+            self.start_recovery(now, false);
+            self.catch_up(now, peers.median_step);
         }
     }
 
-    /// It has come back a moment ago: what the others said before that is older than what this node did itself.
-    fn fresh(&self, awake: Nanos) -> bool {
-        self.opened > 0 && awake.saturating_sub(self.opened) < OPENED
+    /// Whether the zone has just become healthy: what peers reported before is older than this node's own experience.
+    fn is_recently_recovered(&self, now: Nanos) -> bool {
+        self.healthy_since > 0 && now.saturating_sub(self.healthy_since) < RECOVERED_PERIOD
+    }
+
+    /// Suspected: the suspicion is withdrawn, or the zone is ejected.
+    fn assess_suspected(
+        &mut self,
+        now: Nanos,
+        snapshot: &EvidenceSnapshot,
+        suspicion: Suspicion,
+        probes: ProbeContext,
+    ) {
+        let duration = now.saturating_sub(suspicion.since);
+        let is_silent = matches!(suspicion.reason, ZoneStateReason::Silent { .. });
+        if is_silent && self.is_withdrawn(snapshot) {
+            self.stage = ZoneStage::Healthy;
+            return;
+        }
+        let is_confirmed = !is_silent || snapshot.tolerant_silence >= SUSPECT_THRESHOLD;
+        if duration >= MAXIMUM_SUSPICION_PERIOD || (duration >= SUSPICION_PERIOD && is_confirmed) {
+            self.eject(now, suspicion.reason, probes);
+        }
+    }
+
+    /// Whether a suspicion of silence is refuted by a response, or no longer held by any peer with own evidence.
+    ///
+    /// Peers' evidence expires once they send the zone nothing, so its absence alone withdraws nothing.
+    fn is_withdrawn(&self, snapshot: &EvidenceSnapshot) -> bool {
+        let is_dropped_by_peers = snapshot
+            .peers
+            .is_some_and(|peers| !peers.is_held_first_hand)
+            && snapshot.silence < WITHDRAWAL_THRESHOLD;
+        self.evidence.success_count() > 0 || is_dropped_by_peers
+    }
+
+    /// Suspected or Recovering → Ejected.
+    fn eject(&mut self, now: Nanos, reason: ZoneStateReason, probes: ProbeContext) {
+        let ejection = Ejection::new(
+            now,
+            reason,
+            self.ejection_count,
+            probes.for_state(self.is_first_hand),
+        );
+        self.stage = ZoneStage::Ejected(ejection);
+        self.ejection_count += 1;
+    }
+
+    /// Ejected: recovers if enough of the peers' probes were answered.
+    fn assess_ejected(
+        &mut self,
+        now: Nanos,
+        mut ejection: Ejection,
+        peers: PeerSummary,
+        probes: ProbeContext,
+    ) {
+        ejection.follow_peers_probe(now, &peers, probes.for_state(self.is_first_hand));
+        self.stage = ZoneStage::Ejected(ejection);
+        if ejection.is_ended_by_peers(now, &peers) {
+            self.start_recovery(now, false);
+            self.catch_up(now, peers.median_step);
+        }
     }
 
-    /// Goes to the step of the middle one of the others.
-    fn follow(&mut self, awake: Nanos, middle: Option<usize>) {
-        if let (ZoneStage::Recovering { step, .. }, Some(middle)) = (self.stage, middle)
-            && step < middle
+    /// Recovering: the zone is ejected again, or goes to another step.
+    fn assess_recovering(
+        &mut self,
+        now: Nanos,
+        snapshot: &EvidenceSnapshot,
+        assessment: Assessment,
+        recovery: Recovery,
+        probes: ProbeContext,
+    ) {
+        let duration = now.saturating_sub(recovery.step_since);
+        let median_step = snapshot.peers.and_then(|peers| peers.median_step);
+        // Restarted servers are slow, not silent.
+        let evidence = assessment.failures.max(snapshot.tolerant_silence);
+        if evidence >= SUSPECT_THRESHOLD {
+            self.failure_rate_at_suspicion = self.evidence.recent_failure_rate();
+            self.is_first_hand = snapshot.own_evidence >= FIRST_HAND_THRESHOLD;
+            self.eject(now, assessment.reason, probes);
+        } else if evidence >= STEP_BACK_THRESHOLD && duration >= STEP_BACK_DELAY {
+            self.enter_step(now, recovery.step.saturating_sub(1));
+        } else if median_step.is_some_and(|median| recovery.step < median) {
+            // All nodes recover in step, and one with few requests goes with the others.
+            self.catch_up(now, median_step);
+        } else if median_step.is_none_or(|median| recovery.step <= median)
+            && self.is_step_complete(snapshot, duration)
         {
-            self.goods_at_step = self.evidence.goods;
-            self.stage = ZoneStage::Recovering {
-                step: middle.min(STEPS.len() - 1),
-                since: awake,
-            };
+            self.advance_step(now, recovery.step);
         }
     }
 
-    /// The nodes among which the trials are shared: one that only follows leaves them to those that saw the trouble.
-    fn crowd(&self, crowd: f64) -> f64 {
-        if self.saw { crowd } else { CROWD_MOST }
+    /// Whether a recovery step that has lasted for this duration has shown that the zone can take more.
+    fn is_step_complete(&self, snapshot: &EvidenceSnapshot, duration: Nanos) -> bool {
+        let has_answers = self.has_answers_in_step()
+            || snapshot
+                .peers
+                .is_some_and(|peers| peers.has_answers_at_step);
+        let slowdown_limit = SLOWDOWN_LIMIT.max(SLOWDOWN_GROWTH_LIMIT * self.first_step_slowdown);
+        let is_fast_enough = self.evidence.slowdown() < slowdown_limit;
+        duration >= STEP_PERIOD
+            && has_answers
+            && (is_fast_enough || duration >= MAXIMUM_STEP_PERIOD)
     }
 
-    /// Time between two trials of this node, in the mean.
-    fn interval(&self, crowd: f64) -> f64 {
-        (self.crowd(crowd).min(CROWD_MOST) / TRIALS_A_SECOND).max(0.25) * SECOND as f64
+    /// Recovering → the next step, or Healthy after the last one.
+    fn advance_step(&mut self, now: Nanos, step: usize) {
+        if step == 0 {
+            self.first_step_slowdown = self.evidence.slowdown();
+        }
+        self.enter_step(now, step + 1);
+        if step + 1 >= RECOVERY_FRACTIONS.len() {
+            self.stage = ZoneStage::Healthy;
+            self.healthy_since = now;
+        }
     }
 
-    /// Another node's trial was answered: some nodes, drawn by lot, try at once, so that it is not one node's word.
-    fn second(&mut self, awake: Nanos, fleet: PeerSummary, crowd: f64, draw: f64) {
-        if fleet.trials > 0
-            && !std::mem::replace(&mut self.seconded, true)
-            && draw * self.crowd(crowd) < SECONDERS
-            && let ZoneStage::Ejected { held, next, .. } = &mut self.stage
+    /// Goes forward to the peers' median recovery step, if the zone is recovering and behind it.
+    fn catch_up(&mut self, now: Nanos, median_step: Option<usize>) {
+        if let ZoneStage::Recovering(recovery) = self.stage
+            && let Some(median_step) = median_step
+            && recovery.step < median_step
         {
-            *next = (*next).min(awake.max(*held));
+            self.enter_step(now, median_step.min(RECOVERY_FRACTIONS.len() - 1));
         }
     }
 
-    fn come_back(&mut self, awake: Nanos, cold: bool) {
-        self.cold = cold;
-        self.evidence.reset(awake);
-        self.goods_at_step = 0;
-        self.stage = ZoneStage::Recovering {
-            step: 0,
-            since: awake,
+    /// Begins a recovery step.
+    fn enter_step(&mut self, now: Nanos, step: usize) {
+        self.successes_at_step_start = self.evidence.success_count();
+        self.stage = ZoneStage::Recovering(Recovery {
+            step,
+            step_since: now,
+        });
+    }
+
+    /// Whether a usable response has come in the current recovery step.
+    fn has_answers_in_step(&self) -> bool {
+        self.evidence.success_count() > self.successes_at_step_start
+    }
+
+    /// Any state → Recovering, in the first step.
+    fn start_recovery(&mut self, now: Nanos, has_restarted_servers: bool) {
+        self.has_restarted_servers = has_restarted_servers;
+        self.evidence.reset(now);
+        self.enter_step(now, 0);
+    }
+
+    /// Any state → Healthy; discards the evidence.
+    pub(crate) fn restore(&mut self, now: Nanos) {
+        self.stage = ZoneStage::Healthy;
+        self.healthy_since = now;
+        self.evidence.reset(now);
+    }
+
+    /// Any state → Healthy, as other zones fail as much; further failures are ignored for a while.
+    pub(crate) fn exonerate(&mut self, now: Nanos) {
+        self.restore(now);
+        self.failure_amnesty_until = now + FAILURE_AMNESTY;
+    }
+
+    /// Whether the zone is suspected or ejected for failures that other zones have by now, too.
+    pub(crate) fn shares_common_failures(&self, failure_rate_elsewhere: f64) -> bool {
+        let reason = match self.stage {
+            ZoneStage::Suspected(suspicion) => suspicion.reason,
+            ZoneStage::Ejected(ejection) => ejection.reason(),
+            ZoneStage::Healthy | ZoneStage::Recovering(_) => return false,
         };
+        let common_rate =
+            COMMON_FAILURE_RATE.max(COMMON_FAILURE_FRACTION * self.failure_rate_at_suspicion);
+        matches!(reason, ZoneStateReason::Failing { .. }) && failure_rate_elsewhere >= common_rate
     }
 
-    /// How many times longer than usual answers may take before their absence speaks for a dead zone.
-    pub(crate) fn patience(&self) -> f64 {
-        if self.cold && matches!(self.stage, ZoneStage::Recovering { .. }) {
-            COLD
-        } else {
-            SLOW
+    /// Ejected → Recovering, as servers are listed in a zone that had none: the evidence was about others. Restarted
+    /// servers may be slower than a recovery probe's timeout, so the first step takes the place of the probes.
+    pub(crate) fn servers_listed_anew(&mut self, now: Nanos) {
+        if matches!(self.stage, ZoneStage::Ejected(_)) {
+            self.start_recovery(now, true);
         }
     }
 
-    /// Whether a trial is due; the next one is set.
-    pub(crate) fn trial(&mut self, awake: Nanos, crowd: f64, draw: f64) -> bool {
-        let interval = self.interval(crowd);
-        let ZoneStage::Ejected { next, .. } = &mut self.stage else {
-            return false;
-        };
-        if awake < *next {
-            return false;
+    /// An attempt failed. In an ejected zone it counts as a failed recovery probe, even if it was sent before.
+    pub(crate) fn attempt_failed(&mut self, now: Nanos, probes: ProbeContext) {
+        let probes = probes.for_state(self.is_first_hand);
+        if let ZoneStage::Ejected(ejection) = &mut self.stage {
+            ejection.probe_failed(now, probes);
         }
-        *next = awake + ((0.5 + draw) * interval) as Nanos;
-        true
     }
 
-    /// When it has to be looked at again without any event, on the clock of the time awake.
-    pub(crate) fn due(&self) -> Option<Nanos> {
-        match self.stage {
-            ZoneStage::Healthy => None,
-            ZoneStage::Suspected { since, .. } => Some(since + DOUBT_FOR),
-            ZoneStage::Ejected { next, .. } => Some(next),
-            ZoneStage::Recovering { since, .. } => Some(since + STEP_FOR),
+    /// An attempt succeeded. In an ejected zone it counts as an answered recovery probe, and may start the recovery.
+    pub(crate) fn attempt_succeeded(&mut self, now: Nanos, server_count: u32) {
+        if let ZoneStage::Ejected(ejection) = &mut self.stage
+            && ejection.probe_answered(now, server_count) == ProbeProgress::Sufficient
+        {
+            self.start_recovery(now, false);
+        }
+    }
+
+    /// Whether a recovery probe is due; if so, the next one is scheduled.
+    pub(crate) fn take_due_probe(&mut self, now: Nanos, probes: ProbeContext) -> bool {
+        let probes = probes.for_state(self.is_first_hand);
+        match &mut self.stage {
+            ZoneStage::Ejected(ejection) => ejection.take_due_probe(now, probes),
+            _ => false,
         }
     }
 }
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -9,7 +9,7 @@
 
 use badgerpost_fakes::scripted::*;
 use badgerpost_membership::{Action, Event, Key, Membership, Settings, member_id};
-use badgerpost_zone_health::{ObservedState, ZoneObservation};
+use badgerpost_zone_health::{GossipZone, ObservedState, ZoneObservation};
 use serde_json::{Value, json};
 
 const KEY: &str = "a key that the fleet's nodes have";
@@ -255,12 +255,12 @@
             });
             let (mut buffer, mut wake, mut said) = ([0; 2048], None, Instant::now());
             let dead = ZoneObservation {
-                home: 0,
-                silent: u16::MAX,
-                failing: u16::MAX,
+                observer_zone: GossipZone(0),
+                silence_evidence: u16::MAX,
+                failure_evidence: u16::MAX,
                 has_answers: false,
                 state: ObservedState::Suspected,
-                is_own: true,
+                is_first_hand: true,
             };
             let mut tell = |event: Event<'_>, wake: &mut Option<u64>| {
                 let mut actions = Vec::new();
--- a/engine/src/zones.rs
+++ b/engine/src/zones.rs
@@ -8,7 +8,9 @@
     Settings, ZoneId,
 };
 use badgerpost_zone_health::{
-    Action, AttemptSignal, Event, Settings as Zones, ZoneMonitor, ZoneObservation, ZoneStateReason,
+    Action, AttemptKey, AttemptSignal, ClassIndex, Event, GossipZone, ListedServer, MemberId,
+    ServerId, Settings as Zones, ZoneIndex, ZoneMonitor, ZoneObservation, ZoneOverride,
+    ZoneStateReason,
 };
 
 /// What the core has left to do.
@@ -104,7 +106,11 @@
         let servers = self
             .listed
             .iter()
-            .map(|(backend, (zone, size))| (backend.0, zone.0, *size));
+            .map(|(backend, (zone, size))| ListedServer {
+                server: ServerId(backend.0),
+                zone: ZoneIndex(zone.0),
+                size: *size,
+            });
         let event = Event::EndpointsListed(servers.collect());
         self.hear(now, event)
     }
@@ -122,9 +128,9 @@
         };
         let event = Event::AttemptSent {
             attempt: number(request, attempt),
-            server: server.0,
-            zone: zone.0,
-            class,
+            server: ServerId(server.0),
+            zone: ZoneIndex(zone.0),
+            class: ClassIndex(class),
         };
         self.hear(now, event)
     }
@@ -149,8 +155,8 @@
             now,
             Event::AttemptEnded {
                 attempt: number(request, attempt),
-                seen,
-                util,
+                signal: seen,
+                utilization: util,
             },
         )
     }
@@ -169,8 +175,8 @@
         self.hear(
             now,
             Event::OperatorOverride {
-                zone: zone.0,
-                order,
+                zone: ZoneIndex(zone.0),
+                zone_override: order.map(|(closed, until)| ZoneOverride::new(closed, until)),
             },
         )
     }
@@ -178,9 +184,9 @@
     pub(crate) fn peer_told(&mut self, now: Nanos, told: &PeerUpdate) -> ZoneOutput {
         let event = match told {
             PeerUpdate::Member { member, home, up } => Event::PeerChanged {
-                member: *member,
-                home: *home,
-                up: *up,
+                member: MemberId(*member),
+                home_zone: GossipZone(*home),
+                is_up: *up,
             },
             PeerUpdate::Gossip {
                 member,
@@ -193,10 +199,10 @@
                     return ZoneOutput::default();
                 };
                 Event::PeerObserved {
-                    member: *member,
-                    zone,
-                    sent: *sent,
-                    sight,
+                    member: MemberId(*member),
+                    zone: GossipZone(zone),
+                    sent_at: *sent,
+                    observation: sight,
                 }
             }
         };
@@ -210,31 +216,31 @@
             match action {
                 Action::SetShare { zone, share } => {
                     said.events.push(Told::ZoneShareChanged {
-                        zone: ZoneId(zone),
+                        zone: ZoneId(zone.0),
                         share,
                     });
                 }
-                Action::RequestProbe { zone, wait } => {
+                Action::RequestProbe { zone, timeout } => {
                     said.events.push(Told::ZoneProbeRequested {
-                        zone: ZoneId(zone),
-                        timeout: wait,
+                        zone: ZoneId(zone.0),
+                        timeout,
                     });
                 }
-                Action::Gossip { zone, sight } => {
-                    said.says.push((u16::from(zone), sight.to_bytes()))
+                Action::Gossip { zone, observation } => {
+                    said.says.push((u16::from(zone.0), observation.to_bytes()));
                 }
                 Action::SetTimer { at } => said.wake = Some((at, self.wake.replace(at))),
                 Action::LogChange {
                     zone,
                     share,
-                    why,
-                    servers,
+                    reason,
+                    server_count,
                 } => {
                     said.changed.push(ZoneChange {
-                        zone: ZoneId(zone),
+                        zone: ZoneId(zone.0),
                         share,
-                        why,
-                        servers,
+                        why: reason,
+                        servers: server_count,
                     });
                 }
             }
@@ -244,6 +250,6 @@
 }
 
 /// A number for an attempt. A request has fewer than 256: the site's limit is far below.
-fn number(request: RequestId, attempt: u32) -> u64 {
-    (request.0 << 8) | u64::from(attempt.min(255))
+fn number(request: RequestId, attempt: u32) -> AttemptKey {
+    AttemptKey((request.0 << 8) | u64::from(attempt.min(255)))
 }
