--- a/core/zone-health/src/time.rs
+++ b/core/zone-health/src/time.rs
@@ -1,7 +1,7 @@
 //! Units of time.
 
-/// Nanoseconds, for instants and durations alike: the names of instants end in `_at`, `_until` or `now`, those of
-/// durations say what they measure.
+/// Nanoseconds, for instants and durations alike: the names of instants end in `_at`, `since`, `until` or `now`, those
+/// of durations in `_duration`, `_period`, `_interval`, `_age` and the like.
 ///
 /// Instants are on one of two clocks. Public instants are on the caller's clock. Instants named `awake_..`, and all
 /// instants inside a zone's state and evidence, are on the awake clock, which stands still while this process is
--- a/core/zone-health/src/zone_state.rs
+++ b/core/zone-health/src/zone_state.rs
@@ -257,7 +257,7 @@
                 reason: ZoneStateReason::Silent { evidence: 0.0 },
             });
         } else if peers.is_recovering_by_quorum {
-            self.start_recovery(now, false);
+            self.start_recovery(now);
             self.catch_up(now, peers.median_step);
         }
     }
@@ -321,7 +321,7 @@
         ejection.follow_peers_probe(now, &peers, probes.for_state(self.is_first_hand));
         self.stage = ZoneStage::Ejected(ejection);
         if ejection.is_ended_by_peers(now, &peers) {
-            self.start_recovery(now, false);
+            self.start_recovery(now);
             self.catch_up(now, peers.median_step);
         }
     }
@@ -404,9 +404,9 @@
         self.evidence.success_count() > self.successes_at_step_start
     }
 
-    /// Any state → Recovering, in the first step.
-    fn start_recovery(&mut self, now: Nanos, has_restarted_servers: bool) {
-        self.has_restarted_servers = has_restarted_servers;
+    /// Any state → Recovering, in the first step, with the servers that the zone had before.
+    fn start_recovery(&mut self, now: Nanos) {
+        self.has_restarted_servers = false;
         self.evidence.reset(now);
         self.enter_step(now, 0);
     }
@@ -440,7 +440,8 @@
     /// servers may be slower than a recovery probe's timeout, so the first step takes the place of the probes.
     pub(crate) fn servers_listed_anew(&mut self, now: Nanos) {
         if matches!(self.stage, ZoneStage::Ejected(_)) {
-            self.start_recovery(now, true);
+            self.start_recovery(now);
+            self.has_restarted_servers = true;
         }
     }
 
@@ -457,7 +458,7 @@
         if let ZoneStage::Ejected(ejection) = &mut self.stage
             && ejection.probe_answered(now, server_count) == ProbeProgress::Sufficient
         {
-            self.start_recovery(now, false);
+            self.start_recovery(now);
         }
     }
 
