--- a/core/zone-health/src/observation_publisher.rs
+++ b/core/zone-health/src/observation_publisher.rs
@@ -9,7 +9,7 @@
 const SENT_EVIDENCE_STEP: u16 = 50;
 /// Upper bound of sent evidence, in the units of an observation: a node may contribute less than this.
 const MAXIMUM_SENT_EVIDENCE: u16 = 300;
-/// Time between two reports that a zone which others doubt does respond.
+/// Time between two reports that a zone responds although other nodes have evidence against it.
 const RESPONSE_REPORT_INTERVAL: Nanos = 200 * MILLISECOND;
 
 /// Rounds evidence to what is sent, in the units of an observation.
@@ -25,7 +25,7 @@
 /// What the recipients make of an observation.
 #[derive(Clone, Copy)]
 pub(crate) struct Recipients {
-    /// Whether any of them doubts the zone.
+    /// Whether any of them has evidence against the zone.
     pub(crate) is_zone_doubted: bool,
     /// How often an observation that is adverse to the zone is repeated.
     pub(crate) refresh_interval: Nanos,
@@ -73,7 +73,7 @@
     fn is_due(&self, now: Nanos, observation: &ZoneObservation, recipients: Recipients) -> bool {
         let age = self.last.map_or(Nanos::MAX, |last| now - last.sent_at);
         let is_adverse = is_adverse(observation);
-        // Others doubt a zone that responds to this node.
+        // Other nodes have evidence against a zone that responds to this node.
         if !is_adverse && observation.has_answers && recipients.is_zone_doubted {
             return age >= RESPONSE_REPORT_INTERVAL;
         }
--- a/core/zone-health/src/recovery_probes.rs
+++ b/core/zone-health/src/recovery_probes.rs
@@ -138,7 +138,7 @@
         self.next_probe_at
     }
 
-    /// The ejection as the other nodes are told.
+    /// The ejection in the form in which it is gossiped.
     pub(crate) fn observed_state(&self, now: Nanos) -> ObservedState {
         let failed_probe_age_ms = self
             .last_failed_probe_at
--- a/core/zone-health/src/zone_entry.rs
+++ b/core/zone-health/src/zone_entry.rs
@@ -35,9 +35,9 @@
     size: f64,
     utilization: Option<Utilization>,
     zone_override: Option<ZoneOverride>,
-    /// What the caller was told.
+    /// The share that was last published to the caller.
     pub(crate) share_publisher: SharePublisher,
-    /// What the other nodes were told.
+    /// The observation that was last sent to the other nodes.
     pub(crate) observation_publisher: ObservationPublisher,
 }
 
--- a/core/zone-health/src/zone_state.rs
+++ b/core/zone-health/src/zone_state.rs
@@ -1,18 +1,16 @@
 //! The state of one zone for this node, and its transitions.
 //!
 //! ```text
-//!                   evidence, or peers' quorum                 confirmed
-//!     +---------+ ------------------------------> +-----------+ -----------> +---------+
-//!     | Healthy |                                 | Suspected |              | Ejected |
-//!     +---------+ <------------------------------ +-----------+              +---------+
-//!       ^     |             withdrawn                              evidence    ^     |
-//!       |     |                                                   +------------+     |
-//!       |     |    peers' quorum                                  |                  | probes answered,
-//!       |     |                                           +------------+             | servers listed anew
-//!       |     +-----------------------------------------> | Recovering | <-----------+
-//!       +------------------------------------------------ +------------+
-//!                             last step done                 |      ^
-//!                                                            +------+ next or previous step
+//!           evidence, or quorum of peers              confirmed
+//!  +---------+ --------------------> +-----------+ ------------> +---------+
+//!  | Healthy |                       | Suspected |               | Ejected |
+//!  +---------+ <-------------------- +-----------+               +---------+
+//!     |    ^         withdrawn                                     |     ^
+//!     |    |                                    probes answered,   |     | evidence
+//!     |    |     last step completed       servers listed anew     v     |
+//!     |    +--------------------------------------------------- +------------+
+//!     +-------------------------------------------------------> | Recovering | --+ next or
+//!                      quorum of peers                          +------------+ <-+ previous step
 //! ```
 //!
 //! Besides, any state becomes `Healthy` when the monitor finds that this node itself was cut off, or that other zones
@@ -167,7 +165,7 @@
         }
     }
 
-    /// The state as the other nodes are told.
+    /// The state in the form in which it is gossiped.
     pub(crate) fn observed_state(&self, now: Nanos) -> ObservedState {
         match self.stage {
             ZoneStage::Healthy => ObservedState::Healthy,
