--- a/core/zone-health/src/zone_state.rs
+++ b/core/zone-health/src/zone_state.rs
@@ -469,3 +469,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
