--- /dev/null
+++ b/core/zone-health/src/monitor.rs
@@ -0,0 +1,488 @@
+//! One node's monitor of all zones: takes events in, assesses the zones, and emits their shares, recovery probes and
+//! gossip.
+
+use crate::action::Action;
+use crate::assessment::EvidenceSnapshot;
+use crate::attempt_tracker::AttemptTracker;
+use crate::clock::MonitorClock;
+use crate::event::{AttemptSignal, Event, Settings};
+use crate::evidence::{OutstandingAttempt, SilenceEvidence};
+use crate::ids::{AttemptKey, GossipZone, MemberId, ZoneIndex};
+use crate::observation::ZoneObservation;
+use crate::observation_publisher::{Recipients, is_negligible, sent_evidence};
+use crate::peer_observations::{PeerObservations, refresh_interval};
+use crate::peer_summary::{OwnObservation, PeerSummary};
+use crate::random::LinearCongruentialGenerator;
+use crate::recovery_probes::ProbeContext;
+use crate::time::{MILLISECOND, Nanos};
+use crate::zone_entry::ZoneEntry;
+use crate::zone_state::{SLOWDOWN_TOLERANCE, ZoneState};
+use crate::zone_table::ZoneTable;
+
+/// How often the zones are assessed while attempts are outstanding.
+const ASSESSMENT_INTERVAL: Nanos = 25 * MILLISECOND;
+/// A timer is left as it is if it fires at most this much later than needed.
+const TIMER_TOLERANCE: Nanos = ASSESSMENT_INTERVAL / 2;
+/// A timer that is due already fires after this time.
+const MINIMUM_TIMER_DELAY: Nanos = MILLISECOND;
+/// Time between two assessments in a burst of ended attempts or of gossip.
+const MINIMUM_ASSESSMENT_INTERVAL: Nanos = MILLISECOND;
+/// Slowdown of responses that does not count as silence when it comes to suspecting a zone.
+const SUSPICION_SLOWDOWN_TOLERANCE: f64 = 2.0;
+/// Number of members, on average, that repeat their observations for a new member.
+const MEMBERS_REPEATING_FOR_NEWCOMER: f64 = 8.0;
+/// Upper bound of the nodes assumed to share recovery probes without gossip, where no other node's probe helps.
+const MAXIMUM_PROBING_NODES_WITHOUT_GOSSIP: f64 = 8.0;
+
+/// When the zones are assessed after an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AssessmentNeed {
+    /// Not because of this event.
+    None,
+    /// Now, unless they were assessed a moment ago and a timer is pending.
+    UnlessJustDone,
+    /// Now.
+    Immediate,
+}
+
+/// The zone health monitor of one node.
+pub struct ZoneMonitor {
+    settings: Settings,
+    zones: ZoneTable,
+    attempts: AttemptTracker,
+    clock: MonitorClock,
+    /// On the caller's clock.
+    last_assessment_at: Nanos,
+    /// Whether no zone responded at the last assessment, and no response has come since.
+    is_cut_off: bool,
+    peers: PeerObservations,
+    /// Whether gossip has arrived, or must be repeated, since the last assessment.
+    has_pending_gossip: bool,
+    random: LinearCongruentialGenerator,
+}
+
+impl ZoneMonitor {
+    /// A monitor that has observed nothing yet: all zones are healthy.
+    #[must_use]
+    pub fn new(settings: Settings, now: Nanos) -> Self {
+        let class_count = settings.class_count as usize;
+        Self {
+            zones: ZoneTable::new(&settings),
+            attempts: AttemptTracker::new(class_count),
+            clock: MonitorClock::new(now),
+            last_assessment_at: 0,
+            is_cut_off: false,
+            peers: PeerObservations::default(),
+            has_pending_gossip: false,
+            random: LinearCongruentialGenerator::new(settings.seed),
+            settings,
+        }
+    }
+
+    /// Handles one event and appends what the caller has to do. If `now` steps back, the monitor's clock stands still.
+    pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
+        self.clock.advance(now);
+        let is_needed = match self.apply(event) {
+            AssessmentNeed::None => false,
+            AssessmentNeed::UnlessJustDone => !self.is_just_assessed(),
+            AssessmentNeed::Immediate => true,
+        };
+        if is_needed {
+            self.assess_zones(actions);
+        }
+        self.schedule_timer(actions);
+    }
+
+    /// Whether the zones were assessed a moment ago and will be again by the pending timer.
+    fn is_just_assessed(&self) -> bool {
+        self.clock.now() < self.last_assessment_at + MINIMUM_ASSESSMENT_INTERVAL
+            && self.clock.has_timer()
+    }
+
+    /// Updates the state by an event.
+    fn apply(&mut self, event: Event) -> AssessmentNeed {
+        match event {
+            Event::EndpointsListed(servers) => {
+                let awake_now = self.clock.awake_now();
+                self.zones.set_servers(awake_now, &servers);
+                AssessmentNeed::Immediate
+            }
+            Event::AttemptSent {
+                attempt,
+                server,
+                zone,
+                class,
+            } => {
+                let sent_at = self.clock.awake_now();
+                let outstanding = OutstandingAttempt {
+                    server,
+                    zone,
+                    class,
+                    sent_at,
+                };
+                self.attempt_sent(attempt, outstanding);
+                AssessmentNeed::None
+            }
+            Event::AttemptEnded {
+                attempt,
+                signal,
+                utilization,
+            } => self.attempt_ended(attempt, signal, utilization),
+            Event::TimerFired => {
+                self.clock.clear_timer();
+                AssessmentNeed::Immediate
+            }
+            Event::OperatorOverride {
+                zone,
+                zone_override,
+            } => {
+                if self.zones.contains(zone) {
+                    self.zones.entry_mut(zone).set_override(zone_override);
+                }
+                AssessmentNeed::Immediate
+            }
+            Event::PeerChanged {
+                member,
+                home_zone,
+                is_up,
+            } => {
+                self.peer_changed(member, home_zone, is_up);
+                AssessmentNeed::None
+            }
+            Event::PeerObserved {
+                member,
+                zone,
+                sent_at,
+                observation,
+            } => self.peer_observed(member, zone, sent_at, observation),
+        }
+    }
+
+    /// The zone of this node.
+    fn local_zone(&self) -> ZoneIndex {
+        ZoneIndex(self.settings.local_zone)
+    }
+
+    /// Number of nodes that share the recovery probes to a zone.
+    fn probing_nodes(&self) -> f64 {
+        if self.peers.is_empty() {
+            let nodes_per_zone =
+                f64::from(self.settings.node_count) / f64::from(self.settings.zone_count.max(1));
+            return nodes_per_zone.clamp(1.0, MAXIMUM_PROBING_NODES_WITHOUT_GOSSIP);
+        }
+        let peers_in_zone = self.peers.count_in_zone(self.local_zone().into());
+        (peers_in_zone + 1) as f64
+    }
+
+    /// The context of a decision on recovery probes; draws a random number.
+    fn draw_probe_context(&mut self) -> ProbeContext {
+        ProbeContext {
+            sharing_nodes: self.probing_nodes(),
+            random_fraction: self.random.next_fraction(),
+        }
+    }
+
+    /// Tracks an attempt, if its zone is known.
+    fn attempt_sent(&mut self, key: AttemptKey, attempt: OutstandingAttempt) {
+        if self.zones.contains(attempt.zone) {
+            self.attempts.insert(key, attempt);
+        }
+    }
+
+    /// Takes the end of an attempt into account.
+    fn attempt_ended(
+        &mut self,
+        key: AttemptKey,
+        signal: AttemptSignal,
+        utilization: Option<f64>,
+    ) -> AssessmentNeed {
+        let Some(attempt) = self.attempts.remove(key) else {
+            return AssessmentNeed::None;
+        };
+        let probes = self.draw_probe_context();
+        let awake_now = self.clock.awake_now();
+        let usual_failure_rate =
+            self.zones
+                .failure_rate_elsewhere(awake_now, attempt.zone, attempt.class);
+        if let Some(utilization) = utilization {
+            let now = self.clock.now();
+            let entry = self.zones.entry_mut(attempt.zone);
+            entry.record_utilization(now, utilization);
+        }
+        if is_response(signal) && self.is_cut_off {
+            self.reconnected();
+        }
+        let duration = awake_now.saturating_sub(attempt.sent_at);
+        let entry = self.zones.entry_mut(attempt.zone);
+        match signal {
+            AttemptSignal::Answered => {
+                let slowdown = self.attempts.record_latency(attempt.class, duration);
+                entry.record_success(awake_now, &attempt, slowdown, usual_failure_rate);
+            }
+            AttemptSignal::Failed => {
+                entry.record_error(awake_now, &attempt, usual_failure_rate, probes);
+            }
+            AttemptSignal::ConnectionFailed => {
+                entry.record_connection_failure(awake_now, &attempt, usual_failure_rate, probes);
+            }
+            AttemptSignal::TimedOut => {
+                entry.state.evidence.record_timeout(attempt, awake_now);
+                if self
+                    .attempts
+                    .is_significant_timeout(attempt.class, duration)
+                {
+                    entry.state.attempt_failed(awake_now, probes);
+                }
+            }
+            AttemptSignal::Inconclusive => entry.state.evidence.record_response(awake_now),
+            AttemptSignal::NotSent => return AssessmentNeed::None,
+        }
+        if signal == AttemptSignal::Answered && entry.state.is_healthy() {
+            return AssessmentNeed::None;
+        }
+        AssessmentNeed::UnlessJustDone
+    }
+
+    /// Ends the time during which this node was cut off: the silence of that time is evidence against no zone.
+    fn reconnected(&mut self) {
+        self.is_cut_off = false;
+        self.zones.restore_all(self.clock.awake_now());
+    }
+
+    /// Adds or removes a member. Some members, drawn at random, repeat their observations for a new one.
+    fn peer_changed(&mut self, member: MemberId, home_zone: GossipZone, is_up: bool) {
+        self.peers.update_member(member, home_zone, is_up);
+        if !is_up {
+            return;
+        }
+        let peer_count = self.peers.len() as f64;
+        if self.random.next_fraction() * peer_count < MEMBERS_REPEATING_FOR_NEWCOMER {
+            self.zones.expire_observations();
+            self.has_pending_gossip = true;
+        }
+    }
+
+    /// Stores another node's observation. A burst of them is assessed once.
+    fn peer_observed(
+        &mut self,
+        member: MemberId,
+        zone: GossipZone,
+        sent_at: Nanos,
+        observation: ZoneObservation,
+    ) -> AssessmentNeed {
+        let is_known_zone = self.zones.contains(zone.into());
+        let now = self.clock.now();
+        if !is_known_zone || !self.peers.record(now, member, zone, sent_at, observation) {
+            return AssessmentNeed::None;
+        }
+        self.has_pending_gossip = true;
+        AssessmentNeed::UnlessJustDone
+    }
+
+    /// Assesses all zones and emits what has changed.
+    fn assess_zones(&mut self, actions: &mut Vec<Action>) {
+        self.last_assessment_at = self.clock.now();
+        self.has_pending_gossip = false;
+        if !self.is_cut_off {
+            for zone in self.zones.indices() {
+                self.assess_zone(zone, actions);
+            }
+            self.detect_cut_off();
+        }
+        self.zones
+            .publish_shares(self.clock.now(), self.is_cut_off, actions);
+    }
+
+    /// Assesses one zone, unless it is overridden.
+    fn assess_zone(&mut self, zone: ZoneIndex, actions: &mut Vec<Action>) {
+        let probes = self.draw_probe_context();
+        if self
+            .zones
+            .entry(zone)
+            .active_override(self.clock.now())
+            .is_some()
+        {
+            return;
+        }
+        let awake_now = self.clock.awake_now();
+        let snapshot = self.evidence_snapshot(zone);
+        self.zones
+            .entry_mut(zone)
+            .state
+            .assess(awake_now, snapshot, probes);
+        let failure_rate_elsewhere = self.zones.worst_failure_rate_elsewhere(awake_now, zone);
+        let state = &mut self.zones.entry_mut(zone).state;
+        if state.shares_common_failures(failure_rate_elsewhere) {
+            state.exonerate(awake_now);
+        }
+        if let Some(peers) = snapshot.peers {
+            self.publish_observation(zone, peers, actions);
+        }
+        if self
+            .zones
+            .entry_mut(zone)
+            .state
+            .take_due_probe(awake_now, probes)
+        {
+            let timeout = self.attempts.probe_timeout();
+            actions.push(Action::RequestProbe { zone, timeout });
+        }
+    }
+
+    /// If no zone is left that can take requests, makes all healthy: either this node itself is cut off, or nothing is
+    /// gained by avoiding them.
+    fn detect_cut_off(&mut self) {
+        if self.zones.can_any_take_traffic(self.clock.now()) {
+            return;
+        }
+        self.is_cut_off = self.zones.is_any_withheld();
+        self.zones.restore_all(self.clock.awake_now());
+    }
+
+    /// Evidence of a zone's silence, allowing for responses `slowdown` times as slow as usual.
+    fn silence_evidence(&self, zone: ZoneIndex, slowdown: f64) -> SilenceEvidence {
+        let entry = self.zones.entry(zone);
+        entry.state.evidence.silence_evidence(
+            self.attempts.outstanding_in(zone),
+            self.clock.awake_now(),
+            self.attempts.silence_test(entry.server_count(), slowdown),
+        )
+    }
+
+    /// All evidence about a zone, of this node and of the others.
+    fn evidence_snapshot(&self, zone: ZoneIndex) -> EvidenceSnapshot {
+        let awake_now = self.clock.awake_now();
+        let entry = self.zones.entry(zone);
+        let silence = self.silence_evidence(zone, SUSPICION_SLOWDOWN_TOLERANCE);
+        let tolerance = entry.state.slowdown_tolerance();
+        let tolerant_silence = self.silence_evidence(zone, tolerance).evidence;
+        let failures = entry.failure_evidence(awake_now);
+        let has_answers = entry.has_recent_answer(awake_now);
+        let own = OwnObservation {
+            silence: tolerant_silence,
+            failures,
+            has_answers,
+        };
+        let peers = self.summarize_peers(zone, own);
+        // A node with recent responses from the zone believes no other that it is silent.
+        let peers_silence = peers
+            .filter(|_| !has_answers)
+            .map_or(0.0, |peers| peers.silence);
+        EvidenceSnapshot {
+            silence: silence.evidence + peers_silence,
+            tolerant_silence: tolerant_silence + peers_silence,
+            failures: failures + peers.map_or(0.0, |peers| peers.failures),
+            has_alternative: self.zones.has_alternative(self.clock.now(), zone),
+            silent_duration: awake_now.saturating_sub(silence.first_sent_at),
+            peers,
+            has_answers,
+            own_evidence: silence.evidence.max(failures),
+        }
+    }
+
+    /// The other nodes' observations of a zone; none without other nodes.
+    fn summarize_peers(&self, zone: ZoneIndex, own: OwnObservation) -> Option<PeerSummary> {
+        if self.peers.is_empty() {
+            return None;
+        }
+        let summary =
+            self.peers
+                .summarize(self.clock.now(), zone.into(), self.local_zone().into(), own);
+        Some(summary)
+    }
+
+    /// What this node observes of a zone, as it is sent to the other nodes.
+    fn observation(&self, zone: ZoneIndex) -> ZoneObservation {
+        let awake_now = self.clock.awake_now();
+        let entry = self.zones.entry(zone);
+        let silence = self.silence_evidence(zone, SLOWDOWN_TOLERANCE).evidence;
+        let silence_evidence = sent_evidence(silence);
+        let failure_evidence = sent_evidence(entry.failure_evidence(awake_now));
+        let has_evidence = !is_negligible(silence_evidence) || !is_negligible(failure_evidence);
+        ZoneObservation {
+            observer_zone: self.local_zone().into(),
+            silence_evidence,
+            failure_evidence,
+            has_answers: !has_evidence && entry.has_recent_answer(awake_now),
+            state: entry.state.observed_state(awake_now),
+            is_first_hand: entry.state.is_first_hand(),
+        }
+    }
+
+    /// Sends the other nodes this node's observation of a zone, if it is news to them.
+    fn publish_observation(
+        &mut self,
+        zone: ZoneIndex,
+        peers: PeerSummary,
+        actions: &mut Vec<Action>,
+    ) {
+        let now = self.clock.now();
+        let observation = self.observation(zone);
+        let recipients = Recipients {
+            is_zone_doubted: peers.is_doubted,
+            refresh_interval: refresh_interval(self.peers.len()),
+        };
+        let publisher = &mut self.zones.entry_mut(zone).observation_publisher;
+        if publisher.publish(now, observation, recipients) {
+            actions.push(Action::Gossip {
+                zone: zone.into(),
+                observation,
+            });
+        }
+    }
+
+    /// Moves the timer to when the zones must be assessed next, if that is earlier than the pending timer.
+    fn schedule_timer(&mut self, actions: &mut Vec<Action>) {
+        let now = self.clock.now();
+        let next_assessment_at = self
+            .needs_regular_assessment()
+            .then_some(now + ASSESSMENT_INTERVAL);
+        let state_changes = self
+            .zones
+            .entries()
+            .filter_map(|entry| entry.state.next_assessment_at())
+            .map(|awake_at| {
+                self.clock
+                    .to_caller_time(awake_at)
+                    .max(now + MINIMUM_TIMER_DELAY)
+            });
+        let override_ends = self
+            .zones
+            .entries()
+            .filter_map(ZoneEntry::override_until)
+            .filter(|until| *until > now);
+        let next = next_assessment_at
+            .into_iter()
+            .chain(state_changes)
+            .chain(override_ends)
+            .min();
+        if let Some(at) = next
+            && self.clock.move_timer(at, TIMER_TOLERANCE)
+        {
+            actions.push(Action::SetTimer { at });
+        }
+    }
+
+    /// Whether the zones must be assessed at regular intervals: evidence grows while attempts are outstanding, and the
+    /// other nodes' state matters while a zone is not healthy.
+    fn needs_regular_assessment(&self) -> bool {
+        let follows_peers = !self.peers.is_empty()
+            && !self
+                .zones
+                .entries()
+                .map(|entry| &entry.state)
+                .all(ZoneState::is_healthy);
+        follows_peers || self.has_pending_gossip || !self.attempts.is_empty()
+    }
+}
+
+/// Whether a server responded.
+fn is_response(signal: AttemptSignal) -> bool {
+    matches!(
+        signal,
+        AttemptSignal::Answered | AttemptSignal::Failed | AttemptSignal::Inconclusive
+    )
+}
+
+#[cfg(test)]
+mod tests;
--- a/engine/src/zone_monitoring.rs
+++ b/engine/src/zone_monitoring.rs
@@ -8,8 +8,9 @@
     Outcome, Settings, ZoneId,
 };
 use badgerpost_zone_health::{
-    Action, AttemptSignal, Event, Settings as ZoneSettings, ZoneMonitor, ZoneObservation,
-    ZoneStateReason,
+    Action, AttemptKey, AttemptSignal, ClassIndex, Event, GossipZone, ListedServer, MemberId,
+    ServerId, Settings as ZoneSettings, ZoneIndex, ZoneMonitor, ZoneObservation,
+    ZoneOverride as CoreOverride, ZoneStateReason,
 };
 
 use crate::attempt::AttemptId;
@@ -153,7 +154,11 @@
         let listed = self
             .backends
             .iter()
-            .map(|(id, backend)| (id.0, backend.zone.0, backend.size));
+            .map(|(id, backend)| ListedServer {
+                server: ServerId(id.0),
+                zone: ZoneIndex(backend.zone.0),
+                size: backend.size,
+            });
         let event = Event::EndpointsListed(listed.collect());
         self.handle(now, event)
     }
@@ -184,9 +189,9 @@
         };
         let event = Event::AttemptSent {
             attempt: attempt_key(attempt),
-            server: attempt.backend.0,
-            zone: backend.zone.0,
-            class: class.0,
+            server: ServerId(attempt.backend.0),
+            zone: ZoneIndex(backend.zone.0),
+            class: ClassIndex(class.0),
         };
         self.handle(now, event)
     }
@@ -201,8 +206,8 @@
     ) -> ZoneOutput {
         let event = Event::AttemptEnded {
             attempt: attempt_key(attempt),
-            seen: attempt_signal(outcome),
-            util: utilization,
+            signal: attempt_signal(outcome),
+            utilization,
         };
         self.handle(now, event)
     }
@@ -220,13 +225,13 @@
         zone: ZoneId,
         zone_override: Option<ZoneOverride>,
     ) -> ZoneOutput {
-        let order = zone_override.map(|zone_override| {
+        let core_override = zone_override.map(|zone_override| {
             let is_closed = zone_override.state == ForcedZoneState::Closed;
-            (is_closed, now.saturating_add(zone_override.duration))
+            CoreOverride::new(is_closed, now.saturating_add(zone_override.duration))
         });
         let event = Event::OperatorOverride {
-            zone: zone.0,
-            order,
+            zone: ZoneIndex(zone.0),
+            zone_override: core_override,
         };
         self.handle(now, event)
     }
@@ -257,21 +262,24 @@
                 output
                     .balancer_events
                     .push(BalancerEvent::ZoneShareChanged {
-                        zone: ZoneId(zone),
+                        zone: ZoneId(zone.0),
                         share,
                     });
             }
-            Action::RequestProbe { zone, wait } => {
+            Action::RequestProbe { zone, timeout } => {
                 output
                     .balancer_events
                     .push(BalancerEvent::ZoneProbeRequested {
-                        zone: ZoneId(zone),
-                        timeout: wait,
+                        zone: ZoneId(zone.0),
+                        timeout,
                     });
             }
-            Action::Gossip { zone, ref sight } => output.gossip.push(ZoneGossip {
-                zone: u16::from(zone),
-                observation: sight.to_bytes(),
+            Action::Gossip {
+                zone,
+                ref observation,
+            } => output.gossip.push(ZoneGossip {
+                zone: u16::from(zone.0),
+                observation: observation.to_bytes(),
             }),
             Action::SetTimer { at } => {
                 let replaces = self.timer_at.replace(at);
@@ -280,13 +288,13 @@
             Action::LogChange {
                 zone,
                 share,
-                why,
-                servers,
+                reason,
+                server_count,
             } => output.changes.push(ZoneChange {
-                zone: ZoneId(zone),
+                zone: ZoneId(zone.0),
                 share,
-                reason: why,
-                servers,
+                reason,
+                servers: server_count,
             }),
         }
     }
@@ -300,19 +308,19 @@
             zone,
             is_up,
         } => Some(Event::PeerChanged {
-            member: *member,
-            home: *zone,
-            up: *is_up,
+            member: MemberId(*member),
+            home_zone: GossipZone(*zone),
+            is_up: *is_up,
         }),
         PeerUpdate::Gossip {
             member,
             sent_at,
             gossip,
         } => Some(Event::PeerObserved {
-            member: *member,
-            zone: u8::try_from(gossip.zone).ok()?,
-            sent: *sent_at,
-            sight: ZoneObservation::from_bytes(&gossip.observation)?,
+            member: MemberId(*member),
+            zone: GossipZone(u8::try_from(gossip.zone).ok()?),
+            sent_at: *sent_at,
+            observation: ZoneObservation::from_bytes(&gossip.observation)?,
         }),
     }
 }
@@ -330,7 +338,7 @@
 }
 
 /// The core's number of an attempt. A request has far fewer attempts than fit: settings limit them.
-fn attempt_key(attempt: AttemptId) -> u64 {
+fn attempt_key(attempt: AttemptId) -> AttemptKey {
     let number = attempt.number.0.min(MAX_ATTEMPT_NUMBER);
-    (attempt.request.0 << ATTEMPT_NUMBER_BITS) | u64::from(number)
+    AttemptKey((attempt.request.0 << ATTEMPT_NUMBER_BITS) | u64::from(number))
 }
