--- a/testkit/fakes/src/database/catalogue.rs
+++ b/testkit/fakes/src/database/catalogue.rs
@@ -1,117 +1,157 @@
-//! Questions that drivers ask of the catalogue by themselves, recognised by their texts: they join and recurse, which the
-//! stand-in's SQL does not. Answered from its table of types.
+//! Queries of the system catalogue that drivers send by themselves, recognised by their texts: they join and recurse,
+//! which this server's SQL does not. They are answered from the table of types.
 
-use super::query::Outcome;
-use super::value::{ARRAYS, Type, Value};
+use super::result::{ResultColumn, StatementResult};
+use super::value::{TYPES, Type, TypeEntry, Value};
 
-/// A question, its parameters and what it brings.
-pub(super) struct Question {
-    /// The types of its parameters.
+/// The schema of built-in types.
+const CATALOGUE_SCHEMA: &str = "pg_catalog";
+
+/// The kind of base types, and of arrays of them.
+const BASE_TYPE_KIND: &str = "b";
+
+/// A query of the catalogue: its parameters, its columns and how it is answered.
+pub(super) struct CatalogueQuery {
     pub(super) parameters: Vec<Type>,
-    /// Its columns.
-    pub(super) columns: Vec<(String, Type)>,
+    pub(super) columns: Vec<ResultColumn>,
+    /// The rows for the values of the parameters.
     rows: fn(&[Value]) -> Vec<Vec<Value>>,
 }
 
-fn columns(names: &[(&str, Type)]) -> Vec<(String, Type)> {
-    names
-        .iter()
-        .map(|(name, kind)| ((*name).to_owned(), *kind))
-        .collect()
-}
+impl CatalogueQuery {
+    /// The query that a text is, if it is a known one.
+    pub(super) fn recognize(sql: &str) -> Option<Self> {
+        if sql.contains("typeinfo_tree") {
+            Some(Self::type_tree())
+        } else if sql.contains("typarray") && sql.contains("typcategory") {
+            Some(Self::array_types())
+        } else {
+            None
+        }
+    }
 
-/// The question that a text is, if it is one.
-pub(super) fn question(sql: &str) -> Option<Question> {
-    if sql.contains("typeinfo_tree") {
-        // asyncpg: all about types and those that they are made of.
-        return Some(Question {
+    /// asyncpg's query for types and the types that they are made of.
+    fn type_tree() -> Self {
+        let columns = [
+            ("oid", Type::OID),
+            ("ns", Type::TEXT),
+            ("name", Type::TEXT),
+            ("kind", Type::TEXT),
+            ("basetype", Type::OID),
+            ("elemtype", Type::OID),
+            ("elemdelim", Type::TEXT),
+            ("range_subtype", Type::OID),
+            ("attrtypoids", Type::OID.array()),
+            ("attrnames", Type::TEXT.array()),
+            ("depth", Type::INT4),
+            ("basetype_name", Type::TEXT),
+            ("elemtype_name", Type::TEXT),
+            ("range_subtype_name", Type::TEXT),
+        ];
+        Self {
             parameters: vec![Type::OID.array()],
-            columns: columns(&[
-                ("oid", Type::OID),
-                ("ns", Type::TEXT),
-                ("name", Type::TEXT),
-                ("kind", Type::TEXT),
-                ("basetype", Type::OID),
-                ("elemtype", Type::OID),
-                ("elemdelim", Type::TEXT),
-                ("range_subtype", Type::OID),
-                ("attrtypoids", Type::OID.array()),
-                ("attrnames", Type::TEXT.array()),
-                ("depth", Type::INT4),
-                ("basetype_name", Type::TEXT),
-                ("elemtype_name", Type::TEXT),
-                ("range_subtype_name", Type::TEXT),
-            ]),
-            rows: type_tree,
-        });
+            columns: result_columns(&columns),
+            rows: type_tree_rows,
+        }
     }
-    if sql.contains("typarray") && sql.contains("typcategory") {
-        // postgres.js: each type's array type.
-        return Some(Question {
+
+    /// postgres.js's query for the array type of each type.
+    fn array_types() -> Self {
+        Self {
             parameters: Vec::new(),
-            columns: columns(&[("oid", Type::OID), ("typarray", Type::OID)]),
-            rows: |_| {
-                let number = |oid: u32| Value::Int(i64::from(oid));
-                ARRAYS
-                    .iter()
-                    .map(|(element, array, _)| vec![number(*element), number(*array)])
-                    .collect()
-            },
-        });
+            columns: result_columns(&[("oid", Type::OID), ("typarray", Type::OID)]),
+            rows: array_type_rows,
+        }
     }
-    None
-}
 
-impl Question {
-    /// Its answer.
-    pub(super) fn answer(&self, values: &[Value]) -> Outcome {
-        Outcome {
+    /// Executes the query with the values of its parameters.
+    pub(super) fn execute(&self, values: &[Value]) -> StatementResult {
+        StatementResult {
             columns: self.columns.clone(),
             rows: (self.rows)(values),
-            verb: "SELECT",
-            ..Outcome::default()
+            command_tag: "SELECT",
+            ..StatementResult::default()
         }
     }
 }
 
-fn type_tree(values: &[Value]) -> Vec<Vec<Value>> {
-    let text = |text: &str| Value::Text(text.to_owned());
-    let row = |oid: u32, name: String, element: Option<(u32, &str)>, depth: i64| {
-        vec![
-            Value::Int(i64::from(oid)),
-            text("pg_catalog"),
-            Value::Text(name),
-            text("b"),
-            Value::Null,
-            element.map_or(Value::Null, |(oid, _)| Value::Int(i64::from(oid))),
-            text(","),
-            Value::Null,
-            Value::Null,
-            Value::Null,
-            Value::Int(depth),
-            Value::Null,
-            element.map_or(Value::Null, |(_, name)| text(name)),
-            Value::Null,
-        ]
-    };
+fn result_columns(columns: &[(&str, Type)]) -> Vec<ResultColumn> {
+    columns
+        .iter()
+        .map(|(name, data_type)| ResultColumn::new(*name, *data_type))
+        .collect()
+}
+
+fn oid(data_type: Type) -> Value {
+    Value::Int(i64::from(data_type.0))
+}
+
+fn text(text: &str) -> Value {
+    Value::Text(text.to_owned())
+}
+
+fn array_type_rows(_: &[Value]) -> Vec<Vec<Value>> {
+    TYPES
+        .iter()
+        .map(|entry| vec![oid(entry.element), oid(entry.array)])
+        .collect()
+}
+
+/// The rows for an array of type numbers: an array type is preceded by the type of its elements.
+fn type_tree_rows(values: &[Value]) -> Vec<Vec<Value>> {
     let Some(Value::Array(wanted)) = values.first() else {
         return Vec::new();
     };
     let mut rows = Vec::new();
-    for oid in wanted.iter().filter_map(|value| {
-        if let Value::Int(oid) = value {
-            u32::try_from(*oid).ok()
-        } else {
-            None
-        }
-    }) {
-        if let Some((element, array, name)) = ARRAYS.iter().find(|(_, array, _)| *array == oid) {
-            rows.push(row(*element, (*name).to_owned(), None, 1));
-            rows.push(row(*array, format!("_{name}"), Some((*element, name)), 0));
-        } else if let Some((element, _, name)) = ARRAYS.iter().find(|(element, ..)| *element == oid)
-        {
-            rows.push(row(*element, (*name).to_owned(), None, 0));
+    for value in wanted {
+        let Value::Int(number) = value else {
+            continue;
+        };
+        let Ok(number) = u32::try_from(*number) else {
+            continue;
+        };
+        let data_type = Type(number);
+        if let Some(entry) = TYPES.iter().find(|entry| entry.array == data_type) {
+            rows.push(element_row(entry, 1));
+            rows.push(array_row(entry));
+        } else if let Some(entry) = TYPES.iter().find(|entry| entry.element == data_type) {
+            rows.push(element_row(entry, 0));
         }
     }
     rows
 }
+
+fn element_row(entry: &TypeEntry, depth: i64) -> Vec<Value> {
+    type_row(entry.element, entry.name, [Value::Null, Value::Null], depth)
+}
+
+fn array_row(entry: &TypeEntry) -> Vec<Value> {
+    let name = format!("_{}", entry.name);
+    type_row(
+        entry.array,
+        &name,
+        [oid(entry.element), text(entry.name)],
+        0,
+    )
+}
+
+/// A row of the type tree; `element` holds the number and name of the type of an array's elements.
+fn type_row(data_type: Type, name: &str, element: [Value; 2], depth: i64) -> Vec<Value> {
+    let [element_oid, element_name] = element;
+    vec![
+        oid(data_type),
+        text(CATALOGUE_SCHEMA),
+        text(name),
+        text(BASE_TYPE_KIND),
+        Value::Null,
+        element_oid,
+        text(","),
+        Value::Null,
+        Value::Null,
+        Value::Null,
+        Value::Int(depth),
+        Value::Null,
+        element_name,
+        Value::Null,
+    ]
+}
--- /dev/null
+++ b/testkit/fakes/src/database/connection.rs
@@ -0,0 +1,245 @@
+//! A client's connection on its socket: start-up, login, and messages until it ends.
+
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use badgerpost_postgres_session::scram::{self, Verifier};
+
+use super::protocol::{Backend, SEVERITY_FATAL, StartupParameters, read_parameters};
+use super::server_state::{Connection, ConnectionId, ServerState};
+use super::{SqlError, SqlState, lock};
+
+/// A longer message ends its connection.
+const MAX_MESSAGE_LENGTH: usize = 8 * 1024 * 1024;
+
+/// How many bytes are read from the socket at once.
+const READ_LENGTH: usize = 16 * 1024;
+
+/// Codes that stand in place of the protocol version in the first message.
+const SSL_REQUEST: u32 = 80_877_103;
+const GSS_REQUEST: u32 = 80_877_104;
+const CANCEL_REQUEST: u32 = 80_877_102;
+
+/// The length and code at the head of a start-up message, in bytes.
+const STARTUP_HEAD_LENGTH: usize = 8;
+
+/// The kinds of authentication messages.
+const AUTHENTICATION_SASL: u32 = 10;
+const AUTHENTICATION_SASL_CONTINUE: u32 = 11;
+const AUTHENTICATION_SASL_FINAL: u32 = 12;
+
+/// Serves a connection until it ends.
+pub(super) fn serve(
+    server: &Arc<ServerState>,
+    stream: TcpStream,
+    id: ConnectionId,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut client = ClientConnection {
+        server: server.clone(),
+        backend: Backend::new(server.clone(), id),
+        reader: SocketReader {
+            stream: stream.try_clone()?,
+            bytes: Vec::new(),
+            read_position: 0,
+        },
+        stream,
+    };
+    let connection = Connection {
+        stream: client.stream.try_clone()?,
+        cancel_requested: client.backend.session.cancel_requested.clone(),
+    };
+    lock(&server.connections).insert(id, connection);
+    if !server.is_up() {
+        server.disconnect(id);
+        return Ok(());
+    }
+    let result = client.run();
+    // Whatever ended the connection, what it has not committed is rolled back.
+    client.backend.session.close();
+    server.disconnect(id);
+    result
+}
+
+/// Reads messages from a socket, several at a time.
+struct SocketReader {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+    /// How many of the bytes were taken.
+    read_position: usize,
+}
+
+/// A message of the client's.
+struct ClientMessage {
+    tag: u8,
+    body: Vec<u8>,
+}
+
+impl SocketReader {
+    /// Takes bytes, waiting until they have come.
+    fn read(&mut self, length: usize) -> io::Result<&[u8]> {
+        if length > MAX_MESSAGE_LENGTH {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        while self.bytes.len() - self.read_position < length {
+            self.bytes.drain(..self.read_position);
+            self.read_position = 0;
+            let mut piece = [0; READ_LENGTH];
+            let read = self.stream.read(&mut piece)?;
+            if read == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            self.bytes.extend_from_slice(&piece[..read]);
+        }
+        self.read_position += length;
+        Ok(&self.bytes[self.read_position - length..self.read_position])
+    }
+
+    fn read_u32(&mut self) -> io::Result<u32> {
+        self.read(4)
+            .map(|bytes| u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+    }
+
+    fn read_message(&mut self) -> io::Result<ClientMessage> {
+        let tag = self.read(1)?[0];
+        let length = self.read_u32()? as usize;
+        let body = self.read(length.saturating_sub(4))?.to_vec();
+        Ok(ClientMessage { tag, body })
+    }
+}
+
+/// What a client asks for with its first message.
+enum Startup {
+    /// A session with these parameters.
+    Session(StartupParameters),
+    /// To cancel a statement of another connection; that is done.
+    Cancel,
+}
+
+/// A client's connection.
+struct ClientConnection {
+    server: Arc<ServerState>,
+    backend: Backend,
+    reader: SocketReader,
+    stream: TcpStream,
+}
+
+impl ClientConnection {
+    fn run(&mut self) -> io::Result<()> {
+        let Startup::Session(parameters) = self.read_startup()? else {
+            return Ok(());
+        };
+        self.server.wait_while_paused();
+        if let Err(error) = self.open_session(&parameters)? {
+            self.backend.write_error(SEVERITY_FATAL, &error);
+            return self.send_output();
+        }
+        self.server.login_count.fetch_add(1, Ordering::SeqCst);
+        self.backend.write_login_complete();
+        self.send_output()?;
+        self.handle_messages()
+    }
+
+    fn read_startup(&mut self) -> io::Result<Startup> {
+        loop {
+            let length = self.reader.read_u32()? as usize;
+            let code = self.reader.read_u32()?;
+            match code {
+                SSL_REQUEST | GSS_REQUEST => self.stream.write_all(b"N")?,
+                CANCEL_REQUEST => {
+                    self.cancel_other()?;
+                    return Ok(Startup::Cancel);
+                }
+                _ => {
+                    let body_length = length.saturating_sub(STARTUP_HEAD_LENGTH);
+                    let body = self.reader.read(body_length)?;
+                    return Ok(Startup::Session(read_parameters(body)));
+                }
+            }
+        }
+    }
+
+    /// Cancels the statement of the connection whose process id and secret key follow.
+    fn cancel_other(&mut self) -> io::Result<()> {
+        let id = ConnectionId(u64::from(self.reader.read_u32()?));
+        let secret_key = self.reader.read_u32()?;
+        self.server.cancel_count.fetch_add(1, Ordering::SeqCst);
+        if let Some(connection) = lock(&self.server.connections).get(&id)
+            && secret_key == id.secret_key()
+        {
+            connection.cancel_requested.store(true, Ordering::SeqCst);
+            self.server.notify_transaction_ended();
+        }
+        Ok(())
+    }
+
+    /// Logs the client in and starts its session. The inner error is for the client.
+    fn open_session(&mut self, parameters: &StartupParameters) -> io::Result<Result<(), SqlError>> {
+        let user = parameters.get("user").cloned().unwrap_or_default();
+        let needs_password = !lock(&self.server.users).is_empty();
+        if needs_password && !self.authenticate(&user)? {
+            return Ok(Err(SqlError::new(
+                SqlState::INVALID_PASSWORD,
+                format!("password authentication failed for user \"{user}\""),
+            )));
+        }
+        let open_connections = lock(&self.server.connections).len() as u64;
+        if open_connections > self.server.max_connections.load(Ordering::SeqCst) {
+            return Ok(Err(SqlError::too_many_connections()));
+        }
+        Ok(self.backend.session.start(parameters))
+    }
+
+    /// The SCRAM exchange by which a client shows that it knows its password. Returns whether it does.
+    fn authenticate(&mut self, user: &str) -> io::Result<bool> {
+        let known = lock(&self.server.users).get(user).cloned();
+        let verifier = known.unwrap_or_else(|| Verifier::unknown(b"a stand-in", user));
+        let mechanisms = [scram::MECHANISM.as_bytes(), b"\0\0"].concat();
+        self.write_authentication(AUTHENTICATION_SASL, &mechanisms);
+        self.send_output()?;
+        let first = self.reader.read_message()?.body;
+        let name_end = first.iter().position(|byte| *byte == 0).unwrap_or(0);
+        let mechanism = String::from_utf8_lossy(&first[..name_end]).into_owned();
+        // The response follows the end of the name and its own length.
+        let response = first.get(name_end + 5..).unwrap_or_default();
+        let connection_count = self.server.connection_count.load(Ordering::SeqCst);
+        let nonce = format!("stand-in-{connection_count}");
+        let Ok((exchange, challenge)) = scram::begin(verifier, &mechanism, response, None, &nonce)
+        else {
+            return Ok(false);
+        };
+        self.write_authentication(AUTHENTICATION_SASL_CONTINUE, challenge.as_bytes());
+        self.send_output()?;
+        let last = self.reader.read_message()?.body;
+        let Ok(outcome) = exchange.finish(&last) else {
+            return Ok(false);
+        };
+        self.write_authentication(AUTHENTICATION_SASL_FINAL, outcome.as_bytes());
+        Ok(true)
+    }
+
+    fn write_authentication(&mut self, kind: u32, data: &[u8]) {
+        let body = [&kind.to_be_bytes(), data].concat();
+        self.backend.write_message(b'R', &body);
+    }
+
+    fn handle_messages(&mut self) -> io::Result<()> {
+        loop {
+            let message = self.reader.read_message()?;
+            self.server.wait_while_paused();
+            let handled = self.backend.take(message.tag, &message.body);
+            if self.backend.wants_out() || handled.is_err() {
+                self.send_output()?;
+            }
+            if handled.is_err() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn send_output(&mut self) -> io::Result<()> {
+        self.stream.write_all(&self.backend.take_out())
+    }
+}
--- a/testkit/fakes/src/database/describe.rs
+++ b/testkit/fakes/src/database/describe.rs
@@ -1,324 +1,289 @@
-//! What statements take and bring, before they are run.
+//! Describes statements before they run: the types of their parameters, and the columns of their results.
 
 use std::sync::Mutex;
 
 use sqlparser::ast::{
-    AssignmentTarget, Expr, FromTable, Insert, LimitClause, OnConflictAction, OnInsert, Query,
-    SelectItem, SetExpr, Statement, TableFactor, TableObject, TableWithJoins,
+    Assignment, Expr, Insert, LimitClause, OnConflictAction, OnInsert, Query, Select, SelectItem,
+    SetExpr, Statement, TableWithJoins, Values,
 };
 
-use super::expr::{Parameters, call, infer, named, unsupported};
+use super::context::ExecutionContext;
+use super::expression::{FunctionCall, ParameterTypes, infer, resolve_type, unsupported};
+use super::references::{
+    RowSource, assigned_column, delete_table, insert_positions, insert_table, is_default,
+    single_table, table_columns, with_excluded,
+};
+use super::result::ResultColumn;
 use super::storage::{Column, Store};
-use super::surroundings::Surroundings;
 use super::value::Type;
-use super::{Refusal, lock};
+use super::{SqlError, lock};
+
+/// The name of a result column that has none of its own.
+const UNNAMED_COLUMN: &str = "?column?";
 
-/// What a statement takes and brings.
-pub(super) type Shape = (Vec<Type>, Vec<(String, Type)>);
+/// A statement's parameters and result columns.
+pub(super) struct StatementDescription {
+    pub(super) parameters: Vec<Type>,
+    /// Empty for a statement that returns no rows.
+    pub(super) columns: Vec<ResultColumn>,
+}
 
-/// A statement's parameters and columns, with the types that the client gave.
+/// Describes a statement. `given` are the parameter types that the client specified; type 0 leaves one open.
 pub(super) fn describe(
     statement: &Statement,
     given: &[Type],
     store: &Mutex<Store>,
-    around: &dyn Surroundings,
-) -> Result<Shape, Refusal> {
-    let mut known = Parameters(
-        given
-            .iter()
-            .map(|kind| (kind.0 != 0).then_some(*kind))
-            .collect(),
-    );
+    context: &dyn ExecutionContext,
+) -> Result<StatementDescription, SqlError> {
+    let specified = given
+        .iter()
+        .map(|data_type| (data_type.0 != 0).then_some(*data_type));
     let store = lock(store);
-    let columns = match statement {
-        Statement::Query(query) => shape(query, &store, around, &mut known)?,
-        Statement::Insert(insert) => {
-            let columns = table_columns(&around.table(&store, &insert_name(insert)?)?, &store)?;
-            let targets = targets(insert, &columns)?;
-            match insert.source.as_ref().map(|source| &*source.body) {
-                Some(SetExpr::Values(values)) => {
-                    for row in &values.rows {
-                        for (expr, at) in row.iter().zip(&targets) {
-                            if !is_default(expr) {
-                                infer(expr, &[], Some(columns[*at].kind), &mut known)?;
-                            }
-                        }
-                    }
-                }
-                Some(_) => {
-                    let source = insert.source.as_ref().ok_or_else(|| unsupported(insert))?;
-                    shape(source, &store, around, &mut known)?;
-                }
-                None => {}
-            }
-            if let Some(OnInsert::OnConflict(conflict)) = &insert.on
-                && let OnConflictAction::DoUpdate(update) = &conflict.action
-            {
-                let both = with_excluded(&columns);
-                for assignment in &update.assignments {
-                    let at = assigned(&assignment.target, &columns)?;
-                    infer(&assignment.value, &both, Some(columns[at].kind), &mut known)?;
-                }
-            }
-            projection(
-                insert.returning.as_deref().unwrap_or_default(),
-                &columns,
-                &mut known,
-            )?
-        }
-        Statement::Update {
-            table,
-            assignments,
-            selection,
-            returning,
-            ..
-        } => {
-            let columns = table_columns(&around.table(&store, &factor_name(table)?)?, &store)?;
-            for assignment in assignments {
-                let at = assigned(&assignment.target, &columns)?;
-                infer(
-                    &assignment.value,
-                    &columns,
-                    Some(columns[at].kind),
-                    &mut known,
-                )?;
-            }
-            selection.iter().try_for_each(|expr| {
-                infer(expr, &columns, Some(Type::BOOL), &mut known).map(drop)
-            })?;
-            projection(
-                returning.as_deref().unwrap_or_default(),
-                &columns,
-                &mut known,
-            )?
-        }
-        Statement::Delete(delete) => {
-            let columns =
-                table_columns(&around.table(&store, &delete_name(&delete.from)?)?, &store)?;
-            let selection = &delete.selection;
-            selection.iter().try_for_each(|expr| {
-                infer(expr, &columns, Some(Type::BOOL), &mut known).map(drop)
-            })?;
-            projection(
-                delete.returning.as_deref().unwrap_or_default(),
-                &columns,
-                &mut known,
-            )?
-        }
-        Statement::ShowVariable { variable } => {
-            let name: Vec<String> = variable.iter().map(|word| word.value.clone()).collect();
-            vec![(around.setting_name(&name.join("_")), Type::TEXT)]
-        }
-        _ => Vec::new(),
+    let mut describer = Describer {
+        store: &store,
+        context,
+        parameters: ParameterTypes(specified.collect()),
     };
-    Ok((
-        known
-            .0
-            .iter()
-            .map(|kind| kind.unwrap_or(Type::TEXT))
+    let columns = describer.statement(statement)?;
+    let parameters = describer.parameters.0.iter();
+    Ok(StatementDescription {
+        parameters: parameters
+            .map(|data_type| data_type.unwrap_or(Type::TEXT))
             .collect(),
         columns,
-    ))
-}
-
-pub(super) fn is_default(expr: &Expr) -> bool {
-    matches!(expr, Expr::Identifier(ident) if ident.value.eq_ignore_ascii_case("default"))
-}
-
-pub(super) fn table_columns(name: &str, store: &Store) -> Result<Vec<Column>, Refusal> {
-    Ok(store.table(name)?.columns.clone())
-}
-
-pub(super) fn with_excluded(columns: &[Column]) -> Vec<Column> {
-    let excluded = columns.iter().map(|column| Column {
-        name: format!("excluded.{}", column.name),
-        ..column.clone()
-    });
-    columns.iter().cloned().chain(excluded).collect()
+    })
 }
 
-pub(super) fn insert_name(insert: &Insert) -> Result<String, Refusal> {
-    match &insert.table {
-        TableObject::TableName(name) => Ok(name.to_string()),
-        other @ TableObject::TableFunction(_) => Err(unsupported(other)),
-    }
-}
-
-pub(super) fn factor_name(table: &TableWithJoins) -> Result<String, Refusal> {
-    match &table.relation {
-        TableFactor::Table { name, .. } if table.joins.is_empty() => Ok(name.to_string()),
-        other => Err(unsupported(other)),
-    }
-}
-
-pub(super) fn delete_name(from: &FromTable) -> Result<String, Refusal> {
-    let (FromTable::WithFromKeyword(tables) | FromTable::WithoutKeyword(tables)) = from;
-    tables
-        .first()
-        .map_or_else(|| Err(Refusal("42601", "no table".to_owned())), factor_name)
-}
-
-pub(super) fn assigned(target: &AssignmentTarget, columns: &[Column]) -> Result<usize, Refusal> {
-    let AssignmentTarget::ColumnName(name) = target else {
-        return Err(unsupported(target));
+/// The columns of a query's result. Records what the query says of its parameters.
+pub(super) fn query_columns(
+    query: &Query,
+    store: &Store,
+    context: &dyn ExecutionContext,
+    parameters: ParameterTypes,
+) -> Result<Vec<ResultColumn>, SqlError> {
+    let mut describer = Describer {
+        store,
+        context,
+        parameters,
     };
-    position(&name.to_string(), columns)
-}
-
-pub(super) fn position(name: &str, columns: &[Column]) -> Result<usize, Refusal> {
-    let name = name.trim_matches('"');
-    let at = columns
-        .iter()
-        .position(|column| column.name.eq_ignore_ascii_case(name));
-    at.ok_or_else(|| Refusal("42703", format!("column \"{name}\" does not exist")))
-}
-
-/// The columns that an INSERT gives values for.
-pub(super) fn targets(insert: &Insert, columns: &[Column]) -> Result<Vec<usize>, Refusal> {
-    if insert.columns.is_empty() {
-        return Ok((0..columns.len()).collect());
-    }
-    insert
-        .columns
-        .iter()
-        .map(|ident| position(&ident.value, columns))
-        .collect()
+    describer.query(query)
 }
 
-/// What a projection brings.
-pub(super) fn projection(
+/// The columns of a projection (a select list or RETURNING) over these columns.
+pub(super) fn projection_columns(
     items: &[SelectItem],
     columns: &[Column],
-    known: &mut Parameters,
-) -> Result<Vec<(String, Type)>, Refusal> {
-    let mut out = Vec::new();
+    parameters: &mut ParameterTypes,
+) -> Result<Vec<ResultColumn>, SqlError> {
+    let mut result = Vec::new();
     for item in items {
         let (expr, alias) = match item {
             SelectItem::UnnamedExpr(expr) => (expr, None),
             SelectItem::ExprWithAlias { expr, alias } => (expr, Some(alias.value.clone())),
             SelectItem::Wildcard(_) | SelectItem::QualifiedWildcard(..) => {
-                out.extend(
-                    columns
-                        .iter()
-                        .map(|column| (column.name.clone(), column.kind)),
-                );
+                result.extend(columns.iter().map(result_column));
                 continue;
             }
         };
-        let kind = infer(expr, columns, None, known)?.unwrap_or(Type::TEXT);
-        // A parameter of which nothing else is known is a text.
-        infer(expr, columns, Some(Type::TEXT), known)?;
-        out.push((alias.unwrap_or_else(|| column_name(expr)), kind));
+        let data_type = infer(expr, columns, None, parameters)?.unwrap_or(Type::TEXT);
+        // A parameter that nothing else determines is a text.
+        infer(expr, columns, Some(Type::TEXT), parameters)?;
+        let name = alias.unwrap_or_else(|| default_column_name(expr));
+        result.push(ResultColumn { name, data_type });
     }
-    Ok(out)
+    Ok(result)
 }
 
-pub(super) fn column_name(expr: &Expr) -> String {
+fn result_column(column: &Column) -> ResultColumn {
+    ResultColumn::new(column.name.clone(), column.data_type)
+}
+
+/// The name that a result column has without an alias.
+fn default_column_name(expr: &Expr) -> String {
     match expr {
         Expr::Identifier(ident) => ident.value.clone(),
         Expr::CompoundIdentifier(parts) => parts[parts.len() - 1].value.clone(),
         Expr::Cast {
-            expr, data_type, ..
-        } => match column_name(expr).as_str() {
-            "?column?" => named(data_type).map_or("?column?".to_owned(), |_| {
+            expr: inner,
+            data_type,
+            ..
+        } => {
+            let inner_name = default_column_name(inner);
+            if inner_name == UNNAMED_COLUMN && resolve_type(data_type).is_ok() {
                 data_type.to_string().to_lowercase()
-            }),
-            known => known.to_owned(),
-        },
-        Expr::Nested(inner) => column_name(inner),
+            } else {
+                inner_name
+            }
+        }
+        Expr::Nested(inner) => default_column_name(inner),
         Expr::Case { .. } => "case".to_owned(),
         Expr::Array(_) => "array".to_owned(),
-        other => call(other).map_or("?column?".to_owned(), |(name, _)| name),
+        other => FunctionCall::parse(other).map_or(UNNAMED_COLUMN.to_owned(), |call| call.name),
     }
 }
 
-pub(super) fn shape(
-    query: &Query,
-    store: &Store,
-    around: &dyn Surroundings,
-    known: &mut Parameters,
-) -> Result<Vec<(String, Type)>, Refusal> {
-    let select = match &*query.body {
-        SetExpr::Select(select) => select,
-        SetExpr::Values(values) => {
-            let first = values.rows.first().map(Vec::as_slice).unwrap_or_default();
-            let mut out = Vec::new();
-            for (at, expr) in first.iter().enumerate() {
-                let kind = infer(expr, &[], None, known)?.unwrap_or(Type::TEXT);
-                out.push((format!("column{}", at + 1), kind));
+/// Walks a statement and collects what it says of its parameters.
+struct Describer<'a> {
+    store: &'a Store,
+    context: &'a dyn ExecutionContext,
+    parameters: ParameterTypes,
+}
+
+impl Describer<'_> {
+    fn statement(&mut self, statement: &Statement) -> Result<Vec<ResultColumn>, SqlError> {
+        match statement {
+            Statement::Query(query) => self.query(query),
+            Statement::Insert(insert) => self.insert(insert),
+            Statement::Update {
+                table,
+                assignments,
+                selection,
+                returning,
+                ..
+            } => {
+                let columns = self.updated_columns(table)?;
+                self.assignments(assignments, &columns, &columns)?;
+                self.condition(selection.as_ref(), &columns)?;
+                self.projection(returning.as_deref().unwrap_or_default(), &columns)
             }
-            return Ok(out);
-        }
-        other => return Err(unsupported(other)),
-    };
-    let columns = match Source::of(&select.from)? {
-        Source::None => Vec::new(),
-        Source::Table(name) => table_columns(&around.table(store, &name)?, store)?,
-        Source::Series(args, name) => {
-            args.iter()
-                .try_for_each(|arg| infer(arg, &[], Some(Type::INT4), known).map(drop))?;
-            vec![series_column(name)]
+            Statement::Delete(delete) => {
+                let columns = self.columns_of(&delete_table(&delete.from)?)?;
+                self.condition(delete.selection.as_ref(), &columns)?;
+                self.projection(delete.returning.as_deref().unwrap_or_default(), &columns)
+            }
+            Statement::ShowVariable { variable } => {
+                let words: Vec<String> = variable.iter().map(|word| word.value.clone()).collect();
+                let name = self.context.canonical_setting_name(&words.join("_"));
+                Ok(vec![ResultColumn::new(name, Type::TEXT)])
+            }
+            _ => Ok(Vec::new()),
         }
-    };
-    if let Some(selection) = &select.selection {
-        infer(selection, &columns, Some(Type::BOOL), known)?;
     }
-    let out = projection(&select.projection, &columns, known)?;
-    if let Some(LimitClause::LimitOffset { limit, offset, .. }) = &query.limit_clause {
-        let both = limit
-            .iter()
-            .chain(offset.iter().map(|offset| &offset.value));
-        both.into_iter()
-            .try_for_each(|expr| infer(expr, &[], Some(Type::INT8), known).map(drop))?;
+
+    fn updated_columns(&self, table: &TableWithJoins) -> Result<Vec<Column>, SqlError> {
+        self.columns_of(&single_table(table)?)
     }
-    Ok(out)
-}
 
-pub(super) enum Source<'a> {
-    None,
-    Table(String),
-    Series(Vec<&'a Expr>, String),
-}
+    /// The columns of the table that a statement names.
+    fn columns_of(&self, name: &str) -> Result<Vec<Column>, SqlError> {
+        table_columns(&self.context.resolve_table(self.store, name)?, self.store)
+    }
 
-impl<'a> Source<'a> {
-    pub(super) fn of(from: &'a [TableWithJoins]) -> Result<Self, Refusal> {
-        use sqlparser::ast::{FunctionArg, FunctionArgExpr};
-        let Some(first) = from.first() else {
-            return Ok(Self::None);
-        };
-        if from.len() > 1 || !first.joins.is_empty() {
-            return Err(unsupported(first));
+    fn insert(&mut self, insert: &Insert) -> Result<Vec<ResultColumn>, SqlError> {
+        let columns = self.columns_of(&insert_table(insert)?)?;
+        let positions = insert_positions(insert, &columns)?;
+        if let Some(source) = &insert.source {
+            match &*source.body {
+                SetExpr::Values(values) => self.inserted_values(values, &positions, &columns)?,
+                _ => {
+                    self.query(source)?;
+                }
+            }
         }
-        match &first.relation {
-            TableFactor::Table {
-                name,
-                args: Some(args),
-                alias,
-                ..
-            } if name.to_string().eq_ignore_ascii_case("generate_series") => {
-                let exprs = args.args.iter().filter_map(|arg| match arg {
-                    FunctionArg::Unnamed(FunctionArgExpr::Expr(expr)) => Some(expr),
-                    _ => None,
-                });
-                let name = alias
-                    .as_ref()
-                    .map_or("generate_series", |alias| &alias.name.value);
-                Ok(Self::Series(exprs.collect(), name.to_owned()))
+        if let Some(OnInsert::OnConflict(conflict)) = &insert.on
+            && let OnConflictAction::DoUpdate(update) = &conflict.action
+        {
+            let both = with_excluded(&columns);
+            self.assignments(&update.assignments, &columns, &both)?;
+        }
+        self.projection(insert.returning.as_deref().unwrap_or_default(), &columns)
+    }
+
+    fn inserted_values(
+        &mut self,
+        values: &Values,
+        positions: &[usize],
+        columns: &[Column],
+    ) -> Result<(), SqlError> {
+        for row in &values.rows {
+            for (expr, position) in row.iter().zip(positions) {
+                if !is_default(expr) {
+                    self.infer(expr, &[], Some(columns[*position].data_type))?;
+                }
             }
-            TableFactor::Table {
-                name, args: None, ..
-            } => Ok(Self::Table(name.to_string())),
+        }
+        Ok(())
+    }
+
+    /// Assignments to `columns`, whose expressions may refer to `scope`.
+    fn assignments(
+        &mut self,
+        assignments: &[Assignment],
+        columns: &[Column],
+        scope: &[Column],
+    ) -> Result<(), SqlError> {
+        for assignment in assignments {
+            let position = assigned_column(&assignment.target, columns)?;
+            let data_type = columns[position].data_type;
+            self.infer(&assignment.value, scope, Some(data_type))?;
+        }
+        Ok(())
+    }
+
+    fn query(&mut self, query: &Query) -> Result<Vec<ResultColumn>, SqlError> {
+        match &*query.body {
+            SetExpr::Select(select) => self.select(query, select),
+            SetExpr::Values(values) => self.values(values),
             other => Err(unsupported(other)),
         }
     }
-}
 
-pub(super) fn series_column(name: String) -> Column {
-    Column {
-        name,
-        kind: Type::INT4,
-        not_null: true,
-        default: None,
-        serial: false,
+    fn values(&mut self, values: &Values) -> Result<Vec<ResultColumn>, SqlError> {
+        let first = values.rows.first().map(Vec::as_slice).unwrap_or_default();
+        let mut columns = Vec::new();
+        for (position, expr) in first.iter().enumerate() {
+            let data_type = self.infer(expr, &[], None)?.unwrap_or(Type::TEXT);
+            columns.push(ResultColumn::new(
+                format!("column{}", position + 1),
+                data_type,
+            ));
+        }
+        Ok(columns)
+    }
+
+    fn select(&mut self, query: &Query, select: &Select) -> Result<Vec<ResultColumn>, SqlError> {
+        let columns = match RowSource::parse(&select.from)? {
+            RowSource::None => Vec::new(),
+            RowSource::Table(name) => self.columns_of(&name)?,
+            RowSource::Series(series) => {
+                for argument in &series.arguments {
+                    self.infer(argument, &[], Some(Type::INT4))?;
+                }
+                vec![series.column()]
+            }
+        };
+        self.condition(select.selection.as_ref(), &columns)?;
+        let result = self.projection(&select.projection, &columns)?;
+        if let Some(LimitClause::LimitOffset { limit, offset, .. }) = &query.limit_clause {
+            let offset = offset.as_ref().map(|offset| &offset.value);
+            for count in limit.iter().chain(offset) {
+                self.infer(count, &[], Some(Type::INT8))?;
+            }
+        }
+        Ok(result)
+    }
+
+    fn condition(&mut self, condition: Option<&Expr>, columns: &[Column]) -> Result<(), SqlError> {
+        if let Some(condition) = condition {
+            self.infer(condition, columns, Some(Type::BOOL))?;
+        }
+        Ok(())
+    }
+
+    fn projection(
+        &mut self,
+        items: &[SelectItem],
+        columns: &[Column],
+    ) -> Result<Vec<ResultColumn>, SqlError> {
+        projection_columns(items, columns, &mut self.parameters)
+    }
+
+    fn infer(
+        &mut self,
+        expr: &Expr,
+        columns: &[Column],
+        wanted: Option<Type>,
+    ) -> Result<Option<Type>, SqlError> {
+        infer(expr, columns, wanted, &mut self.parameters)
     }
 }
--- /dev/null
+++ b/testkit/fakes/src/database/executor/insert.rs
@@ -0,0 +1,305 @@
+//! New rows: INSERT and COPY FROM.
+
+use sqlparser::ast::{Assignment, Expr, Insert, OnConflictAction, OnInsert, SetExpr, Values};
+
+use super::{Executor, assign};
+use crate::database::references::{
+    column_position, insert_positions, insert_table, is_default, table_columns, with_excluded,
+};
+use crate::database::result::StatementResult;
+use crate::database::storage::{Column, DuplicateKey, ExecutionError, RowView, Store};
+use crate::database::value::Value;
+use crate::database::{SqlError, SqlState, lock};
+
+/// How COPY's text format writes NULL.
+const COPY_NULL: &str = "\\N";
+
+/// The line that ends the data of a COPY.
+const COPY_END: &str = "\\.";
+
+/// The table that rows are inserted into.
+struct Target {
+    /// Its stored name.
+    table: String,
+    columns: Vec<Column>,
+    /// The positions of the columns that values are given for.
+    positions: Vec<usize>,
+}
+
+/// A value for the column at a position; `None` for its default.
+struct GivenValue {
+    position: usize,
+    value: Option<Value>,
+}
+
+/// The values that an INSERT gives for a row, in the order of [`Target::positions`]; `None` for DEFAULT.
+type GivenRow = Vec<Option<Value>>;
+
+impl Executor<'_> {
+    pub(super) fn insert(&mut self, insert: &Insert) -> Result<StatementResult, ExecutionError> {
+        let target = self.insert_target(insert)?;
+        let rows = self.given_rows(insert)?;
+        let mut store = lock(self.store);
+        let returning = insert.returning.as_deref();
+        let mut result = self.change_result(returning, &target.columns, "INSERT")?;
+        let duplicate_key = match &insert.on {
+            Some(OnInsert::OnConflict(_)) => DuplicateKey::Skip,
+            _ => DuplicateKey::Fail,
+        };
+        for given in rows {
+            check_value_count(insert, &target, given.len())?;
+            let row = self.complete_row(&mut store, &target, positioned(&target, given))?;
+            let is_inserted =
+                store.insert(self.transaction, &target.table, row.clone(), duplicate_key)?;
+            let changed = if is_inserted {
+                Some(row)
+            } else if let Some(assignments) = conflict_assignments(insert) {
+                self.update_conflicting(&mut store, &target, row, assignments)?
+            } else {
+                None
+            };
+            if let Some(changed) = changed {
+                self.record_change(returning, &target.columns, &changed, &mut result)?;
+            }
+        }
+        Ok(result)
+    }
+
+    fn insert_target(&self, insert: &Insert) -> Result<Target, SqlError> {
+        let store = lock(self.store);
+        let table = self.context.resolve_table(&store, &insert_table(insert)?)?;
+        let columns = table_columns(&table, &store)?;
+        let positions = insert_positions(insert, &columns)?;
+        Ok(Target {
+            table,
+            columns,
+            positions,
+        })
+    }
+
+    /// The rows of an INSERT's VALUES or query; one empty row for DEFAULT VALUES.
+    fn given_rows(&mut self, insert: &Insert) -> Result<Vec<GivenRow>, ExecutionError> {
+        let Some(source) = &insert.source else {
+            return Ok(vec![Vec::new()]);
+        };
+        if let SetExpr::Values(values) = &*source.body {
+            return Ok(self.given_values(values)?);
+        }
+        let selected = self.query(source)?;
+        let rows = selected.expand_rows().into_iter();
+        Ok(rows
+            .map(|row| row.into_iter().map(Some).collect())
+            .collect())
+    }
+
+    fn given_values(&self, values: &Values) -> Result<Vec<GivenRow>, SqlError> {
+        let mut rows = Vec::with_capacity(values.rows.len());
+        for row in &values.rows {
+            let given = row.iter().map(|expr| self.given_value(expr));
+            rows.push(given.collect::<Result<_, _>>()?);
+        }
+        Ok(rows)
+    }
+
+    fn given_value(&self, expr: &Expr) -> Result<Option<Value>, SqlError> {
+        if is_default(expr) {
+            Ok(None)
+        } else {
+            self.rowless_scope().value(expr).map(Some)
+        }
+    }
+
+    /// ON CONFLICT DO UPDATE: changes the row that has the key of `rejected`. Returns the row as it is then, or `None`
+    /// if this transaction can't see it.
+    fn update_conflicting(
+        &mut self,
+        store: &mut Store,
+        target: &Target,
+        rejected: Vec<Value>,
+        assignments: &[Assignment],
+    ) -> Result<Option<Vec<Value>>, ExecutionError> {
+        let Some(unique) = store.table(&target.table)?.unique.clone() else {
+            return Ok(None);
+        };
+        let key = &rejected[unique.column];
+        let found = store
+            .visible_rows(&target.table, self.transaction_id(), Some(key))?
+            .first()
+            .map(RowView::to_stored);
+        let Some(existing) = found else {
+            return Ok(None);
+        };
+        let scope_columns = with_excluded(&target.columns);
+        let scope_values = [existing.values.clone(), rejected].concat();
+        let scope = self.scope(&scope_columns, &scope_values);
+        let updated = assign(assignments, &target.columns, &scope, existing.values)?;
+        self.replace_row(store, &target.table, existing.id, updated.clone())?;
+        Ok(Some(updated))
+    }
+
+    /// A full row of the given values, with defaults for the other columns.
+    fn complete_row(
+        &self,
+        store: &mut Store,
+        target: &Target,
+        given: Vec<GivenValue>,
+    ) -> Result<Vec<Value>, SqlError> {
+        let mut row = vec![None; target.columns.len()];
+        for GivenValue { position, value } in given {
+            row[position] = match value {
+                Some(value) => Some(value.cast(target.columns[position].data_type)?),
+                None => None,
+            };
+        }
+        let values = row.into_iter().zip(&target.columns);
+        let completed = values.map(|(value, column)| match value {
+            Some(value) => Ok(value),
+            None => self.default_value(store, &target.table, column),
+        });
+        completed.collect()
+    }
+
+    fn default_value(
+        &self,
+        store: &mut Store,
+        table: &str,
+        column: &Column,
+    ) -> Result<Value, SqlError> {
+        if column.is_serial {
+            return Ok(Value::Int(store.table_mut(table)?.next_serial()));
+        }
+        let Some(default) = &column.default else {
+            return Ok(Value::Null);
+        };
+        let value = match default.to_ascii_lowercase().trim_end_matches("()") {
+            "now" | "current_timestamp" => self.context.call("now", &[])?,
+            "gen_random_uuid" => self.context.call("gen_random_uuid", &[])?,
+            _ => Value::Text(default.trim_matches('\'').to_owned()),
+        };
+        value.cast(column.data_type)
+    }
+
+    /// Inserts the rows of a COPY FROM in text format. Returns how many.
+    pub(crate) fn copy_in(
+        &mut self,
+        table: &str,
+        columns: &[String],
+        text: &str,
+    ) -> Result<u64, ExecutionError> {
+        let mut store = lock(self.store);
+        let target = self.copy_target(&store, table, columns)?;
+        let mut count = 0;
+        for line in text.lines().take_while(|line| *line != COPY_END) {
+            let given = copied_values(&target, line)?;
+            let row = self.complete_row(&mut store, &target, given)?;
+            store.insert(self.transaction, &target.table, row, DuplicateKey::Fail)?;
+            count += 1;
+        }
+        Ok(count)
+    }
+
+    fn copy_target(
+        &self,
+        store: &Store,
+        table: &str,
+        columns: &[String],
+    ) -> Result<Target, SqlError> {
+        let stored_name = self.context.resolve_table(store, table)?;
+        let table_columns = table_columns(&stored_name, store)?;
+        let positions = if columns.is_empty() {
+            (0..table_columns.len()).collect()
+        } else {
+            let positions = columns
+                .iter()
+                .map(|name| column_position(name, &table_columns));
+            positions.collect::<Result<_, _>>()?
+        };
+        Ok(Target {
+            table: stored_name,
+            columns: table_columns,
+            positions,
+        })
+    }
+}
+
+/// The assignments of ON CONFLICT DO UPDATE.
+fn conflict_assignments(insert: &Insert) -> Option<&[Assignment]> {
+    let Some(OnInsert::OnConflict(conflict)) = &insert.on else {
+        return None;
+    };
+    match &conflict.action {
+        OnConflictAction::DoUpdate(update) => Some(&update.assignments),
+        OnConflictAction::DoNothing => None,
+    }
+}
+
+fn positioned(target: &Target, given: GivenRow) -> Vec<GivenValue> {
+    let positions = target.positions.iter().copied();
+    positions
+        .zip(given)
+        .map(|(position, value)| GivenValue { position, value })
+        .collect()
+}
+
+fn check_value_count(insert: &Insert, target: &Target, count: usize) -> Result<(), SqlError> {
+    let wanted = target.positions.len();
+    if count > wanted {
+        return Err(SqlError::new(
+            SqlState::SYNTAX_ERROR,
+            "INSERT has more expressions than target columns",
+        ));
+    }
+    if !insert.columns.is_empty() && count < wanted && count > 0 {
+        return Err(SqlError::new(
+            SqlState::SYNTAX_ERROR,
+            "INSERT has more target columns than expressions",
+        ));
+    }
+    Ok(())
+}
+
+/// The values of one line of COPY's text format: fields separated by tabs.
+fn copied_values(target: &Target, line: &str) -> Result<Vec<GivenValue>, SqlError> {
+    let fields: Vec<&str> = line.split('\t').collect();
+    if fields.len() != target.positions.len() {
+        let message = if fields.len() < target.positions.len() {
+            "missing data"
+        } else {
+            "extra data after last expected column"
+        };
+        return Err(SqlError::new(SqlState::BAD_COPY_FILE_FORMAT, message));
+    }
+    let mut given = Vec::with_capacity(fields.len());
+    for (field, position) in fields.into_iter().zip(&target.positions) {
+        let value = if field == COPY_NULL {
+            Value::Null
+        } else {
+            Value::read_text(target.columns[*position].data_type, &unescape(field))?
+        };
+        given.push(GivenValue {
+            position: *position,
+            value: Some(value),
+        });
+    }
+    Ok(given)
+}
+
+/// A field of COPY's text format without its backslash escapes.
+fn unescape(field: &str) -> String {
+    let mut text = String::with_capacity(field.len());
+    let mut characters = field.chars();
+    while let Some(character) = characters.next() {
+        if character != '\\' {
+            text.push(character);
+            continue;
+        }
+        match characters.next() {
+            Some('t') => text.push('\t'),
+            Some('n') => text.push('\n'),
+            Some('r') => text.push('\r'),
+            Some(other) => text.push(other),
+            None => {}
+        }
+    }
+    text
+}
--- /dev/null
+++ b/testkit/fakes/src/database/expression/comparison.rs
@@ -0,0 +1,73 @@
+//! Comparison operators and LIKE.
+
+use sqlparser::ast::BinaryOperator;
+
+use super::unsupported;
+use crate::database::SqlError;
+use crate::database::value::{Type, Value};
+
+/// The result of a comparison operator; NULL if either value is NULL.
+pub(super) fn compare(
+    left: &Value,
+    operator: &BinaryOperator,
+    right: &Value,
+) -> Result<Value, SqlError> {
+    let typed_left = with_type_of(left, right)?;
+    let typed_right = with_type_of(right, left)?;
+    let Some(order) = typed_left.order(&typed_right) else {
+        return Ok(Value::Null);
+    };
+    Ok(Value::Bool(match operator {
+        BinaryOperator::Eq => order.is_eq(),
+        BinaryOperator::NotEq => order.is_ne(),
+        BinaryOperator::Lt => order.is_lt(),
+        BinaryOperator::LtEq => order.is_le(),
+        BinaryOperator::Gt => order.is_gt(),
+        BinaryOperator::GtEq => order.is_ge(),
+        other => return Err(unsupported(other)),
+    }))
+}
+
+/// A text literal has no type of its own: it takes the type of the value that it is compared with.
+fn with_type_of(value: &Value, other: &Value) -> Result<Value, SqlError> {
+    match (value, own_type(other)) {
+        (Value::Text(text), Some(other_type)) => Value::read_text(other_type, text),
+        _ => Ok(value.clone()),
+    }
+}
+
+/// The type that a value shows by itself; `None` for texts, arrays and NULL.
+fn own_type(value: &Value) -> Option<Type> {
+    match value {
+        Value::Int(_) => Some(Type::INT8),
+        Value::Float(_) => Some(Type::FLOAT8),
+        Value::Numeric(_) => Some(Type::NUMERIC),
+        Value::Bool(_) => Some(Type::BOOL),
+        Value::Uuid(_) => Some(Type::UUID),
+        Value::Date(_) => Some(Type::DATE),
+        Value::Timestamp(_) => Some(Type::TIMESTAMPTZ),
+        Value::Bytes(_) => Some(Type::BYTEA),
+        _ => None,
+    }
+}
+
+/// LIKE, where `%` stands for any text and `_` for any character.
+pub(super) fn matches_like(text: &str, pattern: &str) -> bool {
+    let mut pattern_characters = pattern.chars();
+    match pattern_characters.next() {
+        None => text.is_empty(),
+        Some('%') => {
+            let rest = pattern_characters.as_str();
+            text.char_indices()
+                .any(|(start, _)| matches_like(&text[start..], rest))
+                || matches_like("", rest)
+        }
+        Some(wanted) => {
+            let mut characters = text.chars();
+            let first_matches = characters
+                .next()
+                .is_some_and(|first| wanted == '_' || wanted == first);
+            first_matches && matches_like(characters.as_str(), pattern_characters.as_str())
+        }
+    }
+}
--- /dev/null
+++ b/testkit/fakes/src/database/expression/inference.rs
@@ -0,0 +1,283 @@
+//! Type inference: the type of an expression before any value is known, and the types that its parameters must have.
+
+use sqlparser::ast::{BinaryOperator, CaseWhen, Expr, UnaryOperator, Value as Literal};
+
+use super::{
+    FunctionCall, column_reference, is_comparison, parameter_position, resolve_type, unsupported,
+};
+use crate::database::SqlError;
+use crate::database::storage::Column;
+use crate::database::value::Type;
+
+/// The types of a statement's parameters, by position; `None` while nothing determines one.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ParameterTypes(pub(crate) Vec<Option<Type>>);
+
+impl ParameterTypes {
+    /// Records the type of a parameter, unless an earlier use has determined it. Returns the type that holds.
+    fn record(&mut self, position: usize, parameter_type: Option<Type>) -> Option<Type> {
+        if self.0.len() <= position {
+            self.0.resize(position + 1, None);
+        }
+        self.0[position] = self.0[position].or(parameter_type);
+        self.0[position]
+    }
+}
+
+/// The type of an expression over these columns, `None` if nothing determines it. `wanted` is the type that its
+/// surroundings ask for; it decides the types of parameters, which are recorded.
+pub(crate) fn infer(
+    expr: &Expr,
+    columns: &[Column],
+    wanted: Option<Type>,
+    parameters: &mut ParameterTypes,
+) -> Result<Option<Type>, SqlError> {
+    Inference {
+        columns,
+        parameters,
+    }
+    .infer(expr, wanted)
+}
+
+/// The columns that names refer to, and what is known of the parameters so far.
+struct Inference<'a> {
+    columns: &'a [Column],
+    parameters: &'a mut ParameterTypes,
+}
+
+impl Inference<'_> {
+    fn infer(&mut self, expr: &Expr, wanted: Option<Type>) -> Result<Option<Type>, SqlError> {
+        if let Some(position) = parameter_position(expr) {
+            return Ok(self.parameters.record(position, wanted));
+        }
+        if let Some(call) = FunctionCall::parse(expr) {
+            return self.infer_call(&call).map(Some);
+        }
+        if let Some(reference) = column_reference(expr, self.columns)? {
+            return Ok(Some(reference.column.data_type));
+        }
+        match expr {
+            Expr::Value(value) => Ok(literal_type(&value.value)),
+            Expr::Cast {
+                expr: inner,
+                data_type,
+                ..
+            } => {
+                let target = resolve_type(data_type)?;
+                self.infer(inner, Some(target))?;
+                Ok(Some(target))
+            }
+            Expr::TypedString(typed) => resolve_type(&typed.data_type).map(Some),
+            Expr::Nested(inner) => self.infer(inner, wanted),
+            Expr::UnaryOp {
+                op: UnaryOperator::Not,
+                expr: operand,
+            } => self.infer_predicate(&[operand], Some(Type::BOOL)),
+            Expr::UnaryOp { expr: operand, .. } => self.infer(operand, wanted),
+            Expr::BinaryOp { left, op, right } => self.infer_binary(left, op, right, wanted),
+            Expr::Array(array) => self.infer_array(&array.elem, wanted),
+            Expr::Case {
+                conditions,
+                else_result,
+                ..
+            } => self.infer_case(conditions, else_result.as_deref(), wanted),
+            other => self.infer_test(other),
+        }
+    }
+
+    /// The type of a function's result; its arguments get the types of its signature.
+    fn infer_call(&mut self, call: &FunctionCall<'_>) -> Result<Type, SqlError> {
+        let signature = signature(&call.name);
+        let mut first_known = None;
+        for (position, argument) in call.arguments.iter().enumerate() {
+            let wanted = signature.arguments.get(position).copied();
+            let argument_type = self.infer(argument, wanted)?;
+            first_known = first_known.or(argument_type);
+        }
+        Ok(match (call.name.as_str(), first_known) {
+            ("max" | "min" | "coalesce" | "abs" | "greatest" | "least", Some(first)) => first,
+            ("generate_series", Some(Type::INT8)) => Type::INT8,
+            _ => signature.result,
+        })
+    }
+
+    /// The tests that have a truth value: IS NULL, IN, BETWEEN, LIKE, ANY.
+    fn infer_test(&mut self, expr: &Expr) -> Result<Option<Type>, SqlError> {
+        match expr {
+            Expr::IsNull(operand)
+            | Expr::IsNotNull(operand)
+            | Expr::IsTrue(operand)
+            | Expr::IsFalse(operand) => self.infer_predicate(&[operand], None),
+            Expr::InList {
+                expr: operand,
+                list,
+                ..
+            } => {
+                let operand_type = self.infer(operand, None)?;
+                let items: Vec<&Expr> = list.iter().collect();
+                self.infer_predicate(&items, operand_type)
+            }
+            Expr::Between {
+                expr: operand,
+                low,
+                high,
+                ..
+            } => {
+                let operand_type = self.infer(operand, None)?;
+                self.infer_predicate(&[low, high], operand_type)
+            }
+            Expr::Like {
+                expr: operand,
+                pattern,
+                ..
+            } => self.infer_predicate(&[operand, pattern], Some(Type::TEXT)),
+            Expr::AnyOp { left, right, .. } => {
+                let operand_type = self.infer(left, None)?;
+                self.infer_predicate(&[right], operand_type.map(Type::array))
+            }
+            other => Err(unsupported(other)),
+        }
+    }
+
+    /// Infers operands that should all have one type; the result is a truth value.
+    fn infer_predicate(
+        &mut self,
+        operands: &[&Expr],
+        wanted: Option<Type>,
+    ) -> Result<Option<Type>, SqlError> {
+        for operand in operands {
+            self.infer(operand, wanted)?;
+        }
+        Ok(Some(Type::BOOL))
+    }
+
+    fn infer_binary(
+        &mut self,
+        left: &Expr,
+        operator: &BinaryOperator,
+        right: &Expr,
+        wanted: Option<Type>,
+    ) -> Result<Option<Type>, SqlError> {
+        let operand_type = match operator {
+            BinaryOperator::And | BinaryOperator::Or => Some(Type::BOOL),
+            BinaryOperator::StringConcat => Some(Type::TEXT),
+            _ => None,
+        };
+        let mut left_type = self.infer(left, operand_type)?;
+        let right_type = self.infer(right, operand_type.or(left_type))?;
+        if left_type.is_none() {
+            // A parameter on the left has the type of what it is combined with.
+            left_type = self.infer(left, right_type)?;
+        }
+        if is_comparison(operator) || operand_type == Some(Type::BOOL) {
+            return Ok(Some(Type::BOOL));
+        }
+        if *operator == BinaryOperator::StringConcat {
+            return Ok(Some(Type::TEXT));
+        }
+        Ok(match (left_type, right_type) {
+            (Some(left_type), Some(right_type)) => Some(wider(left_type, right_type)),
+            (left_type, right_type) => left_type.or(right_type).or(wanted),
+        })
+    }
+
+    fn infer_array(
+        &mut self,
+        elements: &[Expr],
+        wanted: Option<Type>,
+    ) -> Result<Option<Type>, SqlError> {
+        let mut element_type = wanted.and_then(Type::element);
+        for element in elements {
+            element_type = self.infer(element, element_type)?.or(element_type);
+        }
+        Ok(Some(element_type.unwrap_or(Type::TEXT).array()))
+    }
+
+    fn infer_case(
+        &mut self,
+        branches: &[CaseWhen],
+        else_result: Option<&Expr>,
+        wanted: Option<Type>,
+    ) -> Result<Option<Type>, SqlError> {
+        let mut result_type = wanted;
+        for branch in branches {
+            self.infer(&branch.condition, Some(Type::BOOL))?;
+            result_type = self.infer(&branch.result, result_type)?.or(result_type);
+        }
+        if let Some(else_result) = else_result {
+            result_type = self.infer(else_result, result_type)?.or(result_type);
+        }
+        Ok(result_type)
+    }
+}
+
+/// The type that a literal has by itself; a quoted string has none.
+fn literal_type(literal: &Literal) -> Option<Type> {
+    match literal {
+        Literal::Number(number, _) if number.contains(['.', 'e', 'E']) => Some(Type::NUMERIC),
+        Literal::Number(number, _) if number.parse::<i32>().is_ok() => Some(Type::INT4),
+        Literal::Number(..) => Some(Type::INT8),
+        Literal::Boolean(_) => Some(Type::BOOL),
+        _ => None,
+    }
+}
+
+/// The type of a function's result, and of its arguments.
+struct Signature {
+    result: Type,
+    arguments: &'static [Type],
+}
+
+/// The signature of a function; of an unknown one, that of a function of two texts.
+fn signature(name: &str) -> Signature {
+    let (result, arguments): (Type, &'static [Type]) = match name {
+        "count" | "sum" | "txid_current" => (Type::INT8, &[]),
+        "pg_sleep" => (Type::VOID, &[Type::FLOAT8]),
+        "pg_advisory_lock"
+        | "pg_advisory_lock_shared"
+        | "pg_advisory_xact_lock"
+        | "pg_advisory_unlock_all" => (Type::VOID, &[Type::INT8, Type::INT8]),
+        "pg_try_advisory_lock" | "pg_advisory_unlock" | "pg_try_advisory_xact_lock" => {
+            (Type::BOOL, &[Type::INT8, Type::INT8])
+        }
+        "pg_is_in_recovery" | "pg_table_is_visible" => (Type::BOOL, &[]),
+        "pg_backend_pid" | "length" | "char_length" | "octet_length" | "array_length" => {
+            (Type::INT4, &[])
+        }
+        "generate_series" => (Type::INT4, &[Type::INT4, Type::INT4]),
+        "repeat" => (Type::TEXT, &[Type::TEXT, Type::INT4]),
+        "now" | "current_timestamp" | "statement_timestamp" | "clock_timestamp" => {
+            (Type::TIMESTAMPTZ, &[])
+        }
+        "current_date" => (Type::DATE, &[]),
+        "random" => (Type::FLOAT8, &[]),
+        "gen_random_uuid" => (Type::UUID, &[]),
+        "set_config" => (Type::TEXT, &[Type::TEXT, Type::TEXT, Type::BOOL]),
+        "current_database" | "current_user" | "session_user" | "user" | "current_schema"
+        | "current_catalog" => (Type::NAME, &[]),
+        _ => (Type::TEXT, &[Type::TEXT, Type::TEXT]),
+    };
+    Signature { result, arguments }
+}
+
+/// The one of two numeric types that holds the values of both.
+fn wider(left: Type, right: Type) -> Type {
+    if numeric_rank(right) > numeric_rank(left) {
+        right
+    } else {
+        left
+    }
+}
+
+/// The order of numeric types by their range; 0 for all others.
+fn numeric_rank(numeric_type: Type) -> u8 {
+    match numeric_type {
+        Type::INT2 => 1,
+        Type::INT4 => 2,
+        Type::INT8 => 3,
+        Type::NUMERIC => 4,
+        Type::FLOAT4 => 5,
+        Type::FLOAT8 => 6,
+        _ => 0,
+    }
+}
--- a/testkit/fakes/src/database/faults.rs
+++ b/testkit/fakes/src/database/faults.rs
@@ -1,14 +1,14 @@
-//! What a stand-in database does wrong when it is told to.
+//! Faults that a test can inject.
 
-/// What a connection does wrong at the next statement that matches.
+/// What goes wrong at the statement that a fault is injected for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Bad {
-    /// The whole server dies before it runs.
+    /// The server crashes before it executes the statement.
     DieBefore,
-    /// It runs, and the server dies before it answers.
+    /// The server executes the statement and crashes before it answers.
     DieAfter,
-    /// It is taken, and nothing is ever said.
+    /// The statement is never answered.
     Hang,
-    /// It is refused, as by a server that is full.
+    /// The statement is rejected, as by a server whose connections are all taken.
     Refuse,
 }
--- a/testkit/fakes/src/database/parse.rs
+++ b/testkit/fakes/src/database/parse.rs
@@ -1,80 +1,87 @@
-//! Texts as statements.
+//! Parses SQL text into statements.
 
 use sqlparser::ast::Statement;
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 use sqlparser::tokenizer::{Token, Tokenizer};
 
-use super::Refusal;
+use super::{SqlError, SqlState};
 
-/// The last statement of a text, if it has any.
-pub(super) fn one(sql: &str) -> Result<Option<Statement>, Refusal> {
-    let mut all = all(sql)?;
-    if all.len() > 1 {
-        return Err(Refusal(
-            "42601",
-            "cannot insert multiple commands into a prepared statement".to_owned(),
+/// Commands that the parser takes only in texts of their own.
+const SPECIAL_COMMANDS: [&str; 3] = ["RESET ", "CLOSE ALL", "UNLISTEN *"];
+
+/// The statement of a text that holds one at most; an error for several.
+pub(super) fn parse_single_statement(sql: &str) -> Result<Option<Statement>, SqlError> {
+    let mut statements = parse_statements(sql)?;
+    if statements.len() > 1 {
+        return Err(SqlError::new(
+            SqlState::SYNTAX_ERROR,
+            "cannot insert multiple commands into a prepared statement",
         ));
     }
-    Ok(all.pop())
+    Ok(statements.pop())
 }
 
 /// All statements of a text.
-pub(super) fn all(sql: &str) -> Result<Vec<Statement>, Refusal> {
-    // The parser knows no RESET, no CLOSE ALL and no UNLISTEN *: they are read here, as settings and nothing.
-    let plain = sql.trim().trim_end_matches(';').trim();
-    let upper = plain.to_ascii_uppercase();
+pub(super) fn parse_statements(sql: &str) -> Result<Vec<Statement>, SqlError> {
+    let command = sql.trim().trim_end_matches(';').trim();
+    let upper = command.to_ascii_uppercase();
     if let Some(name) = upper.strip_prefix("RESET ") {
-        let sql = if name.trim() == "ALL" {
-            "SET all TO DEFAULT".to_owned()
-        } else {
-            format!("SET {} TO DEFAULT", &plain[6..])
-        };
-        return parse(&sql);
+        // The parser has no RESET.
+        return parse(&reset_as_set(command, name));
     }
-    if ["RESET ", "CLOSE ALL", "UNLISTEN *"]
+    if SPECIAL_COMMANDS
         .iter()
-        .any(|word| upper.contains(word))
+        .any(|special| upper.contains(special))
     {
-        let parts = split(sql);
+        let parts = split_statements(sql);
         if parts.len() > 1 {
-            let parts = parts.iter().map(|part| all(part));
-            return Ok(parts
-                .collect::<Result<Vec<_>, _>>()?
-                .into_iter()
-                .flatten()
-                .collect());
+            let parsed = parts.iter().map(|part| parse_statements(part));
+            let parsed = parsed.collect::<Result<Vec<_>, _>>()?;
+            return Ok(parsed.into_iter().flatten().collect());
         }
     }
     match upper.as_str() {
-        "CLOSE ALL" => parse("CLOSE ALL"),
-        "UNLISTEN *" => parse("UNLISTEN *"),
-        "DISCARD ALL" => parse("DISCARD ALL"),
+        "CLOSE ALL" | "UNLISTEN *" | "DISCARD ALL" => parse(&upper),
         _ => parse(sql),
     }
 }
 
-/// A text's statements, each with its own text.
-fn split(sql: &str) -> Vec<String> {
+/// A RESET command as the SET that does the same. `upper_name` is the setting's name in upper case.
+fn reset_as_set(command: &str, upper_name: &str) -> String {
+    if upper_name.trim() == "ALL" {
+        "SET all TO DEFAULT".to_owned()
+    } else {
+        format!("SET {} TO DEFAULT", &command["RESET ".len()..])
+    }
+}
+
+/// The texts of a text's statements.
+fn split_statements(sql: &str) -> Vec<String> {
     let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize() else {
         return vec![sql.to_owned()];
     };
-    let parts = tokens.split(|token| *token == Token::SemiColon);
-    let parts = parts.map(|part| part.iter().map(ToString::to_string).collect::<String>());
-    parts.filter(|part| !part.trim().is_empty()).collect()
+    tokens
+        .split(|token| *token == Token::SemiColon)
+        .map(|statement| {
+            statement
+                .iter()
+                .map(ToString::to_string)
+                .collect::<String>()
+        })
+        .filter(|statement| !statement.trim().is_empty())
+        .collect()
 }
 
-fn parse(sql: &str) -> Result<Vec<Statement>, Refusal> {
-    // The parser wants COPY to end so: data could stand behind it.
-    let copies = sql
-        .trim_start()
-        .get(..4)
-        .is_some_and(|word| word.eq_ignore_ascii_case("copy"));
-    let ended = if copies && !sql.contains(';') {
+fn parse(sql: &str) -> Result<Vec<Statement>, SqlError> {
+    let command = sql.trim_start().get(..4);
+    let is_copy = command.is_some_and(|command| command.eq_ignore_ascii_case("copy"));
+    // The parser wants a semicolon after COPY, because data might follow it.
+    let text = if is_copy && !sql.contains(';') {
         format!("{sql};")
     } else {
         sql.to_owned()
     };
-    Parser::parse_sql(&PostgreSqlDialect {}, &ended)
-        .map_err(|error| Refusal("42601", error.to_string()))
+    Parser::parse_sql(&PostgreSqlDialect {}, &text)
+        .map_err(|error| SqlError::new(SqlState::SYNTAX_ERROR, error.to_string()))
 }
--- /dev/null
+++ b/testkit/fakes/src/database/protocol/reader.rs
@@ -0,0 +1,72 @@
+//! Reads the fields of a message's body.
+
+use super::{ConnectionClosed, StartupParameters};
+
+/// The part of a body that was not read yet. Each read takes a field from its front; a body that is too short ends the
+/// connection.
+pub(super) struct MessageReader<'a> {
+    rest: &'a [u8],
+}
+
+impl<'a> MessageReader<'a> {
+    pub(super) fn new(body: &'a [u8]) -> Self {
+        Self { rest: body }
+    }
+
+    /// A text that ends with a zero byte.
+    pub(super) fn string(&mut self) -> Result<String, ConnectionClosed> {
+        let end = self.rest.iter().position(|byte| *byte == 0);
+        let end = end.ok_or(ConnectionClosed)?;
+        let text = String::from_utf8_lossy(&self.rest[..end]).into_owned();
+        self.rest = &self.rest[end + 1..];
+        Ok(text)
+    }
+
+    pub(super) fn u8(&mut self) -> Result<u8, ConnectionClosed> {
+        self.array().map(u8::from_be_bytes)
+    }
+
+    pub(super) fn u16(&mut self) -> Result<u16, ConnectionClosed> {
+        self.array().map(u16::from_be_bytes)
+    }
+
+    pub(super) fn u32(&mut self) -> Result<u32, ConnectionClosed> {
+        self.array().map(u32::from_be_bytes)
+    }
+
+    /// A list of 16-bit numbers, preceded by their count.
+    pub(super) fn u16_list(&mut self) -> Result<Vec<u16>, ConnectionClosed> {
+        let count = self.u16()?;
+        (0..count).map(|_| self.u16()).collect()
+    }
+
+    /// Bytes preceded by their length; `None` for the length -1, which stands for NULL.
+    pub(super) fn nullable_bytes(&mut self) -> Result<Option<&'a [u8]>, ConnectionClosed> {
+        let length = i32::from_be_bytes(self.array()?);
+        let Ok(length) = usize::try_from(length) else {
+            return Ok(None);
+        };
+        let (bytes, rest) = self.rest.split_at_checked(length).ok_or(ConnectionClosed)?;
+        self.rest = rest;
+        Ok(Some(bytes))
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], ConnectionClosed> {
+        let (bytes, rest) = self.rest.split_first_chunk().ok_or(ConnectionClosed)?;
+        self.rest = rest;
+        Ok(*bytes)
+    }
+}
+
+/// The parameters in the body of a start-up message.
+pub(crate) fn read_parameters(body: &[u8]) -> StartupParameters {
+    let mut body = MessageReader::new(body);
+    let mut parameters = StartupParameters::new();
+    while let (Ok(name), Ok(value)) = (body.string(), body.string()) {
+        if name.is_empty() {
+            break;
+        }
+        parameters.insert(name, value);
+    }
+    parameters
+}
--- /dev/null
+++ b/testkit/fakes/src/database/server_state.rs
@@ -0,0 +1,223 @@
+//! What all connections of a server share: tables, locks, notifications, users, counters and injected faults.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use badgerpost_postgres_session::scram::Verifier;
+
+use super::advisory_locks::AdvisoryLocks;
+use super::faults::Bad;
+use super::lock;
+use super::storage::Store;
+
+/// How often a connection that waits checks whether it may go on.
+pub(super) const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Notifications that wait for one connection, at most; later ones are dropped.
+const MAX_PENDING_NOTIFICATIONS: usize = 1000;
+
+/// The number of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ConnectionId(pub(super) u64);
+
+impl ConnectionId {
+    /// The process id by which clients know the connection.
+    pub(super) fn process_id(self) -> u32 {
+        let [.., first, second, third, fourth] = self.0.to_be_bytes();
+        u32::from_be_bytes([first, second, third, fourth])
+    }
+
+    /// The secret key that a request to cancel a statement of the connection has to show.
+    pub(super) fn secret_key(self) -> u32 {
+        self.process_id().wrapping_mul(0x9e37_79b9) ^ 0x5bd1_e995
+    }
+}
+
+/// An open connection.
+pub(super) struct Connection {
+    pub(super) stream: TcpStream,
+    /// Set to cancel the statement that it executes.
+    pub(super) cancel_requested: Arc<AtomicBool>,
+}
+
+/// A notification that waits for its connection to be idle.
+pub(super) struct Notification {
+    pub(super) sender: ConnectionId,
+    pub(super) channel: String,
+    pub(super) payload: String,
+}
+
+/// A fault that happens once, at the next statement that contains the text.
+struct ArmedFault {
+    text: String,
+    fault: Bad,
+}
+
+/// The state of a server.
+pub(super) struct ServerState {
+    pub(super) store: Mutex<Store>,
+    pub(super) connections: Mutex<BTreeMap<ConnectionId, Connection>>,
+    pub(super) advisory_locks: Mutex<AdvisoryLocks>,
+    notifications: Mutex<BTreeMap<ConnectionId, VecDeque<Notification>>>,
+    pub(super) version: Mutex<String>,
+    /// Who may log in, by SCRAM; anybody while it is empty.
+    pub(super) users: Mutex<BTreeMap<String, Verifier>>,
+    pub(super) is_up: AtomicBool,
+    /// It accepts connections and answers none.
+    pub(super) is_paused: AtomicBool,
+    pub(super) max_connections: AtomicU64,
+    /// Connections accepted so far.
+    pub(super) connection_count: AtomicU64,
+    pub(super) login_count: AtomicU64,
+    pub(super) statement_count: AtomicU64,
+    pub(super) transaction_count: AtomicU64,
+    pub(super) cancel_count: AtomicU32,
+    fault: Mutex<Option<ArmedFault>>,
+    /// Signalled when a transaction ends.
+    transaction_ended: Condvar,
+    transaction_ended_lock: Mutex<()>,
+}
+
+impl ServerState {
+    pub(super) fn new() -> Self {
+        Self {
+            store: Mutex::default(),
+            connections: Mutex::default(),
+            advisory_locks: Mutex::default(),
+            notifications: Mutex::default(),
+            version: Mutex::new("16.4".to_owned()),
+            users: Mutex::default(),
+            is_up: AtomicBool::new(true),
+            is_paused: AtomicBool::new(false),
+            max_connections: AtomicU64::new(u64::MAX),
+            connection_count: AtomicU64::new(0),
+            login_count: AtomicU64::new(0),
+            statement_count: AtomicU64::new(0),
+            transaction_count: AtomicU64::new(0),
+            cancel_count: AtomicU32::new(0),
+            fault: Mutex::default(),
+            transaction_ended: Condvar::new(),
+            transaction_ended_lock: Mutex::default(),
+        }
+    }
+
+    /// Counts a new connection. Returns its number.
+    pub(super) fn next_connection(&self) -> ConnectionId {
+        ConnectionId(self.connection_count.fetch_add(1, Ordering::SeqCst) + 1)
+    }
+
+    /// Whether it accepts connections and commits.
+    pub(super) fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::SeqCst)
+    }
+
+    /// Closes a connection's socket, if it is open.
+    pub(super) fn disconnect(&self, id: ConnectionId) {
+        if let Some(connection) = lock(&self.connections).remove(&id) {
+            let _ = connection.stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Goes down: nothing is committed any more, and all connections are closed.
+    pub(super) fn crash(&self) {
+        {
+            // Commits hold the same lock: none is under way.
+            let _store = lock(&self.store);
+            self.is_up.store(false, Ordering::SeqCst);
+        }
+        let ids: Vec<ConnectionId> = lock(&self.connections).keys().copied().collect();
+        for id in ids {
+            self.disconnect(id);
+        }
+        self.notify_transaction_ended();
+    }
+
+    /// Arms a fault, in place of any earlier one.
+    pub(super) fn arm_fault(&self, text: &str, fault: Bad) {
+        *lock(&self.fault) = Some(ArmedFault {
+            text: text.to_owned(),
+            fault,
+        });
+    }
+
+    /// Disarms the fault.
+    pub(super) fn disarm_fault(&self) {
+        *lock(&self.fault) = None;
+    }
+
+    /// The fault that is to happen at this statement, if any; it is disarmed.
+    pub(super) fn take_fault(&self, sql: &str) -> Option<Bad> {
+        let mut slot = lock(&self.fault);
+        let matching = slot.take_if(|armed| sql.contains(armed.text.as_str()));
+        matching.map(|armed| armed.fault)
+    }
+
+    /// Blocks until the server goes down.
+    pub(super) fn hang_until_down(&self) {
+        while self.is_up() {
+            self.wait_for_transaction_end(WAIT_POLL_INTERVAL);
+        }
+    }
+
+    /// Blocks while the server is paused and up.
+    pub(super) fn wait_while_paused(&self) {
+        while self.is_paused.load(Ordering::SeqCst) && self.is_up() {
+            self.wait_for_transaction_end(WAIT_POLL_INTERVAL);
+        }
+    }
+
+    /// Blocks until a transaction ends, `timeout` at the longest.
+    pub(super) fn wait_for_transaction_end(&self, timeout: Duration) {
+        let guard = lock(&self.transaction_ended_lock);
+        let waited = self.transaction_ended.wait_timeout(guard, timeout);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// Wakes all connections that wait for a transaction to end.
+    pub(super) fn notify_transaction_ended(&self) {
+        self.transaction_ended.notify_all();
+    }
+
+    /// Queues a notification for every connection.
+    pub(super) fn notify(&self, sender: ConnectionId, channel: &str, payload: &str) {
+        let receivers: Vec<ConnectionId> = lock(&self.connections).keys().copied().collect();
+        let mut notifications = lock(&self.notifications);
+        for receiver in receivers {
+            let pending = notifications.entry(receiver).or_default();
+            if pending.len() < MAX_PENDING_NOTIFICATIONS {
+                pending.push_back(Notification {
+                    sender,
+                    channel: channel.to_owned(),
+                    payload: payload.to_owned(),
+                });
+            }
+        }
+    }
+
+    /// The notifications that wait for a connection on the channels that it listens to; all others are dropped.
+    pub(super) fn take_notifications(
+        &self,
+        receiver: ConnectionId,
+        channels: &[String],
+    ) -> Vec<Notification> {
+        let pending = lock(&self.notifications)
+            .remove(&receiver)
+            .unwrap_or_default();
+        pending
+            .into_iter()
+            .filter(|notification| channels.contains(&notification.channel))
+            .collect()
+    }
+
+    /// Writes to a connection's socket at once. Returns whether that succeeded.
+    pub(super) fn write(&self, id: ConnectionId, bytes: &[u8]) -> bool {
+        let stream = lock(&self.connections)
+            .get(&id)
+            .and_then(|connection| connection.stream.try_clone().ok());
+        stream.is_some_and(|mut stream| stream.write_all(bytes).is_ok())
+    }
+}
--- a/testkit/fakes/src/database/session.rs
+++ b/testkit/fakes/src/database/session.rs
@@ -1,362 +1,293 @@
-//! One connection's session at a stand-in database: its settings, its transaction, prepared statements and portals.
+//! A connection's session: its settings, transaction, prepared statements and portals.
+
+mod control;
+mod cursors;
+mod functions;
+mod session_settings;
+mod transaction;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use sqlparser::ast::Statement;
 
-use super::catalogue::{self, Question};
-use super::describe::describe;
-use super::parse::one;
-use super::query::{Outcome, Run};
-use super::settings::{SETTINGS, Settings};
-use super::storage::{Stop, Transaction};
+use super::catalogue::CatalogueQuery;
+use super::describe::{StatementDescription, describe};
+use super::executor::Executor;
+use super::parse::parse_single_statement;
+use super::prepared::{Portal, PreparedStatement};
+use super::result::StatementResult;
+use super::server_state::{ConnectionId, ServerState};
+use super::settings::{Setting, Settings};
+use super::storage::{ExecutionError, Transaction};
 use super::value::{Type, Value};
-use super::{Refusal, Shared, lock};
-
-/// How often a wait looks whether it is cancelled.
-const LOOK: Duration = Duration::from_millis(2);
+use super::{SqlError, SqlState, lock};
 
-/// A cursor or portal: what is left of a result.
-#[derive(Clone)]
-pub(super) struct Portal {
-    pub(super) statement: Arc<Prepared>,
-    pub(super) values: Vec<Value>,
-    pub(super) formats: Vec<u16>,
-    /// Run, and these rows not fetched yet.
-    pub(super) left: Option<(Outcome, VecDeque<Vec<Value>>)>,
-    /// Rows that were fetched.
-    pub(super) fetched: u64,
-    /// Run to its end, and no query: it can't be run again.
-    pub(super) done: bool,
-}
+/// How often a statement that waits checks whether it is cancelled.
+const CANCEL_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
-/// A statement that is prepared.
-#[derive(Debug)]
-pub(super) struct Prepared {
-    pub(super) sql: String,
-    pub(super) statement: Option<Statement>,
-    pub(super) parameters: Vec<Type>,
-    pub(super) columns: Vec<(String, Type)>,
-}
+/// The savepoint before each statement, by which a failed statement is undone.
+const STATEMENT_SAVEPOINT: &str = "";
 
 /// A connection's session.
 pub(super) struct Session {
-    pub(super) shared: Arc<Shared>,
-    pub(super) number: u64,
-    pub(super) cancelled: Arc<AtomicBool>,
-    pub(super) user: String,
-    pub(super) database: String,
-    /// By name in small letters: the usual name and the value.
-    pub(super) settings: RefCell<Settings>,
-    pub(super) at_start: Settings,
-    /// Settings as they were when the transaction began, and those of it alone.
-    pub(super) before: Option<Settings>,
-    pub(super) local: RefCell<Vec<(String, String)>>,
-    pub(super) told: BTreeMap<String, String>,
-    pub(super) transaction: Option<Transaction>,
-    /// It was begun by BEGIN.
-    pub(super) block: bool,
-    pub(super) failed: bool,
-    pub(super) read_only: bool,
-    pub(super) prepared: BTreeMap<String, Arc<Prepared>>,
+    pub(super) server: Arc<ServerState>,
+    pub(super) connection_id: ConnectionId,
+    /// Set by another connection to cancel the statement that is executed.
+    pub(super) cancel_requested: Arc<AtomicBool>,
+    user: String,
+    database: String,
+    settings: RefCell<Settings>,
+    /// The settings after the client's start-up parameters, to which RESET returns.
+    startup_settings: Settings,
+    /// The settings to which a rollback returns.
+    settings_before_transaction: Option<Settings>,
+    /// The earlier values of settings that hold until the transaction ends.
+    replaced_by_local: RefCell<Vec<Setting>>,
+    /// The values that the client was last sent.
+    reported_settings: BTreeMap<String, String>,
+    transaction: Option<Transaction>,
+    /// The transaction was begun by BEGIN.
+    in_transaction_block: bool,
+    pub(super) transaction_failed: bool,
+    is_read_only: bool,
+    pub(super) prepared: BTreeMap<String, Arc<PreparedStatement>>,
     pub(super) portals: BTreeMap<String, Portal>,
-    /// Portals that outlive their transaction.
-    pub(super) held: BTreeMap<String, Portal>,
-    pub(super) listens: Vec<String>,
-    pub(super) started: Instant,
-}
-
-fn failed_transaction() -> Refusal {
-    let what = "current transaction is aborted, commands ignored until end of transaction block";
-    Refusal("25P02", what.to_owned())
+    /// Cursors that outlive their transaction.
+    holdable_cursors: BTreeMap<String, Portal>,
+    pub(super) listening_channels: Vec<String>,
+    statement_started: Instant,
 }
 
 impl Session {
-    pub(super) fn new(shared: Arc<Shared>, number: u64) -> Self {
-        let version = lock(&shared.version).clone();
-        let setting = |(name, value, _): &(&str, &str, bool)| {
-            let value = if *name == "server_version" {
-                version.as_str()
-            } else {
-                *value
-            };
-            (
-                name.to_ascii_lowercase(),
-                ((*name).to_owned(), value.to_owned()),
-            )
-        };
-        let settings: Settings = SETTINGS.iter().map(setting).collect();
+    pub(super) fn new(server: Arc<ServerState>, connection_id: ConnectionId) -> Self {
+        let settings = Settings::new(&lock(&server.version));
         Self {
-            shared,
-            number,
-            cancelled: Arc::default(),
+            server,
+            connection_id,
+            cancel_requested: Arc::default(),
             user: String::new(),
             database: String::new(),
-            at_start: settings.clone(),
+            startup_settings: settings.clone(),
             settings: RefCell::new(settings),
-            before: None,
-            local: RefCell::default(),
-            told: BTreeMap::new(),
+            settings_before_transaction: None,
+            replaced_by_local: RefCell::default(),
+            reported_settings: BTreeMap::new(),
             transaction: None,
-            block: false,
-            failed: false,
-            read_only: false,
+            in_transaction_block: false,
+            transaction_failed: false,
+            is_read_only: false,
             prepared: BTreeMap::new(),
             portals: BTreeMap::new(),
-            held: BTreeMap::new(),
-            listens: Vec::new(),
-            started: Instant::now(),
-        }
-    }
-
-    pub(super) fn mark(&self) -> String {
-        format!("pg_temp_{}.", self.number)
-    }
-
-    /// Opens a transaction for a statement that stands in none.
-    pub(super) fn open(&mut self) {
-        if self.transaction.is_none() {
-            self.shared.begun.fetch_add(1, Ordering::SeqCst);
-            self.before = Some(self.settings.borrow().clone());
-            self.transaction = Some(lock(&self.shared.store).begin());
-            self.read_only = self
-                .setting("default_transaction_read_only")
-                .is_ok_and(|value| value == "on");
-        }
-    }
-
-    /// Ends the transaction; false rolls it back.
-    pub(super) fn end(&mut self, commits: bool) -> Result<(), Refusal> {
-        (self.block, self.failed) = (false, false);
-        self.portals.clear();
-        let Some(transaction) = self.transaction.take() else {
-            return Ok(());
-        };
-        let before = self.before.take();
-        if !commits {
-            self.local.borrow_mut().clear();
-            before
-                .into_iter()
-                .for_each(|before| drop(self.settings.replace(before)));
-            lock(&self.shared.store).rollback(transaction);
-            self.shared.ended();
-            return Ok(());
-        }
-        for (name, old) in self.local.borrow_mut().drain(..).rev() {
-            if let Some((_, value)) = self.settings.borrow_mut().get_mut(&name) {
-                *value = old;
-            }
-        }
-        // A server that has been killed commits nothing more: both under one lock.
-        let mut store = lock(&self.shared.store);
-        if !self.shared.up.load(Ordering::SeqCst) {
-            store.rollback(transaction);
-            return Err(Refusal(
-                "57P01",
-                "terminating connection due to administrator command".to_owned(),
-            ));
-        }
-        store.commit(transaction);
-        drop(store);
-        self.shared.ended();
-        Ok(())
-    }
-
-    /// A statement outside a block is over.
-    pub(super) fn end_implicit(&mut self) -> Result<(), Refusal> {
-        if self.block { Ok(()) } else { self.end(true) }
-    }
-
-    /// An error: a block fails, all else is rolled back.
-    pub(super) fn fail(&mut self) {
-        if self.block {
-            self.failed = true;
-        } else {
-            let _ = self.end(false);
+            holdable_cursors: BTreeMap::new(),
+            listening_channels: Vec::new(),
+            statement_started: Instant::now(),
         }
     }
 
-    /// The connection has gone.
+    /// Ends with the connection: what is not committed is rolled back, locks and temporary tables are released.
     pub(super) fn close(&mut self) {
-        let _ = self.end(false);
-        lock(&self.shared.store).drop_marked(&self.mark());
-        lock(&self.shared.advisory).retain(|_, owner| owner.0 != self.number);
+        self.rollback();
+        lock(&self.server.store).drop_temporary_tables(&self.temporary_table_prefix());
+        lock(&self.server.advisory_locks).release_all(self.connection_id);
     }
 
-    pub(super) fn status(&self) -> u8 {
-        match (self.block, self.failed) {
-            (false, _) => b'I',
-            (true, false) => b'T',
-            (true, true) => b'E',
-        }
+    /// The prefix of the stored names of the session's temporary tables.
+    fn temporary_table_prefix(&self) -> String {
+        format!("pg_temp_{}.", self.connection_id.0)
     }
 
-    /// Prepares a text.
-    pub(super) fn prepare(&mut self, sql: &str, given: &[Type]) -> Result<Prepared, Refusal> {
-        if let Some(question) = catalogue::question(sql).filter(|_| !self.failed) {
-            let Question {
-                parameters,
-                columns,
-                ..
-            } = question;
-            return Ok(Prepared {
+    /// Prepares a statement. `given` are the parameter types that the client specified.
+    pub(super) fn prepare(
+        &mut self,
+        sql: &str,
+        given: &[Type],
+    ) -> Result<PreparedStatement, SqlError> {
+        if let Some(query) = CatalogueQuery::recognize(sql).filter(|_| !self.transaction_failed) {
+            return Ok(PreparedStatement {
                 sql: sql.to_owned(),
-                statement: one("SELECT 1")?,
-                parameters,
-                columns,
+                // Stands for the query, which the parser need not know.
+                statement: parse_single_statement("SELECT 1")?,
+                parameters: query.parameters,
+                columns: query.columns,
             });
         }
-        let statement = one(sql)?;
-        let ends = matches!(
-            statement,
-            Some(Statement::Commit { .. } | Statement::Rollback { .. })
-        );
-        if self.failed && !ends && statement.is_some() {
-            return Err(failed_transaction());
-        }
-        let (parameters, columns) = match &statement {
-            Some(statement) => describe(statement, given, &self.shared.store, &*self)?,
-            None => (given.to_vec(), Vec::new()),
+        let statement = parse_single_statement(sql)?;
+        let description = match &statement {
+            Some(statement) => {
+                self.check_not_failed(statement)?;
+                describe(statement, given, &self.server.store, &*self)?
+            }
+            None => StatementDescription {
+                parameters: given.to_vec(),
+                columns: Vec::new(),
+            },
         };
-        Ok(Prepared {
+        Ok(PreparedStatement {
             sql: sql.to_owned(),
             statement,
-            parameters,
-            columns,
+            parameters: description.parameters,
+            columns: description.columns,
         })
     }
 
-    /// Runs a statement; waits where another transaction has to end first.
-    pub(super) fn run(
+    /// Executes a statement. Waits where another transaction has to end first.
+    pub(super) fn execute(
         &mut self,
         statement: &Statement,
         values: &[Value],
-    ) -> Result<Outcome, Refusal> {
-        self.shared.statements.fetch_add(1, Ordering::SeqCst);
-        self.started = Instant::now();
-        self.cancelled.store(false, Ordering::SeqCst);
-        let ends = matches!(
-            statement,
-            Statement::Commit { .. } | Statement::Rollback { .. }
-        );
-        if self.failed && !ends {
-            return Err(failed_transaction());
+    ) -> Result<StatementResult, SqlError> {
+        self.server.statement_count.fetch_add(1, Ordering::SeqCst);
+        self.statement_started = Instant::now();
+        self.cancel_requested.store(false, Ordering::SeqCst);
+        self.check_not_failed(statement)?;
+        if let Some(result) = self.control(statement)? {
+            return Ok(result);
         }
-        if let Some(outcome) = self.control(statement)? {
-            return Ok(outcome);
-        }
-        self.open();
-        let writes = !matches!(statement, Statement::Query(query) if query.locks.is_empty());
-        if self.read_only && writes {
-            let verb = statement.to_string();
-            let verb = verb.split(' ').next().unwrap_or_default().to_uppercase();
-            let what = format!("cannot execute {verb} in a read-only transaction");
-            return Err(Refusal("25006", what));
+        self.begin_if_needed();
+        self.check_not_read_only(statement)?;
+        let mut transaction = self
+            .transaction
+            .take()
+            .ok_or_else(SqlError::failed_transaction)?;
+        let result = self.execute_atomically(statement, values, &mut transaction);
+        self.transaction = Some(transaction);
+        result
+    }
+
+    /// Executes a statement on tables so that it changes nothing if it fails.
+    fn execute_atomically(
+        &self,
+        statement: &Statement,
+        values: &[Value],
+        transaction: &mut Transaction,
+    ) -> Result<StatementResult, SqlError> {
+        let store = &self.server.store;
+        lock(store).savepoint(transaction, STATEMENT_SAVEPOINT.to_owned());
+        let result = self.execute_until_unblocked(statement, values, transaction);
+        let mut store = lock(store);
+        if result.is_err() {
+            let _ = store.rollback_to(transaction, STATEMENT_SAVEPOINT);
         }
-        let Some(mut transaction) = self.transaction.take() else {
-            return Err(failed_transaction());
-        };
-        // A statement is done whole or not at all.
-        lock(&self.shared.store).savepoint(&mut transaction, String::new());
-        let result = loop {
-            let shared = self.shared.clone();
-            let mut run = Run {
-                store: &shared.store,
-                transaction: &mut transaction,
+        let _ = store.release(transaction, STATEMENT_SAVEPOINT);
+        result
+    }
+
+    /// Executes a statement again whenever a transaction that it was blocked by has ended.
+    fn execute_until_unblocked(
+        &self,
+        statement: &Statement,
+        values: &[Value],
+        transaction: &mut Transaction,
+    ) -> Result<StatementResult, SqlError> {
+        let store = &self.server.store;
+        loop {
+            let mut executor = Executor {
+                store,
+                transaction: &mut *transaction,
                 values,
-                around: &*self,
+                context: self,
             };
-            match run.run(statement) {
-                Ok(outcome) => break Ok(outcome),
-                Err(Stop::Refused(refusal)) => break Err(refusal),
-                Err(Stop::Blocked(xid)) => {
-                    let _ = lock(&shared.store).rollback_to(&mut transaction, "");
-                    let active = || lock(&shared.store).is_active(xid);
-                    if let Err(refusal) = self.wait(active) {
-                        break Err(refusal);
-                    }
+            match executor.execute(statement) {
+                Ok(result) => return Ok(result),
+                Err(ExecutionError::Failed(error)) => return Err(error),
+                Err(ExecutionError::BlockedBy(other)) => {
+                    let _ = lock(store).rollback_to(transaction, STATEMENT_SAVEPOINT);
+                    self.wait_while(|| lock(store).is_active(other))?;
                 }
             }
-        };
-        {
-            let mut store = lock(&self.shared.store);
-            if result.is_err() {
-                let _ = store.rollback_to(&mut transaction, "");
-            }
-            let _ = store.release(&mut transaction, "");
         }
-        self.transaction = Some(transaction);
-        result
     }
 
-    /// Rows of COPY FROM.
+    /// Inserts the rows of a COPY FROM in text format. Returns how many.
     pub(super) fn copy_in(
         &mut self,
         table: &str,
         columns: &[String],
         text: &str,
-    ) -> Result<u64, Refusal> {
-        self.open();
-        let Some(mut transaction) = self.transaction.take() else {
-            return Err(failed_transaction());
-        };
-        let shared = self.shared.clone();
-        let mut run = Run {
-            store: &shared.store,
+    ) -> Result<u64, SqlError> {
+        self.begin_if_needed();
+        let mut transaction = self
+            .transaction
+            .take()
+            .ok_or_else(SqlError::failed_transaction)?;
+        let mut executor = Executor {
+            store: &self.server.store,
             transaction: &mut transaction,
             values: &[],
-            around: &*self,
+            context: &*self,
         };
-        let copied = run.copy_in(table, columns, text);
+        let copied = executor.copy_in(table, columns, text);
         self.transaction = Some(transaction);
-        copied.map_err(|stop| match stop {
-            Stop::Refused(refusal) => refusal,
-            Stop::Blocked(_) => Refusal("40P01", "another transaction has the same key".to_owned()),
+        copied.map_err(|error| match error {
+            ExecutionError::Failed(error) => error,
+            ExecutionError::BlockedBy(_) => SqlError::new(
+                SqlState::DEADLOCK_DETECTED,
+                "another transaction has the same key",
+            ),
         })
     }
 
-    /// Waits while something is so, unless cancelled, late or killed.
-    pub(super) fn wait(&self, while_so: impl Fn() -> bool) -> Result<(), Refusal> {
-        let limit: u64 = self
-            .setting("statement_timeout")
-            .ok()
-            .and_then(|limit| limit.parse().ok())
-            .unwrap_or(0);
-        while while_so() {
-            if self.cancelled.swap(false, Ordering::SeqCst) {
-                return Err(Refusal(
-                    "57014",
-                    "canceling statement due to user request".to_owned(),
+    /// Rejects all statements but COMMIT and ROLLBACK in a transaction block that has failed.
+    fn check_not_failed(&self, statement: &Statement) -> Result<(), SqlError> {
+        if self.transaction_failed && !ends_transaction(statement) {
+            return Err(SqlError::failed_transaction());
+        }
+        Ok(())
+    }
+
+    fn check_not_read_only(&self, statement: &Statement) -> Result<(), SqlError> {
+        let only_reads = matches!(statement, Statement::Query(query) if query.locks.is_empty());
+        if !self.is_read_only || only_reads {
+            return Ok(());
+        }
+        let text = statement.to_string();
+        let command = text.split(' ').next().unwrap_or_default().to_uppercase();
+        Err(SqlError::new(
+            SqlState::READ_ONLY_SQL_TRANSACTION,
+            format!("cannot execute {command} in a read-only transaction"),
+        ))
+    }
+
+    /// Waits while a condition holds. Fails if the statement is cancelled or timed out, or if the server goes down.
+    fn wait_while(&self, condition: impl Fn() -> bool) -> Result<(), SqlError> {
+        let timeout = self.statement_timeout();
+        while condition() {
+            if self.cancel_requested.swap(false, Ordering::SeqCst) {
+                return Err(SqlError::new(
+                    SqlState::QUERY_CANCELED,
+                    "canceling statement due to user request",
                 ));
             }
-            if limit > 0 && self.started.elapsed() >= Duration::from_millis(limit) {
-                return Err(Refusal(
-                    "57014",
-                    "canceling statement due to statement timeout".to_owned(),
+            if timeout.is_some_and(|timeout| self.statement_started.elapsed() >= timeout) {
+                return Err(SqlError::new(
+                    SqlState::QUERY_CANCELED,
+                    "canceling statement due to statement timeout",
                 ));
             }
-            if !self.shared.up.load(Ordering::SeqCst) {
-                return Err(Refusal(
-                    "57P01",
-                    "terminating connection due to administrator command".to_owned(),
-                ));
+            if !self.server.is_up() {
+                return Err(SqlError::admin_shutdown());
             }
-            self.shared.pause(LOOK);
+            self.server.wait_for_transaction_end(CANCEL_POLL_INTERVAL);
         }
         Ok(())
     }
+
+    /// The setting `statement_timeout`; `None` for 0, which means no limit.
+    fn statement_timeout(&self) -> Option<Duration> {
+        let setting = self.setting("statement_timeout").ok()?;
+        let milliseconds: u64 = setting.parse().ok()?;
+        (milliseconds > 0).then(|| Duration::from_millis(milliseconds))
+    }
 }
 
-/// All rows of an outcome, each as often as it comes.
-pub(super) fn spread(outcome: &Outcome) -> VecDeque<Vec<Value>> {
-    let copies = usize::try_from(outcome.repeats).unwrap_or(0) + 1;
-    outcome
-        .rows
-        .iter()
-        .flat_map(|row| std::iter::repeat_n(row.clone(), copies))
-        .collect()
+/// Whether a statement is a COMMIT or ROLLBACK.
+pub(super) fn ends_transaction(statement: &Statement) -> bool {
+    matches!(
+        statement,
+        Statement::Commit { .. } | Statement::Rollback { .. }
+    )
 }
--- a/testkit/fakes/src/database/settings.rs
+++ b/testkit/fakes/src/database/settings.rs
@@ -1,197 +1,236 @@
-//! The settings of a session.
+//! The settings of a session: their names, initial values and accepted values.
 
 use std::collections::BTreeMap;
 
-use super::Refusal;
-use super::session::Session;
 use super::value::{Type, Value};
+use super::{SqlError, SqlState};
 
-/// Settings that a server knows: name, value at first, whether changes are reported.
-pub(super) const SETTINGS: [(&str, &str, bool); 24] = [
-    ("application_name", "", true),
-    ("client_encoding", "UTF8", true),
-    ("DateStyle", "ISO, MDY", true),
-    ("default_transaction_read_only", "off", true),
-    ("in_hot_standby", "off", true),
-    ("integer_datetimes", "on", true),
-    ("IntervalStyle", "postgres", true),
-    ("is_superuser", "off", true),
-    ("server_encoding", "UTF8", true),
-    ("server_version", "16.4", true),
-    ("session_authorization", "", true),
-    ("standard_conforming_strings", "on", true),
-    ("TimeZone", "UTC", true),
-    ("search_path", "\"$user\", public", false),
-    ("statement_timeout", "0", false),
-    ("lock_timeout", "0", false),
-    ("idle_in_transaction_session_timeout", "0", false),
-    ("work_mem", "4MB", false),
-    ("extra_float_digits", "1", false),
-    ("transaction_isolation", "read committed", false),
-    ("transaction_read_only", "off", false),
-    ("max_identifier_length", "63", false),
-    ("synchronous_commit", "on", false),
-    ("jit", "on", false),
-];
+/// A setting that the server knows.
+struct SettingDefinition {
+    /// The name in its usual spelling.
+    name: &'static str,
+    initial_value: &'static str,
+    /// Whether changes are sent to the client in `ParameterStatus`.
+    is_reported: bool,
+}
 
-pub(super) type Settings = BTreeMap<String, (String, String)>;
+const fn reported(name: &'static str, initial_value: &'static str) -> SettingDefinition {
+    SettingDefinition {
+        name,
+        initial_value,
+        is_reported: true,
+    }
+}
 
-impl Session {
-    /// Takes a client's start-up parameters.
-    pub(super) fn start(&mut self, parameters: &BTreeMap<String, String>) -> Result<(), Refusal> {
-        self.user = parameters.get("user").cloned().unwrap_or_default();
-        self.database = parameters
-            .get("database")
-            .cloned()
-            .unwrap_or_else(|| self.user.clone());
-        self.set("session_authorization", &self.user.clone())?;
-        for (name, value) in parameters {
-            match name.as_str() {
-                "user" | "database" => {}
-                "options" => {
-                    for option in value
-                        .split("-c")
-                        .map(str::trim)
-                        .filter(|option| !option.is_empty())
-                    {
-                        let (name, value) = option.split_once('=').unwrap_or((option, ""));
-                        self.set(name, &value.replace("\\ ", " "))?;
-                    }
-                }
-                name if name.starts_with("_pq_.") => {}
-                name => self.set(name, value)?,
-            }
-        }
-        self.at_start = self.settings.borrow().clone();
-        Ok(())
+const fn unreported(name: &'static str, initial_value: &'static str) -> SettingDefinition {
+    SettingDefinition {
+        name,
+        initial_value,
+        is_reported: false,
     }
+}
+
+/// All settings, in the order in which they are reported.
+const DEFINITIONS: [SettingDefinition; 24] = [
+    reported("application_name", ""),
+    reported("client_encoding", "UTF8"),
+    reported("DateStyle", "ISO, MDY"),
+    reported("default_transaction_read_only", "off"),
+    reported("in_hot_standby", "off"),
+    reported("integer_datetimes", "on"),
+    reported("IntervalStyle", "postgres"),
+    reported("is_superuser", "off"),
+    reported("server_encoding", "UTF8"),
+    reported("server_version", "16.4"),
+    reported("session_authorization", ""),
+    reported("standard_conforming_strings", "on"),
+    reported("TimeZone", "UTC"),
+    unreported("search_path", "\"$user\", public"),
+    unreported("statement_timeout", "0"),
+    unreported("lock_timeout", "0"),
+    unreported("idle_in_transaction_session_timeout", "0"),
+    unreported("work_mem", "4MB"),
+    unreported("extra_float_digits", "1"),
+    unreported("transaction_isolation", "read committed"),
+    unreported("transaction_read_only", "off"),
+    unreported("max_identifier_length", "63"),
+    unreported("synchronous_commit", "on"),
+    unreported("jit", "on"),
+];
+
+/// The name and value of a setting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Setting {
+    /// The name in its usual spelling.
+    pub(super) name: String,
+    pub(super) value: String,
+}
 
-    /// The settings whose reports are due, by name and value.
-    pub(super) fn reports(&mut self) -> Vec<(String, String)> {
-        let mut due = Vec::new();
-        for (name, _, reported) in SETTINGS {
-            let settings = self.settings.borrow();
-            let Some((_, value)) = settings
-                .get(&name.to_ascii_lowercase())
-                .filter(|_| reported)
-            else {
-                continue;
+/// The values of all settings of a session.
+#[derive(Clone, Debug)]
+pub(super) struct Settings {
+    /// By the name in lower case.
+    by_key: BTreeMap<String, Setting>,
+}
+
+impl Settings {
+    /// The initial values, for a server of this version.
+    pub(super) fn new(server_version: &str) -> Self {
+        let mut by_key = BTreeMap::new();
+        for definition in DEFINITIONS {
+            let value = if definition.name == "server_version" {
+                server_version
+            } else {
+                definition.initial_value
             };
-            if self.told.get(name) != Some(value) {
-                due.push((name.to_owned(), value.clone()));
-            }
+            let setting = Setting {
+                name: definition.name.to_owned(),
+                value: value.to_owned(),
+            };
+            by_key.insert(key(definition.name), setting);
         }
-        self.told.extend(due.iter().cloned());
-        due
+        Self { by_key }
     }
 
-    pub(super) fn setting(&self, name: &str) -> Result<String, Refusal> {
-        let missing = || {
-            Refusal(
-                "42704",
-                format!("unrecognized configuration parameter \"{name}\""),
-            )
-        };
-        self.settings
-            .borrow()
-            .get(&name.to_ascii_lowercase())
-            .map(|(_, value)| value.clone())
-            .ok_or_else(missing)
+    /// The value of a setting.
+    pub(super) fn value(&self, name: &str) -> Result<String, SqlError> {
+        self.by_key
+            .get(&key(name))
+            .map(|setting| setting.value.clone())
+            .ok_or_else(|| SqlError::unrecognized_setting(name))
     }
 
-    /// Sets a setting, as a server takes it.
-    pub(super) fn set(&self, name: &str, value: &str) -> Result<(), Refusal> {
-        let key = name.to_ascii_lowercase();
-        let usual = self
-            .settings
-            .borrow()
-            .get(&key)
-            .map(|(usual, _)| usual.clone());
-        let Some(usual) = usual.or_else(|| key.contains('.').then(|| name.to_owned())) else {
-            return Err(Refusal(
-                "42704",
-                format!("unrecognized configuration parameter \"{name}\""),
-            ));
-        };
-        let wrong = || {
-            Refusal(
-                "22023",
-                format!("invalid value for parameter \"{usual}\": \"{value}\""),
-            )
+    /// A setting's name in its usual spelling; an unknown name as it is.
+    pub(super) fn canonical_name(&self, name: &str) -> String {
+        let known = self.by_key.get(&key(name));
+        known.map_or_else(|| name.to_owned(), |setting| setting.name.clone())
+    }
+
+    /// Sets a setting to a value in its normal form. A name with a dot in it makes a setting of its own.
+    pub(super) fn set(&mut self, name: &str, value: &str) -> Result<(), SqlError> {
+        let is_known = self.by_key.contains_key(&key(name));
+        if !is_known && !name.contains('.') {
+            return Err(SqlError::unrecognized_setting(name));
+        }
+        let canonical_name = self.canonical_name(name);
+        let setting = Setting {
+            value: normalize(&canonical_name, value)?,
+            name: canonical_name,
         };
-        let value = match usual.as_str() {
-            "client_encoding" => {
-                match value
-                    .trim_matches('\'')
-                    .to_ascii_uppercase()
-                    .replace('-', "")
-                    .as_str()
-                {
-                    "UTF8" | "UNICODE" => "UTF8".to_owned(),
-                    "SQL_ASCII" => "SQL_ASCII".to_owned(),
-                    "LATIN1" => "LATIN1".to_owned(),
-                    _ => return Err(wrong()),
-                }
-            }
-            "DateStyle" => {
-                let mut parts = value
-                    .split(',')
-                    .map(|part| part.trim().to_ascii_uppercase());
-                let order = parts
-                    .clone()
-                    .find(|part| matches!(part.as_str(), "MDY" | "DMY" | "YMD"));
-                let style = match parts
-                    .find(|part| !matches!(part.as_str(), "MDY" | "DMY" | "YMD"))
-                    .as_deref()
-                {
-                    Some("ISO") | None => "ISO",
-                    Some("SQL") => "SQL",
-                    Some("GERMAN") => "German",
-                    Some("POSTGRES") => "Postgres",
-                    Some(_) => return Err(wrong()),
-                };
-                format!("{style}, {}", order.unwrap_or_else(|| "MDY".to_owned()))
-            }
-            "statement_timeout" | "lock_timeout" | "idle_in_transaction_session_timeout" => {
-                let number = value.trim_end_matches("ms").trim();
-                match number
-                    .strip_suffix('s')
-                    .unwrap_or(number)
-                    .trim()
-                    .parse::<u64>()
-                {
-                    Ok(count) if number.ends_with('s') => (count * 1000).to_string(),
-                    Ok(count) => count.to_string(),
-                    Err(_) => return Err(wrong()),
-                }
+        self.by_key.insert(key(name), setting);
+        Ok(())
+    }
+
+    /// Sets a setting to its value in `defaults`; one that is not there is removed.
+    pub(super) fn reset(&mut self, name: &str, defaults: &Self) {
+        match defaults.by_key.get(&key(name)) {
+            Some(default) => {
+                self.by_key.insert(key(name), default.clone());
             }
-            "extra_float_digits" => value.parse::<i32>().map_err(|_| wrong())?.to_string(),
-            "default_transaction_read_only"
-            | "standard_conforming_strings"
-            | "transaction_read_only"
-            | "jit" => match Value::read_text(Type::BOOL, value) {
-                Ok(Value::Bool(truth)) => if truth { "on" } else { "off" }.to_owned(),
-                _ => return Err(wrong()),
-            },
-            "server_version" | "server_encoding" | "integer_datetimes" | "in_hot_standby"
-            | "is_superuser" => {
-                return Err(Refusal(
-                    "55P02",
-                    format!("parameter \"{usual}\" cannot be changed"),
-                ));
+            None => {
+                self.by_key.remove(&key(name));
             }
-            _ => value.to_owned(),
-        };
-        self.settings.borrow_mut().insert(key, (usual, value));
-        Ok(())
+        }
     }
 
-    pub(super) fn set_to_default(&self, name: &str) {
-        let key = name.to_ascii_lowercase();
-        let mut settings = self.settings.borrow_mut();
-        match self.at_start.get(&key) {
-            Some(first) => drop(settings.insert(key, first.clone())),
-            None => drop(settings.remove(&key)),
+    /// Gives a known setting an earlier value back, which is not checked again.
+    pub(super) fn restore(&mut self, name: &str, value: String) {
+        if let Some(setting) = self.by_key.get_mut(&key(name)) {
+            setting.value = value;
         }
     }
+
+    /// The settings that are reported to clients, in the order of their reports.
+    pub(super) fn reported(&self) -> Vec<Setting> {
+        DEFINITIONS
+            .iter()
+            .filter(|definition| definition.is_reported)
+            .filter_map(|definition| self.by_key.get(&key(definition.name)))
+            .cloned()
+            .collect()
+    }
+}
+
+/// The key of a setting: names differ in more than case.
+fn key(name: &str) -> String {
+    name.to_ascii_lowercase()
+}
+
+/// The normal form of a value for a setting; an error if the setting does not take it.
+fn normalize(name: &str, value: &str) -> Result<String, SqlError> {
+    let normalized = match name {
+        "client_encoding" => normalize_encoding(value),
+        "DateStyle" => normalize_date_style(value),
+        "statement_timeout" | "lock_timeout" | "idle_in_transaction_session_timeout" => {
+            normalize_timeout(value)
+        }
+        "extra_float_digits" => value.parse::<i32>().ok().map(|digits| digits.to_string()),
+        "default_transaction_read_only"
+        | "standard_conforming_strings"
+        | "transaction_read_only"
+        | "jit" => normalize_switch(value),
+        "server_version" | "server_encoding" | "integer_datetimes" | "in_hot_standby"
+        | "is_superuser" => {
+            return Err(SqlError::new(
+                SqlState::CANT_CHANGE_RUNTIME_PARAM,
+                format!("parameter \"{name}\" cannot be changed"),
+            ));
+        }
+        _ => Some(value.to_owned()),
+    };
+    normalized.ok_or_else(|| {
+        SqlError::new(
+            SqlState::INVALID_PARAMETER_VALUE,
+            format!("invalid value for parameter \"{name}\": \"{value}\""),
+        )
+    })
+}
+
+fn normalize_encoding(value: &str) -> Option<String> {
+    let unquoted = value.trim_matches('\'').to_ascii_uppercase();
+    let encoding = match unquoted.replace('-', "").as_str() {
+        "UTF8" | "UNICODE" => "UTF8",
+        "SQL_ASCII" => "SQL_ASCII",
+        "LATIN1" => "LATIN1",
+        _ => return None,
+    };
+    Some(encoding.to_owned())
+}
+
+/// A date style is a format, an order of day and month, or both.
+fn normalize_date_style(value: &str) -> Option<String> {
+    let words: Vec<String> = value
+        .split(',')
+        .map(|word| word.trim().to_ascii_uppercase())
+        .collect();
+    let is_order = |word: &&String| matches!(word.as_str(), "MDY" | "DMY" | "YMD");
+    let order = words.iter().find(is_order).map_or("MDY", String::as_str);
+    let format = words.iter().find(|word| !is_order(word));
+    let format = match format.map(String::as_str) {
+        Some("ISO") | None => "ISO",
+        Some("SQL") => "SQL",
+        Some("GERMAN") => "German",
+        Some("POSTGRES") => "Postgres",
+        Some(_) => return None,
+    };
+    Some(format!("{format}, {order}"))
+}
+
+/// A timeout in milliseconds, given in milliseconds (with or without `ms`) or seconds (`s`).
+fn normalize_timeout(value: &str) -> Option<String> {
+    let number = value.trim_end_matches("ms").trim();
+    let (digits, milliseconds_per_unit) = match number.strip_suffix('s') {
+        Some(seconds) => (seconds, 1000),
+        None => (number, 1),
+    };
+    let count: u64 = digits.trim().parse().ok()?;
+    Some((count * milliseconds_per_unit).to_string())
+}
+
+fn normalize_switch(value: &str) -> Option<String> {
+    match Value::read_text(Type::BOOL, value) {
+        Ok(Value::Bool(true)) => Some("on".to_owned()),
+        Ok(Value::Bool(false)) => Some("off".to_owned()),
+        _ => None,
+    }
 }
--- a/testkit/fakes/src/database/value/array.rs
+++ b/testkit/fakes/src/database/value/array.rs
@@ -1,42 +1,63 @@
-//! The text form of arrays.
+//! The text form of arrays of one dimension.
 
-use super::{Refusal, Type, Value};
+use super::{Type, Value};
+use crate::database::SqlError;
 
-pub(super) fn quoted(text: &str) -> String {
-    let plain = !text.is_empty()
-        && !text.eq_ignore_ascii_case("null")
-        && !text.contains(['{', '}', ',', '"', '\\', ' ', '\t', '\n']);
-    if plain {
-        return text.to_owned();
+/// An element as it is written in an array, without what quotes and escapes it.
+#[derive(Default)]
+struct WrittenElement {
+    text: String,
+    is_quoted: bool,
+}
+
+impl WrittenElement {
+    fn read(&self, element_type: Type) -> Result<Value, SqlError> {
+        if !self.is_quoted && self.text.eq_ignore_ascii_case("null") {
+            Ok(Value::Null)
+        } else {
+            Value::read_text(element_type, &self.text)
+        }
     }
-    format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""))
 }
 
-/// An array of one dimension in its text form.
-pub(super) fn read_array(element: Type, text: &str) -> Option<Result<Value, Refusal>> {
+/// Reads an array from its text form; `None` if the text is not one.
+pub(super) fn read_array(element_type: Type, text: &str) -> Option<Result<Value, SqlError>> {
+    let elements = split_elements(text)?;
+    let values = elements.iter().map(|element| element.read(element_type));
+    Some(values.collect::<Result<_, _>>().map(Value::Array))
+}
+
+fn split_elements(text: &str) -> Option<Vec<WrittenElement>> {
     let inner = text.trim().strip_prefix('{')?.strip_suffix('}')?;
-    let (mut words, mut word, mut quotes, mut was_quoted) =
-        (Vec::new(), String::new(), false, false);
-    let mut signs = inner.chars();
-    while let Some(sign) = signs.next() {
-        match sign {
-            '"' => (quotes, was_quoted) = (!quotes, true),
-            '\\' => word.push(signs.next()?),
-            ',' if !quotes => {
-                words.push((std::mem::take(&mut word), std::mem::take(&mut was_quoted)))
+    if inner.is_empty() {
+        return Some(Vec::new());
+    }
+    let mut elements = Vec::new();
+    let mut element = WrittenElement::default();
+    let mut in_quotes = false;
+    let mut characters = inner.chars();
+    while let Some(character) = characters.next() {
+        match character {
+            '"' => {
+                in_quotes = !in_quotes;
+                element.is_quoted = true;
             }
-            sign => word.push(sign),
+            '\\' => element.text.push(characters.next()?),
+            ',' if !in_quotes => elements.push(std::mem::take(&mut element)),
+            other => element.text.push(other),
         }
     }
-    if !inner.is_empty() {
-        words.push((word, was_quoted));
+    elements.push(element);
+    Some(elements)
+}
+
+/// An element's text form, in quotes where an array needs them.
+pub(super) fn quote_element(text: &str) -> String {
+    let is_plain = !text.is_empty()
+        && !text.eq_ignore_ascii_case("null")
+        && !text.contains(['{', '}', ',', '"', '\\', ' ', '\t', '\n']);
+    if is_plain {
+        return text.to_owned();
     }
-    let read = words.into_iter().map(|(word, quoted)| {
-        if !quoted && word.eq_ignore_ascii_case("null") {
-            Ok(Value::Null)
-        } else {
-            Value::read_text(element, &word)
-        }
-    });
-    Some(read.collect::<Result<Vec<_>, _>>().map(Value::Array))
+    format!("\"{}\"", text.replace('\\', "\\\\").replace('"', "\\\""))
 }
--- a/testkit/fakes/src/database/value/binary.rs
+++ b/testkit/fakes/src/database/value/binary.rs
@@ -1,102 +1,158 @@
 //! The binary form of values.
 
 use super::numeric::{read_numeric, write_numeric};
-use super::{Refusal, Type, Value};
+use super::{Type, Value};
+use crate::database::{SqlError, SqlState};
+
+/// The version byte at the head of a jsonb value.
+const JSONB_VERSION: u8 = 1;
+
+/// The length that stands for a NULL element.
+const NULL_LENGTH: i32 = -1;
+
+/// Positions of fields in an array's binary form, in bytes.
+const ARRAY_DIMENSIONS: usize = 0;
+const ARRAY_ELEMENT_COUNT: usize = 12;
+const ARRAY_FIRST_ELEMENT: usize = 20;
 
 impl Value {
-    /// Its binary form.
-    pub fn binary(&self, kind: Type) -> Vec<u8> {
+    /// Its binary form as a value of a type.
+    pub fn binary(&self, data_type: Type) -> Vec<u8> {
         match self {
             Self::Null => Vec::new(),
             Self::Bool(truth) => vec![u8::from(*truth)],
-            Self::Int(number) => match kind {
-                Type::INT2 => (*number as i16).to_be_bytes().to_vec(),
-                Type::INT4 | Type::OID => (*number as i32).to_be_bytes().to_vec(),
-                _ => number.to_be_bytes().to_vec(),
-            },
-            Self::Float(number) if kind == Type::FLOAT4 => (*number as f32).to_be_bytes().to_vec(),
-            Self::Float(number) => number.to_be_bytes().to_vec(),
+            Self::Int(number) => write_integer(*number, data_type),
+            Self::Float(number) => write_float(*number, data_type),
             Self::Numeric(digits) => write_numeric(digits),
-            Self::Text(text) if kind == Type::JSONB => [&[1], text.as_bytes()].concat(),
+            Self::Text(text) if data_type == Type::JSONB => {
+                [&[JSONB_VERSION], text.as_bytes()].concat()
+            }
             Self::Text(text) => text.clone().into_bytes(),
             Self::Bytes(bytes) => bytes.clone(),
             Self::Uuid(bytes) => bytes.to_vec(),
             Self::Date(days) => days.to_be_bytes().to_vec(),
-            Self::Timestamp(at) => at.to_be_bytes().to_vec(),
-            Self::Array(all) => {
-                let element = kind.element().unwrap_or(Type::TEXT);
-                let mut out = i32::from(!all.is_empty()).to_be_bytes().to_vec();
-                out.extend(i32::from(all.contains(&Self::Null)).to_be_bytes());
-                out.extend(element.0.to_be_bytes());
-                if !all.is_empty() {
-                    out.extend(i32::try_from(all.len()).unwrap_or(i32::MAX).to_be_bytes());
-                    out.extend(1_i32.to_be_bytes());
-                }
-                for value in all {
-                    if *value == Self::Null {
-                        out.extend((-1_i32).to_be_bytes());
-                    } else {
-                        let bytes = value.binary(element);
-                        out.extend(i32::try_from(bytes.len()).unwrap_or(i32::MAX).to_be_bytes());
-                        out.extend(bytes);
-                    }
-                }
-                out
-            }
+            Self::Timestamp(microseconds) => microseconds.to_be_bytes().to_vec(),
+            Self::Array(elements) => write_array(elements, data_type),
         }
     }
 
-    /// From its binary form.
-    pub fn read_binary(kind: Type, bytes: &[u8]) -> Result<Self, Refusal> {
-        let wrong = || {
-            Refusal(
-                "22P03",
-                format!("incorrect binary data format for type {}", kind.0),
+    /// Reads a value of a type from its binary form.
+    pub fn read_binary(data_type: Type, bytes: &[u8]) -> Result<Self, SqlError> {
+        read_value(data_type, bytes).ok_or_else(|| {
+            SqlError::new(
+                SqlState::INVALID_BINARY_REPRESENTATION,
+                format!("incorrect binary data format for type {}", data_type.0),
             )
+        })
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "integers were checked against the range of their type"
+)]
+fn write_integer(number: i64, data_type: Type) -> Vec<u8> {
+    match data_type {
+        Type::INT2 => (number as i16).to_be_bytes().to_vec(),
+        Type::INT4 | Type::OID => (number as i32).to_be_bytes().to_vec(),
+        _ => number.to_be_bytes().to_vec(),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "a float4 is written with single precision"
+)]
+fn write_float(number: f64, data_type: Type) -> Vec<u8> {
+    if data_type == Type::FLOAT4 {
+        (number as f32).to_be_bytes().to_vec()
+    } else {
+        number.to_be_bytes().to_vec()
+    }
+}
+
+/// A length or count as messages have it.
+fn length_field(length: usize) -> [u8; 4] {
+    i32::try_from(length).unwrap_or(i32::MAX).to_be_bytes()
+}
+
+/// An array: dimensions, whether it has NULLs, element type, length and lower bound, then each element.
+fn write_array(elements: &[Value], data_type: Type) -> Vec<u8> {
+    let element_type = data_type.element().unwrap_or(Type::TEXT);
+    let dimensions = i32::from(!elements.is_empty());
+    let has_null = i32::from(elements.contains(&Value::Null));
+    let mut bytes = dimensions.to_be_bytes().to_vec();
+    bytes.extend(has_null.to_be_bytes());
+    bytes.extend(element_type.0.to_be_bytes());
+    if !elements.is_empty() {
+        let lower_bound = 1_i32;
+        bytes.extend(length_field(elements.len()));
+        bytes.extend(lower_bound.to_be_bytes());
+    }
+    for element in elements {
+        if *element == Value::Null {
+            bytes.extend(NULL_LENGTH.to_be_bytes());
+        } else {
+            let element_bytes = element.binary(element_type);
+            bytes.extend(length_field(element_bytes.len()));
+            bytes.extend(element_bytes);
+        }
+    }
+    bytes
+}
+
+/// Reads a value; `None` if the bytes are not one of this type.
+fn read_value(data_type: Type, bytes: &[u8]) -> Option<Value> {
+    let value = match data_type {
+        Type::BOOL => Value::Bool(*bytes.first()? != 0),
+        Type::INT2 => Value::Int(i16::from_be_bytes(bytes.try_into().ok()?).into()),
+        Type::INT4 => Value::Int(i32::from_be_bytes(bytes.try_into().ok()?).into()),
+        Type::OID => Value::Int(u32::from_be_bytes(bytes.try_into().ok()?).into()),
+        Type::INT8 => Value::Int(i64::from_be_bytes(bytes.try_into().ok()?)),
+        Type::FLOAT4 => Value::Float(f32::from_be_bytes(bytes.try_into().ok()?).into()),
+        Type::FLOAT8 => Value::Float(f64::from_be_bytes(bytes.try_into().ok()?)),
+        Type::UUID => Value::Uuid(bytes.try_into().ok()?),
+        Type::DATE => Value::Date(i32::from_be_bytes(bytes.try_into().ok()?)),
+        Type::TIMESTAMP | Type::TIMESTAMPTZ => {
+            Value::Timestamp(i64::from_be_bytes(bytes.try_into().ok()?))
+        }
+        Type::NUMERIC => Value::Numeric(read_numeric(bytes)?),
+        Type::BYTEA => Value::Bytes(bytes.to_vec()),
+        Type::JSONB => Value::Text(read_utf8(bytes.get(1..)?)?),
+        _ => match data_type.element() {
+            Some(element_type) => read_array(element_type, bytes)?,
+            None => Value::Text(read_utf8(bytes)?),
+        },
+    };
+    Some(value)
+}
+
+fn read_utf8(bytes: &[u8]) -> Option<String> {
+    String::from_utf8(bytes.to_vec()).ok()
+}
+
+fn read_array(element_type: Type, bytes: &[u8]) -> Option<Value> {
+    let mut elements = Vec::new();
+    if read_i32(bytes, ARRAY_DIMENSIONS)? <= 0 {
+        return Some(Value::Array(elements));
+    }
+    let count = usize::try_from(read_i32(bytes, ARRAY_ELEMENT_COUNT)?).ok()?;
+    let mut position = ARRAY_FIRST_ELEMENT;
+    for _ in 0..count {
+        let length = read_i32(bytes, position)?;
+        position += 4;
+        let Ok(length) = usize::try_from(length) else {
+            elements.push(Value::Null);
+            continue;
         };
-        let fixed = || -> Option<Self> {
-            Some(match kind {
-                Type::BOOL => Self::Bool(*bytes.first()? != 0),
-                Type::INT2 => Self::Int(i16::from_be_bytes(bytes.try_into().ok()?).into()),
-                Type::INT4 => Self::Int(i32::from_be_bytes(bytes.try_into().ok()?).into()),
-                Type::OID => Self::Int(u32::from_be_bytes(bytes.try_into().ok()?).into()),
-                Type::INT8 => Self::Int(i64::from_be_bytes(bytes.try_into().ok()?)),
-                Type::FLOAT4 => Self::Float(f32::from_be_bytes(bytes.try_into().ok()?).into()),
-                Type::FLOAT8 => Self::Float(f64::from_be_bytes(bytes.try_into().ok()?)),
-                Type::UUID => Self::Uuid(bytes.try_into().ok()?),
-                Type::DATE => Self::Date(i32::from_be_bytes(bytes.try_into().ok()?)),
-                Type::TIMESTAMP | Type::TIMESTAMPTZ => {
-                    Self::Timestamp(i64::from_be_bytes(bytes.try_into().ok()?))
-                }
-                Type::NUMERIC => Self::Numeric(read_numeric(bytes)?),
-                Type::BYTEA => Self::Bytes(bytes.to_vec()),
-                Type::JSONB => Self::Text(String::from_utf8(bytes.get(1..)?.to_vec()).ok()?),
-                _ if kind.element().is_some() => {
-                    let element = kind.element()?;
-                    let word = |at: usize| {
-                        bytes
-                            .get(at..at + 4)
-                            .map(|four| i32::from_be_bytes([four[0], four[1], four[2], four[3]]))
-                    };
-                    let mut all = Vec::new();
-                    if word(0)? > 0 {
-                        let (count, mut at) = (usize::try_from(word(12)?).ok()?, 20);
-                        for _ in 0..count {
-                            let length = word(at)?;
-                            at += 4;
-                            let Ok(length) = usize::try_from(length) else {
-                                all.push(Self::Null);
-                                continue;
-                            };
-                            all.push(Self::read_binary(element, bytes.get(at..at + length)?).ok()?);
-                            at += length;
-                        }
-                    }
-                    Self::Array(all)
-                }
-                _ => Self::Text(String::from_utf8(bytes.to_vec()).ok()?),
-            })
-        };
-        fixed().ok_or_else(wrong)
+        let element = bytes.get(position..position + length)?;
+        elements.push(read_value(element_type, element)?);
+        position += length;
     }
+    Some(Value::Array(elements))
+}
+
+fn read_i32(bytes: &[u8], position: usize) -> Option<i32> {
+    let field = bytes.get(position..position + 4)?;
+    Some(i32::from_be_bytes(field.try_into().ok()?))
 }
--- a/testkit/fakes/src/database/value/numeric.rs
+++ b/testkit/fakes/src/database/value/numeric.rs
@@ -1,33 +1,38 @@
-//! numeric's binary form.
+//! The binary form of NUMERIC: the count of groups, the weight of the first one, sign and scale, then groups of four
+//! decimal digits.
 
-/// numeric's binary form: groups of four decimal digits, the weight of the first, sign and scale.
+/// Decimal digits in a group.
+const GROUP_DIGITS: usize = 4;
+
+/// The sign field of a negative number.
+const SIGN_NEGATIVE: u16 = 0x4000;
+
+/// The sign field of NaN.
+const SIGN_NAN: u16 = 0xC000;
+
+/// Writes a number that is given as its digits.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a number has far fewer than 32,768 groups, and the weight's bits are sent as they are"
+)]
 pub(super) fn write_numeric(digits: &str) -> Vec<u8> {
     if digits.eq_ignore_ascii_case("nan") {
-        return [0_u16, 0, 0xC000, 0]
-            .iter()
-            .flat_map(|word| word.to_be_bytes())
-            .collect();
+        return to_bytes(&[0, 0, SIGN_NAN, 0]);
     }
-    let (sign, bare) = digits
-        .strip_prefix('-')
-        .map_or((0_u16, digits), |bare| (0x4000, bare));
-    let (whole, part) = bare.split_once('.').unwrap_or((bare, ""));
-    let whole = whole.trim_start_matches('0');
-    let padded = format!("{}{whole}", "0".repeat((4 - whole.len() % 4) % 4));
-    let fraction = format!("{part}{}", "0".repeat((4 - part.len() % 4) % 4));
-    let group = |four: &[u8]| {
-        std::str::from_utf8(four)
-            .ok()
-            .and_then(|four| four.parse::<u16>().ok())
-            .unwrap_or(0)
+    let (sign, absolute) = match digits.strip_prefix('-') {
+        Some(absolute) => (SIGN_NEGATIVE, absolute),
+        None => (0, digits),
     };
-    let mut groups: Vec<u16> = padded
-        .as_bytes()
-        .chunks(4)
-        .chain(fraction.as_bytes().chunks(4))
-        .map(group)
+    let (integer, fraction) = absolute.split_once('.').unwrap_or((absolute, ""));
+    let integer = pad_front(integer.trim_start_matches('0'));
+    let padded_fraction = pad_back(fraction);
+    let mut weight = (integer.len() / GROUP_DIGITS) as i16 - 1;
+    let mut groups: Vec<u16> = [integer, padded_fraction]
+        .iter()
+        .flat_map(|part| part.as_bytes().chunks(GROUP_DIGITS))
+        .map(read_group)
         .collect();
-    let mut weight = (padded.len() / 4) as i16 - 1;
     while groups.first() == Some(&0) {
         groups.remove(0);
         weight -= 1;
@@ -35,53 +40,84 @@
     while groups.last() == Some(&0) {
         groups.pop();
     }
-    let head = [
-        groups.len() as u16,
-        if groups.is_empty() { 0 } else { weight as u16 },
-        sign,
-        part.len() as u16,
-    ];
-    head.into_iter()
-        .chain(groups)
-        .flat_map(u16::to_be_bytes)
+    let weight = if groups.is_empty() { 0 } else { weight as u16 };
+    let head = [groups.len() as u16, weight, sign, fraction.len() as u16];
+    [to_bytes(&head), to_bytes(&groups)].concat()
+}
+
+fn to_bytes(fields: &[u16]) -> Vec<u8> {
+    fields
+        .iter()
+        .flat_map(|field| field.to_be_bytes())
         .collect()
 }
 
+/// How many digits are missing to whole groups.
+fn missing_digits(digits: &str) -> usize {
+    (GROUP_DIGITS - digits.len() % GROUP_DIGITS) % GROUP_DIGITS
+}
+
+fn pad_front(digits: &str) -> String {
+    format!("{}{digits}", "0".repeat(missing_digits(digits)))
+}
+
+fn pad_back(digits: &str) -> String {
+    format!("{digits}{}", "0".repeat(missing_digits(digits)))
+}
+
+fn read_group(digits: &[u8]) -> u16 {
+    let text = std::str::from_utf8(digits).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// The digit groups of a number, by their weight: group 0 is the one before the decimal point.
+struct DigitGroups<'a> {
+    groups: &'a [u16],
+    first_weight: i32,
+}
+
+impl DigitGroups<'_> {
+    /// The four digits of a group; zeros for one that is not there.
+    fn digits(&self, weight: i32) -> String {
+        let index = usize::try_from(self.first_weight - weight).ok();
+        let group = index.and_then(|index| self.groups.get(index));
+        format!("{:04}", group.copied().unwrap_or(0))
+    }
+}
+
+/// Reads a number as its digits; `None` if the bytes are too short.
 pub(super) fn read_numeric(bytes: &[u8]) -> Option<String> {
-    let words: Vec<u16> = bytes
+    let fields: Vec<u16> = bytes
         .chunks_exact(2)
-        .map(|two| u16::from_be_bytes([two[0], two[1]]))
+        .map(|pair| u16::from_be_bytes([pair[0], pair[1]]))
         .collect();
-    let (&[count, weight, sign, scale], groups) = words.split_first_chunk::<4>()?;
-    if sign == 0xC000 {
+    let (&[count, first_weight, sign, scale], groups) = fields.split_first_chunk::<4>()?;
+    if sign == SIGN_NAN {
         return Some("NaN".to_owned());
     }
-    let (weight, scale) = (i32::from(weight as i16), usize::from(scale));
-    let at = |place: i32| -> u16 {
-        let index = usize::try_from(weight - place)
-            .ok()
-            .filter(|index| *index < usize::from(count));
-        index
-            .and_then(|index| groups.get(index).copied())
-            .unwrap_or(0)
+    let first_weight = i32::from(first_weight.cast_signed());
+    let scale = usize::from(scale);
+    let groups = DigitGroups {
+        groups: &groups[..groups.len().min(usize::from(count))],
+        first_weight,
     };
-    let mut whole: String = (0..=weight.max(0))
+    let integer: String = (0..=first_weight.max(0))
         .rev()
-        .map(|place| format!("{:04}", at(place)))
+        .map(|weight| groups.digits(weight))
         .collect();
-    whole = whole.trim_start_matches('0').to_owned();
-    if whole.is_empty() {
-        whole.push('0');
-    }
-    let places = i32::try_from(scale.div_ceil(4)).ok()?;
-    let mut part: String = (1..=places)
-        .map(|place| format!("{:04}", at(-place)))
+    let integer = match integer.trim_start_matches('0') {
+        "" => "0",
+        trimmed => trimmed,
+    };
+    let fraction_groups = i32::try_from(scale.div_ceil(GROUP_DIGITS)).ok()?;
+    let mut fraction: String = (1..=fraction_groups)
+        .map(|place| groups.digits(-place))
         .collect();
-    part.truncate(scale);
-    let sign = if sign == 0x4000 { "-" } else { "" };
+    fraction.truncate(scale);
+    let sign = if sign == SIGN_NEGATIVE { "-" } else { "" };
     Some(if scale == 0 {
-        format!("{sign}{whole}")
+        format!("{sign}{integer}")
     } else {
-        format!("{sign}{whole}.{part}")
+        format!("{sign}{integer}.{fraction}")
     })
 }
--- a/testkit/fakes/src/database/value/tests.rs
+++ b/testkit/fakes/src/database/value/tests.rs
@@ -23,11 +23,11 @@
         (Type::INT4.array(), "{1,NULL,3}"),
         (Type::TEXT.array(), "{\"a b\",\"c,\\\"d\",e}"),
     ] {
-        let value =
-            Value::read_text(kind, text).unwrap_or_else(|refusal| panic!("{text}: {}", refusal.1));
+        let value = Value::read_text(kind, text)
+            .unwrap_or_else(|error| panic!("{text}: {}", error.message));
         assert_eq!(value.text(kind), text);
         let back = Value::read_binary(kind, &value.binary(kind))
-            .unwrap_or_else(|refusal| panic!("{text}: {}", refusal.1));
+            .unwrap_or_else(|error| panic!("{text}: {}", error.message));
         assert_eq!(back, value, "{text}");
     }
     for (kind, text, code) in [
@@ -37,7 +37,7 @@
         (Type::DATE, "yesterday", "22P02"),
     ] {
         assert_eq!(
-            Value::read_text(kind, text).map_err(|refusal| refusal.0),
+            Value::read_text(kind, text).map_err(|error| error.state.0),
             Err(code),
             "{text}"
         );
--- a/testkit/fakes/src/database/value/types.rs
+++ b/testkit/fakes/src/database/value/types.rs
@@ -1,6 +1,6 @@
 //! Types, by their numbers in the catalogue.
 
-/// A type, by its number in the catalogue.
+/// A type, by its number (OID) in the catalogue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Type(pub u32);
 
@@ -44,28 +44,28 @@
     /// jsonb.
     pub const JSONB: Self = Self(3802);
 
+    /// An array of texts, which stands for arrays of types that have no array type here.
+    const TEXT_ARRAY: Self = Self(1009);
+
     /// The type of an array of these.
     pub fn array(self) -> Self {
-        let known = ARRAYS.iter().find(|(element, ..)| *element == self.0);
-        Self(known.map_or(1009, |(_, array, _)| *array))
+        self.entry().map_or(Self::TEXT_ARRAY, |entry| entry.array)
     }
 
-    /// The type of an array's elements.
+    /// The type of an array's elements; `None` if this is not an array type.
     pub fn element(self) -> Option<Self> {
-        ARRAYS
-            .iter()
-            .find(|(_, array, _)| *array == self.0)
-            .map(|(element, ..)| Self(*element))
+        let entry = TYPES.iter().find(|entry| entry.array == self);
+        entry.map(|entry| entry.element)
     }
 
-    /// The type that is written so in SQL.
+    /// The type that SQL names, by any of its names.
     pub fn named(name: &str) -> Option<Self> {
         let name = name.to_ascii_lowercase();
         if let Some(element) = name.strip_suffix("[]") {
             return Self::named(element).map(Self::array);
         }
-        let bare = name.split('(').next().unwrap_or_default().trim();
-        let bare = match bare {
+        let without_modifier = name.split('(').next().unwrap_or_default().trim();
+        let catalogue_name = match without_modifier {
             "bigint" | "bigserial" => "int8",
             "int" | "integer" | "serial" => "int4",
             "smallint" => "int2",
@@ -80,44 +80,74 @@
             "regclass" | "regtype" => "text",
             other => other,
         };
-        ARRAYS
-            .iter()
-            .find(|(.., known)| *known == bare)
-            .map(|(element, ..)| Self(*element))
+        let entry = TYPES.iter().find(|entry| entry.name == catalogue_name);
+        entry.map(|entry| entry.element)
+    }
+
+    /// The name that error messages use; `array` for a type that is not in the table.
+    pub(super) fn display_name(self) -> &'static str {
+        match self.entry().map_or("array", |entry| entry.name) {
+            "int8" => "bigint",
+            "int4" => "integer",
+            "int2" => "smallint",
+            "bool" => "boolean",
+            "float8" => "double precision",
+            other => other,
+        }
     }
 
-    /// Its length on the wire as a row's description tells it.
+    /// The length of its values in bytes as in `RowDescription`; -1 if it varies.
     pub fn length(self) -> i16 {
-        match self.0 {
-            16 => 1,
-            21 => 2,
-            23 | 26 | 700 | 1082 => 4,
-            20 | 701 | 1114 | 1184 => 8,
-            2950 => 16,
-            19 => 64,
+        match self {
+            Self::BOOL => 1,
+            Self::INT2 => 2,
+            Self::INT4 | Self::OID | Self::FLOAT4 | Self::DATE => 4,
+            Self::INT8 | Self::FLOAT8 | Self::TIMESTAMP | Self::TIMESTAMPTZ => 8,
+            Self::UUID => 16,
+            Self::NAME => 64,
             _ => -1,
         }
     }
+
+    fn entry(self) -> Option<&'static TypeEntry> {
+        TYPES.iter().find(|entry| entry.element == self)
+    }
+}
+
+/// A type, the type of arrays of it, and its name in the catalogue.
+#[derive(Debug)]
+pub(crate) struct TypeEntry {
+    pub(crate) element: Type,
+    pub(crate) array: Type,
+    pub(crate) name: &'static str,
+}
+
+const fn entry(element: Type, array: u32, name: &'static str) -> TypeEntry {
+    TypeEntry {
+        element,
+        array: Type(array),
+        name,
+    }
 }
 
-/// Element, array and name.
-pub(crate) const ARRAYS: [(u32, u32, &str); 18] = [
-    (16, 1000, "bool"),
-    (17, 1001, "bytea"),
-    (19, 1003, "name"),
-    (20, 1016, "int8"),
-    (21, 1005, "int2"),
-    (23, 1007, "int4"),
-    (25, 1009, "text"),
-    (26, 1028, "oid"),
-    (114, 199, "json"),
-    (700, 1021, "float4"),
-    (701, 1022, "float8"),
-    (1043, 1015, "varchar"),
-    (1082, 1182, "date"),
-    (1114, 1115, "timestamp"),
-    (1184, 1185, "timestamptz"),
-    (1700, 1231, "numeric"),
-    (2950, 2951, "uuid"),
-    (3802, 3807, "jsonb"),
+/// All types that have arrays.
+pub(crate) static TYPES: [TypeEntry; 18] = [
+    entry(Type::BOOL, 1000, "bool"),
+    entry(Type::BYTEA, 1001, "bytea"),
+    entry(Type::NAME, 1003, "name"),
+    entry(Type::INT8, 1016, "int8"),
+    entry(Type::INT2, 1005, "int2"),
+    entry(Type::INT4, 1007, "int4"),
+    entry(Type::TEXT, 1009, "text"),
+    entry(Type::OID, 1028, "oid"),
+    entry(Type::JSON, 199, "json"),
+    entry(Type::FLOAT4, 1021, "float4"),
+    entry(Type::FLOAT8, 1022, "float8"),
+    entry(Type::VARCHAR, 1015, "varchar"),
+    entry(Type::DATE, 1182, "date"),
+    entry(Type::TIMESTAMP, 1115, "timestamp"),
+    entry(Type::TIMESTAMPTZ, 1185, "timestamptz"),
+    entry(Type::NUMERIC, 1231, "numeric"),
+    entry(Type::UUID, 2951, "uuid"),
+    entry(Type::JSONB, 3807, "jsonb"),
 ];
