--- a/testkit/scenarios/src/arguments.rs
+++ b/testkit/scenarios/src/arguments.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::ops::Range;
 use std::path::PathBuf;
 
 use badgerpost_scenarios::run::Options;
@@ -27,90 +28,108 @@
 A scene is the name of a shipped one or a file. Exit codes of `run`: 0 all rules held, 1 a rule was broken or an
 expectation lost, 2 a node crashed or the run could not be played.";
 
+// The doc comments below are the help texts of the commands and their arguments.
+
 #[derive(Subcommand)]
 pub(crate) enum Command {
     /// Start a scene's nodes and stand-ins, print one line of JSON once all are ready, and stay
-    Up {
-        /// A shipped scene's name, or a file
-        scene: String,
-        /// Start so many of the scene's nodes only
-        #[arg(long, value_name = "N")]
-        nodes: Option<usize>,
-        /// Where the first node listens; any free port otherwise
-        #[arg(long, default_value_t = 0)]
-        port: u16,
-        #[command(flatten)]
-        program: Program,
-    },
+    Up(UpArguments),
     /// Play a scene to its end and check the rules
-    Run {
-        /// A shipped scene's name, or a file
-        #[arg(required_unless_present = "repro")]
-        scene: Option<String>,
-        /// What is random in the scene follows from this number
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// Write one line a request here
-        #[arg(long, value_name = "FILE.jsonl")]
-        out: Option<PathBuf>,
-        /// Draw what happened here
-        #[arg(long, value_name = "FILE.svg")]
-        plot: Option<PathBuf>,
-        /// Play exactly what `hunt` has found
-        #[arg(long, value_name = "FILE", conflicts_with_all = ["scene", "seed"])]
-        repro: Option<PathBuf>,
-        /// In real time: for load; the verdict holds, the log differs from run to run
-        #[arg(long)]
-        real_time: bool,
-        /// Write the last lines of the nodes' logs here
-        #[arg(long, value_name = "FILE")]
-        logs: Option<PathBuf>,
-        #[command(flatten)]
-        program: Program,
-    },
+    Run(RunArguments),
     /// Search seeds and fault schedules for a broken rule or a lost expectation, and cut the first find down
-    Hunt {
-        /// A shipped scene's name, or a file
-        scene: String,
-        /// From the first up to, not including, the second
-        #[arg(long, value_name = "A..B", value_parser = seeds)]
-        seeds: std::ops::Range<u64>,
-        /// Write the find here
-        #[arg(long, value_name = "FILE", default_value = "repro.json")]
-        out: PathBuf,
-        /// Leave the scene's faults as they are, and vary the requests only
-        #[arg(long)]
-        as_written: bool,
-        #[command(flatten)]
-        program: Program,
-    },
+    Hunt(HuntArguments),
     /// Play a scene under many seeds and say what the fleet did: least, middle and most of each figure
-    Sweep {
-        /// A shipped scene's name, or a file
-        scene: String,
-        /// From the first up to, not including, the second
-        #[arg(long, value_name = "A..B", value_parser = seeds)]
-        seeds: std::ops::Range<u64>,
-        /// Runs at once
-        #[arg(long, default_value_t = 2)]
-        jobs: usize,
-        #[command(flatten)]
-        program: Program,
-    },
+    Sweep(SweepArguments),
     /// Measure the node before PostgreSQL beside the same clients directly at a stand-in database
-    MeasurePostgres {
-        /// Connections that say nothing beside a load
-        #[arg(long, default_value_t = 10_000)]
-        silent: usize,
-        #[command(flatten)]
-        program: Program,
-    },
+    MeasurePostgres(MeasureArguments),
     /// The scenes that are shipped
     List,
 }
 
 #[derive(Args)]
-pub(crate) struct Program {
+pub(crate) struct UpArguments {
+    /// A shipped scene's name, or a file
+    pub(crate) scene: String,
+    /// Start so many of the scene's nodes only
+    #[arg(long, value_name = "N")]
+    pub(crate) nodes: Option<usize>,
+    /// Where the first node listens; any free port otherwise
+    #[arg(long, default_value_t = 0)]
+    pub(crate) port: u16,
+    #[command(flatten)]
+    pub(crate) program: NodeProgram,
+}
+
+#[derive(Args)]
+pub(crate) struct RunArguments {
+    /// A shipped scene's name, or a file
+    #[arg(required_unless_present = "repro")]
+    pub(crate) scene: Option<String>,
+    /// What is random in the scene follows from this number
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+    /// Write one line a request here
+    #[arg(long, value_name = "FILE.jsonl")]
+    pub(crate) out: Option<PathBuf>,
+    /// Draw what happened here
+    #[arg(long, value_name = "FILE.svg")]
+    pub(crate) plot: Option<PathBuf>,
+    /// Play exactly what `hunt` has found
+    #[arg(long, value_name = "FILE", conflicts_with_all = ["scene", "seed"])]
+    pub(crate) repro: Option<PathBuf>,
+    /// In real time: for load; the verdict holds, the log differs from run to run
+    #[arg(long)]
+    pub(crate) real_time: bool,
+    /// Write the last lines of the nodes' logs here
+    #[arg(long, value_name = "FILE")]
+    pub(crate) logs: Option<PathBuf>,
+    #[command(flatten)]
+    pub(crate) program: NodeProgram,
+}
+
+#[derive(Args)]
+pub(crate) struct HuntArguments {
+    /// A shipped scene's name, or a file
+    pub(crate) scene: String,
+    /// From the first up to, not including, the second
+    #[arg(long, value_name = "A..B", value_parser = parse_seed_range)]
+    pub(crate) seeds: Range<u64>,
+    /// Write the find here
+    #[arg(long, value_name = "FILE", default_value = "repro.json")]
+    pub(crate) out: PathBuf,
+    /// Leave the scene's faults as they are, and vary the requests only
+    #[arg(long)]
+    pub(crate) as_written: bool,
+    #[command(flatten)]
+    pub(crate) program: NodeProgram,
+}
+
+#[derive(Args)]
+pub(crate) struct SweepArguments {
+    /// A shipped scene's name, or a file
+    pub(crate) scene: String,
+    /// From the first up to, not including, the second
+    #[arg(long, value_name = "A..B", value_parser = parse_seed_range)]
+    pub(crate) seeds: Range<u64>,
+    /// Runs at once
+    #[arg(long, default_value_t = 2)]
+    pub(crate) jobs: usize,
+    #[command(flatten)]
+    pub(crate) program: NodeProgram,
+}
+
+#[derive(Args)]
+pub(crate) struct MeasureArguments {
+    /// Connections that say nothing beside a load
+    #[arg(long, default_value_t = 10_000)]
+    pub(crate) silent: usize,
+    #[command(flatten)]
+    pub(crate) program: NodeProgram,
+}
+
+// Which program the nodes run, and with which settings.
+#[derive(Args)]
+pub(crate) struct NodeProgram {
     /// The node's program; the one beside this program otherwise
     #[arg(long, value_name = "PATH")]
     node: Option<PathBuf>,
@@ -122,9 +141,9 @@
     peers: bool,
 }
 
-impl Program {
-    /// How to play with it.
-    pub(crate) fn options(self, real_time: bool, port: u16) -> Result<Options, Failure> {
+impl NodeProgram {
+    /// The options of a run with this program. `port` is the first node's; 0 for any free one.
+    pub(crate) fn options(&self, real_time: bool, port: u16) -> Result<Options, Failure> {
         let own = match &self.own {
             Some(path) => std::fs::read_to_string(path).map_err(|source| Failure::File {
                 path: path.clone(),
@@ -132,30 +151,38 @@
             })?,
             None => String::new(),
         };
-        let peers = self.peers;
         Ok(Options {
-            program: self.find()?,
+            program: self.path()?,
             real_time,
             port,
             own,
-            peers,
+            peers: self.peers,
         })
     }
 
-    pub(crate) fn find(self) -> Result<PathBuf, Failure> {
-        Ok(match self.node {
-            Some(path) => path,
-            None => badgerpost_fakes::program("badgerpost")?,
-        })
+    /// The path of the program; an error if none is given and none is beside this program.
+    pub(crate) fn path(&self) -> Result<PathBuf, Failure> {
+        match &self.node {
+            Some(path) => Ok(path.clone()),
+            None => Ok(badgerpost_fakes::program("badgerpost")?),
+        }
     }
 }
 
-fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
-    let range = || {
-        let (from, to) = text.split_once("..")?;
-        Some(from.trim().parse().ok()?..to.trim().parse().ok()?)
-    };
-    range()
-        .filter(|range| !range.is_empty())
-        .ok_or_else(|| "two numbers as in 1..100".to_owned())
+/// A text that is not a range of seeds.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("two numbers as in 1..100")]
+struct InvalidSeedRange;
+
+/// Parses a range of seeds, `FIRST..END`, that is not empty.
+fn parse_seed_range(text: &str) -> Result<Range<u64>, InvalidSeedRange> {
+    let (first, end) = text.split_once("..").ok_or(InvalidSeedRange)?;
+    let first = first.trim().parse().map_err(|_| InvalidSeedRange)?;
+    let end = end.trim().parse().map_err(|_| InvalidSeedRange)?;
+    let range: Range<u64> = first..end;
+    if range.is_empty() {
+        Err(InvalidSeedRange)
+    } else {
+        Ok(range)
+    }
 }
--- a/testkit/scenarios/src/commands/run.rs
+++ b/testkit/scenarios/src/commands/run.rs
@@ -1,45 +1,33 @@
 //! `run`: plays a scene to its end and checks the rules.
 
-use std::path::Path;
 use std::process::ExitCode;
-use std::time::Duration;
 
 use badgerpost_scenarios::plan::Plan;
-use badgerpost_scenarios::rules::RULES;
-use badgerpost_scenarios::run::{self, Options, Played};
-use badgerpost_scenarios::{fleet, outcome, plot};
+use badgerpost_scenarios::run::{self, Played};
+use badgerpost_scenarios::{fleet, outcome, plot, scene};
 
+use super::summary::print_summary;
+use crate::arguments::RunArguments;
 use crate::failure::Failure;
-use crate::output::{bar, say, write};
+use crate::output::{percent_bar, show_progress, write_file};
 
-pub(super) fn run(
-    plan: &Plan,
-    options: &Options,
-    out: Option<&Path>,
-    picture: Option<&Path>,
-    logs: Option<&Path>,
-) -> Result<ExitCode, Failure> {
-    let bar = bar(100);
-    let played = run::play(plan, options, &mut |done| {
-        bar.set_position((done * 100.0).min(100.0) as u64)
-    })?;
+/// Plays the scene or repro file, writes the files that are asked for, and prints the summary. Fails if a rule was
+/// broken or an expectation lost.
+pub(super) fn run(arguments: &RunArguments) -> Result<ExitCode, Failure> {
+    let plan = match &arguments.repro {
+        Some(file) => Plan::from_repro(file)?,
+        None => {
+            let name = arguments.scene.as_deref().unwrap_or_default();
+            Plan::draw(scene::find(name)?, arguments.seed)
+        }
+    };
+    let options = arguments.program.options(arguments.real_time, 0)?;
+    let bar = percent_bar();
+    let played = run::play(&plan, &options, &mut |done| show_progress(&bar, done))?;
     bar.finish_and_clear();
-    if let Some(path) = out {
-        write(path, &outcome::write(&played.log)?)?;
-    }
-    if let Some(path) = picture {
-        plot::draw(plan, &played.log, path).map_err(Failure::Plot)?;
-    }
-    if let Some(path) = logs {
-        let logs: String = played
-            .logs
-            .iter()
-            .map(|(name, log)| format!("{name}:\n{log}"))
-            .collect();
-        write(path, &logs)?;
-    }
-    let lost = fleet::lost(plan, &played);
-    summary(plan, options, &played, &lost)?;
+    write_files(&plan, &played, arguments)?;
+    let lost = fleet::lost(&plan, &played);
+    print_summary(&plan, &options, &played, &lost)?;
     Ok(if played.is_good() && lost.is_empty() {
         ExitCode::SUCCESS
     } else {
@@ -47,111 +35,20 @@
     })
 }
 
-fn summary(
-    plan: &Plan,
-    options: &Options,
-    played: &Played,
-    lost: &[String],
-) -> std::io::Result<()> {
-    let counts = played.counts();
-    let seconds = |span: Duration| span.as_secs_f64();
-    let simulated = seconds(Duration::from_nanos(played.simulated));
-    let mode = if options.real_time {
-        "in real time"
-    } else {
-        "in steps"
-    };
-    say(&format!(
-        "scene {}, seed {}, {mode}",
-        plan.scene.name, plan.seed
-    ))?;
-    say(&format!(
-        "node {}, sha256 {}",
-        options.program.display(),
-        played.sha256
-    ))?;
-    say(&format!(
-        "{} requests: {} served, {} refused, {} failed, {} without an answer; {} attempts",
-        counts.requests,
-        counts.served,
-        counts.refused,
-        counts.failed,
-        counts.unanswered,
-        counts.attempts
-    ))?;
-    say(&format!(
-        "{simulated:.1} s played in {:.1} s ({:.1} to one), {} steps{}",
-        seconds(played.wall),
-        simulated / seconds(played.wall).max(1e-9),
-        played.steps,
-        if played.late > 0 {
-            format!(", {} waits for late bytes", played.late)
-        } else {
-            String::new()
-        }
-    ))?;
-    if played.talk.iter().any(|(datagrams, _)| *datagrams > 0) {
-        let (most, all) = (
-            played.talk.iter().map(|(_, bytes)| *bytes).max(),
-            played.talk.len() as f64,
-        );
-        let sum = played
-            .talk
-            .iter()
-            .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-        say(&format!(
-            "nodes to each other: {:.1} datagrams and {:.0} bytes a second and node, {:.0} bytes at the most",
-            sum.0 as f64 / all / simulated.max(1e-9),
-            sum.1 as f64 / all / simulated.max(1e-9),
-            most.unwrap_or(0) as f64 / simulated.max(1e-9),
-        ))?;
-    }
-    for rule in RULES {
-        let broken: Vec<_> = played
-            .breaches
-            .iter()
-            .filter(|breach| breach.rule == rule)
-            .collect();
-        match broken.first() {
-            None => say(&format!("rule {rule}: kept"))?,
-            Some(first) => say(&format!(
-                "rule {rule}: BROKEN {} times; first: {first}",
-                broken.len()
-            ))?,
-        }
+/// Writes the outcome log, the plot and the nodes' logs where they are asked for.
+fn write_files(plan: &Plan, played: &Played, arguments: &RunArguments) -> Result<(), Failure> {
+    if let Some(path) = &arguments.out {
+        write_file(path, &outcome::write(&played.log)?)?;
     }
-    if played.strangers > 0 {
-        say(&format!(
-            "{} requests came to servers or discovery that no client had sent so",
-            played.strangers
-        ))?;
-    }
-    for trouble in fleet::troubles(plan) {
-        say(&format!(
-            "zone {}, {} for {} ms:",
-            trouble.zone,
-            trouble.what,
-            (trouble.until - trouble.from) / 1_000_000
-        ))?;
-        say(&fleet::conduct(&played.log, &trouble).to_string())?;
-        let peak = played.cold_peak(Some(&trouble.zone));
-        let falls = plan.scene.scene.rules.tip_multiple;
-        say(&format!(
-            "  most at one cold server there: {peak:.2} of what it could do; it falls over at {falls:.2}"
-        ))?;
-    }
-    let strayed = fleet::strayed(plan, &played.log);
-    if !strayed.is_empty() {
-        let first = strayed.first().map_or(String::new(), |(node, at)| {
-            format!("{node} at {} ms", at / 1_000_000)
-        });
-        say(&format!(
-            "nodes that left a zone in no trouble: {}, first {first}",
-            strayed.len()
-        ))?;
+    if let Some(path) = &arguments.plot {
+        plot::draw(plan, &played.log, path).map_err(Failure::Plot)?;
     }
-    for lost in lost {
-        say(&format!("expectation LOST: {lost}"))?;
+    if let Some(path) = &arguments.logs {
+        let logs = played
+            .logs
+            .iter()
+            .map(|(name, log)| format!("{name}:\n{log}"));
+        write_file(path, &logs.collect::<String>())?;
     }
     Ok(())
 }
--- a/testkit/scenarios/src/commands/run_postgres.rs
+++ b/testkit/scenarios/src/commands/run_postgres.rs
@@ -1,98 +1,153 @@
 //! `run` of a scene of PostgreSQL.
 
+use std::collections::BTreeMap;
+use std::io;
 use std::path::Path;
 use std::process::ExitCode;
 
-use badgerpost_scenarios::postgres::truth::Told;
-use badgerpost_scenarios::postgres::{self, PgScene};
+use badgerpost_scenarios::postgres::truth::{Seen, Told};
+use badgerpost_scenarios::postgres::{self, PgPlayed, PgScene};
 
+use crate::arguments::RunArguments;
 use crate::failure::Failure;
-use crate::output::{bar, say, write};
+use crate::output::{percent_bar, print_line, show_progress, write_file};
 
-pub(super) fn run_postgres(
+/// The exit code after a crash of a node.
+const EXIT_CRASHED: u8 = 2;
+
+/// Findings that are printed at most.
+const MAX_PRINTED_FINDINGS: usize = 20;
+
+/// Plays the scene in real time and prints the summary. Fails if a client was told something else than what took
+/// effect, or if less was done than the scene expects.
+pub(super) fn run(
     name: &str,
     scene: &PgScene,
-    seed: u64,
-    out: Option<&Path>,
-    program: &Path,
+    arguments: &RunArguments,
 ) -> Result<ExitCode, Failure> {
-    let bar = bar(100);
-    let played = postgres::play(scene, seed, program, &mut |done| {
-        bar.set_position((done * 100.0).min(100.0) as u64)
+    let program = arguments.program.path()?;
+    let bar = percent_bar();
+    let played = postgres::play(scene, arguments.seed, &program, &mut |done| {
+        show_progress(&bar, done);
     })?;
     bar.finish_and_clear();
-    if let Some(path) = out {
-        let lines = played
-            .seen
-            .iter()
-            .map(serde_json::to_string)
-            .collect::<Result<Vec<_>, _>>()?;
-        write(path, &(lines.join("\n") + "\n"))?;
+    if let Some(path) = &arguments.out {
+        write_log(path, &played.seen)?;
     }
-    if let Some(crashed) = &played.crashed {
-        eprintln!("{crashed}");
-        return Ok(ExitCode::from(2));
+    if let Some(crash) = &played.crashed {
+        eprintln!("{crash}");
+        return Ok(ExitCode::from(EXIT_CRASHED));
     }
-    say(&format!(
-        "scene {name}, seed {seed}, in real time; node {}",
+    print_line(&format!(
+        "scene {name}, seed {}, in real time; node {}",
+        arguments.seed,
         program.display()
     ))?;
-    let mut counts = std::collections::BTreeMap::<(Told, &str), usize>::new();
-    for one in &played.seen {
-        *counts.entry((one.told, one.driver)).or_default() += 1;
+    print_results(&played.seen)?;
+    print_durations(&played)?;
+    let verdict = Verdict::of(scene, &played);
+    verdict.print(&played)?;
+    Ok(verdict.exit_code())
+}
+
+/// Writes one line of JSON for each transaction.
+fn write_log(path: &Path, transactions: &[Seen]) -> Result<(), Failure> {
+    let lines = transactions.iter().map(serde_json::to_string);
+    let lines = lines.collect::<Result<Vec<_>, _>>()?;
+    write_file(path, &(lines.join("\n") + "\n"))
+}
+
+/// Prints how many transactions ended in each way, by driver.
+fn print_results(transactions: &[Seen]) -> io::Result<()> {
+    let mut counts = BTreeMap::<(Told, &str), usize>::new();
+    for transaction in transactions {
+        *counts
+            .entry((transaction.told, transaction.driver))
+            .or_default() += 1;
     }
-    for ((told, driver), count) in &counts {
-        say(&format!("{count:8} {told:?} by {driver}"))?;
+    for ((result, driver), count) in &counts {
+        print_line(&format!("{count:8} {result:?} by {driver}"))?;
     }
-    let mut took: Vec<u64> = played.seen.iter().map(|one| one.took_us).collect();
-    took.sort_unstable();
-    let at = |share: f64| {
-        took.get(((took.len() as f64 - 1.0) * share) as usize)
-            .copied()
-            .unwrap_or(0)
-    };
-    let all = played.seen.len();
-    say(&format!(
-        "{all} transactions in {:.1} s; p50 {} us, p99 {} us, longest {} us",
+    Ok(())
+}
+
+fn print_durations(played: &PgPlayed) -> io::Result<()> {
+    let mut durations: Vec<u64> = played.seen.iter().map(|seen| seen.took_us).collect();
+    durations.sort_unstable();
+    print_line(&format!(
+        "{} transactions in {:.1} s; p50 {} us, p99 {} us, longest {} us",
+        durations.len(),
         played.wall.as_secs_f64(),
-        at(0.5),
-        at(0.99),
-        at(1.0)
+        quantile(&durations, 0.5),
+        quantile(&durations, 0.99),
+        quantile(&durations, 1.0)
     ))?;
-    say(&format!(
+    print_line(&format!(
         "{} kills; {} drains, {} transactions begun after the grace",
         played.kills, played.drains.0, played.drains.1
-    ))?;
-    for finding in played.findings.iter().take(20) {
-        say(&format!("transaction {}: {}", finding.id, finding.problem))?;
+    ))
+}
+
+/// The value below which this fraction of the sorted values lies; 0 if there are none.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "an index into the values, rounded down; below 0, which is 0, only without values"
+)]
+fn quantile(sorted: &[u64], fraction: f64) -> u64 {
+    let index = ((sorted.len() as f64 - 1.0) * fraction) as usize;
+    sorted.get(index).copied().unwrap_or(0)
+}
+
+/// Whether the node did what it must, and the scene what it should.
+struct Verdict {
+    /// No client was told something wrong, and no transaction was begun after the grace of a drain.
+    is_correct: bool,
+    /// As many databases died and drained, and as many transactions were committed, as the scene expects.
+    meets_expectations: bool,
+    committed_fraction: f64,
+}
+
+impl Verdict {
+    fn of(scene: &PgScene, played: &PgPlayed) -> Self {
+        let committed = played
+            .seen
+            .iter()
+            .filter(|transaction| transaction.told == Told::Committed)
+            .count();
+        let committed_fraction = committed as f64 / played.seen.len().max(1) as f64;
+        let (drains, begun_after_grace) = played.drains;
+        let enough_kills = scene.kills.is_none_or(|kills| played.kills >= kills.least);
+        let enough_drains = scene.drains.is_none_or(|expected| drains >= expected.least);
+        let enough_committed = committed_fraction >= scene.expect.committed;
+        Self {
+            is_correct: played.findings.is_empty() && begun_after_grace == 0,
+            meets_expectations: enough_kills && enough_drains && enough_committed,
+            committed_fraction,
+        }
+    }
+
+    fn print(&self, played: &PgPlayed) -> io::Result<()> {
+        for finding in played.findings.iter().take(MAX_PRINTED_FINDINGS) {
+            print_line(&format!("transaction {}: {}", finding.id, finding.problem))?;
+        }
+        let verdict = match (self.is_correct, self.meets_expectations) {
+            (true, true) => "good",
+            (true, false) => "less than expected",
+            (false, _) => "BROKEN",
+        };
+        print_line(&format!(
+            "{verdict}: {} findings, {:.1}% committed",
+            played.findings.len(),
+            self.committed_fraction * 100.0
+        ))
     }
-    let committed = played
-        .seen
-        .iter()
-        .filter(|one| one.told == Told::Committed)
-        .count() as f64
-        / all.max(1) as f64;
-    let enough = scene.kills.is_none_or(|kills| played.kills >= kills.least)
-        && scene
-            .drains
-            .is_none_or(|drains| played.drains.0 >= drains.least)
-        && committed >= scene.expect.committed;
-    let good = played.findings.is_empty() && played.drains.1 == 0;
-    say(&format!(
-        "{}: {} findings, {:.1}% committed",
-        if good && enough {
-            "good"
-        } else if good {
-            "less than expected"
+
+    fn exit_code(&self) -> ExitCode {
+        if self.is_correct && self.meets_expectations {
+            ExitCode::SUCCESS
         } else {
-            "BROKEN"
-        },
-        played.findings.len(),
-        committed * 100.0
-    ))?;
-    Ok(if good && enough {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+            ExitCode::FAILURE
+        }
+    }
 }
--- a/testkit/scenarios/src/failure.rs
+++ b/testkit/scenarios/src/failure.rs
@@ -1,31 +1,41 @@
-//! Errors that end the program without a verdict.
+//! The errors that end the program without a verdict.
 
 use std::path::PathBuf;
 
+use badgerpost_scenarios::plan::ReproError;
 use badgerpost_scenarios::run::RunError;
 
 /// Why there is no verdict.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Failure {
+    /// The scene can't be read.
     #[error(transparent)]
     Scene(#[from] badgerpost_settings::file::FileError),
+    /// The repro file can't be read.
     #[error(transparent)]
-    Repro(#[from] badgerpost_scenarios::plan::ReproError),
+    Repro(#[from] ReproError),
+    /// The scene could not be played.
     #[error(transparent)]
     Run(#[from] RunError),
+    /// The node's program is not built.
     #[error(transparent)]
     NotBuilt(#[from] badgerpost_fakes::NotBuilt),
+    /// A file can't be read or written.
     #[error("{}: {source}", path.display())]
     File {
         path: PathBuf,
         source: std::io::Error,
     },
+    /// Any other system call has failed.
     #[error("{0}")]
     System(#[from] std::io::Error),
+    /// The log can't be written as JSON.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
+    /// The plot can't be drawn.
     #[error("can't draw: {0}")]
     Plot(Box<dyn std::error::Error>),
+    /// More nodes, or fewer than one, are asked for than the scene has.
     #[error("the scene has {0} nodes")]
     Nodes(usize),
 }
--- a/testkit/scenarios/src/main.rs
+++ b/testkit/scenarios/src/main.rs
@@ -1,24 +1,27 @@
-//! badgerpost-rehearse: the command line.
+//! badgerpost-rehearse: plays scenarios against the daemon. Here is its command line; the library does the work.
 
 mod arguments;
 mod commands;
 mod failure;
 mod output;
+mod stay;
 
 use std::process::ExitCode;
 
 use clap::Parser;
 
 use crate::arguments::Arguments;
-use crate::commands::carry_out;
+
+/// The exit code where there is no verdict.
+const EXIT_NO_VERDICT: u8 = 2;
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    match carry_out(arguments.command) {
+    match commands::execute(arguments.command) {
         Ok(code) => code,
         Err(error) => {
             eprintln!("badgerpost-rehearse: {error}");
-            ExitCode::from(2)
+            ExitCode::from(EXIT_NO_VERDICT)
         }
     }
 }
--- a/testkit/scenarios/src/postgres.rs
+++ b/testkit/scenarios/src/postgres.rs
@@ -9,4 +9,4 @@
 pub mod truth;
 
 pub use scene::{PgScene, SHIPPED, find};
-pub use stage::{PgStage, play};
+pub use stage::{PgPlayed, PgStage, play};
