--- a/adapters/postgres/tests/transactions.rs
+++ b/adapters/postgres/tests/transactions.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use badgerpost_balancer::EndpointUpdate;
-use badgerpost_fakes::database::{Bad, Database, Value};
+use badgerpost_fakes::database::{Database, InjectedFault, Value};
 use badgerpost_fakes::random::Random;
 use badgerpost_postgres::config::Config;
 use badgerpost_settings::file::Source;
@@ -164,8 +164,18 @@
     test(async {
         for (at, bad, code, rows) in [
             // A statement alone: it may have run, whether it has or not.
-            ("insert into t values (1)", Bad::DieBefore, "08006", 0),
-            ("insert into t values (1)", Bad::DieAfter, "08006", 1),
+            (
+                "insert into t values (1)",
+                InjectedFault::CrashBeforeExecution,
+                "08006",
+                0,
+            ),
+            (
+                "insert into t values (1)",
+                InjectedFault::CrashAfterExecution,
+                "08006",
+                1,
+            ),
         ] {
             let database = database();
             let node = Node::start(&[&database], |_| {}).await;
@@ -174,7 +184,7 @@
                 .batch_execute("create table t (a bigint)")
                 .await
                 .expect("created");
-            database.set_bad(at, bad);
+            database.inject_fault(at, bad);
             let error = client
                 .batch_execute("insert into t values (1)")
                 .await
@@ -183,10 +193,10 @@
             assert_eq!(database.rows("t").len(), rows, "{at} {bad:?}");
         }
         for (at, bad, code, rows) in [
-            ("insert", Bad::DieBefore, "08006", 0),
-            ("insert", Bad::DieAfter, "08006", 0),
-            ("commit", Bad::DieBefore, "08007", 0),
-            ("commit", Bad::DieAfter, "08007", 1),
+            ("insert", InjectedFault::CrashBeforeExecution, "08006", 0),
+            ("insert", InjectedFault::CrashAfterExecution, "08006", 0),
+            ("commit", InjectedFault::CrashBeforeExecution, "08007", 0),
+            ("commit", InjectedFault::CrashAfterExecution, "08007", 1),
         ] {
             let database = database();
             let node = Node::start(&[&database], |_| {}).await;
@@ -196,7 +206,7 @@
                 .await
                 .expect("created");
             client.batch_execute("begin").await.expect("begun");
-            database.set_bad(at, bad);
+            database.inject_fault(at, bad);
             let inserted = client.batch_execute("insert into t values (1)").await;
             let error = match inserted {
                 Err(error) => {
@@ -234,11 +244,11 @@
             .await
             .expect("a connection");
         for database in [&one, &two] {
-            database.set_bad("select 42", Bad::DieBefore);
+            database.inject_fault("select 42", InjectedFault::CrashBeforeExecution);
         }
         // Whichever server comes first dies of it; so does the other at a second try, unless it is mended.
-        two.set_bad("none", Bad::Hang);
-        one.set_bad("select 42", Bad::DieBefore);
+        two.inject_fault("none", InjectedFault::Hang);
+        one.inject_fault("select 42", InjectedFault::CrashBeforeExecution);
         for _ in 0..20 {
             reads
                 .batch_execute("select 42")
@@ -251,8 +261,8 @@
         }
         let rest = node.connect().await;
         one.revive();
-        one.set_bad("select 43", Bad::DieBefore);
-        two.set_bad("select 43", Bad::DieBefore);
+        one.inject_fault("select 43", InjectedFault::CrashBeforeExecution);
+        two.inject_fault("select 43", InjectedFault::CrashBeforeExecution);
         let error = rest
             .batch_execute("select 43")
             .await
@@ -270,7 +280,7 @@
         })
         .await;
         let client = node.connect().await;
-        database.set_bad("select 1", Bad::Hang);
+        database.inject_fault("select 1", InjectedFault::Hang);
         let error = client
             .batch_execute("select 1")
             .await
@@ -447,11 +457,11 @@
                     let database = &databases[random.between(0, 1) as usize];
                     let text = ["BEGIN", "insert", "COMMIT"][random.between(0, 2) as usize];
                     let bad = if random.chance(0.5) {
-                        Bad::DieBefore
+                        InjectedFault::CrashBeforeExecution
                     } else {
-                        Bad::DieAfter
+                        InjectedFault::CrashAfterExecution
                     };
-                    database.set_bad(text, bad);
+                    database.inject_fault(text, bad);
                     tokio::time::sleep(Duration::from_millis(random.between(5, 30))).await;
                     databases.iter().for_each(Database::revive);
                     kills += 1;
--- a/testkit/fakes/src/database.rs
+++ b/testkit/fakes/src/database.rs
@@ -50,7 +50,7 @@
 use badgerpost_postgres_session::scram::Verifier;
 
 pub use error::{SqlError, SqlState};
-pub use faults::Bad;
+pub use faults::InjectedFault;
 pub use protocol::{Backend, ConnectionClosed};
 use server_state::ServerState;
 use sync::lock;
@@ -103,12 +103,12 @@
     }
 
     /// Injects a fault, once, at the next statement that contains this text.
-    pub fn set_bad(&self, text: &str, fault: Bad) {
+    pub fn inject_fault(&self, text: &str, fault: InjectedFault) {
         self.server.arm_fault(text, fault);
     }
 
     /// Removes the injected fault.
-    pub fn clear_bad(&self) {
+    pub fn clear_fault(&self) {
         self.server.disarm_fault();
     }
 
@@ -124,8 +124,8 @@
     }
 
     /// Sets how many connections may be open at once; more are rejected.
-    pub fn set_most_connections(&self, most: u64) {
-        self.server.max_connections.store(most, Ordering::SeqCst);
+    pub fn set_max_connections(&self, max: u64) {
+        self.server.max_connections.store(max, Ordering::SeqCst);
     }
 
     /// The committed rows of a table.
--- a/testkit/fakes/src/database/faults.rs
+++ b/testkit/fakes/src/database/faults.rs
@@ -2,13 +2,13 @@
 
 /// What goes wrong at the statement that a fault is injected for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Bad {
+pub enum InjectedFault {
     /// The server crashes before it executes the statement.
-    DieBefore,
+    CrashBeforeExecution,
     /// The server executes the statement and crashes before it answers.
-    DieAfter,
+    CrashAfterExecution,
     /// The statement is never answered.
     Hang,
     /// The statement is rejected, as by a server whose connections are all taken.
-    Refuse,
+    Reject,
 }
--- a/testkit/fakes/src/database/protocol.rs
+++ b/testkit/fakes/src/database/protocol.rs
@@ -16,7 +16,7 @@
 use super::catalogue::CatalogueQuery;
 use super::connection_id::ConnectionId;
 use super::error::{SqlError, SqlState};
-use super::faults::Bad;
+use super::faults::InjectedFault;
 use super::result::StatementResult;
 use super::server_state::ServerState;
 use super::session::Session;
@@ -183,22 +183,22 @@
     ) -> Result<StatementResult, MessageError> {
         let fault = self.session.server.take_fault(sql);
         match fault {
-            Some(Bad::DieBefore) => {
+            Some(InjectedFault::CrashBeforeExecution) => {
                 self.session.server.crash();
                 return Err(ConnectionClosed.into());
             }
-            Some(Bad::Hang) => {
+            Some(InjectedFault::Hang) => {
                 self.session.server.hang_until_down();
                 return Err(ConnectionClosed.into());
             }
-            Some(Bad::Refuse) => return Err(SqlError::too_many_connections().into()),
-            Some(Bad::DieAfter) | None => {}
+            Some(InjectedFault::Reject) => return Err(SqlError::too_many_connections().into()),
+            Some(InjectedFault::CrashAfterExecution) | None => {}
         }
         let result = match CatalogueQuery::recognize(sql) {
             Some(query) => Ok(query.execute(values)),
             None => self.session.execute(statement, values),
         };
-        if fault == Some(Bad::DieAfter) {
+        if fault == Some(InjectedFault::CrashAfterExecution) {
             if !matches!(statement, Statement::Commit { .. }) {
                 let _ = self.session.end_implicit_transaction();
             }
--- a/testkit/fakes/src/database/protocol/copy.rs
+++ b/testkit/fakes/src/database/protocol/copy.rs
@@ -7,7 +7,7 @@
 use super::reader::MessageReader;
 use super::{Backend, ConnectionClosed, MessageError, SEVERITY_ERROR};
 use crate::database::error::{SqlError, SqlState};
-use crate::database::faults::Bad;
+use crate::database::faults::InjectedFault;
 use crate::database::parse::parse_single_statement;
 use crate::database::result::{ResultColumn, StatementResult};
 use crate::database::value::Value;
@@ -151,7 +151,7 @@
         }
         let text = String::from_utf8_lossy(data);
         match self.session.server.take_fault(&text) {
-            Some(Bad::DieBefore | Bad::DieAfter) => {
+            Some(InjectedFault::CrashBeforeExecution | InjectedFault::CrashAfterExecution) => {
                 self.session.server.crash();
                 Err(ConnectionClosed)
             }
--- a/testkit/fakes/src/database/server_state.rs
+++ b/testkit/fakes/src/database/server_state.rs
@@ -11,7 +11,7 @@
 
 use super::advisory_locks::AdvisoryLocks;
 use super::connection_id::ConnectionId;
-use super::faults::Bad;
+use super::faults::InjectedFault;
 use super::storage::Store;
 use super::sync::lock;
 
@@ -38,7 +38,7 @@
 /// A fault that happens once, at the next statement that contains the text.
 struct ArmedFault {
     text: String,
-    fault: Bad,
+    fault: InjectedFault,
 }
 
 /// The state of a server.
@@ -121,7 +121,7 @@
     }
 
     /// Arms a fault, in place of any earlier one.
-    pub(super) fn arm_fault(&self, text: &str, fault: Bad) {
+    pub(super) fn arm_fault(&self, text: &str, fault: InjectedFault) {
         *lock(&self.fault) = Some(ArmedFault {
             text: text.to_owned(),
             fault,
@@ -134,7 +134,7 @@
     }
 
     /// The fault that is to happen at this statement, if any; it is disarmed.
-    pub(super) fn take_fault(&self, sql: &str) -> Option<Bad> {
+    pub(super) fn take_fault(&self, sql: &str) -> Option<InjectedFault> {
         let mut slot = lock(&self.fault);
         let matching = slot.take_if(|armed| sql.contains(armed.text.as_str()));
         matching.map(|armed| armed.fault)
--- a/testkit/scenarios/src/postgres/stage.rs
+++ b/testkit/scenarios/src/postgres/stage.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use badgerpost_fakes::database::{Bad, Database, Value};
+use badgerpost_fakes::database::{Database, InjectedFault, Value};
 use badgerpost_fakes::random::Random;
 use badgerpost_fakes::scripted::{Discovery, target};
 use badgerpost_postgres_session::scram::Verifier;
@@ -339,12 +339,12 @@
         let database = &databases[used[random.between(0, used.len() as u64 - 1) as usize]];
         match random.between(0, 7) {
             0 | 1 => database.kill(),
-            2 => database.set_bad("INSERT", Bad::DieBefore),
-            3 => database.set_bad("INSERT", Bad::DieAfter),
-            4 => database.set_bad("COMMIT", Bad::DieBefore),
-            5 => database.set_bad("COMMIT", Bad::DieAfter),
+            2 => database.inject_fault("INSERT", InjectedFault::CrashBeforeExecution),
+            3 => database.inject_fault("INSERT", InjectedFault::CrashAfterExecution),
+            4 => database.inject_fault("COMMIT", InjectedFault::CrashBeforeExecution),
+            5 => database.inject_fault("COMMIT", InjectedFault::CrashAfterExecution),
             // The second row of a COPY.
-            6 => database.set_bad("\t1\n", Bad::DieBefore),
+            6 => database.inject_fault("\t1\n", InjectedFault::CrashBeforeExecution),
             _ => {
                 // Silent, and then dead with all that it was told.
                 database.pause(true);
@@ -359,12 +359,12 @@
         }
         if database.is_up() {
             // Nothing that fits came to it: it goes on.
-            database.clear_bad();
+            database.clear_fault();
             continue;
         }
         KILLED.set(KILLED.get() + 1);
         tokio::time::sleep(Duration::from_millis(kills.down_ms)).await;
-        database.clear_bad();
+        database.clear_fault();
         database.revive();
     }
 }
