--- a/testkit/fakes/src/database/connection.rs
+++ b/testkit/fakes/src/database/connection.rs
@@ -120,6 +120,17 @@
     Cancel,
 }
 
+/// Why a client was not logged in.
+#[derive(Debug, thiserror::Error)]
+enum LoginError {
+    /// The connection is broken.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The client receives this error, and the connection ends.
+    #[error(transparent)]
+    Rejected(#[from] SqlError),
+}
+
 /// A client's connection.
 struct ClientConnection {
     server: Arc<ServerState>,
@@ -134,9 +145,13 @@
             return Ok(());
         };
         self.server.wait_while_paused();
-        if let Err(error) = self.open_session(&parameters)? {
-            self.backend.write_error(SEVERITY_FATAL, &error);
-            return self.send_output();
+        match self.open_session(&parameters) {
+            Ok(()) => {}
+            Err(LoginError::Io(error)) => return Err(error),
+            Err(LoginError::Rejected(error)) => {
+                self.backend.write_error(SEVERITY_FATAL, &error);
+                return self.send_output();
+            }
         }
         self.server.login_count.fetch_add(1, Ordering::SeqCst);
         self.backend.write_login_complete();
@@ -177,21 +192,23 @@
         Ok(())
     }
 
-    /// Logs the client in and starts its session. The inner error is for the client.
-    fn open_session(&mut self, parameters: &StartupParameters) -> io::Result<Result<(), SqlError>> {
+    /// Logs the client in and starts its session.
+    fn open_session(&mut self, parameters: &StartupParameters) -> Result<(), LoginError> {
         let user = parameters.get("user").cloned().unwrap_or_default();
         let needs_password = !lock(&self.server.users).is_empty();
         if needs_password && !self.authenticate(&user)? {
-            return Ok(Err(SqlError::new(
+            return Err(SqlError::new(
                 SqlState::INVALID_PASSWORD,
                 format!("password authentication failed for user \"{user}\""),
-            )));
+            )
+            .into());
         }
         let open_connections = lock(&self.server.connections).len() as u64;
         if open_connections > self.server.max_connections.load(Ordering::SeqCst) {
-            return Ok(Err(SqlError::too_many_connections()));
+            return Err(SqlError::too_many_connections().into());
         }
-        Ok(self.backend.session.start(parameters))
+        self.backend.session.start(parameters)?;
+        Ok(())
     }
 
     /// The SCRAM exchange by which a client shows that it knows its password. Returns whether it does.
--- a/testkit/fakes/src/database/protocol/extended.rs
+++ b/testkit/fakes/src/database/protocol/extended.rs
@@ -238,7 +238,7 @@
         Ok(())
     }
 
-    /// Writes a whole result that a portal has just produced.
+    /// Writes all rows of a result that a portal has just produced.
     fn finish_portal(&mut self, name: &str, result: StatementResult, formats: &[u16]) {
         let count = self.write_rows(&result, formats);
         self.write_command_complete(&result, count);
--- a/testkit/fakes/src/database/value/numeric.rs
+++ b/testkit/fakes/src/database/value/numeric.rs
@@ -52,7 +52,7 @@
         .collect()
 }
 
-/// How many digits are missing to whole groups.
+/// How many digits are missing to full groups.
 fn missing_digits(digits: &str) -> usize {
     (GROUP_DIGITS - digits.len() % GROUP_DIGITS) % GROUP_DIGITS
 }
--- a/testkit/scenarios/src/commands/run_postgres.rs
+++ b/testkit/scenarios/src/commands/run_postgres.rs
@@ -18,8 +18,8 @@
 /// Findings that are printed at most.
 const MAX_PRINTED_FINDINGS: usize = 20;
 
-/// Plays the scene in real time and prints the summary. Fails if a client was told something else than what took
-/// effect, or if less was done than the scene expects.
+/// Plays the scene in real time and prints the summary. Fails if the result that a client received differs
+/// from what took effect, or if less was done than the scene expects.
 pub(super) fn run(
     name: &str,
     scene: &PgScene,
@@ -101,7 +101,7 @@
 
 /// Whether the node did what it must, and the scene what it should.
 struct Verdict {
-    /// No client was told something wrong, and no transaction was begun after the grace of a drain.
+    /// Every client received the true result, and no transaction was begun after the grace of a drain.
     is_correct: bool,
     /// As many databases died and drained, and as many transactions were committed, as the scene expects.
     meets_expectations: bool,
