--- a/testkit/fakes/src/database/faults.rs
+++ b/testkit/fakes/src/database/faults.rs
@@ -1,14 +1,14 @@
-//! What a stand-in database does wrong when it is told to.
+//! Faults that a test can inject.
 
-/// What a connection does wrong at the next statement that matches.
+/// What goes wrong at the statement that a fault is injected for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Bad {
-    /// The whole server dies before it runs.
-    DieBefore,
-    /// It runs, and the server dies before it answers.
-    DieAfter,
-    /// It is taken, and nothing is ever said.
+pub enum InjectedFault {
+    /// The server crashes before it executes the statement.
+    CrashBeforeExecution,
+    /// The server executes the statement and crashes before it answers.
+    CrashAfterExecution,
+    /// The statement is never answered.
     Hang,
-    /// It is refused, as by a server that is full.
-    Refuse,
+    /// The statement is rejected, as by a server whose connections are all taken.
+    Reject,
 }
