--- a/adapters/postgres/src/clients.rs
+++ b/adapters/postgres/src/clients.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use badgerpost_postgres_session::answer::TransactionStatus;
-use badgerpost_postgres_session::pins::StickyReason;
+use badgerpost_postgres_session::server_messages::TransactionStatus;
 use badgerpost_postgres_session::session::Session;
+use badgerpost_postgres_session::sql_analysis::StickyReason;
 use tokio::sync::Notify;
 
 use crate::cancel::Cancelable;
--- a/adapters/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -4,8 +4,8 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::frame::{DecodeResult, Frame};
+use badgerpost_postgres_session::server_messages::{self, ErrorReason, TransactionStatus};
 use bytes::{BufMut, BytesMut};
 use tokio::io::AsyncReadExt;
 
@@ -51,7 +51,7 @@
             }
             out.push(Frame::new(b'D', body.freeze()));
         }
-        out.push(answer::complete("SHOW"));
+        out.push(server_messages::command_complete("SHOW"));
     }
 }
 
@@ -106,7 +106,10 @@
                 {
                     tracing::info!(user, command, "console command");
                     if let Err(problem) = run(front, command, &mut out).await {
-                        out.push(answer::error(ErrorReason::Unsupported, Some(&problem)));
+                        out.push(server_messages::error_response(
+                            ErrorReason::Unsupported,
+                            Some(&problem),
+                        ));
                         break;
                     }
                 }
@@ -124,7 +127,10 @@
             _ if !std::mem::replace(&mut skips, true) => {
                 let detail = "the console takes simple queries only";
                 client
-                    .send(&[answer::error(ErrorReason::Unsupported, Some(detail))])
+                    .send(&[server_messages::error_response(
+                        ErrorReason::Unsupported,
+                        Some(detail),
+                    )])
                     .await?;
             }
             _ => {}
@@ -179,15 +185,15 @@
                 );
             }
             front.pool.reconnect();
-            out.push(answer::complete("PAUSE"));
+            out.push(server_messages::command_complete("PAUSE"));
         }
         ["RESUME"] => {
             front.pool.set_paused(false);
-            out.push(answer::complete("RESUME"));
+            out.push(server_messages::command_complete("RESUME"));
         }
         ["RECONNECT"] => {
             front.pool.reconnect();
-            out.push(answer::complete("RECONNECT"));
+            out.push(server_messages::command_complete("RECONNECT"));
         }
         ["DISCONNECT", number] => {
             let known = number
@@ -198,7 +204,7 @@
                     "there is no client {number}; SHOW CLIENTS tells them"
                 ));
             }
-            out.push(answer::complete("DISCONNECT"));
+            out.push(server_messages::command_complete("DISCONNECT"));
         }
         _ => return Err(format!("not understood; {HELP}")),
     }
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -11,8 +11,8 @@
 
 use badgerpost_balancer::{BackendId, Nanos, Outcome};
 use badgerpost_engine::{AttemptEnd, AttemptId, IncomingRequest, RequestOutcome, Sleep};
-use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::frame::FrameDecoder;
+use badgerpost_postgres_session::server_messages::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::session::{Action, Event, Session};
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -207,8 +207,9 @@
         loop {
             let mut went = self.process();
             if stops && !self.ended && self.session.is_idle() && self.waiting.is_none() {
-                answer::error(ErrorReason::Stopping, None).write(&mut self.to_client);
-                self.handle(Event::ClientGone);
+                server_messages::error_response(ErrorReason::Stopping, None)
+                    .write(&mut self.to_client);
+                self.handle(Event::ClientDisconnected);
             }
             for step in [Self::write_server, Self::write_client] {
                 went |= step(self, cx) == Went::On;
@@ -254,7 +255,7 @@
                 }
                 Poll::Ready(_) => {
                     self.to_client.clear();
-                    self.handle(Event::ClientGone);
+                    self.handle(Event::ClientDisconnected);
                     return Went::On;
                 }
                 Poll::Pending => return went,
@@ -309,7 +310,7 @@
         match read(&mut self.client, &mut self.cutter, cx) {
             Poll::Ready(true) => Went::On,
             Poll::Ready(false) => {
-                self.handle(Event::ClientGone);
+                self.handle(Event::ClientDisconnected);
                 Went::On
             }
             Poll::Pending => Went::Nowhere,
@@ -348,7 +349,9 @@
             }
             if held_back.late.as_mut().poll(cx).is_ready() {
                 self.held_back = None;
-                self.handle(Event::Refused { wait_ms: 1000 });
+                self.handle(Event::Rejected {
+                    retry_after_ms: 1000,
+                });
                 return Went::On;
             }
         }
@@ -369,11 +372,11 @@
                     // Told by the session itself, as it came.
                     RequestOutcome::Served(()) => {}
                     RequestOutcome::Rejected(pause) => {
-                        self.handle(Event::Refused {
-                            wait_ms: pause.div_ceil(1_000_000),
+                        self.handle(Event::Rejected {
+                            retry_after_ms: pause.div_ceil(1_000_000),
                         });
                     }
-                    RequestOutcome::Failed => self.handle(Event::Failed),
+                    RequestOutcome::Failed => self.handle(Event::RequestFailed),
                 }
                 Went::On
             }
@@ -415,9 +418,12 @@
                 }
                 Ok(None) => return any,
                 Err(error) => {
-                    answer::error(ErrorReason::Protocol, Some(&error.to_string()))
-                        .write(&mut self.to_client);
-                    self.handle(Event::ClientGone);
+                    server_messages::error_response(
+                        ErrorReason::Protocol,
+                        Some(&error.to_string()),
+                    )
+                    .write(&mut self.to_client);
+                    self.handle(Event::ClientDisconnected);
                     any = true;
                 }
             }
@@ -436,8 +442,9 @@
                 .is_in_service_at(held.backend, held.endpoint)
         {
             let detail = "the session is pinned to a server that leaves";
-            answer::error(ErrorReason::Stopping, Some(detail)).write(&mut self.to_client);
-            self.handle(Event::ClientGone);
+            server_messages::error_response(ErrorReason::Stopping, Some(detail))
+                .write(&mut self.to_client);
+            self.handle(Event::ClientDisconnected);
         }
     }
 
@@ -458,16 +465,16 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Ask { alone } => self.ask(alone),
+            Action::RequestServer { single_statement } => self.ask(single_statement),
             Action::ToServer(bytes) => self.to_server.extend_from_slice(&bytes),
             Action::ToClient(bytes) => self.to_client.extend_from_slice(&bytes),
-            Action::Started => {
+            Action::ResponseStarted => {
                 let ticket = self.held.as_ref().and_then(|held| held.ticket);
                 ticket
                     .into_iter()
                     .for_each(|ticket| self.terms.fleet.response_started(ticket));
             }
-            Action::Done => {
+            Action::TransactionDone => {
                 self.registered.count();
                 self.settle(AttemptEnd {
                     response: Some(()),
@@ -475,7 +482,7 @@
                 });
                 self.wait_no_more();
             }
-            Action::NotAgain => self.settle(AttemptEnd::bare(Outcome::NotSent)),
+            Action::NotRetryable => self.settle(AttemptEnd::bare(Outcome::NotSent)),
             Action::Release(state) => {
                 let Some(held) = self.held.take() else { return };
                 let Held {
@@ -489,7 +496,7 @@
                 self.to_server.clear();
                 self.end(ticket, AttemptEnd::bare(Outcome::NotSent));
             }
-            Action::DropServer => {
+            Action::DiscardServer => {
                 self.to_server.clear();
                 let ticket = self.held.take().and_then(|held| held.ticket);
                 self.end(ticket, AttemptEnd::bare(Outcome::Cancelled));
@@ -537,7 +544,7 @@
         self.end(ticket, AttemptEnd::bare(outcome));
         if ticket.is_none() && !self.ended {
             // Between two transactions nobody but the session has to be told.
-            self.handle(Event::Failed);
+            self.handle(Event::RequestFailed);
         }
     }
 
@@ -571,7 +578,7 @@
         };
         let Some((class, deadline, _)) = self.terms.fleet.class(&name) else {
             // The classes come from the same configuration, so this does not happen; if so, it is a failure.
-            return self.handle(Event::Failed);
+            return self.handle(Event::RequestFailed);
         };
         self.asked += 1;
         let id = format!("pg-{}-{}", self.registered.number(), self.asked).into();
@@ -595,7 +602,7 @@
         };
         match self.terms.fleet.submit(asked) {
             Some(waiting) => self.waiting = Some(Box::pin(waiting.into_outcome())),
-            None => self.handle(Event::Failed),
+            None => self.handle(Event::RequestFailed),
         }
     }
 
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use badgerpost_engine::{ConnectionCounter, ConnectionGuard, LogLimiter, spawn};
-use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::frame::{Frame, FrameDecoder};
 use badgerpost_postgres_session::scram::Verifier;
+use badgerpost_postgres_session::server_messages::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::session::Session;
 use badgerpost_postgres_session::settings::ClientSettings;
 use badgerpost_postgres_session::startup::{StartupMessage, StartupPacket, StartupReader};
@@ -184,7 +184,7 @@
                 }
                 Err(error) => {
                     client
-                        .send(&[answer::error(
+                        .send(&[server_messages::error_response(
                             ErrorReason::Protocol,
                             Some(&error.to_string()),
                         )])
@@ -197,7 +197,7 @@
                     // Bytes sent ahead in the clear would pass for the client's own.
                     if !startup.rest().is_empty() {
                         client
-                            .send(&[answer::error(
+                            .send(&[server_messages::error_response(
                                 ErrorReason::Protocol,
                                 Some("data behind SSLRequest"),
                             )])
@@ -241,7 +241,7 @@
         match self.users.prove(&mut client, &message.user, binding).await {
             Err(ClientError::Identity(why)) => {
                 client
-                    .send(&[answer::error(ErrorReason::Identity, None)])
+                    .send(&[server_messages::error_response(ErrorReason::Identity, None)])
                     .await?;
                 return Err(ClientError::Identity(why));
             }
@@ -300,7 +300,7 @@
             Ok(settings) => settings,
             Err(error) => {
                 client
-                    .send(&[answer::error(
+                    .send(&[server_messages::error_response(
                         ErrorReason::Unsupported,
                         Some(&error.to_string()),
                     )])
@@ -324,7 +324,9 @@
         reason: ErrorReason,
         why: &'static str,
     ) -> Result<Option<Admitted>, ClientError> {
-        client.send(&[answer::error(reason, Some(why))]).await?;
+        client
+            .send(&[server_messages::error_response(reason, Some(why))])
+            .await?;
         Err(ClientError::NotAllowed(why))
     }
 
--- a/core/postgres-session/fuzz/harness.rs
+++ b/core/postgres-session/fuzz/harness.rs
@@ -51,9 +51,9 @@
             5 if asked => events.push(Event::Attached(ServerState::default())),
             6 if attached => events.push(Event::ServerLost),
             7 => events.push(if command & 8 == 0 {
-                Event::Failed
+                Event::RequestFailed
             } else {
-                Event::Refused { wait_ms: 1 }
+                Event::Rejected { retry_after_ms: 1 }
             }),
             _ => {}
         }
@@ -68,16 +68,19 @@
             session.handle(event, &mut actions);
             for action in actions {
                 match action {
-                    Action::Ask { .. } => {
+                    Action::RequestServer { .. } => {
                         assert!(!attached, "asks for a second server");
                         asked = true;
                     }
                     Action::ToServer(_) => {
                         assert!(attached, "speaks to a server that is not there")
                     }
-                    Action::Release(_) | Action::DropServer => attached = false,
+                    Action::Release(_) | Action::DiscardServer => attached = false,
                     Action::End => ended = true,
-                    Action::ToClient(_) | Action::Started | Action::Done | Action::NotAgain => {}
+                    Action::ToClient(_)
+                    | Action::ResponseStarted
+                    | Action::TransactionDone
+                    | Action::NotRetryable => {}
                 }
             }
             assert!(
--- a/core/postgres-session/src/lib.rs
+++ b/core/postgres-session/src/lib.rs
@@ -7,11 +7,11 @@
 //! Source: PostgreSQL documentation, chapter "Frontend/Backend Protocol", versions 3.0 and 3.2. Lengths are in
 //! bytes, and count themselves as they do on the wire. Nothing here does I/O, knows the time or draws lots.
 
-pub mod answer;
 pub mod frame;
-pub mod pins;
+pub mod prepared_statements;
 pub mod scram;
+pub mod server_messages;
 pub mod session;
 pub mod settings;
+pub mod sql_analysis;
 pub mod startup;
-pub mod statements;
--- a/core/postgres-session/src/statements.rs
+++ b/core/postgres-session/src/prepared_statements.rs
@@ -1,4 +1,4 @@
-//! Prepared statements that follow a client from one server to another. A client's names are its own; on server
+//! ServerStatements statements that follow a client from one server to another. A client's names are its own; on server
 //! connections a statement stands under a name of the node's, by its text, and is prepared there when it is first
 //! needed.
 
@@ -8,21 +8,21 @@
 use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::frame::Frame;
-use crate::pins::{self, StatementEffects};
+use crate::sql_analysis::{self, StatementEffects};
 
-/// Named statements that a client may keep; the next one is an error of the client's.
+/// ClientStatements statements that a client may keep; the next one is an error of the client's.
 pub const MAX_NAMED_STATEMENTS: usize = 256;
 /// Statements that stay prepared on a server connection; the one used longest ago makes room.
 pub const MAX_SERVER_STATEMENTS: usize = 256;
 
 /// A statement's text and parameter types, as `Parse` gives them behind the name. Equal ones are the same
 /// statement, whoever prepares it.
-pub type Text = Bytes;
+pub type StatementText = Bytes;
 
 /// A client's names.
 #[derive(Debug, Default)]
-pub struct Named {
-    texts: BTreeMap<Bytes, Text>,
+pub struct ClientStatements {
+    texts: BTreeMap<Bytes, StatementText>,
     /// Of the texts, so that each is read once.
     readings: BTreeMap<Bytes, Rc<StatementEffects>>,
 }
@@ -30,18 +30,18 @@
 /// A client has more names than it may keep.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("more than {MAX_NAMED_STATEMENTS} prepared statements")]
-pub struct TooMany;
+pub struct TooManyStatements;
 
 /// A body that names a statement where its message has none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("a malformed message")]
-pub struct Malformed;
+pub struct MalformedMessage;
 
-impl Named {
+impl ClientStatements {
     /// A `Parse` of a named statement has been sent on.
-    pub fn insert(&mut self, name: Bytes, text: Text) -> Result<(), TooMany> {
+    pub fn insert(&mut self, name: Bytes, text: StatementText) -> Result<(), TooManyStatements> {
         if self.texts.len() >= MAX_NAMED_STATEMENTS && !self.texts.contains_key(&name) {
-            return Err(TooMany);
+            return Err(TooManyStatements);
         }
         self.readings.remove(&name);
         self.texts.insert(name, text);
@@ -51,7 +51,7 @@
     /// What a named statement's SQL says.
     pub fn reading(&mut self, name: &Bytes) -> Option<Rc<StatementEffects>> {
         let text = self.texts.get(name)?;
-        let read = || Rc::new(pins::read(&String::from_utf8_lossy(sql(text))));
+        let read = || Rc::new(sql_analysis::read(&String::from_utf8_lossy(sql(text))));
         Some(
             self.readings
                 .entry(name.clone())
@@ -66,7 +66,7 @@
     }
 
     /// What stands under a name.
-    pub fn get(&self, name: &[u8]) -> Option<&Text> {
+    pub fn get(&self, name: &[u8]) -> Option<&StatementText> {
         self.texts.get(name)
     }
 
@@ -85,9 +85,9 @@
 
 /// What is prepared on one server connection.
 #[derive(Debug, Default)]
-pub struct Prepared {
+pub struct ServerStatements {
     /// By text: its number in the node's names, and when it was used last, in uses.
-    known: HashMap<Text, (u64, u64)>,
+    known: HashMap<StatementText, (u64, u64)>,
     next: u64,
     uses: u64,
 }
@@ -105,9 +105,9 @@
     Bytes::from(format!("bp{number}"))
 }
 
-impl Prepared {
+impl ServerStatements {
     /// The name of a statement here, prepared if it is not yet.
-    pub fn take(&mut self, text: &Text) -> Use {
+    pub fn take(&mut self, text: &StatementText) -> Use {
         self.uses += 1;
         if let Some((number, used)) = self.known.get_mut(text) {
             *used = self.uses;
@@ -136,12 +136,12 @@
     }
 
     /// Whether a statement stands here already.
-    pub fn has(&self, text: &Text) -> bool {
+    pub fn has(&self, text: &StatementText) -> bool {
         self.known.contains_key(text)
     }
 
     /// A statement is not prepared here after all, or no longer.
-    pub fn forget(&mut self, text: &Text) {
+    pub fn forget(&mut self, text: &StatementText) {
         self.known.remove(text);
     }
 
@@ -158,7 +158,7 @@
 }
 
 /// `Parse` under this name.
-pub fn parse(name: &[u8], text: &Text) -> Frame {
+pub fn parse(name: &[u8], text: &StatementText) -> Frame {
     let mut body = BytesMut::with_capacity(name.len() + 1 + text.len());
     body.put_slice(name);
     body.put_u8(0);
@@ -176,33 +176,39 @@
 }
 
 /// The name and the text of a `Parse`.
-pub fn read_parse(frame: &Frame) -> Result<(Bytes, Text), Malformed> {
-    let end = frame.first_string().ok_or(Malformed)?.len();
+pub fn read_parse(frame: &Frame) -> Result<(Bytes, StatementText), MalformedMessage> {
+    let end = frame.first_string().ok_or(MalformedMessage)?.len();
     let text = frame.body.slice(end + 1..);
     // The text of the statement ends with a zero; a count of types follows.
-    let sql = text.iter().position(|byte| *byte == 0).ok_or(Malformed)?;
+    let sql = text
+        .iter()
+        .position(|byte| *byte == 0)
+        .ok_or(MalformedMessage)?;
     if text.len() < sql + 3 {
-        return Err(Malformed);
+        return Err(MalformedMessage);
     }
     Ok((frame.body.slice(..end), text))
 }
 
 /// The statement's SQL in a `Parse`'s text.
-pub fn sql(text: &Text) -> &[u8] {
+pub fn sql(text: &StatementText) -> &[u8] {
     text.split(|byte| *byte == 0).next().unwrap_or_default()
 }
 
 /// The statement that a `Bind` names.
-pub fn read_bind(frame: &Frame) -> Result<Bytes, Malformed> {
-    let portal = frame.first_string().ok_or(Malformed)?.len() + 1;
+pub fn read_bind(frame: &Frame) -> Result<Bytes, MalformedMessage> {
+    let portal = frame.first_string().ok_or(MalformedMessage)?.len() + 1;
     let rest = frame.body.slice(portal..);
-    let end = rest.iter().position(|byte| *byte == 0).ok_or(Malformed)?;
+    let end = rest
+        .iter()
+        .position(|byte| *byte == 0)
+        .ok_or(MalformedMessage)?;
     Ok(rest.slice(..end))
 }
 
 /// The same `Bind` of a statement of another name.
-pub fn rename_bind(frame: &Frame, name: &[u8]) -> Result<Frame, Malformed> {
-    let portal = frame.first_string().ok_or(Malformed)?.len() + 1;
+pub fn rename_bind(frame: &Frame, name: &[u8]) -> Result<Frame, MalformedMessage> {
+    let portal = frame.first_string().ok_or(MalformedMessage)?.len() + 1;
     let old = read_bind(frame)?.len();
     let mut body = BytesMut::with_capacity(frame.body.len() + name.len());
     body.put_slice(&frame.body[..portal]);
@@ -212,13 +218,13 @@
 }
 
 /// What a `Describe` or `Close` is about: `S` for a statement or `P` for a portal, and its name.
-pub fn read_target(frame: &Frame) -> Result<(u8, Bytes), Malformed> {
-    let (kind, rest) = frame.body.split_first().ok_or(Malformed)?;
+pub fn read_target(frame: &Frame) -> Result<(u8, Bytes), MalformedMessage> {
+    let (kind, rest) = frame.body.split_first().ok_or(MalformedMessage)?;
     let end = rest
         .iter()
         .position(|byte| *byte == 0)
         .filter(|_| matches!(kind, b'S' | b'P'))
-        .ok_or(Malformed)?;
+        .ok_or(MalformedMessage)?;
     Ok((*kind, frame.body.slice(1..1 + end)))
 }
 
--- a/core/postgres-session/src/statements/tests.rs
+++ b/core/postgres-session/src/prepared_statements/tests.rs
@@ -9,7 +9,7 @@
     Frame::new(wire[0], Bytes::copy_from_slice(&wire[5..]))
 }
 
-fn text(sql: &str) -> Text {
+fn text(sql: &str) -> StatementText {
     read_parse(&written(|out| frontend::parse("", sql, [23], out).unwrap()))
         .expect("good")
         .1
@@ -56,26 +56,26 @@
     ] {
         assert_eq!(
             read_parse(&Frame::new(b'P', body)),
-            Err(Malformed),
+            Err(MalformedMessage),
             "{body:?}"
         );
     }
     for body in [&b""[..], b"p", b"p\0", b"p\0s"] {
         assert_eq!(
             read_bind(&Frame::new(b'B', body)),
-            Err(Malformed),
+            Err(MalformedMessage),
             "{body:?}"
         );
         assert_eq!(
             rename_bind(&Frame::new(b'B', body), b"x"),
-            Err(Malformed),
+            Err(MalformedMessage),
             "{body:?}"
         );
     }
     for body in [&b""[..], b"S", b"Ss", b"Xs\0"] {
         assert_eq!(
             read_target(&Frame::new(b'D', body)),
-            Err(Malformed),
+            Err(MalformedMessage),
             "{body:?}"
         );
     }
@@ -83,7 +83,7 @@
 
 #[test]
 fn a_statement_is_prepared_once_and_the_oldest_makes_room() {
-    let mut prepared = Prepared::default();
+    let mut prepared = ServerStatements::default();
     let one = prepared.take(&text("select 1"));
     assert_eq!((one.name.as_ref(), one.first.len()), (&b"bp0"[..], 1));
     assert!(prepared.take(&text("select 1")).first.is_empty());
@@ -100,7 +100,7 @@
     assert_eq!(prepared.known.len(), MAX_SERVER_STATEMENTS);
     prepared.forget(&text("select 1"));
     assert_eq!(prepared.take(&text("select 1")).first.len(), 1);
-    let mut named = Named::default();
+    let mut named = ClientStatements::default();
     (0..MAX_NAMED_STATEMENTS).for_each(|n| {
         named
             .insert(Bytes::from(n.to_string()), text("x"))
@@ -108,7 +108,7 @@
     });
     assert_eq!(
         named.insert(Bytes::from_static(b"more"), text("x")),
-        Err(TooMany)
+        Err(TooManyStatements)
     );
     assert_eq!(named.insert(Bytes::from_static(b"0"), text("y")), Ok(()));
 }
--- a/core/postgres-session/src/answer.rs
+++ b/core/postgres-session/src/server_messages.rs
@@ -9,9 +9,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ErrorReason {
     /// There is no room: it never ran, and trying again is harmless, but not sooner than this many milliseconds.
-    Refused {
+    Rejected {
         /// From now on.
-        wait_ms: u64,
+        retry_after_ms: u64,
     },
     /// The server was lost, or too slow; the statement may have run.
     MayHaveRun,
@@ -42,7 +42,7 @@
     pub fn sqlstate(self) -> &'static str {
         match self {
             // too_many_connections
-            Self::Refused { .. } => "53300",
+            Self::Rejected { .. } => "53300",
             // connection_failure
             Self::MayHaveRun | Self::TransactionLost => "08006",
             // transaction_resolution_unknown
@@ -80,7 +80,7 @@
 
     fn message(self) -> &'static str {
         match self {
-            Self::Refused { .. } => "no server has room for this transaction; it has not run",
+            Self::Rejected { .. } => "no server has room for this transaction; it has not run",
             Self::MayHaveRun => "the server was lost; the statement may have run",
             Self::TransactionLost => "the server was lost; the transaction is rolled back",
             Self::CommitUnknown => {
@@ -101,10 +101,10 @@
 
     fn hint(self) -> Option<String> {
         match self {
-            Self::Refused { wait_ms: 0 } => Some("Trying again is harmless.".to_owned()),
-            Self::Refused { wait_ms } => {
-                Some(format!("Trying again is harmless, after {wait_ms} ms."))
-            }
+            Self::Rejected { retry_after_ms: 0 } => Some("Trying again is harmless.".to_owned()),
+            Self::Rejected { retry_after_ms } => Some(format!(
+                "Trying again is harmless, after {retry_after_ms} ms."
+            )),
             Self::TooManyClients | Self::NoServer => {
                 Some("Trying again is harmless, after 1000 ms.".to_owned())
             }
@@ -115,7 +115,7 @@
 }
 
 /// `ErrorResponse`.
-pub fn error(reason: ErrorReason, detail: Option<&str>) -> Frame {
+pub fn error_response(reason: ErrorReason, detail: Option<&str>) -> Frame {
     let severity = if reason.is_fatal() { "FATAL" } else { "ERROR" };
     let hint = reason.hint();
     let fields = [
@@ -141,7 +141,7 @@
 }
 
 /// A server's error as one that ends the session.
-pub fn fatal(error: &Frame) -> Frame {
+pub fn with_fatal_severity(error: &Frame) -> Frame {
     edit(error, |field, text| match field {
         b'S' | b'V' => "FATAL".to_owned(),
         _ => text.to_owned(),
@@ -155,7 +155,7 @@
 }
 
 /// A server's error with another name in its message.
-pub fn renamed(error: &Frame, here: &[u8], named: &[u8]) -> Frame {
+pub fn with_statement_name(error: &Frame, here: &[u8], named: &[u8]) -> Frame {
     let quoted = |name: &[u8]| format!("\"{}\"", String::from_utf8_lossy(name));
     edit(error, |field, text| match field {
         b'M' => text.replace(&quoted(here), &quoted(named)),
@@ -212,7 +212,7 @@
 }
 
 /// `CommandComplete`.
-pub fn complete(tag: &str) -> Frame {
+pub fn command_complete(tag: &str) -> Frame {
     Frame::new(b'C', format!("{tag}\0").into_bytes())
 }
 
--- a/core/postgres-session/src/answer/tests.rs
+++ b/core/postgres-session/src/server_messages/tests.rs
@@ -32,7 +32,12 @@
 
 #[test]
 fn errors_are_read_by_others() {
-    let refused = fields(&error(ErrorReason::Refused { wait_ms: 250 }, Some("a\0b")));
+    let refused = fields(&error_response(
+        ErrorReason::Rejected {
+            retry_after_ms: 250,
+        },
+        Some("a\0b"),
+    ));
     let value = |of: u8| {
         refused
             .iter()
@@ -44,6 +49,6 @@
         (Some("53300"), Some("ERROR"), Some("ab"))
     );
     assert!(value(b'H').is_some_and(|hint| hint.contains("250 ms")));
-    let stopping = fields(&error(ErrorReason::Stopping, None));
+    let stopping = fields(&error_response(ErrorReason::Stopping, None));
     assert!(stopping.contains(&(b'S', "FATAL".to_owned())));
 }
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -4,21 +4,21 @@
 //!
 //! Source: PostgreSQL documentation, chapter "Frontend/Backend Protocol", "Message Flow".
 
-mod client;
-mod local;
-mod loss;
+mod client_messages;
+mod local_answers;
 mod server;
+mod server_loss;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 
-use crate::answer::{ErrorReason, TransactionStatus};
 use crate::frame::{DecodeResult, Frame};
-use crate::pins::{StatementEffects, StickyReason};
+use crate::prepared_statements::{ClientStatements, ServerStatements, StatementText};
+use crate::server_messages::{ErrorReason, TransactionStatus};
 use crate::settings::{ClientSettings, ServerSettings};
-use crate::statements::{Named, Prepared, Text};
+use crate::sql_analysis::{StatementEffects, StickyReason};
 
 /// With so many bytes held for a client no more are read from it. One frame more than that may come.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -31,7 +31,7 @@
 #[derive(Debug, Default)]
 pub struct ServerState {
     /// What is prepared there.
-    pub prepared: Prepared,
+    pub prepared: ServerStatements,
     /// What its settings are.
     pub settings: ServerSettings,
 }
@@ -48,39 +48,39 @@
     /// The server connection is lost, or was given up.
     ServerLost,
     /// What it has asked for is refused: nothing ran, or it does no harm.
-    Refused {
+    Rejected {
         /// How long the client should stay away, in milliseconds.
-        wait_ms: u64,
+        retry_after_ms: u64,
     },
     /// What it has asked for has failed.
-    Failed,
+    RequestFailed,
     /// The client has gone.
-    ClientGone,
+    ClientDisconnected,
 }
 
 /// What a session says.
 #[derive(Debug)]
 pub enum Action {
     /// A transaction wants a server.
-    Ask {
+    RequestServer {
         /// It is one statement outside any transaction block, or the first one of a transaction that can change
         /// nothing, so that it may be sent again where its class allows.
-        alone: bool,
+        single_statement: bool,
     },
     /// To the server.
     ToServer(Bytes),
     /// To the client.
     ToClient(Bytes),
     /// Something of the transaction's answer goes to the client now: it must not be sent again.
-    Started,
+    ResponseStarted,
     /// The transaction is over, and answered.
-    Done,
+    TransactionDone,
     /// What the server was meant for has been sent before and may not be sent again.
-    NotAgain,
+    NotRetryable,
     /// The server connection is free for others, in this state.
     Release(ServerState),
     /// The server connection is of no further use to anybody.
-    DropServer,
+    DiscardServer,
     /// The session ends; close the client's connection once all is written.
     End,
 }
@@ -88,7 +88,7 @@
 /// What a message does to the client's prepared statements once it is answered; the empty name is the unnamed one.
 #[derive(Clone, Debug)]
 enum Effect {
-    Set(Bytes, Text),
+    Set(Bytes, StatementText),
     Remove(Bytes),
 }
 
@@ -97,8 +97,8 @@
 enum ExpectedResponse {
     /// `ParseComplete`.
     Parse {
-        /// Prepared under a name of the node's: not there if it fails.
-        text: Option<Text>,
+        /// ServerStatements under a name of the node's: not there if it fails.
+        text: Option<StatementText>,
         effect: Option<Effect>,
         /// The node sends it by itself.
         own: bool,
@@ -210,11 +210,11 @@
     held: usize,
     unit: Unit,
     settings: ClientSettings,
-    named: Named,
+    named: ClientStatements,
     /// The client's unnamed statement.
-    unnamed: Option<Text>,
+    unnamed: Option<StatementText>,
     /// Names as they will be when all of the group that is under way is done.
-    ahead: BTreeMap<Bytes, Option<Text>>,
+    ahead: BTreeMap<Bytes, Option<StatementText>>,
     pin: Option<StickyReason>,
     /// Something of the unit's answer has gone to the client.
     started: bool,
@@ -305,17 +305,17 @@
             Event::Attached(state) => self.attached(state, actions),
             Event::Server(cut) => self.server(cut, actions),
             Event::ServerLost => self.server_lost(actions),
-            Event::Refused { wait_ms } => {
+            Event::Rejected { retry_after_ms } => {
                 // Where it may have run after all, it was safe to repeat; but to say it never ran would be wrong.
                 let ran = matches!(self.unit, Unit::Asked { lost: true });
                 let reason = if ran {
                     ErrorReason::MayHaveRun
                 } else {
-                    ErrorReason::Refused { wait_ms }
+                    ErrorReason::Rejected { retry_after_ms }
                 };
                 self.give_up(reason, actions);
             }
-            Event::Failed => {
+            Event::RequestFailed => {
                 let reason = match (self.commits, self.status) {
                     (true, _) => ErrorReason::CommitUnknown,
                     (false, TransactionStatus::Idle) => ErrorReason::MayHaveRun,
@@ -323,7 +323,7 @@
                 };
                 self.give_up(reason, actions);
             }
-            Event::ClientGone => self.gone(actions),
+            Event::ClientDisconnected => self.gone(actions),
         }
         self.pump(actions);
     }
@@ -373,13 +373,13 @@
         let closed = self.groups.front().is_some_and(|head| head.closed);
         let plain = matches!(
             reading.steps[..],
-            [] | [crate::pins::TransactionStep::Other]
+            [] | [crate::sql_analysis::TransactionStep::Other]
         ) && reading.pin.is_none();
         let first = self.begun.as_ref().is_some_and(|begun| begun.read_only);
         self.unit = Unit::Asked { lost: false };
         self.started = false;
-        actions.push(Action::Ask {
-            alone: closed && plain && (self.status == TransactionStatus::Idle || first),
+        actions.push(Action::RequestServer {
+            single_statement: closed && plain && (self.status == TransactionStatus::Idle || first),
         });
     }
 }
--- a/core/postgres-session/src/session/client.rs
+++ b/core/postgres-session/src/session/client_messages.rs
@@ -6,10 +6,10 @@
 use bytes::{Bytes, BytesMut};
 
 use super::{Action, MOST_MESSAGES, MessageBatch, Session, Unit, send_frame};
-use crate::answer::{self, ErrorReason, TransactionStatus};
 use crate::frame::{DecodeResult, Frame};
-use crate::pins::{self, StatementEffects};
-use crate::statements;
+use crate::prepared_statements;
+use crate::server_messages::{self, ErrorReason, TransactionStatus};
+use crate::sql_analysis::{self, StatementEffects};
 
 impl Session {
     pub(super) fn client(&mut self, cut: DecodeResult, actions: &mut Vec<Action>) {
@@ -104,7 +104,10 @@
     }
 
     pub(super) fn violation(&mut self, detail: Option<&str>, actions: &mut Vec<Action>) {
-        send_frame(&answer::error(ErrorReason::Protocol, detail), actions);
+        send_frame(
+            &server_messages::error_response(ErrorReason::Protocol, detail),
+            actions,
+        );
         self.gone(actions);
     }
 
@@ -119,7 +122,7 @@
             actions.push(if clean {
                 Action::Release(server.state)
             } else {
-                Action::DropServer
+                Action::DiscardServer
             });
         }
         self.groups.clear();
@@ -154,7 +157,7 @@
         };
         // The usual batch uses one statement that has been read before.
         let mut readings: Vec<Rc<StatementEffects>> = Vec::new();
-        let read = |text: &[u8]| Rc::new(pins::read(&String::from_utf8_lossy(text)));
+        let read = |text: &[u8]| Rc::new(sql_analysis::read(&String::from_utf8_lossy(text)));
         let mut last_unnamed = unnamed.clone();
         for frame in &group.frames {
             match frame.tag {
@@ -162,21 +165,21 @@
                 // Which function it is, its number alone does not tell.
                 b'F' => readings.push(Rc::new(StatementEffects::unknown())),
                 b'P' => {
-                    if let Ok((name, text)) = statements::read_parse(frame)
+                    if let Ok((name, text)) = prepared_statements::read_parse(frame)
                         && name.is_empty()
                     {
                         last_unnamed = Some(text);
                     }
                 }
                 b'B' => {
-                    let name = statements::read_bind(frame).unwrap_or_default();
+                    let name = prepared_statements::read_bind(frame).unwrap_or_default();
                     // A statement that this very group prepares is not among the names yet.
                     let fresh = group
                         .frames
                         .iter()
                         .filter(|frame| frame.tag == b'P')
                         .find_map(|frame| {
-                            statements::read_parse(frame)
+                            prepared_statements::read_parse(frame)
                                 .ok()
                                 .filter(|(of, _)| *of == name)
                                 .map(|(_, text)| text)
@@ -187,7 +190,7 @@
                         fresh
                     };
                     match (text, named.reading(&name)) {
-                        (Some(text), _) => readings.push(read(statements::sql(&text))),
+                        (Some(text), _) => readings.push(read(prepared_statements::sql(&text))),
                         (None, Some(known)) => readings.push(known),
                         (None, None) => {}
                     }
--- a/core/postgres-session/src/session/local.rs
+++ b/core/postgres-session/src/session/local_answers.rs
@@ -4,9 +4,9 @@
 use bytes::Bytes;
 
 use super::{Action, Begun, Effect, Session, send_frame};
-use crate::answer::{self, TransactionStatus};
 use crate::frame::Frame;
-use crate::statements;
+use crate::prepared_statements;
+use crate::server_messages::{self, TransactionStatus};
 
 impl Session {
     /// Answers the first group without a server, if it is one that can be: whether it did.
@@ -27,7 +27,7 @@
         let reading = self.reading_of_head();
         match (self.status, &self.begun) {
             (TransactionStatus::Idle, None) => {
-                let Some(read_only) = reading.begins_only() else {
+                let Some(read_only) = reading.transaction_begin() else {
                     return false;
                 };
                 let Some(sql) = self.only_statement() else {
@@ -42,7 +42,7 @@
                 true
             }
             (TransactionStatus::InBlock, Some(_)) => {
-                let Some(commits) = reading.ends_only() else {
+                let Some(commits) = reading.transaction_end() else {
                     return false;
                 };
                 if !self.can_answer() {
@@ -63,13 +63,13 @@
             return Some(Bytes::copy_from_slice(query.first_string()?));
         }
         let bind = head.frames.iter().find(|frame| frame.tag == b'B')?;
-        let name = statements::read_bind(bind).ok()?;
+        let name = prepared_statements::read_bind(bind).ok()?;
         let fresh = head
             .frames
             .iter()
             .filter(|frame| frame.tag == b'P')
             .find_map(|frame| {
-                statements::read_parse(frame)
+                prepared_statements::read_parse(frame)
                     .ok()
                     .filter(|(of, _)| *of == name)
                     .map(|(_, text)| text)
@@ -81,7 +81,7 @@
         };
         fresh
             .or(known)
-            .map(|text| Bytes::copy_from_slice(statements::sql(&text)))
+            .map(|text| Bytes::copy_from_slice(prepared_statements::sql(&text)))
     }
 
     /// Whether each message of the first group would be answered well by a server: one statement, prepared once under
@@ -115,13 +115,13 @@
             }
             last = place;
             let good = match frame.tag {
-                b'P' => statements::read_parse(frame).is_ok_and(|(name, _)| {
+                b'P' => prepared_statements::read_parse(frame).is_ok_and(|(name, _)| {
                     name.is_empty()
                         || (self.named.get(&name).is_none() && self.named.has_room(&name))
                 }),
-                b'B' => statements::read_bind(frame).is_ok(),
+                b'B' => prepared_statements::read_bind(frame).is_ok(),
                 // Of a portal that is another's, or a statement of another name, only a server could tell.
-                b'D' => statements::read_target(frame)
+                b'D' => prepared_statements::read_target(frame)
                     .is_ok_and(|(kind, name)| self.describes(kind, &name)),
                 b'C' => false,
                 b'E' => {
@@ -146,7 +146,7 @@
         let bind = head.frames.iter().find(|frame| frame.tag == b'B');
         let Some(bind) = bind else { return false };
         if kind == b'S' {
-            statements::read_bind(bind).is_ok_and(|bound| bound == *name)
+            prepared_statements::read_bind(bind).is_ok_and(|bound| bound == *name)
         } else {
             bind.first_string()
                 .is_some_and(|portal| portal == &name[..])
@@ -164,10 +164,10 @@
             match frame.tag {
                 b'Q' => {
                     self.apply(Effect::Remove(Bytes::new()));
-                    send_frame(&answer::complete(tag), actions);
+                    send_frame(&server_messages::command_complete(tag), actions);
                 }
                 b'P' => {
-                    if let Ok((name, text)) = statements::read_parse(frame) {
+                    if let Ok((name, text)) = prepared_statements::read_parse(frame) {
                         if !self.named.has_room(&name) {
                             return self.violation(Some("too many prepared statements"), actions);
                         }
@@ -177,7 +177,7 @@
                 }
                 b'B' => send_frame(&empty(b'2'), actions),
                 b'C' => {
-                    if let Ok((b'S', name)) = statements::read_target(frame) {
+                    if let Ok((b'S', name)) = prepared_statements::read_target(frame) {
                         self.apply(Effect::Remove(name));
                     }
                     if told > 0 {
@@ -193,7 +193,7 @@
                     }
                     send_frame(&empty(b'n'), actions);
                 }
-                b'E' => send_frame(&answer::complete(tag), actions),
+                b'E' => send_frame(&server_messages::command_complete(tag), actions),
                 _ => {}
             }
         }
--- a/core/postgres-session/src/session/server.rs
+++ b/core/postgres-session/src/session/server.rs
@@ -5,20 +5,20 @@
 use bytes::{Bytes, BytesMut};
 
 use super::{Action, Effect, ExpectedResponse, Server, ServerState, Session, Unit};
-use crate::answer::{self, TransactionStatus};
 use crate::frame::{DecodeResult, Frame};
-use crate::pins::{self, TransactionStep};
-use crate::statements::{self, Malformed, Named, Text};
+use crate::prepared_statements::{self, ClientStatements, MalformedMessage, StatementText};
+use crate::server_messages::{self, TransactionStatus};
+use crate::sql_analysis::{self, TransactionStep};
 
 /// The client's prepared statements as they are, and as they will be when all that was sent is done.
 struct Names<'a> {
-    named: &'a Named,
-    unnamed: &'a Option<Text>,
-    ahead: &'a mut BTreeMap<Bytes, Option<Text>>,
+    named: &'a ClientStatements,
+    unnamed: &'a Option<StatementText>,
+    ahead: &'a mut BTreeMap<Bytes, Option<StatementText>>,
 }
 
 impl Names<'_> {
-    fn get(&self, name: &Bytes) -> Option<Text> {
+    fn get(&self, name: &Bytes) -> Option<StatementText> {
         match self.ahead.get(name) {
             Some(text) => text.clone(),
             None if name.is_empty() => self.unnamed.clone(),
@@ -41,7 +41,7 @@
         if again && (self.started || open || self.commits) {
             // It must not go out again, whoever says so.
             actions.push(Action::Release(state));
-            actions.push(Action::NotAgain);
+            actions.push(Action::NotRetryable);
             return;
         }
         let mut server = Server {
@@ -148,7 +148,12 @@
 
     /// Writes one message as the server is to get it, and notes what will answer it. `alone`: it is its group's only
     /// one.
-    fn send(&mut self, frame: Frame, alone: bool, out: &mut BytesMut) -> Result<(), Malformed> {
+    fn send(
+        &mut self,
+        frame: Frame,
+        alone: bool,
+        out: &mut BytesMut,
+    ) -> Result<(), MalformedMessage> {
         let Self {
             unit,
             named,
@@ -169,8 +174,8 @@
         let empty = |tag| Frame::new(tag, Bytes::new());
         match frame.tag {
             b'Q' => {
-                let sql = frame.first_string().ok_or(Malformed)?;
-                let reading = pins::read_deallocate(sql);
+                let sql = frame.first_string().ok_or(MalformedMessage)?;
+                let reading = sql_analysis::read_deallocate(sql);
                 let frame = match reading.and_then(|name| names.get(&name).map(|text| (name, text)))
                 {
                     Some((name, text)) if *status != TransactionStatus::Failed => {
@@ -196,27 +201,27 @@
                 frame.write(out);
             }
             b'P' => {
-                let (name, text) = statements::read_parse(&frame)?;
+                let (name, text) = prepared_statements::read_parse(&frame)?;
                 server.parse(name, text, *status, &mut names, deallocates, out)?;
             }
             b'B' => {
-                let name = statements::read_bind(&frame)?;
+                let name = prepared_statements::read_bind(&frame)?;
                 let here = server.statement(&name, &names, out);
                 server.expect.push_back(ExpectedResponse::Bind);
-                statements::rename_bind(&frame, &here)?.write(out);
+                prepared_statements::rename_bind(&frame, &here)?.write(out);
             }
             b'D' => {
-                let (kind, name) = statements::read_target(&frame)?;
+                let (kind, name) = prepared_statements::read_target(&frame)?;
                 if kind == b'S' {
                     let here = server.statement(&name, &names, out);
-                    statements::describe(&here).write(out);
+                    prepared_statements::describe(&here).write(out);
                 } else {
                     frame.write(out);
                 }
                 server.expect.push_back(ExpectedResponse::Describe);
             }
             b'C' => {
-                let (kind, name) = statements::read_target(&frame)?;
+                let (kind, name) = prepared_statements::read_target(&frame)?;
                 if kind == b'S' && !name.is_empty() {
                     // It stays prepared at the server, for whoever needs the same one.
                     names.ahead.insert(name.clone(), None);
@@ -269,7 +274,7 @@
             b'S' => return self.parameter(&frame, actions),
             b'Z' => return self.ready(&frame, actions),
             // Its last words; the session may go on with another.
-            b'E' if answer::is_fatal(&frame) && !server.proving => {
+            b'E' if server_messages::is_fatal(&frame) && !server.proving => {
                 return self.server_lost(actions);
             }
             b'E' if own => {
@@ -326,7 +331,7 @@
                         named_here: Some((here, name)),
                         ..
                     }) => {
-                        frame = answer::renamed(&frame, here, name);
+                        frame = server_messages::with_statement_name(&frame, here, name);
                     }
                     // A Parse of the unnamed statement ends the one before it, whatever becomes of it.
                     Some(ExpectedResponse::Parse {
@@ -399,7 +404,7 @@
             head.closed_told += 1;
         }
         if !std::mem::replace(&mut self.started, true) {
-            actions.push(Action::Started);
+            actions.push(Action::ResponseStarted);
         }
         actions.push(Action::ToClient(bytes));
     }
@@ -476,7 +481,7 @@
         frame.write(&mut bytes);
         self.send_to_client(bytes.freeze(), actions);
         if status == TransactionStatus::Idle {
-            actions.push(Action::Done);
+            actions.push(Action::TransactionDone);
             self.started = false;
             if self.pin.is_none()
                 && let Unit::Attached(server) = std::mem::take(&mut self.unit)
@@ -487,8 +492,8 @@
     }
 
     /// What a group that went well has done to the session's names, settings and pin.
-    fn settle_names(&mut self, reading: &pins::StatementEffects) {
-        if reading.discards && self.pin != Some(pins::StickyReason::Pooling) {
+    fn settle_names(&mut self, reading: &sql_analysis::StatementEffects) {
+        if reading.discards && self.pin != Some(sql_analysis::StickyReason::Pooling) {
             self.pin = None;
         }
         if reading.deallocates {
@@ -510,18 +515,18 @@
     fn parse(
         &mut self,
         name: Bytes,
-        text: Text,
+        text: StatementText,
         status: TransactionStatus,
         names: &mut Names<'_>,
         deallocates: &mut Option<Bytes>,
         out: &mut BytesMut,
-    ) -> Result<(), Malformed> {
-        let sql = statements::sql(&text);
-        if let Some(gone) = pins::read_deallocate(sql)
+    ) -> Result<(), MalformedMessage> {
+        let sql = prepared_statements::sql(&text);
+        if let Some(gone) = sql_analysis::read_deallocate(sql)
             && let Some(known) = names.get(&gone)
             && status != TransactionStatus::Failed
         {
-            // Prepared here first, so that there is something to let go of.
+            // ServerStatements here first, so that there is something to let go of.
             let here = self.named_here(&known, out);
             self.state.prepared.forget(&known);
             *deallocates = Some(gone);
@@ -540,7 +545,7 @@
                 own: false,
                 named_here: None,
             });
-            statements::parse(b"", &here).write(out);
+            prepared_statements::parse(b"", &here).write(out);
             return Ok(());
         }
         if name.is_empty() {
@@ -553,7 +558,7 @@
                 own: false,
                 named_here: None,
             });
-            statements::parse(b"", &text).write(out);
+            prepared_statements::parse(b"", &text).write(out);
             return Ok(());
         }
         if names.get(&name).is_some() {
@@ -566,17 +571,17 @@
                 own: false,
                 named_here,
             });
-            statements::parse(&here, &text).write(out);
+            prepared_statements::parse(&here, &text).write(out);
             return Ok(());
         }
         if !names.named.has_room(&name) {
-            return Err(Malformed);
+            return Err(MalformedMessage);
         }
         let effect = Effect::Set(name.clone(), text.clone());
         if self.state.prepared.has(&text) {
             let ends = |sql: &[u8]| {
-                pins::read(&String::from_utf8_lossy(sql))
-                    .ends_only()
+                sql_analysis::read(&String::from_utf8_lossy(sql))
+                    .transaction_end()
                     .is_some()
             };
             if status == TransactionStatus::Failed && !ends(sql) {
@@ -588,7 +593,7 @@
                     own: false,
                     named_here: None,
                 });
-                statements::parse(&here, &text).write(out);
+                prepared_statements::parse(&here, &text).write(out);
                 return Ok(());
             }
             names.ahead.insert(name, Some(text));
@@ -605,11 +610,11 @@
     /// Prepares a text that does not stand here yet.
     fn prepare(
         &mut self,
-        text: &Text,
+        text: &StatementText,
         effect: Option<Effect>,
         own: bool,
         out: &mut BytesMut,
-    ) -> Result<(), Malformed> {
+    ) -> Result<(), MalformedMessage> {
         let wanted = self.state.prepared.take(text);
         if let Some((parse, room)) = wanted.first.split_last() {
             for close in room {
@@ -631,7 +636,7 @@
     }
 
     /// The name under which a text stands here, prepared first where it does not yet.
-    fn named_here(&mut self, text: &Text, out: &mut BytesMut) -> Bytes {
+    fn named_here(&mut self, text: &StatementText, out: &mut BytesMut) -> Bytes {
         if !self.state.prepared.has(text) {
             let _ = self.prepare(text, None, true, out);
         }
@@ -640,7 +645,7 @@
 
     /// The same, in a part of its own with a Sync, before a Query: what goes wrong in it must not have the Query
     /// passed over.
-    fn prepare_apart(&mut self, text: &Text, out: &mut BytesMut) -> Bytes {
+    fn prepare_apart(&mut self, text: &StatementText, out: &mut BytesMut) -> Bytes {
         let wanted = self.state.prepared.take(text);
         if !wanted.first.is_empty() {
             wanted.first.iter().for_each(|frame| frame.write(out));
@@ -664,7 +669,7 @@
                                 own: true,
                                 named_here: None,
                             });
-                            statements::parse(b"", &text).write(out);
+                            prepared_statements::parse(b"", &text).write(out);
                         }
                         None => {
                             // What stands there is another client's.
@@ -672,7 +677,7 @@
                                 own: true,
                                 effect: None,
                             });
-                            statements::close(b"").write(out);
+                            prepared_statements::close(b"").write(out);
                         }
                     }
                 }
@@ -680,7 +685,7 @@
             }
             (false, Some(text)) => self.named_here(&text, out),
             // Under a name like the node's own it might be another client's here. The server's error names it.
-            (false, None) if statements::is_own(name) => {
+            (false, None) if prepared_statements::is_own(name) => {
                 Bytes::from([b"undefined ", &name[..]].concat())
             }
             (false, None) => name.clone(),
--- a/core/postgres-session/src/session/loss.rs
+++ b/core/postgres-session/src/session/server_loss.rs
@@ -1,9 +1,9 @@
 //! What a client is told when its server is lost, or none is to be had.
 
 use super::{Action, MessageBatch, Session, Unit, send_frame};
-use crate::answer::{self, ErrorReason, TransactionStatus};
-use crate::pins::{self, TransactionStep};
-use crate::statements;
+use crate::prepared_statements;
+use crate::server_messages::{self, ErrorReason, TransactionStatus};
+use crate::sql_analysis::{self, TransactionStep};
 
 impl Session {
     pub(super) fn server_lost(&mut self, actions: &mut Vec<Action>) {
@@ -12,7 +12,7 @@
         };
         let refused = server.setup_failed.clone();
         self.another_sync = server.swallowed_sync;
-        actions.push(Action::DropServer);
+        actions.push(Action::DiscardServer);
         self.ahead.clear();
         self.completion = None;
         let proving = server.proving;
@@ -25,7 +25,7 @@
         if let (Some(error), true) = (refused, proving) {
             // Its settings are such that no server takes them: it is told by the server's own words, and ends.
             self.unit = Unit::None;
-            send_frame(&answer::fatal(&error), actions);
+            send_frame(&server_messages::with_fatal_severity(&error), actions);
             self.gone(actions);
             return;
         }
@@ -37,7 +37,7 @@
                 ErrorReason::MayHaveRun
             };
             send_frame(
-                &answer::error(
+                &server_messages::error_response(
                     reason,
                     Some("the session was pinned to that server and ends"),
                 ),
@@ -103,7 +103,7 @@
         let another_sync = std::mem::take(&mut self.another_sync);
         for _ in 0..count {
             let closed = self.groups.front().is_none_or(|group| group.closed) && !another_sync;
-            send_frame(&answer::error(reason, None), actions);
+            send_frame(&server_messages::error_response(reason, None), actions);
             if !closed {
                 // Its Sync is still to come, and is answered then.
                 if let Some(group) = self.groups.front_mut() {
@@ -167,9 +167,9 @@
         };
         let texts = head.frames.iter().filter(|frame| frame.tag == b'P');
         let prepares: Vec<TransactionStep> = texts
-            .filter_map(|frame| statements::read_parse(frame).ok())
+            .filter_map(|frame| prepared_statements::read_parse(frame).ok())
             .flat_map(|(_, text)| {
-                pins::read(&String::from_utf8_lossy(statements::sql(&text))).steps
+                sql_analysis::read(&String::from_utf8_lossy(prepared_statements::sql(&text))).steps
             })
             .collect();
         let ends = |steps: &[TransactionStep]| {
@@ -199,7 +199,7 @@
     }
 
     fn refuse_head(&mut self, reason: ErrorReason, actions: &mut Vec<Action>) {
-        send_frame(&answer::error(reason, None), actions);
+        send_frame(&server_messages::error_response(reason, None), actions);
         if !self.skip_here() {
             self.pop(actions);
         }
--- a/core/postgres-session/src/session/tests.rs
+++ b/core/postgres-session/src/session/tests.rs
@@ -6,8 +6,8 @@
 
 use super::*;
 use crate::frame::FrameDecoder;
-use crate::pins::TransactionStep;
-use crate::{answer, pins, statements};
+use crate::sql_analysis::TransactionStep;
+use crate::{prepared_statements, server_messages, sql_analysis};
 
 /// What a driver's crate writes, as frames.
 fn frames(write: impl Fn(&mut BytesMut)) -> Vec<Frame> {
@@ -54,10 +54,13 @@
 
 impl Database {
     fn run(&mut self, sql: &str, out: &mut Vec<Frame>, simple: bool) {
-        for step in pins::read(sql).steps {
+        for step in sql_analysis::read(sql).steps {
             let ends = matches!(step, TransactionStep::Commit | TransactionStep::Rollback);
             if sql.contains("fail") || (self.status == TransactionStatus::Failed && !ends) {
-                out.push(answer::error(ErrorReason::InFailedTransaction, None));
+                out.push(server_messages::error_response(
+                    ErrorReason::InFailedTransaction,
+                    None,
+                ));
                 self.skips = !simple;
                 if self.status != TransactionStatus::Idle {
                     self.status = TransactionStatus::Failed;
@@ -71,7 +74,7 @@
             };
         }
         self.ran.push(sql.to_owned());
-        out.push(answer::complete("DONE"));
+        out.push(server_messages::command_complete("DONE"));
     }
 
     fn take(&mut self, bytes: &[u8]) -> Vec<Frame> {
@@ -94,9 +97,9 @@
                     out.push(self.status.ready());
                 }
                 b'P' => {
-                    let (name, text) = statements::read_parse(&frame).expect("a parse");
+                    let (name, text) = prepared_statements::read_parse(&frame).expect("a parse");
                     if !name.is_empty() && self.statements.contains_key(&name) {
-                        out.push(answer::error(
+                        out.push(server_messages::error_response(
                             ErrorReason::MayHaveRun,
                             Some("it is prepared already"),
                         ));
@@ -107,7 +110,7 @@
                     out.push(empty(b'1'));
                 }
                 b'B' => {
-                    let name = statements::read_bind(&frame).expect("a bind");
+                    let name = prepared_statements::read_bind(&frame).expect("a bind");
                     if self.statements.contains_key(&name) {
                         out.push(empty(b'2'));
                         self.statements.insert(
@@ -115,7 +118,7 @@
                             self.statements[&name].clone(),
                         );
                     } else {
-                        out.push(answer::error(
+                        out.push(server_messages::error_response(
                             ErrorReason::MayHaveRun,
                             Some("no such statement"),
                         ));
@@ -124,12 +127,12 @@
                 }
                 b'E' => {
                     let text = self.statements[&b"\0bound"[..]].clone();
-                    let sql = String::from_utf8_lossy(statements::sql(&text)).into_owned();
+                    let sql = String::from_utf8_lossy(prepared_statements::sql(&text)).into_owned();
                     self.run(&sql, &mut out, false);
                 }
                 b'D' => out.extend([Frame::new(b't', &b"\0\0"[..]), empty(b'n')]),
                 b'C' => {
-                    let (_, name) = statements::read_target(&frame).expect("a close");
+                    let (_, name) = prepared_statements::read_target(&frame).expect("a close");
                     self.statements.remove(&name);
                     out.push(empty(b'3'));
                 }
@@ -184,7 +187,7 @@
         self.session.handle(event, &mut actions);
         for action in actions {
             match action {
-                Action::Ask { .. } => self.asked += 1,
+                Action::RequestServer { .. } => self.asked += 1,
                 Action::ToServer(bytes) => {
                     let database = self
                         .database
@@ -200,9 +203,9 @@
                     }
                 }
                 Action::ToClient(bytes) => self.told.extend_from_slice(&bytes),
-                Action::Started => self.started += 1,
-                Action::Done => self.done += 1,
-                Action::NotAgain => self.not_again += 1,
+                Action::ResponseStarted => self.started += 1,
+                Action::TransactionDone => self.done += 1,
+                Action::NotRetryable => self.not_again += 1,
                 Action::Release(_) => {
                     self.released += 1;
                     if let Some(database) = self.database.take() {
@@ -214,7 +217,7 @@
                         self.ran.extend(database.ran);
                     }
                 }
-                Action::DropServer => {
+                Action::DiscardServer => {
                     self.dropped += 1;
                     self.ran.extend(
                         self.database
@@ -332,7 +335,7 @@
     stage.lose();
     stage.attach();
     assert_eq!(stage.not_again, 1);
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     stage.client(&[query("rollback")]);
     assert_eq!(stage.heard(), "08006 ZE C ZI");
 }
@@ -407,22 +410,22 @@
 fn refusals_never_ran() {
     let mut stage = Stage::new();
     stage.client(&[query("insert")]);
-    stage.handle(Event::Refused { wait_ms: 5 });
+    stage.handle(Event::Rejected { retry_after_ms: 5 });
     assert_eq!(stage.heard(), "53300 ZI");
     // Of a transaction the first statement is told, and the rest as in one that has failed; its COMMIT is none.
     stage.client(&[query("begin"), query("insert")]);
-    stage.handle(Event::Refused { wait_ms: 0 });
+    stage.handle(Event::Rejected { retry_after_ms: 0 });
     stage.client(&[query("insert"), query("rollback")]);
     assert_eq!(
         (stage.heard().as_str(), stage.asked),
         ("C ZT 53300 ZE 25P02 ZE C ZI", 2)
     );
     stage.client(&[query("begin"), query("insert"), query("commit")]);
-    stage.handle(Event::Refused { wait_ms: 0 });
+    stage.handle(Event::Rejected { retry_after_ms: 0 });
     assert_eq!(stage.heard(), "C ZT 53300 ZE 53300 ZI");
     // A batch that begins one together with more is refused whole.
     stage.client(&[query("begin; insert"), query("insert"), query("commit")]);
-    stage.handle(Event::Refused { wait_ms: 0 });
+    stage.handle(Event::Rejected { retry_after_ms: 0 });
     assert_eq!(stage.heard(), "53300 ZI 53300 ZI 53300 ZI");
     assert!(stage.ran.is_empty());
 }
@@ -445,7 +448,7 @@
             stage.attach();
         }
         stage.lose();
-        stage.handle(Event::Failed);
+        stage.handle(Event::RequestFailed);
         stage.answers = true;
         stage
     };
@@ -472,7 +475,7 @@
         stage.attach();
         stage.heard();
         stage.lose();
-        stage.handle(Event::Failed);
+        stage.handle(Event::RequestFailed);
         assert_eq!(stage.heard(), "");
         stage.client(next);
         stage.heard()
@@ -504,7 +507,7 @@
     stage.answers = false;
     stage.client(&[closes]);
     stage.lose();
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     stage.client(&[query("commit")]);
     assert!(stage.heard().ends_with("3 ZE 08006 ZI"));
     // As drivers roll back that prepare everything.
@@ -530,12 +533,12 @@
     ]);
     stage.attach();
     stage.lose();
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     assert_eq!(stage.heard(), "08006 ZI");
     stage.client(&[parse("", "insert"), frames(frontend::flush)]);
     stage.attach();
     stage.lose();
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     assert_eq!(stage.heard(), "08006");
     stage.client(&[bind_execute(""), sync()]);
     assert_eq!((stage.heard().as_str(), stage.asked), ("ZI", 2));
@@ -563,7 +566,7 @@
     stage.lose();
     stage.attach();
     assert_eq!(stage.not_again, 1);
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     assert_eq!(stage.heard(), "T 08006 ZI");
 }
 
@@ -573,7 +576,7 @@
         let mut stage = Stage::new();
         stage.client(&[query(sql)]);
         stage.attach();
-        stage.handle(Event::ClientGone);
+        stage.handle(Event::ClientDisconnected);
         assert_eq!(
             (stage.released, stage.dropped, stage.ended),
             (released, 1 - released, true),
@@ -609,7 +612,7 @@
     stage.session.handle(row(), &mut actions);
     assert!(matches!(actions.pop(), Some(Action::ToServer(bytes)) if bytes.len() == 6));
     stage.lose();
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     assert_eq!(stage.heard(), "G 08006 ZI");
 }
 
@@ -635,7 +638,7 @@
 fn a_copy_that_is_lost_ends_with_the_sync_behind_its_data() {
     let mut stage = in_a_copy();
     stage.lose();
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     assert_eq!(stage.heard(), "1 2 G 08006");
     stage.client(&[vec![Frame::new(b'f', &b"gone\0"[..])], sync()]);
     assert_eq!((stage.heard().as_str(), stage.asked), ("ZI", 1));
@@ -644,7 +647,7 @@
     stage.lose();
     stage.client(&[vec![Frame::new(b'c', Bytes::new())], sync()]);
     assert_eq!(stage.heard(), "1 2 G");
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     assert_eq!((stage.heard().as_str(), stage.ended), ("08006 ZI", false));
 }
 
@@ -655,7 +658,11 @@
     stage.answers = false;
     stage.client(&[parse("", "insert"), bind_execute(""), sync()]);
     stage.attach();
-    let complete = || Event::Server(DecodeResult::Frame(answer::complete("INSERT 0 1")));
+    let complete = || {
+        Event::Server(DecodeResult::Frame(server_messages::command_complete(
+            "INSERT 0 1",
+        )))
+    };
     for event in [
         Event::Server(DecodeResult::Frame(Frame::new(b'1', Bytes::new()))),
         Event::Server(DecodeResult::Frame(Frame::new(b'2', Bytes::new()))),
@@ -665,7 +672,7 @@
     }
     assert_eq!(stage.heard(), "1 2");
     stage.lose();
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     assert_eq!(stage.heard(), "08006 ZI");
     // With its end yet to be sent nothing is held back: the client may wait for it.
     stage.client(&[bind_execute(""), frames(frontend::flush)]);
@@ -695,7 +702,7 @@
         &last[..],
     ))));
     assert_eq!((stage.heard().as_str(), stage.dropped), ("", 1));
-    stage.handle(Event::Failed);
+    stage.handle(Event::RequestFailed);
     assert_eq!((stage.heard().as_str(), stage.ended), ("08006 ZI", false));
 }
 
@@ -792,8 +799,8 @@
                 }
                 Move::Attach if matches!(stage.session.unit, Unit::Asked { .. }) => stage.attach(),
                 Move::Lose if stage.database.is_some() => stage.lose(),
-                Move::Fail => stage.handle(Event::Failed),
-                Move::Refuse => stage.handle(Event::Refused { wait_ms: 1 }),
+                Move::Fail => stage.handle(Event::RequestFailed),
+                Move::Refuse => stage.handle(Event::Rejected { retry_after_ms: 1 }),
                 Move::Silence(silent) if stage.database.is_none() => stage.answers = !silent,
                 _ => {}
             }
@@ -808,7 +815,7 @@
             }
             stage.answers = true;
             if matches!(stage.session.unit, Unit::Asked { lost: true }) {
-                stage.handle(Event::Failed);
+                stage.handle(Event::RequestFailed);
             } else if matches!(stage.session.unit, Unit::Asked { lost: false }) {
                 stage.attach();
             }
--- a/core/postgres-session/src/pins.rs
+++ b/core/postgres-session/src/sql_analysis.rs
@@ -79,7 +79,7 @@
     }
 
     /// One transaction begins here and nothing else is done; whether it can change nothing.
-    pub fn begins_only(&self) -> Option<bool> {
+    pub fn transaction_begin(&self) -> Option<bool> {
         match self.steps[..] {
             [TransactionStep::Begin { read_only }] if self.plain => Some(read_only),
             _ => None,
@@ -87,7 +87,7 @@
     }
 
     /// A transaction ends here and nothing else is done: by COMMIT or, if false, by ROLLBACK.
-    pub fn ends_only(&self) -> Option<bool> {
+    pub fn transaction_end(&self) -> Option<bool> {
         match self.steps[..] {
             [TransactionStep::Commit] if self.plain => Some(true),
             [TransactionStep::Rollback] if self.plain => Some(false),
--- a/core/postgres-session/src/pins/tests.rs
+++ b/core/postgres-session/src/sql_analysis/tests.rs
@@ -88,7 +88,7 @@
     ] {
         let reading = read(sql);
         assert_eq!(
-            (reading.begins_only(), reading.ends_only()),
+            (reading.transaction_begin(), reading.transaction_end()),
             (begins, ends),
             "{sql}"
         );
--- a/core/postgres-session/tests/reference.rs
+++ b/core/postgres-session/tests/reference.rs
@@ -8,8 +8,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use badgerpost_fakes::database::{Backend, Database, Offline};
-use badgerpost_postgres_session::answer::TransactionStatus;
 use badgerpost_postgres_session::frame::{DecodeResult, Frame, FrameDecoder};
+use badgerpost_postgres_session::server_messages::TransactionStatus;
 use badgerpost_postgres_session::session::{Action, Event, ServerState, Session};
 use badgerpost_postgres_session::settings::ClientSettings;
 use bytes::{BufMut, BytesMut};
@@ -216,7 +216,7 @@
             self.session.handle(event, &mut actions);
             for action in actions {
                 match action {
-                    Action::Ask { .. } => {
+                    Action::RequestServer { .. } => {
                         let next = self.turns % self.links.len();
                         self.turns += 1;
                         let mut link = self.links.remove(next).expect("an idle connection");
@@ -245,11 +245,11 @@
                         let link = self.held.take().expect("what is released was held");
                         self.links.push_back(Link { state, ..link });
                     }
-                    Action::DropServer | Action::NotAgain => {
+                    Action::DiscardServer | Action::NotRetryable => {
                         panic!("no server was lost: {:?}", self.session)
                     }
                     Action::End => self.ended = true,
-                    Action::Started | Action::Done => {}
+                    Action::ResponseStarted | Action::TransactionDone => {}
                 }
             }
         }
