--- a/adapters/postgres/src/clients.rs
+++ b/adapters/postgres/src/clients.rs
@@ -7,7 +7,7 @@
 
 use badgerpost_postgres_session::server_messages::TransactionStatus;
 use badgerpost_postgres_session::session::Session;
-use badgerpost_postgres_session::sql_analysis::StickyReason;
+use badgerpost_postgres_session::sticky::StickyReason;
 use tokio::sync::Notify;
 
 use crate::cancel::Cancelable;
@@ -193,7 +193,7 @@
     pub fn note(&self, session: &Session, server: Option<SocketAddr>, waits: bool) {
         let entry = &self.0.entry;
         entry.status.set(session.status());
-        entry.pin.set(session.pin());
+        entry.pin.set(session.sticky_reason());
         entry.server.set(server);
         entry.waits.set(waits);
     }
--- a/adapters/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -75,7 +75,7 @@
     }
     greeting.extend([
         Frame::new(b'K', &[0; 8][..]),
-        TransactionStatus::Idle.ready(),
+        TransactionStatus::Idle.ready_for_query(),
     ]);
     client.send(&greeting).await?;
     let mut skips = false;
@@ -116,12 +116,14 @@
                 if out.is_empty() {
                     out.push(Frame::new(b'I', &b""[..]));
                 }
-                out.push(TransactionStatus::Idle.ready());
+                out.push(TransactionStatus::Idle.ready_for_query());
                 client.send(&out).await?;
             }
             b'S' => {
                 skips = false;
-                client.send(&[TransactionStatus::Idle.ready()]).await?;
+                client
+                    .send(&[TransactionStatus::Idle.ready_for_query()])
+                    .await?;
             }
             b'H' => {}
             _ if !std::mem::replace(&mut skips, true) => {
@@ -252,10 +254,7 @@
 fn clients(front: &Front) -> Table {
     let rows = front.clients.all().into_iter().map(|client| {
         let server = client.server().map(|at| at.to_string()).unwrap_or_default();
-        let pin = client
-            .pin()
-            .map(|pin| format!("{pin:?}"))
-            .unwrap_or_default();
+        let pin = client.pin().map(|pin| pin.to_string()).unwrap_or_default();
         texts([
             &client.number,
             &client.user,
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -452,7 +452,7 @@
         let mut actions = Vec::new();
         self.session.handle(event, &mut actions);
         actions.into_iter().for_each(|action| self.act(action));
-        let runs = self.held.as_ref().filter(|_| self.session.runs());
+        let runs = self.held.as_ref().filter(|_| self.session.is_running());
         self.registered
             .cancelable()
             .set_target(runs.map(|held| (held.endpoint, held.link.cancel)));
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -416,6 +416,6 @@
     body.put_u32(registered.number());
     body.put_slice(&key);
     Frame::new(b'K', body.freeze()).write(&mut out);
-    TransactionStatus::Idle.ready().write(&mut out);
+    TransactionStatus::Idle.ready_for_query().write(&mut out);
     out
 }
--- a/core/postgres-session/fuzz/harness.rs
+++ b/core/postgres-session/fuzz/harness.rs
@@ -3,7 +3,7 @@
 
 use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::session::{
-    Action, Event, MAX_BUFFERED_BYTES, ServerState, Session,
+    Action, Event, MAX_BUFFERED_BYTES, MAX_PENDING_BATCHES, ServerState, Session,
 };
 use badgerpost_postgres_session::settings::ClientSettings;
 use badgerpost_postgres_session::startup::{StartupPacket, StartupReader};
@@ -91,8 +91,8 @@
     }
 }
 
-/// Whether a session has a reason not to be read from: too much is held, or too many groups wait.
+/// Whether a session has a reason not to be read from: too much is buffered, or too many batches wait.
 fn session_is_full(session: &Session) -> bool {
-    let (held, groups) = session.backlog();
-    held >= MAX_BUFFERED_BYTES || groups >= 64
+    let backlog = session.backlog();
+    backlog.bytes >= MAX_BUFFERED_BYTES || backlog.batches >= MAX_PENDING_BATCHES
 }
--- /dev/null
+++ b/core/postgres-session/src/extended_query.rs
@@ -0,0 +1,187 @@
+//! Bodies of the messages of the extended query protocol: `Parse`, `Bind`, `Describe` and `Close`, read and written.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use crate::frame::Frame;
+use crate::message_tags::frontend;
+use crate::sql_analysis::{self, StatementEffects};
+
+/// Bytes behind the SQL in a statement's text: its terminating zero and the number of parameter types.
+const SQL_TRAILER_LENGTH: usize = 3;
+
+/// A message whose body does not follow the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a malformed message")]
+pub struct MalformedMessage;
+
+/// SQL and parameter types of a statement, as `Parse` carries them behind the name. Equal texts are the same
+/// statement, whichever client prepares it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct StatementText(Bytes);
+
+impl StatementText {
+    /// The statement's SQL.
+    #[must_use]
+    pub fn sql(&self) -> &[u8] {
+        self.0.split(|byte| *byte == 0).next().unwrap_or_default()
+    }
+
+    /// What the statement's SQL does.
+    #[must_use]
+    pub fn analyze(&self) -> StatementEffects {
+        sql_analysis::analyze_bytes(self.sql())
+    }
+
+    /// The same parameter types with other SQL.
+    #[must_use]
+    pub fn with_sql(&self, sql: &[u8]) -> Self {
+        let trailer = &self.0[self.sql().len()..];
+        Self(Bytes::from([sql, trailer].concat()))
+    }
+}
+
+/// A `Parse` message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParseMessage {
+    /// Name of the statement that is to be prepared; empty for the unnamed one.
+    pub name: Bytes,
+    /// Its SQL and parameter types.
+    pub text: StatementText,
+}
+
+impl ParseMessage {
+    /// Reads the body of a `Parse`.
+    ///
+    /// # Errors
+    /// [`MalformedMessage`] if a string is not terminated or the number of parameter types is missing.
+    pub fn read(frame: &Frame) -> Result<Self, MalformedMessage> {
+        let name_length = frame.first_string().ok_or(MalformedMessage)?.len();
+        let text = frame.body.slice(name_length + 1..);
+        let sql_length = text
+            .iter()
+            .position(|byte| *byte == 0)
+            .ok_or(MalformedMessage)?;
+        if text.len() < sql_length + SQL_TRAILER_LENGTH {
+            return Err(MalformedMessage);
+        }
+        Ok(Self {
+            name: frame.body.slice(..name_length),
+            text: StatementText(text),
+        })
+    }
+}
+
+/// A `Parse` of this text under this name.
+#[must_use]
+pub fn parse(name: &[u8], text: &StatementText) -> Frame {
+    let mut body = BytesMut::with_capacity(name.len() + 1 + text.0.len());
+    body.put_slice(name);
+    body.put_u8(0);
+    body.put_slice(&text.0);
+    Frame::new(frontend::PARSE, body.freeze())
+}
+
+/// Length of the portal's name in a `Bind`, with its terminating zero.
+fn portal_length(bind: &Frame) -> Result<usize, MalformedMessage> {
+    let portal = bind.first_string().ok_or(MalformedMessage)?;
+    Ok(portal.len() + 1)
+}
+
+/// The name of the statement that a `Bind` is for.
+///
+/// # Errors
+/// [`MalformedMessage`] if one of the two names is not terminated.
+pub fn bind_statement(bind: &Frame) -> Result<Bytes, MalformedMessage> {
+    let rest = bind.body.slice(portal_length(bind)?..);
+    let length = rest
+        .iter()
+        .position(|byte| *byte == 0)
+        .ok_or(MalformedMessage)?;
+    Ok(rest.slice(..length))
+}
+
+/// The same `Bind` for a statement of another name.
+///
+/// # Errors
+/// [`MalformedMessage`] as for [`bind_statement`].
+pub fn rename_bind(bind: &Frame, name: &[u8]) -> Result<Frame, MalformedMessage> {
+    let portal_length = portal_length(bind)?;
+    let old_length = bind_statement(bind)?.len();
+    let mut body = BytesMut::with_capacity(bind.body.len() + name.len());
+    body.put_slice(&bind.body[..portal_length]);
+    body.put_slice(name);
+    body.put_slice(&bind.body[portal_length + old_length..]);
+    Ok(Frame::new(frontend::BIND, body.freeze()))
+}
+
+/// What kind of object a `Describe` or `Close` names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetKind {
+    /// A prepared statement.
+    Statement,
+    /// A portal.
+    Portal,
+}
+
+const STATEMENT_TARGET: u8 = b'S';
+const PORTAL_TARGET: u8 = b'P';
+
+/// The object that a `Describe` or `Close` is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Whether a statement or a portal.
+    pub kind: TargetKind,
+    /// Its name; empty for the unnamed one.
+    pub name: Bytes,
+}
+
+impl Target {
+    /// Reads the body of a `Describe` or `Close`.
+    ///
+    /// # Errors
+    /// [`MalformedMessage`] if the kind is unknown or the name is not terminated.
+    pub fn read(frame: &Frame) -> Result<Self, MalformedMessage> {
+        let (tag, rest) = frame.body.split_first().ok_or(MalformedMessage)?;
+        let kind = match *tag {
+            STATEMENT_TARGET => TargetKind::Statement,
+            PORTAL_TARGET => TargetKind::Portal,
+            _ => return Err(MalformedMessage),
+        };
+        let length = rest
+            .iter()
+            .position(|byte| *byte == 0)
+            .ok_or(MalformedMessage)?;
+        Ok(Self {
+            kind,
+            name: frame.body.slice(1..=length),
+        })
+    }
+}
+
+/// Whether the body of a `Describe` or `Close` begins as one for a statement; the rest is not looked at.
+pub(crate) fn targets_statement(frame: &Frame) -> bool {
+    frame.body.first() == Some(&STATEMENT_TARGET)
+}
+
+/// `Close` of a statement of this name.
+#[must_use]
+pub fn close_statement(name: &[u8]) -> Frame {
+    statement_target(frontend::CLOSE, name)
+}
+
+/// `Describe` of a statement of this name.
+#[must_use]
+pub fn describe_statement(name: &[u8]) -> Frame {
+    statement_target(frontend::DESCRIBE, name)
+}
+
+fn statement_target(tag: u8, name: &[u8]) -> Frame {
+    let mut body = BytesMut::with_capacity(name.len() + 2);
+    body.put_u8(STATEMENT_TARGET);
+    body.put_slice(name);
+    body.put_u8(0);
+    Frame::new(tag, body.freeze())
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/core/postgres-session/src/message_tags.rs
@@ -0,0 +1,67 @@
+//! Message type bytes of the protocol ("Message Formats"). A byte means different messages in the two directions.
+
+/// Messages that a client sends.
+pub mod frontend {
+    /// `Bind`.
+    pub const BIND: u8 = b'B';
+    /// `Close`.
+    pub const CLOSE: u8 = b'C';
+    /// `CopyData`.
+    pub const COPY_DATA: u8 = b'd';
+    /// `CopyDone`.
+    pub const COPY_DONE: u8 = b'c';
+    /// `CopyFail`.
+    pub const COPY_FAIL: u8 = b'f';
+    /// `Describe`.
+    pub const DESCRIBE: u8 = b'D';
+    /// `Execute`.
+    pub const EXECUTE: u8 = b'E';
+    /// `Flush`.
+    pub const FLUSH: u8 = b'H';
+    /// `FunctionCall`.
+    pub const FUNCTION_CALL: u8 = b'F';
+    /// `Parse`.
+    pub const PARSE: u8 = b'P';
+    /// `Query`.
+    pub const QUERY: u8 = b'Q';
+    /// `Sync`.
+    pub const SYNC: u8 = b'S';
+    /// `Terminate`.
+    pub const TERMINATE: u8 = b'X';
+}
+
+/// Messages that a server sends.
+pub mod backend {
+    /// `BindComplete`.
+    pub const BIND_COMPLETE: u8 = b'2';
+    /// `CloseComplete`.
+    pub const CLOSE_COMPLETE: u8 = b'3';
+    /// `CommandComplete`.
+    pub const COMMAND_COMPLETE: u8 = b'C';
+    /// `CopyData`.
+    pub const COPY_DATA: u8 = b'd';
+    /// `CopyInResponse`.
+    pub const COPY_IN_RESPONSE: u8 = b'G';
+    /// `DataRow`.
+    pub const DATA_ROW: u8 = b'D';
+    /// `EmptyQueryResponse`.
+    pub const EMPTY_QUERY_RESPONSE: u8 = b'I';
+    /// `ErrorResponse`.
+    pub const ERROR_RESPONSE: u8 = b'E';
+    /// `NoData`.
+    pub const NO_DATA: u8 = b'n';
+    /// `NotificationResponse`.
+    pub const NOTIFICATION_RESPONSE: u8 = b'A';
+    /// `ParameterDescription`.
+    pub const PARAMETER_DESCRIPTION: u8 = b't';
+    /// `ParameterStatus`.
+    pub const PARAMETER_STATUS: u8 = b'S';
+    /// `ParseComplete`.
+    pub const PARSE_COMPLETE: u8 = b'1';
+    /// `PortalSuspended`.
+    pub const PORTAL_SUSPENDED: u8 = b's';
+    /// `ReadyForQuery`.
+    pub const READY_FOR_QUERY: u8 = b'Z';
+    /// `RowDescription`.
+    pub const ROW_DESCRIPTION: u8 = b'T';
+}
--- a/core/postgres-session/src/prepared_statements.rs
+++ b/core/postgres-session/src/prepared_statements.rs
@@ -1,239 +1,184 @@
-//! ServerStatements statements that follow a client from one server to another. A client's names are its own; on server
-//! connections a statement stands under a name of the node's, by its text, and is prepared there when it is first
-//! needed.
+//! Prepared statements that follow a client from one server connection to another. A client's names are its own; on a
+//! server connection a statement has a name that this process gives it by its text, and is prepared there when it is
+//! first needed.
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 
+use crate::extended_query::{StatementText, close_statement, parse};
 use crate::frame::Frame;
-use crate::sql_analysis::{self, StatementEffects};
+use crate::sql_analysis::StatementEffects;
 
-/// ClientStatements statements that a client may keep; the next one is an error of the client's.
+/// Most named statements of one client; one more is an error of the client's.
 pub const MAX_NAMED_STATEMENTS: usize = 256;
-/// Statements that stay prepared on a server connection; the one used longest ago makes room.
+/// Most statements that stay prepared on one server connection; the least recently used one is closed for a new one.
 pub const MAX_SERVER_STATEMENTS: usize = 256;
 
-/// A statement's text and parameter types, as `Parse` gives them behind the name. Equal ones are the same
-/// statement, whoever prepares it.
-pub type StatementText = Bytes;
+/// What names of this process's own statements begin with; a number follows.
+const SERVER_NAME_PREFIX: &str = "bp";
 
-/// A client's names.
+/// The named statements of one client.
 #[derive(Debug, Default)]
 pub struct ClientStatements {
     texts: BTreeMap<Bytes, StatementText>,
-    /// Of the texts, so that each is read once.
-    readings: BTreeMap<Bytes, Rc<StatementEffects>>,
+    /// Effects of the texts, so that each is analyzed once.
+    effects: BTreeMap<Bytes, Rc<StatementEffects>>,
 }
 
-/// A client has more names than it may keep.
+/// A client has more named statements than [`MAX_NAMED_STATEMENTS`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("more than {MAX_NAMED_STATEMENTS} prepared statements")]
 pub struct TooManyStatements;
 
-/// A body that names a statement where its message has none.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("a malformed message")]
-pub struct MalformedMessage;
-
 impl ClientStatements {
-    /// A `Parse` of a named statement has been sent on.
+    /// Adds or replaces the statement of this name.
+    ///
+    /// # Errors
+    /// [`TooManyStatements`] if the name is new and there are too many already.
     pub fn insert(&mut self, name: Bytes, text: StatementText) -> Result<(), TooManyStatements> {
-        if self.texts.len() >= MAX_NAMED_STATEMENTS && !self.texts.contains_key(&name) {
+        if !self.has_room(&name) {
             return Err(TooManyStatements);
         }
-        self.readings.remove(&name);
+        self.effects.remove(&name);
         self.texts.insert(name, text);
         Ok(())
     }
 
-    /// What a named statement's SQL says.
-    pub fn reading(&mut self, name: &Bytes) -> Option<Rc<StatementEffects>> {
+    /// What the SQL of a named statement does.
+    pub fn effects(&mut self, name: &Bytes) -> Option<Rc<StatementEffects>> {
         let text = self.texts.get(name)?;
-        let read = || Rc::new(sql_analysis::read(&String::from_utf8_lossy(sql(text))));
-        Some(
-            self.readings
-                .entry(name.clone())
-                .or_insert_with(read)
-                .clone(),
-        )
+        let effects = self
+            .effects
+            .entry(name.clone())
+            .or_insert_with(|| Rc::new(text.analyze()));
+        Some(effects.clone())
     }
 
-    /// Whether there is room for one more name.
+    /// Whether a statement of this name can be inserted.
+    #[must_use]
     pub fn has_room(&self, name: &[u8]) -> bool {
         self.texts.len() < MAX_NAMED_STATEMENTS || self.texts.contains_key(name)
     }
 
-    /// What stands under a name.
+    /// The text of a named statement.
+    #[must_use]
     pub fn get(&self, name: &[u8]) -> Option<&StatementText> {
         self.texts.get(name)
     }
 
-    /// Forgets a name.
+    /// Removes the statement of this name.
     pub fn remove(&mut self, name: &[u8]) {
         self.texts.remove(name);
-        self.readings.remove(name);
+        self.effects.remove(name);
     }
 
-    /// Forgets all.
+    /// Removes all statements.
     pub fn clear(&mut self) {
         self.texts.clear();
-        self.readings.clear();
+        self.effects.clear();
     }
 }
 
-/// What is prepared on one server connection.
+/// A statement that is prepared on a server connection.
+#[derive(Debug)]
+struct ServerStatement {
+    /// The number in its name.
+    number: u64,
+    /// The value of [`ServerStatements::uses`] when it was used last.
+    last_use: u64,
+}
+
+/// The statements that are prepared on one server connection.
 #[derive(Debug, Default)]
 pub struct ServerStatements {
-    /// By text: its number in the node's names, and when it was used last, in uses.
-    known: HashMap<StatementText, (u64, u64)>,
-    next: u64,
+    statements: HashMap<StatementText, ServerStatement>,
+    next_number: u64,
+    /// Uses of any statement so far.
     uses: u64,
 }
 
-/// What a server connection needs before a statement can be used there.
+/// How a statement can be used on a server connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Use {
+pub struct StatementUse {
     /// The statement's name there.
     pub name: Bytes,
-    /// `Close` of one that has to make room, and `Parse`; their answers are not the client's.
-    pub first: Vec<Frame>,
+    /// What must be sent first: nothing, or a `Close` of an evicted statement, if any, and the `Parse`. The client
+    /// must not get the responses.
+    pub preparation: Vec<Frame>,
 }
 
-fn name(number: u64) -> Bytes {
-    Bytes::from(format!("bp{number}"))
+fn server_name(number: u64) -> Bytes {
+    Bytes::from(format!("{SERVER_NAME_PREFIX}{number}"))
 }
 
 impl ServerStatements {
-    /// The name of a statement here, prepared if it is not yet.
-    pub fn take(&mut self, text: &StatementText) -> Use {
+    /// Uses a statement, which counts as prepared from here on.
+    pub fn use_statement(&mut self, text: &StatementText) -> StatementUse {
         self.uses += 1;
-        if let Some((number, used)) = self.known.get_mut(text) {
-            *used = self.uses;
-            return Use {
-                name: name(*number),
-                first: Vec::new(),
+        if let Some(statement) = self.statements.get_mut(text) {
+            statement.last_use = self.uses;
+            return StatementUse {
+                name: server_name(statement.number),
+                preparation: Vec::new(),
             };
         }
-        let mut first = Vec::new();
-        if self.known.len() >= MAX_SERVER_STATEMENTS {
-            // Rare beside uses, so it may take a look at all of them.
-            let oldest = self
-                .known
-                .iter()
-                .min_by_key(|(_, (_, used))| *used)
-                .map(|(text, _)| text.clone());
-            let number = oldest.and_then(|oldest| self.known.remove(&oldest));
-            first.extend(number.map(|(number, _)| close(&name(number))));
+        let mut preparation = Vec::new();
+        if self.statements.len() >= MAX_SERVER_STATEMENTS
+            && let Some(evicted) = self.evict_least_recently_used()
+        {
+            preparation.push(close_statement(&server_name(evicted.number)));
         }
-        let number = self.next;
-        self.next += 1;
-        self.known.insert(text.clone(), (number, self.uses));
-        let name = name(number);
-        first.push(parse(&name, text));
-        Use { name, first }
+        let name = self.add(text);
+        preparation.push(parse(&name, text));
+        StatementUse { name, preparation }
     }
 
-    /// Whether a statement stands here already.
-    pub fn has(&self, text: &StatementText) -> bool {
-        self.known.contains_key(text)
+    /// Evictions are rare beside uses, so a search through all statements is cheap enough.
+    fn evict_least_recently_used(&mut self) -> Option<ServerStatement> {
+        let (oldest, _) = self
+            .statements
+            .iter()
+            .min_by_key(|(_, statement)| statement.last_use)?;
+        let oldest = oldest.clone();
+        self.statements.remove(&oldest)
     }
 
-    /// A statement is not prepared here after all, or no longer.
-    pub fn forget(&mut self, text: &StatementText) {
-        self.known.remove(text);
+    /// Adds a statement under the next name, which is returned.
+    fn add(&mut self, text: &StatementText) -> Bytes {
+        let statement = ServerStatement {
+            number: self.next_number,
+            last_use: self.uses,
+        };
+        self.next_number += 1;
+        let name = server_name(statement.number);
+        self.statements.insert(text.clone(), statement);
+        name
     }
 
-    /// Nothing is prepared here any more.
-    pub fn clear(&mut self) {
-        self.known.clear();
+    /// Whether a statement is prepared here.
+    #[must_use]
+    pub fn contains(&self, text: &StatementText) -> bool {
+        self.statements.contains_key(text)
     }
-}
-
-/// Whether a name looks like the node's own on server connections, where it might hit another client's statement.
-pub fn is_own(name: &[u8]) -> bool {
-    name.strip_prefix(b"bp")
-        .is_some_and(|rest| !rest.is_empty() && rest.iter().all(u8::is_ascii_digit))
-}
-
-/// `Parse` under this name.
-pub fn parse(name: &[u8], text: &StatementText) -> Frame {
-    let mut body = BytesMut::with_capacity(name.len() + 1 + text.len());
-    body.put_slice(name);
-    body.put_u8(0);
-    body.put_slice(text);
-    Frame::new(b'P', body.freeze())
-}
-
-/// `Close` of a statement.
-pub fn close(name: &[u8]) -> Frame {
-    let mut body = BytesMut::with_capacity(name.len() + 2);
-    body.put_u8(b'S');
-    body.put_slice(name);
-    body.put_u8(0);
-    Frame::new(b'C', body.freeze())
-}
 
-/// The name and the text of a `Parse`.
-pub fn read_parse(frame: &Frame) -> Result<(Bytes, StatementText), MalformedMessage> {
-    let end = frame.first_string().ok_or(MalformedMessage)?.len();
-    let text = frame.body.slice(end + 1..);
-    // The text of the statement ends with a zero; a count of types follows.
-    let sql = text
-        .iter()
-        .position(|byte| *byte == 0)
-        .ok_or(MalformedMessage)?;
-    if text.len() < sql + 3 {
-        return Err(MalformedMessage);
+    /// A statement could not be prepared here, or is deallocated.
+    pub fn remove(&mut self, text: &StatementText) {
+        self.statements.remove(text);
     }
-    Ok((frame.body.slice(..end), text))
-}
-
-/// The statement's SQL in a `Parse`'s text.
-pub fn sql(text: &StatementText) -> &[u8] {
-    text.split(|byte| *byte == 0).next().unwrap_or_default()
-}
-
-/// The statement that a `Bind` names.
-pub fn read_bind(frame: &Frame) -> Result<Bytes, MalformedMessage> {
-    let portal = frame.first_string().ok_or(MalformedMessage)?.len() + 1;
-    let rest = frame.body.slice(portal..);
-    let end = rest
-        .iter()
-        .position(|byte| *byte == 0)
-        .ok_or(MalformedMessage)?;
-    Ok(rest.slice(..end))
-}
 
-/// The same `Bind` of a statement of another name.
-pub fn rename_bind(frame: &Frame, name: &[u8]) -> Result<Frame, MalformedMessage> {
-    let portal = frame.first_string().ok_or(MalformedMessage)?.len() + 1;
-    let old = read_bind(frame)?.len();
-    let mut body = BytesMut::with_capacity(frame.body.len() + name.len());
-    body.put_slice(&frame.body[..portal]);
-    body.put_slice(name);
-    body.put_slice(&frame.body[portal + old..]);
-    Ok(Frame::new(b'B', body.freeze()))
-}
-
-/// What a `Describe` or `Close` is about: `S` for a statement or `P` for a portal, and its name.
-pub fn read_target(frame: &Frame) -> Result<(u8, Bytes), MalformedMessage> {
-    let (kind, rest) = frame.body.split_first().ok_or(MalformedMessage)?;
-    let end = rest
-        .iter()
-        .position(|byte| *byte == 0)
-        .filter(|_| matches!(kind, b'S' | b'P'))
-        .ok_or(MalformedMessage)?;
-    Ok((*kind, frame.body.slice(1..1 + end)))
+    /// All statements are deallocated.
+    pub fn clear(&mut self) {
+        self.statements.clear();
+    }
 }
 
-/// `Describe` of a statement of this name.
-pub fn describe(name: &[u8]) -> Frame {
-    Frame {
-        tag: b'D',
-        ..close(name)
-    }
+/// Whether a name has the form of the names that this process gives to statements on server connections.
+#[must_use]
+pub fn is_server_name(name: &[u8]) -> bool {
+    name.strip_prefix(SERVER_NAME_PREFIX.as_bytes())
+        .is_some_and(|digits| !digits.is_empty() && digits.iter().all(u8::is_ascii_digit))
 }
 
 #[cfg(test)]
--- a/core/postgres-session/src/server_messages.rs
+++ b/core/postgres-session/src/server_messages.rs
@@ -1,44 +1,50 @@
-//! What the node itself tells a client, in the protocol's own words (`ErrorResponse`, "Error and Notice Message
-//! Fields") and codes (PostgreSQL documentation, appendix "PostgreSQL Error Codes").
+//! Messages of a server that this process writes itself, reads or changes: `ErrorResponse` ("Error and Notice Message
+//! Fields"), `ReadyForQuery`, `CommandComplete` and `ParameterStatus`.
+//!
+//! Source of the codes: PostgreSQL documentation, appendix "PostgreSQL Error Codes".
+
+use std::borrow::Cow;
 
 use bytes::{BufMut, BytesMut};
 
 use crate::frame::Frame;
+use crate::message_tags::backend;
 
-/// Why a statement has no answer of a server's.
+/// Why a client gets an error of this process's own instead of a server's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ErrorReason {
-    /// There is no room: it never ran, and trying again is harmless, but not sooner than this many milliseconds.
+    /// No server has capacity: the transaction never ran, and a retry is safe.
     Rejected {
-        /// From now on.
+        /// How long the client should wait before it retries, in milliseconds.
         retry_after_ms: u64,
     },
     /// The server was lost, or too slow; the statement may have run.
     MayHaveRun,
-    /// The server was lost in a transaction that had not been committed: nothing of it stays.
+    /// The server was lost in a transaction that had not been committed: it is rolled back.
     TransactionLost,
-    /// The server was lost behind a COMMIT: nobody knows.
+    /// The server was lost before it answered COMMIT: whether the transaction is committed is unknown.
     CommitUnknown,
-    /// The transaction has failed; only its end is taken now.
+    /// The transaction has failed; only its end is accepted.
     InFailedTransaction,
-    /// The node is going; the session ends.
+    /// This process is shutting down; the session ends.
     Stopping,
     /// The client does not follow the protocol; the session ends.
     Protocol,
-    /// It has not shown who it is; the session ends.
+    /// Authentication failed; the session ends.
     Identity,
-    /// It may not come here; the session ends.
+    /// The client is not authorized; the session ends.
     NotAllowed,
-    /// All places for clients are taken; the session ends.
+    /// The limit of client connections is reached; the session ends.
     TooManyClients,
     /// No server can be reached; the session ends.
     NoServer,
-    /// What it asks for can't be had.
+    /// The client asks for something that is not supported.
     Unsupported,
 }
 
 impl ErrorReason {
     /// Its SQLSTATE.
+    #[must_use]
     pub fn sqlstate(self) -> &'static str {
         match self {
             // too_many_connections
@@ -66,6 +72,7 @@
     }
 
     /// Whether the session ends with it.
+    #[must_use]
     pub fn is_fatal(self) -> bool {
         matches!(
             self,
@@ -114,83 +121,104 @@
     }
 }
 
-/// `ErrorResponse`.
+/// Codes of the fields of an `ErrorResponse`.
+mod error_field {
+    pub(super) const SEVERITY: u8 = b'S';
+    /// As [`SEVERITY`], but never translated.
+    pub(super) const SEVERITY_NONLOCALIZED: u8 = b'V';
+    pub(super) const CODE: u8 = b'C';
+    pub(super) const MESSAGE: u8 = b'M';
+    pub(super) const DETAIL: u8 = b'D';
+    pub(super) const HINT: u8 = b'H';
+}
+
+/// An `ErrorResponse` for this reason. Zero bytes in `detail` are dropped.
+#[must_use]
 pub fn error_response(reason: ErrorReason, detail: Option<&str>) -> Frame {
     let severity = if reason.is_fatal() { "FATAL" } else { "ERROR" };
     let hint = reason.hint();
     let fields = [
-        (b'S', Some(severity)),
-        (b'V', Some(severity)),
-        (b'C', Some(reason.sqlstate())),
-        (b'M', Some(reason.message())),
-        (b'D', detail),
-        (b'H', hint.as_deref()),
+        (error_field::SEVERITY, Some(severity)),
+        (error_field::SEVERITY_NONLOCALIZED, Some(severity)),
+        (error_field::CODE, Some(reason.sqlstate())),
+        (error_field::MESSAGE, Some(reason.message())),
+        (error_field::DETAIL, detail),
+        (error_field::HINT, hint.as_deref()),
     ];
     let mut body = BytesMut::new();
-    for (field, text) in fields {
-        // A zero would end the field early.
-        let Some(text) = text.map(|text| text.replace('\0', "")) else {
-            continue;
-        };
-        body.put_u8(field);
-        body.put_slice(text.as_bytes());
-        body.put_u8(0);
+    for (code, text) in fields {
+        if let Some(text) = text {
+            // A zero would end the field early.
+            put_field(&mut body, code, &text.replace('\0', ""));
+        }
     }
     body.put_u8(0);
-    Frame::new(b'E', body.freeze())
+    Frame::new(backend::ERROR_RESPONSE, body.freeze())
 }
 
-/// A server's error as one that ends the session.
+/// A server's `ErrorResponse` with the severity of one that ends the session.
+#[must_use]
 pub fn with_fatal_severity(error: &Frame) -> Frame {
-    edit(error, |field, text| match field {
-        b'S' | b'V' => "FATAL".to_owned(),
+    map_fields(error, |code, text| match code {
+        error_field::SEVERITY | error_field::SEVERITY_NONLOCALIZED => "FATAL".to_owned(),
         _ => text.to_owned(),
     })
 }
 
-/// Whether an error ends its connection.
+/// Whether an `ErrorResponse` ends its connection.
+#[must_use]
 pub fn is_fatal(error: &Frame) -> bool {
     let mut fields = error.body.split(|byte| *byte == 0);
     fields.any(|field| matches!(field, b"VFATAL" | b"VPANIC"))
 }
 
-/// A server's error with another name in its message.
-pub fn with_statement_name(error: &Frame, here: &[u8], named: &[u8]) -> Frame {
+/// A server's `ErrorResponse` whose message names a statement as the client does and not as the server connection does.
+#[must_use]
+pub fn with_statement_name(error: &Frame, server_name: &[u8], client_name: &[u8]) -> Frame {
     let quoted = |name: &[u8]| format!("\"{}\"", String::from_utf8_lossy(name));
-    edit(error, |field, text| match field {
-        b'M' => text.replace(&quoted(here), &quoted(named)),
+    map_fields(error, |code, text| match code {
+        error_field::MESSAGE => text.replace(&quoted(server_name), &quoted(client_name)),
         _ => text.to_owned(),
     })
 }
 
-fn edit(error: &Frame, change: impl Fn(u8, &str) -> String) -> Frame {
+/// An `ErrorResponse` with the text of each field replaced by what `change` makes of its code and text.
+fn map_fields(error: &Frame, change: impl Fn(u8, &str) -> String) -> Frame {
     let mut body = BytesMut::new();
     for field in error.body.split(|byte| *byte == 0) {
-        let Some((kind, text)) = field.split_first() else {
-            continue;
-        };
-        body.put_u8(*kind);
-        body.put_slice(change(*kind, &String::from_utf8_lossy(text)).as_bytes());
-        body.put_u8(0);
+        if let Some((code, text)) = field.split_first() {
+            put_field(
+                &mut body,
+                *code,
+                &change(*code, &String::from_utf8_lossy(text)),
+            );
+        }
     }
     body.put_u8(0);
     Frame::new(error.tag, body.freeze())
 }
 
-/// Where a session's transaction stands.
+fn put_field(body: &mut BytesMut, code: u8, text: &str) {
+    body.put_u8(code);
+    body.put_slice(text.as_bytes());
+    body.put_u8(0);
+}
+
+/// The state of a session's transaction, as `ReadyForQuery` reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum TransactionStatus {
-    /// In none.
+    /// Not in a transaction block.
     #[default]
     Idle,
-    /// In one.
+    /// In a transaction block.
     InBlock,
-    /// In one that has failed.
+    /// In a failed transaction block: all is rejected until its end.
     Failed,
 }
 
 impl TransactionStatus {
-    /// As `ReadyForQuery` tells it.
+    /// Reads the status byte of a `ReadyForQuery`; `None` if there is no such status.
+    #[must_use]
     pub fn read(byte: u8) -> Option<Self> {
         match byte {
             b'I' => Some(Self::Idle),
@@ -200,20 +228,48 @@
         }
     }
 
-    /// `ReadyForQuery`.
-    pub fn ready(self) -> Frame {
+    /// The `ReadyForQuery` that reports this status.
+    #[must_use]
+    pub fn ready_for_query(self) -> Frame {
         let byte = match self {
             Self::Idle => &b"I"[..],
             Self::InBlock => b"T",
             Self::Failed => b"E",
         };
-        Frame::new(b'Z', byte)
+        Frame::new(backend::READY_FOR_QUERY, byte)
     }
 }
 
-/// `CommandComplete`.
-pub fn command_complete(tag: &str) -> Frame {
-    Frame::new(b'C', format!("{tag}\0").into_bytes())
+/// `CommandComplete` with this command tag.
+#[must_use]
+pub fn command_complete(command_tag: &str) -> Frame {
+    let body = format!("{command_tag}\0").into_bytes();
+    Frame::new(backend::COMMAND_COMPLETE, body)
+}
+
+/// A `ParameterStatus`: a server reports the value of a setting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParameterStatus<'a> {
+    /// The setting's name, as the server writes it.
+    pub name: Cow<'a, str>,
+    /// Its value.
+    pub value: Cow<'a, str>,
+}
+
+impl<'a> ParameterStatus<'a> {
+    /// Reads the body of a `ParameterStatus`; `None` if it does not hold two strings. Bytes that are no UTF-8 are
+    /// replaced.
+    #[must_use]
+    pub fn read(frame: &'a Frame) -> Option<Self> {
+        let mut strings = frame
+            .body
+            .split(|byte| *byte == 0)
+            .map(String::from_utf8_lossy);
+        Some(Self {
+            name: strings.next()?,
+            value: strings.next()?,
+        })
+    }
 }
 
 #[cfg(test)]
--- a/core/postgres-session/src/server_messages/tests.rs
+++ b/core/postgres-session/src/server_messages/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// Read back by another's parser.
+/// Fields of an `ErrorResponse` as an independent parser reads them.
 fn fields(frame: &Frame) -> Vec<(u8, String)> {
     use postgres_protocol::message::backend::ErrorFields;
     let mut wire = BytesMut::new();
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn errors_are_read_by_others() {
+fn error_responses_are_read_by_an_independent_parser() {
     let refused = fields(&error_response(
         ErrorReason::Rejected {
             retry_after_ms: 250,
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -1,248 +1,115 @@
-//! One client's session: what it has sent and is owed, the server connection that it has at the moment, and what is
-//! done when that is lost. Groups of messages (all up to a `Sync`, `Query` or `FunctionCall`, each of which is answered
-//! by one `ReadyForQuery`) go to a server one after the other, so that it is always known which of them may have run.
+//! One client's session: the messages that it has sent and that are not answered, the server connection that it has at
+//! the moment, and what happens when that is lost.
+//!
+//! Batches of messages (see [`message_batch`]) go to a server one after the other, so that it is always known which of
+//! them may have run. The session's need for a server goes through these states:
+//!
+//! ```text
+//!            a batch is ready               Attached
+//!    None ---------------------> Requested ----------> Attached
+//!     ^                           |    ^                |    |
+//!     |   Rejected, RequestFailed |    |   ServerLost   |    |
+//!     +---------------------------+    +----------------+    |
+//!     +------------------------------------------------------+
+//!            the transaction is over, the session not sticky
+//! ```
 //!
 //! Source: PostgreSQL documentation, chapter "Frontend/Backend Protocol", "Message Flow".
 
 mod client_messages;
+mod event;
+mod forwarding;
 mod local_answers;
-mod server;
+mod message_batch;
+mod message_writer;
+mod server_link;
 mod server_loss;
+mod server_responses;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 
-use crate::frame::{DecodeResult, Frame};
-use crate::prepared_statements::{ClientStatements, ServerStatements, StatementText};
+pub use self::event::{Action, Event, ServerState};
+use self::message_batch::MessageBatch;
+use self::server_link::{NameChange, ServerLink};
+use crate::extended_query::StatementText;
+use crate::frame::Frame;
+use crate::prepared_statements::ClientStatements;
 use crate::server_messages::{ErrorReason, TransactionStatus};
-use crate::settings::{ClientSettings, ServerSettings};
-use crate::sql_analysis::{StatementEffects, StickyReason};
+use crate::settings::ClientSettings;
+use crate::sql_analysis::{AccessMode, StatementEffects, TransactionStep};
+use crate::sticky::StickyReason;
 
-/// With so many bytes held for a client no more are read from it. One frame more than that may come.
+/// With this many bytes buffered for a client no more are read from it. One message more than that may come.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
-/// Groups that a client may have sent ahead; with more, no more are read from it.
-const AHEAD: usize = 64;
-/// Messages of a group; more are a protocol error, as none of them would be answered before its end.
-const MOST_MESSAGES: usize = 4096;
-
-/// What is known of a server connection, whoever has it.
-#[derive(Debug, Default)]
-pub struct ServerState {
-    /// What is prepared there.
-    pub prepared: ServerStatements,
-    /// What its settings are.
-    pub settings: ServerSettings,
-}
-
-/// What a session hears.
-#[derive(Debug)]
-pub enum Event {
-    /// From the client.
-    Client(DecodeResult),
-    /// A server connection is at its disposal, in this state.
-    Attached(ServerState),
-    /// From the server.
-    Server(DecodeResult),
-    /// The server connection is lost, or was given up.
-    ServerLost,
-    /// What it has asked for is refused: nothing ran, or it does no harm.
-    Rejected {
-        /// How long the client should stay away, in milliseconds.
-        retry_after_ms: u64,
-    },
-    /// What it has asked for has failed.
-    RequestFailed,
-    /// The client has gone.
-    ClientDisconnected,
-}
-
-/// What a session says.
-#[derive(Debug)]
-pub enum Action {
-    /// A transaction wants a server.
-    RequestServer {
-        /// It is one statement outside any transaction block, or the first one of a transaction that can change
-        /// nothing, so that it may be sent again where its class allows.
-        single_statement: bool,
-    },
-    /// To the server.
-    ToServer(Bytes),
-    /// To the client.
-    ToClient(Bytes),
-    /// Something of the transaction's answer goes to the client now: it must not be sent again.
-    ResponseStarted,
-    /// The transaction is over, and answered.
-    TransactionDone,
-    /// What the server was meant for has been sent before and may not be sent again.
-    NotRetryable,
-    /// The server connection is free for others, in this state.
-    Release(ServerState),
-    /// The server connection is of no further use to anybody.
-    DiscardServer,
-    /// The session ends; close the client's connection once all is written.
-    End,
-}
-
-/// What a message does to the client's prepared statements once it is answered; the empty name is the unnamed one.
-#[derive(Clone, Debug)]
-enum Effect {
-    Set(Bytes, StatementText),
-    Remove(Bytes),
-}
-
-/// What a message sent to the server will be answered by.
-#[derive(Debug)]
-enum ExpectedResponse {
-    /// `ParseComplete`.
-    Parse {
-        /// ServerStatements under a name of the node's: not there if it fails.
-        text: Option<StatementText>,
-        effect: Option<Effect>,
-        /// The node sends it by itself.
-        own: bool,
-        /// The node's name, and the client's that is to stand in an error instead of it.
-        named_here: Option<(Bytes, Bytes)>,
-    },
-    /// `BindComplete`.
-    Bind,
-    /// `CloseComplete`; of the node's own, if it is not the client's.
-    Close { own: bool, effect: Option<Effect> },
-    /// `RowDescription` or `NoData`.
-    Describe,
-    /// `CommandComplete`, `EmptyQueryResponse` or `PortalSuspended`.
-    Execute,
-    /// `ReadyForQuery` behind a `Query` or `FunctionCall`.
-    Query,
-    /// `ReadyForQuery` behind a `Sync`.
-    Sync,
-    /// All up to `ReadyForQuery` is the node's own: settings, or a BEGIN that has been answered.
-    Setup,
-    /// Nothing: the node answers it, when all before it are.
-    Answered(Frame, Effect),
-}
-
-/// Messages that are answered by one `ReadyForQuery`.
-#[derive(Debug, Default)]
-struct MessageBatch {
-    /// All of them: they are kept until the answer, for a server that may be another.
-    frames: Vec<Frame>,
-    /// The last one has come.
-    closed: bool,
-    /// All up to here is to be sent now (`Flush`).
-    flushed: usize,
-    /// So many of them have been sent.
-    sent: usize,
-    /// It has failed before its Sync came: all up to that is passed over.
-    skips: bool,
-    /// `CloseComplete`s of it that the client has had.
-    closed_told: usize,
-    /// What its statements are, as far as it has come when that was asked first.
-    reading: Option<Rc<StatementEffects>>,
-}
-
-impl MessageBatch {
-    /// Whether it closes statements and portals and does nothing else.
-    fn only_closes(&self) -> bool {
-        self.frames
-            .iter()
-            .all(|frame| matches!(frame.tag, b'C' | b'S' | b'H'))
-    }
-
-    /// How far it may be sent now.
-    fn ready(&self) -> usize {
-        if self.closed {
-            self.frames.len()
-        } else {
-            self.flushed
-        }
-    }
-
-    fn held(&self) -> usize {
-        self.frames.iter().map(Frame::wire_len).sum()
-    }
-}
-
-#[derive(Debug)]
-struct Server {
-    state: ServerState,
-    expect: VecDeque<ExpectedResponse>,
-    /// The client's unnamed statement stands here.
-    unnamed: bool,
-    /// The client is to send data to be copied, and has not ended it.
-    copies: bool,
-    /// A Sync was sent before that, which the server passes over: the one behind the data takes its place.
-    swallowed_sync: bool,
-    /// The client's settings are tried here first; nothing else is sent until they have been taken.
-    proving: bool,
-    /// What the node sent by itself was turned down.
-    setup_failed: Option<Frame>,
-    /// All up to a Sync that has not come yet is passed over.
-    skipping: bool,
-    /// The BEGIN that was answered here has gone out.
-    begun: bool,
+/// With this many batches of a client waiting no more are read from it.
+pub const MAX_PENDING_BATCHES: usize = 64;
+/// Most messages of a batch; more are a protocol violation, as none of them would be answered before its end.
+const MAX_BATCH_MESSAGES: usize = 4096;
+
+/// What a session has buffered for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backlog {
+    /// Size of the messages on the wire, in bytes.
+    pub bytes: usize,
+    /// Batches that are not answered.
+    pub batches: usize,
 }
 
-#[derive(Debug, Default)]
-enum Unit {
-    /// Nothing is wanted.
-    #[default]
-    None,
-    /// A server is wanted; whether one had it before that was lost.
-    Asked { lost: bool },
-    /// A server has it.
-    Attached(Box<Server>),
-}
-
-/// A BEGIN that was answered here and goes out with the statement behind it.
+/// A BEGIN that was answered locally and is sent to the server together with the statement behind it.
 #[derive(Clone, Debug)]
-struct Begun {
+struct DeferredBegin {
     sql: Bytes,
-    read_only: bool,
+    access_mode: AccessMode,
 }
 
 /// One client's session, from its first `ReadyForQuery` on.
 #[derive(Debug, Default)]
 pub struct Session {
+    /// Status of the transaction, as the client knows it.
     status: TransactionStatus,
-    groups: VecDeque<MessageBatch>,
-    held: usize,
-    unit: Unit,
+    /// Batches that are not answered, the one under way first.
+    batches: VecDeque<MessageBatch>,
+    /// Size of the batches' messages on the wire.
+    buffered_bytes: usize,
+    server_link: ServerLink,
     settings: ClientSettings,
-    named: ClientStatements,
-    /// The client's unnamed statement.
-    unnamed: Option<StatementText>,
-    /// Names as they will be when all of the group that is under way is done.
-    ahead: BTreeMap<Bytes, Option<StatementText>>,
-    pin: Option<StickyReason>,
-    /// Something of the unit's answer has gone to the client.
-    started: bool,
+    named_statements: ClientStatements,
+    unnamed_statement: Option<StatementText>,
+    /// Changes of the client's statements by messages of the batch under way that are not answered; `None` for a
+    /// statement that is closed.
+    pending_names: BTreeMap<Bytes, Option<StatementText>>,
+    sticky_reason: Option<StickyReason>,
+    /// A part of the transaction's response has gone to the client.
+    response_started: bool,
     /// A COMMIT has been sent that is not answered.
-    commits: bool,
-    /// The last `CommandComplete` of a batch outside a block, until its Sync has committed it: drivers take it for the
-    /// commit.
-    completion: Option<Bytes>,
+    commit_in_flight: bool,
+    /// The last `CommandComplete` of a batch outside a transaction block, held back until the batch's `Sync` has
+    /// committed it: drivers take it for the commit.
+    held_completion: Option<Bytes>,
     /// A part of a row has gone to the client, and the rest has not.
-    cut_short: bool,
-    /// The server was lost in a copy behind a Sync that it had passed over: the client sends another one.
-    another_sync: bool,
-    /// The group that is under way has had an error.
-    failed: bool,
-    /// A name that its DEALLOCATE lets go of.
-    deallocates: Option<Bytes>,
-    begun: Option<Begun>,
-    /// The server of its transaction is lost; only the end of that is taken.
-    orphaned: bool,
-    /// Why, until the client has been told.
-    news: Option<ErrorReason>,
-    /// Why, also after that.
-    cause: Option<ErrorReason>,
+    row_is_incomplete: bool,
+    /// The server was lost in a copy behind a `Sync` that it had ignored: the client sends another one.
+    expects_second_sync: bool,
+    /// The batch under way has had an error.
+    batch_failed: bool,
+    /// Name of the client's statement that the DEALLOCATE of the batch under way removes.
+    deallocated_name: Option<Bytes>,
+    deferred_begin: Option<DeferredBegin>,
+    /// The server of the open transaction is lost; only the end of the transaction is accepted.
+    transaction_lost: bool,
+    /// Why the transaction is lost, until the client has got an error about it.
+    unreported_loss: Option<ErrorReason>,
+    /// Why the last request for a server came to nothing, also after the client knows.
+    loss_reason: Option<ErrorReason>,
     ended: bool,
 }
 
 impl Session {
     /// A session whose client wants these settings.
+    #[must_use]
     pub fn new(settings: ClientSettings) -> Self {
         Self {
             settings,
@@ -251,116 +118,103 @@
     }
 
     /// Whether more should be read from the client.
+    #[must_use]
     pub fn wants_more(&self) -> bool {
-        !self.ended && self.held < MAX_BUFFERED_BYTES && self.groups.len() < AHEAD
+        !self.ended
+            && self.buffered_bytes < MAX_BUFFERED_BYTES
+            && self.batches.len() < MAX_PENDING_BATCHES
     }
 
-    /// Bytes that are held for the client, and groups of its messages that wait.
-    pub fn backlog(&self) -> (usize, usize) {
-        (self.held, self.groups.len())
+    /// What is buffered for the client.
+    #[must_use]
+    pub fn backlog(&self) -> Backlog {
+        Backlog {
+            bytes: self.buffered_bytes,
+            batches: self.batches.len(),
+        }
     }
 
-    /// Where the transaction stands, as the client knows it.
+    /// Status of the transaction, as the client knows it.
+    #[must_use]
     pub fn status(&self) -> TransactionStatus {
         self.status
     }
 
-    /// Why it is pinned to its server.
-    pub fn pin(&self) -> Option<StickyReason> {
-        self.pin
+    /// Why the session keeps its server connection between transactions, if it does.
+    #[must_use]
+    pub fn sticky_reason(&self) -> Option<StickyReason> {
+        self.sticky_reason
     }
 
-    /// It keeps the server connection that it has until it ends.
+    /// Makes the session keep the server connection that it has until it ends.
     pub fn keep_server(&mut self) {
-        self.pin.get_or_insert(StickyReason::Pooling);
+        self.sticky_reason.get_or_insert(StickyReason::Pooling);
     }
 
-    /// Whether it has nothing under way or open anywhere.
+    /// Whether no transaction is open and no message is unanswered.
+    #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.status == TransactionStatus::Idle && self.groups.is_empty()
+        self.status == TransactionStatus::Idle && self.batches.is_empty()
     }
 
-    /// What the client's settings are, by name in small letters.
+    /// The client's settings.
+    #[must_use]
     pub fn settings(&self) -> &ClientSettings {
         &self.settings
     }
 
-    /// Whether a statement is under way on its server, so that a cancel can be meant for it.
-    pub fn runs(&self) -> bool {
-        matches!(&self.unit, Unit::Attached(_))
-            && self.groups.front().is_some_and(|group| group.sent > 0)
+    /// Whether the server has a message of the client's that is not answered, so that a cancel request may be meant
+    /// for it.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        matches!(&self.server_link, ServerLink::Attached(_))
+            && self
+                .batches
+                .front()
+                .is_some_and(|batch| batch.sent_count > 0)
     }
 
-    /// Takes an event in and adds what is to be done.
+    /// Handles an event and adds the actions that follow from it.
     pub fn handle(&mut self, event: Event, actions: &mut Vec<Action>) {
         if self.ended {
-            // A server that comes too late is free at once: nothing was sent to it.
+            // A server connection that comes too late is free at once: nothing was sent to it.
             if let Event::Attached(state) = event {
                 actions.push(Action::Release(state));
             }
             return;
         }
         match event {
-            Event::Client(cut) => self.client(cut, actions),
-            Event::Attached(state) => self.attached(state, actions),
-            Event::Server(cut) => self.server(cut, actions),
-            Event::ServerLost => self.server_lost(actions),
-            Event::Rejected { retry_after_ms } => {
-                // Where it may have run after all, it was safe to repeat; but to say it never ran would be wrong.
-                let ran = matches!(self.unit, Unit::Asked { lost: true });
-                let reason = if ran {
-                    ErrorReason::MayHaveRun
-                } else {
-                    ErrorReason::Rejected { retry_after_ms }
-                };
-                self.give_up(reason, actions);
-            }
-            Event::RequestFailed => {
-                let reason = match (self.commits, self.status) {
-                    (true, _) => ErrorReason::CommitUnknown,
-                    (false, TransactionStatus::Idle) => ErrorReason::MayHaveRun,
-                    (false, _) => ErrorReason::TransactionLost,
-                };
-                self.give_up(reason, actions);
-            }
-            Event::ClientDisconnected => self.gone(actions),
+            Event::Client(message) => self.on_client_message(message, actions),
+            Event::Attached(state) => self.on_attached(state, actions),
+            Event::Server(message) => self.on_server_message(message, actions),
+            Event::ServerLost => self.on_server_lost(actions),
+            Event::Rejected { retry_after_ms } => self.on_rejected(retry_after_ms, actions),
+            Event::RequestFailed => self.on_request_failed(actions),
+            Event::ClientDisconnected => self.end(actions),
         }
-        self.pump(actions);
+        self.advance(actions);
     }
 
-    /// Sends on what is ready to go.
-    fn pump(&mut self, actions: &mut Vec<Action>) {
-        while !self.ended {
-            if let Unit::Attached(server) = &self.unit
-                && server.skipping
-                && !self.skip()
-            {
-                return;
-            }
-            let Some(head) = self.groups.front() else {
-                return;
-            };
-            if head.ready() == 0 {
-                return;
-            }
-            if self.orphaned {
-                // Nothing of it is at any server: its end is awaited, so that all of it is known.
-                if !head.closed {
+    /// Goes on with the first batch, and with those behind it where it can be answered locally.
+    fn advance(&mut self, actions: &mut Vec<Action>) {
+        while !self.ended && self.skip_to_sync() && self.first_batch_is_ready() {
+            if self.transaction_lost {
+                // The batch is at no server. All of it has to be known, so its end is awaited.
+                if !self.batches.front().is_some_and(|batch| batch.is_complete) {
                     return;
                 }
-                self.answer_orphan(actions);
+                self.answer_lost_transaction(actions);
                 continue;
             }
-            match self.unit {
-                Unit::None => {
-                    if self.answer_here(actions) {
-                        continue;
+            match self.server_link {
+                ServerLink::None => {
+                    if !self.answer_locally(actions) {
+                        self.request_server(actions);
+                        return;
                     }
-                    self.ask(actions);
-                    return;
                 }
-                Unit::Asked { .. } => return,
-                Unit::Attached(_) => {
+                ServerLink::Requested { .. } => return,
+                ServerLink::Attached(_) => {
                     self.forward(actions);
                     return;
                 }
@@ -368,26 +222,96 @@
         }
     }
 
-    fn ask(&mut self, actions: &mut Vec<Action>) {
-        let reading = self.reading_of_head();
-        let closed = self.groups.front().is_some_and(|head| head.closed);
-        let plain = matches!(
-            reading.steps[..],
-            [] | [crate::sql_analysis::TransactionStep::Other]
-        ) && reading.pin.is_none();
-        let first = self.begun.as_ref().is_some_and(|begun| begun.read_only);
-        self.unit = Unit::Asked { lost: false };
-        self.started = false;
+    /// Whether there is something of the first batch that may be sent.
+    fn first_batch_is_ready(&self) -> bool {
+        self.batches
+            .front()
+            .is_some_and(|batch| batch.ready_count() > 0)
+    }
+
+    fn request_server(&mut self, actions: &mut Vec<Action>) {
+        let effects = self.first_batch_effects();
+        let is_complete = self.batches.front().is_some_and(|batch| batch.is_complete);
+        let is_single = matches!(effects.steps[..], [] | [TransactionStep::Other])
+            && effects.sticky_reason.is_none();
+        let is_first_of_read_only = self
+            .deferred_begin
+            .as_ref()
+            .is_some_and(|begin| begin.access_mode == AccessMode::ReadOnly);
+        let may_repeat = self.status == TransactionStatus::Idle || is_first_of_read_only;
+        self.server_link = ServerLink::Requested {
+            is_replacement: false,
+        };
+        self.response_started = false;
         actions.push(Action::RequestServer {
-            single_statement: closed && plain && (self.status == TransactionStatus::Idle || first),
+            single_statement: is_complete && is_single && may_repeat,
         });
     }
+
+    /// What the statements of the first batch do, as far as their texts are known.
+    fn first_batch_effects(&mut self) -> Rc<StatementEffects> {
+        let Some(batch) = self.batches.front_mut() else {
+            return Rc::default();
+        };
+        if let Some(effects) = &batch.effects {
+            return effects.clone();
+        }
+        let effects = batch.analyze(&mut self.named_statements, self.unnamed_statement.as_ref());
+        if batch.is_complete {
+            batch.effects = Some(effects.clone());
+        }
+        effects
+    }
+
+    /// Removes the first batch; its messages are not buffered any more.
+    fn remove_first_batch(&mut self) -> Option<MessageBatch> {
+        let batch = self.batches.pop_front()?;
+        self.buffered_bytes = self.buffered_bytes.saturating_sub(batch.wire_len());
+        Some(batch)
+    }
+
+    /// Changes the client's statements once the message that does so is answered.
+    fn apply_name_change(&mut self, change: NameChange) {
+        match change {
+            NameChange::Set { name, text } if name.is_empty() => {
+                self.unnamed_statement = Some(text);
+            }
+            NameChange::Remove(name) if name.is_empty() => self.unnamed_statement = None,
+            // There was room for it when the message was sent.
+            NameChange::Set { name, text } => drop(self.named_statements.insert(name, text)),
+            NameChange::Remove(name) => self.named_statements.remove(&name),
+        }
+    }
+
+    /// Ends the session. A server connection with anything left on it is dropped, and with it what was not committed.
+    fn end(&mut self, actions: &mut Vec<Action>) {
+        self.ended = true;
+        if let ServerLink::Attached(server) = std::mem::take(&mut self.server_link) {
+            let is_clean = self.status == TransactionStatus::Idle
+                && server.expected.is_empty()
+                && self.sticky_reason.is_none()
+                && !server.skips_to_sync;
+            actions.push(if is_clean {
+                Action::Release(server.state)
+            } else {
+                Action::DiscardServer
+            });
+        }
+        self.batches.clear();
+        self.buffered_bytes = 0;
+        actions.push(Action::End);
+    }
+}
+
+/// The bytes of a message on the wire.
+fn encode(frame: &Frame) -> Bytes {
+    let mut buffer = BytesMut::new();
+    frame.write(&mut buffer);
+    buffer.freeze()
 }
 
-fn send_frame(frame: &Frame, actions: &mut Vec<Action>) {
-    let mut bytes = BytesMut::new();
-    frame.write(&mut bytes);
-    actions.push(Action::ToClient(bytes.freeze()));
+fn send_to_client(frame: &Frame, actions: &mut Vec<Action>) {
+    actions.push(Action::ToClient(encode(frame)));
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/core/postgres-session/src/session/forwarding.rs
@@ -0,0 +1,187 @@
+//! From a session to its server connection: the client's settings and its batches.
+
+use bytes::BytesMut;
+
+use super::message_writer::{MessageWriter, StatementNames, query_frame};
+use super::server_link::{ExpectedResponse, ServerConnection, ServerLink};
+use super::{Action, ServerState, Session, encode};
+use crate::extended_query::MalformedMessage;
+use crate::frame::Frame;
+use crate::message_tags::frontend;
+use crate::server_messages::TransactionStatus;
+use crate::sql_analysis::{StatementEffects, TransactionStep};
+
+impl Session {
+    /// A server connection has come: the client's settings are sent to it first.
+    pub(super) fn on_attached(&mut self, state: ServerState, actions: &mut Vec<Action>) {
+        let ServerLink::Requested { is_replacement } = self.server_link else {
+            // It was not requested, or is not needed any more.
+            actions.push(Action::Release(state));
+            return;
+        };
+        if is_replacement && !self.may_retry() {
+            actions.push(Action::Release(state));
+            actions.push(Action::NotRetryable);
+            return;
+        }
+        let mut server = ServerConnection::new(state);
+        if let Some(sql) = server.state.settings.adopt(&self.settings) {
+            server.proves_settings = !self.settings.is_proven();
+            server.expected.push_back(ExpectedResponse::Setup);
+            let setup = query_frame(sql.as_bytes());
+            actions.push(Action::ToServer(encode(&setup)));
+        }
+        self.server_link = ServerLink::Attached(Box::new(server));
+        for batch in &mut self.batches {
+            batch.sent_count = 0;
+        }
+    }
+
+    /// Whether the batch under way may be sent to a second server: the client has got nothing of the response, the
+    /// first server had no transaction open and may not have committed one.
+    fn may_retry(&self) -> bool {
+        let is_open_at_server =
+            self.status != TransactionStatus::Idle && self.deferred_begin.is_none();
+        !self.response_started && !is_open_at_server && !self.commit_in_flight
+    }
+
+    /// Sends what is ready of the first batch and has not been sent.
+    pub(super) fn forward(&mut self, actions: &mut Vec<Action>) {
+        let Some(frames) = self.unsent_frames() else {
+            return;
+        };
+        let effects = self.first_batch_effects();
+        self.record_sent_effects(&effects);
+        let mut buffer = BytesMut::new();
+        self.write_deferred_begin(&mut buffer);
+        let Some(batch) = self.batches.front_mut() else {
+            return;
+        };
+        batch.sent_count = batch.ready_count();
+        let is_alone = batch.sent_count == 1;
+        for frame in &frames {
+            if self.write_message(frame, is_alone, &mut buffer).is_err() {
+                return self.reject_violation(None, actions);
+            }
+        }
+        if !buffer.is_empty() {
+            actions.push(Action::ToServer(buffer.freeze()));
+        }
+        self.send_due_answers(actions);
+    }
+
+    /// The messages of the first batch that are to be sent now, if there are any and the server is ready for them.
+    fn unsent_frames(&mut self) -> Option<Vec<Frame>> {
+        let ServerLink::Attached(server) = &self.server_link else {
+            return None;
+        };
+        let batch = self.batches.front()?;
+        let unsent = batch.sent_count..batch.ready_count();
+        if server.proves_settings || unsent.is_empty() {
+            return None;
+        }
+        let frames = batch.frames[unsent].to_vec();
+        if batch.sent_count == 0 {
+            self.pending_names.clear();
+            self.batch_failed = false;
+            self.deallocated_name = None;
+        }
+        Some(frames)
+    }
+
+    /// Notes what is true of the session and the server connection once statements with these effects are sent.
+    fn record_sent_effects(&mut self, effects: &StatementEffects) {
+        self.commit_in_flight |= effects.steps.contains(&TransactionStep::Commit);
+        self.sticky_reason = self.sticky_reason.or(effects.sticky_reason);
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return;
+        };
+        if effects.deallocates_all {
+            server.state.prepared.clear();
+        }
+        if effects.resets_all_settings {
+            server.state.settings.forget();
+        }
+    }
+
+    /// Writes the BEGIN that was answered locally, once for each server connection.
+    fn write_deferred_begin(&mut self, buffer: &mut BytesMut) {
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return;
+        };
+        let Some(begin) = &self.deferred_begin else {
+            return;
+        };
+        if server.begin_sent {
+            return;
+        }
+        server.begin_sent = true;
+        server.expected.push_back(ExpectedResponse::Setup);
+        query_frame(&begin.sql).write(buffer);
+    }
+
+    fn write_message(
+        &mut self,
+        frame: &Frame,
+        is_alone: bool,
+        buffer: &mut BytesMut,
+    ) -> Result<(), MalformedMessage> {
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return Ok(());
+        };
+        let mut writer = MessageWriter {
+            server,
+            names: StatementNames {
+                named: &self.named_statements,
+                unnamed: self.unnamed_statement.as_ref(),
+                pending: &mut self.pending_names,
+            },
+            status: self.status,
+            deallocated_name: &mut self.deallocated_name,
+            buffer,
+        };
+        writer.write(frame, is_alone)
+    }
+
+    /// Drops what the server ignores after an error: all up to a `Sync`, which is kept. Returns whether there is
+    /// nothing (more) to be dropped.
+    pub(super) fn skip_to_sync(&mut self) -> bool {
+        let is_skipping = matches!(
+            &self.server_link,
+            ServerLink::Attached(server) if server.skips_to_sync
+        );
+        if !is_skipping {
+            return true;
+        }
+        while let Some(batch) = self.batches.front_mut() {
+            self.buffered_bytes = self.buffered_bytes.saturating_sub(batch.wire_len());
+            if !batch.is_complete {
+                batch.frames.clear();
+                batch.sent_count = 0;
+                batch.flushed_count = 0;
+                return false;
+            }
+            if batch.ends_with(frontend::SYNC) {
+                self.keep_only_sync();
+                return true;
+            }
+            // A Query that the server ignores gets no response.
+            self.batches.pop_front();
+        }
+        false
+    }
+
+    /// Reduces the first batch, whose messages do not count as buffered, to its `Sync`, with which the server goes on.
+    fn keep_only_sync(&mut self) {
+        let Some(batch) = self.batches.front_mut() else {
+            return;
+        };
+        batch.frames.drain(..batch.frames.len().saturating_sub(1));
+        batch.sent_count = 0;
+        batch.effects = None;
+        self.buffered_bytes += batch.wire_len();
+        if let ServerLink::Attached(server) = &mut self.server_link {
+            server.skips_to_sync = false;
+        }
+    }
+}
--- a/core/postgres-session/src/session/local_answers.rs
+++ b/core/postgres-session/src/session/local_answers.rs
@@ -1,213 +1,253 @@
-//! What the node answers by itself: a BEGIN, which goes out with the statement behind it, and the end of a transaction
-//! of which no server has heard, or whose server is lost.
+//! What is answered without a server: a BEGIN, which is sent with the statement behind it, and the end of a transaction
+//! that no server knows of, or whose server is lost.
 
 use bytes::Bytes;
 
-use super::{Action, Begun, Effect, Session, send_frame};
+use super::message_batch::MessageBatch;
+use super::server_link::NameChange;
+use super::{Action, DeferredBegin, Session, send_to_client};
+use crate::extended_query::{self, ParseMessage, Target, TargetKind};
 use crate::frame::Frame;
-use crate::prepared_statements;
+use crate::message_tags::{backend, frontend};
 use crate::server_messages::{self, TransactionStatus};
+use crate::sql_analysis::TransactionEnd;
+
+/// Body of a `ParameterDescription` of a statement without parameters.
+const NO_PARAMETERS: &[u8] = &[0, 0];
+
+/// Messages of the batch that runs one statement, in the only order that a server answers without an error.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum BatchStep {
+    Parse,
+    Bind,
+    Execute,
+    Sync,
+}
 
 impl Session {
-    /// Answers the first group without a server, if it is one that can be: whether it did.
-    pub(super) fn answer_here(&mut self, actions: &mut Vec<Action>) -> bool {
-        let Some(head) = self.groups.front() else {
+    /// Answers the first batch without a server where possible. Returns whether it did.
+    pub(super) fn answer_locally(&mut self, actions: &mut Vec<Action>) -> bool {
+        let is_candidate = self
+            .batches
+            .front()
+            .is_some_and(|batch| batch.is_complete && has_only_statement_messages(batch));
+        if !is_candidate {
+            return false;
+        }
+        match (self.status, &self.deferred_begin) {
+            (TransactionStatus::Idle, None) => self.defer_begin(actions),
+            (TransactionStatus::InBlock, Some(_)) => self.end_deferred_transaction(actions),
+            _ => false,
+        }
+    }
+
+    /// Answers a batch that begins a transaction and does nothing else. Returns whether it did.
+    fn defer_begin(&mut self, actions: &mut Vec<Action>) -> bool {
+        let Some(access_mode) = self.first_batch_effects().transaction_begin() else {
             return false;
         };
-        if !head.closed
-            || !head.frames.iter().all(|frame| {
-                matches!(
-                    frame.tag,
-                    b'Q' | b'P' | b'B' | b'D' | b'E' | b'C' | b'S' | b'H'
-                )
-            })
-        {
+        let Some(sql) = self.only_statement_sql() else {
+            return false;
+        };
+        if !self.would_succeed() {
             return false;
         }
-        let reading = self.reading_of_head();
-        match (self.status, &self.begun) {
-            (TransactionStatus::Idle, None) => {
-                let Some(read_only) = reading.transaction_begin() else {
-                    return false;
-                };
-                let Some(sql) = self.only_statement() else {
-                    return false;
-                };
-                if !self.can_answer() {
-                    return false;
-                }
-                self.begun = Some(Begun { sql, read_only });
-                self.status = TransactionStatus::InBlock;
-                self.answer_as("BEGIN", actions);
-                true
-            }
-            (TransactionStatus::InBlock, Some(_)) => {
-                let Some(commits) = reading.transaction_end() else {
-                    return false;
-                };
-                if !self.can_answer() {
-                    return false;
-                }
-                (self.begun, self.status) = (None, TransactionStatus::Idle);
-                self.answer_as(if commits { "COMMIT" } else { "ROLLBACK" }, actions);
-                true
-            }
-            _ => false,
+        self.deferred_begin = Some(DeferredBegin { sql, access_mode });
+        self.status = TransactionStatus::InBlock;
+        self.answer_first_batch("BEGIN", actions);
+        true
+    }
+
+    /// Answers a batch that ends a transaction of which no server knows, and does nothing else. Returns whether it did.
+    fn end_deferred_transaction(&mut self, actions: &mut Vec<Action>) -> bool {
+        let Some(end) = self.first_batch_effects().transaction_end() else {
+            return false;
+        };
+        if !self.would_succeed() {
+            return false;
         }
+        self.deferred_begin = None;
+        self.status = TransactionStatus::Idle;
+        let command_tag = match end {
+            TransactionEnd::Commit => "COMMIT",
+            TransactionEnd::Rollback => "ROLLBACK",
+        };
+        self.answer_first_batch(command_tag, actions);
+        true
     }
 
-    /// The SQL of the first group's one statement.
-    fn only_statement(&self) -> Option<Bytes> {
-        let head = self.groups.front()?;
-        if let Some(query) = head.frames.iter().find(|frame| frame.tag == b'Q') {
+    /// The SQL of the one statement of the first batch.
+    fn only_statement_sql(&self) -> Option<Bytes> {
+        let batch = self.batches.front()?;
+        if let Some(query) = batch.first(frontend::QUERY) {
             return Some(Bytes::copy_from_slice(query.first_string()?));
         }
-        let bind = head.frames.iter().find(|frame| frame.tag == b'B')?;
-        let name = prepared_statements::read_bind(bind).ok()?;
-        let fresh = head
-            .frames
-            .iter()
-            .filter(|frame| frame.tag == b'P')
-            .find_map(|frame| {
-                prepared_statements::read_parse(frame)
-                    .ok()
-                    .filter(|(of, _)| *of == name)
-                    .map(|(_, text)| text)
-            });
-        let known = if name.is_empty() {
-            self.unnamed.clone()
-        } else {
-            self.named.get(&name).cloned()
+        let bind = batch.first(frontend::BIND)?;
+        let name = extended_query::bind_statement(bind).ok()?;
+        let text = match batch.parsed_text(&name) {
+            Some(text) => text,
+            None if name.is_empty() => self.unnamed_statement.clone()?,
+            None => self.named_statements.get(&name).cloned()?,
         };
-        fresh
-            .or(known)
-            .map(|text| Bytes::copy_from_slice(prepared_statements::sql(&text)))
+        Some(Bytes::copy_from_slice(text.sql()))
     }
 
-    /// Whether each message of the first group would be answered well by a server: one statement, prepared once under
-    /// a name that is free, bound, described and executed in this order.
-    fn can_answer(&self) -> bool {
-        let Some(head) = self.groups.front() else {
+    /// Whether a server would answer all messages of the first batch without an error: one statement, prepared at most
+    /// once and under a free name, bound, described and executed once, in this order.
+    fn would_succeed(&self) -> bool {
+        let Some(batch) = self.batches.front() else {
             return false;
         };
-        if head.frames.len() == 1 && head.frames[0].tag == b'Q' {
+        if let [frame] = &batch.frames[..]
+            && frame.tag == frontend::QUERY
+        {
             return true;
         }
-        let order = |tag: u8| match tag {
-            b'P' => 1,
-            b'B' => 3,
-            b'E' => 5,
-            b'S' => 7,
-            _ => 0,
-        };
-        let mut last = 0;
-        let mut executed = 0;
-        for frame in &head.frames {
-            let place = match frame.tag {
-                b'D' | b'C' | b'H' => last,
-                tag => order(tag),
-            };
-            if place < last
-                || (place == last && matches!(frame.tag, b'P' | b'B' | b'E'))
-                || place == 0 && frame.tag != b'H'
-            {
-                return false;
-            }
-            last = place;
-            let good = match frame.tag {
-                b'P' => prepared_statements::read_parse(frame).is_ok_and(|(name, _)| {
-                    name.is_empty()
-                        || (self.named.get(&name).is_none() && self.named.has_room(&name))
-                }),
-                b'B' => prepared_statements::read_bind(frame).is_ok(),
-                // Of a portal that is another's, or a statement of another name, only a server could tell.
-                b'D' => prepared_statements::read_target(frame)
-                    .is_ok_and(|(kind, name)| self.describes(kind, &name)),
-                b'C' => false,
-                b'E' => {
-                    executed += 1;
-                    true
+        let mut last_step = None;
+        let mut is_executed = false;
+        for frame in &batch.frames {
+            let step = match frame.tag {
+                frontend::FLUSH => continue,
+                // Whether another portal or statement can be described only a server knows.
+                frontend::DESCRIBE if last_step.is_some() && describes_bound(batch, frame) => {
+                    continue;
                 }
-                b'Q' => false,
-                _ => true,
+                frontend::PARSE if self.can_prepare(frame) => BatchStep::Parse,
+                frontend::BIND if extended_query::bind_statement(frame).is_ok() => BatchStep::Bind,
+                frontend::EXECUTE => BatchStep::Execute,
+                frontend::SYNC => BatchStep::Sync,
+                _ => return false,
             };
-            if !good {
+            if last_step.is_some_and(|last| step <= last) {
                 return false;
             }
+            is_executed |= step == BatchStep::Execute;
+            last_step = Some(step);
         }
-        executed == 1
+        is_executed
     }
 
-    /// Whether what the first group describes is the one that it binds.
-    fn describes(&self, kind: u8, name: &Bytes) -> bool {
-        let Some(head) = self.groups.front() else {
+    /// Whether a `Parse` is of the unnamed statement, or of a name that is free.
+    fn can_prepare(&self, frame: &Frame) -> bool {
+        let Ok(parse) = ParseMessage::read(frame) else {
             return false;
         };
-        let bind = head.frames.iter().find(|frame| frame.tag == b'B');
-        let Some(bind) = bind else { return false };
-        if kind == b'S' {
-            prepared_statements::read_bind(bind).is_ok_and(|bound| bound == *name)
-        } else {
-            bind.first_string()
-                .is_some_and(|portal| portal == &name[..])
-        }
+        parse.name.is_empty()
+            || (self.named_statements.get(&parse.name).is_none()
+                && self.named_statements.has_room(&parse.name))
     }
 
-    /// Answers the first group as a server would for a statement of this tag that brings nothing, and takes it off.
-    pub(super) fn answer_as(&mut self, tag: &str, actions: &mut Vec<Action>) {
-        let Some(head) = self.groups.front() else {
+    /// Answers the first batch as a server would for a statement with this command tag that returns no rows, and
+    /// removes it.
+    pub(super) fn answer_first_batch(&mut self, command_tag: &str, actions: &mut Vec<Action>) {
+        let Some(batch) = self.batches.front() else {
             return;
         };
-        let (frames, mut told) = (head.frames.clone(), head.closed_told);
-        let empty = |tag| Frame::new(tag, Bytes::new());
+        let frames = batch.frames.clone();
+        let mut close_completes_sent = batch.close_completes_sent;
         for frame in &frames {
             match frame.tag {
-                b'Q' => {
-                    self.apply(Effect::Remove(Bytes::new()));
-                    send_frame(&server_messages::command_complete(tag), actions);
+                frontend::QUERY => {
+                    self.apply_name_change(NameChange::Remove(Bytes::new()));
+                    send_to_client(&server_messages::command_complete(command_tag), actions);
                 }
-                b'P' => {
-                    if let Ok((name, text)) = prepared_statements::read_parse(frame) {
-                        if !self.named.has_room(&name) {
-                            return self.violation(Some("too many prepared statements"), actions);
-                        }
-                        self.apply(Effect::Set(name, text));
+                frontend::PARSE => {
+                    if !self.prepare_locally(frame) {
+                        return self
+                            .reject_violation(Some("too many prepared statements"), actions);
                     }
-                    send_frame(&empty(b'1'), actions);
+                    send_empty(backend::PARSE_COMPLETE, actions);
                 }
-                b'B' => send_frame(&empty(b'2'), actions),
-                b'C' => {
-                    if let Ok((b'S', name)) = prepared_statements::read_target(frame) {
-                        self.apply(Effect::Remove(name));
-                    }
-                    if told > 0 {
-                        told -= 1;
+                frontend::BIND => send_empty(backend::BIND_COMPLETE, actions),
+                frontend::CLOSE => {
+                    self.close_locally(frame);
+                    // The client may have got the first of them from the server that is lost.
+                    if close_completes_sent > 0 {
+                        close_completes_sent -= 1;
                     } else {
-                        send_frame(&empty(b'3'), actions);
+                        send_empty(backend::CLOSE_COMPLETE, actions);
                     }
                 }
-                b'D' => {
-                    if frame.body.first() == Some(&b'S') {
-                        // It has no parameters.
-                        send_frame(&Frame::new(b't', &b"\0\0"[..]), actions);
-                    }
-                    send_frame(&empty(b'n'), actions);
+                frontend::DESCRIBE => describe_locally(frame, actions),
+                frontend::EXECUTE => {
+                    send_to_client(&server_messages::command_complete(command_tag), actions);
                 }
-                b'E' => send_frame(&server_messages::command_complete(tag), actions),
                 _ => {}
             }
         }
-        self.pop(actions);
+        self.finish_first_batch(actions);
     }
 
-    /// A message is done: the client's names are changed.
-    pub(super) fn apply(&mut self, effect: Effect) {
-        match effect {
-            Effect::Set(name, text) if name.is_empty() => self.unnamed = Some(text),
-            Effect::Remove(name) if name.is_empty() => self.unnamed = None,
-            // There was room when it was sent on.
-            Effect::Set(name, text) => drop(self.named.insert(name, text)),
-            Effect::Remove(name) => self.named.remove(&name),
+    /// Adds the statement of a `Parse` to the client's. Returns false if there is no room for it.
+    fn prepare_locally(&mut self, frame: &Frame) -> bool {
+        if let Ok(ParseMessage { name, text }) = ParseMessage::read(frame) {
+            if !self.named_statements.has_room(&name) {
+                return false;
+            }
+            self.apply_name_change(NameChange::Set { name, text });
+        }
+        true
+    }
+
+    fn close_locally(&mut self, frame: &Frame) {
+        if let Ok(target) = Target::read(frame)
+            && target.kind == TargetKind::Statement
+        {
+            self.apply_name_change(NameChange::Remove(target.name));
         }
     }
+
+    /// Removes the first batch and sends its `ReadyForQuery`.
+    pub(super) fn finish_first_batch(&mut self, actions: &mut Vec<Action>) {
+        self.remove_first_batch();
+        send_to_client(&self.status.ready_for_query(), actions);
+    }
+}
+
+fn has_only_statement_messages(batch: &MessageBatch) -> bool {
+    batch.frames.iter().all(|frame| {
+        matches!(
+            frame.tag,
+            frontend::QUERY
+                | frontend::PARSE
+                | frontend::BIND
+                | frontend::DESCRIBE
+                | frontend::EXECUTE
+                | frontend::CLOSE
+                | frontend::SYNC
+                | frontend::FLUSH
+        )
+    })
+}
+
+/// Whether a `Describe` is of the portal or the statement of the batch's first `Bind`.
+fn describes_bound(batch: &MessageBatch, describe: &Frame) -> bool {
+    let Ok(target) = Target::read(describe) else {
+        return false;
+    };
+    let Some(bind) = batch.first(frontend::BIND) else {
+        return false;
+    };
+    match target.kind {
+        TargetKind::Statement => {
+            extended_query::bind_statement(bind).is_ok_and(|statement| statement == target.name)
+        }
+        TargetKind::Portal => bind
+            .first_string()
+            .is_some_and(|portal| portal == &target.name[..]),
+    }
+}
+
+fn describe_locally(frame: &Frame, actions: &mut Vec<Action>) {
+    if extended_query::targets_statement(frame) {
+        send_to_client(
+            &Frame::new(backend::PARAMETER_DESCRIPTION, NO_PARAMETERS),
+            actions,
+        );
+    }
+    send_empty(backend::NO_DATA, actions);
+}
+
+fn send_empty(tag: u8, actions: &mut Vec<Action>) {
+    send_to_client(&Frame::new(tag, Bytes::new()), actions);
 }
--- a/core/postgres-session/src/session/server_loss.rs
+++ b/core/postgres-session/src/session/server_loss.rs
@@ -1,207 +1,241 @@
-//! What a client is told when its server is lost, or none is to be had.
+//! What a client gets when its server is lost, or when none can be had.
 
-use super::{Action, MessageBatch, Session, Unit, send_frame};
-use crate::prepared_statements;
+use super::message_batch::MessageBatch;
+use super::server_link::ServerLink;
+use super::{Action, Session, send_to_client};
+use crate::extended_query::ParseMessage;
+use crate::message_tags::frontend;
 use crate::server_messages::{self, ErrorReason, TransactionStatus};
-use crate::sql_analysis::{self, TransactionStep};
+use crate::sql_analysis::TransactionStep;
 
 impl Session {
-    pub(super) fn server_lost(&mut self, actions: &mut Vec<Action>) {
-        let Unit::Attached(server) = &self.unit else {
+    /// The server connection is lost, or of no use: another one is awaited, or the session ends.
+    pub(super) fn on_server_lost(&mut self, actions: &mut Vec<Action>) {
+        let ServerLink::Attached(server) = &mut self.server_link else {
             return;
         };
-        let refused = server.setup_failed.clone();
-        self.another_sync = server.swallowed_sync;
+        let setup_error = server.setup_error.take();
+        let settings_error = setup_error.filter(|_| server.proves_settings);
+        self.expects_second_sync = server.ignored_sync;
         actions.push(Action::DiscardServer);
-        self.ahead.clear();
-        self.completion = None;
-        let proving = server.proving;
-        if self.cut_short {
-            // Nothing that is said now could be read.
-            self.unit = Unit::None;
-            self.gone(actions);
-            return;
-        }
-        if let (Some(error), true) = (refused, proving) {
-            // Its settings are such that no server takes them: it is told by the server's own words, and ends.
-            self.unit = Unit::None;
-            send_frame(&server_messages::with_fatal_severity(&error), actions);
-            self.gone(actions);
-            return;
-        }
-        if self.pin.is_some() {
-            // What it had there is gone with it, and it would not know.
-            let reason = if self.commits {
-                ErrorReason::CommitUnknown
-            } else {
-                ErrorReason::MayHaveRun
-            };
-            send_frame(
-                &server_messages::error_response(
-                    reason,
-                    Some("the session was pinned to that server and ends"),
-                ),
-                actions,
-            );
-            self.unit = Unit::None;
-            self.gone(actions);
-            return;
+        self.pending_names.clear();
+        self.held_completion = None;
+        self.server_link = ServerLink::Requested {
+            is_replacement: true,
+        };
+        if self.row_is_incomplete {
+            // The client could not read anything behind a part of a row.
+            self.end_without_server(actions);
+        } else if let Some(error) = settings_error {
+            // No server would accept its settings: the client gets the server's own error.
+            send_to_client(&server_messages::with_fatal_severity(&error), actions);
+            self.end_without_server(actions);
+        } else if self.sticky_reason.is_some() {
+            self.end_sticky_session(actions);
         }
-        self.unit = Unit::Asked { lost: true };
     }
 
-    /// What was asked for gets no server's answer.
-    pub(super) fn give_up(&mut self, reason: ErrorReason, actions: &mut Vec<Action>) {
-        if !matches!(self.unit, Unit::Asked { .. }) {
+    /// Ends a session whose state on its server is lost, of which the client would not know.
+    fn end_sticky_session(&mut self, actions: &mut Vec<Action>) {
+        let reason = if self.commit_in_flight {
+            ErrorReason::CommitUnknown
+        } else {
+            ErrorReason::MayHaveRun
+        };
+        let detail = "the session was pinned to that server and ends";
+        send_to_client(
+            &server_messages::error_response(reason, Some(detail)),
+            actions,
+        );
+        self.end_without_server(actions);
+    }
+
+    fn end_without_server(&mut self, actions: &mut Vec<Action>) {
+        self.server_link = ServerLink::None;
+        self.end(actions);
+    }
+
+    /// The request for a server is rejected.
+    pub(super) fn on_rejected(&mut self, retry_after_ms: u64, actions: &mut Vec<Action>) {
+        // After a loss the first server may have run the transaction, and it would be wrong to say that it never ran.
+        let may_have_run = matches!(
+            self.server_link,
+            ServerLink::Requested {
+                is_replacement: true
+            }
+        );
+        let reason = if may_have_run {
+            ErrorReason::MayHaveRun
+        } else {
+            ErrorReason::Rejected { retry_after_ms }
+        };
+        self.fail_request(reason, actions);
+    }
+
+    /// The request for a server has failed.
+    pub(super) fn on_request_failed(&mut self, actions: &mut Vec<Action>) {
+        let reason = match (self.commit_in_flight, self.status) {
+            (true, _) => ErrorReason::CommitUnknown,
+            (false, TransactionStatus::Idle) => ErrorReason::MayHaveRun,
+            (false, _) => ErrorReason::TransactionLost,
+        };
+        self.fail_request(reason, actions);
+    }
+
+    /// Answers what a server was requested for with an error.
+    fn fail_request(&mut self, reason: ErrorReason, actions: &mut Vec<Action>) {
+        if !matches!(self.server_link, ServerLink::Requested { .. }) {
             return;
         }
-        self.unit = Unit::None;
-        self.begun = None;
-        self.cause = Some(reason);
-        // In a transaction that is neither committed nor rolled back the client has to learn of its end.
-        let in_block =
+        self.server_link = ServerLink::None;
+        self.deferred_begin = None;
+        self.loss_reason = Some(reason);
+        // The client has to learn that a transaction has ended that it has neither committed nor rolled back.
+        self.transaction_lost =
             self.status != TransactionStatus::Idle && reason != ErrorReason::CommitUnknown;
-        if self
-            .groups
-            .front()
-            .is_none_or(|head| in_block && (head.sent == 0 || head.only_closes()))
-        {
-            // The server went between two statements of a transaction: the next one is told, unless it ends it.
-            // Drivers close what they have prepared in passing, and look at no answer to that.
-            self.orphaned = in_block;
-            (self.status, self.news) = if in_block {
-                (TransactionStatus::Failed, Some(reason))
-            } else {
-                (TransactionStatus::Idle, None)
-            };
-            return;
-        }
-        let reading = self.reading_of_head();
-        let begins = reading
-            .steps
-            .iter()
-            .any(|step| matches!(step, TransactionStep::Begin { .. }));
-        // What was sent behind the beginning of a transaction belongs to it, and must not run without it.
-        let count = if begins {
-            self.groups
-                .iter()
-                .filter(|group| group.closed)
-                .count()
-                .max(1)
+        self.status = if self.transaction_lost {
+            TransactionStatus::Failed
         } else {
-            1
+            TransactionStatus::Idle
         };
-        self.commits = false;
-        (self.orphaned, self.status) = (
-            in_block,
-            if in_block {
-                TransactionStatus::Failed
-            } else {
-                TransactionStatus::Idle
-            },
-        );
-        let another_sync = std::mem::take(&mut self.another_sync);
+        if self.is_between_statements() {
+            // The next statement gets the error, unless it ends the transaction.
+            self.unreported_loss = self.transaction_lost.then_some(reason);
+            return;
+        }
+        let count = self.count_batches_to_fail();
+        self.commit_in_flight = false;
+        let expects_second_sync = std::mem::take(&mut self.expects_second_sync);
         for _ in 0..count {
-            let closed = self.groups.front().is_none_or(|group| group.closed) && !another_sync;
-            send_frame(&server_messages::error_response(reason, None), actions);
-            if !closed {
-                // Its Sync is still to come, and is answered then.
-                if let Some(group) = self.groups.front_mut() {
-                    self.held = self.held.saturating_sub(group.held());
-                    *group = MessageBatch {
-                        skips: true,
-                        ..MessageBatch::default()
-                    };
-                }
+            if !self.fail_batch(reason, expects_second_sync, actions) {
                 return;
             }
-            if !self.skip_here() {
-                self.pop(actions);
-            }
         }
     }
 
-    /// A group that ends in a Query behind messages of a batch is passed over with these, up to a Sync: whether the
-    /// first one is such, and what has come is passed over.
-    pub(super) fn skip_here(&mut self) -> bool {
-        let batch = |group: &MessageBatch| {
-            group.frames.len() > 1 && group.frames.last().is_some_and(|last| last.tag != b'S')
-        };
-        if !self.groups.front().is_some_and(batch) {
+    /// Whether the server was lost between two statements: no batch is under way, or in a lost transaction one that
+    /// only closes statements, as drivers do in passing and without a look at the response.
+    fn is_between_statements(&self) -> bool {
+        self.batches.front().is_none_or(|batch| {
+            self.transaction_lost && (batch.sent_count == 0 || batch.only_closes())
+        })
+    }
+
+    /// How many batches the loss of a server fails. What was sent behind the BEGIN of a transaction belongs to it and
+    /// must not run outside of it.
+    fn count_batches_to_fail(&mut self) -> usize {
+        let effects = self.first_batch_effects();
+        let begins_transaction = effects
+            .steps
+            .iter()
+            .any(|step| matches!(step, TransactionStep::Begin(_)));
+        if !begins_transaction {
+            return 1;
+        }
+        let complete = self.batches.iter().filter(|batch| batch.is_complete);
+        complete.count().max(1)
+    }
+
+    /// Answers the first batch with an error. Returns whether its end has come; otherwise its `Sync` is answered when
+    /// it comes.
+    fn fail_batch(
+        &mut self,
+        reason: ErrorReason,
+        expects_second_sync: bool,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let is_complete = self.batches.front().is_none_or(|batch| batch.is_complete);
+        if is_complete && !expects_second_sync {
+            self.reject_first_batch(reason, actions);
+            return true;
+        }
+        send_to_client(&server_messages::error_response(reason, None), actions);
+        if let Some(batch) = self.batches.front_mut() {
+            self.buffered_bytes = self.buffered_bytes.saturating_sub(batch.wire_len());
+            *batch = MessageBatch::skipped();
+        }
+        false
+    }
+
+    /// Answers the first batch, of which all has come, with an error.
+    fn reject_first_batch(&mut self, reason: ErrorReason, actions: &mut Vec<Action>) {
+        send_to_client(&server_messages::error_response(reason, None), actions);
+        if !self.skip_unfinished_batch() {
+            self.finish_first_batch(actions);
+        }
+    }
+
+    /// Drops a batch that ends in a `Query` behind other messages, with all up to a `Sync`, as a server ignores these
+    /// after an error. Returns whether the first batch is such a one and its `Sync` has not come.
+    fn skip_unfinished_batch(&mut self) -> bool {
+        let is_unfinished = self
+            .batches
+            .front()
+            .is_some_and(|batch| batch.frames.len() > 1 && !batch.ends_with(frontend::SYNC));
+        if !is_unfinished {
             return false;
         }
-        while let Some(group) = self.groups.pop_front() {
-            self.held = self.held.saturating_sub(group.held());
-            if !group.closed {
+        while let Some(batch) = self.remove_first_batch() {
+            if !batch.is_complete {
                 break;
             }
-            if group.frames.last().is_some_and(|last| last.tag == b'S') {
-                // Its Sync has come already.
-                self.groups.push_front(MessageBatch {
-                    closed: true,
+            if batch.ends_with(frontend::SYNC) {
+                self.batches.push_front(MessageBatch {
+                    is_complete: true,
                     ..MessageBatch::default()
                 });
                 return false;
             }
         }
-        self.groups.push_front(MessageBatch {
-            skips: true,
-            ..MessageBatch::default()
-        });
+        self.batches.push_front(MessageBatch::skipped());
         true
     }
 
-    pub(super) fn pop(&mut self, actions: &mut Vec<Action>) {
-        if let Some(group) = self.groups.pop_front() {
-            self.held = self.held.saturating_sub(group.held());
-        }
-        send_frame(&self.status.ready(), actions);
-    }
-
-    /// A group of a transaction whose server is lost: its end is taken, all else is an error, as in a transaction
-    /// that has failed.
-    pub(super) fn answer_orphan(&mut self, actions: &mut Vec<Action>) {
-        let steps = self.reading_of_head().steps.clone();
-        let Some(head) = self.groups.front() else {
+    /// Answers the first batch in a transaction whose server is lost, as in a failed transaction: its end is accepted,
+    /// all else is an error.
+    pub(super) fn answer_lost_transaction(&mut self, actions: &mut Vec<Action>) {
+        let effects = self.first_batch_effects();
+        let Some(batch) = self.batches.front() else {
             return;
         };
-        let texts = head.frames.iter().filter(|frame| frame.tag == b'P');
-        let prepares: Vec<TransactionStep> = texts
-            .filter_map(|frame| prepared_statements::read_parse(frame).ok())
-            .flat_map(|(_, text)| {
-                sql_analysis::read(&String::from_utf8_lossy(prepared_statements::sql(&text))).steps
-            })
-            .collect();
-        let ends = |steps: &[TransactionStep]| {
-            !steps.is_empty()
-                && steps
-                    .iter()
-                    .all(|step| matches!(step, TransactionStep::Commit | TransactionStep::Rollback))
-        };
-        let runs = ends(&steps);
-        if !(runs || (steps.is_empty() && ends(&prepares)) || head.only_closes()) {
-            let reason = self.news.take().unwrap_or(ErrorReason::InFailedTransaction);
-            self.refuse_head(reason, actions);
+        let ends_transaction = only_ends_transaction(&effects.steps);
+        let prepares_end = effects.steps.is_empty() && only_ends_transaction(&parsed_steps(batch));
+        if !ends_transaction && !prepares_end && !batch.only_closes() {
+            let reason = self
+                .unreported_loss
+                .take()
+                .unwrap_or(ErrorReason::InFailedTransaction);
+            self.reject_first_batch(reason, actions);
             return;
         }
-        if steps.contains(&TransactionStep::Commit) {
+        if ends_transaction {
+            self.transaction_lost = false;
+            self.status = TransactionStatus::Idle;
+            self.unreported_loss = None;
+        }
+        if effects.steps.contains(&TransactionStep::Commit) {
             // A client must not take the end of a lost transaction for its commit: drivers look for an error, not
-            // for the word ROLLBACK, and may have let an earlier one pass unseen.
-            let reason = self.cause.unwrap_or(ErrorReason::TransactionLost);
-            (self.orphaned, self.status, self.news) = (false, TransactionStatus::Idle, None);
-            self.refuse_head(reason, actions);
+            // for the command tag ROLLBACK, and may have ignored an earlier error.
+            let reason = self.loss_reason.unwrap_or(ErrorReason::TransactionLost);
+            self.reject_first_batch(reason, actions);
             return;
         }
-        if runs {
-            (self.orphaned, self.status, self.news) = (false, TransactionStatus::Idle, None);
-        }
-        self.answer_as("ROLLBACK", actions);
+        self.answer_first_batch("ROLLBACK", actions);
     }
+}
 
-    fn refuse_head(&mut self, reason: ErrorReason, actions: &mut Vec<Action>) {
-        send_frame(&server_messages::error_response(reason, None), actions);
-        if !self.skip_here() {
-            self.pop(actions);
-        }
-    }
+/// Whether these statements end a transaction and do nothing else.
+fn only_ends_transaction(steps: &[TransactionStep]) -> bool {
+    !steps.is_empty() && steps.iter().all(|step| step.is_end())
+}
+
+/// What the statements that a batch prepares do to their transaction, whether it executes them or not.
+fn parsed_steps(batch: &MessageBatch) -> Vec<TransactionStep> {
+    batch
+        .frames
+        .iter()
+        .filter(|frame| frame.tag == frontend::PARSE)
+        .filter_map(|frame| ParseMessage::read(frame).ok())
+        .flat_map(|parse| parse.text.analyze().steps)
+        .collect()
 }
--- /dev/null
+++ b/core/postgres-session/src/session/server_responses.rs
@@ -0,0 +1,328 @@
+//! From the server connection to the client: responses, and what they change in the session.
+
+use bytes::{Bytes, BytesMut};
+
+use super::message_batch::MessageBatch;
+use super::server_link::{ExpectedParse, ExpectedResponse, NameChange, Origin, ServerLink};
+use super::{Action, Session, encode, send_to_client};
+use crate::frame::{DecodeResult, Frame};
+use crate::message_tags::{backend, frontend};
+use crate::server_messages::{self, ParameterStatus, TransactionStatus};
+use crate::sql_analysis::StatementEffects;
+use crate::sticky::StickyReason;
+
+impl Session {
+    pub(super) fn on_server_message(&mut self, message: DecodeResult, actions: &mut Vec<Action>) {
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return;
+        };
+        let is_setup = matches!(server.expected.front(), Some(ExpectedResponse::Setup));
+        let frame = match message {
+            DecodeResult::Chunk { .. } if is_setup => return,
+            DecodeResult::Chunk { bytes, last, .. } => {
+                self.row_is_incomplete = !last;
+                return self.send_response(bytes, actions);
+            }
+            DecodeResult::Frame(frame) => frame,
+        };
+        match frame.tag {
+            backend::PARAMETER_STATUS => self.on_parameter_status(&frame, actions),
+            backend::READY_FOR_QUERY => self.on_ready_for_query(&frame, actions),
+            // The server closes the connection; the session may go on with another one.
+            backend::ERROR_RESPONSE
+                if server_messages::is_fatal(&frame) && !server.proves_settings =>
+            {
+                self.on_server_lost(actions);
+            }
+            backend::ERROR_RESPONSE if is_setup => server.setup_error = Some(frame),
+            // A notification may come at any time.
+            backend::NOTIFICATION_RESPONSE => self.on_response(frame, actions),
+            _ if is_setup => {}
+            _ => self.on_response(frame, actions),
+        }
+    }
+
+    /// A message of the response to the client's messages.
+    fn on_response(&mut self, frame: Frame, actions: &mut Vec<Action>) {
+        let client_frame = match frame.tag {
+            backend::PARSE_COMPLETE
+            | backend::BIND_COMPLETE
+            | backend::CLOSE_COMPLETE
+            | backend::ROW_DESCRIPTION
+            | backend::NO_DATA
+            | backend::COMMAND_COMPLETE
+            | backend::EMPTY_QUERY_RESPONSE
+            | backend::PORTAL_SUSPENDED => self.on_completion(frame),
+            backend::COPY_IN_RESPONSE => {
+                self.on_copy_in();
+                Some(frame)
+            }
+            backend::ERROR_RESPONSE => Some(self.on_error(frame)),
+            _ => Some(frame),
+        };
+        if let Some(frame) = client_frame {
+            let bytes = encode(&frame);
+            if frame.tag == backend::COMMAND_COMPLETE && self.commits_at_sync() {
+                self.held_completion = Some(bytes);
+            } else {
+                self.send_response(bytes, actions);
+            }
+        }
+        self.send_due_answers(actions);
+    }
+
+    /// A message that may answer the first unanswered one. Returns it if the client is to get it.
+    fn on_completion(&mut self, frame: Frame) -> Option<Frame> {
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return Some(frame);
+        };
+        let first = server.expected.front();
+        if !first.is_some_and(|expected| completes(frame.tag, expected)) {
+            // It belongs to the response to a Query.
+            return Some(frame);
+        }
+        let (origin, name_change) = match server.expected.pop_front() {
+            Some(ExpectedResponse::Parse(ExpectedParse {
+                origin,
+                name_change,
+                ..
+            })) => (origin, name_change),
+            Some(ExpectedResponse::Close {
+                origin,
+                name_change,
+            }) => (origin, name_change),
+            _ => (Origin::Client, None),
+        };
+        if let Some(change) = name_change {
+            self.apply_name_change(change);
+        }
+        (origin == Origin::Client).then_some(frame)
+    }
+
+    /// The server wants data to copy. In the extended query protocol it ignores a `Sync` that has been sent already,
+    /// until the copy is over.
+    fn on_copy_in(&mut self) {
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return;
+        };
+        server.is_copying_in = true;
+        let is_extended_query = matches!(server.expected.front(), Some(ExpectedResponse::Execute));
+        server.ignored_sync = is_extended_query
+            && server
+                .expected
+                .iter()
+                .any(|expected| matches!(expected, ExpectedResponse::Sync));
+    }
+
+    /// An error in the response. Returns it as the client is to get it.
+    fn on_error(&mut self, frame: Frame) -> Frame {
+        self.batch_failed = true;
+        self.held_completion = None;
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return frame;
+        };
+        server.is_copying_in = false;
+        let mut client_frame = frame;
+        if let Some(ExpectedResponse::Parse(parse)) = server.expected.front() {
+            if let Some(alias) = &parse.alias {
+                client_frame = server_messages::with_statement_name(
+                    &client_frame,
+                    &alias.server_name,
+                    &alias.client_name,
+                );
+            } else if sets_unnamed_statement(parse) {
+                // A Parse of the unnamed statement ends the one before it also when it fails.
+                self.unnamed_statement = None;
+            }
+        }
+        if server.skip_failed_batch() {
+            self.pending_names.clear();
+        }
+        // A Query that the server ignores with the batch before it will not be answered.
+        if server.skips_to_sync && self.batches.front().is_some_and(|batch| batch.is_complete) {
+            self.remove_first_batch();
+        }
+        client_frame
+    }
+
+    /// Whether a statement that has just completed is committed by a `Sync` that was sent: the response to that is
+    /// expected next.
+    fn commits_at_sync(&self) -> bool {
+        let ServerLink::Attached(server) = &self.server_link else {
+            return false;
+        };
+        let next_is_sync = matches!(server.expected.front(), Some(ExpectedResponse::Sync));
+        self.status == TransactionStatus::Idle && next_is_sync && !server.ignored_sync
+    }
+
+    /// Notes a setting for the connection and the client, and passes it on if it is new to the client.
+    fn on_parameter_status(&mut self, frame: &Frame, actions: &mut Vec<Action>) {
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return;
+        };
+        let Some(ParameterStatus { name, value }) = ParameterStatus::read(frame) else {
+            return;
+        };
+        server.state.settings.reported(&name, &value);
+        if self.settings.reported(&name, &value) {
+            send_to_client(frame, actions);
+        }
+    }
+
+    /// Sends a part of the transaction's response to the client.
+    fn send_response(&mut self, bytes: Bytes, actions: &mut Vec<Action>) {
+        if bytes.first() == Some(&backend::CLOSE_COMPLETE)
+            && let Some(batch) = self.batches.front_mut()
+        {
+            batch.close_completes_sent += 1;
+        }
+        if !self.response_started {
+            self.response_started = true;
+            actions.push(Action::ResponseStarted);
+        }
+        actions.push(Action::ToClient(bytes));
+    }
+
+    /// Sends the local answers that are next in order.
+    pub(super) fn send_due_answers(&mut self, actions: &mut Vec<Action>) {
+        while let Some((response, name_change)) = self.next_due_answer() {
+            self.apply_name_change(name_change);
+            self.send_response(encode(&response), actions);
+        }
+    }
+
+    fn next_due_answer(&mut self) -> Option<(Frame, NameChange)> {
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return None;
+        };
+        let first = server
+            .expected
+            .pop_front_if(|expected| matches!(expected, ExpectedResponse::Local { .. }))?;
+        match first {
+            ExpectedResponse::Local {
+                response,
+                name_change,
+            } => Some((response, name_change)),
+            _ => None,
+        }
+    }
+
+    /// `ReadyForQuery`: a part of this process's own is over, or the first batch is answered.
+    fn on_ready_for_query(&mut self, frame: &Frame, actions: &mut Vec<Action>) {
+        let status = frame
+            .body
+            .first()
+            .copied()
+            .and_then(TransactionStatus::read);
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return;
+        };
+        let expected = server.expected.pop_front();
+        let is_setup = matches!(expected, Some(ExpectedResponse::Setup));
+        if is_setup && status.is_some() && server.setup_error.is_none() {
+            self.finish_setup(actions);
+            return;
+        }
+        let answers_query = matches!(expected, Some(ExpectedResponse::Query));
+        let answers_sync = matches!(expected, Some(ExpectedResponse::Sync));
+        let is_expected = (answers_query || answers_sync) && !server.skips_to_sync;
+        let (true, Some(status)) = (is_expected, status) else {
+            // A server that rejects what it accepted before, or answers what it was not asked, is of no use.
+            return self.on_server_lost(actions);
+        };
+        let Some(batch) = self.remove_first_batch() else {
+            return self.on_server_lost(actions);
+        };
+        if answers_query && batch.ends_with(frontend::QUERY) {
+            self.unnamed_statement = None;
+        }
+        self.finish_batch(&batch, status);
+        self.send_batch_end(frame, actions);
+        if status == TransactionStatus::Idle {
+            self.finish_transaction(actions);
+        }
+    }
+
+    /// The server has accepted the client's settings, or a deferred BEGIN.
+    fn finish_setup(&mut self, actions: &mut Vec<Action>) {
+        if let ServerLink::Attached(server) = &mut self.server_link
+            && std::mem::take(&mut server.proves_settings)
+        {
+            self.settings.set_proven();
+        }
+        self.send_due_answers(actions);
+    }
+
+    /// The server has answered a batch and reports this status.
+    fn finish_batch(&mut self, batch: &MessageBatch, status: TransactionStatus) {
+        self.pending_names.clear();
+        self.status = status;
+        self.commit_in_flight = false;
+        self.deferred_begin = None;
+        if !self.batch_failed {
+            match &batch.effects {
+                Some(effects) => self.apply_effects(effects),
+                None => self.apply_effects(&StatementEffects::default()),
+            }
+        }
+    }
+
+    /// Sends the `ReadyForQuery` of a batch, with the `CommandComplete` that was held back for it.
+    fn send_batch_end(&mut self, ready: &Frame, actions: &mut Vec<Action>) {
+        let mut buffer = BytesMut::new();
+        if let Some(completion) = self.held_completion.take() {
+            buffer.extend_from_slice(&completion);
+        }
+        ready.write(&mut buffer);
+        self.send_response(buffer.freeze(), actions);
+    }
+
+    fn finish_transaction(&mut self, actions: &mut Vec<Action>) {
+        actions.push(Action::TransactionDone);
+        self.response_started = false;
+        if self.sticky_reason.is_none()
+            && let ServerLink::Attached(server) = std::mem::take(&mut self.server_link)
+        {
+            actions.push(Action::Release(server.state));
+        }
+    }
+
+    /// Changes the session's statements, settings and stickiness as a batch without an error has done.
+    fn apply_effects(&mut self, effects: &StatementEffects) {
+        if effects.discards_all && self.sticky_reason != Some(StickyReason::Pooling) {
+            self.sticky_reason = None;
+        }
+        if effects.deallocates_all {
+            self.named_statements.clear();
+        }
+        if let Some(name) = self.deallocated_name.take() {
+            self.named_statements.remove(&name);
+        }
+        // What is set in the same text as a RESET ALL is set after it.
+        let resets_all = effects.resets_all_settings && effects.set_settings.is_empty();
+        self.settings.reset(&effects.reset_settings, resets_all);
+    }
+}
+
+/// Whether a message with this tag is the end of this response.
+fn completes(tag: u8, expected: &ExpectedResponse) -> bool {
+    match expected {
+        ExpectedResponse::Parse(_) => tag == backend::PARSE_COMPLETE,
+        ExpectedResponse::Bind => tag == backend::BIND_COMPLETE,
+        ExpectedResponse::Close { .. } => tag == backend::CLOSE_COMPLETE,
+        ExpectedResponse::Describe => matches!(tag, backend::ROW_DESCRIPTION | backend::NO_DATA),
+        ExpectedResponse::Execute => matches!(
+            tag,
+            backend::COMMAND_COMPLETE | backend::EMPTY_QUERY_RESPONSE | backend::PORTAL_SUSPENDED
+        ),
+        ExpectedResponse::Query
+        | ExpectedResponse::Sync
+        | ExpectedResponse::Setup
+        | ExpectedResponse::Local { .. } => false,
+    }
+}
+
+/// Whether a `Parse` prepares the client's unnamed statement.
+fn sets_unnamed_statement(parse: &ExpectedParse) -> bool {
+    matches!(&parse.name_change, Some(NameChange::Set { name, .. }) if name.is_empty())
+}
--- /dev/null
+++ b/core/postgres-session/src/session/tests/properties.rs
@@ -0,0 +1,104 @@
+//! Properties that hold for any order of events.
+
+use proptest::prelude::*;
+
+use super::support::{SessionFixture, bind_execute, parse, query, sync};
+use crate::frame::{Frame, FrameDecoder};
+use crate::session::Event;
+use crate::session::server_link::ServerLink;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Send(u8),
+    Attach,
+    Lose,
+    Fail,
+    Reject,
+    /// Whether the next server answers nothing.
+    Silence(bool),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let one = prop_oneof![
+        6 => (0_u8..9).prop_map(Step::Send),
+        4 => Just(Step::Attach),
+        1 => Just(Step::Lose),
+        2 => Just(Step::Fail),
+        1 => Just(Step::Reject),
+        1 => any::<bool>().prop_map(Step::Silence),
+    ];
+    proptest::collection::vec(one, 1..60)
+}
+
+proptest! {
+    /// For any events in any order, each batch of the client gets one ReadyForQuery, in order; nothing is sent without a
+    /// server, and no server is released in a transaction.
+    #[test]
+    fn each_batch_gets_one_ready_for_query_whatever_happens(steps in steps()) {
+        let mut fixture = SessionFixture::new();
+        let mut owed = 0;
+        for step in steps {
+            match step {
+                Step::Send(number) => {
+                    let messages: Vec<Frame> = match number {
+                        0 => query("select 1"),
+                        1 => query("begin"),
+                        2 => query("commit"),
+                        3 => query("rollback"),
+                        4 => query("fail"),
+                        5 => [parse("s", "select 2"), bind_execute("s"), sync()].concat(),
+                        6 => [bind_execute("s"), sync()].concat(),
+                        7 => [parse("", "commit"), bind_execute(""), sync()].concat(),
+                        _ => sync(),
+                    };
+                    owed += 1;
+                    fixture.client(&[messages]);
+                }
+                Step::Attach if fixture.wants_server() => fixture.attach(),
+                Step::Lose if fixture.server.is_some() => fixture.lose_server(),
+                Step::Fail => fixture.handle(Event::RequestFailed),
+                Step::Reject => fixture.handle(Event::Rejected { retry_after_ms: 1 }),
+                Step::Silence(silent) if fixture.server.is_none() => fixture.server_answers = !silent,
+                _ => {}
+            }
+        }
+        // Until nothing is pending: each batch is answered, or its server lost and the request failed.
+        for _ in 0..200 {
+            if fixture.session.batches.is_empty() {
+                break;
+            }
+            if fixture.server.is_some() && !fixture.server_answers {
+                fixture.lose_server();
+            }
+            fixture.server_answers = true;
+            match fixture.session.server_link {
+                ServerLink::Requested { is_replacement: true } => fixture.handle(Event::RequestFailed),
+                ServerLink::Requested { is_replacement: false } => fixture.attach(),
+                ServerLink::None | ServerLink::Attached(_) => {}
+            }
+        }
+        let responses = fixture.responses();
+        let ends = responses.split(' ').filter(|tag| tag.starts_with('Z')).count();
+        prop_assert_eq!(ends, owed, "{}", responses);
+        prop_assert!(!fixture.ended);
+        prop_assert_eq!(fixture.session.buffered_bytes, 0);
+    }
+
+    /// No bytes of a client's make a session panic or buffer more than they are.
+    #[test]
+    fn any_client_bytes_are_handled_and_no_more_is_buffered(
+        bytes in proptest::collection::vec(any::<u8>(), 0..400)
+    ) {
+        let mut fixture = SessionFixture::new();
+        let mut decoder = FrameDecoder::default();
+        fixture.server_answers = false;
+        decoder.push(&bytes);
+        while let Ok(Some(message)) = decoder.next_from_client() {
+            if fixture.ended {
+                break;
+            }
+            fixture.session.handle(Event::Client(message), &mut Vec::new());
+        }
+        prop_assert!(fixture.session.buffered_bytes <= bytes.len());
+    }
+}
--- a/core/postgres-session/src/sql_analysis.rs
+++ b/core/postgres-session/src/sql_analysis.rs
@@ -1,43 +1,37 @@
-//! What a statement's text says of the session beyond its transaction. A session that leaves something behind on
-//! its server is pinned to it; what can't be understood pins too.
+//! What the SQL of a client's message does to its transaction and to the state of its session.
 
 use bytes::Bytes;
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 use sqlparser::tokenizer::{Token, Tokenizer};
 
-use crate::settings::is_followed;
+use crate::sql_statement::{SettingTarget, SqlStatement};
+use crate::sticky::StickyReason;
 
-/// Why a session is pinned to its server.
+/// Whether a transaction may change anything.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StickyReason {
-    /// A setting of the session.
-    Setting,
-    /// It listens.
-    Listen,
-    /// A temporary table, view or sequence.
-    Temporary,
-    /// An advisory lock of the session.
-    AdvisoryLock,
-    /// A cursor WITH HOLD.
-    HoldCursor,
-    /// A statement prepared in SQL.
-    SqlPrepare,
-    /// Something else that may leave a trace, or a text that can't be read.
-    Unknown,
-    /// Connections are leased for sessions, by configuration.
-    Pooling,
+pub enum AccessMode {
+    /// `READ ONLY`.
+    ReadOnly,
+    /// Anything else.
+    ReadWrite,
 }
 
-/// What a statement does to its transaction.
+/// How a transaction block is ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransactionEnd {
+    /// COMMIT or END.
+    Commit,
+    /// ROLLBACK or ABORT.
+    Rollback,
+}
+
+/// What one statement does to its transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TransactionStep {
-    /// Begins one.
-    Begin {
-        /// One that can change nothing.
-        read_only: bool,
-    },
-    /// Commits it, also in two phases.
+    /// Begins a transaction block.
+    Begin(AccessMode),
+    /// Commits it, also as the first phase of two (`PREPARE TRANSACTION`).
     Commit,
     /// Rolls it back.
     Rollback,
@@ -45,224 +39,185 @@
     Other,
 }
 
-/// What a text holds, statement by statement.
+impl TransactionStep {
+    /// Whether the transaction block ends here.
+    #[must_use]
+    pub fn is_end(self) -> bool {
+        matches!(self, Self::Commit | Self::Rollback)
+    }
+
+    fn of_statement(keywords: &[&str]) -> Self {
+        match keywords {
+            ["BEGIN", ..] | ["START", "TRANSACTION", ..] => Self::Begin(access_mode(keywords)),
+            ["COMMIT" | "END", ..] | ["PREPARE", "TRANSACTION", ..] => Self::Commit,
+            ["ROLLBACK", "TO", ..] | ["ROLLBACK", "WORK" | "TRANSACTION", "TO", ..] => Self::Other,
+            ["ROLLBACK" | "ABORT", ..] => Self::Rollback,
+            _ => Self::Other,
+        }
+    }
+}
+
+fn access_mode(keywords: &[&str]) -> AccessMode {
+    if keywords.windows(2).any(|pair| pair == ["READ", "ONLY"]) {
+        AccessMode::ReadOnly
+    } else {
+        AccessMode::ReadWrite
+    }
+}
+
+/// Effects of a text of one or more statements.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StatementEffects {
-    /// What each does to its transaction.
+    /// What each statement does to its transaction, in order.
     pub steps: Vec<TransactionStep>,
-    /// Why the session is pinned by it, the first reason.
-    pub pin: Option<StickyReason>,
-    /// The last statement is DISCARD ALL: nothing of the session is left.
-    pub discards: bool,
-    /// Statements that are prepared on the server connection go.
-    pub deallocates: bool,
-    /// It is DEALLOCATE of this name alone, as some drivers let go of what they have prepared.
-    pub deallocates_one: Option<String>,
-    /// Settings that are followed and reset, by name in small letters.
-    pub resets: Vec<String>,
-    /// Settings that are followed and set, by name in small letters.
-    pub sets: Vec<String>,
-    /// RESET ALL: all settings go back to what they were at first.
-    pub resets_all: bool,
-    /// It is BEGIN alone, or the end of a transaction alone, in a form of which it is known that a server takes it.
-    pub plain: bool,
+    /// Why the text makes its session sticky; the first reason of several.
+    pub sticky_reason: Option<StickyReason>,
+    /// The last statement is DISCARD ALL: no state of the session is left on the server.
+    pub discards_all: bool,
+    /// All statements prepared on the server connection are deallocated.
+    pub deallocates_all: bool,
+    /// The text is DEALLOCATE of this name and nothing else, as some drivers release what they have prepared.
+    pub deallocated_name: Option<String>,
+    /// Followed settings that are reset, by name in small letters.
+    pub reset_settings: Vec<String>,
+    /// Followed settings that are set, by name in small letters.
+    pub set_settings: Vec<String>,
+    /// RESET ALL or DISCARD ALL: all settings go back to their first values.
+    pub resets_all_settings: bool,
+    /// The text is BEGIN alone, or the end of a transaction alone, in a form that a server is known to accept.
+    pub is_standalone: bool,
 }
 
 impl StatementEffects {
-    /// What a text that is not SQL, or can't be read, may be: anything.
+    /// Effects of a text that is no SQL or can't be read: it may do anything.
+    #[must_use]
     pub fn unknown() -> Self {
         Self {
             steps: vec![TransactionStep::Other],
-            pin: Some(StickyReason::Unknown),
+            sticky_reason: Some(StickyReason::Unknown),
             ..Self::default()
         }
     }
 
-    /// One transaction begins here and nothing else is done; whether it can change nothing.
-    pub fn transaction_begin(&self) -> Option<bool> {
+    /// The access mode of the transaction that begins here, if nothing else is done.
+    #[must_use]
+    pub fn transaction_begin(&self) -> Option<AccessMode> {
         match self.steps[..] {
-            [TransactionStep::Begin { read_only }] if self.plain => Some(read_only),
+            [TransactionStep::Begin(access_mode)] if self.is_standalone => Some(access_mode),
             _ => None,
         }
     }
 
-    /// A transaction ends here and nothing else is done: by COMMIT or, if false, by ROLLBACK.
-    pub fn transaction_end(&self) -> Option<bool> {
+    /// How a transaction ends here, if nothing else is done.
+    #[must_use]
+    pub fn transaction_end(&self) -> Option<TransactionEnd> {
         match self.steps[..] {
-            [TransactionStep::Commit] if self.plain => Some(true),
-            [TransactionStep::Rollback] if self.plain => Some(false),
+            [TransactionStep::Commit] if self.is_standalone => Some(TransactionEnd::Commit),
+            [TransactionStep::Rollback] if self.is_standalone => Some(TransactionEnd::Rollback),
             _ => None,
         }
     }
+
+    fn add_statement(&mut self, statement: &SqlStatement<'_>) {
+        let keywords = statement.keywords();
+        self.steps.push(TransactionStep::of_statement(&keywords));
+        self.sticky_reason = self
+            .sticky_reason
+            .or_else(|| StickyReason::of_statement(statement));
+        self.discards_all = matches!(keywords[..], ["DISCARD", "ALL"]);
+        self.resets_all_settings |= matches!(keywords[..], ["RESET" | "DISCARD", "ALL"]);
+        self.add_deallocation(statement, &keywords);
+        self.add_setting(&keywords);
+    }
+
+    fn add_deallocation(&mut self, statement: &SqlStatement<'_>, keywords: &[&str]) {
+        match keywords {
+            ["DISCARD", ..] | ["DEALLOCATE", "ALL"] | ["DEALLOCATE", "PREPARE", "ALL"] => {
+                self.deallocates_all = true;
+            }
+            ["DEALLOCATE", ..] => self.deallocated_name = statement.last_identifier(),
+            _ => {}
+        }
+    }
+
+    fn add_setting(&mut self, keywords: &[&str]) {
+        let Some(SettingTarget::Followed(name)) = SettingTarget::read(keywords) else {
+            return;
+        };
+        if keywords.first() == Some(&"RESET") {
+            self.reset_settings.push(name);
+            return;
+        }
+        // A setting that is set after its reset keeps the new value.
+        self.reset_settings.retain(|reset| *reset != name);
+        self.set_settings.push(name);
+    }
 }
 
-/// Reads a text of statements.
-pub fn read(sql: &str) -> StatementEffects {
+/// Analyzes a text of statements that are separated by semicolons.
+#[must_use]
+pub fn analyze(sql: &str) -> StatementEffects {
     let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize() else {
         return StatementEffects::unknown();
     };
-    let mut reading = StatementEffects::default();
-    let solid: Vec<&Token> = tokens
+    let significant: Vec<&Token> = tokens
         .iter()
         .filter(|token| !matches!(token, Token::Whitespace(_) | Token::EOF))
         .collect();
-    for statement in solid
-        .split(|token| matches!(token, Token::SemiColon))
-        .filter(|tokens| !tokens.is_empty())
-    {
-        // Keywords in capitals, and a mark behind those that are called.
-        let words: Vec<(String, bool)> = statement
-            .iter()
-            .enumerate()
-            .filter_map(|(at, token)| match token {
-                Token::Word(word) => {
-                    let called = matches!(statement.get(at + 1), Some(Token::LParen));
-                    Some((word.value.to_ascii_uppercase(), called))
-                }
-                _ => None,
-            })
-            .collect();
-        let text: Vec<&str> = words.iter().map(|(word, _)| word.as_str()).collect();
-        reading.steps.push(step(&text));
-        reading.pin = reading.pin.or_else(|| pin(&text, &words));
-        reading.discards = matches!(text[..], ["DISCARD", "ALL"]);
-        let all = matches!(
-            text[..],
-            ["DISCARD", ..] | ["DEALLOCATE", "ALL"] | ["DEALLOCATE", "PREPARE", "ALL"]
-        );
-        reading.deallocates |= all;
-        if let (["DEALLOCATE", ..], false) = (&text[..], all) {
-            reading.deallocates_one = match statement.last() {
-                Some(Token::Word(word)) if word.quote_style.is_none() => {
-                    Some(word.value.to_lowercase())
-                }
-                Some(Token::Word(word)) => Some(word.value.clone()),
-                _ => None,
-            };
-        }
-        reading.resets_all |= matches!(text[..], ["RESET", "ALL"] | ["DISCARD", "ALL"]);
-        match (text.first(), setting(&text)) {
-            (Some(&"RESET"), Some(Ok(name))) => reading.resets.push(name),
-            (Some(&"SET"), Some(Ok(name))) => {
-                // What is set behind its reset stays set.
-                reading.resets.retain(|reset| *reset != name);
-                reading.sets.push(name);
-            }
-            _ => {}
+    let mut effects = StatementEffects::default();
+    for statement in significant.split(|token| matches!(token, Token::SemiColon)) {
+        if !statement.is_empty() {
+            effects.add_statement(&SqlStatement::new(statement));
         }
     }
-    if reading.steps.len() > 1 {
-        reading.deallocates_one = None;
+    if effects.steps.len() > 1 {
+        effects.deallocated_name = None;
     }
-    let is_end = matches!(
-        reading.steps[..],
-        [TransactionStep::Commit | TransactionStep::Rollback]
-    );
-    let is_begin = matches!(reading.steps[..], [TransactionStep::Begin { .. }]);
-    let words = solid
-        .iter()
-        .filter(|token| !matches!(token, Token::SemiColon))
-        .count();
-    let first = solid
-        .first()
-        .map(|token| token.to_string().to_ascii_uppercase());
-    reading.plain = match first.as_deref() {
-        // PREPARE TRANSACTION and COMMIT PREPARED are no plain ends, nor is one that chains.
-        Some("COMMIT" | "END" | "ROLLBACK" | "ABORT") => is_end && words == 1,
-        Some("BEGIN") if is_begin && words == 1 => true,
-        _ => {
-            is_begin
-                && Parser::parse_sql(&PostgreSqlDialect {}, sql).is_ok_and(|all| all.len() == 1)
-        }
-    };
-    reading
+    effects.is_standalone = is_standalone(sql, &significant, &effects.steps);
+    effects
 }
 
-/// The name that a text lets go of, if it is DEALLOCATE of one name and nothing else.
-pub fn read_deallocate(sql: &[u8]) -> Option<Bytes> {
-    const WORD: &[u8] = b"DEALLOCATE";
-    let begins = sql.trim_ascii_start();
-    if !begins
-        .get(..WORD.len())
-        .is_some_and(|word| word.eq_ignore_ascii_case(WORD))
-    {
-        return None;
-    }
-    read(&String::from_utf8_lossy(sql))
-        .deallocates_one
-        .map(Bytes::from)
+/// Analyzes a text as it came on the wire.
+pub(crate) fn analyze_bytes(sql: &[u8]) -> StatementEffects {
+    analyze(&String::from_utf8_lossy(sql))
 }
 
-/// The setting that a SET or RESET is about, in small letters: one that is followed, or `Err` for any other.
-fn setting(words: &[&str]) -> Option<Result<String, ()>> {
-    let words = match words {
-        ["SET", "SESSION", rest @ ..] | ["SET", rest @ ..] | ["RESET", rest @ ..] => rest,
-        _ => return None,
-    };
-    let name = match words {
-        ["TIME", "ZONE", ..] => "timezone".to_owned(),
-        ["NAMES", ..] => "client_encoding".to_owned(),
-        // SET SESSION AUTHORIZATION and SET SESSION CHARACTERISTICS are settings of other names.
-        ["AUTHORIZATION" | "CHARACTERISTICS" | "ROLE", ..] | [] => return Some(Err(())),
-        [name, ..] => name.to_ascii_lowercase(),
+/// Whether a text only begins or only ends a transaction, in a form that a server is known to accept.
+fn is_standalone(sql: &str, significant: &[&Token], steps: &[TransactionStep]) -> bool {
+    let [step] = steps else {
+        return false;
     };
-    Some(if is_followed(&name) {
-        Ok(name)
-    } else {
-        Err(())
-    })
+    let is_begin = matches!(step, TransactionStep::Begin(_));
+    let is_one_token = significant
+        .iter()
+        .filter(|token| !matches!(token, Token::SemiColon))
+        .count()
+        == 1;
+    let first = significant
+        .first()
+        .map(|token| token.to_string().to_ascii_uppercase());
+    match first.as_deref() {
+        // PREPARE TRANSACTION and COMMIT PREPARED are no plain ends, nor is COMMIT AND CHAIN.
+        Some("COMMIT" | "END" | "ROLLBACK" | "ABORT") => step.is_end() && is_one_token,
+        Some("BEGIN") if is_begin && is_one_token => true,
+        _ => is_begin && is_one_valid_statement(sql),
+    }
 }
 
-fn step(words: &[&str]) -> TransactionStep {
-    let read_only = || words.windows(2).any(|two| two == ["READ", "ONLY"]);
-    match words {
-        ["BEGIN", ..] | ["START", "TRANSACTION", ..] => TransactionStep::Begin {
-            read_only: read_only(),
-        },
-        ["COMMIT" | "END", ..] | ["PREPARE", "TRANSACTION", ..] => TransactionStep::Commit,
-        ["ROLLBACK", "TO", ..] | ["ROLLBACK", "WORK" | "TRANSACTION", "TO", ..] => {
-            TransactionStep::Other
-        }
-        ["ROLLBACK" | "ABORT", ..] => TransactionStep::Rollback,
-        _ => TransactionStep::Other,
-    }
+fn is_one_valid_statement(sql: &str) -> bool {
+    Parser::parse_sql(&PostgreSqlDialect {}, sql).is_ok_and(|statements| statements.len() == 1)
 }
 
-fn pin(text: &[&str], words: &[(String, bool)]) -> Option<StickyReason> {
-    const LOCKS: [&str; 4] = [
-        "PG_ADVISORY_LOCK",
-        "PG_ADVISORY_LOCK_SHARED",
-        "PG_TRY_ADVISORY_LOCK",
-        "PG_TRY_ADVISORY_LOCK_SHARED",
-    ];
-    let calls = |name: &str| words.iter().any(|(word, called)| *called && word == name);
-    let temporary = |word: &&str| matches!(*word, "TEMP" | "TEMPORARY");
-    match text {
-        ["SET", "LOCAL" | "TRANSACTION" | "CONSTRAINTS", ..] => None,
-        ["RESET", "ALL"] => None,
-        ["SET" | "RESET", ..] => {
-            matches!(setting(text), Some(Err(()))).then_some(StickyReason::Setting)
-        }
-        ["LISTEN", ..] => Some(StickyReason::Listen),
-        ["CREATE", rest @ ..] if rest.iter().take(4).any(temporary) => {
-            Some(StickyReason::Temporary)
-        }
-        ["DECLARE", ..] if text.windows(2).any(|two| two == ["WITH", "HOLD"]) => {
-            Some(StickyReason::HoldCursor)
-        }
-        ["PREPARE", "TRANSACTION", ..] => None,
-        ["PREPARE", ..] => Some(StickyReason::SqlPrepare),
-        ["LOAD" | "DO", ..] => Some(StickyReason::Unknown),
-        _ if LOCKS.iter().any(|lock| calls(lock)) => Some(StickyReason::AdvisoryLock),
-        _ if calls("SET_CONFIG") => Some(StickyReason::Setting),
-        _ if text
-            .windows(2)
-            .any(|two| two[0] == "INTO" && temporary(&two[1])) =>
-        {
-            Some(StickyReason::Temporary)
-        }
-        _ => None,
+/// The name that a text deallocates, if it is DEALLOCATE of one name and nothing else.
+///
+/// Most texts are told by their first word and not analyzed.
+pub(crate) fn deallocated_name(sql: &[u8]) -> Option<Bytes> {
+    const KEYWORD: &[u8] = b"DEALLOCATE";
+    let first_word = sql.trim_ascii_start().get(..KEYWORD.len())?;
+    if !first_word.eq_ignore_ascii_case(KEYWORD) {
+        return None;
     }
+    analyze_bytes(sql).deallocated_name.map(Bytes::from)
 }
 
 #[cfg(test)]
--- a/core/postgres-session/src/sql_analysis/tests.rs
+++ b/core/postgres-session/src/sql_analysis/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn what_outlives_a_transaction_pins() {
+fn statements_whose_effects_outlive_a_transaction_make_the_session_sticky() {
     for (sql, wanted) in [
         ("select 1", None),
         ("SET search_path = x", Some(StickyReason::Setting)),
@@ -60,65 +60,68 @@
         ("select 'never ended", Some(StickyReason::Unknown)),
         ("update t set a = 1; listen x", Some(StickyReason::Listen)),
     ] {
-        assert_eq!(read(sql).pin, wanted, "{sql}");
+        assert_eq!(analyze(sql).sticky_reason, wanted, "{sql}");
     }
-    assert!(read("DISCARD ALL").discards && !read("DISCARD ALL; SET a = 1").discards);
+    assert!(analyze("DISCARD ALL").discards_all && !analyze("DISCARD ALL; SET a = 1").discards_all);
 }
 
 #[test]
-fn what_stands_alone_is_known_as_such() {
+fn standalone_begin_commit_rollback_and_deallocate_are_recognized() {
     for (sql, begins, ends) in [
-        ("BEGIN", Some(false), None),
-        ("begin;", Some(false), None),
-        ("BEGIN READ ONLY", Some(true), None),
+        ("BEGIN", Some(AccessMode::ReadWrite), None),
+        ("begin;", Some(AccessMode::ReadWrite), None),
+        ("BEGIN READ ONLY", Some(AccessMode::ReadOnly), None),
         (
             "START TRANSACTION ISOLATION LEVEL REPEATABLE READ",
-            Some(false),
+            Some(AccessMode::ReadWrite),
             None,
         ),
         ("BEGIN ISOLATION LEVEL WHATEVER", None, None),
         ("BEGIN; SELECT 1", None, None),
-        ("COMMIT", None, Some(true)),
-        ("end", None, Some(true)),
-        ("ROLLBACK;", None, Some(false)),
+        ("COMMIT", None, Some(TransactionEnd::Commit)),
+        ("end", None, Some(TransactionEnd::Commit)),
+        ("ROLLBACK;", None, Some(TransactionEnd::Rollback)),
         ("COMMIT AND CHAIN", None, None),
         ("PREPARE TRANSACTION 'x'", None, None),
         ("COMMIT PREPARED 'x'", None, None),
         ("ROLLBACK TO SAVEPOINT a", None, None),
     ] {
-        let reading = read(sql);
+        let effects = analyze(sql);
         assert_eq!(
-            (reading.transaction_begin(), reading.transaction_end()),
+            (effects.transaction_begin(), effects.transaction_end()),
             (begins, ends),
             "{sql}"
         );
     }
     assert_eq!(
-        read("DEALLOCATE _pg3_0").deallocates_one.as_deref(),
+        analyze("DEALLOCATE _pg3_0").deallocated_name.as_deref(),
         Some("_pg3_0")
     );
     assert_eq!(
-        read("deallocate prepare \"A b\"")
-            .deallocates_one
+        analyze("deallocate prepare \"A b\"")
+            .deallocated_name
             .as_deref(),
         Some("A b")
     );
-    assert!(read("DEALLOCATE ALL").deallocates && read("DEALLOCATE ALL").deallocates_one.is_none());
-    assert_eq!(read("reset timezone").resets, ["timezone"]);
-    assert!(read("RESET ALL").resets_all);
+    assert!(
+        analyze("DEALLOCATE ALL").deallocates_all
+            && analyze("DEALLOCATE ALL").deallocated_name.is_none()
+    );
+    assert_eq!(analyze("reset timezone").reset_settings, ["timezone"]);
+    assert!(analyze("RESET ALL").resets_all_settings);
 }
 
 #[test]
-fn steps_of_transactions_are_seen() {
-    let begin = TransactionStep::Begin { read_only: false };
-    let steps = |sql| read(sql).steps;
+fn transaction_steps_of_each_statement_are_listed_in_order() {
+    let begin = TransactionStep::Begin(AccessMode::ReadWrite);
+    let steps = |sql| analyze(sql).steps;
     assert_eq!(
         steps("begin; insert into t values (1); commit"),
         [begin, TransactionStep::Other, TransactionStep::Commit]
     );
     assert_eq!(
         steps("START TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY"),
-        [TransactionStep::Begin { read_only: true }]
+        [TransactionStep::Begin(AccessMode::ReadOnly)]
     );
     assert_eq!(steps("ROLLBACK TO SAVEPOINT a"), [TransactionStep::Other]);
     assert_eq!(steps("abort"), [TransactionStep::Rollback]);
--- /dev/null
+++ b/core/postgres-session/src/sql_statement.rs
@@ -0,0 +1,89 @@
+//! One SQL statement as its tokens and keywords, without a full parse.
+
+use sqlparser::tokenizer::Token;
+
+use crate::settings::is_followed;
+
+/// A word of a statement, unquoted and in capitals.
+struct Word {
+    text: String,
+    /// An opening parenthesis follows: it is the name of a function that is called.
+    is_called: bool,
+}
+
+/// One statement of a text, without whitespace, comments and semicolons.
+pub(crate) struct SqlStatement<'a> {
+    tokens: &'a [&'a Token],
+    words: Vec<Word>,
+}
+
+impl<'a> SqlStatement<'a> {
+    /// The statement that these tokens make up.
+    pub(crate) fn new(tokens: &'a [&'a Token]) -> Self {
+        let words = tokens
+            .iter()
+            .enumerate()
+            .filter_map(|(index, token)| match token {
+                Token::Word(word) => Some(Word {
+                    text: word.value.to_ascii_uppercase(),
+                    is_called: matches!(tokens.get(index + 1), Some(Token::LParen)),
+                }),
+                _ => None,
+            })
+            .collect();
+        Self { tokens, words }
+    }
+
+    /// All words in capitals, keywords and names alike.
+    pub(crate) fn keywords(&self) -> Vec<&str> {
+        self.words.iter().map(|word| word.text.as_str()).collect()
+    }
+
+    /// Whether it calls a function of this name, given in capitals.
+    pub(crate) fn calls(&self, function: &str) -> bool {
+        self.words
+            .iter()
+            .any(|word| word.is_called && word.text == function)
+    }
+
+    /// The name that the statement ends with, in small letters unless it is quoted.
+    pub(crate) fn last_identifier(&self) -> Option<String> {
+        match self.tokens.last() {
+            Some(Token::Word(word)) if word.quote_style.is_none() => {
+                Some(word.value.to_lowercase())
+            }
+            Some(Token::Word(word)) => Some(word.value.clone()),
+            _ => None,
+        }
+    }
+}
+
+/// The setting that a SET or RESET is about.
+pub(crate) enum SettingTarget {
+    /// One that follows the client from server to server; its name in small letters.
+    Followed(String),
+    /// Any other.
+    Other,
+}
+
+impl SettingTarget {
+    /// Reads it from a statement's keywords; `None` if the statement is neither SET nor RESET.
+    pub(crate) fn read(keywords: &[&str]) -> Option<Self> {
+        let target = match keywords {
+            ["SET", "SESSION", rest @ ..] | ["SET", rest @ ..] | ["RESET", rest @ ..] => rest,
+            _ => return None,
+        };
+        let name = match target {
+            ["TIME", "ZONE", ..] => "timezone".to_owned(),
+            ["NAMES", ..] => "client_encoding".to_owned(),
+            // SET SESSION AUTHORIZATION and SET SESSION CHARACTERISTICS change settings of other names.
+            ["AUTHORIZATION" | "CHARACTERISTICS" | "ROLE", ..] | [] => return Some(Self::Other),
+            [name, ..] => name.to_ascii_lowercase(),
+        };
+        if is_followed(&name) {
+            Some(Self::Followed(name))
+        } else {
+            Some(Self::Other)
+        }
+    }
+}
