--- a/adapters/postgres/src/config.rs
+++ b/adapters/postgres/src/config.rs
@@ -225,7 +225,7 @@
             let (name, verifier) = line
                 .split_once(' ')
                 .ok_or_else(|| wrong("a name and a verifier"))?;
-            let read = Verifier::read(verifier);
+            let read = Verifier::parse(verifier);
             let verifier = read.map_err(|_| {
                 wrong("only SCRAM-SHA-256 verifiers are taken, no passwords, no md5")
             })?;
--- a/adapters/postgres/src/identity.rs
+++ b/adapters/postgres/src/identity.rs
@@ -51,10 +51,15 @@
             .iter()
             .collect::<String>();
         let begun = scram::begin(verifier, &mechanism, message, binding, &nonce);
-        let (exchange, answer) = begun.map_err(ClientError::Identity)?;
-        client.send(&[request(11, answer.as_bytes())]).await?;
+        let started = begun.map_err(ClientError::Identity)?;
+        client
+            .send(&[request(11, started.server_first.as_bytes())])
+            .await?;
         let last = client.password().await?;
-        let answer = exchange.finish(&last.body).map_err(ClientError::Identity)?;
+        let answer = started
+            .exchange
+            .finish(&last.body)
+            .map_err(ClientError::Identity)?;
         client.send(&[request(12, answer.as_bytes())]).await?;
         Ok(())
     }
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -72,7 +72,7 @@
 impl IdleCheck for Link {
     fn is_idle(&mut self) -> bool {
         // One that was closed meanwhile, or on which something has come that nobody asked for, is of no use.
-        self.cutter.held() == 0 && self.stream.is_quiet()
+        self.cutter.buffered_len() == 0 && self.stream.is_quiet()
     }
 }
 
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -242,7 +242,7 @@
                 *buffer = BytesMut::new();
             }
         }
-        self.cutter.give_back();
+        self.cutter.release_buffer();
     }
 
     fn write_client(&mut self, cx: &mut Context<'_>) -> Went {
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -170,7 +170,7 @@
     ) -> Result<Option<Admitted>, ClientError> {
         let mut startup = StartupReader::default();
         let message = loop {
-            let first = match startup.take() {
+            let first = match startup.next_packet() {
                 Ok(Some(first)) => first,
                 Ok(None) => {
                     let mut buffer = vec![0; 1024];
@@ -195,7 +195,7 @@
             match (first, &self.tls) {
                 (StartupPacket::Tls, Some(tls)) if !client.stream.is_tls() => {
                     // Bytes sent ahead in the clear would pass for the client's own.
-                    if !startup.rest().is_empty() {
+                    if !startup.take_remaining().is_empty() {
                         client
                             .send(&[server_messages::error_response(
                                 ErrorReason::Protocol,
@@ -219,7 +219,7 @@
                 (StartupPacket::Session(message), _) => break message,
             }
         };
-        client.cutter.push(&startup.rest());
+        client.cutter.push(&startup.take_remaining());
         if let Some(body) = &message.negotiate {
             client.send(&[Frame::new(b'v', body.clone())]).await?;
         }
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -89,7 +89,12 @@
         fleet.endpoints_updated(EndpointUpdate::Snapshot, config.listed());
         let timers = fleet.clone();
         spawn(async move { timers.run_timers().await });
-        let user = |name: &str| (name.to_owned(), Verifier::of("secret", b"some salt"));
+        let user = |name: &str| {
+            (
+                name.to_owned(),
+                Verifier::from_password("secret", b"some salt"),
+            )
+        };
         let front = Front::new(
             config.clone(),
             [user("ann"), user("eve")].into(),
--- a/core/postgres-session/fuzz/harness.rs
+++ b/core/postgres-session/fuzz/harness.rs
@@ -12,7 +12,7 @@
 pub fn play(input: &[u8]) {
     let mut startup = StartupReader::default();
     startup.push(input);
-    if let Ok(Some(StartupPacket::Session(message))) = startup.take() {
+    if let Ok(Some(StartupPacket::Session(message))) = startup.next_packet() {
         let _ = ClientSettings::new(&message.parameters, &Default::default());
     }
     let (mut session, mut client, mut server) = (
--- a/core/postgres-session/src/frame.rs
+++ b/core/postgres-session/src/frame.rs
@@ -1,25 +1,30 @@
-//! Frames of the wire: a tag, a length of four bytes that counts itself, and a body ("Message Formats"). Rows and
-//! copied data pass in pieces as they come, so that no row has to fit into memory.
+//! Messages on the wire: a type byte, a length of four bytes that includes itself, and a body ("Message Formats"). Data
+//! rows and copied data are streamed in chunks as they come, so that no row has to fit into memory.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
-/// No frame that is looked at is longer: a statement's text has to fit.
+use crate::message_tags::{backend, frontend};
+
+/// Most bytes of a message that is not streamed, without its type byte; the text of a statement has to fit.
 pub const MAX_FRAME_LENGTH: usize = 1024 * 1024;
-/// A piece of a frame that passes is no longer.
+/// Most bytes of a chunk of a streamed message.
 pub const MAX_CHUNK_LENGTH: usize = 16 * 1024;
-const HEAD: usize = 5;
+/// Bytes of the type and the length.
+const HEADER_LENGTH: usize = 5;
+/// Bytes of the length, which it includes.
+const LENGTH_FIELD_LENGTH: usize = 4;
 
-/// A whole frame.
+/// A complete message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Frame {
-    /// Its tag.
+    /// Its type; see [`crate::message_tags`].
     pub tag: u8,
     /// Its body.
     pub body: Bytes,
 }
 
 impl Frame {
-    /// A frame of these.
+    /// A message of this type with this body.
     pub fn new(tag: u8, body: impl Into<Bytes>) -> Self {
         Self {
             tag,
@@ -27,141 +32,170 @@
         }
     }
 
-    /// Its length on the wire, with the tag.
+    /// Bytes on the wire, with the header.
+    #[must_use]
     pub fn wire_len(&self) -> usize {
-        HEAD + self.body.len()
+        HEADER_LENGTH + self.body.len()
     }
 
-    /// Adds it to what is to be written.
+    /// Appends the message to a buffer.
     pub fn write(&self, out: &mut BytesMut) {
         out.reserve(self.wire_len());
         out.put_u8(self.tag);
-        // A body is no longer than MOST_FRAME, or made here.
-        out.put_u32(u32::try_from(self.body.len() + 4).unwrap_or(u32::MAX));
+        // A body is no longer than MAX_FRAME_LENGTH, or written by this process, so the length always fits.
+        let length = self.body.len() + LENGTH_FIELD_LENGTH;
+        out.put_u32(u32::try_from(length).unwrap_or(u32::MAX));
         out.put_slice(&self.body);
     }
 
-    /// The string that the body begins with, without its zero.
+    /// The zero-terminated string that the body begins with, without the zero; `None` if there is no zero.
+    #[must_use]
     pub fn first_string(&self) -> Option<&[u8]> {
         let end = self.body.iter().position(|byte| *byte == 0)?;
         Some(&self.body[..end])
     }
 }
 
-/// What has come of a connection.
+/// What a decoder has found.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DecodeResult {
-    /// A whole frame.
+    /// A complete message.
     Frame(Frame),
-    /// A piece of a frame that passes unread: its bytes on the wire, from the tag on.
+    /// A part of a streamed message: its bytes on the wire, from the type on.
     Chunk {
-        /// The frame's tag.
+        /// The message's type.
         tag: u8,
         /// The bytes.
         bytes: Bytes,
-        /// Whether the frame ends with them.
+        /// Whether the message ends with them.
         last: bool,
     },
 }
 
-/// Bytes that are no frames.
+/// Why bytes are no messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
-    /// A length that does not even count itself.
+    /// The length does not even include itself.
     #[error("message {:?} has length {length}", char::from(*tag))]
     Short {
-        /// Its tag.
+        /// The message's type.
         tag: u8,
-        /// The length.
+        /// The length that it claims.
         length: u32,
     },
-    /// Longer than anything that makes sense.
+    /// The message is longer than [`MAX_FRAME_LENGTH`].
     #[error("message {:?} has {length} bytes; {MAX_FRAME_LENGTH} are the most", char::from(*tag))]
     Long {
-        /// Its tag.
+        /// The message's type.
         tag: u8,
-        /// The length.
+        /// The length that it claims.
         length: u32,
     },
 }
 
-/// Cuts a connection's bytes into frames. Holds one frame of [`MAX_FRAME_LENGTH`] at most, and what was read with it.
-#[derive(Debug, Default)]
-pub struct FrameDecoder {
-    bytes: BytesMut,
-    /// What is left of a frame that passes in pieces.
-    passing: Option<(u8, usize)>,
+/// A streamed message of which the end has not come.
+#[derive(Clone, Copy, Debug)]
+struct PartialMessage {
+    tag: u8,
+    /// Bytes that are still to come.
+    remaining: usize,
 }
 
-/// Data rows and copied data pass; all else is looked at.
-fn passes(tag: u8) -> bool {
-    matches!(tag, b'D' | b'd')
+/// Splits a connection's bytes into messages. Buffers at most one message of [`MAX_FRAME_LENGTH`], and what was read
+/// together with it.
+#[derive(Debug, Default)]
+pub struct FrameDecoder {
+    buffer: BytesMut,
+    streaming: Option<PartialMessage>,
 }
 
 impl FrameDecoder {
-    /// Adds what has come. `from_client`: there a `D` asks to describe, and only `d` passes.
+    /// Adds bytes that were read.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
+        self.buffer.extend_from_slice(bytes);
     }
 
-    /// Gives back a large buffer that holds nothing.
-    pub fn give_back(&mut self) {
-        if self.bytes.is_empty() && self.bytes.capacity() > 0 {
-            self.bytes = BytesMut::new();
+    /// Frees the buffer's memory if it is empty.
+    pub fn release_buffer(&mut self) {
+        if self.buffer.is_empty() && self.buffer.capacity() > 0 {
+            self.buffer = BytesMut::new();
         }
     }
 
-    /// Bytes that are kept.
-    pub fn held(&self) -> usize {
-        self.bytes.len()
+    /// Bytes in the buffer.
+    #[must_use]
+    pub fn buffered_len(&self) -> usize {
+        self.buffer.len()
     }
 
-    /// The next frame or piece from a server.
+    /// The next message or chunk from a server; `None` until more is read.
+    ///
+    /// # Errors
+    /// [`FrameError`] if the length is impossible; the connection can't be read any further.
     pub fn next_from_server(&mut self) -> Result<Option<DecodeResult>, FrameError> {
-        self.cut(passes)
+        self.decode(|tag| matches!(tag, backend::DATA_ROW | backend::COPY_DATA))
     }
 
-    /// The next frame or piece from a client; a client's `D` asks to describe.
+    /// The next message or chunk from a client; `None` until more is read.
+    ///
+    /// # Errors
+    /// [`FrameError`] if the length is impossible; the connection can't be read any further.
     pub fn next_from_client(&mut self) -> Result<Option<DecodeResult>, FrameError> {
-        self.cut(|tag| tag == b'd')
+        self.decode(|tag| tag == frontend::COPY_DATA)
     }
 
-    fn cut(&mut self, passes: impl Fn(u8) -> bool) -> Result<Option<DecodeResult>, FrameError> {
-        if let Some((tag, left)) = self.passing {
-            return Ok(self.pass(tag, left));
+    fn decode(
+        &mut self,
+        is_streamed: impl Fn(u8) -> bool,
+    ) -> Result<Option<DecodeResult>, FrameError> {
+        if let Some(message) = self.streaming {
+            return Ok(self.next_chunk(message));
         }
-        if self.bytes.len() < HEAD {
+        if self.buffer.len() < HEADER_LENGTH {
             return Ok(None);
         }
-        let tag = self.bytes[0];
-        let length =
-            u32::from_be_bytes([self.bytes[1], self.bytes[2], self.bytes[3], self.bytes[4]]);
-        if length < 4 {
+        let tag = self.buffer[0];
+        let length = u32::from_be_bytes([
+            self.buffer[1],
+            self.buffer[2],
+            self.buffer[3],
+            self.buffer[4],
+        ]);
+        let body_and_length = length as usize;
+        if body_and_length < LENGTH_FIELD_LENGTH {
             return Err(FrameError::Short { tag, length });
         }
-        let whole = length as usize + 1;
-        if passes(tag) {
-            return Ok(self.pass(tag, whole));
+        let wire_len = body_and_length + 1;
+        if is_streamed(tag) {
+            return Ok(self.next_chunk(PartialMessage {
+                tag,
+                remaining: wire_len,
+            }));
         }
-        if length as usize > MAX_FRAME_LENGTH {
+        if body_and_length > MAX_FRAME_LENGTH {
             return Err(FrameError::Long { tag, length });
         }
-        if self.bytes.len() < whole {
+        if self.buffer.len() < wire_len {
             return Ok(None);
         }
-        let mut frame = self.bytes.split_to(whole).freeze();
-        frame.advance(HEAD);
-        Ok(Some(DecodeResult::Frame(Frame { tag, body: frame })))
+        let mut body = self.buffer.split_to(wire_len).freeze();
+        body.advance(HEADER_LENGTH);
+        Ok(Some(DecodeResult::Frame(Frame { tag, body })))
     }
 
-    fn pass(&mut self, tag: u8, left: usize) -> Option<DecodeResult> {
-        let piece = left.min(self.bytes.len()).min(MAX_CHUNK_LENGTH);
-        if piece == 0 {
+    /// What has come of a streamed message, at most [`MAX_CHUNK_LENGTH`] bytes.
+    fn next_chunk(&mut self, message: PartialMessage) -> Option<DecodeResult> {
+        let PartialMessage { tag, remaining } = message;
+        let length = remaining.min(self.buffer.len()).min(MAX_CHUNK_LENGTH);
+        if length == 0 {
             return None;
         }
-        let bytes = self.bytes.split_to(piece).freeze();
-        let last = piece == left;
-        self.passing = (!last).then_some((tag, left - piece));
+        let bytes = self.buffer.split_to(length).freeze();
+        let last = length == remaining;
+        self.streaming = (!last).then_some(PartialMessage {
+            tag,
+            remaining: remaining - length,
+        });
         Some(DecodeResult::Chunk { tag, bytes, last })
     }
 }
--- a/core/postgres-session/src/scram/tests.rs
+++ b/core/postgres-session/src/scram/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// The client's side is another's, from the drivers' own crate.
+/// An exchange with the client's side of the drivers' own crate.
 fn exchange(
     verifier: &Verifier,
     password: &str,
@@ -11,7 +11,7 @@
     channel: Option<&[u8]>,
 ) -> Result<(), ScramError> {
     let mut client = ScramSha256::new(password.as_bytes(), binding);
-    let (exchange, answer) = begin(
+    let started = begin(
         verifier.clone(),
         mechanism,
         client.message(),
@@ -19,19 +19,17 @@
         "servernonce",
     )?;
     client
-        .update(answer.as_bytes())
-        .expect("a good first answer");
-    let last = exchange.finish(client.message())?;
-    client
-        .finish(last.as_bytes())
-        .expect("the node has proved itself");
+        .update(started.server_first.as_bytes())
+        .expect("a good first message");
+    let last = started.exchange.finish(client.message())?;
+    client.finish(last.as_bytes()).expect("the server's proof");
     Ok(())
 }
 
 #[test]
-fn who_knows_the_password_gets_in_and_nobody_else() {
-    let verifier = Verifier::of("secret", b"salt of sixteen.");
-    let same = Verifier::read(&verifier.write()).expect("as written");
+fn only_the_right_password_is_accepted() {
+    let verifier = Verifier::from_password("secret", b"salt of sixteen.");
+    let same = Verifier::parse(&verifier.to_text()).expect("as written");
     let plain = ChannelBinding::unsupported;
     assert_eq!(exchange(&same, "secret", plain(), MECHANISM, None), Ok(()));
     assert_eq!(
@@ -46,8 +44,8 @@
 }
 
 #[test]
-fn a_channel_is_bound_or_the_exchange_fails() {
-    let verifier = Verifier::of("secret", b"salt");
+fn a_wrong_channel_binding_fails_the_exchange() {
+    let verifier = Verifier::from_password("secret", b"salt");
     let end = |bytes: &[u8]| ChannelBinding::tls_server_end_point(bytes.to_vec());
     assert_eq!(
         exchange(
@@ -83,7 +81,7 @@
         exchange(&verifier, "secret", end(b"one"), "MD5", Some(b"one")),
         Err(ScramError::Mechanism)
     );
-    // One who believes that the node can't bind, while it can, has been lied to.
+    // A client that believes the server can't bind, while it can, got a changed offer.
     let believes = ChannelBinding::unrequested;
     assert_eq!(
         exchange(&verifier, "secret", believes(), MECHANISM, Some(b"one")),
@@ -96,8 +94,8 @@
 }
 
 #[test]
-fn what_is_malformed_is_refused() {
-    let verifier = Verifier::of("secret", b"salt");
+fn malformed_messages_and_verifiers_are_errors() {
+    let verifier = Verifier::from_password("secret", b"salt");
     for first in [
         "",
         "n",
@@ -120,9 +118,9 @@
         "c=biws,r=xn,p=AAAA",
         "c=,r=xn,p=AAAA",
     ] {
-        let (exchange, _) =
-            begin(verifier.clone(), MECHANISM, b"n,,n=,r=x", None, "n").expect("good");
-        assert!(exchange.finish(last.as_bytes()).is_err(), "{last}");
+        let started = begin(verifier.clone(), MECHANISM, b"n,,n=,r=x", None, "n")
+            .unwrap_or_else(|error| panic!("{error}"));
+        assert!(started.exchange.finish(last.as_bytes()).is_err(), "{last}");
     }
     for text in [
         "",
@@ -130,6 +128,6 @@
         "SCRAM-SHA-256$0:c2FsdA==$x:y",
         "SCRAM-SHA-256$4096:c2FsdA==$c2FsdA==:c2FsdA==",
     ] {
-        assert!(Verifier::read(text).is_err(), "{text}");
+        assert!(Verifier::parse(text).is_err(), "{text}");
     }
 }
--- a/core/postgres-session/src/startup.rs
+++ b/core/postgres-session/src/startup.rs
@@ -1,20 +1,32 @@
-//! A client's first packets ("Start-up", "SSL Session Encryption", "Canceling Requests in Progress"): they have no
-//! tag, and whoever is not a PostgreSQL client shows here.
+//! A client's first packets ("Start-up", "SSL Session Encryption", "Canceling Requests in Progress"). They have no type
+//! byte, and other protocols that connect by mistake are recognized here.
 
 use std::collections::BTreeMap;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
-/// As in the server itself (`MAX_STARTUP_PACKET_LENGTH`).
-const MOST: usize = 10_000;
-const SSL_REQUEST: u32 = 80_877_103;
-const GSS_REQUEST: u32 = 80_877_104;
-const CANCEL_REQUEST: u32 = 80_877_102;
-const MAJOR: u32 = 3;
-/// The newest minor version spoken; 3.1 was never used.
-const NEWEST_MINOR: u32 = 2;
-/// A cancel key is no longer (protocol 3.2).
-const MOST_KEY: usize = 256;
+/// Most bytes of a first packet, as in the server itself (`MAX_STARTUP_PACKET_LENGTH`).
+const MAX_PACKET_LENGTH: usize = 10_000;
+/// Bytes of the length and the request code, which every first packet has.
+const MIN_PACKET_LENGTH: usize = 8;
+/// Bytes of the length, which it includes.
+const LENGTH_FIELD_LENGTH: usize = 4;
+const SSL_REQUEST_CODE: u32 = 80_877_103;
+const GSS_ENCRYPTION_REQUEST_CODE: u32 = 80_877_104;
+const CANCEL_REQUEST_CODE: u32 = 80_877_102;
+const MAJOR_VERSION: u32 = 3;
+/// The newest minor version that is supported; 3.1 was never used.
+const NEWEST_MINOR_VERSION: u32 = 2;
+/// Bytes of the process number in a cancel request.
+const PROCESS_LENGTH: usize = 4;
+/// Most bytes of a cancel key (protocol 3.2).
+const MAX_CANCEL_KEY_LENGTH: usize = 256;
+/// Fewest bytes of a cancel key.
+const MIN_CANCEL_KEY_LENGTH: usize = 4;
+/// Protocol options, which a server may not know, have names with this prefix.
+const PROTOCOL_OPTION_PREFIX: &str = "_pq_.";
+/// The first four bytes of requests in HTTP/1 and HTTP/2.
+const HTTP_PREFIXES: [&[u8; 4]; 6] = [b"GET ", b"POST", b"HEAD", b"PUT ", b"OPTI", b"PRI "];
 
 /// What a first packet asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,63 +35,150 @@
     Tls,
     /// Encryption by GSSAPI; `N` answers.
     Gss,
-    /// To cancel a statement of another connection; nothing is answered.
+    /// To cancel a statement of another connection; there is no answer.
     Cancel {
-        /// The session that it is about.
+        /// Process number of the session whose statement is to be canceled.
         process: u32,
-        /// Its key.
+        /// The session's cancel key.
         key: Bytes,
     },
     /// A session.
     Session(StartupMessage),
 }
 
-/// A client's start-up message ("StartupMessage"): the session that it asks for.
+/// A client's `StartupMessage`: the session that it asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StartupMessage {
-    /// The minor version in use: what was asked for, or the newest one spoken.
+    /// The minor protocol version to use: the one asked for, or the newest supported.
     pub minor: u32,
-    /// `NegotiateProtocolVersion`, where it asked for more than that.
+    /// Body of the `NegotiateProtocolVersion` to answer with, if the client asked for more than is supported.
     pub negotiate: Option<Bytes>,
-    /// Its user.
+    /// The user's name.
     pub user: String,
-    /// Its database; the user's name if it says none.
+    /// The database; the user's name if the client gives none.
     pub database: String,
-    /// All that it set.
+    /// All parameters.
     pub parameters: BTreeMap<String, String>,
 }
 
 impl StartupMessage {
-    /// What its application calls itself.
+    /// The client's `application_name`; empty if it gives none.
+    #[must_use]
     pub fn application(&self) -> &str {
         self.parameters
             .get("application_name")
             .map_or("", String::as_str)
     }
+
+    /// Reads the body behind a version code with this minor version.
+    fn read(requested_minor: u32, body: &[u8]) -> Result<Self, StartupError> {
+        let StartupParameters { known, unsupported } = StartupParameters::read(body)?;
+        if known.get("replication").is_some_and(|value| !is_off(value)) {
+            return Err(StartupError::Replication);
+        }
+        let user = known
+            .get("user")
+            .filter(|user| !user.is_empty())
+            .cloned()
+            .ok_or(StartupError::NoUser)?;
+        let database = known.get("database").unwrap_or(&user).clone();
+        // Minor version 1 was never used; who asks for it gets 0.
+        let minor = if requested_minor >= NEWEST_MINOR_VERSION {
+            NEWEST_MINOR_VERSION
+        } else {
+            0
+        };
+        let is_negotiated = requested_minor > NEWEST_MINOR_VERSION || !unsupported.is_empty();
+        Ok(Self {
+            minor,
+            negotiate: is_negotiated.then(|| negotiate_protocol_version(minor, &unsupported)),
+            user,
+            database,
+            parameters: known,
+        })
+    }
+}
+
+fn is_off(value: &str) -> bool {
+    matches!(value, "false" | "off" | "no" | "0")
+}
+
+/// Body of a `NegotiateProtocolVersion`.
+fn negotiate_protocol_version(minor: u32, unsupported_options: &[String]) -> Bytes {
+    let mut body = BytesMut::new();
+    body.put_u32(MAJOR_VERSION << 16 | minor);
+    body.put_u32(u32::try_from(unsupported_options.len()).unwrap_or(u32::MAX));
+    for name in unsupported_options {
+        body.put_slice(name.as_bytes());
+        body.put_u8(0);
+    }
+    body.freeze()
+}
+
+/// Parameters of a `StartupMessage`.
+struct StartupParameters {
+    /// All but the protocol options.
+    known: BTreeMap<String, String>,
+    /// Names of the protocol options, of which none is supported.
+    unsupported: Vec<String>,
+}
+
+impl StartupParameters {
+    /// Reads names and values, each ended by a zero, with one zero more at the end.
+    fn read(body: &[u8]) -> Result<Self, StartupError> {
+        let strings = body.strip_suffix(b"\0").ok_or(StartupError::Parameters)?;
+        let mut strings = strings.split(|byte| *byte == 0).map(read_text);
+        let mut parameters = Self {
+            known: BTreeMap::new(),
+            unsupported: Vec::new(),
+        };
+        loop {
+            let name = strings.next().ok_or(StartupError::Parameters)??;
+            if name.is_empty() {
+                // This is the end, so nothing may follow.
+                return match strings.next() {
+                    Some(_) => Err(StartupError::Parameters),
+                    None => Ok(parameters),
+                };
+            }
+            let value = strings.next().ok_or(StartupError::Parameters)??;
+            if name.starts_with(PROTOCOL_OPTION_PREFIX) {
+                parameters.unsupported.push(name);
+            } else {
+                parameters.known.insert(name, value);
+            }
+        }
+    }
+}
+
+fn read_text(bytes: &[u8]) -> Result<String, StartupError> {
+    std::str::from_utf8(bytes)
+        .map(str::to_owned)
+        .map_err(|_| StartupError::Parameters)
 }
 
-/// Packets that begin no session.
+/// Why a first packet begins no session.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum StartupError {
-    /// A web browser, a health check, anything that speaks HTTP.
+    /// It is an HTTP request, of a web browser or a health check.
     #[error("this is HTTP; the port speaks the PostgreSQL protocol")]
     Http,
-    /// A length that no first packet has.
+    /// No first packet has this length.
     #[error("a first packet of {0} bytes")]
     Length(u32),
-    /// Another major version.
+    /// The major and minor version are not supported.
     #[error("protocol version {0}.{1} is not spoken here")]
     Version(u32, u32),
-    /// Asked for twice.
+    /// The same encryption was requested twice.
     #[error("encryption was asked for again")]
-    Again,
-    /// Parameters that can't be read.
+    RepeatedEncryptionRequest,
+    /// The parameters can't be read.
     #[error("the start-up parameters can't be read")]
     Parameters,
-    /// No user.
+    /// There is no user name.
     #[error("no user name in the start-up packet")]
     NoUser,
-    /// A connection for replication; it is no transaction that could be routed.
+    /// A replication connection, which has no transactions that could be routed.
     #[error("replication connections are not passed on")]
     Replication,
 }
@@ -87,126 +186,94 @@
 /// Reads first packets until a session or a cancel is asked for.
 #[derive(Debug, Default)]
 pub struct StartupReader {
-    bytes: BytesMut,
-    asked_tls: bool,
-    asked_gss: bool,
+    buffer: BytesMut,
+    tls_requested: bool,
+    gss_requested: bool,
 }
 
 impl StartupReader {
-    /// Adds what has come.
+    /// Adds bytes that were read.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.extend_from_slice(bytes);
+        self.buffer.extend_from_slice(bytes);
     }
 
-    /// What has come behind the last packet. Before TLS begins there must be nothing: bytes sent ahead in the
-    /// clear would pass for the client's own (CVE-2021-23214).
-    pub fn rest(&mut self) -> Bytes {
-        self.bytes.split().freeze()
+    /// Takes the bytes behind the last packet. Before TLS begins there must be none: bytes sent ahead unencrypted
+    /// would pass for the client's own (CVE-2021-23214).
+    pub fn take_remaining(&mut self) -> Bytes {
+        self.buffer.split().freeze()
     }
 
-    /// The next packet.
-    pub fn take(&mut self) -> Result<Option<StartupPacket>, StartupError> {
-        if self.bytes.len() < 4 {
+    /// The next packet; `None` until more is read.
+    ///
+    /// # Errors
+    /// [`StartupError`] if the client can't get a session.
+    pub fn next_packet(&mut self) -> Result<Option<StartupPacket>, StartupError> {
+        let Some(prefix) = self.buffer.first_chunk::<LENGTH_FIELD_LENGTH>() else {
             return Ok(None);
-        }
-        if [&b"GET "[..], b"POST", b"HEAD", b"PUT ", b"OPTI", b"PRI "].contains(&&self.bytes[..4]) {
+        };
+        if HTTP_PREFIXES.contains(&prefix) {
             return Err(StartupError::Http);
         }
-        let length =
-            u32::from_be_bytes([self.bytes[0], self.bytes[1], self.bytes[2], self.bytes[3]]);
-        if !(8..=MOST).contains(&(length as usize)) {
+        let length = u32::from_be_bytes(*prefix);
+        let packet_length = length as usize;
+        if !(MIN_PACKET_LENGTH..=MAX_PACKET_LENGTH).contains(&packet_length) {
             return Err(StartupError::Length(length));
         }
-        if self.bytes.len() < length as usize {
+        if self.buffer.len() < packet_length {
             return Ok(None);
         }
-        let mut packet = self.bytes.split_to(length as usize).freeze();
-        packet.advance(4);
+        let mut packet = self.buffer.split_to(packet_length).freeze();
+        packet.advance(LENGTH_FIELD_LENGTH);
         let code = packet.get_u32();
+        self.read_packet(code, length, packet).map(Some)
+    }
+
+    /// Reads a packet with this request or version code; `body` is what follows the code.
+    fn read_packet(
+        &mut self,
+        code: u32,
+        length: u32,
+        body: Bytes,
+    ) -> Result<StartupPacket, StartupError> {
         match code {
-            SSL_REQUEST if std::mem::replace(&mut self.asked_tls, true) => Err(StartupError::Again),
-            SSL_REQUEST => Ok(Some(StartupPacket::Tls)),
-            GSS_REQUEST if std::mem::replace(&mut self.asked_gss, true) => Err(StartupError::Again),
-            GSS_REQUEST => Ok(Some(StartupPacket::Gss)),
-            CANCEL_REQUEST if (8..=4 + MOST_KEY).contains(&packet.len()) => {
-                Ok(Some(StartupPacket::Cancel {
-                    process: packet.get_u32(),
-                    key: packet,
-                }))
+            SSL_REQUEST_CODE => {
+                request_once(&mut self.tls_requested)?;
+                Ok(StartupPacket::Tls)
+            }
+            GSS_ENCRYPTION_REQUEST_CODE => {
+                request_once(&mut self.gss_requested)?;
+                Ok(StartupPacket::Gss)
             }
-            CANCEL_REQUEST => Err(StartupError::Length(length)),
-            code if code >> 16 == MAJOR => {
-                session(code & 0xffff, &packet).map(|s| Some(StartupPacket::Session(s)))
+            CANCEL_REQUEST_CODE => read_cancel(body).ok_or(StartupError::Length(length)),
+            _ => {
+                let major = code >> 16;
+                let minor = code & 0xffff;
+                if major != MAJOR_VERSION {
+                    return Err(StartupError::Version(major, minor));
+                }
+                StartupMessage::read(minor, &body).map(StartupPacket::Session)
             }
-            code => Err(StartupError::Version(code >> 16, code & 0xffff)),
         }
     }
 }
 
-fn session(asked: u32, packet: &[u8]) -> Result<StartupMessage, StartupError> {
-    let text = |bytes: &[u8]| {
-        std::str::from_utf8(bytes)
-            .map(str::to_owned)
-            .map_err(|_| StartupError::Parameters)
-    };
-    // Names and values, each ended by a zero, and one zero more at the end.
-    let packet = packet.strip_suffix(b"\0").ok_or(StartupError::Parameters)?;
-    let mut words = packet.split(|byte| *byte == 0).map(text);
-    let (mut parameters, mut unknown) = (BTreeMap::new(), Vec::new());
-    loop {
-        let name = words.next().ok_or(StartupError::Parameters)??;
-        if name.is_empty() {
-            // Behind the last value; more would be behind the end.
-            if words.next().is_some() {
-                return Err(StartupError::Parameters);
-            }
-            break;
-        }
-        let value = words.next().ok_or(StartupError::Parameters)??;
-        if name.starts_with("_pq_.") {
-            unknown.push(name);
-        } else {
-            parameters.insert(name, value);
-        }
+/// Notes a request for encryption, which a client may make only once.
+fn request_once(requested: &mut bool) -> Result<(), StartupError> {
+    if *requested {
+        return Err(StartupError::RepeatedEncryptionRequest);
     }
-    if parameters
-        .get("replication")
-        .is_some_and(|value| !matches!(value.as_str(), "false" | "off" | "no" | "0"))
-    {
-        return Err(StartupError::Replication);
+    *requested = true;
+    Ok(())
+}
+
+/// Reads the body of a cancel request; `None` if the key has an impossible length.
+fn read_cancel(mut body: Bytes) -> Option<StartupPacket> {
+    let key_length = body.len().checked_sub(PROCESS_LENGTH)?;
+    if !(MIN_CANCEL_KEY_LENGTH..=MAX_CANCEL_KEY_LENGTH).contains(&key_length) {
+        return None;
     }
-    let user = parameters
-        .get("user")
-        .filter(|user| !user.is_empty())
-        .cloned()
-        .ok_or(StartupError::NoUser)?;
-    let database = parameters
-        .get("database")
-        .cloned()
-        .unwrap_or_else(|| user.clone());
-    // 3.1 was never used; whoever asks for it gets 3.0.
-    let minor = if asked >= NEWEST_MINOR {
-        NEWEST_MINOR
-    } else {
-        0
-    };
-    let negotiate = (asked > NEWEST_MINOR || !unknown.is_empty()).then(|| {
-        let mut body = BytesMut::new();
-        body.put_u32(MAJOR << 16 | minor);
-        body.put_u32(u32::try_from(unknown.len()).unwrap_or(u32::MAX));
-        for name in &unknown {
-            body.put_slice(name.as_bytes());
-            body.put_u8(0);
-        }
-        body.freeze()
-    });
-    Ok(StartupMessage {
-        minor,
-        negotiate,
-        user,
-        database,
-        parameters,
-    })
+    let process = body.get_u32();
+    Some(StartupPacket::Cancel { process, key: body })
 }
 
 #[cfg(test)]
--- a/core/postgres-session/src/startup/tests.rs
+++ b/core/postgres-session/src/startup/tests.rs
@@ -10,109 +10,117 @@
     bytes
 }
 
-fn take(bytes: &[u8]) -> Result<Option<StartupPacket>, StartupError> {
+fn read(bytes: &[u8]) -> Result<Option<StartupPacket>, StartupError> {
     let mut startup = StartupReader::default();
     startup.push(bytes);
-    startup.take()
+    startup.next_packet()
 }
 
-fn wanted(code: u32, rest: &[u8]) -> StartupMessage {
-    match take(&packet(code, rest)) {
-        Ok(Some(StartupPacket::Session(wanted))) => wanted,
+fn session(code: u32, rest: &[u8]) -> StartupMessage {
+    match read(&packet(code, rest)) {
+        Ok(Some(StartupPacket::Session(message))) => message,
         other => panic!("{other:?}"),
     }
 }
 
 #[test]
-fn sessions_say_who_they_are() {
+fn a_startup_message_names_user_database_and_application() {
     let bytes = b"user\0ann\0application_name\0seat\0\0";
-    let session = wanted(3 << 16, bytes);
+    let message = session(3 << 16, bytes);
     assert_eq!(
         (
-            session.user.as_str(),
-            session.database.as_str(),
-            session.application()
+            message.user.as_str(),
+            message.database.as_str(),
+            message.application()
         ),
         ("ann", "ann", "seat")
     );
-    assert_eq!((session.minor, session.negotiate), (0, None));
+    assert_eq!((message.minor, message.negotiate), (0, None));
     assert_eq!(
-        wanted(3 << 16, b"user\0ann\0database\0ratings\0\0").database,
+        session(3 << 16, b"user\0ann\0database\0ratings\0\0").database,
         "ratings"
     );
-    // Byte by byte, as somebody might trickle it in.
-    let whole = packet(3 << 16, bytes);
+}
+
+/// The client sends its message byte by byte, and more behind it.
+#[test]
+fn a_startup_message_is_read_once_it_is_complete() {
+    let bytes = b"user\0ann\0application_name\0seat\0\0";
+    let packet_bytes = packet(3 << 16, bytes);
     let mut startup = StartupReader::default();
-    for byte in &whole[..whole.len() - 1] {
+    for byte in &packet_bytes[..packet_bytes.len() - 1] {
         startup.push(&[*byte]);
-        assert_eq!(startup.take(), Ok(None));
+        assert_eq!(startup.next_packet(), Ok(None));
     }
     startup.push(b"\0more");
     assert!(matches!(
-        startup.take(),
+        startup.next_packet(),
         Ok(Some(StartupPacket::Session(_)))
     ));
-    assert_eq!(startup.rest(), "more");
+    assert_eq!(startup.take_remaining(), "more");
 }
 
 #[test]
-fn newer_versions_are_negotiated_down() {
+fn newer_protocol_versions_are_negotiated_down() {
     let user = b"user\0ann\0\0";
     assert_eq!(
         (
-            wanted(3 << 16 | 2, user).minor,
-            wanted(3 << 16 | 2, user).negotiate
+            session(3 << 16 | 2, user).minor,
+            session(3 << 16 | 2, user).negotiate
         ),
         (2, None)
     );
-    assert_eq!(wanted(3 << 16 | 1, user).minor, 0);
-    let newer = wanted(3 << 16 | 9, b"user\0ann\0_pq_.colour\0red\0\0");
+    assert_eq!(session(3 << 16 | 1, user).minor, 0);
+    let newer = session(3 << 16 | 9, b"user\0ann\0_pq_.colour\0red\0\0");
     assert_eq!(newer.minor, 2);
     assert_eq!(
         newer.negotiate.as_deref(),
         Some(&b"\0\x03\0\x02\0\0\0\x01_pq_.colour\0"[..])
     );
     assert_eq!(
-        take(&packet(2 << 16, user)),
+        read(&packet(2 << 16, user)),
         Err(StartupError::Version(2, 0))
     );
     assert_eq!(
-        take(&packet(4 << 16, user)),
+        read(&packet(4 << 16, user)),
         Err(StartupError::Version(4, 0))
     );
 }
 
 #[test]
-fn encryption_is_asked_for_once_and_cancels_carry_keys() {
+fn encryption_is_requested_once_and_cancel_requests_carry_keys() {
     let mut startup = StartupReader::default();
     startup.push(
         &[
-            packet(GSS_REQUEST, b""),
-            packet(SSL_REQUEST, b""),
-            packet(SSL_REQUEST, b""),
+            packet(GSS_ENCRYPTION_REQUEST_CODE, b""),
+            packet(SSL_REQUEST_CODE, b""),
+            packet(SSL_REQUEST_CODE, b""),
         ]
         .concat(),
     );
-    assert_eq!(startup.take(), Ok(Some(StartupPacket::Gss)));
-    assert_eq!(startup.take(), Ok(Some(StartupPacket::Tls)));
-    assert_eq!(startup.take(), Err(StartupError::Again));
+    assert_eq!(startup.next_packet(), Ok(Some(StartupPacket::Gss)));
+    assert_eq!(startup.next_packet(), Ok(Some(StartupPacket::Tls)));
+    assert_eq!(
+        startup.next_packet(),
+        Err(StartupError::RepeatedEncryptionRequest)
+    );
     let key = Bytes::from_static(b"abcd");
     assert_eq!(
-        take(&packet(CANCEL_REQUEST, b"\0\0\0\x07abcd")),
+        read(&packet(CANCEL_REQUEST_CODE, b"\0\0\0\x07abcd")),
         Ok(Some(StartupPacket::Cancel { process: 7, key }))
     );
-    assert!(take(&packet(CANCEL_REQUEST, b"\0\0\0\x07abc")).is_err());
-    assert!(take(&packet(CANCEL_REQUEST, &[0; 300])).is_err());
+    assert!(read(&packet(CANCEL_REQUEST_CODE, b"\0\0\0\x07abc")).is_err());
+    assert!(read(&packet(CANCEL_REQUEST_CODE, &[0; 300])).is_err());
 }
 
 #[test]
-fn who_is_no_client_is_told_so() {
-    assert_eq!(take(b"GET / HTTP/1.1\r\n\r\n"), Err(StartupError::Http));
+fn other_protocols_and_malformed_packets_are_errors() {
+    assert_eq!(read(b"GET / HTTP/1.1\r\n\r\n"), Err(StartupError::Http));
     assert_eq!(
-        take(&[0, 0, 0, 7, 0, 3, 0, 0]),
+        read(&[0, 0, 0, 7, 0, 3, 0, 0]),
         Err(StartupError::Length(7))
     );
-    assert_eq!(take(&[0, 1, 0, 0]), Err(StartupError::Length(65_536)));
+    assert_eq!(read(&[0, 1, 0, 0]), Err(StartupError::Length(65_536)));
     for (rest, error) in [
         (&b"user\0ann\0"[..], StartupError::Parameters),
         (b"user\0ann", StartupError::Parameters),
@@ -124,6 +132,6 @@
             StartupError::Replication,
         ),
     ] {
-        assert_eq!(take(&packet(3 << 16, rest)), Err(error), "{rest:?}");
+        assert_eq!(read(&packet(3 << 16, rest)), Err(error), "{rest:?}");
     }
 }
--- a/testkit/fakes/src/database.rs
+++ b/testkit/fakes/src/database.rs
@@ -145,7 +145,7 @@
 
     /// From now on only these may log in, and have to show it.
     pub fn set_user(&self, name: &str, password: &str) {
-        let verifier = Verifier::of(password, format!("salt of {name}").as_bytes());
+        let verifier = Verifier::from_password(password, format!("salt of {name}").as_bytes());
         lock(&self.shared.users).insert(name.to_owned(), verifier);
     }
 
@@ -485,13 +485,13 @@
     let mechanism = String::from_utf8_lossy(&first[..end]).into_owned();
     let message = first.get(end + 5..).unwrap_or_default();
     let nonce = format!("stand-in-{}", shared.connections.load(Ordering::SeqCst));
-    let Ok((exchange, answer)) = scram::begin(verifier, &mechanism, message, None, &nonce) else {
+    let Ok(started) = scram::begin(verifier, &mechanism, message, None, &nonce) else {
         return Ok(false);
     };
-    backend.put(b'R', &request(11, answer.as_bytes()));
+    backend.put(b'R', &request(11, started.server_first.as_bytes()));
     stream.write_all(&backend.take_out())?;
     let (_, last) = reader.message()?;
-    let Ok(answer) = exchange.finish(&last) else {
+    let Ok(answer) = started.exchange.finish(&last) else {
         return Ok(false);
     };
     backend.put(b'R', &request(12, answer.as_bytes()));
--- a/testkit/scenarios/src/postgres/stage.rs
+++ b/testkit/scenarios/src/postgres/stage.rs
@@ -108,7 +108,7 @@
             "#,
             discovery.at
         );
-        let verifier = Verifier::of(PASSWORD, b"a salt of the rehearsal").write();
+        let verifier = Verifier::from_password(PASSWORD, b"a salt of the rehearsal").to_text();
         let files = vec![
             ("users", format!("{USER} {verifier}\n")),
             ("password", NODE_PASSWORD.to_owned()),
