--- a/core/postgres-session/src/settings.rs
+++ b/core/postgres-session/src/settings.rs
@@ -1,14 +1,15 @@
-//! Settings that follow a client from one server connection to another: what it asked for as it started, and what its
-//! statements set since, as far as servers report it (`ParameterStatus`).
+//! Settings that follow a client from one server connection to another: those of its start-up message, and those that its
+//! statements set later, as far as servers report them (`ParameterStatus`).
 //!
 //! Source: PostgreSQL documentation, "Asynchronous Operations" (which settings are reported), "Start-up" and the
 //! `options` parameter of `libpq` (a server's command-line arguments).
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 
-/// Settings that servers report, so that a SET of them is seen whatever becomes of its transaction, in the form in
-/// which names are compared. `search_path` is reported by version 18 on; before, it pins.
-const REPORTED: [&str; 7] = [
+/// Settings that servers report, by name in small letters. A SET of one is known whatever becomes of its transaction.
+/// `search_path` is reported from version 18 on only, so that a SET of it makes the session sticky.
+const REPORTED_SETTINGS: [&str; 7] = [
     "application_name",
     "client_encoding",
     "datestyle",
@@ -17,136 +18,180 @@
     "standard_conforming_strings",
     "timezone",
 ];
-/// A client may set so many as it starts, and a value is no longer: they are kept for as long as it is connected.
-const MOST: usize = 64;
-const LONGEST: usize = 1024;
+/// Most settings of one client; they are kept for as long as it is connected.
+const MAX_SETTINGS: usize = 64;
+/// Most bytes of a setting's value.
+const MAX_VALUE_LENGTH: usize = 1024;
+/// Parameters of a start-up message that are no settings.
+const STARTUP_ONLY_PARAMETERS: [&str; 4] = ["user", "database", "options", "replication"];
 
-/// Whether a SET of this setting (in small letters) is followed, so that it need not pin.
+/// Whether a SET of this setting (in small letters) is known from reports, so that the setting can follow its client.
+#[must_use]
 pub fn is_followed(name: &str) -> bool {
-    REPORTED.contains(&name)
+    REPORTED_SETTINGS.contains(&name)
 }
 
-/// A start-up packet asks for what can't be had.
+/// Why the settings of a start-up message can't be had.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
-    /// An argument in `options` that is no setting.
+    /// An argument in `options` is no setting.
     #[error("options: {0:?} is not understood; only -c name=value and --name=value are")]
     Option(String),
-    /// A name that can't be one of a setting's.
+    /// A name is impossible for a setting.
     #[error("{0:?} is no name of a setting")]
     Name(String),
-    /// More than are kept.
-    #[error("more than {MOST} settings, or one of more than {LONGEST} bytes")]
+    /// There are too many settings, or a value is too long.
+    #[error("more than {MAX_SETTINGS} settings, or one of more than {MAX_VALUE_LENGTH} bytes")]
     TooMany,
 }
 
-/// The settings in `options`: `-c name=value`, `-cname=value` or `--name=value`, in words parted by spaces; a backslash
-/// takes the sign behind it as it is.
-fn read_options(options: &str) -> Result<Vec<(String, String)>, SettingsError> {
-    let (mut words, mut word, mut signs) = (Vec::new(), None::<String>, options.chars());
-    while let Some(sign) = signs.next() {
-        match sign {
-            ' ' | '\t' | '\n' | '\r' => words.extend(word.take()),
-            '\\' => word.get_or_insert_default().extend(signs.next()),
-            sign => word.get_or_insert_default().push(sign),
+/// The value of a setting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Setting {
+    /// The name as the client writes it.
+    name: String,
+    value: String,
+}
+
+/// Splits `options` at white space; a backslash takes the character behind it as it is.
+fn split_options(options: &str) -> Vec<String> {
+    let mut arguments = Vec::new();
+    let mut argument = None::<String>;
+    let mut characters = options.chars();
+    while let Some(character) = characters.next() {
+        match character {
+            ' ' | '\t' | '\n' | '\r' => arguments.extend(argument.take()),
+            '\\' => argument.get_or_insert_default().extend(characters.next()),
+            other => argument.get_or_insert_default().push(other),
         }
     }
-    words.extend(word);
-    let (mut settings, mut words) = (Vec::new(), words.into_iter());
-    while let Some(word) = words.next() {
-        let setting = match (word.strip_prefix("--"), word.strip_prefix("-c")) {
+    arguments.extend(argument);
+    arguments
+}
+
+/// Reads the settings in `options`: `-c name=value`, `-cname=value` or `--name=value`.
+fn read_options(options: &str) -> Result<Vec<Setting>, SettingsError> {
+    let mut settings = Vec::new();
+    let mut arguments = split_options(options).into_iter();
+    while let Some(argument) = arguments.next() {
+        let assignment = match (argument.strip_prefix("--"), argument.strip_prefix("-c")) {
             (Some(long), _) => Some(long.replace('-', "_")),
-            (None, Some("")) => words.next(),
+            (None, Some("")) => arguments.next(),
             (None, Some(joined)) => Some(joined.to_owned()),
             (None, None) => None,
         };
-        let pair = setting
+        let Some((name, value)) = assignment
             .as_deref()
-            .and_then(|setting| setting.split_once('='));
-        let (name, value) = pair.ok_or(SettingsError::Option(word))?;
-        settings.push((name.to_owned(), value.to_owned()));
+            .and_then(|assignment| assignment.split_once('='))
+        else {
+            return Err(SettingsError::Option(argument));
+        };
+        settings.push(Setting {
+            name: name.to_owned(),
+            value: value.to_owned(),
+        });
     }
     Ok(settings)
 }
 
-/// What a client wants its settings to be.
+/// The settings of a start-up message: first those in `options`, then its other parameters.
+fn startup_settings(parameters: &BTreeMap<String, String>) -> Result<Vec<Setting>, SettingsError> {
+    let mut settings = match parameters.get("options") {
+        Some(options) => read_options(options)?,
+        None => Vec::new(),
+    };
+    for (name, value) in parameters {
+        if !STARTUP_ONLY_PARAMETERS.contains(&name.as_str()) {
+            settings.push(Setting {
+                name: name.clone(),
+                value: value.clone(),
+            });
+        }
+    }
+    Ok(settings)
+}
+
+fn is_setting_name(name: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'_' | b'.');
+    !name.is_empty() && name.bytes().all(is_allowed)
+}
+
+/// The values that a client wants its settings to have.
 #[derive(Clone, Debug, Default)]
 pub struct ClientSettings {
     /// By name in small letters.
     wanted: BTreeMap<String, String>,
-    /// What it began with, which RESET goes back to.
+    /// The values at the start of the session, to which RESET returns.
     initial: BTreeMap<String, String>,
-    /// A server has taken them all once.
+    /// A server has accepted them all.
     proven: bool,
 }
 
 impl ClientSettings {
-    /// From a client's start-up parameters and what its greeting tells it of the rest.
+    /// Settings of a client with these start-up parameters, which gets `greeting` as the values of the settings that
+    /// it has not set.
+    ///
+    /// # Errors
+    /// [`SettingsError`] if a setting can't be read or there are too many.
     pub fn new(
         parameters: &BTreeMap<String, String>,
         greeting: &BTreeMap<String, String>,
     ) -> Result<Self, SettingsError> {
-        let mut wanted = BTreeMap::new();
+        let mut settings = Self {
+            proven: true,
+            ..Self::default()
+        };
         for (name, value) in greeting {
             let name = name.to_ascii_lowercase();
             if is_followed(&name) && name != "application_name" {
-                wanted.insert(name, value.clone());
+                settings.wanted.insert(name, value.clone());
             }
         }
-        let options = parameters
-            .get("options")
-            .map(|options| read_options(options))
-            .transpose()?;
-        let named = parameters.iter().filter(|(name, _)| {
-            !matches!(
-                name.as_str(),
-                "user" | "database" | "options" | "replication"
-            )
-        });
-        let asked = options
-            .into_iter()
-            .flatten()
-            .chain(named.map(|(n, v)| (n.clone(), v.clone())));
-        let mut proven = true;
-        for (name, value) in asked {
-            let name = name.to_ascii_lowercase();
-            let fits = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'_' | b'.');
-            if name.is_empty() || !name.bytes().all(fits) {
-                return Err(SettingsError::Name(name));
-            }
-            let value = usual(&name, &value);
-            if value.len() > LONGEST || wanted.len() >= MOST {
-                return Err(SettingsError::TooMany);
-            }
-            proven &= name == "application_name" || wanted.get(&name) == Some(&value);
-            wanted.insert(name, value);
+        for setting in startup_settings(parameters)? {
+            settings.add_startup_setting(&setting)?;
+        }
+        settings
+            .wanted
+            .entry("application_name".to_owned())
+            .or_default();
+        settings.initial = settings.wanted.clone();
+        Ok(settings)
+    }
+
+    fn add_startup_setting(&mut self, setting: &Setting) -> Result<(), SettingsError> {
+        let name = setting.name.to_ascii_lowercase();
+        if !is_setting_name(&name) {
+            return Err(SettingsError::Name(name));
         }
-        wanted.entry("application_name".to_owned()).or_default();
-        Ok(Self {
-            initial: wanted.clone(),
-            wanted,
-            proven,
-        })
+        let value = canonical_value(&name, &setting.value);
+        if value.len() > MAX_VALUE_LENGTH || self.wanted.len() >= MAX_SETTINGS {
+            return Err(SettingsError::TooMany);
+        }
+        self.proven &= name == "application_name" || self.wanted.get(&name) == Some(&value);
+        self.wanted.insert(name, value);
+        Ok(())
     }
 
-    /// Whether some server has taken them: until then nothing else is sent along with them.
+    /// Whether a server has accepted them all: until then nothing is sent together with them.
+    #[must_use]
     pub fn is_proven(&self) -> bool {
         self.proven
     }
 
-    /// A server has taken them.
+    /// A server has accepted them all.
     pub fn set_proven(&mut self) {
         self.proven = true;
     }
 
-    /// All of them, by name in small letters.
+    /// Names in small letters and values.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
         self.wanted
             .iter()
             .map(|(name, value)| (name.as_str(), value.as_str()))
     }
 
-    /// A server reports a setting while it works for this client; whether that is news to the client.
+    /// Notes the value that a server reports while this client uses it. Returns whether the client has to learn of it:
+    /// the value has changed, or the setting is not followed.
     pub fn reported(&mut self, name: &str, value: &str) -> bool {
         let name = name.to_ascii_lowercase();
         match self.wanted.get_mut(&name) {
@@ -155,12 +200,11 @@
                 value.clone_into(known);
                 true
             }
-            // Not one that is followed: the client may want to know.
             None => true,
         }
     }
 
-    /// Statements of the client's have reset these, or all: they are again what it began with.
+    /// The client's statements have reset these settings, or all: they have their initial values again.
     pub fn reset(&mut self, names: &[String], all: bool) {
         for (name, value) in &self.initial {
             if all || names.contains(name) {
@@ -170,59 +214,70 @@
     }
 }
 
-/// What the settings are on one server connection.
+/// The values of the settings on one server connection.
 #[derive(Clone, Debug, Default)]
 pub struct ServerSettings {
-    /// As reported, by name in small letters.
+    /// As the server reports them, by name in small letters.
     reported: BTreeMap<String, String>,
-    /// Set by the node and not reported; none where it is not known what it is now.
+    /// Set by this process and not reported by the server; `None` if the value may have been reset since.
     applied: BTreeMap<String, Option<String>>,
 }
 
 impl ServerSettings {
-    /// The server reports a setting.
+    /// Notes the value that the server reports.
     pub fn reported(&mut self, name: &str, value: &str) {
         self.reported
             .insert(name.to_ascii_lowercase(), value.to_owned());
     }
 
-    /// What has been set is no longer known: RESET ALL or DISCARD ALL has run, or may have.
+    /// RESET ALL or DISCARD ALL has run, or may have: the values that are not reported are unknown.
     pub fn forget(&mut self) {
-        self.applied.values_mut().for_each(|value| *value = None);
+        for value in self.applied.values_mut() {
+            *value = None;
+        }
     }
 
-    /// The statements, as one text, that make a connection's settings the client's; none where they are. They count as
-    /// run from here on: if they fail, the connection must go.
+    /// The statements, as one text, that give this connection's settings the client's values; `None` if they have
+    /// them. The statements count as run: if they fail, the connection must be dropped.
     pub fn adopt(&mut self, client: &ClientSettings) -> Option<String> {
         let mut sql = String::new();
         for (name, value) in &client.wanted {
-            let is = match self.reported.get(name).filter(|_| is_followed(name)) {
-                Some(reported) => Some(reported),
-                None => self.applied.get(name).and_then(Option::as_ref),
-            };
-            if is != Some(value) {
-                set(&mut sql, name, value);
-                if !(is_followed(name) && self.reported.contains_key(name)) {
+            if self.current(name) != Some(value) {
+                push_set(&mut sql, name, value);
+                if !self.is_reported(name) {
                     self.applied.insert(name.clone(), Some(value.clone()));
                 }
             }
         }
-        let strange = self
-            .applied
-            .keys()
-            .filter(|name| !client.wanted.contains_key(*name));
-        for name in strange.cloned().collect::<Vec<_>>() {
-            sql.push_str(&format!("RESET {};", quoted(&name)));
-            self.applied.remove(&name);
-        }
+        self.applied.retain(|name, _| {
+            let is_wanted = client.wanted.contains_key(name);
+            if !is_wanted {
+                push_reset(&mut sql, name);
+            }
+            is_wanted
+        });
         (!sql.is_empty()).then_some(sql)
     }
+
+    /// Whether the server's reports tell the value of a setting at any time.
+    fn is_reported(&self, name: &str) -> bool {
+        is_followed(name) && self.reported.contains_key(name)
+    }
+
+    /// The value of a setting, if it is known.
+    fn current(&self, name: &str) -> Option<&String> {
+        if self.is_reported(name) {
+            self.reported.get(name)
+        } else {
+            self.applied.get(name)?.as_ref()
+        }
+    }
 }
 
-/// A value in the form in which servers report it, for the few that drivers write in their own ways.
-fn usual(name: &str, value: &str) -> String {
-    let bare = value.trim_matches('\'');
-    match (name, bare.to_ascii_lowercase().as_str()) {
+/// A value in the form in which servers report it, for settings of which drivers write it in other forms.
+fn canonical_value(name: &str, value: &str) -> String {
+    let unquoted = value.trim_matches('\'').to_ascii_lowercase();
+    match (name, unquoted.as_str()) {
         ("client_encoding", "utf8" | "utf-8" | "unicode") => "UTF8".to_owned(),
         ("client_encoding", other) => other.to_ascii_uppercase(),
         ("datestyle", "iso") => "ISO, MDY".to_owned(),
@@ -230,18 +285,25 @@
     }
 }
 
-fn set(sql: &mut String, name: &str, value: &str) {
-    // In lists like search_path a quoted string would be one name; the server reads the list from set_config.
-    let value = value.replace('\'', "''");
+/// Appends a statement that sets a setting. `set_config` reads a list like `search_path` from one string, where SET would
+/// take it for one name.
+fn push_set(sql: &mut String, name: &str, value: &str) {
     let escape = if value.contains('\\') { "E" } else { "" };
-    let value = value.replace('\\', "\\\\");
-    sql.push_str(&format!(
+    let value = value.replace('\'', "''").replace('\\', "\\\\");
+    // Writing to a String never fails.
+    let _ = write!(
+        sql,
         "SELECT pg_catalog.set_config('{name}',{escape}'{value}',false);"
-    ));
+    );
+}
+
+fn push_reset(sql: &mut String, name: &str) {
+    // Writing to a String never fails.
+    let _ = write!(sql, "RESET {};", quoted(name));
 }
 
+/// A setting's name as SQL. It holds letters, digits, underscores and points only; each part is quoted by itself.
 fn quoted(name: &str) -> String {
-    // Names hold letters, digits, low lines and points only; each part is a name of its own.
     name.split('.')
         .map(|part| format!("\"{part}\""))
         .collect::<Vec<_>>()
--- a/core/postgres-session/src/settings/tests.rs
+++ b/core/postgres-session/src/settings/tests.rs
@@ -7,32 +7,39 @@
         .collect()
 }
 
+/// The settings in `options` as names and values, or the error's text.
+fn read(options: &str) -> Result<Vec<(String, String)>, String> {
+    let settings = read_options(options).map_err(|error| error.to_string())?;
+    let pairs = settings
+        .into_iter()
+        .map(|setting| (setting.name, setting.value));
+    Ok(pairs.collect())
+}
+
+fn pairs(pairs: &[(&str, &str)]) -> Vec<(String, String)> {
+    pairs
+        .iter()
+        .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+        .collect()
+}
+
 #[test]
 fn options_are_read_as_a_server_reads_them() {
-    let read = |options: &str| read_options(options).map_err(|error| error.to_string());
-    let wanted = [
-        ("search_path", "tenant7"),
-        ("statement_timeout", "50"),
-        ("a.b", "x y"),
-    ];
-    let wanted: Vec<_> = wanted
-        .iter()
-        .map(|(n, v)| ((*n).to_owned(), (*v).to_owned()))
-        .collect();
     assert_eq!(
         read(r"-c search_path=tenant7 -cstatement_timeout=50  --a.b=x\ y "),
-        Ok(wanted)
-    );
-    assert_eq!(
-        read("--work-mem=1MB"),
-        Ok(vec![("work_mem".to_owned(), "1MB".to_owned())])
+        Ok(pairs(&[
+            ("search_path", "tenant7"),
+            ("statement_timeout", "50"),
+            ("a.b", "x y"),
+        ]))
     );
+    assert_eq!(read("--work-mem=1MB"), Ok(pairs(&[("work_mem", "1MB")])));
     assert!(read("-x").is_err_and(|error| error.contains("\"-x\"")));
     assert!(read("-c nothing").is_err() && read("-c").is_err());
 }
 
 #[test]
-fn a_connection_is_made_the_clients_and_then_anothers() {
+fn a_server_connection_adopts_the_settings_of_one_client_after_the_other() {
     let greeting = map(&[
         ("TimeZone", "UTC"),
         ("DateStyle", "ISO, MDY"),
@@ -57,28 +64,28 @@
         ("timezone", "Europe/Budapest"),
     ]);
     assert!(!own.is_proven());
-    let sql = server.adopt(&own).expect("differences");
+    let to_own = server.adopt(&own).expect("differences");
     assert!(
-        sql.contains("set_config('search_path','a,b',false)") && sql.contains("'o''n'"),
-        "{sql}"
+        to_own.contains("set_config('search_path','a,b',false)") && to_own.contains("'o''n'"),
+        "{to_own}"
     );
     assert!(
-        sql.contains("set_config('timezone','Europe/Budapest',false)"),
-        "{sql}"
+        to_own.contains("set_config('timezone','Europe/Budapest',false)"),
+        "{to_own}"
     );
-    // Reported, as servers do it.
+    // The server reports the change.
     server.reported("TimeZone", "Europe/Budapest");
     assert!(!own.reported("TimeZone", "Europe/Budapest") && server.adopt(&own).is_none());
-    // The next client has none of it.
-    let sql = server.adopt(&plain).expect("differences");
+    // The next client gets its own settings.
+    let to_plain = server.adopt(&plain).expect("differences");
     assert!(
-        sql.contains("RESET \"search_path\";RESET \"x\".\"y\";"),
-        "{sql}"
+        to_plain.contains("RESET \"search_path\";RESET \"x\".\"y\";"),
+        "{to_plain}"
     );
-    assert!(sql.contains("'timezone','UTC'"), "{sql}");
+    assert!(to_plain.contains("'timezone','UTC'"), "{to_plain}");
     server.reported("TimeZone", "UTC");
     assert!(server.adopt(&plain).is_none());
-    // What ran in between may have set anything back.
+    // After a RESET ALL the settings that are not reported are set again.
     server.adopt(&own);
     server.reported("TimeZone", "Europe/Budapest");
     server.forget();
@@ -90,7 +97,7 @@
 }
 
 #[test]
-fn what_a_client_sets_is_kept_and_reset_to_what_it_began_with() {
+fn reported_settings_are_kept_and_reset_to_the_initial_values() {
     let mut client = ClientSettings::new(
         &map(&[("TimeZone", "PST8PDT")]),
         &map(&[("TimeZone", "UTC")]),
@@ -101,9 +108,9 @@
     assert!(client.iter().any(|pair| pair == ("timezone", "PST8PDT")));
     assert!(
         client.reported("in_hot_standby", "on"),
-        "not followed, and told"
+        "a setting that is not followed is passed on"
     );
-    let long = ClientSettings::new(&map(&[("a", &"x".repeat(LONGEST + 1))]), &map(&[]));
+    let long = ClientSettings::new(&map(&[("a", &"x".repeat(MAX_VALUE_LENGTH + 1))]), &map(&[]));
     assert_eq!(long.err(), Some(SettingsError::TooMany));
     let strange = ClientSettings::new(&map(&[("a;b", "x")]), &map(&[]));
     assert_eq!(strange.err(), Some(SettingsError::Name("a;b".to_owned())));
