--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -1,8 +1,8 @@
 //! One client's session: the messages that it has sent and that are not answered, the server connection that it has at
 //! the moment, and what happens when that is lost.
 //!
-//! Batches of messages (see [`message_batch`]) go to a server one after the other, so that it is always known which of
-//! them may have run. The session's need for a server goes through these states:
+//! Batches of messages (up to a `Sync`, `Query` or `FunctionCall`) go to a server one after the other, so that it is
+//! always known which of them may have run. The session's need for a server goes through these states:
 //!
 //! ```text
 //!            a batch is ready               Attached
