--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -197,7 +197,7 @@
 
     /// Goes on with the first batch, and with those behind it where it can be answered locally.
     fn advance(&mut self, actions: &mut Vec<Action>) {
-        while !self.ended && self.skip_to_sync() && self.first_batch_is_ready() {
+        while !self.ended && self.drop_ignored_messages() && self.first_batch_is_ready() {
             if self.transaction_lost {
                 // The batch is at no server. All of it has to be known, so its end is awaited.
                 if !self.batches.front().is_some_and(|batch| batch.is_complete) {
--- a/core/postgres-session/src/session/forwarding.rs
+++ b/core/postgres-session/src/session/forwarding.rs
@@ -143,9 +143,9 @@
         writer.write(frame, is_alone)
     }
 
-    /// Drops what the server ignores after an error: all up to a `Sync`, which is kept. Returns whether there is
-    /// nothing (more) to be dropped.
-    pub(super) fn skip_to_sync(&mut self) -> bool {
+    /// Drops what the server ignores after an error: all up to a `Sync`, which is not dropped. Returns false if that
+    /// has not come from the client yet.
+    pub(super) fn drop_ignored_messages(&mut self) -> bool {
         let is_skipping = matches!(
             &self.server_link,
             ServerLink::Attached(server) if server.skips_to_sync
--- a/core/postgres-session/src/session/server_link.rs
+++ b/core/postgres-session/src/session/server_link.rs
@@ -128,7 +128,7 @@
     pub(super) prepared_text: Option<StatementText>,
     /// The change of the client's statements once it has succeeded.
     pub(super) name_change: Option<NameChange>,
-    /// The name that stands in the server's error, and the one that the client must read there.
+    /// The name in the server's error, and the one that replaces it for the client.
     pub(super) alias: Option<StatementAlias>,
 }
 
--- a/core/postgres-session/src/sql_analysis.rs
+++ b/core/postgres-session/src/sql_analysis.rs
@@ -210,7 +210,7 @@
 
 /// The name that a text deallocates, if it is DEALLOCATE of one name and nothing else.
 ///
-/// Most texts are told by their first word and not analyzed.
+/// The first word of most texts shows that they are not, so that they need no analysis.
 pub(crate) fn deallocated_name(sql: &[u8]) -> Option<Bytes> {
     const KEYWORD: &[u8] = b"DEALLOCATE";
     let first_word = sql.trim_ascii_start().get(..KEYWORD.len())?;
--- a/core/postgres-session/src/sticky.rs
+++ b/core/postgres-session/src/sticky.rs
@@ -12,7 +12,7 @@
     "PG_TRY_ADVISORY_LOCK",
     "PG_TRY_ADVISORY_LOCK_SHARED",
 ];
-/// TEMPORARY stands among this many words behind CREATE (`CREATE OR REPLACE TEMPORARY VIEW`), if at all.
+/// TEMPORARY, if any, is among this many words behind CREATE (`CREATE OR REPLACE TEMPORARY VIEW`).
 const CREATE_MODIFIER_WORDS: usize = 4;
 
 /// Why a session is sticky.
@@ -32,7 +32,7 @@
     SqlPrepare,
     /// A statement whose effects are not known, or a text that can't be read.
     Unknown,
-    /// Connections are leased for whole sessions by configuration.
+    /// Connections are leased to sessions and not to transactions, by configuration.
     Pooling,
 }
 
--- a/core/postgres-session/tests/corpus.rs
+++ b/core/postgres-session/tests/corpus.rs
@@ -1,4 +1,4 @@
-//! The fuzz target's harness on its kept corpus and on a bounded number of random inputs, the same each time.
+//! The fuzz target's harness on its stored corpus and on a bounded number of random inputs, the same each time.
 
 #![allow(
     clippy::unwrap_used,
