--- a/core/postgres-session/src/sql_analysis/tests.rs
+++ b/core/postgres-session/src/sql_analysis/tests.rs
@@ -1,66 +1,69 @@
 use super::*;
 
+/// Statements, and why they make their session sticky.
+const STICKY_REASONS: &[(&str, Option<StickyReason>)] = &[
+    ("select 1", None),
+    ("SET search_path = x", Some(StickyReason::Setting)),
+    ("set local search_path = x", None),
+    ("SET TRANSACTION READ ONLY", None),
+    (
+        "/* a comment */ SET SESSION work_mem TO '1MB'",
+        Some(StickyReason::Setting),
+    ),
+    // Reported by servers, and so followed.
+    ("/* a comment */ SET SESSION TimeZone TO 'UTC'", None),
+    ("SET TIME ZONE 'UTC'", None),
+    ("SET NAMES 'utf8'", None),
+    ("set application_name = 'x'", None),
+    (
+        "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY",
+        Some(StickyReason::Setting),
+    ),
+    ("SET ROLE x", Some(StickyReason::Setting)),
+    ("RESET ALL", None),
+    ("RESET statement_timeout", Some(StickyReason::Setting)),
+    (
+        "SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL;",
+        None,
+    ),
+    (
+        "select set_config('a.b', 'c', false)",
+        Some(StickyReason::Setting),
+    ),
+    ("LISTEN lobby", Some(StickyReason::Listen)),
+    ("CREATE TEMP TABLE t (a int)", Some(StickyReason::Temporary)),
+    (
+        "create or replace temporary view v as select 1",
+        Some(StickyReason::Temporary),
+    ),
+    ("SELECT * INTO TEMP t FROM x", Some(StickyReason::Temporary)),
+    ("create table t (temp int)", Some(StickyReason::Temporary)),
+    (
+        "create table ratings (id int, player int, season int, temp int)",
+        None,
+    ),
+    (
+        "select pg_advisory_lock(1)",
+        Some(StickyReason::AdvisoryLock),
+    ),
+    ("select pg_advisory_xact_lock(1)", None),
+    ("select 'pg_advisory_lock(1)'", None),
+    (
+        "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+        Some(StickyReason::HoldCursor),
+    ),
+    ("DECLARE c CURSOR FOR SELECT 1", None),
+    ("PREPARE p AS SELECT 1", Some(StickyReason::SqlPrepare)),
+    ("PREPARE TRANSACTION 'x'", None),
+    ("DO $$ begin end $$", Some(StickyReason::Unknown)),
+    ("select 'never ended", Some(StickyReason::Unknown)),
+    ("update t set a = 1; listen x", Some(StickyReason::Listen)),
+];
+
 #[test]
 fn statements_whose_effects_outlive_a_transaction_make_the_session_sticky() {
-    for (sql, wanted) in [
-        ("select 1", None),
-        ("SET search_path = x", Some(StickyReason::Setting)),
-        ("set local search_path = x", None),
-        ("SET TRANSACTION READ ONLY", None),
-        (
-            "/* a comment */ SET SESSION work_mem TO '1MB'",
-            Some(StickyReason::Setting),
-        ),
-        // Reported by servers, and so followed.
-        ("/* a comment */ SET SESSION TimeZone TO 'UTC'", None),
-        ("SET TIME ZONE 'UTC'", None),
-        ("SET NAMES 'utf8'", None),
-        ("set application_name = 'x'", None),
-        (
-            "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY",
-            Some(StickyReason::Setting),
-        ),
-        ("SET ROLE x", Some(StickyReason::Setting)),
-        ("RESET ALL", None),
-        ("RESET statement_timeout", Some(StickyReason::Setting)),
-        (
-            "SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL;",
-            None,
-        ),
-        (
-            "select set_config('a.b', 'c', false)",
-            Some(StickyReason::Setting),
-        ),
-        ("LISTEN lobby", Some(StickyReason::Listen)),
-        ("CREATE TEMP TABLE t (a int)", Some(StickyReason::Temporary)),
-        (
-            "create or replace temporary view v as select 1",
-            Some(StickyReason::Temporary),
-        ),
-        ("SELECT * INTO TEMP t FROM x", Some(StickyReason::Temporary)),
-        ("create table t (temp int)", Some(StickyReason::Temporary)),
-        (
-            "create table ratings (id int, player int, season int, temp int)",
-            None,
-        ),
-        (
-            "select pg_advisory_lock(1)",
-            Some(StickyReason::AdvisoryLock),
-        ),
-        ("select pg_advisory_xact_lock(1)", None),
-        ("select 'pg_advisory_lock(1)'", None),
-        (
-            "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
-            Some(StickyReason::HoldCursor),
-        ),
-        ("DECLARE c CURSOR FOR SELECT 1", None),
-        ("PREPARE p AS SELECT 1", Some(StickyReason::SqlPrepare)),
-        ("PREPARE TRANSACTION 'x'", None),
-        ("DO $$ begin end $$", Some(StickyReason::Unknown)),
-        ("select 'never ended", Some(StickyReason::Unknown)),
-        ("update t set a = 1; listen x", Some(StickyReason::Listen)),
-    ] {
-        assert_eq!(analyze(sql).sticky_reason, wanted, "{sql}");
+    for (sql, wanted) in STICKY_REASONS {
+        assert_eq!(analyze(sql).sticky_reason, *wanted, "{sql}");
     }
     assert!(analyze("DISCARD ALL").discards_all && !analyze("DISCARD ALL; SET a = 1").discards_all);
 }
