--- a/adapters/postgres/src/config.rs
+++ b/adapters/postgres/src/config.rs
@@ -225,7 +225,7 @@
             let (name, verifier_text) = line
                 .split_once(' ')
                 .ok_or_else(|| wrong("a name and a verifier"))?;
-            let verifier = Verifier::read(verifier_text).map_err(|_| {
+            let verifier = Verifier::parse(verifier_text).map_err(|_| {
                 wrong("only SCRAM-SHA-256 verifiers are taken, no passwords, no md5")
             })?;
             users.insert(name.to_owned(), verifier);
--- a/adapters/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -4,8 +4,8 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::frame::{DecodeResult, Frame};
+use badgerpost_postgres_session::server_messages::{self, ErrorReason, TransactionStatus};
 use bytes::{BufMut, BytesMut};
 use tokio::io::AsyncReadExt;
 
@@ -51,7 +51,7 @@
             }
             out.push(Frame::new(b'D', body.freeze()));
         }
-        out.push(answer::complete("SHOW"));
+        out.push(server_messages::command_complete("SHOW"));
     }
 }
 
@@ -81,7 +81,7 @@
     }
     greeting.extend([
         Frame::new(b'K', &[0; 8][..]),
-        TransactionStatus::Idle.ready(),
+        TransactionStatus::Idle.ready_for_query(),
     ]);
     client.send(&greeting).await?;
     let mut skips = false;
@@ -112,25 +112,33 @@
                 {
                     tracing::info!(user, command, "console command");
                     if let Err(problem) = run(front, command, &mut out).await {
-                        out.push(answer::error(ErrorReason::Unsupported, Some(&problem)));
+                        out.push(server_messages::error_response(
+                            ErrorReason::Unsupported,
+                            Some(&problem),
+                        ));
                         break;
                     }
                 }
                 if out.is_empty() {
                     out.push(Frame::new(b'I', &b""[..]));
                 }
-                out.push(TransactionStatus::Idle.ready());
+                out.push(TransactionStatus::Idle.ready_for_query());
                 client.send(&out).await?;
             }
             b'S' => {
                 skips = false;
-                client.send(&[TransactionStatus::Idle.ready()]).await?;
+                client
+                    .send(&[TransactionStatus::Idle.ready_for_query()])
+                    .await?;
             }
             b'H' => {}
             _ if !std::mem::replace(&mut skips, true) => {
                 let detail = "the console takes simple queries only";
                 client
-                    .send(&[answer::error(ErrorReason::Unsupported, Some(detail))])
+                    .send(&[server_messages::error_response(
+                        ErrorReason::Unsupported,
+                        Some(detail),
+                    )])
                     .await?;
             }
             _ => {}
@@ -186,15 +194,15 @@
                 );
             }
             front.pool.reconnect();
-            out.push(answer::complete("PAUSE"));
+            out.push(server_messages::command_complete("PAUSE"));
         }
         ["RESUME"] => {
             front.pool.set_paused(false);
-            out.push(answer::complete("RESUME"));
+            out.push(server_messages::command_complete("RESUME"));
         }
         ["RECONNECT"] => {
             front.pool.reconnect();
-            out.push(answer::complete("RECONNECT"));
+            out.push(server_messages::command_complete("RECONNECT"));
         }
         ["DISCONNECT", number] => {
             let known = number
@@ -205,7 +213,7 @@
                     "there is no client {number}; SHOW CLIENTS tells them"
                 ));
             }
-            out.push(answer::complete("DISCONNECT"));
+            out.push(server_messages::command_complete("DISCONNECT"));
         }
         _ => return Err(format!("not understood; {HELP}")),
     }
@@ -253,10 +261,7 @@
 fn clients(front: &PostgresServer) -> Table {
     let rows = front.clients.all().into_iter().map(|client| {
         let server = client.server().map(|at| at.to_string()).unwrap_or_default();
-        let pin = client
-            .pin()
-            .map(|pin| format!("{pin:?}"))
-            .unwrap_or_default();
+        let pin = client.pin().map(|pin| pin.to_string()).unwrap_or_default();
         texts([
             &client.number,
             &client.user,
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -11,8 +11,8 @@
 
 use badgerpost_balancer::{BackendId, Nanos, Outcome};
 use badgerpost_engine::{AttemptEnd, AttemptId, RequestOutcome, Sleep};
-use badgerpost_postgres_session::answer::{self, ErrorReason};
 use badgerpost_postgres_session::frame::FrameDecoder;
+use badgerpost_postgres_session::server_messages::{self, ErrorReason};
 use badgerpost_postgres_session::session::{Action, Event, Session};
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -174,8 +174,9 @@
         loop {
             let mut went = self.process();
             if stops && !self.ended && self.session.is_idle() && self.waiting.is_none() {
-                answer::error(ErrorReason::Stopping, None).write(&mut self.to_client);
-                self.handle(Event::ClientGone);
+                server_messages::error_response(ErrorReason::Stopping, None)
+                    .write(&mut self.to_client);
+                self.handle(Event::ClientDisconnected);
             }
             for step in [Self::write_server, Self::write_client] {
                 went |= step(self, cx) == RelayProgress::Advanced;
@@ -208,7 +209,7 @@
                 *buffer = BytesMut::new();
             }
         }
-        self.cutter.give_back();
+        self.cutter.release_buffer();
     }
 
     fn write_client(&mut self, cx: &mut Context<'_>) -> RelayProgress {
@@ -221,7 +222,7 @@
                 }
                 Poll::Ready(_) => {
                     self.to_client.clear();
-                    self.handle(Event::ClientGone);
+                    self.handle(Event::ClientDisconnected);
                     return RelayProgress::Advanced;
                 }
                 Poll::Pending => return went,
@@ -276,7 +277,7 @@
         match read(&mut self.client, &mut self.cutter, cx) {
             Poll::Ready(true) => RelayProgress::Advanced,
             Poll::Ready(false) => {
-                self.handle(Event::ClientGone);
+                self.handle(Event::ClientDisconnected);
                 RelayProgress::Advanced
             }
             Poll::Pending => RelayProgress::Stalled,
@@ -338,9 +339,12 @@
                 }
                 Ok(None) => return any,
                 Err(error) => {
-                    answer::error(ErrorReason::Protocol, Some(&error.to_string()))
-                        .write(&mut self.to_client);
-                    self.handle(Event::ClientGone);
+                    server_messages::error_response(
+                        ErrorReason::Protocol,
+                        Some(&error.to_string()),
+                    )
+                    .write(&mut self.to_client);
+                    self.handle(Event::ClientDisconnected);
                     any = true;
                 }
             }
@@ -352,7 +356,7 @@
         let mut actions = Vec::new();
         self.session.handle(event, &mut actions);
         actions.into_iter().for_each(|action| self.act(action));
-        let runs = self.held.as_ref().filter(|_| self.session.runs());
+        let runs = self.held.as_ref().filter(|_| self.session.is_running());
         self.registered
             .cancelable()
             .set_target(runs.map(|held| (held.endpoint, held.link.cancel)));
@@ -365,16 +369,16 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Ask { alone } => self.ask(alone),
+            Action::RequestServer { single_statement } => self.ask(single_statement),
             Action::ToServer(bytes) => self.to_server.extend_from_slice(&bytes),
             Action::ToClient(bytes) => self.to_client.extend_from_slice(&bytes),
-            Action::Started => {
+            Action::ResponseStarted => {
                 let ticket = self.held.as_ref().and_then(|held| held.ticket);
                 ticket
                     .into_iter()
                     .for_each(|ticket| self.terms.fleet.response_started(ticket));
             }
-            Action::Done => {
+            Action::TransactionDone => {
                 self.registered.count();
                 self.settle(AttemptEnd {
                     response: Some(()),
@@ -382,7 +386,7 @@
                 });
                 self.wait_no_more();
             }
-            Action::NotAgain => self.settle(AttemptEnd::bare(Outcome::NotSent)),
+            Action::NotRetryable => self.settle(AttemptEnd::bare(Outcome::NotSent)),
             Action::Release(state) => {
                 let Some(held) = self.held.take() else { return };
                 let LeasedConnection {
@@ -396,7 +400,7 @@
                 self.to_server.clear();
                 self.end(ticket, AttemptEnd::bare(Outcome::NotSent));
             }
-            Action::DropServer => {
+            Action::DiscardServer => {
                 self.to_server.clear();
                 let ticket = self.held.take().and_then(|held| held.ticket);
                 self.end(ticket, AttemptEnd::bare(Outcome::Cancelled));
--- a/adapters/postgres/src/relay/transactions.rs
+++ b/adapters/postgres/src/relay/transactions.rs
@@ -4,7 +4,7 @@
 
 use badgerpost_balancer::Outcome;
 use badgerpost_engine::{AttemptEnd, AttemptId, IncomingRequest, RequestOutcome};
-use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
+use badgerpost_postgres_session::server_messages::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::session::Event;
 
 use super::{LeasedConnection, PausedTransaction, Relay, RelayProgress, Waits};
@@ -23,7 +23,9 @@
             }
             if held_back.late.as_mut().poll(cx).is_ready() {
                 self.held_back = None;
-                self.handle(Event::Refused { wait_ms: 1000 });
+                self.handle(Event::Rejected {
+                    retry_after_ms: 1000,
+                });
                 return RelayProgress::Advanced;
             }
         }
@@ -44,11 +46,11 @@
                     // Told by the session itself, as it came.
                     RequestOutcome::Served(()) => {}
                     RequestOutcome::Rejected(pause) => {
-                        self.handle(Event::Refused {
-                            wait_ms: pause.div_ceil(1_000_000),
+                        self.handle(Event::Rejected {
+                            retry_after_ms: pause.div_ceil(1_000_000),
                         });
                     }
-                    RequestOutcome::Failed => self.handle(Event::Failed),
+                    RequestOutcome::Failed => self.handle(Event::RequestFailed),
                 }
                 RelayProgress::Advanced
             }
@@ -67,8 +69,9 @@
                 .is_in_service_at(held.backend, held.endpoint)
         {
             let detail = "the session is pinned to a server that leaves";
-            answer::error(ErrorReason::Stopping, Some(detail)).write(&mut self.to_client);
-            self.handle(Event::ClientGone);
+            server_messages::error_response(ErrorReason::Stopping, Some(detail))
+                .write(&mut self.to_client);
+            self.handle(Event::ClientDisconnected);
         }
     }
 
@@ -106,7 +109,7 @@
         self.end(ticket, AttemptEnd::bare(outcome));
         if ticket.is_none() && !self.ended {
             // Between two transactions nobody but the session has to be told.
-            self.handle(Event::Failed);
+            self.handle(Event::RequestFailed);
         }
     }
 
@@ -140,7 +143,7 @@
         };
         let Some(class) = self.terms.fleet.class(&name) else {
             // The classes come from the same configuration, so this does not happen; if so, it is a failure.
-            return self.handle(Event::Failed);
+            return self.handle(Event::RequestFailed);
         };
         self.asked += 1;
         let id = format!("pg-{}-{}", self.registered.number(), self.asked).into();
@@ -164,7 +167,7 @@
         };
         match self.terms.fleet.submit(asked) {
             Some(waiting) => self.waiting = Some(Box::pin(waiting.into_outcome())),
-            None => self.handle(Event::Failed),
+            None => self.handle(Event::RequestFailed),
         }
     }
 
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use badgerpost_engine::{ConnectionCounter, ConnectionGuard, LogLimiter, spawn};
-use badgerpost_postgres_session::answer::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::frame::{Frame, FrameDecoder};
 use badgerpost_postgres_session::scram::Verifier;
+use badgerpost_postgres_session::server_messages::{self, ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::session::Session;
 use badgerpost_postgres_session::settings::ClientSettings;
 use badgerpost_postgres_session::startup::{StartupMessage, StartupPacket, StartupReader};
@@ -173,7 +173,7 @@
     ) -> Result<Option<Admitted>, ClientError> {
         let mut startup = StartupReader::default();
         let message = loop {
-            let first = match startup.take() {
+            let first = match startup.next_packet() {
                 Ok(Some(first)) => first,
                 Ok(None) => {
                     let mut buffer = vec![0; 1024];
@@ -187,7 +187,7 @@
                 }
                 Err(error) => {
                     client
-                        .send(&[answer::error(
+                        .send(&[server_messages::error_response(
                             ErrorReason::Protocol,
                             Some(&error.to_string()),
                         )])
@@ -198,9 +198,9 @@
             match (first, &self.tls) {
                 (StartupPacket::Tls, Some(tls)) if !client.stream.is_tls() => {
                     // Bytes sent ahead in the clear would pass for the client's own.
-                    if !startup.rest().is_empty() {
+                    if !startup.take_remaining().is_empty() {
                         client
-                            .send(&[answer::error(
+                            .send(&[server_messages::error_response(
                                 ErrorReason::Protocol,
                                 Some("data behind SSLRequest"),
                             )])
@@ -222,7 +222,7 @@
                 (StartupPacket::Session(message), _) => break message,
             }
         };
-        client.cutter.push(&startup.rest());
+        client.cutter.push(&startup.take_remaining());
         if let Some(body) = &message.negotiate {
             client.send(&[Frame::new(b'v', body.clone())]).await?;
         }
@@ -244,7 +244,7 @@
         match self.users.prove(&mut client, &message.user, binding).await {
             Err(ClientError::Identity(why)) => {
                 client
-                    .send(&[answer::error(ErrorReason::Identity, None)])
+                    .send(&[server_messages::error_response(ErrorReason::Identity, None)])
                     .await?;
                 return Err(ClientError::Identity(why));
             }
@@ -303,7 +303,7 @@
             Ok(settings) => settings,
             Err(error) => {
                 client
-                    .send(&[answer::error(
+                    .send(&[server_messages::error_response(
                         ErrorReason::Unsupported,
                         Some(&error.to_string()),
                     )])
@@ -327,7 +327,9 @@
         reason: ErrorReason,
         why: &'static str,
     ) -> Result<Option<Admitted>, ClientError> {
-        client.send(&[answer::error(reason, Some(why))]).await?;
+        client
+            .send(&[server_messages::error_response(reason, Some(why))])
+            .await?;
         Err(ClientError::NotAllowed(why))
     }
 
@@ -417,6 +419,6 @@
     body.put_u32(registered.number());
     body.put_slice(&key);
     Frame::new(b'K', body.freeze()).write(&mut out);
-    TransactionStatus::Idle.ready().write(&mut out);
+    TransactionStatus::Idle.ready_for_query().write(&mut out);
     out
 }
--- /dev/null
+++ b/core/postgres-session/src/prepared_statements/tests.rs
@@ -0,0 +1,58 @@
+use postgres_protocol::message::frontend;
+
+use super::*;
+use crate::extended_query::ParseMessage;
+
+/// A statement as the drivers' own crate writes it.
+fn text(sql: &str) -> StatementText {
+    let mut wire = bytes::BytesMut::new();
+    frontend::parse("", sql, [23], &mut wire).unwrap();
+    let frame = Frame::new(wire[0], Bytes::copy_from_slice(&wire[5..]));
+    ParseMessage::read(&frame).expect("good").text
+}
+
+#[test]
+fn a_statement_is_prepared_once_and_the_least_recently_used_is_evicted() {
+    let mut prepared = ServerStatements::default();
+    let one = prepared.use_statement(&text("select 1"));
+    assert_eq!((one.name.as_ref(), one.preparation.len()), (&b"bp0"[..], 1));
+    assert!(
+        prepared
+            .use_statement(&text("select 1"))
+            .preparation
+            .is_empty()
+    );
+    for n in 0..MAX_SERVER_STATEMENTS {
+        // The first stays in use, so it is never the oldest.
+        assert!(
+            prepared
+                .use_statement(&text("select 1"))
+                .preparation
+                .is_empty(),
+            "{n}"
+        );
+        let next = prepared.use_statement(&text(&format!("select {n} + 1")));
+        assert_eq!(
+            next.preparation.len(),
+            if n + 1 < MAX_SERVER_STATEMENTS { 1 } else { 2 },
+            "{n}"
+        );
+    }
+    assert_eq!(prepared.statements.len(), MAX_SERVER_STATEMENTS);
+    prepared.remove(&text("select 1"));
+    assert_eq!(
+        prepared.use_statement(&text("select 1")).preparation.len(),
+        1
+    );
+    let mut named = ClientStatements::default();
+    for number in 0..MAX_NAMED_STATEMENTS {
+        named
+            .insert(Bytes::from(number.to_string()), text("x"))
+            .expect("room");
+    }
+    assert_eq!(
+        named.insert(Bytes::from_static(b"more"), text("x")),
+        Err(TooManyStatements)
+    );
+    assert_eq!(named.insert(Bytes::from_static(b"0"), text("y")), Ok(()));
+}
--- /dev/null
+++ b/core/postgres-session/src/server_messages.rs
@@ -0,0 +1,276 @@
+//! Messages of a server that this process writes itself, reads or changes: `ErrorResponse` ("Error and Notice Message
+//! Fields"), `ReadyForQuery`, `CommandComplete` and `ParameterStatus`.
+//!
+//! Source of the codes: PostgreSQL documentation, appendix "PostgreSQL Error Codes".
+
+use std::borrow::Cow;
+
+use bytes::{BufMut, BytesMut};
+
+use crate::frame::Frame;
+use crate::message_tags::backend;
+
+/// Why a client gets an error of this process's own instead of a server's response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ErrorReason {
+    /// No server has capacity: the transaction never ran, and a retry is safe.
+    Rejected {
+        /// How long the client should wait before it retries, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The server was lost, or too slow; the statement may have run.
+    MayHaveRun,
+    /// The server was lost in a transaction that had not been committed: it is rolled back.
+    TransactionLost,
+    /// The server was lost before it answered COMMIT: whether the transaction is committed is unknown.
+    CommitUnknown,
+    /// The transaction has failed; only its end is accepted.
+    InFailedTransaction,
+    /// This process is shutting down; the session ends.
+    Stopping,
+    /// The client does not follow the protocol; the session ends.
+    Protocol,
+    /// Authentication failed; the session ends.
+    Identity,
+    /// The client is not authorized; the session ends.
+    NotAllowed,
+    /// The limit of client connections is reached; the session ends.
+    TooManyClients,
+    /// No server can be reached; the session ends.
+    NoServer,
+    /// The client asks for something that is not supported.
+    Unsupported,
+}
+
+impl ErrorReason {
+    /// Its SQLSTATE.
+    #[must_use]
+    pub fn sqlstate(self) -> &'static str {
+        match self {
+            // too_many_connections
+            Self::Rejected { .. } => "53300",
+            // connection_failure
+            Self::MayHaveRun | Self::TransactionLost => "08006",
+            // transaction_resolution_unknown
+            Self::CommitUnknown => "08007",
+            // in_failed_sql_transaction
+            Self::InFailedTransaction => "25P02",
+            // admin_shutdown
+            Self::Stopping => "57P01",
+            // protocol_violation
+            Self::Protocol => "08P01",
+            // invalid_password
+            Self::Identity => "28P01",
+            // invalid_authorization_specification
+            Self::NotAllowed => "28000",
+            Self::TooManyClients => "53300",
+            // cannot_connect_now
+            Self::NoServer => "57P03",
+            // feature_not_supported
+            Self::Unsupported => "0A000",
+        }
+    }
+
+    /// Whether the session ends with it.
+    #[must_use]
+    pub fn is_fatal(self) -> bool {
+        matches!(
+            self,
+            Self::Stopping
+                | Self::Protocol
+                | Self::Identity
+                | Self::NotAllowed
+                | Self::TooManyClients
+                | Self::NoServer
+        )
+    }
+
+    fn message(self) -> &'static str {
+        match self {
+            Self::Rejected { .. } => "no server has room for this transaction; it has not run",
+            Self::MayHaveRun => "the server was lost; the statement may have run",
+            Self::TransactionLost => "the server was lost; the transaction is rolled back",
+            Self::CommitUnknown => {
+                "the server was lost before it answered COMMIT; the transaction may be committed"
+            }
+            Self::InFailedTransaction => {
+                "current transaction is aborted, commands ignored until end of transaction block"
+            }
+            Self::Stopping => "terminating connection: the node stops",
+            Self::Protocol => "the message does not belong here",
+            Self::Identity => "authentication failed",
+            Self::NotAllowed => "this client may not come here",
+            Self::TooManyClients => "sorry, too many clients already",
+            Self::NoServer => "the database system is not reachable now",
+            Self::Unsupported => "this is not supported by the node",
+        }
+    }
+
+    fn hint(self) -> Option<String> {
+        match self {
+            Self::Rejected { retry_after_ms: 0 } => Some("Trying again is harmless.".to_owned()),
+            Self::Rejected { retry_after_ms } => Some(format!(
+                "Trying again is harmless, after {retry_after_ms} ms."
+            )),
+            Self::TooManyClients | Self::NoServer => {
+                Some("Trying again is harmless, after 1000 ms.".to_owned())
+            }
+            Self::CommitUnknown => Some("Look whether it is, before you do it again.".to_owned()),
+            _ => None,
+        }
+    }
+}
+
+/// Codes of the fields of an `ErrorResponse`.
+mod error_field {
+    pub(super) const SEVERITY: u8 = b'S';
+    /// As [`SEVERITY`], but never translated.
+    pub(super) const SEVERITY_NONLOCALIZED: u8 = b'V';
+    pub(super) const CODE: u8 = b'C';
+    pub(super) const MESSAGE: u8 = b'M';
+    pub(super) const DETAIL: u8 = b'D';
+    pub(super) const HINT: u8 = b'H';
+}
+
+/// An `ErrorResponse` for this reason. Zero bytes in `detail` are dropped.
+#[must_use]
+pub fn error_response(reason: ErrorReason, detail: Option<&str>) -> Frame {
+    let severity = if reason.is_fatal() { "FATAL" } else { "ERROR" };
+    let hint = reason.hint();
+    let fields = [
+        (error_field::SEVERITY, Some(severity)),
+        (error_field::SEVERITY_NONLOCALIZED, Some(severity)),
+        (error_field::CODE, Some(reason.sqlstate())),
+        (error_field::MESSAGE, Some(reason.message())),
+        (error_field::DETAIL, detail),
+        (error_field::HINT, hint.as_deref()),
+    ];
+    let mut body = BytesMut::new();
+    for (code, text) in fields {
+        if let Some(text) = text {
+            // A zero would end the field early.
+            put_field(&mut body, code, &text.replace('\0', ""));
+        }
+    }
+    body.put_u8(0);
+    Frame::new(backend::ERROR_RESPONSE, body.freeze())
+}
+
+/// A server's `ErrorResponse` with the severity of one that ends the session.
+#[must_use]
+pub fn with_fatal_severity(error: &Frame) -> Frame {
+    map_fields(error, |code, text| match code {
+        error_field::SEVERITY | error_field::SEVERITY_NONLOCALIZED => "FATAL".to_owned(),
+        _ => text.to_owned(),
+    })
+}
+
+/// Whether an `ErrorResponse` ends its connection.
+#[must_use]
+pub fn is_fatal(error: &Frame) -> bool {
+    let mut fields = error.body.split(|byte| *byte == 0);
+    fields.any(|field| matches!(field, b"VFATAL" | b"VPANIC"))
+}
+
+/// A server's `ErrorResponse` whose message names a statement as the client does and not as the server connection does.
+#[must_use]
+pub fn with_statement_name(error: &Frame, server_name: &[u8], client_name: &[u8]) -> Frame {
+    let quoted = |name: &[u8]| format!("\"{}\"", String::from_utf8_lossy(name));
+    map_fields(error, |code, text| match code {
+        error_field::MESSAGE => text.replace(&quoted(server_name), &quoted(client_name)),
+        _ => text.to_owned(),
+    })
+}
+
+/// An `ErrorResponse` with the text of each field replaced by what `change` makes of its code and text.
+fn map_fields(error: &Frame, change: impl Fn(u8, &str) -> String) -> Frame {
+    let mut body = BytesMut::new();
+    for field in error.body.split(|byte| *byte == 0) {
+        if let Some((code, text)) = field.split_first() {
+            put_field(
+                &mut body,
+                *code,
+                &change(*code, &String::from_utf8_lossy(text)),
+            );
+        }
+    }
+    body.put_u8(0);
+    Frame::new(error.tag, body.freeze())
+}
+
+fn put_field(body: &mut BytesMut, code: u8, text: &str) {
+    body.put_u8(code);
+    body.put_slice(text.as_bytes());
+    body.put_u8(0);
+}
+
+/// The state of a session's transaction, as `ReadyForQuery` reports it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TransactionStatus {
+    /// Not in a transaction block.
+    #[default]
+    Idle,
+    /// In a transaction block.
+    InBlock,
+    /// In a failed transaction block: all is rejected until its end.
+    Failed,
+}
+
+impl TransactionStatus {
+    /// Reads the status byte of a `ReadyForQuery`; `None` if there is no such status.
+    #[must_use]
+    pub fn read(byte: u8) -> Option<Self> {
+        match byte {
+            b'I' => Some(Self::Idle),
+            b'T' => Some(Self::InBlock),
+            b'E' => Some(Self::Failed),
+            _ => None,
+        }
+    }
+
+    /// The `ReadyForQuery` that reports this status.
+    #[must_use]
+    pub fn ready_for_query(self) -> Frame {
+        let byte = match self {
+            Self::Idle => &b"I"[..],
+            Self::InBlock => b"T",
+            Self::Failed => b"E",
+        };
+        Frame::new(backend::READY_FOR_QUERY, byte)
+    }
+}
+
+/// `CommandComplete` with this command tag.
+#[must_use]
+pub fn command_complete(command_tag: &str) -> Frame {
+    let body = format!("{command_tag}\0").into_bytes();
+    Frame::new(backend::COMMAND_COMPLETE, body)
+}
+
+/// A `ParameterStatus`: a server reports the value of a setting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParameterStatus<'a> {
+    /// The setting's name, as the server writes it.
+    pub name: Cow<'a, str>,
+    /// Its value.
+    pub value: Cow<'a, str>,
+}
+
+impl<'a> ParameterStatus<'a> {
+    /// Reads the body of a `ParameterStatus`; `None` if it does not hold two strings. Bytes that are no UTF-8 are
+    /// replaced.
+    #[must_use]
+    pub fn read(frame: &'a Frame) -> Option<Self> {
+        let mut strings = frame
+            .body
+            .split(|byte| *byte == 0)
+            .map(String::from_utf8_lossy);
+        Some(Self {
+            name: strings.next()?,
+            value: strings.next()?,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/core/postgres-session/src/answer/tests.rs
+++ b/core/postgres-session/src/server_messages/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// Read back by another's parser.
+/// Fields of an `ErrorResponse` as an independent parser reads them.
 fn fields(frame: &Frame) -> Vec<(u8, String)> {
     use postgres_protocol::message::backend::ErrorFields;
     let mut wire = BytesMut::new();
@@ -31,10 +31,15 @@
 }
 
 #[test]
-fn errors_are_read_by_others() {
-    let refused = fields(&error(ErrorReason::Refused { wait_ms: 250 }, Some("a\0b")));
+fn error_responses_are_read_by_an_independent_parser() {
+    let rejected = fields(&error_response(
+        ErrorReason::Rejected {
+            retry_after_ms: 250,
+        },
+        Some("a\0b"),
+    ));
     let value = |of: u8| {
-        refused
+        rejected
             .iter()
             .find(|(field, _)| *field == of)
             .map(|(_, value)| value.as_str())
@@ -44,6 +49,17 @@
         (Some("53300"), Some("ERROR"), Some("ab"))
     );
     assert!(value(b'H').is_some_and(|hint| hint.contains("250 ms")));
-    let stopping = fields(&error(ErrorReason::Stopping, None));
+    let stopping = fields(&error_response(ErrorReason::Stopping, None));
     assert!(stopping.contains(&(b'S', "FATAL".to_owned())));
 }
+
+#[test]
+fn parameter_status_holds_a_name_and_a_value() {
+    let frame = Frame::new(b'S', &b"TimeZone\0UTC\0"[..]);
+    let status = ParameterStatus::read(&frame).expect("two strings");
+    assert_eq!((&*status.name, &*status.value), ("TimeZone", "UTC"));
+    assert_eq!(
+        ParameterStatus::read(&Frame::new(b'S', &b"TimeZone"[..])),
+        None
+    );
+}
--- /dev/null
+++ b/core/postgres-session/src/session/client_messages.rs
@@ -0,0 +1,134 @@
+//! Messages from the client, which are collected into batches.
+
+use bytes::Bytes;
+
+use super::message_batch::MessageBatch;
+use super::server_link::ServerLink;
+use super::{Action, MAX_BATCH_MESSAGES, Session, encode, send_to_client};
+use crate::frame::{DecodeResult, Frame};
+use crate::message_tags::frontend;
+use crate::server_messages::{self, ErrorReason};
+
+impl Session {
+    pub(super) fn on_client_message(&mut self, message: DecodeResult, actions: &mut Vec<Action>) {
+        let frame = match message {
+            DecodeResult::Chunk { bytes, .. } => return self.forward_copy_data(bytes, actions),
+            DecodeResult::Frame(frame) => frame,
+        };
+        match frame.tag {
+            frontend::TERMINATE => self.end(actions),
+            frontend::COPY_DONE | frontend::COPY_FAIL => {
+                self.forward_copy_data(encode(&frame), actions);
+                if let ServerLink::Attached(server) = &mut self.server_link {
+                    server.is_copying_in = false;
+                }
+            }
+            frontend::PARSE
+            | frontend::BIND
+            | frontend::DESCRIBE
+            | frontend::EXECUTE
+            | frontend::CLOSE
+            | frontend::FLUSH
+            | frontend::SYNC
+            | frontend::QUERY
+            | frontend::FUNCTION_CALL => self.add_message(frame, actions),
+            _ => self.reject_violation(None, actions),
+        }
+    }
+
+    /// Adds a message to the last batch, or begins the next one with it.
+    fn add_message(&mut self, frame: Frame, actions: &mut Vec<Action>) {
+        if frame.tag == frontend::SYNC
+            && (self.forward_sync_behind_copy(&frame, actions) || self.drop_second_sync())
+        {
+            return;
+        }
+        if self.batches.back().is_none_or(|batch| batch.is_complete) {
+            if frame.tag == frontend::FLUSH {
+                // All batches before it are sent when they are complete; there is nothing to send sooner.
+                return;
+            }
+            self.batches.push_back(MessageBatch::default());
+        }
+        let Some(batch) = self.batches.back_mut() else {
+            return;
+        };
+        if batch.is_skipped {
+            if frame.tag == frontend::SYNC {
+                self.finish_first_batch(actions);
+            }
+            return;
+        }
+        self.buffered_bytes += frame.wire_len();
+        // A Query ends a batch that has had no Sync, as at a server.
+        batch.is_complete = matches!(
+            frame.tag,
+            frontend::SYNC | frontend::QUERY | frontend::FUNCTION_CALL
+        );
+        let is_flush = frame.tag == frontend::FLUSH;
+        batch.frames.push(frame);
+        if is_flush {
+            batch.flushed_count = batch.frames.len();
+        }
+        if batch.frames.len() > MAX_BATCH_MESSAGES {
+            self.reject_violation(Some("too many messages before a Sync"), actions);
+        }
+    }
+
+    /// Sends the `Sync` behind copied data to the server that ignored the one before the data. Returns whether this
+    /// `Sync` was that.
+    fn forward_sync_behind_copy(&mut self, sync: &Frame, actions: &mut Vec<Action>) -> bool {
+        let ServerLink::Attached(server) = &mut self.server_link else {
+            return false;
+        };
+        let is_only_batch_sent = self.batches.len() == 1
+            && self
+                .batches
+                .front()
+                .is_some_and(|batch| batch.is_complete && batch.sent_count == batch.frames.len());
+        if !server.ignored_sync || !is_only_batch_sent {
+            return false;
+        }
+        server.ignored_sync = false;
+        actions.push(Action::ToServer(encode(sync)));
+        true
+    }
+
+    /// Drops the `Sync` behind the data of a copy whose server is lost: the error that is still to come ends both
+    /// parts of the batch. Returns whether this `Sync` was that.
+    fn drop_second_sync(&mut self) -> bool {
+        let replaces_server = matches!(
+            self.server_link,
+            ServerLink::Requested {
+                is_replacement: true
+            }
+        );
+        replaces_server && self.batches.len() == 1 && std::mem::take(&mut self.expects_second_sync)
+    }
+
+    /// Sends copied data as it comes; where none is wanted, a server ignores it.
+    fn forward_copy_data(&mut self, bytes: Bytes, actions: &mut Vec<Action>) {
+        match &self.server_link {
+            ServerLink::Attached(server) if !server.expected.is_empty() => {
+                actions.push(Action::ToServer(bytes));
+            }
+            // Sent before a server has asked for it, to one that is not there yet: it must not get lost.
+            ServerLink::Requested {
+                is_replacement: false,
+            } => self.reject_violation(
+                Some("copied data before the server has asked for it"),
+                actions,
+            ),
+            _ => {}
+        }
+    }
+
+    /// Ends the session of a client that does not follow the protocol.
+    pub(super) fn reject_violation(&mut self, detail: Option<&str>, actions: &mut Vec<Action>) {
+        send_to_client(
+            &server_messages::error_response(ErrorReason::Protocol, detail),
+            actions,
+        );
+        self.end(actions);
+    }
+}
--- a/engine/src/zone_monitoring.rs
+++ b/engine/src/zone_monitoring.rs
@@ -151,14 +151,11 @@
         for endpoint in endpoints {
             self.update_backend(endpoint);
         }
-        let listed = self
-            .backends
-            .iter()
-            .map(|(id, backend)| ListedServer {
-                server: ServerId(id.0),
-                zone: ZoneIndex(backend.zone.0),
-                size: backend.size,
-            });
+        let listed = self.backends.iter().map(|(id, backend)| ListedServer {
+            server: ServerId(id.0),
+            zone: ZoneIndex(backend.zone.0),
+            size: backend.size,
+        });
         let event = Event::EndpointsListed(listed.collect());
         self.handle(now, event)
     }
--- a/testkit/fakes/src/database.rs
+++ b/testkit/fakes/src/database.rs
@@ -114,7 +114,7 @@
 
     /// Lets this user log in with a password; from then on, only such users may.
     pub fn set_user(&self, name: &str, password: &str) {
-        let verifier = Verifier::of(password, format!("salt of {name}").as_bytes());
+        let verifier = Verifier::from_password(password, format!("salt of {name}").as_bytes());
         lock(&self.server.users).insert(name.to_owned(), verifier);
     }
 
--- a/testkit/fakes/src/database/connection.rs
+++ b/testkit/fakes/src/database/connection.rs
@@ -225,14 +225,16 @@
         let response = first.get(name_end + 5..).unwrap_or_default();
         let connection_count = self.server.connection_count.load(Ordering::SeqCst);
         let nonce = format!("stand-in-{connection_count}");
-        let Ok((exchange, challenge)) = scram::begin(verifier, &mechanism, response, None, &nonce)
-        else {
+        let Ok(started) = scram::begin(verifier, &mechanism, response, None, &nonce) else {
             return Ok(false);
         };
-        self.write_authentication(AUTHENTICATION_SASL_CONTINUE, challenge.as_bytes());
+        self.write_authentication(
+            AUTHENTICATION_SASL_CONTINUE,
+            started.server_first.as_bytes(),
+        );
         self.send_output()?;
         let last = self.reader.read_message()?.body;
-        let Ok(outcome) = exchange.finish(&last) else {
+        let Ok(outcome) = started.exchange.finish(&last) else {
             return Ok(false);
         };
         self.write_authentication(AUTHENTICATION_SASL_FINAL, outcome.as_bytes());
