--- /dev/null
+++ b/balancer/src/api/actions.rs
@@ -0,0 +1,104 @@
+//! Actions that the decision module asks its embedder to carry out.
+
+use std::fmt;
+
+use super::events::Outcome;
+use super::ids::{BackendId, Nanos, RequestId, ZoneId};
+
+/// What the module says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start an attempt.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The backend.
+        backend: BackendId,
+        /// Its time-out; `None` until the client gives up.
+        timeout: Option<Nanos>,
+    },
+    /// Final answer: refused, trying again does no harm.
+    Reject {
+        /// The request.
+        request: RequestId,
+        /// Advice how long to stay away; 0 for none.
+        retry_after: Nanos,
+    },
+    /// Final answer: failed, with no promise.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: u32,
+    },
+    /// Probe a backend.
+    CheckHealth {
+        /// The backend.
+        backend: BackendId,
+    },
+    /// Ask discovery for all changes from now on.
+    WatchEndpoints,
+    /// Ask discovery for the whole list once.
+    FetchSnapshot,
+    /// Wake the module after this time.
+    SetTimer {
+        /// How long from now.
+        after: Nanos,
+        /// Comes back in [`Event::TimerFired`](crate::Event::TimerFired).
+        token: u64,
+    },
+    /// Something for the operators' log.
+    Log(LogEvent),
+}
+
+/// What the module has to say to operators. Its text is for people; its fields are for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogEvent {
+    /// The home zone has come to its threshold and spills, or is under it again and serves all.
+    ZoneSpill {
+        /// Whether it spills now.
+        active: bool,
+        /// The best-scored other zone; home where there is none.
+        to: ZoneId,
+    },
+    /// A backend is an outlier and gets nothing for a while.
+    Ejected {
+        /// Which one.
+        backend: BackendId,
+        /// For how long.
+        duration: Nanos,
+        /// What its last attempt came to.
+        outcome: Outcome,
+    },
+    /// A backend has served its trials and is back in use.
+    Readmitted {
+        /// Which one.
+        backend: BackendId,
+    },
+}
+
+impl fmt::Display for LogEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ZoneSpill { active, to } => {
+                let does = if *active { "spills" } else { "serves" };
+                write!(f, "home zone {does}; the best other one is {}", to.0)
+            }
+            Self::Ejected { backend, duration, outcome } => {
+                write!(
+                    f,
+                    "backend {} ejected for {} ms: {}",
+                    backend.0,
+                    duration / 1_000_000,
+                    outcome.log_name()
+                )
+            }
+            Self::Readmitted { backend } => write!(f, "backend {} readmitted: trials served", backend.0),
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/api/events.rs
@@ -0,0 +1,227 @@
+//! Events that the embedder reports to the decision module.
+
+use super::ids::{BackendId, ClassId, Nanos, RequestId, ZoneId};
+
+/// What the list says of a backend.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EndpointState {
+    /// Takes requests.
+    #[default]
+    InService,
+    /// Completes its work; nothing new may be sent.
+    Draining,
+    /// Removed.
+    Removed,
+}
+
+/// One line of the list of backends.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Endpoint {
+    /// The backend.
+    pub backend: BackendId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its machine kind.
+    pub machine_kind: u32,
+    /// Its cell.
+    pub cell: u64,
+    /// A number drawn from its name: the same at every node.
+    pub name_hash: u64,
+    /// What it may take.
+    pub state: EndpointState,
+    /// Its size against the others', or what [`WeightSource`](crate::WeightSource) says; 0 or less counts as 1.
+    pub size: f64,
+    /// When it last started, if lately.
+    pub started_at: Option<Nanos>,
+}
+
+impl Endpoint {
+    /// Its size, or 1 where that says nothing.
+    pub fn size_or_one(&self) -> f64 {
+        if self.size.is_finite() && self.size > 0.0 { self.size } else { 1.0 }
+    }
+}
+
+/// Which list an [`Event::EndpointsUpdated`] brings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointUpdate {
+    /// Changed lines only.
+    Delta,
+    /// The whole list: who is missing has gone.
+    Snapshot,
+    /// The whole list as the node last held it, perhaps stale.
+    Cached,
+}
+
+/// A backend's figures of its load; absent where not reported.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadReport {
+    /// Share of its cores in use.
+    pub utilization: Option<f64>,
+    /// Requests it serves a second.
+    pub requests_per_second: Option<f64>,
+    /// Requests it holds.
+    pub in_flight: Option<f64>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Success,
+    /// The backend returned an error.
+    Error,
+    /// What came back can't be used, and says nothing of the backend.
+    InvalidResponse,
+    /// Sent away without a look.
+    Rejected,
+    /// No answer in time.
+    TimedOut,
+    /// No connection came about.
+    ConnectFailed,
+    /// The connection broke while it was out.
+    Reset,
+    /// Withdrawn.
+    Cancelled,
+    /// Never sent.
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether the attempt may have taken effect.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
+    }
+
+    /// The outcome's name in log lines and simulator traces. It keeps the form that operators' tools read.
+    pub fn log_name(self) -> &'static str {
+        match self {
+            Self::Success => "Served",
+            Self::Error => "Error",
+            Self::InvalidResponse => "Spoilt",
+            Self::Rejected => "Full",
+            Self::TimedOut => "TimedOut",
+            Self::ConnectFailed => "ConnectFailed",
+            Self::Reset => "Reset",
+            Self::Cancelled => "Cancelled",
+            Self::NotSent => "Moot",
+        }
+    }
+}
+
+/// A request that has come in.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestArrival {
+    /// Its id.
+    pub request: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// What it concerns, as a number drawn from that thing's name.
+    pub affinity_key: Option<u64>,
+    /// How much work to expect, on a standard core.
+    pub expected_work: Option<Nanos>,
+    /// The client marks it as a repeat.
+    pub is_retry: bool,
+    /// Whose it is: a position in [`Settings::tenant_quotas`](crate::Settings::tenant_quotas).
+    pub tenant: Option<u32>,
+    /// When the client gives this try up.
+    pub expires_at: Nanos,
+}
+
+/// The end of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptResult {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt's number, from 0 in the order of the sends.
+    pub attempt: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since the send.
+    pub elapsed: Nanos,
+    /// The request has ended, by this or earlier.
+    pub request_ended: bool,
+    /// The backend's figures, if any came.
+    pub report: LoadReport,
+}
+
+/// What the module hears.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The node starts. Must come first, once.
+    Start,
+    /// A list of backends.
+    EndpointsUpdated {
+        /// Which list.
+        update: EndpointUpdate,
+        /// Its lines.
+        endpoints: Vec<Endpoint>,
+    },
+    /// A call to discovery failed or the watch broke.
+    DiscoveryFailed,
+    /// A request came in and is owed one final answer.
+    RequestArrived(RequestArrival),
+    /// The same, but its body is still on the way: its client's time begins with [`Event::UploadComplete`], and until then no
+    /// backend works on it. `not_after` is when it is given up if that never comes.
+    UploadStarted(RequestArrival),
+    /// The last byte of a request's body has come.
+    UploadComplete {
+        /// The request.
+        request: RequestId,
+        /// When the client gives this try up.
+        expires_at: Nanos,
+    },
+    /// Bytes of a request's body have gone out that can't be had again: it can't be sent once more.
+    BodyConsumed {
+        /// The request.
+        request: RequestId,
+    },
+    /// An attempt ended.
+    AttemptEnded(AttemptResult),
+    /// An answer that had begun to be passed on broke off at this backend.
+    ResponseAborted {
+        /// The backend.
+        backend: BackendId,
+    },
+    /// A streamed answer has started.
+    ResponseStarted {
+        /// The request.
+        request: RequestId,
+    },
+    /// A probe ended.
+    HealthCheckEnded {
+        /// The backend.
+        backend: BackendId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since the probe was sent.
+        elapsed: Nanos,
+        /// The backend's figures, if any came.
+        report: LoadReport,
+    },
+    /// The client has gone; nothing more is owed.
+    ClientDisconnected {
+        /// The request.
+        request: RequestId,
+    },
+    /// What a zone may take from now on; at the start each has 1.
+    ZoneShareChanged {
+        /// The zone.
+        zone: ZoneId,
+        /// Of the home zone, the part of the requests that it takes; of another, its part, against the others', of
+        /// what home does not take. At 0 nothing new goes there.
+        share: f64,
+    },
+    /// The next request that may be repeated elsewhere tries this zone, whatever its share.
+    ZoneProbeRequested {
+        /// The zone.
+        zone: ZoneId,
+        /// How long its answer is waited for.
+        timeout: Nanos,
+    },
+    /// A timer came due.
+    TimerFired {
+        /// As given in [`Action::SetTimer`](crate::Action::SetTimer).
+        token: u64,
+    },
+}
--- /dev/null
+++ b/balancer/src/api/ids.rs
@@ -0,0 +1,19 @@
+//! Identifiers and times of the interface.
+//!
+//! Ids are integers, so no name can influence a decision. Times are nanoseconds on the embedder's clock.
+
+/// A time or a span, in nanoseconds.
+pub type Nanos = u64;
+
+/// A backend, numbered by the embedder; the number stays the same when its process restarts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BackendId(pub u32);
+/// A zone: its position in the settings' zones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u32);
+/// A request class: its position in [`Settings::classes`](crate::Settings::classes).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub u32);
+/// A request of this node; never used twice in a node's life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -15,5 +15,9 @@
 mod probing;
 mod state;
 
-pub use api::*;
+pub use api::{
+    Action, AttemptResult, BackendId, ClassId, ClassSettings, DedupScope, Discovery, Endpoint, EndpointState,
+    EndpointUpdate, Event, Idempotency, Limits, LoadReport, LogEvent, Nanos, Outcome, RequestArrival,
+    RequestId, SafetyLimits, Settings, SettingsError, WeightSource, ZoneId,
+};
 pub use state::Balancer;
