--- a/balancer/src/admission.rs
+++ b/balancer/src/admission.rs
@@ -1,10 +1,10 @@
 //! What is taken in: shares by class and tenant where nodes are many, values of classes, and the budget of
 //! retries.
 
-use crate::figures::*;
 use crate::gate::ADMIT;
 use crate::health::IDLE_LOAD;
-use crate::state::*;
+use crate::state::Balancer;
+use crate::tuning::UTIL_TRUST;
 
 /// A zone at or over this utilisation spills where many nodes share the zones: figures come late.
 pub(crate) const SHARED_THRESHOLD: f64 = 0.75;
--- a/balancer/src/choice.rs
+++ b/balancer/src/choice.rs
@@ -7,10 +7,13 @@
 //! `lists.rs` reads lists.
 
 use crate::admission::SHARED_THRESHOLD;
-use crate::api::*;
-use crate::figures::*;
+use crate::api::{
+    Action, BackendId, EndpointState, Idempotency, LogEvent, Nanos, RequestId, WeightSource, ZoneId,
+};
 use crate::health::SLOW_FORGET;
-use crate::state::*;
+use crate::random::{lot, mix};
+use crate::state::{Backend, Balancer};
+use crate::tuning::{MS, SECOND, UTIL_SMOOTHING, UTIL_TRUST};
 
 /// Period of the overflow target's scoring: the time that a send needs to show in a report, or so.
 const REFRESH: Nanos = 100 * MS;
--- a/balancer/src/gate.rs
+++ b/balancer/src/gate.rs
@@ -1,10 +1,11 @@
 //! The contract gate: whether a request may go to a server at all, by what may have run, drains and cold
 //! budgets, and whether it would be answered in time there.
 
-use crate::api::*;
-use crate::figures::*;
+use crate::api::{DedupScope, EndpointState, Idempotency, Nanos, RequestId, ZoneId};
 use crate::health::IDLE_LOAD;
-use crate::state::*;
+use crate::random::lot;
+use crate::state::{Attempt, Backend, Balancer, Phase, Request};
+use crate::tuning::{SECOND, UTIL_TRUST};
 
 /// A send is admitted if its expected delay fits into this share of the time left to its aim.
 pub(crate) const ADMIT: f64 = 0.6;
--- a/balancer/src/health.rs
+++ b/balancer/src/health.rs
@@ -1,9 +1,10 @@
 //! How servers fare: their expected delay, and outliers, which are ejected for a while and readmitted by
 //! trials.
 
-use crate::api::*;
-use crate::figures::*;
-use crate::state::*;
+use crate::api::{Action, BackendId, EndpointState, LogEvent, Nanos, Outcome, SafetyLimits};
+use crate::ewma::decay;
+use crate::state::{Backend, Balancer, Health};
+use crate::tuning::{MS, SECOND};
 
 /// An unused backend's slowness is forgotten with this time constant, so that it is tried again.
 pub(crate) const SLOW_FORGET: Nanos = 3 * SECOND;
--- a/balancer/src/ledger.rs
+++ b/balancer/src/ledger.rs
@@ -1,10 +1,13 @@
 //! What each event sets off, and the ledger of open requests: each is sent, sent again, held or ended here,
 //! and has one final answer. Where it may go is `choice.rs`'s to say, whether it may go at all `gate.rs`'s.
 
-use crate::api::*;
-use crate::figures::*;
+use crate::api::{
+    Action, AttemptResult, BackendId, DedupScope, Discovery, Event, Idempotency, Nanos, Outcome,
+    RequestArrival, RequestId, ZoneId,
+};
 use crate::health::IDLE_LOAD;
-use crate::state::*;
+use crate::state::{Attempt, Backend, Balancer, Health, Phase, Request};
+use crate::tuning::{MS, UTIL_SMOOTHING};
 
 /// Housekeeping period: fine enough against aims of tens of milliseconds, coarse enough to cost no CPU.
 const TICK: Nanos = 10 * MS;
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -7,13 +7,15 @@
 mod admission;
 pub mod api;
 mod choice;
-mod figures;
+mod ewma;
 mod gate;
 mod health;
 mod ledger;
 mod lists;
 mod probing;
+mod random;
 mod state;
+mod tuning;
 
 pub use api::{
     Action, AttemptResult, BackendId, ClassId, ClassSettings, DedupScope, Discovery, Endpoint, EndpointState,
--- a/balancer/src/lists.rs
+++ b/balancer/src/lists.rs
@@ -1,10 +1,10 @@
 //! What a list of servers says: who is there, and, with live weights, how loaded all nodes together make
 //! them.
 
-use crate::api::*;
-use crate::figures::*;
+use crate::api::{Endpoint, EndpointState, EndpointUpdate, WeightSource};
 use crate::gate::SUBSET;
-use crate::state::*;
+use crate::state::Balancer;
+use crate::tuning::{SECOND, UTIL_SMOOTHING};
 
 /// Least and most that one late figure moves a backend's share of the picks.
 const RESPONSE: (f64, f64) = (0.1, 2.0);
--- a/balancer/src/probing.rs
+++ b/balancer/src/probing.rs
@@ -1,9 +1,9 @@
 //! Probes, where backends report their load only when asked: few, bounded by the node's own traffic, and to
 //! whom the node has not heard of for longest.
 
-use crate::api::*;
-use crate::figures::*;
-use crate::state::*;
+use crate::api::{Action, BackendId, EndpointState, Nanos};
+use crate::state::{Backend, Balancer};
+use crate::tuning::MS;
 
 /// Probes for each arrival at most: probing must not grow with nodes times backends.
 const PROBES: f64 = 0.2;
--- a/balancer/src/state.rs
+++ b/balancer/src/state.rs
@@ -3,69 +3,16 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::api::*;
-use crate::figures::*;
-
-/// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
-const RATE_SMOOTHING: Nanos = 3 * SECOND;
-
-/// An exponentially smoothed figure and when it was last fed.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Smooth {
-    pub(crate) value: f64,
-    pub(crate) at: Option<Nanos>,
-}
-
-impl Smooth {
-    pub(crate) fn feed(&mut self, now: Nanos, sample: f64, tau: Nanos, least: f64) {
-        let weight = self.at.map_or(1.0, |at| (1.0 - decay(now.saturating_sub(at), tau)).max(least));
-        self.value += (sample - self.value) * weight;
-        self.at = Some(now);
-    }
-
-    /// The figure, forgotten towards 0 since it was last fed.
-    pub(crate) fn fading(&self, now: Nanos, tau: Nanos) -> f64 {
-        self.at.map_or(0.0, |at| self.value * decay(now.saturating_sub(at), tau))
-    }
-
-    pub(crate) fn younger_than(&self, now: Nanos, age: Nanos) -> bool {
-        self.at.is_some_and(|at| now.saturating_sub(at) < age)
-    }
-}
-
-/// An amount a second, over an exponential window.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Rate {
-    pub(crate) value: f64,
-    pub(crate) at: Nanos,
-}
-
-impl Rate {
-    pub(crate) fn add(&mut self, now: Nanos, amount: f64) {
-        self.value = self.now(now) + amount * SECOND as f64 / RATE_SMOOTHING as f64;
-        self.at = now;
-    }
-
-    pub(crate) fn now(&self, now: Nanos) -> f64 {
-        self.value * decay(now.saturating_sub(self.at), RATE_SMOOTHING)
-    }
-}
-
-/// Spreads the bits of a number; drives random draws and lots.
-pub(crate) fn mix(mut z: u64) -> u64 {
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
-
-/// A lot from 0 to 1 that always falls alike for one number.
-pub(crate) fn lot(z: u64) -> f64 {
-    mix(z) as f64 / u64::MAX as f64
-}
-
-pub(crate) fn decay(span: Nanos, tau: Nanos) -> f64 {
-    (-(span as f64) / tau as f64).exp()
-}
+use crate::api::{
+    Action, AttemptResult, BackendId, ClassSettings, Endpoint, EndpointState, EndpointUpdate, LoadReport,
+    LogEvent, Nanos, Outcome, RequestId, SafetyLimits, Settings, SettingsError, WeightSource, ZoneId,
+};
+use crate::ewma::{Rate, Smooth};
+use crate::random::mix;
+use crate::tuning::{
+    BASE_FIRST, BASE_RISE, BASE_SAMPLES, CAPACITY_FALL, CAPACITY_RISE, SECOND, SLOW_CLAMP, SLOW_SMOOTHING,
+    UTIL_MOST, UTIL_SMOOTHING, UTIL_TRUST,
+};
 
 /// One attempt of a request.
 pub(crate) struct Attempt {
