--- a/balancer/src/api/events.rs
+++ b/balancer/src/api/events.rs
@@ -29,7 +29,8 @@
     pub name_hash: u64,
     /// What it may take.
     pub state: EndpointState,
-    /// Its size against the others', or what [`WeightSource`](crate::WeightSource) says; 0 or less counts as 1.
+    /// Its size against the others', or what [`WeightSource`](crate::WeightSource) says; 0 or less counts as
+    /// 1.
     pub size: f64,
     /// When it last started, if lately.
     pub started_at: Option<Nanos>,
@@ -161,8 +162,8 @@
     DiscoveryFailed,
     /// A request came in and is owed one final answer.
     RequestArrived(RequestArrival),
-    /// The same, but its body is still on the way: its client's time begins with [`Event::UploadComplete`], and until then no
-    /// backend works on it. `not_after` is when it is given up if that never comes.
+    /// The same, but its body is still on the way: its client's time begins with [`Event::UploadComplete`],
+    /// and until then no backend works on it. `not_after` is when it is given up if that never comes.
     UploadStarted(RequestArrival),
     /// The last byte of a request's body has come.
     UploadComplete {
@@ -208,8 +209,8 @@
     ZoneShareChanged {
         /// The zone.
         zone: ZoneId,
-        /// Of the home zone, the part of the requests that it takes; of another, its part, against the others', of
-        /// what home does not take. At 0 nothing new goes there.
+        /// Of the home zone, the part of the requests that it takes; of another, its part, against the
+        /// others', of what home does not take. At 0 nothing new goes there.
         share: f64,
     },
     /// The next request that may be repeated elsewhere tries this zone, whatever its share.
--- a/balancer/src/api/ids.rs
+++ b/balancer/src/api/ids.rs
@@ -17,3 +17,17 @@
 /// A request of this node; never used twice in a node's life.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
+
+impl ZoneId {
+    /// Its position among the settings' zones.
+    pub(crate) fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+impl ClassId {
+    /// Its position in [`Settings::classes`](crate::Settings::classes).
+    pub(crate) fn index(self) -> usize {
+        self.0 as usize
+    }
+}
--- a/balancer/src/api/settings.rs
+++ b/balancer/src/api/settings.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::ids::{Nanos, ZoneId};
+use super::ids::{ClassId, Nanos, ZoneId};
 
 /// Which backends drop a repeat of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,7 +63,8 @@
 pub enum Discovery {
     /// Changes come unasked.
     Pushed,
-    /// Only after [`Action::WatchEndpoints`](crate::Action::WatchEndpoints) or [`Action::FetchSnapshot`](crate::Action::FetchSnapshot).
+    /// Only after [`Action::WatchEndpoints`](crate::Action::WatchEndpoints) or
+    /// [`Action::FetchSnapshot`](crate::Action::FetchSnapshot).
     Polled,
 }
 
@@ -76,9 +77,9 @@
     LoadAdjusted,
 }
 
-/// No queue is let grow longer than this, however wide the aim, where nothing says how many requests a backend
-/// works on at once: past it a machine loses more to its own crowd than the queue gains, and one that has slowed
-/// down keeps its queue.
+/// No queue is let grow longer than this, however wide the aim, where nothing says how many requests a
+/// backend works on at once: past it a machine loses more to its own crowd than the queue gains, and one that
+/// has slowed down keeps its queue.
 const QUEUE_MOST: f64 = 2.8;
 
 /// Limits that the site sets.
@@ -192,6 +193,11 @@
         }
     }
 
+    /// Settings of a class that is known to exist.
+    pub(crate) fn class(&self, id: ClassId) -> &ClassSettings {
+        &self.classes[id.index()]
+    }
+
     /// Checks that the settings can be used.
     pub fn validate(&self) -> Result<(), SettingsError> {
         let fail = |field, problem| Err(SettingsError { field, problem });
--- /dev/null
+++ b/balancer/src/backend.rs
@@ -0,0 +1,175 @@
+//! One backend as this node sees it: its list entry, own requests in flight and measured figures.
+//!
+//! Ejection, warm-up sends and load feedback keep their per-backend state in types of their own.
+
+use crate::api::{Endpoint, EndpointState, LoadReport, Nanos, SafetyLimits, ZoneId};
+use crate::ewma::{DecayingRate, Ewma, UTILIZATION_TIME_CONSTANT};
+use crate::feedback_weights::FeedbackWeights;
+use crate::outlier_detection::OutlierState;
+use crate::units::SECOND;
+use crate::warming_sends::WarmingSends;
+
+/// Largest utilization that is believed: all cores in use, and some measuring noise.
+const MAX_UTILIZATION: f64 = 1.5;
+/// Least weight of one utilization sample, so that quick reports are not lost.
+const UTILIZATION_MIN_WEIGHT: f64 = 0.05;
+/// Time constant of slowness: tens of answers, yet within a noisy neighbour's seconds on and off.
+const SLOWNESS_TIME_CONSTANT: Nanos = SECOND;
+/// Least weight of one slowness sample.
+const SLOWNESS_MIN_WEIGHT: f64 = 0.1;
+/// Smallest warm-up fraction, as others divide by it.
+const MIN_WARM_UP_FRACTION: f64 = 0.01;
+
+/// State of one backend. A restart of its process resets all but the requests in flight.
+#[derive(Default)]
+pub(crate) struct Backend {
+    entry: Endpoint,
+    in_flight: u32,
+    utilization: Ewma,
+    slowness: Ewma,
+    served_work: DecayingRate,
+    subset_rank: u64,
+    warming_sends: WarmingSends,
+    health_checked_at: Option<Nanos>,
+    /// Failures, ejection and readmission.
+    pub(crate) outlier: OutlierState,
+    /// Weights derived from the list's load-adjusted sizes.
+    pub(crate) feedback: FeedbackWeights,
+}
+
+impl Backend {
+    /// A backend that has just been listed.
+    pub(crate) fn new(entry: Endpoint) -> Self {
+        Self { entry, ..Self::default() }
+    }
+
+    /// Takes over a new list entry; a changed start time means a new process, of which nothing is known.
+    pub(crate) fn update_entry(&mut self, entry: Endpoint, subset_rank: u64, reported_queue: Option<f64>) {
+        if self.entry.started_at != entry.started_at {
+            *self = Self { in_flight: self.in_flight, ..Self::new(entry) };
+        }
+        self.entry = entry;
+        self.subset_rank = subset_rank;
+        self.feedback.set_reported_queue(reported_queue);
+    }
+
+    /// Marks the backend as removed from the list.
+    pub(crate) fn mark_removed(&mut self) {
+        self.entry.state = EndpointState::Removed;
+    }
+
+    /// Its line of the list.
+    pub(crate) fn entry(&self) -> &Endpoint {
+        &self.entry
+    }
+
+    /// Its zone.
+    pub(crate) fn zone(&self) -> ZoneId {
+        self.entry.zone
+    }
+
+    /// Its size against the others', above 0.
+    pub(crate) fn size(&self) -> f64 {
+        self.entry.size_or_one()
+    }
+
+    /// Whether the list lets it take new requests.
+    pub(crate) fn is_in_service(&self) -> bool {
+        self.entry.state == EndpointState::InService
+    }
+
+    /// Own requests that it works on.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// This node's rank for it: the lowest ranks of a zone are the node's subset.
+    pub(crate) fn subset_rank(&self) -> u64 {
+        self.subset_rank
+    }
+
+    /// Work sent there while it warms up.
+    pub(crate) fn warming_sends(&self) -> &WarmingSends {
+        &self.warming_sends
+    }
+
+    /// Smoothed utilization of its cores, by its reports.
+    pub(crate) fn utilization(&self) -> &Ewma {
+        &self.utilization
+    }
+
+    /// Smoothed response time against the expectation, 1 for a backend as fast as the fleet.
+    pub(crate) fn measured_slowness(&self) -> &Ewma {
+        &self.slowness
+    }
+
+    /// Work that it has served for this node per second, in nanoseconds on a standard core.
+    pub(crate) fn served_work(&self, now: Nanos) -> f64 {
+        self.served_work.per_second(now)
+    }
+
+    /// When its health was last checked.
+    pub(crate) fn health_checked_at(&self) -> Option<Nanos> {
+        self.health_checked_at
+    }
+
+    /// Fraction of its capacity that it surely has by now; 1 when warm.
+    pub(crate) fn warm_up_fraction(&self, now: Nanos, rules: &SafetyLimits) -> f64 {
+        let Some(started_at) = self.entry.started_at else { return 1.0 };
+        let age = now.saturating_sub(started_at) as f64 / rules.slow_start_duration.max(1) as f64;
+        (rules.slow_start_capacity + (1.0 - rules.slow_start_capacity) * age).clamp(MIN_WARM_UP_FRACTION, 1.0)
+    }
+
+    /// Counts a request that it starts to work on; while it warms up, its work counts against the budget.
+    pub(crate) fn start_request(&mut self, now: Nanos, rules: &SafetyLimits, work: f64) {
+        self.in_flight += 1;
+        self.record_slow_start_work(now, rules, work);
+    }
+
+    /// Counts work against the slow-start budget, if the backend is warming up.
+    pub(crate) fn record_slow_start_work(&mut self, now: Nanos, rules: &SafetyLimits, work: f64) {
+        if self.warm_up_fraction(now, rules) < 1.0 {
+            self.warming_sends.record(now, work);
+        }
+    }
+
+    /// Counts the end of a request that it worked on.
+    pub(crate) fn end_request(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Records the time of a health check; it is never 0, so that an unchecked backend is older than any
+    /// other.
+    pub(crate) fn record_health_check(&mut self, now: Nanos) {
+        self.health_checked_at = Some(now.max(1));
+    }
+
+    /// Takes a load report in; impossible figures are passed over.
+    pub(crate) fn record_report(&mut self, now: Nanos, report: LoadReport) {
+        if let Some(utilization) = report.utilization.filter(|value| (0.0..=MAX_UTILIZATION).contains(value))
+        {
+            self.record_utilization(now, utilization);
+        }
+    }
+
+    /// Adds a utilization sample.
+    pub(crate) fn record_utilization(&mut self, now: Nanos, utilization: f64) {
+        self.utilization.update(now, utilization, UTILIZATION_TIME_CONSTANT, UTILIZATION_MIN_WEIGHT);
+    }
+
+    /// Adds a slowness sample.
+    pub(crate) fn record_slowness(&mut self, now: Nanos, slowness: f64) {
+        self.slowness.update(now, slowness, SLOWNESS_TIME_CONSTANT, SLOWNESS_MIN_WEIGHT);
+    }
+
+    /// Adds work that it has served.
+    pub(crate) fn record_served_work(&mut self, now: Nanos, work: f64) {
+        self.served_work.add(now, work);
+    }
+
+    /// Forgets failures and slowness, as they were the fault of its zone, which is open again.
+    pub(crate) fn reset_after_zone_reopened(&mut self) {
+        self.outlier.reset();
+        self.slowness = Ewma::default();
+    }
+}
--- /dev/null
+++ b/balancer/src/balancer.rs
@@ -0,0 +1,256 @@
+//! The balancer: dispatches events to the concerns that own the state, and keeps the timer.
+//!
+//! Reading order of the decisions: `balancer/requests.rs` shows what becomes of a request, `zone_routing.rs`
+//! and `endpoint_selection.rs` choose its backend, `retry_safety.rs` says whether it may be sent there at
+//! all, `admission.rs` whether it is admitted, `outlier_detection.rs` ejects and readmits backends.
+
+mod attempts;
+mod requests;
+mod retries;
+
+use crate::admission::Admission;
+use crate::api::{
+    Action, Discovery, Endpoint, EndpointUpdate, Event, LogEvent, Nanos, Outcome, RequestId, Settings,
+    SettingsError, WeightSource, ZoneId,
+};
+use crate::backend::Backend;
+use crate::discovery_polling::DiscoveryPolling;
+use crate::endpoint_selection::EndpointSelection;
+use crate::fleet::Fleet;
+use crate::health_checks::HealthChecks;
+use crate::load_feedback::LoadFeedback;
+use crate::random::Random;
+use crate::request_table::RequestTable;
+use crate::retry_budget::RetryBudget;
+use crate::retry_safety;
+use crate::tuning::SUBSET_SIZE;
+use crate::units::{MILLISECOND, SECOND};
+use crate::zone::ShareChange;
+use crate::zone_routing::{ZoneRouting, utilization};
+
+/// Period of the checks on queued requests: fine enough against latency objectives of tens of milliseconds,
+/// coarse enough to cost no CPU.
+const QUEUE_CHECK_PERIOD: Nanos = 10 * MILLISECOND;
+/// Shortest time to a timer.
+const MIN_TIMER: Nanos = MILLISECOND;
+/// Log lines are for people: at most one in this time.
+const LOG_INTERVAL: Nanos = SECOND;
+
+/// One node's decisions. Deterministic: the same settings, seed and events give the same actions.
+pub struct Balancer {
+    fleet: Fleet,
+    random: Random,
+    requests: RequestTable,
+    routing: ZoneRouting,
+    admission: Admission,
+    load_feedback: LoadFeedback,
+    retry_budget: RetryBudget,
+    discovery: DiscoveryPolling,
+    health_checks: HealthChecks,
+    next_log_at: Nanos,
+    timer_at: Option<Nanos>,
+}
+
+impl Balancer {
+    /// A node that knows nothing yet. `seed` drives its jitter, `now` is the embedder's time.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] if the settings can't be used.
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        Ok(Self {
+            random: Random::new(seed),
+            requests: RequestTable::default(),
+            routing: ZoneRouting::new(now),
+            admission: Admission::new(&settings),
+            load_feedback: LoadFeedback::new(),
+            retry_budget: RetryBudget::new(&settings),
+            discovery: DiscoveryPolling::default(),
+            health_checks: HealthChecks::new(),
+            next_log_at: 0,
+            timer_at: None,
+            fleet: Fleet::new(settings, now),
+        })
+    }
+
+    /// Handles one event and appends what is to be done. A clock that steps back stands still.
+    pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
+        self.fleet.now = self.fleet.now.max(now);
+        self.dispatch_event(event, actions);
+        self.requests.prune_queue();
+        self.set_timer(actions);
+    }
+
+    /// Passes an event on to the concern it is for.
+    fn dispatch_event(&mut self, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Start => self.start(actions),
+            Event::EndpointsUpdated { update, endpoints } => self.update_endpoints(update, endpoints),
+            Event::DiscoveryFailed => {
+                self.discovery.schedule_poll_backoff(self.fleet.now, &mut self.random);
+            }
+            Event::RequestArrived(arrival) => self.on_arrival(&arrival, false, actions),
+            Event::UploadStarted(arrival) => self.on_arrival(&arrival, true, actions),
+            Event::UploadComplete { request, expires_at } => self.on_upload_complete(request, expires_at),
+            Event::BodyConsumed { request } => self.requests.mark_body_consumed(request),
+            Event::ResponseAborted { backend } => {
+                self.record_for_outlier_detection(backend, Outcome::Reset, actions);
+            }
+            Event::AttemptEnded(result) => self.on_attempt_ended(&result, actions),
+            Event::ResponseStarted { request } => self.requests.mark_streaming(request),
+            Event::HealthCheckEnded { backend, report, .. } => {
+                if let Some(state) = self.fleet.backends.get_mut(backend) {
+                    state.record_report(self.fleet.now, report);
+                }
+            }
+            Event::ClientDisconnected { request } => self.requests.finish(request),
+            Event::ZoneShareChanged { zone, share } => self.on_zone_share_changed(zone, share, actions),
+            Event::ZoneProbeRequested { zone, timeout } => {
+                if let Some(state) = self.fleet.zones.get_mut(zone) {
+                    state.request_probe(timeout);
+                }
+            }
+            Event::TimerFired { .. } => self.on_timer(actions),
+        }
+    }
+
+    /// How many listed backends get nothing new now: those that drain, are ejected or on trial, or have
+    /// rejected work a moment ago.
+    pub fn avoided(&self, now: Nanos) -> usize {
+        self.fleet.backends.count_avoided(now)
+    }
+
+    /// Requests that the node still keeps: open ones, and ended ones with an attempt in flight.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether an attempt may still be written, now that its connection is up: that can take longer than
+    /// backends remember the attempts before.
+    pub fn may_write(&self, now: Nanos, id: RequestId, attempt: u32) -> bool {
+        let at = now.max(self.fleet.now);
+        self.requests.get(id).is_some_and(|request| {
+            retry_safety::may_write(&self.fleet.settings, request, attempt as usize, at)
+        })
+    }
+
+    /// The node starts.
+    fn start(&mut self, actions: &mut Vec<Action>) {
+        self.retry_budget.fill();
+        if self.fleet.settings.discovery == Discovery::Polled {
+            actions.push(Action::WatchEndpoints);
+        }
+    }
+
+    /// A list of backends has come.
+    fn update_endpoints(&mut self, update: EndpointUpdate, endpoints: Vec<Endpoint>) {
+        let is_current = update != EndpointUpdate::Cached;
+        if is_current {
+            self.discovery.reset_backoff();
+        }
+        let is_load_adjusted = self.fleet.settings.weight_source == WeightSource::LoadAdjusted;
+        self.fleet.backends.apply(update, endpoints, is_load_adjusted, &self.random);
+        for (zone, state) in self.fleet.zones.iter_mut() {
+            state.set_endpoint_ranks(self.fleet.backends.subset_ranks(zone), SUBSET_SIZE);
+        }
+        if is_load_adjusted && is_current {
+            self.load_feedback.apply_list(&mut self.fleet);
+            self.update_spill_and_admission();
+        }
+    }
+
+    /// Moves the fractions that spill and that are admitted, in a large fleet.
+    fn update_spill_and_admission(&mut self) {
+        let target = self.routing.best_target();
+        self.admission.update_spill_and_admission(&self.fleet, &self.load_feedback, target);
+    }
+
+    /// What a zone may take has changed. Where home is closed, what its own answers said of how much can be
+    /// admitted says nothing of the other zones.
+    fn on_zone_share_changed(&mut self, zone: ZoneId, share: f64, actions: &mut Vec<Action>) {
+        let change = self.fleet.zones.get_mut(zone).map(|state| state.set_share(share));
+        if change == Some(ShareChange::Reopened) {
+            let backends = self.fleet.backends.values_mut().filter(|backend| backend.zone() == zone);
+            backends.for_each(Backend::reset_after_zone_reopened);
+        }
+        if change == Some(ShareChange::Closed) {
+            if zone == self.fleet.local_zone() {
+                self.fleet.classes.reset_rates();
+                self.admission.reset_admitted_fractions();
+            }
+            self.hedge_out_of_closed_zone(zone, actions);
+        }
+        self.dispatch_queued(actions);
+    }
+
+    /// The timer has fired.
+    fn on_timer(&mut self, actions: &mut Vec<Action>) {
+        if self.discovery.take_due_poll(self.fleet.now) {
+            actions.push(Action::WatchEndpoints);
+        }
+        self.refresh(actions);
+        self.dispatch_queued(actions);
+        self.reject_expired(actions);
+    }
+
+    /// Updates what is derived from measurements: values, capacities, the zones' scores, admission.
+    fn refresh(&mut self, actions: &mut Vec<Action>) {
+        let now = self.fleet.now;
+        if !self.routing.is_scoring_due(now) {
+            return;
+        }
+        self.routing.schedule_scoring(now, &mut self.random);
+        self.health_checks.run(&mut self.fleet, actions);
+        self.admission.update_class_values(&self.fleet);
+        self.fleet.measure_capacity();
+        for (_, zone) in self.fleet.zones.iter_mut() {
+            zone.age_min_latency();
+        }
+        self.routing.score_zones(&self.fleet);
+        if self.load_feedback.is_report_feedback_due(&self.fleet.settings, now) {
+            let zones = (0..self.fleet.settings.zone_count).map(ZoneId);
+            let utilizations: Vec<Option<f64>> = zones.map(|zone| utilization(&self.fleet, zone)).collect();
+            self.load_feedback.apply_reports(&mut self.fleet, &utilizations);
+            self.update_spill_and_admission();
+        }
+        if self.fleet.settings.is_large_fleet() {
+            self.admission.update_admitted_fractions(&self.fleet, &self.load_feedback);
+        }
+        if let Some(event) = self.routing.update_spilling(&self.fleet) {
+            self.log(actions, event);
+        }
+    }
+
+    /// Logs an event, unless another was logged a moment ago.
+    fn log(&mut self, actions: &mut Vec<Action>, event: LogEvent) {
+        if self.fleet.now >= self.next_log_at {
+            self.next_log_at = self.fleet.now + LOG_INTERVAL;
+            actions.push(Action::Log(event));
+        }
+    }
+
+    /// What the choice of a backend reads.
+    fn selection(&self) -> EndpointSelection<'_> {
+        EndpointSelection { fleet: &self.fleet, admission: &self.admission, random: &self.random }
+    }
+
+    /// Time between two checks on queued requests.
+    fn queue_check_period(&self) -> Nanos {
+        let settings = &self.fleet.settings;
+        QUEUE_CHECK_PERIOD.min(settings.rules.answer_grace / 2).max(settings.timer_resolution).max(MIN_TIMER)
+    }
+
+    /// Asks for the next timer only while something waits for one: at full size a timer that always ran cost
+    /// more than all requests together (it cut full-size days off as too slow).
+    fn set_timer(&mut self, actions: &mut Vec<Action>) {
+        let now = self.fleet.now;
+        let queue_check = (!self.requests.queued().is_empty()).then(|| now + self.queue_check_period());
+        let poll = self.discovery.next_poll_at().map(|at| at.max(now + MIN_TIMER));
+        let Some(next) = queue_check.into_iter().chain(poll).min() else { return };
+        if self.timer_at.is_none_or(|at| at <= now || next < at) {
+            self.timer_at = Some(next);
+            actions.push(Action::SetTimer { after: next - now, token: 0 });
+        }
+    }
+}
--- a/balancer/src/ewma.rs
+++ b/balancer/src/ewma.rs
@@ -1,53 +1,77 @@
 //! Exponential smoothing of measured values and rates over irregular time steps.
 
 use crate::api::Nanos;
-use crate::tuning::SECOND;
+use crate::units::{MILLISECOND, SECOND};
 
-/// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
-const RATE_SMOOTHING: Nanos = 3 * SECOND;
+/// Time constant of [`DecayingRate`]: some requests at each of many nodes, yet short against a fault.
+const RATE_TIME_CONSTANT: Nanos = 3 * SECOND;
 
-/// An exponentially smoothed figure and when it was last fed.
+/// Time constant of a backend's smoothed utilization: some report periods.
+pub(crate) const UTILIZATION_TIME_CONSTANT: Nanos = 400 * MILLISECOND;
+/// Factor by which a value has decayed after `duration` with time constant `tau`.
+pub(crate) fn decay(duration: Nanos, tau: Nanos) -> f64 {
+    (-(duration as f64) / tau as f64).exp()
+}
+
+/// An exponentially weighted moving average and the time of its last sample.
 #[derive(Clone, Copy, Default)]
-pub(crate) struct Smooth {
-    pub(crate) value: f64,
-    pub(crate) at: Option<Nanos>,
+pub(crate) struct Ewma {
+    value: f64,
+    updated_at: Option<Nanos>,
 }
 
-impl Smooth {
-    pub(crate) fn feed(&mut self, now: Nanos, sample: f64, tau: Nanos, least: f64) {
-        let weight = self.at.map_or(1.0, |at| (1.0 - decay(now.saturating_sub(at), tau)).max(least));
+impl Ewma {
+    /// Adds a sample. It weighs by the time since the last one, `min_weight` at least; the first one fully.
+    pub(crate) fn update(&mut self, now: Nanos, sample: f64, tau: Nanos, min_weight: f64) {
+        let weight =
+            self.updated_at.map_or(1.0, |at| (1.0 - decay(now.saturating_sub(at), tau)).max(min_weight));
         self.value += (sample - self.value) * weight;
-        self.at = Some(now);
+        self.updated_at = Some(now);
+    }
+
+    /// The average as of the last sample; 0 without samples.
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// The average, decayed towards 0 since the last sample.
+    pub(crate) fn decayed(&self, now: Nanos, tau: Nanos) -> f64 {
+        self.updated_at.map_or(0.0, |at| self.value * decay(now.saturating_sub(at), tau))
+    }
+
+    /// The average, decayed towards `prior` since the last sample; `prior` without samples.
+    pub(crate) fn decayed_towards(&self, prior: f64, now: Nanos, tau: Nanos) -> f64 {
+        let Some(at) = self.updated_at else { return prior };
+        prior + (self.value - prior) * decay(now.saturating_sub(at), tau)
     }
 
-    /// The figure, forgotten towards 0 since it was last fed.
-    pub(crate) fn fading(&self, now: Nanos, tau: Nanos) -> f64 {
-        self.at.map_or(0.0, |at| self.value * decay(now.saturating_sub(at), tau))
+    /// Whether there has been a sample.
+    pub(crate) fn has_samples(&self) -> bool {
+        self.updated_at.is_some()
     }
 
-    pub(crate) fn younger_than(&self, now: Nanos, age: Nanos) -> bool {
-        self.at.is_some_and(|at| now.saturating_sub(at) < age)
+    /// Whether the last sample is younger than `age`.
+    pub(crate) fn is_younger_than(&self, now: Nanos, age: Nanos) -> bool {
+        self.updated_at.is_some_and(|at| now.saturating_sub(at) < age)
     }
 }
 
-/// An amount a second, over an exponential window.
+/// An amount per second over an exponential window.
 #[derive(Clone, Copy, Default)]
-pub(crate) struct Rate {
-    pub(crate) value: f64,
-    pub(crate) at: Nanos,
+pub(crate) struct DecayingRate {
+    value: f64,
+    updated_at: Nanos,
 }
 
-impl Rate {
+impl DecayingRate {
+    /// Counts an amount that occurred now.
     pub(crate) fn add(&mut self, now: Nanos, amount: f64) {
-        self.value = self.now(now) + amount * SECOND as f64 / RATE_SMOOTHING as f64;
-        self.at = now;
+        self.value = self.per_second(now) + amount * SECOND as f64 / RATE_TIME_CONSTANT as f64;
+        self.updated_at = now;
     }
 
-    pub(crate) fn now(&self, now: Nanos) -> f64 {
-        self.value * decay(now.saturating_sub(self.at), RATE_SMOOTHING)
+    /// The rate at this time.
+    pub(crate) fn per_second(&self, now: Nanos) -> f64 {
+        self.value * decay(now.saturating_sub(self.updated_at), RATE_TIME_CONSTANT)
     }
 }
-
-pub(crate) fn decay(span: Nanos, tau: Nanos) -> f64 {
-    (-(span as f64) / tau as f64).exp()
-}
--- /dev/null
+++ b/balancer/src/expected_delay.rs
@@ -0,0 +1,26 @@
+//! The expected delay at a backend: its load and its slowness against the fleet.
+
+use crate::api::{Nanos, Settings};
+use crate::backend::Backend;
+use crate::tuning::{IDLE_LOAD, SLOWNESS_FORGET_TIME};
+
+impl Backend {
+    /// Load in requests for each unit of size: own ones, times the nodes that do alike; in a large fleet,
+    /// what the list has shown all nodes.
+    pub(crate) fn load(&self, settings: &Settings) -> f64 {
+        let own = f64::from(self.in_flight()) / self.size();
+        if !settings.is_large_fleet() {
+            return IDLE_LOAD + settings.nodes_per_zone() * own;
+        }
+        match self.feedback.reported_queue() {
+            Some(queue) => IDLE_LOAD + queue.max(own),
+            None => IDLE_LOAD + own,
+        }
+    }
+
+    /// Slowness against the fleet's mean, forgotten towards what its warm-up implies.
+    pub(crate) fn expected_slowness(&self, now: Nanos, settings: &Settings) -> f64 {
+        let prior = 1.0 / self.warm_up_fraction(now, &settings.rules);
+        self.measured_slowness().decayed_towards(prior, now, SLOWNESS_FORGET_TIME)
+    }
+}
--- /dev/null
+++ b/balancer/src/health_checks.rs
@@ -0,0 +1,65 @@
+//! Health checks, where backends report their load only when asked: few, bounded by the node's own traffic,
+//! and to those first whom the node has not heard of for longest.
+
+use crate::api::{Action, BackendId, Nanos};
+use crate::backend::Backend;
+use crate::fleet::Fleet;
+use crate::units::MILLISECOND;
+
+/// Checks that each arrival pays for: checking must not grow with nodes times backends.
+const CHECKS_PER_ARRIVAL: f64 = 0.2;
+/// A backend is checked again no sooner than this: reports are refreshed no more often than that.
+const CHECK_INTERVAL: Nanos = 800 * MILLISECOND;
+/// A backend of another zone is checked so much less often than one at home.
+const REMOTE_INTERVAL_FACTOR: u64 = 3;
+/// Most checks saved up.
+const MAX_TOKENS: f64 = 3.0;
+/// Checks that a node starts with.
+const INITIAL_TOKENS: f64 = 1.0;
+
+/// Budget of health checks.
+pub(crate) struct HealthChecks {
+    tokens: f64,
+}
+
+impl HealthChecks {
+    /// The budget of a node that starts.
+    pub(crate) fn new() -> Self {
+        Self { tokens: INITIAL_TOKENS }
+    }
+
+    /// Each arrival pays for a part of a check.
+    pub(crate) fn earn(&mut self) {
+        self.tokens = (self.tokens + CHECKS_PER_ARRIVAL).min(MAX_TOKENS);
+    }
+
+    /// Checks the backends whose figures are oldest, as far as the budget goes.
+    pub(crate) fn run(&mut self, fleet: &mut Fleet, actions: &mut Vec<Action>) {
+        if !fleet.settings.reports_by_health_check || !fleet.settings.limits.health_checks {
+            return;
+        }
+        while self.tokens >= 1.0 {
+            let Some(backend) = next_due(fleet) else { return };
+            self.tokens -= 1.0;
+            if let Some(state) = fleet.backends.get_mut(backend) {
+                state.record_health_check(fleet.now);
+            }
+            actions.push(Action::CheckHealth { backend });
+        }
+    }
+}
+
+/// The backend whose check is longest overdue.
+fn next_due(fleet: &Fleet) -> Option<BackendId> {
+    let is_due = |backend: &Backend| {
+        backend.health_checked_at().is_none() || weighted_age(fleet, backend) >= CHECK_INTERVAL
+    };
+    let due = fleet.backends.iter().filter(|(_, backend)| backend.is_in_service() && is_due(backend));
+    due.max_by_key(|(_, backend)| (weighted_age(fleet, backend), backend.subset_rank())).map(|(id, _)| id)
+}
+
+/// Time since a backend's last check, shortened for other zones.
+fn weighted_age(fleet: &Fleet, backend: &Backend) -> Nanos {
+    let age = fleet.now.saturating_sub(backend.health_checked_at().unwrap_or(0));
+    if backend.zone() == fleet.local_zone() { age } else { age / REMOTE_INTERVAL_FACTOR }
+}
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -1,25 +1,44 @@
-//! The decision module of badgerpost: which server a request goes to, whether it is retried, and what is rejected.
+//! The decision module of badgerpost: which server a request goes to, whether it is retried, and what is
+//! rejected.
 //!
-//! A [`Balancer`] is a sans-I/O state machine. It is told of events with the time at which they happened and answers with
-//! actions for its embedder to carry out; it neither reads a clock nor opens a socket, and the same settings, seed and
-//! events always give the same actions.
+//! A [`Balancer`] is a sans-I/O state machine. It is told of events with the time at which they happened and
+//! answers with actions for its embedder to carry out; it neither reads a clock nor opens a socket, and the
+//! same settings, seed and events always give the same actions.
 
 mod admission;
 pub mod api;
-mod choice;
+mod backend;
+mod backends;
+mod balancer;
+mod class_statistics;
+mod deadlines;
+mod discovery_polling;
+mod dispatch_order;
+mod endpoint_selection;
 mod ewma;
-mod gate;
-mod health;
-mod ledger;
-mod lists;
-mod probing;
+mod expected_delay;
+mod feedback_weights;
+mod fleet;
+mod health_checks;
+mod learning;
+mod load_feedback;
+mod outlier_detection;
 mod random;
-mod state;
+mod request;
+mod request_table;
+mod retry_budget;
+mod retry_safety;
+mod slow_start;
 mod tuning;
+mod units;
+mod warming_sends;
+mod zone;
+mod zone_routing;
+mod zones;
 
 pub use api::{
     Action, AttemptResult, BackendId, ClassId, ClassSettings, DedupScope, Discovery, Endpoint, EndpointState,
     EndpointUpdate, Event, Idempotency, Limits, LoadReport, LogEvent, Nanos, Outcome, RequestArrival,
     RequestId, SafetyLimits, Settings, SettingsError, WeightSource, ZoneId,
 };
-pub use state::Balancer;
+pub use balancer::Balancer;
--- /dev/null
+++ b/balancer/src/request.rs
@@ -0,0 +1,115 @@
+//! One request and its attempts.
+//!
+//! ```text
+//! Open <--> Queued      waiting for an answer, or for a backend with capacity
+//! Open --> Streaming    its answer has begun
+//! any  --> Ended        answered or given up; kept until its last attempt has ended
+//! ```
+
+use crate::api::{BackendId, ClassId, Nanos, Outcome, ZoneId};
+
+/// Where an attempt runs, as far as deduplication goes.
+#[derive(Clone, Copy)]
+pub(crate) struct Placement {
+    /// The backend's zone.
+    pub(crate) zone: ZoneId,
+    /// The backend's cell.
+    pub(crate) cell: u64,
+}
+
+/// One attempt of a request.
+#[derive(Clone, Copy)]
+pub(crate) struct Attempt {
+    /// The backend it was sent to.
+    pub(crate) backend: BackendId,
+    /// Where that backend is.
+    pub(crate) placement: Placement,
+    /// When it was sent, or, for an upload, when its body was complete.
+    pub(crate) sent_at: Nanos,
+    /// The backend's load at that time, in requests for each unit of size.
+    pub(crate) load: f64,
+    /// How it ended; `None` while it is in flight.
+    pub(crate) outcome: Option<Outcome>,
+    /// Its backend has the complete request, so that it counts as load there.
+    pub(crate) is_counted: bool,
+}
+
+impl Attempt {
+    /// Whether it has not ended yet.
+    pub(crate) fn is_in_flight(&self) -> bool {
+        self.outcome.is_none()
+    }
+
+    /// Whether it may have taken effect.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.outcome.is_none_or(Outcome::may_have_run)
+    }
+
+    /// Whether it has ended without reaching its backend.
+    pub(crate) fn has_missed_backend(&self) -> bool {
+        matches!(self.outcome, Some(Outcome::ConnectFailed | Outcome::NotSent))
+    }
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It has an attempt in flight, or is about to.
+    Open,
+    /// It waits for a backend with capacity.
+    Queued,
+    /// Its answer is being passed on.
+    Streaming,
+    /// It has its final answer, or its client has gone.
+    Ended,
+}
+
+/// A request that is open, or ended with an attempt still in flight.
+pub(crate) struct Request {
+    /// Its class.
+    pub(crate) class: ClassId,
+    /// What it concerns, where backends keep their work by key.
+    pub(crate) affinity_key: Option<u64>,
+    /// Expected work, in nanoseconds on a standard core.
+    pub(crate) work: f64,
+    /// Expected work where it counts against a slow-start budget.
+    pub(crate) slow_start_work: f64,
+    /// Until when an answer earns its full value.
+    pub(crate) objective_deadline: Nanos,
+    /// Half of the client's time: what is rejected later has kept it waiting for nothing.
+    pub(crate) half_time: Nanos,
+    /// When the client gives up.
+    pub(crate) expires_at: Nanos,
+    /// Its attempts, in the order of the sends.
+    pub(crate) attempts: Vec<Attempt>,
+    /// Its body is still on the way.
+    pub(crate) is_uploading: bool,
+    /// Some of its body can't be had again.
+    pub(crate) is_body_consumed: bool,
+    /// Where it stands.
+    pub(crate) phase: Phase,
+}
+
+impl Request {
+    /// Whether an attempt has not ended yet.
+    pub(crate) fn has_attempt_in_flight(&self) -> bool {
+        self.attempts.iter().any(Attempt::is_in_flight)
+    }
+
+    /// Whether an attempt may have taken effect.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(Attempt::may_have_run)
+    }
+
+    /// Whether an attempt was sent to this backend.
+    pub(crate) fn has_tried(&self, backend: BackendId) -> bool {
+        self.attempts.iter().any(|attempt| attempt.backend == backend)
+    }
+
+    /// Whether its only attempt in flight is in this zone.
+    pub(crate) fn waits_only_for(&self, zone: ZoneId) -> bool {
+        let mut in_flight = self.attempts.iter().filter(|attempt| attempt.is_in_flight());
+        let is_there = in_flight.next().is_some_and(|attempt| attempt.placement.zone == zone);
+        is_there && in_flight.next().is_none()
+    }
+}
--- /dev/null
+++ b/balancer/src/retry_budget.rs
@@ -0,0 +1,44 @@
+//! The retry budget: retries are paid for by arrivals, so that a jam does not feed on its own repeats.
+
+use crate::api::Settings;
+
+/// Retries that each arrival earns.
+const RETRIES_PER_ARRIVAL: f64 = 0.2;
+/// Most retries that can be saved up, over the nodes that share the backends.
+const MAX_SAVED_RETRIES: f64 = 10.0;
+/// Retries before the node starts.
+const INITIAL_TOKENS: f64 = 1.0;
+
+/// Retries that a node may make.
+pub(crate) struct RetryBudget {
+    tokens: f64,
+    max_tokens: f64,
+}
+
+impl RetryBudget {
+    /// A budget whose bound follows the fleet's size: many nodes together must not save a storm.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let max_tokens = (MAX_SAVED_RETRIES / settings.nodes_per_zone()).max(1.0);
+        Self { tokens: INITIAL_TOKENS, max_tokens }
+    }
+
+    /// Fills the budget, as the node starts.
+    pub(crate) fn fill(&mut self) {
+        self.tokens = self.max_tokens;
+    }
+
+    /// An arrival earns its part of a retry.
+    pub(crate) fn earn(&mut self) {
+        self.tokens = (self.tokens + RETRIES_PER_ARRIVAL).min(self.max_tokens);
+    }
+
+    /// Whether a retry can be paid for.
+    pub(crate) fn has_token(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
+    /// Pays for a retry, as far as there is something to pay with.
+    pub(crate) fn spend(&mut self) {
+        self.tokens = (self.tokens - 1.0).max(0.0);
+    }
+}
--- a/balancer/src/tuning.rs
+++ b/balancer/src/tuning.rs
@@ -1,27 +1,36 @@
-//! Figures of the decisions by which a node also measures: time constants, weights and bounds of what it
-//! learns. Those that only decide stand in `choice.rs`.
+//! Constants that several concerns share, and the fleet size from which on nodes rely on shared figures.
 
-use crate::api::Nanos;
+use crate::api::{Nanos, Settings};
+use crate::units::SECOND;
 
-pub(crate) const SECOND: Nanos = 1_000_000_000;
-pub(crate) const MS: Nanos = SECOND / 1000;
+/// A utilization older than this says nothing; a zone without a younger one counts as unseen.
+pub(crate) const UTILIZATION_MAX_AGE: Nanos = 4 * SECOND;
+/// An unused backend's slowness is forgotten with this time constant, so that it is tried again.
+pub(crate) const SLOWNESS_FORGET_TIME: Nanos = 3 * SECOND;
+/// Load of an idle backend in the expected delay, in requests; small, as others' load grows with own load.
+pub(crate) const IDLE_LOAD: f64 = 0.7;
+/// A send is admitted if its expected delay fits into this fraction of the time left to its objective.
+pub(crate) const OBJECTIVE_FRACTION: f64 = 0.6;
+/// Backends of a zone that a node of a large fleet uses as long as one of them can take the request.
+pub(crate) const SUBSET_SIZE: usize = 4;
+/// A zone at or over this utilization spills in a large fleet, where figures come late.
+pub(crate) const LARGE_FLEET_SPILL_THRESHOLD: f64 = 0.75;
+/// Arrivals per second from which on a class counts as in use.
+pub(crate) const MIN_ARRIVAL_RATE: f64 = 0.1;
+/// Arrivals until a load-adjusted weight shows them, in list periods: one to be made, one to be read.
+pub(crate) const FEEDBACK_DELAY_PERIODS: f64 = 2.0;
+/// With more nodes per zone than this, own requests in flight say nothing of a backend's load: the pick then
+/// goes by what the list or the reports show all nodes, and by chance.
+const LARGE_FLEET_NODES_PER_ZONE: f64 = 8.0;
 
-/// Time constant of a backend's smoothed utilisation: some report periods.
-pub(crate) const UTIL_SMOOTHING: Nanos = 400 * MS;
-/// A utilisation older than this says nothing; a zone with no younger one counts as unseen.
-pub(crate) const UTIL_TRUST: Nanos = 4 * SECOND;
-/// No backend has more than all of its cores in use; what its noise may add, and no more, is believed.
-pub(crate) const UTIL_MOST: f64 = 1.5;
-/// Time constant of a backend's slowness: tens of answers, yet within a neighbour's seconds on and off.
-pub(crate) const SLOW_SMOOTHING: Nanos = SECOND;
-/// Samples over which a class's base time is learned; slow against a day's troubles.
-pub(crate) const BASE_SAMPLES: f64 = 400.0;
-/// Samples from which on a class's base time is good enough to compare backends by.
-pub(crate) const BASE_FIRST: f64 = 30.0;
-/// Weight of a sample above the base time against one below it.
-pub(crate) const BASE_RISE: f64 = 0.4;
-/// One observation counts at most this many times the expectation: single expensive requests are chance.
-pub(crate) const SLOW_CLAMP: f64 = 6.0;
-/// Parts by which the measured capacity rises and falls in a refresh: in about 2 s, and in a minute.
-pub(crate) const CAPACITY_RISE: f64 = 0.05;
-pub(crate) const CAPACITY_FALL: f64 = 0.002;
+impl Settings {
+    /// Nodes that share a zone's backends, at least 1: their load moves with this node's.
+    pub(crate) fn nodes_per_zone(&self) -> f64 {
+        (f64::from(self.node_count) / f64::from(self.zone_count)).max(1.0)
+    }
+
+    /// Whether so many nodes share the backends that own figures say little of these.
+    pub(crate) fn is_large_fleet(&self) -> bool {
+        self.nodes_per_zone() > LARGE_FLEET_NODES_PER_ZONE
+    }
+}
--- /dev/null
+++ b/balancer/src/zone_routing.rs
@@ -0,0 +1,40 @@
+//! The other zones in the order in which overflow goes there: the state, which [`decisions`] changes.
+
+mod decisions;
+
+pub(crate) use decisions::{prefers_home, utilization};
+
+use crate::api::{Nanos, ZoneId};
+
+/// A zone as a target for overflow.
+struct ScoredZone {
+    zone: ZoneId,
+    /// Whether it is under the spill threshold.
+    qualifies: bool,
+    score: f64,
+}
+
+/// The other zones in the order in which overflow goes there.
+pub(crate) struct ZoneRouting {
+    overflow: Vec<ZoneId>,
+    qualified: usize,
+    is_spilling: bool,
+    next_scoring_at: Nanos,
+}
+
+impl ZoneRouting {
+    /// No zone scored yet; the first scoring is due now.
+    pub(crate) fn new(now: Nanos) -> Self {
+        Self { overflow: Vec::new(), qualified: 0, is_spilling: false, next_scoring_at: now }
+    }
+
+    /// Whether the zones are to be scored again.
+    pub(crate) fn is_scoring_due(&self, now: Nanos) -> bool {
+        now >= self.next_scoring_at
+    }
+
+    /// The best-scored other zone, if it is under the threshold.
+    pub(crate) fn best_target(&self) -> Option<ZoneId> {
+        self.overflow.first().copied().filter(|_| self.qualified > 0)
+    }
+}
--- /dev/null
+++ b/balancer/src/zones.rs
@@ -0,0 +1,69 @@
+//! The zones, by id.
+
+use crate::api::{BackendId, Nanos, ZoneId};
+use crate::zone::Zone;
+
+/// A zone that the embedder wants probed.
+#[derive(Clone, Copy)]
+pub(crate) struct WantedProbe {
+    /// The zone.
+    pub(crate) zone: ZoneId,
+    /// How long its answer is waited for.
+    pub(crate) timeout: Nanos,
+}
+
+/// Where and how long a request may probe a zone.
+pub(crate) struct ZoneProbe {
+    /// The zone.
+    pub(crate) zone: ZoneId,
+    /// The backend.
+    pub(crate) backend: BackendId,
+    /// How long its answer is waited for.
+    pub(crate) timeout: Nanos,
+}
+
+/// All zones of the settings.
+pub(crate) struct Zones {
+    zones: Vec<Zone>,
+}
+
+impl Zones {
+    /// So many zones of which nothing is known.
+    pub(crate) fn new(count: u32) -> Self {
+        Self { zones: vec![Zone::new(); count as usize] }
+    }
+
+    /// A zone; one that is not in the settings has no capacity and no share.
+    pub(crate) fn get(&self, id: ZoneId) -> Zone {
+        self.zones.get(id.index()).copied().unwrap_or_default()
+    }
+
+    /// A zone, to be changed.
+    pub(crate) fn get_mut(&mut self, id: ZoneId) -> Option<&mut Zone> {
+        self.zones.get_mut(id.index())
+    }
+
+    /// All zones with their ids, to be changed.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (ZoneId, &mut Zone)> {
+        (0..).map(ZoneId).zip(&mut self.zones)
+    }
+
+    /// How many zones there are.
+    pub(crate) fn count(&self) -> usize {
+        self.zones.len()
+    }
+
+    /// The share of requests that a zone may take, 0 to 1.
+    pub(crate) fn share(&self, id: ZoneId) -> f64 {
+        self.get(id).share()
+    }
+
+    /// The first zone that is to be probed.
+    pub(crate) fn wanted_probe(&self) -> Option<WantedProbe> {
+        let ids = (0..).map(ZoneId);
+        ids.zip(&self.zones).find_map(|(zone, state)| {
+            let timeout = state.probe_timeout()?;
+            Some(WantedProbe { zone, timeout })
+        })
+    }
+}
--- a/balancer/tests/size.rs
+++ b/balancer/tests/size.rs
@@ -14,7 +14,7 @@
 #[test]
 fn the_module_stays_small() {
     let files = policy();
-    assert!(files.contains(&"balancer/src/choice.rs".to_owned()), "{files:?}");
+    assert!(files.contains(&"balancer/src/endpoint_selection.rs".to_owned()), "{files:?}");
     let texts: Vec<String> = files.iter().map(|path| read(path)).collect();
     let lines = texts.iter().flat_map(|text| text.lines()).filter(|line| !line.trim().is_empty()).count();
     assert!(lines <= 1200, "{lines} non-blank lines");
