--- a/balancer/src/api/actions.rs
+++ b/balancer/src/api/actions.rs
@@ -5,7 +5,7 @@
 use super::events::Outcome;
 use super::ids::{BackendId, Nanos, RequestId, ZoneId};
 
-/// What the module says.
+/// What the embedder is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Start an attempt.
@@ -17,14 +17,14 @@
         /// Its time-out; `None` until the client gives up.
         timeout: Option<Nanos>,
     },
-    /// Final answer: refused, trying again does no harm.
+    /// Final answer: rejected; the client may safely retry.
     Reject {
         /// The request.
         request: RequestId,
         /// Advice how long to stay away; 0 for none.
         retry_after: Nanos,
     },
-    /// Final answer: failed, with no promise.
+    /// Final answer: failed; the request may have run.
     Fail {
         /// The request.
         request: RequestId,
@@ -36,14 +36,14 @@
         /// The attempt's number.
         attempt: u32,
     },
-    /// Probe a backend.
+    /// Check a backend's health.
     CheckHealth {
         /// The backend.
         backend: BackendId,
     },
-    /// Ask discovery for all changes from now on.
+    /// Watch discovery for all changes from now on.
     WatchEndpoints,
-    /// Ask discovery for the whole list once.
+    /// Fetch the complete list from discovery once.
     FetchSnapshot,
     /// Wake the module after this time.
     SetTimer {
@@ -56,10 +56,10 @@
     Log(LogEvent),
 }
 
-/// What the module has to say to operators. Its text is for people; its fields are for logs.
+/// An event for operators. Its text is for people; its fields are for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogEvent {
-    /// The home zone has come to its threshold and spills, or is under it again and serves all.
+    /// The local zone has reached its spill threshold, or is under it again and serves all requests.
     ZoneSpill {
         /// Whether it spills now.
         active: bool,
@@ -75,7 +75,7 @@
         /// What its last attempt came to.
         outcome: Outcome,
     },
-    /// A backend has served its trials and is back in use.
+    /// A backend has served its trial requests and is back in use.
     Readmitted {
         /// Which one.
         backend: BackendId,
--- a/balancer/src/api/events.rs
+++ b/balancer/src/api/events.rs
@@ -2,13 +2,13 @@
 
 use super::ids::{BackendId, ClassId, Nanos, RequestId, ZoneId};
 
-/// What the list says of a backend.
+/// State of a backend by the endpoint list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EndpointState {
     /// Takes requests.
     #[default]
     InService,
-    /// Completes its work; nothing new may be sent.
+    /// Draining: it completes its work, and nothing new may be sent.
     Draining,
     /// Removed.
     Removed,
@@ -25,9 +25,9 @@
     pub machine_kind: u32,
     /// Its cell.
     pub cell: u64,
-    /// A number drawn from its name: the same at every node.
+    /// Hash of its name, the same at every node.
     pub name_hash: u64,
-    /// What it may take.
+    /// Whether it may get requests.
     pub state: EndpointState,
     /// Its size against the others', or what [`WeightSource`](crate::WeightSource) says; 0 or less counts as
     /// 1.
@@ -46,11 +46,11 @@
 /// Which list an [`Event::EndpointsUpdated`] brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointUpdate {
-    /// Changed lines only.
+    /// Changed entries only.
     Delta,
-    /// The whole list: who is missing has gone.
+    /// The complete list: a backend that is missing has been removed.
     Snapshot,
-    /// The whole list as the node last held it, perhaps stale.
+    /// The complete list as the node last cached it, perhaps stale.
     Cached,
 }
 
@@ -74,15 +74,15 @@
     Error,
     /// What came back can't be used, and says nothing of the backend.
     InvalidResponse,
-    /// Sent away without a look.
+    /// Rejected by the backend without being executed.
     Rejected,
     /// No answer in time.
     TimedOut,
-    /// No connection came about.
+    /// No connection could be made.
     ConnectFailed,
-    /// The connection broke while it was out.
+    /// The connection broke while the attempt was in flight.
     Reset,
-    /// Withdrawn.
+    /// Cancelled by the node.
     Cancelled,
     /// Never sent.
     NotSent,
@@ -121,11 +121,11 @@
     pub affinity_key: Option<u64>,
     /// How much work to expect, on a standard core.
     pub expected_work: Option<Nanos>,
-    /// The client marks it as a repeat.
+    /// The client marks it as a retry.
     pub is_retry: bool,
-    /// Whose it is: a position in [`Settings::tenant_quotas`](crate::Settings::tenant_quotas).
+    /// Its tenant: a position in [`Settings::tenant_quotas`](crate::Settings::tenant_quotas).
     pub tenant: Option<u32>,
-    /// When the client gives this try up.
+    /// When the client gives this attempt up.
     pub expires_at: Nanos,
 }
 
@@ -146,7 +146,7 @@
     pub report: LoadReport,
 }
 
-/// What the module hears.
+/// What the embedder reports to the balancer.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The node starts. Must come first, once.
@@ -160,7 +160,7 @@
     },
     /// A call to discovery failed or the watch broke.
     DiscoveryFailed,
-    /// A request came in and is owed one final answer.
+    /// A request has arrived; it gets exactly one final answer.
     RequestArrived(RequestArrival),
     /// The same, but its body is still on the way: its client's time begins with [`Event::UploadComplete`],
     /// and until then no backend works on it. `not_after` is when it is given up if that never comes.
@@ -189,13 +189,13 @@
         /// The request.
         request: RequestId,
     },
-    /// A probe ended.
+    /// A health check ended.
     HealthCheckEnded {
         /// The backend.
         backend: BackendId,
         /// How it ended.
         outcome: Outcome,
-        /// Time since the probe was sent.
+        /// Time since the health check was sent.
         elapsed: Nanos,
         /// The backend's figures, if any came.
         report: LoadReport,
--- a/balancer/src/api/ids.rs
+++ b/balancer/src/api/ids.rs
@@ -2,7 +2,7 @@
 //!
 //! Ids are integers, so no name can influence a decision. Times are nanoseconds on the embedder's clock.
 
-/// A time or a span, in nanoseconds.
+/// A point in time on the embedder's clock, or a duration, in nanoseconds.
 pub type Nanos = u64;
 
 /// A backend, numbered by the embedder; the number stays the same when its process restarts.
@@ -14,7 +14,7 @@
 /// A request class: its position in [`Settings::classes`](crate::Settings::classes).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub u32);
-/// A request of this node; never used twice in a node's life.
+/// A request of this node; an id is never used twice by one process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
--- a/balancer/src/api/settings.rs
+++ b/balancer/src/api/settings.rs
@@ -4,7 +4,7 @@
 
 use super::ids::{ClassId, Nanos, ZoneId};
 
-/// Which backends drop a repeat of a keyed request.
+/// Which backends recognize a repeated idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupScope {
     /// Every backend.
@@ -15,34 +15,35 @@
     Cell,
 }
 
-/// Whether a request of a class may take effect twice.
+/// Whether a request of a class may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
-    /// Safe to repeat.
+    /// Executing it again has no further effect.
     Idempotent,
-    /// Repeats are dropped inside `group` for `window` from the first send that may have run.
+    /// It carries an idempotency key: repeats are dropped inside `scope` for `window` from the first attempt
+    /// that may have run.
     Keyed {
         /// The backends that share which keys they have seen.
         scope: DedupScope,
-        /// How long they remember.
+        /// How long they remember a key.
         window: Nanos,
     },
-    /// Must not run twice.
+    /// It must not run twice.
     NonIdempotent,
 }
 
-/// What the settings say of one request class.
+/// Settings of one request class.
 #[derive(Clone, Copy, Debug)]
 pub struct ClassSettings {
-    /// An answer within this time earns the full worth.
+    /// Latency objective: an answer within this time has its full value.
     pub latency_objective: Nanos,
-    /// The client's time over all its tries.
+    /// Time from the client's first attempt until it gives up, over all its attempts.
     pub deadline: Nanos,
-    /// Worth of one request.
+    /// Priority weight: the value of one request answered within the objective.
     pub priority_weight: f64,
-    /// Share of the worth still earned after the aim.
+    /// Fraction of the value that an answer after the objective still has, 0 to 1.
     pub late_value_fraction: f64,
-    /// Whether it may be repeated.
+    /// Whether its requests may be retried after they may have run.
     pub idempotency: Idempotency,
 }
 
@@ -61,7 +62,7 @@
 /// How the list of backends reaches the node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discovery {
-    /// Changes come unasked.
+    /// The embedder delivers changes by itself.
     Pushed,
     /// Only after [`Action::WatchEndpoints`](crate::Action::WatchEndpoints) or
     /// [`Action::FetchSnapshot`](crate::Action::FetchSnapshot).
@@ -77,46 +78,45 @@
     LoadAdjusted,
 }
 
-/// No queue is let grow longer than this, however wide the aim, where nothing says how many requests a
-/// backend works on at once: past it a machine loses more to its own crowd than the queue gains, and one that
-/// has slowed down keeps its queue.
-const QUEUE_MOST: f64 = 2.8;
+/// Default of [`Settings::max_queue_per_size`], in requests for each unit of size: past it a machine loses
+/// more to contention than the queue gains, and one that has slowed down keeps its queue.
+const DEFAULT_MAX_QUEUE_PER_SIZE: f64 = 2.8;
 
-/// Limits that the site sets.
+/// Limits of the site on what the balancer may do.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Most attempts for one request.
     pub max_attempts: u32,
-    /// Two attempts of one request may be out together.
+    /// Two attempts of one request may be in flight together.
     pub hedging: bool,
-    /// Probes may be sent.
+    /// Health checks may be sent.
     pub health_checks: bool,
     /// Attempts may be cancelled.
     pub cancellation: bool,
-    /// Longest pause a client honours after a refusal; 0 where pauses are not passed on.
+    /// Longest Retry-After that a client honours; 0 where it is not passed on.
     pub max_retry_after: Nanos,
 }
 
-/// The figures of the four rules.
+/// Limits of the site's safety rules.
 #[derive(Clone, Copy, Debug)]
 pub struct SafetyLimits {
     /// A final answer is accepted this long after the client's deadline.
     pub answer_grace: Nanos,
-    /// An asking node that has not asked for this long is deemed told of the list of that time.
+    /// A polling node that has not polled for this long is taken to know the list of that time.
     pub poll_interval: Nanos,
-    /// Sends to a draining backend must have ended this long after the node was told.
+    /// Sends to a draining backend must have ended this long after the node was notified.
     pub drain_grace: Nanos,
-    /// Share of its capacity that a backend starts with, or more.
+    /// Least fraction of its capacity that a backend has at its start, 0 to 1.
     pub slow_start_capacity: f64,
-    /// A backend is warm this long after its start, or sooner.
+    /// A backend has warmed up this long after its start, or sooner.
     pub slow_start_duration: Nanos,
-    /// A cold backend sent more than this multiple of its capacity falls over ...
+    /// A warming backend sent more than this multiple of its capacity becomes overloaded ...
     pub overload_multiple: f64,
-    /// ... counted over any span of this length.
+    /// ... counted over any window of this length.
     pub overload_window: Nanos,
 }
 
-/// What the node is told at its start.
+/// Settings of one node; they hold for the life of its [`Balancer`](crate::Balancer).
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// The node's own zone.
@@ -127,40 +127,41 @@
     pub node_count: u32,
     /// The classes, by [`ClassId`].
     pub classes: Vec<ClassSettings>,
-    /// Each tenant's requests a second, over all nodes, within its share.
+    /// Each tenant's quota in requests per second, over all nodes.
     pub tenant_quotas: Vec<f64>,
-    /// Worth of a request beyond its tenant's share, against one within it.
+    /// Value of a request beyond its tenant's quota, against one within it.
     pub over_quota_value: f64,
-    /// How the list arrives.
+    /// How the list of backends arrives.
     pub discovery: Discovery,
-    /// What the list's sizes stand for.
+    /// What the sizes in the list mean.
     pub weight_source: WeightSource,
-    /// Backends report their load in answers to probes only.
+    /// Backends report their load in answers to health checks only.
     pub reports_by_health_check: bool,
-    /// Requests of this node's own that one backend may hold for each unit of size, whatever the aim.
+    /// Most requests of this node at one backend, for each unit of its size, whatever the latency objective.
     pub max_queue_per_size: f64,
     /// A backend that has lately served a key does less work for it.
     pub key_affinity: bool,
     /// The site's limits.
     pub limits: Limits,
-    /// The figures of the rules.
+    /// The site's safety rules.
     pub rules: SafetyLimits,
-    /// Share of the site's goal that the worst-served class decides, 0 to 1.
+    /// Fraction of the site's goal that the worst-served class decides, 0 to 1.
     pub worst_class_goal: f64,
-    /// Clients mark their repeats, all of them.
+    /// Clients mark all their retries.
     pub retries_marked: bool,
-    /// Worth is counted for each unit of work, not for each request.
+    /// Priority weights count for each unit of work, not for each request.
     pub value_per_request: bool,
     /// Shortest time between two handlings.
     pub timer_resolution: Nanos,
 }
 
 impl Settings {
-    /// Settings for a node in zone `home` of `zones`, with plain values for the rest and no classes yet.
-    pub fn new(home: ZoneId, zones: u32) -> Self {
+    /// Settings for a node in zone `local_zone` of `zone_count`, with defaults for the rest and no classes
+    /// yet.
+    pub fn new(local_zone: ZoneId, zone_count: u32) -> Self {
         Self {
-            local_zone: home,
-            zone_count: zones,
+            local_zone,
+            zone_count,
             node_count: 1,
             classes: Vec::new(),
             tenant_quotas: Vec::new(),
@@ -168,7 +169,7 @@
             discovery: Discovery::Pushed,
             weight_source: WeightSource::Registered,
             reports_by_health_check: false,
-            max_queue_per_size: QUEUE_MOST,
+            max_queue_per_size: DEFAULT_MAX_QUEUE_PER_SIZE,
             key_affinity: false,
             limits: Limits {
                 max_attempts: 3,
@@ -199,6 +200,10 @@
     }
 
     /// Checks that the settings can be used.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] names the first field that can't be used.
     pub fn validate(&self) -> Result<(), SettingsError> {
         let fail = |field, problem| Err(SettingsError { field, problem });
         let rate = |v: f64| v.is_finite() && v >= 0.0;
@@ -247,7 +252,7 @@
     }
 }
 
-/// Settings that cannot be used: which field, and why.
+/// A settings field that can't be used, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError {
     /// The field at fault.
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -1,7 +1,7 @@
 //! The decision module of badgerpost: which server a request goes to, whether it is retried, and what is
 //! rejected.
 //!
-//! A [`Balancer`] is a sans-I/O state machine. It is told of events with the time at which they happened and
+//! A [`Balancer`] is a sans-I/O state machine. It handles events with the time at which they happened and
 //! answers with actions for its embedder to carry out; it neither reads a clock nor opens a socket, and the
 //! same settings, seed and events always give the same actions.
 
