--- a/balancer/tests/any_sequence.rs
+++ b/balancer/tests/any_sequence.rs
@@ -1,5 +1,6 @@
 //! Arbitrary legal sequences of events, with fixed seeds; the four rules are checked over the actions.
 //! Nothing is modelled: outcomes are drawn, not computed.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "test code")]
 
 mod common;
 use badgerpost_balancer::*;
--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A node under test and the words for feeding it.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "test code")]
 #![allow(dead_code)]
 
 use badgerpost_balancer::*;
--- a/balancer/tests/size.rs
+++ b/balancer/tests/size.rs
@@ -1,4 +1,5 @@
 //! The module's size: a bound that its users set.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "test code")]
 
 fn read(path: &str) -> String {
     std::fs::read_to_string(format!("{}/../{path}", env!("CARGO_MANIFEST_DIR"))).unwrap()
