--- a/balancer/tests/size.rs
+++ b/balancer/tests/size.rs
@@ -1,4 +1,5 @@
 //! The module's size: a bound that its users set.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, reason = "test code")]
 
 fn read(path: &str) -> String {
     std::fs::read_to_string(format!("{}/../{path}", env!("CARGO_MANIFEST_DIR"))).unwrap()
@@ -14,7 +15,7 @@
 #[test]
 fn the_module_stays_small() {
     let files = policy();
-    assert!(files.contains(&"balancer/src/choice.rs".to_owned()), "{files:?}");
+    assert!(files.contains(&"balancer/src/endpoint_selection.rs".to_owned()), "{files:?}");
     let texts: Vec<String> = files.iter().map(|path| read(path)).collect();
     let lines = texts.iter().flat_map(|text| text.lines()).filter(|line| !line.trim().is_empty()).count();
     assert!(lines <= 1200, "{lines} non-blank lines");
