--- a/adapters/http/src/connection_limiter.rs
+++ b/adapters/http/src/connection_limiter.rs
@@ -328,7 +328,7 @@
     fn end_overdue(&self) {
         match self.stage.get() {
             ConnectionState::Silent | ConnectionState::Arriving | ConnectionState::Idle => {
-                self.part.notify_one()
+                self.part.notify_one();
             }
             _ => self.close.notify_one(),
         }
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -109,7 +109,7 @@
                         let (front, stopping_session) = (self.clone(), sessions.clone());
                         let pending = self.unidentified.admit();
                         spawn(async move {
-                            front.welcome(stream, from, pending, stopping_session).await
+                            front.welcome(stream, from, pending, stopping_session).await;
                         });
                     }
                     Err(error) => {
--- a/adapters/postgres/tests/transactions.rs
+++ b/adapters/postgres/tests/transactions.rs
@@ -166,6 +166,10 @@
 
 /// A server that dies, by where it dies.
 #[test]
+#[expect(
+    clippy::too_many_lines,
+    reason = "one scenario, read from top to bottom"
+)]
 fn what_a_client_is_told_when_its_server_dies() {
     test(async {
         for (at, bad, code, rows) in [
--- a/balancer/tests/any_sequence.rs
+++ b/balancer/tests/any_sequence.rs
@@ -101,6 +101,7 @@
     }
 }
 
+#[expect(clippy::too_many_lines, reason = "one scenario, read from top to bottom")]
 fn drive(seed: u64) {
     let mut draw = Draw(seed);
     let window = (1 + draw.below(400)) * MS;
--- a/balancer/tests/slow_start.rs
+++ b/balancer/tests/slow_start.rs
@@ -60,6 +60,7 @@
 
 /// What the worst span got beyond its budget, against what chance may add to that; and the part of the budget that was
 /// used over the ramp.
+#[expect(clippy::too_many_lines, reason = "one scenario, read from top to bottom")]
 fn play(case: Case) -> (f64, f64) {
     let mut draws = Draws(case.seed * 2 + 1);
     let members = |cold: bool| -> Vec<Endpoint> {
--- a/virtual-clock/src/control.rs
+++ b/virtual-clock/src/control.rs
@@ -151,7 +151,7 @@
 
 /// Runs until no task is ready, no socket has news, no connection is being made, and this thread has read so many bytes
 /// and seen so many connections end since it began, if it ever does. To be called on the thread's runtime, from a task
-/// that [`progress`] does not count.
+/// that [`activity`] does not count.
 pub async fn settle(read: u64, ended: u64) {
     let mut looks = 0;
     loop {
