--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::answer::{BackendResponse, StreamingResponse};
+use crate::connection_ages::ConnectionAges;
 use crate::memory_budget::{BufferedBytes, BytesCollector, MemoryBudget};
 use crate::observed_stream::{ObservedStream, ResponseActivity};
 use crate::upload::OutgoingBody;
@@ -49,12 +50,6 @@
 /// An answer that comes this long after its client's time leaves its connection fit for use: clients with
 /// little time would cost a handshake each.
 const SALVAGE: Duration = Duration::from_millis(400);
-/// Weight of one use in what is known of connections that have rested for about as long, and the share of
-/// resets from which on such a one is not used: a new one costs a handshake, a reset the request.
-const AGED_SMOOTHING: f64 = 0.1;
-const AGED_MOST: f64 = 0.25;
-/// Classes of rest, each of twice the length of the one before; the first one ends at 16 ms.
-const AGES: usize = 12;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -92,36 +87,6 @@
     aged: ConnectionAges,
 }
 
-/// How many of the connections that had rested for so long were reset at their next request. Some networks
-/// forget a quiet connection and tell nobody, long before the backends' own limit.
-#[derive(Default)]
-struct ConnectionAges([Cell<f64>; AGES]);
-
-impl ConnectionAges {
-    fn class(rest: Nanos) -> usize {
-        let doublings = (rest / 16_000_000)
-            .checked_ilog2()
-            .map_or(0, |log| log as usize + 1);
-        doublings.min(AGES - 1)
-    }
-
-    fn used(&self, rest: Nanos, reset: bool) {
-        let share = &self.0[Self::class(rest)];
-        share.set(share.get() + (f64::from(u8::from(reset)) - share.get()) * AGED_SMOOTHING);
-    }
-
-    fn is_fit(&self, rest: Nanos) -> bool {
-        self.0[Self::class(rest)].get() < AGED_MOST
-    }
-
-    /// What is not used is forgotten, so that it is tried again.
-    fn fade(&self) {
-        self.0
-            .iter()
-            .for_each(|share| share.set(share.get() * (1.0 - AGED_SMOOTHING / 4.0)));
-    }
-}
-
 /// Starts attempts over a pool.
 pub struct HttpTransport(Rc<Pool>);
 
