--- a/fronts/console/src/lib.rs
+++ b/adapters/admin/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The operators' listener: HTTP/1.1, one call to a connection. It runs on a thread and runtime of its own, reads what
 //! is published and tells the life cycle, so that no call waits for the thread that serves.
 //!
--- a/fronts/peers/src/config.rs
+++ b/adapters/gossip/src/config.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use badgerpost_peers::{Key, KeyError};
-use brookfield_settings::file::{self, NotPrivate};
+use badgerpost_membership::{Key, KeyError};
+use badgerpost_settings::file::{self, NotPrivate};
 use serde::Deserialize;
 
 /// More seeds than this are a mistake: a few of them are enough to join.
--- a/fronts/peers/src/lib.rs
+++ b/adapters/gossip/src/lib.rs
@@ -1,6 +1,4 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-//! The datagrams between the nodes of a fleet: one socket, the membership of `cores/peers` behind it, and what the watch
+//! The datagrams between the nodes of a fleet: one socket, the membership of `core/membership` behind it, and what the watch
 //! over the zones says and hears through it. Off unless the operators' own file has a section `[peers]`.
 
 mod config;
--- a/fronts/peers/src/run.rs
+++ b/adapters/gossip/src/run.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use badgerpost_engine::{Clock, Engine, FromPeer, Front, LogLimiter, ZoneWord, progress};
-use badgerpost_peers::{Action, DATAGRAM_MOST, Dropped, Event, Settings, member_id};
+use badgerpost_membership::{Action, DATAGRAM_MOST, Dropped, Event, Settings, member_id};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
@@ -29,7 +29,7 @@
 /// A node's talk with the others.
 pub struct Peers<F: Front> {
     socket: UdpSocket,
-    core: badgerpost_peers::Peers,
+    core: badgerpost_membership::Peers,
     engine: Engine<F>,
     clock: Clock,
     words: mpsc::Receiver<ZoneWord>,
@@ -41,7 +41,7 @@
     /// Opens the socket; the engine's words for the others go through it from now on.
     pub async fn open(
         config: &Config,
-        key: badgerpost_peers::Key,
+        key: badgerpost_membership::Key,
         me: Me<'_>,
         engine: Engine<F>,
     ) -> io::Result<Self> {
@@ -61,7 +61,7 @@
         engine.talk(talk);
         engine.tally().peers(1);
         tracing::info!(listen = %socket.local_addr()?, advertise = %config.advertised(), "peers may call");
-        let (core, limiter) = (badgerpost_peers::Peers::new(settings), LogLimiter::new(clock.clone()));
+        let (core, limiter) = (badgerpost_membership::Peers::new(settings), LogLimiter::new(clock.clone()));
         Ok(Self { socket, core, engine, clock, words, wake: None, limiter })
     }
 
--- a/fronts/http/src/discovery.rs
+++ b/adapters/http/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use brookfield::ListScope;
+use badgerpost_balancer::ListScope;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
--- a/fronts/http/src/headers.rs
+++ b/adapters/http/src/headers.rs
@@ -1,6 +1,6 @@
 //! Headers of a client's request: those that are read here, and those that go on.
 
-use brookfield::Effect;
+use badgerpost_balancer::Effect;
 use hyper::Method;
 use hyper::header::{self, HeaderMap, HeaderName};
 
--- a/fronts/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The HTTP/1.1 front: clients ([`server`]), backends ([`upstream`]) and the platform's list of servers
 //! ([`discovery`]) on sockets. What is sent where, again or not at all, the engine's module decides.
 
--- a/fronts/http/src/list.rs
+++ b/adapters/http/src/list.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use brookfield::{ListScope, Stage};
+use badgerpost_balancer::{ListScope, Stage};
 use serde::Deserialize;
 use serde_json::Value;
 
--- a/fronts/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -7,8 +7,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use brookfield::{Effect, Nanos};
-use brookfield_settings::name_tag;
+use badgerpost_balancer::{Effect, Nanos};
+use badgerpost_settings::name_tag;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -21,7 +21,7 @@
 use tokio::sync::watch;
 
 use badgerpost_engine::{Asked, Clock, End, LogLimiter, Reply, nanos, spawn};
-use badgerpost_http1::Fault;
+use badgerpost_http_framing::Fault;
 use badgerpost_lifecycle::Stage;
 
 use crate::answer::{self, Answer as Served};
--- a/fronts/http/src/slots.rs
+++ b/adapters/http/src/slots.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use badgerpost_balancer::Nanos;
 use badgerpost_engine::{Clock, nanos};
-use badgerpost_http1::{Fault, Follower, Sign};
-use brookfield::Nanos;
+use badgerpost_http_framing::{Fault, Follower, Sign};
 use tokio::sync::Notify;
 
 use crate::tap::Ear;
--- a/fronts/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -13,8 +13,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::Notify;
 
+use badgerpost_balancer::Nanos;
 use badgerpost_engine::{Clock, Ticket};
-use brookfield::Nanos;
 
 use crate::Node;
 use crate::budget::Kept;
--- a/fronts/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use brookfield::{BackendId, Nanos, Outcome, Report};
-use brookfield_settings::Links;
+use badgerpost_balancer::{BackendId, Nanos, Outcome, Report};
+use badgerpost_settings::Links;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
--- a/fronts/postgres/src/client.rs
+++ b/adapters/postgres/src/client.rs
@@ -1,7 +1,7 @@
 //! A client's socket while it shows who it is: messages written and read one at a time.
 
-use badgerpost_pgsession::frame::{Cut, Cutter, Frame};
-use badgerpost_pgsession::scram;
+use badgerpost_postgres_session::frame::{Cut, Cutter, Frame};
+use badgerpost_postgres_session::scram;
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -15,13 +15,13 @@
     Socket(#[from] std::io::Error),
     /// Its first packet is none of the protocol.
     #[error("{0}")]
-    Start(badgerpost_pgsession::startup::BadStart),
+    Start(badgerpost_postgres_session::startup::BadStart),
     /// What it sent is no message.
     #[error("{0}")]
-    Frame(#[from] badgerpost_pgsession::frame::BadFrame),
+    Frame(#[from] badgerpost_postgres_session::frame::BadFrame),
     /// What it set as it started can't be had.
     #[error("{0}")]
-    Settings(#[from] badgerpost_pgsession::settings::BadSettings),
+    Settings(#[from] badgerpost_postgres_session::settings::BadSettings),
     /// It may not come, though it has shown who it is.
     #[error("{0}")]
     NotAllowed(&'static str),
--- a/fronts/postgres/src/clients.rs
+++ b/adapters/postgres/src/clients.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use badgerpost_pgsession::answer::Status;
-use badgerpost_pgsession::pins::Pin;
-use badgerpost_pgsession::session::Session;
+use badgerpost_postgres_session::answer::Status;
+use badgerpost_postgres_session::pins::Pin;
+use badgerpost_postgres_session::session::Session;
 use tokio::sync::Notify;
 
 use crate::cancel::Cancelable;
--- a/fronts/postgres/src/config.rs
+++ b/adapters/postgres/src/config.rs
@@ -5,11 +5,11 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use badgerpost_balancer::Stage;
 use badgerpost_engine::Listed;
-use badgerpost_pgsession::scram::Verifier;
-use brookfield::Stage;
-use brookfield_settings::Site;
-use brookfield_settings::file::{self, NotPrivate};
+use badgerpost_postgres_session::scram::Verifier;
+use badgerpost_settings::Site;
+use badgerpost_settings::file::{self, NotPrivate};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -285,7 +285,7 @@
                 "probes": false, "retry-after": true, "max-retry-after-ns": 1_000_000_000_u64},
             "rules": {"answer-slack-ns": 20_000_000, "drain-grace-ns": 500_000_000, "fall-ns": 1_500_000_000,
                 "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000_000_000_u64}});
-        let mut site = brookfield_settings::read(&settings).map_err(ConfigError::Wrong)?;
+        let mut site = badgerpost_settings::read(&settings).map_err(ConfigError::Wrong)?;
         // A server works on as many transactions as it has connections; so few more wait for one of these that
         // the module, not the pool, has the order of those that wait.
         site.settings.queue_most = self.per_server.max(1) as f64 * 1.25;
--- a/fronts/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -4,8 +4,8 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use badgerpost_pgsession::answer::{self, Reason, Status};
-use badgerpost_pgsession::frame::{Cut, Frame};
+use badgerpost_postgres_session::answer::{self, Reason, Status};
+use badgerpost_postgres_session::frame::{Cut, Frame};
 use bytes::{BufMut, BytesMut};
 use tokio::io::AsyncReadExt;
 
--- a/fronts/postgres/src/identity.rs
+++ b/adapters/postgres/src/identity.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use badgerpost_pgsession::frame::Frame;
-use badgerpost_pgsession::scram::{self, Verifier};
+use badgerpost_postgres_session::frame::Frame;
+use badgerpost_postgres_session::scram::{self, Verifier};
 
 use crate::client::{Client, ClientError, random};
 
--- a/fronts/postgres/src/lib.rs
+++ b/adapters/postgres/src/lib.rs
@@ -1,8 +1,6 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The PostgreSQL front: clients ([`server`]) and servers ([`upstream`]) on sockets. The unit that the decision
 //! module sees is one transaction, or one statement outside any. What a session says and is told is decided in
-//! `badgerpost-pgsession`, which server a transaction goes to by the engine's module; nothing is decided here.
+//! `badgerpost-postgres-session`, which server a transaction goes to by the engine's module; nothing is decided here.
 
 pub mod access;
 mod admission;
@@ -23,8 +21,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use badgerpost_balancer::{BackendId, Nanos};
 use badgerpost_engine::{Engine, Front, Ticket};
-use brookfield::{BackendId, Nanos};
 use tokio::sync::oneshot;
 
 pub use client::ClientError;
--- a/fronts/postgres/src/login.rs
+++ b/adapters/postgres/src/login.rs
@@ -6,9 +6,9 @@
 use std::io;
 use std::net::SocketAddr;
 
-use badgerpost_pgsession::frame::{Cut, Cutter, Frame};
-use badgerpost_pgsession::scram;
-use badgerpost_pgsession::session::ServerState;
+use badgerpost_postgres_session::frame::{Cut, Cutter, Frame};
+use badgerpost_postgres_session::scram;
+use badgerpost_postgres_session::session::ServerState;
 use bytes::{Buf, BytesMut};
 use postgres_protocol::authentication::sasl::{ChannelBinding, ScramSha256};
 use postgres_protocol::message::frontend;
--- a/fronts/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use badgerpost_balancer::{BackendId, Nanos};
 use badgerpost_engine::{Clock, IdlePool, Quiet, nanos};
-use badgerpost_pgsession::frame::Cutter;
-use badgerpost_pgsession::session::ServerState;
-use brookfield::{BackendId, Nanos};
+use badgerpost_postgres_session::frame::Cutter;
+use badgerpost_postgres_session::session::ServerState;
 use bytes::BytesMut;
 use postgres_protocol::message::frontend;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/fronts/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -9,11 +9,11 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use badgerpost_balancer::{BackendId, Nanos, Outcome};
 use badgerpost_engine::{Asked, Ending, Reply, Sleep, Ticket};
-use badgerpost_pgsession::answer::{self, Reason, Status};
-use badgerpost_pgsession::frame::Cutter;
-use badgerpost_pgsession::session::{Action, Event, Session};
-use brookfield::{BackendId, Nanos, Outcome};
+use badgerpost_postgres_session::answer::{self, Reason, Status};
+use badgerpost_postgres_session::frame::Cutter;
+use badgerpost_postgres_session::session::{Action, Event, Session};
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{oneshot, watch};
--- a/fronts/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use badgerpost_engine::{LogLimiter, OpenCount, Opened, spawn};
-use badgerpost_pgsession::answer::{self, Reason, Status};
-use badgerpost_pgsession::frame::{Cutter, Frame};
-use badgerpost_pgsession::scram::Verifier;
-use badgerpost_pgsession::session::Session;
-use badgerpost_pgsession::settings::ClientSettings;
-use badgerpost_pgsession::startup::{First, Startup, StartupMessage};
+use badgerpost_postgres_session::answer::{self, Reason, Status};
+use badgerpost_postgres_session::frame::{Cutter, Frame};
+use badgerpost_postgres_session::scram::Verifier;
+use badgerpost_postgres_session::session::Session;
+use badgerpost_postgres_session::settings::ClientSettings;
+use badgerpost_postgres_session::startup::{First, Startup, StartupMessage};
 use bytes::{BufMut, BytesMut};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
--- a/fronts/postgres/src/upstream.rs
+++ b/adapters/postgres/src/upstream.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
+use badgerpost_balancer::{BackendId, Outcome};
 use badgerpost_engine::{Ending, Launch, Launcher, spawn};
-use brookfield::{BackendId, Outcome};
 
 use crate::login::NoLink;
 use crate::pool::{Pool, PoolKey};
--- a/tests/any_sequence.rs
+++ b/balancer/tests/any_sequence.rs
@@ -2,7 +2,7 @@
 //! Nothing is modelled: outcomes are drawn, not computed.
 
 mod common;
-use brookfield::*;
+use badgerpost_balancer::*;
 use common::*;
 use std::collections::BTreeMap;
 
--- a/tests/choice.rs
+++ b/balancer/tests/choice.rs
@@ -1,7 +1,7 @@
 //! The design: home under the threshold, one best overflow zone, home when none qualifies.
 
 mod common;
-use brookfield::*;
+use badgerpost_balancer::*;
 use common::*;
 
 fn zones() -> Vec<Member> {
--- a/tests/cold.rs
+++ b/balancer/tests/cold.rs
@@ -4,7 +4,7 @@
 mod common;
 use std::collections::{BTreeMap, VecDeque};
 
-use brookfield::*;
+use badgerpost_balancer::*;
 use common::*;
 
 const STEP: Nanos = 5 * MS;
--- a/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A node under test and the words for feeding it.
 #![allow(dead_code)]
 
-use brookfield::*;
+use badgerpost_balancer::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const SECOND: Nanos = 1000 * MS;
--- a/tests/contract.rs
+++ b/balancer/tests/contract.rs
@@ -1,7 +1,7 @@
 //! The four rules, one by one.
 
 mod common;
-use brookfield::*;
+use badgerpost_balancer::*;
 use common::*;
 
 const RAN: [Outcome; 5] =
--- a/tests/crowded.rs
+++ b/balancer/tests/crowded.rs
@@ -4,7 +4,7 @@
 mod common;
 use common::*;
 
-use brookfield::*;
+use badgerpost_balancer::*;
 
 const WIDE: u64 = 600;
 
--- a/tests/many.rs
+++ b/balancer/tests/many.rs
@@ -1,7 +1,7 @@
 //! Failures found where nodes are many: each sees little, shares nothing, and must not act as one.
 
 mod common;
-use brookfield::*;
+use badgerpost_balancer::*;
 use common::*;
 
 const NODES: u32 = 300;
--- a/tests/troubles.rs
+++ b/balancer/tests/troubles.rs
@@ -1,7 +1,7 @@
 //! Each failure met so far, as small as it can be shown.
 
 mod common;
-use brookfield::*;
+use badgerpost_balancer::*;
 use common::*;
 
 fn fleet(count: u32) -> Vec<Member> {
--- a/tests/uploads.rs
+++ b/balancer/tests/uploads.rs
@@ -1,7 +1,7 @@
 //! Requests whose body is still on the way: when their time begins, what counts as load, and when they may go again.
 
 mod common;
-use brookfield::*;
+use badgerpost_balancer::*;
 use common::*;
 
 fn upload(node: &mut Node) -> (RequestId, Vec<Action>) {
--- a/cores/http1/src/lib.rs
+++ b/core/http-framing/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! Follows a client's bytes on a connection and tells where its requests begin and end (RFC 9112), without taking any of
 //! them. The HTTP library that parses them hides what matters here: it drops a length that stands beside a transfer
 //! coding, and takes one that is repeated. What one side takes for a body is a request of its own to the other, so such
--- a/cores/lifecycle/src/lib.rs
+++ b/core/lifecycle/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! A node's way into and out of service: active, emptied by its operators, stopping, closed. One state that readiness,
 //! the client side and the process's end all read; no flags beside it. It does no I/O and knows no clock: what has to
 //! happen later is asked for with [`Step::wake`] and comes back as [`Event::Due`].
--- a/cores/peers/src/lib.rs
+++ b/core/membership/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! The nodes of a fleet know of each other: who is a member, who is suspected or has left (SWIM, by `foca`), and small
 //! facts that each spreads about itself. A fact replaces the one before it on the same topic by the same member; merging
 //! is a join, so that order, loss and repetition of datagrams don't matter.
--- a/cores/peers/tests/fleet.rs
+++ b/core/membership/tests/fleet.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use badgerpost_peers::{Action, Event, Key, Peers, Settings, member_id};
+use badgerpost_membership::{Action, Event, Key, Peers, Settings, member_id};
 
 const MS: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MS;
--- a/cores/peers/tests/join.rs
+++ b/core/membership/tests/join.rs
@@ -1,6 +1,6 @@
 //! Facts merge to the same whatever the order, and however often.
 
-use badgerpost_peers::{Fact, Facts, Version};
+use badgerpost_membership::{Fact, Facts, Version};
 use proptest::prelude::*;
 
 fn fact() -> impl Strategy<Value = Fact> {
--- a/cores/pgsession/fuzz/harness.rs
+++ b/core/postgres-session/fuzz/harness.rs
@@ -1,10 +1,10 @@
 //! Any bytes as a client's start-up, as its messages and as a server's, cut anywhere, with losses between: shared by the
 //! fuzz target and the test that plays its corpus.
 
-use badgerpost_pgsession::frame::Cutter;
-use badgerpost_pgsession::session::{Action, Event, HELD, ServerState, Session};
-use badgerpost_pgsession::settings::ClientSettings;
-use badgerpost_pgsession::startup::{First, Startup};
+use badgerpost_postgres_session::frame::Cutter;
+use badgerpost_postgres_session::session::{Action, Event, HELD, ServerState, Session};
+use badgerpost_postgres_session::settings::ClientSettings;
+use badgerpost_postgres_session::startup::{First, Startup};
 
 /// Plays an input. Its bytes are commands: who speaks, how many bytes, and these; or what happens.
 pub fn play(input: &[u8]) {
--- a/cores/pgsession/src/lib.rs
+++ b/core/postgres-session/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! PostgreSQL sessions through a pooling node, as pure state machines: the wire's frames ([`frame`]), a client's
 //! first packets ([`startup`]) and its proof of identity ([`scram`]), what pins a session to its server ([`pins`]),
 //! prepared statements
--- a/cores/pgsession/tests/corpus.rs
+++ b/core/postgres-session/tests/corpus.rs
@@ -3,7 +3,7 @@
 #[path = "../fuzz/harness.rs"]
 mod harness;
 
-use badgerpost_standins::random::Random;
+use badgerpost_fakes::random::Random;
 
 #[test]
 fn kept_inputs_are_survived() {
--- a/cores/pgsession/tests/reference.rs
+++ b/core/postgres-session/tests/reference.rs
@@ -2,16 +2,16 @@
 //! another in each transaction, as by one server directly, and does the same to the tables. The reference is the
 //! stand-in database's protocol side, written from "Message Flow" and not from the session.
 //!
-//! `PROPTEST_CASES=100000 cargo test --release -p badgerpost-pgsession --test reference` plays so many sequences. The
+//! `PROPTEST_CASES=100000 cargo test --release -p badgerpost-postgres-session --test reference` plays so many sequences. The
 //! sequences are the same each time.
 
 use std::collections::{BTreeMap, VecDeque};
 
-use badgerpost_pgsession::answer::Status;
-use badgerpost_pgsession::frame::{Cut, Cutter, Frame};
-use badgerpost_pgsession::session::{Action, Event, ServerState, Session};
-use badgerpost_pgsession::settings::ClientSettings;
-use badgerpost_standins::database::{Backend, Database, Offline};
+use badgerpost_fakes::database::{Backend, Database, Offline};
+use badgerpost_postgres_session::answer::Status;
+use badgerpost_postgres_session::frame::{Cut, Cutter, Frame};
+use badgerpost_postgres_session::session::{Action, Event, ServerState, Session};
+use badgerpost_postgres_session::settings::ClientSettings;
 use bytes::{BufMut, BytesMut};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
--- a/cores/handover/src/lib.rs
+++ b/core/socket-handover/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! How a running process shares its listening socket with the next version that is started beside it. Two state
 //! machines without I/O: [`Successor`] asks, [`Predecessor`] gives. Whatever is lost, garbled, late or out of order, the
 //! successor comes to listen in exactly one way, and the predecessor leaves new connections to it only while it lives.
--- a/cores/zones/src/lib.rs
+++ b/core/zone-health/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! Which zones a node may send to. All that a node sees at a zone counts together: answers, errors, connections that
 //! don't come about, and silence; and what other nodes say that they see, where there are any. Where that is more than chance and other zones are left, the zone gets nothing new;
 //! it is tried now and then, and taken back by steps. `docs/design/zones.md` has the test and its error rates.
--- a/node/src/config.rs
+++ b/daemon/src/config.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use badgerpost_http::list::List;
-use brookfield_settings::{Site, file};
+use badgerpost_settings::{Site, file};
 use serde::Deserialize;
 
 /// What the platform tells a node.
@@ -51,7 +51,7 @@
     /// The watch over the zones.
     pub zones: Option<Zones>,
     /// What this node and the others of its fleet say to each other.
-    pub peers: Option<badgerpost_peers_front::Config>,
+    pub peers: Option<badgerpost_gossip::Config>,
     /// A front for PostgreSQL.
     pub postgres: Option<badgerpost_postgres::config::Config>,
 }
@@ -133,7 +133,7 @@
     Postgres(#[from] badgerpost_postgres::config::ConfigError),
     /// The section for the peers can't be used.
     #[error("configuration: {0}")]
-    Peers(#[from] badgerpost_peers_front::ConfigError),
+    Peers(#[from] badgerpost_gossip::ConfigError),
     /// A rehearsal must reach nothing outside this machine.
     #[error("rehearsal: {what} is at {at}; with a stepped clock every address must be a loopback address")]
     NotLoopback {
@@ -173,7 +173,7 @@
 
     /// The settings, in the module's words.
     pub fn site(&self) -> Result<Site, ConfigError> {
-        let site = brookfield_settings::read(&self.settings).map_err(ConfigError::Settings)?;
+        let site = badgerpost_settings::read(&self.settings).map_err(ConfigError::Settings)?;
         site.settings.validate().map_err(|error| ConfigError::Settings(error.to_string()))?;
         Ok(site)
     }
@@ -245,7 +245,7 @@
             let list = postgres.discovery.map(|at| ("the list of PostgreSQL servers".to_owned(), at));
             servers.chain([("the PostgreSQL listener".to_owned(), postgres.listen)]).chain(list)
         });
-        let peers = self.own.peers.iter().flat_map(badgerpost_peers_front::Config::addresses);
+        let peers = self.own.peers.iter().flat_map(badgerpost_gossip::Config::addresses);
         let peers = peers.map(|(key, at)| (key.to_owned(), at));
         match named
             .into_iter()
--- a/node/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -1,5 +1,5 @@
 //! The handover on its Unix socket in `$TMPDIR`, which the versions of a node share: a thin shell round the state machines
-//! of `badgerpost-handover`. Nothing here keeps a node from starting: what fails is logged, and the process listens beside
+//! of `badgerpost-socket-handover`. Nothing here keeps a node from starting: what fails is logged, and the process listens beside
 //! the other one.
 
 use std::io::{self, IoSlice, IoSliceMut};
@@ -9,10 +9,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use badgerpost_console::Life;
+use badgerpost_admin::Life;
 use badgerpost_engine::{Clock, spawn};
-use badgerpost_handover::{Action, Event, LINE_MOST, Message, Predecessor, Successor};
 use badgerpost_lifecycle::Event as LifeEvent;
+use badgerpost_socket_handover::{Action, Event, LINE_MOST, Message, Predecessor, Successor};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg, sockopt,
--- a/node/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,6 +1,4 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-//! badgerpost, a load-balancing node: the decisions of `brookfield` on real sockets. This file is the command
+//! badgerpost, a load-balancing node: the decisions of `badgerpost_balancer` on real sockets. This file is the command
 //! line; `config.rs` reads what the node is told, `serve.rs` wires the parts and heeds signals.
 
 mod config;
--- a/node/tests/bulk.rs
+++ b/daemon/tests/bulk.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::scripted::*;
 
 const LARGE: usize = 4 * 1024 * 1024;
 /// The most that a node may hold resident while many large bodies are under way, in kB.
--- a/node/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -4,7 +4,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::scripted::*;
 use serde_json::json;
 
 fn stopping(node: &Node) {
--- a/node/tests/hostile.rs
+++ b/daemon/tests/hostile.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::scripted::*;
 use serde_json::json;
 
 fn serving() -> Backend {
--- a/node/tests/leaving.rs
+++ b/daemon/tests/leaving.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use badgerpost_standins::late::Late;
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::late::Late;
+use badgerpost_fakes::scripted::*;
 use serde_json::json;
 
 /// A node that knows of no backend: what it takes, it holds.
--- a/node/tests/list.rs
+++ b/daemon/tests/list.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::scripted::*;
 use serde_json::{Value, json};
 
 const TOLD_WITHIN: Duration = Duration::from_secs(6);
--- a/node/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -7,9 +7,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use badgerpost_peers::{Action, Event, Key, Peers, Settings, member_id};
-use badgerpost_standins::scripted::*;
-use badgerpost_zones::{At, Sight};
+use badgerpost_fakes::scripted::*;
+use badgerpost_membership::{Action, Event, Key, Peers, Settings, member_id};
+use badgerpost_zone_health::{At, Sight};
 use serde_json::{Value, json};
 
 const KEY: &str = "a key that the fleet's nodes have";
--- a/node/tests/probing.rs
+++ b/daemon/tests/probing.rs
@@ -1,6 +1,6 @@
 //! Load that backends tell only when asked, over sockets: asked rarely, heeded, and no harm where it is no answer.
 
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::scripted::*;
 use serde_json::{Value, json};
 
 fn with_probes(discovery: &Discovery) -> Value {
--- a/node/tests/serving.rs
+++ b/daemon/tests/serving.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, OnceLock};
 
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::scripted::*;
 use serde_json::json;
 
 fn always(does: Does) -> Backend {
--- a/node/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::scripted::*;
 use serde_json::{Value, json};
 
 /// A folder that the versions of a node share; gone with the test.
--- a/node/tests/zones.rs
+++ b/daemon/tests/zones.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
-use badgerpost_standins::scripted::*;
+use badgerpost_fakes::scripted::*;
 use serde_json::{Value, json};
 
 fn file(name: &str, text: &str) -> PathBuf {
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use brookfield::{BackendId, ListScope, Member, Nanos, Stage};
-use brookfield_settings::{Words, name_tag};
+use badgerpost_balancer::{BackendId, ListScope, Member, Nanos, Stage};
+use badgerpost_settings::{Words, name_tag};
 
 use crate::front::Listed;
 
--- a/engine/src/call_ids.rs
+++ b/engine/src/call_ids.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashSet, VecDeque};
 
-use brookfield::Nanos;
+use badgerpost_balancer::Nanos;
 
 /// An id is not taken again for this long after its request has ended: one that copies an open request's id
 /// may cross the answer to that.
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use brookfield::Nanos;
+use badgerpost_balancer::Nanos;
 
 /// Nanoseconds that never step back, counted from the Unix time at the start, so that times told by other
 /// machines compare with it. Cheap to clone.
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -7,11 +7,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use brookfield::{
+use badgerpost_balancer::{
     Action, Arrival, BackendId, Balancer, ClassId, Event, ListScope, Nanos, Notice, Outcome, RequestId,
     Settings, SettingsError, Settlement, ZoneId,
 };
-use brookfield_settings::Words;
+use badgerpost_settings::Words;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::backends::Backends;
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -7,11 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use brookfield::{
+use badgerpost_balancer::{
     BackendId, Discovery, Effect, Event, ListScope, Nanos, Outcome, Report, RequestId, Settings,
     SettingsError, ZoneId,
 };
-use brookfield_settings::Words;
+use badgerpost_settings::Words;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock::Clock;
--- a/engine/src/front.rs
+++ b/engine/src/front.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use brookfield::{BackendId, Nanos, Outcome, Report, RequestId, Stage};
+use badgerpost_balancer::{BackendId, Nanos, Outcome, Report, RequestId, Stage};
 use tokio::sync::{oneshot, watch};
 
 /// What a front brings: the types of what its requests carry and of what serves them.
@@ -101,7 +101,7 @@
     pub class: u32,
     /// Its tenant.
     pub tenant: Option<u32>,
-    /// What it concerns, as a number drawn from that thing's name ([`brookfield_settings::name_tag`]).
+    /// What it concerns, as a number drawn from that thing's name ([`badgerpost_settings::name_tag`]).
     pub key: Option<u64>,
     /// Its work, where the client guesses it.
     pub hint: Option<Nanos>,
--- a/engine/src/idle_pool.rs
+++ b/engine/src/idle_pool.rs
@@ -4,7 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use brookfield::Nanos;
+use badgerpost_balancer::Nanos;
 
 /// A connection of which it can be told that nothing has come on it.
 pub trait Quiet {
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -1,6 +1,4 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-//! The engine between fronts and the decision module: sole owner of one [`brookfield::Balancer`] for each
+//! The engine between fronts and the decision module: sole owner of one [`badgerpost_balancer::Balancer`] for each
 //! fleet, of ids, timers, open requests and attempts. It knows no protocol: what a request carries and what
 //! serves it are a [`Front`]'s types. Its [`Clock`] is the process's only one, and can be stepped from outside.
 
--- a/engine/src/log_limiter.rs
+++ b/engine/src/log_limiter.rs
@@ -1,6 +1,6 @@
 //! Rate-limited logging: what goes wrong a thousand times a second must not fill the log, nor cost the time of it.
 
-use brookfield::Nanos;
+use badgerpost_balancer::Nanos;
 
 use crate::clock::Clock;
 
--- a/engine/src/timers.rs
+++ b/engine/src/timers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use brookfield::{Nanos, RequestId};
+use badgerpost_balancer::{Nanos, RequestId};
 
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/engine/src/zones.rs
+++ b/engine/src/zones.rs
@@ -3,10 +3,10 @@
 
 use std::collections::BTreeMap;
 
-use badgerpost_zones::{Action, Event, Seen, Settings as Zones, Sight, Watch, Why};
-use brookfield::{
+use badgerpost_balancer::{
     BackendId, Event as Told, ListScope, Member, Nanos, Outcome, RequestId, Settings, Stage, ZoneId,
 };
+use badgerpost_zone_health::{Action, Event, Seen, Settings as Zones, Sight, Watch, Why};
 
 /// What the core has left to do.
 #[derive(Default)]
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -1,6 +1,4 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-//! The operators' settings object, from its words to the module's. Every program that embeds brookfield
+//! The operators' settings object, from its words to the module's. Every program that embeds badgerpost_balancer
 //! reads it here.
 
 mod fields;
@@ -8,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use brookfield::{
+use badgerpost_balancer::{
     ClassSettings, Discovery, Effect, Group, Limits, Nanos, RuleFigures, Settings, Weights, ZoneId,
 };
 use serde_json::Value;
--- a/wirehost/src/main.rs
+++ b/simulator/src/main.rs
@@ -1,5 +1,4 @@
-#![forbid(unsafe_code)]
-//! Puts brookfield on the simulator's wire: reads batches from standard input, writes replies to standard
+//! Puts badgerpost-balancer on the simulator's wire: reads batches from standard input, writes replies to standard
 //! output. It translates and decides nothing.
 
 mod wire;
@@ -8,10 +7,10 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use brookfield::{
+use badgerpost_balancer::{
     Action, Arrival, BackendId, Balancer, ClassId, Event, ListScope, Member, Nanos, RequestId, Settlement,
 };
-use brookfield_settings::{Fields, Words, name_tag};
+use badgerpost_settings::{Fields, Words, name_tag};
 use serde_json::{Value, json};
 use wire::Line;
 
@@ -169,7 +168,7 @@
     fn open(&mut self, fields: &Fields) -> Result<(), String> {
         let who = fields.integer("who")?;
         let seed = fields.whole("nonce64")?;
-        let made = brookfield_settings::read(fields.get("config")?).and_then(|site| {
+        let made = badgerpost_settings::read(fields.get("config")?).and_then(|site| {
             let node = Balancer::new(site.settings, seed, self.now).map_err(|e| e.to_string())?;
             Ok((node, site.words))
         });
@@ -310,7 +309,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("brookfield-wirehost: {problem}");
+            eprintln!("badgerpost-wirehost: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/wirehost/src/wire.rs
+++ b/simulator/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's lines, read with plain errors.
 
-use brookfield::{Nanos, Outcome, Report, Stage};
-use brookfield_settings::Fields;
+use badgerpost_balancer::{Nanos, Outcome, Report, Stage};
+use badgerpost_settings::Fields;
 use serde_json::Value;
 
 /// A line of input: an object with one key, its name.
--- a/kit/drivers/run.sh
+++ b/testkit/drivers/run.sh
@@ -3,13 +3,13 @@
 # wants the package registries. Packages: from PyPI psycopg[binary] 3, asyncpg, pg8000; from npm pg, pg-copy-streams,
 # postgres; psql where it is on the machine.
 #
-#   kit/drivers/run.sh [FOLDER]     FOLDER keeps the packages (default: a new one under the system's temporary folder)
+#   testkit/drivers/run.sh [FOLDER]     FOLDER keeps the packages (default: a new one under the system's temporary folder)
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 root=$here/../..
 folder=${1:-$(mktemp -d)}
 mkdir -p "$folder"
-(cd "$root" && cargo build --release --locked -p badgerpost -p badgerpost-rehearsal)
+(cd "$root" && cargo build --release --locked -p badgerpost -p badgerpost-scenarios)
 [ -x "$folder/venv/bin/python" ] || python3 -m venv "$folder/venv"
 "$folder/venv/bin/pip" -q install "psycopg[binary]" asyncpg pg8000
 (cd "$folder" && npm install --silent --no-audit --no-fund pg pg-copy-streams postgres)
--- a/kit/standins/src/database.rs
+++ b/testkit/fakes/src/database.rs
@@ -27,7 +27,7 @@
 use std::thread;
 use std::time::Duration;
 
-use badgerpost_pgsession::scram::{self, Verifier};
+use badgerpost_postgres_session::scram::{self, Verifier};
 
 pub use faults::Bad;
 use storage::Store;
--- a/kit/standins/src/lib.rs
+++ b/testkit/fakes/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! Stand-ins for a node's peers. The models ([`server`], [`discovery`], [`client`]) do no I/O and take the time
 //! as it is told; [`net`] puts them on loopback sockets, on one thread, in stepped or in real time. [`scripted`]
 //! is for tests that write out each byte of a peer by hand.
--- a/kit/rehearsal/src/bin/faulty_node.rs
+++ b/testkit/scenarios/src/bin/faulty_node.rs
@@ -1,4 +1,3 @@
-#![forbid(unsafe_code)]
 //! A node that breaks one of the rules on purpose, so that the kit's checkers can be seen to catch it. It takes
 //! the same configuration as the real one, and its clock can be stepped alike. `BADGERPOST_FAULT` says what it
 //! does wrong: `resend`, `drop`, `drain` or `flood`, `crash` in the midst of its work, or `stray` from its zone; without
@@ -11,8 +10,8 @@
 use std::time::Duration;
 
 use badgerpost_engine::{Clock, Stepped, progress, spawn};
-use badgerpost_standins::message::{self, Inbox, Message, Side};
-use badgerpost_stepping::Control;
+use badgerpost_fakes::message::{self, Inbox, Message, Side};
+use badgerpost_virtual_clock::Control;
 use serde::Deserialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -99,7 +98,7 @@
     let edge: Edge = serde_json::from_slice(&std::fs::read(std::env::var("EDGE_CONFIG")?)?)?;
     let mut arguments = std::env::args().skip_while(|argument| argument != "--config").skip(1);
     let own: Option<Own> =
-        arguments.next().map(|path| brookfield_settings::file::read(path.as_ref())).transpose()?;
+        arguments.next().map(|path| badgerpost_settings::file::read(path.as_ref())).transpose()?;
     let fault = match std::env::var("BADGERPOST_FAULT").as_deref() {
         Ok("resend") => Fault::Resend,
         Ok("drop") => Fault::Drop,
--- a/kit/rehearsal/src/lib.rs
+++ b/testkit/scenarios/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! Plays scenes of trouble against a node's released program over loopback sockets: in stepped time, where two
 //! runs with one seed give the same outcomes byte for byte, or in real time. See `docs/operators/rehearsal.md`.
 
--- a/kit/rehearsal/src/main.rs
+++ b/testkit/scenarios/src/main.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! badgerpost-rehearse: the command line.
 
 use std::io::{IsTerminal, Read, Write};
@@ -9,13 +7,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use badgerpost_rehearsal::hunt::{self, Find};
-use badgerpost_rehearsal::plan::Plan;
-use badgerpost_rehearsal::postgres::truth::Told;
-use badgerpost_rehearsal::postgres::{self, PgScene, PgStage};
-use badgerpost_rehearsal::rules::RULES;
-use badgerpost_rehearsal::run::{self, Options, Played, RunError, Stage};
-use badgerpost_rehearsal::{fleet, outcome, plot, scene, sweep};
+use badgerpost_scenarios::hunt::{self, Find};
+use badgerpost_scenarios::plan::Plan;
+use badgerpost_scenarios::postgres::truth::Told;
+use badgerpost_scenarios::postgres::{self, PgScene, PgStage};
+use badgerpost_scenarios::rules::RULES;
+use badgerpost_scenarios::run::{self, Options, Played, RunError, Stage};
+use badgerpost_scenarios::{fleet, outcome, plot, scene, sweep};
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 
@@ -149,7 +147,7 @@
     fn find(self) -> Result<PathBuf, Failure> {
         Ok(match self.node {
             Some(path) => path,
-            None => badgerpost_standins::program("badgerpost")?,
+            None => badgerpost_fakes::program("badgerpost")?,
         })
     }
 }
@@ -166,13 +164,13 @@
 #[derive(Debug, thiserror::Error)]
 enum Failure {
     #[error(transparent)]
-    Scene(#[from] brookfield_settings::file::FileError),
+    Scene(#[from] badgerpost_settings::file::FileError),
     #[error(transparent)]
-    Repro(#[from] badgerpost_rehearsal::plan::ReproError),
+    Repro(#[from] badgerpost_scenarios::plan::ReproError),
     #[error(transparent)]
     Run(#[from] RunError),
     #[error(transparent)]
-    NotBuilt(#[from] badgerpost_standins::NotBuilt),
+    NotBuilt(#[from] badgerpost_fakes::NotBuilt),
     #[error("{}: {source}", path.display())]
     File { path: PathBuf, source: std::io::Error },
     #[error("{0}")]
--- a/kit/rehearsal/src/plan.rs
+++ b/testkit/scenarios/src/plan.rs
@@ -2,8 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
-use badgerpost_standins::random::Random;
-use brookfield_settings::file::{FileError, Source};
+use badgerpost_fakes::random::Random;
+use badgerpost_settings::file::{FileError, Source};
 use serde::{Deserialize, Serialize};
 
 use crate::scene::{self, Checked, Far, Planned, Trouble, Whom};
--- a/kit/rehearsal/src/postgres/load.rs
+++ b/testkit/scenarios/src/postgres/load.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use badgerpost_standins::random::Random;
+use badgerpost_fakes::random::Random;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use sqlx::{ConnectOptions, Connection};
--- a/kit/rehearsal/src/postgres/scene.rs
+++ b/testkit/scenarios/src/postgres/scene.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use brookfield_settings::file::{FileError, Source};
+use badgerpost_settings::file::{FileError, Source};
 use serde::Deserialize;
 use toml::Spanned;
 
--- a/kit/rehearsal/src/postgres/stage.rs
+++ b/testkit/scenarios/src/postgres/stage.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use badgerpost_pgsession::scram::Verifier;
-use badgerpost_standins::database::{Bad, Database, Value};
-use badgerpost_standins::random::Random;
-use badgerpost_standins::scripted::{Discovery, target};
+use badgerpost_fakes::database::{Bad, Database, Value};
+use badgerpost_fakes::random::Random;
+use badgerpost_fakes::scripted::{Discovery, target};
+use badgerpost_postgres_session::scram::Verifier;
 
 use super::load::{Target, Work, sqlx_client, tokio_postgres_client};
 use super::scene::{Drains, Kills, PgScene};
--- a/kit/rehearsal/src/run.rs
+++ b/testkit/scenarios/src/run.rs
@@ -6,8 +6,8 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use badgerpost_standins::net::{Happening, Reserved};
-use badgerpost_standins::random::Random;
+use badgerpost_fakes::net::{Happening, Reserved};
+use badgerpost_fakes::random::Random;
 use rustix::process::Signal;
 
 use crate::one_core::OneCore;
@@ -117,7 +117,7 @@
     },
     /// A shipped scene can't be read.
     #[error(transparent)]
-    Scene(#[from] brookfield_settings::file::FileError),
+    Scene(#[from] badgerpost_settings::file::FileError),
     /// The stage can't be set, or a client of the kit's own broke.
     #[error("{0}")]
     Stage(String),
--- a/kit/rehearsal/src/scene.rs
+++ b/testkit/scenarios/src/scene.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
-use brookfield_settings::file::{FileError, Source};
+use badgerpost_settings::file::{FileError, Source};
 use serde::Deserialize;
 use toml::Spanned;
 
--- a/kit/rehearsal/src/world.rs
+++ b/testkit/scenarios/src/world.rs
@@ -14,11 +14,11 @@
 use std::io;
 use std::net::SocketAddr;
 
-use badgerpost_standins::discovery::{Discovery, State};
-use badgerpost_standins::message::{Inbox, Side};
-use badgerpost_standins::net::{ConnId, Happening, Net};
-use badgerpost_standins::random::Random;
-use badgerpost_standins::server::{Choke, Figures, Server};
+use badgerpost_fakes::discovery::{Discovery, State};
+use badgerpost_fakes::message::{Inbox, Side};
+use badgerpost_fakes::net::{ConnId, Happening, Net};
+use badgerpost_fakes::random::Random;
+use badgerpost_fakes::server::{Choke, Figures, Server};
 
 use crate::outcome::Ended;
 use crate::plan::Plan;
--- a/kit/rehearsal/src/world/clients.rs
+++ b/testkit/scenarios/src/world/clients.rs
@@ -1,8 +1,8 @@
 //! The clients: tries come to nodes, answers are read and judged, patience ends.
 
-use badgerpost_standins::client::{self, Ask, Verdict};
-use badgerpost_standins::message::{Inbox, Message, Side};
-use badgerpost_standins::net::ConnId;
+use badgerpost_fakes::client::{self, Ask, Verdict};
+use badgerpost_fakes::message::{Inbox, Message, Side};
+use badgerpost_fakes::net::ConnId;
 
 use super::links::Carried;
 use super::stage::*;
--- a/kit/rehearsal/src/world/faults.rs
+++ b/testkit/scenarios/src/world/faults.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use badgerpost_standins::discovery::{Mode, State};
+use badgerpost_fakes::discovery::{Mode, State};
 
 use super::links::BadLink;
 use super::stage::*;
--- a/kit/rehearsal/src/world/links.rs
+++ b/testkit/scenarios/src/world/links.rs
@@ -1,9 +1,9 @@
 //! The network between the machines: each message between a node and a server, its list, its clients or another
 //! node passes here, and is late, stuck, lost or reset as the scene says.
 
-use badgerpost_standins::discovery::Reply;
-use badgerpost_standins::message::Message;
-use badgerpost_standins::net::ConnId;
+use badgerpost_fakes::discovery::Reply;
+use badgerpost_fakes::message::Message;
+use badgerpost_fakes::net::ConnId;
 
 use super::stage::*;
 use crate::scene::{Far, LinkTrouble, LinkWhat};
--- a/kit/rehearsal/src/world/list.rs
+++ b/testkit/scenarios/src/world/list.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
-use badgerpost_standins::discovery::{self, Reply, State};
-use badgerpost_standins::message::{self, Message};
-use badgerpost_standins::net::ConnId;
+use badgerpost_fakes::discovery::{self, Reply, State};
+use badgerpost_fakes::message::{self, Message};
+use badgerpost_fakes::net::ConnId;
 
 use super::links::Carried;
 use super::stage::*;
--- a/kit/rehearsal/src/world/peers.rs
+++ b/testkit/scenarios/src/world/peers.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use badgerpost_standins::net::ListenerId;
+use badgerpost_fakes::net::ListenerId;
 
 use super::stage::*;
 
--- a/kit/rehearsal/src/world/servers.rs
+++ b/testkit/scenarios/src/world/servers.rs
@@ -2,11 +2,11 @@
 
 use std::io;
 
-use badgerpost_standins::discovery::State;
-use badgerpost_standins::message::{self, Message};
-use badgerpost_standins::net::ConnId;
-use badgerpost_standins::random::Random;
-use badgerpost_standins::server::Offer;
+use badgerpost_fakes::discovery::State;
+use badgerpost_fakes::message::{self, Message};
+use badgerpost_fakes::net::ConnId;
+use badgerpost_fakes::random::Random;
+use badgerpost_fakes::server::Offer;
 
 use super::links::Carried;
 use super::stage::*;
--- a/kit/rehearsal/src/world/stage.rs
+++ b/testkit/scenarios/src/world/stage.rs
@@ -6,11 +6,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use badgerpost_standins::discovery::{Discovery, Entry, State};
-use badgerpost_standins::message::Inbox;
-use badgerpost_standins::net::{ConnId, Happening, ListenerId, Net};
-use badgerpost_standins::random::Random;
-use badgerpost_standins::server::Server;
+use badgerpost_fakes::discovery::{Discovery, Entry, State};
+use badgerpost_fakes::message::Inbox;
+use badgerpost_fakes::net::{ConnId, Happening, ListenerId, Net};
+use badgerpost_fakes::random::Random;
+use badgerpost_fakes::server::Server;
 
 use super::links::{BadLink, Carried};
 use crate::outcome::{Ended, Request};
--- a/kit/rehearsal/tests/links.rs
+++ b/testkit/scenarios/tests/links.rs
@@ -3,8 +3,8 @@
 
 mod common;
 
-use badgerpost_rehearsal::outcome::{Ended, Request, Told};
-use badgerpost_rehearsal::run::Played;
+use badgerpost_scenarios::outcome::{Ended, Request, Told};
+use badgerpost_scenarios::run::Played;
 use common::MS;
 
 const SCENE: &str = r#"
--- a/kit/rehearsal/tests/peers.rs
+++ b/testkit/scenarios/tests/peers.rs
@@ -4,9 +4,9 @@
 
 mod common;
 
-use badgerpost_rehearsal::fleet::{self, Conduct};
-use badgerpost_rehearsal::plan::Plan;
-use badgerpost_rehearsal::run::Played;
+use badgerpost_scenarios::fleet::{self, Conduct};
+use badgerpost_scenarios::plan::Plan;
+use badgerpost_scenarios::run::Played;
 use common::{MS, WATCHED};
 
 const SEED: u64 = 7;
--- a/kit/stepping/src/lib.rs
+++ b/virtual-clock/src/lib.rs
@@ -1,5 +1,3 @@
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 //! A node's clock in the hands of a rehearsal. The node connects to the kit's control address and from then on
 //! time passes for it only as the kit says: the kit writes the bytes of one event to the node's sockets, asks
 //! the node to run at a given time until nothing is ready, and hears when the node next waits for the time.
--- a/kit/stepping/src/protocol.rs
+++ b/virtual-clock/src/protocol.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use brookfield::Nanos;
+use badgerpost_balancer::Nanos;
 
 /// The protocol's version; a peer of another one is turned down.
 pub const VERSION: u32 = 2;
