--- a/daemon/tests/hostile.rs
+++ b/daemon/tests/hostile.rs
@@ -329,3 +329,52 @@
     );
     drop(crowd);
 }
+
+/// Clients that stop in the middle of a request and stay are owed an error or a close within 3 s, on a connection that
+/// has served a request too. Half a head that had come before that request's answer went out stayed open for ten seconds.
+#[test]
+fn half_a_request_on_a_connection_that_has_served_is_ended_in_time() {
+    let backend = Backend::new(|_| {
+        thread::sleep(Duration::from_millis(100));
+        Does::Writes(ok("yes"))
+    });
+    let (node, _discovery) = Node::with(&[&backend]);
+    let half_body = post("pay", "half", "", "0123456789");
+    let halves = [
+        "GET /api HTTP/1.1\r\nX-Ca",
+        "G",
+        &half_body[..half_body.len() - 3],
+    ];
+    let cases = halves
+        .iter()
+        .flat_map(|half| ["with it", "behind it", "after its answer"].map(|when| (*half, when)));
+    let mut clients = Vec::new();
+    for (n, (half, when)) in cases.enumerate() {
+        let whole = get(&format!("whole{n}"), "");
+        let mut client = Client::to(node.at);
+        if when == "with it" {
+            client.write(&(whole + half));
+        } else {
+            client.write(&whole);
+        }
+        if when == "behind it" {
+            assert!(backend.next().value("x-call-id").is_some());
+            client.write(half);
+        }
+        clients.push((client, half, when));
+    }
+    for (client, half, when) in &mut clients {
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        if *when == "after its answer" {
+            client.write(half);
+        }
+    }
+    let began = Instant::now();
+    for (client, half, when) in &mut clients {
+        if let Some(answer) = client.read() {
+            assert_eq!(answer.status(), 408, "{half:?} {when}");
+        }
+        let took = began.elapsed();
+        assert!(took < Duration::from_secs(3), "{half:?} {when}: {took:?}");
+    }
+}
--- a/testkit/fakes/src/lib.rs
+++ b/testkit/fakes/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod random;
 pub mod scripted;
 pub mod server;
+pub mod system_faults;
 
 use std::path::PathBuf;
 
--- a/testkit/fakes/src/scripted/client.rs
+++ b/testkit/fakes/src/scripted/client.rs
@@ -47,6 +47,20 @@
         self.read()
     }
 
+    /// The same where the connection may have ended.
+    pub fn try_ask(&mut self, text: &str) -> Option<Message> {
+        self.writer.write_all(text.as_bytes()).ok()?;
+        self.read()
+    }
+
+    /// Whether the node has ended the connection by now.
+    pub fn has_ended(&self) -> bool {
+        self.writer.set_nonblocking(true).unwrap();
+        let peeked = self.writer.peek(&mut [0]);
+        self.writer.set_nonblocking(false).unwrap();
+        !matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Whether the node closes the connection, with no answer that has not been read yet.
     pub fn is_closed(&mut self) -> bool {
         match self.reader.read(&mut [0]) {
