Responses without a length end with their connection, announced or not; a reset is no end

Change: the end of the connection is the end of the body. A reset still fails the attempt (three cases in the test). An unannounced end without a single byte of body stays no response.

--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -342,11 +342,7 @@
     ) -> Ending {
         let (head, mut body) = response.into_parts();
         let length = body.size_hint().exact();
-        let chunked = head.headers.contains_key(TRANSFER_ENCODING);
-        // With neither a length nor chunks an answer ends with its connection, and one cut short looks whole: only
-        // where its backend says that it means to close is that what it meant.
-        let framed = length.is_some() || chunked || ends_with_connection(&head);
-        if !framed || head.status.is_informational() {
+        if head.status.is_informational() {
             return Ending::bare(Outcome::InvalidResponse);
         }
         let outcome = outcome(&head);
@@ -357,6 +353,9 @@
         let mut first = BytesCollector::default();
         loop {
             match body.frame().await {
+                None if first.count() == 0 && ends_unannounced(&head, length) => {
+                    return Ending::bare(Outcome::InvalidResponse);
+                }
                 None => break,
                 Some(Err(error)) => return Ending::bare(broken(&error)),
                 Some(Ok(frame)) => {
@@ -513,8 +512,11 @@
     }
 }
 
-/// Whether an answer with no length is meant to end with its connection (RFC 9112, chapters 6.3 and 9.6).
-fn ends_with_connection(head: &Parts) -> bool {
+/// Whether an answer ends with its connection only (RFC 9112, section 6.3) and its server has not said that it closes
+/// (section 9.6). The end of the connection is its end, a reset is none. Without a single byte of it, it is more likely
+/// that of a server that ended before it had answered.
+fn ends_unannounced(head: &Parts, length: Option<u64>) -> bool {
+    let is_framed = length.is_some() || head.headers.contains_key(TRANSFER_ENCODING);
     let lines = head
         .headers
         .get_all(CONNECTION)
@@ -523,7 +525,7 @@
     let closes = lines
         .flat_map(|line| line.split(','))
         .any(|word| word.trim().eq_ignore_ascii_case("close"));
-    closes || head.version == Version::HTTP_10
+    !is_framed && !closes && head.version != Version::HTTP_10
 }
 
 /// What a broken answer was: a connection that ended, or one that brought what is no answer.
