Audit: a node whose clock is behind holds a warm fleet for cold; test, failing

Found beside the measured breach: a node that starts under a wall clock an hour behind takes servers that have been up for ten minutes for cold until the hour is over, and serves 0 of its requests at 400 a second (three servers).

--- a/daemon/tests/wall_clock.rs
+++ b/daemon/tests/wall_clock.rs
@@ -15,6 +15,7 @@
 use serde_json::{Value, json};
 
 const HOUR_MS: i64 = 3_600_000;
+const TEN_MINUTES_MS: i64 = 600_000;
 /// The window in which a server in slow start may be pushed over, by the settings.
 const OVERLOAD_WINDOW: Duration = Duration::from_millis(1500);
 /// What a server serves that is used as the others are, a second.
@@ -50,7 +51,7 @@
 
 /// Three servers, a node that reads this wall clock, and 400 requests a second on it.
 struct Play {
-    _old: [Backend; 3],
+    old: [Backend; 3],
     entries: Vec<Value>,
     discovery: Discovery,
     load: Load,
@@ -75,7 +76,7 @@
             get(id, "").replace("3000", "500")
         });
         Self {
-            _old: old,
+            old,
             entries,
             discovery,
             load,
@@ -140,3 +141,27 @@
         spared(sends_later, &format!("{case}, then right"));
     });
 }
+
+/// Servers that have long been up get their full share, also where the node's clock is behind their start.
+#[test]
+fn servers_that_have_long_been_up_are_not_held_for_starting() {
+    let cases = [
+        ("behind by an hour", -HOUR_MS),
+        ("behind by 5 s", -5000),
+        ("ahead by an hour", HOUR_MS),
+    ];
+    beside_each_other(&cases, |case, ahead_ms| {
+        let clock = WallClock::ahead_by(ahead_ms).unwrap();
+        let play = Play::begin(&clock, ago(TEN_MINUTES_MS));
+        for step_ms in [-HOUR_MS, 5000] {
+            thread::sleep(Duration::from_secs(1));
+            clock.set(ahead_ms + step_ms).unwrap();
+        }
+        thread::sleep(Duration::from_secs(1));
+        let results = play.load.stop();
+        let served = results.iter().filter(|(_, status)| *status == Some(200));
+        let share = served.count() as f64 / results.len() as f64;
+        assert!(share > 0.9, "{case}: {share} served");
+        assert!(play.old.iter().all(|backend| backend.count() > 100));
+    });
+}
