Slow start: the age of a start comes from the list, not from the node's wall clock

Cause: a backend's age was the node's Unix time at its own start, plus elapsed time, less boot_ms. A clock ahead by an hour or 30 s made a server that had just started warm (136 and 137 requests in its first 1.5 s, 72 allowed); one behind made all servers cold for as long (0 served).

Change: engine/start_times.rs. A start that is new in a change is as old as the latest start ever listed allows at least; a list can't name a start in the future. A start seen before keeps its time, also over a step and a leave. Only the first list goes by the wall clock, corrected where a start in the future proves it behind, where it is just over an hour off, and where it steps back while slow start may still run.

--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -7,7 +7,7 @@
 use badgerpost_balancer::{BackendId, Endpoint, EndpointState, EndpointUpdate, Nanos};
 use badgerpost_settings::{NameTable, name_hash};
 
-use crate::clock::NANOS_PER_MILLISECOND;
+use crate::start_times::{ListTime, StartTimes};
 
 /// One entry of the endpoint list that service discovery delivers.
 pub struct DiscoveredEndpoint {
@@ -71,15 +71,35 @@
 }
 
 /// All backends of a fleet. Bounded by the endpoint list, which service discovery bounds.
-#[derive(Default)]
 pub(crate) struct Backends {
     /// Ordered, so that equal histories produce equal behaviour.
     ids: BTreeMap<String, BackendId>,
     entries: HashMap<BackendId, BackendEntry>,
     next_id: u32,
+    starts: StartTimes,
 }
 
 impl Backends {
+    /// No backends yet.
+    pub(crate) fn new(slow_start_duration: Nanos) -> Self {
+        Self {
+            ids: BTreeMap::new(),
+            entries: HashMap::new(),
+            next_id: 0,
+            starts: StartTimes::new(slow_start_duration),
+        }
+    }
+
+    /// Prepares for the entries of a list.
+    pub(crate) fn list_received(&mut self, at: ListTime, endpoints: &[DiscoveredEndpoint]) {
+        let entries = endpoints
+            .iter()
+            .map(|endpoint| (endpoint.name.as_str(), endpoint.started_at_ms));
+        self.starts.list_received(at, entries);
+        let ids = &self.ids;
+        self.starts.prune(|name| ids.contains_key(name));
+    }
+
     /// The entry of a listed backend.
     pub(crate) fn get(&self, id: BackendId) -> Option<&BackendEntry> {
         self.entries.get(&id)
@@ -148,9 +168,12 @@
         &mut self,
         endpoint: &DiscoveredEndpoint,
         names: &mut NameTable,
-        now: Nanos,
+        at: ListTime,
     ) -> Option<UpdatedBackend> {
         let id = self.id_for(endpoint)?;
+        let started_at = self
+            .starts
+            .started_at(&endpoint.name, endpoint.started_at_ms, at);
         let is_draining = endpoint.state != EndpointState::InService;
         let previous = self.entries.get(&id);
         let is_replaced = previous.is_some_and(|entry| entry.is_replaced_by(endpoint));
@@ -160,11 +183,11 @@
             zone: endpoint.zone.as_str().into(),
             address: endpoint.address,
             started_at_ms: endpoint.started_at_ms,
-            draining_since: is_draining.then(|| previous_draining_since.unwrap_or(now)),
+            draining_since: is_draining.then(|| previous_draining_since.unwrap_or(at.now)),
         };
         self.entries.insert(id, entry);
         Some(UpdatedBackend {
-            endpoint: balancer_endpoint(id, endpoint, names),
+            endpoint: balancer_endpoint(id, endpoint, started_at, names),
             close_idle_connections: is_draining || is_replaced,
         })
     }
@@ -194,9 +217,9 @@
 fn balancer_endpoint(
     id: BackendId,
     endpoint: &DiscoveredEndpoint,
+    started_at: Option<Nanos>,
     names: &mut NameTable,
 ) -> Endpoint {
-    let has_start_time = endpoint.started_at_ms > 0;
     Endpoint {
         backend: id,
         zone: names.zone(&endpoint.zone),
@@ -205,7 +228,6 @@
         name_hash: name_hash(&endpoint.name),
         state: endpoint.state,
         size: endpoint.size,
-        started_at: has_start_time
-            .then(|| endpoint.started_at_ms.saturating_mul(NANOS_PER_MILLISECOND)),
+        started_at,
     }
 }
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -88,12 +88,9 @@
 impl Clock {
     /// The system's clock, read from now on.
     pub fn system() -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Self(Source::System {
             started: Instant::now(),
-            started_at: nanos(since_epoch),
+            started_at: unix_time(),
         })
     }
 
@@ -118,6 +115,15 @@
         }
     }
 
+    /// By how many nanoseconds the wall clock is ahead of this one now; negative where it is behind. It may have stepped
+    /// since the start.
+    pub(crate) fn wall_clock_lead(&self) -> i64 {
+        match &self.0 {
+            Source::System { .. } => signed_difference(unix_time(), self.now()),
+            Source::Virtual(_) => 0,
+        }
+    }
+
     /// Waits until this time.
     pub fn sleep_until(&self, at: Nanos) -> Sleep {
         match &self.0 {
@@ -166,6 +172,17 @@
     }
 }
 
+/// What the wall clock shows.
+fn unix_time() -> Nanos {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    nanos(since_epoch.unwrap_or_default())
+}
+
+fn signed_difference(later: Nanos, earlier: Nanos) -> i64 {
+    let difference = i128::from(later) - i128::from(earlier);
+    i64::try_from(difference).unwrap_or(if difference < 0 { i64::MIN } else { i64::MAX })
+}
+
 /// Awaits `work` for as long as `limit` takes.
 async fn limit<F: Future>(work: F, limit: Sleep) -> Result<F::Output, Elapsed> {
     tokio::select! {
--- a/engine/src/driver/endpoints.rs
+++ b/engine/src/driver/endpoints.rs
@@ -7,6 +7,7 @@
 use crate::metrics::BackendCounts;
 use crate::pending_io::PendingIo;
 use crate::protocol::Protocol;
+use crate::start_times::ListTime;
 
 impl<P: Protocol> Driver<P> {
     /// Applies an endpoint update to the backend table, and passes it to the zone monitor and the balancer. Removed
@@ -17,9 +18,14 @@
         discovered: &[DiscoveredEndpoint],
         pending_io: &mut PendingIo<P>,
     ) {
+        let at = ListTime {
+            now: self.clock.now(),
+            wall_clock_lead: self.clock.wall_clock_lead(),
+            is_first: !self.has_endpoint_list,
+        };
         self.has_endpoint_list |= update != EndpointUpdate::Cached;
         let removed_names = self.backends.names_removed_by(update, discovered);
-        let endpoints = self.update_backends(discovered, pending_io);
+        let endpoints = self.update_backends(discovered, at, pending_io);
         self.with_zone_monitoring(pending_io, |zones, now| {
             zones.endpoints_updated(now, update, &endpoints)
         });
@@ -34,12 +40,13 @@
     fn update_backends(
         &mut self,
         discovered: &[DiscoveredEndpoint],
+        at: ListTime,
         pending_io: &mut PendingIo<P>,
     ) -> Vec<Endpoint> {
-        let now = self.clock.now();
+        self.backends.list_received(at, discovered);
         let mut endpoints = Vec::with_capacity(discovered.len());
         for endpoint in discovered {
-            let Some(updated) = self.backends.update(endpoint, &mut self.names, now) else {
+            let Some(updated) = self.backends.update(endpoint, &mut self.names, at) else {
                 continue;
             };
             if updated.close_idle_connections {
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -8,6 +8,7 @@
 
 use super::*;
 use crate::client_request_ids::MAX_RECENT_IDS;
+use crate::start_times::ListTime;
 use crate::timers::TimerPurpose;
 
 mod any_order;
@@ -242,8 +243,13 @@
     let Driver {
         backends, names, ..
     } = &mut *driver;
+    let at = ListTime {
+        now: engine.clock().now(),
+        wall_clock_lead: 0,
+        is_first: true,
+    };
     let first = backends
-        .update(&discovered("s", EndpointState::InService), names, 0)
+        .update(&discovered("s", EndpointState::InService), names, at)
         .expect("a new backend");
     assert_eq!(
         (first.endpoint.started_at, first.close_idle_connections),
@@ -254,7 +260,7 @@
         ..discovered("s", EndpointState::InService)
     };
     let second = backends
-        .update(&restarted, names, 0)
+        .update(&restarted, names, at)
         .expect("an updated backend");
     assert_eq!(second.endpoint.backend, first.endpoint.backend);
     assert!(second.close_idle_connections);
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod open_requests;
 mod pending_io;
 mod protocol;
+mod start_times;
 mod timers;
 mod zone_monitoring;
 
