Audit: pipelined requests are given their time anew; two tests, failing

Found by reading: a request's time counts from its last byte, but one that waits behind another on its connection is given its whole budget when it is taken.

--- /dev/null
+++ b/daemon/tests/pipelining.rs
@@ -0,0 +1,58 @@
+//! Requests sent ahead of the answers to those before them on the same connection.
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
+
+use std::thread;
+use std::time::Duration;
+
+use badgerpost_fakes::scripted::*;
+
+/// How long the backend takes for the first of the requests.
+const FIRST_TAKES: Duration = Duration::from_millis(600);
+
+/// A backend that takes its time for the request `r1`, and answers all others at once.
+fn slow_for_the_first() -> Backend {
+    Backend::new(|message| {
+        if message.value("x-call-id") == Some("r1") {
+            thread::sleep(FIRST_TAKES);
+        }
+        Does::Writes(ok("yes"))
+    })
+}
+
+/// Its time runs from its last byte, also while another is answered first: its server is told what is left of it.
+#[test]
+fn the_deadline_told_for_a_request_behind_another_is_what_its_client_has_left() {
+    let backend = slow_for_the_first();
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    client.write(&(get("r1", "") + &post("pay", "r2", "", "body").replace("3000", "1000")));
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    backend.next();
+    let told = backend.next();
+    assert_eq!(told.value("x-call-id"), Some("r2"));
+    let told: u64 = told.value("x-budget-ms").unwrap().parse().unwrap();
+    let left = 1000 - u64::try_from(FIRST_TAKES.as_millis()).unwrap();
+    assert!(told <= left, "told {told} ms, {left} left");
+}
+
+/// With its time over it goes to no server any more, and is answered at once.
+#[test]
+fn a_request_whose_time_ran_out_behind_another_is_rejected_and_not_forwarded() {
+    let backend = slow_for_the_first();
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    let late = |id| post("pay", id, "", "body").replace("3000", "300");
+    client.write(&(get("r1", "") + &late("r2") + &late("r3") + &get("r4", "")));
+    let statuses = [(); 4].map(|()| client.read().expect("an answer").status());
+    assert_eq!(statuses, [200, 503, 503, 200]);
+    let ids = [backend.next(), backend.next()]
+        .map(|message| message.value("x-call-id").map(str::to_owned));
+    assert_eq!(ids, [Some("r1".to_owned()), Some("r4".to_owned())]);
+    assert_eq!(backend.count(), 0);
+}
