Client connections: the requests that have begun have their own times, complete or not

Cause of the deadlines: the time left was taken when the request was taken, not when its last byte had come.

Change: adapters/http/request_queue.rs keeps, from the framer's events, which requests have begun, which are complete and since when. A connection with an incomplete one arrives, with the time of its first byte. What a request has waited behind others is taken off its budget, and one with nothing left is rejected by the balancer at once.

--- a/adapters/http/src/connection_limiter.rs
+++ b/adapters/http/src/connection_limiter.rs
@@ -2,7 +2,7 @@
 //! the node can go on accepting: the longest silent or idle one makes room, never one with a request on it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::observed_stream::StreamObserver;
+use crate::request_queue::RequestQueue;
 
 /// A head is whole this long after its first byte, the first one of a connection this long after the connect:
 /// clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it. A body that stops has
@@ -48,8 +49,6 @@
 const LINGER: Duration = Duration::from_millis(1500);
 /// A client that is told that nothing more follows has this long to close too: some ways there and back.
 const PARTS_WITHIN: Duration = Duration::from_millis(500);
-/// Requests sent ahead of their answers whose heads are remembered; the parser reads no further ahead than 32 KiB.
-const AHEAD_MOST: usize = 2048;
 /// How often the slots are looked through; and the wait for room where nobody can go yet.
 const SWEEP: Duration = Duration::from_millis(100);
 const ROOM_AGAIN: Duration = Duration::from_millis(10);
@@ -83,10 +82,8 @@
     since: Cell<Nanos>,
     /// When bytes came last.
     heard: Cell<Nanos>,
-    /// What was found of the heads that have come and are not taken yet, in order.
-    heads: RefCell<VecDeque<Result<(), FramingError>>>,
-    /// Requests that have begun to come and whose heads are not taken yet.
-    begun: Cell<usize>,
+    /// The requests that have begun to come.
+    requests: RefCell<RequestQueue>,
     /// A request's answer is waited for: with its client gone, nothing more is done for it.
     awaited: Cell<bool>,
     /// Bytes that have come since the head was taken.
@@ -112,8 +109,7 @@
             stage: Cell::new(ConnectionState::Silent),
             since: Cell::new(clock.now()),
             heard: Cell::new(clock.now()),
-            heads: RefCell::default(),
-            begun: Cell::new(0),
+            requests: RefCell::default(),
             awaited: Cell::new(false),
             received: Cell::new(0),
             told_off: Cell::new(false),
@@ -155,16 +151,8 @@
     }
 
     /// What the bytes that have come tell of the requests in them.
-    fn told(&self, sign: FramingEvent) {
-        match sign {
-            FramingEvent::HeadComplete(found) => {
-                let mut heads = self.heads.borrow_mut();
-                heads.truncate(AHEAD_MOST - 1);
-                heads.push_back(found);
-            }
-            FramingEvent::Started => self.begun.set(self.begun.get() + 1),
-            FramingEvent::MessageComplete | FramingEvent::BodyInvalid(_) => {}
-        }
+    fn told(&self, event: FramingEvent, now: Nanos) {
+        self.requests.borrow_mut().record(event, now);
     }
 
     /// Bytes have moved on this connection.
@@ -186,8 +174,13 @@
 
     /// All that was to be written is with the system.
     fn flushed(&self) {
-        if self.stage.get() == ConnectionState::Answering {
-            self.enter(ConnectionState::Idle);
+        if self.stage.get() != ConnectionState::Answering {
+            return;
+        }
+        // What has begun to come before the answer went out is no rest.
+        match self.requests.borrow().incomplete_since() {
+            Some(since) => self.enter_at(ConnectionState::Arriving, since),
+            None => self.enter(ConnectionState::Idle),
         }
     }
 
@@ -204,13 +197,18 @@
             },
         );
         self.received.set(0);
-        self.begun.set(self.begun.get().saturating_sub(1));
-        self.heads.borrow_mut().pop_front().unwrap_or(Ok(()))
+        self.requests.borrow_mut().take()
+    }
+
+    /// How long ago the last byte of the request taken last came; nothing while it is on its way.
+    pub fn waited(&self) -> Nanos {
+        let completed_at = self.requests.borrow().completed_at();
+        completed_at.map_or(0, |at| self.clock.now().saturating_sub(at))
     }
 
     /// Whether another request has begun to come behind the one that was taken last: it is owed an answer too.
     pub fn has_more(&self) -> bool {
-        self.begun.get() > 0
+        self.requests.borrow().has_more()
     }
 
     /// Whether nothing stands on it, so that it may end with no answer: nothing has come that nobody has answered, nor
@@ -488,9 +486,10 @@
 impl StreamObserver for RequestTracker {
     fn bytes(&mut self, bytes: &[u8]) {
         let Self { slot, follower } = self;
-        slot.heard(slot.clock.now());
+        let now = slot.clock.now();
+        slot.heard(now);
         slot.moved(bytes.len());
-        follower.feed(bytes, &mut |sign| slot.told(sign));
+        follower.feed(bytes, &mut |event| slot.told(event, now));
     }
 
     fn written(&mut self) {
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod memory_budget;
 mod observed_stream;
 mod poll_schedule;
+mod request_queue;
 pub mod server;
 mod upload;
 pub mod upstream;
--- /dev/null
+++ b/adapters/http/src/request_queue/tests.rs
@@ -0,0 +1,68 @@
+use super::*;
+
+const HEAD: FramingEvent = FramingEvent::HeadComplete(Ok(()));
+
+/// A queue that has recorded these events, each at the time beside it.
+fn recorded(events: &[(FramingEvent, Nanos)]) -> RequestQueue {
+    let mut queue = RequestQueue::default();
+    for (event, now) in events {
+        queue.record(*event, *now);
+    }
+    queue
+}
+
+#[test]
+fn each_request_has_the_time_of_its_own_last_byte() {
+    let mut queue = RequestQueue::default();
+    for number in 1..=3 {
+        queue.record(FramingEvent::Started, 10 * number);
+        queue.record(HEAD, 10 * number);
+        queue.record(FramingEvent::MessageComplete, 10 * number + 5);
+    }
+    for number in 1..=3 {
+        assert!(queue.has_more());
+        assert_eq!(queue.take(), Ok(()));
+        assert_eq!(queue.completed_at(), Some(10 * number + 5));
+    }
+    assert!(!queue.has_more());
+}
+
+#[test]
+fn a_request_whose_body_is_on_its_way_is_complete_later() {
+    let mut queue = recorded(&[(FramingEvent::Started, 1), (HEAD, 2)]);
+    assert_eq!(queue.take(), Ok(()));
+    assert_eq!(queue.completed_at(), None);
+    queue.record(FramingEvent::MessageComplete, 9);
+    assert_eq!(queue.completed_at(), Some(9));
+    queue.record(FramingEvent::Started, 11);
+    queue.record(HEAD, 12);
+    assert_eq!(queue.take(), Ok(()));
+    assert_eq!(queue.completed_at(), None, "that was the one before");
+}
+
+#[test]
+fn only_a_request_that_nothing_waits_before_is_incomplete() {
+    let mut queue = recorded(&[(FramingEvent::Started, 1), (HEAD, 1)]);
+    assert_eq!(queue.incomplete_since(), Some(1));
+    assert_eq!(queue.take(), Ok(()));
+    assert_eq!(queue.incomplete_since(), None);
+    queue.record(FramingEvent::MessageComplete, 2);
+    queue.record(FramingEvent::Started, 3);
+    assert_eq!(queue.incomplete_since(), Some(3));
+    queue.record(HEAD, 4);
+    queue.record(FramingEvent::MessageComplete, 4);
+    assert_eq!(queue.incomplete_since(), None, "it is complete");
+    queue.record(FramingEvent::Started, 5);
+    assert_eq!(queue.incomplete_since(), None, "one waits before it");
+}
+
+#[test]
+fn more_requests_than_are_remembered_leave_a_bounded_queue() {
+    let mut queue = RequestQueue::default();
+    for _ in 0..5 * MAX_AHEAD {
+        queue.record(FramingEvent::Started, 1);
+        queue.record(HEAD, 1);
+        queue.record(FramingEvent::MessageComplete, 1);
+    }
+    assert!(queue.heads.len() <= MAX_AHEAD && queue.completed_at.len() <= MAX_AHEAD);
+}
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -341,14 +341,16 @@
     let hint = hint
         .map(|micros| micros.saturating_mul(1000))
         .filter(|hint| *hint <= deadline);
-    // Its time runs from its last byte.
-    // Whoever is about to end has no more time than that.
+    // Its time runs from its last byte, also while it waits behind another request. Whoever is about to end has no more
+    // time than that.
     let left = || {
         let most = door
             .leaves
             .get()
             .map_or(Nanos::MAX, |at| at.saturating_sub(node.clock().now()));
-        time_left(budget, deadline).min(most)
+        time_left(budget, deadline)
+            .saturating_sub(slot.waited())
+            .min(most)
     };
     let coming = match &body {
         RequestBody::Streaming(upload) => Some(upload.clone()),
--- a/balancer/src/balancer/requests.rs
+++ b/balancer/src/balancer/requests.rs
@@ -19,8 +19,8 @@
     ) {
         let class = self.fleet.classes.known_id(arrival.class);
         let request = self.new_request(arrival, class, is_upload);
-        let is_past_objective =
-            request.objective_deadline <= self.fleet.now && is_worthless_late(&self.fleet, class);
+        let is_past_objective = request.expires_at <= self.fleet.now
+            || (request.objective_deadline <= self.fleet.now && is_worthless_late(&self.fleet, class));
         let admitted_fraction = self.admission.admitted_fraction(class);
         self.requests.insert(arrival.request, request);
         self.retry_budget.earn();
--- a/daemon/tests/pipelining.rs
+++ b/daemon/tests/pipelining.rs
@@ -6,8 +6,9 @@
     reason = "test code"
 )]
 
+use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use badgerpost_fakes::scripted::*;
 
@@ -56,3 +57,34 @@
     assert_eq!(ids, [Some("r1".to_owned()), Some("r4".to_owned())]);
     assert_eq!(backend.count(), 0);
 }
+
+/// Bytes that arrive while the request before is out, and in pieces: the time runs from the last of them.
+#[test]
+fn the_time_of_a_request_in_pieces_runs_from_its_last_byte() {
+    let gate = Arc::new(Gate::default());
+    let waits = gate.clone();
+    let backend = Backend::new(move |message| match message.value("x-call-id") {
+        Some("r1") => Does::Waits(waits.clone(), ok("first")),
+        _ => Does::Writes(ok("yes")),
+    });
+    let (node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    client.write(&get("r1", ""));
+    backend.next();
+    let text = post("pay", "r2", "", "body").replace("3000", "900");
+    let (head, rest) = text.split_at(text.len() - 2);
+    client.write(head);
+    thread::sleep(Duration::from_millis(200));
+    client.write(rest);
+    let last_byte = Instant::now();
+    thread::sleep(Duration::from_millis(300));
+    gate.open();
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    let waited = u64::try_from(last_byte.elapsed().as_millis()).unwrap();
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    let told = backend.next();
+    let told: u64 = told.value("x-budget-ms").unwrap().parse().unwrap();
+    let left = 900 - waited;
+    assert!(told <= left + 50, "told {told} ms, {left} left");
+    assert!(told + 100 >= left, "told {told} ms, {left} left");
+}
