--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -166,3 +166,31 @@
         began.elapsed()
     );
 }
+
+/// Each request of a burst that has been read is owed its answer before SIGKILL, while the backends hang through the whole
+/// of the shutdown: also those that are read after no more connections are taken.
+#[test]
+fn a_burst_is_answered_before_the_end_while_backends_hang() {
+    let (mut node, backend) = hanging();
+    let burst: String = (0..30)
+        .map(|n| post("pay", &format!("b{n}"), "", "0123456789").replace("3000", "1500"))
+        .collect();
+    let mut client = Client::to(node.at);
+    client.write(&burst);
+    assert_eq!(backend.next().value("x-call-id"), Some("b0"));
+    let began = Instant::now();
+    stopping(&node);
+    for n in 0..30 {
+        let answer = client.read();
+        let status = answer
+            .unwrap_or_else(|| panic!("an answer to b{n}"))
+            .status();
+        assert_eq!(status, if n == 0 { 502 } else { 503 }, "b{n}");
+    }
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(2200), "{took:?}");
+    assert!(client.is_closed());
+    drop(client);
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    assert_eq!(backend.count(), 0, "only the first one was forwarded");
+}
--- /dev/null
+++ b/daemon/tests/system_calls.rs
@@ -0,0 +1,84 @@
+//! System calls that fail as Linux documents, under a steady load: each request gets its answer all the same.
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
+
+use std::thread;
+use std::time::Duration;
+
+use badgerpost_fakes::scripted::*;
+use badgerpost_fakes::system_faults::{Call, Fault, SystemFaults};
+use serde_json::json;
+
+/// How long a load lasts.
+const LASTS: Duration = Duration::from_secs(3);
+
+fn serving() -> Backend {
+    Backend::new(|_| {
+        thread::sleep(Duration::from_millis(4));
+        Does::Writes(ok(
+            "a body of some length that comes in more than one piece",
+        ))
+    })
+}
+
+/// The requests of a load on a node with these faults that were not served. The requests may not be repeated, so that
+/// nothing hides an attempt that broke.
+fn not_served(faults: &SystemFaults) -> (usize, Vec<LoadResult>) {
+    let backends = [serving(), serving(), serving()];
+    let targets: Vec<_> = (0..)
+        .zip(&backends)
+        .map(|(n, backend)| target(&format!("s-{n}"), backend.at, "Ready"))
+        .collect();
+    let discovery = Discovery::new(json!(targets));
+    let node = Node::start_with_faults(&config(discovery.at, json!(targets)), faults);
+    let load = Load::start(node.at, "r", 20, Duration::from_millis(50), |id| {
+        post("pay", id, "", "what is paid").replace("3000", "2000")
+    });
+    thread::sleep(LASTS);
+    let results = load.stop();
+    let asked = results.len();
+    assert!(asked > 600, "{asked} requests are no load");
+    let lost = results
+        .into_iter()
+        .filter(|(_, status)| *status != Some(200))
+        .collect();
+    (asked, lost)
+}
+
+#[track_caller]
+fn all_served(faults: &SystemFaults) {
+    let (asked, lost) = not_served(faults);
+    assert!(
+        lost.is_empty(),
+        "{faults}: {} of {asked} not served: {:?}",
+        lost.len(),
+        &lost[..lost.len().min(10)]
+    );
+}
+
+/// A read that returns less than was asked for does not mean that there is no more.
+#[test]
+fn reads_that_are_short_lose_no_request() {
+    for permille in [10, 50, 500] {
+        all_served(&SystemFaults::seeded(7).with(Call::Recv, Fault::Short, permille));
+    }
+}
+
+#[test]
+fn writes_that_are_short_lose_no_request() {
+    for permille in [50, 500] {
+        all_served(&SystemFaults::seeded(7).with(Call::Send, Fault::Short, permille));
+    }
+}
+
+/// An interrupted call has done nothing: it is made again.
+#[test]
+fn calls_that_are_interrupted_lose_no_request() {
+    for call in [Call::Recv, Call::Send, Call::EpollWait] {
+        all_served(&SystemFaults::seeded(7).with(call, Fault::Error("EINTR"), 50));
+    }
+}
