Sockets: a short read does not drain a socket, an interrupted call is made again

Cause (read in the runtime's source and confirmed by the tests): its stream clears the read readiness after a read that did not fill its buffer, so that bytes that are already there bring no further event; and it returns EINTR to the HTTP library, which ends the connection.

Change: engine/tcp_stream.rs, used by the clients' and backends' side, discovery, the console and the PostgreSQL adapter: readiness is cleared by EWOULDBLOCK only, an interrupted call is made again. A trial with the runtime's AsyncFd did as well, but its constructor is deprecated for an unsafe one, and costs two more epoll_ctl a connection.

--- a/adapters/admin/src/lib.rs
+++ b/adapters/admin/src/lib.rs
@@ -19,7 +19,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use badgerpost_engine::Metrics;
+use badgerpost_engine::{Metrics, TcpStream};
 use badgerpost_lifecycle::Event;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -29,7 +29,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
 pub use lifecycle_handle::{LifecycleHandle, PendingTimer};
@@ -88,7 +87,7 @@
         let mut next = 0;
         loop {
             let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+                Ok((stream, _)) => TcpStream::from(stream),
                 Err(error) => {
                     tracing::warn!(%error, "accepting a console caller failed");
                     tokio::time::sleep(ACCEPT_AGAIN).await;
--- a/adapters/http/src/discovery.rs
+++ b/adapters/http/src/discovery.rs
@@ -12,10 +12,9 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use badgerpost_engine::{Clock, Engine, LogLimiter, Protocol, activity, spawn};
+use badgerpost_engine::{Clock, Engine, LogLimiter, Protocol, TcpStream, activity, spawn};
 
 use crate::endpoint_list::{InvalidEntry, KnownEntries, List};
 use crate::observed_stream::{NoopObserver, ObservedStream};
--- a/adapters/http/src/observed_stream.rs
+++ b/adapters/http/src/observed_stream.rs
@@ -1,7 +1,7 @@
 //! Listens in on connections: what the HTTP library does not tell, or not in time.
 
 use std::cell::RefCell;
-use std::future::{Future, poll_fn};
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,11 +12,10 @@
 
 use bytes::BytesMut;
 use hyper::Request;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, Interest, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
-use badgerpost_engine::{Clock, Metrics, activity};
+use badgerpost_engine::{Clock, Metrics, TcpStream, activity};
 
 struct ActivitySignals {
     tally: Arc<Metrics>,
@@ -224,29 +223,18 @@
             }
             self.ahead.extend_from_slice(buffer.filled());
         }
-        Poll::Ready(self.is_shut(cx))
+        Poll::Ready(self.stream.is_read_closed(cx))
     }
 
     /// Waits for something to read, and reads nothing; true with the peer's end, false with bytes.
     fn poll_parted(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
-        let mut byte = [0];
-        let found =
-            ready!(self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte))).unwrap_or_default();
-        let ended = found == 0 || self.is_shut(cx);
+        let found = ready!(self.stream.poll_peek(cx, &mut [0])).unwrap_or_default();
+        let ended = found == 0 || self.stream.is_read_closed(cx);
         if ended {
             self.connection.mark_ended();
         }
         Poll::Ready(ended)
     }
-
-    /// Whether the system knows that the peer has closed, though there are bytes before that.
-    fn is_shut(&self, cx: &mut Context<'_>) -> bool {
-        match std::pin::pin!(self.stream.ready(Interest::READABLE)).poll(cx) {
-            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
-            Poll::Ready(Err(_)) => true,
-            Poll::Pending => false,
-        }
-    }
 }
 
 /// One who does not listen: the socket's bytes are counted and no more.
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -17,11 +17,12 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use badgerpost_engine::{
-    Clock, IncomingRequest, LogLimiter, RequestClass, RequestEnd, RequestOutcome, nanos, spawn,
+    Clock, IncomingRequest, LogLimiter, RequestClass, RequestEnd, RequestOutcome, TcpStream, nanos,
+    spawn,
 };
 use badgerpost_http_framing::FramingError;
 use badgerpost_lifecycle::Stage;
@@ -136,7 +137,13 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    welcome(stream, &node, &limits.bodies, slots.take().await, &door);
+                    welcome(
+                        stream.into(),
+                        &node,
+                        &limits.bodies,
+                        slots.take().await,
+                        &door,
+                    );
                 }
                 Err(error) => {
                     log.log(|suppressed| tracing::warn!(%error, suppressed, "accepting a client failed"));
--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -17,12 +17,11 @@
 use hyper::{Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
-use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
 use badgerpost_engine::{
     BackendAddress, Clock, ConnectionCounter, HealthCheckResult, IdleCheck, IdlePool, RequestEnd,
-    Transport, activity, spawn,
+    TcpStream, Transport, activity, spawn,
 };
 
 use crate::answer::{BackendResponse, StreamingResponse};
--- a/adapters/postgres/src/login.rs
+++ b/adapters/postgres/src/login.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use badgerpost_engine::TcpStream;
 use badgerpost_postgres_session::frame::{DecodeResult, Frame, FrameDecoder};
 use badgerpost_postgres_session::scram;
 use badgerpost_postgres_session::session::ServerState;
@@ -13,7 +14,6 @@
 use postgres_protocol::authentication::sasl::{ChannelBinding, ScramSha256};
 use postgres_protocol::message::frontend;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 use crate::access::Identity;
 use crate::stream::Stream;
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -8,13 +8,12 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{BackendId, Nanos};
-use badgerpost_engine::{Clock, IdleCheck, IdlePool, nanos};
+use badgerpost_engine::{Clock, IdleCheck, IdlePool, TcpStream, nanos};
 use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::session::ServerState;
 use bytes::BytesMut;
 use postgres_protocol::message::frontend;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 
 use crate::PostgresEngine;
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use badgerpost_engine::{ConnectionCounter, ConnectionGuard, LogLimiter, spawn};
+use badgerpost_engine::{ConnectionCounter, ConnectionGuard, LogLimiter, TcpStream, spawn};
 use badgerpost_postgres_session::frame::{Frame, FrameDecoder};
 use badgerpost_postgres_session::scram::Verifier;
 use badgerpost_postgres_session::server_messages::{self, ErrorReason, TransactionStatus};
@@ -15,7 +15,7 @@
 use badgerpost_postgres_session::startup::{StartupMessage, StartupPacket, StartupReader};
 use bytes::{BufMut, BytesMut};
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::PostgresEngine;
@@ -109,7 +109,9 @@
                         let (front, stopping_session) = (self.clone(), sessions.clone());
                         let pending = self.unidentified.admit();
                         spawn(async move {
-                            front.welcome(stream, from, pending, stopping_session).await;
+                            front
+                                .welcome(stream.into(), from, pending, stopping_session)
+                                .await;
                         });
                     }
                     Err(error) => {
--- a/adapters/postgres/src/stream.rs
+++ b/adapters/postgres/src/stream.rs
@@ -4,9 +4,8 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
 
-use badgerpost_engine::activity;
+use badgerpost_engine::{TcpStream, activity};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio_rustls::TlsStream;
 
 /// A socket whose bytes are counted, for a clock in the hands of a rehearsal.
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -20,6 +20,7 @@
 mod pending_io;
 mod protocol;
 mod start_times;
+mod tcp_stream;
 mod timers;
 mod zone_monitoring;
 
@@ -35,4 +36,5 @@
     BackendCounts, ClassCounts, DroppedDatagram, Metrics, PeerMetrics, RequestEnd, ZoneMetrics,
 };
 pub use protocol::{IncomingRequest, Protocol, RequestClass, RequestOutcome, UnknownTenant};
+pub use tcp_stream::TcpStream;
 pub use zone_monitoring::{ForcedZoneState, PeerUpdate, ZoneGossip, ZoneOverride};
--- /dev/null
+++ b/engine/src/tcp_stream.rs
@@ -0,0 +1,141 @@
+//! A TCP stream that relies on no more than what Linux documents of its calls.
+//!
+//! As a reader, the runtime's own stream takes a read that did not fill its buffer for the last one until the next
+//! event, and passes an interrupted call on as an error. A read may be short though more has arrived, and then no event
+//! follows: here the socket counts as drained only when a call says so, and an interrupted call is made again.
+
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+
+/// Most bytes of one read: its buffer is cleared first, and none has to be larger than this to be read fast.
+const MAX_READ: usize = 16 * 1024;
+
+/// A connected TCP stream.
+#[derive(Debug)]
+pub struct TcpStream(tokio::net::TcpStream);
+
+impl From<tokio::net::TcpStream> for TcpStream {
+    fn from(stream: tokio::net::TcpStream) -> Self {
+        Self(stream)
+    }
+}
+
+impl TcpStream {
+    /// Connects to this address.
+    ///
+    /// # Errors
+    ///
+    /// The peer refuses, can't be reached, or the system has no socket for it.
+    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        tokio::net::TcpStream::connect(address).await.map(Self)
+    }
+
+    /// Sets whether small writes go out at once.
+    ///
+    /// # Errors
+    ///
+    /// The system refuses.
+    pub fn set_nodelay(&self, is_immediate: bool) -> io::Result<()> {
+        self.0.set_nodelay(is_immediate)
+    }
+
+    /// Waits until there is something to read, and reads nothing. Returns the number of bytes seen, 0 at the peer's end.
+    pub fn poll_peek(&self, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        let mut seen = ReadBuf::new(buffer);
+        loop {
+            let result = ready!(self.0.poll_peek(cx, &mut seen));
+            if !is_interrupted(&result) {
+                return Poll::Ready(result);
+            }
+        }
+    }
+
+    /// Whether the system knows by now that the peer has closed its side, though bytes before that may be unread.
+    pub fn is_read_closed(&self, cx: &mut Context<'_>) -> bool {
+        match pin!(self.0.ready(Interest::READABLE)).poll(cx) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
+    /// Calls `write` until it does not say "not now", waiting for the socket in between.
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&tokio::net::TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            let result = write(&self.0);
+            if !is_interrupted(&result) && !is_not_now(&result) {
+                return Poll::Ready(result);
+            }
+        }
+    }
+}
+
+/// Whether a call has done nothing and is to be made again at once.
+fn is_interrupted<T>(result: &io::Result<T>) -> bool {
+    matches!(result, Err(error) if error.kind() == io::ErrorKind::Interrupted)
+}
+
+/// Whether a call has done nothing, and an event tells when to make it again.
+fn is_not_now<T>(result: &io::Result<T>) -> bool {
+    matches!(result, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
+
+impl AsyncRead for TcpStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let size = buffer.remaining().min(MAX_READ);
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            // Unlike `poll_read`, this clears the readiness only when there is nothing to read.
+            let result = self.0.try_read(buffer.initialize_unfilled_to(size));
+            if is_interrupted(&result) || is_not_now(&result) {
+                continue;
+            }
+            buffer.advance(result?);
+            return Poll::Ready(Ok(()));
+        }
+    }
+}
+
+impl AsyncWrite for TcpStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |socket| socket.try_write(bytes))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |socket| socket.try_write_vectored(parts))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+}
