Audit: heads that cross the shutdown; two tests, failing

Found by reading: once no more connections are accepted, 0.6 s after SIGTERM, a connection on which a head comes in is ended unanswered, though a head may take 2 s and clients send until SIGKILL; and the last answer leaves by the longest deadline and 0.5 s, uncapped, where SIGKILL counts it as 3 s at most.

--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -194,3 +194,47 @@
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
     assert_eq!(backend.count(), 0, "only the first one was forwarded");
 }
+
+/// A client may take two seconds for a head. One that has begun before SIGTERM is answered, also when the head becomes
+/// whole after no more connections are taken, and whatever deadline its class has: SIGKILL comes 3.7 s after SIGTERM.
+#[test]
+fn a_head_that_becomes_whole_during_the_shutdown_is_answered_before_sigkill() {
+    let backend = Backend::new(|_| Does::Hangs);
+    let discovery = Discovery::new(json!([target("s-0", backend.at, "Ready")]));
+    let mut config = config(discovery.at, json!([]));
+    for class in 0..3 {
+        config["settings"]["classes"][class]["deadline-ns"] = json!(10_000_000_000u64);
+    }
+    let node = Node::start(&config);
+    discovery.watched_from(1);
+    let text = get("slow", "").replace("3000", "9000");
+    let (first, rest) = text.split_at(40);
+    let mut client = Client::to(node.at);
+    client.write(first);
+    std::thread::sleep(Duration::from_millis(100));
+    let began = Instant::now();
+    stopping(&node);
+    std::thread::sleep(Duration::from_millis(1200));
+    client.write(rest);
+    let answer = client.read().expect("an answer");
+    assert!(answer.status() >= 500, "{answer:?}");
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(3700), "{took:?}");
+}
+
+/// Half a head that never becomes whole is answered too: it has been read.
+#[test]
+fn half_a_head_is_answered_before_the_node_ends() {
+    let (mut node, _backend) = hanging();
+    let mut client = Client::to(node.at);
+    client.write("GET /api HTTP/1.1\r\nX-Call-Id: half");
+    std::thread::sleep(Duration::from_millis(100));
+    let began = Instant::now();
+    stopping(&node);
+    assert_eq!(client.read().expect("an answer").status(), 503);
+    assert!(client.is_closed());
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(2200), "{took:?}");
+    drop(client);
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
