Shutdown: what has been read is answered, up to the time at which SIGKILL may come

Cause: behind the closing of the listener each answer closed its connection, also over requests read behind it; a head on its way was cut off unanswered 0.6 s after SIGTERM; and deadlines above 3 s moved the last answer behind SIGKILL, which counts them as 3 s.

Change: the answer that closes is the last one of what has been read; an incomplete request is waited for until the last answer has to leave, and then told 503. A bad request whose own end is known no longer closes over what was read behind it. The connection's course moved to adapters/http/client_connection.rs.

half_a_request_line_... took an answer for a failure; it now accepts a 503 before the close, all else as before.

Daemon tests ending, hostile, leaving, life, operations, upgrade pass.

--- a/adapters/http/src/connection_limiter.rs
+++ b/adapters/http/src/connection_limiter.rs
@@ -206,6 +206,16 @@
         completed_at.map_or(0, |at| self.clock.now().saturating_sub(at))
     }
 
+    /// Whether the last byte of the request taken last has come, and what follows it is another one.
+    pub fn is_complete(&self) -> bool {
+        self.requests.borrow().completed_at().is_some()
+    }
+
+    /// Whether a request has begun to come and is not complete.
+    pub fn is_incomplete(&self) -> bool {
+        self.is_arriving() && self.has_more()
+    }
+
     /// Whether another request has begun to come behind the one that was taken last: it is owed an answer too.
     pub fn has_more(&self) -> bool {
         self.requests.borrow().has_more()
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -2,6 +2,7 @@
 //! ([`discovery`]) on sockets. What is sent where, again or not at all, the engine's module decides.
 
 mod answer;
+mod client_connection;
 mod connection_ages;
 mod connection_limiter;
 pub mod discovery;
--- a/adapters/http/src/request_queue.rs
+++ b/adapters/http/src/request_queue.rs
@@ -6,9 +6,9 @@
 use badgerpost_balancer::Nanos;
 use badgerpost_http_framing::{FramingError, FramingEvent};
 
-/// Requests sent ahead of their answers that are remembered; the parser reads no further ahead than 32 KiB, and no
-/// request is shorter than 16 bytes.
-const MAX_AHEAD: usize = 2048;
+/// Requests sent ahead of their answers that are remembered. No more can be read: 32 KiB by the parser and 16 KiB before
+/// it, and no request is shorter than 16 bytes.
+const MAX_AHEAD: usize = 4096;
 
 /// The requests of one connection.
 #[derive(Debug, Default)]
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -2,9 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::{Future, poll_fn};
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use badgerpost_balancer::{ClassId, Idempotency, Nanos};
@@ -13,33 +11,28 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use badgerpost_engine::{
-    Clock, IncomingRequest, LogLimiter, RequestClass, RequestEnd, RequestOutcome, TcpStream, nanos,
-    spawn,
+    Clock, IncomingRequest, LogLimiter, RequestClass, RequestEnd, RequestOutcome, nanos, spawn,
 };
 use badgerpost_http_framing::FramingError;
 use badgerpost_lifecycle::Stage;
 
 use crate::answer::{self, BackendResponse};
-use crate::connection_limiter::{Connection, ConnectionLimiter, ConnectionPermit, RequestTracker};
+use crate::client_connection::serve_connection;
+use crate::connection_limiter::{Connection, ConnectionLimiter};
 use crate::headers::{check_form, cookie, end_to_end, required, single};
 use crate::memory_budget::{BufferedBytes, BytesCollector, MemoryBudget};
-use crate::observed_stream::ObservedStream;
 use crate::upload::{RequestBody, Upload};
 use crate::{ForwardedRequest, Http, HttpEngine, MAX_BODY};
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-/// How often a connection that does not rest is looked at while idle ones are to end.
+/// How often a body that does not move is looked at.
 const LOOK: Duration = Duration::from_millis(50);
-const MAX_HEAD: usize = 32 * 1024;
 /// A client counts its time from its send to the last byte of the answer, so the ways there and back come
 /// off: an answer that leaves as the budget ends comes to a client that has just given up.
 const ON_THE_WAY: Nanos = 4_000_000;
@@ -137,13 +130,8 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    welcome(
-                        stream.into(),
-                        &node,
-                        &limits.bodies,
-                        slots.take().await,
-                        &door,
-                    );
+                    let permit = slots.take().await;
+                    serve_connection(stream.into(), permit, &node, &limits.bodies, &door);
                 }
                 Err(error) => {
                     log.log(|suppressed| tracing::warn!(%error, suppressed, "accepting a client failed"));
@@ -163,96 +151,7 @@
     sweeper.abort();
 }
 
-fn welcome(
-    stream: TcpStream,
-    node: &HttpEngine,
-    bodies: &MemoryBudget,
-    guard: ConnectionPermit,
-    door: &ServerHandle,
-) {
-    let (node, bodies, door) = (node.clone(), bodies.clone(), door.clone());
-    spawn(async move {
-        tokio::select! {
-            biased;
-            () = guard.slot().closed() => {}
-            result = converse(stream, node, bodies, guard.slot(), door) => {
-                result.unwrap_or_else(|error| tracing::debug!(%error, "client connection failed"));
-            }
-        }
-    });
-}
-
-#[derive(Debug, thiserror::Error)]
-enum ConnectionError {
-    #[error(transparent)]
-    Socket(#[from] std::io::Error),
-    #[error(transparent)]
-    Http(#[from] hyper::Error),
-}
-
-async fn converse(
-    stream: TcpStream,
-    node: HttpEngine,
-    bodies: MemoryBudget,
-    slot: &Rc<Connection>,
-    door: ServerHandle,
-) -> Result<(), ConnectionError> {
-    stream.set_nodelay(true)?;
-    let service = service_fn(|request| answer(&node, &bodies, slot, request, &door));
-    let tap = ObservedStream::new(stream, RequestTracker::new(slot.clone()));
-    let mut connection = http1::Builder::new()
-        .max_buf_size(MAX_HEAD)
-        .serve_connection(TokioIo::new(tap.clone()), service);
-    let result = {
-        // The library looks for its client's end only while nothing has come behind the request.
-        let mut left = std::pin::pin!(tap.left(node.clock()));
-        let gone = poll_fn(|cx| {
-            if slot.is_awaited() {
-                left.as_mut().poll(cx)
-            } else {
-                Poll::Pending
-            }
-        });
-        tokio::select! {
-            biased;
-            result = &mut connection => Some(result),
-            () = gone => return Ok(()),
-            () = slot.ends() => None,
-            () = ends_at_rest(slot, door.stage.clone(), node.clock()) => None,
-        }
-    };
-    drop(connection);
-    if result.as_ref().is_some_and(Result::is_err) || slot.told_off() {
-        slot.leaving();
-        tap.part_reading().await;
-    } else {
-        slot.parting();
-        tap.part(node.clock()).await;
-    }
-    Ok(result.unwrap_or(Ok(()))?)
-}
-
-/// Resolves once the node closes idle connections and nothing stands on this one. One that has just come is closed by
-/// its first answer: closing it sooner would lose the request for which it was opened. What has begun to come is waited
-/// for until no more connections are taken.
-async fn ends_at_rest(slot: &Connection, mut stage: watch::Receiver<Stage>, clock: &Clock) {
-    loop {
-        // The sender lives as long as the process.
-        let Ok(stage) = stage
-            .wait_for(|stage| stage.closes_idle())
-            .await
-            .map(|stage| *stage)
-        else {
-            return;
-        };
-        if slot.rests() || (slot.is_arriving() && stage == Stage::Closed) {
-            return;
-        }
-        clock.sleep(LOOK).await;
-    }
-}
-
-async fn answer(
+pub(crate) async fn answer(
     node: &HttpEngine,
     bodies: &MemoryBudget,
     slot: &Rc<Connection>,
@@ -288,10 +187,10 @@
         _ => (plain(StatusCode::NOT_FOUND, "no such path"), true),
     };
     let mut response = response;
-    // Where one request made no sense there is no telling where the next one begins.
-    // A request that has been read behind this one is owed an answer too, as long as there is time for that.
-    let ends = !serving() || slot.is_surplus();
-    if bad || (ends && !slot.has_more()) || *door.stage.borrow() == Stage::Closed {
+    // Where a request is not complete, or its framing made no sense, there is no telling where the next one begins. All
+    // that have been read behind one that is complete are owed their answers too.
+    let ends = bad || !serving() || slot.is_surplus();
+    if !slot.is_complete() || (ends && !slot.has_more()) {
         response
             .headers_mut()
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -41,9 +41,11 @@
 const BACKLOG: u32 = 1024;
 /// Orders of the operators that wait for the serving thread, which takes them at once.
 const ORDERS: usize = 16;
-/// The last answer has left this long after the longest deadline, counted from the signal to end: SIGKILL comes 0.7 s
-/// after it at the soonest, by the platform's protocol.
+/// The last answer to what comes after the signal to end has left this long after the longest deadline, counted from the
+/// signal: SIGKILL comes 0.7 s after it at the soonest, by the platform's protocol.
 const LEAVES_AFTER: Duration = Duration::from_millis(500);
+/// A longer deadline counts as this there.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
 /// Transactions that are under way at the end are waited for so long.
 const TRANSACTIONS_END: Duration = Duration::from_secs(10);
 
@@ -212,9 +214,9 @@
         }
         tracing::info!(node = edge.name, "stopping");
         // Whatever comes until then is answered by then, also where nobody answers this node.
-        leaves.set(Some(
-            clock.now().saturating_add(nanos(deadline + LEAVES_AFTER)),
-        ));
+        leaves.set(Some(clock.now().saturating_add(nanos(
+            deadline.min(LONGEST_COUNTED) + LEAVES_AFTER,
+        ))));
         life.tell(Event::Stop);
         stop.send_replace(true);
         let _ = life.stage().wait_for(|stage| *stage == Stage::Closed).await;
--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -146,7 +146,7 @@
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
 }
 
-/// Half a request line is nobody's request: the connection ends, and the node does not wait for the rest.
+/// Half a request line is told that the node ends, and the node does not wait for the rest.
 #[test]
 fn half_a_request_line_does_not_keep_the_node_from_ending() {
     let backend = Backend::new(|_| Does::Writes(ok("yes")));
@@ -157,6 +157,9 @@
     assert_eq!(node.ask(&get("l1", "")).status(), 200);
     let began = Instant::now();
     stopping(&node);
+    if let Some(answer) = client.read() {
+        assert_eq!(answer.status(), 503);
+    }
     assert!(client.is_closed());
     drop(client);
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
