Audit: tests of clauses at their limits, three of them failing

New tests, green: requests with 0 to 14 ms left (480; failed only where an attempt went out, refused only where none did), a node held up 0.15 s before each write, a server that accepts nothing, signals in series, a client that reads the last answer after the node's end, a client that leaves while its retry connects, late answers of discovery's addresses before.

Failing: a body of 70 kB that stops is told so after 4.2 s (3 s owed); a request of 100 kB that waits for a server loses its connection to a crowd, with no answer; an answer of unknown length that breaks off looks whole to a client of HTTP/1.0.

--- a/daemon/tests/ending.rs
+++ b/daemon/tests/ending.rs
@@ -241,3 +241,52 @@
     drop(client);
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
 }
+
+/// Signals in series, while requests are open: each is answered, and the node ends once.
+#[test]
+fn signals_in_series_lose_no_request() {
+    let backend = Backend::new(|_| {
+        std::thread::sleep(Duration::from_millis(400));
+        Does::Writes(ok("yes"))
+    });
+    let (mut node, _discovery) = Node::with(&[&backend]);
+    for round in 0..2 {
+        let mut open: Vec<Client> = (0..10).map(|_| Client::to(node.at)).collect();
+        for (n, client) in open.iter_mut().enumerate() {
+            client.write(&post("pay", &format!("s{round}-{n}"), "", "body"));
+        }
+        let signals: &[&str] = match round {
+            0 => &["-HUP", "-HUP", "-HUP"],
+            _ => &["-HUP", "-TERM", "-HUP", "-INT", "-TERM", "-INT", "-HUP"],
+        };
+        for signal in signals {
+            node.signal(signal);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        for (n, client) in open.iter_mut().enumerate() {
+            let answer = client
+                .read()
+                .unwrap_or_else(|| panic!("an answer to s{round}-{n}"));
+            assert_eq!(answer.status(), 200, "s{round}-{n}");
+        }
+    }
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    assert_eq!(node.count("stopping node="), 1);
+}
+
+/// The last answer has left before the process is gone, also to a client that reads late: a close over what it has not
+/// read yet would take it away.
+#[test]
+fn the_last_answer_reaches_a_client_that_reads_after_the_end() {
+    let body = "b".repeat(60_000);
+    let text = ok(&body);
+    let backend = Backend::new(move |_| Does::Writes(text.clone()));
+    let (mut node, _discovery) = Node::with(&[&backend]);
+    let mut client = Client::to(node.at);
+    client.write(&get("last", ""));
+    assert_eq!(backend.next().value("x-call-id"), Some("last"));
+    stopping(&node);
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), answer.body.len()), (200, body.len()));
+}
--- a/daemon/tests/leaving.rs
+++ b/daemon/tests/leaving.rs
@@ -201,3 +201,29 @@
     drop(client);
     let _ = writer.join();
 }
+
+/// The same with a retry: the first attempt broke, the connection of the second one comes up when its client has left.
+#[test]
+fn nothing_is_written_for_a_client_that_left_while_its_retry_was_connecting() {
+    let late = Late::new();
+    let (node, discovery) = holding(|config| {
+        config["settings"]["policy-limits"]["connect-timeout-ns"] = json!(5_000_000_000u64);
+    });
+    let breaks = Backend::new(|_| Does::Ends(String::new()));
+    discovery.set(json!([
+        target("s-0", breaks.at, "Ready"),
+        target("s-1", late.at, "Ready")
+    ]));
+    discovery.watched_from(2);
+    // Whichever server is chosen first, both are tried.
+    let mut clients: Vec<Client> = (0..6).map(|_| Client::to(node.at)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write(&get(&format!("gone{n}"), ""));
+    }
+    breaks.next();
+    late.is_tried();
+    drop(clients);
+    settle(&node);
+    late.lets_in();
+    assert_eq!(late.reads(Duration::from_millis(300)), "");
+}
--- a/daemon/tests/life.rs
+++ b/daemon/tests/life.rs
@@ -328,6 +328,39 @@
     assert_eq!(node.ask(&get("u9", "")).body, b"other");
 }
 
+/// Two new configurations within one call that discovery is slow to answer: what the addresses before answer later counts
+/// no more.
+#[test]
+fn late_answers_of_the_addresses_before_count_no_more() {
+    let (old, stale, new) = (serving("old"), serving("stale"), serving("new"));
+    let list = |server: &Backend, uid: &str| {
+        let targets = [target(uid, server.at, "Ready")];
+        ok(&json!({"rev": 7, "all": true, "targets": targets}).to_string())
+    };
+    let gate = Arc::new(Gate::default());
+    let first_list = list(&old, "s-0");
+    let (waits, late_list) = (gate.clone(), list(&stale, "s-1"));
+    let first = Backend::new(move |message| match message.first.contains("from=") {
+        false => Does::Writes(first_list.clone()),
+        true => Does::Waits(waits.clone(), late_list.clone()),
+    });
+    let (waits, late_list) = (gate.clone(), list(&stale, "s-2"));
+    let second = Backend::new(move |_| Does::Waits(waits.clone(), late_list.clone()));
+    let node = Node::start(&config(first.at, json!([])));
+    first.next();
+    first.next();
+    node.reconfigure(&config(second.at, json!([])).to_string());
+    second.next();
+    let third = Discovery::new(json!([target("s-3", new.at, "Ready")]));
+    node.reconfigure(&config(third.at, json!([])).to_string());
+    third.watched_from(1);
+    gate.open();
+    for n in 0..20 {
+        assert_eq!(node.ask(&get(&format!("l{n}"), "")).body, b"new");
+        thread::sleep(std::time::Duration::from_millis(10));
+    }
+}
+
 /// What a newcomer sees first, and what an operator asks before a change.
 #[test]
 fn the_command_line_explains_itself() {
--- /dev/null
+++ b/daemon/tests/limits.rs
@@ -0,0 +1,193 @@
+//! Clauses of the pages at their limits: next to no time left, bodies that stop, connections under pressure, and answers
+//! that a client of HTTP/1.0 has to tell from whole ones.
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
+
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use badgerpost_fakes::scripted::*;
+use badgerpost_fakes::system_faults::{Call, Fault, SystemFaults};
+use serde_json::json;
+
+/// What a bad client is owed its error or close within.
+const BAD_CLIENT_LIMIT: Duration = Duration::from_secs(3);
+
+/// A request that may not be repeated is failed only where an attempt went out, and refused only where none did, however
+/// little time it has.
+#[test]
+fn with_next_to_no_time_a_request_is_failed_only_if_an_attempt_went_out() {
+    let backend = Backend::new(|_| {
+        thread::sleep(Duration::from_millis(4));
+        Does::Writes(ok("yes"))
+    });
+    let (node, _discovery) = Node::with(&[&backend]);
+    let at = node.at;
+    let clients: Vec<_> = (0..8u64)
+        .map(|client| {
+            thread::spawn(move || {
+                let mut answers = Vec::new();
+                for n in 0..60u64 {
+                    let id = format!("t{client}-{n}");
+                    let budget = (n % 15).to_string();
+                    let text = post("pay", &id, "", "b").replace("3000", &budget);
+                    let answer = Client::to(at).ask(&text).expect("an answer");
+                    answers.push((id, budget, answer.status()));
+                }
+                answers
+            })
+        })
+        .collect();
+    let answers: Vec<_> = clients
+        .into_iter()
+        .flat_map(|client| client.join().unwrap())
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    let reached: HashSet<String> = backend
+        .got
+        .try_iter()
+        .filter_map(|message| message.value("x-call-id").map(str::to_owned))
+        .collect();
+    for (id, budget, status) in answers {
+        let went_out = reached.contains(&id);
+        let wanted: &[u16] = if went_out { &[200, 502] } else { &[503] };
+        assert!(
+            wanted.contains(&status),
+            "{id} with {budget} ms: {status}, at the server: {went_out}"
+        );
+    }
+}
+
+/// Clients that stop in the middle of a body of any size and stay are told so within 3 s of their last byte.
+#[test]
+fn a_large_body_that_stops_is_ended_in_time() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let chunk = format!("{:x}\r\n{}\r\n", 50_000, "b".repeat(50_000));
+    let chunked_head = post("pay", "chunked", "Transfer-Encoding: chunked\r\n", "")
+        .replace("Content-Length: 0\r\n", "");
+    let whole = post("pay", "length", "", &"b".repeat(1_000_000));
+    let plays: Vec<_> = [
+        ("70 kB", whole[..70_000].to_owned()),
+        ("300 kB", whole[..300_000].replace("length", "lengthy")),
+        ("300 kB in chunks", chunked_head + &chunk.repeat(6)),
+    ]
+    .into_iter()
+    .map(|(what, text)| {
+        let mut client = Client::to(node.at);
+        thread::spawn(move || {
+            client.write(&text);
+            let began = Instant::now();
+            if let Some(answer) = client.read() {
+                assert_eq!(answer.status(), 408, "{what}");
+            }
+            (what, began.elapsed())
+        })
+    })
+    .collect();
+    for play in plays {
+        let (what, took) = play.join().unwrap();
+        assert!(took < BAD_CLIENT_LIMIT, "{what}: {took:?}");
+    }
+    assert_eq!(backend.count(), 0);
+}
+
+/// The client has sent all of its request, and waits: its connection makes no room for a crowd, though no server takes
+/// the body yet.
+#[test]
+fn a_request_whose_body_waits_for_a_server_makes_no_room() {
+    let discovery = Discovery::new(json!([]));
+    let mut config = config(discovery.at, json!([]));
+    // Sixteen of these are for clients.
+    config["limits"]["sockets"] = json!(50);
+    let node = Node::start(&config);
+    discovery.watched_from(1);
+    let mut client = Client::to(node.at);
+    client.write(&post("pay", "large", "", &"b".repeat(100_000)).replace("3000", "2000"));
+    thread::sleep(Duration::from_millis(700));
+    let _crowd: Vec<Client> = (0..40).map(|_| Client::to(node.at)).collect();
+    assert_eq!(client.read().expect("an answer").status(), 503);
+}
+
+/// An answer of unknown length ends with its connection for a client of HTTP/1.0: one that breaks off must not look whole.
+#[test]
+fn a_broken_answer_of_unknown_length_does_not_look_whole_to_a_client_of_http_1_0() {
+    let chunk = format!("{:x}\r\n{}\r\n", 100_000, "b".repeat(100_000));
+    let chunked = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}");
+    let bare = format!("HTTP/1.1 200 OK\r\n\r\n{}", "b".repeat(100_000));
+    for text in [chunked, bare] {
+        let backend = Backend::new(move |_| Does::Resets(text.clone()));
+        let (node, _discovery) = Node::with(&[&backend]);
+        let mut stream = Client::to(node.at).stream();
+        let request = get("old", "").replace("HTTP/1.1", "HTTP/1.0");
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut all = Vec::new();
+        let read = stream.read_to_end(&mut all);
+        assert!(read.is_err(), "{} bytes and a clean end", all.len());
+    }
+}
+
+/// A node that is held up for 0.15 s before each of its writes: the deadline told is at most what is left, with 0.15 s of
+/// slack, in the first attempt and in the retry.
+#[test]
+fn the_deadline_told_by_a_node_that_is_held_up_is_within_its_slack() {
+    let arrivals: Arc<Mutex<Vec<(String, Instant, i64)>>> = Arc::default();
+    let recording = |answer: String| {
+        let arrivals = arrivals.clone();
+        Backend::new(move |message| {
+            let value = |name| message.value(name).unwrap().to_owned();
+            let told = value("x-budget-ms").parse().unwrap();
+            let arrival = (value("x-call-id"), Instant::now(), told);
+            arrivals.lock().unwrap().push(arrival);
+            Does::Writes(answer.clone())
+        })
+    };
+    let refusing = recording(status(503, "X-Rejected: 1\r\n"));
+    let serving = recording(ok("yes"));
+    let targets = json!([
+        target("s-0", refusing.at, "Ready"),
+        target("s-1", serving.at, "Ready")
+    ]);
+    let discovery = Discovery::new(targets.clone());
+    let faults = SystemFaults::seeded(3).with(Call::Send, Fault::Hold, 1000);
+    let node = Node::start_with_faults(&config(discovery.at, targets), &faults);
+    for n in 0..6 {
+        let mut client = Client::to(node.at);
+        let id = format!("h{n}");
+        let began = Instant::now();
+        client.write(&post("pay", &id, "", "").replace("3000", "1000"));
+        assert!(client.read().is_some(), "{id}");
+        for (_, at, told) in arrivals
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|arrival| arrival.0 == id)
+        {
+            let left = 1000 - i64::try_from((*at - began).as_millis()).unwrap();
+            assert!(*told <= left + 150, "{id}: told {told}, {left} left");
+        }
+    }
+    let retries = arrivals.lock().unwrap().len() - 6;
+    assert!(retries > 0, "no retry was seen");
+}
+
+/// A listener whose queue is never emptied keeps nobody waiting beyond the client's time.
+#[test]
+fn a_server_that_accepts_nothing_costs_no_answer() {
+    let deaf = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listed = json!([target("s-0", deaf.local_addr().unwrap(), "Ready")]);
+    let discovery = Discovery::new(listed.clone());
+    let node = Node::start(&config(discovery.at, listed));
+    let began = Instant::now();
+    let answer = node.ask(&post("pay", "deaf", "", "").replace("3000", "500"));
+    assert_eq!(answer.status(), 502, "it may have run");
+    assert!(began.elapsed() < Duration::from_millis(700));
+}
