Uploads: a client that stops is told in 3 s, one that waits for a server makes no room

- A body had 32 kB a second from its head on, however long it had stopped: 70 kB gave it 4.2 s.
Now 2.3 s without a byte end it, and the pace counts only the time in which its client is waited for; before, a slow server's time counted against the client.
- A connection whose upload waits for a server counted as stopped half way and was closed for others, unanswered: it makes no room now.
- A streamed answer of unknown length that breaks off ends by a reset for a client of HTTP/1.0, which knows an end by the connection only.

--- a/adapters/http/src/answer.rs
+++ b/adapters/http/src/answer.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Version;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use badgerpost_balancer::ClassId;
@@ -71,6 +72,8 @@
     slot: Rc<Connection>,
     tally: std::sync::Arc<Metrics>,
     class: ClassId,
+    /// Its client knows its end by that of the connection only.
+    ends_with_connection: bool,
 }
 
 impl StreamingResponseBody {
@@ -80,6 +83,7 @@
         slot: Rc<Connection>,
         tally: std::sync::Arc<Metrics>,
         class: ClassId,
+        version: Version,
     ) -> Self {
         let StreamingResponse {
             first,
@@ -97,6 +101,7 @@
             slot,
             tally,
             class,
+            ends_with_connection: version == Version::HTTP_10 && left.is_none(),
         }
     }
 
@@ -133,6 +138,9 @@
                 }
                 // The client's connection ends in the midst of the body, so that it can tell.
                 Some(Err(error)) => {
+                    if self.ends_with_connection {
+                        self.slot.set_broken();
+                    }
                     self.end(Some(RequestEnd::Failed));
                     return Poll::Ready(Some(Err(error)));
                 }
--- a/adapters/http/src/client_connection.rs
+++ b/adapters/http/src/client_connection.rs
@@ -78,6 +78,7 @@
     let end = serve_requests(&stream, node, bodies, slot, door).await;
     let may_still_write = match &end {
         ConnectionEnd::ClientLeft => return Ok(()),
+        ConnectionEnd::Library(_) if slot.is_broken() => return Ok(stream.reset()?),
         ConnectionEnd::Shutdown if slot.is_incomplete() => {
             slot.leaving();
             stream.clone().write_all(SHUTDOWN).await?;
--- a/adapters/http/src/connection_limiter.rs
+++ b/adapters/http/src/connection_limiter.rs
@@ -16,8 +16,8 @@
 
 /// A head is whole this long after its first byte, the first one of a connection this long after the connect:
 /// clients are owed an answer or a close within 3 s. Bytes that trickle in do not prolong it. A body that stops has
-/// as long.
-const WHOLE_WITHIN: Duration = Duration::from_millis(2300);
+/// as long from then on.
+pub(crate) const WHOLE_WITHIN: Duration = Duration::from_millis(2300);
 /// A body may come this slowly, in bytes a second, from its head on: half of what clients in service need at least.
 const SLOWEST: u64 = 32 * 1024;
 /// An answer that is passed on goes on as long as something moves: a reader at that pace takes this long to empty the
@@ -88,8 +88,12 @@
     awaited: Cell<bool>,
     /// Bytes that have come since the head was taken.
     received: Cell<u64>,
+    /// The body that comes in waits for a server.
+    blocked: Cell<bool>,
     /// The last answer told of a bad request, of which more may come.
     told_off: Cell<bool>,
+    /// The last answer has broken off, and its client can't tell that by its form.
+    broken: Cell<bool>,
     close: Notify,
     part: Notify,
     idle: Rc<Idle>,
@@ -112,7 +116,9 @@
             requests: RefCell::default(),
             awaited: Cell::new(false),
             received: Cell::new(0),
+            blocked: Cell::new(false),
             told_off: Cell::new(false),
+            broken: Cell::new(false),
             close: Notify::new(),
             part: Notify::new(),
             clock,
@@ -197,6 +203,7 @@
             },
         );
         self.received.set(0);
+        self.blocked.set(false);
         self.requests.borrow_mut().take()
     }
 
@@ -247,13 +254,35 @@
         ResponseWait(self)
     }
 
-    /// When the body has to have come, by what has come of it so far.
+    /// The time that a body may take by what has come of it so far.
+    pub fn paid(&self) -> Nanos {
+        self.received.get().saturating_mul(1_000_000_000) / SLOWEST
+    }
+
+    /// When the body has to have come, by what has come of it so far, and when.
     pub fn received_by(&self) -> Nanos {
-        let paid = self.received.get().saturating_mul(1_000_000_000) / SLOWEST;
-        self.since
+        let most = nanos(WHOLE_WITHIN);
+        let by_pace = self
+            .since
             .get()
-            .saturating_add(nanos(WHOLE_WITHIN))
-            .saturating_add(paid)
+            .saturating_add(most)
+            .saturating_add(self.paid());
+        by_pace.min(self.heard.get().saturating_add(most))
+    }
+
+    /// Whether a body that is on its way waits for a server, and not for its client.
+    pub fn set_blocked(&self, is_blocked: bool) {
+        self.blocked.set(is_blocked);
+    }
+
+    /// An answer that ends with the connection has broken off: only a reset shows that.
+    pub fn set_broken(&self) {
+        self.broken.set(true);
+    }
+
+    /// Whether the connection has to end by a reset.
+    pub fn is_broken(&self) -> bool {
+        self.broken.get()
     }
 
     /// Whether all of the last request has been taken.
@@ -350,6 +379,7 @@
             }
             ConnectionState::Silent => (1, SILENT_LEAST, self.since.get()),
             ConnectionState::Idle => (2, IDLE_LEAST, self.since.get()),
+            ConnectionState::Receiving if self.blocked.get() => return None,
             ConnectionState::Arriving | ConnectionState::Receiving => {
                 (3, STOPPED_LEAST, self.heard.get())
             }
--- a/adapters/http/src/observed_stream.rs
+++ b/adapters/http/src/observed_stream.rs
@@ -187,6 +187,11 @@
         while line.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
     }
 
+    /// Has the connection end by a reset, once its last handle is dropped.
+    pub fn reset(&self) -> io::Result<()> {
+        self.0.borrow().stream.set_reset_on_close()
+    }
+
     async fn shut(&self) {
         // It may have been shut already, or be broken: then the wait for its end is over at once.
         let _ = poll_fn(|cx| Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)).await;
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -23,7 +23,7 @@
 
 use crate::answer::{self, BackendResponse};
 use crate::client_connection::serve_connection;
-use crate::connection_limiter::{Connection, ConnectionLimiter};
+use crate::connection_limiter::{Connection, ConnectionLimiter, WHOLE_WITHIN};
 use crate::headers::{check_form, cookie, end_to_end, required, single};
 use crate::memory_budget::{BufferedBytes, BytesCollector, MemoryBudget};
 use crate::upload::{RequestBody, Upload};
@@ -310,7 +310,7 @@
         waiting.into_outcome().await
     };
     Ok(worded(reply, |begun| {
-        answer::StreamingResponseBody::new(begun, slot.clone(), node.metrics(), class)
+        answer::StreamingResponseBody::new(begun, slot.clone(), node.metrics(), class, head.version)
     }))
 }
 
@@ -324,9 +324,14 @@
 /// that its client knows, and nobody takes the rest, which then never ran anywhere.
 async fn stuck(clock: &Clock, slot: &Connection, upload: &Upload, left: Nanos) -> StalledBody {
     loop {
-        let (due, who) = match upload.waits_since() {
-            Some(since) => (since.saturating_add(left), StalledBody::AtBackend),
-            None => (slot.received_by(), StalledBody::AtClient),
+        let client_due = upload.stalls_at(nanos(WHOLE_WITHIN), slot.paid());
+        slot.set_blocked(client_due.is_none());
+        let (due, who) = match (client_due, upload.waits_since()) {
+            (Some(due), _) => (due, StalledBody::AtClient),
+            (None, since) => {
+                let since = since.unwrap_or(clock.now());
+                (since.saturating_add(left), StalledBody::AtBackend)
+            }
         };
         if clock.now() >= due {
             return who;
--- a/adapters/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -63,7 +63,7 @@
     pub fn abandon(&self) {
         if let Self::Streaming(upload) = self {
             upload.turn.set(upload.turn.get() + 1);
-            upload.starved.set(false);
+            upload.set_starved(false);
         }
     }
 }
@@ -81,8 +81,10 @@
     broken: Cell<bool>,
     whole: Cell<bool>,
     ended: Notify,
-    /// Whoever takes of it waits for its client, and not the other way round.
-    starved: Cell<bool>,
+    /// Since when whoever takes of it waits for its client; none where its client waits for somebody to take of it.
+    starved_since: Cell<Option<Nanos>>,
+    /// How long its client has been waited for before that.
+    client_wait: Cell<Nanos>,
     /// When it was made, or last moved.
     moved: Cell<Nanos>,
     clock: Clock,
@@ -97,7 +99,8 @@
         clock: &Clock,
     ) -> Rc<Self> {
         Rc::new(Self {
-            starved: Cell::new(false),
+            starved_since: Cell::new(None),
+            client_wait: Cell::new(0),
             moved: Cell::new(clock.now()),
             clock: clock.clone(),
             first,
@@ -118,7 +121,32 @@
 
     /// Since when its client waits for somebody to take of it; none while it is the client that is waited for.
     pub fn waits_since(&self) -> Option<Nanos> {
-        (!self.starved.get()).then_some(self.moved.get())
+        let is_starved = self.starved_since.get().is_some();
+        (!is_starved).then_some(self.moved.get())
+    }
+
+    /// When its client has kept it waiting for too long: for `most` in one go, or for `most` and `paid` in all.
+    pub fn stalls_at(&self, most: Nanos, paid: Nanos) -> Option<Nanos> {
+        let since = self.starved_since.get()?;
+        let left = most
+            .saturating_add(paid)
+            .saturating_sub(self.client_wait.get());
+        Some(since.saturating_add(left.min(most)))
+    }
+
+    /// Notes whether its client is waited for now.
+    fn set_starved(&self, is_starved: bool) {
+        let now = self.clock.now();
+        match (self.starved_since.get(), is_starved) {
+            (None, true) => self.starved_since.set(Some(now)),
+            (Some(since), false) => {
+                self.starved_since.set(None);
+                let waited = now.saturating_sub(since);
+                self.client_wait
+                    .set(self.client_wait.get().saturating_add(waited));
+            }
+            _ => {}
+        }
     }
 
     /// Resolves once its last byte has been taken.
@@ -165,7 +193,7 @@
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if self.turn != self.upload.turn.get() {
-            self.upload.starved.set(false);
+            self.upload.set_starved(false);
             return Poll::Ready(Some(Err(io::Error::other("the attempt has ended"))));
         }
         if let Some(first) = self.first.take() {
@@ -173,7 +201,7 @@
         }
         loop {
             let polled = Pin::new(&mut *self.upload.rest.borrow_mut()).poll_frame(cx);
-            self.upload.starved.set(polled.is_pending());
+            self.upload.set_starved(polled.is_pending());
             let frame = std::task::ready!(polled);
             self.upload.moved.set(self.upload.clock.now());
             match frame {
