Audit: a drain told while a connect comes up, HTTP/1.0 behind a long line; tests, failing

Both by reading. A request is written to a server up to half the grace (0.25 s) after the node knows that it drains: with two holds of 0.15 s and the repeat of a call to an agent that comes back (0.15 s) the whole of it is used up. A request line above 256 bytes hides HTTP/1.0, so that a coding is taken for chunks where the HTTP library may read otherwise.

--- a/core/http-framing/src/framer/tests.rs
+++ b/core/http-framing/src/framer/tests.rs
@@ -196,3 +196,19 @@
         }
     }
 }
+
+/// A coding is nothing that HTTP/1.0 knows, however long the request line is that says so at its end.
+#[test]
+fn a_coding_is_rejected_for_http_1_0_behind_a_request_line_of_any_length() {
+    for length in [1, 200, 256, 1000, 30_000] {
+        let target = "x".repeat(length);
+        let text = format!("POST /{target} HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n");
+        assert_eq!(
+            events(&[text.as_bytes()]).last(),
+            Some(&FramingEvent::HeadComplete(Err(
+                FramingError::UnsupportedCoding
+            ))),
+            "{length}"
+        );
+    }
+}
--- a/daemon/tests/limits.rs
+++ b/daemon/tests/limits.rs
@@ -184,6 +184,28 @@
     assert!(retries > 0, "no retry was seen");
 }
 
+/// A connect that comes up while its server begins to drain is not written to. The grace of 0.5 s has to cover a node that is held
+/// up for 0.15 s twice, before it hears of the drain and before it writes, so nothing of it is used on purpose.
+#[test]
+fn nothing_is_written_to_a_server_whose_drain_is_known_as_its_connection_comes_up() {
+    let late = badgerpost_fakes::late::Late::new();
+    let listed = json!([target("s-0", late.at, "Ready")]);
+    let discovery = Discovery::new(listed.clone());
+    let mut config = config(discovery.at, listed);
+    config["settings"]["policy-limits"]["connect-timeout-ns"] = json!(5_000_000_000u64);
+    config["settings"]["rules"]["drain-grace-ns"] = json!(3_000_000_000u64);
+    let node = Node::start(&config);
+    discovery.watched_from(1);
+    let mut client = Client::to(node.at);
+    client.write(&get("d0", ""));
+    late.is_tried();
+    discovery.set(json!([target("s-0", late.at, "Terminating")]));
+    discovery.watched_from(2);
+    late.lets_in();
+    assert_eq!(late.reads(Duration::from_millis(300)), "");
+    assert_eq!(client.read().expect("an answer").status(), 503);
+}
+
 /// A listener whose queue is never emptied keeps nobody waiting beyond the client's time.
 #[test]
 fn a_server_that_accepts_nothing_costs_no_answer() {
