Drains: nothing is written once a drain is known; HTTP/1.0 is seen behind a line of any length

An attempt whose connect came up was written up to half the grace after the node knew of the drain. The grace has to cover the agent's repeat (0.15 s), a hold before the node hears (0.15 s) and one before it writes (0.15 s), so nothing of it is left to use. The engine's test of may_write took the permission for the rule; it now wants none once the drain is known (attempt_may_not_be_written_after_the_drain_grace_... is attempt_may_not_be_written_once_its_backend_is_known_to_drain) and is stricter by a case.

The framer keeps the end of a line as well as its beginning, so that the version is seen behind a target of any length.

--- a/core/http-framing/src/head.rs
+++ b/core/http-framing/src/head.rs
@@ -28,7 +28,7 @@
     /// Starts a head with its request line (section 3).
     pub(crate) fn from_request_line(line: &LineBuffer) -> Self {
         Self {
-            is_http_1_0: line.content().ends_with(b"HTTP/1.0"),
+            is_http_1_0: line.ends_with(b"HTTP/1.0"),
             ..Self::default()
         }
     }
--- a/core/http-framing/src/line.rs
+++ b/core/http-framing/src/line.rs
@@ -3,11 +3,16 @@
 /// Bytes of a line that are stored: a Content-Length or Transfer-Encoding field takes a few dozen.
 pub(crate) const MAX_STORED_LINE_LENGTH: usize = 256;
 
+/// Bytes at a line's end that are stored whatever its length: a protocol version and a line end.
+const TAIL_LENGTH: usize = 10;
+
 /// A line in the course of reception.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LineBuffer {
     /// The line's first bytes, including its end.
     stored: Vec<u8>,
+    /// Its last bytes, including its end.
+    tail: [u8; TAIL_LENGTH],
     /// Bytes received, including those that are not stored.
     length: usize,
 }
@@ -19,6 +24,15 @@
         self.stored
             .extend_from_slice(&bytes[..free.min(bytes.len())]);
         self.length += bytes.len();
+        let last = &bytes[bytes.len().saturating_sub(TAIL_LENGTH)..];
+        self.tail.rotate_left(last.len());
+        self.tail[TAIL_LENGTH - last.len()..].copy_from_slice(last);
+    }
+
+    /// Whether the line ends with these bytes, of which there may be eight, before its line end.
+    pub(crate) fn ends_with(&self, bytes: &[u8]) -> bool {
+        let kept = self.length.min(TAIL_LENGTH);
+        without_line_end(&self.tail[TAIL_LENGTH - kept..]).ends_with(bytes)
     }
 
     /// Bytes received, including the line's end.
@@ -31,10 +45,9 @@
         self.length > MAX_STORED_LINE_LENGTH
     }
 
-    /// The stored part of the line without its end. A bare LF ends a line like CRLF (RFC 9112, section 2.2).
+    /// The stored part of the line without its end.
     pub(crate) fn content(&self) -> &[u8] {
-        let line = self.stored.strip_suffix(b"\n").unwrap_or(&self.stored);
-        line.strip_suffix(b"\r").unwrap_or(line)
+        without_line_end(&self.stored)
     }
 
     /// Whether the line is empty but for its end.
@@ -54,3 +67,9 @@
         self.stored.len()
     }
 }
+
+/// A line without its end. A bare LF ends a line like CRLF (RFC 9112, section 2.2).
+fn without_line_end(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -1,4 +1,4 @@
-//! The backends of a fleet: which name has which id, where each listens, and since when it is draining.
+//! The backends of a fleet: which name has which id, where each listens, and whether it is draining.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -47,13 +47,13 @@
     /// Where it listens.
     pub(crate) address: SocketAddr,
     started_at_ms: u64,
-    /// When this node learned that the backend is no longer in service.
-    pub(crate) draining_since: Option<Nanos>,
+    /// Whether the backend is no longer in service.
+    pub(crate) is_draining: bool,
 }
 
 impl BackendEntry {
     fn is_in_service(&self) -> bool {
-        self.draining_since.is_none()
+        !self.is_draining
     }
 
     /// Whether connections to the backend that were opened under this entry lead nowhere under the new one.
@@ -177,13 +177,12 @@
         let is_draining = endpoint.state != EndpointState::InService;
         let previous = self.entries.get(&id);
         let is_replaced = previous.is_some_and(|entry| entry.is_replaced_by(endpoint));
-        let previous_draining_since = previous.and_then(|entry| entry.draining_since);
         let entry = BackendEntry {
             name: endpoint.name.as_str().into(),
             zone: endpoint.zone.as_str().into(),
             address: endpoint.address,
             started_at_ms: endpoint.started_at_ms,
-            draining_since: is_draining.then(|| previous_draining_since.unwrap_or(at.now)),
+            is_draining,
         };
         self.entries.insert(id, entry);
         Some(UpdatedBackend {
--- a/engine/src/driver/queries.rs
+++ b/engine/src/driver/queries.rs
@@ -72,14 +72,12 @@
             .requests
             .get(attempt.request)
             .is_some_and(|request| request.is_awaited(now));
-        // Half the grace period: the backend began to drain before this node learned of it, and the bytes still have
-        // to travel.
-        let grace = self.settings.rules.drain_grace / 2;
-        let accepts_requests = self.backends.get(attempt.backend).is_some_and(|entry| {
-            entry
-                .draining_since
-                .is_none_or(|since| now < since.saturating_add(grace))
-        });
+        // Nothing of the grace period is used on purpose: it covers what the backend's drain takes to be known here, and
+        // a node that is held up before its bytes go out.
+        let accepts_requests = self
+            .backends
+            .get(attempt.backend)
+            .is_some_and(|entry| !entry.is_draining);
         is_awaited
             && accepts_requests
             && self
@@ -91,7 +89,7 @@
     pub(crate) fn is_in_service_at(&self, backend: BackendId, address: SocketAddr) -> bool {
         self.backends
             .get(backend)
-            .is_some_and(|entry| entry.address == address && entry.draining_since.is_none())
+            .is_some_and(|entry| entry.address == address && !entry.is_draining)
     }
 
     /// Whether any backend is in service.
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -189,11 +189,13 @@
     );
 }
 
-/// Establishing a connection can outlast the grace period of a draining backend, and the backend's time on the list.
+/// While a connection is established, its backend can begin to drain, or leave the list. The grace period of a drain is
+/// not for the node to use.
 #[test]
-fn attempt_may_not_be_written_after_the_drain_grace_of_its_backend() {
+fn attempt_may_not_be_written_once_its_backend_is_known_to_drain() {
     for (grace, state, expected) in [
-        (60 * SECOND, EndpointState::Draining, true),
+        (60 * SECOND, EndpointState::InService, true),
+        (60 * SECOND, EndpointState::Draining, false),
         (0, EndpointState::Draining, false),
         (60 * SECOND, EndpointState::Removed, false),
     ] {
@@ -209,7 +211,11 @@
         );
         let idle_closures = transport.idle_closures.borrow();
         assert_eq!(*idle_closures, [command.backend; 2][..idle_closures.len()]);
-        assert!(!idle_closures.is_empty(), "its idle connections are closed");
+        assert_eq!(
+            idle_closures.is_empty(),
+            expected,
+            "a drain closes its idle connections"
+        );
     }
 }
 
