--- a/daemon/tests/system_calls.rs
+++ b/daemon/tests/system_calls.rs
@@ -82,3 +82,21 @@
         all_served(&SystemFaults::seeded(7).with(call, Fault::Error("EINTR"), 50));
     }
 }
+
+/// Sockets that are short for a moment are no reason not to start.
+#[test]
+fn a_node_starts_though_there_is_no_socket_for_it_at_once() {
+    for (seed, error) in [(1, "ENFILE"), (2, "EMFILE"), (3, "ENOBUFS")] {
+        let backend = serving();
+        let targets = json!([target("s-0", backend.at, "Ready")]);
+        let discovery = Discovery::new(targets.clone());
+        let faults = SystemFaults::seeded(seed).with(Call::Socket, Fault::Error(error), 900);
+        let node = Node::start_with_faults(&config(discovery.at, targets), &faults);
+        assert_eq!(
+            node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                .status(),
+            200,
+            "{error}"
+        );
+    }
+}
--- a/testkit/fakes/src/message.rs
+++ b/testkit/fakes/src/message.rs
@@ -169,6 +169,14 @@
     bytes
 }
 
+/// The same without a length: it ends with its connection.
+pub fn answer_without_length(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
+    let bytes = answer(status, headers, body);
+    let length = format!("Content-Length: {}\r\n", body.len());
+    let text = String::from_utf8_lossy(&bytes);
+    text.replacen(&length, "", 1).into_bytes()
+}
+
 /// A request's bytes. `headers` are whole lines, each with its end.
 pub fn request(method: &str, target: &str, headers: &str, body: &[u8]) -> Vec<u8> {
     let length = if method == "GET" {
--- a/testkit/fakes/src/server.rs
+++ b/testkit/fakes/src/server.rs
@@ -23,6 +23,9 @@
     pub tip_multiple: f64,
     /// ... over a span of this length, it falls over and stays down.
     pub fall_span: Nanos,
+    /// The mean work of a request, where it bears as many more of them as chance may bring: N + 2 * sqrt(N) + 2, N being
+    /// what that multiple allows, or N + 3 * sqrt(N) + 3 for an N under 30.
+    pub mean_work: Option<Nanos>,
     /// How often its load report is refreshed.
     pub report_period: Nanos,
     /// How it slows down once too many requests wait in it, if it does.
@@ -175,6 +178,19 @@
         self.is_cold(now).then(|| sent as f64 / can)
     }
 
+    /// The most that it bears now, in the same unit.
+    fn most_cold_load(&self, now: Nanos) -> f64 {
+        let tip = self.figures.tip_multiple;
+        let Some(mean_work) = self.figures.mean_work else {
+            return tip;
+        };
+        let can = self.speed(now) * self.figures.slots as f64 * self.figures.fall_span as f64;
+        let requests = tip * can / mean_work as f64;
+        let chance = if requests < 30.0 { 3.0 } else { 2.0 };
+        let most = requests + chance * requests.sqrt() + chance;
+        tip * most / requests
+    }
+
     /// A request of so much work, in nanoseconds on a standard server, under a number of the caller's.
     pub fn offer(&mut self, now: Nanos, ticket: u64, work: Nanos) -> Offer {
         self.count(now);
@@ -191,7 +207,7 @@
             }
             if self
                 .cold_load(now)
-                .is_some_and(|load| load > self.figures.tip_multiple)
+                .is_some_and(|load| load > self.most_cold_load(now))
             {
                 self.fallen = true;
                 self.running.clear();
--- a/testkit/fakes/src/server/tests.rs
+++ b/testkit/fakes/src/server/tests.rs
@@ -4,6 +4,7 @@
 
 fn figures() -> Figures {
     Figures {
+        mean_work: None,
         slots: 2,
         queue: 1,
         speed: 0.5,
--- a/testkit/fakes/src/system_faults.rs
+++ b/testkit/fakes/src/system_faults.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// The same with another seed.
+    #[must_use]
+    pub fn reseeded(self, seed: u64) -> Self {
+        Self { seed, ..self }
+    }
+
     /// One more, in so many of a thousand calls.
     #[must_use]
     pub fn with(mut self, call: Call, fault: Fault, permille: u32) -> Self {
@@ -91,6 +97,13 @@
         self
     }
 
+    /// Whether some of its calls begin late.
+    #[must_use]
+    pub fn has_holds(&self) -> bool {
+        let hold = format!(":{}=", Fault::Hold);
+        self.calls.iter().any(|call| call.contains(&hold))
+    }
+
     /// The process reads its wall clock through this one.
     #[must_use]
     pub fn on(mut self, clock: &WallClock) -> Self {
--- a/testkit/scenarios/src/arguments.rs
+++ b/testkit/scenarios/src/arguments.rs
@@ -40,6 +40,8 @@
     Hunt(HuntArguments),
     /// Play a scene under many seeds and say what the fleet did: least, middle and most of each figure
     Sweep(SweepArguments),
+    /// Play drawn runs in real time, with several troubles at once, and check the rules to the letter
+    Soak(SoakArguments),
     /// Measure the node before PostgreSQL beside the same clients directly at a stand-in database
     MeasurePostgres(MeasureArguments),
     /// The scenes that are shipped
@@ -118,6 +120,19 @@
     pub(crate) program: NodeProgram,
 }
 
+#[derive(Args)]
+pub(crate) struct SoakArguments {
+    /// From the first up to, not including, the second
+    #[arg(long, value_name = "A..B", value_parser = parse_seed_range)]
+    pub(crate) seeds: Range<u64>,
+    /// Runs at once
+    #[arg(long, default_value_t = 2)]
+    pub(crate) jobs: usize,
+    /// The node's program; the one beside this program otherwise
+    #[arg(long, value_name = "PATH")]
+    pub(crate) node: Option<PathBuf>,
+}
+
 #[derive(Args)]
 pub(crate) struct MeasureArguments {
     /// Connections that say nothing beside a load
@@ -157,6 +172,7 @@
             port,
             own,
             peers: self.peers,
+            system_faults: Vec::new(),
         })
     }
 
--- a/testkit/scenarios/src/commands.rs
+++ b/testkit/scenarios/src/commands.rs
@@ -5,6 +5,7 @@
 mod measure_postgres;
 mod run;
 mod run_postgres;
+mod soak;
 mod summary;
 mod sweep;
 mod up;
@@ -24,6 +25,7 @@
         Command::Run(arguments) => run(&arguments),
         Command::Hunt(arguments) => hunt::hunt(&arguments),
         Command::Sweep(arguments) => sweep::sweep(arguments),
+        Command::Soak(arguments) => soak::soak(&arguments),
         Command::MeasurePostgres(arguments) => measure_postgres::measure(&arguments),
         Command::List => list::list(),
     }
--- /dev/null
+++ b/testkit/scenarios/src/commands/soak.rs
@@ -0,0 +1,80 @@
+//! `soak`: drawn runs in real time, checked to the letter of the platform's pages.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+use badgerpost_scenarios::run::{Played, RunError};
+use badgerpost_scenarios::soak::Soak;
+
+use crate::arguments::SoakArguments;
+use crate::failure::Failure;
+use crate::output::print_line;
+
+/// Plays each seed, and prints what was drawn, what came of it, and the way of each request that broke a rule. Fails if
+/// there is one.
+pub(super) fn soak(arguments: &SoakArguments) -> Result<ExitCode, Failure> {
+    let program = match &arguments.node {
+        Some(path) => path.clone(),
+        None => badgerpost_fakes::program("badgerpost")?,
+    };
+    let next = AtomicU64::new(arguments.seeds.start);
+    let failed = thread::scope(|scope| {
+        let jobs: Vec<_> = (0..arguments.jobs.max(1))
+            .map(|_| scope.spawn(|| play_seeds(&next, arguments.seeds.end, &program)))
+            .collect();
+        let results = jobs.into_iter().map(|job| job.join().unwrap_or(Ok(1)));
+        results.sum::<Result<u64, RunError>>()
+    })?;
+    let count = arguments.seeds.end - arguments.seeds.start;
+    print_line(&format!("{count} seeds played, {failed} broke a rule"))?;
+    Ok(if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+/// Plays seeds until there are no more; returns how many of them broke a rule.
+fn play_seeds(next: &AtomicU64, end: u64, program: &Path) -> Result<u64, RunError> {
+    let mut failed = 0;
+    loop {
+        let seed = next.fetch_add(1, Ordering::Relaxed);
+        if seed >= end {
+            return Ok(failed);
+        }
+        let soak = Soak::draw(seed)?;
+        let played = soak.play(program.to_owned());
+        failed += u64::from(!report(seed, &soak, played)?);
+    }
+}
+
+/// Prints what came of a seed, in one go; returns whether all rules held.
+fn report(seed: u64, soak: &Soak, played: Result<Played, RunError>) -> Result<bool, RunError> {
+    let drawn = soak.summary();
+    let played = match played {
+        Ok(played) => played,
+        Err(error @ RunError::Crashed { .. }) => {
+            print_line(&format!("seed {seed}: CRASHED: {error}\n  {drawn}"))?;
+            return Ok(false);
+        }
+        Err(error) => return Err(error),
+    };
+    let counts = played.counts();
+    let verdict = if played.is_good() { "kept" } else { "BROKEN" };
+    let mut lines = vec![
+        format!(
+            "seed {seed}: {verdict}; {} requests: {} served, {} refused, {} failed, {} without an answer",
+            counts.requests, counts.served, counts.refused, counts.failed, counts.unanswered
+        ),
+        format!("  {drawn}"),
+    ];
+    lines.extend(
+        Soak::ways(&played)
+            .into_iter()
+            .map(|way| format!("  {way}")),
+    );
+    print_line(&lines.join("\n"))?;
+    Ok(played.is_good())
+}
--- a/testkit/scenarios/src/lib.rs
+++ b/testkit/scenarios/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod rules;
 pub mod run;
 pub mod scene;
+pub mod soak;
 pub mod sweep;
 mod world;
 
@@ -19,4 +20,6 @@
 pub type Nanos = u64;
 
 const MS: Nanos = 1_000_000;
+/// By the letter of the pages an answer this long after its client's time earns nothing; a later one is lost.
+const LATE_ANSWER: Nanos = 500 * MS;
 const SECOND: Nanos = 1000 * MS;
--- a/testkit/scenarios/src/outcome.rs
+++ b/testkit/scenarios/src/outcome.rs
@@ -70,6 +70,12 @@
     pub told_for: Option<Nanos>,
     /// Whether it was the one that pushed a cold server over.
     pub felled: bool,
+    /// Whether its answer had no length and came complete.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub without_length: bool,
+    /// By how much the deadline that it was told is beyond what its client had left, where it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub overstated: Option<Nanos>,
 }
 
 impl Attempt {
@@ -127,6 +133,9 @@
     pub attempts: Vec<Attempt>,
     /// The final answer.
     pub answer: Option<Answer>,
+    /// When its client closed the connection, if it left early.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub left: Option<Nanos>,
     /// Bytes that came behind the answer.
     pub surplus: u64,
     /// The node was killed, stopped or paused while it was open, or could not be reached: nothing is owed.
--- a/testkit/scenarios/src/plan.rs
+++ b/testkit/scenarios/src/plan.rs
@@ -29,6 +29,29 @@
     pub work: Nanos,
 }
 
+/// What clients, servers and the platform do beyond what a scene can say. All off but in a soak.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Behaviour {
+    /// Share of the requests whose clients close their connections before the answer.
+    pub leaving: f64,
+    /// Share of the requests with half a head right behind them, of which no more comes.
+    pub half_heads: f64,
+    /// Share of the requests that are sent behind another one on its connection.
+    pub pipelined: f64,
+    /// Connections to each node that say nothing.
+    pub silent_clients: usize,
+    /// Whether nodes poll their list, and are not told by an agent.
+    pub polled_list: bool,
+    /// By how many milliseconds the nodes' wall clocks are ahead of the true time at first, and later.
+    pub clocks_ahead_ms: (i64, i64),
+    /// When they step from the one to the other.
+    pub clocks_step_at: Nanos,
+    /// Whether rules are checked to the letter of the platform's pages: a node that was asked to stop is killed at the
+    /// earliest time, with signals in series before; a change of the list counts in time whether or not it was told; a
+    /// server in slow start falls as the pages say.
+    pub strict: bool,
+}
+
 /// What a run plays.
 #[derive(Clone)]
 pub struct Plan {
@@ -40,6 +63,8 @@
     pub arrivals: Vec<Arrival>,
     /// Faults, by time.
     pub faults: Vec<Planned>,
+    /// What a scene can't say.
+    pub behaviour: Behaviour,
 }
 
 impl Plan {
@@ -84,6 +109,7 @@
             seed,
             arrivals,
             faults,
+            behaviour: Behaviour::default(),
         }
     }
 
@@ -193,6 +219,7 @@
             seed,
             arrivals,
             faults,
+            behaviour: Behaviour::default(),
         })
     }
 }
--- a/testkit/scenarios/src/postgres/stage.rs
+++ b/testkit/scenarios/src/postgres/stage.rs
@@ -120,6 +120,7 @@
             stepped: None,
             own,
             files,
+            system_faults: None,
         };
         let (mut node, http) = Process::start(&start)?;
         let listen = node.listens_for("serving PostgreSQL clients")?;
--- a/testkit/scenarios/src/process.rs
+++ b/testkit/scenarios/src/process.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use badgerpost_fakes::system_faults::SystemFaults;
 use badgerpost_virtual_clock::{ControllerMessage, NodeMessage};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -106,6 +107,8 @@
     pub own: String,
     /// Files that it names, with their texts; they lie beside it, mode 0600, and `{folder}` in the text is theirs.
     pub files: Vec<(&'static str, String)>,
+    /// Faults of its system calls.
+    pub system_faults: Option<SystemFaults>,
 }
 
 impl Process {
@@ -126,6 +129,9 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped());
+        if let Some(faults) = &start.system_faults {
+            faults.apply(&mut command).map_err(system)?;
+        }
         let mut door = None;
         let mut text = start.own.replace("{folder}", &folder.to_string_lossy());
         for (name, contents) in &start.files {
--- a/testkit/scenarios/src/rules.rs
+++ b/testkit/scenarios/src/rules.rs
@@ -44,6 +44,10 @@
     pub answer_slack: Nanos,
     /// How long after a node was told of a drain a new request may still come to the server.
     pub drain_grace: Nanos,
+    /// How long after its client has left an attempt of a request may still begin.
+    pub leave_slack: Nanos,
+    /// By how much the deadline that a server is told may be beyond what the client has left.
+    pub deadline_slack: Nanos,
 }
 
 /// A broken rule.
@@ -93,9 +97,16 @@
             request.surplus
         ));
     }
+    // A node that was paused can't know how long.
+    if !request.excused {
+        let sent = told_too_long(request, figures).or_else(|| sent_for_nobody(request, figures));
+        if sent.is_some() {
+            return sent;
+        }
+    }
     let due = request.arrival + request.budget + figures.answer_slack;
     match &request.answer {
-        None if request.excused => None,
+        None if request.excused || request.left.is_some() => None,
         None => Some("it had no final answer".to_owned()),
         Some(answer) if answer.told == Told::Served && !answer.own => {
             Some("it was served with what no server made for it".to_owned())
@@ -114,6 +125,34 @@
     }
 }
 
+/// A server was told of more time than the client had left.
+fn told_too_long(request: &Request, figures: &Figures) -> Option<String> {
+    request.attempts.iter().find_map(|attempt| {
+        let over = attempt
+            .overstated
+            .filter(|over| *over > figures.deadline_slack)?;
+        Some(format!(
+            "{} was told of {} ms more than its client had left",
+            attempt.server,
+            ms(over)
+        ))
+    })
+}
+
+/// An attempt began when its client had left.
+fn sent_for_nobody(request: &Request, figures: &Figures) -> Option<String> {
+    let left = request.left?;
+    let late = request
+        .attempts
+        .iter()
+        .find(|attempt| attempt.start > left + figures.leave_slack)?;
+    Some(format!(
+        "it came to {} {} ms after its client had left",
+        late.server,
+        ms(late.start - left)
+    ))
+}
+
 /// What a request did not keep of the second rule.
 fn no_effect_twice(request: &Request) -> Option<String> {
     let ran = |attempt: &&Attempt| attempt.may_have_run();
@@ -181,6 +220,26 @@
     Some(format!("it pushed {} over, which was cold", felled.server))
 }
 
+/// A client that stopped half way, or said nothing, was left without an error or a close. It is no request of the log.
+pub fn client_left_alone(node: &str, took: Nanos) -> Breach {
+    Breach {
+        rule: Rule::OneAnswer,
+        line: 0,
+        id: format!("a silent client of {node}"),
+        what: format!("it had neither an error nor its end after {} ms", ms(took)),
+    }
+}
+
+/// Of the complete answers with no length, under half were forwarded.
+pub fn answers_without_length_dropped(forwarded: usize, complete: usize) -> Breach {
+    Breach {
+        rule: Rule::OneAnswer,
+        line: 0,
+        id: "answers without a length".to_owned(),
+        what: format!("{forwarded} of {complete} complete ones were forwarded"),
+    }
+}
+
 fn ms(span: Nanos) -> Nanos {
     span / crate::MS
 }
--- a/testkit/scenarios/src/rules/tests.rs
+++ b/testkit/scenarios/src/rules/tests.rs
@@ -5,6 +5,8 @@
 const FIGURES: Figures = Figures {
     answer_slack: 70 * MS,
     drain_grace: 550 * MS,
+    leave_slack: 150 * MS,
+    deadline_slack: 200 * MS,
 };
 
 fn attempt(server: &str, start: Nanos, ended: Ended) -> Attempt {
@@ -18,6 +20,8 @@
         ran: true,
         told_for: None,
         felled: false,
+        without_length: false,
+        overstated: None,
     }
 }
 
@@ -38,6 +42,7 @@
             status: 200,
             own: true,
         }),
+        left: None,
         surplus: 0,
         excused: false,
     }
@@ -187,3 +192,31 @@
         "line 2, request r: it had no final answer"
     );
 }
+
+#[test]
+fn no_attempt_begins_for_a_client_that_has_left() {
+    let with = |left: Nanos, start: Nanos| {
+        let mut request = request(
+            Effect::Safe,
+            vec![attempt("a1", start, Ended::Served)],
+            None,
+        );
+        request.left = Some(left);
+        broken(&request)
+    };
+    assert_eq!(with(100 * MS, 50 * MS), [], "and it is owed nothing");
+    assert_eq!(with(100 * MS, 250 * MS), []);
+    assert_eq!(with(100 * MS, 251 * MS), [Rule::OneAnswer]);
+}
+
+#[test]
+fn a_server_is_told_of_what_the_client_has_left_at_most() {
+    let with = |over: Option<Nanos>| {
+        let mut attempt = attempt("a1", MS, Ended::Served);
+        attempt.overstated = over;
+        broken(&request(Effect::Safe, vec![attempt], Some(Told::Served)))
+    };
+    assert_eq!(with(None), []);
+    assert_eq!(with(Some(200 * MS)), []);
+    assert_eq!(with(Some(201 * MS)), [Rule::OneAnswer]);
+}
--- a/testkit/scenarios/src/run.rs
+++ b/testkit/scenarios/src/run.rs
@@ -8,6 +8,7 @@
 
 use badgerpost_fakes::net::{Happening, Reserved};
 use badgerpost_fakes::random::Random;
+use badgerpost_fakes::system_faults::{SystemFaults, WallClock};
 use rustix::process::Signal;
 
 use crate::one_core::OneCore;
@@ -15,8 +16,8 @@
 use crate::plan::Plan;
 use crate::process::{self, Process, ProcessError, Start};
 use crate::rules::{self, Breach};
-use crate::world::{Fired, Order, PEERS_KEY, SOCKETS, World};
-use crate::{MS, Nanos, SECOND};
+use crate::world::{Fired, Order, PEERS_KEY, SOCKETS, StopSignal, World};
+use crate::{LATE_ANSWER, MS, Nanos, SECOND};
 
 /// Unix time at which stepped scenes begin: any would do, as long as it is always the same.
 const STEPPED_BASE: Nanos = 1_700_000_000 * SECOND;
@@ -29,6 +30,12 @@
 /// In real time: the longest wait for sockets, and how often the nodes' processes are looked at.
 const WAIT: Duration = Duration::from_millis(20);
 const LOOK_AT_NODES: Nanos = 100 * MS;
+/// An attempt may begin this long after its client has left.
+const LEAVE_SLACK: Nanos = 100 * MS;
+/// A system call that is held begins this late.
+const HOLD: Nanos = 150 * MS;
+/// The deadline that a server is told may be this much beyond what the client has left.
+const DEADLINE_SLACK: Nanos = 150 * MS;
 
 /// How to play.
 #[derive(Clone)]
@@ -43,6 +50,8 @@
     pub own: String,
     /// The nodes talk to each other, whatever the scene says.
     pub peers: bool,
+    /// Faults of the nodes' system calls, by the node's position; each process draws its own. In real time only.
+    pub system_faults: Vec<SystemFaults>,
 }
 
 /// What came of it.
@@ -181,13 +190,20 @@
         .collect();
     drop(processes);
     let (cold_peaks, talk) = (world.cold_peaks(), world.talk());
+    let owed = world.owed();
     let log = world.into_log();
     let scene = &plan.scene.scene.rules;
     let figures = rules::Figures {
-        answer_slack: scene.answer_slack_ms * MS + SOCKETS,
+        answer_slack: match plan.behaviour.strict {
+            true => LATE_ANSWER,
+            false => scene.answer_slack_ms * MS + SOCKETS,
+        },
         drain_grace: scene.drain_grace_ms * MS + SOCKETS,
+        leave_slack: LEAVE_SLACK + SOCKETS,
+        deadline_slack: DEADLINE_SLACK + SOCKETS + held(options),
     };
-    let breaches = rules::check(&log, &figures);
+    let mut breaches = rules::check(&log, &figures);
+    breaches.extend(owed);
     Ok(Played {
         log,
         cold_peaks,
@@ -203,6 +219,15 @@
     })
 }
 
+/// How much more a node may be held up before it has read a request, where its system calls are.
+fn held(options: &Options) -> Nanos {
+    if options.system_faults.iter().any(SystemFaults::has_holds) {
+        HOLD
+    } else {
+        0
+    }
+}
+
 /// Nodes and stand-ins, all ready.
 pub struct Stage {
     plan: Plan,
@@ -219,6 +244,8 @@
     /// It was asked to stop, so its end is none too soon.
     stopping: Vec<bool>,
     lives: u64,
+    /// The wall clocks that the nodes read, where their system calls have faults.
+    wall_clocks: Vec<WallClock>,
     told: Vec<Happening>,
     began: Instant,
     looked: Nanos,
@@ -246,6 +273,12 @@
             Reserved::new(at).map_err(|source| RunError::Port { at, source })
         };
         let ports = (0..count).map(port).collect::<Result<Vec<_>, _>>()?;
+        let ahead = plan.behaviour.clocks_ahead_ms.0;
+        let wall_clocks = options
+            .system_faults
+            .iter()
+            .map(|_| WallClock::ahead_by(ahead));
+        let wall_clocks = wall_clocks.collect::<Result<Vec<_>, _>>()?;
         let mut stage = Self {
             plan: plan.clone(),
             options: options.clone(),
@@ -257,6 +290,7 @@
             paused: vec![false; count],
             stopping: vec![false; count],
             lives: 0,
+            wall_clocks,
             told: Vec::new(),
             began: Instant::now(),
             looked: 0,
@@ -294,7 +328,10 @@
         let seed = Random::new(self.plan.seed ^ self.lives, "node").bits();
         let scene = &self.plan.scene;
         let known = scene.scene.discovery.known.then(|| self.world.known());
-        let edge = process::edge(scene, node, listen, self.world.list_at(node), seed, known);
+        let mut edge = process::edge(scene, node, listen, self.world.list_at(node), seed, known);
+        if self.plan.behaviour.polled_list {
+            edge["settings"]["discovery"] = "on_request".into();
+        }
         let now = self.world.base() + self.world.now();
         let start = Start {
             program: &self.options.program,
@@ -307,6 +344,7 @@
             } else {
                 Vec::new()
             },
+            system_faults: self.system_faults(node, seed),
         };
         let (mut process, listens) = Process::start(&start)?;
         if self.world.has_peers() {
@@ -323,6 +361,12 @@
         Ok(())
     }
 
+    /// The faults of a node's next process.
+    fn system_faults(&self, node: usize, seed: u64) -> Option<SystemFaults> {
+        let faults = self.options.system_faults.get(node)?.clone();
+        Some(faults.reseeded(seed).on(self.wall_clocks.get(node)?))
+    }
+
     // In steps.
 
     fn stepped_turn(&mut self) -> Result<(), RunError> {
@@ -496,6 +540,11 @@
                     self.step(node)
                 }
             }
+            Order::Signal(node, signal) => self.signal_stopping(node, signal),
+            Order::StepClock(node, ahead) => match self.wall_clocks.get(node) {
+                Some(clock) => Ok(clock.set(ahead)?),
+                None => Ok(()),
+            },
             Order::Start(node) => self.start(node),
             Order::Pause(node) => {
                 if self.options.real_time {
@@ -521,6 +570,26 @@
         }
     }
 
+    /// A signal to a node that was asked to stop.
+    fn signal_stopping(&mut self, node: usize, signal: StopSignal) -> Result<(), RunError> {
+        let signal = match signal {
+            StopSignal::Hangup => Signal::HUP,
+            StopSignal::Interrupt => Signal::INT,
+            StopSignal::Terminate => Signal::TERM,
+            StopSignal::Kill => {
+                if let Some(mut process) = self.processes[node].take() {
+                    process.kill();
+                }
+                self.world.node_down(node, false);
+                return self.collect(node, 0, Nanos::MAX);
+            }
+        };
+        if let Some(process) = &self.processes[node] {
+            process.signal(signal);
+        }
+        Ok(())
+    }
+
     /// A node's process has ended by itself: as it was asked to, or it has crashed.
     fn ended(&mut self, node: usize) -> Result<(), RunError> {
         let Some(mut process) = self.processes[node].take() else {
--- a/testkit/scenarios/src/scene/trouble.rs
+++ b/testkit/scenarios/src/scene/trouble.rs
@@ -33,6 +33,8 @@
     },
     /// What it answers is no answer.
     Spoilt,
+    /// Its answers have no length: each ends with its connection.
+    NoLength,
     /// It turns everything away.
     TurnAway,
     /// It answers 500, with the work done.
@@ -127,7 +129,7 @@
 }
 
 /// The kinds as files name them, with the figure that each needs.
-const KINDS: [(&str, Trouble, About, Option<&str>); 24] = [
+const KINDS: [(&str, Trouble, About, Option<&str>); 25] = [
     ("refuse", Trouble::Refuse, About::Server, None),
     (
         "reset",
@@ -149,6 +151,7 @@
         Some("times"),
     ),
     ("spoilt", Trouble::Spoilt, About::Server, None),
+    ("no-length", Trouble::NoLength, About::Server, None),
     ("turn-away", Trouble::TurnAway, About::Server, None),
     ("error", Trouble::Fail, About::Server, None),
     ("drain", Trouble::Drain, About::Server, None),
@@ -195,7 +198,7 @@
 ];
 
 /// Troubles of a server that may strike a share of its requests only.
-const BY_CHANCE: [&str; 5] = ["hang", "late", "spoilt", "turn-away", "error"];
+const BY_CHANCE: [&str; 6] = ["hang", "late", "spoilt", "no-length", "turn-away", "error"];
 
 impl Trouble {
     /// Its name in files.
--- a/testkit/scenarios/src/world.rs
+++ b/testkit/scenarios/src/world.rs
@@ -6,11 +6,12 @@
 mod faults;
 mod links;
 mod list;
+mod misbehaviour;
 mod peers;
 mod servers;
 mod stage;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 
@@ -22,15 +23,27 @@
 
 use crate::outcome::Ended;
 use crate::plan::Plan;
-use crate::scene::Planned;
+use crate::scene::{Planned, Scene};
 use crate::{MS, Nanos};
+use misbehaviour::Misbehaviour;
 pub use peers::PEERS_KEY;
-pub use stage::{Fired, Order, SOCKETS, World};
+pub use stage::{Fired, Order, SOCKETS, StopSignal, World};
 use stage::{NodeSide, Peer, Place, Site, Talk, Todo, entry};
 
 /// How often servers refresh their load report.
 const REPORT_PERIOD: Nanos = 100 * MS;
 
+/// The mean work of a scene's requests.
+fn mean_work(scene: &Scene) -> Nanos {
+    let (mut total, mut shares) = (0.0, 0.0);
+    for class in &scene.class {
+        let (least, most) = *class.work_ms.get_ref();
+        total += class.share.get_ref() * (least + most) as f64 / 2.0;
+        shares += class.share.get_ref();
+    }
+    (total / shares * MS as f64) as Nanos
+}
+
 impl World {
     /// Sets the stage: all sockets listen.
     #[expect(clippy::too_many_lines, reason = "to be split with the module")]
@@ -55,6 +68,7 @@
                 tip_multiple: rules.tip_multiple,
                 fall_span: rules.fall_ms * MS,
                 report_period: REPORT_PERIOD,
+                mean_work: plan.behaviour.strict.then(|| mean_work(&scene.scene)),
                 choke: server.choke.as_ref().map(|choke| Choke {
                     waiting: choke.waiting,
                     over: choke.over_ms.get_ref() * MS,
@@ -82,6 +96,8 @@
                 up,
                 booted: None,
                 cold_peak: 0.0,
+                cold_sends: VecDeque::new(),
+                unlisted_since: None,
             };
             if up {
                 list.set(entry(&site, State::Ready, base));
@@ -106,6 +122,8 @@
                 paused: false,
                 idle,
                 told,
+                told_starts: BTreeMap::new(),
+                stopping: None,
                 open,
                 ended,
                 talk: talks.map(|(door, at)| Talk {
@@ -139,6 +157,7 @@
             bad_links: Vec::new(),
             stuck: Vec::new(),
             random: Random::new(plan.seed, "links"),
+            misbehaviour: Misbehaviour::new(plan.seed),
             plan,
         };
         for number in 0..world.plan.faults.len() {
@@ -151,6 +170,7 @@
         for number in 0..world.plan.arrivals.len() {
             world.at(world.plan.arrivals[number].at, Todo::Arrive(number));
         }
+        world.begin_misbehaviour();
         for (number, server) in scene.scene.server.iter().enumerate() {
             server
                 .starts_ms
@@ -197,6 +217,18 @@
                 self.resume(server);
                 None
             }
+            Todo::Leave(request) => self.leave(request),
+            Todo::Silent(node) => self.fill_silent(node),
+            Todo::Owed(conn) => self.is_owed(conn),
+            Todo::Signal(node, since, signal) => {
+                return Ok(self.signal_stopping(node, since, signal));
+            }
+            Todo::StepClock(node, ahead) => {
+                return Ok(Fired {
+                    touched: None,
+                    orders: vec![Order::StepClock(node, ahead)],
+                });
+            }
         };
         Ok(Fired {
             touched,
@@ -240,6 +272,8 @@
                     inbox.push(&bytes);
                     self.client_reads(conn);
                 }
+                // An error, which is what it is owed.
+                Some(Peer::Silent { .. }) => self.silent_ended(conn),
                 None => {}
             },
             Happening::Datagram { door, from, bytes } => self.datagram_goes(door, from, bytes),
@@ -254,10 +288,11 @@
                 node, open, last, ..
             }) => {
                 self.nodes[node].idle.retain(|idle| *idle != conn);
-                if let Some(open) = open {
-                    self.client_cut_off(open, last.is_some());
+                for (place, request) in open.into_iter().enumerate() {
+                    self.client_cut_off(request, last.is_some() || place > 0);
                 }
             }
+            Some(Peer::Silent { node, since }) => self.note_silent_end(node, since),
             Some(Peer::List { .. }) | None => {}
         }
     }
--- a/testkit/scenarios/src/world/clients.rs
+++ b/testkit/scenarios/src/world/clients.rs
@@ -1,5 +1,7 @@
 //! The clients: tries come to nodes, answers are read and judged, patience ends.
 
+use std::collections::VecDeque;
+
 use badgerpost_fakes::client::{self, Ask, Verdict};
 use badgerpost_fakes::message::{Inbox, Message, Side};
 use badgerpost_fakes::net::ConnId;
@@ -7,7 +9,7 @@
 use super::links::Carried;
 use super::stage::{Open, Peer, SOCKETS, Todo, World, body};
 use crate::outcome::{Answer, Effect, Ended, Request, Told};
-use crate::{MS, Nanos};
+use crate::{LATE_ANSWER, MS, Nanos};
 
 /// Clients listen for this long past the time that an answer still counts: what comes too late is to be seen.
 const LISTENS_ON: Nanos = 30 * MS;
@@ -27,7 +29,7 @@
         let count = self.nodes.len();
         let up = (0..count)
             .map(|step| (plan.node + step) % count)
-            .find(|node| self.nodes[*node].up);
+            .find(|node| self.takes_requests(*node));
         let node = up.unwrap_or(plan.node);
         let log = Request {
             id: id.clone(),
@@ -40,6 +42,7 @@
             budget: class.deadline_ms.get_ref() * MS,
             attempts: Vec::new(),
             answer: None,
+            left: None,
             surplus: 0,
             excused: self.nodes[node].paused,
         };
@@ -47,7 +50,11 @@
         let number = self.requests.len();
         self.ids.insert(id, number);
         let rules = &self.plan.scene.scene.rules;
-        let due = self.now + log.budget + rules.answer_slack_ms * MS + SOCKETS + LISTENS_ON;
+        let slack = match self.plan.behaviour.strict {
+            true => LATE_ANSWER,
+            false => rules.answer_slack_ms * MS + SOCKETS,
+        };
+        let due = self.now + log.budget + slack + LISTENS_ON;
         self.requests.push(Open {
             log,
             arrival,
@@ -56,8 +63,10 @@
             key,
             done: false,
             resent: false,
+            written: self.now,
         });
         self.at(due, Todo::Due(number));
+        self.plan_to_leave(number);
         if up.is_none() {
             self.requests[number].log.excused = true;
             self.finish(number, true);
@@ -68,10 +77,15 @@
 
     /// Writes a request to a node, on an idle connection or a new one.
     pub(super) fn put(&mut self, number: usize, node: usize, fresh: bool) -> Option<(usize, u64)> {
+        let behind = if fresh {
+            None
+        } else {
+            self.busy_connection(node, number)
+        };
         let kept = if fresh {
             None
         } else {
-            self.nodes[node].idle.pop()
+            behind.or_else(|| self.nodes[node].idle.pop())
         };
         let conn = match kept {
             Some(conn) => conn,
@@ -91,8 +105,10 @@
                     Peer::Client {
                         node,
                         inbox,
-                        open: None,
+                        open: VecDeque::new(),
+                        read: 0,
                         last: None,
+                        is_half: false,
                     },
                 );
                 conn
@@ -114,9 +130,12 @@
             budget: log.budget,
             again: *tries > 0,
         };
-        let bytes = ask.bytes();
-        if let Some(Peer::Client { open, .. }) = self.peers.get_mut(&conn) {
-            *open = Some(number);
+        let mut bytes = ask.bytes();
+        let half = self.half_head();
+        bytes.extend_from_slice(half);
+        if let Some(Peer::Client { open, is_half, .. }) = self.peers.get_mut(&conn) {
+            open.push_back(number);
+            *is_half = !half.is_empty();
         }
         self.carry(Carried::ToNode(conn, number, bytes))
     }
@@ -132,41 +151,55 @@
             return None;
         };
         let node = *node;
-        if *open != Some(number) {
+        if !open.contains(&number) {
             return None;
         }
+        self.requests[number].written = self.now;
         Some((node, self.net.write(conn, bytes) as u64))
     }
 
     pub(super) fn client_reads(&mut self, conn: ConnId) {
+        while self.client_reads_answer(conn) {}
+    }
+
+    /// Reads one answer; whether another may follow.
+    fn client_reads_answer(&mut self, conn: ConnId) -> bool {
         let Some(Peer::Client {
             node,
             inbox,
             open,
+            read,
             last,
+            ..
         }) = self.peers.get_mut(&conn)
         else {
-            return;
+            return false;
         };
         let node = *node;
-        let Some(request) = *open else {
-            // Bytes that nobody asked for.
-            let surplus = u64::from(inbox.begun());
-            last.iter()
-                .for_each(|last| self.requests[*last].log.surplus += surplus);
-            self.drop_client(conn, node);
-            return;
+        let Some(&request) = open.get(*read) else {
+            // Bytes that nobody asked for, unless they come behind an answer that is still on its way.
+            let surplus = u64::from(inbox.begun() && open.is_empty());
+            if surplus > 0 {
+                last.iter()
+                    .for_each(|last| self.requests[*last].log.surplus += surplus);
+                self.drop_client(conn, node);
+            }
+            return false;
         };
         match inbox.take() {
-            Ok(None) => {}
+            Ok(None) => false,
             Ok(Some(answer)) => {
+                *read += 1;
                 let _ = self.carry(Carried::ToClient(conn, request, answer));
+                true
             }
             Err(_) => {
                 // No answer at all, and no more will come of this connection.
-                *open = None;
+                let open = std::mem::take(open);
                 self.drop_client(conn, node);
-                self.finish(request, true);
+                open.into_iter()
+                    .for_each(|request| self.finish(request, true));
+                false
             }
         }
     }
@@ -177,20 +210,37 @@
             node,
             inbox,
             open,
+            read,
             last,
+            is_half,
         }) = self.peers.get_mut(&conn)
         else {
             return;
         };
         let node = *node;
-        (*open, *last) = (None, Some(request));
-        let surplus = u64::from(inbox.begun());
+        if open.front() != Some(&request) {
+            return;
+        }
+        open.pop_front();
+        *read -= 1;
+        *last = Some(request);
+        let is_half = *is_half;
+        let behind: Vec<usize> = open.iter().copied().collect();
+        let surplus = u64::from(inbox.begun() && behind.is_empty());
         let told = self.answered(request, answer, self.now);
         self.requests[request].log.surplus += surplus;
         if answer.closes() || surplus > 0 {
             self.drop_client(conn, node);
-        } else {
-            self.nodes[node].idle.push(conn);
+            // It says that nothing more follows: whoever waits behind it has not been read, or is lost.
+            behind
+                .into_iter()
+                .for_each(|request| self.client_cut_off(request, true));
+        } else if behind.is_empty() {
+            if is_half {
+                self.fall_silent(conn, node);
+            } else {
+                self.nodes[node].idle.push(conn);
+            }
         }
         self.finish(request, told != Told::Served);
     }
@@ -257,9 +307,9 @@
         let open = &mut self.requests[request];
         let unread = reused && open.log.attempts.is_empty() && !open.resent;
         let node = open.node;
-        if unread && self.nodes[node].up {
+        if unread && self.nodes[node].up && !self.has_surely_read(request) {
             // It crossed a request that the node had not read: once more, on a new connection.
-            open.resent = true;
+            self.requests[request].resent = true;
             self.at(self.now, Todo::Resend(request, node));
             return;
         }
@@ -270,14 +320,17 @@
         if self.requests[request].done {
             return None;
         }
-        let holds =
-            |peer: &Peer| matches!(peer, Peer::Client { open: Some(open), .. } if *open == request);
-        let conn = self
-            .peers
-            .iter()
-            .find(|(_, peer)| holds(peer))
-            .map(|(conn, _)| *conn);
         self.finish(request, true);
-        self.close(conn?)
+        let conn = self.connection_of(request)?;
+        self.leave_behind(conn, request);
+        self.close(conn)
+    }
+
+    /// The connection on which a request is open.
+    pub(super) fn connection_of(&self, request: usize) -> Option<ConnId> {
+        let holds =
+            |peer: &Peer| matches!(peer, Peer::Client { open, .. } if open.contains(&request));
+        let mut peers = self.peers.iter();
+        peers.find(|(_, peer)| holds(peer)).map(|(conn, _)| *conn)
     }
 }
--- a/testkit/scenarios/src/world/faults.rs
+++ b/testkit/scenarios/src/world/faults.rs
@@ -75,10 +75,14 @@
             (Trouble::KillServer, _) => {}
             (Trouble::List(mode), _) => {
                 self.list.set_mode(if begins { mode } else { Mode::Good });
+                self.list_is_back();
                 self.news();
             }
             (Trouble::KillNode, true) if self.nodes[whom].up => return order(Order::Kill(whom)),
-            (Trouble::StopNode, true) if self.nodes[whom].up => return order(Order::Stop(whom)),
+            (Trouble::StopNode, true) if self.nodes[whom].up => {
+                self.plan_kill(whom);
+                return order(Order::Stop(whom));
+            }
             (Trouble::KillNode | Trouble::StopNode, false) if !self.nodes[whom].up => {
                 return order(Order::Start(whom));
             }
--- a/testkit/scenarios/src/world/list.rs
+++ b/testkit/scenarios/src/world/list.rs
@@ -17,9 +17,20 @@
         } else {
             self.list.set_state(&self.sites[server].name.clone(), state);
         }
+        let is_listed = state == State::Ready;
+        let since = (!is_listed && self.plan.behaviour.strict).then_some(self.now);
+        self.sites[server].unlisted_since = since;
         self.news();
     }
 
+    /// Discovery tells of changes again: only now could it be reached.
+    pub(super) fn list_is_back(&mut self) {
+        let now = self.now;
+        for site in &mut self.sites {
+            site.unlisted_since = site.unlisted_since.map(|_| now);
+        }
+    }
+
     /// Whoever waits for news of the list gets it, one after the other.
     pub(super) fn news(&mut self) {
         let waits = |peer: &Peer| matches!(peer, Peer::List { watch: Some(_), .. });
@@ -140,6 +151,15 @@
             .iter()
             .filter_map(|t| Some((t["uid"].as_str()?, t["state"].as_str()?)))
             .collect();
+        for target in targets {
+            let number = self
+                .sites
+                .iter()
+                .position(|site| target["uid"] == site.name.as_str());
+            if let (Some(number), Some(start)) = (number, target["boot_ms"].as_u64()) {
+                self.nodes[node].told_starts.insert(number, start);
+            }
+        }
         let told = &mut self.nodes[node].told;
         for (number, site) in self.sites.iter().enumerate() {
             match states.get(site.name.as_str()) {
--- /dev/null
+++ b/testkit/scenarios/src/world/misbehaviour.rs
@@ -0,0 +1,267 @@
+//! What a soak plays beyond a scene: clients that leave, pipeline or stop half way, nodes that are killed at the earliest
+//! time behind SIGTERM, and what is owed to whom then.
+
+use badgerpost_fakes::net::ConnId;
+use badgerpost_fakes::random::Random;
+
+use super::stage::{Fired, Order, Peer, StopSignal, Todo, World};
+use crate::{MS, Nanos, SECOND};
+
+/// Half a head, of which no more comes.
+const HALF_HEAD: &[u8] = b"GET /api HTTP/1.1\r\nX-Ca";
+/// Clients that stop half way, or say nothing, are owed an error or a close within this.
+const OWED_WITHIN: Nanos = 3 * SECOND;
+/// How much later a busy machine may bring it.
+const OWED_SLACK: Nanos = 300 * MS;
+/// How often the silent clients of a node are made up to their number.
+const SILENT_PERIOD: Nanos = 100 * MS;
+/// So many of them connect at a time.
+const SILENT_AT_ONCE: usize = 40;
+/// Requests on one connection, at most.
+const MOST_PIPELINED: usize = 6;
+/// New connections go on coming to a node for so long after SIGTERM.
+const NEW_CONNECTIONS: Nanos = 300 * MS;
+/// A longest deadline counts as this at most behind SIGTERM ...
+const LONGEST_COUNTED: Nanos = 3 * SECOND;
+/// ... and SIGKILL comes so much later, at the earliest.
+const KILLED_AFTER: Nanos = 700 * MS;
+/// A request that was written this long ago, of which the node can hold no more than a few, has been read.
+const SURELY_READ: Nanos = 400 * MS;
+
+/// What clients do beyond asking and waiting, and what they have missed.
+pub(super) struct Misbehaviour {
+    random: Random,
+    /// Nodes that did not end the connection of a silent client in time, by name, and after how long.
+    pub(super) unended: Vec<(String, Nanos)>,
+}
+
+impl Misbehaviour {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            random: Random::new(seed, "misbehaviour"),
+            unended: Vec::new(),
+        }
+    }
+}
+
+impl World {
+    pub(super) fn begin_misbehaviour(&mut self) {
+        let behaviour = self.plan.behaviour;
+        let (first, later) = behaviour.clocks_ahead_ms;
+        for node in 0..self.nodes.len() {
+            if behaviour.silent_clients > 0 {
+                self.at(SILENT_PERIOD, Todo::Silent(node));
+            }
+            if first != later {
+                self.at(behaviour.clocks_step_at, Todo::StepClock(node, later));
+            }
+        }
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.misbehaviour.random.chance(share)
+    }
+
+    /// Whether a node's clients hold as many of its descriptors for requests as the platform says at most: a third.
+    pub(super) fn is_full(&self, node: usize) -> bool {
+        if !self.plan.behaviour.strict {
+            return false;
+        }
+        let is_open = |peer: &Peer| matches!(peer, Peer::Client { node: of, open, .. } if *of == node && !open.is_empty());
+        let open = self.peers.values().filter(|peer| is_open(peer)).count();
+        open >= self.plan.scene.scene.node[node].sockets / 3
+    }
+
+    /// Whether the system before the nodes, or a client with a connection of its own, brings a node requests.
+    pub(super) fn takes_requests(&self, node: usize) -> bool {
+        let side = &self.nodes[node];
+        let takes_new = side
+            .stopping
+            .is_none_or(|since| self.now < since + NEW_CONNECTIONS);
+        side.up && (takes_new || !side.idle.is_empty()) && !self.is_full(node)
+    }
+
+    /// A connection of this node on which a request is open, to be written to before that is answered. Answers keep
+    /// their order, so that only one whose time is over no earlier than theirs can be answered in time.
+    pub(super) fn busy_connection(&mut self, node: usize, request: usize) -> Option<ConnId> {
+        if !self.chance(self.plan.behaviour.pipelined) {
+            return None;
+        }
+        let ends = |request: usize| {
+            let log = &self.requests[request].log;
+            log.arrival + log.budget
+        };
+        let is_busy = |peer: &Peer| match peer {
+            Peer::Client {
+                node: of,
+                open,
+                is_half,
+                ..
+            } => {
+                *of == node
+                    && (1..MOST_PIPELINED).contains(&open.len())
+                    && open.iter().all(|before| ends(*before) <= ends(request))
+                    && !is_half
+            }
+            _ => false,
+        };
+        let mut peers = self.peers.iter();
+        peers.find(|(_, peer)| is_busy(peer)).map(|(conn, _)| *conn)
+    }
+
+    /// What follows right behind a request.
+    pub(super) fn half_head(&mut self) -> &'static [u8] {
+        if self.chance(self.plan.behaviour.half_heads) {
+            HALF_HEAD
+        } else {
+            &[]
+        }
+    }
+
+    /// A client decides whether, and when, it leaves before its answer.
+    pub(super) fn plan_to_leave(&mut self, request: usize) {
+        if !self.chance(self.plan.behaviour.leaving) {
+            return;
+        }
+        let budget = self.requests[request].log.budget;
+        let after = self.misbehaviour.random.between(MS, budget * 3 / 4);
+        self.at(self.now + after, Todo::Leave(request));
+    }
+
+    /// A client closes its connection though its request is open.
+    pub(super) fn leave(&mut self, request: usize) -> Option<(usize, u64)> {
+        if self.requests[request].done {
+            return None;
+        }
+        let conn = self.connection_of(request)?;
+        self.leave_behind(conn, request);
+        self.requests[request].log.left = Some(self.now);
+        self.finish(request, false);
+        if self.chance(0.3) {
+            self.reset(conn)
+        } else {
+            self.close(conn)
+        }
+    }
+
+    /// A client that closes its connection leaves all that is open on it.
+    pub(super) fn leave_behind(&mut self, conn: ConnId, but: usize) {
+        let Some(Peer::Client { open, .. }) = self.peers.get(&conn) else {
+            return;
+        };
+        let others: Vec<usize> = open.iter().copied().filter(|one| *one != but).collect();
+        for request in others {
+            self.requests[request].log.left = Some(self.now);
+            self.finish(request, false);
+        }
+    }
+
+    /// A client has had its answer, and has written half a head behind its request.
+    pub(super) fn fall_silent(&mut self, conn: ConnId, node: usize) {
+        let since = self.now;
+        self.peers.insert(conn, Peer::Silent { node, since });
+        self.at(since + OWED_WITHIN + OWED_SLACK, Todo::Owed(conn));
+    }
+
+    /// Clients connect and say nothing, up to their number.
+    pub(super) fn fill_silent(&mut self, node: usize) -> Option<(usize, u64)> {
+        let of = |peer: &Peer| matches!(peer, Peer::Silent { node: of, .. } if *of == node);
+        let there = self.peers.values().filter(|peer| of(peer)).count();
+        let wanted = self.plan.behaviour.silent_clients.saturating_sub(there);
+        let takes_new = self.nodes[node].up && self.nodes[node].stopping.is_none();
+        let listen = self.nodes[node].listen.filter(|_| takes_new);
+        for _ in 0..wanted.min(SILENT_AT_ONCE) {
+            let Some(conn) = listen.and_then(|at| self.net.connect(at).ok()) else {
+                break;
+            };
+            let since = self.now;
+            self.adopt(conn, Peer::Silent { node, since });
+            self.at(since + OWED_WITHIN + OWED_SLACK, Todo::Owed(conn));
+        }
+        if self.now < self.plan.scene.scene.length_ms.get_ref() * MS {
+            self.at(self.now + SILENT_PERIOD, Todo::Silent(node));
+        }
+        None
+    }
+
+    /// A client that says nothing was owed an error or its end by now.
+    pub(super) fn is_owed(&mut self, conn: ConnId) -> Option<(usize, u64)> {
+        let Some(Peer::Silent { node, since }) = self.peers.get(&conn) else {
+            return None;
+        };
+        let (node, since) = (*node, *since);
+        self.note_silent_end(node, since);
+        self.close(conn)
+    }
+
+    /// A client that says nothing is told something, which is all that it is owed.
+    pub(super) fn silent_ended(&mut self, conn: ConnId) {
+        if let Some(Peer::Silent { node, since }) = self.peers.get(&conn) {
+            self.note_silent_end(*node, *since);
+            let _ = self.close(conn);
+        }
+    }
+
+    /// A silent client's connection has ended, from whichever side.
+    pub(super) fn note_silent_end(&mut self, node: usize, since: Nanos) {
+        let took = self.now - since;
+        if took >= OWED_WITHIN + OWED_SLACK && self.nodes[node].up && !self.nodes[node].paused {
+            let name = self.nodes[node].name.clone();
+            self.misbehaviour.unended.push((name, took));
+        }
+    }
+
+    /// Whether a request that its node has not answered was read there: it had the time for it.
+    pub(super) fn has_surely_read(&self, request: usize) -> bool {
+        let waited = self.now - self.requests[request].written;
+        self.plan.behaviour.strict && waited >= SURELY_READ
+    }
+
+    /// A node is asked to stop: other signals follow, and SIGKILL at the earliest time.
+    pub(super) fn plan_kill(&mut self, node: usize) {
+        if !self.plan.behaviour.strict {
+            return;
+        }
+        let since = self.now;
+        self.nodes[node].stopping = Some(since);
+        let deadlines = self.plan.scene.scene.class.iter();
+        let longest = deadlines.map(|class| class.deadline_ms.get_ref() * MS);
+        let longest = longest.max().unwrap_or(0).min(LONGEST_COUNTED);
+        let series = [
+            StopSignal::Hangup,
+            StopSignal::Terminate,
+            StopSignal::Interrupt,
+        ];
+        for signal in series {
+            let after = self.misbehaviour.random.between(MS, longest);
+            self.at(since + after, Todo::Signal(node, since, signal));
+        }
+        let kill = Todo::Signal(node, since, StopSignal::Kill);
+        self.at(since + longest + KILLED_AFTER, kill);
+    }
+
+    /// A signal to a node that was asked to stop at that time, if it is still that process.
+    pub(super) fn signal_stopping(
+        &mut self,
+        node: usize,
+        since: Nanos,
+        signal: StopSignal,
+    ) -> Fired {
+        if !self.nodes[node].up || self.nodes[node].stopping != Some(since) {
+            return Fired::default();
+        }
+        if signal == StopSignal::Kill {
+            // What came by then was to be answered; what the kill finds of it is left to its clients.
+            let excused = since + KILLED_AFTER;
+            let open = self
+                .requests
+                .iter_mut()
+                .filter(|open| !open.done && open.node == node && open.written <= excused);
+            open.for_each(|open| open.log.excused = true);
+        }
+        Fired {
+            touched: None,
+            orders: vec![Order::Signal(node, signal)],
+        }
+    }
+}
--- a/testkit/scenarios/src/world/servers.rs
+++ b/testkit/scenarios/src/world/servers.rs
@@ -9,11 +9,15 @@
 use badgerpost_fakes::server::Offer;
 
 use super::links::Carried;
-use super::stage::{Job, Open, Peer, Sending, Todo, World, body};
-use crate::MS;
+use super::stage::{ConnectionFate, Job, Open, Peer, Sending, Todo, World, body};
 use crate::outcome::{Attempt, Ended, Scope};
 use crate::scene::{Reports, Trouble};
+use crate::{MS, Nanos, SECOND};
 
+/// A change of the list counts as told this long after discovery had it and could be reached.
+const COUNTS_WITHIN: Nanos = 6 * SECOND;
+/// A deadline that is this much beyond what the client has left is noted.
+const SEEN_OVER: Nanos = 100 * MS;
 /// What a server answers where it is spoilt.
 const NOISE: &[u8] = b"HTTP/1.1 2x0 \x01\x02\r\n\r\n";
 
@@ -51,6 +55,13 @@
         let attempt = request.map(|request| {
             let open = &mut self.requests[request];
             let told = self.nodes[open.node].told.get(&server);
+            let counted = site.unlisted_since.map(|since| since + COUNTS_WITHIN);
+            let told = told.copied().into_iter().chain(counted).min();
+            let left = (open.written + open.log.budget).saturating_sub(now);
+            let deadline = message
+                .value("x-budget-ms")
+                .and_then(|text| text.parse().ok());
+            let over = deadline.map_or(0, |deadline: u64| (deadline * MS).saturating_sub(left));
             open.log.attempts.push(Attempt {
                 server: site.name.clone(),
                 zone: site.zone.clone(),
@@ -59,8 +70,10 @@
                 end: None,
                 ended: Ended::Open,
                 ran: false,
-                told_for: told.map(|told| now - told),
+                told_for: told.and_then(|told| now.checked_sub(told)),
                 felled: false,
+                without_length: false,
+                overstated: (over > SEEN_OVER).then_some(over),
             });
             (request, open.log.attempts.len() - 1)
         });
@@ -116,7 +129,7 @@
             attempt,
             bytes: message::answer(503, &self.report(server, "X-Rejected: 1\r\n"), b""),
             ended: Ended::TurnedAway,
-            resets: false,
+            then: ConnectionFate::Stays,
         };
         if self.sites[server].has(Trouble::TurnAway, lot) {
             self.at(now, Todo::Answer(Box::new(away)));
@@ -145,11 +158,32 @@
         let site = &mut self.sites[server];
         let ticket = site.next_job;
         site.next_job += 1;
+        let is_told = request.is_some_and(|request| {
+            let node = &self.nodes[self.requests[request].node];
+            let start = site.booted.map(|booted| (self.base + booted) / MS);
+            node.told_starts.get(&server).copied() == start
+        });
         let offer = site.model.offer(now, ticket, work);
+        site.cold_sends.push_back((now, is_told));
+        let window = self.plan.scene.scene.rules.fall_ms * MS;
+        while site
+            .cold_sends
+            .front()
+            .is_some_and(|(at, _)| now - at >= window)
+        {
+            site.cold_sends.pop_front();
+        }
+        let told = site
+            .cold_sends
+            .iter()
+            .filter(|(_, is_told)| *is_told)
+            .count();
+        let is_breach = !self.plan.behaviour.strict || 3 * told > 2 * site.cold_sends.len();
         site.cold_peak = site.cold_peak.max(site.model.cold_load(now).unwrap_or(0.0));
         if let Some((request, number)) = attempt {
             let attempt = &mut self.requests[request].log.attempts[number];
-            (attempt.ran, attempt.felled) = (offer == Offer::Taken, offer == Offer::Felled);
+            attempt.ran = offer == Offer::Taken;
+            attempt.felled = offer == Offer::Felled && is_breach;
         }
         match offer {
             Offer::Taken => {
@@ -199,7 +233,7 @@
         } else {
             message::answer(404, "", b"")
         };
-        let (attempt, ended, resets) = (None, Ended::Served, false);
+        let (attempt, ended, then) = (None, Ended::Served, ConnectionFate::Stays);
         self.at(
             self.now,
             Todo::Answer(Box::new(Sending {
@@ -207,7 +241,7 @@
                 attempt,
                 bytes,
                 ended,
-                resets,
+                then,
             })),
         );
     }
@@ -252,9 +286,10 @@
             attempt,
             bytes: message::answer(200, &headers, &body(&id, &site.name)),
             ended: Ended::Served,
-            resets: false,
+            then: ConnectionFate::Stays,
         };
         let mut at = now;
+        let mut is_without_length = false;
         for (trouble, _) in site.troubles.iter().filter(|(_, permille)| lot < *permille) {
             match *trouble {
                 Trouble::Fail => {
@@ -266,12 +301,25 @@
                     sending
                         .bytes
                         .truncate(usize::try_from(after).unwrap_or(usize::MAX));
-                    (sending.ended, sending.resets) = (Ended::Reset, true);
+                    (sending.ended, sending.then) = (Ended::Reset, ConnectionFate::Resets);
+                }
+                Trouble::NoLength => {
+                    sending.bytes =
+                        message::answer_without_length(200, &headers, &body(&id, &site.name));
+                    sending.then = ConnectionFate::Closes;
+                    is_without_length = true;
                 }
                 Trouble::Late { by } => at = at.saturating_add(by),
                 _ => {}
             }
         }
+        if is_without_length
+            && sending.ended == Ended::Served
+            && sending.then == ConnectionFate::Closes
+            && let Some((request, number)) = attempt
+        {
+            self.requests[request].log.attempts[number].without_length = true;
+        }
         self.at(at, Todo::Answer(Box::new(sending)));
     }
 
@@ -281,7 +329,7 @@
             attempt,
             bytes,
             ended,
-            resets,
+            then,
         } = sending;
         let Some(Peer::Server {
             server,
@@ -303,7 +351,7 @@
                         attempt,
                         bytes,
                         ended,
-                        resets,
+                        then,
                     })),
                 );
             }
@@ -316,7 +364,7 @@
             attempt,
             bytes,
             ended,
-            resets,
+            then,
         }))
     }
 
@@ -328,8 +376,10 @@
         };
         let node = *node;
         let written = self.net.write(sending.conn, &sending.bytes);
-        if sending.resets {
-            self.at(self.now, Todo::Reset(sending.conn));
+        match sending.then {
+            ConnectionFate::Stays => {}
+            ConnectionFate::Closes => self.at(self.now, Todo::Hang(sending.conn)),
+            ConnectionFate::Resets => self.at(self.now, Todo::Reset(sending.conn)),
         }
         node.map(|node| (node, written as u64))
     }
@@ -354,7 +404,7 @@
                 node.map(|node| (node, 0))
             }
             Peer::List { node, .. } => Some((node, 0)),
-            Peer::Client { node, .. } => {
+            Peer::Client { node, .. } | Peer::Silent { node, .. } => {
                 self.nodes[node].idle.retain(|idle| *idle != conn);
                 Some((node, 0))
             }
--- a/testkit/scenarios/src/world/stage.rs
+++ b/testkit/scenarios/src/world/stage.rs
@@ -1,7 +1,7 @@
 //! What the peers of all nodes are and have: sites, nodes, connections, requests and what is to be done when. The
 //! rooms beside this one move it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,13 +13,17 @@
 use badgerpost_fakes::server::Server;
 
 use super::links::{BadLink, Carried};
-use crate::outcome::{Ended, Request};
+use super::misbehaviour::Misbehaviour;
+use crate::outcome::{Ended, Request, Told};
 use crate::plan::Plan;
+use crate::rules::{self, Breach};
 use crate::scene::Trouble;
 use crate::{MS, Nanos, SECOND};
 
 /// On sockets each time limit is this much longer.
 pub const SOCKETS: Nanos = 50 * MS;
+/// With fewer answers without a length their share says nothing.
+const LEAST_WITHOUT_LENGTH: usize = 10;
 /// A run ends this long after its last arrival at the latest.
 const ENDS_AFTER: Nanos = 15 * SECOND;
 
@@ -50,6 +54,29 @@
     List(usize, State, bool),
     Starts(usize),
     Resume(usize),
+    /// A client closes its connection though its request is open.
+    Leave(usize),
+    /// A node has as many silent clients as it is to have.
+    Silent(usize),
+    /// A client that says nothing more is owed its end by now.
+    Owed(ConnId),
+    /// A node that was asked to stop then gets this signal.
+    Signal(usize, Nanos, StopSignal),
+    /// A node's wall clock is ahead by so many milliseconds from now on.
+    StepClock(usize, i64),
+}
+
+/// What a node that was asked to stop gets behind the first SIGTERM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopSignal {
+    /// SIGHUP.
+    Hangup,
+    /// SIGINT.
+    Interrupt,
+    /// SIGTERM.
+    Terminate,
+    /// SIGKILL, at the earliest time.
+    Kill,
 }
 
 /// An answer of a server on its way out.
@@ -59,7 +86,16 @@
     pub(super) attempt: Option<(usize, usize)>,
     pub(super) bytes: Vec<u8>,
     pub(super) ended: Ended,
-    pub(super) resets: bool,
+    /// How its connection ends behind it, if it does.
+    pub(super) then: ConnectionFate,
+}
+
+/// What becomes of a server's connection behind an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionFate {
+    Stays,
+    Closes,
+    Resets,
 }
 
 /// What the runner has to do with a node's process.
@@ -75,6 +111,10 @@
     Pause(usize),
     /// SIGCONT.
     Resume(usize),
+    /// A signal to a node that was asked to stop.
+    Signal(usize, StopSignal),
+    /// Its wall clock steps, to so many milliseconds ahead.
+    StepClock(usize, i64),
 }
 
 /// What one step of the world has left for the runner.
@@ -107,9 +147,16 @@
     Client {
         node: usize,
         inbox: Inbox,
-        open: Option<usize>,
+        /// Requests on it, in the order in which they were written.
+        open: VecDeque<usize>,
+        /// Of these, how many answers have been read that are still on their way to the client.
+        read: usize,
         last: Option<usize>,
+        /// Half a head was written behind the last one.
+        is_half: bool,
     },
+    /// A client that says nothing more.
+    Silent { node: usize, since: Nanos },
 }
 
 impl Peer {
@@ -117,7 +164,9 @@
     fn node(&self) -> Option<usize> {
         match self {
             Self::Server { node, .. } => *node,
-            Self::List { node, .. } | Self::Client { node, .. } => Some(*node),
+            Self::List { node, .. } | Self::Client { node, .. } | Self::Silent { node, .. } => {
+                Some(*node)
+            }
         }
     }
 }
@@ -150,6 +199,10 @@
     pub(super) booted: Option<Nanos>,
     /// The most that it was sent while cold, as a multiple of what it could do.
     pub(super) cold_peak: f64,
+    /// What it was sent lately while cold: when, and whether the node had been told of the start.
+    pub(super) cold_sends: VecDeque<(Nanos, bool)>,
+    /// Since when discovery has it as draining or gone and could be reached.
+    pub(super) unlisted_since: Option<Nanos>,
 }
 
 impl Site {
@@ -191,6 +244,10 @@
     pub(super) idle: Vec<ConnId>,
     /// Servers that it was told drain or are gone, and when.
     pub(super) told: BTreeMap<usize, Nanos>,
+    /// The starts that it was told of, Unix time in milliseconds.
+    pub(super) told_starts: BTreeMap<usize, u64>,
+    /// When it was asked to stop.
+    pub(super) stopping: Option<Nanos>,
     /// Its connections that stand, and those that have ended since its start, from whichever side.
     pub(super) open: usize,
     pub(super) ended: u64,
@@ -218,6 +275,8 @@
     pub(super) key: String,
     pub(super) done: bool,
     pub(super) resent: bool,
+    /// When its last byte was written to its node.
+    pub(super) written: Nanos,
 }
 
 /// The peers of all nodes.
@@ -251,6 +310,8 @@
     pub(super) stuck: Vec<Carried>,
     /// What is lost on links.
     pub(super) random: Random,
+    /// What clients do beyond asking and waiting.
+    pub(super) misbehaviour: Misbehaviour,
 }
 
 impl World {
@@ -351,8 +412,10 @@
     pub fn node_up(&mut self, node: usize, listen: SocketAddr) {
         let node = &mut self.nodes[node];
         (node.listen, node.up, node.paused) = (Some(listen), true, false);
+        node.stopping = None;
         node.ended = 0;
         node.told.clear();
+        node.told_starts.clear();
     }
 
     /// Where a node listens, if it ever has.
@@ -376,6 +439,24 @@
         open.for_each(|open| open.log.excused = true);
     }
 
+    /// What clients that say nothing, and answers with no length, were owed and did not get.
+    pub fn owed(&self) -> Vec<Breach> {
+        let unended = self.misbehaviour.unended.iter();
+        let mut breaches: Vec<Breach> = unended
+            .map(|(node, took)| rules::client_left_alone(node, *took))
+            .collect();
+        let logs = self.requests.iter().map(|open| &open.log);
+        let is_bare = |log: &&Request| log.attempts.iter().any(|attempt| attempt.without_length);
+        let bare: Vec<&Request> = logs.filter(is_bare).collect();
+        let is_served =
+            |log: &&&Request| log.answer.is_some_and(|answer| answer.told == Told::Served);
+        let forwarded = bare.iter().filter(is_served).count();
+        if bare.len() >= LEAST_WITHOUT_LENGTH && 2 * forwarded < bare.len() {
+            breaches.push(rules::answers_without_length_dropped(forwarded, bare.len()));
+        }
+        breaches
+    }
+
     /// The log, sorted by arrival.
     pub fn into_log(mut self) -> Vec<Request> {
         self.requests
@@ -415,7 +496,7 @@
         let node = match self.forget(conn)? {
             Peer::Server { node, .. } => node,
             Peer::List { node, .. } => Some(node),
-            Peer::Client { node, .. } => {
+            Peer::Client { node, .. } | Peer::Silent { node, .. } => {
                 self.nodes[node].idle.retain(|idle| *idle != conn);
                 Some(node)
             }
--- a/testkit/scenarios/tests/common/mod.rs
+++ b/testkit/scenarios/tests/common/mod.rs
@@ -81,6 +81,7 @@
         port: 0,
         own: own.to_owned(),
         peers,
+        system_faults: Vec::new(),
     };
     run::play(plan, &options, &mut |_| {}).unwrap_or_else(|error| panic!("{error}"))
 }
--- a/testkit/scenarios/tests/identical.rs
+++ b/testkit/scenarios/tests/identical.rs
@@ -23,6 +23,7 @@
         port: 0,
         own: String::new(),
         peers: false,
+        system_faults: Vec::new(),
     };
     let played = run::play(&plan, &options, &mut |_| {})
         .unwrap_or_else(|error| panic!("seed {seed}: {error}"));
