--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod descriptor_quota;
 mod handover;
+mod listening;
 mod serve;
 
 use std::path::PathBuf;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -21,7 +21,7 @@
 use badgerpost_postgres::server::PostgresServer;
 use badgerpost_postgres::{self as postgres, PostgresEngine};
 use badgerpost_virtual_clock::{Control, ControlError};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -29,6 +29,7 @@
 use crate::config::{Config, ConfigError, Edge, Rehearsal};
 use crate::descriptor_quota::DescriptorQuota;
 use crate::handover::Handover;
+use crate::listening::{listen, open_patiently};
 
 /// A process says that it can serve once it has heard from discovery, or this long after its start: with discovery
 /// down it serves what it knew.
@@ -38,7 +39,6 @@
 /// How often it looks whether it has, and how often the figures of the servers are brought up to date.
 const LOOK: Duration = Duration::from_millis(20);
 const COUNT: Duration = Duration::from_millis(200);
-const BACKLOG: u32 = 1024;
 /// Orders of the operators that wait for the serving thread, which takes them at once.
 const ORDERS: usize = 16;
 /// The last answer to what comes after the signal to end has left this long after the longest deadline, counted from the
@@ -140,12 +140,7 @@
     };
     let listener = match &given {
         Some(given) => given.listener.try_clone()?,
-        None => listen(edge.listen, edge.console.is_some())
-            .and_then(TcpListener::into_std)
-            .map_err(|source| ServeError::Listen {
-                at: edge.listen,
-                source,
-            })?,
+        None => own_listener(&clock, edge.listen, edge.console.is_some()).await?,
     };
     listener.set_nonblocking(true)?;
     let hand_on = handover
@@ -163,23 +158,17 @@
     let life = LifecycleHandle::default();
     spawn(keep_time(life.clone(), clock.clone()));
     if let Some(at) = edge.console {
-        operators_call(at, &life, &node)?;
+        operators_call(at, &life, &node).await?;
     }
     let (stop, stopping) = watch::channel(false);
     if let Some(peers) = &own.peers {
-        let key = peers.key().map_err(ConfigError::from)?;
         let me = LocalMember {
             name: &edge.name,
             zone,
             nodes,
             seed,
         };
-        let opened = GossipService::open(peers, key, me, node.clone()).await;
-        let peers = opened.map_err(|source| ServeError::Peers {
-            at: peers.listen,
-            source,
-        })?;
-        spawn(peers.run(stopping.clone()));
+        join_peers(peers, me, &node, &stopping).await?;
     }
     let deadline = node.longest_deadline();
     let leaves = Rc::new(Cell::new(None));
@@ -202,7 +191,9 @@
         spawn(handover.run(listener_to_hand_on, given, life.clone()));
     }
     let postgres = match own.postgres {
-        Some(postgres) => Some(spawn(serve_postgres(postgres, seed, &clock, stopping)?)),
+        Some(postgres) => Some(spawn(
+            serve_postgres(postgres, seed, &clock, stopping).await?,
+        )),
         None => None,
     };
     let name = edge.name.clone();
@@ -243,6 +234,35 @@
     }
 }
 
+/// Begins to talk to the other nodes.
+async fn join_peers(
+    peers: &badgerpost_gossip::Config,
+    me: LocalMember<'_>,
+    node: &HttpEngine,
+    stopping: &watch::Receiver<bool>,
+) -> Result<(), ServeError> {
+    let key = peers.key().map_err(ConfigError::from)?;
+    let opened = GossipService::open(peers, key, me, node.clone()).await;
+    let service = opened.map_err(|source| ServeError::Peers {
+        at: peers.listen,
+        source,
+    })?;
+    spawn(service.run(stopping.clone()));
+    Ok(())
+}
+
+/// The clients' listener, where none was handed over.
+async fn own_listener(
+    clock: &Clock,
+    at: SocketAddr,
+    beside: bool,
+) -> Result<std::net::TcpListener, ServeError> {
+    listen(clock, at, beside)
+        .await
+        .and_then(TcpListener::into_std)
+        .map_err(|source| ServeError::Listen { at, source })
+}
+
 /// Keeps the time for the life cycle; never ends.
 async fn keep_time(life: LifecycleHandle, clock: Clock) {
     let mut wakes = life.wakes();
@@ -265,13 +285,14 @@
 }
 
 /// Opens the operators' listener and keeps what it shows up to date.
-fn operators_call(
+async fn operators_call(
     at: SocketAddr,
     life: &LifecycleHandle,
     node: &HttpEngine,
 ) -> Result<(), ServeError> {
-    let listener =
-        std::net::TcpListener::bind(at).map_err(|source| ServeError::Console { at, source })?;
+    let listener = open_patiently(node.clock(), || std::net::TcpListener::bind(at))
+        .await
+        .map_err(|source| ServeError::Console { at, source })?;
     let ready = Arc::new(AtomicBool::new(false));
     tracing::info!(console = %listener.local_addr()?, "operators may call");
     let (orders, mut ordered) = mpsc::channel::<ZoneOverrideCommand>(ORDERS);
@@ -315,7 +336,7 @@
 }
 
 /// Wires the PostgreSQL front: a fleet with an engine of its own.
-fn serve_postgres(
+async fn serve_postgres(
     config: postgres::config::Config,
     seed: u64,
     clock: &Clock,
@@ -355,7 +376,9 @@
         spawn(discovery::EndpointWatcher::new(fleet.clone(), discovery, None, seed).run(told));
     }
     let at = config.listen;
-    let listener = listen(at, false).map_err(|source| ServeError::Listen { at, source })?;
+    let listener = listen(clock, at, false)
+        .await
+        .map_err(|source| ServeError::Listen { at, source })?;
     tracing::info!(listen = %listener.local_addr()?, "serving PostgreSQL clients");
     let front = PostgresServer::new(config, users, fleet, pool).map_err(ConfigError::from)?;
     Ok(front.run(listener, stopping))
@@ -391,18 +414,3 @@
         }
     }
 }
-
-fn listen(at: SocketAddr, beside: bool) -> std::io::Result<TcpListener> {
-    let socket = if at.is_ipv4() {
-        TcpSocket::new_v4()
-    } else {
-        TcpSocket::new_v6()
-    }?;
-    // A restart must not wait for the last life's connections to leave the system's tables.
-    socket.set_reuseaddr(true)?;
-    if beside {
-        socket.set_reuseport(true)?;
-    }
-    socket.bind(at)?;
-    socket.listen(BACKLOG)
-}
