--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -149,7 +149,7 @@
         .transpose()?;
     let listener = TcpListener::from_std(listener)?;
     let listens_at = listener.local_addr()?;
-    tracing::info!(node = edge.name, listen = %listens_at, discovery = %edge.discovery, "serving");
+    announce(&edge.name, listens_at, edge.discovery);
     let (address, told) = watch::channel(edge.discovery);
     spawn(watch.run(told));
     spawn(heed_reloads(hangup, address, file));
@@ -234,6 +234,11 @@
     }
 }
 
+/// Says in the log that the node serves; whoever started it waits for this line.
+fn announce(node: &str, listens_at: SocketAddr, discovery: SocketAddr) {
+    tracing::info!(node, listen = %listens_at, %discovery, "serving");
+}
+
 /// Begins to talk to the other nodes.
 async fn join_peers(
     peers: &badgerpost_gossip::Config,
