--- a/daemon/tests/pipelining.rs
+++ b/daemon/tests/pipelining.rs
@@ -88,3 +88,24 @@
     assert!(told <= left + 50, "told {told} ms, {left} left");
     assert!(told + 100 >= left, "told {told} ms, {left} left");
 }
+
+/// A request that is turned away does not take those behind it with it, as long as its own end is known.
+#[test]
+fn requests_behind_one_that_is_turned_away_are_answered() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    let turned_away = [
+        (400, post("unheard-of", "b1", "", "body")),
+        (400, get("b2", "").replace("3000", "soon")),
+        (405, post("read", "b3", "", "")),
+        (404, get("b4", "").replace("/api", "/elsewhere")),
+        (409, post("pay", "good-4", "", "body")),
+    ];
+    for (n, (wanted, bad)) in turned_away.into_iter().enumerate() {
+        let mut client = Client::to(node.at);
+        let (before, behind) = (format!("good-{n}"), format!("behind-{n}"));
+        client.write(&(post("pay", &before, "", "one") + &bad + &post("pay", &behind, "", "two")));
+        let statuses = [(); 3].map(|()| client.read().expect("an answer").status());
+        assert_eq!(statuses, [200, wanted, 200], "{n}");
+    }
+}
--- a/daemon/tests/slow_start.rs
+++ b/daemon/tests/slow_start.rs
@@ -15,9 +15,10 @@
 use badgerpost_fakes::scripted::*;
 use serde_json::{Value, json};
 
-const NODES: usize = 20;
 const SERVERS: usize = 4;
-/// Requests a second over all nodes.
+/// Clients of each node.
+const CLIENTS: usize = 8;
+/// Requests a second over all nodes, before more start.
 const RATE: f64 = 400.0;
 /// The window in which a server in slow start may be pushed over, the multiple that it bears, and how it warms up.
 const WINDOW: Duration = Duration::from_millis(1500);
@@ -63,33 +64,34 @@
     entry
 }
 
-fn configuration(discovery: &Discovery) -> Value {
+fn configuration(discovery: &Discovery, nodes: usize) -> Value {
     let mut config = config(discovery.at, json!([]));
-    config["settings"]["n-instances"] = json!(NODES);
+    config["settings"]["n-instances"] = json!(nodes);
     config["settings"]["zones"] = json!(["a"]);
     config
 }
 
-fn load_on(node: &Node, life: &str) -> Load {
-    let every = Duration::from_secs_f64(2.0 * NODES as f64 / RATE);
-    Load::start(node.at, life, 2, every, |id| {
+fn load_on(node: &Node, life: &str, nodes: usize) -> Load {
+    let every = Duration::from_secs_f64(CLIENTS as f64 * nodes as f64 / RATE);
+    Load::start(node.at, life, CLIENTS, every, |id| {
         get(id, "").replace("3000", "800")
     })
 }
 
-#[test]
-fn twenty_processes_together_spare_a_server_that_has_just_started() {
+/// A server starts while `nodes` serve, and `more` of them start behind it; each window of its first seconds stays within
+/// what it bears.
+fn a_new_server_is_spared(nodes: usize, more: usize) {
     let old: Vec<Backend> = (0..SERVERS).map(|_| busy(None)).collect();
     let mut entries: Vec<Value> = (0..)
         .zip(&old)
         .map(|(n, backend)| entry(&format!("s-{n}"), backend, 0))
         .collect();
     let discovery = Discovery::new(json!(entries));
-    let config = configuration(&discovery);
-    let nodes: Vec<Node> = (0..NODES).map(|_| Node::start(&config)).collect();
+    let config = configuration(&discovery, nodes);
+    let processes: Vec<Node> = (0..nodes).map(|_| Node::start(&config)).collect();
     let loads: Vec<Load> = (0..)
-        .zip(&nodes)
-        .map(|(n, node)| load_on(node, &format!("n{n}")))
+        .zip(&processes)
+        .map(|(n, node)| load_on(node, &format!("n{n}"), nodes))
         .collect();
     thread::sleep(Duration::from_secs(3));
     let arrivals = Arc::<Mutex<Vec<Instant>>>::default();
@@ -101,16 +103,16 @@
     entries.push(entry("new", &new, boot.as_millis()));
     discovery.set(json!(entries));
     thread::sleep(Duration::from_millis(1500));
-    // A quarter of the nodes start anew, and know nothing but the list.
-    let restarted: Vec<Node> = (0..NODES / 4).map(|_| Node::start(&config)).collect();
-    let more: Vec<Load> = (0..)
-        .zip(&restarted)
-        .map(|(n, node)| load_on(node, &format!("r{n}")))
+    // These know nothing but the list.
+    let later: Vec<Node> = (0..more).map(|_| Node::start(&config)).collect();
+    let more_loads: Vec<Load> = (0..)
+        .zip(&later)
+        .map(|(n, node)| load_on(node, &format!("r{n}"), nodes))
         .collect();
     thread::sleep(WATCHED.saturating_sub(started.elapsed()));
     let asked: usize = loads
         .into_iter()
-        .chain(more)
+        .chain(more_loads)
         .map(|load| load.stop().len())
         .sum();
     assert!(asked > 2000, "{asked} requests are no load");
@@ -129,3 +131,14 @@
     }
     assert!(!arrivals.is_empty(), "it was not used at all");
 }
+
+#[test]
+fn twenty_processes_together_spare_a_server_that_has_just_started() {
+    a_new_server_is_spared(20, 5);
+}
+
+/// As in an upgrade: the new version starts from the list, and does not know what the old one sends.
+#[test]
+fn two_versions_beside_each_other_spare_a_server_that_has_just_started() {
+    a_new_server_is_spared(1, 1);
+}
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use badgerpost_fakes::scripted::*;
+use badgerpost_fakes::system_faults::{Call, Fault, SystemFaults};
 use serde_json::{Value, json};
 
 /// A folder that the versions of a node share; gone with the test.
@@ -162,6 +163,25 @@
     }
 }
 
+/// A folder that takes no more files, or fails, costs the handover of the socket and nothing else.
+#[test]
+fn a_folder_that_is_full_or_fails_keeps_no_node_from_starting() {
+    for error in ["ENOSPC", "EIO"] {
+        let folder = Folder::new(error);
+        let (backend, at) = (serving(), free());
+        let config = operated(&backend, at);
+        let faults = SystemFaults::seeded(1).with(Call::BindUnix, Fault::Error(error), 1000);
+        let old = Node::start_with_faults_in(&config, &faults, Some(&folder.0));
+        serves(&old);
+        let mut new = Node::start_with_faults_in(&config, &faults, Some(&folder.0));
+        serves(&new);
+        old.signal("-TERM");
+        until("the old one stops", || old.logged("stopping node="));
+        serves(&new);
+        assert!(new.child.try_wait().unwrap().is_none(), "{error}");
+    }
+}
+
 /// Whatever stands where the versions meet, the node starts in time and serves.
 #[test]
 fn nothing_in_the_folder_keeps_a_node_from_starting() {
--- a/testkit/fakes/native/system_faults.c
+++ b/testkit/fakes/native/system_faults.c
@@ -6,7 +6,7 @@
  *   BADGERPOST_FAULT_SEED  drives the draws
  *   BADGERPOST_WALL_CLOCK  a file with the milliseconds by which the wall clock is ahead; read at each reading of it
  *
- * Only TCP sockets over IP fail: the event loop's own sockets are none of a peer's business.
+ * Only TCP sockets over IP fail, and the naming of Unix sockets: the event loop's own are none of a peer's business.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -59,6 +59,8 @@
     {"EHOSTUNREACH", EHOSTUNREACH},
     {"ETIMEDOUT", ETIMEDOUT},
     {"ECONNRESET", ECONNRESET},
+    {"ENOSPC", ENOSPC},
+    {"EIO", EIO},
 };
 
 static int kind_of(const char *name, size_t length)
@@ -180,6 +182,14 @@
     return syscall(SYS_connect, fd, address, length);
 }
 
+/* A Unix socket gets its name: a file in a folder. */
+int bind(int fd, const struct sockaddr *address, socklen_t length)
+{
+    if (address->sa_family == AF_UNIX && fails(fault_of("bind_unix")))
+        return -1;
+    return syscall(SYS_bind, fd, address, length);
+}
+
 int socket(int domain, int type, int protocol)
 {
     if ((domain == AF_INET || domain == AF_INET6) && fails(fault_of("socket")))
--- a/testkit/fakes/src/scripted.rs
+++ b/testkit/fakes/src/scripted.rs
@@ -481,7 +481,17 @@
 
     /// One whose system calls and wall clock do badly.
     pub fn start_with_faults(config: &Value, faults: &SystemFaults) -> Self {
-        Self::started(spawn_process(&config.to_string(), None, None, Some(faults)))
+        Self::start_with_faults_in(config, faults, None)
+    }
+
+    /// The same with this folder for what the platform keeps.
+    pub fn start_with_faults_in(
+        config: &Value,
+        faults: &SystemFaults,
+        folder: Option<&Path>,
+    ) -> Self {
+        let text = config.to_string();
+        Self::started(spawn_process(&text, None, folder, Some(faults)))
     }
 
     fn started((mut child, file): (Child, PathBuf)) -> Self {
--- a/testkit/fakes/src/system_faults.rs
+++ b/testkit/fakes/src/system_faults.rs
@@ -26,6 +26,8 @@
     ConnectLater,
     /// `socket`.
     Socket,
+    /// `bind` of a Unix socket, which makes a file.
+    BindUnix,
     /// `epoll_wait`.
     EpollWait,
 }
@@ -39,6 +41,7 @@
             Self::Connect => "connect",
             Self::ConnectLater => "so_error",
             Self::Socket => "socket",
+            Self::BindUnix => "bind_unix",
             Self::EpollWait => "epoll",
         }
     }
