--- a/daemon/tests/slow_start.rs
+++ b/daemon/tests/slow_start.rs
@@ -47,7 +47,7 @@
             arrivals.lock().unwrap().push(Instant::now());
         }
         let number = count.fetch_add(1, Ordering::Relaxed);
-        let work = if number % 10 == 0 { 30 } else { 5 };
+        let work = if number.is_multiple_of(10) { 30 } else { 5 };
         thread::sleep(Duration::from_millis(work));
         let report = "X-Load-Report: {\"util\":0.9}\r\n";
         Does::Writes(if number % 12 == 5 {
