--- a/testkit/fakes/src/server.rs
+++ b/testkit/fakes/src/server.rs
@@ -24,7 +24,8 @@
     /// ... over a span of this length, it falls over and stays down.
     pub fall_span: Nanos,
     /// The mean work of a request, where it bears as many more of them as chance may bring: N + 2 * sqrt(N) + 2, N being
-    /// what that multiple allows, or N + 3 * sqrt(N) + 3 for an N under 30.
+    /// what that multiple allows, or N + 3 * sqrt(N) + 3 for an N under 30. Such a one works at its full speed while it is
+    /// cold: nothing shows before it falls.
     pub mean_work: Option<Nanos>,
     /// How often its load report is refreshed.
     pub report_period: Nanos,
@@ -227,7 +228,11 @@
     }
 
     fn begin(&mut self, now: Nanos, ticket: u64, work: Nanos) {
-        let takes = (work as f64 / self.speed(now)) as Nanos;
+        let speed = match self.figures.mean_work {
+            Some(_) => self.figures.speed / self.pace,
+            None => self.speed(now),
+        };
+        let takes = (work as f64 / speed) as Nanos;
         self.running
             .insert((now.saturating_add(takes.max(1)), ticket));
     }
--- a/testkit/scenarios/src/commands/soak.rs
+++ b/testkit/scenarios/src/commands/soak.rs
@@ -65,8 +65,14 @@
     let verdict = if played.is_good() { "kept" } else { "BROKEN" };
     let mut lines = vec![
         format!(
-            "seed {seed}: {verdict}; {} requests: {} served, {} refused, {} failed, {} without an answer",
-            counts.requests, counts.served, counts.refused, counts.failed, counts.unanswered
+            "seed {seed}: {verdict}; {} requests: {} served, {} refused, {} failed, {} without an answer; \
+             most in slow start: {:.2} of the capacity",
+            counts.requests,
+            counts.served,
+            counts.refused,
+            counts.failed,
+            counts.unanswered,
+            played.cold_peak(None)
         ),
         format!("  {drawn}"),
     ];
--- a/testkit/scenarios/src/run.rs
+++ b/testkit/scenarios/src/run.rs
@@ -2,6 +2,8 @@
 //! kit owns the time of all: whatever happens next, at a node or among its peers, happens alone, and the node
 //! that has news runs until it is idle before anything else does.
 
+mod processes;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -9,14 +11,13 @@
 use badgerpost_fakes::net::{Happening, Reserved};
 use badgerpost_fakes::random::Random;
 use badgerpost_fakes::system_faults::{SystemFaults, WallClock};
-use rustix::process::Signal;
 
 use crate::one_core::OneCore;
 use crate::outcome::{Counts, Request};
 use crate::plan::Plan;
 use crate::process::{self, Process, ProcessError, Start};
 use crate::rules::{self, Breach};
-use crate::world::{Fired, Order, PEERS_KEY, SOCKETS, StopSignal, World};
+use crate::world::{Fired, PEERS_KEY, SOCKETS, World};
 use crate::{LATE_ANSWER, MS, Nanos, SECOND};
 
 /// Unix time at which stepped scenes begin: any would do, as long as it is always the same.
@@ -515,109 +516,4 @@
         }
         Ok(())
     }
-
-    // The processes.
-
-    fn carry_out(&mut self, order: Order) -> Result<(), RunError> {
-        match order {
-            Order::Kill(node) => {
-                // Its connections are reset as it goes; they are found so before anything else happens.
-                if let Some(mut process) = self.processes[node].take() {
-                    process.kill();
-                }
-                self.world.node_down(node, true);
-                self.collect(node, 0, Nanos::MAX)
-            }
-            Order::Stop(node) => {
-                let process = self.processes[node].as_ref();
-                process
-                    .into_iter()
-                    .for_each(|process| process.signal(Signal::TERM));
-                self.stopping[node] = true;
-                if self.options.real_time {
-                    Ok(())
-                } else {
-                    self.step(node)
-                }
-            }
-            Order::Signal(node, signal) => self.signal_stopping(node, signal),
-            Order::StepClock(node, ahead) => match self.wall_clocks.get(node) {
-                Some(clock) => Ok(clock.set(ahead)?),
-                None => Ok(()),
-            },
-            Order::Start(node) => self.start(node),
-            Order::Pause(node) => {
-                if self.options.real_time {
-                    let process = self.processes[node].as_ref();
-                    process
-                        .into_iter()
-                        .for_each(|process| process.signal(Signal::STOP));
-                }
-                self.paused[node] = true;
-                Ok(())
-            }
-            Order::Resume(node) => {
-                self.paused[node] = false;
-                if self.options.real_time {
-                    let process = self.processes[node].as_ref();
-                    process
-                        .into_iter()
-                        .for_each(|process| process.signal(Signal::CONT));
-                    return Ok(());
-                }
-                self.step(node)
-            }
-        }
-    }
-
-    /// A signal to a node that was asked to stop.
-    fn signal_stopping(&mut self, node: usize, signal: StopSignal) -> Result<(), RunError> {
-        let signal = match signal {
-            StopSignal::Hangup => Signal::HUP,
-            StopSignal::Interrupt => Signal::INT,
-            StopSignal::Terminate => Signal::TERM,
-            StopSignal::Kill => {
-                if let Some(mut process) = self.processes[node].take() {
-                    process.kill();
-                }
-                self.world.node_down(node, false);
-                return self.collect(node, 0, Nanos::MAX);
-            }
-        };
-        if let Some(process) = &self.processes[node] {
-            process.signal(signal);
-        }
-        Ok(())
-    }
-
-    /// A node's process has ended by itself: as it was asked to, or it has crashed.
-    fn ended(&mut self, node: usize) -> Result<(), RunError> {
-        let Some(mut process) = self.processes[node].take() else {
-            return Ok(());
-        };
-        let status = process.wait();
-        if self.stopping[node] && status.is_some_and(|status| status.success()) {
-            self.world.node_down(node, false);
-            return self.collect(node, 0, Nanos::MAX);
-        }
-        Err(RunError::Crashed {
-            name: self.plan.scene.scene.node[node].name.get_ref().clone(),
-            status: status.map_or_else(|| "it still runs".to_owned(), |status| status.to_string()),
-            at: self.world.now(),
-            log: process.log(),
-        })
-    }
-
-    /// Finds nodes that have crashed and were not looked at since.
-    fn check_ends(&mut self) -> Result<(), RunError> {
-        for node in 0..self.processes.len() {
-            if self.processes[node]
-                .as_mut()
-                .is_some_and(|process| process.exited().is_some())
-            {
-                self.ended(node)?;
-            }
-        }
-        Ok(())
-    }
 }
--- a/testkit/scenarios/src/soak.rs
+++ b/testkit/scenarios/src/soak.rs
@@ -110,9 +110,10 @@
             .map(ToString::to_string)
             .collect();
         format!(
-            "{} nodes, {} servers, list {list}, {} silent clients; faults: {}; calls: {}",
+            "{} nodes, {} servers, list {list}, clocks ahead {:?} ms, {} silent clients; faults: {}; calls: {}",
             scene.node.len(),
             scene.server.len(),
+            behaviour.clocks_ahead_ms,
             behaviour.silent_clients,
             faults.join(" "),
             calls.join(" ")
@@ -164,7 +165,12 @@
             self.one_of(&[6000, 12000, 24000]),
             self.random.between(2, 4),
         );
-        self.classes(&mut text);
+        let mean_work_ms = self.classes(&mut text);
+        // So many that the servers are used to between three and nine tenths: one in slow start that gets as much as
+        // the others falls over.
+        let used = 0.3 + 0.6 * self.random.unit();
+        let busy = rate as f64 * mean_work_ms / 1000.0 / servers as f64;
+        let slots = ((busy / used).round() as u64).clamp(1, 32);
         let sockets = match behaviour.silent_clients {
             0 => MANY_SOCKETS,
             _ => FEW_SOCKETS,
@@ -180,7 +186,7 @@
             let zone = zones[server as usize % zones.len()];
             let _ = write!(
                 text,
-                "\n[[server]]\nname = \"s{server}\"\nzone = \"{zone}\"\nslots = 16\nqueue = 64\n"
+                "\n[[server]]\nname = \"s{server}\"\nzone = \"{zone}\"\nslots = {slots}\nqueue = 64\n"
             );
             if server == 0 {
                 let starts = self.random.between(1500, 5000);
@@ -191,8 +197,9 @@
         text
     }
 
-    /// Three classes, one of each effect.
-    fn classes(&mut self, text: &mut String) {
+    /// Three classes, one of each effect; returns their mean work in milliseconds.
+    fn classes(&mut self, text: &mut String) -> f64 {
+        let mut mean_work = 0.0;
         let scope = self.one_of(&["all", "zone", "cell"]);
         let window = self.one_of(&[400, 900, 2000]);
         for (name, effect, share) in [
@@ -211,7 +218,9 @@
             if effect == "keyed" {
                 let _ = writeln!(text, "scope = \"{scope}\"\nwindow_ms = {window}");
             }
+            mean_work += share * (least + most) as f64 / 2.0;
         }
+        mean_work
     }
 
     /// Faults that overlap: some of servers, some of the list, and nodes that stop or are killed.
--- a/testkit/scenarios/src/world/servers.rs
+++ b/testkit/scenarios/src/world/servers.rs
@@ -279,19 +279,29 @@
         let Some(Job { conn, attempt, id }) = job else {
             return;
         };
-        let (headers, lot) = (self.report(server, ""), self.lot(attempt));
-        let site = &self.sites[server];
-        let mut sending = Sending {
+        let sending = Sending {
             conn,
             attempt,
-            bytes: message::answer(200, &headers, &body(&id, &site.name)),
+            bytes: Vec::new(),
             ended: Ended::Served,
             then: ConnectionFate::Stays,
         };
-        let mut at = now;
-        let mut is_without_length = false;
-        for (trouble, _) in site.troubles.iter().filter(|(_, permille)| lot < *permille) {
-            match *trouble {
+        self.answer_done(server, &id, sending);
+    }
+
+    /// Answers a request that is done, as the server's troubles let it.
+    fn answer_done(&mut self, server: usize, id: &str, mut sending: Sending) {
+        let (headers, lot) = (self.report(server, ""), self.lot(sending.attempt));
+        let site = &self.sites[server];
+        let body = body(id, &site.name);
+        sending.bytes = message::answer(200, &headers, &body);
+        let mut at = self.now;
+        for trouble in site.troubles_in_order(lot) {
+            match trouble {
+                Trouble::NoLength => {
+                    sending.bytes = message::answer_without_length(200, &headers, &body);
+                    sending.then = ConnectionFate::Closes;
+                }
                 Trouble::Fail => {
                     (sending.bytes, sending.ended) =
                         (message::answer(500, &headers, b""), Ended::Error);
@@ -303,20 +313,14 @@
                         .truncate(usize::try_from(after).unwrap_or(usize::MAX));
                     (sending.ended, sending.then) = (Ended::Reset, ConnectionFate::Resets);
                 }
-                Trouble::NoLength => {
-                    sending.bytes =
-                        message::answer_without_length(200, &headers, &body(&id, &site.name));
-                    sending.then = ConnectionFate::Closes;
-                    is_without_length = true;
-                }
                 Trouble::Late { by } => at = at.saturating_add(by),
                 _ => {}
             }
         }
-        if is_without_length
-            && sending.ended == Ended::Served
+        let is_complete = sending.ended == Ended::Served;
+        if is_complete
             && sending.then == ConnectionFate::Closes
-            && let Some((request, number)) = attempt
+            && let Some((request, number)) = sending.attempt
         {
             self.requests[request].log.attempts[number].without_length = true;
         }
--- a/testkit/scenarios/src/world/stage.rs
+++ b/testkit/scenarios/src/world/stage.rs
@@ -213,6 +213,19 @@
             .any(|(one, permille)| *one == trouble && lot < *permille)
     }
 
+    /// The troubles that strike a request with this lot, in thousandths: its form first, a reset in its midst last.
+    pub(super) fn troubles_in_order(&self, lot: u16) -> Vec<Trouble> {
+        let strikes = |one: &&(Trouble, u16)| lot < one.1;
+        let struck = self.troubles.iter().filter(strikes);
+        let mut troubles: Vec<Trouble> = struck.map(|one| one.0).collect();
+        troubles.sort_by_key(|trouble| match trouble {
+            Trouble::NoLength => 0,
+            Trouble::Reset { .. } => 2,
+            _ => 1,
+        });
+        troubles
+    }
+
     /// Has the model work as fast as the troubles let it.
     pub(super) fn set_pace(&mut self) {
         let slow = self
