--- a/daemon/tests/leaving.rs
+++ b/daemon/tests/leaving.rs
@@ -227,3 +227,34 @@
     late.lets_in();
     assert_eq!(late.reads(Duration::from_millis(300)), "");
 }
+
+/// The request and its client's end are read together, as the node was held up: nothing is begun for it, on a new
+/// connection, on one that has served, nor behind another request.
+#[test]
+fn nothing_is_begun_for_a_client_that_left_before_its_request_was_read() {
+    let backend = Backend::new(|_| Does::Writes(ok("yes")));
+    let (node, _discovery) = Node::with(&[&backend]);
+    for round in 0..5 {
+        let mut served = Client::to(node.at);
+        let first = served.ask(&get(&format!("served{round}"), ""));
+        assert_eq!(first.expect("an answer").status(), 200);
+        let fresh = Client::to(node.at);
+        settle(&node);
+        node.signal("-STOP");
+        let clients = [served, fresh, Client::to(node.at)];
+        for (n, mut client) in clients.into_iter().enumerate() {
+            let gone = |part| get(&format!("gone{round}-{n}-{part}"), "");
+            client.write(&(gone(1) + &post("pay", &format!("gone{round}-{n}-2"), "", "b")));
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        node.signal("-CONT");
+        settle(&node);
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    let ids = backend
+        .got
+        .try_iter()
+        .filter_map(|message| message.value("x-call-id").map(str::to_owned));
+    let begun: Vec<String> = ids.filter(|id| id.starts_with("gone")).collect();
+    assert_eq!(begun, [""; 0]);
+}
