--- a/testkit/fakes/src/scripted.rs
+++ b/testkit/fakes/src/scripted.rs
@@ -415,7 +415,7 @@
 
 /// The same with a folder of its own for what the platform keeps.
 pub fn spawn_in(config: &str, own: Option<&Path>, folder: Option<&Path>) -> (Child, PathBuf) {
-    spawn_process(config, own, folder, None)
+    spawn_process(config, own, folder, None, Stdio::piped())
 }
 
 #[expect(clippy::expect_used, reason = "a test fails here")]
@@ -425,6 +425,7 @@
     own: Option<&Path>,
     folder: Option<&Path>,
     faults: Option<&SystemFaults>,
+    log: Stdio,
 ) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
@@ -443,7 +444,7 @@
         )
         .stdin(Stdio::null())
         .stdout(Stdio::null())
-        .stderr(Stdio::piped());
+        .stderr(log);
     if let Some(faults) = faults {
         faults.apply(&mut command).unwrap();
     }
@@ -491,7 +492,24 @@
         folder: Option<&Path>,
     ) -> Self {
         let text = config.to_string();
-        Self::started(spawn_process(&text, None, folder, Some(faults)))
+        let log = Stdio::piped();
+        Self::started(spawn_process(&text, None, folder, Some(faults), log))
+    }
+
+    /// One that logs there, so that the configuration must say where it listens. Returns once it does.
+    pub fn start_logging_to(config: &Value, log: Stdio) -> Self {
+        let at = config["listen"].as_str().unwrap().parse().unwrap();
+        let (mut child, file) = spawn_process(&config.to_string(), None, None, None, log);
+        until("the node listens", || {
+            assert_eq!(child.try_wait().unwrap(), None, "the node has ended");
+            TcpStream::connect(at).is_ok()
+        });
+        Self {
+            child,
+            at,
+            log: Arc::default(),
+            file,
+        }
     }
 
     fn started((mut child, file): (Child, PathBuf)) -> Self {
