Audit: a log that can't be written, or that stalls, costs log lines only

Cause: the serving thread wrote the log itself. A failed write panicked in the crate that formats it; a reader that had stalled held up every request. Change: engine log_output, a thread with a bounded queue that writes the log; lines that do not fit or can't be written are dropped, counted, and reported. Written here rather than by the crate tracing-appender, tried in a scratch: that one prints to standard output at the end, and panics there, in just the case that is meant here.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -7,9 +7,11 @@
 mod listening;
 mod serve;
 
+use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use badgerpost_engine::LogOutput;
 use clap::{CommandFactory, Parser, Subcommand};
 
 use config::{Config, LogFormat};
@@ -59,20 +61,37 @@
         config.plan().iter().for_each(|line| println!("{line}"));
         return ExitCode::SUCCESS;
     }
+    let log = match log_to_standard_error(config.own.log.format) {
+        Ok(log) => log,
+        Err(error) => return failed(&error),
+    };
+    let result = serve::start(config, edge);
+    log.flush();
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failed(&error),
+    }
+}
+
+/// Begins to log. The lines so far are written once the returned output is flushed.
+fn log_to_standard_error(format: LogFormat) -> io::Result<LogOutput> {
+    let output = LogOutput::start(io::stderr(), |lines| {
+        tracing::warn!(lines, "log lines were lost");
+    })?;
+    let writer = output.clone();
     let log = tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
+        .with_writer(move || writer.clone())
+        .log_internal_errors(false)
         .with_ansi(false);
-    match config.own.log.format {
+    match format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().init(),
     }
-    match serve::start(config, edge) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => failed(&error),
-    }
+    Ok(output)
 }
 
 fn failed(error: &dyn std::error::Error) -> ExitCode {
-    eprintln!("badgerpost: {error}");
+    // Where this can't be written either, the exit code says it.
+    let _ = writeln!(io::stderr(), "badgerpost: {error}");
     ExitCode::FAILURE
 }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -15,6 +15,7 @@
 mod event_log;
 mod idle_pool;
 mod log_limiter;
+mod log_output;
 mod metrics;
 mod open_requests;
 mod pending_io;
@@ -32,6 +33,7 @@
 pub use engine::{Engine, HealthCheckResult, PendingResponse, Transport};
 pub use idle_pool::{IdleCheck, IdlePool, TakenConnection};
 pub use log_limiter::LogLimiter;
+pub use log_output::LogOutput;
 pub use metrics::{
     BackendCounts, ClassCounts, DroppedDatagram, Metrics, PeerMetrics, RequestEnd, ZoneMetrics,
 };
