Clients: which limit closed a connection shows in a metric and a log line

Need: no log line and no metric told which limit closed a client's connection, and a backend that stalls within a streamed response was not told from a client that does. The known failures can't be traced without.

Change: a counter for each limit (node.connections.closed.LIMIT) and one rate-limited log line with the limit's name. Time limits and evictions are as before.

--- a/adapters/admin/src/metrics_page.rs
+++ b/adapters/admin/src/metrics_page.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{Display, Write};
 
-use badgerpost_engine::Metrics;
+use badgerpost_engine::{ConnectionLimit, Metrics};
 
 /// The page under construction.
 #[derive(Default)]
@@ -28,6 +28,10 @@
     let backends = metrics.backend_counts();
     page.line("cluster_size", backends.listed);
     page.line("cluster_unhealthy", backends.avoided);
+    for limit in ConnectionLimit::ALL {
+        let name = format!("connections.closed.{}", limit.name());
+        page.line(&name, metrics.connections_closed(limit));
+    }
     for zone in metrics.zones() {
         let thousandths = (zone.share * 1000.0).round() as u64;
         page.line(&format!("zone.{}.share", zone.name), thousandths);
--- a/adapters/http/src/api.rs
+++ b/adapters/http/src/api.rs
@@ -152,7 +152,10 @@
             () = upload.completed() => None,
             outcome = pending.wait() => Some(outcome),
             stalled = upload_stalled(clock, self.connection, upload, budget) => match stalled {
-                StalledBody::AtClient => return Err(BadRequest::BodyIncomplete),
+                StalledBody::AtClient => {
+                    self.connection.request_timed_out();
+                    return Err(BadRequest::BodyIncomplete);
+                }
                 StalledBody::AtBackend => Some(pending.reject()),
             },
         };
--- a/adapters/http/src/backend_response.rs
+++ b/adapters/http/src/backend_response.rs
@@ -109,6 +109,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        self.client.set_stream_at_backend(polled.is_pending());
         if matches!(polled, Poll::Ready(Some(Err(_)))) {
             // The client's connection ends in the midst of the body, so that the client can tell.
             if self.ends_with_connection {
--- a/adapters/http/src/connection_limiter.rs
+++ b/adapters/http/src/connection_limiter.rs
@@ -4,10 +4,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
-use badgerpost_engine::Clock;
+use badgerpost_engine::{Clock, Metrics};
 use tokio::sync::Notify;
 
+use crate::close_recorder::CloseRecorder;
 use crate::timeouts::{EVICTION_RETRY_INTERVAL, TIMEOUT_CHECK_INTERVAL};
 use crate::tracked_connection::{IdleConnections, TrackedConnection};
 
@@ -16,6 +18,7 @@
     /// By number, in the order of their admission.
     connections: RefCell<BTreeMap<u64, Rc<TrackedConnection>>>,
     idle_connections: Rc<IdleConnections>,
+    close_recorder: Rc<CloseRecorder>,
     next_number: Cell<u64>,
     /// May change at any time.
     max_connections: Rc<Cell<usize>>,
@@ -24,11 +27,16 @@
 }
 
 impl ConnectionLimiter {
-    /// A limiter with no connections.
-    pub(crate) fn new(max_connections: Rc<Cell<usize>>, clock: Clock) -> Rc<Self> {
+    /// A limiter with no connections. Those that it closes are counted in `metrics`.
+    pub(crate) fn new(
+        max_connections: Rc<Cell<usize>>,
+        clock: Clock,
+        metrics: Arc<Metrics>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             connections: RefCell::default(),
             idle_connections: Rc::new(IdleConnections::new(max_connections.clone())),
+            close_recorder: Rc::new(CloseRecorder::new(metrics, clock.clone())),
             next_number: Cell::new(0),
             max_connections,
             released: Notify::new(),
@@ -48,6 +56,7 @@
         self.next_number.set(number + 1);
         let connection = Rc::new(TrackedConnection::new(
             self.idle_connections.clone(),
+            self.close_recorder.clone(),
             self.clock.clone(),
         ));
         self.connections
@@ -67,7 +76,7 @@
             .values()
             .filter_map(|connection| Some((connection.eviction_rank(now)?, connection)));
         if let Some((_, connection)) = evictable.min_by_key(|(rank, _)| *rank) {
-            connection.request_abort();
+            connection.evict();
         }
     }
 
--- a/adapters/http/src/connection_limiter/tests.rs
+++ b/adapters/http/src/connection_limiter/tests.rs
@@ -3,7 +3,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use badgerpost_engine::{VirtualClock, nanos};
+use badgerpost_engine::{ConnectionLimit, Metrics, VirtualClock, nanos};
 
 use super::*;
 use crate::observed_stream::StreamObserver;
@@ -12,6 +12,7 @@
 /// A limiter whose clock the test moves.
 struct TestLimiter {
     limiter: Rc<ConnectionLimiter>,
+    metrics: Arc<Metrics>,
     clock: Rc<VirtualClock>,
 }
 
@@ -19,8 +20,17 @@
     fn new(max_connections: usize) -> Self {
         let clock = VirtualClock::at(0);
         let max_connections = Rc::new(Cell::new(max_connections));
-        let limiter = ConnectionLimiter::new(max_connections, Clock::controlled(clock.clone()));
-        Self { limiter, clock }
+        let metrics = Arc::new(Metrics::new(Vec::new()));
+        let limiter = ConnectionLimiter::new(
+            max_connections,
+            Clock::controlled(clock.clone()),
+            metrics.clone(),
+        );
+        Self {
+            limiter,
+            metrics,
+            clock,
+        }
     }
 
     fn advance(&self, milliseconds: u64) {
@@ -123,3 +133,27 @@
     drop(first);
     assert!(!test.admit().connection().is_surplus());
 }
+
+/// For a client's part in it and a backend's: the time limit is the same, what an operator does is not.
+#[test]
+fn a_stalled_stream_is_counted_for_the_side_that_stalls() {
+    for (is_at_backend, limit) in [
+        (false, ConnectionLimit::StreamToClient),
+        (true, ConnectionLimit::StreamFromBackend),
+    ] {
+        let test = TestLimiter::new(1);
+        let permit = test.admit();
+        permit.connection().stream_started();
+        permit.connection().set_stream_at_backend(is_at_backend);
+        let mut timeouts = pin!(test.limiter.clone().run_timeouts());
+        for _ in 0..300 {
+            assert!(poll(timeouts.as_mut()).is_pending());
+            assert_eq!(test.metrics.connections_closed(limit), 0);
+            test.advance(100);
+        }
+        assert!(poll(timeouts.as_mut()).is_pending());
+        let closed = ConnectionLimit::ALL.map(|limit| test.metrics.connections_closed(limit));
+        assert_eq!(closed.iter().sum::<u64>(), 1);
+        assert_eq!(test.metrics.connections_closed(limit), 1);
+    }
+}
--- a/adapters/http/src/connection_state.rs
+++ b/adapters/http/src/connection_state.rs
@@ -15,7 +15,7 @@
 //!
 //! A head is also parsed in `Sending`, if its request was pipelined. The machine does no I/O and reads no clock.
 
-use badgerpost_engine::nanos;
+use badgerpost_engine::{ConnectionLimit, nanos};
 use badgerpost_time::{Nanos, SECOND};
 
 use crate::timeouts::{
@@ -256,6 +256,22 @@
         Some(since.saturating_add(nanos(timeout)))
     }
 
+    /// The limit that [`times_out_at`](Self::times_out_at) enforces; none where that is none.
+    pub(crate) fn limit(&self) -> Option<ConnectionLimit> {
+        match self {
+            Self::New { .. } => Some(ConnectionLimit::FirstRequest),
+            Self::ReadingHead { .. } => Some(ConnectionLimit::RequestHead),
+            Self::ReadingBody(body) if body.is_submitted => None,
+            Self::ReadingBody(_) => Some(ConnectionLimit::RequestBody),
+            Self::AwaitingResponse => None,
+            Self::Streaming { .. } => Some(ConnectionLimit::StreamToClient),
+            Self::Sending { .. } => Some(ConnectionLimit::ResponseSend),
+            Self::Idle { .. } => Some(ConnectionLimit::Idle),
+            Self::Closing { .. } => Some(ConnectionLimit::Close),
+            Self::LingeringClose { .. } => Some(ConnectionLimit::LingeringClose),
+        }
+    }
+
     /// Whether a connection that times out in this state is closed in good order, and not aborted.
     pub(crate) fn times_out_gracefully(&self) -> bool {
         matches!(
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod bad_request;
 mod client_connection;
 mod client_response;
+mod close_recorder;
 mod connection_limiter;
 mod connection_state;
 pub mod discovery;
--- a/adapters/http/src/request_body.rs
+++ b/adapters/http/src/request_body.rs
@@ -72,7 +72,10 @@
             Ok(frame) => return frame.transpose().map_err(|_| BadRequest::BodyIncomplete),
             // Bytes have arrived meanwhile that the HTTP library has not passed on.
             Err(_) if connection.body_deadline() > deadline => {}
-            Err(_) => return Err(BadRequest::BodyIncomplete),
+            Err(_) => {
+                connection.request_timed_out();
+                return Err(BadRequest::BodyIncomplete);
+            }
         }
     }
 }
--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -20,7 +20,11 @@
     limits: ServerLimits,
     handle: ServerHandle,
 ) {
-    let limiter = ConnectionLimiter::new(limits.max_connections, engine.clock().clone());
+    let limiter = ConnectionLimiter::new(
+        limits.max_connections,
+        engine.clock().clone(),
+        engine.metrics(),
+    );
     let timeouts = spawn(limiter.clone().run_timeouts());
     let mut stage = handle.stage.clone();
     let closed = stage.wait_for(|stage| *stage == Stage::Closed);
--- a/adapters/http/src/tracked_connection.rs
+++ b/adapters/http/src/tracked_connection.rs
@@ -3,11 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use badgerpost_engine::Clock;
+use badgerpost_engine::{Clock, ConnectionLimit};
 use badgerpost_http_framing::{FramingError, FramingEvent, RequestFramer};
 use badgerpost_time::Nanos;
 use tokio::sync::Notify;
 
+use crate::close_recorder::CloseRecorder;
 use crate::connection_state::{ConnectionState, EvictionRank};
 use crate::observed_stream::StreamObserver;
 use crate::request_queue::RequestQueue;
@@ -62,13 +63,20 @@
     abort: Notify,
     /// Notified when the connection has to be closed in good order.
     graceful_close: Notify,
+    /// Whether the response that is streamed waits for its backend, and not for its client.
+    is_stream_at_backend: Cell<bool>,
     idle_connections: Rc<IdleConnections>,
+    close_recorder: Rc<CloseRecorder>,
     clock: Clock,
 }
 
 impl TrackedConnection {
     /// A connection that has just been accepted.
-    pub(crate) fn new(idle_connections: Rc<IdleConnections>, clock: Clock) -> Self {
+    pub(crate) fn new(
+        idle_connections: Rc<IdleConnections>,
+        close_recorder: Rc<CloseRecorder>,
+        clock: Clock,
+    ) -> Self {
         let now = clock.now();
         Self {
             state: Cell::new(ConnectionState::New { accepted_at: now }),
@@ -77,7 +85,9 @@
             close_mode: Cell::new(CloseMode::Graceful),
             abort: Notify::new(),
             graceful_close: Notify::new(),
+            is_stream_at_backend: Cell::new(false),
             idle_connections,
+            close_recorder,
             clock,
         }
     }
@@ -173,6 +183,11 @@
         });
     }
 
+    /// Sets whether the response that is streamed waits for its backend, and not for its client.
+    pub(crate) fn set_stream_at_backend(&self, is_at_backend: bool) {
+        self.is_stream_at_backend.set(is_at_backend);
+    }
+
     /// The last byte of a streamed response has arrived from the backend.
     pub(crate) fn stream_ended(&self) {
         self.enter(self.state.get().stream_ended(self.clock.now()));
@@ -236,11 +251,27 @@
         self.abort.notified().await;
     }
 
-    /// Requests that the connection is closed at once.
-    pub(crate) fn request_abort(&self) {
+    /// Requests that the connection is closed at once, so that another one can be admitted.
+    pub(crate) fn evict(&self) {
+        self.close_recorder.record(ConnectionLimit::Eviction);
         self.abort.notify_one();
     }
 
+    /// A limit ends the request that is arriving.
+    pub(crate) fn request_timed_out(&self) {
+        self.close_recorder.record(ConnectionLimit::RequestBody);
+    }
+
+    /// The limit that the connection's state enforces.
+    fn limit(&self) -> Option<ConnectionLimit> {
+        match self.state.get().limit() {
+            Some(ConnectionLimit::StreamToClient) if self.is_stream_at_backend.get() => {
+                Some(ConnectionLimit::StreamFromBackend)
+            }
+            limit => limit,
+        }
+    }
+
     /// Requests that the connection is closed if it has timed out.
     pub(crate) fn check_timeout(&self, now: Nanos) {
         let state = self.state.get();
@@ -248,6 +279,9 @@
         if times_out_at.is_none_or(|at| now < at) {
             return;
         }
+        if let Some(limit) = self.limit() {
+            self.close_recorder.record(limit);
+        }
         if state.times_out_gracefully() {
             self.graceful_close.notify_one();
         } else {
--- a/engine/src/metrics.rs
+++ b/engine/src/metrics.rs
@@ -6,6 +6,8 @@
 
 use badgerpost_balancer::{ClassId, ZoneId};
 
+use crate::connection_limit::{ConnectionLimit, ConnectionLimitCounters};
+
 /// How a request has ended, as its client sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestEnd {
@@ -128,6 +130,7 @@
     requests_in_progress: AtomicU64,
     backends_listed: AtomicU64,
     backends_avoided: AtomicU64,
+    connections_closed: ConnectionLimitCounters,
 }
 
 impl Metrics {
@@ -229,6 +232,16 @@
         self.attempts_sent.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a client connection that a limit has closed.
+    pub fn connection_closed(&self, limit: ConnectionLimit) {
+        self.connections_closed.count(limit);
+    }
+
+    /// Client connections that this limit has closed.
+    pub fn connections_closed(&self, limit: ConnectionLimit) -> u64 {
+        self.connections_closed.get(limit)
+    }
+
     /// Sets the number of listed backends.
     pub fn set_backend_counts(&self, counts: BackendCounts) {
         self.backends_listed.store(counts.listed, Ordering::Relaxed);
