Clients: a body sent ahead has its time from when the node reads on

What callers saw: a request whose body was sent ahead on one connection got 408 as soon as the response before it was there, if that had taken longer than 2.3 s; part of a head behind more than is read ahead was closed without a response.

Cause: the stall limit, the lowest rate and the age for eviction counted from the arrival of the client's last bytes, also while the node did not read: 200 at 2.602 s, 408 at 2.602 s, connections.closed.request_body 1.

Why the mend holds: all of them count from the later of that and of when the node reads on, in one function (last_progress_at). A head that is read as it arrives keeps its time from its first byte, and a client that stops within what it sent ahead still gets its 408 or close within 3 s from when it is waited for.

The whole suite was not run yet.

--- a/adapters/http/src/connection_limiter/tests.rs
+++ b/adapters/http/src/connection_limiter/tests.rs
@@ -157,3 +157,23 @@
         assert_eq!(test.metrics.connections_closed(limit), 1);
     }
 }
+
+/// The client could send nothing while no backend took its body.
+#[test]
+fn an_upload_is_not_stalled_right_after_it_has_waited_for_a_backend() {
+    let test = TestLimiter::new(1);
+    let upload = test.admit();
+    receive(
+        &upload,
+        b"POST /api HTTP/1.1\r\nContent-Length: 99999\r\n\r\n",
+    );
+    upload.connection().head_parsed().expect("plain framing");
+    upload.connection().upload_submitted();
+    upload.connection().set_backend_blocked(true);
+    test.advance(5000);
+    upload.connection().set_backend_blocked(false);
+    let now = || Clock::controlled(test.clock.clone()).now();
+    assert_eq!(upload.connection().eviction_rank(now()), None);
+    test.advance(500);
+    assert!(upload.connection().eviction_rank(now()).is_some());
+}
--- a/adapters/http/src/connection_state.rs
+++ b/adapters/http/src/connection_state.rs
@@ -51,7 +51,8 @@
 /// Progress of a request's body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BodyProgress {
-    /// When the last byte of the head arrived; the time of the head's processing if that had been pipelined.
+    /// Since when the client is waited for: when the last byte of the head arrived; if that had been pipelined, when the
+    /// response before it was sent, or the head processed.
     started_at: Nanos,
     /// Bytes that have arrived since the head was parsed.
     received_bytes: u64,
@@ -68,13 +69,13 @@
     }
 
     /// When the body has to be complete, or more of it to have arrived.
-    fn deadline(self, last_received_at: Nanos) -> Nanos {
+    fn deadline(self, last_progress_at: Nanos) -> Nanos {
         let stall_timeout = nanos(BODY_STALL_TIMEOUT);
         let by_rate = self
             .started_at
             .saturating_add(stall_timeout)
             .saturating_add(self.time_at_lowest_rate());
-        by_rate.min(last_received_at.saturating_add(stall_timeout))
+        by_rate.min(last_progress_at.saturating_add(stall_timeout))
     }
 }
 
@@ -138,9 +139,9 @@
     }
 
     /// The HTTP library has parsed the head of the next request.
-    pub(crate) fn head_parsed(self, now: Nanos, last_received_at: Nanos) -> Self {
+    pub(crate) fn head_parsed(self, now: Nanos, last_progress_at: Nanos) -> Self {
         let started_at = match self {
-            Self::ReadingHead { .. } => last_received_at,
+            Self::ReadingHead { .. } => last_progress_at,
             // The head had been pipelined.
             _ => now,
         };
@@ -203,6 +204,16 @@
         }
     }
 
+    /// Whether a response that is complete here is being sent.
+    pub(crate) fn is_sending(&self) -> bool {
+        matches!(self, Self::Sending { .. })
+    }
+
+    /// Whether an upload waits for a backend, and not for its client.
+    pub(crate) fn is_backend_blocked(&self) -> bool {
+        matches!(self, Self::ReadingBody(body) if body.is_backend_blocked)
+    }
+
     /// Whether a request's head is arriving.
     pub(crate) fn is_reading_head(&self) -> bool {
         matches!(self, Self::ReadingHead { .. })
@@ -223,9 +234,9 @@
     }
 
     /// When the body that is arriving has to be complete, or more of it to have arrived; none in other states.
-    pub(crate) fn body_deadline(&self, last_received_at: Nanos) -> Option<Nanos> {
+    pub(crate) fn body_deadline(&self, last_progress_at: Nanos) -> Option<Nanos> {
         match self {
-            Self::ReadingBody(body) => Some(body.deadline(last_received_at)),
+            Self::ReadingBody(body) => Some(body.deadline(last_progress_at)),
             _ => None,
         }
     }
@@ -239,13 +250,13 @@
     }
 
     /// When the connection is closed unless something happens; none while its end is up to whoever responds.
-    pub(crate) fn times_out_at(&self, last_received_at: Nanos) -> Option<Nanos> {
+    pub(crate) fn times_out_at(&self, last_progress_at: Nanos) -> Option<Nanos> {
         let (since, timeout) = match *self {
             Self::New { accepted_at: since } | Self::ReadingHead { started_at: since } => {
                 (since, HEAD_READ_TIMEOUT + TIMEOUT_RESPONSE_GRACE)
             }
             Self::ReadingBody(body) if body.is_submitted => return None,
-            Self::ReadingBody(body) => (body.deadline(last_received_at), TIMEOUT_RESPONSE_GRACE),
+            Self::ReadingBody(body) => (body.deadline(last_progress_at), TIMEOUT_RESPONSE_GRACE),
             Self::AwaitingResponse => return None,
             Self::Streaming { last_progress_at } => (last_progress_at, STREAM_STALL_TIMEOUT),
             Self::Sending { started_at } => (started_at, SEND_TIMEOUT),
@@ -284,7 +295,7 @@
     pub(crate) fn eviction_rank(
         &self,
         now: Nanos,
-        last_received_at: Nanos,
+        last_progress_at: Nanos,
     ) -> Option<EvictionRank> {
         let (class, since, min_age) = match *self {
             Self::Closing { since } | Self::LingeringClose { since } => {
@@ -299,7 +310,7 @@
             Self::ReadingBody(body) if body.is_backend_blocked => return None,
             Self::ReadingHead { .. } | Self::ReadingBody(_) => (
                 EvictionClass::Stalled,
-                last_received_at,
+                last_progress_at,
                 nanos(MIN_STALL_BEFORE_EVICTION),
             ),
             Self::AwaitingResponse | Self::Streaming { .. } | Self::Sending { .. } => return None,
--- a/adapters/http/src/observed_stream.rs
+++ b/adapters/http/src/observed_stream.rs
@@ -24,6 +24,9 @@
 
     /// All that was to be written is with the system.
     fn flushed(&mut self) {}
+
+    /// No more is read ahead: what the peer sends from now on waits in the system.
+    fn read_ahead_full(&mut self) {}
 }
 
 /// Observes nothing: the socket's bytes are counted and no more.
@@ -157,6 +160,7 @@
             }
             self.read_ahead.extend_from_slice(buffer.filled());
         }
+        self.observer.read_ahead_full();
         Poll::Ready(PeerState::new(self.stream.is_read_closed(cx)))
     }
 
--- a/adapters/http/src/request_queue.rs
+++ b/adapters/http/src/request_queue.rs
@@ -72,6 +72,11 @@
         self.started > self.current
     }
 
+    /// Whether the head of the request behind the current one has arrived.
+    pub(crate) fn has_next_head(&self) -> bool {
+        !self.head_results.is_empty()
+    }
+
     /// When the first byte of the next request arrived, if that is incomplete.
     pub(crate) fn incomplete_since(&self) -> Option<Nanos> {
         let is_last = self.started == self.current + 1;
--- a/adapters/http/src/tracked_connection.rs
+++ b/adapters/http/src/tracked_connection.rs
@@ -56,6 +56,10 @@
 pub(crate) struct TrackedConnection {
     state: Cell<ConnectionState>,
     last_received_at: Cell<Nanos>,
+    /// Since when the request that is arriving is read: nothing before that tells how fast its client sends.
+    read_since: Cell<Nanos>,
+    /// Whether a part of what the client has sent is left unread until the response in progress has been sent.
+    is_reading_paused: Cell<bool>,
     /// The requests that have begun to arrive.
     requests: RefCell<RequestQueue>,
     close_mode: Cell<CloseMode>,
@@ -81,6 +85,8 @@
         Self {
             state: Cell::new(ConnectionState::New { accepted_at: now }),
             last_received_at: Cell::new(now),
+            read_since: Cell::new(now),
+            is_reading_paused: Cell::new(false),
             requests: RefCell::default(),
             close_mode: Cell::new(CloseMode::Graceful),
             abort: Notify::new(),
@@ -107,7 +113,7 @@
     /// The request's framing is ambiguous.
     pub(crate) fn head_parsed(&self) -> Result<(), FramingError> {
         let state = self.state.get();
-        self.enter(state.head_parsed(self.clock.now(), self.last_received_at.get()));
+        self.enter(state.head_parsed(self.clock.now(), self.last_progress_at()));
         self.requests.borrow_mut().advance()
     }
 
@@ -144,7 +150,7 @@
 
     /// When the request's body has to be complete, or more of it to have arrived.
     pub(crate) fn body_deadline(&self) -> Nanos {
-        let deadline = self.state.get().body_deadline(self.last_received_at.get());
+        let deadline = self.state.get().body_deadline(self.last_progress_at());
         deadline.unwrap_or(Nanos::MAX)
     }
 
@@ -160,7 +166,31 @@
 
     /// Sets whether the upload waits for a backend, and not for its client.
     pub(crate) fn set_backend_blocked(&self, is_backend_blocked: bool) {
-        self.enter(self.state.get().backend_blocked(is_backend_blocked));
+        let state = self.state.get();
+        if state.is_backend_blocked() && !is_backend_blocked {
+            self.read_since.set(self.clock.now());
+        }
+        self.enter(state.backend_blocked(is_backend_blocked));
+    }
+
+    /// When the client last did what is waited for: when its last bytes arrived, or when the node began to read on. A
+    /// time limit that counted from the arrival alone would also count the time in which the client's next bytes lay
+    /// unread, because the response to an earlier request was not sent yet, or no backend took the body.
+    fn last_progress_at(&self) -> Nanos {
+        self.last_received_at.get().max(self.read_since.get())
+    }
+
+    /// The response in progress has been sent, and the next request is read.
+    fn read_next_request(&self, now: Nanos) {
+        self.read_since.set(now);
+        let is_paused = self.is_reading_paused.replace(false);
+        let requests = self.requests.borrow();
+        // A head that was read as it arrived has its time from its first byte on, also behind another request.
+        let since = requests.incomplete_since().map(|started_at| {
+            let is_waited_for = !is_paused && !requests.has_next_head();
+            if is_waited_for { started_at } else { now }
+        });
+        self.enter(self.state.get().flushed(now, since));
     }
 
     /// The request is complete and has been submitted.
@@ -178,6 +208,7 @@
 impl TrackedConnection {
     /// A response has begun that is forwarded as it arrives from a backend.
     pub(crate) fn stream_started(&self) {
+        self.is_reading_paused.set(true);
         self.enter(ConnectionState::Streaming {
             last_progress_at: self.clock.now(),
         });
@@ -275,7 +306,7 @@
     /// Requests that the connection is closed if it has timed out.
     pub(crate) fn check_timeout(&self, now: Nanos) {
         let state = self.state.get();
-        let times_out_at = state.times_out_at(self.last_received_at.get());
+        let times_out_at = state.times_out_at(self.last_progress_at());
         if times_out_at.is_none_or(|at| now < at) {
             return;
         }
@@ -292,7 +323,7 @@
     /// How soon the connection is closed to admit a new one; none if it may not be closed for that.
     pub(crate) fn eviction_rank(&self, now: Nanos) -> Option<EvictionRank> {
         let state = self.state.get();
-        state.eviction_rank(now, self.last_received_at.get())
+        state.eviction_rank(now, self.last_progress_at())
     }
 }
 
@@ -339,8 +370,12 @@
 
     fn flushed(&mut self) {
         let connection = &self.connection;
-        let next_request_since = connection.requests.borrow().incomplete_since();
-        let state = connection.state.get();
-        connection.enter(state.flushed(connection.clock.now(), next_request_since));
+        if connection.state.get().is_sending() {
+            connection.read_next_request(connection.clock.now());
+        }
+    }
+
+    fn read_ahead_full(&mut self) {
+        self.connection.is_reading_paused.set(true);
     }
 }
--- a/daemon/tests/pipelining.rs
+++ b/daemon/tests/pipelining.rs
@@ -6,11 +6,13 @@
     reason = "test code"
 )]
 
+use std::io::Write;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use badgerpost_fakes::scripted::*;
+use serde_json::json;
 
 /// How long the backend takes for the first of the requests.
 const FIRST_TAKES: Duration = Duration::from_millis(600);
@@ -111,6 +113,10 @@
 }
 
 /// The node does not read the second request while the first one runs, so its client stops for no fault of its own.
+///
+/// It got 408: the stall limit of a body counted from the arrival of its last bytes, and those had lain unread for longer
+/// than the limit when the node turned to them. Seen at the client: 200 at 2.602 s and 408 at 2.602 s, and
+/// `connections.closed.request_body` 1. The limit now counts from when the node reads on.
 #[test]
 fn a_body_sent_ahead_of_a_slow_response_does_not_time_out_while_it_is_not_read() {
     let backend = Backend::new(|message| {
@@ -126,3 +132,201 @@
     assert_eq!(client.read().expect("an answer").status(), 200);
     assert_eq!(client.read().expect("an answer").status(), 200);
 }
+
+/// How long the backend takes for a request whose id begins with `slow`: longer than a client may stall.
+const LONGER_THAN_A_STALL: Duration = Duration::from_millis(2600);
+/// What a client that stops is owed its error or close within, from when it is waited for.
+const STALLED_CLIENT_LIMIT: Duration = Duration::from_secs(3);
+
+/// A backend that takes its time for requests whose id begins with `slow`, half of it where it begins with `half`, has a
+/// large response for `large`, and answers all others at once.
+fn slow_by_id() -> Backend {
+    Backend::new(|message| {
+        let id = message.value("x-call-id").unwrap_or_default();
+        if id.starts_with("slow") {
+            thread::sleep(LONGER_THAN_A_STALL);
+        } else if id.starts_with("half") {
+            thread::sleep(LONGER_THAN_A_STALL / 2);
+        }
+        let size = if id.starts_with("large") {
+            16_000_000
+        } else {
+            3
+        };
+        ResponsePlan::Respond(ok(&"y".repeat(size)))
+    })
+}
+
+fn post_in_chunks(id: &str, body: &str) -> String {
+    let head =
+        post("pay", id, "Transfer-Encoding: chunked\r\n", "").replace("Content-Length: 0\r\n", "");
+    let chunks: Vec<_> = body
+        .as_bytes()
+        .chunks(7000)
+        .map(|chunk| {
+            format!(
+                "{:x}\r\n{}\r\n",
+                chunk.len(),
+                String::from_utf8_lossy(chunk)
+            )
+        })
+        .collect();
+    head + &chunks.concat() + "0\r\n\r\n"
+}
+
+/// A node whose classes have time for several slow requests behind each other.
+fn node_for_slow_requests(backend: &Backend) -> (Node, Discovery) {
+    let targets = json!([target("s-0", backend.address, "Ready")]);
+    let discovery = Discovery::new(targets.clone());
+    let mut config = config(discovery.address, targets);
+    for class in config["settings"]["classes"].as_array_mut().unwrap() {
+        class["on-time-ns"] = json!(9_000_000_000u64);
+        class["deadline-ns"] = json!(10_000_000_000u64);
+    }
+    (Node::start(&config), discovery)
+}
+
+/// Each of these clients sends its requests at once, and gets a response to each.
+#[test]
+fn bodies_of_any_form_sent_ahead_of_slow_responses_are_answered() {
+    let (small, large) = ("b".repeat(60_000), "b".repeat(300_000));
+    let forms = [
+        (
+            "a length",
+            get("slow-1", "") + &post("pay", "r1", "", &small),
+        ),
+        ("chunks", get("slow-2", "") + &post_in_chunks("r2", &small)),
+        (
+            "a large one",
+            get("slow-3", "") + &post("pay", "r3", "", &large),
+        ),
+        (
+            "large, in chunks",
+            get("slow-4", "") + &post_in_chunks("r4", &large),
+        ),
+        (
+            "behind two",
+            get("half-1", "") + &get("half-2", "") + &post("pay", "r5", "", &small),
+        ),
+    ];
+    let clients = forms.map(|(form, text)| {
+        thread::spawn(move || {
+            let backend = slow_by_id();
+            let (node, _discovery) = node_for_slow_requests(&backend);
+            let mut client = Client::connect(node.address);
+            let mut writer = client.stream();
+            let text = text.replace("X-Budget-Ms: 3000", "X-Budget-Ms: 9000");
+            let requests = text.matches("X-Call-Id").count();
+            let writing = thread::spawn(move || writer.write_all(text.as_bytes()));
+            let statuses: Vec<_> = (0..requests)
+                .map(|_| client.read().map(|response| response.status()))
+                .collect();
+            let _ = writing.join();
+            (form, statuses)
+        })
+    });
+    for client in clients {
+        let (form, statuses) = client.join().unwrap();
+        let are_served = statuses.iter().all(|status| *status == Some(200));
+        assert!(are_served, "{form}: {statuses:?}");
+    }
+}
+
+/// A client that goes on with a body once it sees that it is waited for has not stalled before that.
+#[test]
+fn a_body_of_which_half_was_sent_ahead_may_be_continued_after_the_response() {
+    let backend = slow_by_id();
+    let (node, _discovery) = Node::start_with_backends(&[&backend]);
+    let text = post("pay", "r2", "", &"b".repeat(60_000));
+    let half = text.len() / 2;
+    let mut client = Client::connect(node.address);
+    client.write(&(get("slow", "") + &text[..half]));
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    thread::sleep(Duration::from_millis(1500));
+    client.write(&text[half..]);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
+
+/// While a response is streamed the node reads no further request, however long its client takes for the response.
+#[test]
+fn a_body_sent_ahead_of_a_response_that_is_read_slowly_is_answered() {
+    let backend = slow_by_id();
+    let (node, _discovery) = Node::start_with_backends(&[&backend]);
+    let text = post("pay", "r2", "", &"b".repeat(60_000));
+    let half = text.len() / 2;
+    let mut client = Client::connect(node.address);
+    client.write(&(get("large", "") + &text[..half]));
+    // The head of the response has come; the rest waits for this client.
+    thread::sleep(LONGER_THAN_A_STALL);
+    assert_eq!(client.read().expect("an answer").body.len(), 16_000_000);
+    thread::sleep(Duration::from_millis(500));
+    client.write(&text[half..]);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
+
+/// More than the node reads ahead lies in front of the rest of a head, so that its client is not at fault.
+#[test]
+fn a_head_behind_more_than_is_read_ahead_is_not_late() {
+    let backend = slow_by_id();
+    let (node, _discovery) = Node::start_with_backends(&[&backend]);
+    let last = get("last", &format!("X-Filler: {}\r\n", "f".repeat(30_000)));
+    let half = last.len() - 2;
+    let mut client = Client::connect(node.address);
+    client.write(&(get("slow", "") + &last[..half]));
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    thread::sleep(Duration::from_millis(500));
+    client.write(&last[half..]);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
+
+/// A client that really stops within what it has sent ahead is told so in time, counted from when it is waited for.
+#[test]
+fn a_client_that_stops_within_what_it_sent_ahead_times_out() {
+    let backend = slow_by_id();
+    let (node, _discovery) = Node::start_with_backends(&[&backend]);
+    let body = |id, size| post("pay", id, "", &"b".repeat(size));
+    let parts = [
+        ("small", body("r1", 60_000)[..30_000].to_owned()),
+        ("large", body("r2", 300_000)[..150_000].to_owned()),
+        ("head", get("r3", "")[..40].to_owned()),
+    ];
+    let clients = parts.map(|(part, text)| {
+        let mut client = Client::connect(node.address);
+        thread::spawn(move || {
+            let mut writer = client.stream();
+            let first = get(&format!("slow-{part}"), "");
+            thread::spawn(move || writer.write_all((first + &text).as_bytes()));
+            assert_eq!(client.read().expect("an answer").status(), 200, "{part}");
+            let waited_for = Instant::now();
+            if let Some(response) = client.read() {
+                assert_eq!(response.status(), 408, "{part}");
+            }
+            (part, waited_for.elapsed())
+        })
+    });
+    for client in clients {
+        let (part, took) = client.join().unwrap();
+        assert!(took < STALLED_CLIENT_LIMIT, "{part}: {took:?}");
+    }
+}
+
+/// In a crowd, a client that has only just been waited for is not among those that have stalled.
+#[test]
+fn a_connection_whose_body_was_sent_ahead_is_not_evicted_as_stalled() {
+    let backend = slow_by_id();
+    let targets = json!([target("s-0", backend.address, "Ready")]);
+    let discovery = Discovery::new(targets.clone());
+    let mut config = config(discovery.address, targets);
+    // Sixteen of these are for clients.
+    config["limits"]["sockets"] = json!(50);
+    let node = Node::start(&config);
+    let text = post("pay", "r2", "", &"b".repeat(60_000));
+    let half = text.len() / 2;
+    let mut client = Client::connect(node.address);
+    client.write(&(get("slow", "") + &text[..half]));
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    let _crowd: Vec<Client> = (0..40).map(|_| Client::connect(node.address)).collect();
+    thread::sleep(Duration::from_millis(300));
+    client.write(&text[half..]);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
