--- a/daemon/tests/operations.rs
+++ b/daemon/tests/operations.rs
@@ -180,7 +180,11 @@
     assert_eq!(told["node.transactions.read.answered"], 0);
     assert_eq!(told["node.sends"], sends);
     assert_eq!(told["node.current"], 1);
-    assert_eq!((told["node.cluster_size"], told.len()), (1, 3 * 3 + 4));
+    let limits = told
+        .keys()
+        .filter(|name| name.starts_with("node.connections.closed."));
+    assert_eq!(limits.count(), 10);
+    assert_eq!((told["node.cluster_size"], told.len()), (1, 3 * 3 + 4 + 10));
     discovery.set_endpoints(json!([
         target("s-0", backend.address, "Terminating"),
         target("s-1", backend.address, "Ready")
