HTTP: a response that begins during its upload is forwarded whole, with its status

What callers saw: uploading 4 MB to a backend that answers after the head, a client got 8,248 bytes of 200,000 or nothing, and 502 where the backend had said 413. The next request on the same backend connection, of any client, waited behind the rest of that upload and got 503 after 3 s without having been sent.

Cause: the end of an attempt, which is when its response begins, was taken for the end of its exchange. With it: other statuses than 200 were never forwarded, a failed write hid what had been received, the connection was pooled, and its close did not linger.

Why the mend holds: only the message of an attempt without a response is abandoned; one with a response waits until the response is known to be final, so that another attempt still finds all of the body. Then the backend may read on, and what it does not take for 1 s is read and discarded, within the limits of a lingering close. Writes that fail leave the end to what is read. A connection is pooled only when its request was sent completely.

--- a/adapters/http/src/api.rs
+++ b/adapters/http/src/api.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Uri};
 
 use crate::api_request::{RequestIdentity, RequestParameters};
-use crate::backend_response::{BackendResponse, StreamingResponseBody};
+use crate::backend_response::{BackendResponse, StreamedRequest, StreamingResponseBody};
 use crate::bad_request::BadRequest;
 use crate::client_response::{self, ClientResponse};
 use crate::headers::{CALL_ID, end_to_end};
@@ -64,15 +64,13 @@
         },
     };
     let outcome = submission.outcome(incoming).await?;
-    Ok(client_response::from_outcome(outcome, |response| {
-        let metrics = engine.metrics();
-        StreamingResponseBody::new(
-            response,
-            connection.clone(),
-            metrics,
-            class.id,
-            head.version,
-        )
+    Ok(client_response::from_outcome(outcome, |response, end| {
+        let request = StreamedRequest {
+            class: class.id,
+            version: head.version,
+            end,
+        };
+        StreamingResponseBody::new(response, connection.clone(), engine.metrics(), request)
     }))
 }
 
@@ -136,7 +134,7 @@
     async fn outcome_of_upload(
         mut self,
         mut incoming: IncomingRequest<Http>,
-        upload: &Upload,
+        upload: &Rc<Upload>,
     ) -> Result<Outcome, BadRequest> {
         self.connection.upload_submitted();
         incoming.budget = nanos(UPLOAD_TIMEOUT);
@@ -159,8 +157,8 @@
                 StalledBody::AtBackend => Some(pending.reject()),
             },
         };
-        // After an early outcome the rest of the body is discarded, and the connection closes.
         if let Some(outcome) = early_outcome {
+            self.respond_early(upload, &outcome);
             return Ok(outcome);
         }
         pending.upload_complete(self.remaining_budget());
@@ -169,6 +167,19 @@
     }
 }
 
+impl Submission<'_> {
+    /// The request has its outcome though its body is still arriving: the connection goes on with the body while the
+    /// response is sent, and closes.
+    fn respond_early(&self, upload: &Rc<Upload>, outcome: &Outcome) {
+        match outcome {
+            RequestOutcome::Served(_) | RequestOutcome::FailedWith(_) => upload.resume(),
+            RequestOutcome::Rejected(_) | RequestOutcome::Failed => upload.discard_rest(),
+        }
+        let now = self.context.clock().now();
+        self.connection.early_response().begin(upload.clone(), now);
+    }
+}
+
 /// Counts a request of a known class as failed when dropped, unless the request has been submitted: from then on the
 /// engine counts it.
 struct FailureCount<'a> {
--- a/adapters/http/src/backend_response.rs
+++ b/adapters/http/src/backend_response.rs
@@ -6,8 +6,8 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use hyper::Version;
 use hyper::body::{Body, Frame, Incoming};
+use hyper::{StatusCode, Version};
 
 use badgerpost_balancer::ClassId;
 use badgerpost_engine::{Metrics, RequestEnd};
@@ -16,16 +16,35 @@
 use crate::memory_budget::BufferedBytes;
 use crate::tracked_connection::TrackedConnection;
 
-/// A backend's response to a request that it has served.
-pub enum BackendResponse {
+/// A backend's response that is forwarded to a client.
+pub struct BackendResponse {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: BackendResponseBody,
+}
+
+/// The body of a backend's response.
+pub enum BackendResponseBody {
     /// Held whole.
     Buffered(BufferedBytes),
     /// Forwarded as it arrives.
     Streaming(StreamingResponse),
 }
 
-/// Called once with how a response ended; with none if its client has disconnected.
-pub type EndHandler = Box<dyn FnOnce(Option<RequestEnd>)>;
+/// How a response that is forwarded as it arrives has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// All of it was read from the backend.
+    Complete,
+    /// The backend has broken it off.
+    Aborted,
+    /// Its client has disconnected, or reads no more.
+    Abandoned,
+}
+
+/// Called once with how a response ended.
+pub type EndHandler = Box<dyn FnOnce(StreamEnd)>;
 
 /// A response that has begun to arrive.
 pub struct StreamingResponse {
@@ -42,6 +61,17 @@
 /// The body of a response to a client.
 pub type ResponseBody = ForwardedBody<ResponseSource>;
 
+/// What is known of the request whose response is forwarded as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamedRequest {
+    /// Its class.
+    pub class: ClassId,
+    /// The version of HTTP that its client speaks.
+    pub version: Version,
+    /// How it ends once the client has all of the response.
+    pub end: RequestEnd,
+}
+
 /// The body of a response that is forwarded as it arrives.
 pub type StreamingResponseBody = StreamingBody<ResponseSource>;
 
@@ -53,6 +83,8 @@
     client: Rc<TrackedConnection>,
     metrics: Arc<Metrics>,
     class: ClassId,
+    /// How its request ends once the client has all of the response.
+    request_end: RequestEnd,
     /// The client sees the end of the body by that of the connection only.
     ends_with_connection: bool,
 }
@@ -63,8 +95,7 @@
         response: StreamingResponse,
         client: Rc<TrackedConnection>,
         metrics: Arc<Metrics>,
-        class: ClassId,
-        version: Version,
+        request: StreamedRequest,
     ) -> Self {
         let StreamingResponse {
             received,
@@ -78,8 +109,9 @@
             on_end: Some(on_end),
             client,
             metrics,
-            class,
-            ends_with_connection: version == Version::HTTP_10 && length.is_none(),
+            class: request.class,
+            request_end: request.end,
+            ends_with_connection: request.version == Version::HTTP_10 && length.is_none(),
         };
         Self::from_source(source, received, length)
     }
@@ -87,12 +119,17 @@
 
 impl ResponseSource {
     /// Reports the end; only the first one counts.
-    fn end(&mut self, end: Option<RequestEnd>) {
+    fn end(&mut self, end: StreamEnd) {
         let Some(on_end) = self.on_end.take() else {
             return;
         };
         on_end(end);
-        self.metrics.request_ended(self.class, end);
+        let request_end = match end {
+            StreamEnd::Complete => Some(self.request_end),
+            StreamEnd::Aborted => Some(RequestEnd::Failed),
+            StreamEnd::Abandoned => None,
+        };
+        self.metrics.request_ended(self.class, request_end);
         self.client.stream_ended();
     }
 }
@@ -115,19 +152,19 @@
             if self.ends_with_connection {
                 self.client.stream_truncated();
             }
-            self.end(Some(RequestEnd::Failed));
+            self.end(StreamEnd::Aborted);
         }
         polled
     }
 
     fn complete(&mut self) {
-        self.end(Some(RequestEnd::Served));
+        self.end(StreamEnd::Complete);
     }
 }
 
 impl Drop for ResponseSource {
     /// The client has disconnected, or reads no more.
     fn drop(&mut self) {
-        self.end(None);
+        self.end(StreamEnd::Abandoned);
     }
 }
--- a/adapters/http/src/client_connection.rs
+++ b/adapters/http/src/client_connection.rs
@@ -12,10 +12,11 @@
 use tokio::io::AsyncWriteExt;
 
 use crate::connection_limiter::ConnectionPermit;
+use crate::early_response::finish_upload;
 use crate::observed_stream::ObservedStream;
 use crate::routes::respond;
 use crate::server_context::ServerContext;
-use crate::timeouts::SHUTDOWN_CHECK_INTERVAL;
+use crate::timeouts::{LINGER_TIMEOUT, SHUTDOWN_CHECK_INTERVAL};
 use crate::tracked_connection::{CloseMode, RequestTracker, TrackedConnection};
 
 /// Largest head of a request in bytes.
@@ -88,7 +89,11 @@
         CloseMode::Reset => return Ok(stream.reset_on_close()?),
         CloseMode::Lingering => {
             connection.lingering_close_started();
-            stream.close_lingering().await;
+            tokio::select! {
+                biased;
+                () = stream.close_lingering() => {}
+                () = linger_after_shutdown(context) => {}
+            }
         }
         CloseMode::Graceful => {
             connection.close_started();
@@ -124,11 +129,20 @@
         biased;
         result = http_connection => ServeEnd::Http(result),
         () = disconnected_before_response => ServeEnd::ClientDisconnected,
+        () = finish_upload(connection, stream, context.clock()) => ServeEnd::TimedOut,
         () = connection.graceful_close_requested() => ServeEnd::TimedOut,
         () = closed_by_shutdown(connection, context) => ServeEnd::Shutdown,
     }
 }
 
+/// Resolves once a node that has closed its listener has waited long enough for clients that still send.
+async fn linger_after_shutdown(context: &ServerContext) {
+    let mut stage = context.handle.stage.clone();
+    // An error means that the process is ending.
+    let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+    context.clock().sleep(LINGER_TIMEOUT).await;
+}
+
 /// Resolves once the node closes idle connections and this one is quiescent. A new connection is closed after its first
 /// response, so that the request it was opened for is not lost. An incomplete request is waited for until the last
 /// response has to be sent.
--- a/adapters/http/src/client_response.rs
+++ b/adapters/http/src/client_response.rs
@@ -1,13 +1,13 @@
 //! Responses to clients: a backend's own, or those with which the node rejects and fails requests.
 
-use badgerpost_engine::RequestOutcome;
+use badgerpost_engine::{RequestEnd, RequestOutcome};
 use badgerpost_time::{MILLISECOND, Nanos};
 use bytes::Bytes;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 use crate::backend_response::{
-    BackendResponse, ResponseBody, StreamingResponse, StreamingResponseBody,
+    BackendResponse, BackendResponseBody, ResponseBody, StreamingResponse, StreamingResponseBody,
 };
 
 /// A response to a client.
@@ -21,21 +21,26 @@
     response
 }
 
-/// The response for a request's outcome. `stream` forwards a backend's response that has begun.
+/// The response for a request's outcome. `stream` forwards a backend's response that has begun, of a request that ends so.
 pub(crate) fn from_outcome(
     outcome: RequestOutcome<BackendResponse>,
-    stream: impl FnOnce(StreamingResponse) -> StreamingResponseBody,
+    stream: impl FnOnce(StreamingResponse, RequestEnd) -> StreamingResponseBody,
 ) -> ClientResponse {
-    match outcome {
-        RequestOutcome::Served(BackendResponse::Buffered(bytes)) => {
-            Response::new(ResponseBody::from(bytes))
+    let (response, end) = match outcome {
+        RequestOutcome::Served(response) => (response, RequestEnd::Served),
+        RequestOutcome::FailedWith(response) => (response, RequestEnd::Failed),
+        RequestOutcome::Rejected(retry_after) => return rejected(retry_after),
+        RequestOutcome::Failed => return plain_text(StatusCode::BAD_GATEWAY, "failed"),
+    };
+    let body = match response.body {
+        BackendResponseBody::Buffered(bytes) => ResponseBody::from(bytes),
+        BackendResponseBody::Streaming(streaming) => {
+            ResponseBody::Streaming(stream(streaming, end))
         }
-        RequestOutcome::Served(BackendResponse::Streaming(response)) => {
-            Response::new(ResponseBody::Streaming(stream(response)))
-        }
-        RequestOutcome::Rejected(retry_after) => rejected(retry_after),
-        RequestOutcome::Failed => plain_text(StatusCode::BAD_GATEWAY, "failed"),
-    }
+    };
+    let mut client_response = Response::new(body);
+    *client_response.status_mut() = response.status;
+    client_response
 }
 
 /// The response to a rejected request, which should not be retried within this time if it is above 0.
--- a/adapters/http/src/connection_state.rs
+++ b/adapters/http/src/connection_state.rs
@@ -20,7 +20,7 @@
 
 use crate::timeouts::{
     BODY_STALL_TIMEOUT, CLOSE_TIMEOUT, DRAIN_FIRST_REQUEST_GRACE, HEAD_READ_TIMEOUT, IDLE_TIMEOUT,
-    LINGER_TIMEOUT, MIN_BODY_BYTES_PER_SECOND, MIN_IDLE_BEFORE_EVICTION,
+    LINGER_TIMEOUT, MAX_LINGER_DURATION, MIN_BODY_BYTES_PER_SECOND, MIN_IDLE_BEFORE_EVICTION,
     MIN_SILENCE_BEFORE_EVICTION, MIN_STALL_BEFORE_EVICTION, SEND_TIMEOUT, STREAM_STALL_TIMEOUT,
     TIMEOUT_RESPONSE_GRACE,
 };
@@ -183,6 +183,14 @@
         }
     }
 
+    /// More of a body has arrived whose response has begun: its client takes the response when it has sent all.
+    pub(crate) fn body_continued(self, now: Nanos) -> Self {
+        match self {
+            Self::Sending { .. } => Self::Sending { started_at: now },
+            other => other,
+        }
+    }
+
     /// The last byte of a streamed response has arrived from the backend.
     pub(crate) fn stream_ended(self, now: Nanos) -> Self {
         match self {
@@ -262,7 +270,10 @@
             Self::Sending { started_at } => (started_at, SEND_TIMEOUT),
             Self::Idle { since } => (since, IDLE_TIMEOUT),
             Self::Closing { since } => (since, CLOSE_TIMEOUT),
-            Self::LingeringClose { since } => (since, LINGER_TIMEOUT),
+            Self::LingeringClose { since } => {
+                let ends_by = since.saturating_add(nanos(MAX_LINGER_DURATION - LINGER_TIMEOUT));
+                (last_progress_at.clamp(since, ends_by), LINGER_TIMEOUT)
+            }
         };
         Some(since.saturating_add(nanos(timeout)))
     }
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection_limiter;
 mod connection_state;
 pub mod discovery;
+mod early_response;
 pub mod endpoint_list;
 mod forwarded_body;
 mod headers;
--- a/adapters/http/src/observed_stream.rs
+++ b/adapters/http/src/observed_stream.rs
@@ -54,6 +54,19 @@
     /// Bytes that were read before the HTTP library asked for them.
     read_ahead: BytesMut,
     connection: activity::Connection,
+    write_errors: WriteErrors,
+}
+
+/// What becomes of an error of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteErrors {
+    /// It is returned.
+    Reported,
+    /// Writes wait instead, and the connection ends by what is read from it. The peer may have responded before it
+    /// stopped reading, and the HTTP library reads nothing more once a write has failed.
+    Deferred,
+    /// A write has failed, and reads are to tell how the connection ends.
+    Pending,
 }
 
 impl<O> Clone for ObservedStream<O> {
@@ -90,9 +103,24 @@
             observer,
             read_ahead: BytesMut::new(),
             connection,
+            write_errors: WriteErrors::Reported,
         })))
     }
 
+    /// Has a connection whose writes fail end by what is read from it: a response that came before, or the error.
+    pub fn defer_write_errors(self) -> Self {
+        self.0.borrow_mut().write_errors = WriteErrors::Deferred;
+        self
+    }
+
+    /// Reads and discards what the peer sends, until it closes its side or the connection breaks.
+    pub async fn discard_input(&self) {
+        self.0.borrow_mut().read_ahead = BytesMut::new();
+        let mut discarded = vec![0; DISCARD_CHUNK_BYTES];
+        let mut stream = self.clone();
+        while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {}
+    }
+
     /// Resolves once the peer has closed its side, or broken the connection, also while nobody reads: what the peer
     /// sends is read ahead. Polled by the task that reads.
     pub async fn peer_closed(&self, clock: &Clock) {
@@ -114,9 +142,7 @@
     /// socket that is closed over unread bytes resets its connection, and the last response may be lost with it.
     pub async fn close_lingering(&self) {
         self.close_writing().await;
-        let mut discarded = vec![0; DISCARD_CHUNK_BYTES];
-        let mut stream = self.clone();
-        while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {}
+        self.discard_input().await;
     }
 
     /// Has the connection end by a reset, once its last handle is dropped.
@@ -145,10 +171,30 @@
         } else if read.is_ready() && buffer.remaining() > 0 {
             // The peer has closed, or there was an error.
             self.connection.mark_ended();
+            if self.write_errors == WriteErrors::Pending {
+                // The system reports an error once, and a write may have had it: this is no end in good order.
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
         }
         read
     }
 
+    /// Records a write, and defers its error where that is wanted.
+    fn write_ended(&mut self, write: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match &write {
+            Poll::Ready(Ok(written)) => {
+                activity::written(*written);
+                self.observer.bytes_written();
+            }
+            Poll::Ready(Err(_)) if self.write_errors == WriteErrors::Deferred => {
+                self.write_errors = WriteErrors::Pending;
+                return Poll::Pending;
+            }
+            Poll::Ready(Err(_)) | Poll::Pending => {}
+        }
+        write
+    }
+
     /// Reads ahead until the peer closes, or as much is read ahead as may be.
     fn poll_read_ahead(&mut self, cx: &mut Context<'_>) -> Poll<PeerState> {
         while self.read_ahead.len() < MAX_READ_AHEAD_BYTES {
@@ -175,18 +221,6 @@
     }
 }
 
-/// Counts a write, and notifies the observer of it.
-fn observe_write(
-    observer: &mut impl StreamObserver,
-    write: Poll<io::Result<usize>>,
-) -> Poll<io::Result<usize>> {
-    if let Poll::Ready(Ok(written)) = &write {
-        activity::written(*written);
-        observer.bytes_written();
-    }
-    write
-}
-
 impl<O: StreamObserver> AsyncRead for ObservedStream<O> {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -214,8 +248,11 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let state = &mut *self.0.borrow_mut();
+        if state.write_errors == WriteErrors::Pending {
+            return Poll::Pending;
+        }
         let write = Pin::new(&mut state.stream).poll_write(cx, bytes);
-        observe_write(&mut state.observer, write)
+        state.write_ended(write)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -237,8 +274,11 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let state = &mut *self.0.borrow_mut();
+        if state.write_errors == WriteErrors::Pending {
+            return Poll::Pending;
+        }
         let write = Pin::new(&mut state.stream).poll_write_vectored(cx, slices);
-        observe_write(&mut state.observer, write)
+        state.write_ended(write)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/adapters/http/src/routes.rs
+++ b/adapters/http/src/routes.rs
@@ -74,7 +74,9 @@
         "/api" => match api::handle(context, connection, request).await {
             Ok(response) => RoutedResponse {
                 response,
-                close_mode: if connection.is_reading_request() {
+                close_mode: if connection.is_reading_request()
+                    || connection.early_response().has_begun()
+                {
                     CloseMode::Lingering
                 } else {
                     CloseMode::Graceful
--- a/adapters/http/src/timeouts.rs
+++ b/adapters/http/src/timeouts.rs
@@ -23,6 +23,10 @@
 /// a notification.
 pub(crate) const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Longest time in which a backend that has responded to an incomplete upload takes no more of it. The rest is discarded
+/// then, as its client may read the response only once it has sent everything.
+pub(crate) const FORWARD_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 // Sending a response.
 
 /// Time that a request and its response spend on the network, subtracted from the client's budget. The client counts its
@@ -68,8 +72,11 @@
 pub(crate) const DRAIN_FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
 /// Longest time in which a client has to close its side after the node has closed its own: some network round trips.
 pub(crate) const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest lingering close (RFC 9112, section 9.6): after an error, what the client still sends is read and discarded, or
-/// the reset for unread bytes could destroy the response before the client reads it.
+/// Longest time without a byte in a lingering close (RFC 9112, section 9.6): after an error or an early response, what the
+/// client still sends is read and discarded, or the reset for unread bytes could destroy the response before the client
+/// reads it.
 pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest lingering close of a client that goes on sending: some megabytes at the slowest rate of clients in service.
+pub(crate) const MAX_LINGER_DURATION: Duration = Duration::from_secs(30);
 /// Interval at which a connection in use is checked for having become idle while the node closes idle ones.
 pub(crate) const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
--- a/adapters/http/src/tracked_connection.rs
+++ b/adapters/http/src/tracked_connection.rs
@@ -1,19 +1,23 @@
 //! The state of one client connection, shared by all that read from, write to or may close it.
 
+mod request_tracker;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use badgerpost_engine::{Clock, ConnectionLimit};
-use badgerpost_http_framing::{FramingError, FramingEvent, RequestFramer};
+use badgerpost_http_framing::FramingError;
 use badgerpost_time::Nanos;
 use tokio::sync::Notify;
 
 use crate::close_recorder::CloseRecorder;
 use crate::connection_state::{ConnectionState, EvictionRank};
-use crate::observed_stream::StreamObserver;
+use crate::early_response::EarlyResponse;
 use crate::request_queue::RequestQueue;
 use crate::timeouts::IDLE_LIMIT_DIVISOR;
 
+pub(crate) use self::request_tracker::RequestTracker;
+
 /// How a connection has to be closed, by its last response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CloseMode {
@@ -63,6 +67,7 @@
     /// The requests that have begun to arrive.
     requests: RefCell<RequestQueue>,
     close_mode: Cell<CloseMode>,
+    early_response: EarlyResponse,
     /// Notified when the connection has to be closed at once.
     abort: Notify,
     /// Notified when the connection has to be closed in good order.
@@ -89,6 +94,7 @@
             is_reading_paused: Cell::new(false),
             requests: RefCell::default(),
             close_mode: Cell::new(CloseMode::Graceful),
+            early_response: EarlyResponse::default(),
             abort: Notify::new(),
             graceful_close: Notify::new(),
             is_stream_at_backend: Cell::new(false),
@@ -214,6 +220,20 @@
         });
     }
 
+    /// The response that has begun before its request was complete.
+    pub(crate) fn early_response(&self) -> &EarlyResponse {
+        &self.early_response
+    }
+
+    /// All of a response is with the system.
+    fn response_sent(&self) {
+        if self.early_response.has_begun() {
+            self.lingering_close_started();
+        } else {
+            self.read_next_request(self.clock.now());
+        }
+    }
+
     /// Sets whether the response that is streamed waits for its backend, and not for its client.
     pub(crate) fn set_stream_at_backend(&self, is_at_backend: bool) {
         self.is_stream_at_backend.set(is_at_backend);
@@ -249,6 +269,8 @@
         match state {
             ConnectionState::New { .. } => !state.expects_first_request(self.clock.now()),
             ConnectionState::Idle { .. } => !self.has_pipelined_request(),
+            // The response to a request that is still arriving has been sent.
+            ConnectionState::LingeringClose { .. } => true,
             _ => false,
         }
     }
@@ -332,50 +354,3 @@
         self.lingering_close_started();
     }
 }
-
-/// Observes the client's stream for a [`TrackedConnection`].
-pub(crate) struct RequestTracker {
-    connection: Rc<TrackedConnection>,
-    framer: RequestFramer,
-}
-
-impl RequestTracker {
-    /// The observer of this connection's stream.
-    pub(crate) fn new(connection: Rc<TrackedConnection>) -> Self {
-        Self {
-            connection,
-            framer: RequestFramer::new(),
-        }
-    }
-}
-
-impl StreamObserver for RequestTracker {
-    fn bytes_read(&mut self, bytes: &[u8]) {
-        let Self { connection, framer } = self;
-        let now = connection.clock.now();
-        connection.last_received_at.set(now);
-        let state = connection.state.get();
-        connection.enter(state.bytes_received(now, bytes.len() as u64));
-        let mut requests = connection.requests.borrow_mut();
-        framer.feed(bytes, &mut |event: FramingEvent| {
-            requests.record(event, now);
-        });
-    }
-
-    fn bytes_written(&mut self) {
-        let now = self.connection.clock.now();
-        self.connection
-            .enter(self.connection.state.get().bytes_sent(now));
-    }
-
-    fn flushed(&mut self) {
-        let connection = &self.connection;
-        if connection.state.get().is_sending() {
-            connection.read_next_request(connection.clock.now());
-        }
-    }
-
-    fn read_ahead_full(&mut self) {
-        self.connection.is_reading_paused.set(true);
-    }
-}
--- a/adapters/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -1,11 +1,20 @@
 //! Request bodies on their way from a client to a backend. What has arrived of a body before the first attempt is kept,
 //! so that an attempt that got no further can be retried. Once a byte beyond that was forwarded, it can't be.
+//!
+//! A body is read by the message of the latest attempt. If that is responded to before the body is complete, the reader
+//! is suspended until it is known whether the response is final:
+//!
+//! ```text
+//! forwarded --> suspended --> forwarded    the response is final, and the backend may read on
+//!     \             \-------> replaced     another attempt follows; its message begins again
+//!      \-------------------> discarded    no backend reads on: the rest is the connection's to discard
+//! ```
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
@@ -49,8 +58,11 @@
             Self::Buffered(buffered) => OutgoingBody::from(buffered.bytes.clone()),
             Self::Streaming(upload) => {
                 let received = BufferedBytes::new(upload.received.bytes.clone(), None);
+                let number = upload.replace_reader();
+                upload.is_suspended.set(false);
+                upload.has_reader.set(true);
                 let reader = UploadReader {
-                    number: upload.replace_reader(),
+                    number,
                     upload: upload.clone(),
                     engine: engine.clone(),
                     attempt,
@@ -67,17 +79,73 @@
             upload.set_waiting_for_client(false);
         }
     }
+
+    /// A backend has responded. Nothing more of an incomplete body is read until it is known whether the response is
+    /// final: another attempt might still be made, with all of the body.
+    pub fn response_received(&self) {
+        if let Self::Streaming(upload) = self
+            && !upload.is_complete()
+        {
+            upload.suspend();
+        }
+    }
+
+    /// The exchange that the message made last belongs to.
+    pub fn exchange(&self) -> UploadExchange {
+        match self {
+            Self::Buffered(_) => UploadExchange(None),
+            Self::Streaming(upload) => UploadExchange(Some(ExchangedUpload {
+                upload: upload.clone(),
+                reader: upload.current_reader.get(),
+            })),
+        }
+    }
+}
+
+/// The upload's part in an exchange with a backend. The exchange has ended once this is dropped.
+#[derive(Default)]
+pub struct UploadExchange(Option<ExchangedUpload>);
+
+struct ExchangedUpload {
+    upload: Rc<Upload>,
+    reader: u64,
+}
+
+impl UploadExchange {
+    /// Whether the backend has all of the request: else its connection can't be used for another one.
+    pub fn is_request_sent(&self) -> bool {
+        self.0
+            .as_ref()
+            .is_none_or(|exchanged| exchanged.upload.is_complete())
+    }
+}
+
+impl Drop for ExchangedUpload {
+    fn drop(&mut self) {
+        if self.reader == self.upload.current_reader.get() {
+            self.upload.exchange_ended();
+        }
+    }
 }
 
 /// A request body that is being uploaded.
 pub struct Upload {
     /// What had arrived before the first attempt.
     received: BufferedBytes,
-    incoming: RefCell<Incoming>,
+    /// None once the rest is discarded.
+    incoming: RefCell<Option<Incoming>>,
     /// The length of the whole body, where its client has told it.
     length: Option<u64>,
     /// The number of the reader that may read: the one made last.
     current_reader: Cell<u64>,
+    /// Whether that reader exists: it ends with its connection.
+    has_reader: Cell<bool>,
+    /// Whether it waits for the decision on a response.
+    is_suspended: Cell<bool>,
+    /// Whether the exchange that it belongs to has ended.
+    has_exchange_ended: Cell<bool>,
+    /// Wakes a reader that waits.
+    reader_waker: RefCell<Option<Waker>>,
     /// A byte beyond `received` was read.
     is_consumed: Cell<bool>,
     is_broken: Cell<bool>,
@@ -102,9 +170,13 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             received,
-            incoming: RefCell::new(incoming),
+            incoming: RefCell::new(Some(incoming)),
             length,
             current_reader: Cell::new(0),
+            has_reader: Cell::new(false),
+            is_suspended: Cell::new(false),
+            has_exchange_ended: Cell::new(false),
+            reader_waker: RefCell::default(),
             is_consumed: Cell::new(false),
             is_broken: Cell::new(false),
             is_complete: Cell::new(false),
@@ -157,13 +229,57 @@
         }
     }
 
-    /// Has only the next reader read; returns its number.
+    /// Has only the next reader read; returns its number. The one before it ends at once, and its connection with it.
     fn replace_reader(&self) -> u64 {
         let number = self.current_reader.get() + 1;
         self.current_reader.set(number);
+        self.has_reader.set(false);
+        self.has_exchange_ended.set(false);
+        self.wake_reader();
         number
     }
 
+    fn wake_reader(&self) {
+        if let Some(waker) = self.reader_waker.take() {
+            waker.wake();
+        }
+    }
+
+    fn suspend(&self) {
+        self.is_suspended.set(true);
+        self.set_waiting_for_client(false);
+    }
+
+    /// The response is final: its backend may read on.
+    pub fn resume(&self) {
+        self.is_suspended.set(false);
+        self.last_progress_at.set(self.clock.now());
+        self.wake_reader();
+    }
+
+    /// Whether a backend may read on.
+    pub fn is_forwarded(&self) -> bool {
+        self.has_reader.get() && !self.is_broken.get() && self.incoming.borrow().is_some()
+    }
+
+    /// No backend reads on. A response that is still arriving goes on: its connection ends only behind it.
+    pub fn discard_rest(&self) {
+        self.suspend();
+        self.incoming.take();
+        if self.has_exchange_ended.get() {
+            self.replace_reader();
+        }
+    }
+
+    /// The exchange that the current reader belongs to has ended. Its connection has no further use, but for a backend
+    /// that reads on.
+    fn exchange_ended(&self) {
+        self.has_exchange_ended.set(true);
+        if self.incoming.borrow().is_none() {
+            self.replace_reader();
+        }
+    }
+
     fn complete(&self) {
         if !self.is_complete.replace(true) {
             self.completed.notify_one();
@@ -195,7 +311,14 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let upload = &self.upload;
-        let polled = Pin::new(&mut *upload.incoming.borrow_mut()).poll_frame(cx);
+        upload.reader_waker.replace(Some(cx.waker().clone()));
+        if upload.is_suspended.get() {
+            return Poll::Pending;
+        }
+        let polled = match &mut *upload.incoming.borrow_mut() {
+            Some(incoming) => Pin::new(incoming).poll_frame(cx),
+            None => return Poll::Pending,
+        };
         upload.set_waiting_for_client(polled.is_pending());
         let polled = std::task::ready!(polled);
         upload.last_progress_at.set(upload.clock.now());
@@ -218,3 +341,13 @@
         self.upload.complete();
     }
 }
+
+impl Drop for UploadReader {
+    /// The connection to the backend has ended, or has all of the body.
+    fn drop(&mut self) {
+        if self.number == self.upload.current_reader.get() {
+            self.upload.has_reader.set(false);
+            self.upload.set_waiting_for_client(false);
+        }
+    }
+}
--- a/adapters/http/src/upstream/attempt.rs
+++ b/adapters/http/src/upstream/attempt.rs
@@ -14,10 +14,10 @@
 
 use super::connection::ConnectError;
 use super::pool::{ConnectionPool, LeasedConnection};
-use super::response_reader::{failure_outcome, read_response};
+use super::response_reader::{ForwardedErrors, failure_outcome, read_response};
 use super::{AttemptCommand, AttemptEnd};
 use crate::HttpEngine;
-use crate::upload::OutgoingBody;
+use crate::upload::{OutgoingBody, RequestBody};
 
 /// A response of which nothing more comes for this long, before it can be forwarded, counts as invalid: backends send
 /// it in one go, and the time is better used for another attempt.
@@ -46,7 +46,11 @@
         end = &mut sending => end,
         () = attempt.timed_out() => attempt.end_early(Outcome::TimedOut),
     };
-    command.payload.body.abandon();
+    if end.response.is_some() {
+        command.payload.body.response_received();
+    } else {
+        command.payload.body.abandon();
+    }
     let may_finish_late = attempt.may_finish_late(end.outcome);
     engine.attempt_ended(command.attempt, end);
     if may_finish_late && pool.has_spare_connections() {
@@ -150,7 +154,7 @@
     }
 
     /// Makes the exchange over one connection. None if nothing of the request was written.
-    async fn send_over(&self, leased: LeasedConnection) -> Option<AttemptEnd> {
+    async fn send_over(&self, mut leased: LeasedConnection) -> Option<AttemptEnd> {
         // The connect may have outlasted the request, or the backend's place on the list.
         if !self.engine.may_write(self.command.attempt) {
             leased.release();
@@ -159,6 +163,7 @@
         let Some(mut message) = self.message() else {
             return Some(AttemptEnd::bare(Outcome::NotSent));
         };
+        leased.upload = self.command.payload.body.exchange();
         let idle_time = leased.idle_time;
         let activity = leased.connection.response_activity.clone();
         activity.expect_response(&mut message);
@@ -166,7 +171,7 @@
         self.progress.set(Progress::Written);
         let end = tokio::select! {
             biased;
-            end = exchange(leased, message) => end,
+            end = exchange(leased, message, self.forwarded_errors()) => end,
             () = activity.stalled(&self.pool.clock, RESPONSE_STALL_TIMEOUT) => {
                 return Some(AttemptEnd::bare(Outcome::InvalidResponse));
             }
@@ -175,7 +180,9 @@
             self.progress.set(Progress::NotWritten);
             return None;
         };
-        if let Some(outcome) = self.upload_failure(&end) {
+        if end.response.is_none()
+            && let Some(outcome) = self.upload_failure(&end)
+        {
             return Some(AttemptEnd::bare(outcome));
         }
         if let Some(idle_time) = idle_time {
@@ -185,6 +192,15 @@
         Some(end)
     }
 
+    /// Which error responses are for the client. A request that is held whole may be sent again, and is answered by the
+    /// node if all its attempts fail. An upload is not: what its backend says of it is the answer.
+    fn forwarded_errors(&self) -> ForwardedErrors {
+        match &self.command.payload.body {
+            RequestBody::Buffered(_) => ForwardedErrors::None,
+            RequestBody::Streaming(_) => ForwardedErrors::AllButRejections,
+        }
+    }
+
     /// The outcome of an exchange that ended because its request was not uploaded whole; none for any other.
     fn upload_failure(&self, end: &AttemptEnd) -> Option<Outcome> {
         let body = &self.command.payload.body;
@@ -224,9 +240,10 @@
 async fn exchange(
     mut leased: LeasedConnection,
     message: Request<OutgoingBody>,
+    forwarded_errors: ForwardedErrors,
 ) -> Option<AttemptEnd> {
     match leased.connection.sender.try_send_request(message).await {
-        Ok(response) => Some(read_response(leased, response).await),
+        Ok(response) => Some(read_response(leased, response, forwarded_errors).await),
         Err(mut error) => match error.take_message() {
             Some(_) => None,
             None => Some(AttemptEnd::bare(failure_outcome(error.error()))),
--- a/adapters/http/src/upstream/connection.rs
+++ b/adapters/http/src/upstream/connection.rs
@@ -58,7 +58,7 @@
             .map_err(|_| ConnectError::TimedOut)??;
         stream.set_nodelay(true)?;
         let response_activity = ResponseActivity::new(metrics);
-        let stream = ObservedStream::new(stream, response_activity.clone());
+        let stream = ObservedStream::new(stream, response_activity.clone()).defer_write_errors();
         let mut builder = Builder::new();
         builder
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
--- a/adapters/http/src/upstream/health_check.rs
+++ b/adapters/http/src/upstream/health_check.rs
@@ -11,10 +11,10 @@
 use hyper::{Request, Uri};
 
 use super::pool::{ConnectionPool, LeasedConnection};
-use super::response_reader::{failure_outcome, read_response};
+use super::response_reader::{ForwardedErrors, failure_outcome, read_response};
 use super::{AttemptEnd, load_report};
 use crate::HttpEngine;
-use crate::backend_response::BackendResponse;
+use crate::backend_response::{BackendResponse, BackendResponseBody};
 use crate::upload::OutgoingBody;
 
 /// Where a backend tells its load.
@@ -70,8 +70,11 @@
         Ok(response) => response,
         Err(error) => return AttemptEnd::bare(failure_outcome(error.error())),
     };
-    let mut end = read_response(leased, response).await;
-    if let (Outcome::Success, Some(BackendResponse::Buffered(body))) = (end.outcome, &end.response)
+    let mut end = read_response(leased, response, ForwardedErrors::None).await;
+    if let Some(BackendResponse {
+        body: BackendResponseBody::Buffered(body),
+        ..
+    }) = &end.response
     {
         end.report = load_report::parse(&body.bytes);
     }
--- a/adapters/http/src/upstream/pool.rs
+++ b/adapters/http/src/upstream/pool.rs
@@ -15,6 +15,7 @@
 use super::idle_reset_rates::IdleResetRates;
 use crate::HttpEngine;
 use crate::memory_budget::MemoryBudget;
+use crate::upload::UploadExchange;
 
 /// A connection is not used again before it has been idle for this long. Stray bytes behind a response would pass for
 /// the next one's response; on an idle connection they show as unexpected, and it is dropped. So does a close.
@@ -110,6 +111,7 @@
             destination,
             pool: self.clone(),
             engine: engine.clone(),
+            upload: UploadExchange::default(),
         })
     }
 
@@ -125,6 +127,7 @@
             destination,
             pool: self.clone(),
             engine: engine.clone(),
+            upload: UploadExchange::default(),
         })
     }
 
@@ -167,6 +170,8 @@
     pub(super) destination: BackendAddress,
     pub(super) pool: Rc<ConnectionPool>,
     pub(super) engine: HttpEngine,
+    /// The upload that is sent over it, if there is one.
+    pub(super) upload: UploadExchange,
 }
 
 impl LeasedConnection {
@@ -175,10 +180,14 @@
         self.connection.sender.ready().await.is_ok()
     }
 
-    /// Returns the connection to the pool for the next exchange, unless its backend has left or moved meanwhile.
+    /// Returns the connection to the pool for the next exchange, unless its backend has left or moved meanwhile, or has
+    /// responded to a request that is not sent completely: the next request would wait behind the rest of that one.
     pub(super) fn release(mut self) {
         let BackendAddress { backend, address } = self.destination;
-        if self.connection.is_idle() && self.engine.is_in_service_at(backend, address) {
+        if self.upload.is_request_sent()
+            && self.connection.is_idle()
+            && self.engine.is_in_service_at(backend, address)
+        {
             let now = self.pool.clock.now();
             self.pool.idle.put(self.destination, self.connection, now);
         }
--- a/adapters/http/src/upstream/response_reader.rs
+++ b/adapters/http/src/upstream/response_reader.rs
@@ -1,7 +1,6 @@
 //! Reads a backend's response: whole where it is small, else as far as it takes to forward the rest as it comes.
 
 use badgerpost_balancer::{LoadReport, Outcome};
-use badgerpost_engine::RequestEnd;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, TRANSFER_ENCODING};
@@ -11,16 +10,35 @@
 use super::pool::LeasedConnection;
 use super::{AttemptEnd, load_report};
 use crate::MAX_BUFFERED_BODY;
-use crate::backend_response::{BackendResponse, StreamingResponse};
+use crate::backend_response::{BackendResponse, BackendResponseBody, StreamEnd, StreamingResponse};
 use crate::memory_budget::{BufferedBytes, BytesCollector, Reservation};
 
 /// A large response is forwarded once this many bytes of it are here: one whose length is wrong has less to show by
 /// then, and the request can still be retried.
 const STREAMING_START_BYTES: usize = 4 * 1024;
 
+/// Which responses that are no success are forwarded to the client, should the request fail with them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ForwardedErrors {
+    None,
+    /// All but 429 and 503: from these a client would conclude that its request has not run.
+    AllButRejections,
+}
+
+impl ForwardedErrors {
+    fn include(self, status: StatusCode) -> bool {
+        let is_rejection =
+            status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
+        self == Self::AllButRejections && !is_rejection
+    }
+}
+
 /// What is known of a response from its head.
 struct ResponseHead {
+    status: StatusCode,
     outcome: Outcome,
+    /// Whether the response is forwarded to the client: it is a success, or an error that the client is given.
+    is_forwarded: bool,
     report: LoadReport,
     /// The body's length, where the backend has told it.
     length: Option<u64>,
@@ -38,12 +56,13 @@
 pub(super) async fn read_response(
     leased: LeasedConnection,
     response: Response<Incoming>,
+    forwarded_errors: ForwardedErrors,
 ) -> AttemptEnd {
     let (parts, mut body) = response.into_parts();
     if parts.status.is_informational() {
         return AttemptEnd::bare(Outcome::InvalidResponse);
     }
-    let head = ResponseHead::new(&parts, body.size_hint().exact());
+    let head = ResponseHead::new(&parts, body.size_hint().exact(), forwarded_errors);
     let max_body = MAX_BUFFERED_BODY as u64;
     let buffer_bytes = head.length.map_or(max_body, |length| length.min(max_body)) as usize;
     let reservation = leased.pool.response_budget.reserve(buffer_bytes);
@@ -65,7 +84,7 @@
         Ok(BodyProgress::Complete) => {
             leased.release();
             let bytes = BufferedBytes::new(received.into_bytes(), reservation);
-            head.end(Some(BackendResponse::Buffered(bytes)))
+            head.end(Some(BackendResponseBody::Buffered(bytes)))
         }
     }
 }
@@ -98,16 +117,16 @@
     reservation: Option<Reservation>,
     incoming: Incoming,
 ) -> AttemptEnd {
-    if head.outcome != Outcome::Success {
+    if !head.is_forwarded {
         // No client gets to see it, so that the rest is not waited for.
         return head.end(None);
     }
     let on_end = Box::new(move |end| match end {
-        Some(RequestEnd::Served) => leased.release(),
-        Some(_) => leased.engine.response_aborted(leased.destination.backend),
-        None => {}
+        StreamEnd::Complete => leased.release(),
+        StreamEnd::Aborted => leased.engine.response_aborted(leased.destination.backend),
+        StreamEnd::Abandoned => {}
     });
-    head.end(Some(BackendResponse::Streaming(StreamingResponse {
+    head.end(Some(BackendResponseBody::Streaming(StreamingResponse {
         received: BufferedBytes::new(received.into_bytes(), reservation),
         incoming,
         length: head.length,
@@ -116,21 +135,30 @@
 }
 
 impl ResponseHead {
-    fn new(parts: &Parts, length: Option<u64>) -> Self {
+    fn new(parts: &Parts, length: Option<u64>, forwarded_errors: ForwardedErrors) -> Self {
+        let outcome = response_outcome(parts);
+        let is_error = !matches!(outcome, Outcome::Success | Outcome::Rejected);
         Self {
-            outcome: response_outcome(parts),
+            status: parts.status,
+            outcome,
+            is_forwarded: outcome == Outcome::Success
+                || (is_error && forwarded_errors.include(parts.status)),
             report: load_report::from_headers(&parts.headers),
             length,
         }
     }
 
     /// The end of an attempt with this response.
-    fn end(&self, response: Option<BackendResponse>) -> AttemptEnd {
+    fn end(&self, body: Option<BackendResponseBody>) -> AttemptEnd {
+        let forwarded_body = body.filter(|_| self.is_forwarded);
         AttemptEnd {
             outcome: self.outcome,
             report: self.report,
-            is_streaming: matches!(response, Some(BackendResponse::Streaming(_))),
-            response,
+            is_streaming: matches!(forwarded_body, Some(BackendResponseBody::Streaming(_))),
+            response: forwarded_body.map(|body| BackendResponse {
+                status: self.status,
+                body,
+            }),
         }
     }
 }
--- a/adapters/postgres/src/relay/transactions.rs
+++ b/adapters/postgres/src/relay/transactions.rs
@@ -107,7 +107,9 @@
             RequestOutcome::Rejected(retry_after) => self.handle(Event::Rejected {
                 retry_after_ms: milliseconds_rounded_up(retry_after),
             }),
-            RequestOutcome::Failed => self.handle(Event::RequestFailed),
+            RequestOutcome::Failed | RequestOutcome::FailedWith(()) => {
+                self.handle(Event::RequestFailed);
+            }
         }
         Progress::Advanced
     }
--- a/daemon/tests/large_bodies.rs
+++ b/daemon/tests/large_bodies.rs
@@ -359,6 +359,9 @@
     address
 }
 
+/// An attempt ends as its response begins. With that its message to the backend was abandoned, whose failure ended the
+/// connection on which the response was still arriving: `server connection failed error=hyper::Error(User(Body), "the
+/// attempt has ended")`, and 8,248 bytes at the client. Now only the message of an attempt without a response is abandoned.
 #[test]
 fn an_early_response_reaches_a_client_that_still_uploads() {
     let response = ok(&"x".repeat(200_000));
--- a/engine/src/attempt.rs
+++ b/engine/src/attempt.rs
@@ -59,7 +59,8 @@
     pub outcome: Outcome,
     /// The load report that came with the response; empty if there was none.
     pub report: LoadReport,
-    /// The response. Without one the attempt does not count as served, whatever its outcome.
+    /// The response. Without one the attempt does not count as served, whatever its outcome. With another outcome than
+    /// [`Outcome::Success`] it is given to the client if the request fails.
     pub response: Option<R>,
     /// Whether only the beginning of the response is here. Whoever forwards the rest then counts the request's end in
     /// the [`Metrics`](crate::Metrics).
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -99,7 +99,7 @@
                 self.finish(request, outcome, EndCounting::Immediate);
             }
             Action::Fail { request } => {
-                self.finish(request, RequestOutcome::Failed, EndCounting::Immediate);
+                self.fail(request);
             }
             Action::Cancel { request, attempt } => {
                 if let Some(open) = self.requests.get_mut(request) {
--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -10,7 +10,7 @@
 use crate::backends::BackendAddress;
 use crate::event_log::log_backstop;
 use crate::metrics::EndCounting;
-use crate::open_requests::{Delivery, OpenRequest, UploadState};
+use crate::open_requests::{Delivery, ErrorResponse, OpenRequest, UploadState};
 use crate::pending_io::PendingIo;
 use crate::protocol::{IncomingRequest, Protocol, RequestOutcome};
 use crate::timers::TimerPurpose;
@@ -140,6 +140,17 @@
             .clear(open.backstop_at(), TimerPurpose::Backstop(request));
     }
 
+    /// Fails a request, with the last error that a backend has responded with if there is one for its client.
+    pub(super) fn fail(&mut self, request: RequestId) {
+        let open = self.requests.get_mut(request);
+        match open.and_then(OpenRequest::take_error_response) {
+            Some(ErrorResponse { response, counting }) => {
+                self.finish(request, RequestOutcome::FailedWith(response), counting);
+            }
+            None => self.finish(request, RequestOutcome::Failed, EndCounting::Immediate),
+        }
+    }
+
     /// An attempt has ended. A second end of the same attempt is ignored.
     pub(crate) fn attempt_ended(
         &mut self,
@@ -162,15 +173,19 @@
         let Some(in_flight) = open.take_attempt(number) else {
             return;
         };
-        let elapsed = self.clock.now().saturating_sub(in_flight.waiting_since);
-        if let (Outcome::Success, Some(response)) = (outcome, response) {
-            let counting = if is_streaming {
-                EndCounting::AtEndOfStream
-            } else {
-                EndCounting::Immediate
-            };
-            self.finish(request, RequestOutcome::Served(response), counting);
+        let counting = if is_streaming {
+            EndCounting::AtEndOfStream
+        } else {
+            EndCounting::Immediate
+        };
+        match (outcome, response) {
+            (Outcome::Success, Some(response)) => {
+                self.finish(request, RequestOutcome::Served(response), counting);
+            }
+            (_, Some(response)) => open.set_error_response(ErrorResponse { response, counting }),
+            (_, None) => {}
         }
+        let elapsed = self.clock.now().saturating_sub(in_flight.waiting_since);
         let request_ended = self.requests.unanswered(request).is_none();
         self.with_zone_monitoring(pending_io, |zones, now| {
             zones.attempt_ended(now, attempt, outcome, report.utilization)
--- a/engine/src/open_requests.rs
+++ b/engine/src/open_requests.rs
@@ -14,7 +14,7 @@
 
 use crate::attempt::{AttemptCommand, AttemptId, AttemptNumber};
 use crate::backends::BackendAddress;
-use crate::metrics::RequestEnd;
+use crate::metrics::{EndCounting, RequestEnd};
 use crate::protocol::{IncomingRequest, Protocol, RequestOutcome};
 
 /// How long after a client stops waiting its request fails by itself, in nanoseconds, should the balancer not end it:
@@ -54,6 +54,14 @@
     ClientDisconnected,
 }
 
+/// A backend's response that is no success.
+pub(crate) struct ErrorResponse<R> {
+    /// The response.
+    pub(crate) response: R,
+    /// When the end of a request is counted that fails with it.
+    pub(crate) counting: EndCounting,
+}
+
 /// A request that has no outcome yet, or attempts in flight.
 pub(crate) struct OpenRequest<P: Protocol> {
     /// The client's id of it.
@@ -67,6 +75,8 @@
     upload_deadline: Option<watch::Sender<Nanos>>,
     /// By attempt number; none where an attempt has ended.
     attempts: Vec<Option<InFlightAttempt>>,
+    /// The response of the last attempt if it was no success, for the client should the request fail.
+    error_response: Option<ErrorResponse<P::Response>>,
     /// None once the outcome is sent.
     outcome_sender: Option<oneshot::Sender<RequestOutcome<P::Response>>>,
     has_ended: bool,
@@ -88,6 +98,7 @@
             expires_at,
             upload_deadline: is_uploading.then(|| watch::Sender::new(expires_at)),
             attempts: Vec::new(),
+            error_response: None,
             outcome_sender: Some(outcome_sender),
             has_ended: false,
         }
@@ -108,8 +119,9 @@
         self.expires_at.saturating_add(BACKSTOP_DELAY)
     }
 
-    /// Adds an attempt.
+    /// Adds an attempt, which replaces the error response of the one before it.
     pub(crate) fn start_attempt(&mut self, now: Nanos) -> StartedAttempt {
+        self.error_response = None;
         let (cancel_sender, cancelled) = oneshot::channel();
         let number = AttemptNumber::after(self.attempts.len());
         self.attempts.push(Some(InFlightAttempt {
@@ -180,6 +192,16 @@
         Some(delivery)
     }
 
+    /// Keeps a backend's response that is no success, in place of an earlier one.
+    pub(crate) fn set_error_response(&mut self, error_response: ErrorResponse<P::Response>) {
+        self.error_response = Some(error_response);
+    }
+
+    /// Takes the last response of a backend that was no success.
+    pub(crate) fn take_error_response(&mut self) -> Option<ErrorResponse<P::Response>> {
+        self.error_response.take()
+    }
+
     /// Marks the request as ended, and ends the waiting time of its attempts: while its body is being uploaded nothing
     /// else ends them.
     pub(crate) fn mark_ended(&mut self, now: Nanos) {
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -42,6 +42,8 @@
     Rejected(Nanos),
     /// Failed.
     Failed,
+    /// Failed, with a backend's error response, which the client is given.
+    FailedWith(R),
 }
 
 impl<R> RequestOutcome<R> {
@@ -50,7 +52,7 @@
         match self {
             Self::Served(_) => RequestEnd::Served,
             Self::Rejected(_) => RequestEnd::Rejected,
-            Self::Failed => RequestEnd::Failed,
+            Self::Failed | Self::FailedWith(_) => RequestEnd::Failed,
         }
     }
 }
