HTTP backends: a connection that has responded early is not used again

Since a connection was kept once its request had been sent; 4 MB fit into the system's buffers, so that was so while the backend had stopped reading, and the next request waited behind the rest.

Cause and mend: whether the request is sent is no measure for whether its backend reads it. A connection whose response began before its request had been sent is closed after the exchange.

--- a/adapters/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -97,6 +97,7 @@
             Self::Streaming(upload) => UploadExchange(Some(ExchangedUpload {
                 upload: upload.clone(),
                 reader: upload.current_reader.get(),
+                has_early_response: false,
             })),
         }
     }
@@ -109,14 +110,24 @@
 struct ExchangedUpload {
     upload: Rc<Upload>,
     reader: u64,
+    /// Whether the response began before the body was complete.
+    has_early_response: bool,
 }
 
 impl UploadExchange {
-    /// Whether the backend has all of the request: else its connection can't be used for another one.
-    pub fn is_request_sent(&self) -> bool {
+    /// The response has begun.
+    pub fn response_started(&mut self) {
+        if let Some(exchanged) = &mut self.0 {
+            exchanged.has_early_response = !exchanged.upload.is_complete();
+        }
+    }
+
+    /// Whether the response began before the request had been sent. What is sent since may lie unread in the system of a
+    /// backend that has done with the request, so the connection is of no use to another one.
+    pub fn has_early_response(&self) -> bool {
         self.0
             .as_ref()
-            .is_none_or(|exchanged| exchanged.upload.is_complete())
+            .is_some_and(|exchanged| exchanged.has_early_response)
     }
 }
 
--- a/adapters/http/src/upstream/pool.rs
+++ b/adapters/http/src/upstream/pool.rs
@@ -181,10 +181,10 @@
     }
 
     /// Returns the connection to the pool for the next exchange, unless its backend has left or moved meanwhile, or has
-    /// responded to a request that is not sent completely: the next request would wait behind the rest of that one.
+    /// responded before the request was sent: the next request could wait behind the rest of that one.
     pub(super) fn release(mut self) {
         let BackendAddress { backend, address } = self.destination;
-        if self.upload.is_request_sent()
+        if !self.upload.has_early_response()
             && self.connection.is_idle()
             && self.engine.is_in_service_at(backend, address)
         {
--- a/adapters/http/src/upstream/response_reader.rs
+++ b/adapters/http/src/upstream/response_reader.rs
@@ -54,10 +54,11 @@
 /// Reads a response. A connection whose response was read whole is released; with one that is still coming, that
 /// happens at its end.
 pub(super) async fn read_response(
-    leased: LeasedConnection,
+    mut leased: LeasedConnection,
     response: Response<Incoming>,
     forwarded_errors: ForwardedErrors,
 ) -> AttemptEnd {
+    leased.upload.response_started();
     let (parts, mut body) = response.into_parts();
     if parts.status.is_informational() {
         return AttemptEnd::bare(Outcome::InvalidResponse);
