PostgreSQL console: limits of its own in place of those of a client's admission

What operators saw: the console was closed 5 s after its client had connected, without a word, and PAUSE could not wait its 60 s. Open consoles took the places of clients that log in, and were evicted for them.

Why the mend holds: the limit and the slot of unauthenticated clients end with the password, by the type that is handed on; what follows, the console and the first login at a server, has its own.

--- a/adapters/postgres/src/context.rs
+++ b/adapters/postgres/src/context.rs
@@ -25,6 +25,8 @@
     pub unauthenticated: Rc<UnauthenticatedClients>,
     /// Counts sessions, from the admission of their client on.
     pub sessions: ConnectionCounter,
+    /// Counts open consoles.
+    pub consoles: ConnectionCounter,
     /// Keys by which clients cancel statements.
     pub cancel_keys: CancelKeys,
 }
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -1,6 +1,13 @@
 //! The clients' side: accepts connections, admits clients within a time limit, and runs a session for each admitted
 //! one.
 //!
+//! A connection passes through phases, each with a time limit and a count of its own:
+//!
+//! ```text
+//! not authenticated --> first login at a server --> session
+//!                  \--> console
+//! ```
+//!
 //! - `startup`: a client's first packets, TLS among them
 //! - `admission`: authentication, access rules, limits
 //! - `greeting`: the first messages to an admitted client
@@ -21,13 +28,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use self::admission::AdmittedClient;
+use self::admission::{AdmittedClient, AuthenticatedClient};
 use crate::PostgresEngine;
 use crate::authentication::Users;
 use crate::cancellation::CancelKeys;
-use crate::client::Client;
+use crate::client::{Client, ClientError};
 use crate::client_registry::ClientIdentity;
 use crate::config::{Config, ConfigError, Pooling};
+use crate::console;
 use crate::context::ServerContext;
 use crate::pool::Pool;
 use crate::relay::{Relay, SessionClass, SessionContext};
@@ -35,8 +43,8 @@
 use crate::tls::{Acceptor, ClientTls};
 use crate::unauthenticated_clients::{PendingClient, UnauthenticatedClients};
 
-/// Timeout of a client's admission.
-const ADMISSION_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time from a client's connect until it is authenticated.
+const AUTHENTICATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Wait before the next accept after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How often a node that shuts down looks whether all sessions have ended.
@@ -70,6 +78,7 @@
             clients: Rc::default(),
             unauthenticated,
             sessions: ConnectionCounter::default(),
+            consoles: ConnectionCounter::default(),
             cancel_keys: CancelKeys::default(),
         };
         Ok(Rc::new(Self {
@@ -124,7 +133,7 @@
         }
     }
 
-    /// Admits a client and starts its session.
+    /// Authenticates a client, and starts what it asks for.
     async fn handle_connection(
         self: Rc<Self>,
         stream: TcpStream,
@@ -139,22 +148,42 @@
             decoder: FrameDecoder::default(),
         };
         let clock = self.context.clock().clone();
-        let admission = Box::pin(self.admit(client, address, &pending));
-        let admitted = tokio::select! {
+        let authentication = Box::pin(self.authenticate_client(client, &pending));
+        let authenticated = tokio::select! {
             biased;
-            admitted = clock.timeout(ADMISSION_TIMEOUT, admission) => admitted,
+            authenticated = clock.timeout(AUTHENTICATION_TIMEOUT, authentication) => authenticated,
             () = pending.evicted() => return,
         };
+        // What follows has limits of its own, and none of them counts from the connect.
         drop(pending);
-        match admitted {
-            // In a task of its own: that of the admission is larger than an idle session needs.
-            Ok(Ok(Some(admitted))) => drop(spawn(self.run_session(admitted, address, stopping))),
-            Ok(Ok(None)) => {}
-            Ok(Err(error)) => tracing::debug!(%address, %error, "PostgreSQL client rejected"),
-            Err(_) => {
-                tracing::debug!(%address, reason = "not admitted in time", "PostgreSQL client rejected");
+        let served = match authenticated {
+            Ok(Ok(Some(authenticated))) => {
+                Box::pin(self.serve_authenticated(authenticated, address, stopping)).await
             }
+            Ok(Ok(None)) => Ok(()),
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(ClientError::NotAllowed("not authenticated in time")),
+        };
+        if let Err(error) = served {
+            tracing::debug!(%address, %error, "PostgreSQL client rejected");
+        }
+    }
+
+    /// Serves the console, or starts the session, that an authenticated client asks for.
+    async fn serve_authenticated(
+        self: Rc<Self>,
+        authenticated: AuthenticatedClient,
+        address: SocketAddr,
+        stopping: watch::Receiver<bool>,
+    ) -> Result<(), ClientError> {
+        let AuthenticatedClient { client, startup } = authenticated;
+        if self.is_for_console(&startup) {
+            return console::serve(&self.context, client, startup.user, stopping).await;
         }
+        let admitted = self.admit(client, startup, address).await?;
+        // In a task of its own: that of the admission is larger than an idle session needs.
+        drop(spawn(self.run_session(admitted, address, stopping)));
+        Ok(())
     }
 
     /// Runs the session of an admitted client until its end.
--- a/adapters/postgres/src/server/admission.rs
+++ b/adapters/postgres/src/server/admission.rs
@@ -12,7 +12,6 @@
 use super::startup::{StartedClient, StartupRequest, read_startup};
 use crate::access::{AccessRequest, is_allowed};
 use crate::client::{Client, ClientError};
-use crate::console;
 use crate::login::Parameters;
 use crate::logins::LoginId;
 use crate::pool::ConnectionTarget;
@@ -21,6 +20,12 @@
 /// The database by whose name the console is reached.
 const CONSOLE_DATABASE: &str = "badgerpost";
 
+/// A client whose password was checked.
+pub(super) struct AuthenticatedClient {
+    pub(super) client: Client,
+    pub(super) startup: StartupMessage,
+}
+
 /// A client that may have a session.
 pub(super) struct AdmittedClient {
     pub(super) client: Client,
@@ -35,13 +40,12 @@
 }
 
 impl PostgresServer {
-    /// Admits a client. `None` if it wanted no session: it has cancelled a statement, or the console has served it.
-    pub(super) async fn admit(
+    /// Authenticates a client. `None` if it wanted no session: it has cancelled a statement, or left.
+    pub(super) async fn authenticate_client(
         &self,
         client: Client,
-        address: SocketAddr,
         pending: &PendingClient,
-    ) -> Result<Option<AdmittedClient>, ClientError> {
+    ) -> Result<Option<AuthenticatedClient>, ClientError> {
         let started = read_startup(client, self.tls.as_ref(), pending).await?;
         let Some(StartedClient {
             mut client,
@@ -63,11 +67,17 @@
             }
         };
         self.authenticate(&mut client, &startup.user).await?;
-        pending.record_activity();
-        if self.is_for_console(&startup) {
-            console::serve(&self.context, client, startup.user).await?;
-            return Ok(None);
-        }
+        Ok(Some(AuthenticatedClient { client, startup }))
+    }
+
+    /// Admits an authenticated client to a session. It may wait for a first login at a server, whose time limit is the
+    /// pool's.
+    pub(super) async fn admit(
+        &self,
+        mut client: Client,
+        startup: StartupMessage,
+        address: SocketAddr,
+    ) -> Result<AdmittedClient, ClientError> {
         let login = self.authorize(&mut client, &startup, address).await?;
         let guard = self.take_session_slot(&mut client).await?;
         let target = ConnectionTarget {
@@ -84,14 +94,14 @@
                     .await);
             }
         };
-        Ok(Some(AdmittedClient {
+        Ok(AdmittedClient {
             client,
             startup,
             settings,
             parameters,
             target,
             guard,
-        }))
+        })
     }
 
     /// Checks the client's password, and that it has TLS where that is required.
@@ -115,7 +125,7 @@
     }
 
     /// Whether the client asks for the operators' console and may use it.
-    fn is_for_console(&self, startup: &StartupMessage) -> bool {
+    pub(super) fn is_for_console(&self, startup: &StartupMessage) -> bool {
         startup.database == CONSOLE_DATABASE
             && self.context.config.console_users.contains(&startup.user)
     }
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -37,7 +37,7 @@
     pub fleet: PostgresEngine,
     pub config: Config,
     /// Held, as its end would stop the server.
-    _stop: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
 }
 
 const CONFIG: &str = r#"
@@ -65,18 +65,24 @@
 
 impl Node {
     pub async fn start(databases: &[&Database], change: impl Fn(&mut Config)) -> Self {
-        let servers = databases.iter().enumerate().map(|(n, database)| {
-            format!(
-                "[[server]]\nname = \"db{n}\"\naddress = \"{}\"\nzone = \"a\"\n",
-                database.at
-            )
+        let servers: Vec<SocketAddr> = databases.iter().map(|database| database.at).collect();
+        Self::start_with(&servers, Clock::system(), change).await
+    }
+
+    /// A node with servers at these addresses, on this clock.
+    pub async fn start_with(
+        servers: &[SocketAddr],
+        clock: Clock,
+        change: impl Fn(&mut Config),
+    ) -> Self {
+        let servers = servers.iter().enumerate().map(|(n, address)| {
+            format!("[[server]]\nname = \"db{n}\"\naddress = \"{address}\"\nzone = \"a\"\n")
         });
         let text = format!("{CONFIG}{}", servers.collect::<String>());
         let mut config: Config = Source::embedded("test", &text)
             .parse()
             .expect("a configuration");
         change(&mut config);
-        let clock = Clock::system();
         let tls = config
             .server_tls
             .as_ref()
@@ -118,10 +124,21 @@
             at,
             fleet,
             config,
-            _stop: stop,
+            stop,
         }
     }
 
+    /// Has the server end, as a node that shuts down does.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// The operators' console.
+    pub async fn console(&self) -> Result<Client, tokio_postgres::Error> {
+        let mut config = self.driver("ann", "secret", "ops");
+        open(config.dbname("badgerpost")).await
+    }
+
     /// What a driver connects with.
     pub fn driver(&self, user: &str, password: &str, application: &str) -> tokio_postgres::Config {
         let mut config = tokio_postgres::Config::new();
--- /dev/null
+++ b/adapters/postgres/tests/phases.rs
@@ -0,0 +1,203 @@
+//! Each phase of a client's connection has its own time limit and its own count: admission, cancel requests, the login
+//! at a server, the console.
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use badgerpost_engine::{Clock, VirtualClock, nanos};
+use common::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_postgres::NoTls;
+use tokio_postgres::error::SqlState;
+
+/// The time that a client has for its admission.
+const ADMISSION_TIMEOUT: Duration = Duration::from_secs(5);
+/// The second field of a cancel request.
+const CANCEL_REQUEST_CODE: u32 = 80_877_102;
+
+#[test]
+fn open_consoles_take_no_places_of_clients_that_log_in() {
+    test(async {
+        let database = database();
+        let node = Node::start(&[&database], |config| {
+            config.max_unauthenticated_clients = 5;
+        })
+        .await;
+        let mut consoles = Vec::new();
+        for _ in 0..20 {
+            consoles.push(node.console().await.expect("the console"));
+        }
+        for _ in 0..10 {
+            let client = node.connect().await;
+            client.batch_execute("select 1").await.expect("served");
+        }
+        for console in &consoles {
+            one(console, "SHOW VERSION").await;
+        }
+        let statistics = consoles[0].simple_query("SHOW STATS").await;
+        let text = format!("{:?}", statistics.expect("a table"));
+        assert!(text.contains("unidentified"), "{text}");
+    });
+}
+
+#[test]
+fn the_number_of_consoles_is_limited() {
+    test(async {
+        let database = database();
+        let node = Node::start(&[&database], |_| {}).await;
+        let mut consoles = Vec::new();
+        let error = loop {
+            match node.console().await {
+                Ok(console) => consoles.push(console),
+                Err(error) => break error,
+            }
+            assert!(consoles.len() <= 100, "there is no limit");
+        };
+        assert!(consoles.len() >= 20, "{}", consoles.len());
+        assert_eq!(code(&error), Some(&SqlState::TOO_MANY_CONNECTIONS));
+        consoles.clear();
+        while node.console().await.is_err() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+#[test]
+fn an_idle_console_is_ended_and_told_why() {
+    test(async {
+        let database = database();
+        let virtual_clock = VirtualClock::at(0);
+        let clock = Clock::controlled(virtual_clock.clone());
+        let node = Node::start_with(&[database.at], clock, |_| {}).await;
+        let mut config = node.driver("ann", "secret", "ops");
+        let (client, connection) = config
+            .dbname("badgerpost")
+            .connect(NoTls)
+            .await
+            .expect("it");
+        let ended = tokio::task::spawn_local(connection);
+        let advance = async |by: Duration| {
+            let now = Clock::controlled(virtual_clock.clone()).now();
+            virtual_clock.advance(now + nanos(by));
+            // What the clock has woken is done by then.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        };
+        advance(ADMISSION_TIMEOUT * 10).await;
+        one(&client, "SHOW VERSION").await;
+        advance(Duration::from_secs(9 * 60)).await;
+        one(&client, "SHOW VERSION").await;
+        advance(Duration::from_secs(11 * 60)).await;
+        let error = ended.await.expect("no panic").expect_err("ended");
+        assert_eq!(code(&error), Some(&SqlState::IDLE_SESSION_TIMEOUT));
+    });
+}
+
+#[test]
+fn a_console_is_told_that_the_node_stops() {
+    test(async {
+        let database = database();
+        let node = Node::start(&[&database], |_| {}).await;
+        let mut config = node.driver("ann", "secret", "ops");
+        let (_client, connection) = config
+            .dbname("badgerpost")
+            .connect(NoTls)
+            .await
+            .expect("it");
+        node.stop();
+        let error = connection.await.expect_err("ended");
+        assert_eq!(code(&error), Some(&SqlState::ADMIN_SHUTDOWN));
+    });
+}
+
+#[test]
+fn a_pause_may_take_longer_than_an_admission() {
+    test(async {
+        let database = database();
+        let node = Node::start(&[&database], |config| {
+            for class in &mut config.class {
+                class.deadline_ms = 30_000;
+            }
+        })
+        .await;
+        let client = node.connect().await;
+        client
+            .batch_execute("begin; select 1")
+            .await
+            .expect("begun");
+        let console = node.console().await.expect("the console");
+        let paused = console.batch_execute("PAUSE");
+        let committed = async {
+            tokio::time::sleep(ADMISSION_TIMEOUT + Duration::from_secs(1)).await;
+            client.batch_execute("commit").await
+        };
+        let (paused, committed) = tokio::join!(paused, committed);
+        committed.expect("committed");
+        paused.expect("paused once the transaction has ended");
+        console.batch_execute("RESUME").await.expect("resumed");
+    });
+}
+
+/// Forwards connections to a database, with a delay: for all of them, or for cancel requests only.
+async fn slow_proxy(database: SocketAddr, delay: Duration, only_cancels: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        loop {
+            let (mut client, _) = listener.accept().await.unwrap();
+            tokio::task::spawn_local(async move {
+                let mut first = [0; 8];
+                client.read_exact(&mut first).await.unwrap();
+                let is_cancel = first[4..] == CANCEL_REQUEST_CODE.to_be_bytes();
+                if is_cancel || !only_cancels {
+                    tokio::time::sleep(delay).await;
+                }
+                let mut server = TcpStream::connect(database).await.unwrap();
+                server.write_all(&first).await.unwrap();
+                let _ = copy_bidirectional(&mut client, &mut server).await;
+            });
+        }
+    });
+    address
+}
+
+/// The login at a server has its own time, however late in its admission the client was authenticated.
+#[test]
+fn a_client_that_was_admitted_late_waits_for_its_first_server() {
+    test(async {
+        let database = database();
+        let delay = Duration::from_millis(1500);
+        let server = slow_proxy(database.at, delay, false).await;
+        let node = Node::start_with(&[server], Clock::system(), |_| {}).await;
+        let socket = TcpStream::connect(node.at).await.expect("it listens");
+        tokio::time::sleep(ADMISSION_TIMEOUT - Duration::from_secs(1)).await;
+        let config = node.driver("ann", "secret", "x");
+        let connected = config.connect_raw(socket, NoTls).await;
+        let (client, connection) = connected.expect("admitted");
+        tokio::task::spawn_local(connection);
+        client.batch_execute("select 1").await.expect("served");
+    });
+}
+
+/// Silent connections still have no more time than before.
+#[test]
+fn a_client_that_does_not_authenticate_is_closed_in_time() {
+    test(async {
+        let database = database();
+        let node = Node::start(&[&database], |_| {}).await;
+        let mut silent = TcpStream::connect(node.at).await.expect("it listens");
+        let closed = async {
+            let _ = silent.read(&mut [0; 1]).await;
+        };
+        let in_time = tokio::time::timeout(ADMISSION_TIMEOUT + Duration::from_secs(1), closed);
+        in_time.await.expect("closed");
+    });
+}
--- a/adapters/postgres/tests/sessions.rs
+++ b/adapters/postgres/tests/sessions.rs
@@ -239,6 +239,8 @@
     });
 }
 
+/// The console was served within the time limit and the slot of a client's admission: `SHOW STATS` counted it among the
+/// unauthenticated, and it was closed 5.004 s after its client had connected. It is served behind the admission now.
 #[test]
 fn a_console_outlives_the_admission_timeout() {
     test(async {
--- a/core/postgres-session/src/server_messages.rs
+++ b/core/postgres-session/src/server_messages.rs
@@ -28,6 +28,8 @@
     InFailedTransaction,
     /// This process is shutting down; the session ends.
     ShuttingDown,
+    /// The session has been idle for too long, and ends.
+    IdleTimeout,
     /// The client does not follow the protocol; the session ends.
     ProtocolViolation,
     /// Authentication failed; the session ends.
@@ -57,6 +59,8 @@
             Self::InFailedTransaction => "25P02",
             // admin_shutdown
             Self::ShuttingDown => "57P01",
+            // idle_session_timeout
+            Self::IdleTimeout => "57P05",
             // protocol_violation
             Self::ProtocolViolation => "08P01",
             // invalid_password
@@ -77,6 +81,7 @@
         matches!(
             self,
             Self::ShuttingDown
+                | Self::IdleTimeout
                 | Self::ProtocolViolation
                 | Self::AuthenticationFailed
                 | Self::NotAuthorized
@@ -97,6 +102,7 @@
                 "current transaction is aborted, commands ignored until end of transaction block"
             }
             Self::ShuttingDown => "terminating connection: the node stops",
+            Self::IdleTimeout => "terminating connection due to idle-session timeout",
             Self::ProtocolViolation => "the message does not belong here",
             Self::AuthenticationFailed => "authentication failed",
             Self::NotAuthorized => "this client may not come here",
