PostgreSQL: an interrupted cancel request no longer keeps its session from the pool

What callers saw: after clients that log in had evicted a cancel request under way, its session opened a connection for each transaction (10 for ten).

Cause: the request's future was dropped between counting it as in flight and taking that back, and a connection with a cancel request in flight is not pooled. It was served in the slot and the time limit of unauthenticated clients.

Why the mend holds: a guard takes the count back however the request ends, and one that has been read has its own time limit only.

--- a/adapters/postgres/src/cancellation.rs
+++ b/adapters/postgres/src/cancellation.rs
@@ -61,10 +61,27 @@
         let Some(target) = self.0.target.get() else {
             return;
         };
-        let in_flight = &self.0.requests_in_flight;
-        in_flight.set(in_flight.get() + 1);
+        let _in_flight = InFlightRequest::new(self.0.clone());
         send_cancel_request(clock, target).await;
-        in_flight.set(in_flight.get().saturating_sub(1));
+    }
+}
+
+/// A cancel request to a server, in flight until this is dropped: also one that is given up counts no longer, or the
+/// session's connections would never be pooled again.
+struct InFlightRequest(Rc<CancelState>);
+
+impl InFlightRequest {
+    fn new(state: Rc<CancelState>) -> Self {
+        let count = &state.requests_in_flight;
+        count.set(count.get() + 1);
+        Self(state)
+    }
+}
+
+impl Drop for InFlightRequest {
+    fn drop(&mut self) {
+        let count = &self.0.requests_in_flight;
+        count.set(count.get().saturating_sub(1));
     }
 }
 
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -28,7 +28,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use self::admission::{AdmittedClient, AuthenticatedClient};
+use self::admission::{AdmittedClient, Authenticated, AuthenticatedClient, CancelRequest};
 use crate::PostgresEngine;
 use crate::authentication::Users;
 use crate::cancellation::CancelKeys;
@@ -155,11 +155,17 @@
             () = pending.evicted() => return,
         };
         // What follows has limits of its own, and none of them counts from the connect.
-        drop(pending);
         let served = match authenticated {
-            Ok(Ok(Some(authenticated))) => {
+            Ok(Ok(Some(Authenticated::Client(authenticated)))) => {
+                drop(pending);
                 Box::pin(self.serve_authenticated(authenticated, address, stopping)).await
             }
+            Ok(Ok(Some(Authenticated::Cancel(request)))) => {
+                // Others may take its slot, but not end it: it has a time limit of its own.
+                self.cancel(request).await;
+                drop(pending);
+                Ok(())
+            }
             Ok(Ok(None)) => Ok(()),
             Ok(Err(error)) => Err(error),
             Err(_) => Err(ClientError::NotAllowed("not authenticated in time")),
@@ -169,6 +175,21 @@
         }
     }
 
+    /// Passes a cancel request on, and holds its client's connection until the server has taken it.
+    async fn cancel(&self, request: CancelRequest) {
+        let CancelRequest {
+            client,
+            session,
+            key,
+        } = request;
+        let context = &self.context;
+        context
+            .cancel_keys
+            .cancel(session, &key, context.clock())
+            .await;
+        drop(client);
+    }
+
     /// Serves the console, or starts the session, that an authenticated client asks for.
     async fn serve_authenticated(
         self: Rc<Self>,
--- a/adapters/postgres/src/server/admission.rs
+++ b/adapters/postgres/src/server/admission.rs
@@ -7,6 +7,7 @@
 use badgerpost_postgres_session::server_messages::ErrorReason;
 use badgerpost_postgres_session::settings::ClientSettings;
 use badgerpost_postgres_session::startup::StartupMessage;
+use bytes::Bytes;
 
 use super::PostgresServer;
 use super::startup::{StartedClient, StartupRequest, read_startup};
@@ -20,12 +21,30 @@
 /// The database by whose name the console is reached.
 const CONSOLE_DATABASE: &str = "badgerpost";
 
+/// What a client may do that has shown who it is.
+pub(super) enum Authenticated {
+    /// Its password was checked.
+    Client(AuthenticatedClient),
+    /// It cancels the statement of a session.
+    Cancel(CancelRequest),
+}
+
 /// A client whose password was checked.
 pub(super) struct AuthenticatedClient {
     pub(super) client: Client,
     pub(super) startup: StartupMessage,
 }
 
+/// A request to cancel the statement of a session. The session's key is its password.
+pub(super) struct CancelRequest {
+    /// The client's connection, which stays open until the server has taken the request.
+    pub(super) client: Client,
+    /// The session's number.
+    pub(super) session: u32,
+    /// The session's secret key.
+    pub(super) key: Bytes,
+}
+
 /// A client that may have a session.
 pub(super) struct AdmittedClient {
     pub(super) client: Client,
@@ -40,12 +59,12 @@
 }
 
 impl PostgresServer {
-    /// Authenticates a client. `None` if it wanted no session: it has cancelled a statement, or left.
+    /// Authenticates a client. `None` if it has left.
     pub(super) async fn authenticate_client(
         &self,
         client: Client,
         pending: &PendingClient,
-    ) -> Result<Option<AuthenticatedClient>, ClientError> {
+    ) -> Result<Option<Authenticated>, ClientError> {
         let started = read_startup(client, self.tls.as_ref(), pending).await?;
         let Some(StartedClient {
             mut client,
@@ -57,17 +76,19 @@
         let startup = match request {
             StartupRequest::Session(startup) => startup,
             StartupRequest::Cancel { session, key } => {
-                // The client's connection stays open until the server has taken the request.
-                let context = &self.context;
-                context
-                    .cancel_keys
-                    .cancel(session, &key, context.clock())
-                    .await;
-                return Ok(None);
+                let request = CancelRequest {
+                    client,
+                    session,
+                    key,
+                };
+                return Ok(Some(Authenticated::Cancel(request)));
             }
         };
         self.authenticate(&mut client, &startup.user).await?;
-        Ok(Some(AuthenticatedClient { client, startup }))
+        Ok(Some(Authenticated::Client(AuthenticatedClient {
+            client,
+            startup,
+        })))
     }
 
     /// Admits an authenticated client to a session. It may wait for a first login at a server, whose time limit is the
--- a/adapters/postgres/tests/phases.rs
+++ b/adapters/postgres/tests/phases.rs
@@ -201,3 +201,47 @@
         in_time.await.expect("closed");
     });
 }
+/// A cancel request that is under way is no client that has not authenticated: other clients do not end it. If they
+/// did, the session's server connections would count as having one in flight for ever, and would never be pooled again.
+#[test]
+fn a_crowd_does_not_interrupt_a_cancel_request() {
+    test(async {
+        let database = database();
+        let delay = Duration::from_millis(500);
+        let server = slow_proxy(database.at, delay, true).await;
+        let node = Node::start_with(&[server], Clock::system(), |config| {
+            config.max_unauthenticated_clients = 2;
+        })
+        .await;
+        let client = node.connect().await;
+        let token = client.cancel_token();
+        let slow = client.batch_execute("select pg_sleep(30)");
+        let cancelled = async {
+            while database.statements() == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let request = tokio::task::spawn_local(async move { token.cancel_query(NoTls).await });
+            tokio::time::sleep(delay / 4).await;
+            let mut crowd = Vec::new();
+            for _ in 0..20 {
+                let mut silent = TcpStream::connect(node.at).await.expect("it listens");
+                // Each has sent something after the cancel request came, but not enough.
+                silent.write_all(&[0; 3]).await.expect("written");
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                crowd.push(silent);
+            }
+            let _ = request.await;
+        };
+        let (slow, ()) = tokio::join!(slow, cancelled);
+        assert_eq!(
+            code(&slow.expect_err("cancelled")),
+            Some(&SqlState::QUERY_CANCELED)
+        );
+        let before = database.connections();
+        for _ in 0..10 {
+            client.batch_execute("select 1").await.expect("served");
+        }
+        let opened = database.connections() - before;
+        assert!(opened <= 1, "{opened} connections for ten transactions");
+    });
+}
