Time limits: what had arrived in time is handled before a limit closes a connection

Why the mend holds: the decision is made in the connection's own task, after all that had arrived was handled (Clock::settle), by the state as it is then; where the client's bytes are waited for, the system is asked whether any lie in the socket. Clock::timeout lets what had arrived be handled before it strikes. The virtual clock is unaffected.

--- a/adapters/http/src/client_connection.rs
+++ b/adapters/http/src/client_connection.rs
@@ -17,7 +17,7 @@
 use crate::routes::respond;
 use crate::server_context::ServerContext;
 use crate::timeouts::{LINGER_TIMEOUT, SHUTDOWN_CHECK_INTERVAL};
-use crate::tracked_connection::{CloseMode, RequestTracker, TrackedConnection};
+use crate::tracked_connection::{CloseMode, DueClose, RequestTracker, TrackedConnection};
 
 /// Largest head of a request in bytes.
 const MAX_HEAD_SIZE: usize = 32 * 1024;
@@ -59,8 +59,8 @@
     Http(Result<(), hyper::Error>),
     /// The client disconnected while it was owed a response.
     ClientDisconnected,
-    /// It timed out with no complete request on it.
-    TimedOut,
+    /// It timed out, or is closed to admit another one.
+    Due(DueClose),
     /// The node is shutting down.
     Shutdown,
 }
@@ -74,7 +74,7 @@
     let stream = ObservedStream::new(stream, RequestTracker::new(connection.clone()));
     let end = serve_requests(&stream, context, connection).await;
     let close_mode = match &end {
-        ServeEnd::ClientDisconnected => return Ok(()),
+        ServeEnd::ClientDisconnected | ServeEnd::Due(DueClose::AtOnce) => return Ok(()),
         ServeEnd::Shutdown if connection.has_partial_request() => {
             connection.lingering_close_started();
             stream.clone().write_all(SHUTDOWN_RESPONSE).await?;
@@ -83,7 +83,9 @@
         ServeEnd::Http(Err(_)) if connection.close_mode() == CloseMode::Graceful => {
             CloseMode::Lingering
         }
-        ServeEnd::Http(_) | ServeEnd::TimedOut | ServeEnd::Shutdown => connection.close_mode(),
+        ServeEnd::Http(_) | ServeEnd::Due(DueClose::InGoodOrder) | ServeEnd::Shutdown => {
+            connection.close_mode()
+        }
     };
     match close_mode {
         CloseMode::Reset => return Ok(stream.reset_on_close()?),
@@ -129,9 +131,25 @@
         biased;
         result = http_connection => ServeEnd::Http(result),
         () = disconnected_before_response => ServeEnd::ClientDisconnected,
-        () = finish_upload(connection, stream, context.clock()) => ServeEnd::TimedOut,
-        () = connection.graceful_close_requested() => ServeEnd::TimedOut,
-        () = closed_by_shutdown(connection, context) => ServeEnd::Shutdown,
+        never = finish_upload(connection, stream, context.clock()) => match never {},
+        () = closed_by_shutdown(connection, stream, context) => ServeEnd::Shutdown,
+        due = closed_by_limit(connection, stream, context) => ServeEnd::Due(due),
+    }
+}
+
+/// Resolves once the connection has to be closed by a time limit, or to admit another one. A node that has stood still
+/// learns of the limit before it has seen what happened in time: both sides of the socket are looked at first.
+async fn closed_by_limit(
+    connection: &TrackedConnection,
+    stream: &ObservedStream<RequestTracker>,
+    context: &ServerContext,
+) -> DueClose {
+    loop {
+        connection.close_requested().await;
+        context.clock().settle().await;
+        if let Some(due) = connection.due_close(|| stream.has_unread_bytes()) {
+            return due;
+        }
     }
 }
 
@@ -146,7 +164,11 @@
 /// Resolves once the node closes idle connections and this one is quiescent. A new connection is closed after its first
 /// response, so that the request it was opened for is not lost. An incomplete request is waited for until the last
 /// response has to be sent.
-async fn closed_by_shutdown(connection: &TrackedConnection, context: &ServerContext) {
+async fn closed_by_shutdown(
+    connection: &TrackedConnection,
+    stream: &ObservedStream<RequestTracker>,
+    context: &ServerContext,
+) {
     let mut stage = context.handle.stage.clone();
     loop {
         if stage.wait_for(|stage| stage.closes_idle()).await.is_err() {
@@ -155,7 +177,10 @@
         }
         let is_closed = *context.handle.stage.borrow() == Stage::Closed;
         let is_last_moment = is_closed && context.time_until_last_response() == 0;
-        if connection.is_quiescent() || (connection.is_reading_head() && is_last_moment) {
+        // A request that has arrived is served, though the node has not read it yet.
+        let has_request = connection.expects_request() && stream.has_unread_bytes();
+        let is_quiescent = connection.is_quiescent() && !has_request;
+        if is_quiescent || (connection.is_reading_head() && is_last_moment) {
             return;
         }
         context.clock().sleep(SHUTDOWN_CHECK_INTERVAL).await;
--- a/adapters/http/src/connection_limiter.rs
+++ b/adapters/http/src/connection_limiter.rs
@@ -76,7 +76,7 @@
             .values()
             .filter_map(|connection| Some((connection.eviction_rank(now)?, connection)));
         if let Some((_, connection)) = evictable.min_by_key(|(rank, _)| *rank) {
-            connection.evict();
+            connection.request_eviction();
         }
     }
 
--- a/adapters/http/src/connection_limiter/tests.rs
+++ b/adapters/http/src/connection_limiter/tests.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use crate::observed_stream::StreamObserver;
-use crate::tracked_connection::RequestTracker;
+use crate::tracked_connection::{DueClose, RequestTracker};
 
 /// A limiter whose clock the test moves.
 struct TestLimiter {
@@ -52,8 +52,16 @@
     future.poll(&mut Context::from_waker(Waker::noop()))
 }
 
+/// How a connection is closed that is to be closed now, and on which nothing has arrived meanwhile.
+fn due_close(permit: &ConnectionPermit) -> Option<DueClose> {
+    let is_requested = poll(pin!(permit.connection().close_requested())).is_ready();
+    is_requested
+        .then(|| permit.connection().due_close(|| false))
+        .flatten()
+}
+
 fn is_aborted(permit: &ConnectionPermit) -> bool {
-    poll(pin!(permit.connection().abort_requested())).is_ready()
+    due_close(permit) == Some(DueClose::AtOnce)
 }
 
 fn receive(permit: &ConnectionPermit, bytes: &[u8]) {
@@ -98,18 +106,15 @@
     stalled.connection().head_parsed().expect("plain framing");
     let mut timeouts = pin!(test.limiter.clone().run_timeouts());
     assert!(poll(timeouts.as_mut()).is_pending());
-    let is_closed = |permit: &ConnectionPermit| {
-        poll(pin!(permit.connection().graceful_close_requested())).is_ready()
-    };
     for _ in 0..24 {
         test.advance(100);
         assert!(poll(timeouts.as_mut()).is_pending());
     }
-    assert!(!is_closed(&silent) && !is_aborted(&stalled));
+    assert_eq!((due_close(&silent), due_close(&stalled)), (None, None));
     test.advance(100);
     assert!(poll(timeouts.as_mut()).is_pending());
-    assert!(is_closed(&silent) && !is_aborted(&silent));
-    assert!(is_aborted(&stalled) && !is_closed(&stalled));
+    assert_eq!(due_close(&silent), Some(DueClose::InGoodOrder));
+    assert_eq!(due_close(&stalled), Some(DueClose::AtOnce));
 }
 
 #[test]
@@ -148,10 +153,12 @@
         let mut timeouts = pin!(test.limiter.clone().run_timeouts());
         for _ in 0..300 {
             assert!(poll(timeouts.as_mut()).is_pending());
+            assert_eq!(due_close(&permit), None);
             assert_eq!(test.metrics.connections_closed(limit), 0);
             test.advance(100);
         }
         assert!(poll(timeouts.as_mut()).is_pending());
+        assert_eq!(due_close(&permit), Some(DueClose::AtOnce));
         let closed = ConnectionLimit::ALL.map(|limit| test.metrics.connections_closed(limit));
         assert_eq!(closed.iter().sum::<u64>(), 1);
         assert_eq!(test.metrics.connections_closed(limit), 1);
@@ -177,3 +184,27 @@
     test.advance(500);
     assert!(upload.connection().eviction_rank(now()).is_some());
 }
+
+/// A time limit, or the need of another connection, is decided on when it is known what has arrived by then.
+#[test]
+fn a_connection_on_which_something_has_arrived_is_not_closed() {
+    let test = TestLimiter::new(3);
+    let [silent, resumed, idle] = [(); 3].map(|()| test.admit());
+    receive(&resumed, b"GET /api HTTP/1.1\r\nHost:");
+    let mut timeouts = pin!(test.limiter.clone().run_timeouts());
+    for _ in 0..26 {
+        assert!(poll(timeouts.as_mut()).is_pending());
+        test.advance(100);
+    }
+    assert!(poll(timeouts.as_mut()).is_pending());
+    // The rest of the head is read in the moment in which the limit strikes.
+    receive(&resumed, b" a\r\n\r\n");
+    resumed.connection().head_parsed().expect("plain framing");
+    resumed.connection().request_complete();
+    assert_eq!(due_close(&resumed), None);
+    // A byte lies in the socket.
+    assert_eq!(silent.connection().due_close(|| true), None);
+    assert_eq!(due_close(&silent), Some(DueClose::InGoodOrder));
+    idle.connection().request_eviction();
+    assert_eq!(idle.connection().due_close(|| true), None);
+}
--- a/adapters/http/src/connection_state.rs
+++ b/adapters/http/src/connection_state.rs
@@ -222,6 +222,11 @@
         matches!(self, Self::ReadingBody(body) if body.is_backend_blocked)
     }
 
+    /// Whether no more requests are served.
+    pub(crate) fn is_closing(&self) -> bool {
+        matches!(self, Self::Closing { .. } | Self::LingeringClose { .. })
+    }
+
     /// Whether a request's head is arriving.
     pub(crate) fn is_reading_head(&self) -> bool {
         matches!(self, Self::ReadingHead { .. })
@@ -302,6 +307,19 @@
         )
     }
 
+    /// Whether the next thing that happens is that bytes arrive from the client.
+    pub(crate) fn waits_for_client(&self) -> bool {
+        match self {
+            Self::New { .. } | Self::ReadingHead { .. } | Self::Idle { .. } => true,
+            Self::ReadingBody(body) => !body.is_backend_blocked,
+            Self::AwaitingResponse
+            | Self::Streaming { .. }
+            | Self::Sending { .. }
+            | Self::Closing { .. }
+            | Self::LingeringClose { .. } => false,
+        }
+    }
+
     /// How soon the connection is closed to admit a new one; none if it may not be closed for that.
     pub(crate) fn eviction_rank(
         &self,
--- a/adapters/http/src/early_response.rs
+++ b/adapters/http/src/early_response.rs
@@ -3,6 +3,7 @@
 //! otherwise, and the node for its client.
 
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::future::pending;
 use std::rc::Rc;
 
@@ -66,7 +67,7 @@
     connection: &TrackedConnection,
     stream: &ObservedStream<RequestTracker>,
     clock: &Clock,
-) {
+) -> Infallible {
     let upload = connection.early_response().begun().await;
     while !upload.is_complete() {
         if has_stalled(connection, &upload, clock) {
@@ -78,7 +79,7 @@
         }
         clock.sleep(UPLOAD_CHECK_INTERVAL).await;
     }
-    pending::<()>().await;
+    pending().await
 }
 
 /// Whether a body that is forwarded after its response has begun has made no progress for too long, on either side.
--- a/adapters/http/src/observed_stream.rs
+++ b/adapters/http/src/observed_stream.rs
@@ -145,6 +145,11 @@
         self.discard_input().await;
     }
 
+    /// Whether bytes have arrived that nobody has read, by the system itself.
+    pub fn has_unread_bytes(&self) -> bool {
+        self.0.borrow().stream.has_unread_bytes()
+    }
+
     /// Has the connection end by a reset, once its last handle is dropped.
     pub fn reset_on_close(&self) -> io::Result<()> {
         self.0.borrow().stream.set_reset_on_close()
--- a/adapters/http/src/request_body.rs
+++ b/adapters/http/src/request_body.rs
@@ -88,6 +88,12 @@
     AtBackend,
 }
 
+/// When an upload will have made no progress for too long, unless it does.
+struct Stall {
+    at: Nanos,
+    body: StalledBody,
+}
+
 /// Resolves once an upload has made no progress for too long. Either its client is too slow; or the client has sent all
 /// that was taken from it, its budget has passed since, and no backend takes the rest: then the request has not run.
 pub(crate) async fn upload_stalled(
@@ -97,22 +103,44 @@
     budget: Nanos,
 ) -> StalledBody {
     loop {
-        let client_deadline = upload.client_stall_deadline(
-            nanos(BODY_STALL_TIMEOUT),
-            connection.body_time_at_lowest_rate(),
-        );
-        connection.set_backend_blocked(client_deadline.is_none());
-        let (deadline, stalled) = match client_deadline {
-            Some(deadline) => (deadline, StalledBody::AtClient),
-            None => {
-                let since = upload.waiting_for_backend_since().unwrap_or(clock.now());
-                (since.saturating_add(budget), StalledBody::AtBackend)
+        let stall = next_stall(clock, connection, upload, budget);
+        if clock.now() < stall.at {
+            let next_check = clock.now().saturating_add(nanos(UPLOAD_CHECK_INTERVAL));
+            clock.sleep_until(stall.at.min(next_check)).await;
+            continue;
+        }
+        // Bytes that have arrived by now are with their reader after that, and the stall is over.
+        clock.settle().await;
+        let stall = next_stall(clock, connection, upload, budget);
+        if clock.now() >= stall.at {
+            return stall.body;
+        }
+    }
+}
+
+/// The stall that an upload is heading for now.
+fn next_stall(
+    clock: &Clock,
+    connection: &TrackedConnection,
+    upload: &Upload,
+    budget: Nanos,
+) -> Stall {
+    let client_deadline = upload.client_stall_deadline(
+        nanos(BODY_STALL_TIMEOUT),
+        connection.body_time_at_lowest_rate(),
+    );
+    connection.set_backend_blocked(client_deadline.is_none());
+    match client_deadline {
+        Some(at) => Stall {
+            at,
+            body: StalledBody::AtClient,
+        },
+        None => {
+            let since = upload.waiting_for_backend_since().unwrap_or(clock.now());
+            Stall {
+                at: since.saturating_add(budget),
+                body: StalledBody::AtBackend,
             }
-        };
-        if clock.now() >= deadline {
-            return stalled;
         }
-        let next_check = clock.now().saturating_add(nanos(UPLOAD_CHECK_INTERVAL));
-        clock.sleep_until(deadline.min(next_check)).await;
     }
 }
--- a/adapters/http/src/tracked_connection.rs
+++ b/adapters/http/src/tracked_connection.rs
@@ -29,6 +29,15 @@
     Reset,
 }
 
+/// How a connection has to be closed that a time limit ends, or that makes room for another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DueClose {
+    /// No request has been parsed on it that is owed a response.
+    InGoodOrder,
+    /// Nothing more can be sent on it, or it makes room for another one.
+    AtOnce,
+}
+
 /// The number of idle connections, and how many may be open in all.
 pub(crate) struct IdleConnections {
     count: Cell<usize>,
@@ -70,8 +79,10 @@
     early_response: EarlyResponse,
     /// Notified when the connection has to be closed at once.
     abort: Notify,
-    /// Notified when the connection has to be closed in good order.
-    graceful_close: Notify,
+    /// Notified when the connection is to be closed, unless its client has done meanwhile what it is waited for.
+    close_requested: Notify,
+    /// Whether it is to be closed so that another one can be admitted.
+    is_eviction_requested: Cell<bool>,
     /// Whether the response that is streamed waits for its backend, and not for its client.
     is_stream_at_backend: Cell<bool>,
     idle_connections: Rc<IdleConnections>,
@@ -96,7 +107,8 @@
             close_mode: Cell::new(CloseMode::Graceful),
             early_response: EarlyResponse::default(),
             abort: Notify::new(),
-            graceful_close: Notify::new(),
+            close_requested: Notify::new(),
+            is_eviction_requested: Cell::new(false),
             is_stream_at_backend: Cell::new(false),
             idle_connections,
             close_recorder,
@@ -294,9 +306,9 @@
         });
     }
 
-    /// Resolves once the connection has to be closed in good order.
-    pub(crate) async fn graceful_close_requested(&self) {
-        self.graceful_close.notified().await;
+    /// Resolves once the connection is to be closed. Whether it is, and how, [`due_close`](Self::due_close) decides.
+    pub(crate) async fn close_requested(&self) {
+        self.close_requested.notified().await;
     }
 
     /// Resolves once the connection has to be closed at once.
@@ -304,10 +316,54 @@
         self.abort.notified().await;
     }
 
-    /// Requests that the connection is closed at once, so that another one can be admitted.
-    pub(crate) fn evict(&self) {
-        self.close_recorder.record(ConnectionLimit::Eviction);
-        self.abort.notify_one();
+    /// Requests that the connection is closed, so that another one can be admitted.
+    pub(crate) fn request_eviction(&self) {
+        self.is_eviction_requested.set(true);
+        self.request_close();
+    }
+
+    /// A connection that is being closed already serves no requests, and has nobody who would decide.
+    fn request_close(&self) {
+        if self.state.get().is_closing() {
+            self.record_close();
+            self.abort.notify_one();
+        } else {
+            self.close_requested.notify_one();
+        }
+    }
+
+    /// How the connection has to be closed now, by its time limit or to admit another one; none if it may stay. Bytes
+    /// that have arrived and were not read are the request that it is closed for lack of: `has_unread_bytes` tells of
+    /// them.
+    pub(crate) fn due_close(&self, has_unread_bytes: impl Fn() -> bool) -> Option<DueClose> {
+        let now = self.clock.now();
+        let state = self.state.get();
+        let is_evicted = self.is_eviction_requested.take() && self.eviction_rank(now).is_some();
+        let is_due = is_evicted || self.has_timed_out(now);
+        if !is_due || (state.waits_for_client() && has_unread_bytes()) {
+            return None;
+        }
+        if is_evicted {
+            self.close_recorder.record(ConnectionLimit::Eviction);
+            return Some(DueClose::AtOnce);
+        }
+        self.record_close();
+        if state.times_out_gracefully() {
+            Some(DueClose::InGoodOrder)
+        } else {
+            Some(DueClose::AtOnce)
+        }
+    }
+
+    fn record_close(&self) {
+        if let Some(limit) = self.limit() {
+            self.close_recorder.record(limit);
+        }
+    }
+
+    fn has_timed_out(&self, now: Nanos) -> bool {
+        let times_out_at = self.state.get().times_out_at(self.last_progress_at());
+        times_out_at.is_some_and(|at| now >= at)
     }
 
     /// A limit ends the request that is arriving.
@@ -327,21 +383,20 @@
 
     /// Requests that the connection is closed if it has timed out.
     pub(crate) fn check_timeout(&self, now: Nanos) {
-        let state = self.state.get();
-        let times_out_at = state.times_out_at(self.last_progress_at());
-        if times_out_at.is_none_or(|at| now < at) {
-            return;
-        }
-        if let Some(limit) = self.limit() {
-            self.close_recorder.record(limit);
-        }
-        if state.times_out_gracefully() {
-            self.graceful_close.notify_one();
-        } else {
-            self.abort.notify_one();
+        if self.has_timed_out(now) {
+            self.request_close();
         }
     }
 
+    /// Whether a request may be on its way that has not begun to arrive.
+    pub(crate) fn expects_request(&self) -> bool {
+        let state = self.state.get();
+        matches!(
+            state,
+            ConnectionState::New { .. } | ConnectionState::Idle { .. }
+        )
+    }
+
     /// How soon the connection is closed to admit a new one; none if it may not be closed for that.
     pub(crate) fn eviction_rank(&self, now: Nanos) -> Option<EvictionRank> {
         let state = self.state.get();
--- a/engine/src/activity.rs
+++ b/engine/src/activity.rs
@@ -1,12 +1,13 @@
 //! Counts what this thread's tasks do, so that the control of a virtual clock can tell when the process is idle: task
-//! polls, bytes through sockets, connections being established, connections ended. Nothing is decided by the counts.
+//! polls, bytes through sockets, connections being established, connections ended. The counts decide nothing but how long
+//! [`settle`] waits.
 
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, yield_now};
 
 thread_local! {
     static POLLS: Cell<u64> = const { Cell::new(0) };
@@ -114,6 +115,26 @@
     }
 }
 
+/// Turns of the runtime that [`settle`] waits for at least. What is read in one of them passes through two more tasks at
+/// most: that of an attempt, and that of the client's connection.
+const MIN_SETTLE_TURNS: u32 = 3;
+/// Turns that it waits for at most, while more bytes arrive all the time.
+const MAX_SETTLE_TURNS: u32 = 16;
+
+/// Lets all tasks of this thread handle what has arrived by now: in each turn of the runtime sockets that have become
+/// readable wake their tasks, and all tasks that are awake run.
+pub async fn settle() {
+    let mut read_before = BYTES_READ.get();
+    for turn in 1..=MAX_SETTLE_TURNS {
+        yield_now().await;
+        let read = BYTES_READ.get();
+        if turn >= MIN_SETTLE_TURNS && read == read_before {
+            return;
+        }
+        read_before = read;
+    }
+}
+
 /// Starts a task on this thread, whose polls are counted. Every task of the process has to be started here.
 pub fn spawn<F: Future + 'static>(task: F) -> JoinHandle<F::Output> {
     tokio::task::spawn_local(CountedTask { task })
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -11,6 +11,8 @@
 
 use badgerpost_balancer::Nanos;
 
+use crate::activity;
+
 /// A monotonic clock. It counts nanoseconds from the Unix time at its start, so that times sent by other machines
 /// compare with it. Cheap to clone; clones are the same clock.
 #[derive(Clone)]
@@ -146,7 +148,23 @@
         }
     }
 
-    /// Limits a future to this duration. One that completes at that very moment is in time.
+    /// Waits until this time, and until what had arrived by then has been handled. For a time limit whose other side is
+    /// handled by other tasks: a process that has stood still finds the limit and what came before it at once, and the
+    /// limit must not be seen first.
+    pub async fn deadline(&self, at: Nanos) {
+        self.sleep_until(at).await;
+        self.settle().await;
+    }
+
+    /// Lets all tasks handle what has arrived by now. Does nothing on a clock that a test controls, where time stands
+    /// still until all that has arrived is handled.
+    pub async fn settle(&self) {
+        if !self.is_controlled() {
+            activity::settle().await;
+        }
+    }
+
+    /// Limits a future to this duration. One that completes with what had arrived at that very moment is in time.
     ///
     /// # Errors
     ///
@@ -156,16 +174,21 @@
         duration: Duration,
         future: F,
     ) -> Result<F::Output, Elapsed> {
-        limit(future, self.sleep(duration)).await
+        self.timeout_at(self.now().saturating_add(nanos(duration)), future)
+            .await
     }
 
-    /// Limits a future until this time. One that completes at that very moment is in time.
+    /// Limits a future until this time. One that completes with what had arrived at that very moment is in time.
     ///
     /// # Errors
     ///
     /// The time is up first.
     pub async fn timeout_at<F: Future>(&self, at: Nanos, future: F) -> Result<F::Output, Elapsed> {
-        limit(future, self.sleep_until(at)).await
+        tokio::select! {
+            biased;
+            output = future => Ok(output),
+            () = self.deadline(at) => Err(Elapsed),
+        }
     }
 }
 
@@ -180,15 +203,6 @@
     i64::try_from(difference).unwrap_or(if difference < 0 { i64::MIN } else { i64::MAX })
 }
 
-/// Awaits a future for as long as `limit` takes.
-async fn limit<F: Future>(future: F, limit: Sleep) -> Result<F::Output, Elapsed> {
-    tokio::select! {
-        biased;
-        output = future => Ok(output),
-        () = limit => Err(Elapsed),
-    }
-}
-
 /// A time limit was reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("not in time")]
--- a/engine/src/tcp_stream.rs
+++ b/engine/src/tcp_stream.rs
@@ -6,10 +6,12 @@
 
 use std::future::Future;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, ready};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 
 /// Most bytes of one read: its buffer is cleared first, and none has to be larger than this to be read fast.
@@ -65,6 +67,18 @@
         }
     }
 
+    /// Whether bytes have arrived that were not read, by the system itself: the runtime learns of them later, and after a
+    /// pause of the process that may be too late for a decision.
+    pub fn has_unread_bytes(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        loop {
+            let seen = SockRef::from(&self.0).peek(&mut byte);
+            if !is_interrupted(&seen) {
+                return seen.is_ok_and(|count| count > 0);
+            }
+        }
+    }
+
     /// Whether the system knows by now that the peer has closed its side, though bytes before that may be unread.
     pub fn is_read_closed(&self, cx: &mut Context<'_>) -> bool {
         match pin!(self.0.ready(Interest::READABLE)).poll(cx) {
