Attempts: a response that lay in the socket as its time ended is a response

What callers saw: requests whose backends had answered after 0.3 s got 502 when the node stood still from 0.25 s to the end of their second (12 of 12 that had been sent), a PostgreSQL statement 08006; the backends counted as timed out, and six timeouts eject one.

Cause: the attempt's timer was handled before the socket, from which the response needs a step more than the timer.

Why the mend holds: Clock::deadline resolves behind all that had arrived by that time. Attempts, stalling responses, PostgreSQL deadlines, peers and the handover wait for it; the engine's timers let what had arrived be handled where one is 10 ms late or more.

--- a/adapters/gossip/src/service.rs
+++ b/adapters/gossip/src/service.rs
@@ -201,10 +201,11 @@
     }
 }
 
-/// Waits until this time; forever without one.
+/// Waits until this time, and until what peers had sent by then is handled: acknowledgements that lie in the socket of a
+/// node that has stood still have come in time. Forever without a time.
 async fn wait_until(clock: Clock, at: Option<Nanos>) {
     match at {
-        Some(at) => clock.sleep_until(at).await,
+        Some(at) => clock.deadline(at).await,
         None => std::future::pending().await,
     }
 }
--- a/adapters/http/src/upstream/attempt.rs
+++ b/adapters/http/src/upstream/attempt.rs
@@ -83,17 +83,19 @@
         }
     }
 
-    /// Resolves once the attempt is no longer waited for. While its body is being uploaded, that time is not known yet.
+    /// Resolves once the attempt is no longer waited for, and what had arrived by then is handled: a response that lies
+    /// in the socket of a node that has stood still is one, and no sign of its backend's health. While its body is being
+    /// uploaded, that time is not known yet.
     async fn timed_out(&self) {
         let clock = &self.pool.clock;
         let Some(mut deadline) = self.command.upload_deadline.clone() else {
-            return clock.sleep_until(self.command.attempt_deadline).await;
+            return clock.deadline(self.command.attempt_deadline).await;
         };
         loop {
             let at = *deadline.borrow_and_update();
             tokio::select! {
                 biased;
-                () = clock.sleep_until(at) => return,
+                () = clock.deadline(at) => return,
                 Ok(()) = deadline.changed() => {}
             }
         }
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -178,7 +178,7 @@
         tokio::select! {
             biased;
             turn = woken => Ok(turn.ok()),
-            () = self.clock.sleep_until(deadline) => {
+            () = self.clock.deadline(deadline) => {
                 slots.dequeue(position);
                 Err(ConnectError::WaitTimedOut)
             }
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -15,7 +15,7 @@
 use std::task::{Context, Poll};
 
 use badgerpost_balancer::{Nanos, Outcome};
-use badgerpost_engine::{AttemptEnd, AttemptId, RequestOutcome, Sleep};
+use badgerpost_engine::{AttemptEnd, AttemptId, RequestOutcome};
 use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::server_messages::{ErrorReason, error_response};
 use badgerpost_postgres_session::session::{Action, Event, ServerState, Session};
@@ -79,14 +79,14 @@
     deadline: Nanos,
     cancelled: oneshot::Receiver<()>,
     /// Started when the attempt is first waited for.
-    timeout: Option<Pin<Box<Sleep>>>,
+    timeout: Option<Notification>,
 }
 
 /// A transaction that is held back while the pool is paused.
 struct PausedTransaction {
     is_single_statement: bool,
     resumed: Notification,
-    timeout: Pin<Box<Sleep>>,
+    timeout: Notification,
 }
 
 /// Whether a step could do anything.
--- a/adapters/postgres/src/relay/transactions.rs
+++ b/adapters/postgres/src/relay/transactions.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{Nanos, Outcome};
-use badgerpost_engine::{AttemptEnd, AttemptId, IncomingRequest, RequestOutcome, nanos};
+use badgerpost_engine::{AttemptEnd, AttemptId, Clock, IncomingRequest, RequestOutcome, nanos};
 use badgerpost_postgres_session::server_messages::{ErrorReason, TransactionStatus};
 use badgerpost_postgres_session::session::Event;
 
@@ -37,13 +37,13 @@
             .class(&self.context.class.name)
             .map_or(0, |class| class.deadline);
         // It is rejected early enough for the client to do something else before its deadline.
-        let timeout = clock.sleep_until(clock.now().saturating_add(deadline / 2));
+        let timeout = deadline_notification(clock, clock.now().saturating_add(deadline / 2));
         let pool = self.context.pool.clone();
         let resumed: Notification = Box::pin(async move { pool.resumed().await });
         self.paused_transaction = Some(Box::new(PausedTransaction {
             is_single_statement,
             resumed,
-            timeout: Box::pin(timeout),
+            timeout,
         }));
     }
 
@@ -176,7 +176,7 @@
         let (clock, deadline) = (self.context.fleet.clock(), server.deadline);
         let timeout = server
             .timeout
-            .get_or_insert_with(|| Box::pin(clock.sleep_until(deadline)));
+            .get_or_insert_with(|| deadline_notification(clock, deadline));
         if timeout.as_mut().poll(cx).is_ready() {
             self.lose_server(Outcome::TimedOut);
             return Progress::Advanced;
@@ -246,6 +246,13 @@
     }
 }
 
+/// Resolves at this time, once what had arrived by then was read: a response that lies in the socket of a node that has
+/// stood still has come in time.
+fn deadline_notification(clock: &Clock, at: Nanos) -> Notification {
+    let clock = clock.clone();
+    Box::pin(async move { clock.deadline(at).await })
+}
+
 /// The rank of a class's transactions among those that wait for a connection; the lowest is first.
 fn rank(priority_weight: f64) -> u64 {
     u64::MAX - (priority_weight.max(0.0) * RANKS_PER_WEIGHT) as u64
--- a/adapters/postgres/src/upstream.rs
+++ b/adapters/postgres/src/upstream.rs
@@ -58,7 +58,7 @@
         _ = &mut cancelled => return Err(Outcome::NotSent),
         acquired = pool.acquire(&key, request.rank, deadline) => acquired,
         // A login may take longer than that. Nothing was sent.
-        () = fleet.clock().sleep_until(deadline) => return Err(Outcome::NotSent),
+        () = fleet.clock().deadline(deadline) => return Err(Outcome::NotSent),
     };
     let connection = acquired.map_err(|error| {
         let server = fleet.endpoint_name(backend);
--- a/adapters/postgres/tests/phases.rs
+++ b/adapters/postgres/tests/phases.rs
@@ -245,3 +245,30 @@
         assert!(opened <= 1, "{opened} connections for ten transactions");
     });
 }
+
+/// The node stands still from before the server's response to behind the transaction's deadline: the response is read, and
+/// the deadline has not struck.
+#[test]
+fn a_response_that_came_before_its_deadline_counts_in_a_node_that_stood_still() {
+    test(async {
+        let database = database();
+        let node = Node::start(&[&database], |config| {
+            for class in &mut config.class {
+                class.deadline_ms = 1000;
+            }
+        })
+        .await;
+        let client = node.connect().await;
+        client.batch_execute("select 1").await.expect("served");
+        for _ in 0..5 {
+            let statement = client.batch_execute("select pg_sleep(0.3)");
+            let stands_still = async {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                // The node's tasks run on this thread.
+                std::thread::sleep(Duration::from_millis(1000));
+            };
+            let (statement, ()) = tokio::join!(statement, stands_still);
+            statement.expect("the response has come in time");
+        }
+    });
+}
--- a/daemon/src/handover/context.rs
+++ b/daemon/src/handover/context.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use badgerpost_engine::Clock;
+use badgerpost_engine::{Clock, nanos};
 use badgerpost_socket_handover::Action;
 
 use super::connection::HandoverConnection;
@@ -25,6 +25,12 @@
 }
 
 impl HandoverContext {
+    /// Waits until an exchange that begins now has to be over, and what had arrived by then is handled.
+    pub(super) async fn exchange_timed_out(&self) {
+        let ends_at = self.clock.now().saturating_add(nanos(EXCHANGE_TIMEOUT));
+        self.clock.deadline(ends_at).await;
+    }
+
     /// Carries out what either state machine asks for, as far as it is the same for both. A failure to send is logged
     /// only: the next read from the connection shows that it has broken.
     pub(super) async fn perform(
--- a/daemon/src/handover/predecessor.rs
+++ b/daemon/src/handover/predecessor.rs
@@ -9,7 +9,7 @@
 use tokio::net::{UnixListener, UnixStream};
 
 use super::connection::HandoverConnection;
-use super::context::{EXCHANGE_TIMEOUT, HandoverContext};
+use super::context::HandoverContext;
 
 /// Wait before the next accept after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -67,7 +67,7 @@
         lifecycle: &LifecycleHandle,
     ) -> bool {
         let mut predecessor = Predecessor::new(self.listen);
-        let mut timeout = std::pin::pin!(self.clock.sleep(EXCHANGE_TIMEOUT));
+        let mut timeout = std::pin::pin!(self.exchange_timed_out());
         let mut has_timed_out = false;
         let mut has_sent_listener = false;
         loop {
--- a/daemon/src/handover/successor.rs
+++ b/daemon/src/handover/successor.rs
@@ -32,7 +32,7 @@
     pub(super) async fn request_listener(&self) -> Option<ReceivedListener> {
         let mut connection = HandoverConnection::new(self.connect().await?);
         let mut successor = Successor::new(self.listen);
-        let mut timeout = std::pin::pin!(self.clock.sleep(EXCHANGE_TIMEOUT));
+        let mut timeout = std::pin::pin!(self.exchange_timed_out());
         let mut event = Event::Connected;
         loop {
             match self.advance(&mut successor, event, &mut connection).await {
--- a/daemon/tests/held_up_nodes.rs
+++ b/daemon/tests/held_up_nodes.rs
@@ -8,11 +8,13 @@
 )]
 
 use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use badgerpost_fakes::scripted::*;
-use serde_json::json;
+use serde_json::{Value, json};
 
 const MANY: usize = 100;
 /// Idle connections that a node with few descriptors keeps: less than half of those for clients.
@@ -244,3 +246,52 @@
     assert!(!node.has_logged("has fallen silent"));
     assert!(!node.has_logged("asking discovery failed"));
 }
+
+/// Several backends that answer after this time, and the number of requests that they have had.
+fn backends_that_take(time: Duration) -> (Vec<Backend>, Arc<AtomicU32>) {
+    let requests = Arc::new(AtomicU32::new(0));
+    let backends = (0..4).map(|_| {
+        let requests = requests.clone();
+        Backend::new(move |_| {
+            requests.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(time);
+            ResponsePlan::Respond(ok("yes"))
+        })
+    });
+    (backends.collect(), requests)
+}
+
+fn node_with(backends: &[Backend], change: impl FnOnce(&mut Value)) -> (Node, Discovery) {
+    let listed = (0..)
+        .zip(backends)
+        .map(|(n, backend)| target(&format!("s-{n}"), backend.address, "Ready"));
+    let targets: Value = listed.collect();
+    let discovery = Discovery::new(targets.clone());
+    let mut config = config(discovery.address, targets);
+    config["console"] = json!("127.0.0.1:0");
+    change(&mut config);
+    (Node::start(&config), discovery)
+}
+
+/// Responses that lie in the node's sockets as the time of their attempts ends are responses.
+#[test]
+fn backends_that_answered_in_time_are_neither_ejected_nor_asked_again() {
+    let (backends, requests) = backends_that_take(Duration::from_millis(300));
+    let (node, _discovery) = node_with(&backends, |_| ());
+    let mut clients: Vec<Client> = (0..20).map(|_| Client::connect(node.address)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.write(&post("pay", &format!("r{n}"), "", "b").replace("3000", "1000"));
+    }
+    thread::sleep(Duration::from_millis(250));
+    while_stopped(&node, Duration::from_millis(750), || ());
+    let statuses: Vec<_> = clients
+        .iter_mut()
+        .map(|client| client.read().map(|response| response.status()))
+        .collect();
+    let sent = requests.load(Ordering::SeqCst) as usize;
+    let served = statuses.iter().filter(|status| **status == Some(200));
+    assert_eq!(served.count(), sent, "of those sent: {statuses:?}");
+    assert!(!node.has_logged("server ejected"));
+    let unhealthy = metric(node.console(), "node.cluster_unhealthy");
+    assert_eq!(unhealthy.as_deref(), Some("0"));
+}
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -18,7 +18,7 @@
 
 use crate::attempt::{AttemptCommand, AttemptEnd, AttemptId};
 use crate::backends::{BackendAddress, DiscoveredEndpoint};
-use crate::clock::Clock;
+use crate::clock::{Clock, nanos};
 use crate::driver::Driver;
 use crate::metrics::Metrics;
 use crate::open_requests::UploadState;
@@ -26,6 +26,9 @@
 use crate::protocol::{IncomingRequest, Protocol, RequestClass, RequestOutcome, UnknownTenant};
 use crate::zone_monitoring::{PeerUpdate, ZoneGossip, ZoneOverride};
 
+/// A timer that fires this much too late shows that the process has stood still.
+const LATE_TIMER_THRESHOLD: Duration = Duration::from_millis(10);
+
 /// Does on the network what an engine asks for.
 pub trait Transport<P: Protocol> {
     /// Starts an attempt. Its end is reported by [`Engine::attempt_ended`], exactly once.
@@ -292,7 +295,7 @@
                 Some(at) => {
                     tokio::select! {
                         biased;
-                        () = self.clock.sleep_until(at) => {}
+                        () = self.clock.sleep_until(at) => self.settle_if_late(at).await,
                         () = self.next_timer_changed.notified() => {}
                     }
                 }
@@ -301,6 +304,14 @@
         }
     }
 
+    /// Lets what has arrived be handled before timers that are overdue because the process has stood still: they would
+    /// end requests whose responses lie in its sockets.
+    async fn settle_if_late(&self, timer_at: Nanos) {
+        if self.clock.now().saturating_sub(timer_at) >= nanos(LATE_TIMER_THRESHOLD) {
+            self.clock.settle().await;
+        }
+    }
+
     /// Handles all timers that are due.
     fn fire_timers(&self) {
         self.with_driver(Driver::fire_timers);
