Balancer: a node's own pause is no sign that its backends are slow

What callers saw: after the node had stood still for 1 s, requests that waited in it got 503 without a send though 1.4 s were left (4 to 10 of 20); in the next round, without a pause, 15 of 20.

Cause: the time of an attempt ended when the node read its response, so 0.3 s were learned as 1.25 s, and the backends were sent only what slow ones answer in time.

Why the mend holds: the process notices that it has stood still by a late heartbeat (the limiter's check every 100 ms; 50 ms late or more), whichever task goes on first; what is handled in that moment has no known time, and the balancer learns no speed from it and counts no timeout.

Result: held_up_nodes.rs requests_that_wait_in_a_node… (16 of 20 before) and overload.rs responses_of_unknown_age… pass. AttemptResult::elapsed is optional now; the balancer's tests wrap their times in Some. badgerpost, badgerpost-http, -engine, -balancer and -simulator are green.

--- a/adapters/http/src/connection_limiter.rs
+++ b/adapters/http/src/connection_limiter.rs
@@ -83,7 +83,8 @@
     /// Closes connections that time out; never ends.
     pub(crate) async fn run_timeouts(self: Rc<Self>) {
         loop {
-            self.clock.sleep(TIMEOUT_CHECK_INTERVAL).await;
+            // Also the heartbeat of the process: no other task waits as regularly.
+            self.clock.heartbeat(TIMEOUT_CHECK_INTERVAL).await;
             let now = self.clock.now();
             for connection in self.connections.borrow().values() {
                 connection.check_timeout(now);
--- a/balancer/src/api/events.rs
+++ b/balancer/src/api/events.rs
@@ -141,8 +141,8 @@
     pub attempt: u32,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time since the send.
-    pub elapsed: Nanos,
+    /// Time since the send; none if it isn't known, as the node stood still when the attempt ended.
+    pub elapsed: Option<Nanos>,
     /// The request has ended, by this or earlier.
     pub request_ended: bool,
     /// The backend's figures, if any came.
--- a/balancer/src/balancer/attempts.rs
+++ b/balancer/src/balancer/attempts.rs
@@ -114,7 +114,10 @@
                 },
             );
         }
-        if result.outcome != Outcome::TimedOut || is_overdue(&self.fleet, class, result.elapsed) {
+        let is_overdue = result
+            .elapsed
+            .is_some_and(|elapsed| is_overdue(&self.fleet, class, elapsed));
+        if result.outcome != Outcome::TimedOut || is_overdue {
             self.record_for_outlier_detection(attempt.backend, result.outcome, actions);
         }
         if let Some(backend) = self.fleet.backends.get_mut(attempt.backend) {
--- a/balancer/src/learning.rs
+++ b/balancer/src/learning.rs
@@ -19,8 +19,8 @@
     pub(crate) service_time: f64,
     /// The backend's load at the send, in requests for each unit of size.
     pub(crate) load: f64,
-    /// Time since the send.
-    pub(crate) elapsed: Nanos,
+    /// Time since the send, if it is known.
+    pub(crate) elapsed: Option<Nanos>,
     /// How it ended.
     pub(crate) outcome: Outcome,
 }
@@ -66,8 +66,20 @@
             return;
         };
         backend.end_request();
+        if observation.outcome == Outcome::Success {
+            backend.record_throughput(self.now, observation.service_time);
+        }
+        if let Some(elapsed) = observation.elapsed {
+            self.learn_from_response_time(observation, elapsed as f64);
+        }
+    }
+
+    /// Learns slowness and base time from the time of one attempt, in nanoseconds.
+    fn learn_from_response_time(&mut self, observation: &AttemptObservation, elapsed: f64) {
+        let Some(backend) = self.backends.get_mut(observation.backend) else {
+            return;
+        };
         let class = self.classes.get_mut(observation.class);
-        let elapsed = observation.elapsed as f64;
         let unit_time = elapsed / observation.load;
         let known_slowness = backend.measured_slowness().value();
         let max_slowness = MAX_OBSERVATION_RATIO * known_slowness.max(1.0);
@@ -78,7 +90,6 @@
                 if class.is_base_time_reliable() {
                     backend.record_slowness(self.now, slowness);
                 }
-                backend.record_throughput(self.now, observation.service_time);
                 class.record_served(unit_time);
                 if let Some(zone) = self.zones.get_mut(backend.zone()) {
                     zone.record_latency(elapsed);
--- a/balancer/tests/any_sequence.rs
+++ b/balancer/tests/any_sequence.rs
@@ -285,7 +285,7 @@
                     request,
                     attempt,
                     outcome,
-                    elapsed,
+                    elapsed: Some(elapsed),
                     request_ended: ended,
                     report: utilization_report(figure),
                 })
@@ -346,7 +346,7 @@
                         request,
                         attempt,
                         outcome,
-                        elapsed: 0,
+                        elapsed: Some(0),
                         request_ended: true,
                         report,
                     })
@@ -402,7 +402,7 @@
                 request,
                 attempt,
                 outcome,
-                elapsed,
+                elapsed: Some(elapsed),
                 request_ended: ended,
                 report,
             }));
--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -130,6 +130,18 @@
         self.end_attempt_after(request, attempt, outcome, 30 * MILLISECOND, report)
     }
 
+    /// Ends an attempt with a response that came at an unknown time: the node stood still.
+    pub fn end_attempt_at_unknown_time(&mut self, request: RequestId, attempt: u32) -> Vec<Action> {
+        self.handle(Event::AttemptEnded(AttemptResult {
+            request,
+            attempt,
+            outcome: Outcome::Success,
+            elapsed: None,
+            request_ended: true,
+            report: LoadReport::default(),
+        }))
+    }
+
     /// Ends an attempt after this time; a success ends the request.
     pub fn end_attempt_after(
         &mut self,
@@ -144,7 +156,7 @@
             request,
             attempt,
             outcome,
-            elapsed,
+            elapsed: Some(elapsed),
             request_ended: ended,
             report,
         }))
--- a/balancer/tests/overload.rs
+++ b/balancer/tests/overload.rs
@@ -127,6 +127,41 @@
     assert!(in_flight[1] <= 3, "{in_flight:?}");
 }
 
+/// How many of a flood's requests go out at once, after twelve whose responses came in this way behind a pause of a second.
+fn flood_after_a_pause(end: impl Fn(&mut Node, RequestId)) -> usize {
+    let mut node = Node::new(wide_objective(1), fifteen_endpoints());
+    node.serve_requests(200, |_| LoadReport::default());
+    let waiting: Vec<RequestId> = (0..12).map(|_| node.arrive(3 * SECOND).0).collect();
+    node.now += SECOND;
+    for request in waiting {
+        end(&mut node, request);
+    }
+    flood(&mut node, 400).iter().sum()
+}
+
+/// A node that has stood still does not know how long the responses have taken that it finds then: taken for slow, they
+/// would make it shed what its servers have capacity for.
+#[test]
+fn responses_of_unknown_age_shed_no_load() {
+    let in_time = flood_after_a_pause(|node, request| {
+        node.end_attempt_after(
+            request,
+            0,
+            Outcome::Success,
+            40 * MILLISECOND,
+            LoadReport::default(),
+        );
+    });
+    let as_slow = flood_after_a_pause(|node, request| {
+        node.end_attempt_after(request, 0, Outcome::Success, SECOND, LoadReport::default());
+    });
+    let unknown = flood_after_a_pause(|node, request| {
+        node.end_attempt_at_unknown_time(request, 0);
+    });
+    assert!(as_slow < in_time, "{as_slow} and {in_time}");
+    assert!(unknown >= in_time, "{unknown} and {in_time}");
+}
+
 fn checked_backends(actions: &[Action]) -> Vec<BackendId> {
     let to = |action: &Action| match action {
         Action::CheckHealth { backend } => Some(*backend),
--- a/daemon/tests/held_up_nodes.rs
+++ b/daemon/tests/held_up_nodes.rs
@@ -295,3 +295,25 @@
     let unhealthy = metric(node.console(), "node.cluster_unhealthy");
     assert_eq!(unhealthy.as_deref(), Some("0"));
 }
+/// The node's own pause is no overload of its backends: what waits in it is served when it goes on.
+#[test]
+fn requests_that_wait_in_a_node_that_stands_still_are_not_shed() {
+    let (backends, _) = backends_that_take(Duration::from_millis(300));
+    let (node, _discovery) = node_with(&backends, |_| ());
+    for (round, pause) in [1000, 0, 2000, 0].into_iter().enumerate() {
+        let mut clients: Vec<Client> = (0..20).map(|_| Client::connect(node.address)).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.write(&get(&format!("r{round}-{n}"), ""));
+        }
+        thread::sleep(Duration::from_millis(250));
+        if pause > 0 {
+            while_stopped(&node, Duration::from_millis(pause), || ());
+        }
+        let statuses: Vec<_> = clients
+            .iter_mut()
+            .map(|client| client.read().map(|response| response.status()))
+            .collect();
+        let served = statuses.iter().filter(|status| **status == Some(200));
+        assert_eq!(served.count(), 20, "round {round}: {statuses:?}");
+    }
+}
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -12,6 +12,7 @@
 use badgerpost_balancer::Nanos;
 
 use crate::activity;
+use crate::heartbeat::Heartbeat;
 
 /// A monotonic clock. It counts nanoseconds from the Unix time at its start, so that times sent by other machines
 /// compare with it. Cheap to clone; clones are the same clock.
@@ -22,7 +23,11 @@
 #[derive(Clone)]
 enum Source {
     /// The system's monotonic clock. It read `started` when the Unix time was `started_at`.
-    System { started: Instant, started_at: Nanos },
+    System {
+        started: Instant,
+        started_at: Nanos,
+        heartbeat: Rc<Heartbeat>,
+    },
     /// A clock that a test controls.
     Virtual(Rc<VirtualClock>),
 }
@@ -90,6 +95,7 @@
         Self(Source::System {
             started: Instant::now(),
             started_at: unix_time(),
+            heartbeat: Rc::default(),
         })
     }
 
@@ -109,6 +115,7 @@
             Source::System {
                 started,
                 started_at,
+                ..
             } => started_at.saturating_add(nanos(started.elapsed())),
             Source::Virtual(virtual_clock) => virtual_clock.now.get(),
         }
@@ -129,6 +136,7 @@
             Source::System {
                 started,
                 started_at,
+                ..
             } => {
                 let at = *started + Duration::from_nanos(at.saturating_sub(*started_at));
                 Sleep::system(tokio::time::sleep_until(at.into()))
@@ -148,6 +156,29 @@
         }
     }
 
+    /// Waits for this long. The wait is a heartbeat: if it ends much too late, the process has stood still. To be awaited
+    /// all the time, by one task.
+    pub async fn heartbeat(&self, interval: Duration) {
+        let due_at = self.now().saturating_add(nanos(interval));
+        let Source::System { heartbeat, .. } = &self.0 else {
+            return self.sleep_until(due_at).await;
+        };
+        heartbeat.expect(due_at);
+        self.sleep_until(due_at).await;
+        heartbeat.beat(self.now());
+    }
+
+    /// The time from `since` to an event that is handled now. None if the process has stood still until a moment ago:
+    /// the event may have happened at any time in between.
+    pub fn known_time_since(&self, since: Nanos) -> Option<Nanos> {
+        let now = self.now();
+        let is_known = match &self.0 {
+            Source::System { heartbeat, .. } => !heartbeat.has_just_resumed(now, since),
+            Source::Virtual(_) => true,
+        };
+        is_known.then(|| now.saturating_sub(since))
+    }
+
     /// Waits until this time, and until what had arrived by then has been handled. For a time limit whose other side is
     /// handled by other tasks: a process that has stood still finds the limit and what came before it at once, and the
     /// limit must not be seen first.
--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -185,7 +185,8 @@
             (_, Some(response)) => open.set_error_response(ErrorResponse { response, counting }),
             (_, None) => {}
         }
-        let elapsed = self.clock.now().saturating_sub(in_flight.waiting_since);
+        // A response that lay in the node's socket while the node stood still tells nothing of its backend's speed.
+        let elapsed = self.clock.known_time_since(in_flight.waiting_since);
         let request_ended = self.requests.unanswered(request).is_none();
         self.with_zone_monitoring(pending_io, |zones, now| {
             zones.attempt_ended(now, attempt, outcome, report.utilization)
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -14,6 +14,7 @@
 mod driver;
 mod engine;
 mod event_log;
+mod heartbeat;
 mod idle_pool;
 mod log_limiter;
 mod log_output;
--- a/simulator/src/instance.rs
+++ b/simulator/src/instance.rs
@@ -144,7 +144,7 @@
             request,
             attempt: attempt.attempt,
             outcome: attempt.outcome,
-            elapsed: attempt.elapsed,
+            elapsed: Some(attempt.elapsed),
             request_ended: attempt.request_ended,
             report: attempt.report,
         });
