Limits test: the deadline of a held-up node by the times of the node's own calls

The test failed at times on a busy machine (2 of 48 runs beside eight busy loops on eight cores: told 995, 844 and 843 left). Decided from times taken in the fault library at the calls themselves: the 184 deadlines told were 3.8 to 4.8 ms less than what was left as the node's send was called, so the node's share is 0; the injected delay lasted up to 154.5 ms in place of 150, and the rest was the backend's reader thread. The check was wrong about the machine, not the node.

Change: the library logs requests with the times at which the node received and sent them; the test wants told <= what is left 150 ms behind the call, with 150 ms of slack, as before. It still wants each answer and a retry.

--- a/daemon/tests/limits.rs
+++ b/daemon/tests/limits.rs
@@ -10,12 +10,13 @@
 use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::TcpListener;
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use badgerpost_fakes::scripted::*;
-use badgerpost_fakes::system_faults::{CallFault, SystemCall, SystemFaults};
+use badgerpost_fakes::system_faults::{
+    CallFault, LoggedCall, LoggedRequest, RequestLog, SystemCall, SystemFaults,
+};
 use serde_json::json;
 
 /// What a bad client is owed its error or close within.
@@ -137,28 +138,27 @@
 
 /// A node that is held up for 0.15 s before each of its writes: the deadline told is at most what is left, with 0.15 s of
 /// slack, in the first attempt and in the retry.
+///
+/// The times are taken in the node's own calls. Those of a backend's thread came late on a busy machine, and so did the end
+/// of the delay: beside eight busy loops 2 of 48 runs failed by 1 and 2 ms, with delays of up to 154.5 ms in place of 150,
+/// and the deadlines told (184) were 3.8 to 4.8 ms less than what was left as the node's calls began.
 #[test]
 fn the_deadline_forwarded_by_a_suspended_node_is_within_its_slack() {
     const REQUESTS: usize = 3;
-    let arrivals: Arc<Mutex<Vec<(String, Instant, i64)>>> = Arc::default();
-    let recording = |answer: String| {
-        let arrivals = arrivals.clone();
-        Backend::new(move |message| {
-            let value = |name| message.value(name).unwrap().to_owned();
-            let told = value("x-budget-ms").parse().unwrap();
-            let arrival = (value("x-call-id"), Instant::now(), told);
-            arrivals.lock().unwrap().push(arrival);
-            ResponsePlan::Respond(answer.clone())
-        })
-    };
-    let refusing = recording(status(503, "X-Rejected: 1\r\n"));
-    let serving = recording(ok("yes"));
+    const BUDGET: Duration = Duration::from_millis(1000);
+    const DELAY: Duration = Duration::from_millis(150);
+    const SLACK: Duration = Duration::from_millis(150);
+    let refusing = Backend::new(|_| ResponsePlan::Respond(status(503, "X-Rejected: 1\r\n")));
+    let serving = Backend::new(|_| ResponsePlan::Respond(ok("yes")));
     let targets = json!([
         target("s-0", refusing.address, "Ready"),
         target("s-1", serving.address, "Ready")
     ]);
     let discovery = Discovery::new(targets.clone());
-    let faults = SystemFaults::seeded(3).with(SystemCall::Send, CallFault::Delay, 1000);
+    let log = RequestLog::default();
+    let faults = SystemFaults::seeded(3)
+        .with(SystemCall::Send, CallFault::Delay, 1000)
+        .with_request_log(&log);
     let node = Node::start_with_faults(&config(discovery.address, targets), &faults);
     // Its next call to discovery comes 2.7 s behind this one: a hold in that would keep a request from being read, which
     // is another matter.
@@ -166,22 +166,29 @@
     thread::sleep(Duration::from_millis(300));
     for n in 0..REQUESTS {
         let mut client = Client::connect(node.address);
-        let id = format!("h{n}");
-        let began = Instant::now();
-        client.write(&post("pay", &id, "", "").replace("3000", "1000"));
-        assert!(client.read().is_some(), "{id}");
-        for (_, at, told) in arrivals
-            .lock()
-            .unwrap()
-            .iter()
-            .filter(|arrival| arrival.0 == id)
-        {
-            let left = 1000 - i64::try_from((*at - began).as_millis()).unwrap();
-            assert!(*told <= left + 150, "{id}: told {told}, {left} left");
+        client.write(&post("pay", &format!("h{n}"), "", "").replace("3000", "1000"));
+        assert!(client.read().is_some(), "h{n}");
+    }
+    let requests = log.requests().unwrap();
+    let passed = |call, id: &str| {
+        let of_request = move |request: &&LoggedRequest| {
+            request.call == call && request.header("x-call-id") == Some(id)
+        };
+        requests.iter().filter(of_request).cloned().collect()
+    };
+    let mut attempts = 0;
+    for id in (0..REQUESTS).map(|n| format!("h{n}")) {
+        let received: Vec<LoggedRequest> = passed(LoggedCall::Received, &id);
+        for sent in passed(LoggedCall::Sent, &id) {
+            let written_at = sent.began_at + DELAY;
+            let left = BUDGET.saturating_sub(written_at - received[0].passed_at);
+            let told = sent.header("x-budget-ms").unwrap().parse().unwrap();
+            let told = Duration::from_millis(told);
+            assert!(told <= left + SLACK, "{id}: told {told:?}, {left:?} left");
+            attempts += 1;
         }
     }
-    let retries = arrivals.lock().unwrap().len() - REQUESTS;
-    assert!(retries > 0, "no retry was seen");
+    assert!(attempts > REQUESTS, "no retry was seen");
 }
 
 /// A connect that comes up while its server begins to drain is not written to. The grace of 0.5 s has to cover a node that is held
--- a/testkit/fakes/native/system_faults.c
+++ b/testkit/fakes/native/system_faults.c
@@ -5,6 +5,8 @@
  *   BADGERPOST_FAULTS      "recv:short=50,send:EINTR=20": in so many of a thousand calls
  *   BADGERPOST_FAULT_SEED  drives the draws
  *   BADGERPOST_WALL_CLOCK  a file with the milliseconds by which the wall clock is ahead; read at each reading of it
+ *   BADGERPOST_REQUEST_LOG a file to which each HTTP request is appended that passes a socket: "recv" or "send", the
+ *                          nanoseconds of the monotonic clock as the call began and as the bytes passed, and its head
  *
  * Only TCP sockets over IP fail, and the naming of Unix sockets: the event loop's own are none of a peer's business.
  */
@@ -14,6 +16,7 @@
 #include <fcntl.h>
 #include <stdatomic.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -42,6 +45,7 @@
 static atomic_ullong draws;
 static unsigned long long seed;
 static const char *wall_clock_file;
+static const char *request_log_file;
 
 static const struct {
     const char *name;
@@ -77,6 +81,7 @@
     const char *number = getenv("BADGERPOST_FAULT_SEED");
     seed = number ? strtoull(number, NULL, 10) : 1;
     wall_clock_file = getenv("BADGERPOST_WALL_CLOCK");
+    request_log_file = getenv("BADGERPOST_REQUEST_LOG");
     while (text && *text) {
         const char *colon = strchr(text, ':');
         const char *equals = colon ? strchr(colon, '=') : NULL;
@@ -140,27 +145,61 @@
     return fault == SHORT && length > SHORT_BYTES ? SHORT_BYTES : length;
 }
 
+static long long monotonic_nanoseconds(void)
+{
+    struct timespec now;
+    syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &now);
+    return now.tv_sec * 1000000000LL + now.tv_nsec;
+}
+
+/* Appends a request's head on one line, if these bytes begin with one. */
+static void log_request(const char *call, long long began_at, const char *bytes, size_t length)
+{
+    if (length < 5 || (memcmp(bytes, "POST ", 5) && memcmp(bytes, "GET ", 4)))
+        return;
+    char line[1024];
+    int count = snprintf(line, sizeof line, "%s %lld %lld ", call, began_at, monotonic_nanoseconds());
+    for (size_t i = 0; i < length && count < (int)sizeof line - 1; i++)
+        line[count++] = bytes[i] == '\r' || bytes[i] == '\n' ? '\t' : bytes[i];
+    line[count++] = '\n';
+    int fd = syscall(SYS_openat, AT_FDCWD, request_log_file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    if (fd < 0)
+        return;
+    syscall(SYS_write, fd, line, count);
+    syscall(SYS_close, fd);
+}
+
 ssize_t recv(int fd, void *buffer, size_t length, int flags)
 {
     int fault = is_tcp(fd) ? fault_of("recv") : 0;
     if (fails(fault))
         return -1;
-    return syscall(SYS_recvfrom, fd, buffer, shortened(fault, length), flags, NULL, NULL);
+    long long began_at = request_log_file ? monotonic_nanoseconds() : 0;
+    ssize_t count = syscall(SYS_recvfrom, fd, buffer, shortened(fault, length), flags, NULL, NULL);
+    if (request_log_file && count > 0)
+        log_request("recv", began_at, buffer, count);
+    return count;
 }
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags)
 {
+    long long began_at = request_log_file ? monotonic_nanoseconds() : 0;
     int fault = is_tcp(fd) ? fault_of("send") : 0;
     if (fails(fault))
         return -1;
+    if (request_log_file)
+        log_request("send", began_at, buffer, length);
     return syscall(SYS_sendto, fd, buffer, shortened(fault, length), flags, NULL, 0);
 }
 
 ssize_t writev(int fd, const struct iovec *parts, int count)
 {
+    long long began_at = request_log_file ? monotonic_nanoseconds() : 0;
     int fault = is_tcp(fd) ? fault_of("send") : 0;
     if (fails(fault))
         return -1;
+    if (request_log_file && count > 0)
+        log_request("send", began_at, parts[0].iov_base, parts[0].iov_len);
     if (fault == SHORT && count > 0) {
         struct iovec first = {parts[0].iov_base, shortened(fault, parts[0].iov_len)};
         return syscall(SYS_writev, fd, &first, 1);
--- a/testkit/fakes/src/system_faults.rs
+++ b/testkit/fakes/src/system_faults.rs
@@ -1,6 +1,7 @@
 //! Injection of system call faults into a process under test, by a preloaded library that fails a share of the calls in
 //! ways that Linux documents. It is seeded, so that a run can be repeated.
 
+mod request_log;
 mod temporary_file;
 mod wall_clock;
 
@@ -10,6 +11,7 @@
 use std::path::PathBuf;
 use std::process::Command;
 
+pub use request_log::{LoggedCall, LoggedRequest, RequestLog};
 use temporary_file::replace_file;
 pub use wall_clock::WallClock;
 
@@ -80,6 +82,7 @@
     /// Entries of the form `call:fault=permille`, as the library reads them.
     entries: Vec<String>,
     wall_clock: Option<PathBuf>,
+    request_log: Option<PathBuf>,
 }
 
 impl SystemFaults {
@@ -120,6 +123,13 @@
         self
     }
 
+    /// Makes the process append the requests that pass its sockets to this log.
+    #[must_use]
+    pub fn with_request_log(mut self, log: &RequestLog) -> Self {
+        self.request_log = Some(log.file().to_owned());
+        self
+    }
+
     /// Sets the environment of a process that is about to start.
     ///
     /// # Errors
@@ -133,6 +143,9 @@
         if let Some(file) = &self.wall_clock {
             command.env("BADGERPOST_WALL_CLOCK", file);
         }
+        if let Some(file) = &self.request_log {
+            command.env("BADGERPOST_REQUEST_LOG", file);
+        }
         Ok(())
     }
 }
