Slow start: an upload takes its part of the budget once, while it is on its way

What a warming server saw: 4 uploads in a window where it bears 7 requests, and uploads on their way for longer than a window left their part to others, all of which could become work at once.

Cause: an upload was charged at its send, a moment without work, and again when its body was complete, undecided.

Why the mend holds: it reserves its part at the send, which becomes a send of the moment in which it is complete, or is returned; each attempt ends once, and with it the reservation.

--- a/balancer/src/backend.rs
+++ b/balancer/src/backend.rs
@@ -148,6 +148,26 @@
         }
     }
 
+    /// Reserves a part of the slow-start budget for a request that is being uploaded, if the backend is warming up.
+    /// Returns what is reserved.
+    pub(crate) fn reserve_slow_start_budget(
+        &mut self,
+        now: Nanos,
+        rules: &SafetyLimits,
+        cost: f64,
+    ) -> f64 {
+        if self.warm_up_fraction(now, rules) >= 1.0 {
+            return 0.0;
+        }
+        self.warming_sends.reserve(cost);
+        cost
+    }
+
+    /// Ends a reservation.
+    pub(crate) fn release_slow_start_budget(&mut self, reserved: f64) {
+        self.warming_sends.release(reserved);
+    }
+
     /// Counts the end of a request that it worked on.
     pub(crate) fn end_request(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/balancer/src/balancer/attempts.rs
+++ b/balancer/src/balancer/attempts.rs
@@ -49,6 +49,11 @@
             cell: backend.entry().cell,
         };
         let cost = request.slow_start_cost;
+        let reserved = if request.is_uploading {
+            backend.reserve_slow_start_budget(now, &settings.rules, cost)
+        } else {
+            0.0
+        };
         request.phase = Phase::Open;
         request.attempts.push(Attempt {
             backend: to,
@@ -57,11 +62,10 @@
             load: backend.load(settings),
             outcome: None,
             is_counted: !request.is_uploading,
+            reserved,
         });
         backend.outlier.on_send();
-        if request.is_uploading {
-            backend.charge_slow_start_budget(now, &settings.rules, cost);
-        } else {
+        if !request.is_uploading {
             self.fleet.start_attempt(to, placement.zone, cost);
         }
     }
@@ -81,6 +85,8 @@
         let cost = request.slow_start_cost;
         for attempt in request.uploads_mut() {
             let zone = attempt.placement.zone;
+            self.fleet
+                .end_upload(attempt.backend, std::mem::take(&mut attempt.reserved));
             let Some(load) = self.fleet.start_attempt(attempt.backend, zone, cost) else {
                 continue;
             };
@@ -100,6 +106,7 @@
         };
         let class = request.class;
         let is_open = request.phase != Phase::Ended;
+        self.fleet.end_upload(attempt.backend, attempt.reserved);
         if attempt.is_counted {
             let service_time = request.service_time;
             self.fleet.end_attempt(
--- a/balancer/src/fleet.rs
+++ b/balancer/src/fleet.rs
@@ -61,6 +61,13 @@
         Some(load)
     }
 
+    /// An attempt's upload has ended, complete or not: what it had reserved of a slow-start budget is free.
+    pub(crate) fn end_upload(&mut self, id: BackendId, reserved: f64) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.release_slow_start_budget(reserved);
+        }
+    }
+
     /// Statistics and settings of each class, by id.
     pub(crate) fn classes_with_settings(
         &self,
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -32,6 +32,8 @@
     pub(crate) outcome: Option<Outcome>,
     /// Whether its backend has the complete request, so that it counts as load there.
     pub(crate) is_counted: bool,
+    /// What it has reserved of its backend's slow-start budget, in nanoseconds of service time; 0 once it is counted.
+    pub(crate) reserved: f64,
 }
 
 impl Attempt {
@@ -111,7 +113,9 @@
             return None;
         }
         attempt.outcome = Some(outcome);
-        Some(*attempt)
+        let ended = *attempt;
+        attempt.reserved = 0.0;
+        Some(ended)
     }
 
     /// The attempts in flight that do not count as load yet.
--- a/balancer/src/slow_start.rs
+++ b/balancer/src/slow_start.rs
@@ -22,7 +22,7 @@
     }
     let window = settings.rules.overload_window;
     let window_start = fleet.now.saturating_sub(window + settings.timer_resolution);
-    let consumed = backend.warming_sends().service_time_since(window_start);
+    let consumed = backend.warming_sends().consumed_since(window_start);
     let budget = budget(fleet, backend);
     if consumed + cost <= budget {
         return true;
--- a/balancer/tests/uploads.rs
+++ b/balancer/tests/uploads.rs
@@ -141,3 +141,88 @@
     };
     assert!(actions.iter().any(ejected), "{actions:?}");
 }
+
+/// A node whose only backend warms up; an hour long, so that its budget stays the same.
+fn one_warming_backend() -> Node {
+    let mut settings = Settings {
+        node_count: 1,
+        ..settings(Idempotency::Idempotent)
+    };
+    settings.rules.slow_start_capacity = 0.15;
+    settings.rules.slow_start_duration = 3600 * SECOND;
+    settings.rules.overload_multiple = 2.5;
+    settings.rules.overload_window = 1500 * MILLISECOND;
+    let warm = (1..4).map(|backend| endpoint(backend, 0));
+    let mut node = Node::new(settings, warm.collect());
+    node.serve_requests(400, |_| utilization_report(0.5));
+    let warming = Endpoint {
+        started_at: Some(node.now),
+        ..endpoint(0, 0)
+    };
+    // The others leave, so that all goes to this one.
+    node.update_endpoints(EndpointUpdate::Snapshot, vec![warming]);
+    node
+}
+
+fn complete(node: &mut Node, request: RequestId) {
+    let expires_at = node.now + SECOND;
+    node.handle(Event::UploadComplete {
+        request,
+        expires_at,
+    });
+}
+
+/// How many requests of this kind the warming backend is sent in one window.
+fn sent_in_a_window(
+    node: &mut Node,
+    mut send: impl FnMut(&mut Node) -> (RequestId, Vec<Action>),
+) -> usize {
+    let mut sent = 0;
+    for _ in 0..100 {
+        let (request, actions) = send(node);
+        if first_send(&actions).is_none() {
+            return sent;
+        }
+        sent += 1;
+        node.end_attempt(request, 0, Outcome::Success, LoadReport::default());
+    }
+    sent
+}
+
+/// The work of an upload was charged when it was sent and again when its body was complete: a server that warms up got
+/// half of what it bears.
+#[test]
+fn an_upload_takes_as_much_of_a_slow_start_budget_as_another_request() {
+    let plain = sent_in_a_window(&mut one_warming_backend(), |node| node.arrive(SECOND));
+    let uploaded = sent_in_a_window(&mut one_warming_backend(), |node| {
+        let (request, actions) = upload(node);
+        complete(node, request);
+        (request, actions)
+    });
+    assert!(plain >= 4, "{plain}");
+    assert_eq!(uploaded, plain);
+}
+
+/// Bodies that are on their way for longer than a window would all be complete in another one.
+#[test]
+fn an_upload_on_its_way_keeps_its_part_of_the_slow_start_budget() {
+    let mut node = one_warming_backend();
+    let mut under_way = Vec::new();
+    loop {
+        let (request, actions) = upload(&mut node);
+        if first_send(&actions).is_none() {
+            break;
+        }
+        under_way.push(request);
+    }
+    node.advance(2 * SECOND);
+    assert_eq!(first_send(&node.arrive(SECOND).1), None);
+    // One that breaks off never was any work: what waits goes out instead.
+    let mut sent = Vec::new();
+    for request in &under_way {
+        node.handle(Event::BodyConsumed { request: *request });
+        let actions = node.end_attempt(*request, 0, Outcome::NotSent, LoadReport::default());
+        sent.extend(sends(&actions));
+    }
+    assert!(!sent.is_empty());
+}
