Zone health: attempts of uploads are reported when their request is complete

Cause: the sending of an upload's attempt was not reported to zone health, which ignores an end without a beginning.

Why the mend holds: it is reported once the backend has all of the request; an attempt that ends before is reported as sent and ended at once, with failures as the only evidence. Each one reported as sent is reported as ended, once.

--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -65,7 +65,7 @@
             return;
         };
         let started_at = self.clock.now();
-        let started = open.start_attempt(started_at);
+        let started = open.start_attempt(started_at, backend);
         let attempt = AttemptId {
             request,
             number: started.number,
@@ -82,8 +82,8 @@
         let timeout_at = timeout.map_or(Nanos::MAX, |timeout| started_at.saturating_add(timeout));
         let command = open.attempt_command(attempt, target, timeout_at, started.cancelled);
         pending_io.attempts.push(command);
-        // How long an upload takes is no evidence of the health of a zone.
-        if !open.is_upload() {
+        // How long an upload takes is no evidence of the health of a zone: it counts once it is complete.
+        if !open.is_uploading() {
             let class = open.class;
             self.with_zone_monitoring(pending_io, |zones, now| {
                 zones.attempt_sent(now, attempt, class)
@@ -105,10 +105,17 @@
         let expires_at = now.saturating_add(budget);
         let previous_backstop_at = open.backstop_at();
         open.complete_upload(now, expires_at);
+        let class = open.class;
+        let attempts: Vec<AttemptId> = open.in_flight(request).collect();
         let backstop_at = open.backstop_at();
         let purpose = TimerPurpose::Backstop(request);
         self.timers.clear(previous_backstop_at, purpose);
         self.set_timer(backstop_at, purpose, pending_io);
+        for attempt in attempts {
+            self.with_zone_monitoring(pending_io, |zones, now| {
+                zones.attempt_sent(now, attempt, class)
+            });
+        }
         let event = Event::UploadComplete {
             request,
             expires_at,
@@ -173,6 +180,7 @@
         let Some(in_flight) = open.take_attempt(number) else {
             return;
         };
+        let class = open.class;
         let counting = if is_streaming {
             EndCounting::AtEndOfStream
         } else {
@@ -188,8 +196,14 @@
         // A response that lay in the node's socket while the node stood still tells nothing of its backend's speed.
         let elapsed = self.clock.known_time_since(in_flight.waiting_since);
         let request_ended = self.requests.unanswered(request).is_none();
+        if !in_flight.is_request_complete {
+            self.with_zone_monitoring(pending_io, |zones, now| {
+                zones.attempt_sent(now, attempt, class)
+            });
+        }
         self.with_zone_monitoring(pending_io, |zones, now| {
-            zones.attempt_ended(now, attempt, outcome, report.utilization)
+            let has_response_time = in_flight.is_request_complete;
+            zones.attempt_ended(now, attempt, outcome, has_response_time, report.utilization)
         });
         let result = AttemptResult {
             request,
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -13,6 +13,7 @@
 use crate::timers::TimerPurpose;
 
 mod any_order;
+mod uploads;
 
 struct TestProtocol;
 
--- a/engine/src/open_requests.rs
+++ b/engine/src/open_requests.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use badgerpost_balancer::{ClassId, Nanos, RequestId};
+use badgerpost_balancer::{BackendId, ClassId, Nanos, RequestId};
 use tokio::sync::{oneshot, watch};
 
 use crate::attempt::{AttemptCommand, AttemptId, AttemptNumber};
@@ -32,6 +32,10 @@
 
 /// An attempt that has not ended.
 pub(crate) struct InFlightAttempt {
+    /// The backend that it was sent to.
+    backend: BackendId,
+    /// Whether its backend has all of its request, and is waited for.
+    pub(crate) is_request_complete: bool,
     /// Since when the backend's response is waited for: since the attempt was sent, or its upload completed.
     pub(crate) waiting_since: Nanos,
     /// None once the attempt is cancelled.
@@ -73,6 +77,7 @@
     expires_at: Nanos,
     /// Present if the request was submitted before its body was uploaded: notifies the attempts of their deadline.
     upload_deadline: Option<watch::Sender<Nanos>>,
+    upload: UploadState,
     /// By attempt number; none where an attempt has ended.
     attempts: Vec<Option<InFlightAttempt>>,
     /// The response of the last attempt if it was no success, for the client should the request fail.
@@ -97,6 +102,7 @@
             payload: Rc::new(incoming.payload),
             expires_at,
             upload_deadline: is_uploading.then(|| watch::Sender::new(expires_at)),
+            upload,
             attempts: Vec::new(),
             error_response: None,
             outcome_sender: Some(outcome_sender),
@@ -109,9 +115,23 @@
         !self.has_ended && now < self.expires_at
     }
 
-    /// Whether the request was submitted before its body was uploaded.
-    pub(crate) fn is_upload(&self) -> bool {
-        self.upload_deadline.is_some()
+    /// Whether the request's body is still being uploaded.
+    pub(crate) fn is_uploading(&self) -> bool {
+        self.upload == UploadState::InProgress
+    }
+
+    /// The attempts in flight.
+    pub(crate) fn in_flight(&self, request: RequestId) -> impl Iterator<Item = AttemptId> {
+        self.attempts
+            .iter()
+            .enumerate()
+            .filter_map(move |(earlier, attempt)| {
+                Some(AttemptId {
+                    request,
+                    number: AttemptNumber::after(earlier),
+                    backend: attempt.as_ref()?.backend,
+                })
+            })
     }
 
     /// When the request fails by itself.
@@ -120,11 +140,13 @@
     }
 
     /// Adds an attempt, which replaces the error response of the one before it.
-    pub(crate) fn start_attempt(&mut self, now: Nanos) -> StartedAttempt {
+    pub(crate) fn start_attempt(&mut self, now: Nanos, backend: BackendId) -> StartedAttempt {
         self.error_response = None;
         let (cancel_sender, cancelled) = oneshot::channel();
         let number = AttemptNumber::after(self.attempts.len());
         self.attempts.push(Some(InFlightAttempt {
+            backend,
+            is_request_complete: !self.is_uploading(),
             waiting_since: now,
             cancel_sender: Some(cancel_sender),
         }));
@@ -173,8 +195,10 @@
         if let Some(upload_deadline) = &self.upload_deadline {
             upload_deadline.send_replace(expires_at);
         }
+        self.upload = UploadState::Complete;
         for attempt in self.attempts.iter_mut().flatten() {
             attempt.waiting_since = now;
+            attempt.is_request_complete = true;
         }
     }
 
--- a/engine/src/zone_monitoring.rs
+++ b/engine/src/zone_monitoring.rs
@@ -199,17 +199,24 @@
         self.handle(now, event)
     }
 
-    /// An attempt has ended. `utilization` is the backend's, if it reported one.
+    /// An attempt has ended. `utilization` is the backend's, if it reported one. Without a response time, as its request
+    /// was not complete yet, only failures are evidence.
     pub(crate) fn attempt_ended(
         &mut self,
         now: Nanos,
         attempt: AttemptId,
         outcome: Outcome,
+        has_response_time: bool,
         utilization: Option<f64>,
     ) -> ZoneOutput {
+        let signal = match attempt_signal(outcome) {
+            AttemptSignal::Answered if !has_response_time => AttemptSignal::Inconclusive,
+            AttemptSignal::TimedOut if !has_response_time => AttemptSignal::NotSent,
+            signal => signal,
+        };
         let event = Event::AttemptEnded {
             attempt: attempt_key(attempt),
-            signal: attempt_signal(outcome),
+            signal,
             utilization,
         };
         self.handle(now, event)
