Peers: observations that are not stored for want of room are counted

Need: the gossip store ignores new keys once it holds 32,768 items, without a word, so that nothing told why a node does not know what some members observe.

Change: node.peers.ignored_items.

Result: a unit test of the handler; membership, gossip and the daemon's gossip, operations and zones tests are green.

--- a/adapters/admin/src/metrics_page.rs
+++ b/adapters/admin/src/metrics_page.rs
@@ -44,6 +44,7 @@
         page.line("peers.bytes_out", peers.sent_bytes);
         page.line("peers.strangers", peers.unauthenticated);
         page.line("peers.malformed", peers.malformed);
+        page.line("peers.ignored_items", peers.ignored_items);
     }
     page.0
 }
--- a/adapters/gossip/src/service.rs
+++ b/adapters/gossip/src/service.rs
@@ -136,6 +136,10 @@
         for action in actions {
             self.perform(action);
         }
+        let ignored_items = self.membership.ignored_items();
+        if ignored_items > 0 {
+            self.engine.metrics().set_ignored_items(ignored_items);
+        }
     }
 
     fn perform(&mut self, action: Action) {
--- a/core/membership/src/gossip_handler.rs
+++ b/core/membership/src/gossip_handler.rs
@@ -13,6 +13,8 @@
 pub(crate) struct GossipState {
     pub(crate) store: GossipStore,
     pub(crate) unreported: Vec<GossipItem>,
+    /// Items that were ignored because too many are stored.
+    pub(crate) ignored_count: u64,
 }
 
 /// Foca's access to the gossip state. Foca owns its handler, so the state is shared with the membership.
@@ -47,6 +49,9 @@
             version: item.version,
         };
         let mut state = self.0.borrow_mut();
+        if state.store.ignores(item.key()) {
+            state.ignored_count += 1;
+        }
         if !state.store.merge(item.clone()) {
             return Ok(None);
         }
@@ -56,3 +61,6 @@
         Ok(Some(broadcast_key))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/core/membership/src/gossip_store.rs
+++ b/core/membership/src/gossip_store.rs
@@ -11,9 +11,9 @@
 use crate::api::{MAX_ITEM_LENGTH, MemberId, Topic};
 use badgerpost_time::Nanos;
 
-/// Most items stored: sixteen topics of two thousand members. Items beyond that are ignored; only what their members
-/// publish is then missing on this node.
-const MAX_STORED_ITEMS: usize = 32_768;
+/// Most items stored: sixteen topics of two thousand members. Items beyond that are ignored, and counted by the membership;
+/// only what their members publish is then missing on this node.
+pub(crate) const MAX_STORED_ITEMS: usize = 32_768;
 
 /// Order of a member's items: by the member's start, then by the number of items since.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -68,7 +68,7 @@
 impl GossipStore {
     /// Merges an item; returns whether it was new. Items with too long a body are ignored.
     pub fn merge(&mut self, item: GossipItem) -> bool {
-        let is_full = self.items.len() >= MAX_STORED_ITEMS;
+        let is_full = self.is_full();
         if item.body.len() > MAX_ITEM_LENGTH {
             return false;
         }
@@ -102,6 +102,15 @@
         self.items.get(&key)
     }
 
+    fn is_full(&self) -> bool {
+        self.items.len() >= MAX_STORED_ITEMS
+    }
+
+    /// Whether an item with this key is ignored because too many others are stored.
+    pub(crate) fn ignores(&self, key: GossipKey) -> bool {
+        self.is_full() && !self.items.contains_key(&key)
+    }
+
     /// Removes all items of a member that is gone.
     pub(crate) fn remove_member(&mut self, member: MemberId) {
         self.items.retain(|key, _| key.member != member);
--- a/core/membership/src/membership.rs
+++ b/core/membership/src/membership.rs
@@ -91,6 +91,12 @@
         self.foca.num_members()
     }
 
+    /// Number of gossip items that were ignored because too many are stored.
+    #[must_use]
+    pub fn ignored_items(&self) -> u64 {
+        self.gossip.borrow().ignored_count
+    }
+
     /// Applies one event and appends the resulting actions.
     pub fn handle(&mut self, now: Nanos, event: Event<'_>, actions: &mut Vec<Action>) {
         if self.state == State::Left {
--- a/engine/src/metrics.rs
+++ b/engine/src/metrics.rs
@@ -97,6 +97,8 @@
     pub unauthenticated: u64,
     /// Datagrams dropped for any other reason.
     pub malformed: u64,
+    /// Gossip items ignored because too many are stored.
+    pub ignored_items: u64,
 }
 
 /// Why a peer's datagram was dropped.
@@ -193,6 +195,11 @@
         lock(&self.peers).sent_bytes += bytes;
     }
 
+    /// Sets the number of gossip items that were ignored.
+    pub fn set_ignored_items(&self, ignored_items: u64) {
+        lock(&self.peers).ignored_items = ignored_items;
+    }
+
     /// Counts a dropped datagram.
     pub fn datagram_dropped(&self, dropped: DroppedDatagram) {
         let mut peers = lock(&self.peers);
