Soak: nodes stand still for a moment, heads come in two parts; the kit judges its own stalls

Need: the soak beside five builds accused the node of what its own one thread had done, which stood still for up to 3 s (it waited for each process that it started); and held-up nodes were played nowhere.

Change: processes are started in the background during a run.

--- a/testkit/scenarios/src/outcome.rs
+++ b/testkit/scenarios/src/outcome.rs
@@ -186,6 +186,14 @@
     /// Whether no response is owed: the node was killed, stopped, paused or unreachable while the request was open.
     #[serde(rename = "excused")]
     pub is_excused: bool,
+    /// How long its node stood still while it was open, for a short time that excuses no more than a later response.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub held_up: Nanos,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde wants a reference")]
+fn is_zero(duration: &Nanos) -> bool {
+    *duration == 0
 }
 
 impl Request {
--- a/testkit/scenarios/src/plan.rs
+++ b/testkit/scenarios/src/plan.rs
@@ -43,6 +43,8 @@
     pub disconnecting: f64,
     /// The fraction of requests that are followed by half a request head, of which no more comes.
     pub half_heads: f64,
+    /// The fraction of requests whose head comes in two parts, with a pause that is just within a node's time limit.
+    pub slow_heads: f64,
     /// The fraction of requests that are pipelined behind another one on its connection.
     pub pipelined: f64,
     /// The number of connections to each node on which nothing is sent.
--- a/testkit/scenarios/src/rules/tests.rs
+++ b/testkit/scenarios/src/rules/tests.rs
@@ -52,6 +52,7 @@
         client_left_at: None,
         surplus_bytes: 0,
         is_excused: false,
+        held_up: 0,
     }
 }
 
--- a/testkit/scenarios/src/run/processes.rs
+++ b/testkit/scenarios/src/run/processes.rs
@@ -37,7 +37,7 @@
                 Some(clock) => Ok(clock.set(ahead)?),
                 None => Ok(()),
             },
-            ProcessCommand::Start { node } => self.start(node),
+            ProcessCommand::Start { node } => self.restart(node),
             ProcessCommand::Pause { node } => {
                 if self.options.real_time {
                     let process = self.processes[node].as_ref();
--- a/testkit/scenarios/src/run/real_time.rs
+++ b/testkit/scenarios/src/run/real_time.rs
@@ -17,6 +17,8 @@
         let now = |started_at: Instant| {
             u64::try_from(started_at.elapsed().as_nanos()).unwrap_or(Nanos::MAX)
         };
+        self.measure_stall(now(self.started_at));
+        self.finish_starts()?;
         while self
             .simulation
             .next_event_at()
@@ -49,6 +51,15 @@
         Ok(())
     }
 
+    /// Measures how much later than it should a turn begins: all peers of the nodes stood still meanwhile.
+    fn measure_stall(&mut self, now: Nanos) {
+        let expected = self.turned_at + MAX_POLL_WAIT.as_nanos() as Nanos;
+        if self.turned_at > 0 {
+            self.longest_stall = self.longest_stall.max(now.saturating_sub(expected));
+        }
+        self.turned_at = now;
+    }
+
     /// Runs the simulation in real time until `over`.
     pub fn stay(&mut self, over: &dyn Fn() -> bool) -> Result<(), RunError> {
         while !over() {
--- a/testkit/scenarios/src/run/report.rs
+++ b/testkit/scenarios/src/run/report.rs
@@ -6,6 +6,11 @@
 
 use crate::outcome::{Counts, Request};
 use crate::rules::Breach;
+use crate::simulation::SOCKET_SLACK;
+
+/// The longest that the test kit may stand still in a run that is judged: what the time limits of the rules are extended
+/// by for sockets is no more.
+const MAX_STALL: Nanos = SOCKET_SLACK;
 
 /// The result of a run.
 pub struct RunReport {
@@ -31,6 +36,19 @@
     pub steps: u64,
     /// Bytes that had to be waited for; above 0 on a machine whose loopback device is late.
     pub late: u64,
+    /// The longest time for which the test kit itself stood still, in real time.
+    pub longest_stall: Nanos,
+}
+
+/// What a run says of the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Every rule held.
+    Kept,
+    /// A rule was broken.
+    Broken,
+    /// The test kit stood still for longer than the rules allow a node to: neither can be said.
+    NotJudged,
 }
 
 impl RunReport {
@@ -48,8 +66,22 @@
         of.map(|(_, peak)| *peak).fold(0.0, f64::max)
     }
 
+    /// What the run says of the node, by the letter of rules whose times the test kit has to keep too.
+    pub fn verdict(&self) -> Verdict {
+        if self.longest_stall > MAX_STALL {
+            Verdict::NotJudged
+        } else if self.is_good() {
+            Verdict::Kept
+        } else {
+            Verdict::Broken
+        }
+    }
+
     /// Whether every rule held.
     pub fn is_good(&self) -> bool {
         self.breaches.is_empty() && self.strangers == 0
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/testkit/scenarios/src/simulation.rs
+++ b/testkit/scenarios/src/simulation.rs
@@ -44,6 +44,7 @@
                 self.start_request(self.requests[request].arrival, Some(request))
             }
             ScheduledEvent::Resend { request, node } => self.send_request(request, node, true),
+            ScheduledEvent::FinishHead { conn, request } => self.finish_head(conn, request),
             ScheduledEvent::ClientTimeout { request } => self.time_out_client(request),
             ScheduledEvent::ClientDisconnect { request } => self.disconnect_client(request),
             ScheduledEvent::OpenSilentClients { node } => self.open_silent_clients(node),
--- a/testkit/scenarios/src/simulation/events.rs
+++ b/testkit/scenarios/src/simulation/events.rs
@@ -15,6 +15,8 @@
     ClientRetry { request: usize },
     /// A request that a node has not read is sent to it once more, on a new connection.
     Resend { request: usize, node: usize },
+    /// A client writes the end of a head.
+    FinishHead { conn: ConnId, request: usize },
     /// A client stops waiting for its response.
     ClientTimeout { request: usize },
     /// A server changes by itself.
--- a/testkit/scenarios/src/simulation/faults.rs
+++ b/testkit/scenarios/src/simulation/faults.rs
@@ -23,7 +23,8 @@
             let target = target.get();
             match planned.kind {
                 FaultKind::KillNode | FaultKind::StopNode | FaultKind::PauseNode => {
-                    let command = self.change_node_fault(planned.kind, target, begins);
+                    let duration = planned.duration.unwrap_or_default();
+                    let command = self.change_node_fault(planned.kind, target, begins, duration);
                     outcome.commands.extend(command);
                 }
                 FaultKind::Drain | FaultKind::Remove | FaultKind::Discovery(_) => {
@@ -66,6 +67,7 @@
         fault: FaultKind,
         node: usize,
         begins: bool,
+        duration: Nanos,
     ) -> Option<ProcessCommand> {
         let is_up = self.nodes[node].up;
         match (fault, begins) {
@@ -79,7 +81,12 @@
             }
             (FaultKind::PauseNode, true) if is_up => {
                 self.nodes[node].paused = true;
-                self.excuse_open_requests(node);
+                self.nodes[node].paused_until = self.now + duration;
+                if self.plan.behaviour.strict {
+                    self.hold_up_open_requests(node, duration);
+                } else {
+                    self.excuse_open_requests(node);
+                }
                 Some(ProcessCommand::Pause { node })
             }
             (FaultKind::PauseNode, false) if self.nodes[node].paused => {
--- a/testkit/scenarios/src/simulation/node_state.rs
+++ b/testkit/scenarios/src/simulation/node_state.rs
@@ -15,6 +15,8 @@
     pub(super) discovery_address: SocketAddr,
     pub(super) up: bool,
     pub(super) paused: bool,
+    /// When its last pause ends, or has ended.
+    pub(super) paused_until: Nanos,
     /// Idle connections of its clients.
     pub(super) idle: Vec<ConnId>,
     /// Servers of which it was notified that they drain or are gone, and when.
--- a/testkit/scenarios/src/simulation/setup.rs
+++ b/testkit/scenarios/src/simulation/setup.rs
@@ -128,6 +128,7 @@
             discovery_address,
             up: false,
             paused: false,
+            paused_until: 0,
             idle: Vec::new(),
             told: BTreeMap::new(),
             notified_starts: BTreeMap::new(),
--- a/testkit/scenarios/src/simulation/state.rs
+++ b/testkit/scenarios/src/simulation/state.rs
@@ -54,6 +54,8 @@
     pub(super) resent: bool,
     /// When its last byte was written to its node.
     pub(super) written: Nanos,
+    /// The end of its head, which is to be written later.
+    pub(super) unwritten: Vec<u8>,
 }
 
 /// Every process around the nodes, their sockets and the outcome log.
@@ -211,6 +213,26 @@
         }
     }
 
+    /// The responses to a node's open requests may come so much later.
+    pub(super) fn hold_up_open_requests(&mut self, node: usize, duration: Nanos) {
+        let open = self
+            .requests
+            .iter_mut()
+            .filter(|open| !open.done && open.node == node);
+        open.for_each(|open| open.log.held_up += duration);
+    }
+
+    /// How long a node that is paused for a short time stands still yet.
+    pub(super) fn pause_left(&self, node: usize) -> Nanos {
+        let node = &self.nodes[node];
+        let is_short = node.paused && self.plan.behaviour.strict;
+        if is_short {
+            node.paused_until.saturating_sub(self.now)
+        } else {
+            0
+        }
+    }
+
     pub(super) fn excuse_open_requests(&mut self, node: usize) {
         let open = self
             .requests
--- a/testkit/scenarios/src/soak.rs
+++ b/testkit/scenarios/src/soak.rs
@@ -37,6 +37,7 @@
     pub fn draw(seed: u64) -> Result<Self, FileError> {
         let mut draw = Draw {
             random: Random::new(seed, "soak"),
+            pauses: Random::new(seed, "pauses"),
         };
         let nodes = draw.random.between(1, 8);
         let behaviour = draw.behaviour();
@@ -124,6 +125,8 @@
 /// Draws the parts of a run.
 struct Draw {
     random: Random,
+    /// For what was added later, so that the rest of a seed stays what it was.
+    pauses: Random,
 }
 
 impl Draw {
@@ -135,6 +138,7 @@
         Behaviour {
             disconnecting: self.one_of(&[0.0, 0.03, 0.15]),
             half_heads: self.one_of(&[0.0, 0.02]),
+            slow_heads: if self.pauses.chance(0.5) { 0.03 } else { 0.0 },
             pipelined: self.one_of(&[0.0, 0.1, 0.3]),
             silent_clients: self.one_of(&[0, 0, 0, 150]),
             polled_discovery: self.random.chance(0.3),
@@ -268,6 +272,22 @@
                 "\n[[fault]]\nkind = \"{kind}\"\nat_ms = {at}\nfor_ms = 4000\nnode = \"n{node}\"\n"
             );
         }
+        self.pauses(text, stops, nodes);
+    }
+
+    /// Nodes that are not asked to stop stand still for a moment, as on a machine that is short of CPU.
+    fn pauses(&mut self, text: &mut String, stops: u64, nodes: u64) {
+        for node in stops..nodes {
+            let mut at = self.pauses.between(1000, 3000);
+            while self.pauses.chance(0.7) && at < LENGTH_MS - 2500 {
+                let duration = self.pauses.between(200, 1000);
+                let _ = write!(
+                    text,
+                    "\n[[fault]]\nkind = \"pause-node\"\nat_ms = {at}\nfor_ms = {duration}\nnode = \"n{node}\"\n"
+                );
+                at += duration + self.pauses.between(1000, 2500);
+            }
+        }
     }
 
     /// Faults of one node's system calls.
