--- a/adapters/http/src/server.rs
+++ b/adapters/http/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use badgerpost_engine::{LogLimiter, spawn};
+use badgerpost_engine::{AcceptBackoff, LogLimiter, spawn};
 use badgerpost_lifecycle::Stage;
 use tokio::net::TcpListener;
 
@@ -11,7 +11,6 @@
 use crate::connection_limiter::ConnectionLimiter;
 use crate::server_context::ServerContext;
 pub use crate::server_context::{ServerHandle, ServerLimits};
-use crate::timeouts::ACCEPT_RETRY_DELAY;
 
 /// Serves clients until the stage is [`Stage::Closed`] and all connections have ended.
 pub async fn run(
@@ -52,6 +51,7 @@
 ) {
     let mut accepts = context.handle.accepts.clone();
     let mut log = LogLimiter::new(context.clock().clone());
+    let mut backoff = AcceptBackoff::default();
     loop {
         // A node that shuts down leaves new connections to its successor on the same socket, if it has one.
         if accepts.wait_for(|accepts| *accepts).await.is_err() {
@@ -64,6 +64,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                backoff.succeeded();
                 let permit = limiter.admit().await;
                 serve_connection(stream.into(), permit, context.clone());
             }
@@ -71,7 +72,7 @@
                 log.log(
                     |suppressed| tracing::warn!(%error, suppressed, "accepting a client failed"),
                 );
-                context.clock().sleep(ACCEPT_RETRY_DELAY).await;
+                backoff.failed(context.clock()).await;
             }
         }
     }
--- a/adapters/http/src/timeouts.rs
+++ b/adapters/http/src/timeouts.rs
@@ -62,8 +62,6 @@
 pub(crate) const EVICTION_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which all connections are checked for timeouts.
 pub(crate) const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Wait after a failed accept: without a free descriptor the next one would fail at once.
-pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 // Closing a connection.
 
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use badgerpost_engine::{ConnectionCounter, LogLimiter, TcpStream, spawn};
+use badgerpost_engine::{AcceptBackoff, ConnectionCounter, LogLimiter, TcpStream, spawn};
 use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::scram::Verifier;
 use badgerpost_postgres_session::session::Session;
@@ -45,8 +45,6 @@
 
 /// Longest time from a client's connect until it is authenticated.
 const AUTHENTICATION_TIMEOUT: Duration = Duration::from_secs(5);
-/// Wait before the next accept after one failed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How often a node that shuts down looks whether all sessions have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -112,9 +110,11 @@
     ) {
         let clock = self.context.clock();
         let mut log = LogLimiter::new(clock.clone());
+        let mut backoff = AcceptBackoff::default();
         loop {
             match listener.accept().await {
                 Ok((stream, address)) => {
+                    backoff.succeeded();
                     let (server, stopping) = (self.clone(), stopping.clone());
                     let pending = self.context.unauthenticated.admit();
                     spawn(async move {
@@ -127,7 +127,7 @@
                     log.log(|suppressed| {
                         tracing::warn!(%error, suppressed, "accepting a PostgreSQL client failed");
                     });
-                    clock.sleep(ACCEPT_RETRY_DELAY).await;
+                    backoff.failed(clock).await;
                 }
             }
         }
--- a/daemon/tests/system_calls.rs
+++ b/daemon/tests/system_calls.rs
@@ -7,7 +7,7 @@
 )]
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use badgerpost_fakes::scripted::*;
 use badgerpost_fakes::system_faults::{CallFault, SystemCall, SystemFaults};
@@ -15,6 +15,8 @@
 
 /// How long a load lasts.
 const LASTS: Duration = Duration::from_secs(3);
+/// By which the deadlines that are told to backends may be off, as they count from the accept.
+const CROWD_LIMIT: Duration = Duration::from_millis(150);
 
 fn serving() -> Backend {
     Backend::new(|_| {
@@ -101,3 +103,26 @@
         );
     }
 }
+
+/// An accept that fails says nothing of the connections behind it: a crowd that connects at once waits no longer for it.
+#[test]
+fn failed_accepts_do_not_hold_up_the_connections_behind_them() {
+    for (seed, error) in [(1, "ENFILE"), (2, "ECONNABORTED"), (3, "ENOBUFS")] {
+        let backend = Backend::new(|_| ResponsePlan::Respond(ok("yes")));
+        let targets = json!([target("s-0", backend.address, "Ready")]);
+        let discovery = Discovery::new(targets.clone());
+        let faults =
+            SystemFaults::seeded(seed).with(SystemCall::Accept, CallFault::Error(error), 300);
+        let node = Node::start_with_faults(&config(discovery.address, targets), &faults);
+        let mut clients: Vec<Client> = (0..200).map(|_| Client::connect(node.address)).collect();
+        let began = Instant::now();
+        for client in &mut clients {
+            client.write("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+        for client in &mut clients {
+            assert_eq!(client.read().expect("an answer").status(), 200, "{error}");
+        }
+        let took = began.elapsed();
+        assert!(took < CROWD_LIMIT, "{error}: {took:?}");
+    }
+}
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -4,6 +4,7 @@
 //! It knows no protocol: what a request carries and what a response is are a [`Protocol`]'s types, and a [`Transport`]
 //! sends the attempts. Its [`Clock`] is the process's only one, and a test can control it.
 
+mod accept_backoff;
 pub mod activity;
 mod attempt;
 mod backends;
@@ -27,6 +28,7 @@
 mod timers;
 mod zone_monitoring;
 
+pub use accept_backoff::AcceptBackoff;
 pub use activity::spawn;
 pub use attempt::{AttemptCommand, AttemptEnd, AttemptId};
 pub use backends::{BackendAddress, DiscoveredEndpoint};
