--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -1,10 +1,11 @@
 """What all cases share: temporary files, free ports, child processes, the record, and the start of a node.
 
-A case is a coroutine that takes a Run and returns True if the rule held. `main` maps its result to the exit code that
-run.sh expects: 0 held, 10 broken, 3 could not run.
+A case is a coroutine that takes a Run and returns True if the rule held. `main` turns its result into the exit code of
+run.sh: 0 held, 1 broken, 2 could not run.
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
@@ -21,6 +22,13 @@
 LIB = pathlib.Path(__file__).resolve().parent
 # run.sh is limited to 120 s; the case itself gets less, so that it can clean up.
 TIME_LIMIT_S = 105
+LIBC = ctypes.CDLL(None, use_errno=True)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Runs in a new child: the system kills the child when this process ends, however it ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class CouldNotRun(Exception):
@@ -44,7 +52,8 @@
     async def spawn(self, name, command, **options):
         log = open(self.temporary / f"{name}.log", "ab")
         child = await asyncio.create_subprocess_exec(
-            *command, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True, **options
+            *command, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True,
+            preexec_fn=end_with_parent, **options,
         )
         self.children.append(child)
         self.note("process started", name=name)
@@ -208,11 +217,11 @@
             held = await asyncio.wait_for(case(run), TIME_LIMIT_S)
             run.note("verdict", rule="held" if held else "broken")
             print("rule held" if held else "rule broken")
-            return 0 if held else 10
+            return 0 if held else 1
         except (Exception, asyncio.CancelledError) as error:
             run.note("could not run", error=repr(error), trace=traceback.format_exc())
             print(f"could not run: {error!r}")
-            return 3
+            return 2
         finally:
             await run.close()
 
