Count dropped PostgreSQL connections; log how long a closed client took nothing

Whether a server connection went back to the pool when its client left showed nowhere, and the log line of a client connection that a limit closed did not say whether the client or the node had made no progress.

Change: SHOW POOLS has sv_dropped, the connections that a session did not give back. The line "client connection closed by a limit" has receive_idle_ms and send_idle_ms.

--- a/adapters/http/src/tracked_connection.rs
+++ b/adapters/http/src/tracked_connection.rs
@@ -62,6 +62,7 @@
 pub(crate) struct TrackedConnection {
     state: Cell<ConnectionState>,
     last_received_at: Cell<Nanos>,
+    last_sent_at: Cell<Nanos>,
     /// Since when the current request is being read. The node's own delays before this time do not count against the
     /// client.
     read_since: Cell<Nanos>,
@@ -95,6 +96,7 @@
         Self {
             state: Cell::new(ConnectionState::New { accepted_at: now }),
             last_received_at: Cell::new(now),
+            last_sent_at: Cell::new(now),
             read_since: Cell::new(now),
             is_reading_paused: Cell::new(false),
             requests: RefCell::default(),
--- a/adapters/http/src/tracked_connection/closing.rs
+++ b/adapters/http/src/tracked_connection/closing.rs
@@ -4,6 +4,7 @@
 use badgerpost_time::Nanos;
 
 use super::{CloseMode, TrackedConnection};
+use crate::close_recorder::Inactivity;
 use crate::connection_state::{ConnectionState, EvictionRank};
 
 /// How a connection is closed by a time limit or an eviction.
@@ -72,7 +73,7 @@
     /// A connection that is already being closed serves no requests, so that no task waits for `close_requested`.
     fn request_close(&self) {
         if self.state.get().is_closing() {
-            self.record_close();
+            self.record_timeout();
             self.abort.notify_one();
         } else {
             self.close_requested.notify_one();
@@ -91,10 +92,10 @@
             return None;
         }
         if is_evicted {
-            self.close_recorder.record(ConnectionLimit::Eviction);
+            self.record_close(ConnectionLimit::Eviction);
             return Some(ForcedClose::Abort);
         }
-        self.record_close();
+        self.record_timeout();
         if state.times_out_gracefully() {
             Some(ForcedClose::Graceful)
         } else {
@@ -102,12 +103,21 @@
         }
     }
 
-    fn record_close(&self) {
+    fn record_timeout(&self) {
         if let Some(limit) = self.limit() {
-            self.close_recorder.record(limit);
+            self.record_close(limit);
         }
     }
 
+    fn record_close(&self, limit: ConnectionLimit) {
+        let now = self.clock.now();
+        let inactivity = Inactivity {
+            receive: now.saturating_sub(self.last_received_at.get()),
+            send: now.saturating_sub(self.last_sent_at.get()),
+        };
+        self.close_recorder.record(limit, inactivity);
+    }
+
     fn has_timed_out(&self, now: Nanos) -> bool {
         let times_out_at = self.state.get().times_out_at(self.last_progress_at());
         times_out_at.is_some_and(|at| now >= at)
@@ -115,7 +125,7 @@
 
     /// Records that a time limit ends the request that is arriving.
     pub(crate) fn request_timed_out(&self) {
-        self.close_recorder.record(ConnectionLimit::RequestBody);
+        self.record_close(ConnectionLimit::RequestBody);
     }
 
     /// The limit that applies in the current state.
--- a/adapters/http/src/tracked_connection/request_tracker.rs
+++ b/adapters/http/src/tracked_connection/request_tracker.rs
@@ -38,9 +38,10 @@
     }
 
     fn bytes_written(&mut self) {
-        let now = self.connection.clock.now();
-        self.connection
-            .enter(self.connection.state.get().bytes_sent(now));
+        let connection = &self.connection;
+        let now = connection.clock.now();
+        connection.last_sent_at.set(now);
+        connection.enter(connection.state.get().bytes_sent(now));
     }
 
     fn flushed(&mut self) {
--- a/adapters/postgres/src/console/tables.rs
+++ b/adapters/postgres/src/console/tables.rs
@@ -17,6 +17,7 @@
         "hold_us",
         "transactions",
         "state",
+        "sv_dropped",
     ];
     let pool_row = |server: ServerStats| {
         row([
@@ -29,6 +30,7 @@
             &server.mean_lease_us,
             &server.transactions,
             &context.pool.state(),
+            &server.dropped,
         ])
     };
     let rows = context.pool.stats().into_iter().map(pool_row);
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -57,6 +57,8 @@
     pub transactions: u64,
     /// Moving average of the time for which a transaction holds a connection, in microseconds.
     pub mean_lease_us: u64,
+    /// Connections that their session did not return to the pool: lost, or with work on them that was not finished.
+    pub dropped: u64,
 }
 
 /// Whether new transactions may start.
@@ -263,6 +265,11 @@
         }
     }
 
+    /// Closes a leased connection that must not return to the pool.
+    pub fn drop_connection(&self, connection: ServerConnection) {
+        connection.slot.server_slots().count_dropped();
+    }
+
     /// Closes the idle connections to a server that was removed, changed its address or restarted.
     pub fn close_idle_connections(&self, backend: BackendId) {
         self.idle
@@ -315,6 +322,7 @@
             waiting: slots.waiting(),
             transactions: slots.transactions(),
             mean_lease_us: (slots.mean_lease_time() / 1000.0) as u64,
+            dropped: slots.dropped(),
         });
         stats.collect()
     }
--- a/adapters/postgres/src/pool/server_slots.rs
+++ b/adapters/postgres/src/pool/server_slots.rs
@@ -40,6 +40,8 @@
     /// Moving average of lease times, in nanoseconds; 0 before the first lease ends.
     mean_lease_time: Cell<f64>,
     transactions: Cell<u64>,
+    /// Leased connections that were closed instead of returned to the pool.
+    dropped: Cell<u64>,
 }
 
 impl ServerSlots {
@@ -60,6 +62,16 @@
         self.transactions.get()
     }
 
+    /// Leased connections that were closed instead of returned to the pool.
+    pub(super) fn dropped(&self) -> u64 {
+        self.dropped.get()
+    }
+
+    /// Counts a leased connection that is closed instead of returned to the pool.
+    pub(super) fn count_dropped(&self) {
+        self.dropped.set(self.dropped.get() + 1);
+    }
+
     /// Moving average of the time for which a transaction holds a connection, in nanoseconds.
     pub(super) fn mean_lease_time(&self) -> f64 {
         self.mean_lease_time.get()
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -345,6 +345,8 @@
         // A cancel request in flight could cancel a statement of the next session on this connection.
         if !self.registered.cancel_handle().is_in_flight() && self.to_server.is_empty() {
             self.context.pool.release(&self.context.engine, connection);
+        } else {
+            self.context.pool.drop_connection(connection);
         }
         self.to_server.clear();
         self.report_attempt_end(attempt, AttemptEnd::without_response(Outcome::NotSent));
@@ -353,8 +355,12 @@
     /// Closes the server connection and reports the attempt as cancelled.
     fn discard_server(&mut self) {
         self.to_server.clear();
-        let attempt = self.server.take().and_then(|server| server.attempt);
-        self.report_attempt_end(attempt, AttemptEnd::without_response(Outcome::Cancelled));
+        let Some(server) = self.server.take() else {
+            return;
+        };
+        self.context.pool.drop_connection(server.connection);
+        let end = AttemptEnd::without_response(Outcome::Cancelled);
+        self.report_attempt_end(server.attempt, end);
     }
 }
 
