PostgreSQL: a connection with an unfinished batch does not return to the pool

An abandoned BEGIN took in the next client's insert, which was answered and never committed.

Cause: the session gave a connection back if the client's transaction status was idle and no response was awaited. Both hold in the middle of a batch whose messages up to a Flush are answered, while the server is in the implicit transaction that only a Sync or a Query ends.

Fix: a connection remembers that messages were sent since the ReadyForQuery that ended the last batch, the only message that tells the server's state. One function gives up connections, at the end of a transaction and of a session; with such a batch open it discards them, and the server rolls back.

Tests, before the fix (its condition undone): unfinished_work a_statement_whose_client_left… [1, 2] for [2], a_block_whose_client_left… [] for [2]; session a_server_with_an_abandoned_batch_is_discarded and the property test of leaving clients, "a server is released before the end of a batch".

--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -268,6 +268,7 @@
     /// Closes a leased connection that must not return to the pool.
     pub fn drop_connection(&self, connection: ServerConnection) {
         connection.slot.server_slots().count_dropped();
+        drop(connection);
     }
 
     /// Closes the idle connections to a server that was removed, changed its address or restarted.
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -22,8 +22,12 @@
 use badgerpost_postgres::server::PostgresServer;
 use badgerpost_postgres::tls::ServerTls;
 use badgerpost_postgres::upstream::PostgresTransport;
+use badgerpost_postgres_session::frame::{DecodeResult, FrameDecoder};
 use badgerpost_postgres_session::scram::Verifier;
 use badgerpost_settings::file::Source;
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio_postgres::error::SqlState;
@@ -171,6 +175,72 @@
             .await
             .expect("a connection")
     }
+
+    /// Connects a client that sends the messages of the test.
+    pub async fn connect_raw(&self) -> RawClient {
+        let socket = std::net::TcpStream::connect(self.address).expect("a connection");
+        RawClient::log_in(self, socket).await
+    }
+
+    /// The number of clients that have a session.
+    pub async fn session_count(&self, console: &Client) -> usize {
+        let messages = console.simple_query("SHOW CLIENTS").await.expect("a table");
+        let is_row = |message: &&SimpleQueryMessage| matches!(message, SimpleQueryMessage::Row(_));
+        messages.iter().filter(is_row).count()
+    }
+}
+
+/// A client that sends the messages of the test.
+pub struct RawClient {
+    pub stream: TcpStream,
+    decoder: FrameDecoder,
+}
+
+impl RawClient {
+    /// Lets a driver log in on `socket`, and then uses the connection without the driver.
+    pub async fn log_in(node: &Node, socket: std::net::TcpStream) -> Self {
+        socket.set_nonblocking(true).expect("a socket");
+        let for_driver = socket.try_clone().expect("a descriptor");
+        let for_driver = TcpStream::from_std(for_driver).expect("a socket");
+        let config = node.driver_config("ann", "secret", "raw");
+        let logged_in = config.connect_raw(for_driver, NoTls).await;
+        // The driver sends nothing more, because its connection is not polled.
+        drop(logged_in.expect("a session"));
+        Self {
+            stream: TcpStream::from_std(socket).expect("a socket"),
+            decoder: FrameDecoder::default(),
+        }
+    }
+
+    /// Sends the messages that `write` encodes.
+    pub async fn send(&mut self, write: impl FnOnce(&mut BytesMut)) {
+        let mut bytes = BytesMut::new();
+        write(&mut bytes);
+        self.stream.write_all(&bytes).await.expect("written");
+    }
+
+    /// Reads messages up to one with this tag, and returns the tags of all of them. Shorter if the connection ends.
+    pub async fn read_until(&mut self, tag: u8) -> String {
+        let mut tags = String::new();
+        loop {
+            match self.decoder.next_from_server().expect("good frames") {
+                Some(DecodeResult::Frame(frame)) => tags.push(char::from(frame.tag)),
+                Some(DecodeResult::Chunk { tag, last, .. }) if last => tags.push(char::from(tag)),
+                Some(DecodeResult::Chunk { .. }) => {}
+                None => {
+                    let mut bytes = [0; 4096];
+                    let count = self.stream.read(&mut bytes).await.unwrap_or_default();
+                    if count == 0 {
+                        return tags;
+                    }
+                    self.decoder.push(&bytes[..count]);
+                }
+            }
+            if tags.ends_with(char::from(tag)) {
+                return tags;
+            }
+        }
+    }
 }
 
 /// Connects with a driver configuration, and runs the driver's connection task on this thread.
--- /dev/null
+++ b/adapters/postgres/tests/unfinished_work.rs
@@ -0,0 +1,164 @@
+//! Server connections on which a client has left unfinished work. Such a connection must not serve another client.
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
+
+mod common;
+
+use std::time::Duration;
+
+use badgerpost_fakes::database::{Database, Value};
+use bytes::BytesMut;
+use common::*;
+use postgres_protocol::IsNull;
+use postgres_protocol::message::frontend;
+use tokio::io::AsyncWriteExt;
+use tokio_postgres::Client;
+
+/// Encodes `Parse`, `Bind` and `Execute` of a statement, without a `Sync`.
+fn execute(sql: &str, out: &mut BytesMut) {
+    frontend::parse("", sql, [], out).unwrap();
+    let value = |(): (), _: &mut BytesMut| Ok(IsNull::Yes);
+    frontend::bind("", "", [], Vec::<()>::new(), value, [], out)
+        .unwrap_or_else(|_| panic!("a bind"));
+    frontend::execute("", 0, out).unwrap();
+}
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leaving {
+    Close,
+    Reset,
+    Terminate,
+}
+
+impl Leaving {
+    const ALL: [Self; 3] = [Self::Close, Self::Reset, Self::Terminate];
+
+    async fn leave(self, mut client: RawClient) {
+        match self {
+            Self::Close => {}
+            Self::Reset => client.stream.set_zero_linger().expect("a socket"),
+            Self::Terminate => {
+                client.send(frontend::terminate).await;
+                client.stream.shutdown().await.expect("shut down");
+            }
+        }
+    }
+}
+
+/// A node with one database, which has an empty table `t`, a client, and a console.
+struct Fixture {
+    database: Database,
+    node: Node,
+    other: Client,
+    console: Client,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let database = start_database();
+        let node = Node::start(&[&database], |_| {}).await;
+        let other = node.connect().await;
+        other
+            .batch_execute("create table t (a bigint)")
+            .await
+            .expect("created");
+        let console = node.connect_console().await.expect("the console");
+        Self {
+            database,
+            node,
+            other,
+            console,
+        }
+    }
+
+    /// Lets a client leave, and waits until the node has ended its session.
+    async fn leave(&self, client: RawClient, leaving: Leaving) {
+        let sessions = self.node.session_count(&self.console).await;
+        leaving.leave(client).await;
+        while self.node.session_count(&self.console).await == sessions {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// The committed values of the table.
+    fn committed(&self) -> Vec<i64> {
+        let rows = self.database.rows("t").into_iter();
+        let values = rows.map(|row| match row[0] {
+            Value::Int(value) => value,
+            ref other => panic!("{other:?}"),
+        });
+        values.collect()
+    }
+}
+
+/// Guards against a statement that is committed by another client: its own client left before the `Sync`, so the
+/// statement is in an implicit transaction that the next `Sync` or `Query` on the connection commits.
+#[test]
+fn a_statement_whose_client_left_before_its_sync_is_not_committed() {
+    run_test(async {
+        for leaving in Leaving::ALL {
+            let fixture = Fixture::start().await;
+            let mut client = fixture.node.connect_raw().await;
+            let insert = |out: &mut BytesMut| {
+                execute("insert into t values (1)", out);
+                frontend::flush(out);
+            };
+            client.send(insert).await;
+            assert_eq!(client.read_until(b'C').await, "12C", "{leaving:?}");
+            fixture.leave(client, leaving).await;
+            let insert = "insert into t values (2)";
+            fixture.other.batch_execute(insert).await.expect("served");
+            assert_eq!(fixture.committed(), [2], "{leaving:?}");
+        }
+    });
+}
+
+/// Guards against the opposite loss: the transaction block of a client that left before its `Sync` would take in the
+/// next client's statement, which is then answered and not committed.
+#[test]
+fn a_block_whose_client_left_before_its_sync_does_not_take_in_other_statements() {
+    run_test(async {
+        for leaving in Leaving::ALL {
+            let fixture = Fixture::start().await;
+            let mut client = fixture.node.connect_raw().await;
+            let begin = |out: &mut BytesMut| {
+                execute("begin", out);
+                frontend::flush(out);
+            };
+            client.send(begin).await;
+            assert_eq!(client.read_until(b'C').await, "12C", "{leaving:?}");
+            fixture.leave(client, leaving).await;
+            let insert = "insert into t values (2)";
+            fixture.other.batch_execute(insert).await.expect("served");
+            assert_eq!(fixture.committed(), [2], "{leaving:?}");
+        }
+    });
+}
+
+/// The connection of a batch that was sent in two parts serves other clients once its `Sync` has been answered.
+#[test]
+fn a_connection_is_reused_after_the_sync_of_a_flushed_batch() {
+    run_test(async {
+        let fixture = Fixture::start().await;
+        let mut client = fixture.node.connect_raw().await;
+        let insert = |out: &mut BytesMut| {
+            execute("insert into t values (1)", out);
+            frontend::flush(out);
+        };
+        client.send(insert).await;
+        assert_eq!(client.read_until(b'C').await, "12C");
+        client.send(frontend::sync).await;
+        assert_eq!(client.read_until(b'Z').await, "Z");
+        fixture.leave(client, Leaving::Close).await;
+        let before = fixture.database.connections();
+        let insert = "insert into t values (2)";
+        fixture.other.batch_execute(insert).await.expect("served");
+        assert_eq!(fixture.committed(), [1, 2]);
+        assert_eq!(fixture.database.connections(), before);
+    });
+}
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -284,21 +284,26 @@
         }
     }
 
-    /// Ends the session. A server connection with an open transaction, unanswered messages or session state is
-    /// discarded instead of released, which rolls back uncommitted changes.
+    /// Gives up the server connection, if there is one. A connection with an open transaction, an unfinished batch or
+    /// session state is discarded instead of released, which rolls back uncommitted changes.
+    fn detach_server(&mut self, actions: &mut Vec<Action>) {
+        let ServerLink::Attached(server) = std::mem::take(&mut self.server_link) else {
+            return;
+        };
+        let is_reusable = self.status == TransactionStatus::Idle
+            && self.sticky_reason.is_none()
+            && server.is_reusable();
+        actions.push(if is_reusable {
+            Action::Release(server.state)
+        } else {
+            Action::DiscardServer
+        });
+    }
+
+    /// Ends the session.
     fn end(&mut self, actions: &mut Vec<Action>) {
         self.ended = true;
-        if let ServerLink::Attached(server) = std::mem::take(&mut self.server_link) {
-            let is_clean = self.status == TransactionStatus::Idle
-                && server.expected.is_empty()
-                && self.sticky_reason.is_none()
-                && !server.skips_to_sync;
-            actions.push(if is_clean {
-                Action::Release(server.state)
-            } else {
-                Action::DiscardServer
-            });
-        }
+        self.detach_server(actions);
         self.batches.clear();
         self.buffered_bytes = 0;
         actions.push(Action::End);
--- a/core/postgres-session/src/session/forwarding.rs
+++ b/core/postgres-session/src/session/forwarding.rs
@@ -66,6 +66,9 @@
         }
         if !buffer.is_empty() {
             actions.push(Action::ToServer(buffer.freeze()));
+            if let ServerLink::Attached(server) = &mut self.server_link {
+                server.has_open_batch = true;
+            }
         }
         self.send_local_responses(actions);
     }
--- a/core/postgres-session/src/session/server_link.rs
+++ b/core/postgres-session/src/session/server_link.rs
@@ -44,6 +44,9 @@
     pub(super) skips_to_sync: bool,
     /// The deferred BEGIN has been sent on this connection.
     pub(super) begin_sent: bool,
+    /// Messages of a batch have been sent since the last `ReadyForQuery`. Outside a transaction block they belong to an
+    /// implicit transaction, which the next `Sync` or `Query` on the connection commits, whoever sends it.
+    pub(super) has_open_batch: bool,
 }
 
 impl ServerConnection {
@@ -59,9 +62,15 @@
             setup_error: None,
             skips_to_sync: false,
             begin_sent: false,
+            has_open_batch: false,
         }
     }
 
+    /// Whether nothing that was sent on the connection is unfinished, so that another session can use it.
+    pub(super) fn is_reusable(&self) -> bool {
+        self.expected.is_empty() && !self.has_open_batch
+    }
+
     /// After an error in the extended query protocol, drops the expected responses up to the batch's `Sync`, because
     /// the server ignores those messages. Returns false if the error answers a `Query` or no message.
     pub(super) fn skip_failed_batch(&mut self) -> bool {
--- a/core/postgres-session/src/session/server_responses.rs
+++ b/core/postgres-session/src/session/server_responses.rs
@@ -230,6 +230,7 @@
             // The setup failed, or the server sent an unexpected `ReadyForQuery`: the connection is unusable.
             return self.on_server_lost(actions);
         };
+        server.has_open_batch = false;
         let Some(batch) = self.remove_first_batch() else {
             return self.on_server_lost(actions);
         };
@@ -280,10 +281,8 @@
     fn finish_transaction(&mut self, actions: &mut Vec<Action>) {
         actions.push(Action::TransactionDone);
         self.response_started = false;
-        if self.sticky_reason.is_none()
-            && let ServerLink::Attached(server) = std::mem::take(&mut self.server_link)
-        {
-            actions.push(Action::Release(server.state));
+        if self.sticky_reason.is_none() {
+            self.detach_server(actions);
         }
     }
 
--- a/core/postgres-session/src/session/tests/properties.rs
+++ b/core/postgres-session/src/session/tests/properties.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 
-use super::support::{SessionFixture, bind_execute, parse, query, sync};
+use super::support::{SessionFixture, bind_execute, flush, parse, query, sync};
 use crate::frame::{Frame, FrameDecoder};
 use crate::session::Event;
 use crate::session::server_link::ServerLink;
@@ -83,6 +83,37 @@
         prop_assert_eq!(fixture.session.buffered_bytes, 0);
     }
 
+    /// Guards against servers that are released with an unfinished batch or transaction, whatever message the client
+    /// sent last. The fixture checks each server that is released.
+    #[test]
+    fn a_client_that_leaves_after_any_message_leaves_no_unfinished_work_in_the_pool(
+        numbers in proptest::collection::vec(0_u8..9, 1..12),
+        silent in any::<bool>(),
+    ) {
+        let mut fixture = SessionFixture::new();
+        fixture.server_answers = !silent;
+        for number in numbers {
+            let messages: Vec<Frame> = match number {
+                0 => query("select 1"),
+                1 => parse("", "insert"),
+                2 => bind_execute(""),
+                3 => parse("", "begin"),
+                4 => parse("s", "fail"),
+                5 => bind_execute("s"),
+                6 => query("commit"),
+                7 => flush(),
+                _ => sync(),
+            };
+            fixture.client(&[messages]);
+            if fixture.has_requested_server() {
+                fixture.attach();
+            }
+        }
+        fixture.handle(Event::ClientDisconnected);
+        prop_assert!(fixture.ended);
+        prop_assert!(fixture.server.is_none());
+    }
+
     /// A session must not panic on malformed messages or count more buffered bytes than it received.
     #[test]
     fn arbitrary_client_bytes_do_not_panic_and_buffer_at_most_their_length(
--- a/core/postgres-session/src/session/tests/support.rs
+++ b/core/postgres-session/src/session/tests/support.rs
@@ -69,6 +69,8 @@
     /// SQL of the executed statements, in order.
     executed: Vec<String>,
     skips_to_sync: bool,
+    /// Extended-query messages have arrived that no `Sync` or `Query` has followed yet.
+    has_open_batch: bool,
 }
 
 impl FakeServer {
@@ -130,6 +132,7 @@
         if self.skips_to_sync && frame.tag != frontend::SYNC {
             return;
         }
+        self.has_open_batch = !matches!(frame.tag, frontend::QUERY | frontend::SYNC);
         match frame.tag {
             frontend::QUERY => {
                 self.statements.remove(&b""[..]);
@@ -245,6 +248,10 @@
                         TransactionStatus::Idle,
                         "a server is released in a transaction"
                     );
+                    assert!(
+                        !server.has_open_batch,
+                        "a server is released before the end of a batch"
+                    );
                     self.executed.extend(server.executed);
                 }
             }
--- a/core/postgres-session/src/session/tests/transactions.rs
+++ b/core/postgres-session/src/session/tests/transactions.rs
@@ -1,7 +1,7 @@
 //! Tests of transactions and prepared statements without lost servers.
 
 use super::support::{SessionFixture, bind_execute, close, empty, flush, parse, query, sync};
-use crate::frame::Frame;
+use crate::frame::{DecodeResult, Frame};
 use crate::server_messages;
 use crate::session::Event;
 use crate::sticky::StickyReason;
@@ -154,6 +154,60 @@
     }
 }
 
+/// Guards against a commit of an abandoned statement: the next client's `Sync` or `Query` on the same connection would
+/// commit it, although all messages that were sent have been answered.
+#[test]
+fn a_server_with_an_abandoned_batch_is_discarded() {
+    let flushed = [
+        vec![parse("", "insert"), flush()],
+        vec![parse("", "insert"), bind_execute(""), flush()],
+        vec![parse("", "begin"), bind_execute(""), flush()],
+        vec![parse("s", "fail"), bind_execute("s"), flush()],
+        vec![
+            query("select 1"),
+            parse("", "insert"),
+            bind_execute(""),
+            flush(),
+        ],
+    ];
+    for messages in &flushed {
+        for ending in [
+            Event::ClientDisconnected,
+            Event::Client(DecodeResult::Frame(empty(b'X'))),
+            Event::Client(DecodeResult::Frame(empty(b'?'))),
+        ] {
+            let mut fixture = SessionFixture::new();
+            for message in messages {
+                fixture.client(std::slice::from_ref(message));
+                if fixture.has_requested_server() {
+                    fixture.attach();
+                }
+            }
+            let released = fixture.released;
+            let at = format!("{messages:?}, {ending:?}");
+            fixture.handle(ending);
+            assert_eq!(
+                (fixture.released - released, fixture.discarded),
+                (0, 1),
+                "{at}"
+            );
+        }
+    }
+}
+
+/// The connection of a batch that is complete goes back to the pool, also if a part of it was sent ahead.
+#[test]
+fn a_server_is_released_after_the_sync_of_a_flushed_batch() {
+    for end in [sync(), query("select 1")] {
+        let mut fixture = SessionFixture::new();
+        fixture.client(&[parse("", "insert"), bind_execute(""), flush()]);
+        fixture.attach();
+        assert_eq!((fixture.released, fixture.discarded), (0, 0));
+        fixture.client(&[end]);
+        assert_eq!((fixture.released, fixture.discarded), (1, 0));
+    }
+}
+
 /// A batch is committed by its `Sync`, but drivers treat `CommandComplete` as the commit.
 #[test]
 fn command_complete_is_delayed_until_the_sync_has_committed() {
