PostgreSQL: the rest of a copy message goes where its beginning went, or the connection is closed

Callers saw: after a statement had ended while its client was in the middle of a CopyData message, the next client of the pooled connection had no answer until its deadline, then 08006; the server had taken its statement for the rest of the message. In a transaction the client's own next statement ended so.

Cause: CopyData is forwarded in pieces, and each piece was judged alone: forwarded while a response is awaited, else dropped. So the rest of a message was dropped after ReadyForQuery, and after a lost server it could go to another server.

Fix: session and connection know of an incomplete message. The rest follows its beginning and goes nowhere else; with half a message on it a connection is not released.

--- a/adapters/postgres/tests/unfinished_work.rs
+++ b/adapters/postgres/tests/unfinished_work.rs
@@ -85,6 +85,16 @@
         }
     }
 
+    /// Sends a query, and more bytes once the database executes it.
+    async fn send_during_statement(&self, client: &mut RawClient, sql: &str, bytes: &[u8]) {
+        let statements = self.database.statements();
+        client.send(|out| frontend::query(sql, out).unwrap()).await;
+        while self.database.statements() == statements {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        client.send(|out| out.extend_from_slice(bytes)).await;
+    }
+
     /// The committed values of the table.
     fn committed(&self) -> Vec<i64> {
         let rows = self.database.rows("t").into_iter();
@@ -162,3 +172,62 @@
         assert_eq!(fixture.database.connections(), before);
     });
 }
+
+const COPY_DATA_BYTES: usize = 1000;
+
+/// A `CopyData` message. A server ignores it outside a copy, as it may cross the server's error.
+fn copy_data() -> BytesMut {
+    let mut out = BytesMut::new();
+    frontend::CopyData::new(&[b'\n'; COPY_DATA_BYTES][..])
+        .unwrap()
+        .write(&mut out);
+    out
+}
+
+/// Guards against a pooled connection on which half of a message was sent: the server takes what the next client sends
+/// for the rest of that message.
+#[test]
+fn half_a_copy_message_does_not_swallow_the_statements_of_other_clients() {
+    run_test(async {
+        let fixture = Fixture::start().await;
+        let mut client = fixture.node.connect_raw().await;
+        let mut copy_data = copy_data();
+        let rest = copy_data.split_off(COPY_DATA_BYTES / 2);
+        fixture
+            .send_during_statement(&mut client, "select pg_sleep(0.2)", &copy_data)
+            .await;
+        assert_eq!(client.read_until(b'Z').await, "TDCZ");
+        let insert = "insert into t values (2)";
+        fixture.other.batch_execute(insert).await.expect("served");
+        let insert = |out: &mut BytesMut| {
+            out.extend_from_slice(&rest);
+            frontend::query("insert into t values (3)", out).unwrap();
+        };
+        client.send(insert).await;
+        assert_eq!(client.read_until(b'Z').await, "CZ");
+        assert_eq!(fixture.committed(), [2, 3]);
+    });
+}
+
+/// Guards against dropping the rest of a copy message whose beginning has been sent: the server takes the client's next
+/// messages for it, and the transaction waits for its deadline.
+#[test]
+fn the_rest_of_a_copy_message_follows_its_beginning_in_a_transaction() {
+    run_test(async {
+        let fixture = Fixture::start().await;
+        let mut client = fixture.node.connect_raw().await;
+        let mut copy_data = copy_data();
+        let rest = copy_data.split_off(COPY_DATA_BYTES / 2);
+        fixture
+            .send_during_statement(&mut client, "begin; select pg_sleep(0.2)", &copy_data)
+            .await;
+        assert_eq!(client.read_until(b'Z').await, "CTDCZ");
+        let insert = |out: &mut BytesMut| {
+            out.extend_from_slice(&rest);
+            frontend::query("insert into t values (3); commit", out).unwrap();
+        };
+        client.send(insert).await;
+        assert_eq!(client.read_until(b'Z').await, "CCZ");
+        assert_eq!(fixture.committed(), [3]);
+    });
+}
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -92,6 +92,8 @@
     delayed_completion: Option<Bytes>,
     /// Only part of a streamed message (`DataRow` or `CopyData`) has been sent to the client.
     is_row_incomplete: bool,
+    /// Only part of a `CopyData` message has been received from the client.
+    is_copy_message_incomplete: bool,
     /// The server was lost during a copy, after ignoring a `Sync`; the client sends a second `Sync` after the data.
     expects_second_sync: bool,
     /// The current batch received an `ErrorResponse`.
--- a/core/postgres-session/src/session/client_messages.rs
+++ b/core/postgres-session/src/session/client_messages.rs
@@ -12,13 +12,15 @@
 impl Session {
     pub(super) fn on_client_message(&mut self, message: DecodeResult, actions: &mut Vec<Action>) {
         let frame = match message {
-            DecodeResult::Chunk { bytes, .. } => return self.forward_copy_data(bytes, actions),
+            DecodeResult::Chunk { bytes, last, .. } => {
+                return self.forward_copy_data(bytes, last, actions);
+            }
             DecodeResult::Frame(frame) => frame,
         };
         match frame.tag {
             frontend::TERMINATE => self.end(actions),
             frontend::COPY_DONE | frontend::COPY_FAIL => {
-                self.forward_copy_data(encode(&frame), actions);
+                self.forward_copy_data(encode(&frame), true, actions);
                 if let ServerLink::Attached(server) = &mut self.server_link {
                     server.is_copying_in = false;
                 }
@@ -109,16 +111,27 @@
         replaces_server && self.batches.len() == 1 && std::mem::take(&mut self.expects_second_sync)
     }
 
-    /// Forwards copy data without buffering. Copy data outside a copy is ignored, as by a server.
-    fn forward_copy_data(&mut self, bytes: Bytes, actions: &mut Vec<Action>) {
-        match &self.server_link {
-            ServerLink::Attached(server) if !server.expected.is_empty() => {
-                actions.push(Action::ToServer(bytes));
+    /// Forwards a chunk of copy data without buffering; `last` if it ends its message. Copy data outside a copy is
+    /// ignored, as by a server. The rest of a message goes to the server connection that has its beginning, and to no
+    /// other one.
+    fn forward_copy_data(&mut self, bytes: Bytes, last: bool, actions: &mut Vec<Action>) {
+        let continues_message = std::mem::replace(&mut self.is_copy_message_incomplete, !last);
+        match &mut self.server_link {
+            ServerLink::Attached(server) => {
+                let is_forwarded = if continues_message {
+                    server.is_copy_message_incomplete
+                } else {
+                    !server.expected.is_empty()
+                };
+                if is_forwarded {
+                    server.is_copy_message_incomplete = !last;
+                    actions.push(Action::ToServer(bytes));
+                }
             }
             // Copy data is not buffered, so data that arrives before a server is attached must be rejected.
             ServerLink::Requested {
                 is_replacement: false,
-            } => self.reject_violation(
+            } if !continues_message => self.reject_violation(
                 Some("copy data before the server's CopyInResponse"),
                 actions,
             ),
--- a/core/postgres-session/src/session/server_link.rs
+++ b/core/postgres-session/src/session/server_link.rs
@@ -47,6 +47,8 @@
     /// Messages of a batch have been sent since the last `ReadyForQuery`. Outside a transaction block they belong to an
     /// implicit transaction, which the next `Sync` or `Query` on the connection commits, whoever sends it.
     pub(super) has_open_batch: bool,
+    /// Only part of a `CopyData` message has been sent. The server takes whatever is sent next for the rest of it.
+    pub(super) is_copy_message_incomplete: bool,
 }
 
 impl ServerConnection {
@@ -63,12 +65,13 @@
             skips_to_sync: false,
             begin_sent: false,
             has_open_batch: false,
+            is_copy_message_incomplete: false,
         }
     }
 
     /// Whether nothing that was sent on the connection is unfinished, so that another session can use it.
     pub(super) fn is_reusable(&self) -> bool {
-        self.expected.is_empty() && !self.has_open_batch
+        self.expected.is_empty() && !self.has_open_batch && !self.is_copy_message_incomplete
     }
 
     /// After an error in the extended query protocol, drops the expected responses up to the batch's `Sync`, because
