A response ends after 30 s without progress, also behind its last byte from the backend

Cause: when all of a response was in the node, the limit of 30 s without progress gave way to 3 s, counted from that moment whatever was sent. And the node sees a client's progress in steps only: a full send buffer takes more when a third of it is free, 10 to 20 s at 64 kB/s.

Evidence: the log line with the new times, before the fix: limit="response_send" receive_idle_ms=3030 send_idle_ms=3021. In those 3 s the system had taken nothing, so 3 s from the last progress would have cut the response too.

Fix: one limit for a response from its first to its last byte, 30 s since the system last took some of it, for streamed and whole ones. What the client sends is no progress of a whole response, as before.

--- a/adapters/http/src/connection_state.rs
+++ b/adapters/http/src/connection_state.rs
@@ -21,7 +21,7 @@
 use crate::timeouts::{
     BODY_STALL_TIMEOUT, CLOSE_TIMEOUT, DRAIN_FIRST_REQUEST_GRACE, HEAD_READ_TIMEOUT, IDLE_TIMEOUT,
     LINGER_TIMEOUT, MAX_LINGER_DURATION, MIN_BODY_BYTES_PER_SECOND, MIN_IDLE_BEFORE_EVICTION,
-    MIN_SILENCE_BEFORE_EVICTION, MIN_STALL_BEFORE_EVICTION, SEND_TIMEOUT, STREAM_STALL_TIMEOUT,
+    MIN_SILENCE_BEFORE_EVICTION, MIN_STALL_BEFORE_EVICTION, RESPONSE_PROGRESS_TIMEOUT,
     TIMEOUT_RESPONSE_GRACE,
 };
 
@@ -39,7 +39,7 @@
     /// A response is forwarded as it arrives from a backend.
     Streaming { last_progress_at: Nanos },
     /// A response that is available as a whole is being sent.
-    Sending { started_at: Nanos },
+    Sending { last_progress_at: Nanos },
     /// Between requests.
     Idle { since: Nanos },
     /// Closed on the node's side; what the client still sends is not read.
@@ -110,20 +110,22 @@
                 received_bytes: body.received_bytes.saturating_add(count),
                 ..body
             }),
-            other => other.progress_made(now),
+            Self::Streaming { .. } => Self::Streaming {
+                last_progress_at: now,
+            },
+            other => other,
         }
     }
 
-    /// Bytes have been sent to the client.
+    /// The operating system has taken bytes for the client.
     pub(crate) fn bytes_sent(self, now: Nanos) -> Self {
-        self.progress_made(now)
-    }
-
-    fn progress_made(self, now: Nanos) -> Self {
         match self {
             Self::Streaming { .. } => Self::Streaming {
                 last_progress_at: now,
             },
+            Self::Sending { .. } => Self::Sending {
+                last_progress_at: now,
+            },
             other => other,
         }
     }
@@ -179,7 +181,9 @@
     pub(crate) fn response_started(self, now: Nanos) -> Self {
         match self {
             Self::Streaming { .. } => self,
-            _ => Self::Sending { started_at: now },
+            _ => Self::Sending {
+                last_progress_at: now,
+            },
         }
     }
 
@@ -187,7 +191,9 @@
     /// the whole body.
     pub(crate) fn body_continued(self, now: Nanos) -> Self {
         match self {
-            Self::Sending { .. } => Self::Sending { started_at: now },
+            Self::Sending { .. } => Self::Sending {
+                last_progress_at: now,
+            },
             other => other,
         }
     }
@@ -195,7 +201,9 @@
     /// The last byte of a streamed response has arrived from the backend.
     pub(crate) fn stream_ended(self, now: Nanos) -> Self {
         match self {
-            Self::Streaming { .. } => Self::Sending { started_at: now },
+            Self::Streaming { .. } => Self::Sending {
+                last_progress_at: now,
+            },
             other => other,
         }
     }
@@ -270,8 +278,9 @@
             Self::ReadingBody(body) if body.is_submitted => return None,
             Self::ReadingBody(body) => (body.deadline(last_progress_at), TIMEOUT_RESPONSE_GRACE),
             Self::AwaitingResponse => return None,
-            Self::Streaming { last_progress_at } => (last_progress_at, STREAM_STALL_TIMEOUT),
-            Self::Sending { started_at } => (started_at, SEND_TIMEOUT),
+            Self::Streaming { last_progress_at } | Self::Sending { last_progress_at } => {
+                (last_progress_at, RESPONSE_PROGRESS_TIMEOUT)
+            }
             Self::Idle { since } => (since, IDLE_TIMEOUT),
             Self::Closing { since } => (since, CLOSE_TIMEOUT),
             Self::LingeringClose { since } => {
--- a/adapters/http/src/timeouts.rs
+++ b/adapters/http/src/timeouts.rs
@@ -33,11 +33,11 @@
 /// Network time of a request and its response, subtracted from the client's budget. The client's deadline covers the
 /// time from the first byte that the client sends to the last byte that the client receives.
 pub(crate) const NETWORK_ALLOWANCE: Nanos = 4 * MILLISECOND;
-/// Longest time without progress of a streamed response, on the client's or the backend's side. A client that reads 64
-/// kB/s may take this long to drain the socket buffers before more can be written.
-pub(crate) const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(30);
-/// Longest time for a client to receive a complete response.
-pub(crate) const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time without progress of a response, on the client's or the backend's side. Progress towards the client is
+/// seen only when the operating system takes more bytes: a full send buffer takes more once a third of it is free, which
+/// can take a client that reads 64 kB/s this long. That also holds for the last bytes of a response, and for a small
+/// response behind a large one.
+pub(crate) const RESPONSE_PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
 
 // Keep-alive.
 
--- a/engine/src/connection_limit.rs
+++ b/engine/src/connection_limit.rs
@@ -13,7 +13,7 @@
     RequestBody,
     /// No further request arrived in time on a reused connection.
     Idle,
-    /// The client did not receive a complete response in time.
+    /// The client stopped receiving a response that was available as a whole.
     ResponseSend,
     /// The client stopped receiving a streamed response.
     StreamToClient,
--- a/testkit/fakes/src/lib.rs
+++ b/testkit/fakes/src/lib.rs
@@ -3,7 +3,8 @@
 //! - [`server`], [`discovery`] and [`client`] are models that do no I/O; [`net`] provides loopback sockets for them,
 //!   polled on one thread, on the virtual or the real clock.
 //! - [`scripted`] has peers whose bytes are written out in the test, with a thread for each connection, and starts
-//!   nodes as processes; [`slow_connect`] is a backend to which connects succeed late.
+//!   nodes as processes; [`slow_connect`] is a backend to which connects succeed late; [`small_buffers`] makes
+//!   connections of slow readers.
 //! - [`database`] is an in-memory PostgreSQL server.
 //! - [`system_faults`] injects system call faults into a process.
 
@@ -16,6 +17,7 @@
 pub mod scripted;
 pub mod server;
 pub mod slow_connect;
+pub mod small_buffers;
 pub mod system_faults;
 
 use std::path::PathBuf;
--- a/testkit/fakes/src/scripted/client.rs
+++ b/testkit/fakes/src/scripted/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::{Message, TEST_TIMEOUT, read_message};
+use crate::small_buffers::connect_with_small_buffers;
 
 /// Interval between two writes that must be sent in separate packets.
 const PIECE_INTERVAL: Duration = Duration::from_millis(1);
@@ -18,7 +19,15 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> Self {
-        let writer = TcpStream::connect(address).unwrap();
+        Self::new(TcpStream::connect(address).unwrap())
+    }
+
+    /// Connects with small buffers in the operating system, as a client that reads slowly.
+    pub fn connect_with_small_buffers(address: SocketAddr) -> Self {
+        Self::new(connect_with_small_buffers(address).unwrap())
+    }
+
+    fn new(writer: TcpStream) -> Self {
         writer.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         let reader = BufReader::new(writer.try_clone().unwrap());
         Self { writer, reader }
