PostgreSQL: a session's last bytes are sent as long as the client takes some within 30 s

Callers saw: when the node stopped, or an operator disconnected them, clients that read slowly lost the end of a result whose statement was committed.

Cause: the last bytes of a session had 1 s, counted from its end, whatever was sent meanwhile.

Fix: each write restarts the limit, 30 s without progress, as for HTTP responses.

--- a/adapters/postgres/src/relay/streams.rs
+++ b/adapters/postgres/src/relay/streams.rs
@@ -1,6 +1,7 @@
 //! Reads the sockets of a session into the message decoders and writes to them from two bounded buffers.
 
 use std::cell::RefCell;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -21,7 +22,10 @@
 const READ_BUFFER_SIZE: usize = 16 * 1024;
 /// Empty buffers of a larger capacity are freed when a session becomes idle.
 const MAX_IDLE_CAPACITY: usize = 4 * 1024;
-/// Time limit for sending the last bytes of a session and closing the client's connection.
+/// Longest time in which the operating system takes none of the last bytes of a session. A full send buffer takes more
+/// once a third of it is free, which can take a client that reads 64 kB/s this long.
+const SEND_PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit for closing a client's connection after its last bytes.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 thread_local! {
@@ -132,23 +136,20 @@
         progress
     }
 
-    /// Sends the remaining bytes to the client and closes the connection.
+    /// Sends the remaining bytes to the client and closes the connection. Bytes that the client does not read within the
+    /// time limits are dropped.
     pub(super) async fn close_client(&mut self) {
         let clock = self.context.engine.clock().clone();
-        let closed = std::future::poll_fn(|cx| self.poll_close_client(cx));
-        // Bytes that the client does not read within the time limit are dropped.
-        let _ = clock.timeout(CLOSE_TIMEOUT, closed).await;
-    }
-
-    fn poll_close_client(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while !self.to_client.is_empty() {
-            match Pin::new(&mut self.client).poll_write(cx, &self.to_client) {
-                Poll::Ready(Ok(count)) if count > 0 => self.to_client.advance(count),
-                Poll::Ready(_) => return Poll::Ready(()),
-                Poll::Pending => return Poll::Pending,
+            let written = poll_fn(|cx| Pin::new(&mut self.client).poll_write(cx, &self.to_client));
+            match clock.timeout(SEND_PROGRESS_TIMEOUT, written).await {
+                Ok(Ok(count)) if count > 0 => self.to_client.advance(count),
+                _ => return,
             }
         }
-        Pin::new(&mut self.client).poll_shutdown(cx).map(drop)
+        let closed = poll_fn(|cx| Pin::new(&mut self.client).poll_shutdown(cx));
+        // The client may have closed the connection.
+        let _ = clock.timeout(CLOSE_TIMEOUT, closed).await;
     }
 
     /// Frees empty buffers to reduce the memory use of idle sessions.
