A slow upload behind an early response is not taken for a stalled one

Callers saw: an upload at 64 kB/s to a backend that responds while it reads, as one that echoes, was ended some seconds after the response had begun; the backend lost the rest, and the client its response.

Cause: all waits for a client together have 2.3 s and the time of what has arrived at the lowest rate. The count of what has arrived was part of the state that a response ends, so that from then on all waits had 2.3 s in all.

Fix: the early response keeps the count, before its begin and since.

Test, before the fix: slow_uploads a_slow_upload_reaches_a_backend_that_has_begun_to_respond, 512 KiB in 8 s, no response. After it: passes, and so does early_responses.

--- a/adapters/http/src/api.rs
+++ b/adapters/http/src/api.rs
@@ -176,7 +176,9 @@
             RequestOutcome::Rejected(_) | RequestOutcome::Failed => upload.discard_rest(),
         }
         let now = self.context.clock().now();
-        self.connection.early_response().begin(upload.clone(), now);
+        let body_time = self.connection.body_time_at_lowest_rate();
+        let early_response = self.connection.early_response();
+        early_response.begin(upload.clone(), now, body_time);
     }
 }
 
--- a/adapters/http/src/connection_state.rs
+++ b/adapters/http/src/connection_state.rs
@@ -48,6 +48,11 @@
     LingeringClose { since: Nanos },
 }
 
+/// The time that this many bytes of a body may take at [`MIN_BODY_BYTES_PER_SECOND`].
+pub(crate) fn time_at_lowest_rate(bytes: u64) -> Nanos {
+    bytes.saturating_mul(SECOND) / MIN_BODY_BYTES_PER_SECOND
+}
+
 /// Progress of a request's body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BodyProgress {
@@ -63,18 +68,13 @@
 }
 
 impl BodyProgress {
-    /// The time that a body of this size may take at [`MIN_BODY_BYTES_PER_SECOND`].
-    fn time_at_lowest_rate(self) -> Nanos {
-        self.received_bytes.saturating_mul(SECOND) / MIN_BODY_BYTES_PER_SECOND
-    }
-
     /// When the body has to be complete, unless more bytes arrive first.
     fn deadline(self, last_progress_at: Nanos) -> Nanos {
         let stall_timeout = nanos(BODY_STALL_TIMEOUT);
         let by_rate = self
             .started_at
             .saturating_add(stall_timeout)
-            .saturating_add(self.time_at_lowest_rate());
+            .saturating_add(time_at_lowest_rate(self.received_bytes));
         by_rate.min(last_progress_at.saturating_add(stall_timeout))
     }
 }
@@ -264,7 +264,7 @@
     /// read.
     pub(crate) fn body_time_at_lowest_rate(&self) -> Nanos {
         match self {
-            Self::ReadingBody(body) => body.time_at_lowest_rate(),
+            Self::ReadingBody(body) => time_at_lowest_rate(body.received_bytes),
             _ => 0,
         }
     }
--- a/adapters/http/src/early_response.rs
+++ b/adapters/http/src/early_response.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 
+use crate::connection_state::time_at_lowest_rate;
 use crate::observed_stream::ObservedStream;
 use crate::timeouts::{
     BODY_STALL_TIMEOUT, FORWARD_STALL_TIMEOUT, MAX_LINGER_DURATION, UPLOAD_CHECK_INTERVAL,
@@ -24,13 +25,19 @@
 pub(crate) struct EarlyResponse {
     upload: RefCell<Option<Rc<Upload>>>,
     begun_at: Cell<Nanos>,
+    /// The time that the body received before may take at the lowest rate.
+    body_time_before: Cell<Nanos>,
+    /// Bytes received from the client since the response began.
+    received_bytes: Cell<u64>,
     begun: Notify,
 }
 
 impl EarlyResponse {
-    /// Starts the response while `upload` is incomplete.
-    pub(crate) fn begin(&self, upload: Rc<Upload>, now: Nanos) {
+    /// Starts the response while `upload` is incomplete. What has been received of it may take `body_time` at the lowest
+    /// rate.
+    pub(crate) fn begin(&self, upload: Rc<Upload>, now: Nanos, body_time: Nanos) {
         self.begun_at.set(now);
+        self.body_time_before.set(body_time);
         self.upload.replace(Some(upload));
         self.begun.notify_one();
     }
@@ -39,6 +46,14 @@
         self.upload.borrow().is_some()
     }
 
+    /// Called when bytes have been received from the client.
+    pub(crate) fn bytes_received(&self, count: u64) {
+        if self.has_begun() {
+            let received_bytes = self.received_bytes.get().saturating_add(count);
+            self.received_bytes.set(received_bytes);
+        }
+    }
+
     /// Whether the client may still postpone reading the response while it sends the body.
     pub(crate) fn allows_sending(&self, now: Nanos) -> bool {
         let ends_at = self
@@ -48,6 +63,12 @@
         self.has_begun() && now < ends_at
     }
 
+    /// The time that the received part of the body may take at the lowest rate.
+    fn body_time_at_lowest_rate(&self) -> Nanos {
+        let time_since = time_at_lowest_rate(self.received_bytes.get());
+        self.body_time_before.get().saturating_add(time_since)
+    }
+
     /// Waits until the response begins, and returns the upload of its request.
     async fn begun(&self) -> Rc<Upload> {
         loop {
@@ -86,7 +107,7 @@
     if !upload.can_forward() {
         return true;
     }
-    let allowance = connection.body_time_at_lowest_rate();
+    let allowance = connection.early_response().body_time_at_lowest_rate();
     match upload.client_stall_deadline(nanos(BODY_STALL_TIMEOUT), allowance) {
         Some(deadline) => now >= deadline,
         None => upload
--- a/adapters/http/src/tracked_connection/request_tracker.rs
+++ b/adapters/http/src/tracked_connection/request_tracker.rs
@@ -28,6 +28,7 @@
         connection.last_received_at.set(now);
         let state = connection.state.get();
         connection.enter(state.bytes_received(now, bytes.len() as u64));
+        connection.early_response.bytes_received(bytes.len() as u64);
         if connection.early_response.allows_sending(now) {
             connection.enter(connection.state.get().body_continued(now));
         }
--- /dev/null
+++ b/daemon/tests/slow_uploads.rs
@@ -0,0 +1,83 @@
+//! Clients that upload at 64 kB/s, the rate of the slowest clients in service, behind a response that began early.
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    reason = "test code"
+)]
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use badgerpost_fakes::scripted::*;
+use serde_json::json;
+
+const UPLOAD_BYTES_PER_SECOND: usize = 64 * 1024;
+const PIECE_BYTES: usize = 8 * 1024;
+
+/// Starts a backend that sends the bodies of requests back while they arrive. Each has `upload_bytes`.
+fn start_echo_backend(upload_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || echo(stream, upload_bytes));
+        }
+    });
+    address
+}
+
+fn echo(mut stream: TcpStream, upload_bytes: usize) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        if !matches!(reader.read_line(&mut line), Ok(1..)) {
+            return;
+        }
+    }
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {upload_bytes}\r\n\r\n");
+    let _ = stream.write_all(head.as_bytes());
+    let _ = io::copy(&mut reader.take(upload_bytes as u64), &mut stream);
+}
+
+fn start_node(backend: SocketAddr) -> (Node, Discovery) {
+    let targets = json!([target("s-0", backend, "Ready")]);
+    let discovery = Discovery::new(targets.clone());
+    (Node::start(&config(discovery.address, targets)), discovery)
+}
+
+/// Writes the text at the upload rate. Returns the number of bytes written before the connection failed, if it did.
+fn write_slowly(stream: &mut TcpStream, text: &str) -> usize {
+    let began = Instant::now();
+    let mut written = 0;
+    for piece in text.as_bytes().chunks(PIECE_BYTES) {
+        if stream.write_all(piece).is_err() {
+            return written;
+        }
+        written += piece.len();
+        let due = Duration::from_secs_f64(written as f64 / UPLOAD_BYTES_PER_SECOND as f64);
+        thread::sleep(due.saturating_sub(began.elapsed()));
+    }
+    written
+}
+
+/// Guards against taking a slow client for a stalled one: once the response had begun, all waits for the client together
+/// had 2.3 s, whatever it had sent meanwhile, and the backend lost the rest of the upload.
+#[test]
+fn a_slow_upload_reaches_a_backend_that_has_begun_to_respond() {
+    const UPLOAD_BYTES: usize = 8 * UPLOAD_BYTES_PER_SECOND;
+    let (node, _discovery) = start_node(start_echo_backend(UPLOAD_BYTES));
+    let mut client = Client::connect(node.address);
+    let mut stream = client.stream();
+    let text = post("pay", "echo", "", &"u".repeat(UPLOAD_BYTES));
+    let writing = thread::spawn(move || write_slowly(&mut stream, &text) == text.len());
+    let response = client.read().expect("a response");
+    assert_eq!(
+        (response.status(), response.body.len()),
+        (200, UPLOAD_BYTES)
+    );
+    assert!(writing.join().unwrap(), "the whole upload is taken");
+}
