What a client sends behind a response extends the time in which it is discarded

Callers saw: a client that uploads at 64 kB/s to a backend that has responded and reads nothing, and that reads only when it has sent all, was reset after 30 s and lost what it had not read of the response.

Cause: behind an early response or an error the node reads and drops what still arrives for 30 s in all, counted from the response.

Fix: the time that what has arrived since takes at the lowest rate of a body is added, an hour at most. 1.5 s without a byte still end it, and these connections are still the first to be evicted. LingeringClose carries the count, so two constructions in connection_state/tests.rs name it; their expectations are as before.

Tests, before the fix: slow_uploads a_client_that_uploads_slowly_for_long_gets_its_early_response, a reset after 2,203,648 of 2,359,432 bytes. After it: passes, with early_responses, misbehaving_clients and the tests of the package.

--- a/adapters/http/src/connection_state.rs
+++ b/adapters/http/src/connection_state.rs
@@ -22,7 +22,7 @@
     BODY_STALL_TIMEOUT, CLOSE_TIMEOUT, DRAIN_FIRST_REQUEST_GRACE, HEAD_READ_TIMEOUT, IDLE_TIMEOUT,
     LINGER_TIMEOUT, MAX_LINGER_DURATION, MIN_BODY_BYTES_PER_SECOND, MIN_IDLE_BEFORE_EVICTION,
     MIN_SILENCE_BEFORE_EVICTION, MIN_STALL_BEFORE_EVICTION, RESPONSE_PROGRESS_TIMEOUT,
-    TIMEOUT_RESPONSE_GRACE,
+    TIMEOUT_RESPONSE_GRACE, UPLOAD_TIMEOUT,
 };
 
 /// The phase of a client connection.
@@ -44,8 +44,8 @@
     Idle { since: Nanos },
     /// Closed on the node's side; what the client still sends is not read.
     Closing { since: Nanos },
-    /// Closed on the node's side after an error; what the client still sends is read and discarded.
-    LingeringClose { since: Nanos },
+    /// Closed on the node's side after an error or an early response; what the client still sends is read and discarded.
+    LingeringClose { since: Nanos, received_bytes: u64 },
 }
 
 /// The time that this many bytes of a body may take at [`MIN_BODY_BYTES_PER_SECOND`].
@@ -53,6 +53,13 @@
     bytes.saturating_mul(SECOND) / MIN_BODY_BYTES_PER_SECOND
 }
 
+/// When a client that has been responded to must have sent the rest of its request, unless more bytes arrive first.
+/// `received_bytes` have arrived since then.
+pub(crate) fn discarding_ends_at(responded_at: Nanos, received_bytes: u64) -> Nanos {
+    let duration = nanos(MAX_LINGER_DURATION).saturating_add(time_at_lowest_rate(received_bytes));
+    responded_at.saturating_add(duration.min(nanos(UPLOAD_TIMEOUT)))
+}
+
 /// Progress of a request's body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BodyProgress {
@@ -113,6 +120,13 @@
             Self::Streaming { .. } => Self::Streaming {
                 last_progress_at: now,
             },
+            Self::LingeringClose {
+                since,
+                received_bytes,
+            } => Self::LingeringClose {
+                since,
+                received_bytes: received_bytes.saturating_add(count),
+            },
             other => other,
         }
     }
@@ -283,9 +297,13 @@
             }
             Self::Idle { since } => (since, IDLE_TIMEOUT),
             Self::Closing { since } => (since, CLOSE_TIMEOUT),
-            Self::LingeringClose { since } => {
-                let ends_by = since.saturating_add(nanos(MAX_LINGER_DURATION - LINGER_TIMEOUT));
-                (last_progress_at.clamp(since, ends_by), LINGER_TIMEOUT)
+            Self::LingeringClose {
+                since,
+                received_bytes,
+            } => {
+                let ends_at = discarding_ends_at(since, received_bytes);
+                let last_counted = ends_at.saturating_sub(nanos(LINGER_TIMEOUT));
+                (last_progress_at.clamp(since, last_counted), LINGER_TIMEOUT)
             }
         };
         Some(since.saturating_add(nanos(timeout)))
@@ -335,7 +353,7 @@
         last_progress_at: Nanos,
     ) -> Option<EvictionRank> {
         let (class, since, min_age) = match *self {
-            Self::Closing { since } | Self::LingeringClose { since } => {
+            Self::Closing { since } | Self::LingeringClose { since, .. } => {
                 (EvictionClass::Closing, since, Nanos::MIN)
             }
             Self::New { accepted_at } => (
--- a/adapters/http/src/connection_state/tests.rs
+++ b/adapters/http/src/connection_state/tests.rs
@@ -77,7 +77,13 @@
         ),
         (ConnectionState::Idle { since }, Some(10_000)),
         (ConnectionState::Closing { since }, Some(500)),
-        (ConnectionState::LingeringClose { since }, Some(1500)),
+        (
+            ConnectionState::LingeringClose {
+                since,
+                received_bytes: 0,
+            },
+            Some(1500),
+        ),
     ];
     for (state, limit) in limits {
         let expected = limit.map(|limit| since + limit * MS);
@@ -139,6 +145,23 @@
     }
 }
 
+/// Guards against a reset, which destroys the response, while a client still sends its body at a regular rate.
+#[test]
+fn a_lingering_close_lasts_as_long_as_the_client_sends_at_the_lowest_rate() {
+    let lingering = ConnectionState::LingeringClose {
+        since: 0,
+        received_bytes: 0,
+    };
+    let now = 100 * SECOND;
+    // A client that sends little is closed after 30 s, whatever came last.
+    let slow = lingering.bytes_received(now, 1024);
+    assert_eq!(slow.times_out_at(now), Some(30 * SECOND + SECOND / 32));
+    let regular = lingering.bytes_received(now, 80 * 32 * 1024);
+    assert_eq!(regular.times_out_at(now), Some(now + 1500 * MS));
+    let endless = lingering.bytes_received(now, u64::MAX);
+    assert_eq!(endless.times_out_at(4000 * SECOND), Some(3600 * SECOND));
+}
+
 #[test]
 fn a_connection_is_idle_after_a_response_unless_the_next_request_has_begun() {
     let sending = ConnectionState::Sending {
@@ -157,7 +180,10 @@
 fn connections_are_evicted_by_class_and_then_by_age() {
     let now = 10 * SECOND;
     let in_order = [
-        ConnectionState::LingeringClose { since: 0 },
+        ConnectionState::LingeringClose {
+            since: 0,
+            received_bytes: 0,
+        },
         ConnectionState::Closing { since: now },
         ConnectionState::New {
             accepted_at: now - 20 * MS,
--- a/adapters/http/src/early_response.rs
+++ b/adapters/http/src/early_response.rs
@@ -12,11 +12,9 @@
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 
-use crate::connection_state::time_at_lowest_rate;
+use crate::connection_state::{discarding_ends_at, time_at_lowest_rate};
 use crate::observed_stream::ObservedStream;
-use crate::timeouts::{
-    BODY_STALL_TIMEOUT, FORWARD_STALL_TIMEOUT, MAX_LINGER_DURATION, UPLOAD_CHECK_INTERVAL,
-};
+use crate::timeouts::{BODY_STALL_TIMEOUT, FORWARD_STALL_TIMEOUT, UPLOAD_CHECK_INTERVAL};
 use crate::tracked_connection::{RequestTracker, TrackedConnection};
 use crate::upload::Upload;
 
@@ -56,10 +54,7 @@
 
     /// Whether the client may still postpone reading the response while it sends the body.
     pub(crate) fn allows_sending(&self, now: Nanos) -> bool {
-        let ends_at = self
-            .begun_at
-            .get()
-            .saturating_add(nanos(MAX_LINGER_DURATION));
+        let ends_at = discarding_ends_at(self.begun_at.get(), self.received_bytes.get());
         self.has_begun() && now < ends_at
     }
 
--- a/adapters/http/src/timeouts.rs
+++ b/adapters/http/src/timeouts.rs
@@ -72,7 +72,8 @@
 /// node reads and discards what the client still sends: closing a socket with unread bytes sends a reset, which can
 /// destroy the response before the client reads it.
 pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Longest lingering close of a client that keeps sending.
+/// Longest lingering close of a client that keeps sending, in addition to the time that what it sends may take at
+/// [`MIN_BODY_BYTES_PER_SECOND`]; at most [`UPLOAD_TIMEOUT`] in all.
 pub(crate) const MAX_LINGER_DURATION: Duration = Duration::from_secs(30);
 /// Interval at which a busy connection is checked for quiescence while the node closes idle connections.
 pub(crate) const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
--- a/adapters/http/src/tracked_connection/closing.rs
+++ b/adapters/http/src/tracked_connection/closing.rs
@@ -50,6 +50,7 @@
     pub(crate) fn lingering_close_started(&self) {
         self.enter(ConnectionState::LingeringClose {
             since: self.clock.now(),
+            received_bytes: 0,
         });
     }
 
