PostgreSQL: the last bytes that a TLS stream holds have the limit without progress too

By reading: over TLS the last bytes of a session are handed to the stream's own buffer and written by its flush, which was part of the close and its 1 s. They are flushed first, within 30 s. No test over TLS with a slow reader was run; all tests of the package pass.

--- a/adapters/postgres/src/relay/streams.rs
+++ b/adapters/postgres/src/relay/streams.rs
@@ -147,6 +147,14 @@
                 _ => return,
             }
         }
+        // A TLS stream holds bytes of its own.
+        let flushed = poll_fn(|cx| Pin::new(&mut self.client).poll_flush(cx));
+        if !matches!(
+            clock.timeout(SEND_PROGRESS_TIMEOUT, flushed).await,
+            Ok(Ok(()))
+        ) {
+            return;
+        }
         let closed = poll_fn(|cx| Pin::new(&mut self.client).poll_shutdown(cx));
         // The client may have closed the connection.
         let _ = clock.timeout(CLOSE_TIMEOUT, closed).await;
