--- a/adapters/postgres/tests/unfinished_work.rs
+++ b/adapters/postgres/tests/unfinished_work.rs
@@ -106,24 +106,31 @@
     }
 }
 
+/// Lets a client send this statement with a `Flush` and leave after its answer, and another client insert the value 2.
+/// Returns the values that are committed then.
+async fn committed_after_abandoned(sql: &str, leaving: Leaving) -> Vec<i64> {
+    let fixture = Fixture::start().await;
+    let mut client = fixture.node.connect_raw().await;
+    let messages = |out: &mut BytesMut| {
+        execute(sql, out);
+        frontend::flush(out);
+    };
+    client.send(messages).await;
+    assert_eq!(client.read_until(b'C').await, "12C", "{leaving:?}");
+    fixture.leave(client, leaving).await;
+    let insert = "insert into t values (2)";
+    fixture.other.batch_execute(insert).await.expect("served");
+    fixture.committed()
+}
+
 /// Guards against a statement that is committed by another client: its own client left before the `Sync`, so the
 /// statement is in an implicit transaction that the next `Sync` or `Query` on the connection commits.
 #[test]
 fn a_statement_whose_client_left_before_its_sync_is_not_committed() {
     run_test(async {
         for leaving in Leaving::ALL {
-            let fixture = Fixture::start().await;
-            let mut client = fixture.node.connect_raw().await;
-            let insert = |out: &mut BytesMut| {
-                execute("insert into t values (1)", out);
-                frontend::flush(out);
-            };
-            client.send(insert).await;
-            assert_eq!(client.read_until(b'C').await, "12C", "{leaving:?}");
-            fixture.leave(client, leaving).await;
-            let insert = "insert into t values (2)";
-            fixture.other.batch_execute(insert).await.expect("served");
-            assert_eq!(fixture.committed(), [2], "{leaving:?}");
+            let committed = committed_after_abandoned("insert into t values (1)", leaving).await;
+            assert_eq!(committed, [2], "{leaving:?}");
         }
     });
 }
@@ -134,18 +141,8 @@
 fn a_block_whose_client_left_before_its_sync_does_not_take_in_other_statements() {
     run_test(async {
         for leaving in Leaving::ALL {
-            let fixture = Fixture::start().await;
-            let mut client = fixture.node.connect_raw().await;
-            let begin = |out: &mut BytesMut| {
-                execute("begin", out);
-                frontend::flush(out);
-            };
-            client.send(begin).await;
-            assert_eq!(client.read_until(b'C').await, "12C", "{leaving:?}");
-            fixture.leave(client, leaving).await;
-            let insert = "insert into t values (2)";
-            fixture.other.batch_execute(insert).await.expect("served");
-            assert_eq!(fixture.committed(), [2], "{leaving:?}");
+            let committed = committed_after_abandoned("begin", leaving).await;
+            assert_eq!(committed, [2], "{leaving:?}");
         }
     });
 }
