--- a/adapters/postgres/src/pool/server_slots.rs
+++ b/adapters/postgres/src/pool/server_slots.rs
@@ -15,7 +15,7 @@
 use crate::config::PoolLimits;
 use crate::login::ConnectError;
 
-/// Maximum queue length of a server, per allowed connection.
+/// Maximum queue length of a server, per allowed connection. In a longer queue the wait would outlast any deadline.
 const MAX_WAITERS_PER_CONNECTION: usize = 64;
 /// Weight of the latest transaction in the moving average of lease times.
 const LEASE_TIME_WEIGHT: f64 = 0.05;
--- a/core/postgres-session/src/settings.rs
+++ b/core/postgres-session/src/settings.rs
@@ -19,7 +19,7 @@
     "standard_conforming_strings",
     "timezone",
 ];
-/// Maximum number of settings of one client.
+/// Maximum number of settings of one client, which are kept for as long as the client is connected.
 const MAX_SETTINGS: usize = 64;
 /// Maximum length of a setting's value, in bytes.
 const MAX_VALUE_LENGTH: usize = 1024;
--- a/core/zone-health/src/assessment.rs
+++ b/core/zone-health/src/assessment.rs
@@ -4,7 +4,8 @@
 use crate::peer_summary::PeerSummary;
 use badgerpost_time::Nanos;
 
-/// Evidence at which a healthy zone is suspected, in nats.
+/// Evidence at which a healthy zone is suspected, in nats. A zone that is as bad as the silence test tolerates
+/// (responses twice as slow as usual) reaches it by chance once in 150 cases.
 pub(crate) const SUSPECT_THRESHOLD: f64 = 5.0;
 /// Evidence of failures at which a healthy zone is suspected, in nats. Higher than [`SUSPECT_THRESHOLD`], because a
 /// suspected zone gets no requests whose success could withdraw the suspicion.
--- a/core/zone-health/src/evidence.rs
+++ b/core/zone-health/src/evidence.rs
@@ -28,7 +28,8 @@
 const MAXIMUM_CLASS_EVIDENCE: f64 = 2.0 * MAXIMUM_SERVER_EVIDENCE;
 /// Upper bound of the evidence from failed connections.
 const MAXIMUM_CONNECTION_EVIDENCE: f64 = 4.0 * MAXIMUM_SERVER_EVIDENCE;
-/// Maximum number of timed-out attempts stored as evidence of silence.
+/// Maximum number of timed-out attempts stored as evidence of silence. Each is evidence of up to 2.5 nats, so more of
+/// them would change nothing.
 const MAXIMUM_TIMED_OUT_ATTEMPTS: usize = 64;
 /// Number of servers above which the server with the most evidence is left out.
 const LEAVE_ONE_OUT_SERVER_THRESHOLD: u32 = 2;
--- a/core/zone-health/src/peer_summary.rs
+++ b/core/zone-health/src/peer_summary.rs
@@ -6,7 +6,8 @@
 
 /// Upper bound of the evidence counted from one other node, equal to that of a single attempt.
 const MAXIMUM_PEER_EVIDENCE: f64 = 2.5;
-/// Evidence against a zone at which a node counts as adverse to the zone, in nats.
+/// Evidence against a zone at which a node counts as adverse to the zone, in nats. Chance alone produces that much in
+/// one attempt of seven.
 const ADVERSE_REPORT_THRESHOLD: f64 = 2.0;
 /// Lower bound of the number of nodes in a quorum.
 const MINIMUM_QUORUM: u32 = 2;
