--- a/adapters/http/src/connection_state.rs
+++ b/adapters/http/src/connection_state.rs
@@ -44,7 +44,8 @@
     Idle { since: Nanos },
     /// Closed on the node's side; what the client still sends is not read.
     Closing { since: Nanos },
-    /// Closed on the node's side after an error or an early response; what the client still sends is read and discarded.
+    /// Closed on the node's side after an error or an early response; what the client still sends is read and
+    /// discarded.
     LingeringClose { since: Nanos, received_bytes: u64 },
 }
 
--- a/adapters/http/src/early_response.rs
+++ b/adapters/http/src/early_response.rs
@@ -31,8 +31,8 @@
 }
 
 impl EarlyResponse {
-    /// Starts the response while `upload` is incomplete. What has been received of it may take `body_time` at the lowest
-    /// rate.
+    /// Starts the response while `upload` is incomplete. What has been received of it may take `body_time` at the
+    /// lowest rate.
     pub(crate) fn begin(&self, upload: Rc<Upload>, now: Nanos, body_time: Nanos) {
         self.begun_at.set(now);
         self.body_time_before.set(body_time);
--- a/adapters/postgres/src/relay/streams.rs
+++ b/adapters/postgres/src/relay/streams.rs
@@ -136,8 +136,8 @@
         progress
     }
 
-    /// Sends the remaining bytes to the client and closes the connection. Bytes that the client does not read within the
-    /// time limits are dropped.
+    /// Sends the remaining bytes to the client and closes the connection. Bytes that the client does not read within
+    /// the time limits are dropped.
     pub(super) async fn close_client(&mut self) {
         let clock = self.context.engine.clock().clone();
         while !self.to_client.is_empty() {
--- a/daemon/tests/slow_readers.rs
+++ b/daemon/tests/slow_readers.rs
@@ -19,8 +19,8 @@
 /// bytes are still in the node when the system takes no more.
 const SIZES_KIB: RangeInclusive<usize> = 72..=200;
 const SIZE_STEP_KIB: usize = 8;
-/// How long nothing moves before a client reads on: as long as it can take a reader of 64 kB/s to free a third of a send
-/// buffer of 1 MB.
+/// How long nothing moves before a client reads on: as long as it can take a reader of 64 kB/s to free a third of a
+/// send buffer of 1 MB.
 const PAUSE: Duration = Duration::from_secs(6);
 /// The longest time without progress of a response.
 const PROGRESS_LIMIT: Duration = Duration::from_secs(30);
--- a/daemon/tests/slow_uploads.rs
+++ b/daemon/tests/slow_uploads.rs
@@ -82,8 +82,8 @@
     written
 }
 
-/// Guards against taking a slow client for a stalled one: once the response had begun, all waits for the client together
-/// had 2.3 s, whatever it had sent meanwhile, and the backend lost the rest of the upload.
+/// Guards against taking a slow client for a stalled one: once the response had begun, all waits for the client
+/// together had 2.3 s, whatever it had sent meanwhile, and the backend lost the rest of the upload.
 #[test]
 fn a_slow_upload_reaches_a_backend_that_has_begun_to_respond() {
     const UPLOAD_BYTES: usize = 8 * UPLOAD_BYTES_PER_SECOND;
--- a/testkit/fakes/src/small_buffers.rs
+++ b/testkit/fakes/src/small_buffers.rs
@@ -1,6 +1,6 @@
-//! Connections of slow readers. Between two processes on loopback the operating system usually holds several megabytes that
-//! the receiver has not read. On these connections it holds some 100 KB, so that what is sent beyond that stays in the
-//! sending process.
+//! Connections of slow readers. Between two processes on loopback the operating system usually holds several megabytes
+//! that the receiver has not read. On these connections it holds some 100 KB, so that what is sent beyond that stays in
+//! the sending process.
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
