--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -99,11 +100,13 @@
             self.record.flush()
 
     # Processes.
-    def start(self, name, command, environment=None, is_shell=False):
+    def start(self, name, command, environment=None, is_shell=False, descriptors=None):
+        """`descriptors` is the process's own limit on open descriptors, as the platform sets it."""
+        limit = descriptors and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
         log = open(self.work / f"{name}.log", "ab")
         process = subprocess.Popen(
             ["/bin/sh", "-c", command] if is_shell else command, cwd=ROOT, env={**os.environ, **(environment or {})},
-            stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+            stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=limit)
         self.processes[name] = process
         self.note(f"started {name}")
         return process
@@ -124,7 +127,40 @@
         for process in self.processes.values():
             process.wait()
 
+    def watch_memory(self, name, limit_mb):
+        """Does what the platform does: kills the process once its resident memory is over the limit."""
+        process = self.processes[name]
+        self.peak_mb, self.killed_for_memory = 0.0, False
+
+        def watch():
+            while process.poll() is None:
+                try:
+                    status = Path(f"/proc/{process.pid}/status").read_text()
+                except OSError:
+                    return
+                found = re.search(r"VmRSS:\s+(\d+) kB", status)
+                self.peak_mb = max(self.peak_mb, int(found[1]) / 1024 if found else 0.0)
+                if self.peak_mb > limit_mb:
+                    self.killed_for_memory = True
+                    self.note(f"{name} holds {self.peak_mb:.0f} MB, its limit is {limit_mb} MB: the platform kills it")
+                    process.kill()
+                    return
+                time.sleep(0.02)
+
+        threading.Thread(target=watch, daemon=True).start()
+
     # PostgreSQL servers.
+    def start_match_servers(self, count):
+        """Starts HTTP backends. Returns their entries of the endpoint list."""
+        targets = []
+        for name in (f"match{number}" for number in range(1, count + 1)):
+            port = free_port()
+            self.start(name, [sys.executable, str(LIBRARY / "http_backend.py"), str(port)])
+            self.wait_for(lambda at=port: is_listening(at), 5, f"{name} listens")
+            targets.append({"uid": name, "endpoint": f"127.0.0.1:{port}", "az": "dc-a", "model": "standard",
+                            "pod_group": 0, "state": "Ready", "capacity_hint": 1.0, "boot_ms": 0})
+        return targets
+
     def start_database(self, name, port, *options):
         self.start(name, [sys.executable, str(LIBRARY / "pg_server.py"), str(port), str(self.work / f"{name}.store"),
                           str(self.work / f"{name}.runs"), *options])
@@ -142,9 +178,10 @@
         return path.read_text().split() if path.exists() else []
 
     # The node.
-    def start_postgres_node(self, databases, deadline_ms, extra=""):
-        """Starts a node with a PostgreSQL listener. `databases` are ports by name. Returns the listener's port."""
-        port, discovery = free_port(), Discovery()
+    def start_postgres_node(self, databases, deadline_ms, extra="", targets=(), listen=None, descriptors=1024):
+        """Starts a node with a PostgreSQL listener. `databases` are ports by name, `targets` the HTTP backends on the
+        endpoint list, `listen` is the port for HTTP clients. Returns the PostgreSQL listener's port."""
+        port, discovery = free_port(), Discovery(targets)
         users, password = self.work / "users", self.work / "password"
         for path, text in ((users, f"ratings {pg_client.verifier('secret')}\n"), (password, "unused")):
             path.write_text(text)
@@ -156,7 +193,9 @@
             f'[postgres]\nlisten = "127.0.0.1:{port}"\nzone = "dc-a"\nusers = "{users}"\n{extra}\n'
             f'[[postgres.login]]\nuser = "node"\npassword_file = "{password}"\n{servers}'
             f'[[postgres.class]]\nname = "rating-write"\naim_ms = 100\ndeadline_ms = {deadline_ms}\n')
-        self.start_node("node", self.platform(discovery.port), f" --config {operators}")
+        platform = self.platform(discovery.port, listen)
+        platform["limits"]["sockets"] = descriptors
+        self.start_node("node", platform, f" --config {operators}", descriptors)
         self.wait_for(lambda: self.can_connect(port), 15, "the node accepts PostgreSQL clients")
         return port
 
@@ -190,11 +229,12 @@
                     "warm-after-ns": 24_000 * MILLISECOND},
                 **settings}}
 
-    def start_node(self, name, platform, options=""):
+    def start_node(self, name, platform, options="", descriptors=None):
         config, folder = self.work / f"{name}.json", self.work / f"{name}.tmp"
         config.write_text(json.dumps(platform))
         folder.mkdir(exist_ok=True)
-        self.start(name, run_command() + options, {"EDGE_CONFIG": str(config), "TMPDIR": str(folder)}, is_shell=True)
+        self.start(name, run_command() + options, {"EDGE_CONFIG": str(config), "TMPDIR": str(folder)},
+                   is_shell=True, descriptors=descriptors)
 
     # Waiting.
     def wait_for(self, is_true, timeout, what):
@@ -229,8 +269,8 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         broken = body(case)
-        if any(case.processes[name].poll() not in (None, 0) for name in case.processes if name.startswith("node")):
-            broken = [*broken, "the node's process ended"]
+        codes = {name: process.poll() for name, process in case.processes.items() if name.startswith("node")}
+        broken = [*broken, *(f"{name} has ended with {code}" for name, code in codes.items() if code is not None)]
         for way in broken:
             case.note(f"BROKEN: {way}")
         code = BROKEN if broken else HELD
