--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -1,5 +1,6 @@
 """Starts a node and its stand-ins for one case, writes record.txt, and ends all that it started."""
 
+import ctypes
 import http.server
 import json
 import os
@@ -22,7 +23,9 @@
 ROOT = LIBRARY.parent.parent
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 MILLISECOND = 1_000_000
-LIMIT_S = 115
+LIMIT_S = 110
+LIBC = ctypes.CDLL(None, use_errno=True)
+PR_SET_PDEATHSIG = 1
 
 
 class Unusable(Exception):
@@ -102,11 +105,17 @@
     # Processes.
     def start(self, name, command, environment=None, is_shell=False, descriptors=None):
         """`descriptors` is the process's own limit on open descriptors, as the platform sets it."""
-        limit = descriptors and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
+
+        def prepare():
+            # The process ends with this script, however that ends.
+            LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+            if descriptors:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
         log = open(self.work / f"{name}.log", "ab")
         process = subprocess.Popen(
             ["/bin/sh", "-c", command] if is_shell else command, cwd=ROOT, env={**os.environ, **(environment or {})},
-            stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=limit)
+            stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=prepare)
         self.processes[name] = process
         self.note(f"started {name}")
         return process
@@ -150,12 +159,12 @@
         threading.Thread(target=watch, daemon=True).start()
 
     # PostgreSQL servers.
-    def start_match_servers(self, count):
+    def start_match_servers(self, count, *options):
         """Starts HTTP backends. Returns their entries of the endpoint list."""
         targets = []
         for name in (f"match{number}" for number in range(1, count + 1)):
             port = free_port()
-            self.start(name, [sys.executable, str(LIBRARY / "http_backend.py"), str(port)])
+            self.start(name, [sys.executable, str(LIBRARY / "http_backend.py"), str(port), *options])
             self.wait_for(lambda at=port: is_listening(at), 5, f"{name} listens")
             targets.append({"uid": name, "endpoint": f"127.0.0.1:{port}", "az": "dc-a", "model": "standard",
                             "pod_group": 0, "state": "Ready", "capacity_hint": 1.0, "boot_ms": 0})
@@ -261,6 +270,7 @@
     def give_up():
         case.note("the case took too long")
         case.end_all()
+        shutil.rmtree(case.work, ignore_errors=True)
         os._exit(COULD_NOT_RUN)
 
     watchdog = threading.Timer(LIMIT_S, give_up)
