--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,5 @@
-"""A session that keeps its server connection (LISTEN), and a server that hangs: is the next statement answered?"""
+"""A statement with a long value, sent with the extended query protocol: is it answered?"""
 
-import signal
 import sys
 import time
 from pathlib import Path
@@ -12,46 +11,36 @@
 import pg_client  # noqa: E402
 
 DEADLINE_S = 1.0
-SLACK_S = 0.55
-HANG_S = 6.0
+WAIT_S = 10.0
+SHORT, LONG = 60_000, 100_000
 
 
 def body(case):
     databases = {"db1": harness.free_port(), "db2": harness.free_port()}
-    for name, at in databases.items():
-        case.start_database(name, at)
+    for name, port in databases.items():
+        case.start_database(name, port)
     port = case.start_postgres_node(databases, int(DEADLINE_S * 1000))
-    clients = {"ordinary": pg_client.Client(port), "with LISTEN": pg_client.Client(port)}
-    case.note(f"with LISTEN: LISTEN news: {clients['with LISTEN'].run('LISTEN news')}")
-    for name, client in clients.items():
-        case.note(f"{name}: SELECT 1: {client.run('SELECT 1')}")
-    held = next(name for name in databases if case.has_run(name, "LISTEN"))
-    if case.troubled:
-        case.signal(held, signal.SIGSTOP)
-    sent_at = time.monotonic()
-    for client in clients.values():
-        client.send(pg_client.query("SELECT 2"))
+    client = pg_client.Client(port)
     broken = []
-    for name, client in clients.items():
-        left = sent_at + HANG_S - 0.5 - time.monotonic()
+    for size in (1_000, SHORT, LONG if case.troubled else SHORT):
+        sql = f"INSERT INTO rating VALUES ('{'x' * size}')"
+        sent_at = time.monotonic()
+        client.send(pg_client.statement(sql) + pg_client.SYNC)
         try:
-            got = client.answer(left)
+            got = client.answer(WAIT_S)
         except pg_client.Gone as error:
             got = [f"connection closed: {error}"]
         except pg_client.Silent:
             got = None
         after = time.monotonic() - sent_at
-        case.note(f"{name}: SELECT 2: {got if got else 'no answer'} after {after:.2f} s")
+        case.note(f"Parse, Bind, Execute, Sync with a value of {size} bytes: {got if got else 'no answer'} "
+                  f"after {after:.2f} s")
         if got is None:
-            broken.append(f"{name}: no answer within {after:.1f} s; its deadline is {DEADLINE_S} s")
-    if case.troubled:
-        time.sleep(max(0.0, sent_at + HANG_S - time.monotonic()))
-        case.signal(held, signal.SIGCONT)
-        for name, client in clients.items():
-            try:
-                case.note(f"{name}: after the server went on: {client.answer(3)}")
-            except (pg_client.Gone, pg_client.Silent) as error:
-                case.note(f"{name}: after the server went on: {error!r}")
+            broken.append(f"no answer to a statement of {len(sql)} bytes within {after:.1f} s; the deadline of a "
+                          f"transaction is {DEADLINE_S} s")
+    other = pg_client.Client(port)
+    long_query = other.run(f"INSERT INTO rating VALUES ('{'y' * LONG}')") if case.troubled else other.run("SELECT 1")
+    case.note(f"for comparison, on another connection as one Query: {long_query}")
     return broken
 
 
