--- a/review/10/case.py
+++ b/review/10/case.py
@@ -12,7 +12,14 @@
 
 DEADLINE_S = 1.0
 WAIT_S = 10.0
-SHORT, LONG = 60_000, 100_000
+# Bytes of the SQL text. PROTOCOL has bodies of up to 64 KiB, DAYS of up to 32 MB.
+SHORT, LONG = 60_000, 64 * 1024
+
+
+def insert(letter, size):
+    """An INSERT whose SQL text has this many bytes."""
+    start, end = "INSERT INTO rating VALUES ('", "')"
+    return start + letter * (size - len(start) - len(end)) + end
 
 
 def body(case):
@@ -23,7 +30,7 @@
     client = pg_client.Client(port)
     broken = []
     for size in (1_000, SHORT, LONG if case.troubled else SHORT):
-        sql = f"INSERT INTO rating VALUES ('{'x' * size}')"
+        sql = insert("x", size)
         sent_at = time.monotonic()
         client.send(pg_client.statement(sql) + pg_client.SYNC)
         try:
@@ -33,13 +40,13 @@
         except pg_client.Silent:
             got = None
         after = time.monotonic() - sent_at
-        case.note(f"Parse, Bind, Execute, Sync with a value of {size} bytes: {got if got else 'no answer'} "
+        case.note(f"Parse, Bind, Execute, Sync with a statement of {size} bytes: {got if got else 'no answer'} "
                   f"after {after:.2f} s")
         if got is None:
             broken.append(f"no answer to a statement of {len(sql)} bytes within {after:.1f} s; the deadline of a "
                           f"transaction is {DEADLINE_S} s")
     other = pg_client.Client(port)
-    long_query = other.run(f"INSERT INTO rating VALUES ('{'y' * LONG}')") if case.troubled else other.run("SELECT 1")
+    long_query = other.run(insert("y", LONG)) if case.troubled else other.run("SELECT 1")
     case.note(f"for comparison, on another connection as one Query: {long_query}")
     return broken
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,7 +12,7 @@
 
 
 def body(case):
-    databases = {"db1": harness.free_port(), "db2": harness.free_port()}
+    databases = {f"db{number}": harness.free_port() for number in range(1, 6)}
     for name, port in databases.items():
         case.start_database(name, port)
     client = pg_client.Client(case.start_postgres_node(databases, 5000))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,29 +11,39 @@
 import pg_client  # noqa: E402
 
 DEADLINE_S = 1.0
+DOWN_S = 5.0
 WAIT_S = 10.0
 
 
+def wait(client, seconds):
+    """The answer to Parse, Describe and Flush: ErrorResponse, RowDescription or NoData ends it. None if there is none."""
+    try:
+        return client.answer(seconds, b"ETn")
+    except pg_client.Gone as error:
+        return [f"connection closed: {error}"]
+    except pg_client.Silent:
+        return None
+
+
 def body(case):
-    databases = {"db1": harness.free_port(), "db2": harness.free_port()}
+    databases = {f"db{number}": harness.free_port() for number in range(1, 6)}
     for name, port in databases.items():
         case.start_database(name, port)
     client = pg_client.Client(case.start_postgres_node(databases, int(DEADLINE_S * 1000)))
     for sql in ("BEGIN", "INSERT INTO rating VALUES ('row-1')"):
         case.note(f"{sql}: {client.run(sql)}")
     if case.troubled:
-        case.kill(next(name for name in databases if case.has_run(name, "row-1")))
+        lost = next(name for name in databases if case.has_run(name, "row-1"))
+        case.kill(lost)
         time.sleep(0.2)
     sent_at = time.monotonic()
     client.send(pg_client.parse("SELECT 2", "s1") + pg_client.describe_statement("s1") + pg_client.FLUSH)
     case.note("sent: Parse, Describe, Flush")
-    try:
-        # ErrorResponse, RowDescription or NoData ends the answer to these messages.
-        got = client.answer(WAIT_S, b"ETn")
-    except pg_client.Gone as error:
-        got = [f"connection closed: {error}"]
-    except pg_client.Silent:
-        got = None
+    got = wait(client, DOWN_S)
+    if case.troubled:
+        case.start_database(lost, databases[lost])
+    if got is None:
+        got = wait(client, WAIT_S - DOWN_S)
     after = time.monotonic() - sent_at
     case.note(f"Parse, Describe, Flush: {got if got else 'no answer'} after {after:.2f} s")
     if got is None:
