PostgreSQL: the console shows how many bytes the node holds for clients

A session that reads no further showed as idle, and memory held for clients, logged in or not, showed nowhere.

Change: SHOW CLIENTS has buffered_bytes (messages that are incomplete or not answered); SHOW STATS has their sum, client_bytes, and unidentified_bytes for clients that have not authenticated.

--- a/adapters/postgres/src/authentication.rs
+++ b/adapters/postgres/src/authentication.rs
@@ -10,6 +10,7 @@
 use badgerpost_postgres_session::server_messages::authentication_request;
 
 use crate::client::{Client, ClientError, random_bytes};
+use crate::unauthenticated_clients::PendingClient;
 
 /// Length of the secret from which the salts of unknown users are derived, in bytes.
 const SECRET_LENGTH: usize = 32;
@@ -38,7 +39,7 @@
     }
 
     /// Runs a SCRAM exchange that proves that the client knows the password of `user`. `channel_binding` is the
-    /// `tls-server-end-point` data of a TLS connection, `None` without TLS.
+    /// `tls-server-end-point` data of a TLS connection, `None` without TLS. `pending` is the client's slot.
     ///
     /// # Errors
     /// [`ClientError`] if the proof is invalid or the connection ends.
@@ -47,12 +48,13 @@
         client: &mut Client,
         user: &str,
         channel_binding: Option<&[u8]>,
+        pending: &PendingClient,
     ) -> Result<(), ClientError> {
         let mechanisms = offered_mechanisms(channel_binding.is_some());
         let request = authentication_request(authentication::SASL, mechanisms.as_bytes());
         client.send(&[request]).await?;
 
-        let response = client.read_password_message().await?;
+        let response = client.read_password_message(pending).await?;
         let initial = InitialResponse::read(&response)?;
         let started = scram::start_exchange(
             self.verifier(user),
@@ -65,7 +67,7 @@
         let request = authentication_request(authentication::SASL_CONTINUE, server_first);
         client.send(&[request]).await?;
 
-        let response = client.read_password_message().await?;
+        let response = client.read_password_message(pending).await?;
         let server_final = started.exchange.finish(&response.body)?;
         let request = authentication_request(authentication::SASL_FINAL, server_final.as_bytes());
         Ok(client.send(&[request]).await?)
--- a/adapters/postgres/src/client.rs
+++ b/adapters/postgres/src/client.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::stream::Stream;
+use crate::unauthenticated_clients::PendingClient;
 
 /// Maximum length of the body of a `PasswordMessage` or SASL response, in bytes.
 const MAX_PASSWORD_MESSAGE_LENGTH: usize = 4096;
@@ -86,7 +87,10 @@
     ///
     /// # Errors
     /// [`ClientError`] if the message is of another type or too long, or the connection ends.
-    pub async fn read_password_message(&mut self) -> Result<Frame, ClientError> {
+    pub async fn read_password_message(
+        &mut self,
+        pending: &PendingClient,
+    ) -> Result<Frame, ClientError> {
         loop {
             match self.decoder.next_from_client()? {
                 Some(DecodeResult::Frame(frame))
@@ -104,6 +108,7 @@
                 return Err(ClientError::Closed);
             }
             self.decoder.push(&buffer[..read]);
+            pending.record_received(self.decoder.buffered_len());
         }
     }
 }
--- a/adapters/postgres/src/client_registry.rs
+++ b/adapters/postgres/src/client_registry.rs
@@ -61,6 +61,7 @@
     pub identity: ClientIdentity,
     transactions: Cell<u64>,
     activity: Cell<SessionActivity>,
+    buffered_bytes: Cell<usize>,
     cancel_handle: CancelHandle,
     disconnect: Notify,
 }
@@ -75,6 +76,11 @@
     pub fn activity(&self) -> SessionActivity {
         self.activity.get()
     }
+
+    /// Received bytes that the session buffers: incomplete and unanswered messages.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered_bytes.get()
+    }
 }
 
 /// The clients that have a session. Their number is bounded by the limit on client connections.
@@ -100,6 +106,7 @@
             identity,
             transactions: Cell::new(0),
             activity: Cell::default(),
+            buffered_bytes: Cell::new(0),
             cancel_handle: CancelHandle::default(),
             disconnect: Notify::new(),
         });
@@ -115,6 +122,12 @@
         self.entries.borrow().values().cloned().collect()
     }
 
+    /// Received bytes that are buffered for all clients.
+    pub fn buffered_bytes(&self) -> usize {
+        let entries = self.entries.borrow();
+        entries.values().map(|entry| entry.buffered_bytes()).sum()
+    }
+
     /// Number of transactions completed by all clients since the node started.
     pub fn transactions(&self) -> u64 {
         let entries = self.entries.borrow();
@@ -189,6 +202,11 @@
         self.entry().activity.set(activity);
     }
 
+    /// Updates the number of received bytes that the session buffers.
+    pub fn set_buffered_bytes(&self, bytes: usize) {
+        self.entry().buffered_bytes.set(bytes);
+    }
+
     /// Resolves when an operator requests the end of the session.
     pub async fn disconnect_requested(&self) {
         self.entry().disconnect.notified().await;
--- a/adapters/postgres/src/console/tables.rs
+++ b/adapters/postgres/src/console/tables.rs
@@ -50,6 +50,7 @@
         "server",
         "pinned",
         "transactions",
+        "buffered_bytes",
     ];
     let clients = context.clients.clients();
     let rows = clients.iter().map(|client| client_row(client));
@@ -72,6 +73,7 @@
         &server.unwrap_or_default(),
         &sticky_reason.unwrap_or_default(),
         &client.transactions(),
+        &client.buffered_bytes(),
     ])
 }
 
@@ -112,6 +114,8 @@
         row([&"transactions", &context.clients.transactions()]),
         row([&"unidentified", &unauthenticated.pending()]),
         row([&"unidentified_evicted", &unauthenticated.evictions()]),
+        row([&"unidentified_bytes", &unauthenticated.buffered_bytes()]),
+        row([&"client_bytes", &context.clients.buffered_bytes()]),
     ];
     Table::new(&["name", "value"], rows)
 }
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -203,6 +203,9 @@
             }
             if progress == Progress::Stalled {
                 self.release_buffers();
+                let buffered_bytes =
+                    self.client_decoder.buffered_len() + self.session.backlog().bytes;
+                self.registered.set_buffered_bytes(buffered_bytes);
                 return Poll::Pending;
             }
         }
--- a/adapters/postgres/src/server/admission.rs
+++ b/adapters/postgres/src/server/admission.rs
@@ -84,7 +84,8 @@
                 return Ok(Some(Authenticated::Cancel(request)));
             }
         };
-        self.authenticate(&mut client, &startup.user).await?;
+        self.authenticate(&mut client, &startup.user, pending)
+            .await?;
         Ok(Some(Authenticated::Client(AuthenticatedClient {
             client,
             startup,
@@ -126,7 +127,12 @@
     }
 
     /// Checks that the client uses TLS where required, and authenticates the client.
-    async fn authenticate(&self, client: &mut Client, user: &str) -> Result<(), ClientError> {
+    async fn authenticate(
+        &self,
+        client: &mut Client,
+        user: &str,
+        pending: &PendingClient,
+    ) -> Result<(), ClientError> {
         let is_tls = client.stream.is_tls();
         if self.tls.as_ref().is_some_and(|tls| tls.is_required) && !is_tls {
             let detail = "the node accepts TLS connections only";
@@ -137,7 +143,10 @@
             .as_ref()
             .filter(|_| is_tls)
             .map(|tls| tls.channel_binding.as_slice());
-        match self.users.authenticate(client, user, channel_binding).await {
+        let authentication = self
+            .users
+            .authenticate(client, user, channel_binding, pending);
+        match authentication.await {
             Err(ClientError::Authentication(error)) => Err(client
                 .reject(ErrorReason::AuthenticationFailed, None, error)
                 .await),
--- a/adapters/postgres/src/server/startup.rs
+++ b/adapters/postgres/src/server/startup.rs
@@ -95,8 +95,8 @@
         if read == 0 {
             return Ok(None);
         }
-        pending.record_activity();
         reader.push(&buffer[..read]);
+        pending.record_received(reader.buffered_len());
     }
 }
 
--- a/adapters/postgres/src/unauthenticated_clients.rs
+++ b/adapters/postgres/src/unauthenticated_clients.rs
@@ -12,6 +12,8 @@
 struct Slot {
     /// Sequence number, over all clients, of the last input from this client; 0 before the first input.
     last_event: Cell<u64>,
+    /// Received bytes that are buffered, because their message is incomplete.
+    buffered_bytes: Cell<usize>,
     evicted: Notify,
 }
 
@@ -78,6 +80,12 @@
         self.slots.borrow().len()
     }
 
+    /// Received bytes that are buffered for all clients that hold a slot.
+    pub fn buffered_bytes(&self) -> usize {
+        let slots = self.slots.borrow();
+        slots.values().map(|slot| slot.buffered_bytes.get()).sum()
+    }
+
     /// Number of clients evicted since the node started.
     pub fn evictions(&self) -> u64 {
         self.evictions.get()
@@ -85,11 +93,12 @@
 }
 
 impl PendingClient {
-    /// Records that bytes were received from this client.
-    pub fn record_activity(&self) {
+    /// Records that bytes were received from this client, and how many are buffered now.
+    pub fn record_received(&self, buffered_bytes: usize) {
         let events = self.clients.events.get() + 1;
         self.clients.events.set(events);
         self.slot.last_event.set(events);
+        self.slot.buffered_bytes.set(buffered_bytes);
     }
 
     /// Resolves when the client is evicted.
--- a/adapters/postgres/src/unauthenticated_clients/tests.rs
+++ b/adapters/postgres/src/unauthenticated_clients/tests.rs
@@ -15,7 +15,7 @@
 fn the_client_that_was_silent_longest_is_evicted() {
     let all = UnauthenticatedClients::new(3);
     let clients: Vec<PendingClient> = (0..3).map(|_| all.admit()).collect();
-    clients[0].record_activity();
+    clients[0].record_received(0);
     let _fourth = all.admit();
     // The first client has sent data. Of the two silent clients, the second arrived before the third.
     assert_eq!(
--- a/core/postgres-session/src/startup.rs
+++ b/core/postgres-session/src/startup.rs
@@ -197,6 +197,12 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Number of received bytes that are not decoded yet.
+    #[must_use]
+    pub fn buffered_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Takes the bytes received after the last packet. The caller must reject a client that sends bytes between an
     /// `SSLRequest` and the TLS handshake, because these unencrypted bytes would be treated as encrypted
     /// (CVE-2021-23214).
