PostgreSQL: a batch that fills the session's buffer is sent in parts

Batches of more than 4,096 messages ended with 08P01.

Cause: a batch was sent once its end or a Flush had been read, and nothing was read any more with 64 KiB buffered. With the end behind the 64 KiB both sides waited, no server was asked for, and no deadline ran. A close is noticed by reading only.

Fix: a batch that fills the buffer is sent as far as it is read, behind a Flush, and what is sent is dropped; its effects are determined part by part, and it isn't sent to a second server. More is read once the server has answered most of it. A client from which nothing is read is checked every 50 ms for having disconnected.

Also found, by the reference with a buffer of three messages, and fixed as it is the same rule: copy data, and the Sync behind them, were not read behind a COPY whose batch alone fills the buffer (08006 after the deadline). The limit of 256 statements counted answered ones only; it counts those of the batch now.

--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -121,6 +121,9 @@
     to_client: BytesMut,
     to_server: BytesMut,
     client_needs_flush: bool,
+    /// Resolves when a client from which nothing is read is checked for having disconnected; `None` while the session
+    /// reads from its client.
+    disconnect_check: Option<Notification>,
     ended: bool,
 }
 
@@ -147,6 +150,7 @@
             to_client: greeting,
             to_server: BytesMut::new(),
             client_needs_flush: false,
+            disconnect_check: None,
             ended: false,
         }
     }
@@ -195,6 +199,7 @@
                 Self::read_server,
                 Self::poll_engine,
                 Self::read_client,
+                Self::check_client_connection,
             ] {
                 progress |= step(self, cx);
                 if self.ended {
--- a/adapters/postgres/src/relay/streams.rs
+++ b/adapters/postgres/src/relay/streams.rs
@@ -25,6 +25,8 @@
 /// Longest time in which the operating system takes none of the last bytes of a session. A full send buffer takes more
 /// once a third of it is free, which can take a client that reads 64 kB/s this long.
 const SEND_PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which a client from which nothing is read is checked for having disconnected.
+const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time limit for closing a client's connection after its last bytes.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -77,11 +79,14 @@
         Progress::Advanced
     }
 
+    fn reads_from_client(&self) -> bool {
+        self.session.accepts_client_messages()
+            && self.to_server.len() < MAX_UNSENT_BYTES
+            && self.to_client.len() < MAX_UNSENT_BYTES
+    }
+
     pub(super) fn read_client(&mut self, cx: &mut Context<'_>) -> Progress {
-        if !self.session.accepts_client_messages()
-            || self.to_server.len() >= MAX_UNSENT_BYTES
-            || self.to_client.len() >= MAX_UNSENT_BYTES
-        {
+        if !self.reads_from_client() {
             return Progress::Stalled;
         }
         match poll_read(&mut self.client, &mut self.client_decoder, cx) {
@@ -92,6 +97,27 @@
         Progress::Advanced
     }
 
+    /// Ends the session if its client has closed the connection while nothing is read from it. What the client sent
+    /// before is dropped: nobody waits for the responses.
+    pub(super) fn check_client_connection(&mut self, cx: &mut Context<'_>) -> Progress {
+        if self.reads_from_client() {
+            self.disconnect_check = None;
+            return Progress::Stalled;
+        }
+        let clock = self.context.engine.clock();
+        let check = self
+            .disconnect_check
+            .get_or_insert_with(|| Box::pin(clock.sleep(DISCONNECT_CHECK_INTERVAL)));
+        if check.as_mut().poll(cx).is_pending() {
+            return Progress::Stalled;
+        }
+        self.disconnect_check = None;
+        if self.client.is_read_closed(cx) {
+            self.handle(Event::ClientDisconnected);
+        }
+        Progress::Advanced
+    }
+
     pub(super) fn write_server(&mut self, cx: &mut Context<'_>) -> Progress {
         let mut progress = Progress::Stalled;
         while let (Some(server), false) = (&mut self.server, self.to_server.is_empty()) {
--- a/adapters/postgres/src/stream.rs
+++ b/adapters/postgres/src/stream.rs
@@ -75,6 +75,15 @@
         matches!(self, Self::Tls(_))
     }
 
+    /// Whether the peer is known to have closed its side. Bytes that it sent before may still be unread.
+    pub fn is_read_closed(&self, cx: &mut Context<'_>) -> bool {
+        let socket = match self {
+            Self::Plain(stream) => stream,
+            Self::Tls(stream) => stream.get_ref().0,
+        };
+        socket.0.is_read_closed(cx)
+    }
+
     /// Whether the connection is open and has no unread input. The check consumes a pending byte, so the connection
     /// must be closed if the result is false.
     pub fn is_open_without_pending_input(&mut self) -> bool {
--- a/core/postgres-session/src/prepared_statements.rs
+++ b/core/postgres-session/src/prepared_statements.rs
@@ -68,6 +68,18 @@
         self.texts.get(name)
     }
 
+    /// Number of statements.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.texts.len()
+    }
+
+    /// Whether there are no statements.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.texts.is_empty()
+    }
+
     /// Removes a statement, if it exists.
     pub fn remove(&mut self, name: &[u8]) {
         self.texts.remove(name);
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -16,6 +16,7 @@
 //!
 //! Source: PostgreSQL documentation, chapter "Frontend/Backend Protocol", "Message Flow".
 
+mod batch_effects;
 mod client_messages;
 mod event;
 mod forwarding;
@@ -31,6 +32,7 @@
 
 use bytes::{Bytes, BytesMut};
 
+use self::batch_effects::KnownStatements;
 pub use self::event::{Action, Event, ServerState};
 use self::message_batch::MessageBatch;
 use self::server_link::{NameChange, ServerLink};
@@ -42,19 +44,35 @@
 use crate::sql_analysis::{AccessMode, StatementEffects, TransactionStep};
 use crate::sticky::StickyReason;
 
-/// Buffered bytes of client messages at which [`Session::accepts_client_messages`] returns false. The buffer can exceed
-/// the limit by one message.
-pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Unanswered batches at which [`Session::accepts_client_messages`] returns false.
 pub const MAX_PENDING_BATCHES: usize = 64;
-/// Maximum number of messages in a batch; a longer batch is rejected as a protocol violation.
-const MAX_BATCH_MESSAGES: usize = 4096;
+
+/// Limits of the client messages that a session buffers. The buffer can exceed them by one message. The messages of an
+/// incomplete batch that reaches a limit are sent to the server before the batch is complete.
+#[derive(Clone, Copy, Debug)]
+pub struct BufferLimits {
+    /// Size of the messages on the wire, in bytes.
+    pub bytes: usize,
+    /// Number of messages; also of messages that the server has not answered, and of statement names that they change.
+    pub messages: usize,
+}
+
+impl Default for BufferLimits {
+    fn default() -> Self {
+        Self {
+            bytes: 64 * 1024,
+            messages: 1024,
+        }
+    }
+}
 
 /// Client messages that a session has buffered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Backlog {
     /// Size of the messages on the wire, in bytes.
     pub bytes: usize,
+    /// Number of messages that are buffered, or sent and unanswered, whichever is larger.
+    pub messages: usize,
     /// Number of unanswered batches.
     pub batches: usize,
 }
@@ -75,6 +93,7 @@
     batches: VecDeque<MessageBatch>,
     /// Wire size of all messages in `batches`, in bytes.
     buffered_bytes: usize,
+    buffer_limits: BufferLimits,
     server_link: ServerLink,
     settings: ClientSettings,
     named_statements: ClientStatements,
@@ -120,13 +139,57 @@
         }
     }
 
-    /// Whether the caller should read more from the client: the session has not ended and is below
-    /// [`MAX_BUFFERED_BYTES`] and [`MAX_PENDING_BATCHES`].
+    /// Like [`Self::new`], with other limits than the default.
+    #[must_use]
+    pub fn with_buffer_limits(settings: ClientSettings, buffer_limits: BufferLimits) -> Self {
+        Self {
+            buffer_limits,
+            ..Self::new(settings)
+        }
+    }
+
+    /// Whether the caller should read more from the client: the session has not ended, its buffer is not full, fewer
+    /// than [`MAX_PENDING_BATCHES`] batches are unanswered, and the server has answered most of the messages sent.
     #[must_use]
     pub fn accepts_client_messages(&self) -> bool {
         !self.ended
-            && self.buffered_bytes < MAX_BUFFERED_BYTES
+            && !self.is_buffer_full()
             && self.batches.len() < MAX_PENDING_BATCHES
+            && self.unanswered_messages() < self.buffer_limits.messages
+    }
+
+    fn is_buffer_full(&self) -> bool {
+        let (mut bytes, mut messages) = (self.buffered_bytes, self.buffered_messages());
+        if let Some(batch) = self.copying_batch() {
+            bytes = bytes.saturating_sub(batch.wire_len());
+            messages = messages.saturating_sub(batch.frames.len());
+        }
+        bytes >= self.buffer_limits.bytes || messages >= self.buffer_limits.messages
+    }
+
+    /// The complete batch for which the server waits for copy data from the client, or for the `Sync` behind the data.
+    /// However large the batch is, these have to be read.
+    fn copying_batch(&self) -> Option<&MessageBatch> {
+        let ServerLink::Attached(server) = &self.server_link else {
+            return None;
+        };
+        let first = self.batches.front()?;
+        (server.awaits_copy_end() && first.is_complete).then_some(first)
+    }
+
+    fn buffered_messages(&self) -> usize {
+        self.batches.iter().map(|batch| batch.frames.len()).sum()
+    }
+
+    /// Number of sent messages that the server has to answer before more is read from the client. They are followed by
+    /// a `Flush` or a `Sync`, so the server answers them; only in a copy it waits for the client.
+    fn unanswered_messages(&self) -> usize {
+        match &self.server_link {
+            ServerLink::Attached(server) if !server.awaits_copy_end() => {
+                server.expected.len().max(self.pending_names.len())
+            }
+            _ => 0,
+        }
     }
 
     /// Size of the client's unanswered messages.
@@ -134,6 +197,7 @@
     pub fn backlog(&self) -> Backlog {
         Backlog {
             bytes: self.buffered_bytes,
+            messages: self.buffered_messages().max(self.unanswered_messages()),
             batches: self.batches.len(),
         }
     }
@@ -171,10 +235,7 @@
     #[must_use]
     pub fn is_running(&self) -> bool {
         matches!(&self.server_link, ServerLink::Attached(_))
-            && self
-                .batches
-                .front()
-                .is_some_and(|batch| batch.sent_count > 0)
+            && self.batches.front().is_some_and(MessageBatch::is_started)
     }
 
     /// Handles an event and appends the resulting actions, in the order in which the caller must perform them.
@@ -200,7 +261,11 @@
 
     /// Forwards or answers the first batch, and the following ones as long as batches are answered locally.
     fn advance(&mut self, actions: &mut Vec<Action>) {
-        while !self.ended && self.drop_ignored_messages() && self.first_batch_is_ready() {
+        while !self.ended && self.drop_ignored_messages() {
+            self.flush_full_batch();
+            if !self.first_batch_is_ready() {
+                return;
+            }
             if self.transaction_lost {
                 // The answer depends on all statements of the batch, so wait until the batch is complete.
                 if !self.batches.front().is_some_and(|batch| batch.is_complete) {
@@ -225,6 +290,17 @@
         }
     }
 
+    /// If the first batch is incomplete and fills the buffer, lets its messages be sent: nothing more is read from the
+    /// client before, so the rest of the batch would never arrive.
+    fn flush_full_batch(&mut self) {
+        if !self.is_buffer_full() {
+            return;
+        }
+        if let Some(batch) = self.batches.front_mut() {
+            batch.flushed_count = batch.frames.len();
+        }
+    }
+
     /// Whether the first batch has messages that may be sent.
     fn first_batch_is_ready(&self) -> bool {
         self.batches
@@ -256,14 +332,11 @@
         let Some(batch) = self.batches.front_mut() else {
             return Rc::default();
         };
-        if let Some(effects) = &batch.effects {
-            return effects.clone();
-        }
-        let effects = batch.analyze(&mut self.named_statements, self.unnamed_statement.as_ref());
-        if batch.is_complete {
-            batch.effects = Some(effects.clone());
-        }
-        effects
+        batch.analyze(&mut KnownStatements {
+            named: &mut self.named_statements,
+            unnamed: self.unnamed_statement.as_ref(),
+            pending: &self.pending_names,
+        })
     }
 
     /// Removes the first batch and subtracts its size from `buffered_bytes`.
--- a/core/postgres-session/src/session/client_messages.rs
+++ b/core/postgres-session/src/session/client_messages.rs
@@ -4,7 +4,7 @@
 
 use super::message_batch::MessageBatch;
 use super::server_link::ServerLink;
-use super::{Action, MAX_BATCH_MESSAGES, Session, encode, send_to_client};
+use super::{Action, Session, encode, send_to_client};
 use crate::frame::{DecodeResult, Frame};
 use crate::message_tags::frontend;
 use crate::server_messages::{self, ErrorReason};
@@ -72,12 +72,6 @@
         if is_flush {
             batch.flushed_count = batch.frames.len();
         }
-        if batch.frames.len() > MAX_BATCH_MESSAGES {
-            self.reject_violation(
-                Some("too many messages in a batch before its Sync"),
-                actions,
-            );
-        }
     }
 
     /// Forwards the `Sync` that follows copy data if the server ignored the `Sync` before the data. Returns whether
--- a/core/postgres-session/src/session/forwarding.rs
+++ b/core/postgres-session/src/session/forwarding.rs
@@ -1,6 +1,6 @@
 //! Sends the client's settings and batches to the server connection.
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 
 use super::message_writer::{MessageWriter, StatementNames, query_frame};
 use super::server_link::{ExpectedResponse, ServerConnection, ServerLink};
@@ -37,12 +37,13 @@
         }
     }
 
-    /// Whether the current batch may be sent to a second server: the client has received no part of the response, the
-    /// first server had no open transaction, and no COMMIT is unanswered.
+    /// Whether the current batch may be sent to a second server: all of its messages are still there, the client has
+    /// received no part of the response, the first server had no open transaction, and no COMMIT is unanswered.
     fn may_retry(&self) -> bool {
         let is_open_at_server =
             self.status != TransactionStatus::Idle && self.deferred_begin.is_none();
-        !self.response_started && !is_open_at_server && !self.commit_in_flight
+        let is_streamed = self.batches.front().is_some_and(|batch| batch.is_streamed);
+        !self.response_started && !is_open_at_server && !self.commit_in_flight && !is_streamed
     }
 
     /// Sends the messages of the first batch that are ready and unsent.
@@ -58,21 +59,40 @@
             return;
         };
         batch.sent_count = batch.ready_count();
-        let is_alone = batch.sent_count == 1;
+        let is_alone = batch.sent_count == 1 && !batch.is_streamed;
+        let awaits_more = !batch.is_complete && !batch.ends_with(frontend::FLUSH);
         for frame in &frames {
             if self.write_message(frame, is_alone, &mut buffer).is_err() {
                 return self.reject_violation(None, actions);
             }
         }
+        if awaits_more {
+            // Otherwise the server could keep its responses until the end of the batch, for which the session has to
+            // wait once too many messages are unanswered.
+            Frame::new(frontend::FLUSH, Bytes::new()).write(&mut buffer);
+        }
         if !buffer.is_empty() {
             actions.push(Action::ToServer(buffer.freeze()));
             if let ServerLink::Attached(server) = &mut self.server_link {
                 server.has_open_batch = true;
             }
         }
+        self.drop_sent_messages();
         self.send_local_responses(actions);
     }
 
+    /// Makes room for the rest of an incomplete batch that fills the buffer.
+    fn drop_sent_messages(&mut self) {
+        if !self.is_buffer_full() {
+            return;
+        }
+        if let Some(batch) = self.batches.front_mut()
+            && !batch.is_complete
+        {
+            self.buffered_bytes = self.buffered_bytes.saturating_sub(batch.drop_sent());
+        }
+    }
+
     /// Returns the messages of the first batch to send now; `None` if there are none or the server is still checking
     /// the client's settings.
     fn unsent_frames(&mut self) -> Option<Vec<Frame>> {
@@ -85,7 +105,7 @@
             return None;
         }
         let frames = batch.frames[unsent].to_vec();
-        if batch.sent_count == 0 {
+        if !batch.is_started() {
             self.pending_names.clear();
             self.batch_failed = false;
             self.deallocated_name = None;
@@ -160,9 +180,7 @@
         while let Some(batch) = self.batches.front_mut() {
             self.buffered_bytes = self.buffered_bytes.saturating_sub(batch.wire_len());
             if !batch.is_complete {
-                batch.frames.clear();
-                batch.sent_count = 0;
-                batch.flushed_count = 0;
+                batch.drop_ignored(0);
                 return false;
             }
             if batch.ends_with(frontend::SYNC) {
@@ -181,9 +199,7 @@
         let Some(batch) = self.batches.front_mut() else {
             return;
         };
-        batch.frames.drain(..batch.frames.len().saturating_sub(1));
-        batch.sent_count = 0;
-        batch.effects = None;
+        batch.drop_ignored(1);
         self.buffered_bytes += batch.wire_len();
         if let ServerLink::Attached(server) = &mut self.server_link {
             server.skips_to_sync = false;
--- a/core/postgres-session/src/session/message_batch.rs
+++ b/core/postgres-session/src/session/message_batch.rs
@@ -1,32 +1,40 @@
-//! Batches of client messages and their effects on the transaction and the session.
+//! Batches of client messages.
 
 use std::rc::Rc;
 
 use bytes::Bytes;
 
-use crate::extended_query::{self, ParseMessage, StatementText};
+use super::batch_effects::{self, BatchEffects, KnownStatements};
+use crate::extended_query::StatementText;
 use crate::frame::Frame;
 use crate::message_tags::frontend;
-use crate::prepared_statements::ClientStatements;
-use crate::sql_analysis::{self, StatementEffects};
+use crate::sql_analysis::StatementEffects;
 
 /// Messages up to a `Sync`, `Query` or `FunctionCall`, which are answered by one `ReadyForQuery`.
 #[derive(Debug, Default)]
 pub(super) struct MessageBatch {
-    /// Messages received so far, kept until the response is complete so that they can be sent to another server.
+    /// Messages received so far, kept until the response is complete so that they can be sent to another server. If the
+    /// batch is streamed, only the messages that are not sent yet.
     pub(super) frames: Vec<Frame>,
     /// The `Sync`, `Query` or `FunctionCall` that ends the batch was received.
     pub(super) is_complete: bool,
-    /// Number of messages up to the last `Flush`, which are sent before the batch is complete.
+    /// Number of messages up to the last `Flush`, or up to the last one that was received when the buffer was full.
+    /// They are sent before the batch is complete.
     pub(super) flushed_count: usize,
-    /// Number of messages sent to the server.
+    /// Number of messages in `frames` that are sent to the server.
     pub(super) sent_count: usize,
+    /// Messages were dropped after they were sent, because the batch is larger than the buffer. The batch cannot be
+    /// sent to another server.
+    pub(super) is_streamed: bool,
     /// The batch failed before its `Sync` was received; all messages up to the `Sync` are dropped.
     pub(super) is_skipped: bool,
     /// Number of `CloseComplete` messages of the batch that were sent to the client.
     pub(super) close_completes_sent: usize,
-    /// Cached effects of the statements; `None` until the effects of the complete batch are determined.
+    /// Effects of the statements; `None` until the batch is complete and analyzed.
     pub(super) effects: Option<Rc<StatementEffects>>,
+    /// Effects of the first `analyzed_count` messages of an incomplete batch, and of dropped ones.
+    partial_effects: Option<Box<BatchEffects>>,
+    analyzed_count: usize,
 }
 
 impl MessageBatch {
@@ -38,14 +46,28 @@
         }
     }
 
+    /// Creates a complete batch whose messages were dropped, and whose `Sync` is to be answered.
+    pub(super) fn dropped() -> Self {
+        Self {
+            is_complete: true,
+            ..Self::default()
+        }
+    }
+
+    /// Whether a part of the batch was sent to the server.
+    pub(super) fn is_started(&self) -> bool {
+        self.sent_count > 0 || self.is_streamed
+    }
+
     /// Whether the batch only closes statements and portals.
     pub(super) fn only_closes(&self) -> bool {
-        self.frames.iter().all(|frame| {
-            matches!(
-                frame.tag,
-                frontend::CLOSE | frontend::SYNC | frontend::FLUSH
-            )
-        })
+        !self.is_streamed
+            && self.frames.iter().all(|frame| {
+                matches!(
+                    frame.tag,
+                    frontend::CLOSE | frontend::SYNC | frontend::FLUSH
+                )
+            })
     }
 
     /// Number of messages that may be sent to a server.
@@ -74,116 +96,49 @@
 
     /// Returns the text of the batch's first `Parse` for this statement name.
     pub(super) fn parsed_text(&self, name: &Bytes) -> Option<StatementText> {
-        self.frames
-            .iter()
-            .filter(|frame| frame.tag == frontend::PARSE)
-            .filter_map(|frame| ParseMessage::read(frame).ok())
-            .find(|parse| parse.name == *name)
-            .map(|parse| parse.text)
+        batch_effects::parsed_text(&self.frames, name)
     }
 
-    /// Determines the combined effects of the received messages. Statements whose text is unknown have no effects.
-    pub(super) fn analyze(
-        &self,
-        statements: &mut ClientStatements,
-        unnamed_statement: Option<&StatementText>,
-    ) -> Rc<StatementEffects> {
-        let mut effects = self.statement_effects(statements, unnamed_statement);
-        let executes_all = self.executes_all_bound();
-        if executes_all && effects.len() == 1 {
-            // Share the cached effects of a single statement.
-            return effects.pop().unwrap_or_default();
+    /// Determines the combined effects of all messages received so far.
+    pub(super) fn analyze(&mut self, known: &mut KnownStatements<'_>) -> Rc<StatementEffects> {
+        if let Some(effects) = &self.effects {
+            return effects.clone();
         }
-        Rc::new(merge_effects(&effects, executes_all))
-    }
-
-    /// Returns the effects of each statement that the batch runs or binds, in order.
-    fn statement_effects(
-        &self,
-        statements: &mut ClientStatements,
-        unnamed_statement: Option<&StatementText>,
-    ) -> Vec<Rc<StatementEffects>> {
-        let mut unnamed_statement = unnamed_statement.cloned();
-        let mut effects = Vec::new();
-        for frame in &self.frames {
-            match frame.tag {
-                frontend::QUERY => {
-                    let sql = frame.first_string().unwrap_or_default();
-                    effects.push(Rc::new(sql_analysis::analyze_bytes(sql)));
-                }
-                // The message identifies the function by object ID, so its effects are unknown.
-                frontend::FUNCTION_CALL => effects.push(Rc::new(StatementEffects::unknown())),
-                frontend::PARSE => {
-                    if let Ok(parse) = ParseMessage::read(frame)
-                        && parse.name.is_empty()
-                    {
-                        unnamed_statement = Some(parse.text);
-                    }
-                }
-                frontend::BIND => {
-                    let name = extended_query::bind_statement(frame).unwrap_or_default();
-                    effects.extend(self.bound_effects(
-                        &name,
-                        unnamed_statement.as_ref(),
-                        statements,
-                    ));
-                }
-                _ => {}
-            }
-        }
-        effects
-    }
-
-    /// Returns the effects of the statement named by a `Bind`; `None` if its text is unknown.
-    fn bound_effects(
-        &self,
-        name: &Bytes,
-        unnamed_statement: Option<&StatementText>,
-        statements: &mut ClientStatements,
-    ) -> Option<Rc<StatementEffects>> {
-        // A statement prepared by this batch is not in `statements` yet.
-        let text = if name.is_empty() {
-            unnamed_statement.cloned()
+        let mut effects = self.partial_effects.take().unwrap_or_default();
+        effects.add(&self.frames, self.analyzed_count, known);
+        let combined = effects.combined();
+        if self.is_complete {
+            self.effects = Some(combined.clone());
         } else {
-            self.parsed_text(name)
-        };
-        match text {
-            Some(text) => Some(Rc::new(text.analyze())),
-            None => statements.effects(name),
+            self.analyzed_count = self.frames.len();
+            self.partial_effects = Some(effects);
         }
+        combined
     }
 
-    /// Whether every bound statement is executed, so that its resets of settings take effect: the batch has as many
-    /// `Execute` as `Bind` messages and no `Query`.
-    fn executes_all_bound(&self) -> bool {
-        let binds = self.count(frontend::BIND);
-        binds == 0 || (binds == self.count(frontend::EXECUTE) && self.count(frontend::QUERY) == 0)
-    }
-
-    fn count(&self, tag: u8) -> usize {
-        self.frames.iter().filter(|frame| frame.tag == tag).count()
+    /// Drops the sent messages, which must be analyzed. Returns their size on the wire, in bytes.
+    pub(super) fn drop_sent(&mut self) -> usize {
+        let sent = self.frames.drain(..self.sent_count);
+        let bytes = sent.map(|frame| frame.wire_len()).sum();
+        self.flushed_count -= self.sent_count;
+        self.analyzed_count -= self.sent_count;
+        self.sent_count = 0;
+        self.is_streamed = true;
+        if let Some(effects) = &mut self.partial_effects {
+            effects.compact();
+        }
+        bytes
     }
-}
 
-/// Combines the effects of statements that run one after another. Resets of settings are included only if
-/// `executes_all` is set.
-fn merge_effects(effects: &[Rc<StatementEffects>], executes_all: bool) -> StatementEffects {
-    let mut merged = StatementEffects::default();
-    for one in effects {
-        merged.steps.extend(&one.steps);
-        merged.sticky_reason = merged.sticky_reason.or(one.sticky_reason);
-        merged.discards_all = one.discards_all;
-        merged.deallocates_all |= one.deallocates_all;
-        merged.resets_all_settings |= one.resets_all_settings;
-        merged.is_standalone = one.is_standalone && merged.steps.len() == 1;
-        merged
-            .reset_settings
-            .retain(|name| !one.set_settings.contains(name));
-        if executes_all {
-            merged
-                .reset_settings
-                .extend(one.reset_settings.iter().cloned());
-        }
+    /// Drops all messages but the last `kept` ones, because the server ignores them after an error.
+    pub(super) fn drop_ignored(&mut self, kept: usize) {
+        let ignored = self.frames.len().saturating_sub(kept);
+        self.frames.drain(..ignored);
+        *self = Self {
+            frames: std::mem::take(&mut self.frames),
+            is_complete: self.is_complete,
+            close_completes_sent: self.close_completes_sent,
+            ..Self::default()
+        };
     }
-    merged
 }
--- a/core/postgres-session/src/session/message_writer.rs
+++ b/core/postgres-session/src/session/message_writer.rs
@@ -14,7 +14,7 @@
 };
 use crate::frame::Frame;
 use crate::message_tags::{backend, frontend};
-use crate::prepared_statements::{self, ClientStatements};
+use crate::prepared_statements::{self, ClientStatements, MAX_NAMED_STATEMENTS};
 use crate::server_messages::TransactionStatus;
 use crate::sql_analysis;
 
@@ -37,6 +37,20 @@
         }
     }
 
+    /// Whether the client may prepare a statement under this new name.
+    fn has_capacity(&self, name: &Bytes) -> bool {
+        let prepares_new = |(name, text): (&Bytes, &Option<StatementText>)| {
+            !name.is_empty() && text.is_some() && self.named.get(name).is_none()
+        };
+        let added = self.pending.iter().filter(|change| prepares_new(*change));
+        let closed = self
+            .pending
+            .iter()
+            .filter(|(name, text)| text.is_none() && self.named.get(name).is_some());
+        self.named.get(name).is_some()
+            || self.named.len() + added.count() < MAX_NAMED_STATEMENTS + closed.count()
+    }
+
     fn set(&mut self, name: Bytes, text: StatementText) {
         self.pending.insert(name, Some(text));
     }
@@ -130,7 +144,7 @@
             self.parse_duplicate_name(parse);
             return Ok(());
         }
-        if !self.names.named.has_capacity(&parse.name) {
+        if !self.names.has_capacity(&parse.name) {
             return Err(MalformedMessage);
         }
         if self.server.state.prepared.contains(&parse.text) {
--- a/core/postgres-session/src/session/server_link.rs
+++ b/core/postgres-session/src/session/server_link.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether the server waits for copy data, or for the `Sync` that ends a copy.
+    pub(super) fn awaits_copy_end(&self) -> bool {
+        self.is_copying_in || self.has_ignored_sync
+    }
+
     /// Whether nothing that was sent on the connection is unfinished, so that another session can use it.
     pub(super) fn is_reusable(&self) -> bool {
         self.expected.is_empty() && !self.has_open_batch && !self.is_copy_message_incomplete
--- a/core/postgres-session/src/session/server_loss.rs
+++ b/core/postgres-session/src/session/server_loss.rs
@@ -118,7 +118,7 @@
     /// statements.
     fn is_between_statements(&self) -> bool {
         self.batches.front().is_none_or(|batch| {
-            self.transaction_lost && (batch.sent_count == 0 || batch.only_closes())
+            self.transaction_lost && (!batch.is_started() || batch.only_closes())
         })
     }
 
@@ -181,10 +181,7 @@
                 break;
             }
             if batch.ends_with(frontend::SYNC) {
-                self.batches.push_front(MessageBatch {
-                    is_complete: true,
-                    ..MessageBatch::default()
-                });
+                self.batches.push_front(MessageBatch::dropped());
                 return false;
             }
         }
--- a/core/postgres-session/src/session/server_responses.rs
+++ b/core/postgres-session/src/session/server_responses.rs
@@ -192,6 +192,16 @@
             self.apply_name_change(name_change);
             self.send_response(encode(&frame), actions);
         }
+        self.forget_answered_names();
+    }
+
+    /// Once all sent messages are answered, the client's statements include their changes.
+    fn forget_answered_names(&mut self) {
+        if let ServerLink::Attached(server) = &self.server_link
+            && server.expected.is_empty()
+        {
+            self.pending_names.clear();
+        }
     }
 
     fn next_local_response(&mut self) -> Option<LocalResponse> {
--- a/core/postgres-session/src/session/tests.rs
+++ b/core/postgres-session/src/session/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of a session between a client and fake servers.
 
 mod copy;
+mod large_batches;
 mod properties;
 mod server_loss;
 mod support;
