PostgreSQL: messages before the end of the authentication are limited by their head

Cause: the limit of 4 KiB on password messages was applied to complete messages. Until then the decoder buffered up to 1 MiB, its limit for SQL texts, for each client.

Evidence: unidentified_bytes in SHOW STATS was all that 100 such clients had sent, 20,000,500 bytes.

Fix: a decoder has a limit of its own, applied to the length in a message's head. It is 4 KiB until a client has authenticated. A client that announces more gets 28P01, as for a complete message that is too long. The console's messages are limited to 16 KiB, and a longer one is answered 08P01. Nothing that a client sends before its login is buffered beyond 10 KB now, whatever the type of the message.

--- a/adapters/postgres/src/client.rs
+++ b/adapters/postgres/src/client.rs
@@ -14,7 +14,8 @@
 use crate::stream::Stream;
 use crate::unauthenticated_clients::PendingClient;
 
-/// Maximum length of the body of a `PasswordMessage` or SASL response, in bytes.
+/// Maximum length of a message before the end of the authentication, in bytes, without the type byte: those of SCRAM
+/// have less than a kilobyte. A client that has not proven who it is can't make the node buffer more.
 const MAX_PASSWORD_MESSAGE_LENGTH: usize = 4096;
 /// Maximum number of bytes per read.
 const READ_BUFFER_SIZE: usize = 4096;
@@ -57,6 +58,14 @@
 }
 
 impl Client {
+    /// Creates a client that has not authenticated, whose messages may only be short.
+    pub fn new(stream: Stream) -> Self {
+        Self {
+            stream,
+            decoder: FrameDecoder::with_max_length(MAX_PASSWORD_MESSAGE_LENGTH),
+        }
+    }
+
     /// Writes bytes without message framing, and flushes.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await?;
@@ -93,10 +102,7 @@
     ) -> Result<Frame, ClientError> {
         loop {
             match self.decoder.next_from_client()? {
-                Some(DecodeResult::Frame(frame))
-                    if frame.tag == frontend::PASSWORD
-                        && frame.body.len() <= MAX_PASSWORD_MESSAGE_LENGTH =>
-                {
+                Some(DecodeResult::Frame(frame)) if frame.tag == frontend::PASSWORD => {
                     return Ok(frame);
                 }
                 Some(_) => return Err(ScramError::Malformed.into()),
--- a/adapters/postgres/src/console.rs
+++ b/adapters/postgres/src/console.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use badgerpost_postgres_session::frame::{DecodeResult, Frame};
+use badgerpost_postgres_session::frame::{DecodeResult, Frame, FrameError};
 use badgerpost_postgres_session::message_tags::{backend, frontend};
 use badgerpost_postgres_session::server_messages::{
     ErrorReason, ParameterStatus, TransactionStatus, authentication_ok, backend_key_data,
@@ -25,6 +25,8 @@
 
 /// Maximum number of bytes per read.
 const READ_BUFFER_SIZE: usize = 1024;
+/// Maximum length of a message from a console's client in bytes, without the type byte.
+const MAX_MESSAGE_LENGTH: usize = 16 * 1024;
 /// Maximum number of open consoles.
 const MAX_CONSOLES: usize = 32;
 /// Time without a message from the client after which a console is closed. Does not elapse while a command runs.
@@ -64,6 +66,7 @@
             .await);
     }
     let _guard = context.consoles.open();
+    client.decoder.set_max_length(MAX_MESSAGE_LENGTH);
     tracing::info!(user, "console opened");
     let mut console = ConsoleSession {
         context,
@@ -168,11 +171,12 @@
     /// Reads the client's next message; `None` at the end of the connection.
     async fn next_frame(&mut self) -> Result<Option<Frame>, ClientError> {
         loop {
-            match self.client.decoder.next_from_client()? {
-                Some(DecodeResult::Frame(frame)) => return Ok(Some(frame)),
+            match self.client.decoder.next_from_client() {
+                Ok(Some(DecodeResult::Frame(frame))) => return Ok(Some(frame)),
                 // CopyData outside a COPY is ignored.
-                Some(DecodeResult::Chunk { .. }) => continue,
-                None => {}
+                Ok(Some(DecodeResult::Chunk { .. })) => continue,
+                Ok(None) => {}
+                Err(error) => return Err(self.reject_message(error).await),
             }
             let mut buffer = vec![0; READ_BUFFER_SIZE];
             let read = self.client.stream.read(&mut buffer).await?;
@@ -183,6 +187,15 @@
         }
     }
 
+    /// Tells the client why the console is closed.
+    async fn reject_message(&mut self, error: FrameError) -> ClientError {
+        let response = error_response(ErrorReason::ProtocolViolation, Some(&error.to_string()));
+        match self.send(&[response]).await {
+            Ok(()) => error.into(),
+            Err(send_error) => send_error,
+        }
+    }
+
     /// Runs the commands of a simple query, up to the first command that fails.
     async fn answer_query(&mut self, query: &Frame) -> Result<(), ClientError> {
         let text = String::from_utf8_lossy(query.first_string().unwrap_or_default()).into_owned();
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -21,7 +21,6 @@
 use std::time::Duration;
 
 use badgerpost_engine::{AcceptBackoff, ConnectionCounter, LogLimiter, TcpStream, spawn};
-use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::scram::Verifier;
 use badgerpost_postgres_session::session::Session;
 use tokio::net::TcpListener;
@@ -142,10 +141,7 @@
     ) {
         // Best effort: without TCP_NODELAY, small messages are delayed.
         let _ = stream.set_nodelay(true);
-        let client = Client {
-            stream: Stream::plain(stream),
-            decoder: FrameDecoder::default(),
-        };
+        let client = Client::new(Stream::plain(stream));
         let clock = self.context.clock().clone();
         let authentication = Box::pin(self.authenticate_client(client, &pending));
         let authenticated = tokio::select! {
--- a/adapters/postgres/src/server/admission.rs
+++ b/adapters/postgres/src/server/admission.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use badgerpost_engine::ConnectionGuard;
+use badgerpost_postgres_session::frame::MAX_FRAME_LENGTH;
 use badgerpost_postgres_session::server_messages::ErrorReason;
 use badgerpost_postgres_session::settings::ClientSettings;
 use badgerpost_postgres_session::startup::StartupMessage;
@@ -86,6 +87,7 @@
         };
         self.authenticate(&mut client, &startup.user, pending)
             .await?;
+        client.decoder.set_max_length(MAX_FRAME_LENGTH);
         Ok(Some(Authenticated::Client(AuthenticatedClient {
             client,
             startup,
@@ -147,7 +149,7 @@
             .users
             .authenticate(client, user, channel_binding, pending);
         match authentication.await {
-            Err(ClientError::Authentication(error)) => Err(client
+            Err(error @ (ClientError::Authentication(_) | ClientError::Frame(_))) => Err(client
                 .reject(ErrorReason::AuthenticationFailed, None, error)
                 .await),
             result => result,
--- a/core/postgres-session/src/frame.rs
+++ b/core/postgres-session/src/frame.rs
@@ -83,13 +83,15 @@
         /// Length on the wire, in bytes.
         length: u32,
     },
-    /// The message is longer than [`MAX_FRAME_LENGTH`].
-    #[error("message {:?} has {length} bytes; the limit is {MAX_FRAME_LENGTH}", char::from(*tag))]
+    /// The message is longer than the decoder's limit.
+    #[error("message {:?} has {length} bytes; the limit is {limit}", char::from(*tag))]
     Long {
         /// Message type byte.
         tag: u8,
         /// Length on the wire, in bytes.
         length: u32,
+        /// The decoder's limit, in bytes.
+        limit: usize,
     },
 }
 
@@ -101,15 +103,39 @@
     remaining: usize,
 }
 
-/// Splits the bytes of one direction of a connection into messages. Needs to buffer at most one message of
-/// [`MAX_FRAME_LENGTH`], plus the bytes received together with that message.
-#[derive(Debug, Default)]
+/// Splits the bytes of one direction of a connection into messages. Needs to buffer at most one message of the maximum
+/// length, plus the bytes received together with that message.
+#[derive(Debug)]
 pub struct FrameDecoder {
     buffer: BytesMut,
     streaming: Option<PartialMessage>,
+    /// Maximum length in bytes of a message that is not streamed, without the type byte.
+    max_length: usize,
+}
+
+impl Default for FrameDecoder {
+    fn default() -> Self {
+        Self::with_max_length(MAX_FRAME_LENGTH)
+    }
 }
 
 impl FrameDecoder {
+    /// Creates a decoder that rejects a message that is longer than `max_length` bytes, without the type byte, as soon
+    /// as its length is received.
+    #[must_use]
+    pub fn with_max_length(max_length: usize) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            streaming: None,
+            max_length,
+        }
+    }
+
+    /// Changes the maximum length of the messages that are not decoded yet.
+    pub fn set_max_length(&mut self, max_length: usize) {
+        self.max_length = max_length;
+    }
+
     /// Adds received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
@@ -172,8 +198,12 @@
                 remaining: wire_len,
             }));
         }
-        if body_and_length > MAX_FRAME_LENGTH {
-            return Err(FrameError::Long { tag, length });
+        if body_and_length > self.max_length {
+            return Err(FrameError::Long {
+                tag,
+                length,
+                limit: self.max_length,
+            });
         }
         if self.buffer.len() < wire_len {
             return Ok(None);
--- a/core/postgres-session/src/frame/tests.rs
+++ b/core/postgres-session/src/frame/tests.rs
@@ -81,8 +81,29 @@
         decode(b"Q\x7f\xff\xff\xff"),
         Err(FrameError::Long {
             tag: b'Q',
-            length: 0x7fff_ffff
+            length: 0x7fff_ffff,
+            limit: MAX_FRAME_LENGTH,
         })
     );
     assert_eq!(decode(b"Q\0\0\0"), Ok(None));
 }
+
+/// Guards against a limit that is checked once the message is complete: until then, all of it would be buffered.
+#[test]
+fn a_message_above_the_limit_of_the_decoder_is_rejected_by_its_length() {
+    let mut decoder = FrameDecoder::with_max_length(10);
+    decoder.push(b"p\0\0\0\x0a123456p\0\0\0\x0b");
+    let first = Frame::new(b'p', &b"123456"[..]);
+    assert_eq!(
+        decoder.next_from_client(),
+        Ok(Some(DecodeResult::Frame(first)))
+    );
+    let error = FrameError::Long {
+        tag: b'p',
+        length: 11,
+        limit: 10,
+    };
+    assert_eq!(decoder.next_from_client(), Err(error));
+    decoder.set_max_length(11);
+    assert_eq!(decoder.next_from_client(), Ok(None));
+}
