PostgreSQL: messages and statements of all clients have a limit on their sum

Cause: each message, batch and statement had a limit, the items of a client and of all clients together had none.

Fix: sessions are charged for what exceeds 16 KiB against a quarter of limits.memory_mb. Over it a client that has stopped for 2 s within a message or batch is ended, the one silent longest first, else the one that needs the memory: 53200, a warning, client_memory_refusals in SHOW STATS. The columns of the console count statements too (held_bytes). A client can't take more than the sum, and those with short messages need none of it.

--- a/adapters/postgres/src/client_registry.rs
+++ b/adapters/postgres/src/client_registry.rs
@@ -61,7 +61,7 @@
     pub identity: ClientIdentity,
     transactions: Cell<u64>,
     activity: Cell<SessionActivity>,
-    buffered_bytes: Cell<usize>,
+    held_bytes: Cell<usize>,
     cancel_handle: CancelHandle,
     disconnect: Notify,
 }
@@ -77,9 +77,9 @@
         self.activity.get()
     }
 
-    /// Received bytes that the session buffers: incomplete and unanswered messages.
-    pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes.get()
+    /// Bytes that the session holds for its client: incomplete and unanswered messages, and prepared statements.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes.get()
     }
 }
 
@@ -106,7 +106,7 @@
             identity,
             transactions: Cell::new(0),
             activity: Cell::default(),
-            buffered_bytes: Cell::new(0),
+            held_bytes: Cell::new(0),
             cancel_handle: CancelHandle::default(),
             disconnect: Notify::new(),
         });
@@ -122,10 +122,10 @@
         self.entries.borrow().values().cloned().collect()
     }
 
-    /// Received bytes that are buffered for all clients.
-    pub fn buffered_bytes(&self) -> usize {
+    /// Bytes that the sessions hold for all clients.
+    pub fn held_bytes(&self) -> usize {
         let entries = self.entries.borrow();
-        entries.values().map(|entry| entry.buffered_bytes()).sum()
+        entries.values().map(|entry| entry.held_bytes()).sum()
     }
 
     /// Number of transactions completed by all clients since the node started.
@@ -202,9 +202,9 @@
         self.entry().activity.set(activity);
     }
 
-    /// Updates the number of received bytes that the session buffers.
-    pub fn set_buffered_bytes(&self, bytes: usize) {
-        self.entry().buffered_bytes.set(bytes);
+    /// Updates the number of bytes that the session holds for its client.
+    pub fn set_held_bytes(&self, bytes: usize) {
+        self.entry().held_bytes.set(bytes);
     }
 
     /// Resolves when an operator requests the end of the session.
--- a/adapters/postgres/src/console/tables.rs
+++ b/adapters/postgres/src/console/tables.rs
@@ -50,7 +50,7 @@
         "server",
         "pinned",
         "transactions",
-        "buffered_bytes",
+        "held_bytes",
     ];
     let clients = context.clients.clients();
     let rows = clients.iter().map(|client| client_row(client));
@@ -73,7 +73,7 @@
         &server.unwrap_or_default(),
         &sticky_reason.unwrap_or_default(),
         &client.transactions(),
-        &client.buffered_bytes(),
+        &client.held_bytes(),
     ])
 }
 
@@ -115,7 +115,11 @@
         row([&"unidentified", &unauthenticated.pending()]),
         row([&"unidentified_evicted", &unauthenticated.evictions()]),
         row([&"unidentified_bytes", &unauthenticated.buffered_bytes()]),
-        row([&"client_bytes", &context.clients.buffered_bytes()]),
+        row([&"client_bytes", &context.clients.held_bytes()]),
+        row([
+            &"client_memory_refusals",
+            &context.session_memory.refusals(),
+        ]),
     ];
     Table::new(&["name", "value"], rows)
 }
--- a/adapters/postgres/src/context.rs
+++ b/adapters/postgres/src/context.rs
@@ -9,6 +9,7 @@
 use crate::client_registry::ClientRegistry;
 use crate::config::Config;
 use crate::pool::Pool;
+use crate::session_memory::SessionMemory;
 use crate::unauthenticated_clients::UnauthenticatedClients;
 
 /// State shared by the listener, the sessions and the console.
@@ -25,6 +26,8 @@
     pub unauthenticated: Rc<UnauthenticatedClients>,
     /// Counts sessions, including those whose first connection to a server is still being opened.
     pub sessions: ConnectionCounter,
+    /// The memory that sessions hold for their clients.
+    pub session_memory: Rc<SessionMemory>,
     /// Counts open consoles.
     pub consoles: ConnectionCounter,
     /// The secret keys with which clients cancel statements.
--- a/adapters/postgres/src/lib.rs
+++ b/adapters/postgres/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 mod relay;
 pub mod server;
+pub mod session_memory;
 mod stream;
 pub mod tls;
 mod unauthenticated_clients;
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::config::Class;
 use crate::lease::LeaseSlot;
 use crate::pool::{ConnectionTarget, Pool, ServerAddress, ServerConnection};
+use crate::session_memory::{HeldMemory, MemoryAccount};
 use crate::stream::Stream;
 
 type OutcomeFuture = Pin<Box<dyn Future<Output = RequestOutcome<()>>>>;
@@ -66,6 +67,8 @@
     pub class: SessionClass,
     /// The session's database, and the login for it at the servers.
     pub target: ConnectionTarget,
+    /// The charge for what the session holds for its client.
+    pub memory: MemoryAccount,
     /// Whether the session keeps a server connection from the first transaction to the end of the session.
     pub has_session_pooling: bool,
 }
@@ -110,6 +113,8 @@
     session: Session,
     client: Stream,
     client_decoder: FrameDecoder,
+    /// Time of the last byte from the client.
+    last_received_at: Nanos,
     registered: RegisteredClient,
     /// Transactions submitted to the engine since the session started.
     transactions: u64,
@@ -137,6 +142,7 @@
         greeting: BytesMut,
     ) -> Self {
         Self {
+            last_received_at: context.engine.clock().now(),
             context,
             session,
             client: client.stream,
@@ -208,10 +214,9 @@
             }
             if progress == Progress::Stalled {
                 self.release_buffers();
-                let buffered_bytes =
-                    self.client_decoder.buffered_len() + self.session.backlog().bytes;
-                self.registered.set_buffered_bytes(buffered_bytes);
-                return Poll::Pending;
+                if self.charge_memory(cx) {
+                    return Poll::Pending;
+                }
             }
         }
     }
@@ -270,6 +275,33 @@
         Progress::Advanced
     }
 
+    /// Charges what the session holds for its client. Returns false if the session has ended, because the limit on the
+    /// memory of all sessions is exceeded.
+    fn charge_memory(&mut self, cx: &Context<'_>) -> bool {
+        let unread_bytes = self.client_decoder.buffered_len();
+        let held = self.session.held_memory();
+        let is_waiting = unread_bytes > 0 || held.has_incomplete_batch;
+        let held = HeldMemory {
+            bytes: unread_bytes + held.bytes,
+            waiting_since: (is_waiting && self.reads_from_client())
+                .then_some(self.last_received_at),
+        };
+        self.registered.set_held_bytes(held.bytes);
+        let now = self.context.engine.clock().now();
+        let Err(error) = self.context.memory.charge(held, now, cx) else {
+            return true;
+        };
+        tracing::warn!(
+            client = self.registered.number(),
+            user = self.registered.user(),
+            held_bytes = held.bytes,
+            %error,
+            "ending the session of a PostgreSQL client"
+        );
+        self.end_session(ErrorReason::OutOfMemory, None);
+        false
+    }
+
     /// Ends the session with an `ErrorResponse` to the client.
     fn end_session(&mut self, reason: ErrorReason, detail: Option<&str>) {
         error_response(reason, detail).write(&mut self.to_client);
--- a/adapters/postgres/src/relay/streams.rs
+++ b/adapters/postgres/src/relay/streams.rs
@@ -79,7 +79,7 @@
         Progress::Advanced
     }
 
-    fn reads_from_client(&self) -> bool {
+    pub(super) fn reads_from_client(&self) -> bool {
         self.session.accepts_client_messages()
             && self.to_server.len() < MAX_UNSENT_BYTES
             && self.to_client.len() < MAX_UNSENT_BYTES
@@ -90,7 +90,9 @@
             return Progress::Stalled;
         }
         match poll_read(&mut self.client, &mut self.client_decoder, cx) {
-            Poll::Ready(ReadResult::Received) => {}
+            Poll::Ready(ReadResult::Received) => {
+                self.last_received_at = self.context.engine.clock().now();
+            }
             Poll::Ready(ReadResult::Closed) => self.handle(Event::ClientDisconnected),
             Poll::Pending => return Progress::Stalled,
         }
--- a/adapters/postgres/src/server.rs
+++ b/adapters/postgres/src/server.rs
@@ -37,6 +37,7 @@
 use crate::context::ServerContext;
 use crate::pool::Pool;
 use crate::relay::{Relay, SessionClass, SessionContext};
+use crate::session_memory::SessionMemory;
 use crate::stream::Stream;
 use crate::tls::{Acceptor, ClientTls};
 use crate::unauthenticated_clients::{PendingClient, UnauthenticatedClients};
@@ -55,6 +56,7 @@
 
 impl PostgresServer {
     /// Creates a server whose transactions run on `engine` and `pool`. `users` holds the SCRAM verifiers by user name.
+    /// `session_memory` limits the memory that sessions hold for their clients.
     ///
     /// # Errors
     /// [`ConfigError`] if the certificate or key cannot be used, or the operating system returns no random bytes.
@@ -63,6 +65,7 @@
         users: BTreeMap<String, Verifier>,
         engine: PostgresEngine,
         pool: Rc<Pool>,
+        session_memory: Rc<SessionMemory>,
     ) -> Result<Rc<Self>, ConfigError> {
         let tls = config.tls.as_ref().map(ClientTls::acceptor).transpose()?;
         let users = Users::new(users).map_err(|_| ConfigError::Random)?;
@@ -74,6 +77,7 @@
             clients: Rc::default(),
             unauthenticated,
             sessions: ConnectionCounter::default(),
+            session_memory,
             consoles: ConnectionCounter::default(),
             cancel_keys: CancelKeys::default(),
         };
@@ -229,6 +233,7 @@
             pool: context.pool.clone(),
             class: class.map(SessionClass::from).unwrap_or_default(),
             target,
+            memory: context.session_memory.open_account(),
             has_session_pooling: context.config.pooling == Pooling::Session,
         };
         let registered = context.clients.register(ClientIdentity {
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use badgerpost_postgres::config::Config;
 use badgerpost_postgres::pool::Pool;
 use badgerpost_postgres::server::PostgresServer;
+use badgerpost_postgres::session_memory::SessionMemory;
 use badgerpost_postgres::tls::ServerTls;
 use badgerpost_postgres::upstream::PostgresTransport;
 use badgerpost_postgres_session::frame::{DecodeResult, FrameDecoder};
@@ -35,6 +36,8 @@
 
 /// Time limit of a single test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+/// Limit on the memory of all sessions of a node.
+pub const SESSION_MEMORY_BYTES: usize = 4 * 1024 * 1024;
 
 pub struct Node {
     pub address: SocketAddr,
@@ -117,6 +120,7 @@
             [user("ann"), user("eve")].into(),
             engine.clone(),
             pool,
+            SessionMemory::new(SESSION_MEMORY_BYTES),
         );
         let listener = tokio::net::TcpListener::bind(config.listen)
             .await
--- a/adapters/postgres/tests/memory.rs
+++ b/adapters/postgres/tests/memory.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use common::*;
+use postgres_protocol::message::frontend;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_postgres::{Client, SimpleQueryMessage};
@@ -81,3 +82,82 @@
         assert!(held <= CLIENTS * BYTES_PER_CLIENT, "{held} bytes");
     });
 }
+
+/// A client with a session that has sent a part of a `Query` of 900,000 bytes.
+async fn client_within_a_message(node: &Node, sent_bytes: usize) -> RawClient {
+    let mut client = node.connect_raw().await;
+    let mut message = vec![b'Q'];
+    message.extend_from_slice(&900_000_u32.to_be_bytes());
+    message.resize(sent_bytes, b' ');
+    // The node may close the connection before it has read all of this.
+    let _ = client.stream.write_all(&message).await;
+    client
+}
+
+/// Bytes that sessions may hold in addition to the limit on their sum.
+const FREE_BYTES_PER_SESSION: usize = 16 * 1024;
+
+/// Guards against memory that logged-in clients use up with messages that they never end: each was bounded, not their
+/// sum. Other clients are served meanwhile, also with messages that need a charge.
+#[test]
+fn clients_that_stop_within_a_message_hold_no_more_than_the_limit() {
+    const CLIENTS: usize = 40;
+    run_test(async {
+        let database = start_database();
+        let node = Node::start(&[&database], |_| {}).await;
+        let console = node.connect_console().await.expect("the console");
+        let honest = node.connect().await;
+        let mut crowd = Vec::new();
+        for _ in 0..CLIENTS {
+            crowd.push(client_within_a_message(&node, 400_000).await);
+            let held = counter(&console, "client_bytes").await;
+            let allowed = SESSION_MEMORY_BYTES + CLIENTS * FREE_BYTES_PER_SESSION;
+            assert!(held <= allowed, "{held} bytes");
+            honest.batch_execute("select 1").await.expect("served");
+        }
+        assert!(counter(&console, "client_memory_refusals").await > 0);
+        let first_ended = crowd.last_mut().expect("a client").read_until(b'E').await;
+        assert_eq!(first_ended, "E", "the client gets an error");
+        // Clients that have stopped for some seconds make room.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let long = format!("select 1 /* {} */", "x".repeat(500_000));
+        honest.batch_execute(&long).await.expect("served");
+        drop(crowd);
+    });
+}
+
+/// Guards against memory that logged-in clients use up with prepared statements.
+#[test]
+fn prepared_statements_count_against_the_limit() {
+    const CLIENTS: usize = 20;
+    run_test(async {
+        let database = start_database();
+        let node = Node::start(&[&database], |_| {}).await;
+        let console = node.connect_console().await.expect("the console");
+        let honest = node.connect().await;
+        let sql = format!("select 1 /* {} */", "x".repeat(50_000));
+        let mut crowd = Vec::new();
+        for _ in 0..CLIENTS {
+            let mut client = node.connect_raw().await;
+            client
+                .send(|out| {
+                    for number in 0..10 {
+                        frontend::parse(&format!("s{number}"), &sql, [], out).unwrap();
+                    }
+                    frontend::sync(out);
+                })
+                .await;
+            client.read_until(b'Z').await;
+            crowd.push(client);
+            let held = counter(&console, "client_bytes").await;
+            let allowed = SESSION_MEMORY_BYTES + CLIENTS * FREE_BYTES_PER_SESSION;
+            assert!(held <= allowed, "{held} bytes");
+            honest.batch_execute("select 1").await.expect("served");
+        }
+        assert!(counter(&console, "client_memory_refusals").await > 0);
+        drop(crowd);
+        while counter(&console, "client_bytes").await > FREE_BYTES_PER_SESSION {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
--- a/core/postgres-session/src/extended_query.rs
+++ b/core/postgres-session/src/extended_query.rs
@@ -26,6 +26,18 @@
         self.0.split(|byte| *byte == 0).next().unwrap_or_default()
     }
 
+    /// Size of the SQL and the parameter types, in bytes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether there is neither SQL nor a parameter type.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Determines the effects of the SQL.
     #[must_use]
     pub fn analyze(&self) -> StatementEffects {
--- a/core/postgres-session/src/prepared_statements.rs
+++ b/core/postgres-session/src/prepared_statements.rs
@@ -16,6 +16,8 @@
 /// closed before a new one is prepared.
 pub const MAX_SERVER_STATEMENTS: usize = 256;
 
+/// Approximate memory for a client's statement in addition to its name and text, in bytes.
+const STATEMENT_OVERHEAD_BYTES: usize = 512;
 /// Prefix of statement names on server connections; a number follows.
 const SERVER_NAME_PREFIX: &str = "bp";
 
@@ -25,6 +27,8 @@
     texts: BTreeMap<Bytes, StatementText>,
     /// Cached effects of the texts, by statement name.
     effects: BTreeMap<Bytes, Rc<StatementEffects>>,
+    /// Size of the names and texts, in bytes.
+    bytes: usize,
 }
 
 /// A client exceeds [`MAX_NAMED_STATEMENTS`].
@@ -41,7 +45,8 @@
         if !self.has_capacity(&name) {
             return Err(TooManyStatements);
         }
-        self.effects.remove(&name);
+        self.remove(&name);
+        self.bytes += statement_bytes(&name, &text);
         self.texts.insert(name, text);
         Ok(())
     }
@@ -68,6 +73,12 @@
         self.texts.get(name)
     }
 
+    /// Size of the statements, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Number of statements.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -82,7 +93,9 @@
 
     /// Removes a statement, if it exists.
     pub fn remove(&mut self, name: &[u8]) {
-        self.texts.remove(name);
+        if let Some(text) = self.texts.remove(name) {
+            self.bytes -= statement_bytes(name, &text);
+        }
         self.effects.remove(name);
     }
 
@@ -90,9 +103,15 @@
     pub fn clear(&mut self) {
         self.texts.clear();
         self.effects.clear();
+        self.bytes = 0;
     }
 }
 
+/// Approximate memory for a client's statement, in bytes.
+fn statement_bytes(name: &[u8], text: &StatementText) -> usize {
+    STATEMENT_OVERHEAD_BYTES + name.len() + text.len()
+}
+
 /// A statement prepared on a server connection.
 #[derive(Debug)]
 struct ServerStatement {
--- a/core/postgres-session/src/server_messages.rs
+++ b/core/postgres-session/src/server_messages.rs
@@ -38,6 +38,8 @@
     NotAuthorized,
     /// The limit of client connections is reached; the session ends.
     TooManyClients,
+    /// The node's memory for messages and statements of clients is used up; the session ends.
+    OutOfMemory,
     /// No server is reachable; the session ends.
     NoServer,
     /// The client requested an unsupported feature.
@@ -68,6 +70,8 @@
             // invalid_authorization_specification
             Self::NotAuthorized => "28000",
             Self::TooManyClients => "53300",
+            // out_of_memory
+            Self::OutOfMemory => "53200",
             // cannot_connect_now
             Self::NoServer => "57P03",
             // feature_not_supported
@@ -86,6 +90,7 @@
                 | Self::AuthenticationFailed
                 | Self::NotAuthorized
                 | Self::TooManyClients
+                | Self::OutOfMemory
                 | Self::NoServer
         )
     }
@@ -109,6 +114,9 @@
             Self::AuthenticationFailed => "authentication failed",
             Self::NotAuthorized => "client is not authorized to connect",
             Self::TooManyClients => "sorry, too many clients already",
+            Self::OutOfMemory => {
+                "the node's memory for client messages is used up; a statement that was sent may have been executed"
+            }
             Self::NoServer => "no database server is reachable",
             Self::Unsupported => "feature is not supported by the node",
         }
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -77,6 +77,15 @@
     pub batches: usize,
 }
 
+/// What a session holds for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldMessages {
+    /// Size of the unanswered messages and of the prepared statements, in bytes.
+    pub bytes: usize,
+    /// The end of the last batch has not been received.
+    pub has_incomplete_batch: bool,
+}
+
 /// A BEGIN that was answered locally and is sent to the server together with the next statement.
 #[derive(Clone, Debug)]
 struct DeferredBegin {
@@ -202,6 +211,21 @@
         }
     }
 
+    /// What the session holds for its client.
+    #[must_use]
+    pub fn held_memory(&self) -> HeldMessages {
+        let pending = self.pending_names.values().flatten();
+        let statements = pending.chain(&self.unnamed_statement);
+        let statement_bytes: usize = statements.map(StatementText::len).sum();
+        HeldMessages {
+            bytes: self.buffered_bytes + self.named_statements.bytes() + statement_bytes,
+            has_incomplete_batch: self
+                .batches
+                .back()
+                .is_some_and(|batch| !batch.is_complete && !batch.is_skipped),
+        }
+    }
+
     /// Transaction status from the client's point of view.
     #[must_use]
     pub fn status(&self) -> TransactionStatus {
--- a/daemon/src/config/platform.rs
+++ b/daemon/src/config/platform.rs
@@ -22,6 +22,8 @@
 /// The memory limit divided by this is available for buffered bodies. The rest is for connection buffers and for the
 /// node's own state.
 const BODY_BUFFER_DIVISOR: usize = 4;
+/// The memory limit divided by this is available for messages and statements of PostgreSQL clients.
+const POSTGRES_SESSION_DIVISOR: usize = 4;
 const MIB: usize = 1024 * 1024;
 
 /// The content of the platform's file.
@@ -115,6 +117,13 @@
             .saturating_mul(MIB / BODY_BUFFER_DIVISOR)
     }
 
+    /// The memory available for messages and statements of PostgreSQL clients, in bytes.
+    pub fn postgres_session_bytes(&self) -> usize {
+        self.limits
+            .memory_mib
+            .saturating_mul(MIB / POSTGRES_SESSION_DIVISOR)
+    }
+
     /// Divides the descriptors between client connections (at most 1/2) and backend connections (at most 3/8), after
     /// the reserved ones are set aside. Backend connections may exceed their limit by 1/8 while old connections close.
     ///
--- a/daemon/src/node/postgres.rs
+++ b/daemon/src/node/postgres.rs
@@ -10,6 +10,7 @@
 use badgerpost_postgres::config::Config;
 use badgerpost_postgres::pool::Pool;
 use badgerpost_postgres::server::PostgresServer;
+use badgerpost_postgres::session_memory::SessionMemory;
 use badgerpost_postgres::tls::ServerTls;
 use badgerpost_postgres::upstream::PostgresTransport;
 use tokio::sync::watch;
@@ -19,10 +20,12 @@
 use crate::config::ConfigError;
 use crate::listening::listen;
 
-/// Opens the listener and starts the background tasks. Returns the server's future, which completes when `stopping` is
+/// Opens the listener and starts the background tasks. `session_memory` limits the memory for messages and statements
+/// of clients. Returns the server's future, which completes when `stopping` is
 /// true and all sessions have ended.
 pub async fn start_postgres(
     config: Config,
+    session_memory: Rc<SessionMemory>,
     seed: u64,
     clock: &Clock,
     stopping: watch::Receiver<bool>,
@@ -61,7 +64,8 @@
         .await
         .map_err(|source| NodeError::Listen { address, source })?;
     tracing::info!(listen = %listener.local_addr()?, "serving PostgreSQL clients");
-    let server = PostgresServer::new(config, users, engine, pool).map_err(ConfigError::from)?;
+    let server = PostgresServer::new(config, users, engine, pool, session_memory)
+        .map_err(ConfigError::from)?;
     Ok(server.run(listener, stopping))
 }
 
--- a/daemon/src/node/startup.rs
+++ b/daemon/src/node/startup.rs
@@ -14,6 +14,7 @@
 use badgerpost_http::server::{self, ServerLifecycle, ServerLimits};
 use badgerpost_http::upstream::HttpTransport;
 use badgerpost_http::{Http, HttpEngine};
+use badgerpost_postgres::session_memory::SessionMemory;
 use badgerpost_settings::NodeSettings;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
@@ -243,7 +244,9 @@
         };
         let stopping = self.stopping.subscribe();
         let tasks = &mut self.background_tasks;
-        let server = start_postgres(config, self.seed, &self.clock, stopping, tasks).await?;
+        let memory = SessionMemory::new(self.platform.postgres_session_bytes());
+        let server =
+            start_postgres(config, memory, self.seed, &self.clock, stopping, tasks).await?;
         Ok(Some(spawn(server)))
     }
 }
