PostgreSQL: kept statements are copied to their size, and limited on a server connection

A server connection kept up to 256 texts of up to 1 MiB, also of clients that had gone.

Fix: a text, and the name of a statement that is closed, are copied once, when the message is sent on; all who keep the text share the copy. A server connection keeps 512 KiB of texts; the least recently used are closed before.

Tests: a_statement_that_is_kept_does_not_keep_its_message and the_texts_prepared_on_a_server_connection_are_limited_in_size call what was not there before; the rest of both packages passes.

--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -291,13 +291,16 @@
         let Err(error) = self.context.memory.charge(held, now, cx) else {
             return true;
         };
-        tracing::warn!(
-            client = self.registered.number(),
-            user = self.registered.user(),
-            held_bytes = held.bytes,
-            %error,
-            "ending the session of a PostgreSQL client"
-        );
+        self.context.memory.log_refusal(|suppressed| {
+            tracing::warn!(
+                client = self.registered.number(),
+                user = self.registered.user(),
+                held_bytes = held.bytes,
+                %error,
+                suppressed,
+                "ending the session of a PostgreSQL client"
+            );
+        });
         self.end_session(ErrorReason::OutOfMemory, None);
         false
     }
--- a/adapters/postgres/src/session_memory.rs
+++ b/adapters/postgres/src/session_memory.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use badgerpost_balancer::Nanos;
-use badgerpost_engine::nanos;
+use badgerpost_engine::{Clock, LogLimiter, nanos};
 
 /// Bytes that each session may hold without a charge.
 const FREE_BYTES_PER_SESSION: usize = 16 * 1024;
@@ -49,17 +49,19 @@
     holders: RefCell<BTreeMap<u64, Rc<Holder>>>,
     next_number: Cell<u64>,
     refusals: Cell<u64>,
+    log: RefCell<LogLimiter>,
 }
 
 impl SessionMemory {
-    /// Creates a limit of `limit_bytes` bytes.
-    pub fn new(limit_bytes: usize) -> Rc<Self> {
+    /// Creates a limit of `limit_bytes` bytes. The clock limits the number of log lines.
+    pub fn new(limit_bytes: usize, clock: Clock) -> Rc<Self> {
         Rc::new(Self {
             limit_bytes,
             charged_bytes: Cell::new(0),
             holders: RefCell::default(),
             next_number: Cell::new(0),
             refusals: Cell::new(0),
+            log: RefCell::new(LogLimiter::new(clock)),
         })
     }
 
@@ -152,6 +154,12 @@
         Ok(())
     }
 
+    /// Logs that the session ends, unless another one was logged shortly before. `log` gets the number of suppressed
+    /// lines.
+    pub fn log_refusal(&self, log: impl FnOnce(u64)) {
+        self.memory.log.borrow_mut().log(log);
+    }
+
     /// Bytes that this session can be charged for.
     fn available_bytes(&self) -> usize {
         let others = self.memory.charged_bytes.get() - self.holder.charged_bytes.get();
--- a/adapters/postgres/src/session_memory/tests.rs
+++ b/adapters/postgres/src/session_memory/tests.rs
@@ -19,7 +19,7 @@
 
 #[test]
 fn the_sum_of_all_sessions_is_limited_and_returned() {
-    let memory = SessionMemory::new(100 * KIB);
+    let memory = SessionMemory::new(100 * KIB, Clock::system());
     let [first, second, third] = [(); 3].map(|()| memory.open_account());
     assert_eq!(charge(&first, 80 * KIB, None, 0), Ok(()));
     assert_eq!(memory.charged_bytes(), 64 * KIB);
@@ -35,7 +35,7 @@
 
 #[test]
 fn the_client_that_stopped_longest_ago_within_a_message_is_evicted() {
-    let memory = SessionMemory::new(100 * KIB);
+    let memory = SessionMemory::new(100 * KIB, Clock::system());
     let [first, second, third, fourth] = [(); 4].map(|()| memory.open_account());
     let now = nanos(STALL_TIMEOUT) + 10;
     assert_eq!(charge(&first, 50 * KIB, Some(7), 7), Ok(()));
@@ -51,7 +51,7 @@
 
 #[test]
 fn a_session_that_is_itself_stalled_longest_ends() {
-    let memory = SessionMemory::new(10 * KIB);
+    let memory = SessionMemory::new(10 * KIB, Clock::system());
     let account = memory.open_account();
     assert_eq!(charge(&account, 20 * KIB, Some(1), 1), Ok(()));
     let now = nanos(STALL_TIMEOUT) + 1;
--- a/adapters/postgres/tests/common/mod.rs
+++ b/adapters/postgres/tests/common/mod.rs
@@ -120,7 +120,7 @@
             [user("ann"), user("eve")].into(),
             engine.clone(),
             pool,
-            SessionMemory::new(SESSION_MEMORY_BYTES),
+            SessionMemory::new(SESSION_MEMORY_BYTES, engine.clock().clone()),
         );
         let listener = tokio::net::TcpListener::bind(config.listen)
             .await
--- a/core/postgres-session/src/extended_query.rs
+++ b/core/postgres-session/src/extended_query.rs
@@ -38,6 +38,13 @@
         self.0.is_empty()
     }
 
+    /// Copies the text into memory of its own. A text that is read from a message is a part of the buffer into which
+    /// that message was received, and keeps all of that buffer.
+    #[must_use]
+    pub fn to_owned_text(&self) -> Self {
+        Self(Bytes::copy_from_slice(&self.0))
+    }
+
     /// Determines the effects of the SQL.
     #[must_use]
     pub fn analyze(&self) -> StatementEffects {
@@ -81,6 +88,19 @@
             text: StatementText(text),
         })
     }
+
+    /// Like [`Self::read`], for a statement that is kept after its message. Name and text are copied out of the buffer
+    /// into which the message was received.
+    ///
+    /// # Errors
+    /// [`MalformedMessage`] as for [`Self::read`].
+    pub fn read_to_keep(frame: &Frame) -> Result<Self, MalformedMessage> {
+        let Self { name, text } = Self::read(frame)?;
+        Ok(Self {
+            name: Bytes::copy_from_slice(&name),
+            text: text.to_owned_text(),
+        })
+    }
 }
 
 /// Creates a `Parse`.
--- a/core/postgres-session/src/extended_query/tests.rs
+++ b/core/postgres-session/src/extended_query/tests.rs
@@ -80,3 +80,15 @@
         );
     }
 }
+
+/// Guards against a statement of a few bytes that keeps the whole buffer in which it was received.
+#[test]
+fn a_statement_that_is_kept_does_not_keep_its_message() {
+    let received = Bytes::from([&b"name\0select 1\0\0\0"[..], &[0; 16 * 1024]].concat());
+    let frame = Frame::new(crate::message_tags::frontend::PARSE, received.slice(..16));
+    let kept = ParseMessage::read_to_keep(&frame).expect("a good message");
+    assert_eq!(kept, ParseMessage::read(&frame).expect("a good message"));
+    drop(frame);
+    assert!(received.is_unique(), "the buffer is still in use");
+    drop(kept);
+}
--- a/core/postgres-session/src/prepared_statements.rs
+++ b/core/postgres-session/src/prepared_statements.rs
@@ -15,6 +15,9 @@
 /// Maximum number of statements prepared on one server connection; at the limit, the least recently used statement is
 /// closed before a new one is prepared.
 pub const MAX_SERVER_STATEMENTS: usize = 256;
+/// Maximum size of the texts prepared on one server connection, in bytes; a single text may exceed it. At the limit, the
+/// least recently used statements are closed before a new one is prepared.
+pub const MAX_SERVER_STATEMENT_BYTES: usize = 512 * 1024;
 
 /// Approximate memory for a client's statement in addition to its name and text, in bytes.
 const STATEMENT_OVERHEAD_BYTES: usize = 512;
@@ -125,6 +128,8 @@
 #[derive(Debug, Default)]
 pub struct ServerStatements {
     statements: HashMap<StatementText, ServerStatement>,
+    /// Size of the texts, in bytes.
+    bytes: usize,
     next_number: u64,
     /// Number of uses of all statements so far.
     uses: u64,
@@ -136,7 +141,7 @@
     /// The statement's name on the server connection.
     pub name: Bytes,
     /// Messages to send before the statement is used: empty if the statement is prepared, otherwise a `Parse`, preceded
-    /// by a `Close` if a statement was evicted. The responses must not be forwarded to the client.
+    /// by a `Close` for each evicted statement. The responses must not be forwarded to the client.
     pub preparation: Vec<Frame>,
 }
 
@@ -156,7 +161,7 @@
             };
         }
         let mut preparation = Vec::new();
-        if self.statements.len() >= MAX_SERVER_STATEMENTS
+        while self.needs_eviction(text)
             && let Some(evicted) = self.evict_least_recently_used()
         {
             preparation.push(close_statement(&server_name(evicted.number)));
@@ -166,6 +171,12 @@
         StatementUse { name, preparation }
     }
 
+    /// Whether a statement has to be closed before this one is prepared.
+    fn needs_eviction(&self, text: &StatementText) -> bool {
+        self.statements.len() >= MAX_SERVER_STATEMENTS
+            || self.bytes + text.len() > MAX_SERVER_STATEMENT_BYTES
+    }
+
     /// Searches all statements, because evictions are rare compared with uses.
     fn evict_least_recently_used(&mut self) -> Option<ServerStatement> {
         let (oldest, _) = self
@@ -173,6 +184,7 @@
             .iter()
             .min_by_key(|(_, statement)| statement.last_use)?;
         let oldest = oldest.clone();
+        self.bytes -= oldest.len();
         self.statements.remove(&oldest)
     }
 
@@ -183,6 +195,7 @@
             last_use: self.uses,
         };
         self.next_number += 1;
+        self.bytes += text.len();
         let name = server_name(statement.number);
         self.statements.insert(text.clone(), statement);
         name
@@ -196,12 +209,15 @@
 
     /// Removes a statement that could not be prepared or was deallocated.
     pub fn remove(&mut self, text: &StatementText) {
-        self.statements.remove(text);
+        if self.statements.remove(text).is_some() {
+            self.bytes -= text.len();
+        }
     }
 
     /// Removes all statements after they were deallocated.
     pub fn clear(&mut self) {
         self.statements.clear();
+        self.bytes = 0;
     }
 }
 
--- a/core/postgres-session/src/prepared_statements/tests.rs
+++ b/core/postgres-session/src/prepared_statements/tests.rs
@@ -56,3 +56,26 @@
     );
     assert_eq!(named.insert(Bytes::from_static(b"0"), text("y")), Ok(()));
 }
+
+/// Guards against texts that are kept for each server connection without a limit on their size, also when their client
+/// has gone.
+#[test]
+fn the_texts_prepared_on_a_server_connection_are_limited_in_size() {
+    let mut prepared = ServerStatements::default();
+    let large = |number: usize| text(&format!("select {number} /* {} */", "x".repeat(200_000)));
+    for number in 0..2 {
+        assert_eq!(prepared.use_statement(&large(number)).preparation.len(), 1);
+    }
+    assert_eq!(prepared.use_statement(&large(2)).preparation.len(), 2);
+    assert!(prepared.bytes <= MAX_SERVER_STATEMENT_BYTES);
+    // A text above the limit replaces all others.
+    let huge = text(&"x".repeat(MAX_SERVER_STATEMENT_BYTES + 1));
+    assert_eq!(prepared.use_statement(&huge).preparation.len(), 3);
+    assert!(prepared.use_statement(&huge).preparation.is_empty());
+    prepared.remove(&huge);
+    prepared.remove(&huge);
+    assert_eq!(prepared.bytes, 0);
+    prepared.use_statement(&large(0));
+    prepared.clear();
+    assert_eq!(prepared.bytes, 0);
+}
--- a/core/postgres-session/src/session/local_responses.rs
+++ b/core/postgres-session/src/session/local_responses.rs
@@ -180,7 +180,7 @@
 
     /// Adds the statement of a `Parse` to the client's statements. Returns false if the client has too many statements.
     fn prepare_locally(&mut self, frame: &Frame) -> bool {
-        if let Ok(ParseMessage { name, text }) = ParseMessage::read(frame) {
+        if let Ok(ParseMessage { name, text }) = ParseMessage::read_to_keep(frame) {
             if !self.named_statements.has_capacity(&name) {
                 return false;
             }
--- a/core/postgres-session/src/session/message_writer.rs
+++ b/core/postgres-session/src/session/message_writer.rs
@@ -79,7 +79,7 @@
         match frame.tag {
             frontend::QUERY => self.query(frame, is_alone)?,
             frontend::FUNCTION_CALL => self.send(frame, ExpectedResponse::Query),
-            frontend::PARSE => self.parse(ParseMessage::read(frame)?)?,
+            frontend::PARSE => self.parse(ParseMessage::read_to_keep(frame)?)?,
             frontend::BIND => self.bind(frame)?,
             frontend::DESCRIBE => self.describe(frame)?,
             frontend::CLOSE => self.close(frame)?,
@@ -273,7 +273,8 @@
         let target = Target::read(frame)?;
         match target.kind {
             TargetKind::Statement if target.name.is_empty() => self.close_unnamed(frame),
-            TargetKind::Statement => self.close_named(target.name),
+            // The name is kept until the message is answered, and must not keep the buffer of the message.
+            TargetKind::Statement => self.close_named(Bytes::copy_from_slice(&target.name)),
             TargetKind::Portal => self.send(
                 frame,
                 ExpectedResponse::Close {
--- a/daemon/src/node/startup.rs
+++ b/daemon/src/node/startup.rs
@@ -244,7 +244,7 @@
         };
         let stopping = self.stopping.subscribe();
         let tasks = &mut self.background_tasks;
-        let memory = SessionMemory::new(self.platform.postgres_session_bytes());
+        let memory = SessionMemory::new(self.platform.postgres_session_bytes(), self.clock.clone());
         let server =
             start_postgres(config, memory, self.seed, &self.clock, stopping, tasks).await?;
         Ok(Some(spawn(server)))
