PostgreSQL: AND CHAIN is a step of its own, and leaves no client outside a transaction

Behind COMMIT AND CHAIN, answered with an error, the next INSERT was committed too.

Cause: the analysis of SQL took each text that starts with COMMIT, END, ROLLBACK or ABORT for the plain end of the block. With a server its ReadyForQuery corrects this; where the node answers or fails for a lost one, the step decides.

Fix: chained ends are steps. In a lost transaction ROLLBACK AND CHAIN begins one with the same modes, if the node knows them, else it is an error; COMMIT AND CHAIN fails and the transaction stays failed. A server lost with a chained end on its way leaves a failed transaction, too, whatever the error. So nothing behind a chained end runs outside a transaction before the client has sent a plain end. COMMIT PREPARED and ROLLBACK PREPARED are no ends of the block any more.

Also fixed: in a failed transaction a Parse of an end of more than one word, prepared on that connection already, got an error for a name that the client did not use.

--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -129,6 +129,9 @@
     /// Name of the client's statement that a DEALLOCATE in the current batch removes.
     deallocated_name: Option<Bytes>,
     deferred_begin: Option<DeferredBegin>,
+    /// The BEGIN of the open transaction block; `None` if the block's modes are not known, or no block is open. A chained
+    /// end begins a block with the same modes.
+    block_begin: Option<DeferredBegin>,
     /// The server of the open transaction is lost; only the end of the transaction is accepted.
     transaction_lost: bool,
     /// Why the open transaction was lost; set until the client has received that error.
--- a/core/postgres-session/src/session/batch_effects.rs
+++ b/core/postgres-session/src/session/batch_effects.rs
@@ -88,6 +88,7 @@
         merged.discards_all = one.discards_all;
         merged.deallocates_all |= one.deallocates_all;
         merged.resets_all_settings |= one.resets_all_settings;
+        merged.may_change_transaction_modes |= one.may_change_transaction_modes;
         merged.is_standalone = one.is_standalone && merged.steps.len() == 1;
         merged
             .reset_settings
--- a/core/postgres-session/src/session/forwarding.rs
+++ b/core/postgres-session/src/session/forwarding.rs
@@ -9,7 +9,7 @@
 use crate::frame::Frame;
 use crate::message_tags::frontend;
 use crate::server_messages::TransactionStatus;
-use crate::sql_analysis::{StatementEffects, TransactionStep};
+use crate::sql_analysis::StatementEffects;
 
 impl Session {
     /// Handles an attached server connection: applies the client's settings before any batch is sent.
@@ -115,7 +115,10 @@
 
     /// Updates the session and the server connection for statements that are about to be sent.
     fn record_sent_effects(&mut self, effects: &StatementEffects) {
-        self.commit_in_flight |= effects.steps.contains(&TransactionStep::Commit);
+        self.commit_in_flight |= effects.commits();
+        if effects.may_change_transaction_modes {
+            self.block_begin = None;
+        }
         self.sticky_reason = self.sticky_reason.or(effects.sticky_reason);
         let ServerLink::Attached(server) = &mut self.server_link else {
             return;
--- a/core/postgres-session/src/session/local_responses.rs
+++ b/core/postgres-session/src/session/local_responses.rs
@@ -52,7 +52,9 @@
         if !self.would_succeed() {
             return false;
         }
-        self.deferred_begin = Some(DeferredBegin { sql, access_mode });
+        let begin = DeferredBegin { sql, access_mode };
+        self.block_begin = Some(begin.clone());
+        self.deferred_begin = Some(begin);
         self.status = TransactionStatus::InBlock;
         self.respond_to_first_batch("BEGIN", actions);
         true
@@ -67,6 +69,7 @@
             return false;
         }
         self.deferred_begin = None;
+        self.block_begin = None;
         self.status = TransactionStatus::Idle;
         let command_tag = match end {
             TransactionEnd::Commit => "COMMIT",
--- a/core/postgres-session/src/session/message_writer.rs
+++ b/core/postgres-session/src/session/message_writer.rs
@@ -215,7 +215,7 @@
     /// unless the transaction has failed.
     fn parse_prepared(&mut self, parse: ParseMessage) {
         let is_rejected_by_server = self.status == TransactionStatus::Failed
-            && parse.text.analyze().transaction_end().is_none();
+            && !parse.text.analyze().is_accepted_in_failed_block;
         if is_rejected_by_server {
             // In a failed transaction the server answers with the error that only the transaction's end is accepted.
             let server_name = self.server.state.prepared.use_statement(&parse.text).name;
--- a/core/postgres-session/src/session/server_loss.rs
+++ b/core/postgres-session/src/session/server_loss.rs
@@ -87,15 +87,25 @@
         if !matches!(self.server_link, ServerLink::Requested { .. }) {
             return;
         }
+        let is_block_open = self.status != TransactionStatus::Idle;
+        // What the client sends behind a chained end belongs to the block that the chained end begins.
+        let leaves_chained_block = self
+            .first_batch_effects()
+            .leaves_chained_block(is_block_open);
         self.server_link = ServerLink::None;
         self.deferred_begin = None;
-        self.loss_reason = Some(reason);
+        self.loss_reason = Some(if leaves_chained_block {
+            ErrorReason::TransactionLost
+        } else {
+            reason
+        });
         // The client must end the lost transaction with COMMIT or ROLLBACK, as after a failed statement.
         self.transaction_lost =
-            self.status != TransactionStatus::Idle && reason != ErrorReason::CommitUnknown;
+            leaves_chained_block || (is_block_open && reason != ErrorReason::CommitUnknown);
         self.status = if self.transaction_lost {
             TransactionStatus::Failed
         } else {
+            self.block_begin = None;
             TransactionStatus::Idle
         };
         if self.is_between_statements() {
@@ -123,8 +133,11 @@
     }
 
     /// Returns the number of batches to answer with the error. If the first batch begins a transaction, the batches
-    /// after it belong to that transaction and must not run outside it.
+    /// after it belong to that transaction and must not run outside it. In a lost transaction they are answered as such.
     fn count_batches_to_fail(&mut self) -> usize {
+        if self.transaction_lost {
+            return 1;
+        }
         let effects = self.first_batch_effects();
         let begins_transaction = effects
             .steps
@@ -193,6 +206,9 @@
     /// transaction is accepted; other statements get an error.
     pub(super) fn respond_in_lost_transaction(&mut self, actions: &mut Vec<Action>) {
         let effects = self.first_batch_effects();
+        if self.chain_lost_transaction(&effects.steps, actions) {
+            return;
+        }
         let Some(batch) = self.batches.front() else {
             return;
         };
@@ -207,9 +223,7 @@
             return;
         }
         if ends_transaction {
-            self.transaction_lost = false;
-            self.status = TransactionStatus::Idle;
-            self.unreported_loss = None;
+            self.end_lost_transaction(TransactionStatus::Idle);
         }
         if effects.steps.contains(&TransactionStep::Commit) {
             // Answer COMMIT with an error: drivers do not check for the command tag ROLLBACK and may have ignored an
@@ -220,11 +234,46 @@
         }
         self.respond_to_first_batch("ROLLBACK", actions);
     }
+
+    /// Answers a chained end of a transaction whose server is lost. ROLLBACK AND CHAIN begins a transaction with the same
+    /// modes, which must be known. Returns whether the batch was answered.
+    fn chain_lost_transaction(
+        &mut self,
+        steps: &[TransactionStep],
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        match steps {
+            [TransactionStep::RollbackAndChain] if self.block_begin.is_some() => {
+                self.deferred_begin = self.block_begin.clone();
+                self.end_lost_transaction(TransactionStatus::InBlock);
+                self.respond_to_first_batch("ROLLBACK", actions);
+            }
+            // As for COMMIT, any success would look like a commit. The transaction stays lost, so that nothing that the
+            // client sends behind the error runs outside a transaction.
+            [TransactionStep::CommitAndChain] => {
+                self.unreported_loss = None;
+                let reason = self.loss_reason.unwrap_or(ErrorReason::TransactionLost);
+                self.reject_first_batch(reason, actions);
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    /// Ends the lost transaction. `status` is the client's transaction status from then on.
+    fn end_lost_transaction(&mut self, status: TransactionStatus) {
+        self.transaction_lost = false;
+        self.unreported_loss = None;
+        self.status = status;
+        if status == TransactionStatus::Idle {
+            self.block_begin = None;
+        }
+    }
 }
 
-/// Whether the steps are not empty and all of them end a transaction.
+/// Whether the steps are not empty and each of them ends a transaction and begins no other one.
 fn only_ends_transaction(steps: &[TransactionStep]) -> bool {
-    !steps.is_empty() && steps.iter().all(|step| step.is_end())
+    !steps.is_empty() && steps.iter().all(|step| step.is_plain_end())
 }
 
 /// Returns the transaction steps of all statements that the batch prepares, executed or not.
--- a/core/postgres-session/src/session/server_responses.rs
+++ b/core/postgres-session/src/session/server_responses.rs
@@ -270,6 +270,9 @@
         self.status = status;
         self.commit_in_flight = false;
         self.deferred_begin = None;
+        if status == TransactionStatus::Idle {
+            self.block_begin = None;
+        }
         if !self.batch_failed {
             match &batch.effects {
                 Some(effects) => self.apply_effects(effects),
--- a/core/postgres-session/src/session/tests.rs
+++ b/core/postgres-session/src/session/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of a session between a client and fake servers.
 
+mod chained_transactions;
 mod copy;
 mod large_batches;
 mod properties;
--- a/core/postgres-session/src/session/tests/support.rs
+++ b/core/postgres-session/src/session/tests/support.rs
@@ -80,7 +80,8 @@
     fn execute(&mut self, sql: &[u8], is_query: bool, out: &mut Vec<Frame>) {
         let sql = String::from_utf8_lossy(sql).into_owned();
         for step in sql_analysis::analyze(&sql).steps {
-            let fails_transaction = self.status == TransactionStatus::Failed && !step.is_end();
+            let is_end = step.is_plain_end() || step.is_chained_end();
+            let fails_transaction = self.status == TransactionStatus::Failed && !is_end;
             if sql.contains("fail") || fails_transaction {
                 out.push(server_messages::error_response(
                     ErrorReason::InFailedTransaction,
@@ -95,6 +96,9 @@
             self.status = match step {
                 TransactionStep::Begin(_) => TransactionStatus::InBlock,
                 TransactionStep::Commit | TransactionStep::Rollback => TransactionStatus::Idle,
+                TransactionStep::CommitAndChain | TransactionStep::RollbackAndChain => {
+                    TransactionStatus::InBlock
+                }
                 TransactionStep::Other => self.status,
             };
         }
--- a/core/postgres-session/src/sql_analysis.rs
+++ b/core/postgres-session/src/sql_analysis.rs
@@ -35,28 +35,97 @@
     Commit,
     /// Rolls the transaction block back.
     Rollback,
+    /// Commits the transaction block and begins a new one with the same modes (`AND CHAIN`).
+    CommitAndChain,
+    /// Rolls the transaction block back and begins a new one with the same modes (`AND CHAIN`).
+    RollbackAndChain,
     /// Neither begins nor ends a transaction block.
     Other,
 }
 
 impl TransactionStep {
-    /// Whether the statement ends the transaction block.
+    /// Whether the statement ends the transaction block and begins no other one.
     #[must_use]
-    pub fn is_end(self) -> bool {
+    pub fn is_plain_end(self) -> bool {
         matches!(self, Self::Commit | Self::Rollback)
     }
 
+    /// Whether the statement ends the transaction block and begins another one.
+    #[must_use]
+    pub fn is_chained_end(self) -> bool {
+        matches!(self, Self::CommitAndChain | Self::RollbackAndChain)
+    }
+
+    /// Whether the statement commits the transaction block.
+    #[must_use]
+    pub fn is_commit(self) -> bool {
+        matches!(self, Self::Commit | Self::CommitAndChain)
+    }
+
     fn of_statement(keywords: &[&str]) -> Self {
         match keywords {
             ["BEGIN", ..] | ["START", "TRANSACTION", ..] => Self::Begin(access_mode(keywords)),
-            ["COMMIT" | "END", ..] | ["PREPARE", "TRANSACTION", ..] => Self::Commit,
-            ["ROLLBACK", "TO", ..] | ["ROLLBACK", "WORK" | "TRANSACTION", "TO", ..] => Self::Other,
-            ["ROLLBACK" | "ABORT", ..] => Self::Rollback,
+            ["PREPARE", "TRANSACTION", ..] => Self::Commit,
+            ["COMMIT" | "END", options @ ..] => match BlockEnd::read(options) {
+                BlockEnd::Plain => Self::Commit,
+                BlockEnd::Chained => Self::CommitAndChain,
+                BlockEnd::None => Self::Other,
+            },
+            ["ROLLBACK" | "ABORT", options @ ..] => match BlockEnd::read(options) {
+                BlockEnd::Plain => Self::Rollback,
+                BlockEnd::Chained => Self::RollbackAndChain,
+                BlockEnd::None => Self::Other,
+            },
             _ => Self::Other,
         }
     }
 }
 
+/// What the words after COMMIT or ROLLBACK make of the statement.
+enum BlockEnd {
+    /// The block ends.
+    Plain,
+    /// The block ends, and another one begins.
+    Chained,
+    /// The block goes on: the statement refers to a savepoint or to a prepared transaction.
+    None,
+}
+
+impl BlockEnd {
+    fn read(options: &[&str]) -> Self {
+        let (["WORK" | "TRANSACTION", options @ ..] | options) = options;
+        match options {
+            ["TO", ..] | ["PREPARED", ..] => Self::None,
+            ["AND", "CHAIN", ..] => Self::Chained,
+            _ => Self::Plain,
+        }
+    }
+}
+
+/// Whether a server accepts the statement in a failed transaction block.
+fn is_accepted_in_failed_block(keywords: &[&str]) -> bool {
+    match keywords {
+        ["COMMIT" | "ROLLBACK", "PREPARED", ..] => false,
+        ["COMMIT" | "END" | "ROLLBACK" | "ABORT", ..] | ["PREPARE", "TRANSACTION", ..] => true,
+        _ => false,
+    }
+}
+
+/// Whether the statement may change the modes of the open transaction block: its isolation level, whether it is read
+/// only or deferrable. A BEGIN in a block sets the modes that it names.
+fn may_change_transaction_modes(statement: &SqlStatement<'_>, keywords: &[&str]) -> bool {
+    const SETTINGS: [&str; 4] = [
+        "TRANSACTION",
+        "TRANSACTION_ISOLATION",
+        "TRANSACTION_READ_ONLY",
+        "TRANSACTION_DEFERRABLE",
+    ];
+    let sets_modes = matches!(keywords, ["SET" | "RESET", rest @ ..]
+        if rest.iter().any(|word| SETTINGS.contains(word)));
+    let begins = matches!(keywords, ["BEGIN", ..] | ["START", "TRANSACTION", ..]);
+    sets_modes || begins || statement.calls("SET_CONFIG")
+}
+
 fn access_mode(keywords: &[&str]) -> AccessMode {
     if keywords.windows(2).any(|pair| pair == ["READ", "ONLY"]) {
         AccessMode::ReadOnly
@@ -87,6 +156,10 @@
     pub resets_all_settings: bool,
     /// The text only begins or only ends a transaction, in a form that a server is known to accept.
     pub is_standalone: bool,
+    /// The text is one statement, and a server accepts it in a failed transaction block.
+    pub is_accepted_in_failed_block: bool,
+    /// The modes of an open transaction block may be other ones after the text.
+    pub may_change_transaction_modes: bool,
 }
 
 impl StatementEffects {
@@ -109,6 +182,31 @@
         }
     }
 
+    /// Whether a statement commits the transaction block.
+    #[must_use]
+    pub fn commits(&self) -> bool {
+        self.steps.iter().any(|step| step.is_commit())
+    }
+
+    /// Whether the block that is open after the text was begun by a chained end. `is_block_open`: a block is open before
+    /// the text.
+    #[must_use]
+    pub fn leaves_chained_block(&self, is_block_open: bool) -> bool {
+        let (mut is_open, mut is_chained) = (is_block_open, false);
+        for step in &self.steps {
+            match step {
+                TransactionStep::Begin(_) => is_open = true,
+                TransactionStep::Commit | TransactionStep::Rollback => is_open = false,
+                TransactionStep::CommitAndChain | TransactionStep::RollbackAndChain => {
+                    is_chained |= is_open;
+                }
+                TransactionStep::Other => {}
+            }
+            is_chained &= is_open;
+        }
+        is_chained
+    }
+
     /// How the transaction ends if the text only ends a transaction; `None` otherwise.
     #[must_use]
     pub fn transaction_end(&self) -> Option<TransactionEnd> {
@@ -122,6 +220,9 @@
     fn add_statement(&mut self, statement: &SqlStatement<'_>) {
         let keywords = statement.keywords();
         self.steps.push(TransactionStep::of_statement(&keywords));
+        self.is_accepted_in_failed_block =
+            self.steps.len() == 1 && is_accepted_in_failed_block(&keywords);
+        self.may_change_transaction_modes |= may_change_transaction_modes(statement, &keywords);
         self.sticky_reason = self
             .sticky_reason
             .or_else(|| StickyReason::of_statement(statement));
@@ -198,8 +299,8 @@
         .first()
         .map(|token| token.to_string().to_ascii_uppercase());
     match first.as_deref() {
-        // PREPARE TRANSACTION, COMMIT PREPARED and COMMIT AND CHAIN do not count as plain ends.
-        Some("COMMIT" | "END" | "ROLLBACK" | "ABORT") => step.is_end() && is_one_token,
+        // A server accepts other forms only in a block, or not at all.
+        Some("COMMIT" | "END" | "ROLLBACK" | "ABORT") => step.is_plain_end() && is_one_token,
         Some("BEGIN") if is_begin && is_one_token => true,
         _ => is_begin && is_one_valid_statement(sql),
     }
--- a/core/postgres-session/src/sql_analysis/tests.rs
+++ b/core/postgres-session/src/sql_analysis/tests.rs
@@ -68,6 +68,32 @@
     assert!(analyze("DISCARD ALL").discards_all && !analyze("DISCARD ALL; SET a = 1").discards_all);
 }
 
+/// Every form of the statements that end a transaction block, or look like it.
+const BLOCK_ENDS: &[(&str, TransactionStep)] = &[
+    ("COMMIT WORK", TransactionStep::Commit),
+    ("end transaction", TransactionStep::Commit),
+    ("COMMIT AND NO CHAIN", TransactionStep::Commit),
+    ("PREPARE TRANSACTION 'x'", TransactionStep::Commit),
+    ("COMMIT AND CHAIN", TransactionStep::CommitAndChain),
+    ("commit work and chain;", TransactionStep::CommitAndChain),
+    ("END AND CHAIN", TransactionStep::CommitAndChain),
+    ("END TRANSACTION AND CHAIN", TransactionStep::CommitAndChain),
+    ("ROLLBACK WORK", TransactionStep::Rollback),
+    ("ABORT AND NO CHAIN", TransactionStep::Rollback),
+    ("ROLLBACK AND CHAIN", TransactionStep::RollbackAndChain),
+    (
+        "rollback /* a comment */ and\nchain",
+        TransactionStep::RollbackAndChain,
+    ),
+    (
+        "ABORT TRANSACTION AND CHAIN",
+        TransactionStep::RollbackAndChain,
+    ),
+    ("ROLLBACK WORK TO SAVEPOINT a", TransactionStep::Other),
+    ("ROLLBACK PREPARED 'x'", TransactionStep::Other),
+    ("COMMIT PREPARED 'x'", TransactionStep::Other),
+];
+
 #[test]
 fn standalone_begin_commit_rollback_and_deallocate_are_recognized() {
     for (sql, begins, ends) in [
@@ -128,6 +154,9 @@
     );
     assert_eq!(steps("ROLLBACK TO SAVEPOINT a"), [TransactionStep::Other]);
     assert_eq!(steps("abort"), [TransactionStep::Rollback]);
+    for (sql, step) in BLOCK_ENDS {
+        assert_eq!(steps(sql), [*step], "{sql}");
+    }
     assert_eq!(steps("END"), [TransactionStep::Commit]);
     assert_eq!(steps(" ; ;"), []);
 }
