PostgreSQL: a lost transaction is answered message by message, so that a Flush is answered

Cause: a lost transaction was answered batch by batch, as all statements of a batch decided on the answer; so the session waited for the Sync, which a client that has sent a Flush sends after the answer.

Fix: message by message, as a server in a failed transaction does: ends of the transaction are prepared, bound, described and executed, statements and portals closed, anything else is an error behind which messages up to the Sync are ignored. So nothing that is ready waits for the client, in no batch, however it is cut. What stands behind a ROLLBACK in the same batch runs now, as at a server; before, the whole batch was rejected.

Tests: adapters/postgres/tests/lost_transactions.rs two more, session/tests/lost_transaction.rs, properties.rs. In chained_transactions.rs three expectations have the responses to Parse and Bind in front, as a server sends them before the Execute fails; they are as strict, one is exact now.

--- a/adapters/postgres/tests/lost_transactions.rs
+++ b/adapters/postgres/tests/lost_transactions.rs
@@ -12,8 +12,11 @@
 
 use badgerpost_fakes::database::Database;
 use common::*;
+use postgres_protocol::message::frontend;
 use tokio_postgres::error::SqlState;
 
+/// Time limit for a response that needs no server.
+const LOCAL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longer than the node needs to notice that a connection was closed.
 const LOSS_TIME: Duration = Duration::from_millis(200);
 
@@ -102,3 +105,59 @@
         assert_eq!(fixture.committed(), 0);
     });
 }
+
+/// Encodes `Parse`, `Describe` and `Flush`.
+fn prepare(out: &mut bytes::BytesMut) {
+    frontend::parse("s1", "select 2", [], out).unwrap();
+    frontend::describe(b'S', "s1", out).unwrap();
+    frontend::flush(out);
+}
+
+/// Guards against a client that waits for ever for the answer to a `Flush`, as drivers do that prepare a statement before
+/// they bind it.
+#[test]
+fn a_statement_that_is_prepared_in_a_lost_transaction_is_answered() {
+    run_test(async {
+        let fixture = Fixture::start().await;
+        let mut client = fixture.node.connect_raw().await;
+        let begun = fixture.transactions_begun();
+        client
+            .send(|out| frontend::query("begin", out).unwrap())
+            .await;
+        client.read_until(b'Z').await;
+        let insert = |out: &mut bytes::BytesMut| {
+            frontend::query("insert into t values (1)", out).unwrap();
+        };
+        client.send(insert).await;
+        assert_eq!(client.read_until(b'Z').await, "CZ");
+        fixture.kill_database_in_transaction(begun).await;
+        client.send(prepare).await;
+        let answer = tokio::time::timeout(LOCAL_RESPONSE_TIMEOUT, client.read_until(b'E'));
+        assert_eq!(answer.await.expect("answered"), "E");
+        client.send(frontend::sync).await;
+        assert_eq!(client.read_until(b'Z').await, "Z");
+        client
+            .send(|out| frontend::query("rollback", out).unwrap())
+            .await;
+        assert_eq!(client.read_until(b'Z').await, "CZ");
+    });
+}
+
+/// Guards against the same behind a BEGIN, which the node answers, where no server can be reached.
+#[test]
+fn a_statement_that_is_prepared_behind_a_begin_is_answered_without_a_server() {
+    run_test(async {
+        let fixture = Fixture::start().await;
+        let mut client = fixture.node.connect_raw().await;
+        fixture.databases.iter().for_each(Database::kill);
+        tokio::time::sleep(LOSS_TIME).await;
+        client
+            .send(|out| frontend::query("begin", out).unwrap())
+            .await;
+        assert_eq!(client.read_until(b'Z').await, "CZ");
+        client.send(prepare).await;
+        assert_eq!(client.read_until(b'E').await, "E");
+        client.send(frontend::sync).await;
+        assert_eq!(client.read_until(b'Z').await, "Z");
+    });
+}
--- a/core/postgres-session/src/session.rs
+++ b/core/postgres-session/src/session.rs
@@ -21,6 +21,7 @@
 mod event;
 mod forwarding;
 mod local_responses;
+mod lost_transaction;
 mod message_batch;
 mod message_writer;
 mod server_link;
@@ -34,10 +35,12 @@
 
 use self::batch_effects::KnownStatements;
 pub use self::event::{Action, Event, ServerState};
+use self::lost_transaction::BoundEnd;
 use self::message_batch::MessageBatch;
 use self::server_link::{NameChange, ServerLink};
 use crate::extended_query::StatementText;
 use crate::frame::Frame;
+use crate::message_tags::frontend;
 use crate::prepared_statements::ClientStatements;
 use crate::server_messages::{ErrorReason, TransactionStatus};
 use crate::settings::ClientSettings;
@@ -134,6 +137,8 @@
     block_begin: Option<DeferredBegin>,
     /// The server of the open transaction is lost; only the end of the transaction is accepted.
     transaction_lost: bool,
+    /// The portal that ends the lost transaction, if one is bound.
+    bound_end: Option<BoundEnd>,
     /// Why the open transaction was lost; set until the client has received that error.
     unreported_loss: Option<ErrorReason>,
     /// Reason of the last failed request for a server; kept after the client has received the error.
@@ -293,11 +298,7 @@
             if !self.first_batch_is_ready() {
                 return;
             }
-            if self.transaction_lost {
-                // The answer depends on all statements of the batch, so wait until the batch is complete.
-                if !self.batches.front().is_some_and(|batch| batch.is_complete) {
-                    return;
-                }
+            if self.transaction_lost || self.continues_local_responses() {
                 self.respond_in_lost_transaction(actions);
                 continue;
             }
@@ -335,6 +336,15 @@
             .is_some_and(|batch| batch.ready_count() > 0)
     }
 
+    /// Whether the next message of the first batch is a `Sync` or `Flush` behind messages that were answered without a
+    /// server.
+    fn continues_local_responses(&self) -> bool {
+        self.batches.front().is_some_and(|batch| {
+            let next = batch.frames.first().map(|frame| frame.tag);
+            batch.has_local_responses && matches!(next, Some(frontend::SYNC | frontend::FLUSH))
+        })
+    }
+
     fn request_server(&mut self, actions: &mut Vec<Action>) {
         let effects = self.first_batch_effects();
         let is_complete = self.batches.front().is_some_and(|batch| batch.is_complete);
--- a/core/postgres-session/src/session/local_responses.rs
+++ b/core/postgres-session/src/session/local_responses.rs
@@ -1,5 +1,5 @@
 //! Responses without a server: to a BEGIN, which is deferred and sent with the next statement, and to the end of a
-//! transaction that was never sent to a server or whose server is lost.
+//! transaction that was never sent to a server.
 
 use bytes::Bytes;
 
@@ -12,6 +12,8 @@
 use crate::server_messages::{self, TransactionStatus};
 use crate::sql_analysis::TransactionEnd;
 
+/// Detail of the error for a client that has as many statements as it may have.
+pub(super) const TOO_MANY_STATEMENTS: &str = "too many prepared statements";
 /// Body of a `ParameterDescription` of a statement without parameters.
 const NO_PARAMETERS: &[u8] = &[0, 0];
 
@@ -142,12 +144,11 @@
 
     /// Answers and removes the first batch as a server would for a statement that returns no rows and has this command
     /// tag.
-    pub(super) fn respond_to_first_batch(&mut self, command_tag: &str, actions: &mut Vec<Action>) {
+    fn respond_to_first_batch(&mut self, command_tag: &str, actions: &mut Vec<Action>) {
         let Some(batch) = self.batches.front() else {
             return;
         };
         let frames = batch.frames.clone();
-        let mut close_completes_sent = batch.close_completes_sent;
         for frame in &frames {
             match frame.tag {
                 frontend::QUERY => {
@@ -156,21 +157,11 @@
                 }
                 frontend::PARSE => {
                     if !self.prepare_locally(frame) {
-                        return self
-                            .reject_violation(Some("too many prepared statements"), actions);
+                        return self.reject_violation(Some(TOO_MANY_STATEMENTS), actions);
                     }
                     send_empty(backend::PARSE_COMPLETE, actions);
                 }
                 frontend::BIND => send_empty(backend::BIND_COMPLETE, actions),
-                frontend::CLOSE => {
-                    self.close_locally(frame);
-                    // The lost server may already have sent the first `CloseComplete` messages.
-                    if close_completes_sent > 0 {
-                        close_completes_sent -= 1;
-                    } else {
-                        send_empty(backend::CLOSE_COMPLETE, actions);
-                    }
-                }
                 frontend::DESCRIBE => describe_locally(frame, actions),
                 frontend::EXECUTE => {
                     send_to_client(&server_messages::command_complete(command_tag), actions);
@@ -182,7 +173,7 @@
     }
 
     /// Adds the statement of a `Parse` to the client's statements. Returns false if the client has too many statements.
-    fn prepare_locally(&mut self, frame: &Frame) -> bool {
+    pub(super) fn prepare_locally(&mut self, frame: &Frame) -> bool {
         if let Ok(ParseMessage { name, text }) = ParseMessage::read_to_keep(frame) {
             if !self.named_statements.has_capacity(&name) {
                 return false;
@@ -192,14 +183,6 @@
         true
     }
 
-    fn close_locally(&mut self, frame: &Frame) {
-        if let Ok(target) = Target::read(frame)
-            && target.kind == TargetKind::Statement
-        {
-            self.apply_name_change(NameChange::Remove(target.name));
-        }
-    }
-
     /// Removes the first batch and sends `ReadyForQuery` with the current status.
     pub(super) fn finish_first_batch(&mut self, actions: &mut Vec<Action>) {
         self.remove_first_batch();
@@ -241,7 +224,7 @@
     }
 }
 
-fn describe_locally(frame: &Frame, actions: &mut Vec<Action>) {
+pub(super) fn describe_locally(frame: &Frame, actions: &mut Vec<Action>) {
     if extended_query::targets_statement(frame) {
         send_to_client(
             &Frame::new(backend::PARAMETER_DESCRIPTION, NO_PARAMETERS),
@@ -251,6 +234,6 @@
     send_empty(backend::NO_DATA, actions);
 }
 
-fn send_empty(tag: u8, actions: &mut Vec<Action>) {
+pub(super) fn send_empty(tag: u8, actions: &mut Vec<Action>) {
     send_to_client(&Frame::new(tag, Bytes::new()), actions);
 }
--- a/core/postgres-session/src/session/message_batch.rs
+++ b/core/postgres-session/src/session/message_batch.rs
@@ -26,6 +26,8 @@
     /// Messages were dropped after they were sent, because the batch is larger than the buffer. The batch cannot be
     /// sent to another server.
     pub(super) is_streamed: bool,
+    /// Messages of the batch were answered without a server.
+    pub(super) has_local_responses: bool,
     /// The batch failed before its `Sync` was received; all messages up to the `Sync` are dropped.
     pub(super) is_skipped: bool,
     /// Number of `CloseComplete` messages of the batch that were sent to the client.
@@ -130,6 +132,20 @@
         bytes
     }
 
+    /// Takes the first message, which is answered without a server. None of the messages may have been sent.
+    pub(super) fn take_first_for_local_response(&mut self) -> Option<Frame> {
+        if self.frames.is_empty() {
+            return None;
+        }
+        let first = self.frames.remove(0);
+        self.flushed_count = self.flushed_count.saturating_sub(1);
+        self.has_local_responses = true;
+        self.effects = None;
+        self.partial_effects = None;
+        self.analyzed_count = 0;
+        Some(first)
+    }
+
     /// Drops all messages but the last `kept` ones, because the server ignores them after an error.
     pub(super) fn drop_ignored(&mut self, kept: usize) {
         let ignored = self.frames.len().saturating_sub(kept);
--- a/core/postgres-session/src/session/server_loss.rs
+++ b/core/postgres-session/src/session/server_loss.rs
@@ -3,7 +3,6 @@
 use super::message_batch::MessageBatch;
 use super::server_link::ServerLink;
 use super::{Action, Session, send_to_client};
-use crate::extended_query::ParseMessage;
 use crate::message_tags::frontend;
 use crate::server_messages::{self, ErrorReason, TransactionStatus};
 use crate::sql_analysis::TransactionStep;
@@ -111,6 +110,9 @@
         if self.is_between_statements() {
             // Report the error to the next statement, unless that statement rolls back.
             self.unreported_loss = self.transaction_lost.then_some(reason);
+            if let Some(batch) = self.batches.front_mut() {
+                batch.sent_count = 0;
+            }
             return;
         }
         let count = self.count_batches_to_fail();
@@ -174,21 +176,18 @@
     /// Answers the first batch, which must be complete, with an error.
     fn reject_first_batch(&mut self, reason: ErrorReason, actions: &mut Vec<Action>) {
         send_to_client(&server_messages::error_response(reason, None), actions);
-        if !self.skip_unfinished_batch() {
-            self.finish_first_batch(actions);
-        }
-    }
-
-    /// If the first batch has several messages and no `Sync`, drops all messages up to the next `Sync`, as a server
-    /// does after an error. Returns whether that `Sync` has not been received yet.
-    fn skip_unfinished_batch(&mut self) -> bool {
         let is_unfinished = self
             .batches
             .front()
             .is_some_and(|batch| batch.frames.len() > 1 && !batch.ends_with(frontend::SYNC));
-        if !is_unfinished {
-            return false;
+        if !is_unfinished || !self.skip_to_sync() {
+            self.finish_first_batch(actions);
         }
+    }
+
+    /// Drops all messages up to the next `Sync`, as a server does after an error. Returns whether that `Sync` has not been
+    /// received yet.
+    pub(super) fn skip_to_sync(&mut self) -> bool {
         while let Some(batch) = self.remove_first_batch() {
             if !batch.is_complete {
                 break;
@@ -201,88 +200,4 @@
         self.batches.push_front(MessageBatch::skipped());
         true
     }
-
-    /// Answers the first batch in a transaction whose server is lost. As in a failed transaction, only the end of the
-    /// transaction is accepted; other statements get an error.
-    pub(super) fn respond_in_lost_transaction(&mut self, actions: &mut Vec<Action>) {
-        let effects = self.first_batch_effects();
-        if self.chain_lost_transaction(&effects.steps, actions) {
-            return;
-        }
-        let Some(batch) = self.batches.front() else {
-            return;
-        };
-        let ends_transaction = only_ends_transaction(&effects.steps);
-        let prepares_end = effects.steps.is_empty() && only_ends_transaction(&parsed_steps(batch));
-        if !ends_transaction && !prepares_end && !batch.only_closes() {
-            let reason = self
-                .unreported_loss
-                .take()
-                .unwrap_or(ErrorReason::InFailedTransaction);
-            self.reject_first_batch(reason, actions);
-            return;
-        }
-        if ends_transaction {
-            self.end_lost_transaction(TransactionStatus::Idle);
-        }
-        if effects.steps.contains(&TransactionStep::Commit) {
-            // Answer COMMIT with an error: drivers do not check for the command tag ROLLBACK and may have ignored an
-            // earlier error, so any success would look like a commit.
-            let reason = self.loss_reason.unwrap_or(ErrorReason::TransactionLost);
-            self.reject_first_batch(reason, actions);
-            return;
-        }
-        self.respond_to_first_batch("ROLLBACK", actions);
-    }
-
-    /// Answers a chained end of a transaction whose server is lost. ROLLBACK AND CHAIN begins a transaction with the same
-    /// modes, which must be known. Returns whether the batch was answered.
-    fn chain_lost_transaction(
-        &mut self,
-        steps: &[TransactionStep],
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        match steps {
-            [TransactionStep::RollbackAndChain] if self.block_begin.is_some() => {
-                self.deferred_begin = self.block_begin.clone();
-                self.end_lost_transaction(TransactionStatus::InBlock);
-                self.respond_to_first_batch("ROLLBACK", actions);
-            }
-            // As for COMMIT, any success would look like a commit. The transaction stays lost, so that nothing that the
-            // client sends behind the error runs outside a transaction.
-            [TransactionStep::CommitAndChain] => {
-                self.unreported_loss = None;
-                let reason = self.loss_reason.unwrap_or(ErrorReason::TransactionLost);
-                self.reject_first_batch(reason, actions);
-            }
-            _ => return false,
-        }
-        true
-    }
-
-    /// Ends the lost transaction. `status` is the client's transaction status from then on.
-    fn end_lost_transaction(&mut self, status: TransactionStatus) {
-        self.transaction_lost = false;
-        self.unreported_loss = None;
-        self.status = status;
-        if status == TransactionStatus::Idle {
-            self.block_begin = None;
-        }
-    }
-}
-
-/// Whether the steps are not empty and each of them ends a transaction and begins no other one.
-fn only_ends_transaction(steps: &[TransactionStep]) -> bool {
-    !steps.is_empty() && steps.iter().all(|step| step.is_plain_end())
-}
-
-/// Returns the transaction steps of all statements that the batch prepares, executed or not.
-fn parsed_steps(batch: &MessageBatch) -> Vec<TransactionStep> {
-    batch
-        .frames
-        .iter()
-        .filter(|frame| frame.tag == frontend::PARSE)
-        .filter_map(|frame| ParseMessage::read(frame).ok())
-        .flat_map(|parse| parse.text.analyze().steps)
-        .collect()
 }
--- a/core/postgres-session/src/session/tests.rs
+++ b/core/postgres-session/src/session/tests.rs
@@ -3,6 +3,7 @@
 mod chained_transactions;
 mod copy;
 mod large_batches;
+mod lost_transaction;
 mod properties;
 mod server_loss;
 mod support;
--- a/core/postgres-session/src/session/tests/chained_transactions.rs
+++ b/core/postgres-session/src/session/tests/chained_transactions.rs
@@ -20,12 +20,10 @@
     fixture
 }
 
-/// A statement in the simple and in the extended query protocol.
-fn both_protocols(sql: &str) -> [Vec<Frame>; 2] {
-    [
-        query(sql),
-        [parse("", sql), bind_execute(""), sync()].concat(),
-    ]
+/// A statement in the simple and in the extended query protocol, with the responses to the messages before its `Execute`.
+fn both_protocols(sql: &str) -> [(Vec<Frame>, &'static str); 2] {
+    let extended = [parse("", sql), bind_execute(""), sync()].concat();
+    [(query(sql), ""), (extended, "1 2 ")]
 }
 
 /// Guards against a commit of what the client rolls back: ROLLBACK AND CHAIN was answered as done and began no
@@ -33,10 +31,10 @@
 #[test]
 fn rollback_and_chain_of_a_lost_transaction_begins_a_transaction_with_the_same_modes() {
     for sql in ["rollback and chain", "abort work and chain"] {
-        for chained in both_protocols(sql) {
+        for (chained, prepared) in both_protocols(sql) {
             let mut fixture = after_loss(&["begin isolation level serializable", "insert 1"]);
             fixture.client(&[chained]);
-            assert!(fixture.responses().ends_with("C ZT"), "{sql}");
+            assert_eq!(fixture.responses(), format!("{prepared}C ZT"), "{sql}");
             fixture.client(&[query("insert 2")]);
             fixture.attach();
             fixture.client(&[query("rollback")]);
@@ -61,13 +59,13 @@
         &["begin", "begin read only"],
         &["begin", "commit", "begin; insert"],
     ] {
-        for chained in both_protocols("rollback and chain") {
+        for (chained, prepared) in both_protocols("rollback and chain") {
             let mut fixture = after_loss(statements);
             let requested = fixture.requested;
             fixture.client(&[chained, query("insert"), query("rollback")]);
             assert_eq!(
                 fixture.responses(),
-                "08006 ZE 25P02 ZE C ZI",
+                format!("{prepared}08006 ZE 25P02 ZE C ZI"),
                 "{statements:?}"
             );
             assert_eq!(fixture.requested, requested, "{statements:?}");
@@ -78,12 +76,12 @@
 /// Guards against statements that run outside a transaction behind a COMMIT AND CHAIN that failed.
 #[test]
 fn commit_and_chain_of_a_lost_transaction_leaves_the_transaction_failed() {
-    for chained in both_protocols("commit and chain") {
+    for (chained, prepared) in both_protocols("commit and chain") {
         let mut fixture = after_loss(&["begin", "insert"]);
         fixture.client(&[chained, query("insert"), query("rollback")]);
         assert_eq!(
-            (fixture.responses().as_str(), fixture.requested),
-            ("08006 ZE 25P02 ZE C ZI", 1)
+            (fixture.responses(), fixture.requested),
+            (format!("{prepared}08006 ZE 25P02 ZE C ZI"), 1)
         );
     }
 }
--- a/core/postgres-session/src/session/tests/properties.rs
+++ b/core/postgres-session/src/session/tests/properties.rs
@@ -4,8 +4,8 @@
 
 use super::support::{SessionFixture, bind_execute, flush, parse, query, sync};
 use crate::frame::{Frame, FrameDecoder};
-use crate::session::Event;
 use crate::session::server_link::ServerLink;
+use crate::session::{BufferLimits, Event};
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -83,6 +83,57 @@
         prop_assert_eq!(fixture.session.buffered_bytes, 0);
     }
 
+    /// Guards against a state in which the client waits for the session and the session for the client, after any loss at
+    /// any message: messages before a `Flush` or the end of a batch are sent or answered, or a server is requested for them.
+    #[test]
+    fn messages_that_are_ready_never_wait_for_the_client(
+        steps in proptest::collection::vec((0_u8..14, 0_u8..6), 1..40),
+        limit in 1_usize..8,
+    ) {
+        let limits = BufferLimits { bytes: usize::MAX, messages: limit };
+        let mut fixture = SessionFixture::with_buffer_limits(limits);
+        for (number, event) in steps {
+            let messages: Vec<Frame> = match number {
+                0 => query("begin"),
+                1 => query("insert"),
+                2 => query("rollback and chain"),
+                3 => query("commit"),
+                4 => parse("", "insert"),
+                5 => parse("r", "rollback"),
+                6 => parse("", "begin"),
+                7 => parse("c", "commit and chain"),
+                8 => bind_execute(""),
+                9 => bind_execute("r"),
+                10 => bind_execute("c"),
+                11 | 12 => flush(),
+                _ => sync(),
+            };
+            if fixture.ended {
+                break;
+            }
+            if fixture.session.accepts_client_messages() {
+                fixture.client(&[messages]);
+            }
+            match event {
+                0 if fixture.server.is_some() => fixture.lose_server(),
+                1 => fixture.handle(Event::RequestFailed),
+                2 => fixture.handle(Event::Rejected { retry_after_ms: 1 }),
+                _ if fixture.has_requested_server() => fixture.attach(),
+                _ => {}
+            }
+            let session = &fixture.session;
+            let unsent = session.batches.front().map_or(0, |batch| batch.ready_count() - batch.sent_count);
+            prop_assert!(
+                unsent == 0 || fixture.has_requested_server() || fixture.ended,
+                "{} messages wait: {:?}", unsent, session
+            );
+            prop_assert!(
+                session.accepts_client_messages() || fixture.has_requested_server() || fixture.server.is_some() || fixture.ended,
+                "nothing is read: {:?}", session
+            );
+        }
+    }
+
     /// Guards against servers that are released with an unfinished batch or transaction, whatever message the client
     /// sent last. The fixture checks each server that is released.
     #[test]
