PostgreSQL session: limits of the buffer and statement names have modules of their own

Tests of lost and chained transactions share the fixture's beginnings (after_statements, after_loss).

--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -2,9 +2,11 @@
 //! session, and executes the actions of the session state machine. Reading from one side stops while too many bytes
 //! are unsent to the other side.
 //!
+//! - `memory`: charges the session for what it holds for its client
 //! - `streams`: reads and writes the sockets
 //! - `transactions`: requests server connections from the engine and reports the ends of attempts
 
+mod memory;
 mod streams;
 mod transactions;
 
@@ -30,7 +32,7 @@
 use crate::config::Class;
 use crate::lease::LeaseSlot;
 use crate::pool::{ConnectionTarget, Pool, ServerAddress, ServerConnection};
-use crate::session_memory::{HeldMemory, MemoryAccount};
+use crate::session_memory::MemoryAccount;
 use crate::stream::Stream;
 
 type OutcomeFuture = Pin<Box<dyn Future<Output = RequestOutcome<()>>>>;
@@ -275,36 +277,6 @@
         Progress::Advanced
     }
 
-    /// Charges what the session holds for its client. Returns false if the session has ended, because the limit on the
-    /// memory of all sessions is exceeded.
-    fn charge_memory(&mut self, cx: &Context<'_>) -> bool {
-        let unread_bytes = self.client_decoder.buffered_len();
-        let held = self.session.held_memory();
-        let is_waiting = unread_bytes > 0 || held.has_incomplete_batch;
-        let held = HeldMemory {
-            bytes: unread_bytes + held.bytes,
-            waiting_since: (is_waiting && self.reads_from_client())
-                .then_some(self.last_received_at),
-        };
-        self.registered.set_held_bytes(held.bytes);
-        let now = self.context.engine.clock().now();
-        let Err(error) = self.context.memory.charge(held, now, cx) else {
-            return true;
-        };
-        self.context.memory.log_refusal(|suppressed| {
-            tracing::warn!(
-                client = self.registered.number(),
-                user = self.registered.user(),
-                held_bytes = held.bytes,
-                %error,
-                suppressed,
-                "ending the session of a PostgreSQL client"
-            );
-        });
-        self.end_session(ErrorReason::OutOfMemory, None);
-        false
-    }
-
     /// Ends the session with an `ErrorResponse` to the client.
     fn end_session(&mut self, reason: ErrorReason, detail: Option<&str>) {
         error_response(reason, detail).write(&mut self.to_client);
--- a/adapters/postgres/tests/lost_transactions.rs
+++ b/adapters/postgres/tests/lost_transactions.rs
@@ -13,6 +13,7 @@
 use badgerpost_fakes::database::Database;
 use common::*;
 use postgres_protocol::message::frontend;
+use tokio_postgres::Client;
 use tokio_postgres::error::SqlState;
 
 /// Time limit for a response that needs no server.
@@ -45,6 +46,17 @@
         tokio::time::sleep(LOSS_TIME).await;
     }
 
+    /// A client in a transaction whose database was killed after an INSERT.
+    async fn client_in_lost_transaction(&self) -> Client {
+        let client = self.node.connect().await;
+        let begun = self.transactions_begun();
+        client.batch_execute("begin").await.expect("begun");
+        let insert = "insert into t values (1)";
+        client.batch_execute(insert).await.expect("inserted");
+        self.kill_database_in_transaction(begun).await;
+        client
+    }
+
     fn transactions_begun(&self) -> [u64; 2] {
         self.databases.each_ref().map(Database::transactions_begun)
     }
@@ -66,12 +78,7 @@
     run_test(async {
         for chained in ["rollback and chain", "abort transaction and chain"] {
             let fixture = Fixture::start().await;
-            let client = fixture.node.connect().await;
-            let begun = fixture.transactions_begun();
-            client.batch_execute("begin").await.expect("begun");
-            let insert = "insert into t values (1)";
-            client.batch_execute(insert).await.expect("inserted");
-            fixture.kill_database_in_transaction(begun).await;
+            let client = fixture.client_in_lost_transaction().await;
             client.batch_execute(chained).await.expect(chained);
             let insert = "insert into t values (2)";
             client.batch_execute(insert).await.expect("inserted");
@@ -86,12 +93,7 @@
 fn what_follows_commit_and_chain_of_a_lost_transaction_is_rejected() {
     run_test(async {
         let fixture = Fixture::start().await;
-        let client = fixture.node.connect().await;
-        let begun = fixture.transactions_begun();
-        client.batch_execute("begin").await.expect("begun");
-        let insert = "insert into t values (1)";
-        client.batch_execute(insert).await.expect("inserted");
-        fixture.kill_database_in_transaction(begun).await;
+        let client = fixture.client_in_lost_transaction().await;
         let lost = client.batch_execute("commit and chain").await;
         let lost = lost.expect_err("the transaction is lost");
         assert_eq!(sqlstate(&lost), Some(&SqlState::CONNECTION_FAILURE));
--- a/core/postgres-session/src/session/forwarding.rs
+++ b/core/postgres-session/src/session/forwarding.rs
@@ -2,8 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::message_writer::{MessageWriter, StatementNames, query_frame};
+use super::message_writer::{MessageWriter, query_frame};
 use super::server_link::{ExpectedResponse, ServerConnection, ServerLink};
+use super::statement_names::StatementNames;
 use super::{Action, ServerState, Session, encode};
 use crate::extended_query::MalformedMessage;
 use crate::frame::Frame;
@@ -81,18 +82,6 @@
         self.send_local_responses(actions);
     }
 
-    /// Makes room for the rest of an incomplete batch that fills the buffer.
-    fn drop_sent_messages(&mut self) {
-        if !self.is_buffer_full() {
-            return;
-        }
-        if let Some(batch) = self.batches.front_mut()
-            && !batch.is_complete
-        {
-            self.buffered_bytes = self.buffered_bytes.saturating_sub(batch.drop_sent());
-        }
-    }
-
     /// Returns the messages of the first batch to send now; `None` if there are none or the server is still checking
     /// the client's settings.
     fn unsent_frames(&mut self) -> Option<Vec<Frame>> {
--- a/core/postgres-session/src/session/message_writer.rs
+++ b/core/postgres-session/src/session/message_writer.rs
@@ -1,65 +1,22 @@
 //! Rewrites a client's messages for a server connection: replaces the names of prepared statements and adds a `Parse`
 //! before the first use of a statement on the connection.
 
-use std::collections::BTreeMap;
-
 use bytes::{Bytes, BytesMut};
 
 use super::server_link::{
     ExpectedParse, ExpectedResponse, LocalResponse, NameChange, Origin, ServerConnection,
     StatementAlias,
 };
+use super::statement_names::StatementNames;
 use crate::extended_query::{
     self, MalformedMessage, ParseMessage, StatementText, Target, TargetKind,
 };
 use crate::frame::Frame;
 use crate::message_tags::{backend, frontend};
-use crate::prepared_statements::{self, ClientStatements, MAX_NAMED_STATEMENTS};
+use crate::prepared_statements;
 use crate::server_messages::TransactionStatus;
 use crate::sql_analysis;
 
-/// The client's prepared statements after all messages sent so far, including unanswered ones.
-pub(super) struct StatementNames<'a> {
-    /// Named statements after the last answered message.
-    pub(super) named: &'a ClientStatements,
-    /// The unnamed statement after the last answered message.
-    pub(super) unnamed: Option<&'a StatementText>,
-    /// Changes by unanswered messages; `None` for a closed statement.
-    pub(super) pending: &'a mut BTreeMap<Bytes, Option<StatementText>>,
-}
-
-impl StatementNames<'_> {
-    fn get(&self, name: &Bytes) -> Option<StatementText> {
-        match self.pending.get(name) {
-            Some(text) => text.clone(),
-            None if name.is_empty() => self.unnamed.cloned(),
-            None => self.named.get(name).cloned(),
-        }
-    }
-
-    /// Whether the client may prepare a statement under this new name.
-    fn has_capacity(&self, name: &Bytes) -> bool {
-        let prepares_new = |(name, text): (&Bytes, &Option<StatementText>)| {
-            !name.is_empty() && text.is_some() && self.named.get(name).is_none()
-        };
-        let added = self.pending.iter().filter(|change| prepares_new(*change));
-        let closed = self
-            .pending
-            .iter()
-            .filter(|(name, text)| text.is_none() && self.named.get(name).is_some());
-        self.named.get(name).is_some()
-            || self.named.len() + added.count() < MAX_NAMED_STATEMENTS + closed.count()
-    }
-
-    fn set(&mut self, name: Bytes, text: StatementText) {
-        self.pending.insert(name, Some(text));
-    }
-
-    fn remove(&mut self, name: Bytes) {
-        self.pending.insert(name, None);
-    }
-}
-
 /// Writes one session's messages to one server connection.
 pub(super) struct MessageWriter<'a> {
     pub(super) server: &'a mut ServerConnection,
--- a/core/postgres-session/src/session/tests/chained_transactions.rs
+++ b/core/postgres-session/src/session/tests/chained_transactions.rs
@@ -5,21 +5,6 @@
 use crate::frame::Frame;
 use crate::session::Event;
 
-/// A fixture whose server was lost between two statements of a transaction.
-fn after_loss(statements: &[&str]) -> SessionFixture {
-    let mut fixture = SessionFixture::new();
-    for sql in statements {
-        fixture.client(&[query(sql)]);
-        if fixture.has_requested_server() {
-            fixture.attach();
-        }
-    }
-    fixture.lose_server();
-    fixture.handle(Event::RequestFailed);
-    fixture.responses();
-    fixture
-}
-
 /// A statement in the simple and in the extended query protocol, with the responses to the messages before its `Execute`.
 fn both_protocols(sql: &str) -> [(Vec<Frame>, &'static str); 2] {
     let extended = [parse("", sql), bind_execute(""), sync()].concat();
@@ -32,7 +17,8 @@
 fn rollback_and_chain_of_a_lost_transaction_begins_a_transaction_with_the_same_modes() {
     for sql in ["rollback and chain", "abort work and chain"] {
         for (chained, prepared) in both_protocols(sql) {
-            let mut fixture = after_loss(&["begin isolation level serializable", "insert 1"]);
+            let mut fixture =
+                SessionFixture::after_loss(&["begin isolation level serializable", "insert 1"]);
             fixture.client(&[chained]);
             assert_eq!(fixture.responses(), format!("{prepared}C ZT"), "{sql}");
             fixture.client(&[query("insert 2")]);
@@ -60,7 +46,7 @@
         &["begin", "commit", "begin; insert"],
     ] {
         for (chained, prepared) in both_protocols("rollback and chain") {
-            let mut fixture = after_loss(statements);
+            let mut fixture = SessionFixture::after_loss(statements);
             let requested = fixture.requested;
             fixture.client(&[chained, query("insert"), query("rollback")]);
             assert_eq!(
@@ -77,7 +63,7 @@
 #[test]
 fn commit_and_chain_of_a_lost_transaction_leaves_the_transaction_failed() {
     for (chained, prepared) in both_protocols("commit and chain") {
-        let mut fixture = after_loss(&["begin", "insert"]);
+        let mut fixture = SessionFixture::after_loss(&["begin", "insert"]);
         fixture.client(&[chained, query("insert"), query("rollback")]);
         assert_eq!(
             (fixture.responses(), fixture.requested),
@@ -96,14 +82,7 @@
         (&[], "begin; insert; commit and chain", "08007"),
     ] {
         for pipelined in [false, true] {
-            let mut fixture = SessionFixture::new();
-            for sql in before {
-                fixture.client(&[query(sql)]);
-                if fixture.has_requested_server() {
-                    fixture.attach();
-                }
-            }
-            fixture.responses();
+            let mut fixture = SessionFixture::after_statements(before);
             fixture.server_answers = false;
             let behind = [query("insert"), query("rollback")];
             fixture.client(&[query(sql)]);
@@ -130,10 +109,7 @@
 /// A block that ends in the same text as it was chained is not left open.
 #[test]
 fn a_plain_end_behind_a_chained_one_ends_the_transaction() {
-    let mut fixture = SessionFixture::new();
-    fixture.client(&[query("begin"), query("insert")]);
-    fixture.attach();
-    fixture.responses();
+    let mut fixture = SessionFixture::after_statements(&["begin", "insert"]);
     fixture.server_answers = false;
     fixture.client(&[query("commit and chain; commit")]);
     fixture.lose_server();
@@ -145,7 +121,7 @@
 #[test]
 fn rollback_prepared_does_not_end_a_lost_transaction() {
     for sql in ["rollback prepared 'x'", "commit prepared 'x'"] {
-        let mut fixture = after_loss(&["begin", "insert"]);
+        let mut fixture = SessionFixture::after_loss(&["begin", "insert"]);
         fixture.client(&[query(sql), query("insert"), query("rollback")]);
         assert_eq!(fixture.responses(), "08006 ZE 25P02 ZE C ZI", "{sql}");
     }
--- a/core/postgres-session/src/session/tests/lost_transaction.rs
+++ b/core/postgres-session/src/session/tests/lost_transaction.rs
@@ -9,17 +9,6 @@
 use crate::frame::Frame;
 use crate::session::Event;
 
-/// A fixture whose server was lost between two statements of a transaction.
-fn after_loss() -> SessionFixture {
-    let mut fixture = SessionFixture::new();
-    fixture.client(&[query("begin"), query("insert")]);
-    fixture.attach();
-    fixture.lose_server();
-    fixture.handle(Event::RequestFailed);
-    fixture.responses();
-    fixture
-}
-
 /// Sends the parts of a batch one after the other, and returns the responses to each.
 fn responses_to_parts(fixture: &mut SessionFixture, parts: &[Vec<Frame>]) -> Vec<String> {
     let responses = parts.iter().map(|part| {
@@ -85,7 +74,7 @@
         (vec![flush(), query("insert")], vec!["", "08006 ZE"]),
     ];
     for (parts, expected) in cases {
-        let mut fixture = after_loss();
+        let mut fixture = SessionFixture::after_loss(&["begin", "insert"]);
         assert_eq!(
             responses_to_parts(&mut fixture, &parts),
             expected,
@@ -117,7 +106,7 @@
 /// Guards against a batch that fills the buffer before its end, in a transaction in which no server reads it.
 #[test]
 fn a_batch_larger_than_the_buffer_is_answered_in_a_lost_transaction() {
-    let mut fixture = after_loss();
+    let mut fixture = SessionFixture::after_loss(&["begin", "insert"]);
     let large = "x".repeat(64 * 1024);
     fixture.client_with_backpressure(&[execute(&large), execute(&large), sync()]);
     assert_eq!(fixture.responses(), "08006 ZE");
@@ -131,14 +120,14 @@
 /// What follows a ROLLBACK in the same batch runs as at a server: in a transaction of its own.
 #[test]
 fn statements_behind_a_rollback_in_the_same_batch_run_on_another_server() {
-    let mut fixture = after_loss();
+    let mut fixture = SessionFixture::after_loss(&["begin", "insert"]);
     fixture.client(&[execute("rollback"), execute("insert 2"), sync()]);
     assert_eq!(fixture.responses(), "1 2 C");
     fixture.attach();
     assert_eq!(fixture.responses(), "1 2 C ZI");
     assert_eq!(fixture.executed, ["begin", "insert", "insert 2"]);
     // Behind a COMMIT, which fails, they are ignored.
-    let mut fixture = after_loss();
+    let mut fixture = SessionFixture::after_loss(&["begin", "insert"]);
     fixture.client(&[execute("commit"), execute("insert 2"), sync()]);
     assert_eq!(
         (fixture.responses().as_str(), fixture.requested),
@@ -149,10 +138,7 @@
 /// The lost server may have answered a part of a batch that only closes statements.
 #[test]
 fn each_close_is_answered_once_around_a_loss() {
-    let mut fixture = SessionFixture::new();
-    fixture.client(&[query("begin"), query("insert")]);
-    fixture.attach();
-    fixture.responses();
+    let mut fixture = SessionFixture::after_statements(&["begin", "insert"]);
     fixture.server_answers = false;
     fixture.client(&[close(""), close(""), flush()]);
     fixture.server_sends(empty(b'3'));
@@ -170,7 +156,7 @@
     fn nothing_waits_behind_a_flush_in_a_lost_transaction(
         numbers in proptest::collection::vec(0_u8..12, 1..20),
     ) {
-        let mut fixture = after_loss();
+        let mut fixture = SessionFixture::after_loss(&["begin", "insert"]);
         for number in numbers {
             let messages: Vec<Frame> = match number {
                 0 => parse("", "insert"),
--- a/core/postgres-session/src/session/tests/server_loss.rs
+++ b/core/postgres-session/src/session/tests/server_loss.rs
@@ -58,14 +58,7 @@
 #[test]
 fn the_error_after_a_loss_depends_on_the_state_of_the_transaction() {
     let lose_server_during = |before: &[&str], last: &str| {
-        let mut fixture = SessionFixture::new();
-        for sql in before {
-            fixture.client(&[query(sql)]);
-            if fixture.has_requested_server() {
-                fixture.attach();
-            }
-        }
-        fixture.responses();
+        let mut fixture = SessionFixture::after_statements(before);
         fixture.server_answers = false;
         fixture.client(&[query(last)]);
         if fixture.server.is_none() {
--- a/core/postgres-session/src/session/tests/support.rs
+++ b/core/postgres-session/src/session/tests/support.rs
@@ -233,6 +233,28 @@
         }
     }
 
+    /// A session whose client has sent these statements, and has received the responses.
+    pub(super) fn after_statements(statements: &[&str]) -> Self {
+        let mut fixture = Self::new();
+        for sql in statements {
+            fixture.client(&[query(sql)]);
+            if fixture.has_requested_server() {
+                fixture.attach();
+            }
+        }
+        fixture.responses();
+        fixture
+    }
+
+    /// Like [`Self::after_statements`]; the server was then lost between two statements.
+    pub(super) fn after_loss(statements: &[&str]) -> Self {
+        let mut fixture = Self::after_statements(statements);
+        fixture.lose_server();
+        fixture.handle(Event::RequestFailed);
+        fixture.responses();
+        fixture
+    }
+
     /// Sends messages from the client as a caller does that reads from the client only while the session accepts
     /// messages, and attaches each server that is requested.
     pub(super) fn client_with_backpressure(&mut self, messages: &[Vec<Frame>]) {
