PostgreSQL: an empty statement that is prepared already is accepted in a failed transaction

A server accepts an empty text there, like the ends of the transaction. The test of those ends has the empty text, too.

--- a/core/postgres-session/src/session/tests/chained_transactions.rs
+++ b/core/postgres-session/src/session/tests/chained_transactions.rs
@@ -135,6 +135,7 @@
         "commit and chain",
         "rollback work",
         "rollback to a",
+        "",
     ] {
         let mut fixture = SessionFixture::new();
         let first = [parse("a", sql), sync()].concat();
--- a/core/postgres-session/src/sql_analysis.rs
+++ b/core/postgres-session/src/sql_analysis.rs
@@ -156,7 +156,7 @@
     pub resets_all_settings: bool,
     /// The text only begins or only ends a transaction, in a form that a server is known to accept.
     pub is_standalone: bool,
-    /// The text is one statement, and a server accepts it in a failed transaction block.
+    /// The text is empty or one statement, and a server accepts it in a failed transaction block.
     pub is_accepted_in_failed_block: bool,
     /// The modes of an open transaction block may be other ones after the text.
     pub may_change_transaction_modes: bool,
@@ -266,7 +266,10 @@
         .iter()
         .filter(|token| !matches!(token, Token::Whitespace(_) | Token::EOF))
         .collect();
-    let mut effects = StatementEffects::default();
+    let mut effects = StatementEffects {
+        is_accepted_in_failed_block: true,
+        ..StatementEffects::default()
+    };
     for statement in significant.split(|token| matches!(token, Token::SemiColon)) {
         if !statement.is_empty() {
             effects.add_statement(&SqlStatement::new(statement));
