Engine tests: a request that is left open has a quarter of a second, not one millisecond

Cause: the test gives a request 1 ms of real time and expects an attempt. Driver::submit reads the clock for the deadline, and again for the balancer's event; if the thread stalls for 1 ms in between, the request has expired, and rejecting it is right. Traced by a sleep of 2 ms between the two readings (scratch): the same panic every time; with 250 ms the test passes there.

Change: the budget is 250 ms.

--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -236,7 +236,8 @@
 fn request_that_the_balancer_leaves_open_fails_at_its_deadline() {
     let (engine, transport) = test_engine(SECOND);
     list_one_backend(&engine);
-    let response = engine.submit(incoming(1_000_000)).expect("a new id");
+    // Long enough that the attempt starts within it, also on a machine that stalls for some milliseconds.
+    let response = engine.submit(incoming(SECOND / 4)).expect("a new id");
     let command = transport.take_attempt();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
