Failed attempts and requests without a response are logged and counted with their reason

Change: 'attempt failed' (request, server, attempt, reason, elapsed_ms) and 'request ended without a response' (request, class, attempts, age_ms, reason), one line in 5 s for each outcome and each reason; node.attempts.ended.OUTCOME and node.requests.unanswered.REASON on the metrics page. The balancer's Reject and Fail say why (EndReason).

--- a/adapters/admin/src/metrics_page.rs
+++ b/adapters/admin/src/metrics_page.rs
@@ -2,7 +2,8 @@
 
 use std::fmt::{Display, Write};
 
-use badgerpost_engine::{ConnectionLimit, Metrics};
+use badgerpost_balancer::Outcome;
+use badgerpost_engine::{ConnectionLimit, Metrics, RequestEndReason};
 
 /// The text of the page.
 #[derive(Default)]
@@ -32,6 +33,14 @@
         let name = format!("connections.closed.{}", limit.name());
         page.line(&name, metrics.connections_closed(limit));
     }
+    for outcome in Outcome::ALL {
+        let name = format!("attempts.ended.{}", outcome.log_name());
+        page.line(&name, metrics.attempts_ended(outcome));
+    }
+    for reason in RequestEndReason::all() {
+        let name = format!("requests.unanswered.{}", reason.name());
+        page.line(&name, metrics.requests_unanswered(reason));
+    }
     for zone in metrics.zones() {
         let thousandths = (zone.share * 1000.0).round() as u64;
         page.line(&format!("zone.{}.share", zone.name), thousandths);
--- a/balancer/src/api.rs
+++ b/balancer/src/api.rs
@@ -5,7 +5,7 @@
 pub mod ids;
 pub mod settings;
 
-pub use actions::{Action, LogEvent};
+pub use actions::{Action, EndReason, LogEvent};
 pub use events::{
     AttemptResult, Endpoint, EndpointState, EndpointUpdate, Event, LoadReport, Outcome,
     RequestArrival,
--- a/balancer/src/api/actions.rs
+++ b/balancer/src/api/actions.rs
@@ -26,11 +26,15 @@
         /// `Retry-After` for the client in nanoseconds, at most
         /// [`Limits::max_retry_after`](crate::Limits::max_retry_after); 0 for none.
         retry_after: Nanos,
+        /// Why the request gets no response.
+        reason: EndReason,
     },
     /// Final answer: failed. The request may have run.
     Fail {
         /// Request to fail.
         request: RequestId,
+        /// Why the request gets no response.
+        reason: EndReason,
     },
     /// Cancel an attempt.
     Cancel {
@@ -59,6 +63,43 @@
     Log(LogEvent),
 }
 
+/// Why the balancer ends a request without a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// The request was not admitted: overload, a quota, or no time left.
+    NotAdmitted,
+    /// The request was queued until it could no longer be answered in time.
+    ExpiredInQueue,
+    /// An attempt ended unsuccessfully after the latency objective.
+    ObjectivePassed,
+    /// An attempt ended unsuccessfully, and the retry budget is exhausted.
+    RetryBudgetExhausted,
+    /// An attempt ended unsuccessfully, and no backend may receive another attempt.
+    NoRetryTarget,
+}
+
+impl EndReason {
+    /// All reasons, in the order in which the metrics page shows them.
+    pub const ALL: [Self; 5] = [
+        Self::NotAdmitted,
+        Self::ExpiredInQueue,
+        Self::ObjectivePassed,
+        Self::RetryBudgetExhausted,
+        Self::NoRetryTarget,
+    ];
+
+    /// The reason's name in logs and metrics.
+    pub fn log_name(self) -> &'static str {
+        match self {
+            Self::NotAdmitted => "not_admitted",
+            Self::ExpiredInQueue => "expired_in_queue",
+            Self::ObjectivePassed => "objective_passed",
+            Self::RetryBudgetExhausted => "retry_budget_exhausted",
+            Self::NoRetryTarget => "no_retry_target",
+        }
+    }
+}
+
 /// An event for operators. The `Display` text is for people, the fields are for structured logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogEvent {
--- a/balancer/src/api/events.rs
+++ b/balancer/src/api/events.rs
@@ -93,6 +93,19 @@
 }
 
 impl Outcome {
+    /// All outcomes, in the order in which the metrics page shows them.
+    pub const ALL: [Self; 9] = [
+        Self::Success,
+        Self::Error,
+        Self::InvalidResponse,
+        Self::Rejected,
+        Self::TimedOut,
+        Self::ConnectFailed,
+        Self::Reset,
+        Self::Cancelled,
+        Self::NotSent,
+    ];
+
     /// Whether the backend may have executed the request.
     pub fn may_have_run(self) -> bool {
         !matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
--- a/balancer/src/balancer/requests.rs
+++ b/balancer/src/balancer/requests.rs
@@ -1,7 +1,7 @@
 //! The lifecycle of a request: admission, dispatch, queueing and final answer.
 
 use super::Balancer;
-use crate::api::{Action, BackendId, ClassId, Nanos, RequestArrival, RequestId};
+use crate::api::{Action, BackendId, ClassId, EndReason, Nanos, RequestArrival, RequestId};
 use crate::class_statistics::ClassStatistics;
 use crate::deadlines::{has_no_remaining_value, is_expired, objective_start};
 use crate::dispatch_order::{MAX_DISPATCH_MISSES, dispatch_order};
@@ -32,7 +32,7 @@
             self.dispatch(id, actions);
         } else {
             let retry_after = self.fleet.settings.limits.max_retry_after;
-            self.reject_or_fail(id, retry_after, actions);
+            self.reject_or_fail(id, retry_after, EndReason::NotAdmitted, actions);
         }
     }
 
@@ -164,7 +164,7 @@
     pub(super) fn end_expired(&mut self, actions: &mut Vec<Action>) {
         let retry_after = self.fleet.settings.limits.max_retry_after;
         for id in self.expired_requests() {
-            self.reject_or_fail(id, retry_after, actions);
+            self.reject_or_fail(id, retry_after, EndReason::ExpiredInQueue, actions);
         }
     }
 
@@ -185,6 +185,7 @@
         &mut self,
         id: RequestId,
         retry_after: Nanos,
+        reason: EndReason,
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.get(id) else {
@@ -195,9 +196,13 @@
             Action::Reject {
                 request: id,
                 retry_after: retry_after.min(settings.limits.max_retry_after),
+                reason,
             }
         } else {
-            Action::Fail { request: id }
+            Action::Fail {
+                request: id,
+                reason,
+            }
         };
         actions.push(answer);
         self.cancel_in_flight(id, actions);
--- a/balancer/src/balancer/retries.rs
+++ b/balancer/src/balancer/retries.rs
@@ -1,7 +1,7 @@
 //! Retries and hedged requests, within retry safety and the retry budget.
 
 use super::Balancer;
-use crate::api::{Action, Idempotency, Nanos, RequestId, ZoneId};
+use crate::api::{Action, EndReason, Idempotency, Nanos, RequestId, ZoneId};
 use crate::request::{Phase, Request};
 use crate::retry_safety::is_eligible;
 
@@ -20,11 +20,16 @@
         if self.fleet.now >= request.objective_deadline {
             // Past the objective, the request ends like one that expires in the queue.
             let retry_after = self.fleet.settings.limits.max_retry_after;
-            self.reject_or_fail(id, retry_after, actions);
+            self.reject_or_fail(id, retry_after, EndReason::ObjectivePassed, actions);
             return;
         }
-        if !self.is_within_retry_budget(request) || !self.has_retry_target(request) {
-            self.reject_or_fail(id, NO_RETRY_AFTER, actions);
+        if !self.is_within_retry_budget(request) {
+            let reason = EndReason::RetryBudgetExhausted;
+            self.reject_or_fail(id, NO_RETRY_AFTER, reason, actions);
+            return;
+        }
+        if !self.has_retry_target(request) {
+            self.reject_or_fail(id, NO_RETRY_AFTER, EndReason::NoRetryTarget, actions);
             return;
         }
         // If no backend has capacity now, `dispatch` queues the request; capacity usually becomes free before the
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -35,9 +35,9 @@
 mod zones;
 
 pub use api::{
-    Action, AttemptResult, BackendId, ClassId, ClassSettings, DedupScope, Discovery, Endpoint,
-    EndpointState, EndpointUpdate, Event, Idempotency, Limits, LoadReport, LogEvent, Nanos,
-    Outcome, RequestArrival, RequestId, SafetyLimits, Settings, SettingsError, WeightSource,
+    Action, AttemptResult, BackendId, ClassId, ClassSettings, DedupScope, Discovery, EndReason,
+    Endpoint, EndpointState, EndpointUpdate, Event, Idempotency, Limits, LoadReport, LogEvent,
+    Nanos, Outcome, RequestArrival, RequestId, SafetyLimits, Settings, SettingsError, WeightSource,
     ZoneId,
 };
 pub use balancer::Balancer;
--- a/balancer/tests/any_sequence.rs
+++ b/balancer/tests/any_sequence.rs
@@ -89,7 +89,7 @@
                         "more than one final answer"
                     );
                 }
-                Action::Fail { request } => {
+                Action::Fail { request, .. } => {
                     let tracked = self.requests.get_mut(&request).expect("a known request");
                     assert!(
                         !std::mem::replace(&mut tracked.ended, true),
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -6,6 +6,7 @@
 
 mod endpoints;
 mod queries;
+mod records;
 mod requests;
 mod zones;
 
@@ -24,6 +25,7 @@
 use crate::open_requests::OpenRequests;
 use crate::pending_io::PendingIo;
 use crate::protocol::{Protocol, RequestOutcome};
+use crate::request_log::RequestLog;
 use crate::timers::{TimerPurpose, Timers};
 use crate::zone_monitoring::{ZoneGossip, ZoneMonitoring};
 
@@ -39,6 +41,7 @@
     pub(crate) backends: Backends,
     pub(crate) timers: Timers,
     metrics: Arc<Metrics>,
+    request_log: RequestLog,
     /// `None` if zone monitoring is off.
     zone_monitoring: Option<ZoneMonitoring>,
     /// The channel for zone observations that are to be sent to the other nodes; `None` if the node has no peers.
@@ -59,6 +62,7 @@
     ) -> Result<Self, SettingsError> {
         Ok(Self {
             balancer: Balancer::new(settings.clone(), seed, clock.now())?,
+            request_log: RequestLog::new(&clock),
             clock,
             metrics: Arc::new(Metrics::new(names.class_names())),
             backends: Backends::new(settings.rules.slow_start_duration),
@@ -94,11 +98,14 @@
             Action::Reject {
                 request,
                 retry_after,
+                reason,
             } => {
+                self.record_end_without_response(request, reason.into());
                 let outcome = RequestOutcome::Rejected(retry_after);
                 self.finish(request, outcome, EndCounting::Immediate);
             }
-            Action::Fail { request } => {
+            Action::Fail { request, reason } => {
+                self.record_end_without_response(request, reason.into());
                 self.fail(request);
             }
             Action::Cancel { request, attempt } => {
--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -13,6 +13,7 @@
 use crate::open_requests::{Delivery, ErrorResponse, OpenRequest, UploadState};
 use crate::pending_io::PendingIo;
 use crate::protocol::{IncomingRequest, Protocol, RequestOutcome};
+use crate::request_end_reason::RequestEndReason;
 use crate::timers::TimerPurpose;
 
 impl<P: Protocol> Driver<P> {
@@ -27,6 +28,7 @@
     ) -> Option<RequestId> {
         let now = self.clock.now();
         if !self.client_request_ids.reserve(&incoming.id, now) {
+            self.record_duplicate(&incoming);
             return None;
         }
         let request = self.requests.allocate_id();
@@ -40,7 +42,7 @@
             tenant: incoming.tenant,
             expires_at,
         };
-        let open = OpenRequest::new(incoming, expires_at, upload, outcome_sender);
+        let open = OpenRequest::new(incoming, now, expires_at, upload, outcome_sender);
         let fallback_timeout_at = open.fallback_timeout_at();
         self.requests.insert(request, open);
         self.metrics.request_started();
@@ -201,6 +203,7 @@
         // If the node was paused, the response may have waited in the socket, and the response time is unknown.
         let elapsed = self.clock.elapsed_unless_paused(in_flight.waiting_since);
         let request_ended = self.requests.get_pending(request).is_none();
+        self.record_attempt_end(attempt, outcome, elapsed);
         if !in_flight.is_request_complete {
             self.with_zone_monitoring(pending_io, |zones, now| {
                 zones.attempt_sent(now, attempt, class)
@@ -229,6 +232,7 @@
         pending_io: &mut PendingIo<P>,
     ) -> RequestOutcome<P::Response> {
         let retry_after = self.settings.limits.max_retry_after;
+        self.record_end_without_response(request, RequestEndReason::UploadStalled);
         self.abandon(request, RequestOutcome::Rejected(retry_after), pending_io);
         RequestOutcome::Rejected(retry_after)
     }
@@ -240,6 +244,7 @@
         pending_io: &mut PendingIo<P>,
     ) {
         if self.requests.get_pending(request).is_some() {
+            self.record_end_without_response(request, RequestEndReason::ClientDisconnected);
             self.abandon(request, RequestOutcome::Failed, pending_io);
         } else {
             self.remove_if_done(request);
@@ -250,6 +255,7 @@
     pub(super) fn fail_overdue(&mut self, request: RequestId, pending_io: &mut PendingIo<P>) {
         if let Some(open) = self.requests.get_pending(request) {
             log_fallback_timeout(&open.client_id);
+            self.record_end_without_response(request, RequestEndReason::FallbackTimeout);
             self.abandon(request, RequestOutcome::Failed, pending_io);
         }
     }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -24,6 +24,8 @@
 mod open_requests;
 mod pending_io;
 mod protocol;
+mod request_end_reason;
+mod request_log;
 mod start_times;
 mod tcp_stream;
 mod timers;
@@ -44,5 +46,6 @@
     BackendCounts, ClassCounts, DatagramDropReason, Metrics, PeerMetrics, RequestEnd, ZoneMetrics,
 };
 pub use protocol::{IncomingRequest, Protocol, RequestClass, RequestOutcome, UnknownTenant};
+pub use request_end_reason::RequestEndReason;
 pub use tcp_stream::TcpStream;
 pub use zone_monitoring::{ForcedZoneState, PeerUpdate, ZoneGossip, ZoneOverride};
--- a/engine/src/metrics.rs
+++ b/engine/src/metrics.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use badgerpost_balancer::{ClassId, ZoneId};
+use badgerpost_balancer::{ClassId, Outcome, ZoneId};
 
 use crate::connection_limit::{ConnectionLimit, ConnectionLimitCounters};
+use crate::request_end_reason::{RequestEndReason, RequestEndReasonCounters};
 
 /// How a request ended from the client's point of view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,6 +129,9 @@
     /// Indexed by class id.
     classes: Vec<ClassEntry>,
     attempts_sent: AtomicU64,
+    /// Indexed by outcome.
+    attempts_ended: [AtomicU64; Outcome::ALL.len()],
+    requests_unanswered: RequestEndReasonCounters,
     requests_in_progress: AtomicU64,
     backends_listed: AtomicU64,
     backends_avoided: AtomicU64,
@@ -231,11 +235,37 @@
         }
     }
 
+    /// The name of a request class.
+    pub(crate) fn class_name(&self, class: ClassId) -> Option<&str> {
+        let entry = self.classes.get(class.0 as usize)?;
+        Some(&entry.name)
+    }
+
     /// Counts an attempt whose request was written in full.
     pub fn attempt_sent(&self) {
         self.attempts_sent.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts an attempt that ended with this outcome.
+    pub(crate) fn attempt_ended(&self, outcome: Outcome) {
+        self.attempts_ended[outcome as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The number of attempts that ended with this outcome.
+    pub fn attempts_ended(&self, outcome: Outcome) -> u64 {
+        self.attempts_ended[outcome as usize].load(Ordering::Relaxed)
+    }
+
+    /// Counts a request that ended without a response.
+    pub(crate) fn request_unanswered(&self, reason: RequestEndReason) {
+        self.requests_unanswered.count(reason);
+    }
+
+    /// The number of requests that ended without a response for this reason.
+    pub fn requests_unanswered(&self, reason: RequestEndReason) -> u64 {
+        self.requests_unanswered.get(reason)
+    }
+
     /// Counts a client connection that was closed because of a limit.
     pub fn connection_closed(&self, limit: ConnectionLimit) {
         self.connections_closed.count(limit);
--- a/engine/src/open_requests.rs
+++ b/engine/src/open_requests.rs
@@ -67,6 +67,7 @@
     /// The request's id as chosen by the client.
     pub(crate) client_id: Box<str>,
     pub(crate) class: ClassId,
+    pub(crate) submitted_at: Nanos,
     payload: Rc<P::Request>,
     /// When the client stops waiting or, during an upload, when the upload times out.
     expires_at: Nanos,
@@ -86,6 +87,7 @@
     /// Creates a request without attempts, whose outcome will be sent to `outcome_sender`.
     pub(crate) fn new(
         incoming: IncomingRequest<P>,
+        submitted_at: Nanos,
         expires_at: Nanos,
         upload: UploadState,
         outcome_sender: oneshot::Sender<RequestOutcome<P::Response>>,
@@ -94,6 +96,7 @@
         Self {
             client_id: incoming.id,
             class: incoming.class,
+            submitted_at,
             payload: Rc::new(incoming.payload),
             expires_at,
             upload_deadline: is_uploading.then(|| watch::Sender::new(expires_at)),
@@ -115,6 +118,11 @@
         self.upload == UploadState::InProgress
     }
 
+    /// The number of attempts so far.
+    pub(crate) fn attempt_count(&self) -> usize {
+        self.attempts.len()
+    }
+
     /// The attempts in flight.
     pub(crate) fn in_flight(&self, request: RequestId) -> impl Iterator<Item = AttemptId> {
         self.attempts
--- a/simulator/src/instance.rs
+++ b/simulator/src/instance.rs
@@ -174,12 +174,13 @@
             Action::Reject {
                 request,
                 retry_after,
+                ..
             } => Reply::Reject {
                 retry_after,
                 request: self.end_request(request),
                 instance,
             },
-            Action::Fail { request } => Reply::Fail {
+            Action::Fail { request, .. } => Reply::Fail {
                 request: self.end_request(request),
                 instance,
             },
