--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -10,8 +10,7 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{
-    BackendId, EndpointUpdate, Event, LoadReport, Nanos, Outcome, RequestId, Settings,
-    SettingsError,
+    BackendId, EndpointUpdate, Event, LoadReport, Nanos, Outcome, Settings, SettingsError,
 };
 use badgerpost_settings::NameTable;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -23,7 +22,8 @@
 use crate::metrics::Metrics;
 use crate::open_requests::UploadState;
 use crate::pending_io::PendingIo;
-use crate::protocol::{IncomingRequest, Protocol, RequestClass, RequestOutcome, UnknownTenant};
+use crate::pending_response::PendingResponse;
+use crate::protocol::{IncomingRequest, Protocol, RequestClass, UnknownTenant};
 use crate::zone_monitoring::{PeerUpdate, ZoneGossip, ZoneOverride};
 
 /// A timer that fires at least this long after its due time indicates that the process was paused.
@@ -191,11 +191,7 @@
         let request = self.with_driver(|driver, pending_io| {
             driver.submit(incoming, upload, outcome_sender, pending_io)
         })?;
-        Some(PendingResponse {
-            engine: self.clone(),
-            request,
-            outcome,
-        })
+        Some(PendingResponse::new(self.clone(), request, outcome))
     }
 
     /// Reports that this attempt has sent parts of the request's body that are not buffered, so that the request can't
@@ -322,7 +318,10 @@
     }
 
     /// Calls `call` with the driver borrowed, and then executes the operations that the call collected.
-    fn with_driver<T>(&self, call: impl FnOnce(&mut Driver<P>, &mut PendingIo<P>) -> T) -> T {
+    pub(crate) fn with_driver<T>(
+        &self,
+        call: impl FnOnce(&mut Driver<P>, &mut PendingIo<P>) -> T,
+    ) -> T {
         let mut pending_io = PendingIo::default();
         let result = call(&mut self.driver.borrow_mut(), &mut pending_io);
         self.execute(pending_io);
@@ -352,47 +351,5 @@
     }
 }
 
-/// The outcome of a submitted request, to be awaited. Dropping this reports that the client has disconnected.
-pub struct PendingResponse<P: Protocol> {
-    engine: Engine<P>,
-    request: RequestId,
-    outcome: oneshot::Receiver<RequestOutcome<P::Response>>,
-}
-
-impl<P: Protocol> PendingResponse<P> {
-    /// Reports that the request's body has been uploaded. The client waits for another `budget` nanoseconds from now.
-    pub fn upload_complete(&self, budget: Nanos) {
-        self.engine.with_driver(|driver, pending_io| {
-            driver.upload_complete(self.request, budget, pending_io);
-        });
-    }
-
-    /// Rejects the request, which must not have run on any backend. Returns the outcome for the client.
-    pub fn reject(&self) -> RequestOutcome<P::Response> {
-        self.engine
-            .with_driver(|driver, pending_io| driver.reject(self.request, pending_io))
-    }
-
-    /// Waits for the outcome.
-    pub async fn into_outcome(mut self) -> RequestOutcome<P::Response> {
-        self.wait().await
-    }
-
-    /// Waits for the outcome. Must not be called again after it has returned the outcome.
-    pub async fn wait(&mut self) -> RequestOutcome<P::Response> {
-        // If the request was removed without an outcome, the sender is dropped and the request counts as failed.
-        (&mut self.outcome).await.unwrap_or(RequestOutcome::Failed)
-    }
-}
-
-impl<P: Protocol> Drop for PendingResponse<P> {
-    /// The task of a client connection ends when the client disconnects, which drops the pending response.
-    fn drop(&mut self) {
-        let request = self.request;
-        self.engine
-            .with_driver(|driver, pending_io| driver.client_disconnected(request, pending_io));
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -8,6 +8,7 @@
 use badgerpost_time::SECOND;
 
 use super::*;
+use crate::RequestOutcome;
 use crate::client_request_ids::MAX_RECENT_IDS;
 use crate::start_times::ListTime;
 use crate::timers::TimerPurpose;
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod open_requests;
 mod pending_io;
+mod pending_response;
 mod protocol;
 mod request_end_reason;
 mod request_log;
@@ -38,13 +39,14 @@
 pub use clock::{Clock, Elapsed, Sleep, VirtualClock, nanos};
 pub use connection_counter::{ConnectionCounter, ConnectionGuard};
 pub use connection_limit::ConnectionLimit;
-pub use engine::{Engine, HealthCheckResult, PendingResponse, Transport};
+pub use engine::{Engine, HealthCheckResult, Transport};
 pub use idle_pool::{IdleCheck, IdlePool, TakenConnection};
 pub use log_limiter::LogLimiter;
 pub use log_output::LogOutput;
 pub use metrics::{
     BackendCounts, ClassCounts, DatagramDropReason, Metrics, PeerMetrics, RequestEnd, ZoneMetrics,
 };
+pub use pending_response::PendingResponse;
 pub use protocol::{IncomingRequest, Protocol, RequestClass, RequestOutcome, UnknownTenant};
 pub use request_end_reason::RequestEndReason;
 pub use tcp_stream::TcpStream;
