A response that pauses is awaited and forwarded in time, not dropped after 100 ms

What callers saw: responses that paused for 100 ms behind their head or between parts were lost: 502 at 0.1 s for a request that may not be repeated, else up to four sends and 503; steady ones without a length, 503 at the deadline.

Cause: a fixed pause (RESPONSE_STALL_TIMEOUT) told a stalled response from a slow one, and 64 KiB of a response without a length had to be there before any of it was forwarded.

Why it works: the bound is the request's own time. A response that is or may be large is forwarded before the deadline; a pause makes the balancer add at most one attempt within the retry budget, beside the first one where hedging is allowed.

--- a/adapters/http/src/backend_response.rs
+++ b/adapters/http/src/backend_response.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
@@ -12,6 +12,7 @@
 use badgerpost_balancer::ClassId;
 use badgerpost_engine::{Metrics, RequestEnd};
 
+use crate::backend_stall::BackendStallDetector;
 use crate::forwarded_body::{BodySource, ForwardedBody, StreamingBody};
 use crate::memory_budget::BufferedBytes;
 use crate::tracked_connection::TrackedConnection;
@@ -52,6 +53,8 @@
     pub incoming: Incoming,
     /// Length of the whole body in bytes; `None` if the backend has not declared one.
     pub length: Option<u64>,
+    /// Whether an empty body means that the backend has failed.
+    pub must_have_body: bool,
     pub on_end: EndHandler,
 }
 
@@ -70,6 +73,20 @@
 /// The body of a streamed response.
 pub type StreamingResponseBody = StreamingBody<ResponseSource>;
 
+/// Why a streamed response can't be completed.
+#[derive(Debug, thiserror::Error)]
+pub enum StreamError {
+    /// The backend aborted the response.
+    #[error("the backend aborted the response: {0}")]
+    Backend(#[from] hyper::Error),
+    /// The backend has stopped sending.
+    #[error("the backend stopped sending the response")]
+    Stalled,
+    /// The backend closed the connection without a byte of a body that only the close delimits.
+    #[error("the backend closed the connection before the response's body")]
+    Empty,
+}
+
 /// The source of a streamed response. Reports and counts the end of the response.
 pub struct ResponseSource {
     incoming: Incoming,
@@ -82,6 +99,9 @@
     request_end: RequestEnd,
     /// Whether the end of the response is indicated to the client only by the close of the connection.
     is_close_delimited: bool,
+    /// Whether an empty body means that the backend has failed.
+    must_have_body: bool,
+    stall_detector: BackendStallDetector,
 }
 
 impl StreamingResponseBody {
@@ -96,9 +116,11 @@
             received,
             incoming,
             length,
+            must_have_body,
             on_end,
         } = response;
         client.stream_started();
+        let clock = client.clock().clone();
         let source = ResponseSource {
             incoming,
             on_end: Some(on_end),
@@ -107,6 +129,8 @@
             class: request.class,
             request_end: request.end,
             is_close_delimited: request.version == Version::HTTP_10 && length.is_none(),
+            must_have_body,
+            stall_detector: BackendStallDetector::new(clock, received.bytes.len(), length),
         };
         Self::from_source(source, received, length)
     }
@@ -129,27 +153,58 @@
     }
 }
 
+impl ResponseSource {
+    /// Ends a response that the backend has not completed.
+    fn abort(&mut self) {
+        // Only a reset shows the client that a close-delimited response was truncated; a close would look like the
+        // regular end.
+        if self.is_close_delimited {
+            self.client.stream_truncated();
+        }
+        self.end(StreamEnd::Aborted);
+    }
+
+    /// The next frame from the backend, or the reason why the response can't be completed.
+    fn poll_backend(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+        match Pin::new(&mut self.incoming).poll_frame(cx) {
+            Poll::Pending => {
+                ready!(self.stall_detector.poll_stalled(cx));
+                self.client.stream_stalled();
+                Poll::Ready(Some(Err(StreamError::Stalled)))
+            }
+            Poll::Ready(None) if self.must_have_body && !self.stall_detector.has_received() => {
+                Poll::Ready(Some(Err(StreamError::Empty)))
+            }
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Ready(Some(Err(error))) => Poll::Ready(Some(Err(error.into()))),
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.stall_detector.bytes_received(bytes);
+                Poll::Ready(Some(Ok(frame)))
+            }
+        }
+    }
+}
+
 impl BodySource for ResponseSource {
-    type Error = hyper::Error;
+    type Error = StreamError;
 
-    fn check(&self) -> Result<(), hyper::Error> {
+    fn check(&self) -> Result<(), StreamError> {
         Ok(())
     }
 
     fn poll_frame(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+        let polled = self.poll_backend(cx);
         self.client
             .set_stream_waiting_for_backend(polled.is_pending());
         if matches!(polled, Poll::Ready(Some(Err(_)))) {
-            // Only a reset shows the client that a close-delimited response was truncated; a close would look like the
-            // regular end.
-            if self.is_close_delimited {
-                self.client.stream_truncated();
-            }
-            self.end(StreamEnd::Aborted);
+            self.abort();
         }
         polled
     }
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -7,6 +7,7 @@
 mod api;
 mod api_request;
 mod backend_response;
+mod backend_stall;
 mod bad_request;
 mod client_connection;
 mod client_response;
--- a/adapters/http/src/timeouts.rs
+++ b/adapters/http/src/timeouts.rs
@@ -39,6 +39,10 @@
 /// small response behind a large one.
 pub(crate) const RESPONSE_PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest time without a byte from the backend of a forwarded response that may be small: as for a request body, its
+/// client must be able to tell within 3 s that the rest does not come.
+pub(crate) const RESPONSE_STALL_TIMEOUT: Duration = BODY_STALL_TIMEOUT;
+
 // Keep-alive.
 
 /// Longest time between requests on a connection. Legitimate clients send the next request sooner, and connections of
--- a/adapters/http/src/tracked_connection.rs
+++ b/adapters/http/src/tracked_connection.rs
@@ -6,7 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use badgerpost_engine::Clock;
+use badgerpost_engine::{Clock, ConnectionLimit};
 use badgerpost_http_framing::FramingError;
 use badgerpost_time::Nanos;
 use tokio::sync::Notify;
@@ -253,6 +253,15 @@
         self.enter(self.state.get().stream_ended(self.clock.now()));
     }
 
+    /// Records that a streamed response ends because its backend has stopped sending.
+    pub(crate) fn stream_stalled(&self) {
+        self.record_close(ConnectionLimit::StreamFromBackend);
+    }
+
+    pub(crate) fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
     /// Called when the streamed response was truncated and only a reset can show this to the client.
     pub(crate) fn stream_truncated(&self) {
         self.close_mode.set(CloseMode::Reset);
--- a/adapters/http/src/tracked_connection/closing.rs
+++ b/adapters/http/src/tracked_connection/closing.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    fn record_close(&self, limit: ConnectionLimit) {
+    pub(super) fn record_close(&self, limit: ConnectionLimit) {
         let now = self.clock.now();
         let inactivity = Inactivity {
             receive: now.saturating_sub(self.last_received_at.get()),
--- a/adapters/http/src/upstream.rs
+++ b/adapters/http/src/upstream.rs
@@ -4,6 +4,7 @@
 
 mod attempt;
 mod connection;
+mod forwarding;
 mod health_check;
 mod idle_reset_rates;
 mod load_report;
--- a/adapters/http/src/upstream/attempt.rs
+++ b/adapters/http/src/upstream/attempt.rs
@@ -13,14 +13,16 @@
 use tokio::task::yield_now;
 
 use super::connection::ConnectError;
+use super::forwarding::{ForwardingTimes, ResponsePhase};
 use super::pool::{ConnectionPool, LeasedConnection};
-use super::response_reader::{ForwardedErrors, failure_outcome, read_response};
+use super::response_activity::ResponseActivity;
+use super::response_reader::{ForwardedErrors, ResponseReading, failure_outcome, read_response};
 use super::{AttemptCommand, AttemptEnd};
 use crate::HttpEngine;
 use crate::upload::{OutgoingBody, RequestBody};
 
-/// Longest pause in a response that cannot be forwarded yet. Backends send their responses without pauses, so that a
-/// longer pause counts as an invalid response and leaves time for another attempt.
+/// Pause in a response that has not been forwarded, after which the balancer may make another attempt. A response that
+/// is not going to be forwarded is given up.
 const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How long a response is still read after the client's deadline. If the response is complete by then, its connection
@@ -38,11 +40,13 @@
         engine: &engine,
         command: &command,
         progress: Cell::new(Progress::NotWritten),
+        response_phase: Cell::new(ResponsePhase::AwaitingHead),
+        has_stalled: Cell::new(false),
     };
     let mut sending = std::pin::pin!(attempt.send());
     let end = tokio::select! {
         biased;
-        _ = cancelled => attempt.end_early(Outcome::Cancelled),
+        _ = cancelled => attempt.end_early(attempt.cancelled_outcome()),
         end = &mut sending => end,
         () = attempt.timed_out() => attempt.end_early(Outcome::TimedOut),
     };
@@ -73,6 +77,9 @@
     engine: &'a HttpEngine,
     command: &'a AttemptCommand,
     progress: Cell<Progress>,
+    response_phase: Cell<ResponsePhase>,
+    /// Whether the response has paused for [`RESPONSE_STALL_TIMEOUT`].
+    has_stalled: Cell<bool>,
 }
 
 impl Attempt<'_> {
@@ -101,6 +108,15 @@
         }
     }
 
+    /// The outcome of a cancelled attempt. A response that has stalled counts against the backend.
+    fn cancelled_outcome(&self) -> Outcome {
+        if self.has_stalled.get() {
+            Outcome::InvalidResponse
+        } else {
+            Outcome::Cancelled
+        }
+    }
+
     /// The end of an attempt that is cancelled or has timed out. A request that was not written completely has not run,
     /// so that the balancer may still reject it.
     fn end_early(&self, outcome: Outcome) -> AttemptEnd {
@@ -172,10 +188,16 @@
         activity.expect_response(&mut message);
         activity.count_attempt_when_written();
         self.progress.set(Progress::Written);
+        let forwarding_times = || self.forwarding_times();
+        let reading = ResponseReading {
+            forwarded_errors: self.forwarded_errors(),
+            phase: &self.response_phase,
+            forwarding_times: Some(&forwarding_times),
+        };
         let end = tokio::select! {
             biased;
-            end = exchange(leased, message, self.forwarded_errors()) => end,
-            () = activity.stalled(&self.pool.clock, RESPONSE_STALL_TIMEOUT) => {
+            end = exchange(leased, message, &reading) => end,
+            () = self.given_up_as_stalled(&activity) => {
                 return Some(AttemptEnd::without_response(Outcome::InvalidResponse));
             }
         };
@@ -195,6 +217,40 @@
         Some(end)
     }
 
+    /// Resolves once a response that is not going to be forwarded has paused. A pause in any other response is reported
+    /// to the balancer, and the rest is awaited.
+    async fn given_up_as_stalled(&self, activity: &ResponseActivity) {
+        loop {
+            activity
+                .stalled(&self.pool.clock, RESPONSE_STALL_TIMEOUT)
+                .await;
+            let phase = self.response_phase.get();
+            if phase == ResponsePhase::Discarded {
+                return;
+            }
+            if !self.has_stalled.replace(true) {
+                let is_replaceable = phase.is_replaceable();
+                self.engine
+                    .response_stalled(self.command.attempt, is_replaceable);
+            }
+        }
+    }
+
+    /// When a response whose head has just arrived has to be forwarded at the latest. While the client still sends the
+    /// request, its time has not started.
+    fn forwarding_times(&self) -> ForwardingTimes {
+        let now = self.pool.clock.now();
+        let command = self.command;
+        let deadline = match &command.upload_deadline {
+            Some(_) if !command.payload.body.is_complete() => {
+                now.saturating_add(command.payload.budget_ms * MILLISECOND)
+            }
+            Some(deadline) => *deadline.borrow(),
+            None => command.attempt_deadline.min(command.expires_at),
+        };
+        ForwardingTimes::new(now, deadline)
+    }
+
     /// Which error responses are forwarded to the client. A buffered request may be retried, and the node responds if
     /// all attempts fail. An upload is usually not retried, so that the backend's error response is the result.
     fn forwarded_errors(&self) -> ForwardedErrors {
@@ -248,10 +304,10 @@
 async fn exchange(
     mut leased: LeasedConnection,
     message: Request<OutgoingBody>,
-    forwarded_errors: ForwardedErrors,
+    reading: &ResponseReading<'_>,
 ) -> Option<AttemptEnd> {
     match leased.connection.sender.try_send_request(message).await {
-        Ok(response) => Some(read_response(leased, response, forwarded_errors).await),
+        Ok(response) => Some(read_response(leased, response, reading).await),
         Err(mut error) => match error.take_message() {
             Some(_) => None,
             None => Some(AttemptEnd::without_response(failure_outcome(error.error()))),
--- a/adapters/http/src/upstream/health_check.rs
+++ b/adapters/http/src/upstream/health_check.rs
@@ -1,5 +1,6 @@
 //! Health checks: each requests the load report of a backend.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,8 +11,9 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Uri};
 
+use super::forwarding::ResponsePhase;
 use super::pool::{ConnectionPool, LeasedConnection};
-use super::response_reader::{ForwardedErrors, failure_outcome, read_response};
+use super::response_reader::{ForwardedErrors, ResponseReading, failure_outcome, read_response};
 use super::{AttemptEnd, load_report};
 use crate::HttpEngine;
 use crate::backend_response::{BackendResponse, BackendResponseBody};
@@ -72,7 +74,12 @@
         Ok(response) => response,
         Err(error) => return AttemptEnd::without_response(failure_outcome(error.error())),
     };
-    let mut end = read_response(leased, response, ForwardedErrors::None).await;
+    let reading = ResponseReading {
+        forwarded_errors: ForwardedErrors::None,
+        phase: &Cell::new(ResponsePhase::AwaitingHead),
+        forwarding_times: None,
+    };
+    let mut end = read_response(leased, response, &reading).await;
     if let Some(BackendResponse {
         body: BackendResponseBody::Buffered(body),
         ..
--- a/adapters/http/src/upstream/response_reader.rs
+++ b/adapters/http/src/upstream/response_reader.rs
@@ -1,17 +1,21 @@
 //! Reads a backend's response: completely if it is small, else as much as needed before the rest can be streamed.
 
-use badgerpost_balancer::{LoadReport, Outcome};
+use std::cell::Cell;
+
+use badgerpost_balancer::{LoadReport, Nanos, Outcome};
+use badgerpost_engine::Clock;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode, Version};
 
+use super::forwarding::{ForwardingTimes, ResponsePhase};
 use super::pool::LeasedConnection;
 use super::{AttemptEnd, load_report};
 use crate::MAX_BUFFERED_BODY_BYTES;
 use crate::backend_response::{BackendResponse, BackendResponseBody, StreamEnd, StreamingResponse};
-use crate::memory_budget::{BufferedBytes, BytesCollector, Reservation};
+use crate::memory_budget::{BufferedBytes, BytesCollector};
 
 /// Number of bytes of a large response that are read before it is forwarded. Until then, a truncated response can be
 /// replaced by that of a retry.
@@ -33,6 +37,15 @@
     }
 }
 
+/// How the response of an attempt is read.
+pub(super) struct ResponseReading<'a> {
+    pub(super) forwarded_errors: ForwardedErrors,
+    /// Updated while the response is read.
+    pub(super) phase: &'a Cell<ResponsePhase>,
+    /// Called when the head has arrived; `None` if the response is not for a client.
+    pub(super) forwarding_times: Option<&'a dyn Fn() -> ForwardingTimes>,
+}
+
 /// What the head of a response determines.
 struct ResponseHead {
     status: StatusCode,
@@ -57,34 +70,40 @@
 pub(super) async fn read_response(
     mut leased: LeasedConnection,
     response: Response<Incoming>,
-    forwarded_errors: ForwardedErrors,
+    reading: &ResponseReading<'_>,
 ) -> AttemptEnd {
     leased.upload.response_started();
     let (parts, mut body) = response.into_parts();
     if parts.status.is_informational() {
         return AttemptEnd::without_response(Outcome::InvalidResponse);
     }
-    let head = ResponseHead::new(&parts, body.size_hint().exact(), forwarded_errors);
+    let head = ResponseHead::new(&parts, body.size_hint().exact(), reading.forwarded_errors);
+    let phase = head.phase();
+    reading.phase.set(phase);
     let max_body = MAX_BUFFERED_BODY_BYTES as u64;
     let buffer_bytes = head.length.map_or(max_body, |length| length.min(max_body)) as usize;
     let reservation = leased.pool.response_budget.reserve(buffer_bytes);
     let is_large = reservation.is_none() || head.length.is_some_and(|length| length > max_body);
-    let streaming_threshold_bytes = if is_large {
-        STREAMING_START_BYTES
-    } else {
-        MAX_BUFFERED_BODY_BYTES + 1
+    let threshold = StreamingThreshold {
+        bytes: if is_large {
+            STREAMING_START_BYTES
+        } else {
+            MAX_BUFFERED_BODY_BYTES + 1
+        },
+        times: reading
+            .forwarding_times
+            .filter(|_| phase == ResponsePhase::PossiblyLarge)
+            .map(|times| times()),
     };
+    let clock = leased.pool.clock.clone();
     let mut received = BytesCollector::default();
-    match read_body(
-        &mut body,
-        head.length,
-        streaming_threshold_bytes,
-        &mut received,
-    )
-    .await
-    {
+    match read_body(&mut body, head.length, &threshold, &clock, &mut received).await {
         Err(error) => AttemptEnd::without_response(failure_outcome(&error)),
-        Ok(ReadProgress::Partial) => streaming_end(&head, leased, received, reservation, body),
+        Ok(ReadProgress::Partial) => {
+            let must_have_body = has_unannounced_close(&parts, head.length);
+            let received = BufferedBytes::new(received.into_bytes(), reservation);
+            streaming_end(&head, leased, received, must_have_body, body)
+        }
         Ok(ReadProgress::Complete)
             if received.len() == 0 && has_unannounced_close(&parts, head.length) =>
         {
@@ -98,33 +117,62 @@
     }
 }
 
-/// Reads until the body is complete, or until at least `streaming_threshold_bytes` have been read and more are
-/// expected.
+/// From when on a body is forwarded although more of it is expected.
+struct StreamingThreshold {
+    /// Once so many bytes have arrived.
+    bytes: usize,
+    /// Once these times are reached; `None` if the body is forwarded only by the number of bytes or as a whole.
+    times: Option<ForwardingTimes>,
+}
+
+impl StreamingThreshold {
+    /// When a body of which so many bytes have arrived is forwarded, if that depends on the time.
+    fn due_at(&self, received_bytes: usize) -> Option<Nanos> {
+        let times = self.times?;
+        if received_bytes >= STREAMING_START_BYTES {
+            Some(times.with_first_bytes)
+        } else {
+            Some(times.with_head)
+        }
+    }
+}
+
+/// Reads until the body is complete, or until the threshold is reached and more bytes are expected.
 async fn read_body(
     body: &mut Incoming,
     length: Option<u64>,
-    streaming_threshold_bytes: usize,
+    threshold: &StreamingThreshold,
+    clock: &Clock,
     received: &mut BytesCollector,
 ) -> Result<ReadProgress, hyper::Error> {
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = match threshold.due_at(received.len()) {
+            None => body.frame().await,
+            Some(due_at) => match clock.timeout_at(due_at, body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => return Ok(ReadProgress::Partial),
+            },
+        };
+        let Some(frame) = frame else {
+            return Ok(ReadProgress::Complete);
+        };
         let Ok(data) = frame?.into_data() else {
             continue;
         };
         received.add(data);
         let has_all = length == Some(received.len() as u64);
-        if !has_all && received.len() >= streaming_threshold_bytes {
+        if !has_all && received.len() >= threshold.bytes {
             return Ok(ReadProgress::Partial);
         }
     }
-    Ok(ReadProgress::Complete)
 }
 
 /// The end of an attempt whose response is streamed.
 fn streaming_end(
     head: &ResponseHead,
     leased: LeasedConnection,
-    received: BytesCollector,
-    reservation: Option<Reservation>,
+    received: BufferedBytes,
+    must_have_body: bool,
     incoming: Incoming,
 ) -> AttemptEnd {
     if !head.is_forwarded {
@@ -137,9 +185,10 @@
         StreamEnd::Abandoned => {}
     });
     head.end(Some(BackendResponseBody::Streaming(StreamingResponse {
-        received: BufferedBytes::new(received.into_bytes(), reservation),
+        received,
         incoming,
         length: head.length,
+        must_have_body,
         on_end,
     })))
 }
@@ -158,6 +207,16 @@
         }
     }
 
+    /// How far the response has arrived once its head is complete.
+    fn phase(&self) -> ResponsePhase {
+        let max_body = MAX_BUFFERED_BODY_BYTES as u64;
+        match self.length {
+            _ if !self.is_forwarded => ResponsePhase::Discarded,
+            Some(length) if length <= max_body => ResponsePhase::Small,
+            _ => ResponsePhase::PossiblyLarge,
+        }
+    }
+
     /// The end of an attempt with this response.
     fn end(&self, body: Option<BackendResponseBody>) -> AttemptEnd {
         let forwarded_body = body.filter(|_| self.is_forwarded);
--- a/balancer/src/api/events.rs
+++ b/balancer/src/api/events.rs
@@ -204,6 +204,16 @@
         /// Backend that broke off the response.
         backend: BackendId,
     },
+    /// The response of an attempt has begun to arrive, and then paused. Reported at least once per attempt whose
+    /// response pauses; the attempt stays in flight.
+    ResponseStalled {
+        /// Request that is being answered.
+        request: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Whether giving up the attempt cuts off no response that may be sound beyond the client's deadline.
+        is_replaceable: bool,
+    },
     /// The streaming of a response has started.
     ResponseStarted {
         /// Request that is being answered.
--- a/balancer/src/balancer.rs
+++ b/balancer/src/balancer.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod requests;
 mod retries;
+mod stalled_responses;
 
 use crate::admission::Admission;
 use crate::api::{
@@ -108,6 +109,11 @@
                 self.record_for_outlier_detection(backend, Outcome::Reset, actions);
             }
             Event::AttemptEnded(result) => self.on_attempt_ended(&result, actions),
+            Event::ResponseStalled {
+                request,
+                attempt,
+                is_replaceable,
+            } => self.on_response_stalled(request, attempt, is_replaceable, actions),
             Event::ResponseStarted { request } => self.requests.mark_streaming(request),
             Event::HealthCheckEnded {
                 backend, report, ..
--- a/balancer/src/balancer/requests.rs
+++ b/balancer/src/balancer/requests.rs
@@ -102,6 +102,7 @@
             attempts: Vec::new(),
             is_uploading: is_upload,
             is_body_consumed: false,
+            has_stalled_response: false,
             phase: Phase::Open,
         }
     }
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -88,6 +88,8 @@
     pub(crate) is_uploading: bool,
     /// Whether part of the body cannot be sent again.
     pub(crate) is_body_consumed: bool,
+    /// Whether a response has paused while it arrived.
+    pub(crate) has_stalled_response: bool,
     pub(crate) phase: Phase,
 }
 
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -237,6 +237,16 @@
         self.with_driver(|driver, pending_io| driver.attempt_ended(attempt, end, pending_io));
     }
 
+    /// Reports that the response of an attempt has begun to arrive and then paused. `is_replaceable` tells whether
+    /// giving up the attempt cuts off no response that may be sound beyond the client's deadline.
+    pub fn response_stalled(&self, attempt: AttemptId, is_replaceable: bool) {
+        self.handle(Event::ResponseStalled {
+            request: attempt.request,
+            attempt: attempt.number.0,
+            is_replaceable,
+        });
+    }
+
     /// Reports that part of an attempt's response was sent to the client, so that the request can't be retried.
     pub fn response_started(&self, attempt: AttemptId) {
         let request = attempt.request;
--- a/testkit/fakes/src/scripted.rs
+++ b/testkit/fakes/src/scripted.rs
@@ -16,7 +16,7 @@
 mod node;
 mod wait;
 
-pub use backend::{Backend, ResponsePlan, ok, status};
+pub use backend::{Backend, ResponsePlan, TimedPart, ok, status};
 pub use client::{Client, console_request, get, metric, post};
 pub use configuration::{config, settings, target};
 pub use discovery::Discovery;
--- a/testkit/fakes/src/scripted/backend.rs
+++ b/testkit/fakes/src/scripted/backend.rs
@@ -34,6 +34,8 @@
         latch: Arc<Latch>,
         second: String,
     },
+    /// Writes the parts, each after its pause. Then closes the connection if `closes`, else keeps the connection open.
+    RespondInParts { parts: Vec<TimedPart>, closes: bool },
     /// Waits for the latch, then writes the response.
     RespondAfter(Arc<Latch>, String),
     /// Waits for the latch, then closes the connection without a response.
@@ -42,6 +44,14 @@
     Hang,
 }
 
+/// A part of a response.
+#[derive(Clone)]
+pub struct TimedPart {
+    /// The time between the previous part and this one.
+    pub pause: Duration,
+    pub text: String,
+}
+
 /// Whether the connection can serve another request.
 #[derive(PartialEq, Eq)]
 enum ConnectionState {
@@ -174,6 +184,15 @@
             written?;
             writer.write_all(second.as_bytes())?;
         }
+        ResponsePlan::RespondInParts { parts, closes } => {
+            for part in parts {
+                thread::sleep(part.pause);
+                writer.write_all(part.text.as_bytes())?;
+            }
+            if closes {
+                return Ok(ConnectionState::Closed);
+            }
+        }
         ResponsePlan::Hang => {}
     }
     Ok(ConnectionState::KeptAlive)
