The deadline of a slowly read upload counts from its client's last byte

Cause: the client's time started when the node read the last byte. While a backend reads slowly the node stops reading, and the rest lies in the client's send buffer and the node's receive buffer.

Evidence: slow_upload_readers failed before: 0.97 s, 0.99 s and 1.43 s late, with a length and in chunks.

Why it works: while bytes that have arrived are unread, the time counts from when no more than a client's send buffer (4 MiB) had not arrived; a wait for the client starts the estimate again. It bounds the refusal of an upload that no backend reads, and the deadline of a complete one.

--- a/adapters/http/src/api.rs
+++ b/adapters/http/src/api.rs
@@ -1,5 +1,6 @@
 //! The API endpoint: parses a request, submits it to the engine, waits for the outcome and responds.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use badgerpost_balancer::{ClassId, Idempotency};
@@ -13,10 +14,11 @@
 use crate::bad_request::BadRequest;
 use crate::client_response::{self, ClientResponse};
 use crate::headers::{CALL_ID, end_to_end_headers};
-use crate::request_body::{self, StalledSide, upload_stalled};
+use crate::observed_stream::ObservedStream;
+use crate::request_body::{self, StalledSide, UploadProgress};
 use crate::server_context::ServerContext;
 use crate::timeouts::UPLOAD_TIMEOUT;
-use crate::tracked_connection::TrackedConnection;
+use crate::tracked_connection::{RequestTracker, TrackedConnection};
 use crate::upload::{RequestBody, Upload};
 use crate::{ForwardedRequest, Http, HttpEngine};
 
@@ -30,6 +32,7 @@
 pub(crate) async fn handle(
     context: &ServerContext,
     connection: &Rc<TrackedConnection>,
+    stream: &ObservedStream<RequestTracker>,
     request: Request<Incoming>,
 ) -> Result<ClientResponse, BadRequest> {
     let engine = &context.engine;
@@ -44,6 +47,7 @@
     let submission = Submission {
         context,
         connection,
+        stream,
         budget: parameters.budget,
         failure_guard,
     };
@@ -91,6 +95,7 @@
 struct Submission<'a> {
     context: &'a ServerContext,
     connection: &'a TrackedConnection,
+    stream: &'a ObservedStream<RequestTracker>,
     /// How long the client waits from the last byte of the request on.
     budget: Nanos,
     failure_guard: FailureGuard<'a>,
@@ -144,12 +149,19 @@
             .submit_upload(incoming)
             .ok_or(BadRequest::Duplicate(CALL_ID))?;
         self.failure_guard.disarm();
-        let (clock, budget) = (self.context.clock(), self.remaining_budget());
+        let progress = UploadProgress {
+            clock: self.context.clock(),
+            connection: self.connection,
+            stream: self.stream,
+            upload,
+            budget: self.remaining_budget(),
+            send_time: RefCell::default(),
+        };
         let early_outcome = tokio::select! {
             biased;
             () = upload.completed() => None,
             outcome = pending.wait() => Some(outcome),
-            stalled = upload_stalled(clock, self.connection, upload, budget) => match stalled {
+            stalled = progress.stalled() => match stalled {
                 StalledSide::Client => {
                     self.connection.request_timed_out();
                     return Err(BadRequest::BodyIncomplete);
@@ -161,7 +173,8 @@
             self.respond_early(upload, &outcome);
             return Ok(outcome);
         }
-        pending.upload_complete(self.remaining_budget());
+        let budget = self.remaining_budget();
+        pending.upload_complete(budget.saturating_sub(progress.time_since_sent()));
         self.connection.request_complete();
         Ok(pending.wait().await)
     }
--- a/adapters/http/src/client_connection.rs
+++ b/adapters/http/src/client_connection.rs
@@ -114,7 +114,7 @@
     context: &ServerContext,
     connection: &Rc<TrackedConnection>,
 ) -> ServeEnd {
-    let service = service_fn(|request| respond(context, connection, request));
+    let service = service_fn(|request| respond(context, connection, stream, request));
     let http_connection = http1::Builder::new()
         .max_buf_size(MAX_REQUEST_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream.clone()), service);
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -25,6 +25,7 @@
 mod request_body;
 mod request_queue;
 mod routes;
+mod send_time;
 pub mod server;
 mod server_context;
 mod timeouts;
--- a/adapters/http/src/observed_stream.rs
+++ b/adapters/http/src/observed_stream.rs
@@ -26,6 +26,9 @@
     /// Called when all bytes written so far have been passed to the operating system.
     fn flushed(&mut self) {}
 
+    /// Called when all bytes that have arrived are read, and more are awaited.
+    fn read_blocked(&mut self) {}
+
     /// Called when the read-ahead buffer is full: what the peer sends from now on stays in the socket's receive buffer.
     fn read_ahead_full(&mut self) {}
 }
@@ -150,6 +153,12 @@
         self.0.borrow().stream.has_unread_bytes()
     }
 
+    /// The number of bytes that have arrived and that hyper has not read.
+    pub fn unread_bytes(&self) -> u64 {
+        let state = self.0.borrow();
+        state.stream.unread_bytes() + state.read_ahead.len() as u64
+    }
+
     /// Makes the connection end with a reset once the last clone is dropped.
     pub fn reset_on_close(&self) -> io::Result<()> {
         self.0.borrow().stream.set_reset_on_close()
@@ -170,6 +179,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if read.is_pending() {
+            self.observer.read_blocked();
+        }
         if buffer.filled().len() > before {
             activity::record_bytes_read(buffer.filled().len() - before);
             self.observer.bytes_read(&buffer.filled()[before..]);
--- a/adapters/http/src/request_body.rs
+++ b/adapters/http/src/request_body.rs
@@ -1,6 +1,8 @@
 //! Reads the bodies of clients' requests. A small body is buffered if the memory budget allows; any other body is an
 //! upload, which is forwarded as it arrives.
 
+use std::cell::RefCell;
+
 use badgerpost_engine::{Clock, nanos};
 use badgerpost_time::Nanos;
 use bytes::Bytes;
@@ -10,9 +12,11 @@
 use crate::MAX_BUFFERED_BODY_BYTES;
 use crate::bad_request::BadRequest;
 use crate::memory_budget::{BufferedBytes, BytesCollector};
+use crate::observed_stream::ObservedStream;
+use crate::send_time::SendTime;
 use crate::server_context::ServerContext;
 use crate::timeouts::{BODY_STALL_TIMEOUT, UPLOAD_CHECK_INTERVAL};
-use crate::tracked_connection::TrackedConnection;
+use crate::tracked_connection::{RequestTracker, TrackedConnection};
 use crate::upload::{RequestBody, Upload};
 
 /// Reads a body until it is complete, or has to be forwarded as it arrives.
@@ -94,53 +98,85 @@
     side: StalledSide,
 }
 
-/// Resolves once an upload has stalled. Either the client is too slow, or no backend has read the rest of the body for
-/// the duration of the client's budget. In the second case the request has not run.
-pub(crate) async fn upload_stalled(
-    clock: &Clock,
-    connection: &TrackedConnection,
-    upload: &Upload,
-    budget: Nanos,
-) -> StalledSide {
-    loop {
-        let stall = next_stall(clock, connection, upload, budget);
-        if clock.now() < stall.deadline {
-            let next_check = clock.now().saturating_add(nanos(UPLOAD_CHECK_INTERVAL));
-            clock.sleep_until(stall.deadline.min(next_check)).await;
-            continue;
-        }
-        // Readers handle the bytes that have arrived by now, which may end the stall.
-        clock.yield_to_ready_tasks().await;
-        let stall = next_stall(clock, connection, upload, budget);
-        if clock.now() >= stall.deadline {
-            return stall.side;
+/// An upload that is being forwarded, and what its progress depends on.
+pub(crate) struct UploadProgress<'a> {
+    pub(crate) clock: &'a Clock,
+    pub(crate) connection: &'a TrackedConnection,
+    pub(crate) stream: &'a ObservedStream<RequestTracker>,
+    pub(crate) upload: &'a Upload,
+    /// How long the client waits from its last byte on.
+    pub(crate) budget: Nanos,
+    pub(crate) send_time: RefCell<SendTime>,
+}
+
+impl UploadProgress<'_> {
+    /// Resolves once the upload has stalled. Either the client is too slow; or no backend has read any of the body, or not
+    /// the rest of a body that the client may have sent, for the duration of the client's budget. In the second case the
+    /// request has not run.
+    pub(crate) async fn stalled(&self) -> StalledSide {
+        loop {
+            self.record_arrival();
+            let stall = self.next_stall();
+            let now = self.clock.now();
+            if now < stall.deadline {
+                let next_check = now.saturating_add(nanos(UPLOAD_CHECK_INTERVAL));
+                self.clock.sleep_until(stall.deadline.min(next_check)).await;
+                continue;
+            }
+            // Readers handle the bytes that have arrived by now, which may end the stall.
+            self.clock.yield_to_ready_tasks().await;
+            self.record_arrival();
+            let stall = self.next_stall();
+            if self.clock.now() >= stall.deadline {
+                return stall.side;
+            }
         }
     }
-}
 
-/// The next possible stall, given the current state of the upload.
-fn next_stall(
-    clock: &Clock,
-    connection: &TrackedConnection,
-    upload: &Upload,
-    budget: Nanos,
-) -> Stall {
-    let client_deadline = upload.client_stall_deadline(
-        nanos(BODY_STALL_TIMEOUT),
-        connection.body_time_at_lowest_rate(),
-    );
-    connection.set_backend_blocked(client_deadline.is_none());
-    match client_deadline {
-        Some(deadline) => Stall {
-            deadline,
-            side: StalledSide::Client,
-        },
-        None => {
-            let since = upload.waiting_for_backend_since().unwrap_or(clock.now());
-            Stall {
-                deadline: since.saturating_add(budget),
+    /// Time since which the client may have sent the last byte of its request.
+    pub(crate) fn time_since_sent(&self) -> Nanos {
+        let sent_since = self.send_time.borrow().sent_since();
+        sent_since.map_or(0, |since| self.clock.now().saturating_sub(since))
+    }
+
+    fn record_arrival(&self) {
+        let arrived_bytes = self
+            .upload
+            .read_bytes()
+            .saturating_add(self.stream.unread_bytes());
+        self.send_time.borrow_mut().record(
+            self.clock.now(),
+            arrived_bytes,
+            self.upload.length(),
+            self.connection.read_blocked_at(),
+        );
+    }
+
+    /// The next possible stall, given the current state of the upload.
+    fn next_stall(&self) -> Stall {
+        let client_deadline = self.upload.client_stall_deadline(
+            nanos(BODY_STALL_TIMEOUT),
+            self.connection.body_time_at_lowest_rate(),
+        );
+        self.connection
+            .set_backend_blocked(client_deadline.is_none());
+        match client_deadline {
+            Some(deadline) => Stall {
+                deadline,
+                side: StalledSide::Client,
+            },
+            None => Stall {
+                deadline: self.backend_deadline(),
                 side: StalledSide::Backend,
-            }
+            },
         }
     }
+
+    /// When a backend must have read more of the body, or all of it if the client may have sent all.
+    fn backend_deadline(&self) -> Nanos {
+        let now = self.clock.now();
+        let progress_at = self.upload.waiting_for_backend_since().unwrap_or(now);
+        let sent_since = self.send_time.borrow().sent_since().unwrap_or(now);
+        progress_at.min(sent_since).saturating_add(self.budget)
+    }
 }
--- a/adapters/http/src/routes.rs
+++ b/adapters/http/src/routes.rs
@@ -10,8 +10,9 @@
 use crate::api;
 use crate::bad_request::BadRequest;
 use crate::client_response::{self, ClientResponse};
+use crate::observed_stream::ObservedStream;
 use crate::server_context::ServerContext;
-use crate::tracked_connection::{CloseMode, TrackedConnection};
+use crate::tracked_connection::{CloseMode, RequestTracker, TrackedConnection};
 
 /// A response, and how its connection is closed if it is not kept alive.
 struct RoutedResponse {
@@ -47,13 +48,14 @@
 pub(crate) async fn respond(
     context: &ServerContext,
     connection: &Rc<TrackedConnection>,
+    stream: &ObservedStream<RequestTracker>,
     request: Request<Incoming>,
 ) -> Result<ClientResponse, Infallible> {
     let RoutedResponse {
         mut response,
         close_mode,
     } = match connection.head_parsed() {
-        Ok(()) => route(context, connection, request).await,
+        Ok(()) => route(context, connection, stream, request).await,
         // Another HTTP parser could find a second request in this one (request smuggling): nothing is forwarded.
         Err(error) => BadRequest::from(error).into(),
     };
@@ -68,10 +70,11 @@
 async fn route(
     context: &ServerContext,
     connection: &Rc<TrackedConnection>,
+    stream: &ObservedStream<RequestTracker>,
     request: Request<Incoming>,
 ) -> RoutedResponse {
     match request.uri().path() {
-        "/api" => match api::handle(context, connection, request).await {
+        "/api" => match api::handle(context, connection, stream, request).await {
             Ok(response) => RoutedResponse {
                 response,
                 close_mode: if connection.is_reading_request()
--- a/adapters/http/src/tracked_connection.rs
+++ b/adapters/http/src/tracked_connection.rs
@@ -63,6 +63,8 @@
     state: Cell<ConnectionState>,
     last_received_at: Cell<Nanos>,
     last_sent_at: Cell<Nanos>,
+    /// When all bytes that had arrived were last read, so that more were awaited.
+    read_blocked_at: Cell<Nanos>,
     /// Since when the current request is being read. The node's own delays before this time do not count against the
     /// client.
     read_since: Cell<Nanos>,
@@ -97,6 +99,7 @@
             state: Cell::new(ConnectionState::New { accepted_at: now }),
             last_received_at: Cell::new(now),
             last_sent_at: Cell::new(now),
+            read_blocked_at: Cell::new(now),
             read_since: Cell::new(now),
             is_reading_paused: Cell::new(false),
             requests: RefCell::default(),
@@ -172,6 +175,11 @@
         self.state.get().body_time_at_lowest_rate()
     }
 
+    /// When all bytes that had arrived were last read, so that more were awaited.
+    pub(crate) fn read_blocked_at(&self) -> Nanos {
+        self.read_blocked_at.get()
+    }
+
     /// Called when the request has been submitted while its body is still arriving.
     pub(crate) fn upload_submitted(&self) {
         self.enter(self.state.get().upload_submitted());
--- a/adapters/http/src/tracked_connection/request_tracker.rs
+++ b/adapters/http/src/tracked_connection/request_tracker.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    fn read_blocked(&mut self) {
+        let connection = &self.connection;
+        connection.read_blocked_at.set(connection.clock.now());
+    }
+
     fn read_ahead_full(&mut self) {
         self.connection.is_reading_paused.set(true);
     }
--- a/adapters/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -157,6 +157,8 @@
     has_exchange_ended: Cell<bool>,
     /// Waker of the reader that was polled last.
     reader_waker: RefCell<Option<Waker>>,
+    /// Number of bytes that have been read from the client.
+    read_bytes: Cell<u64>,
     /// Whether a byte beyond `received` has been read.
     is_consumed: Cell<bool>,
     is_aborted: Cell<bool>,
@@ -180,6 +182,7 @@
         clock: &Clock,
     ) -> Rc<Self> {
         Rc::new(Self {
+            read_bytes: Cell::new(received.bytes.len() as u64),
             received,
             incoming: RefCell::new(Some(incoming)),
             length,
@@ -203,6 +206,16 @@
         self.is_complete.get()
     }
 
+    /// Length of the whole body in bytes; `None` if the client has not declared one.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// Number of bytes that have been read from the client.
+    pub fn read_bytes(&self) -> u64 {
+        self.read_bytes.get()
+    }
+
     /// Resolves once the last byte has been read.
     pub async fn completed(&self) {
         self.completed.notified().await;
@@ -343,6 +356,8 @@
                 Poll::Ready(Some(Err(io::Error::other(error))))
             }
             Some(Ok(frame)) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+                upload.read_bytes.set(upload.read_bytes.get() + bytes);
                 if frame.is_data() && !upload.is_consumed.replace(true) {
                     self.engine.body_consumed(self.attempt);
                 }
--- a/engine/src/tcp_stream.rs
+++ b/engine/src/tcp_stream.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// The number of bytes that have arrived and are unread; 0 if the operating system does not tell.
+    pub fn unread_bytes(&self) -> u64 {
+        rustix::io::ioctl_fionread(&self.0).unwrap_or(0)
+    }
+
     /// Whether the runtime has been notified that the peer closed its side. Bytes sent before that may still be unread.
     pub fn is_read_closed(&self, cx: &mut Context<'_>) -> bool {
         match pin!(self.0.ready(Interest::READABLE)).poll(cx) {
