Connections, uploads and bodies are planned for within memory_mb, also during an upgrade

What callers saw: a process passed its memory limit and was killed beside hundreds of uploads to slow backends, half requests, slow writers or unread responses; what it held did not follow the limit.

Cause: the limit was divided for buffered bodies alone, in reserved bytes that were half of what they took; streamed uploads, connections and responses that hyper still held were not counted, and both processes of an upgrade took the whole.

Why it works: one plan divides the memory between process, connections and bodies and between two processes; an upload reserves its buffers and waits unread for them; a reservation lasts as long as the bytes; buffers have the expected size, and reads stay below hyper's first buffer, so that no chunk keeps more than itself.

--- a/adapters/http/src/api.rs
+++ b/adapters/http/src/api.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use badgerpost_balancer::{ClassId, Idempotency};
-use badgerpost_engine::{IncomingRequest, RequestEnd, RequestOutcome, nanos};
+use badgerpost_engine::{IncomingRequest, RequestEnd, RequestEndReason, RequestOutcome, nanos};
 use badgerpost_time::{MILLISECOND, Nanos};
 use hyper::body::Incoming;
 use hyper::{Request, Uri};
@@ -38,9 +38,16 @@
     let engine = &context.engine;
     let (head, body) = request.into_parts();
     let RequestIdentity { id, class } = RequestIdentity::parse(engine, &head.headers)?;
-    let failure_guard = FailureGuard::new(engine, class.id);
+    let mut failure_guard = FailureGuard::new(engine, class.id);
     let parameters = RequestParameters::parse(engine, &class, &head)?;
-    let body = request_body::read(context, connection, body).await?;
+    let body = match request_body::read(context, connection, body, parameters.budget).await {
+        Err(BadRequest::NoMemory) => {
+            failure_guard.disarm();
+            engine.request_refused(&id, class.id, RequestEndReason::NoMemory);
+            return Err(BadRequest::NoMemory);
+        }
+        body => body?,
+    };
     if class.idempotency == Idempotency::Idempotent && !is_empty(&body) {
         return Err(BadRequest::NotAllowed("a body"));
     }
--- a/adapters/http/src/bad_request.rs
+++ b/adapters/http/src/bad_request.rs
@@ -24,6 +24,9 @@
     /// The client aborted the body, or sent it too slowly.
     #[error("the body did not arrive")]
     BodyIncomplete,
+    /// The node had no memory for the body within the client's time. The request has not run.
+    #[error("no memory for the body; trying again does no harm")]
+    NoMemory,
     /// The request's framing is ambiguous.
     #[error(transparent)]
     Framing(#[from] FramingError),
@@ -38,6 +41,7 @@
         match self {
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::Duplicate(_) => StatusCode::CONFLICT,
             Self::Missing(_)
             | Self::Malformed(_)
--- a/adapters/http/src/client_connection.rs
+++ b/adapters/http/src/client_connection.rs
@@ -115,9 +115,14 @@
     connection: &Rc<TrackedConnection>,
 ) -> ServeEnd {
     let service = service_fn(|request| respond(context, connection, stream, request));
-    let http_connection = http1::Builder::new()
-        .max_buf_size(MAX_REQUEST_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream.clone()), service);
+    let http_connection = async {
+        // A connection without a request takes no buffers.
+        stream.readable().await;
+        http1::Builder::new()
+            .max_buf_size(MAX_REQUEST_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream.clone()), service)
+            .await
+    };
     // hyper detects a disconnect of the client only while no bytes have arrived behind the request.
     let mut disconnected = std::pin::pin!(stream.peer_closed(context.clock()));
     let disconnected_before_response = poll_fn(|cx| {
--- a/adapters/http/src/forwarded_body.rs
+++ b/adapters/http/src/forwarded_body.rs
@@ -29,27 +29,21 @@
 
 /// The body of a message that the node sends.
 pub enum ForwardedBody<S> {
-    Buffered {
-        body: Full<Bytes>,
-        /// Keeps the bytes' part of the memory budget reserved until the body has been sent.
-        _buffered: BufferedBytes,
-    },
+    Buffered(Full<Bytes>),
     /// Forwarded as it arrives.
     Streaming(StreamingBody<S>),
 }
 
 impl<S> From<Bytes> for ForwardedBody<S> {
     fn from(bytes: Bytes) -> Self {
-        Self::from(BufferedBytes::new(bytes, None))
+        Self::Buffered(Full::new(bytes))
     }
 }
 
 impl<S> From<BufferedBytes> for ForwardedBody<S> {
     fn from(buffered: BufferedBytes) -> Self {
-        Self::Buffered {
-            body: Full::new(buffered.bytes.clone()),
-            _buffered: buffered,
-        }
+        // hyper drops the body before its last bytes are sent, so the reservation has to live as long as the bytes.
+        Self::from(buffered.into_reserved_bytes())
     }
 }
 
@@ -117,7 +111,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, S::Error>>> {
         match self.get_mut() {
-            Self::Buffered { body, .. } => Pin::new(body)
+            Self::Buffered(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             Self::Streaming(body) => body.poll_data(cx),
@@ -126,14 +120,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Buffered { body, .. } => body.is_end_stream(),
+            Self::Buffered(body) => body.is_end_stream(),
             Self::Streaming(body) => body.remaining == Some(0),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered { body, .. } => body.size_hint(),
+            Self::Buffered(body) => body.size_hint(),
             Self::Streaming(body) => body
                 .remaining
                 .map_or_else(SizeHint::default, SizeHint::with_exact),
--- a/adapters/http/src/lib.rs
+++ b/adapters/http/src/lib.rs
@@ -40,6 +40,8 @@
 /// response that was still being buffered can be replaced by the response to another attempt. Larger bodies are
 /// streamed.
 pub(crate) const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
+/// Largest number of bytes that a buffer for a body takes: a larger body is recognised once another chunk has been read.
+pub(crate) const MAX_BUFFER_BYTES: usize = MAX_BUFFERED_BODY_BYTES + 8 * 1024;
 
 /// A client's request in the form in which it is forwarded to backends.
 pub struct ForwardedRequest {
--- a/adapters/http/src/observed_stream.rs
+++ b/adapters/http/src/observed_stream.rs
@@ -41,7 +41,7 @@
 }
 
 /// Size of the read-ahead buffer. What a peer sends beyond that stays in the socket's receive buffer.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+const MAX_READ_AHEAD_BYTES: usize = 6 * 1024;
 const READ_AHEAD_CHUNK_BYTES: usize = 2 * 1024;
 const DISCARD_CHUNK_BYTES: usize = 16 * 1024;
 /// Interval at which a close by the peer is checked for while unread bytes hide the close.
@@ -159,6 +159,11 @@
         state.stream.unread_bytes() + state.read_ahead.len() as u64
     }
 
+    /// Waits until bytes have arrived, or the connection has ended.
+    pub async fn readable(&self) {
+        poll_fn(|cx| self.0.borrow_mut().poll_peer_state(cx)).await;
+    }
+
     /// Makes the connection end with a reset once the last clone is dropped.
     pub fn reset_on_close(&self) -> io::Result<()> {
         self.0.borrow().stream.set_reset_on_close()
--- a/adapters/http/src/request_body.rs
+++ b/adapters/http/src/request_body.rs
@@ -9,36 +9,43 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 
-use crate::MAX_BUFFERED_BODY_BYTES;
 use crate::bad_request::BadRequest;
-use crate::memory_budget::{BufferedBytes, BytesCollector};
+use crate::memory_budget::{BufferedBytes, BytesCollector, Reservation};
 use crate::observed_stream::ObservedStream;
 use crate::send_time::SendTime;
 use crate::server_context::ServerContext;
 use crate::timeouts::{BODY_STALL_TIMEOUT, UPLOAD_CHECK_INTERVAL};
 use crate::tracked_connection::{RequestTracker, TrackedConnection};
-use crate::upload::{RequestBody, Upload};
+use crate::upload::{RequestBody, STREAM_BYTES, Upload};
+use crate::{MAX_BUFFER_BYTES, MAX_BUFFERED_BODY_BYTES};
+
+/// Largest body that needs no reservation, since the buffers of its connection hold it.
+const SMALL_BODY_BYTES: usize = 8 * 1024;
 
 /// Reads a body until it is complete, or has to be forwarded as it arrives.
 ///
 /// # Errors
 ///
-/// The client aborts the body, or sends it too slowly.
+/// The client aborts the body, or sends it too slowly; or no memory becomes available within `max_wait`.
 pub(crate) async fn read(
     context: &ServerContext,
     connection: &TrackedConnection,
     mut body: Incoming,
+    max_wait: Nanos,
 ) -> Result<RequestBody, BadRequest> {
     if body.is_end_stream() {
         return Ok(RequestBody::Buffered(BufferedBytes::default()));
     }
     let clock = context.clock();
     let length = body.size_hint().exact();
-    let Some(reservation) = context.memory_budget.reserve(buffer_size(length)) else {
-        let upload = Upload::new(BufferedBytes::default(), body, length, clock);
+    let buffer_bytes = buffer_size(length);
+    let reservation = context.memory_budget.reserve(buffer_bytes);
+    if reservation.is_none() && buffer_bytes > SMALL_BODY_BYTES {
+        let reservation = memory_for_stream(context, connection, max_wait).await?;
+        let upload = Upload::new(BufferedBytes::reserved(reservation), body, length, clock);
         return Ok(RequestBody::Streaming(upload));
-    };
-    let mut collected = BytesCollector::default();
+    }
+    let mut collected = BytesCollector::new(buffer_bytes);
     while let Some(frame) = next_frame(clock, connection, &mut body).await? {
         // Trailers are not forwarded.
         let Ok(data) = frame.into_data() else {
@@ -46,23 +53,36 @@
         };
         collected.add(data);
         if collected.len() >= MAX_BUFFERED_BODY_BYTES && !body.is_end_stream() {
-            let first = BufferedBytes::new(collected.into_bytes(), Some(reservation));
+            let first = BufferedBytes::new(collected.into_bytes(), reservation);
             return Ok(RequestBody::Streaming(Upload::new(
                 first, body, length, clock,
             )));
         }
     }
-    let bytes = BufferedBytes::new(collected.into_bytes(), Some(reservation));
+    let bytes = BufferedBytes::new(collected.into_bytes(), reservation);
     Ok(RequestBody::Buffered(bytes))
 }
 
+/// Waits for the memory that an upload takes. Meanwhile the client's bytes are left unread, and the client is not taken
+/// for a stalled one.
+async fn memory_for_stream(
+    context: &ServerContext,
+    connection: &TrackedConnection,
+    max_wait: Nanos,
+) -> Result<Reservation, BadRequest> {
+    let clock = context.clock();
+    connection.set_backend_blocked(true);
+    let ends_at = clock.now().saturating_add(max_wait);
+    let reserved = context.memory_budget.reserve_for_stream(STREAM_BYTES);
+    let reservation = clock.timeout_at(ends_at, reserved).await;
+    connection.set_backend_blocked(false);
+    reservation.map_err(|_| BadRequest::NoMemory)
+}
+
 /// Number of bytes to reserve for a body of this length; the maximum for a body of unknown length.
 fn buffer_size(length: Option<u64>) -> usize {
-    length.map_or(MAX_BUFFERED_BODY_BYTES, |length| {
-        usize::try_from(length)
-            .unwrap_or(usize::MAX)
-            .min(MAX_BUFFERED_BODY_BYTES)
-    })
+    let length = length.and_then(|length| usize::try_from(length).ok());
+    length.map_or(MAX_BUFFER_BYTES, |length| length.min(MAX_BUFFER_BYTES))
 }
 
 async fn next_frame(
--- a/adapters/http/src/request_queue.rs
+++ b/adapters/http/src/request_queue.rs
@@ -7,7 +7,7 @@
 use badgerpost_time::Nanos;
 
 /// Maximum number of pipelined requests that are tracked. More cannot have been read: hyper buffers 32 KiB, the
-/// read-ahead buffer holds 16 KiB, and no request is shorter than 16 bytes.
+/// read-ahead buffer holds 8 KiB, and no request is shorter than 16 bytes.
 const MAX_PIPELINED_REQUESTS: usize = 4096;
 
 /// The requests of one connection, numbered from 1.
--- a/adapters/http/src/upload.rs
+++ b/adapters/http/src/upload.rs
@@ -27,6 +27,9 @@
 use crate::forwarded_body::{BodySource, ForwardedBody, StreamingBody};
 use crate::memory_budget::BufferedBytes;
 
+/// Memory reserved for an upload whose beginning is not kept: the buffers between its client and the backend.
+pub(crate) const STREAM_BYTES: usize = 48 * 1024;
+
 pub enum RequestBody {
     /// Read completely and held in memory.
     Buffered(BufferedBytes),
@@ -57,7 +60,7 @@
         match self {
             Self::Buffered(buffered) => OutgoingBody::from(buffered.bytes.clone()),
             Self::Streaming(upload) => {
-                let received = BufferedBytes::new(upload.received.bytes.clone(), None);
+                let received = BufferedBytes::new(upload.received.borrow().bytes.clone(), None);
                 let number = upload.replace_reader();
                 upload.is_suspended.set(false);
                 upload.has_reader.set(true);
@@ -141,8 +144,9 @@
 
 /// A request body that is being uploaded.
 pub struct Upload {
-    /// The part that arrived before the first attempt.
-    received: BufferedBytes,
+    /// The part that arrived before the first attempt, released once another attempt is impossible; and the memory
+    /// reserved for the upload.
+    received: RefCell<BufferedBytes>,
     /// `None` once the rest of the body is discarded.
     incoming: RefCell<Option<Incoming>>,
     /// Length of the whole body in bytes; `None` if the client has not declared one.
@@ -183,7 +187,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             read_bytes: Cell::new(received.bytes.len() as u64),
-            received,
+            received: RefCell::new(received),
             incoming: RefCell::new(Some(incoming)),
             length,
             current_reader: Cell::new(0),
@@ -359,6 +363,7 @@
                 let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
                 upload.read_bytes.set(upload.read_bytes.get() + bytes);
                 if frame.is_data() && !upload.is_consumed.replace(true) {
+                    upload.received.borrow_mut().release_all_but(STREAM_BYTES);
                     self.engine.body_consumed(self.attempt);
                 }
                 Poll::Ready(Some(Ok(frame)))
--- a/adapters/http/src/upstream/response_reader.rs
+++ b/adapters/http/src/upstream/response_reader.rs
@@ -13,9 +13,9 @@
 use super::forwarding::{ForwardingTimes, ResponsePhase};
 use super::pool::LeasedConnection;
 use super::{AttemptEnd, load_report};
-use crate::MAX_BUFFERED_BODY_BYTES;
 use crate::backend_response::{BackendResponse, BackendResponseBody, StreamEnd, StreamingResponse};
 use crate::memory_budget::{BufferedBytes, BytesCollector};
+use crate::{MAX_BUFFER_BYTES, MAX_BUFFERED_BODY_BYTES};
 
 /// Number of bytes of a large response that are read before it is forwarded. Until then, a truncated response can be
 /// replaced by that of a retry.
@@ -81,7 +81,9 @@
     let phase = head.phase();
     reading.phase.set(phase);
     let max_body = MAX_BUFFERED_BODY_BYTES as u64;
-    let buffer_bytes = head.length.map_or(max_body, |length| length.min(max_body)) as usize;
+    let buffer_bytes =
+        head.length
+            .map_or(MAX_BUFFER_BYTES as u64, |length| length.min(max_body)) as usize;
     let reservation = leased.pool.response_budget.reserve(buffer_bytes);
     let is_large = reservation.is_none() || head.length.is_some_and(|length| length > max_body);
     let threshold = StreamingThreshold {
@@ -96,7 +98,7 @@
             .map(|times| times()),
     };
     let clock = leased.pool.clock.clone();
-    let mut received = BytesCollector::default();
+    let mut received = BytesCollector::new(buffer_bytes);
     match read_body(&mut body, head.length, &threshold, &clock, &mut received).await {
         Err(error) => AttemptEnd::without_response(failure_outcome(&error)),
         Ok(ReadProgress::Partial) => {
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -5,6 +5,7 @@
 mod loopback;
 mod operator;
 mod platform;
+mod resource_plan;
 mod summary;
 
 use std::path::Path;
@@ -13,7 +14,8 @@
 
 pub use error::ConfigError;
 pub use operator::{LogFormat, OperatorConfig, VirtualClockConfig};
-pub use platform::{ConnectionLimits, PlatformConfig};
+pub use platform::PlatformConfig;
+pub use resource_plan::{ResourcePlan, ResourceShare};
 
 use loopback::check_loopback;
 use summary::{operator_summary, platform_summary};
@@ -45,7 +47,8 @@
     fn check(&self) -> Result<(), ConfigError> {
         let node_settings = self.platform.node_settings()?;
         self.platform.seed()?;
-        self.platform.connection_limits()?;
+        self.platform
+            .resource_plan(self.operator.postgres.is_some())?;
         if let Some(postgres) = &self.operator.postgres {
             postgres.check()?;
         }
--- a/daemon/src/config/platform.rs
+++ b/daemon/src/config/platform.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use super::error::ConfigError;
+use super::resource_plan::{DescriptorLimits, ResourcePlan};
 
 /// Minimum of `limits.sockets`.
 pub(super) const MIN_DESCRIPTORS: usize = 32;
@@ -19,9 +20,6 @@
 const RESERVED_CONSOLE_DESCRIPTORS: usize = 24;
 /// The memory limit if the platform's file has no `limits.memory_mb`.
 const DEFAULT_MEMORY_MIB: usize = 192;
-/// The memory limit divided by this is available for buffered bodies. The rest is for connection buffers and for the
-/// node's own state.
-const BODY_BUFFER_DIVISOR: usize = 4;
 /// The memory limit divided by this is available for messages and statements of PostgreSQL clients.
 const POSTGRES_SESSION_DIVISOR: usize = 4;
 const MIB: usize = 1024 * 1024;
@@ -61,15 +59,6 @@
     DEFAULT_MEMORY_MIB
 }
 
-/// Maximum numbers of concurrent connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConnectionLimits {
-    /// Maximum number of client connections.
-    pub clients: usize,
-    /// Maximum number of backend connections.
-    pub backends: usize,
-}
-
 impl PlatformConfig {
     /// Reads the file, and `$EDGE_CONSOLE` if the file has no console address.
     ///
@@ -110,13 +99,6 @@
         u64::from_str_radix(&self.seed, 16).map_err(|_| ConfigError::Seed(self.seed.clone()))
     }
 
-    /// The memory available for buffered bodies, in bytes.
-    pub fn body_buffer_bytes(&self) -> usize {
-        self.limits
-            .memory_mib
-            .saturating_mul(MIB / BODY_BUFFER_DIVISOR)
-    }
-
     /// The memory available for messages and statements of PostgreSQL clients, in bytes.
     pub fn postgres_session_bytes(&self) -> usize {
         self.limits
@@ -124,13 +106,28 @@
             .saturating_mul(MIB / POSTGRES_SESSION_DIVISOR)
     }
 
-    /// Divides the descriptors between client connections (at most 1/2) and backend connections (at most 3/8), after
-    /// the reserved ones are set aside. Backend connections may exceed their limit by 1/8 while old connections close.
+    /// Divides the descriptors and the memory. The PostgreSQL adapter's part of the memory is set aside if it is used.
     ///
     /// # Errors
     ///
     /// The platform grants fewer than the minimum number of descriptors.
-    pub fn connection_limits(&self) -> Result<ConnectionLimits, ConfigError> {
+    pub fn resource_plan(&self, has_postgres: bool) -> Result<ResourcePlan, ConfigError> {
+        let memory_bytes = self.limits.memory_mib.saturating_mul(MIB);
+        let postgres_bytes = if has_postgres {
+            self.postgres_session_bytes()
+        } else {
+            0
+        };
+        Ok(ResourcePlan::new(
+            self.descriptor_limits()?,
+            memory_bytes.saturating_sub(postgres_bytes),
+            self.console.is_some(),
+        ))
+    }
+
+    /// Divides the descriptors between client connections (at most 1/2) and backend connections (at most 3/8), after
+    /// the reserved ones are set aside. Backend connections may exceed their limit by 1/8 while old connections close.
+    fn descriptor_limits(&self) -> Result<DescriptorLimits, ConfigError> {
         let descriptors = self.limits.descriptors;
         if descriptors < MIN_DESCRIPTORS {
             return Err(ConfigError::TooFewDescriptors(descriptors));
@@ -140,7 +137,7 @@
         let available = descriptors.saturating_sub(reserved);
         // In 64ths of all descriptors: 32 for clients, 24 for backends, and 3 (1/8 of 24) for backend connections that
         // are closing; 59 in total.
-        Ok(ConnectionLimits {
+        Ok(DescriptorLimits {
             clients: (descriptors / 2).min(available * 32 / 59).max(1),
             backends: (descriptors * 3 / 8).min(available * 24 / 59).max(1),
         })
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -16,7 +16,7 @@
 use badgerpost_admin::LifecycleHandle;
 use badgerpost_engine::{Clock, spawn};
 
-use crate::descriptor_quota::DescriptorQuota;
+use crate::resource_quota::ResourceQuota;
 use context::HandoverContext;
 pub use successor::ReceivedListener;
 
@@ -25,7 +25,7 @@
 
 impl Handover {
     /// The handover of the socket at `listen`, or `None` if `$TMPDIR` is unset or the port is chosen by the system.
-    pub fn new(listen: SocketAddr, quota: DescriptorQuota, clock: Clock) -> Option<Self> {
+    pub fn new(listen: SocketAddr, quota: ResourceQuota, clock: Clock) -> Option<Self> {
         // Two processes never get the same port from the system.
         if listen.port() == 0 {
             return None;
--- a/daemon/src/handover/context.rs
+++ b/daemon/src/handover/context.rs
@@ -8,7 +8,7 @@
 use badgerpost_socket_handover::Action;
 
 use super::connection::HandoverConnection;
-use crate::descriptor_quota::DescriptorQuota;
+use crate::resource_quota::ResourceQuota;
 
 /// Time limit of the whole exchange, after which the new process opens a listening socket of its own. The new process
 /// has to serve within 6 s of its start.
@@ -20,7 +20,7 @@
     pub(super) path: PathBuf,
     /// The address at which all versions listen for clients.
     pub(super) listen: SocketAddr,
-    pub(super) quota: DescriptorQuota,
+    pub(super) quota: ResourceQuota,
     pub(super) clock: Clock,
 }
 
@@ -44,7 +44,7 @@
             Action::Send(message) => connection.send(&message, None).await,
             Action::SendListener(message) => connection.send(&message, listener).await,
             Action::SetLimitsHalved(is_halved) => {
-                self.quota.set_halved(is_halved);
+                self.quota.set_shared(is_halved);
                 Ok(())
             }
             Action::UseReceivedListener
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -3,10 +3,10 @@
 
 mod background_tasks;
 mod config;
-mod descriptor_quota;
 mod handover;
 mod listening;
 mod node;
+mod resource_quota;
 
 use std::io::{self, Write};
 use std::path::PathBuf;
--- a/daemon/src/node/client_listener.rs
+++ b/daemon/src/node/client_listener.rs
@@ -8,9 +8,9 @@
 
 use super::error::NodeError;
 use crate::config::PlatformConfig;
-use crate::descriptor_quota::DescriptorQuota;
 use crate::handover::{Handover, ReceivedListener};
 use crate::listening::listen;
+use crate::resource_quota::ResourceQuota;
 
 /// The listener for HTTP clients.
 pub struct ClientListener {
@@ -44,7 +44,7 @@
     /// version at the same address.
     pub async fn take_over_or_bind(
         platform: &PlatformConfig,
-        quota: &DescriptorQuota,
+        quota: &ResourceQuota,
         clock: &Clock,
     ) -> Result<Self, NodeError> {
         let address = platform.listen;
--- a/daemon/src/node/startup.rs
+++ b/daemon/src/node/startup.rs
@@ -10,7 +10,6 @@
 use badgerpost_engine::{Clock, nanos, spawn};
 use badgerpost_gossip::{GossipService, LocalMember};
 use badgerpost_http::discovery::EndpointWatcher;
-use badgerpost_http::memory_budget::MemoryBudget;
 use badgerpost_http::server::{self, ServerLifecycle, ServerLimits};
 use badgerpost_http::upstream::HttpTransport;
 use badgerpost_http::{Http, HttpEngine};
@@ -30,7 +29,7 @@
 use super::virtual_clock_control::VirtualClockControl;
 use crate::background_tasks::BackgroundTasks;
 use crate::config::{Config, ConfigError, OperatorConfig, PlatformConfig};
-use crate::descriptor_quota::DescriptorQuota;
+use crate::resource_quota::ResourceQuota;
 
 /// The readiness check for HTTP clients succeeds once the node has a backend, or this long after the node's start.
 const READY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -45,8 +44,7 @@
     /// Number of nodes in the fleet.
     node_count: u32,
     seed: u64,
-    quota: DescriptorQuota,
-    memory_budget: MemoryBudget,
+    quota: ResourceQuota,
     clock: Clock,
     /// The connection to the controller of the virtual clock. `None` with the system's clock.
     pub virtual_clock: Option<VirtualClockControl>,
@@ -61,7 +59,7 @@
     pub fn prepare(config: Config, settings: &Settings) -> Result<Self, NodeError> {
         let Config { platform, operator } = config;
         let seed = platform.seed()?;
-        let quota = DescriptorQuota::new(platform.connection_limits()?);
+        let quota = ResourceQuota::new(platform.resource_plan(operator.postgres.is_some())?);
         let virtual_clock = operator
             .virtual_clock
             .map(VirtualClockControl::connect)
@@ -69,7 +67,6 @@
         let clock = virtual_clock
             .as_ref()
             .map_or_else(Clock::system, VirtualClockControl::clock);
-        let memory_budget = MemoryBudget::new(platform.body_buffer_bytes());
         Ok(Self {
             platform,
             operator,
@@ -77,7 +74,6 @@
             node_count: settings.node_count,
             seed,
             quota,
-            memory_budget,
             clock,
             virtual_clock,
             lifecycle: LifecycleHandle::default(),
@@ -92,7 +88,7 @@
             node_settings.connections,
             self.clock.clone(),
             self.quota.backends.clone(),
-            self.memory_budget.clone(),
+            self.quota.body_memory.clone(),
         );
         self.background_tasks.spawn(
             "connection pool sweep",
@@ -213,7 +209,7 @@
         };
         let limits = ServerLimits {
             max_connections: self.quota.clients.clone(),
-            memory_budget: self.memory_budget.clone(),
+            memory_budget: self.quota.body_memory.clone(),
         };
         let http_server = spawn(server::run(
             client_listener.listener,
--- a/daemon/tests/operations.rs
+++ b/daemon/tests/operations.rs
@@ -191,10 +191,10 @@
     let reasons = values
         .keys()
         .filter(|name| name.starts_with("node.requests.unanswered."));
-    assert_eq!(reasons.count(), 9);
+    assert_eq!(reasons.count(), 10);
     assert_eq!(
         (values["node.cluster_size"], values.len()),
-        (1, 3 * 3 + 4 + 10 + 9 + 9)
+        (1, 3 * 3 + 4 + 10 + 9 + 10)
     );
     discovery.set_endpoints(json!([
         target("s-0", backend.address, "Terminating"),
--- a/engine/src/driver/records.rs
+++ b/engine/src/driver/records.rs
@@ -1,10 +1,10 @@
 //! Metrics and log lines about attempts and requests without a response.
 
-use badgerpost_balancer::{Nanos, Outcome, RequestId};
+use badgerpost_balancer::{ClassId, Nanos, Outcome, RequestId};
 
 use super::Driver;
 use crate::attempt::AttemptId;
-use crate::protocol::{IncomingRequest, Protocol};
+use crate::protocol::Protocol;
 use crate::request_end_reason::RequestEndReason;
 use crate::request_log::{FailedAttempt, UnansweredRequest};
 
@@ -52,13 +52,17 @@
         });
     }
 
-    /// Records a request that was refused because its id is in use.
-    pub(super) fn record_duplicate(&mut self, incoming: &IncomingRequest<P>) {
-        let reason = RequestEndReason::DuplicateId;
+    /// Records a request that was refused before it was open.
+    pub(crate) fn record_refusal(
+        &mut self,
+        client_id: &str,
+        class: ClassId,
+        reason: RequestEndReason,
+    ) {
         self.metrics.request_unanswered(reason);
         self.request_log.request_unanswered(&UnansweredRequest {
-            client_id: &incoming.id,
-            class: self.metrics.class_name(incoming.class),
+            client_id,
+            class: self.metrics.class_name(class),
             reason,
             attempts: 0,
             age: 0,
--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -28,7 +28,7 @@
     ) -> Option<RequestId> {
         let now = self.clock.now();
         if !self.client_request_ids.reserve(&incoming.id, now) {
-            self.record_duplicate(&incoming);
+            self.record_refusal(&incoming.id, incoming.class, RequestEndReason::DuplicateId);
             return None;
         }
         let request = self.requests.allocate_id();
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use badgerpost_balancer::{
-    BackendId, EndpointUpdate, Event, LoadReport, Nanos, Outcome, Settings, SettingsError,
+    BackendId, ClassId, EndpointUpdate, Event, LoadReport, Nanos, Outcome, Settings, SettingsError,
 };
 use badgerpost_settings::NameTable;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -19,11 +19,12 @@
 use crate::backends::{BackendAddress, DiscoveredEndpoint};
 use crate::clock::{Clock, nanos};
 use crate::driver::Driver;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, RequestEnd};
 use crate::open_requests::UploadState;
 use crate::pending_io::PendingIo;
 use crate::pending_response::PendingResponse;
 use crate::protocol::{IncomingRequest, Protocol, RequestClass, UnknownTenant};
+use crate::request_end_reason::RequestEndReason;
 use crate::zone_monitoring::{PeerUpdate, ZoneGossip, ZoneOverride};
 
 /// A timer that fires at least this long after its due time indicates that the process was paused.
@@ -194,6 +195,15 @@
         Some(PendingResponse::new(self.clone(), request, outcome))
     }
 
+    /// Counts and logs a request that an adapter refuses instead of submitting it.
+    pub fn request_refused(&self, client_id: &str, class: ClassId, reason: RequestEndReason) {
+        self.driver
+            .borrow_mut()
+            .record_refusal(client_id, class, reason);
+        self.metrics()
+            .count_request_end(class, RequestEnd::Rejected);
+    }
+
     /// Reports that this attempt has sent parts of the request's body that are not buffered, so that the request can't
     /// be retried.
     pub fn body_consumed(&self, attempt: AttemptId) {
--- a/engine/src/request_end_reason.rs
+++ b/engine/src/request_end_reason.rs
@@ -17,6 +17,8 @@
     UploadStalled,
     /// The id that the client gave the request is in use.
     DuplicateId,
+    /// The node had no memory for the request's body.
+    NoMemory,
 }
 
 impl From<EndReason> for RequestEndReason {
@@ -33,6 +35,7 @@
             Self::FallbackTimeout,
             Self::UploadStalled,
             Self::DuplicateId,
+            Self::NoMemory,
         ];
         EndReason::ALL.map(Self::Balancer).into_iter().chain(others)
     }
@@ -45,6 +48,7 @@
             Self::FallbackTimeout => "fallback_timeout",
             Self::UploadStalled => "upload_stalled",
             Self::DuplicateId => "duplicate_id",
+            Self::NoMemory => "no_memory",
         }
     }
 
@@ -56,12 +60,13 @@
             Self::FallbackTimeout => EndReason::ALL.len() + 1,
             Self::UploadStalled => EndReason::ALL.len() + 2,
             Self::DuplicateId => EndReason::ALL.len() + 3,
+            Self::NoMemory => EndReason::ALL.len() + 4,
         }
     }
 }
 
 /// The number of reasons.
-const REASONS: usize = EndReason::ALL.len() + 4;
+const REASONS: usize = EndReason::ALL.len() + 5;
 
 /// The number of requests that ended for each reason.
 #[derive(Debug, Default)]
--- a/engine/src/tcp_stream.rs
+++ b/engine/src/tcp_stream.rs
@@ -14,8 +14,9 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 
-/// The maximum number of bytes per read. Limits how much of the buffer is zeroed before each read.
-const MAX_READ_BYTES: usize = 16 * 1024;
+/// The maximum number of bytes per read. One less than the size of hyper's first read buffer, so that hyper does not take
+/// larger buffers, which stay allocated as long as any part of their contents is in use.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 
 /// A connected TCP stream.
 #[derive(Debug)]
