The node's own limit on backend connections ejects no backend

What callers saw: beside slow uploads that held all connections to backends, other requests were refused within a millisecond, and sound backends were ejected for up to 32 s.

Cause: a connection that the node may not open was reported as one that the backend did not accept (ConnectFailed).

Why it works: an attempt without a connection for want of the node's own capacity was not sent (NotSent), which is no evidence about a backend. A complete request waits as long as for a connect; uploads leave a quarter of the connections to others.

--- a/adapters/http/src/upstream/attempt.rs
+++ b/adapters/http/src/upstream/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::connection::ConnectError;
 use super::forwarding::{ForwardingTimes, ResponsePhase};
-use super::pool::{ConnectionPool, LeasedConnection};
+use super::pool::{ConnectionPool, ConnectionPurpose, LeasedConnection};
 use super::response_activity::ResponseActivity;
 use super::response_reader::{ForwardedErrors, ResponseReading, failure_outcome, read_response};
 use super::{AttemptCommand, AttemptEnd};
@@ -141,8 +141,9 @@
     /// is replaced by the next one.
     async fn send(&self) -> AttemptEnd {
         loop {
-            let Ok(leased) = self.lease().await else {
-                return AttemptEnd::without_response(Outcome::ConnectFailed);
+            let leased = match self.lease().await {
+                Ok(leased) => leased,
+                Err(error) => return AttemptEnd::without_response(error.outcome()),
             };
             let is_new = leased.idle_time.is_none();
             if let Some(end) = self.send_over(leased).await {
@@ -154,6 +155,14 @@
         }
     }
 
+    fn purpose(&self) -> ConnectionPurpose {
+        if self.command.payload.body.is_complete() {
+            ConnectionPurpose::CompleteRequest
+        } else {
+            ConnectionPurpose::Upload
+        }
+    }
+
     /// Leases a connection that is ready for a request.
     async fn lease(&self) -> Result<LeasedConnection, ConnectError> {
         while let Some(mut leased) = self.pool.lease_idle(self.engine, self.destination()) {
@@ -164,7 +173,10 @@
                 return Ok(leased);
             }
         }
-        let mut leased = self.pool.lease_new(self.engine, self.destination()).await?;
+        let mut leased = self
+            .pool
+            .lease_new(self.engine, self.destination(), self.purpose())
+            .await?;
         if leased.is_ready().await {
             Ok(leased)
         } else {
--- a/adapters/http/src/upstream/connection.rs
+++ b/adapters/http/src/upstream/connection.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use badgerpost_balancer::Outcome;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use rustix::io::Errno;
 
 use badgerpost_engine::{Clock, ConnectionGuard, IdleCheck, Metrics, TcpStream, activity, spawn};
 
@@ -38,6 +40,34 @@
     Http(#[from] hyper::Error),
 }
 
+/// Errors that the node's own limits cause: no descriptors, buffers, memory or ports.
+const LOCAL_ERRORS: [Errno; 5] = [
+    Errno::MFILE,
+    Errno::NFILE,
+    Errno::NOBUFS,
+    Errno::NOMEM,
+    Errno::ADDRNOTAVAIL,
+];
+
+impl ConnectError {
+    /// The outcome of an attempt without a connection. The node's own limits say nothing about the backend.
+    pub(super) fn outcome(&self) -> Outcome {
+        match self {
+            Self::TooManyConnections => Outcome::NotSent,
+            Self::Socket(error) if is_local(error) => Outcome::NotSent,
+            Self::NotLoopback | Self::TimedOut | Self::Closed | Self::Socket(_) | Self::Http(_) => {
+                Outcome::ConnectFailed
+            }
+        }
+    }
+}
+
+fn is_local(error: &io::Error) -> bool {
+    LOCAL_ERRORS
+        .iter()
+        .any(|errno| error.raw_os_error() == Some(errno.raw_os_error()))
+}
+
 /// An open connection to a backend.
 pub(super) struct BackendConnection {
     pub(super) sender: SendRequest<OutgoingBody>,
--- a/adapters/http/src/upstream/health_check.rs
+++ b/adapters/http/src/upstream/health_check.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Uri};
 
 use super::forwarding::ResponsePhase;
-use super::pool::{ConnectionPool, LeasedConnection};
+use super::pool::{ConnectionPool, ConnectionPurpose, LeasedConnection};
 use super::response_reader::{ForwardedErrors, ResponseReading, failure_outcome, read_response};
 use super::{AttemptEnd, load_report};
 use crate::HttpEngine;
@@ -52,9 +52,12 @@
         None if !pool.has_spare_connections() => {
             return AttemptEnd::without_response(Outcome::NotSent);
         }
-        None => match pool.lease_new(engine, target).await {
+        None => match pool
+            .lease_new(engine, target, ConnectionPurpose::HealthCheck)
+            .await
+        {
             Ok(leased) => leased,
-            Err(_) => return AttemptEnd::without_response(Outcome::ConnectFailed),
+            Err(error) => return AttemptEnd::without_response(error.outcome()),
         },
     };
     let Some(message) = load_request(target.address) else {
--- a/adapters/http/src/upstream/pool.rs
+++ b/adapters/http/src/upstream/pool.rs
@@ -35,6 +35,20 @@
 /// Divisor of the limit on open connections: this fraction of it is reserved for requests with a waiting client.
 const RESERVE_DIVISOR: usize = 4;
 
+/// Interval at which it is checked whether a connection may be opened again.
+const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What a new connection is opened for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionPurpose {
+    /// A request whose client has sent all of it. Waits for capacity as long as for a connect.
+    CompleteRequest,
+    /// An upload, which may take long: leaves a part of the capacity to complete requests. Waits until it is cancelled.
+    Upload,
+    /// A health check, which waits for no capacity.
+    HealthCheck,
+}
+
 /// The pool of idle connections to the backends, and the limit on all open connections.
 pub struct ConnectionPool {
     idle: IdlePool<BackendAddress, BackendConnection>,
@@ -120,7 +134,9 @@
         self: &Rc<Self>,
         engine: &HttpEngine,
         destination: BackendAddress,
+        purpose: ConnectionPurpose,
     ) -> Result<LeasedConnection, ConnectError> {
+        self.wait_for_capacity(purpose).await?;
         Ok(LeasedConnection {
             connection: self.open(engine, destination.address).await?,
             idle_time: None,
@@ -136,6 +152,37 @@
         self.reset_rates.record(idle_time, was_reset);
     }
 
+    /// Waits until another connection may be opened for this purpose.
+    async fn wait_for_capacity(&self, purpose: ConnectionPurpose) -> Result<(), ConnectError> {
+        let max_wait = match purpose {
+            ConnectionPurpose::CompleteRequest => self.settings.connect_timeout,
+            ConnectionPurpose::Upload => Nanos::MAX,
+            ConnectionPurpose::HealthCheck => 0,
+        };
+        let ends_at = self.clock.now().saturating_add(max_wait);
+        while !self.has_capacity(purpose) {
+            if self.clock.now() >= ends_at {
+                return Err(ConnectError::TooManyConnections);
+            }
+            self.clock.sleep(CAPACITY_CHECK_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Whether another connection may be opened for this purpose. Closes the oldest idle connection if the limit is
+    /// reached.
+    fn has_capacity(&self, purpose: ConnectionPurpose) -> bool {
+        let max_open = self.max_open.get();
+        if purpose == ConnectionPurpose::Upload && !self.has_spare_connections() {
+            self.idle.drop_oldest(|_| true);
+            return false;
+        }
+        if self.open.get() >= max_open {
+            self.idle.drop_oldest(|_| true);
+        }
+        self.open.get() < max_open + max_open / OVERSHOOT_DIVISOR
+    }
+
     async fn open(
         &self,
         engine: &HttpEngine,
@@ -145,13 +192,6 @@
         if self.clock.is_virtual() && !address.ip().is_loopback() {
             return Err(ConnectError::NotLoopback);
         }
-        let max_open = self.max_open.get();
-        if self.open.get() >= max_open {
-            self.idle.drop_oldest(|_| true);
-        }
-        if self.open.get() >= max_open + max_open / OVERSHOOT_DIVISOR {
-            return Err(ConnectError::TooManyConnections);
-        }
         let guard = self.open.open();
         let timeout = Duration::from_nanos(self.settings.connect_timeout);
         BackendConnection::open(address, timeout, &self.clock, engine.metrics(), guard).await
