The id of a request that may have run is refused for as long as it may be repeated

What callers saw: an unsafe request whose client had left ran twice when its id came again after 1.8 s.

Cause: one memory of a second and 4,096 ids served both requests in flight and effects that must not happen twice.

--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -1,13 +1,14 @@
 //! The life cycle of a request: submission, attempts, and exactly one outcome.
 
 use badgerpost_balancer::{
-    AttemptResult, BackendId, Event, Nanos, Outcome, RequestArrival, RequestId,
+    AttemptResult, BackendId, Event, Idempotency, Nanos, Outcome, RequestArrival, RequestId,
 };
 use tokio::sync::oneshot;
 
 use super::Driver;
 use crate::attempt::{AttemptEnd, AttemptId};
 use crate::backends::BackendAddress;
+use crate::client_request_ids::Repeatability;
 use crate::event_log::log_fallback_timeout;
 use crate::metrics::EndCounting;
 use crate::open_requests::{Delivery, ErrorResponse, OpenRequest, UploadState};
@@ -187,6 +188,7 @@
         let Some(in_flight) = open.take_attempt(number) else {
             return;
         };
+        open.may_have_run |= outcome.may_have_run();
         let class = open.class;
         let counting = if is_streaming {
             EndCounting::AtEndOfStream
@@ -272,11 +274,23 @@
         self.remove_if_done(request);
     }
 
+    /// Whether a request that has ended may run again.
+    fn repeatability(&self, done: &OpenRequest<P>) -> Repeatability {
+        let class = self.settings.classes.get(done.class.0 as usize);
+        let is_idempotent = class.is_some_and(|class| class.idempotency == Idempotency::Idempotent);
+        if done.may_have_run && !is_idempotent {
+            Repeatability::Executed
+        } else {
+            Repeatability::Repeatable
+        }
+    }
+
     /// Removes a request that has an outcome and no attempts in flight.
     fn remove_if_done(&mut self, request: RequestId) {
         if let Some(done) = self.requests.remove_if_done(request) {
+            let repeatability = self.repeatability(&done);
             self.client_request_ids
-                .release(done.client_id, self.clock.now());
+                .release(done.client_id, repeatability, self.clock.now());
         }
     }
 }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -16,6 +16,7 @@
 mod driver;
 mod engine;
 mod event_log;
+mod executed_request_ids;
 mod heartbeat;
 mod idle_pool;
 mod log_limiter;
--- a/engine/src/open_requests.rs
+++ b/engine/src/open_requests.rs
@@ -81,6 +81,8 @@
     /// `None` once the outcome is sent.
     outcome_sender: Option<oneshot::Sender<RequestOutcome<P::Response>>>,
     has_ended: bool,
+    /// Whether an attempt that has ended may have run.
+    pub(crate) may_have_run: bool,
 }
 
 impl<P: Protocol> OpenRequest<P> {
@@ -105,6 +107,7 @@
             error_response: None,
             outcome_sender: Some(outcome_sender),
             has_ended: false,
+            may_have_run: false,
         }
     }
 
--- a/testkit/fakes/src/scripted/client.rs
+++ b/testkit/fakes/src/scripted/client.rs
@@ -5,6 +5,8 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use super::{Message, TEST_TIMEOUT, read_message};
 use crate::small_buffers::connect_with_small_buffers;
 
@@ -67,6 +69,12 @@
         self.read()
     }
 
+    /// Closes the connection with a reset.
+    pub fn reset(self) {
+        let socket = SockRef::from(&self.writer);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     /// Whether the node has closed the connection or sent bytes that are not read yet. Does not wait.
     pub fn has_ended(&self) -> bool {
         self.writer.set_nonblocking(true).unwrap();
