Both processes of an upgrade know which requests must not run twice

What callers saw: a request whose client had left ran a second time when its id came to the other process of an upgrade.

Evidence: repeated_ids ..._by_the_other_process_of_an_upgrade failed before: 200 in place of 409.

Why it works: over the connection of the handover the processes exchange the hashes of ids that must not run twice: those known when the listening socket is handed over, and each further one as it is submitted, before its attempt starts. A successor sends ids only to a predecessor that has sent some, since earlier versions end the handover at unknown messages.

--- a/core/socket-handover/src/api.rs
+++ b/core/socket-handover/src/api.rs
@@ -39,6 +39,8 @@
     SetShared(bool),
     /// Record whether this process may use only half of the node's limits, because two processes share them.
     SetLimitsHalved(bool),
+    /// Don't run the requests with these ids, given by their hashes.
+    ImportRequestIds(Vec<u64>),
     /// Close the connection.
     Close,
 }
--- a/core/socket-handover/src/lib.rs
+++ b/core/socket-handover/src/lib.rs
@@ -12,6 +12,8 @@
 //!         |<-------------------------------------------|   or: refused (reason)
 //!         | serving                                    |
 //!         |------------------------------------------->|
+//!         | request ids, in both directions            |
+//!         |<------------------------------------------>|
 //!         | the connection closes: one of the two processes has exited
 //! ```
 //!
@@ -23,7 +25,7 @@
 mod successor;
 
 pub use api::{Action, Event};
-pub use message::{MAX_LINE_LENGTH, Message, MessageError, PROTOCOL_VERSION};
+pub use message::{MAX_IDS_PER_MESSAGE, MAX_LINE_LENGTH, Message, MessageError, PROTOCOL_VERSION};
 pub use predecessor::Predecessor;
 pub use successor::Successor;
 
--- a/core/socket-handover/src/message.rs
+++ b/core/socket-handover/src/message.rs
@@ -29,8 +29,17 @@
     },
     /// The successor has started to accept connections on the received socket.
     Serving,
+    /// Requests that the receiver must not run, because they may have run at the sender. The predecessor sends this first;
+    /// a successor sends it only to a predecessor that has done so, as earlier versions don't know this message.
+    RequestIds {
+        /// Hashes of the requests' ids, at most [`MAX_IDS_PER_MESSAGE`].
+        ids: Vec<u64>,
+    },
 }
 
+/// The maximum number of ids in a [`Message::RequestIds`], which has to fit into a line.
+pub const MAX_IDS_PER_MESSAGE: usize = 20;
+
 /// The reason why a line is not a valid message.
 #[derive(Debug, thiserror::Error)]
 pub enum MessageError {
--- a/core/socket-handover/src/predecessor.rs
+++ b/core/socket-handover/src/predecessor.rs
@@ -76,6 +76,13 @@
                     ..
                 },
             ) => self.share_listener(actions),
+            (
+                State::ListenerSent | State::Shared,
+                Event::Received {
+                    message: Message::RequestIds { ids },
+                    ..
+                },
+            ) => actions.push(Action::ImportRequestIds(ids)),
             (State::Finished, _) | (_, Event::Connected | Event::Listening) => {}
             // After the socket has been sent, the successor's startup may take longer than the time limit.
             (State::ListenerSent | State::Shared, Event::TimedOut) => {}
--- a/core/socket-handover/src/successor.rs
+++ b/core/socket-handover/src/successor.rs
@@ -56,6 +56,13 @@
                     has_listener: true,
                 },
             ) => self.accept_listener(actions),
+            (
+                State::ListenerReceived | State::Serving,
+                Event::Received {
+                    message: Message::RequestIds { ids },
+                    ..
+                },
+            ) => actions.push(Action::ImportRequestIds(ids)),
             (State::ListenerReceived, Event::Listening) => self.announce_serving(actions),
             (State::ListenerReceived | State::Serving, Event::Closed) => {
                 self.restore_limits(actions);
--- a/core/socket-handover/src/tests.rs
+++ b/core/socket-handover/src/tests.rs
@@ -190,6 +190,39 @@
     })
 }
 
+/// Guards against a handover that ends when the other process sends the ids of its requests.
+#[test]
+fn ids_of_the_other_process_are_imported_and_the_listener_stays_shared() {
+    let ids = received(Message::RequestIds { ids: vec![1, 2] });
+    let imported = Action::ImportRequestIds(vec![1, 2]);
+    let predecessor = predecessor_actions(&[
+        Event::Connected,
+        received(hello(PROTOCOL_VERSION, 1)),
+        received(Message::Serving),
+        ids.clone(),
+    ]);
+    assert_eq!(predecessor.last(), Some(&imported));
+    let successor = successor_actions(&[
+        Event::Connected,
+        received_listener(true),
+        Event::Listening,
+        ids,
+    ]);
+    assert_eq!(successor.last(), Some(&imported));
+}
+
+#[test]
+fn the_largest_message_with_ids_fits_into_a_line() {
+    let message = Message::RequestIds {
+        ids: vec![u64::MAX; MAX_IDS_PER_MESSAGE],
+    };
+    let line = message.to_line();
+    assert_eq!(
+        Message::from_line(&line[..line.len() - 1]).unwrap(),
+        message
+    );
+}
+
 proptest! {
     /// For events in any order, ending at any event: the successor uses at most one listener, and exactly one after the
     /// time limit has passed; neither side's limits stay halved after the connection has closed; the predecessor shares
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod context;
 mod predecessor;
+mod request_id_export;
 mod successor;
 
 use std::net::{SocketAddr, TcpListener};
@@ -15,6 +16,7 @@
 
 use badgerpost_admin::LifecycleHandle;
 use badgerpost_engine::{Clock, spawn};
+use badgerpost_http::HttpEngine;
 
 use crate::resource_quota::ResourceQuota;
 use context::HandoverContext;
@@ -46,23 +48,24 @@
     }
 
     /// Runs the handover after the node has started: reports to the predecessor that this process serves, waits for the
-    /// predecessor's end, and sends `listener` to successors. Returns only if the Unix socket for successors can't be
+    /// predecessor's end, and sends `listener` to successors. Meanwhile the processes exchange the ids of their requests. Returns only if the Unix socket for successors can't be
     /// opened.
     pub async fn run(
         self,
         listener: TcpListener,
         received: Option<ReceivedListener>,
         lifecycle: LifecycleHandle,
+        engine: HttpEngine,
     ) {
         let Self(context) = self;
         let unix_listener = context.open_unix_listener();
         if let Some(received) = received {
-            let context = context.clone();
-            spawn(async move { context.await_predecessor_end(received).await });
+            let (context, engine) = (context.clone(), engine.clone());
+            spawn(async move { context.await_predecessor_end(received, &engine).await });
         }
         if let Some(unix_listener) = unix_listener {
             context
-                .accept_successors(unix_listener, &listener, &lifecycle)
+                .accept_successors(unix_listener, &listener, &lifecycle, &engine)
                 .await;
         }
     }
--- a/daemon/src/handover/context.rs
+++ b/daemon/src/handover/context.rs
@@ -50,6 +50,7 @@
             Action::UseReceivedListener
             | Action::ListenSeparately
             | Action::SetShared(_)
+            | Action::ImportRequestIds(_)
             | Action::Close => Ok(()),
         };
         if let Err(error) = result {
--- a/daemon/src/handover/predecessor.rs
+++ b/daemon/src/handover/predecessor.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use badgerpost_admin::LifecycleHandle;
+use badgerpost_http::HttpEngine;
 use badgerpost_lifecycle::Event as LifecycleEvent;
 use badgerpost_socket_handover::{Action, Event, Predecessor};
 use tokio::net::{UnixListener, UnixStream};
 
 use super::connection::HandoverConnection;
 use super::context::HandoverContext;
+use super::request_id_export::RequestIdExport;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -36,13 +38,15 @@
         mut unix_listener: UnixListener,
         listener: &TcpListener,
         lifecycle: &LifecycleHandle,
+        engine: &HttpEngine,
     ) {
         loop {
             match unix_listener.accept().await {
                 Ok((stream, _)) => {
                     let connection = HandoverConnection::new(stream);
-                    let has_sent_listener =
-                        self.serve_successor(connection, listener, lifecycle).await;
+                    let has_sent_listener = self
+                        .serve_successor(connection, listener, lifecycle, engine)
+                        .await;
                     // A successor that has replaced the Unix socket and then ended leaves a path that nobody serves.
                     if has_sent_listener
                         && UnixStream::connect(&self.path).await.is_err()
@@ -65,11 +69,13 @@
         mut connection: HandoverConnection,
         listener: &TcpListener,
         lifecycle: &LifecycleHandle,
+        engine: &HttpEngine,
     ) -> bool {
         let mut predecessor = Predecessor::new(self.listen);
         let mut timeout = std::pin::pin!(self.wait_for_exchange_timeout());
         let mut has_timed_out = false;
         let mut has_sent_listener = false;
+        let mut export = RequestIdExport::default();
         loop {
             let event = tokio::select! {
                 biased;
@@ -78,13 +84,21 @@
                     has_timed_out = true;
                     Event::TimedOut
                 }
+                message = export.next_message() => {
+                    self.perform(Action::Send(message), &mut connection, None).await;
+                    continue;
+                }
             };
             let mut actions = Vec::new();
             predecessor.handle(event, &mut actions);
             for action in actions {
                 match action {
                     Action::Close => return has_sent_listener,
-                    Action::SendListener(_) => has_sent_listener = true,
+                    Action::SendListener(_) => {
+                        has_sent_listener = true;
+                        export.start(engine);
+                    }
+                    Action::ImportRequestIds(ref ids) => engine.import_request_ids(ids),
                     Action::SetShared(shared) => {
                         tracing::info!(shared, "the next version takes connections here");
                         lifecycle.handle(LifecycleEvent::ListenerShared(shared));
--- a/daemon/src/handover/successor.rs
+++ b/daemon/src/handover/successor.rs
@@ -3,11 +3,13 @@
 use std::io;
 use std::net::TcpListener;
 
+use badgerpost_http::HttpEngine;
 use badgerpost_socket_handover::{Action, Event, Successor};
 use tokio::net::UnixStream;
 
 use super::connection::HandoverConnection;
 use super::context::{EXCHANGE_TIMEOUT, HandoverContext};
+use super::request_id_export::RequestIdExport;
 
 /// A listening socket received from the predecessor, and the connection whose end signals that the predecessor has
 /// ended.
@@ -100,26 +102,44 @@
         Exchange::Continues
     }
 
-    /// Reports to the predecessor that this process serves, and returns when the predecessor has ended.
-    pub(super) async fn await_predecessor_end(&self, received: ReceivedListener) {
+    /// Reports to the predecessor that this process serves, exchanges request ids with it, and returns when the
+    /// predecessor has ended. Ids are sent only to a predecessor that has sent some, which earlier versions don't.
+    pub(super) async fn await_predecessor_end(
+        &self,
+        received: ReceivedListener,
+        engine: &HttpEngine,
+    ) {
         let ReceivedListener {
             mut connection,
             mut successor,
             ..
         } = received;
+        let mut export = RequestIdExport::default();
         let mut event = Event::Listening;
         loop {
             let has_ended = event == Event::Closed;
             let mut actions = Vec::new();
             successor.handle(event, &mut actions);
             for action in actions {
+                if let Action::ImportRequestIds(ids) = &action {
+                    engine.import_request_ids(ids);
+                    export.start(engine);
+                }
                 self.perform(action, &mut connection, None).await;
             }
             if has_ended {
                 tracing::info!("the version before is gone");
                 return;
             }
-            event = connection.next_event(self.listen).await;
+            event = loop {
+                let message = tokio::select! {
+                    biased;
+                    event = connection.next_event(self.listen) => break event,
+                    message = export.next_message() => message,
+                };
+                self.perform(Action::Send(message), &mut connection, None)
+                    .await;
+            };
         }
     }
 }
--- a/daemon/src/node/client_listener.rs
+++ b/daemon/src/node/client_listener.rs
@@ -4,6 +4,7 @@
 
 use badgerpost_admin::LifecycleHandle;
 use badgerpost_engine::Clock;
+use badgerpost_http::HttpEngine;
 use tokio::net::TcpListener;
 
 use super::error::NodeError;
@@ -31,9 +32,9 @@
 
 impl ListenerHandover {
     /// Hands the listener over to later versions. Returns only if the Unix socket for successors can't be opened.
-    pub async fn run(self, lifecycle: LifecycleHandle) {
+    pub async fn run(self, lifecycle: LifecycleHandle, engine: HttpEngine) {
         self.handover
-            .run(self.listener, self.received, lifecycle)
+            .run(self.listener, self.received, lifecycle, engine)
             .await;
     }
 }
--- a/daemon/src/node/startup.rs
+++ b/daemon/src/node/startup.rs
@@ -213,13 +213,15 @@
         };
         let http_server = spawn(server::run(
             client_listener.listener,
-            engine,
+            engine.clone(),
             limits,
             handle,
         ));
         if let Some(handover) = client_listener.handover {
-            self.background_tasks
-                .spawn("listener handover", handover.run(self.lifecycle.clone()));
+            self.background_tasks.spawn(
+                "listener handover",
+                handover.run(self.lifecycle.clone(), engine),
+            );
         }
         let postgres_server = self.start_postgres().await?;
         Ok(Shutdown {
--- a/daemon/tests/repeated_ids.rs
+++ b/daemon/tests/repeated_ids.rs
@@ -6,6 +6,7 @@
     reason = "test code"
 )]
 
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
@@ -116,3 +117,57 @@
     assert_eq!(node.request(&text).status(), 409);
     assert_eq!(runs(&backend, "slow-1"), 1);
 }
+
+/// An address at which several processes can listen later.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Guards against a second process of an upgrade that runs a request again which the first one has run, or the other way
+/// round.
+#[test]
+fn an_id_that_may_have_run_is_refused_by_the_other_process_of_an_upgrade() {
+    let backend = slow_backend();
+    let targets = json!([target("s-0", backend.address, "Ready")]);
+    let discovery = Discovery::new(targets.clone());
+    let mut config = config(discovery.address, targets);
+    config["listen"] = json!(free_address().to_string());
+    config["console"] = json!(free_address().to_string());
+    let name = format!("badgerpost-repeated-ids-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    let old = Node::start_in(&config, Some(&folder));
+    let mut connections_to_old: Vec<_> = (0..2)
+        .map(|number| {
+            let mut connection = Client::connect(old.address);
+            let response = connection.request(&get(&format!("first-{number}"), ""));
+            assert_eq!(response.unwrap().status(), 200);
+            connection
+        })
+        .collect();
+    let text = |id: &str| post("pay", id, "", "x");
+    send_and_leave(&old, &text("slow-before"));
+    config["console"] = json!(free_address().to_string());
+    let new = Node::start_in(&config, Some(&folder));
+    let taken = "the next version takes connections here";
+    wait_until(taken, || old.has_logged(taken));
+    send_and_leave(&old, &text("slow-during"));
+    thread::sleep(SERVICE_TIME);
+    for id in ["slow-before", "slow-during"] {
+        for _ in 0..8 {
+            assert_eq!(new.request(&text(id)).status(), 409, "{id}");
+        }
+        // A refusal closes its connection.
+        let mut connection = connections_to_old.pop().unwrap();
+        assert_eq!(connection.request(&text(id)).unwrap().status(), 409, "{id}");
+    }
+    old.signal("-TERM");
+    thread::sleep(SERVICE_TIME);
+    for id in ["slow-before", "slow-during"] {
+        assert_eq!(new.request(&text(id)).status(), 409, "{id}");
+    }
+    let runs: Vec<_> = backend.requests.try_iter().collect();
+    assert_eq!(runs.len(), 2 + 2, "{runs:?}");
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -7,6 +7,7 @@
 mod endpoints;
 mod queries;
 mod records;
+mod request_ids;
 mod requests;
 mod zones;
 
@@ -21,6 +22,7 @@
 use crate::client_request_ids::ClientRequestIds;
 use crate::clock::Clock;
 use crate::event_log::log_balancer_event;
+use crate::executed_request_ids::RequestIdHash;
 use crate::metrics::{EndCounting, Metrics};
 use crate::open_requests::OpenRequests;
 use crate::pending_io::PendingIo;
@@ -29,6 +31,8 @@
 use crate::timers::{TimerPurpose, Timers};
 use crate::zone_monitoring::{ZoneGossip, ZoneMonitoring};
 
+pub use request_ids::ExportedRequestIds;
+
 /// The state of one fleet.
 pub(crate) struct Driver<P: Protocol> {
     pub(crate) clock: Clock,
@@ -38,6 +42,8 @@
     pub(crate) requests: OpenRequests<P>,
     /// The ids of open and recently ended requests, as chosen by the clients.
     pub(crate) client_request_ids: ClientRequestIds,
+    /// Where the ids of requests that must not run twice are sent to; `None` if no other process of the node runs.
+    request_id_sender: Option<mpsc::Sender<RequestIdHash>>,
     pub(crate) backends: Backends,
     pub(crate) timers: Timers,
     metrics: Arc<Metrics>,
@@ -70,6 +76,7 @@
             settings,
             names,
             requests: OpenRequests::default(),
+            request_id_sender: None,
             timers: Timers::default(),
             zone_monitoring: None,
             gossip_sender: None,
--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -1,7 +1,7 @@
 //! The life cycle of a request: submission, attempts, and exactly one outcome.
 
 use badgerpost_balancer::{
-    AttemptResult, BackendId, Event, Idempotency, Nanos, Outcome, RequestArrival, RequestId,
+    AttemptResult, BackendId, Event, Nanos, Outcome, RequestArrival, RequestId,
 };
 use tokio::sync::oneshot;
 
@@ -32,6 +32,7 @@
             self.record_refusal(&incoming.id, incoming.class, RequestEndReason::DuplicateId);
             return None;
         }
+        self.export_request_id(&incoming.id, incoming.class);
         let request = self.requests.allocate_id();
         let expires_at = now.saturating_add(incoming.budget);
         let arrival = RequestArrival {
@@ -276,9 +277,7 @@
 
     /// Whether a request that has ended may run again.
     fn repeatability(&self, done: &OpenRequest<P>) -> Repeatability {
-        let class = self.settings.classes.get(done.class.0 as usize);
-        let is_idempotent = class.is_some_and(|class| class.idempotency == Idempotency::Idempotent);
-        if done.may_have_run && !is_idempotent {
+        if done.may_have_run && !self.is_idempotent(done.class) {
             Repeatability::Executed
         } else {
             Repeatability::Repeatable
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -18,7 +18,8 @@
 use crate::attempt::{AttemptCommand, AttemptEnd, AttemptId};
 use crate::backends::{BackendAddress, DiscoveredEndpoint};
 use crate::clock::{Clock, nanos};
-use crate::driver::Driver;
+use crate::driver::{Driver, ExportedRequestIds};
+use crate::executed_request_ids::RequestIdHash;
 use crate::metrics::{Metrics, RequestEnd};
 use crate::open_requests::UploadState;
 use crate::pending_io::PendingIo;
@@ -195,6 +196,17 @@
         Some(PendingResponse::new(self.clone(), request, outcome))
     }
 
+    /// The ids of requests that another process of the node must not run, from now on until the channel is closed. Only
+    /// one other process can be informed at a time.
+    pub fn export_request_ids(&self) -> ExportedRequestIds {
+        self.driver.borrow_mut().export_request_ids()
+    }
+
+    /// Refuses requests with these ids, which may have run in another process of the node.
+    pub fn import_request_ids(&self, ids: &[RequestIdHash]) {
+        self.driver.borrow_mut().import_request_ids(ids);
+    }
+
     /// Counts and logs a request that an adapter refuses instead of submitting it.
     pub fn request_refused(&self, client_id: &str, class: ClassId, reason: RequestEndReason) {
         self.driver
--- a/engine/src/executed_request_ids.rs
+++ b/engine/src/executed_request_ids.rs
@@ -60,6 +60,10 @@
         self.kept_until.contains_key(&hash)
     }
 
+    /// All ids that are kept.
+    pub(crate) fn all(&self) -> impl Iterator<Item = RequestIdHash> {
+        self.kept_until.keys().copied()
+    }
     fn remove_expired(&mut self, now: Nanos) {
         while let Some(oldest) = self.order.front().copied() {
             if now < oldest.until && self.order.len() <= MAX_IDS {
--- a/engine/src/open_requests.rs
+++ b/engine/src/open_requests.rs
@@ -301,6 +301,11 @@
         self.requests.remove(&id)
     }
 
+    /// All requests.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &OpenRequest<P>> {
+        self.requests.values()
+    }
+
     #[cfg(test)]
     pub(crate) fn len(&self) -> usize {
         self.requests.len()
