A connection to a replaced backend process is not used for its successor

What callers saw: after a backend's process had been replaced at its address, requests went to the process that had gone.

Cause: a name and an address were taken for the identity of a process. A connection that was leased when the endpoint list told of the replacement returned to the pool, and was used again, since backend and address were the same.

Evidence: replaced_backends failed before: the next request was served by the old process.

Why it works: the engine numbers the processes of a backend (Incarnation); the number is part of a connection's destination, and is compared when a connection returns to the pool and before an attempt is written. HTTP and PostgreSQL alike.

--- a/adapters/http/src/upstream/attempt.rs
+++ b/adapters/http/src/upstream/attempt.rs
@@ -87,6 +87,7 @@
         BackendAddress {
             backend: self.command.backend,
             address: self.command.address,
+            incarnation: self.command.incarnation,
         }
     }
 
--- a/adapters/http/src/upstream/health_check.rs
+++ b/adapters/http/src/upstream/health_check.rs
@@ -64,7 +64,7 @@
         return AttemptEnd::without_response(Outcome::NotSent);
     };
     // The backend may have left the list while the connection was established.
-    if !engine.is_in_service_at(target.backend, target.address) || !leased.is_ready().await {
+    if !engine.is_in_service_at(target) || !leased.is_ready().await {
         return AttemptEnd::without_response(Outcome::NotSent);
     }
     exchange(leased, message).await
--- a/adapters/http/src/upstream/pool.rs
+++ b/adapters/http/src/upstream/pool.rs
@@ -220,14 +220,13 @@
         self.connection.sender.ready().await.is_ok()
     }
 
-    /// Returns the connection to the pool. The connection is closed instead if the backend has left the list or changed
-    /// its address, or if the backend has responded before the request was sent: the next request could be blocked by
+    /// Returns the connection to the pool. The connection is closed instead if the backend has left the list, restarted or
+    /// changed its address, or if the backend has responded before the request was sent: the next request could be blocked by
     /// the unread rest of the body.
     pub(super) fn release(mut self) {
-        let BackendAddress { backend, address } = self.destination;
         if !self.upload.has_early_response()
             && self.connection.is_idle()
-            && self.engine.is_in_service_at(backend, address)
+            && self.engine.is_in_service_at(self.destination)
         {
             let now = self.pool.clock.now();
             self.pool.idle.put(self.destination, self.connection, now);
--- a/adapters/postgres/src/pool.rs
+++ b/adapters/postgres/src/pool.rs
@@ -257,9 +257,9 @@
         let now = self.clock.now();
         let slots = connection.slot.server_slots().clone();
         slots.record_lease(now.saturating_sub(connection.leased_at));
-        let ServerAddress { backend, endpoint } = connection.key.address;
+        let address = connection.key.address.into();
         let is_current = connection.is_current(self.generation.get(), now);
-        if is_current && engine.is_in_service_at(backend, endpoint) && connection.is_idle() {
+        if is_current && engine.is_in_service_at(address) && connection.is_idle() {
             self.idle.put(connection.key.clone(), connection, now);
             slots.wake_next();
         }
--- a/adapters/postgres/src/pool/connection.rs
+++ b/adapters/postgres/src/pool/connection.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use badgerpost_balancer::{BackendId, Nanos};
-use badgerpost_engine::{BackendAddress, IdleCheck};
+use badgerpost_engine::{BackendAddress, IdleCheck, Incarnation};
 use badgerpost_postgres_session::frame::FrameDecoder;
 use badgerpost_postgres_session::session::ServerState;
 
@@ -12,13 +12,25 @@
 use crate::logins::LoginId;
 use crate::stream::Stream;
 
-/// A server and the address at which it listens.
+/// A server, the address at which it listens, and its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerAddress {
     /// The balancer's ID of the server; unchanged when the server restarts.
     pub backend: BackendId,
     /// The server's IP address and port.
     pub endpoint: SocketAddr,
+    /// The server's process: a restarted server can have the same address.
+    pub incarnation: Incarnation,
+}
+
+impl From<ServerAddress> for BackendAddress {
+    fn from(server: ServerAddress) -> Self {
+        Self {
+            backend: server.backend,
+            address: server.endpoint,
+            incarnation: server.incarnation,
+        }
+    }
 }
 
 impl From<BackendAddress> for ServerAddress {
@@ -26,6 +38,7 @@
         Self {
             backend: server.backend,
             endpoint: server.address,
+            incarnation: server.incarnation,
         }
     }
 }
--- a/adapters/postgres/src/relay.rs
+++ b/adapters/postgres/src/relay.rs
@@ -246,7 +246,9 @@
             Ok(Some(message)) => self.handle(Event::Server(message)),
             Ok(None) => return Progress::Stalled,
             Err(error) => {
-                let ServerAddress { backend, endpoint } = server.address;
+                let ServerAddress {
+                    backend, endpoint, ..
+                } = server.address;
                 let name = self.context.engine.endpoint_name(backend);
                 tracing::warn!(
                     server = name,
--- a/adapters/postgres/src/relay/transactions.rs
+++ b/adapters/postgres/src/relay/transactions.rs
@@ -193,7 +193,7 @@
         let is_between_transactions =
             server.attempt.is_none() && self.session.status() == TransactionStatus::Idle;
         let engine = &self.context.engine;
-        if is_between_transactions && !engine.is_in_service_at(address.backend, address.endpoint) {
+        if is_between_transactions && !engine.is_in_service_at(address.into()) {
             let detail = "the session is pinned to a server that is being removed from service";
             self.end_session(ErrorReason::ShuttingDown, Some(detail));
         }
--- a/adapters/postgres/src/upstream.rs
+++ b/adapters/postgres/src/upstream.rs
@@ -43,12 +43,17 @@
         attempt,
         backend,
         address: endpoint,
+        incarnation,
         payload: request,
         attempt_deadline: deadline,
         mut cancelled,
         ..
     } = command;
-    let address = ServerAddress { backend, endpoint };
+    let address = ServerAddress {
+        backend,
+        endpoint,
+        incarnation,
+    };
     let key = PoolKey {
         address,
         target: request.target.clone(),
--- a/engine/src/attempt.rs
+++ b/engine/src/attempt.rs
@@ -7,6 +7,7 @@
 use badgerpost_balancer::{BackendId, LoadReport, Nanos, Outcome, RequestId};
 use tokio::sync::{oneshot, watch};
 
+use crate::backends::Incarnation;
 use crate::protocol::Protocol;
 
 /// The position of an attempt among those of its request, from 0.
@@ -41,6 +42,8 @@
     pub backend: BackendId,
     /// The address that the backend listens on.
     pub address: SocketAddr,
+    /// The backend's process to send to.
+    pub incarnation: Incarnation,
     /// The request to send.
     pub payload: Rc<P::Request>,
     /// When the attempt times out, on the engine's clock.
--- a/engine/src/backends.rs
+++ b/engine/src/backends.rs
@@ -29,13 +29,20 @@
     pub started_at_ms: u64,
 }
 
-/// A backend and its address.
+/// The process of a backend, numbered from 0 in the order in which the endpoint list told of them: a backend that restarts
+/// or moves has a new process under the same name, and often at the same address.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Incarnation(u32);
+
+/// A backend, its address and its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendAddress {
     /// The backend's id.
     pub backend: BackendId,
     /// The address that the backend listens on.
     pub address: SocketAddr,
+    /// The backend's process.
+    pub incarnation: Incarnation,
 }
 
 /// The table entry of a listed backend.
@@ -45,6 +52,7 @@
     /// The name of the backend's zone, for logs.
     pub(crate) zone: Rc<str>,
     pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
     started_at_ms: u64,
     /// Whether the backend is draining or removed.
     pub(crate) is_draining: bool,
@@ -121,6 +129,7 @@
             .map(|(id, entry)| BackendAddress {
                 backend: *id,
                 address: entry.address,
+                incarnation: entry.incarnation,
             })
             .collect();
         addresses.sort();
@@ -174,10 +183,14 @@
         let is_draining = endpoint.state != EndpointState::InService;
         let previous = self.entries.get(&id);
         let is_replaced = previous.is_some_and(|entry| entry.is_replaced_by(endpoint));
+        let incarnation = previous.map_or(Incarnation::default(), |entry| {
+            Incarnation(entry.incarnation.0.wrapping_add(u32::from(is_replaced)))
+        });
         let entry = BackendEntry {
             name: endpoint.name.as_str().into(),
             zone: endpoint.zone.as_str().into(),
             address: endpoint.address,
+            incarnation,
             started_at_ms: endpoint.started_at_ms,
             is_draining,
         };
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -140,6 +140,7 @@
             pending_io.health_checks.push(BackendAddress {
                 backend,
                 address: entry.address,
+                incarnation: entry.incarnation,
             });
         }
     }
--- a/engine/src/driver/queries.rs
+++ b/engine/src/driver/queries.rs
@@ -1,6 +1,5 @@
 //! Queries by adapters. They do not change the driver, except that [`Driver::take_snapshot_request`] clears a flag.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -73,10 +72,12 @@
             .is_some_and(|request| request.is_client_waiting(now));
         // No attempt is written during the grace period of a drain: the period is reserved for the delay until the
         // node learns of the drain, and for delays in the node before the bytes are sent.
+        // A connection that was opened before the backend restarted may lead to the process that has gone.
         let accepts_requests = self
-            .backends
-            .get(attempt.backend)
-            .is_some_and(|entry| !entry.is_draining);
+            .requests
+            .get(attempt.request)
+            .and_then(|request| request.target(attempt.number))
+            .is_some_and(|target| self.is_in_service_at(target));
         is_client_waiting
             && accepts_requests
             && self
@@ -84,11 +85,13 @@
                 .may_write(now, attempt.request, attempt.number.0)
     }
 
-    /// Whether the backend is in service and has this address.
-    pub(crate) fn is_in_service_at(&self, backend: BackendId, address: SocketAddr) -> bool {
-        self.backends
-            .get(backend)
-            .is_some_and(|entry| entry.address == address && !entry.is_draining)
+    /// Whether the backend is in service, at this address and with this process.
+    pub(crate) fn is_in_service_at(&self, target: BackendAddress) -> bool {
+        self.backends.get(target.backend).is_some_and(|entry| {
+            entry.address == target.address
+                && entry.incarnation == target.incarnation
+                && !entry.is_draining
+        })
     }
 
     pub(crate) fn has_endpoint_in_service(&self) -> bool {
--- a/engine/src/driver/requests.rs
+++ b/engine/src/driver/requests.rs
@@ -84,6 +84,7 @@
         let target = BackendAddress {
             backend,
             address: entry.address,
+            incarnation: entry.incarnation,
         };
         let timeout_at = timeout.map_or(Nanos::MAX, |timeout| started_at.saturating_add(timeout));
         let command = open.attempt_command(attempt, target, timeout_at, started.cancelled);
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -4,7 +4,6 @@
 //! borrow has ended, so that a [`Transport`] may call back into the engine.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -234,9 +233,9 @@
         self.driver.borrow().may_write(attempt)
     }
 
-    /// Whether the backend is in service and has this address.
-    pub fn is_in_service_at(&self, backend: BackendId, address: SocketAddr) -> bool {
-        self.driver.borrow().is_in_service_at(backend, address)
+    /// Whether the backend is in service, at this address and with this process.
+    pub fn is_in_service_at(&self, target: BackendAddress) -> bool {
+        self.driver.borrow().is_in_service_at(target)
     }
 
     /// Whether any backend is in service according to the latest endpoint list.
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -1,6 +1,7 @@
 //! Tests the engine through its public interface, with a transport that records commands.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::task::{Context, Poll, Waker};
 
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -36,7 +36,7 @@
 pub use accept_backoff::AcceptBackoff;
 pub use activity::spawn;
 pub use attempt::{AttemptCommand, AttemptEnd, AttemptId};
-pub use backends::{BackendAddress, DiscoveredEndpoint};
+pub use backends::{BackendAddress, DiscoveredEndpoint, Incarnation};
 pub use clock::{Clock, Elapsed, Sleep, VirtualClock, nanos};
 pub use connection_counter::{ConnectionCounter, ConnectionGuard};
 pub use connection_limit::ConnectionLimit;
--- a/engine/src/open_requests.rs
+++ b/engine/src/open_requests.rs
@@ -32,6 +32,8 @@
 /// An attempt that has not ended.
 pub(crate) struct InFlightAttempt {
     backend: BackendId,
+    /// Where the attempt is sent to; `None` if the backend is not listed.
+    target: Option<BackendAddress>,
     /// Whether the request's body has been uploaded in full, so that the node is waiting for the backend only.
     pub(crate) is_request_complete: bool,
     /// When the wait for the backend's response began: at the start of the attempt, or at the end of the upload.
@@ -152,6 +154,7 @@
         let number = AttemptNumber::from_index(self.attempts.len());
         self.attempts.push(Some(InFlightAttempt {
             backend,
+            target: None,
             is_request_complete: !self.is_uploading(),
             waiting_since: now,
             cancel_sender: Some(cancel_sender),
@@ -162,16 +165,20 @@
     /// Builds the command that starts an attempt. The attempt times out at `timeout_at`, or at the request's deadline
     /// if that is earlier.
     pub(crate) fn attempt_command(
-        &self,
+        &mut self,
         attempt: AttemptId,
         target: BackendAddress,
         timeout_at: Nanos,
         cancelled: oneshot::Receiver<()>,
     ) -> AttemptCommand<P> {
+        if let Some(Some(in_flight)) = self.attempts.get_mut(attempt.number.index()) {
+            in_flight.target = Some(target);
+        }
         AttemptCommand {
             attempt,
             backend: target.backend,
             address: target.address,
+            incarnation: target.incarnation,
             payload: self.payload.clone(),
             attempt_deadline: timeout_at.min(self.expires_at),
             expires_at: self.expires_at,
@@ -180,6 +187,11 @@
         }
     }
 
+    /// Where an attempt in flight is sent to.
+    pub(crate) fn target(&self, number: AttemptNumber) -> Option<BackendAddress> {
+        self.attempts.get(number.index())?.as_ref()?.target
+    }
+
     /// Cancels an attempt. Does nothing if the attempt has ended or was cancelled before.
     pub(crate) fn cancel_attempt(&mut self, number: AttemptNumber) {
         let Some(Some(attempt)) = self.attempts.get_mut(number.index()) else {
