Failures of a process that has gone do not eject its successor

What callers saw: a backend was ejected at its start for attempts that failed when its previous process ended.

Cause: the result of an attempt counted against whatever process the endpoint list named when it ended.

Evidence: faults failures_of_a_process_that_has_gone... failed before (the successor was ejected).

Why it works: an attempt remembers the start of the process that it was sent to; its result counts for outlier detection and load reports only while that process is the listed one.

--- a/balancer/src/balancer/attempts.rs
+++ b/balancer/src/balancer/attempts.rs
@@ -59,6 +59,7 @@
         request.phase = Phase::Open;
         request.attempts.push(Attempt {
             backend: to,
+            backend_started_at: backend.entry().started_at,
             placement,
             sent_at: now,
             load: backend.load(settings),
@@ -127,11 +128,14 @@
         let is_backend_timeout = result
             .elapsed
             .is_some_and(|elapsed| is_backend_timeout(&self.fleet, class, elapsed));
-        if result.outcome != Outcome::TimedOut || is_backend_timeout {
-            self.record_for_outlier_detection(attempt.backend, result.outcome, actions);
-        }
-        if let Some(backend) = self.fleet.backends.get_mut(attempt.backend) {
-            backend.record_report(self.fleet.now, result.report);
+        // The result of a process that has gone says nothing about its successor.
+        if self.is_same_process(&attempt) {
+            if result.outcome != Outcome::TimedOut || is_backend_timeout {
+                self.record_for_outlier_detection(attempt.backend, result.outcome, actions);
+            }
+            if let Some(backend) = self.fleet.backends.get_mut(attempt.backend) {
+                backend.record_report(self.fleet.now, result.report);
+            }
         }
         if is_open && !result.request_ended {
             self.retry_or_end(result.request, actions);
@@ -141,6 +145,12 @@
         self.dispatch_queued(actions);
     }
 
+    /// Whether the backend has not restarted since the attempt was sent, as far as the endpoint list tells.
+    fn is_same_process(&self, attempt: &Attempt) -> bool {
+        let backend = self.fleet.backends.get(attempt.backend);
+        backend.is_some_and(|backend| backend.entry().started_at == attempt.backend_started_at)
+    }
+
     /// Ends a request that was answered by this or an earlier attempt.
     fn finish(&mut self, result: &AttemptResult, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(result.request) else {
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Attempt {
     /// Backend that the attempt was sent to.
     pub(crate) backend: BackendId,
+    /// Start of the backend's process that the attempt was sent to; `None` if unknown or long ago.
+    pub(crate) backend_started_at: Option<Nanos>,
     /// Location of that backend.
     pub(crate) placement: Placement,
     /// Time of the send or, for an upload, the time at which the body was complete.
--- a/balancer/tests/faults.rs
+++ b/balancer/tests/faults.rs
@@ -424,3 +424,39 @@
         node.now += 50 * MILLISECOND;
     }
 }
+
+/// Guards against ejecting a restarted backend for the attempts that failed when its previous process ended.
+#[test]
+fn failures_of_a_process_that_has_gone_do_not_eject_its_successor() {
+    for (restarts, is_ejected) in [(false, true), (true, false)] {
+        let mut node = Node::new(settings(Idempotency::NonIdempotent), fleet(4));
+        let mut at_first_backend = Vec::new();
+        for _ in 0..80 {
+            let (request, actions) = node.arrive(SECOND);
+            if first_send(&actions) == Some(BackendId(0)) {
+                at_first_backend.push(request);
+            }
+        }
+        assert!(at_first_backend.len() >= 3, "{}", at_first_backend.len());
+        if restarts {
+            let mut successor = endpoint(0, 0);
+            successor.started_at = Some(node.now);
+            node.update_endpoints(EndpointUpdate::Delta, vec![successor]);
+        }
+        let mut actions = Vec::new();
+        for request in at_first_backend {
+            actions.extend(node.end_attempt(
+                request,
+                0,
+                Outcome::ConnectFailed,
+                LoadReport::default(),
+            ));
+        }
+        let is_ejection = |action: &Action| matches!(action, Action::Log(LogEvent::Ejected { backend, .. }) if *backend == BackendId(0));
+        assert_eq!(
+            actions.iter().any(is_ejection),
+            is_ejected,
+            "restarts: {restarts}"
+        );
+    }
+}
