--- a/testkit/fakes/src/scripted/client.rs
+++ b/testkit/fakes/src/scripted/client.rs
@@ -24,6 +24,11 @@
         Self::new(TcpStream::connect(address).unwrap())
     }
 
+    /// Connects; `None` if nobody listens.
+    pub fn try_connect(address: SocketAddr) -> Option<Self> {
+        TcpStream::connect(address).ok().map(Self::new)
+    }
+
     /// Connects with small buffers in the operating system, as a client that reads slowly.
     pub fn connect_with_small_buffers(address: SocketAddr) -> Self {
         Self::new(connect_with_small_buffers(address).unwrap())
