--- a/daemon/tests/process_soak.rs
+++ b/daemon/tests/process_soak.rs
@@ -399,6 +399,11 @@
         client.join().unwrap();
     }
     let _ = std::fs::remove_dir_all(&folder);
+    conclude(seed, &records)
+}
+
+/// Checks what a run has recorded. Returns its failures.
+fn conclude(seed: u64, records: &Records) -> Vec<String> {
     let runs = records.runs.lock().unwrap();
     for (id, count) in runs
         .iter()
