Test kit: a stranger's connection is not taken for a node's control connection

Cause: the port of the control listener had been that of another run's discovery service a moment before; a node of that run, which was being ended, asked discovery there, and the test kit took the first connection for its own node's.

Change: a connection whose first line is no hello is closed, and the next one is accepted, within the same time limit; a node that never says hello still fails its run.

--- a/testkit/scenarios/src/process.rs
+++ b/testkit/scenarios/src/process.rs
@@ -166,15 +166,40 @@
         }
     }
 
-    /// Waits for the control connection and the node's first message on it. Returns the node's listen address.
+    /// Waits for the control connection and the node's first message on it. Returns the node's listen address. Connections
+    /// of processes that take this port for that of an earlier listener are closed.
     fn accept_control(&mut self, listener: &TcpListener) -> Result<SocketAddr, ProcessError> {
         listener
             .set_nonblocking(true)
             .map_err(|source| self.system(source))?;
         let began = Instant::now();
-        let stream = loop {
+        loop {
+            let stream = self.accept_before_timeout(listener, began)?;
+            let configured = stream
+                .set_nonblocking(false)
+                .and_then(|()| stream.set_nodelay(true));
+            configured
+                .and_then(|()| stream.set_read_timeout(Some(RESPONSE_TIMEOUT)))
+                .map_err(|source| self.system(source))?;
+            self.control = Some(BufReader::new(stream));
+            match self.read_message() {
+                Ok(Some(NodeMessage::Hello { listen, .. })) => return Ok(listen),
+                Err(ProcessError::Control { .. }) if began.elapsed() <= RESPONSE_TIMEOUT => {}
+                Ok(_) => return Err(self.not_ready()),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Accepts a connection, at the latest [`RESPONSE_TIMEOUT`] after `began`.
+    fn accept_before_timeout(
+        &mut self,
+        listener: &TcpListener,
+        began: Instant,
+    ) -> Result<TcpStream, ProcessError> {
+        loop {
             match listener.accept() {
-                Ok((stream, _)) => break stream,
+                Ok((stream, _)) => return Ok(stream),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err(self.system(error)),
             }
@@ -182,17 +207,6 @@
                 return Err(self.not_ready());
             }
             thread::sleep(Duration::from_millis(1));
-        };
-        let configured = stream
-            .set_nonblocking(false)
-            .and_then(|()| stream.set_nodelay(true));
-        configured
-            .and_then(|()| stream.set_read_timeout(Some(RESPONSE_TIMEOUT)))
-            .map_err(|source| self.system(source))?;
-        self.control = Some(BufReader::new(stream));
-        match self.read_message()? {
-            Some(NodeMessage::Hello { listen, .. }) => Ok(listen),
-            _ => Err(self.not_ready()),
         }
     }
 
