--- a/adapters/http/src/backend_stall.rs
+++ b/adapters/http/src/backend_stall.rs
@@ -8,7 +8,7 @@
 use badgerpost_engine::{Clock, nanos};
 
 use crate::MAX_BUFFERED_BODY_BYTES;
-use crate::timeouts::RESPONSE_STALL_TIMEOUT;
+use crate::timeouts::FORWARDED_RESPONSE_STALL_TIMEOUT;
 
 /// Watches one response.
 pub(crate) struct BackendStallDetector {
@@ -52,7 +52,9 @@
         let clock = &self.clock;
         let timeout = self.timeout.get_or_insert_with(|| {
             let clock = clock.clone();
-            let ends_at = clock.now().saturating_add(nanos(RESPONSE_STALL_TIMEOUT));
+            let ends_at = clock
+                .now()
+                .saturating_add(nanos(FORWARDED_RESPONSE_STALL_TIMEOUT));
             Box::pin(async move { clock.wait_for_deadline(ends_at).await })
         });
         timeout.as_mut().poll(cx)
--- a/adapters/http/src/timeouts.rs
+++ b/adapters/http/src/timeouts.rs
@@ -41,7 +41,7 @@
 
 /// Longest time without a byte from the backend of a forwarded response that may be small: as for a request body, its
 /// client must be able to tell within 3 s that the rest does not come.
-pub(crate) const RESPONSE_STALL_TIMEOUT: Duration = BODY_STALL_TIMEOUT;
+pub(crate) const FORWARDED_RESPONSE_STALL_TIMEOUT: Duration = BODY_STALL_TIMEOUT;
 
 // Keep-alive.
 
--- a/adapters/http/src/upstream/pool.rs
+++ b/adapters/http/src/upstream/pool.rs
@@ -220,9 +220,9 @@
         self.connection.sender.ready().await.is_ok()
     }
 
-    /// Returns the connection to the pool. The connection is closed instead if the backend has left the list, restarted or
-    /// changed its address, or if the backend has responded before the request was sent: the next request could be blocked by
-    /// the unread rest of the body.
+    /// Returns the connection to the pool. The connection is closed instead if the backend has left the list, restarted
+    /// or changed its address, or if the backend has responded before the request was sent: the next request could be
+    /// blocked by the unread rest of the body.
     pub(super) fn release(mut self) {
         if !self.upload.has_early_response()
             && self.connection.is_idle()
--- a/balancer/src/api/events.rs
+++ b/balancer/src/api/events.rs
@@ -204,8 +204,8 @@
         /// Backend that broke off the response.
         backend: BackendId,
     },
-    /// The response of an attempt has begun to arrive, and then paused. Reported at least once per attempt whose
-    /// response pauses; the attempt stays in flight.
+    /// The response of an attempt has begun to arrive, and then paused. Reported once per attempt at most; the attempt
+    /// stays in flight.
     ResponseStalled {
         /// Request that is being answered.
         request: RequestId,
--- a/daemon/src/handover.rs
+++ b/daemon/src/handover.rs
@@ -48,8 +48,8 @@
     }
 
     /// Runs the handover after the node has started: reports to the predecessor that this process serves, waits for the
-    /// predecessor's end, and sends `listener` to successors. Meanwhile the processes exchange the ids of their requests. Returns only if the Unix socket for successors can't be
-    /// opened.
+    /// predecessor's end, and sends `listener` to successors. Meanwhile the processes exchange the ids of their requests.
+    /// Returns only if the Unix socket for successors can't be opened.
     pub async fn run(
         self,
         listener: TcpListener,
--- a/daemon/tests/memory_limit.rs
+++ b/daemon/tests/memory_limit.rs
@@ -178,14 +178,6 @@
     }
 }
 
-/// A value in kB of the process's status.
-fn status_kb(process: u32, name: &str) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with(name));
-    let value = line.and_then(|line| line.split_whitespace().nth(1));
-    value.and_then(|value| value.parse().ok()).unwrap_or(0)
-}
-
 fn configuration() -> (Value, Discovery) {
     let backends: Vec<Value> = (0..4)
         .map(|n| target(&format!("s-{n}"), start_slow_backend(), "Ready"))
@@ -218,12 +210,11 @@
     let (config, _discovery) = configuration();
     let mut node = Node::start(&config);
     node.request(&request("2-first"));
-    let process = node.child.id();
-    let at_start_kb = status_kb(process, "VmRSS:");
+    let at_start_kb = node.status_kb("VmRSS:");
     let ends_at = start_crowd(node.address, conduct);
     thread::sleep(ends_at - Instant::now());
     assert_eq!(node.child.try_wait().unwrap(), None, "the node has ended");
-    let grown_kb = status_kb(process, "VmHWM:") - at_start_kb;
+    let grown_kb = node.status_kb("VmHWM:") - at_start_kb;
     let used_kb = PROCESS_KB + grown_kb;
     assert!(used_kb < MEMORY_MB * 1024, "{used_kb} kB");
 }
@@ -300,7 +291,7 @@
     let folder = shared_folder();
     let old = Node::start_in(&config, Some(&folder));
     old.request(&request("2-first"));
-    let at_start_kb = status_kb(old.child.id(), "VmRSS:");
+    let at_start_kb = old.status_kb("VmRSS:");
     start_crowd(old.address, mixed);
     thread::sleep(CROWD_TIME / 2);
     config["console"] = json!(free_address().to_string());
@@ -308,7 +299,7 @@
     let ends_at = start_crowd(new.address, mixed);
     let mut most_kb = 0;
     while Instant::now() < ends_at {
-        let both = [&old, &new].map(|node| status_kb(node.child.id(), "VmRSS:"));
+        let both = [&old, &new].map(|node| node.status_kb("VmRSS:"));
         let used_kb = both.iter().sum::<u64>() + 2 * PROCESS_KB;
         most_kb = most_kb.max(used_kb.saturating_sub(2 * at_start_kb));
         thread::sleep(Duration::from_millis(10));
--- a/daemon/tests/process_soak.rs
+++ b/daemon/tests/process_soak.rs
@@ -266,15 +266,6 @@
     listener.local_addr().unwrap()
 }
 
-/// A value in kB of the status of a node's process.
-fn status_kb(node: &Node, name: &str) -> u64 {
-    let path = format!("/proc/{}/status", node.child.id());
-    let status = std::fs::read_to_string(path).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with(name));
-    let value = line.and_then(|line| line.split_whitespace().nth(1));
-    value.and_then(|value| value.parse().ok()).unwrap_or(0)
-}
-
 /// The node of a run.
 struct Player {
     config: Value,
@@ -287,7 +278,7 @@
 impl Player {
     fn start(config: Value, folder: &Path, records: Arc<Records>) -> Self {
         let node = Node::start_in(&config, Some(folder));
-        let at_start_kb = status_kb(&node, "VmRSS:");
+        let at_start_kb = node.status_kb("VmRSS:");
         Self {
             config,
             folder: folder.to_owned(),
@@ -303,7 +294,10 @@
     }
 
     fn check_process(&mut self) {
-        let grown_kb = status_kb(&self.node, "VmHWM:").saturating_sub(self.at_start_kb);
+        let grown_kb = self
+            .node
+            .status_kb("VmHWM:")
+            .saturating_sub(self.at_start_kb);
         if PROCESS_KB + grown_kb > MEMORY_MB * 1024 {
             self.records
                 .fail(format!("{} kB taken", PROCESS_KB + grown_kb));
--- a/daemon/tests/slow_upload_readers.rs
+++ b/daemon/tests/slow_upload_readers.rs
@@ -6,7 +6,7 @@
     reason = "test code"
 )]
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -34,12 +34,8 @@
 
 fn read_slowly(mut stream: TcpStream, bytes: usize, bytes_per_second: usize) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
-    let mut line = String::new();
-    while line != "\r\n" {
-        line.clear();
-        if !matches!(reader.read_line(&mut line), Ok(1..)) {
-            return;
-        }
+    if !skip_head(&mut reader) {
+        return;
     }
     let began = Instant::now();
     let mut read_bytes = 0;
--- a/daemon/tests/slow_uploads.rs
+++ b/daemon/tests/slow_uploads.rs
@@ -6,7 +6,7 @@
     reason = "test code"
 )]
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -40,12 +40,8 @@
 
 fn serve(mut stream: TcpStream, upload_bytes: usize, after_head: AfterHead) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
-    let mut line = String::new();
-    while line != "\r\n" {
-        line.clear();
-        if !matches!(reader.read_line(&mut line), Ok(1..)) {
-            return;
-        }
+    if !skip_head(&mut reader) {
+        return;
     }
     match after_head {
         AfterHead::Echoes => {
--- a/testkit/fakes/src/scripted.rs
+++ b/testkit/fakes/src/scripted.rs
@@ -22,6 +22,6 @@
 pub use discovery::Discovery;
 pub use latch::Latch;
 pub use load::{Load, LoadResult, RequestText};
-pub use message::{Message, read_message};
+pub use message::{Message, read_message, skip_head};
 pub use node::{Node, NodeProcess, spawn, spawn_with_file};
 pub use wait::{TEST_TIMEOUT, wait_until};
--- a/testkit/fakes/src/scripted/message.rs
+++ b/testkit/fakes/src/scripted/message.rs
@@ -37,6 +37,18 @@
     }
 }
 
+/// Reads up to the end of a head; false if the connection ends before.
+pub fn skip_head(reader: &mut impl BufRead) -> bool {
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        if !matches!(reader.read_line(&mut line), Ok(1..)) {
+            return false;
+        }
+    }
+    true
+}
+
 /// Reads one message; `None` if the message is incomplete when the connection ends or a read fails.
 pub fn read_message(reader: &mut BufReader<TcpStream>) -> Option<Message> {
     let mut line = || {
--- a/testkit/fakes/src/scripted/node.rs
+++ b/testkit/fakes/src/scripted/node.rs
@@ -208,6 +208,15 @@
         (node, discovery)
     }
 
+    /// A value in kB of the status that the system tells of the process, such as `VmRSS:`; 0 once it has ended.
+    pub fn status_kb(&self, name: &str) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with(name));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value.and_then(|value| value.parse().ok()).unwrap_or(0)
+    }
+
     /// The address of the node's console, from the log.
     pub fn console(&self) -> SocketAddr {
         self.logged_address("operators may call console=")
